Whole path: routers, stand-ins and demonstration

Cause: an empty project; the users ask for the whole path first, thin and as separate processes.

Change: resource types and validation; pure state machines for membership, configuration, runner reports, cache index, placement, admission, attempts, claims, leases and rollout; the router's shell around them; a command line; stand-ins of engine and platform; a load tool that checks every answer.

--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,448 @@
+// Package control is the control plane of one node: membership, configuration
+// and runner reports, as one state machine without I/O, clock or goroutines.
+//
+// The node's shell and the hollow nodes of scale runs both drive it: Step takes
+// a message, Tick the time, and TakeReady gives what is to be sent and what has
+// changed.
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/config"
+	"github.com/clovertiller/clovertiller/internal/fleet"
+	"github.com/clovertiller/clovertiller/internal/membership"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// Settings of the control plane.
+type Settings struct {
+	Membership membership.Settings
+	// ConfigFanout is to how many peers of its zone a node passes a change on.
+	ConfigFanout int
+	// PullInterval is the least time between two pulls of missing changes.
+	PullInterval time.Duration
+	// LoadBytesPerSecond bounds what a node spends on reports of runner load.
+	LoadBytesPerSecond int
+	// LoadInterval is the least time between two reports of runner load.
+	LoadInterval time.Duration
+	// DutyRepeat is how often all reports are sent again, to repair losses.
+	DutyRepeat time.Duration
+	// ReportPeers bounds to how many nodes a load report goes; 0 means all of
+	// the region. Changes of duty always go to all of the region.
+	ReportPeers int
+}
+
+// DefaultSettings returns the settings used in production.
+func DefaultSettings() Settings {
+	return Settings{
+		Membership:         membership.DefaultSettings(),
+		ConfigFanout:       3,
+		PullInterval:       200 * time.Millisecond,
+		LoadBytesPerSecond: 16 << 10,
+		LoadInterval:       100 * time.Millisecond,
+		DutyRepeat:         10 * time.Second,
+	}
+}
+
+// Send is a message with its destination. To is "" when only the address is known.
+type Send struct {
+	To       string
+	Address  string
+	Envelope *wire.Envelope
+}
+
+// Ready is what the core wants done and what has changed.
+type Ready struct {
+	Sends  []Send
+	Events []membership.Event
+	// ConfigChanged is true when the configuration moved to a newer revision.
+	ConfigChanged bool
+	// DutiesChanged is true when runners' homes or index owners may have moved.
+	DutiesChanged bool
+	// NewIncarnations lists runners whose engine process is another one.
+	NewIncarnations []fleet.Report
+}
+
+// Core is the control plane of one node. It is not safe for concurrent use.
+type Core struct {
+	settings Settings
+	random   *rand.Rand
+	members  *membership.Core
+	store    *config.Store
+	fleet    *fleet.Table
+
+	usable     []string
+	nextPull   time.Time
+	dirty      map[string]bool
+	loadTokens float64
+	lastTick   time.Time
+	nextLoad   time.Time
+	nextRepeat time.Time
+	ready      Ready
+}
+
+// New returns the control plane of the node self.
+func New(self membership.Member, seeds []string, settings Settings, random *rand.Rand) *Core {
+	c := &Core{
+		settings: settings,
+		random:   random,
+		members:  membership.NewCore(self, seeds, settings.Membership, random),
+		store:    config.NewStore(),
+		fleet:    fleet.NewTable(),
+		dirty:    map[string]bool{},
+	}
+	c.refreshUsable()
+	return c
+}
+
+// Members returns the membership view.
+func (c *Core) Members() *membership.Core { return c.members }
+
+// Store returns the configuration.
+func (c *Core) Store() *config.Store { return c.store }
+
+// Fleet returns the runner table.
+func (c *Core) Fleet() *fleet.Table { return c.fleet }
+
+// TakeReady returns what is to be done, and clears it.
+func (c *Core) TakeReady() Ready {
+	c.drainMembership()
+	ready := c.ready
+	c.ready = Ready{}
+	return ready
+}
+
+// Tick advances the state machine to now.
+func (c *Core) Tick(now time.Time) {
+	c.members.Tick(now)
+	c.drainMembership()
+	c.earnLoadBytes(now)
+	if !now.Before(c.nextRepeat) {
+		c.nextRepeat = now.Add(c.settings.DutyRepeat)
+		c.markOwnDirty()
+	}
+	if !now.Before(c.nextLoad) {
+		c.nextLoad = now.Add(c.settings.LoadInterval)
+		c.reportLoads()
+	}
+}
+
+// Leave announces a planned stop.
+func (c *Core) Leave(now time.Time) {
+	c.members.Leave(now)
+	c.refreshUsable()
+	c.ready.DutiesChanged = true
+}
+
+// Step takes a message from another node. Messages of other kinds are not its concern.
+func (c *Core) Step(now time.Time, envelope *wire.Envelope) {
+	switch body := envelope.GetBody().(type) {
+	case *wire.Envelope_Heartbeat:
+		c.stepMembership(now, heartbeatFromWire(membership.Probe, body.Heartbeat))
+	case *wire.Envelope_HeartbeatAck:
+		c.stepMembership(now, heartbeatFromWire(membership.Ack, body.HeartbeatAck))
+	case *wire.Envelope_MemberListRequest:
+		c.stepMembership(now, membership.Message{Kind: membership.ListRequest, Sender: memberFromWire(body.MemberListRequest.GetSender())})
+	case *wire.Envelope_MemberList:
+		c.stepMembership(now, membership.Message{
+			Kind:    membership.List,
+			Sender:  memberFromWire(body.MemberList.GetSender()),
+			Updates: membersFromWire(body.MemberList.GetMembers()),
+		})
+	case *wire.Envelope_ConfigPull:
+		c.answerPull(envelope.GetFrom(), body.ConfigPull.GetFromRevision())
+	case *wire.Envelope_ConfigDelta:
+		c.applyDelta(now, deltaFromWire(body.ConfigDelta), envelope.GetFrom())
+	case *wire.Envelope_FleetPull:
+		c.sendFleet(envelope.GetFrom())
+	case *wire.Envelope_RunnerReports:
+		for _, report := range body.RunnerReports.GetReports() {
+			c.applyReport(reportFromWire(report))
+		}
+	}
+}
+
+func (c *Core) stepMembership(now time.Time, message membership.Message) {
+	first := !c.members.KnowsOthers()
+	c.members.Step(now, message)
+	c.drainMembership()
+	sender := message.Sender
+	if first && sender.ID != c.members.Self().ID {
+		// The first peer heard of after a start is asked for what this node lost.
+		c.send(sender.ID, sender.PeerAddress, &wire.Envelope{Body: &wire.Envelope_FleetPull{FleetPull: &wire.FleetPull{}}})
+	}
+	if sender.Revision > c.store.Revision() {
+		c.pull(now, sender.ID, sender.PeerAddress)
+	}
+}
+
+// drainMembership turns the membership's outputs into the core's own.
+func (c *Core) drainMembership() {
+	ready := c.members.TakeReady()
+	for _, outgoing := range ready.Messages {
+		c.send(outgoing.To, outgoing.Address, membershipToWire(outgoing.Message))
+	}
+	c.ready.Events = append(c.ready.Events, ready.Events...)
+	for _, event := range ready.Events {
+		if event.Kind == membership.EventPaused {
+			continue
+		}
+		c.refreshUsable()
+		c.ready.DutiesChanged = true
+		if event.Kind == membership.EventJoined && event.Member.Region == c.members.Self().Region {
+			c.sendOwnReports(event.Member)
+		}
+	}
+}
+
+func (c *Core) send(to, address string, envelope *wire.Envelope) {
+	c.ready.Sends = append(c.ready.Sends, Send{To: to, Address: address, Envelope: envelope})
+}
+
+func (c *Core) sendTo(member membership.Member, envelope *wire.Envelope) {
+	c.send(member.ID, member.PeerAddress, envelope)
+}
+
+// refreshUsable recomputes the nodes of the region that may be given duties.
+func (c *Core) refreshUsable() {
+	region := c.members.Self().Region
+	c.usable = c.members.Usable(func(member membership.Member) bool { return member.Region == region })
+}
+
+// UsableNodes returns the nodes of the region that may be given duties.
+func (c *Core) UsableNodes() []string { return c.usable }
+
+// ShardOf returns the node that owns the index of a prompt family, or "" when
+// no node can.
+func (c *Core) ShardOf(family uint64) string { return rendezvous.Owner(c.usable, family) }
+
+// HomeOf returns the node that reads a runner's events: one of the runner's
+// zone, or of the region when the zone has no usable node.
+func (c *Core) HomeOf(runner string, zone string) string {
+	inZone := c.members.UsableInZone(zone)
+	if len(inZone) == 0 {
+		inZone = c.usable
+	}
+	return rendezvous.Owner(inZone, rendezvous.KeyOf(runner))
+}
+
+// Address returns a node's peer address.
+func (c *Core) Address(node string) (string, bool) {
+	member, found := c.members.Member(node)
+	return member.PeerAddress, found
+}
+
+// ---- configuration ----
+
+// ApplyFromPlatform takes a list or a batch of changes read from the platform.
+func (c *Core) ApplyFromPlatform(now time.Time, delta config.Delta) config.Outcome {
+	return c.applyDelta(now, delta, "")
+}
+
+func (c *Core) applyDelta(now time.Time, delta config.Delta, from string) config.Outcome {
+	before := c.store.Revision()
+	outcome := c.store.Apply(delta)
+	switch outcome {
+	case config.Applied:
+		c.members.SetRevision(c.store.Revision())
+		c.ready.ConfigChanged = true
+		c.forgetRunners()
+		c.passOn(before, from)
+	case config.Gap:
+		if address, found := c.Address(from); found {
+			c.pull(now, from, address)
+		}
+	}
+	return outcome
+}
+
+// passOn gives a change to a few random peers of the zone, once; heartbeats
+// repair what this misses.
+func (c *Core) passOn(before uint64, from string) {
+	if before == 0 {
+		// A first full copy is nobody else's news.
+		return
+	}
+	peers := c.members.PeersInZone()
+	c.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	envelope := deltaToWire(c.store.Since(before))
+	sent := 0
+	for _, peer := range peers {
+		if peer.ID == from || peer.Revision >= c.store.Revision() {
+			continue
+		}
+		if sent == c.settings.ConfigFanout {
+			return
+		}
+		sent++
+		c.sendTo(peer, envelope)
+	}
+}
+
+func (c *Core) pull(now time.Time, node, address string) {
+	if now.Before(c.nextPull) {
+		return
+	}
+	c.nextPull = now.Add(c.settings.PullInterval)
+	pull := &wire.ConfigPull{FromRevision: c.store.Revision()}
+	c.send(node, address, &wire.Envelope{Body: &wire.Envelope_ConfigPull{ConfigPull: pull}})
+}
+
+func (c *Core) answerPull(node string, revision uint64) {
+	member, found := c.members.Member(node)
+	if !found || revision >= c.store.Revision() {
+		return
+	}
+	c.sendTo(member, deltaToWire(c.store.Since(revision)))
+}
+
+// forgetRunners drops the reports of runners that are no longer configured.
+func (c *Core) forgetRunners() {
+	var gone []string
+	c.fleet.All(func(report fleet.Report) {
+		if c.store.Version(v1.Key{Kind: v1.KindRunner, Name: report.Runner}) == 0 {
+			gone = append(gone, report.Runner)
+		}
+	})
+	for _, runner := range gone {
+		c.fleet.Forget(runner)
+		delete(c.dirty, runner)
+	}
+}
+
+// ---- runner reports ----
+
+// ObserveRunner takes what this node, as the runner's home, saw of it. A change
+// of duty is reported at once, a change of load within the byte budget.
+func (c *Core) ObserveRunner(now time.Time, report fleet.Report) {
+	report.Sequence = uint64(now.UnixMilli())
+	if known, found := c.fleet.Get(report.Runner); found && known.Incarnation == report.Incarnation {
+		report.Sequence = max(report.Sequence, known.Sequence+1)
+	}
+	change := c.applyReport(report)
+	switch change {
+	case fleet.ChangeIncarnation, fleet.ChangeDuty:
+		c.broadcast([]fleet.Report{report})
+	case fleet.ChangeLoad:
+		c.dirty[report.Runner] = true
+	}
+}
+
+func (c *Core) applyReport(report fleet.Report) fleet.Change {
+	change := c.fleet.Apply(report)
+	if change == fleet.ChangeIncarnation {
+		c.ready.NewIncarnations = append(c.ready.NewIncarnations, report)
+	}
+	return change
+}
+
+func reportsEnvelope(reports []fleet.Report) *wire.Envelope {
+	converted := &wire.RunnerReports{}
+	for _, report := range reports {
+		converted.Reports = append(converted.Reports, reportToWire(report))
+	}
+	return &wire.Envelope{Body: &wire.Envelope_RunnerReports{RunnerReports: converted}}
+}
+
+// reportPeers returns the other nodes of the region that runners are reported to.
+func (c *Core) reportPeers() []membership.Member {
+	self := c.members.Self().ID
+	var peers []membership.Member
+	for _, id := range c.usable {
+		if member, found := c.members.Member(id); found && id != self {
+			peers = append(peers, member)
+		}
+	}
+	return peers
+}
+
+func (c *Core) broadcast(reports []fleet.Report) {
+	envelope := reportsEnvelope(reports)
+	for _, peer := range c.reportPeers() {
+		c.sendTo(peer, envelope)
+	}
+}
+
+// reportBytes is the assumed size of one report on the wire.
+const reportBytes = 64
+
+func (c *Core) earnLoadBytes(now time.Time) {
+	if !c.lastTick.IsZero() {
+		c.loadTokens += now.Sub(c.lastTick).Seconds() * float64(c.settings.LoadBytesPerSecond)
+		c.loadTokens = min(c.loadTokens, float64(c.settings.LoadBytesPerSecond))
+	}
+	c.lastTick = now
+}
+
+// reportLoads sends the changed loads as far as the byte budget allows.
+func (c *Core) reportLoads() {
+	if len(c.dirty) == 0 {
+		return
+	}
+	peers := c.reportPeers()
+	if c.settings.ReportPeers > 0 && len(peers) > c.settings.ReportPeers {
+		c.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		peers = peers[:c.settings.ReportPeers]
+	}
+	cost := float64(reportBytes * max(len(peers), 1))
+	var reports []fleet.Report
+	for runner := range c.dirty {
+		if c.loadTokens < cost {
+			break
+		}
+		c.loadTokens -= cost
+		delete(c.dirty, runner)
+		if report, found := c.fleet.Get(runner); found {
+			reports = append(reports, report)
+		}
+	}
+	if len(reports) == 0 {
+		return
+	}
+	envelope := reportsEnvelope(reports)
+	for _, peer := range peers {
+		c.sendTo(peer, envelope)
+	}
+}
+
+// ownReports returns the reports of the runners whose home this node is.
+func (c *Core) ownReports() []fleet.Report {
+	self := c.members.Self().ID
+	var reports []fleet.Report
+	c.fleet.All(func(report fleet.Report) {
+		zone := ""
+		if spec, found := c.store.Runner(report.Runner); found {
+			zone = spec.Zone
+		}
+		if c.HomeOf(report.Runner, zone) == self {
+			reports = append(reports, report)
+		}
+	})
+	return reports
+}
+
+func (c *Core) markOwnDirty() {
+	for _, report := range c.ownReports() {
+		c.dirty[report.Runner] = true
+	}
+}
+
+func (c *Core) sendOwnReports(to membership.Member) {
+	if reports := c.ownReports(); len(reports) > 0 {
+		c.sendTo(to, reportsEnvelope(reports))
+	}
+}
+
+func (c *Core) sendFleet(node string) {
+	member, found := c.members.Member(node)
+	if !found || c.fleet.Len() == 0 {
+		return
+	}
+	var reports []fleet.Report
+	c.fleet.All(func(report fleet.Report) { reports = append(reports, report) })
+	c.sendTo(member, reportsEnvelope(reports))
+}
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,86 @@
+// Package events writes the numbered log events of the product. docs/EVENTS.md
+// is their catalogue; a test keeps the two equal.
+package events
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Event is one kind of log entry.
+type Event struct {
+	// Number identifies the event in every version of the product.
+	Number int
+	Level  logrus.Level
+	// Text says what happened.
+	Text string
+}
+
+// The events. Numbers are never used again for something else.
+var (
+	NodeStarted        = define(100, logrus.InfoLevel, "router started")
+	NodeServing        = define(101, logrus.InfoLevel, "router serves requests")
+	NodeDraining       = define(102, logrus.InfoLevel, "router is draining")
+	NodeStopped        = define(103, logrus.InfoLevel, "router stopped")
+	NodePaused         = define(104, logrus.WarnLevel, "router did not run for a while")
+	DuplicateNode      = define(105, logrus.ErrorLevel, "another process runs under this node's name")
+	MemberJoined       = define(200, logrus.InfoLevel, "member joined")
+	MemberChanged      = define(201, logrus.InfoLevel, "member changed state")
+	MemberForgotten    = define(202, logrus.InfoLevel, "dead member forgotten")
+	ZoneUnreachable    = define(203, logrus.WarnLevel, "zone is unreachable")
+	ZoneReachable      = define(204, logrus.InfoLevel, "zone is reachable again")
+	ConfigApplied      = define(300, logrus.InfoLevel, "configuration applied")
+	WatchStarted       = define(301, logrus.InfoLevel, "watching the platform")
+	WatchEnded         = define(302, logrus.WarnLevel, "watch of the platform ended")
+	PlatformStale      = define(303, logrus.WarnLevel, "platform served an older state, which was ignored")
+	RunnerConnected    = define(400, logrus.InfoLevel, "runner connected")
+	RunnerLost         = define(401, logrus.WarnLevel, "runner lost")
+	RunnerResync       = define(402, logrus.InfoLevel, "cache index of a runner read anew")
+	RequestRetried     = define(500, logrus.InfoLevel, "request goes to another runner")
+	RequestResumed     = define(501, logrus.InfoLevel, "stream resumed on the same runner")
+	RequestFailed      = define(502, logrus.WarnLevel, "request failed")
+	FrameDropped       = define(503, logrus.WarnLevel, "frame of another attempt or offset dropped")
+	PlacementFallback  = define(504, logrus.WarnLevel, "index owner did not answer; placed without index")
+	ClaimsServing      = define(600, logrus.InfoLevel, "serving claims of an assignment")
+	ClaimsRetired      = define(601, logrus.InfoLevel, "no longer a claim holder")
+	AssignmentProposed = define(602, logrus.InfoLevel, "claim assignment written")
+	AssignmentBlocked  = define(603, logrus.WarnLevel, "claim assignment cannot change yet")
+	LeaseAcquired      = define(700, logrus.InfoLevel, "controller lease acquired")
+	LeaseLost          = define(701, logrus.WarnLevel, "controller lease lost")
+	OrderSent          = define(702, logrus.InfoLevel, "order given to runner")
+	OrderRefused       = define(703, logrus.WarnLevel, "order refused by runner")
+)
+
+var catalogue []Event
+
+func define(number int, level logrus.Level, text string) Event {
+	event := Event{Number: number, Level: level, Text: text}
+	catalogue = append(catalogue, event)
+	return event
+}
+
+// Catalogue returns all events in order of definition.
+func Catalogue() []Event { return append([]Event(nil), catalogue...) }
+
+// Fields are the values of one log entry.
+type Fields = logrus.Fields
+
+// Logger writes events of one node.
+type Logger struct {
+	entry *logrus.Entry
+}
+
+// NewLogger returns a logger that writes JSON lines.
+func NewLogger(output io.Writer, node string, level logrus.Level) *Logger {
+	logger := logrus.New()
+	logger.SetOutput(output)
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.JSONFormatter{})
+	return &Logger{entry: logger.WithField("node", node)}
+}
+
+// Log writes one event.
+func (l *Logger) Log(event Event, fields Fields) {
+	l.entry.WithField("event", event.Number).WithFields(fields).Log(event.Level, event.Text)
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,128 @@
+// Package lease decides who holds a lease kept in the platform's object API.
+//
+// The version of the lease object at the acquiring write is the fencing token
+// of the holder's term. Engines remember the highest token they have seen and
+// refuse lower ones, so a holder that was paused past its lease and wakes does
+// no harm. The package has no I/O and no clock; spec/lease.pml models it.
+package lease
+
+import (
+	"time"
+
+	v1 "github.com/clovertiller/clovertiller/api/v1"
+)
+
+// Observation is the lease object as last read.
+type Observation struct {
+	Exists  bool
+	Version uint64
+	Spec    v1.LeaseSpec
+}
+
+// Action is what a candidate is to do.
+type Action uint8
+
+// The actions.
+const (
+	// Wait means: another node holds the lease.
+	Wait Action = iota
+	// Acquire means: write the lease with a new term, at the observed version.
+	Acquire
+	// Renew means: write the lease with a higher renew count, at the observed version.
+	Renew
+	// Hold means: the lease is held and needs no write yet.
+	Hold
+)
+
+// Candidate is one node's view of one lease. It is not safe for concurrent use.
+type Candidate struct {
+	node     string
+	duration time.Duration
+
+	seen Observation
+	// changedAt is when this node saw the observed version first, by its own clock.
+	changedAt time.Time
+	// token is the fencing token of the own term, 0 when not holding.
+	token uint64
+	// validUntil is when the own term ends unless renewed, counted from before
+	// the write that started or renewed it.
+	validUntil time.Time
+}
+
+// NewCandidate returns a candidate for a lease of the given duration.
+func NewCandidate(node string, duration time.Duration) *Candidate {
+	return &Candidate{node: node, duration: duration}
+}
+
+// Observe takes a read of the lease object. A holder that sees another one's
+// write has lost its term.
+func (c *Candidate) Observe(now time.Time, observation Observation) {
+	if observation.Version < c.seen.Version {
+		return
+	}
+	if observation.Version != c.seen.Version || c.changedAt.IsZero() {
+		c.changedAt = now
+	}
+	c.seen = observation
+	if c.token != 0 && observation.Spec.Holder != c.node {
+		c.token = 0
+	}
+}
+
+// Next returns what to do. Another holder's lease may be taken only after this
+// node has watched it unchanged for the whole duration on its own clock.
+func (c *Candidate) Next(now time.Time) Action {
+	if _, held := c.Token(now); held {
+		if now.Before(c.validUntil.Add(-c.duration * 2 / 3)) {
+			return Hold
+		}
+		return Renew
+	}
+	if !c.seen.Exists || c.seen.Spec.Holder == "" {
+		return Acquire
+	}
+	if !c.changedAt.IsZero() && now.Sub(c.changedAt) >= c.duration {
+		return Acquire
+	}
+	return Wait
+}
+
+// Proposal returns the lease content to write for the action.
+func (c *Candidate) Proposal(action Action) v1.LeaseSpec {
+	proposal := v1.LeaseSpec{
+		Holder:         c.node,
+		Term:           c.seen.Spec.Term,
+		RenewCount:     c.seen.Spec.RenewCount + 1,
+		DurationMillis: c.duration.Milliseconds(),
+	}
+	if action == Acquire {
+		proposal.Term++
+	}
+	return proposal
+}
+
+// Written notes a write that the platform accepted. The term is counted from
+// before the write was sent, so that this node never believes in it for longer
+// than the others do.
+func (c *Candidate) Written(sent time.Time, action Action, version uint64, spec v1.LeaseSpec) {
+	c.seen = Observation{Exists: true, Version: version, Spec: spec}
+	c.changedAt = sent
+	c.validUntil = sent.Add(c.duration)
+	if action == Acquire {
+		c.token = version
+	}
+}
+
+// Release gives the own term up, before a planned stop.
+func (c *Candidate) Release() { c.token = 0 }
+
+// Token returns the fencing token of the own term while it is valid.
+func (c *Candidate) Token(now time.Time) (uint64, bool) {
+	if c.token == 0 || !now.Before(c.validUntil) {
+		return 0, false
+	}
+	return c.token, true
+}
+
+// Seen returns the lease as last observed.
+func (c *Candidate) Seen() Observation { return c.seen }
--- /dev/null
+++ b/internal/node/ingress.go
@@ -0,0 +1,280 @@
+package node
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/kataras/iris/v12"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/clovertiller/clovertiller/internal/admission"
+	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/config"
+	"github.com/clovertiller/clovertiller/internal/engineapi"
+	"github.com/clovertiller/clovertiller/internal/events"
+)
+
+// Paths of the router's HTTP interface.
+const (
+	PathChat        = "/v1/chat/completions"
+	PathCompletions = "/v1/completions"
+	PathModels      = "/v1/models"
+	PathHealth      = "/healthz"
+	PathReady       = "/readyz"
+	PathMetrics     = "/metrics"
+	// PathStatus is for operators and the command line.
+	PathStatus = "/status"
+	// PathCut is the fault endpoint, open only when the settings say so.
+	PathCut = "/lab/cut"
+)
+
+const idleTimeout = 2 * time.Minute
+
+// serveHTTP builds the callers' and operators' interface and serves it.
+func (n *Node) serveHTTP(listener net.Listener) error {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Post(PathChat, iris.FromStd(n.completionHandler(engineapi.FormatChat)))
+	app.Post(PathCompletions, iris.FromStd(n.completionHandler(engineapi.FormatCompletion)))
+	app.Get(PathModels, iris.FromStd(n.handleModels))
+	app.Get(PathHealth, iris.FromStd(func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) }))
+	app.Get(PathReady, iris.FromStd(n.handleReady))
+	app.Get(PathMetrics, iris.FromStd(promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})))
+	app.Get(PathStatus, iris.FromStd(n.handleStatus))
+	if n.settings.FaultEndpoint {
+		app.Post(PathCut, iris.FromStd(n.handleCut))
+	}
+	if err := app.Build(); err != nil {
+		return trace.Wrap(err)
+	}
+	limits := n.settings.Limits
+	n.http = &http.Server{
+		Handler:           app,
+		ReadHeaderTimeout: time.Duration(limits.HeaderTimeoutMillis) * time.Millisecond,
+		ReadTimeout:       time.Duration(limits.BodyTimeoutMillis) * time.Millisecond,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+	}
+	go n.http.Serve(listener)
+	return nil
+}
+
+func (n *Node) handleReady(writer http.ResponseWriter, _ *http.Request) {
+	if n.Revision() == 0 || n.draining.Load() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// authenticate finds the tenant of the bearer key, of which only the hash is stored.
+func authenticate(request *http.Request, snapshot *config.Snapshot) (*config.Tenant, *apiError) {
+	if snapshot.Revision == 0 {
+		return nil, &apiError{status: http.StatusServiceUnavailable, code: codeNotReady, message: "the router has no configuration yet", runState: attempt.NotRun}
+	}
+	scheme, key, found := strings.Cut(request.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return nil, &apiError{status: http.StatusUnauthorized, code: codeInvalidKey, param: "Authorization", message: "a bearer key is required", runState: attempt.NotRun}
+	}
+	digest := sha256.Sum256([]byte(key))
+	tenant := snapshot.ByKeyHash[hex.EncodeToString(digest[:])]
+	if tenant == nil {
+		return nil, &apiError{status: http.StatusUnauthorized, code: codeInvalidKey, param: "Authorization", message: "the key is not known", runState: attempt.NotRun}
+	}
+	return tenant, nil
+}
+
+// completionHandler serves one of the two completion calls.
+func (n *Node) completionHandler(format string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		snapshot := n.snapshot.Load()
+		tenant, failure := authenticate(request, snapshot)
+		if failure != nil {
+			n.refuse(writer, "", failure)
+			return
+		}
+		c, failure := n.parseCall(request, tenant, snapshot, format)
+		if failure != nil {
+			n.refuse(writer, tenant.Name, failure)
+			return
+		}
+		if failure := n.admit(c); failure != nil {
+			n.refuse(writer, tenant.Name, failure)
+			return
+		}
+		defer n.release(c)
+		// The read time-out is for the body; from here on the caller only reads.
+		_ = http.NewResponseController(writer).SetReadDeadline(time.Time{})
+		n.execute(writer, request, c)
+	}
+}
+
+func (n *Node) refuse(writer http.ResponseWriter, tenant string, failure *apiError) {
+	n.metrics.outcome(failure.code, string(failure.runState))
+	n.log.Log(events.RequestFailed, events.Fields{"tenant": tenant, "code": failure.code, "run_state": failure.runState, "reason": failure.message})
+	failure.write(writer)
+}
+
+// admit applies the tenant's limits.
+func (n *Node) admit(c *call) *apiError {
+	n.mutex.Lock()
+	nodes := len(n.control.UsableNodes())
+	n.mutex.Unlock()
+	limits := admission.NodeShare(c.tenant.Spec.RequestsPerSecond, c.tenant.Spec.MaxConcurrent, nodes)
+	now := time.Now()
+	n.admissionMutex.Lock()
+	defer n.admissionMutex.Unlock()
+	decision := n.limiter.Admit(now, c.tenant.Name, c.tenant.Spec.Tier, limits)
+	if decision.Reason != admission.Admitted {
+		return &apiError{status: http.StatusTooManyRequests, code: codeRateLimited, message: string(decision.Reason), runState: attempt.NotRun, retryAfter: decision.RetryAfter}
+	}
+	n.limiter.Use(now, c.tenant.Name, c.promptTokens)
+	n.retries.Earn()
+	return nil
+}
+
+func (n *Node) release(c *call) {
+	n.admissionMutex.Lock()
+	defer n.admissionMutex.Unlock()
+	n.limiter.Release(c.tenant.Name)
+}
+
+// maxWait returns the longest expected wait at which the request is accepted.
+func (n *Node) maxWait(c *call) time.Duration {
+	n.admissionMutex.Lock()
+	defer n.admissionMutex.Unlock()
+	share := n.limiter.WaitShare(time.Now(), c.tenant.Name)
+	return time.Duration(float64(c.tenant.Tier.MaxWaitMillis) * share * float64(time.Millisecond))
+}
+
+// modelList is the answer to PathModels.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (n *Node) handleModels(writer http.ResponseWriter, request *http.Request) {
+	snapshot := n.snapshot.Load()
+	tenant, failure := authenticate(request, snapshot)
+	if failure != nil {
+		n.refuse(writer, "", failure)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	add := func(id string) {
+		list.Data = append(list.Data, modelItem{ID: id, Object: "model", OwnedBy: "clovertiller"})
+	}
+	for name := range snapshot.Models {
+		if mayUse(tenant, name) {
+			add(name)
+		}
+	}
+	for name, adapter := range snapshot.Adapters {
+		if mayUse(tenant, adapter.Model) {
+			add(adapter.Model + adapterSeparator + name)
+		}
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	writeJSON(writer, list)
+}
+
+func writeJSON(writer http.ResponseWriter, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(writer).Encode(body)
+}
+
+// MemberStatus is one router in a Status.
+type MemberStatus struct {
+	Node     string `json:"node"`
+	Zone     string `json:"zone"`
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+}
+
+// RunnerStatus is one runner in a Status.
+type RunnerStatus struct {
+	Runner        string `json:"runner"`
+	State         string `json:"state"`
+	Connected     bool   `json:"connected"`
+	Model         string `json:"model"`
+	WeightVersion string `json:"weightVersion"`
+	Home          string `json:"home"`
+	Incarnation   uint64 `json:"incarnation"`
+	Running       int    `json:"running"`
+	Waiting       int    `json:"waiting"`
+}
+
+// Status is what a router knows of itself and of the others.
+type Status struct {
+	Node        string         `json:"node"`
+	Incarnation uint64         `json:"incarnation"`
+	Revision    uint64         `json:"revision"`
+	Draining    bool           `json:"draining"`
+	Assignment  uint64         `json:"claimAssignment"`
+	Claims      int            `json:"claims"`
+	Granting    bool           `json:"granting"`
+	IndexBlocks int            `json:"indexBlocks"`
+	Members     []MemberStatus `json:"members"`
+	Runners     []RunnerStatus `json:"runners"`
+}
+
+// Status describes the router now.
+func (n *Node) Status() Status {
+	snapshot := n.snapshot.Load()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	number, granting := n.holder.Assignment()
+	status := Status{
+		Node: n.settings.Node, Incarnation: n.incarnation, Revision: snapshot.Revision, Draining: n.draining.Load(),
+		Assignment: number, Claims: n.holder.Len(), Granting: granting, IndexBlocks: n.shard.Len(),
+	}
+	for _, member := range n.control.Members().Members() {
+		state := member.State.String()
+		if n.control.Members().ZoneUnreachable(member.Zone) {
+			state = "unreachable"
+		}
+		status.Members = append(status.Members, MemberStatus{Node: member.ID, Zone: member.Zone, State: state, Revision: member.Revision})
+	}
+	for name, runner := range snapshot.Runners {
+		report, _ := n.control.Fleet().Get(name)
+		status.Runners = append(status.Runners, RunnerStatus{
+			Runner: name, State: report.State.String(), Connected: report.Connected, Model: report.Model,
+			WeightVersion: report.WeightVersion, Home: n.control.HomeOf(name, runner.Spec.Zone),
+			Incarnation: report.Incarnation, Running: report.Load.Running, Waiting: report.Load.Waiting,
+		})
+	}
+	sort.Slice(status.Runners, func(i, j int) bool { return status.Runners[i].Runner < status.Runners[j].Runner })
+	return status
+}
+
+func (n *Node) handleStatus(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, n.Status())
+}
+
+// CutRequest is the body of PathCut: the routers to be cut off from.
+type CutRequest struct {
+	Nodes []string `json:"nodes"`
+}
+
+func (n *Node) handleCut(writer http.ResponseWriter, request *http.Request) {
+	var body CutRequest
+	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n.SetCut(body.Nodes)
+	writeJSON(writer, body)
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,41 @@
+// Package rendezvous assigns keys to nodes by highest random weight, so that a
+// node that joins or leaves moves only its own share of the keys.
+package rendezvous
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Weight returns the pseudo-random weight of a node for a key.
+func Weight(node string, key uint64) uint64 {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:8], key)
+	binary.LittleEndian.PutUint64(buffer[8:], xxhash.Sum64String(node))
+	return xxhash.Sum64(buffer[:])
+}
+
+// KeyOf hashes a name to a key.
+func KeyOf(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Owner returns the node with the highest weight for the key, or "" when there is none.
+func Owner(nodes []string, key uint64) string {
+	best, bestWeight := "", uint64(0)
+	for _, node := range nodes {
+		if weight := Weight(node, key); best == "" || weight > bestWeight {
+			best, bestWeight = node, weight
+		}
+	}
+	return best
+}
+
+// Ranked returns the count nodes with the highest weights, highest first.
+func Ranked(nodes []string, key uint64, count int) []string {
+	ranked := append([]string(nil), nodes...)
+	sort.Slice(ranked, func(i, j int) bool {
+		return Weight(ranked[i], key) > Weight(ranked[j], key)
+	})
+	return ranked[:min(count, len(ranked))]
+}
--- /dev/null
+++ b/internal/wire/peer.go
@@ -0,0 +1,124 @@
+package wire
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+)
+
+// peer owns the outgoing connection to one address. It ends when the
+// connection breaks or idles; the transport then makes a new one on demand.
+type peer struct {
+	transport *Transport
+	address   string
+	queue     chan []byte
+	stop      chan struct{}
+	stopOnce  sync.Once
+}
+
+func newPeer(transport *Transport, address string) *peer {
+	return &peer{
+		transport: transport,
+		address:   address,
+		queue:     make(chan []byte, queueFrames),
+		stop:      make(chan struct{}),
+	}
+}
+
+func (p *peer) close() { p.stopOnce.Do(func() { close(p.stop) }) }
+
+func (p *peer) done() bool {
+	select {
+	case <-p.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// run dials, then writes queued frames until the connection ends. Frames that
+// were queued when it ends are lost, as on any broken connection.
+func (p *peer) run() {
+	defer p.close()
+	connection, err := net.DialTimeout("tcp", p.address, dialTimeout)
+	if err != nil {
+		p.pause()
+		return
+	}
+	defer connection.Close()
+	go p.readReplies(connection)
+	writeFrames(connection, p.queue, p.stop)
+}
+
+// pause keeps a dead address from being dialled in a tight loop.
+func (p *peer) pause() {
+	select {
+	case <-time.After(redialPause):
+	case <-p.stop:
+	}
+}
+
+func (p *peer) readReplies(connection net.Conn) {
+	defer p.close()
+	defer connection.Close()
+	reader := bufio.NewReaderSize(connection, 4<<10)
+	for {
+		connection.SetReadDeadline(time.Now().Add(idleTimeout))
+		envelope, err := ReadFrame(reader)
+		if err != nil {
+			p.transport.countMalformed(err)
+			return
+		}
+		if !p.transport.isCut(envelope.GetFrom()) && envelope.GetReply() {
+			p.transport.deliverReply(envelope)
+		}
+	}
+}
+
+// writeFrames writes frames as they come and flushes when the queue is empty,
+// so that frames that wait together leave in one system call.
+func writeFrames(connection net.Conn, queue <-chan []byte, stop <-chan struct{}) {
+	writer := bufio.NewWriterSize(connection, 8<<10)
+	for {
+		select {
+		case frame := <-queue:
+			connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := writer.Write(frame); err != nil {
+				return
+			}
+		case <-stop:
+			writer.Flush()
+			return
+		}
+		if len(queue) == 0 && writer.Flush() != nil {
+			return
+		}
+	}
+}
+
+// connectionWriter queues replies on an accepted connection.
+type connectionWriter struct {
+	queue chan []byte
+	stop  chan struct{}
+}
+
+func newConnectionWriter(connection net.Conn) *connectionWriter {
+	w := &connectionWriter{queue: make(chan []byte, queueFrames), stop: make(chan struct{})}
+	go func() {
+		writeFrames(connection, w.queue, w.stop)
+		connection.Close()
+	}()
+	return w
+}
+
+func (w *connectionWriter) offer(frame []byte) bool {
+	select {
+	case w.queue <- frame:
+		return true
+	default:
+		return false
+	}
+}
+
+func (w *connectionWriter) close() { close(w.stop) }
--- /dev/null
+++ b/internal/wire/transport.go
@@ -0,0 +1,275 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Sizes and times of the transport.
+const (
+	// queueFrames bounds the frames waiting for one peer; more are dropped, so
+	// that a slow peer costs bounded memory and never blocks a sender.
+	queueFrames = 512
+	dialTimeout = 2 * time.Second
+	// writeTimeout closes the connection to a peer that stops reading.
+	writeTimeout = 5 * time.Second
+	// idleTimeout closes a connection without traffic.
+	idleTimeout = 90 * time.Second
+	// redialPause is the least time between two failed dials of a peer.
+	redialPause = 200 * time.Millisecond
+)
+
+// Errors of sending and calling.
+var (
+	ErrQueueFull = errors.New("queue to the peer is full")
+	ErrClosed    = errors.New("transport is closed")
+	ErrNoReply   = errors.New("no reply within the deadline")
+	ErrCut       = errors.New("path to the peer is cut by a fault setting")
+)
+
+// Handler takes an incoming message. For a call it returns the reply, or nil
+// for no reply. Messages of one connection are handled in order, so it must not
+// block.
+type Handler func(ctx context.Context, envelope *Envelope) *Envelope
+
+// Identity names the local process in every envelope.
+type Identity struct {
+	Node        string
+	Incarnation uint64
+}
+
+// Transport sends envelopes to peers over one connection each.
+type Transport struct {
+	identity Identity
+	handler  Handler
+	listener net.Listener
+
+	callID  atomic.Uint64
+	pending sync.Map // call id -> chan *Envelope
+
+	mutex    sync.Mutex
+	peers    map[string]*peer
+	accepted map[net.Conn]struct{}
+	cut      map[string]bool
+	closed   bool
+
+	counters Counters
+}
+
+// Counters counts the transport's traffic.
+type Counters struct {
+	BytesSent       atomic.Uint64
+	BytesReceived   atomic.Uint64
+	FramesSent      atomic.Uint64
+	FramesDropped   atomic.Uint64
+	MalformedFrames atomic.Uint64
+}
+
+// NewTransport serves incoming frames on the listener until Close.
+func NewTransport(identity Identity, listener net.Listener, handler Handler) *Transport {
+	t := &Transport{
+		identity: identity,
+		handler:  handler,
+		listener: listener,
+		peers:    map[string]*peer{},
+		accepted: map[net.Conn]struct{}{},
+		cut:      map[string]bool{},
+	}
+	go t.acceptLoop()
+	return t
+}
+
+// Counters returns the live counters.
+func (t *Transport) Counters() *Counters { return &t.counters }
+
+// Address returns the address that peers dial.
+func (t *Transport) Address() string { return t.listener.Addr().String() }
+
+// SetCut drops all traffic to and from the listed nodes; it is a fault
+// setting for tests of cut networks, off by default.
+func (t *Transport) SetCut(nodes []string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.cut = make(map[string]bool, len(nodes))
+	for _, node := range nodes {
+		t.cut[node] = true
+	}
+}
+
+func (t *Transport) isCut(node string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.cut[node]
+}
+
+// Send queues a one-way message. It never blocks.
+func (t *Transport) Send(node, address string, envelope *Envelope) error {
+	envelope.From = t.identity.Node
+	envelope.FromIncarnation = t.identity.Incarnation
+	if t.isCut(node) {
+		return ErrCut
+	}
+	target, err := t.peer(address)
+	if err != nil {
+		return err
+	}
+	frame, err := AppendFrame(nil, envelope)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	select {
+	case target.queue <- frame:
+		t.counters.FramesSent.Add(1)
+		t.counters.BytesSent.Add(uint64(len(frame)))
+		return nil
+	default:
+		t.counters.FramesDropped.Add(1)
+		return ErrQueueFull
+	}
+}
+
+// Call sends a message and waits for its reply until the context ends.
+func (t *Transport) Call(ctx context.Context, node, address string, envelope *Envelope) (*Envelope, error) {
+	id := t.callID.Add(1)
+	envelope.CallId = id
+	if deadline, has := ctx.Deadline(); has {
+		envelope.DeadlineMillis = uint32(max(time.Until(deadline).Milliseconds(), 1))
+	}
+	answer := make(chan *Envelope, 1)
+	t.pending.Store(id, answer)
+	defer t.pending.Delete(id)
+	if err := t.Send(node, address, envelope); err != nil {
+		return nil, err
+	}
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ErrNoReply
+	}
+}
+
+// Close stops listening and closes all connections.
+func (t *Transport) Close() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.closed {
+		return
+	}
+	t.closed = true
+	t.listener.Close()
+	for connection := range t.accepted {
+		connection.Close()
+	}
+	for _, peer := range t.peers {
+		peer.close()
+	}
+}
+
+func (t *Transport) acceptLoop() {
+	for {
+		connection, err := t.listener.Accept()
+		if err != nil {
+			return
+		}
+		t.mutex.Lock()
+		if t.closed {
+			t.mutex.Unlock()
+			connection.Close()
+			return
+		}
+		t.accepted[connection] = struct{}{}
+		t.mutex.Unlock()
+		go t.serve(connection)
+	}
+}
+
+// serve reads frames from an accepted connection and writes replies to it.
+func (t *Transport) serve(connection net.Conn) {
+	defer func() {
+		connection.Close()
+		t.mutex.Lock()
+		delete(t.accepted, connection)
+		t.mutex.Unlock()
+	}()
+	replies := newConnectionWriter(connection)
+	defer replies.close()
+	reader := bufio.NewReaderSize(connection, 4<<10)
+	for {
+		connection.SetReadDeadline(time.Now().Add(idleTimeout))
+		envelope, err := ReadFrame(reader)
+		if err != nil {
+			t.countMalformed(err)
+			return
+		}
+		if t.isCut(envelope.GetFrom()) {
+			continue
+		}
+		t.handle(envelope, replies)
+	}
+}
+
+func (t *Transport) countMalformed(err error) {
+	for _, malformed := range []error{ErrFrameTooLarge, ErrFrameEmpty, ErrFrameVersion, ErrFrameMalformed} {
+		if errors.Is(err, malformed) {
+			t.counters.MalformedFrames.Add(1)
+		}
+	}
+}
+
+func (t *Transport) handle(envelope *Envelope, replies *connectionWriter) {
+	ctx := context.Background()
+	if envelope.GetDeadlineMillis() > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(envelope.GetDeadlineMillis())*time.Millisecond)
+		defer cancel()
+	}
+	reply := t.handler(ctx, envelope)
+	if reply == nil || envelope.GetCallId() == 0 || ctx.Err() != nil {
+		return
+	}
+	reply.CallId = envelope.GetCallId()
+	reply.Reply = true
+	reply.From = t.identity.Node
+	reply.FromIncarnation = t.identity.Incarnation
+	frame, err := AppendFrame(nil, reply)
+	if err != nil {
+		return
+	}
+	if replies.offer(frame) {
+		t.counters.FramesSent.Add(1)
+		t.counters.BytesSent.Add(uint64(len(frame)))
+	} else {
+		t.counters.FramesDropped.Add(1)
+	}
+}
+
+// deliverReply hands a reply to the call that waits for it; a late reply finds none.
+func (t *Transport) deliverReply(envelope *Envelope) {
+	if waiting, found := t.pending.LoadAndDelete(envelope.GetCallId()); found {
+		waiting.(chan *Envelope) <- envelope
+	}
+}
+
+func (t *Transport) peer(address string) (*peer, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.closed {
+		return nil, ErrClosed
+	}
+	existing, found := t.peers[address]
+	if found && !existing.done() {
+		return existing, nil
+	}
+	created := newPeer(t, address)
+	t.peers[address] = created
+	go created.run()
+	return created, nil
+}
