Emulator and experiment: placement against baselines and an oracle

Cause: placement needs a measure that does not depend on the machine.

Change: the product's placer, index, trackers and reports run in virtual time against the engine model; baselines and an oracle in the same run; the assembling of candidates moved from the router's shell into placement.Placer, which both use.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build demo test format-check lint models unit prove mutants
+.PHONY: build demo test format-check lint models unit prove mutants experiment
 
 build:
 	@mkdir -p bin
@@ -34,3 +34,7 @@
 # Each mechanism removed in a scratch copy: its proof must then fail.
 mutants:
 	@./hack/mutants.sh
+
+# Placement against baselines and an oracle, in emulated time; under 3 minutes.
+experiment: build
+	@./bin/clovertiller-lab experiment --plots out/experiment
--- a/cmd/clovertiller-lab/main.go
+++ b/cmd/clovertiller-lab/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/lab/enginemodel"
 	"github.com/clovertiller/clovertiller/internal/lab/engineserver"
+	"github.com/clovertiller/clovertiller/internal/lab/experiment"
 	"github.com/clovertiller/clovertiller/internal/lab/load"
 	"github.com/clovertiller/clovertiller/internal/lab/platformserver"
 	"github.com/clovertiller/clovertiller/internal/lab/workload"
@@ -34,7 +35,7 @@
 func run() int {
 	parser := flaggy.NewParser("clovertiller-lab")
 	parser.Description = "Stand-ins and experiments of clovertiller."
-	commands := []command{platformCommand(), engineCommand(), loadCommand()}
+	commands := []command{platformCommand(), engineCommand(), loadCommand(), experimentCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.subcommand, 1)
 	}
@@ -110,6 +111,16 @@
 	}}
 }
 
+func experimentCommand() command {
+	subcommand := newSubcommand("experiment", "Compare placement with baselines and an oracle in emulated time.")
+	settings := experiment.DefaultSettings()
+	subcommand.Int(&settings.Seeds, "", "seeds", "Number of seeds.")
+	subcommand.Duration(&settings.Duration, "", "duration", "Emulated time of one run.")
+	subcommand.Float64(&settings.Load, "", "load", "Offered load as a share of the oracle's saturation.")
+	subcommand.String(&settings.PlotDirectory, "", "plots", "Directory for plots; none without it.")
+	return command{subcommand, func(context.Context) error { return experiment.Run(os.Stdout, settings) }}
+}
+
 // errNotClean makes a run with a lost, doubled or wrong answer fail.
 var errNotClean = errors.New("not every request was answered whole, once and right")
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,7 +56,7 @@
 	mutex     sync.Mutex
 	control   *control.Core
 	shard     *cacheindex.Shard
-	pending   *placement.Pending
+	placer    *placement.Placer
 	holder    *claim.Holder
 	random    *rand.Rand
 	homes     map[string]*home
@@ -112,7 +112,6 @@
 		platform:    platform.NewClient(settings.Platform),
 		engines:     engineapi.NewClient(),
 		shard:       cacheindex.NewShard(confirmPlacement),
-		pending:     placement.NewPending(reportLag),
 		holder:      claim.NewHolder(),
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		homes:       map[string]*home{},
@@ -128,6 +127,7 @@
 		PeerAddress: listeners.Peer.Addr().String(), Incarnation: n.incarnation,
 	}
 	n.control = control.New(self, settings.Seeds, control.DefaultSettings(), n.random)
+	n.placer = &placement.Placer{Index: n.shard, Pending: placement.NewPending(reportLag), Fleet: n.control.Fleet(), Random: n.random}
 	n.snapshot.Store(config.NewSnapshot(n.control.Store()))
 	n.metrics = newMetrics(n)
 	n.transport = wire.NewTransport(wire.Identity{Node: settings.Node, Incarnation: n.incarnation}, listeners.Peer, n.handlePeer)
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -11,7 +11,6 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/prefix"
-	"github.com/clovertiller/clovertiller/internal/rendezvous"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -66,73 +65,42 @@
 	if pool == nil {
 		return &wire.PlaceResponse{Refused: true, Reason: placement.NoRunner.String(), RetryAfterMillis: 1000}
 	}
-	wanted := placement.Request{
-		Model: request.GetModel(), Adapter: request.GetAdapter(), WeightVersion: request.GetWeightVersion(),
-		PromptTokens: int(request.GetPromptTokens()), MaxTokens: int(request.GetMaxTokens()),
-		Priority: int(request.GetPriority()), MaxWait: time.Duration(request.GetMaxWaitMillis()) * time.Millisecond,
-		Excluded: request.GetExcluded(),
-	}
-	anchors := anchorsFromWire(request.GetAnchors())
+	query := queryOf(request, pool, snapshot.ByPool[request.GetPool()])
 	now := time.Now()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	candidates := n.candidates(now, snapshot, pool, request, anchors, indexed)
-	pick := placement.Choose(wanted, candidates, placement.Weights{Hit: pool.HitWeight}, n.random)
+	var pick placement.Pick
+	if indexed {
+		pick = n.placer.Place(now, query)
+	} else {
+		pick = n.placer.PlaceWithoutIndex(now, query)
+	}
 	if pick.Status != placement.Picked {
 		return &wire.PlaceResponse{Refused: true, Reason: pick.Status.String(), RetryAfterMillis: uint32(pick.RetryAfter.Milliseconds())}
 	}
-	chosen := pick.Candidate
-	n.pending.Add(now, chosen.Name, wanted.Priority, wanted.PromptTokens-chosen.CachedTokens)
-	if indexed {
-		n.shard.Note(now, cacheindex.Holder{Runner: chosen.Name, Incarnation: chosen.Report.Incarnation}, anchors)
-	}
 	return &wire.PlaceResponse{
-		Runner: chosen.Name, Incarnation: chosen.Report.Incarnation,
-		ExpectedCachedTokens: uint32(chosen.CachedTokens), ExpectedWaitMillis: uint32(pick.Wait.Milliseconds()),
+		Runner: pick.Candidate.Name, Incarnation: pick.Candidate.Report.Incarnation,
+		ExpectedCachedTokens: uint32(pick.Candidate.CachedTokens), ExpectedWaitMillis: uint32(pick.Wait.Milliseconds()),
 	}
 }
 
-// candidates describes the pool's runners for the choice. The mutex is held.
-func (n *Node) candidates(now time.Time, snapshot *config.Snapshot, pool *v1.PoolSpec, request *wire.PlaceRequest, anchors []prefix.Anchor, indexed bool) []placement.Candidate {
-	cached := n.cachedTokens(pool, request, anchors, snapshot, indexed)
-	runners := snapshot.ByPool[request.GetPool()]
-	candidates := make([]placement.Candidate, 0, len(runners))
-	for _, runner := range runners {
-		report, found := n.control.Fleet().Get(runner.Name)
-		if !found {
-			continue
-		}
-		candidate := placement.Candidate{
-			Name: runner.Name, Leaving: runner.Leaving, Standby: runner.Spec.Role == v1.RoleStandby, Report: report,
-			CachedTokens: cached[cacheindex.Holder{Runner: runner.Name, Incarnation: report.Incarnation}],
-		}
-		candidate.PendingTokens, candidate.PendingRequests = n.pending.Of(now, runner.Name, int(request.GetPriority()))
-		candidates = append(candidates, candidate)
+func queryOf(request *wire.PlaceRequest, pool *v1.PoolSpec, runners []*config.Runner) placement.Query {
+	query := placement.Query{
+		Request: placement.Request{
+			Model: request.GetModel(), Adapter: request.GetAdapter(), WeightVersion: request.GetWeightVersion(),
+			PromptTokens: int(request.GetPromptTokens()), MaxTokens: int(request.GetMaxTokens()),
+			Priority: int(request.GetPriority()), MaxWait: time.Duration(request.GetMaxWaitMillis()) * time.Millisecond,
+			Excluded: request.GetExcluded(),
+		},
+		Family:      request.GetFamily(),
+		Anchors:     anchorsFromWire(request.GetAnchors()),
+		BlockTokens: pool.BlockBytes / prefix.BytesPerToken,
+		Weights:     placement.Weights{Hit: pool.HitWeight},
 	}
-	return candidates
-}
-
-// cachedTokens returns how much of the prompt each holder has. Without the
-// index, the family's first runner by rendezvous is taken to hold half of it,
-// so that nodes that cannot ask still agree on where a family goes.
-func (n *Node) cachedTokens(pool *v1.PoolSpec, request *wire.PlaceRequest, anchors []prefix.Anchor, snapshot *config.Snapshot, indexed bool) map[cacheindex.Holder]int {
-	cached := map[cacheindex.Holder]int{}
-	if indexed {
-		blockTokens := pool.BlockBytes / prefix.BytesPerToken
-		for _, match := range n.shard.Lookup(anchors) {
-			cached[match.Holder] = min(match.Depth*blockTokens, int(request.GetPromptTokens()))
-		}
-		return cached
-	}
-	var names []string
-	for _, runner := range snapshot.ByPool[request.GetPool()] {
-		names = append(names, runner.Name)
-	}
-	first := rendezvous.Owner(names, request.GetFamily())
-	if report, found := n.control.Fleet().Get(first); found {
-		cached[cacheindex.Holder{Runner: first, Incarnation: report.Incarnation}] = int(request.GetPromptTokens()) / 2
+	for _, runner := range runners {
+		query.Runners = append(query.Runners, placement.Runner{Name: runner.Name, Leaving: runner.Leaving, Standby: runner.Spec.Role == v1.RoleStandby})
 	}
-	return cached
+	return query
 }
 
 // sendPlaceResult tells the index's owner what the engine did.
--- /dev/null
+++ b/internal/placement/placer.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/cacheindex"
+	"github.com/clovertiller/clovertiller/internal/fleet"
+	"github.com/clovertiller/clovertiller/internal/prefix"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
+)
+
+// Runner is one runner of a pool, as configured.
+type Runner struct {
+	Name string
+	// Leaving is the machine list's word that the runner's machine leaves.
+	Leaving bool
+	Standby bool
+}
+
+// Query is a request with what a Placer needs to find its runner.
+type Query struct {
+	Request Request
+	// Family assigns the prompt to an index shard.
+	Family uint64
+	// Anchors are the indexed blocks of the prompt, shallowest first.
+	Anchors     []prefix.Anchor
+	BlockTokens int
+	Runners     []Runner
+	Weights     Weights
+}
+
+// Placer places requests by one index shard and one table of reports. The
+// routers and the emulator use the same one. It is not safe for concurrent use.
+type Placer struct {
+	Index   *cacheindex.Shard
+	Pending *Pending
+	Fleet   *fleet.Table
+	Random  *rand.Rand
+}
+
+// Place chooses a runner by the index and notes the choice at once, so that
+// requests with the same prefix follow it before the engine's events arrive.
+func (p *Placer) Place(now time.Time, query Query) Pick {
+	cached := map[cacheindex.Holder]int{}
+	for _, match := range p.Index.Lookup(query.Anchors) {
+		cached[match.Holder] = min(match.Depth*query.BlockTokens, query.Request.PromptTokens)
+	}
+	pick := p.choose(now, query, cached)
+	if pick.Status == Picked {
+		holder := cacheindex.Holder{Runner: pick.Candidate.Name, Incarnation: pick.Candidate.Report.Incarnation}
+		p.Index.Note(now, holder, query.Anchors)
+	}
+	return pick
+}
+
+// PlaceWithoutIndex chooses when the index's owner cannot be asked: the
+// family's first runner by rendezvous is taken to hold half of the prompt, so
+// that nodes that cannot ask still agree on where a family goes.
+func (p *Placer) PlaceWithoutIndex(now time.Time, query Query) Pick {
+	names := make([]string, len(query.Runners))
+	for i, runner := range query.Runners {
+		names[i] = runner.Name
+	}
+	first := rendezvous.Owner(names, query.Family)
+	cached := map[cacheindex.Holder]int{}
+	if report, found := p.Fleet.Get(first); found {
+		cached[cacheindex.Holder{Runner: first, Incarnation: report.Incarnation}] = query.Request.PromptTokens / 2
+	}
+	return p.choose(now, query, cached)
+}
+
+func (p *Placer) choose(now time.Time, query Query, cached map[cacheindex.Holder]int) Pick {
+	candidates := make([]Candidate, 0, len(query.Runners))
+	for _, runner := range query.Runners {
+		report, found := p.Fleet.Get(runner.Name)
+		if !found {
+			continue
+		}
+		candidate := Candidate{
+			Name: runner.Name, Leaving: runner.Leaving, Standby: runner.Standby, Report: report,
+			CachedTokens: cached[cacheindex.Holder{Runner: runner.Name, Incarnation: report.Incarnation}],
+		}
+		candidate.PendingTokens, candidate.PendingRequests = p.Pending.Of(now, runner.Name, query.Request.Priority)
+		candidates = append(candidates, candidate)
+	}
+	pick := Choose(query.Request, candidates, query.Weights, p.Random)
+	if pick.Status == Picked {
+		chosen := pick.Candidate
+		p.Pending.Add(now, chosen.Name, query.Request.Priority, query.Request.PromptTokens-chosen.CachedTokens)
+	}
+	return pick
+}
