Placement: loads carry their time, and progress since then is counted

Cause: a placement was counted both in the load that an answer brought back and, for a fixed 300 to 500 ms, as not yet shown; and a fresh load was overwritten by an older report. The product therefore saw queues that were not there and left the runners that had the prefix.

Ruled out: the index (a stride of 16 gives the same hit rate, so a block more or less is not it); lost events (repaired by difference within a second).

Change: each load carries the moment it was taken; placements count until a load of a later moment shows them; an engine's likely progress since then is subtracted; an older report keeps a newer load.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -323,6 +323,7 @@
 	if known, found := c.fleet.Get(report.Runner); found && known.Incarnation == report.Incarnation {
 		report.Sequence = max(report.Sequence, known.Sequence+1)
 	}
+	report.Load.AsOf = loadAsOf(report.Sequence)
 	change := c.applyReport(report)
 	switch change {
 	case fleet.ChangeIncarnation, fleet.ChangeDuty:
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"time"
+
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/fleet"
@@ -135,6 +137,19 @@
 	return fleet.Report{
 		Runner: report.GetRunner(), Incarnation: report.GetIncarnation(), Sequence: report.GetSequence(),
 		State: fleet.State(report.GetState()), Model: report.GetModel(), WeightVersion: report.GetWeightVersion(),
-		Adapters: report.GetAdapters(), Role: report.GetRole(), Connected: report.GetConnected(), Load: LoadFromWire(report.GetLoad()),
+		Adapters: report.GetAdapters(), Role: report.GetRole(), Connected: report.GetConnected(), Load: reportLoad(report),
 	}
 }
+
+// reportLag is the assumed age of an engine's load report when its home reads it.
+const reportLag = 200 * time.Millisecond
+
+// reportLoad dates a report's load by its sequence, which is the home's clock in
+// Unix milliseconds.
+func reportLoad(report *wire.RunnerReport) fleet.Load {
+	load := LoadFromWire(report.GetLoad())
+	load.AsOf = loadAsOf(report.GetSequence())
+	return load
+}
+
+func loadAsOf(sequence uint64) time.Time { return time.UnixMilli(int64(sequence)).Add(-reportLag) }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,8 @@
 // then by sequence, so that late and crossed reports never undo newer ones.
 package fleet
 
+import "time"
+
 // State is a runner's readiness.
 type State uint8
 
@@ -50,6 +52,8 @@
 	PrefillRate int
 	// MaxRunning is how many sequences the engine runs at once.
 	MaxRunning int
+	// AsOf is when the engine had this load, by this node's estimate.
+	AsOf time.Time
 }
 
 // Report is what a home says of a runner.
@@ -109,6 +113,10 @@
 	if found && report.Incarnation == known.Incarnation && report.Sequence <= known.Sequence {
 		return ChangeNone
 	}
+	if found && report.Incarnation == known.Incarnation && report.Load.AsOf.Before(known.Load.AsOf) {
+		// A load heard on an answer since is newer than the lagging report's.
+		report.Load = known.Load
+	}
 	t.reports[report.Runner] = report
 	switch {
 	case !found || report.Incarnation != known.Incarnation:
@@ -128,7 +136,7 @@
 // UpdateLoad takes a load heard from the engine itself, on an answer.
 func (t *Table) UpdateLoad(runner string, incarnation uint64, load Load) {
 	known, found := t.reports[runner]
-	if !found || known.Incarnation != incarnation {
+	if !found || known.Incarnation != incarnation || load.AsOf.Before(known.Load.AsOf) {
 		return
 	}
 	known.Load = load
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,8 +33,8 @@
 	tickInterval = 100 * time.Millisecond
 	// confirmPlacement is how long a noted placement waits for the engine's events.
 	confirmPlacement = 10 * time.Second
-	// reportLag is the assumed age of a runner's load report.
-	reportLag = 500 * time.Millisecond
+	// dispatchTransit is how long a placed request is on its way to its engine.
+	dispatchTransit = 20 * time.Millisecond
 	// sweepInterval is how often entries of dead engines leave the index's memory.
 	sweepInterval = time.Minute
 )
@@ -127,7 +127,7 @@
 		PeerAddress: listeners.Peer.Addr().String(), Incarnation: n.incarnation,
 	}
 	n.control = control.New(self, settings.Seeds, control.DefaultSettings(), n.random)
-	n.placer = &placement.Placer{Index: n.shard, Pending: placement.NewPending(reportLag), Fleet: n.control.Fleet(), Random: n.random}
+	n.placer = &placement.Placer{Index: n.shard, Pending: placement.NewPending(dispatchTransit), Fleet: n.control.Fleet(), Random: n.random}
 	n.snapshot.Store(config.NewSnapshot(n.control.Store()))
 	n.metrics = newMetrics(n)
 	n.transport = wire.NewTransport(wire.Identity{Node: settings.Node, Incarnation: n.incarnation}, listeners.Peer, n.handlePeer)
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -130,7 +130,9 @@
 		}
 		return
 	}
-	n.control.Fleet().UpdateLoad(holder.Runner, holder.Incarnation, control.LoadFromWire(result.GetLoad()))
+	load := control.LoadFromWire(result.GetLoad())
+	load.AsOf = time.Now()
+	n.control.Fleet().UpdateLoad(holder.Runner, holder.Incarnation, load)
 	if owned {
 		n.shard.Note(time.Now(), holder, anchorsFromWire(result.GetAnchors()))
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,8 @@
 	PendingTokens int
 	// PendingRequests counts requests placed that the report cannot show yet.
 	PendingRequests int
+	// DrainedTokens is what the engine can have computed since its report.
+	DrainedTokens int
 }
 
 // Weights tune the score.
@@ -157,7 +159,7 @@
 	for class := 0; class <= fleet.PriorityClass(r.Priority); class++ {
 		tokens += c.Report.Load.QueuedTokens[class]
 	}
-	return float64(tokens)
+	return float64(max(tokens-c.DrainedTokens, 0))
 }
 
 // sequenceCost is the share of the running sequences, and the wait for a slot
@@ -189,13 +191,16 @@
 	return total
 }
 
+func rateOf(load fleet.Load) int {
+	if load.PrefillRate == 0 {
+		return defaultPrefillRate
+	}
+	return load.PrefillRate
+}
+
 // waitOf turns the work ahead and the uncached prompt into a time.
 func waitOf(request Request, candidate Candidate) time.Duration {
-	rate := candidate.Report.Load.PrefillRate
-	if rate == 0 {
-		rate = defaultPrefillRate
-	}
-	return time.Duration(score(request, candidate, Weights{Hit: 1}) / float64(rate) * float64(time.Second))
+	return time.Duration(score(request, candidate, Weights{Hit: 1}) / float64(rateOf(candidate.Report.Load)) * float64(time.Second))
 }
 
 // Choose picks the runner with the lowest score; near ties are drawn by random,
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -81,7 +81,8 @@
 			Name: runner.Name, Leaving: runner.Leaving, Standby: runner.Standby, Report: report,
 			CachedTokens: cached[cacheindex.Holder{Runner: runner.Name, Incarnation: report.Incarnation}],
 		}
-		candidate.PendingTokens, candidate.PendingRequests = p.Pending.Of(now, runner.Name, query.Request.Priority)
+		candidate.PendingTokens, candidate.PendingRequests = p.Pending.Of(now, runner.Name, query.Request.Priority, report.Load.AsOf)
+		candidate.DrainedTokens = drained(now, report.Load)
 		candidates = append(candidates, candidate)
 	}
 	pick := Choose(query.Request, candidates, query.Weights, p.Random)
@@ -91,3 +92,12 @@
 	}
 	return pick
 }
+
+// maxDrainAge bounds the age of a report from which progress is still inferred.
+const maxDrainAge = time.Second
+
+// drained estimates what an engine has computed since its load was taken.
+func drained(now time.Time, load fleet.Load) int {
+	age := min(max(now.Sub(load.AsOf), 0), maxDrainAge)
+	return int(age.Seconds() * float64(rateOf(load)))
+}
