Promised times to come back; a runner that failed is better than none

Cause: under a steady overload every refused caller was told the time until one runner's queue would be short; all came back to the same queue. Ruled out: too short a wait alone (the queue never falls below the limit while 130% is offered). Change: each refusal takes the next free moment of its class, spaced by what the class was admitted of late; who returns at the moment goes before new requests of the class.

Change: runners that failed are left out only while another can serve; a missing runner has its own error code.

--- a/cmd/clovertiller-lab/main.go
+++ b/cmd/clovertiller-lab/main.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 
@@ -21,6 +22,7 @@
 	"github.com/clovertiller/clovertiller/internal/lab/experiment"
 	"github.com/clovertiller/clovertiller/internal/lab/load"
 	"github.com/clovertiller/clovertiller/internal/lab/platformserver"
+	"github.com/clovertiller/clovertiller/internal/lab/scale"
 	"github.com/clovertiller/clovertiller/internal/lab/workload"
 )
 
@@ -35,7 +37,7 @@
 func run() int {
 	parser := flaggy.NewParser("clovertiller-lab")
 	parser.Description = "Stand-ins and experiments of clovertiller."
-	commands := []command{platformCommand(), engineCommand(), loadCommand(), experimentCommand()}
+	commands := []command{platformCommand(), engineCommand(), loadCommand(), experimentCommand(), scaleCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.subcommand, 1)
 	}
@@ -121,6 +123,27 @@
 	return command{subcommand, func(context.Context) error { return experiment.Run(os.Stdout, settings) }}
 }
 
+func scaleCommand() command {
+	subcommand := newSubcommand("scale", "Measure the control plane with hollow nodes.")
+	settings := scale.DefaultSettings()
+	sizes := ""
+	subcommand.String(&sizes, "", "sizes", "Numbers of nodes, with commas between.")
+	subcommand.String(&settings.PlotDirectory, "", "plots", "Directory for plots; none without it.")
+	return command{subcommand, func(context.Context) error {
+		if sizes != "" {
+			settings.Sizes = nil
+			for _, size := range strings.Split(sizes, ",") {
+				number, err := strconv.Atoi(size)
+				if err != nil || number < 2*scale.TargetZones {
+					return fmt.Errorf("sizes: must be numbers of at least %d, got %q", 2*scale.TargetZones, size)
+				}
+				settings.Sizes = append(settings.Sizes, number)
+			}
+		}
+		return scale.Run(os.Stdout, settings)
+	}}
+}
+
 // errNotClean makes a run with a lost, doubled or wrong answer fail.
 var errNotClean = errors.New("not every request was answered whole, once and right")
 
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -72,3 +72,32 @@
 	g.Expect(NodeShare(2, 1, 400)).To(Equal(Limits{RequestsPerSecond: 1, MaxConcurrent: 1}))
 	g.Expect(NodeShare(100, 30, 3).MaxConcurrent).To(Equal(10))
 }
+
+func TestPromisesAreSpacedByWhatTheClassGets(t *testing.T) {
+	g := NewWithT(t)
+	promises := NewPromises()
+	now := start
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		promises.Admitted(now, 2)
+	}
+	first := promises.Refuse(now, 1, 2, time.Second)
+	second := promises.Refuse(now, 2, 2, time.Second)
+	g.Expect(first).To(Equal(time.Second))
+	g.Expect(second-first).To(BeNumerically("~", 143*time.Millisecond, 15*time.Millisecond), "seven tenths of ten a second")
+	g.Expect(promises.Refuse(now, 1, 2, time.Second)).To(Equal(first), "asked again too early: the place is kept")
+}
+
+func TestPromiseIsHonouredOnceAndAtItsTime(t *testing.T) {
+	g := NewWithT(t)
+	promises := NewPromises()
+	after := promises.Refuse(start, 7, 1, time.Second)
+	g.Expect(promises.Redeem(start.Add(after/2), 7)).To(BeFalse())
+	g.Expect(promises.Outstanding(start, 1)).To(BeTrue())
+	g.Expect(promises.Outstanding(start, 0)).To(BeFalse(), "another class")
+	g.Expect(promises.Redeem(start.Add(after), 7)).To(BeTrue())
+	g.Expect(promises.Redeem(start.Add(after), 7)).To(BeFalse())
+	g.Expect(promises.Outstanding(start, 1)).To(BeFalse())
+	promises.Refuse(start, 8, 1, time.Second)
+	g.Expect(promises.Outstanding(start.Add(time.Minute), 1)).To(BeFalse(), "the caller did not come back")
+}
--- a/internal/lab/emulator/run.go
+++ b/internal/lab/emulator/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/cacheindex"
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/lab/enginemodel"
@@ -144,10 +145,11 @@
 	r.routers = nil
 	for range r.settings.Routers {
 		r.routers = append(r.routers, &router{placer: &placement.Placer{
-			Index:   cacheindex.NewShard(10 * time.Second),
-			Pending: placement.NewPending(time.Millisecond),
-			Fleet:   fleet.NewTable(),
-			Random:  r.random,
+			Index:    cacheindex.NewShard(10 * time.Second),
+			Pending:  placement.NewPending(time.Millisecond),
+			Fleet:    fleet.NewTable(),
+			Promises: admission.NewPromises(),
+			Random:   r.random,
 		}})
 	}
 }
@@ -267,7 +269,7 @@
 			Model: r.settings.Deployment.Model, WeightVersion: p.version, PromptTokens: prefix.Tokens(len(p.request.Prompt())),
 			MaxTokens: p.request.MaxTokens, Priority: p.tier, MaxWait: r.settings.MaxWait[p.tier],
 		},
-		Family: family, Anchors: p.chain.Anchors(r.settings.Stride), BlockTokens: BlockTokens,
+		Family: family, Anchors: p.chain.Anchors(r.settings.Stride), BlockTokens: BlockTokens, Ticket: prefix.Ticket(p.salt, p.request.Prompt()),
 		Weights: placement.Weights{Hit: r.settings.Deployment.HitWeight},
 	}
 	for _, one := range r.runners {
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -63,7 +63,7 @@
 	snapshot := n.snapshot.Load()
 	pool := snapshot.Pools[request.GetPool()]
 	if pool == nil {
-		return &wire.PlaceResponse{Refused: true, Reason: placement.NoRunner.String(), RetryAfterMillis: 1000}
+		return &wire.PlaceResponse{Refused: true, NoRunner: true, Reason: placement.NoRunner.String(), RetryAfterMillis: 1000}
 	}
 	query := queryOf(request, pool, snapshot.ByPool[request.GetPool()])
 	now := time.Now()
@@ -76,7 +76,10 @@
 		pick = n.placer.PlaceWithoutIndex(now, query)
 	}
 	if pick.Status != placement.Picked {
-		return &wire.PlaceResponse{Refused: true, Reason: pick.Status.String(), RetryAfterMillis: uint32(pick.RetryAfter.Milliseconds())}
+		return &wire.PlaceResponse{
+			Refused: true, NoRunner: pick.Status == placement.NoRunner,
+			Reason: pick.Status.String(), RetryAfterMillis: uint32(pick.RetryAfter.Milliseconds()),
+		}
 	}
 	return &wire.PlaceResponse{
 		Runner: pick.Candidate.Name, Incarnation: pick.Candidate.Report.Incarnation,
@@ -93,6 +96,7 @@
 			Excluded: request.GetExcluded(),
 		},
 		Family:      request.GetFamily(),
+		Ticket:      request.GetTicket(),
 		Anchors:     anchorsFromWire(request.GetAnchors()),
 		BlockTokens: pool.BlockBytes / prefix.BytesPerToken,
 		Weights:     placement.Weights{Hit: pool.HitWeight},
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,7 +24,8 @@
 	Priority int
 	// MaxWait is the longest expected wait at which the request is accepted.
 	MaxWait time.Duration
-	// Excluded names runners that already refused or failed this request.
+	// Excluded names runners that refused or failed this request, or failed
+	// others of late. They are used only when no other runner can serve.
 	Excluded []string
 }
 
@@ -206,6 +207,16 @@
 // Choose picks the runner with the lowest score; near ties are drawn by random,
 // so that several nodes with the same lagging reports do not all choose one runner.
 func Choose(request Request, candidates []Candidate, weights Weights, random *rand.Rand) Pick {
+	pick := chooseAmong(request, candidates, weights, random)
+	if pick.Status == NoRunner && len(request.Excluded) > 0 {
+		// A runner that failed before is better than none.
+		request.Excluded = nil
+		pick = chooseAmong(request, candidates, weights, random)
+	}
+	return pick
+}
+
+func chooseAmong(request Request, candidates []Candidate, weights Weights, random *rand.Rand) Pick {
 	best := -1.0
 	scores := make([]float64, len(candidates))
 	for i, candidate := range candidates {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/cacheindex"
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/prefix"
@@ -26,22 +27,57 @@
 	// Anchors are the indexed blocks of the prompt, shallowest first.
 	Anchors     []prefix.Anchor
 	BlockTokens int
-	Runners     []Runner
-	Weights     Weights
+	// Ticket names the request when it is refused and comes back: a digest of
+	// its whole prompt under its salt.
+	Ticket  uint64
+	Runners []Runner
+	Weights Weights
 }
 
 // Placer places requests by one index shard and one table of reports. The
 // routers and the emulator use the same one. It is not safe for concurrent use.
 type Placer struct {
-	Index   *cacheindex.Shard
-	Pending *Pending
-	Fleet   *fleet.Table
-	Random  *rand.Rand
+	Index    *cacheindex.Shard
+	Pending  *Pending
+	Fleet    *fleet.Table
+	Promises *admission.Promises
+	Random   *rand.Rand
+}
+
+// Factors of the longest accepted wait while promises are open.
+const (
+	// promisedWait is for a request that comes back when it was told to.
+	promisedWait = 4
+	// freshWait is for a new request while others have a promise.
+	freshWait = 0.5
+)
+
+// admit places a request under the wait that its promises allow, and promises
+// a time to come back when it is refused.
+func (p *Placer) admit(now time.Time, query Query, place func(Query) Pick) Pick {
+	class := fleet.PriorityClass(query.Request.Priority)
+	if p.Promises.Redeem(now, query.Ticket) {
+		query.Request.MaxWait *= promisedWait
+	} else if p.Promises.Outstanding(now, class) {
+		query.Request.MaxWait = time.Duration(float64(query.Request.MaxWait) * freshWait)
+	}
+	pick := place(query)
+	switch pick.Status {
+	case Picked:
+		p.Promises.Admitted(now, class)
+	case Overloaded:
+		pick.RetryAfter = p.Promises.Refuse(now, query.Ticket, class, pick.RetryAfter)
+	}
+	return pick
 }
 
 // Place chooses a runner by the index and notes the choice at once, so that
 // requests with the same prefix follow it before the engine's events arrive.
 func (p *Placer) Place(now time.Time, query Query) Pick {
+	return p.admit(now, query, func(query Query) Pick { return p.placeByIndex(now, query) })
+}
+
+func (p *Placer) placeByIndex(now time.Time, query Query) Pick {
 	cached := map[cacheindex.Holder]int{}
 	for _, match := range p.Index.Lookup(query.Anchors) {
 		cached[match.Holder] = min(match.Depth*query.BlockTokens, query.Request.PromptTokens)
@@ -67,7 +103,7 @@
 	if report, found := p.Fleet.Get(first); found {
 		cached[cacheindex.Holder{Runner: first, Incarnation: report.Incarnation}] = query.Request.PromptTokens / 2
 	}
-	return p.choose(now, query, cached)
+	return p.admit(now, query, func(query Query) Pick { return p.choose(now, query, cached) })
 }
 
 func (p *Placer) choose(now time.Time, query Query, cached map[cacheindex.Holder]int) Pick {
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -68,6 +68,15 @@
 	return c[0]
 }
 
+// Ticket names a whole prompt under its salt.
+func Ticket(salt Salt, prompt string) uint64 {
+	digest := xxhash.New()
+	// Writes to a digest do not fail.
+	_, _ = digest.WriteString(string(salt))
+	_, _ = digest.WriteString(prompt)
+	return digest.Sum64()
+}
+
 // IsAnchor tells whether the block at depth (1 for the first) is indexed at the stride.
 // The first block is always an anchor, so that every family can be found.
 func IsAnchor(depth, stride int) bool { return depth == 1 || depth%stride == 0 }
