Membership: the suspect is told, lists carry the dead, and caches

Cause: a scale run showed 0.115% of a core a node at 200 nodes, most of it in deriving the relays of a zone ten times a second, and heartbeats filled for minutes after a start of all.

Ruled out: lost refutations (the node never heard that it had to refute).

Change: whoever sends to a member it holds suspect or dead says so in that message; lists carry the dead; a zone's own list decides about members that the zone has forgotten; what the members imply is cached until they change; homes are looked up in a cached list a zone; a joined node is told of runners once a tick.

Each case has its own test.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,7 +75,11 @@
 	store    *config.Store
 	fleet    *fleet.Table
 
-	usable     []string
+	usable []string
+	// byZone holds the usable nodes of each zone asked for since they changed.
+	byZone map[string][]string
+	// joined are nodes of the region that are to be told of this node's runners.
+	joined     []membership.Member
 	nextPull   time.Time
 	dirty      map[string]bool
 	loadTokens float64
@@ -120,6 +124,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.members.Tick(now)
 	c.drainMembership()
+	c.tellJoined()
 	c.earnLoadBytes(now)
 	if !now.Before(c.nextRepeat) {
 		c.nextRepeat = now.Add(c.settings.DutyRepeat)
@@ -194,7 +199,7 @@
 		c.refreshUsable()
 		c.ready.DutiesChanged = true
 		if event.Kind == membership.EventJoined && event.Member.Region == c.members.Self().Region {
-			c.sendOwnReports(event.Member)
+			c.joined = append(c.joined, event.Member)
 		}
 	}
 }
@@ -211,6 +216,16 @@
 func (c *Core) refreshUsable() {
 	region := c.members.Self().Region
 	c.usable = c.members.Usable(func(member membership.Member) bool { return member.Region == region })
+	c.byZone = map[string][]string{}
+}
+
+func (c *Core) usableInZone(zone string) []string {
+	nodes, known := c.byZone[zone]
+	if !known {
+		nodes = c.members.UsableInZone(zone)
+		c.byZone[zone] = nodes
+	}
+	return nodes
 }
 
 // UsableNodes returns the nodes of the region that may be given duties.
@@ -223,7 +238,7 @@
 // HomeOf returns the node that reads a runner's events: one of the runner's
 // zone, or of the region when the zone has no usable node.
 func (c *Core) HomeOf(runner string, zone string) string {
-	inZone := c.members.UsableInZone(zone)
+	inZone := c.usableInZone(zone)
 	if len(inZone) == 0 {
 		inZone = c.usable
 	}
@@ -432,9 +447,20 @@
 	}
 }
 
-func (c *Core) sendOwnReports(to membership.Member) {
-	if reports := c.ownReports(); len(reports) > 0 {
-		c.sendTo(to, reportsEnvelope(reports))
+// tellJoined sends this node's runners to the nodes that joined since the last tick.
+func (c *Core) tellJoined() {
+	if len(c.joined) == 0 {
+		return
+	}
+	joined := c.joined
+	c.joined = nil
+	reports := c.ownReports()
+	if len(reports) == 0 {
+		return
+	}
+	envelope := reportsEnvelope(reports)
+	for _, member := range joined {
+		c.sendTo(member, envelope)
 	}
 }
 
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -84,6 +84,7 @@
 	point.Lists, point.Watchers = s.lists, s.watches
 	report("%d nodes: configuration everywhere %s after a start of all, %d lists\n", size.Nodes, point.Start, point.Lists)
 	s.Until(2*time.Minute, checkEvery, s.Agreed)
+	s.ObserveRunners()
 	s.Run(20 * time.Second)
 	point.HeapMB = (float64(heapOf()) - float64(before)) / float64(size.Nodes) / (1 << 20)
 	s.measureSteady(&point)
@@ -100,6 +101,7 @@
 	changes := int(steady.Seconds() * changesPerDay / secondsPerDay)
 	for second := range int(steady.Seconds()) {
 		s.ObserveRunners()
+		s.changeDuties()
 		s.Run(time.Second)
 		if changes > 0 && second%(int(steady.Seconds())/changes) == 0 {
 			s.write(v1.KindTenant, fmt.Sprintf("tenant-%d", second%s.size.Tenants), tenantSpec(second+s.size.Tenants))
@@ -121,6 +123,20 @@
 	}
 }
 
+// dutyChangesPerDay is how often a runner's state, weights or process changes:
+// an assumption, a few rollouts of three changes each and a restart.
+const dutyChangesPerDay = 20
+
+// changeDuties lets as many runners as change in a second restart.
+func (s *System) changeDuties() {
+	s.dutyDebt += float64(len(s.runners)) * dutyChangesPerDay / secondsPerDay
+	for ; s.dutyDebt >= 1; s.dutyDebt-- {
+		one := &s.runners[s.random.IntN(len(s.runners))]
+		one.incarnation++
+		s.observe(one)
+	}
+}
+
 // changesMeasured is how many changes are timed.
 const changesMeasured = 11
 
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -86,6 +86,9 @@
 	pending map[uint64]pendingProbe
 	queue   []gossip
 
+	// cached is derived from the members and zones, and dropped when they change.
+	cached derived
+
 	sequence  uint64
 	order     []string
 	lastTick  time.Time
@@ -94,6 +97,26 @@
 	ready     Ready
 }
 
+// derived is what is asked for often and changes seldom.
+type derived struct {
+	known    bool
+	inZone   []string
+	isRelay  bool
+	viewHash uint64
+}
+
+// changed drops what was derived from the members and zones.
+func (c *Core) changed() { c.cached = derived{} }
+
+func (c *Core) derive() *derived {
+	if !c.cached.known {
+		inZone := c.UsableInZone(c.self.Zone)
+		relays := rendezvous.Ranked(inZone, relayKey, RelaysPerZone)
+		c.cached = derived{known: true, inZone: inZone, isRelay: slices.Contains(relays, c.self.ID), viewHash: c.hashView()}
+	}
+	return &c.cached
+}
+
 // NewCore returns the state machine of the node self. Seeds are peer addresses
 // to join through; its own address among them does no harm.
 func NewCore(self Member, seeds []string, settings Settings, random *rand.Rand) *Core {
@@ -121,6 +144,7 @@
 	}
 	c.self.State = Leaving
 	c.self.Refutation++
+	c.changed()
 	for _, id := range c.peersInZone(c.self.Zone) {
 		c.probe(now, c.members[id].member)
 	}
@@ -268,6 +292,7 @@
 			c.adopt(now, dead)
 		case known.member.State == Dead && age >= c.settings.ForgetAfter:
 			delete(c.members, id)
+			c.changed()
 			c.emit(Event{Kind: EventForgotten, Member: known.member})
 		}
 	}
@@ -298,6 +323,12 @@
 	c.contact(now, message.Sender)
 	for _, update := range message.Updates {
 		c.learn(now, update)
+		if message.Kind == List {
+			c.shorten(update.ID)
+		}
+	}
+	if message.Kind == List {
+		c.dropMissing(now, message)
 	}
 	for _, status := range message.Zones {
 		if message.Sender.Zone == c.self.Zone {
@@ -385,6 +416,7 @@
 		member.Revision = max(member.Revision, known.member.Revision)
 	}
 	c.members[member.ID] = &record{member: member, changed: now}
+	c.changed()
 	if member.Zone != c.self.Zone {
 		c.zone(now, member.Zone)
 	}
@@ -415,6 +447,7 @@
 	zone := c.zone(now, status.Zone)
 	changed := zone.status.Unreachable != status.Unreachable
 	zone.status = status
+	c.changed()
 	if !status.Unreachable {
 		zone.lastContact = now
 	}
@@ -435,6 +468,20 @@
 	c.queue = append(c.queue, gossip{id: id, sends: sends})
 }
 
+// listSends is how often a change that was learnt from a list is carried on:
+// whoever lacks it can get the list too.
+const listSends = 2
+
+// shorten makes a change that was just learnt from a list ride on few messages,
+// so that a start of all nodes does not fill heartbeats for minutes.
+func (c *Core) shorten(id string) {
+	for i := range c.queue {
+		if c.queue[i].id == id {
+			c.queue[i].sends = min(c.queue[i].sends, listSends)
+		}
+	}
+}
+
 // takeUpdates returns the changes to carry, those sent least first.
 func (c *Core) takeUpdates() []Member {
 	count := min(len(c.queue), c.settings.MaxUpdates)
@@ -472,14 +519,22 @@
 	return statuses
 }
 
+// send queues a message. A member that is suspected or held dead is always told
+// so, as it alone can refute it; without this, a node that everybody had
+// forgotten to tell would stay out for good.
 func (c *Core) send(to, address string, message Message) {
+	if known := c.members[to]; known != nil && known.member.State >= Suspect {
+		message.Updates = append(message.Updates, known.member)
+	}
 	c.ready.Messages = append(c.ready.Messages, Outgoing{To: to, Address: address, Message: message})
 }
 
 func (c *Core) emit(event Event) { c.ready.Events = append(c.ready.Events, event) }
 
-// viewHash is the exclusive or of one hash a member, so that it does not depend on order.
-func (c *Core) viewHash() uint64 {
+func (c *Core) viewHash() uint64 { return c.derive().viewHash }
+
+// hashView is the exclusive or of one hash a member, so that it does not depend on order.
+func (c *Core) hashView() uint64 {
 	hash := memberHash(c.self)
 	for _, known := range c.members {
 		if known.member.State != Dead {
@@ -493,12 +548,33 @@
 	return rendezvous.Weight(member.ID, member.Incarnation) ^ xxhash.Sum64String(member.ID)
 }
 
+// list returns all known members, the dead ones too while they are remembered:
+// another zone that missed the news learns it here.
 func (c *Core) list() []Member {
 	members := []Member{c.self}
 	for _, known := range c.members {
-		if known.member.State != Dead {
-			members = append(members, known.member)
-		}
+		members = append(members, known.member)
 	}
 	return members
 }
+
+// settledAge is how long a belief must have stood before a list that lacks the
+// member overrules it.
+const settledAge = time.Minute
+
+// dropMissing takes a zone's own list as the truth about its members: one that
+// the zone has forgotten by now is dead.
+func (c *Core) dropMissing(now time.Time, message Message) {
+	listed := make(map[string]bool, len(message.Updates))
+	for _, update := range message.Updates {
+		listed[update.ID] = true
+	}
+	for id, known := range c.members {
+		forgotten := known.member.Zone == message.Sender.Zone && known.member.Zone != c.self.Zone && !listed[id]
+		if forgotten && known.member.State != Dead && now.Sub(known.changed) >= settledAge {
+			dead := known.member
+			dead.State = Dead
+			c.adopt(now, dead)
+		}
+	}
+}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -172,6 +172,43 @@
 	g.Expect(member.State).To(Equal(Alive))
 }
 
+func TestNodeHeldDeadIsToldSoAndReturns(t *testing.T) {
+	g := NewWithT(t)
+	n := newNetwork(2, 4, 7)
+	n.run(20 * time.Second)
+	n.frozen["z0-n1"] = true
+	n.run(30 * time.Second)
+	g.Expect(n.view("z1-n0")).To(Equal(7))
+	// Whatever news the others still carried is gone.
+	for _, core := range n.cores {
+		core.queue = nil
+	}
+	n.frozen["z0-n1"] = false
+	n.run(20 * time.Second)
+	for id := range n.cores {
+		g.Expect(n.view(id)).To(Equal(8), id)
+	}
+}
+
+func TestDeathDuringACutIsLearntAfterIt(t *testing.T) {
+	for name, cut := range map[string]time.Duration{"while it is remembered": 3 * time.Minute, "after it is forgotten": 12 * time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			n := newNetwork(3, 4, 8)
+			n.run(20 * time.Second)
+			n.cut["z2"] = true
+			n.run(20 * time.Second)
+			delete(n.cores, "z2-n2")
+			n.run(cut)
+			n.cut["z2"] = false
+			n.run(2 * time.Minute)
+			for id := range n.cores {
+				g.Expect(n.view(id)).To(Equal(11), id)
+			}
+		})
+	}
+}
+
 // TestViewsAgreeOnceFaultsEnd runs random losses, crashes, restarts and cuts,
 // and checks that within a bounded time after they end every live node has the
 // same members in duty, and none that has ended.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -77,13 +77,11 @@
 )
 
 // IsRelay tells whether this node probes other zones.
-func (c *Core) IsRelay() bool {
-	return slices.Contains(rendezvous.Ranked(c.UsableInZone(c.self.Zone), relayKey, RelaysPerZone), c.self.ID)
-}
+func (c *Core) IsRelay() bool { return c.derive().isRelay }
 
 // Watchers returns the count nodes of this zone that read from the platform, the first one first.
 func (c *Core) Watchers(count int) []string {
-	return rendezvous.Ranked(c.UsableInZone(c.self.Zone), watcherKey, count)
+	return rendezvous.Ranked(c.derive().inZone, watcherKey, count)
 }
 
 // peersInZone returns the other nodes of a zone that are not dead, ordered.
