--- /dev/null
+++ b/hack/mutants.sh
@@ -0,0 +1,51 @@
+#!/usr/bin/env bash
+# Removes one mechanism at a time in a scratch copy and runs the proof that must
+# then fail. Prints one line each, and last the count.
+set -u
+cd "$(dirname "$0")/.."
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+refuted=0
+survived=0
+
+mutant() { # name, file, perl expression, package, arguments of the test
+  rm -rf "$scratch/tree"
+  mkdir "$scratch/tree"
+  git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$scratch/tree"
+  perl -0pi -e "$3" "$scratch/tree/$2"
+  if cmp -s "$2" "$scratch/tree/$2"; then
+    echo "mutant $1: NOT APPLIED"
+    survived=$((survived + 1))
+    return
+  fi
+  if (cd "$scratch/tree" && go vet "./$(dirname "$2")" >"$scratch/log" 2>&1 && ! timeout 120 go test -count=1 -timeout 100s "$4" "${@:5}" >"$scratch/log" 2>&1); then
+    echo "mutant $1: refuted"
+    refuted=$((refuted + 1))
+  else
+    echo "mutant $1: SURVIVED"
+    survived=$((survived + 1))
+  fi
+}
+
+mutant "1 every claim wins" internal/node/claims.go 's/return round.Decide\(\), round.Reason\(\), nil/return claim.Won, round.Reason(), nil/' ./test/prove -ginkgo.focus "duplicates sent to all routers"
+mutant "1 unrepeatable requests are tried again" internal/attempt/attempt.go 's/if !r.repeatable \{/if !r.repeatable \&\& r.limits.MaxAttempts < 0 {/' ./internal/attempt
+mutant "1 a broken dispatch counts as not run" internal/attempt/attempt.go 's/r.doubtful = true/r.doubtful = false/g' ./internal/attempt
+mutant "1 lost memories keep the old horizon" internal/claim/handover.go 's/handover.Horizon = now/handover.Horizon = time.Time{}/' ./test/prove -ginkgo.focus "when all routers restart"
+mutant "2 frames of any attempt and offset pass" internal/attempt/attempt.go 's/attempt != r.attempts \|\| offset != r.offset \|\| //' ./test/prove -ginkgo.focus "passes on only the frames"
+mutant "2 frames of any request pass" internal/node/relay.go 's/string\(frame.Request\) != x.call.id/len(frame.Request) == 0/' ./test/prove -ginkgo.focus "passes on only the frames"
+mutant "2 streams are not resumed or continued" internal/attempt/attempt.go 's/r.phase = Ready\n\treturn Dispatch/r.phase = Failed\n\treturn Stop/' ./test/prove -ginkgo.focus "continues elsewhere when the engine is killed"
+mutant "3 the salt lacks the tenant" internal/prefix/prefix.go 's/s.Tenant, s.Model/"", s.Model/' ./test/prove -ginkgo.focus "never between tenants"
+mutant "3 a dead engine's entries stay" internal/cacheindex/index.go 's/delete\(s.holders, old\)/_ = old/g' ./internal/cacheindex
+mutant "4 the machine list is ignored" internal/placement/placement.go 's/return !c.Leaving/return true/' ./test/prove -ginkgo.focus "machine the list shows as leaving"
+mutant "4 a router stops without finishing" internal/node/node.go 's/\tn.http.Shutdown\(ctx\)\n//' ./test/prove -ginkgo.focus "every request of a router"
+mutant "5 peers do not give configuration" internal/control/control.go 's/revision >= c.store.Revision\(\) \{/revision >= 0 {/' ./test/prove -ginkgo.focus "one restart, platform down: true"
+mutant "5 every router reads from the platform" internal/node/watch.go 's/watchersPerZone = 2/watchersPerZone = 99/' ./test/prove -ginkgo.focus "few reads of the platform"
+mutant "6 older states apply" internal/config/store.go 's/delta.Through <= s.revision/delta.Through == s.revision/' ./internal/config
+mutant "6 deletions are forgotten" internal/config/store.go 's/if s.tombstones\[key\] >= object.Version/if s.tombstones[key] > object.Version+1000/' ./internal/config
+mutant "6 a lost answer is an error" internal/platform/client.go 's/case sameSpec\(current.Spec, object.Spec\):/case current == nil:/' ./test/prove -ginkgo.focus "reading back"
+mutant "7 a lapsed lease is still believed" internal/lease/lease.go 's/ \|\| !now.Before\(c.validUntil\)//' ./internal/lease
+mutant "7 a lease is taken without waiting" internal/lease/lease.go 's/now.Sub\(c.changedAt\) >= c.duration/now.Sub(c.changedAt) >= 0/' ./internal/lease
+mutant "7 all runners load at once" internal/rollout/rollout.go 's/loading >= limits.MaxLoading \|\| \(!empty && serving-1 < floor\)/loading > 999 || floor < 0/' ./test/prove -ginkgo.focus "within the pool"
+
+echo "mutants: $refuted refuted, $survived survived"
+[ "$survived" = 0 ]
--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -71,6 +71,11 @@
 	body   io.Closer
 }
 
+// NewStream returns a stream of frames that closes body with itself.
+func NewStream(frames *FrameReader, body io.Closer) *Stream {
+	return &Stream{Frames: frames, body: body}
+}
+
 // Close ends the stream.
 func (s *Stream) Close() { s.body.Close() }
 
@@ -105,7 +110,7 @@
 		return nil, readRefusal(response)
 	}
 	reader := bufio.NewReaderSize(response.Body, streamBufferBytes)
-	return &Stream{Frames: NewFrameReader(reader), body: &cancelCloser{response.Body, cancel}}, nil
+	return NewStream(NewFrameReader(reader), &cancelCloser{response.Body, cancel}), nil
 }
 
 // cancelCloser ends the request's context with its body.
--- a/test/prove/restart_test.go
+++ b/test/prove/restart_test.go
@@ -57,7 +57,7 @@
 	}
 
 	It("serves again after all restart together, with few reads of the platform", func() {
-		c := start(cluster.Settings{Routers: 6, Engines: 3})
+		c := start(cluster.Settings{Routers: 9, Engines: 3})
 		lists := c.Platform.Counters().Lists
 		for _, router := range c.Routers {
 			router.Kill()
