A started router waits a second for peers before it reads from the platform

Cause: with nine routers instead of six the herd test can fail, and did: 7 list calls where two watchers in each of three zones allow 6. A router asks its seeds at its start and again a second later; after 400 ms one had not heard of its zone's others yet and took itself for a watcher.

Ruled out: watchers listing twice (each router lists once).

Change: the grace is one second, the interval of heartbeats.

Routers of a herd serve about 0.6 s later; one restarted alone has its peers and does not wait.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -14,7 +14,7 @@
 const (
 	// joinGrace is how long a started router waits for peers before it reads
 	// from the platform itself, so that a herd of restarts is not a herd of lists.
-	joinGrace  = 400 * time.Millisecond
+	joinGrace  = time.Second
 	watchPause = 500 * time.Millisecond
 	// watchersPerZone is how many routers of a zone read from the platform.
 	watchersPerZone = 2
