Emulator, experiment and scale: what was written and never read is gone

Cause: a reading of the whole change. Counters and fields that no report shows (rejections, continued streams, resyncs, index events, refused and completed spreads, watchers, steps taken, a message's sender) were kept up for nothing, and the emulator rendered each prompt of up to 18 KB five times a request.

Change: removed; the prompt is rendered once.

--- a/internal/lab/emulator/faults.go
+++ b/internal/lab/emulator/faults.go
@@ -4,7 +4,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/clovertiller/clovertiller/internal/lab/enginemodel"
 )
@@ -37,11 +36,9 @@
 	lost := slices.SortedFunc(maps.Values(one.open), func(a, b *pending) int { return strings.Compare(a.id.Request, b.id.Request) })
 	r.startEngine(one)
 	for _, p := range lost {
+		// A begun stream continues elsewhere; its first token has been counted.
 		if !p.first {
 			r.place(p)
-		} else {
-			// A begun stream continues elsewhere; its first token has been counted.
-			r.result.Continued++
 		}
 	}
 }
@@ -85,6 +82,3 @@
 		r.rollNext()
 	})
 }
-
-// warmUp is left out of the measures.
-const warmUp = 5 * time.Second
--- a/internal/lab/emulator/result.go
+++ b/internal/lab/emulator/result.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/clovertiller/clovertiller/internal/prefix"
 )
 
 // Result is what one run measured, after its warm-up.
@@ -21,12 +23,8 @@
 	// those of them that were refused once more.
 	Returned     int
 	RefusedAgain int
-	Rejections   int
-	Continued    int
 	Lookups      int
 	Messages     int
-	Resyncs      int
-	IndexEvents  int
 }
 
 func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
@@ -39,6 +37,9 @@
 	return result
 }
 
+// warmUp is left out of the measures.
+const warmUp = 5 * time.Second
+
 func measured(p *pending) bool { return p.arrived.After(time.Unix(0, 0).Add(warmUp)) }
 
 func (r *Result) offer(tier int) { r.Offered[tier]++ }
@@ -53,7 +54,7 @@
 
 func (r *Result) start(p *pending) {
 	if measured(p) {
-		r.PromptTokens += len(p.request.Prompt()) / 4
+		r.PromptTokens += len(p.text) / prefix.BytesPerToken
 		r.CachedTokens += p.cached
 	}
 }
--- a/internal/lab/emulator/run.go
+++ b/internal/lab/emulator/run.go
@@ -58,7 +58,9 @@
 
 // pending is a request that has not ended.
 type pending struct {
-	request  workload.Request
+	request workload.Request
+	// text is the rendered prompt.
+	text     string
 	tier     int
 	arrived  time.Time
 	chain    prefix.Chain
@@ -180,7 +182,7 @@
 	r.after(wait, func() {
 		request := r.traffic.Next()
 		r.requests++
-		p := &pending{request: request, tier: tierOf(request), arrived: r.now, id: enginemodel.ID{Request: fmt.Sprint(r.requests)}}
+		p := &pending{request: request, text: request.Prompt(), tier: tierOf(request), arrived: r.now, id: enginemodel.ID{Request: fmt.Sprint(r.requests)}}
 		r.result.offer(p.tier)
 		r.place(p)
 		r.arrive()
@@ -212,7 +214,7 @@
 	}
 	p.version = version
 	p.salt = prefix.Scope{Tenant: p.request.Tenant, Model: p.request.Model, WeightVersion: version}.Salt()
-	p.chain = prefix.NewChain(p.salt, p.request.Prompt(), BlockBytes)
+	p.chain = prefix.NewChain(p.salt, p.text, BlockBytes)
 }
 
 func (r *run) place(p *pending) {
@@ -224,14 +226,12 @@
 	p.id.Attempt = uint32(p.attempts)
 	if target.loading || target.version != p.version {
 		// The engine refuses: it has other weights by now. Nothing has run.
-		r.result.Rejections++
 		r.after(time.Millisecond, func() { r.place(p) })
 		return
 	}
-	length := len(p.request.Prompt())
 	target.open[p.id] = p
 	target.model.Submit(enginemodel.Job{
-		ID: p.id, Chain: p.chain, BlockTokens: BlockTokens, PromptTokens: prefix.Tokens(length),
+		ID: p.id, Chain: p.chain, BlockTokens: BlockTokens, PromptTokens: prefix.Tokens(len(p.text)),
 		TotalTokens: p.request.MaxTokens, Priority: p.tier,
 	})
 	r.step(target)
@@ -266,10 +266,10 @@
 func (r *run) query(p *pending, family uint64) placement.Query {
 	query := placement.Query{
 		Request: placement.Request{
-			Model: r.settings.Deployment.Model, WeightVersion: p.version, PromptTokens: prefix.Tokens(len(p.request.Prompt())),
+			Model: r.settings.Deployment.Model, WeightVersion: p.version, PromptTokens: prefix.Tokens(len(p.text)),
 			MaxTokens: p.request.MaxTokens, Priority: p.tier, MaxWait: r.settings.MaxWait[p.tier],
 		},
-		Family: family, Anchors: p.chain.Anchors(r.settings.Stride), BlockTokens: BlockTokens, Ticket: prefix.Ticket(p.salt, p.request.Prompt()),
+		Family: family, Anchors: p.chain.Anchors(r.settings.Stride), BlockTokens: BlockTokens, Ticket: prefix.Ticket(p.salt, p.text),
 		Weights: placement.Weights{Hit: r.settings.Deployment.HitWeight},
 	}
 	for _, one := range r.runners {
@@ -460,7 +460,6 @@
 	}
 	sequence := one.sequence
 	r.after(20*time.Millisecond, func() { r.apply(one, one.tracker.List(sequence, list)) })
-	r.result.Resyncs++
 }
 
 func (r *run) apply(one *runner, changes cacheindex.Changes) {
@@ -473,6 +472,5 @@
 	}
 	if len(changes.Added)+len(changes.Removed) > 0 {
 		r.result.Messages++
-		r.result.IndexEvents += len(changes.Added) + len(changes.Removed)
 	}
 }
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -124,10 +124,10 @@
 
 // Measures are one variant's figures on one deployment.
 type Measures struct {
-	Variant                      string
-	HitRate, Recomputed          Spread
-	P50, P95, P99, TopP99        Spread
-	Messages, Refused, Completed Spread
+	Variant               string
+	HitRate, Recomputed   Spread
+	P50, P95, P99, TopP99 Spread
+	Messages              Spread
 }
 
 func measure(name string, results []*emulator.Result) Measures {
@@ -150,8 +150,6 @@
 		P99:        collect(func(r *emulator.Result) float64 { return emulator.Quantile(r.All, 99) }),
 		TopP99:     collect(func(r *emulator.Result) float64 { return emulator.Quantile(r.FirstToken[0], 99) }),
 		Messages:   collect(func(r *emulator.Result) float64 { return float64(r.Messages+r.Lookups) / offered(r) }),
-		Refused:    collect(func(r *emulator.Result) float64 { return float64(r.Refused[0]+r.Refused[1]+r.Refused[2]) / offered(r) }),
-		Completed:  collect(func(r *emulator.Result) float64 { return float64(r.Completed) }),
 	}
 }
 
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -53,25 +53,21 @@
 
 // hollow is one node without sockets.
 type hollow struct {
-	id       string
-	zone     string
-	region   string
-	core     *control.Core
-	alive    bool
-	watching bool
+	id     string
+	zone   string
+	region string
+	core   *control.Core
+	alive  bool
 	// sent counts bytes by message kind.
 	sent map[string]int
 	// cpu is the processor time spent in the core and the wire code.
 	cpu time.Duration
-	// stepped counts messages taken.
-	stepped int
 }
 
 // message is on its way.
 type message struct {
 	to    *hollow
 	frame []byte
-	from  *hollow
 }
 
 // System is a set of hollow nodes with a hollow platform.
@@ -85,7 +81,6 @@
 	log      []v1.Object
 	objects  map[v1.Key]v1.Object
 	lists    int
-	watches  int
 	cutZones map[string]bool
 	cutPairs map[[2]string]bool
 	// settings are the product's own, with the byte budget of the target.
@@ -151,9 +146,9 @@
 		seeds = append(seeds, fmt.Sprintf("node-%d", i))
 	}
 	node.core = control.New(self, seeds, s.settings, rand.New(rand.NewPCG(s.random.Uint64(), 4)))
-	node.alive, node.watching = true, false
+	node.alive = true
 	node.sent = map[string]int{}
-	node.cpu, node.stepped = 0, 0
+	node.cpu = 0
 }
 
 func (s *System) write(kind v1.Kind, name string, spec v1.Spec) uint64 {
@@ -207,14 +202,9 @@
 // readPlatform lets watchers list and follow the platform's log.
 func (s *System) readPlatform(node *hollow) {
 	if !s.isWatcher(node) {
-		node.watching = false
 		return
 	}
 	revision := node.core.Store().Revision()
-	if !node.watching {
-		node.watching = true
-		s.watches++
-	}
 	last := uint64(len(s.log))
 	if revision == last {
 		return
@@ -268,7 +258,7 @@
 			latency = regionLatency
 		}
 		bucket := s.now.Add(latency).UnixMilli()/step.Milliseconds() + 1
-		s.buckets[bucket] = append(s.buckets[bucket], message{to: to, frame: frame, from: node})
+		s.buckets[bucket] = append(s.buckets[bucket], message{to: to, frame: frame})
 	}
 }
 
@@ -294,7 +284,6 @@
 		envelope := &wire.Envelope{}
 		if proto.Unmarshal(item.frame[5:], envelope) == nil {
 			item.to.core.Step(s.now, envelope)
-			item.to.stepped++
 		}
 		s.collect(item.to)
 		item.to.cpu += time.Since(begun)
@@ -383,7 +372,7 @@
 func (s *System) resetCounters() {
 	for _, node := range s.nodes {
 		node.sent = map[string]int{}
-		node.cpu, node.stepped = 0, 0
+		node.cpu = 0
 	}
 }
 
--- a/internal/lab/scale/measure.go
+++ b/internal/lab/scale/measure.go
@@ -58,9 +58,8 @@
 	Leaving time.Duration
 	// Start is the time from a start of all nodes until all have the
 	// configuration, and Lists the list calls that took.
-	Start    time.Duration
-	Lists    int
-	Watchers int
+	Start time.Duration
+	Lists int
 	// ZoneCut and ZoneHealed are the times until a cut zone is left and taken
 	// back by all; RegionHealed the same after a region was cut from the others.
 	ZoneCut      time.Duration
@@ -81,7 +80,7 @@
 	s := NewSystem(size, 1)
 	point := Point{Size: size}
 	point.Start = s.Until(2*time.Minute, step, s.Converged)
-	point.Lists, point.Watchers = s.lists, s.watches
+	point.Lists = s.lists
 	report("%d nodes: configuration everywhere %s after a start of all, %d lists\n", size.Nodes, point.Start, point.Lists)
 	s.Until(2*time.Minute, checkEvery, s.Agreed)
 	s.ObserveRunners()
