Demonstration: the result is the last line

Cause: the shell reported the killed engine's end behind it. The engine is no longer a job of the shell; the cleanup still ends it by its process id.

--- a/hack/demo.sh
+++ b/hack/demo.sh
@@ -40,7 +40,8 @@
 ./bin/clovertiller-lab platform --listen $platform & pids+=($!)
 for i in 0 1 2 3 4; do
   ./bin/clovertiller-lab engine --listen 127.0.0.1:781$i --platform $platform & pids+=($!)
-  [ $i = 1 ] && victim=$!
+  # Not a job of the shell, which would report its end behind the last line.
+  [ $i = 1 ] && victim=$! && disown $!
 done
 for i in 0 1 2; do
   ./bin/clovertiller-lab engine --listen 127.0.0.1:782$i --platform $platform & pids+=($!)
