--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -61,8 +61,12 @@
 
 // Limits bound the attempts of a request.
 type Limits struct {
+	// MaxAttempts bounds the dispatches that may have run.
 	MaxAttempts int
 	MaxResumes  int
+	// MaxRefusals bounds the dispatches that did not run; at 0 they count as
+	// attempts.
+	MaxRefusals int
 }
 
 // DefaultLimits are used in production.
@@ -77,6 +81,8 @@
 	resumes    int
 	// offset is the number of output tokens relayed to the caller.
 	offset int
+	// refusals counts dispatches that certainly did not run.
+	refusals int
 	// ran is true when an engine may have begun to compute any attempt.
 	ran bool
 	// doubtful is true when an attempt's fate is not known.
@@ -136,6 +142,7 @@
 // current attempt.
 func (r *Request) Reject() Next {
 	r.exclude()
+	r.refusals++
 	return r.retry()
 }
 
@@ -143,6 +150,18 @@
 // connection to it was made.
 func (r *Request) NotSent() Next {
 	r.exclude()
+	r.refusals++
+	return r.retry()
+}
+
+// FailedAnswer notes the engine's own failure of the current attempt, which ran.
+func (r *Request) FailedAnswer() Next {
+	r.exclude()
+	r.ran = true
+	if !r.repeatable {
+		r.phase = Failed
+		return Stop
+	}
 	return r.retry()
 }
 
@@ -211,7 +230,7 @@
 }
 
 func (r *Request) retry() Next {
-	if int(r.attempts) >= r.limits.MaxAttempts {
+	if r.exhausted() {
 		r.phase = Failed
 		return Stop
 	}
@@ -219,6 +238,17 @@
 	return Dispatch
 }
 
+func (r *Request) exhausted() bool {
+	spent := int(r.attempts)
+	if r.limits.MaxRefusals > 0 {
+		if r.refusals > r.limits.MaxRefusals {
+			return true
+		}
+		spent -= r.refusals
+	}
+	return spent >= r.limits.MaxAttempts
+}
+
 // Fail ends the request: no runner, no time left, or the caller has gone.
 func (r *Request) Fail() {
 	if r.phase == Complete {
@@ -230,6 +260,9 @@
 	r.phase = Failed
 }
 
+// MayHaveRun tells whether any attempt may have been run.
+func (r *Request) MayHaveRun() bool { return r.ran || r.doubtful }
+
 // RunState returns what the caller may be told of a failed request.
 func (r *Request) RunState() RunState {
 	switch {
--- /dev/null
+++ b/internal/backend/runner.go
@@ -0,0 +1,108 @@
+// Package backend holds the runners that a router may send requests to, with
+// what the directory says of them and what the router's own traffic shows:
+// requests in flight, failures, weights in force.
+//
+// The package has no I/O and no clock. A bad signal makes a runner dearer or
+// sets it aside for a bounded time; it never removes one, so that a wrong
+// signal cannot empty a service. Only the directory removes runners.
+package backend
+
+import (
+	"math"
+	"time"
+)
+
+// ModelVersion is a model that a runner holds and the version of its weights.
+type ModelVersion struct {
+	Name    string
+	Version uint64
+}
+
+// Runner is a directory entry: one incarnation of a runner.
+type Runner struct {
+	// ID names the incarnation; no other one ever has it.
+	ID      string
+	Service string
+	// Address is IP:port; another runner may have it later.
+	Address string
+	Zone    string
+	// SoftwareVersion is the version of the runner's own program.
+	SoftwareVersion string
+	Slots           int
+	// Draining runners finish their work and get none.
+	Draining bool
+	// Cold is how much longer the runner is slow after its start.
+	Cold   time.Duration
+	Models []ModelVersion
+}
+
+// Times and weights of evidence.
+const (
+	// minAside and maxAside bound how long a runner that could not be reached
+	// is set aside; the time doubles with each failure in a row.
+	minAside = 500 * time.Millisecond
+	maxAside = 4 * time.Second
+	// fullAside is how long a runner is avoided after it refused a request.
+	fullAside = 150 * time.Millisecond
+	// failureHalfLife is the half-life of the measured share of failures.
+	failureHalfLife = 3 * time.Second
+	// failureWeight is the weight of one answer in the measured share.
+	failureWeight = 0.2
+	// waitHalfLife is the half-life of the measured queueing.
+	waitHalfLife = 700 * time.Millisecond
+)
+
+// entry is a runner with the evidence about it.
+type entry struct {
+	Runner
+	// inFlight counts the router's own open requests there.
+	inFlight int
+	// pendingTokens counts prompt tokens of own requests without a first answer.
+	pendingTokens int
+	// failures counts failures to reach it in a row.
+	failures   int
+	asideUntil time.Time
+	// failureShare is the decaying share of its answers that were failures.
+	failureShare float64
+	failureAt    time.Time
+	// wait is the decaying queueing time that own requests met.
+	wait   time.Duration
+	waitAt time.Time
+	// learned is the version of each model's weights as answers named it, which
+	// may be newer than the directory's.
+	learned map[string]uint64
+	// updating is true while an order of this router's is under way there.
+	updating bool
+}
+
+func (e *entry) version(model string) (uint64, bool) {
+	for _, held := range e.Models {
+		if held.Name == model {
+			return max(held.Version, e.learned[model]), true
+		}
+	}
+	return 0, false
+}
+
+func decayed(value float64, elapsed, halfLife time.Duration) float64 {
+	if elapsed <= 0 {
+		return value
+	}
+	return value * math.Exp2(-elapsed.Seconds()/halfLife.Seconds())
+}
+
+func (e *entry) currentFailureShare(now time.Time) float64 {
+	return decayed(e.failureShare, now.Sub(e.failureAt), failureHalfLife)
+}
+
+func (e *entry) noteAnswer(now time.Time, failed bool) {
+	share := e.currentFailureShare(now) * (1 - failureWeight)
+	if failed {
+		share += failureWeight
+	}
+	e.failureShare, e.failureAt = share, now
+}
+
+func (e *entry) currentWait(now time.Time) time.Duration {
+	return time.Duration(decayed(float64(e.wait), now.Sub(e.waitAt), waitHalfLife))
+}
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,263 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
+	"github.com/clovertiller/clovertiller/internal/routing"
+)
+
+// Times and sizes of calls.
+const (
+	// longestCall bounds calls that name no deadline on routes without one.
+	longestCall = 5 * time.Minute
+	// defaultMaxBody applies when the configuration names no bound.
+	defaultMaxBody = 16 << 20
+	// answerSlack is how much longer than the call the answer may take to write.
+	answerSlack = 2 * time.Second
+	// maxRefusals bounds the runners that may refuse one call.
+	maxRefusals = 3
+)
+
+// call is one request of a caller, from its arrival to its answer.
+type call struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	caller  *http.Request
+	facts   CallFacts
+	arrived time.Time
+	view    *view
+	route   *routing.Route
+	tenant  *routing.Tenant
+	service string
+	body    []byte
+	// ctx ends when the caller leaves or the time is up.
+	ctx      context.Context
+	deadline time.Time
+	request  *attempt.Request
+	// failure is the last failure that a runner answered with, kept for when
+	// nothing better comes.
+	failure *heldAnswer
+	// runner is where the call was sent last.
+	runner backend.Runner
+	// sent is when, and expectedTokens how many prompt tokens it has still to read.
+	sent           time.Time
+	expectedTokens int
+	// stream is the relayed stream, nil before its first event.
+	stream *eventStream
+}
+
+// serveCall answers one request of a caller.
+func (g *Gateway) serveCall(writer http.ResponseWriter, request *http.Request) {
+	now := time.Now()
+	c := &call{
+		gateway: g, writer: writer, control: http.NewResponseController(writer), caller: request,
+		facts: g.ports.Protocol.Call(request.Header), arrived: now, view: g.view.Load(),
+	}
+	// A deadline of an earlier request on this connection must not hold here.
+	_ = c.control.SetWriteDeadline(now.Add(longestCall))
+	if g.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	if refusal := c.admit(); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
+	if refusal, gone := c.readBody(); gone {
+		return
+	} else if refusal != nil {
+		c.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	_ = c.control.SetWriteDeadline(c.deadline.Add(answerSlack))
+	c.run()
+}
+
+// path returns the path of the request line, unchanged.
+func path(request *http.Request) string {
+	target, _, _ := strings.Cut(target(request), "?")
+	return target
+}
+
+// target returns path and query of the request line, unchanged.
+func target(request *http.Request) string {
+	if strings.HasPrefix(request.RequestURI, "/") {
+		return request.RequestURI
+	}
+	return request.URL.RequestURI()
+}
+
+// admit finds route, tenant and service, or says why the call is refused.
+// Nothing is denied on a configuration that may be out of date.
+func (c *call) admit() *refusal {
+	if c.view == nil {
+		return unavailable("no configuration is known yet", startRetryAfter)
+	}
+	fresh := c.view.fresh(c.arrived, c.gateway.settings.ConfigLease)
+	c.route = c.view.table.Match(c.caller.Host, path(c.caller))
+	if c.route == nil {
+		if !fresh {
+			return unavailable("the configuration is not proved", staleRetryAfter)
+		}
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	if refused := c.authenticate(fresh); refused != nil {
+		return refused
+	}
+	c.gateway.mutex.Lock()
+	c.service = c.gateway.splitter.Pick(c.route)
+	c.gateway.mutex.Unlock()
+	c.setDeadline()
+	c.request = attempt.NewRequest(c.route.Repeatable(), attempt.Limits{MaxAttempts: max(c.route.MaxAttempts, 1), MaxRefusals: maxRefusals})
+	return nil
+}
+
+func (c *call) authenticate(fresh bool) *refusal {
+	if c.route.Public || !c.view.table.NeedsKeys() {
+		return nil
+	}
+	if !fresh {
+		return unavailable("the configuration is not proved", staleRetryAfter)
+	}
+	c.tenant = c.view.table.Tenant(c.facts.Key)
+	if c.tenant == nil {
+		return &refusal{status: http.StatusUnauthorized, reason: "the key is not known"}
+	}
+	return nil
+}
+
+func (c *call) setDeadline() {
+	left := longestCall
+	if c.route.Timeout > 0 {
+		left = min(left, c.route.Timeout)
+	}
+	if c.facts.Deadline > 0 {
+		left = min(left, c.facts.Deadline)
+	}
+	c.deadline = c.arrived.Add(left)
+}
+
+// readBody reads the whole body, so that it can be sent again. It returns gone
+// when the caller has left.
+func (c *call) readBody() (refused *refusal, gone bool) {
+	limit := c.view.table.Limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if c.caller.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, false
+	}
+	var err error
+	if size := c.caller.ContentLength; size >= 0 {
+		c.body = make([]byte, size)
+		_, err = io.ReadFull(c.caller.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(io.LimitReader(c.caller.Body, limit+1))
+	}
+	if err != nil {
+		c.gateway.log.Log(events.CallerLeft, events.Fields{"request": c.facts.ID, "while": "sending"})
+		return nil, true
+	}
+	if int64(len(c.body)) > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, false
+	}
+	return nil, false
+}
+
+// run sends the call to runners until one has answered it or nothing is left to try.
+func (c *call) run() {
+	next := attempt.Dispatch
+	for next == attempt.Dispatch {
+		runner, refusal := c.pick()
+		if refusal != nil {
+			c.request.Fail()
+			c.giveUp(refusal)
+			return
+		}
+		c.runner = runner
+		next = c.send()
+	}
+	c.finish()
+}
+
+// finish ends a call for which nothing more is tried.
+func (c *call) finish() {
+	if c.request.Phase() == attempt.Complete {
+		c.logEnd("complete")
+		return
+	}
+	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
+}
+
+// query says what placement needs to know of the call.
+func (c *call) query() backend.Query {
+	query := backend.Query{Service: c.service, Excluded: c.request.Excluded()}
+	if !c.route.Cached {
+		return query
+	}
+	query.Model = c.facts.Model
+	for i, part := range c.facts.Prompt {
+		query.PromptTokens += part.Tokens
+		if i < len(c.facts.Prompt)-1 {
+			query.SharedTokens += part.Tokens
+		}
+		if i < len(c.facts.Prompt)-2 {
+			query.TrunkTokens += part.Tokens
+		}
+	}
+	if shared := len(c.facts.Prompt) - 2; shared >= 0 {
+		query.Family = rendezvous.KeyOf(c.salt() + "/" + c.facts.Prompt[shared].ID)
+	}
+	return query
+}
+
+// salt keeps the cached prompt parts of isolated tenants apart.
+func (c *call) salt() string {
+	if c.tenant != nil && c.tenant.Isolated {
+		return "tenant/" + c.tenant.Name
+	}
+	return ""
+}
+
+// Ranks of requests at the runners.
+const (
+	routeRanks = 3
+	lastRank   = 9
+)
+
+// priority orders by tenant first and route second.
+func (c *call) priority() int {
+	rank := min(c.route.Priority, routeRanks-1)
+	if c.tenant != nil {
+		rank += c.tenant.Priority * routeRanks
+	}
+	return min(max(rank, 0), lastRank)
+}
+
+// left tells whether the caller has gone.
+func (c *call) left() bool { return c.caller.Context().Err() != nil }
+
+// logEnd writes the one line that every call ends with.
+func (c *call) logEnd(outcome string) {
+	elapsed := time.Since(c.arrived)
+	c.gateway.metrics.ended(c.route.Kind.String(), outcome, elapsed)
+	c.gateway.log.Log(events.RequestEnded, events.Fields{
+		"request": c.facts.ID, "route": c.route.Name, "service": c.service, "runner": c.runner.ID,
+		"outcome": outcome, "attempts": c.request.Attempt(), "ms": elapsed.Milliseconds(),
+		"config": c.view.table.Version, "config_age_ms": c.arrived.Sub(c.view.provenAt).Milliseconds(),
+	})
+}
+
+var errCallerLeft = errors.New("caller left")
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,264 @@
+// Package gateway is the shell of a router in front of a platform that keeps
+// configuration, directory and lease in a store: it takes callers' requests,
+// sends them to runners and brings runners to the named weights.
+//
+// What is decided is decided by the pure packages routing, backend, placement,
+// attempt, admission, lease and rollout; how the platform writes things is
+// behind the ports in ports.go.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/clovertiller/clovertiller/internal/admission"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/routing"
+)
+
+// Ports are the platform's implementations of what the gateway needs.
+type Ports struct {
+	Protocol Protocol
+	Store    Store
+	Runners  RunnerControl
+	// ReadyPath is the path of the readiness check.
+	ReadyPath string
+	// RunnerPool carries requests to runners.
+	RunnerPool *httpconn.Pool
+}
+
+// view is a configuration with the moment that it was proved to be in force.
+// Both change together, so that a request never joins an old configuration with
+// a newer proof.
+type view struct {
+	table *routing.Table
+	// revision is the store's revision of the configuration.
+	revision uint64
+	// provenAt is when the call was sent whose answer proved the configuration.
+	provenAt time.Time
+}
+
+// Gateway is one router process.
+type Gateway struct {
+	settings Settings
+	ports    Ports
+	log      *events.Logger
+	metrics  *metrics
+
+	view     atomic.Pointer[view]
+	draining atomic.Bool
+
+	// mutex guards the state below; it is never held over I/O.
+	mutex    sync.Mutex
+	runners  *backend.Set
+	splitter *routing.Splitter
+	// retries holds the budget for further attempts of each service.
+	retries map[string]*admission.RetryBudget
+	random  *rand.Rand
+	// named is told when a version of weights was named.
+	named chan struct{}
+
+	callers   *http.Server
+	readiness *http.Server
+	figures   *http.Server
+	ctx       context.Context
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+	started   time.Time
+}
+
+// retryShareUsed is the part of the allowed share of retries that a router
+// spends, as its windows and those of other routers do not line up.
+const retryShareUsed = 0.75
+
+// Start runs a gateway until Stop.
+func Start(settings Settings, ports Ports, logger *events.Logger) (*Gateway, error) {
+	settings.SetDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	started := time.Now()
+	g := &Gateway{
+		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started,
+		runners:  backend.NewSet(settings.Zone),
+		splitter: routing.NewSplitter(),
+		retries:  map[string]*admission.RetryBudget{},
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		named:    make(chan struct{}, 1),
+	}
+	g.metrics = newMetrics(g)
+	if err := g.listen(); err != nil {
+		cancel()
+		return nil, err
+	}
+	g.log.Log(events.GatewayStarted, events.Fields{"zone": settings.Zone, "callers": settings.CallerAddress, "store": settings.StoreAddress})
+	for _, kind := range []ObjectKind{ConfigObjects, RunnerObjects, WeightObjects} {
+		g.spawn(func() { newFollower(g, kind).run() })
+	}
+	g.spawn(func() { newLeader(g).run() })
+	g.spawn(g.sweepLoop)
+	return g, nil
+}
+
+// budget returns the service's budget for further attempts. The mutex is held.
+func (g *Gateway) budget(service string) *admission.RetryBudget {
+	budget := g.retries[service]
+	if budget == nil {
+		budget = admission.NewRetryBudget(g.settings.RetryShare*retryShareUsed, g.settings.RetryReserve)
+		g.retries[service] = budget
+	}
+	return budget
+}
+
+func (g *Gateway) listen() error {
+	callers, err := net.Listen("tcp", g.settings.CallerAddress)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	ready, err := net.Listen("tcp", g.settings.ReadyAddress)
+	if err != nil {
+		callers.Close()
+		return trace.ConvertSystemError(err)
+	}
+	g.callers = newCallerServer(http.HandlerFunc(g.serveCall))
+	readiness := http.NewServeMux()
+	readiness.HandleFunc(g.ports.ReadyPath, g.serveReadiness)
+	g.readiness = &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}
+	go g.callers.Serve(callers)
+	go g.readiness.Serve(ready)
+	g.listenFigures()
+	return nil
+}
+
+// listenFigures serves the counters; a router whose figures cannot be served
+// still serves requests.
+func (g *Gateway) listenFigures() {
+	if g.settings.MetricsAddress == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", g.settings.MetricsAddress)
+	if err != nil {
+		g.log.Log(events.FiguresUnavailable, events.Fields{"address": g.settings.MetricsAddress, "error": err.Error()})
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle(MetricsPath, g.metrics.handler())
+	g.figures = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go g.figures.Serve(listener)
+}
+
+// MetricsPath is the path of the counters.
+const MetricsPath = "/metrics"
+
+// Times of the callers' server.
+const (
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than any caller keeps an idle connection.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is above what configurations allow callers.
+	maxHeaderBytes = 128 << 10
+	sweepInterval  = time.Second
+)
+
+func newCallerServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+}
+
+func (g *Gateway) spawn(loop func()) {
+	g.group.Add(1)
+	go func() {
+		defer g.group.Done()
+		loop()
+	}()
+}
+
+// pause waits for the duration, or returns false when the gateway stops.
+func (g *Gateway) pause(duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-g.ctx.Done():
+		return false
+	}
+}
+
+func (g *Gateway) sweepLoop() {
+	for g.pause(sweepInterval) {
+		g.ports.RunnerPool.Sweep(time.Now())
+	}
+}
+
+// jitter returns a duration between half of the given one and all of it.
+func (g *Gateway) jitter(duration time.Duration) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return duration/2 + time.Duration(g.random.Int64N(int64(duration/2)+1))
+}
+
+func (g *Gateway) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
+	if g.draining.Load() || !g.proven(time.Now()) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// proven tells whether the configuration in force is known well enough for
+// requests with a key.
+func (g *Gateway) proven(now time.Time) bool {
+	current := g.view.Load()
+	return current != nil && current.fresh(now, g.settings.ConfigLease)
+}
+
+// leaseMargin is kept from the end of the lease on the configuration: the
+// store's watches may be silent for a second, and requests take a while to arrive.
+const leaseMargin = 1500 * time.Millisecond
+
+func (v *view) fresh(now time.Time, lease time.Duration) bool {
+	return now.Sub(v.provenAt) < lease-min(leaseMargin, lease/2)
+}
+
+// Reload takes over settings that may change while the process runs.
+func (g *Gateway) Reload(settings Settings) {
+	g.log.Log(events.SettingsReloaded, events.Fields{"changed": settings != g.settings})
+}
+
+// Times of a planned stop.
+const (
+	// lingerTime is how long new requests are still taken after the signal, so
+	// that the platform notices that this router is no longer ready.
+	lingerTime = 3 * time.Second
+	// stopMargin is left of the grace when open requests are cut.
+	stopMargin = 150 * time.Millisecond
+)
+
+// Stop ends the gateway as planned: it is not ready any more, serves what
+// comes for a while, finishes all open requests and returns.
+func (g *Gateway) Stop() {
+	began := time.Now()
+	g.draining.Store(true)
+	g.log.Log(events.GatewayDraining, events.Fields{"grace_ms": g.settings.DrainGrace.Milliseconds()})
+	time.Sleep(min(lingerTime, g.settings.DrainGrace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.DrainGrace-stopMargin))
+	defer cancel()
+	err := g.callers.Shutdown(ctx)
+	g.cancel()
+	g.callers.Close()
+	g.readiness.Close()
+	if g.figures != nil {
+		g.figures.Close()
+	}
+	g.log.Log(events.GatewayStopped, events.Fields{"after_ms": time.Since(began).Milliseconds(), "cut": err != nil})
+}
--- /dev/null
+++ b/internal/gateway/leader.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/lease"
+)
+
+// Times of the lease on ordering runners.
+const (
+	// leaderInterval is how often a router looks whether there is work to order.
+	leaderInterval = 200 * time.Millisecond
+	// orderLease is how long a holder acts on one write of the lease.
+	orderLease = time.Second
+	// gapMargin is added to the least time between the orders of two holders.
+	gapMargin = 250 * time.Millisecond
+	// leaseCall bounds one call on the lease.
+	leaseCall = 800 * time.Millisecond
+	// leaseRetry is the pause after a call on the lease that failed.
+	leaseRetry = 200 * time.Millisecond
+)
+
+// leader contends for the lease while there is something to order, and orders
+// while it holds it. A router that never has to order never calls the store
+// for it.
+type leader struct {
+	gateway   *Gateway
+	candidate *lease.Candidate
+	rollout   *rollouts
+	// nextRead is when the lease is read again while another router holds it.
+	nextRead time.Time
+	held     bool
+}
+
+func newLeader(g *Gateway) *leader {
+	l := &leader{gateway: g, candidate: lease.NewCandidateWithGap(g.settings.Node, orderLease, g.settings.LeaseGap+gapMargin)}
+	l.rollout = newRollouts(g)
+	return l
+}
+
+func (l *leader) run() {
+	for l.wait() {
+		if !l.rollout.needed(time.Now()) {
+			l.note(0, false)
+			continue
+		}
+		token, held := l.keep()
+		l.note(token, held)
+		if held {
+			l.rollout.advance(l.term(token))
+		}
+	}
+}
+
+// wait returns when there may be something to do, or false when the gateway stops.
+func (l *leader) wait() bool {
+	select {
+	case <-l.gateway.named:
+	case <-time.After(leaderInterval):
+	case <-l.gateway.ctx.Done():
+	}
+	return l.gateway.ctx.Err() == nil
+}
+
+// term is the right to order under one fencing token.
+type term struct {
+	holder string
+	token  uint64
+	// until is when the right ends unless the lease is renewed.
+	until time.Time
+}
+
+// valid tells whether an order may leave now.
+func (t term) valid() bool { return time.Now().Before(t.until) }
+
+func (l *leader) term(token uint64) term {
+	return term{holder: l.gateway.settings.Node, token: token, until: l.candidate.ValidUntil()}
+}
+
+// keep takes or renews the lease and returns the fencing token while it is held.
+func (l *leader) keep() (uint64, bool) {
+	now := time.Now()
+	if token, held := l.candidate.Token(now); held {
+		if l.candidate.Next(now) == lease.Renew {
+			l.write(lease.Renew)
+			return l.candidate.Token(time.Now())
+		}
+		return token, true
+	}
+	if now.Before(l.nextRead) || !l.read() {
+		return 0, false
+	}
+	switch l.candidate.Next(time.Now()) {
+	case lease.Acquire:
+		l.write(lease.Acquire)
+	case lease.Wait:
+		l.nextRead = l.candidate.FreeAt().Add(l.gateway.jitter(leaseRetry))
+	}
+	return l.candidate.Token(time.Now())
+}
+
+// read observes the lease and tells whether it could.
+func (l *leader) read() bool {
+	ctx, cancel := context.WithTimeout(l.gateway.ctx, leaseCall)
+	defer cancel()
+	spec, revision, err := l.gateway.ports.Store.Lease(ctx)
+	now := time.Now()
+	switch {
+	case errors.Is(err, ErrNotFound):
+		l.candidate.Observe(now, lease.Observation{})
+	case err != nil:
+		l.retryLater(err)
+		return false
+	default:
+		l.candidate.Observe(now, lease.Observation{Exists: true, Version: revision, Spec: spec})
+	}
+	return true
+}
+
+func (l *leader) write(action lease.Action) {
+	ctx, cancel := context.WithTimeout(l.gateway.ctx, leaseCall)
+	defer cancel()
+	proposal := l.candidate.Proposal(action)
+	sent := time.Now()
+	written, err := l.gateway.ports.Store.WriteLease(ctx, proposal, l.candidate.Seen().Version)
+	if err != nil {
+		// Lost or refused: the next read shows what is in place.
+		l.retryLater(err)
+		return
+	}
+	l.candidate.Written(sent, action, written, proposal)
+}
+
+func (l *leader) retryLater(err error) {
+	g := l.gateway
+	g.metrics.storeFailures.WithLabelValues("lease").Inc()
+	l.nextRead = time.Now().Add(g.jitter(leaseRetry))
+	g.log.Log(events.LeaseCallFailed, events.Fields{"error": err.Error(), "seen": l.candidate.Seen().Version, "holder": l.candidate.Seen().Spec.Holder})
+}
+
+func (l *leader) note(token uint64, held bool) {
+	if held == l.held {
+		return
+	}
+	l.held = held
+	if held {
+		l.gateway.log.Log(events.LeaseAcquired, events.Fields{"token": token})
+		return
+	}
+	l.gateway.log.Log(events.LeaseLost, events.Fields{"holder": l.candidate.Seen().Spec.Holder})
+}
--- /dev/null
+++ b/internal/gateway/ports.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/routing"
+)
+
+// Part is one part of a prompt, shared with other requests but for the last.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// CallFacts is what a caller's request says beyond method, path and body.
+type CallFacts struct {
+	// ID is the caller's name of the request.
+	ID string
+	// Deadline is how long the caller waits; 0 means it does not say.
+	Deadline time.Duration
+	// Key is the caller's credential, empty without one.
+	Key   string
+	Model string
+	// PromptTokens and MaxTokens are the caller's counts.
+	PromptTokens int
+	MaxTokens    int
+	Prompt       []Part
+	// LastEvent is the last event of the stream that the caller has.
+	LastEvent string
+}
+
+// Dispatch is what the router adds to a request on its way to a runner.
+type Dispatch struct {
+	// Remaining is the time left for the answer; 0 leaves it out.
+	Remaining time.Duration
+	// Runner is the incarnation that alone may run the request.
+	Runner string
+	// Tenant is the caller's tenant, empty without one.
+	Tenant string
+	// Salt keeps cached prompt parts of different owners apart.
+	Salt string
+	// Priority is 0 to 9, 0 first; negative leaves it out.
+	Priority int
+	// LastEvent asks for the events after it.
+	LastEvent string
+}
+
+// AnswerFacts is what the head of a runner's answer says.
+type AnswerFacts struct {
+	// RequestID is the request that the answer belongs to.
+	RequestID string
+	// Stamped answers were made by a runner.
+	Stamped bool
+	// NotRun is the runner's word that it has not run the request and never will.
+	NotRun bool
+	// WeightVersion is the version of the weights in use, 0 when not named.
+	WeightVersion uint64
+	// Encoded answers are not the runner's plain bytes.
+	Encoded bool
+}
+
+// Protocol is how callers, routers and runners write what they say of a
+// request. It decides nothing.
+type Protocol interface {
+	// Call reads a caller's headers.
+	Call(header http.Header) CallFacts
+	// Forward returns the headers of a request to a runner: the caller's,
+	// without those of the connection and those that only routers set, and the
+	// dispatch's.
+	Forward(caller http.Header, dispatch Dispatch) http.Header
+	// Answer reads the head of a runner's answer.
+	Answer(status int, header http.Header) AnswerFacts
+	// Return returns the headers of the answer to the caller.
+	Return(runner http.Header) http.Header
+	// Refusal names the request in an answer of the router's own.
+	Refusal(id string) http.Header
+	// EventVersion reads the version of the weights from an event of a stream.
+	EventVersion(event []byte) (uint64, bool)
+}
+
+// ObjectKind names the objects that the router reads from the store.
+type ObjectKind uint8
+
+// The kinds of objects.
+const (
+	// ConfigObjects hold the configuration as a whole.
+	ConfigObjects ObjectKind = iota
+	// RunnerObjects are the directory of runners.
+	RunnerObjects
+	// WeightObjects name the newest version of a model's weights.
+	WeightObjects
+)
+
+// String returns the kind's name.
+func (k ObjectKind) String() string {
+	return [...]string{"configuration", "runners", "weights"}[k]
+}
+
+// NamedWeights is the newest named version of a model's weights.
+type NamedWeights struct {
+	Model   string
+	Version uint64
+}
+
+// Object is one object of the store, decoded. One of the pointers is set,
+// unless the object is gone or could not be read.
+type Object struct {
+	Name     string
+	Revision uint64
+	Gone     bool
+	Config   *routing.Config
+	Runner   *backend.Runner
+	Weights  *NamedWeights
+	// Fault says why an object could not be read.
+	Fault string
+}
+
+// Errors of the store.
+var (
+	// ErrHistoryGone means that changes were missed: list again.
+	ErrHistoryGone = errors.New("store: history is gone")
+	// ErrConflict means that the object is not at the expected revision.
+	ErrConflict = errors.New("store: revision conflict")
+	// ErrNotFound means that there is no such object.
+	ErrNotFound = errors.New("store: not found")
+	// ErrThrottled means that the store refused the call for its rate.
+	ErrThrottled = errors.New("store: throttled")
+	// ErrUnavailable means that the store did nothing.
+	ErrUnavailable = errors.New("store: unavailable")
+)
+
+// Store is the service that keeps what must last.
+type Store interface {
+	// List returns all objects of the kind and the revision that they stand for.
+	List(ctx context.Context, kind ObjectKind) (objects []Object, revision uint64, err error)
+	// Watch returns the changes after the revision as soon as there are any, or
+	// none after the wait, with the revision up to which nothing else changed.
+	Watch(ctx context.Context, kind ObjectKind, revision uint64, wait time.Duration) (objects []Object, at uint64, err error)
+	// Lease reads the lease object; ErrNotFound when there is none.
+	Lease(ctx context.Context) (spec v1.LeaseSpec, revision uint64, err error)
+	// WriteLease writes it if it still has the revision, 0 for none.
+	WriteLease(ctx context.Context, spec v1.LeaseSpec, revision uint64) (written uint64, err error)
+}
+
+// RunnerReport is a runner's own word on its state.
+type RunnerReport struct {
+	Models []backend.ModelVersion
+	// Busy is true while an order is under way.
+	Busy bool
+	// Orders counts the orders taken since the runner started.
+	Orders uint64
+	// Queued and Running count requests.
+	Queued  int
+	Running int
+}
+
+// WeightOrder tells a runner to take a version of a model's weights.
+type WeightOrder struct {
+	Model   string
+	Version uint64
+	// Holder and Token are the lease's holder and fencing token.
+	Holder string
+	Token  uint64
+	// ExpectedOrders is the number of orders taken at which it is to be carried out.
+	ExpectedOrders uint64
+}
+
+// OrderOutcome is a runner's answer to an order.
+type OrderOutcome uint8
+
+// The outcomes of an order.
+const (
+	// OrderUnknown means that no answer came; it may still be carried out.
+	OrderUnknown OrderOutcome = iota
+	// OrderTaken means that it is under way.
+	OrderTaken
+	// OrderHolds means that the runner has the version already.
+	OrderHolds
+	// OrderConflict means that another order came first.
+	OrderConflict
+	// OrderFenced means that a higher fencing token was seen.
+	OrderFenced
+	// OrderInvalid means that the runner will not take it.
+	OrderInvalid
+)
+
+// String returns the outcome's name.
+func (o OrderOutcome) String() string {
+	return [...]string{"unknown", "taken", "holds", "conflict", "fenced", "invalid"}[o]
+}
+
+// RunnerControl reads and orders runners.
+type RunnerControl interface {
+	Report(ctx context.Context, runner backend.Runner) (RunnerReport, error)
+	Order(ctx context.Context, runner backend.Runner, order WeightOrder) (OrderOutcome, error)
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/httpconn"
+)
+
+// Sizes of streams.
+const (
+	relayBufferBytes = 4 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+// eventStream is the state of a stream towards the caller. Only whole events
+// are passed on, so that the stream can go on at another runner.
+type eventStream struct {
+	// lastEvent is the id of the last event passed on, empty before the first.
+	lastEvent string
+}
+
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+)
+
+// lastEventID returns the id of the last event in a run of whole events, or
+// the one before if none has an id.
+func lastEventID(data []byte, before string) string {
+	at := bytes.LastIndex(data, []byte("\nid:"))
+	switch {
+	case at >= 0:
+		data = data[at+1:]
+	case !bytes.HasPrefix(data, idField):
+		return before
+	}
+	line, _, _ := bytes.Cut(data[len(idField):], []byte("\n"))
+	return string(bytes.TrimSpace(line))
+}
+
+// relay passes a runner's events on until the stream ends.
+func (c *call) relay(response *httpconn.Response) attempt.Next {
+	var pending []byte
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		pending = append(pending, buffer[:n]...)
+		if whole := bytes.LastIndex(pending, eventEnd); whole >= 0 {
+			whole += len(eventEnd)
+			if c.passEvents(response, pending[:whole]) != nil {
+				return c.outOfTime(false)
+			}
+			pending = append(pending[:0], pending[whole:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return c.endStream(response, pending)
+		case err != nil:
+			return c.brokenStream(response, err)
+		case len(pending) > maxEventBytes:
+			return c.brokenStream(response, errors.New("event is too long"))
+		}
+	}
+}
+
+// passEvents writes whole events to the caller.
+func (c *call) passEvents(response *httpconn.Response, data []byte) error {
+	if c.stream == nil {
+		c.beginStream(response)
+	}
+	if c.expectedTokens > 0 {
+		c.firstAnswer()
+	}
+	if version, named := c.gateway.ports.Protocol.EventVersion(data); named {
+		c.learnVersion(version)
+	}
+	if _, err := c.writer.Write(data); err != nil {
+		return errCallerLeft
+	}
+	c.stream.lastEvent = lastEventID(data, c.stream.lastEvent)
+	if err := c.control.Flush(); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
+
+// beginStream writes the head of the first runner's answer.
+func (c *call) beginStream(response *httpconn.Response) {
+	c.stream = &eventStream{}
+	c.firstAnswer()
+	c.gateway.metrics.firstEvent(time.Since(c.arrived))
+	c.writeHead(response.Status, response.Header)
+	c.writer.WriteHeader(response.Status)
+}
+
+// endStream takes the orderly end of the runner's stream.
+func (c *call) endStream(response *httpconn.Response, rest []byte) attempt.Next {
+	if c.stream == nil {
+		c.beginStream(response)
+	}
+	if len(rest) > 0 {
+		if _, err := c.writer.Write(rest); err != nil {
+			return c.outOfTime(false)
+		}
+	}
+	c.end(backend.Answered, "", response.Status)
+	c.request.Accept()
+	c.request.Finish(c.request.Attempt(), 0)
+	return attempt.Stop
+}
+
+// brokenStream takes a stream that broke off. It goes on at another runner
+// after the last whole event, if the route allows; the old run is ended first.
+func (c *call) brokenStream(response *httpconn.Response, cause error) attempt.Next {
+	response.Body.Close()
+	if c.ctx.Err() != nil {
+		return c.outOfTime(false)
+	}
+	c.end(backend.Failed, "stream broke off: "+cause.Error(), response.Status)
+	next := c.lost()
+	if next == attempt.Dispatch && c.stream != nil {
+		c.gateway.log.Log(events.StreamContinued, events.Fields{"request": c.facts.ID, "from": c.runner.ID, "last_event": c.stream.lastEvent})
+	}
+	return next
+}
--- /dev/null
+++ b/internal/gateway/rollouts.go
@@ -0,0 +1,200 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/fleet"
+	"github.com/clovertiller/clovertiller/internal/rollout"
+)
+
+// Times and limits of rollouts.
+const (
+	// loadingShare is the share of a service's runners that load at once:
+	// the weight store slows all when more do.
+	loadingShare = 6
+	// minServingPercent of a service's runners keep serving.
+	minServingPercent = 50
+	// reportTime bounds one call to a runner about its weights.
+	reportTime = 700 * time.Millisecond
+	// reportInterval is how often a loading runner is asked.
+	reportInterval = 200 * time.Millisecond
+	// updateTime is how long one runner may take before others go first.
+	updateTime = 6 * time.Second
+	// resendAfter is how long an order without an answer is given to show.
+	resendAfter = 600 * time.Millisecond
+	// setBack is how long a runner that could not be ordered is left alone.
+	setBack = 500 * time.Millisecond
+)
+
+// rollouts brings runners to the named weights. It is level-triggered: each
+// step compares what is named with what the runners have.
+type rollouts struct {
+	gateway *Gateway
+	mutex   sync.Mutex
+	// active holds the runners whose update is under way here.
+	active map[string]bool
+	// setBackUntil holds runners that are to be left alone for a while.
+	setBackUntil map[string]time.Time
+	current      term
+}
+
+func newRollouts(g *Gateway) *rollouts {
+	return &rollouts{gateway: g, active: map[string]bool{}, setBackUntil: map[string]time.Time{}}
+}
+
+// needed tells whether any runner has older weights than named.
+func (r *rollouts) needed(_ time.Time) bool {
+	g := r.gateway
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.runners.Outdated()
+}
+
+// advance starts the updates that may begin now under the term.
+func (r *rollouts) advance(current term) {
+	g := r.gateway
+	r.mutex.Lock()
+	r.current = current
+	r.mutex.Unlock()
+	g.mutex.Lock()
+	groups := g.runners.ModelGroups()
+	g.mutex.Unlock()
+	for _, group := range groups {
+		limits := rollout.Limits{MaxLoading: max(1, len(group.Runners)/loadingShare), MinServingPercent: minServingPercent}
+		model := rollout.Model{Name: group.Model, WeightVersion: strconv.FormatUint(group.Target, 10)}
+		for _, order := range rollout.Plan(limits, []rollout.Model{model}, r.planned(group)) {
+			r.start(order.Runner, group.Model, group.Target)
+		}
+	}
+}
+
+// planned describes the group's runners to the planner. A runner ahead of the
+// named version counts as having it.
+func (r *rollouts) planned(group backend.ModelGroup) []rollout.Runner {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var planned []rollout.Runner
+	for _, runner := range group.Runners {
+		state := fleet.Serving
+		if r.active[runner.ID] || now.Before(r.setBackUntil[runner.ID]) {
+			state = fleet.Loading
+		}
+		planned = append(planned, rollout.Runner{Name: runner.ID, Leaving: runner.Draining, Report: fleet.Report{
+			Runner: runner.ID, State: state, Connected: true, Model: group.Model,
+			WeightVersion: strconv.FormatUint(min(runner.Version, group.Target), 10),
+		}})
+	}
+	return planned
+}
+
+func (r *rollouts) start(id, model string, version uint64) {
+	g := r.gateway
+	g.mutex.Lock()
+	runner, known := g.runners.Get(id)
+	g.runners.SetUpdating(id, true)
+	g.mutex.Unlock()
+	if !known {
+		return
+	}
+	r.mutex.Lock()
+	r.active[id] = true
+	r.mutex.Unlock()
+	g.spawn(func() {
+		done := r.update(runner, model, version)
+		g.mutex.Lock()
+		g.runners.SetUpdating(id, false)
+		g.mutex.Unlock()
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		delete(r.active, id)
+		if !done {
+			r.setBackUntil[id] = time.Now().Add(setBack)
+		}
+	})
+}
+
+// update brings one runner to the version and tells whether it has it.
+func (r *rollouts) update(runner backend.Runner, model string, version uint64) bool {
+	g := r.gateway
+	deadline := time.Now().Add(updateTime)
+	var orderedAt time.Time
+	var orderedAfter uint64
+	for time.Now().Before(deadline) {
+		report, err := r.report(runner)
+		if err != nil {
+			g.log.Log(events.RunnerSilent, events.Fields{"runner": runner.ID, "address": runner.Address, "error": err.Error()})
+			return false
+		}
+		if r.has(runner, report, model, version) {
+			return true
+		}
+		waiting := !orderedAt.IsZero() && report.Orders <= orderedAfter && time.Since(orderedAt) < resendAfter
+		if !report.Busy && !waiting {
+			if !r.order(runner, model, version, report.Orders) {
+				return false
+			}
+			orderedAt, orderedAfter = time.Now(), report.Orders
+		}
+		if !g.pause(reportInterval) {
+			return false
+		}
+	}
+	return false
+}
+
+func (r *rollouts) report(runner backend.Runner) (RunnerReport, error) {
+	ctx, cancel := context.WithTimeout(r.gateway.ctx, reportTime)
+	defer cancel()
+	return r.gateway.ports.Runners.Report(ctx, runner)
+}
+
+// has notes the versions of the report and tells whether the runner is there.
+func (r *rollouts) has(runner backend.Runner, report RunnerReport, model string, version uint64) bool {
+	g := r.gateway
+	for _, held := range report.Models {
+		if held.Name != model {
+			continue
+		}
+		g.mutex.Lock()
+		g.runners.LearnVersion(runner.ID, model, held.Version)
+		g.mutex.Unlock()
+		if held.Version >= version && !report.Busy {
+			g.log.Log(events.WeightsLearned, events.Fields{"runner": runner.ID, "model": model, "version": held.Version})
+			return true
+		}
+	}
+	return false
+}
+
+// order sends one order under the current term and tells whether to go on.
+func (r *rollouts) order(runner backend.Runner, model string, version, ordersTaken uint64) bool {
+	g := r.gateway
+	r.mutex.Lock()
+	current := r.current
+	r.mutex.Unlock()
+	ctx, cancel := context.WithDeadline(g.ctx, current.until)
+	defer cancel()
+	if !current.valid() {
+		return false
+	}
+	outcome, err := g.ports.Runners.Order(ctx, runner, WeightOrder{
+		Model: model, Version: version, Holder: current.holder, Token: current.token, ExpectedOrders: ordersTaken,
+	})
+	fields := events.Fields{"runner": runner.ID, "model": model, "version": version, "token": current.token, "expected": ordersTaken, "outcome": outcome.String()}
+	g.metrics.orders.WithLabelValues(outcome.String()).Inc()
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	if outcome == OrderFenced || outcome == OrderInvalid {
+		g.log.Log(events.OrderRefused, fields)
+		return false
+	}
+	g.log.Log(events.OrderSent, fields)
+	return true
+}
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/placement"
+	"github.com/clovertiller/clovertiller/internal/routing"
+)
+
+// wholeAnswer is the longest body that is read whole before it is passed on.
+const wholeAnswer = 1 << 20
+
+// heldAnswer is a runner's answer that has been read.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// write passes the answer on unchanged.
+func (a *heldAnswer) write(c *call) {
+	c.writeHead(a.status, a.header)
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	c.writer.WriteHeader(a.status)
+	// A caller that has gone is noticed by the server.
+	_, _ = c.writer.Write(a.body)
+}
+
+func (c *call) writeHead(_ int, header http.Header) {
+	own := c.writer.Header()
+	for name, values := range c.gateway.ports.Protocol.Return(header) {
+		own[name] = values
+	}
+}
+
+// pick chooses the runner of the next attempt, or says why there is none.
+func (c *call) pick() (backend.Runner, *refusal) {
+	g := c.gateway
+	now := time.Now()
+	query := c.query()
+	again := c.request.Attempt() > 0
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if again && !g.budget(c.service).Spend() {
+		return backend.Runner{}, unavailable("the budget for further attempts is used up", busyRetryAfter)
+	}
+	request, candidates := g.runners.Candidates(now, query)
+	chosen := placement.Choose(request, candidates, placement.Weights{Hit: 1}, g.random)
+	if chosen.Status != placement.Picked {
+		return backend.Runner{}, unavailable(chosen.Status.String(), busyRetryAfter)
+	}
+	if again && !c.request.MayHaveRun() && slices.Contains(query.Excluded, chosen.Candidate.Name) {
+		return backend.Runner{}, unavailable("all runners have refused", busyRetryAfter)
+	}
+	if !again {
+		g.budget(c.service).Earn()
+	}
+	runner, _ := g.runners.Get(chosen.Candidate.Name)
+	c.expectedTokens = max(query.PromptTokens-chosen.Candidate.CachedTokens, 0)
+	g.runners.Begin(runner.ID, c.expectedTokens)
+	return runner, nil
+}
+
+// send makes one attempt at the picked runner and relays its answer.
+func (c *call) send() attempt.Next {
+	c.request.Dispatching(c.runner.ID)
+	c.sent = time.Now()
+	c.gateway.metrics.attempts.Inc()
+	if c.request.Attempt() > 1 {
+		c.gateway.log.Log(events.RequestRetried, events.Fields{"request": c.facts.ID, "attempt": c.request.Attempt(), "runner": c.runner.ID})
+	}
+	response, err := c.gateway.ports.RunnerPool.Send(c.ctx, c.runner.Address, c.message())
+	if err != nil {
+		return c.notAnswered(err)
+	}
+	defer response.Body.Close()
+	answer := c.gateway.ports.Protocol.Answer(response.Status, response.Header)
+	c.learnVersion(answer.WeightVersion)
+	switch {
+	case answer.NotRun:
+		c.end(backend.Refused, "refused", response.Status)
+		// The body is short; reading it keeps the connection.
+		_, _, _ = response.Body.ReadAll(wholeAnswer)
+		return c.request.Reject()
+	case !answer.Stamped || answer.Encoded:
+		return c.spoilt("not a runner's answer")
+	case c.route.Kind == routing.Streaming && isSuccess(response.Status):
+		return c.relay(response)
+	case c.stream != nil:
+		// The head of the first runner stands; a failure cannot follow it.
+		return c.spoilt("failure instead of the rest of a stream")
+	}
+	return c.passOn(response)
+}
+
+func isSuccess(status int) bool { return status >= 200 && status <= 299 }
+
+func (c *call) message() *httpconn.Request {
+	dispatch := Dispatch{Remaining: time.Until(c.deadline), Runner: c.runner.ID, Priority: -1, LastEvent: c.facts.LastEvent}
+	if c.tenant != nil {
+		dispatch.Tenant = c.tenant.Name
+	}
+	if c.route.Cached {
+		dispatch.Salt, dispatch.Priority = c.salt(), c.priority()
+	}
+	if c.stream != nil && c.stream.lastEvent != "" {
+		dispatch.LastEvent = c.stream.lastEvent
+	}
+	protocol, id := c.gateway.ports.Protocol, c.facts.ID
+	return &httpconn.Request{
+		Method: c.caller.Method, Target: target(c.caller), Host: c.caller.Host,
+		Header: protocol.Forward(c.caller.Header, dispatch), Body: c.body,
+		Accept: func(header http.Header) bool { return protocol.Answer(0, header).RequestID == id },
+	}
+}
+
+func (c *call) learnVersion(version uint64) {
+	if version == 0 || c.facts.Model == "" {
+		return
+	}
+	c.gateway.mutex.Lock()
+	c.gateway.runners.LearnVersion(c.runner.ID, c.facts.Model, version)
+	c.gateway.mutex.Unlock()
+}
+
+// end notes the outcome of the current attempt.
+func (c *call) end(outcome backend.Outcome, cause string, status int) {
+	g := c.gateway
+	g.mutex.Lock()
+	g.runners.End(time.Now(), c.runner.ID, c.expectedTokens, outcome)
+	g.mutex.Unlock()
+	c.expectedTokens = 0
+	if outcome == backend.Answered {
+		return
+	}
+	g.metrics.runnerFailures.WithLabelValues(outcome.String()).Inc()
+	g.log.Log(events.RequestAnswerBad, events.Fields{
+		"request": c.facts.ID, "runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
+		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": time.Since(c.sent).Milliseconds(),
+	})
+}
+
+// firstAnswer notes that the runner has begun to answer.
+func (c *call) firstAnswer() {
+	g := c.gateway
+	g.mutex.Lock()
+	g.runners.FirstAnswer(time.Now(), c.runner.ID, c.expectedTokens, time.Since(c.sent))
+	g.mutex.Unlock()
+	c.expectedTokens = 0
+}
+
+// notAnswered takes a send without the head of an answer.
+func (c *call) notAnswered(err error) attempt.Next {
+	if c.ctx.Err() != nil {
+		return c.outOfTime(errors.Is(err, httpconn.ErrNotSent))
+	}
+	if errors.Is(err, httpconn.ErrNotSent) {
+		c.end(backend.Unreachable, err.Error(), 0)
+		return c.request.NotSent()
+	}
+	c.end(backend.Unreachable, err.Error(), 0)
+	return c.lost()
+}
+
+// outOfTime ends the call because its caller left or its time is up.
+func (c *call) outOfTime(notSent bool) attempt.Next {
+	c.end(backend.Abandoned, "caller left or time is up", 0)
+	if notSent {
+		c.request.NotSent()
+	}
+	c.request.Fail()
+	return attempt.Stop
+}
+
+// spoilt takes an answer that is not one.
+func (c *call) spoilt(cause string) attempt.Next {
+	if c.ctx.Err() != nil {
+		return c.outOfTime(false)
+	}
+	c.end(backend.Failed, cause, 0)
+	return c.lost()
+}
+
+func (c *call) lost() attempt.Next { return c.request.Lost() }
+
+// passOn reads a whole answer and passes it on. A failure of a repeatable
+// request is kept while another runner is tried.
+func (c *call) passOn(response *httpconn.Response) attempt.Next {
+	c.firstAnswer()
+	body, more, err := response.Body.ReadAll(wholeAnswer)
+	if err != nil {
+		return c.spoilt("answer broke off: " + err.Error())
+	}
+	answer := &heldAnswer{status: response.Status, header: response.Header, body: body}
+	if response.Status >= http.StatusInternalServerError || isPromise(response.Status) {
+		return c.runnerFailed(answer)
+	}
+	c.end(backend.Answered, "", response.Status)
+	c.request.Accept()
+	c.request.Finish(c.request.Attempt(), 0)
+	if more {
+		c.passOnLong(answer, response)
+		return attempt.Stop
+	}
+	answer.write(c)
+	return attempt.Stop
+}
+
+// isPromise tells whether callers take the status as the word that the request
+// has not run.
+func isPromise(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
+}
+
+// runnerFailed takes a runner's own failure.
+func (c *call) runnerFailed(answer *heldAnswer) attempt.Next {
+	c.end(backend.Failed, "runner's failure", answer.status)
+	if answer.status != http.StatusServiceUnavailable && !isPromise(answer.status) {
+		c.failure = answer
+	}
+	return c.request.FailedAnswer()
+}
+
+// passOnLong relays the rest of a long answer; a break must look like one.
+func (c *call) passOnLong(answer *heldAnswer, response *httpconn.Response) {
+	c.writeHead(answer.status, answer.header)
+	if response.ContentLength >= 0 {
+		c.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	}
+	c.writer.WriteHeader(answer.status)
+	_, err := c.writer.Write(answer.body)
+	if err == nil {
+		_, err = io.Copy(c.writer, response.Body)
+	}
+	if err != nil {
+		c.logEnd("cut")
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"time"
+)
+
+// Settings are what a gateway process is started with.
+type Settings struct {
+	Node string
+	Zone string
+	// CallerAddress and ReadyAddress are the IP:ports for callers and for the
+	// readiness check.
+	CallerAddress string
+	ReadyAddress  string
+	// MetricsAddress serves the counters; empty serves none.
+	MetricsAddress string
+	// StoreAddress is the IP:port of the store.
+	StoreAddress string
+	// ConfigLease is how long a configuration may be used for requests with a
+	// key after the call that proved it was sent.
+	ConfigLease time.Duration
+	// DrainGrace is the time between the signal to stop and the end.
+	DrainGrace time.Duration
+	// WeightDeadline is the time within which named weights replace older ones.
+	WeightDeadline time.Duration
+	// SettleTime is how long after its start a router may use older weights
+	// whose naming it has not seen.
+	SettleTime time.Duration
+	// LeaseGap is the least time between the orders of two lease holders.
+	LeaseGap time.Duration
+	// RetryShare is the share of requests that all routers together may send a
+	// second time, and RetryReserve how many this one may send at once when
+	// there is little traffic.
+	RetryShare   float64
+	RetryReserve float64
+}
+
+// Defaults of settings that are not given.
+const (
+	defaultConfigLease    = 5 * time.Second
+	defaultDrainGrace     = 8 * time.Second
+	defaultWeightDeadline = 8 * time.Second
+	defaultSettleTime     = 3 * time.Second
+	defaultLeaseGap       = 3 * time.Second
+	defaultRetryShare     = 0.2
+	defaultRetryReserve   = 5
+)
+
+// SetDefaults fills in what is not given.
+func (s *Settings) SetDefaults() {
+	setDuration(&s.ConfigLease, defaultConfigLease)
+	setDuration(&s.DrainGrace, defaultDrainGrace)
+	setDuration(&s.WeightDeadline, defaultWeightDeadline)
+	setDuration(&s.SettleTime, defaultSettleTime)
+	setDuration(&s.LeaseGap, defaultLeaseGap)
+	if s.RetryShare == 0 {
+		s.RetryShare = defaultRetryShare
+	}
+	if s.RetryReserve == 0 {
+		s.RetryReserve = defaultRetryReserve
+	}
+}
+
+func setDuration(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Check returns all faults of the settings.
+func (s *Settings) Check() []string {
+	var faults []string
+	if s.Node == "" {
+		faults = append(faults, "node: a name is required")
+	}
+	for _, address := range []struct {
+		name, value string
+		required    bool
+	}{
+		{"caller address", s.CallerAddress, true},
+		{"ready address", s.ReadyAddress, true},
+		{"store address", s.StoreAddress, true},
+		{"metrics address", s.MetricsAddress, false},
+	} {
+		if address.value == "" && !address.required {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			faults = append(faults, fmt.Sprintf("%s: %q is not IP:port", address.name, address.value))
+		}
+	}
+	for _, duration := range []struct {
+		name  string
+		value time.Duration
+	}{
+		{"configuration lease", s.ConfigLease}, {"drain grace", s.DrainGrace},
+		{"weight deadline", s.WeightDeadline}, {"lease gap", s.LeaseGap},
+	} {
+		if duration.value < 0 {
+			faults = append(faults, duration.name+": must not be negative")
+		}
+	}
+	if s.RetryShare < 0 || s.RetryShare > 1 {
+		faults = append(faults, "retry share: must be between 0 and 1")
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/httpconn/pool.go
@@ -0,0 +1,204 @@
+// Package httpconn sends HTTP/1.1 requests over kept connections and never
+// sends one twice.
+//
+// net/http's Transport repeats a request by itself when a kept connection
+// breaks and the method looks repeatable. What may be repeated is decided
+// elsewhere in this product, so each Send here is one send: its error says
+// whether the request can have reached the server. Messages are parsed and
+// written by net/http; the package adds only the pool.
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Times and sizes of connections.
+const (
+	// DefaultDialTimeout bounds the wait for a new connection.
+	DefaultDialTimeout = 450 * time.Millisecond
+	// unackedTimeout ends a connection whose peer has stopped acknowledging.
+	unackedTimeout = 1500 * time.Millisecond
+	// probeIdle, probeInterval and probeCount end a silent connection whose
+	// peer is gone within two seconds.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 2
+	// defaultIdle is how long a connection is kept when the server names no time.
+	defaultIdle = 4 * time.Second
+	// idleMargin is subtracted from the time that the server names.
+	idleMargin = time.Second
+	// maxIdlePerAddress bounds the kept connections to one server.
+	maxIdlePerAddress = 16
+	readBufferBytes   = 2048
+)
+
+// ErrNotSent means that the request cannot have reached the server.
+var ErrNotSent = errors.New("httpconn: no connection was made")
+
+// Pool keeps idle connections by address. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+	mutex  sync.Mutex
+	idle   map[string][]*conn
+	// Opened is told of each new connection; it may be nil.
+	Opened func()
+}
+
+// conn is one connection, owned by one exchange at a time.
+type conn struct {
+	net.Conn
+	address string
+	reader  *bufio.Reader
+	// keepUntil is when the server may close the idle connection.
+	keepUntil time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool(dialTimeout time.Duration) *Pool {
+	return &Pool{
+		idle: map[string][]*conn{},
+		dialer: net.Dialer{
+			Timeout:         dialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+			Control:         setUnackedTimeout,
+		},
+	}
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not name.
+const tcpUserTimeout = 18
+
+func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// Where the option is refused, the keep-alive probes remain.
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+	})
+}
+
+// connect returns a kept connection that is still usable, or a new one.
+func (p *Pool) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
+	for !fresh {
+		kept := p.take(address)
+		if kept == nil {
+			break
+		}
+		if kept.usable(time.Now()) {
+			return kept, nil
+		}
+		kept.Close()
+	}
+	opened, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Join(ErrNotSent, err)
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	return &conn{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+}
+
+// take removes the most recently used idle connection, so that others age out.
+func (p *Pool) take(address string) *conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	last := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return last
+}
+
+func (p *Pool) put(c *conn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.idle[c.address]) >= maxIdlePerAddress {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Sweep closes idle connections whose time is over and forgets their addresses.
+func (p *Pool) Sweep(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.keepUntil) {
+				kept = append(kept, c)
+			} else {
+				c.Close()
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
+
+// CloseIdle closes all idle connections to the address.
+func (p *Pool) CloseIdle(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.idle[address] {
+		c.Close()
+	}
+	delete(p.idle, address)
+}
+
+// usable tells whether nothing has arrived on the idle connection: bytes there
+// would belong to no request, and an end means that the server has closed it.
+func (c *conn) usable(now time.Time) bool {
+	if now.After(c.keepUntil) || c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, isTCP := c.Conn.(*net.TCPConn)
+	if !isTCP {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var peeked [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, received := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = received == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// keepAliveOf reads the time in a Keep-Alive header, in whole seconds.
+func keepAliveOf(value string) (time.Duration, bool) {
+	for _, parameter := range strings.Split(value, ",") {
+		name, number, found := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := time.ParseDuration(number + "s")
+		return seconds, err == nil
+	}
+	return 0, false
+}
+
+func idleTime(header string) time.Duration {
+	named, found := keepAliveOf(header)
+	if !found {
+		return defaultIdle
+	}
+	return max(named-idleMargin, 0)
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -38,6 +38,9 @@
 type Candidate struct {
 	node     string
 	duration time.Duration
+	// takeover is how long another holder's lease must stand unchanged before
+	// it may be taken; at least the duration.
+	takeover time.Duration
 
 	seen Observation
 	// changedAt is when this node saw the observed version first, by its own clock.
@@ -51,7 +54,14 @@
 
 // NewCandidate returns a candidate for a lease of the given duration.
 func NewCandidate(node string, duration time.Duration) *Candidate {
-	return &Candidate{node: node, duration: duration}
+	return &Candidate{node: node, duration: duration, takeover: duration}
+}
+
+// NewCandidateWithGap returns a candidate for a lease of the given duration
+// that keeps a gap between the last moment at which one holder can have acted
+// and the first at which another may.
+func NewCandidateWithGap(node string, duration, gap time.Duration) *Candidate {
+	return &Candidate{node: node, duration: duration, takeover: duration + gap}
 }
 
 // Observe takes a read of the lease object. A holder that sees another one's
@@ -78,10 +88,10 @@
 		}
 		return Renew
 	}
-	if !c.seen.Exists || c.seen.Spec.Holder == "" {
+	if !c.seen.Exists || c.seen.Spec.Holder == "" || c.seen.Spec.Holder == c.node {
 		return Acquire
 	}
-	if !c.changedAt.IsZero() && now.Sub(c.changedAt) >= c.duration {
+	if !c.changedAt.IsZero() && now.Sub(c.changedAt) >= c.takeover {
 		return Acquire
 	}
 	return Wait
@@ -124,5 +134,11 @@
 	return c.token, true
 }
 
+// ValidUntil returns when the own term ends unless renewed.
+func (c *Candidate) ValidUntil() time.Time { return c.validUntil }
+
+// FreeAt returns when another holder's lease may be taken if it stays unchanged.
+func (c *Candidate) FreeAt() time.Time { return c.changedAt.Add(c.takeover) }
+
 // Seen returns the lease as last observed.
 func (c *Candidate) Seen() Observation { return c.seen }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -46,6 +46,9 @@
 	PendingRequests int
 	// DrainedTokens is what the engine can have computed since its report.
 	DrainedTokens int
+	// ExtraTokens is the cost, in prompt tokens, of what the caller of Choose
+	// knows against the runner: distance, failures, weights to be replaced.
+	ExtraTokens int
 }
 
 // Weights tune the score.
@@ -113,7 +116,7 @@
 
 var filters = []Filter{connected, serving, staying, hasWeights, hasAdapter, notExcluded}
 
-var scorers = []Scorer{uncachedCost, queueCost, sequenceCost}
+var scorers = []Scorer{uncachedCost, queueCost, sequenceCost, extraCost}
 
 func connected(_ Request, c Candidate) bool { return c.Report.Connected }
 
@@ -175,6 +178,9 @@
 	return float64(open*sequenceCostTokens + max(open-slots+1, 0)*slotCostTokens)
 }
 
+// extraCost is what the caller of Choose holds against the runner.
+func extraCost(_ Request, c Candidate, _ Weights) float64 { return float64(c.ExtraTokens) }
+
 func admissible(request Request, candidate Candidate) bool {
 	for _, filter := range filters {
 		if !filter(request, candidate) {
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func sample() *Config {
+	return &Config{
+		Version: 3,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", PathPrefix: "/x/"},
+			{Name: "long", Host: "A.example", PathPrefix: "/x/y/"},
+			{Name: "other", Host: "b.example", PathPrefix: "/"},
+		},
+		Tenants: []Tenant{{Name: "t1", Keys: []string{"k1", "k2"}}, {Name: "t2", Keys: []string{"k3"}}},
+	}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable(sample())
+	g.Expect(table.Match("a.example", "/x/y/1").Name).To(Equal("long"))
+	g.Expect(table.Match("A.EXAMPLE:8080", "/x/z").Name).To(Equal("short"))
+	g.Expect(table.Match("a.example", "/xy")).To(BeNil())
+	g.Expect(table.Match("c.example", "/x/")).To(BeNil())
+	g.Expect(table.Match("b.example", "/anything").Name).To(Equal("other"))
+}
+
+func TestKeysLeadToTheirTenant(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable(sample())
+	g.Expect(table.Tenant("k2").Name).To(Equal("t1"))
+	g.Expect(table.Tenant("")).To(BeNil())
+	g.Expect(table.Tenant("k9")).To(BeNil())
+	g.Expect(table.NeedsKeys()).To(BeTrue())
+}
+
+func TestSplitterKeepsTheWeightsInShortSpans(t *testing.T) {
+	g := NewWithT(t)
+	splitter := NewSplitter()
+	route := &Route{Name: "r", Backends: []Backend{{"a", 90}, {"b", 10}, {"off", 0}}}
+	counts := map[string]int{}
+	for range 100 {
+		counts[splitter.Pick(route)]++
+	}
+	g.Expect(counts).To(Equal(map[string]int{"a": 90, "b": 10}))
+	g.Expect(splitter.Pick(&Route{Name: "none"})).To(BeEmpty())
+}
+
+func TestOnlySafeAndResumableRequestsRepeat(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect((&Route{Kind: Safe}).Repeatable()).To(BeTrue())
+	g.Expect((&Route{Kind: Unsafe, Resumable: true}).Repeatable()).To(BeFalse())
+	g.Expect((&Route{Kind: Streaming}).Repeatable()).To(BeFalse())
+	g.Expect((&Route{Kind: Streaming, Resumable: true}).Repeatable()).To(BeTrue())
+}
