--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -19,7 +19,7 @@
 	// otherZoneCost is the cost of leaving the router's zone.
 	otherZoneCost = 3
 	// olderWeightsCost is the cost of weights that are about to be replaced.
-	olderWeightsCost = 12000
+	olderWeightsCost = 1500
 	// updatingCost is the cost of a runner whose weights are being replaced.
 	updatingCost = 60000
 	// coldCost is the cost of a runner that has just started.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -14,9 +16,10 @@
 
 // Times and limits of rollouts.
 const (
-	// loadingShare is the share of a service's runners that load at once:
-	// the weight store slows all when more do.
-	loadingShare = 6
+	// maxUpdatingShare is the share of a service's runners that are emptied or
+	// load at once. About a third of that time is loading, and the weight store
+	// slows all when many load.
+	maxUpdatingShare = 0.4
 	// minServingPercent of a service's runners keep serving.
 	minServingPercent = 50
 	// reportTime bounds one call to a runner about its weights.
@@ -65,7 +68,7 @@
 	groups := g.runners.ModelGroups()
 	g.mutex.Unlock()
 	for _, group := range groups {
-		limits := rollout.Limits{MaxLoading: max(1, len(group.Runners)/loadingShare), MinServingPercent: minServingPercent}
+		limits := rollout.Limits{MaxLoading: max(1, int(float64(len(group.Runners))*maxUpdatingShare)), MinServingPercent: minServingPercent}
 		model := rollout.Model{Name: group.Model, WeightVersion: strconv.FormatUint(group.Target, 10)}
 		for _, order := range rollout.Plan(limits, []rollout.Model{model}, r.planned(group)) {
 			r.start(order.Runner, group.Model, group.Target)
@@ -80,6 +83,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var planned []rollout.Runner
+	// The oldest weights first: with versions named in quick succession every
+	// runner gets its turn, and skips those in between.
+	slices.SortStableFunc(group.Runners, func(a, b backend.GroupRunner) int { return cmp.Compare(a.Version, b.Version) })
 	for _, runner := range group.Runners {
 		state := fleet.Serving
 		if r.active[runner.ID] || now.Before(r.setBackUntil[runner.ID]) {
