Cached prompt parts are fetched from and saved to the cache store

The salt holds owner and weights, and the runner must have these weights, so nothing made under others is found.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -146,6 +146,14 @@
 	return r.retry()
 }
 
+// RejectStale notes the engine's own word that it did not run the current
+// attempt because the dispatch named what it no longer has; named anew, the
+// request may go to the same engine.
+func (r *Request) RejectStale() Next {
+	r.refusals++
+	return r.retry()
+}
+
 // NotSent notes that the dispatch cannot have reached the engine, because no
 // connection to it was made.
 func (r *Request) NotSent() Next {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -204,6 +204,17 @@
 	return cost
 }
 
+// WeightVersion returns the version of the model's weights that the runner is
+// known to have, 0 when it does not hold the model.
+func (s *Set) WeightVersion(id, model string) uint64 {
+	e := s.entries[id]
+	if e == nil {
+		return 0
+	}
+	version, _ := e.version(model)
+	return version
+}
+
 // Begin notes a request sent to the runner with the prompt tokens it has to read.
 func (s *Set) Begin(id string, tokens int) {
 	if e := s.entries[id]; e != nil {
@@ -271,11 +282,19 @@
 	}
 }
 
-// LearnVersion notes the version of weights that an answer of the runner named.
-func (s *Set) LearnVersion(id, model string, version uint64) {
-	if e := s.entries[id]; e != nil && model != "" && version > e.learned[model] {
-		e.learned[model] = version
+// LearnVersion notes the version of weights that an answer of the runner named
+// and tells whether it is newer than what was known.
+func (s *Set) LearnVersion(id, model string, version uint64) (news bool) {
+	e := s.entries[id]
+	if e == nil || model == "" {
+		return false
 	}
+	known, _ := e.version(model)
+	if version <= known {
+		return false
+	}
+	e.learned[model] = version
+	return true
 }
 
 // SetUpdating notes that the runner's weights are being replaced, or no longer.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -77,6 +77,7 @@
 	RunnerChanged      = define(831, logrus.InfoLevel, "runner changed state")
 	RunnerRemoved      = define(832, logrus.InfoLevel, "runner removed")
 	WeightsNamed       = define(840, logrus.InfoLevel, "weights named")
+	CacheStoreChanged  = define(842, logrus.InfoLevel, "store of kept cache answers, or no longer")
 	WeightsLearned     = define(841, logrus.InfoLevel, "runner's weights changed")
 )
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -52,6 +53,8 @@
 	// sent is when, and expectedTokens how many prompt tokens it has still to read.
 	sent           time.Time
 	expectedTokens int
+	// weights is the version of the weights that the runner is known to have.
+	weights uint64
 	// stream is the relayed stream, nil before its first event.
 	stream *eventStream
 }
@@ -218,17 +221,33 @@
 		}
 	}
 	if shared := len(c.facts.Prompt) - 2; shared >= 0 {
-		query.Family = rendezvous.KeyOf(c.salt() + "/" + c.facts.Prompt[shared].ID)
+		query.Family = rendezvous.KeyOf(c.owner() + "/" + c.facts.Prompt[shared].ID)
 	}
 	return query
 }
 
-// salt keeps the cached prompt parts of isolated tenants apart.
-func (c *call) salt() string {
+// owner names whose cached prompt parts the call may use: the isolated
+// tenant's own, or those that all others share.
+func (c *call) owner() string {
 	if c.tenant != nil && c.tenant.Isolated {
 		return "tenant/" + c.tenant.Name
 	}
-	return ""
+	return "shared"
+}
+
+// addCache adds what concerns cached prompt parts. The salt holds owner and
+// weights, and the runner must have these weights, so that neither the memory of
+// others nor that of other weights is found anywhere.
+func (c *call) addCache(dispatch *Dispatch) {
+	dispatch.Priority = c.priority()
+	dispatch.WeightVersion = c.weights
+	dispatch.Salt = c.owner() + "/" + strconv.FormatUint(c.weights, 10)
+	if len(c.facts.Prompt) < 2 {
+		return
+	}
+	if address := c.gateway.cacheStore.usable(c.view.table); address != "" {
+		dispatch.FetchFrom, dispatch.SaveTo = address, address
+	}
 }
 
 // Ranks of requests at the runners.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,8 @@
 	// retries holds the budget for further attempts of each service.
 	retries map[string]*admission.RetryBudget
 	random  *rand.Rand
+	// cacheStore watches the store of kept cache.
+	cacheStore *cacheStoreWatch
 	// named is told when a version of weights was named.
 	named chan struct{}
 
@@ -94,6 +96,7 @@
 		named:    make(chan struct{}, 1),
 	}
 	g.metrics = newMetrics(g)
+	g.cacheStore = &cacheStoreWatch{gateway: g}
 	if err := g.listen(); err != nil {
 		cancel()
 		return nil, err
@@ -103,6 +106,7 @@
 		g.spawn(func() { newFollower(g, kind).run() })
 	}
 	g.spawn(func() { newLeader(g).run() })
+	g.spawn(g.cacheStore.run)
 	g.spawn(g.sweepLoop)
 	return g, nil
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -46,6 +46,13 @@
 	Salt string
 	// Priority is 0 to 9, 0 first; negative leaves it out.
 	Priority int
+	// WeightVersion is the version of the weights that alone may run the
+	// request; 0 leaves it out.
+	WeightVersion uint64
+	// FetchFrom is the IP:port that cached prompt parts are fetched from, and
+	// SaveTo the store they are saved to; empty leaves them out.
+	FetchFrom string
+	SaveTo    string
 	// LastEvent asks for the events after it.
 	LastEvent string
 }
@@ -168,6 +175,9 @@
 	Token  uint64
 	// ExpectedOrders is the number of orders taken at which it is to be carried out.
 	ExpectedOrders uint64
+	// KeepRunning lets running requests go on under the new weights instead of
+	// being awaited.
+	KeepRunning bool
 }
 
 // OrderOutcome is a runner's answer to an order.
@@ -198,4 +208,6 @@
 type RunnerControl interface {
 	Report(ctx context.Context, runner backend.Runner) (RunnerReport, error)
 	Order(ctx context.Context, runner backend.Runner, order WeightOrder) (OrderOutcome, error)
+	// CacheStoreAnswers tells whether a store of kept cache answers at all.
+	CacheStoreAnswers(ctx context.Context, address string) bool
 }
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -16,10 +16,9 @@
 
 // Times and limits of rollouts.
 const (
-	// maxUpdatingShare is the share of a service's runners that are emptied or
-	// load at once. About a third of that time is loading, and the weight store
-	// slows all when many load.
-	maxUpdatingShare = 0.4
+	// maxUpdatingShare is the share of a service's runners whose weights are
+	// replaced at once; the weight store slows all when many load.
+	maxUpdatingShare = 0.25
 	// minServingPercent of a service's runners keep serving.
 	minServingPercent = 50
 	// reportTime bounds one call to a runner about its weights.
@@ -190,7 +189,7 @@
 		return false
 	}
 	outcome, err := g.ports.Runners.Order(ctx, runner, WeightOrder{
-		Model: model, Version: version, Holder: current.holder, Token: current.token, ExpectedOrders: ordersTaken,
+		Model: model, Version: version, Holder: current.holder, Token: current.token, ExpectedOrders: ordersTaken, KeepRunning: !g.settings.AwaitRunning,
 	})
 	fields := events.Fields{"runner": runner.ID, "model": model, "version": version, "token": current.token, "expected": ordersTaken, "outcome": outcome.String()}
 	g.metrics.orders.WithLabelValues(outcome.String()).Inc()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -65,6 +65,7 @@
 		g.budget(c.service).Earn()
 	}
 	runner, _ := g.runners.Get(chosen.Candidate.Name)
+	c.weights = g.runners.WeightVersion(runner.ID, query.Model)
 	c.expectedTokens = max(query.PromptTokens-chosen.Candidate.CachedTokens, 0)
 	g.runners.Begin(runner.ID, c.expectedTokens)
 	return runner, nil
@@ -84,12 +85,16 @@
 	}
 	defer response.Body.Close()
 	answer := c.gateway.ports.Protocol.Answer(response.Status, response.Header)
-	c.learnVersion(answer.WeightVersion)
+	news := c.learnVersion(answer.WeightVersion)
 	switch {
 	case answer.NotRun:
-		c.end(backend.Refused, "refused", response.Status)
 		// The body is short; reading it keeps the connection.
 		_, _, _ = response.Body.ReadAll(wholeAnswer)
+		if news {
+			c.end(backend.Abandoned, "weights are newer than known", response.Status)
+			return c.request.RejectStale()
+		}
+		c.end(backend.Refused, "refused", response.Status)
 		return c.request.Reject()
 	case !answer.Stamped || answer.Encoded:
 		return c.spoilt("not a runner's answer")
@@ -110,7 +115,7 @@
 		dispatch.Tenant = c.tenant.Name
 	}
 	if c.route.Cached {
-		dispatch.Salt, dispatch.Priority = c.salt(), c.priority()
+		c.addCache(&dispatch)
 	}
 	if c.stream != nil && c.stream.lastEvent != "" {
 		dispatch.LastEvent = c.stream.lastEvent
@@ -123,13 +128,14 @@
 	}
 }
 
-func (c *call) learnVersion(version uint64) {
-	if version == 0 || c.facts.Model == "" {
-		return
+// learnVersion notes the version of the weights that the runner named.
+func (c *call) learnVersion(version uint64) (news bool) {
+	if version == 0 || !c.route.Cached {
+		return false
 	}
 	c.gateway.mutex.Lock()
-	c.gateway.runners.LearnVersion(c.runner.ID, c.facts.Model, version)
-	c.gateway.mutex.Unlock()
+	defer c.gateway.mutex.Unlock()
+	return c.gateway.runners.LearnVersion(c.runner.ID, c.facts.Model, version)
 }
 
 // end notes the outcome of the current attempt.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -28,6 +28,9 @@
 	// SettleTime is how long after its start a router may use older weights
 	// whose naming it has not seen.
 	SettleTime time.Duration
+	// AwaitRunning makes a runner finish its running requests before it takes
+	// new weights; otherwise they go on under the new weights.
+	AwaitRunning bool
 	// LeaseGap is the least time between the orders of two lease holders.
 	LeaseGap time.Duration
 	// RetryShare is the share of requests that all routers together may send a
