--- /dev/null
+++ b/internal/backend/set_test.go
@@ -0,0 +1,170 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/clovertiller/clovertiller/internal/placement"
+)
+
+var start = time.Unix(1_000, 0)
+
+func runner(id, zone string) Runner {
+	return Runner{ID: id, Service: "s", Address: id + ":1", Zone: zone, Slots: 8, Models: []ModelVersion{{"m", 1}}}
+}
+
+func names(candidates []placement.Candidate) []string {
+	var ids []string
+	for _, candidate := range candidates {
+		ids = append(ids, candidate.Name)
+	}
+	return ids
+}
+
+func TestReplacedRunnersAreGone(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	g.Expect(set.Put(runner("a", "z"))).To(BeTrue())
+	g.Expect(set.Put(runner("b", "z"))).To(BeTrue())
+	g.Expect(set.Put(runner("a", "z"))).To(BeFalse())
+	g.Expect(set.Retain(map[string]bool{"b": true})).To(Equal([]string{"a"}))
+	_, candidates := set.Candidates(start, Query{Service: "s"})
+	g.Expect(names(candidates)).To(Equal([]string{"b"}))
+	moved := runner("b", "z")
+	moved.Service = "other"
+	set.Put(moved)
+	_, candidates = set.Candidates(start, Query{Service: "s"})
+	g.Expect(candidates).To(BeEmpty(), "a runner that is another service's now")
+}
+
+func TestExpiredWeightsBeginNoRequest(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	set.Put(runner("a", "z"))
+	set.Put(runner("b", "z"))
+	g.Expect(set.Weights().Name("m", 2, start.Add(time.Second))).To(BeTrue())
+	g.Expect(set.Weights().Name("m", 3, start.Add(5*time.Second))).To(BeTrue())
+	g.Expect(set.Weights().Name("m", 2, start)).To(BeFalse(), "versions only rise")
+	set.LearnVersion("b", "m", 2)
+	_, candidates := set.Candidates(start, Query{Service: "s", Model: "m"})
+	g.Expect(names(candidates)).To(Equal([]string{"a", "b"}))
+	_, candidates = set.Candidates(start.Add(2*time.Second), Query{Service: "s", Model: "m"})
+	g.Expect(names(candidates)).To(Equal([]string{"b"}), "version 1 ends with the deadline of 2, not of 3")
+	_, candidates = set.Candidates(start.Add(6*time.Second), Query{Service: "s", Model: "m"})
+	g.Expect(candidates).To(BeEmpty())
+	_, candidates = set.Candidates(start.Add(6*time.Second), Query{Service: "s"})
+	g.Expect(candidates).To(HaveLen(2), "requests without a model need no weights")
+}
+
+func TestHomeIsTheSameOnAllRoutersAndMovesWhenItLeaves(t *testing.T) {
+	g := NewWithT(t)
+	one, other := NewSet("z1"), NewSet("z2")
+	for _, id := range []string{"a", "b", "c", "d"} {
+		one.Put(runner(id, "z1"))
+		other.Put(runner(id, "z1"))
+	}
+	query := Query{Service: "s", Model: "m", Family: 42, PromptTokens: 1000, SharedTokens: 900, TrunkTokens: 100}
+	cached := func(set *Set) string {
+		_, candidates := set.Candidates(start, query)
+		for _, candidate := range candidates {
+			if candidate.CachedTokens == 900 {
+				return candidate.Name
+			}
+		}
+		return ""
+	}
+	home := cached(one)
+	g.Expect(home).NotTo(BeEmpty())
+	g.Expect(cached(other)).To(Equal(home))
+	leaving := runner(home, "z1")
+	leaving.Draining = true
+	one.Put(leaving)
+	g.Expect(cached(one)).NotTo(Equal(home))
+}
+
+func TestUnreachableRunnersAreSetAsideForABoundedTime(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	set.Put(runner("a", "z"))
+	set.Put(runner("b", "z"))
+	now := start
+	for range 20 {
+		set.Begin("a", 0)
+		set.End(now, "a", 0, Unreachable)
+	}
+	request, candidates := set.Candidates(now, Query{Service: "s"})
+	g.Expect(request.Excluded).To(Equal([]string{"a"}))
+	g.Expect(candidates).To(HaveLen(2), "set aside, not removed")
+	request, _ = set.Candidates(now.Add(maxAside), Query{Service: "s"})
+	g.Expect(request.Excluded).To(BeEmpty())
+}
+
+func TestAnsweredRunnerIsForgiven(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	set.Put(runner("a", "z"))
+	set.Begin("a", 0)
+	set.End(start, "a", 0, Failed)
+	_, before := set.Candidates(start, Query{Service: "s"})
+	_, after := set.Candidates(start.Add(10*failureHalfLife), Query{Service: "s"})
+	g.Expect(before[0].ExtraTokens).To(BeNumerically(">", 5000))
+	g.Expect(after[0].ExtraTokens).To(BeNumerically("<", 20))
+}
+
+// Whatever is reported about runners, a service whose directory lists a runner
+// that takes work always has one that placement picks.
+func TestEvidenceNeverEmptiesAService(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := NewSet("z")
+		ids := []string{"a", "b", "c"}
+		for _, id := range ids {
+			set.Put(runner(id, rapid.SampledFrom([]string{"z", "y"}).Draw(t, "zone")))
+		}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "sends") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+			id := rapid.SampledFrom(ids).Draw(t, "runner")
+			outcome := rapid.SampledFrom([]Outcome{Answered, Failed, Refused, Unreachable, Abandoned}).Draw(t, "outcome")
+			set.Begin(id, 100)
+			if rapid.Bool().Draw(t, "answered first") {
+				set.FirstAnswer(now, id, 100, time.Duration(rapid.IntRange(0, 3000).Draw(t, "after"))*time.Millisecond)
+				set.End(now, id, 0, outcome)
+			} else {
+				set.End(now, id, 100, outcome)
+			}
+			request, candidates := set.Candidates(now, Query{Service: "s", Model: "m", PromptTokens: 500})
+			pick := placement.Choose(request, candidates, placement.Weights{Hit: 1}, testRandom())
+			if pick.Status != placement.Picked {
+				t.Fatalf("no runner is picked: %v", pick.Status)
+			}
+		}
+		for _, e := range set.entries {
+			if e.inFlight != 0 || e.pendingTokens != 0 {
+				t.Fatalf("%s: %d in flight, %d tokens pending after all ended", e.ID, e.inFlight, e.pendingTokens)
+			}
+		}
+	})
+}
+
+func TestOutdatedRunnersAreGrouped(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	set.Put(runner("a", "z"))
+	set.Put(runner("b", "z"))
+	g.Expect(set.Outdated()).To(BeFalse())
+	set.Weights().Name("m", 2, start.Add(time.Minute))
+	g.Expect(set.Outdated()).To(BeTrue())
+	groups := set.ModelGroups()
+	g.Expect(groups).To(HaveLen(1))
+	g.Expect(groups[0].Target).To(Equal(uint64(2)))
+	g.Expect(groups[0].Runners).To(HaveLen(2))
+	g.Expect(set.LearnVersion("a", "m", 2)).To(BeTrue())
+	g.Expect(set.LearnVersion("a", "m", 2)).To(BeFalse(), "no news")
+	leaving := runner("b", "z")
+	leaving.Draining = true
+	set.Put(leaving)
+	g.Expect(set.Outdated()).To(BeFalse(), "a runner that leaves needs no weights")
+}
--- /dev/null
+++ b/internal/gateway/follow_test.go
@@ -0,0 +1,175 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+func TestNothingIsKnownWithoutConfiguration(t *testing.T) {
+	f := newFleet(t)
+	f.runner("p1", "plain")
+	r := f.router("r1", nil)
+	f.g.Consistently(r.isReady, 150*time.Millisecond).Should(BeFalse())
+	got := r.call("/nowhere/", nil)
+	f.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable), "not 404: it knows nothing")
+	f.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+	f.configure(1, defaultRoutes(), goodKey)
+	f.g.Eventually(r.isReady, 2*time.Second).Should(BeTrue())
+}
+
+func TestConfigurationChangesAreInForceAndNeverRevert(t *testing.T) {
+	f, r, _ := plainFleet(t)
+	f.configure(5, defaultRoutes(), "key-two")
+	r.settled(5)
+	f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusUnauthorized), "the key was taken away")
+	f.configure(3, defaultRoutes(), goodKey)
+	f.store.Forget()
+	f.g.Eventually(r.log.String, 3*time.Second).Should(ContainSubstring("history of the store is gone"))
+	f.g.Consistently(func() int { return r.call("/safe/x", nil).status }, 200*time.Millisecond).Should(Equal(http.StatusUnauthorized))
+}
+
+func TestMissedChangesAreListedAfterHistoryIsGone(t *testing.T) {
+	f, r, runners := plainFleet(t)
+	r.door.Set(storestand.Reset)
+	f.g.Eventually(r.log.String, 2*time.Second).Should(ContainSubstring("store does not answer well"))
+	f.store.Remove(platform.KindServers, "p1")
+	f.configure(2, defaultRoutes(), "key-two")
+	f.store.Forget()
+	r.door.Set(storestand.Healthy)
+	r.settled(2)
+	f.g.Eventually(r.log.String, 3*time.Second).Should(ContainSubstring("runner removed"))
+	f.g.Expect(r.call("/safe/x", func(request *http.Request) { request.Header.Set("Authorization", "Bearer key-two") }).status).To(Equal(http.StatusOK))
+	f.g.Expect(runners[0].Runs()).To(BeEmpty())
+}
+
+// A router that the store drops must not use its configuration for keyed
+// requests for longer than the lease, however the store drops it.
+func TestUnprovenConfigurationServesNoKeys(t *testing.T) {
+	for name, fault := range map[string]storestand.Fault{
+		"busy": storestand.Busy, "throttled": storestand.Throttled, "silent": storestand.Silent, "reset": storestand.Reset,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, defaultRoutes(), goodKey)
+			runner := f.runner("p1", "plain")
+			const lease = 2 * time.Second
+			r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.ConfigLease = lease })
+			f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, time.Second).Should(Equal(http.StatusOK))
+			dropped := time.Now()
+			r.door.Set(fault)
+			f.configure(2, defaultRoutes(), "key-two")
+			f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, lease).Should(Equal(http.StatusServiceUnavailable))
+			f.g.Expect(time.Since(dropped)).To(BeNumerically("<", lease))
+			ran := len(runner.Runs())
+			f.g.Expect(r.call("/safe/x", nil).header.Get("Retry-After")).NotTo(BeEmpty())
+			f.g.Expect(r.call("/nowhere/", nil).status).To(Equal(http.StatusServiceUnavailable), "nothing is denied on old knowledge")
+			f.g.Expect(r.call("/public/x", nil).status).To(Equal(http.StatusOK), "public routes are served on")
+			f.g.Expect(runner.Runs()).To(HaveLen(ran + 1))
+			f.g.Expect(r.isReady()).To(BeFalse())
+			r.door.Set(storestand.Healthy)
+			f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, 3*time.Second).Should(Equal(http.StatusUnauthorized))
+		})
+	}
+}
+
+func TestUnreadableObjectsAreIgnored(t *testing.T) {
+	f, r, _ := plainFleet(t)
+	f.store.Put(configKind, configName, "not a configuration")
+	f.store.Put(platform.KindServers, "odd", map[string]any{"service": 7})
+	f.g.Eventually(r.log.String, 2*time.Second).Should(ContainSubstring("cannot be read"))
+	f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK), "the last usable state stays")
+}
+
+func name(f *fleet, version uint64) {
+	f.store.Put(platform.KindVersions, modelName, map[string]any{"model": modelName, "version": version})
+}
+
+func TestRunnersAreBroughtToTheNamedWeights(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines"), f.runner("e3", "engines")}
+	first, second := f.servingRouter("r1", nil), f.servingRouter("r2", nil)
+	name(f, 2)
+	for _, runner := range runners {
+		f.g.Eventually(runner.Version, 5*time.Second, 20*time.Millisecond).Should(Equal(uint64(2)))
+	}
+	holders, tokens := map[string]bool{}, map[uint64]bool{}
+	for _, runner := range runners {
+		f.g.Expect(runner.Orders()).To(HaveLen(1))
+		holders[runner.Orders()[0].Holder], tokens[runner.Orders()[0].Fence] = true, true
+	}
+	f.g.Expect(holders).To(HaveLen(1), "one holder orders")
+	f.g.Expect(tokens).To(HaveLen(1))
+	for _, r := range []*router{first, second} {
+		f.g.Eventually(func() int { return r.call("/stream/x", nil).status }, time.Second).Should(Equal(http.StatusOK))
+	}
+}
+
+func TestAnotherRouterOrdersAfterTheHolderIsGone(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.runner("e1", "engines")
+	routers := map[string]*router{"r1": f.servingRouter("r1", nil), "r2": f.servingRouter("r2", nil)}
+	name(f, 2)
+	f.g.Eventually(runner.Version, 5*time.Second).Should(Equal(uint64(2)))
+	last := time.Now()
+	holder := runner.Orders()[0].Holder
+	routers[holder].Kill()
+	name(f, 3)
+	f.g.Eventually(runner.Version, 8*time.Second, 20*time.Millisecond).Should(Equal(uint64(3)))
+	orders := runner.Orders()
+	next := orders[len(orders)-1]
+	f.g.Expect(next.Holder).NotTo(Equal(holder))
+	f.g.Expect(next.Fence).To(BeNumerically(">", orders[0].Fence))
+	f.g.Expect(time.Since(last)).To(BeNumerically(">", time.Second), "the lease of the first had to run out")
+}
+
+// A runner whose weights are past their deadline gets nothing, though no
+// leader can order it.
+func TestExpiredWeightsGetNoRequests(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.runner("e1", "engines")
+	r := f.servingRouter("r1", func(settings *gateway.Settings) {
+		settings.WeightDeadline, settings.SettleTime = 800*time.Millisecond, 10*time.Millisecond
+	})
+	r.door.Set(storestand.Loses)
+	name(f, 2)
+	f.g.Eventually(r.log.String, 2*time.Second).Should(ContainSubstring("weights named"))
+	f.g.Eventually(func() int { return r.call("/stream/x", nil).status }, 2*time.Second).Should(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(runner.Version()).To(Equal(uint64(1)))
+	ran := len(runner.Runs())
+	got := r.call("/stream/x", nil)
+	f.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+	f.g.Expect(runner.Runs()).To(HaveLen(ran))
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f, r, runners := plainFleet(t)
+	for _, runner := range runners {
+		runner.Behave(runnerstand.Delays)
+	}
+	answers := make(chan answer, 1)
+	go func() { answers <- r.call("/unsafe/x", nil) }()
+	f.g.Eventually(func() int { return runsOf(runners) }).Should(Equal(1))
+	stopped := make(chan struct{})
+	go func() { r.Stop(); close(stopped) }()
+	f.g.Eventually(r.isReady).Should(BeFalse())
+	late := r.call("/safe/x", nil)
+	f.g.Expect(late.status).To(Equal(http.StatusOK), "what comes is served")
+	f.g.Expect(late.last).To(BeTrue(), "callers are sent away")
+	var first answer
+	f.g.Eventually(answers).Should(Receive(&first))
+	f.g.Expect(first.status).To(Equal(http.StatusOK))
+	f.g.Eventually(stopped, 3*time.Second).Should(BeClosed())
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -266,3 +266,14 @@
 	}
 	g.log.Log(events.GatewayStopped, events.Fields{"after_ms": time.Since(began).Milliseconds(), "cut": err != nil})
 }
+
+// Kill ends the gateway at once, as a crash would.
+func (g *Gateway) Kill() {
+	g.cancel()
+	g.callers.Close()
+	g.readiness.Close()
+	if g.figures != nil {
+		g.figures.Close()
+	}
+	g.group.Wait()
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -67,7 +67,7 @@
 	groups := g.runners.ModelGroups()
 	g.mutex.Unlock()
 	for _, group := range groups {
-		limits := rollout.Limits{MaxLoading: max(1, int(float64(len(group.Runners))*maxUpdatingShare)), MinServingPercent: minServingPercent}
+		limits := limitsFor(len(group.Runners))
 		model := rollout.Model{Name: group.Model, WeightVersion: strconv.FormatUint(group.Target, 10)}
 		for _, order := range rollout.Plan(limits, []rollout.Model{model}, r.planned(group)) {
 			r.start(order.Runner, group.Model, group.Target)
@@ -75,6 +75,16 @@
 	}
 }
 
+// limitsFor returns the limits for a service with the number of runners. A
+// runner that is alone cannot wait for another one to serve meanwhile.
+func limitsFor(runners int) rollout.Limits {
+	limits := rollout.Limits{MaxLoading: max(1, int(float64(runners)*maxUpdatingShare)), MinServingPercent: minServingPercent}
+	if runners == 1 {
+		limits.MinServingPercent = 0
+	}
+	return limits
+}
+
 // planned describes the group's runners to the planner. A runner ahead of the
 // named version counts as having it.
 func (r *rollouts) planned(group backend.ModelGroup) []rollout.Runner {
--- /dev/null
+++ b/internal/lab/runnerstand/runner.go
@@ -0,0 +1,310 @@
+// Package runnerstand is a stand-in of the platform's runners: it runs calls,
+// streams events, takes orders for weights, and misbehaves as told.
+package runnerstand
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// Behaviour is what a runner does with a call.
+type Behaviour uint8
+
+// The behaviours.
+const (
+	// Well answers as it should.
+	Well Behaviour = iota
+	// Fails answers 500 after running it.
+	Fails
+	// Sheds refuses without running it.
+	Sheds
+	// Drops runs it and breaks the connection without an answer.
+	Drops
+	// BreaksOff breaks the connection in the middle of the answer.
+	BreaksOff
+	// Hangs runs it and never answers.
+	Hangs
+	// Crossed answers with another request's id.
+	Crossed
+	// Unstamped answers without its stamp.
+	Unstamped
+	// Delays answers after Config.Delay.
+	Delays
+)
+
+// Config is what a runner is started with.
+type Config struct {
+	ID      string
+	Service string
+	Zone    string
+	// Model is empty for a runner without a language model.
+	Model   string
+	Version uint64
+	// Events is the length of its streams.
+	Events int
+	Delay  time.Duration
+}
+
+// Run is one call that the runner ran.
+type Run struct {
+	Request string
+	Header  http.Header
+	Path    string
+	Body    string
+	Version uint64
+	// Ended is closed when the runner stopped working on it.
+	Ended chan struct{}
+}
+
+// Runner is the stand-in.
+type Runner struct {
+	Config
+	Address string
+	server  *http.Server
+
+	mutex     sync.Mutex
+	behaviour Behaviour
+	once      bool
+	runs      []Run
+	arrivals  int
+	orders    []Order
+	version   uint64
+	seq       uint64
+	fence     uint64
+}
+
+// Order is an order that the runner saw.
+type Order struct {
+	Op       string `json:"op"`
+	Model    string `json:"model"`
+	Version  uint64 `json:"version"`
+	Mode     string `json:"mode"`
+	Holder   string `json:"holder"`
+	Fence    uint64 `json:"fence"`
+	Expected uint64 `json:"expected_rev"`
+	// Status is what the runner answered.
+	Status int `json:"-"`
+}
+
+// Start serves a runner at a free loopback address.
+func Start(config Config) (*Runner, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &Runner{Config: config, Address: listener.Addr().String(), version: config.Version}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	go r.server.Serve(listener)
+	return r, nil
+}
+
+// Close ends the runner at once.
+func (r *Runner) Close() { r.server.Close() }
+
+// Entry is the runner's directory entry.
+func (r *Runner) Entry(state string) map[string]any {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	models := []map[string]any{}
+	if r.Model != "" {
+		models = append(models, map[string]any{"name": r.Model, "version": r.version, "adapters": []string{}})
+	}
+	return map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": 8, "state": state, "models": models, "seq": 1}
+}
+
+// Behave sets what the runner does from now on.
+func (r *Runner) Behave(behaviour Behaviour) { r.set(behaviour, false) }
+
+// BehaveOnce sets what the runner does with the next call only.
+func (r *Runner) BehaveOnce(behaviour Behaviour) { r.set(behaviour, true) }
+
+func (r *Runner) set(behaviour Behaviour, once bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.behaviour, r.once = behaviour, once
+}
+
+// Runs returns the calls that were run.
+func (r *Runner) Runs() []Run {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// Arrivals returns how many calls arrived, run or not.
+func (r *Runner) Arrivals() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.arrivals
+}
+
+// Orders returns the orders seen.
+func (r *Runner) Orders() []Order {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]Order(nil), r.orders...)
+}
+
+// Version returns the version of the weights.
+func (r *Runner) Version() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.version
+}
+
+func (r *Runner) serve(writer http.ResponseWriter, request *http.Request) {
+	if expected := request.Header.Get(platform.HeaderExpect); expected != "" && expected != r.ID {
+		writer.Header().Set(platform.HeaderInstance, r.ID)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	switch request.URL.Path {
+	case platform.PathReport:
+		r.report(writer)
+	case platform.PathOrder:
+		r.order(writer, request)
+	default:
+		r.call(writer, request)
+	}
+}
+
+func (r *Runner) report(writer http.ResponseWriter) {
+	r.mutex.Lock()
+	body := map[string]any{"stage": "both", "models": []map[string]any{{"name": r.Model, "version": r.version}}, "busy": false, "seq": r.seq}
+	r.mutex.Unlock()
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+func (r *Runner) order(writer http.ResponseWriter, request *http.Request) {
+	var order Order
+	if json.NewDecoder(request.Body).Decode(&order) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	order.Status = r.judge(order)
+	r.orders = append(r.orders, order)
+	writer.WriteHeader(order.Status)
+}
+
+// judge carries an order out, if it may be. The mutex is held.
+func (r *Runner) judge(order Order) int {
+	switch {
+	case order.Holder == "" || order.Fence == 0:
+		return http.StatusBadRequest
+	case order.Fence < r.fence:
+		return http.StatusPreconditionFailed
+	case order.Expected != r.seq:
+		return http.StatusConflict
+	case order.Version == r.version:
+		return http.StatusOK
+	}
+	r.fence, r.version = order.Fence, order.Version
+	r.seq++
+	return http.StatusAccepted
+}
+
+// take notes a call and returns what to do with it.
+func (r *Runner) take(request *http.Request, body []byte) (Behaviour, Run) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.arrivals++
+	behaviour := r.behaviour
+	if r.once {
+		r.behaviour, r.once = Well, false
+	}
+	run := Run{
+		Request: request.Header.Get(platform.HeaderRequestID), Header: request.Header.Clone(), Path: request.RequestURI,
+		Body: string(body), Version: r.version, Ended: make(chan struct{}),
+	}
+	expected := request.Header.Get(platform.HeaderExpectVersion)
+	if expected != "" && expected != strconv.FormatUint(r.version, 10) {
+		return Sheds, run
+	}
+	if behaviour != Sheds {
+		r.runs = append(r.runs, run)
+	}
+	return behaviour, run
+}
+
+func (r *Runner) call(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	behaviour, run := r.take(request, body)
+	defer close(run.Ended)
+	header := writer.Header()
+	header.Set(platform.HeaderRequestID, run.Request)
+	header.Set(platform.HeaderVersions, strconv.FormatUint(r.Version(), 10))
+	switch behaviour {
+	case Sheds:
+		header.Set(platform.HeaderNotExecuted, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Drops:
+		panic(http.ErrAbortHandler)
+	case Hangs:
+		<-request.Context().Done()
+		return
+	case Delays:
+		time.Sleep(r.Delay)
+	case Crossed:
+		header.Set(platform.HeaderRequestID, "another")
+		header.Set("Connection", "close")
+	}
+	if behaviour != Unstamped {
+		header.Set(platform.HeaderStamp, r.ID+"."+run.Request)
+	}
+	if behaviour == Fails {
+		writer.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(writer, "failed")
+		return
+	}
+	if r.Events > 0 {
+		r.stream(writer, request, behaviour)
+		return
+	}
+	r.whole(writer, behaviour, run)
+}
+
+func (r *Runner) whole(writer http.ResponseWriter, behaviour Behaviour, run Run) {
+	text := "answer to " + run.Request
+	writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if behaviour == BreaksOff {
+		fmt.Fprint(writer, text[:4])
+		_ = http.NewResponseController(writer).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	fmt.Fprint(writer, text)
+}
+
+// stream sends events after the one that the caller has; BreaksOff ends it in
+// the middle of the second event it sends.
+func (r *Runner) stream(writer http.ResponseWriter, request *http.Request, behaviour Behaviour) {
+	first, _ := strconv.Atoi(request.Header.Get(platform.HeaderLastEvent))
+	writer.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(writer)
+	for id := first + 1; id <= r.Events; id++ {
+		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+		if behaviour == BreaksOff && id == first+2 {
+			fmt.Fprint(writer, strings.TrimSuffix(event, "iece "+strconv.Itoa(id)+"\n\n"))
+			_ = control.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(writer, event)
+		if control.Flush() != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/storestand/store.go
@@ -0,0 +1,334 @@
+// Package storestand is a stand-in of the platform's store: objects by kind and
+// name with one revision counter, lists, watches, conditional writes, and the
+// faults that the pages name. It keeps everything in memory.
+package storestand
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// Metadata is the part of an object that the store keeps itself.
+type Metadata struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Created    uint64   `json:"created"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+// Object is one stored object.
+type Object struct {
+	Metadata Metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+// Event is one change.
+type Event struct {
+	Gone   bool   `json:"gone"`
+	Object Object `json:"object"`
+	kind   string
+}
+
+// Fault is how the store treats the calls of one door.
+type Fault uint8
+
+// The faults.
+const (
+	// Healthy serves.
+	Healthy Fault = iota
+	// Busy refuses all calls with 503.
+	Busy
+	// Throttled refuses all calls with 429.
+	Throttled
+	// Silent answers nothing.
+	Silent
+	// Reset breaks the connection.
+	Reset
+	// Loses does writes but breaks the connection in place of the answer.
+	Loses
+)
+
+// pageSize is how many objects a list returns at once.
+const pageSize = 3
+
+// Store is the stand-in.
+type Store struct {
+	mutex    sync.Mutex
+	revision uint64
+	objects  map[string]map[string]Object
+	history  []Event
+	// forgotten is the revision up to which history is gone.
+	forgotten uint64
+	changed   chan struct{}
+	calls     int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{objects: map[string]map[string]Object{}, changed: make(chan struct{})}
+}
+
+// Door is one address of the store, with its own faults.
+type Door struct {
+	Address string
+	store   *Store
+	server  *http.Server
+	mutex   sync.Mutex
+	fault   Fault
+}
+
+// Open serves the store at a free loopback address.
+func (s *Store) Open() (*Door, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	door := &Door{Address: listener.Addr().String(), store: s}
+	door.server = &http.Server{Handler: http.HandlerFunc(door.serve)}
+	go door.server.Serve(listener)
+	return door, nil
+}
+
+// Close ends the door.
+func (d *Door) Close() { d.server.Close() }
+
+// Set changes how calls are treated, waiting ones included.
+func (d *Door) Set(fault Fault) {
+	d.mutex.Lock()
+	d.fault = fault
+	d.mutex.Unlock()
+	d.store.mutex.Lock()
+	d.store.wake()
+	d.store.mutex.Unlock()
+}
+
+func (d *Door) current() Fault {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.fault
+}
+
+// Put writes an object as the operator or a runner does, and returns its revision.
+func (s *Store) Put(kind, name string, spec any) uint64 {
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.write(kind, name, encoded).Metadata.Revision
+}
+
+// Remove deletes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, found := s.objects[kind][name]
+	if !found {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	object.Metadata.Revision = s.revision
+	s.history = append(s.history, Event{Gone: true, Object: object, kind: kind})
+	s.wake()
+}
+
+// Forget drops all history.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	s.wake()
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+// Get returns an object.
+func (s *Store) Get(kind, name string) (Object, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, found := s.objects[kind][name]
+	return object, found
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write stores an object. The mutex is held.
+func (s *Store) write(kind, name string, spec json.RawMessage) Object {
+	s.revision++
+	object, found := s.objects[kind][name]
+	if !found {
+		object.Metadata = Metadata{Name: name, Created: s.revision, Finalizers: []string{}}
+	}
+	object.Metadata.Revision, object.Spec = s.revision, spec
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]Object{}
+	}
+	s.objects[kind][name] = object
+	s.history = append(s.history, Event{Object: object, kind: kind})
+	s.wake()
+	return object
+}
+
+func (d *Door) serve(writer http.ResponseWriter, request *http.Request) {
+	d.store.mutex.Lock()
+	d.store.calls++
+	d.store.mutex.Unlock()
+	if d.refuse(writer, request) {
+		return
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(request.URL.Path, platform.PathObjects), "/")
+	switch {
+	case request.Method == http.MethodGet && request.URL.Query().Has("watch"):
+		d.watch(writer, request, kind)
+	case request.Method == http.MethodGet && name == "":
+		d.store.list(writer, kind, request.URL.Query().Get("after"))
+	case request.Method == http.MethodGet:
+		object, found := d.store.Get(kind, name)
+		if !found {
+			writer.WriteHeader(http.StatusNotFound)
+			return
+		}
+		answer(writer, http.StatusOK, object)
+	default:
+		d.change(writer, request, kind, name)
+	}
+}
+
+// refuse treats the call as the fault says and tells whether it is done.
+func (d *Door) refuse(writer http.ResponseWriter, request *http.Request) bool {
+	switch d.current() {
+	case Busy:
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	case Throttled:
+		writer.WriteHeader(http.StatusTooManyRequests)
+	case Silent:
+		<-request.Context().Done()
+	case Reset:
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Store) list(writer http.ResponseWriter, kind, after string) {
+	s.mutex.Lock()
+	var names []string
+	for name := range s.objects[kind] {
+		if name > after {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	more := len(names) > pageSize
+	names = names[:min(len(names), pageSize)]
+	items := []Object{}
+	for _, name := range names {
+		items = append(items, s.objects[kind][name])
+	}
+	at := s.revision
+	s.mutex.Unlock()
+	answer(writer, http.StatusOK, map[string]any{"items": items, "more": more, "at": at})
+}
+
+func (d *Door) watch(writer http.ResponseWriter, request *http.Request, kind string) {
+	query := request.URL.Query()
+	from, _ := strconv.ParseUint(query.Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("wait_ms"))
+	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer deadline.Stop()
+	for over := false; ; {
+		events, at, gone, changed := d.store.since(kind, from)
+		if gone {
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 || over {
+			answer(writer, http.StatusOK, map[string]any{"events": events, "at": at})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			over = true
+		case <-request.Context().Done():
+			return
+		}
+		if d.refuse(writer, request) {
+			return
+		}
+	}
+}
+
+func (s *Store) since(kind string, from uint64) (events []Event, at uint64, gone bool, changed chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if from < s.forgotten {
+		return nil, 0, true, s.changed
+	}
+	events = []Event{}
+	for _, event := range s.history {
+		if event.kind == kind && event.Object.Metadata.Revision > from {
+			events = append(events, event)
+		}
+	}
+	return events, s.revision, false, s.changed
+}
+
+func (d *Door) change(writer http.ResponseWriter, request *http.Request, kind, name string) {
+	var body Object
+	if json.NewDecoder(request.Body).Decode(&body) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	status, object := d.store.apply(request.Method, kind, name, body)
+	if d.current() == Loses {
+		panic(http.ErrAbortHandler)
+	}
+	answer(writer, status, object)
+}
+
+func (s *Store) apply(method, kind, name string, body Object) (int, Object) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if method == http.MethodPost {
+		name = body.Metadata.Name
+	}
+	current, found := s.objects[kind][name]
+	switch {
+	case method == http.MethodPost && found:
+		return http.StatusConflict, current
+	case method == http.MethodPut && !found:
+		return http.StatusNotFound, Object{}
+	case method == http.MethodPut && body.Metadata.Revision != 0 && body.Metadata.Revision != current.Metadata.Revision:
+		return http.StatusConflict, current
+	}
+	return http.StatusOK, s.write(kind, name, body.Spec)
+}
+
+func answer(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// A caller that has gone needs no answer.
+	_ = json.NewEncoder(writer).Encode(body)
+}
