Relays: seeds read the store, other routers ask them

Seeds read the store; others pull from them, with the age of the proof, and are pushed changes; a seed whose proof is old is passed over, and without one the store is read directly. An empty watch proves until the end of its wait; a proof from its start made all seeds look stale.

--- a/cmd/clovertiller-gateway/main.go
+++ b/cmd/clovertiller-gateway/main.go
@@ -61,6 +61,7 @@
 	calls := httpconn.NewPool(httpconn.DefaultDialTimeout)
 	return gateway.Ports{
 		Protocol:   platform.Protocol{},
+		Decode:     platform.Decode,
 		Store:      &platform.Store{Address: settings.StoreAddress, Pool: calls},
 		Runners:    &platform.Runners{Pool: calls},
 		ReadyPath:  platform.PathReadiness,
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -54,6 +54,8 @@
 	tombstones map[v1.Key]uint64
 	// horizon is the revision up to which deletions may be unknown here.
 	horizon uint64
+	// opaque stores keep specs as they are and do not validate them.
+	opaque bool
 }
 
 // NewStore returns an empty store at revision 0.
@@ -61,6 +63,14 @@
 	return &Store{objects: map[v1.Key]*entry{}, tombstones: map[v1.Key]uint64{}}
 }
 
+// NewOpaqueStore returns an empty store of objects whose specs are not the
+// product's own types: they are kept and spread but not decoded.
+func NewOpaqueStore() *Store {
+	store := NewStore()
+	store.opaque = true
+	return store
+}
+
 // Revision returns the platform revision through which the store is complete.
 func (s *Store) Revision() uint64 { return s.revision }
 
@@ -124,6 +134,10 @@
 		return
 	}
 	delete(s.tombstones, key)
+	if s.opaque {
+		s.objects[key] = &entry{object: object}
+		return
+	}
 	s.objects[key] = newEntry(object, current)
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -161,7 +161,7 @@
 	case *wire.Envelope_ConfigPull:
 		c.answerPull(envelope.GetFrom(), body.ConfigPull.GetFromRevision())
 	case *wire.Envelope_ConfigDelta:
-		c.applyDelta(now, deltaFromWire(body.ConfigDelta), envelope.GetFrom())
+		c.applyDelta(now, DeltaFromWire(body.ConfigDelta), envelope.GetFrom())
 	case *wire.Envelope_FleetPull:
 		c.sendFleet(envelope.GetFrom())
 	case *wire.Envelope_RunnerReports:
@@ -284,7 +284,7 @@
 	}
 	peers := c.members.PeersInZone()
 	c.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	envelope := deltaToWire(c.store.Since(before))
+	envelope := deltaEnvelope(c.store.Since(before))
 	sent := 0
 	for _, peer := range peers {
 		if peer.ID == from || peer.Revision >= c.store.Revision() {
@@ -312,7 +312,7 @@
 	if !found || revision >= c.store.Revision() {
 		return
 	}
-	c.sendTo(member, deltaToWire(c.store.Since(revision)))
+	c.sendTo(member, deltaEnvelope(c.store.Since(revision)))
 }
 
 // forgetRunners drops the reports of runners that are no longer configured.
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -79,17 +79,23 @@
 	return message
 }
 
-func deltaToWire(delta config.Delta) *wire.Envelope {
+func deltaEnvelope(delta config.Delta) *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_ConfigDelta{ConfigDelta: DeltaToWire(delta)}}
+}
+
+// DeltaToWire converts a set of changes.
+func DeltaToWire(delta config.Delta) *wire.ConfigDelta {
 	converted := &wire.ConfigDelta{FromRevision: delta.From, ThroughRevision: delta.Through, Full: delta.Full}
 	for _, object := range delta.Objects {
 		converted.Objects = append(converted.Objects, &wire.ConfigObject{
 			Kind: string(object.Kind), Name: object.Name, Version: object.Version, Deleted: object.Deleted, Spec: object.Spec,
 		})
 	}
-	return &wire.Envelope{Body: &wire.Envelope_ConfigDelta{ConfigDelta: converted}}
+	return converted
 }
 
-func deltaFromWire(delta *wire.ConfigDelta) config.Delta {
+// DeltaFromWire converts a set of changes.
+func DeltaFromWire(delta *wire.ConfigDelta) config.Delta {
 	converted := config.Delta{From: delta.GetFromRevision(), Through: delta.GetThroughRevision(), Full: delta.GetFull()}
 	for _, object := range delta.GetObjects() {
 		converted.Objects = append(converted.Objects, v1.Object{
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -73,6 +73,7 @@
 	StoreHistoryGone   = define(821, logrus.WarnLevel, "history of the store is gone; listing again")
 	StoreLost          = define(822, logrus.WarnLevel, "store does not answer well")
 	StoreRegained      = define(823, logrus.InfoLevel, "store answers again")
+	SourceChanged      = define(824, logrus.InfoLevel, "objects are read from the store, or from another router")
 	RunnerAdded        = define(830, logrus.InfoLevel, "runner added")
 	RunnerChanged      = define(831, logrus.InfoLevel, "runner changed state")
 	RunnerRemoved      = define(832, logrus.InfoLevel, "runner removed")
--- /dev/null
+++ b/internal/gateway/copies.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/config"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/routing"
+)
+
+// objectKinds lists the kinds that are copied from the store.
+var objectKinds = []ObjectKind{ConfigObjects, RunnerObjects, WeightObjects}
+
+// proof is the moment at which the configuration that comes with it was in
+// force: counted from before the call to the store was sent.
+type proof struct {
+	at    time.Time
+	given bool
+}
+
+// copies are this router's copies of the store's objects. Whatever way changes
+// come, from the store or another router, they are applied here, one at a time,
+// and a copy never goes back.
+type copies struct {
+	gateway *Gateway
+	mutex   sync.Mutex
+	stores  map[ObjectKind]*config.Store
+}
+
+func newCopies(g *Gateway) *copies {
+	c := &copies{gateway: g, stores: map[ObjectKind]*config.Store{}}
+	for _, kind := range objectKinds {
+		c.stores[kind] = config.NewOpaqueStore()
+	}
+	return c
+}
+
+// revision returns the store's revision up to which the copy is complete.
+func (c *copies) revision(kind ObjectKind) uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.stores[kind].Revision()
+}
+
+// since returns the changes after the revision.
+func (c *copies) since(kind ObjectKind, revision uint64) config.Delta {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.stores[kind].Since(revision)
+}
+
+// apply takes changes into the copy and puts them in force.
+func (c *copies) apply(kind ObjectKind, delta config.Delta, proven proof) config.Outcome {
+	c.mutex.Lock()
+	before := c.stores[kind].Revision()
+	outcome := c.stores[kind].Apply(delta)
+	if outcome == config.Applied {
+		c.gateway.putInForce(kind, delta)
+	}
+	if proven.given && outcome != config.Gap {
+		c.gateway.prove(proven.at)
+	}
+	c.mutex.Unlock()
+	if outcome == config.Applied && len(delta.Objects) > 0 && before > 0 {
+		c.gateway.relays.push(kind, before)
+	}
+	return outcome
+}
+
+// putInForce applies changed objects in order.
+func (g *Gateway) putInForce(kind ObjectKind, delta config.Delta) {
+	if kind == RunnerObjects && delta.Full {
+		g.retainRunners(delta.Objects)
+	}
+	for _, stored := range delta.Objects {
+		g.putObjectInForce(kind, stored)
+	}
+}
+
+func (g *Gateway) putObjectInForce(kind ObjectKind, stored v1.Object) {
+	object := g.ports.Decode(kind, stored)
+	switch {
+	case object.Fault != "":
+		g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision, "fault": object.Fault})
+	case object.Config != nil:
+		g.applyConfig(object)
+	case object.Runner != nil || (kind == RunnerObjects && object.Gone):
+		g.applyRunner(object)
+	case object.Weights != nil:
+		g.applyWeights(object)
+	}
+}
+
+// retainRunners takes out runners that a whole list does not hold.
+func (g *Gateway) retainRunners(objects []v1.Object) {
+	listed := map[string]bool{}
+	for _, object := range objects {
+		listed[object.Name] = !object.Deleted
+	}
+	g.mutex.Lock()
+	removed := g.runners.Retain(listed)
+	g.mutex.Unlock()
+	for _, id := range removed {
+		g.log.Log(events.RunnerRemoved, events.Fields{"runner": id, "cause": "not listed"})
+	}
+}
+
+// applyConfig puts a configuration in force. It never goes back to an older one.
+func (g *Gateway) applyConfig(object Object) {
+	current := g.view.Load()
+	if current != nil && (object.Revision <= current.revision || object.Config.Version < current.table.Version) {
+		return
+	}
+	next := &view{table: routing.NewTable(object.Config), revision: object.Revision}
+	if current != nil {
+		next.provenAt = current.provenAt
+	}
+	g.mutex.Lock()
+	g.splitter.Retain(object.Config)
+	g.mutex.Unlock()
+	g.view.Store(next)
+	g.log.Log(events.ConfigInForce, events.Fields{
+		"version": object.Config.Version, "revision": object.Revision,
+		"routes": len(object.Config.Routes), "services": len(object.Config.Services), "tenants": len(object.Config.Tenants),
+	})
+	if current == nil {
+		g.log.Log(events.NodeServing, events.Fields{"after_ms": time.Since(g.started).Milliseconds()})
+	}
+}
+
+// prove notes that the configuration in force was so at the moment. The copies'
+// mutex is held, so the view does not change in between.
+func (g *Gateway) prove(at time.Time) {
+	current := g.view.Load()
+	if current == nil || !at.After(current.provenAt) {
+		return
+	}
+	if !current.provenAt.IsZero() && !current.fresh(time.Now(), g.settings.ConfigLease) {
+		g.log.Log(events.ConfigProven, events.Fields{"version": current.table.Version, "unproven_ms": time.Since(current.provenAt).Milliseconds()})
+	}
+	proven := *current
+	proven.provenAt = at
+	g.view.Store(&proven)
+}
+
+func (g *Gateway) applyRunner(object Object) {
+	if object.Gone {
+		g.mutex.Lock()
+		removed := g.runners.Remove(object.Name)
+		g.mutex.Unlock()
+		if removed {
+			g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": "gone"})
+		}
+		return
+	}
+	runner := *object.Runner
+	g.mutex.Lock()
+	before, known := g.runners.Get(runner.ID)
+	added := g.runners.Put(runner)
+	g.mutex.Unlock()
+	switch {
+	case added:
+		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision})
+	case known && before.Draining != runner.Draining:
+		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision})
+	}
+}
+
+// weightMargin is kept from the deadline of older weights.
+const weightMargin = 1500 * time.Millisecond
+
+func (g *Gateway) applyWeights(object Object) {
+	now := time.Now()
+	allowed := g.settings.WeightDeadline - min(weightMargin, g.settings.WeightDeadline/4)
+	expired := now.Add(allowed)
+	if settled := g.started.Add(g.settings.SettleTime); now.Before(settled) {
+		// It may have been named long before this process started.
+		expired = settled
+	}
+	g.mutex.Lock()
+	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, expired)
+	g.mutex.Unlock()
+	if !news {
+		return
+	}
+	g.log.Log(events.WeightsNamed, events.Fields{"model": object.Weights.Model, "version": object.Weights.Version, "revision": object.Revision, "older_until_ms": expired.Sub(now).Milliseconds()})
+	select {
+	case g.named <- struct{}{}:
+	default:
+	}
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,36 +3,41 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
+	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
-	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // Times of following the store.
 const (
 	// configWait is how long a watch of the configuration waits: each answer,
 	// empty or not, proves the configuration anew.
-	configWait = 1500 * time.Millisecond
+	configWait = 900 * time.Millisecond
 	// directoryWait is the same for runners and weights, which need no proof.
-	directoryWait = 6 * time.Second
+	directoryWait = 12 * time.Second
+	// settle is the pause after a change of the directory, so that changes in
+	// quick succession come in one answer.
+	settle = 120 * time.Millisecond
 	// callSlack is how much longer than its wait a call may take.
 	callSlack = 700 * time.Millisecond
 	listTime  = 1500 * time.Millisecond
-	// slowest bounds the time-outs that grow while the store is slow.
+	// slowestFactor bounds the time-outs that grow while the store is slow.
 	slowestFactor = 6
 	// firstRetry and lastRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 400 * time.Millisecond
 )
 
-// follower keeps the gateway's copy of one kind of objects equal to the store.
+// follower keeps the gateway's copy of one kind of objects equal to the store
+// while the gateway reads the store itself.
 type follower struct {
 	gateway *Gateway
 	kind    ObjectKind
 	wait    time.Duration
-	// revision is the store's revision up to which the copy is complete.
-	revision uint64
+	// listed is false while the copy may lack changes that history no longer has.
 	listed   bool
 	failures int
 	// lost is true after the store was reported as lost.
@@ -40,7 +45,7 @@
 }
 
 func newFollower(g *Gateway, kind ObjectKind) *follower {
-	f := &follower{gateway: g, kind: kind, wait: directoryWait}
+	f := &follower{gateway: g, kind: kind, wait: directoryWait, listed: true}
 	if kind == ConfigObjects {
 		f.wait = configWait
 	}
@@ -48,7 +53,7 @@
 }
 
 func (f *follower) run() {
-	for f.gateway.ctx.Err() == nil {
+	for f.gateway.direct.wait(f.gateway.ctx) {
 		if err := f.step(); err != nil {
 			f.failed(err)
 			continue
@@ -59,10 +64,11 @@
 
 // step makes one call and applies its answer.
 func (f *follower) step() error {
-	if !f.listed {
+	revision := f.gateway.copies.revision(f.kind)
+	if !f.listed || revision == 0 {
 		return f.list()
 	}
-	return f.watch()
+	return f.watch(revision)
 }
 
 // patience grows with failures in a row, for a store that is slow.
@@ -71,33 +77,56 @@
 }
 
 func (f *follower) list() error {
-	ctx, cancel := context.WithTimeout(f.gateway.ctx, f.patience(listTime))
+	g := f.gateway
+	ctx, cancel := context.WithTimeout(g.ctx, f.patience(listTime))
 	defer cancel()
 	sent := time.Now()
-	objects, revision, err := f.gateway.ports.Store.List(ctx, f.kind)
+	objects, revision, err := g.ports.Store.List(ctx, f.kind)
 	if err != nil {
 		return err
 	}
 	f.listed = true
-	f.revision = max(revision, f.revision)
-	f.gateway.applyList(f.kind, objects, sent)
-	f.gateway.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(objects), "revision": revision})
+	g.copies.apply(f.kind, config.Delta{Through: revision, Full: true, Objects: objects}, proof{at: sent, given: f.kind == ConfigObjects})
+	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(objects), "revision": revision})
 	return nil
 }
 
-func (f *follower) watch() error {
-	ctx, cancel := context.WithTimeout(f.gateway.ctx, f.wait+f.patience(callSlack))
+func (f *follower) watch(revision uint64) error {
+	g := f.gateway
+	ctx, cancel := context.WithTimeout(g.ctx, f.wait+f.patience(callSlack))
 	defer cancel()
 	sent := time.Now()
-	objects, at, err := f.gateway.ports.Store.Watch(ctx, f.kind, f.revision, f.wait)
+	objects, at, err := g.ports.Store.Watch(ctx, f.kind, revision, f.wait)
 	if err != nil {
 		return err
 	}
-	f.gateway.applyChanges(f.kind, objects, sent)
-	f.revision = max(f.revision, at)
+	delta := config.Delta{From: revision, Through: throughOf(objects, revision, at), Objects: objects}
+	g.copies.apply(f.kind, delta, proof{at: provenSince(sent, f.wait, objects), given: f.kind == ConfigObjects})
+	if len(objects) > 0 && f.kind != ConfigObjects {
+		g.pause(settle)
+	}
 	return nil
 }
 
+// provenSince returns from when a watch's answer proves what it says. A store
+// that had something to say would have said so; an empty answer after the whole
+// wait shows that nothing had changed until then.
+func provenSince(sent time.Time, wait time.Duration, objects []v1.Object) time.Time {
+	if waited := sent.Add(wait); len(objects) == 0 && !time.Now().Before(waited) {
+		return waited
+	}
+	return sent
+}
+
+// throughOf returns the revision up to which a watch's answer is complete.
+func throughOf(objects []v1.Object, revision, at uint64) uint64 {
+	through := max(revision, at)
+	for _, object := range objects {
+		through = max(through, object.Version)
+	}
+	return through
+}
+
 func (f *follower) failed(err error) {
 	g := f.gateway
 	if g.ctx.Err() != nil {
@@ -105,14 +134,14 @@
 	}
 	if errors.Is(err, ErrHistoryGone) {
 		f.listed = false
-		g.log.Log(events.StoreHistoryGone, events.Fields{"kind": f.kind.String(), "revision": f.revision})
+		g.log.Log(events.StoreHistoryGone, events.Fields{"kind": f.kind.String(), "revision": g.copies.revision(f.kind)})
 		return
 	}
 	f.failures++
 	g.metrics.storeFailures.WithLabelValues(f.kind.String()).Inc()
-	if f.failures == 1 || !f.lost {
+	if !f.lost {
 		f.lost = true
-		g.log.Log(events.StoreLost, events.Fields{"kind": f.kind.String(), "revision": f.revision, "error": err.Error()})
+		g.log.Log(events.StoreLost, events.Fields{"kind": f.kind.String(), "revision": g.copies.revision(f.kind), "error": err.Error()})
 	}
 	g.pause(g.jitter(min(firstRetry<<min(f.failures-1, 4), lastRetry)))
 }
@@ -120,132 +149,47 @@
 func (f *follower) succeeded() {
 	if f.lost {
 		f.lost = false
-		f.gateway.log.Log(events.StoreRegained, events.Fields{"kind": f.kind.String(), "revision": f.revision, "failures": f.failures})
+		f.gateway.log.Log(events.StoreRegained, events.Fields{"kind": f.kind.String(), "revision": f.gateway.copies.revision(f.kind), "failures": f.failures})
 	}
 	f.failures = 0
 }
 
-// applyList replaces what is known of a kind by a list that was asked for at sent.
-func (g *Gateway) applyList(kind ObjectKind, objects []Object, sent time.Time) {
-	if kind == RunnerObjects {
-		g.retainRunners(objects)
-	}
-	g.applyChanges(kind, objects, sent)
-}
-
-// retainRunners takes out runners that a whole list does not hold.
-func (g *Gateway) retainRunners(objects []Object) {
-	listed := map[string]bool{}
-	for _, object := range objects {
-		listed[object.Name] = true
-	}
-	g.mutex.Lock()
-	removed := g.runners.Retain(listed)
-	g.mutex.Unlock()
-	for _, id := range removed {
-		g.log.Log(events.RunnerRemoved, events.Fields{"runner": id, "cause": "not listed"})
-	}
-}
-
-// applyChanges applies changed objects in order.
-func (g *Gateway) applyChanges(kind ObjectKind, objects []Object, sent time.Time) {
-	for _, object := range objects {
-		if object.Fault != "" {
-			g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision, "fault": object.Fault})
-			continue
-		}
-		switch {
-		case object.Config != nil:
-			g.applyConfig(object)
-		case object.Runner != nil || (kind == RunnerObjects && object.Gone):
-			g.applyRunner(object)
-		case object.Weights != nil:
-			g.applyWeights(object)
-		}
-	}
-	if kind == ConfigObjects {
-		g.prove(sent)
-	}
-}
-
-// applyConfig puts a configuration in force. It never goes back to an older one.
-func (g *Gateway) applyConfig(object Object) {
-	current := g.view.Load()
-	if current != nil && (object.Revision <= current.revision || object.Config.Version < current.table.Version) {
-		return
-	}
-	next := &view{table: routing.NewTable(object.Config), revision: object.Revision}
-	if current != nil {
-		next.provenAt = current.provenAt
-	}
-	g.mutex.Lock()
-	g.splitter.Retain(object.Config)
-	g.mutex.Unlock()
-	g.view.Store(next)
-	g.log.Log(events.ConfigInForce, events.Fields{
-		"version": object.Config.Version, "revision": object.Revision,
-		"routes": len(object.Config.Routes), "services": len(object.Config.Services), "tenants": len(object.Config.Tenants),
-	})
-	if current == nil {
-		g.log.Log(events.NodeServing, events.Fields{"after_ms": time.Since(g.started).Milliseconds()})
-	}
+// directSwitch tells the followers whether this router reads the store itself.
+type directSwitch struct {
+	mutex   sync.Mutex
+	enabled bool
+	// changed is closed when the switch is turned on.
+	changed chan struct{}
 }
 
-// prove notes that the configuration was in force when the call was sent. Only
-// the follower of the configuration calls it, so the view does not change in between.
-func (g *Gateway) prove(sent time.Time) {
-	current := g.view.Load()
-	if current == nil || !sent.After(current.provenAt) {
-		return
-	}
-	proven := *current
-	proven.provenAt = sent
-	g.view.Store(&proven)
-}
+func newDirectSwitch() *directSwitch { return &directSwitch{changed: make(chan struct{})} }
 
-func (g *Gateway) applyRunner(object Object) {
-	if object.Gone {
-		g.mutex.Lock()
-		removed := g.runners.Remove(object.Name)
-		g.mutex.Unlock()
-		if removed {
-			g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": "gone"})
-		}
-		return
+// set turns the switch and tells whether it was turned before.
+func (d *directSwitch) set(enabled bool) (before bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	before = d.enabled
+	if enabled == before {
+		return before
 	}
-	runner := *object.Runner
-	g.mutex.Lock()
-	before, known := g.runners.Get(runner.ID)
-	added := g.runners.Put(runner)
-	g.mutex.Unlock()
-	switch {
-	case added:
-		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision})
-	case known && before.Draining != runner.Draining:
-		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision})
+	d.enabled = enabled
+	if enabled {
+		close(d.changed)
+	} else {
+		d.changed = make(chan struct{})
 	}
+	return before
 }
 
-// weightMargin is kept from the deadline of older weights.
-const weightMargin = time.Second
-
-func (g *Gateway) applyWeights(object Object) {
-	now := time.Now()
-	allowed := g.settings.WeightDeadline - min(weightMargin, g.settings.WeightDeadline/4)
-	expired := now.Add(allowed)
-	if settled := g.started.Add(g.settings.SettleTime); now.Before(settled) {
-		// It may have been named long before this process started.
-		expired = settled
-	}
-	g.mutex.Lock()
-	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, expired)
-	g.mutex.Unlock()
-	if !news {
-		return
-	}
-	g.log.Log(events.WeightsNamed, events.Fields{"model": object.Weights.Model, "version": object.Weights.Version, "revision": object.Revision, "older_until_ms": expired.Sub(now).Milliseconds()})
+// wait returns true once the router reads the store itself, or false when the
+// context ends first.
+func (d *directSwitch) wait(ctx context.Context) bool {
+	d.mutex.Lock()
+	changed := d.changed
+	d.mutex.Unlock()
 	select {
-	case g.named <- struct{}{}:
-	default:
+	case <-changed:
+	case <-ctx.Done():
 	}
+	return ctx.Err() == nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/gravitational/trace"
 
+	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
@@ -29,7 +30,9 @@
 type Ports struct {
 	Protocol Protocol
 	Store    Store
-	Runners  RunnerControl
+	// Decode reads an object of the store.
+	Decode  func(kind ObjectKind, object v1.Object) Object
+	Runners RunnerControl
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// RunnerPool carries requests to runners.
@@ -64,6 +67,11 @@
 	// retries holds the budget for further attempts of each service.
 	retries map[string]*admission.RetryBudget
 	random  *rand.Rand
+	// copies are the copies of the store's objects, direct tells whether this
+	// router reads the store itself, and relays connects it with others.
+	copies *copies
+	direct *directSwitch
+	relays *relays
 	// cacheStore watches the store of kept cache.
 	cacheStore *cacheStoreWatch
 	// named is told when a version of weights was named.
@@ -97,14 +105,16 @@
 	}
 	g.metrics = newMetrics(g)
 	g.cacheStore = &cacheStoreWatch{gateway: g}
+	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
 	if err := g.listen(); err != nil {
 		cancel()
 		return nil, err
 	}
 	g.log.Log(events.GatewayStarted, events.Fields{"zone": settings.Zone, "callers": settings.CallerAddress, "store": settings.StoreAddress})
-	for _, kind := range []ObjectKind{ConfigObjects, RunnerObjects, WeightObjects} {
+	for _, kind := range objectKinds {
 		g.spawn(func() { newFollower(g, kind).run() })
 	}
+	g.spawn(g.relays.run)
 	g.spawn(func() { newLeader(g).run() })
 	g.spawn(g.cacheStore.run)
 	g.spawn(g.sweepLoop)
@@ -122,12 +132,17 @@
 }
 
 func (g *Gateway) listen() error {
+	if err := g.relays.listen(); err != nil {
+		return err
+	}
 	callers, err := net.Listen("tcp", g.settings.CallerAddress)
 	if err != nil {
+		g.relays.close()
 		return trace.ConvertSystemError(err)
 	}
 	ready, err := net.Listen("tcp", g.settings.ReadyAddress)
 	if err != nil {
+		g.relays.close()
 		callers.Close()
 		return trace.ConvertSystemError(err)
 	}
@@ -236,7 +251,10 @@
 
 // Reload takes over settings that may change while the process runs.
 func (g *Gateway) Reload(settings Settings) {
-	g.log.Log(events.SettingsReloaded, events.Fields{"changed": settings != g.settings})
+	g.relays.mutex.Lock()
+	g.relays.chooser.SetSeeds(settings.Seeds)
+	g.relays.mutex.Unlock()
+	g.log.Log(events.SettingsReloaded, events.Fields{"seeds": len(settings.Seeds)})
 }
 
 // Times of a planned stop.
@@ -261,6 +279,7 @@
 	g.cancel()
 	g.callers.Close()
 	g.readiness.Close()
+	g.relays.close()
 	if g.figures != nil {
 		g.figures.Close()
 	}
@@ -272,6 +291,7 @@
 	g.cancel()
 	g.callers.Close()
 	g.readiness.Close()
+	g.relays.close()
 	if g.figures != nil {
 		g.figures.Close()
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -100,6 +100,7 @@
 	door    *storestand.Door
 	address string
 	ready   string
+	seeds   []string
 	log     *logBuffer
 }
 
@@ -130,8 +131,14 @@
 
 // router starts a gateway; adjust may change its settings.
 func (f *fleet) router(name string, adjust func(*gateway.Settings)) *router {
+	return f.routerAt(name, adjust, storestand.Healthy)
+}
+
+// routerAt starts a gateway whose door to the store has the fault.
+func (f *fleet) routerAt(name string, adjust func(*gateway.Settings), fault storestand.Fault) *router {
 	door, err := f.store.Open()
 	f.g.Expect(err).NotTo(HaveOccurred())
+	door.Set(fault)
 	f.t.Cleanup(door.Close)
 	settings := gateway.Settings{
 		Node: name, Zone: "z", CallerAddress: freeAddress(f.g), ReadyAddress: freeAddress(f.g), StoreAddress: door.Address,
@@ -144,19 +151,19 @@
 	calls := httpconn.NewPool(httpconn.DefaultDialTimeout)
 	log := &logBuffer{}
 	started, err := gateway.Start(settings, gateway.Ports{
-		Protocol: platform.Protocol{}, Store: &platform.Store{Address: door.Address, Pool: calls},
+		Protocol: platform.Protocol{}, Decode: platform.Decode, Store: &platform.Store{Address: door.Address, Pool: calls},
 		Runners: &platform.Runners{Pool: calls}, ReadyPath: platform.PathReadiness, RunnerPool: httpconn.NewPool(httpconn.DefaultDialTimeout),
 	}, events.NewLogger(log, name, logrus.InfoLevel))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(started.Kill)
-	return &router{Gateway: started, fleet: f, door: door, address: settings.CallerAddress, ready: settings.ReadyAddress, log: log}
+	return &router{Gateway: started, fleet: f, door: door, address: settings.CallerAddress, ready: settings.ReadyAddress, seeds: settings.Seeds, log: log}
 }
 
 // servingRouter starts a gateway and waits until it is ready and knows the runners.
 func (f *fleet) servingRouter(name string, adjust func(*gateway.Settings)) *router {
 	r := f.router(name, adjust)
 	f.g.Eventually(r.isReady, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
-	f.g.Eventually(r.log.String, 3*time.Second, 10*time.Millisecond).Should(ContainSubstring(`"kind":"runners"`))
+	f.g.Eventually(r.log.String, 3*time.Second, 10*time.Millisecond).Should(ContainSubstring("runner added"))
 	return r
 }
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -141,13 +141,14 @@
 	ErrUnavailable = errors.New("store: unavailable")
 )
 
-// Store is the service that keeps what must last.
+// Store is the service that keeps what must last. Specs of objects are as the
+// platform writes them; Ports.Decode reads them.
 type Store interface {
 	// List returns all objects of the kind and the revision that they stand for.
-	List(ctx context.Context, kind ObjectKind) (objects []Object, revision uint64, err error)
+	List(ctx context.Context, kind ObjectKind) (objects []v1.Object, revision uint64, err error)
 	// Watch returns the changes after the revision as soon as there are any, or
 	// none after the wait, with the revision up to which nothing else changed.
-	Watch(ctx context.Context, kind ObjectKind, revision uint64, wait time.Duration) (objects []Object, at uint64, err error)
+	Watch(ctx context.Context, kind ObjectKind, revision uint64, wait time.Duration) (objects []v1.Object, at uint64, err error)
 	// Lease reads the lease object; ErrNotFound when there is none.
 	Lease(ctx context.Context) (spec v1.LeaseSpec, revision uint64, err error)
 	// WriteLease writes it if it still has the revision, 0 for none.
--- /dev/null
+++ b/internal/gateway/relays.go
@@ -0,0 +1,268 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/clovertiller/clovertiller/internal/config"
+	"github.com/clovertiller/clovertiller/internal/control"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/relay"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// Times of learning from other routers.
+const (
+	// pullInterval is how often a router that does not read the store asks one
+	// that does. Changes are pushed; the pull proves and repairs.
+	pullInterval = 450 * time.Millisecond
+	// pullTime bounds one pull.
+	pullTime = 250 * time.Millisecond
+	// proofAge is the age at which a proof is too old to rely on its source:
+	// above what a source that reaches the store ever has.
+	proofAge = 1250 * time.Millisecond
+	// pushTime is how long after a pull changes are pushed to a router.
+	pushTime = 2 * time.Second
+	// firstPulls is how many rounds of pulls a started router makes before it
+	// reads the store, so that a herd of restarts is no herd of lists.
+	firstPulls = 2
+)
+
+// relays connects this router with others: those it asks and those that ask it.
+type relays struct {
+	gateway   *Gateway
+	transport *wire.Transport
+	mutex     sync.Mutex
+	chooser   *relay.Chooser
+	// followers holds the routers that pulled of late and until when they are told.
+	followers map[string]time.Time
+	// behind is told when a push showed that changes are missing.
+	behind chan struct{}
+	// source is the router that answered last, "" when there is none.
+	source string
+}
+
+func newRelays(g *Gateway) *relays {
+	return &relays{
+		gateway: g, chooser: relay.NewChooser(g.settings.PeerAddress, g.settings.Seeds),
+		followers: map[string]time.Time{}, behind: make(chan struct{}, 1),
+	}
+}
+
+// listen serves other routers, if the settings name an address for them.
+func (r *relays) listen() error {
+	if r.gateway.settings.PeerAddress == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", r.gateway.settings.PeerAddress)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	identity := wire.Identity{Node: r.gateway.settings.Node, Incarnation: uint64(r.gateway.started.UnixMilli())}
+	r.transport = wire.NewTransport(identity, listener, r.handle)
+	return nil
+}
+
+func (r *relays) close() {
+	if r.transport != nil {
+		r.transport.Close()
+	}
+}
+
+// run keeps the copies proven: by other routers, or else by the store itself.
+func (r *relays) run() {
+	g := r.gateway
+	for round := 0; g.ctx.Err() == nil; round++ {
+		relayed := r.wantsPull() && r.pull()
+		r.setDirect(r.readsStore(relayed, round))
+		r.pause()
+	}
+}
+
+// readsStore decides whether this router reads the store itself.
+func (r *relays) readsStore(relayed bool, round int) bool {
+	r.mutex.Lock()
+	isSeed := r.chooser.IsSeed()
+	r.mutex.Unlock()
+	if r.transport == nil || isSeed {
+		return true
+	}
+	if relayed {
+		return false
+	}
+	return round >= firstPulls || r.gateway.view.Load() != nil
+}
+
+// wantsPull tells whether other routers are to be asked: always by those that
+// do not read the store, and by the others when the store does not prove anything.
+func (r *relays) wantsPull() bool {
+	if r.transport == nil {
+		return false
+	}
+	r.mutex.Lock()
+	isSeed := r.chooser.IsSeed()
+	r.mutex.Unlock()
+	current := r.gateway.view.Load()
+	return !isSeed || current == nil || time.Since(current.provenAt) > proofAge
+}
+
+func (r *relays) setDirect(enabled bool) {
+	if r.gateway.direct.set(enabled) != enabled {
+		r.gateway.log.Log(events.SourceChanged, events.Fields{"store": enabled, "router": r.source})
+	}
+}
+
+// pause waits for the next pull, less long when changes are known to be missing
+// or nothing is known yet.
+func (r *relays) pause() {
+	interval := pullInterval
+	if r.gateway.view.Load() == nil {
+		interval = firstRetry
+	}
+	timer := time.NewTimer(r.gateway.jitter(interval))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.behind:
+	case <-r.gateway.ctx.Done():
+	}
+}
+
+// pull asks seeds until one gives a recent proof, and tells whether one did.
+func (r *relays) pull() bool {
+	for {
+		r.mutex.Lock()
+		seed, found := r.chooser.Next(time.Now())
+		r.mutex.Unlock()
+		if !found || r.gateway.ctx.Err() != nil {
+			r.source = ""
+			return false
+		}
+		proven := r.pullFrom(seed)
+		r.mutex.Lock()
+		if proven {
+			r.chooser.Answered(seed)
+		} else {
+			r.chooser.Failed(time.Now(), seed)
+		}
+		r.mutex.Unlock()
+		if proven {
+			r.source = seed
+			return true
+		}
+	}
+}
+
+// pullFrom asks one router for changes and tells whether its proof is recent.
+func (r *relays) pullFrom(address string) bool {
+	g := r.gateway
+	ctx, cancel := context.WithTimeout(g.ctx, pullTime)
+	defer cancel()
+	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
+	for _, kind := range objectKinds {
+		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
+	}
+	sent := time.Now()
+	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
+	if err != nil {
+		return false
+	}
+	answer := reply.GetCopyAnswer()
+	if answer == nil || !answer.GetProven() {
+		return false
+	}
+	age := time.Duration(answer.GetProofAgeMillis()) * time.Millisecond
+	// The configuration is taken last, so that its proof comes when all is in force.
+	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
+	return age <= proofAge
+}
+
+// applyDeltas applies changes from another router.
+func (r *relays) applyDeltas(deltas []*wire.CopyDelta, proven proof) {
+	for _, delta := range deltas {
+		kind := ObjectKind(delta.GetKind())
+		if int(kind) >= len(objectKinds) {
+			continue
+		}
+		given := proof{at: proven.at, given: proven.given && kind == ConfigObjects}
+		if r.gateway.copies.apply(kind, control.DeltaFromWire(delta.GetDelta()), given) == config.Gap {
+			r.askAgain()
+		}
+	}
+}
+
+func (r *relays) askAgain() {
+	select {
+	case r.behind <- struct{}{}:
+	default:
+	}
+}
+
+// handle takes a message of another router.
+func (r *relays) handle(_ context.Context, envelope *wire.Envelope) *wire.Envelope {
+	switch body := envelope.GetBody().(type) {
+	case *wire.Envelope_CopyPull:
+		return &wire.Envelope{Body: &wire.Envelope_CopyAnswer{CopyAnswer: r.answer(body.CopyPull)}}
+	case *wire.Envelope_CopyPush:
+		r.applyDeltas(body.CopyPush.GetDeltas(), proof{})
+	}
+	return nil
+}
+
+// answer returns what the asking router lacks, with the proof of the
+// configuration. The delta of the configuration is always there: it may be empty.
+func (r *relays) answer(pull *wire.CopyPull) *wire.CopyAnswer {
+	g := r.gateway
+	r.mutex.Lock()
+	if address := pull.GetPeerAddress(); address != "" {
+		r.followers[address] = time.Now().Add(pushTime)
+	}
+	r.mutex.Unlock()
+	answer := &wire.CopyAnswer{}
+	// The proof is read before the copies: what is given is at least as new.
+	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
+		answer.Proven = true
+		answer.ProofAgeMillis = uint64(max(time.Since(current.provenAt), 0).Milliseconds()) + 1
+	}
+	for _, have := range pull.GetHave() {
+		kind := ObjectKind(have.GetKind())
+		if int(kind) >= len(objectKinds) {
+			continue
+		}
+		if kind == ConfigObjects || g.copies.revision(kind) > have.GetRevision() {
+			answer.Deltas = append(answer.Deltas, copyDelta(kind, g.copies.since(kind, have.GetRevision())))
+		}
+	}
+	return answer
+}
+
+func copyDelta(kind ObjectKind, delta config.Delta) *wire.CopyDelta {
+	return &wire.CopyDelta{Kind: uint32(kind), Delta: control.DeltaToWire(delta)}
+}
+
+// push tells the routers that pulled of late what has changed after the revision.
+func (r *relays) push(kind ObjectKind, after uint64) {
+	now := time.Now()
+	r.mutex.Lock()
+	var addresses []string
+	for address, until := range r.followers {
+		if now.After(until) {
+			delete(r.followers, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	r.mutex.Unlock()
+	if len(addresses) == 0 {
+		return
+	}
+	delta := copyDelta(kind, r.gateway.copies.since(kind, after))
+	for _, address := range addresses {
+		// A push that is lost is repaired by the next pull.
+		_ = r.transport.Send("", address, &wire.Envelope{Body: &wire.Envelope_CopyPush{CopyPush: &wire.CopyPush{Deltas: []*wire.CopyDelta{delta}}}})
+	}
+}
--- /dev/null
+++ b/internal/gateway/relays_test.go
@@ -0,0 +1,96 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+)
+
+// relayedFleet has two seeds, which read the store, and a router that asks them.
+func relayedFleet(t *testing.T) (f *fleet, seeds []*router, follower *router) {
+	f = newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	addresses := []string{freeAddress(f.g), freeAddress(f.g)}
+	for i, node := range []string{"seed-1", "seed-2"} {
+		seeds = append(seeds, f.servingRouter(node, func(settings *gateway.Settings) {
+			settings.PeerAddress, settings.Seeds = addresses[i], addresses
+		}))
+	}
+	follower = f.router("follower", f.asFollower(addresses))
+	f.g.Eventually(follower.isReady, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+	return f, seeds, follower
+}
+
+func (f *fleet) asFollower(seeds []string) func(*gateway.Settings) {
+	return func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds = freeAddress(f.g), seeds
+	}
+}
+
+func TestFollowerLearnsFromSeedsWithoutTheStore(t *testing.T) {
+	f, _, follower := relayedFleet(t)
+	f.g.Expect(follower.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	f.g.Consistently(follower.door.Calls, 600*time.Millisecond).Should(Equal(0), "seeds read the store for it")
+	changed := time.Now()
+	f.configure(2, defaultRoutes(), "key-two")
+	f.g.Eventually(func() int { return follower.call("/safe/x", nil).status }, time.Second, 5*time.Millisecond).Should(Equal(http.StatusUnauthorized))
+	f.g.Expect(time.Since(changed)).To(BeNumerically("<", 300*time.Millisecond), "changes are pushed")
+}
+
+func TestFollowerGoesToAnotherSeedAndThenToTheStore(t *testing.T) {
+	f, seeds, follower := relayedFleet(t)
+	for i, seed := range seeds {
+		seed.Kill()
+		f.configure(2+i, defaultRoutes(), goodKey)
+		follower.settled(2 + i)
+		f.g.Expect(follower.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	}
+	f.g.Expect(follower.door.Calls()).To(BeNumerically(">", 0), "with all seeds gone it reads the store")
+}
+
+// A seed that the store drops while it serves others must not keep its
+// followers, or itself, on an old configuration.
+func TestSeedThatTheStoreDropsIsNotReliedOn(t *testing.T) {
+	for name, fault := range map[string]storestand.Fault{"busy": storestand.Busy, "silent": storestand.Silent} {
+		t.Run(name, func(t *testing.T) {
+			f, seeds, follower := relayedFleet(t)
+			seeds[0].door.Set(fault)
+			dropped := time.Now()
+			f.configure(2, defaultRoutes(), "key-two")
+			for _, r := range []*router{follower, seeds[0], seeds[1]} {
+				f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, 3*time.Second, 10*time.Millisecond).Should(Equal(http.StatusUnauthorized))
+			}
+			f.g.Expect(time.Since(dropped)).To(BeNumerically("<", 2*time.Second))
+			f.g.Consistently(seeds[0].isReady, 5*time.Second, 100*time.Millisecond).Should(BeTrue(), "the other seed proves its configuration")
+		})
+	}
+}
+
+func TestRestartWithTheStoreDownIsServedByPeers(t *testing.T) {
+	f, seeds, _ := relayedFleet(t)
+	addresses := seeds[0].seeds
+	restarted := f.routerAt("restarted", f.asFollower(addresses), storestand.Silent)
+	f.g.Eventually(restarted.isReady, time.Second, 10*time.Millisecond).Should(BeTrue())
+	f.g.Expect(restarted.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+}
+
+// With the store down for all, nobody's word keeps the configuration alive.
+func TestPeersDoNotProveToEachOtherWhatNobodyProves(t *testing.T) {
+	f, seeds, follower := relayedFleet(t)
+	for _, r := range append(seeds, follower) {
+		r.door.Set(storestand.Silent)
+	}
+	f.g.Eventually(func() bool {
+		ready := false
+		for _, r := range append(seeds, follower) {
+			ready = ready || r.isReady()
+		}
+		return ready
+	}, 5*time.Second, 20*time.Millisecond).Should(BeFalse())
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,6 +16,12 @@
 	ReadyAddress  string
 	// MetricsAddress serves the counters; empty serves none.
 	MetricsAddress string
+	// PeerAddress is the IP:port for other routers; empty serves none and
+	// makes this router read the store itself.
+	PeerAddress string
+	// Seeds are peer addresses of routers that read the store for others. They
+	// may be down or out of date.
+	Seeds []string
 	// StoreAddress is the IP:port of the store.
 	StoreAddress string
 	// ConfigLease is how long a configuration may be used for requests with a
@@ -86,6 +92,7 @@
 		{"ready address", s.ReadyAddress, true},
 		{"store address", s.StoreAddress, true},
 		{"metrics address", s.MetricsAddress, false},
+		{"peer address", s.PeerAddress, false},
 	} {
 		if address.value == "" && !address.required {
 			continue
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -17,19 +17,14 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/tcpoption"
 )
 
 // Times and sizes of connections.
 const (
 	// DefaultDialTimeout bounds the wait for a new connection.
 	DefaultDialTimeout = 450 * time.Millisecond
-	// unackedTimeout ends a connection whose peer has stopped acknowledging.
-	unackedTimeout = 1500 * time.Millisecond
-	// probeIdle, probeInterval and probeCount end a silent connection whose
-	// peer is gone within two seconds.
-	probeIdle     = time.Second
-	probeInterval = 500 * time.Millisecond
-	probeCount    = 2
 	// defaultIdle is how long a connection is kept when the server names no time.
 	defaultIdle = 4 * time.Second
 	// idleMargin is subtracted from the time that the server names.
@@ -63,25 +58,11 @@
 // NewPool returns an empty pool.
 func NewPool(dialTimeout time.Duration) *Pool {
 	return &Pool{
-		idle: map[string][]*conn{},
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-			Control:         setUnackedTimeout,
-		},
+		idle:   map[string][]*conn{},
+		dialer: tcpoption.Dialer(dialTimeout),
 	}
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT, which package syscall does not name.
-const tcpUserTimeout = 18
-
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// Where the option is refused, the keep-alive probes remain.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-	})
-}
-
 // connect returns a kept connection that is still usable, or a new one.
 func (p *Pool) connect(ctx context.Context, address string, fresh bool) (*conn, error) {
 	for !fresh {
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -70,7 +70,6 @@
 	// forgotten is the revision up to which history is gone.
 	forgotten uint64
 	changed   chan struct{}
-	calls     int
 }
 
 // New returns an empty store.
@@ -85,6 +84,7 @@
 	server  *http.Server
 	mutex   sync.Mutex
 	fault   Fault
+	calls   int
 }
 
 // Open serves the store at a free loopback address.
@@ -99,6 +99,13 @@
 	return door, nil
 }
 
+// Calls returns how many calls came to the door.
+func (d *Door) Calls() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.calls
+}
+
 // Close ends the door.
 func (d *Door) Close() { d.server.Close() }
 
@@ -152,13 +159,6 @@
 	s.wake()
 }
 
-// Calls returns how many calls were made.
-func (s *Store) Calls() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.calls
-}
-
 // Get returns an object.
 func (s *Store) Get(kind, name string) (Object, bool) {
 	s.mutex.Lock()
@@ -190,9 +190,9 @@
 }
 
 func (d *Door) serve(writer http.ResponseWriter, request *http.Request) {
-	d.store.mutex.Lock()
-	d.store.calls++
-	d.store.mutex.Unlock()
+	d.mutex.Lock()
+	d.calls++
+	d.mutex.Unlock()
 	if d.refuse(writer, request) {
 		return
 	}
--- /dev/null
+++ b/internal/relay/chooser_test.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var start = time.Unix(1_000, 0)
+
+func TestFailedSeedsArePassedOverForAWhile(t *testing.T) {
+	g := NewWithT(t)
+	chooser := NewChooser("x", []string{"a", "b"})
+	first, found := chooser.Next(start)
+	g.Expect(found).To(BeTrue())
+	chooser.Failed(start, first)
+	second, found := chooser.Next(start)
+	g.Expect(found).To(BeTrue())
+	g.Expect(second).NotTo(Equal(first))
+	chooser.Failed(start, second)
+	_, found = chooser.Next(start)
+	g.Expect(found).To(BeFalse(), "the store itself is left")
+	again, _ := chooser.Next(start.Add(passedOver))
+	g.Expect(again).To(Equal(first))
+	chooser.Failed(start.Add(passedOver), first)
+	chooser.Answered(first)
+	again, _ = chooser.Next(start.Add(passedOver))
+	g.Expect(again).To(Equal(first))
+}
+
+func TestSeedsReadForOthersAndAskOnlyOthers(t *testing.T) {
+	g := NewWithT(t)
+	chooser := NewChooser("a", []string{"a", "b"})
+	g.Expect(chooser.IsSeed()).To(BeTrue())
+	next, _ := chooser.Next(start)
+	g.Expect(next).To(Equal("b"))
+	chooser.SetSeeds([]string{"b"})
+	g.Expect(chooser.IsSeed()).To(BeFalse())
+	chooser.SetSeeds(nil)
+	_, found := chooser.Next(start)
+	g.Expect(found).To(BeFalse())
+}
+
+func TestRoutersShareTheSeeds(t *testing.T) {
+	g := NewWithT(t)
+	counts := map[string]int{}
+	for _, self := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9", "r10", "r11", "r12"} {
+		next, _ := NewChooser(self, []string{"a", "b", "c"}).Next(start)
+		counts[next]++
+	}
+	g.Expect(counts).To(HaveLen(3))
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/tcpoption"
 )
 
 // peer owns the outgoing connection to one address. It ends when the
@@ -41,7 +43,8 @@
 // were queued when it ends are lost, as on any broken connection.
 func (p *peer) run() {
 	defer p.close()
-	connection, err := net.DialTimeout("tcp", p.address, dialTimeout)
+	dialer := tcpoption.Dialer(dialTimeout)
+	connection, err := dialer.Dial("tcp", p.address)
 	if err != nil {
 		p.pause()
 		return
