--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -16,7 +16,7 @@
 )
 
 // passedOver is how long a seed that failed is not asked.
-const passedOver = 2 * time.Second
+const passedOver = 500 * time.Millisecond
 
 // Chooser picks the seed to ask. It is not safe for concurrent use.
 type Chooser struct {
