--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -18,8 +18,8 @@
 	failureCost = 40000
 	// otherZoneCost is the cost of leaving the router's zone.
 	otherZoneCost = 3
-	// olderWeightsCost is the cost of weights that are about to be replaced.
-	olderWeightsCost = 1500
+	// oldWeightsCost is the cost of weights that should have been replaced.
+	oldWeightsCost = 1500
 	// updatingCost is the cost of a runner whose weights are being replaced.
 	updatingCost = 60000
 	// coldCost is the cost of a runner that has just started.
@@ -184,8 +184,8 @@
 	switch s.weights.State(now, model, version) {
 	case Expired:
 		return 0, false
-	case Replaced:
-		cost = olderWeightsCost
+	case Old:
+		cost = oldWeightsCost
 	}
 	if e.updating {
 		cost += updatingCost
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -45,9 +45,9 @@
 	set := NewSet("z")
 	set.Put(runner("a", "z"))
 	set.Put(runner("b", "z"))
-	g.Expect(set.Weights().Name("m", 2, start.Add(time.Second))).To(BeTrue())
-	g.Expect(set.Weights().Name("m", 3, start.Add(5*time.Second))).To(BeTrue())
-	g.Expect(set.Weights().Name("m", 2, start)).To(BeFalse(), "versions only rise")
+	g.Expect(set.Weights().Name("m", 2, start, start.Add(time.Second))).To(BeTrue())
+	g.Expect(set.Weights().Name("m", 3, start, start.Add(5*time.Second))).To(BeTrue())
+	g.Expect(set.Weights().Name("m", 2, start, start)).To(BeFalse(), "versions only rise")
 	set.LearnVersion("b", "m", 2)
 	_, candidates := set.Candidates(start, Query{Service: "s", Model: "m"})
 	g.Expect(names(candidates)).To(Equal([]string{"a", "b"}))
@@ -59,6 +59,19 @@
 	g.Expect(candidates).To(HaveLen(2), "requests without a model need no weights")
 }
 
+func TestOldWeightsAreDearOnlyAfterTheirGrace(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	set.Put(runner("a", "z"))
+	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(time.Minute))
+	cost := func(now time.Time) int {
+		_, candidates := set.Candidates(now, Query{Service: "s", Model: "m"})
+		return candidates[0].ExtraTokens
+	}
+	g.Expect(cost(start)).To(BeZero())
+	g.Expect(cost(start.Add(time.Second))).To(Equal(oldWeightsCost))
+}
+
 func TestHomeIsTheSameOnAllRoutersAndMovesWhenItLeaves(t *testing.T) {
 	g := NewWithT(t)
 	one, other := NewSet("z1"), NewSet("z2")
@@ -155,7 +168,7 @@
 	set.Put(runner("a", "z"))
 	set.Put(runner("b", "z"))
 	g.Expect(set.Outdated()).To(BeFalse())
-	set.Weights().Name("m", 2, start.Add(time.Minute))
+	set.Weights().Name("m", 2, start, start.Add(time.Minute))
 	g.Expect(set.Outdated()).To(BeTrue())
 	groups := set.ModelGroups()
 	g.Expect(groups).To(HaveLen(1))
--- a/internal/backend/weights.go
+++ b/internal/backend/weights.go
@@ -9,8 +9,10 @@
 const (
 	// Current weights are the newest named, or newer.
 	Current WeightsState = iota
-	// Replaced weights may still be used for a while.
+	// Replaced weights were replaced a moment ago and are as good as new ones.
 	Replaced
+	// Old weights may still be used, but newer ones are worth a wait.
+	Old
 	// Expired weights must not begin a request any more.
 	Expired
 )
@@ -27,6 +29,8 @@
 type deadline struct {
 	version uint64
 	at      time.Time
+	// oldFrom is when older versions stop being as good as new ones.
+	oldFrom time.Time
 }
 
 // maxDeadlines bounds the versions remembered of a model; the earliest are kept,
@@ -42,9 +46,9 @@
 // NewWeights returns an empty table.
 func NewWeights() *Weights { return &Weights{targets: map[string]*target{}} }
 
-// Name notes that the version was named and that older ones are expired from
-// the moment on. Versions only rise; it returns false for others.
-func (w *Weights) Name(model string, version uint64, expired time.Time) bool {
+// Name notes that the version was named and from when on older ones are old and
+// expired. Versions only rise; it returns false for others.
+func (w *Weights) Name(model string, version uint64, old, expired time.Time) bool {
 	known := w.targets[model]
 	if known == nil {
 		known = &target{}
@@ -55,7 +59,7 @@
 	}
 	known.version = version
 	if len(known.deadlines) < maxDeadlines {
-		known.deadlines = append(known.deadlines, deadline{version, expired})
+		known.deadlines = append(known.deadlines, deadline{version, expired, old})
 	}
 	return true
 }
@@ -74,24 +78,17 @@
 	if known == nil || version >= known.version {
 		return Current
 	}
+	state := Replaced
 	for _, d := range known.deadlines {
-		if version < d.version && !now.Before(d.at) {
+		if version >= d.version {
+			continue
+		}
+		if !now.Before(d.at) {
 			return Expired
 		}
-	}
-	return Replaced
-}
-
-// FirstDeadline returns the moment at which the version expires.
-func (w *Weights) FirstDeadline(model string, version uint64) (time.Time, bool) {
-	known := w.targets[model]
-	if known == nil {
-		return time.Time{}, false
-	}
-	for _, d := range known.deadlines {
-		if version < d.version {
-			return d.at, true
+		if !now.Before(d.oldFrom) {
+			state = Old
 		}
 	}
-	return time.Time{}, false
+	return state
 }
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -179,8 +179,9 @@
 		// It may have been named long before this process started.
 		expired = settled
 	}
+	old := now.Add(g.settings.WeightGrace)
 	g.mutex.Lock()
-	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, expired)
+	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, old, expired)
 	g.mutex.Unlock()
 	if !news {
 		return
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,6 +31,9 @@
 	DrainGrace time.Duration
 	// WeightDeadline is the time within which named weights replace older ones.
 	WeightDeadline time.Duration
+	// WeightGrace is how long after newer weights were named older ones are as
+	// good as these.
+	WeightGrace time.Duration
 	// SettleTime is how long after its start a router may use older weights
 	// whose naming it has not seen.
 	SettleTime time.Duration
@@ -51,6 +54,7 @@
 	defaultConfigLease    = 5 * time.Second
 	defaultDrainGrace     = 8 * time.Second
 	defaultWeightDeadline = 8 * time.Second
+	defaultWeightGrace    = 1500 * time.Millisecond
 	defaultSettleTime     = 3 * time.Second
 	defaultLeaseGap       = 3 * time.Second
 	defaultRetryShare     = 0.2
@@ -62,6 +66,7 @@
 	setDuration(&s.ConfigLease, defaultConfigLease)
 	setDuration(&s.DrainGrace, defaultDrainGrace)
 	setDuration(&s.WeightDeadline, defaultWeightDeadline)
+	setDuration(&s.WeightGrace, defaultWeightGrace)
 	setDuration(&s.SettleTime, defaultSettleTime)
 	setDuration(&s.LeaseGap, defaultLeaseGap)
 	if s.RetryShare == 0 {
