--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -44,11 +44,13 @@
 
 func (w *cacheStoreWatch) run() {
 	g := w.gateway
-	for g.pause(g.jitter(cacheStoreInterval)) {
+	interval := firstRetry
+	for g.pause(g.jitter(interval)) {
 		current := g.view.Load()
 		if current == nil {
 			continue
 		}
+		interval = cacheStoreInterval
 		if address := w.address(current.table); address != "" {
 			w.check(address)
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -220,12 +220,19 @@
 			query.TrunkTokens += part.Tokens
 		}
 	}
-	if shared := len(c.facts.Prompt) - 2; shared >= 0 {
-		query.Family = rendezvous.KeyOf(c.owner() + "/" + c.facts.Prompt[shared].ID)
-	}
+	query.Family = c.family()
 	return query
 }
 
+// family is the hash of the prompt's deepest shared part, 0 without one.
+func (c *call) family() uint64 {
+	shared := len(c.facts.Prompt) - 2
+	if shared < 0 {
+		return 0
+	}
+	return rendezvous.KeyOf(c.owner() + "/" + c.facts.Prompt[shared].ID)
+}
+
 // owner names whose cached prompt parts the call may use: the isolated
 // tenant's own, or those that all others share.
 func (c *call) owner() string {
@@ -245,8 +252,12 @@
 	if len(c.facts.Prompt) < 2 {
 		return
 	}
-	if address := c.gateway.cacheStore.usable(c.view.table); address != "" {
-		dispatch.FetchFrom, dispatch.SaveTo = address, address
+	address := c.gateway.cacheStore.usable(c.view.table)
+	dispatch.FetchFrom = address
+	c.gateway.mutex.Lock()
+	defer c.gateway.mutex.Unlock()
+	if address != "" && c.gateway.saves.Due(time.Now(), c.family(), c.weights) {
+		dispatch.SaveTo = address
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	mutex    sync.Mutex
 	runners  *backend.Set
 	splitter *routing.Splitter
+	saves    *backend.Saves
 	// retries holds the budget for further attempts of each service.
 	retries map[string]*admission.RetryBudget
 	random  *rand.Rand
@@ -99,6 +100,7 @@
 		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started,
 		runners:  backend.NewSet(settings.Zone),
 		splitter: routing.NewSplitter(),
+		saves:    backend.NewSaves(),
 		retries:  map[string]*admission.RetryBudget{},
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		named:    make(chan struct{}, 1),
