--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -27,9 +27,9 @@
 	proofAge = 1250 * time.Millisecond
 	// pushTime is how long after a pull changes are pushed to a router.
 	pushTime = 2 * time.Second
-	// firstPulls is how many rounds of pulls a started router makes before it
-	// reads the store, so that a herd of restarts is no herd of lists.
-	firstPulls = 2
+	// firstPullTime bounds the pulls of a router that knows nothing yet: a seed
+	// that runs answers in a few milliseconds, and callers wait.
+	firstPullTime = 50 * time.Millisecond
 )
 
 // relays connects this router with others: those it asks and those that ask it.
@@ -76,25 +76,21 @@
 // run keeps the copies proven: by other routers, or else by the store itself.
 func (r *relays) run() {
 	g := r.gateway
-	for round := 0; g.ctx.Err() == nil; round++ {
+	// A seed reads the store from the start, without asking anybody first.
+	r.setDirect(r.readsStore(true))
+	for g.ctx.Err() == nil {
 		relayed := r.wantsPull() && r.pull()
-		r.setDirect(r.readsStore(relayed, round))
+		r.setDirect(r.readsStore(relayed))
 		r.pause()
 	}
 }
 
 // readsStore decides whether this router reads the store itself.
-func (r *relays) readsStore(relayed bool, round int) bool {
+func (r *relays) readsStore(relayed bool) bool {
 	r.mutex.Lock()
 	isSeed := r.chooser.IsSeed()
 	r.mutex.Unlock()
-	if r.transport == nil || isSeed {
-		return true
-	}
-	if relayed {
-		return false
-	}
-	return round >= firstPulls || r.gateway.view.Load() != nil
+	return r.transport == nil || isSeed || !relayed
 }
 
 // wantsPull tells whether other routers are to be asked: always by those that
@@ -160,7 +156,11 @@
 // pullFrom asks one router for changes and tells whether its proof is recent.
 func (r *relays) pullFrom(address string) bool {
 	g := r.gateway
-	ctx, cancel := context.WithTimeout(g.ctx, pullTime)
+	patience := pullTime
+	if g.view.Load() == nil {
+		patience = firstPullTime
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, patience)
 	defer cancel()
 	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
 	for _, kind := range objectKinds {
