Explain: a request's decisions in the log, and a command that reads them

A call that goes well is one line; all others are logged whole, with inputs and their version. 'clovertiller explain' prints one request with what each router believed then, or failures by cause.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -96,6 +97,9 @@
 // Fields are the values of one log entry.
 type Fields = logrus.Fields
 
+// timeFormat has milliseconds, so that lines of several nodes can be put in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Logger writes events of one node.
 type Logger struct {
 	entry *logrus.Entry
@@ -106,11 +110,14 @@
 	logger := logrus.New()
 	logger.SetOutput(output)
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.JSONFormatter{})
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat})
 	return &Logger{entry: logger.WithField("node", node)}
 }
 
 // Log writes one event.
-func (l *Logger) Log(event Event, fields Fields) {
-	l.entry.WithField("event", event.Number).WithFields(fields).Log(event.Level, event.Text)
+func (l *Logger) Log(event Event, fields Fields) { l.LogAt(time.Now(), event, fields) }
+
+// LogAt writes an event that happened at the given time.
+func (l *Logger) LogAt(at time.Time, event Event, fields Fields) {
+	l.entry.WithTime(at).WithField("event", event.Number).WithFields(fields).Log(event.Level, event.Text)
 }
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,60 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+const sample = `
+starting up
+  1.2 n1 {"event":810,"node":"n1","msg":"configuration in force","time":"2026-01-01T00:00:01.000Z","version":3,"level":"info"}
+n2 {"event":810,"node":"n2","msg":"configuration in force","time":"2026-01-01T00:00:01.500Z","version":4}
+{"event":830,"node":"n1","msg":"runner added","time":"2026-01-01T00:00:02.000Z","runner":"i-1","address":"a"}
+{"event":830,"node":"n1","msg":"runner added","time":"2026-01-01T00:00:02.100Z","runner":"i-2","address":"b"}
+{"event":810,"node":"n1","msg":"configuration in force","time":"2026-01-01T00:00:03.000Z","version":5}
+{"event":513,"node":"n1","msg":"bad","time":"2026-01-01T00:00:05.000Z","request":"r1","runner":"i-1","outcome":"unreachable","cause":"reset"}
+{"event":512,"node":"n1","msg":"sent","time":"2026-01-01T00:00:04.000Z","request":"r1","runner":"i-1"}
+{"event":702,"node":"n3","msg":"order","time":"2026-01-01T00:00:04.500Z","runner":"i-1","version":9}
+{"event":510,"node":"n1","msg":"request ended","time":"2026-01-01T00:00:05.100Z","request":"r1","runner":"i-1","outcome":"unknown","late":false}
+{"event":510,"node":"n1","msg":"request ended","time":"2026-01-01T00:00:06.000Z","request":"r2","outcome":"complete","late":true}
+{"event":510,"node":"n1","msg":"request ended","time":"2026-01-01T00:00:06.000Z","request":"r3","outcome":"complete","late":false}
+{"event":511,"node":"n1","msg":"request refused","time":"2026-01-01T00:00:07.000Z","request":"r4","reason":"no route"}
+{"event":511,"node":"n1","msg":"request refused","time":"2026-01-01T00:00:08.000Z","request":"r5","reason":"no route"}
+{"event":810,"node":"n1","msg":"configuration in force","time":"2026-01-01T00:00:09.000Z","version":6}
+{"event": "odd"}
+`
+
+func TestStoryOfARequest(t *testing.T) {
+	g := NewWithT(t)
+	log, err := Read(strings.NewReader(sample))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Skipped).To(Equal(3))
+	story, found := log.Request("r1")
+	g.Expect(found).To(BeTrue())
+	var order []int
+	for _, line := range story.Lines {
+		order = append(order, line.Event)
+	}
+	g.Expect(order).To(Equal([]int{512, 513, 510}))
+	var beliefs []string
+	for _, line := range story.Beliefs {
+		beliefs = append(beliefs, line.Node+" "+line.Text)
+	}
+	g.Expect(beliefs).To(Equal([]string{"n1 runner added", "n1 configuration in force", "n3 order"}))
+	g.Expect(story.Beliefs[1].Number("version")).To(Equal(5.0), "the newest before the end")
+	_, found = log.Request("r9")
+	g.Expect(found).To(BeFalse())
+}
+
+func TestFailuresAreGroupedByCause(t *testing.T) {
+	g := NewWithT(t)
+	log, err := Read(strings.NewReader(sample))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(log.Failures()).To(Equal([]Cause{
+		{Outcome: "refused", Reason: "no route", Count: 2, Examples: []string{"r4", "r5"}},
+		{Outcome: "late", Count: 1, Examples: []string{"r2"}},
+		{Outcome: "unknown", Reason: "unreachable: reset", Count: 1, Examples: []string{"r1"}},
+	}))
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,6 +55,10 @@
 	expectedTokens int
 	// weights is the version of the weights that the runner is known to have.
 	weights uint64
+	// decisions are what was decided about the call so far, for its log.
+	decisions []decision
+	// answered is when the first part of the answer went to the caller.
+	answered time.Time
 	// stream is the relayed stream, nil before its first event.
 	stream *eventStream
 }
@@ -198,7 +202,7 @@
 // finish ends a call for which nothing more is tried.
 func (c *call) finish() {
 	if c.request.Phase() == attempt.Complete {
-		c.logEnd("complete")
+		c.logEnd(outcomeComplete)
 		return
 	}
 	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
@@ -279,15 +283,4 @@
 // left tells whether the caller has gone.
 func (c *call) left() bool { return c.caller.Context().Err() != nil }
 
-// logEnd writes the one line that every call ends with.
-func (c *call) logEnd(outcome string) {
-	elapsed := time.Since(c.arrived)
-	c.gateway.metrics.ended(c.route.Kind.String(), outcome, elapsed)
-	c.gateway.log.Log(events.RequestEnded, events.Fields{
-		"request": c.facts.ID, "route": c.route.Name, "service": c.service, "runner": c.runner.ID,
-		"outcome": outcome, "attempts": c.request.Attempt(), "ms": elapsed.Milliseconds(),
-		"config": c.view.table.Version, "config_age_ms": c.arrived.Sub(c.view.provenAt).Milliseconds(),
-	})
-}
-
 var errCallerLeft = errors.New("caller left")
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -71,6 +71,9 @@
 
 // putInForce applies changed objects in order.
 func (g *Gateway) putInForce(kind ObjectKind, delta config.Delta) {
+	if kind == RunnerObjects {
+		g.directoryRevision.Store(delta.Through)
+	}
 	if kind == RunnerObjects && delta.Full {
 		g.retainRunners(delta.Objects)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,8 @@
 	// retries holds the budget for further attempts of each service.
 	retries map[string]*admission.RetryBudget
 	random  *rand.Rand
+	// directoryRevision is the revision of the directory in force.
+	directoryRevision atomic.Uint64
 	// copies are the copies of the store's objects, direct tells whether this
 	// router reads the store itself, and relays connects it with others.
 	copies *copies
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -42,6 +42,7 @@
 		fields["config"] = c.view.table.Version
 		fields["config_age_ms"] = c.arrived.Sub(c.view.provenAt).Milliseconds()
 	}
+	c.logDecisions()
 	c.gateway.metrics.refused(r.status, r.reason)
 	c.gateway.log.Log(events.RequestRefused, fields)
 	c.write(r)
@@ -52,18 +53,17 @@
 // refused with the time to come back.
 func (c *call) giveUp(r *refusal) {
 	if c.left() {
-		c.gateway.log.Log(events.CallerLeft, events.Fields{"request": c.facts.ID, "runner": c.runner.ID, "ms": time.Since(c.arrived).Milliseconds()})
-		c.gateway.metrics.ended(c.route.Kind.String(), "caller left", time.Since(c.arrived))
+		c.logEnd(outcomeCallerLeft)
 		// Whoever still listens must not take the answer for a whole one.
 		panic(http.ErrAbortHandler)
 	}
 	if c.stream != nil {
-		c.logEnd("cut")
-		c.gateway.log.Log(events.StreamCut, events.Fields{"request": c.facts.ID, "runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": r.reason})
+		c.note(events.StreamCut, events.Fields{"runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": r.reason})
+		c.logEnd(outcomeCut)
 		panic(http.ErrAbortHandler)
 	}
 	if c.failure != nil {
-		c.logEnd("runner failed")
+		c.logEnd(outcomeRunnerFailed)
 		c.failure.write(c)
 		return
 	}
@@ -71,7 +71,7 @@
 		c.refuse(r)
 		return
 	}
-	c.logEnd("unknown")
+	c.logEnd(outcomeUnknown)
 	status := http.StatusBadGateway
 	if !time.Now().Before(c.deadline) {
 		status = http.StatusGatewayTimeout
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -24,6 +24,18 @@
 type eventStream struct {
 	// lastEvent is the id of the last event passed on, empty before the first.
 	lastEvent string
+	// passedAt is when events were last passed on, and worstPause the longest
+	// time between two such moments.
+	passedAt   time.Time
+	worstPause time.Duration
+}
+
+// passed notes that events were passed on.
+func (s *eventStream) passed(now time.Time) {
+	if !s.passedAt.IsZero() {
+		s.worstPause = max(s.worstPause, now.Sub(s.passedAt))
+	}
+	s.passedAt = now
 }
 
 var (
@@ -84,6 +96,7 @@
 	if _, err := c.writer.Write(data); err != nil {
 		return errCallerLeft
 	}
+	c.stream.passed(time.Now())
 	c.stream.lastEvent = lastEventID(data, c.stream.lastEvent)
 	if err := c.control.Flush(); err != nil {
 		return errCallerLeft
@@ -126,7 +139,7 @@
 	c.end(backend.Failed, "stream broke off: "+cause.Error(), response.Status)
 	next := c.lost()
 	if next == attempt.Dispatch && c.stream != nil {
-		c.gateway.log.Log(events.StreamContinued, events.Fields{"request": c.facts.ID, "from": c.runner.ID, "last_event": c.stream.lastEvent})
+		c.note(events.StreamContinued, events.Fields{"from": c.runner.ID, "last_event": c.stream.lastEvent})
 	}
 	return next
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -67,6 +67,12 @@
 	runner, _ := g.runners.Get(chosen.Candidate.Name)
 	c.weights = g.runners.WeightVersion(runner.ID, query.Model)
 	c.expectedTokens = max(query.PromptTokens-chosen.Candidate.CachedTokens, 0)
+	c.note(events.RequestSent, events.Fields{
+		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
+		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
+		"candidates": len(candidates), "set_aside": len(request.Excluded), "in_flight": chosen.Candidate.PendingRequests,
+		"directory": g.directoryRevision.Load(),
+	})
 	g.runners.Begin(runner.ID, c.expectedTokens)
 	return runner, nil
 }
@@ -76,9 +82,6 @@
 	c.request.Dispatching(c.runner.ID)
 	c.sent = time.Now()
 	c.gateway.metrics.attempts.Inc()
-	if c.request.Attempt() > 1 {
-		c.gateway.log.Log(events.RequestRetried, events.Fields{"request": c.facts.ID, "attempt": c.request.Attempt(), "runner": c.runner.ID})
-	}
 	response, err := c.gateway.ports.RunnerPool.Send(c.ctx, c.runner.Address, c.message())
 	if err != nil {
 		return c.notAnswered(err)
@@ -149,8 +152,8 @@
 		return
 	}
 	g.metrics.runnerFailures.WithLabelValues(outcome.String()).Inc()
-	g.log.Log(events.RequestAnswerBad, events.Fields{
-		"request": c.facts.ID, "runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
+	c.note(events.RequestAnswerBad, events.Fields{
+		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
 		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": time.Since(c.sent).Milliseconds(),
 	})
 }
@@ -158,6 +161,9 @@
 // firstAnswer notes that the runner has begun to answer.
 func (c *call) firstAnswer() {
 	g := c.gateway
+	if c.answered.IsZero() {
+		c.answered = time.Now()
+	}
 	g.mutex.Lock()
 	g.runners.FirstAnswer(time.Now(), c.runner.ID, c.expectedTokens, time.Since(c.sent))
 	g.mutex.Unlock()
@@ -248,7 +254,7 @@
 		_, err = io.Copy(c.writer, response.Body)
 	}
 	if err != nil {
-		c.logEnd("cut")
+		c.logEnd(outcomeCut)
 		panic(http.ErrAbortHandler)
 	}
 }
