--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -110,9 +110,10 @@
 )
 
 // runnerEvents are the events that change what a router believes of one runner.
-var runnerEvents = numbers(
-	events.RunnerAdded, events.RunnerChanged, events.RunnerRemoved, events.WeightsLearned, events.OrderSent, events.RunnerSilent,
-)
+var runnerEvents = numbers(events.RunnerAdded, events.RunnerChanged, events.RunnerRemoved)
+
+// orderEvents concern a runner whichever router they happen at.
+var orderEvents = numbers(events.WeightsLearned, events.OrderSent, events.RunnerSilent)
 
 func numbers(list ...events.Event) map[int]bool {
 	set := map[int]bool{}
@@ -158,8 +159,7 @@
 			break
 		}
 		general := beliefEvents[line.Event] && nodes[line.Node]
-		// Orders are given by other routers too, so their lines count from all.
-		ofRunner := runnerEvents[line.Event] && runners[line.Field("runner")]
+		ofRunner := runners[line.Field("runner")] && (orderEvents[line.Event] || runnerEvents[line.Event] && nodes[line.Node])
 		if general || ofRunner {
 			newest[belief{line.Node, line.Event, line.Field("runner"), line.Field("kind")}] = line
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -205,6 +205,10 @@
 		c.logEnd(outcomeComplete)
 		return
 	}
+	if !time.Now().Before(c.deadline) {
+		c.giveUp(unavailable("the time is up", busyRetryAfter))
+		return
+	}
 	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
 }
 
