--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -103,6 +103,13 @@
 	e.failureShare, e.failureAt = share, now
 }
 
+// startsAfter estimates how long after now a request with the prompt begins: the
+// time that own requests waited of late, what is still to be read, and itself.
+func (e *entry) startsAfter(now time.Time, promptTokens int) time.Duration {
+	reading := time.Duration(float64(e.pendingTokens+promptTokens) / PrefillRate * float64(time.Second))
+	return e.currentWait(now) + reading
+}
+
 func (e *entry) currentWait(now time.Time) time.Duration {
 	return time.Duration(decayed(float64(e.wait), now.Sub(e.waitAt), waitHalfLife))
 }
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -122,7 +122,7 @@
 	home := s.home(now, entries, query)
 	var candidates []placement.Candidate
 	for _, e := range entries {
-		cost, usable := s.weightsCost(now, e, query.Model)
+		cost, usable := s.weightsCost(now, e, query)
 		if !usable {
 			continue
 		}
@@ -173,7 +173,11 @@
 	}
 }
 
-func (s *Set) weightsCost(now time.Time, e *entry, model string) (cost int, usable bool) {
+// weightsCost tells whether the runner's weights may begin the request, and what
+// speaks against them. What counts is the moment at which the request begins
+// there: after what waits before it and its own prompt.
+func (s *Set) weightsCost(now time.Time, e *entry, query Query) (cost int, usable bool) {
+	model := query.Model
 	if model == "" {
 		return 0, true
 	}
@@ -181,6 +185,9 @@
 	if !held {
 		return 0, false
 	}
+	if s.weights.State(now.Add(e.startsAfter(now, query.PromptTokens)), model, version) == Expired {
+		return 0, false
+	}
 	switch s.weights.State(now, model, version) {
 	case Expired:
 		return 0, false
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -59,6 +59,26 @@
 	g.Expect(candidates).To(HaveLen(2), "requests without a model need no weights")
 }
 
+// A request that would wait in a runner's queue until the weights expire is not
+// sent there (hunt-9213-31 of gelombang-ulang: it began 0.6 s too late).
+func TestWeightsThatExpireWhileARequestWaitsBeginNothing(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	set.Put(runner("a", "z"))
+	set.Weights().Name("m", 2, start, start.Add(time.Second))
+	query := Query{Service: "s", Model: "m", PromptTokens: 1000}
+	_, candidates := set.Candidates(start, query)
+	g.Expect(candidates).To(HaveLen(1))
+	set.Begin("a", 0)
+	set.FirstAnswer(start, "a", 0, 3*time.Second)
+	set.End(start, "a", 0, Answered)
+	_, candidates = set.Candidates(start, query)
+	g.Expect(candidates).To(BeEmpty(), "requests wait 1.5 s there")
+	query.PromptTokens = 2 * PrefillRate
+	_, candidates = set.Candidates(start.Add(10*waitHalfLife), query)
+	g.Expect(candidates).To(BeEmpty(), "its own prompt takes two seconds")
+}
+
 func TestOldWeightsAreDearOnlyAfterTheirGrace(t *testing.T) {
 	g := NewWithT(t)
 	set := NewSet("z")
