--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -85,6 +85,9 @@
 	refusals int
 	// ran is true when an engine may have begun to compute any attempt.
 	ran bool
+	// continuing is true while an engine is asked to go on with a run whose
+	// memory it holds a copy of.
+	continuing bool
 	// doubtful is true when an attempt's fate is not known.
 	doubtful bool
 	excluded []string
@@ -143,6 +146,11 @@
 func (r *Request) Reject() Next {
 	r.exclude()
 	r.refusals++
+	if r.continuing && !r.repeatable {
+		// The run before has run; only its copy could have gone on.
+		r.phase = Failed
+		return Stop
+	}
 	return r.retry()
 }
 
@@ -209,6 +217,21 @@
 	return r.abandon()
 }
 
+// CopyHeld notes that the engine process of the current attempt has ended, and
+// that another engine may hold a copy of the run's memory. To go on from the
+// copy is the same run, so it may be dispatched whether the request may be
+// repeated or not; the engine refuses if it has no copy.
+func (r *Request) CopyHeld() Next {
+	if r.phase == Complete || r.phase == Failed || r.continuing {
+		return r.abandon()
+	}
+	r.exclude()
+	r.ran = true
+	r.continuing = true
+	r.phase = Ready
+	return Dispatch
+}
+
 // EngineGone notes that the engine process of the current attempt has ended or
 // cannot be reached, so that the stream cannot be resumed on it.
 func (r *Request) EngineGone() Next { return r.abandon() }
@@ -268,6 +291,9 @@
 	r.phase = Failed
 }
 
+// MayGoOn tells whether another engine may be tried if the current one is lost.
+func (r *Request) MayGoOn() bool { return r.repeatable && !r.exhausted() }
+
 // MayHaveRun tells whether any attempt may have been run.
 func (r *Request) MayHaveRun() bool { return r.ran || r.doubtful }
 
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -131,6 +131,22 @@
 	g.Expect(request.RunState()).To(Equal(Unknown))
 }
 
+func TestOnlyACopyLetsAnUnrepeatableRunGoOn(t *testing.T) {
+	g := NewWithT(t)
+	request := NewRequest(false, Limits{MaxAttempts: 1, MaxRefusals: 3})
+	request.Dispatching("a")
+	g.Expect(request.CopyHeld()).To(Equal(Dispatch))
+	request.Dispatching("b")
+	g.Expect(request.Reject()).To(Equal(Stop), "the copy was not there: nobody else may run it")
+	g.Expect(request.RunState()).To(Equal(FailedAfterRun))
+
+	again := NewRequest(false, Limits{MaxAttempts: 1, MaxRefusals: 3})
+	again.Dispatching("a")
+	again.CopyHeld()
+	again.Dispatching("b")
+	g.Expect(again.CopyHeld()).To(Equal(Stop), "copies are not copied")
+}
+
 func TestRunStates(t *testing.T) {
 	cases := []struct {
 		name  string
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -222,6 +222,43 @@
 	return version
 }
 
+// Backup returns the runner that a run's memory is best copied to: of the
+// runner's service, with the same weights, free of bad signs, in another zone,
+// as runners of one zone are lost together, and with the fewest requests of this
+// router.
+func (s *Set) Backup(now time.Time, id, model string) (Runner, bool) {
+	primary := s.entries[id]
+	if primary == nil {
+		return Runner{}, false
+	}
+	version, _ := primary.version(model)
+	var best *entry
+	for _, e := range s.byService[primary.Service] {
+		other, held := e.version(model)
+		if e == primary || !held || other != version || e.Draining || e.updating || now.Before(e.asideUntil) {
+			continue
+		}
+		if best == nil || backupCost(primary, e) < backupCost(primary, best) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Runner{}, false
+	}
+	return best.Runner, true
+}
+
+// sameZoneBackup is what the runner's own zone counts for, in requests.
+const sameZoneBackup = 1000
+
+func backupCost(primary, e *entry) int {
+	cost := e.inFlight
+	if e.Zone == primary.Zone {
+		cost += sameZoneBackup
+	}
+	return cost
+}
+
 // Begin notes a request sent to the runner with the prompt tokens it has to read.
 func (s *Set) Begin(id string, tokens int) {
 	if e := s.entries[id]; e != nil {
--- /dev/null
+++ b/internal/gateway/backup_test.go
@@ -0,0 +1,56 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+)
+
+const wholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
+
+// homeOf returns the runner that ran the first call, to which its like go again.
+func homeOf(runners []*runnerstand.Runner) *runnerstand.Runner {
+	if len(runners[0].Runs()) > 0 {
+		return runners[0]
+	}
+	return runners[1]
+}
+
+// A stream that may run once only goes on from the copy of its run when its
+// runner has ended: that is the same run.
+func TestStreamThatMayNotBeRepeatedGoesOnFromItsCopy(t *testing.T) {
+	for name, behaviour := range map[string]runnerstand.Behaviour{"dies": runnerstand.Dies, "falls silent": runnerstand.FallsSilent} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.configure(1, defaultRoutes(), goodKey)
+			runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines")}
+			r := f.servingRouter("r1", nil)
+			f.g.Eventually(func() int { return r.call("/once/x", nil).status }).Should(Equal(200))
+			before := runsOf(runners)
+			homeOf(runners).BehaveOnce(behaviour)
+			began := time.Now()
+			got := r.call("/once/x", nil)
+			f.g.Expect(got.cut).To(BeFalse())
+			f.g.Expect(got.body).To(Equal(wholeStream))
+			f.g.Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+			f.g.Expect(runsOf(runners)).To(Equal(before+1), "one run")
+			f.g.Expect(append(runners[0].Continued(), runners[1].Continued()...)).To(HaveLen(1))
+		})
+	}
+}
+
+// Without a copy the run cannot go on, and nothing else may run it.
+func TestStreamWithoutACopyIsCut(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines"), f.runner("e3", "engines")}
+	r := f.servingRouter("r1", nil)
+	f.runners.Clear()
+	behaveOnce(runners, runnerstand.Dies)
+	got := r.call("/once/x", nil)
+	f.g.Expect(got.cut).To(BeTrue())
+	f.g.Expect(runsOf(runners)).To(Equal(1))
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
@@ -55,6 +56,13 @@
 	expectedTokens int
 	// weights is the version of the weights that the runner is known to have.
 	weights uint64
+	// backup is the runner that the run's memory is copied to; copyAt is set when
+	// the call is to go on there, and continuing once it does.
+	backup     backend.Runner
+	copyAt     *backend.Runner
+	continuing bool
+	// ended is set when the runner was found to have ended.
+	ended atomic.Bool
 	// decisions are what was decided about the call so far, for its log.
 	decisions []decision
 	// answered is when the first part of the answer went to the caller.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -27,6 +27,8 @@
 	t     *testing.T
 	g     *WithT
 	store *storestand.Store
+	// runners are the fleet's runners by address.
+	runners sync.Map
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -66,7 +68,7 @@
 func config(version int, routes []map[string]any, keys ...string) map[string]any {
 	return map[string]any{
 		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": "plain"}, {"name": "engines", "engine": map[string]any{"slots": 8, "models": []map[string]any{{"name": modelName}}}}},
+		"services": []map[string]any{{"name": "plain"}, {"name": "engines", "engine": map[string]any{"slots": 8, "backups": true, "models": []map[string]any{{"name": modelName}}}}},
 		"tenants":  []map[string]any{{"name": "tenant-one", "api_keys": keys, "isolated": true}},
 		"limits":   map[string]any{"max_body_bytes": 1 << 20},
 	}
@@ -82,8 +84,14 @@
 	if service == "engines" {
 		settings.Model, settings.Version, settings.Events = modelName, 1, 4
 	}
+	settings.Peer = func(address string) *runnerstand.Runner {
+		found, _ := f.runners.Load(address)
+		peer, _ := found.(*runnerstand.Runner)
+		return peer
+	}
 	runner, err := runnerstand.Start(settings)
 	f.g.Expect(err).NotTo(HaveOccurred())
+	f.runners.Store(runner.Address, runner)
 	f.t.Cleanup(runner.Close)
 	f.list(runner, "ready")
 	return runner
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -53,6 +53,11 @@
 	// SaveTo the store they are saved to; empty leaves them out.
 	FetchFrom string
 	SaveTo    string
+	// BackupTo is the IP:port of the runner that the run's memory is copied to
+	// as it grows; ContinueFrom is the one that holds such a copy and is to go
+	// on with the run. Empty leaves them out.
+	BackupTo     string
+	ContinueFrom string
 	// LastEvent asks for the events after it.
 	LastEvent string
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -59,10 +59,13 @@
 
 // relay passes a runner's events on until the stream ends.
 func (c *call) relay(response *httpconn.Response) attempt.Next {
+	watch := c.watchSilence(response.Body)
+	defer watch.stop()
 	var pending []byte
 	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
+		watch.heard()
 		pending = append(pending, buffer[:n]...)
 		if whole := bytes.LastIndex(pending, eventEnd); whole >= 0 {
 			whole += len(eventEnd)
@@ -137,6 +140,9 @@
 		return c.outOfTime(false)
 	}
 	c.end(backend.Failed, "stream broke off: "+cause.Error(), response.Status)
+	if c.fromCopy() {
+		return c.request.CopyHeld()
+	}
 	next := c.lost()
 	if next == attempt.Dispatch && c.stream != nil {
 		c.note(events.StreamContinued, events.Fields{"from": c.runner.ID, "last_event": c.stream.lastEvent})
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -50,6 +50,9 @@
 	again := c.request.Attempt() > 0
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	if c.copyAt != nil {
+		return c.takeCopy()
+	}
 	if again && !g.budget(c.service).Spend() {
 		return backend.Runner{}, unavailable("the budget for further attempts is used up", busyRetryAfter)
 	}
@@ -74,6 +77,7 @@
 		"directory": g.directoryRevision.Load(),
 	})
 	g.runners.Begin(runner.ID, c.expectedTokens)
+	c.pickBackup(now, runner)
 	return runner, nil
 }
 
@@ -120,6 +124,10 @@
 	if c.route.Cached {
 		c.addCache(&dispatch)
 	}
+	dispatch.BackupTo = c.backup.Address
+	if c.continuing {
+		dispatch.ContinueFrom = c.runner.Address
+	}
 	if c.stream != nil && c.stream.lastEvent != "" {
 		dispatch.LastEvent = c.stream.lastEvent
 	}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -157,6 +157,9 @@
 	return n, err
 }
 
+// Abort ends the connection from another goroutine, so that a waiting Read fails.
+func (b *Body) Abort() { b.conn.Close() }
+
 // Buffered tells whether more of the answer has arrived already.
 func (b *Body) Buffered() bool { return b.conn.reader.Buffered() > 0 }
 
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -39,6 +39,11 @@
 	Unstamped
 	// Delays answers after Config.Delay.
 	Delays
+	// Dies ends the whole runner after the first event of a stream.
+	Dies
+	// FallsSilent stops in the middle of a stream and takes no connections any
+	// more, as a machine without power does.
+	FallsSilent
 )
 
 // Config is what a runner is started with.
@@ -52,6 +57,8 @@
 	// Events is the length of its streams.
 	Events int
 	Delay  time.Duration
+	// Peer finds the runner at an address, to which copies of runs are sent.
+	Peer func(address string) *Runner
 }
 
 // Run is one call that the runner ran.
@@ -70,6 +77,8 @@
 	Config
 	Address string
 	server  *http.Server
+	// listener is closed alone when the runner falls silent.
+	listener net.Listener
 
 	mutex     sync.Mutex
 	behaviour Behaviour
@@ -80,6 +89,10 @@
 	version   uint64
 	seq       uint64
 	fence     uint64
+	// copies holds the runs of other runners that this one has a copy of.
+	copies map[string]bool
+	// continued lists the runs that went on here from a copy.
+	continued []string
 }
 
 // Order is an order that the runner saw.
@@ -101,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{Config: config, Address: listener.Addr().String(), version: config.Version}
+	r := &Runner{Config: config, Address: listener.Addr().String(), listener: listener, version: config.Version, copies: map[string]bool{}}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go r.server.Serve(listener)
 	return r, nil
@@ -147,6 +160,19 @@
 	return r.arrivals
 }
 
+// Continued returns the runs that went on here from a copy.
+func (r *Runner) Continued() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]string(nil), r.continued...)
+}
+
+func (r *Runner) holdCopy(request string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.copies[request] = true
+}
+
 // Orders returns the orders seen.
 func (r *Runner) Orders() []Order {
 	r.mutex.Lock()
@@ -231,6 +257,14 @@
 	if expected != "" && expected != strconv.FormatUint(r.version, 10) {
 		return Sheds, run
 	}
+	if from := request.Header.Get(platform.HeaderCopyFrom); from != "" {
+		if from != r.Address+"/"+run.Request || !r.copies[run.Request] {
+			return Sheds, run
+		}
+		delete(r.copies, run.Request)
+		r.continued = append(r.continued, run.Request)
+		return behaviour, run
+	}
 	if behaviour != Sheds {
 		r.runs = append(r.runs, run)
 	}
@@ -292,6 +326,11 @@
 // stream sends events after the one that the caller has; BreaksOff ends it in
 // the middle of the second event it sends.
 func (r *Runner) stream(writer http.ResponseWriter, request *http.Request, behaviour Behaviour) {
+	if backup := request.Header.Get(platform.HeaderBackup); backup != "" && r.Peer != nil {
+		if peer := r.Peer(backup); peer != nil {
+			peer.holdCopy(request.Header.Get(platform.HeaderRequestID))
+		}
+	}
 	first, _ := strconv.Atoi(request.Header.Get(platform.HeaderLastEvent))
 	writer.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(writer)
@@ -306,5 +345,14 @@
 		if control.Flush() != nil {
 			return
 		}
+		switch behaviour {
+		case Dies:
+			r.Close()
+			panic(http.ErrAbortHandler)
+		case FallsSilent:
+			r.listener.Close()
+			<-request.Context().Done()
+			return
+		}
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -80,6 +80,8 @@
 	Slots int
 	// CacheTokens is an engine's memory, in tokens.
 	CacheTokens int
+	// Backups tells whether engines send a run's memory to another one as it grows.
+	Backups bool
 	// Models names the models that the service's engines hold.
 	Models []string
 }
