--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -17,7 +17,7 @@
 	// failureCost is the cost of a runner that fails every request.
 	failureCost = 40000
 	// otherZoneCost is the cost of leaving the router's zone.
-	otherZoneCost = 3
+	otherZoneCost = 400
 	// oldWeightsCost is the cost of weights that should have been replaced.
 	oldWeightsCost = 1500
 	// updatingCost is the cost of a runner whose weights are being replaced.
