A fault soak of our own

Gateways as processes before the stand-ins; freezes, kills, stops, reloads, a store that refuses, throttles, is silent, resets or loses answers for all or one, a loopback proxy that delays, resets, cuts one way or silences paths to store and runners, runners that misbehave. Checked from what callers and runners see.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build demo test format-check lint models unit prove mutants experiment scale
+.PHONY: build demo test format-check lint models unit prove mutants experiment scale soak
 
 build:
 	@mkdir -p bin
@@ -42,3 +42,9 @@
 # The control plane with hollow nodes, and its extrapolation to the target; under 5 minutes.
 scale: build
 	@./bin/clovertiller-lab scale --plots out/scale
+
+# Gateways as processes under random faults from outside: the seeds that ever
+# failed and three fresh ones, half a minute each.
+soak: build
+	@mkdir -p out
+	@./hack/soak.sh
--- a/cmd/clovertiller-lab/main.go
+++ b/cmd/clovertiller-lab/main.go
@@ -37,7 +37,7 @@
 func run() int {
 	parser := flaggy.NewParser("clovertiller-lab")
 	parser.Description = "Stand-ins and experiments of clovertiller."
-	commands := []command{platformCommand(), engineCommand(), loadCommand(), experimentCommand(), scaleCommand()}
+	commands := []command{platformCommand(), engineCommand(), loadCommand(), experimentCommand(), scaleCommand(), soakCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.subcommand, 1)
 	}
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -46,6 +46,11 @@
 	FallsSilent
 )
 
+// String returns the behaviour's name.
+func (b Behaviour) String() string {
+	return [...]string{"well", "fails", "sheds", "drops", "breaks off", "hangs", "crossed", "unstamped", "delays", "dies", "falls silent"}[b]
+}
+
 // Config is what a runner is started with.
 type Config struct {
 	ID      string
@@ -104,8 +109,9 @@
 	Holder   string `json:"holder"`
 	Fence    uint64 `json:"fence"`
 	Expected uint64 `json:"expected_rev"`
-	// Status is what the runner answered.
-	Status int `json:"-"`
+	// Status is what the runner answered, and At when.
+	Status int       `json:"-"`
+	At     time.Time `json:"-"`
 }
 
 // Start serves a runner at a free loopback address.
@@ -218,7 +224,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	order.Status = r.judge(order)
+	order.Status, order.At = r.judge(order), time.Now()
 	r.orders = append(r.orders, order)
 	writer.WriteHeader(order.Status)
 }
--- /dev/null
+++ b/internal/lab/soak/faults.go
@@ -0,0 +1,195 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+)
+
+// Times of faults.
+const (
+	faultGap  = 900 * time.Millisecond
+	faultMost = 4 * time.Second
+	// startTime is how long a started process may take to serve.
+	startTime = 2 * time.Second
+)
+
+// fault harms something for a while. It is called with the run's random source
+// and returns what it does and how it is undone.
+type fault func(duration time.Duration) (name string, undo func())
+
+// harm injects faults until the time is over and returns how many.
+func (s *Soak) harm(ctx context.Context) int {
+	faults := []fault{
+		s.freeze, s.restart(syscall.SIGKILL), s.restart(syscall.SIGTERM), s.reload, s.killAll,
+		s.storeForAll, s.storeForOne, s.storePath, s.runnerPath, s.runnerFault, s.drain,
+		s.forget, s.changeConfig, s.revoke, s.bump,
+	}
+	deadline := time.Now().Add(s.settings.Duration)
+	var group sync.WaitGroup
+	count := 0
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		duration := time.Duration(s.random.Int64N(int64(faultMost)))
+		name, undo := faults[s.random.IntN(len(faults))](duration)
+		count++
+		s.say("fault: %s for %v", name, duration.Round(time.Millisecond))
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			time.Sleep(duration)
+			undo()
+		}()
+		time.Sleep(faultGap/2 + time.Duration(s.random.Int64N(int64(faultGap))))
+		s.runners.refresh()
+	}
+	group.Wait()
+	return count
+}
+
+// heal undoes what may be left.
+func (s *Soak) heal() {
+	for _, p := range s.processes {
+		p.door.Set(storestand.Healthy)
+		p.proxy.Set(faultproxy.Pass)
+		p.signal(syscall.SIGCONT)
+	}
+	for _, runner := range s.runners.all() {
+		runner.Behave(runnerstand.Well)
+		s.runners.proxy(runner.ID).Set(faultproxy.Pass)
+		s.runners.list(runner, "ready")
+	}
+}
+
+func (s *Soak) anyProcess() *process { return s.processes[s.random.IntN(len(s.processes))] }
+
+func (s *Soak) anyRunner() *runnerstand.Runner {
+	all := s.runners.all()
+	return all[s.random.IntN(len(all))]
+}
+
+func (s *Soak) freeze(duration time.Duration) (string, func()) {
+	p := s.anyProcess()
+	p.harm(duration + startTime)
+	p.signal(syscall.SIGSTOP)
+	return "freeze " + p.name, func() { p.signal(syscall.SIGCONT) }
+}
+
+func (s *Soak) restart(signal syscall.Signal) fault {
+	return func(duration time.Duration) (string, func()) {
+		p := s.anyProcess()
+		p.harm(duration + graceTime + startTime)
+		p.signal(syscall.SIGCONT)
+		p.signal(signal)
+		return signal.String() + " " + p.name, func() {
+			p.wait()
+			if err := p.start(); err != nil {
+				s.fail("start: %s: %v", p.name, err)
+			}
+			p.harm(startTime)
+		}
+	}
+}
+
+func (s *Soak) killAll(duration time.Duration) (string, func()) {
+	for _, p := range s.processes {
+		p.harm(duration + startTime)
+		p.signal(syscall.SIGKILL)
+	}
+	return "kill all", func() {
+		for _, p := range s.processes {
+			p.wait()
+			if err := p.start(); err != nil {
+				s.fail("start: %s: %v", p.name, err)
+			}
+			p.harm(startTime)
+		}
+	}
+}
+
+func (s *Soak) reload(time.Duration) (string, func()) {
+	p := s.anyProcess()
+	p.signal(syscall.SIGHUP)
+	return "reload " + p.name, func() {}
+}
+
+func (s *Soak) storeFault() storestand.Fault {
+	faults := []storestand.Fault{storestand.Busy, storestand.Throttled, storestand.Silent, storestand.Reset, storestand.Loses}
+	return faults[s.random.IntN(len(faults))]
+}
+
+func (s *Soak) storeForAll(time.Duration) (string, func()) {
+	fault := s.storeFault()
+	for _, p := range s.processes {
+		p.door.Set(fault)
+	}
+	return "store " + fault.String() + " for all", func() {
+		for _, p := range s.processes {
+			p.door.Set(storestand.Healthy)
+		}
+	}
+}
+
+func (s *Soak) storeForOne(time.Duration) (string, func()) {
+	p, fault := s.anyProcess(), s.storeFault()
+	p.door.Set(fault)
+	return "store " + fault.String() + " for " + p.name, func() { p.door.Set(storestand.Healthy) }
+}
+
+func (s *Soak) pathMode() faultproxy.Mode {
+	modes := []faultproxy.Mode{faultproxy.Delay, faultproxy.Reset, faultproxy.CutBack, faultproxy.Silence}
+	return modes[s.random.IntN(len(modes))]
+}
+
+func (s *Soak) storePath(time.Duration) (string, func()) {
+	p, mode := s.anyProcess(), s.pathMode()
+	p.proxy.Set(mode)
+	return "path to the store of " + p.name + ": " + mode.String(), func() { p.proxy.Set(faultproxy.Pass) }
+}
+
+func (s *Soak) runnerPath(time.Duration) (string, func()) {
+	runner, mode := s.anyRunner(), s.pathMode()
+	proxy := s.runners.proxy(runner.ID)
+	proxy.Set(mode)
+	return "path to runner " + runner.ID + ": " + mode.String(), func() { proxy.Set(faultproxy.Pass) }
+}
+
+func (s *Soak) runnerFault(time.Duration) (string, func()) {
+	behaviours := []runnerstand.Behaviour{
+		runnerstand.Fails, runnerstand.Sheds, runnerstand.Drops, runnerstand.BreaksOff, runnerstand.Hangs,
+		runnerstand.Crossed, runnerstand.Unstamped, runnerstand.Delays,
+	}
+	runner, behaviour := s.anyRunner(), behaviours[s.random.IntN(len(behaviours))]
+	runner.Behave(behaviour)
+	return "runner " + runner.ID + " " + behaviour.String(), func() { runner.Behave(runnerstand.Well) }
+}
+
+func (s *Soak) drain(time.Duration) (string, func()) {
+	runner := s.anyRunner()
+	s.runners.list(runner, "draining")
+	return "drain " + runner.ID, func() { s.runners.list(runner, "ready") }
+}
+
+func (s *Soak) forget(time.Duration) (string, func()) {
+	s.store.Forget()
+	return "store forgets its history", func() {}
+}
+
+func (s *Soak) changeConfig(time.Duration) (string, func()) {
+	s.config.change(false)
+	return "new configuration", func() {}
+}
+
+func (s *Soak) revoke(time.Duration) (string, func()) {
+	s.config.change(true)
+	return "a key is taken away", func() {}
+}
+
+func (s *Soak) bump(time.Duration) (string, func()) {
+	s.config.bump()
+	return "new weights", func() {}
+}
--- /dev/null
+++ b/internal/lab/soak/process.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// processAddresses are where one gateway listens.
+type processAddresses struct {
+	Callers string
+	Ready   string
+	Peer    string
+}
+
+func freeAddresses() (processAddresses, error) {
+	var free [3]string
+	for i := range free {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return processAddresses{}, err
+		}
+		free[i] = listener.Addr().String()
+		listener.Close()
+	}
+	return processAddresses{free[0], free[1], free[2]}, nil
+}
+
+// process is one gateway, started again whenever it ends.
+type process struct {
+	name      string
+	program   string
+	folder    string
+	addresses processAddresses
+	seeds     []string
+	door      *storestand.Door
+	proxy     *faultproxy.Proxy
+
+	mutex   sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// harmedUntil is until when the process is down, frozen or starting.
+	harmedUntil time.Time
+}
+
+func (p *process) settingsPath() string { return filepath.Join(p.folder, p.name+".json") }
+
+func (p *process) writeSettings() error {
+	settings := map[string]any{
+		"node": p.name, "zone": "z", "ip": "127.0.0.1",
+		"listen": map[string]any{"front": p.addresses.Callers, "ready": p.addresses.Ready, "control": p.addresses.Peer},
+		"seeds":  p.seeds,
+		"bounds": map[string]any{
+			"contact_ms": 3000, "grace_s": graceTime.Seconds(), "revoke_ms": revokeTime.Milliseconds(),
+			"lease_ms": leaseTime.Milliseconds(), "version_ms": versionTime.Milliseconds(), "budget_ratio": 0.2,
+		},
+		"platform": map[string]any{"address": p.proxy.Address},
+	}
+	encoded, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(p.settingsPath(), encoded, 0o644)
+}
+
+// start runs the process unless it runs already.
+func (p *process) start() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running() {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(p.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(p.program)
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath())
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		log.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		// How it ended shows in its log.
+		_ = command.Wait()
+		log.Close()
+		close(ended)
+	}()
+	p.command, p.ended = command, ended
+	return nil
+}
+
+// running tells whether the process has not ended. The mutex is held.
+func (p *process) running() bool {
+	if p.ended == nil {
+		return false
+	}
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command != nil {
+		// A process that has ended needs no signal.
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+func (p *process) wait() {
+	p.mutex.Lock()
+	ended := p.ended
+	p.mutex.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// harm notes that the process is harmed for the time and a while after.
+func (p *process) harm(duration time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if until := time.Now().Add(duration); until.After(p.harmedUntil) {
+		p.harmedUntil = until
+	}
+}
+
+func (p *process) harmedSince(from time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.harmedUntil.After(from)
+}
+
+func (p *process) readyBy(ctx context.Context, deadline time.Time) bool {
+	client := &http.Client{Timeout: time.Second}
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		response, err := client.Get("http://" + p.addresses.Ready + platform.PathReadiness)
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return true
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,260 @@
+// Package soak runs gateways as separate processes before stand-ins of the
+// platform, injects random faults from outside, and checks what callers and
+// runners see against the product's promises while it runs.
+//
+// The faults and calls of a run follow from its seed; their times follow the
+// real clock, so a seed repeats the faults but not each interleaving.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// Settings of a run.
+type Settings struct {
+	// Program is the path of the gateway.
+	Program string
+	Seed    uint64
+	// Duration is how long faults are injected.
+	Duration time.Duration
+	// Folder takes settings files and logs.
+	Folder string
+	Out    io.Writer
+}
+
+// Sizes of the deployment.
+const (
+	gateways     = 4
+	plainRunners = 3
+	engines      = 4
+	callers      = 8
+	streamEvents = 8
+)
+
+// Bounds that the gateways are told and that the checks use.
+const (
+	revokeTime  = 5 * time.Second
+	leaseTime   = 3 * time.Second
+	versionTime = 8 * time.Second
+	graceTime   = 4 * time.Second
+	// settleTime is how long after the last fault everything must be well.
+	settleTime = 6 * time.Second
+)
+
+// Soak is one run.
+type Soak struct {
+	settings  Settings
+	random    *rand.Rand
+	store     *storestand.Store
+	processes []*process
+	runners   *fleet
+	config    *configuration
+	calls     *callLog
+	mutex     sync.Mutex
+	failures  []string
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Calls    int
+	Served   int
+	Faults   int
+	Failures []string
+}
+
+// Run plays one soak.
+func Run(ctx context.Context, settings Settings) (Report, error) {
+	s := &Soak{
+		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
+		store: storestand.New(), calls: newCallLog(),
+	}
+	defer s.close()
+	if err := s.start(); err != nil {
+		return Report{}, err
+	}
+	load, stopLoad := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Add(1)
+		go func() { defer group.Done(); s.call(load, rand.New(rand.NewPCG(settings.Seed, uint64(i)))) }()
+	}
+	faults := s.harm(ctx)
+	s.heal()
+	s.checkRecovery(ctx)
+	stopLoad()
+	group.Wait()
+	s.checkRuns()
+	s.checkOrders()
+	calls, served := s.calls.totals()
+	return Report{Calls: calls, Served: served, Faults: faults, Failures: s.failures}, ctx.Err()
+}
+
+// fail notes a broken promise.
+func (s *Soak) fail(format string, args ...any) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	text := fmt.Sprintf(format, args...)
+	s.failures = append(s.failures, text)
+	fmt.Fprintf(s.settings.Out, "%s BROKEN %s\n", time.Now().Format("15:04:05.000"), text)
+}
+
+func (s *Soak) say(format string, args ...any) {
+	fmt.Fprintf(s.settings.Out, "%s %s\n", time.Now().Format("15:04:05.000"), fmt.Sprintf(format, args...))
+}
+
+func (s *Soak) start() error {
+	if err := os.MkdirAll(s.settings.Folder, 0o755); err != nil {
+		return err
+	}
+	s.runners = newFleet(s.store)
+	for i := range plainRunners {
+		if err := s.runners.add(fmt.Sprintf("p%d", i), "plain"); err != nil {
+			return err
+		}
+	}
+	for i := range engines {
+		if err := s.runners.add(fmt.Sprintf("e%d", i), "engines"); err != nil {
+			return err
+		}
+	}
+	s.config = newConfiguration(s.store)
+	return s.startProcesses()
+}
+
+func (s *Soak) startProcesses() error {
+	var addresses []processAddresses
+	var seeds []string
+	for range gateways {
+		free, err := freeAddresses()
+		if err != nil {
+			return err
+		}
+		addresses = append(addresses, free)
+		if len(seeds) < 2 {
+			seeds = append(seeds, free.Peer)
+		}
+	}
+	for i, free := range addresses {
+		door, err := s.store.Open()
+		if err != nil {
+			return err
+		}
+		proxy, err := faultproxy.Start(door.Address)
+		if err != nil {
+			return err
+		}
+		name := fmt.Sprintf("gateway-%d", i)
+		p := &process{name: name, program: s.settings.Program, folder: s.settings.Folder, addresses: free, seeds: seeds, door: door, proxy: proxy}
+		if err := p.writeSettings(); err != nil {
+			return err
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+		s.processes = append(s.processes, p)
+	}
+	return nil
+}
+
+func (s *Soak) close() {
+	for _, p := range s.processes {
+		p.kill()
+		p.proxy.Close()
+		p.door.Close()
+	}
+	if s.runners != nil {
+		s.runners.close()
+	}
+}
+
+// checkRecovery waits until every gateway serves the newest configuration and
+// all engines have the newest weights.
+func (s *Soak) checkRecovery(ctx context.Context) {
+	deadline := time.Now().Add(settleTime + leaseTime + versionTime)
+	for _, p := range s.processes {
+		if !p.readyBy(ctx, deadline) {
+			s.fail("recovery: %s is not ready after the last fault", p.name)
+		}
+	}
+	for _, engine := range s.runners.ofService("engines") {
+		for engine.Version() < s.config.weights() && time.Now().Before(deadline) && ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if engine.Version() < s.config.weights() {
+			s.fail("weights: %s has version %d of %d after the last fault", engine.ID, engine.Version(), s.config.weights())
+		}
+	}
+	if ctx.Err() == nil {
+		time.Sleep(settleTime / 3)
+	}
+}
+
+// checkRuns compares what callers were told with what runners ran.
+func (s *Soak) checkRuns() {
+	runs := map[string]int{}
+	for _, runner := range s.runners.all() {
+		for _, run := range runner.Runs() {
+			runs[run.Request]++
+			s.checkRun(run)
+		}
+	}
+	for _, call := range s.calls.all() {
+		ran := runs[call.id]
+		if !call.repeatable && ran > 1 {
+			s.fail("at most once: %s (%s) ran %d times", call.id, call.path, ran)
+		}
+		if !call.repeatable && call.promised() && ran > 0 {
+			s.fail("not run: %s was told %d and ran", call.id, call.status)
+		}
+		if call.keyTaken && ran > 0 {
+			s.fail("keys: %s ran %v after its key was taken away", call.id, call.sinceTaken)
+		}
+	}
+}
+
+func (s *Soak) checkRun(run runnerstand.Run) {
+	call, known := s.calls.find(run.Request)
+	if !known {
+		s.fail("unasked: %s ran and nobody sent it", run.Request)
+		return
+	}
+	if run.Path != call.path || run.Body != call.body {
+		s.fail("unasked: %s ran with another path or body", run.Request)
+	}
+	if tenant := run.Header.Get(platform.HeaderTenant); tenant != call.tenant {
+		s.fail("tenants: %s ran for %q instead of %q", run.Request, tenant, call.tenant)
+	}
+}
+
+// checkOrders checks that fencing tokens rise at each runner and that two
+// holders keep their distance.
+func (s *Soak) checkOrders() {
+	type given struct {
+		holder string
+		at     time.Time
+	}
+	var last given
+	for _, order := range s.runners.ordersInTime() {
+		if last.holder != "" && order.Holder != last.holder && order.At.Sub(last.at) < leaseTime {
+			s.fail("one holder: %s ordered %v after %s", order.Holder, order.At.Sub(last.at), last.holder)
+		}
+		last = given{order.Holder, order.At}
+	}
+}
+
+// LogFolder returns where a run of the seed keeps its logs.
+func LogFolder(root string, seed uint64) string {
+	return filepath.Join(root, fmt.Sprintf("soak-%d", seed))
+}
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -58,6 +58,11 @@
 	Loses
 )
 
+// String returns the fault's name.
+func (f Fault) String() string {
+	return [...]string{"healthy", "busy", "throttled", "silent", "reset", "loses answers"}[f]
+}
+
 // pageSize is how many objects a list returns at once.
 const pageSize = 3
 
