--- /dev/null
+++ b/internal/backend/candidates.go
@@ -0,0 +1,176 @@
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/fleet"
+	"github.com/clovertiller/clovertiller/internal/placement"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
+)
+
+// Costs in prompt tokens, the unit of placement's scores.
+const (
+	// PrefillRate is the assumed speed of reading prompts, in tokens a second.
+	PrefillRate = 38000
+	// failureCost is the cost of a runner that fails every request.
+	failureCost = 40000
+	// otherZoneCost is the cost of leaving the router's zone.
+	otherZoneCost = 400
+	// oldWeightsCost is the cost of weights that should have been replaced.
+	oldWeightsCost = 1500
+	// updatingCost is the cost of a runner whose weights are being replaced.
+	updatingCost = 60000
+	// coldCost is the cost of a runner that has just started.
+	coldCost = 2000
+)
+
+// Query is what a choice of a runner needs to know.
+type Query struct {
+	Service string
+	// Model is empty for requests that use no language model.
+	Model        string
+	PromptTokens int
+	// Family is the hash of the prompt's deepest shared part, 0 without one.
+	Family uint64
+	// SharedTokens is how many tokens come before the prompt's own part, and
+	// TrunkTokens how many of them many families share.
+	SharedTokens int
+	TrunkTokens  int
+	// Excluded names runners that failed this request.
+	Excluded []string
+}
+
+// Candidates returns the service's runners with their costs, for placement.
+// Runners whose weights are past their deadline are left out.
+func (s *Set) Candidates(now time.Time, query Query) (placement.Request, []placement.Candidate) {
+	request := placement.Request{Model: query.Model, PromptTokens: query.PromptTokens, Excluded: slices.Clone(query.Excluded)}
+	entries := s.byService[query.Service]
+	home := s.home(now, entries, query)
+	var candidates []placement.Candidate
+	for _, e := range entries {
+		cost, usable := s.weightsCost(now, e, query)
+		if !usable {
+			continue
+		}
+		if now.Before(e.asideUntil) {
+			request.Excluded = append(request.Excluded, e.ID)
+		}
+		candidates = append(candidates, placement.Candidate{
+			Name: e.ID, Leaving: e.Draining, Report: s.report(now, e, query.Model),
+			CachedTokens:    cachedTokens(query, e.ID == home),
+			PendingTokens:   e.pendingTokens + int(e.currentWait(now).Seconds()*PrefillRate),
+			PendingRequests: e.inFlight,
+			ExtraTokens:     cost + s.evidenceCost(now, e),
+		})
+	}
+	return request, candidates
+}
+
+// home returns the runner that keeps the family's shared parts: the one of
+// highest weight that takes work, the same one on all routers.
+func (s *Set) home(now time.Time, entries []*entry, query Query) string {
+	if query.Family == 0 {
+		return ""
+	}
+	ids := make([]string, 0, len(entries))
+	for _, e := range entries {
+		if !e.Draining && !now.Before(e.asideUntil) {
+			ids = append(ids, e.ID)
+		}
+	}
+	return rendezvous.Owner(ids, query.Family)
+}
+
+func cachedTokens(query Query, home bool) int {
+	if home {
+		return query.SharedTokens
+	}
+	return query.TrunkTokens
+}
+
+func (s *Set) report(now time.Time, e *entry, model string) fleet.Report {
+	state := fleet.Serving
+	if e.Draining {
+		state = fleet.Draining
+	}
+	return fleet.Report{
+		Runner: e.ID, State: state, Connected: true, Model: model,
+		Load: fleet.Load{MaxRunning: e.Slots, PrefillRate: PrefillRate},
+	}
+}
+
+// weightsCost tells whether the runner's weights may begin the request, and what
+// speaks against them. What counts is the moment at which the request begins
+// there: after what waits before it and its own prompt.
+func (s *Set) weightsCost(now time.Time, e *entry, query Query) (cost int, usable bool) {
+	model := query.Model
+	if model == "" {
+		return 0, true
+	}
+	version, held := e.version(model)
+	if !held {
+		return 0, false
+	}
+	if s.weights.State(now.Add(e.startsAfter(now, query.PromptTokens)), model, version) == Expired {
+		return 0, false
+	}
+	switch s.weights.State(now, model, version) {
+	case Expired:
+		return 0, false
+	case Old:
+		cost = oldWeightsCost
+	}
+	if e.updating {
+		cost += updatingCost
+	}
+	return cost, true
+}
+
+func (s *Set) evidenceCost(now time.Time, e *entry) int {
+	cost := int(e.currentFailureShare(now) * failureCost)
+	if e.Zone != s.zone {
+		cost += otherZoneCost
+	}
+	if e.Cold > 0 {
+		cost += coldCost
+	}
+	return cost
+}
+
+// Backup returns the runner that a run's memory is best copied to: of the
+// runner's service, with the same weights, free of bad signs, in another zone,
+// as runners of one zone are lost together, and with the fewest requests of this
+// router.
+func (s *Set) Backup(now time.Time, id, model string) (Runner, bool) {
+	primary := s.entries[id]
+	if primary == nil {
+		return Runner{}, false
+	}
+	version, _ := primary.version(model)
+	var best *entry
+	for _, e := range s.byService[primary.Service] {
+		other, held := e.version(model)
+		if e == primary || !held || other != version || e.Draining || e.updating || now.Before(e.asideUntil) {
+			continue
+		}
+		if best == nil || backupCost(primary, e) < backupCost(primary, best) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Runner{}, false
+	}
+	return best.Runner, true
+}
+
+// sameZoneBackup is what the runner's own zone counts for, in requests.
+const sameZoneBackup = 1000
+
+func backupCost(primary, e *entry) int {
+	cost := e.inFlight
+	if e.Zone == primary.Zone {
+		cost += sameZoneBackup
+	}
+	return cost
+}
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/clovertiller/clovertiller/internal/lab/testkit"
 	"github.com/clovertiller/clovertiller/internal/placement"
 )
 
@@ -150,6 +151,7 @@
 // Whatever is reported about runners, a service whose directory lists a runner
 // that takes work always has one that placement picks.
 func TestEvidenceNeverEmptiesAService(t *testing.T) {
+	testkit.Properties(2000)
 	rapid.Check(t, func(t *rapid.T) {
 		set := NewSet("z")
 		ids := []string{"a", "b", "c"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -280,18 +280,18 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.DrainGrace-stopMargin))
 	defer cancel()
 	err := g.callers.Shutdown(ctx)
-	g.cancel()
-	g.callers.Close()
-	g.readiness.Close()
-	g.relays.close()
-	if g.figures != nil {
-		g.figures.Close()
-	}
+	g.end()
 	g.log.Log(events.GatewayStopped, events.Fields{"after_ms": time.Since(began).Milliseconds(), "cut": err != nil})
 }
 
 // Kill ends the gateway at once, as a crash would.
 func (g *Gateway) Kill() {
+	g.end()
+	g.group.Wait()
+}
+
+// end stops the loops and closes everything that listens.
+func (g *Gateway) end() {
 	g.cancel()
 	g.callers.Close()
 	g.readiness.Close()
@@ -299,5 +299,4 @@
 	if g.figures != nil {
 		g.figures.Close()
 	}
-	g.group.Wait()
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -112,7 +112,7 @@
 	c.stream = &eventStream{}
 	c.firstAnswer()
 	c.gateway.metrics.firstEvent(time.Since(c.arrived))
-	c.writeHead(response.Status, response.Header)
+	c.copyHead(response.Header)
 	c.writer.WriteHeader(response.Status)
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
@@ -16,32 +14,6 @@
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
-// wholeAnswer is the longest body that is read whole before it is passed on.
-const wholeAnswer = 1 << 20
-
-// heldAnswer is a runner's answer that has been read.
-type heldAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// write passes the answer on unchanged.
-func (a *heldAnswer) write(c *call) {
-	c.writeHead(a.status, a.header)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	c.writer.WriteHeader(a.status)
-	// A caller that has gone is noticed by the server.
-	_, _ = c.writer.Write(a.body)
-}
-
-func (c *call) writeHead(_ int, header http.Header) {
-	own := c.writer.Header()
-	for name, values := range c.gateway.ports.Protocol.Return(header) {
-		own[name] = values
-	}
-}
-
 // pick chooses the runner of the next attempt, or says why there is none.
 func (c *call) pick() (backend.Runner, *refusal) {
 	g := c.gateway
@@ -211,58 +183,3 @@
 }
 
 func (c *call) lost() attempt.Next { return c.request.Lost() }
-
-// passOn reads a whole answer and passes it on. A failure of a repeatable
-// request is kept while another runner is tried.
-func (c *call) passOn(response *httpconn.Response) attempt.Next {
-	c.firstAnswer()
-	body, more, err := response.Body.ReadAll(wholeAnswer)
-	if err != nil {
-		return c.spoilt("answer broke off: " + err.Error())
-	}
-	answer := &heldAnswer{status: response.Status, header: response.Header, body: body}
-	if response.Status >= http.StatusInternalServerError || isPromise(response.Status) {
-		return c.runnerFailed(answer)
-	}
-	c.end(backend.Answered, "", response.Status)
-	c.request.Accept()
-	c.request.Finish(c.request.Attempt(), 0)
-	if more {
-		c.passOnLong(answer, response)
-		return attempt.Stop
-	}
-	answer.write(c)
-	return attempt.Stop
-}
-
-// isPromise tells whether callers take the status as the word that the request
-// has not run.
-func isPromise(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
-}
-
-// runnerFailed takes a runner's own failure.
-func (c *call) runnerFailed(answer *heldAnswer) attempt.Next {
-	c.end(backend.Failed, "runner's failure", answer.status)
-	if answer.status != http.StatusServiceUnavailable && !isPromise(answer.status) {
-		c.failure = answer
-	}
-	return c.request.FailedAnswer()
-}
-
-// passOnLong relays the rest of a long answer; a break must look like one.
-func (c *call) passOnLong(answer *heldAnswer, response *httpconn.Response) {
-	c.writeHead(answer.status, answer.header)
-	if response.ContentLength >= 0 {
-		c.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
-	}
-	c.writer.WriteHeader(answer.status)
-	_, err := c.writer.Write(answer.body)
-	if err == nil {
-		_, err = io.Copy(c.writer, response.Body)
-	}
-	if err != nil {
-		c.logEnd(outcomeCut)
-		panic(http.ErrAbortHandler)
-	}
-}
