Copies between routers: packed, from the own zone, without a herd at the start

Large changes are compressed and the last answer is kept; seeds of the own zone go first; a started router waits 0 to 0.3 s for seeds, 2 s for one that is starting. The soak waited for the wrong process when two faults ended one; mended.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -30,6 +30,11 @@
 	// firstPullTime bounds the pulls of a router that knows nothing yet: a seed
 	// that runs answers in a few milliseconds, and callers wait.
 	firstPullTime = 50 * time.Millisecond
+	// startPatience is how long a router that knows nothing yet waits at most for
+	// seeds that do not answer, and seedPatience for one that answers but knows
+	// nothing yet either.
+	startPatience = 300 * time.Millisecond
+	seedPatience  = 2 * time.Second
 )
 
 // relays connects this router with others: those it asks and those that ask it.
@@ -44,12 +49,24 @@
 	behind chan struct{}
 	// source is the router that answered last, "" when there is none.
 	source string
+	// patientUntil is until when a router that knows nothing yet waits for seeds
+	// that are starting too, rather than read the store with all others.
+	patientUntil time.Time
+	// packed holds the last answer of each kind: many ask for the same at once.
+	packed map[ObjectKind]packedCopy
+}
+
+// packedCopy is the encoded changes between two revisions.
+type packedCopy struct {
+	from, through uint64
+	message       *wire.CopyDelta
 }
 
 func newRelays(g *Gateway) *relays {
 	return &relays{
-		gateway: g, chooser: relay.NewChooser(g.settings.PeerAddress, g.settings.Seeds),
-		followers: map[string]time.Time{}, behind: make(chan struct{}, 1),
+		gateway: g, chooser: relay.NewChooser(g.settings.PeerAddress, g.settings.Zone, g.settings.Seeds),
+		followers: map[string]time.Time{}, behind: make(chan struct{}, 1), packed: map[ObjectKind]packedCopy{},
+		patientUntil: g.started.Add(g.jitter(startPatience)),
 	}
 }
 
@@ -90,7 +107,8 @@
 	r.mutex.Lock()
 	isSeed := r.chooser.IsSeed()
 	r.mutex.Unlock()
-	return r.transport == nil || isSeed || !relayed
+	waits := r.gateway.view.Load() == nil && time.Now().Before(r.patientUntil)
+	return r.transport == nil || isSeed || !(relayed || waits)
 }
 
 // wantsPull tells whether other routers are to be asked: always by those that
@@ -138,15 +156,7 @@
 			r.source = ""
 			return false
 		}
-		proven := r.pullFrom(seed)
-		r.mutex.Lock()
-		if proven {
-			r.chooser.Answered(seed)
-		} else {
-			r.chooser.Failed(time.Now(), seed)
-		}
-		r.mutex.Unlock()
-		if proven {
+		if r.pullFrom(seed) {
 			r.source = seed
 			return true
 		}
@@ -155,6 +165,31 @@
 
 // pullFrom asks one router for changes and tells whether its proof is recent.
 func (r *relays) pullFrom(address string) bool {
+	answer, sent := r.askFor(address)
+	now := time.Now()
+	age := time.Duration(answer.GetProofAgeMillis()) * time.Millisecond
+	r.mutex.Lock()
+	switch {
+	case answer == nil:
+		r.chooser.Failed(now, address)
+	case !answer.GetProven():
+		r.chooser.Starting(now, address)
+		r.patientUntil = r.gateway.started.Add(seedPatience)
+	case age > proofAge:
+		r.chooser.Failed(now, address)
+	default:
+		r.chooser.Answered(address, answer.GetZone())
+	}
+	r.mutex.Unlock()
+	if !answer.GetProven() {
+		return false
+	}
+	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
+	return age <= proofAge
+}
+
+// askFor makes one pull and returns the answer, or nil, and when it was asked for.
+func (r *relays) askFor(address string) (*wire.CopyAnswer, time.Time) {
 	g := r.gateway
 	patience := pullTime
 	if g.view.Load() == nil {
@@ -169,16 +204,9 @@
 	sent := time.Now()
 	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
 	if err != nil {
-		return false
-	}
-	answer := reply.GetCopyAnswer()
-	if answer == nil || !answer.GetProven() {
-		return false
+		return nil, sent
 	}
-	age := time.Duration(answer.GetProofAgeMillis()) * time.Millisecond
-	// The configuration is taken last, so that its proof comes when all is in force.
-	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
-	return age <= proofAge
+	return reply.GetCopyAnswer(), sent
 }
 
 // applyDeltas applies changes from another router.
@@ -189,7 +217,12 @@
 			continue
 		}
 		given := proof{at: proven.at, given: proven.given && kind == ConfigObjects}
-		if r.gateway.copies.apply(kind, control.DeltaFromWire(delta.GetDelta()), given) == config.Gap {
+		unpacked, err := wire.UnpackCopyDelta(delta)
+		if err != nil {
+			r.gateway.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "fault": err.Error()})
+			continue
+		}
+		if r.gateway.copies.apply(kind, control.DeltaFromWire(unpacked), given) == config.Gap {
 			r.askAgain()
 		}
 	}
@@ -222,7 +255,7 @@
 		r.followers[address] = time.Now().Add(pushTime)
 	}
 	r.mutex.Unlock()
-	answer := &wire.CopyAnswer{}
+	answer := &wire.CopyAnswer{Zone: g.settings.Zone}
 	// The proof is read before the copies: what is given is at least as new.
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
 		answer.Proven = true
@@ -234,14 +267,32 @@
 			continue
 		}
 		if kind == ConfigObjects || g.copies.revision(kind) > have.GetRevision() {
-			answer.Deltas = append(answer.Deltas, copyDelta(kind, g.copies.since(kind, have.GetRevision())))
+			answer.Deltas = append(answer.Deltas, r.changes(kind, have.GetRevision()))
 		}
 	}
 	return answer
 }
 
-func copyDelta(kind ObjectKind, delta config.Delta) *wire.CopyDelta {
-	return &wire.CopyDelta{Kind: uint32(kind), Delta: control.DeltaToWire(delta)}
+// changes returns what changed after the revision, encoded. The last such
+// answer is kept, as many routers ask for the same after a change or a restart.
+func (r *relays) changes(kind ObjectKind, after uint64) *wire.CopyDelta {
+	through := r.gateway.copies.revision(kind)
+	r.mutex.Lock()
+	kept := r.packed[kind]
+	r.mutex.Unlock()
+	if kept.message != nil && kept.from == after && kept.through == through {
+		return kept.message
+	}
+	delta := r.gateway.copies.since(kind, after)
+	message, err := wire.PackCopyDelta(uint32(kind), control.DeltaToWire(delta))
+	if err != nil {
+		// Objects that cannot be encoded are none of the store's.
+		panic("gateway: " + err.Error())
+	}
+	r.mutex.Lock()
+	r.packed[kind] = packedCopy{after, delta.Through, message}
+	r.mutex.Unlock()
+	return message
 }
 
 // push tells the routers that pulled of late what has changed after the revision.
@@ -260,7 +311,7 @@
 	if len(addresses) == 0 {
 		return
 	}
-	delta := copyDelta(kind, r.gateway.copies.since(kind, after))
+	delta := r.changes(kind, after)
 	for _, address := range addresses {
 		// A push that is lost is repaired by the next pull.
 		_ = r.transport.Send("", address, &wire.Envelope{Body: &wire.Envelope_CopyPush{CopyPush: &wire.CopyPush{Deltas: []*wire.CopyDelta{delta}}}})
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -83,32 +83,40 @@
 	return func(duration time.Duration) (string, func()) {
 		p := s.anyProcess()
 		p.harm(duration + graceTime + startTime)
-		p.signal(syscall.SIGCONT)
-		p.signal(signal)
-		return signal.String() + " " + p.name, func() {
-			p.wait()
-			if err := p.start(); err != nil {
-				s.fail("start: %s: %v", p.name, err)
-			}
-			p.harm(startTime)
-		}
+		ended := p.end(signal)
+		return signal.String() + " " + p.name, func() { s.startAgain(p, ended) }
 	}
 }
 
 func (s *Soak) killAll(duration time.Duration) (string, func()) {
+	var ended []<-chan struct{}
 	for _, p := range s.processes {
 		p.harm(duration + startTime)
-		p.signal(syscall.SIGKILL)
+		ended = append(ended, p.end(syscall.SIGKILL))
 	}
 	return "kill all", func() {
-		for _, p := range s.processes {
-			p.wait()
-			if err := p.start(); err != nil {
-				s.fail("start: %s: %v", p.name, err)
-			}
-			p.harm(startTime)
+		for i, p := range s.processes {
+			s.startAgain(p, ended[i])
+		}
+	}
+}
+
+// startAgain starts a process once the one before has ended. One that takes
+// longer than its grace breaks a promise and is killed.
+func (s *Soak) startAgain(p *process, ended <-chan struct{}) {
+	for waiting := true; waiting; {
+		select {
+		case <-ended:
+			waiting = false
+		case <-time.After(graceTime + startTime + faultMost):
+			s.fail("stop: %s did not end within its grace", p.name)
+			p.kill()
 		}
 	}
+	if err := p.start(); err != nil {
+		s.fail("start: %s: %v", p.name, err)
+	}
+	p.harm(startTime)
 }
 
 func (s *Soak) reload(time.Duration) (string, func()) {
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -125,16 +125,21 @@
 	}
 }
 
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	p.wait()
+// end sends a signal that ends the process and returns what is closed when the
+// process that runs now has ended; others may be started since.
+func (p *process) end(signal syscall.Signal) <-chan struct{} {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.running() {
+		// A stopped process does not take the signal before it goes on.
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Signal(signal)
+	}
+	return p.ended
 }
 
-func (p *process) wait() {
-	p.mutex.Lock()
-	ended := p.ended
-	p.mutex.Unlock()
-	if ended != nil {
+func (p *process) kill() {
+	if ended := p.end(syscall.SIGKILL); ended != nil {
 		<-ended
 	}
 }
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -24,11 +24,14 @@
 	seeds []string
 	// passedUntil holds the seeds that failed.
 	passedUntil map[string]time.Time
+	// zone is this router's, and zones those of the seeds that have told theirs.
+	zone  string
+	zones map[string]string
 }
 
-// NewChooser returns a chooser of the router with the peer address self.
-func NewChooser(self string, seeds []string) *Chooser {
-	c := &Chooser{self: self, passedUntil: map[string]time.Time{}}
+// NewChooser returns a chooser of the router in the zone with the peer address self.
+func NewChooser(self, zone string, seeds []string) *Chooser {
+	c := &Chooser{self: self, zone: zone, passedUntil: map[string]time.Time{}, zones: map[string]string{}}
 	c.SetSeeds(seeds)
 	return c
 }
@@ -49,18 +52,52 @@
 	return false
 }
 
-// Next returns the seed to ask, or false when there is none.
+// Next returns the seed to ask, or false when there is none: one of this
+// router's zone if there is one, else one whose zone is not known yet.
 func (c *Chooser) Next(now time.Time) (string, bool) {
+	best, bestRank := "", otherZone+1
 	for _, seed := range c.seeds {
-		if seed != c.self && !now.Before(c.passedUntil[seed]) {
-			return seed, true
+		if seed == c.self || now.Before(c.passedUntil[seed]) {
+			continue
 		}
+		if rank := c.rank(seed); rank < bestRank {
+			best, bestRank = seed, rank
+		}
+	}
+	return best, best != ""
+}
+
+// Ranks of seeds, the best first.
+const (
+	ownZone = iota
+	unknownZone
+	otherZone
+)
+
+func (c *Chooser) rank(seed string) int {
+	zone, known := c.zones[seed]
+	switch {
+	case !known:
+		return unknownZone
+	case zone == c.zone:
+		return ownZone
 	}
-	return "", false
+	return otherZone
 }
 
 // Failed passes a seed over for a while.
 func (c *Chooser) Failed(now time.Time, seed string) { c.passedUntil[seed] = now.Add(passedOver) }
 
-// Answered notes that a seed is well.
-func (c *Chooser) Answered(seed string) { delete(c.passedUntil, seed) }
+// startingPause is how long a seed that is starting itself is not asked.
+const startingPause = 80 * time.Millisecond
+
+// Starting notes that a seed answers but knows nothing yet.
+func (c *Chooser) Starting(now time.Time, seed string) {
+	c.passedUntil[seed] = now.Add(startingPause)
+}
+
+// Answered notes that a seed is well, and its zone.
+func (c *Chooser) Answered(seed, zone string) {
+	delete(c.passedUntil, seed)
+	c.zones[seed] = zone
+}
--- a/internal/relay/chooser_test.go
+++ b/internal/relay/chooser_test.go
@@ -11,7 +11,7 @@
 
 func TestFailedSeedsArePassedOverForAWhile(t *testing.T) {
 	g := NewWithT(t)
-	chooser := NewChooser("x", []string{"a", "b"})
+	chooser := NewChooser("x", "z", []string{"a", "b"})
 	first, found := chooser.Next(start)
 	g.Expect(found).To(BeTrue())
 	chooser.Failed(start, first)
@@ -24,14 +24,14 @@
 	again, _ := chooser.Next(start.Add(passedOver))
 	g.Expect(again).To(Equal(first))
 	chooser.Failed(start.Add(passedOver), first)
-	chooser.Answered(first)
+	chooser.Answered(first, "z")
 	again, _ = chooser.Next(start.Add(passedOver))
 	g.Expect(again).To(Equal(first))
 }
 
 func TestSeedsReadForOthersAndAskOnlyOthers(t *testing.T) {
 	g := NewWithT(t)
-	chooser := NewChooser("a", []string{"a", "b"})
+	chooser := NewChooser("a", "z", []string{"a", "b"})
 	g.Expect(chooser.IsSeed()).To(BeTrue())
 	next, _ := chooser.Next(start)
 	g.Expect(next).To(Equal("b"))
@@ -46,8 +46,24 @@
 	g := NewWithT(t)
 	counts := map[string]int{}
 	for _, self := range []string{"r1", "r2", "r3", "r4", "r5", "r6", "r7", "r8", "r9", "r10", "r11", "r12"} {
-		next, _ := NewChooser(self, []string{"a", "b", "c"}).Next(start)
+		next, _ := NewChooser(self, "z", []string{"a", "b", "c"}).Next(start)
 		counts[next]++
 	}
 	g.Expect(counts).To(HaveLen(3))
 }
+
+func TestSeedsOfTheOwnZoneArePreferred(t *testing.T) {
+	g := NewWithT(t)
+	chooser := NewChooser("x", "z1", []string{"a", "b", "c"})
+	first, _ := chooser.Next(start)
+	chooser.Answered(first, "z2")
+	second, _ := chooser.Next(start)
+	g.Expect(second).NotTo(Equal(first), "another one may be nearer")
+	chooser.Answered(second, "z1")
+	near, _ := chooser.Next(start)
+	g.Expect(near).To(Equal(second))
+	chooser.Failed(start, second)
+	next, found := chooser.Next(start)
+	g.Expect(found).To(BeTrue())
+	g.Expect(next).NotTo(Equal(second))
+}
