Recovery: small first pulls, short dials, a directory before ready

Seeds encoded a whole directory anew for each of 100 askers, whose answers came after their 0.25 s, so all listed from the store; a lost opening packet blocked a peer for 2 s. A router asks for configuration and weights first, for the directory with 2 s of patience; seeds give a whole directory out again for 2 s; peers are dialled for 0.3 s.

--- a/cmd/clovertiller-gateway/main.go
+++ b/cmd/clovertiller-gateway/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -23,9 +24,14 @@
 	exitSettings
 )
 
+// gcPercent keeps the heap small: memory is dearer than the processor time
+// that more frequent collections take.
+const gcPercent = 30
+
 func main() { os.Exit(run()) }
 
 func run() int {
+	debug.SetGCPercent(gcPercent)
 	path := os.Getenv(platform.SettingsVariable)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,7 +231,8 @@
 }
 
 func (g *Gateway) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
-	if g.draining.Load() || !g.proven(time.Now()) {
+	knowsRunners := g.copies.revision(RunnerObjects) > 0
+	if g.draining.Load() || !knowsRunners || !g.proven(time.Now()) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -30,11 +30,18 @@
 	// firstPullTime bounds the pulls of a router that knows nothing yet: a seed
 	// that runs answers in a few milliseconds, and callers wait.
 	firstPullTime = 50 * time.Millisecond
+	// directoryTime bounds the first pull of the whole directory, and fullTime is
+	// how long a whole copy is given out though there are newer changes: the next
+	// pull brings these.
+	directoryTime = 2 * time.Second
+	fullTime      = 2 * time.Second
+	// nextQuestion is the pause before the directory is asked for.
+	nextQuestion = 10 * time.Millisecond
 	// startPatience is how long a router that knows nothing yet waits at most for
 	// seeds that do not answer, and seedPatience for one that answers but knows
 	// nothing yet either.
 	startPatience = 300 * time.Millisecond
-	seedPatience  = 2 * time.Second
+	seedPatience  = time.Second
 )
 
 // relays connects this router with others: those it asks and those that ask it.
@@ -59,7 +66,20 @@
 // packedCopy is the encoded changes between two revisions.
 type packedCopy struct {
 	from, through uint64
-	message       *wire.CopyDelta
+	// reusable copies are given out for a while though there are newer changes:
+	// whole directories only. A configuration goes with a proof that it is the
+	// newest, so an older one must never be given.
+	reusable bool
+	at       time.Time
+	message  *wire.CopyDelta
+}
+
+// answers tells whether the copy serves for changes between the revisions.
+func (p packedCopy) answers(from, through uint64, now time.Time) bool {
+	if p.message == nil || p.from != from {
+		return false
+	}
+	return p.through == through || (p.reusable && now.Sub(p.at) < fullTime)
 }
 
 func newRelays(g *Gateway) *relays {
@@ -134,8 +154,11 @@
 // or nothing is known yet.
 func (r *relays) pause() {
 	interval := pullInterval
-	if r.gateway.view.Load() == nil {
+	switch {
+	case r.gateway.view.Load() == nil:
 		interval = firstRetry
+	case r.gateway.copies.revision(RunnerObjects) == 0:
+		interval = nextQuestion
 	}
 	timer := time.NewTimer(r.gateway.jitter(interval))
 	defer timer.Stop()
@@ -170,6 +193,8 @@
 	age := time.Duration(answer.GetProofAgeMillis()) * time.Millisecond
 	r.mutex.Lock()
 	switch {
+	case answer == nil && r.gateway.view.Load() == nil:
+		r.chooser.Starting(now, address)
 	case answer == nil:
 		r.chooser.Failed(now, address)
 	case !answer.GetProven():
@@ -191,14 +216,11 @@
 // askFor makes one pull and returns the answer, or nil, and when it was asked for.
 func (r *relays) askFor(address string) (*wire.CopyAnswer, time.Time) {
 	g := r.gateway
-	patience := pullTime
-	if g.view.Load() == nil {
-		patience = firstPullTime
-	}
+	patience, kinds := r.question()
 	ctx, cancel := context.WithTimeout(g.ctx, patience)
 	defer cancel()
 	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
-	for _, kind := range objectKinds {
+	for _, kind := range kinds {
 		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
 	}
 	sent := time.Now()
@@ -209,6 +231,19 @@
 	return reply.GetCopyAnswer(), sent
 }
 
+// question returns what is asked for and how long the answer may take. A router
+// that knows nothing asks for what is small, to find a seed that is alive; the
+// whole directory may take long at first, when many ask for it.
+func (r *relays) question() (patience time.Duration, kinds []ObjectKind) {
+	switch {
+	case r.gateway.view.Load() == nil:
+		return firstPullTime, []ObjectKind{ConfigObjects, WeightObjects}
+	case r.gateway.copies.revision(RunnerObjects) == 0:
+		return directoryTime, objectKinds
+	}
+	return pullTime, objectKinds
+}
+
 // applyDeltas applies changes from another router.
 func (r *relays) applyDeltas(deltas []*wire.CopyDelta, proven proof) {
 	for _, delta := range deltas {
@@ -280,7 +315,7 @@
 	r.mutex.Lock()
 	kept := r.packed[kind]
 	r.mutex.Unlock()
-	if kept.message != nil && kept.from == after && kept.through == through {
+	if kept.answers(after, through, time.Now()) {
 		return kept.message
 	}
 	delta := r.gateway.copies.since(kind, after)
@@ -290,7 +325,7 @@
 		panic("gateway: " + err.Error())
 	}
 	r.mutex.Lock()
-	r.packed[kind] = packedCopy{after, delta.Through, message}
+	r.packed[kind] = packedCopy{from: after, through: delta.Through, reusable: kind == RunnerObjects && delta.Full && delta.Through > 0, at: time.Now(), message: message}
 	r.mutex.Unlock()
 	return message
 }
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -94,3 +94,25 @@
 		return ready
 	}, 5*time.Second, 20*time.Millisecond).Should(BeFalse())
 }
+
+// A seed is asked while it knows nothing, and again after each change: what it
+// gave before must not be given again with a newer proof.
+func TestSeedNeverGivesAnOlderConfigurationWithANewerProof(t *testing.T) {
+	f := newFleet(t)
+	addresses := []string{freeAddress(f.g)}
+	seed := f.routerAt("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds = addresses[0], addresses
+	}, storestand.Silent)
+	first := f.routerAt("first", f.asFollower(addresses), storestand.Silent)
+	f.g.Consistently(first.isReady, 300*time.Millisecond).Should(BeFalse())
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	seed.door.Set(storestand.Healthy)
+	f.g.Eventually(seed.isReady, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+	f.g.Eventually(first.isReady, time.Second, 10*time.Millisecond).Should(BeTrue(), "not seconds later")
+	f.configure(2, defaultRoutes(), "key-two")
+	seed.settled(2)
+	second := f.routerAt("second", f.asFollower(addresses), storestand.Silent)
+	f.g.Eventually(second.isReady, time.Second, 10*time.Millisecond).Should(BeTrue())
+	f.g.Expect(second.call("/safe/x", nil).status).To(Equal(http.StatusUnauthorized))
+}
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -91,7 +91,8 @@
 // startingPause is how long a seed that is starting itself is not asked.
 const startingPause = 80 * time.Millisecond
 
-// Starting notes that a seed answers but knows nothing yet.
+// Starting notes that a seed knows nothing yet, or may be starting as this
+// router is.
 func (c *Chooser) Starting(now time.Time, seed string) {
 	c.passedUntil[seed] = now.Add(startingPause)
 }
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -17,13 +17,15 @@
 	// queueFrames bounds the frames waiting for one peer; more are dropped, so
 	// that a slow peer costs bounded memory and never blocks a sender.
 	queueFrames = 512
-	dialTimeout = 2 * time.Second
+	// dialTimeout is short: a lost opening packet is sent again after a second only,
+	// and a new dial is quicker.
+	dialTimeout = 300 * time.Millisecond
 	// writeTimeout closes the connection to a peer that stops reading.
 	writeTimeout = 5 * time.Second
 	// idleTimeout closes a connection without traffic.
 	idleTimeout = 90 * time.Second
 	// redialPause is the least time between two failed dials of a peer.
-	redialPause = 200 * time.Millisecond
+	redialPause = 100 * time.Millisecond
 )
 
 // Errors of sending and calling.
