--- a/cmd/clovertiller-gateway/main.go
+++ b/cmd/clovertiller-gateway/main.go
@@ -48,7 +48,7 @@
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	output := events.NewAsyncWriter(os.Stdout)
 	defer output.Flush()
-	router, err := gateway.Start(settings, ports(settings), events.NewLogger(output, settings.Node, logrus.InfoLevel))
+	router, err := gateway.Start(settings, ports(settings, output), events.NewLogger(output, settings.Node, logrus.InfoLevel))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
@@ -63,15 +63,16 @@
 	return exitOK
 }
 
-func ports(settings gateway.Settings) gateway.Ports {
+func ports(settings gateway.Settings, output *events.AsyncWriter) gateway.Ports {
 	calls := httpconn.NewPool(httpconn.DefaultDialTimeout)
 	return gateway.Ports{
-		Protocol:   platform.Protocol{},
-		Decode:     platform.Decode,
-		Store:      &platform.Store{Address: settings.StoreAddress, Pool: calls},
-		Runners:    &platform.Runners{Pool: calls},
-		ReadyPath:  platform.PathReadiness,
-		RunnerPool: httpconn.NewPool(httpconn.DefaultDialTimeout),
+		Protocol:     platform.Protocol{},
+		Decode:       platform.Decode,
+		Store:        &platform.Store{Address: settings.StoreAddress, Pool: calls},
+		Runners:      &platform.Runners{Pool: calls},
+		ReadyPath:    platform.PathReadiness,
+		DroppedLines: output.Dropped,
+		RunnerPool:   httpconn.NewPool(httpconn.DefaultDialTimeout),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	Runners RunnerControl
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
+	// DroppedLines returns how many log lines were dropped; nil counts none.
+	DroppedLines func() uint64
 	// RunnerPool carries requests to runners.
 	RunnerPool *httpconn.Pool
 }
@@ -218,11 +220,23 @@
 }
 
 func (g *Gateway) sweepLoop() {
+	reported := uint64(0)
 	for g.pause(sweepInterval) {
 		g.ports.RunnerPool.Sweep(time.Now())
+		if dropped := g.droppedLines(); dropped > reported {
+			g.log.Log(events.LinesDropped, events.Fields{"lines": dropped - reported, "total": dropped})
+			reported = dropped
+		}
 	}
 }
 
+func (g *Gateway) droppedLines() uint64 {
+	if g.ports.DroppedLines == nil {
+		return 0
+	}
+	return g.ports.DroppedLines()
+}
+
 // jitter returns a duration between half of the given one and all of it.
 func (g *Gateway) jitter(duration time.Duration) time.Duration {
 	g.mutex.Lock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -65,6 +65,7 @@
 			}
 			return -1
 		}),
+		gauge("log_lines_dropped", "Log lines dropped because the output did not take them.", func() float64 { return float64(g.droppedLines()) }),
 		gauge("runners", "Runners in the directory.", func() float64 {
 			g.mutex.Lock()
 			defer g.mutex.Unlock()
