A run that could not go on from its copy is never dispatched anew

Found in reading: after a copy's runner refused for newer weights, or was not reached, a stream that may run once was free for another attempt where its route allows more than one; only the copy's header, refused elsewhere, kept it from running twice. All refusals share one rule now.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -145,40 +145,26 @@
 // current attempt.
 func (r *Request) Reject() Next {
 	r.exclude()
-	r.refusals++
-	if r.continuing && !r.repeatable {
-		// The run before has run; only its copy could have gone on.
-		r.phase = Failed
-		return Stop
-	}
-	return r.retry()
+	return r.refused()
 }
 
 // RejectStale notes the engine's own word that it did not run the current
 // attempt because the dispatch named what it no longer has; named anew, the
 // request may go to the same engine.
-func (r *Request) RejectStale() Next {
-	r.refusals++
-	return r.retry()
-}
+func (r *Request) RejectStale() Next { return r.refused() }
 
 // NotSent notes that the dispatch cannot have reached the engine, because no
 // connection to it was made.
 func (r *Request) NotSent() Next {
 	r.exclude()
-	r.refusals++
-	return r.retry()
+	return r.refused()
 }
 
 // FailedAnswer notes the engine's own failure of the current attempt, which ran.
 func (r *Request) FailedAnswer() Next {
 	r.exclude()
 	r.ran = true
-	if !r.repeatable {
-		r.phase = Failed
-		return Stop
-	}
-	return r.retry()
+	return r.retryRepeatable()
 }
 
 // Frame takes an output frame of count tokens. It returns false when the frame
@@ -240,6 +226,9 @@
 // the current attempt and has barred it.
 func (r *Request) NeverSeen() Next {
 	r.exclude()
+	if r.continuing {
+		return r.retryRepeatable()
+	}
 	return r.retry()
 }
 
@@ -247,6 +236,11 @@
 func (r *Request) abandon() Next {
 	r.exclude()
 	r.doubtful = true
+	return r.retryRepeatable()
+}
+
+// retryRepeatable tries again after an attempt that may have run.
+func (r *Request) retryRepeatable() Next {
 	if !r.repeatable {
 		r.phase = Failed
 		return Stop
@@ -254,6 +248,16 @@
 	return r.retry()
 }
 
+// refused tries again after an attempt that certainly has not run. An attempt
+// that was to go on from a copy leaves the run before, which has run.
+func (r *Request) refused() Next {
+	r.refusals++
+	if r.continuing {
+		return r.retryRepeatable()
+	}
+	return r.retry()
+}
+
 func (r *Request) exclude() {
 	if r.runner != "" && !slices.Contains(r.excluded, r.runner) {
 		r.excluded = append(r.excluded, r.runner)
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -147,6 +147,24 @@
 	g.Expect(again.CopyHeld()).To(Equal(Stop), "copies are not copied")
 }
 
+// Whatever way the engine that was to go on from a copy does not, the run before
+// has run, and an unrepeatable request must not be dispatched anew.
+func TestRunThatCouldNotGoOnIsNeverDispatchedAnew(t *testing.T) {
+	for name, refuse := range map[string]func(*Request) Next{
+		"rejected": (*Request).Reject, "stale": (*Request).RejectStale, "not sent": (*Request).NotSent, "never seen": (*Request).NeverSeen,
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			request := NewRequest(false, Limits{MaxAttempts: 2, MaxRefusals: 3})
+			request.Dispatching("a")
+			g.Expect(request.CopyHeld()).To(Equal(Dispatch))
+			request.Dispatching("b")
+			g.Expect(refuse(request)).To(Equal(Stop))
+			g.Expect(request.RunState()).To(Equal(FailedAfterRun))
+		})
+	}
+}
+
 func TestRunStates(t *testing.T) {
 	cases := []struct {
 		name  string
