Dead code out, the cache store's address kept in the table

Unused calls of the connection pool, a parameter nobody read, memory of runners set back that was never dropped; the store's address was searched in a map for each prompt, and was any of them where there are two.

--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -23,20 +23,10 @@
 	answering atomic.Pointer[string]
 }
 
-// address returns the store that the configuration names, or "".
-func (w *cacheStoreWatch) address(table *routing.Table) string {
-	for _, service := range table.Services() {
-		if service.CacheStoreAddress != "" {
-			return service.CacheStoreAddress
-		}
-	}
-	return ""
-}
-
 // usable returns the configured store if it answers, or "".
 func (w *cacheStoreWatch) usable(table *routing.Table) string {
 	answering := w.answering.Load()
-	if answering == nil || w.address(table) != *answering {
+	if answering == nil || table.CacheStore() != *answering {
 		return ""
 	}
 	return *answering
@@ -51,7 +41,7 @@
 			continue
 		}
 		interval = cacheStoreInterval
-		if address := w.address(current.table); address != "" {
+		if address := current.table.CacheStore(); address != "" {
 			w.check(address)
 		}
 	}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -43,7 +43,7 @@
 
 func (l *leader) run() {
 	for l.wait() {
-		if !l.rollout.needed(time.Now()) {
+		if !l.rollout.needed() {
 			l.note(0, false)
 			continue
 		}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -50,7 +50,7 @@
 }
 
 // needed tells whether any runner has older weights than named.
-func (r *rollouts) needed(_ time.Time) bool {
+func (r *rollouts) needed() bool {
 	g := r.gateway
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -128,6 +128,7 @@
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
 		delete(r.active, id)
+		delete(r.setBackUntil, id)
 		if !done {
 			r.setBackUntil[id] = time.Now().Add(setBack)
 		}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -160,9 +160,6 @@
 // Abort ends the connection from another goroutine, so that a waiting Read fails.
 func (b *Body) Abort() { b.conn.Close() }
 
-// Buffered tells whether more of the answer has arrived already.
-func (b *Body) Buffered() bool { return b.conn.reader.Buffered() > 0 }
-
 // Close keeps the connection for another request if the whole answer was read
 // and nothing else has come; otherwise it closes it, which ends the server's work.
 func (b *Body) Close() {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -129,16 +129,6 @@
 	}
 }
 
-// CloseIdle closes all idle connections to the address.
-func (p *Pool) CloseIdle(address string) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, c := range p.idle[address] {
-		c.Close()
-	}
-	delete(p.idle, address)
-}
-
 // usable tells whether nothing has arrived on the idle connection: bytes there
 // would belong to no request, and an end means that the server has closed it.
 func (c *conn) usable(now time.Time) bool {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -135,6 +135,8 @@
 	byHost   map[string][]*Route
 	byKey    map[string]*Tenant
 	services map[string]*Service
+	// cacheStore is the address of the first store of kept cache, "" without one.
+	cacheStore string
 	// keyed is true when the configuration has tenants.
 	keyed bool
 }
@@ -161,7 +163,11 @@
 		}
 	}
 	for i := range config.Services {
-		t.services[config.Services[i].Name] = &config.Services[i]
+		service := &config.Services[i]
+		t.services[service.Name] = service
+		if t.cacheStore == "" {
+			t.cacheStore = service.CacheStoreAddress
+		}
 	}
 	return t
 }
@@ -198,5 +204,5 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// Services returns all services by name.
-func (t *Table) Services() map[string]*Service { return t.services }
+// CacheStore returns the IP:port of the store of kept cache, "" without one.
+func (t *Table) CacheStore() string { return t.cacheStore }
