A fenced holder steps down; figures by service, store, peers, placement and rollout

Now the term ends at the first such answer and the lease is not sought before the other holder's gap. Event 811 was in the catalogue and never written; it is now, once for each loss. runner_connections_total was never raised; a test compares the figures with what the stand-ins saw.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Set is the table of runners. It is not safe for concurrent use.
@@ -74,5 +75,49 @@
 	return known.Runner, true
 }
 
-// Len returns the number of runners.
-func (s *Set) Len() int { return len(s.entries) }
+// State is what a router thinks of a runner.
+type State uint8
+
+// The states, the first that holds counts.
+const (
+	// Draining runners get no requests.
+	Draining State = iota
+	// Updating runners take new weights by this router's order.
+	Updating
+	// SetAside runners failed or refused of late and are used last.
+	SetAside
+	// Serving runners get requests.
+	Serving
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"draining", "updating", "set aside", "serving"}[s]
+}
+
+// StateCount is the key of counted runners.
+type StateCount struct {
+	Service string
+	State   State
+}
+
+// States counts the runners by service and state.
+func (s *Set) States(now time.Time) map[StateCount]int {
+	counts := map[StateCount]int{}
+	for _, e := range s.entries {
+		counts[StateCount{e.Service, e.state(now)}]++
+	}
+	return counts
+}
+
+func (e *entry) state(now time.Time) State {
+	switch {
+	case e.Draining:
+		return Draining
+	case e.updating:
+		return Updating
+	case now.Before(e.asideUntil):
+		return SetAside
+	}
+	return Serving
+}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -146,6 +146,18 @@
 	proven := *current
 	proven.provenAt = at
 	g.view.Store(&proven)
+	g.stale.Store(false)
+}
+
+// noteStale logs once that the configuration in force is no longer proved.
+func (g *Gateway) noteStale(now time.Time) {
+	current := g.view.Load()
+	if current == nil || current.provenAt.IsZero() || current.fresh(now, g.settings.ConfigLease) {
+		return
+	}
+	if g.stale.CompareAndSwap(false, true) {
+		g.log.Log(events.ConfigStale, events.Fields{"version": current.table.Version, "revision": current.revision, "unproven_ms": now.Sub(current.provenAt).Milliseconds()})
+	}
 }
 
 func (g *Gateway) applyRunner(object Object) {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -82,6 +82,7 @@
 	defer cancel()
 	sent := time.Now()
 	objects, revision, err := g.ports.Store.List(ctx, f.kind)
+	g.metrics.storeCall(f.kind.String(), callList, sent)
 	if err != nil {
 		return err
 	}
@@ -97,6 +98,7 @@
 	defer cancel()
 	sent := time.Now()
 	objects, at, err := g.ports.Store.Watch(ctx, f.kind, revision, f.wait)
+	g.metrics.storeCall(f.kind.String(), callWatch, sent)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,8 +77,11 @@
 			f.g.Expect(r.call("/public/x", nil).status).To(Equal(http.StatusOK), "public routes are served on")
 			f.g.Expect(runner.Runs()).To(HaveLen(ran + 1))
 			f.g.Expect(r.isReady()).To(BeFalse())
+			f.g.Eventually(r.log.String, 2*time.Second).Should(ContainSubstring(`"event":811`))
 			r.door.Set(storestand.Healthy)
 			f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, 3*time.Second).Should(Equal(http.StatusUnauthorized))
+			f.g.Expect(strings.Count(r.log.String(), `"event":811`)).To(Equal(1))
+			f.g.Expect(r.log.String()).To(ContainSubstring(`"event":812`))
 		})
 	}
 }
@@ -133,6 +138,33 @@
 	f.g.Expect(time.Since(last)).To(BeNumerically(">", time.Second), "the lease of the first had to run out")
 }
 
+// A runner that has seen a higher fencing token shows that another router holds
+// the lease: what was refused is not ordered again under the same token.
+func TestFencedHolderStepsDown(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	var runners []*runnerstand.Runner
+	for i := range 6 {
+		runner := f.runner(fmt.Sprintf("e%d", i), "engines")
+		runner.SetFence(1 << 40)
+		runners = append(runners, runner)
+	}
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.LeaseGap = time.Second })
+	name(f, 2)
+	f.g.Eventually(r.log.String, 5*time.Second, 10*time.Millisecond).Should(ContainSubstring("controller lease lost"))
+	time.Sleep(900 * time.Millisecond)
+	orders := map[uint64]int{}
+	for _, runner := range runners {
+		for _, order := range runner.Orders() {
+			orders[order.Fence]++
+		}
+	}
+	f.g.Expect(orders).To(HaveLen(1), "one term while another holder may order")
+	for token, sent := range orders {
+		f.g.Expect(sent).To(BeNumerically("<=", 2), "only what was on its way when token %d was refused", token)
+	}
+}
+
 // A runner whose weights are past their deadline gets nothing, though no
 // leader can order it.
 func TestExpiredWeightsGetNoRequests(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,8 @@
 
 	view     atomic.Pointer[view]
 	draining atomic.Bool
+	// stale is true while the configuration in force is known to be unproved.
+	stale atomic.Bool
 
 	// mutex guards the state below; it is never held over I/O.
 	mutex    sync.Mutex
@@ -110,6 +112,7 @@
 		named:    make(chan struct{}, 1),
 	}
 	g.metrics = newMetrics(g)
+	ports.RunnerPool.Opened = g.metrics.connections.Inc
 	g.cacheStore = &cacheStoreWatch{gateway: g}
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
 	if err := g.listen(); err != nil {
@@ -223,6 +226,7 @@
 	reported := uint64(0)
 	for g.pause(sweepInterval) {
 		g.ports.RunnerPool.Sweep(time.Now())
+		g.noteStale(time.Now())
 		if dropped := g.droppedLines(); dropped > reported {
 			g.log.Log(events.LinesDropped, events.Fields{"lines": dropped - reported, "total": dropped})
 			reported = dropped
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -47,6 +47,7 @@
 			l.note(0, false)
 			continue
 		}
+		l.yieldIfFenced()
 		token, held := l.keep()
 		l.note(token, held)
 		if held {
@@ -102,12 +103,25 @@
 	return l.candidate.Token(time.Now())
 }
 
+// yieldIfFenced gives up a term whose token a runner refused. A new one is not
+// sought before the other holder's orders have had their time.
+func (l *leader) yieldIfFenced() {
+	token, held := l.candidate.Token(time.Now())
+	if !held || !l.rollout.refused(token) {
+		return
+	}
+	l.candidate.Release()
+	l.nextRead = time.Now().Add(l.gateway.settings.LeaseGap + gapMargin)
+}
+
 // read observes the lease and tells whether it could.
 func (l *leader) read() bool {
 	ctx, cancel := context.WithTimeout(l.gateway.ctx, leaseCall)
 	defer cancel()
+	asked := time.Now()
 	spec, revision, err := l.gateway.ports.Store.Lease(ctx)
 	now := time.Now()
+	l.gateway.metrics.storeCall(leaseKind, callRead, asked)
 	switch {
 	case errors.Is(err, ErrNotFound):
 		l.candidate.Observe(now, lease.Observation{})
@@ -126,6 +140,7 @@
 	proposal := l.candidate.Proposal(action)
 	sent := time.Now()
 	written, err := l.gateway.ports.Store.WriteLease(ctx, proposal, l.candidate.Seen().Version)
+	l.gateway.metrics.storeCall(leaseKind, callWrite, sent)
 	if err != nil {
 		// Lost or refused: the next read shows what is in place.
 		l.retryLater(err)
@@ -136,7 +151,7 @@
 
 func (l *leader) retryLater(err error) {
 	g := l.gateway
-	g.metrics.storeFailures.WithLabelValues("lease").Inc()
+	g.metrics.storeFailures.WithLabelValues(leaseKind).Inc()
 	l.nextRead = time.Now().Add(g.jitter(leaseRetry))
 	g.log.Log(events.LeaseCallFailed, events.Fields{"error": err.Error(), "seen": l.candidate.Seen().Version, "holder": l.candidate.Seen().Spec.Holder})
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,85 +7,172 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
 )
 
 // latencyBuckets are in seconds, dense around the targets.
 var latencyBuckets = []float64{.005, .01, .02, .05, .1, .15, .2, .3, .47, .6, .8, 1, 2, 5, 10}
 
-// metrics are the gateway's measurements. No label holds a tenant or a request.
+// metrics are the gateway's measurements. No label holds a tenant or a request;
+// services, kinds and outcomes are few.
 type metrics struct {
-	registry       *prometheus.Registry
-	calls          *prometheus.CounterVec
-	latencies      *prometheus.HistogramVec
-	firstEvents    prometheus.Histogram
-	refusals       *prometheus.CounterVec
-	attempts       prometheus.Counter
+	registry *prometheus.Registry
+
+	calls       *prometheus.CounterVec
+	latencies   *prometheus.HistogramVec
+	firstEvents *prometheus.HistogramVec
+	refusals    *prometheus.CounterVec
+
+	attempts       *prometheus.CounterVec
+	retries        *prometheus.CounterVec
 	runnerFailures *prometheus.CounterVec
-	storeFailures  *prometheus.CounterVec
-	orders         *prometheus.CounterVec
+	placements     *prometheus.CounterVec
+	promptTokens   *prometheus.CounterVec
 	connections    prometheus.Counter
+
+	storeCalls    *prometheus.HistogramVec
+	storeFailures *prometheus.CounterVec
+	peerCalls     *prometheus.HistogramVec
+
+	orders        *prometheus.CounterVec
+	weightUpdates *prometheus.HistogramVec
 }
 
+const namespace = "clovertiller"
+
 func newMetrics(g *Gateway) *metrics {
-	counter := func(name, help string) prometheus.Counter {
-		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "clovertiller", Name: name, Help: help})
-	}
-	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "clovertiller", Name: name, Help: help}, labels)
-	}
 	m := &metrics{
-		registry: prometheus.NewRegistry(),
-		calls:    counters("calls_total", "Calls sent to a runner, by kind of route and outcome.", "kind", "outcome"),
-		latencies: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "clovertiller", Name: "call_seconds", Help: "Time from a call's arrival to its end.", Buckets: latencyBuckets,
-		}, []string{"kind"}),
-		firstEvents: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Namespace: "clovertiller", Name: "first_event_seconds", Help: "Time from a call's arrival to the first event of its stream.", Buckets: latencyBuckets,
-		}),
+		registry:       prometheus.NewRegistry(),
+		calls:          counters("calls_total", "Calls sent to a runner, by how they ended.", "service", "kind", "outcome"),
+		latencies:      seconds("call_seconds", "Time from a call's arrival to its end.", "service", "kind"),
+		firstEvents:    seconds("first_event_seconds", "Time from a call's arrival to the first event of its stream.", "service"),
 		refusals:       counters("refusals_total", "Calls refused without having run, by status and reason.", "status", "reason"),
-		attempts:       counter("attempts_total", "Sends of calls to runners."),
-		runnerFailures: counters("runner_failures_total", "Sends that were not answered well, by outcome.", "outcome"),
-		storeFailures:  counters("store_failures_total", "Calls to the store that failed, by kind of object.", "kind"),
-		orders:         counters("orders_total", "Orders given to runners, by outcome.", "outcome"),
-		connections:    counter("runner_connections_total", "Connections opened to runners."),
-	}
-	gauge := func(name, help string, value func() float64) prometheus.Collector {
-		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "clovertiller", Name: name, Help: help}, value)
-	}
-	m.registry.MustRegister(m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.runnerFailures, m.storeFailures, m.orders, m.connections,
-		gauge("config_version", "Version of the configuration in force.", func() float64 {
-			if current := g.view.Load(); current != nil {
-				return float64(current.table.Version)
-			}
-			return 0
-		}),
-		gauge("config_proof_age_seconds", "Time since the configuration in force was proved.", func() float64 {
-			if current := g.view.Load(); current != nil {
-				return time.Since(current.provenAt).Seconds()
-			}
-			return -1
+		attempts:       counters("attempts_total", "Sends of calls to runners.", "service"),
+		retries:        counters("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
+		runnerFailures: counters("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
+		placements:     counters("placements_total", "Prompts placed, by whether the runner is expected to keep their shared parts.", "service", "kept"),
+		promptTokens:   counters("prompt_tokens_total", "Prompt tokens placed, by whether the runner is expected to keep them.", "service", "kept"),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "runner_connections_total", Help: "Connections opened to runners.",
 		}),
+		storeCalls:    seconds("store_call_seconds", "Calls to the store, watches with their waits.", "kind", "call"),
+		storeFailures: counters("store_failures_total", "Calls to the store that failed, by kind of object.", "kind"),
+		peerCalls:     seconds("peer_call_seconds", "Pulls of changes from other routers.", "outcome"),
+		orders:        counters("orders_total", "Orders given to runners, by outcome.", "outcome"),
+		weightUpdates: seconds("weight_update_seconds", "Time to bring one runner to named weights.", "outcome"),
+	}
+	m.registry.MustRegister(
+		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections,
+		m.storeCalls, m.storeFailures, m.peerCalls, m.orders, m.weightUpdates, &runnerStates{gateway: g},
+		gauge("config_version", "Version of the configuration in force.", g.configVersion),
+		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
 		gauge("log_lines_dropped", "Log lines dropped because the output did not take them.", func() float64 { return float64(g.droppedLines()) }),
-		gauge("runners", "Runners in the directory.", func() float64 {
-			g.mutex.Lock()
-			defer g.mutex.Unlock()
-			return float64(g.runners.Len())
-		}),
 	)
 	return m
 }
 
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func seconds(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: latencyBuckets}, labels)
+}
+
+func gauge(name, help string, value func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value)
+}
+
+func (g *Gateway) configVersion() float64 {
+	if current := g.view.Load(); current != nil {
+		return float64(current.table.Version)
+	}
+	return 0
+}
+
+func (g *Gateway) proofAge() float64 {
+	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
+		return time.Since(current.provenAt).Seconds()
+	}
+	return -1
+}
+
+// runnerStates counts the runners of the directory by service and state when
+// the figures are read.
+type runnerStates struct{ gateway *Gateway }
+
+var runnerStatesDescription = prometheus.NewDesc(namespace+"_runners", "Runners in the directory, by what this router thinks of them.", []string{"service", "state"}, nil)
+
+// Describe implements prometheus.Collector.
+func (s *runnerStates) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- runnerStatesDescription
+}
+
+// Collect implements prometheus.Collector.
+func (s *runnerStates) Collect(figures chan<- prometheus.Metric) {
+	s.gateway.mutex.Lock()
+	counts := s.gateway.runners.States(time.Now())
+	s.gateway.mutex.Unlock()
+	for key, count := range counts {
+		figures <- prometheus.MustNewConstMetric(runnerStatesDescription, prometheus.GaugeValue, float64(count), key.Service, key.State.String())
+	}
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *metrics) ended(kind, outcome string, after time.Duration) {
-	m.calls.WithLabelValues(kind, outcome).Inc()
-	m.latencies.WithLabelValues(kind).Observe(after.Seconds())
+func (m *metrics) ended(service, kind, outcome string, after time.Duration) {
+	m.calls.WithLabelValues(service, kind, outcome).Inc()
+	m.latencies.WithLabelValues(service, kind).Observe(after.Seconds())
 }
 
-func (m *metrics) firstEvent(after time.Duration) { m.firstEvents.Observe(after.Seconds()) }
-
 func (m *metrics) refused(status int, reason string) {
 	m.refusals.WithLabelValues(strconv.Itoa(status), reason).Inc()
 }
+
+// Labels of placements and prompt tokens.
+const (
+	labelKept = "yes"
+	labelRead = "no"
+)
+
+// placed notes a prompt's placement with the tokens that it is expected to find.
+func (m *metrics) placed(query backend.Query, cached int) {
+	if query.PromptTokens == 0 {
+		return
+	}
+	hit := labelRead
+	if query.SharedTokens > 0 && cached >= query.SharedTokens {
+		hit = labelKept
+	}
+	m.placements.WithLabelValues(query.Service, hit).Inc()
+	m.promptTokens.WithLabelValues(query.Service, labelKept).Add(float64(cached))
+	m.promptTokens.WithLabelValues(query.Service, labelRead).Add(float64(max(query.PromptTokens-cached, 0)))
+}
+
+// Names of the calls to the store and of their outcomes.
+const (
+	callList       = "list"
+	callWatch      = "watch"
+	callRead       = "read"
+	callWrite      = "write"
+	leaseKind      = "lease"
+	outcomeDone    = "done"
+	outcomeFailed  = "failed"
+	retrySent      = "sent"
+	retryNoBudget  = "no budget"
+	retryNoBackend = "no runner"
+)
+
+func (m *metrics) storeCall(kind, call string, began time.Time) {
+	m.storeCalls.WithLabelValues(kind, call).Observe(time.Since(began).Seconds())
+}
+
+func outcomeOf(done bool) string {
+	if done {
+		return outcomeDone
+	}
+	return outcomeFailed
+}
--- /dev/null
+++ b/internal/gateway/metrics_test.go
@@ -0,0 +1,73 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+)
+
+// figures reads the router's figures by series.
+func figures(g *WithT, address string) map[string]float64 {
+	response, err := http.Get("http://" + address + gateway.MetricsPath)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	series := map[string]float64{}
+	for _, line := range regexp.MustCompile(`(?m)^(clovertiller_[^#]*?) ([0-9.e+-]+)$`).FindAllStringSubmatch(string(text), -1) {
+		series[line[1]], err = strconv.ParseFloat(line[2], 64)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	return series
+}
+
+func TestFiguresTellWhatHappened(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	failing, well := f.runner("p1", "plain"), f.runner("p2", "plain")
+	f.runner("e1", "engines")
+	failing.Behave(runnerstand.Fails)
+	address := freeAddress(f.g)
+	r := f.servingRouter("r1", func(settings *gateway.Settings) {
+		settings.MetricsAddress, settings.RetryReserve, settings.ConfigLease = address, 20, 2*time.Second
+	})
+	f.g.Eventually(func() int { return r.call("/stream/x", nil).status }, time.Second).Should(Equal(http.StatusOK))
+	const calls = 8
+	for range calls {
+		r.call("/safe/x", nil)
+	}
+	name(f, 2)
+	f.g.Eventually(func() float64 { return figures(f.g, address)[`clovertiller_weight_update_seconds_count{outcome="done"}`] }, 5*time.Second).Should(Equal(1.0))
+	got := figures(f.g, address)
+	sends := got[`clovertiller_attempts_total{service="plain"}`]
+	f.g.Expect(sends).To(Equal(float64(len(failing.Runs()) + len(well.Runs()))))
+	f.g.Expect(got[`clovertiller_runner_failures_total{outcome="failed",service="plain"}`]).To(Equal(float64(len(failing.Runs()))))
+	f.g.Expect(got[`clovertiller_retries_total{outcome="sent",service="plain"}`]).To(Equal(sends - calls))
+	f.g.Expect(got[`clovertiller_calls_total{kind="safe",outcome="complete",service="plain"}`]).To(Equal(float64(calls)))
+	f.g.Expect(got[`clovertiller_call_seconds_count{kind="safe",service="plain"}`]).To(Equal(float64(calls)))
+	f.g.Expect(got[`clovertiller_first_event_seconds_count{service="engines"}`]).To(BeNumerically(">=", 1))
+	f.g.Expect(got[`clovertiller_placements_total{kept="yes",service="engines"}`]).To(BeNumerically(">=", 1))
+	f.g.Expect(got[`clovertiller_prompt_tokens_total{kept="yes",service="engines"}`]).To(BeNumerically(">=", 300))
+	f.g.Expect(got["clovertiller_runner_connections_total"]).To(BeNumerically(">=", 2))
+	f.g.Expect(got[`clovertiller_store_call_seconds_count{call="list",kind="configuration"}`]).To(Equal(1.0))
+	f.g.Expect(got[`clovertiller_store_call_seconds_count{call="write",kind="lease"}`]).To(BeNumerically(">=", 1))
+	f.g.Expect(got[`clovertiller_orders_total{outcome="taken"}`]).To(Equal(1.0))
+	f.g.Expect(got[`clovertiller_runners{service="engines",state="serving"}`]).To(Equal(1.0))
+	f.g.Expect(got["clovertiller_config_version"]).To(Equal(1.0))
+	f.g.Expect(got["clovertiller_config_proof_age_seconds"]).To(BeNumerically("<", 2))
+
+	r.door.Set(storestand.Reset)
+	f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, 2*time.Second).Should(Equal(http.StatusServiceUnavailable))
+	got = figures(f.g, address)
+	f.g.Expect(got[`clovertiller_store_failures_total{kind="configuration"}`]).To(BeNumerically(">", 0))
+	f.g.Expect(got[`clovertiller_refusals_total{reason="the configuration is not proved",status="503"}`]).To(BeNumerically(">=", 1))
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -111,7 +111,7 @@
 func (c *call) beginStream(response *httpconn.Response) {
 	c.stream = &eventStream{}
 	c.firstAnswer()
-	c.gateway.metrics.firstEvent(time.Since(c.arrived))
+	c.gateway.metrics.firstEvents.WithLabelValues(c.service).Observe(time.Since(c.arrived).Seconds())
 	c.copyHead(response.Header)
 	c.writer.WriteHeader(response.Status)
 }
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -225,6 +225,7 @@
 	}
 	sent := time.Now()
 	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
+	g.metrics.peerCalls.WithLabelValues(outcomeOf(err == nil)).Observe(time.Since(sent).Seconds())
 	if err != nil {
 		return nil, sent
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -43,6 +43,8 @@
 	// setBackUntil holds runners that are to be left alone for a while.
 	setBackUntil map[string]time.Time
 	current      term
+	// fenced is the highest token that a runner refused as too low.
+	fenced uint64
 }
 
 func newRollouts(g *Gateway) *rollouts {
@@ -121,7 +123,9 @@
 	r.active[id] = true
 	r.mutex.Unlock()
 	g.spawn(func() {
+		began := time.Now()
 		done := r.update(runner, model, version)
+		g.metrics.weightUpdates.WithLabelValues(outcomeOf(done)).Observe(time.Since(began).Seconds())
 		g.mutex.Lock()
 		g.runners.SetUpdating(id, false)
 		g.mutex.Unlock()
@@ -207,6 +211,9 @@
 	if err != nil {
 		fields["error"] = err.Error()
 	}
+	if outcome == OrderFenced {
+		r.end(current)
+	}
 	if outcome == OrderFenced || outcome == OrderInvalid {
 		g.log.Log(events.OrderRefused, fields)
 		return false
@@ -214,3 +221,21 @@
 	g.log.Log(events.OrderSent, fields)
 	return true
 }
+
+// end ends a term whose token a runner refused: another router has had the
+// lease since. Nothing more is ordered under it.
+func (r *rollouts) end(refused term) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.fenced = max(r.fenced, refused.token)
+	if r.current.token == refused.token {
+		r.current = term{}
+	}
+}
+
+// refused tells whether a runner refused the token as too low.
+func (r *rollouts) refused(token uint64) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return token <= r.fenced
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -26,6 +26,7 @@
 		return c.takeCopy()
 	}
 	if again && !g.budget(c.service).Spend() {
+		g.metrics.retries.WithLabelValues(c.service, retryNoBudget).Inc()
 		return backend.Runner{}, unavailable("the budget for further attempts is used up", busyRetryAfter)
 	}
 	request, candidates := g.runners.Candidates(now, query)
@@ -34,14 +35,18 @@
 		return backend.Runner{}, unavailable(chosen.Status.String(), busyRetryAfter)
 	}
 	if again && !c.request.MayHaveRun() && slices.Contains(query.Excluded, chosen.Candidate.Name) {
+		g.metrics.retries.WithLabelValues(c.service, retryNoBackend).Inc()
 		return backend.Runner{}, unavailable("all runners have refused", busyRetryAfter)
 	}
-	if !again {
+	if again {
+		g.metrics.retries.WithLabelValues(c.service, retrySent).Inc()
+	} else {
 		g.budget(c.service).Earn()
 	}
 	runner, _ := g.runners.Get(chosen.Candidate.Name)
 	c.weights = g.runners.WeightVersion(runner.ID, query.Model)
 	c.expectedTokens = max(query.PromptTokens-chosen.Candidate.CachedTokens, 0)
+	g.metrics.placed(query, chosen.Candidate.CachedTokens)
 	c.note(events.RequestSent, events.Fields{
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
@@ -57,7 +62,7 @@
 func (c *call) send() attempt.Next {
 	c.request.Dispatching(c.runner.ID)
 	c.sent = time.Now()
-	c.gateway.metrics.attempts.Inc()
+	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
 	response, err := c.gateway.ports.RunnerPool.Send(c.ctx, c.runner.Address, c.message())
 	if err != nil {
 		return c.notAnswered(err)
@@ -131,7 +136,7 @@
 	if outcome == backend.Answered {
 		return
 	}
-	g.metrics.runnerFailures.WithLabelValues(outcome.String()).Inc()
+	g.metrics.runnerFailures.WithLabelValues(c.service, outcome.String()).Inc()
 	c.note(events.RequestAnswerBad, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
 		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": time.Since(c.sent).Milliseconds(),
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -126,6 +126,14 @@
 	return r, nil
 }
 
+// SetFence makes the runner refuse orders with lower fencing tokens, as if a
+// holder with this one had ordered it.
+func (r *Runner) SetFence(token uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.fence = token
+}
+
 // Close ends the runner at once.
 func (r *Runner) Close() { r.server.Close() }
 
