Weights expire after any number of named versions

Cause: a router kept the deadlines of the first 64 named versions of a model and none of later ones, so in a long life older weights were never past their deadline. Found by reading; the test failed first (old instead of expired after 192 versions).

--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -203,3 +203,21 @@
 	set.Put(leaving)
 	g.Expect(set.Outdated()).To(BeFalse(), "a runner that leaves needs no weights")
 }
+
+// A router that lives long sees more versions than it keeps deadlines for: the
+// newest must expire the one before it all the same.
+func TestWeightsExpireAfterAnyNumberOfVersions(t *testing.T) {
+	g := NewWithT(t)
+	weights := NewWeights()
+	now := start
+	const versions = 3 * maxDeadlines
+	for version := uint64(1); version <= versions; version++ {
+		now = now.Add(10 * time.Second)
+		weights.Name("m", version, now.Add(time.Second), now.Add(5*time.Second))
+	}
+	g.Expect(weights.State(now, "m", versions-1)).To(Equal(Replaced))
+	g.Expect(weights.State(now.Add(2*time.Second), "m", versions-1)).To(Equal(Old))
+	g.Expect(weights.State(now.Add(6*time.Second), "m", versions-1)).To(Equal(Expired))
+	g.Expect(weights.State(now, "m", versions-2)).To(Equal(Expired))
+	g.Expect(weights.State(now.Add(6*time.Second), "m", versions)).To(Equal(Current))
+}
--- a/internal/backend/weights.go
+++ b/internal/backend/weights.go
@@ -20,8 +20,8 @@
 // target is the newest named version of a model's weights.
 type target struct {
 	version uint64
-	// oldest names, for each older version, the moment from which it is expired:
-	// the deadline of the first version named after it.
+	// deadlines tell, in the order of versions, from when on the versions before
+	// each are old and expired.
 	deadlines []deadline
 }
 
@@ -33,8 +33,7 @@
 	oldFrom time.Time
 }
 
-// maxDeadlines bounds the versions remembered of a model; the earliest are kept,
-// as theirs come first.
+// maxDeadlines bounds the deadlines kept of a model; the earliest are joined.
 const maxDeadlines = 64
 
 // Weights holds the newest named version of each model's weights. It is not
@@ -58,12 +57,30 @@
 		return false
 	}
 	known.version = version
-	if len(known.deadlines) < maxDeadlines {
-		known.deadlines = append(known.deadlines, deadline{version, expired, old})
+	if len(known.deadlines) == maxDeadlines {
+		known.mergeFirst()
 	}
+	known.deadlines = append(known.deadlines, deadline{version, expired, old})
 	return true
 }
 
+// mergeFirst joins the two earliest deadlines. What is joined expires with the
+// earlier one: never too late, and exactly so once both have passed.
+func (t *target) mergeFirst() {
+	first := t.deadlines[0]
+	t.deadlines = t.deadlines[1:]
+	t.deadlines[0].at, t.deadlines[0].oldFrom = first.at, first.oldFrom
+}
+
+// Named returns the newest named version of each model.
+func (w *Weights) Named() map[string]uint64 {
+	named := map[string]uint64{}
+	for model, known := range w.targets {
+		named[model] = known.version
+	}
+	return named
+}
+
 // Target returns the newest named version of the model, 0 when there is none.
 func (w *Weights) Target(model string) uint64 {
 	if known := w.targets[model]; known != nil {
--- /dev/null
+++ b/internal/gateway/status.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+)
+
+// StatusPath is the path of the status, beside the counters.
+const StatusPath = "/status"
+
+// Status is what a router believes at one moment, for operators.
+type Status struct {
+	Node     string `json:"node"`
+	Zone     string `json:"zone"`
+	Draining bool   `json:"draining"`
+	// ConfigVersion and ConfigRevision are those in force, 0 without one.
+	ConfigVersion  uint64 `json:"configVersion"`
+	ConfigRevision uint64 `json:"configRevision"`
+	// ProofAgeMillis is the age of the proof of the configuration, -1 without one.
+	ProofAgeMillis int64 `json:"proofAgeMillis"`
+	// Proven tells whether requests with a key are served.
+	Proven bool `json:"proven"`
+	// DirectoryRevision is the revision of the list of runners.
+	DirectoryRevision uint64 `json:"directoryRevision"`
+	// ReadsStore tells whether the router reads the store itself; otherwise
+	// Source is the router that it learned from last, if any.
+	ReadsStore bool   `json:"readsStore"`
+	Source     string `json:"source,omitempty"`
+	// LeaseToken is the fencing token while this router orders runners, or 0.
+	LeaseToken uint64                  `json:"leaseToken"`
+	Weights    map[string]uint64       `json:"weights"`
+	Runners    []backend.RunnerSummary `json:"runners"`
+}
+
+// Status returns what the router believes now.
+func (g *Gateway) Status() Status {
+	now := time.Now()
+	status := Status{
+		Node: g.settings.Node, Zone: g.settings.Zone, Draining: g.draining.Load(), ProofAgeMillis: -1,
+		Proven: g.proven(now), DirectoryRevision: g.directoryRevision.Load(), ReadsStore: g.direct.on(),
+		LeaseToken: g.leaseToken.Load(),
+	}
+	if current := g.view.Load(); current != nil {
+		status.ConfigVersion, status.ConfigRevision = uint64(current.table.Version), current.revision
+		if !current.provenAt.IsZero() {
+			status.ProofAgeMillis = now.Sub(current.provenAt).Milliseconds()
+		}
+	}
+	if !status.ReadsStore {
+		status.Source = g.relays.lastSource()
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	status.Weights = g.runners.Weights().Named()
+	status.Runners = g.runners.Summary(now)
+	return status
+}
+
+func (g *Gateway) serveStatus(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	// A reader that has gone is no fault of the router's.
+	_ = json.NewEncoder(writer).Encode(g.Status())
+}
