--- a/cmd/clovertiller/main.go
+++ b/cmd/clovertiller/main.go
@@ -113,6 +113,7 @@
 	})
 	explain.subcommand.AddPositionalValue(&f.name, "request", 1, false, "Id of the request; without it failures are grouped by cause.")
 	explain.subcommand.StringSlice(&f.files, "f", "file", "Log file; may be given more than once. Standard input without it.")
+	gateways := newGatewayCommand(add("gateway", "Look after gateways on the users' platform.", nil), f, env)
 	print := add("version", "Print the version.", func(context.Context) int {
 		fmt.Println("clovertiller", version)
 		return cli.ExitOK
@@ -135,7 +136,7 @@
 	remove.subcommand.AddPositionalValue(&f.name, "name", 2, true, "Name of the resource.")
 	remove.subcommand.String(&f.version, "", "version", "Delete only at this version.")
 	status.subcommand.String(&f.router, "r", "router", "IP:port of a router.")
-	return []command{router, apply, get, describe, remove, watch, status, config, explain, print}
+	return []command{router, apply, get, describe, remove, watch, status, config, gateways, explain, print}
 }
 
 // runRouter runs a router until it is told to stop, and then drains it.
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -110,6 +110,43 @@
 	return counts
 }
 
+// RunnerSummary is what a router thinks of one runner.
+type RunnerSummary struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"`
+	// Weights are the versions of the models' weights that it is known to have.
+	Weights map[string]uint64 `json:"weights,omitempty"`
+	// InFlight counts this router's open requests there.
+	InFlight int `json:"inFlight"`
+	// FailureShare is the decaying share of its answers that were failures.
+	FailureShare float64 `json:"failureShare"`
+}
+
+// Summary describes all runners, by service and id.
+func (s *Set) Summary(now time.Time) []RunnerSummary {
+	summaries := make([]RunnerSummary, 0, len(s.entries))
+	for _, e := range s.entries {
+		summary := RunnerSummary{
+			ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, State: e.state(now).String(),
+			InFlight: e.inFlight, FailureShare: e.currentFailureShare(now),
+		}
+		for _, model := range e.Models {
+			if summary.Weights == nil {
+				summary.Weights = map[string]uint64{}
+			}
+			summary.Weights[model.Name], _ = e.version(model.Name)
+		}
+		summaries = append(summaries, summary)
+	}
+	slices.SortFunc(summaries, func(a, b RunnerSummary) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return summaries
+}
+
 func (e *entry) state(now time.Time) State {
 	switch {
 	case e.Draining:
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -46,9 +46,14 @@
 
 // FetchStatus reads a router's status.
 func FetchStatus(ctx context.Context, router string) (*node.Status, error) {
+	return fetchJSON[node.Status](ctx, "http://"+router+node.PathStatus)
+}
+
+// fetchJSON reads a JSON document.
+func fetchJSON[T any](ctx context.Context, url string) (*T, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+router+node.PathStatus, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -57,9 +62,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	status := &node.Status{}
-	if err := json.NewDecoder(response.Body).Decode(status); err != nil {
-		return nil, err
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("answered %s", response.Status)
 	}
-	return status, nil
+	document := new(T)
+	return document, json.NewDecoder(response.Body).Decode(document)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -183,6 +183,13 @@
 	return before
 }
 
+// on tells whether the router reads the store itself.
+func (d *directSwitch) on() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.enabled
+}
+
 // wait returns true once the router reads the store itself, or false when the
 // context ends first.
 func (d *directSwitch) wait(ctx context.Context) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	// retries holds the budget for further attempts of each service.
 	retries map[string]*admission.RetryBudget
 	random  *rand.Rand
+	// leaseToken is the fencing token while this router orders runners, or 0.
+	leaseToken atomic.Uint64
 	// directoryRevision is the revision of the directory in force.
 	directoryRevision atomic.Uint64
 	// copies are the copies of the store's objects, direct tells whether this
@@ -178,6 +180,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, g.metrics.handler())
+	mux.HandleFunc(StatusPath, g.serveStatus)
 	g.figures = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	go g.figures.Serve(listener)
 }
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -161,6 +161,7 @@
 		return
 	}
 	l.held = held
+	l.gateway.leaseToken.Store(token)
 	if held {
 		l.gateway.log.Log(events.LeaseAcquired, events.Fields{"token": token})
 		return
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"regexp"
@@ -30,6 +31,44 @@
 	return series
 }
 
+func TestStatusTellsWhatIsBelieved(t *testing.T) {
+	f := newFleet(t)
+	f.configure(3, defaultRoutes(), goodKey)
+	f.runner("e1", "engines")
+	f.list(f.runner("p1", "plain"), "draining")
+	address := freeAddress(f.g)
+	f.servingRouter("r1", func(settings *gateway.Settings) { settings.MetricsAddress = address })
+	name(f, 2)
+	read := func() (status gateway.Status) {
+		response, err := http.Get("http://" + address + gateway.StatusPath)
+		f.g.Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		f.g.Expect(json.NewDecoder(response.Body).Decode(&status)).To(Succeed())
+		return status
+	}
+	f.g.Eventually(func() uint64 {
+		for _, runner := range read().Runners {
+			if runner.ID == "e1" {
+				return runner.Weights[modelName]
+			}
+		}
+		return 0
+	}, 5*time.Second).Should(Equal(uint64(2)))
+	got := read()
+	f.g.Expect(got.Node).To(Equal("r1"))
+	f.g.Expect(got.ConfigVersion).To(Equal(uint64(3)))
+	f.g.Expect(got.Proven).To(BeTrue())
+	f.g.Expect(got.ProofAgeMillis).To(BeNumerically("<", 3500))
+	f.g.Expect(got.ReadsStore).To(BeTrue())
+	f.g.Expect(got.Weights).To(Equal(map[string]uint64{modelName: 2}))
+	states := map[string]string{}
+	for _, runner := range got.Runners {
+		states[runner.ID] = runner.State
+	}
+	f.g.Expect(states).To(HaveKeyWithValue("p1", "draining"))
+	f.g.Expect(states).To(HaveKey("e1"))
+}
+
 func TestFiguresTellWhatHappened(t *testing.T) {
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
@@ -46,7 +85,9 @@
 		r.call("/safe/x", nil)
 	}
 	name(f, 2)
-	f.g.Eventually(func() float64 { return figures(f.g, address)[`clovertiller_weight_update_seconds_count{outcome="done"}`] }, 5*time.Second).Should(Equal(1.0))
+	f.g.Eventually(func() float64 {
+		return figures(f.g, address)[`clovertiller_weight_update_seconds_count{outcome="done"}`]
+	}, 5*time.Second).Should(Equal(1.0))
 	got := figures(f.g, address)
 	sends := got[`clovertiller_attempts_total{service="plain"}`]
 	f.g.Expect(sends).To(Equal(float64(len(failing.Runs()) + len(well.Runs()))))
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -54,8 +55,8 @@
 	followers map[string]time.Time
 	// behind is told when a push showed that changes are missing.
 	behind chan struct{}
-	// source is the router that answered last, "" when there is none.
-	source string
+	// source is the router that answered last, nil or "" when there is none.
+	source atomic.Pointer[string]
 	// patientUntil is until when a router that knows nothing yet waits for seeds
 	// that are starting too, rather than read the store with all others.
 	patientUntil time.Time
@@ -146,7 +147,7 @@
 
 func (r *relays) setDirect(enabled bool) {
 	if r.gateway.direct.set(enabled) != enabled {
-		r.gateway.log.Log(events.SourceChanged, events.Fields{"store": enabled, "router": r.source})
+		r.gateway.log.Log(events.SourceChanged, events.Fields{"store": enabled, "router": r.lastSource()})
 	}
 }
 
@@ -176,11 +177,11 @@
 		seed, found := r.chooser.Next(time.Now())
 		r.mutex.Unlock()
 		if !found || r.gateway.ctx.Err() != nil {
-			r.source = ""
+			r.setSource("")
 			return false
 		}
 		if r.pullFrom(seed) {
-			r.source = seed
+			r.setSource(seed)
 			return true
 		}
 	}
@@ -213,6 +214,15 @@
 	return age <= proofAge
 }
 
+func (r *relays) setSource(address string) { r.source.Store(&address) }
+
+func (r *relays) lastSource() string {
+	if source := r.source.Load(); source != nil {
+		return *source
+	}
+	return ""
+}
+
 // askFor makes one pull and returns the answer, or nil, and when it was asked for.
 func (r *relays) askFor(address string) (*wire.CopyAnswer, time.Time) {
 	g := r.gateway
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -44,7 +44,7 @@
 		LeaseToken: g.leaseToken.Load(),
 	}
 	if current := g.view.Load(); current != nil {
-		status.ConfigVersion, status.ConfigRevision = uint64(current.table.Version), current.revision
+		status.ConfigVersion, status.ConfigRevision = current.table.Version, current.revision
 		if !current.provenAt.IsZero() {
 			status.ProofAgeMillis = now.Sub(current.provenAt).Milliseconds()
 		}
