Only prompts that are mostly shared are saved to the cache store

Ruled out in trials: fetching from the family's home or from a runner known to hold the trunk (worse on 7 routers), a tenth to a half of all saves at random (worse or noise), dearer or cheaper zones (noise). A prompt is now saved if at least half of it is shared, each family once in 10 s; 0.4, 0.67 and 0.8 were tried and are worse.

--- a/internal/backend/saves.go
+++ b/internal/backend/saves.go
@@ -5,7 +5,9 @@
 // Times and sizes of remembered saves.
 const (
 	// saveInterval is how long a saved prompt family counts as saved.
-	saveInterval = 4 * time.Second
+	saveInterval = 10 * time.Second
+	// minSharedShare is the least shared part of a prompt that is worth a save.
+	minSharedShare = 0.5
 	// maxSaves bounds the remembered families.
 	maxSaves = 4096
 )
@@ -26,9 +28,13 @@
 // NewSaves returns an empty memory.
 func NewSaves() *Saves { return &Saves{at: map[savedFamily]time.Time{}} }
 
-// Due tells whether the family is to be saved, and notes that it is.
-func (s *Saves) Due(now time.Time, family, weights uint64) bool {
-	key := savedFamily{family, weights}
+// Due tells whether the prompt is to be saved, and notes that it is. A save that
+// is mostly the request's own part pushes more shared parts out than it keeps.
+func (s *Saves) Due(now time.Time, query Query, weights uint64) bool {
+	if float64(query.SharedTokens) < minSharedShare*float64(query.PromptTokens) {
+		return false
+	}
+	key := savedFamily{query.Family, weights}
 	if at, known := s.at[key]; known && now.Sub(at) < saveInterval {
 		return false
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -272,7 +272,7 @@
 	dispatch.FetchFrom = address
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
-	if address != "" && c.gateway.saves.Due(time.Now(), c.family(), c.weights) {
+	if address != "" && c.gateway.saves.Due(time.Now(), c.query(), c.weights) {
 		dispatch.SaveTo = address
 	}
 }
