--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -15,21 +17,42 @@
 	cacheStoreTimeout  = 300 * time.Millisecond
 )
 
-// cacheStoreWatch knows whether the store of kept cache answers: a runner that
-// fetches from a dead one loses time.
+// cacheStoreWatch knows which stores of kept cache answer: a runner that fetches
+// from a dead one loses time. Routers that read the store ask for themselves; the
+// others are told with the changes that they pull, as a store's answer is long.
 type cacheStoreWatch struct {
 	gateway *Gateway
-	// answering is the address of the store that answered last, or nil.
-	answering atomic.Pointer[string]
+	state   atomic.Pointer[cacheStores]
 }
 
-// usable returns the configured store if it answers, or "".
-func (w *cacheStoreWatch) usable(table *routing.Table) string {
-	answering := w.answering.Load()
-	if answering == nil || table.CacheStore() != *answering {
-		return ""
+// cacheStores tells which stores of one configuration answer. It is never changed.
+type cacheStores struct {
+	// config is the version of the configuration that lists them.
+	config uint64
+	// answering has bit i set when the i-th store answers.
+	answering uint64
+}
+
+// maxCacheStores is how many stores are told apart.
+const maxCacheStores = 64
+
+func newCacheStoreWatch(g *Gateway) *cacheStoreWatch {
+	w := &cacheStoreWatch{gateway: g}
+	w.state.Store(&cacheStores{})
+	return w
+}
+
+// storeOf returns the store that keeps the family's shared parts, the same one
+// on all routers, or "" when none answers.
+func (w *cacheStoreWatch) storeOf(table *routing.Table, family uint64) string {
+	state := w.state.Load()
+	var usable []string
+	for i, address := range table.CacheStores() {
+		if i < maxCacheStores && state.answering&(1<<i) != 0 {
+			usable = append(usable, address)
+		}
 	}
-	return *answering
+	return rendezvous.Owner(usable, family)
 }
 
 func (w *cacheStoreWatch) run() {
@@ -41,25 +64,51 @@
 			continue
 		}
 		interval = cacheStoreInterval
-		if address := current.table.CacheStore(); address != "" {
-			w.check(address)
+		if g.direct.on() {
+			w.check(current.table)
 		}
 	}
 }
 
-func (w *cacheStoreWatch) check(address string) {
+// check asks all stores at once and notes which answer.
+func (w *cacheStoreWatch) check(table *routing.Table) {
 	g := w.gateway
 	ctx, cancel := context.WithTimeout(g.ctx, cacheStoreTimeout)
 	defer cancel()
-	answers := g.ports.Runners.CacheStoreAnswers(ctx, address)
-	before := w.answering.Load()
-	switch {
-	case answers:
-		w.answering.Store(&address)
-	case g.ctx.Err() == nil:
-		w.answering.Store(nil)
+	var answering atomic.Uint64
+	var group sync.WaitGroup
+	for i, address := range table.CacheStores() {
+		if i >= maxCacheStores {
+			break
+		}
+		group.Go(func() {
+			if g.ports.Runners.CacheStoreAnswers(ctx, address) {
+				answering.Or(1 << i)
+			}
+		})
 	}
-	if answers != (before != nil) {
-		g.log.Log(events.CacheStoreChanged, events.Fields{"address": address, "answers": answers})
+	group.Wait()
+	if g.ctx.Err() == nil {
+		w.note(table, cacheStores{config: table.Version, answering: answering.Load()}, "own check")
+	}
+}
+
+// told takes another router's word, if it is about the configuration in force.
+func (w *cacheStoreWatch) told(state cacheStores, source string) {
+	current := w.gateway.view.Load()
+	if current == nil || current.table.Version != state.config || w.gateway.direct.on() {
+		return
+	}
+	w.note(current.table, state, source)
+}
+
+// note puts the state in force and logs what changed.
+func (w *cacheStoreWatch) note(table *routing.Table, state cacheStores, source string) {
+	before := w.state.Swap(&state)
+	changed := before.answering ^ state.answering
+	for i, address := range table.CacheStores() {
+		if i < maxCacheStores && changed&(1<<i) != 0 {
+			w.gateway.log.Log(events.CacheStoreChanged, events.Fields{"address": address, "answers": state.answering&(1<<i) != 0, "source": source})
+		}
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -268,7 +268,7 @@
 	if len(c.facts.Prompt) < 2 {
 		return
 	}
-	address := c.gateway.cacheStore.usable(c.view.table)
+	address := c.gateway.cacheStores.storeOf(c.view.table, c.family())
 	dispatch.FetchFrom = address
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,8 +81,8 @@
 	copies *copies
 	direct *directSwitch
 	relays *relays
-	// cacheStore watches the store of kept cache.
-	cacheStore *cacheStoreWatch
+	// cacheStores watches the stores of kept cache.
+	cacheStores *cacheStoreWatch
 	// named is told when a version of weights was named.
 	named chan struct{}
 
@@ -115,7 +115,7 @@
 	}
 	g.metrics = newMetrics(g)
 	ports.RunnerPool.Opened = g.metrics.connections.Inc
-	g.cacheStore = &cacheStoreWatch{gateway: g}
+	g.cacheStores = newCacheStoreWatch(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
 	if err := g.listen(); err != nil {
 		cancel()
@@ -127,7 +127,7 @@
 	}
 	g.spawn(g.relays.run)
 	g.spawn(func() { newLeader(g).run() })
-	g.spawn(g.cacheStore.run)
+	g.spawn(g.cacheStores.run)
 	g.spawn(g.sweepLoop)
 	return g, nil
 }
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -211,6 +211,7 @@
 		return false
 	}
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
+	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
 	return age <= proofAge
 }
 
@@ -301,7 +302,8 @@
 		r.followers[address] = time.Now().Add(pushTime)
 	}
 	r.mutex.Unlock()
-	answer := &wire.CopyAnswer{Zone: g.settings.Zone}
+	stores := g.cacheStores.state.Load()
+	answer := &wire.CopyAnswer{Zone: g.settings.Zone, CacheStores: stores.answering, CacheStoresConfig: stores.config}
 	// The proof is read before the copies: what is given is at least as new.
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
 		answer.Proven = true
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -135,8 +135,8 @@
 	byHost   map[string][]*Route
 	byKey    map[string]*Tenant
 	services map[string]*Service
-	// cacheStore is the address of the first store of kept cache, "" without one.
-	cacheStore string
+	// cacheStores are the addresses of the stores of kept cache.
+	cacheStores []string
 	// keyed is true when the configuration has tenants.
 	keyed bool
 }
@@ -165,8 +165,8 @@
 	for i := range config.Services {
 		service := &config.Services[i]
 		t.services[service.Name] = service
-		if t.cacheStore == "" {
-			t.cacheStore = service.CacheStoreAddress
+		if service.CacheStoreAddress != "" {
+			t.cacheStores = append(t.cacheStores, service.CacheStoreAddress)
 		}
 	}
 	return t
@@ -204,5 +204,5 @@
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
-// CacheStore returns the IP:port of the store of kept cache, "" without one.
-func (t *Table) CacheStore() string { return t.cacheStore }
+// CacheStores returns the IP:ports of the stores of kept cache.
+func (t *Table) CacheStores() []string { return t.cacheStores }
