The reserve for retries is one sum for all routers

Found by reading; the test failed first (36 further attempts, 18 allowed). Each router now takes an equal part, by the number of routers that seeds count among their followers.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -101,3 +101,23 @@
 	promises.Refuse(start, 8, 1, time.Second)
 	g.Expect(promises.Outstanding(start.Add(time.Minute), 1)).To(BeFalse(), "the caller did not come back")
 }
+
+func TestSmallReserveStillLetsAttemptsBeEarned(t *testing.T) {
+	budget := NewRetryBudget(0.25, 0.3)
+	budget.SetReserve(0.3)
+	if budget.Spend() {
+		t.Fatal("an attempt that nobody earned")
+	}
+	for range 3 {
+		budget.Earn()
+	}
+	if !budget.Spend() {
+		t.Fatal("an earned attempt was refused")
+	}
+	for range 100 {
+		budget.Earn()
+	}
+	if !budget.Spend() || budget.Spend() {
+		t.Fatal("one attempt may be saved up, no more")
+	}
+}
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -25,6 +25,13 @@
 // Earn adds one request's share.
 func (b *RetryBudget) Earn() { b.tokens = min(b.tokens+b.share, b.reserve) }
 
+// SetReserve changes how many attempts may be saved up: never less than one, or
+// none could ever be earned.
+func (b *RetryBudget) SetReserve(reserve float64) {
+	b.reserve = max(reserve, 1)
+	b.tokens = min(b.tokens, b.reserve)
+}
+
 // Spend takes one further attempt, or says that the budget is used up.
 func (b *RetryBudget) Spend() bool {
 	if b.tokens < 1 {
--- a/internal/gateway/cachestore_test.go
+++ b/internal/gateway/cachestore_test.go
@@ -35,6 +35,7 @@
 // Each family of prompts has one store, the same on all routers; only routers
 // that read the store of objects ask whether it answers, and a dead one is not used.
 func TestFamiliesAreSpreadOverTheCacheStoresThatAnswer(t *testing.T) {
+	t.Parallel()
 	f, seeds, follower := relayedFleet(t)
 	stores := map[string]*cacheStore{}
 	spec := config(2, defaultRoutes(), goodKey)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -89,6 +89,7 @@
 // A store that answered nothing for a while is used again soon after it does:
 // what was asked before is lost, and no call may wait for long on that.
 func TestStoreIsUsedAgainSoonAfterSilence(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
 	f.runner("p1", "plain")
@@ -159,6 +160,7 @@
 // A runner that has seen a higher fencing token shows that another router holds
 // the lease: what was refused is not ordered again under the same token.
 func TestFencedHolderStepsDown(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
 	var runners []*runnerstand.Runner
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	// retries holds the budget for further attempts of each service.
 	retries map[string]*admission.RetryBudget
 	random  *rand.Rand
+	// routers is how many routers there seem to be, 0 when unknown.
+	routers atomic.Int64
 	// leaseToken is the fencing token while this router orders runners, or 0.
 	leaseToken atomic.Uint64
 	// directoryRevision is the revision of the directory in force.
@@ -95,10 +97,26 @@
 	started   time.Time
 }
 
+// routerCount is how many routers this one takes there to be, counting itself.
+func (g *Gateway) routerCount() int { return max(1, int(g.routers.Load())) }
+
+// retryReserve is this router's part of what all may spend on further attempts
+// without having earned it. The parts are equal: nobody is asked before a retry.
+func (g *Gateway) retryReserve() float64 {
+	if g.settings.RetrySlack == 0 {
+		return g.settings.RetryReserve
+	}
+	return min(g.settings.RetryReserve, g.settings.RetrySlack*retrySlackUsed/float64(g.routerCount()))
+}
+
 // retryShareUsed is the part of the allowed share of retries that a router
 // spends, as its windows and those of other routers do not line up.
 const retryShareUsed = 0.75
 
+// retrySlackUsed is the part of the common slack that is given out, as routers
+// that have just started do not count each other yet.
+const retrySlackUsed = 0.9
+
 // Start runs a gateway until Stop.
 func Start(settings Settings, ports Ports, logger *events.Logger) (*Gateway, error) {
 	settings.SetDefaults()
@@ -134,11 +152,13 @@
 
 // budget returns the service's budget for further attempts. The mutex is held.
 func (g *Gateway) budget(service string) *admission.RetryBudget {
+	reserve := g.retryReserve()
 	budget := g.retries[service]
 	if budget == nil {
-		budget = admission.NewRetryBudget(g.settings.RetryShare*retryShareUsed, g.settings.RetryReserve)
+		budget = admission.NewRetryBudget(g.settings.RetryShare*retryShareUsed, reserve)
 		g.retries[service] = budget
 	}
+	budget.SetReserve(reserve)
 	return budget
 }
 
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -32,6 +32,7 @@
 }
 
 func TestStatusTellsWhatIsBelieved(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(3, defaultRoutes(), goodKey)
 	f.runner("e1", "engines")
@@ -70,6 +71,7 @@
 }
 
 func TestFiguresTellWhatHappened(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
 	failing, well := f.runner("p1", "plain"), f.runner("p2", "plain")
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -28,6 +28,8 @@
 	proofAge = 1250 * time.Millisecond
 	// pushTime is how long after a pull changes are pushed to a router.
 	pushTime = 2 * time.Second
+	// countInterval is how often a router counts those that pull from it.
+	countInterval = 500 * time.Millisecond
 	// firstPullTime bounds the pulls of a router that knows nothing yet: a seed
 	// that runs answers in a few milliseconds, and callers wait.
 	firstPullTime = 50 * time.Millisecond
@@ -53,6 +55,8 @@
 	chooser   *relay.Chooser
 	// followers holds the routers that pulled of late and until when they are told.
 	followers map[string]time.Time
+	// countAgain is when the followers are counted again.
+	countAgain time.Time
 	// behind is told when a push showed that changes are missing.
 	behind chan struct{}
 	// source is the router that answered last, nil or "" when there is none.
@@ -211,6 +215,7 @@
 		return false
 	}
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
+	r.gateway.routers.Store(int64(answer.GetRouters()))
 	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
 	return age <= proofAge
 }
@@ -297,13 +302,9 @@
 // configuration. The delta of the configuration is always there: it may be empty.
 func (r *relays) answer(pull *wire.CopyPull) *wire.CopyAnswer {
 	g := r.gateway
-	r.mutex.Lock()
-	if address := pull.GetPeerAddress(); address != "" {
-		r.followers[address] = time.Now().Add(pushTime)
-	}
-	r.mutex.Unlock()
+	r.noteFollower(pull.GetPeerAddress())
 	stores := g.cacheStores.state.Load()
-	answer := &wire.CopyAnswer{Zone: g.settings.Zone, CacheStores: stores.answering, CacheStoresConfig: stores.config}
+	answer := &wire.CopyAnswer{Zone: g.settings.Zone, CacheStores: stores.answering, CacheStoresConfig: stores.config, Routers: uint32(g.routerCount())}
 	// The proof is read before the copies: what is given is at least as new.
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
 		answer.Proven = true
@@ -321,6 +322,29 @@
 	return answer
 }
 
+// noteFollower notes a router that pulls. Each router pulls from one seed, and the
+// seeds have about the same number of followers, so this one's stand for all.
+func (r *relays) noteFollower(address string) {
+	if address == "" {
+		return
+	}
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.followers[address] = now.Add(pushTime)
+	if now.Before(r.countAgain) {
+		return
+	}
+	r.countAgain = now.Add(countInterval)
+	following := 0
+	for _, until := range r.followers {
+		if now.Before(until) {
+			following++
+		}
+	}
+	r.gateway.routers.Store(int64((following + 1) * r.chooser.Seeds()))
+}
+
 // changes returns what changed after the revision, encoded. The last such
 // answer is kept, as many routers ask for the same after a change or a restart.
 func (r *relays) changes(kind ObjectKind, after uint64) *wire.CopyDelta {
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 )
 
@@ -27,6 +29,43 @@
 	return f, seeds, follower
 }
 
+// What all routers together may spend on further attempts without having earned
+// it is one sum, however many routers there are.
+func TestReserveForRetriesIsSharedByAllRouters(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("p1", "plain"), f.runner("p2", "plain")}
+	const slack, perRouter, calls = 6, 5, 10
+	adjust := func(settings *gateway.Settings) { settings.RetrySlack, settings.RetryReserve = slack, perRouter }
+	addresses := []string{freeAddress(f.g), freeAddress(f.g)}
+	var routers []*router
+	for i := range 6 {
+		routers = append(routers, f.servingRouter(fmt.Sprintf("r%d", i), func(settings *gateway.Settings) {
+			adjust(settings)
+			settings.PeerAddress, settings.Seeds = freeAddress(f.g), addresses
+			if i < len(addresses) {
+				settings.PeerAddress = addresses[i]
+			}
+		}))
+	}
+	time.Sleep(1200 * time.Millisecond) // two pulls
+	for _, runner := range runners {
+		runner.Behave(runnerstand.Fails)
+	}
+	ran := 0
+	for _, r := range routers {
+		for range calls {
+			r.call("/safe/x", nil)
+			ran++
+		}
+	}
+	again := len(runners[0].Runs()) + len(runners[1].Runs()) - ran
+	earned := int(0.2 * float64(ran))
+	f.g.Expect(again).To(BeNumerically(">", 0))
+	f.g.Expect(again).To(BeNumerically("<=", slack+earned), "of %d calls", ran)
+}
+
 func (f *fleet) asFollower(seeds []string) func(*gateway.Settings) {
 	return func(settings *gateway.Settings) {
 		settings.PeerAddress, settings.Seeds = freeAddress(f.g), seeds
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -47,6 +47,9 @@
 	// there is little traffic.
 	RetryShare   float64
 	RetryReserve float64
+	// RetrySlack is how many all routers together may send in this way; 0 sets
+	// no common bound.
+	RetrySlack float64
 }
 
 // Defaults of settings that are not given.
@@ -117,6 +120,9 @@
 			faults = append(faults, duration.name+": must not be negative")
 		}
 	}
+	if s.RetryReserve < 0 || s.RetrySlack < 0 {
+		faults = append(faults, "retry reserve and slack: must not be negative")
+	}
 	if s.RetryShare < 0 || s.RetryShare > 1 {
 		faults = append(faults, "retry share: must be between 0 and 1")
 	}
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -42,6 +42,9 @@
 	c.seeds = rendezvous.Ranked(seeds, rendezvous.KeyOf(c.self), len(seeds))
 }
 
+// Seeds returns how many seeds there are.
+func (c *Chooser) Seeds() int { return len(c.seeds) }
+
 // IsSeed tells whether this router reads the store for others.
 func (c *Chooser) IsSeed() bool {
 	for _, seed := range c.seeds {
