A runner that answers none of a router's requests makes others wait there

Now the time without progress counts as a wait, and a request that is abandoned tells how long it waited.

--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -4,28 +4,60 @@
 	"time"
 )
 
+// Send is one request at a runner, from Begin to End.
+type Send struct {
+	runner string
+	// tokens is what the runner has to read before its first answer.
+	tokens   int
+	at       time.Time
+	answered bool
+}
+
 // Begin notes a request sent to the runner with the prompt tokens it has to read.
-func (s *Set) Begin(id string, tokens int) {
+func (s *Set) Begin(now time.Time, id string, tokens int) *Send {
 	if e := s.entries[id]; e != nil {
 		e.inFlight++
 		e.pendingTokens += tokens
+		if e.unanswered == 0 {
+			e.progressAt = now
+		}
+		e.unanswered++
 	}
+	return &Send{runner: id, tokens: tokens, at: now}
 }
 
-// FirstAnswer notes that the runner has begun to answer, after the given time
-// of which the reading of the tokens explains a part.
-func (s *Set) FirstAnswer(now time.Time, id string, tokens int, after time.Duration) {
-	e := s.entries[id]
-	if e == nil {
+// FirstAnswer notes that the runner has begun to answer; the reading of the
+// tokens explains a part of the time that it took.
+func (s *Set) FirstAnswer(now time.Time, send *Send) {
+	e := s.entries[send.runner]
+	if e == nil || send.answered {
 		return
 	}
-	e.pendingTokens = max(e.pendingTokens-tokens, 0)
-	reading := time.Duration(float64(tokens) / PrefillRate * float64(time.Second))
-	queueing := max(after-reading, 0)
-	e.wait = (e.currentWait(now) + queueing) / 2
+	e.answer(now, send)
+	e.wait = (e.currentWait(now) + send.queueing(now)) / 2
 	e.waitAt = now
 }
 
+// answer notes that the request is no longer without an answer.
+func (e *entry) answer(now time.Time, send *Send) {
+	send.answered = true
+	e.pendingTokens = max(e.pendingTokens-send.tokens, 0)
+	e.unanswered = max(e.unanswered-1, 0)
+	e.progressAt = now
+}
+
+// Answered tells whether the runner has begun to answer.
+func (s *Send) Answered() bool { return s.answered }
+
+// queueing is the time since the send that its own reading does not explain.
+func (s *Send) queueing(now time.Time) time.Duration {
+	return max(now.Sub(s.at)-readingTime(s.tokens), 0)
+}
+
+func readingTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / PrefillRate * float64(time.Second))
+}
+
 // Outcome is what became of one send to a runner.
 type Outcome uint8
 
@@ -48,14 +80,20 @@
 	return [...]string{"answered", "failed", "refused", "unreachable", "abandoned"}[o]
 }
 
-// End notes the outcome of a send; tokens is what is still pending of Begin's.
-func (s *Set) End(now time.Time, id string, tokens int, outcome Outcome) {
-	e := s.entries[id]
+// End notes the outcome of a send.
+func (s *Set) End(now time.Time, send *Send, outcome Outcome) {
+	e := s.entries[send.runner]
 	if e == nil {
 		return
 	}
 	e.inFlight = max(e.inFlight-1, 0)
-	e.pendingTokens = max(e.pendingTokens-tokens, 0)
+	if !send.answered {
+		if outcome == Abandoned {
+			// It waited at least so long, and would have waited longer.
+			e.wait, e.waitAt = max(e.currentWait(now), send.queueing(now)), now
+		}
+		e.answer(now, send)
+	}
 	switch outcome {
 	case Answered:
 		e.failures = 0
--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -68,6 +68,10 @@
 	// wait is the decaying queueing time that own requests met.
 	wait   time.Duration
 	waitAt time.Time
+	// unanswered counts own requests without a first answer, and progressAt is
+	// when the last of them was answered or, if later, the first was sent.
+	unanswered int
+	progressAt time.Time
 	// learned is the version of each model's weights as answers named it, which
 	// may be newer than the directory's.
 	learned map[string]uint64
@@ -104,12 +108,7 @@
 }
 
 // startsAfter estimates how long after now a request with the prompt begins: the
-// time that own requests waited of late, what is still to be read, and itself.
+// time that requests waited of late, what is still to be read, and itself.
 func (e *entry) startsAfter(now time.Time, promptTokens int) time.Duration {
-	reading := time.Duration(float64(e.pendingTokens+promptTokens) / PrefillRate * float64(time.Second))
-	return e.currentWait(now) + reading
-}
-
-func (e *entry) currentWait(now time.Time) time.Duration {
-	return time.Duration(decayed(float64(e.wait), now.Sub(e.waitAt), waitHalfLife))
+	return e.currentWait(now) + readingTime(e.pendingTokens+promptTokens)
 }
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -70,9 +70,9 @@
 	query := Query{Service: "s", Model: "m", PromptTokens: 1000}
 	_, candidates := set.Candidates(start, query)
 	g.Expect(candidates).To(HaveLen(1))
-	set.Begin("a", 0)
-	set.FirstAnswer(start, "a", 0, 3*time.Second)
-	set.End(start, "a", 0, Answered)
+	send := set.Begin(start.Add(-3*time.Second), "a", 0)
+	set.FirstAnswer(start, send)
+	set.End(start, send, Answered)
 	_, candidates = set.Candidates(start, query)
 	g.Expect(candidates).To(BeEmpty(), "requests wait 1.5 s there")
 	query.PromptTokens = 2 * PrefillRate
@@ -126,8 +126,7 @@
 	set.Put(runner("b", "z"))
 	now := start
 	for range 20 {
-		set.Begin("a", 0)
-		set.End(now, "a", 0, Unreachable)
+		set.End(now, set.Begin(now, "a", 0), Unreachable)
 	}
 	request, candidates := set.Candidates(now, Query{Service: "s"})
 	g.Expect(request.Excluded).To(Equal([]string{"a"}))
@@ -140,8 +139,7 @@
 	g := NewWithT(t)
 	set := NewSet("z")
 	set.Put(runner("a", "z"))
-	set.Begin("a", 0)
-	set.End(start, "a", 0, Failed)
+	set.End(start, set.Begin(start, "a", 0), Failed)
 	_, before := set.Candidates(start, Query{Service: "s"})
 	_, after := set.Candidates(start.Add(10*failureHalfLife), Query{Service: "s"})
 	g.Expect(before[0].ExtraTokens).To(BeNumerically(">", 5000))
@@ -163,13 +161,12 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
 			id := rapid.SampledFrom(ids).Draw(t, "runner")
 			outcome := rapid.SampledFrom([]Outcome{Answered, Failed, Refused, Unreachable, Abandoned}).Draw(t, "outcome")
-			set.Begin(id, 100)
+			after := time.Duration(rapid.IntRange(0, 3000).Draw(t, "after")) * time.Millisecond
+			send := set.Begin(now.Add(-after), id, 100)
 			if rapid.Bool().Draw(t, "answered first") {
-				set.FirstAnswer(now, id, 100, time.Duration(rapid.IntRange(0, 3000).Draw(t, "after"))*time.Millisecond)
-				set.End(now, id, 0, outcome)
-			} else {
-				set.End(now, id, 100, outcome)
+				set.FirstAnswer(now, send)
 			}
+			set.End(now, send, outcome)
 			request, candidates := set.Candidates(now, Query{Service: "s", Model: "m", PromptTokens: 500})
 			pick := placement.Choose(request, candidates, placement.Weights{Hit: 1}, testRandom())
 			if pick.Status != placement.Picked {
@@ -177,7 +174,7 @@
 			}
 		}
 		for _, e := range set.entries {
-			if e.inFlight != 0 || e.pendingTokens != 0 {
+			if e.inFlight != 0 || e.pendingTokens != 0 || e.unanswered != 0 {
 				t.Fatalf("%s: %d in flight, %d tokens pending after all ended", e.ID, e.inFlight, e.pendingTokens)
 			}
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -51,9 +51,9 @@
 	failure *heldAnswer
 	// runner is where the call was sent last.
 	runner backend.Runner
-	// sent is when, and expectedTokens how many prompt tokens it has still to read.
-	sent           time.Time
-	expectedTokens int
+	// sent is when, and open the request there until it has ended.
+	sent time.Time
+	open *backend.Send
 	// weights is the version of the weights that the runner is known to have.
 	weights uint64
 	// backup is the runner that the run's memory is copied to; copyAt is set when
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -90,7 +90,7 @@
 	if c.stream == nil {
 		c.beginStream(response)
 	}
-	if c.expectedTokens > 0 {
+	if !c.open.Answered() {
 		c.firstAnswer()
 	}
 	if version, named := c.gateway.ports.Protocol.EventVersion(data); named {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,7 +45,6 @@
 	}
 	runner, _ := g.runners.Get(chosen.Candidate.Name)
 	c.weights = g.runners.WeightVersion(runner.ID, query.Model)
-	c.expectedTokens = max(query.PromptTokens-chosen.Candidate.CachedTokens, 0)
 	g.metrics.placed(query, chosen.Candidate.CachedTokens)
 	c.note(events.RequestSent, events.Fields{
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
@@ -53,7 +52,7 @@
 		"candidates": len(candidates), "set_aside": len(request.Excluded), "in_flight": chosen.Candidate.PendingRequests,
 		"directory": g.directoryRevision.Load(),
 	})
-	g.runners.Begin(runner.ID, c.expectedTokens)
+	c.open = g.runners.Begin(now, runner.ID, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
 	c.pickBackup(now, runner)
 	return runner, nil
 }
@@ -130,9 +129,8 @@
 func (c *call) end(outcome backend.Outcome, cause string, status int) {
 	g := c.gateway
 	g.mutex.Lock()
-	g.runners.End(time.Now(), c.runner.ID, c.expectedTokens, outcome)
+	g.runners.End(time.Now(), c.open, outcome)
 	g.mutex.Unlock()
-	c.expectedTokens = 0
 	if outcome == backend.Answered {
 		return
 	}
@@ -150,9 +148,8 @@
 		c.answered = time.Now()
 	}
 	g.mutex.Lock()
-	g.runners.FirstAnswer(time.Now(), c.runner.ID, c.expectedTokens, time.Since(c.sent))
+	g.runners.FirstAnswer(time.Now(), c.open)
 	g.mutex.Unlock()
-	c.expectedTokens = 0
 }
 
 // notAnswered takes a send without the head of an answer.
