--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,14 +10,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
-
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
@@ -97,26 +94,6 @@
 	started   time.Time
 }
 
-// routerCount is how many routers this one takes there to be, counting itself.
-func (g *Gateway) routerCount() int { return max(1, int(g.routers.Load())) }
-
-// retryReserve is this router's part of what all may spend on further attempts
-// without having earned it. The parts are equal: nobody is asked before a retry.
-func (g *Gateway) retryReserve() float64 {
-	if g.settings.RetrySlack == 0 {
-		return g.settings.RetryReserve
-	}
-	return min(g.settings.RetryReserve, g.settings.RetrySlack*retrySlackUsed/float64(g.routerCount()))
-}
-
-// retryShareUsed is the part of the allowed share of retries that a router
-// spends, as its windows and those of other routers do not line up.
-const retryShareUsed = 0.75
-
-// retrySlackUsed is the part of the common slack that is given out, as routers
-// that have just started do not count each other yet.
-const retrySlackUsed = 0.9
-
 // Start runs a gateway until Stop.
 func Start(settings Settings, ports Ports, logger *events.Logger) (*Gateway, error) {
 	settings.SetDefaults()
@@ -150,81 +127,6 @@
 	return g, nil
 }
 
-// budget returns the service's budget for further attempts. The mutex is held.
-func (g *Gateway) budget(service string) *admission.RetryBudget {
-	reserve := g.retryReserve()
-	budget := g.retries[service]
-	if budget == nil {
-		budget = admission.NewRetryBudget(g.settings.RetryShare*retryShareUsed, reserve)
-		g.retries[service] = budget
-	}
-	budget.SetReserve(reserve)
-	return budget
-}
-
-func (g *Gateway) listen() error {
-	if err := g.relays.listen(); err != nil {
-		return err
-	}
-	callers, err := net.Listen("tcp", g.settings.CallerAddress)
-	if err != nil {
-		g.relays.close()
-		return trace.ConvertSystemError(err)
-	}
-	ready, err := net.Listen("tcp", g.settings.ReadyAddress)
-	if err != nil {
-		g.relays.close()
-		callers.Close()
-		return trace.ConvertSystemError(err)
-	}
-	g.callers = newCallerServer(http.HandlerFunc(g.serveCall))
-	readiness := http.NewServeMux()
-	readiness.HandleFunc(g.ports.ReadyPath, g.serveReadiness)
-	g.readiness = &http.Server{Handler: readiness, ReadHeaderTimeout: headerTimeout}
-	go g.callers.Serve(callers)
-	go g.readiness.Serve(ready)
-	g.listenFigures()
-	return nil
-}
-
-// listenFigures serves the counters; a router whose figures cannot be served
-// still serves requests.
-func (g *Gateway) listenFigures() {
-	if g.settings.MetricsAddress == "" {
-		return
-	}
-	listener, err := net.Listen("tcp", g.settings.MetricsAddress)
-	if err != nil {
-		g.log.Log(events.FiguresUnavailable, events.Fields{"address": g.settings.MetricsAddress, "error": err.Error()})
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle(MetricsPath, g.metrics.handler())
-	mux.HandleFunc(StatusPath, g.serveStatus)
-	g.figures = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	go g.figures.Serve(listener)
-}
-
-// MetricsPath is the path of the counters.
-const MetricsPath = "/metrics"
-
-// Times of the callers' server.
-const (
-	headerTimeout = 10 * time.Second
-	// idleTimeout is longer than any caller keeps an idle connection.
-	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes is above what configurations allow callers.
-	maxHeaderBytes = 128 << 10
-	sweepInterval  = time.Second
-)
-
-func newCallerServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
-	}
-}
-
 func (g *Gateway) spawn(loop func()) {
 	g.group.Add(1)
 	go func() {
@@ -236,6 +138,9 @@
 // pause waits for the duration, or returns false when the gateway stops.
 func (g *Gateway) pause(duration time.Duration) bool { return waitFor(g.ctx, duration) }
 
+// sweepInterval is how often idle connections and the log's state are looked at.
+const sweepInterval = time.Second
+
 func (g *Gateway) sweepLoop() {
 	reported := uint64(0)
 	for g.pause(sweepInterval) {
@@ -262,15 +167,6 @@
 	return duration/2 + time.Duration(g.random.Int64N(int64(duration/2)+1))
 }
 
-func (g *Gateway) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
-	knowsRunners := g.copies.revision(RunnerObjects) > 0
-	if g.draining.Load() || !knowsRunners || !g.proven(time.Now()) {
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	writer.WriteHeader(http.StatusOK)
-}
-
 // proven tells whether the configuration in force is known well enough for
 // requests with a key.
 func (g *Gateway) proven(now time.Time) bool {
@@ -285,51 +181,3 @@
 func (v *view) fresh(now time.Time, lease time.Duration) bool {
 	return now.Sub(v.provenAt) < lease-min(leaseMargin, lease/2)
 }
-
-// Reload takes over settings that may change while the process runs.
-func (g *Gateway) Reload(settings Settings) {
-	g.relays.mutex.Lock()
-	g.relays.chooser.SetSeeds(settings.Seeds)
-	g.relays.mutex.Unlock()
-	g.log.Log(events.SettingsReloaded, events.Fields{"seeds": len(settings.Seeds)})
-}
-
-// Times of a planned stop.
-const (
-	// lingerTime is how long new requests are still taken after the signal, so
-	// that the platform notices that this router is no longer ready.
-	lingerTime = 3 * time.Second
-	// stopMargin is left of the grace when open requests are cut.
-	stopMargin = 150 * time.Millisecond
-)
-
-// Stop ends the gateway as planned: it is not ready any more, serves what
-// comes for a while, finishes all open requests and returns.
-func (g *Gateway) Stop() {
-	began := time.Now()
-	g.draining.Store(true)
-	g.log.Log(events.GatewayDraining, events.Fields{"grace_ms": g.settings.DrainGrace.Milliseconds()})
-	time.Sleep(min(lingerTime, g.settings.DrainGrace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.DrainGrace-stopMargin))
-	defer cancel()
-	err := g.callers.Shutdown(ctx)
-	g.end()
-	g.log.Log(events.GatewayStopped, events.Fields{"after_ms": time.Since(began).Milliseconds(), "cut": err != nil})
-}
-
-// Kill ends the gateway at once, as a crash would.
-func (g *Gateway) Kill() {
-	g.end()
-	g.group.Wait()
-}
-
-// end stops the loops and closes everything that listens.
-func (g *Gateway) end() {
-	g.cancel()
-	g.callers.Close()
-	g.readiness.Close()
-	g.relays.close()
-	if g.figures != nil {
-		g.figures.Close()
-	}
-}
