Only routers that read the store contend for the lease at once

Routers that learn from a seed now leave it to seeds, unless nothing happens for two seconds or their seeds are gone. Test failed first (two calls of a follower).

--- a/internal/backend/rollout.go
+++ b/internal/backend/rollout.go
@@ -53,16 +53,21 @@
 	Runners []GroupRunner
 }
 
-// Outdated tells whether a runner that stays has older weights than named.
-func (s *Set) Outdated() bool {
+// Outdated counts the runners that stay and have older weights than named.
+func (s *Set) Outdated() int {
+	count := 0
 	for _, e := range s.entries {
-		if e.Draining {
-			continue
+		if !e.Draining && s.outdated(e) {
+			count++
 		}
-		for _, held := range e.Models {
-			if max(held.Version, e.learned[held.Name]) < s.weights.Target(held.Name) {
-				return true
-			}
+	}
+	return count
+}
+
+func (s *Set) outdated(e *entry) bool {
+	for _, held := range e.Models {
+		if max(held.Version, e.learned[held.Name]) < s.weights.Target(held.Name) {
+			return true
 		}
 	}
 	return false
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -13,6 +13,9 @@
 const (
 	// leaderInterval is how often a router looks whether there is work to order.
 	leaderInterval = 200 * time.Millisecond
+	// standbyDelay is how long nothing may happen before routers that do not read
+	// the store seek the lease too.
+	standbyDelay = 2 * time.Second
 	// orderLease is how long a holder acts on one write of the lease.
 	orderLease = time.Second
 	// gapMargin is added to the least time between the orders of two holders.
@@ -33,6 +36,10 @@
 	// nextRead is when the lease is read again while another router holds it.
 	nextRead time.Time
 	held     bool
+	// outdated is how many runners had older weights than named when last looked,
+	// and changedAt when that number changed.
+	outdated  int
+	changedAt time.Time
 }
 
 func newLeader(g *Gateway) *leader {
@@ -43,11 +50,16 @@
 
 func (l *leader) run() {
 	for l.wait() {
-		if !l.rollout.needed() {
+		outdated := l.rollout.outdated()
+		if outdated == 0 {
+			l.outdated = 0
 			l.note(0, false)
 			continue
 		}
 		l.yieldIfFenced()
+		if !l.contends(time.Now(), outdated) {
+			continue
+		}
 		token, held := l.keep()
 		l.note(token, held)
 		if held {
@@ -56,6 +68,16 @@
 	}
 }
 
+// contends tells whether this router seeks the lease. Those that read the store
+// do at once; all others only when nothing happens, so that a named version does
+// not bring a herd of calls.
+func (l *leader) contends(now time.Time, outdated int) bool {
+	if outdated != l.outdated {
+		l.outdated, l.changedAt = outdated, now
+	}
+	return l.gateway.direct.on() || l.held || now.Sub(l.changedAt) >= standbyDelay
+}
+
 // wait returns when there may be something to do, or false when the gateway stops.
 func (l *leader) wait() bool {
 	select {
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -82,6 +82,24 @@
 	f.g.Expect(time.Since(changed)).To(BeNumerically("<", 300*time.Millisecond), "changes are pushed")
 }
 
+// Only routers that read the store anyway contend for the lease at once, or each
+// named version would bring a herd of calls.
+func TestFollowersLeaveTheLeaseToSeeds(t *testing.T) {
+	t.Parallel()
+	f, seeds, follower := relayedFleet(t)
+	runner := f.runner("e1", "engines")
+	name(f, 2)
+	f.g.Eventually(runner.Version, 3*time.Second, 10*time.Millisecond).Should(Equal(uint64(2)))
+	f.g.Eventually(func() int { return follower.call("/stream/x", nil).status }, time.Second).Should(Equal(http.StatusOK))
+	f.g.Expect(follower.door.Calls()).To(Equal(0))
+
+	for _, seed := range seeds {
+		seed.Kill()
+	}
+	name(f, 3)
+	f.g.Eventually(runner.Version, 8*time.Second, 20*time.Millisecond).Should(Equal(uint64(3)), "with the seeds gone it orders itself")
+}
+
 func TestFollowerGoesToAnotherSeedAndThenToTheStore(t *testing.T) {
 	f, seeds, follower := relayedFleet(t)
 	for i, seed := range seeds {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -51,8 +51,8 @@
 	return &rollouts{gateway: g, active: map[string]bool{}, setBackUntil: map[string]time.Time{}}
 }
 
-// needed tells whether any runner has older weights than named.
-func (r *rollouts) needed() bool {
+// outdated counts the runners that have older weights than named.
+func (r *rollouts) outdated() int {
 	g := r.gateway
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
