--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -186,9 +186,9 @@
 	set := NewSet("z")
 	set.Put(runner("a", "z"))
 	set.Put(runner("b", "z"))
-	g.Expect(set.Outdated()).To(BeFalse())
+	g.Expect(set.Outdated()).To(BeZero())
 	set.Weights().Name("m", 2, start, start.Add(time.Minute))
-	g.Expect(set.Outdated()).To(BeTrue())
+	g.Expect(set.Outdated()).To(Equal(2))
 	groups := set.ModelGroups()
 	g.Expect(groups).To(HaveLen(1))
 	g.Expect(groups[0].Target).To(Equal(uint64(2)))
@@ -198,7 +198,7 @@
 	leaving := runner("b", "z")
 	leaving.Draining = true
 	set.Put(leaving)
-	g.Expect(set.Outdated()).To(BeFalse(), "a runner that leaves needs no weights")
+	g.Expect(set.Outdated()).To(BeZero(), "a runner that leaves needs no weights")
 }
 
 // A router that lives long sees more versions than it keeps deadlines for: the
