--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,7 +1,7 @@
 // Package control is the control plane of one node: membership, configuration
 // and runner reports, as one state machine without I/O, clock or goroutines.
 //
-// The node's shell and the hollow nodes of scale runs both drive it: Step takes
+// The node's shell and tests both drive it: Step takes
 // a message, Tick the time, and TakeReady gives what is to be sent and what has
 // changed.
 package control
