--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -105,7 +105,7 @@
 
 // beliefEvents are the events that change what a router believes of everything.
 var beliefEvents = numbers(
-	events.GatewayStarted, events.GatewayDraining, events.ConfigInForce, events.ConfigProven, events.StoreLost, events.StoreRegained,
+	events.GatewayStarted, events.GatewayDraining, events.ConfigInForce, events.ConfigStale, events.ConfigProven, events.StoreLost, events.StoreRegained,
 	events.SourceChanged, events.WeightsNamed, events.CacheStoreChanged, events.LeaseAcquired, events.LeaseLost,
 )
 
