--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -66,6 +66,7 @@
 	SettingsReloaded   = define(803, logrus.InfoLevel, "settings read again")
 	FiguresUnavailable = define(804, logrus.WarnLevel, "counters cannot be served")
 	LinesDropped       = define(805, logrus.WarnLevel, "log lines dropped")
+	SettingsRefused    = define(806, logrus.WarnLevel, "settings are faulty; the former ones stay")
 	ConfigInForce      = define(810, logrus.InfoLevel, "configuration in force")
 	ConfigStale        = define(811, logrus.WarnLevel, "configuration is no longer proved; requests with keys are refused")
 	ConfigProven       = define(812, logrus.InfoLevel, "configuration is proved again")
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -7,14 +7,6 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 )
 
-// Reload takes over settings that may change while the process runs.
-func (g *Gateway) Reload(settings Settings) {
-	g.relays.mutex.Lock()
-	g.relays.chooser.SetSeeds(settings.Seeds)
-	g.relays.mutex.Unlock()
-	g.log.Log(events.SettingsReloaded, events.Fields{"seeds": len(settings.Seeds)})
-}
-
 // Times of a planned stop.
 const (
 	// lingerTime is how long new requests are still taken after the signal, so
