All routers avoid the runners that take new weights next

Cause: only the router that orders knew which runners were being updated; the others, six of seven, went on sending there and met refusals and streams that paused for the load. Which runners come next follows from what all know (oldest weights first, a quarter at once), so each router now works it out.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -19,7 +19,8 @@
 	otherZoneCost = 400
 	// oldWeightsCost is the cost of weights that should have been replaced.
 	oldWeightsCost = 1500
-	// updatingCost is the cost of a runner whose weights are being replaced.
+	// updatingCost is the cost of a runner whose weights are being replaced, or
+	// are next.
 	updatingCost = 60000
 	// coldCost is the cost of a runner that has just started.
 	coldCost = 2000
@@ -121,7 +122,7 @@
 	case Old:
 		cost = oldWeightsCost
 	}
-	if e.updating {
+	if e.updating || s.takesWeightsNext(now, e, model) {
 		cost += updatingCost
 	}
 	return cost, true
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -12,11 +12,12 @@
 	entries   map[string]*entry
 	byService map[string][]*entry
 	weights   *Weights
+	next      map[updateGroup]nextUpdates
 }
 
 // NewSet returns an empty table of a router in the zone.
 func NewSet(zone string) *Set {
-	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights()}
+	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), next: map[updateGroup]nextUpdates{}}
 }
 
 // Weights returns the named versions of weights.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -16,9 +14,6 @@
 
 // Times and limits of rollouts.
 const (
-	// maxUpdatingShare is the share of a service's runners whose weights are
-	// replaced at once; the weight store slows all when many load.
-	maxUpdatingShare = 0.25
 	// minServingPercent of a service's runners keep serving.
 	minServingPercent = 50
 	// reportTime bounds one call to a runner about its weights.
@@ -80,7 +75,7 @@
 // limitsFor returns the limits for a service with the number of runners. A
 // runner that is alone cannot wait for another one to serve meanwhile.
 func limitsFor(runners int) rollout.Limits {
-	limits := rollout.Limits{MaxLoading: max(1, int(float64(runners)*maxUpdatingShare)), MinServingPercent: minServingPercent}
+	limits := rollout.Limits{MaxLoading: backend.UpdatesAtOnce(runners), MinServingPercent: minServingPercent}
 	if runners == 1 {
 		limits.MinServingPercent = 0
 	}
@@ -94,9 +89,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var planned []rollout.Runner
-	// The oldest weights first: with versions named in quick succession every
-	// runner gets its turn, and skips those in between.
-	slices.SortStableFunc(group.Runners, func(a, b backend.GroupRunner) int { return cmp.Compare(a.Version, b.Version) })
+	backend.SortForUpdate(group.Runners)
 	for _, runner := range group.Runners {
 		state := fleet.Serving
 		if r.active[runner.ID] || now.Before(r.setBackUntil[runner.ID]) {
