--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,13 +9,14 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // latencyBuckets are in seconds, dense around the targets.
 var latencyBuckets = []float64{.005, .01, .02, .05, .1, .15, .2, .3, .47, .6, .8, 1, 2, 5, 10}
 
 // metrics are the gateway's measurements. No label holds a tenant or a request;
-// services, kinds and outcomes are few.
+// routes that carry calls, services, kinds and outcomes are few.
 type metrics struct {
 	registry *prometheus.Registry
 
@@ -44,7 +45,7 @@
 func newMetrics(g *Gateway) *metrics {
 	m := &metrics{
 		registry:       prometheus.NewRegistry(),
-		calls:          counters("calls_total", "Calls sent to a runner, by how they ended.", "service", "kind", "outcome"),
+		calls:          counters("calls_total", "Calls sent to a runner, by how they ended.", "route", "service", "kind", "outcome"),
 		latencies:      seconds("call_seconds", "Time from a call's arrival to its end.", "service", "kind"),
 		firstEvents:    seconds("first_event_seconds", "Time from a call's arrival to the first event of its stream.", "service"),
 		refusals:       counters("refusals_total", "Calls refused without having run, by status and reason.", "status", "reason"),
@@ -123,9 +124,10 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-func (m *metrics) ended(service, kind, outcome string, after time.Duration) {
-	m.calls.WithLabelValues(service, kind, outcome).Inc()
-	m.latencies.WithLabelValues(service, kind).Observe(after.Seconds())
+// ended notes the end of a call of the route that was sent to the service.
+func (m *metrics) ended(route *routing.Route, service, outcome string, after time.Duration) {
+	m.calls.WithLabelValues(route.Name, service, route.Kind.String(), outcome).Inc()
+	m.latencies.WithLabelValues(service, route.Kind.String()).Observe(after.Seconds())
 }
 
 func (m *metrics) refused(status int, reason string) {
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -95,7 +95,7 @@
 	f.g.Expect(sends).To(Equal(float64(len(failing.Runs()) + len(well.Runs()))))
 	f.g.Expect(got[`clovertiller_runner_failures_total{outcome="failed",service="plain"}`]).To(Equal(float64(len(failing.Runs()))))
 	f.g.Expect(got[`clovertiller_retries_total{outcome="sent",service="plain"}`]).To(Equal(sends - calls))
-	f.g.Expect(got[`clovertiller_calls_total{kind="safe",outcome="complete",service="plain"}`]).To(Equal(float64(calls)))
+	f.g.Expect(got[`clovertiller_calls_total{kind="safe",outcome="complete",route="safe",service="plain"}`]).To(Equal(float64(calls)))
 	f.g.Expect(got[`clovertiller_call_seconds_count{kind="safe",service="plain"}`]).To(Equal(float64(calls)))
 	f.g.Expect(got[`clovertiller_first_event_seconds_count{service="engines"}`]).To(BeNumerically(">=", 1))
 	f.g.Expect(got[`clovertiller_placements_total{kept="yes",service="engines"}`]).To(BeNumerically(">=", 1))
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -38,7 +38,7 @@
 		pause = c.stream.worstPause
 	}
 	late := exceeds(first, c.route.Target) || exceeds(pause, c.route.EventGap)
-	c.gateway.metrics.ended(c.service, c.route.Kind.String(), outcome, now.Sub(c.arrived))
+	c.gateway.metrics.ended(c.route, c.service, outcome, now.Sub(c.arrived))
 	if outcome != outcomeComplete || late || c.request.Attempt() > 1 {
 		c.logDecisions()
 	}
