--- a/hack/demo.sh
+++ b/hack/demo.sh
@@ -11,6 +11,8 @@
   [ -s "$out/pid" ] && pids+=("$(cat "$out/pid")")
   kill "${pids[@]}" $(jobs -p) 2>/dev/null || true
   wait 2>/dev/null || true
+  # What a failed run logged is kept.
+  if [ "${code:-1}" != 0 ]; then mkdir -p out && rm -rf out/demo-failed && cp -r "$out" out/demo-failed; fi
   rm -rf "$out"
 }
 trap cleanup EXIT
