--- a/internal/backend/rollout.go
+++ b/internal/backend/rollout.go
@@ -66,7 +66,7 @@
 
 func (s *Set) outdated(e *entry) bool {
 	for _, held := range e.Models {
-		if max(held.Version, e.learned[held.Name]) < s.weights.Target(held.Name) {
+		if version, _ := e.version(held.Name); version < s.weights.Target(held.Name) {
 			return true
 		}
 	}
@@ -75,7 +75,7 @@
 
 // ModelGroups returns the groups in which a version was named, in order.
 func (s *Set) ModelGroups() []ModelGroup {
-	groups := map[[2]string]*ModelGroup{}
+	groups := map[updateGroup]*ModelGroup{}
 	for _, entries := range s.byService {
 		for _, e := range entries {
 			for _, held := range e.Models {
@@ -83,7 +83,7 @@
 				if target == 0 {
 					continue
 				}
-				key := [2]string{e.Service, held.Name}
+				key := updateGroup{e.Service, held.Name}
 				if groups[key] == nil {
 					groups[key] = &ModelGroup{Service: e.Service, Model: held.Name, Target: target}
 				}
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -29,12 +29,12 @@
 type cacheStores struct {
 	// config is the version of the configuration that lists them.
 	config uint64
-	// answering has bit i set when the i-th store answers.
+	// answering has bit i set when the i-th store answers. Stores beyond the 64th
+	// have no bit and are not used.
 	answering uint64
 }
 
-// maxCacheStores is how many stores are told apart.
-const maxCacheStores = 64
+func (s *cacheStores) answers(i int) bool { return s.answering&(1<<i) != 0 }
 
 func newCacheStoreWatch(g *Gateway) *cacheStoreWatch {
 	w := &cacheStoreWatch{gateway: g}
@@ -48,7 +48,7 @@
 	state := w.state.Load()
 	var usable []string
 	for i, address := range table.CacheStores() {
-		if i < maxCacheStores && state.answering&(1<<i) != 0 {
+		if state.answers(i) {
 			usable = append(usable, address)
 		}
 	}
@@ -78,9 +78,6 @@
 	var answering atomic.Uint64
 	var group sync.WaitGroup
 	for i, address := range table.CacheStores() {
-		if i >= maxCacheStores {
-			break
-		}
 		group.Go(func() {
 			if g.ports.Runners.CacheStoreAnswers(ctx, address) {
 				answering.Or(1 << i)
@@ -105,10 +102,9 @@
 // note puts the state in force and logs what changed.
 func (w *cacheStoreWatch) note(table *routing.Table, state cacheStores, source string) {
 	before := w.state.Swap(&state)
-	changed := before.answering ^ state.answering
 	for i, address := range table.CacheStores() {
-		if i < maxCacheStores && changed&(1<<i) != 0 {
-			w.gateway.log.Log(events.CacheStoreChanged, events.Fields{"address": address, "answers": state.answering&(1<<i) != 0, "source": source})
+		if before.answers(i) != state.answers(i) {
+			w.gateway.log.Log(events.CacheStoreChanged, events.Fields{"address": address, "answers": state.answers(i), "source": source})
 		}
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,6 +54,8 @@
 	// sent is when, and open the request there until it has ended.
 	sent time.Time
 	open *backend.Send
+	// query is what the runner was chosen by.
+	query backend.Query
 	// weights is the version of the weights that the runner is known to have.
 	weights uint64
 	// backup is the runner that the run's memory is copied to; copyAt is set when
@@ -220,8 +222,8 @@
 	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
 }
 
-// query says what placement needs to know of the call.
-func (c *call) query() backend.Query {
+// newQuery says what placement needs to know of the call.
+func (c *call) newQuery() backend.Query {
 	query := backend.Query{Service: c.service, Excluded: c.request.Excluded()}
 	if !c.route.Cached {
 		return query
@@ -268,11 +270,11 @@
 	if len(c.facts.Prompt) < 2 {
 		return
 	}
-	address := c.gateway.cacheStores.storeOf(c.view.table, c.family())
+	address := c.gateway.cacheStores.storeOf(c.view.table, c.query.Family)
 	dispatch.FetchFrom = address
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
-	if address != "" && c.gateway.saves.Due(time.Now(), c.query(), c.weights) {
+	if address != "" && c.gateway.saves.Due(time.Now(), c.query, c.weights) {
 		dispatch.SaveTo = address
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -18,7 +18,8 @@
 func (c *call) pick() (backend.Runner, *refusal) {
 	g := c.gateway
 	now := time.Now()
-	query := c.query()
+	query := c.newQuery()
+	c.query = query
 	again := c.request.Attempt() > 0
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
