Runs are no longer copied to a second runner unless the settings ask for it

The copies of streams that may not be repeated hold as much memory as the runs themselves, at a second runner, until the run has ended well. That pushed shared prompt parts out, which were read again, which made the runs longer, which held the copies longer.

Change: a setting, CopyRuns, off by default. The tests of copies run with it on; a new one shows that none is made by default.

--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -25,7 +25,10 @@
 func (c *call) pickBackup(now time.Time, runner backend.Runner) {
 	c.backup = backend.Runner{}
 	service := c.view.table.Service(c.service)
-	if c.route.Kind != routing.Streaming || c.route.Resumable || service == nil || service.Engine == nil || !service.Engine.Backups {
+	if !c.gateway.settings.CopyRuns || c.route.Kind != routing.Streaming || c.route.Resumable {
+		return
+	}
+	if service == nil || service.Engine == nil || !service.Engine.Backups {
 		return
 	}
 	if backup, found := c.gateway.runners.Backup(now, runner.ID, c.facts.Model); found {
--- a/internal/gateway/backup_test.go
+++ b/internal/gateway/backup_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 )
 
@@ -27,7 +28,7 @@
 			f := newFleet(t)
 			f.configure(1, defaultRoutes(), goodKey)
 			runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines")}
-			r := f.servingRouter("r1", nil)
+			r := f.servingRouter("r1", copyRuns)
 			f.g.Eventually(func() int { return r.call("/once/x", nil).status }).Should(Equal(200))
 			before := runsOf(runners)
 			homeOf(runners).BehaveOnce(behaviour)
@@ -42,12 +43,28 @@
 	}
 }
 
+func copyRuns(settings *gateway.Settings) { settings.CopyRuns = true }
+
+// Copies take as much memory as the runs, so none is made unless the settings ask for it.
+func TestRunsAreNotCopiedByDefault(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines")}
+	r := f.servingRouter("r1", nil)
+	f.g.Eventually(func() int { return r.call("/once/x", nil).status }).Should(Equal(200))
+	before := runsOf(runners)
+	homeOf(runners).BehaveOnce(runnerstand.Dies)
+	f.g.Expect(r.call("/once/x", nil).cut).To(BeTrue())
+	f.g.Expect(runsOf(runners)).To(Equal(before+1), "nothing else may run it")
+	f.g.Expect(append(runners[0].Continued(), runners[1].Continued()...)).To(BeEmpty())
+}
+
 // Without a copy the run cannot go on, and nothing else may run it.
 func TestStreamWithoutACopyIsCut(t *testing.T) {
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
 	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines"), f.runner("e3", "engines")}
-	r := f.servingRouter("r1", nil)
+	r := f.servingRouter("r1", copyRuns)
 	f.runners.Clear()
 	behaveOnce(runners, runnerstand.Dies)
 	got := r.call("/once/x", nil)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,11 @@
 	// AwaitRunning makes a runner finish its running requests before it takes
 	// new weights; otherwise they go on under the new weights.
 	AwaitRunning bool
+	// CopyRuns lets runners copy the memory of streams that may not be repeated
+	// to another runner as they grow, so that the stream survives its runner. Off
+	// by default: the copies take as much memory as the runs, which pushes shared
+	// prompt parts out (docs/POLICY.md has what they cost and save).
+	CopyRuns bool
 	// LeaseGap is the least time between the orders of two lease holders.
 	LeaseGap time.Duration
 	// RetryShare is the share of requests that all routers together may send a
