All routers know which runners keep which prompt parts; parts are fetched from there

Cause: the platform's door guessed what runners keep from a hash of the prompt's family, fetched everything from the one store of kept cache and saved nearly every prompt there (each router remembered its own saves only).

Change: routers that read the store of objects also read what runners and stores keep (a list at first and after a gap, then changes, in calls that wait 0.3 s and so cost nothing), keep it as a feed and give it to the others with the changes that they pull. Placement counts what a runner keeps beside the family's home; a runner fetches from whoever keeps most, runners before the store; only what the store lacks is saved.

--- a/cmd/clovertiller-gateway/main.go
+++ b/cmd/clovertiller-gateway/main.go
@@ -70,6 +70,7 @@
 		Decode:       platform.Decode,
 		Store:        &platform.Store{Address: settings.StoreAddress, Pool: calls},
 		Runners:      &platform.Runners{Pool: calls},
+		Caches:       &platform.Caches{Pool: calls},
 		ReadyPath:    platform.PathReadiness,
 		DroppedLines: output.Dropped,
 		RunnerPool:   httpconn.NewPool(httpconn.DefaultDialTimeout),
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -38,6 +38,9 @@
 	// TrunkTokens how many of them many families share.
 	SharedTokens int
 	TrunkTokens  int
+	// Shared are the parts before the prompt's own one, and Owner names whose they are.
+	Shared []SharedPart
+	Owner  string
 	// Excluded names runners that failed this request.
 	Excluded []string
 }
@@ -48,6 +51,8 @@
 	request := placement.Request{Model: query.Model, PromptTokens: query.PromptTokens, Excluded: slices.Clone(query.Excluded)}
 	entries := s.byService[query.Service]
 	home := s.home(now, entries, query)
+	s.cached.Expire(now)
+	kept := &keptByWeights{set: s, query: &query, known: map[uint64]map[string]int{}}
 	var candidates []placement.Candidate
 	for _, e := range entries {
 		cost, usable := s.weightsCost(now, e, query)
@@ -59,7 +64,7 @@
 		}
 		candidates = append(candidates, placement.Candidate{
 			Name: e.ID, Leaving: e.Draining, Report: s.report(now, e, query.Model),
-			CachedTokens:    cachedTokens(query, e.ID == home),
+			CachedTokens:    max(cachedTokens(query, e.ID == home), kept.depth(e)),
 			PendingTokens:   e.pendingTokens + int(e.currentWait(now).Seconds()*PrefillRate),
 			PendingRequests: e.inFlight,
 			ExtraTokens:     cost + s.evidenceCost(now, e),
--- a/internal/backend/saves.go
+++ b/internal/backend/saves.go
@@ -4,8 +4,9 @@
 
 // Times and sizes of remembered saves.
 const (
-	// saveInterval is how long a saved prompt family counts as saved.
-	saveInterval = 10 * time.Second
+	// saveInterval is how long a prompt family counts as saved that the store is
+	// not known to keep: longer than it takes to hear of a save that came there.
+	saveInterval = 2 * time.Second
 	// minSharedShare is the least shared part of a prompt that is worth a save.
 	minSharedShare = 0.5
 	// maxSaves bounds the remembered families.
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/cacheindex"
 )
 
 // Set is the table of runners. It is not safe for concurrent use.
@@ -12,12 +14,16 @@
 	entries   map[string]*entry
 	byService map[string][]*entry
 	weights   *Weights
-	next      map[updateGroup]nextUpdates
+	// cached is which runners and stores keep which shared prompt parts.
+	cached *cacheindex.Shard
+	// cachedKnown is true once this was read, by this router or another one.
+	cachedKnown bool
+	next        map[updateGroup]nextUpdates
 }
 
 // NewSet returns an empty table of a router in the zone.
 func NewSet(zone string) *Set {
-	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), next: map[updateGroup]nextUpdates{}}
+	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}}
 }
 
 // Weights returns the named versions of weights.
@@ -49,6 +55,7 @@
 		return false
 	}
 	delete(s.entries, id)
+	s.cached.Forget(id)
 	s.byService[known.Service] = slices.DeleteFunc(slices.Clone(s.byService[known.Service]), func(e *entry) bool { return e == known })
 	return true
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -81,6 +81,7 @@
 	RunnerRemoved      = define(832, logrus.InfoLevel, "runner removed")
 	WeightsNamed       = define(840, logrus.InfoLevel, "weights named")
 	CacheStoreChanged  = define(842, logrus.InfoLevel, "store of kept cache answers, or no longer")
+	CacheUnread        = define(843, logrus.WarnLevel, "what a runner keeps could not be read")
 	WeightsLearned     = define(841, logrus.InfoLevel, "runner's weights changed")
 )
 
--- /dev/null
+++ b/internal/gateway/cachereader_test.go
@@ -0,0 +1,121 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// keptParts stands in for what runners keep, by their ids.
+type keptParts struct {
+	mutex sync.Mutex
+	kept  map[string][]gateway.CachedPart
+	// missed are runners whose next changes are not known.
+	missed map[string]bool
+	lists  map[string]int
+}
+
+func newKeptParts() *keptParts {
+	return &keptParts{kept: map[string][]gateway.CachedPart{}, missed: map[string]bool{}, lists: map[string]int{}}
+}
+
+// put changes what the runner keeps; nobody is told of it but by a list.
+func (k *keptParts) put(runner string, parts ...gateway.CachedPart) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.kept[runner] = parts
+	k.missed[runner] = true
+}
+
+func (k *keptParts) listed(runner string) int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.lists[runner]
+}
+
+func (k *keptParts) CacheList(_ context.Context, _, runner string) ([]gateway.CachedPart, gateway.CachePosition, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lists[runner]++
+	delete(k.missed, runner)
+	return k.kept[runner], gateway.CachePosition{Epoch: 1}, nil
+}
+
+func (k *keptParts) CacheChanges(_ context.Context, _, runner string, after gateway.CachePosition, _ time.Duration) (gateway.CacheChanges, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if _, known := k.kept[runner]; !known {
+		return gateway.CacheChanges{}, errors.New("not reached")
+	}
+	return gateway.CacheChanges{Position: after, Incomplete: k.missed[runner]}, nil
+}
+
+// sentTo returns the runner that ran the newest call, and where that fetched from.
+func sentTo(runners []*runnerstand.Runner, before map[string]int) (string, string) {
+	for _, runner := range runners {
+		if runs := runner.Runs(); len(runs) > before[runner.ID] {
+			return runner.ID, runs[len(runs)-1].Header.Get(platform.HeaderFetch)
+		}
+	}
+	return "", ""
+}
+
+// Routers that read the store also read what runners keep, and tell the others.
+func TestFollowersKnowWhatRunnersKeep(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	kept := newKeptParts()
+	f.caches = kept
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines"), f.runner("e3", "engines")}
+	addresses := []string{freeAddress(f.g)}
+	f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = addresses[0], addresses })
+	follower := f.servingRouter("follower", f.asFollower(addresses))
+	call := func(prompt string) (runner, fetched string) {
+		before := map[string]int{}
+		for _, each := range runners {
+			before[each.ID] = len(each.Runs())
+		}
+		got := follower.call("/stream/x", func(request *http.Request) { request.Header.Set(platform.HeaderPrompt, prompt) })
+		f.g.Expect(got.status).To(Equal(http.StatusOK))
+		return sentTo(runners, before)
+	}
+	for i, holder := range runners {
+		prompt := fmt.Sprintf("t%d:40000,f%d:200000,own%d:50", i, i, i)
+		kept.put(holder.ID, gateway.CachedPart{Salt: "tenant/tenant-one/1", Part: fmt.Sprint("t", i)}, gateway.CachedPart{Salt: "tenant/tenant-one/1", Part: fmt.Sprint("f", i)})
+		f.g.Eventually(func() string {
+			runner, _ := call(prompt)
+			return runner
+		}, 5*time.Second, 20*time.Millisecond).Should(Equal(holder.ID), "calls go where their parts are kept")
+	}
+	f.g.Expect(kept.listed("e1")).To(BeNumerically("<=", 3), "everything is read at first and after a gap only")
+}
+
+// What is known of a runner's parts says nothing about another owner's or older weights'.
+func TestPartsOfOtherOwnersAndWeightsAreNotFetched(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	kept := newKeptParts()
+	f.caches = kept
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines")}
+	for i, salt := range []string{"shared/1", "tenant/tenant-one/0"} {
+		kept.put(runners[i].ID, gateway.CachedPart{Salt: salt, Part: "aa"}, gateway.CachedPart{Salt: salt, Part: "bb"})
+	}
+	r := f.servingRouter("r1", nil)
+	f.g.Eventually(func() int { return kept.listed("e1") * kept.listed("e2") }, 3*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
+	got := r.call("/stream/x", func(request *http.Request) { request.Header.Set(platform.HeaderPrompt, "aa:100,bb:200,cc:50") })
+	f.g.Expect(got.status).To(Equal(http.StatusOK))
+	_, fetched := sentTo(runners, nil)
+	f.g.Expect(fetched).To(BeEmpty())
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -228,11 +227,12 @@
 	if !c.route.Cached {
 		return query
 	}
-	query.Model = c.facts.Model
+	query.Model, query.Owner = c.facts.Model, c.owner()
 	for i, part := range c.facts.Prompt {
 		query.PromptTokens += part.Tokens
 		if i < len(c.facts.Prompt)-1 {
 			query.SharedTokens += part.Tokens
+			query.Shared = append(query.Shared, backend.SharedPart{ID: part.ID, Depth: query.SharedTokens})
 		}
 		if i < len(c.facts.Prompt)-2 {
 			query.TrunkTokens += part.Tokens
@@ -266,19 +266,38 @@
 func (c *call) addCache(dispatch *Dispatch) {
 	dispatch.Priority = c.priority()
 	dispatch.WeightVersion = c.weights
-	dispatch.Salt = c.owner() + "/" + strconv.FormatUint(c.weights, 10)
+	dispatch.Salt = backend.Salt(c.owner(), c.weights)
 	if len(c.facts.Prompt) < 2 {
 		return
 	}
-	address := c.gateway.cacheStores.storeOf(c.view.table, c.query.Family)
-	dispatch.FetchFrom = address
+	now, store := time.Now(), c.gateway.cacheStores.storeOf(c.view.table, c.query.Family)
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
-	if address != "" && c.gateway.saves.Due(time.Now(), c.query, c.weights) {
-		dispatch.SaveTo = address
+	source := c.gateway.runners.Source(now, c.runner.ID, c.query, c.weights, store)
+	dispatch.FetchFrom = source.Address
+	c.gateway.metrics.sources.WithLabelValues(sourceLabel(source.Address, store)).Inc()
+	if store != "" && !source.StoreKeeps && c.gateway.saves.Due(now, c.query, c.weights) {
+		dispatch.SaveTo = store
 	}
 }
 
+// Sources of cached parts, in counters.
+const (
+	sourceNone   = "none"
+	sourceStore  = "store"
+	sourceRunner = "runner"
+)
+
+func sourceLabel(address, store string) string {
+	switch address {
+	case "":
+		return sourceNone
+	case store:
+		return sourceStore
+	}
+	return sourceRunner
+}
+
 // Ranks of requests at the runners.
 const (
 	routeRanks = 3
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 	// Decode reads an object of the store.
 	Decode  func(kind ObjectKind, object v1.Object) Object
 	Runners RunnerControl
+	// Caches reads what runners keep; nil reads nothing.
+	Caches CacheReader
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// DroppedLines returns how many log lines were dropped; nil counts none.
@@ -82,6 +84,8 @@
 	relays *relays
 	// cacheStores watches the stores of kept cache.
 	cacheStores *cacheStoreWatch
+	// caches reads what runners and stores keep, for all routers that ask.
+	caches *cacheReader
 	// named is told when a version of weights was named.
 	named chan struct{}
 
@@ -111,6 +115,7 @@
 	g.metrics = newMetrics(g)
 	ports.RunnerPool.Opened = g.metrics.connections.Inc
 	g.cacheStores = newCacheStoreWatch(g)
+	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
 	if err := g.listen(); err != nil {
 		cancel()
@@ -123,6 +128,7 @@
 	g.spawn(g.relays.run)
 	g.spawn(func() { newLeader(g).run() })
 	g.spawn(g.cacheStores.run)
+	g.spawn(g.caches.run)
 	g.spawn(g.sweepLoop)
 	return g, nil
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -29,6 +29,8 @@
 	store *storestand.Store
 	// runners are the fleet's runners by address.
 	runners sync.Map
+	// caches tells routers what runners keep; nil tells nothing.
+	caches gateway.CacheReader
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -160,7 +162,7 @@
 	log := &logBuffer{}
 	started, err := gateway.Start(settings, gateway.Ports{
 		Protocol: platform.Protocol{}, Decode: platform.Decode, Store: &platform.Store{Address: door.Address, Pool: calls},
-		Runners: &platform.Runners{Pool: calls}, ReadyPath: platform.PathReadiness, RunnerPool: httpconn.NewPool(httpconn.DefaultDialTimeout),
+		Runners: &platform.Runners{Pool: calls}, Caches: f.caches, ReadyPath: platform.PathReadiness, RunnerPool: httpconn.NewPool(httpconn.DefaultDialTimeout),
 	}, events.NewLogger(log, name, logrus.InfoLevel))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(started.Kill)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -38,6 +38,9 @@
 
 	orders        *prometheus.CounterVec
 	weightUpdates *prometheus.HistogramVec
+
+	cacheReads *prometheus.CounterVec
+	sources    *prometheus.CounterVec
 }
 
 const namespace = "clovertiller"
@@ -62,10 +65,12 @@
 		peerCalls:     seconds("peer_call_seconds", "Pulls of changes from other routers.", "outcome"),
 		orders:        counters("orders_total", "Orders given to runners, by outcome.", "outcome"),
 		weightUpdates: seconds("weight_update_seconds", "Time to bring one runner to named weights.", "outcome"),
+		cacheReads:    counters("cache_reads_total", "Calls for what runners and stores of kept cache keep, by what was read.", "read"),
+		sources:       counters("fetch_sources_total", "Prompts sent with a source of cached parts, or without one.", "source"),
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections,
-		m.storeCalls, m.storeFailures, m.peerCalls, m.orders, m.weightUpdates, &runnerStates{gateway: g},
+		m.storeCalls, m.storeFailures, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, &runnerStates{gateway: g},
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
 		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
 		gauge("log_lines_dropped", "Log lines dropped because the output did not take them.", func() float64 { return float64(g.droppedLines()) }),
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -210,6 +210,46 @@
 	return [...]string{"unknown", "taken", "holds", "conflict", "fenced", "invalid"}[o]
 }
 
+// CachedPart is one prompt part that a runner or a store of kept cache keeps.
+type CachedPart struct {
+	// Salt keeps parts of different owners and weights apart.
+	Salt string
+	Part string
+}
+
+// CacheEvent is one change of what a runner or store keeps.
+type CacheEvent struct {
+	CachedPart
+	// Removed parts are kept no longer, or no longer whole.
+	Removed bool
+}
+
+// CachePosition is a place in the sequence of changes of one runner or store.
+type CachePosition struct {
+	// Epoch is another one after each start.
+	Epoch uint64
+	// Next is where the changes go on.
+	Next uint64
+}
+
+// CacheChanges are the changes after a position.
+type CacheChanges struct {
+	Position CachePosition
+	// Incomplete is true when older changes are no longer known.
+	Incomplete bool
+	Events     []CacheEvent
+}
+
+// CacheReader reads what runners and stores of kept cache keep. The runner is the
+// incarnation that alone may answer, empty for a store.
+type CacheReader interface {
+	// CacheList returns everything that is kept, as of the position.
+	CacheList(ctx context.Context, address, runner string) ([]CachedPart, CachePosition, error)
+	// CacheChanges returns what changed after the position, as soon as there is
+	// anything and after the wait at the latest.
+	CacheChanges(ctx context.Context, address, runner string, after CachePosition, wait time.Duration) (CacheChanges, error)
+}
+
 // RunnerControl reads and orders runners.
 type RunnerControl interface {
 	Report(ctx context.Context, runner backend.Runner) (RunnerReport, error)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -197,6 +197,7 @@
 	}
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
 	r.gateway.routers.Store(int64(answer.GetRouters()))
+	r.gateway.caches.told(address, answer.GetCache())
 	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
 	return age <= proofAge
 }
@@ -217,6 +218,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, patience)
 	defer cancel()
 	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
+	request.CacheFeed, request.CacheThrough = g.caches.position(address)
 	for _, kind := range kinds {
 		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -149,7 +149,9 @@
 		c.answered = time.Now()
 	}
 	g.mutex.Lock()
-	g.runners.FirstAnswer(time.Now(), c.open)
+	now := time.Now()
+	g.runners.FirstAnswer(now, c.open)
+	g.runners.NoteRead(now, c.runner.ID, c.query, c.weights)
 	g.mutex.Unlock()
 }
 
