Tests take ports below the ephemeral range; a test waits for both routers it asks

Two tests of the gateway failed once each in nine runs while the machine was busy. TestFollowersLeaveTheLeaseToSeeds: 'bind: address already in use'. The harness took a free ephemeral port, and the kernel gave it to an outgoing connection before the router listened. TestFamiliesAreSpreadOverTheCacheStoresThatAnswer: it waited until the follower knew the stores, then also asked the other seed, which checks them by itself up to two seconds later. It waits for that one too; what it asserts is unchanged.

--- a/internal/gateway/cachereader_test.go
+++ b/internal/gateway/cachereader_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -78,7 +79,7 @@
 	f.caches = kept
 	f.configure(1, defaultRoutes(), goodKey)
 	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines"), f.runner("e3", "engines")}
-	addresses := []string{freeAddress(f.g)}
+	addresses := []string{loopback.FreeAddress()}
 	f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = addresses[0], addresses })
 	follower := f.servingRouter("follower", f.asFollower(addresses))
 	call := func(prompt string) (runner, fetched string) {
--- a/internal/gateway/cachestore_test.go
+++ b/internal/gateway/cachestore_test.go
@@ -49,6 +49,7 @@
 	f.store.Put(configKind, configName, spec)
 	runner := f.runner("e1", "engines")
 	f.g.Eventually(func() int { return strings.Count(follower.log.String(), `"event":842`) }, 4*time.Second, 20*time.Millisecond).Should(Equal(3))
+	f.g.Eventually(func() int { return strings.Count(seeds[0].log.String(), `"event":842`) }, 4*time.Second, 20*time.Millisecond).Should(Equal(3), "the other seed checks by itself")
 
 	f.g.Eventually(func() int { return follower.call("/stream/x", nil).status }, 2*time.Second).Should(Equal(http.StatusOK))
 	f.g.Eventually(func() int { return seeds[0].call("/stream/x", nil).status }, 2*time.Second).Should(Equal(http.StatusOK))
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -17,6 +16,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 	"github.com/clovertiller/clovertiller/platform"
@@ -132,13 +132,6 @@
 	return b.text.String()
 }
 
-func freeAddress(g *WithT) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // router starts a gateway; adjust may change its settings.
 func (f *fleet) router(name string, adjust func(*gateway.Settings)) *router {
 	return f.routerAt(name, adjust, storestand.Healthy)
@@ -151,7 +144,7 @@
 	door.Set(fault)
 	f.t.Cleanup(door.Close)
 	settings := gateway.Settings{
-		Node: name, Zone: "z", CallerAddress: freeAddress(f.g), ReadyAddress: freeAddress(f.g), StoreAddress: door.Address,
+		Node: name, Zone: "z", CallerAddress: loopback.FreeAddress(), ReadyAddress: loopback.FreeAddress(), StoreAddress: door.Address,
 		ConfigLease: 5 * time.Second, DrainGrace: time.Second, LeaseGap: 200 * time.Millisecond,
 	}
 	if adjust != nil {
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 )
@@ -37,7 +38,7 @@
 	f.configure(3, defaultRoutes(), goodKey)
 	f.runner("e1", "engines")
 	f.list(f.runner("p1", "plain"), "draining")
-	address := freeAddress(f.g)
+	address := loopback.FreeAddress()
 	f.servingRouter("r1", func(settings *gateway.Settings) { settings.MetricsAddress = address })
 	name(f, 2)
 	read := func() (status gateway.Status) {
@@ -77,7 +78,7 @@
 	failing, well := f.runner("p1", "plain"), f.runner("p2", "plain")
 	f.runner("e1", "engines")
 	failing.Behave(runnerstand.Fails)
-	address := freeAddress(f.g)
+	address := loopback.FreeAddress()
 	r := f.servingRouter("r1", func(settings *gateway.Settings) {
 		settings.MetricsAddress, settings.RetryReserve, settings.ConfigLease = address, 20, 2*time.Second
 	})
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 )
@@ -18,7 +19,7 @@
 	f = newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
 	f.runner("p1", "plain")
-	addresses := []string{freeAddress(f.g), freeAddress(f.g)}
+	addresses := []string{loopback.FreeAddress(), loopback.FreeAddress()}
 	for i, node := range []string{"seed-1", "seed-2"} {
 		seeds = append(seeds, f.servingRouter(node, func(settings *gateway.Settings) {
 			settings.PeerAddress, settings.Seeds = addresses[i], addresses
@@ -38,12 +39,12 @@
 	runners := []*runnerstand.Runner{f.runner("p1", "plain"), f.runner("p2", "plain")}
 	const slack, perRouter, calls = 6, 5, 10
 	adjust := func(settings *gateway.Settings) { settings.RetrySlack, settings.RetryReserve = slack, perRouter }
-	addresses := []string{freeAddress(f.g), freeAddress(f.g)}
+	addresses := []string{loopback.FreeAddress(), loopback.FreeAddress()}
 	var routers []*router
 	for i := range 6 {
 		routers = append(routers, f.servingRouter(fmt.Sprintf("r%d", i), func(settings *gateway.Settings) {
 			adjust(settings)
-			settings.PeerAddress, settings.Seeds = freeAddress(f.g), addresses
+			settings.PeerAddress, settings.Seeds = loopback.FreeAddress(), addresses
 			if i < len(addresses) {
 				settings.PeerAddress = addresses[i]
 			}
@@ -68,7 +69,7 @@
 
 func (f *fleet) asFollower(seeds []string) func(*gateway.Settings) {
 	return func(settings *gateway.Settings) {
-		settings.PeerAddress, settings.Seeds = freeAddress(f.g), seeds
+		settings.PeerAddress, settings.Seeds = loopback.FreeAddress(), seeds
 	}
 }
 
@@ -156,7 +157,7 @@
 // gave before must not be given again with a newer proof.
 func TestSeedNeverGivesAnOlderConfigurationWithANewerProof(t *testing.T) {
 	f := newFleet(t)
-	addresses := []string{freeAddress(f.g)}
+	addresses := []string{loopback.FreeAddress()}
 	seed := f.routerAt("seed", func(settings *gateway.Settings) {
 		settings.PeerAddress, settings.Seeds = addresses[0], addresses
 	}, storestand.Busy)
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -14,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,6 +23,7 @@
 	"github.com/clovertiller/clovertiller/internal/cli"
 	"github.com/clovertiller/clovertiller/internal/lab/engineserver"
 	"github.com/clovertiller/clovertiller/internal/lab/load"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/platformserver"
 	"github.com/clovertiller/clovertiller/internal/node"
 	"github.com/clovertiller/clovertiller/internal/platform"
@@ -48,33 +48,6 @@
 	return binaries, nil
 }
 
-// Ports are taken from below the range that the system gives to outgoing
-// connections, so that a port found free stays free until it is used.
-const (
-	firstPort = 12000
-	lastPort  = 30000
-)
-
-var nextPort atomic.Int64
-
-// FreeAddress returns a loopback address that is free now.
-func FreeAddress() string {
-	nextPort.CompareAndSwap(0, int64(firstPort+(os.Getpid()*97)%(lastPort-firstPort)))
-	for {
-		port := nextPort.Add(1)
-		if port >= lastPort {
-			nextPort.Store(firstPort)
-			continue
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			listener.Close()
-			return address
-		}
-	}
-}
-
 // Process is one real process that may be stopped, frozen and started again
 // under the same addresses.
 type Process struct {
@@ -188,7 +161,7 @@
 		}
 	}
 	for i := range settings.Routers {
-		c.Routers = append(c.Routers, &Router{HTTP: FreeAddress(), Peer: FreeAddress(), Zone: Zones[i%len(Zones)]})
+		c.Routers = append(c.Routers, &Router{HTTP: loopback.FreeAddress(), Peer: loopback.FreeAddress(), Zone: Zones[i%len(Zones)]})
 	}
 	for i, router := range c.Routers {
 		if err := c.startRouter(i, router); err != nil {
@@ -207,7 +180,7 @@
 }
 
 func (c *Cluster) addEngine(number int, settings Settings) error {
-	engine := &Engine{Address: FreeAddress(), Runner: fmt.Sprintf("runner-%d", number), Pool: Pool, Zone: Zones[number%len(Zones)]}
+	engine := &Engine{Address: loopback.FreeAddress(), Runner: fmt.Sprintf("runner-%d", number), Pool: Pool, Zone: Zones[number%len(Zones)]}
 	args := []string{"engine", "--listen", engine.Address, "--platform", c.Platform.Address(), "--model", Model, "--weights", Weights}
 	if settings.Blocks > 0 {
 		args = append(args, "--blocks", fmt.Sprint(settings.Blocks))
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -24,17 +24,8 @@
 	Peer    string
 }
 
-func freeAddresses() (processAddresses, error) {
-	var free [3]string
-	for i := range free {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return processAddresses{}, err
-		}
-		free[i] = listener.Addr().String()
-		listener.Close()
-	}
-	return processAddresses{free[0], free[1], free[2]}, nil
+func freeAddresses() processAddresses {
+	return processAddresses{loopback.FreeAddress(), loopback.FreeAddress(), loopback.FreeAddress()}
 }
 
 // process is one gateway, started again whenever it ends.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -137,10 +137,7 @@
 	var addresses []processAddresses
 	var seeds []string
 	for range gateways {
-		free, err := freeAddresses()
-		if err != nil {
-			return err
-		}
+		free := freeAddresses()
 		addresses = append(addresses, free)
 		if len(seeds) < 2 {
 			seeds = append(seeds, free.Peer)
