Only seeds read what runners keep; no trunk is assumed to be kept everywhere

Change: seeds read, whatever happens, and nobody else; a whole feed is asked for each 3 s at most; what has not been heard of for 5 s is dropped, and parts are fetched from the store unseen as before. Placement no longer takes the trunk of a prompt (the parts before the deepest shared one) as kept by every runner: that was a guess for want of knowledge.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -86,6 +86,11 @@
 	}
 }
 
+// ForgetCached drops all that is known of the parts that runners and stores keep.
+func (s *Set) ForgetCached() {
+	s.cached, s.cachedKnown = cacheindex.NewShard(confirmTime), false
+}
+
 // NoteRead notes that the runner has read the prompt and so keeps its shared parts.
 func (s *Set) NoteRead(now time.Time, id string, query Query, weights uint64) {
 	if len(query.Shared) > 0 && s.entries[id] != nil {
--- a/internal/backend/cachedparts_test.go
+++ b/internal/backend/cachedparts_test.go
@@ -14,7 +14,7 @@
 // sharedQuery is a prompt of 100 and 200 shared tokens and 50 of its own.
 func sharedQuery() Query {
 	return Query{
-		Service: "s", Model: "m", PromptTokens: 350, SharedTokens: 300, TrunkTokens: 100, Family: 7, Owner: "shared",
+		Service: "s", Model: "m", PromptTokens: 350, SharedTokens: 300, Family: 7, Owner: "shared",
 		Shared: []SharedPart{{ID: "trunk", Depth: 100}, {ID: "branch", Depth: 300}},
 	}
 }
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -34,10 +34,8 @@
 	PromptTokens int
 	// Family is the hash of the prompt's deepest shared part, 0 without one.
 	Family uint64
-	// SharedTokens is how many tokens come before the prompt's own part, and
-	// TrunkTokens how many of them many families share.
+	// SharedTokens is how many tokens come before the prompt's own part.
 	SharedTokens int
-	TrunkTokens  int
 	// Shared are the parts before the prompt's own one, and Owner names whose they are.
 	Shared []SharedPart
 	Owner  string
@@ -64,7 +62,7 @@
 		}
 		candidates = append(candidates, placement.Candidate{
 			Name: e.ID, Leaving: e.Draining, Report: s.report(now, e, query.Model),
-			CachedTokens:    max(cachedTokens(query, e.ID == home), kept.depth(e)),
+			CachedTokens:    cachedTokens(query, e.ID == home, kept.depth(e)),
 			PendingTokens:   e.pendingTokens + int(e.currentWait(now).Seconds()*PrefillRate),
 			PendingRequests: e.inFlight,
 			ExtraTokens:     cost + s.evidenceCost(now, e),
@@ -88,11 +86,14 @@
 	return rendezvous.Owner(ids, query.Family)
 }
 
-func cachedTokens(query Query, home bool) int {
+// cachedTokens is how many tokens of the prompt count as kept by a runner that is
+// known to keep the depth. The home counts as keeping all shared ones, so that all
+// routers send a family there before any of them knows what it keeps.
+func cachedTokens(query Query, home bool, depth int) int {
 	if home {
-		return query.SharedTokens
+		return max(query.SharedTokens, depth)
 	}
-	return query.TrunkTokens
+	return depth
 }
 
 func (s *Set) report(now time.Time, e *entry, model string) fleet.Report {
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -101,7 +101,7 @@
 		one.Put(runner(id, "z1"))
 		other.Put(runner(id, "z1"))
 	}
-	query := Query{Service: "s", Model: "m", Family: 42, PromptTokens: 1000, SharedTokens: 900, TrunkTokens: 100}
+	query := Query{Service: "s", Model: "m", Family: 42, PromptTokens: 1000, SharedTokens: 900}
 	cached := func(set *Set) string {
 		_, candidates := set.Candidates(start, query)
 		for _, candidate := range candidates {
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -21,6 +21,13 @@
 	cacheReadWait = 300 * time.Millisecond
 	// cacheReadTime bounds one call: its wait and a slow answer.
 	cacheReadTime = 700 * time.Millisecond
+	// wholeFeedInterval is the least time between two requests for a whole feed: it
+	// is some hundred kilobytes, and a router that finds no fresh proof asks one
+	// seed after the other.
+	wholeFeedInterval = 3 * time.Second
+	// feedPatience is how long what a feed said is used without hearing from it:
+	// runners turn over what they keep in some seconds.
+	feedPatience = 5 * time.Second
 	// cacheListInterval is how often everything that a runner keeps is read again:
 	// a few events never arrive, and what they would have said is wrong until then.
 	cacheListInterval = 30 * time.Second
@@ -33,22 +40,23 @@
 	readFailed  = "failed"
 )
 
-// cacheReader reads what runners and stores of kept cache keep, at routers that
-// read the store of objects. All others are told with the changes that they pull,
-// so the calls do not grow with the number of routers.
+// cacheReader reads what runners and stores of kept cache keep, at seeds only.
+// All others are told with the changes that they pull, so the calls do not grow
+// with the number of routers, not even when all read the store of objects
+// themselves because no seed proves anything.
 type cacheReader struct {
 	gateway *Gateway
 	// mutex guards what follows.
 	mutex sync.Mutex
-	// feed is what was read, nil while this router does not read.
+	// feed is what was read, nil at a router that does not read. It is set once.
 	feed *cacheindex.Feed
-	// id names the feed to those that follow it.
+	// id names the feed to those that follow it: another one after each start.
 	id uint64
 	// holders is how far each runner and store has been read.
 	holders map[string]*holderReading
 	// applied is how far the own feed is applied to the own index.
 	applied uint64
-	// followed is the feed of another router that this one follows, and at how far.
+	// followed is the feed of another router that this one follows.
 	followed followedFeed
 }
 
@@ -65,6 +73,8 @@
 type followedFeed struct {
 	address     string
 	id, through uint64
+	// wholeAt is when all of a feed was asked for last, and heardAt when anything came.
+	wholeAt, heardAt time.Time
 }
 
 func newCacheReader(g *Gateway) *cacheReader {
@@ -76,27 +86,35 @@
 	if g.ports.Caches == nil {
 		return
 	}
+	if g.relays.isSource() {
+		r.mutex.Lock()
+		r.feed = cacheindex.NewFeed()
+		r.mutex.Unlock()
+	}
 	for g.pause(g.jitter(cacheReadInterval)) {
-		if current := g.view.Load(); current != nil && r.reads() {
+		current := g.view.Load()
+		switch {
+		case r.feed == nil:
+			r.forgetSilent()
+		case current != nil:
 			r.readAll(current.table.CacheStores())
 		}
 	}
 }
 
-// reads tells whether this router reads, and begins or ends its feed.
-func (r *cacheReader) reads() bool {
-	direct := r.gateway.direct.on()
+// forgetSilent drops what a feed said that has not been heard of for long.
+func (r *cacheReader) forgetSilent() {
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	switch {
-	case direct && r.feed == nil:
-		r.feed, r.applied, r.followed = cacheindex.NewFeed(), 0, followedFeed{}
-		r.id++
-	case !direct && r.feed != nil:
-		r.feed = nil
-		clear(r.holders)
+	silent := !r.followed.heardAt.IsZero() && time.Since(r.followed.heardAt) > feedPatience
+	if silent {
+		r.followed = followedFeed{wholeAt: r.followed.wholeAt}
+	}
+	r.mutex.Unlock()
+	if silent {
+		r.gateway.mutex.Lock()
+		r.gateway.runners.ForgetCached()
+		r.gateway.mutex.Unlock()
 	}
-	return direct
 }
 
 // readAll reads every runner and store once and takes what changed.
@@ -218,15 +236,23 @@
 	}
 }
 
-// position returns what to ask the router at the address for: the feed that was
-// followed there, and how far.
-func (r *cacheReader) position(address string) (id, through uint64) {
+// ask adds to a pull what is asked of the address's feed: what changed in the one
+// that is followed, or the whole of another one, now and then.
+func (r *cacheReader) ask(address string, pull *wire.CopyPull) {
+	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.followed.address != address {
-		return 0, 0
+	if r.feed != nil || r.gateway.ports.Caches == nil {
+		return
+	}
+	if r.followed.address == address {
+		pull.WantsCache, pull.CacheFeed, pull.CacheThrough = true, r.followed.id, r.followed.through
+		return
+	}
+	if now.Sub(r.followed.wholeAt) >= wholeFeedInterval {
+		pull.WantsCache = true
+		r.followed.wholeAt = now
 	}
-	return r.followed.id, r.followed.through
 }
 
 // answer returns what a follower lacks of the own feed, nil without one.
@@ -245,18 +271,19 @@
 	return cacheDeltaToWire(r.id, delta)
 }
 
-// told takes what the router at the address answered, unless this one reads itself.
+// told takes what the router at the address answered.
 func (r *cacheReader) told(address string, message *wire.CacheDelta) {
-	if message == nil || r.gateway.direct.on() {
+	if message == nil {
 		return
 	}
 	r.mutex.Lock()
-	follows := r.followed.address == address && r.followed.id == message.GetFeed()
-	if follows || message.GetFull() {
-		r.followed = followedFeed{address: address, id: message.GetFeed(), through: message.GetThrough()}
+	follows := message.GetFull() || (r.followed.address == address && r.followed.id == message.GetFeed())
+	if follows {
+		r.followed.address, r.followed.id, r.followed.through = address, message.GetFeed(), message.GetThrough()
+		r.followed.heardAt = time.Now()
 	}
 	r.mutex.Unlock()
-	if follows || message.GetFull() {
+	if follows {
 		r.apply(cacheDeltaFromWire(message))
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -234,9 +234,6 @@
 			query.SharedTokens += part.Tokens
 			query.Shared = append(query.Shared, backend.SharedPart{ID: part.ID, Depth: query.SharedTokens})
 		}
-		if i < len(c.facts.Prompt)-2 {
-			query.TrunkTokens += part.Tokens
-		}
 	}
 	query.Family = c.family()
 	return query
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -110,11 +110,16 @@
 
 // readsStore decides whether this router reads the store itself.
 func (r *relays) readsStore(relayed bool) bool {
-	r.mutex.Lock()
-	isSeed := r.chooser.IsSeed()
-	r.mutex.Unlock()
 	waits := r.gateway.view.Load() == nil && time.Now().Before(r.patientUntil)
-	return r.transport == nil || isSeed || !(relayed || waits)
+	return r.isSource() || !(relayed || waits)
+}
+
+// isSource tells whether this router reads for others whatever happens: seeds,
+// and a router without any others.
+func (r *relays) isSource() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.transport == nil || r.chooser.IsSeed()
 }
 
 // wantsPull tells whether other routers are to be asked: always by those that
@@ -218,7 +223,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, patience)
 	defer cancel()
 	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
-	request.CacheFeed, request.CacheThrough = g.caches.position(address)
+	g.caches.ask(address, request)
 	for _, kind := range kinds {
 		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
 	}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -45,7 +45,9 @@
 	r.noteFollower(pull.GetPeerAddress())
 	stores := g.cacheStores.state.Load()
 	answer := &wire.CopyAnswer{Zone: g.settings.Zone, CacheStores: stores.answering, CacheStoresConfig: stores.config, Routers: uint32(g.routerCount())}
-	answer.Cache = g.caches.answer(pull.GetCacheFeed(), pull.GetCacheThrough())
+	if pull.GetWantsCache() {
+		answer.Cache = g.caches.answer(pull.GetCacheFeed(), pull.GetCacheThrough())
+	}
 	// The proof is read before the copies: what is given is at least as new.
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
 		answer.Proven = true
