--- a/internal/gateway/cachereader_test.go
+++ b/internal/gateway/cachereader_test.go
@@ -120,3 +120,18 @@
 	_, fetched := sentTo(runners, nil)
 	f.g.Expect(fetched).To(BeEmpty())
 }
+
+// A router that reads the store itself for want of a seed does not read what
+// runners keep: with the store's proofs late all routers would do so at once.
+func TestRoutersThatAreNoSeedsDoNotReadWhatRunnersKeep(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	kept := newKeptParts()
+	f.caches = kept
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("e1", "engines")
+	kept.put("e1")
+	r := f.servingRouter("alone", f.asFollower([]string{loopback.FreeAddress()}))
+	f.g.Expect(r.log.String()).To(ContainSubstring(`"store":true`), "no seed answers")
+	f.g.Consistently(func() int { return kept.listed("e1") }, time.Second, 50*time.Millisecond).Should(BeZero())
+}
