Parts of runners that have left are taken out of the index

Found on reading: the index was told to forget a runner, which makes its entries dead, but nobody swept them, so a router that lives long kept the parts of every runner that ever left. The test failed first (2 entries kept for 1).

--- a/internal/backend/cachedparts_test.go
+++ b/internal/backend/cachedparts_test.go
@@ -92,3 +92,13 @@
 	set.Candidates(start.Add(time.Hour), sharedQuery())
 	g.Expect(set.Source(start, "a", sharedQuery(), 1, "").Address).To(Equal("b:1"))
 }
+
+// What runners kept that have left takes no memory.
+func TestPartsOfRunnersThatLeftAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	set := cachedSet(keeps("b", "trunk", "branch"), keeps("c", "trunk"))
+	set.Remove("b")
+	g.Expect(set.cached.Len()).To(Equal(1))
+	set.Retain(map[string]bool{"a": true})
+	g.Expect(set.cached.Len()).To(BeZero())
+}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -56,6 +56,7 @@
 	}
 	delete(s.entries, id)
 	s.cached.Forget(id)
+	s.cached.Sweep()
 	s.byService[known.Service] = slices.DeleteFunc(slices.Clone(s.byService[known.Service]), func(e *entry) bool { return e == known })
 	return true
 }
