--- a/internal/cacheindex/feed.go
+++ b/internal/cacheindex/feed.go
@@ -14,8 +14,8 @@
 
 // FeedDelta is what changed in a feed after one position up to another.
 type FeedDelta struct {
-	// From is the position that the changes follow, and Through the one they lead to.
-	From, Through uint64
+	// Through is the position that the changes lead to.
+	Through uint64
 	// Full deltas hold everything; what else was known is dropped.
 	Full    bool
 	Changes []PartChange
@@ -106,9 +106,6 @@
 	}
 }
 
-// Through is the position of the newest change.
-func (f *Feed) Through() uint64 { return f.through }
-
 // Since returns what changed after the position, or everything when that is no
 // longer known.
 func (f *Feed) Since(position uint64) FeedDelta {
@@ -116,7 +113,7 @@
 	if position > f.through || position < oldest {
 		return f.Whole()
 	}
-	return FeedDelta{From: position, Through: f.through, Changes: slices.Clone(f.log[position-oldest:])}
+	return FeedDelta{Through: f.through, Changes: slices.Clone(f.log[position-oldest:])}
 }
 
 // Whole returns everything.
--- a/internal/cacheindex/feed_test.go
+++ b/internal/cacheindex/feed_test.go
@@ -31,8 +31,8 @@
 	delta := feed.Since(1)
 	g.Expect(delta.Full).To(BeTrue())
 	g.Expect(delta.Changes).To(HaveLen(3 * maxFeedLog))
-	g.Expect(feed.Since(feed.Through()+1).Full).To(BeTrue(), "a position of another feed")
-	g.Expect(feed.Since(feed.Through()).Changes).To(BeEmpty())
+	g.Expect(feed.Since(feed.through+1).Full).To(BeTrue(), "a position of another feed")
+	g.Expect(feed.Since(feed.through).Changes).To(BeEmpty())
 }
 
 // Whatever happens, whoever follows a feed knows exactly which parts their
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -112,10 +112,6 @@
 		}
 	}
 	delta := r.feed.Since(r.applied)
-	if r.applied == 0 {
-		// What another router told before is replaced.
-		delta = r.feed.Whole()
-	}
 	r.applied = delta.Through
 	r.apply(delta)
 }
--- a/internal/gateway/cachereader_test.go
+++ b/internal/gateway/cachereader_test.go
@@ -87,7 +87,7 @@
 		for _, each := range runners {
 			before[each.ID] = len(each.Runs())
 		}
-		got := follower.call("/stream/x", func(request *http.Request) { request.Header.Set(platform.HeaderPrompt, prompt) })
+		got := follower.call("/stream/x", withPrompt(prompt))
 		f.g.Expect(got.status).To(Equal(http.StatusOK))
 		return sentTo(runners, before)
 	}
@@ -115,7 +115,7 @@
 	}
 	r := f.servingRouter("r1", nil)
 	f.g.Eventually(func() int { return kept.listed("e1") * kept.listed("e2") }, 3*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
-	got := r.call("/stream/x", func(request *http.Request) { request.Header.Set(platform.HeaderPrompt, "aa:100,bb:200,cc:50") })
+	got := r.call("/stream/x", withPrompt("aa:100,bb:200,cc:50"))
 	f.g.Expect(got.status).To(Equal(http.StatusOK))
 	_, fetched := sentTo(runners, nil)
 	f.g.Expect(fetched).To(BeEmpty())
--- a/internal/gateway/cachestore_test.go
+++ b/internal/gateway/cachestore_test.go
@@ -55,9 +55,7 @@
 	f.g.Eventually(func() int { return seeds[0].call("/stream/x", nil).status }, 2*time.Second).Should(Equal(http.StatusOK))
 
 	fetched := func(r *router, family int) string {
-		got := r.call("/stream/x", func(request *http.Request) {
-			request.Header.Set(platform.HeaderPrompt, fmt.Sprintf("aa:100,b%d:200,cc:50", family))
-		})
+		got := r.call("/stream/x", withPrompt(fmt.Sprintf("aa:100,b%d:200,cc:50", family)))
 		f.g.Expect(got.status).To(Equal(http.StatusOK))
 		runs := runner.Runs()
 		return runs[len(runs)-1].Header.Get(platform.HeaderFetch)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -238,3 +238,8 @@
 	want := fmt.Sprintf(`"version":%d`, version)
 	r.fleet.g.Eventually(r.log.String, 3*time.Second, 5*time.Millisecond).Should(And(ContainSubstring("configuration in force"), ContainSubstring(want)))
 }
+
+// withPrompt gives a call the parts of a prompt, as ID:TOKENS with commas between.
+func withPrompt(parts string) func(*http.Request) {
+	return func(request *http.Request) { request.Header.Set(platform.HeaderPrompt, parts) }
+}
