A started router contacts the seeds it has not heard of each 0.2 s at first

Found again beside 40 busy processes, with logs: where all routers start together the first messages meet peers whose dial has just failed and is not repeated for 100 ms, so answers are lost in one direction. A router that had been heard of by others knew few of them itself, and asked the seeds again only after 1 s, which is also when routers that think they are their zone's watchers read the platform: routers 6, 7 and 5 read it beside 0, 1, 4 and 8. The same loss left router-3 without router-6 until the next full list (15 to 45 s), which was the other failure seen beside that load ("the cluster is whole"). Change: for 2 s after its start a router contacts each 0.2 s the seeds that it has not heard of, also when it knows others. Test: TestNodesThatStartTogetherKnowEachOtherWithinASecond, failed before with all of the seeds tried first, holds for 20 seeds.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -20,6 +20,10 @@
 	CrossProbes int
 	// MaxUpdates bounds the member changes carried on one message.
 	MaxUpdates int
+	// JoinInterval is the time between two contacts of the seeds that have not
+	// been heard of yet, during the JoinTime after the start.
+	JoinInterval time.Duration
+	JoinTime     time.Duration
 	// ListInterval is the least time between two requests for a full list.
 	ListInterval time.Duration
 	// ForgetAfter is how long a dead member is remembered.
@@ -35,8 +39,12 @@
 		ZoneTimeout:      5 * time.Second,
 		CrossProbes:      2,
 		MaxUpdates:       6,
-		ListInterval:     30 * time.Second,
-		ForgetAfter:      10 * time.Minute,
+		// A peer that could not be dialled is not dialled again for 100 ms, and
+		// whatever is sent meanwhile is lost.
+		JoinInterval: 200 * time.Millisecond,
+		JoinTime:     2 * time.Second,
+		ListInterval: 30 * time.Second,
+		ForgetAfter:  10 * time.Minute,
 	}
 }
 
@@ -77,6 +85,10 @@
 	lastTick  time.Time
 	nextProbe time.Time
 	nextList  time.Time
+	// nextJoin is when the seeds that have not been heard of are contacted next,
+	// and joinUntil when only a node that knows nobody goes on doing so.
+	nextJoin  time.Time
+	joinUntil time.Time
 	ready     Ready
 }
 
@@ -151,14 +163,11 @@
 	c.expireProbes(now)
 	c.expireSuspects(now)
 	c.checkZones(now)
-	if now.Before(c.nextProbe) {
+	c.join(now)
+	if now.Before(c.nextProbe) || !c.KnowsOthers() {
 		return
 	}
 	c.nextProbe = now.Add(c.settings.ProbeInterval)
-	if !c.KnowsOthers() {
-		c.contactSeeds(now)
-		return
-	}
 	c.probeNextInZone(now)
 	if c.IsRelay() {
 		c.probeOtherZones(now)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -104,6 +104,27 @@
 	}
 }
 
+// A herd of restarts: each node is a seed of all others, and messages are lost
+// while the first dials fail. Nodes that do not know their zone a second after the
+// start would all read the configuration from the platform.
+func TestNodesThatStartTogetherKnowEachOtherWithinASecond(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		n := newNetwork(3, 3, seed)
+		seeds := slices.Sorted(maps.Keys(n.cores))
+		for id, core := range n.cores {
+			n.cores[id] = NewCore(core.Self(), seeds, DefaultSettings(), rand.New(rand.NewPCG(seed, 3)))
+		}
+		n.loss = 0.6
+		n.run(300 * time.Millisecond)
+		n.loss = 0
+		n.run(600 * time.Millisecond)
+		for _, id := range seeds {
+			g.Expect(n.view(id)).To(Equal(9), "%s with seed %d", id, seed)
+		}
+	}
+}
+
 func TestDeadNodeIsLeftByItsZoneAndTheOthers(t *testing.T) {
 	g := NewWithT(t)
 	n := newNetwork(3, 8, 2)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -32,9 +32,34 @@
 	c.emit(Event{Kind: EventPaused, Member: c.self})
 }
 
-func (c *Core) contactSeeds(now time.Time) {
+// join contacts the seeds that have not been heard of. Just after the start this
+// is done often: where all nodes start together, the first messages meet peers that
+// do not listen yet, or whose answer is lost on a path that has just failed.
+func (c *Core) join(now time.Time) {
+	if c.joinUntil.IsZero() {
+		c.joinUntil = now.Add(c.settings.JoinTime)
+	}
+	if now.Before(c.nextJoin) {
+		return
+	}
+	switch {
+	case now.Before(c.joinUntil):
+		c.nextJoin = now.Add(c.settings.JoinInterval)
+	case c.KnowsOthers():
+		return
+	default:
+		c.nextJoin = now.Add(c.settings.ProbeInterval)
+	}
+	c.contactUnknownSeeds()
+}
+
+func (c *Core) contactUnknownSeeds() {
+	heardOf := map[string]bool{c.self.PeerAddress: true}
+	for _, known := range c.members {
+		heardOf[known.member.PeerAddress] = true
+	}
 	for _, address := range c.seeds {
-		if address == c.self.PeerAddress {
+		if heardOf[address] {
 			continue
 		}
 		c.sequence++
