A started router whose seeds are silent reads the store after 0.1 s, not 0.46 s

Cause: after the loss of all routers by a power failure they come back within half a second of each other, the seeds not first. Change: the patience with silent seeds is 50 to 100 ms, not 150 to 300, and it is looked at after each seed. Seeds that answer but know nothing yet are waited for as before, so that the store is read by few where all start in the same moment. Test: TestStartedRouterReadsTheStoreSoonWhenItsSeedsAreSilent, failed before.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -41,9 +41,12 @@
 	// nextQuestion is the pause before the directory is asked for.
 	nextQuestion = 10 * time.Millisecond
 	// startPatience is how long a router that knows nothing yet waits at most for
-	// seeds that do not answer, and seedPatience for one that answers but knows
-	// nothing yet either.
-	startPatience = 300 * time.Millisecond
+	// seeds that do not answer: one that runs does so within firstPullTime, and
+	// after the loss of all routers those that start first would refuse callers
+	// until the seeds are back. seedPatience is the same for seeds that answer but
+	// know nothing yet either, as when all start in the same moment: the store is
+	// to be read by few then.
+	startPatience = 100 * time.Millisecond
 	seedPatience  = time.Second
 )
 
@@ -174,6 +177,10 @@
 			r.setSource(seed)
 			return true
 		}
+		if r.gateway.view.Load() == nil {
+			// The store is read beside the seeds that are still to be asked.
+			r.setDirect(r.readsStore(false))
+		}
 	}
 }
 
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -174,3 +175,22 @@
 	f.g.Eventually(second.isReady, time.Second, 10*time.Millisecond).Should(BeTrue())
 	f.g.Expect(second.call("/safe/x", nil).status).To(Equal(http.StatusUnauthorized))
 }
+
+// After the loss of all routers those that come back first find no seed. Callers
+// are there already, so the store is read as soon as the seeds are seen to be silent.
+func TestStartedRouterReadsTheStoreSoonWhenItsSeedsAreSilent(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	r := f.router("first", f.asFollower([]string{silentPeer(f), silentPeer(f), silentPeer(f)}))
+	f.g.Eventually(r.isReady, 200*time.Millisecond, 5*time.Millisecond).Should(BeTrue())
+}
+
+// silentPeer returns the address of a peer that takes connections and says nothing.
+func silentPeer(f *fleet) string {
+	address := loopback.FreeAddress()
+	listener, err := net.Listen("tcp", address)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { listener.Close() })
+	return address
+}
