What each runner keeps is read by a call of its own, and pulled more often

Cause: what routers know of kept prompt parts was 0.8 to 0.9 s old. Seeds read all runners in rounds, which lasted as long as the slowest call (up to its wait of 0.3 s, 0.7 s beside a dead runner) with a pause of 0.13 to 0.25 s, and applied a round's news at its end; the others pulled each 0.23 to 0.45 s. Change: one long call per runner and store (waits of 1 s are free), made again after 40 to 80 ms and applied at once; calls are bounded to 200 a second a seed, as 90 runners took before. Followers pull each 75 to 150 ms where few pull from a seed, and as seldom as before from 200 routers on.

--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -12,17 +12,28 @@
 
 // Times of reading what runners keep.
 const (
-	// cacheReadInterval is the pause between two rounds of calls for changes.
-	// Measured on three sites: 0.25 s is worth 0.002 more than 0.6 s (docs/POLICY.md).
-	cacheReadInterval = 250 * time.Millisecond
-	// cacheReadWait is how long a call may be held until there are changes. Calls
-	// that wait under 200 ms are priced like health checks, longer ones are free.
-	cacheReadWait = 300 * time.Millisecond
+	// cacheReadPause is the pause between two calls for the changes of one runner, so
+	// that changes that come together travel together. What routers know is old by
+	// this, the 0.08 s of the events themselves and their pull; fresher was worth
+	// 0.008 on further (docs/POLICY.md).
+	cacheReadPause = 80 * time.Millisecond
+	// cacheReadsPerSecond bounds the calls of one router: the pause grows with the
+	// number of runners. It is what 90 runners took when all were read in rounds.
+	cacheReadsPerSecond = 200
+	// cacheReadWait is how long a call may be held until there are changes, the
+	// longest that runners allow. Calls that wait under 200 ms are priced like
+	// health checks, longer ones are free.
+	cacheReadWait = time.Second
 	// cacheReadTime bounds one call: its wait and a slow answer.
-	cacheReadTime = 700 * time.Millisecond
+	cacheReadTime = 1400 * time.Millisecond
+	// cacheRetryPause is the pause after a call that failed.
+	cacheRetryPause = 300 * time.Millisecond
 	// cacheListInterval is how often everything that a runner keeps is read again:
 	// a few events never arrive, and what they would have said is wrong until then.
 	cacheListInterval = 30 * time.Second
+	// cacheHoldersInterval is how often the runners that are read are compared with
+	// the directory, and a follower looks whether its feed has fallen silent.
+	cacheHoldersInterval = 200 * time.Millisecond
 )
 
 // What was read, in counters.
@@ -44,7 +55,7 @@
 	feed *cacheindex.Feed
 	// id names the feed to those that follow it: another one after each start.
 	id uint64
-	// holders is how far each runner and store has been read.
+	// holders is how far each runner and store that is being read has been read.
 	holders map[string]*holderReading
 	// applied is how far the own feed is applied to the own index.
 	applied uint64
@@ -54,6 +65,8 @@
 
 // holderReading is how far one runner or store has been read.
 type holderReading struct {
+	// stop ends the reading.
+	stop     context.CancelFunc
 	position CachePosition
 	// listAt is when everything is to be read.
 	listAt time.Time
@@ -75,42 +88,77 @@
 		r.feed = cacheindex.NewFeed()
 		r.mutex.Unlock()
 	}
-	for g.pause(g.jitter(cacheReadInterval)) {
+	for g.pause(g.jitter(cacheHoldersInterval)) {
 		current := g.view.Load()
 		switch {
 		case r.feed == nil:
 			r.forgetSilent()
 		case current != nil:
-			r.readAll(current.table.CacheStores())
+			r.readFrom(current.table.CacheStores())
 		}
 	}
 }
 
-// readAll reads every runner and store once and takes what changed.
-func (r *cacheReader) readAll(stores []string) {
+// readFrom begins to read the runners and stores that are new, and ends with those
+// that are no longer there.
+func (r *cacheReader) readFrom(stores []string) {
 	g := r.gateway
 	g.mutex.Lock()
 	runners := g.runners.CacheHolders()
 	g.mutex.Unlock()
-	var group sync.WaitGroup
-	for id, address := range runners {
-		group.Go(func() { r.read(id, address, id) })
-	}
 	listed := map[string]bool{}
 	for _, address := range stores {
 		listed[address] = true
-		group.Go(func() { r.read(address, address, "") })
+		r.begin(address, address, "")
+	}
+	for id, address := range runners {
+		r.begin(id, address, id)
 	}
-	group.Wait()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	known := func(holder string) bool { return listed[holder] || runners[holder] != "" }
-	r.feed.Retain(known)
-	for holder := range r.holders {
+	for holder, reading := range r.holders {
 		if !known(holder) {
+			reading.stop()
 			delete(r.holders, holder)
 		}
 	}
+	r.feed.Retain(known)
+	r.applyOwn()
+}
+
+// begin reads the holder from now on, unless it is being read.
+func (r *cacheReader) begin(holder, address, runner string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.holders[holder] != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.gateway.ctx)
+	reading := &holderReading{stop: cancel}
+	r.holders[holder] = reading
+	r.gateway.spawn(func() {
+		for {
+			pause := r.pauseAfter(r.read(ctx, holder, address, runner, reading))
+			if !waitFor(ctx, r.gateway.jitter(pause)) {
+				return
+			}
+		}
+	})
+}
+
+// pauseAfter is the pause after a call.
+func (r *cacheReader) pauseAfter(err error) time.Duration {
+	if err != nil {
+		return cacheRetryPause
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return max(cacheReadPause, time.Duration(len(r.holders))*time.Second/cacheReadsPerSecond)
+}
+
+// applyOwn applies the own feed's news to the own index. The mutex is held.
+func (r *cacheReader) applyOwn() {
 	delta := r.feed.Since(r.applied)
 	r.applied = delta.Through
 	r.apply(delta)
@@ -125,25 +173,20 @@
 
 // read reads what one runner or store keeps: the changes, or everything when the
 // changes do not tell.
-func (r *cacheReader) read(holder, address, runner string) {
-	g := r.gateway
-	ctx, cancel := context.WithTimeout(g.ctx, cacheReadTime)
+func (r *cacheReader) read(ctx context.Context, holder, address, runner string, reading *holderReading) error {
+	ctx, cancel := context.WithTimeout(ctx, cacheReadTime)
 	defer cancel()
 	r.mutex.Lock()
-	reading := r.holders[holder]
-	if reading == nil {
-		reading = &holderReading{}
-		r.holders[holder] = reading
-	}
 	after, lists := reading.position, !time.Now().Before(reading.listAt)
 	r.mutex.Unlock()
 	if lists {
-		parts, position, err := g.ports.Caches.CacheList(ctx, address, runner)
+		parts, position, err := r.gateway.ports.Caches.CacheList(ctx, address, runner)
 		r.takeList(holder, reading, parts, position, err)
-		return
+		return err
 	}
-	changes, err := g.ports.Caches.CacheChanges(ctx, address, runner, after, cacheReadWait)
+	changes, err := r.gateway.ports.Caches.CacheChanges(ctx, address, runner, after, cacheReadWait)
 	r.takeChanges(holder, reading, changes, err)
+	return err
 }
 
 func (r *cacheReader) takeList(holder string, reading *holderReading, parts []CachedPart, position CachePosition, err error) {
@@ -158,10 +201,14 @@
 	r.gateway.metrics.cacheReads.WithLabelValues(readList).Inc()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.holders[holder] != reading {
+		return
+	}
 	reading.failing = false
 	r.feed.Replace(holder, hashes)
 	reading.position = position
 	reading.listAt = time.Now().Add(r.gateway.jitter(cacheListInterval))
+	r.applyOwn()
 }
 
 func (r *cacheReader) takeChanges(holder string, reading *holderReading, changes CacheChanges, err error) {
@@ -172,6 +219,9 @@
 	r.gateway.metrics.cacheReads.WithLabelValues(readChanges).Inc()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	if r.holders[holder] != reading {
+		return
+	}
 	reading.failing = false
 	if changes.Incomplete || changes.Position.Epoch != reading.position.Epoch {
 		reading.listAt = time.Time{}
@@ -186,6 +236,7 @@
 			r.feed.Add(holder, hash)
 		}
 	}
+	r.applyOwn()
 }
 
 // failed notes that a runner or store could not be read; what was known stays
--- a/internal/gateway/cachereader_test.go
+++ b/internal/gateway/cachereader_test.go
@@ -24,6 +24,8 @@
 	// missed are runners whose next changes are not known.
 	missed map[string]bool
 	lists  map[string]int
+	// silent is the runner whose calls are answered by nothing, if any.
+	silent string
 }
 
 func newKeptParts() *keptParts {
@@ -52,7 +54,11 @@
 	return k.kept[runner], gateway.CachePosition{Epoch: 1}, nil
 }
 
-func (k *keptParts) CacheChanges(_ context.Context, _, runner string, after gateway.CachePosition, _ time.Duration) (gateway.CacheChanges, error) {
+func (k *keptParts) CacheChanges(ctx context.Context, _, runner string, after gateway.CachePosition, _ time.Duration) (gateway.CacheChanges, error) {
+	if runner == k.silent {
+		<-ctx.Done()
+		return gateway.CacheChanges{}, ctx.Err()
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if _, known := k.kept[runner]; !known {
@@ -102,6 +108,36 @@
 	f.g.Expect(kept.listed("e1")).To(BeNumerically("<=", 3), "everything is read at first and after a gap only")
 }
 
+// A runner that does not answer, or has nothing to tell, does not delay what is
+// told of the others.
+func TestSilentRunnerDoesNotDelayWhatOthersKeep(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	kept := newKeptParts()
+	kept.silent = "e2"
+	f.caches = kept
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines")}
+	kept.put("e1")
+	r := f.servingRouter("r1", nil)
+	f.g.Eventually(func() int { return kept.listed("e1") }, 3*time.Second, 5*time.Millisecond).Should(BeNumerically(">", 0))
+	begun := time.Now()
+	const rounds = 3
+	for i := range rounds {
+		trunk := fmt.Sprint("t", i)
+		kept.put("e1", gateway.CachedPart{Salt: "tenant/tenant-one/1", Part: trunk})
+		f.g.Eventually(func() string {
+			before := map[string]int{"e1": len(runners[0].Runs()), "e2": len(runners[1].Runs())}
+			r.call("/stream/x", withPrompt(fmt.Sprintf("%s:200000,f%d-%d:100,own:50", trunk, i, time.Now().UnixNano())))
+			runner, _ := sentTo(runners, before)
+			return runner
+		}, 5*time.Second, 10*time.Millisecond).Should(Equal("e1"))
+		// Each prompt has a family of its own, so its home is e1 half of the time.
+		f.g.Eventually(func() int { return kept.listed("e1") }, 3*time.Second, 5*time.Millisecond).Should(BeNumerically(">", i+1))
+	}
+	f.g.Expect(time.Since(begun)).To(BeNumerically("<", rounds*500*time.Millisecond))
+}
+
 // What is known of a runner's parts says nothing about another owner's or older weights'.
 func TestPartsOfOtherOwnersAndWeightsAreNotFetched(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -18,9 +18,16 @@
 
 // Times of learning from other routers.
 const (
-	// pullInterval is how often a router that does not read the store asks one
-	// that does. Changes are pushed; the pull proves and repairs.
-	pullInterval = 450 * time.Millisecond
+	// shortestPull and longestPull bound how often a router that does not read the
+	// store asks one that does. Changes of the store are pushed, and the pull proves
+	// and repairs; what runners keep comes with pulls only, and is worth more the
+	// fresher it is (docs/POLICY.md). The longest leaves room for a pull that is
+	// lost before a proof is too old.
+	shortestPull = 150 * time.Millisecond
+	longestPull  = 450 * time.Millisecond
+	// pullsPerSecond is how many pulls a seed is to answer: at 0.1 ms each under
+	// two hundredths of a core.
+	pullsPerSecond = 150
 	// pullTime bounds one pull.
 	pullTime = 250 * time.Millisecond
 	// proofAge is the age at which a proof is too old to rely on its source:
@@ -147,7 +154,7 @@
 // pause waits for the next pull, less long when changes are known to be missing
 // or nothing is known yet.
 func (r *relays) pause() {
-	interval := pullInterval
+	interval := r.pullInterval()
 	switch {
 	case r.gateway.view.Load() == nil:
 		interval = firstRetry
@@ -163,6 +170,16 @@
 	}
 }
 
+// pullInterval is the time between two pulls: shorter where few routers pull from
+// each seed.
+func (r *relays) pullInterval() time.Duration {
+	r.mutex.Lock()
+	seeds := max(r.chooser.Seeds(), 1)
+	r.mutex.Unlock()
+	pulling := time.Duration(r.gateway.routers.Load()) / time.Duration(seeds)
+	return min(max(pulling*time.Second/pullsPerSecond, shortestPull), longestPull)
+}
+
 // pull asks seeds until one gives a recent proof, and tells whether one did.
 func (r *relays) pull() bool {
 	for {
