Calls wait up to 0.15 s at a router that has just started

Change: in the first second of a process a call waits until configuration and runners are known, at most 0.15 s, and is then refused as before. Test: TestCallsWaitForAStartingRouter, failed before (503).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,6 +75,7 @@
 // serveCall answers one request of a caller.
 func (g *Gateway) serveCall(writer http.ResponseWriter, request *http.Request) {
 	now := time.Now()
+	g.awaitStart(request.Context(), now)
 	c := &call{
 		gateway: g, writer: writer, control: http.NewResponseController(writer), caller: request,
 		facts: g.ports.Protocol.Call(request.Header), arrived: now, view: g.view.Load(),
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -62,6 +62,9 @@
 	if proven.given && outcome != config.Gap {
 		c.gateway.prove(proven.at)
 	}
+	if c.stores[ConfigObjects].Revision() > 0 && c.stores[RunnerObjects].Revision() > 0 {
+		c.gateway.startup.finish()
+	}
 	c.mutex.Unlock()
 	if outcome == config.Applied && len(delta.Objects) > 0 && before > 0 {
 		c.gateway.relays.push(kind, before)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,7 @@
 	cancel    context.CancelFunc
 	group     sync.WaitGroup
 	started   time.Time
+	startup   *startup
 }
 
 // Start runs a gateway until Stop.
@@ -104,7 +105,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	started := time.Now()
 	g := &Gateway{
-		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started,
+		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started, startup: newStartup(),
 		runners:  backend.NewSet(settings.Zone),
 		splitter: routing.NewSplitter(),
 		saves:    backend.NewSaves(),
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -186,6 +186,29 @@
 	f.g.Eventually(r.isReady, 200*time.Millisecond, 5*time.Millisecond).Should(BeTrue())
 }
 
+// Callers that come while a router starts are served a moment later, not refused;
+// a router that finds nobody refuses them soon.
+func TestCallsWaitForAStartingRouter(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	seeds := []string{silentPeer(f), silentPeer(f)}
+	got := f.router("first", f.asFollower(seeds)).call("/safe/x", nil)
+	f.g.Expect(got.status).To(Equal(http.StatusOK))
+	f.g.Expect(got.after).To(BeNumerically("<", 300*time.Millisecond))
+
+	alone := f.routerAt("alone", f.asFollower(seeds), storestand.Silent)
+	for range 2 {
+		got = alone.call("/safe/x", nil)
+		f.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		f.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		f.g.Expect(got.after).To(BeNumerically("<", 300*time.Millisecond))
+		time.Sleep(time.Second)
+	}
+	f.g.Expect(got.after).To(BeNumerically("<", 100*time.Millisecond), "later nothing waits")
+}
+
 // silentPeer returns the address of a peer that takes connections and says nothing.
 func silentPeer(f *fleet) string {
 	address := loopback.FreeAddress()
