A router that knows nothing yet asks its seeds a moment after one another

Change: the first pull goes to the next seed after 12 ms; who answers first counts, and the store is read beside them when the patience is over. The chooser gives all seeds that may be asked, in order. Test: TestStartedRouterFindsTheSeedThatAnswers: with three silent seeds of four the store was read with 6 calls, now with none.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -38,8 +38,10 @@
 	// countInterval is how often a router counts those that pull from it.
 	countInterval = 500 * time.Millisecond
 	// firstPullTime bounds the pulls of a router that knows nothing yet: a seed
-	// that runs answers in a few milliseconds, and callers wait.
-	firstPullTime = 50 * time.Millisecond
+	// that runs answers in a few milliseconds, and callers wait. The next seed is
+	// asked firstPullStagger after the one before, so that most ask one seed only.
+	firstPullTime    = 50 * time.Millisecond
+	firstPullStagger = 12 * time.Millisecond
 	// directoryTime bounds the first pull of the whole directory, and fullTime is
 	// how long a whole copy is given out though there are newer changes: the next
 	// pull brings these.
@@ -182,6 +184,9 @@
 
 // pull asks seeds until one gives a recent proof, and tells whether one did.
 func (r *relays) pull() bool {
+	if r.gateway.view.Load() == nil {
+		return r.firstPull()
+	}
 	for {
 		r.mutex.Lock()
 		seed, found := r.chooser.Next(time.Now())
@@ -194,11 +199,39 @@
 			r.setSource(seed)
 			return true
 		}
-		if r.gateway.view.Load() == nil {
-			// The store is read beside the seeds that are still to be asked.
+	}
+}
+
+// firstPull asks the seeds of a router that knows nothing yet, each a moment after
+// the one before, and tells whether one gave a recent proof. Silent ones do not
+// delay the answer of another, and the store is read beside them once the
+// patience with them is over.
+func (r *relays) firstPull() bool {
+	g := r.gateway
+	r.mutex.Lock()
+	seeds := r.chooser.Askable(time.Now())
+	r.mutex.Unlock()
+	proven := make(chan string, len(seeds))
+	for i, seed := range seeds {
+		g.spawn(func() {
+			waited := g.pause(time.Duration(i) * firstPullStagger)
+			if !waited || g.view.Load() != nil || !r.pullFrom(seed) {
+				seed = ""
+			}
+			proven <- seed
+		})
+	}
+	for range seeds {
+		if seed := <-proven; seed != "" {
+			r.setSource(seed)
+			return true
+		}
+		if g.view.Load() == nil {
 			r.setDirect(r.readsStore(false))
 		}
 	}
+	r.setSource("")
+	return false
 }
 
 // pullFrom asks one router for changes and tells whether its proof is recent.
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -186,6 +186,22 @@
 	f.g.Eventually(r.isReady, 200*time.Millisecond, 5*time.Millisecond).Should(BeTrue())
 }
 
+// A seed that answers is found beside silent ones without reading the store.
+func TestStartedRouterFindsTheSeedThatAnswers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	address := loopback.FreeAddress()
+	seeds := []string{silentPeer(f), address, silentPeer(f), silentPeer(f)}
+	f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, seeds })
+	for i := range 6 {
+		r := f.router(fmt.Sprint("r", i), f.asFollower(seeds))
+		f.g.Eventually(r.isReady, 150*time.Millisecond, 2*time.Millisecond).Should(BeTrue())
+		f.g.Expect(r.door.Calls()).To(BeZero())
+	}
+}
+
 // Callers that come while a router starts are served a moment later, not refused;
 // a router that finds nobody refuses them soon.
 func TestCallsWaitForAStartingRouter(t *testing.T) {
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -10,6 +10,8 @@
 package relay
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
@@ -55,19 +57,25 @@
 	return false
 }
 
-// Next returns the seed to ask, or false when there is none: one of this
-// router's zone if there is one, else one whose zone is not known yet.
+// Next returns the seed to ask, or false when there is none.
 func (c *Chooser) Next(now time.Time) (string, bool) {
-	best, bestRank := "", otherZone+1
+	if askable := c.Askable(now); len(askable) > 0 {
+		return askable[0], true
+	}
+	return "", false
+}
+
+// Askable returns the seeds that are not passed over, the best first: those of
+// this router's zone, then those whose zone is not known yet.
+func (c *Chooser) Askable(now time.Time) []string {
+	var askable []string
 	for _, seed := range c.seeds {
-		if seed == c.self || now.Before(c.passedUntil[seed]) {
-			continue
-		}
-		if rank := c.rank(seed); rank < bestRank {
-			best, bestRank = seed, rank
+		if seed != c.self && !now.Before(c.passedUntil[seed]) {
+			askable = append(askable, seed)
 		}
 	}
-	return best, best != ""
+	slices.SortStableFunc(askable, func(a, b string) int { return cmp.Compare(c.rank(a), c.rank(b)) })
+	return askable
 }
 
 // Ranks of seeds, the best first.
