A router reads what runners keep while it is a seed, also after a reload

Change: it is decided each 0.2 s; what was known comes from another source then and is dropped, and a new feed has a new id. Test: TestRouterReadsWhatRunnersKeepWhileItIsASeed, failed before.

--- a/internal/gateway/cachefeed.go
+++ b/internal/gateway/cachefeed.go
@@ -82,7 +82,7 @@
 		return
 	}
 	r.mutex.Lock()
-	follows := message.GetFull() || (r.followed.address == address && r.followed.id == message.GetFeed())
+	follows := r.feed == nil && (message.GetFull() || (r.followed.address == address && r.followed.id == message.GetFeed()))
 	if follows {
 		r.followed.address, r.followed.id, r.followed.through = address, message.GetFeed(), message.GetThrough()
 		r.followed.heardAt = time.Now()
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -51,9 +51,9 @@
 	gateway *Gateway
 	// mutex guards what follows.
 	mutex sync.Mutex
-	// feed is what was read, nil at a router that does not read. It is set once.
+	// feed is what was read, nil at a router that does not read.
 	feed *cacheindex.Feed
-	// id names the feed to those that follow it: another one after each start.
+	// id names the feed to those that follow it: another one for each new feed.
 	id uint64
 	// holders is how far each runner and store that is being read has been read.
 	holders map[string]*holderReading
@@ -75,7 +75,7 @@
 }
 
 func newCacheReader(g *Gateway) *cacheReader {
-	return &cacheReader{gateway: g, id: uint64(g.started.UnixNano()), holders: map[string]*holderReading{}}
+	return &cacheReader{gateway: g, holders: map[string]*holderReading{}}
 }
 
 func (r *cacheReader) run() {
@@ -83,12 +83,8 @@
 	if g.ports.Caches == nil {
 		return
 	}
-	if g.relays.isSource() {
-		r.mutex.Lock()
-		r.feed = cacheindex.NewFeed()
-		r.mutex.Unlock()
-	}
 	for g.pause(g.jitter(cacheHoldersInterval)) {
+		r.setReading(g.relays.isSource())
 		current := g.view.Load()
 		switch {
 		case r.feed == nil:
@@ -99,6 +95,29 @@
 	}
 }
 
+// setReading begins or ends to read what runners keep, if that is news: seeds
+// change with the settings. What was known comes from another source then, and is
+// dropped.
+func (r *cacheReader) setReading(reads bool) {
+	r.mutex.Lock()
+	if reads == (r.feed != nil) {
+		r.mutex.Unlock()
+		return
+	}
+	for holder, reading := range r.holders {
+		reading.stop()
+		delete(r.holders, holder)
+	}
+	r.feed, r.applied, r.followed = nil, 0, followedFeed{}
+	if reads {
+		r.feed, r.id = cacheindex.NewFeed(), uint64(time.Now().UnixNano())
+	}
+	r.mutex.Unlock()
+	r.gateway.mutex.Lock()
+	r.gateway.runners.ForgetCached()
+	r.gateway.mutex.Unlock()
+}
+
 // readFrom begins to read the runners and stores that are new, and ends with those
 // that are no longer there.
 func (r *cacheReader) readFrom(stores []string) {
--- a/internal/gateway/cachereader_test.go
+++ b/internal/gateway/cachereader_test.go
@@ -171,3 +171,30 @@
 	f.g.Expect(r.log.String()).To(ContainSubstring(`"store":true`), "no seed answers")
 	f.g.Consistently(func() int { return kept.listed("e1") }, time.Second, 50*time.Millisecond).Should(BeZero())
 }
+
+// Seeds change with the settings, without a restart.
+func TestRouterReadsWhatRunnersKeepWhileItIsASeed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	kept := newKeptParts()
+	f.caches = kept
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("e1", "engines")
+	kept.put("e1")
+	var settings gateway.Settings
+	r := f.servingRouter("r1", func(started *gateway.Settings) {
+		f.asFollower([]string{loopback.FreeAddress()})(started)
+		settings = *started
+	})
+	f.g.Consistently(func() int { return kept.listed("e1") }, 500*time.Millisecond, 20*time.Millisecond).Should(BeZero())
+	others := settings.Seeds
+	settings.Seeds = []string{settings.PeerAddress}
+	r.Reload(settings)
+	f.g.Eventually(func() int { return kept.listed("e1") }, 3*time.Second, 20*time.Millisecond).Should(BeNumerically(">", 0))
+	settings.Seeds = others
+	r.Reload(settings)
+	time.Sleep(500 * time.Millisecond)
+	listed := kept.listed("e1")
+	kept.put("e1")
+	f.g.Consistently(func() int { return kept.listed("e1") }, 500*time.Millisecond, 20*time.Millisecond).Should(Equal(listed))
+}
