--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -9,46 +8,16 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/clovertiller/clovertiller/internal/config"
-	"github.com/clovertiller/clovertiller/internal/control"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/relay"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
-// Times of learning from other routers.
+// Times of choosing a source.
 const (
-	// shortestPull and longestPull bound how often a router that does not read the
-	// store asks one that does. Changes of the store are pushed, and the pull proves
-	// and repairs; what runners keep comes with pulls only, and is worth more the
-	// fresher it is (docs/POLICY.md). The longest leaves room for a pull that is
-	// lost before a proof is too old.
-	shortestPull = 150 * time.Millisecond
-	longestPull  = 450 * time.Millisecond
-	// pullsPerSecond is how many pulls a seed is to answer: at 0.1 ms each under
-	// two hundredths of a core.
-	pullsPerSecond = 150
-	// pullTime bounds one pull.
-	pullTime = 250 * time.Millisecond
 	// proofAge is the age at which a proof is too old to rely on its source:
 	// above what a source that reaches the store ever has.
 	proofAge = 1250 * time.Millisecond
-	// pushTime is how long after a pull changes are pushed to a router.
-	pushTime = 2 * time.Second
-	// countInterval is how often a router counts those that pull from it.
-	countInterval = 500 * time.Millisecond
-	// firstPullTime bounds the pulls of a router that knows nothing yet: a seed
-	// that runs answers in a few milliseconds, and callers wait. The next seed is
-	// asked firstPullStagger after the one before, so that most ask one seed only.
-	firstPullTime    = 50 * time.Millisecond
-	firstPullStagger = 12 * time.Millisecond
-	// directoryTime bounds the first pull of the whole directory, and fullTime is
-	// how long a whole copy is given out though there are newer changes: the next
-	// pull brings these.
-	directoryTime = 2 * time.Second
-	fullTime      = 2 * time.Second
-	// nextQuestion is the pause before the directory is asked for.
-	nextQuestion = 10 * time.Millisecond
 	// startPatience is how long a router that knows nothing yet waits at most for
 	// seeds that do not answer: one that runs does so within firstPullTime, and
 	// after the loss of all routers those that start first would refuse callers
@@ -165,178 +134,3 @@
 		r.gateway.log.Log(events.SourceChanged, events.Fields{"store": enabled, "router": r.lastSource()})
 	}
 }
-
-// pause waits for the next pull, less long when changes are known to be missing
-// or nothing is known yet.
-func (r *relays) pause() {
-	interval := r.pullInterval()
-	switch {
-	case r.gateway.view.Load() == nil:
-		interval = firstRetry
-	case r.gateway.copies.revision(RunnerObjects) == 0:
-		interval = nextQuestion
-	}
-	timer := time.NewTimer(r.gateway.jitter(interval))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.behind:
-	case <-r.gateway.ctx.Done():
-	}
-}
-
-// pullInterval is the time between two pulls: shorter where few routers pull from
-// each seed.
-func (r *relays) pullInterval() time.Duration {
-	r.mutex.Lock()
-	seeds := max(r.chooser.Seeds(), 1)
-	r.mutex.Unlock()
-	pulling := time.Duration(r.gateway.routers.Load()) / time.Duration(seeds)
-	return min(max(pulling*time.Second/pullsPerSecond, shortestPull), longestPull)
-}
-
-// pull asks seeds until one gives a recent proof, and tells whether one did.
-func (r *relays) pull() bool {
-	if r.gateway.view.Load() == nil {
-		return r.firstPull()
-	}
-	for {
-		r.mutex.Lock()
-		seed, found := r.chooser.Next(time.Now())
-		r.mutex.Unlock()
-		if !found || r.gateway.ctx.Err() != nil {
-			r.setSource("")
-			return false
-		}
-		if r.pullFrom(seed) {
-			r.setSource(seed)
-			return true
-		}
-	}
-}
-
-// firstPull asks the seeds of a router that knows nothing yet, each a moment after
-// the one before, and tells whether one gave a recent proof. Silent ones do not
-// delay the answer of another.
-func (r *relays) firstPull() bool {
-	g := r.gateway
-	r.mutex.Lock()
-	seeds := r.chooser.Askable(time.Now())
-	r.mutex.Unlock()
-	proven := make(chan string, len(seeds))
-	for i, seed := range seeds {
-		g.spawn(func() {
-			waited := g.pause(time.Duration(i) * firstPullStagger)
-			if !waited || g.view.Load() != nil || !r.pullFrom(seed) {
-				seed = ""
-			}
-			proven <- seed
-		})
-	}
-	for range seeds {
-		if seed := <-proven; seed != "" {
-			r.setSource(seed)
-			return true
-		}
-	}
-	r.setSource("")
-	return false
-}
-
-// pullFrom asks one router for changes and tells whether its proof is recent.
-func (r *relays) pullFrom(address string) bool {
-	answer, sent := r.askFor(address)
-	now := time.Now()
-	age := time.Duration(answer.GetProofAgeMillis()) * time.Millisecond
-	r.mutex.Lock()
-	switch {
-	case answer == nil && r.gateway.view.Load() == nil:
-		r.chooser.Starting(now, address)
-	case answer == nil:
-		r.chooser.Failed(now, address)
-	case !answer.GetProven():
-		r.chooser.Starting(now, address)
-		r.patientUntil = r.gateway.started.Add(seedPatience)
-	case age > proofAge:
-		r.chooser.Failed(now, address)
-	default:
-		r.chooser.Answered(address, answer.GetZone())
-	}
-	r.mutex.Unlock()
-	if !answer.GetProven() {
-		return false
-	}
-	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
-	r.gateway.routers.Store(int64(answer.GetRouters()))
-	r.gateway.caches.told(address, answer.GetCache())
-	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
-	return age <= proofAge
-}
-
-func (r *relays) setSource(address string) { r.source.Store(&address) }
-
-func (r *relays) lastSource() string {
-	if source := r.source.Load(); source != nil {
-		return *source
-	}
-	return ""
-}
-
-// askFor makes one pull and returns the answer, or nil, and when it was asked for.
-func (r *relays) askFor(address string) (*wire.CopyAnswer, time.Time) {
-	g := r.gateway
-	patience, kinds := r.question()
-	ctx, cancel := context.WithTimeout(g.ctx, patience)
-	defer cancel()
-	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
-	g.caches.ask(address, request)
-	for _, kind := range kinds {
-		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
-	}
-	sent := time.Now()
-	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
-	g.metrics.peerCalls.WithLabelValues(outcomeOf(err == nil)).Observe(time.Since(sent).Seconds())
-	if err != nil {
-		return nil, sent
-	}
-	return reply.GetCopyAnswer(), sent
-}
-
-// question returns what is asked for and how long the answer may take. A router
-// that knows nothing asks for what is small, to find a seed that is alive; the
-// whole directory may take long at first, when many ask for it.
-func (r *relays) question() (patience time.Duration, kinds []ObjectKind) {
-	switch {
-	case r.gateway.view.Load() == nil:
-		return firstPullTime, []ObjectKind{ConfigObjects, WeightObjects}
-	case r.gateway.copies.revision(RunnerObjects) == 0:
-		return directoryTime, objectKinds
-	}
-	return pullTime, objectKinds
-}
-
-// applyDeltas applies changes from another router.
-func (r *relays) applyDeltas(deltas []*wire.CopyDelta, proven proof) {
-	for _, delta := range deltas {
-		kind := ObjectKind(delta.GetKind())
-		if int(kind) >= len(objectKinds) {
-			continue
-		}
-		given := proof{at: proven.at, given: proven.given && kind == ConfigObjects}
-		unpacked, err := wire.UnpackCopyDelta(delta)
-		if err != nil {
-			r.gateway.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "fault": err.Error()})
-			continue
-		}
-		if r.gateway.copies.apply(kind, control.DeltaFromWire(unpacked), given) == config.Gap {
-			r.askAgain()
-		}
-	}
-}
-
-func (r *relays) askAgain() {
-	select {
-	case r.behind <- struct{}{}:
-	default:
-	}
-}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -8,6 +8,17 @@
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
+// Times of answering other routers.
+const (
+	// pushTime is how long after a pull changes are pushed to a router.
+	pushTime = 2 * time.Second
+	// countInterval is how often a router counts those that pull from it.
+	countInterval = 500 * time.Millisecond
+	// fullTime is how long a whole directory is given out though there are newer
+	// changes: the next pull brings these.
+	fullTime = 2 * time.Second
+)
+
 // packedCopy is the encoded changes between two revisions.
 type packedCopy struct {
 	from, through uint64
