A started router asks for the whole feed of kept parts once a seed has answered

Cause: a whole feed is asked for each 3 s at most, and the first pull already asked for it, often from a seed that was silent: the router knew nothing of what runners keep for its first 3 s. Change: the first pull, which is to be small, asks for no feed. Test: TestStartedRouterKnowsWhatRunnersKeepThoughASeedIsSilent, failed in 3 of 3 runs before.

--- a/internal/gateway/cachereader_test.go
+++ b/internal/gateway/cachereader_test.go
@@ -198,3 +198,36 @@
 	kept.put("e1")
 	f.g.Consistently(func() int { return kept.listed("e1") }, 500*time.Millisecond, 20*time.Millisecond).Should(Equal(listed))
 }
+
+// A router that starts beside a silent seed asks one that answers for its whole
+// feed, though a whole feed is asked for seldom.
+func TestStartedRouterKnowsWhatRunnersKeepThoughASeedIsSilent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	kept := newKeptParts()
+	f.caches = kept
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("e1", "engines"), f.runner("e2", "engines")}
+	kept.put("e1", gateway.CachedPart{Salt: "tenant/tenant-one/1", Part: "trunk"})
+	address := loopback.FreeAddress()
+	seeds := []string{silentPeer(f), address, silentPeer(f)}
+	seed := f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, seeds })
+	f.g.Eventually(func() int { return kept.listed("e1") * kept.listed("e2") }, 3*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
+	f.g.Expect(seed.isReady()).To(BeTrue())
+	const followers, families = 4, 20
+	for i := range followers {
+		r := f.servingRouter(fmt.Sprint("follower-", i), f.asFollower(seeds))
+		// Of that many families some have the other runner as their home, which then
+		// fetches what it lacks.
+		f.g.Eventually(func() bool {
+			for family := range families {
+				before := map[string]int{"e1": len(runners[0].Runs()), "e2": len(runners[1].Runs())}
+				r.call("/stream/x", withPrompt(fmt.Sprintf("trunk:2000,f%d-%d:100,own:50", i, family)))
+				if _, fetched := sentTo(runners, before); fetched == runners[0].Address {
+					return true
+				}
+			}
+			return false
+		}, time.Second, 20*time.Millisecond).Should(BeTrue())
+	}
+}
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -159,7 +159,10 @@
 	ctx, cancel := context.WithTimeout(g.ctx, patience)
 	defer cancel()
 	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
-	g.caches.ask(address, request)
+	if g.view.Load() != nil {
+		// The first answer is to be small, and a whole feed is not asked for twice soon.
+		g.caches.ask(address, request)
+	}
 	for _, kind := range kinds {
 		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
 	}
