Rollouts are spread over half of the weights' deadline, not a fixed quarter of the runners

Cause: a quarter of the runners loaded at once whatever their number, more than the store of weights serves without slowing (60 of 240 where 48 load at full speed), and every version was brought to nearly every runner.

Change: as many load at once as bring all of them to the weights in half of the deadline, by what updates were seen to take; more when deadlines near, never more than a quarter. Routers leave those alone that are next where that share allows.

--- a/internal/backend/nextupdates.go
+++ b/internal/backend/nextupdates.go
@@ -2,24 +2,84 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 // Whoever holds the lease orders the runners with the oldest weights first, a
 // bounded number at once. All routers know what is named and what the runners
-// have, so each can tell which runners are being updated without being told.
+// have, so each can tell which runners are being updated or are next, without
+// being told, and leaves them alone: a runner that is empty when it loads delays
+// nobody.
 
 const (
-	// maxUpdatingShare is the share of a service's runners whose weights are
-	// replaced at once; the weight store slows all when many load.
+	// maxUpdatingShare bounds the share of a service's runners whose weights are
+	// replaced at once, or that are left alone as they are next; the weight store
+	// slows all when many load, and the others have to serve everybody.
 	maxUpdatingShare = 0.25
+	// updateTime is how long one update takes: 0.57 to 0.76 s for the load on the
+	// deployments seen, and 0.2 s until the runner's report tells.
+	updateTime = 900 * time.Millisecond
+	// lookAhead is how many times the runners being updated are left alone: those
+	// themselves and as many that are next, where the share allows. The news that one
+	// is done takes 0.3 to 0.5 s to all routers, and its requests another 0.3 s to end.
+	lookAhead = 2
 	// nextUpdatesAge is how long the runners to be updated next are remembered.
 	nextUpdatesAge = 50 * time.Millisecond
+	// defaultRolloutTime is half of the deadline of eight seconds that the first
+	// deployments give.
+	defaultRolloutTime = 4 * time.Second
 )
 
-// UpdatesAtOnce returns how many of a service's runners take new weights at once.
-func UpdatesAtOnce(runners int) int { return max(1, int(float64(runners)*maxUpdatingShare)) }
+// SetRolloutTime sets the time within which all runners of a service are to be
+// brought to named weights: well below the deadline, as orders are lost and
+// holders of the lease change.
+func (s *Set) SetRolloutTime(within time.Duration) { s.rolloutTime = within }
+
+// UpdatesAtOnce returns how many of a service's runners take new weights at once,
+// each for the time taken: as many as bring all of them there within the time of
+// a rollout, or more when the deadline of older weights is near.
+func (s *Set) UpdatesAtOnce(now time.Time, service, model string, taken time.Duration) int {
+	entries := s.byService[service]
+	most := mostUpdating(len(entries))
+	pace := neededAtOnce(len(entries), taken, s.rolloutTime)
+	return min(max(pace, s.neededByDeadlines(now, entries, model, taken)), most)
+}
+
+// mostUpdating is how many of the runners may be out of use for updates.
+func mostUpdating(runners int) int { return max(1, int(float64(runners)*maxUpdatingShare)) }
+
+// neededAtOnce is how many updates at once bring the runners through in time.
+func neededAtOnce(runners int, taken, within time.Duration) int {
+	if within <= 0 {
+		return runners
+	}
+	return int(math.Ceil(float64(runners) * taken.Seconds() / within.Seconds()))
+}
+
+// neededByDeadlines is how many updates at once keep every runner's weights from
+// expiring, the earliest deadline first.
+func (s *Set) neededByDeadlines(now time.Time, entries []*entry, model string, taken time.Duration) int {
+	expiring := map[uint64]int{}
+	for _, e := range entries {
+		if version, held := e.version(model); held && version < s.weights.Target(model) && !e.Draining {
+			expiring[version]++
+		}
+	}
+	versions := make([]uint64, 0, len(expiring))
+	for version := range expiring {
+		versions = append(versions, version)
+	}
+	slices.Sort(versions)
+	needed, before := 0, 0
+	for _, version := range versions {
+		before += expiring[version]
+		left := s.weights.ExpiresAt(model, version).Sub(now) - taken
+		needed = max(needed, neededAtOnce(before, taken, left))
+	}
+	return needed
+}
 
 // SortForUpdate puts runners in the order in which they take new weights: the
 // oldest weights first. With versions named in quick succession every runner gets
@@ -41,30 +101,34 @@
 
 // takesWeightsNext tells whether the runner is being updated, or is next.
 func (s *Set) takesWeightsNext(now time.Time, e *entry, model string) bool {
-	target := s.weights.Target(model)
-	if target == 0 {
+	if s.weights.Target(model) == 0 {
 		return false
 	}
 	key := updateGroup{e.Service, model}
 	known, found := s.next[key]
 	if !found || now.Sub(known.at) >= nextUpdatesAge {
-		known = nextUpdates{runners: s.findNextUpdates(key, target), at: now}
+		known = nextUpdates{runners: s.findNextUpdates(now, key), at: now}
 		s.next[key] = known
 	}
 	return known.runners[e.ID]
 }
 
-func (s *Set) findNextUpdates(group updateGroup, target uint64) map[string]bool {
-	entries := s.byService[group.service]
+func (s *Set) findNextUpdates(now time.Time, group updateGroup) map[string]bool {
+	target := s.weights.Target(group.model)
 	var outdated []GroupRunner
-	for _, e := range entries {
+	for _, e := range s.byService[group.service] {
 		if version, held := e.version(group.model); held && version < target && !e.Draining {
 			outdated = append(outdated, GroupRunner{e.Runner, version})
 		}
 	}
-	SortForUpdate(outdated)
 	next := map[string]bool{}
-	for _, runner := range outdated[:min(len(outdated), UpdatesAtOnce(len(entries)))] {
+	if len(outdated) == 0 {
+		return next
+	}
+	SortForUpdate(outdated)
+	atOnce := s.UpdatesAtOnce(now, group.service, group.model, updateTime)
+	leftAlone := max(atOnce, min(lookAhead*atOnce, mostUpdating(len(s.byService[group.service]))))
+	for _, runner := range outdated[:min(len(outdated), leftAlone)] {
 		next[runner.ID] = true
 	}
 	return next
--- a/internal/backend/nextupdates_test.go
+++ b/internal/backend/nextupdates_test.go
@@ -41,3 +41,39 @@
 	now = now.Add(nextUpdatesAge)
 	g.Expect(avoided(now)).To(Equal([]string{"r1", "r2"}))
 }
+
+// A large service takes as many runners out at once as bring all of them to the
+// weights in the time of a rollout, not a fixed share.
+func TestRolloutsAreSpreadOverTheirTime(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	for i := range 200 {
+		set.Put(runner(fmt.Sprintf("r%d", i), "z"))
+	}
+	set.SetRolloutTime(5 * time.Second)
+	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(8*time.Second))
+	g.Expect(set.UpdatesAtOnce(start, "s", "m", time.Second)).To(Equal(40), "200 runners, 5 s, 1 s each")
+	g.Expect(set.UpdatesAtOnce(start, "s", "m", 2*time.Second)).To(Equal(50), "never more than a quarter")
+}
+
+// Updates that were held up are hastened before the weights expire.
+func TestRolloutsAreHastenedBeforeTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	for i := range 200 {
+		set.Put(runner(fmt.Sprintf("r%d", i), "z"))
+	}
+	set.SetRolloutTime(20 * time.Second)
+	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(8*time.Second))
+	set.Weights().Name("m", 3, start.Add(5*time.Second), start.Add(12*time.Second))
+	for i := range 160 {
+		set.LearnVersion(fmt.Sprintf("r%d", i), "m", 2)
+	}
+	g.Expect(set.UpdatesAtOnce(start, "s", "m", time.Second)).To(Equal(19), "200 in the 11 s until version 2 expires")
+	g.Expect(set.UpdatesAtOnce(start.Add(5*time.Second), "s", "m", time.Second)).To(Equal(34), "200 in 6 s")
+	g.Expect(set.UpdatesAtOnce(start.Add(7*time.Second), "s", "m", time.Second)).To(Equal(50), "40 have expired or are about to")
+	for i := range 200 {
+		set.LearnVersion(fmt.Sprintf("r%d", i), "m", 3)
+	}
+	g.Expect(set.UpdatesAtOnce(start, "s", "m", time.Second)).To(Equal(10), "nothing is urgent when all have the newest")
+}
--- a/internal/backend/rollout.go
+++ b/internal/backend/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // WeightVersion returns the version of the model's weights that the runner is
@@ -49,7 +50,9 @@
 	Service string
 	Model   string
 	// Target is the newest named version.
-	Target  uint64
+	Target uint64
+	// AtOnce is how many of the runners may take new weights at once.
+	AtOnce  int
 	Runners []GroupRunner
 }
 
@@ -73,8 +76,9 @@
 	return false
 }
 
-// ModelGroups returns the groups in which a version was named, in order.
-func (s *Set) ModelGroups() []ModelGroup {
+// ModelGroups returns the groups in which a version was named, in order, planned
+// with the time that one update takes.
+func (s *Set) ModelGroups(now time.Time, taken time.Duration) []ModelGroup {
 	groups := map[updateGroup]*ModelGroup{}
 	for _, entries := range s.byService {
 		for _, e := range entries {
@@ -85,7 +89,7 @@
 				}
 				key := updateGroup{e.Service, held.Name}
 				if groups[key] == nil {
-					groups[key] = &ModelGroup{Service: e.Service, Model: held.Name, Target: target}
+					groups[key] = &ModelGroup{Service: e.Service, Model: held.Name, Target: target, AtOnce: s.UpdatesAtOnce(now, e.Service, held.Name, taken)}
 				}
 				version, _ := e.version(held.Name)
 				groups[key].Runners = append(groups[key].Runners, GroupRunner{e.Runner, version})
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -19,11 +19,13 @@
 	// cachedKnown is true once this was read, by this router or another one.
 	cachedKnown bool
 	next        map[updateGroup]nextUpdates
+	// rolloutTime is within which all runners of a service take named weights.
+	rolloutTime time.Duration
 }
 
 // NewSet returns an empty table of a router in the zone.
 func NewSet(zone string) *Set {
-	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}}
+	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}, rolloutTime: defaultRolloutTime}
 }
 
 // Weights returns the named versions of weights.
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -85,10 +85,11 @@
 	set := NewSet("z")
 	set.Put(runner("a", "z"))
 	set.Put(runner("b", "z"))
+	set.Put(runner("c", "z"))
 	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(time.Minute))
 	cost := func(now time.Time) int {
 		_, candidates := set.Candidates(now, Query{Service: "s", Model: "m"})
-		return candidates[1].ExtraTokens // of b, as a is the next to be updated
+		return candidates[2].ExtraTokens // of c, as a is the next to be updated
 	}
 	g.Expect(cost(start)).To(BeZero())
 	g.Expect(cost(start.Add(time.Second))).To(Equal(oldWeightsCost))
@@ -190,7 +191,7 @@
 	g.Expect(set.Outdated()).To(BeZero())
 	set.Weights().Name("m", 2, start, start.Add(time.Minute))
 	g.Expect(set.Outdated()).To(Equal(2))
-	groups := set.ModelGroups()
+	groups := set.ModelGroups(start, time.Second)
 	g.Expect(groups).To(HaveLen(1))
 	g.Expect(groups[0].Target).To(Equal(uint64(2)))
 	g.Expect(groups[0].Runners).To(HaveLen(2))
--- a/internal/backend/weights.go
+++ b/internal/backend/weights.go
@@ -109,3 +109,20 @@
 	}
 	return state
 }
+
+// ExpiresAt returns from when on weights of the version must not begin a request
+// any more: the earliest deadline of those that newer versions brought, zero when
+// the version is the newest.
+func (w *Weights) ExpiresAt(model string, version uint64) time.Time {
+	known := w.targets[model]
+	if known == nil {
+		return time.Time{}
+	}
+	var earliest time.Time
+	for _, d := range known.deadlines {
+		if version < d.version && (earliest.IsZero() || d.at.Before(earliest)) {
+			earliest = d.at
+		}
+	}
+	return earliest
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,9 @@
 	draining atomic.Bool
 	// stale is true while the configuration in force is known to be unproved.
 	stale atomic.Bool
+	// unconfigured is the newest moment at which the store was proved to hold no
+	// configuration, nil before.
+	unconfigured atomic.Pointer[time.Time]
 
 	// mutex guards the state below; it is never held over I/O.
 	mutex    sync.Mutex
@@ -113,6 +116,7 @@
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		named:    make(chan struct{}, 1),
 	}
+	g.runners.SetRolloutTime(time.Duration(rolloutShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
 	ports.RunnerPool.Opened = g.metrics.connections.Inc
 	g.cacheStores = newCacheStoreWatch(g)
@@ -181,6 +185,22 @@
 	return current != nil && current.fresh(now, g.settings.ConfigLease)
 }
 
+// informed tells whether this router has heard from the store, itself or by others:
+// of a configuration, or that there is none yet.
+func (g *Gateway) informed() bool { return g.view.Load() != nil || g.unconfigured.Load() != nil }
+
+// provenAt is the newest moment at which the store proved the configuration in
+// force, or that it has none; zero before.
+func (g *Gateway) provenAt() time.Time {
+	if current := g.view.Load(); current != nil {
+		return current.provenAt
+	}
+	if empty := g.unconfigured.Load(); empty != nil {
+		return *empty
+	}
+	return time.Time{}
+}
+
 // leaseMargin is kept from the end of the lease on the configuration: the
 // store's watches may be silent for a second, and requests take a while to arrive.
 const leaseMargin = 1500 * time.Millisecond
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -26,6 +26,15 @@
 	resendAfter = 600 * time.Millisecond
 	// setBack is how long a runner that could not be ordered is left alone.
 	setBack = 500 * time.Millisecond
+	// firstUpdateTime is what an update is taken to last until some were seen, and
+	// updateTimeWeight the weight of one of them in the average.
+	firstUpdateTime  = 900 * time.Millisecond
+	updateTimeWeight = 0.1
+	// rolloutShare is the part of the weights' deadline within which all runners
+	// are brought to them. Slower rollouts skip more versions where these are named
+	// in quick succession and keep more runners serving, but more requests begin on
+	// old weights (docs/POLICY.md).
+	rolloutShare = 0.5
 )
 
 // rollouts brings runners to the named weights. It is level-triggered: each
@@ -40,10 +49,12 @@
 	current      term
 	// fenced is the highest token that a runner refused as too low.
 	fenced uint64
+	// taken is the decaying average of what updates lasted.
+	taken time.Duration
 }
 
 func newRollouts(g *Gateway) *rollouts {
-	return &rollouts{gateway: g, active: map[string]bool{}, setBackUntil: map[string]time.Time{}}
+	return &rollouts{gateway: g, active: map[string]bool{}, setBackUntil: map[string]time.Time{}, taken: firstUpdateTime}
 }
 
 // outdated counts the runners that have older weights than named.
@@ -59,12 +70,13 @@
 	g := r.gateway
 	r.mutex.Lock()
 	r.current = current
+	taken := r.taken
 	r.mutex.Unlock()
 	g.mutex.Lock()
-	groups := g.runners.ModelGroups()
+	groups := g.runners.ModelGroups(time.Now(), taken)
 	g.mutex.Unlock()
 	for _, group := range groups {
-		limits := limitsFor(len(group.Runners))
+		limits := limitsFor(len(group.Runners), group.AtOnce)
 		model := rollout.Model{Name: group.Model, WeightVersion: strconv.FormatUint(group.Target, 10)}
 		for _, order := range rollout.Plan(limits, []rollout.Model{model}, r.planned(group)) {
 			r.start(order.Runner, group.Model, group.Target)
@@ -74,8 +86,8 @@
 
 // limitsFor returns the limits for a service with the number of runners. A
 // runner that is alone cannot wait for another one to serve meanwhile.
-func limitsFor(runners int) rollout.Limits {
-	limits := rollout.Limits{MaxLoading: backend.UpdatesAtOnce(runners), MinServingPercent: minServingPercent}
+func limitsFor(runners, atOnce int) rollout.Limits {
+	limits := rollout.Limits{MaxLoading: atOnce, MinServingPercent: minServingPercent}
 	if runners == 1 {
 		limits.MinServingPercent = 0
 	}
@@ -122,16 +134,22 @@
 		g.mutex.Lock()
 		g.runners.SetUpdating(id, false)
 		g.mutex.Unlock()
-		r.mutex.Lock()
-		defer r.mutex.Unlock()
-		delete(r.active, id)
-		delete(r.setBackUntil, id)
-		if !done {
-			r.setBackUntil[id] = time.Now().Add(setBack)
-		}
+		r.ended(id, done, time.Since(began))
 	})
 }
 
+// ended notes that an update is over, and how long it took.
+func (r *rollouts) ended(id string, done bool, taken time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.active, id)
+	delete(r.setBackUntil, id)
+	if !done {
+		r.setBackUntil[id] = time.Now().Add(setBack)
+	}
+	r.taken += time.Duration(updateTimeWeight * float64(taken-r.taken))
+}
+
 // update brings one runner to the version and tells whether it has it.
 func (r *rollouts) update(runner backend.Runner, model string, version uint64) bool {
 	g := r.gateway
