Relays: a crowded seed refers its followers to a router of their zone

Change: seeds that more than 24 routers ask choose a relay in each zone by what its machine can carry, and refer others to it; relays give on changes, proofs with their age, and what runners keep. A relay that falls silent is forgotten within a second. Seeds say that there is no configuration. A router that finds nobody reads stale lists first and lets one watch prove them; it waits longer for further changes. On the first start of all silent seeds are waited for up to 1 s.

--- a/internal/cacheindex/feed.go
+++ b/internal/cacheindex/feed.go
@@ -88,6 +88,33 @@
 	}
 }
 
+// Apply takes what changed in another feed.
+func (f *Feed) Apply(delta FeedDelta) {
+	if delta.Full {
+		f.replaceAll(delta.Changes)
+		return
+	}
+	for _, change := range delta.Changes {
+		if change.Removed {
+			f.Remove(change.Holder, change.Part)
+		} else {
+			f.Add(change.Holder, change.Part)
+		}
+	}
+}
+
+// replaceAll takes everything that all holders keep.
+func (f *Feed) replaceAll(kept []PartChange) {
+	parts := map[string][]uint64{}
+	for _, change := range kept {
+		parts[change.Holder] = append(parts[change.Holder], change.Part)
+	}
+	f.Retain(func(holder string) bool { return parts[holder] != nil })
+	for holder, list := range parts {
+		f.Replace(holder, list)
+	}
+}
+
 // Retain drops every holder that is not listed.
 func (f *Feed) Retain(listed func(holder string) bool) {
 	for _, holder := range slices.Collect(maps.Keys(f.kept)) {
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -35,7 +35,7 @@
 	code := ExitOK
 	for _, kind := range []gateway.ObjectKind{gateway.ConfigObjects, gateway.RunnerObjects, gateway.WeightObjects} {
 		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-		objects, revision, err := ports.Store.List(ctx, kind)
+		objects, revision, err := ports.Store.List(ctx, kind, false)
 		cancel()
 		if err != nil {
 			env.complain("%s: %v", kind, err)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -76,6 +76,7 @@
 	StoreLost          = define(822, logrus.WarnLevel, "store does not answer well")
 	StoreRegained      = define(823, logrus.InfoLevel, "store answers again")
 	SourceChanged      = define(824, logrus.InfoLevel, "objects are read from the store, or from another router")
+	RelayChanged       = define(825, logrus.InfoLevel, "changes are asked of another router of the zone")
 	RunnerAdded        = define(830, logrus.InfoLevel, "runner added")
 	RunnerChanged      = define(831, logrus.InfoLevel, "runner changed state")
 	RunnerRemoved      = define(832, logrus.InfoLevel, "runner removed")
--- a/internal/gateway/cachefeed.go
+++ b/internal/gateway/cachefeed.go
@@ -26,13 +26,17 @@
 	wholeAt, heardAt time.Time
 }
 
-// forgetSilent drops what a feed said that has not been heard of for long.
+// forgetSilent drops what a feed said that has not been heard of for long, and no
+// longer gives on what nobody asks for.
 func (r *cacheReader) forgetSilent() {
 	r.mutex.Lock()
 	silent := !r.followed.heardAt.IsZero() && time.Since(r.followed.heardAt) > feedPatience
 	if silent {
 		r.followed = followedFeed{wholeAt: r.followed.wholeAt}
 	}
+	if silent || time.Since(r.askedAt) > feedPatience {
+		r.feed, r.whole = nil, false
+	}
 	r.mutex.Unlock()
 	if silent {
 		r.gateway.mutex.Lock()
@@ -47,7 +51,7 @@
 	now := time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.feed != nil || r.gateway.ports.Caches == nil {
+	if r.reads || r.gateway.ports.Caches == nil {
 		return
 	}
 	if r.followed.address == address {
@@ -60,11 +64,18 @@
 	}
 }
 
-// answer returns what a follower lacks of the own feed, nil without one.
+// answer returns what a follower lacks of the own feed, nil while there is none. A
+// router that does not read begins to give on what it is told, from the next whole
+// feed on.
 func (r *cacheReader) answer(id, through uint64) *wire.CacheDelta {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.feed == nil {
+	r.askedAt = time.Now()
+	if r.feed == nil && r.gateway.ports.Caches != nil {
+		r.beginFeed()
+		r.followed = followedFeed{heardAt: r.followed.heardAt}
+	}
+	if r.feed == nil || !(r.reads || r.whole) {
 		return nil
 	}
 	var delta cacheindex.FeedDelta
@@ -78,18 +89,28 @@
 
 // told takes what the router at the address answered.
 func (r *cacheReader) told(address string, message *wire.CacheDelta) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.reads {
+		return
+	}
 	if message == nil {
+		if r.followed.address != address {
+			// It has no feed yet, or none at all: asking again costs next to nothing.
+			r.followed.wholeAt = time.Time{}
+		}
 		return
 	}
-	r.mutex.Lock()
-	follows := r.feed == nil && (message.GetFull() || (r.followed.address == address && r.followed.id == message.GetFeed()))
-	if follows {
-		r.followed.address, r.followed.id, r.followed.through = address, message.GetFeed(), message.GetThrough()
-		r.followed.heardAt = time.Now()
+	if !message.GetFull() && (r.followed.address != address || r.followed.id != message.GetFeed()) {
+		return
 	}
-	r.mutex.Unlock()
-	if follows {
-		r.apply(cacheDeltaFromWire(message))
+	r.followed.address, r.followed.id, r.followed.through = address, message.GetFeed(), message.GetThrough()
+	r.followed.heardAt = time.Now()
+	delta := cacheDeltaFromWire(message)
+	r.apply(delta)
+	if r.feed != nil {
+		r.whole = r.whole || delta.Full
+		r.feed.Apply(delta)
 	}
 }
 
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -46,13 +46,20 @@
 // cacheReader reads what runners and stores of kept cache keep, at seeds only.
 // All others are told with the changes that they pull, so the calls do not grow
 // with the number of routers, not even when all read the store of objects
-// themselves because no seed proves anything.
+// themselves because no seed proves anything. A router that others pull from, as
+// seeds refer them to it, gives on what it is told.
 type cacheReader struct {
 	gateway *Gateway
 	// mutex guards what follows.
 	mutex sync.Mutex
-	// feed is what was read, nil at a router that does not read.
+	// reads is true at a router that reads runners and stores itself.
+	reads bool
+	// feed is what was read, or what is given on; nil at a router without followers.
 	feed *cacheindex.Feed
+	// whole is true once a feed that is given on holds everything, and askedAt is when
+	// a follower last asked for it.
+	whole   bool
+	askedAt time.Time
 	// id names the feed to those that follow it: another one for each new feed.
 	id uint64
 	// holders is how far each runner and store that is being read has been read.
@@ -87,7 +94,7 @@
 		r.setReading(g.relays.isSource())
 		current := g.view.Load()
 		switch {
-		case r.feed == nil:
+		case !r.reads:
 			r.forgetSilent()
 		case current != nil:
 			r.readFrom(current.table.CacheStores())
@@ -100,17 +107,18 @@
 // dropped.
 func (r *cacheReader) setReading(reads bool) {
 	r.mutex.Lock()
-	if reads == (r.feed != nil) {
+	if reads == r.reads {
 		r.mutex.Unlock()
 		return
 	}
+	r.reads = reads
 	for holder, reading := range r.holders {
 		reading.stop()
 		delete(r.holders, holder)
 	}
-	r.feed, r.applied, r.followed = nil, 0, followedFeed{}
+	r.feed, r.whole, r.applied, r.followed = nil, false, 0, followedFeed{}
 	if reads {
-		r.feed, r.id = cacheindex.NewFeed(), uint64(time.Now().UnixNano())
+		r.beginFeed()
 	}
 	r.mutex.Unlock()
 	r.gateway.mutex.Lock()
@@ -118,6 +126,11 @@
 	r.gateway.mutex.Unlock()
 }
 
+// beginFeed begins an empty feed of its own name. The mutex is held.
+func (r *cacheReader) beginFeed() {
+	r.feed, r.id = cacheindex.NewFeed(), uint64(time.Now().UnixNano())
+}
+
 // readFrom begins to read the runners and stores that are new, and ends with those
 // that are no longer there.
 func (r *cacheReader) readFrom(stores []string) {
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -62,7 +62,7 @@
 	if proven.given && outcome != config.Gap {
 		c.gateway.prove(proven.at)
 	}
-	if c.stores[ConfigObjects].Revision() > 0 && c.stores[RunnerObjects].Revision() > 0 {
+	if c.stores[RunnerObjects].Revision() > 0 && c.gateway.proven(time.Now()) {
 		c.gateway.startup.finish()
 	}
 	c.mutex.Unlock()
@@ -140,7 +140,13 @@
 // mutex is held, so the view does not change in between.
 func (g *Gateway) prove(at time.Time) {
 	current := g.view.Load()
-	if current == nil || !at.After(current.provenAt) {
+	if current == nil {
+		if known := g.unconfigured.Load(); known == nil || at.After(*known) {
+			g.unconfigured.Store(&at)
+		}
+		return
+	}
+	if !at.After(current.provenAt) {
 		return
 	}
 	proven := *current
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -20,6 +20,10 @@
 	// settle is the pause after a change of the directory, so that changes in
 	// quick succession come in one answer.
 	settle = 120 * time.Millisecond
+	// fallbackSettle is the same for a router that reads the store only as it finds
+	// nobody to ask: many may do so at once, each for itself, and every answer that
+	// brings one change is a call.
+	fallbackSettle = 500 * time.Millisecond
 	// regainWait is how long watches wait that look whether the store answers again.
 	regainWait = 50 * time.Millisecond
 	// callSlack is how much longer than its wait a call may take.
@@ -83,11 +87,16 @@
 	return call(ctx)
 }
 
+// list reads all objects of the kind. A router that has just started and found
+// nobody to ask may be one of many: it takes a list that may be some seconds old, as
+// that costs the store little, and the watch that follows brings it up to date and
+// proves it.
 func (f *follower) list() error {
 	g := f.gateway
+	stale := f.listed && !g.relays.isSource()
 	answer := f.ask(listTime, func(ctx context.Context) storeAnswer {
 		sent := time.Now()
-		objects, revision, err := g.ports.Store.List(ctx, f.kind)
+		objects, revision, err := g.ports.Store.List(ctx, f.kind, stale)
 		g.metrics.storeCall(f.kind.String(), callList, sent)
 		return storeAnswer{objects: objects, revision: revision, sent: sent, err: err}
 	})
@@ -96,15 +105,15 @@
 	}
 	f.listed = true
 	delta := config.Delta{Through: answer.revision, Full: true, Objects: answer.objects}
-	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: f.kind == ConfigObjects})
-	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision})
+	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: f.kind == ConfigObjects && !stale})
+	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision, "stale": stale})
 	return nil
 }
 
 func (f *follower) watch(revision uint64) error {
 	g := f.gateway
 	wait := f.wait
-	if f.failures > 0 {
+	if f.failures > 0 || (f.kind == ConfigObjects && time.Since(g.provenAt()) > proofAge) {
 		wait = regainWait
 	}
 	answer := f.ask(wait+callSlack, func(ctx context.Context) storeAnswer {
@@ -119,11 +128,19 @@
 	delta := config.Delta{From: revision, Through: throughOf(answer.objects, revision, answer.revision), Objects: answer.objects}
 	g.copies.apply(f.kind, delta, proof{at: provenSince(answer.sent, wait, answer.objects), given: f.kind == ConfigObjects})
 	if len(answer.objects) > 0 && f.kind != ConfigObjects {
-		g.pause(settle)
+		g.pause(f.settleTime())
 	}
 	return nil
 }
 
+// settleTime is the pause after a change.
+func (f *follower) settleTime() time.Duration {
+	if f.gateway.relays.isSource() {
+		return settle
+	}
+	return fallbackSettle
+}
+
 // provenSince returns from when a watch's answer proves what it says. A store
 // that had something to say would have said so; an empty answer after the whole
 // wait shows that nothing had changed until then.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -149,8 +149,9 @@
 // Store is the service that keeps what must last. Specs of objects are as the
 // platform writes them; Ports.Decode reads them.
 type Store interface {
-	// List returns all objects of the kind and the revision that they stand for.
-	List(ctx context.Context, kind ObjectKind) (objects []v1.Object, revision uint64, err error)
+	// List returns all objects of the kind and the revision that they stand for. A
+	// stale list may be some seconds old and costs the store little.
+	List(ctx context.Context, kind ObjectKind, stale bool) (objects []v1.Object, revision uint64, err error)
 	// Watch returns the changes after the revision as soon as there are any, or
 	// none after the wait, with the revision up to which nothing else changed.
 	Watch(ctx context.Context, kind ObjectKind, revision uint64, wait time.Duration) (objects []v1.Object, at uint64, err error)
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/config"
@@ -41,7 +42,7 @@
 func (r *relays) pause() {
 	interval := r.pullInterval()
 	switch {
-	case r.gateway.view.Load() == nil:
+	case !r.gateway.informed():
 		interval = firstRetry
 	case r.gateway.copies.revision(RunnerObjects) == 0:
 		interval = nextQuestion
@@ -55,57 +56,62 @@
 	}
 }
 
-// pullInterval is the time between two pulls: shorter where few routers pull from
-// each seed.
+// pullInterval is the time between two pulls: what the router that answered last
+// asked for, or, if it is of a version that does not, what suits the seeds.
 func (r *relays) pullInterval() time.Duration {
 	r.mutex.Lock()
-	seeds := max(r.chooser.Seeds(), 1)
+	asked, seeds := r.pullAfter, max(r.chooser.Seeds(), 1)
 	r.mutex.Unlock()
-	pulling := time.Duration(r.gateway.routers.Load()) / time.Duration(seeds)
-	return min(max(pulling*time.Second/pullsPerSecond, shortestPull), longestPull)
+	if asked > 0 {
+		return min(max(asked, shortestPull), longestPull)
+	}
+	return intervalFor(int(r.gateway.routers.Load()) / seeds)
+}
+
+// intervalFor is the time between two pulls of each of the followers: shorter
+// where few pull.
+func intervalFor(followers int) time.Duration {
+	return min(max(time.Duration(followers)*time.Second/pullsPerSecond, shortestPull), longestPull)
 }
 
-// pull asks seeds until one gives a recent proof, and tells whether one did.
+// pull asks the relay or the seed that is first in turn, and the others at once if
+// that does not give a recent proof. It tells whether one did.
 func (r *relays) pull() bool {
-	if r.gateway.view.Load() == nil {
-		return r.firstPull()
-	}
-	for {
-		r.mutex.Lock()
-		seed, found := r.chooser.Next(time.Now())
-		r.mutex.Unlock()
-		if !found || r.gateway.ctx.Err() != nil {
-			r.setSource("")
-			return false
-		}
-		if r.pullFrom(seed) {
-			r.setSource(seed)
-			return true
-		}
+	r.mutex.Lock()
+	askable := r.chooser.Askable(time.Now())
+	r.mutex.Unlock()
+	if !r.gateway.informed() {
+		return r.pullFromAny(askable)
+	}
+	if len(askable) > 0 && r.pullFrom(askable[0]) {
+		r.setSource(askable[0])
+		return true
 	}
+	r.mutex.Lock()
+	askable = r.chooser.Askable(time.Now())
+	r.mutex.Unlock()
+	return r.pullFromAny(askable)
 }
 
-// firstPull asks the seeds of a router that knows nothing yet, each a moment after
-// the one before, and tells whether one gave a recent proof. Silent ones do not
-// delay the answer of another.
-func (r *relays) firstPull() bool {
+// pullFromAny asks several routers, each a moment after the one before, and tells
+// whether one gave a recent proof. Silent ones do not delay the answer of another.
+func (r *relays) pullFromAny(addresses []string) bool {
 	g := r.gateway
-	r.mutex.Lock()
-	seeds := r.chooser.Askable(time.Now())
-	r.mutex.Unlock()
-	proven := make(chan string, len(seeds))
-	for i, seed := range seeds {
+	proven := make(chan string, len(addresses))
+	var found atomic.Bool
+	for i, address := range addresses {
 		g.spawn(func() {
 			waited := g.pause(time.Duration(i) * firstPullStagger)
-			if !waited || g.view.Load() != nil || !r.pullFrom(seed) {
-				seed = ""
+			if !waited || found.Load() || !r.pullFrom(address) {
+				address = ""
 			}
-			proven <- seed
+			found.Store(found.Load() || address != "")
+			proven <- address
 		})
 	}
-	for range seeds {
-		if seed := <-proven; seed != "" {
-			r.setSource(seed)
+	for range addresses {
+		if address := <-proven; address != "" {
+			r.setSource(address)
 			return true
 		}
 	}
@@ -118,29 +124,45 @@
 	answer, sent := r.askFor(address)
 	now := time.Now()
 	age := time.Duration(answer.GetProofAgeMillis()) * time.Millisecond
+	known := answer.GetProven() || answer.GetUnconfigured()
 	r.mutex.Lock()
+	oldest := proofAge
+	if address == r.chooser.Referred() {
+		oldest = relayedProofAge
+	}
 	switch {
-	case answer == nil && r.gateway.view.Load() == nil:
+	case answer == nil && !r.gateway.informed():
 		r.chooser.Starting(now, address)
 	case answer == nil:
 		r.chooser.Failed(now, address)
-	case !answer.GetProven():
+	case !known:
 		r.chooser.Starting(now, address)
 		r.patientUntil = r.gateway.started.Add(seedPatience)
-	case age > proofAge:
+	case age > oldest:
 		r.chooser.Failed(now, address)
 	default:
 		r.chooser.Answered(address, answer.GetZone())
+		r.pullAfter = time.Duration(answer.GetPullAfterMillis()) * time.Millisecond
+		r.refer(address, answer.GetReferTo())
 	}
 	r.mutex.Unlock()
-	if !answer.GetProven() {
+	if !known {
 		return false
 	}
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
 	r.gateway.routers.Store(int64(answer.GetRouters()))
 	r.gateway.caches.told(address, answer.GetCache())
 	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
-	return age <= proofAge
+	return age <= oldest
+}
+
+// refer takes another router's word on whom to ask. The mutex is held.
+func (r *relays) refer(from, to string) {
+	if to == "" || to == r.chooser.Referred() || r.chooser.IsSeed() {
+		return
+	}
+	r.chooser.Refer(to)
+	r.gateway.log.Log(events.RelayChanged, events.Fields{"from": from, "relay": to})
 }
 
 func (r *relays) setSource(address string) { r.source.Store(&address) }
@@ -158,8 +180,8 @@
 	patience, kinds := r.question()
 	ctx, cancel := context.WithTimeout(g.ctx, patience)
 	defer cancel()
-	request := &wire.CopyPull{PeerAddress: g.settings.PeerAddress}
-	if g.view.Load() != nil {
+	request := r.newPull()
+	if g.informed() {
 		// The first answer is to be small, and a whole feed is not asked for twice soon.
 		g.caches.ask(address, request)
 	}
@@ -175,12 +197,23 @@
 	return reply.GetCopyAnswer(), sent
 }
 
+// newPull says who asks.
+func (r *relays) newPull() *wire.CopyPull {
+	settings := r.gateway.settings
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return &wire.CopyPull{
+		PeerAddress: settings.PeerAddress, Zone: settings.Zone,
+		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.following),
+	}
+}
+
 // question returns what is asked for and how long the answer may take. A router
 // that knows nothing asks for what is small, to find a seed that is alive; the
 // whole directory may take long at first, when many ask for it.
 func (r *relays) question() (patience time.Duration, kinds []ObjectKind) {
 	switch {
-	case r.gateway.view.Load() == nil:
+	case !r.gateway.informed():
 		return firstPullTime, []ObjectKind{ConfigObjects, WeightObjects}
 	case r.gateway.copies.revision(RunnerObjects) == 0:
 		return directoryTime, objectKinds
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -18,6 +18,9 @@
 	// proofAge is the age at which a proof is too old to rely on its source:
 	// above what a source that reaches the store ever has.
 	proofAge = 1250 * time.Millisecond
+	// relayedProofAge is the same for a relay's proof: older by its pulls, one of
+	// which may be lost.
+	relayedProofAge = proofAge + pullTime + longestPull
 	// startPatience is how long a router that knows nothing yet waits at most for
 	// seeds that do not answer: one that runs does so within firstPullTime, and
 	// after the loss of all routers those that start first would refuse callers
@@ -34,10 +37,16 @@
 	transport *wire.Transport
 	mutex     sync.Mutex
 	chooser   *relay.Chooser
-	// followers holds the routers that pulled of late and until when they are told.
-	followers map[string]time.Time
-	// countAgain is when the followers are counted again.
-	countAgain time.Time
+	// assigner refers askers to relays while this router is a seed.
+	assigner *relay.Assigner
+	// followers holds the routers that pulled of late, by address.
+	followers map[string]follows
+	// following is how many pulled of late, and below how many pull from these.
+	// countAgain is when both are counted again.
+	following, below int
+	countAgain       time.Time
+	// pullAfter is the time between two pulls that the router asked last asks for.
+	pullAfter time.Duration
 	// behind is told when a push showed that changes are missing.
 	behind chan struct{}
 	// source is the router that answered last, nil or "" when there is none.
@@ -52,11 +61,20 @@
 func newRelays(g *Gateway) *relays {
 	return &relays{
 		gateway: g, chooser: relay.NewChooser(g.settings.PeerAddress, g.settings.Zone, g.settings.Seeds),
-		followers: map[string]time.Time{}, behind: make(chan struct{}, 1), packed: map[ObjectKind]packedCopy{},
-		patientUntil: g.started.Add(g.jitter(startPatience)),
+		assigner: relay.NewAssigner(), followers: map[string]follows{}, behind: make(chan struct{}, 1), packed: map[ObjectKind]packedCopy{},
+		patientUntil: g.started.Add(patienceOf(g)),
 	}
 }
 
+// patienceOf is how long a started router waits for silent seeds. When the whole
+// system starts for the first time nobody calls yet, and all would read the store.
+func patienceOf(g *Gateway) time.Duration {
+	if g.settings.FirstStart {
+		return seedPatience
+	}
+	return g.jitter(startPatience)
+}
+
 // listen serves other routers, if the settings name an address for them.
 func (r *relays) listen() error {
 	if r.gateway.settings.PeerAddress == "" {
@@ -94,7 +112,7 @@
 // patienceOver begins to read the store, beside seeds that are still being asked,
 // if none of them has been heard of.
 func (r *relays) patienceOver() {
-	if r.gateway.view.Load() == nil {
+	if !r.gateway.informed() {
 		r.setDirect(r.readsStore(false))
 	}
 }
@@ -104,7 +122,7 @@
 	r.mutex.Lock()
 	patient := time.Now().Before(r.patientUntil)
 	r.mutex.Unlock()
-	waits := patient && r.gateway.view.Load() == nil
+	waits := patient && !r.gateway.informed()
 	return r.isSource() || !(relayed || waits)
 }
 
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/control"
+	"github.com/clovertiller/clovertiller/internal/relay"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -53,9 +54,12 @@
 // configuration. The delta of the configuration is always there: it may be empty.
 func (r *relays) answer(pull *wire.CopyPull) *wire.CopyAnswer {
 	g := r.gateway
-	r.noteFollower(pull.GetPeerAddress())
+	referTo, interval := r.noteFollower(pull)
 	stores := g.cacheStores.state.Load()
-	answer := &wire.CopyAnswer{Zone: g.settings.Zone, CacheStores: stores.answering, CacheStoresConfig: stores.config, Routers: uint32(g.routerCount())}
+	answer := &wire.CopyAnswer{
+		Zone: g.settings.Zone, CacheStores: stores.answering, CacheStoresConfig: stores.config, Routers: uint32(g.routerCount()),
+		ReferTo: referTo, PullAfterMillis: uint32(interval.Milliseconds()),
+	}
 	if pull.GetWantsCache() {
 		answer.Cache = g.caches.answer(pull.GetCacheFeed(), pull.GetCacheThrough())
 	}
@@ -63,6 +67,9 @@
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
 		answer.Proven = true
 		answer.ProofAgeMillis = uint64(max(time.Since(current.provenAt), 0).Milliseconds()) + 1
+	} else if empty := g.unconfigured.Load(); empty != nil {
+		answer.Unconfigured = true
+		answer.ProofAgeMillis = uint64(max(time.Since(*empty), 0).Milliseconds()) + 1
 	}
 	for _, have := range pull.GetHave() {
 		kind := ObjectKind(have.GetKind())
@@ -76,27 +83,65 @@
 	return answer
 }
 
-// noteFollower notes a router that pulls. Each router pulls from one seed, and the
-// seeds have about the same number of followers, so this one's stand for all.
-func (r *relays) noteFollower(address string) {
-	if address == "" {
-		return
-	}
-	now := time.Now()
+// follows is a router that pulls from this one.
+type follows struct {
+	// until is when changes are no longer pushed to it, unless it pulls again.
+	until time.Time
+	// below is how many routers pull from it.
+	below int
+}
+
+// noteFollower notes a router that pulls, and returns whom it is to pull from
+// instead, if anybody, and how long after this pull the next one is to come.
+func (r *relays) noteFollower(pull *wire.CopyPull) (referTo string, interval time.Duration) {
+	address, now := pull.GetPeerAddress(), time.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.followers[address] = now.Add(pushTime)
-	if now.Before(r.countAgain) {
-		return
+	if address != "" {
+		r.followers[address] = follows{until: now.Add(pushTime), below: int(pull.GetFollowers())}
 	}
-	r.countAgain = now.Add(countInterval)
-	following := 0
-	for _, until := range r.followers {
-		if now.Before(until) {
-			following++
+	if !now.Before(r.countAgain) {
+		r.countAgain = now.Add(countInterval)
+		r.countFollowers(now)
+	}
+	return r.referral(now, pull), intervalFor(r.following)
+}
+
+// countFollowers counts who pulled of late. Each router pulls from one seed or a
+// relay of one, and the seeds have about the same number of routers below them, so
+// a seed's own stand for all; relays are told the number. The mutex is held.
+func (r *relays) countFollowers(now time.Time) {
+	r.following, r.below = 0, 0
+	for _, follower := range r.followers {
+		if now.Before(follower.until) {
+			r.following++
+			r.below += follower.below
 		}
 	}
-	r.gateway.routers.Store(int64((following + 1) * r.chooser.Seeds()))
+	if r.chooser.IsSeed() {
+		r.gateway.routers.Store(int64((r.following + r.below + 1) * r.chooser.Seeds()))
+	}
+}
+
+// referral returns whom the asking router is to pull from: at a seed one of the
+// relays of its zone, if many ask; at a router that has a relay itself that one, so
+// that changes take two steps and not more. The mutex is held.
+func (r *relays) referral(now time.Time, pull *wire.CopyPull) string {
+	if r.chooser.HasSeed(pull.GetPeerAddress()) {
+		return ""
+	}
+	if !r.chooser.IsSeed() {
+		return r.chooser.Referred()
+	}
+	asker := relay.Asker{
+		Address: pull.GetPeerAddress(), Zone: pull.GetZone(),
+		Capacity: int(pull.GetCapacity()), Followers: int(pull.GetFollowers()),
+	}
+	referred := r.assigner.Assign(now, asker, r.following > r.gateway.settings.DirectFollowers)
+	if referred != "" {
+		delete(r.followers, asker.Address)
+	}
+	return referred
 }
 
 // changes returns what changed after the revision, encoded. The last such
@@ -126,8 +171,8 @@
 	now := time.Now()
 	r.mutex.Lock()
 	var addresses []string
-	for address, until := range r.followers {
-		if now.After(until) {
+	for address, follower := range r.followers {
+		if now.After(follower.until) {
 			delete(r.followers, address)
 			continue
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,6 +22,15 @@
 	// Seeds are peer addresses of routers that read the store for others. They
 	// may be down or out of date.
 	Seeds []string
+	// FirstStart is true when the whole system starts for the first time.
+	FirstStart bool
+	// DirectFollowers is how many routers a seed answers before it refers others to
+	// relays of their zones.
+	DirectFollowers int
+	// CPUShare is this machine's share of a core, and LinkMegabits its link's speed in
+	// Mbit/s; 0 means that they are not known.
+	CPUShare     float64
+	LinkMegabits float64
 	// StoreAddress is the IP:port of the store.
 	StoreAddress string
 	// ConfigLease is how long a configuration may be used for requests with a
@@ -71,9 +80,12 @@
 	// defaultStartWait: a router whose seeds are silent has read the store 0.12 s
 	// after its start, and half of the 0.3 s in which the quickest routes are to
 	// answer is left.
-	defaultStartWait    = 150 * time.Millisecond
-	defaultRetryShare   = 0.2
-	defaultRetryReserve = 5
+	defaultStartWait = 150 * time.Millisecond
+	// defaultDirectFollowers: a fleet of 69 routers has 22 for each of three seeds and
+	// needs no second level.
+	defaultDirectFollowers = 24
+	defaultRetryShare      = 0.2
+	defaultRetryReserve    = 5
 )
 
 // SetDefaults fills in what is not given.
@@ -85,6 +97,9 @@
 	setDuration(&s.SettleTime, defaultSettleTime)
 	setDuration(&s.LeaseGap, defaultLeaseGap)
 	setDuration(&s.StartWait, defaultStartWait)
+	if s.DirectFollowers == 0 {
+		s.DirectFollowers = defaultDirectFollowers
+	}
 	if s.RetryShare == 0 {
 		s.RetryShare = defaultRetryShare
 	}
@@ -93,6 +108,28 @@
 	}
 }
 
+// What answering one follower takes, and the part of a machine that it may take.
+const (
+	// relayShare is the part of the processor and of the link for followers.
+	relayShare = 0.05
+	// followerCPU is the share of a core for one follower: 7 pulls a second of an
+	// estimated 0.1 ms.
+	followerCPU = 0.0007
+	// followerMegabits is what one follower is sent, in Mbit/s: an estimated 10 KB/s
+	// of prompt parts and changes.
+	followerMegabits = 0.08
+	// unknownCapacity is for machines that the settings do not describe.
+	unknownCapacity = 16
+)
+
+// relayCapacity is how many routers this one could pass changes on to.
+func (s *Settings) relayCapacity() int {
+	if s.CPUShare <= 0 || s.LinkMegabits <= 0 {
+		return unknownCapacity
+	}
+	return max(1, int(relayShare*min(s.CPUShare/followerCPU, s.LinkMegabits/followerMegabits)))
+}
+
 func setDuration(field *time.Duration, value time.Duration) {
 	if *field == 0 {
 		*field = value
@@ -137,6 +174,9 @@
 	if s.RetryReserve < 0 || s.RetrySlack < 0 {
 		faults = append(faults, "retry reserve and slack: must not be negative")
 	}
+	if s.DirectFollowers < 0 || s.CPUShare < 0 || s.LinkMegabits < 0 {
+		faults = append(faults, "direct followers, processor share and link: must not be negative")
+	}
 	if s.RetryShare < 0 || s.RetryShare > 1 {
 		faults = append(faults, "retry share: must be between 0 and 1")
 	}
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -90,6 +90,8 @@
 	mutex   sync.Mutex
 	fault   Fault
 	calls   int
+	// stale counts the lists among them that may be old.
+	stale int
 }
 
 // Open serves the store at a free loopback address.
@@ -111,6 +113,13 @@
 	return d.calls
 }
 
+// StaleLists returns how many of the calls were lists that may be old.
+func (d *Door) StaleLists() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.stale
+}
+
 // Close ends the door.
 func (d *Door) Close() { d.server.Close() }
 
@@ -197,6 +206,9 @@
 func (d *Door) serve(writer http.ResponseWriter, request *http.Request) {
 	d.mutex.Lock()
 	d.calls++
+	if request.URL.Query().Has("stale") {
+		d.stale++
+	}
 	d.mutex.Unlock()
 	if d.refuse(writer, request) {
 		return
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -2,9 +2,10 @@
 // the store itself, or from another router that reads it for others.
 //
 // Seeds, the routers that the settings name, read the store; all others ask
-// them, so that the store's load does not grow with the number of routers. A
-// seed that does not answer, or whose proof is old, is passed over for a while,
-// and a router that finds no seed reads the store itself.
+// them, so that the store's load does not grow with the number of routers. A seed
+// that many ask refers them to relays of their zones, so that its own load does
+// not grow either. Who does not answer, or has an old proof, is passed over for a
+// while, and a router that finds nobody reads the store itself.
 //
 // The package has no I/O and no clock.
 package relay
@@ -29,6 +30,8 @@
 	// zone is this router's, and zones those of the seeds that have told theirs.
 	zone  string
 	zones map[string]string
+	// referred is the relay that this router was referred to, or "".
+	referred string
 }
 
 // NewChooser returns a chooser of the router in the zone with the peer address self.
@@ -48,29 +51,30 @@
 func (c *Chooser) Seeds() int { return len(c.seeds) }
 
 // IsSeed tells whether this router reads the store for others.
-func (c *Chooser) IsSeed() bool {
-	for _, seed := range c.seeds {
-		if seed == c.self {
-			return true
-		}
-	}
-	return false
-}
+func (c *Chooser) IsSeed() bool { return c.HasSeed(c.self) }
+
+// HasSeed tells whether the address is a seed's.
+func (c *Chooser) HasSeed(address string) bool { return slices.Contains(c.seeds, address) }
 
-// Next returns the seed to ask, or false when there is none.
-func (c *Chooser) Next(now time.Time) (string, bool) {
-	if askable := c.Askable(now); len(askable) > 0 {
-		return askable[0], true
+// Refer notes that the relay is to be asked first from now on.
+func (c *Chooser) Refer(address string) {
+	if address != c.self {
+		c.referred = address
 	}
-	return "", false
 }
 
-// Askable returns the seeds that are not passed over, the best first: those of
-// this router's zone, then those whose zone is not known yet.
+// Referred returns the relay that this router asks first, or "".
+func (c *Chooser) Referred() string { return c.referred }
+
+// Askable returns the routers that are not passed over, the best first: the relay
+// that this one was referred to, seeds of its zone, those whose zone is not known yet.
 func (c *Chooser) Askable(now time.Time) []string {
 	var askable []string
+	if c.referred != "" {
+		askable = append(askable, c.referred)
+	}
 	for _, seed := range c.seeds {
-		if seed != c.self && !now.Before(c.passedUntil[seed]) {
+		if seed != c.self && seed != c.referred && !now.Before(c.passedUntil[seed]) {
 			askable = append(askable, seed)
 		}
 	}
@@ -78,9 +82,10 @@
 	return askable
 }
 
-// Ranks of seeds, the best first.
+// Ranks of those that can be asked, the best first.
 const (
-	ownZone = iota
+	referredTo = iota
+	ownZone
 	unknownZone
 	otherZone
 )
@@ -88,6 +93,8 @@
 func (c *Chooser) rank(seed string) int {
 	zone, known := c.zones[seed]
 	switch {
+	case seed == c.referred:
+		return referredTo
 	case !known:
 		return unknownZone
 	case zone == c.zone:
@@ -96,8 +103,15 @@
 	return otherZone
 }
 
-// Failed passes a seed over for a while.
-func (c *Chooser) Failed(now time.Time, seed string) { c.passedUntil[seed] = now.Add(passedOver) }
+// Failed passes a seed over for a while, and gives a relay up: the seeds refer to
+// the next one.
+func (c *Chooser) Failed(now time.Time, address string) {
+	if address == c.referred {
+		c.referred = ""
+		return
+	}
+	c.passedUntil[address] = now.Add(passedOver)
+}
 
 // startingPause is how long a seed that is starting itself is not asked.
 const startingPause = 80 * time.Millisecond
