An attempt that reached nobody costs no budget

Each router finds out for itself that an address is dead (70 failed connections an address in a second), and each such attempt was drawn from its share of the budget, 1.9 attempts at 295 routers. The rule counts arrivals at runners; where no connection was made nothing arrived.

Change: attempts without a connection are counted by themselves, at most six a call, and cost nothing. The test failed before (503 at the first call).

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -67,6 +67,9 @@
 	// MaxRefusals bounds the dispatches that did not run; at 0 they count as
 	// attempts.
 	MaxRefusals int
+	// MaxUnsent bounds the dispatches for which no connection was made; at 0 they
+	// count as refusals.
+	MaxUnsent int
 }
 
 // DefaultLimits are used in production.
@@ -83,6 +86,8 @@
 	offset int
 	// refusals counts dispatches that certainly did not run.
 	refusals int
+	// unsent counts dispatches that no engine was reached for.
+	unsent int
 	// ran is true when an engine may have begun to compute any attempt.
 	ran bool
 	// continuing is true while an engine is asked to go on with a run whose
@@ -157,9 +162,19 @@
 // connection to it was made.
 func (r *Request) NotSent() Next {
 	r.exclude()
-	return r.refused()
+	if r.limits.MaxUnsent == 0 {
+		return r.refused()
+	}
+	r.unsent++
+	if r.continuing {
+		return r.retryRepeatable()
+	}
+	return r.retry()
 }
 
+// Arrivals counts the dispatches that may have arrived at an engine.
+func (r *Request) Arrivals() int { return int(r.attempts) - r.unsent }
+
 // FailedAnswer notes the engine's own failure of the current attempt, which ran.
 func (r *Request) FailedAnswer() Next {
 	r.exclude()
@@ -274,7 +289,10 @@
 }
 
 func (r *Request) exhausted() bool {
-	spent := int(r.attempts)
+	if r.unsent > r.limits.MaxUnsent {
+		return true
+	}
+	spent := r.Arrivals()
 	if r.limits.MaxRefusals > 0 {
 		if r.refusals > r.limits.MaxRefusals {
 			return true
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -26,6 +26,9 @@
 	answerSlack = 2 * time.Second
 	// maxRefusals bounds the runners that may refuse one call.
 	maxRefusals = 3
+	// maxUnsent bounds the runners that could not be reached for one call: right after
+	// the loss of a third of them one call in 700 meets six in a row.
+	maxUnsent = 6
 )
 
 // call is one request of a caller, from its arrival to its answer.
@@ -137,7 +140,7 @@
 	c.service = c.gateway.splitter.Pick(c.route)
 	c.gateway.mutex.Unlock()
 	c.setDeadline()
-	c.request = attempt.NewRequest(c.route.Repeatable(), attempt.Limits{MaxAttempts: max(c.route.MaxAttempts, 1), MaxRefusals: maxRefusals})
+	c.request = attempt.NewRequest(c.route.Repeatable(), attempt.Limits{MaxAttempts: max(c.route.MaxAttempts, 1), MaxRefusals: maxRefusals, MaxUnsent: maxUnsent})
 	return nil
 }
 
--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -212,3 +215,27 @@
 	f.g.Expect(run.Header.Get(platform.HeaderSalt)).To(Equal("tenant/tenant-one/1"))
 	f.g.Expect(run.Header.Get(platform.HeaderExpectVersion)).To(Equal("1"))
 }
+
+// An attempt that found nobody at a runner's address has not arrived anywhere, so
+// the next one is no repeat: it is not drawn from the budget, however many runners
+// have just crashed.
+func TestAttemptsThatReachedNobodyCostNoBudget(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	var runners []*runnerstand.Runner
+	for i := range 8 {
+		runners = append(runners, f.runner(fmt.Sprint("p", i), "plain"))
+	}
+	const calls = 40
+	r := f.servingRouter("r1", func(settings *gateway.Settings) {
+		settings.RetryReserve, settings.RetryShare, settings.StartWait = 0.5, 0.001, time.Second
+	})
+	f.g.Eventually(func() int { return strings.Count(r.log.String(), "runner added") }, time.Second).Should(Equal(len(runners)))
+	for _, runner := range runners[:6] {
+		runner.Close()
+	}
+	for range calls {
+		f.g.Expect(r.call("/unsafe/x", nil).status).To(Equal(http.StatusOK))
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,7 +20,8 @@
 	now := time.Now()
 	query := c.newQuery()
 	c.query = query
-	again := c.request.Attempt() > 0
+	// What reached nobody is no repeat of anything.
+	again := c.request.Arrivals() > 0
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if c.copyAt != nil {
@@ -35,13 +36,14 @@
 	if chosen.Status != placement.Picked {
 		return backend.Runner{}, unavailable(chosen.Status.String(), busyRetryAfter)
 	}
-	if again && !c.request.MayHaveRun() && slices.Contains(query.Excluded, chosen.Candidate.Name) {
+	if c.request.Attempt() > 0 && !c.request.MayHaveRun() && slices.Contains(query.Excluded, chosen.Candidate.Name) {
 		g.metrics.retries.WithLabelValues(c.service, retryNoBackend).Inc()
 		return backend.Runner{}, unavailable("all runners have refused", busyRetryAfter)
 	}
-	if again {
+	switch {
+	case again:
 		g.metrics.retries.WithLabelValues(c.service, retrySent).Inc()
-	} else {
+	case c.request.Attempt() == 0:
 		g.budget(c.service).Earn()
 	}
 	runner, _ := g.runners.Get(chosen.Candidate.Name)
