Placement counts tokens that a runner can fetch as a quarter of those it computes

Cause: a runner that lacks the shared parts of a prompt was charged with reading them, though it fetches them from whoever keeps them in a twentieth to a half of that time; so calls queued where the parts are kept.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -56,6 +56,8 @@
 	set   *Set
 	query *Query
 	known map[uint64]map[string]int
+	// most is the greatest depth that anybody keeps under each version.
+	most map[uint64]int
 }
 
 func (k *keptByWeights) depth(e *entry) int {
@@ -67,10 +69,21 @@
 	if !found {
 		depths = k.set.keptDepths(k.query, weights)
 		k.known[weights] = depths
+		for _, depth := range depths {
+			k.most[weights] = max(k.most[weights], depth)
+		}
 	}
 	return depths[e.ID]
 }
 
+// deepest is how many tokens from the start of the prompt somebody keeps under the
+// runner's weights, so that the runner can fetch them.
+func (k *keptByWeights) deepest(e *entry) int {
+	k.depth(e)
+	weights, _ := e.version(k.query.Model)
+	return k.most[weights]
+}
+
 // ApplyCacheDelta takes what changed of the parts that runners and stores keep.
 func (s *Set) ApplyCacheDelta(delta cacheindex.FeedDelta) {
 	s.cachedKnown = true
--- a/internal/backend/cachedparts_test.go
+++ b/internal/backend/cachedparts_test.go
@@ -102,3 +102,19 @@
 	set.Retain(map[string]bool{"a": true})
 	g.Expect(set.cached.Len()).To(BeZero())
 }
+
+// What somebody keeps under the weights of a runner can be fetched by it; what is
+// kept under other weights cannot.
+func TestFetchableTokensAreThoseKeptElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	set := cachedSet(keeps("a", "trunk", "branch"), keeps("b", "trunk"))
+	set.LearnVersion("c", "m", 2)
+	query := sharedQuery()
+	query.Family = 0
+	_, candidates := set.Candidates(start, query)
+	fetchable := map[string]int{}
+	for _, candidate := range candidates {
+		fetchable[candidate.Name] = candidate.FetchableTokens
+	}
+	g.Expect(fetchable).To(Equal(map[string]int{"a": 0, "b": 200, "c": 0}))
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,6 +58,8 @@
 	open *backend.Send
 	// query is what the runner was chosen by.
 	query backend.Query
+	// fetched says from what kind of source the runner fetches what it lacks.
+	fetched string
 	// weights is the version of the weights that the runner is known to have.
 	weights uint64
 	// backup is the runner that the run's memory is copied to; copyAt is set when
@@ -276,7 +278,8 @@
 	defer c.gateway.mutex.Unlock()
 	source := c.gateway.runners.Source(now, c.runner.ID, c.query, c.weights, store)
 	dispatch.FetchFrom = source.Address
-	c.gateway.metrics.sources.WithLabelValues(sourceLabel(source.Address, store)).Inc()
+	c.fetched = sourceLabel(source.Address, store)
+	c.gateway.metrics.sources.WithLabelValues(c.fetched).Inc()
 	if store != "" && !source.StoreKeeps && c.gateway.saves.Due(now, c.query, c.weights) {
 		dispatch.SaveTo = store
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -14,6 +14,10 @@
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
+// fetchCost is the cost of a prompt token that a runner fetches, in tokens that it
+// computes: 0.05 to 0.5 by the links and speeds of the deployments seen, near and far.
+const fetchCost = 0.25
+
 // pick chooses the runner of the next attempt, or says why there is none.
 func (c *call) pick() (backend.Runner, *refusal) {
 	g := c.gateway
@@ -32,7 +36,7 @@
 		return backend.Runner{}, unavailable("the budget for further attempts is used up", busyRetryAfter)
 	}
 	request, candidates := g.runners.Candidates(now, query)
-	chosen := placement.Choose(request, candidates, placement.Weights{Hit: 1}, g.random)
+	chosen := placement.Choose(request, candidates, placement.Weights{Hit: 1, Fetch: fetchCost}, g.random)
 	if chosen.Status != placement.Picked {
 		return backend.Runner{}, unavailable(chosen.Status.String(), busyRetryAfter)
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -39,6 +39,9 @@
 	Report  fleet.Report
 	// CachedTokens is how many tokens of the prompt the index says it holds.
 	CachedTokens int
+	// FetchableTokens is how many further tokens of the prompt it can fetch from a
+	// runner or store that keeps them.
+	FetchableTokens int
 	// PendingTokens counts uncached prompt tokens placed on the runner that its
 	// lagging load report cannot show yet, at the request's priority or before it.
 	PendingTokens int
@@ -55,6 +58,8 @@
 type Weights struct {
 	// Hit is the cost of an uncached prompt token relative to a queued one.
 	Hit float64
+	// Fetch is the cost of a fetched prompt token relative to one that is computed.
+	Fetch float64
 }
 
 // Status explains a pick.
@@ -151,9 +156,11 @@
 	return true
 }
 
-// uncachedCost is the prompt tokens that the runner would have to compute.
+// uncachedCost is the prompt tokens that the runner would have to compute or fetch.
 func uncachedCost(r Request, c Candidate, w Weights) float64 {
-	return w.Hit * float64(max(r.PromptTokens-c.CachedTokens, 0))
+	missing := max(r.PromptTokens-c.CachedTokens, 0)
+	fetched := min(c.FetchableTokens, missing)
+	return w.Hit * (float64(missing-fetched) + w.Fetch*float64(fetched))
 }
 
 // queueCost is the prompt work ahead of the request: what the engine reported
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -129,3 +129,19 @@
 	ejector.Succeed("a")
 	g.Expect(ejector.Ejected(start)).To(BeEmpty())
 }
+
+// A runner that can fetch what it lacks of a prompt is preferred to a longer queue
+// at the one that keeps it, but not to an idle one.
+func TestFetchingIsCheaperThanWaitingAndDearerThanKeeping(t *testing.T) {
+	g := NewWithT(t)
+	keeps, fetches := candidate("keeps"), candidate("fetches")
+	keeps.CachedTokens, fetches.FetchableTokens = 800, 800
+	pick := func() string {
+		return Choose(request, []Candidate{keeps, fetches}, Weights{Hit: 1, Fetch: 0.25}, rand.New(rand.NewPCG(1, 1))).Candidate.Name
+	}
+	g.Expect(pick()).To(Equal("keeps"))
+	keeps.PendingTokens = 150
+	g.Expect(pick()).To(Equal("keeps"), "a short queue costs less than the fetch of 800 tokens")
+	keeps.PendingTokens = 400
+	g.Expect(pick()).To(Equal("fetches"), "and a long one more")
+}
