Followers leave a relay that came back knowing nothing

Cause: found by reading. A relay that restarts and reaches nobody answers pulls without a proof; its followers took it for one that starts, kept asking it first, and asked the seeds beside it at every pull, without becoming or being referred to the next relay.

Change: such a relay counts as failed. The test failed before (timed out after 3 s) and passes three times in a row.

--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -133,7 +133,7 @@
 	switch {
 	case answer == nil && !r.gateway.informed():
 		r.chooser.Starting(now, address)
-	case answer == nil:
+	case answer == nil, !known && address == r.chooser.Referred():
 		r.chooser.Failed(now, address)
 	case !known:
 		r.chooser.Starting(now, address)
--- a/internal/gateway/zonerelays_test.go
+++ b/internal/gateway/zonerelays_test.go
@@ -159,3 +159,21 @@
 	f.g.Expect(time.Since(configured)).To(BeNumerically("<", 500*time.Millisecond))
 	f.g.Expect(r.door.Calls()).To(BeZero())
 }
+
+// A relay that comes back without knowing anything is left for the next one.
+func TestFollowersLeaveARelayThatKnowsNothing(t *testing.T) {
+	t.Parallel()
+	f, seed, others := crowdedFleet(t, nil, 8)
+	f.g.Eventually(func() int { return sources(others)[seed.seeds[0]] }, 3*time.Second, 20*time.Millisecond).Should(Equal(1))
+	relay := others[1].Status().Source
+	others[0].Kill()
+	f.routerAt("again", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds = relay, []string{silentPeer(f)}
+	}, storestand.Silent)
+	onNextRelay := func() bool {
+		counts := sources(others[1:])
+		return counts[seed.seeds[0]] == 1 && counts[relay] == 0
+	}
+	f.g.Eventually(onNextRelay, 3*time.Second, 20*time.Millisecond).Should(BeTrue(), "one of them is the next relay")
+	f.g.Consistently(onNextRelay, time.Second, 20*time.Millisecond).Should(BeTrue())
+}
