--- a/internal/relay/assigner.go
+++ b/internal/relay/assigner.go
@@ -3,10 +3,11 @@
 import "time"
 
 // A seed that many routers ask refers most of them to another router of their
-// zone, a relay, which asks the seed and answers them. Relays are not appointed by
-// anybody else and keep no office: a router is one as long as it asks the seed and
-// the seed refers others to it. One that falls silent is forgotten within
-// relayPatience; its followers ask the seeds again, and one of them becomes the next.
+// zone, a relay, which asks the seed and answers them. A relay holds no lease and
+// needs no agreement: it is one as long as it asks the seed and the seed refers
+// others to it, and several at once do no harm. One that falls silent is forgotten
+// within relayPatience; its followers ask the seeds again, and one of them becomes
+// the next.
 
 const (
 	// relayPatience is how long a relay counts after it was heard of: it asks each
@@ -37,6 +38,7 @@
 
 // assigned is a relay as the seed sees it.
 type assigned struct {
+	// capacity and followers are what it said with its last pull.
 	capacity  int
 	followers int
 	// referred counts the routers referred to it since it was heard of.
