--- a/internal/backend/nextupdates_test.go
+++ b/internal/backend/nextupdates_test.go
@@ -42,14 +42,20 @@
 	g.Expect(avoided(now)).To(Equal([]string{"r1", "r2"}))
 }
 
+// manyRunners returns a table with that many runners.
+func manyRunners(count int) *Set {
+	set := NewSet("z")
+	for i := range count {
+		set.Put(runner(fmt.Sprintf("r%d", i), "z"))
+	}
+	return set
+}
+
 // A large service takes as many runners out at once as bring all of them to the
 // weights in the time of a rollout, not a fixed share.
 func TestRolloutsAreSpreadOverTheirTime(t *testing.T) {
 	g := NewWithT(t)
-	set := NewSet("z")
-	for i := range 200 {
-		set.Put(runner(fmt.Sprintf("r%d", i), "z"))
-	}
+	set := manyRunners(200)
 	set.SetRolloutTime(5 * time.Second)
 	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(8*time.Second))
 	g.Expect(set.UpdatesAtOnce(start, "s", "m", time.Second)).To(Equal(40), "200 runners, 5 s, 1 s each")
@@ -59,10 +65,7 @@
 // Updates that were held up are hastened before the weights expire.
 func TestRolloutsAreHastenedBeforeTheDeadline(t *testing.T) {
 	g := NewWithT(t)
-	set := NewSet("z")
-	for i := range 200 {
-		set.Put(runner(fmt.Sprintf("r%d", i), "z"))
-	}
+	set := manyRunners(200)
 	set.SetRolloutTime(20 * time.Second)
 	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(8*time.Second))
 	set.Weights().Name("m", 3, start.Add(5*time.Second), start.Add(12*time.Second))
