Tidying: one copy each of what the work on large fleets had written twice

Behaviour unchanged: the end of dispatches that did not run, the test for outdated runners, the time that an update takes (a constant in two packages), what is kept of a prompt with its greatest depth, and the asking of the chooser stand once; the number of routers below followers is no state. hack/unit.sh also fails for a test binary that a signal or an exit ended; tried with a stand-in for go: passes, only listed tests, unlisted, build, panic, no list.

--- a/hack/unit.sh
+++ b/hack/unit.sh
@@ -9,7 +9,7 @@
 [ "${PIPESTATUS[0]}" = 0 ] && exit 0
 failed=$(sed -n 's/^--- FAIL: \([^ ]*\).*/\1/p' "$output" | sort -u)
 [ -n "$failed" ] || exit 1
-grep -qE 'build failed|setup failed|^panic:|timed out' "$output" && exit 1
+grep -qE 'build failed|setup failed|^panic:|timed out|^signal:|^exit status' "$output" && exit 1
 for test in $failed; do
   grep -q "^$test:" KNOWN-RED.txt 2>/dev/null || exit 1
   echo "known red: $(grep "^$test:" KNOWN-RED.txt)"
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -166,10 +166,7 @@
 		return r.refused()
 	}
 	r.unsent++
-	if r.continuing {
-		return r.retryRepeatable()
-	}
-	return r.retry()
+	return r.tryAgain()
 }
 
 // Arrivals counts the dispatches that may have arrived at an engine.
@@ -267,6 +264,11 @@
 // that was to go on from a copy leaves the run before, which has run.
 func (r *Request) refused() Next {
 	r.refusals++
+	return r.tryAgain()
+}
+
+// tryAgain goes on after a dispatch that certainly did not run.
+func (r *Request) tryAgain() Next {
 	if r.continuing {
 		return r.retryRepeatable()
 	}
--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -55,33 +55,33 @@
 type keptByWeights struct {
 	set   *Set
 	query *Query
-	known map[uint64]map[string]int
-	// most is the greatest depth that anybody keeps under each version.
-	most map[uint64]int
+	known map[uint64]keptParts
 }
 
-func (k *keptByWeights) depth(e *entry) int {
+// keptParts is what is kept of a prompt under one version of weights, in tokens
+// from its start.
+type keptParts struct {
+	depths map[string]int
+	// deepest is the greatest depth that anybody keeps.
+	deepest int
+}
+
+// of tells how much of the prompt the runner keeps, and how much somebody keeps
+// under the same weights, so that the runner can fetch it.
+func (k *keptByWeights) of(e *entry) (depth, deepest int) {
 	if len(k.query.Shared) == 0 {
-		return 0
+		return 0, 0
 	}
 	weights, _ := e.version(k.query.Model)
-	depths, found := k.known[weights]
+	kept, found := k.known[weights]
 	if !found {
-		depths = k.set.keptDepths(k.query, weights)
-		k.known[weights] = depths
-		for _, depth := range depths {
-			k.most[weights] = max(k.most[weights], depth)
+		kept.depths = k.set.keptDepths(k.query, weights)
+		for _, depth := range kept.depths {
+			kept.deepest = max(kept.deepest, depth)
 		}
+		k.known[weights] = kept
 	}
-	return depths[e.ID]
-}
-
-// deepest is how many tokens from the start of the prompt somebody keeps under the
-// runner's weights, so that the runner can fetch them.
-func (k *keptByWeights) deepest(e *entry) int {
-	k.depth(e)
-	weights, _ := e.version(k.query.Model)
-	return k.most[weights]
+	return kept.depths[e.ID], kept.deepest
 }
 
 // ApplyCacheDelta takes what changed of the parts that runners and stores keep.
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -50,7 +50,7 @@
 	entries := s.byService[query.Service]
 	home := s.home(now, entries, query)
 	s.cached.Expire(now)
-	kept := &keptByWeights{set: s, query: &query, known: map[uint64]map[string]int{}, most: map[uint64]int{}}
+	kept := &keptByWeights{set: s, query: &query, known: map[uint64]keptParts{}}
 	var candidates []placement.Candidate
 	for _, e := range entries {
 		cost, usable := s.weightsCost(now, e, query)
@@ -60,11 +60,12 @@
 		if now.Before(e.asideUntil) {
 			request.Excluded = append(request.Excluded, e.ID)
 		}
-		cached := cachedTokens(query, e.ID == home, kept.depth(e))
+		depth, deepest := kept.of(e)
+		cached := cachedTokens(query, e.ID == home, depth)
 		candidates = append(candidates, placement.Candidate{
 			Name: e.ID, Leaving: e.Draining, Report: s.report(now, e, query.Model),
 			CachedTokens:    cached,
-			FetchableTokens: max(kept.deepest(e)-cached, 0),
+			FetchableTokens: max(deepest-cached, 0),
 			PendingTokens:   e.pendingTokens + int(e.currentWait(now).Seconds()*PrefillRate),
 			PendingRequests: e.inFlight,
 			ExtraTokens:     cost + s.evidenceCost(now, e),
--- a/internal/backend/nextupdates.go
+++ b/internal/backend/nextupdates.go
@@ -18,9 +18,9 @@
 	// replaced at once, or that are left alone as they are next; the weight store
 	// slows all when many load, and the others have to serve everybody.
 	maxUpdatingShare = 0.25
-	// updateTime is how long one update takes: 0.57 to 0.76 s for the load on the
+	// UpdateTime is how long one update takes: 0.57 to 0.76 s for the load on the
 	// deployments seen, and 0.2 s until the runner's report tells.
-	updateTime = 900 * time.Millisecond
+	UpdateTime = 900 * time.Millisecond
 	// lookAhead is how many times the runners being updated are left alone: those
 	// themselves and as many that are next, where the share allows. The news that one
 	// is done takes 0.3 to 0.5 s to all routers, and its requests another 0.3 s to end.
@@ -62,10 +62,8 @@
 // expiring, the earliest deadline first.
 func (s *Set) neededByDeadlines(now time.Time, entries []*entry, model string, taken time.Duration) int {
 	expiring := map[uint64]int{}
-	for _, e := range entries {
-		if version, held := e.version(model); held && version < s.weights.Target(model) && !e.Draining {
-			expiring[version]++
-		}
+	for _, runner := range outdatedOf(entries, model, s.weights.Target(model)) {
+		expiring[runner.Version]++
 	}
 	versions := make([]uint64, 0, len(expiring))
 	for version := range expiring {
@@ -81,6 +79,17 @@
 	return needed
 }
 
+// outdatedOf returns the runners that stay and have older weights than the target.
+func outdatedOf(entries []*entry, model string, target uint64) []GroupRunner {
+	var outdated []GroupRunner
+	for _, e := range entries {
+		if version, held := e.version(model); held && version < target && !e.Draining {
+			outdated = append(outdated, GroupRunner{e.Runner, version})
+		}
+	}
+	return outdated
+}
+
 // SortForUpdate puts runners in the order in which they take new weights: the
 // oldest weights first. With versions named in quick succession every runner gets
 // its turn, and skips those in between.
@@ -114,19 +123,13 @@
 }
 
 func (s *Set) findNextUpdates(now time.Time, group updateGroup) map[string]bool {
-	target := s.weights.Target(group.model)
-	var outdated []GroupRunner
-	for _, e := range s.byService[group.service] {
-		if version, held := e.version(group.model); held && version < target && !e.Draining {
-			outdated = append(outdated, GroupRunner{e.Runner, version})
-		}
-	}
+	outdated := outdatedOf(s.byService[group.service], group.model, s.weights.Target(group.model))
 	next := map[string]bool{}
 	if len(outdated) == 0 {
 		return next
 	}
 	SortForUpdate(outdated)
-	atOnce := s.UpdatesAtOnce(now, group.service, group.model, updateTime)
+	atOnce := s.UpdatesAtOnce(now, group.service, group.model, UpdateTime)
 	leftAlone := max(atOnce, min(lookAhead*atOnce, mostUpdating(len(s.byService[group.service]))))
 	for _, runner := range outdated[:min(len(outdated), leftAlone)] {
 		next[runner.ID] = true
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -77,20 +77,20 @@
 // pull asks the relay or the seed that is first in turn, and the others at once if
 // that does not give a recent proof. It tells whether one did.
 func (r *relays) pull() bool {
-	r.mutex.Lock()
-	askable := r.chooser.Askable(time.Now())
-	r.mutex.Unlock()
-	if !r.gateway.informed() {
-		return r.pullFromAny(askable)
-	}
-	if len(askable) > 0 && r.pullFrom(askable[0]) {
-		r.setSource(askable[0])
-		return true
+	if r.gateway.informed() {
+		if askable := r.askable(); len(askable) > 0 && r.pullFrom(askable[0]) {
+			r.setSource(askable[0])
+			return true
+		}
 	}
+	return r.pullFromAny(r.askable())
+}
+
+// askable returns who can be asked now, the best first.
+func (r *relays) askable() []string {
 	r.mutex.Lock()
-	askable = r.chooser.Askable(time.Now())
-	r.mutex.Unlock()
-	return r.pullFromAny(askable)
+	defer r.mutex.Unlock()
+	return r.chooser.Askable(time.Now())
 }
 
 // pullFromAny asks several routers, each a moment after the one before, and tells
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -41,10 +41,9 @@
 	assigner *relay.Assigner
 	// followers holds the routers that pulled of late, by address.
 	followers map[string]follows
-	// following is how many pulled of late, and below how many pull from these.
-	// countAgain is when both are counted again.
-	following, below int
-	countAgain       time.Time
+	// following is how many pulled of late, and countAgain when they are counted again.
+	following  int
+	countAgain time.Time
 	// pullAfter is the time between two pulls that the router asked last asks for.
 	pullAfter time.Duration
 	// behind is told when a push showed that changes are missing.
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -111,15 +111,16 @@
 // relay of one, and the seeds have about the same number of routers below them, so
 // a seed's own stand for all; relays are told the number. The mutex is held.
 func (r *relays) countFollowers(now time.Time) {
-	r.following, r.below = 0, 0
+	r.following = 0
+	below := 0
 	for _, follower := range r.followers {
 		if now.Before(follower.until) {
 			r.following++
-			r.below += follower.below
+			below += follower.below
 		}
 	}
 	if r.chooser.IsSeed() {
-		r.gateway.routers.Store(int64((r.following + r.below + 1) * r.chooser.Seeds()))
+		r.gateway.routers.Store(int64((r.following + below + 1) * r.chooser.Seeds()))
 	}
 }
 
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -26,9 +26,7 @@
 	resendAfter = 600 * time.Millisecond
 	// setBack is how long a runner that could not be ordered is left alone.
 	setBack = 500 * time.Millisecond
-	// firstUpdateTime is what an update is taken to last until some were seen, and
-	// updateTimeWeight the weight of one of them in the average.
-	firstUpdateTime  = 900 * time.Millisecond
+	// updateTimeWeight is the weight of one update in the average of what they last.
 	updateTimeWeight = 0.1
 	// rolloutShare is the part of the weights' deadline within which all runners
 	// are brought to them. Slower rollouts skip more versions where these are named
@@ -54,7 +52,7 @@
 }
 
 func newRollouts(g *Gateway) *rollouts {
-	return &rollouts{gateway: g, active: map[string]bool{}, setBackUntil: map[string]time.Time{}, taken: firstUpdateTime}
+	return &rollouts{gateway: g, active: map[string]bool{}, setBackUntil: map[string]time.Time{}, taken: backend.UpdateTime}
 }
 
 // outdated counts the runners that have older weights than named.
