Sight: how old the copies of runners and named weights may be

Cause: logs could not tell whether a router acted on old knowledge or decided badly on new one; only the configuration's age was known. Change: each copy has the moment at which it was last known to lack nothing, by its own answers or by the word of the router that was asked (wire: CopyProof). It is a gauge, copy_age_seconds, and in events 512, 830, 831, 832 and 840. Nothing depends on it yet. Result: gateway, wire and platform tests pass.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
@@ -13,8 +14,12 @@
 // objectKinds lists the kinds that are copied from the store.
 var objectKinds = []ObjectKind{ConfigObjects, RunnerObjects, WeightObjects}
 
-// proof is the moment at which the configuration that comes with it was in
-// force: counted from before the call to the store was sent.
+// provenApart lists the kinds whose proofs travel apart from the objects: that of the
+// configuration comes with it.
+var provenApart = []ObjectKind{RunnerObjects, WeightObjects}
+
+// proof is the moment at which the objects that come with it were all there were
+// of their kind: counted from before the call to the store was sent.
 type proof struct {
 	at    time.Time
 	given bool
@@ -27,16 +32,52 @@
 	gateway *Gateway
 	mutex   sync.Mutex
 	stores  map[ObjectKind]*config.Store
+	// proven is when each copy was last known to lack nothing, nil before. It is read
+	// without the mutex, which is held while whole lists are decoded.
+	proven map[ObjectKind]*atomic.Pointer[time.Time]
 }
 
 func newCopies(g *Gateway) *copies {
-	c := &copies{gateway: g, stores: map[ObjectKind]*config.Store{}}
+	c := &copies{gateway: g, stores: map[ObjectKind]*config.Store{}, proven: map[ObjectKind]*atomic.Pointer[time.Time]{}}
 	for _, kind := range objectKinds {
 		c.stores[kind] = config.NewOpaqueStore()
+		c.proven[kind] = &atomic.Pointer[time.Time]{}
 	}
 	return c
 }
 
+// provenAt is when the copy was last known to lack nothing, zero before.
+func (c *copies) provenAt(kind ObjectKind) time.Time {
+	if at := c.proven[kind].Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// age is how old the copy may be, or false when it was never known to lack nothing.
+func (c *copies) age(now time.Time, kind ObjectKind) (time.Duration, bool) {
+	at := c.provenAt(kind)
+	return now.Sub(at), !at.IsZero()
+}
+
+// ageMillis is the age for logs: in milliseconds, -1 when it is not known.
+func (c *copies) ageMillis(now time.Time, kind ObjectKind) int64 {
+	if age, known := c.age(now, kind); known {
+		return age.Milliseconds()
+	}
+	return -1
+}
+
+// prove notes that the copy lacked nothing at the moment. The mutex is held.
+func (c *copies) prove(kind ObjectKind, at time.Time) {
+	if at.After(c.provenAt(kind)) {
+		c.proven[kind].Store(&at)
+	}
+	if kind == ConfigObjects {
+		c.gateway.prove(at)
+	}
+}
+
 // revision returns the store's revision up to which the copy is complete.
 func (c *copies) revision(kind ObjectKind) uint64 {
 	c.mutex.Lock()
@@ -44,6 +85,24 @@
 	return c.stores[kind].Revision()
 }
 
+// checkpoint says that the store's revision was the newest at the moment. It counts the
+// changes of all kinds, so a copy that is complete up to it lacked nothing then.
+type checkpoint struct {
+	revision uint64
+	at       time.Time
+}
+
+// check proves the copy by the checkpoint, or returns false when it is not complete so far.
+func (c *copies) check(kind ObjectKind, known checkpoint) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stores[kind].Revision() < known.revision {
+		return false
+	}
+	c.prove(kind, known.at)
+	return true
+}
+
 // since returns the changes after the revision.
 func (c *copies) since(kind ObjectKind, revision uint64) config.Delta {
 	c.mutex.Lock()
@@ -60,7 +119,7 @@
 		c.gateway.putInForce(kind, delta)
 	}
 	if proven.given && outcome != config.Gap {
-		c.gateway.prove(proven.at)
+		c.prove(kind, proven.at)
 	}
 	if c.stores[RunnerObjects].Revision() > 0 && c.gateway.proven(time.Now()) {
 		c.gateway.startup.finish()
@@ -169,12 +228,13 @@
 }
 
 func (g *Gateway) applyRunner(object Object) {
+	age := g.copies.ageMillis(time.Now(), RunnerObjects)
 	if object.Gone {
 		g.mutex.Lock()
 		removed := g.runners.Remove(object.Name)
 		g.mutex.Unlock()
 		if removed {
-			g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": "gone"})
+			g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": "gone", "copy_age_ms": age})
 		}
 		return
 	}
@@ -185,9 +245,9 @@
 	g.mutex.Unlock()
 	switch {
 	case added:
-		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision})
+		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
 	case known && before.Draining != runner.Draining:
-		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision})
+		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
 	}
 }
 
@@ -209,7 +269,10 @@
 	if !news {
 		return
 	}
-	g.log.Log(events.WeightsNamed, events.Fields{"model": object.Weights.Model, "version": object.Weights.Version, "revision": object.Revision, "older_until_ms": expired.Sub(now).Milliseconds()})
+	g.log.Log(events.WeightsNamed, events.Fields{
+		"model": object.Weights.Model, "version": object.Weights.Version, "revision": object.Revision,
+		"older_until_ms": expired.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects),
+	})
 	select {
 	case g.named <- struct{}{}:
 	default:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -105,7 +105,7 @@
 	}
 	f.listed = true
 	delta := config.Delta{Through: answer.revision, Full: true, Objects: answer.objects}
-	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: f.kind == ConfigObjects && !stale})
+	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: !stale})
 	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision, "stale": stale})
 	return nil
 }
@@ -126,7 +126,7 @@
 		return answer.err
 	}
 	delta := config.Delta{From: revision, Through: throughOf(answer.objects, revision, answer.revision), Objects: answer.objects}
-	g.copies.apply(f.kind, delta, proof{at: provenSince(answer.sent, wait, answer.objects), given: f.kind == ConfigObjects})
+	g.copies.apply(f.kind, delta, proof{at: provenSince(answer.sent, wait, answer.objects), given: true})
 	if len(answer.objects) > 0 && f.kind != ConfigObjects {
 		g.pause(f.settleTime())
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -89,7 +89,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections,
-		m.storeCalls, m.storeFailures, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g},
+		m.storeCalls, m.storeFailures, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.quotas.tenants() }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
@@ -146,6 +146,25 @@
 	}
 }
 
+// copyAges tells the age of the copy of each kind when the figures are read.
+type copyAges struct{ gateway *Gateway }
+
+var copyAgeDescription = prometheus.NewDesc(namespace+"_copy_age_seconds", "Time since the copy of a kind of objects was known to lack nothing.", []string{"kind"}, nil)
+
+// Describe implements prometheus.Collector.
+func (a *copyAges) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- copyAgeDescription
+}
+
+// Collect implements prometheus.Collector.
+func (a *copyAges) Collect(figures chan<- prometheus.Metric) {
+	for _, kind := range objectKinds {
+		if age, known := a.gateway.copies.age(time.Now(), kind); known {
+			figures <- prometheus.MustNewConstMetric(copyAgeDescription, prometheus.GaugeValue, age.Seconds(), kind.String())
+		}
+	}
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -150,6 +150,7 @@
 		return false
 	}
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
+	r.checkProofs(answer, sent, age)
 	r.gateway.routers.Store(int64(answer.GetRouters()))
 	r.gateway.caches.told(address, answer.GetCache())
 	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
@@ -259,6 +260,24 @@
 	}
 }
 
+// checkProofs takes another router's word on how old its copies may be. A version of the
+// router that does not tell takes them to be as old as the configuration.
+func (r *relays) checkProofs(answer *wire.CopyAnswer, sent time.Time, configAge time.Duration) {
+	copies := r.gateway.copies
+	if len(answer.GetProofs()) == 0 {
+		for _, kind := range provenApart {
+			copies.check(kind, checkpoint{at: sent.Add(-configAge)})
+		}
+		return
+	}
+	for _, told := range answer.GetProofs() {
+		kind := ObjectKind(told.GetKind())
+		if int(kind) < len(objectKinds) && kind != ConfigObjects {
+			copies.check(kind, checkpoint{revision: told.GetRevision(), at: sent.Add(-time.Duration(told.GetAgeMillis()) * time.Millisecond)})
+		}
+	}
+}
+
 func (r *relays) askAgain() {
 	select {
 	case r.behind <- struct{}{}:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -63,7 +63,7 @@
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests,
-		"directory": g.directoryRevision.Load(),
+		"directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
 	c.open = g.runners.Begin(now, runner.ID, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
 	c.pickBackup(now, runner)
