The fault proxy can silence open connections while new ones pass

Cause: connections may go silent for good, without a reset, while new ones work; none of the proxy's modes did that: Silence silences new ones too, and ends with a reset. Change: mode Mute. What is open when it is set forwards nothing any more, neither data nor its end, whatever mode follows; later connections pass. Packets stay acknowledged, so that neither keep-alive nor the time-out of unacknowledged data ends them.

--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -24,11 +24,15 @@
 	CutBack
 	// Silence takes connections and forwards nothing.
 	Silence
+	// Mute forwards nothing more on the connections that are open now, neither data
+	// nor their end, whatever the later modes; new ones pass. Both sides still get
+	// their packets acknowledged, so that TCP by itself notices nothing.
+	Mute
 )
 
 // String returns the mode's name.
 func (m Mode) String() string {
-	return [...]string{"pass", "delay", "reset", "cut back", "silence"}[m]
+	return [...]string{"pass", "delay", "reset", "cut back", "silence", "mute"}[m]
 }
 
 // delayTime is the pause of Delay.
@@ -41,7 +45,14 @@
 	listener net.Listener
 	mutex    sync.Mutex
 	mode     Mode
-	open     map[net.Conn]bool
+	open     map[*link]bool
+}
+
+// link is a client's connection and the one to the server that it is forwarded on.
+// Its fields are guarded by the proxy's mutex.
+type link struct {
+	client, server net.Conn
+	muted          bool
 }
 
 // Start forwards a free loopback address to the server.
@@ -50,21 +61,25 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: listener.Addr().String(), server: server, listener: listener, open: map[net.Conn]bool{}}
+	p := &Proxy{Address: listener.Addr().String(), server: server, listener: listener, open: map[*link]bool{}}
 	go p.accept()
 	return p, nil
 }
 
-// Set changes the mode, for open connections too.
+// Set changes the mode, for open connections too unless they are muted.
 func (p *Proxy) Set(mode Mode) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	before := p.mode
 	p.mode = mode
 	// What was dropped is missing for good, so such connections end with the fault.
-	if mode == Reset || (mode == Pass && (before == CutBack || before == Silence)) {
-		for conn := range p.open {
-			reset(conn)
+	resets := mode == Reset || (mode == Pass && (before == CutBack || before == Silence))
+	for l := range p.open {
+		switch {
+		case mode == Mute:
+			l.muted = true
+		case resets && !l.muted:
+			l.each(reset)
 		}
 	}
 }
@@ -74,14 +89,21 @@
 	p.listener.Close()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for conn := range p.open {
-		conn.Close()
+	for l := range p.open {
+		l.each(func(conn net.Conn) { conn.Close() })
 	}
 }
 
-func (p *Proxy) current() Mode {
+// modeOf returns what happens to the link now.
+func (p *Proxy) modeOf(l *link) Mode {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	switch {
+	case l.muted:
+		return Mute
+	case p.mode == Mute:
+		return Pass
+	}
 	return p.mode
 }
 
@@ -91,43 +113,56 @@
 		if err != nil {
 			return
 		}
-		go p.serve(client)
+		l := &link{client: client}
+		p.mutex.Lock()
+		p.open[l] = true
+		p.mutex.Unlock()
+		go p.serve(l)
 	}
 }
 
-func (p *Proxy) serve(client net.Conn) {
-	p.track(client, true)
-	defer p.track(client, false)
-	defer client.Close()
-	if p.current() == Reset {
-		reset(client)
+func (p *Proxy) serve(l *link) {
+	defer p.end(l)
+	if p.modeOf(l) == Reset {
+		reset(l.client)
 		return
 	}
 	server, err := net.Dial("tcp", p.server)
 	if err != nil {
-		reset(client)
+		reset(l.client)
 		return
 	}
-	p.track(server, true)
-	defer p.track(server, false)
-	defer server.Close()
+	p.mutex.Lock()
+	l.server = server
+	p.mutex.Unlock()
 	done := make(chan struct{}, 2)
-	go p.forward(server, client, false, done)
-	go p.forward(client, server, true, done)
+	go p.forward(l, server, l.client, false, done)
+	go p.forward(l, l.client, server, true, done)
 	<-done
+	if p.modeOf(l) == Mute {
+		// The end of one side is not to reach the other.
+		<-done
+	}
+}
+
+func (p *Proxy) end(l *link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.open, l)
+	l.each(func(conn net.Conn) { conn.Close() })
 }
 
 // forward copies from source to target until either ends.
-func (p *Proxy) forward(target, source net.Conn, back bool, done chan<- struct{}) {
+func (p *Proxy) forward(l *link, target, source net.Conn, back bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := source.Read(buffer)
-		mode := p.current()
-		if mode == Delay {
+		if p.modeOf(l) == Delay {
 			time.Sleep(delayTime)
 		}
-		dropped := mode == Silence || (mode == CutBack && back)
+		mode := p.modeOf(l)
+		dropped := mode == Mute || mode == Silence || (mode == CutBack && back)
 		if n > 0 && !dropped {
 			if _, failed := target.Write(buffer[:n]); failed != nil {
 				return
@@ -141,20 +176,22 @@
 			return
 		}
 		if err != nil {
-			reset(target)
+			if mode != Mute {
+				reset(target)
+			}
 			return
 		}
 	}
 }
 
-func (p *Proxy) track(conn net.Conn, open bool) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	if open {
-		p.open[conn] = true
-		return
+// each calls the function with the connections that there are. The proxy's mutex
+// is held.
+func (l *link) each(do func(net.Conn)) {
+	for _, conn := range []net.Conn{l.client, l.server} {
+		if conn != nil {
+			do(conn)
+		}
 	}
-	delete(p.open, conn)
 }
 
 func reset(conn net.Conn) {
--- a/internal/lab/faultproxy/proxy_test.go
+++ b/internal/lab/faultproxy/proxy_test.go
@@ -1,8 +1,10 @@
 package faultproxy
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -57,3 +59,63 @@
 		g.Expect(ask()).To(Succeed())
 	}
 }
+
+// Muted connections stay silent whatever mode follows, and neither side learns
+// that the other has closed.
+func TestMuteSilencesOpenConnectionsForGood(t *testing.T) {
+	g := NewWithT(t)
+	proxy, err := Start(echo(g))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", proxy.Address)
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	// silent is true if nothing at all came, neither data nor the connection's end.
+	ask := func(conn net.Conn) (answered, silent bool) {
+		conn.SetDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return false, false
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err == nil, errors.Is(err, os.ErrDeadlineExceeded)
+	}
+	first, second := dial(), dial()
+	for _, conn := range []net.Conn{first, second} {
+		answered, _ := ask(conn)
+		g.Expect(answered).To(BeTrue())
+	}
+	for _, mode := range []Mode{Mute, Pass, Silence, Pass, Mute} {
+		proxy.Set(mode)
+		for _, conn := range []net.Conn{first, second} {
+			_, silent := ask(conn)
+			g.Expect(silent).To(BeTrue(), "muted, then %v", mode)
+		}
+		if mode != Silence {
+			answered, _ := ask(dial())
+			g.Expect(answered).To(BeTrue(), "a new connection in %v", mode)
+		}
+	}
+}
+
+func TestMuteHidesTheEndOfAConnection(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	proxy, err := Start(listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	client, err := net.Dial("tcp", proxy.Address)
+	g.Expect(err).NotTo(HaveOccurred())
+	server, err := listener.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	defer server.Close()
+	proxy.Set(Mute)
+	client.Close()
+	server.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	_, err = server.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
+}
