Watches that fell silent are noticed by the store's revision, and made anew

Cause: the watches of runners and named weights wait 12 s for a change, and nothing showed that one of them had lost its connection or its answer while new calls were answered. The router was blind for up to 12.7 s, and said to routers that ask it that all was proved. Change: each answer on the configuration carries the store's revision, which counts the changes of all kinds. A copy complete up to it is proved without a call; one that is not after 0.25 s has its watch made anew with a short wait. Routers tell each other how old their copies of runners and weights may be, pass over who is behind, and schedulers decline while their directory is not proved.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
@@ -15,7 +16,8 @@
 	// configWait is how long a watch of the configuration waits: each answer,
 	// empty or not, proves the configuration anew.
 	configWait = 900 * time.Millisecond
-	// directoryWait is the same for runners and weights, which need no proof.
+	// directoryWait is the same for runners and weights, which the configuration's
+	// answers prove.
 	directoryWait = 12 * time.Second
 	// settle is the pause after a change of the directory, so that changes in
 	// quick succession come in one answer.
@@ -47,6 +49,10 @@
 	failures int
 	// lost is true after the store was reported as lost.
 	lost bool
+	// renewing is true from when the watch was found to be behind until the next one is
+	// answered, and interrupt ends the one that waits.
+	renewing  atomic.Bool
+	interrupt atomic.Pointer[context.CancelCauseFunc]
 }
 
 func newFollower(g *Gateway, kind ObjectKind) *follower {
@@ -78,11 +84,11 @@
 
 // ask makes a call that takes the time if all is well. After a failure it has
 // more patience with a slow store, without waiting for a silent one.
-func (f *follower) ask(normal time.Duration, call storeCall) storeAnswer {
+func (f *follower) ask(ctx context.Context, normal time.Duration, call storeCall) storeAnswer {
 	if f.failures > 0 {
-		return askTwice(f.gateway.ctx, patience{again: normal, whole: normal * slowestFactor}, call)
+		return askTwice(ctx, patience{again: normal, whole: normal * slowestFactor}, call)
 	}
-	ctx, cancel := context.WithTimeout(f.gateway.ctx, normal)
+	ctx, cancel := context.WithTimeout(ctx, normal)
 	defer cancel()
 	return call(ctx)
 }
@@ -94,7 +100,8 @@
 func (f *follower) list() error {
 	g := f.gateway
 	stale := f.listed && !g.relays.isSource()
-	answer := f.ask(listTime, func(ctx context.Context) storeAnswer {
+	before := g.copies.newest()
+	answer := f.ask(g.ctx, listTime, func(ctx context.Context) storeAnswer {
 		sent := time.Now()
 		objects, revision, err := g.ports.Store.List(ctx, f.kind, stale)
 		g.metrics.storeCall(f.kind.String(), callList, sent)
@@ -106,33 +113,52 @@
 	f.listed = true
 	delta := config.Delta{Through: answer.revision, Full: true, Objects: answer.objects}
 	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: !stale})
+	if f.kind == ConfigObjects && !stale {
+		g.verifyCopies(before, checkpoint{revision: answer.revision, at: answer.sent})
+	}
 	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision, "stale": stale})
 	return nil
 }
 
 func (f *follower) watch(revision uint64) error {
 	g := f.gateway
-	wait := f.wait
-	if f.failures > 0 || (f.kind == ConfigObjects && time.Since(g.provenAt()) > proofAge) {
-		wait = regainWait
-	}
-	answer := f.ask(wait+callSlack, func(ctx context.Context) storeAnswer {
+	ctx, end := f.interruptible()
+	defer end(nil)
+	wait, before := f.watchWait(), g.copies.newest()
+	answer := f.ask(ctx, wait+callSlack, func(ctx context.Context) storeAnswer {
 		sent := time.Now()
 		objects, at, err := g.ports.Store.Watch(ctx, f.kind, revision, wait)
 		g.metrics.storeCall(f.kind.String(), callWatch, sent)
 		return storeAnswer{objects: objects, revision: at, sent: sent, err: err}
 	})
+	if errors.Is(context.Cause(ctx), errRenewed) && answer.err != nil {
+		return errRenewed
+	}
 	if answer.err != nil {
 		return answer.err
 	}
+	proven := provenSince(answer.sent, wait, answer.objects)
 	delta := config.Delta{From: revision, Through: throughOf(answer.objects, revision, answer.revision), Objects: answer.objects}
-	g.copies.apply(f.kind, delta, proof{at: provenSince(answer.sent, wait, answer.objects), given: true})
-	if len(answer.objects) > 0 && f.kind != ConfigObjects {
+	g.copies.apply(f.kind, delta, proof{at: proven, given: true})
+	f.renewed(len(answer.objects))
+	if f.kind == ConfigObjects {
+		g.verifyCopies(before, checkpoint{revision: answer.revision, at: proven})
+		return nil
+	}
+	if len(answer.objects) > 0 {
 		g.pause(f.settleTime())
 	}
 	return nil
 }
 
+// watchWait is how long a watch made now waits for changes.
+func (f *follower) watchWait() time.Duration {
+	if f.failures > 0 || f.renewing.Load() || (f.kind == ConfigObjects && time.Since(f.gateway.provenAt()) > proofAge) {
+		return regainWait
+	}
+	return f.wait
+}
+
 // settleTime is the pause after a change.
 func (f *follower) settleTime() time.Duration {
 	if f.gateway.relays.isSource() {
@@ -162,7 +188,7 @@
 
 func (f *follower) failed(err error) {
 	g := f.gateway
-	if g.ctx.Err() != nil {
+	if g.ctx.Err() != nil || errors.Is(err, errRenewed) {
 		return
 	}
 	if errors.Is(err, ErrHistoryGone) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,8 @@
 	copies *copies
 	direct *directSwitch
 	relays *relays
+	// followers read each kind of objects while this router reads the store.
+	followers []*follower
 	// schedulers place requests for other routers, or this one's.
 	schedulers *schedulers
 	// quotas keeps tenants to their limits.
@@ -127,13 +129,16 @@
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
+	for _, kind := range objectKinds {
+		g.followers = append(g.followers, newFollower(g, kind))
+	}
 	if err := g.listen(); err != nil {
 		cancel()
 		return nil, err
 	}
 	g.log.Log(events.GatewayStarted, events.Fields{"zone": settings.Zone, "callers": settings.CallerAddress, "store": settings.StoreAddress})
-	for _, kind := range objectKinds {
-		g.spawn(func() { newFollower(g, kind).run() })
+	for _, f := range g.followers {
+		g.spawn(f.run)
 	}
 	g.spawn(g.relays.run)
 	g.spawn(func() { newLeader(g).run() })
@@ -212,5 +217,8 @@
 const leaseMargin = 1500 * time.Millisecond
 
 func (v *view) fresh(now time.Time, lease time.Duration) bool {
-	return now.Sub(v.provenAt) < lease-min(leaseMargin, lease/2)
+	return now.Sub(v.provenAt) < usableFor(lease)
 }
+
+// usableFor is how long after its proof what is held under the lease may be used.
+func usableFor(lease time.Duration) time.Duration { return lease - min(leaseMargin, lease/2) }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,7 @@
 
 	storeCalls    *prometheus.HistogramVec
 	storeFailures *prometheus.CounterVec
+	renewals      *prometheus.CounterVec
 	peerCalls     *prometheus.HistogramVec
 
 	orders        *prometheus.CounterVec
@@ -72,6 +73,7 @@
 		}),
 		storeCalls:    seconds("store_call_seconds", "Calls to the store, watches with their waits.", "kind", "call"),
 		storeFailures: counters("store_failures_total", "Calls to the store that failed, by kind of object.", "kind"),
+		renewals:      counters("watch_renewals_total", "Watches that were behind and made anew, by whether the next one brought changes.", "kind", "outcome"),
 		peerCalls:     seconds("peer_call_seconds", "Pulls of changes from other routers.", "outcome"),
 		orders:        counters("orders_total", "Orders given to runners, by outcome.", "outcome"),
 		weightUpdates: seconds("weight_update_seconds", "Time to bring one runner to named weights.", "outcome"),
@@ -89,7 +91,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections,
-		m.storeCalls, m.storeFailures, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
+		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.quotas.tenants() }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
@@ -224,6 +226,13 @@
 	return outcomeFailed
 }
 
+func renewalOutcome(changed bool) string {
+	if changed {
+		return "changes"
+	}
+	return "none"
+}
+
 // Who chose a runner, in counters and logs.
 const (
 	chosenByScheduler = "scheduler"
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -138,7 +138,7 @@
 	case !known:
 		r.chooser.Starting(now, address)
 		r.patientUntil = r.gateway.started.Add(seedPatience)
-	case age > oldest:
+	case !recent(answer, oldest):
 		r.chooser.Failed(now, address)
 	default:
 		r.chooser.Answered(address, answer.GetZone())
@@ -154,7 +154,18 @@
 	r.gateway.routers.Store(int64(answer.GetRouters()))
 	r.gateway.caches.told(address, answer.GetCache())
 	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
-	return age <= oldest
+	return recent(answer, oldest)
+}
+
+// recent tells whether the answer's proofs are at most so old: the configuration's, and
+// with some slack those of runners and weights.
+func recent(answer *wire.CopyAnswer, oldest time.Duration) bool {
+	for _, told := range answer.GetProofs() {
+		if time.Duration(told.GetAgeMillis())*time.Millisecond > oldest+copySlack {
+			return false
+		}
+	}
+	return time.Duration(answer.GetProofAgeMillis())*time.Millisecond <= oldest
 }
 
 // refer takes another router's word on whom to ask. The mutex is held.
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -21,6 +21,10 @@
 	// relayedProofAge is the same for a relay's proof: older by its pulls, one of
 	// which may be lost.
 	relayedProofAge = proofAge + pullTime + longestPull
+	// copySlack is how much older the copies of runners and weights may be than that
+	// of the configuration, whose answers prove them: by the time that news may take and
+	// one call that gets no answer.
+	copySlack = settle + newsSlack + callSlack
 	// startPatience is how long a router that knows nothing yet waits at most for
 	// seeds that do not answer: one that runs does so within firstPullTime, and
 	// after the loss of all routers those that start first would refuse callers
@@ -143,7 +147,17 @@
 	isSeed := r.chooser.IsSeed()
 	r.mutex.Unlock()
 	current := r.gateway.view.Load()
-	return !isSeed || current == nil || time.Since(current.provenAt) > proofAge
+	return !isSeed || current == nil || time.Since(current.provenAt) > proofAge || r.gateway.copies.behind(time.Now(), proofAge+copySlack)
+}
+
+// behind tells whether the copy of runners or weights may be older than the limit.
+func (c *copies) behind(now time.Time, limit time.Duration) bool {
+	for _, kind := range provenApart {
+		if age, known := c.age(now, kind); known && age > limit {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *relays) setDirect(enabled bool) {
--- /dev/null
+++ b/internal/gateway/renew.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/events"
+)
+
+// A watch that waits for a change looks the same as one whose answer is lost or whose
+// connection is dead. Only the configuration is read so often that silence is noticed.
+// Its answers tell the store's revision, which counts the changes of all kinds: a copy that
+// is complete up to it is proved without a call of its own, and a watch that is behind is
+// made anew. So a leaving runner or named weights are known 1.2 s after the change at the
+// latest while the configuration's watch works, instead of 12.7 s, and 2.1 s if that one is
+// silent as well; while nothing changes it costs no call.
+
+// newsSlack is how much longer than the pause after a change the news of the next one may
+// take on a sound watch: 2 to 57 ms were measured.
+const newsSlack = 130 * time.Millisecond
+
+// errRenewed means that a watch was ended as another one is to be made in its place.
+var errRenewed = errors.New("watch is made anew")
+
+// newest is the highest revision that any copy has reached.
+func (c *copies) newest() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	newest := uint64(0)
+	for _, store := range c.stores {
+		newest = max(newest, store.Revision())
+	}
+	return newest
+}
+
+// verifyCopies proves the copies of the other kinds by an answer on the configuration, or
+// renews their watches. Before is the newest revision known when that was asked for.
+func (g *Gateway) verifyCopies(before uint64, known checkpoint) {
+	for _, f := range g.followers {
+		if f.kind != ConfigObjects {
+			f.verify(before, known)
+		}
+	}
+}
+
+func (f *follower) verify(before uint64, known checkpoint) {
+	if known.revision < before {
+		// The answer is older than what was read before it, or the store counts each
+		// kind by itself: it shows nothing.
+		f.renew()
+		return
+	}
+	if f.gateway.copies.check(f.kind, known) {
+		return
+	}
+	time.AfterFunc(f.settleTime()+newsSlack, func() {
+		if !f.gateway.copies.check(f.kind, known) {
+			f.renew()
+		}
+	})
+}
+
+// renew ends the watch that waits, if there is one, and has the next one answered at once.
+func (f *follower) renew() {
+	if !f.renewing.CompareAndSwap(false, true) {
+		return
+	}
+	if interrupt := f.interrupt.Load(); interrupt != nil {
+		(*interrupt)(errRenewed)
+	}
+}
+
+// interruptible returns a context that a renewal ends.
+func (f *follower) interruptible() (context.Context, context.CancelCauseFunc) {
+	ctx, interrupt := context.WithCancelCause(f.gateway.ctx)
+	f.interrupt.Store(&interrupt)
+	return ctx, interrupt
+}
+
+// renewed notes that a renewed watch was answered, with so many changed objects.
+func (f *follower) renewed(objects int) {
+	if !f.renewing.CompareAndSwap(true, false) {
+		return
+	}
+	f.gateway.metrics.renewals.WithLabelValues(f.kind.String(), renewalOutcome(objects > 0)).Inc()
+	if objects > 0 {
+		f.gateway.log.Log(events.WatchRenewed, events.Fields{"kind": f.kind.String(), "objects": objects, "revision": f.gateway.copies.revision(f.kind)})
+	}
+}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -58,10 +58,11 @@
 }
 
 // place chooses a runner for another router. One that is stopping or whose
-// configuration is not proved declines, as it may not know which runners there are.
+// configuration or directory is not proved declines, as it may not know which runners
+// there are.
 func (s *schedulers) place(envelope *wire.Envelope, ask *wire.RunnerAsk) *wire.RunnerAnswer {
 	g, now := s.gateway, time.Now()
-	if g.draining.Load() || !g.proven(now) || !s.places() {
+	if g.draining.Load() || !g.proven(now) || g.copies.behind(now, usableFor(g.settings.ConfigLease)) || !s.places() {
 		return &wire.RunnerAnswer{Declined: true}
 	}
 	query := queryOf(ask)
