After a store that was away for all, the deadline of older weights counts from its return

Change: where knowledge was lost for longer than lost watches explain, and others to ask had none either, the time counts from the last failed call. A router alone is held to the deadline once it has settled. The decision is a function of its own with a table of cases.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -251,33 +251,9 @@
 	}
 }
 
-// weightMargin is kept from the deadline of older weights.
-const weightMargin = 1500 * time.Millisecond
-
-// noticeTime is within which a router whose way to the store is sound again has its answer:
-// a watch that fell silent is given up after its wait and slack, and asked again after a pause.
-const noticeTime = configWait + callSlack + lastRetry
-
-// olderExpire returns from when on weights older than those learned of now must not begin
-// requests. They may have been named as soon as the copy was last known to lack nothing,
-// and the time counts from then: a router that learns late has the less time left.
-func (g *Gateway) olderExpire(now time.Time) time.Time {
-	allowed := g.settings.WeightDeadline - min(weightMargin, g.settings.WeightDeadline/4)
-	expire := g.started.Add(g.settings.SettleTime)
-	if known := g.copies.provenAt(WeightObjects); !known.IsZero() && known.Add(allowed).After(expire) {
-		expire = known.Add(allowed)
-	}
-	// What kept the news away ended at most noticeTime ago, and for the settling time
-	// after it the router is not held to the deadline.
-	if rejoined := now.Add(g.settings.SettleTime - noticeTime); rejoined.After(expire) {
-		expire = rejoined
-	}
-	return expire
-}
-
 func (g *Gateway) applyWeights(object Object) {
 	now := time.Now()
-	expired := g.olderExpire(now)
+	expired := olderExpire(now, g.settings, g.newsOfWeights())
 	old := now.Add(g.settings.WeightGrace)
 	g.mutex.Lock()
 	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, old, expired)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -105,6 +105,7 @@
 		sent := time.Now()
 		objects, revision, err := g.ports.Store.List(ctx, f.kind, stale)
 		g.metrics.storeCall(f.kind.String(), callList, sent)
+		g.disturbance.note(sent, err, ctx.Err())
 		return storeAnswer{objects: objects, revision: revision, sent: sent, err: err}
 	})
 	if answer.err != nil {
@@ -129,6 +130,7 @@
 		sent := time.Now()
 		objects, at, err := g.ports.Store.Watch(ctx, f.kind, revision, wait)
 		g.metrics.storeCall(f.kind.String(), callWatch, sent)
+		g.disturbance.note(sent, err, ctx.Err())
 		return storeAnswer{objects: objects, revision: at, sent: sent, err: err}
 	})
 	if errors.Is(context.Cause(ctx), errRenewed) && answer.err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,8 @@
 	relays *relays
 	// followers read each kind of objects while this router reads the store.
 	followers []*follower
+	// disturbance is when a call to the store last failed.
+	disturbance disturbance
 	// schedulers place requests for other routers, or this one's.
 	schedulers *schedulers
 	// quotas keeps tenants to their limits.
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -160,6 +160,13 @@
 	return false
 }
 
+// alone tells whether this router has no others to learn from.
+func (r *relays) alone() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.transport == nil || !r.chooser.HasOthers()
+}
+
 func (r *relays) setDirect(enabled bool) {
 	if r.gateway.direct.set(enabled) != enabled {
 		r.gateway.log.Log(events.SourceChanged, events.Fields{"store": enabled, "router": r.lastSource()})
--- /dev/null
+++ b/internal/gateway/weightdeadline.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+)
+
+// weightMargin is kept from the deadline of older weights.
+const weightMargin = 1500 * time.Millisecond
+
+// Times of news.
+const (
+	// noticeTime is within which a router whose watch fell silent has the answer of the
+	// next one: a watch is given up after its wait and slack, and made again after a pause.
+	noticeTime = configWait + callSlack + lastRetry
+	// lostNews is the longest that lost watches alone keep news from any router: until
+	// a seed notices, compares revisions and is asked by the others. Whatever took longer
+	// was a store, or a way to it, that did not work.
+	lostNews = noticeTime + settle + newsSlack + longestPull + pullTime
+)
+
+// weightNews is what a router knows of how late it learned of named weights.
+type weightNews struct {
+	// started is when the process started.
+	started time.Time
+	// complete is when the copy of the named weights was last known to lack nothing,
+	// zero when it never was.
+	complete time.Time
+	// disturbed is when a call to the store last failed, zero when none did.
+	disturbed time.Time
+	// alone routers have no others to learn from.
+	alone bool
+}
+
+// newsOfWeights returns what is known before an answer is taken into the copy.
+func (g *Gateway) newsOfWeights() weightNews {
+	return weightNews{started: g.started, complete: g.copies.provenAt(WeightObjects), disturbed: g.disturbance.last(), alone: g.relays.alone()}
+}
+
+// olderExpire returns from when on weights older than those learned of now must not begin
+// requests: the deadline, less a margin, after the earliest moment at which the newer ones
+// can have been named. A router that learns late has the less time left. Counted from when
+// it learned, older weights were used beyond the deadline by whatever had held the news up.
+func olderExpire(now time.Time, settings Settings, news weightNews) time.Time {
+	// After a start or a disturbance a router is held to the deadline only once it has
+	// settled.
+	expire := later(news.started, news.disturbed).Add(settings.SettleTime)
+	if news.complete.IsZero() {
+		return later(expire, now)
+	}
+	named := news.complete
+	if now.Sub(named) > lostNews && !news.alone {
+		// No router that this one reaches could read the store either, so nothing was
+		// named before it worked again.
+		named = later(named, news.disturbed)
+	}
+	allowed := settings.WeightDeadline - min(weightMargin, settings.WeightDeadline/4)
+	return later(expire, named.Add(allowed))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// disturbance holds when a call to the store last failed.
+type disturbance struct{ at atomic.Pointer[time.Time] }
+
+func (d *disturbance) last() time.Time {
+	if at := d.at.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// note takes the error of a call that left at the moment. One that was answered badly
+// failed when the answer came; one that was not answered shows only that the store, or
+// the way to it, did not work when it left. Calls that were given up show nothing.
+func (d *disturbance) note(sent time.Time, err error, givenUp error) {
+	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(givenUp, context.Canceled) {
+		return
+	}
+	at := sent
+	if givenUp == nil {
+		at = time.Now()
+	}
+	if at.After(d.last()) {
+		d.at.Store(&at)
+	}
+}
--- /dev/null
+++ b/internal/gateway/weightdeadline_test.go
@@ -0,0 +1,35 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Older weights were used beyond the deadline where news of newer ones was late, and would
+// be refused for nothing where the store had been away for everybody.
+func TestOlderWeightsExpireByWhatIsKnownOfTheNaming(t *testing.T) {
+	settings := Settings{WeightDeadline: 8 * time.Second, SettleTime: 3 * time.Second}
+	const allowed = 6500 * time.Millisecond
+	now := time.Unix(1_000, 0)
+	ago := func(seconds float64) time.Time { return now.Add(-time.Duration(seconds * float64(time.Second))) }
+	for name, test := range map[string]struct {
+		news weightNews
+		want time.Time
+	}{
+		"news at once":                     {weightNews{started: ago(100), complete: ago(0.3)}, ago(0.3).Add(allowed)},
+		"a lost watch":                     {weightNews{started: ago(100), complete: ago(2.4)}, ago(2.4).Add(allowed)},
+		"a lost watch and a failed call":   {weightNews{started: ago(100), complete: ago(2.4), disturbed: ago(1)}, ago(2.4).Add(allowed)},
+		"lost for long without a failure":  {weightNews{started: ago(100), complete: ago(5)}, ago(5).Add(allowed)},
+		"the store was away":               {weightNews{started: ago(100), complete: ago(5), disturbed: ago(0.2)}, ago(0.2).Add(allowed)},
+		"the store was away for one alone": {weightNews{started: ago(100), complete: ago(5), disturbed: ago(0.2), alone: true}, ago(0.2).Add(settings.SettleTime)},
+		"just started":                     {weightNews{started: ago(1)}, ago(1).Add(settings.SettleTime)},
+		"started and long without a store": {weightNews{started: ago(9), disturbed: ago(0.5)}, ago(0.5).Add(settings.SettleTime)},
+		"started and learned late":         {weightNews{started: ago(9)}, now},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(olderExpire(now, settings, test.news)).To(BeTemporally("==", test.want))
+		})
+	}
+}
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -50,6 +50,11 @@
 // Seeds returns how many seeds there are.
 func (c *Chooser) Seeds() int { return len(c.seeds) }
 
+// HasOthers tells whether there are seeds beside this router.
+func (c *Chooser) HasOthers() bool {
+	return slices.ContainsFunc(c.seeds, func(seed string) bool { return seed != c.self })
+}
+
 // IsSeed tells whether this router reads the store for others.
 func (c *Chooser) IsSeed() bool { return c.HasSeed(c.self) }
 
