Any answer of the store bounds when weights were named

Cause: the moment from which the deadline of older weights counts was that of the last proof of the copy of named weights alone. Change: what has a higher revision than an answer told was written after that answer. The latest 16 are kept, and routers tell each other the newest.

--- /dev/null
+++ b/internal/gateway/checkpoints.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// checkpoint says that the store's revision was the newest at the moment. It counts the
+// changes of all kinds, so a copy that is complete up to it lacked nothing then, and what
+// has a higher revision was written later.
+type checkpoint struct {
+	revision uint64
+	at       time.Time
+}
+
+// keptCheckpoints is how many are kept: with up to five answers a second those of three
+// seconds, which is longer than lost watches keep news away.
+const keptCheckpoints = 16
+
+// checkpoints holds the latest ones. It is safe for concurrent use.
+type checkpoints struct {
+	mutex sync.Mutex
+	kept  []checkpoint
+}
+
+func (c *checkpoints) note(known checkpoint) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if len(c.kept) == keptCheckpoints {
+		c.kept = append(c.kept[:0], c.kept[1:]...)
+	}
+	c.kept = append(c.kept, known)
+}
+
+// newest returns the latest one, or false when there is none.
+func (c *checkpoints) newest() (checkpoint, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var newest checkpoint
+	for _, known := range c.kept {
+		if known.at.After(newest.at) {
+			newest = known
+		}
+	}
+	return newest, len(c.kept) > 0
+}
+
+// before returns the latest moment at which the store had not reached the revision, zero
+// when none is known.
+func (c *checkpoints) before(revision uint64) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var latest time.Time
+	for _, known := range c.kept {
+		if known.revision < revision {
+			latest = later(latest, known.at)
+		}
+	}
+	return latest
+}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -35,6 +35,8 @@
 	// proven is when each copy was last known to lack nothing, nil before. It is read
 	// without the mutex, which is held while whole lists are decoded.
 	proven map[ObjectKind]*atomic.Pointer[time.Time]
+	// checkpoints are the store's latest revisions.
+	checkpoints checkpoints
 }
 
 func newCopies(g *Gateway) *copies {
@@ -85,13 +87,6 @@
 	return c.stores[kind].Revision()
 }
 
-// checkpoint says that the store's revision was the newest at the moment. It counts the
-// changes of all kinds, so a copy that is complete up to it lacked nothing then.
-type checkpoint struct {
-	revision uint64
-	at       time.Time
-}
-
 // check proves the copy by the checkpoint, or returns false when it is not complete so far.
 func (c *copies) check(kind ObjectKind, known checkpoint) bool {
 	c.mutex.Lock()
@@ -253,7 +248,7 @@
 
 func (g *Gateway) applyWeights(object Object) {
 	now := time.Now()
-	expired := olderExpire(now, g.settings, g.newsOfWeights())
+	expired := olderExpire(now, g.settings, g.newsOfWeights(object.Revision))
 	old := now.Add(g.settings.WeightGrace)
 	g.mutex.Lock()
 	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, old, expired)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -140,6 +140,7 @@
 		return answer.err
 	}
 	proven := provenSince(answer.sent, wait, answer.objects)
+	g.copies.checkpoints.note(checkpoint{revision: answer.revision, at: proven})
 	delta := config.Delta{From: revision, Through: throughOf(answer.objects, revision, answer.revision), Objects: answer.objects}
 	g.copies.apply(f.kind, delta, proof{at: proven, given: true})
 	f.renewed(len(answer.objects))
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -275,6 +275,9 @@
 // router that does not tell takes them to be as old as the configuration.
 func (r *relays) checkProofs(answer *wire.CopyAnswer, sent time.Time, configAge time.Duration) {
 	copies := r.gateway.copies
+	if answer.GetStoreRevision() > 0 {
+		copies.checkpoints.note(checkpoint{revision: answer.GetStoreRevision(), at: sent.Add(-time.Duration(answer.GetStoreAgeMillis()) * time.Millisecond)})
+	}
 	if len(answer.GetProofs()) == 0 {
 		for _, kind := range provenApart {
 			copies.check(kind, checkpoint{at: sent.Add(-configAge)})
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -82,6 +82,9 @@
 		answer.ProofAgeMillis = uint64(max(time.Since(*empty), 0).Milliseconds()) + 1
 	}
 	answer.Proofs = g.copies.proofs()
+	if newest, known := g.copies.checkpoints.newest(); known {
+		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, uint64(max(time.Since(newest.at).Milliseconds(), 0))+1
+	}
 	for _, have := range pull.GetHave() {
 		kind := ObjectKind(have.GetKind())
 		if int(kind) >= len(objectKinds) {
--- a/internal/gateway/weightdeadline.go
+++ b/internal/gateway/weightdeadline.go
@@ -25,18 +25,22 @@
 type weightNews struct {
 	// started is when the process started.
 	started time.Time
-	// complete is when the copy of the named weights was last known to lack nothing,
-	// zero when it never was.
-	complete time.Time
+	// before is the latest moment at which the newer ones are known not to have been
+	// named yet, zero when none is known.
+	before time.Time
 	// disturbed is when a call to the store last failed, zero when none did.
 	disturbed time.Time
 	// alone routers have no others to learn from.
 	alone bool
 }
 
-// newsOfWeights returns what is known before an answer is taken into the copy.
-func (g *Gateway) newsOfWeights() weightNews {
-	return weightNews{started: g.started, complete: g.copies.provenAt(WeightObjects), disturbed: g.disturbance.last(), alone: g.relays.alone()}
+// newsOfWeights returns what is known of weights that were named at the revision, before
+// they are taken into the copy.
+func (g *Gateway) newsOfWeights(revision uint64) weightNews {
+	return weightNews{
+		started: g.started, disturbed: g.disturbance.last(), alone: g.relays.alone(),
+		before: later(g.copies.provenAt(WeightObjects), g.copies.checkpoints.before(revision)),
+	}
 }
 
 // olderExpire returns from when on weights older than those learned of now must not begin
@@ -47,10 +51,10 @@
 	// After a start or a disturbance a router is held to the deadline only once it has
 	// settled.
 	expire := later(news.started, news.disturbed).Add(settings.SettleTime)
-	if news.complete.IsZero() {
+	if news.before.IsZero() {
 		return later(expire, now)
 	}
-	named := news.complete
+	named := news.before
 	if now.Sub(named) > lostNews && !news.alone {
 		// No router that this one reaches could read the store either, so nothing was
 		// named before it worked again.
--- a/internal/gateway/weightdeadline_test.go
+++ b/internal/gateway/weightdeadline_test.go
@@ -18,12 +18,12 @@
 		news weightNews
 		want time.Time
 	}{
-		"news at once":                     {weightNews{started: ago(100), complete: ago(0.3)}, ago(0.3).Add(allowed)},
-		"a lost watch":                     {weightNews{started: ago(100), complete: ago(2.4)}, ago(2.4).Add(allowed)},
-		"a lost watch and a failed call":   {weightNews{started: ago(100), complete: ago(2.4), disturbed: ago(1)}, ago(2.4).Add(allowed)},
-		"lost for long without a failure":  {weightNews{started: ago(100), complete: ago(5)}, ago(5).Add(allowed)},
-		"the store was away":               {weightNews{started: ago(100), complete: ago(5), disturbed: ago(0.2)}, ago(0.2).Add(allowed)},
-		"the store was away for one alone": {weightNews{started: ago(100), complete: ago(5), disturbed: ago(0.2), alone: true}, ago(0.2).Add(settings.SettleTime)},
+		"news at once":                     {weightNews{started: ago(100), before: ago(0.3)}, ago(0.3).Add(allowed)},
+		"a lost watch":                     {weightNews{started: ago(100), before: ago(2.4)}, ago(2.4).Add(allowed)},
+		"a lost watch and a failed call":   {weightNews{started: ago(100), before: ago(2.4), disturbed: ago(1)}, ago(2.4).Add(allowed)},
+		"lost for long without a failure":  {weightNews{started: ago(100), before: ago(5)}, ago(5).Add(allowed)},
+		"the store was away":               {weightNews{started: ago(100), before: ago(5), disturbed: ago(0.2)}, ago(0.2).Add(allowed)},
+		"the store was away for one alone": {weightNews{started: ago(100), before: ago(5), disturbed: ago(0.2), alone: true}, ago(0.2).Add(settings.SettleTime)},
 		"just started":                     {weightNews{started: ago(1)}, ago(1).Add(settings.SettleTime)},
 		"started and long without a store": {weightNews{started: ago(9), disturbed: ago(0.5)}, ago(0.5).Add(settings.SettleTime)},
 		"started and learned late":         {weightNews{started: ago(9)}, now},
@@ -33,3 +33,18 @@
 		})
 	}
 }
+
+func TestCheckpointsBoundWhenARevisionWasWritten(t *testing.T) {
+	g := NewWithT(t)
+	var known checkpoints
+	at := time.Unix(1_000, 0)
+	g.Expect(known.before(5)).To(BeZero())
+	for revision := range uint64(keptCheckpoints + 4) {
+		known.note(checkpoint{revision: revision, at: at.Add(time.Duration(revision) * time.Second)})
+	}
+	g.Expect(known.before(10)).To(Equal(at.Add(9 * time.Second)))
+	g.Expect(known.before(4)).To(BeZero(), "no longer known")
+	newest, found := known.newest()
+	g.Expect(found).To(BeTrue())
+	g.Expect(newest.revision).To(Equal(uint64(keptCheckpoints + 3)))
+}
