Tests: requests that wait at a runner when the deadline of its weights passes

Cause: a router does not send to a runner whose weights expire before the request is expected to begin there, but the time until it begins is an estimate from own requests. Change: the stand-in of runners can let calls queue before it runs them, with or without the head of the answer, records when each began, and drops those whose connection ends.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -82,10 +82,19 @@
 
 // runner starts a runner and lists it in the directory.
 func (f *fleet) runner(id, service string) *runnerstand.Runner {
-	settings := runnerstand.Config{ID: id, Service: service, Zone: "z", Delay: 400 * time.Millisecond}
 	if service == "engines" {
-		settings.Model, settings.Version, settings.Events = modelName, 1, 4
+		return f.engine(id, 1)
 	}
+	return f.startRunner(runnerstand.Config{ID: id, Service: service})
+}
+
+// engine starts a runner of the model with the version of its weights and lists it.
+func (f *fleet) engine(id string, version uint64) *runnerstand.Runner {
+	return f.startRunner(runnerstand.Config{ID: id, Service: "engines", Model: modelName, Version: version, Events: 4})
+}
+
+func (f *fleet) startRunner(settings runnerstand.Config) *runnerstand.Runner {
+	settings.Zone, settings.Delay = "z", 400*time.Millisecond
 	settings.Peer = func(address string) *runnerstand.Runner {
 		found, _ := f.runners.Load(address)
 		peer, _ := found.(*runnerstand.Runner)
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -44,11 +44,18 @@
 	// FallsSilent stops in the middle of a stream and takes no connections any
 	// more, as a machine without power does.
 	FallsSilent
+	// Queues runs the call only after it has queued for the time set with Queue; a
+	// call whose connection ends before is not run.
+	Queues
+	// QueuesAfterHead queues in the same way, but sends the head of its answer first.
+	QueuesAfterHead
+	// Pauses stops after the first event of a stream until Resume.
+	Pauses
 )
 
 // String returns the behaviour's name.
 func (b Behaviour) String() string {
-	return [...]string{"well", "fails", "sheds", "drops", "breaks off", "hangs", "crossed", "unstamped", "delays", "dies", "falls silent"}[b]
+	return [...]string{"well", "fails", "sheds", "drops", "breaks off", "hangs", "crossed", "unstamped", "delays", "dies", "falls silent", "queues", "queues after head", "pauses"}[b]
 }
 
 // Config is what a runner is started with.
@@ -73,6 +80,8 @@
 	Path    string
 	Body    string
 	Version uint64
+	// Began is when the runner began to work on it.
+	Began time.Time
 	// Ended is closed when the runner stopped working on it.
 	Ended chan struct{}
 }
@@ -98,6 +107,9 @@
 	copies map[string]bool
 	// continued lists the runs that went on here from a copy.
 	continued []string
+	// queueing is how long calls queue, and resume lets paused streams go on.
+	queueing time.Duration
+	resume   chan struct{}
 }
 
 // Order is an order that the runner saw.
@@ -120,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{Config: config, Address: listener.Addr().String(), listener: listener, version: config.Version, copies: map[string]bool{}}
+	r := &Runner{Config: config, Address: listener.Addr().String(), listener: listener, version: config.Version, copies: map[string]bool{}, resume: make(chan struct{})}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go r.server.Serve(listener)
 	return r, nil
@@ -265,7 +277,7 @@
 	}
 	run := Run{
 		Request: request.Header.Get(platform.HeaderRequestID), Header: request.Header.Clone(), Path: request.RequestURI,
-		Body: string(body), Version: r.version, Ended: make(chan struct{}),
+		Body: string(body), Version: r.version, Began: time.Now(), Ended: make(chan struct{}),
 	}
 	expected := request.Header.Get(platform.HeaderExpectVersion)
 	if expected != "" && expected != strconv.FormatUint(r.version, 10) {
@@ -279,7 +291,7 @@
 		r.continued = append(r.continued, run.Request)
 		return behaviour, run
 	}
-	if behaviour != Sheds {
+	if behaviour != Sheds && !behaviour.queues() {
 		r.runs = append(r.runs, run)
 	}
 	return behaviour, run
@@ -292,6 +304,9 @@
 	}
 	behaviour, run := r.take(request, body)
 	defer close(run.Ended)
+	if behaviour == Queues && !r.begin(request, run) {
+		return
+	}
 	header := writer.Header()
 	header.Set(platform.HeaderRequestID, run.Request)
 	header.Set(platform.HeaderVersions, strconv.FormatUint(r.Version(), 10))
@@ -319,6 +334,9 @@
 		fmt.Fprint(writer, "failed")
 		return
 	}
+	if behaviour == QueuesAfterHead && (http.NewResponseController(writer).Flush() != nil || !r.begin(request, run)) {
+		return
+	}
 	if r.Events > 0 {
 		r.stream(writer, request, behaviour)
 		return
@@ -367,6 +385,8 @@
 			r.listener.Close()
 			<-request.Context().Done()
 			return
+		case Pauses:
+			r.pause(request, id)
 		}
 	}
 }
