Test: a stream that has ended is watched no longer

Cause: the watch of a silent stream asks its runner from a timer. Where the stream ends during the question, stopping the watch only stops the timer, and the question then sets it anew: it asks whatever runner the call is at by then, for as long as the call lasts, and the timer goes on after it. The race detector found the read of the call's runner. Change: a test with a question that takes 150 ms; the stand-in delays and counts reports, and breaks paused streams off.

--- a/internal/gateway/backup_test.go
+++ b/internal/gateway/backup_test.go
@@ -76,3 +76,28 @@
 	f.g.Expect(got.cut).To(BeTrue())
 	f.g.Expect(runsOf(runners)).To(Equal(1))
 }
+
+// What was seen: the race detector found the runner of a call read by the watch of its
+// silent stream while the call went on at another runner. Reading showed that a watch that
+// asked its runner when the stream ended went on asking for as long as the process lived,
+// and asked whatever runner the call was at. The cause: stopping the watch stopped its
+// timer, which the question under way then set anew.
+func TestEndedStreamIsNoLongerWatched(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	first := f.engine("e1", 1)
+	first.Behave(runnerstand.Pauses)
+	first.DelayReports(150 * time.Millisecond)
+	r := f.servingRouter("r1", nil)
+	answers := make(chan answer, 1)
+	go func() { answers <- r.call("/stream/x", nil) }()
+	f.g.Eventually(first.Reports, 2*time.Second, 5*time.Millisecond).Should(Equal(1), "the stream is silent")
+	second := f.engine("e2", 1)
+	second.Behave(runnerstand.Pauses)
+	f.g.Eventually(r.log.String, time.Second, 5*time.Millisecond).Should(ContainSubstring(`"runner":"e2"`))
+	first.Break()
+	f.g.Eventually(second.Arrivals, time.Second, 5*time.Millisecond).Should(Equal(1))
+	f.g.Consistently(second.Reports, 1200*time.Millisecond, 20*time.Millisecond).Should(BeZero(), "its stream cannot go on elsewhere")
+	second.Resume()
+	f.g.Expect((<-answers).body).To(Equal(wholeStream))
+}
--- a/internal/lab/runnerstand/queue.go
+++ b/internal/lab/runnerstand/queue.go
@@ -36,13 +36,15 @@
 // Resume lets the streams go on that pause now or will.
 func (r *Runner) Resume() { close(r.resume) }
 
-// pause stops a stream after its first event.
-func (r *Runner) pause(request *http.Request, event int) {
-	if event > 1 {
-		return
-	}
+// Break breaks the streams off that pause now or will.
+func (r *Runner) Break() { close(r.broken) }
+
+// pause stops a stream.
+func (r *Runner) pause(request *http.Request) {
 	select {
 	case <-r.resume:
+	case <-r.broken:
+		panic(http.ErrAbortHandler)
 	case <-request.Context().Done():
 	}
 }
@@ -53,3 +55,24 @@
 	defer r.mutex.Unlock()
 	r.version = version
 }
+
+// DelayReports sets how long the runner takes to answer a question for its report.
+func (r *Runner) DelayReports(delay time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.reportTime = delay
+}
+
+// Reports returns how many questions for a report arrived.
+func (r *Runner) Reports() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.reports
+}
+
+func (r *Runner) noteReport() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.reports++
+	return r.reportTime
+}
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -49,7 +49,7 @@
 	Queues
 	// QueuesAfterHead queues in the same way, but sends the head of its answer first.
 	QueuesAfterHead
-	// Pauses stops after the first event of a stream until Resume.
+	// Pauses stops after the first event of a stream until Resume or Break.
 	Pauses
 )
 
@@ -107,9 +107,14 @@
 	copies map[string]bool
 	// continued lists the runs that went on here from a copy.
 	continued []string
-	// queueing is how long calls queue, and resume lets paused streams go on.
+	// queueing is how long calls queue, and resume lets paused streams go on, which
+	// broken breaks off.
 	queueing time.Duration
 	resume   chan struct{}
+	broken   chan struct{}
+	// reports counts the questions for a report, which are answered after reportTime.
+	reports    int
+	reportTime time.Duration
 }
 
 // Order is an order that the runner saw.
@@ -132,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{Config: config, Address: listener.Addr().String(), listener: listener, version: config.Version, copies: map[string]bool{}, resume: make(chan struct{})}
+	r := &Runner{Config: config, Address: listener.Addr().String(), listener: listener, version: config.Version, copies: map[string]bool{}, resume: make(chan struct{}), broken: make(chan struct{})}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go r.server.Serve(listener)
 	return r, nil
@@ -230,6 +235,7 @@
 }
 
 func (r *Runner) report(writer http.ResponseWriter) {
+	time.Sleep(r.noteReport())
 	r.mutex.Lock()
 	body := map[string]any{"stage": "both", "models": []map[string]any{{"name": r.Model, "version": r.version}}, "busy": false, "seq": r.seq}
 	r.mutex.Unlock()
@@ -386,7 +392,9 @@
 			<-request.Context().Done()
 			return
 		case Pauses:
-			r.pause(request, id)
+			if id == first+1 {
+				r.pause(request)
+			}
 		}
 	}
 }
