The watch of a silent stream ends with its stream

Cause: stopping it stopped its timer only, which a question under way set anew; that question also read the runner from the call, which may be at another one by then, and could end a connection that had been kept for another request. Change: the watch keeps its own runner, and a question that is under way when the stream ends has no effect any more.

--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
@@ -54,7 +55,7 @@
 	if c.backup.ID == "" || c.stream == nil || c.stream.lastEvent == "" || c.ctx.Err() != nil {
 		return false
 	}
-	if !c.ended.Load() && !c.runnerEnded() {
+	if !c.ended.Load() && !c.runnerEnded(c.runner) {
 		return false
 	}
 	backup := c.backup
@@ -62,12 +63,11 @@
 	return true
 }
 
-// runnerEnded tells whether the call's runner cannot be reached or is another
-// process by now.
-func (c *call) runnerEnded() bool {
+// runnerEnded tells whether the runner cannot be reached or is another process by now.
+func (c *call) runnerEnded(runner backend.Runner) bool {
 	for range aliveAsks {
 		ctx, cancel := context.WithTimeout(c.ctx, aliveTime)
-		_, err := c.gateway.ports.Runners.Report(ctx, c.runner)
+		_, err := c.gateway.ports.Runners.Report(ctx, runner)
 		cancel()
 		if err == nil || c.ctx.Err() != nil {
 			return false
@@ -79,14 +79,21 @@
 // silenceWatch ends a stream whose runner has ended without a word, if the
 // stream can go on elsewhere; silence alone is no reason.
 type silenceWatch struct {
-	call  *call
-	body  *httpconn.Body
-	timer *time.Timer
+	call *call
+	// runner is kept apart, as the call may be at another one while this one is asked.
+	runner backend.Runner
+	body   *httpconn.Body
+	// mutex guards what follows. timer is nil for streams that are not watched.
+	mutex   sync.Mutex
+	timer   *time.Timer
+	stopped bool
 }
 
 func (c *call) watchSilence(body *httpconn.Body) *silenceWatch {
-	w := &silenceWatch{call: c, body: body}
+	w := &silenceWatch{call: c, runner: c.runner, body: body}
 	if c.backup.ID != "" || c.request.MayGoOn() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
 		w.timer = time.AfterFunc(streamSilence, w.ask)
 	}
 	return w
@@ -98,17 +105,27 @@
 	}
 }
 
+// stop ends the watch. A question that is under way has no effect any more: the
+// connection may carry another request when it is answered.
 func (w *silenceWatch) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
 func (w *silenceWatch) ask() {
-	if w.call.runnerEnded() {
+	ended := w.call.runnerEnded(w.runner)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case w.stopped:
+	case ended:
 		w.call.ended.Store(true)
 		w.body.Abort()
-		return
+	default:
+		w.timer.Reset(streamSilence)
 	}
-	w.timer.Reset(streamSilence)
 }
