Requests that have not begun are withdrawn before the deadline of their weights

Change: a router keeps the requests at runners of models that have had no first answer or event. 0.25 s before the deadline that a named version brings it closes the connections of those whose runner is not known to have newer weights by then. One timer of the naming serves all, also requests sent before it; a request itself has none, it costs a context and an entry in a table. What is withdrawn goes on as a lost connection does: repeatable or resumable calls go to another runner, others are told 502. The table of weights holds the three moments by name. Tests: the wait for head and for first event, sent before and after the naming; a unit test of the table.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -160,6 +160,12 @@
 	return usable
 }
 
+// MayBegin tells whether a request that waits at the runner may still begin there with
+// the weights that the runner has by now: those known at the send, or newer ones.
+func (s *Set) MayBegin(now time.Time, id, model string, sentTo uint64) bool {
+	return s.weights.MayBegin(now, model, max(sentTo, s.WeightVersion(id, model)))
+}
+
 func (s *Set) evidenceCost(now time.Time, e *entry, zone string) int {
 	cost := int(e.currentFailureShare(now) * failureCost)
 	if e.Zone != zone {
--- a/internal/backend/nextupdates_test.go
+++ b/internal/backend/nextupdates_test.go
@@ -25,7 +25,7 @@
 		return ids
 	}
 	g.Expect(avoided(start)).To(BeEmpty(), "nothing was named")
-	set.Weights().Name("m", 2, start.Add(time.Minute), start.Add(2*time.Minute))
+	set.Weights().Name("m", 2, Deadlines{Old: start.Add(time.Minute), Expired: start.Add(2 * time.Minute)})
 	now := start.Add(time.Second)
 	g.Expect(avoided(now)).To(Equal([]string{"r0", "r1"}), "a quarter at once")
 	set.LearnVersion("r0", "m", 2)
@@ -36,7 +36,7 @@
 	}
 	now = now.Add(nextUpdatesAge)
 	g.Expect(avoided(now)).To(BeEmpty(), "all have them")
-	set.Weights().Name("m", 3, start.Add(time.Minute), start.Add(2*time.Minute))
+	set.Weights().Name("m", 3, Deadlines{Old: start.Add(time.Minute), Expired: start.Add(2 * time.Minute)})
 	set.LearnVersion("r0", "m", 3)
 	now = now.Add(nextUpdatesAge)
 	g.Expect(avoided(now)).To(Equal([]string{"r1", "r2"}))
@@ -57,7 +57,7 @@
 	g := NewWithT(t)
 	set := manyRunners(200)
 	set.SetRolloutTime(5 * time.Second)
-	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(8*time.Second))
+	set.Weights().Name("m", 2, Deadlines{Old: start.Add(time.Second), Expired: start.Add(8 * time.Second)})
 	g.Expect(set.UpdatesAtOnce(start, "s", "m", time.Second)).To(Equal(40), "200 runners, 5 s, 1 s each")
 	g.Expect(set.UpdatesAtOnce(start, "s", "m", 2*time.Second)).To(Equal(50), "never more than a quarter")
 }
@@ -67,8 +67,8 @@
 	g := NewWithT(t)
 	set := manyRunners(200)
 	set.SetRolloutTime(20 * time.Second)
-	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(8*time.Second))
-	set.Weights().Name("m", 3, start.Add(5*time.Second), start.Add(12*time.Second))
+	set.Weights().Name("m", 2, Deadlines{Old: start.Add(time.Second), Expired: start.Add(8 * time.Second)})
+	set.Weights().Name("m", 3, Deadlines{Old: start.Add(5 * time.Second), Expired: start.Add(12 * time.Second)})
 	for i := range 160 {
 		set.LearnVersion(fmt.Sprintf("r%d", i), "m", 2)
 	}
--- a/internal/backend/set_test.go
+++ b/internal/backend/set_test.go
@@ -46,9 +46,9 @@
 	set := NewSet("z")
 	set.Put(runner("a", "z"))
 	set.Put(runner("b", "z"))
-	g.Expect(set.Weights().Name("m", 2, start, start.Add(time.Second))).To(BeTrue())
-	g.Expect(set.Weights().Name("m", 3, start, start.Add(5*time.Second))).To(BeTrue())
-	g.Expect(set.Weights().Name("m", 2, start, start)).To(BeFalse(), "versions only rise")
+	g.Expect(set.Weights().Name("m", 2, Deadlines{Old: start, Expired: start.Add(time.Second)})).To(BeTrue())
+	g.Expect(set.Weights().Name("m", 3, Deadlines{Old: start, Expired: start.Add(5 * time.Second)})).To(BeTrue())
+	g.Expect(set.Weights().Name("m", 2, Deadlines{Old: start, Expired: start})).To(BeFalse(), "versions only rise")
 	set.LearnVersion("b", "m", 2)
 	_, candidates := set.Candidates(start, Query{Service: "s", Model: "m"})
 	g.Expect(names(candidates)).To(Equal([]string{"a", "b"}))
@@ -66,7 +66,7 @@
 	g := NewWithT(t)
 	set := NewSet("z")
 	set.Put(runner("a", "z"))
-	set.Weights().Name("m", 2, start, start.Add(time.Second))
+	set.Weights().Name("m", 2, Deadlines{Old: start, Expired: start.Add(time.Second)})
 	query := Query{Service: "s", Model: "m", PromptTokens: 1000}
 	_, candidates := set.Candidates(start, query)
 	g.Expect(candidates).To(HaveLen(1))
@@ -86,7 +86,7 @@
 	set.Put(runner("a", "z"))
 	set.Put(runner("b", "z"))
 	set.Put(runner("c", "z"))
-	set.Weights().Name("m", 2, start.Add(time.Second), start.Add(time.Minute))
+	set.Weights().Name("m", 2, Deadlines{Old: start.Add(time.Second), Expired: start.Add(time.Minute)})
 	cost := func(now time.Time) int {
 		_, candidates := set.Candidates(now, Query{Service: "s", Model: "m"})
 		return candidates[2].ExtraTokens // of c, as a is the next to be updated
@@ -189,7 +189,7 @@
 	set.Put(runner("a", "z"))
 	set.Put(runner("b", "z"))
 	g.Expect(set.Outdated()).To(BeZero())
-	set.Weights().Name("m", 2, start, start.Add(time.Minute))
+	set.Weights().Name("m", 2, Deadlines{Old: start, Expired: start.Add(time.Minute)})
 	g.Expect(set.Outdated()).To(Equal(2))
 	groups := set.ModelGroups(start, time.Second)
 	g.Expect(groups).To(HaveLen(1))
@@ -203,6 +203,32 @@
 	g.Expect(set.Outdated()).To(BeZero(), "a runner that leaves needs no weights")
 }
 
+// A request that was sent in good time may begin for longer than new ones are sent, but
+// not on weights past their deadline, unless its runner has newer ones by then.
+func TestSentRequestsMayBeginUntilTheDeadline(t *testing.T) {
+	g := NewWithT(t)
+	set := NewSet("z")
+	set.Put(runner("a", "z"))
+	mayBegin := func(after time.Duration, sentTo uint64) bool {
+		return set.MayBegin(start.Add(after), "a", "m", sentTo)
+	}
+	g.Expect(mayBegin(time.Hour, 1)).To(BeTrue(), "nothing was named")
+	set.Weights().Name("m", 2, Deadlines{Old: start, Expired: start.Add(time.Second), Unbegun: start.Add(2 * time.Second)})
+	set.Weights().Name("m", 3, Deadlines{Old: start, Expired: start.Add(5 * time.Second), Unbegun: start.Add(6 * time.Second)})
+	g.Expect(set.Weights().State(start.Add(time.Second), "m", 1)).To(Equal(Expired))
+	g.Expect(mayBegin(2*time.Second-1, 1)).To(BeTrue())
+	g.Expect(mayBegin(2*time.Second, 1)).To(BeFalse())
+	g.Expect(mayBegin(2*time.Second, 2)).To(BeTrue(), "known at the send")
+	g.Expect(set.MayBegin(start.Add(2*time.Second), "a", "other", 1)).To(BeTrue(), "another model")
+	set.LearnVersion("a", "m", 2)
+	g.Expect(mayBegin(6*time.Second-1, 1)).To(BeTrue(), "learned since")
+	g.Expect(mayBegin(6*time.Second, 1)).To(BeFalse(), "version 3 has its own deadline")
+	set.LearnVersion("a", "m", 3)
+	g.Expect(mayBegin(time.Hour, 1)).To(BeTrue())
+	set.Remove("a")
+	g.Expect(mayBegin(time.Hour, 1)).To(BeFalse(), "what a removed runner has is not known")
+}
+
 // A router that lives long sees more versions than it keeps deadlines for: the
 // newest must expire the one before it all the same.
 func TestWeightsExpireAfterAnyNumberOfVersions(t *testing.T) {
@@ -212,8 +238,10 @@
 	const versions = 3 * maxDeadlines
 	for version := uint64(1); version <= versions; version++ {
 		now = now.Add(10 * time.Second)
-		weights.Name("m", version, now.Add(time.Second), now.Add(5*time.Second))
+		weights.Name("m", version, Deadlines{Old: now.Add(time.Second), Expired: now.Add(5 * time.Second), Unbegun: now.Add(6 * time.Second)})
 	}
+	g.Expect(weights.MayBegin(now.Add(5*time.Second), "m", versions-1)).To(BeTrue())
+	g.Expect(weights.MayBegin(now.Add(6*time.Second), "m", versions-1)).To(BeFalse())
 	g.Expect(weights.State(now, "m", versions-1)).To(Equal(Replaced))
 	g.Expect(weights.State(now.Add(2*time.Second), "m", versions-1)).To(Equal(Old))
 	g.Expect(weights.State(now.Add(6*time.Second), "m", versions-1)).To(Equal(Expired))
--- a/internal/backend/weights.go
+++ b/internal/backend/weights.go
@@ -13,7 +13,7 @@
 	Replaced
 	// Old weights may still be used, but newer ones are worth a wait.
 	Old
-	// Expired weights must not begin a request any more.
+	// Expired weights get no requests any more.
 	Expired
 )
 
@@ -25,12 +25,21 @@
 	deadlines []deadline
 }
 
-// deadline says that versions below version are expired from at on.
+// Deadlines tell what a named version means for weights before it.
+type Deadlines struct {
+	// Old is when they stop being as good as new ones.
+	Old time.Time
+	// Expired is when they get no requests any more.
+	Expired time.Time
+	// Unbegun is when requests sent to them that have not begun are withdrawn. It is
+	// not before Expired.
+	Unbegun time.Time
+}
+
+// deadline holds the deadlines of versions below version.
 type deadline struct {
 	version uint64
-	at      time.Time
-	// oldFrom is when older versions stop being as good as new ones.
-	oldFrom time.Time
+	Deadlines
 }
 
 // maxDeadlines bounds the deadlines kept of a model; the earliest are joined.
@@ -45,9 +54,9 @@
 // NewWeights returns an empty table.
 func NewWeights() *Weights { return &Weights{targets: map[string]*target{}} }
 
-// Name notes that the version was named and from when on older ones are old and
-// expired. Versions only rise; it returns false for others.
-func (w *Weights) Name(model string, version uint64, old, expired time.Time) bool {
+// Name notes that the version was named with the deadlines of older ones. Versions
+// only rise; it returns false for others.
+func (w *Weights) Name(model string, version uint64, deadlines Deadlines) bool {
 	known := w.targets[model]
 	if known == nil {
 		known = &target{}
@@ -60,7 +69,7 @@
 	if len(known.deadlines) == maxDeadlines {
 		known.mergeFirst()
 	}
-	known.deadlines = append(known.deadlines, deadline{version, expired, old})
+	known.deadlines = append(known.deadlines, deadline{version, deadlines})
 	return true
 }
 
@@ -69,7 +78,7 @@
 func (t *target) mergeFirst() {
 	first := t.deadlines[0]
 	t.deadlines = t.deadlines[1:]
-	t.deadlines[0].at, t.deadlines[0].oldFrom = first.at, first.oldFrom
+	t.deadlines[0].Deadlines = first.Deadlines
 }
 
 // Named returns the newest named version of each model.
@@ -89,7 +98,7 @@
 	return 0
 }
 
-// State tells whether weights of the version may begin a request.
+// State tells whether weights of the version may get a request.
 func (w *Weights) State(now time.Time, model string, version uint64) WeightsState {
 	known := w.targets[model]
 	if known == nil || version >= known.version {
@@ -100,18 +109,32 @@
 		if version >= d.version {
 			continue
 		}
-		if !now.Before(d.at) {
+		if !now.Before(d.Expired) {
 			return Expired
 		}
-		if !now.Before(d.oldFrom) {
+		if !now.Before(d.Old) {
 			state = Old
 		}
 	}
 	return state
 }
 
-// ExpiresAt returns from when on weights of the version must not begin a request
-// any more: the earliest deadline of those that newer versions brought, zero when
+// MayBegin tells whether a request that was sent to weights of the version may still
+// begin on them.
+func (w *Weights) MayBegin(now time.Time, model string, version uint64) bool {
+	known := w.targets[model]
+	if known == nil {
+		return true
+	}
+	for _, d := range known.deadlines {
+		if version < d.version && !now.Before(d.Unbegun) {
+			return false
+		}
+	}
+	return true
+}
+
+// ExpiresAt returns from when on weights of the version get no requests any more: the earliest deadline of those that newer versions brought, zero when
 // the version is the newest.
 func (w *Weights) ExpiresAt(model string, version uint64) time.Time {
 	known := w.targets[model]
@@ -120,8 +143,8 @@
 	}
 	var earliest time.Time
 	for _, d := range known.deadlines {
-		if version < d.version && (earliest.IsZero() || d.at.Before(earliest)) {
-			earliest = d.at
+		if version < d.version && (earliest.IsZero() || d.Expired.Before(earliest)) {
+			earliest = d.Expired
 		}
 	}
 	return earliest
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -44,7 +44,7 @@
 	runner := *c.copyAt
 	c.copyAt, c.backup, c.continuing = nil, backend.Runner{}, true
 	c.ended.Store(false)
-	c.open = c.gateway.runners.Begin(time.Now(), runner.ID, 0)
+	c.beginSend(time.Now(), runner, 0)
 	c.note(events.StreamContinued, events.Fields{"from": c.runner.ID, "runner": runner.ID, "last_event": c.stream.lastEvent, "copy": true})
 	return runner, nil
 }
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -248,18 +248,18 @@
 
 func (g *Gateway) applyWeights(object Object) {
 	now := time.Now()
-	expired := olderExpire(now, g.settings, g.newsOfWeights(object.Revision))
-	old := now.Add(g.settings.WeightGrace)
+	deadlines := olderDeadlines(now, g.settings, g.newsOfWeights(object.Revision))
 	g.mutex.Lock()
-	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, old, expired)
+	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, deadlines)
 	g.mutex.Unlock()
 	if !news {
 		return
 	}
 	g.log.Log(events.WeightsNamed, events.Fields{
 		"model": object.Weights.Model, "version": object.Weights.Version, "revision": object.Revision,
-		"older_until_ms": expired.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects),
+		"older_until_ms": deadlines.Expired.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
+	time.AfterFunc(time.Until(deadlines.Unbegun), func() { g.withdrawUnbegun(time.Now(), object.Weights.Model) })
 	select {
 	case g.named <- struct{}{}:
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,8 +67,10 @@
 	unconfigured atomic.Pointer[time.Time]
 
 	// mutex guards the state below; it is never held over I/O.
-	mutex    sync.Mutex
-	runners  *backend.Set
+	mutex   sync.Mutex
+	runners *backend.Set
+	// unbegun are the requests that are withdrawn if they do not begin in time.
+	unbegun  map[*unbegunSend]struct{}
 	splitter *routing.Splitter
 	saves    *backend.Saves
 	// retries holds the budget for further attempts of each service.
@@ -118,6 +120,7 @@
 	g := &Gateway{
 		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started, startup: newStartup(),
 		runners:  backend.NewSet(settings.Zone),
+		unbegun:  map[*unbegunSend]struct{}{},
 		splitter: routing.NewSplitter(),
 		saves:    backend.NewSaves(),
 		retries:  map[string]*admission.RetryBudget{},
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -139,6 +139,9 @@
 	if c.ctx.Err() != nil {
 		return c.outOfTime(false)
 	}
+	if c.withdrawn() {
+		return c.endWithdrawn(false)
+	}
 	c.end(backend.Failed, "stream broke off: "+cause.Error(), response.Status)
 	if c.fromCopy() {
 		return c.request.CopyHeld()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -65,7 +65,7 @@
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests,
 		"directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
-	c.open = g.runners.Begin(now, runner.ID, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
+	c.beginSend(now, runner, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
 	c.pickBackup(now, runner)
 	return runner, nil
 }
@@ -84,11 +84,12 @@
 
 // send makes one attempt at the picked runner and relays its answer.
 func (c *call) send() attempt.Next {
+	defer c.releaseSend()
 	c.request.Dispatching(c.runner.ID)
 	c.answering = 0
 	c.sent = time.Now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
-	response, err := c.gateway.ports.RunnerPool.Send(c.ctx, c.runner.Address, c.message())
+	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.message())
 	if err != nil {
 		return c.notAnswered(err)
 	}
@@ -156,6 +157,7 @@
 func (c *call) end(outcome backend.Outcome, cause string, status int) {
 	g := c.gateway
 	g.mutex.Lock()
+	c.barWithdrawal()
 	g.runners.End(time.Now(), c.open, outcome)
 	g.mutex.Unlock()
 	g.schedulers.notify(c.placed, true, outcome, c.answering)
@@ -182,6 +184,7 @@
 	}
 	g.mutex.Lock()
 	now := time.Now()
+	c.barWithdrawal()
 	g.runners.FirstAnswer(now, c.open)
 	g.runners.NoteRead(now, c.runner.ID, c.query, c.weights)
 	g.mutex.Unlock()
@@ -192,6 +195,9 @@
 	if c.ctx.Err() != nil {
 		return c.outOfTime(errors.Is(err, httpconn.ErrNotSent))
 	}
+	if c.withdrawn() {
+		return c.endWithdrawn(errors.Is(err, httpconn.ErrNotSent))
+	}
 	if errors.Is(err, httpconn.ErrNotSent) {
 		c.end(backend.Unreachable, err.Error(), 0)
 		return c.request.NotSent()
@@ -215,6 +221,9 @@
 	if c.ctx.Err() != nil {
 		return c.outOfTime(false)
 	}
+	if c.withdrawn() {
+		return c.endWithdrawn(false)
+	}
 	c.end(backend.Failed, cause, 0)
 	return c.lost()
 }
--- a/internal/gateway/weightdeadline.go
+++ b/internal/gateway/weightdeadline.go
@@ -5,9 +5,11 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
 )
 
-// weightMargin is kept from the deadline of older weights.
+// weightMargin is how long before the deadline of older weights sends to them stop.
 const weightMargin = 1500 * time.Millisecond
 
 // Times of news.
@@ -43,16 +45,18 @@
 	}
 }
 
-// olderExpire returns from when on weights older than those learned of now must not begin
-// requests: the deadline, less a margin, after the earliest moment at which the newer ones
-// can have been named. A router that learns late has the less time left. Counted from when
-// it learned, older weights were used beyond the deadline by whatever had held the news up.
-func olderExpire(now time.Time, settings Settings, news weightNews) time.Time {
+// olderDeadlines returns what the weights learned of now mean for older ones. The time
+// counts from the earliest moment at which the newer ones can have been named, so a router
+// that learns late has the less of it left. Counted from when it learned, older weights
+// were used beyond the deadline by whatever had held the news up.
+func olderDeadlines(now time.Time, settings Settings, news weightNews) backend.Deadlines {
+	deadlines := backend.Deadlines{Old: now.Add(settings.WeightGrace)}
 	// After a start or a disturbance a router is held to the deadline only once it has
 	// settled.
-	expire := later(news.started, news.disturbed).Add(settings.SettleTime)
+	settled := later(news.started, news.disturbed).Add(settings.SettleTime)
 	if news.before.IsZero() {
-		return later(expire, now)
+		deadlines.Expired, deadlines.Unbegun = later(settled, now), later(settled, now)
+		return deadlines
 	}
 	named := news.before
 	if now.Sub(named) > lostNews && !news.alone {
@@ -60,8 +64,10 @@
 		// named before it worked again.
 		named = later(named, news.disturbed)
 	}
-	allowed := settings.WeightDeadline - min(weightMargin, settings.WeightDeadline/4)
-	return later(expire, named.Add(allowed))
+	deadline := named.Add(settings.WeightDeadline)
+	deadlines.Expired = later(settled, deadline.Add(-min(weightMargin, settings.WeightDeadline/4)))
+	deadlines.Unbegun = later(settled, deadline.Add(-min(withdrawMargin, settings.WeightDeadline/8)))
+	return deadlines
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/gateway/weightdeadline_test.go
+++ b/internal/gateway/weightdeadline_test.go
@@ -29,7 +29,7 @@
 		"started and learned late":         {weightNews{started: ago(9)}, now},
 	} {
 		t.Run(name, func(t *testing.T) {
-			NewWithT(t).Expect(olderExpire(now, settings, test.news)).To(BeTemporally("==", test.want))
+			NewWithT(t).Expect(olderDeadlines(now, settings, test.news).Expired).To(BeTemporally("==", test.want))
 		})
 	}
 }
--- /dev/null
+++ b/internal/gateway/withdraw.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/backend"
+)
+
+// withdrawMargin is how long before the deadline of older weights requests that wait
+// for them to begin are withdrawn: the end of a connection takes up to 20 ms to reach a
+// runner of another region, and a router with a fifth of a core is late by up to 0.1 s.
+const withdrawMargin = 250 * time.Millisecond
+
+var errWithdrawn = errors.New("its weights expire before it begins")
+
+// unbegunSend is a request at a runner of a model that has not begun to answer it.
+type unbegunSend struct {
+	runner string
+	model  string
+	// weights is the version that the runner was known to have at the send.
+	weights uint64
+	cancel  context.CancelCauseFunc
+}
+
+// beginSend notes a send with the prompt tokens that the runner has to read. The
+// gateway's mutex is held, so that no withdrawal falls between choice and send.
+func (c *call) beginSend(now time.Time, runner backend.Runner, tokens int) {
+	g := c.gateway
+	c.open = g.runners.Begin(now, runner.ID, tokens)
+	c.sendCtx, c.unbegun = c.ctx, nil
+	if c.query.Model == "" {
+		return
+	}
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	c.sendCtx = ctx
+	c.unbegun = &unbegunSend{runner: runner.ID, model: c.query.Model, weights: c.weights, cancel: cancel}
+	g.unbegun[c.unbegun] = struct{}{}
+}
+
+// barWithdrawal keeps the send from being withdrawn: it has begun, or ended. The
+// gateway's mutex is held.
+func (c *call) barWithdrawal() {
+	if c.unbegun != nil {
+		delete(c.gateway.unbegun, c.unbegun)
+	}
+}
+
+// releaseSend frees what the send holds. It comes after the answer's body is closed,
+// as it would close the connection otherwise.
+func (c *call) releaseSend() {
+	if c.unbegun != nil {
+		c.unbegun.cancel(nil)
+	}
+}
+
+// withdrawUnbegun ends the connections of the model's requests that wait at runners
+// whose weights must not begin them. When a request begins is only estimated at the
+// send, so this alone bounds it; one timer of a named version covers requests sent
+// before and after it was named.
+func (g *Gateway) withdrawUnbegun(now time.Time, model string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for send := range g.unbegun {
+		if send.model == model && !g.runners.MayBegin(now, send.runner, model, send.weights) {
+			delete(g.unbegun, send)
+			send.cancel(errWithdrawn)
+		}
+	}
+}
+
+func (c *call) withdrawn() bool { return errors.Is(context.Cause(c.sendCtx), errWithdrawn) }
+
+// endWithdrawn takes a send whose connection was ended before the runner was seen to
+// begin: it may have begun all the same.
+func (c *call) endWithdrawn(notSent bool) attempt.Next {
+	c.end(backend.Abandoned, errWithdrawn.Error(), 0)
+	if notSent {
+		return c.request.NotSent()
+	}
+	return c.lost()
+}
--- a/internal/gateway/withdraw_test.go
+++ b/internal/gateway/withdraw_test.go
@@ -21,6 +21,9 @@
 	shortDeadline = 1200 * time.Millisecond
 	// longQueue outlasts it, however early the request was sent.
 	longQueue = 2 * time.Second
+	// shortSettle is how long a router takes weights that are named to have been named
+	// before it started.
+	shortSettle = 10 * time.Millisecond
 )
 
 // oldEngine has one runner, which refuses orders for new weights, and one router, which
@@ -32,9 +35,10 @@
 	runner.Queue(longQueue)
 	runner.SetFence(1 << 40)
 	r := f.servingRouter("r1", func(settings *gateway.Settings) {
-		settings.WeightDeadline, settings.SettleTime = shortDeadline, 10*time.Millisecond
+		settings.WeightDeadline, settings.SettleTime = shortDeadline, shortSettle
 	})
 	r.door.Set(storestand.Loses)
+	time.Sleep(2 * shortSettle)
 	return f, r, runner
 }
 
@@ -51,7 +55,7 @@
 func (r *router) callQueued(path string, runner *runnerstand.Runner) <-chan answer {
 	answers := make(chan answer, 1)
 	go func() { answers <- r.call(path, nil) }()
-	r.fleet.g.Eventually(runner.Arrivals, time.Second, 5*time.Millisecond).Should(Equal(1))
+	r.fleet.g.Eventually(runner.Arrivals, time.Second, 5*time.Millisecond).Should(Equal(1), r.log.String)
 	return answers
 }
 
