Test: a stream does not go on at a copy whose runner may get no request

Cause: the runner that a run is copied to is chosen when the stream is sent; whether it leaves, is still listed and has weights that may begin requests is not asked when the stream goes on.

--- a/internal/gateway/backup_test.go
+++ b/internal/gateway/backup_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
 )
 
 const wholeStream = "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n"
@@ -77,6 +79,57 @@
 	f.g.Expect(runsOf(runners)).To(Equal(1))
 }
 
+// What was seen: nothing on a day; reading. A stream went on at the runner with the copy of
+// its run though that runner left, was no longer listed or had expired weights. The cause:
+// the runner is chosen when the stream is sent, and was not asked about when it went on.
+func TestCopyIsNotUsedAtARunnerThatMayGetNoRequest(t *testing.T) {
+	for label, bar := range map[string]func(*router, *runnerstand.Runner){
+		"it leaves": func(r *router, holder *runnerstand.Runner) {
+			r.fleet.list(holder, "draining")
+			r.logs("runner changed state")
+		},
+		"it is not listed": func(r *router, holder *runnerstand.Runner) {
+			r.fleet.store.Remove(platform.KindServers, holder.ID)
+			r.logs("runner removed")
+		},
+		"its weights have expired": func(r *router, _ *runnerstand.Runner) {
+			r.door.Set(storestand.Loses)
+			time.Sleep(2 * shortSettle)
+			r.nameNew()
+			time.Sleep(shortDeadline)
+		},
+	} {
+		t.Run(label, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, defaultRoutes(), goodKey)
+			runners := []*runnerstand.Runner{f.engine("e1", 1), f.engine("e2", 1)}
+			r := f.servingRouter("r1", func(settings *gateway.Settings) {
+				settings.CopyRuns, settings.WeightDeadline, settings.SettleTime = true, shortDeadline, shortSettle
+			})
+			f.g.Eventually(func() int { return r.call("/once/x", longPrompt).status }).Should(Equal(200))
+			home, holder := homeOf(runners), runners[0]
+			if holder == home {
+				holder = runners[1]
+			}
+			home.Behave(runnerstand.Pauses)
+			runs, arrivals := len(home.Runs()), holder.Arrivals()
+			answers := make(chan answer, 1)
+			go func() { answers <- r.call("/once/x", longPrompt) }()
+			f.g.Eventually(func() int { return len(home.Runs()) }, time.Second).Should(Equal(runs + 1))
+			// The first event is on its way to the router.
+			time.Sleep(100 * time.Millisecond)
+			bar(r, holder)
+			home.Close()
+			got := <-answers
+			f.g.Expect(holder.Continued()).To(BeEmpty())
+			f.g.Expect(got.cut).To(BeTrue())
+			f.g.Expect(got.body).To(Equal("id: 1\ndata: piece 1\n\n"))
+			f.g.Expect(holder.Arrivals()).To(Equal(arrivals), "nothing else may run it")
+		})
+	}
+}
+
 // What was seen: the race detector found the runner of a call read by the watch of its
 // silent stream while the call went on at another runner. Reading showed that a watch that
 // asked its runner when the stream ended went on asking for as long as the process lived,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -248,6 +248,11 @@
 	r.fleet.g.Eventually(r.log.String, 3*time.Second, 5*time.Millisecond).Should(And(ContainSubstring("configuration in force"), ContainSubstring(want)))
 }
 
+// logs waits until the gateway has logged the text.
+func (r *router) logs(text string) {
+	r.fleet.g.Eventually(r.log.String, time.Second, 5*time.Millisecond).Should(ContainSubstring(text))
+}
+
 // withPrompt gives a call the parts of a prompt, as ID:TOKENS with commas between.
 func withPrompt(parts string) func(*http.Request) {
 	return func(request *http.Request) { request.Header.Set(platform.HeaderPrompt, parts) }
--- a/internal/gateway/withdraw_test.go
+++ b/internal/gateway/withdraw_test.go
@@ -47,7 +47,7 @@
 func (r *router) nameNew() time.Time {
 	named := time.Now()
 	name(r.fleet, 2)
-	r.fleet.g.Eventually(r.log.String, time.Second, 5*time.Millisecond).Should(ContainSubstring("weights named"))
+	r.logs("weights named")
 	return named
 }
 
