A stream goes on at a copy only where its runner may get the request

Cause: the runner with the copy was chosen when the stream was sent, and not asked about when the stream went on there. Change: what is asked of a runner that another router chose is asked then: whether it is listed, leaves, is set aside, was excluded, and has weights that may begin the request. If not, the stream goes on as if there were no copy.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -149,8 +149,8 @@
 	return cost, true
 }
 
-// Usable tells whether the runner, chosen by another router, may get the request by
-// what this one knows: its own word on leaving runners, weights and failures binds.
+// Usable tells whether the runner, chosen by another router or earlier, may get the
+// request by what this one knows now: its own word on leaving runners, weights and failures binds.
 func (s *Set) Usable(now time.Time, id string, query Query) bool {
 	e := s.entries[id]
 	if e == nil || e.Service != query.Service || e.Draining || now.Before(e.asideUntil) || slices.Contains(query.Excluded, id) {
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -50,7 +50,7 @@
 }
 
 // fromCopy decides whether a stream that broke off goes on from the copy of its
-// run: if there is one, and its runner has ended.
+// run: if there is one, its runner has ended, and the one with the copy may be used.
 func (c *call) fromCopy() bool {
 	if c.backup.ID == "" || c.stream == nil || c.stream.lastEvent == "" || c.ctx.Err() != nil {
 		return false
@@ -58,11 +58,25 @@
 	if !c.ended.Load() && !c.runnerEnded(c.runner) {
 		return false
 	}
+	if !c.copyUsable(time.Now()) {
+		return false
+	}
 	backup := c.backup
 	c.copyAt = &backup
 	return true
 }
 
+// copyUsable tells whether the runner with the copy may get the request. It was chosen
+// when the stream was sent, and may leave, be gone or have expired weights by now.
+func (c *call) copyUsable(now time.Time) bool {
+	query := c.query
+	// What the copy holds is not read again.
+	query.PromptTokens = 0
+	c.gateway.mutex.Lock()
+	defer c.gateway.mutex.Unlock()
+	return c.gateway.runners.Usable(now, c.backup.ID, query)
+}
+
 // runnerEnded tells whether the runner cannot be reached or is another process by now.
 func (c *call) runnerEnded(runner backend.Runner) bool {
 	for range aliveAsks {
