Stand-in of runners: what concerns time is one file

Moved, unchanged: the time in the queue, pauses of streams and delayed reports; setting the version stands with the version. Vet, staticcheck and the tests of gateway and backend pass.

--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -218,6 +218,13 @@
 	return r.version
 }
 
+// SetVersion replaces the weights without an order.
+func (r *Runner) SetVersion(version uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.version = version
+}
+
 func (r *Runner) serve(writer http.ResponseWriter, request *http.Request) {
 	if expected := request.Header.Get(platform.HeaderExpect); expected != "" && expected != r.ID {
 		writer.Header().Set(platform.HeaderInstance, r.ID)
--- a/internal/lab/runnerstand/queue.go
+++ b/internal/lab/runnerstand/timing.go
@@ -49,13 +49,6 @@
 	}
 }
 
-// SetVersion replaces the weights without an order.
-func (r *Runner) SetVersion(version uint64) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.version = version
-}
-
 // DelayReports sets how long the runner takes to answer a question for its report.
 func (r *Runner) DelayReports(delay time.Duration) {
 	r.mutex.Lock()
