Tests of runners that leave between choice and first byte; they fail

Cause: a runner is chosen by what is known in pick, and nothing is asked again until the request is written: not after the dial, which the tests hold until the router has logged that the runner leaves, is gone or has other weights. A stream that goes on from a copy is sent to a runner chosen when it began, without asking at all. No behaviour of the router changes.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -31,6 +31,8 @@
 	runners sync.Map
 	// caches tells routers what runners keep; nil tells nothing.
 	caches gateway.CacheReader
+	// dials holds routers' connections to runners back; nil holds none.
+	dials *heldDials
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -161,10 +163,14 @@
 	}
 	f.g.Expect(settings.Check()).To(BeEmpty())
 	calls := httpconn.NewPool(httpconn.DefaultDialTimeout)
+	runnerPool := httpconn.NewPool(httpconn.DefaultDialTimeout)
+	if f.dials != nil {
+		runnerPool.Dial = f.dials.dial
+	}
 	log := &logBuffer{}
 	started, err := gateway.Start(settings, gateway.Ports{
 		Protocol: platform.Protocol{}, Decode: platform.Decode, Store: &platform.Store{Address: settings.StoreAddress, Pool: calls},
-		Runners: &platform.Runners{Pool: calls}, Caches: f.caches, ReadyPath: platform.PathReadiness, RunnerPool: httpconn.NewPool(httpconn.DefaultDialTimeout),
+		Runners: &platform.Runners{Pool: calls}, Caches: f.caches, ReadyPath: platform.PathReadiness, RunnerPool: runnerPool,
 	}, events.NewLogger(log, name, logrus.InfoLevel))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(started.Kill)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -39,9 +39,10 @@
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
-	mutex  sync.Mutex
-	idle   map[string][]*conn
+	// Dial opens connections. NewPool sets it; it must not change once the pool is used.
+	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	mutex sync.Mutex
+	idle  map[string][]*conn
 	// Opened is told of each new connection; it may be nil.
 	Opened func()
 }
@@ -57,10 +58,8 @@
 
 // NewPool returns an empty pool.
 func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{
-		idle:   map[string][]*conn{},
-		dialer: tcpoption.Dialer(dialTimeout),
-	}
+	dialer := tcpoption.Dialer(dialTimeout)
+	return &Pool{idle: map[string][]*conn{}, Dial: dialer.DialContext}
 }
 
 // connect returns a kept connection that is still usable, or a new one.
@@ -75,7 +74,7 @@
 		}
 		kept.Close()
 	}
-	opened, err := p.dialer.DialContext(ctx, "tcp", address)
+	opened, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
