A runner is asked for once more right before the first byte

Cause: between the choice of a runner and the request's first byte lie the dial of a connection and waits for the processor, after which nothing was asked again. A runner that had said meanwhile that it leaves, was gone or had other weights got the request, and so did the leaving runner of a stream's copy, which was not asked for at all. Change: httpconn.Request.Confirm, asked with the connection at hand. If it denies, nothing is written, a kept connection goes back to the pool and the error is ErrNotSent with ErrWithdrawn. What speaks against the runner otherwise (set aside, excluded, queue) is not weighed again. The call then chooses anew: no arrival for the budget of repeats, no failure, wait or exclusion of the runner, bounded by MaxUnsent.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -67,8 +67,7 @@
 	// MaxRefusals bounds the dispatches that did not run; at 0 they count as
 	// attempts.
 	MaxRefusals int
-	// MaxUnsent bounds the dispatches for which no connection was made; at 0 they
-	// count as refusals.
+	// MaxUnsent bounds the dispatches that were not sent; at 0 they count as refusals.
 	MaxUnsent int
 }
 
@@ -86,7 +85,7 @@
 	offset int
 	// refusals counts dispatches that certainly did not run.
 	refusals int
-	// unsent counts dispatches that no engine was reached for.
+	// unsent counts dispatches that were not sent.
 	unsent int
 	// ran is true when an engine may have begun to compute any attempt.
 	ran bool
@@ -162,6 +161,12 @@
 // connection to it was made.
 func (r *Request) NotSent() Next {
 	r.exclude()
+	return r.Withdrawn()
+}
+
+// Withdrawn notes that the dispatch was given up before it was sent. Nothing speaks
+// against the engine, so it is not excluded.
+func (r *Request) Withdrawn() Next {
 	if r.limits.MaxUnsent == 0 {
 		return r.refused()
 	}
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -152,8 +152,8 @@
 // Usable tells whether the runner, chosen by another router or earlier, may get the
 // request by what this one knows now: its own word on leaving runners, weights and failures binds.
 func (s *Set) Usable(now time.Time, id string, query Query) bool {
-	e := s.entries[id]
-	if e == nil || e.Service != query.Service || e.Draining || now.Before(e.asideUntil) || slices.Contains(query.Excluded, id) {
+	e := s.staying(id, query.Service)
+	if e == nil || now.Before(e.asideUntil) || slices.Contains(query.Excluded, id) {
 		return false
 	}
 	_, usable := s.weightsCost(now, e, query)
@@ -166,6 +166,36 @@
 	return s.weights.MayBegin(now, model, max(sentTo, s.WeightVersion(id, model)))
 }
 
+// staying returns the service's runner, or nil if it leaves or has left.
+func (s *Set) staying(id, service string) *entry {
+	e := s.entries[id]
+	if e == nil || e.Service != service || e.Draining {
+		return nil
+	}
+	return e
+}
+
+// Stays tells whether the service's runner is neither leaving nor gone.
+func (s *Set) Stays(id, service string) bool { return s.staying(id, service) != nil }
+
+// MaySend tells whether a request that the runner was chosen for, and that is counted
+// there, may still be sent: the runner stays and has the weights that the request names,
+// which have not expired. What the choice weighed beyond that is not weighed again.
+func (s *Set) MaySend(now time.Time, id string, query Query, version uint64) bool {
+	e := s.staying(id, query.Service)
+	if e == nil || query.Model == "" {
+		return e != nil
+	}
+	known, held := e.version(query.Model)
+	if !held || known != version {
+		return false
+	}
+	// Its own prompt is among what is still to be read. The time that it has taken to be
+	// sent would look like a wait at the runner, so only answered requests tell that.
+	begins := now.Add(e.measuredWait(now) + readingTime(e.pendingTokens))
+	return s.weights.State(begins, query.Model, version) != Expired
+}
+
 func (s *Set) evidenceCost(now time.Time, e *entry, zone string) int {
 	cost := int(e.currentFailureShare(now) * failureCost)
 	if e.Zone != zone {
--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -98,15 +98,21 @@
 	Unreachable
 	// Abandoned means that the caller left or the time was up.
 	Abandoned
+	// Withdrawn means that the request was not sent, for no fault of the runner's.
+	Withdrawn
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "unreachable", "abandoned"}[o]
+	return [...]string{"answered", "failed", "refused", "unreachable", "abandoned", "withdrawn"}[o]
 }
 
 // End notes the outcome of a send.
 func (s *Set) End(now time.Time, send *Send, outcome Outcome) {
+	if outcome == Withdrawn {
+		s.forget(send)
+		return
+	}
 	e := s.close(send)
 	if e == nil {
 		return
--- a/internal/backend/waits.go
+++ b/internal/backend/waits.go
@@ -13,9 +13,14 @@
 // quarter of the runners everybody left every runner where anybody waited, the
 // prompts' shared parts were read again elsewhere, and worth fell from 0.60 to 0.20.
 func (e *entry) currentWait(now time.Time) time.Duration {
-	measured := time.Duration(decayed(float64(e.wait), now.Sub(e.waitAt), waitHalfLife))
+	measured := e.measuredWait(now)
 	if e.unanswered == 0 {
 		return measured
 	}
 	return max(measured, now.Sub(e.progressAt)-readingTime(e.pendingTokens)-stallSlack)
 }
+
+// measuredWait is the wait that own requests met before their first answers.
+func (e *entry) measuredWait(now time.Time) time.Duration {
+	return time.Duration(decayed(float64(e.wait), now.Sub(e.waitAt), waitHalfLife))
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,8 +27,9 @@
 	answerSlack = 2 * time.Second
 	// maxRefusals bounds the runners that may refuse one call.
 	maxRefusals = 3
-	// maxUnsent bounds the runners that could not be reached for one call: right after
-	// the loss of a third of them one call in 700 meets six in a row.
+	// maxUnsent bounds the choices for one call after which nothing was sent, mostly as
+	// the runner could not be reached: right after the loss of a third of them one call
+	// in 700 meets six in a row.
 	maxUnsent = 6
 )
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -139,10 +139,25 @@
 	return &httpconn.Request{
 		Method: c.caller.Method, Target: target(c.caller), Host: c.caller.Host,
 		Header: protocol.Forward(c.caller.Header, dispatch), Body: c.body,
-		Accept: func(header http.Header) bool { return protocol.Answer(0, header).RequestID == id },
+		Accept:  func(header http.Header) bool { return protocol.Answer(0, header).RequestID == id },
+		Confirm: c.mayBegin,
 	}
 }
 
+// mayBegin tells whether the chosen runner may still begin the call. A dial or a wait for
+// the processor lies between the choice and the send, and the runner may have said
+// meanwhile that it leaves.
+func (c *call) mayBegin() bool {
+	g := c.gateway
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if c.continuing {
+		// The run began before, so that its weights may go on.
+		return g.runners.Stays(c.runner.ID, c.service)
+	}
+	return g.runners.MaySend(time.Now(), c.runner.ID, c.query, c.weights)
+}
+
 // learnVersion notes the version of the weights that the runner named.
 func (c *call) learnVersion(version uint64) (news bool) {
 	if version == 0 || !c.route.Cached {
@@ -155,23 +170,28 @@
 
 // end notes the outcome of the current attempt.
 func (c *call) end(outcome backend.Outcome, cause string, status int) {
-	g := c.gateway
-	g.mutex.Lock()
-	c.barWithdrawal()
-	g.runners.End(time.Now(), c.open, outcome)
-	g.mutex.Unlock()
-	g.schedulers.notify(c.placed, true, outcome, c.answering)
-	c.placed = nil
+	c.endSend(outcome)
 	if outcome == backend.Answered {
 		return
 	}
-	g.metrics.runnerFailures.WithLabelValues(c.service, outcome.String()).Inc()
+	c.gateway.metrics.runnerFailures.WithLabelValues(c.service, outcome.String()).Inc()
 	c.note(events.RequestAnswerBad, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
 		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": time.Since(c.sent).Milliseconds(),
 	})
 }
 
+// endSend tells those who count the current attempt how it ended.
+func (c *call) endSend(outcome backend.Outcome) {
+	g := c.gateway
+	g.mutex.Lock()
+	c.barWithdrawal()
+	g.runners.End(time.Now(), c.open, outcome)
+	g.mutex.Unlock()
+	g.schedulers.notify(c.placed, true, outcome, c.answering)
+	c.placed = nil
+}
+
 // firstAnswer notes that the runner has begun to answer.
 func (c *call) firstAnswer() {
 	g := c.gateway
@@ -195,6 +215,9 @@
 	if c.ctx.Err() != nil {
 		return c.outOfTime(errors.Is(err, httpconn.ErrNotSent))
 	}
+	if errors.Is(err, httpconn.ErrWithdrawn) {
+		return c.unconfirmed()
+	}
 	if c.withdrawn() {
 		return c.endWithdrawn(errors.Is(err, httpconn.ErrNotSent))
 	}
@@ -206,6 +229,16 @@
 	return c.lost()
 }
 
+// unconfirmed takes a send that mayBegin stopped. It is no evidence about the runner.
+func (c *call) unconfirmed() attempt.Next {
+	c.endSend(backend.Withdrawn)
+	c.note(events.SendWithdrawn, events.Fields{
+		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
+		"weights": c.weights, "after_ms": time.Since(c.sent).Milliseconds(),
+	})
+	return c.request.Withdrawn()
+}
+
 // outOfTime ends the call because its caller left or its time is up.
 func (c *call) outOfTime(notSent bool) attempt.Next {
 	c.end(backend.Abandoned, "caller left or time is up", 0)
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -10,7 +11,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -163,3 +166,44 @@
 	f.g.Expect(other.Arrivals()).To(BeZero())
 	f.g.Expect(got.cut).To(BeTrue(), "nothing else may run it")
 }
+
+// summaryOf returns what the router at the address thinks of a runner.
+func (f *fleet) summaryOf(address, id string) backend.RunnerSummary {
+	response, err := http.Get("http://" + address + gateway.StatusPath)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	var status gateway.Status
+	f.g.Expect(json.NewDecoder(response.Body).Decode(&status)).To(Succeed())
+	for _, runner := range status.Runners {
+		if runner.ID == id {
+			return runner
+		}
+	}
+	return backend.RunnerSummary{}
+}
+
+// The runner stays after all: what was withdrawn does not keep requests from it, as a
+// dial that failed would.
+func TestWithdrawnSendIsNoEvidenceAgainstItsRunner(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.dials = holdFirstDial()
+	f.configure(1, unhurriedRoutes(), goodKey)
+	f.runner("p1", "plain")
+	f.runner("p2", "plain")
+	figuresAt := loopback.FreeAddress()
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.MetricsAddress = figuresAt })
+	answers := r.callUnhurried("/unsafe/x", nil)
+	leaving := f.held()
+	f.list(leaving, "draining")
+	f.g.Eventually(r.log.String, 5*time.Second, 5*time.Millisecond).Should(ContainSubstring("runner changed state"))
+	close(f.dials.released)
+	f.g.Eventually(answers, unhurried).Should(Receive())
+	f.g.Expect(r.log.String()).To(ContainSubstring("request not sent: its runner may not begin it any more"))
+	state := func() string { return f.summaryOf(figuresAt, leaving.ID).State }
+	f.list(leaving, "ready")
+	f.g.Eventually(state, 5*time.Second, 5*time.Millisecond).ShouldNot(Equal(backend.Draining.String()))
+	f.g.Expect(state()).To(Equal(backend.Serving.String()))
+	f.g.Expect(f.summaryOf(figuresAt, leaving.ID).FailureShare).To(BeZero())
+	f.g.Expect(f.summaryOf(figuresAt, leaving.ID).InFlight).To(BeZero())
+}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -24,6 +24,10 @@
 	// Accept tells whether an answer belongs to this request; others are
 	// discarded and the next one is read. Nil accepts the first.
 	Accept func(http.Header) bool
+	// Confirm is asked once a connection is there, right before the first byte is
+	// written. If it returns false nothing is sent, and the error is ErrWithdrawn. Nil
+	// confirms.
+	Confirm func() bool
 }
 
 // Response is the head of an answer and its body.
@@ -45,6 +49,9 @@
 	maxDiscard = 1 << 20
 )
 
+// ErrWithdrawn means that Confirm returned false; it comes with ErrNotSent.
+var ErrWithdrawn = errors.New("httpconn: request was withdrawn")
+
 // ErrCrossed means that only answers to other requests came.
 var ErrCrossed = errors.New("httpconn: answer to another request")
 
@@ -60,6 +67,10 @@
 		c.Close()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
 	}
+	if request.Confirm != nil && !request.Confirm() {
+		p.giveBack(c)
+		return nil, errors.Join(ErrNotSent, ErrWithdrawn)
+	}
 	release := context.AfterFunc(ctx, func() { c.Close() })
 	written := make(chan error, 1)
 	if err := c.write(request, written); err != nil {
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -35,7 +35,7 @@
 )
 
 // ErrNotSent means that the request cannot have reached the server.
-var ErrNotSent = errors.New("httpconn: no connection was made")
+var ErrNotSent = errors.New("httpconn: nothing was sent")
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
@@ -107,6 +107,16 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// giveBack takes back a connection that nothing was written on. A new one is closed: the
+// server has not said how long it keeps it.
+func (p *Pool) giveBack(c *conn) {
+	if c.keepUntil.IsZero() {
+		c.Close()
+		return
+	}
+	p.put(c)
+}
+
 // Sweep closes idle connections whose time is over and forgets their addresses.
 func (p *Pool) Sweep(now time.Time) {
 	p.mutex.Lock()
