--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
 )
 
 // scheduledFleet has schedulers, which are the seeds, and others that ask them, each
@@ -153,3 +155,27 @@
 	f.g.Expect(len(runners[0].Runs())).To(Equal(statuses[http.StatusOK]+1), "what was refused has not run")
 	f.g.Expect(routers[1].log.String()).To(ContainSubstring("expected wait is above the tier's limit"))
 }
+
+// A router asks for a runner while a call's body arrives. The caller left after a second
+// of that, the choice was given back as if the runner had kept the request waiting for so
+// long, and the scheduler refused calls that would not have waited at all.
+func TestChoiceThatIsGivenBackIsNoWaitAtItsRunner(t *testing.T) {
+	t.Parallel()
+	f, routers, _, figuresAt := scheduledFleet(t, 1, 1, "p1")
+	f.runner("e1", "engines")
+	for _, r := range routers {
+		f.g.Eventually(r.log.String, 3*time.Second, 10*time.Millisecond).Should(ContainSubstring(`"runner":"e1"`))
+	}
+	f.g.Expect(routers[1].call("/once/x", nil).status).To(Equal(http.StatusOK))
+	placed := func() float64 { return figures(f.g, figuresAt[0])["clovertiller_placed_requests"] }
+	f.g.Eventually(placed, time.Second, 10*time.Millisecond).Should(BeZero())
+	caller, err := net.Dial("tcp", routers[1].address)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer caller.Close()
+	fmt.Fprintf(caller, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer %s\r\nContent-Length: 8\r\n%s: %s\r\n\r\nthe", goodKey, platform.HeaderModel, modelName)
+	f.g.Eventually(placed, time.Second, 10*time.Millisecond).Should(BeNumerically("==", 1))
+	time.Sleep(time.Second)
+	caller.Close()
+	f.g.Eventually(placed, time.Second, 2*time.Millisecond).Should(BeZero())
+	f.g.Expect(routers[1].call("/once/x", nil).status).To(Equal(http.StatusOK))
+}
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -207,3 +207,32 @@
 	f.g.Expect(f.summaryOf(figuresAt, leaving.ID).FailureShare).To(BeZero())
 	f.g.Expect(f.summaryOf(figuresAt, leaving.ID).InFlight).To(BeZero())
 }
+
+// One repeat is allowed. The first runner broke off, the second left during the dial: it
+// was paid for and reached nobody, so that a third is within what is allowed.
+func TestRepeatThatWasNotSentIsNotPaidForTwice(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	var dials atomic.Int32
+	f.dials = holdDials(func(string) bool { return dials.Add(1) == 2 })
+	f.configure(1, unhurriedRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.runner("p1", "plain"), f.runner("p2", "plain"), f.runner("p3", "plain")}
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.RetryShare, settings.RetryReserve = 0, 1 })
+	for _, runner := range runners {
+		runner.Behave(runnerstand.Drops)
+	}
+	answers := r.callUnhurried("/safe/x", nil)
+	leaving := f.held()
+	f.g.Expect(runsOf(runners)).To(Equal(1))
+	for _, runner := range runners {
+		runner.Behave(runnerstand.Well)
+	}
+	f.list(leaving, "draining")
+	f.g.Eventually(r.log.String, 5*time.Second, 5*time.Millisecond).Should(ContainSubstring("runner changed state"))
+	close(f.dials.released)
+	var got answer
+	f.g.Eventually(answers, unhurried).Should(Receive(&got))
+	f.g.Expect(got.status).To(Equal(http.StatusOK))
+	f.g.Expect(leaving.Arrivals()).To(BeZero())
+	f.g.Expect(runsOf(runners)).To(Equal(2))
+}
