A repeat that was not sent is paid for once

Cause: each choice of a runner after an arrival took from the budget for repeats, also when the send before it had reached nobody, so that unreachable or leaving runners used up what is allowed without a single repeat. Change: what was taken stays paid until a send may have arrived. The tests' budgets are set to what they say: a share or reserve of 0 means the default, so that the first test of withdrawn sends had a budget of five; it has none now, which is stricter.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,6 +65,8 @@
 	// runner works on the call; nil when this router chose itself.
 	placing *placementAsk
 	placed  *placed
+	// paid is set while a repeat that was taken from the budget has reached nobody.
+	paid bool
 	// failure is the last failure that a runner answered with, kept for when
 	// nothing better comes.
 	failure *heldAnswer
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -36,7 +36,7 @@
 	now := time.Now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if again && !g.budget(c.service).Spend() {
+	if again && !c.paid && !g.budget(c.service).Spend() {
 		g.schedulers.release(choice)
 		g.metrics.retries.WithLabelValues(c.service, retryNoBudget).Inc()
 		return backend.Runner{}, unavailable("the budget for further attempts is used up", busyRetryAfter)
@@ -52,6 +52,7 @@
 	}
 	switch {
 	case again:
+		c.paid = true
 		g.metrics.retries.WithLabelValues(c.service, retrySent).Inc()
 	case c.request.Attempt() == 0:
 		g.budget(c.service).Earn()
@@ -90,6 +91,9 @@
 	c.sent = time.Now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
 	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.message())
+	if !errors.Is(err, httpconn.ErrNotSent) {
+		c.paid = false
+	}
 	if err != nil {
 		return c.notAnswered(err)
 	}
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -104,7 +104,7 @@
 	f.dials = holdFirstDial()
 	f.configure(1, unhurriedRoutes(), goodKey)
 	runners := []*runnerstand.Runner{f.runner("p1", "plain"), f.runner("p2", "plain")}
-	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.RetryShare, settings.RetryReserve = 0, 0 })
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.RetryShare, settings.RetryReserve = 0.001, 0.5 })
 	answers := r.callUnhurried("/unsafe/x", nil)
 	leaving := f.held()
 	leave(f, leaving)
@@ -217,7 +217,7 @@
 	f.dials = holdDials(func(string) bool { return dials.Add(1) == 2 })
 	f.configure(1, unhurriedRoutes(), goodKey)
 	runners := []*runnerstand.Runner{f.runner("p1", "plain"), f.runner("p2", "plain"), f.runner("p3", "plain")}
-	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.RetryShare, settings.RetryReserve = 0, 1 })
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.RetryShare, settings.RetryReserve = 0.001, 1 })
 	for _, runner := range runners {
 		runner.Behave(runnerstand.Drops)
 	}
