Test: a call between routers is answered soon after all connections fell silent

Cause: a connection that something on the path holds open answers nothing and is kept until its idle time of 90 s ends; all calls are queued on it.

--- /dev/null
+++ b/internal/wire/silence_test.go
@@ -0,0 +1,129 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+)
+
+// Open connections between routers went silent for good, without a reset, while new
+// ones worked. Something on the path held them open, so keep-alive and the time-out of
+// unacknowledged data, which show a vanished machine, showed nothing. The transport
+// kept such a connection for the 90 s of its idle time and queued every further call
+// on it: a router asked again and again and heard nothing.
+
+// pullTime is the time that most calls between routers have.
+const pullTime = 250 * time.Millisecond
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	accepted atomic.Int32
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return conn, err
+}
+
+// path is a client and a server whose connections go through a proxy.
+type path struct {
+	client   *Transport
+	proxy    *faultproxy.Proxy
+	listener *countingListener
+}
+
+func newPath(t *testing.T, handler Handler) *path {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	counting := &countingListener{Listener: listener}
+	server := NewTransport(Identity{Node: "server", Incarnation: 1}, counting, handler)
+	t.Cleanup(server.Close)
+	proxy, err := faultproxy.Start(server.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(proxy.Close)
+	return &path{client: listen(t, echo), proxy: proxy, listener: counting}
+}
+
+// call makes one call and tells whether it was answered.
+func (p *path) call(sequence uint64, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	_, err := p.client.Call(ctx, "server", p.proxy.Address, heartbeat(sequence))
+	return err == nil
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for name, within := range map[string]time.Duration{"pulls": pullTime, "short calls": 50 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			p := newPath(t, echo)
+			g.Expect(p.call(1, time.Second)).To(BeTrue())
+			p.proxy.Set(faultproxy.Mute)
+			muted := time.Now()
+			g.Eventually(func() bool { return p.call(2, within) }, 3*time.Second, time.Millisecond).Should(BeTrue())
+			t.Logf("answered %v after the connection fell silent", time.Since(muted).Round(time.Millisecond))
+			g.Expect(time.Since(muted)).To(BeNumerically("<", 700*time.Millisecond))
+			g.Expect(p.listener.accepted.Load()).To(BeNumerically("==", 2))
+		})
+	}
+}
+
+// A router that answers other calls is alive, however long it takes over one.
+func TestConnectionIsKeptWhileOtherCallsAreAnswered(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	const unanswered = 0
+	p := newPath(t, func(ctx context.Context, envelope *Envelope) *Envelope {
+		if envelope.GetHeartbeat().GetSequence() == unanswered {
+			return nil
+		}
+		return echo(ctx, envelope)
+	})
+	g.Expect(p.call(1, time.Second)).To(BeTrue())
+	for range 4 {
+		ended := make(chan bool, 1)
+		go func() { ended <- p.call(unanswered, pullTime) }()
+		for range 3 {
+			time.Sleep(50 * time.Millisecond)
+			g.Expect(p.call(1, time.Second)).To(BeTrue())
+		}
+		g.Expect(<-ended).To(BeFalse())
+	}
+	g.Expect(p.listener.accepted.Load()).To(BeNumerically("==", 1))
+}
+
+// Answers that come after the calls' time, as of a machine that is busy, do not end one
+// connection after another.
+func TestLateAnswersDoNotEndConnectionsAgainAndAgain(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := newPath(t, echo)
+	g.Expect(p.call(1, time.Second)).To(BeTrue())
+	p.proxy.Set(faultproxy.Delay)
+	const calls = 10
+	for range calls {
+		g.Expect(p.call(2, pullTime)).To(BeFalse(), "the path takes 300 ms")
+		time.Sleep(shortestPause)
+	}
+	g.Expect(p.listener.accepted.Load()).To(BeNumerically("<=", 2), "in %d calls", calls)
+	p.proxy.Set(faultproxy.Pass)
+	g.Eventually(func() bool { return p.call(3, pullTime) }, time.Second).Should(BeTrue())
+}
+
+// shortestPause is the least time between two pulls.
+const shortestPause = 150 * time.Millisecond
