A connection between routers that answers nothing is replaced after 220 ms

Cause: a connection that something on the path or a hung process holds open was kept until its idle time of 90 s ended, and all calls were queued on it; keep-alive and the time-out of unacknowledged data show a vanished machine only. Change: when a call has run out of its time and nothing at all was received on its connection since the first call that is not answered, for 220 ms at least, the connection is closed and the next call dials anew. Any byte received counts, so a router that answers others, or sends a long answer, keeps its connection; a call that its caller gave up closes nothing. One that falls silent within 5 s of its opening is replaced by one that has twice the time, 880 ms at most: answers that are late do not end one connection after another. Failed dials pause as before. Pushes and other one-way messages close nothing: a lost push is repaired by the next pull, 0.45 s later at most. A counter tells how many were closed (peer_connections_silent).

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -96,6 +96,7 @@
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.quotas.tenants() }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
 		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
+		gauge("peer_connections_silent", "Connections to other routers closed since they answered nothing.", func() float64 { return g.relays.silentConnections() }),
 		gauge("log_lines_dropped", "Log lines dropped because the output did not take them.", func() float64 { return float64(g.droppedLines()) }),
 	)
 	return m
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -98,6 +98,14 @@
 	}
 }
 
+// silentConnections returns how many connections were closed since they answered nothing.
+func (r *relays) silentConnections() float64 {
+	if r.transport == nil {
+		return 0
+	}
+	return float64(r.transport.Counters().SilentConnections.Load())
+}
+
 // run keeps the copies proven: by other routers, or else by the store itself.
 func (r *relays) run() {
 	g := r.gateway
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -49,6 +49,7 @@
 		gauge("peer_bytes_sent", "Bytes sent to other routers.", func() float64 { return float64(n.transport.Counters().BytesSent.Load()) }),
 		gauge("peer_frames_dropped", "Frames dropped because a peer's queue was full.", func() float64 { return float64(n.transport.Counters().FramesDropped.Load()) }),
 		gauge("peer_frames_malformed", "Malformed frames received.", func() float64 { return float64(n.transport.Counters().MalformedFrames.Load()) }),
+		gauge("peer_connections_silent", "Connections to other routers closed since they answered nothing.", func() float64 { return float64(n.transport.Counters().SilentConnections.Load()) }),
 	)
 	return m
 }
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -10,21 +10,24 @@
 )
 
 // peer owns the outgoing connection to one address. It ends when the
-// connection breaks or idles; the transport then makes a new one on demand.
+// connection breaks, idles or answers nothing; the transport then makes a new one
+// on demand.
 type peer struct {
 	transport *Transport
 	address   string
 	queue     chan []byte
 	stop      chan struct{}
 	stopOnce  sync.Once
+	silence   *silence
 }
 
-func newPeer(transport *Transport, address string) *peer {
+func newPeer(transport *Transport, address string, limit time.Duration) *peer {
 	return &peer{
 		transport: transport,
 		address:   address,
 		queue:     make(chan []byte, queueFrames),
 		stop:      make(chan struct{}),
+		silence:   newSilence(limit),
 	}
 }
 
@@ -50,6 +53,7 @@
 		return
 	}
 	defer connection.Close()
+	p.silence.opened(time.Now())
 	go p.readReplies(connection)
 	writeFrames(connection, p.queue, p.stop)
 }
@@ -65,7 +69,7 @@
 func (p *peer) readReplies(connection net.Conn) {
 	defer p.close()
 	defer connection.Close()
-	reader := bufio.NewReaderSize(connection, 4<<10)
+	reader := bufio.NewReaderSize(hearingReader{Reader: connection, silence: p.silence}, 4<<10)
 	for {
 		connection.SetReadDeadline(time.Now().Add(idleTimeout))
 		envelope, err := ReadFrame(reader)
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -72,6 +72,8 @@
 	FramesSent      atomic.Uint64
 	FramesDropped   atomic.Uint64
 	MalformedFrames atomic.Uint64
+	// SilentConnections counts those closed since calls on them were not answered.
+	SilentConnections atomic.Uint64
 }
 
 // NewTransport serves incoming frames on the listener until Close.
@@ -113,27 +115,36 @@
 
 // Send queues a one-way message. It never blocks.
 func (t *Transport) Send(node, address string, envelope *Envelope) error {
+	_, err := t.enqueue(node, address, envelope)
+	return err
+}
+
+// enqueue queues a message and returns the peer whose queue was tried, if any.
+func (t *Transport) enqueue(node, address string, envelope *Envelope) (*peer, error) {
 	envelope.From = t.identity.Node
 	envelope.FromIncarnation = t.identity.Incarnation
 	if t.isCut(node) {
-		return ErrCut
+		return nil, ErrCut
 	}
 	target, err := t.peer(address)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	frame, err := AppendFrame(nil, envelope)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
+	}
+	if envelope.GetCallId() != 0 {
+		target.silence.called(time.Now())
 	}
 	select {
 	case target.queue <- frame:
 		t.counters.FramesSent.Add(1)
 		t.counters.BytesSent.Add(uint64(len(frame)))
-		return nil
+		return target, nil
 	default:
 		t.counters.FramesDropped.Add(1)
-		return ErrQueueFull
+		return target, ErrQueueFull
 	}
 }
 
@@ -147,13 +158,19 @@
 	answer := make(chan *Envelope, 1)
 	t.pending.Store(id, answer)
 	defer t.pending.Delete(id)
-	if err := t.Send(node, address, envelope); err != nil {
+	target, err := t.enqueue(node, address, envelope)
+	if err != nil {
+		t.closeIfSilent(target)
 		return nil, err
 	}
 	select {
 	case reply := <-answer:
 		return reply, nil
 	case <-ctx.Done():
+		// A call that its caller gave up says nothing of the connection.
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			t.closeIfSilent(target)
+		}
 		return nil, ErrNoReply
 	}
 }
@@ -270,7 +287,11 @@
 	if found && !existing.done() {
 		return existing, nil
 	}
-	created := newPeer(t, address)
+	limit := silentTime
+	if found {
+		limit = existing.silence.nextLimit()
+	}
+	created := newPeer(t, address, limit)
 	t.peers[address] = created
 	go created.run()
 	return created, nil
