After a call without an answer the next one to that address gets a new connection

Cause: a call that ran out of its time closed its own connection only; the next one was made on another kept connection to the store or runner, which had fallen silent with the first.

--- a/internal/httpconn/exchange_test.go
+++ b/internal/httpconn/exchange_test.go
@@ -239,6 +239,30 @@
 	g.Eventually(ended, 2*time.Second).Should(Receive(HaveOccurred()), "the server sees the end at once")
 }
 
+func TestIdleConnectionsOfOneAddressAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := serve(t, answerWith(whole, whole))
+	other, otherConnections := serve(t, answerWith(whole, whole))
+	pool := NewPool(time.Second)
+	inUse, err := pool.Send(context.Background(), address, get())
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, server := range []string{address, other} {
+		_, err := readAll(g, pool, server, get())
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	pool.CloseIdle(address)
+	for _, server := range []string{address, other} {
+		_, err := readAll(g, pool, server, get())
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(connections()).To(Equal(3), "one in use, one closed, one new")
+	g.Expect(otherConnections()).To(Equal(1))
+	data, _, err := inUse.Body.ReadAll(1 << 20)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(data)).To(Equal("ok"))
+	inUse.Body.Close()
+}
+
 func TestKeepAliveTimesAreKept(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(idleTime("timeout=5, max=100")).To(Equal(4 * time.Second))
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -117,6 +117,18 @@
 	p.put(c)
 }
 
+// CloseIdle closes the idle connections to the address, so that the next request is
+// sent on a new one; connections in use are left alone. It is for callers whose request
+// was not answered in time: what silenced its connection may have silenced all others.
+func (p *Pool) CloseIdle(address string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, c := range p.idle[address] {
+		c.Close()
+	}
+	delete(p.idle, address)
+}
+
 // Sweep closes idle connections whose time is over and forgets their addresses.
 func (p *Pool) Sweep(now time.Time) {
 	p.mutex.Lock()
