Test: one-way messages between routers arrive soon after their connection fell silent

Cause: connections that carry pushed changes or shared loads only are never answered, so nothing shows that they fell silent; all is lost until the idle time of 90 s ends. A pushed change comes with the follower's next pull, 0.45 s later at most; shared loads come by no other way. Change: a test with a message each 5 ms and each 500 ms, which also holds that a sound connection is kept.

--- a/internal/wire/silence_test.go
+++ b/internal/wire/silence_test.go
@@ -157,3 +157,38 @@
 	g.Expect(s.tooLong(now.Add(limit))).To(BeTrue())
 	g.Expect(s.nextLimit()).To(Equal(silentTime), "it had been open for long")
 }
+
+// Loads and pushed changes are one-way messages, on connections that may carry nothing
+// else: no call showed there that the connection was silent, and all was lost until its
+// idle time ended.
+func TestSilentConnectionOfOneWayMessagesIsReplaced(t *testing.T) {
+	for name, interval := range map[string]time.Duration{"loads": 5 * time.Millisecond, "pushes": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			var newest atomic.Uint64
+			p := newPath(t, func(_ context.Context, envelope *Envelope) *Envelope {
+				newest.Store(envelope.GetHeartbeat().GetSequence())
+				return nil
+			})
+			sequence := uint64(0)
+			send := func() uint64 {
+				sequence++
+				g.Expect(p.client.Send("server", p.proxy.Address, heartbeat(sequence))).To(Succeed())
+				time.Sleep(interval)
+				return newest.Load()
+			}
+			g.Eventually(send, 2*time.Second, time.Millisecond).ShouldNot(BeZero())
+			for began := time.Now(); time.Since(began) < 1500*time.Millisecond; {
+				send()
+			}
+			g.Expect(p.listener.accepted.Load()).To(BeNumerically("==", 1), "a connection that is not silent is kept")
+			p.proxy.Set(faultproxy.Mute)
+			muted, last := time.Now(), sequence
+			g.Eventually(send, 3*time.Second, time.Millisecond).Should(BeNumerically(">", last))
+			t.Logf("received %v after the connection fell silent, %d messages lost", time.Since(muted).Round(time.Millisecond), newest.Load()-last-1)
+			g.Expect(time.Since(muted)).To(BeNumerically("<", 700*time.Millisecond+interval))
+			g.Expect(p.listener.accepted.Load()).To(BeNumerically("==", 2))
+		})
+	}
+}
