--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -200,87 +199,6 @@
 	}
 }
 
-func (t *Transport) acceptLoop() {
-	for {
-		connection, err := t.listener.Accept()
-		if err != nil {
-			return
-		}
-		t.mutex.Lock()
-		if t.closed {
-			t.mutex.Unlock()
-			connection.Close()
-			return
-		}
-		t.accepted[connection] = struct{}{}
-		t.mutex.Unlock()
-		go t.serve(connection)
-	}
-}
-
-// serve reads frames from an accepted connection and writes replies to it.
-func (t *Transport) serve(connection net.Conn) {
-	defer func() {
-		connection.Close()
-		t.mutex.Lock()
-		delete(t.accepted, connection)
-		t.mutex.Unlock()
-	}()
-	replies := newConnectionWriter(connection)
-	defer replies.close()
-	reader := bufio.NewReaderSize(connection, 4<<10)
-	for {
-		connection.SetReadDeadline(time.Now().Add(idleTimeout))
-		envelope, err := ReadFrame(reader)
-		if err != nil {
-			t.countMalformed(err)
-			return
-		}
-		if t.isCut(envelope.GetFrom()) {
-			continue
-		}
-		t.handle(envelope, replies)
-	}
-}
-
-func (t *Transport) countMalformed(err error) {
-	for _, malformed := range []error{ErrFrameTooLarge, ErrFrameEmpty, ErrFrameVersion, ErrFrameMalformed} {
-		if errors.Is(err, malformed) {
-			t.counters.MalformedFrames.Add(1)
-		}
-	}
-}
-
-func (t *Transport) handle(envelope *Envelope, replies *connectionWriter) {
-	ctx := context.Background()
-	if envelope.GetDeadlineMillis() > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(envelope.GetDeadlineMillis())*time.Millisecond)
-		defer cancel()
-	}
-	reply := t.handler(ctx, envelope)
-	if reply == nil && asksAcknowledgement(envelope) {
-		reply = acknowledgement()
-	}
-	if reply == nil || envelope.GetCallId() == 0 || ctx.Err() != nil {
-		return
-	}
-	reply.CallId = envelope.GetCallId()
-	reply.Reply = true
-	reply.From = t.identity.Node
-	reply.FromIncarnation = t.identity.Incarnation
-	frame, err := AppendFrame(nil, reply)
-	if err != nil {
-		return
-	}
-	if replies.offer(frame) {
-		t.counters.FramesSent.Add(1)
-		t.counters.BytesSent.Add(uint64(len(frame)))
-	} else {
-		t.counters.FramesDropped.Add(1)
-	}
-}
-
 // deliverReply hands a reply to the call that waits for it; a late reply finds none.
 func (t *Transport) deliverReply(envelope *Envelope) {
 	if waiting, found := t.pending.LoadAndDelete(envelope.GetCallId()); found {
