An answer in time ends the longer time of a connection that replaced a silent one

Cause: a connection that replaced a young silent one kept its longer time, up to 880 ms, for as long as it lived, though answers on it came at once; when connections fell silent a second time one pull without an answer was not enough. Change: an answer within 220 ms gives the connection the usual time again. Measured: the new test of the limit failed without the change.

--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -14,7 +14,7 @@
 	// pull, so that one pull without an answer shows it.
 	silentTime = 220 * time.Millisecond
 	// longestSilentTime bounds the time of connections that replace silent ones, so
-	// that a router learns of changes within two seconds all the same.
+	// that one of them that falls silent too is replaced within a second and a pull.
 	longestSilentTime = 4 * silentTime
 	// youngTime is the age below which a silent connection tells of a slow peer rather
 	// than of the connection: the next one has twice the time.
@@ -36,10 +36,9 @@
 // until its silence showed is told again by the senders, with a follower's next pull or
 // the next message that holds all loads.
 type silence struct {
+	mutex sync.Mutex
 	// limit is how long the connection may bring nothing.
 	limit time.Duration
-
-	mutex sync.Mutex
 	// openedAt is zero until the connection is open.
 	openedAt time.Time
 	// owesSince is when the first call or question for an acknowledgement after the last
@@ -82,10 +81,14 @@
 	}
 }
 
-// heard notes that something was received.
-func (s *silence) heard() {
+// heard notes that something was received. An answer that is not late ends the longer
+// time of a connection that replaced a silent one.
+func (s *silence) heard(now time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.owesSince.IsZero() && now.Sub(s.owesSince) < silentTime {
+		s.limit = silentTime
+	}
 	s.owesSince = time.Time{}
 }
 
@@ -119,7 +122,7 @@
 func (r hearingReader) Read(buffer []byte) (int, error) {
 	n, err := r.Reader.Read(buffer)
 	if n > 0 {
-		r.silence.heard()
+		r.silence.heard(time.Now())
 	}
 	return n, err
 }
--- a/internal/wire/silence_test.go
+++ b/internal/wire/silence_test.go
@@ -151,13 +151,26 @@
 	s.opened(now)
 	now = now.Add(youngTime)
 	s.called(now)
-	s.heard()
+	s.heard(now.Add(silentTime))
 	g.Expect(s.tooLong(now.Add(time.Hour))).To(BeFalse(), "it owes nothing")
 	s.called(now)
+	g.Expect(s.tooLong(now.Add(limit-1))).To(BeFalse(), "the last answer was late")
 	g.Expect(s.tooLong(now.Add(limit))).To(BeTrue())
 	g.Expect(s.nextLimit()).To(Equal(silentTime), "it had been open for long")
 }
 
+func TestLimitOfSilenceShrinksWithAnAnswerInTime(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	s := newSilence(longestSilentTime)
+	s.opened(now)
+	s.called(now)
+	s.heard(now.Add(silentTime - 1))
+	s.called(now)
+	g.Expect(s.tooLong(now.Add(silentTime - 1))).To(BeFalse())
+	g.Expect(s.tooLong(now.Add(silentTime))).To(BeTrue())
+}
+
 // Loads and pushed changes are one-way messages, on connections that may carry nothing
 // else: no call showed there that the connection was silent, and all was lost until its
 // idle time ended.
