A router that stood still does not take the store for having been away

Cause: one failed call was taken as a sign that nobody could read the store since the copy was last complete. A router that was frozen has such calls when it goes on, while others read the store, and would count the deadline of older weights from then. Change: the failures must begin soon after the copy was complete and follow one another; each counts from when its call was sent.

--- a/internal/gateway/weightdeadline.go
+++ b/internal/gateway/weightdeadline.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
@@ -32,8 +32,8 @@
 	// before is the latest moment at which the newer ones are known not to have been
 	// named yet, zero when none is known.
 	before time.Time
-	// disturbed is when a call to the store last failed, zero when none did.
-	disturbed time.Time
+	// disturbed is when calls to the store failed last.
+	disturbed span
 	// alone routers have no others to learn from.
 	alone bool
 }
@@ -42,7 +42,7 @@
 // they are taken into the copy.
 func (g *Gateway) newsOfWeights(revision uint64) weightNews {
 	return weightNews{
-		started: g.started, disturbed: g.disturbance.last(), alone: g.relays.alone(),
+		started: g.started, disturbed: g.disturbance.latest(), alone: g.relays.alone(),
 		before: later(g.copies.provenAt(WeightObjects), g.copies.checkpoints.before(revision)),
 	}
 }
@@ -55,16 +55,17 @@
 	deadlines := backend.Deadlines{Old: now.Add(settings.WeightGrace)}
 	// After a start or a disturbance a router is held to the deadline only once it has
 	// settled.
-	settled := later(news.started, news.disturbed).Add(settings.SettleTime)
+	settled := later(news.started, news.disturbed.last).Add(settings.SettleTime)
 	if news.before.IsZero() {
 		deadlines.Expired, deadlines.Unbegun = later(settled, now), later(settled, now)
 		return deadlines
 	}
 	named := news.before
-	if now.Sub(named) > lostNews && !news.alone {
-		// No router that this one reaches could read the store either, so nothing was
-		// named before it worked again.
-		named = later(named, news.disturbed)
+	if now.Sub(named) > lostNews && news.disturbed.first.Sub(named) < lostNews && !news.alone {
+		// From when the copy was complete on nobody that this router reaches could read
+		// the store, so nothing was named before it worked again. A process that stood
+		// still has seen no such failures: others read the store meanwhile.
+		named = later(named, news.disturbed.last)
 	}
 	deadline := named.Add(settings.WeightDeadline)
 	deadlines.Expired = later(settled, deadline.Add(-min(weightMargin, settings.WeightDeadline/4)))
@@ -79,28 +80,32 @@
 	return b
 }
 
-// disturbance holds when a call to the store last failed.
-type disturbance struct{ at atomic.Pointer[time.Time] }
+// span is the time from the first to the last of several failures, zero without any.
+type span struct{ first, last time.Time }
 
-func (d *disturbance) last() time.Time {
-	if at := d.at.Load(); at != nil {
-		return *at
-	}
-	return time.Time{}
+// disturbance holds when calls to the store failed last, one after another. It is safe for
+// concurrent use.
+type disturbance struct {
+	mutex  sync.Mutex
+	failed span
+}
+
+func (d *disturbance) latest() span {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.failed
 }
 
-// note takes the error of a call that left at the moment. One that was answered badly
-// failed when the answer came; one that was not answered shows only that the store, or
-// the way to it, did not work when it left. Calls that were given up show nothing.
-func (d *disturbance) note(sent time.Time, err error, givenUp error) {
+// note takes the error of a call that left at the moment: the store, or the way to it, did
+// not work then. Calls that were given up, and a history that is gone, show nothing.
+func (d *disturbance) note(sent time.Time, err, givenUp error) {
 	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(givenUp, context.Canceled) {
 		return
 	}
-	at := sent
-	if givenUp == nil {
-		at = time.Now()
-	}
-	if at.After(d.last()) {
-		d.at.Store(&at)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if sent.Sub(d.failed.last) > lostNews {
+		d.failed.first = sent
 	}
+	d.failed.last = later(d.failed.last, sent)
 }
