--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -98,9 +98,7 @@
 func (f *fleet) startRunner(settings runnerstand.Config) *runnerstand.Runner {
 	settings.Zone, settings.Delay = "z", 400*time.Millisecond
 	settings.Peer = func(address string) *runnerstand.Runner {
-		found, _ := f.runners.Load(address)
-		peer, _ := found.(*runnerstand.Runner)
-		return peer
+		return f.runnerAt(address)
 	}
 	runner, err := runnerstand.Start(settings)
 	f.g.Expect(err).NotTo(HaveOccurred())
@@ -110,6 +108,13 @@
 	return runner
 }
 
+// runnerAt returns the runner at the address.
+func (f *fleet) runnerAt(address string) *runnerstand.Runner {
+	found, _ := f.runners.Load(address)
+	runner, _ := found.(*runnerstand.Runner)
+	return runner
+}
+
 func (f *fleet) list(runner *runnerstand.Runner, state string) {
 	f.store.Put(platform.KindServers, runner.ID, runner.Entry(state))
 }
