Routers that were blind learn from those that were not

Cause: seeds asked seeds only, also when the store turned all of them away and served others. A router that had been held up alone took the store for having been away, or refused all older weights at once, as it knew only its own last proof. An answer without proofs counted as an earlier version's. Too many calls (429) counted as a store that does not work. Change: a seed that finds no proof among the seeds asks three of the routers that pull from it. Answers tell at which moment the newest weights were not named yet, by routers that were not blind; who is told takes the later moment, has no leniency, and amends deadlines that it counted before (event 844). Pushes tell none: they may be read late. A missing proof proves nothing (tells_proofs). What is in force already is not put in force again.

--- a/internal/backend/weights.go
+++ b/internal/backend/weights.go
@@ -73,6 +73,22 @@
 	return true
 }
 
+// Amend replaces the deadlines of older versions that the named version brought, and
+// tells whether it is still known.
+func (w *Weights) Amend(model string, version uint64, deadlines Deadlines) bool {
+	known := w.targets[model]
+	if known == nil {
+		return false
+	}
+	for i := range known.deadlines {
+		if known.deadlines[i].version == version {
+			known.deadlines[i].Deadlines = deadlines
+			return true
+		}
+	}
+	return false
+}
+
 // mergeFirst joins the two earliest deadlines. What is joined expires with the
 // earlier one: never too late, and exactly so once both have passed.
 func (t *target) mergeFirst() {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -87,6 +87,7 @@
 	WeightsNamed       = define(840, logrus.InfoLevel, "weights named")
 	CacheStoreChanged  = define(842, logrus.InfoLevel, "store of kept cache answers, or no longer")
 	CacheUnread        = define(843, logrus.WarnLevel, "what a runner keeps could not be read")
+	WeightsBounded     = define(844, logrus.InfoLevel, "another router told when weights were named at the earliest")
 	WeightsLearned     = define(841, logrus.InfoLevel, "runner's weights changed")
 )
 
--- a/internal/gateway/blindrouters_test.go
+++ b/internal/gateway/blindrouters_test.go
@@ -156,3 +156,21 @@
 	f.t.Cleanup(front.Close)
 	return held, strings.TrimPrefix(front.URL, "http://")
 }
+
+// Writes of kinds that nobody copies, as renewals of a lease, raise the store's revision.
+// Each made the watches of runners and weights anew, by two calls; one short one is enough.
+func TestWritesOfOtherKindsCostOneCallAKind(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	r := f.servingRouter("r1", nil)
+	time.Sleep(time.Second)
+	const window = 5 * time.Second
+	before := r.door.Calls()
+	for end := time.Now().Add(window); time.Now().Before(end); time.Sleep(350 * time.Millisecond) {
+		f.store.Put("leases", "someone", map[string]any{"at": time.Now().UnixNano()})
+	}
+	perRead := int(window/(900*time.Millisecond)) + 1
+	f.g.Expect(r.door.Calls() - before).To(BeNumerically("<=", 3*perRead+2))
+}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -111,7 +111,7 @@
 	before := c.stores[kind].Revision()
 	outcome := c.stores[kind].Apply(delta)
 	if outcome == config.Applied {
-		c.gateway.putInForce(kind, delta)
+		c.gateway.putInForce(kind, newerThan(before, delta))
 	}
 	if proven.given && outcome != config.Gap {
 		c.prove(kind, proven.at)
@@ -126,6 +126,22 @@
 	return outcome
 }
 
+// newerThan leaves out what was in force at the revision already: two watches may bring
+// the same changes, and an older one must not come into force for a moment.
+func newerThan(revision uint64, delta config.Delta) config.Delta {
+	if delta.Full {
+		return delta
+	}
+	changed := delta
+	changed.Objects = nil
+	for _, object := range delta.Objects {
+		if object.Version > revision {
+			changed.Objects = append(changed.Objects, object)
+		}
+	}
+	return changed
+}
+
 // putInForce applies changed objects in order.
 func (g *Gateway) putInForce(kind ObjectKind, delta config.Delta) {
 	if kind == RunnerObjects {
@@ -248,18 +264,24 @@
 
 func (g *Gateway) applyWeights(object Object) {
 	now := time.Now()
-	deadlines := olderDeadlines(now, g.settings, g.newsOfWeights(object.Revision))
+	model, version := object.Weights.Model, object.Weights.Version
+	news := g.newsOfWeights(now, object.Revision)
 	g.mutex.Lock()
-	news := g.runners.Weights().Name(object.Weights.Model, object.Weights.Version, deadlines)
+	news = g.bounds.complete(model, version, news)
+	deadlines := olderDeadlines(g.settings, news)
+	first := g.runners.Weights().Name(model, version, deadlines)
+	if first {
+		g.bounds.named[model] = namedNews{version: version, news: news}
+	}
 	g.mutex.Unlock()
-	if !news {
+	if !first {
 		return
 	}
 	g.log.Log(events.WeightsNamed, events.Fields{
-		"model": object.Weights.Model, "version": object.Weights.Version, "revision": object.Revision,
-		"older_until_ms": deadlines.Expired.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects),
+		"model": model, "version": version, "revision": object.Revision,
+		"older_until_ms": deadlines.Expired.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects), "told": news.told,
 	})
-	time.AfterFunc(time.Until(deadlines.Unbegun), func() { g.withdrawUnbegun(time.Now(), object.Weights.Model) })
+	g.withdrawAt(deadlines.Unbegun, model)
 	select {
 	case g.named <- struct{}{}:
 	default:
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -126,24 +126,15 @@
 	ctx, end := f.interruptible()
 	defer end(nil)
 	wait, before := f.watchWait(), g.copies.newest()
-	answer := f.ask(ctx, wait+callSlack, func(ctx context.Context) storeAnswer {
-		sent := time.Now()
-		objects, at, err := g.ports.Store.Watch(ctx, f.kind, revision, wait)
-		g.metrics.storeCall(f.kind.String(), callWatch, sent)
-		g.disturbance.note(sent, err, ctx.Err())
-		return storeAnswer{objects: objects, revision: at, sent: sent, err: err}
-	})
+	answer := f.ask(ctx, wait+callSlack, func(ctx context.Context) storeAnswer { return f.callWatch(ctx, revision, wait) })
 	if errors.Is(context.Cause(ctx), errRenewed) && answer.err != nil {
 		return errRenewed
 	}
 	if answer.err != nil {
 		return answer.err
 	}
-	proven := provenSince(answer.sent, wait, answer.objects)
-	g.copies.checkpoints.note(checkpoint{revision: answer.revision, at: proven})
-	delta := config.Delta{From: revision, Through: throughOf(answer.objects, revision, answer.revision), Objects: answer.objects}
-	g.copies.apply(f.kind, delta, proof{at: proven, given: true})
-	f.renewed(len(answer.objects))
+	proven := f.take(revision, wait, answer)
+	f.renewing.Store(false)
 	if f.kind == ConfigObjects {
 		g.verifyCopies(before, checkpoint{revision: answer.revision, at: proven})
 		return nil
@@ -154,6 +145,24 @@
 	return nil
 }
 
+// callWatch makes one watch.
+func (f *follower) callWatch(ctx context.Context, revision uint64, wait time.Duration) storeAnswer {
+	g, sent := f.gateway, time.Now()
+	objects, at, err := g.ports.Store.Watch(ctx, f.kind, revision, wait)
+	g.metrics.storeCall(f.kind.String(), callWatch, sent)
+	g.disturbance.note(sent, err, ctx.Err())
+	return storeAnswer{objects: objects, revision: at, sent: sent, err: err}
+}
+
+// take takes a watch's answer into the copy and returns from when it proves that.
+func (f *follower) take(revision uint64, wait time.Duration, answer storeAnswer) time.Time {
+	g, proven := f.gateway, provenSince(answer.sent, wait, answer.objects)
+	g.copies.checkpoints.note(checkpoint{revision: answer.revision, at: proven})
+	delta := config.Delta{From: revision, Through: throughOf(answer.objects, revision, answer.revision), Objects: answer.objects}
+	g.copies.apply(f.kind, delta, proof{at: proven, given: true})
+	return proven
+}
+
 // watchWait is how long a watch made now waits for changes.
 func (f *follower) watchWait() time.Duration {
 	if f.failures > 0 || f.renewing.Load() || (f.kind == ConfigObjects && time.Since(f.gateway.provenAt()) > proofAge) {
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -83,7 +83,33 @@
 			return true
 		}
 	}
-	return r.pullFromAny(r.askable())
+	return r.pullFromAny(r.askable()) || r.pullFromAny(r.someFollowers())
+}
+
+// askedFollowers is how many of its followers a seed without a proof asks at a time. They
+// read the store while it has none to give, and one in three that the store serves is
+// found within 0.3 s.
+const askedFollowers = 3
+
+// someFollowers returns a few routers that pull from this seed, at random: the store may
+// turn all seeds away while it serves others.
+func (r *relays) someFollowers() []string {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.chooser.IsSeed() {
+		return nil
+	}
+	var addresses []string
+	for address, follower := range r.followers {
+		if len(addresses) == askedFollowers {
+			break
+		}
+		if now.Before(follower.until) && !r.chooser.HasSeed(address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
 }
 
 // askable returns who can be asked now, the best first.
@@ -149,6 +175,7 @@
 	if !known {
 		return false
 	}
+	r.gateway.takeBounds(answer.GetWeightBounds(), sent)
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
 	r.checkProofs(answer, sent, age)
 	r.gateway.routers.Store(int64(answer.GetRouters()))
@@ -272,15 +299,17 @@
 }
 
 // checkProofs takes another router's word on how old its copies may be. A version of the
-// router that does not tell takes them to be as old as the configuration.
+// router that does not tell takes them to be as old as the configuration; that is believed
+// of copies that are complete up to the newest revision that this router knows of.
 func (r *relays) checkProofs(answer *wire.CopyAnswer, sent time.Time, configAge time.Duration) {
 	copies := r.gateway.copies
 	if answer.GetStoreRevision() > 0 {
 		copies.checkpoints.note(checkpoint{revision: answer.GetStoreRevision(), at: sent.Add(-time.Duration(answer.GetStoreAgeMillis()) * time.Millisecond)})
 	}
-	if len(answer.GetProofs()) == 0 {
+	if !answer.GetTellsProofs() {
+		newest, _ := copies.checkpoints.newest()
 		for _, kind := range provenApart {
-			copies.check(kind, checkpoint{at: sent.Add(-configAge)})
+			copies.check(kind, checkpoint{revision: newest.revision, at: sent.Add(-configAge)})
 		}
 		return
 	}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -81,7 +81,7 @@
 		answer.Unconfigured = true
 		answer.ProofAgeMillis = uint64(max(time.Since(*empty), 0).Milliseconds()) + 1
 	}
-	answer.Proofs = g.copies.proofs()
+	answer.TellsProofs, answer.Proofs, answer.WeightBounds = true, g.copies.proofs(), g.firmBounds()
 	if newest, known := g.copies.checkpoints.newest(); known {
 		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, uint64(max(time.Since(newest.at).Milliseconds(), 0))+1
 	}
@@ -211,9 +211,9 @@
 	if len(addresses) == 0 {
 		return
 	}
-	delta := r.changes(kind, after)
+	message := &wire.CopyPush{Deltas: []*wire.CopyDelta{r.changes(kind, after)}}
 	for _, address := range addresses {
 		// A push that is lost is repaired by the next pull.
-		_ = r.transport.Send("", address, &wire.Envelope{Body: &wire.Envelope_CopyPush{CopyPush: &wire.CopyPush{Deltas: []*wire.CopyDelta{delta}}}})
+		_ = r.transport.Send("", address, &wire.Envelope{Body: &wire.Envelope_CopyPush{CopyPush: message}})
 	}
 }
--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -11,10 +11,11 @@
 // A watch that waits for a change looks the same as one whose answer is lost or whose
 // connection is dead. Only the configuration is read so often that silence is noticed.
 // Its answers tell the store's revision, which counts the changes of all kinds: a copy that
-// is complete up to it is proved without a call of its own, and a watch that is behind is
-// made anew. So a leaving runner or named weights are known 1.2 s after the change at the
-// latest while the configuration's watch works, instead of 12.7 s, and 2.1 s if that one is
-// silent as well; while nothing changes it costs no call.
+// is complete up to it is proved without a call of its own; beside the watch of one that is
+// behind a short one is made, and if that brings changes the first is given up. So a
+// leaving runner or named weights are known 1.2 s after the change at the latest while the
+// configuration's watch works, instead of 12.7 s, and 2.1 s if that one is silent as well.
+// While nothing in the store changes it costs no call, else one a kind each 0.9 s.
 
 // newsSlack is how much longer than the pause after a change the news of the next one may
 // take on a sound watch: 2 to 57 ms were measured.
@@ -61,14 +62,39 @@
 	})
 }
 
-// renew ends the watch that waits, if there is one, and has the next one answered at once.
+// renew looks beside the watch that waits whether there are changes.
 func (f *follower) renew() {
-	if !f.renewing.CompareAndSwap(false, true) {
+	if f.gateway.direct.on() && f.renewing.CompareAndSwap(false, true) {
+		f.gateway.spawn(f.lookBeside)
+	}
+}
+
+// lookBeside makes a short watch. If it brings changes, or is not answered either, the
+// waiting one ends and the next is made at once.
+func (f *follower) lookBeside() {
+	g := f.gateway
+	revision := g.copies.revision(f.kind)
+	answer := f.askBeside(revision)
+	if answer.err == nil {
+		f.take(revision, regainWait, answer)
+		f.renewing.Store(false)
+		g.metrics.renewals.WithLabelValues(f.kind.String(), renewalOutcome(len(answer.objects) > 0)).Inc()
+	}
+	if answer.err == nil && len(answer.objects) == 0 {
 		return
 	}
 	if interrupt := f.interrupt.Load(); interrupt != nil {
 		(*interrupt)(errRenewed)
 	}
+	if answer.err == nil {
+		g.log.Log(events.WatchRenewed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": g.copies.revision(f.kind)})
+	}
+}
+
+func (f *follower) askBeside(revision uint64) storeAnswer {
+	ctx, cancel := context.WithTimeout(f.gateway.ctx, regainWait+callSlack)
+	defer cancel()
+	return f.callWatch(ctx, revision, regainWait)
 }
 
 // interruptible returns a context that a renewal ends.
@@ -77,14 +103,3 @@
 	f.interrupt.Store(&interrupt)
 	return ctx, interrupt
 }
-
-// renewed notes that a renewed watch was answered, with so many changed objects.
-func (f *follower) renewed(objects int) {
-	if !f.renewing.CompareAndSwap(true, false) {
-		return
-	}
-	f.gateway.metrics.renewals.WithLabelValues(f.kind.String(), renewalOutcome(objects > 0)).Inc()
-	if objects > 0 {
-		f.gateway.log.Log(events.WatchRenewed, events.Fields{"kind": f.kind.String(), "objects": objects, "revision": f.gateway.copies.revision(f.kind)})
-	}
-}
--- a/internal/gateway/weightdeadline.go
+++ b/internal/gateway/weightdeadline.go
@@ -25,46 +25,60 @@
 	lostNews = noticeTime + settle + newsSlack + longestPull + pullTime
 )
 
-// weightNews is what a router knows of how late it learned of named weights.
+// weightNews is what a router knows of when weights were named.
 type weightNews struct {
+	// learned is when this router learned of them.
+	learned time.Time
 	// started is when the process started.
 	started time.Time
-	// before is the latest moment at which the newer ones are known not to have been
-	// named yet, zero when none is known.
+	// before is the latest moment at which they are known not to have been named yet,
+	// zero when none is known.
 	before time.Time
+	// told is true when another router that learned without delay told such a moment.
+	told bool
 	// disturbed is when calls to the store failed last.
 	disturbed span
 	// alone routers have no others to learn from.
 	alone bool
 }
 
+// blind tells whether the router knew nothing of the store for longer before it learned
+// of the weights than lost watches explain.
+func (n weightNews) blind() bool { return n.before.IsZero() || n.learned.Sub(n.before) > lostNews }
+
+// storeAway tells whether the store was away for all while this router was blind: the
+// failures began soon after the last moment known and followed one another, and nobody who
+// could read it has told otherwise. A process that stood still has seen no such failures.
+func (n weightNews) storeAway() bool {
+	return n.blind() && !n.told && !n.alone && n.disturbed.first.Sub(n.before) < lostNews
+}
+
 // newsOfWeights returns what is known of weights that were named at the revision, before
 // they are taken into the copy.
-func (g *Gateway) newsOfWeights(revision uint64) weightNews {
+func (g *Gateway) newsOfWeights(now time.Time, revision uint64) weightNews {
 	return weightNews{
-		started: g.started, disturbed: g.disturbance.latest(), alone: g.relays.alone(),
+		learned: now, started: g.started, disturbed: g.disturbance.latest(), alone: g.relays.alone(),
 		before: later(g.copies.provenAt(WeightObjects), g.copies.checkpoints.before(revision)),
 	}
 }
 
-// olderDeadlines returns what the weights learned of now mean for older ones. The time
-// counts from the earliest moment at which the newer ones can have been named, so a router
-// that learns late has the less of it left. Counted from when it learned, older weights
-// were used beyond the deadline by whatever had held the news up.
-func olderDeadlines(now time.Time, settings Settings, news weightNews) backend.Deadlines {
-	deadlines := backend.Deadlines{Old: now.Add(settings.WeightGrace)}
+// olderDeadlines returns what named weights mean for older ones. The time counts from the
+// earliest moment at which the newer ones can have been named, so a router that learns late
+// has the less of it left. Counted from when it learned, older weights were used beyond
+// the deadline by whatever had held the news up.
+func olderDeadlines(settings Settings, news weightNews) backend.Deadlines {
+	deadlines := backend.Deadlines{Old: news.learned.Add(settings.WeightGrace)}
 	// After a start or a disturbance a router is held to the deadline only once it has
 	// settled.
 	settled := later(news.started, news.disturbed.last).Add(settings.SettleTime)
 	if news.before.IsZero() {
-		deadlines.Expired, deadlines.Unbegun = later(settled, now), later(settled, now)
+		at := later(settled, news.learned)
+		deadlines.Expired, deadlines.Unbegun = at, at
 		return deadlines
 	}
 	named := news.before
-	if now.Sub(named) > lostNews && news.disturbed.first.Sub(named) < lostNews && !news.alone {
-		// From when the copy was complete on nobody that this router reaches could read
-		// the store, so nothing was named before it worked again. A process that stood
-		// still has seen no such failures: others read the store meanwhile.
+	if news.storeAway() {
+		// Nothing was named before the store worked again.
 		named = later(named, news.disturbed.last)
 	}
 	deadline := named.Add(settings.WeightDeadline)
@@ -97,9 +111,10 @@
 }
 
 // note takes the error of a call that left at the moment: the store, or the way to it, did
-// not work then. Calls that were given up, and a history that is gone, show nothing.
+// not work then. Calls that were given up, too many calls and a history that is gone show
+// nothing of the kind.
 func (d *disturbance) note(sent time.Time, err, givenUp error) {
-	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(givenUp, context.Canceled) {
+	if err == nil || errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrThrottled) || errors.Is(givenUp, context.Canceled) {
 		return
 	}
 	d.mutex.Lock()
