The test of a scheduler without proof proves that nobody proves anything to it

The test took a scheduler that does not reach the store for one that may not know which runners there are. It learns now from the router that asks it and reads the store, so it is proved and rightly goes on. Replaced by two: with the store silent for both it declines, as before; with the store silent for it alone it goes on, and knows of a runner that leaves.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -115,6 +115,19 @@
 	return runner
 }
 
+// runnerOf returns the runner of the id.
+func (f *fleet) runnerOf(id string) *runnerstand.Runner {
+	var found *runnerstand.Runner
+	f.runners.Range(func(_, value any) bool {
+		runner, _ := value.(*runnerstand.Runner)
+		if runner.ID == id {
+			found = runner
+		}
+		return found == nil
+	})
+	return found
+}
+
 func (f *fleet) list(runner *runnerstand.Runner, state string) {
 	f.store.Put(platform.KindServers, runner.ID, runner.Entry(state))
 }
--- a/internal/gateway/schedulers_test.go
+++ b/internal/gateway/schedulers_test.go
@@ -87,19 +87,35 @@
 	}
 }
 
-// A scheduler that does not reach the store any more may not know which runners have
+// A scheduler that nobody proves anything to any more may not know which runners have
 // left, so it declines, and its askers go on.
 func TestSchedulerWithoutProofDeclines(t *testing.T) {
 	t.Parallel()
 	f, routers, _, figuresAt := scheduledFleet(t, 1, 1, "p1")
-	f.g.Expect(routers[1].call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	f.g.Expect(routers[1].call("/public/x", nil).status).To(Equal(http.StatusOK))
 	f.g.Expect(figures(f.g, figuresAt[1])[chosenByScheduler]).To(BeNumerically("==", 1))
-	routers[0].door.Set(storestand.Silent)
+	for _, r := range routers {
+		r.door.Set(storestand.Silent)
+	}
 	time.Sleep(4 * time.Second) // its proof is no longer good
-	f.g.Expect(routers[1].call("/safe/x", nil).status).To(Equal(http.StatusOK), "the router reads the store itself")
+	f.g.Expect(routers[1].call("/public/x", nil).status).To(Equal(http.StatusOK), "public routes are served on")
 	f.g.Expect(figures(f.g, figuresAt[1])[chosenByScheduler]).To(BeNumerically("==", 1))
 }
 
+// A scheduler that does not reach the store is proved by a router that does, and goes on.
+func TestSchedulerIsProvedByTheRoutersThatAskIt(t *testing.T) {
+	t.Parallel()
+	f, routers, _, figuresAt := scheduledFleet(t, 1, 1, "p1", "p2")
+	routers[0].door.Set(storestand.Silent)
+	f.list(f.runnerOf("p1"), "draining")
+	time.Sleep(4 * time.Second)
+	before := figures(f.g, figuresAt[1])[chosenByScheduler]
+	f.g.Expect(routers[1].call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	f.g.Expect(figures(f.g, figuresAt[1])[chosenByScheduler]).To(Equal(before + 1))
+	f.g.Expect(routers[0].log.String()).To(ContainSubstring(lineDraining))
+	f.g.Expect(f.runnerOf("p1").Runs()).To(BeEmpty())
+}
+
 // A router that knows that a runner leaves is bound by that, whoever chose it.
 func TestChoiceOfALeavingRunnerIsNotTaken(t *testing.T) {
 	t.Parallel()
