A connection with a long call open is not taken for silent

Cause: a connection that owed answers was closed when it brought nothing for 0.22 s, up to 0.88 s, also while an answer was due that had more time: a first pull of the whole directory has 2 s. Messages of a connection are handled in order, so the acknowledgements of one-way messages that are sent meanwhile wait for that answer and show no life. The call then waited out its 2 s on the closed connection. Change: while a call is open that has more than 0.88 s, its connection may owe answers for 2 s, counted from the first that is due, so that long calls one after another do not keep a silent connection. Questions on behalf of callers' requests have 0.5 s and some connections always have one open; they do not count as long, else a silent connection would be kept for 2 s under load. A long call that is sent on a connection that is silent already closes it first. Calls on a connection that is closed since it fell silent end with it. Cost: a connection that falls silent while a long call is open is replaced after up to 2 s. The tests in silence_test.go are unchanged and pass: a silent connection was replaced after 253 ms with pulls, 259 ms with calls of 50 ms.

--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -19,6 +20,9 @@
 	stop      chan struct{}
 	stopOnce  sync.Once
 	silence   *silence
+	// silent is closed when the connection is closed since it fell silent.
+	silent     chan struct{}
+	silentOnce sync.Once
 }
 
 func newPeer(transport *Transport, address string, limit time.Duration) *peer {
@@ -28,11 +32,38 @@
 		queue:     make(chan []byte, queueFrames),
 		stop:      make(chan struct{}),
 		silence:   newSilence(limit),
+		silent:    make(chan struct{}),
 	}
 }
 
 func (p *peer) close() { p.stopOnce.Do(func() { close(p.stop) }) }
 
+// closeSilent closes the connection since it fell silent; calls on it end.
+func (p *peer) closeSilent() {
+	p.silentOnce.Do(func() {
+		p.transport.counters.SilentConnections.Add(1)
+		close(p.silent)
+	})
+	p.close()
+}
+
+// await waits for the answer to a call until the context ends or the connection is
+// closed since it fell silent. It returns why no answer came.
+func (p *peer) await(ctx context.Context, answer <-chan *Envelope, isLong bool) (*Envelope, error) {
+	if isLong {
+		p.silence.longCallBegan()
+		defer p.silence.longCallEnded()
+	}
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-p.silent:
+		return nil, errSilent
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 func (p *peer) done() bool {
 	select {
 	case <-p.stop:
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -16,6 +16,13 @@
 	// longestSilentTime bounds the time of connections that replace silent ones, so
 	// that one of them that falls silent too is replaced within a second and a pull.
 	longestSilentTime = 4 * silentTime
+	// longCallTime is over which time a call is long: connections with one open are kept.
+	// It is over the 500 ms of questions on behalf of callers' requests, which some
+	// connections always have open, and under the 2 s of a first pull of the directory.
+	longCallTime = longestSilentTime
+	// longCallSilentTime is the least time of a connection with a long call open. It
+	// is the longest time of a pull, and bounds that of long calls one after another.
+	longCallSilentTime = 2 * time.Second
 	// youngTime is the age below which a silent connection tells of a slow peer rather
 	// than of the connection: the next one has twice the time.
 	youngTime = 5 * time.Second
@@ -46,6 +53,10 @@
 	owesSince time.Time
 	// askedAt is when a call or a message that asks for an acknowledgement was last sent.
 	askedAt time.Time
+	// longCalls counts the long calls that are open. What handles them may take as long
+	// as they have, and messages of one connection are handled in order, so that
+	// acknowledgements wait for them too.
+	longCalls int
 	// next is the limit of the connection that replaces this one.
 	next time.Duration
 }
@@ -92,12 +103,34 @@
 	s.owesSince = time.Time{}
 }
 
+// longCallBegan notes that a long call is open, until longCallEnded.
+func (s *silence) longCallBegan() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.longCalls++
+}
+
+func (s *silence) longCallEnded() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.longCalls--
+}
+
+// currentLimit returns how long the connection may bring nothing with the calls that
+// are open. The mutex is held.
+func (s *silence) currentLimit() time.Duration {
+	if s.longCalls > 0 {
+		return max(s.limit, longCallSilentTime)
+	}
+	return s.limit
+}
+
 // tooLong tells whether the connection owes answers for longer than its limit. The
 // limit of the next one is set then.
 func (s *silence) tooLong(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.openedAt.IsZero() || s.owesSince.IsZero() || now.Sub(s.owesSince) < s.limit {
+	if s.openedAt.IsZero() || s.owesSince.IsZero() || now.Sub(s.owesSince) < s.currentLimit() {
 		return false
 	}
 	if now.Sub(s.openedAt) < youngTime {
@@ -133,6 +166,11 @@
 	return envelope.GetCallId() != 0 && envelope.GetDeadlineMillis() == 0
 }
 
+// isLongCall tells whether the call has more time than connections may bring nothing.
+func isLongCall(call *Envelope) bool {
+	return call.GetDeadlineMillis() > uint32(longCallTime.Milliseconds())
+}
+
 // acknowledgement is the reply to a one-way message. Routers of earlier versions send
 // none; a connection to one that carries one-way messages only is replaced now and then.
 func acknowledgement() *Envelope {
@@ -143,7 +181,6 @@
 // the next message is sent on a new one.
 func (t *Transport) closeIfSilent(target *peer) {
 	if target != nil && !target.done() && target.silence.tooLong(time.Now()) {
-		t.counters.SilentConnections.Add(1)
-		target.close()
+		target.closeSilent()
 	}
 }
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -32,6 +32,7 @@
 	ErrQueueFull = errors.New("queue to the peer is full")
 	ErrClosed    = errors.New("transport is closed")
 	ErrNoReply   = errors.New("no reply within the deadline")
+	errSilent    = errors.New("connection was closed since it fell silent")
 	ErrCut       = errors.New("path to the peer is cut by a fault setting")
 )
 
@@ -155,7 +156,8 @@
 	}
 }
 
-// Call sends a message and waits for its reply until the context ends.
+// Call sends a message and waits for its reply until the context ends, or the connection
+// is closed since it fell silent.
 func (t *Transport) Call(ctx context.Context, node, address string, envelope *Envelope) (*Envelope, error) {
 	id := t.callID.Add(1)
 	envelope.CallId, envelope.DeadlineMillis = id, noDeadline
@@ -165,21 +167,24 @@
 	answer := make(chan *Envelope, 1)
 	t.pending.Store(id, answer)
 	defer t.pending.Delete(id)
+	isLong := isLongCall(envelope)
+	if isLong {
+		// It would keep a connection that has fallen silent from being replaced.
+		t.closeIfSilent(t.existing(address))
+	}
 	target, err := t.enqueue(node, address, envelope)
 	if err != nil {
 		t.closeIfSilent(target)
 		return nil, err
 	}
-	select {
-	case reply := <-answer:
-		return reply, nil
-	case <-ctx.Done():
-		// A call that its caller gave up says nothing of the connection.
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			t.closeIfSilent(target)
-		}
+	reply, err := target.await(ctx, answer, isLong)
+	if errors.Is(err, context.DeadlineExceeded) {
+		t.closeIfSilent(target)
+	}
+	if err != nil {
 		return nil, ErrNoReply
 	}
+	return reply, nil
 }
 
 // Close stops listening and closes all connections.
