Joined deadlines of weights are the earlier of each

Cause: of a model with more than 64 named versions the deadlines of the first two are joined, and those of the first were kept as the earlier ones. Deadlines no longer rise with versions, so the second's may be earlier and weights were used for longer than it allowed. Change: the earlier of each of the three is kept. The comment of ExpiresAt is wrapped and says what a version without newer ones gets.

--- a/internal/backend/weights.go
+++ b/internal/backend/weights.go
@@ -42,7 +42,8 @@
 	Deadlines
 }
 
-// maxDeadlines bounds the deadlines kept of a model; the earliest are joined.
+// maxDeadlines bounds the deadlines kept of a model; those of the earliest versions are
+// joined.
 const maxDeadlines = 64
 
 // Weights holds the newest named version of each model's weights. It is not
@@ -89,12 +90,28 @@
 	return false
 }
 
-// mergeFirst joins the two earliest deadlines. What is joined expires with the
-// earlier one: never too late, and exactly so once both have passed.
+// mergeFirst joins the two earliest versions' deadlines. What is joined has the earlier of
+// each: never too late, and exactly so once both have passed.
 func (t *target) mergeFirst() {
 	first := t.deadlines[0]
 	t.deadlines = t.deadlines[1:]
-	t.deadlines[0].Deadlines = first.Deadlines
+	t.deadlines[0].Deadlines = first.earlier(t.deadlines[0].Deadlines)
+}
+
+// earlier returns the earlier of each of the deadlines.
+func (d Deadlines) earlier(other Deadlines) Deadlines {
+	return Deadlines{
+		Old:     earlierTime(d.Old, other.Old),
+		Expired: earlierTime(d.Expired, other.Expired),
+		Unbegun: earlierTime(d.Unbegun, other.Unbegun),
+	}
+}
+
+func earlierTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // Named returns the newest named version of each model.
@@ -150,8 +167,8 @@
 	return true
 }
 
-// ExpiresAt returns from when on weights of the version get no requests any more: the earliest deadline of those that newer versions brought, zero when
-// the version is the newest.
+// ExpiresAt returns from when on weights of the version get no requests any more: the
+// earliest deadline that newer versions brought, zero when there is none.
 func (w *Weights) ExpiresAt(model string, version uint64) time.Time {
 	known := w.targets[model]
 	if known == nil {
