Only streams that begin are withdrawn from older weights

Cause: all requests of a model that had no answer yet were registered to be withdrawn. A run that goes on from its copy began before the weights were named, and its weights may go on; the head of a whole answer comes with its end, so that its request may have begun long before. Both were cut 0.25 s before the deadline. Change: only sends on streaming routes that do not go on from a copy are registered. Cost: whole-answer requests that still queue at the deadline are no longer taken back, so they may begin on older weights; the stop of sends 0.75 s before it is what remains for them.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,8 +75,8 @@
 	// sent is when, and open the request there until it has ended.
 	sent time.Time
 	open *backend.Send
-	// sendCtx ends when the send is withdrawn, or with ctx; unbegun is nil for requests
-	// that use no model.
+	// sendCtx ends when the send is withdrawn, or with ctx; unbegun is nil for those that
+	// are not withdrawn.
 	sendCtx context.Context
 	unbegun *unbegunSend
 	// query is what the runner was chosen by.
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -7,6 +7,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // withdrawMargin is how long before the deadline of older weights requests that wait
@@ -16,7 +17,7 @@
 
 var errWithdrawn = errors.New("its weights expire before it begins")
 
-// unbegunSend is a request at a runner of a model that has not begun to answer it.
+// unbegunSend is a stream of a model that its runner has not been seen to begin.
 type unbegunSend struct {
 	runner string
 	model  string
@@ -31,7 +32,7 @@
 	g := c.gateway
 	c.open = g.runners.Begin(now, runner.ID, tokens)
 	c.sendCtx, c.unbegun = c.ctx, nil
-	if c.query.Model == "" {
+	if !c.beginIsSeen() {
 		return
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
@@ -40,6 +41,13 @@
 	g.unbegun[c.unbegun] = struct{}{}
 }
 
+// beginIsSeen tells whether the send is one that begins on a model's weights, and whose
+// answer shows when. The head of a whole answer comes with its end, and a run that goes on
+// from its copy began before.
+func (c *call) beginIsSeen() bool {
+	return c.query.Model != "" && c.route.Kind == routing.Streaming && !c.continuing
+}
+
 // barWithdrawal keeps the send from being withdrawn: it has begun, or ended. The
 // gateway's mutex is held.
 func (c *call) barWithdrawal() {
@@ -56,7 +64,7 @@
 	}
 }
 
-// withdrawUnbegun ends the connections of the model's requests that wait at runners
+// withdrawUnbegun ends the connections of the model's streams that wait at runners
 // whose weights must not begin them. When a request begins is only estimated at the
 // send, so this alone bounds it; one timer of a named version covers requests sent
 // before and after it was named.
--- a/internal/gateway/withdraw_test.go
+++ b/internal/gateway/withdraw_test.go
@@ -163,3 +163,59 @@
 		})
 	}
 }
+
+// A run that goes on from its copy began before the weights were named. It was ended there
+// while it waited.
+func TestRunThatGoesOnFromItsCopyOutlivesItsWeights(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runners := []*runnerstand.Runner{f.engine("e1", 1), f.engine("e2", 1)}
+	r := f.servingRouter("r1", func(settings *gateway.Settings) {
+		settings.CopyRuns, settings.WeightDeadline, settings.SettleTime = true, shortDeadline, shortSettle
+	})
+	f.g.Eventually(func() int { return r.call("/once/x", longPrompt).status }).Should(Equal(http.StatusOK))
+	home, holder := homeOf(runners), runners[0]
+	if holder == home {
+		holder = runners[1]
+	}
+	for _, runner := range runners {
+		runner.SetFence(1 << 40)
+	}
+	home.Behave(runnerstand.Dies)
+	holder.Behave(runnerstand.Queues)
+	holder.Queue(longQueue)
+	answers := make(chan answer, 1)
+	go func() { answers <- r.call("/once/x", longPrompt) }()
+	f.g.Eventually(holder.Continued, time.Second, 5*time.Millisecond).Should(HaveLen(1))
+	r.door.Set(storestand.Loses)
+	time.Sleep(2 * shortSettle)
+	named := r.nameNew()
+	got := <-answers
+	f.g.Expect(time.Since(named)).To(BeNumerically(">", shortDeadline), "the answer came after the deadline")
+	f.g.Expect(got.cut).To(BeFalse())
+	f.g.Expect(got.body).To(Equal(wholeStream))
+}
+
+// The head of a whole answer comes with its end, so that nothing shows whether its request
+// has begun. Requests that had begun long before were ended.
+func TestRequestForAWholeAnswerOutlivesItsWeights(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, append(defaultRoutes(), route("whole", "/whole/", "unsafe", "engines", map[string]any{"sticky": true})), goodKey)
+	runner := f.engine("e1", 1)
+	runner.SetFence(1 << 40)
+	runner.Delay = longQueue
+	runner.Behave(runnerstand.Delays)
+	r := f.servingRouter("r1", func(settings *gateway.Settings) {
+		settings.WeightDeadline, settings.SettleTime = shortDeadline, shortSettle
+	})
+	answers := r.callQueued("/whole/x", runner)
+	r.door.Set(storestand.Loses)
+	time.Sleep(2 * shortSettle)
+	named := r.nameNew()
+	got := <-answers
+	f.g.Expect(time.Since(named)).To(BeNumerically(">", shortDeadline), "the answer came after the deadline")
+	f.g.Expect(got.status).To(Equal(http.StatusOK))
+	f.g.Expect(got.body).To(Equal(wholeStream))
+}
