What is not sent since it was not confirmed is called so

Cause: "withdrawn" meant two things: a request that was not sent, as its runner may not begin it, and one that was cut while it waited at its runner. Change: it means the second.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -161,12 +161,12 @@
 // connection to it was made.
 func (r *Request) NotSent() Next {
 	r.exclude()
-	return r.Withdrawn()
+	return r.NotConfirmed()
 }
 
-// Withdrawn notes that the dispatch was given up before it was sent. Nothing speaks
-// against the engine, so it is not excluded.
-func (r *Request) Withdrawn() Next {
+// NotConfirmed notes that the dispatch was given up right before it was sent. Nothing
+// speaks against the engine, so it is not excluded.
+func (r *Request) NotConfirmed() Next {
 	if r.limits.MaxUnsent == 0 {
 		return r.refused()
 	}
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -52,11 +52,11 @@
 
 func dispatchOnce(t *rapid.T, request *Request, world *truth) Next {
 	number := request.Dispatching("runner")
-	switch rapid.SampledFrom([]string{"no connection", "withdrawn", "refused", "lost before", "lost after", "accepted"}).Draw(t, "dispatch") {
+	switch rapid.SampledFrom([]string{"no connection", "not confirmed", "refused", "lost before", "lost after", "accepted"}).Draw(t, "dispatch") {
 	case "no connection":
 		return request.NotSent()
-	case "withdrawn":
-		return request.Withdrawn()
+	case "not confirmed":
+		return request.NotConfirmed()
 	case "refused":
 		return request.Reject()
 	case "lost before":
--- a/internal/backend/withdrawn_test.go
+++ b/internal/backend/confirm_test.go
@@ -44,11 +44,11 @@
 	g.Expect(set.MaySend(start, "a", query, 0)).To(BeTrue())
 }
 
-func TestWithdrawnRequestIsNoEvidence(t *testing.T) {
+func TestRequestThatIsNotConfirmedIsNoEvidence(t *testing.T) {
 	g := NewWithT(t)
 	set, _ := ledgerSet()
 	now := start.Add(time.Second)
-	set.End(now, set.Begin(start, "a", 1000), Withdrawn)
+	set.End(now, set.Begin(start, "a", 1000), NotConfirmed)
 	e := set.entries["a"]
 	g.Expect(e.currentWait(now)).To(BeZero())
 	g.Expect(e.currentFailureShare(now)).To(BeZero())
--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -98,18 +98,18 @@
 	Unreachable
 	// Abandoned means that the caller left or the time was up.
 	Abandoned
-	// Withdrawn means that the request was not sent, for no fault of the runner's.
-	Withdrawn
+	// NotConfirmed means that the request was not sent, for no fault of the runner's.
+	NotConfirmed
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "unreachable", "abandoned", "withdrawn"}[o]
+	return [...]string{"answered", "failed", "refused", "unreachable", "abandoned", "not confirmed"}[o]
 }
 
 // End notes the outcome of a send.
 func (s *Set) End(now time.Time, send *Send, outcome Outcome) {
-	if outcome == Withdrawn {
+	if outcome == NotConfirmed {
 		s.forget(send)
 		return
 	}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -52,7 +52,7 @@
 	CallerLeft         = define(516, logrus.InfoLevel, "caller left")
 	QuotaDecided       = define(517, logrus.InfoLevel, "request counted against its tenant's limit")
 	PlacementDeclined  = define(518, logrus.InfoLevel, "scheduler's choice of a runner is not usable")
-	SendWithdrawn      = define(519, logrus.InfoLevel, "request not sent: its runner may not begin it any more")
+	SendNotConfirmed   = define(519, logrus.InfoLevel, "request not sent: its runner may not begin it any more")
 	ClaimsServing      = define(600, logrus.InfoLevel, "serving claims of an assignment")
 	ClaimsRetired      = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed = define(602, logrus.InfoLevel, "claim assignment written")
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/confirm_test.go
@@ -182,9 +182,9 @@
 	return backend.RunnerSummary{}
 }
 
-// The runner stays after all: what was withdrawn does not keep requests from it, as a
+// The runner stays after all: what was not confirmed does not keep requests from it, as a
 // dial that failed would.
-func TestWithdrawnSendIsNoEvidenceAgainstItsRunner(t *testing.T) {
+func TestSendThatIsNotConfirmedIsNoEvidenceAgainstItsRunner(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
 	f.dials = holdFirstDial()
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -132,7 +132,7 @@
 
 // release tells the scheduler that its choice is not used. The time since the choice, in
 // which mostly a body arrived, says nothing about the runner.
-func (s *schedulers) release(p *placed) { s.notify(p, true, backend.Withdrawn, 0) }
+func (s *schedulers) release(p *placed) { s.notify(p, true, backend.NotConfirmed, 0) }
 
 // notify tells the scheduler what became of the send, and the version of the weights
 // that answered, if known. A lost notice is made up for when the request's time is over.
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -114,7 +114,7 @@
 // noticed takes another router's word on a request that was placed for it.
 func (s *schedulers) noticed(envelope *wire.Envelope, notice *wire.SendNotice) {
 	key := backend.SendKey{Router: envelope.GetFrom(), Incarnation: envelope.GetFromIncarnation(), Send: notice.GetSend()}
-	outcome := backend.Outcome(min(notice.GetOutcome(), uint32(backend.Withdrawn)))
+	outcome := backend.Outcome(min(notice.GetOutcome(), uint32(backend.NotConfirmed)))
 	s.gateway.mutex.Lock()
 	defer s.gateway.mutex.Unlock()
 	s.ledger.LearnVersion(key, notice.GetWeights())
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -219,8 +219,8 @@
 	if c.ctx.Err() != nil {
 		return c.outOfTime(errors.Is(err, httpconn.ErrNotSent))
 	}
-	if errors.Is(err, httpconn.ErrWithdrawn) {
-		return c.unconfirmed()
+	if errors.Is(err, httpconn.ErrNotConfirmed) {
+		return c.notConfirmed()
 	}
 	if c.withdrawn() {
 		return c.endWithdrawn(errors.Is(err, httpconn.ErrNotSent))
@@ -233,14 +233,14 @@
 	return c.lost()
 }
 
-// unconfirmed takes a send that mayBegin stopped. It is no evidence about the runner.
-func (c *call) unconfirmed() attempt.Next {
-	c.endSend(backend.Withdrawn)
-	c.note(events.SendWithdrawn, events.Fields{
+// notConfirmed takes a send that mayBegin stopped. It is no evidence about the runner.
+func (c *call) notConfirmed() attempt.Next {
+	c.endSend(backend.NotConfirmed)
+	c.note(events.SendNotConfirmed, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
 		"weights": c.weights, "after_ms": time.Since(c.sent).Milliseconds(),
 	})
-	return c.request.Withdrawn()
+	return c.request.NotConfirmed()
 }
 
 // outOfTime ends the call because its caller left or its time is up.
--- a/internal/httpconn/confirm_test.go
+++ b/internal/httpconn/confirm_test.go
@@ -12,13 +12,13 @@
 	. "github.com/onsi/gomega"
 )
 
-func unconfirmed() *Request {
+func notConfirmed() *Request {
 	request := get()
 	request.Confirm = func() bool { return false }
 	return request
 }
 
-func TestUnconfirmedRequestIsNotWritten(t *testing.T) {
+func TestRequestThatIsNotConfirmedIsNotWritten(t *testing.T) {
 	g := NewWithT(t)
 	received := make(chan []byte, 1)
 	address, _ := serve(t, func(_ int, reader *bufio.Reader, _ net.Conn) {
@@ -27,22 +27,22 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	_, err := NewPool(time.Second).Send(ctx, address, unconfirmed())
+	_, err := NewPool(time.Second).Send(ctx, address, notConfirmed())
 	g.Expect(errors.Is(err, ErrNotSent)).To(BeTrue())
-	g.Expect(errors.Is(err, ErrWithdrawn)).To(BeTrue())
+	g.Expect(errors.Is(err, ErrNotConfirmed)).To(BeTrue())
 	var data []byte
 	g.Eventually(received, 5*time.Second).Should(Receive(&data), "the new connection is closed")
 	g.Expect(data).To(BeEmpty())
 }
 
-func TestConnectionOfAnUnconfirmedRequestIsKept(t *testing.T) {
+func TestConnectionOfARequestThatIsNotConfirmedIsKept(t *testing.T) {
 	g := NewWithT(t)
 	address, connections := serve(t, answerWith(whole, whole))
 	pool := NewPool(time.Second)
 	_, err := readAll(g, pool, address, get())
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = pool.Send(context.Background(), address, unconfirmed())
-	g.Expect(errors.Is(err, ErrWithdrawn)).To(BeTrue())
+	_, err = pool.Send(context.Background(), address, notConfirmed())
+	g.Expect(errors.Is(err, ErrNotConfirmed)).To(BeTrue())
 	confirmed := get()
 	confirmed.Confirm = func() bool { return true }
 	body, err := readAll(g, pool, address, confirmed)
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -25,7 +25,7 @@
 	// discarded and the next one is read. Nil accepts the first.
 	Accept func(http.Header) bool
 	// Confirm is asked once a connection is there, right before the first byte is
-	// written. If it returns false nothing is sent, and the error is ErrWithdrawn. Nil
+	// written. If it returns false nothing is sent, and the error is ErrNotConfirmed. Nil
 	// confirms.
 	Confirm func() bool
 }
@@ -49,8 +49,8 @@
 	maxDiscard = 1 << 20
 )
 
-// ErrWithdrawn means that Confirm returned false; it comes with ErrNotSent.
-var ErrWithdrawn = errors.New("httpconn: request was withdrawn")
+// ErrNotConfirmed means that Confirm returned false; it comes with ErrNotSent.
+var ErrNotConfirmed = errors.New("httpconn: request was not confirmed")
 
 // ErrCrossed means that only answers to other requests came.
 var ErrCrossed = errors.New("httpconn: answer to another request")
@@ -69,7 +69,7 @@
 	}
 	if request.Confirm != nil && !request.Confirm() {
 		p.giveBack(c)
-		return nil, errors.Join(ErrNotSent, ErrWithdrawn)
+		return nil, errors.Join(ErrNotSent, ErrNotConfirmed)
 	}
 	release := context.AfterFunc(ctx, func() { c.Close() })
 	written := make(chan error, 1)
