The stand-in of runners took cache lists for calls of nobody

Cause: the soak reported each GET /-/kv-list of a gateway as a request that ran and that nobody sent, as the stand-in runs whatever has no path of its own. Change: it answers 404 to the two paths that list its cache, of which it has none.

--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -236,6 +236,9 @@
 		r.report(writer)
 	case platform.PathOrder:
 		r.order(writer, request)
+	case platform.PathKept, platform.PathKeptList:
+		// The stand-in has no cache that could be listed.
+		writer.WriteHeader(http.StatusNotFound)
 	default:
 		r.call(writer, request)
 	}
