The soak silences connections and watches, and checks what runners see of the news

It had no connections or watches that fall silent while new ones work, its draining runners were listed as ready again within 1.4 s by the next heartbeat, and nothing checked what reached a leaving runner or began on replaced weights. Change: a fault silences some times in a row the open connections to the store of one gateway or of all, those to a runner, or the watches of a kind, each followed within a second by a runner that leaves or by newer weights; one such fault ends each run. Runners note when a call arrived and began. Two checks hold gateways to the drain time (2 s) and the deadline of weights; disturbances are recorded apart: whoever was left alone for 3 s, with the store, is held to them. The deadline of weights of the soak's gateways is 5 s, so that more namings fall into a run; weights that another disturbance of the store or the gateway's way to it falls upon count from its end. The number of gateways and engines can be set. Result: unit tests show that each check finds a violation.

--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -79,6 +80,7 @@
 	Header  http.Header
 	Path    string
 	Body    string
+	// Version is that of the weights at the moment at which it began.
 	Version uint64
 	// Began is when the runner began to work on it.
 	Began time.Time
@@ -86,6 +88,12 @@
 	Ended chan struct{}
 }
 
+// Arrival is one call that reached the runner, run or not.
+type Arrival struct {
+	Request string
+	At      time.Time
+}
+
 // Runner is the stand-in.
 type Runner struct {
 	Config
@@ -98,7 +106,7 @@
 	behaviour Behaviour
 	once      bool
 	runs      []Run
-	arrivals  int
+	arrivals  []Arrival
 	orders    []Order
 	version   uint64
 	seq       uint64
@@ -188,7 +196,14 @@
 func (r *Runner) Arrivals() int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.arrivals
+	return len(r.arrivals)
+}
+
+// ArrivalLog returns the calls that arrived, run or not.
+func (r *Runner) ArrivalLog() []Arrival {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Clone(r.arrivals)
 }
 
 // Continued returns the runs that went on here from a copy.
@@ -283,10 +298,10 @@
 }
 
 // take notes a call and returns what to do with it.
-func (r *Runner) take(request *http.Request, body []byte) (Behaviour, Run) {
+func (r *Runner) take(request *http.Request, body []byte, arrived time.Time) (Behaviour, Run) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.arrivals++
+	r.arrivals = append(r.arrivals, Arrival{Request: request.Header.Get(platform.HeaderRequestID), At: arrived})
 	behaviour := r.behaviour
 	if r.once {
 		r.behaviour, r.once = Well, false
@@ -314,11 +329,12 @@
 }
 
 func (r *Runner) call(writer http.ResponseWriter, request *http.Request) {
+	arrived := time.Now()
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
 	}
-	behaviour, run := r.take(request, body)
+	behaviour, run := r.take(request, body, arrived)
 	defer close(run.Ended)
 	if behaviour == Queues && !r.begin(request, run) {
 		return
--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -15,10 +15,12 @@
 
 // callRecord is one call with what its caller saw.
 type callRecord struct {
-	id         string
-	path       string
-	body       string
-	tenant     string
+	id     string
+	path   string
+	body   string
+	tenant string
+	// process is the name of the gateway that was called.
+	process    string
 	repeatable bool
 	status     int
 	// keyTaken is true when the call was sent long after its key was taken away.
@@ -110,8 +112,10 @@
 			call.sinceTaken = time.Since(taken)
 			call.keyTaken = call.sinceTaken > revokeTime+keySlack
 		}
+		target := s.processes[random.IntN(len(s.processes))]
+		call.process = target.name
 		s.calls.add(call)
-		s.callOnce(ctx, client, s.processes[random.IntN(len(s.processes))], call, key)
+		s.callOnce(ctx, client, target, call, key)
 		time.Sleep(callPause)
 	}
 }
--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -18,6 +18,8 @@
 	mutex   sync.Mutex
 	version int
 	named   uint64
+	// namedAt is when the store acknowledged each version of the weights but the first.
+	namedAt []time.Time
 	// keys are valid, taken are those that were taken away, with the moment of
 	// the store's acknowledgement.
 	keys  []string
@@ -91,6 +93,19 @@
 	defer c.mutex.Unlock()
 	c.named++
 	c.store.Put(platform.KindVersions, modelName, map[string]any{"model": modelName, "version": c.named})
+	c.namedAt = append(c.namedAt, time.Now())
+}
+
+// replacedAt returns when a newer version than this one was first named, or false when
+// none was.
+func (c *configuration) replacedAt(version uint64) (time.Time, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	index := int(version) - 1
+	if index < 0 || index >= len(c.namedAt) {
+		return time.Time{}, false
+	}
+	return c.namedAt[index], true
 }
 
 func (c *configuration) weights() uint64 {
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -23,34 +23,41 @@
 // and returns what it does and how it is undone.
 type fault func(duration time.Duration) (name string, undo func())
 
-// harm injects faults until the time is over and returns how many.
+// harm injects faults until the time is over and returns how many. The last one holds up
+// news while nothing new covers its effect.
 func (s *Soak) harm(ctx context.Context) int {
 	faults := []fault{
 		s.freeze, s.restart(syscall.SIGKILL), s.restart(syscall.SIGTERM), s.reload, s.killAll,
 		s.storeForAll, s.storeForOne, s.storePath, s.runnerPath, s.runnerFault, s.drain,
 		s.forget, s.changeConfig, s.revoke, s.bump,
+		// More than one in a run of 20 s.
+		s.lateNews, s.lateNews, s.lateNews,
 	}
 	deadline := time.Now().Add(s.settings.Duration)
 	var group sync.WaitGroup
-	count := 0
+	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		duration := time.Duration(s.random.Int64N(int64(faultMost)))
-		name, undo := faults[s.random.IntN(len(faults))](duration)
+		s.inject(faults[s.random.IntN(len(faults))], &group)
 		count++
-		s.say("fault: %s for %v", name, duration.Round(time.Millisecond))
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			time.Sleep(duration)
-			undo()
-		}()
 		time.Sleep(faultGap/2 + time.Duration(s.random.Int64N(int64(faultGap))))
 		s.runners.refresh()
 	}
+	s.inject(s.lateNews, &group)
 	group.Wait()
 	return count
 }
 
+// inject begins the fault, which ends in the group.
+func (s *Soak) inject(begin fault, group *sync.WaitGroup) {
+	duration := time.Duration(s.random.Int64N(int64(faultMost)))
+	name, undo := begin(duration)
+	s.say("fault: %s for %v", name, duration.Round(time.Millisecond))
+	group.Go(func() {
+		time.Sleep(duration)
+		undo()
+	})
+}
+
 // heal undoes what may be left.
 func (s *Soak) heal() {
 	for _, p := range s.processes {
@@ -61,7 +68,7 @@
 	for _, runner := range s.runners.all() {
 		runner.Behave(runnerstand.Well)
 		s.runners.proxy(runner.ID).Set(faultproxy.Pass)
-		s.runners.list(runner, "ready")
+		s.runners.comeBack(runner)
 	}
 }
 
@@ -75,28 +82,33 @@
 func (s *Soak) freeze(duration time.Duration) (string, func()) {
 	p := s.anyProcess()
 	p.harm(duration + startTime)
+	calm := s.disturbances.begin(p.name)
 	p.signal(syscall.SIGSTOP)
-	return "freeze " + p.name, func() { p.signal(syscall.SIGCONT) }
+	return "freeze " + p.name, func() { p.signal(syscall.SIGCONT); calm() }
 }
 
 func (s *Soak) restart(signal syscall.Signal) fault {
 	return func(duration time.Duration) (string, func()) {
 		p := s.anyProcess()
 		p.harm(duration + graceTime + startTime)
+		calm := s.disturbances.begin(p.name)
 		ended := p.end(signal)
-		return signal.String() + " " + p.name, func() { s.startAgain(p, ended) }
+		return signal.String() + " " + p.name, func() { s.startAgain(p, ended); calm() }
 	}
 }
 
 func (s *Soak) killAll(duration time.Duration) (string, func()) {
 	var ended []<-chan struct{}
+	var calm []func()
 	for _, p := range s.processes {
 		p.harm(duration + startTime)
+		calm = append(calm, s.disturbances.begin(p.name))
 		ended = append(ended, p.end(syscall.SIGKILL))
 	}
 	return "kill all", func() {
 		for i, p := range s.processes {
 			s.startAgain(p, ended[i])
+			calm[i]()
 		}
 	}
 }
@@ -132,6 +144,7 @@
 
 func (s *Soak) storeForAll(time.Duration) (string, func()) {
 	fault := s.storeFault()
+	calm := s.disturbances.begin(storeForEach)
 	for _, p := range s.processes {
 		p.door.Set(fault)
 	}
@@ -139,13 +152,15 @@
 		for _, p := range s.processes {
 			p.door.Set(storestand.Healthy)
 		}
+		calm()
 	}
 }
 
 func (s *Soak) storeForOne(time.Duration) (string, func()) {
 	p, fault := s.anyProcess(), s.storeFault()
+	calm := s.disturbances.begin(p.name)
 	p.door.Set(fault)
-	return "store " + fault.String() + " for " + p.name, func() { p.door.Set(storestand.Healthy) }
+	return "store " + fault.String() + " for " + p.name, func() { p.door.Set(storestand.Healthy); calm() }
 }
 
 func (s *Soak) pathMode() faultproxy.Mode {
@@ -155,15 +170,17 @@
 
 func (s *Soak) storePath(time.Duration) (string, func()) {
 	p, mode := s.anyProcess(), s.pathMode()
+	calm := s.disturbances.begin(p.name)
 	p.proxy.Set(mode)
-	return "path to the store of " + p.name + ": " + mode.String(), func() { p.proxy.Set(faultproxy.Pass) }
+	return "path to the store of " + p.name + ": " + mode.String(), func() { p.proxy.Set(faultproxy.Pass); calm() }
 }
 
 func (s *Soak) runnerPath(time.Duration) (string, func()) {
 	runner, mode := s.anyRunner(), s.pathMode()
 	proxy := s.runners.proxy(runner.ID)
+	calm := s.disturbances.begin(pathTo(runner.ID))
 	proxy.Set(mode)
-	return "path to runner " + runner.ID + ": " + mode.String(), func() { proxy.Set(faultproxy.Pass) }
+	return "path to runner " + runner.ID + ": " + mode.String(), func() { proxy.Set(faultproxy.Pass); calm() }
 }
 
 func (s *Soak) runnerFault(time.Duration) (string, func()) {
@@ -178,8 +195,11 @@
 
 func (s *Soak) drain(time.Duration) (string, func()) {
 	runner := s.anyRunner()
-	s.runners.list(runner, "draining")
-	return "drain " + runner.ID, func() { s.runners.list(runner, "ready") }
+	s.runners.leave(runner)
+	return "drain " + runner.ID, func() {
+		time.Sleep(leaveLeast)
+		s.runners.comeBack(runner)
+	}
 }
 
 func (s *Soak) forget(time.Duration) (string, func()) {
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -21,10 +21,14 @@
 	mutex   sync.Mutex
 	runners []*runnerstand.Runner
 	proxies map[string]*faultproxy.Proxy
+	// listing is held while an entry is written, so that entries follow the states.
+	listing sync.Mutex
+	// leaves holds when each runner said that it leaves and when it came back.
+	leaves map[string][]span
 }
 
 func newFleet(store *storestand.Store) *fleet {
-	return &fleet{store: store, proxies: map[string]*faultproxy.Proxy{}}
+	return &fleet{store: store, proxies: map[string]*faultproxy.Proxy{}, leaves: map[string][]span{}}
 }
 
 func (f *fleet) add(id, service string) error {
@@ -44,12 +48,72 @@
 	f.runners = append(f.runners, runner)
 	f.proxies[id] = proxy
 	f.mutex.Unlock()
-	f.list(runner, "ready")
+	f.list(runner)
 	return nil
 }
 
-// list writes the runner's directory entry, with the proxy's address.
-func (f *fleet) list(runner *runnerstand.Runner, state string) {
+// list writes the runner's directory entry as its heartbeat does.
+func (f *fleet) list(runner *runnerstand.Runner) {
+	f.listing.Lock()
+	defer f.listing.Unlock()
+	f.write(runner)
+}
+
+// leave has the runner say that it leaves, unless it does already or half of its service
+// would be gone.
+func (f *fleet) leave(runner *runnerstand.Runner) {
+	f.listing.Lock()
+	defer f.listing.Unlock()
+	fellows := f.ofService(runner.Service)
+	gone := 0
+	for _, fellow := range fellows {
+		if f.isLeaving(fellow.ID) {
+			gone++
+		}
+	}
+	if f.isLeaving(runner.ID) || 2*(gone+1) > len(fellows) {
+		return
+	}
+	f.leaves[runner.ID] = append(f.leaves[runner.ID], span{})
+	f.write(runner)
+	f.leaves[runner.ID][len(f.leaves[runner.ID])-1].from = time.Now()
+}
+
+// comeBack has the runner take work again.
+func (f *fleet) comeBack(runner *runnerstand.Runner) {
+	f.listing.Lock()
+	defer f.listing.Unlock()
+	if f.isLeaving(runner.ID) {
+		f.leaves[runner.ID][len(f.leaves[runner.ID])-1].to = time.Now()
+	}
+	f.write(runner)
+}
+
+// isLeaving tells whether the runner leaves now. The mutex of listing is held.
+func (f *fleet) isLeaving(id string) bool {
+	leaves := f.leaves[id]
+	return len(leaves) > 0 && leaves[len(leaves)-1].to.IsZero()
+}
+
+// leavingSince returns since when the runner was leaving at the moment, or false when it
+// was not.
+func (f *fleet) leavingSince(id string, moment time.Time) (time.Time, bool) {
+	f.listing.Lock()
+	defer f.listing.Unlock()
+	for _, leave := range f.leaves[id] {
+		if !moment.Before(leave.from) && (leave.to.IsZero() || moment.Before(leave.to)) {
+			return leave.from, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// write stores the runner's entry, with the proxy's address. The mutex of listing is held.
+func (f *fleet) write(runner *runnerstand.Runner) {
+	state := "ready"
+	if f.isLeaving(runner.ID) {
+		state = "draining"
+	}
 	entry := runner.Entry(state)
 	entry["address"] = f.proxy(runner.ID).Address
 	f.store.Put(platform.KindServers, runner.ID, entry)
@@ -92,7 +156,7 @@
 // refresh writes the engines' entries anew, as their heartbeats would.
 func (f *fleet) refresh() {
 	for _, runner := range f.ofService("engines") {
-		f.list(runner, "ready")
+		f.list(runner)
 	}
 }
 
--- /dev/null
+++ b/internal/lab/soak/news.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+)
+
+// lateness is a request for which a gateway did not know in time what the store held.
+type lateness struct {
+	what    string
+	gateway string
+	runner  string
+	request string
+	at      time.Time
+	// news is how old the news was, and calm how long nothing had been disturbed.
+	news time.Duration
+	calm time.Duration
+}
+
+// checkNews checks that gateways that were left alone knew in time which runners leave and
+// which weights are named, by what runners saw.
+func (s *Soak) checkNews() {
+	var found []lateness
+	for _, runner := range s.runners.all() {
+		for _, arrival := range runner.ArrivalLog() {
+			if late, broken := s.checkArrival(runner.ID, arrival); broken {
+				found = append(found, late)
+			}
+		}
+		if runner.Model == "" {
+			continue
+		}
+		for _, run := range runner.Runs() {
+			if late, broken := s.checkBegin(runner.ID, run); broken {
+				found = append(found, late)
+			}
+		}
+	}
+	s.failLate(found)
+}
+
+// failLate notes one broken promise for each gateway, runner and kind of news.
+func (s *Soak) failLate(found []lateness) {
+	type key struct{ what, gateway, runner string }
+	grouped := map[key][]lateness{}
+	for _, late := range found {
+		group := key{late.what, late.gateway, late.runner}
+		grouped[group] = append(grouped[group], late)
+	}
+	for group, all := range grouped {
+		first := all[0]
+		s.fail("%s: %d requests of %s at %s, the first (%s) at %s, %v after the news and %v after the last disturbance",
+			group.what, len(all), group.gateway, group.runner, first.request, clock(first.at), first.news, first.calm)
+	}
+}
+
+func clock(moment time.Time) string { return moment.Format("15:04:05.000") }
+
+// checkArrival tells whether the runner had been leaving for longer than the bound while
+// the gateway, its path to the runner and the store were sound.
+func (s *Soak) checkArrival(runner string, arrival runnerstand.Arrival) (lateness, bool) {
+	call, known := s.calls.find(arrival.Request)
+	since, leaving := s.runners.leavingSince(runner, arrival.At)
+	if !known || !leaving {
+		return lateness{}, false
+	}
+	late := lateness{
+		what: "leaving", gateway: call.process, runner: runner, request: call.id, at: arrival.At, news: arrival.At.Sub(since),
+		calm: arrival.At.Sub(s.disturbances.last(arrival.At, storeForEach, call.process, pathTo(runner))),
+	}
+	return late, late.news > drainTime && late.calm > contactTime
+}
+
+// checkBegin tells whether the weights on which the run began had been replaced for longer
+// than the deadline. That counts while the store and the gateway's path to it are sound.
+func (s *Soak) checkBegin(runner string, run runnerstand.Run) (lateness, bool) {
+	call, known := s.calls.find(run.Request)
+	named, replaced := s.config.replacedAt(run.Version)
+	if !known || !replaced {
+		return lateness{}, false
+	}
+	late := lateness{
+		what: "older weights", gateway: call.process, runner: runner, request: call.id, at: run.Began, news: run.Began.Sub(named),
+		calm: run.Began.Sub(s.disturbances.last(run.Began, storeForEach, call.process)),
+	}
+	pathSound := run.Began.Sub(s.disturbances.last(run.Began, pathTo(runner))) > contactTime
+	return late, min(late.news, late.calm) > versionTime && pathSound
+}
--- /dev/null
+++ b/internal/lab/soak/news_test.go
@@ -0,0 +1,143 @@
+package soak
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+const (
+	testGateway = "gateway-0"
+	testRequest = "request-1"
+)
+
+// checked returns a run with one engine and one call that was sent to a gateway.
+func checked(t *testing.T) (*Soak, *runnerstand.Runner) {
+	t.Helper()
+	store := storestand.New()
+	s := &Soak{
+		settings: Settings{Out: io.Discard}, store: store, calls: newCallLog(), disturbances: newDisturbances(),
+		runners: newFleet(store), config: newConfiguration(store),
+	}
+	t.Cleanup(s.runners.close)
+	for _, id := range []string{"e0", "e1"} {
+		NewWithT(t).Expect(s.runners.add(id, "engines")).To(Succeed())
+	}
+	s.calls.add(&callRecord{id: testRequest, path: "/stream/1", process: testGateway, repeatable: true})
+	return s, s.runners.all()[0]
+}
+
+// send has the call reach the runner.
+func send(t *testing.T, runner *runnerstand.Runner) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+runner.Address+"/stream/1", strings.NewReader("body"))
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	request.Header.Set(platform.HeaderRequestID, testRequest)
+	response, err := http.DefaultClient.Do(request)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	response.Body.Close()
+}
+
+// past notes that the subject was disturbed until so long ago.
+func (d *disturbances) past(subject string, ago time.Duration) {
+	end := time.Now().Add(-ago)
+	d.spans[subject] = append(d.spans[subject], span{from: end.Add(-time.Second), to: end})
+}
+
+// lateCase is what happened before a request began.
+type lateCase struct {
+	news    time.Duration
+	subject string
+	calm    time.Duration
+	broken  bool
+}
+
+func TestRequestsToLeavingRunnersAreFound(t *testing.T) {
+	for name, test := range map[string]lateCase{
+		"late":                            {news: drainTime + 100*time.Millisecond, broken: true},
+		"in time":                         {news: drainTime - 100*time.Millisecond},
+		"gateway disturbed":               {news: 2 * drainTime, subject: testGateway, calm: contactTime - 100*time.Millisecond},
+		"gateway disturbed long ago":      {news: 2 * drainTime, subject: testGateway, calm: contactTime + 100*time.Millisecond, broken: true},
+		"other gateway disturbed":         {news: 2 * drainTime, subject: "gateway-1", broken: true},
+		"store disturbed":                 {news: 2 * drainTime, subject: storeForEach, calm: contactTime - 100*time.Millisecond},
+		"path to the runner disturbed":    {news: 2 * drainTime, subject: pathTo("e0")},
+		"path to other runners disturbed": {news: 2 * drainTime, subject: pathTo("e1"), broken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, runner := checked(t)
+			s.runners.leave(runner)
+			s.runners.leaves[runner.ID][0].from = time.Now().Add(-test.news)
+			s.disturbances.past(test.subject, test.calm)
+			send(t, runner)
+			s.checkNews()
+			expectBroken(t, s, test.broken, "leaving: 1 requests of gateway-0 at e0")
+		})
+	}
+}
+
+func TestRunsOnOlderWeightsAreFound(t *testing.T) {
+	for name, test := range map[string]lateCase{
+		"late":                       {news: versionTime + 100*time.Millisecond, broken: true},
+		"in time":                    {news: versionTime - 100*time.Millisecond},
+		"gateway disturbed":          {news: 2 * versionTime, subject: testGateway, calm: versionTime - 100*time.Millisecond},
+		"gateway disturbed long ago": {news: 2 * versionTime, subject: testGateway, calm: versionTime + 100*time.Millisecond, broken: true},
+		"other gateway disturbed":    {news: 2 * versionTime, subject: "gateway-1", broken: true},
+		"store disturbed":            {news: 2 * versionTime, subject: storeForEach, calm: versionTime - 100*time.Millisecond},
+		"path disturbed long ago":    {news: 2 * versionTime, subject: pathTo("e0"), calm: contactTime + 100*time.Millisecond, broken: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, runner := checked(t)
+			s.config.bump()
+			s.config.namedAt[0] = time.Now().Add(-test.news)
+			s.disturbances.past(test.subject, test.calm)
+			send(t, runner)
+			s.checkNews()
+			expectBroken(t, s, test.broken, "older weights: 1 requests of gateway-0 at e0")
+		})
+	}
+}
+
+// A second naming does not start the deadline of weights that the first had replaced anew.
+func TestTheFirstNamingCounts(t *testing.T) {
+	s, runner := checked(t)
+	s.config.bump()
+	s.config.bump()
+	s.config.namedAt[0] = time.Now().Add(-2 * versionTime)
+	send(t, runner)
+	s.checkNews()
+	expectBroken(t, s, true, "older weights: 1 requests of gateway-0 at e0")
+}
+
+func TestRunnersThatCameBackAreNotLeaving(t *testing.T) {
+	s, runner := checked(t)
+	s.runners.leave(runner)
+	s.runners.leaves[runner.ID][0].from = time.Now().Add(-2 * drainTime)
+	s.runners.list(runner)
+	object, _ := s.store.Get(platform.KindServers, runner.ID)
+	NewWithT(t).Expect(string(object.Spec)).To(ContainSubstring(`"draining"`))
+	s.runners.comeBack(runner)
+	send(t, runner)
+	s.checkNews()
+	expectBroken(t, s, false, "")
+}
+
+func expectBroken(t *testing.T, s *Soak, broken bool, text string) {
+	t.Helper()
+	g := NewWithT(t)
+	if !broken {
+		g.Expect(s.failures).To(BeEmpty())
+		return
+	}
+	g.Expect(s.failures).To(HaveLen(1))
+	g.Expect(s.failures[0]).To(HavePrefix(text))
+}
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -53,7 +53,7 @@
 		"listen": map[string]any{"front": p.addresses.Callers, "ready": p.addresses.Ready, "control": p.addresses.Peer},
 		"seeds":  p.seeds,
 		"bounds": map[string]any{
-			"contact_ms": 3000, "grace_s": graceTime.Seconds(), "revoke_ms": revokeTime.Milliseconds(),
+			"contact_ms": contactTime.Milliseconds(), "grace_s": graceTime.Seconds(), "revoke_ms": revokeTime.Milliseconds(),
 			"lease_ms": leaseTime.Milliseconds(), "version_ms": versionTime.Milliseconds(), "budget_ratio": 0.2,
 		},
 		"platform": map[string]any{"address": p.proxy.Address},
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -7,6 +7,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -32,6 +33,9 @@
 	// Folder takes settings files and logs.
 	Folder string
 	Out    io.Writer
+	// Gateways and Engines are how many there are; 0 stands for the usual number.
+	Gateways int
+	Engines  int
 }
 
 // Sizes of the deployment.
@@ -45,10 +49,15 @@
 
 // Bounds that the gateways are told and that the checks use.
 const (
-	revokeTime  = 5 * time.Second
-	leaseTime   = 3 * time.Second
-	versionTime = 8 * time.Second
-	graceTime   = 4 * time.Second
+	revokeTime = 5 * time.Second
+	leaseTime  = 3 * time.Second
+	// versionTime is short, so that weights are named several times in a run.
+	versionTime = 5 * time.Second
+	// contactTime is how long after a disturbance a gateway is not held to bounds.
+	contactTime = 3 * time.Second
+	// drainTime is after how long no request reaches a runner that leaves.
+	drainTime = 2 * time.Second
+	graceTime = 4 * time.Second
 	// settleTime is how long after the last fault everything must be well.
 	settleTime = 6 * time.Second
 )
@@ -62,8 +71,10 @@
 	runners   *fleet
 	config    *configuration
 	calls     *callLog
-	mutex     sync.Mutex
-	failures  []string
+	// disturbances are what the faults disturb.
+	disturbances *disturbances
+	mutex        sync.Mutex
+	failures     []string
 }
 
 // Report is the outcome of a run.
@@ -78,7 +89,7 @@
 func Run(ctx context.Context, settings Settings) (Report, error) {
 	s := &Soak{
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
-		store: storestand.New(), calls: newCallLog(),
+		store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
 	}
 	defer s.close()
 	if err := s.start(); err != nil {
@@ -97,6 +108,7 @@
 	group.Wait()
 	s.checkRuns()
 	s.checkOrders()
+	s.checkNews()
 	calls, served := s.calls.totals()
 	return Report{Calls: calls, Served: served, Faults: faults, Failures: s.failures}, ctx.Err()
 }
@@ -124,7 +136,7 @@
 			return err
 		}
 	}
-	for i := range engines {
+	for i := range cmp.Or(s.settings.Engines, engines) {
 		if err := s.runners.add(fmt.Sprintf("e%d", i), "engines"); err != nil {
 			return err
 		}
@@ -136,7 +148,7 @@
 func (s *Soak) startProcesses() error {
 	var addresses []processAddresses
 	var seeds []string
-	for range gateways {
+	for range cmp.Or(s.settings.Gateways, gateways) {
 		free := freeAddresses()
 		addresses = append(addresses, free)
 		if len(seeds) < 2 {
@@ -224,7 +236,7 @@
 func (s *Soak) checkRun(run runnerstand.Run) {
 	call, known := s.calls.find(run.Request)
 	if !known {
-		s.fail("unasked: %s ran and nobody sent it", run.Request)
+		s.fail("unasked: %s (%s) ran and nobody sent it", run.Request, run.Path)
 		return
 	}
 	if run.Path != call.path || run.Body != call.body {
