Runners of the soak let calls queue, too

Cause: a request that waits at a runner may begin after the deadline of its weights; the soak had no such runners. Change: two more behaviours of the stand-in are drawn, with 1.5 s in the queue.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -186,7 +186,7 @@
 func (s *Soak) runnerFault(time.Duration) (string, func()) {
 	behaviours := []runnerstand.Behaviour{
 		runnerstand.Fails, runnerstand.Sheds, runnerstand.Drops, runnerstand.BreaksOff, runnerstand.Hangs,
-		runnerstand.Crossed, runnerstand.Unstamped, runnerstand.Delays,
+		runnerstand.Crossed, runnerstand.Unstamped, runnerstand.Delays, runnerstand.Queues, runnerstand.QueuesAfterHead,
 	}
 	runner, behaviour := s.anyRunner(), behaviours[s.random.IntN(len(behaviours))]
 	runner.Behave(behaviour)
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -15,6 +15,10 @@
 // modelName is the model that the engines hold.
 const modelName = "m"
 
+// queueTime is how long calls queue at a runner that is told so: less than the time of a
+// call, so that those that are not withdrawn begin.
+const queueTime = 1500 * time.Millisecond
+
 // fleet is the runners, each behind a proxy.
 type fleet struct {
 	store   *storestand.Store
@@ -40,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	runner.Queue(queueTime)
 	proxy, err := faultproxy.Start(runner.Address)
 	if err != nil {
 		return err
