Soak: gateways that were started or thawed are held to older weights after 3 s

Cause: the time for which weights had been replaced was counted anew after a stop, start or freeze of the gateway, as after a disturbance of the store. It is counted on there: a gateway is not held to it for 3 s only. Change: what disturbs the process and what disturbs the store for it are recorded apart.

--- a/internal/lab/soak/disturbances.go
+++ b/internal/lab/soak/disturbances.go
@@ -9,6 +9,13 @@
 // each gateway.
 const storeForEach = "store"
 
+// storeOf is the subject of what disturbs the store, or the path to it, for one gateway
+// alone; what disturbs its process has the gateway's name.
+func storeOf(gateway string) string { return "store of " + gateway }
+
+// pathTo is the subject of what disturbs the path to the runner.
+func pathTo(runner string) string { return "path to " + runner }
+
 // span is a time in which something was disturbed.
 type span struct {
 	from time.Time
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -158,7 +158,7 @@
 
 func (s *Soak) storeForOne(time.Duration) (string, func()) {
 	p, fault := s.anyProcess(), s.storeFault()
-	calm := s.disturbances.begin(p.name)
+	calm := s.disturbances.begin(storeOf(p.name))
 	p.door.Set(fault)
 	return "store " + fault.String() + " for " + p.name, func() { p.door.Set(storestand.Healthy); calm() }
 }
@@ -170,7 +170,7 @@
 
 func (s *Soak) storePath(time.Duration) (string, func()) {
 	p, mode := s.anyProcess(), s.pathMode()
-	calm := s.disturbances.begin(p.name)
+	calm := s.disturbances.begin(storeOf(p.name))
 	p.proxy.Set(mode)
 	return "path to the store of " + p.name + ": " + mode.String(), func() { p.proxy.Set(faultproxy.Pass); calm() }
 }
--- a/internal/lab/soak/news.go
+++ b/internal/lab/soak/news.go
@@ -67,7 +67,7 @@
 	}
 	late := lateness{
 		what: "leaving", gateway: call.process, runner: runner, request: call.id, at: arrival.At, news: arrival.At.Sub(since),
-		calm: arrival.At.Sub(s.disturbances.last(arrival.At, storeForEach, call.process, pathTo(runner))),
+		calm: s.calm(arrival.At, storeForEach, storeOf(call.process), call.process, pathTo(runner)),
 	}
 	return late, late.news > drainTime && late.calm > contactTime
 }
@@ -82,8 +82,13 @@
 	}
 	late := lateness{
 		what: "older weights", gateway: call.process, runner: runner, request: call.id, at: run.Began, news: run.Began.Sub(named),
-		calm: run.Began.Sub(s.disturbances.last(run.Began, storeForEach, call.process)),
+		calm: s.calm(run.Began, call.process, pathTo(runner)),
 	}
-	pathSound := run.Began.Sub(s.disturbances.last(run.Began, pathTo(runner))) > contactTime
-	return late, min(late.news, late.calm) > versionTime && pathSound
+	counted := min(late.news, s.calm(run.Began, storeForEach, storeOf(call.process)))
+	return late, counted > versionTime && late.calm > contactTime
+}
+
+// calm returns for how long none of the subjects had been disturbed at the moment.
+func (s *Soak) calm(moment time.Time, subjects ...string) time.Duration {
+	return moment.Sub(s.disturbances.last(moment, subjects...))
 }
--- a/internal/lab/soak/news_test.go
+++ b/internal/lab/soak/news_test.go
@@ -66,6 +66,7 @@
 		"in time":                         {news: drainTime - 100*time.Millisecond},
 		"gateway disturbed":               {news: 2 * drainTime, subject: testGateway, calm: contactTime - 100*time.Millisecond},
 		"gateway disturbed long ago":      {news: 2 * drainTime, subject: testGateway, calm: contactTime + 100*time.Millisecond, broken: true},
+		"its store disturbed":             {news: 2 * drainTime, subject: storeOf(testGateway), calm: contactTime - 100*time.Millisecond},
 		"other gateway disturbed":         {news: 2 * drainTime, subject: "gateway-1", broken: true},
 		"store disturbed":                 {news: 2 * drainTime, subject: storeForEach, calm: contactTime - 100*time.Millisecond},
 		"path to the runner disturbed":    {news: 2 * drainTime, subject: pathTo("e0")},
@@ -88,10 +89,12 @@
 	for name, test := range map[string]lateCase{
 		"late":                       {news: versionTime + 100*time.Millisecond, broken: true},
 		"in time":                    {news: versionTime - 100*time.Millisecond},
-		"gateway disturbed":          {news: 2 * versionTime, subject: testGateway, calm: versionTime - 100*time.Millisecond},
-		"gateway disturbed long ago": {news: 2 * versionTime, subject: testGateway, calm: versionTime + 100*time.Millisecond, broken: true},
+		"gateway disturbed":          {news: 2 * versionTime, subject: testGateway, calm: contactTime - 100*time.Millisecond},
+		"gateway disturbed long ago": {news: 2 * versionTime, subject: testGateway, calm: contactTime + 100*time.Millisecond, broken: true},
 		"other gateway disturbed":    {news: 2 * versionTime, subject: "gateway-1", broken: true},
+		"its store disturbed":        {news: 2 * versionTime, subject: storeOf(testGateway), calm: versionTime - 100*time.Millisecond},
 		"store disturbed":            {news: 2 * versionTime, subject: storeForEach, calm: versionTime - 100*time.Millisecond},
+		"store disturbed long ago":   {news: 2 * versionTime, subject: storeForEach, calm: versionTime + 100*time.Millisecond, broken: true},
 		"path disturbed long ago":    {news: 2 * versionTime, subject: pathTo("e0"), calm: contactTime + 100*time.Millisecond, broken: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lab/soak/silences.go
+++ b/internal/lab/soak/silences.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -101,6 +100,3 @@
 		p.door.LoseWatches(kind)
 	}
 }
-
-// pathTo is the subject of what disturbs the path to the runner.
-func pathTo(runner string) string { return fmt.Sprintf("path to %s", runner) }
