--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -8,9 +8,7 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -74,26 +72,6 @@
 	Peer func(address string) *Runner
 }
 
-// Run is one call that the runner ran.
-type Run struct {
-	Request string
-	Header  http.Header
-	Path    string
-	Body    string
-	// Version is that of the weights at the moment at which it began.
-	Version uint64
-	// Began is when the runner began to work on it.
-	Began time.Time
-	// Ended is closed when the runner stopped working on it.
-	Ended chan struct{}
-}
-
-// Arrival is one call that reached the runner, run or not.
-type Arrival struct {
-	Request string
-	At      time.Time
-}
-
 // Runner is the stand-in.
 type Runner struct {
 	Config
@@ -125,20 +103,6 @@
 	reportTime time.Duration
 }
 
-// Order is an order that the runner saw.
-type Order struct {
-	Op       string `json:"op"`
-	Model    string `json:"model"`
-	Version  uint64 `json:"version"`
-	Mode     string `json:"mode"`
-	Holder   string `json:"holder"`
-	Fence    uint64 `json:"fence"`
-	Expected uint64 `json:"expected_rev"`
-	// Status is what the runner answered, and At when.
-	Status int       `json:"-"`
-	At     time.Time `json:"-"`
-}
-
 // Start serves a runner at a free loopback address.
 func Start(config Config) (*Runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -185,47 +149,12 @@
 	r.behaviour, r.once = behaviour, once
 }
 
-// Runs returns the calls that were run.
-func (r *Runner) Runs() []Run {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return append([]Run(nil), r.runs...)
-}
-
-// Arrivals returns how many calls arrived, run or not.
-func (r *Runner) Arrivals() int {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return len(r.arrivals)
-}
-
-// ArrivalLog returns the calls that arrived, run or not.
-func (r *Runner) ArrivalLog() []Arrival {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return slices.Clone(r.arrivals)
-}
-
-// Continued returns the runs that went on here from a copy.
-func (r *Runner) Continued() []string {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return append([]string(nil), r.continued...)
-}
-
 func (r *Runner) holdCopy(request string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.copies[request] = true
 }
 
-// Orders returns the orders seen.
-func (r *Runner) Orders() []Order {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return append([]Order(nil), r.orders...)
-}
-
 // Version returns the version of the weights.
 func (r *Runner) Version() uint64 {
 	r.mutex.Lock()
@@ -375,52 +304,3 @@
 	}
 	r.whole(writer, behaviour, run)
 }
-
-func (r *Runner) whole(writer http.ResponseWriter, behaviour Behaviour, run Run) {
-	text := "answer to " + run.Request
-	writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	if behaviour == BreaksOff {
-		fmt.Fprint(writer, text[:4])
-		_ = http.NewResponseController(writer).Flush()
-		panic(http.ErrAbortHandler)
-	}
-	fmt.Fprint(writer, text)
-}
-
-// stream sends events after the one that the caller has; BreaksOff ends it in
-// the middle of the second event it sends.
-func (r *Runner) stream(writer http.ResponseWriter, request *http.Request, behaviour Behaviour) {
-	if backup := request.Header.Get(platform.HeaderBackup); backup != "" && r.Peer != nil {
-		if peer := r.Peer(backup); peer != nil {
-			peer.holdCopy(request.Header.Get(platform.HeaderRequestID))
-		}
-	}
-	first, _ := strconv.Atoi(request.Header.Get(platform.HeaderLastEvent))
-	writer.Header().Set("Content-Type", "text/event-stream")
-	control := http.NewResponseController(writer)
-	for id := first + 1; id <= r.Events; id++ {
-		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
-		if behaviour == BreaksOff && id == first+2 {
-			fmt.Fprint(writer, strings.TrimSuffix(event, "iece "+strconv.Itoa(id)+"\n\n"))
-			_ = control.Flush()
-			panic(http.ErrAbortHandler)
-		}
-		fmt.Fprint(writer, event)
-		if control.Flush() != nil {
-			return
-		}
-		switch behaviour {
-		case Dies:
-			r.Close()
-			panic(http.ErrAbortHandler)
-		case FallsSilent:
-			r.listener.Close()
-			<-request.Context().Done()
-			return
-		case Pauses:
-			if id == first+1 {
-				r.pause(request)
-			}
-		}
-	}
-}
