Soak: a leave is ended only by the fault that began it

Cause: a fault that found its runner leaving already ended that leave with its own time, so that some were too short to be judged. Change: what ends a leave is returned by what begins it.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -68,7 +68,7 @@
 	for _, runner := range s.runners.all() {
 		runner.Behave(runnerstand.Well)
 		s.runners.proxy(runner.ID).Set(faultproxy.Pass)
-		s.runners.comeBack(runner)
+		s.runners.list(runner)
 	}
 }
 
@@ -195,10 +195,10 @@
 
 func (s *Soak) drain(time.Duration) (string, func()) {
 	runner := s.anyRunner()
-	s.runners.leave(runner)
+	comeBack := s.runners.leave(runner)
 	return "drain " + runner.ID, func() {
 		time.Sleep(leaveLeast)
-		s.runners.comeBack(runner)
+		comeBack()
 	}
 }
 
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -65,8 +65,8 @@
 }
 
 // leave has the runner say that it leaves, unless it does already or half of its service
-// would be gone.
-func (f *fleet) leave(runner *runnerstand.Runner) {
+// would be gone. It returns what ends this leave, so that no other fault shortens it.
+func (f *fleet) leave(runner *runnerstand.Runner) (comeBack func()) {
 	f.listing.Lock()
 	defer f.listing.Unlock()
 	fellows := f.ofService(runner.Service)
@@ -77,20 +77,19 @@
 		}
 	}
 	if f.isLeaving(runner.ID) || 2*(gone+1) > len(fellows) {
-		return
+		return func() {}
 	}
 	f.leaves[runner.ID] = append(f.leaves[runner.ID], span{})
 	f.write(runner)
 	f.leaves[runner.ID][len(f.leaves[runner.ID])-1].from = time.Now()
+	return func() { f.comeBack(runner) }
 }
 
-// comeBack has the runner take work again.
+// comeBack has a runner that leaves take work again.
 func (f *fleet) comeBack(runner *runnerstand.Runner) {
 	f.listing.Lock()
 	defer f.listing.Unlock()
-	if f.isLeaving(runner.ID) {
-		f.leaves[runner.ID][len(f.leaves[runner.ID])-1].to = time.Now()
-	}
+	f.leaves[runner.ID][len(f.leaves[runner.ID])-1].to = time.Now()
 	f.write(runner)
 }
 
--- a/internal/lab/soak/news_test.go
+++ b/internal/lab/soak/news_test.go
@@ -123,12 +123,13 @@
 
 func TestRunnersThatCameBackAreNotLeaving(t *testing.T) {
 	s, runner := checked(t)
-	s.runners.leave(runner)
+	comeBack := s.runners.leave(runner)
 	s.runners.leaves[runner.ID][0].from = time.Now().Add(-2 * drainTime)
 	s.runners.list(runner)
+	s.runners.leave(runner)()
 	object, _ := s.store.Get(platform.KindServers, runner.ID)
 	NewWithT(t).Expect(string(object.Spec)).To(ContainSubstring(`"draining"`))
-	s.runners.comeBack(runner)
+	comeBack()
 	send(t, runner)
 	s.checkNews()
 	expectBroken(t, s, false, "")
--- a/internal/lab/soak/silences.go
+++ b/internal/lab/soak/silences.go
@@ -70,9 +70,9 @@
 	runner := s.anyRunner()
 	news := []step{
 		{name: "runner " + runner.ID + " leaves", do: func() {
-			s.runners.leave(runner)
+			comeBack := s.runners.leave(runner)
 			time.Sleep(leaveLeast)
-			s.runners.comeBack(runner)
+			comeBack()
 		}},
 		{name: "new weights", do: s.config.bump},
 	}
