Proofs between routers are a file of their own; one checkpoint a revision

Last reading: what proves copies by checkpoints and by other routers' word stands in copyproofs.go (moves). A checkpoint of the same revision replaces the one before, so the 16 kept are of 16 revisions. What a told bound adds is a method, ending a watch too.

--- a/internal/gateway/checkpoints.go
+++ b/internal/gateway/checkpoints.go
@@ -13,11 +13,12 @@
 	at       time.Time
 }
 
-// keptCheckpoints is how many are kept: with up to five answers a second those of three
-// seconds, which is longer than lost watches keep news away.
+// keptCheckpoints is how many revisions are kept: with up to five changes a second those of
+// three seconds, which is longer than lost watches keep news away.
 const keptCheckpoints = 16
 
-// checkpoints holds the latest ones. It is safe for concurrent use.
+// checkpoints holds those of the latest revisions, each with the last moment at which it was
+// the newest. It is safe for concurrent use.
 type checkpoints struct {
 	mutex sync.Mutex
 	kept  []checkpoint
@@ -26,6 +27,10 @@
 func (c *checkpoints) note(known checkpoint) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if last := len(c.kept) - 1; last >= 0 && c.kept[last].revision == known.revision {
+		c.kept[last].at = later(c.kept[last].at, known.at)
+		return
+	}
 	if len(c.kept) == keptCheckpoints {
 		c.kept = append(c.kept[:0], c.kept[1:]...)
 	}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -87,17 +87,6 @@
 	return c.stores[kind].Revision()
 }
 
-// check proves the copy by the checkpoint, or returns false when it is not complete so far.
-func (c *copies) check(kind ObjectKind, known checkpoint) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.stores[kind].Revision() < known.revision {
-		return false
-	}
-	c.prove(kind, known.at)
-	return true
-}
-
 // since returns the changes after the revision.
 func (c *copies) since(kind ObjectKind, revision uint64) config.Delta {
 	c.mutex.Lock()
--- /dev/null
+++ b/internal/gateway/copyproofs.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// check proves the copy by the checkpoint, or returns false when it is not complete so far.
+func (c *copies) check(kind ObjectKind, known checkpoint) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.stores[kind].Revision() < known.revision {
+		return false
+	}
+	c.prove(kind, known.at)
+	return true
+}
+
+// behind tells whether the copy of runners or weights may be older than the limit.
+func (c *copies) behind(now time.Time, limit time.Duration) bool {
+	for _, kind := range provenApart {
+		if age, known := c.age(now, kind); known && age > limit {
+			return true
+		}
+	}
+	return false
+}
+
+// proofs tells how old the copies of runners and weights may be. Each age is read before
+// the revision, which so is at least what the proof covers.
+func (c *copies) proofs() []*wire.CopyProof {
+	var proofs []*wire.CopyProof
+	for _, kind := range provenApart {
+		age, known := c.age(time.Now(), kind)
+		if !known {
+			continue
+		}
+		proofs = append(proofs, &wire.CopyProof{Kind: uint32(kind), AgeMillis: uint64(max(age.Milliseconds(), 0)) + 1, Revision: c.revision(kind)})
+	}
+	return proofs
+}
+
+// recent tells whether the answer's proofs are at most so old: the configuration's, and
+// with some slack those of runners and weights.
+func recent(answer *wire.CopyAnswer, oldest time.Duration) bool {
+	for _, told := range answer.GetProofs() {
+		if time.Duration(told.GetAgeMillis())*time.Millisecond > oldest+copySlack {
+			return false
+		}
+	}
+	return time.Duration(answer.GetProofAgeMillis())*time.Millisecond <= oldest
+}
+
+// checkProofs takes another router's word on how old its copies may be. A version of the
+// router that does not tell takes them to be as old as the configuration; that is believed
+// of copies that are complete up to the newest revision that this router knows of.
+func (r *relays) checkProofs(answer *wire.CopyAnswer, sent time.Time, configAge time.Duration) {
+	copies := r.gateway.copies
+	if answer.GetStoreRevision() > 0 {
+		copies.checkpoints.note(checkpoint{revision: answer.GetStoreRevision(), at: sent.Add(-time.Duration(answer.GetStoreAgeMillis()) * time.Millisecond)})
+	}
+	if !answer.GetTellsProofs() {
+		newest, _ := copies.checkpoints.newest()
+		for _, kind := range provenApart {
+			copies.check(kind, checkpoint{revision: newest.revision, at: sent.Add(-configAge)})
+		}
+		return
+	}
+	for _, told := range answer.GetProofs() {
+		kind := ObjectKind(told.GetKind())
+		if int(kind) < len(objectKinds) && kind != ConfigObjects {
+			copies.check(kind, checkpoint{revision: told.GetRevision(), at: sent.Add(-time.Duration(told.GetAgeMillis()) * time.Millisecond)})
+		}
+	}
+}
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -184,17 +184,6 @@
 	return recent(answer, oldest)
 }
 
-// recent tells whether the answer's proofs are at most so old: the configuration's, and
-// with some slack those of runners and weights.
-func recent(answer *wire.CopyAnswer, oldest time.Duration) bool {
-	for _, told := range answer.GetProofs() {
-		if time.Duration(told.GetAgeMillis())*time.Millisecond > oldest+copySlack {
-			return false
-		}
-	}
-	return time.Duration(answer.GetProofAgeMillis())*time.Millisecond <= oldest
-}
-
 // refer takes another router's word on whom to ask. The mutex is held.
 func (r *relays) refer(from, to string) {
 	if to == "" || to == r.chooser.Referred() || r.chooser.IsSeed() {
@@ -298,29 +287,6 @@
 	}
 }
 
-// checkProofs takes another router's word on how old its copies may be. A version of the
-// router that does not tell takes them to be as old as the configuration; that is believed
-// of copies that are complete up to the newest revision that this router knows of.
-func (r *relays) checkProofs(answer *wire.CopyAnswer, sent time.Time, configAge time.Duration) {
-	copies := r.gateway.copies
-	if answer.GetStoreRevision() > 0 {
-		copies.checkpoints.note(checkpoint{revision: answer.GetStoreRevision(), at: sent.Add(-time.Duration(answer.GetStoreAgeMillis()) * time.Millisecond)})
-	}
-	if !answer.GetTellsProofs() {
-		newest, _ := copies.checkpoints.newest()
-		for _, kind := range provenApart {
-			copies.check(kind, checkpoint{revision: newest.revision, at: sent.Add(-configAge)})
-		}
-		return
-	}
-	for _, told := range answer.GetProofs() {
-		kind := ObjectKind(told.GetKind())
-		if int(kind) < len(objectKinds) && kind != ConfigObjects {
-			copies.check(kind, checkpoint{revision: told.GetRevision(), at: sent.Add(-time.Duration(told.GetAgeMillis()) * time.Millisecond)})
-		}
-	}
-}
-
 func (r *relays) askAgain() {
 	select {
 	case r.behind <- struct{}{}:
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -158,16 +158,6 @@
 	return !isSeed || current == nil || time.Since(current.provenAt) > proofAge || r.gateway.copies.behind(time.Now(), proofAge+copySlack)
 }
 
-// behind tells whether the copy of runners or weights may be older than the limit.
-func (c *copies) behind(now time.Time, limit time.Duration) bool {
-	for _, kind := range provenApart {
-		if age, known := c.age(now, kind); known && age > limit {
-			return true
-		}
-	}
-	return false
-}
-
 // alone tells whether this router has no others to learn from.
 func (r *relays) alone() bool {
 	r.mutex.Lock()
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -97,20 +97,6 @@
 	return answer
 }
 
-// proofs tells how old the copies of runners and weights may be. Each age is read before
-// the revision, which so is at least what the proof covers.
-func (c *copies) proofs() []*wire.CopyProof {
-	var proofs []*wire.CopyProof
-	for _, kind := range provenApart {
-		age, known := c.age(time.Now(), kind)
-		if !known {
-			continue
-		}
-		proofs = append(proofs, &wire.CopyProof{Kind: uint32(kind), AgeMillis: uint64(max(age.Milliseconds(), 0)) + 1, Revision: c.revision(kind)})
-	}
-	return proofs
-}
-
 // follows is a router that pulls from this one.
 type follows struct {
 	// until is when changes are no longer pushed to it, unless it pulls again.
--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -18,7 +18,7 @@
 // While nothing in the store changes it costs no call, else one a kind each 0.9 s.
 
 // newsSlack is how much longer than the pause after a change the news of the next one may
-// take on a sound watch: 2 to 57 ms were measured.
+// take on a sound watch: 2 to 95 ms were measured.
 const newsSlack = 130 * time.Millisecond
 
 // errRenewed means that a watch was ended as another one is to be made in its place.
@@ -75,20 +75,25 @@
 	g := f.gateway
 	revision := g.copies.revision(f.kind)
 	answer := f.askBeside(revision)
-	if answer.err == nil {
-		f.take(revision, regainWait, answer)
-		f.renewing.Store(false)
-		g.metrics.renewals.WithLabelValues(f.kind.String(), renewalOutcome(len(answer.objects) > 0)).Inc()
-	}
-	if answer.err == nil && len(answer.objects) == 0 {
+	if answer.err != nil {
+		// The next watch of the follower is short too, until one is answered.
+		f.endWatch()
 		return
 	}
+	f.take(revision, regainWait, answer)
+	f.renewing.Store(false)
+	g.metrics.renewals.WithLabelValues(f.kind.String(), renewalOutcome(len(answer.objects) > 0)).Inc()
+	if len(answer.objects) > 0 {
+		f.endWatch()
+		g.log.Log(events.WatchRenewed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": g.copies.revision(f.kind)})
+	}
+}
+
+// endWatch ends the watch that waits, if there is one.
+func (f *follower) endWatch() {
 	if interrupt := f.interrupt.Load(); interrupt != nil {
 		(*interrupt)(errRenewed)
 	}
-	if answer.err == nil {
-		g.log.Log(events.WatchRenewed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": g.copies.revision(f.kind)})
-	}
 }
 
 func (f *follower) askBeside(revision uint64) storeAnswer {
--- a/internal/gateway/weightbounds.go
+++ b/internal/gateway/weightbounds.go
@@ -13,6 +13,14 @@
 	news    weightNews
 }
 
+// improvedBy tells whether another router's word adds to what is known.
+func (n namedNews) improvedBy(told toldBound) bool {
+	if told.version != n.version {
+		return false
+	}
+	return told.before.After(n.news.before) || (n.news.blind() && !n.news.told)
+}
+
 // toldBound is another router's word on when a version was not named yet.
 type toldBound struct {
 	version uint64
@@ -83,10 +91,7 @@
 	}
 	g.bounds.told[model] = told
 	named := g.bounds.named[model]
-	if named.version != told.version || (named.news.told && !told.before.After(named.news.before)) {
-		return
-	}
-	if !named.news.blind() && !told.before.After(named.news.before) {
+	if !named.improvedBy(told) {
 		return
 	}
 	named.news = g.bounds.complete(model, told.version, named.news)
