Test: most refusals without keepers are quick, not just the last one

TestRoutersWithoutKeepersSpendAPart measured the last refusal only. Now nine refusals of ten have to come within 100 ms.

--- a/internal/gateway/quotas_test.go
+++ b/internal/gateway/quotas_test.go
@@ -109,7 +109,13 @@
 	f.g.Expect(served).To(BeNumerically("<=", 0.6*rate*length), "two of five routers")
 	f.g.Expect(refused).NotTo(BeEmpty())
 	f.g.Expect(refused[len(refused)-1].status).To(Equal(http.StatusServiceUnavailable), "nobody knows whether the limit is reached")
-	f.g.Expect(refused[len(refused)-1].after).To(BeNumerically("<", 100*time.Millisecond), "nobody waits for lost keepers")
+	var waited int
+	for _, refusal := range refused {
+		if refusal.after >= 100*time.Millisecond {
+			waited++
+		}
+	}
+	f.g.Expect(waited).To(BeNumerically("<=", len(refused)/10), "nobody waits for lost keepers, but for one call in 0.3 s that looks whether they are back")
 }
 
 func TestLoweredLimitBindsAndARaisedOneServes(t *testing.T) {
