Idle connections to a runner that may have fallen silent are not used

Cause: only calls to the store and to routers noticed that a connection answers nothing; a request of a caller was sent on the next kept connection, as silent as the last, and waited there until its deadline.

A request on a kept connection that has no answer after 1 s closes the connections to that runner that have been idle since before it; those that answered later stay. Requests under way are left alone: silence alone does not show whether the runner works on them.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,7 +132,8 @@
 	}
 	g.runners.SetRolloutTime(time.Duration(rolloutShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
-	ports.RunnerPool.Opened = g.metrics.connections.Inc
+	ports.RunnerPool.Opened, ports.RunnerPool.Silent = g.metrics.connections.Inc, g.metrics.silentConnections.Inc
+	ports.RunnerPool.SilentAfter = runnerSilence
 	g.quotas, g.schedulers = newQuotas(g), newSchedulers(g)
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,8 @@
 	placements     *prometheus.CounterVec
 	promptTokens   *prometheus.CounterVec
 	connections    prometheus.Counter
+	// silentConnections counts kept connections to runners that were closed unused.
+	silentConnections prometheus.Counter
 
 	storeCalls    *prometheus.HistogramVec
 	storeFailures *prometheus.CounterVec
@@ -71,6 +73,9 @@
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runner_connections_total", Help: "Connections opened to runners.",
 		}),
+		silentConnections: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "runner_connections_silent_total", Help: "Kept connections to runners closed since a request on another one had no answer.",
+		}),
 		storeCalls:    seconds("store_call_seconds", "Calls to the store, watches with their waits.", "kind", "call"),
 		storeFailures: counters("store_failures_total", "Calls to the store that failed, by kind of object.", "kind"),
 		renewals:      counters("watch_renewals_total", "Watches that were behind and made anew, by whether the next one brought changes.", "kind", "outcome"),
@@ -90,7 +95,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections,
+		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections, m.silentConnections,
 		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -18,6 +18,12 @@
 // computes: 0.05 to 0.5 by the links and speeds of the deployments seen, near and far.
 const fetchCost = 0.25
 
+// runnerSilence is how long a request on a kept connection to a runner may have no answer
+// before older idle connections to it are not used any more. Prompts on sound runners of the
+// deployments seen begin to be answered within 0.3 to 0.8 s; a shorter time would close
+// connections of runners that are merely busy, which costs a new one for each.
+const runnerSilence = time.Second
+
 // placementWeights are the weights of all choices of a runner.
 var placementWeights = placement.Weights{Hit: 1, Fetch: fetchCost}
 
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -72,6 +72,8 @@
 		return nil, errors.Join(ErrNotSent, ErrNotConfirmed)
 	}
 	release := context.AfterFunc(ctx, func() { c.Close() })
+	answered := p.watchAnswer(c)
+	defer answered()
 	written := make(chan error, 1)
 	if err := c.write(request, written); err != nil {
 		release()
@@ -183,7 +185,8 @@
 		b.conn.Close()
 		return
 	}
-	b.conn.keepUntil = time.Now().Add(idleTime(b.answer.Header.Get("Keep-Alive")))
+	b.conn.idleSince = time.Now()
+	b.conn.keepUntil = b.conn.idleSince.Add(idleTime(b.answer.Header.Get("Keep-Alive")))
 	b.pool.put(b.conn)
 }
 
--- a/internal/httpconn/exchange_test.go
+++ b/internal/httpconn/exchange_test.go
@@ -275,3 +275,85 @@
 	pool.Sweep(time.Now().Add(time.Millisecond))
 	g.Expect(pool.take(address)).To(BeNil())
 }
+
+// keepConnections leaves so many idle connections to a server that answers each first
+// request, and no other.
+func keepConnections(g *WithT, pool *Pool, address string, count int) {
+	var open []*Response
+	for range count {
+		response, err := pool.Send(context.Background(), address, get())
+		g.Expect(err).NotTo(HaveOccurred())
+		open = append(open, response)
+	}
+	for _, response := range open {
+		_, _, err := response.Body.ReadAll(1 << 20)
+		g.Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+	}
+}
+
+// sendUnanswered sends a request that waits in vain, until the test ends.
+func sendUnanswered(t *testing.T, pool *Pool, address string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go pool.Send(ctx, address, get())
+}
+
+func (p *Pool) idleCount(address string) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle[address])
+}
+
+const briefSilence = 50 * time.Millisecond
+
+func TestConnectionsBesideASilentOneAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, func(_ int, reader *bufio.Reader, conn net.Conn) {
+		answerWith(whole)(0, reader, conn)
+		io.Copy(io.Discard, reader)
+	})
+	pool := NewPool(time.Second)
+	pool.SilentAfter = briefSilence
+	closed := make(chan struct{}, 10)
+	pool.Silent = func() { closed <- struct{}{} }
+	keepConnections(g, pool, address, 4)
+	sendUnanswered(t, pool, address)
+	g.Eventually(func() int { return len(closed) }, 5*time.Second).Should(Equal(3))
+	g.Expect(pool.idleCount(address)).To(BeZero())
+	body, err := readAll(g, pool, address, get())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).To(Equal("ok"), "on a new connection")
+}
+
+func TestConnectionsThatAnsweredLaterAreKept(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, answerWith(whole, whole))
+	pool := NewPool(time.Second)
+	keepConnections(g, pool, address, 2)
+	moment := time.Now()
+	_, err := readAll(g, pool, address, get())
+	g.Expect(err).NotTo(HaveOccurred())
+	pool.closeIdleSince(address, moment)
+	g.Expect(pool.idleCount(address)).To(Equal(1))
+}
+
+// A request that is answered in time, and one on a new connection, say nothing of others.
+func TestConnectionsBesideSoundOnesAreKept(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := serve(t, func(connection int, reader *bufio.Reader, conn net.Conn) {
+		if connection < 3 {
+			answerWith(whole, whole)(connection, reader, conn)
+		}
+		io.Copy(io.Discard, reader)
+	})
+	pool := NewPool(time.Second)
+	pool.SilentAfter = briefSilence
+	keepConnections(g, pool, address, 3)
+	_, err := readAll(g, pool, address, get())
+	g.Expect(err).NotTo(HaveOccurred())
+	onNew := get()
+	onNew.FreshConnection = true
+	go pool.Send(t.Context(), address, onNew)
+	g.Consistently(func() int { return pool.idleCount(address) }, 4*briefSilence, briefSilence/5).Should(Equal(3))
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -45,6 +45,12 @@
 	idle  map[string][]*conn
 	// Opened is told of each new connection; it may be nil.
 	Opened func()
+	// SilentAfter is how long a request on a kept connection may have no answer before the
+	// connections to that server that have been idle for longer are closed; 0 leaves them.
+	// What silenced the one may have silenced all, and each would cost a request.
+	SilentAfter time.Duration
+	// Silent is told of each of them; it may be nil.
+	Silent func()
 }
 
 // conn is one connection, owned by one exchange at a time.
@@ -54,6 +60,8 @@
 	reader  *bufio.Reader
 	// keepUntil is when the server may close the idle connection.
 	keepUntil time.Time
+	// idleSince is when its last answer ended, zero before the first.
+	idleSince time.Time
 }
 
 // NewPool returns an empty pool.
@@ -129,6 +137,37 @@
 	delete(p.idle, address)
 }
 
+// watchAnswer begins to watch for the answer to a request that is about to be written.
+// The returned function ends that.
+func (p *Pool) watchAnswer(c *conn) (answered func()) {
+	if p.SilentAfter == 0 || c.idleSince.IsZero() {
+		// On a new connection silence is the server's.
+		return func() {}
+	}
+	sent := time.Now()
+	timer := time.AfterFunc(p.SilentAfter, func() { p.closeIdleSince(c.address, sent) })
+	return func() { timer.Stop() }
+}
+
+// closeIdleSince closes the connections to the address that have been idle since before the
+// moment: those that brought answers later are sound.
+func (p *Pool) closeIdleSince(address string, moment time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var kept []*conn
+	for _, c := range p.idle[address] {
+		if !c.idleSince.Before(moment) {
+			kept = append(kept, c)
+			continue
+		}
+		c.Close()
+		if p.Silent != nil {
+			p.Silent()
+		}
+	}
+	p.idle[address] = kept
+}
+
 // Sweep closes idle connections whose time is over and forgets their addresses.
 func (p *Pool) Sweep(now time.Time) {
 	p.mutex.Lock()
