Test that fails: silence between routers warns of connections to runners

All connections of a router fall silent, sixteen to a runner among them; calls follow each 50 ms. The first 17 wait until their deadlines, though the connection to the other router is replaced after 0.22 s.

--- a/internal/gateway/runnersilence_test.go
+++ b/internal/gateway/runnersilence_test.go
@@ -8,7 +8,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -27,21 +29,60 @@
 	)
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
-	runner := f.runner("p1", "plain")
+	runner, path := f.runnerBehindProxy("p1")
+	r := f.servingRouter("r1", nil)
+	f.keepConnections(r, runner, kept)
+	path.Set(faultproxy.Mute)
+	answers := callAtOnce(r, 3*kept, interval)
+	f.g.Expect(answers[int(noticed/interval):]).To(HaveEach(http.StatusOK), "%v", answers)
+}
+
+// Connections of the whole machine went silent at once. Those to other routers are asked
+// all the time and show it first.
+func TestSilentConnectionsToRoutersWarnOfThoseToRunners(t *testing.T) {
+	t.Parallel()
+	const (
+		kept     = 16
+		interval = 50 * time.Millisecond
+		// noticed is within which a call to another router has shown the silence, and a
+		// new connection to it that the router itself is well.
+		noticed = 600 * time.Millisecond
+	)
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner, toRunner := f.runnerBehindProxy("p1")
+	seed := f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress = loopback.FreeAddress()
+		settings.Seeds = []string{settings.PeerAddress}
+	})
+	toSeed, err := faultproxy.Start(seed.seeds[0])
+	f.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(toSeed.Close)
+	r := f.servingRouter("r1", f.asFollower([]string{toSeed.Address}))
+	f.keepConnections(r, runner, kept)
+	toSeed.Set(faultproxy.Mute)
+	toRunner.Set(faultproxy.Mute)
+	answers := callAtOnce(r, int(2*noticed/interval), interval)
+	f.g.Expect(answers[int(noticed/interval):]).To(HaveEach(http.StatusOK), "%v", answers)
+}
+
+// runnerBehindProxy starts a runner that is listed with the address of a proxy.
+func (f *fleet) runnerBehindProxy(id string) (*runnerstand.Runner, *faultproxy.Proxy) {
+	runner := f.runner(id, "plain")
 	path, err := faultproxy.Start(runner.Address)
 	f.g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(path.Close)
+	f.t.Cleanup(path.Close)
 	entry := runner.Entry("ready")
 	entry["address"] = path.Address
-	f.store.Put(platform.KindServers, "p1", entry)
-	r := f.servingRouter("r1", nil)
+	f.store.Put(platform.KindServers, id, entry)
+	return runner, path
+}
+
+// keepConnections leaves the router so many idle connections to the runner.
+func (f *fleet) keepConnections(r *router, runner *runnerstand.Runner, count int) {
 	runner.Behave(runnerstand.Delays)
-	answers := callAtOnce(r, kept, 0)
-	f.g.Expect(answers).To(HaveEach(http.StatusOK))
+	f.g.Expect(callAtOnce(r, count, 0)).To(HaveEach(http.StatusOK))
 	runner.Behave(runnerstand.Well)
-	path.Set(faultproxy.Mute)
-	answers = callAtOnce(r, 3*kept, interval)
-	f.g.Expect(answers[int(noticed/interval):]).To(HaveEach(http.StatusOK), "%v", answers)
 }
 
 // callAtOnce makes so many calls with pauses between their beginnings and returns how they
