Lost connections between routers warn of idle ones to runners

A connection between routers that fell silent, and whose successor is answered within 0.22 s, was lost: its router was well. Whatever took it may have taken the idle connections to runners with it; those that have brought nothing since are closed (827). A router that stood still is told apart: its next connection is answered late, and the ones after it are too young.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -81,6 +81,7 @@
 	SourceChanged      = define(824, logrus.InfoLevel, "objects are read from the store, or from another router")
 	RelayChanged       = define(825, logrus.InfoLevel, "changes are asked of another router of the zone")
 	WatchRenewed       = define(826, logrus.WarnLevel, "watch of the store was behind; made anew it brought changes")
+	ConnectionsLost    = define(827, logrus.WarnLevel, "connection to another router was lost; idle ones to runners are closed")
 	RunnerAdded        = define(830, logrus.InfoLevel, "runner added")
 	RunnerChanged      = define(831, logrus.InfoLevel, "runner changed state")
 	RunnerRemoved      = define(832, logrus.InfoLevel, "runner removed")
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -92,9 +92,18 @@
 	}
 	identity := wire.Identity{Node: r.gateway.settings.Node, Incarnation: uint64(r.gateway.started.UnixMilli())}
 	r.transport = wire.NewTransport(identity, listener, r.handle)
+	r.transport.OnLostConnection(r.connectionsLost)
 	return nil
 }
 
+// connectionsLost takes the news that a connection to another router was silent since the
+// moment though that router is well. What silenced it may have silenced the idle ones to
+// runners, each of which would cost a caller's request.
+func (r *relays) connectionsLost(since time.Time) {
+	closed := r.gateway.ports.RunnerPool.CloseIdleSince(since)
+	r.gateway.log.Log(events.ConnectionsLost, events.Fields{"silent_ms": time.Since(since).Milliseconds(), "closed": closed})
+}
+
 func (r *relays) close() {
 	if r.transport != nil {
 		r.transport.Close()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -149,11 +149,27 @@
 	return func() { timer.Stop() }
 }
 
-// closeIdleSince closes the connections to the address that have been idle since before the
-// moment: those that brought answers later are sound.
+// CloseIdleSince closes all connections that have been idle since before the moment, as they
+// may have been lost then, and returns how many there were.
+func (p *Pool) CloseIdleSince(moment time.Time) (closed int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address := range p.idle {
+		closed += p.closeIdle(address, moment)
+	}
+	return closed
+}
+
+// closeIdleSince does the same for one address.
 func (p *Pool) closeIdleSince(address string, moment time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.closeIdle(address, moment)
+}
+
+// closeIdle closes connections to the address that brought their last answer before the
+// moment; those that brought one later are sound. The mutex is held.
+func (p *Pool) closeIdle(address string, moment time.Time) (closed int) {
 	var kept []*conn
 	for _, c := range p.idle[address] {
 		if !c.idleSince.Before(moment) {
@@ -161,11 +177,13 @@
 			continue
 		}
 		c.Close()
+		closed++
 		if p.Silent != nil {
 			p.Silent()
 		}
 	}
 	p.idle[address] = kept
+	return closed
 }
 
 // Sweep closes idle connections whose time is over and forgets their addresses.
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -25,13 +25,13 @@
 	silentOnce sync.Once
 }
 
-func newPeer(transport *Transport, address string, limit time.Duration) *peer {
+func newPeer(transport *Transport, address string, silence *silence) *peer {
 	return &peer{
 		transport: transport,
 		address:   address,
 		queue:     make(chan []byte, queueFrames),
 		stop:      make(chan struct{}),
-		silence:   newSilence(limit),
+		silence:   silence,
 		silent:    make(chan struct{}),
 	}
 }
@@ -100,7 +100,7 @@
 func (p *peer) readReplies(connection net.Conn) {
 	defer p.close()
 	defer connection.Close()
-	reader := bufio.NewReaderSize(hearingReader{Reader: connection, silence: p.silence}, 4<<10)
+	reader := bufio.NewReaderSize(hearingReader{Reader: connection, silence: p.silence, lost: p.transport.lostConnection}, 4<<10)
 	for {
 		connection.SetReadDeadline(time.Now().Add(idleTimeout))
 		envelope, err := ReadFrame(reader)
--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -59,12 +59,27 @@
 	longCalls int
 	// next is the limit of the connection that replaces this one.
 	next time.Duration
+	// fellSilent is since when this connection had owed answers when it was found silent,
+	// zero if it was not, or too young to tell anything.
+	fellSilent time.Time
+	// replaced is the same of the connection that this one replaces, until this one has
+	// brought something.
+	replaced time.Time
 }
 
 func newSilence(limit time.Duration) *silence {
 	return &silence{limit: limit, next: silentTime}
 }
 
+// successor watches the connection that replaces this one.
+func (s *silence) successor() *silence {
+	created := newSilence(s.nextLimit())
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	created.replaced = s.fellSilent
+	return created
+}
+
 // opened begins to count; the time of the dial has a limit of its own.
 func (s *silence) opened(now time.Time) {
 	s.mutex.Lock()
@@ -93,14 +108,20 @@
 }
 
 // heard notes that something was received. An answer that is not late ends the longer
-// time of a connection that replaced a silent one.
-func (s *silence) heard(now time.Time) {
+// time of a connection that replaced a silent one. If it is the first one, the peer was
+// well and the connection before was lost: its silence is returned then, zero otherwise.
+func (s *silence) heard(now time.Time) (lostSince time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if now.Sub(s.openedAt) < silentTime {
+		lostSince = s.replaced
+	}
+	s.replaced = time.Time{}
 	if !s.owesSince.IsZero() && now.Sub(s.owesSince) < silentTime {
 		s.limit = silentTime
 	}
 	s.owesSince = time.Time{}
+	return lostSince
 }
 
 // longCallBegan notes that a long call is open, until longCallEnded.
@@ -135,7 +156,9 @@
 	}
 	if now.Sub(s.openedAt) < youngTime {
 		s.next = min(2*s.limit, longestSilentTime)
+		return true
 	}
+	s.fellSilent = s.owesSince
 	return true
 }
 
@@ -150,12 +173,17 @@
 type hearingReader struct {
 	io.Reader
 	silence *silence
+	// lost is told since when a connection was silent that this one replaces.
+	lost func(since time.Time)
 }
 
 func (r hearingReader) Read(buffer []byte) (int, error) {
 	n, err := r.Reader.Read(buffer)
-	if n > 0 {
-		r.silence.heard(time.Now())
+	if n == 0 {
+		return n, err
+	}
+	if since := r.silence.heard(time.Now()); !since.IsZero() {
+		r.lost(since)
 	}
 	return n, err
 }
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -63,6 +63,8 @@
 	closed   bool
 
 	counters Counters
+	// onLost is told of lost connections, nil for nobody.
+	onLost atomic.Pointer[func(since time.Time)]
 }
 
 // Counters counts the transport's traffic.
@@ -90,6 +92,17 @@
 	return t
 }
 
+// OnLostConnection has the function called when a connection turns out to have been lost,
+// silent since the moment, though its peer was well: a new one to the same peer is answered
+// at once. Other connections of this machine may have been lost with it.
+func (t *Transport) OnLostConnection(lost func(since time.Time)) { t.onLost.Store(&lost) }
+
+func (t *Transport) lostConnection(since time.Time) {
+	if lost := t.onLost.Load(); lost != nil {
+		(*lost)(since)
+	}
+}
+
 // Counters returns the live counters.
 func (t *Transport) Counters() *Counters { return &t.counters }
 
@@ -228,11 +241,11 @@
 	if found && !existing.done() {
 		return existing, nil
 	}
-	limit := silentTime
+	watch := newSilence(silentTime)
 	if found {
-		limit = existing.silence.nextLimit()
+		watch = existing.silence.successor()
 	}
-	created := newPeer(t, address, limit)
+	created := newPeer(t, address, watch)
 	t.peers[address] = created
 	go created.run()
 	return created, nil
