--- a/internal/wire/lost_test.go
+++ b/internal/wire/lost_test.go
@@ -25,7 +25,7 @@
 	next := lost.successor()
 	next.opened(now)
 	g.Expect(next.heard(now.Add(5 * time.Millisecond))).To(Equal(since))
-	g.Expect(next.heard(now.Add(6 * time.Millisecond))).To(BeZero(), "it is told once")
+	g.Expect(next.heard(now.Add(6*time.Millisecond))).To(BeZero(), "it is told once")
 }
 
 // A frozen or overloaded router is silent on all connections to it.
