Test: a started router counts a skipped version from its own naming (fails)

It fails on the code as it is, 3 of 3 times: a router that started after two namings learned the second from another router, with the word on when that was named, and used the weights before both until 9.84 to 9.85 s after the first naming, with 8 s allowed. No freeze is needed for it.

--- a/internal/gateway/skippedversions_test.go
+++ b/internal/gateway/skippedversions_test.go
@@ -99,3 +99,20 @@
 	f.t.Logf("the first version is used until %v after the second was named", r.olderUntil(3).Sub(named))
 	f.g.Expect(r.olderUntil(3)).To(BeTemporally("<=", named.Add(8*time.Second)))
 }
+
+// As after a restart between the namings and their deadlines: the router learns of the
+// newest version only, and others tell when that was named.
+func TestStartedRouterExpiresOlderWeightsByTheNamingOfASkippedVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("e1", "engines")
+	name(f, 1)
+	seedAt := loopback.FreeAddress()
+	f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds = seedAt, []string{seedAt}
+	})
+	time.Sleep(time.Second)
+	named := f.nameTwo()
+	f.expiresInTime(f.servingRouter("started", f.asFollower([]string{seedAt})), named)
+}
