Older weights expire by the naming of each version, also of skipped ones

Cause: the deadline of older weights counted from the naming of the version that a router learned. Lists and other routers hold the newest version only, so a router that was started or held up while two were named never learned the first, and gave the weights before both the time that counts from the second: up to the gap between the namings too long. Another router's word was kept for the newest version alone, and made it longer.

A bound says now that neither a version nor a later one was named at a moment. Several are kept for each model and told to other routers: that of the copy, which lacked nothing newer than what it held, and that of the version learned. Weights expire by the latest bound that covers them; those that none covers have no time left that is known.

Ruled out by the property test: any order of learning and being told that gives weights more time than the naming of their replacement.

--- a/internal/backend/weights.go
+++ b/internal/backend/weights.go
@@ -22,7 +22,7 @@
 	version uint64
 	// deadlines tell, in the order of versions, from when on the versions before
 	// each are old and expired.
-	deadlines []deadline
+	deadlines []VersionDeadlines
 }
 
 // Deadlines tell what a named version means for weights before it.
@@ -36,9 +36,9 @@
 	Unbegun time.Time
 }
 
-// deadline holds the deadlines of versions below version.
-type deadline struct {
-	version uint64
+// VersionDeadlines are the deadlines of weights of versions below one.
+type VersionDeadlines struct {
+	Below uint64
 	Deadlines
 }
 
@@ -70,24 +70,16 @@
 	if len(known.deadlines) == maxDeadlines {
 		known.mergeFirst()
 	}
-	known.deadlines = append(known.deadlines, deadline{version, deadlines})
+	known.deadlines = append(known.deadlines, VersionDeadlines{version, deadlines})
 	return true
 }
 
-// Amend replaces the deadlines of older versions that the named version brought, and
-// tells whether it is still known.
-func (w *Weights) Amend(model string, version uint64, deadlines Deadlines) bool {
-	known := w.targets[model]
-	if known == nil {
-		return false
-	}
-	for i := range known.deadlines {
-		if known.deadlines[i].version == version {
-			known.deadlines[i].Deadlines = deadlines
-			return true
-		}
+// SetDeadlines replaces the deadlines of the model's older versions, in the order of
+// versions, as more has become known of when the newer ones were named.
+func (w *Weights) SetDeadlines(model string, deadlines []VersionDeadlines) {
+	if known := w.targets[model]; known != nil {
+		known.deadlines = deadlines
 	}
-	return false
 }
 
 // mergeFirst joins the two earliest versions' deadlines. What is joined has the earlier of
@@ -139,7 +131,7 @@
 	}
 	state := Replaced
 	for _, d := range known.deadlines {
-		if version >= d.version {
+		if version >= d.Below {
 			continue
 		}
 		if !now.Before(d.Expired) {
@@ -160,7 +152,7 @@
 		return true
 	}
 	for _, d := range known.deadlines {
-		if version < d.version && !now.Before(d.Unbegun) {
+		if version < d.Below && !now.Before(d.Unbegun) {
 			return false
 		}
 	}
@@ -176,7 +168,7 @@
 	}
 	var earliest time.Time
 	for _, d := range known.deadlines {
-		if version < d.version && (earliest.IsZero() || d.Expired.Before(earliest)) {
+		if version < d.Below && (earliest.IsZero() || d.Expired.Before(earliest)) {
 			earliest = d.Expired
 		}
 	}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -256,21 +256,20 @@
 	model, version := object.Weights.Model, object.Weights.Version
 	news := g.newsOfWeights(now, object.Revision)
 	g.mutex.Lock()
-	news = g.bounds.complete(model, version, news)
-	deadlines := olderDeadlines(g.settings, news)
-	first := g.runners.Weights().Name(model, version, deadlines)
-	if first {
-		g.bounds.named[model] = namedNews{version: version, news: news}
-	}
-	g.mutex.Unlock()
-	if !first {
+	known := g.bounds.of(model)
+	if version <= known.named {
+		g.mutex.Unlock()
 		return
 	}
+	known.learn(version, news)
+	g.runners.Weights().Name(model, version, olderDeadlines(g.settings, news))
+	g.countOlder(model, known)
+	until := known.olderUntil(g.settings)
+	g.mutex.Unlock()
 	g.log.Log(events.WeightsNamed, events.Fields{
 		"model": model, "version": version, "revision": object.Revision,
-		"older_until_ms": deadlines.Expired.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects), "told": news.told,
+		"older_until_ms": until.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
-	g.withdrawAt(deadlines.Unbegun, model)
 	select {
 	case g.named <- struct{}{}:
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	// unbegun are the requests that are withdrawn if they do not begin in time.
 	unbegun map[*unbegunSend]struct{}
 	// bounds are since when the newest weights can have been named.
-	bounds   *weightBounds
+	bounds   weightBounds
 	splitter *routing.Splitter
 	saves    *backend.Saves
 	// retries holds the budget for further attempts of each service.
@@ -123,7 +123,7 @@
 		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started, startup: newStartup(),
 		runners:  backend.NewSet(settings.Zone),
 		unbegun:  map[*unbegunSend]struct{}{},
-		bounds:   newWeightBounds(),
+		bounds:   weightBounds{},
 		splitter: routing.NewSplitter(),
 		saves:    backend.NewSaves(),
 		retries:  map[string]*admission.RetryBudget{},
--- a/internal/gateway/weightbounds.go
+++ b/internal/gateway/weightbounds.go
@@ -1,109 +1,131 @@
 package gateway
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
-	"github.com/clovertiller/clovertiller/internal/events"
-	"github.com/clovertiller/clovertiller/internal/wire"
+	"github.com/clovertiller/clovertiller/internal/backend"
 )
 
-// namedNews is the news of the newest weights of a model.
-type namedNews struct {
+// weightBound says that neither the version of a model's weights nor a later one had been
+// named at a moment, which is that of the news. Versions only rise, so it bounds when weights
+// before the version were replaced, also by versions that this router never learned of:
+// lists and other routers hold the newest one only.
+type weightBound struct {
 	version uint64
 	news    weightNews
 }
 
-// improvedBy tells whether another router's word adds to what is known.
-func (n namedNews) improvedBy(told toldBound) bool {
-	if told.version != n.version {
-		return false
-	}
-	return told.before.After(n.news.before) || (n.news.blind() && !n.news.told)
-}
+// firm tells whether the bound may be told to others: that of a router that was not blind,
+// or has been told itself.
+func (b weightBound) firm() bool { return !b.news.blind() || b.news.told }
 
-// toldBound is another router's word on when a version was not named yet.
-type toldBound struct {
-	version uint64
-	before  time.Time
+// modelBounds are what is known of the namings of one model's weights.
+type modelBounds struct {
+	// named is the newest version that this router learned, 0 before, and news how.
+	named uint64
+	news  weightNews
+	// bounds rise by version and by moment. There are keptBounds at most.
+	bounds []weightBound
 }
 
-// weightBounds holds since when the newest weights of each model can have been named. A
-// router that was held up alone learns from the others how much time older weights have
-// left: not what it would count by itself, and not none. The gateway's mutex guards it.
-type weightBounds struct {
-	named map[string]namedNews
-	told  map[string]toldBound
-}
+const (
+	// keptBounds is how many bounds of a model are told apart: weights before all of them
+	// are taken to have expired. With a second between namings they reach back for
+	// twice the deadline of older weights on the deployments seen.
+	keptBounds = 16
+	// boundStep is by how much a bound has to be later than what is known to be taken. What
+	// routers tell each other is inexact by the time of a message, 0.2 to 20 ms.
+	boundStep = 50 * time.Millisecond
+)
 
-func newWeightBounds() *weightBounds {
-	return &weightBounds{named: map[string]namedNews{}, told: map[string]toldBound{}}
+// learn takes the news of a version that is newer than all before.
+func (m *modelBounds) learn(version uint64, news weightNews) {
+	for i, bound := range m.bounds {
+		if bound.version <= version && bound.news.learned.IsZero() {
+			m.bounds[i].news = news.bounded(bound.news.before, true)
+		}
+	}
+	if !news.proven.IsZero() {
+		m.add(weightBound{m.named + 1, news.bounded(news.proven, false)})
+	}
+	if !news.before.IsZero() {
+		m.add(weightBound{version, news})
+	}
+	m.named, m.news = version, news
 }
 
-// complete adds what others told of the version to the news.
-func (b *weightBounds) complete(model string, version uint64, news weightNews) weightNews {
-	if told := b.told[model]; told.version == version && !told.before.IsZero() {
-		news.told = true
-		news.before = later(news.before, told.before)
+// told takes another router's word and tells whether it changes deadlines.
+func (m *modelBounds) told(version uint64, before time.Time) bool {
+	if version > m.named {
+		m.add(weightBound{version, weightNews{before: before, told: true}})
+		return false
 	}
-	return news
+	return m.add(weightBound{version, m.news.bounded(before, true)})
 }
 
-// firm returns what may be told to others: the bounds of routers that were not blind, or
-// have been told themselves, for as long as older weights may be in use.
-func (b *weightBounds) firm(now time.Time, kept time.Duration) []*wire.WeightBound {
-	var bounds []*wire.WeightBound
-	for model, named := range b.named {
-		age := now.Sub(named.news.before)
-		if (named.news.blind() && !named.news.told) || age > kept {
-			continue
+// add takes a bound and tells whether it adds to what is known.
+func (m *modelBounds) add(bound weightBound) bool {
+	at, found := slices.BinarySearchFunc(m.bounds, bound.version, func(known weightBound, version uint64) int {
+		return cmp.Compare(known.version, version)
+	})
+	end := at
+	switch {
+	case found:
+		known := m.bounds[at].news
+		bound.news = known.joined(bound.news)
+		if bound.news.told == known.told && bound.news.before.Sub(known.before) < boundStep {
+			return false
 		}
-		bounds = append(bounds, &wire.WeightBound{Model: model, Version: named.version, AgeMillis: uint64(max(age.Milliseconds(), 0)) + 1})
+		end++
+	case at > 0 && bound.news.before.Sub(m.bounds[at-1].news.before) < boundStep:
+		// The earlier version's bound says as much.
+		return false
 	}
-	return bounds
-}
-
-// keptBound is how many deadlines long a bound is told: older weights are gone by then.
-const keptBound = 2
-
-// firmBounds returns what this router tells others.
-func (g *Gateway) firmBounds() []*wire.WeightBound {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.bounds.firm(time.Now(), keptBound*g.settings.WeightDeadline)
+	// It holds for later versions too, and replaces what is known of them but is not later.
+	for end < len(m.bounds) && !m.bounds[end].news.before.After(bound.news.before) {
+		end++
+	}
+	m.bounds = slices.Replace(m.bounds, at, end, bound)
+	m.bounds = slices.Delete(m.bounds, 0, max(len(m.bounds)-keptBounds, 0))
+	return true
 }
 
-// takeBounds takes what another router told in an answer that was asked for at the moment,
-// and counts the deadlines anew of weights that are known already. Pushes tell nothing of
-// the kind: one may be read long after it was sent, and ages count from the sending.
-func (g *Gateway) takeBounds(bounds []*wire.WeightBound, sent time.Time) {
-	for _, bound := range bounds {
-		told := toldBound{version: bound.GetVersion(), before: sent.Add(-time.Duration(bound.GetAgeMillis()) * time.Millisecond)}
-		g.takeBound(bound.GetModel(), told)
+// deadlines returns the deadlines of older weights, by what is known of the namings. Weights
+// before all bounds have none left.
+func (m *modelBounds) deadlines(settings Settings) []backend.VersionDeadlines {
+	var deadlines []backend.VersionDeadlines
+	news := m.news.bounded(time.Time{}, false)
+	for _, bound := range m.bounds {
+		if bound.version > m.named {
+			break
+		}
+		if bound.version > 1 {
+			deadlines = append(deadlines, backend.VersionDeadlines{Below: bound.version - 1, Deadlines: olderDeadlines(settings, news)})
+		}
+		news = bound.news
 	}
+	return append(deadlines, backend.VersionDeadlines{Below: m.named, Deadlines: olderDeadlines(settings, news)})
 }
 
-func (g *Gateway) takeBound(model string, told toldBound) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	known := g.bounds.told[model]
-	if told.version < known.version || (told.version == known.version && !told.before.After(known.before)) {
-		return
-	}
-	g.bounds.told[model] = told
-	named := g.bounds.named[model]
-	if !named.improvedBy(told) {
-		return
-	}
-	named.news = g.bounds.complete(model, told.version, named.news)
-	g.bounds.named[model] = named
-	deadlines := olderDeadlines(g.settings, named.news)
-	if g.runners.Weights().Amend(model, told.version, deadlines) {
-		g.withdrawAt(deadlines.Unbegun, model)
-		g.log.Log(events.WeightsBounded, events.Fields{"model": model, "version": told.version, "older_until_ms": time.Until(deadlines.Expired).Milliseconds()})
+// olderUntil returns when the oldest weights with time left expire; without any, when all do.
+func (m *modelBounds) olderUntil(settings Settings) time.Time {
+	for _, bound := range m.bounds {
+		if bound.version <= m.named {
+			return olderDeadlines(settings, bound.news).Expired
+		}
 	}
+	return olderDeadlines(settings, m.news.bounded(time.Time{}, false)).Expired
 }
 
-// withdrawAt withdraws what has not begun at the moment.
-func (g *Gateway) withdrawAt(at time.Time, model string) {
-	time.AfterFunc(time.Until(at), func() { g.withdrawUnbegun(time.Now(), model) })
+// firm returns the bounds that may be told to others and are at most so old.
+func (m *modelBounds) firm(now time.Time, kept time.Duration) []weightBound {
+	var firm []weightBound
+	for _, bound := range m.bounds {
+		if bound.version <= m.named && bound.firm() && now.Sub(bound.news.before) <= kept {
+			firm = append(firm, bound)
+		}
+	}
+	return firm
 }
--- a/internal/gateway/weightdeadline.go
+++ b/internal/gateway/weightdeadline.go
@@ -34,6 +34,9 @@
 	// before is the latest moment at which they are known not to have been named yet,
 	// zero when none is known.
 	before time.Time
+	// proven is when the copy without them was last known to lack nothing, zero before:
+	// nothing newer had been named than what it held.
+	proven time.Time
 	// told is true when another router that learned without delay told such a moment.
 	told bool
 	// disturbed is when calls to the store failed last.
@@ -53,12 +56,27 @@
 	return n.blind() && !n.told && !n.alone && n.disturbed.first.Sub(n.before) < lostNews
 }
 
+// bounded returns the news with another moment, told by others or not.
+func (n weightNews) bounded(before time.Time, told bool) weightNews {
+	n.before, n.told = before, told
+	return n
+}
+
+// joined returns what two news of the same weights say together.
+func (n weightNews) joined(other weightNews) weightNews {
+	if n.learned.IsZero() {
+		n, other = other, n
+	}
+	return n.bounded(later(n.before, other.before), n.told || other.told)
+}
+
 // newsOfWeights returns what is known of weights that were named at the revision, before
 // they are taken into the copy.
 func (g *Gateway) newsOfWeights(now time.Time, revision uint64) weightNews {
+	proven := g.copies.provenAt(WeightObjects)
 	return weightNews{
 		learned: now, started: g.started, disturbed: g.disturbance.latest(), alone: g.relays.alone(),
-		before: later(g.copies.provenAt(WeightObjects), g.copies.checkpoints.before(revision)),
+		proven: proven, before: later(proven, g.copies.checkpoints.before(revision)),
 	}
 }
 
