--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -167,14 +167,19 @@
 	f.g.Expect(got.cut).To(BeTrue(), "nothing else may run it")
 }
 
-// summaryOf returns what the router at the address thinks of a runner.
-func (f *fleet) summaryOf(address, id string) backend.RunnerSummary {
+// statusOf returns what the router at the address believes.
+func (f *fleet) statusOf(address string) gateway.Status {
 	response, err := http.Get("http://" + address + gateway.StatusPath)
 	f.g.Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
 	var status gateway.Status
 	f.g.Expect(json.NewDecoder(response.Body).Decode(&status)).To(Succeed())
-	for _, runner := range status.Runners {
+	return status
+}
+
+// summaryOf returns what the router at the address thinks of a runner.
+func (f *fleet) summaryOf(address, id string) backend.RunnerSummary {
+	for _, runner := range f.statusOf(address).Runners {
 		if runner.ID == id {
 			return runner
 		}
--- a/internal/gateway/latenews_test.go
+++ b/internal/gateway/latenews_test.go
@@ -116,3 +116,32 @@
 		late(t, 2*time.Second, func(f *fleet) *router { return f.routerAt("r1", brief, storestand.Silent) })
 	})
 }
+
+// A store may answer from the past, as a replica that is behind does. Answers below a
+// revision that the router knew of before its call proved its copies and bounded the naming
+// of weights: the time of older ones counted from the last such answer.
+func TestAnswersFromThePastProveAndBoundNothing(t *testing.T) {
+	t.Parallel()
+	const deadline, behind = 6 * time.Second, 2500 * time.Millisecond
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	past := f.store.Put(platform.KindVersions, modelName, map[string]any{"model": modelName, "version": 1})
+	figuresAt := loopback.FreeAddress()
+	r := f.servingRouter("r1", func(settings *gateway.Settings) {
+		settings.WeightDeadline, settings.SettleTime, settings.MetricsAddress = deadline, 10*time.Millisecond, figuresAt
+	})
+	time.Sleep(time.Second)
+	r.door.AnswerAt(past, platform.KindConfig, platform.KindVersions)
+	f.changeBoth()
+	named := time.Now()
+	r.logs(lineDraining)
+	time.Sleep(time.Until(named.Add(behind)))
+	f.g.Expect(f.statusOf(figuresAt).ProofAgeMillis).To(BeNumerically(">", (behind - time.Second).Milliseconds()))
+	calls := r.door.Calls()
+	r.door.CatchUp()
+	f.g.Expect(calls).To(BeNumerically("<", 40), "the store is asked with pauses")
+	f.g.Eventually(r.log.String, 2*time.Second, 5*time.Millisecond).Should(ContainSubstring(`"version":2`))
+	f.g.Expect(r.olderUntil(2)).To(BeTemporally("<", named.Add(deadline)))
+	f.g.Eventually(func() int64 { return f.statusOf(figuresAt).ProofAgeMillis }, 2*time.Second, 10*time.Millisecond).Should(BeNumerically("<", 1000))
+}
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -94,6 +95,9 @@
 	stale int
 	// lost holds, for each kind, what ends the watches that wait now without an answer.
 	lost map[string]chan struct{}
+	// past holds, for each kind whose watches are answered from the past, the revision
+	// that they are answered at.
+	past map[string]uint64
 }
 
 // Open serves the store at a free loopback address.
@@ -102,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	door := &Door{Address: listener.Addr().String(), store: s, lost: map[string]chan struct{}{}}
+	door := &Door{Address: listener.Addr().String(), store: s, lost: map[string]chan struct{}{}, past: map[string]uint64{}}
 	door.server = &http.Server{Handler: http.HandlerFunc(door.serve)}
 	go door.server.Serve(listener)
 	return door, nil
@@ -156,6 +160,38 @@
 	return d.lost[kind]
 }
 
+// AnswerAt has watches of the kinds answered as a replica would that stands at the revision.
+func (d *Door) AnswerAt(revision uint64, kinds ...string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, kind := range kinds {
+		d.past[kind] = revision
+	}
+}
+
+// CatchUp has all watches answered with what is newest again.
+func (d *Door) CatchUp() {
+	d.mutex.Lock()
+	clear(d.past)
+	d.mutex.Unlock()
+	d.store.mutex.Lock()
+	d.store.wake()
+	d.store.mutex.Unlock()
+}
+
+// since returns what a watch of the kind is answered with now.
+func (d *Door) since(kind string, from uint64) (events []Event, at uint64, gone bool, changed chan struct{}) {
+	d.mutex.Lock()
+	past, behind := d.past[kind]
+	d.mutex.Unlock()
+	events, at, gone, changed = d.store.since(kind, from)
+	if behind {
+		at = min(at, past)
+		events = slices.DeleteFunc(events, func(event Event) bool { return event.Object.Metadata.Revision > past })
+	}
+	return events, at, gone, changed
+}
+
 func (d *Door) current() Fault {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -299,7 +335,7 @@
 	defer deadline.Stop()
 	lost := d.lostWatches(kind)
 	for over := false; ; {
-		events, at, gone, changed := d.store.since(kind, from)
+		events, at, gone, changed := d.since(kind, from)
 		if gone {
 			writer.WriteHeader(http.StatusGone)
 			return
