Answers of the store from the past prove no copy and bound no naming

Cause: only the check of copies by answers on the configuration compared an answer's revision with what was known before its call. The checkpoint that bounds when weights were named, and the proof of the copy that was asked for, took any answer. A replica that is behind so let older weights be used beyond their deadline by as long as it was behind, and proved a configuration that was not read.

Change: one rule for all answers of the store. One below a revision that was known before its call, or before the moment that it tells of, shows nothing, and is a failed call: the next one comes after a pause. What it brings is taken all the same.

--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -17,6 +17,23 @@
 	return true
 }
 
+// newestRevision is the highest revision that any copy has reached.
+func (c *copies) newestRevision() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.newest
+}
+
+// shownBy tells whether the answer shows what was the newest at the moment. One below a
+// revision that was known before its call, or before the moment, comes from the past, as
+// that of a replica that is behind: it proves no copy, and does not bound when what it
+// lacks was written.
+func (c *copies) shownBy(answer storeAnswer, at time.Time) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return answer.revision >= answer.known && (answer.revision >= c.newest || c.newestAt.After(at))
+}
+
 // behind tells whether the copy of runners or weights may be older than the limit.
 func (c *copies) behind(now time.Time, limit time.Duration) bool {
 	for _, kind := range provenApart {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -100,22 +100,21 @@
 func (f *follower) list() error {
 	g := f.gateway
 	stale := f.listed && !g.relays.isSource()
-	before := g.copies.newest()
 	answer := f.ask(g.ctx, listTime, func(ctx context.Context) storeAnswer {
-		sent := time.Now()
-		objects, revision, err := g.ports.Store.List(ctx, f.kind, stale)
-		g.metrics.storeCall(f.kind.String(), callList, sent)
-		g.disturbance.note(sent, err, ctx.Err())
-		return storeAnswer{objects: objects, revision: revision, sent: sent, err: err}
+		return f.call(ctx, callList, func() ([]v1.Object, uint64, error) { return g.ports.Store.List(ctx, f.kind, stale) })
 	})
 	if answer.err != nil {
 		return answer.err
 	}
-	f.listed = true
 	delta := config.Delta{Through: answer.revision, Full: true, Objects: answer.objects}
-	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: !stale})
+	shown := g.copies.shownBy(answer, answer.sent)
+	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: shown && !stale})
+	if !shown && !stale {
+		return errFromThePast
+	}
+	f.listed = true
 	if f.kind == ConfigObjects && !stale {
-		g.verifyCopies(before, checkpoint{revision: answer.revision, at: answer.sent})
+		g.verifyCopies(checkpoint{revision: answer.revision, at: answer.sent}, true)
 	}
 	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision, "stale": stale})
 	return nil
@@ -125,7 +124,7 @@
 	g := f.gateway
 	ctx, end := f.interruptible()
 	defer end(nil)
-	wait, before := f.watchWait(), g.copies.newest()
+	wait := f.watchWait()
 	answer := f.ask(ctx, wait+callSlack, func(ctx context.Context) storeAnswer { return f.callWatch(ctx, revision, wait) })
 	if errors.Is(context.Cause(ctx), errRenewed) && answer.err != nil {
 		return errRenewed
@@ -133,10 +132,15 @@
 	if answer.err != nil {
 		return answer.err
 	}
-	proven := f.take(revision, wait, answer)
+	known, shown := f.take(revision, wait, answer)
 	f.renewing.Store(false)
 	if f.kind == ConfigObjects {
-		g.verifyCopies(before, checkpoint{revision: answer.revision, at: proven})
+		g.verifyCopies(known, shown)
+	}
+	if !shown {
+		return errFromThePast
+	}
+	if f.kind == ConfigObjects {
 		return nil
 	}
 	if len(answer.objects) > 0 {
@@ -145,22 +149,33 @@
 	return nil
 }
 
+// call makes one call to the store and notes how it went.
+func (f *follower) call(ctx context.Context, name string, made func() ([]v1.Object, uint64, error)) storeAnswer {
+	g := f.gateway
+	answer := storeAnswer{known: g.copies.newestRevision(), sent: time.Now()}
+	answer.objects, answer.revision, answer.err = made()
+	g.metrics.storeCall(f.kind.String(), name, answer.sent)
+	g.disturbance.note(answer.sent, answer.err, ctx.Err())
+	return answer
+}
+
 // callWatch makes one watch.
 func (f *follower) callWatch(ctx context.Context, revision uint64, wait time.Duration) storeAnswer {
-	g, sent := f.gateway, time.Now()
-	objects, at, err := g.ports.Store.Watch(ctx, f.kind, revision, wait)
-	g.metrics.storeCall(f.kind.String(), callWatch, sent)
-	g.disturbance.note(sent, err, ctx.Err())
-	return storeAnswer{objects: objects, revision: at, sent: sent, err: err}
+	return f.call(ctx, callWatch, func() ([]v1.Object, uint64, error) { return f.gateway.ports.Store.Watch(ctx, f.kind, revision, wait) })
 }
 
-// take takes a watch's answer into the copy and returns from when it proves that.
-func (f *follower) take(revision uint64, wait time.Duration, answer storeAnswer) time.Time {
-	g, proven := f.gateway, provenSince(answer.sent, wait, answer.objects)
-	g.copies.checkpoints.note(checkpoint{revision: answer.revision, at: proven})
+// take takes a watch's answer into the copy and returns the checkpoint that it tells, and
+// whether that is shown.
+func (f *follower) take(revision uint64, wait time.Duration, answer storeAnswer) (known checkpoint, shown bool) {
+	g := f.gateway
+	known = checkpoint{revision: answer.revision, at: provenSince(answer.sent, wait, answer.objects)}
+	shown = g.copies.shownBy(answer, known.at)
+	if shown {
+		g.copies.checkpoints.note(known)
+	}
 	delta := config.Delta{From: revision, Through: throughOf(answer.objects, revision, answer.revision), Objects: answer.objects}
-	g.copies.apply(f.kind, delta, proof{at: proven, given: true})
-	return proven
+	g.copies.apply(f.kind, delta, proof{at: known.at, given: shown})
+	return known, shown
 }
 
 // watchWait is how long a watch made now waits for changes.
--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -24,31 +24,18 @@
 // errRenewed means that a watch was ended as another one is to be made in its place.
 var errRenewed = errors.New("watch is made anew")
 
-// newest is the highest revision that any copy has reached.
-func (c *copies) newest() uint64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	newest := uint64(0)
-	for _, store := range c.stores {
-		newest = max(newest, store.Revision())
-	}
-	return newest
-}
-
 // verifyCopies proves the copies of the other kinds by an answer on the configuration, or
-// renews their watches. Before is the newest revision known when that was asked for.
-func (g *Gateway) verifyCopies(before uint64, known checkpoint) {
+// renews their watches, at once if the answer shows nothing.
+func (g *Gateway) verifyCopies(known checkpoint, shown bool) {
 	for _, f := range g.followers {
 		if f.kind != ConfigObjects {
-			f.verify(before, known)
+			f.verify(known, shown)
 		}
 	}
 }
 
-func (f *follower) verify(before uint64, known checkpoint) {
-	if known.revision < before {
-		// The answer is older than what was read before it, or the store counts each
-		// kind by itself: it shows nothing.
+func (f *follower) verify(known checkpoint, shown bool) {
+	if !shown {
 		f.renew()
 		return
 	}
--- a/internal/gateway/storecall.go
+++ b/internal/gateway/storecall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
@@ -11,11 +12,16 @@
 type storeAnswer struct {
 	objects  []v1.Object
 	revision uint64
-	// sent is when the call that was answered left.
-	sent time.Time
-	err  error
+	// sent is when the call that was answered left, and known the newest revision that
+	// this router knew of then.
+	sent  time.Time
+	known uint64
+	err   error
 }
 
+// errFromThePast means that an answer is older than what was known before its call.
+var errFromThePast = errors.New("the answer is older than what was known before")
+
 // storeCall makes one call.
 type storeCall func(context.Context) storeAnswer
 
