Ages told between routers: one function to write and one to read them

Five places rounded ages up for messages and four read them, each for itself. What is told is unchanged.

--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -53,7 +53,7 @@
 		if !known {
 			continue
 		}
-		proofs = append(proofs, &wire.CopyProof{Kind: uint32(kind), AgeMillis: uint64(max(age.Milliseconds(), 0)) + 1, Revision: c.revision(kind)})
+		proofs = append(proofs, &wire.CopyProof{Kind: uint32(kind), AgeMillis: wire.AgeMillis(age), Revision: c.revision(kind)})
 	}
 	return proofs
 }
@@ -62,11 +62,11 @@
 // with some slack those of runners and weights.
 func recent(answer *wire.CopyAnswer, oldest time.Duration) bool {
 	for _, told := range answer.GetProofs() {
-		if time.Duration(told.GetAgeMillis())*time.Millisecond > oldest+copySlack {
+		if wire.Age(told.GetAgeMillis()) > oldest+copySlack {
 			return false
 		}
 	}
-	return time.Duration(answer.GetProofAgeMillis())*time.Millisecond <= oldest
+	return wire.Age(answer.GetProofAgeMillis()) <= oldest
 }
 
 // checkProofs takes another router's word on how old its copies may be. A version of the
@@ -75,7 +75,7 @@
 func (r *relays) checkProofs(answer *wire.CopyAnswer, sent time.Time, configAge time.Duration) {
 	copies := r.gateway.copies
 	if answer.GetStoreRevision() > 0 {
-		copies.checkpoints.note(checkpoint{revision: answer.GetStoreRevision(), at: sent.Add(-time.Duration(answer.GetStoreAgeMillis()) * time.Millisecond)})
+		copies.checkpoints.note(checkpoint{revision: answer.GetStoreRevision(), at: sent.Add(-wire.Age(answer.GetStoreAgeMillis()))})
 	}
 	if !answer.GetTellsProofs() {
 		newest, _ := copies.checkpoints.newest()
@@ -87,7 +87,7 @@
 	for _, told := range answer.GetProofs() {
 		kind := ObjectKind(told.GetKind())
 		if int(kind) < len(objectKinds) && kind != ConfigObjects {
-			copies.check(kind, checkpoint{revision: told.GetRevision(), at: sent.Add(-time.Duration(told.GetAgeMillis()) * time.Millisecond)})
+			copies.check(kind, checkpoint{revision: told.GetRevision(), at: sent.Add(-wire.Age(told.GetAgeMillis()))})
 		}
 	}
 }
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -149,7 +149,7 @@
 func (r *relays) pullFrom(address string) bool {
 	answer, sent := r.askFor(address)
 	now := time.Now()
-	age := time.Duration(answer.GetProofAgeMillis()) * time.Millisecond
+	age := wire.Age(answer.GetProofAgeMillis())
 	known := answer.GetProven() || answer.GetUnconfigured()
 	r.mutex.Lock()
 	oldest := proofAge
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -76,14 +76,14 @@
 	// The proof is read before the copies: what is given is at least as new.
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
 		answer.Proven = true
-		answer.ProofAgeMillis = uint64(max(time.Since(current.provenAt), 0).Milliseconds()) + 1
+		answer.ProofAgeMillis = wire.AgeMillis(time.Since(current.provenAt))
 	} else if empty := g.unconfigured.Load(); empty != nil {
 		answer.Unconfigured = true
-		answer.ProofAgeMillis = uint64(max(time.Since(*empty), 0).Milliseconds()) + 1
+		answer.ProofAgeMillis = wire.AgeMillis(time.Since(*empty))
 	}
 	answer.TellsProofs, answer.Proofs, answer.WeightBounds = true, g.copies.proofs(), g.firmBounds()
 	if newest, known := g.copies.checkpoints.newest(); known {
-		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, uint64(max(time.Since(newest.at).Milliseconds(), 0))+1
+		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, wire.AgeMillis(time.Since(newest.at))
 	}
 	for _, have := range pull.GetHave() {
 		kind := ObjectKind(have.GetKind())
--- a/internal/gateway/weighttold.go
+++ b/internal/gateway/weighttold.go
@@ -25,8 +25,8 @@
 	var bounds []*wire.WeightBound
 	for model, known := range b {
 		for _, bound := range known.firm(now, kept) {
-			age := max(now.Sub(bound.news.before).Milliseconds(), 0) + 1
-			bounds = append(bounds, &wire.WeightBound{Model: model, Version: bound.version, AgeMillis: uint64(age)})
+			age := wire.AgeMillis(now.Sub(bound.news.before))
+			bounds = append(bounds, &wire.WeightBound{Model: model, Version: bound.version, AgeMillis: age})
 		}
 	}
 	return bounds
@@ -47,7 +47,7 @@
 // the kind: one may be read long after it was sent, and ages count from the sending.
 func (g *Gateway) takeBounds(bounds []*wire.WeightBound, sent time.Time) {
 	for _, bound := range bounds {
-		g.takeBound(bound.GetModel(), bound.GetVersion(), sent.Add(-time.Duration(bound.GetAgeMillis())*time.Millisecond))
+		g.takeBound(bound.GetModel(), bound.GetVersion(), sent.Add(-wire.Age(bound.GetAgeMillis())))
 	}
 }
 
