--- a/internal/gateway/latenews_test.go
+++ b/internal/gateway/latenews_test.go
@@ -145,3 +145,34 @@
 	f.g.Expect(r.olderUntil(2)).To(BeTemporally("<", named.Add(deadline)))
 	f.g.Eventually(func() int64 { return f.statusOf(figuresAt).ProofAgeMillis }, 2*time.Second, 10*time.Millisecond).Should(BeNumerically("<", 1000))
 }
+
+// Seeds whose calls on runners are not answered, while those on the configuration are,
+// proved the configuration of routers that could read the store themselves: these trusted
+// copies of runners that were 2.2 s old, and sent to runners that had left for 2 s.
+func TestRoutersDoNotWaitForSeedsThatHearNothingOfRunners(t *testing.T) {
+	const bound = 1800 * time.Millisecond // of the 2 s that leaving runners count
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	held, store := holdingStore(f, platform.KindServers)
+	held.Store(false)
+	addresses, figuresAt := []string{loopback.FreeAddress()}, loopback.FreeAddress()
+	seed := f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds, settings.StoreAddress = addresses[0], addresses, store
+		settings.MetricsAddress = figuresAt
+	})
+	follower := f.servingRouter("follower", f.asFollower(addresses))
+	time.Sleep(time.Second)
+	held.Store(true)
+	f.runner("p2", "plain") // ends the watch that waits
+	follower.logs(`"runner":"p2"`)
+	time.Sleep(500 * time.Millisecond)
+	// Right after all copies were proved.
+	f.g.Eventually(func() int64 { return f.statusOf(figuresAt).ProofAgeMillis }, 2*time.Second, time.Millisecond).Should(BeNumerically("<", 20))
+	f.changeBoth()
+	left := time.Now()
+	f.g.Eventually(follower.log.String, 4*time.Second, 5*time.Millisecond).Should(ContainSubstring(lineDraining))
+	f.g.Expect(time.Since(left)).To(BeNumerically("<", bound))
+	f.g.Eventually(seed.log.String, 2*time.Second, 5*time.Millisecond).Should(ContainSubstring(lineDraining), "it asks others")
+}
