Copies of runners and weights count as recent for 1.38 s instead of 2.2 s

Cause: the age of those copies that was taken for recent held, beside the time that news may take, that of a call without an answer. A seed that hears nothing of runners, while its configuration is proved, kept routers that can read the store from doing so for 2.2 s, and leaving runners count 2 s. A sound seed's copies are at most 1.23 s old: the wait of the configuration's watch, the check after it and a short watch.

Change: the slack is newsSlack. Routers and seeds turn to others after 1.38 s.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -23,9 +23,10 @@
 	// which may be lost.
 	relayedProofAge = proofAge + pullTime + longestPull
 	// copySlack is how much older the copies of runners and weights may be than that
-	// of the configuration, whose answers prove them: by the time that news may take and
-	// one call that gets no answer.
-	copySlack = settle + newsSlack + callSlack
+	// of the configuration, whose answers prove them: by the time that news may take. With
+	// the longest pause between pulls and a call to the store of its own, a router knows of
+	// a leaving runner within 1.9 s if its source hears nothing of runners.
+	copySlack = newsSlack
 	// startPatience is how long a router that knows nothing yet waits at most for
 	// seeds that do not answer: one that runs does so within firstPullTime, and
 	// after the loss of all routers those that start first would refuse callers
