--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -10,11 +10,6 @@
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
-// placePatience is the longest wait of a call for a scheduler's choice, beyond the
-// arrival of its body: an answer takes 0.2 to 2 ms, and the quickest routes are to
-// answer within 120 ms. Farther schedulers are of no use.
-const placePatience = 10 * time.Millisecond
-
 // placed is a scheduler's choice for one send.
 type placed struct {
 	scheduler string
@@ -110,7 +105,7 @@
 	if a == nil {
 		return nil
 	}
-	timer := time.NewTimer(placePatience)
+	timer := time.NewTimer(a.schedulers.gateway.settings.PlacePatience)
 	defer timer.Stop()
 	select {
 	case answer := <-a.answers:
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -49,6 +49,9 @@
 	// StartWait is how long a call may wait at a router that has just started until
 	// configuration and runners are known.
 	StartWait time.Duration
+	// PlacePatience is the longest wait of a call for a scheduler's choice, beyond the
+	// arrival of its body.
+	PlacePatience time.Duration
 	// AwaitRunning makes a runner finish its running requests before it takes
 	// new weights; otherwise they go on under the new weights.
 	AwaitRunning bool
@@ -84,6 +87,9 @@
 	// after its start, and half of the 0.3 s in which the quickest routes are to
 	// answer is left.
 	defaultStartWait = 150 * time.Millisecond
+	// defaultPlacePatience: an answer takes 0.2 to 2 ms, and the quickest routes are to
+	// answer within 120 ms. Farther schedulers are of no use.
+	defaultPlacePatience = 10 * time.Millisecond
 	// defaultDirectFollowers: a fleet of 69 routers has 22 for each of three seeds and
 	// needs no second level.
 	defaultDirectFollowers = 24
@@ -102,6 +108,7 @@
 	setDuration(&s.LeaseGap, defaultLeaseGap)
 	setDuration(&s.QuotaWindow, defaultQuotaWindow)
 	setDuration(&s.StartWait, defaultStartWait)
+	setDuration(&s.PlacePatience, defaultPlacePatience)
 	if s.DirectFollowers == 0 {
 		s.DirectFollowers = defaultDirectFollowers
 	}
@@ -170,7 +177,7 @@
 	}{
 		{"configuration lease", s.ConfigLease}, {"drain grace", s.DrainGrace},
 		{"weight deadline", s.WeightDeadline}, {"lease gap", s.LeaseGap},
-		{"start wait", s.StartWait}, {"quota window", s.QuotaWindow},
+		{"start wait", s.StartWait}, {"placement patience", s.PlacePatience}, {"quota window", s.QuotaWindow},
 	} {
 		if duration.value < 0 {
 			faults = append(faults, duration.name+": must not be negative")
