A router may listen for others at another address than the one they reach it at

The peer address of a router is its name among the others: where they dial, how seeds and keepers of limits are ranked, and where it listens. Behind a port forward the two differ, and a proxy that harms connections between routers could not stand before one.

--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -87,7 +88,7 @@
 	if r.gateway.settings.PeerAddress == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", r.gateway.settings.PeerAddress)
+	listener, err := net.Listen("tcp", cmp.Or(r.gateway.settings.PeerBindAddress, r.gateway.settings.PeerAddress))
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
@@ -238,3 +239,24 @@
 	f.t.Cleanup(func() { listener.Close() })
 	return address
 }
+
+// A seed that others reach at another address than the one it listens at, as behind a port
+// forward, is known to itself and to them by theirs.
+func TestSeedBehindAPortForwardIsFollowed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	own := loopback.FreeAddress()
+	forward, err := faultproxy.Start(own)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(forward.Close)
+	seed := f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = forward.Address, own, []string{forward.Address}
+	})
+	follower := f.servingRouter("follower", f.asFollower([]string{forward.Address}))
+	f.g.Expect(follower.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	f.g.Eventually(func() string { return follower.Status().Source }, time.Second, 5*time.Millisecond).Should(Equal(forward.Address))
+	f.g.Expect(seed.Status().ReadsStore).To(BeTrue())
+	f.g.Eventually(func() bool { return follower.Status().ReadsStore }, 3*time.Second, 5*time.Millisecond).Should(BeFalse())
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -19,6 +19,9 @@
 	// PeerAddress is the IP:port for other routers; empty serves none and
 	// makes this router read the store itself.
 	PeerAddress string
+	// PeerBindAddress is the IP:port to listen at for other routers when they reach this
+	// one at another, as behind a port forward; empty stands for PeerAddress.
+	PeerBindAddress string
 	// Seeds are peer addresses of routers that read the store for others. They
 	// may be down or out of date.
 	Seeds []string
@@ -163,6 +166,7 @@
 		{"store address", s.StoreAddress, true},
 		{"metrics address", s.MetricsAddress, false},
 		{"peer address", s.PeerAddress, false},
+		{"peer bind address", s.PeerBindAddress, false},
 	} {
 		if address.value == "" && !address.required {
 			continue
