The soak silences open connections between gateways

Silences between routers were tested and not in the soak. Each gateway's address for others lies behind a fault proxy now. Every 2 s or so open connections to one gateway or to all fall silent for good, up to four times in a row, while new ones work; clients keep what is open. One in three of these, and one more at the end when no other fault covers its effect, also cuts one gateway off the store and has a runner leave, so that the gateway learns of it on new connections to others only. The checks are the same but for one that is stricter: a gateway whose store is disturbed was not held to news; now it is while a gateway that reads the store for all is sound. A silence between gateways excuses nothing. The tests of the checks set their times by when the request arrived: three cases failed once beside load as the request took 0.37 s where 0.1 s was left. Assertions unchanged.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -23,8 +23,8 @@
 // and returns what it does and how it is undone.
 type fault func(duration time.Duration) (name string, undo func())
 
-// harm injects faults until the time is over and returns how many. The last one holds up
-// news while nothing new covers its effect.
+// harm injects faults until the time is over and returns how many. The last ones hold up
+// news while nothing new covers their effect.
 func (s *Soak) harm(ctx context.Context) int {
 	faults := []fault{
 		s.freeze, s.restart(syscall.SIGKILL), s.restart(syscall.SIGTERM), s.reload, s.killAll,
@@ -35,6 +35,8 @@
 	}
 	deadline := time.Now().Add(s.settings.Duration)
 	var group sync.WaitGroup
+	peers, peerCount := newPeerFaults(s), 0
+	group.Go(func() { peerCount = peers.run(ctx, deadline) })
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -44,7 +46,8 @@
 	}
 	s.inject(s.lateNews, &group)
 	group.Wait()
-	return count
+	peers.last()
+	return count + peerCount + 1
 }
 
 // inject begins the fault, which ends in the group.
--- a/internal/lab/soak/news.go
+++ b/internal/lab/soak/news.go
@@ -58,7 +58,7 @@
 func clock(moment time.Time) string { return moment.Format("15:04:05.000") }
 
 // checkArrival tells whether the runner had been leaving for longer than the bound while
-// the gateway, its path to the runner and the store were sound.
+// the gateway, its path to the runner and the store were sound and it could learn of that.
 func (s *Soak) checkArrival(runner string, arrival runnerstand.Arrival) (lateness, bool) {
 	call, known := s.calls.find(arrival.Request)
 	since, leaving := s.runners.leavingSince(runner, arrival.At)
@@ -67,13 +67,13 @@
 	}
 	late := lateness{
 		what: "leaving", gateway: call.process, runner: runner, request: call.id, at: arrival.At, news: arrival.At.Sub(since),
-		calm: s.calm(arrival.At, storeForEach, storeOf(call.process), call.process, pathTo(runner)),
+		calm: min(s.calm(arrival.At, storeForEach, call.process, pathTo(runner)), s.informed(arrival.At, call.process)),
 	}
 	return late, late.news > drainTime && late.calm > contactTime
 }
 
 // checkBegin tells whether the weights on which the run began had been replaced for longer
-// than the deadline. That counts while the store and the gateway's path to it are sound.
+// than the deadline. That counts while the gateway can learn what the store holds.
 func (s *Soak) checkBegin(runner string, run runnerstand.Run) (lateness, bool) {
 	call, known := s.calls.find(run.Request)
 	named, replaced := s.config.replacedAt(run.Version)
@@ -84,10 +84,22 @@
 		what: "older weights", gateway: call.process, runner: runner, request: call.id, at: run.Began, news: run.Began.Sub(named),
 		calm: s.calm(run.Began, call.process, pathTo(runner)),
 	}
-	counted := min(late.news, s.calm(run.Began, storeForEach, storeOf(call.process)))
+	counted := min(late.news, s.calm(run.Began, storeForEach), s.informed(run.Began, call.process))
 	return late, counted > versionTime && late.calm > contactTime
 }
 
+// informed returns for how long the gateway could learn what the store holds: from the
+// store, or from another gateway that reads it for all.
+func (s *Soak) informed(moment time.Time, gateway string) time.Duration {
+	longest := s.calm(moment, storeOf(gateway))
+	for _, seed := range s.processes[:min(seedGateways, len(s.processes))] {
+		if seed.name != gateway {
+			longest = max(longest, s.calm(moment, seed.name, storeOf(seed.name)))
+		}
+	}
+	return longest
+}
+
 // calm returns for how long none of the subjects had been disturbed at the moment.
 func (s *Soak) calm(moment time.Time, subjects ...string) time.Duration {
 	return moment.Sub(s.disturbances.last(moment, subjects...))
--- a/internal/lab/soak/news_test.go
+++ b/internal/lab/soak/news_test.go
@@ -46,9 +46,9 @@
 	response.Body.Close()
 }
 
-// past notes that the subject was disturbed until so long ago.
-func (d *disturbances) past(subject string, ago time.Duration) {
-	end := time.Now().Add(-ago)
+// past notes that the subject was disturbed until so long before the moment.
+func (d *disturbances) past(moment time.Time, subject string, ago time.Duration) {
+	end := moment.Add(-ago)
 	d.spans[subject] = append(d.spans[subject], span{from: end.Add(-time.Second), to: end})
 }
 
@@ -76,9 +76,10 @@
 			t.Parallel()
 			s, runner := checked(t)
 			s.runners.leave(runner)
-			s.runners.leaves[runner.ID][0].from = time.Now().Add(-test.news)
-			s.disturbances.past(test.subject, test.calm)
 			send(t, runner)
+			arrived := runner.ArrivalLog()[0].At
+			s.runners.leaves[runner.ID][0].from = arrived.Add(-test.news)
+			s.disturbances.past(arrived, test.subject, test.calm)
 			s.checkNews()
 			expectBroken(t, s, test.broken, "leaving: 1 requests of gateway-0 at e0")
 		})
@@ -101,15 +102,47 @@
 			t.Parallel()
 			s, runner := checked(t)
 			s.config.bump()
-			s.config.namedAt[0] = time.Now().Add(-test.news)
-			s.disturbances.past(test.subject, test.calm)
 			send(t, runner)
+			began := runner.Runs()[0].Began
+			s.config.namedAt[0] = began.Add(-test.news)
+			s.disturbances.past(began, test.subject, test.calm)
 			s.checkNews()
 			expectBroken(t, s, test.broken, "older weights: 1 requests of gateway-0 at e0")
 		})
 	}
 }
 
+// A gateway that does not reach the store learns from the others that read it for all, and
+// is held to that while one of them is sound.
+func TestGatewaysAreHeldToWhatOthersTellThem(t *testing.T) {
+	for name, test := range map[string]struct {
+		disturbed []string
+		broken    bool
+	}{
+		"its store disturbed":               {[]string{storeOf(testGateway)}, true},
+		"and the other gateway":             {[]string{storeOf(testGateway), "gateway-1"}, false},
+		"and the store of the other":        {[]string{storeOf(testGateway), storeOf("gateway-1")}, false},
+		"and one that does not read it":     {[]string{storeOf(testGateway), storeOf("gateway-2")}, true},
+		"itself, which others cannot mend":  {[]string{testGateway}, false},
+		"the store, which others read, too": {[]string{storeForEach}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, runner := checked(t)
+			s.processes = []*process{{name: testGateway}, {name: "gateway-1"}, {name: "gateway-2"}}
+			s.runners.leave(runner)
+			send(t, runner)
+			arrived := runner.ArrivalLog()[0].At
+			s.runners.leaves[runner.ID][0].from = arrived.Add(-2 * drainTime)
+			for _, subject := range test.disturbed {
+				s.disturbances.past(arrived, subject, contactTime-100*time.Millisecond)
+			}
+			s.checkNews()
+			expectBroken(t, s, test.broken, "leaving: 1 requests of gateway-0 at e0")
+		})
+	}
+}
+
 // A second naming does not start the deadline of weights that the first had replaced anew.
 func TestTheFirstNamingCounts(t *testing.T) {
 	s, runner := checked(t)
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -17,7 +17,7 @@
 	"github.com/clovertiller/clovertiller/platform"
 )
 
-// processAddresses are where one gateway listens.
+// processAddresses are where one gateway listens; others reach it through a proxy.
 type processAddresses struct {
 	Callers string
 	Ready   string
@@ -36,7 +36,9 @@
 	addresses processAddresses
 	seeds     []string
 	door      *storestand.Door
+	// proxy is before the store, and peerProxy before the gateway's address for others.
 	proxy     *faultproxy.Proxy
+	peerProxy *faultproxy.Proxy
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -50,7 +52,7 @@
 func (p *process) writeSettings() error {
 	settings := map[string]any{
 		"node": p.name, "zone": "z", "ip": "127.0.0.1",
-		"listen": map[string]any{"front": p.addresses.Callers, "ready": p.addresses.Ready, "control": p.addresses.Peer},
+		"listen": map[string]any{"front": p.addresses.Callers, "ready": p.addresses.Ready, "control": p.peerProxy.Address, "control_bind": p.addresses.Peer},
 		"seeds":  p.seeds,
 		"bounds": map[string]any{
 			"contact_ms": contactTime.Milliseconds(), "grace_s": graceTime.Seconds(), "revoke_ms": revokeTime.Milliseconds(),
--- a/internal/lab/soak/silences.go
+++ b/internal/lab/soak/silences.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
 
@@ -67,18 +68,19 @@
 
 // drawNews draws what gateways have to learn.
 func (s *Soak) drawNews() step {
-	runner := s.anyRunner()
-	news := []step{
-		{name: "runner " + runner.ID + " leaves", do: func() {
-			comeBack := s.runners.leave(runner)
-			time.Sleep(leaveLeast)
-			comeBack()
-		}},
-		{name: "new weights", do: s.config.bump},
-	}
+	news := []step{s.leaving(s.anyRunner()), {name: "new weights", do: s.config.bump}}
 	return news[s.random.IntN(len(news))]
 }
 
+// leaving has the runner leave for a while.
+func (s *Soak) leaving(runner *runnerstand.Runner) step {
+	return step{name: "runner " + runner.ID + " leaves", do: func() {
+		comeBack := s.runners.leave(runner)
+		time.Sleep(leaveLeast)
+		comeBack()
+	}}
+}
+
 // muteStore silences what is open to the store for good. As others learn from these
 // gateways, it counts as a disturbance of all.
 func (s *Soak) muteStore(processes ...*process) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -40,7 +40,9 @@
 
 // Sizes of the deployment.
 const (
-	gateways     = 4
+	gateways = 4
+	// seedGateways are the first ones, which read the store for all.
+	seedGateways = 2
 	plainRunners = 3
 	engines      = 4
 	callers      = 8
@@ -147,12 +149,17 @@
 
 func (s *Soak) startProcesses() error {
 	var addresses []processAddresses
+	var peerProxies []*faultproxy.Proxy
 	var seeds []string
 	for range cmp.Or(s.settings.Gateways, gateways) {
 		free := freeAddresses()
-		addresses = append(addresses, free)
-		if len(seeds) < 2 {
-			seeds = append(seeds, free.Peer)
+		proxy, err := faultproxy.Start(free.Peer)
+		if err != nil {
+			return err
+		}
+		addresses, peerProxies = append(addresses, free), append(peerProxies, proxy)
+		if len(seeds) < seedGateways {
+			seeds = append(seeds, proxy.Address)
 		}
 	}
 	for i, free := range addresses {
@@ -165,7 +172,7 @@
 			return err
 		}
 		name := fmt.Sprintf("gateway-%d", i)
-		p := &process{name: name, program: s.settings.Program, folder: s.settings.Folder, addresses: free, seeds: seeds, door: door, proxy: proxy}
+		p := &process{name: name, program: s.settings.Program, folder: s.settings.Folder, addresses: free, seeds: seeds, door: door, proxy: proxy, peerProxy: peerProxies[i]}
 		if err := p.writeSettings(); err != nil {
 			return err
 		}
@@ -181,6 +188,7 @@
 	for _, p := range s.processes {
 		p.kill()
 		p.proxy.Close()
+		p.peerProxy.Close()
 		p.door.Close()
 	}
 	if s.runners != nil {
