--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -89,6 +89,8 @@
 	version   uint64
 	seq       uint64
 	fence     uint64
+	// deaf is whether orders are neither answered nor carried out.
+	deaf bool
 	// copies holds the runs of other runners that this one has a copy of.
 	copies map[string]bool
 	// continued lists the runs that went on here from a copy.
@@ -123,6 +125,13 @@
 	r.fence = token
 }
 
+// LeaveOrders makes the runner leave orders without an answer, and not carry them out.
+func (r *Runner) LeaveOrders() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.deaf = true
+}
+
 // Close ends the runner at once.
 func (r *Runner) Close() { r.server.Close() }
 
@@ -202,11 +211,24 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status, answered := r.takeOrder(order)
+	if !answered {
+		<-request.Context().Done()
+		return
+	}
+	writer.WriteHeader(status)
+}
+
+// takeOrder notes an order and returns its status, or that it gets no answer.
+func (r *Runner) takeOrder(order Order) (status int, answered bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	order.Status, order.At = r.judge(order), time.Now()
+	order.At = time.Now()
+	if !r.deaf {
+		order.Status = r.judge(order)
+	}
 	r.orders = append(r.orders, order)
-	writer.WriteHeader(order.Status)
+	return order.Status, !r.deaf
 }
 
 // judge carries an order out, if it may be. The mutex is held.
