A silent holder's lease is taken within 5.5 s of its last renewal

Cause: a router that saw another one's lease looked again only when it could have been free by that look (4.25 s). If the holder renewed in between, the time began anew at the second look, so a holder that fell silent was replaced 4.25 to 8.5 s after its last renewal; docs/PLATFORM.md said 4.25 s.

Change: routers that read the store look each second while another holds the lease and there is work. Others look as before, so that many of them are no herd.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -22,6 +22,10 @@
 	gapMargin = 250 * time.Millisecond
 	// leaseCall bounds one call on the lease.
 	leaseCall = 800 * time.Millisecond
+	// leaseWatch is how often a router that reads the store looks at another one's
+	// lease while there is work: the time until it may take the lease begins with the
+	// first look that shows the last renewal, so it begins that much late at the most.
+	leaseWatch = time.Second
 	// leaseRetry is the pause after a call on the lease that failed.
 	leaseRetry = 200 * time.Millisecond
 )
@@ -120,11 +124,21 @@
 	case lease.Acquire:
 		l.write(lease.Acquire)
 	case lease.Wait:
-		l.nextRead = l.candidate.FreeAt().Add(l.gateway.jitter(leaseRetry))
+		l.nextRead = l.nextLook()
 	}
 	return l.candidate.Token(time.Now())
 }
 
+// nextLook returns when to read the lease that another router holds. Those that do not
+// read the store look when it may be free, so that many of them are no herd.
+func (l *leader) nextLook() time.Time {
+	freeAt := l.candidate.FreeAt().Add(l.gateway.jitter(leaseRetry))
+	if look := time.Now().Add(leaseWatch); l.gateway.direct.on() && look.Before(freeAt) {
+		return look
+	}
+	return freeAt
+}
+
 // yieldIfFenced gives up a term whose token a runner refused. A new one is not
 // sought before the other holder's orders have had their time.
 func (l *leader) yieldIfFenced() {
