Unanswered orders hold no place against other runners

Cause: an order without an answer held one of the places of updates (a quarter of the runners) until it was carried out or given up after six seconds, though the runner was not loading: with 95 of 100 orders unanswered three of twelve runners were ordered in 6 s, and the others waited while their weights expired. The order may be carried out 2 to 12 s later, so the others' orders have to leave early.

Change: a runner whose order got no answer counts as out of use and not as loading until it is seen busy, so the next one is ordered. Half of the runners keep being spared, as before. Runners with expired weights serve nobody, so they are no longer counted among those that must go on serving.

--- a/internal/backend/nextupdates.go
+++ b/internal/backend/nextupdates.go
@@ -84,7 +84,7 @@
 	var outdated []GroupRunner
 	for _, e := range entries {
 		if version, held := e.version(model); held && version < target && !e.Draining {
-			outdated = append(outdated, GroupRunner{e.Runner, version})
+			outdated = append(outdated, GroupRunner{Runner: e.Runner, Version: version})
 		}
 	}
 	return outdated
--- a/internal/backend/nextupdates_test.go
+++ b/internal/backend/nextupdates_test.go
@@ -80,3 +80,23 @@
 	}
 	g.Expect(set.UpdatesAtOnce(start, "s", "m", time.Second)).To(Equal(10), "nothing is urgent when all have the newest")
 }
+
+// Whoever plans updates is told which runners serve nobody any more.
+func TestGroupsTellWhichWeightsExpired(t *testing.T) {
+	g := NewWithT(t)
+	set := manyRunners(3)
+	set.Weights().Name("m", 2, Deadlines{Old: start, Expired: start.Add(time.Second)})
+	set.Weights().Name("m", 3, Deadlines{Old: start, Expired: start.Add(time.Minute)})
+	set.LearnVersion("r1", "m", 2)
+	set.LearnVersion("r2", "m", 3)
+	expired := func(now time.Time) map[string]bool {
+		told := map[string]bool{}
+		for _, runner := range set.ModelGroups(now, time.Second)[0].Runners {
+			told[runner.ID] = runner.Expired
+		}
+		return told
+	}
+	g.Expect(expired(start)).To(Equal(map[string]bool{"r0": false, "r1": false, "r2": false}))
+	g.Expect(expired(start.Add(time.Second))).To(Equal(map[string]bool{"r0": true, "r1": false, "r2": false}))
+	g.Expect(expired(start.Add(time.Minute))).To(Equal(map[string]bool{"r0": true, "r1": true, "r2": false}))
+}
--- a/internal/backend/rollout.go
+++ b/internal/backend/rollout.go
@@ -43,6 +43,8 @@
 type GroupRunner struct {
 	Runner
 	Version uint64
+	// Expired tells that the weights get no requests any more.
+	Expired bool
 }
 
 // ModelGroup is the runners of one service that hold one model.
@@ -92,7 +94,7 @@
 					groups[key] = &ModelGroup{Service: e.Service, Model: held.Name, Target: target, AtOnce: s.UpdatesAtOnce(now, e.Service, held.Name, taken)}
 				}
 				version, _ := e.version(held.Name)
-				groups[key].Runners = append(groups[key].Runners, GroupRunner{e.Runner, version})
+				groups[key].Runners = append(groups[key].Runners, GroupRunner{e.Runner, version, s.weights.State(now, held.Name, version) == Expired})
 			}
 		}
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -42,6 +42,9 @@
 	mutex   sync.Mutex
 	// active holds the runners whose update is under way here.
 	active map[string]bool
+	// unanswered holds those of them whose last order got no answer, and that have not
+	// been seen to carry it out since.
+	unanswered map[string]bool
 	// setBackUntil holds runners that are to be left alone for a while.
 	setBackUntil map[string]time.Time
 	current      term
@@ -52,7 +55,7 @@
 }
 
 func newRollouts(g *Gateway) *rollouts {
-	return &rollouts{gateway: g, active: map[string]bool{}, setBackUntil: map[string]time.Time{}, taken: backend.UpdateTime}
+	return &rollouts{gateway: g, active: map[string]bool{}, unanswered: map[string]bool{}, setBackUntil: map[string]time.Time{}, taken: backend.UpdateTime}
 }
 
 // outdated counts the runners that have older weights than named.
@@ -101,18 +104,41 @@
 	var planned []rollout.Runner
 	backend.SortForUpdate(group.Runners)
 	for _, runner := range group.Runners {
-		state := fleet.Serving
-		if r.active[runner.ID] || now.Before(r.setBackUntil[runner.ID]) {
-			state = fleet.Loading
-		}
-		planned = append(planned, rollout.Runner{Name: runner.ID, Leaving: runner.Draining, Report: fleet.Report{
-			Runner: runner.ID, State: state, Connected: true, Model: group.Model,
+		report := fleet.Report{
+			Runner: runner.ID, State: r.state(now, runner.ID), Connected: true, Model: group.Model,
 			WeightVersion: strconv.FormatUint(min(runner.Version, group.Target), 10),
-		}})
+		}
+		if runner.Expired {
+			report.Model = ""
+		}
+		planned = append(planned, rollout.Runner{Name: runner.ID, Leaving: runner.Draining, Report: report})
 	}
 	return planned
 }
 
+// state is what the planner is to take the runner for. One whose order got no answer
+// may take the weights at any moment: it is neither sure to serve nor loading. The
+// mutex is held.
+func (r *rollouts) state(now time.Time, id string) fleet.State {
+	switch {
+	case r.unanswered[id]:
+		return fleet.Unknown
+	case r.active[id] || now.Before(r.setBackUntil[id]):
+		return fleet.Loading
+	}
+	return fleet.Serving
+}
+
+func (r *rollouts) setUnanswered(id string, unanswered bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if unanswered {
+		r.unanswered[id] = true
+		return
+	}
+	delete(r.unanswered, id)
+}
+
 func (r *rollouts) start(id, model string, version uint64) {
 	g := r.gateway
 	g.mutex.Lock()
@@ -141,6 +167,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.active, id)
+	delete(r.unanswered, id)
 	delete(r.setBackUntil, id)
 	if !done {
 		r.setBackUntil[id] = time.Now().Add(setBack)
@@ -163,6 +190,9 @@
 		if r.has(runner, report, model, version) {
 			return true
 		}
+		if report.Busy {
+			r.setUnanswered(runner.ID, false)
+		}
 		waiting := !orderedAt.IsZero() && report.Orders <= orderedAfter && time.Since(orderedAt) < resendAfter
 		if !report.Busy && !waiting {
 			if !r.order(runner, model, version, report.Orders) {
@@ -227,6 +257,7 @@
 		g.log.Log(events.OrderRefused, fields)
 		return false
 	}
+	r.setUnanswered(runner.ID, outcome == OrderUnknown)
 	g.log.Log(events.OrderSent, fields)
 	return true
 }
