--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -109,6 +109,7 @@
 			WeightVersion: strconv.FormatUint(min(runner.Version, group.Target), 10),
 		}
 		if runner.Expired {
+			// It serves the model to nobody, so nobody misses it while it loads.
 			report.Model = ""
 		}
 		planned = append(planned, rollout.Runner{Name: runner.ID, Leaving: runner.Draining, Report: report})
