--- a/internal/gateway/latenews_test.go
+++ b/internal/gateway/latenews_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -11,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/internal/wire"
 	"github.com/clovertiller/clovertiller/platform"
 )
 
@@ -148,22 +152,29 @@
 
 // Seeds whose calls on runners are not answered, while those on the configuration are,
 // proved the configuration of routers that could read the store themselves: these trusted
-// copies of runners that were 2.2 s old, and sent to runners that had left for 2 s.
+// copies of runners that were 2.2 s old, and sent to runners that had left for 2 s. Where
+// many routers ask a seed they do so each 0.45 s, and another seed may be silent.
 func TestRoutersDoNotWaitForSeedsThatHearNothingOfRunners(t *testing.T) {
-	const bound = 1800 * time.Millisecond // of the 2 s that leaving runners count
+	t.Run("few routers", func(t *testing.T) { testSeedThatHearsNothingOfRunners(t, 0) })
+	t.Run("many routers", func(t *testing.T) { testSeedThatHearsNothingOfRunners(t, 70) })
+}
+
+func testSeedThatHearsNothingOfRunners(t *testing.T, crowd int) {
+	const bound = 1750 * time.Millisecond // of the 2 s that leaving runners count
 	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
 	f.runner("p1", "plain")
 	held, store := holdingStore(f, platform.KindServers)
 	held.Store(false)
-	addresses, figuresAt := []string{loopback.FreeAddress()}, loopback.FreeAddress()
+	seedAt, silentAt, figuresAt := loopback.FreeAddress(), silentAddress(f), loopback.FreeAddress()
 	seed := f.servingRouter("seed", func(settings *gateway.Settings) {
-		settings.PeerAddress, settings.Seeds, settings.StoreAddress = addresses[0], addresses, store
-		settings.MetricsAddress = figuresAt
+		settings.PeerAddress, settings.Seeds, settings.StoreAddress = seedAt, []string{seedAt}, store
+		settings.MetricsAddress, settings.DirectFollowers = figuresAt, 1000
 	})
-	follower := f.servingRouter("follower", f.asFollower(addresses))
-	time.Sleep(time.Second)
+	askAsMany(f, seedAt, crowd)
+	follower := f.servingRouter("follower", f.asFollower([]string{seedAt, silentAt}))
+	time.Sleep(1500 * time.Millisecond)
 	held.Store(true)
 	f.runner("p2", "plain") // ends the watch that waits
 	follower.logs(`"runner":"p2"`)
@@ -174,5 +185,34 @@
 	left := time.Now()
 	f.g.Eventually(follower.log.String, 4*time.Second, 5*time.Millisecond).Should(ContainSubstring(lineDraining))
 	f.g.Expect(time.Since(left)).To(BeNumerically("<", bound))
-	f.g.Eventually(seed.log.String, 2*time.Second, 5*time.Millisecond).Should(ContainSubstring(lineDraining), "it asks others")
+	if crowd == 0 { // made-up routers know nothing
+		f.g.Eventually(seed.log.String, 2*time.Second, 5*time.Millisecond).Should(ContainSubstring(lineDraining), "it asks others")
+	}
+}
+
+// silentAddress returns an address that takes connections and says nothing.
+func silentAddress(f *fleet) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(func() { listener.Close() })
+	return listener.Addr().String()
+}
+
+// askAsMany asks the seed as so many routers would until the test ends.
+func askAsMany(f *fleet, seed string, count int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	transport := wire.NewTransport(wire.Identity{Node: "crowd", Incarnation: 1}, listener, func(context.Context, *wire.Envelope) *wire.Envelope { return nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(transport.Close)
+	f.t.Cleanup(cancel)
+	go func() {
+		for ctx.Err() == nil {
+			for i := range count {
+				pull := &wire.CopyPull{PeerAddress: fmt.Sprint("127.0.0.2:", i+1)}
+				_, _ = transport.Call(ctx, "", seed, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: pull}})
+			}
+			time.Sleep(time.Second)
+		}
+	}()
 }
