Routers ask again once their copies are too old, not a pause later

Cause: a router that had a recent answer slept a whole pause between pulls, 0.15 s to 0.45 s by the number of routers, whatever age its copies reached meanwhile, and found only then that its source proves nothing. Where many routers ask a seed, changes were known too late by that pause.

Change: the pause ends 10 ms after a copy is too old to rely on the source.

--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -47,7 +47,7 @@
 	case r.gateway.copies.revision(RunnerObjects) == 0:
 		interval = nextQuestion
 	}
-	timer := time.NewTimer(r.gateway.jitter(interval))
+	timer := time.NewTimer(r.beforeTooOld(time.Now(), r.gateway.jitter(interval)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -56,6 +56,35 @@
 	}
 }
 
+// beforeTooOld shortens a pause so that the next pull comes once a copy is too old to rely
+// on the router that answered last: with the pause on top, changes would be known too late.
+func (r *relays) beforeTooOld(now time.Time, pause time.Duration) time.Duration {
+	r.mutex.Lock()
+	oldest := r.oldestProof(r.lastSource())
+	r.mutex.Unlock()
+	for _, kind := range objectKinds {
+		limit := oldest
+		if kind != ConfigObjects {
+			limit += copySlack
+		}
+		// One that is too old already was asked for in vain. The answer is to show it, too:
+		// ages that are told are rounded, and take their time on the way.
+		if age, known := r.gateway.copies.age(now, kind); known && age < limit {
+			pause = min(pause, limit-age+nextQuestion)
+		}
+	}
+	return pause
+}
+
+// oldestProof is the age up to which a proof by the router counts as recent. The mutex is
+// held.
+func (r *relays) oldestProof(address string) time.Duration {
+	if address != "" && address == r.chooser.Referred() {
+		return relayedProofAge
+	}
+	return proofAge
+}
+
 // pullInterval is the time between two pulls: what the router that answered last
 // asked for, or, if it is of a version that does not, what suits the seeds.
 func (r *relays) pullInterval() time.Duration {
@@ -152,10 +181,7 @@
 	age := wire.Age(answer.GetProofAgeMillis())
 	known := answer.GetProven() || answer.GetUnconfigured()
 	r.mutex.Lock()
-	oldest := proofAge
-	if address == r.chooser.Referred() {
-		oldest = relayedProofAge
-	}
+	oldest := r.oldestProof(address)
 	switch {
 	case answer == nil && !r.gateway.informed():
 		r.chooser.Starting(now, address)
