--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -260,3 +260,19 @@
 	f.g.Expect(seed.Status().ReadsStore).To(BeTrue())
 	f.g.Eventually(func() bool { return follower.Status().ReadsStore }, 3*time.Second, 5*time.Millisecond).Should(BeFalse())
 }
+
+// A change shows that all was known when its watch was sent, which may be long before. The
+// proof is renewed before followers would take it for that of a seed without the store.
+func TestProofIsRenewedSoonAfterAChange(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	r := f.servingRouter("r1", nil)
+	proofAge := func() int64 { return r.Status().ProofAgeMillis }
+	f.configure(2, defaultRoutes(), goodKey)
+	r.settled(2)
+	time.Sleep(800 * time.Millisecond) // the next watch has waited for most of its 0.9 s
+	f.configure(3, defaultRoutes(), goodKey)
+	f.g.Eventually(proofAge, 700*time.Millisecond, 5*time.Millisecond).Should(BeNumerically("<", 500))
+}
