Followers of the tests of relays wait for their seed as at a first start

Cause, from traced runs of the three tests that allow followers no call to the store (8 copies beside three busy loops, 13 failures in 240 runs): their eight followers start at once, and where first pulls took over 50 ms or the first answer came later than 0.1 s, followers read the store at their start, as they should, long before the relay that the tests are about is lost. Change: the followers start for the first time, in which they wait for seeds that answer late for 1 s. That none makes a single call to the store is asserted as before, from the start on.

--- a/internal/gateway/zonerelays_test.go
+++ b/internal/gateway/zonerelays_test.go
@@ -16,7 +16,9 @@
 )
 
 // crowdedFleet has a seed that answers two routers itself, and followers of one
-// zone of which the first can carry all others.
+// zone of which the first can carry all others. The followers start for the first time:
+// they wait for the seed for 1 s rather than 0.1 s, so that none reads the store though
+// all start at once on a busy machine.
 func crowdedFleet(t *testing.T, caches gateway.CacheReader, followers int) (f *fleet, seed *router, others []*router) {
 	f = newFleet(t)
 	f.caches = caches
@@ -29,6 +31,7 @@
 	for i := range followers {
 		others = append(others, f.router(fmt.Sprint("r", i), func(settings *gateway.Settings) {
 			f.asFollower([]string{address})(settings)
+			settings.FirstStart = true
 			settings.CPUShare, settings.LinkMegabits = 0.2, 20
 			if i == 0 {
 				settings.CPUShare, settings.LinkMegabits = 1, 1000
