--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -74,7 +74,7 @@
 			Namespace: namespace, Name: "runner_connections_total", Help: "Connections opened to runners.",
 		}),
 		silentConnections: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "runner_connections_silent_total", Help: "Kept connections to runners closed since a request on another one had no answer.",
+			Namespace: namespace, Name: "runner_connections_silent_total", Help: "Kept connections to runners that were closed unused, as they may have fallen silent.",
 		}),
 		storeCalls:    seconds("store_call_seconds", "Calls to the store, watches with their waits.", "kind", "call"),
 		storeFailures: counters("store_failures_total", "Calls to the store that failed, by kind of object.", "kind"),
