--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,7 @@
 	runners *backend.Set
 	// unbegun are the requests that are withdrawn if they do not begin in time.
 	unbegun map[*unbegunSend]struct{}
-	// bounds are since when the newest weights can have been named.
+	// bounds are what is known of when weights were named.
 	bounds   weightBounds
 	splitter *routing.Splitter
 	saves    *backend.Saves
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -143,8 +143,8 @@
 	return count
 }
 
-// countRouters counts all routers, at a seed, and returns how many of them learn from this
-// one. Each router learns from one seed or a relay of one, and is told the number.
+// countRouters counts all routers, at a seed, and returns how many learn from this one,
+// itself included. Each router learns from one seed or a relay of one, and is told the number.
 func (r *relays) countRouters() (own int) {
 	now := time.Now()
 	r.mutex.Lock()
