Each version's bound is kept, and what it says of the store apart from its moment

Cause, found by a second review that had not seen the work: a bound that was hardly later than that of an earlier version was dropped, and with it the word that another router had learned of the naming, so that the store was taken to have been away for all (older weights up to 4.25 s too long); weights before all bounds took the time of the newest naming's news, which a failed call lengthened; 16 bounds were too few for 20 namings in 6 s (1.45 s too little time).

Every learned or told version keeps its bound, whose moment is at least that of the versions before it; whose naming others learned of is kept apart; the time of weights before all bounds is that of the first news; 64 bounds, as many as the table of deadlines.

--- a/internal/gateway/weightbounds.go
+++ b/internal/gateway/weightbounds.go
@@ -17,24 +17,25 @@
 	news    weightNews
 }
 
-// firm tells whether the bound may be told to others: that of a router that was not blind,
-// or has been told itself.
-func (b weightBound) firm() bool { return !b.news.blind() || b.news.told }
-
 // modelBounds are what is known of the namings of one model's weights.
 type modelBounds struct {
 	// named is the newest version that this router learned, 0 before, and news how.
 	named uint64
 	news  weightNews
-	// bounds rise by version and by moment. There are keptBounds at most.
+	// first is the news of the first one: weights before all bounds have the time left that
+	// was known then, and none anew.
+	first weightNews
+	// bounds rise by version, and their moments do not fall. There are keptBounds at most.
 	bounds []weightBound
+	// toldOf is the newest version whose naming another router has told of.
+	toldOf uint64
 }
 
 const (
-	// keptBounds is how many bounds of a model are told apart: weights before all of them
-	// are taken to have expired. With a second between namings they reach back for
-	// twice the deadline of older weights on the deployments seen.
-	keptBounds = 16
+	// keptBounds is how many bounds of a model are kept: weights before all of them are taken
+	// to have expired. With eight namings a second they reach back for the deadline of older
+	// weights on the deployments seen.
+	keptBounds = 64
 	// boundStep is by how much a bound has to be later than what is known to be taken. What
 	// routers tell each other is inexact by the time of a message, 0.2 to 20 ms.
 	boundStep = 50 * time.Millisecond
@@ -42,6 +43,9 @@
 
 // learn takes the news of a version that is newer than all before.
 func (m *modelBounds) learn(version uint64, news weightNews) {
+	if m.named == 0 {
+		m.first = news.bounded(time.Time{}, false)
+	}
 	for i, bound := range m.bounds {
 		if bound.version <= version && bound.news.learned.IsZero() {
 			m.bounds[i].news = news.bounded(bound.news.before, true)
@@ -58,11 +62,21 @@
 
 // told takes another router's word and tells whether it changes deadlines.
 func (m *modelBounds) told(version uint64, before time.Time) bool {
-	if version > m.named {
-		m.add(weightBound{version, weightNews{before: before, told: true}})
-		return false
+	news := weightNews{before: before, told: true}
+	if version <= m.named {
+		news = m.news.bounded(before, true)
 	}
-	return m.add(weightBound{version, m.news.bounded(before, true)})
+	voids := version > m.toldOf && slices.ContainsFunc(m.bounds, func(b weightBound) bool {
+		return b.version <= version && m.newsOf(b).storeAway()
+	})
+	m.toldOf = max(m.toldOf, version)
+	return (m.add(weightBound{version, news}) || voids) && version <= m.named
+}
+
+// newsOf returns the bound's news with what others told: if one learned of that version or
+// a later one, the store was not away for all.
+func (m *modelBounds) newsOf(bound weightBound) weightNews {
+	return bound.news.bounded(bound.news.before, bound.news.told || bound.version <= m.toldOf)
 }
 
 // add takes a bound and tells whether it adds to what is known.
@@ -70,7 +84,6 @@
 	at, found := slices.BinarySearchFunc(m.bounds, bound.version, func(known weightBound, version uint64) int {
 		return cmp.Compare(known.version, version)
 	})
-	end := at
 	switch {
 	case found:
 		known := m.bounds[at].news
@@ -78,25 +91,27 @@
 		if bound.news.told == known.told && bound.news.before.Sub(known.before) < boundStep {
 			return false
 		}
-		end++
-	case at > 0 && bound.news.before.Sub(m.bounds[at-1].news.before) < boundStep:
-		// The earlier version's bound says as much.
+		m.bounds[at] = bound
+	case at == 0 && len(m.bounds) == keptBounds:
 		return false
+	default:
+		if at > 0 {
+			bound.news.before = later(bound.news.before, m.bounds[at-1].news.before)
+		}
+		m.bounds = slices.Insert(m.bounds, at, bound)
 	}
-	// It holds for later versions too, and replaces what is known of them but is not later.
-	for end < len(m.bounds) && !m.bounds[end].news.before.After(bound.news.before) {
-		end++
+	// It holds for later versions too.
+	for i := at + 1; i < len(m.bounds); i++ {
+		m.bounds[i].news.before = later(m.bounds[i].news.before, bound.news.before)
 	}
-	m.bounds = slices.Replace(m.bounds, at, end, bound)
 	m.bounds = slices.Delete(m.bounds, 0, max(len(m.bounds)-keptBounds, 0))
 	return true
 }
 
-// deadlines returns the deadlines of older weights, by what is known of the namings. Weights
-// before all bounds have none left.
+// deadlines returns the deadlines of older weights, by what is known of the namings.
 func (m *modelBounds) deadlines(settings Settings) []backend.VersionDeadlines {
 	var deadlines []backend.VersionDeadlines
-	news := m.news.bounded(time.Time{}, false)
+	news := m.first
 	for _, bound := range m.bounds {
 		if bound.version > m.named {
 			break
@@ -104,26 +119,27 @@
 		if bound.version > 1 {
 			deadlines = append(deadlines, backend.VersionDeadlines{Below: bound.version - 1, Deadlines: olderDeadlines(settings, news)})
 		}
-		news = bound.news
+		news = m.newsOf(bound)
 	}
 	return append(deadlines, backend.VersionDeadlines{Below: m.named, Deadlines: olderDeadlines(settings, news)})
 }
 
-// olderUntil returns when the oldest weights with time left expire; without any, when all do.
+// olderUntil returns when the oldest weights with a bound expire; without any, when all do.
 func (m *modelBounds) olderUntil(settings Settings) time.Time {
-	for _, bound := range m.bounds {
-		if bound.version <= m.named {
-			return olderDeadlines(settings, bound.news).Expired
-		}
+	news := m.first
+	if len(m.bounds) > 0 && m.bounds[0].version <= m.named {
+		news = m.newsOf(m.bounds[0])
 	}
-	return olderDeadlines(settings, m.news.bounded(time.Time{}, false)).Expired
+	return olderDeadlines(settings, news).Expired
 }
 
-// firm returns the bounds that may be told to others and are at most so old.
+// firm returns the bounds that may be told to others and are at most so old: those of a
+// router that was not blind, or has been told itself.
 func (m *modelBounds) firm(now time.Time, kept time.Duration) []weightBound {
 	var firm []weightBound
 	for _, bound := range m.bounds {
-		if bound.version <= m.named && bound.firm() && now.Sub(bound.news.before) <= kept {
+		known := bound.news.told || !bound.news.blind()
+		if bound.version <= m.named && known && now.Sub(bound.news.before) <= kept {
 			firm = append(firm, bound)
 		}
 	}
--- a/internal/gateway/weightbounds_test.go
+++ b/internal/gateway/weightbounds_test.go
@@ -102,6 +102,15 @@
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", first.Add(allowedWeights)))
 		g.Expect(deadlineOf(known, 2)).To(BeTemporally("==", second.Add(allowedWeights)))
 	})
+	t.Run("a started router is told of both after it learned", func(t *testing.T) {
+		g := NewWithT(t)
+		known := &modelBounds{}
+		known.learn(3, weightNews{learned: now, started: now.Add(-200 * time.Millisecond)})
+		g.Expect(known.told(3, second)).To(BeTrue())
+		g.Expect(known.told(2, first)).To(BeTrue())
+		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", first.Add(allowedWeights)))
+		g.Expect(deadlineOf(known, 2)).To(BeTemporally("==", second.Add(allowedWeights)))
+	})
 	t.Run("a started router is told of the later one", func(t *testing.T) {
 		g := NewWithT(t)
 		known := &modelBounds{}
