The last holder of the lease seeks it again at once; only sources look each second

The look each second is for routers that read the store for all: those that read it for want of seeds would be a herd, one read a second each while anything is outdated. TestLastHolderOfTheLeaseSeeksItAgainAtOnce failed before.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -22,7 +22,7 @@
 	gapMargin = 250 * time.Millisecond
 	// leaseCall bounds one call on the lease.
 	leaseCall = 800 * time.Millisecond
-	// leaseWatch is how often a router that reads the store looks at another one's
+	// leaseWatch is how often a router that reads the store for all looks at another one's
 	// lease while there is work: the time until it may take the lease begins with the
 	// first look that shows the last renewal, so it begins that much late at the most.
 	leaseWatch = time.Second
@@ -72,14 +72,14 @@
 	}
 }
 
-// contends tells whether this router seeks the lease. Those that read the store
-// do at once; all others only when nothing happens, so that a named version does
-// not bring a herd of calls.
+// contends tells whether this router seeks the lease. Those that read the store do at once,
+// and the last holder, whose lease keeps the others waiting; all others only when nothing
+// happens, so that a named version does not bring a herd of calls.
 func (l *leader) contends(now time.Time, outdated int) bool {
 	if outdated != l.outdated {
 		l.outdated, l.changedAt = outdated, now
 	}
-	return l.gateway.direct.on() || l.held || now.Sub(l.changedAt) >= standbyDelay
+	return l.gateway.direct.on() || l.held || l.candidate.HeldLast() || now.Sub(l.changedAt) >= standbyDelay
 }
 
 // wait returns when there may be something to do, or false when the gateway stops.
@@ -129,11 +129,11 @@
 	return l.candidate.Token(time.Now())
 }
 
-// nextLook returns when to read the lease that another router holds. Those that do not
-// read the store look when it may be free, so that many of them are no herd.
+// nextLook returns when to read the lease that another router holds. Those that do not read
+// the store, or for want of seeds only, look when it may be free, so that they are no herd.
 func (l *leader) nextLook() time.Time {
 	freeAt := l.candidate.FreeAt().Add(l.gateway.jitter(leaseRetry))
-	if look := time.Now().Add(leaseWatch); l.gateway.direct.on() && look.Before(freeAt) {
+	if look := time.Now().Add(leaseWatch); l.gateway.relays.isSource() && look.Before(freeAt) {
 		return look
 	}
 	return freeAt
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -79,6 +79,10 @@
 	}
 }
 
+// HeldLast tells whether the last holder that this node knows of is itself: then its lease
+// keeps all others waiting.
+func (c *Candidate) HeldLast() bool { return c.seen.Exists && c.seen.Spec.Holder == c.node }
+
 // Next returns what to do. Another holder's lease may be taken only after this
 // node has watched it unchanged for the whole duration on its own clock.
 func (c *Candidate) Next(now time.Time) Action {
