--- /dev/null
+++ b/internal/gateway/mutualpulls_test.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/relay"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// Two routers that pull from each other, as a relay and the one that took its place while the
+// older pull still counts, each tell the other what the other told them.
+func TestRoutersThatPullFromEachOtherAreCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	one, two := "127.0.0.1:1", "127.0.0.1:2"
+	side := func(self string) *relays {
+		return &relays{chooser: relay.NewChooser(self, "z", []string{"127.0.0.1:9"}), followers: map[string]follows{}}
+	}
+	first, second := side(one), side(two)
+	tell := func(from *relays, address string, to *relays) {
+		pull := &wire.CopyPull{PeerAddress: address, Followers: uint32(from.routersBehind(now) - 1)}
+		to.followers[address] = follows{until: now.Add(pushTime), below: int(pull.GetFollowers())}
+	}
+	for range 6 {
+		tell(first, one, second)
+		tell(second, two, first)
+	}
+	g.Expect(first.routersBehind(now)).To(BeNumerically("<=", 2))
+}
