--- a/internal/wire/silence.go
+++ b/internal/wire/silence.go
@@ -13,6 +13,10 @@
 	// the 200 ms after which TCP first sends a lost packet again, under the 250 ms of a
 	// pull, so that one pull without an answer shows it.
 	silentTime = 220 * time.Millisecond
+	// lostAnswerTime is within which a new connection is answered to tell that the one before
+	// it was lost: sound routers answer within 20 ms. One that stood still for as long as a
+	// connection may be silent, and this much longer, is told apart.
+	lostAnswerTime = 50 * time.Millisecond
 	// longestSilentTime bounds the time of connections that replace silent ones, so
 	// that one of them that falls silent too is replaced within a second and a pull.
 	longestSilentTime = 4 * silentTime
@@ -113,7 +117,7 @@
 func (s *silence) heard(now time.Time) (lostSince time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if now.Sub(s.openedAt) < silentTime {
+	if now.Sub(s.openedAt) < lostAnswerTime {
 		lostSince = s.replaced
 	}
 	s.replaced = time.Time{}
