What was known by a moment is kept beyond the latest rise

Only the latest rise of the copies was remembered, so one after the moment that an answer tells of hid what had been known before it, and an answer from the past proved copies.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -35,9 +35,9 @@
 	// proven is when each copy was last known to lack nothing, nil before. It is read
 	// without the mutex, which is held while whole lists are decoded.
 	proven map[ObjectKind]*atomic.Pointer[time.Time]
-	// newest is the highest revision that any copy has reached, at newestAt.
-	newest   uint64
-	newestAt time.Time
+	// reached holds the highest revisions that any copy has reached, with when, in their
+	// order; there are keptCheckpoints at most.
+	reached []checkpoint
 	// checkpoints are the store's latest revisions.
 	checkpoints checkpoints
 }
@@ -105,9 +105,7 @@
 	if outcome == config.Applied {
 		c.gateway.putInForce(kind, newerThan(before, delta))
 	}
-	if reached := c.stores[kind].Revision(); reached > c.newest {
-		c.newest, c.newestAt = reached, time.Now()
-	}
+	c.noteReached(checkpoint{revision: c.stores[kind].Revision(), at: time.Now()})
 	if proven.given && outcome != config.Gap {
 		c.prove(kind, proven.at)
 	}
--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/wire"
@@ -21,7 +22,27 @@
 func (c *copies) newestRevision() uint64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.newest
+	return c.reachedBy(time.Now())
+}
+
+// noteReached notes what a copy has reached, if none has reached as much. The mutex is held.
+func (c *copies) noteReached(known checkpoint) {
+	if last := len(c.reached) - 1; last >= 0 && c.reached[last].revision >= known.revision {
+		return
+	}
+	c.reached = append(c.reached, known)
+	c.reached = slices.Delete(c.reached, 0, max(len(c.reached)-keptCheckpoints, 0))
+}
+
+// reachedBy returns the highest revision that any copy had reached by the moment, 0 when
+// that is not known any more. The mutex is held.
+func (c *copies) reachedBy(moment time.Time) uint64 {
+	for _, known := range slices.Backward(c.reached) {
+		if !known.at.After(moment) {
+			return known.revision
+		}
+	}
+	return 0
 }
 
 // shownBy tells whether the answer shows what was the newest at the moment. One below a
@@ -31,7 +52,7 @@
 func (c *copies) shownBy(answer storeAnswer, at time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return answer.revision >= answer.known && (answer.revision >= c.newest || c.newestAt.After(at))
+	return answer.revision >= max(answer.known, c.reachedBy(at))
 }
 
 // behind tells whether the copy of runners or weights may be older than the limit.
--- a/internal/gateway/copyproofs_test.go
+++ b/internal/gateway/copyproofs_test.go
@@ -21,7 +21,7 @@
 		"older than learned since":        {revision: 6, known: 6, newest: 7, newestAt: now.Add(time.Millisecond), want: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			copies := &copies{newest: test.newest, newestAt: test.newestAt}
+			copies := &copies{reached: []checkpoint{{revision: test.newest, at: test.newestAt}}}
 			answer := storeAnswer{revision: test.revision, known: test.known}
 			NewWithT(t).Expect(copies.shownBy(answer, now)).To(Equal(test.want))
 		})
--- a/internal/gateway/pastanswers_test.go
+++ b/internal/gateway/pastanswers_test.go
@@ -13,9 +13,10 @@
 func TestAnswersFromThePastShowNothingHoweverOftenCopiesRose(t *testing.T) {
 	g := NewWithT(t)
 	at := time.Unix(1_000, 0)
-	copies := &copies{newest: 12, newestAt: at.Add(-500 * time.Millisecond)}
+	copies := &copies{}
+	copies.noteReached(checkpoint{revision: 12, at: at.Add(-500 * time.Millisecond)})
 	answer := storeAnswer{revision: 10, known: 10}
 	g.Expect(copies.shownBy(answer, at)).To(BeFalse(), "12 was known half a second before the moment")
-	copies.newest, copies.newestAt = 13, at.Add(20*time.Millisecond)
+	copies.noteReached(checkpoint{revision: 13, at: at.Add(20 * time.Millisecond)})
 	g.Expect(copies.shownBy(answer, at)).To(BeFalse(), "it still was, whatever came since")
 }
