Routers tell how many others pull from them, not those below

Two that pull from each other, while one takes the other's place as relay, told each other what the other had told: 13 for two after six rounds. A pull tells the direct followers beside the router that is asked; relays have no relays below them. TestRoutersThatPullFromEachOtherAreCountedOnce failed before; it tells through what a pull tells now, its assertion is unchanged.

--- a/internal/gateway/mutualpulls_test.go
+++ b/internal/gateway/mutualpulls_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/relay"
-	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 // Two routers that pull from each other, as a relay and the one that took its place while the
@@ -20,13 +19,12 @@
 		return &relays{chooser: relay.NewChooser(self, "z", []string{"127.0.0.1:9"}), followers: map[string]follows{}}
 	}
 	first, second := side(one), side(two)
-	tell := func(from *relays, address string, to *relays) {
-		pull := &wire.CopyPull{PeerAddress: address, Followers: uint32(from.routersBehind(now) - 1)}
-		to.followers[address] = follows{until: now.Add(pushTime), below: int(pull.GetFollowers())}
+	tell := func(from *relays, address string, to *relays, at string) {
+		to.followers[address] = follows{until: now.Add(pushTime), below: from.followersBeside(now, at)}
 	}
 	for range 6 {
-		tell(first, one, second)
-		tell(second, two, first)
+		tell(first, one, second, two)
+		tell(second, two, first, one)
 	}
 	g.Expect(first.routersBehind(now)).To(BeNumerically("<=", 2))
 }
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -236,7 +236,7 @@
 	patience, kinds := r.question()
 	ctx, cancel := context.WithTimeout(g.ctx, patience)
 	defer cancel()
-	request := r.newPull()
+	request := r.newPull(address)
 	if g.informed() {
 		// The first answer is to be small, and a whole feed is not asked for twice soon.
 		g.caches.ask(address, request)
@@ -272,14 +272,14 @@
 	return reply, taken
 }
 
-// newPull says who asks.
-func (r *relays) newPull() *wire.CopyPull {
+// newPull says to the router at the address who asks.
+func (r *relays) newPull(address string) *wire.CopyPull {
 	settings := r.gateway.settings
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return &wire.CopyPull{
 		PeerAddress: settings.PeerAddress, Zone: settings.Zone,
-		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.routersBehind(time.Now()) - 1),
+		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.followersBeside(time.Now(), address)),
 	}
 }
 
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -143,6 +143,17 @@
 	return count
 }
 
+// followersBeside counts the routers that pull from this one beside the one at the address:
+// two may pull from each other while one takes the other's place. The mutex is held.
+func (r *relays) followersBeside(now time.Time, address string) (count int) {
+	for other, follower := range r.followers {
+		if other != address && now.Before(follower.until) && !r.chooser.HasSeed(other) {
+			count++
+		}
+	}
+	return count
+}
+
 // countRouters counts all routers, at a seed, and returns how many learn from this one,
 // itself included. Each router learns from one seed or a relay of one, and is told the number.
 func (r *relays) countRouters() (own int) {
