Schedulers are told target, pause, rank, tenant and output of a request

Choice, order of admission and shares of tenants are decided where the load is known, and need to know more of a request than its prompt and one drawn bound. Nothing uses the new fields yet: behaviour is unchanged, tests of gateway, backend and placement pass.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
@@ -47,6 +48,18 @@
 	MaxQueue time.Duration
 	// Zone is that of the router that sends the request, this one's if empty.
 	Zone string
+	// Target is the time within which an answer is on time, and EventGap the longest
+	// pause between its events; 0 for none.
+	Target   time.Duration
+	EventGap time.Duration
+	// Rank is the request's place among those that want the same runners.
+	Rank admission.Rank
+	// Tenant is empty for requests without one.
+	Tenant string
+	// MaxTokens is the most that the request generates, 0 when not told.
+	MaxTokens int
+	// Admitted requests were let in before, and are not refused for the sake of others.
+	Admitted bool
 }
 
 // Candidates returns the service's runners with their costs, for placement.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -181,8 +181,7 @@
 	}
 	c.gateway.mutex.Lock()
 	c.service = c.gateway.splitter.Pick(c.route)
-	rank := admission.Rank{Tier: c.view.table.Tier(c.tenant), Route: c.view.table.Rank(c.service, c.route)}
-	c.maxQueue = admission.LongestQueue(c.route.Target, rank, c.gateway.random)
+	c.maxQueue = admission.LongestQueue(c.route.Target, c.rank(), c.gateway.random)
 	c.gateway.mutex.Unlock()
 	c.setDeadline()
 	c.request = attempt.NewRequest(c.route.Repeatable(), attempt.Limits{MaxAttempts: max(c.route.MaxAttempts, 1), MaxRefusals: maxRefusals, MaxUnsent: maxUnsent})
@@ -270,12 +269,23 @@
 	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
 }
 
+// rank is the call's place among those that want the same runners.
+func (c *call) rank() admission.Rank {
+	return admission.Rank{Tier: c.view.table.Tier(c.tenant), Route: c.view.table.Rank(c.service, c.route)}
+}
+
 // newQuery says what placement needs to know of the call.
 func (c *call) newQuery() backend.Query {
-	query := backend.Query{Service: c.service, Excluded: c.request.Excluded(), Zone: c.gateway.settings.Zone, MaxQueue: c.maxQueue}
+	query := backend.Query{
+		Service: c.service, Excluded: c.request.Excluded(), Zone: c.gateway.settings.Zone, MaxQueue: c.maxQueue,
+		Target: c.route.Target, EventGap: c.route.EventGap, Rank: c.rank(), MaxTokens: c.facts.MaxTokens,
+	}
+	if c.tenant != nil {
+		query.Tenant = c.tenant.Name
+	}
 	if c.request.Attempt() > 0 {
 		// What has been let in is not turned away at its second attempt.
-		query.MaxQueue = 0
+		query.MaxQueue, query.Admitted = 0, true
 	}
 	if !c.route.Cached {
 		return query
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -60,6 +60,9 @@
 		Send: send, Service: query.Service, Model: query.Model, Owner: query.Owner, PromptTokens: uint32(max(query.PromptTokens, 0)),
 		Family: query.Family, Excluded: query.Excluded, Zone: query.Zone, LeftMillis: uint32(max(left.Milliseconds(), 0)),
 		MaxQueueMillis: uint32(query.MaxQueue.Milliseconds()),
+		TargetMillis:   uint32(query.Target.Milliseconds()), GapMillis: uint32(query.EventGap.Milliseconds()),
+		Tier: uint32(query.Rank.Tier), RouteRank: uint32(query.Rank.Route), Tenant: query.Tenant,
+		MaxTokens: uint32(max(query.MaxTokens, 0)), Admitted: query.Admitted,
 	}
 	for _, part := range query.Shared {
 		message.Parts = append(message.Parts, part.ID)
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/peers"
 	"github.com/clovertiller/clovertiller/internal/placement"
@@ -101,6 +102,10 @@
 		Service: ask.GetService(), Model: ask.GetModel(), Owner: ask.GetOwner(), PromptTokens: int(ask.GetPromptTokens()),
 		Family: ask.GetFamily(), Excluded: ask.GetExcluded(), Zone: ask.GetZone(),
 		MaxQueue: time.Duration(ask.GetMaxQueueMillis()) * time.Millisecond,
+		Target:   time.Duration(ask.GetTargetMillis()) * time.Millisecond,
+		EventGap: time.Duration(ask.GetGapMillis()) * time.Millisecond,
+		Rank:     admission.Rank{Tier: int(ask.GetTier()), Route: int(ask.GetRouteRank())},
+		Tenant:   ask.GetTenant(), MaxTokens: int(ask.GetMaxTokens()), Admitted: ask.GetAdmitted(),
 	}
 	for i, part := range ask.GetParts() {
 		if i < len(ask.GetDepths()) {
