Limits of tenants are a package of their own

Cause: quotas, as one part of Gateway, reached into its relays, settings and metrics. Change: internal/limits holds the client of the keepers; what it needs of the gateway is a configuration with a small interface to other routers.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
@@ -53,9 +54,9 @@
 	// spending is what the call counts against its tenant's limit, spentAt the keeper
 	// that granted it, empty without one, and quotaDecided gives the decision; it is
 	// nil without a limit.
-	spending     spending
+	spending     limits.Spending
 	spentAt      string
-	quotaDecided <-chan quotaDecision
+	quotaDecided <-chan limits.Decision
 	// bodyArrived is closed when the body is here and nothing is left to wait for but
 	// the decision.
 	bodyArrived chan struct{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -95,8 +96,8 @@
 	disturbance disturbance
 	// schedulers place requests for other routers, or this one's.
 	schedulers *schedulers
-	// quotas keeps tenants to their limits.
-	quotas *quotas
+	// limits keeps tenants to their limits.
+	limits *limits.Client
 	// cacheStores watches the stores of kept cache.
 	cacheStores *cacheStoreWatch
 	// caches reads what runners and stores keep, for all routers that ask.
@@ -134,10 +135,11 @@
 	g.metrics = newMetrics(g)
 	ports.RunnerPool.Opened, ports.RunnerPool.Silent = g.metrics.connections.Inc, g.metrics.silentConnections.Inc
 	ports.RunnerPool.SilentAfter = runnerSilence
-	g.quotas, g.schedulers = newQuotas(g), newSchedulers(g)
+	g.schedulers = newSchedulers(g)
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
+	g.limits = limits.New(g.limitsConfig())
 	for _, kind := range objectKinds {
 		g.followers = append(g.followers, newFollower(g, kind))
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -99,7 +100,7 @@
 		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
-		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.quotas.tenants() }),
+		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.Tenants() }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
 		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
 		gauge("peer_connections_silent", "Connections to other routers closed since they answered nothing.", func() float64 { return g.relays.silentConnections() }),
@@ -247,11 +248,11 @@
 )
 
 // quotaDecided counts a decision about a tenant's limit.
-func (m *metrics) quotaDecided(decision quotaDecision, waited time.Duration) {
+func (m *metrics) quotaDecided(decision limits.Decision, waited time.Duration) {
 	outcome := "refused"
 	if decision.Granted {
 		outcome = "granted"
 	}
-	m.quotaDecisions.WithLabelValues(decision.by, outcome).Inc()
+	m.quotaDecisions.WithLabelValues(string(decision.By), outcome).Inc()
 	m.quotaWaits.Observe(waited.Seconds())
 }
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -73,7 +73,7 @@
 
 // call makes one question and returns the choice, or nil.
 func (s *schedulers) call(scheduler string, ask *wire.RunnerAsk) *placed {
-	reply, taken := s.gateway.relays.call(scheduler, &wire.Envelope{Body: &wire.Envelope_RunnerAsk{RunnerAsk: ask}})
+	reply, taken := s.gateway.relays.Call(scheduler, &wire.Envelope{Body: &wire.Envelope_RunnerAsk{RunnerAsk: ask}})
 	answer := reply.GetRunnerAnswer()
 	answered := answer != nil && !answer.GetDeclined()
 	s.gateway.metrics.placementCalls.WithLabelValues(outcomeOf(answered)).Observe(taken.Seconds())
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -258,9 +258,9 @@
 // to be given back.
 const callTime = 500 * time.Millisecond
 
-// call asks one router on behalf of a call and returns its reply, nil without one, and
+// Call asks one router on behalf of a call and returns its reply, nil without one, and
 // how long that took.
-func (r *relays) call(address string, question *wire.Envelope) (*wire.Envelope, time.Duration) {
+func (r *relays) Call(address string, question *wire.Envelope) (*wire.Envelope, time.Duration) {
 	ctx, cancel := context.WithTimeout(r.gateway.ctx, callTime)
 	defer cancel()
 	sent := time.Now()
@@ -272,6 +272,12 @@
 	return reply, taken
 }
 
+// Send sends the router at the address a message. One that is lost costs what its sender
+// says where it is sent.
+func (r *relays) Send(address string, message *wire.Envelope) {
+	_ = r.transport.Send("", address, message)
+}
+
 // newPull says to the router at the address who asks.
 func (r *relays) newPull(address string) *wire.CopyPull {
 	settings := r.gateway.settings
--- a/internal/gateway/quotacall.go
+++ b/internal/gateway/quotacall.go
@@ -5,12 +5,24 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/quota"
 )
 
 // leastQuotaRetry is the shortest time told to a caller that is over its limit.
 const leastQuotaRetry = 20 * time.Millisecond
 
+// limitsConfig says what keeps tenants to their limits.
+func (g *Gateway) limitsConfig() limits.Config {
+	return limits.Config{
+		PeerAddress: g.settings.PeerAddress, Zone: g.settings.Zone, Seeds: g.settings.Seeds, Started: g.started,
+		Peers: g.relays, Routers: g.routerCount,
+		Asked: func(answered bool, taken time.Duration) {
+			g.metrics.quotaCalls.WithLabelValues(outcomeOf(answered)).Observe(taken.Seconds())
+		},
+	}
+}
+
 // startQuota begins to count the call against its tenant's limit, while its body
 // arrives.
 func (c *call) startQuota() {
@@ -18,12 +30,12 @@
 		return
 	}
 	limit := c.tenant.Quota
-	c.spending = spending{
-		tenant: c.tenant.Name, amount: limit.Amount(c.facts.PromptTokens, c.facts.MaxTokens, c.facts.Counted),
-		limit: quota.Limit{Rate: limit.Rate, Burst: limit.Burst, Window: c.gateway.settings.QuotaWindow, Revision: c.view.revision},
+	c.spending = limits.Spending{
+		Tenant: c.tenant.Name, Amount: limit.Amount(c.facts.PromptTokens, c.facts.MaxTokens, c.facts.Counted),
+		Limit: quota.Limit{Rate: limit.Rate, Burst: limit.Burst, Window: c.gateway.settings.QuotaWindow, Revision: c.view.revision},
 	}
-	decided, arrived, ctx, s := make(chan quotaDecision, 1), make(chan struct{}), c.caller.Context(), c.spending
-	go func() { decided <- c.gateway.quotas.decide(ctx, s, arrived) }()
+	decided, arrived, ctx, s := make(chan limits.Decision, 1), make(chan struct{}), c.caller.Context(), c.spending
+	go func() { decided <- c.gateway.limits.Decide(ctx, s, arrived) }()
 	c.quotaDecided, c.bodyArrived = decided, arrived
 }
 
@@ -36,21 +48,21 @@
 	close(c.bodyArrived)
 	decision := <-c.quotaDecided
 	waited := time.Since(began)
-	c.spentAt = decision.keeper
+	c.spentAt = decision.Keeper
 	c.gateway.metrics.quotaDecided(decision, waited)
 	c.note(events.QuotaDecided, events.Fields{
-		"tenant": c.spending.tenant, "amount": c.spending.amount, "rate": c.spending.limit.Rate, "burst": c.spending.limit.Burst, "granted": decision.Granted,
-		"by": decision.by, "keeper": decision.keeper, "left": int64(decision.Level), "waited_us": waited.Microseconds(),
+		"tenant": c.spending.Tenant, "amount": c.spending.Amount, "rate": c.spending.Limit.Rate, "burst": c.spending.Limit.Burst, "granted": decision.Granted,
+		"by": decision.By, "keeper": decision.Keeper, "left": int64(decision.Level), "waited_us": waited.Microseconds(),
 	})
 	if decision.Granted {
 		return nil
 	}
 	refused := &refusal{status: http.StatusTooManyRequests, reason: "the tenant's limit is reached"}
-	if decision.by == decidedBySize {
+	if decision.By == limits.BySize {
 		refused.reason = "the request is larger than the tenant's limit allows"
 		return refused
 	}
-	if decision.by == decidedAlone {
+	if decision.By == limits.Alone {
 		// The tenant may well be below its limit.
 		return unavailable("no router that keeps the tenant's limit answers", busyRetryAfter)
 	}
@@ -65,8 +77,8 @@
 	}
 	close(c.bodyArrived)
 	go func() {
-		if decision := <-c.quotaDecided; decision.keeper != "" {
-			c.gateway.quotas.giveBack(c.spending, decision.keeper)
+		if decision := <-c.quotaDecided; decision.Keeper != "" {
+			c.gateway.limits.GiveBack(c.spending, decision.Keeper)
 		}
 	}()
 }
@@ -76,6 +88,6 @@
 	if c.spentAt == "" {
 		return
 	}
-	c.gateway.quotas.giveBack(c.spending, c.spentAt)
+	c.gateway.limits.GiveBack(c.spending, c.spentAt)
 	c.spentAt = ""
 }
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -47,7 +47,7 @@
 	case *wire.Envelope_CopyPush:
 		r.applyDeltas(body.CopyPush.GetDeltas(), proof{})
 	case *wire.Envelope_QuotaAsk:
-		return &wire.Envelope{Body: &wire.Envelope_QuotaAnswer{QuotaAnswer: r.gateway.quotas.answer(body.QuotaAsk)}}
+		return &wire.Envelope{Body: &wire.Envelope_QuotaAnswer{QuotaAnswer: r.gateway.limits.Answer(body.QuotaAsk)}}
 	case *wire.Envelope_RunnerAsk:
 		return &wire.Envelope{Body: &wire.Envelope_RunnerAnswer{RunnerAnswer: r.gateway.schedulers.place(envelope, body.RunnerAsk)}}
 	case *wire.Envelope_SendNotice:
@@ -55,7 +55,7 @@
 	case *wire.Envelope_LoadShare:
 		r.gateway.schedulers.told(envelope.GetFrom(), body.LoadShare)
 	case *wire.Envelope_QuotaReturn:
-		r.gateway.quotas.returned(body.QuotaReturn)
+		r.gateway.limits.Returned(body.QuotaReturn)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,308 @@
+// Package limits keeps tenants to their limits over all routers: it asks those routers that
+// keep the limits, the nearest first, and keeps a part itself if it is one of them. It knows
+// nothing of requests, configurations or runners; how a limit is split and judged is package
+// quota's, which has no I/O.
+package limits
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/quota"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// Peers carries messages to other routers.
+type Peers interface {
+	// Call returns the reply, nil without one, and how long it took.
+	Call(address string, question *wire.Envelope) (*wire.Envelope, time.Duration)
+	// Send sends a message that may be lost.
+	Send(address string, message *wire.Envelope)
+}
+
+// Config is what a client needs.
+type Config struct {
+	// PeerAddress is where other routers reach this one; empty for a router alone.
+	PeerAddress string
+	Zone        string
+	// Seeds are the routers that keep limits.
+	Seeds   []string
+	Started time.Time
+	Peers   Peers
+	// Routers returns how many routers there seem to be, this one included.
+	Routers func() int
+	// Asked is told how long each question to a keeper took, and whether it was answered.
+	Asked func(answered bool, taken time.Duration)
+}
+
+// Client decides for the calls of one router whether their tenants are within their limits.
+// It is safe for concurrent use.
+type Client struct {
+	config Config
+	mutex  sync.Mutex
+	asker  *quota.Asker
+	keeper *quota.Keeper
+}
+
+// New returns a client that asks the seeds.
+func New(config Config) *Client {
+	c := &Client{
+		config: config, keeper: quota.NewKeeper(config.Started),
+		asker: quota.NewAsker(config.PeerAddress, config.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+	}
+	c.SetKeepers(config.Seeds)
+	return c
+}
+
+// SetKeepers takes over the routers that keep limits. A router without any others
+// keeps them alone.
+func (c *Client) SetKeepers(seeds []string) {
+	if c.config.PeerAddress == "" {
+		seeds = []string{c.config.PeerAddress}
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asker.Keepers().Set(seeds)
+}
+
+// Spending is what one call spends of its tenant's limit.
+type Spending struct {
+	Tenant string
+	Amount float64
+	Limit  quota.Limit
+}
+
+// Decider names who decided about a spending, in logs and counters.
+type Decider string
+
+// The deciders.
+const (
+	ByKeeper Decider = "keeper"
+	// ByEarlierRefusal: all keepers have just refused the tenant.
+	ByEarlierRefusal Decider = "earlier refusal"
+	// Alone: no keeper answered in time.
+	Alone Decider = "alone"
+	// BySize: the request is larger than the limit ever allows.
+	BySize Decider = "size"
+)
+
+// Decision is the outcome for one call.
+type Decision struct {
+	quota.Answer
+	By Decider
+	// Keeper is whose part was spent from, empty when none was.
+	Keeper string
+}
+
+// Decide asks the keepers, the nearest first, until one grants the spending, all
+// have refused it or the time to wait is over. That time begins when the caller's
+// request is there: until then answers may queue behind it on this router's link.
+func (c *Client) Decide(ctx context.Context, s Spending, arrived <-chan struct{}) Decision {
+	now := time.Now()
+	if s.Amount > s.Limit.Most() {
+		return Decision{By: BySize}
+	}
+	c.mutex.Lock()
+	order, retryAfter := c.asker.Order(now, s.Tenant)
+	hedge, reachable := c.asker.Keepers().Hedge(), c.asker.Keepers().Reachable(now)
+	c.mutex.Unlock()
+	earlier := Decision{By: ByEarlierRefusal, Answer: quota.Answer{RetryAfter: retryAfter}}
+	if len(order) == 0 {
+		return earlier
+	}
+	if reachable {
+		if decision, answered := c.askInOrder(ctx, s, order, hedge, arrived); answered {
+			return decision
+		}
+	} else {
+		c.probe(s, order[0])
+	}
+	if retryAfter > 0 {
+		// Some have just refused, and the others do not answer.
+		return earlier
+	}
+	return Decision{By: Alone, Answer: c.decideAlone(s)}
+}
+
+// probe asks a silent keeper without waiting for it, to find out when it is back.
+func (c *Client) probe(s Spending, keeper string) {
+	done := make(chan struct{})
+	close(done)
+	go c.ask(s, keeper, nil, done)
+}
+
+// keeperAnswer is what came of one question.
+type keeperAnswer struct {
+	quota.Answer
+	keeper string
+	// silent is true when no answer came.
+	silent bool
+}
+
+// questions are those of one call to keepers.
+type questions struct {
+	client   *Client
+	spending Spending
+	// order holds the keepers to ask, and asked how many of them were.
+	order []string
+	asked int
+	// open holds those that have not answered yet.
+	open    map[string]bool
+	answers chan keeperAnswer
+	// done is closed when nobody waits for answers any more.
+	done chan struct{}
+}
+
+// ask asks so many of the keepers that are left.
+func (a *questions) ask(count int) {
+	for ; count > 0 && a.asked < len(a.order); count-- {
+		keeper := a.order[a.asked]
+		a.asked++
+		a.open[keeper] = true
+		go a.client.ask(a.spending, keeper, a.answers, a.done)
+	}
+}
+
+// askInOrder asks the nearest keeper, the next one at once after a refusal, and all
+// that are left if there is no answer within the hedge. It returns false when nobody
+// has answered within another hedge.
+func (c *Client) askInOrder(ctx context.Context, s Spending, order []string, hedge time.Duration, arrived <-chan struct{}) (Decision, bool) {
+	a := &questions{client: c, spending: s, order: order, open: map[string]bool{}, answers: make(chan keeperAnswer), done: make(chan struct{})}
+	defer close(a.done)
+	var patience <-chan time.Time
+	best, refused := Decision{By: ByKeeper}, false
+	for a.ask(1); len(a.open) > 0; {
+		select {
+		case answer := <-a.answers:
+			delete(a.open, answer.keeper)
+			if answer.Granted {
+				return Decision{Answer: answer.Answer, By: ByKeeper, Keeper: answer.keeper}, true
+			}
+			if !answer.silent && (!refused || answer.RetryAfter < best.RetryAfter) {
+				best.Answer, refused = answer.Answer, true
+			}
+			a.ask(1)
+		case <-arrived:
+			arrived, patience = nil, time.After(hedge)
+		case <-patience:
+			// Those that have not answered are asked last for a while.
+			c.silent(a.open)
+			if a.asked == len(order) {
+				return best, refused
+			}
+			a.ask(len(order))
+			patience = time.After(hedge)
+		case <-ctx.Done():
+			return best, refused
+		}
+	}
+	return best, refused
+}
+
+// ask asks one keeper. A grant that nobody waits for any more is given back.
+func (c *Client) ask(s Spending, keeper string, answers chan<- keeperAnswer, done <-chan struct{}) {
+	answer, known := c.askKeeper(s, keeper)
+	select {
+	case answers <- keeperAnswer{Answer: answer, keeper: keeper, silent: !known}:
+	case <-done:
+		if answer.Granted {
+			c.GiveBack(s, keeper)
+		}
+	}
+}
+
+// askKeeper returns a keeper's answer, or false when it gave none.
+func (c *Client) askKeeper(s Spending, keeper string) (quota.Answer, bool) {
+	if keeper == c.config.PeerAddress {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return c.note(keeper, s, c.keeper.Ask(time.Now(), s.Tenant, s.Amount, s.Limit, c.asker.Parts())), true
+	}
+	reply, taken := c.config.Peers.Call(keeper, &wire.Envelope{Body: &wire.Envelope_QuotaAsk{QuotaAsk: &wire.QuotaAsk{
+		Tenant: s.Tenant, Amount: s.Amount, Rate: s.Limit.Rate, Burst: s.Limit.Burst, Revision: s.Limit.Revision, WindowMillis: uint32(s.Limit.Window.Milliseconds()),
+	}}})
+	body := reply.GetQuotaAnswer()
+	c.config.Asked(body != nil, taken)
+	if body == nil || body.GetNotKeeper() {
+		c.silent(map[string]bool{keeper: true})
+		return quota.Answer{}, false
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.asker.Keepers().NoteAnswer(keeper, body.GetZone(), taken)
+	return c.note(keeper, s, quota.Answer{
+		Granted: body.GetGranted(), Level: body.GetLevel(),
+		EmptyFor:   time.Duration(body.GetEmptyMicros()) * time.Microsecond,
+		RetryAfter: time.Duration(body.GetRetryAfterMicros()) * time.Microsecond,
+	}), true
+}
+
+// note keeps what an answer says for later calls. The mutex is held.
+func (c *Client) note(keeper string, s Spending, answer quota.Answer) quota.Answer {
+	if answer.Granted {
+		c.asker.Granted(time.Now(), s.Tenant, s.Amount)
+	} else {
+		c.asker.Refused(time.Now(), keeper, s.Tenant, answer)
+	}
+	return answer
+}
+
+// silent notes keepers that have not answered in time.
+func (c *Client) silent(keepers map[string]bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for keeper := range keepers {
+		c.asker.Keepers().NoteSilence(time.Now(), keeper)
+	}
+}
+
+func (c *Client) decideAlone(s Spending) quota.Answer {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.asker.Alone(time.Now(), s.Tenant, s.Amount, s.Limit, c.config.Routers())
+}
+
+// GiveBack returns a grant that was not used.
+func (c *Client) GiveBack(s Spending, keeper string) {
+	if keeper == c.config.PeerAddress {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.keeper.Return(time.Now(), s.Tenant, s.Amount)
+		return
+	}
+	// One that is lost costs the tenant the amount once, which its rate makes up for.
+	c.config.Peers.Send(keeper, &wire.Envelope{Body: &wire.Envelope_QuotaReturn{
+		QuotaReturn: &wire.QuotaReturn{Tenant: s.Tenant, Amount: s.Amount},
+	}})
+}
+
+// Answer serves another router's question.
+func (c *Client) Answer(ask *wire.QuotaAsk) *wire.QuotaAnswer {
+	limit := quota.Limit{Rate: ask.GetRate(), Burst: ask.GetBurst(), Revision: ask.GetRevision(), Window: time.Duration(ask.GetWindowMillis()) * time.Millisecond}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.asker.Keepers().HasSelf() {
+		return &wire.QuotaAnswer{NotKeeper: true}
+	}
+	answer := c.keeper.Ask(time.Now(), ask.GetTenant(), ask.GetAmount(), limit, c.asker.Parts())
+	return &wire.QuotaAnswer{
+		Granted: answer.Granted, Level: answer.Level, Zone: c.config.Zone,
+		EmptyMicros: uint64(answer.EmptyFor.Microseconds()), RetryAfterMicros: uint64(answer.RetryAfter.Microseconds()),
+	}
+}
+
+// Returned takes back what another router did not use.
+func (c *Client) Returned(unused *wire.QuotaReturn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.keeper.Return(time.Now(), unused.GetTenant(), unused.GetAmount())
+}
+
+// Tenants counts the tenants whose limits this router keeps a part of.
+func (c *Client) Tenants() float64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return float64(c.keeper.Tenants())
+}
