Runners may start again under their id; entries of other writers name none

A runner's state was kept by its id alone. After a restart under the same id a router went on with the failures, waits, open requests, learned weights and kept prompt parts of the last start, took the end of a request of then out of the count of now, waited for an order that could no longer show, read what the runner keeps at its former address and went on from a copy of a run that had ended with its holder. A directory entry that could not be read left the runner known by its name in use, an entry with fields missing or an unknown state was taken, one object of another type failed a whole list or watch, and runners of services that the configuration does not have were ordered and asked for what they keep.

Change. backend.Runner and gateway.RunnerReport carry the incarnation. Put makes a new entry for another incarnation; a send holds the entry that it went to and counts nowhere once that is no longer listed, which also mends the double count of a runner that is removed and listed again. The cache reader begins anew for another incarnation or address, idle connections to the runner are closed, and an order to an earlier incarnation is not waited for. Weights that fall in the directory replace what answers said: an order that was delayed can bring older ones.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -176,12 +176,18 @@
 	return source.Address, cost, true
 }
 
-// CacheHolders returns the runners that keep prompt parts, by id, with their addresses.
-func (s *Set) CacheHolders() map[string]string {
-	holders := map[string]string{}
+// CacheHolder is where the prompt parts that one incarnation of a runner keeps are read.
+type CacheHolder struct {
+	Address     string
+	Incarnation uint64
+}
+
+// CacheHolders returns the runners that keep prompt parts, by id.
+func (s *Set) CacheHolders() map[string]CacheHolder {
+	holders := map[string]CacheHolder{}
 	for _, e := range s.entries {
-		if len(e.Models) > 0 {
-			holders[e.ID] = e.Address
+		if len(e.Models) > 0 && s.inUse(e) {
+			holders[e.ID] = CacheHolder{Address: e.Address, Incarnation: e.Incarnation}
 		}
 	}
 	return holders
--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -7,6 +7,8 @@
 // Send is one request at a runner, from Begin to End.
 type Send struct {
 	runner string
+	// entry is the incarnation that it was sent to, nil when there was none.
+	entry *entry
 	// tokens is what the runner has to read before its first answer.
 	tokens   int
 	at       time.Time
@@ -15,7 +17,8 @@
 
 // Begin notes a request sent to the runner with the prompt tokens it has to read.
 func (s *Set) Begin(now time.Time, id string, tokens int) *Send {
-	if e := s.entries[id]; e != nil {
+	e := s.entries[id]
+	if e != nil {
 		s.changed[id] = true
 		e.inFlight++
 		e.pendingTokens += tokens
@@ -24,13 +27,25 @@
 		}
 		e.unanswered++
 	}
-	return &Send{runner: id, tokens: tokens, at: now}
+	return &Send{runner: id, entry: e, tokens: tokens, at: now}
+}
+
+// Listed tells whether the incarnation that the send went to is still listed: what
+// becomes of a send to an earlier one says nothing of the runner as it is now.
+func (s *Set) Listed(send *Send) bool { return s.listed(send) != nil }
+
+// listed returns the incarnation that the send went to, nil if it is no longer listed.
+func (s *Set) listed(send *Send) *entry {
+	if e := s.entries[send.runner]; e == send.entry {
+		return e
+	}
+	return nil
 }
 
-// close takes a send out of its runner's open ones, and returns the runner, nil if it
-// is no longer listed.
+// close takes a send out of its runner's open ones, and returns the runner, nil if that
+// incarnation is no longer listed.
 func (s *Set) close(send *Send) *entry {
-	e := s.entries[send.runner]
+	e := s.listed(send)
 	if e != nil {
 		s.changed[send.runner] = true
 		e.inFlight = max(e.inFlight-1, 0)
@@ -48,7 +63,7 @@
 // FirstAnswer notes that the runner has begun to answer; the reading of the
 // tokens explains a part of the time that it took.
 func (s *Set) FirstAnswer(now time.Time, send *Send) {
-	e := s.entries[send.runner]
+	e := s.listed(send)
 	if e == nil || send.answered {
 		return
 	}
--- a/internal/backend/ledger.go
+++ b/internal/backend/ledger.go
@@ -53,12 +53,14 @@
 	}
 	runner := placed.send.runner
 	l.set.FirstAnswer(now, placed.send)
-	l.set.NoteRead(now, runner, placed.query, l.set.WeightVersion(runner, placed.query.Model))
+	if l.set.Listed(placed.send) {
+		l.set.NoteRead(now, runner, placed.query, l.set.WeightVersion(runner, placed.query.Model))
+	}
 }
 
 // LearnVersion notes the version of the weights that answered a request, 0 for none.
 func (l *Ledger) LearnVersion(key SendKey, version uint64) {
-	if placed := l.sends[key]; placed != nil && version > 0 {
+	if placed := l.sends[key]; placed != nil && version > 0 && l.set.Listed(placed.send) {
 		l.set.LearnVersion(placed.send.runner, placed.query.Model, version)
 	}
 }
--- a/internal/backend/rollout.go
+++ b/internal/backend/rollout.go
@@ -62,7 +62,7 @@
 func (s *Set) Outdated() int {
 	count := 0
 	for _, e := range s.entries {
-		if !e.Draining && s.outdated(e) {
+		if !e.Draining && s.inUse(e) && s.outdated(e) {
 			count++
 		}
 	}
@@ -84,6 +84,9 @@
 	groups := map[updateGroup]*ModelGroup{}
 	for _, entries := range s.byService {
 		for _, e := range entries {
+			if !s.inUse(e) {
+				break
+			}
 			for _, held := range e.Models {
 				target := s.weights.Target(held.Name)
 				if target == 0 {
--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -20,9 +20,12 @@
 
 // Runner is a directory entry: one incarnation of a runner.
 type Runner struct {
-	// ID names the incarnation; no other one ever has it.
-	ID      string
-	Service string
+	// ID names the runner. It may start again under it.
+	ID string
+	// Incarnation is another number for each start, the Unix time of the start in
+	// milliseconds; 0 when the runner does not tell.
+	Incarnation uint64
+	Service     string
 	// Address is IP:port; another runner may have it later.
 	Address string
 	Zone    string
@@ -79,15 +82,35 @@
 	updating bool
 }
 
-func (e *entry) version(model string) (uint64, bool) {
+// update takes a newer directory entry of the same incarnation. Weights that fall are
+// newer news than any answer's: an order that was delayed brought older ones.
+func (e *entry) update(runner Runner) {
+	for _, held := range runner.Models {
+		if before, known := e.listedVersion(held.Name); known && held.Version < before {
+			delete(e.learned, held.Name)
+		}
+	}
+	e.Runner = runner
+}
+
+// listedVersion is the version of the model's weights that the directory names.
+func (e *entry) listedVersion(model string) (uint64, bool) {
 	for _, held := range e.Models {
 		if held.Name == model {
-			return max(held.Version, e.learned[model]), true
+			return held.Version, true
 		}
 	}
 	return 0, false
 }
 
+func (e *entry) version(model string) (uint64, bool) {
+	listed, held := e.listedVersion(model)
+	if !held {
+		return 0, false
+	}
+	return max(listed, e.learned[model]), true
+}
+
 func decayed(value float64, elapsed, halfLife time.Duration) float64 {
 	if elapsed <= 0 {
 		return value
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -25,6 +25,8 @@
 	holding map[string]time.Duration
 	// others are the loads that other routers told of.
 	others map[string]*otherLoads
+	// services are those of the configuration in force.
+	services map[string]bool
 	// rolloutTime is within which all runners of a service take named weights.
 	rolloutTime time.Duration
 }
@@ -37,15 +39,31 @@
 // Weights returns the named versions of weights.
 func (s *Set) Weights() *Weights { return s.weights }
 
-// Put adds or changes a runner and tells whether it is new.
+// SetServices takes the names of the services of the configuration in force. Runners of
+// other services are not read or ordered: nobody has said that they are any.
+func (s *Set) SetServices(names []string) {
+	s.services = map[string]bool{}
+	for _, name := range names {
+		s.services[name] = true
+	}
+}
+
+// inUse tells whether the runner's service is one of the configuration in force, or no
+// configuration was taken yet.
+func (s *Set) inUse(e *entry) bool { return s.services == nil || s.services[e.Service] }
+
+// Put adds or changes a runner and tells whether it is new. A runner that has started
+// again is new: nothing that is known of its last start holds any more.
 func (s *Set) Put(runner Runner) (added bool) {
 	known := s.entries[runner.ID]
-	if known != nil && known.Service == runner.Service {
-		known.Runner = runner
+	if known != nil && known.Service == runner.Service && known.Incarnation == runner.Incarnation {
+		known.update(runner)
 		return false
 	}
 	if known != nil {
 		s.Remove(runner.ID)
+		// Those who count its load are told that none is left.
+		s.changed[runner.ID] = true
 	}
 	created := &entry{Runner: runner, learned: map[string]uint64{}}
 	s.entries[runner.ID] = created
@@ -66,6 +84,9 @@
 	delete(s.changed, id)
 	s.cached.Forget(id)
 	s.cached.Sweep()
+	for _, other := range s.others {
+		delete(other.loads, id)
+	}
 	s.byService[known.Service] = slices.DeleteFunc(slices.Clone(s.byService[known.Service]), func(e *entry) bool { return e == known })
 	return true
 }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -85,6 +85,7 @@
 	RunnerAdded        = define(830, logrus.InfoLevel, "runner added")
 	RunnerChanged      = define(831, logrus.InfoLevel, "runner changed state")
 	RunnerRemoved      = define(832, logrus.InfoLevel, "runner removed")
+	RunnerRestarted    = define(833, logrus.InfoLevel, "runner started again under its name")
 	WeightsNamed       = define(840, logrus.InfoLevel, "weights named")
 	CacheStoreChanged  = define(842, logrus.InfoLevel, "store of kept cache answers, or no longer")
 	CacheUnread        = define(843, logrus.WarnLevel, "what a runner keeps could not be read")
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -74,6 +74,11 @@
 	query.PromptTokens = 0
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
+	holder, listed := c.gateway.runners.Get(c.backup.ID)
+	if !listed || holder.Incarnation != c.backup.Incarnation {
+		// The copy ended with the incarnation that held it.
+		return false
+	}
 	return c.gateway.runners.Usable(now, c.backup.ID, query)
 }
 
--- a/internal/gateway/backup_test.go
+++ b/internal/gateway/backup_test.go
@@ -92,6 +92,11 @@
 			r.fleet.store.Remove(platform.KindServers, holder.ID)
 			r.logs("runner removed")
 		},
+		"it has started again": func(r *router, holder *runnerstand.Runner) {
+			holder.Restart()
+			r.fleet.list(holder, "ready")
+			r.logs("runner started again")
+		},
 		"its weights have expired": func(r *router, _ *runnerstand.Runner) {
 			r.door.Set(storestand.Loses)
 			time.Sleep(2 * shortSettle)
@@ -103,7 +108,7 @@
 			t.Parallel()
 			f := newFleet(t)
 			f.configure(1, defaultRoutes(), goodKey)
-			runners := []*runnerstand.Runner{f.engine("e1", 1), f.engine("e2", 1)}
+			runners := []*runnerstand.Runner{f.startedRunner("e1", "engines"), f.startedRunner("e2", "engines")}
 			r := f.servingRouter("r1", func(settings *gateway.Settings) {
 				settings.CopyRuns, settings.WeightDeadline, settings.SettleTime = true, shortDeadline, shortSettle
 			})
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -72,6 +72,8 @@
 
 // holderReading is how far one runner or store has been read.
 type holderReading struct {
+	// source is the runner's incarnation and address that are read.
+	source backend.CacheHolder
 	// stop ends the reading.
 	stop     context.CancelFunc
 	position CachePosition
@@ -141,14 +143,14 @@
 	listed := map[string]bool{}
 	for _, address := range stores {
 		listed[address] = true
-		r.begin(address, address, "")
+		r.begin(address, backend.CacheHolder{Address: address}, "")
 	}
-	for id, address := range runners {
-		r.begin(id, address, id)
+	for id, source := range runners {
+		r.begin(id, source, id)
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	known := func(holder string) bool { return listed[holder] || runners[holder] != "" }
+	known := func(holder string) bool { return listed[holder] || runners[holder].Address != "" }
 	for holder, reading := range r.holders {
 		if !known(holder) {
 			reading.stop()
@@ -159,19 +161,24 @@
 	r.applyOwn()
 }
 
-// begin reads the holder from now on, unless it is being read.
-func (r *cacheReader) begin(holder, address, runner string) {
+// begin reads the holder from now on, unless it is being read. What an earlier incarnation
+// of a runner kept is gone with it.
+func (r *cacheReader) begin(holder string, source backend.CacheHolder, runner string) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.holders[holder] != nil {
-		return
+	if known := r.holders[holder]; known != nil {
+		if known.source == source {
+			return
+		}
+		known.stop()
+		r.feed.Replace(holder, nil)
 	}
 	ctx, cancel := context.WithCancel(r.gateway.ctx)
-	reading := &holderReading{stop: cancel}
+	reading := &holderReading{stop: cancel, source: source}
 	r.holders[holder] = reading
 	r.gateway.spawn(func() {
 		for {
-			pause := r.pauseAfter(r.read(ctx, holder, address, runner, reading))
+			pause := r.pauseAfter(r.read(ctx, holder, source.Address, runner, reading))
 			if !waitFor(ctx, r.gateway.jitter(pause)) {
 				return
 			}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -152,7 +152,7 @@
 	object := g.ports.Decode(kind, stored)
 	switch {
 	case object.Fault != "":
-		g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision, "fault": object.Fault})
+		g.ignoreObject(kind, object, object.Fault)
 	case object.Config != nil:
 		g.applyConfig(object)
 	case object.Runner != nil || (kind == RunnerObjects && object.Gone):
@@ -162,6 +162,15 @@
 	}
 }
 
+// ignoreObject notes that an object is not used. A directory entry that cannot be read
+// says that the runner known by its name until now is no longer one.
+func (g *Gateway) ignoreObject(kind ObjectKind, object Object, fault string) {
+	g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision, "fault": fault})
+	if kind == RunnerObjects {
+		g.removeRunner(object, "entry cannot be read")
+	}
+}
+
 // retainRunners takes out runners that a whole list does not hold.
 func (g *Gateway) retainRunners(objects []v1.Object) {
 	listed := map[string]bool{}
@@ -188,6 +197,7 @@
 	}
 	g.mutex.Lock()
 	g.splitter.Retain(object.Config)
+	g.runners.SetServices(serviceNames(object.Config))
 	g.mutex.Unlock()
 	g.view.Store(next)
 	g.log.Log(events.ConfigInForce, events.Fields{
@@ -199,6 +209,14 @@
 	}
 }
 
+func serviceNames(config *routing.Config) []string {
+	names := make([]string, 0, len(config.Services))
+	for _, service := range config.Services {
+		names = append(names, service.Name)
+	}
+	return names
+}
+
 // prove notes that the configuration in force was so at the moment. The copies'
 // mutex is held, so the view does not change in between.
 func (g *Gateway) prove(at time.Time) {
@@ -232,22 +250,26 @@
 }
 
 func (g *Gateway) applyRunner(object Object) {
-	age := g.copies.ageMillis(time.Now(), RunnerObjects)
 	if object.Gone {
-		g.mutex.Lock()
-		removed := g.runners.Remove(object.Name)
-		g.mutex.Unlock()
-		if removed {
-			g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": "gone", "copy_age_ms": age})
-		}
+		g.removeRunner(object, "gone")
 		return
 	}
+	age := g.copies.ageMillis(time.Now(), RunnerObjects)
 	runner := *object.Runner
 	g.mutex.Lock()
 	before, known := g.runners.Get(runner.ID)
+	if known && before.Incarnation != 0 && runner.Incarnation == 0 {
+		g.mutex.Unlock()
+		g.ignoreObject(RunnerObjects, object, "runner: the entry no longer names its incarnation")
+		return
+	}
 	added := g.runners.Put(runner)
 	g.mutex.Unlock()
 	switch {
+	case added && known && before.Service == runner.Service:
+		// What idle connections led to has ended.
+		g.ports.RunnerPool.CloseIdle(before.Address)
+		g.log.Log(events.RunnerRestarted, events.Fields{"runner": runner.ID, "address": runner.Address, "incarnation": runner.Incarnation, "before": before.Incarnation, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
 	case added:
 		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
 	case known && before.Draining != runner.Draining:
@@ -255,6 +277,15 @@
 	}
 }
 
+func (g *Gateway) removeRunner(object Object, cause string) {
+	g.mutex.Lock()
+	removed := g.runners.Remove(object.Name)
+	g.mutex.Unlock()
+	if removed {
+		g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": cause, "copy_age_ms": g.copies.ageMillis(time.Now(), RunnerObjects)})
+	}
+}
+
 func (g *Gateway) applyWeights(object Object) {
 	now := time.Now()
 	model, version := object.Weights.Model, object.Weights.Version
--- a/internal/gateway/latenews_test.go
+++ b/internal/gateway/latenews_test.go
@@ -36,7 +36,7 @@
 
 // changeBoth has a runner leave and newer weights named.
 func (f *fleet) changeBoth() {
-	entry := map[string]any{"service": "plain", "address": "127.0.0.1:1", "zone": "z", "version": "v1", "slots": 8, "state": "draining", "seq": 2}
+	entry := map[string]any{"service": "plain", "address": "127.0.0.1:1", "zone": "z", "version": "v1", "slots": 8, "state": "draining", "cold_remaining_ms": 0, "seq": 2}
 	f.store.Put(platform.KindServers, "p1", entry)
 	name(f, 2)
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -169,6 +169,8 @@
 	Busy bool
 	// Orders counts the orders taken since the runner started.
 	Orders uint64
+	// Incarnation is that of the directory, 0 when the runner does not tell.
+	Incarnation uint64
 	// Queued and Running count requests.
 	Queued  int
 	Running int
--- /dev/null
+++ b/internal/gateway/restarts_test.go
@@ -0,0 +1,251 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// firstIncarnation is that of a test's runners before they start again.
+const firstIncarnation = 1785310070397
+
+func (f *fleet) startedRunner(id, service string) *runnerstand.Runner {
+	settings := runnerstand.Config{ID: id, Service: service, Incarnation: firstIncarnation}
+	if service == "engines" {
+		settings.Model, settings.Version, settings.Events = modelName, 1, 4
+	}
+	return f.startRunner(settings)
+}
+
+// newsWays are the ways on which a router hears of a change of the directory: each starts
+// routers, makes the change and returns the router that has to know of it.
+var newsWays = map[string]func(f *fleet, change func()) *router{
+	"watch": func(f *fleet, change func()) *router {
+		r := f.servingRouter("r1", nil)
+		change()
+		return r
+	},
+	"list": func(f *fleet, change func()) *router {
+		r := f.servingRouter("r1", nil)
+		r.door.Set(storestand.Busy)
+		r.logs("store does not answer well")
+		change()
+		f.store.Forget()
+		r.door.Set(storestand.Healthy)
+		return r
+	},
+	"relay": func(f *fleet, change func()) *router {
+		seed := []string{loopback.FreeAddress()}
+		f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = seed[0], seed })
+		follower := f.servingRouter("follower", f.asFollower(seed))
+		change()
+		f.t.Cleanup(func() { f.g.Expect(follower.door.Calls()).To(BeZero(), "it knows from the seed alone") })
+		return follower
+	},
+}
+
+func overAllWays(t *testing.T, test func(f *fleet, way func(f *fleet, change func()) *router)) {
+	for name, way := range newsWays {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, defaultRoutes(), goodKey)
+			test(f, way)
+		})
+	}
+}
+
+func TestRoutersHearOfARunnerThatStartsAgainUnderItsID(t *testing.T) {
+	overAllWays(t, func(f *fleet, way func(f *fleet, change func()) *router) {
+		runner := f.startedRunner("p1", "plain")
+		r := way(f, func() {
+			runner.Restart()
+			f.list(runner, "ready")
+		})
+		f.g.Eventually(r.log.String, 6*time.Second, 5*time.Millisecond).Should(And(
+			ContainSubstring("runner started again under its name"), ContainSubstring(fmt.Sprintf(`"incarnation":%d`, firstIncarnation+1))))
+		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	})
+}
+
+// What was failing with the last start is no reason to avoid the next.
+func TestRestartedRunnerIsUsedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	bad, good := f.startedRunner("p1", "plain"), f.startedRunner("p2", "plain")
+	r := f.servingRouter("r1", nil)
+	bad.Behave(runnerstand.Fails)
+	for range 30 {
+		r.call("/safe/x", nil)
+	}
+	f.g.Expect(len(good.Runs())).To(BeNumerically(">", 2*len(bad.Runs())), "it is avoided")
+	bad.Behave(runnerstand.Well)
+	bad.Restart()
+	f.list(bad, "ready")
+	r.logs("runner started again")
+	before := runCounts([]*runnerstand.Runner{bad, good})
+	for range 30 {
+		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	}
+	f.g.Expect(len(bad.Runs())-before["p1"]).To(BeNumerically(">=", 8), "it is one of two")
+}
+
+// A router that knows of the restart is told of the entry before by a replica that is behind.
+func TestOlderEntryDoesNotUndoARestart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.startedRunner("p1", "plain")
+	r := f.servingRouter("r1", nil)
+	listed, found := f.store.Get(platform.KindServers, "p1")
+	f.g.Expect(found).To(BeTrue())
+	runner.Restart()
+	f.list(runner, "ready")
+	r.logs("runner started again")
+	f.list(runner, "draining")
+	r.logs("runner changed state")
+	r.door.AnswerAt(listed.Metadata.Revision, platform.KindServers)
+	time.Sleep(300 * time.Millisecond)
+	f.store.Put(platform.KindServers, "p9", runner.Entry("draining"))
+	f.g.Consistently(r.log.String, time.Second, 50*time.Millisecond).ShouldNot(ContainSubstring(fmt.Sprintf(`"incarnation":%d`, firstIncarnation)))
+	f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusServiceUnavailable), "it still leaves")
+}
+
+// An order to the last start never shows in the reports of the next, whose count of orders
+// is lower: it is ordered again without the wait for an answer that is late.
+func TestOrderIsGivenAgainToARestartedRunner(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.startedRunner("e1", "engines")
+	f.servingRouter("r1", nil)
+	name(f, 2)
+	f.g.Eventually(runner.Version, 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(2)))
+	runner.LeaveOrders()
+	name(f, 3)
+	f.g.Eventually(runner.Orders, 2*time.Second, 5*time.Millisecond).Should(HaveLen(2))
+	f.g.Expect(runner.Orders()[1].Expected).To(Equal(uint64(1)))
+	runner.Restart()
+	f.g.Eventually(runner.Version, 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(3)))
+	orders := runner.Orders()
+	f.g.Expect(orders[len(orders)-1].Expected).To(BeZero(), "its count starts anew")
+}
+
+// movedParts stands in for what runners keep, by the addresses that they are read at.
+type movedParts struct {
+	*keptParts
+	reading   sync.Mutex
+	addresses map[string]bool
+}
+
+func (m *movedParts) CacheList(ctx context.Context, address, runner string) ([]gateway.CachedPart, gateway.CachePosition, error) {
+	m.reading.Lock()
+	m.addresses[address] = true
+	m.reading.Unlock()
+	return m.keptParts.CacheList(ctx, address, runner)
+}
+
+func (m *movedParts) readAt(address string) bool {
+	m.reading.Lock()
+	defer m.reading.Unlock()
+	return m.addresses[address]
+}
+
+func TestKeptPartsOfARestartedRunnerAreReadAnewWhereItIs(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	kept := &movedParts{keptParts: newKeptParts(), addresses: map[string]bool{}}
+	f.caches = kept
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.startedRunner("e1", "engines")
+	kept.put("e1")
+	f.servingRouter("r1", nil)
+	f.g.Eventually(func() bool { return kept.readAt(runner.Address) }, 3*time.Second, 5*time.Millisecond).Should(BeTrue())
+	runner.Restart()
+	entry := runner.Entry("ready")
+	entry["address"] = "127.0.0.1:1"
+	f.store.Put(platform.KindServers, "e1", entry)
+	f.g.Eventually(func() bool { return kept.readAt("127.0.0.1:1") }, 3*time.Second, 5*time.Millisecond).Should(BeTrue())
+}
+
+// Entries that anybody may write. The runner that is known by the name is no longer used,
+// as nobody knows what it is now; the others are.
+func TestEntryOfAnotherWriterNamesNoRunner(t *testing.T) {
+	overAllWays(t, func(f *fleet, way func(f *fleet, change func()) *router) {
+		known, sound := f.startedRunner("p1", "plain"), f.startedRunner("p2", "plain")
+		r := way(f, func() {
+			f.store.Put(platform.KindServers, "a-odd", "\xff\xfe{")
+			f.store.Put(platform.KindServers, "odd-list", []int{7})
+			f.store.Put(platform.KindServers, "odd-null", nil)
+			for name, change := range map[string]map[string]any{
+				"odd-state": {"state": "resting"}, "odd-service": {"service": 7}, "odd-slots": {"slots": "many"},
+				"odd-start": {"born": "1785310070397"}, "p1": {"zone": nil},
+			} {
+				entry := known.Entry("ready")
+				for field, value := range change {
+					entry[field] = value
+				}
+				f.store.Put(platform.KindServers, name, entry)
+			}
+			stranger := known.Entry("ready")
+			stranger["service"] = "nobody's"
+			f.store.Put(platform.KindServers, "stranger", stranger)
+		})
+		f.g.Eventually(r.log.String, 6*time.Second, 5*time.Millisecond).Should(MatchRegexp(`"cause":"entry cannot be read".*"runner":"p1"`))
+		f.g.Eventually(r.log.String, time.Second, 5*time.Millisecond).Should(ContainSubstring(`"stranger"`))
+		before := known.Arrivals()
+		for range 20 {
+			f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+		}
+		f.g.Expect(known.Arrivals()).To(Equal(before))
+		f.g.Expect(sound.Runs()).NotTo(BeEmpty())
+		// The runner's own entry comes again.
+		f.list(known, "ready")
+		f.g.Eventually(func() int {
+			r.call("/safe/x", nil)
+			return known.Arrivals()
+		}, 3*time.Second, 5*time.Millisecond).Should(BeNumerically(">", before))
+	})
+}
+
+// A runner that told its incarnation always does.
+func TestEntryThatNoLongerNamesTheIncarnationIsNotTheRunners(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.startedRunner("p1", "plain")
+	r := f.servingRouter("r1", nil)
+	entry := runner.Entry("ready")
+	delete(entry, "born")
+	f.store.Put(platform.KindServers, "p1", entry)
+	r.logs("entry cannot be read")
+	f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusServiceUnavailable))
+}
+
+// A runner of a service that the configuration does not have takes no orders.
+func TestRunnerOfAnUnknownServiceIsNotOrdered(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.startedRunner("e1", "engines")
+	stranger := f.startedRunner("e2", "engines")
+	entry := stranger.Entry("ready")
+	entry["service"] = "nobody's"
+	f.store.Put(platform.KindServers, "e2", entry)
+	f.servingRouter("r1", nil)
+	name(f, 2)
+	f.g.Eventually(runner.Version, 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(2)))
+	f.g.Consistently(stranger.Orders, 500*time.Millisecond, 20*time.Millisecond).Should(BeEmpty())
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -180,8 +180,7 @@
 func (r *rollouts) update(runner backend.Runner, model string, version uint64) bool {
 	g := r.gateway
 	deadline := time.Now().Add(updateTime)
-	var orderedAt time.Time
-	var orderedAfter uint64
+	var last lastOrder
 	for time.Now().Before(deadline) {
 		report, err := r.report(runner)
 		if err != nil {
@@ -194,12 +193,11 @@
 		if report.Busy {
 			r.setUnanswered(runner.ID, false)
 		}
-		waiting := !orderedAt.IsZero() && report.Orders <= orderedAfter && time.Since(orderedAt) < resendAfter
-		if !report.Busy && !waiting {
+		if !report.Busy && !last.mayShow(report) {
 			if !r.order(runner, model, version, report.Orders) {
 				return false
 			}
-			orderedAt, orderedAfter = time.Now(), report.Orders
+			last = lastOrder{at: time.Now(), incarnation: report.Incarnation, after: report.Orders}
 		}
 		if !g.pause(reportInterval) {
 			return false
@@ -208,6 +206,20 @@
 	return false
 }
 
+// lastOrder is the last order of an update; the zero value is none.
+type lastOrder struct {
+	at time.Time
+	// incarnation is the one that was ordered, and after the orders that it had taken.
+	incarnation uint64
+	after       uint64
+}
+
+// mayShow tells whether the report may not show the order yet. An order to an earlier
+// incarnation never shows.
+func (o lastOrder) mayShow(report RunnerReport) bool {
+	return !o.at.IsZero() && report.Incarnation == o.incarnation && report.Orders <= o.after && time.Since(o.at) < resendAfter
+}
+
 func (r *rollouts) report(runner backend.Runner) (RunnerReport, error) {
 	ctx, cancel := context.WithTimeout(r.gateway.ctx, reportTime)
 	defer cancel()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -175,6 +175,9 @@
 	}
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
+	if !c.gateway.runners.Listed(c.open) {
+		return false
+	}
 	return c.gateway.runners.LearnVersion(c.runner.ID, c.facts.Model, version)
 }
 
@@ -216,7 +219,9 @@
 	now := time.Now()
 	c.barWithdrawal()
 	g.runners.FirstAnswer(now, c.open)
-	g.runners.NoteRead(now, c.runner.ID, c.query, c.weights)
+	if g.runners.Listed(c.open) {
+		g.runners.NoteRead(now, c.runner.ID, c.query, c.weights)
+	}
 	g.mutex.Unlock()
 }
 
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -65,6 +65,8 @@
 	// Model is empty for a runner without a language model.
 	Model   string
 	Version uint64
+	// Incarnation is told by entry and reports, unless it is 0.
+	Incarnation uint64
 	// Events is the length of its streams.
 	Events int
 	Delay  time.Duration
@@ -132,6 +134,16 @@
 	r.deaf = true
 }
 
+// Restart makes the runner start again under its id and address with the weights that it
+// has. It holds and knows nothing of before; its connections stay.
+func (r *Runner) Restart() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Incarnation++
+	r.seq, r.fence, r.deaf = 0, 0, false
+	clear(r.copies)
+}
+
 // Close ends the runner at once.
 func (r *Runner) Close() { r.server.Close() }
 
@@ -143,7 +155,16 @@
 	if r.Model != "" {
 		models = append(models, map[string]any{"name": r.Model, "version": r.version, "adapters": []string{}})
 	}
-	return map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": 8, "state": state, "models": models, "seq": 1}
+	entry := map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": 8, "state": state, "models": models, "cold_remaining_ms": 0, "seq": r.seq}
+	r.tellIncarnation(entry)
+	return entry
+}
+
+// tellIncarnation adds the incarnation to what the runner says of itself. The mutex is held.
+func (r *Runner) tellIncarnation(said map[string]any) {
+	if r.Incarnation > 0 {
+		said["born"] = r.Incarnation
+	}
 }
 
 // Behave sets what the runner does from now on.
@@ -201,6 +222,7 @@
 	time.Sleep(r.noteReport())
 	r.mutex.Lock()
 	body := map[string]any{"stage": "both", "models": []map[string]any{{"name": r.Model, "version": r.version}}, "busy": false, "seq": r.seq}
+	r.tellIncarnation(body)
 	r.mutex.Unlock()
 	_ = json.NewEncoder(writer).Encode(body)
 }
