When weights were named is decided in a package of its own

Cause: the bounds on namings and the deadlines that follow are pure decisions, but stood among the gateway's loops and used its settings and messages. Change: internal/namings holds news, bounds and deadlines, with its tests (same assertions, now on typed values in place of messages); the gateway translates settings and messages. Measured: behaviour unchanged; its tests pass.

--- a/internal/gateway/checkpoints.go
+++ b/internal/gateway/checkpoints.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/namings"
 )
 
 // checkpoint says that the store's revision was the newest at the moment. It counts the
@@ -28,7 +30,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if last := len(c.kept) - 1; last >= 0 && c.kept[last].revision == known.revision {
-		c.kept[last].at = later(c.kept[last].at, known.at)
+		c.kept[last].at = namings.Later(c.kept[last].at, known.at)
 		return
 	}
 	if len(c.kept) == keptCheckpoints {
@@ -58,7 +60,7 @@
 	var latest time.Time
 	for _, known := range c.kept {
 		if known.revision < revision {
-			latest = later(latest, known.at)
+			latest = namings.Later(latest, known.at)
 		}
 	}
 	return latest
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -8,6 +8,7 @@
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/namings"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -291,15 +292,15 @@
 	model, version := object.Weights.Model, object.Weights.Version
 	news := g.newsOfWeights(now, object.Revision)
 	g.mutex.Lock()
-	known := g.bounds.of(model)
-	if version <= known.named {
+	known := g.bounds.Of(model)
+	if version <= known.Named() {
 		g.mutex.Unlock()
 		return
 	}
-	known.learn(version, news)
-	g.runners.Weights().Name(model, version, olderDeadlines(g.settings, news))
+	known.Learn(version, news)
+	g.runners.Weights().Name(model, version, namings.Older(g.settings.namingTimes(), news))
 	g.countOlder(model, known)
-	until := known.olderUntil(g.settings)
+	until := known.OlderUntil(g.settings.namingTimes())
 	g.mutex.Unlock()
 	g.log.Log(events.WeightsNamed, events.Fields{
 		"model": model, "version": version, "revision": object.Revision,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/limits"
+	"github.com/clovertiller/clovertiller/internal/namings"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -73,7 +74,7 @@
 	// unbegun are the requests that are withdrawn if they do not begin in time.
 	unbegun map[*unbegunSend]struct{}
 	// bounds are what is known of when weights were named.
-	bounds   weightBounds
+	bounds   namings.Table
 	splitter *routing.Splitter
 	saves    *backend.Saves
 	// retries holds the budget for further attempts of each service.
@@ -124,7 +125,7 @@
 		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started, startup: newStartup(),
 		runners:  backend.NewSet(settings.Zone),
 		unbegun:  map[*unbegunSend]struct{}{},
-		bounds:   weightBounds{},
+		bounds:   namings.Table{},
 		splitter: routing.NewSplitter(),
 		saves:    backend.NewSaves(),
 		retries:  map[string]*admission.RetryBudget{},
--- a/internal/gateway/weighttold.go
+++ b/internal/gateway/weighttold.go
@@ -4,42 +4,23 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/namings"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
-// weightBounds holds what is known of when the weights of each model were named. A router
-// that was held up alone learns from the others how much time older weights have left: not
-// what it would count by itself, and not none. The gateway's mutex guards it.
-type weightBounds map[string]*modelBounds
-
-// of returns the bounds of the model's weights.
-func (b weightBounds) of(model string) *modelBounds {
-	if b[model] == nil {
-		b[model] = &modelBounds{}
-	}
-	return b[model]
-}
-
-// firm returns what may be told to others, for as long as older weights may be in use.
-func (b weightBounds) firm(now time.Time, kept time.Duration) []*wire.WeightBound {
-	var bounds []*wire.WeightBound
-	for model, known := range b {
-		for _, bound := range known.firm(now, kept) {
-			age := wire.AgeMillis(now.Sub(bound.news.before))
-			bounds = append(bounds, &wire.WeightBound{Model: model, Version: bound.version, AgeMillis: age})
-		}
-	}
-	return bounds
-}
-
-// keptBound is how many deadlines long a bound is told: older weights are gone by then.
-const keptBound = 2
+// toldLifetimes is how many deadlines long a bound is told: older weights are gone by then.
+const toldLifetimes = 2
 
 // firmBounds returns what this router tells others.
 func (g *Gateway) firmBounds() []*wire.WeightBound {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.bounds.firm(time.Now(), keptBound*g.settings.WeightDeadline)
+	now := time.Now()
+	var told []*wire.WeightBound
+	for _, bound := range g.bounds.Firm(g.settings.namingTimes(), now, toldLifetimes*g.settings.WeightDeadline) {
+		told = append(told, &wire.WeightBound{Model: bound.Model, Version: bound.Version, AgeMillis: wire.AgeMillis(now.Sub(bound.Before()))})
+	}
+	return told
 }
 
 // takeBounds takes what another router told in an answer that was asked for at the moment,
@@ -54,17 +35,17 @@
 func (g *Gateway) takeBound(model string, version uint64, before time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	known := g.bounds.of(model)
-	if !known.told(version, before) {
+	known := g.bounds.Of(model)
+	if !known.Take(g.settings.namingTimes(), version, before) {
 		return
 	}
 	g.countOlder(model, known)
-	g.log.Log(events.WeightsBounded, events.Fields{"model": model, "version": known.named, "told": version, "older_until_ms": time.Until(known.olderUntil(g.settings)).Milliseconds()})
+	g.log.Log(events.WeightsBounded, events.Fields{"model": model, "version": known.Named(), "told": version, "older_until_ms": time.Until(known.OlderUntil(g.settings.namingTimes())).Milliseconds()})
 }
 
 // countOlder puts the deadlines of the model's older weights in force. The mutex is held.
-func (g *Gateway) countOlder(model string, known *modelBounds) {
-	deadlines := known.deadlines(g.settings)
+func (g *Gateway) countOlder(model string, known *namings.Model) {
+	deadlines := known.Deadlines(g.settings.namingTimes())
 	g.runners.Weights().SetDeadlines(model, deadlines)
 	for _, older := range deadlines {
 		g.withdrawAt(older.Unbegun, model)
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -10,11 +10,6 @@
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
-// withdrawMargin is how long before the deadline of older weights requests that wait
-// for them to begin are withdrawn: the end of a connection takes up to 20 ms to reach a
-// runner of another region, and a router with a fifth of a core is late by up to 0.1 s.
-const withdrawMargin = 250 * time.Millisecond
-
 var errWithdrawn = errors.New("its weights expire before it begins")
 
 // unbegunSend is a stream of a model that its runner has not been seen to begin.
--- a/internal/gateway/weightbounds.go
+++ b/internal/namings/bounds.go
@@ -1,4 +1,4 @@
-package gateway
+package namings
 
 import (
 	"cmp"
@@ -8,25 +8,28 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 )
 
-// weightBound says that neither the version of a model's weights nor a later one had been
+// Bound says that neither the version of a model's weights nor a later one had been
 // named at a moment, which is that of the news. Versions only rise, so it bounds when weights
 // before the version were replaced, also by versions that this router never learned of:
 // lists and other routers hold the newest one only.
-type weightBound struct {
-	version uint64
-	news    weightNews
+type Bound struct {
+	Version uint64
+	news    News
 }
 
-// modelBounds are what is known of the namings of one model's weights.
-type modelBounds struct {
+// Before is the moment.
+func (b Bound) Before() time.Time { return b.news.Before }
+
+// Model are what is known of the namings of one model's weights.
+type Model struct {
 	// named is the newest version that this router learned, 0 before, and news how.
 	named uint64
-	news  weightNews
+	news  News
 	// first is the news of the first one: weights before all bounds have the time left that
 	// was known then, and none anew.
-	first weightNews
+	first News
 	// bounds rise by version, and their moments do not fall. There are keptBounds at most.
-	bounds []weightBound
+	bounds []Bound
 	// toldOf is the newest version whose naming another router has told of.
 	toldOf uint64
 }
@@ -41,54 +44,57 @@
 	boundStep = 50 * time.Millisecond
 )
 
-// learn takes the news of a version that is newer than all before.
-func (m *modelBounds) learn(version uint64, news weightNews) {
+// Named is the newest version that this router learned, 0 before.
+func (m *Model) Named() uint64 { return m.named }
+
+// Learn takes the news of a version that is newer than all before.
+func (m *Model) Learn(version uint64, news News) {
 	if m.named == 0 {
 		m.first = news.bounded(time.Time{}, false)
 	}
 	for i, bound := range m.bounds {
-		if bound.version <= version && bound.news.learned.IsZero() {
-			m.bounds[i].news = news.bounded(bound.news.before, true)
+		if bound.Version <= version && bound.news.Learned.IsZero() {
+			m.bounds[i].news = news.bounded(bound.news.Before, true)
 		}
 	}
-	if !news.proven.IsZero() {
-		m.add(weightBound{m.named + 1, news.bounded(news.proven, false)})
+	if !news.Proven.IsZero() {
+		m.add(Bound{m.named + 1, news.bounded(news.Proven, false)})
 	}
-	if !news.before.IsZero() {
-		m.add(weightBound{version, news})
+	if !news.Before.IsZero() {
+		m.add(Bound{version, news})
 	}
 	m.named, m.news = version, news
 }
 
-// told takes another router's word and tells whether it changes deadlines.
-func (m *modelBounds) told(version uint64, before time.Time) bool {
-	news := weightNews{before: before, told: true}
+// Take takes another router's word and tells whether it changes deadlines.
+func (m *Model) Take(c Config, version uint64, before time.Time) bool {
+	news := News{Before: before, Told: true}
 	if version <= m.named {
 		news = m.news.bounded(before, true)
 	}
-	voids := version > m.toldOf && slices.ContainsFunc(m.bounds, func(b weightBound) bool {
-		return b.version <= version && m.newsOf(b).storeAway()
+	voids := version > m.toldOf && slices.ContainsFunc(m.bounds, func(b Bound) bool {
+		return b.Version <= version && m.newsOf(b).storeAway(c)
 	})
 	m.toldOf = max(m.toldOf, version)
-	return (m.add(weightBound{version, news}) || voids) && version <= m.named
+	return (m.add(Bound{version, news}) || voids) && version <= m.named
 }
 
-// newsOf returns the bound's news with what others told: if one learned of that version or
+// newsOf returns the bound's news with what others Told: if one learned of that version or
 // a later one, the store was not away for all.
-func (m *modelBounds) newsOf(bound weightBound) weightNews {
-	return bound.news.bounded(bound.news.before, bound.news.told || bound.version <= m.toldOf)
+func (m *Model) newsOf(bound Bound) News {
+	return bound.news.bounded(bound.news.Before, bound.news.Told || bound.Version <= m.toldOf)
 }
 
 // add takes a bound and tells whether it adds to what is known.
-func (m *modelBounds) add(bound weightBound) bool {
-	at, found := slices.BinarySearchFunc(m.bounds, bound.version, func(known weightBound, version uint64) int {
-		return cmp.Compare(known.version, version)
+func (m *Model) add(bound Bound) bool {
+	at, found := slices.BinarySearchFunc(m.bounds, bound.Version, func(known Bound, version uint64) int {
+		return cmp.Compare(known.Version, version)
 	})
 	switch {
 	case found:
 		known := m.bounds[at].news
 		bound.news = known.joined(bound.news)
-		if bound.news.told == known.told && bound.news.before.Sub(known.before) < boundStep {
+		if bound.news.Told == known.Told && bound.news.Before.Sub(known.Before) < boundStep {
 			return false
 		}
 		m.bounds[at] = bound
@@ -96,50 +102,50 @@
 		return false
 	default:
 		if at > 0 {
-			bound.news.before = later(bound.news.before, m.bounds[at-1].news.before)
+			bound.news.Before = Later(bound.news.Before, m.bounds[at-1].news.Before)
 		}
 		m.bounds = slices.Insert(m.bounds, at, bound)
 	}
 	// It holds for later versions too.
 	for i := at + 1; i < len(m.bounds); i++ {
-		m.bounds[i].news.before = later(m.bounds[i].news.before, bound.news.before)
+		m.bounds[i].news.Before = Later(m.bounds[i].news.Before, bound.news.Before)
 	}
 	m.bounds = slices.Delete(m.bounds, 0, max(len(m.bounds)-keptBounds, 0))
 	return true
 }
 
-// deadlines returns the deadlines of older weights, by what is known of the namings.
-func (m *modelBounds) deadlines(settings Settings) []backend.VersionDeadlines {
+// Deadlines returns the deadlines of older weights, by what is known of the namings.
+func (m *Model) Deadlines(c Config) []backend.VersionDeadlines {
 	var deadlines []backend.VersionDeadlines
 	news := m.first
 	for _, bound := range m.bounds {
-		if bound.version > m.named {
+		if bound.Version > m.named {
 			break
 		}
-		if bound.version > 1 {
-			deadlines = append(deadlines, backend.VersionDeadlines{Below: bound.version - 1, Deadlines: olderDeadlines(settings, news)})
+		if bound.Version > 1 {
+			deadlines = append(deadlines, backend.VersionDeadlines{Below: bound.Version - 1, Deadlines: Older(c, news)})
 		}
 		news = m.newsOf(bound)
 	}
-	return append(deadlines, backend.VersionDeadlines{Below: m.named, Deadlines: olderDeadlines(settings, news)})
+	return append(deadlines, backend.VersionDeadlines{Below: m.named, Deadlines: Older(c, news)})
 }
 
-// olderUntil returns when the oldest weights with a bound expire; without any, when all do.
-func (m *modelBounds) olderUntil(settings Settings) time.Time {
+// OlderUntil returns when the oldest weights with a bound expire; without any, when all do.
+func (m *Model) OlderUntil(c Config) time.Time {
 	news := m.first
-	if len(m.bounds) > 0 && m.bounds[0].version <= m.named {
+	if len(m.bounds) > 0 && m.bounds[0].Version <= m.named {
 		news = m.newsOf(m.bounds[0])
 	}
-	return olderDeadlines(settings, news).Expired
+	return Older(c, news).Expired
 }
 
-// firm returns the bounds that may be told to others and are at most so old: those of a
+// Firm returns the bounds that may be told to others and are at most so old: those of a
 // router that was not blind, or has been told itself.
-func (m *modelBounds) firm(now time.Time, kept time.Duration) []weightBound {
-	var firm []weightBound
+func (m *Model) Firm(c Config, now time.Time, kept time.Duration) []Bound {
+	var firm []Bound
 	for _, bound := range m.bounds {
-		known := bound.news.told || !bound.news.blind()
-		if bound.version <= m.named && known && now.Sub(bound.news.before) <= kept {
+		known := bound.news.Told || !bound.news.blind(c)
+		if bound.Version <= m.named && known && now.Sub(bound.news.Before) <= kept {
 			firm = append(firm, bound)
 		}
 	}
--- a/internal/gateway/weightbounds_test.go
+++ b/internal/namings/bounds_test.go
@@ -1,4 +1,4 @@
-package gateway
+package namings
 
 import (
 	"testing"
@@ -10,14 +10,14 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 )
 
-// boundSettings allow older weights for 8 s, 0.75 s of which are kept as a margin.
-var boundSettings = Settings{WeightDeadline: 8 * time.Second, SettleTime: 3 * time.Second}
+// boundTimes allow older weights for 8 s, 0.75 s of which are kept as a margin.
+var boundTimes = Config{Deadline: 8 * time.Second, Settle: 3 * time.Second, LostNews: 2950 * time.Millisecond}
 
 // boundsOf returns the bounds of a model whose version 2 was learned with the news.
-func boundsOf(news weightNews) (weightBounds, *modelBounds) {
-	bounds := weightBounds{}
-	bounds.of("m").learn(2, news)
-	return bounds, bounds.of("m")
+func boundsOf(news News) (Table, *Model) {
+	bounds := Table{}
+	bounds.Of("m").Learn(2, news)
+	return bounds, bounds.Of("m")
 }
 
 // A router that was blind tells nobody when weights were named, and takes another's word; one
@@ -25,19 +25,19 @@
 func TestOnlyRoutersThatKnowTellWhenWeightsWereNamed(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_000, 0)
-	blind := weightNews{learned: now, before: now.Add(-9 * time.Second)}
+	blind := News{Learned: now, Before: now.Add(-9 * time.Second)}
 	bounds, known := boundsOf(blind)
-	g.Expect(bounds.firm(now, time.Minute)).To(BeEmpty())
-	g.Expect(known.told(3, now.Add(-500*time.Millisecond))).To(BeFalse(), "another version")
+	g.Expect(bounds.Firm(boundTimes, now, time.Minute)).To(BeEmpty())
+	g.Expect(known.Take(boundTimes, 3, now.Add(-500*time.Millisecond))).To(BeFalse(), "another version")
 	g.Expect(known.bounds[0].news).To(Equal(blind))
-	g.Expect(bounds.firm(now, time.Minute)).To(BeEmpty())
-	g.Expect(known.told(2, now.Add(-time.Second))).To(BeTrue())
-	g.Expect(known.bounds[0].news.before).To(Equal(now.Add(-time.Second)))
-	told := bounds.firm(now, time.Minute)
+	g.Expect(bounds.Firm(boundTimes, now, time.Minute)).To(BeEmpty())
+	g.Expect(known.Take(boundTimes, 2, now.Add(-time.Second))).To(BeTrue())
+	g.Expect(known.bounds[0].news.Before).To(Equal(now.Add(-time.Second)))
+	told := bounds.Firm(boundTimes, now, time.Minute)
 	g.Expect(told).To(HaveLen(1))
-	g.Expect(told[0].GetVersion()).To(Equal(uint64(2)))
-	g.Expect(told[0].GetAgeMillis()).To(BeNumerically("~", 1000, 1))
-	g.Expect(bounds.firm(now.Add(time.Hour), time.Minute)).To(BeEmpty(), "older weights are gone")
+	g.Expect(told[0].Version).To(Equal(uint64(2)))
+	g.Expect(told[0].Before()).To(Equal(now.Add(-time.Second)))
+	g.Expect(bounds.Firm(boundTimes, now.Add(time.Hour), time.Minute)).To(BeEmpty(), "older weights are gone")
 }
 
 // A router that stood still for 9 s refused all older weights, though newer ones had
@@ -45,29 +45,29 @@
 // whichever comes first.
 func TestRouterThatStoodStillTakesAnothersWordOnTheNaming(t *testing.T) {
 	now := time.Unix(1_000, 0)
-	news := weightNews{learned: now, started: now.Add(-time.Hour), before: now.Add(-9 * time.Second)}
-	news.proven = news.before
+	news := News{Learned: now, Started: now.Add(-time.Hour), Before: now.Add(-9 * time.Second)}
+	news.Proven = news.Before
 	t.Run("told later", func(t *testing.T) {
 		g := NewWithT(t)
 		_, known := boundsOf(news)
-		g.Expect(known.olderUntil(boundSettings)).To(BeTemporally("<", now))
-		g.Expect(known.told(2, now.Add(-200*time.Millisecond))).To(BeTrue())
+		g.Expect(known.OlderUntil(boundTimes)).To(BeTemporally("<", now))
+		g.Expect(known.Take(boundTimes, 2, now.Add(-200*time.Millisecond))).To(BeTrue())
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", now.Add(7050*time.Millisecond)))
 	})
 	t.Run("told before", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{}
-		known.told(2, now.Add(-200*time.Millisecond))
-		known.learn(2, news)
+		known := &Model{}
+		known.Take(boundTimes, 2, now.Add(-200*time.Millisecond))
+		known.Learn(2, news)
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", now.Add(7050*time.Millisecond)))
 	})
 }
 
 // deadlineOf returns when weights of the version expire.
-func deadlineOf(known *modelBounds, version uint64) time.Time {
+func deadlineOf(known *Model, version uint64) time.Time {
 	weights := backend.NewWeights()
 	weights.Name("m", known.named, backend.Deadlines{})
-	weights.SetDeadlines("m", known.deadlines(boundSettings))
+	weights.SetDeadlines("m", known.Deadlines(boundTimes))
 	return weights.ExpiresAt("m", version)
 }
 
@@ -79,43 +79,43 @@
 	first, second := now.Add(-4*time.Second), now.Add(-time.Second)
 	t.Run("its naming is not known", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{named: 1}
+		known := &Model{named: 1}
 		proven := now.Add(-6 * time.Second)
-		known.learn(3, weightNews{learned: now, started: started, proven: proven, before: second})
+		known.Learn(3, News{Learned: now, Started: started, Proven: proven, Before: second})
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", proven.Add(allowedWeights)), "it may have been named since the copy was last whole")
 		g.Expect(deadlineOf(known, 2)).To(BeTemporally("==", second.Add(allowedWeights)))
 	})
 	t.Run("its naming is told", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{named: 1}
-		known.learn(3, weightNews{learned: now, started: started, proven: now.Add(-6 * time.Second), before: second})
-		g.Expect(known.told(2, first)).To(BeTrue())
+		known := &Model{named: 1}
+		known.Learn(3, News{Learned: now, Started: started, Proven: now.Add(-6 * time.Second), Before: second})
+		g.Expect(known.Take(boundTimes, 2, first)).To(BeTrue())
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", first.Add(allowedWeights)))
 		g.Expect(deadlineOf(known, 2)).To(BeTemporally("==", second.Add(allowedWeights)))
 	})
 	t.Run("a started router is told of both", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{}
-		known.told(2, first)
-		known.told(3, second)
-		known.learn(3, weightNews{learned: now, started: now.Add(-200 * time.Millisecond)})
+		known := &Model{}
+		known.Take(boundTimes, 2, first)
+		known.Take(boundTimes, 3, second)
+		known.Learn(3, News{Learned: now, Started: now.Add(-200 * time.Millisecond)})
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", first.Add(allowedWeights)))
 		g.Expect(deadlineOf(known, 2)).To(BeTemporally("==", second.Add(allowedWeights)))
 	})
 	t.Run("a started router is told of both after it learned", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{}
-		known.learn(3, weightNews{learned: now, started: now.Add(-200 * time.Millisecond)})
-		g.Expect(known.told(3, second)).To(BeTrue())
-		g.Expect(known.told(2, first)).To(BeTrue())
+		known := &Model{}
+		known.Learn(3, News{Learned: now, Started: now.Add(-200 * time.Millisecond)})
+		g.Expect(known.Take(boundTimes, 3, second)).To(BeTrue())
+		g.Expect(known.Take(boundTimes, 2, first)).To(BeTrue())
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", first.Add(allowedWeights)))
 		g.Expect(deadlineOf(known, 2)).To(BeTemporally("==", second.Add(allowedWeights)))
 	})
 	t.Run("a started router is told of the later one", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{}
-		known.told(3, second)
-		known.learn(3, weightNews{learned: now, started: now.Add(-200 * time.Millisecond)})
+		known := &Model{}
+		known.Take(boundTimes, 3, second)
+		known.Learn(3, News{Learned: now, Started: now.Add(-200 * time.Millisecond)})
 		g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", now.Add(2800*time.Millisecond)), "the time to settle")
 		g.Expect(deadlineOf(known, 2)).To(BeTemporally("==", second.Add(allowedWeights)))
 	})
@@ -125,10 +125,10 @@
 func TestAWordThatIsHardlyLaterChangesNothing(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(1_000, 0)
-	_, known := boundsOf(weightNews{learned: now, before: now.Add(-time.Second)})
-	g.Expect(known.told(2, now.Add(-time.Second+boundStep/2))).To(BeTrue(), "it is told for the first time")
-	g.Expect(known.told(2, now.Add(-time.Second+boundStep))).To(BeFalse())
-	g.Expect(known.told(2, now.Add(-time.Second+2*boundStep))).To(BeTrue())
+	_, known := boundsOf(News{Learned: now, Before: now.Add(-time.Second)})
+	g.Expect(known.Take(boundTimes, 2, now.Add(-time.Second+boundStep/2))).To(BeTrue(), "it is told for the first time")
+	g.Expect(known.Take(boundTimes, 2, now.Add(-time.Second+boundStep))).To(BeFalse())
+	g.Expect(known.Take(boundTimes, 2, now.Add(-time.Second+2*boundStep))).To(BeTrue())
 }
 
 // Whatever routers learn themselves and are told, and in which order, no weights have more
@@ -147,25 +147,25 @@
 		truth := func(version uint64, label string) time.Time {
 			return namedAt[version-1].Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, label)) * time.Millisecond)
 		}
-		known := &modelBounds{}
+		known := &Model{}
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
 			version := uint64(rapid.IntRange(2, int(newest)).Draw(t, "version"))
 			if rapid.Bool().Draw(t, "told") {
-				known.told(version, truth(version, "told before"))
+				known.Take(boundTimes, version, truth(version, "told before"))
 				continue
 			}
 			if version <= known.named {
 				continue
 			}
-			news := weightNews{learned: namedAt[version-1], started: now.Add(-time.Hour), before: truth(version, "before")}
+			news := News{Learned: namedAt[version-1], Started: now.Add(-time.Hour), Before: truth(version, "before")}
 			if known.named > 0 {
-				news.proven = truth(known.named+1, "proven")
-				news.before = later(news.before, news.proven)
+				news.Proven = truth(known.named+1, "proven")
+				news.Before = Later(news.Before, news.Proven)
 			}
-			known.learn(version, news)
+			known.Learn(version, news)
 		}
 		for version := uint64(1); version < known.named; version++ {
-			latest := later(namedAt[version].Add(allowedWeights), namedAt[known.named-1])
+			latest := Later(namedAt[version].Add(allowedWeights), namedAt[known.named-1])
 			if expires := deadlineOf(known, version); expires.After(latest) {
 				t.Fatalf("version %d expires %v after its replacement was named", version, expires.Sub(namedAt[version]))
 			}
--- a/internal/gateway/toldbounds_test.go
+++ b/internal/namings/told_test.go
@@ -1,4 +1,4 @@
-package gateway
+package namings
 
 import (
 	"testing"
@@ -12,16 +12,16 @@
 func TestExpiredWeightsStayExpiredWhenTheStoreFailsBeforeALaterNaming(t *testing.T) {
 	g := NewWithT(t)
 	started := time.Unix(1_000, 0)
-	known := &modelBounds{}
+	known := &Model{}
 	// What a router lists first bounds nothing: older weights have until it has settled.
-	known.learn(5, weightNews{learned: started.Add(time.Second), started: started})
-	settled := started.Add(boundSettings.SettleTime)
+	known.Learn(5, News{Learned: started.Add(time.Second), Started: started})
+	settled := started.Add(boundTimes.Settle)
 	g.Expect(deadlineOf(known, 4)).To(BeTemporally("==", settled))
 	now := started.Add(time.Minute)
 	failed := now.Add(-time.Second)
-	known.learn(6, weightNews{
-		learned: now, started: started, proven: now.Add(-2 * time.Second), before: now.Add(-2 * time.Second),
-		disturbed: span{first: failed, last: failed},
+	known.Learn(6, News{
+		Learned: now, Started: started, Proven: now.Add(-2 * time.Second), Before: now.Add(-2 * time.Second),
+		Disturbed: Span{First: failed, Last: failed},
 	})
 	g.Expect(deadlineOf(known, 4)).To(BeTemporally("<=", now))
 }
@@ -32,26 +32,26 @@
 func TestToldNamingOfALaterVersionShowsThatTheStoreWorked(t *testing.T) {
 	now := time.Unix(1_000, 0)
 	blind := now.Add(-10 * time.Second)
-	news := weightNews{
-		learned: now, started: now.Add(-time.Hour), proven: blind, before: blind,
-		disturbed: span{first: blind.Add(time.Second), last: now.Add(-100 * time.Millisecond)},
+	news := News{
+		Learned: now, Started: now.Add(-time.Hour), Proven: blind, Before: blind,
+		Disturbed: Span{First: blind.Add(time.Second), Last: now.Add(-100 * time.Millisecond)},
 	}
 	// The other router's last proof before it learned is older than this one's.
 	told := blind.Add(-time.Second)
 	// The router has settled later than the weights' time ends.
-	want := news.disturbed.last.Add(boundSettings.SettleTime)
+	want := news.Disturbed.Last.Add(boundTimes.Settle)
 	t.Run("told after", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{named: 4}
-		known.learn(6, news)
-		known.told(6, told)
+		known := &Model{named: 4}
+		known.Learn(6, news)
+		known.Take(boundTimes, 6, told)
 		g.Expect(deadlineOf(known, 5)).To(BeTemporally("<=", want))
 	})
 	t.Run("told before", func(t *testing.T) {
 		g := NewWithT(t)
-		known := &modelBounds{named: 4}
-		known.told(6, told)
-		known.learn(6, news)
+		known := &Model{named: 4}
+		known.Take(boundTimes, 6, told)
+		known.Learn(6, news)
 		g.Expect(deadlineOf(known, 5)).To(BeTemporally("<=", want))
 	})
 }
@@ -60,13 +60,13 @@
 func TestWeightsKeepTheirTimeWhenManyAreNamed(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(1_000, 0)
-	known := &modelBounds{}
-	known.learn(1, weightNews{learned: start, started: start.Add(-time.Hour)})
+	known := &Model{}
+	known.Learn(1, News{Learned: start, Started: start.Add(-time.Hour)})
 	const gap = 300 * time.Millisecond
 	for i := range 20 {
 		at := start.Add(time.Duration(i+1) * gap)
-		news := weightNews{learned: at, started: start.Add(-time.Hour), proven: at.Add(-gap / 3), before: at.Add(-gap / 3)}
-		known.learn(uint64(i+2), news)
+		news := News{Learned: at, Started: start.Add(-time.Hour), Proven: at.Add(-gap / 3), Before: at.Add(-gap / 3)}
+		known.Learn(uint64(i+2), news)
 	}
 	// The first was replaced 6 s before the last was named.
 	g.Expect(deadlineOf(known, 1)).To(BeTemporally("==", start.Add(gap*2/3).Add(allowedWeights)))
@@ -78,23 +78,23 @@
 	g := NewWithT(t)
 	start := time.Unix(1_000, 0)
 	started := start.Add(-time.Hour)
-	teller := weightBounds{}
-	teller.of("m").named = 4
+	teller := Table{}
+	teller.Of("m").named = 4
 	// The watch that brought the first was sent 20 ms after its copy was proven.
 	first, second := start.Add(-500*time.Millisecond), start.Add(-480*time.Millisecond)
-	teller.of("m").learn(5, weightNews{learned: start, started: started, proven: first, before: first})
-	teller.of("m").learn(6, weightNews{learned: start.Add(300 * time.Millisecond), started: started, proven: second, before: second})
+	teller.Of("m").Learn(5, News{Learned: start, Started: started, Proven: first, Before: first})
+	teller.Of("m").Learn(6, News{Learned: start.Add(300 * time.Millisecond), Started: started, Proven: second, Before: second})
 
 	blindFrom, now := start.Add(100*time.Millisecond), start.Add(10*time.Second)
-	known := &modelBounds{named: 4}
-	known.learn(5, weightNews{learned: start, started: started, proven: first, before: first})
-	known.learn(6, weightNews{
-		learned: now, started: started, proven: blindFrom, before: blindFrom,
-		disturbed: span{first: blindFrom.Add(time.Second), last: now.Add(-100 * time.Millisecond)},
+	known := &Model{named: 4}
+	known.Learn(5, News{Learned: start, Started: started, Proven: first, Before: first})
+	known.Learn(6, News{
+		Learned: now, Started: started, Proven: blindFrom, Before: blindFrom,
+		Disturbed: Span{First: blindFrom.Add(time.Second), Last: now.Add(-100 * time.Millisecond)},
 	})
-	settled := now.Add(-100 * time.Millisecond).Add(boundSettings.SettleTime)
-	for _, bound := range teller.firm(now, time.Minute) {
-		known.told(bound.GetVersion(), now.Add(-time.Duration(bound.GetAgeMillis())*time.Millisecond))
+	settled := now.Add(-100 * time.Millisecond).Add(boundTimes.Settle)
+	for _, bound := range teller.Firm(boundTimes, now, time.Minute) {
+		known.Take(boundTimes, bound.Version, bound.Before())
 	}
 	g.Expect(deadlineOf(known, 5)).To(BeTemporally("<=", settled))
 }
