Callers that gave up unread reach no runner, and nobody gets an empty 200

A call that its caller gave up before anybody read it lies on the connection with the end of it. net/http looks for the end in a goroutine that it starts once the body is read, beside the send: of 40 such calls at a starting router 2, 1 and 15 reached a runner in three runs. And a caller that ended its side within the body got net/http's own empty 200, which no runner had answered.

After the body the connection is looked at without a wait, and a handler whose caller has gone aborts.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -125,12 +125,14 @@
 	c.startQuota()
 	c.startPlacement()
 	refusal, gone := c.readBody()
+	gone = gone || c.leftUnread()
 	if gone || refusal != nil {
 		c.abandonQuota()
 		c.placing.abandon()
 	}
 	if gone {
-		return
+		// Whoever still listens must not take an empty answer for a whole one.
+		panic(http.ErrAbortHandler)
 	}
 	if refusal != nil {
 		c.refuse(refusal)
--- /dev/null
+++ b/internal/gateway/callerend.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"github.com/clovertiller/clovertiller/internal/events"
+)
+
+// connectionKey is the key of a caller's connection in the contexts of its calls.
+type connectionKey struct{}
+
+// withConnection keeps the caller's connection in the context of its calls.
+func withConnection(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, connection)
+}
+
+// leftUnread tells whether the caller gave up before its call was read.
+func (c *call) leftUnread() bool {
+	if !c.connectionEnded() {
+		return false
+	}
+	c.gateway.log.Log(events.CallerLeft, events.Fields{"request": c.facts.ID, "while": "unread"})
+	return true
+}
+
+// connectionEnded tells whether the caller has ended its connection. The server notices that
+// only by a read that it begins once the call's body is in: of callers that gave up while
+// nobody read their calls, some are sent on before.
+func (c *call) connectionEnded() bool {
+	connection, isSocket := c.caller.Context().Value(connectionKey{}).(syscall.Conn)
+	if !isSocket {
+		return false
+	}
+	raw, err := connection.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var peeked [1]byte
+	var received int
+	var failure error
+	// Control, unlike Read, does not wait for the server's own read.
+	err = raw.Control(func(descriptor uintptr) {
+		received, _, failure = syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return true
+	}
+	if failure != nil {
+		return failure != syscall.EAGAIN && failure != syscall.EINTR
+	}
+	return received == 0
+}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -162,29 +162,6 @@
 	}
 }
 
-// ignoreObject notes that an object is not used. A directory entry that cannot be read
-// says that the runner known by its name until now is no longer one.
-func (g *Gateway) ignoreObject(kind ObjectKind, object Object, fault string) {
-	g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision, "fault": fault})
-	if kind == RunnerObjects {
-		g.removeRunner(object, "entry cannot be read")
-	}
-}
-
-// retainRunners takes out runners that a whole list does not hold.
-func (g *Gateway) retainRunners(objects []v1.Object) {
-	listed := map[string]bool{}
-	for _, object := range objects {
-		listed[object.Name] = !object.Deleted
-	}
-	g.mutex.Lock()
-	removed := g.runners.Retain(listed)
-	g.mutex.Unlock()
-	for _, id := range removed {
-		g.log.Log(events.RunnerRemoved, events.Fields{"runner": id, "cause": "not listed"})
-	}
-}
-
 // applyConfig puts a configuration in force. It never goes back to an older one.
 func (g *Gateway) applyConfig(object Object) {
 	current := g.view.Load()
@@ -249,43 +226,6 @@
 	}
 }
 
-func (g *Gateway) applyRunner(object Object) {
-	if object.Gone {
-		g.removeRunner(object, "gone")
-		return
-	}
-	age := g.copies.ageMillis(time.Now(), RunnerObjects)
-	runner := *object.Runner
-	g.mutex.Lock()
-	before, known := g.runners.Get(runner.ID)
-	if known && before.Incarnation != 0 && runner.Incarnation == 0 {
-		g.mutex.Unlock()
-		g.ignoreObject(RunnerObjects, object, "runner: the entry no longer names its incarnation")
-		return
-	}
-	added := g.runners.Put(runner)
-	g.mutex.Unlock()
-	switch {
-	case added && known && before.Service == runner.Service:
-		// What idle connections led to has ended.
-		g.ports.RunnerPool.CloseIdle(before.Address)
-		g.log.Log(events.RunnerRestarted, events.Fields{"runner": runner.ID, "address": runner.Address, "incarnation": runner.Incarnation, "before": before.Incarnation, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
-	case added:
-		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
-	case known && before.Draining != runner.Draining:
-		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
-	}
-}
-
-func (g *Gateway) removeRunner(object Object, cause string) {
-	g.mutex.Lock()
-	removed := g.runners.Remove(object.Name)
-	g.mutex.Unlock()
-	if removed {
-		g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": cause, "copy_age_ms": g.copies.ageMillis(time.Now(), RunnerObjects)})
-	}
-}
-
 func (g *Gateway) applyWeights(object Object) {
 	now := time.Now()
 	model, version := object.Weights.Model, object.Weights.Version
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -68,7 +68,7 @@
 func newCallerServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true, ConnContext: withConnection,
 	}
 }
 
