A stream that its caller leaves unread is no failure of its runner

Runners end answers that are left unread for some seconds. The router holds a stream back at its runner once the sockets are full, and counted the end as the runner's failure, which kept other callers from it.

Where the caller held up a write for a second or more, the end of the stream is counted like that of a caller who left.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -19,6 +19,10 @@
 	maxEventBytes = 1 << 20
 )
 
+// unreadTime is how long a caller may hold up a write of its stream before the end of the
+// stream is its own doing: runners end what is left unread for some seconds.
+const unreadTime = time.Second
+
 // eventStream is the state of a stream towards the caller. Only whole events
 // are passed on, so that the stream can go on at another runner.
 type eventStream struct {
@@ -28,8 +32,14 @@
 	// time between two such moments.
 	passedAt   time.Time
 	worstPause time.Duration
+	// heldUp is the longest time that the caller took to take events.
+	heldUp time.Duration
 }
 
+// unread tells whether the caller has left the stream unread for so long that its runner
+// may have ended it.
+func (s *eventStream) unread() bool { return s != nil && s.heldUp >= unreadTime }
+
 // passed notes that events were passed on.
 func (s *eventStream) passed(now time.Time) {
 	if !s.passedAt.IsZero() {
@@ -96,6 +106,7 @@
 	if version, named := c.gateway.ports.Protocol.EventVersion(data); named {
 		c.learnVersion(version)
 	}
+	began := time.Now()
 	if _, err := c.writer.Write(data); err != nil {
 		return errCallerLeft
 	}
@@ -104,6 +115,7 @@
 	if err := c.control.Flush(); err != nil {
 		return errCallerLeft
 	}
+	c.stream.heldUp = max(c.stream.heldUp, time.Since(began))
 	return nil
 }
 
@@ -142,7 +154,11 @@
 	if c.withdrawn() {
 		return c.endWithdrawn(false)
 	}
-	c.end(backend.Failed, "stream broke off: "+cause.Error(), response.Status)
+	if c.stream.unread() {
+		c.end(backend.Abandoned, "the caller left the stream unread: "+cause.Error(), response.Status)
+	} else {
+		c.end(backend.Failed, "stream broke off: "+cause.Error(), response.Status)
+	}
 	if c.fromCopy() {
 		return c.request.CopyHeld()
 	}
--- /dev/null
+++ b/internal/gateway/slowreaders_test.go
@@ -0,0 +1,71 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// impatientEngine streams more than the sockets hold, and ends a stream that is left unread
+// for the time.
+func (f *fleet) impatientEngine(id string, patience time.Duration) *httptest.Server {
+	event := "data: " + strings.Repeat("x", 64<<10) + "\n\n"
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == platform.PathReport {
+			fmt.Fprint(writer, `{"models":[{"name":"m","version":1}],"busy":false,"seq":0}`)
+			return
+		}
+		header := writer.Header()
+		header.Set(platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID))
+		header.Set(platform.HeaderStamp, "s")
+		header.Set(platform.HeaderVersions, "1")
+		control := http.NewResponseController(writer)
+		for number := range 500 {
+			_ = control.SetWriteDeadline(time.Now().Add(patience))
+			if _, err := fmt.Fprintf(writer, "id: %d\n%s", number+1, event); err != nil {
+				return
+			}
+		}
+	}))
+	f.t.Cleanup(server.Close)
+	f.store.Put(platform.KindServers, id, map[string]any{
+		"service": "engines", "address": strings.TrimPrefix(server.URL, "http://"), "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+		"cold_remaining_ms": 0, "seq": 0, "models": []map[string]any{{"name": modelName, "version": 1}},
+	})
+	return server
+}
+
+// A runner ends the answer of a caller that does not read. That is no failure of its own:
+// other callers are not kept from it.
+func TestCallerThatDoesNotReadIsNoEvidenceAgainstTheRunner(t *testing.T) {
+	t.Parallel()
+	const patience = 1200 * time.Millisecond
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	f.impatientEngine("e1", patience)
+	r := f.servingRouter("r1", nil)
+	connection, err := net.Dial("tcp", r.address)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer connection.Close()
+	_, err = fmt.Fprintf(connection, "POST /once/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n%s: %s\r\n%s: %s\r\n%s: 2500\r\nAuthorization: Bearer %s\r\n\r\n",
+		platform.HeaderRequestID, newRequestID(), platform.HeaderModel, modelName, platform.HeaderDeadline, goodKey)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	time.Sleep(patience + 300*time.Millisecond)
+	// It reads on, up to the end of what the runner has ended.
+	f.g.Expect(connection.SetReadDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+	_, _ = io.Copy(io.Discard, connection)
+	r.logs("request ended")
+	runner := r.Status().Runners[0]
+	f.g.Expect(runner.State).To(Equal(backend.Serving.String()))
+	f.g.Expect(runner.FailureShare).To(BeZero())
+}
