Test of a restarted runner allows for one slow answer

The test is about failures, which fade by half in 3 s. Change: a round of 30 calls within 1.5 s has to give the restarted runner its 8, as asked before.

--- a/internal/gateway/restarts_test.go
+++ b/internal/gateway/restarts_test.go
@@ -95,11 +95,15 @@
 	bad.Restart()
 	f.list(bad, "ready")
 	r.logs("runner started again")
-	before := runCounts([]*runnerstand.Runner{bad, good})
-	for range 30 {
-		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
-	}
-	f.g.Expect(len(bad.Runs())-before["p1"]).To(BeNumerically(">=", 8), "it is one of two")
+	// Failures fade by half in 3 s. One slow answer, which fades by half in 0.7 s, may keep
+	// a round of calls from either runner.
+	f.g.Eventually(func() int {
+		before := len(bad.Runs())
+		for range 30 {
+			f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+		}
+		return len(bad.Runs()) - before
+	}, 1500*time.Millisecond, 100*time.Millisecond).Should(BeNumerically(">=", 8), "it is one of two")
 }
 
 // A router that knows of the restart is told of the entry before by a replica that is behind.
