Entries without incarnation stay unused; a stream held up once is not unread for good

Cause: the second entry of another writer found the runner unknown and was taken as the runner's own; a caller that held its stream up for a second excused every later break of its runner. Change: ids that told an incarnation are remembered until their entry is gone; a stream counts as unread only within a second of being held up.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,9 @@
 	holding map[string]time.Duration
 	// others are the loads that other routers told of.
 	others map[string]*otherLoads
+	// told are the runners, by id, whose entries have named an incarnation; also of those
+	// that are not used now.
+	told map[string]bool
 	// services are those of the configuration in force.
 	services map[string]bool
 	// rolloutTime is within which all runners of a service take named weights.
@@ -33,7 +37,7 @@
 
 // NewSet returns an empty table of a router in the zone.
 func NewSet(zone string) *Set {
-	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}, changed: map[string]bool{}, holding: map[string]time.Duration{}, others: map[string]*otherLoads{}, rolloutTime: defaultRolloutTime}
+	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}, changed: map[string]bool{}, holding: map[string]time.Duration{}, others: map[string]*otherLoads{}, told: map[string]bool{}, rolloutTime: defaultRolloutTime}
 }
 
 // Weights returns the named versions of weights.
@@ -55,6 +59,9 @@
 // Put adds or changes a runner and tells whether it is new. A runner that has started
 // again is new: nothing that is known of its last start holds any more.
 func (s *Set) Put(runner Runner) (added bool) {
+	if runner.Incarnation != 0 {
+		s.told[runner.ID] = true
+	}
 	known := s.entries[runner.ID]
 	if known != nil && known.Service == runner.Service && known.Incarnation == runner.Incarnation {
 		known.update(runner)
@@ -73,6 +80,15 @@
 	return true
 }
 
+// OfAnotherWriter tells whether the entry is not the runner's own: one that has named its
+// incarnation always does.
+func (s *Set) OfAnotherWriter(runner Runner) bool {
+	return runner.Incarnation == 0 && s.told[runner.ID]
+}
+
+// Forget drops what is remembered of a runner without an entry.
+func (s *Set) Forget(id string) { delete(s.told, id) }
+
 // Remove takes a runner out that the directory no longer lists, and tells
 // whether it was there.
 func (s *Set) Remove(id string) bool {
@@ -102,6 +118,7 @@
 	for _, id := range removed {
 		s.Remove(id)
 	}
+	maps.DeleteFunc(s.told, func(id string, _ bool) bool { return !listed[id] })
 	return removed
 }
 
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -34,14 +34,16 @@
 func (g *Gateway) applyRunner(object Object) {
 	if object.Gone {
 		g.removeRunner(object, "gone")
+		g.mutex.Lock()
+		g.runners.Forget(object.Name)
+		g.mutex.Unlock()
 		return
 	}
 	age := g.copies.ageMillis(time.Now(), RunnerObjects)
 	runner := *object.Runner
 	g.mutex.Lock()
 	before, known := g.runners.Get(runner.ID)
-	// A runner that tells its incarnation always does, so this is another writer's entry.
-	forged := known && before.Incarnation != 0 && runner.Incarnation == 0
+	forged := g.runners.OfAnotherWriter(runner)
 	added := !forged && g.runners.Put(runner)
 	g.mutex.Unlock()
 	switch {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,7 +20,8 @@
 )
 
 // unreadTime is how long a caller may hold up a write of its stream before the end of the
-// stream is its own doing: runners end what is left unread for some seconds.
+// stream is its own doing: runners end what is left unread for some seconds, and what they
+// sent before is passed on within another such time.
 const unreadTime = time.Second
 
 // eventStream is the state of a stream towards the caller. Only whole events
@@ -32,13 +33,15 @@
 	// time between two such moments.
 	passedAt   time.Time
 	worstPause time.Duration
-	// heldUp is the longest time that the caller took to take events.
-	heldUp time.Duration
+	// heldUpTo is when the caller had last taken events after it had held up a write.
+	heldUpTo time.Time
 }
 
 // unread tells whether the caller has left the stream unread for so long that its runner
 // may have ended it.
-func (s *eventStream) unread() bool { return s != nil && s.heldUp >= unreadTime }
+func (s *eventStream) unread(now time.Time) bool {
+	return s != nil && !s.heldUpTo.IsZero() && now.Sub(s.heldUpTo) < unreadTime
+}
 
 // passed notes that events were passed on.
 func (s *eventStream) passed(now time.Time) {
@@ -115,7 +118,9 @@
 	if err := c.control.Flush(); err != nil {
 		return errCallerLeft
 	}
-	c.stream.heldUp = max(c.stream.heldUp, time.Since(began))
+	if now := time.Now(); now.Sub(began) >= unreadTime {
+		c.stream.heldUpTo = now
+	}
 	return nil
 }
 
@@ -154,7 +159,7 @@
 	if c.withdrawn() {
 		return c.endWithdrawn(false)
 	}
-	if c.stream.unread() {
+	if c.stream.unread(time.Now()) {
 		c.end(backend.Abandoned, "the caller left the stream unread: "+cause.Error(), response.Status)
 	} else {
 		c.end(backend.Failed, "stream broke off: "+cause.Error(), response.Status)
--- a/internal/gateway/restarts_test.go
+++ b/internal/gateway/restarts_test.go
@@ -253,3 +253,22 @@
 	f.g.Eventually(runner.Version, 3*time.Second, 5*time.Millisecond).Should(Equal(uint64(2)))
 	f.g.Consistently(stranger.Orders, 500*time.Millisecond, 20*time.Millisecond).Should(BeEmpty())
 }
+
+// Entries of another writer that name no incarnation do not become the runner's own by coming
+// again.
+func TestEntriesWithoutIncarnationNameNoRunnerThatToldOne(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), goodKey)
+	runner := f.startedRunner("p1", "plain")
+	r := f.servingRouter("r1", nil)
+	entry := runner.Entry("ready")
+	delete(entry, "born")
+	f.store.Put(platform.KindServers, "p1", entry)
+	r.logs("entry cannot be read")
+	entry["seq"] = 77
+	f.store.Put(platform.KindServers, "p1", entry)
+	f.g.Consistently(func() int { return r.call("/safe/x", nil).status }, 500*time.Millisecond, 20*time.Millisecond).Should(Equal(http.StatusServiceUnavailable))
+	f.list(runner, "ready")
+	f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, time.Second, 20*time.Millisecond).Should(Equal(http.StatusOK))
+}
