Choices of runners weigh the pauses that a long read puts on streams

Cause: an engine reads prompts in pieces between the steps of its streams, and the choice of a runner counted only what waits there. One stream of short prompts in six paused for longer than its caller allows, and reading speeds were assumed, not seen.

Change: a scorer weighs the reading of a prompt against the pauses that the streams at a runner allow. Schedulers tell each other of these streams. Runners of a service are divided by measured work of long reads and of streams; each kind prefers its part, also for the homes of prompt families, and nothing is divided without both kinds or on few runners. The speed of reading is learned from first answers that waited for nobody; where weights may begin, the assumed speed stays. A request is refused only when its queue is too long at all runners, no longer when it is at the best one.

Tests of internal/placement and internal/backend pass.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -13,7 +13,8 @@
 
 // Costs in prompt tokens, the unit of placement's scores.
 const (
-	// PrefillRate is the assumed speed of reading prompts, in tokens a second.
+	// PrefillRate is the assumed speed of reading prompts, in tokens a second, until the
+	// runners' own is learned, and where a request must not begin too late.
 	PrefillRate = 38000
 	// failureCost is the cost of a runner that fails every request.
 	failureCost = 40000
@@ -67,7 +68,9 @@
 func (s *Set) Candidates(now time.Time, query Query) (placement.Request, []placement.Candidate) {
 	request := placement.Request{Model: query.Model, PromptTokens: query.PromptTokens, MaxWait: query.MaxQueue, Excluded: slices.Clone(query.Excluded)}
 	entries := s.byService[query.Service]
-	home := s.home(now, entries, query)
+	speed := s.speed(query.Service)
+	split := s.split(now, query, len(entries))
+	home := s.home(now, entries, query, split)
 	zone := cmp.Or(query.Zone, s.zone)
 	s.cached.Expire(now)
 	kept := &keptByWeights{set: s, query: &query, known: map[uint64]keptParts{}}
@@ -85,32 +88,39 @@
 		queue, slowness := s.waits(now, e, query.Model, e.inFlight+other.Requests)
 		cached := cachedTokens(query, e.ID == home, depth)
 		candidates = append(candidates, placement.Candidate{
-			Name: e.ID, Leaving: e.Draining, Report: s.report(now, e, query.Model),
+			Name: e.ID, Leaving: e.Draining, Report: s.report(now, e, query.Model, speed),
 			CachedTokens:    cached,
 			FetchableTokens: max(deepest-cached, 0),
-			PendingTokens:   e.pendingTokens + other.Tokens + tokensIn(queue),
+			PendingTokens:   e.pendingTokens + other.Tokens + speed.tokensIn(queue),
 			PendingRequests: e.inFlight + other.Requests,
-			ExtraTokens:     cost + s.evidenceCost(now, e, zone) + tokensIn(slowness),
+			ExtraTokens:     cost + s.evidenceCost(now, e, zone) + speed.tokensIn(slowness),
+			Pauses:          e.pauses(other),
+			ApartTokens:     split.cost(e),
 		})
 	}
 	return request, candidates
 }
 
-// tokensIn is how many prompt tokens are read in the time.
-func tokensIn(wait time.Duration) int { return int(wait.Seconds() * PrefillRate) }
-
 // home returns the runner that keeps the family's shared parts: the one of
-// highest weight that takes work, the same one on all routers.
-func (s *Set) home(now time.Time, entries []*entry, query Query) string {
+// highest weight that takes work, the same one on all routers. While long reads are
+// kept apart, it is one of the runners for requests of this kind.
+func (s *Set) home(now time.Time, entries []*entry, query Query, split split) string {
 	if query.Family == 0 {
 		return ""
 	}
-	ids := make([]string, 0, len(entries))
+	ids, others := make([]string, 0, len(entries)), make([]string, 0, len(entries))
 	for _, e := range entries {
-		if !e.Draining && !now.Before(e.asideUntil) {
+		switch {
+		case e.Draining || now.Before(e.asideUntil):
+		case split.suits(e):
 			ids = append(ids, e.ID)
+		default:
+			others = append(others, e.ID)
 		}
 	}
+	if len(ids) == 0 {
+		ids = others
+	}
 	return rendezvous.Owner(ids, query.Family)
 }
 
@@ -124,14 +134,14 @@
 	return depth
 }
 
-func (s *Set) report(now time.Time, e *entry, model string) fleet.Report {
+func (s *Set) report(now time.Time, e *entry, model string, speed *readSpeed) fleet.Report {
 	state := fleet.Serving
 	if e.Draining {
 		state = fleet.Draining
 	}
 	return fleet.Report{
 		Runner: e.ID, State: state, Connected: true, Model: model,
-		Load: fleet.Load{MaxRunning: e.Slots, PrefillRate: PrefillRate},
+		Load: fleet.Load{MaxRunning: e.Slots, PrefillRate: int(speed.rate())},
 	}
 }
 
--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -11,6 +11,25 @@
 	tokens   int
 	at       time.Time
 	answered bool
+	// gap is the longest pause that its caller allows between events, 0 for none, and
+	// long tells that its prompt is a long read.
+	gap  time.Duration
+	long bool
+	// alone tells that its runner had nothing to read when it was sent.
+	alone bool
+}
+
+// BeginQuery notes a request sent to the runner with the prompt tokens it has to read,
+// and what it allows others there.
+func (s *Set) BeginQuery(now time.Time, id string, tokens int, query Query) *Send {
+	alone := s.readsNothing(now, id)
+	send := s.Begin(now, id, tokens)
+	send.alone = alone && query.Model != ""
+	send.gap, send.long = query.EventGap, s.longRead(query)
+	if send.long {
+		s.noteLongRead(now, query.Service, tokens)
+	}
+	return send
 }
 
 // Begin notes a request sent to the runner with the prompt tokens it has to read.
@@ -34,6 +53,7 @@
 	if e != nil {
 		s.changed[send.runner] = true
 		e.inFlight = max(e.inFlight-1, 0)
+		e.closeStream(send)
 	}
 	return e
 }
@@ -54,8 +74,23 @@
 	}
 	s.changed[send.runner] = true
 	e.answer(now, send)
+	e.openStream(send)
 	e.wait = (e.currentWait(now) + send.queueing(now)) / 2
 	e.waitAt = now
+	speed := s.speed(e.Service)
+	taken := now.Sub(send.at)
+	queueing := max(taken-speed.expectedTime(send.tokens), 0)
+	e.queueing = (decayedTime(e.queueing, now.Sub(e.queueingAt)) + queueing) / 2
+	e.queueingAt = now
+	if send.alone {
+		speed.note(send.tokens, taken)
+	}
+}
+
+// readsNothing tells whether no request without a first answer is known at the runner.
+func (s *Set) readsNothing(now time.Time, id string) bool {
+	e := s.entries[id]
+	return e != nil && e.unanswered == 0 && s.otherLoad(now, id).Tokens == 0
 }
 
 // answer notes that the request is no longer without an answer.
@@ -121,6 +156,8 @@
 		if outcome == Abandoned {
 			// It waited at least so long, and would have waited longer.
 			e.wait, e.waitAt = max(e.currentWait(now), send.queueing(now)), now
+			speed := s.speed(e.Service)
+			e.queueing, e.queueingAt = max(e.currentQueueing(now, speed), now.Sub(send.at)-speed.expectedTime(send.tokens)), now
 		}
 		e.answer(now, send)
 	}
@@ -128,6 +165,7 @@
 	case Answered:
 		e.failures = 0
 		s.noteHolding(e.Service, now.Sub(send.at))
+		s.noteStream(now, e, send)
 		e.noteAnswer(now, false)
 	case Failed:
 		e.noteAnswer(now, true)
--- a/internal/backend/ledger.go
+++ b/internal/backend/ledger.go
@@ -42,7 +42,7 @@
 func (l *Ledger) Begin(now time.Time, key SendKey, runner string, tokens int, query Query, left time.Duration) {
 	l.sweep(now)
 	l.forget(key)
-	l.sends[key] = &placedSend{send: l.set.Begin(now, runner, tokens), query: query, expires: now.Add(left)}
+	l.sends[key] = &placedSend{send: l.set.BeginQuery(now, runner, tokens, query), query: query, expires: now.Add(left)}
 }
 
 // FirstAnswer notes that the runner has begun to answer.
--- a/internal/backend/loads.go
+++ b/internal/backend/loads.go
@@ -7,6 +7,10 @@
 	// Tokens are prompt tokens that wait to be read, and Requests all open ones.
 	Tokens   int
 	Requests int
+	// Streams are those that have begun and allow no long pauses, and Gaps is the sum
+	// of the pauses that they allow.
+	Streams int
+	Gaps    time.Duration
 }
 
 // otherLoadTime is how long the loads that another router told of count: it tells of
@@ -20,7 +24,9 @@
 }
 
 // load is the work that this router has placed on the runner.
-func (e *entry) load() Load { return Load{Tokens: e.pendingTokens, Requests: e.inFlight} }
+func (e *entry) load() Load {
+	return Load{Tokens: e.pendingTokens, Requests: e.inFlight, Streams: e.streams.count, Gaps: e.streams.gaps}
+}
 
 // Loads returns the work on each runner that this router has placed, runners
 // without any left out.
@@ -67,6 +73,8 @@
 			load := other.loads[id]
 			sum.Tokens += load.Tokens
 			sum.Requests += load.Requests
+			sum.Streams += load.Streams
+			sum.Gaps += load.Gaps
 		}
 	}
 	return sum
--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -68,10 +68,18 @@
 	// wait is the decaying queueing time that own requests met.
 	wait   time.Duration
 	waitAt time.Time
+	// queueing is the same by the learned reading speed. It chooses runners; wait, which
+	// rests on the assumed speed alone, tells when weights are begun on.
+	queueing   time.Duration
+	queueingAt time.Time
 	// unanswered counts own requests without a first answer, and progressAt is
 	// when the last of them was answered or, if later, the first was sent.
 	unanswered int
 	progressAt time.Time
+	// streams are own requests whose events have begun and which allow no long pauses.
+	streams openStreams
+	// splitKey is a hash of the id, 0 until it is needed.
+	splitKey uint64
 	// learned is the version of each model's weights as answers named it, which
 	// may be newer than the directory's.
 	learned map[string]uint64
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -25,13 +25,17 @@
 	holding map[string]time.Duration
 	// others are the loads that other routers told of.
 	others map[string]*otherLoads
+	// demands are the measured work of long reads and of streams of each service.
+	demands map[string]*demand
+	// speeds are the learned reading speeds of each service's runners.
+	speeds map[string]*readSpeed
 	// rolloutTime is within which all runners of a service take named weights.
 	rolloutTime time.Duration
 }
 
 // NewSet returns an empty table of a router in the zone.
 func NewSet(zone string) *Set {
-	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}, changed: map[string]bool{}, holding: map[string]time.Duration{}, others: map[string]*otherLoads{}, rolloutTime: defaultRolloutTime}
+	return &Set{zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weights: NewWeights(), cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}, changed: map[string]bool{}, holding: map[string]time.Duration{}, others: map[string]*otherLoads{}, demands: map[string]*demand{}, speeds: map[string]*readSpeed{}, rolloutTime: defaultRolloutTime}
 }
 
 // Weights returns the named versions of weights.
--- a/internal/backend/waits.go
+++ b/internal/backend/waits.go
@@ -24,3 +24,16 @@
 func (e *entry) measuredWait(now time.Time) time.Duration {
 	return time.Duration(decayed(float64(e.wait), now.Sub(e.waitAt), waitHalfLife))
 }
+
+// currentQueueing is currentWait by the learned speed of reading.
+func (e *entry) currentQueueing(now time.Time, speed *readSpeed) time.Duration {
+	measured := decayedTime(e.queueing, now.Sub(e.queueingAt))
+	if e.unanswered == 0 {
+		return measured
+	}
+	return max(measured, now.Sub(e.progressAt)-speed.expectedTime(e.pendingTokens)-stallSlack)
+}
+
+func decayedTime(value, elapsed time.Duration) time.Duration {
+	return time.Duration(decayed(float64(value), elapsed, waitHalfLife))
+}
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -25,7 +25,10 @@
 func (s *schedulers) told(router string, share *wire.LoadShare) {
 	loads := map[string]backend.Load{}
 	for _, load := range share.GetLoads() {
-		loads[load.GetRunner()] = backend.Load{Tokens: int(load.GetTokens()), Requests: int(load.GetRequests())}
+		loads[load.GetRunner()] = backend.Load{
+			Tokens: int(load.GetTokens()), Requests: int(load.GetRequests()),
+			Streams: int(load.GetStreams()), Gaps: time.Duration(load.GetGapsMillis()) * time.Millisecond,
+		}
 	}
 	s.gateway.relays.toldBehind(router, int(share.GetRouters()))
 	s.gateway.mutex.Lock()
@@ -67,7 +70,10 @@
 func shareMessage(loads map[string]backend.Load, whole bool) *wire.LoadShare {
 	share := &wire.LoadShare{Full: whole}
 	for id, load := range loads {
-		share.Loads = append(share.Loads, &wire.RunnerLoad{Runner: id, Tokens: uint32(max(load.Tokens, 0)), Requests: uint32(max(load.Requests, 0))})
+		share.Loads = append(share.Loads, &wire.RunnerLoad{
+			Runner: id, Tokens: uint32(max(load.Tokens, 0)), Requests: uint32(max(load.Requests, 0)),
+			Streams: uint32(max(load.Streams, 0)), GapsMillis: uint32(max(load.Gaps.Milliseconds(), 0)),
+		})
 	}
 	return share
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -96,7 +96,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections, m.silentConnections,
-		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
+		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.quotas.tenants() }),
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -30,7 +30,7 @@
 // gateway's mutex is held, so that no withdrawal falls between choice and send.
 func (c *call) beginSend(now time.Time, runner backend.Runner, tokens int) {
 	g := c.gateway
-	c.open = g.runners.Begin(now, runner.ID, tokens)
+	c.open = g.runners.BeginQuery(now, runner.ID, tokens, c.query)
 	c.sendCtx, c.unbegun = c.ctx, nil
 	if !c.beginIsSeen() {
 		return
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,8 +1,9 @@
 // Package placement chooses the runner of a request: filter, score, pick. It is
 // the only place where a runner is chosen.
 //
-// A score is the expected time to the first token: work already queued ahead
-// of the request plus the prompt tokens that the runner has not cached. The
+// A score is the expected time to the first token, work already queued ahead
+// of the request plus the prompt tokens that the runner has not cached, and the
+// pauses that the choice puts on the streams at the runner. The
 // package has no I/O, clock or random source of its own.
 package placement
 
@@ -52,6 +53,11 @@
 	// ExtraTokens is the cost, in prompt tokens, of what the caller of Choose
 	// knows against the runner: distance, failures, weights to be replaced.
 	ExtraTokens int
+	// Pauses is who bears the reading of the prompt at the runner.
+	Pauses
+	// ApartTokens is the cost, in prompt tokens, of a runner that is better left to
+	// requests of another kind. It is no part of the wait.
+	ApartTokens int
 }
 
 // Weights tune the score.
@@ -197,7 +203,13 @@
 	return true
 }
 
+// score is the cost of a choice for the request and for those at the runner.
 func score(request Request, candidate Candidate, weights Weights) float64 {
+	return delay(request, candidate, weights) + interference(request, candidate, weights)
+}
+
+// delay is the part of the score that is the request's own time to the first token.
+func delay(request Request, candidate Candidate, weights Weights) float64 {
 	total := 0.0
 	for _, scorer := range scorers {
 		total += scorer(request, candidate, weights)
@@ -214,7 +226,7 @@
 
 // waitOf turns the work ahead and the uncached prompt into a time.
 func waitOf(request Request, candidate Candidate) time.Duration {
-	return time.Duration(score(request, candidate, Weights{Hit: 1}) / float64(rateOf(candidate.Report.Load)) * float64(time.Second))
+	return time.Duration(delay(request, candidate, Weights{Hit: 1}) / float64(rateOf(candidate.Report.Load)) * float64(time.Second))
 }
 
 // Choose picks the runner with the lowest score; near ties are drawn by random,
@@ -229,12 +241,32 @@
 	return pick
 }
 
+// chooseAmong picks the best runner. The request is refused only when it would queue
+// for too long at all of them, not where a better one has the longer queue.
 func chooseAmong(request Request, candidates []Candidate, weights Weights, random *rand.Rand) Pick {
+	pick := pickBest(request, candidates, weights, random, admissible)
+	if pick.Status != Overloaded {
+		return pick
+	}
+	if inTime := pickBest(request, candidates, weights, random, admissibleInTime); inTime.Status == Picked {
+		return inTime
+	}
+	return pick
+}
+
+// admissibleInTime tells whether the runner may serve the request after a queue that is
+// not too long.
+func admissibleInTime(request Request, candidate Candidate) bool {
+	queue := queueCost(request, candidate, Weights{}) + sequenceCost(request, candidate, Weights{})
+	return queue <= request.MaxWait.Seconds()*float64(rateOf(candidate.Report.Load)) && admissible(request, candidate)
+}
+
+func pickBest(request Request, candidates []Candidate, weights Weights, random *rand.Rand, usable Filter) Pick {
 	best := -1.0
 	scores := make([]float64, len(candidates))
 	for i, candidate := range candidates {
 		scores[i] = -1
-		if !admissible(request, candidate) {
+		if !usable(request, candidate) {
 			continue
 		}
 		scores[i] = score(request, candidate, weights)
