Weights are begun on by the slower of the assumed and the learned speed

Cause: runners that read more slowly than assumed begin a request later than estimated. Change: estimates of the beginning take the longer time of both; a faster learned speed changes nothing there. Each runner keeps its service's speed at hand. Measured: tests of internal/backend pass, with one that fails on either slip.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -157,7 +157,7 @@
 	if !held {
 		return 0, false
 	}
-	if s.weights.State(now.Add(e.startsAfter(now, query.PromptTokens)), model, version) == Expired {
+	if s.weights.State(now.Add(s.startsAfter(now, e, query.PromptTokens)), model, version) == Expired {
 		return 0, false
 	}
 	switch s.weights.State(now, model, version) {
@@ -215,7 +215,7 @@
 	}
 	// Its own prompt is among what is still to be read. The time that it has taken to be
 	// sent would look like a wait at the runner, so only answered requests tell that.
-	begins := now.Add(e.measuredWait(now) + readingTime(e.pendingTokens))
+	begins := now.Add(e.measuredWait(now) + s.slowReading(e, e.pendingTokens))
 	return s.weights.State(begins, query.Model, version) != Expired
 }
 
--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -77,7 +77,7 @@
 	e.openStream(send)
 	e.wait = (e.currentWait(now) + send.queueing(now)) / 2
 	e.waitAt = now
-	speed := s.speed(e.Service)
+	speed := s.speedOf(e)
 	taken := now.Sub(send.at)
 	queueing := max(taken-speed.expectedTime(send.tokens), 0)
 	e.queueing = (decayedTime(e.queueing, now.Sub(e.queueingAt)) + queueing) / 2
@@ -156,7 +156,7 @@
 		if outcome == Abandoned {
 			// It waited at least so long, and would have waited longer.
 			e.wait, e.waitAt = max(e.currentWait(now), send.queueing(now)), now
-			speed := s.speed(e.Service)
+			speed := s.speedOf(e)
 			e.queueing, e.queueingAt = max(e.currentQueueing(now, speed), now.Sub(send.at)-speed.expectedTime(send.tokens)), now
 		}
 		e.answer(now, send)
--- a/internal/backend/readspeed.go
+++ b/internal/backend/readspeed.go
@@ -95,3 +95,23 @@
 	}
 	return known
 }
+
+// speedOf is what is learned of the runner's service.
+func (s *Set) speedOf(e *entry) *readSpeed {
+	if e.speed == nil {
+		e.speed = s.speed(e.Service)
+	}
+	return e.speed
+}
+
+// slowReading is the longest time that the reading of the tokens is expected to take, by
+// the assumed and the learned speed. It bounds when weights are begun on.
+func (s *Set) slowReading(e *entry, tokens int) time.Duration {
+	return max(readingTime(tokens), s.speedOf(e).reading(tokens))
+}
+
+// startsAfter estimates how long after now a request with the prompt begins: the
+// time that requests waited of late, what is still to be read, and itself.
+func (s *Set) startsAfter(now time.Time, e *entry, promptTokens int) time.Duration {
+	return e.currentWait(now) + s.slowReading(e, e.pendingTokens+promptTokens)
+}
--- a/internal/backend/readspeed_test.go
+++ b/internal/backend/readspeed_test.go
@@ -55,11 +55,17 @@
 	g.Expect(speed.rate()).To(BeNumerically("<=", speedRange*PrefillRate+1))
 }
 
-func TestWeightsAreJudgedByTheAssumedSpeed(t *testing.T) {
+func TestWeightsAreJudgedByTheSlowerSpeed(t *testing.T) {
 	g := NewWithT(t)
-	set := NewSet("z")
-	set.Put(runner("a", "z"))
-	before := set.entries["a"].startsAfter(start, 9000)
-	learn(rand.New(rand.NewPCG(1, 2)), set.speed("s"), 2000, 70_000)
-	g.Expect(set.entries["a"].startsAfter(start, 9000)).To(Equal(before))
+	begins := func(rate float64) time.Duration {
+		set := NewSet("z")
+		set.Put(runner("a", "z"))
+		learn(rand.New(rand.NewPCG(1, 2)), set.speed("s"), 3000, rate)
+		return set.startsAfter(start, set.entries["a"], 9000)
+	}
+	assumed := NewSet("z")
+	assumed.Put(runner("a", "z"))
+	prior := assumed.startsAfter(start, assumed.entries["a"], 9000)
+	g.Expect(begins(70_000)).To(Equal(prior), "faster runners change nothing")
+	g.Expect(begins(20_000)).To(BeNumerically(">", prior*3/2))
 }
--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -78,6 +78,8 @@
 	progressAt time.Time
 	// streams are own requests whose events have begun and which allow no long pauses.
 	streams openStreams
+	// speed is the learned reading speed of its service, nil until it is needed.
+	speed *readSpeed
 	// splitKey is a hash of the id, 0 until it is needed.
 	splitKey uint64
 	// learned is the version of each model's weights as answers named it, which
@@ -114,9 +116,3 @@
 	}
 	e.failureShare, e.failureAt = share, now
 }
-
-// startsAfter estimates how long after now a request with the prompt begins: the
-// time that requests waited of late, what is still to be read, and itself.
-func (e *entry) startsAfter(now time.Time, promptTokens int) time.Duration {
-	return e.currentWait(now) + readingTime(e.pendingTokens+promptTokens)
-}
--- a/internal/backend/slots.go
+++ b/internal/backend/slots.go
@@ -36,5 +36,5 @@
 	if model == "" {
 		return queue, e.currentWait(now)
 	}
-	return max(queue, e.currentQueueing(now, s.speed(e.Service))), 0
+	return max(queue, e.currentQueueing(now, s.speedOf(e))), 0
 }
