Test that a request is refused only when its queue is too long everywhere

Cause: the second pick among runners with a short enough queue had no test of its own. Change: one where the best runner has the longer queue. Measured: tests of internal/placement pass.

--- a/internal/placement/interference_test.go
+++ b/internal/placement/interference_test.go
@@ -68,3 +68,18 @@
 	g.Expect(interference(longRequest(), unbounded, Weights{Hit: 1})).To(BeZero())
 	g.Expect(interference(longRequest(), none, Weights{Hit: 1})).To(BeZero())
 }
+
+func TestRefusedOnlyWhenTheQueueIsTooLongEverywhere(t *testing.T) {
+	g := NewWithT(t)
+	r := longRequest()
+	r.MaxWait = 100 * time.Millisecond
+	// The one keeps the whole prompt behind a queue of 150 ms, the other has none of it.
+	holder, streaming := candidate("holder"), candidate("streaming")
+	holder.CachedTokens, holder.PendingTokens = r.PromptTokens, 1500
+	streaming.Pauses = Pauses{Streams: 8, Gap: allowedPause}
+	pick := choose(r, holder, streaming)
+	g.Expect(pick.Status).To(Equal(Picked))
+	g.Expect(pick.Candidate.Name).To(Equal("streaming"))
+	streaming.PendingTokens = 1500
+	g.Expect(choose(r, holder, streaming).Status).To(Equal(Overloaded))
+}
