Admission: one order of ranks, later ones give way while earlier ones are refused

Cause: the bound of the queue is a share of the request's own target, so bulk with a long target is let in until the queue is longer than urgent requests may wait. Change: where the runner is chosen, the share of each rank that its own bound refuses is observed; later ranks keep a part of their bounds that shrinks while that share is above 2 in 100 and grows again below. Refused callers are told moments spread by the rate of their rank, within the third of their time for which they wait, and are let in when they come back at the moment.

--- /dev/null
+++ b/internal/admission/order.go
@@ -0,0 +1,137 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// floorShare is the share of requests that are not held to a tightened bound, so that
+// no kind of request is shut out as long as a more urgent one wants all runners: a
+// caller who asks a few times in a minute is served once.
+const floorShare = 0.05
+
+// Before tells whether requests of this rank go before those of the other one: tiers
+// are paid for, so the route counts only within a tier.
+func (r Rank) Before(other Rank) bool {
+	if r.Tier != other.Tier {
+		return r.Tier < other.Tier
+	}
+	return r.Route < other.Route
+}
+
+// Demand is what the order needs to know of a request that wants a runner.
+type Demand struct {
+	Service string
+	Rank    Rank
+	// Target is the time within which an answer is on time, 0 for none.
+	Target time.Duration
+	// MaxQueue is the request's own bound of the time that it may be expected to queue,
+	// as drawn by LongestQueue; 0 sets none, and such a request is never refused.
+	MaxQueue time.Duration
+	// Left is the time that the caller still waits.
+	Left time.Duration
+	// Excess is how many times its fair share the tenant uses, 1 at or below it.
+	Excess float64
+	// Ticket names the request if it is refused and comes back, 0 when it has no name.
+	Ticket uint64
+}
+
+// Load is how full the runners are that may serve a request.
+type Load struct {
+	// Open counts the requests at them, and Slots how many they work on at once.
+	Open, Slots int
+}
+
+// halfFree tells whether half of the slots are free or more: then no request is
+// refused for the sake of another one.
+func (l Load) halfFree() bool { return 2*l.Open <= l.Slots }
+
+// Limit is the bound that holds for one request.
+type Limit struct {
+	// MaxQueue is the longest time that it may be expected to queue, 0 for no bound.
+	MaxQueue time.Duration
+	// Yield is the part of its own bound that is left to it by more urgent requests.
+	Yield float64
+	// Returned is set for a request that comes back at the moment that it was told.
+	Returned bool
+}
+
+// Order decides which requests for the same runners are refused when they cannot all be
+// served in time: first those of the later rank, and these only as far as the requests
+// of earlier ranks are about to be late otherwise. It is not safe for concurrent use.
+type Order struct {
+	random   *rand.Rand
+	services map[string]*serviceOrder
+}
+
+// serviceOrder is the order among the requests for one service.
+type serviceOrder struct {
+	pressures map[Rank]*pressure
+	returns   *returns
+}
+
+// NewOrder returns an order without observations.
+func NewOrder(random *rand.Rand) *Order {
+	return &Order{random: random, services: map[string]*serviceOrder{}}
+}
+
+func (o *Order) service(name string) *serviceOrder {
+	state := o.services[name]
+	if state == nil {
+		state = &serviceOrder{pressures: map[Rank]*pressure{}, returns: newReturns()}
+		o.services[name] = state
+	}
+	return state
+}
+
+// Limit returns the bound of a request at runners of the load.
+func (o *Order) Limit(now time.Time, demand Demand, load Load) Limit {
+	limit := Limit{MaxQueue: demand.MaxQueue, Yield: 1}
+	if demand.MaxQueue <= 0 {
+		return limit
+	}
+	state := o.service(demand.Service)
+	if state.returns.redeem(now, demand) {
+		limit.MaxQueue, limit.Returned = max(demand.MaxQueue, time.Duration(returnedShare*float64(demand.Target))), true
+		return limit
+	}
+	if load.halfFree() || o.random.Float64() < floorShare {
+		return limit
+	}
+	limit.Yield = state.yield(now, demand)
+	limit.MaxQueue = max(time.Duration(limit.Yield*float64(demand.MaxQueue)/math.Max(demand.Excess, 1)), time.Millisecond)
+	return limit
+}
+
+// yield is the part of its bound that the more urgent requests leave to the demand.
+func (s *serviceOrder) yield(now time.Time, demand Demand) float64 {
+	least := 1.0
+	for rank, p := range s.pressures {
+		if rank.Before(demand.Rank) {
+			least = min(least, p.leave(now, demand.Target))
+		}
+	}
+	return least
+}
+
+// Decided takes a decision about a request that has a bound: the time that it was
+// expected to queue, and whether it was refused. It returns when a refused caller is to
+// come back, no sooner than earliest.
+func (o *Order) Decided(now time.Time, demand Demand, queue time.Duration, refused bool, earliest time.Duration) time.Duration {
+	if demand.MaxQueue <= 0 {
+		return earliest
+	}
+	state := o.service(demand.Service)
+	p := state.pressures[demand.Rank]
+	if p == nil {
+		p = newPressure(now)
+		state.pressures[demand.Rank] = p
+	}
+	p.note(now, demand.Target, queue)
+	if !refused {
+		state.returns.admitted(now, demand)
+		return 0
+	}
+	return state.returns.refuse(now, demand, earliest, o.random)
+}
--- /dev/null
+++ b/internal/admission/pressure.go
@@ -0,0 +1,107 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Times and shares of pressure.
+const (
+	// pressureHalfLife is the half-life of the observed refusals of a rank: long enough
+	// to see some ten requests of a kind that comes fifty times a second, short against
+	// the seconds that a burst lasts.
+	pressureHalfLife = 250 * time.Millisecond
+	// allowedPressure is the share of a rank that may be refused before others give way.
+	// Below it the callers of the later ranks would lose more than the rank gains.
+	allowedPressure = 0.02
+	// tightenTime is how long it takes a rank that is refused altogether to cut the bound
+	// of those behind it to a third; queues grow by half a target in some such times.
+	tightenTime = 50 * time.Millisecond
+	// relaxTime is how long it takes the bound to grow threefold once the rank is not
+	// refused at all: longer than what was let in stays, so that each step is seen
+	// before the next one.
+	relaxTime = 3 * time.Second
+	// leastLeft is the shortest mean bound that a rank leaves to those behind it, as a
+	// share of its own target: half of the queue at which it would itself be refused.
+	leastLeft = 0.2
+)
+
+// pressure is what the requests of one rank meet, and what they leave to those behind.
+type pressure struct {
+	// strain is the decaying sum of the chances with which requests were refused, and
+	// asked of the requests, both at the moment at.
+	strain, asked float64
+	at            time.Time
+	// left is the part of their bounds that is left to later ranks.
+	left float64
+	// target is that of the rank's last request.
+	target time.Duration
+}
+
+func newPressure(now time.Time) *pressure { return &pressure{at: now, left: 1} }
+
+// strainOf is the chance that a request of the first rank is refused at the queue.
+func strainOf(target, queue time.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	share := float64(queue) / float64(target)
+	return min(max((share-firstShed)/(lastShed-firstShed), 0), 1)
+}
+
+// note takes the expected queue of one request.
+func (p *pressure) note(now time.Time, target, queue time.Duration) {
+	p.advance(now)
+	p.target = target
+	p.strain += strainOf(target, queue)
+	p.asked++
+}
+
+// share is the part of the rank's recent requests that was refused by its own bound.
+// A rank that hardly comes counts as having come a few times, so that one request
+// does not close the runners to others.
+func (p *pressure) share() float64 { return p.strain / math.Max(p.asked, leastAsked) }
+
+// leastAsked is for how many recent requests a rank counts at least.
+const leastAsked = 5
+
+// advance lets the time pass in steps in which the observations hardly fade.
+func (p *pressure) advance(now time.Time) {
+	if now.Sub(p.at) > forgetTime {
+		*p = pressure{at: now, left: 1, target: p.target}
+	}
+	for p.at.Before(now) {
+		step := min(now.Sub(p.at), pressureHalfLife/8)
+		p.at = p.at.Add(step)
+		p.pass(step.Seconds())
+	}
+}
+
+// pass shrinks what is left while the rank is refused more than is allowed, in
+// proportion to that, and lets it grow again otherwise.
+func (p *pressure) pass(seconds float64) {
+	over := p.share() - allowedPressure
+	rate := over / tightenTime.Seconds()
+	if over < 0 {
+		rate = over / allowedPressure / relaxTime.Seconds()
+	}
+	p.left = min(max(p.left*math.Exp(-rate*seconds), smallestLeft), 1)
+	fade := math.Exp2(-seconds / pressureHalfLife.Seconds())
+	p.strain, p.asked = p.strain*fade, p.asked*fade
+}
+
+// forgetTime is after which time without requests nothing is left of a pressure.
+const forgetTime = 5 * relaxTime
+
+// smallestLeft bounds what is left, so that it grows again within some seconds.
+const smallestLeft = 0.05
+
+// leave is the part of its bound that a request of a later rank keeps.
+func (p *pressure) leave(now time.Time, target time.Duration) float64 {
+	p.advance(now)
+	if p.left >= 1 || target <= 0 {
+		return 1
+	}
+	usual := (firstShed + lastShed) / 2 * float64(target)
+	return max(p.left, min(leastLeft*float64(p.target)/usual, 1))
+}
--- a/internal/admission/promises.go
+++ b/internal/admission/promises.go
@@ -78,23 +78,32 @@
 // earliest. A request that is refused again keeps its place.
 func (p *Promises) Refuse(now time.Time, ticket uint64, class int, earliest time.Duration) time.Duration {
 	p.sweep(now)
-	state := p.class(now, class)
 	if known, found := p.byTicket[ticket]; found && known.due.After(now) {
 		return known.due.Sub(now)
 	}
-	due := now.Add(earliest)
-	if state.next.After(due) {
-		due = state.next
-	}
-	state.next = due.Add(time.Duration(float64(time.Second) / math.Max(state.rate*promiseShare, leastPromiseRate)))
+	due := now.Add(p.Reserve(now, class, earliest))
 	if len(p.byTicket) < MaxPromises {
 		p.forget(ticket)
 		p.byTicket[ticket] = promise{class, due}
-		state.open++
+		p.class(now, class).open++
 	}
 	return due.Sub(now)
 }
 
+// Next tells after which time a request of the class that is refused now would be told
+// to come back, no sooner than earliest.
+func (p *Promises) Next(now time.Time, class int, earliest time.Duration) time.Duration {
+	return max(p.class(now, class).next.Sub(now), earliest)
+}
+
+// Reserve takes the next free moment of the class for a caller who cannot be known
+// again, and returns after which time it is, no sooner than earliest.
+func (p *Promises) Reserve(now time.Time, class int, earliest time.Duration) time.Duration {
+	state, after := p.class(now, class), p.Next(now, class, earliest)
+	state.next = now.Add(after).Add(time.Duration(float64(time.Second) / math.Max(state.rate*promiseShare, leastPromiseRate)))
+	return after
+}
+
 // Redeem tells whether the request returns at its promised time, and ends the promise.
 func (p *Promises) Redeem(now time.Time, ticket uint64) bool {
 	known, found := p.byTicket[ticket]
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -60,6 +60,8 @@
 	MaxTokens int
 	// Admitted requests were let in before, and are not refused for the sake of others.
 	Admitted bool
+	// Ticket names the request if it is refused and comes back, 0 when it has no name.
+	Ticket uint64
 }
 
 // Candidates returns the service's runners with their costs, for placement.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -61,6 +61,10 @@
 	bodyArrived chan struct{}
 	// maxQueue is the longest time that the call may be expected to queue at a runner.
 	maxQueue time.Duration
+	// limit is the bound that held for the call at the last choice, and queueing the
+	// time that it was expected to queue.
+	limit    admission.Limit
+	queueing time.Duration
 	// placing is a question to a scheduler under way, and placed its choice while a
 	// runner works on the call; nil when this router chose itself.
 	placing *placementAsk
@@ -298,7 +302,7 @@
 			query.Shared = append(query.Shared, backend.SharedPart{ID: part.ID, Depth: query.SharedTokens})
 		}
 	}
-	query.Family = c.family()
+	query.Family, query.Ticket = c.family(), c.ticket()
 	return query
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
@@ -51,6 +52,11 @@
 	choices        *prometheus.CounterVec
 	placementCalls *prometheus.HistogramVec
 
+	// yields are the parts of their bounds that calls kept, and returns the calls that
+	// came back when they were told to.
+	yields  *prometheus.HistogramVec
+	returns *prometheus.CounterVec
+
 	quotaDecisions *prometheus.CounterVec
 	quotaCalls     *prometheus.HistogramVec
 	quotaWaits     prometheus.Histogram
@@ -88,6 +94,11 @@
 		choices:        counters("choices_total", "Choices of a runner, by who made them.", "by"),
 		placementCalls: seconds("placement_call_seconds", "Questions to routers that place requests for others.", "outcome"),
 
+		yields: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "bound_yield", Help: "Part of its longest queueing time that more urgent requests left to a call.", Buckets: yieldBuckets,
+		}, []string{"route"}),
+		returns: counters("returns_total", "Calls that came back at the moment that they were told, by whether they were let in.", "route", "outcome"),
+
 		quotaDecisions: counters("quota_decisions_total", "Calls counted against their tenant's limit, by who decided.", "by", "outcome"),
 		quotaCalls:     seconds("quota_call_seconds", "Questions to routers that keep limits.", "outcome"),
 		quotaWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -96,7 +107,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections, m.silentConnections,
-		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
+		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.quotas.tenants() }),
@@ -246,6 +257,21 @@
 	chosenHere        = "itself"
 )
 
+// yieldBuckets are shares, dense where little is left.
+var yieldBuckets = []float64{.05, .1, .2, .3, .5, .7, .9, .999}
+
+// limited notes the bound of a call's queueing and whether it was refused by it.
+func (m *metrics) limited(route string, refused bool, limit admission.Limit) {
+	m.yields.WithLabelValues(route).Observe(limit.Yield)
+	if limit.Returned {
+		outcome := "let in"
+		if refused {
+			outcome = "refused"
+		}
+		m.returns.WithLabelValues(route, outcome).Inc()
+	}
+}
+
 // quotaDecided counts a decision about a tenant's limit.
 func (m *metrics) quotaDecided(decision quotaDecision, waited time.Duration) {
 	outcome := "refused"
--- /dev/null
+++ b/internal/gateway/order.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/admission"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/placement"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// percent turns shares into whole numbers of messages and logs.
+const percent = 100
+
+// decide chooses the runner of a request whose caller waits for the time left, or
+// refuses it. Schedulers decide so for others, and routers that choose themselves for
+// their own calls. The gateway's mutex is held.
+func (g *Gateway) decide(now time.Time, query backend.Query, left time.Duration) (placement.Pick, admission.Limit) {
+	request, candidates := g.runners.Candidates(now, query)
+	demand := admission.Demand{
+		Service: query.Service, Rank: query.Rank, Target: query.Target, MaxQueue: query.MaxQueue, Left: left, Excess: 1, Ticket: query.Ticket,
+	}
+	limit := g.order.Limit(now, demand, loadOf(candidates))
+	request.MaxWait = limit.MaxQueue
+	chosen := placement.Choose(request, candidates, placementWeights, g.random)
+	if chosen.Status != placement.NoRunner {
+		refused := chosen.Status == placement.Overloaded
+		after := g.order.Decided(now, demand, chosen.Queueing, refused, max(chosen.RetryAfter, busyRetryAfter))
+		if refused {
+			chosen.RetryAfter = after
+		}
+	}
+	return chosen, limit
+}
+
+// loadOf sums up how full the runners are that stay.
+func loadOf(candidates []placement.Candidate) admission.Load {
+	load := admission.Load{}
+	for _, candidate := range candidates {
+		if !candidate.Leaving {
+			load.Open += candidate.PendingRequests
+			load.Slots += candidate.Report.Load.MaxRunning
+		}
+	}
+	return load
+}
+
+// limitOf is the bound that a scheduler tells of.
+func limitOf(answer *wire.RunnerAnswer) admission.Limit {
+	return admission.Limit{
+		MaxQueue: time.Duration(answer.GetMaxQueueMillis()) * time.Millisecond,
+		Yield:    float64(answer.GetYieldPercent()) / percent, Returned: answer.GetReturned(),
+	}
+}
+
+// noteLimit keeps and counts what was decided about the call's queueing.
+func (c *call) noteLimit(chosen placement.Pick) {
+	c.queueing = chosen.Queueing
+	if c.query.MaxQueue > 0 {
+		c.gateway.metrics.limited(c.route.Name, chosen.Status == placement.Overloaded, c.limit)
+	}
+}
+
+// ticket names a call of a prompt by whose it is and what it holds, so that it is known
+// when it comes back; 0 without a prompt.
+func (c *call) ticket() uint64 {
+	last := len(c.facts.Prompt) - 1
+	if last < 0 {
+		return 0
+	}
+	name := ""
+	if c.tenant != nil {
+		name = c.tenant.Name
+	}
+	part := c.facts.Prompt[last]
+	return rendezvous.KeyOf(name + "/" + c.route.Name + "/" + part.ID + ":" + strconv.Itoa(part.Tokens))
+}
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/placement"
@@ -24,6 +25,10 @@
 	// everywhere, and retryAfter is when there will be room.
 	refused    bool
 	retryAfter time.Duration
+	// queueing is the time that the request is expected to queue, and limit the bound
+	// that held for it.
+	queueing time.Duration
+	limit    admission.Limit
 }
 
 // placementAsk is a question to a scheduler that is under way.
@@ -62,7 +67,7 @@
 		MaxQueueMillis: uint32(query.MaxQueue.Milliseconds()),
 		TargetMillis:   uint32(query.Target.Milliseconds()), GapMillis: uint32(query.EventGap.Milliseconds()),
 		Tier: uint32(query.Rank.Tier), RouteRank: uint32(query.Rank.Route), Tenant: query.Tenant,
-		MaxTokens: uint32(max(query.MaxTokens, 0)), Admitted: query.Admitted,
+		MaxTokens: uint32(max(query.MaxTokens, 0)), Admitted: query.Admitted, Ticket: query.Ticket,
 	}
 	for _, part := range query.Shared {
 		message.Parts = append(message.Parts, part.ID)
@@ -84,8 +89,12 @@
 	s.mutex.Lock()
 	s.ranking.NoteAnswer(scheduler, answer.GetZone(), taken)
 	s.mutex.Unlock()
+	queueing, limit := time.Duration(answer.GetQueueMillis())*time.Millisecond, limitOf(answer)
 	if answer.GetOverloaded() {
-		return &placed{scheduler: scheduler, refused: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond}
+		return &placed{
+			scheduler: scheduler, refused: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond,
+			queueing: queueing, limit: limit,
+		}
 	}
 	if answer.GetRunner() == "" {
 		return nil
@@ -93,6 +102,7 @@
 	return &placed{
 		scheduler: scheduler, send: ask.GetSend(), runner: answer.GetRunner(), cachedTokens: int(answer.GetCachedTokens()),
 		wait: time.Duration(answer.GetWaitMillis()) * time.Millisecond, pendingRequests: int(answer.GetPendingRequests()),
+		queueing: queueing, limit: limit,
 	}
 }
 
@@ -165,8 +175,9 @@
 	if choice == nil {
 		return placement.Pick{}, false
 	}
+	c.limit = choice.limit
 	if choice.refused {
-		return placement.Pick{Status: placement.Overloaded, RetryAfter: choice.retryAfter}, true
+		return placement.Pick{Status: placement.Overloaded, RetryAfter: choice.retryAfter, Queueing: choice.queueing}, true
 	}
 	if !g.runners.Usable(now, choice.runner, c.query) {
 		c.note(events.PlacementDeclined, events.Fields{"runner": choice.runner, "scheduler": choice.scheduler})
@@ -174,7 +185,7 @@
 		return placement.Pick{}, false
 	}
 	c.placed = choice
-	return placement.Pick{Status: placement.Picked, Wait: choice.wait, Candidate: placement.Candidate{
+	return placement.Pick{Status: placement.Picked, Wait: choice.wait, Queueing: choice.queueing, Candidate: placement.Candidate{
 		Name: choice.runner, CachedTokens: choice.cachedTokens, PendingRequests: choice.pendingRequests,
 	}}, true
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -25,6 +25,8 @@
 	reason string
 	// retryAfter is when the caller may come back; 0 says nothing.
 	retryAfter time.Duration
+	// limited is set when the request would have queued for too long.
+	limited bool
 }
 
 func unavailable(reason string, retryAfter time.Duration) *refusal {
@@ -42,6 +44,13 @@
 		fields["config"] = c.view.table.Version
 		fields["config_age_ms"] = c.arrived.Sub(c.view.provenAt).Milliseconds()
 	}
+	if r.limited {
+		fields["queue_ms"], fields["max_queue_ms"] = c.queueing.Milliseconds(), c.limit.MaxQueue.Milliseconds()
+		fields["yield_percent"], fields["returned"] = int(percent*c.limit.Yield), c.limit.Returned
+	}
+	if r.retryAfter > 0 {
+		fields["retry_after_ms"] = r.retryAfter.Milliseconds()
+	}
 	c.logDecisions()
 	c.gateway.metrics.refused(r.status, r.reason)
 	c.gateway.log.Log(events.RequestRefused, fields)
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -69,9 +69,12 @@
 	query := queryOf(ask)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	request, candidates := g.runners.Candidates(now, query)
-	chosen := placement.Choose(request, candidates, placementWeights, g.random)
-	answer := &wire.RunnerAnswer{Zone: g.settings.Zone}
+	left := time.Duration(ask.GetLeftMillis()) * time.Millisecond
+	chosen, limit := g.decide(now, query, left)
+	answer := &wire.RunnerAnswer{
+		Zone: g.settings.Zone, QueueMillis: uint32(max(chosen.Queueing.Milliseconds(), 0)),
+		MaxQueueMillis: uint32(limit.MaxQueue.Milliseconds()), YieldPercent: uint32(percent * limit.Yield), Returned: limit.Returned,
+	}
 	if chosen.Status == placement.Overloaded {
 		answer.Overloaded, answer.RetryAfterMillis = true, uint32(chosen.RetryAfter.Milliseconds())
 		return answer
@@ -80,8 +83,7 @@
 		return answer
 	}
 	key := backend.SendKey{Router: envelope.GetFrom(), Incarnation: envelope.GetFromIncarnation(), Send: ask.GetSend()}
-	left := time.Duration(ask.GetLeftMillis())*time.Millisecond + ledgerSlack
-	s.ledger.Begin(now, key, chosen.Candidate.Name, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0), query, left)
+	s.ledger.Begin(now, key, chosen.Candidate.Name, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0), query, left+ledgerSlack)
 	answer.Runner, answer.CachedTokens = chosen.Candidate.Name, uint32(chosen.Candidate.CachedTokens)
 	answer.WaitMillis, answer.PendingRequests = uint32(max(chosen.Wait.Milliseconds(), 0)), uint32(chosen.Candidate.PendingRequests)
 	return answer
@@ -106,6 +108,7 @@
 		EventGap: time.Duration(ask.GetGapMillis()) * time.Millisecond,
 		Rank:     admission.Rank{Tier: int(ask.GetTier()), Route: int(ask.GetRouteRank())},
 		Tenant:   ask.GetTenant(), MaxTokens: int(ask.GetMaxTokens()), Admitted: ask.GetAdmitted(),
+		Ticket: ask.GetTicket(),
 	}
 	for i, part := range ask.GetParts() {
 		if i < len(ask.GetDepths()) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,6 +48,10 @@
 		return backend.Runner{}, unavailable("the budget for further attempts is used up", busyRetryAfter)
 	}
 	chosen, placedBy := c.choose(now, choice)
+	c.noteLimit(chosen)
+	if chosen.Status == placement.Overloaded {
+		return backend.Runner{}, &refusal{status: http.StatusServiceUnavailable, reason: chosen.Status.String(), retryAfter: chosen.RetryAfter, limited: true}
+	}
 	if chosen.Status != placement.Picked {
 		return backend.Runner{}, unavailable(chosen.Status.String(), max(chosen.RetryAfter, busyRetryAfter))
 	}
@@ -70,6 +74,7 @@
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests,
+		"queue_ms":  chosen.Queueing.Milliseconds(),
 		"directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
 	c.beginSend(now, runner, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
@@ -85,8 +90,8 @@
 		return chosen, choice.scheduler
 	}
 	g.metrics.choices.WithLabelValues(chosenHere).Inc()
-	request, candidates := g.runners.Candidates(now, c.query)
-	return placement.Choose(request, candidates, placementWeights, g.random), chosenHere
+	chosen, c.limit = g.decide(now, c.query, c.deadline.Sub(now))
+	return chosen, chosenHere
 }
 
 // send makes one attempt at the picked runner and relays its answer.
