Admission: later routes only give way; promises to return are kept by all schedulers

Cause: with later tiers giving way like later routes, urgent requests of the later tiers were refused, which frees little. A caller who came back when told met another scheduler. Change: a rank presses later routes of its tier and of later ones; strain grows with the square of the queue from a fifth of the target. A moment is promised only if the caller can still be served within its target; schedulers tell each other of promises.

--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -11,13 +11,13 @@
 // caller who asks a few times in a minute is served once.
 const floorShare = 0.05
 
-// Before tells whether requests of this rank go before those of the other one: tiers
-// are paid for, so the route counts only within a tier.
-func (r Rank) Before(other Rank) bool {
-	if r.Tier != other.Tier {
-		return r.Tier < other.Tier
-	}
-	return r.Route < other.Route
+// presses tells whether requests of the other rank give way when those of this rank are
+// about to be late: those of a later route of the same tier or a later one. Tiers are
+// paid for, so no route gives way to a later tier. A later tier with the same route only
+// has its shorter bound: turning it away frees little, as it wants the runners for as
+// short as the pressed rank.
+func (r Rank) presses(other Rank) bool {
+	return r.Tier <= other.Tier && r.Route < other.Route
 }
 
 // Demand is what the order needs to know of a request that wants a runner.
@@ -92,8 +92,7 @@
 		return limit
 	}
 	state := o.service(demand.Service)
-	if state.returns.redeem(now, demand) {
-		limit.MaxQueue, limit.Returned = max(demand.MaxQueue, time.Duration(returnedShare*float64(demand.Target))), true
+	if limit.Returned = state.returns.redeem(now, demand); limit.Returned {
 		return limit
 	}
 	if load.halfFree() || o.random.Float64() < floorShare {
@@ -108,7 +107,7 @@
 func (s *serviceOrder) yield(now time.Time, demand Demand) float64 {
 	least := 1.0
 	for rank, p := range s.pressures {
-		if rank.Before(demand.Rank) {
+		if rank.presses(demand.Rank) {
 			least = min(least, p.leave(now, demand.Target))
 		}
 	}
@@ -135,3 +134,17 @@
 	}
 	return state.returns.refuse(now, demand, earliest, o.random)
 }
+
+// TakePromises returns the promises made since the last call, for others who decide.
+func (o *Order) TakePromises() []Promise {
+	var news []Promise
+	for _, state := range o.services {
+		news = append(news, state.returns.takeNews()...)
+	}
+	return news
+}
+
+// LearnPromise takes a promise that another one who decides has made.
+func (o *Order) LearnPromise(now time.Time, promise Promise) {
+	o.service(promise.Service).returns.promises.Learn(now, promise.Ticket, classOf(promise.Rank), promise.After)
+}
--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -21,6 +21,9 @@
 	// refused at all: longer than what was let in stays, so that each step is seen
 	// before the next one.
 	relaxTime = 3 * time.Second
+	// firstStrain is the queue, in shares of the target, at which a rank begins to be
+	// pressed: half of the one at which its first requests are refused.
+	firstStrain = 0.2
 	// leastLeft is the shortest mean bound that a rank leaves to those behind it, as a
 	// share of its own target: half of the queue at which it would itself be refused.
 	leastLeft = 0.2
@@ -46,7 +49,8 @@
 		return 0
 	}
 	share := float64(queue) / float64(target)
-	return min(max((share-firstShed)/(lastShed-firstShed), 0), 1)
+	strain := min(max((share-firstStrain)/(lastShed-firstStrain), 0), 1)
+	return strain * strain
 }
 
 // note takes the expected queue of one request.
--- a/internal/admission/promises.go
+++ b/internal/admission/promises.go
@@ -82,12 +82,22 @@
 		return known.due.Sub(now)
 	}
 	due := now.Add(p.Reserve(now, class, earliest))
+	p.remember(now, ticket, promise{class, due})
+	return due.Sub(now)
+}
+
+// Learn takes a promise that another schedule has given.
+func (p *Promises) Learn(now time.Time, ticket uint64, class int, after time.Duration) {
+	p.sweep(now)
+	p.remember(now, ticket, promise{class, now.Add(after)})
+}
+
+func (p *Promises) remember(now time.Time, ticket uint64, given promise) {
 	if len(p.byTicket) < MaxPromises {
 		p.forget(ticket)
-		p.byTicket[ticket] = promise{class, due}
-		p.class(now, class).open++
+		p.byTicket[ticket] = given
+		p.class(now, given.class).open++
 	}
-	return due.Sub(now)
 }
 
 // Next tells after which time a request of the class that is refused now would be told
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -7,20 +7,39 @@
 
 // Shares and times of returns.
 const (
-	// returnedShare is the longest queue, in targets, of a request that comes back when
-	// it was told: it is late beyond that whatever follows.
-	returnedShare = lastShed
 	// waitShare is the part of its time left for which a caller waits before it comes
 	// back; one that is told more comes back then all the same.
 	waitShare = 1.0 / 3
+	// promiseWithin is the part of its target by which a caller must be back for a promise:
+	// the rest is for its answer. Who comes later is late whatever follows, and would take
+	// the room of somebody who is not.
+	promiseWithin = 0.6
 	// returnSpread is the part of its wait by which callers without a promised moment
 	// come back sooner, so that they do not come together.
 	returnSpread = 0.3
 )
 
 // returns tells refused callers of one service when to come back. Moments are promised
-// by rank, as fast as the rank was admitted of late, to callers who wait so long.
-type returns struct{ promises *Promises }
+// by rank, as fast as the rank was admitted of late, to callers who can still be served
+// within their target then.
+type returns struct {
+	promises *Promises
+	// news are the promises made since they were last taken.
+	news []Promise
+}
+
+// Promise is a moment promised to a refused request.
+type Promise struct {
+	Service string
+	Rank    Rank
+	Ticket  uint64
+	// After is how long after now the request may come back.
+	After time.Duration
+}
+
+// maxNews bounds the promises that are told at a time; callers whose promises are not
+// told find no room only where another router decides.
+const maxNews = 1 << 10
 
 func newReturns() *returns { return &returns{promises: NewPromises()} }
 
@@ -36,18 +55,28 @@
 }
 
 // refuse returns when the refused caller is to come back: at a moment that is promised
-// to it or, if all moments within its time are taken, near the end of the time.
+// to it or, if it could not be served in time at the next one, near the end of the time
+// for which it waits, when the shortage may be over.
 func (r *returns) refuse(now time.Time, demand Demand, earliest time.Duration, random *rand.Rand) time.Duration {
-	longest := time.Duration(waitShare * float64(demand.Left))
-	if demand.Left <= 0 {
-		longest = earliest
-	}
+	longest := max(time.Duration(waitShare*float64(demand.Left)), 0)
 	class := classOf(demand.Rank)
-	switch {
-	case r.promises.Next(now, class, earliest) > longest:
+	next := r.promises.Next(now, class, earliest)
+	if next > min(longest, time.Duration(promiseWithin*float64(demand.Target))) {
 		return longest - time.Duration(returnSpread*random.Float64()*float64(longest))
-	case demand.Ticket == 0:
+	}
+	if demand.Ticket == 0 {
 		return r.promises.Reserve(now, class, earliest)
 	}
-	return r.promises.Refuse(now, demand.Ticket, class, earliest)
+	after := r.promises.Refuse(now, demand.Ticket, class, earliest)
+	if len(r.news) < maxNews {
+		r.news = append(r.news, Promise{Service: demand.Service, Rank: demand.Rank, Ticket: demand.Ticket, After: after})
+	}
+	return after
+}
+
+// takeNews returns the promises made since the last call.
+func (r *returns) takeNews() []Promise {
+	news := r.news
+	r.news = nil
+	return news
 }
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -30,7 +30,11 @@
 	s.gateway.relays.toldBehind(router, int(share.GetRouters()))
 	s.gateway.mutex.Lock()
 	defer s.gateway.mutex.Unlock()
-	s.gateway.runners.SetOtherLoads(time.Now(), router, share.GetFull(), loads)
+	now := time.Now()
+	s.gateway.runners.SetOtherLoads(now, router, share.GetFull(), loads)
+	for _, told := range share.GetPromises() {
+		s.gateway.order.LearnPromise(now, promiseOf(told))
+	}
 }
 
 // shareLoop tells the other schedulers what this one has placed, while it is one.
@@ -52,11 +56,13 @@
 		if whole {
 			loads = s.gateway.runners.Loads()
 		}
+		promises := s.gateway.order.TakePromises()
 		s.gateway.mutex.Unlock()
-		if !whole && len(loads) == 0 {
+		if !whole && len(loads) == 0 && len(promises) == 0 {
 			continue
 		}
 		message := shareMessage(loads, whole)
+		message.Promises = promiseMessages(promises)
 		if whole {
 			message.Routers = uint32(s.gateway.relays.countRouters())
 		}
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -77,3 +77,22 @@
 	part := c.facts.Prompt[last]
 	return rendezvous.KeyOf(name + "/" + c.route.Name + "/" + part.ID + ":" + strconv.Itoa(part.Tokens))
 }
+
+// promiseMessages tells other schedulers of promises to refused callers.
+func promiseMessages(promises []admission.Promise) []*wire.ReturnPromise {
+	var messages []*wire.ReturnPromise
+	for _, promise := range promises {
+		messages = append(messages, &wire.ReturnPromise{
+			Service: promise.Service, Tier: uint32(promise.Rank.Tier), RouteRank: uint32(promise.Rank.Route),
+			Ticket: promise.Ticket, AfterMillis: uint32(max(promise.After.Milliseconds(), 0)),
+		})
+	}
+	return messages
+}
+
+func promiseOf(message *wire.ReturnPromise) admission.Promise {
+	return admission.Promise{
+		Service: message.GetService(), Rank: admission.Rank{Tier: int(message.GetTier()), Route: int(message.GetRouteRank())},
+		Ticket: message.GetTicket(), After: time.Duration(message.GetAfterMillis()) * time.Millisecond,
+	}
+}
