--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -7,32 +7,32 @@
 
 // Times and shares of pressure.
 const (
-	// pressureHalfLife is the half-life of the observed refusals of a rank: long enough
+	// pressureHalfLife is the half-life of the observed strain of a rank: long enough
 	// to see some ten requests of a kind that comes fifty times a second, short against
 	// the seconds that a burst lasts.
 	pressureHalfLife = 250 * time.Millisecond
-	// allowedPressure is the share of a rank that may be refused before others give way.
-	// Below it the callers of the later ranks would lose more than the rank gains.
+	// allowedPressure is the mean strain of a rank at which others neither give way nor
+	// come back: a few that queue are no reason to refuse others.
 	allowedPressure = 0.02
-	// tightenTime is how long it takes a rank that is refused altogether to cut the bound
-	// of those behind it to a third; queues grow by half a target in some such times.
+	// tightenTime is how long it takes a rank under full strain to cut the bounds of those
+	// behind it to a third: a burst fills a queue of half a target in some such times.
 	tightenTime = 50 * time.Millisecond
-	// relaxTime is how long it takes the bound to grow threefold once the rank is not
-	// refused at all: longer than what was let in stays, so that each step is seen
-	// before the next one.
+	// relaxTime is how long it takes the bounds to grow threefold under no strain: longer
+	// than what was let in stays at a runner, so that each step is seen before the next.
 	relaxTime = 3 * time.Second
-	// firstStrain is the queue, in shares of the target, at which a rank begins to be
-	// pressed: half of the one at which its first requests are refused.
+	// firstStrain is the queue, in shares of the target, from which a rank is strained:
+	// half of the one at which its first requests are refused, as what was let in before
+	// goes on to be worked on while the others give way.
 	firstStrain = 0.2
 	// leastLeft is the shortest mean bound that a rank leaves to those behind it, as a
-	// share of its own target: half of the queue at which it would itself be refused.
-	leastLeft = 0.2
+	// share of its own target: half of the queue from which it is strained.
+	leastLeft = 0.1
 )
 
 // pressure is what the requests of one rank meet, and what they leave to those behind.
 type pressure struct {
-	// strain is the decaying sum of the chances with which requests were refused, and
-	// asked of the requests, both at the moment at.
+	// strain is the decaying sum of the strains that requests met, and asked the decaying
+	// count of them, both at the moment at.
 	strain, asked float64
 	at            time.Time
 	// left is the part of their bounds that is left to later ranks.
@@ -43,14 +43,14 @@
 
 func newPressure(now time.Time) *pressure { return &pressure{at: now, left: 1} }
 
-// strainOf is the chance that a request of the first rank is refused at the queue.
+// strainOf is how near a request of the rank is to being late by the queue that it
+// meets: 0 up to firstStrain of its target, 1 where all are refused.
 func strainOf(target, queue time.Duration) float64 {
 	if target <= 0 {
 		return 0
 	}
 	share := float64(queue) / float64(target)
-	strain := min(max((share-firstStrain)/(lastShed-firstStrain), 0), 1)
-	return strain * strain
+	return min(max((share-firstStrain)/(lastShed-firstStrain), 0), 1)
 }
 
 // note takes the expected queue of one request.
@@ -61,7 +61,7 @@
 	p.asked++
 }
 
-// share is the part of the rank's recent requests that was refused by its own bound.
+// share is the mean strain of the rank's recent requests.
 // A rank that hardly comes counts as having come a few times, so that one request
 // does not close the runners to others.
 func (p *pressure) share() float64 { return p.strain / math.Max(p.asked, leastAsked) }
@@ -81,7 +81,7 @@
 	}
 }
 
-// pass shrinks what is left while the rank is refused more than is allowed, in
+// pass shrinks what is left while the rank is strained more than is allowed, in
 // proportion to that, and lets it grow again otherwise.
 func (p *pressure) pass(seconds float64) {
 	over := p.share() - allowedPressure
