Refused callers are told a time of use to them, and keep it

Cause (found by a review): callers without a stated deadline were told up to 82 s, those whose time was up nothing; one that came back early lost its moment; tenants beyond their share took all moments. Change: 5 s at most and no less than the shortest time told, unless the caller has less; a known ticket keeps its moment; nothing is promised beyond the share.

--- a/internal/admission/promises.go
+++ b/internal/admission/promises.go
@@ -78,14 +78,24 @@
 // earliest. A request that is refused again keeps its place.
 func (p *Promises) Refuse(now time.Time, ticket uint64, class int, earliest time.Duration) time.Duration {
 	p.sweep(now)
-	if known, found := p.byTicket[ticket]; found && known.due.After(now) {
-		return known.due.Sub(now)
+	if after, known := p.Promised(now, ticket); known {
+		return after
 	}
 	due := now.Add(p.Reserve(now, class, earliest))
 	p.remember(now, ticket, promise{class, due})
 	return due.Sub(now)
 }
 
+// Promised returns after which time the ticket's promised moment comes, if it has one that
+// is still to come.
+func (p *Promises) Promised(now time.Time, ticket uint64) (after time.Duration, found bool) {
+	known, found := p.byTicket[ticket]
+	if !found || ticket == 0 || !known.due.After(now) {
+		return 0, false
+	}
+	return known.due.Sub(now), true
+}
+
 // Learn takes a promise that another schedule has given.
 func (p *Promises) Learn(now time.Time, ticket uint64, class int, after time.Duration) {
 	p.sweep(now)
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -14,6 +14,9 @@
 	// the rest is for its answer. Who comes later is late whatever follows, and would take
 	// the room of somebody who is not.
 	promiseWithin = 0.6
+	// longestReturn bounds what callers are told that have much time left: a shortage by a
+	// burst or by lost runners is over, or known to last, after some seconds.
+	longestReturn = 5 * time.Second
 	// returnSpread is the part of its wait by which callers without a promised moment
 	// come back sooner, so that they do not come together.
 	returnSpread = 0.3
@@ -57,12 +60,20 @@
 // refuse returns when the refused caller is to come back: at a moment that is promised
 // to it or, if it could not be served in time at the next one, near the end of the time
 // for which it waits, when the shortage may be over.
+// A caller that was promised a moment keeps it.
 func (r *returns) refuse(now time.Time, demand Demand, earliest time.Duration, random *rand.Rand) time.Duration {
-	longest := max(time.Duration(waitShare*float64(demand.Left)), 0)
 	class := classOf(demand.Rank)
+	if after, known := r.promises.Promised(now, demand.Ticket); known {
+		return after
+	}
+	longest := earliest
+	if demand.Left > 0 {
+		longest = min(time.Duration(waitShare*float64(demand.Left)), longestReturn)
+	}
 	next := r.promises.Next(now, class, earliest)
-	if next > min(longest, time.Duration(promiseWithin*float64(demand.Target))) {
-		return longest - time.Duration(returnSpread*random.Float64()*float64(longest))
+	if next > min(longest, time.Duration(promiseWithin*float64(demand.Target))) || demand.Excess > 1 {
+		spread := time.Duration(returnSpread * random.Float64() * float64(longest))
+		return max(longest-spread, min(earliest, longest))
 	}
 	if demand.Ticket == 0 {
 		return r.promises.Reserve(now, class, earliest)
