--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -39,7 +39,7 @@
 type Dispatch struct {
 	// Remaining is the time left for the answer; 0 leaves it out.
 	Remaining time.Duration
-	// Runner is the incarnation that alone may run the request.
+	// Runner names the runner that alone may run the request, whichever start of it.
 	Runner string
 	// Tenant is the caller's tenant, empty without one.
 	Tenant string
@@ -245,7 +245,7 @@
 }
 
 // CacheReader reads what runners and stores of kept cache keep. The runner is the
-// incarnation that alone may answer, empty for a store.
+// id of the one that alone may answer, empty for a store.
 type CacheReader interface {
 	// CacheList returns everything that is kept, as of the position.
 	CacheList(ctx context.Context, address, runner string) ([]CachedPart, CachePosition, error)
