Long reads count by their slots too, and only what is read at once adds to a pause

Change: with no slot free, a prompt's own reading is what pauses others; the slots that long reads hold are part of their measured work.

--- a/internal/backend/split.go
+++ b/internal/backend/split.go
@@ -42,8 +42,8 @@
 
 // demand is the measured work of a service, in seconds of a runner, decaying.
 type demand struct {
-	// reading is what long prompts take to be read, and streaming the share of a runner
-	// that other streams held, by its slots.
+	// reading is what long prompts take to be read and the share of a runner that they
+	// hold by its slots, and streaming the latter of all other streams.
 	reading   float64
 	streaming float64
 	at        time.Time
@@ -76,11 +76,17 @@
 	s.demand(now, service).reading += s.speed(service).reading(tokens).Seconds()
 }
 
-// noteStream takes a stream that ended.
+// noteStream takes a stream that ended: it held a slot.
 func (s *Set) noteStream(now time.Time, e *entry, send *Send) {
-	if send.gap > 0 && !send.long && e.Slots > 0 {
-		s.demand(now, e.Service).streaming += now.Sub(send.at).Seconds() / float64(e.Slots)
+	if send.gap <= 0 || e.Slots <= 0 {
+		return
 	}
+	held := now.Sub(send.at).Seconds() / float64(e.Slots)
+	if send.long {
+		s.demand(now, e.Service).reading += held
+		return
+	}
+	s.demand(now, e.Service).streaming += held
 }
 
 // update returns the share of the runners for long reads, 0 to keep nothing apart.
--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -16,7 +16,7 @@
 		return cost
 	}
 	allowed := c.Pauses.Gap.Seconds() * float64(rateOf(c.Report.Load))
-	before := queueCost(r, c, w)
+	before := float64(c.Reading)
 	after := before + uncachedCost(r, c, Weights{Hit: 1, Fetch: w.Fetch})
 	return cost + float64(c.Streams)*allowed*(pauseHarm(after/allowed)-pauseHarm(before/allowed))
 }
@@ -33,4 +33,6 @@
 	// Streams counts those that have begun, and Gap is the mean pause that they allow.
 	Streams int
 	Gap     time.Duration
+	// Reading is the prompt tokens that are read there beside the request's own ones.
+	Reading int
 }
