--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -75,6 +75,7 @@
 	s.cached.Expire(now)
 	kept := &keptByWeights{set: s, query: &query, known: map[uint64]keptParts{}}
 	var candidates []placement.Candidate
+	var slots slotCount
 	for _, e := range entries {
 		cost, usable := s.weightsCost(now, e, query)
 		if !usable {
@@ -85,6 +86,7 @@
 		}
 		depth, deepest := kept.of(e)
 		other := s.otherLoad(now, e.ID)
+		slots.add(e.inFlight+other.Requests, e.Slots)
 		queue, slowness := s.waits(now, e, query.Model, e.inFlight+other.Requests)
 		cached := cachedTokens(query, e.ID == home, depth)
 		candidates = append(candidates, placement.Candidate{
@@ -98,6 +100,9 @@
 			ApartTokens:     split.cost(e),
 		})
 	}
+	if query.EventGap > 0 {
+		s.demand(now, query.Service).noteSlots(slots)
+	}
 	return request, candidates
 }
 
--- a/internal/backend/split.go
+++ b/internal/backend/split.go
@@ -34,6 +34,10 @@
 	// minLongShare is the least share of long reads in the work at which they are kept
 	// apart: fewer disturb few streams.
 	minLongShare = 0.1
+	// scarceSlots is the share of taken slots of a service from which less is held against
+	// runners for the other kind, down to nothing when all are taken: then any free slot
+	// is better than a wait.
+	scarceSlots = 0.5
 	// apartShare is the cost of a runner that is left to the other kind, as a share of
 	// the allowed pause: enough that few cross over, and less than the wait for a busy
 	// runner of the own kind.
@@ -47,6 +51,8 @@
 	reading   float64
 	streaming float64
 	at        time.Time
+	// taken is the share of the service's slots that were taken at the last choice.
+	taken float64
 	// step is the present number of steps of the share, 0 while nothing is kept apart.
 	step int
 }
@@ -103,6 +109,27 @@
 	return float64(d.step) / splitSteps
 }
 
+// room is 1 while enough slots are free to keep long reads apart, and 0 when none is.
+func (d *demand) room() float64 {
+	return min(max((1-d.taken)/(1-scarceSlots), 0), 1)
+}
+
+// slotCount counts the slots of a service's runners.
+type slotCount struct{ taken, all int }
+
+// add takes a runner's slots with the requests that are open there.
+func (c *slotCount) add(open, slots int) {
+	c.taken += min(open, slots)
+	c.all += slots
+}
+
+// noteSlots takes the slots that were counted for a choice.
+func (d *demand) noteSlots(counted slotCount) {
+	if counted.all > 0 {
+		d.taken = float64(counted.taken) / float64(counted.all)
+	}
+}
+
 // split is how a service's runners are divided for one request.
 type split struct {
 	// share is that of the runners for long reads, 0 while nothing is kept apart.
@@ -119,10 +146,9 @@
 	if query.EventGap <= 0 || runners < minSplitRunners {
 		return split{}
 	}
-	return split{
-		share: s.demand(now, query.Service).update(), long: s.longRead(query),
-		apart: s.speed(query.Service).tokensIn(time.Duration(apartShare * float64(query.EventGap))),
-	}
+	demand := s.demand(now, query.Service)
+	apart := apartShare * demand.room() * float64(query.EventGap)
+	return split{share: demand.update(), long: s.longRead(query), apart: s.speed(query.Service).tokensIn(time.Duration(apart))}
 }
 
 // suits tells whether the runner is one for requests of this kind. Each runner has a
--- a/internal/backend/split_test.go
+++ b/internal/backend/split_test.go
@@ -141,3 +141,31 @@
 	streams, _ := pauses(set)
 	g.Expect(streams).To(BeZero(), "one that never began")
 }
+
+func TestNothingIsHeldAgainstTheOtherKindWhenSlotsAreTaken(t *testing.T) {
+	g := NewWithT(t)
+	set := splitSet()
+	now := play(set, start, 20, 120, 200)
+	dearest := func() (most int) {
+		set.Candidates(now, shortQuery()) // counts the slots for the next choice
+		_, candidates := set.Candidates(now, shortQuery())
+		for _, c := range candidates {
+			most = max(most, c.ApartTokens)
+		}
+		return most
+	}
+	idle := dearest()
+	g.Expect(idle).To(BeNumerically(">", 0))
+	for i := range splitRunners {
+		for range 24 {
+			set.Begin(now, fmt.Sprintf("i-%02d", i), 0)
+		}
+	}
+	g.Expect(dearest()).To(BeNumerically("~", idle/2, idle/10), "three quarters of the slots are taken")
+	for i := range splitRunners {
+		for range 8 {
+			set.Begin(now, fmt.Sprintf("i-%02d", i), 0)
+		}
+	}
+	g.Expect(dearest()).To(BeZero())
+}
