--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -167,6 +167,8 @@
 	cacheStores []string
 	// keyed is true when the configuration has tenants.
 	keyed bool
+	// weights are those of the tenants, by name.
+	weights map[string]float64
 }
 
 // NewTable indexes a configuration. The table keeps parts of the configuration,
@@ -196,6 +198,7 @@
 		}
 	}
 	t.tiers = distinct(t.tiers)
+	t.weights = weights(config.Tenants)
 	for service, ranks := range t.ranks {
 		t.ranks[service] = distinct(ranks)
 	}
