Schedulers share short services fairly; refusals below a limit are counted

What a scheduler places and refuses is counted for its tenant, told to the other schedulers four times a second while a service is short, and the longest queueing time of a tenant's request is divided by its excess. Routers that choose themselves use the excess that they were told last. Takes effect with two tenants or more.

Tests of gateway, quota, fairshare, routing, backend, placement, wire, cli, explain and events pass.

--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -13,6 +13,9 @@
 	answered bool
 }
 
+// Tokens are the prompt tokens that the runner had to read before its first answer.
+func (s *Send) Tokens() int { return s.tokens }
+
 // Begin notes a request sent to the runner with the prompt tokens it has to read.
 func (s *Set) Begin(now time.Time, id string, tokens int) *Send {
 	if e := s.entries[id]; e != nil {
--- a/internal/backend/ledger.go
+++ b/internal/backend/ledger.go
@@ -45,6 +45,16 @@
 	l.sends[key] = &placedSend{send: l.set.Begin(now, runner, tokens), query: query, expires: now.Add(left)}
 }
 
+// Placed returns the query of an open request and the prompt tokens that its runner had to
+// read, or false when it is not known.
+func (l *Ledger) Placed(key SendKey) (query Query, tokens int, found bool) {
+	placed := l.sends[key]
+	if placed == nil {
+		return Query{}, 0, false
+	}
+	return placed.query, placed.send.tokens, true
+}
+
 // FirstAnswer notes that the runner has begun to answer.
 func (l *Ledger) FirstAnswer(now time.Time, key SendKey) {
 	placed := l.sends[key]
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -65,6 +65,10 @@
 	// runner works on the call; nil when this router chose itself.
 	placing *placementAsk
 	placed  *placed
+	// excess is how far the tenant was beyond its fair share at the last choice, and
+	// forShare is set when it was refused only for that.
+	excess   float64
+	forShare bool
 	// paid is set while a repeat that was taken from the budget has reached nobody.
 	paid bool
 	// failure is the last failure that a runner answered with, kept for when
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,8 @@
 	disturbance disturbance
 	// schedulers place requests for other routers, or this one's.
 	schedulers *schedulers
+	// shares keeps tenants to their fair shares of short services.
+	shares *shares
 	// quotas keeps tenants to their limits.
 	quotas *quotas
 	// cacheStores watches the stores of kept cache.
@@ -134,7 +136,7 @@
 	g.metrics = newMetrics(g)
 	ports.RunnerPool.Opened, ports.RunnerPool.Silent = g.metrics.connections.Inc, g.metrics.silentConnections.Inc
 	ports.RunnerPool.SilentAfter = runnerSilence
-	g.quotas, g.schedulers = newQuotas(g), newSchedulers(g)
+	g.quotas, g.schedulers, g.shares = newQuotas(g), newSchedulers(g), newShares(g)
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -31,6 +31,7 @@
 	s.gateway.mutex.Lock()
 	defer s.gateway.mutex.Unlock()
 	s.gateway.runners.SetOtherLoads(time.Now(), router, share.GetFull(), loads)
+	s.gateway.shares.merge(router, share)
 }
 
 // shareLoop tells the other schedulers what this one has placed, while it is one.
@@ -48,9 +49,10 @@
 		}
 		whole := round%wholeShares == 0
 		s.gateway.mutex.Lock()
-		loads := s.gateway.runners.ChangedLoads()
+		loads, uses := s.gateway.runners.ChangedLoads(), []*wire.PoolUse(nil)
 		if whole {
 			loads = s.gateway.runners.Loads()
+			uses = s.gateway.shares.uses(time.Now())
 		}
 		s.gateway.mutex.Unlock()
 		if !whole && len(loads) == 0 {
@@ -58,6 +60,7 @@
 		}
 		message := shareMessage(loads, whole)
 		if whole {
+			message.Uses = uses
 			message.Routers = uint32(s.gateway.relays.countRouters())
 		}
 		s.share(message)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,9 +51,14 @@
 	choices        *prometheus.CounterVec
 	placementCalls *prometheus.HistogramVec
 
+	// shareRefusals counts choices, so that it is one where requests are placed.
+	shareRefusals *prometheus.CounterVec
+
 	quotaDecisions *prometheus.CounterVec
-	quotaCalls     *prometheus.HistogramVec
-	quotaWaits     prometheus.Histogram
+	// quotaFalseRefusals counts refusals of tenants that had room.
+	quotaFalseRefusals prometheus.Counter
+	quotaCalls         *prometheus.HistogramVec
+	quotaWaits         prometheus.Histogram
 }
 
 const namespace = "clovertiller"
@@ -88,18 +93,24 @@
 		choices:        counters("choices_total", "Choices of a runner, by who made them.", "by"),
 		placementCalls: seconds("placement_call_seconds", "Questions to routers that place requests for others.", "outcome"),
 
+		shareRefusals: counters("share_refusals_total", "Requests refused by this router's choice only as their tenant is beyond its fair share of the service.", "service"),
+
 		quotaDecisions: counters("quota_decisions_total", "Calls counted against their tenant's limit, by who decided.", "by", "outcome"),
-		quotaCalls:     seconds("quota_call_seconds", "Questions to routers that keep limits.", "outcome"),
+		quotaFalseRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "quota_refusals_below_limit_total", Help: "Calls refused for their tenant's limit by all keepers although their parts together had room.",
+		}),
+		quotaCalls: seconds("quota_call_seconds", "Questions to routers that keep limits.", "outcome"),
 		quotaWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "quota_wait_seconds", Help: "How long calls waited until their tenant's limit allowed them.", Buckets: quotaBuckets,
 		}),
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections, m.silentConnections,
-		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
+		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.shareRefusals, m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.quotas.tenants() }),
+		gauge("share_tenants", "Tenants of whose recent use of services this router keeps a sum.", func() float64 { return g.shares.tenants() }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
 		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
 		gauge("peer_connections_silent", "Connections to other routers closed since they answered nothing.", func() float64 { return g.relays.silentConnections() }),
@@ -253,5 +264,8 @@
 		outcome = "granted"
 	}
 	m.quotaDecisions.WithLabelValues(decision.by, outcome).Inc()
+	if decision.belowLimit && !decision.Granted {
+		m.quotaFalseRefusals.Inc()
+	}
 	m.quotaWaits.Observe(waited.Seconds())
 }
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -24,6 +24,10 @@
 	// everywhere, and retryAfter is when there will be room.
 	refused    bool
 	retryAfter time.Duration
+	// excess is how far the tenant is beyond its fair share, 1 at most at it, and forShare
+	// is set when the request was refused only for that.
+	excess   float64
+	forShare bool
 }
 
 // placementAsk is a question to a scheduler that is under way.
@@ -85,7 +89,10 @@
 	s.ranking.NoteAnswer(scheduler, answer.GetZone(), taken)
 	s.mutex.Unlock()
 	if answer.GetOverloaded() {
-		return &placed{scheduler: scheduler, refused: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond}
+		return &placed{
+			scheduler: scheduler, refused: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond,
+			excess: excessOf(answer), forShare: answer.GetForShare(),
+		}
 	}
 	if answer.GetRunner() == "" {
 		return nil
@@ -93,6 +100,7 @@
 	return &placed{
 		scheduler: scheduler, send: ask.GetSend(), runner: answer.GetRunner(), cachedTokens: int(answer.GetCachedTokens()),
 		wait: time.Duration(answer.GetWaitMillis()) * time.Millisecond, pendingRequests: int(answer.GetPendingRequests()),
+		excess: excessOf(answer),
 	}
 }
 
@@ -165,6 +173,8 @@
 	if choice == nil {
 		return placement.Pick{}, false
 	}
+	g.shares.hear(now, c.query, choice.excess)
+	c.excess, c.forShare = choice.excess, choice.forShare
 	if choice.refused {
 		return placement.Pick{Status: placement.Overloaded, RetryAfter: choice.retryAfter}, true
 	}
--- a/internal/gateway/quotacall.go
+++ b/internal/gateway/quotacall.go
@@ -41,6 +41,7 @@
 	c.note(events.QuotaDecided, events.Fields{
 		"tenant": c.spending.tenant, "amount": c.spending.amount, "rate": c.spending.limit.Rate, "burst": c.spending.limit.Burst, "granted": decision.Granted,
 		"by": decision.by, "keeper": decision.keeper, "left": int64(decision.Level), "waited_us": waited.Microseconds(),
+		"spent": int64(decision.spent), "below_limit": decision.belowLimit,
 	})
 	if decision.Granted {
 		return nil
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -63,6 +63,10 @@
 	by string
 	// keeper is whose part was spent from, empty when none was.
 	keeper string
+	// spent is what the keepers that refused had granted within the window, and belowLimit
+	// is set when all parts refused though the limit as a whole had room.
+	spent      float64
+	belowLimit bool
 }
 
 // decide asks the keepers, the nearest first, until one grants the spending, all
@@ -75,6 +79,7 @@
 	}
 	q.mutex.Lock()
 	order, retryAfter := q.asker.Order(now, s.tenant)
+	parts := q.asker.Parts()
 	hedge, reachable := q.asker.Keepers().Hedge(), q.asker.Keepers().Reachable(now)
 	q.mutex.Unlock()
 	earlier := quotaDecision{by: decidedEarlier, Answer: quota.Answer{RetryAfter: retryAfter}}
@@ -82,7 +87,7 @@
 		return earlier
 	}
 	if reachable {
-		if decision, answered := q.askInOrder(ctx, s, order, hedge, arrived); answered {
+		if decision, answered := q.askInOrder(ctx, s, order, parts, hedge, arrived); answered {
 			return decision
 		}
 	} else {
@@ -137,11 +142,11 @@
 // askInOrder asks the nearest keeper, the next one at once after a refusal, and all
 // that are left if there is no answer within the hedge. It returns false when nobody
 // has answered within another hedge.
-func (q *quotas) askInOrder(ctx context.Context, s spending, order []string, hedge time.Duration, arrived <-chan struct{}) (quotaDecision, bool) {
+func (q *quotas) askInOrder(ctx context.Context, s spending, order []string, parts int, hedge time.Duration, arrived <-chan struct{}) (quotaDecision, bool) {
 	a := &questions{quotas: q, spending: s, order: order, open: map[string]bool{}, answers: make(chan keeperAnswer), done: make(chan struct{})}
 	defer close(a.done)
 	var patience <-chan time.Time
-	best, refused := quotaDecision{by: decidedByKeeper}, false
+	best, refused, refusals := quotaDecision{by: decidedByKeeper}, false, 0
 	for a.ask(1); len(a.open) > 0; {
 		select {
 		case answer := <-a.answers:
@@ -149,6 +154,11 @@
 			if answer.Granted {
 				return quotaDecision{Answer: answer.Answer, by: decidedByKeeper, keeper: answer.keeper}, true
 			}
+			if !answer.silent {
+				refusals++
+				best.spent += answer.Spent
+				best.belowLimit = refusals == parts && s.limit.Allows(best.spent, s.amount)
+			}
 			if !answer.silent && (!refused || answer.RetryAfter < best.RetryAfter) {
 				best.Answer, refused = answer.Answer, true
 			}
@@ -203,7 +213,7 @@
 	defer q.mutex.Unlock()
 	q.asker.Keepers().NoteAnswer(keeper, body.GetZone(), taken)
 	return q.note(keeper, s, quota.Answer{
-		Granted: body.GetGranted(), Level: body.GetLevel(),
+		Granted: body.GetGranted(), Level: body.GetLevel(), Spent: body.GetSpent(),
 		EmptyFor:   time.Duration(body.GetEmptyMicros()) * time.Microsecond,
 		RetryAfter: time.Duration(body.GetRetryAfterMicros()) * time.Microsecond,
 	}), true
@@ -258,7 +268,7 @@
 	}
 	answer := q.keeper.Ask(time.Now(), ask.GetTenant(), ask.GetAmount(), limit, q.asker.Parts())
 	return &wire.QuotaAnswer{
-		Granted: answer.Granted, Level: answer.Level, Zone: q.gateway.settings.Zone,
+		Granted: answer.Granted, Level: answer.Level, Spent: answer.Spent, Zone: q.gateway.settings.Zone,
 		EmptyMicros: uint64(answer.EmptyFor.Microseconds()), RetryAfterMicros: uint64(answer.RetryAfter.Microseconds()),
 	}
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -19,6 +19,9 @@
 	busyRetryAfter = 250 * time.Millisecond
 )
 
+// reasonShare is the reason told to tenants beyond their fair share.
+const reasonShare = "the service is busy and the tenant is beyond its fair share of it"
+
 // refusal is a final answer of the router's own.
 type refusal struct {
 	status int
@@ -42,6 +45,9 @@
 		fields["config"] = c.view.table.Version
 		fields["config_age_ms"] = c.arrived.Sub(c.view.provenAt).Milliseconds()
 	}
+	if c.forShare {
+		fields["tenant"], fields["excess"], fields["service"] = c.query.Tenant, c.excess, c.service
+	}
 	c.logDecisions()
 	c.gateway.metrics.refused(r.status, r.reason)
 	c.gateway.log.Log(events.RequestRefused, fields)
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -69,9 +69,9 @@
 	query := queryOf(ask)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	request, candidates := g.runners.Candidates(now, query)
-	chosen := placement.Choose(request, candidates, placementWeights, g.random)
-	answer := &wire.RunnerAnswer{Zone: g.settings.Zone}
+	excess := g.shares.excess(now, query)
+	chosen, forShare := g.shares.choose(now, query, excess)
+	answer := &wire.RunnerAnswer{Zone: g.settings.Zone, ExcessPercent: excessMessage(excess), ForShare: forShare}
 	if chosen.Status == placement.Overloaded {
 		answer.Overloaded, answer.RetryAfterMillis = true, uint32(chosen.RetryAfter.Milliseconds())
 		return answer
@@ -124,6 +124,9 @@
 	defer s.gateway.mutex.Unlock()
 	s.ledger.LearnVersion(key, notice.GetWeights())
 	if notice.GetEnded() {
+		if query, tokens, found := s.ledger.Placed(key); found {
+			s.gateway.shares.refund(time.Now(), query, tokens, outcome)
+		}
 		s.ledger.End(time.Now(), key, outcome)
 		return
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,7 +49,11 @@
 	}
 	chosen, placedBy := c.choose(now, choice)
 	if chosen.Status != placement.Picked {
-		return backend.Runner{}, unavailable(chosen.Status.String(), max(chosen.RetryAfter, busyRetryAfter))
+		reason := chosen.Status.String()
+		if c.forShare {
+			reason = reasonShare
+		}
+		return backend.Runner{}, unavailable(reason, max(chosen.RetryAfter, busyRetryAfter))
 	}
 	if c.request.Attempt() > 0 && !c.request.MayHaveRun() && slices.Contains(query.Excluded, chosen.Candidate.Name) {
 		g.schedulers.release(c.placed)
@@ -85,8 +89,9 @@
 		return chosen, choice.scheduler
 	}
 	g.metrics.choices.WithLabelValues(chosenHere).Inc()
-	request, candidates := g.runners.Candidates(now, c.query)
-	return placement.Choose(request, candidates, placementWeights, g.random), chosenHere
+	c.excess = g.shares.excess(now, c.query)
+	chosen, c.forShare = g.shares.choose(now, c.query, c.excess)
+	return chosen, chosenHere
 }
 
 // send makes one attempt at the picked runner and relays its answer.
@@ -196,6 +201,9 @@
 	g := c.gateway
 	g.mutex.Lock()
 	c.barWithdrawal()
+	if c.placed == nil && !c.continuing && g.shares.counts() {
+		g.shares.refund(time.Now(), c.query, c.open.Tokens(), outcome)
+	}
 	g.runners.End(time.Now(), c.open, outcome)
 	g.mutex.Unlock()
 	g.schedulers.notify(c.placed, true, outcome, c.answering)
--- /dev/null
+++ b/internal/gateway/shares.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/fairshare"
+	"github.com/clovertiller/clovertiller/internal/placement"
+)
+
+// toldExcessTime is how long a scheduler's word on a tenant's share counts at a router that
+// chooses runners itself for want of an answer: as long as other schedulers' sums count.
+const toldExcessTime = 2 * time.Second
+
+// shares keeps tenants to their fair shares of short services: it counts what this router
+// places for others, or for itself if it places for others too, and shortens the queueing
+// time of requests of tenants that are beyond their share. The gateway's mutex guards it.
+type shares struct {
+	gateway *Gateway
+	tracker *fairshare.Tracker
+	// weighed is the configuration whose weights are in force.
+	weighed *view
+	// told holds the tenants that schedulers named as beyond their share, by service and
+	// name, of the configuration in force at most.
+	told map[string]toldExcess
+}
+
+type toldExcess struct {
+	excess float64
+	at     time.Time
+}
+
+func newShares(g *Gateway) *shares {
+	return &shares{gateway: g, tracker: fairshare.New(fairshare.Config{}), told: map[string]toldExcess{}}
+}
+
+func poolOf(query backend.Query) fairshare.Pool {
+	return fairshare.Pool{Service: query.Service, Tier: query.Rank.Tier}
+}
+
+// shared tells whether there is anybody to share with, and takes over the weights of the
+// configuration.
+func (s *shares) shared() bool {
+	current := s.gateway.view.Load()
+	if current == nil || len(current.table.TenantWeights()) < 2 {
+		return false
+	}
+	if current != s.weighed {
+		if s.weighed == nil || s.weighed.table != current.table {
+			s.tracker.SetWeights(current.table.TenantWeights())
+			clear(s.told)
+		}
+		s.weighed = current
+	}
+	return true
+}
+
+// excess says how far the tenant of the request is beyond its fair share, 1 at most at it.
+func (s *shares) excess(now time.Time, query backend.Query) float64 {
+	if !s.shared() || query.Tenant == "" {
+		return 1
+	}
+	excess := s.tracker.Excess(now, poolOf(query), query.Tenant)
+	if told, found := s.told[query.Service+"/"+query.Tenant]; found && now.Sub(told.at) < toldExcessTime {
+		excess = max(excess, told.excess)
+	}
+	return excess
+}
+
+// hear takes a scheduler's word on how far the tenant of a request is beyond its share.
+func (s *shares) hear(now time.Time, query backend.Query, excess float64) {
+	key := query.Service + "/" + query.Tenant
+	if !s.shared() || excess <= 1 {
+		delete(s.told, key)
+		return
+	}
+	s.told[key] = toldExcess{excess: excess, at: now}
+}
+
+// choose chooses a runner for the request. A tenant beyond its fair share has its longest
+// queueing time divided by its excess; forShare tells that it was refused only for that.
+// What this router places as a scheduler is counted.
+func (s *shares) choose(now time.Time, query backend.Query, excess float64) (chosen placement.Pick, forShare bool) {
+	g := s.gateway
+	request, candidates := g.runners.Candidates(now, query)
+	request.MaxWait = time.Duration(float64(request.MaxWait) / excess)
+	chosen = placement.Choose(request, candidates, placementWeights, g.random)
+	if chosen.Status == placement.Overloaded && chosen.Queueing <= query.MaxQueue {
+		forShare = true
+		g.metrics.shareRefusals.WithLabelValues(query.Service).Inc()
+	}
+	s.count(now, query, chosen)
+	return chosen, forShare
+}
+
+// count notes what became of a choice, if this router places requests for all.
+func (s *shares) count(now time.Time, query backend.Query, chosen placement.Pick) {
+	if !s.counts() {
+		return
+	}
+	cost := fairshare.Cost(query.PromptTokens-chosen.Candidate.CachedTokens, query.MaxTokens)
+	switch chosen.Status {
+	case placement.Picked:
+		s.tracker.Charge(now, poolOf(query), query.Tenant, cost)
+	case placement.Overloaded:
+		s.tracker.Refuse(now, poolOf(query), query.Tenant, cost)
+	}
+}
+
+// counts tells whether this router sees enough of all requests to know shares: it is a
+// scheduler, or there are no other routers.
+func (s *shares) counts() bool {
+	return s.shared() && (s.gateway.relays.transport == nil || s.gateway.schedulers.places())
+}
+
+// refund takes back what was counted for a request that no runner has run.
+func (s *shares) refund(now time.Time, query backend.Query, tokens int, outcome backend.Outcome) {
+	if notRun(outcome) {
+		s.tracker.Refund(now, poolOf(query), query.Tenant, fairshare.Cost(tokens, query.MaxTokens))
+	}
+}
+
+// notRun tells whether the outcome means that the runner has done nothing for the request.
+func notRun(outcome backend.Outcome) bool {
+	return outcome == backend.Refused || outcome == backend.NotConfirmed
+}
--- /dev/null
+++ b/internal/gateway/shares_test.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clovertiller/clovertiller/internal/admission"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/placement"
+	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+const busyService = "busy"
+
+// busyRunners are the runners of the service.
+const busyRunners = 5
+
+// sharingGateway is a router without others that knows the runners and the tenants.
+func sharingGateway(tenants ...string) *Gateway {
+	g := &Gateway{runners: backend.NewSet("z"), random: rand.New(rand.NewPCG(1, 2)), relays: &relays{}}
+	g.settings.Zone = "z"
+	g.metrics = newMetrics(g)
+	g.schedulers, g.shares = newSchedulers(g), newShares(g)
+	config := &routing.Config{Version: 1}
+	for _, tenant := range tenants {
+		config.Tenants = append(config.Tenants, routing.Tenant{Name: tenant, Keys: []string{tenant}})
+	}
+	g.view.Store(&view{table: routing.NewTable(config)})
+	for i := range busyRunners {
+		g.runners.Put(backend.Runner{ID: fmt.Sprint(i), Service: busyService, Slots: 16, Zone: "z"})
+	}
+	return g
+}
+
+// query is a prompt of the tenant that takes a tenth of a second to read.
+func query(tenant string) backend.Query {
+	return backend.Query{Service: busyService, Tenant: tenant, PromptTokens: backend.PrefillRate / 10, MaxQueue: 500 * time.Millisecond, Rank: admission.Rank{}}
+}
+
+// ask has the gateway choose, and keeps the runner as busy as the choice makes it.
+func (g *Gateway) ask(now time.Time, tenant string) (chosen placement.Pick, forShare bool) {
+	q := query(tenant)
+	chosen, forShare = g.shares.choose(now, q, g.shares.excess(now, q))
+	if chosen.Status == placement.Picked {
+		g.runners.Begin(now, chosen.Candidate.Name, q.PromptTokens)
+	}
+	return chosen, forShare
+}
+
+func TestTenantBeyondItsShareIsRefusedFirst(t *testing.T) {
+	t.Parallel()
+	g, now := sharingGateway("hot", "calm"), time.Now()
+	e := NewWithT(t)
+	for range 50 {
+		g.ask(now, "hot")
+	}
+	for range 50 {
+		_, forShare := g.ask(now, "calm")
+		e.Expect(forShare).To(BeFalse(), "refused for the queue only")
+	}
+	now = now.Add(time.Second)
+	e.Expect(g.shares.excess(now, query("hot"))).To(BeNumerically(">", 1))
+	e.Expect(g.shares.excess(now, query("calm"))).To(Equal(1.0))
+	e.Expect(g.shares.summary(now)).To(HaveLen(1))
+}
+
+func TestRefusalForShareIsOneThatAnotherTenantWouldNotGet(t *testing.T) {
+	t.Parallel()
+	g, now := sharingGateway("hot", "calm"), time.Now()
+	e := NewWithT(t)
+	const beyond = 8
+	for i := range busyRunners {
+		g.runners.Begin(now, fmt.Sprint(i), backend.PrefillRate/5) // a queue of 0.2 s
+	}
+	chosen, forShare := g.shares.choose(now, query("hot"), beyond)
+	e.Expect(chosen.Status).To(Equal(placement.Overloaded))
+	e.Expect(forShare).To(BeTrue())
+	chosen, forShare = g.shares.choose(now, query("calm"), 1)
+	e.Expect(chosen.Status).To(Equal(placement.Picked))
+	e.Expect(forShare).To(BeFalse())
+	idle := sharingGateway("hot", "calm")
+	chosen, _ = idle.shares.choose(now, query("hot"), beyond)
+	e.Expect(chosen.Status).To(Equal(placement.Picked), "nothing is refused where nothing queues")
+	admitted := query("hot")
+	admitted.MaxQueue, admitted.Admitted = 0, true
+	chosen, _ = g.shares.choose(now, admitted, beyond)
+	e.Expect(chosen.Status).To(Equal(placement.Picked), "what was let in is not refused")
+}
+
+func TestSharesNeedTwoTenants(t *testing.T) {
+	t.Parallel()
+	g, now := sharingGateway("hot"), time.Now()
+	e := NewWithT(t)
+	for range 20 {
+		g.ask(now, "hot")
+	}
+	e.Expect(g.shares.excess(now, query("hot"))).To(Equal(1.0))
+	e.Expect(g.shares.tracker.Tenants()).To(BeZero())
+}
+
+func TestWhatNoRunnerRanIsNotCounted(t *testing.T) {
+	t.Parallel()
+	g, now := sharingGateway("hot", "calm"), time.Now()
+	e := NewWithT(t)
+	for range 20 {
+		if chosen, _ := g.ask(now, "hot"); chosen.Status == placement.Picked {
+			q := query("hot")
+			g.shares.refund(now, q, q.PromptTokens-chosen.Candidate.CachedTokens, backend.Refused)
+		}
+	}
+	e.Expect(g.shares.excess(now, query("hot"))).To(Equal(1.0))
+}
+
+// What schedulers tell each other of uses is little beside what their links carry.
+func TestUsesAreSmall(t *testing.T) {
+	t.Parallel()
+	const mostBytes = 750 // four times a second
+	var tenants []string
+	for i := range 100 {
+		tenants = append(tenants, "a-tenant-"+string(rune('a'+i%26))+string(rune('a'+i/26)))
+	}
+	g, now := sharingGateway(tenants...), time.Now()
+	e := NewWithT(t)
+	for _, service := range []string{"first", "second", "third"} {
+		for _, tenant := range tenants {
+			q := query(tenant)
+			q.Service = service
+			g.shares.tracker.Charge(now, poolOf(q), tenant, 1e6)
+			g.shares.tracker.Refuse(now, poolOf(q), tenant, 1e6)
+		}
+	}
+	share := &wire.LoadShare{Uses: g.shares.uses(now)}
+	e.Expect(proto.Size(share)).To(BeNumerically("<", mostBytes))
+	other := sharingGateway(tenants...)
+	other.shares.merge("r", share)
+	e.Expect(other.shares.uses(now)).To(BeEmpty(), "told sums are not told on")
+}
+
+func TestSchedulersWordOnAShareCountsForAWhile(t *testing.T) {
+	t.Parallel()
+	g, now := sharingGateway("hot", "calm"), time.Now()
+	e := NewWithT(t)
+	g.shares.hear(now, query("hot"), excessOf(&wire.RunnerAnswer{ExcessPercent: excessMessage(2.5)}))
+	e.Expect(g.shares.excess(now, query("hot"))).To(Equal(2.5))
+	e.Expect(g.shares.excess(now, query("calm"))).To(Equal(1.0))
+	e.Expect(g.shares.excess(now.Add(toldExcessTime), query("hot"))).To(Equal(1.0))
+	g.shares.hear(now, query("hot"), excessOf(&wire.RunnerAnswer{}))
+	e.Expect(g.shares.excess(now, query("hot"))).To(Equal(1.0))
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -33,6 +33,9 @@
 	LeaseToken uint64                  `json:"leaseToken"`
 	Weights    map[string]uint64       `json:"weights"`
 	Runners    []backend.RunnerSummary `json:"runners"`
+	// BeyondShare are the tenants farthest beyond their fair shares of short services,
+	// as far as this router knows; routers that place no requests know of none.
+	BeyondShare []BeyondShare `json:"beyondShare,omitempty"`
 }
 
 // Status returns what the router believes now.
@@ -56,6 +59,7 @@
 	defer g.mutex.Unlock()
 	status.Weights = g.runners.Weights().Named()
 	status.Runners = g.runners.Summary(now)
+	status.BeyondShare = g.shares.summary(now)
 	return status
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -94,6 +94,8 @@
 	Candidate Candidate
 	// Wait is the expected time to the first token on the candidate.
 	Wait time.Duration
+	// Queueing is the part of the wait that is due to other requests.
+	Queueing time.Duration
 	// RetryAfter says when a refused caller may expect to be served.
 	RetryAfter time.Duration
 }
@@ -266,6 +268,7 @@
 	idle.PendingTokens, idle.PendingRequests = 0, 0
 	idle.Report.Load = fleet.Load{PrefillRate: candidate.Report.Load.PrefillRate, MaxRunning: candidate.Report.Load.MaxRunning}
 	queueing := pick.Wait - waitOf(request, idle)
+	pick.Queueing = queueing
 	if request.MaxWait > 0 && queueing > request.MaxWait {
 		pick.Status = Overloaded
 		pick.RetryAfter = queueing - request.MaxWait/2
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -50,6 +50,10 @@
 	return l.Most() / l.Window.Seconds()
 }
 
+// Allows tells whether the limit has room for the amount beside what was spent within the
+// window.
+func (l Limit) Allows(spent, amount float64) bool { return spent+amount <= l.Most() }
+
 // Answer is what a keeper says to a request.
 type Answer struct {
 	Granted bool
@@ -59,6 +63,8 @@
 	RetryAfter time.Duration
 	// Level is what is left in the part, below zero while more was spent than came in.
 	Level float64
+	// Spent is what was granted from the part within the window, without this request.
+	Spent float64
 }
 
 // bucket is a token bucket, with a count of what was spent within the window. The
@@ -114,16 +120,17 @@
 // amount returning from this bucket when it comes back.
 func (b *bucket) spend(now time.Time, amount, returning float64) Answer {
 	b.refill(now)
+	spent := b.spent.within(now, b.limit.Window)
 	empty := b.spent.timeUntilBelow(now, b.limit.Window, b.limit.Most())
 	if b.level < 0 {
 		empty = max(empty, b.timeFor(-b.level))
 	}
 	if empty > 0 {
-		return Answer{EmptyFor: empty, RetryAfter: b.promise(now, empty, returning), Level: b.level}
+		return Answer{EmptyFor: empty, RetryAfter: b.promise(now, empty, returning), Level: b.level, Spent: spent}
 	}
 	b.level -= amount
 	b.spent.add(now, b.limit.Window, amount)
-	return Answer{Granted: true, Level: b.level}
+	return Answer{Granted: true, Level: b.level, Spent: spent}
 }
 
 // promise returns when a refused caller finds room: once the debt is paid, and after
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -203,3 +203,18 @@
 	}
 	g.Expect(granted).To(BeNumerically("<=", limit.Most()))
 }
+
+// Parts that refuse tell what they granted, so that their sum shows whether the tenant had
+// room over all of them.
+func TestRefusalsTellWhatWasSpent(t *testing.T) {
+	g := NewWithT(t)
+	limit := Limit{Rate: 300, Burst: 300, Window: 8 * time.Second}
+	first, second := NewKeeper(start.Add(-time.Minute)), NewKeeper(start.Add(-time.Minute))
+	g.Expect(first.Ask(start, "t", 200, limit, 2).Granted).To(BeTrue())
+	answer := first.Ask(start, "t", 200, limit, 2)
+	g.Expect(answer.Granted).To(BeFalse())
+	g.Expect(answer.Spent).To(Equal(200.0))
+	g.Expect(second.Ask(start, "t", 200, limit, 2).Spent).To(BeZero())
+	g.Expect(limit.Allows(400, 200)).To(BeTrue())
+	g.Expect(limit.Allows(2600, 200)).To(BeFalse())
+}
