Nothing is refused for a share in a queue in which nobody is; routers alone spend their part

Refusals for shares do not count as refused, the divided queueing time has the floor below which no request of the rank is refused, the excess is 4 at most, and the sums of tenants told together are gone from messages, as they took shares from those told one by one.

Property tests of limits hear keepers too, with the bounds as before.

Tests of gateway, quota, admission, backend, placement, routing, events, explain and cli pass in one whole run, fairshare in several. Earlier whole runs of the gateway's tests at a load above 40 failed in FencedHolderStepsDown, NewsArrivesThoughAllConnectionsToTheStoreFellSilent and HalfOfTheRunnersAreSparedUntilTheirWeightsExpire, one or two in a run, which passed three times by themselves.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -48,9 +48,9 @@
 	defaultHalfLife = 2 * time.Second
 	// defaultBurst is a few long prompts, in prompt tokens.
 	defaultBurst = 20000
-	// defaultMost leaves a tenant an eighth of the queueing time that others get, so that
-	// it is served whenever there is next to no queue.
-	defaultMost = 8
+	// defaultMost is a little above the threefold range of queueing times in which requests
+	// are refused: a tenant beyond that is refused all that some others are.
+	defaultMost = 4
 )
 
 // steepness is the power of use over share that makes the excess. Requests are refused
--- a/internal/fairshare/level.go
+++ b/internal/fairshare/level.go
@@ -62,11 +62,11 @@
 	if !t.short(now, p) {
 		return
 	}
-	tenants, rest := t.sums(now, p)
+	tenants := t.sums(now, p)
 	if len(tenants) < 2 {
 		return
 	}
-	share := fairShare(tenants, rest)
+	share := fairShare(tenants)
 	for _, s := range tenants {
 		if excess := t.excess(s.used, share*s.weight); excess > 1 {
 			p.excess[s.tenant] = excess
@@ -106,18 +106,16 @@
 	weight float64
 }
 
-// sums adds up what all schedulers placed and refused, by tenant, and for all tenants
-// that others told of together.
-func (t *Tracker) sums(now time.Time, p *pool) (tenants []tenantSum, rest sum) {
+// sums adds up what all schedulers placed and refused, by tenant.
+func (t *Tracker) sums(now time.Time, p *pool) []tenantSum {
 	others := map[string]sum{}
 	for _, told := range p.told {
 		left := t.left(now, told.at)
 		for tenant, s := range told.tenants {
 			others[tenant] = others[tenant].plus(s.times(left))
 		}
-		rest = rest.plus(told.rest.times(left))
 	}
-	tenants = make([]tenantSum, 0, len(p.own)+len(others))
+	tenants := make([]tenantSum, 0, len(p.own)+len(others))
 	left := t.left(now, p.epoch)
 	for tenant, u := range p.own {
 		own := u.times(left)
@@ -130,28 +128,23 @@
 	for tenant, s := range others {
 		tenants = append(tenants, tenantSum{s, tenant, t.weight(tenant)})
 	}
-	return tenants, rest
+	return tenants
 }
 
-// restShare is the least part of what was placed for known tenants that they share: so
-// much at least is theirs, whatever the others together want.
-const restShare = 0.5
-
 // fairShare returns the most that a tenant of weight 1 may use if all that was placed is
-// shared fairly. The tenants in rest, which others told of together, want less than those
-// told one by one and count as getting what they want.
+// shared fairly. Tenants that others did not tell of want less than those that they did, and
+// count as getting what they want.
 //
 // It begins with equal parts, gives those that want less what they want, shares the rest
 // among the others, and so on until nobody wants less than its part.
-func fairShare(tenants []tenantSum, rest sum) float64 {
+func fairShare(tenants []tenantSum) float64 {
 	used := 0.0
 	for _, s := range tenants {
 		used += s.used
 	}
-	all := math.Max(used-rest.refused, used*restShare)
 	share := 0.0
 	for {
-		left, weights := all, 0.0
+		left, weights := used, 0.0
 		for _, s := range tenants {
 			if wanted := s.wanted(); wanted <= share*s.weight {
 				left -= wanted
--- a/internal/fairshare/sums.go
+++ b/internal/fairshare/sums.go
@@ -10,7 +10,7 @@
 	// toldTime is how long another scheduler's sums count: it tells them several times in
 	// it, and falls silent when it is lost or its part of the service is no longer short.
 	toldTime = 2 * time.Second
-	// mostTold is how many tenants of a pool are told one by one: those that want most
+	// mostTold is of how many tenants of a pool is told: those that want most
 	// for their weight, as others are hardly beyond their shares.
 	mostTold = 12
 	// mostPools is of how many pools is told at a time, those with most refused first. With the
@@ -30,15 +30,12 @@
 type Sums struct {
 	Pool
 	Tenants []Sum
-	// RestUsed and RestRefused are those of all other tenants together.
-	RestUsed, RestRefused float64
 }
 
 // toldSums are another scheduler's sums of a pool.
 type toldSums struct {
 	at      time.Time
 	tenants map[string]sum
-	rest    sum
 }
 
 // dropStale forgets the sums of schedulers that have fallen silent.
@@ -71,20 +68,19 @@
 }
 
 func (s Sums) refused() float64 {
-	refused := s.RestRefused
+	refused := 0.0
 	for _, tenant := range s.Tenants {
 		refused += tenant.Refused
 	}
 	return refused
 }
 
-// ownSums tells the tenants that want most for their weight one by one.
+// ownSums tells of the tenants that want most for their weight.
 func (t *Tracker) ownSums(now time.Time, of Pool, p *pool) Sums {
-	sums, left, all := Sums{Pool: of}, t.left(now, p.epoch), sum{}
+	sums, left := Sums{Pool: of}, t.left(now, p.epoch)
 	most := make([]tenantSum, 0, mostTold+1)
 	for tenant, u := range p.own {
 		own := u.times(left)
-		all = all.plus(own)
 		if own.wanted() < leastUse {
 			continue
 		}
@@ -98,9 +94,7 @@
 	}
 	for _, s := range most {
 		sums.Tenants = append(sums.Tenants, Sum{Tenant: s.tenant, Used: s.used, Refused: s.refused})
-		all = all.plus(s.times(-1))
 	}
-	sums.RestUsed, sums.RestRefused = max(all.used, 0), max(all.refused, 0)
 	return sums
 }
 
@@ -114,7 +108,7 @@
 func (t *Tracker) Merge(now time.Time, scheduler string, all []Sums) {
 	t.sweep(now)
 	for _, sums := range all[:min(len(all), mostPools)] {
-		told := &toldSums{at: now, tenants: map[string]sum{}, rest: sum{max(sums.RestUsed, 0), max(sums.RestRefused, 0)}}
+		told := &toldSums{at: now, tenants: map[string]sum{}}
 		for _, tenant := range sums.Tenants[:min(len(sums.Tenants), mostTold)] {
 			told.tenants[tenant.Tenant] = sum{max(tenant.Used, 0), max(tenant.Refused, 0)}
 		}
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -24,6 +24,7 @@
 		gateway: g, keeper: quota.NewKeeper(g.started),
 		asker: quota.NewAsker(g.settings.PeerAddress, g.settings.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	q.asker.Heard(g.started)
 	q.setKeepers(g.settings.Seeds)
 	return q
 }
@@ -211,6 +212,7 @@
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	q.asker.Heard(time.Now())
 	q.asker.Keepers().NoteAnswer(keeper, body.GetZone(), taken)
 	return q.note(keeper, s, quota.Answer{
 		Granted: body.GetGranted(), Level: body.GetLevel(), Spent: body.GetSpent(),
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/fairshare"
 	"github.com/clovertiller/clovertiller/internal/placement"
@@ -77,13 +78,22 @@
 	s.told[key] = toldExcess{excess: excess, at: now}
 }
 
-// choose chooses a runner for the request. A tenant beyond its fair share has its longest
-// queueing time divided by its excess; forShare tells that it was refused only for that.
-// What this router places as a scheduler is counted.
+// sharedQueue is the longest queueing time of a request of a tenant with the excess: its own
+// one divided by it, but for a queue in which nobody is refused. What is refused for less is
+// refused for nobody's sake.
+func sharedQueue(query backend.Query, excess float64) time.Duration {
+	divided := time.Duration(float64(query.MaxQueue) / excess)
+	return min(max(divided, admission.ShortestQueue(query.Target, query.Rank)), query.MaxQueue)
+}
+
+// choose chooses a runner for the request. A tenant beyond its fair share may queue for a
+// shorter time; forShare tells that it was refused only for that.
+// What this router places as a scheduler is counted, and what it refuses, but for that: it
+// does not show that the service is short.
 func (s *shares) choose(now time.Time, query backend.Query, excess float64) (chosen placement.Pick, forShare bool) {
 	g := s.gateway
 	request, candidates := g.runners.Candidates(now, query)
-	request.MaxWait = time.Duration(float64(request.MaxWait) / excess)
+	request.MaxWait = sharedQueue(query, excess)
 	chosen = placement.Choose(request, candidates, placementWeights, g.random)
 	if chosen.Status == placement.Overloaded && chosen.Queueing <= query.MaxQueue {
 		forShare = true
@@ -91,7 +101,9 @@
 		chosen.RetryAfter = max(chosen.RetryAfter, s.tracker.Fades(excess))
 		g.metrics.shareRefusals.WithLabelValues(query.Service).Inc()
 	}
-	s.count(now, query, chosen)
+	if !forShare {
+		s.count(now, query, chosen)
+	}
 	return chosen, forShare
 }
 
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -175,3 +175,18 @@
 	e.Expect(second.shares.excess(now, query("hot"))).To(BeNumerically(">", 1))
 	e.Expect(second.shares.excess(now, query("calm"))).To(Equal(1.0))
 }
+
+func TestNothingIsRefusedForAShareInAQueueInWhichNobodyIs(t *testing.T) {
+	t.Parallel()
+	e := NewWithT(t)
+	q := query("hot")
+	q.Target = time.Second
+	shortest := admission.ShortestQueue(q.Target, q.Rank)
+	e.Expect(sharedQueue(q, 1)).To(Equal(q.MaxQueue))
+	e.Expect(sharedQueue(q, 8)).To(Equal(shortest))
+	e.Expect(sharedQueue(q, 1.1)).To(And(BeNumerically(">", shortest), BeNumerically("<", q.MaxQueue)))
+	q.MaxQueue = shortest / 2
+	e.Expect(sharedQueue(q, 8)).To(Equal(q.MaxQueue), "never longer than without a share")
+	q.MaxQueue = 0
+	e.Expect(sharedQueue(q, 8)).To(BeZero(), "no bound stays none")
+}
--- a/internal/gateway/shareuses.go
+++ b/internal/gateway/shareuses.go
@@ -39,7 +39,7 @@
 func (s *shares) uses(now time.Time) []*wire.PoolUse {
 	var uses []*wire.PoolUse
 	for _, sums := range s.tracker.Sums(now) {
-		use := &wire.PoolUse{Service: sums.Service, Tier: uint32(sums.Tier), RestUsed: tokens(sums.RestUsed), RestRefused: tokens(sums.RestRefused)}
+		use := &wire.PoolUse{Service: sums.Service, Tier: uint32(sums.Tier)}
 		for _, tenant := range sums.Tenants {
 			use.Tenants = append(use.Tenants, &wire.TenantUse{Tenant: tenant.Tenant, Used: tokens(tenant.Used), Refused: tokens(tenant.Refused)})
 		}
@@ -57,10 +57,7 @@
 	}
 	var all []fairshare.Sums
 	for _, use := range share.GetUses() {
-		sums := fairshare.Sums{
-			Pool:     fairshare.Pool{Service: use.GetService(), Tier: int(use.GetTier())},
-			RestUsed: float64(use.GetRestUsed()), RestRefused: float64(use.GetRestRefused()),
-		}
+		sums := fairshare.Sums{Pool: fairshare.Pool{Service: use.GetService(), Tier: int(use.GetTier())}}
 		for _, tenant := range use.GetTenants() {
 			sums.Tenants = append(sums.Tenants, fairshare.Sum{Tenant: tenant.GetTenant(), Used: float64(tenant.GetUsed()), Refused: float64(tenant.GetRefused())})
 		}
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -52,7 +52,10 @@
 	empty map[part]emptiness
 	uses  map[string]*use
 	// alone holds the allowances that are spent while no keeper answers.
-	alone   map[string]*bucket
+	alone map[string]*bucket
+	// heardAt is when a keeper last answered, or when the router started; zero when neither
+	// was told.
+	heardAt time.Time
 	random  *rand.Rand
 	sweepAt time.Time
 }
@@ -88,6 +91,9 @@
 	return order, retryAfter
 }
 
+// Heard notes that a keeper has answered, or that the router has just started.
+func (a *Asker) Heard(now time.Time) { a.heardAt = now }
+
 // Granted notes what was granted to this router.
 func (a *Asker) Granted(now time.Time, tenant string, amount float64) {
 	u := a.uses[tenant]
@@ -108,22 +114,35 @@
 
 // Alone decides without keepers. A router may go on at the rate that keepers have
 // granted it of late, which all routers together do not exceed the limit by, or at
-// half of an equal share. The allowance begins at a random level, so that many
-// routers with small ones do not all grant a large request at once.
+// half of an equal share. The allowance comes in from the last answer of a keeper on. It
+// begins at a random level, so that many routers with small ones do not all grant a large
+// request at once.
 func (a *Asker) Alone(now time.Time, tenant string, amount float64, limit Limit, routers int) Answer {
+	own := limit.share(routers)
+	own.Rate = math.Min(math.Max(own.Rate*aloneShare, a.useRate(now, tenant)), limit.Rate)
+	own.Burst, own.Window = own.Burst*aloneShare, 0
 	b := a.alone[tenant]
 	if b == nil || now.Sub(b.at) > aloneTime {
-		b = &bucket{at: now, level: -a.random.Float64() * amount}
+		b = &bucket{at: a.aloneSince(now), level: -a.random.Float64() * amount, limit: own}
 		a.alone[tenant] = b
 	}
 	b.refill(now)
-	own := limit.share(routers)
-	own.Rate = math.Min(math.Max(own.Rate*aloneShare, a.useRate(now, tenant)), limit.Rate)
-	own.Burst, own.Window = own.Burst*aloneShare, 0
 	b.limit = own
 	return b.spend(now, amount, amount)
 }
 
+// aloneSince is from when on a tenant without an allowance may be allowed for: not before
+// the last answer of a keeper, nor so long ago that an allowance since then was forgotten.
+func (a *Asker) aloneSince(now time.Time) time.Time {
+	if a.heardAt.IsZero() || a.heardAt.After(now) {
+		return now
+	}
+	if oldest := now.Add(-aloneTime); a.heardAt.Before(oldest) {
+		return oldest
+	}
+	return a.heardAt
+}
+
 // useRate is what keepers granted this router of late, a second.
 func (a *Asker) useRate(now time.Time, tenant string) float64 {
 	u := a.uses[tenant]
--- a/internal/quota/quota_property_test.go
+++ b/internal/quota/quota_property_test.go
@@ -37,6 +37,7 @@
 	for i := range routers {
 		asker := NewAsker("r"+strconv.Itoa(i), "z", rand.New(rand.NewPCG(seed, uint64(i))))
 		asker.Keepers().Set(n.names)
+		asker.Heard(start)
 		n.askers = append(n.askers, asker)
 	}
 	return n
@@ -61,6 +62,7 @@
 			continue
 		}
 		answered = true
+		asker.Heard(now)
 		if answer.Granted {
 			asker.Granted(now, "t", amount)
 			n.spent = append(n.spent, spent{now, amount})
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -176,6 +176,7 @@
 		a := NewAsker("r", "z", rand.New(rand.NewPCG(1, uint64(i))))
 		for at := 0; at < 3000; at += 1000 {
 			a.Granted(after(at), "t", limit.Rate/routers)
+			a.Heard(after(at))
 		}
 		for at := 3000; at < 6500; at += 100 {
 			if a.Alone(after(at), "t", size, limit, routers).Granted {
@@ -195,6 +196,7 @@
 	granted := 0.0
 	for i := range routers {
 		a := NewAsker("r", "z", rand.New(rand.NewPCG(3, uint64(i))))
+		a.Heard(after(0))
 		for at := 0; at < 8000; at += 200 {
 			if a.Alone(after(at), "t", size, limit, routers).Granted {
 				granted += size
@@ -204,6 +206,53 @@
 	g.Expect(granted).To(BeNumerically("<=", limit.Most()))
 }
 
+// All machines restart and the keepers are the last: for half a second 73 routers get the
+// requests of a tenant at four tenths of its limit and hear from no keeper. They grant about
+// the half of the limit that they may spend alone, each since its start.
+func TestRoutersAloneSpendTheirPartFromTheStart(t *testing.T) {
+	g := NewWithT(t)
+	const routers, size, outage, starts = 73, 3000.0, 500, 20
+	limit := Limit{Window: testWindow, Rate: 972000, Burst: 972000}
+	granted, asked := 0.0, 0.0
+	for seed := range uint64(starts) {
+		random := rand.New(rand.NewPCG(5, seed))
+		askers := make([]*Asker, routers)
+		for i := range askers {
+			askers[i] = NewAsker("r", "z", rand.New(rand.NewPCG(seed, uint64(i))))
+			askers[i].Heard(after(0))
+		}
+		for at := 0.0; at < outage; at += random.ExpFloat64() * size / (0.4 * limit.Rate / 1000) {
+			asked += size
+			if askers[random.IntN(routers)].Alone(after(int(at)), "t", size, limit, routers).Granted {
+				granted += size
+			}
+		}
+	}
+	allowed := limit.Rate * aloneShare * outage / 1000 * starts
+	t.Logf("granted %.2f of what is asked, %.2f of what is allowed", granted/asked, granted/allowed)
+	g.Expect(granted).To(BeNumerically("<=", allowed))
+	g.Expect(granted).To(BeNumerically(">", asked/3))
+}
+
+// A request that comes after a pause finds the allowance of that pause at most, so that
+// rare requests are not allowed for twice.
+func TestAllowanceAloneIsNotGivenTwice(t *testing.T) {
+	g := NewWithT(t)
+	const routers, size = 10, 1000.0
+	limit := Limit{Window: testWindow, Rate: 4000, Burst: 40000}
+	granted, plays, seconds := 0.0, 50, 60
+	for seed := range plays {
+		a := NewAsker("r", "z", rand.New(rand.NewPCG(9, uint64(seed))))
+		a.Heard(after(0))
+		for at := 100; at < seconds*1000; at += 2100 {
+			if a.Alone(after(at), "t", size, limit, routers).Granted {
+				granted += size
+			}
+		}
+	}
+	g.Expect(granted).To(BeNumerically("<=", limit.Rate*aloneShare/routers*float64(seconds*plays)))
+}
+
 // Parts that refuse tell what they granted, so that their sum shows whether the tenant had
 // room over all of them.
 func TestRefusalsTellWhatWasSpent(t *testing.T) {
