--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -58,6 +58,10 @@
 type Limit struct {
 	// MaxQueue is the longest time that it may be expected to queue, 0 for no bound.
 	MaxQueue time.Duration
+	// Unshared is what MaxQueue would be for a tenant at its fair share, and Excess how
+	// many times its share the tenant uses, 1 at or below it.
+	Unshared time.Duration
+	Excess   float64
 	// Yield is the part of its own bound that is left to it by more urgent requests.
 	Yield float64
 	// Returned is set for a request that comes back at the moment that it was told.
@@ -94,22 +98,31 @@
 
 // Limit returns the bound of a request at runners of the load.
 func (o *Order) Limit(now time.Time, demand Demand, load Load) Limit {
-	limit := Limit{MaxQueue: demand.MaxQueue, Yield: 1}
+	limit := Limit{MaxQueue: demand.MaxQueue, Unshared: demand.MaxQueue, Yield: 1, Excess: math.Max(demand.Excess, 1)}
 	if demand.MaxQueue <= 0 {
 		return limit
 	}
 	state := o.service(demand.Service)
-	if limit.Returned = state.returns.redeem(now, demand); limit.Returned {
+	limit.Returned = state.returns.redeem(now, demand)
+	if load.roomy() {
 		return limit
 	}
-	if load.roomy() || o.random.Float64() < floorShare {
-		return limit
+	if !limit.Returned && o.random.Float64() >= floorShare {
+		limit.Yield = state.yield(now, demand)
+		limit.Unshared = max(time.Duration(limit.Yield*float64(demand.MaxQueue)), time.Millisecond)
 	}
-	limit.Yield = state.yield(now, demand)
-	limit.MaxQueue = max(time.Duration(limit.Yield*float64(demand.MaxQueue)/math.Max(demand.Excess, 1)), time.Millisecond)
+	limit.MaxQueue = shared(limit.Unshared, demand)
 	return limit
 }
 
+// shared is the part of a bound that is left to a tenant beyond its fair share: the bound
+// divided by its excess, but not below the queue in which nobody of its rank is refused.
+// What is refused for less is refused for nobody's sake.
+func shared(bound time.Duration, demand Demand) time.Duration {
+	divided := time.Duration(float64(bound) / math.Max(demand.Excess, 1))
+	return min(max(divided, ShortestQueue(demand.Target, demand.Rank)), bound)
+}
+
 // yield is the part of its bound that the more urgent requests leave to the demand.
 func (s *serviceOrder) yield(now time.Time, demand Demand) float64 {
 	least := 1.0
--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -34,6 +34,9 @@
 	return send
 }
 
+// Tokens are the prompt tokens that the runner had to read before its first answer.
+func (s *Send) Tokens() int { return s.tokens }
+
 // Begin notes a request sent to the runner with the prompt tokens it has to read.
 func (s *Set) Begin(now time.Time, id string, tokens int) *Send {
 	e := s.entries[id]
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -70,6 +70,8 @@
 	// runner works on the call; nil when this router chose itself.
 	placing *placementAsk
 	placed  *placed
+	// forShare is set when the call was refused only as its tenant was beyond its fair share.
+	forShare bool
 	// paid is set while a repeat that was taken from the budget has reached nobody.
 	paid bool
 	// failure is the last failure that a runner answered with, kept for when
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,8 +99,9 @@
 	disturbance disturbance
 	// schedulers place requests for other routers, or this one's.
 	schedulers *schedulers
-	// limits keeps tenants to their limits.
+	// limits keeps tenants to their limits, and shares to their fair shares of short services.
 	limits *limits.Client
+	shares *shares
 	// cacheStores watches the stores of kept cache.
 	cacheStores *cacheStoreWatch
 	// caches reads what runners and stores keep, for all routers that ask.
@@ -139,7 +140,7 @@
 	g.metrics = newMetrics(g)
 	ports.RunnerPool.Opened, ports.RunnerPool.Silent = g.metrics.connections.Inc, g.metrics.silentConnections.Inc
 	ports.RunnerPool.SilentAfter = runnerSilence
-	g.schedulers = newSchedulers(g)
+	g.schedulers, g.shares = newSchedulers(g), newShares(g)
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -38,6 +38,7 @@
 	for _, told := range share.GetPromises() {
 		s.gateway.order.LearnPromise(now, promiseOf(told))
 	}
+	s.gateway.shares.merge(router, share)
 }
 
 // shareLoop tells the other schedulers what this one has placed, while it is one.
@@ -55,9 +56,10 @@
 		}
 		whole := round%wholeShares == 0
 		s.gateway.mutex.Lock()
-		loads := s.gateway.runners.ChangedLoads()
+		loads, uses := s.gateway.runners.ChangedLoads(), []*wire.PoolUse(nil)
 		if whole {
 			loads = s.gateway.runners.Loads()
+			uses = s.gateway.shares.uses(time.Now())
 		}
 		promises := s.gateway.order.TakePromises()
 		s.gateway.mutex.Unlock()
@@ -67,6 +69,7 @@
 		message := shareMessage(loads, whole)
 		message.Promises = promiseMessages(promises)
 		if whole {
+			message.Uses = uses
 			message.Routers = uint32(s.gateway.relays.countRouters())
 		}
 		s.share(message)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -57,10 +57,14 @@
 	// came back when they were told to.
 	yields  *prometheus.HistogramVec
 	returns *prometheus.CounterVec
+	// shareRefusals counts choices, so that it is one where requests are placed.
+	shareRefusals *prometheus.CounterVec
 
 	quotaDecisions *prometheus.CounterVec
-	quotaCalls     *prometheus.HistogramVec
-	quotaWaits     prometheus.Histogram
+	// quotaFalseRefusals counts refusals of tenants that had room.
+	quotaFalseRefusals prometheus.Counter
+	quotaCalls         *prometheus.HistogramVec
+	quotaWaits         prometheus.Histogram
 }
 
 const namespace = "clovertiller"
@@ -98,21 +102,26 @@
 		yields: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "bound_yield", Help: "Part of its longest queueing time that more urgent requests left to a call.", Buckets: yieldBuckets,
 		}, []string{"route"}),
-		returns: counters("returns_total", "Calls that came back at the moment that they were told, by whether they were let in.", "route", "outcome"),
+		returns:       counters("returns_total", "Calls that came back at the moment that they were told, by whether they were let in.", "route", "outcome"),
+		shareRefusals: counters("share_refusals_total", "Requests refused by this router's choice only as their tenant is beyond its fair share of the service.", "service"),
 
 		quotaDecisions: counters("quota_decisions_total", "Calls counted against their tenant's limit, by who decided.", "by", "outcome"),
-		quotaCalls:     seconds("quota_call_seconds", "Questions to routers that keep limits.", "outcome"),
+		quotaFalseRefusals: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "quota_refusals_below_limit_total", Help: "Calls refused for their tenant's limit by all keepers although their parts together had room.",
+		}),
+		quotaCalls: seconds("quota_call_seconds", "Questions to routers that keep limits.", "outcome"),
 		quotaWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "quota_wait_seconds", Help: "How long calls waited until their tenant's limit allowed them.", Buckets: quotaBuckets,
 		}),
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections, m.silentConnections,
-		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns,
-		m.quotaDecisions, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &serviceWork{gateway: g},
+		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
+		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.Tenants() }),
+		gauge("share_tenants", "Tenants of whose recent use of services this router keeps a sum.", func() float64 { return g.shares.tenants() }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
 		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
 		gauge("peer_connections_silent", "Connections to other routers closed since they answered nothing.", func() float64 { return g.relays.silentConnections() }),
@@ -281,5 +290,8 @@
 		outcome = "granted"
 	}
 	m.quotaDecisions.WithLabelValues(string(decision.By), outcome).Inc()
+	if decision.BelowLimit && !decision.Granted {
+		m.quotaFalseRefusals.Inc()
+	}
 	m.quotaWaits.Observe(waited.Seconds())
 }
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -16,23 +16,37 @@
 
 // decide chooses the runner of a request whose caller waits for the time left, or
 // refuses it. Schedulers decide so for others, and routers that choose themselves for
-// their own calls. The gateway's mutex is held.
-func (g *Gateway) decide(now time.Time, query backend.Query, left time.Duration) (placement.Pick, admission.Limit) {
+// their own calls. It also returns the bound that held, and whether the request was refused
+// only as its tenant is beyond its fair share. The gateway's mutex is held.
+func (g *Gateway) decide(now time.Time, query backend.Query, left time.Duration) (chosen placement.Pick, limit admission.Limit, forShare bool) {
+	return g.decideWith(now, query, left, g.shares.excess(now, query))
+}
+
+// decideWith decides about a request of a tenant with the excess.
+func (g *Gateway) decideWith(now time.Time, query backend.Query, left time.Duration, excess float64) (chosen placement.Pick, limit admission.Limit, forShare bool) {
 	request, candidates := g.runners.Candidates(now, query)
 	demand := admission.Demand{
-		Service: query.Service, Rank: query.Rank, Target: query.Target, MaxQueue: query.MaxQueue, Left: left, Excess: 1, Ticket: query.Ticket,
+		Service: query.Service, Rank: query.Rank, Target: query.Target, MaxQueue: query.MaxQueue, Left: left,
+		Excess: excess, Ticket: query.Ticket,
 	}
-	limit := g.order.Limit(now, demand, loadOf(candidates))
+	limit = g.order.Limit(now, demand, loadOf(candidates))
 	request.MaxWait = limit.MaxQueue
-	chosen := placement.Choose(request, candidates, placementWeights, g.random)
-	if chosen.Status != placement.NoRunner {
-		refused := chosen.Status == placement.Overloaded
-		after := g.order.Decided(now, demand, chosen.Queueing, refused, max(chosen.RetryAfter, busyRetryAfter))
-		if refused {
-			chosen.RetryAfter = after
-		}
+	chosen = placement.Choose(request, candidates, placementWeights, g.random)
+	if chosen.Status == placement.NoRunner {
+		return chosen, limit, false
+	}
+	refused := chosen.Status == placement.Overloaded
+	forShare = refused && chosen.Queueing <= limit.Unshared
+	g.shares.noteChoice(now, query, chosen, forShare)
+	after := g.order.Decided(now, demand, chosen.Queueing, refused, max(chosen.RetryAfter, busyRetryAfter))
+	switch {
+	case forShare:
+		// Before it would be refused again, and what is refused twice was told a wrong moment.
+		chosen.RetryAfter = max(chosen.RetryAfter, g.shares.fades(limit.Excess))
+	case refused:
+		chosen.RetryAfter = after
 	}
-	return chosen, limit
+	return chosen, limit, forShare
 }
 
 // loadOf sums up how full the runners are that stay.
@@ -55,7 +69,7 @@
 func limitOf(answer *wire.RunnerAnswer) admission.Limit {
 	return admission.Limit{
 		MaxQueue: time.Duration(answer.GetMaxQueueMillis()) * time.Millisecond,
-		Yield:    float64(answer.GetYieldPercent()) / percent, Returned: answer.GetReturned(),
+		Yield:    float64(answer.GetYieldPercent()) / percent, Returned: answer.GetReturned(), Excess: excessOf(answer),
 	}
 }
 
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -26,9 +26,10 @@
 	refused    bool
 	retryAfter time.Duration
 	// queueing is the time that the request is expected to queue, and limit the bound
-	// that held for it.
+	// that held for it. forShare is set when it was refused only for its tenant's share.
 	queueing time.Duration
 	limit    admission.Limit
+	forShare bool
 }
 
 // placementAsk is a question to a scheduler that is under way.
@@ -93,7 +94,7 @@
 	if answer.GetOverloaded() {
 		return &placed{
 			scheduler: scheduler, refused: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond,
-			queueing: queueing, limit: limit,
+			queueing: queueing, limit: limit, forShare: answer.GetForShare(),
 		}
 	}
 	if answer.GetRunner() == "" {
@@ -175,7 +176,8 @@
 	if choice == nil {
 		return placement.Pick{}, false
 	}
-	c.limit = choice.limit
+	g.shares.hear(now, c.query, choice.limit.Excess)
+	c.limit, c.forShare = choice.limit, choice.forShare
 	if choice.refused {
 		return placement.Pick{Status: placement.Overloaded, RetryAfter: choice.retryAfter, Queueing: choice.queueing}, true
 	}
--- a/internal/gateway/quotacall.go
+++ b/internal/gateway/quotacall.go
@@ -53,6 +53,7 @@
 	c.note(events.QuotaDecided, events.Fields{
 		"tenant": c.spending.Tenant, "amount": c.spending.Amount, "rate": c.spending.Limit.Rate, "burst": c.spending.Limit.Burst, "granted": decision.Granted,
 		"by": decision.By, "keeper": decision.Keeper, "left": int64(decision.Level), "waited_us": waited.Microseconds(),
+		"spent": int64(decision.Spent), "below_limit": decision.BelowLimit,
 	})
 	if decision.Granted {
 		return nil
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -19,6 +19,9 @@
 	busyRetryAfter = 250 * time.Millisecond
 )
 
+// reasonShare is the reason told to tenants beyond their fair share.
+const reasonShare = "the service is busy and the tenant is beyond its fair share of it"
+
 // refusal is a final answer of the router's own.
 type refusal struct {
 	status int
@@ -46,7 +49,8 @@
 	}
 	if r.limited {
 		fields["queue_ms"], fields["max_queue_ms"] = c.queueing.Milliseconds(), c.limit.MaxQueue.Milliseconds()
-		fields["yield_percent"], fields["returned"] = int(percent*c.limit.Yield), c.limit.Returned
+		fields["yield_percent"], fields["returned"], fields["excess"] = int(percent*c.limit.Yield), c.limit.Returned, c.limit.Excess
+		fields["service"] = c.service
 	}
 	if r.retryAfter > 0 {
 		fields["retry_after_ms"] = r.retryAfter.Milliseconds()
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -70,10 +70,11 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	left := time.Duration(ask.GetLeftMillis()) * time.Millisecond
-	chosen, limit := g.decide(now, query, left)
+	chosen, limit, forShare := g.decide(now, query, left)
 	answer := &wire.RunnerAnswer{
 		Zone: g.settings.Zone, QueueMillis: uint32(max(chosen.Queueing.Milliseconds(), 0)),
 		MaxQueueMillis: uint32(limit.MaxQueue.Milliseconds()), YieldPercent: uint32(percent * limit.Yield), Returned: limit.Returned,
+		ExcessPercent: excessMessage(limit.Excess), ForShare: forShare,
 	}
 	if chosen.Status == placement.Overloaded {
 		answer.Overloaded, answer.RetryAfterMillis = true, uint32(chosen.RetryAfter.Milliseconds())
@@ -127,6 +128,9 @@
 	defer s.gateway.mutex.Unlock()
 	s.ledger.LearnVersion(key, notice.GetWeights())
 	if notice.GetEnded() {
+		if query, tokens, found := s.ledger.Placed(key); found {
+			s.gateway.shares.refund(time.Now(), query, tokens, outcome)
+		}
 		s.ledger.End(time.Now(), key, outcome)
 		return
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -53,7 +53,11 @@
 		return backend.Runner{}, &refusal{status: http.StatusServiceUnavailable, reason: chosen.Status.String(), retryAfter: chosen.RetryAfter, limited: true}
 	}
 	if chosen.Status != placement.Picked {
-		return backend.Runner{}, unavailable(chosen.Status.String(), max(chosen.RetryAfter, busyRetryAfter))
+		reason := chosen.Status.String()
+		if c.forShare {
+			reason = reasonShare
+		}
+		return backend.Runner{}, unavailable(reason, max(chosen.RetryAfter, busyRetryAfter))
 	}
 	if c.request.Attempt() > 0 && !c.request.MayHaveRun() && slices.Contains(query.Excluded, chosen.Candidate.Name) {
 		g.schedulers.release(c.placed)
@@ -73,7 +77,7 @@
 	c.note(events.RequestSent, events.Fields{
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
-		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.Queueing.Milliseconds(),
+		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.Queueing.Milliseconds(), "excess": c.limit.Excess,
 		"directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
 	c.beginSend(now, runner, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
@@ -89,7 +93,7 @@
 		return chosen, choice.scheduler
 	}
 	g.metrics.choices.WithLabelValues(chosenHere).Inc()
-	chosen, c.limit = g.decide(now, c.query, c.deadline.Sub(now))
+	chosen, c.limit, c.forShare = g.decide(now, c.query, c.deadline.Sub(now))
 	return chosen, chosenHere
 }
 
@@ -203,6 +207,9 @@
 	g := c.gateway
 	g.mutex.Lock()
 	c.barWithdrawal()
+	if c.placed == nil && !c.continuing && g.shares.counts() {
+		g.shares.refund(time.Now(), c.query, c.open.Tokens(), outcome)
+	}
 	g.runners.End(time.Now(), c.open, outcome)
 	g.mutex.Unlock()
 	g.schedulers.notify(c.placed, true, outcome, c.answering)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -52,6 +52,7 @@
 		config: config, keeper: quota.NewKeeper(config.Started),
 		asker: quota.NewAsker(config.PeerAddress, config.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	c.asker.Heard(config.Started)
 	c.SetKeepers(config.Seeds)
 	return c
 }
@@ -94,6 +95,10 @@
 	By Decider
 	// Keeper is whose part was spent from, empty when none was.
 	Keeper string
+	// Spent is what the keepers that refused had granted within the window, and BelowLimit
+	// is set when all parts refused though the limit as a whole had room.
+	Spent      float64
+	BelowLimit bool
 }
 
 // Decide asks the keepers, the nearest first, until one grants the spending, all
@@ -106,6 +111,7 @@
 	}
 	c.mutex.Lock()
 	order, retryAfter := c.asker.Order(now, s.Tenant)
+	parts := c.asker.Parts()
 	hedge, reachable := c.asker.Keepers().Hedge(), c.asker.Keepers().Reachable(now)
 	c.mutex.Unlock()
 	earlier := Decision{By: ByEarlierRefusal, Answer: quota.Answer{RetryAfter: retryAfter}}
@@ -113,7 +119,7 @@
 		return earlier
 	}
 	if reachable {
-		if decision, answered := c.askInOrder(ctx, s, order, hedge, arrived); answered {
+		if decision, answered := c.askInOrder(ctx, s, order, parts, hedge, arrived); answered {
 			return decision
 		}
 	} else {
@@ -168,11 +174,11 @@
 // askInOrder asks the nearest keeper, the next one at once after a refusal, and all
 // that are left if there is no answer within the hedge. It returns false when nobody
 // has answered within another hedge.
-func (c *Client) askInOrder(ctx context.Context, s Spending, order []string, hedge time.Duration, arrived <-chan struct{}) (Decision, bool) {
+func (c *Client) askInOrder(ctx context.Context, s Spending, order []string, parts int, hedge time.Duration, arrived <-chan struct{}) (Decision, bool) {
 	a := &questions{client: c, spending: s, order: order, open: map[string]bool{}, answers: make(chan keeperAnswer), done: make(chan struct{})}
 	defer close(a.done)
 	var patience <-chan time.Time
-	best, refused := Decision{By: ByKeeper}, false
+	best, refused, refusals := Decision{By: ByKeeper}, false, 0
 	for a.ask(1); len(a.open) > 0; {
 		select {
 		case answer := <-a.answers:
@@ -180,6 +186,11 @@
 			if answer.Granted {
 				return Decision{Answer: answer.Answer, By: ByKeeper, Keeper: answer.keeper}, true
 			}
+			if !answer.silent {
+				refusals++
+				best.Spent += answer.Spent
+				best.BelowLimit = refusals == parts && s.Limit.Allows(best.Spent, s.Amount)
+			}
 			if !answer.silent && (!refused || answer.RetryAfter < best.RetryAfter) {
 				best.Answer, refused = answer.Answer, true
 			}
@@ -231,9 +242,10 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.asker.Heard(time.Now())
 	c.asker.Keepers().NoteAnswer(keeper, body.GetZone(), taken)
 	return c.note(keeper, s, quota.Answer{
-		Granted: body.GetGranted(), Level: body.GetLevel(),
+		Granted: body.GetGranted(), Level: body.GetLevel(), Spent: body.GetSpent(),
 		EmptyFor:   time.Duration(body.GetEmptyMicros()) * time.Microsecond,
 		RetryAfter: time.Duration(body.GetRetryAfterMicros()) * time.Microsecond,
 	}), true
@@ -288,7 +300,7 @@
 	}
 	answer := c.keeper.Ask(time.Now(), ask.GetTenant(), ask.GetAmount(), limit, c.asker.Parts())
 	return &wire.QuotaAnswer{
-		Granted: answer.Granted, Level: answer.Level, Zone: c.config.Zone,
+		Granted: answer.Granted, Level: answer.Level, Spent: answer.Spent, Zone: c.config.Zone,
 		EmptyMicros: uint64(answer.EmptyFor.Microseconds()), RetryAfterMicros: uint64(answer.RetryAfter.Microseconds()),
 	}
 }
