--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -144,7 +144,9 @@
 	t.add(now, of, tenant, sum{used: cost})
 }
 
-// Refuse counts a request of the tenant that was refused as the service is short.
+// Refuse counts a request of the tenant that was refused as the service is short: one that
+// any other tenant would have been refused as well. What is refused only for the tenant's
+// share does not show that the service is short.
 func (t *Tracker) Refuse(now time.Time, of Pool, tenant string, cost float64) {
 	t.add(now, of, tenant, sum{refused: cost})
 }
