Admission: half of the slots free keeps all bounds again

Cause: counting free slots only while nothing waits let bulk give way for nothing where engines are half free with short queues. Change: reverted to half of the slots free.

--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -41,18 +41,12 @@
 type Load struct {
 	// Open counts the requests at them, and Slots how many they work on at once.
 	Open, Slots int
-	// Queue is the mean time that a further request would queue at one of them.
-	Queue time.Duration
 }
 
-// nothingWaits is the longest mean queue that counts as none: about what one prompt of
-// some hundred tokens at each runner takes to be read.
-const nothingWaits = 10 * time.Millisecond
-
-// roomy tells whether half of the slots are free and nothing waits: then no request is
-// refused for the sake of another one. Free slots alone tell little, as engines may be
-// short of memory or busy reading long prompts.
-func (l Load) roomy() bool { return 2*l.Open <= l.Slots && l.Queue <= nothingWaits }
+// halfFree tells whether half of the slots are free or more: then no request is refused
+// for the sake of another one. Queues at such runners are short of memory or reading,
+// and pass soon, so that giving way would be for nothing.
+func (l Load) halfFree() bool { return 2*l.Open <= l.Slots }
 
 // Limit is the bound that holds for one request.
 type Limit struct {
@@ -102,7 +96,7 @@
 	if limit.Returned = state.returns.redeem(now, demand); limit.Returned {
 		return limit
 	}
-	if load.roomy() || o.random.Float64() < floorShare {
+	if load.halfFree() || o.random.Float64() < floorShare {
 		return limit
 	}
 	limit.Yield = state.yield(now, demand)
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -37,17 +37,13 @@
 
 // loadOf sums up how full the runners are that stay.
 func loadOf(candidates []placement.Candidate) admission.Load {
-	load, staying := admission.Load{}, 0
+	load := admission.Load{}
 	for _, candidate := range candidates {
-		if candidate.Leaving {
-			continue
+		if !candidate.Leaving {
+			load.Open += candidate.PendingRequests
+			load.Slots += candidate.Report.Load.MaxRunning
 		}
-		staying++
-		load.Open += candidate.PendingRequests
-		load.Slots += candidate.Report.Load.MaxRunning
-		load.Queue += time.Duration(float64(candidate.PendingTokens) / backend.PrefillRate * float64(time.Second))
 	}
-	load.Queue /= time.Duration(max(staying, 1))
 	return load
 }
 
