A choice of a runner allocates its candidates once

Cause: the list of candidates grew by copies, and keeping kinds apart added a list. Change: the list has room for all runners; the second list of homes grows only when used. Tests of internal/backend and internal/placement pass.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -74,7 +74,7 @@
 	zone := cmp.Or(query.Zone, s.zone)
 	s.cached.Expire(now)
 	kept := &keptByWeights{set: s, query: &query, known: map[uint64]keptParts{}}
-	var candidates []placement.Candidate
+	candidates := make([]placement.Candidate, 0, len(entries))
 	var slots slotCount
 	for _, e := range entries {
 		cost, usable := s.weightsCost(now, e, query)
@@ -113,7 +113,7 @@
 	if query.Family == 0 {
 		return ""
 	}
-	ids, others := make([]string, 0, len(entries)), make([]string, 0, len(entries))
+	ids, others := make([]string, 0, len(entries)), []string(nil)
 	for _, e := range entries {
 		switch {
 		case e.Draining || now.Before(e.asideUntil):
