--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -124,7 +124,7 @@
 	least := 1.0
 	for rank, p := range s.pressures {
 		if rank.presses(demand.Rank) {
-			least = min(least, p.leave(now, demand.Target))
+			least = min(least, p.yieldTo(now, demand.Target))
 		}
 	}
 	return least
--- a/internal/admission/pressure.go
+++ b/internal/admission/pressure.go
@@ -24,9 +24,15 @@
 	// half of the one at which its first requests are refused, as what was let in before
 	// goes on to be worked on while the others give way.
 	firstStrain = 0.2
-	// leastLeft is the shortest mean bound that a rank leaves to those behind it, as a
+	// minBoundShare is the shortest mean bound that a rank leaves to those behind it, as a
 	// share of its own target: half of the queue from which it is strained.
-	leastLeft = 0.1
+	minBoundShare = 0.1
+	// leastAsked is for how many recent requests a rank counts at least.
+	leastAsked = 5
+	// forgetTime is after which time without requests nothing is left of a pressure.
+	forgetTime = 5 * relaxTime
+	// minYield bounds what is left, so that it grows again within some seconds.
+	minYield = 0.05
 )
 
 // pressure is what the requests of one rank meet, and what they leave to those behind.
@@ -35,16 +41,16 @@
 	// count of them, both at the moment at.
 	strain, asked float64
 	at            time.Time
-	// left is the part of their bounds that is left to later ranks.
-	left float64
+	// yield is the part of their bounds that is left to later ranks.
+	yield float64
 	// target is that of the rank's last request.
 	target time.Duration
 }
 
-func newPressure(now time.Time) *pressure { return &pressure{at: now, left: 1} }
+func newPressure(now time.Time) *pressure { return &pressure{at: now, yield: 1} }
 
 // strainOf is how near a request of the rank is to being late by the queue that it
-// meets: 0 up to firstStrain of its target, 1 where all are refused.
+// meets: 0 up to firstStrain of its target, 1 from lastShed of it on.
 func strainOf(target, queue time.Duration) float64 {
 	if target <= 0 {
 		return 0
@@ -66,13 +72,10 @@
 // does not close the runners to others.
 func (p *pressure) share() float64 { return p.strain / math.Max(p.asked, leastAsked) }
 
-// leastAsked is for how many recent requests a rank counts at least.
-const leastAsked = 5
-
 // advance lets the time pass in steps in which the observations hardly fade.
 func (p *pressure) advance(now time.Time) {
 	if now.Sub(p.at) > forgetTime {
-		*p = pressure{at: now, left: 1, target: p.target}
+		*p = pressure{at: now, yield: 1, target: p.target}
 	}
 	for p.at.Before(now) {
 		step := min(now.Sub(p.at), pressureHalfLife/8)
@@ -89,23 +92,17 @@
 	if over < 0 {
 		rate = over / allowedPressure / relaxTime.Seconds()
 	}
-	p.left = min(max(p.left*math.Exp(-rate*seconds), smallestLeft), 1)
+	p.yield = min(max(p.yield*math.Exp(-rate*seconds), minYield), 1)
 	fade := math.Exp2(-seconds / pressureHalfLife.Seconds())
 	p.strain, p.asked = p.strain*fade, p.asked*fade
 }
 
-// forgetTime is after which time without requests nothing is left of a pressure.
-const forgetTime = 5 * relaxTime
-
-// smallestLeft bounds what is left, so that it grows again within some seconds.
-const smallestLeft = 0.05
-
-// leave is the part of its bound that a request of a later rank keeps.
-func (p *pressure) leave(now time.Time, target time.Duration) float64 {
+// yieldTo is the part of its bound that a request of a later rank keeps.
+func (p *pressure) yieldTo(now time.Time, target time.Duration) float64 {
 	p.advance(now)
-	if p.left >= 1 || target <= 0 {
+	if p.yield >= 1 || target <= 0 {
 		return 1
 	}
 	usual := (firstShed + lastShed) / 2 * float64(target)
-	return max(p.left, min(leastLeft*float64(p.target)/usual, 1))
+	return max(p.yield, min(minBoundShare*float64(p.target)/usual, 1))
 }
--- a/internal/backend/readspeed.go
+++ b/internal/backend/readspeed.go
@@ -16,9 +16,9 @@
 	// speedOutlier is how many times the mean deviation a first answer may differ from
 	// the expected one: later ones show a fetch, a wait or a fault and not the reading.
 	speedOutlier = 4.0
-	// minSpeedSpread is the least spread of the prompts, in tokens, from which a speed
+	// minTokenDeviation is the least spread of the prompts, in tokens, from which a speed
 	// can be told apart from the constant part of the time.
-	minSpeedSpread = 500.0
+	minTokenDeviation = 500.0
 )
 
 // readSpeed learns how long runners of a service take from a request that waits for
@@ -26,38 +26,37 @@
 // seconds.
 type readSpeed struct {
 	samples int
-	// tokens and taken are means, spread the variance of the tokens, joint the
-	// covariance of both, and deviation the mean of how far off the estimates were.
-	tokens, taken, spread, joint float64
-	deviation                    float64
+	// meanTokens and meanSeconds are running means, variance that of the tokens, covariance
+	// that of both, and meanError the mean distance of the estimates.
+	meanTokens, meanSeconds, variance, covariance, meanError float64
 }
 
 // note takes a first answer that waited for nobody.
 func (r *readSpeed) note(tokens int, taken time.Duration) {
 	x, y := float64(tokens), taken.Seconds()
 	off := max(y-r.expected(x), r.expected(x)-y)
-	if r.samples >= speedSamples && off > speedOutlier*r.deviation {
+	if r.samples >= speedSamples && off > speedOutlier*r.meanError {
 		// What is an outlier is itself learned, so that a lasting change is followed.
-		r.deviation += speedWeight * speedOutlier * r.deviation
+		r.meanError += speedWeight * speedOutlier * r.meanError
 		return
 	}
 	r.samples++
 	weight := max(speedWeight, 1/float64(r.samples))
-	dx, dy := x-r.tokens, y-r.taken
-	r.tokens += weight * dx
-	r.taken += weight * dy
-	r.spread = (1 - weight) * (r.spread + weight*dx*dx)
-	r.joint = (1 - weight) * (r.joint + weight*dx*dy)
-	r.deviation += weight * (off - r.deviation)
+	dx, dy := x-r.meanTokens, y-r.meanSeconds
+	r.meanTokens += weight * dx
+	r.meanSeconds += weight * dy
+	r.variance = (1 - weight) * (r.variance + weight*dx*dx)
+	r.covariance = (1 - weight) * (r.covariance + weight*dx*dy)
+	r.meanError += weight * (off - r.meanError)
 }
 
 // perToken is the time that a token takes to be read, in seconds.
 func (r *readSpeed) perToken() float64 {
 	const assumed = 1.0 / PrefillRate
-	if r == nil || r.samples < speedSamples || r.spread < minSpeedSpread*minSpeedSpread {
+	if r == nil || r.samples < speedSamples || r.variance < minTokenDeviation*minTokenDeviation {
 		return assumed
 	}
-	return min(max(r.joint/r.spread, assumed/speedRange), assumed*speedRange)
+	return min(max(r.covariance/r.variance, assumed/speedRange), assumed*speedRange)
 }
 
 // constant is the part of the time that does not depend on the prompt, in seconds.
@@ -65,7 +64,7 @@
 	if r == nil || r.samples < speedSamples {
 		return 0
 	}
-	return max(r.taken-r.perToken()*r.tokens, 0)
+	return max(r.meanSeconds-r.perToken()*r.meanTokens, 0)
 }
 
 func (r *readSpeed) expected(tokens float64) float64 { return r.constant() + r.perToken()*tokens }
