--- a/internal/admission/shedding.go
+++ b/internal/admission/shedding.go
@@ -27,6 +27,11 @@
 	Tier, Route int
 }
 
+// share is the part that requests of the rank get of the queueing time of the first one.
+func (r Rank) share() float64 {
+	return math.Pow(tierShare, float64(r.Tier)) * math.Pow(routeShare, float64(r.Route))
+}
+
 // LongestQueue draws the longest time that a request may be expected to queue at a
 // runner and still be sent there; what would queue for longer is refused at once. The
 // target is the time within which an answer is on time, 0 for none, which bounds
@@ -38,6 +43,6 @@
 // turn, and starves whoever has the lowest one.
 func LongestQueue(target time.Duration, rank Rank, random *rand.Rand) time.Duration {
 	share := firstShed + (lastShed-firstShed)*random.Float64()
-	share *= math.Pow(tierShare, float64(rank.Tier)) * math.Pow(routeShare, float64(rank.Route))
+	share *= rank.share()
 	return time.Duration(share * float64(target))
 }
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -60,8 +60,6 @@
 	Tenant string
 	// MaxTokens is the most that the request generates, 0 when not told.
 	MaxTokens int
-	// Admitted requests were let in before, and are not refused for the sake of others.
-	Admitted bool
 	// Ticket names the request if it is refused and comes back, 0 when it has no name.
 	Ticket uint64
 }
--- a/internal/backend/waits.go
+++ b/internal/backend/waits.go
@@ -22,7 +22,7 @@
 
 // measuredWait is the wait that own requests met before their first answers.
 func (e *entry) measuredWait(now time.Time) time.Duration {
-	return time.Duration(decayed(float64(e.wait), now.Sub(e.waitAt), waitHalfLife))
+	return decayedTime(e.wait, now.Sub(e.waitAt))
 }
 
 // currentQueueing is currentWait by the learned speed of reading.
--- a/internal/gateway/callquery.go
+++ b/internal/gateway/callquery.go
@@ -19,7 +19,7 @@
 	}
 	if c.request.Attempt() > 0 {
 		// What has been let in is not turned away at its second attempt.
-		query.MaxQueue, query.Admitted = 0, true
+		query.MaxQueue = 0
 	}
 	if !c.route.Cached {
 		return query
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -108,7 +108,7 @@
 		Target:   time.Duration(ask.GetTargetMillis()) * time.Millisecond,
 		EventGap: time.Duration(ask.GetGapMillis()) * time.Millisecond,
 		Rank:     admission.Rank{Tier: int(ask.GetTier()), Route: int(ask.GetRouteRank())},
-		Tenant:   ask.GetTenant(), MaxTokens: int(ask.GetMaxTokens()), Admitted: ask.GetAdmitted(),
+		Tenant:   ask.GetTenant(), MaxTokens: int(ask.GetMaxTokens()),
 		Ticket: ask.GetTicket(),
 	}
 	for i, part := range ask.GetParts() {
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -79,21 +79,16 @@
 	s.told[key] = toldExcess{excess: excess, at: now}
 }
 
-// noteChoice counts what became of a choice, but for refusals for a share: these do not
-// show that the service is short.
+// fades is the time in which the use of a tenant with the excess falls to its share.
+func (s *shares) fades(excess float64) time.Duration { return s.tracker.Fades(excess) }
+
+// noteChoice counts what became of a choice, if this router places requests for all, but for
+// refusals for a share: these do not show that the service is short.
 func (s *shares) noteChoice(now time.Time, query backend.Query, chosen placement.Pick, forShare bool) {
 	if forShare {
 		s.gateway.metrics.shareRefusals.WithLabelValues(query.Service).Inc()
 		return
 	}
-	s.count(now, query, chosen)
-}
-
-// fades is the time in which the use of a tenant with the excess falls to its share.
-func (s *shares) fades(excess float64) time.Duration { return s.tracker.Fades(excess) }
-
-// count notes what became of a choice, if this router places requests for all.
-func (s *shares) count(now time.Time, query backend.Query, chosen placement.Pick) {
 	if !s.counts() {
 		return
 	}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -93,7 +93,7 @@
 	chosen, _, _ = idle.decideWith(now, query("hot"), time.Minute, beyond)
 	e.Expect(chosen.Status).To(Equal(placement.Picked), "nothing is refused where nothing queues")
 	admitted := query("hot")
-	admitted.MaxQueue, admitted.Admitted = 0, true
+	admitted.MaxQueue = 0
 	chosen, _, _ = g.decideWith(now, admitted, time.Minute, beyond)
 	e.Expect(chosen.Status).To(Equal(placement.Picked), "what was let in is not refused")
 }
