--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // decision is one line of a call's log that has not been written yet.
@@ -37,19 +38,44 @@
 	if c.stream != nil {
 		pause = c.stream.worstPause
 	}
-	late := exceeds(first, c.route.Target) || exceeds(pause, c.route.EventGap)
+	late := lateBy(first, pause, c.route)
 	c.gateway.metrics.ended(c.route, c.service, outcome, now.Sub(c.arrived))
-	if outcome != outcomeComplete || late || c.request.Attempt() > 1 {
+	if outcome != outcomeComplete || late != "" || c.request.Attempt() > 1 {
 		c.logDecisions()
 	}
 	c.gateway.log.Log(events.RequestEnded, events.Fields{
 		"request": c.facts.ID, "route": c.route.Name, "service": c.service, "runner": c.runner.ID,
-		"outcome": outcome, "late": late, "attempts": c.request.Attempt(), "first_ms": first.Milliseconds(), "pause_ms": pause.Milliseconds(), "ms": now.Sub(c.arrived).Milliseconds(),
+		"tenant": c.tenantName(), "outcome": outcome, "late": late != "", "late_by": late, "attempts": c.request.Attempt(), "first_ms": first.Milliseconds(), "pause_ms": pause.Milliseconds(), "ms": now.Sub(c.arrived).Milliseconds(),
 		"prompt_tokens": c.query.PromptTokens, "fetched": c.fetched,
 		"config": c.view.table.Version, "config_age_ms": c.arrived.Sub(c.view.provenAt).Milliseconds(),
 	})
 }
 
+// What made an answer late.
+const (
+	lateFirstEvent = "first event"
+	latePause      = "pause"
+)
+
+// lateBy tells what made the answer late, "" for one in time.
+func lateBy(first, pause time.Duration, route *routing.Route) string {
+	switch {
+	case exceeds(first, route.Target):
+		return lateFirstEvent
+	case exceeds(pause, route.EventGap):
+		return latePause
+	}
+	return ""
+}
+
+// tenantName is empty for calls without a tenant.
+func (c *call) tenantName() string {
+	if c.tenant == nil {
+		return ""
+	}
+	return c.tenant.Name
+}
+
 // exceeds tells whether a time is over its aim, if there is one.
 func exceeds(taken, aim time.Duration) bool { return aim > 0 && taken > aim }
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -37,7 +37,7 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	fields := events.Fields{"request": c.facts.ID, "route": route, "status": r.status, "reason": r.reason, "ms": time.Since(c.arrived).Milliseconds()}
+	fields := events.Fields{"request": c.facts.ID, "route": route, "tenant": c.tenantName(), "status": r.status, "reason": r.reason, "ms": time.Since(c.arrived).Milliseconds()}
 	if c.view != nil {
 		fields["config"] = c.view.table.Version
 		fields["config_age_ms"] = c.arrived.Sub(c.view.provenAt).Milliseconds()
