Sight: requests are named by what they ask, and ended runners are told from lost connections

Cause: nothing in the logs connected two requests of the same content, and a broken answer looked the same whether the runner had ended or a connection was lost, so the hypotheses on requests that end their runners could not be told apart.

Change: 510, 512 and 513 carry the hash of tenant, host, path and body. After an answer that broke off the runner is asked on a new connection whether that start of it still runs; if it has ended, 520 names the contents that were at work on it. runner_checks_total counts the questions by answer, runner_end_runs the requests that were there. Nothing is decided by either.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -53,6 +53,7 @@
 	QuotaDecided       = define(517, logrus.InfoLevel, "request counted against its tenant's limit")
 	PlacementDeclined  = define(518, logrus.InfoLevel, "scheduler's choice of a runner is not usable")
 	SendNotConfirmed   = define(519, logrus.InfoLevel, "request not sent: its runner may not begin it any more")
+	RunnerFoundEnded   = define(520, logrus.WarnLevel, "runner ended with requests at work on it")
 	ClaimsServing      = define(600, logrus.InfoLevel, "serving claims of an assignment")
 	ClaimsRetired      = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed = define(602, logrus.InfoLevel, "claim assignment written")
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
 // wholeAnswer is the longest body that is read whole before it is passed on.
@@ -43,13 +44,13 @@
 	c.firstAnswer()
 	body, more, err := response.Body.ReadAll(wholeAnswer)
 	if err != nil {
-		return c.spoilt("answer broke off: " + err.Error())
+		return c.spoilt(quarantine.Broken, "answer broke off: "+err.Error())
 	}
 	answer := &heldAnswer{status: response.Status, header: response.Header, body: body}
 	if response.Status >= http.StatusInternalServerError || isPromise(response.Status) {
 		return c.runnerFailed(answer)
 	}
-	c.end(backend.Answered, "", response.Status)
+	c.end(backend.Answered, quarantine.Outlived, "", response.Status)
 	c.request.Accept()
 	c.request.Finish(c.request.Attempt(), 0)
 	if more {
@@ -68,7 +69,7 @@
 
 // runnerFailed takes a runner's own failure.
 func (c *call) runnerFailed(answer *heldAnswer) attempt.Next {
-	c.end(backend.Failed, "runner's failure", answer.status)
+	c.end(backend.Failed, quarantine.Outlived, "runner's failure", answer.status)
 	if answer.status != http.StatusServiceUnavailable && !isPromise(answer.status) {
 		c.failure = answer
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/limits"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -85,6 +86,10 @@
 	// are not withdrawn.
 	sendCtx context.Context
 	unbegun *unbegunSend
+	// content names what is asked, once the body is here, and run is the send as one of
+	// the runs at its runner.
+	content quarantine.Content
+	run     *quarantine.Run
 	// query is what the runner was chosen by.
 	query backend.Query
 	// fetched says from what kind of source the runner fetches what it lacks.
@@ -144,6 +149,7 @@
 		c.refuse(refusal)
 		return
 	}
+	c.content = quarantine.ContentOf(c.tenantName(), request.Host, target(request), c.body)
 	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -153,7 +159,7 @@
 		return
 	}
 	_ = c.control.SetWriteDeadline(c.deadline.Add(answerSlack))
-	c.run()
+	c.serve()
 }
 
 // path returns the path of the request line, unchanged.
@@ -248,8 +254,8 @@
 	return nil, false
 }
 
-// run sends the call to runners until one has answered it or nothing is left to try.
-func (c *call) run() {
+// serve sends the call to runners until one has answered it or nothing is left to try.
+func (c *call) serve() {
 	next := attempt.Dispatch
 	for next == attempt.Dispatch {
 		runner, refusal := c.pick()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,8 @@
 	// limits keeps tenants to their limits, and shares to their fair shares of short services.
 	limits *limits.Client
 	shares *shares
+	// ends finds out which runners have ended, and under which requests.
+	ends *runnerEnds
 	// cacheStores watches the stores of kept cache.
 	cacheStores *cacheStoreWatch
 	// caches reads what runners and stores keep, for all routers that ask.
@@ -141,6 +143,7 @@
 	ports.RunnerPool.Opened, ports.RunnerPool.Silent = g.metrics.connections.Inc, g.metrics.silentConnections.Inc
 	ports.RunnerPool.SilentAfter = runnerSilence
 	g.schedulers, g.shares = newSchedulers(g), newShares(g)
+	g.ends = newRunnerEnds(g)
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
@@ -184,6 +187,7 @@
 	for g.pause(sweepInterval) {
 		g.ports.RunnerPool.Sweep(time.Now())
 		g.noteStale(time.Now())
+		g.ends.sweep(time.Now())
 		if dropped := g.droppedLines(); dropped > reported {
 			g.log.Log(events.LinesDropped, events.Fields{"lines": dropped - reported, "total": dropped})
 			reported = dropped
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,9 @@
 // quotaBuckets are in seconds, around the times of one and two round trips.
 var quotaBuckets = []float64{.0002, .0005, .001, .002, .003, .005, .01, .02, .05, .1}
 
+// runBuckets are numbers of requests at one runner, up to the slots of the largest seen.
+var runBuckets = []float64{0, 1, 2, 4, 8, 16, 32, 64}
+
 // metrics are the gateway's measurements. No label holds a tenant or a request;
 // routes that carry calls, services, kinds and outcomes are few.
 type metrics struct {
@@ -35,7 +38,11 @@
 	runnerFailures *prometheus.CounterVec
 	placements     *prometheus.CounterVec
 	promptTokens   *prometheus.CounterVec
-	connections    prometheus.Counter
+	// runnerChecks counts questions whether a runner still runs, and runnerEndRuns tells the
+	// requests that were at work on one that had ended.
+	runnerChecks  *prometheus.CounterVec
+	runnerEndRuns *prometheus.HistogramVec
+	connections   prometheus.Counter
 	// silentConnections counts kept connections to runners that were closed unused.
 	silentConnections prometheus.Counter
 
@@ -81,6 +88,10 @@
 		runnerFailures: counters("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
 		placements:     counters("placements_total", "Prompts placed, by whether the runner is expected to keep their shared parts.", "service", "kept"),
 		promptTokens:   counters("prompt_tokens_total", "Prompt tokens placed, by whether the runner is expected to keep them.", "service", "kept"),
+		runnerChecks:   counters("runner_checks_total", "Questions, after an answer that broke off, whether its runner still runs, by answer.", "service", "outcome"),
+		runnerEndRuns: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "runner_end_runs", Help: "Requests of this router that were at work on a runner that was found to have ended.", Buckets: runBuckets,
+		}, []string{"service"}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runner_connections_total", Help: "Connections opened to runners.",
 		}),
@@ -115,7 +126,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.connections, m.silentConnections,
+		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.connections, m.silentConnections,
 		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -254,8 +254,28 @@
 	CacheChanges(ctx context.Context, address, runner string, after CachePosition, wait time.Duration) (CacheChanges, error)
 }
 
+// RunnerLiveness is whether one start of a runner still runs.
+type RunnerLiveness uint8
+
+// The answers to whether a runner runs.
+const (
+	// RunnerUnknown means that nothing answered, or not in a way that tells.
+	RunnerUnknown RunnerLiveness = iota
+	// RunnerRuns means its own word.
+	RunnerRuns
+	// RunnerEnded means that nobody listens at its address, or another runner or start of it.
+	RunnerEnded
+)
+
+// String returns the answer's name.
+func (l RunnerLiveness) String() string {
+	return [...]string{"unknown", "runs", "ended"}[l]
+}
+
 // RunnerControl reads and orders runners.
 type RunnerControl interface {
+	// Liveness asks, on a new connection, whether this start of the runner still runs.
+	Liveness(ctx context.Context, runner backend.Runner) RunnerLiveness
 	Report(ctx context.Context, runner backend.Runner) (RunnerReport, error)
 	Order(ctx context.Context, runner backend.Runner, order WeightOrder) (OrderOutcome, error)
 	// CacheStoreAnswers tells whether a store of kept cache answers at all.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -46,7 +46,7 @@
 	c.gateway.log.Log(events.RequestEnded, events.Fields{
 		"request": c.facts.ID, "route": c.route.Name, "service": c.service, "runner": c.runner.ID,
 		"tenant": c.tenantName(), "outcome": outcome, "late": late != "", "late_by": late, "attempts": c.request.Attempt(), "first_ms": first.Milliseconds(), "pause_ms": pause.Milliseconds(), "ms": now.Sub(c.arrived).Milliseconds(),
-		"prompt_tokens": c.query.PromptTokens, "fetched": c.fetched,
+		"prompt_tokens": c.query.PromptTokens, "fetched": c.fetched, "content": c.content.String(),
 		"config": c.view.table.Version, "config_age_ms": c.arrived.Sub(c.view.provenAt).Milliseconds(),
 	})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -11,6 +11,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/placement"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -71,7 +72,7 @@
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.Queueing.Milliseconds(), "excess": c.limit.Excess,
-		"directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
+		"content": c.content.String(), "directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
 	c.beginSend(now, runner, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
 	c.pickBackup(now, runner)
@@ -126,18 +127,18 @@
 		// The body is short; reading it keeps the connection.
 		_, _, _ = response.Body.ReadAll(wholeAnswer)
 		if news {
-			c.end(backend.Abandoned, "weights are newer than known", response.Status)
+			c.end(backend.Abandoned, quarantine.NotRun, "weights are newer than known", response.Status)
 			return c.request.RejectStale()
 		}
-		c.end(backend.Refused, "refused", response.Status)
+		c.end(backend.Refused, quarantine.NotRun, "refused", response.Status)
 		return c.request.Reject()
 	case !answer.Stamped || answer.Encoded:
-		return c.spoilt("not a runner's answer")
+		return c.spoilt(quarantine.Unclear, "not a runner's answer")
 	case c.route.Kind == routing.Streaming && isSuccess(response.Status):
 		return c.relay(response)
 	case c.stream != nil:
 		// The head of the first runner stands; a failure cannot follow it.
-		return c.spoilt("failure instead of the rest of a stream")
+		return c.spoilt(quarantine.Unclear, "failure instead of the rest of a stream")
 	}
 	return c.passOn(response)
 }
@@ -195,22 +196,26 @@
 	return c.gateway.runners.LearnVersion(c.runner.ID, c.facts.Model, version)
 }
 
-// end notes the outcome of the current attempt.
-func (c *call) end(outcome backend.Outcome, cause string, status int) {
-	c.endSend(outcome)
+// end notes the outcome of the current attempt, and how its run ended.
+func (c *call) end(outcome backend.Outcome, run quarantine.RunEnd, cause string, status int) {
+	c.endSend(outcome, run)
 	if outcome == backend.Answered {
 		return
 	}
 	c.gateway.metrics.runnerFailures.WithLabelValues(c.service, outcome.String()).Inc()
 	c.note(events.RequestAnswerBad, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
-		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": time.Since(c.sent).Milliseconds(),
+		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": time.Since(c.sent).Milliseconds(), "content": c.content.String(),
 	})
 }
 
 // endSend tells those who count the current attempt how it ended.
-func (c *call) endSend(outcome backend.Outcome) {
+func (c *call) endSend(outcome backend.Outcome, run quarantine.RunEnd) {
 	g := c.gateway
+	g.ends.end(time.Now(), c.run, run)
+	if run == quarantine.Broken {
+		g.ends.check(c.runner)
+	}
 	g.mutex.Lock()
 	c.barWithdrawal()
 	if c.placed == nil && !c.continuing && g.shares.counts() {
@@ -254,16 +259,16 @@
 		return c.endWithdrawn(errors.Is(err, httpconn.ErrNotSent))
 	}
 	if errors.Is(err, httpconn.ErrNotSent) {
-		c.end(backend.Unreachable, err.Error(), 0)
+		c.end(backend.Unreachable, quarantine.NotRun, err.Error(), 0)
 		return c.request.NotSent()
 	}
-	c.end(backend.Unreachable, err.Error(), 0)
+	c.end(backend.Unreachable, quarantine.Broken, err.Error(), 0)
 	return c.lost()
 }
 
 // notConfirmed takes a send that mayBegin stopped. It is no evidence about the runner.
 func (c *call) notConfirmed() attempt.Next {
-	c.endSend(backend.NotConfirmed)
+	c.endSend(backend.NotConfirmed, quarantine.NotRun)
 	c.note(events.SendNotConfirmed, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
 		"weights": c.weights, "after_ms": time.Since(c.sent).Milliseconds(),
@@ -273,7 +278,7 @@
 
 // outOfTime ends the call because its caller left or its time is up.
 func (c *call) outOfTime(notSent bool) attempt.Next {
-	c.end(backend.Abandoned, "caller left or time is up", 0)
+	c.end(backend.Abandoned, quarantine.Left, "caller left or time is up", 0)
 	if notSent {
 		c.request.NotSent()
 	}
@@ -281,15 +286,15 @@
 	return attempt.Stop
 }
 
-// spoilt takes an answer that is not one.
-func (c *call) spoilt(cause string) attempt.Next {
+// spoilt takes an answer that is not one, or not a whole one.
+func (c *call) spoilt(run quarantine.RunEnd, cause string) attempt.Next {
 	if c.ctx.Err() != nil {
 		return c.outOfTime(false)
 	}
 	if c.withdrawn() {
 		return c.endWithdrawn(false)
 	}
-	c.end(backend.Failed, cause, 0)
+	c.end(backend.Failed, run, cause, 0)
 	return c.lost()
 }
 
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -7,6 +7,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -26,6 +27,7 @@
 func (c *call) beginSend(now time.Time, runner backend.Runner, tokens int) {
 	g := c.gateway
 	c.open = g.runners.BeginQuery(now, runner.ID, tokens, c.query)
+	c.run = g.ends.begin(now, runner, c.content)
 	c.sendCtx, c.unbegun = c.ctx, nil
 	if !c.beginIsSeen() {
 		return
@@ -79,7 +81,7 @@
 // endWithdrawn takes a send whose connection was ended before the runner was seen to
 // begin: it may have begun all the same.
 func (c *call) endWithdrawn(notSent bool) attempt.Next {
-	c.end(backend.Abandoned, errWithdrawn.Error(), 0)
+	c.end(backend.Abandoned, quarantine.Left, errWithdrawn.Error(), 0)
 	if notSent {
 		return c.request.NotSent()
 	}
