--- a/internal/lab/runnerstand/answers.go
+++ b/internal/lab/runnerstand/answers.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -20,6 +21,8 @@
 	fmt.Fprint(writer, text)
 }
 
+func eventText(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
 // stream sends events after the one that the caller has; BreaksOff ends it in
 // the middle of the second event it sends.
 func (r *Runner) stream(writer http.ResponseWriter, request *http.Request, behaviour Behaviour) {
@@ -32,7 +35,8 @@
 	writer.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(writer)
 	for id := first + 1; id <= r.Events; id++ {
-		event := fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+		time.Sleep(r.EventTime)
+		event := eventText(id)
 		if behaviour == BreaksOff && id == first+2 {
 			fmt.Fprint(writer, strings.TrimSuffix(event, "iece "+strconv.Itoa(id)+"\n\n"))
 			_ = control.Flush()
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -70,6 +70,10 @@
 	// Events is the length of its streams.
 	Events int
 	Delay  time.Duration
+	// EventTime is how long the runner takes for each event.
+	EventTime time.Duration
+	// Poison is what ends the runner.
+	Poison Poison
 	// Peer finds the runner at an address, to which copies of runs are sent.
 	Peer func(address string) *Runner
 }
@@ -309,6 +313,9 @@
 	}
 	behaviour, run := r.take(request, body, arrived)
 	defer close(run.Ended)
+	if r.Poison.isIn(body) {
+		r.endUnder(writer, run)
+	}
 	if behaviour == Queues && !r.begin(request, run) {
 		return
 	}
