--- a/internal/quarantine/work.go
+++ b/internal/quarantine/work.go
@@ -20,13 +20,14 @@
 const (
 	// NotRun means that the request was not sent, or the runner said that it did not run it.
 	NotRun RunEnd = iota
-	// Outlived means that the runner has answered to the end, well or not.
+	// Outlived means that the runner has answered well, to the end.
 	Outlived
 	// Broken means that the connection to the runner ended before the answer did.
 	Broken
 	// Left means that the router ended the connection: the caller left or the time was up.
 	Left
-	// Unclear means that something else came in place of the answer.
+	// Unclear means that the runner failed, which it may do before it runs anything, or that
+	// something else came in place of the answer.
 	Unclear
 )
 
@@ -117,6 +118,16 @@
 	return ended
 }
 
+// Open tells whether a run of the content is open.
+func (w *Work) Open(content Content) bool {
+	for _, runs := range w.runs {
+		if slices.ContainsFunc(runs, func(run *Run) bool { return run.isOpen() && run.Content == content }) {
+			return true
+		}
+	}
+	return false
+}
+
 // Sweep forgets runs that are over, and runners that ended long ago.
 func (w *Work) Sweep(now time.Time) {
 	maps.DeleteFunc(w.ended, func(_ Runner, at time.Time) bool { return now.Sub(at) >= endedTime })
