Requests of one suspected content go together, and apart from other suspected ones

Cause: prompts of one family go to one runner, so that contents that were at work on a runner that ended meet again at the next, and its end shows nothing new; many callers of one content each end a runner of their own.

Change: a query may name a suspected content. Runners that work on another such content are left to the last, the one that works on the same is preferred while half of its slots are free, and of the others the one with the fewest requests; all other requests prefer runners without. Loads name the contents.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -62,6 +62,8 @@
 	MaxTokens int
 	// Ticket names the request if it is refused and comes back, 0 when it has no name.
 	Ticket uint64
+	// Suspect names the content of a request that may end its runner, 0 for any other.
+	Suspect uint64
 }
 
 // Candidates returns the service's runners with their costs, for placement.
@@ -98,7 +100,7 @@
 			PendingRequests: e.inFlight + other.Requests,
 			ExtraTokens:     cost + s.evidenceCost(now, e, zone) + speed.tokensIn(slowness),
 			Pauses:          e.pauses(other),
-			ApartTokens:     split.cost(e),
+			ApartTokens:     split.cost(e) + e.suspectCost(query, other),
 		})
 	}
 	if query.EventGap > 0 {
--- a/internal/backend/evidence.go
+++ b/internal/backend/evidence.go
@@ -17,6 +17,8 @@
 	// long tells that its prompt is a long read.
 	gap  time.Duration
 	long bool
+	// suspect names its content if that may end the runner, 0 for any other.
+	suspect uint64
 	// alone tells that its runner had nothing to read when it was sent.
 	alone bool
 }
@@ -31,6 +33,10 @@
 	if send.long {
 		s.noteLongRead(now, query.Service, tokens)
 	}
+	if e := s.listed(send); e != nil {
+		send.suspect = query.Suspect
+		e.suspects = e.suspects.begin(query.Suspect)
+	}
 	return send
 }
 
@@ -75,6 +81,7 @@
 		s.changed[send.runner] = true
 		e.inFlight = max(e.inFlight-1, 0)
 		e.closeStream(send)
+		e.suspects.end(send.suspect)
 	}
 	return e
 }
--- a/internal/backend/loads.go
+++ b/internal/backend/loads.go
@@ -11,6 +11,8 @@
 	// of the pauses that they allow.
 	Streams int
 	Gaps    time.Duration
+	// Suspects name the contents of requests there that may end the runner.
+	Suspects []uint64
 }
 
 // otherLoadTime is how long the loads that another router told of count: it tells of
@@ -25,7 +27,7 @@
 
 // load is the work that this router has placed on the runner.
 func (e *entry) load() Load {
-	return Load{Tokens: e.pendingTokens, Requests: e.inFlight, Streams: e.streams.count, Gaps: e.streams.gaps}
+	return Load{Tokens: e.pendingTokens, Requests: e.inFlight, Streams: e.streams.count, Gaps: e.streams.gaps, Suspects: e.suspects.names()}
 }
 
 // Loads returns the work on each runner that this router has placed, runners
@@ -75,6 +77,7 @@
 			sum.Requests += load.Requests
 			sum.Streams += load.Streams
 			sum.Gaps += load.Gaps
+			sum.Suspects = append(sum.Suspects, load.Suspects...)
 		}
 	}
 	return sum
--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -81,6 +81,8 @@
 	progressAt time.Time
 	// streams are own requests whose events have begun and which allow no long pauses.
 	streams openStreams
+	// suspects are own requests whose contents may end the runner.
+	suspects suspectRuns
 	// speed is the learned reading speed of its service, nil until it is needed.
 	speed *readSpeed
 	// splitKey is a hash of the id, 0 until it is needed.
