Requests that end the runners that run them are not sent any more

Cause: all that a router knew of a request ended with it. The same content, asked again, was a new request to the next router and went to the next runner.

Mend: routers name a request by tenant, host, path and body, find out whether a runner whose answer broke off has ended, and tell the seeds under which contents. Seeds push the records to all routers and pulls repair them; each router judges by the same records before each send, again right before its first byte. A quarantined request gets 503 at once, with the end of the quarantine as Retry-After. Seeds keep quarantines in the store. Older versions of the router pass over the new fields, message and kind of object.

Why it holds: what counts is the end of three runners wherever their requests came from, and a runner that outlives the content clears it, so the judgement does not depend on who asks, at which router, or what else ends runners at that time.

TestStartedRouterReadsStaleListsFirst counted one list for each of three kinds at a start; there are four now, and it asks for exactly four.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -69,7 +69,7 @@
 
 // runnerFailed takes a runner's own failure.
 func (c *call) runnerFailed(answer *heldAnswer) attempt.Next {
-	c.end(backend.Failed, quarantine.Outlived, "runner's failure", answer.status)
+	c.end(backend.Failed, quarantine.Unclear, "runner's failure", answer.status)
 	if answer.status != http.StatusServiceUnavailable && !isPromise(answer.status) {
 		c.failure = answer
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -90,6 +90,11 @@
 	// the runs at its runner.
 	content quarantine.Content
 	run     *quarantine.Run
+	// suspected is set when the content may end its runner, brokeOff when a run of this call
+	// broke off, and checked is closed once it is known whether its runner has ended.
+	suspected bool
+	brokeOff  bool
+	checked   <-chan struct{}
 	// query is what the runner was chosen by.
 	query backend.Query
 	// fetched says from what kind of source the runner fetches what it lacks.
@@ -150,6 +155,17 @@
 		return
 	}
 	c.content = quarantine.ContentOf(c.tenantName(), request.Host, target(request), c.body)
+	if refusal := c.judgeContent(); refusal != nil {
+		c.abandonQuota()
+		c.placing.abandon()
+		c.refuse(refusal)
+		return
+	}
+	if c.suspected {
+		// The question left before the content was known.
+		c.placing.abandon()
+		c.startPlacement()
+	}
 	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -258,6 +274,12 @@
 func (c *call) serve() {
 	next := attempt.Dispatch
 	for next == attempt.Dispatch {
+		if refusal := c.judgeContent(); refusal != nil {
+			c.placing.abandon()
+			c.request.Fail()
+			c.giveUp(refusal)
+			return
+		}
 		runner, refusal := c.pick()
 		if refusal != nil {
 			c.request.Fail()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,8 @@
 	shares *shares
 	// ends finds out which runners have ended, and under which requests.
 	ends *runnerEnds
+	// suspects are the contents of requests under which runners have ended.
+	suspects *suspects
 	// cacheStores watches the stores of kept cache.
 	cacheStores *cacheStoreWatch
 	// caches reads what runners and stores keep, for all routers that ask.
@@ -143,7 +145,7 @@
 	ports.RunnerPool.Opened, ports.RunnerPool.Silent = g.metrics.connections.Inc, g.metrics.silentConnections.Inc
 	ports.RunnerPool.SilentAfter = runnerSilence
 	g.schedulers, g.shares = newSchedulers(g), newShares(g)
-	g.ends = newRunnerEnds(g)
+	g.ends, g.suspects = newRunnerEnds(g), newSuspects(g)
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
@@ -164,6 +166,7 @@
 	g.spawn(g.cacheStores.run)
 	g.spawn(g.caches.run)
 	g.spawn(g.schedulers.shareLoop)
+	g.spawn(g.suspects.kept.run)
 	g.spawn(g.sweepLoop)
 	return g, nil
 }
@@ -188,6 +191,7 @@
 		g.ports.RunnerPool.Sweep(time.Now())
 		g.noteStale(time.Now())
 		g.ends.sweep(time.Now())
+		g.suspects.sweep(time.Now())
 		if dropped := g.droppedLines(); dropped > reported {
 			g.log.Log(events.LinesDropped, events.Fields{"lines": dropped - reported, "total": dropped})
 			reported = dropped
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -27,7 +27,7 @@
 	for _, load := range share.GetLoads() {
 		loads[load.GetRunner()] = backend.Load{
 			Tokens: int(load.GetTokens()), Requests: int(load.GetRequests()),
-			Streams: int(load.GetStreams()), Gaps: time.Duration(load.GetGapsMillis()) * time.Millisecond,
+			Streams: int(load.GetStreams()), Gaps: time.Duration(load.GetGapsMillis()) * time.Millisecond, Suspects: load.GetSuspects(),
 		}
 	}
 	s.gateway.relays.toldBehind(router, int(share.GetRouters()))
@@ -82,17 +82,22 @@
 		share.Loads = append(share.Loads, &wire.RunnerLoad{
 			Runner: id, Tokens: uint32(max(load.Tokens, 0)), Requests: uint32(max(load.Requests, 0)),
 			Streams: uint32(max(load.Streams, 0)), GapsMillis: uint32(max(load.Gaps.Milliseconds(), 0)),
+			Suspects: load.Suspects,
 		})
 	}
 	return share
 }
 
 func (s *schedulers) share(share *wire.LoadShare) {
-	s.mutex.Lock()
-	others := s.ranking.Others()
-	s.mutex.Unlock()
-	for _, address := range others {
+	for _, address := range s.others() {
 		// What is lost is told again with all loads.
 		_ = s.gateway.relays.transport.Send("", address, &wire.Envelope{Body: &wire.Envelope_LoadShare{LoadShare: share}})
 	}
 }
+
+// others returns the other routers that place requests.
+func (s *schedulers) others() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ranking.Others()
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,10 @@
 // runBuckets are numbers of requests at one runner, up to the slots of the largest seen.
 var runBuckets = []float64{0, 1, 2, 4, 8, 16, 32, 64}
 
+// quarantineBuckets are in seconds: three sends take a second where callers come back at
+// once, and as long as they please otherwise.
+var quarantineBuckets = []float64{.2, .5, 1, 2, 5, 10, 30, 60, 300, 3600}
+
 // metrics are the gateway's measurements. No label holds a tenant or a request;
 // routes that carry calls, services, kinds and outcomes are few.
 type metrics struct {
@@ -42,7 +46,11 @@
 	// requests that were at work on one that had ended.
 	runnerChecks  *prometheus.CounterVec
 	runnerEndRuns *prometheus.HistogramVec
-	connections   prometheus.Counter
+	// quarantines counts contents that are not sent any more, and quarantineTimes tells how
+	// long after the first runner's end this router knew that.
+	quarantines     prometheus.Counter
+	quarantineTimes prometheus.Histogram
+	connections     prometheus.Counter
 	// silentConnections counts kept connections to runners that were closed unused.
 	silentConnections prometheus.Counter
 
@@ -92,6 +100,12 @@
 		runnerEndRuns: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "runner_end_runs", Help: "Requests of this router that were at work on a runner that was found to have ended.", Buckets: runBuckets,
 		}, []string{"service"}),
+		quarantines: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "quarantines_total", Help: "Contents that this router began to refuse as runners ended under them.",
+		}),
+		quarantineTimes: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "quarantine_seconds", Help: "Time from the end of the first runner under a content until this router refuses it.", Buckets: quarantineBuckets,
+		}),
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runner_connections_total", Help: "Connections opened to runners.",
 		}),
@@ -126,9 +140,9 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.connections, m.silentConnections,
+		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.connections, m.silentConnections,
 		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
-		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &serviceWork{gateway: g},
+		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &contentStates{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.Tenants() }),
@@ -207,6 +221,23 @@
 	}
 }
 
+// contentStates counts the contents that may end runners when the figures are read.
+type contentStates struct{ gateway *Gateway }
+
+var contentStatesDescription = prometheus.NewDesc(namespace+"_contents", "Contents of requests under which runners have ended, by what follows for them.", []string{"state"}, nil)
+
+// Describe implements prometheus.Collector.
+func (s *contentStates) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- contentStatesDescription
+}
+
+// Collect implements prometheus.Collector.
+func (s *contentStates) Collect(figures chan<- prometheus.Metric) {
+	for state, count := range s.gateway.suspects.counts() {
+		figures <- prometheus.MustNewConstMetric(contentStatesDescription, prometheus.GaugeValue, float64(count), state.String())
+	}
+}
+
 func (m *metrics) handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
@@ -248,6 +279,7 @@
 	callRead       = "read"
 	callWrite      = "write"
 	leaseKind      = "lease"
+	quarantineKind = "quarantines"
 	outcomeDone    = "done"
 	outcomeFailed  = "failed"
 	retrySent      = "sent"
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -68,7 +68,7 @@
 		MaxQueueMillis: uint32(query.MaxQueue.Milliseconds()),
 		TargetMillis:   uint32(query.Target.Milliseconds()), GapMillis: uint32(query.EventGap.Milliseconds()),
 		Tier: uint32(query.Rank.Tier), RouteRank: uint32(query.Rank.Route), Tenant: query.Tenant,
-		MaxTokens: uint32(max(query.MaxTokens, 0)), Ticket: query.Ticket,
+		MaxTokens: uint32(max(query.MaxTokens, 0)), Ticket: query.Ticket, Suspect: query.Suspect,
 	}
 	for _, part := range query.Shared {
 		message.Parts = append(message.Parts, part.ID)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -160,6 +161,21 @@
 	Lease(ctx context.Context) (spec v1.LeaseSpec, revision uint64, err error)
 	// WriteLease writes it if it still has the revision, 0 for none.
 	WriteLease(ctx context.Context, spec v1.LeaseSpec, revision uint64) (written uint64, err error)
+	// Quarantines lists the contents that are kept; a stale list may be some seconds old.
+	Quarantines(ctx context.Context, stale bool) ([]KeptQuarantine, error)
+	// KeepQuarantine writes what is known of a content, in place of what is kept of it.
+	KeepQuarantine(ctx context.Context, record quarantine.Record) error
+	// DropQuarantine takes the content out; one that is not kept is no error.
+	DropQuarantine(ctx context.Context, content quarantine.Content) error
+}
+
+// KeptQuarantine is one object of the store that keeps a quarantine.
+type KeptQuarantine struct {
+	Name string
+	// Record has times of day as its moments.
+	Record quarantine.Record
+	// Fault says why it could not be read, empty if it was.
+	Fault string
 }
 
 // RunnerReport is a runner's own word on its state.
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -201,6 +201,7 @@
 	if !known {
 		return false
 	}
+	r.gateway.suspects.told(address, answer.GetSuspects())
 	r.gateway.takeBounds(answer.GetWeightBounds(), sent)
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
 	r.checkProofs(answer, sent, age)
@@ -241,6 +242,7 @@
 		// The first answer is to be small, and a whole feed is not asked for twice soon.
 		g.caches.ask(address, request)
 	}
+	g.suspects.ask(address, request)
 	for _, kind := range kinds {
 		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
 	}
--- /dev/null
+++ b/internal/gateway/quarantine_test.go
@@ -0,0 +1,120 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// endRunners has one caller after the other ask what ends runners, each at the next router.
+func (p *poisonedFleet) endRunners(count int) {
+	for i := range count {
+		p.g.Expect(p.routers[i%len(p.routers)].call("/once/x", asking(poisonBody)).status).NotTo(Equal(http.StatusServiceUnavailable))
+		p.g.Eventually(func() int { ended, _ := p.endedBy(); return ended }, time.Second, time.Millisecond).Should(Equal(i + 1))
+	}
+}
+
+// Callers are told at once, with the moment from which it is worth to come again, and the
+// figures and the log say why.
+func TestQuarantinedRequestsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 6, false)
+	at := loopback.FreeAddress()
+	p.routers = []*router{p.servingRouter("r1", func(settings *gateway.Settings) { settings.MetricsAddress = at })}
+	p.endRunners(3)
+	p.routers[0].logs("content is not sent any more")
+	got := p.routers[0].call("/once/x", asking(poisonBody))
+	p.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	p.g.Expect(got.after).To(BeNumerically("<", 100*time.Millisecond))
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	p.g.Expect(err).NotTo(HaveOccurred())
+	p.g.Expect(after).To(BeNumerically("~", 300, 5), "seconds")
+	p.g.Expect(p.routers[0].call("/once/x", asking("another body")).status).To(Equal(http.StatusOK))
+	p.g.Expect(p.routers[0].call("/once/y", asking(poisonBody)).status).NotTo(Equal(http.StatusServiceUnavailable), "another path is another content")
+	read := figures(p.g, at)
+	p.g.Expect(read[`clovertiller_quarantines_total`]).To(Equal(1.0))
+	p.g.Expect(read[`clovertiller_quarantine_seconds_count`]).To(Equal(1.0))
+	p.g.Expect(read[`clovertiller_contents{state="quarantined"}`]).To(Equal(1.0))
+	p.g.Expect(read[`clovertiller_refusals_total{reason="runners ended under requests with this content",status="503"}`]).To(Equal(1.0))
+}
+
+// A request shares each runner that ends with the one that ends it, and is served once the
+// other one is known.
+func TestRequestThatSharedTheEndedRunnersIsServed(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	p.route(1)
+	for range 3 {
+		var group sync.WaitGroup
+		for _, body := range []string{"an innocent body", poisonBody} {
+			group.Go(func() { p.routers[1].call("/once/x", asking(body)) })
+		}
+		group.Wait()
+	}
+	p.g.Eventually(func() int { return p.routers[0].call("/once/x", asking(poisonBody)).status }, time.Second).Should(Equal(http.StatusServiceUnavailable))
+	for _, r := range p.routers {
+		got := r.call("/once/x", asking("an innocent body"))
+		p.g.Expect(got.status).To(Equal(http.StatusOK))
+		p.g.Expect(got.after).To(BeNumerically("<", 600*time.Millisecond), "its four events take 160 ms")
+	}
+}
+
+// Routers know of ends that others saw, also one that starts later, and the store keeps what
+// is quarantined until a runner has outlived it.
+func TestAllRoutersKnowWhatIsQuarantined(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	p.route(3)
+	p.endRunners(3)
+	for _, r := range p.routers {
+		r.logs("content is not sent any more")
+	}
+	p.g.Eventually(func() int { return p.store.Count(platform.KindQuarantines) }, time.Second, 5*time.Millisecond).Should(Equal(1))
+	late := p.servingRouter("late", p.asFollower(p.routers[0].seeds))
+	p.g.Expect(late.call("/once/x", asking(poisonBody)).status).To(Equal(http.StatusServiceUnavailable))
+}
+
+// The first router starts while the store is away, and learns what it keeps when it is back.
+func TestKeptQuarantinesAreReadWhenTheStoreIsBack(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	p.routers = []*router{p.servingRouter("r1", nil)}
+	p.endRunners(3)
+	p.g.Eventually(func() int { return p.store.Count(platform.KindQuarantines) }, time.Second, 5*time.Millisecond).Should(Equal(1))
+	p.routers[0].Kill()
+	next := p.routerAt("r2", nil, storestand.Busy)
+	time.Sleep(300 * time.Millisecond)
+	next.door.Set(storestand.Healthy)
+	next.logs("configuration in force")
+	p.g.Eventually(next.log.String, 3*time.Second, 5*time.Millisecond).Should(ContainSubstring("content is not sent any more"))
+	p.g.Expect(next.call("/once/x", asking(poisonBody)).status).To(Equal(http.StatusServiceUnavailable))
+	ended, _ := p.endedBy()
+	p.g.Expect(ended).To(Equal(3))
+}
+
+// What a refused call has taken is given back: its scheduler does not count it.
+func TestRefusedForItsContentIsCountedNowhere(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 6, false)
+	at := loopback.FreeAddress()
+	seeds := []string{loopback.FreeAddress()}
+	seed := p.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds, settings.MetricsAddress = seeds[0], seeds, at
+	})
+	p.routers = []*router{seed, p.servingRouter("follower", p.asFollower(seeds))}
+	p.endRunners(3)
+	p.routers[1].logs("content is not sent any more")
+	for range 10 {
+		p.g.Expect(p.routers[1].call("/once/x", asking(poisonBody)).status).To(Equal(http.StatusServiceUnavailable))
+	}
+	p.g.Eventually(func() float64 { return figures(p.g, at)["clovertiller_placed_requests"] }, time.Second, 10*time.Millisecond).Should(BeZero())
+}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -54,6 +54,8 @@
 		r.gateway.schedulers.noticed(envelope, body.SendNotice)
 	case *wire.Envelope_LoadShare:
 		r.gateway.schedulers.told(envelope.GetFrom(), body.LoadShare)
+	case *wire.Envelope_SuspectNews:
+		r.gateway.suspects.learn(recordsOf(time.Now(), body.SuspectNews.GetRecords()))
 	case *wire.Envelope_QuotaReturn:
 		r.gateway.limits.Returned(body.QuotaReturn)
 	}
@@ -81,6 +83,7 @@
 		answer.Unconfigured = true
 		answer.ProofAgeMillis = wire.AgeMillis(time.Since(*empty))
 	}
+	answer.Suspects = g.suspects.answer(pull)
 	answer.TellsProofs, answer.Proofs, answer.WeightBounds = true, g.copies.proofs(), g.firmBounds()
 	if newest, known := g.copies.checkpoints.newest(); known {
 		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, wire.AgeMillis(time.Since(newest.at))
@@ -217,17 +220,7 @@
 
 // push tells the routers that pulled of late what has changed after the revision.
 func (r *relays) push(kind ObjectKind, after uint64) {
-	now := time.Now()
-	r.mutex.Lock()
-	var addresses []string
-	for address, follower := range r.followers {
-		if now.After(follower.until) {
-			delete(r.followers, address)
-			continue
-		}
-		addresses = append(addresses, address)
-	}
-	r.mutex.Unlock()
+	addresses := r.pushed(time.Now())
 	if len(addresses) == 0 {
 		return
 	}
@@ -237,3 +230,25 @@
 		_ = r.transport.Send("", address, &wire.Envelope{Body: &wire.Envelope_CopyPush{CopyPush: message}})
 	}
 }
+
+// pushNews tells them of changed records of contents.
+func (r *relays) pushNews(news *wire.SuspectNews) {
+	for _, address := range r.pushed(time.Now()) {
+		// What is lost is repaired by the next pull.
+		r.Send(address, &wire.Envelope{Body: &wire.Envelope_SuspectNews{SuspectNews: news}})
+	}
+}
+
+// pushed returns the routers that pulled of late.
+func (r *relays) pushed(now time.Time) (addresses []string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for address, follower := range r.followers {
+		if now.After(follower.until) {
+			delete(r.followers, address)
+			continue
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -107,13 +107,15 @@
 
 // noteEnded notes a runner that has ended.
 func (e *runnerEnds) noteEnded(runner backend.Runner) {
+	now := time.Now()
 	e.mutex.Lock()
-	runs := e.work.RunnerEnded(time.Now(), startOf(runner))
+	runs := e.work.RunnerEnded(now, startOf(runner))
 	e.mutex.Unlock()
 	e.gateway.metrics.runnerEndRuns.WithLabelValues(runner.Service).Observe(float64(len(runs)))
 	e.gateway.log.Log(events.RunnerFoundEnded, events.Fields{
 		"runner": runner.ID, "address": runner.Address, "service": runner.Service, "runs": len(runs), "contents": contentNames(runs),
 	})
+	e.gateway.suspects.runnerEnded(now, runs)
 }
 
 // ask asks the runner until it is known whether it runs, or livenessAsks times.
@@ -129,6 +131,13 @@
 	return RunnerUnknown
 }
 
+// atWork tells whether a run of the content is open.
+func (e *runnerEnds) atWork(content quarantine.Content) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.work.Open(content)
+}
+
 // sweep forgets runs that are over.
 func (e *runnerEnds) sweep(now time.Time) {
 	e.mutex.Lock()
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -109,7 +109,7 @@
 		EventGap: time.Duration(ask.GetGapMillis()) * time.Millisecond,
 		Rank:     admission.Rank{Tier: int(ask.GetTier()), Route: int(ask.GetRouteRank())},
 		Tenant:   ask.GetTenant(), MaxTokens: int(ask.GetMaxTokens()),
-		Ticket: ask.GetTicket(),
+		Ticket: ask.GetTicket(), Suspect: ask.GetSuspect(),
 	}
 	for i, part := range ask.GetParts() {
 		if i < len(ask.GetDepths()) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -171,9 +171,12 @@
 
 // mayBegin tells whether the chosen runner may still begin the call. A dial or a wait for
 // the processor lies between the choice and the send, and the runner may have said
-// meanwhile that it leaves.
+// meanwhile that it leaves, or another one have ended under the same content.
 func (c *call) mayBegin() bool {
 	g := c.gateway
+	if c.quarantined() {
+		return false
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if c.continuing {
@@ -212,10 +215,7 @@
 // endSend tells those who count the current attempt how it ended.
 func (c *call) endSend(outcome backend.Outcome, run quarantine.RunEnd) {
 	g := c.gateway
-	g.ends.end(time.Now(), c.run, run)
-	if run == quarantine.Broken {
-		g.ends.check(c.runner)
-	}
+	c.noteRun(run)
 	g.mutex.Lock()
 	c.barWithdrawal()
 	if c.placed == nil && !c.continuing && g.shares.counts() {
--- /dev/null
+++ b/internal/gateway/suspects.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// suspects keeps this router's records of contents that end the runners that run them, and
+// shares them with all others: what it sees itself goes to the seeds, which push it, and
+// pulls repair what was lost. So all routers judge by the same ends within some milliseconds,
+// and routers that are cut off, or whose seeds are of a version that does not know this
+// message, still judge by their own. Seeds keep quarantines in the store.
+type suspects struct {
+	gateway *Gateway
+	kept    *keptQuarantines
+	mutex   sync.Mutex
+	judge   *quarantine.Judge
+	// followed is how far this router knows the records of those that it pulls from.
+	followed map[string]suspectFeed
+	// logged holds until when contents were logged to be quarantined.
+	logged map[quarantine.Content]time.Time
+}
+
+// suspectFeed is a place in the changes of another router's records.
+type suspectFeed struct {
+	// feed is that router's start, and through the number of the change.
+	feed, through uint64
+}
+
+// mostSuspects bounds the records in one answer; the rest comes with the next.
+const mostSuspects = 64
+
+func newSuspects(g *Gateway) *suspects {
+	return &suspects{
+		gateway: g, kept: newKeptQuarantines(g), judge: quarantine.NewJudge(),
+		followed: map[string]suspectFeed{}, logged: map[quarantine.Content]time.Time{},
+	}
+}
+
+// verdict judges the content.
+func (s *suspects) verdict(now time.Time, content quarantine.Content) quarantine.Verdict {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.judge.Verdict(now, content)
+}
+
+// runnerEnded notes a runner's end under the runs.
+func (s *suspects) runnerEnded(now time.Time, runs []*quarantine.Run) {
+	var changed []quarantine.Record
+	s.mutex.Lock()
+	for _, run := range runs {
+		if s.judge.Ended(now, run) {
+			record, _ := s.judge.Record(run.Content)
+			changed = append(changed, record)
+		}
+	}
+	s.mutex.Unlock()
+	s.tell(now, changed)
+}
+
+// outlived notes that a runner has outlived a run of the content.
+func (s *suspects) outlived(now time.Time, content quarantine.Content) {
+	var changed []quarantine.Record
+	s.mutex.Lock()
+	if s.judge.Outlived(now, content) {
+		record, _ := s.judge.Record(content)
+		changed = append(changed, record)
+	}
+	s.mutex.Unlock()
+	s.tell(now, changed)
+}
+
+// tell tells others of what this router has found out itself.
+func (s *suspects) tell(now time.Time, changed []quarantine.Record) {
+	if len(changed) == 0 {
+		return
+	}
+	s.note(now, changed)
+	relays := s.gateway.relays
+	if relays.transport == nil {
+		return
+	}
+	news := suspectNews(now, changed)
+	for _, seed := range s.gateway.schedulers.others() {
+		// Seeds that miss it hear of it by the routers that pull from those that do not.
+		relays.Send(seed, &wire.Envelope{Body: &wire.Envelope_SuspectNews{SuspectNews: news}})
+	}
+	relays.pushNews(news)
+}
+
+// learn takes what another router has told, and passes on what is news.
+func (s *suspects) learn(records []quarantine.Record) {
+	now := time.Now()
+	s.mutex.Lock()
+	changed := s.judge.Merge(now, records)
+	s.mutex.Unlock()
+	if len(changed) == 0 {
+		return
+	}
+	s.note(now, changed)
+	if s.gateway.relays.transport != nil {
+		s.gateway.relays.pushNews(suspectNews(now, changed))
+	}
+}
+
+// note logs and keeps what follows from changed records.
+func (s *suspects) note(now time.Time, changed []quarantine.Record) {
+	for _, record := range changed {
+		verdict := s.verdict(now, record.Content)
+		s.mutex.Lock()
+		until, logged := s.logged[record.Content]
+		isNews := verdict.State == quarantine.Quarantined && !until.Equal(verdict.Until)
+		lifted := verdict.State == quarantine.Clear && logged
+		switch {
+		case isNews:
+			s.logged[record.Content] = verdict.Until
+		case lifted:
+			delete(s.logged, record.Content)
+		}
+		s.mutex.Unlock()
+		switch {
+		case isNews:
+			s.quarantined(now, record, verdict)
+		case lifted:
+			s.gateway.log.Log(events.QuarantineLifted, events.Fields{"content": record.Content.String(), "tenant": record.Content.Tenant})
+			s.kept.drop(record.Content)
+		}
+	}
+}
+
+// quarantined notes that a content is not sent any more.
+func (s *suspects) quarantined(now time.Time, record quarantine.Record, verdict quarantine.Verdict) {
+	g := s.gateway
+	first := record.Ends[max(len(record.Ends)-verdict.Ends, 0)]
+	g.metrics.quarantines.Inc()
+	g.metrics.quarantineTimes.Observe(now.Sub(first.At).Seconds())
+	g.log.Log(events.ContentQuarantined, events.Fields{
+		"content": record.Content.String(), "tenant": record.Content.Tenant, "ends": verdict.Ends, "runners": endedRunners(record),
+		"after_ms": now.Sub(first.At).Milliseconds(), "for_ms": verdict.Until.Sub(now).Milliseconds(),
+	})
+	s.kept.keep(record)
+}
+
+// endedRunners names the runners that ended under the content.
+func endedRunners(record quarantine.Record) []string {
+	names := make([]string, 0, len(record.Ends))
+	for _, end := range record.Ends {
+		names = append(names, end.Runner.ID)
+	}
+	return names
+}
+
+// ask says in a pull how far this router knows the records of the one at the address.
+func (s *suspects) ask(address string, pull *wire.CopyPull) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	known := s.followed[address]
+	pull.WantsSuspects, pull.SuspectsFeed, pull.SuspectsThrough = true, known.feed, known.through
+}
+
+// answer returns what the asking router lacks, nil for nothing or for a version that does
+// not ask.
+func (s *suspects) answer(pull *wire.CopyPull) *wire.SuspectDelta {
+	if !pull.GetWantsSuspects() {
+		return nil
+	}
+	feed, through := uint64(s.gateway.started.UnixMilli()), pull.GetSuspectsThrough()
+	if pull.GetSuspectsFeed() != feed {
+		through = 0
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	records, reached := s.judge.Since(through, mostSuspects)
+	if reached == through {
+		return nil
+	}
+	return &wire.SuspectDelta{Feed: feed, Through: reached, Records: suspectMessages(time.Now(), records)}
+}
+
+// told takes the answer of the router at the address.
+func (s *suspects) told(address string, delta *wire.SuspectDelta) {
+	if delta == nil {
+		return
+	}
+	s.learn(recordsOf(time.Now(), delta.GetRecords()))
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.followed[address] = suspectFeed{feed: delta.GetFeed(), through: delta.GetThrough()}
+}
+
+// sweep forgets records that are of no use any more.
+func (s *suspects) sweep(now time.Time) {
+	s.mutex.Lock()
+	forgotten := s.judge.Sweep(now)
+	for _, record := range forgotten {
+		delete(s.logged, record.Content)
+	}
+	s.mutex.Unlock()
+	for _, record := range forgotten {
+		s.kept.drop(record.Content)
+	}
+}
+
+// counts returns how many contents are in each state.
+func (s *suspects) counts() map[quarantine.State]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.judge.Counts(time.Now())
+}
--- a/internal/gateway/zonerelays_test.go
+++ b/internal/gateway/zonerelays_test.go
@@ -128,7 +128,7 @@
 	r := f.router("first", f.asFollower([]string{silentPeer(f)}))
 	f.g.Eventually(r.isReady, time.Second, 5*time.Millisecond).Should(BeTrue())
 	f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
-	f.g.Expect(r.door.StaleLists()).To(Equal(3), "one a kind")
+	f.g.Eventually(r.door.StaleLists, time.Second, 5*time.Millisecond).Should(Equal(4), "one a kind: configuration, runners, weights and quarantines")
 	f.g.Expect(r.door.Calls()-r.door.StaleLists()).To(BeNumerically("<=", 4), "one watch a kind, and the next of the configuration")
 }
 
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -213,6 +213,11 @@
 func (s *Store) Remove(kind, name string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.remove(kind, name)
+}
+
+// remove deletes an object. The mutex is held.
+func (s *Store) remove(kind, name string) {
 	object, found := s.objects[kind][name]
 	if !found {
 		return
@@ -240,6 +245,13 @@
 	return object, found
 }
 
+// Count returns how many objects there are of the kind.
+func (s *Store) Count(kind string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.objects[kind])
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -377,7 +389,7 @@
 
 func (d *Door) change(writer http.ResponseWriter, request *http.Request, kind, name string) {
 	var body Object
-	if json.NewDecoder(request.Body).Decode(&body) != nil {
+	if request.Method != http.MethodDelete && json.NewDecoder(request.Body).Decode(&body) != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -398,7 +410,10 @@
 	switch {
 	case method == http.MethodPost && found:
 		return http.StatusConflict, current
-	case method == http.MethodPut && !found:
+	case method == http.MethodDelete && found:
+		s.remove(kind, name)
+		return http.StatusOK, current
+	case method != http.MethodPost && !found:
 		return http.StatusNotFound, Object{}
 	case method == http.MethodPut && body.Metadata.Revision != 0 && body.Metadata.Revision != current.Metadata.Revision:
 		return http.StatusConflict, current
