--- a/cmd/clovertiller-gateway/main.go
+++ b/cmd/clovertiller-gateway/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
@@ -74,6 +75,7 @@
 		ReadyPath:    platform.PathReadiness,
 		DroppedLines: output.Dropped,
 		RunnerPool:   httpconn.NewPool(httpconn.DefaultDialTimeout),
+		Clock:        clock.New(),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,8 @@
 	DroppedLines func() uint64
 	// RunnerPool carries requests to runners.
 	RunnerPool *httpconn.Pool
+	// Clock tells moments that others count by, too.
+	Clock Clock
 }
 
 // view is a configuration with the moment that it was proved to be in force.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,8 +142,20 @@
 	ready   string
 	seeds   []string
 	log     *logBuffer
+	clock   *suspendedClock
 }
 
+// suspendedClock goes on by what a test says, as if the machine had been suspended for that
+// long: the steady clock, by which all else in the process goes, does not count it.
+type suspendedClock struct{ suspended atomic.Int64 }
+
+// suspend suspends the machine for the time.
+func (c *suspendedClock) suspend(duration time.Duration) { c.suspended.Add(int64(duration)) }
+
+func (c *suspendedClock) Now() time.Time { return time.Now().Add(c.Suspended()) }
+
+func (c *suspendedClock) Suspended() time.Duration { return time.Duration(c.suspended.Load()) }
+
 // logBuffer collects log lines.
 type logBuffer struct {
 	mutex sync.Mutex
@@ -185,14 +198,14 @@
 	if f.dials != nil {
 		runnerPool.Dial = f.dials.dial
 	}
-	log := &logBuffer{}
+	log, clock := &logBuffer{}, &suspendedClock{}
 	started, err := gateway.Start(settings, gateway.Ports{
 		Protocol: platform.Protocol{}, Decode: platform.Decode, Store: &platform.Store{Address: settings.StoreAddress, Pool: calls},
-		Runners: &platform.Runners{Pool: calls}, Caches: f.caches, ReadyPath: platform.PathReadiness, RunnerPool: runnerPool,
+		Runners: &platform.Runners{Pool: calls}, Caches: f.caches, ReadyPath: platform.PathReadiness, RunnerPool: runnerPool, Clock: clock,
 	}, events.NewLogger(log, name, logrus.InfoLevel))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(started.Kill)
-	return &router{Gateway: started, fleet: f, door: door, address: settings.CallerAddress, ready: settings.ReadyAddress, seeds: settings.Seeds, log: log}
+	return &router{Gateway: started, fleet: f, door: door, address: settings.CallerAddress, ready: settings.ReadyAddress, seeds: settings.Seeds, log: log, clock: clock}
 }
 
 // servingRouter starts a gateway and waits until it is ready and knows the runners.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -12,6 +12,14 @@
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
+// Clock tells moments by a clock that goes on while the machine is suspended.
+type Clock interface {
+	// Now returns the present moment. It is not to be mixed with those of time.Now.
+	Now() time.Time
+	// Suspended returns the time of all suspensions since the process started.
+	Suspended() time.Duration
+}
+
 // Part is one part of a prompt, shared with other requests but for the last.
 type Part struct {
 	ID     string
