--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -73,6 +73,7 @@
 	FiguresUnavailable   = define(804, logrus.WarnLevel, "counters cannot be served")
 	LinesDropped         = define(805, logrus.WarnLevel, "log lines dropped")
 	SettingsRefused      = define(806, logrus.WarnLevel, "settings are faulty; the former ones stay")
+	MachineSuspended     = define(807, logrus.WarnLevel, "machine was suspended")
 	ConfigInForce        = define(810, logrus.InfoLevel, "configuration in force")
 	ConfigStale          = define(811, logrus.WarnLevel, "configuration is no longer proved; requests with keys are refused")
 	ConfigProven         = define(812, logrus.InfoLevel, "configuration is proved again")
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -44,7 +44,7 @@
 	runner := *c.copyAt
 	c.copyAt, c.backup, c.continuing = nil, backend.Runner{}, true
 	c.ended.Store(false)
-	c.beginSend(time.Now(), runner, 0)
+	c.beginSend(c.gateway.now(), runner, 0)
 	c.note(events.StreamContinued, events.Fields{"from": c.runner.ID, "runner": runner.ID, "last_event": c.stream.lastEvent, "copy": true})
 	return runner, nil
 }
@@ -58,7 +58,7 @@
 	if !c.ended.Load() && !c.runnerEnded(c.runner) {
 		return false
 	}
-	if !c.copyUsable(time.Now()) {
+	if !c.copyUsable(c.gateway.now()) {
 		return false
 	}
 	backup := c.backup
--- a/internal/gateway/cachefeed.go
+++ b/internal/gateway/cachefeed.go
@@ -30,11 +30,11 @@
 // longer gives on what nobody asks for.
 func (r *cacheReader) forgetSilent() {
 	r.mutex.Lock()
-	silent := !r.followed.heardAt.IsZero() && time.Since(r.followed.heardAt) > feedPatience
+	silent := !r.followed.heardAt.IsZero() && r.gateway.since(r.followed.heardAt) > feedPatience
 	if silent {
 		r.followed = followedFeed{wholeAt: r.followed.wholeAt}
 	}
-	if silent || time.Since(r.askedAt) > feedPatience {
+	if silent || r.gateway.since(r.askedAt) > feedPatience {
 		r.feed, r.whole = nil, false
 	}
 	r.mutex.Unlock()
@@ -48,7 +48,7 @@
 // ask adds to a pull what is asked of the address's feed: what changed in the one
 // that is followed, or the whole of another one, now and then.
 func (r *cacheReader) ask(address string, pull *wire.CopyPull) {
-	now := time.Now()
+	now := r.gateway.now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.reads || r.gateway.ports.Caches == nil {
@@ -70,7 +70,7 @@
 func (r *cacheReader) answer(id, through uint64) *wire.CacheDelta {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.askedAt = time.Now()
+	r.askedAt = r.gateway.now()
 	if r.feed == nil && r.gateway.ports.Caches != nil {
 		r.beginFeed()
 		r.followed = followedFeed{heardAt: r.followed.heardAt}
@@ -105,7 +105,7 @@
 		return
 	}
 	r.followed.address, r.followed.id, r.followed.through = address, message.GetFeed(), message.GetThrough()
-	r.followed.heardAt = time.Now()
+	r.followed.heardAt = r.gateway.now()
 	delta := cacheDeltaFromWire(message)
 	r.apply(delta)
 	if r.feed != nil {
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -216,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cacheReadTime)
 	defer cancel()
 	r.mutex.Lock()
-	after, lists := reading.position, !time.Now().Before(reading.listAt)
+	after, lists := reading.position, !r.gateway.now().Before(reading.listAt)
 	r.mutex.Unlock()
 	if lists {
 		parts, position, err := r.gateway.ports.Caches.CacheList(ctx, address, runner)
@@ -246,7 +246,7 @@
 	reading.failing = false
 	r.feed.Replace(holder, hashes)
 	reading.position = position
-	reading.listAt = time.Now().Add(r.gateway.jitter(cacheListInterval))
+	reading.listAt = r.gateway.now().Add(r.gateway.jitter(cacheListInterval))
 	r.applyOwn()
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -120,14 +120,14 @@
 
 // serveCall answers one request of a caller.
 func (g *Gateway) serveCall(writer http.ResponseWriter, request *http.Request) {
-	now := time.Now()
+	now := g.now()
 	g.awaitStart(request.Context(), now)
 	c := &call{
 		gateway: g, writer: writer, control: http.NewResponseController(writer), caller: request,
 		facts: g.ports.Protocol.Call(request.Header), arrived: now, view: g.view.Load(),
 	}
 	// A deadline of an earlier request on this connection must not hold here.
-	_ = c.control.SetWriteDeadline(now.Add(longestCall))
+	_ = c.control.SetWriteDeadline(time.Now().Add(longestCall))
 	if g.draining.Load() || len(request.TransferEncoding) > 0 {
 		// A body in chunks may come with a length too, which the server has dropped by
 		// now: what lies behind the chunks may be the rest of the body, and is not to be
@@ -166,7 +166,7 @@
 		c.placing.abandon()
 		c.startPlacement()
 	}
-	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(request.Context(), g.until(c.deadline))
 	defer cancel()
 	c.ctx = ctx
 	if refusal := c.awaitQuota(); refusal != nil {
@@ -174,7 +174,7 @@
 		c.refuse(refusal)
 		return
 	}
-	_ = c.control.SetWriteDeadline(c.deadline.Add(answerSlack))
+	_ = c.control.SetWriteDeadline(time.Now().Add(g.until(c.deadline) + answerSlack))
 	c.serve()
 }
 
@@ -198,7 +198,7 @@
 	if c.view == nil {
 		return unavailable("no configuration is known yet", startRetryAfter)
 	}
-	fresh := c.view.fresh(c.arrived, c.gateway.settings.ConfigLease)
+	fresh := c.view.fresh(c.gateway.now(), c.gateway.settings.ConfigLease)
 	c.route = c.view.table.Match(c.caller.Host, path(c.caller))
 	if c.route == nil {
 		if !fresh {
@@ -274,7 +274,12 @@
 func (c *call) serve() {
 	next := attempt.Dispatch
 	for next == attempt.Dispatch {
-		if refusal := c.judgeContent(); refusal != nil {
+		refusal := c.judgeContent()
+		if c.gateway.until(c.deadline) <= 0 {
+			// The context goes by the steady clock, and may not have ended yet.
+			refusal = unavailable("the time is up", busyRetryAfter)
+		}
+		if refusal != nil {
 			c.placing.abandon()
 			c.request.Fail()
 			c.giveUp(refusal)
@@ -298,7 +303,7 @@
 		c.logEnd(outcomeComplete)
 		return
 	}
-	if !time.Now().Before(c.deadline) {
+	if !c.gateway.now().Before(c.deadline) {
 		c.giveUp(unavailable("the time is up", busyRetryAfter))
 		return
 	}
@@ -315,7 +320,7 @@
 	if len(c.facts.Prompt) < 2 {
 		return
 	}
-	now, store := time.Now(), c.gateway.cacheStores.storeOf(c.view.table, c.query.Family)
+	now, store := c.gateway.now(), c.gateway.cacheStores.storeOf(c.view.table, c.query.Family)
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
 	source := c.gateway.runners.Source(now, c.runner.ID, c.query, c.weights, store)
--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -24,7 +24,7 @@
 // send: the runner of the last one may have ended, or others have told of ends.
 func (c *call) judgeContent() *refusal {
 	c.awaitCheck()
-	now := time.Now()
+	now := c.gateway.now()
 	verdict := c.gateway.suspects.verdict(now, c.content)
 	c.suspected = verdict.State != quarantine.Clear || c.brokeOff
 	switch {
@@ -38,7 +38,7 @@
 
 // quarantined tells whether the content may not be sent by now.
 func (c *call) quarantined() bool {
-	return c.gateway.suspects.verdict(time.Now(), c.content).State == quarantine.Quarantined
+	return c.gateway.suspects.verdict(c.gateway.now(), c.content).State == quarantine.Quarantined
 }
 
 // awaitCheck waits until it is known whether the runner of the last send has ended, if the
@@ -71,7 +71,7 @@
 
 // noteRun notes how the run of a send ended.
 func (c *call) noteRun(how quarantine.RunEnd) {
-	g, now := c.gateway, time.Now()
+	g, now := c.gateway, c.gateway.now()
 	g.ends.end(now, c.run, how)
 	switch how {
 	case quarantine.Outlived:
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -106,11 +106,11 @@
 	if outcome == config.Applied {
 		c.gateway.putInForce(kind, newerThan(before, delta))
 	}
-	c.noteReached(checkpoint{revision: c.stores[kind].Revision(), at: time.Now()})
+	c.noteReached(checkpoint{revision: c.stores[kind].Revision(), at: c.gateway.now()})
 	if proven.given && outcome != config.Gap {
 		c.prove(kind, proven.at)
 	}
-	if c.stores[RunnerObjects].Revision() > 0 && c.gateway.proven(time.Now()) {
+	if c.stores[RunnerObjects].Revision() > 0 && c.gateway.proven(c.gateway.now()) {
 		c.gateway.startup.finish()
 	}
 	c.mutex.Unlock()
@@ -183,7 +183,7 @@
 		"routes": len(object.Config.Routes), "services": len(object.Config.Services), "tenants": len(object.Config.Tenants),
 	})
 	if current == nil {
-		g.log.Log(events.NodeServing, events.Fields{"after_ms": time.Since(g.started).Milliseconds()})
+		g.log.Log(events.NodeServing, events.Fields{"after_ms": g.since(g.started).Milliseconds()})
 	}
 }
 
@@ -211,8 +211,8 @@
 	proven := *current
 	proven.provenAt = at
 	g.view.Store(&proven)
-	if proven.fresh(time.Now(), g.settings.ConfigLease) && g.stale.CompareAndSwap(true, false) {
-		g.log.Log(events.ConfigProven, events.Fields{"version": current.table.Version, "unproven_ms": time.Since(current.provenAt).Milliseconds()})
+	if proven.fresh(g.now(), g.settings.ConfigLease) && g.stale.CompareAndSwap(true, false) {
+		g.log.Log(events.ConfigProven, events.Fields{"version": current.table.Version, "unproven_ms": g.since(current.provenAt).Milliseconds()})
 	}
 }
 
@@ -228,7 +228,7 @@
 }
 
 func (g *Gateway) applyWeights(object Object) {
-	now := time.Now()
+	now := g.now()
 	model, version := object.Weights.Model, object.Weights.Version
 	news := g.newsOfWeights(now, object.Revision)
 	g.mutex.Lock()
--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -22,7 +22,7 @@
 func (c *copies) newestRevision() uint64 {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.reachedBy(time.Now())
+	return c.reachedBy(c.gateway.now())
 }
 
 // noteReached notes what a copy has reached, if none has reached as much. The mutex is held.
@@ -70,7 +70,7 @@
 func (c *copies) proofs() []*wire.CopyProof {
 	var proofs []*wire.CopyProof
 	for _, kind := range provenApart {
-		age, known := c.age(time.Now(), kind)
+		age, known := c.age(c.gateway.now(), kind)
 		if !known {
 			continue
 		}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/events"
 )
@@ -39,7 +37,7 @@
 		g.mutex.Unlock()
 		return
 	}
-	age := g.copies.ageMillis(time.Now(), RunnerObjects)
+	age := g.copies.ageMillis(g.now(), RunnerObjects)
 	runner := *object.Runner
 	g.mutex.Lock()
 	before, known := g.runners.Get(runner.ID)
@@ -66,6 +64,6 @@
 	removed := g.runners.Remove(object.Name)
 	g.mutex.Unlock()
 	if removed {
-		g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": cause, "copy_age_ms": g.copies.ageMillis(time.Now(), RunnerObjects)})
+		g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": cause, "copy_age_ms": g.copies.ageMillis(g.now(), RunnerObjects)})
 	}
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -155,9 +155,9 @@
 // call makes one call to the store and notes how it went.
 func (f *follower) call(ctx context.Context, name string, made func() ([]v1.Object, uint64, error)) storeAnswer {
 	g := f.gateway
-	answer := storeAnswer{known: g.copies.newestRevision(), sent: time.Now()}
+	answer := storeAnswer{known: g.copies.newestRevision(), sent: f.gateway.now()}
 	answer.objects, answer.revision, answer.err = made()
-	g.metrics.storeCall(f.kind.String(), name, answer.sent)
+	g.metrics.storeCall(f.kind.String(), name, g.since(answer.sent))
 	g.disturbance.note(answer.sent, answer.err, ctx.Err())
 	return answer
 }
@@ -171,7 +171,7 @@
 // whether that is shown.
 func (f *follower) take(revision uint64, wait time.Duration, answer storeAnswer) (known checkpoint, shown bool) {
 	g := f.gateway
-	known = checkpoint{revision: answer.revision, at: provenSince(answer.sent, wait, answer.objects)}
+	known = checkpoint{revision: answer.revision, at: provenSince(g.now(), answer.sent, wait, answer.objects)}
 	shown = g.copies.shownBy(answer, known.at)
 	if shown {
 		g.copies.checkpoints.note(known)
@@ -191,7 +191,7 @@
 	}
 	// An answer that brings a change proves what was known when its watch was sent only,
 	// and a wait after it is short, so that the proof does not grow too old meanwhile.
-	left := proofAge - configSlack - time.Since(f.gateway.provenAt())
+	left := proofAge - configSlack - f.gateway.since(f.gateway.provenAt())
 	return min(f.wait, max(left, regainWait))
 }
 
@@ -206,8 +206,8 @@
 // provenSince returns from when a watch's answer proves what it says. A store
 // that had something to say would have said so; an empty answer after the whole
 // wait shows that nothing had changed until then.
-func provenSince(sent time.Time, wait time.Duration, objects []v1.Object) time.Time {
-	if waited := sent.Add(wait); len(objects) == 0 && !time.Now().Before(waited) {
+func provenSince(now, sent time.Time, wait time.Duration, objects []v1.Object) time.Time {
+	if waited := sent.Add(wait); len(objects) == 0 && !now.Before(waited) {
 		return waited
 	}
 	return sent
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,8 +9,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,7 +131,7 @@
 func Start(settings Settings, ports Ports, logger *events.Logger) (*Gateway, error) {
 	settings.SetDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
-	started := time.Now()
+	started := ports.Clock.Now()
 	g := &Gateway{
 		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, started: started, startup: newStartup(),
 		runners:  backend.NewSet(settings.Zone),
@@ -188,12 +190,13 @@
 const sweepInterval = time.Second
 
 func (g *Gateway) sweepLoop() {
-	reported := uint64(0)
+	reported, suspended := uint64(0), time.Duration(0)
 	for g.pause(sweepInterval) {
 		g.ports.RunnerPool.Sweep(time.Now())
-		g.noteStale(time.Now())
-		g.ends.sweep(time.Now())
-		g.suspects.sweep(time.Now())
+		suspended = g.noteSuspended(suspended)
+		g.noteStale(g.now())
+		g.ends.sweep(g.now())
+		g.suspects.sweep(g.now())
 		if dropped := g.droppedLines(); dropped > reported {
 			g.log.Log(events.LinesDropped, events.Fields{"lines": dropped - reported, "total": dropped})
 			reported = dropped
@@ -215,6 +218,24 @@
 	return duration/2 + time.Duration(g.random.Int64N(int64(duration/2)+1))
 }
 
+// noteSuspended notes that the machine was suspended, and returns for how long in all. What
+// timers were to withdraw meanwhile is withdrawn now.
+func (g *Gateway) noteSuspended(before time.Duration) time.Duration {
+	suspended := g.ports.Clock.Suspended()
+	if suspended == before {
+		return before
+	}
+	g.metrics.suspensions.Add((suspended - before).Seconds())
+	g.log.Log(events.MachineSuspended, events.Fields{"suspended_ms": (suspended - before).Milliseconds()})
+	g.mutex.Lock()
+	models := slices.Collect(maps.Keys(g.bounds))
+	g.mutex.Unlock()
+	for _, model := range models {
+		g.withdrawUnbegun(g.now(), model)
+	}
+	return suspended
+}
+
 // proven tells whether the configuration in force is known well enough for
 // requests with a key.
 func (g *Gateway) proven(now time.Time) bool {
--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -88,10 +88,10 @@
 	g := k.gateway
 	ctx, cancel := context.WithTimeout(g.ctx, quarantineCall)
 	defer cancel()
-	sent := time.Now()
+	sent := k.gateway.now()
 	// Many read at once where there is no seed: a list that may be old costs the store little.
 	kept, err := g.ports.Store.Quarantines(ctx, !g.relays.isSource())
-	g.metrics.storeCall(quarantineKind, callList, sent)
+	g.metrics.storeCall(quarantineKind, callList, g.since(sent))
 	if err != nil {
 		g.metrics.storeFailures.WithLabelValues(quarantineKind).Inc()
 		g.log.Log(events.QuarantineCallFailed, events.Fields{"call": callList, "error": err.Error()})
@@ -103,20 +103,30 @@
 			g.log.Log(events.ObjectUnreadable, events.Fields{"kind": quarantineKind, "name": found.Name, "fault": found.Fault})
 			continue
 		}
-		records = append(records, onSteadyClock(time.Now(), found.Record))
+		records = append(records, fromTimesOfDay(g.now(), time.Now().Round(0), found.Record))
 	}
 	g.suspects.learn(records)
 	return true
 }
 
-// onSteadyClock moves a record's moments, which the store has as times of day, to the
-// process's own clock, so that the time of day may step.
-func onSteadyClock(now time.Time, record quarantine.Record) quarantine.Record {
+// fromTimesOfDay moves a record's moments, which the store has as times of day, to this
+// router's clock, on which the time of day may step.
+func fromTimesOfDay(clock, day time.Time, record quarantine.Record) quarantine.Record {
 	moved := record
 	moved.Ends = nil
 	for _, end := range record.Ends {
-		age := max(now.Sub(end.At), 0)
-		moved.Ends = append(moved.Ends, quarantine.End{Runner: end.Runner, At: now.Add(-age), Began: now.Add(-age - end.At.Sub(end.Began))})
+		ended := clock.Add(-max(day.Sub(end.At), 0))
+		moved.Ends = append(moved.Ends, quarantine.End{Runner: end.Runner, At: ended, Began: ended.Add(-end.At.Sub(end.Began))})
+	}
+	return moved
+}
+
+// toTimesOfDay does the reverse.
+func toTimesOfDay(clock, day time.Time, record quarantine.Record) quarantine.Record {
+	moved := record
+	moved.Ends = nil
+	for _, end := range record.Ends {
+		moved.Ends = append(moved.Ends, quarantine.End{Runner: end.Runner, At: day.Add(-clock.Sub(end.At)), Began: day.Add(-clock.Sub(end.Began))})
 	}
 	return moved
 }
@@ -141,11 +151,12 @@
 	g := k.gateway
 	ctx, cancel := context.WithTimeout(g.ctx, quarantineCall)
 	defer cancel()
-	defer g.metrics.storeCall(quarantineKind, callWrite, time.Now())
+	sent := g.now()
+	defer func() { g.metrics.storeCall(quarantineKind, callWrite, g.since(sent)) }()
 	if write.record == nil {
 		return g.ports.Store.DropQuarantine(ctx, write.content)
 	}
-	return g.ports.Store.KeepQuarantine(ctx, *write.record)
+	return g.ports.Store.KeepQuarantine(ctx, toTimesOfDay(g.now(), time.Now().Round(0), *write.record))
 }
 
 func (k *keptQuarantines) failed(content quarantine.Content, fault string) {
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		l.yieldIfFenced()
-		if !l.contends(time.Now(), outdated) {
+		if !l.contends(l.gateway.now(), outdated) {
 			continue
 		}
 		token, held := l.keep()
@@ -100,40 +100,37 @@
 	until time.Time
 }
 
-// valid tells whether an order may leave now.
-func (t term) valid() bool { return time.Now().Before(t.until) }
-
 func (l *leader) term(token uint64) term {
 	return term{holder: l.gateway.settings.Node, token: token, until: l.candidate.ValidUntil()}
 }
 
 // keep takes or renews the lease and returns the fencing token while it is held.
 func (l *leader) keep() (uint64, bool) {
-	now := time.Now()
+	now := l.gateway.now()
 	if token, held := l.candidate.Token(now); held {
 		if l.candidate.Next(now) == lease.Renew {
 			l.write(lease.Renew)
-			return l.candidate.Token(time.Now())
+			return l.candidate.Token(l.gateway.now())
 		}
 		return token, true
 	}
 	if now.Before(l.nextRead) || !l.read() {
 		return 0, false
 	}
-	switch l.candidate.Next(time.Now()) {
+	switch l.candidate.Next(l.gateway.now()) {
 	case lease.Acquire:
 		l.write(lease.Acquire)
 	case lease.Wait:
 		l.nextRead = l.nextLook()
 	}
-	return l.candidate.Token(time.Now())
+	return l.candidate.Token(l.gateway.now())
 }
 
 // nextLook returns when to read the lease that another router holds. Those that do not read
 // the store, or for want of seeds only, look when it may be free, so that they are no herd.
 func (l *leader) nextLook() time.Time {
 	freeAt := l.candidate.FreeAt().Add(l.gateway.jitter(leaseRetry))
-	if look := time.Now().Add(leaseWatch); l.gateway.relays.isSource() && look.Before(freeAt) {
+	if look := l.gateway.now().Add(leaseWatch); l.gateway.relays.isSource() && look.Before(freeAt) {
 		return look
 	}
 	return freeAt
@@ -142,22 +139,22 @@
 // yieldIfFenced gives up a term whose token a runner refused. A new one is not
 // sought before the other holder's orders have had their time.
 func (l *leader) yieldIfFenced() {
-	token, held := l.candidate.Token(time.Now())
+	token, held := l.candidate.Token(l.gateway.now())
 	if !held || !l.rollout.refused(token) {
 		return
 	}
 	l.candidate.Release()
-	l.nextRead = time.Now().Add(l.gateway.settings.LeaseGap + gapMargin)
+	l.nextRead = l.gateway.now().Add(l.gateway.settings.LeaseGap + gapMargin)
 }
 
 // read observes the lease and tells whether it could.
 func (l *leader) read() bool {
 	ctx, cancel := context.WithTimeout(l.gateway.ctx, leaseCall)
 	defer cancel()
-	asked := time.Now()
+	asked := l.gateway.now()
 	spec, revision, err := l.gateway.ports.Store.Lease(ctx)
-	now := time.Now()
-	l.gateway.metrics.storeCall(leaseKind, callRead, asked)
+	now := l.gateway.now()
+	l.gateway.metrics.storeCall(leaseKind, callRead, l.gateway.since(asked))
 	switch {
 	case errors.Is(err, ErrNotFound):
 		l.candidate.Observe(now, lease.Observation{})
@@ -174,9 +171,9 @@
 	ctx, cancel := context.WithTimeout(l.gateway.ctx, leaseCall)
 	defer cancel()
 	proposal := l.candidate.Proposal(action)
-	sent := time.Now()
+	sent := l.gateway.now()
 	written, err := l.gateway.ports.Store.WriteLease(ctx, proposal, l.candidate.Seen().Version)
-	l.gateway.metrics.storeCall(leaseKind, callWrite, sent)
+	l.gateway.metrics.storeCall(leaseKind, callWrite, l.gateway.since(sent))
 	if err != nil {
 		// Lost or refused: the next read shows what is in place.
 		l.retryLater(err)
@@ -188,7 +185,7 @@
 func (l *leader) retryLater(err error) {
 	g := l.gateway
 	g.metrics.storeFailures.WithLabelValues(leaseKind).Inc()
-	l.nextRead = time.Now().Add(g.jitter(leaseRetry))
+	l.nextRead = l.gateway.now().Add(g.jitter(leaseRetry))
 	g.log.Log(events.LeaseCallFailed, events.Fields{"error": err.Error(), "seen": l.candidate.Seen().Version, "holder": l.candidate.Seen().Spec.Holder})
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -74,7 +74,7 @@
 
 func (g *Gateway) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
 	knowsRunners := g.copies.revision(RunnerObjects) > 0
-	if g.draining.Load() || !knowsRunners || !g.proven(time.Now()) {
+	if g.draining.Load() || !knowsRunners || !g.proven(g.now()) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -33,7 +33,7 @@
 	s.gateway.relays.toldBehind(router, int(share.GetRouters()))
 	s.gateway.mutex.Lock()
 	defer s.gateway.mutex.Unlock()
-	now := time.Now()
+	now := s.gateway.now()
 	s.gateway.runners.SetOtherLoads(now, router, share.GetFull(), loads)
 	for _, told := range share.GetPromises() {
 		s.gateway.order.LearnPromise(now, promiseOf(told))
@@ -59,7 +59,7 @@
 		loads, uses := s.gateway.runners.ChangedLoads(), []*wire.PoolUse(nil)
 		if whole {
 			loads = s.gateway.runners.Loads()
-			uses = s.gateway.shares.uses(time.Now())
+			uses = s.gateway.shares.uses(s.gateway.now())
 		}
 		promises := s.gateway.order.TakePromises()
 		s.gateway.mutex.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,9 @@
 	// silentConnections counts kept connections to runners that were closed unused.
 	silentConnections prometheus.Counter
 
+	// suspensions counts the seconds for which the machine was suspended.
+	suspensions prometheus.Counter
+
 	storeCalls    *prometheus.HistogramVec
 	storeFailures *prometheus.CounterVec
 	renewals      *prometheus.CounterVec
@@ -112,6 +115,9 @@
 		silentConnections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runner_connections_silent_total", Help: "Kept connections to runners that were closed unused, as they may have fallen silent.",
 		}),
+		suspensions: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "suspended_seconds_total", Help: "Time for which the machine was suspended since the process started.",
+		}),
 		storeCalls:    seconds("store_call_seconds", "Calls to the store, watches with their waits.", "kind", "call"),
 		storeFailures: counters("store_failures_total", "Calls to the store that failed, by kind of object.", "kind"),
 		renewals:      counters("watch_renewals_total", "Watches that were behind and made anew, by whether the next one brought changes.", "kind", "outcome"),
@@ -140,7 +146,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.connections, m.silentConnections,
+		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.suspensions, m.connections, m.silentConnections,
 		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &contentStates{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
@@ -176,7 +182,7 @@
 
 func (g *Gateway) proofAge() float64 {
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
-		return time.Since(current.provenAt).Seconds()
+		return g.since(current.provenAt).Seconds()
 	}
 	return -1
 }
@@ -195,7 +201,7 @@
 // Collect implements prometheus.Collector.
 func (s *runnerStates) Collect(figures chan<- prometheus.Metric) {
 	s.gateway.mutex.Lock()
-	counts := s.gateway.runners.States(time.Now())
+	counts := s.gateway.runners.States(s.gateway.now())
 	s.gateway.mutex.Unlock()
 	for key, count := range counts {
 		figures <- prometheus.MustNewConstMetric(runnerStatesDescription, prometheus.GaugeValue, float64(count), key.Service, key.State.String())
@@ -215,7 +221,7 @@
 // Collect implements prometheus.Collector.
 func (a *copyAges) Collect(figures chan<- prometheus.Metric) {
 	for _, kind := range objectKinds {
-		if age, known := a.gateway.copies.age(time.Now(), kind); known {
+		if age, known := a.gateway.copies.age(a.gateway.now(), kind); known {
 			figures <- prometheus.MustNewConstMetric(copyAgeDescription, prometheus.GaugeValue, age.Seconds(), kind.String())
 		}
 	}
@@ -287,8 +293,8 @@
 	retryNoBackend = "no runner"
 )
 
-func (m *metrics) storeCall(kind, call string, began time.Time) {
-	m.storeCalls.WithLabelValues(kind, call).Observe(time.Since(began).Seconds())
+func (m *metrics) storeCall(kind, call string, taken time.Duration) {
+	m.storeCalls.WithLabelValues(kind, call).Observe(taken.Seconds())
 }
 
 func outcomeOf(done bool) string {
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -44,7 +44,7 @@
 // ask asks the nearest scheduler for a runner. It returns nil when this router is to
 // choose itself.
 func (s *schedulers) ask(query backend.Query, left time.Duration) *placementAsk {
-	scheduler := s.nearest(time.Now())
+	scheduler := s.nearest(s.gateway.now())
 	if scheduler == "" {
 		return nil
 	}
@@ -111,7 +111,7 @@
 func (s *schedulers) noteSilence(scheduler string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.ranking.NoteSilence(time.Now(), scheduler)
+	s.ranking.NoteSilence(s.gateway.now(), scheduler)
 }
 
 // await returns the choice, or nil if it does not come in time.
@@ -158,7 +158,7 @@
 // call's body arrives.
 func (c *call) startPlacement() {
 	c.query = c.newQuery()
-	c.placing = c.gateway.schedulers.ask(c.query, time.Until(c.deadline))
+	c.placing = c.gateway.schedulers.ask(c.query, c.gateway.until(c.deadline))
 }
 
 // awaitPlacement returns a scheduler's choice for the next send, or nil.
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -47,7 +47,7 @@
 	case r.gateway.copies.revision(RunnerObjects) == 0:
 		interval = nextQuestion
 	}
-	timer := time.NewTimer(r.beforeTooOld(time.Now(), r.gateway.jitter(interval)))
+	timer := time.NewTimer(r.beforeTooOld(r.gateway.now(), r.gateway.jitter(interval)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -123,7 +123,7 @@
 // someFollowers returns a few routers that pull from this seed, at random: the store may
 // turn all seeds away while it serves others.
 func (r *relays) someFollowers() []string {
-	now := time.Now()
+	now := r.gateway.now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !r.chooser.IsSeed() {
@@ -145,7 +145,7 @@
 func (r *relays) askable() []string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.chooser.Askable(time.Now())
+	return r.chooser.Askable(r.gateway.now())
 }
 
 // pullFromAny asks several routers, each a moment after the one before, and tells
@@ -177,7 +177,7 @@
 // pullFrom asks one router for changes and tells whether its proof is recent.
 func (r *relays) pullFrom(address string) bool {
 	answer, sent := r.askFor(address)
-	now := time.Now()
+	now := r.gateway.now()
 	age := wire.Age(answer.GetProofAgeMillis())
 	known := answer.GetProven() || answer.GetUnconfigured()
 	r.mutex.Lock()
@@ -246,9 +246,9 @@
 	for _, kind := range kinds {
 		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
 	}
-	sent := time.Now()
+	sent := r.gateway.now()
 	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
-	g.metrics.peerCalls.WithLabelValues(outcomeOf(err == nil)).Observe(time.Since(sent).Seconds())
+	g.metrics.peerCalls.WithLabelValues(outcomeOf(err == nil)).Observe(r.gateway.since(sent).Seconds())
 	if err != nil {
 		return nil, sent
 	}
@@ -265,9 +265,9 @@
 func (r *relays) Call(address string, question *wire.Envelope) (*wire.Envelope, time.Duration) {
 	ctx, cancel := context.WithTimeout(r.gateway.ctx, callTime)
 	defer cancel()
-	sent := time.Now()
+	sent := r.gateway.now()
 	reply, err := r.transport.Call(ctx, "", address, question)
-	taken := time.Since(sent)
+	taken := r.gateway.since(sent)
 	if err != nil {
 		return nil, taken
 	}
@@ -287,7 +287,7 @@
 	defer r.mutex.Unlock()
 	return &wire.CopyPull{
 		PeerAddress: settings.PeerAddress, Zone: settings.Zone,
-		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.followersBeside(time.Now(), address)),
+		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.followersBeside(r.gateway.now(), address)),
 	}
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -29,7 +29,7 @@
 // logEnd writes the line that every call ends with, and what was decided before
 // if it did not simply go well.
 func (c *call) logEnd(outcome string) {
-	now := time.Now()
+	now := c.gateway.now()
 	if c.answered.IsZero() {
 		c.answered = now
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -42,7 +42,7 @@
 	if c.route != nil {
 		route = c.route.Name
 	}
-	fields := events.Fields{"request": c.facts.ID, "route": route, "tenant": c.tenantName(), "status": r.status, "reason": r.reason, "ms": time.Since(c.arrived).Milliseconds()}
+	fields := events.Fields{"request": c.facts.ID, "route": route, "tenant": c.tenantName(), "status": r.status, "reason": r.reason, "ms": c.gateway.since(c.arrived).Milliseconds()}
 	if c.view != nil {
 		fields["config"] = c.view.table.Version
 		fields["config_age_ms"] = c.arrived.Sub(c.view.provenAt).Milliseconds()
@@ -87,7 +87,7 @@
 	}
 	c.logEnd(outcomeUnknown)
 	status := http.StatusBadGateway
-	if !time.Now().Before(c.deadline) {
+	if !c.gateway.now().Before(c.deadline) {
 		status = http.StatusGatewayTimeout
 	}
 	c.write(&refusal{status: status, reason: "the runner did not answer"})
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -110,16 +110,16 @@
 	if version, named := c.gateway.ports.Protocol.EventVersion(data); named {
 		c.learnVersion(version)
 	}
-	began := time.Now()
+	began := c.gateway.now()
 	if _, err := c.writer.Write(data); err != nil {
 		return errCallerLeft
 	}
-	c.stream.passed(time.Now())
+	c.stream.passed(c.gateway.now())
 	c.stream.lastEvent = lastEventID(data, c.stream.lastEvent)
 	if err := c.control.Flush(); err != nil {
 		return errCallerLeft
 	}
-	if now := time.Now(); now.Sub(began) >= unreadTime {
+	if now := c.gateway.now(); now.Sub(began) >= unreadTime {
 		c.stream.heldUpTo = now
 	}
 	return nil
@@ -129,7 +129,7 @@
 func (c *call) beginStream(response *httpconn.Response) {
 	c.stream = &eventStream{}
 	c.firstAnswer()
-	c.gateway.metrics.firstEvents.WithLabelValues(c.service).Observe(time.Since(c.arrived).Seconds())
+	c.gateway.metrics.firstEvents.WithLabelValues(c.service).Observe(c.gateway.since(c.arrived).Seconds())
 	c.copyHead(response.Header)
 	c.writer.WriteHeader(response.Status)
 }
@@ -160,7 +160,7 @@
 	if c.withdrawn() {
 		return c.endWithdrawn(false)
 	}
-	if c.stream.unread(time.Now()) {
+	if c.stream.unread(c.gateway.now()) {
 		c.end(backend.Abandoned, quarantine.Left, "the caller left the stream unread: "+cause.Error(), response.Status)
 	} else {
 		c.end(backend.Failed, quarantine.Broken, "stream broke off: "+cause.Error(), response.Status)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -125,7 +125,7 @@
 	g := r.gateway
 	// A seed reads the store from the start, without asking anybody first.
 	r.setDirect(r.readsStore(true))
-	patience := time.AfterFunc(time.Until(r.patientUntil), r.patienceOver)
+	patience := time.AfterFunc(r.gateway.until(r.patientUntil), r.patienceOver)
 	defer patience.Stop()
 	for g.ctx.Err() == nil {
 		relayed := r.wantsPull() && r.pull()
@@ -145,7 +145,7 @@
 // readsStore decides whether this router reads the store itself.
 func (r *relays) readsStore(relayed bool) bool {
 	r.mutex.Lock()
-	patient := time.Now().Before(r.patientUntil)
+	patient := r.gateway.now().Before(r.patientUntil)
 	r.mutex.Unlock()
 	waits := patient && !r.gateway.informed()
 	return r.isSource() || !(relayed || waits)
@@ -169,7 +169,7 @@
 	isSeed := r.chooser.IsSeed()
 	r.mutex.Unlock()
 	current := r.gateway.view.Load()
-	return !isSeed || current == nil || time.Since(current.provenAt) > proofAge || r.gateway.copies.behind(time.Now(), proofAge+copySlack)
+	return !isSeed || current == nil || r.gateway.since(current.provenAt) > proofAge || r.gateway.copies.behind(r.gateway.now(), proofAge+copySlack)
 }
 
 // alone tells whether this router has no others to learn from.
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -55,7 +55,7 @@
 	case *wire.Envelope_LoadShare:
 		r.gateway.schedulers.told(envelope.GetFrom(), body.LoadShare)
 	case *wire.Envelope_SuspectNews:
-		r.gateway.suspects.learn(recordsOf(time.Now(), body.SuspectNews.GetRecords()))
+		r.gateway.suspects.learn(recordsOf(r.gateway.now(), body.SuspectNews.GetRecords()))
 	case *wire.Envelope_QuotaReturn:
 		r.gateway.limits.Returned(body.QuotaReturn)
 	}
@@ -78,15 +78,15 @@
 	// The proof is read before the copies: what is given is at least as new.
 	if current := g.view.Load(); current != nil && !current.provenAt.IsZero() {
 		answer.Proven = true
-		answer.ProofAgeMillis = wire.AgeMillis(time.Since(current.provenAt))
+		answer.ProofAgeMillis = wire.AgeMillis(r.gateway.since(current.provenAt))
 	} else if empty := g.unconfigured.Load(); empty != nil {
 		answer.Unconfigured = true
-		answer.ProofAgeMillis = wire.AgeMillis(time.Since(*empty))
+		answer.ProofAgeMillis = wire.AgeMillis(r.gateway.since(*empty))
 	}
 	answer.Suspects = g.suspects.answer(pull)
 	answer.TellsProofs, answer.Proofs, answer.WeightBounds = true, g.copies.proofs(), g.firmBounds()
 	if newest, known := g.copies.checkpoints.newest(); known {
-		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, wire.AgeMillis(time.Since(newest.at))
+		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, wire.AgeMillis(r.gateway.since(newest.at))
 	}
 	for _, have := range pull.GetHave() {
 		kind := ObjectKind(have.GetKind())
@@ -111,7 +111,7 @@
 // noteFollower notes a router that pulls, and returns whom it is to pull from
 // instead, if anybody, and how long after this pull the next one is to come.
 func (r *relays) noteFollower(pull *wire.CopyPull) (referTo string, interval time.Duration) {
-	address, now := pull.GetPeerAddress(), time.Now()
+	address, now := pull.GetPeerAddress(), r.gateway.now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if address != "" {
@@ -160,7 +160,7 @@
 // countRouters counts all routers, at a seed, and returns how many learn from this one,
 // itself included. Each router learns from one seed or a relay of one, and is told the number.
 func (r *relays) countRouters() (own int) {
-	now := time.Now()
+	now := r.gateway.now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	own = r.routersBehind(now)
@@ -172,7 +172,7 @@
 func (r *relays) toldBehind(seed string, routers int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.counter.Told(time.Now(), seed, routers)
+	r.counter.Told(r.gateway.now(), seed, routers)
 }
 
 // referral returns whom the asking router is to pull from: at a seed one of the
@@ -203,7 +203,7 @@
 	r.mutex.Lock()
 	kept := r.packed[kind]
 	r.mutex.Unlock()
-	if kept.answers(after, through, time.Now()) {
+	if kept.answers(after, through, r.gateway.now()) {
 		return kept.message
 	}
 	delta := r.gateway.copies.since(kind, after)
@@ -213,14 +213,14 @@
 		panic("gateway: " + err.Error())
 	}
 	r.mutex.Lock()
-	r.packed[kind] = packedCopy{from: after, through: delta.Through, reusable: kind == RunnerObjects && delta.Full && delta.Through > 0, at: time.Now(), message: message}
+	r.packed[kind] = packedCopy{from: after, through: delta.Through, reusable: kind == RunnerObjects && delta.Full && delta.Through > 0, at: r.gateway.now(), message: message}
 	r.mutex.Unlock()
 	return message
 }
 
 // push tells the routers that pulled of late what has changed after the revision.
 func (r *relays) push(kind ObjectKind, after uint64) {
-	addresses := r.pushed(time.Now())
+	addresses := r.pushed(r.gateway.now())
 	if len(addresses) == 0 {
 		return
 	}
@@ -233,7 +233,7 @@
 
 // pushNews tells them of changed records of contents.
 func (r *relays) pushNews(news *wire.SuspectNews) {
-	for _, address := range r.pushed(time.Now()) {
+	for _, address := range r.pushed(r.gateway.now()) {
 		// What is lost is repaired by the next pull.
 		r.Send(address, &wire.Envelope{Body: &wire.Envelope_SuspectNews{SuspectNews: news}})
 	}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -74,7 +74,7 @@
 	taken := r.taken
 	r.mutex.Unlock()
 	g.mutex.Lock()
-	groups := g.runners.ModelGroups(time.Now(), taken)
+	groups := g.runners.ModelGroups(r.gateway.now(), taken)
 	g.mutex.Unlock()
 	for _, group := range groups {
 		limits := limitsFor(len(group.Runners), group.AtOnce)
@@ -98,7 +98,7 @@
 // planned describes the group's runners to the planner. A runner ahead of the
 // named version counts as having it.
 func (r *rollouts) planned(group backend.ModelGroup) []rollout.Runner {
-	now := time.Now()
+	now := r.gateway.now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var planned []rollout.Runner
@@ -153,13 +153,13 @@
 	r.active[id] = true
 	r.mutex.Unlock()
 	g.spawn(func() {
-		began := time.Now()
+		began := r.gateway.now()
 		done := r.update(runner, model, version)
-		g.metrics.weightUpdates.WithLabelValues(outcomeOf(done)).Observe(time.Since(began).Seconds())
+		g.metrics.weightUpdates.WithLabelValues(outcomeOf(done)).Observe(r.gateway.since(began).Seconds())
 		g.mutex.Lock()
 		g.runners.SetUpdating(id, false)
 		g.mutex.Unlock()
-		r.ended(id, done, time.Since(began))
+		r.ended(id, done, r.gateway.since(began))
 	})
 }
 
@@ -171,7 +171,7 @@
 	delete(r.unanswered, id)
 	delete(r.setBackUntil, id)
 	if !done {
-		r.setBackUntil[id] = time.Now().Add(setBack)
+		r.setBackUntil[id] = r.gateway.now().Add(setBack)
 	}
 	r.taken += time.Duration(updateTimeWeight * float64(taken-r.taken))
 }
@@ -179,9 +179,9 @@
 // update brings one runner to the version and tells whether it has it.
 func (r *rollouts) update(runner backend.Runner, model string, version uint64) bool {
 	g := r.gateway
-	deadline := time.Now().Add(updateTime)
+	deadline := r.gateway.now().Add(updateTime)
 	var last lastOrder
-	for time.Now().Before(deadline) {
+	for r.gateway.now().Before(deadline) {
 		report, err := r.report(runner)
 		if err != nil {
 			g.log.Log(events.RunnerSilent, events.Fields{"runner": runner.ID, "address": runner.Address, "error": err.Error()})
@@ -193,11 +193,11 @@
 		if report.Busy {
 			r.setUnanswered(runner.ID, false)
 		}
-		if !report.Busy && !last.outstanding(report) {
+		if !report.Busy && !last.outstanding(g.now(), report) {
 			if !r.order(runner, model, version, report.Orders) {
 				return false
 			}
-			last = lastOrder{at: time.Now(), incarnation: report.Incarnation, after: report.Orders}
+			last = lastOrder{at: r.gateway.now(), incarnation: report.Incarnation, after: report.Orders}
 		}
 		if !g.pause(reportInterval) {
 			return false
@@ -216,8 +216,8 @@
 
 // outstanding tells whether the order may still be on its way. One to an earlier incarnation
 // is not: it never shows.
-func (o lastOrder) outstanding(report RunnerReport) bool {
-	return !o.at.IsZero() && report.Incarnation == o.incarnation && report.Orders <= o.after && time.Since(o.at) < resendAfter
+func (o lastOrder) outstanding(now time.Time, report RunnerReport) bool {
+	return !o.at.IsZero() && report.Incarnation == o.incarnation && report.Orders <= o.after && now.Sub(o.at) < resendAfter
 }
 
 func (r *rollouts) report(runner backend.Runner) (RunnerReport, error) {
@@ -250,11 +250,12 @@
 	r.mutex.Lock()
 	current := r.current
 	r.mutex.Unlock()
-	ctx, cancel := context.WithDeadline(g.ctx, current.until)
-	defer cancel()
-	if !current.valid() {
+	left := g.until(current.until)
+	if left <= 0 {
 		return false
 	}
+	ctx, cancel := context.WithTimeout(g.ctx, left)
+	defer cancel()
 	outcome, err := g.ports.Runners.Order(ctx, runner, WeightOrder{
 		Model: model, Version: version, Holder: current.holder, Token: current.token, ExpectedOrders: ordersTaken, KeepRunning: !g.settings.AwaitRunning,
 	})
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -92,7 +92,7 @@
 
 // find asks the runner and notes what that shows.
 func (e *runnerEnds) find(runner backend.Runner) {
-	asked := time.Now()
+	asked := e.gateway.now()
 	liveness := e.ask(runner)
 	e.gateway.metrics.runnerChecks.WithLabelValues(runner.Service, liveness.String()).Inc()
 	switch liveness {
@@ -107,7 +107,7 @@
 
 // noteEnded notes a runner that has ended.
 func (e *runnerEnds) noteEnded(runner backend.Runner) {
-	now := time.Now()
+	now := e.gateway.now()
 	e.mutex.Lock()
 	runs := e.work.RunnerEnded(now, startOf(runner))
 	e.mutex.Unlock()
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -62,7 +62,7 @@
 // configuration or directory is not proved declines, as it may not know which runners
 // there are.
 func (s *schedulers) place(envelope *wire.Envelope, ask *wire.RunnerAsk) *wire.RunnerAnswer {
-	g, now := s.gateway, time.Now()
+	g, now := s.gateway, s.gateway.now()
 	if g.draining.Load() || !g.proven(now) || g.copies.behind(now, usableFor(g.settings.ConfigLease)) || !s.places() {
 		return &wire.RunnerAnswer{Declined: true}
 	}
@@ -129,12 +129,12 @@
 	s.ledger.LearnVersion(key, notice.GetWeights())
 	if notice.GetEnded() {
 		if query, send, found := s.ledger.Placed(key); found {
-			s.gateway.shares.refund(time.Now(), query, send, outcome)
+			s.gateway.shares.refund(s.gateway.now(), query, send, outcome)
 		}
-		s.ledger.End(time.Now(), key, outcome)
+		s.ledger.End(s.gateway.now(), key, outcome)
 		return
 	}
-	s.ledger.FirstAnswer(time.Now(), key)
+	s.ledger.FirstAnswer(s.gateway.now(), key)
 }
 
 // open counts the requests placed for others that have not ended.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -40,7 +40,7 @@
 		c.startPlacement()
 	}
 	choice, query := c.awaitPlacement(), c.query
-	now := time.Now()
+	now := c.gateway.now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if again && !c.paid && !g.budget(c.service).Spend() {
@@ -109,7 +109,7 @@
 	defer c.releaseSend()
 	c.request.Dispatching(c.runner.ID)
 	c.answering = 0
-	c.sent = time.Now()
+	c.sent = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
 	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.message())
 	if !errors.Is(err, httpconn.ErrNotSent) {
@@ -146,7 +146,7 @@
 func isSuccess(status int) bool { return status >= 200 && status <= 299 }
 
 func (c *call) message() *httpconn.Request {
-	dispatch := Dispatch{Remaining: time.Until(c.deadline), Runner: c.runner.ID, Priority: -1, LastEvent: c.facts.LastEvent}
+	dispatch := Dispatch{Remaining: c.gateway.until(c.deadline), Runner: c.runner.ID, Priority: -1, LastEvent: c.facts.LastEvent}
 	if c.tenant != nil {
 		dispatch.Tenant = c.tenant.Name
 	}
@@ -183,7 +183,7 @@
 		// The run began before, so that its weights may go on.
 		return g.runners.Stays(c.runner.ID, c.service)
 	}
-	return g.runners.MaySend(time.Now(), c.runner.ID, c.query, c.weights)
+	return g.runners.MaySend(c.gateway.now(), c.runner.ID, c.query, c.weights)
 }
 
 // learnVersion notes the version of the weights that the runner named.
@@ -208,7 +208,7 @@
 	c.gateway.metrics.runnerFailures.WithLabelValues(c.service, outcome.String()).Inc()
 	c.note(events.RequestAnswerBad, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
-		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": time.Since(c.sent).Milliseconds(), "content": c.content.String(),
+		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": c.gateway.since(c.sent).Milliseconds(), "content": c.content.String(),
 	})
 }
 
@@ -219,9 +219,9 @@
 	g.mutex.Lock()
 	c.barWithdrawal()
 	if c.placed == nil && !c.continuing && g.shares.counts() {
-		g.shares.refund(time.Now(), c.query, c.open, outcome)
+		g.shares.refund(c.gateway.now(), c.query, c.open, outcome)
 	}
-	g.runners.End(time.Now(), c.open, outcome)
+	g.runners.End(c.gateway.now(), c.open, outcome)
 	g.mutex.Unlock()
 	g.schedulers.notify(c.placed, true, outcome, c.answering)
 	c.placed = nil
@@ -231,14 +231,14 @@
 func (c *call) firstAnswer() {
 	g := c.gateway
 	if c.answered.IsZero() {
-		c.answered = time.Now()
+		c.answered = c.gateway.now()
 	}
 	if !c.open.Answered() && c.route.Kind == routing.Streaming {
 		// Other answers are over as soon as they begin.
 		g.schedulers.notify(c.placed, false, backend.Answered, c.answering)
 	}
 	g.mutex.Lock()
-	now := time.Now()
+	now := c.gateway.now()
 	c.barWithdrawal()
 	g.runners.FirstAnswer(now, c.open)
 	if g.runners.Listed(c.open) {
@@ -271,7 +271,7 @@
 	c.endSend(backend.NotConfirmed, quarantine.NotRun)
 	c.note(events.SendNotConfirmed, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.request.Attempt(),
-		"weights": c.weights, "after_ms": time.Since(c.sent).Milliseconds(),
+		"weights": c.weights, "after_ms": c.gateway.since(c.sent).Milliseconds(),
 	})
 	return c.request.NotConfirmed()
 }
--- a/internal/gateway/shareuses.go
+++ b/internal/gateway/shareuses.go
@@ -63,7 +63,7 @@
 		}
 		all = append(all, sums)
 	}
-	s.tracker.Merge(time.Now(), scheduler, all)
+	s.tracker.Merge(s.gateway.now(), scheduler, all)
 }
 
 // excessMessage writes an excess for the wire, 0 for a tenant that is not beyond its share.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
 )
@@ -40,7 +39,7 @@
 
 // Status returns what the router believes now.
 func (g *Gateway) Status() Status {
-	now := time.Now()
+	now := g.now()
 	status := Status{
 		Node: g.settings.Node, Zone: g.settings.Zone, Draining: g.draining.Load(), ProofAgeMillis: -1,
 		Proven: g.proven(now), DirectoryRevision: g.directoryRevision.Load(), ReadsStore: g.direct.on(),
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -94,7 +94,7 @@
 
 // learn takes what another router has told, and passes on what is news.
 func (s *suspects) learn(records []quarantine.Record) {
-	now := time.Now()
+	now := s.gateway.now()
 	s.mutex.Lock()
 	changed := s.judge.Merge(now, records)
 	s.mutex.Unlock()
@@ -178,7 +178,7 @@
 	if reached == through {
 		return nil
 	}
-	return &wire.SuspectDelta{Feed: feed, Through: reached, Records: suspectMessages(time.Now(), records)}
+	return &wire.SuspectDelta{Feed: feed, Through: reached, Records: suspectMessages(s.gateway.now(), records)}
 }
 
 // told takes the answer of the router at the address.
@@ -186,7 +186,7 @@
 	if delta == nil {
 		return
 	}
-	s.learn(recordsOf(time.Now(), delta.GetRecords()))
+	s.learn(recordsOf(s.gateway.now(), delta.GetRecords()))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.followed[address] = suspectFeed{feed: delta.GetFeed(), through: delta.GetThrough()}
@@ -209,5 +209,5 @@
 func (s *suspects) counts() map[quarantine.State]int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.judge.Counts(time.Now())
+	return s.judge.Counts(s.gateway.now())
 }
--- a/internal/gateway/weighttold.go
+++ b/internal/gateway/weighttold.go
@@ -15,7 +15,7 @@
 func (g *Gateway) firmBounds() []*wire.WeightBound {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := time.Now()
+	now := g.now()
 	var told []*wire.WeightBound
 	for _, bound := range g.bounds.Firm(g.settings.namingTimes(), now, toldLifetimes*g.settings.WeightDeadline) {
 		told = append(told, &wire.WeightBound{Model: bound.Model, Version: bound.Version, AgeMillis: wire.AgeMillis(now.Sub(bound.Before()))})
@@ -40,7 +40,7 @@
 		return
 	}
 	g.countOlder(model, known)
-	g.log.Log(events.WeightsBounded, events.Fields{"model": model, "version": known.Named(), "told": version, "older_until_ms": time.Until(known.OlderUntil(g.settings.namingTimes())).Milliseconds()})
+	g.log.Log(events.WeightsBounded, events.Fields{"model": model, "version": known.Named(), "told": version, "older_until_ms": g.until(known.OlderUntil(g.settings.namingTimes())).Milliseconds()})
 }
 
 // countOlder puts the deadlines of the model's older weights in force. The mutex is held.
@@ -54,5 +54,5 @@
 
 // withdrawAt withdraws what has not begun at the moment.
 func (g *Gateway) withdrawAt(at time.Time, model string) {
-	time.AfterFunc(time.Until(at), func() { g.withdrawUnbegun(time.Now(), model) })
+	time.AfterFunc(g.until(at), func() { g.withdrawUnbegun(g.now(), model) })
 }
--- a/internal/gateway/workfigures.go
+++ b/internal/gateway/workfigures.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -23,7 +21,7 @@
 // Collect implements prometheus.Collector.
 func (w *serviceWork) Collect(figures chan<- prometheus.Metric) {
 	w.gateway.mutex.Lock()
-	works := w.gateway.runners.Works(time.Now())
+	works := w.gateway.runners.Works(w.gateway.now())
 	w.gateway.mutex.Unlock()
 	for _, work := range works {
 		figures <- prometheus.MustNewConstMetric(readRateDescription, prometheus.GaugeValue, work.ReadRate, work.Service)
