Two ways on which a content still ends runners (failing tests)

And a request that waits at a runner when its content is quarantined is left there, so that it ends that runner too, and its caller waits.

--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -44,6 +44,8 @@
 	*fleet
 	silent  bool
 	routers []*router
+	// poisonEvery is one in how many thirtieths of a second the poison is sent.
+	poisonEvery int
 	mutex   sync.Mutex
 	// started holds all runners that ever were, and ends when some of them ended.
 	started []*runnerstand.Runner
@@ -53,7 +55,7 @@
 
 // newPoisonedFleet starts the runners; silent ones end without the head of an answer.
 func newPoisonedFleet(t *testing.T, runners int, silent bool) *poisonedFleet {
-	p := &poisonedFleet{fleet: newFleet(t), silent: silent}
+	p := &poisonedFleet{fleet: newFleet(t), silent: silent, poisonEvery: 5}
 	p.configure(1, defaultRoutes(), goodKey)
 	for range runners {
 		p.start()
@@ -156,8 +158,8 @@
 	})
 }
 
-// load sends the poison six times a second at the routers in turn, beside 30 other requests
-// a second, half of them all the same.
+// load sends the poison at the routers in turn, beside 30 other requests a second, half of
+// them all the same.
 func (p *poisonedFleet) load(path string, duration time.Duration) (poison, others *outcomes) {
 	poison, others = &outcomes{}, &outcomes{}
 	ticks := time.NewTicker(time.Second / 30)
@@ -170,8 +172,8 @@
 			body, target = fmt.Sprintf("body %d", tick), fmt.Sprintf("%s%d", path, tick)
 		}
 		others.ask(r, target, body)
-		if tick%5 == 0 {
-			poison.ask(p.routers[tick/5%len(p.routers)], path+"x", poisonBody)
+		if tick%p.poisonEvery == 0 {
+			poison.ask(p.routers[tick/p.poisonEvery%len(p.routers)], path+"x", poisonBody)
 		}
 	}
 	poison.group.Wait()
@@ -227,3 +229,42 @@
 	_, counted := p.endedBy()
 	p.g.Expect(p.sentAfter(counted)).To(BeNumerically("<=", sendsAfter))
 }
+
+// Routers that reach the store and none of each other: each alone would end three runners.
+func TestRoutersThatReachOnlyTheStoreJudgeTogether(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 16, false)
+	for i := range 5 {
+		p.routers = append(p.routers, p.servingRouter(fmt.Sprint("alone-", i), p.asFollower([]string{silentPeer(p.fleet)})))
+	}
+	p.poisonEvery = 20
+	p.load("/once/", 10*time.Second)
+	ended, counted := p.endedBy()
+	p.g.Expect(p.sentAfter(counted)).To(BeNumerically("<=", sendsAfter), "%d runners ended", ended)
+}
+
+// A request that waits at a runner when its content is quarantined would end that one, too.
+func TestWhatWaitsAtARunnerWhenItIsQuarantinedIsWithdrawn(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 1, false)
+	p.route(1)
+	slow := p.started[0]
+	slow.Queue(3 * time.Second)
+	slow.Behave(runnerstand.Queues)
+	waiting := make(chan answer, 1)
+	go func() { waiting <- p.routers[1].call("/once/x", asking(poisonBody)) }()
+	p.g.Eventually(slow.Arrivals, time.Second, time.Millisecond).Should(Equal(1))
+	p.list(slow, "draining")
+	for range 6 {
+		p.start()
+	}
+	for _, r := range p.routers {
+		r.logs(`"draining":true`)
+		r.logs(`"runner":"e6"`)
+	}
+	p.endRunners(3)
+	got := <-waiting
+	p.g.Expect(got.status).To(Equal(http.StatusBadGateway), "it may have begun")
+	p.g.Expect(got.after).To(BeNumerically("<", 2*time.Second))
+	p.g.Expect(slow.Runs()).To(BeEmpty())
+}
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -313,12 +313,12 @@
 	}
 	behaviour, run := r.take(request, body, arrived)
 	defer close(run.Ended)
-	if r.Poison.isIn(body) {
-		r.endUnder(writer, run)
-	}
 	if behaviour == Queues && !r.begin(request, run) {
 		return
 	}
+	if r.Poison.isIn(body) {
+		r.endUnder(writer, run)
+	}
 	header := writer.Header()
 	header.Set(platform.HeaderRequestID, run.Request)
 	header.Set(platform.HeaderVersions, strconv.FormatUint(r.Version(), 10))
