Routers that reach the store and no seed judge contents together

Runners went on to end: 15 in ten seconds under one content, a request each 0.7 s at five routers that reached the store and no seed, and 8 sends came too late.

Cause: routers told seeds only, and the store was read once, at the start, and held quarantines only, so each such router had to see three runners end by itself.

Mend: whoever reads the store watches the records there, and writes those of contents under which two runners have ended, merged with what others wrote, until that is done. Each record is written once or twice, as the others hear of it first.

Why it holds: a router that is held to the rule reaches the store or a router that does; what one learns there it merges like any other news.

--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -2,111 +2,225 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
-// Times of the quarantines in the store.
+// Times of the records in the store.
 const (
-	// quarantineCall bounds one call: the store answers within some milliseconds, and after
-	// six times that it is slow or away.
-	quarantineCall = 500 * time.Millisecond
-	// quarantineRetry is the pause after a call that failed, and quarantineTries how often a
-	// write is tried: routers that live know the content without it.
-	quarantineRetry = time.Second
-	quarantineTries = 5
-	// writesQueued bounds the writes that wait; more are dropped, as a store that is away
-	// for long must not cost memory.
-	writesQueued = 64
+	// quarantineCall bounds one call beyond what it is to wait: the store answers within some
+	// milliseconds, and some hundred where it is slow.
+	quarantineCall = 700 * time.Millisecond
+	// quarantineRetry and quarantineLongest bound the pause after a call that failed.
+	quarantineRetry   = 500 * time.Millisecond
+	quarantineLongest = 4 * time.Second
+	// quarantineSettle is the longest pause before a write: all routers that read the store
+	// hear of an end at once, and the first of them to write spares the others their call.
+	quarantineSettle = 100 * time.Millisecond
+	// endsToKeep is how many runners must have ended under a content before its record is
+	// kept: one names whatever was at work on a runner, mostly several contents.
+	endsToKeep = 2
 )
 
-// keptQuarantines keeps quarantines in the store, so that they outlast all routers: without
-// that each loss of all routers would cost three runners more for each content. Only routers
-// that read the store for others write there, and only quarantines, so the calls are as few
-// as runners end for them.
+// keptQuarantines keeps records of contents in the store, so that they outlast all routers,
+// and reach those that read the store though no seed reaches them: each would have to see
+// three runners end by itself. Only routers that read the store write there, and only
+// contents that were at work on two runners, so the calls are as few as runners end.
 type keptQuarantines struct {
 	gateway *Gateway
-	writes  chan quarantineWrite
-}
-
-// quarantineWrite is one change of the store: the record is kept, or dropped if it is nil.
-type quarantineWrite struct {
-	content quarantine.Content
-	record  *quarantine.Record
+	mutex   sync.Mutex
+	// stored holds what the store is known to have of each content.
+	stored map[quarantine.Content]quarantine.Record
+	// pending are contents whose record is to be written or, once it is cleared or
+	// forgotten, taken out; there are as many as records at most.
+	pending map[quarantine.Content]bool
+	// wanted is told when there is something to write.
+	wanted chan struct{}
 }
 
 func newKeptQuarantines(g *Gateway) *keptQuarantines {
-	return &keptQuarantines{gateway: g, writes: make(chan quarantineWrite, writesQueued)}
-}
-
-// keep writes the record soon.
-func (k *keptQuarantines) keep(record quarantine.Record) {
-	k.write(quarantineWrite{content: record.Content, record: &record})
-}
-
-// drop takes the content's record out of the store soon.
-func (k *keptQuarantines) drop(content quarantine.Content) {
-	k.write(quarantineWrite{content: content})
+	return &keptQuarantines{
+		gateway: g, stored: map[quarantine.Content]quarantine.Record{}, pending: map[quarantine.Content]bool{}, wanted: make(chan struct{}, 1),
+	}
 }
 
-func (k *keptQuarantines) write(write quarantineWrite) {
-	if !k.gateway.relays.isSource() {
+// changed has the content's record written soon, if it is to be kept.
+func (k *keptQuarantines) changed(content quarantine.Content, ends int) {
+	if !k.gateway.direct.on() {
 		return
 	}
+	k.mutex.Lock()
+	_, stored := k.stored[content]
+	if ends >= endsToKeep || stored {
+		k.pending[content] = true
+	}
+	k.mutex.Unlock()
 	select {
-	case k.writes <- write:
+	case k.wanted <- struct{}{}:
 	default:
-		k.failed(write.content, "too many writes wait")
 	}
 }
 
-// run reads what is kept once this router reads the store, then makes writes.
-func (k *keptQuarantines) run() {
-	g := k.gateway
-	for read := false; !read; {
-		if !g.direct.wait(g.ctx) {
-			return
+// follow learns what others keep while this router reads the store.
+func (k *keptQuarantines) follow() {
+	g, revision, failures := k.gateway, uint64(0), 0
+	for g.direct.wait(g.ctx) {
+		next, err := k.learn(revision)
+		if err == nil {
+			revision, failures = next, 0
+			continue
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			revision = 0
+			continue
 		}
-		if read = k.read(); !read && !g.pause(g.jitter(quarantineRetry)) {
+		if !k.failed(callWatch, err, failures) {
 			return
 		}
+		failures++
 	}
+}
+
+// learn lists all records at first, and then waits for changes after the revision. It
+// returns the next revision.
+func (k *keptQuarantines) learn(revision uint64) (next uint64, err error) {
+	g, name, wait, sent := k.gateway, callWatch, directoryWait, k.gateway.now()
+	if revision == 0 {
+		name, wait = callList, 0
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, wait+quarantineCall)
+	defer cancel()
+	var kept []KeptQuarantine
+	if revision == 0 {
+		// Many read at once where there is no seed: a list that may be old costs the store little.
+		kept, next, err = g.ports.Store.Quarantines(ctx, !g.relays.isSource())
+	} else {
+		kept, next, err = g.ports.Store.WatchQuarantines(ctx, revision, wait)
+	}
+	g.metrics.storeCall(quarantineKind, name, g.since(sent))
+	if err != nil {
+		return revision, err
+	}
+	k.take(kept)
+	return max(next, revision), nil
+}
+
+// take takes what the store has. What is gone was cleared or forgotten by whoever took it
+// out, and each router finds that out by itself.
+func (k *keptQuarantines) take(kept []KeptQuarantine) {
+	g := k.gateway
+	var records []quarantine.Record
+	for _, found := range kept {
+		switch {
+		case found.Fault != "":
+			g.log.Log(events.ObjectUnreadable, events.Fields{"kind": quarantineKind, "name": found.Name, "fault": found.Fault})
+		case !found.Gone:
+			record := fromTimesOfDay(g.now(), time.Now().Round(0), found.Record)
+			records = append(records, record)
+			k.noteStored(record)
+		}
+	}
+	g.suspects.learn(records)
+}
+
+func (k *keptQuarantines) noteStored(record quarantine.Record) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.stored[record.Content] = record
+}
+
+// write writes changed records until the gateway stops. A write that fails is made again
+// until it is done or its record is of no use any more.
+func (k *keptQuarantines) write() {
+	g, failures := k.gateway, 0
 	for {
 		select {
-		case write := <-k.writes:
-			k.make(write)
+		case <-k.wanted:
 		case <-g.ctx.Done():
 			return
 		}
+		for content, pending := k.next(); pending; content, pending = k.next() {
+			if !g.pause(g.jitter(quarantineSettle)) {
+				return
+			}
+			if err := k.writeOne(content); err == nil {
+				failures = 0
+				continue
+			} else if !k.failed(callWrite, err, failures) {
+				return
+			}
+			failures++
+		}
 	}
 }
 
-// read takes over what earlier processes have kept, and tells whether it could.
-func (k *keptQuarantines) read() bool {
-	g := k.gateway
+// next returns a content whose record is to be written, or false when there is none.
+func (k *keptQuarantines) next() (quarantine.Content, bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for content := range k.pending {
+		return content, true
+	}
+	return quarantine.Content{}, false
+}
+
+// writeOne makes the store have what this router knows of the content.
+func (k *keptQuarantines) writeOne(content quarantine.Content) error {
+	record, verdict := k.gateway.suspects.record(content)
+	k.mutex.Lock()
+	delete(k.pending, content)
+	stored, isStored := k.stored[content]
+	k.mutex.Unlock()
+	missing := !isStored
+	if isStored {
+		record, missing = stored.Merge(record)
+	}
+	err := error(nil)
+	switch {
+	case verdict.State == quarantine.Clear && isStored:
+		if err = k.call(func(ctx context.Context) error { return k.gateway.ports.Store.DropQuarantine(ctx, content) }); err == nil {
+			k.mutex.Lock()
+			delete(k.stored, content)
+			k.mutex.Unlock()
+		}
+	case verdict.State != quarantine.Clear && missing:
+		written := toTimesOfDay(k.gateway.now(), time.Now().Round(0), record)
+		if err = k.call(func(ctx context.Context) error { return k.gateway.ports.Store.KeepQuarantine(ctx, written) }); err == nil {
+			k.noteStored(record)
+		}
+	}
+	if err != nil {
+		k.mutex.Lock()
+		k.pending[content] = true
+		k.mutex.Unlock()
+	}
+	return err
+}
+
+func (k *keptQuarantines) call(call func(ctx context.Context) error) error {
+	g, sent := k.gateway, k.gateway.now()
 	ctx, cancel := context.WithTimeout(g.ctx, quarantineCall)
 	defer cancel()
-	sent := k.gateway.now()
-	// Many read at once where there is no seed: a list that may be old costs the store little.
-	kept, err := g.ports.Store.Quarantines(ctx, !g.relays.isSource())
-	g.metrics.storeCall(quarantineKind, callList, g.since(sent))
-	if err != nil {
-		g.metrics.storeFailures.WithLabelValues(quarantineKind).Inc()
-		g.log.Log(events.QuarantineCallFailed, events.Fields{"call": callList, "error": err.Error()})
+	defer func() { g.metrics.storeCall(quarantineKind, callWrite, g.since(sent)) }()
+	return call(ctx)
+}
+
+// failed notes a call that failed after others, and waits before the next. It returns false
+// when the gateway stops.
+func (k *keptQuarantines) failed(call string, err error, failures int) bool {
+	g := k.gateway
+	if g.ctx.Err() != nil {
 		return false
 	}
-	var records []quarantine.Record
-	for _, found := range kept {
-		if found.Fault != "" {
-			g.log.Log(events.ObjectUnreadable, events.Fields{"kind": quarantineKind, "name": found.Name, "fault": found.Fault})
-			continue
-		}
-		records = append(records, fromTimesOfDay(g.now(), time.Now().Round(0), found.Record))
+	g.metrics.storeFailures.WithLabelValues(quarantineKind).Inc()
+	if failures == 0 {
+		g.log.Log(events.QuarantineCallFailed, events.Fields{"call": call, "error": err.Error()})
 	}
-	g.suspects.learn(records)
-	return true
+	return g.pause(g.jitter(min(quarantineRetry<<min(failures, 4), quarantineLongest)))
 }
 
 // fromTimesOfDay moves a record's moments, which the store has as times of day, to this
@@ -130,35 +244,3 @@
 	}
 	return moved
 }
-
-// make makes one write, some times if it fails.
-func (k *keptQuarantines) make(write quarantineWrite) {
-	g := k.gateway
-	var err error
-	for range quarantineTries {
-		if err = k.call(write); err == nil {
-			return
-		}
-		g.metrics.storeFailures.WithLabelValues(quarantineKind).Inc()
-		if !g.pause(g.jitter(quarantineRetry)) {
-			return
-		}
-	}
-	k.failed(write.content, err.Error())
-}
-
-func (k *keptQuarantines) call(write quarantineWrite) error {
-	g := k.gateway
-	ctx, cancel := context.WithTimeout(g.ctx, quarantineCall)
-	defer cancel()
-	sent := g.now()
-	defer func() { g.metrics.storeCall(quarantineKind, callWrite, g.since(sent)) }()
-	if write.record == nil {
-		return g.ports.Store.DropQuarantine(ctx, write.content)
-	}
-	return g.ports.Store.KeepQuarantine(ctx, toTimesOfDay(g.now(), time.Now().Round(0), *write.record))
-}
-
-func (k *keptQuarantines) failed(content quarantine.Content, fault string) {
-	k.gateway.log.Log(events.QuarantineCallFailed, events.Fields{"call": callWrite, "content": content.String(), "tenant": content.Tenant, "error": fault})
-}
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -46,7 +46,7 @@
 	routers []*router
 	// poisonEvery is one in how many thirtieths of a second the poison is sent.
 	poisonEvery int
-	mutex   sync.Mutex
+	mutex       sync.Mutex
 	// started holds all runners that ever were, and ends when some of them ended.
 	started []*runnerstand.Runner
 	ends    []time.Time
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -169,8 +169,12 @@
 	Lease(ctx context.Context) (spec v1.LeaseSpec, revision uint64, err error)
 	// WriteLease writes it if it still has the revision, 0 for none.
 	WriteLease(ctx context.Context, spec v1.LeaseSpec, revision uint64) (written uint64, err error)
-	// Quarantines lists the contents that are kept; a stale list may be some seconds old.
-	Quarantines(ctx context.Context, stale bool) ([]KeptQuarantine, error)
+	// Quarantines lists the contents that are kept, and the revision that the list stands for;
+	// a stale list may be some seconds old.
+	Quarantines(ctx context.Context, stale bool) ([]KeptQuarantine, uint64, error)
+	// WatchQuarantines returns the changes after the revision as soon as there are any, or
+	// none after the wait, with the revision up to which nothing else changed.
+	WatchQuarantines(ctx context.Context, revision uint64, wait time.Duration) ([]KeptQuarantine, uint64, error)
 	// KeepQuarantine writes what is known of a content, in place of what is kept of it.
 	KeepQuarantine(ctx context.Context, record quarantine.Record) error
 	// DropQuarantine takes the content out; one that is not kept is no error.
@@ -180,6 +184,8 @@
 // KeptQuarantine is one object of the store that keeps a quarantine.
 type KeptQuarantine struct {
 	Name string
+	// Gone is set when it was taken out.
+	Gone bool
 	// Record has times of day as its moments.
 	Record quarantine.Record
 	// Fault says why it could not be read, empty if it was.
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// note logs and keeps what follows from changed records.
+// note logs what follows from changed records, and has them kept.
 func (s *suspects) note(now time.Time, changed []quarantine.Record) {
 	for _, record := range changed {
 		verdict := s.verdict(now, record.Content)
@@ -127,8 +127,8 @@
 			s.quarantined(now, record, verdict)
 		case lifted:
 			s.gateway.log.Log(events.QuarantineLifted, events.Fields{"content": record.Content.String(), "tenant": record.Content.Tenant})
-			s.kept.drop(record.Content)
 		}
+		s.kept.changed(record.Content, verdict.Ends)
 	}
 }
 
@@ -142,7 +142,6 @@
 		"content": record.Content.String(), "tenant": record.Content.Tenant, "ends": verdict.Ends, "runners": endedRunners(record),
 		"after_ms": now.Sub(first.At).Milliseconds(), "for_ms": verdict.Until.Sub(now).Milliseconds(),
 	})
-	s.kept.keep(record)
 }
 
 // endedRunners names the runners that ended under the content.
@@ -201,10 +200,18 @@
 	}
 	s.mutex.Unlock()
 	for _, record := range forgotten {
-		s.kept.drop(record.Content)
+		s.kept.changed(record.Content, 0)
 	}
 }
 
+// record returns what is known of the content, and what follows from it.
+func (s *suspects) record(content quarantine.Content) (quarantine.Record, quarantine.Verdict) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	record, _ := s.judge.Record(content)
+	return record, s.judge.Verdict(s.gateway.now(), content)
+}
+
 // counts returns how many contents are in each state.
 func (s *suspects) counts() map[quarantine.State]int {
 	s.mutex.Lock()
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -245,11 +245,14 @@
 	return object, found
 }
 
-// Count returns how many objects there are of the kind.
-func (s *Store) Count(kind string) int {
+// Specs returns what the objects of the kind hold.
+func (s *Store) Specs(kind string) (specs []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return len(s.objects[kind])
+	for _, object := range s.objects[kind] {
+		specs = append(specs, string(object.Spec))
+	}
+	return specs
 }
 
 func (s *Store) wake() {
