What waits at a runner when its content is quarantined is withdrawn

A caller waited to its deadline for a request that would have ended its runner too.

Cause: a send was looked at again before it left, not while it waited at its runner.

Mend: connections of streams of the content that have not been seen to begin are ended, as with expired weights; the caller is told at once that it may have run.

Why it holds: a runner drops what waits when its connection ends, and one that has begun unseen ends in any case. Whole answers show no beginning and are left.

--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -11,7 +11,12 @@
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
-var errWithdrawn = errors.New("its weights expire before it begins")
+// errWithdrawn is why a send ends whose weights expire, and errQuarantined why one ends
+// whose content is quarantined, both before it is seen to begin.
+var (
+	errWithdrawn   = errors.New("its weights expire before it begins")
+	errQuarantined = errors.New("its content was quarantined before it began")
+)
 
 // unbegunSend is a stream of a model that its runner has not been seen to begin.
 type unbegunSend struct {
@@ -19,6 +24,7 @@
 	model  string
 	// weights is the version that the runner was known to have at the send.
 	weights uint64
+	content quarantine.Content
 	cancel  context.CancelCauseFunc
 }
 
@@ -34,7 +40,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.sendCtx = ctx
-	c.unbegun = &unbegunSend{runner: runner.ID, model: c.query.Model, weights: c.weights, cancel: cancel}
+	c.unbegun = &unbegunSend{runner: runner.ID, model: c.query.Model, weights: c.weights, content: c.content, cancel: cancel}
 	g.unbegun[c.unbegun] = struct{}{}
 }
 
@@ -76,12 +82,29 @@
 	}
 }
 
-func (c *call) withdrawn() bool { return errors.Is(context.Cause(c.sendCtx), errWithdrawn) }
+// withdrawContent ends the connections of streams of the content that wait at runners: each
+// would end its runner, too. One that has begun unseen does so in any case.
+func (g *Gateway) withdrawContent(content quarantine.Content) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for send := range g.unbegun {
+		if send.content == content {
+			delete(g.unbegun, send)
+			send.cancel(errQuarantined)
+		}
+	}
+}
+
+// withdrawn tells whether the send was ended before it was seen to begin.
+func (c *call) withdrawn() bool {
+	cause := context.Cause(c.sendCtx)
+	return errors.Is(cause, errWithdrawn) || errors.Is(cause, errQuarantined)
+}
 
 // endWithdrawn takes a send whose connection was ended before the runner was seen to
 // begin: it may have begun all the same.
 func (c *call) endWithdrawn(notSent bool) attempt.Next {
-	c.end(backend.Abandoned, quarantine.Left, errWithdrawn.Error(), 0)
+	c.end(backend.Abandoned, quarantine.Left, context.Cause(c.sendCtx).Error(), 0)
 	if notSent {
 		return c.request.NotSent()
 	}
