--- a/cmd/clovertiller-gateway/main.go
+++ b/cmd/clovertiller-gateway/main.go
@@ -3,88 +3,10 @@
 package main
 
 import (
-	"fmt"
 	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
-
-	"github.com/sirupsen/logrus"
 
 	"github.com/clovertiller/clovertiller/internal/clock"
-	"github.com/clovertiller/clovertiller/internal/events"
-	"github.com/clovertiller/clovertiller/internal/gateway"
-	"github.com/clovertiller/clovertiller/internal/httpconn"
-	"github.com/clovertiller/clovertiller/platform"
-)
-
-// Exit codes.
-const (
-	exitOK = iota
-	exitFailure
-	exitSettings
+	"github.com/clovertiller/clovertiller/internal/gatewaymain"
 )
 
-// gcPercent keeps the heap small: memory is dearer than the processor time
-// that more frequent collections take.
-const gcPercent = 30
-
-func main() { os.Exit(run()) }
-
-func run() int {
-	debug.SetGCPercent(gcPercent)
-	path := os.Getenv(platform.SettingsVariable)
-	settings, err := platform.LoadSettings(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	if faults := settings.Check(); len(faults) > 0 {
-		for _, fault := range faults {
-			fmt.Fprintln(os.Stderr, "settings:", fault)
-		}
-		return exitSettings
-	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	output := events.NewAsyncWriter(os.Stdout)
-	defer output.Flush()
-	router, err := gateway.Start(settings, ports(settings, output), events.NewLogger(output, settings.Node, logrus.InfoLevel))
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFailure
-	}
-	for received := range signals {
-		if received != syscall.SIGHUP {
-			break
-		}
-		reload(router, path)
-	}
-	router.Stop()
-	return exitOK
-}
-
-func ports(settings gateway.Settings, output *events.AsyncWriter) gateway.Ports {
-	calls := httpconn.NewPool(httpconn.DefaultDialTimeout)
-	return gateway.Ports{
-		Protocol:     platform.Protocol{},
-		Decode:       platform.Decode,
-		Store:        &platform.Store{Address: settings.StoreAddress, Pool: calls},
-		Runners:      &platform.Runners{Pool: calls},
-		Caches:       &platform.Caches{Pool: calls},
-		ReadyPath:    platform.PathReadiness,
-		DroppedLines: output.Dropped,
-		RunnerPool:   httpconn.NewPool(httpconn.DefaultDialTimeout),
-		Clock:        clock.New(),
-	}
-}
-
-// reload reads the settings again; a file that cannot be read changes nothing.
-func reload(router *gateway.Gateway, path string) {
-	settings, err := platform.LoadSettings(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return
-	}
-	router.Reload(settings)
-}
+func main() { os.Exit(gatewaymain.Run(clock.New())) }
--- a/cmd/clovertiller-lab/main.go
+++ b/cmd/clovertiller-lab/main.go
@@ -35,7 +35,7 @@
 func run() int {
 	parser := flaggy.NewParser("clovertiller-lab")
 	parser.Description = "Stand-ins and experiments of clovertiller."
-	commands := []command{platformCommand(), engineCommand(), loadCommand(), experimentCommand(), soakCommand(), ledgerCommand(), compareCommand()}
+	commands := []command{platformCommand(), engineCommand(), loadCommand(), experimentCommand(), soakCommand(), gatewayCommand(), ledgerCommand(), compareCommand()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.subcommand, 1)
 	}
--- a/cmd/clovertiller-lab/soak.go
+++ b/cmd/clovertiller-lab/soak.go
@@ -6,16 +6,21 @@
 	"os"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/gatewaymain"
 	"github.com/clovertiller/clovertiller/internal/lab/soak"
 )
 
 // soakCommand runs gateways as processes under random faults.
 func soakCommand() command {
 	subcommand := newSubcommand("soak", "Run gateways under random faults from outside and check the promises.")
-	program, root := "bin/clovertiller-gateway", "out"
+	program, older, root := "", "", "out"
+	poison, suspensions := false, false
 	seed, duration := uint64(0), time.Minute
 	gateways, engines := 0, 0
-	subcommand.String(&program, "", "program", "Path of the gateway.")
+	subcommand.String(&program, "", "program", "Path of the gateway; empty for the one in this program.")
+	subcommand.String(&older, "", "older", "Path of an earlier version, which every second gateway runs.")
+	subcommand.Bool(&poison, "", "poison", "Ask what ends each runner that runs it.")
+	subcommand.Bool(&suspensions, "", "suspensions", "Suspend machines; needs the gateway in this program.")
 	subcommand.String(&root, "", "folder", "Where settings and logs go.")
 	subcommand.UInt64(&seed, "", "seed", "Seed of the faults; 0 draws one.")
 	subcommand.Duration(&duration, "", "duration", "How long faults are injected.")
@@ -25,9 +30,17 @@
 		if seed == 0 {
 			seed = uint64(time.Now().UnixNano() % 1e9)
 		}
+		command := []string{program}
+		if program == "" {
+			itself, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			command = []string{itself, gatewayCommandName}
+		}
 		fmt.Println("seed", seed)
 		report, err := soak.Run(ctx, soak.Settings{
-			Program: program, Seed: seed, Duration: duration, Folder: soak.LogFolder(root, seed), Out: os.Stdout,
+			Program: command, Older: older, Poison: poison, Suspensions: suspensions, Seed: seed, Duration: duration, Folder: soak.LogFolder(root, seed), Out: os.Stdout,
 			Gateways: gateways, Engines: engines,
 		})
 		if err != nil {
@@ -40,3 +53,17 @@
 		return nil
 	}}
 }
+
+// gatewayCommandName is the subcommand that runs a gateway.
+const gatewayCommandName = "gateway"
+
+// gatewayCommand runs a gateway whose machine the soak may suspend.
+func gatewayCommand() command {
+	subcommand := newSubcommand(gatewayCommandName, "Run a gateway whose clock the soak may hold up.")
+	return command{subcommand, func(context.Context) error {
+		if code := gatewaymain.Run(soak.SuspendableClock(os.Getenv(soak.SuspendedVariable))); code != 0 {
+			return fmt.Errorf("the gateway ended with %d", code)
+		}
+		return nil
+	}}
+}
--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# The fault soak: the seeds that ever failed, then fresh ones.
+# The fault soak: the seeds that ever failed, then fresh ones, these with contents that end
+# runners and with suspended machines.
 # usage: hack/soak.sh [FRESH] [DURATION]
 set -u
 cd "$(dirname "$0")/.."
@@ -7,12 +8,15 @@
 duration=${2:-30s}
 failed=0
 seeds=$(grep -v '^#' test/soak/seeds.txt | cut -d' ' -f1)
-for _ in $(seq "$fresh"); do
-  seeds="$seeds $((RANDOM * 32768 + RANDOM + 1))"
-done
+play() {
+  ./bin/clovertiller-lab soak --seed "$1" --duration "$duration" "${@:2}" >"out/soak-$1.txt" 2>&1 || failed=1
+  tail -1 "out/soak-$1.txt"
+  grep BROKEN "out/soak-$1.txt"
+}
 for seed in $seeds; do
-  ./bin/clovertiller-lab soak --seed "$seed" --duration "$duration" >"out/soak-$seed.txt" 2>&1 || failed=1
-  tail -1 "out/soak-$seed.txt"
-  grep BROKEN "out/soak-$seed.txt"
+  play "$seed"
+done
+for _ in $(seq "$fresh"); do
+  play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions
 done
 exit $failed
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -70,13 +70,13 @@
 	defer p.mutex.Unlock()
 	runner := p.startRunner(runnerstand.Config{
 		ID: fmt.Sprintf("e%d", len(p.started)), Service: "engines", Model: modelName, Version: 1, Events: 4, EventTime: 40 * time.Millisecond,
-		Poison: runnerstand.Poison{Body: poisonBody, After: 60 * time.Millisecond, Silent: p.silent, Ended: p.ended},
+		Poison: runnerstand.Poison{Prefix: poisonBody, After: 60 * time.Millisecond, Silent: p.silent, Ended: p.ended},
 	})
 	p.started = append(p.started, runner)
 }
 
 // ended notes the end of a runner and starts it again later.
-func (p *poisonedFleet) ended(runner *runnerstand.Runner) {
+func (p *poisonedFleet) ended(runner *runnerstand.Runner, _ runnerstand.Run) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.ends = append(p.ends, time.Now())
--- a/internal/lab/runnerstand/poison.go
+++ b/internal/lab/runnerstand/poison.go
@@ -4,25 +4,28 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/clovertiller/clovertiller/platform"
 )
 
-// Poison is a body that ends each runner that runs it.
+// Poison is what ends each runner that runs it.
 type Poison struct {
-	// Body is the body, empty for none.
-	Body string
+	// Prefix is what such bodies begin with, empty for none.
+	Prefix string
 	// After is how long the runner works on it before it ends.
 	After time.Duration
 	// Silent ends the runner without the head of an answer; otherwise it ends after the
 	// first event.
 	Silent bool
-	// Ended is called when the runner has ended; nil tells nobody.
-	Ended func(*Runner)
+	// Ended is called when the runner has ended under a run; nil tells nobody.
+	Ended func(*Runner, Run)
 }
 
-func (p Poison) isIn(body []byte) bool { return p.Body != "" && string(body) == p.Body }
+func (p Poison) isIn(body []byte) bool {
+	return p.Prefix != "" && strings.HasPrefix(string(body), p.Prefix)
+}
 
 // endUnder ends the whole runner under the run.
 func (r *Runner) endUnder(writer http.ResponseWriter, run Run) {
@@ -38,7 +41,7 @@
 	}
 	r.Close()
 	if r.Poison.Ended != nil {
-		r.Poison.Ended(r)
+		r.Poison.Ended(r, run)
 	}
 	panic(http.ErrAbortHandler)
 }
--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -23,6 +23,10 @@
 	process    string
 	repeatable bool
 	status     int
+	// poison is set for a call that ends its runner, and quarantined when the call was
+	// refused for what it asks.
+	poison      bool
+	quarantined bool
 	// keyTaken is true when the call was sent long after its key was taken away.
 	keyTaken   bool
 	sinceTaken time.Duration
@@ -71,10 +75,10 @@
 	return len(l.calls), l.served
 }
 
-func (l *callLog) ended(call *callRecord, status int) {
+func (l *callLog) ended(call *callRecord, status int, quarantined bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	call.status = status
+	call.status, call.quarantined = status, quarantined
 	if status == http.StatusOK {
 		l.served++
 	}
@@ -143,7 +147,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	s.calls.ended(call, response.StatusCode)
+	s.calls.ended(call, response.StatusCode, string(body) == quarantinedText)
 	s.checkAnswered(ctx, target, call, began)
 	if response.StatusCode == http.StatusOK && err == nil {
 		s.checkAnswer(call, response.Header, string(body))
--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -117,6 +117,13 @@
 // takenShare is one in how many calls that use a key that was taken away.
 const takenShare = 8
 
+// validKey returns a key that is not taken away.
+func (c *configuration) validKey() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.keys[len(c.keys)-1]
+}
+
 // key returns a key with its tenant, and when it was taken away if it was.
 func (c *configuration) key(random *rand.Rand) (key, tenant string, taken time.Time) {
 	c.mutex.Lock()
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -37,6 +37,13 @@
 	var group sync.WaitGroup
 	peers, peerCount := newPeerFaults(s), 0
 	group.Go(func() { peerCount = peers.run(ctx, deadline) })
+	others := 0
+	if s.settings.Poison {
+		group.Go(func() { s.poisons.run(ctx, deadline) })
+	}
+	if s.settings.Suspensions {
+		group.Go(func() { others = newSuspensions(s).run(ctx, deadline) })
+	}
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -47,7 +54,7 @@
 	s.inject(s.lateNews, &group)
 	group.Wait()
 	peers.last()
-	return count + peerCount + 1
+	return count + peerCount + others + 1
 }
 
 // inject begins the fault, which ends in the group.
@@ -68,7 +75,7 @@
 		p.proxy.Set(faultproxy.Pass)
 		p.signal(syscall.SIGCONT)
 	}
-	for _, runner := range s.runners.all() {
+	for _, runner := range s.runners.living() {
 		runner.Behave(runnerstand.Well)
 		s.runners.proxy(runner.ID).Set(faultproxy.Pass)
 		s.runners.list(runner)
@@ -78,8 +85,8 @@
 func (s *Soak) anyProcess() *process { return s.processes[s.random.IntN(len(s.processes))] }
 
 func (s *Soak) anyRunner() *runnerstand.Runner {
-	all := s.runners.all()
-	return all[s.random.IntN(len(all))]
+	living := s.runners.living()
+	return living[s.random.IntN(len(living))]
 }
 
 func (s *Soak) freeze(duration time.Duration) (string, func()) {
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -29,16 +29,19 @@
 	listing sync.Mutex
 	// leaves holds when each runner said that it leaves and when it came back.
 	leaves map[string][]span
+	// ended holds the runners that have ended for good.
+	ended map[string]bool
 }
 
 func newFleet(store *storestand.Store) *fleet {
-	return &fleet{store: store, proxies: map[string]*faultproxy.Proxy{}, leaves: map[string][]span{}}
+	return &fleet{store: store, proxies: map[string]*faultproxy.Proxy{}, leaves: map[string][]span{}, ended: map[string]bool{}}
 }
 
-func (f *fleet) add(id, service string) error {
-	config := runnerstand.Config{ID: id, Service: service, Zone: "z", Delay: 300 * time.Millisecond, Peer: f.at}
+// add starts a runner with the version of the weights, which the poison ends.
+func (f *fleet) add(id, service string, version uint64, poison runnerstand.Poison) error {
+	config := runnerstand.Config{ID: id, Service: service, Zone: "z", Delay: 300 * time.Millisecond, Peer: f.at, Poison: poison}
 	if service == "engines" {
-		config.Model, config.Version, config.Events = modelName, 1, streamEvents
+		config.Model, config.Version, config.Events = modelName, version, streamEvents
 	}
 	runner, err := runnerstand.Start(config)
 	if err != nil {
@@ -57,6 +60,29 @@
 	return nil
 }
 
+// end takes a runner that has ended out of what faults and heartbeats touch, and tells
+// whether it had not ended before. Its machine refuses connections.
+func (f *fleet) end(runner *runnerstand.Runner) bool {
+	f.mutex.Lock()
+	before, proxy := f.ended[runner.ID], f.proxies[runner.ID]
+	f.ended[runner.ID] = true
+	f.mutex.Unlock()
+	proxy.Close()
+	return !before
+}
+
+// hasEnded tells whether the runner has ended for good.
+func (f *fleet) hasEnded(id string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.ended[id]
+}
+
+// living returns the runners that have not ended.
+func (f *fleet) living() []*runnerstand.Runner {
+	return slices.DeleteFunc(f.all(), func(runner *runnerstand.Runner) bool { return f.hasEnded(runner.ID) })
+}
+
 // list writes the runner's directory entry as its heartbeat does.
 func (f *fleet) list(runner *runnerstand.Runner) {
 	f.listing.Lock()
@@ -112,8 +138,11 @@
 	return time.Time{}, false
 }
 
-// write stores the runner's entry, with the proxy's address. The mutex of listing is held.
+// write stores the runner's entry, with the proxy's address, unless it has ended. The mutex of listing is held.
 func (f *fleet) write(runner *runnerstand.Runner) {
+	if f.hasEnded(runner.ID) {
+		return
+	}
 	state := "ready"
 	if f.isLeaving(runner.ID) {
 		state = "draining"
@@ -137,7 +166,7 @@
 
 func (f *fleet) ofService(service string) []*runnerstand.Runner {
 	var found []*runnerstand.Runner
-	for _, runner := range f.all() {
+	for _, runner := range f.living() {
 		if runner.Service == service {
 			found = append(found, runner)
 		}
--- a/internal/lab/soak/news.go
+++ b/internal/lab/soak/news.go
@@ -51,11 +51,11 @@
 	for group, all := range grouped {
 		first := all[0]
 		s.fail("%s: %d requests of %s at %s, the first (%s) at %s, %v after the news and %v after the last disturbance",
-			group.what, len(all), group.gateway, group.runner, first.request, clock(first.at), first.news, first.calm)
+			group.what, len(all), group.gateway, group.runner, first.request, clockTime(first.at), first.news, first.calm)
 	}
 }
 
-func clock(moment time.Time) string { return moment.Format("15:04:05.000") }
+func clockTime(moment time.Time) string { return moment.Format("15:04:05.000") }
 
 // checkArrival tells whether the runner had been leaving for longer than the bound while
 // the gateway, its path to the runner and the store were sound and it could learn of that.
--- a/internal/lab/soak/news_test.go
+++ b/internal/lab/soak/news_test.go
@@ -29,7 +29,7 @@
 	}
 	t.Cleanup(s.runners.close)
 	for _, id := range []string{"e0", "e1"} {
-		NewWithT(t).Expect(s.runners.add(id, "engines")).To(Succeed())
+		NewWithT(t).Expect(s.runners.add(id, "engines", 1, runnerstand.Poison{})).To(Succeed())
 	}
 	s.calls.add(&callRecord{id: testRequest, path: "/stream/1", process: testGateway, repeatable: true})
 	return s, s.runners.all()[0]
--- a/internal/lab/soak/peers.go
+++ b/internal/lab/soak/peers.go
@@ -90,7 +90,7 @@
 // the others only.
 func (f *peerFaults) cutOff() {
 	s, p := f.soak, f.anyProcess()
-	runners := s.runners.all()
+	runners := s.runners.living()
 	next := s.leaving(runners[f.random.IntN(len(runners))])
 	calm := s.disturbances.begin(storeOf(p.name))
 	p.proxy.Set(faultproxy.Silence)
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -31,7 +32,7 @@
 // process is one gateway, started again whenever it ends.
 type process struct {
 	name      string
-	program   string
+	program   []string
 	folder    string
 	addresses processAddresses
 	seeds     []string
@@ -49,6 +50,18 @@
 
 func (p *process) settingsPath() string { return filepath.Join(p.folder, p.name+".json") }
 
+func (p *process) suspendedPath() string { return filepath.Join(p.folder, p.name+".suspended") }
+
+// writeSuspended tells the process for how long its machine has been suspended in all. It is
+// put in place at once, as the process may read it at any moment.
+func (p *process) writeSuspended(total time.Duration) error {
+	next := p.suspendedPath() + ".next"
+	if err := os.WriteFile(next, []byte(strconv.FormatInt(int64(total), 10)), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(next, p.suspendedPath())
+}
+
 func (p *process) writeSettings() error {
 	settings := map[string]any{
 		"node": p.name, "zone": "z", "ip": "127.0.0.1",
@@ -78,8 +91,8 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(p.program)
-	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath())
+	command := exec.Command(p.program[0], p.program[1:]...)
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath(), SuspendedVariable+"="+p.suspendedPath())
 	command.Stdout, command.Stderr = log, log
 	if err := command.Start(); err != nil {
 		log.Close()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -25,9 +25,15 @@
 
 // Settings of a run.
 type Settings struct {
-	// Program is the path of the gateway.
-	Program string
-	Seed    uint64
+	// Program is the gateway with its arguments.
+	Program []string
+	// Older is an earlier version of it, which every second gateway runs; empty for none.
+	Older string
+	// Poison has callers ask what ends each runner that runs it, and Suspensions machines
+	// suspended; the program then has to go by SuspendableClock.
+	Poison      bool
+	Suspensions bool
+	Seed        uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// Folder takes settings files and logs.
@@ -75,8 +81,10 @@
 	calls     *callLog
 	// disturbances are what the faults disturb.
 	disturbances *disturbances
-	mutex        sync.Mutex
-	failures     []string
+	// poisons are the contents that end runners.
+	poisons  *poisons
+	mutex    sync.Mutex
+	failures []string
 }
 
 // Report is the outcome of a run.
@@ -93,6 +101,7 @@
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 		store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
 	}
+	s.poisons = newPoisons(s)
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -104,6 +113,7 @@
 		go func() { defer group.Done(); s.call(load, rand.New(rand.NewPCG(settings.Seed, uint64(i)))) }()
 	}
 	faults := s.harm(ctx)
+	s.poisons.stop()
 	s.heal()
 	s.checkRecovery(ctx)
 	stopLoad()
@@ -111,6 +121,9 @@
 	s.checkRuns()
 	s.checkOrders()
 	s.checkNews()
+	if settings.Poison {
+		s.poisons.check()
+	}
 	calls, served := s.calls.totals()
 	return Report{Calls: calls, Served: served, Faults: faults, Failures: s.failures}, ctx.Err()
 }
@@ -134,12 +147,12 @@
 	}
 	s.runners = newFleet(s.store)
 	for i := range plainRunners {
-		if err := s.runners.add(fmt.Sprintf("p%d", i), "plain"); err != nil {
+		if err := s.runners.add(fmt.Sprintf("p%d", i), "plain", 0, runnerstand.Poison{}); err != nil {
 			return err
 		}
 	}
 	for i := range cmp.Or(s.settings.Engines, engines) {
-		if err := s.runners.add(fmt.Sprintf("e%d", i), "engines"); err != nil {
+		if err := s.runners.add(fmt.Sprintf("e%d", i), "engines", 1, s.poisons.of()); err != nil {
 			return err
 		}
 	}
@@ -163,6 +176,10 @@
 		}
 	}
 	for i, free := range addresses {
+		program := s.settings.Program
+		if s.isOlder(gatewayName(i)) {
+			program = []string{s.settings.Older}
+		}
 		door, err := s.store.Open()
 		if err != nil {
 			return err
@@ -171,8 +188,7 @@
 		if err != nil {
 			return err
 		}
-		name := fmt.Sprintf("gateway-%d", i)
-		p := &process{name: name, program: s.settings.Program, folder: s.settings.Folder, addresses: free, seeds: seeds, door: door, proxy: proxy, peerProxy: peerProxies[i]}
+		p := &process{name: gatewayName(i), program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, door: door, proxy: proxy, peerProxy: peerProxies[i]}
 		if err := p.writeSettings(); err != nil {
 			return err
 		}
@@ -184,6 +200,19 @@
 	return nil
 }
 
+func gatewayName(number int) string { return fmt.Sprintf("gateway-%d", number) }
+
+// isOlder tells whether the gateway runs an earlier version: every second one does, if there
+// is any.
+func (s *Soak) isOlder(name string) bool {
+	for i := 1; s.settings.Older != "" && i < cmp.Or(s.settings.Gateways, gateways); i += 2 {
+		if name == gatewayName(i) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Soak) close() {
 	for _, p := range s.processes {
 		p.kill()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -22,23 +22,45 @@
 // without the detection of silent connections between gateways.
 var fixedSeeds = []uint64{3, 6}
 
+// poisonSeed asks for contents that end their runners while machines are suspended, for
+// poisonTime: two contents are asked for long enough to be sent too often. The code before
+// contents were judged fails on it.
+const (
+	poisonSeed = 101
+	poisonTime = 26 * time.Second
+)
+
 // The seeds run one after the other, so that there are no more than four gateways at once.
 func TestSoakOfFixedSeeds(t *testing.T) {
-	folder := t.TempDir()
-	program := filepath.Join(folder, "clovertiller-gateway")
-	build := exec.Command("go", "build", "-o", program, "github.com/clovertiller/clovertiller/cmd/clovertiller-gateway")
-	output, err := build.CombinedOutput()
-	NewWithT(t).Expect(err).NotTo(HaveOccurred(), "%s", output)
 	for _, seed := range fixedSeeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			g := NewWithT(t)
-			var out bytes.Buffer
-			report, err := soak.Run(t.Context(), soak.Settings{
-				Program: program, Seed: seed, Duration: faultTime, Folder: soak.LogFolder(folder, seed), Out: &out,
-			})
-			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(report.Served).NotTo(BeZero())
-			g.Expect(report.Failures).To(BeEmpty(), "%s", &out)
-		})
+		play(t, soak.Settings{Program: []string{build(t, "clovertiller-gateway")}, Seed: seed, Duration: faultTime})
 	}
 }
+
+func TestSoakOfContentsThatEndRunners(t *testing.T) {
+	play(t, soak.Settings{
+		Program: []string{build(t, "clovertiller-lab"), "gateway"}, Seed: poisonSeed, Duration: poisonTime, Poison: true, Suspensions: true,
+	})
+}
+
+// build builds one of the commands and returns its path.
+func build(t *testing.T, command string) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), command)
+	output, err := exec.Command("go", "build", "-o", program, "github.com/clovertiller/clovertiller/cmd/"+command).CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), "%s", output)
+	return program
+}
+
+func play(t *testing.T, settings soak.Settings) {
+	t.Helper()
+	t.Run(fmt.Sprint(settings.Seed), func(t *testing.T) {
+		g := NewWithT(t)
+		var out bytes.Buffer
+		settings.Folder, settings.Out = soak.LogFolder(t.TempDir(), settings.Seed), &out
+		report, err := soak.Run(t.Context(), settings)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(report.Served).NotTo(BeZero())
+		g.Expect(report.Failures).To(BeEmpty(), "%s", &out)
+	})
+}
