Looking into a runner's end holds no request up

Callers of a router had no answer any more until it was started again, a moment after a runner had ended.

Cause: a request begins under the gateway's mutex and takes that of the runners' ends; looking into an end took this one and then the gateway's, to see whether the runner leaves. Two goroutines that did both at once waited for each other.

Mend: whether the runner is expected to run is looked up before.

Why it holds: nothing waits for the gateway's mutex under one of runnerEnds, suspects or keptQuarantines now (by reading each place that locks these).

--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -7,15 +7,17 @@
 fresh=${1:-3}
 duration=${2:-30s}
 failed=0
-seeds=$(grep -v '^#' test/soak/seeds.txt | cut -d' ' -f1)
 play() {
   ./bin/clovertiller-lab soak --seed "$1" --duration "$duration" "${@:2}" >"out/soak-$1.txt" 2>&1 || failed=1
   tail -1 "out/soak-$1.txt"
   grep BROKEN "out/soak-$1.txt"
 }
-for seed in $seeds; do
-  play "$seed"
-done
+while read -r seed cause; do
+  case "$cause" in
+    "(poison)"*) play "$seed" --poison --suspensions ;;
+    *) play "$seed" ;;
+  esac
+done < <(grep -v '^#' test/soak/seeds.txt)
 for _ in $(seq "$fresh"); do
   play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions
 done
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -58,14 +58,16 @@
 // check finds out whether the runner has ended, unless that is known, was to be expected or
 // is being found out already. The channel is closed once that is known.
 func (e *runnerEnds) check(runner backend.Runner) <-chan struct{} {
-	start := startOf(runner)
+	// Requests begin under the gateway's mutex and take this one then, so the gateway's must
+	// not be waited for under this one.
+	start, expected := startOf(runner), e.expectedToRun(runner)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if done, found := e.asking[start]; found {
 		return done
 	}
 	done := make(chan struct{})
-	if e.work.HasEnded(start) || !e.expectedToRun(runner) {
+	if e.work.HasEnded(start) || !expected {
 		close(done)
 		return done
 	}
