Quarantined contents in the status and in refusals; records learned as a follower are written too

A router that began to read the store wrote only what it learned from then on. The status lists what is not sent, with the runners that ended; 511 names the content.

--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -48,17 +48,20 @@
 	}
 }
 
-// changed has the content's record written soon, if it is to be kept.
+// changed has the content's record written, if it is to be kept, as soon as this router reads
+// the store.
 func (k *keptQuarantines) changed(content quarantine.Content, ends int) {
-	if !k.gateway.direct.on() {
-		return
-	}
 	k.mutex.Lock()
 	_, stored := k.stored[content]
 	if ends >= endsToKeep || stored {
 		k.pending[content] = true
 	}
 	k.mutex.Unlock()
+	k.want()
+}
+
+// want has the writer look for what is to be written.
+func (k *keptQuarantines) want() {
 	select {
 	case k.wanted <- struct{}{}:
 	default:
@@ -106,6 +109,10 @@
 		return revision, err
 	}
 	k.take(kept)
+	if revision == 0 {
+		// What was learned while this router did not read the store may be missing there.
+		k.want()
+	}
 	return max(next, revision), nil
 }
 
@@ -158,8 +165,12 @@
 	}
 }
 
-// next returns a content whose record is to be written, or false when there is none.
+// next returns a content whose record is to be written, or false when there is none or this
+// router does not read the store.
 func (k *keptQuarantines) next() (quarantine.Content, bool) {
+	if !k.gateway.direct.on() {
+		return quarantine.Content{}, false
+	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	for content := range k.pending {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -7,6 +7,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
 // Times told to callers that are to come back.
@@ -47,6 +48,9 @@
 		fields["config"] = c.view.table.Version
 		fields["config_age_ms"] = c.arrived.Sub(c.view.provenAt).Milliseconds()
 	}
+	if c.content != (quarantine.Content{}) {
+		fields["content"] = c.content.String()
+	}
 	if r.limited {
 		fields["queue_ms"], fields["max_queue_ms"] = c.queueing.Milliseconds(), c.limit.MaxQueue.Milliseconds()
 		fields["yield_percent"], fields["returned"], fields["excess"] = int(percent*c.limit.Yield), c.limit.Returned, c.limit.Excess
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -35,6 +35,20 @@
 	// BeyondShare are the tenants farthest beyond their fair shares of short services,
 	// as far as this router knows; routers that place no requests know of none.
 	BeyondShare []BeyondShare `json:"beyondShare,omitempty"`
+	// Quarantined are the contents that are not sent, at most mostQuarantined of them.
+	Quarantined []QuarantinedContent `json:"quarantined,omitempty"`
+}
+
+// mostQuarantined bounds the contents in the status.
+const mostQuarantined = 20
+
+// QuarantinedContent is a content that is not sent any more.
+type QuarantinedContent struct {
+	Content string `json:"content"`
+	Tenant  string `json:"tenant"`
+	// Runners are those that ended under it, and LeftMillis the rest of the quarantine.
+	Runners    []string `json:"runners"`
+	LeftMillis int64    `json:"leftMillis"`
 }
 
 // Status returns what the router believes now.
@@ -54,6 +68,7 @@
 	if !status.ReadsStore {
 		status.Source = g.relays.lastSource()
 	}
+	status.Quarantined = g.suspects.summary(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	status.Weights = g.runners.Weights().Named()
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -213,6 +213,19 @@
 	return record, s.judge.Verdict(s.gateway.now(), content)
 }
 
+// summary returns the contents that are quarantined for the status.
+func (s *suspects) summary(now time.Time) (summary []QuarantinedContent) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, record := range s.judge.Quarantined(now, mostQuarantined) {
+		summary = append(summary, QuarantinedContent{
+			Content: record.Content.String(), Tenant: record.Content.Tenant, Runners: endedRunners(record),
+			LeftMillis: s.judge.Verdict(now, record.Content).Until.Sub(now).Milliseconds(),
+		})
+	}
+	return summary
+}
+
 // counts returns how many contents are in each state.
 func (s *suspects) counts() map[quarantine.State]int {
 	s.mutex.Lock()
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -165,6 +165,18 @@
 	return records, through
 }
 
+// Quarantined returns the records of contents that are quarantined, in the order of their
+// last changes and at most so many.
+func (j *Judge) Quarantined(now time.Time, most int) (records []Record) {
+	all, _ := j.Since(0, maxRecords)
+	for _, record := range all {
+		if len(records) < most && j.Verdict(now, record.Content).State == Quarantined {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
 // Counts returns how many contents are in each state.
 func (j *Judge) Counts(now time.Time) map[State]int {
 	counts := map[State]int{}
