--- a/internal/quarantine/judge_test.go
+++ b/internal/quarantine/judge_test.go
@@ -257,3 +257,27 @@
 		}
 	})
 }
+
+// Three in ten runners were lost three times within seconds, and a long request met each
+// loss. It was refused the fourth time: all its ends came with those of runners that it had
+// never been at, so that something else was ending runners at these moments.
+func TestEndsThatComeWithManyOthersQuarantineLater(t *testing.T) {
+	g, j := NewWithT(t), NewJudge()
+	wave := func(number int, seconds float64) {
+		for i := range 5 {
+			j.end(100*number+i, 100*number+i, seconds+float64(i)/100)
+		}
+		j.end(1, 100*number+50, seconds+0.03)
+	}
+	for number := 1; number <= 4; number++ {
+		wave(number, float64(4*number))
+		g.Expect(j.state(1, float64(4*number+1))).To(Equal(Suspected))
+	}
+	wave(5, 20)
+	g.Expect(j.state(1, 21)).To(Equal(Quarantined), "it is not spared for ever")
+	j.end(2, 1000, 30)
+	j.end(2, 1001, 31)
+	wave(6, 32)
+	j.end(2, 1002, 32)
+	g.Expect(j.state(2, 33)).To(Equal(Quarantined), "only one of its ends came with others")
+}
