Ends that come with those of many other runners quarantine a content later

A long request was refused once it had met three waves of lost runners.

Cause: three ends quarantined a content whatever else ended runners at these moments.

Mend: if at each of its ends two other runners or more, at which it was not at work, ended within 0.3 s, five ends are needed, as where another content explains them.

Why it holds: a content that ends runners meets such company by chance, and hardly at each of its ends; if it does, two sends more are borne.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -118,15 +118,29 @@
 	return endsToQuarantine
 }
 
-// explained tells whether another content was at work on all the runners that ended under
-// this one.
+// explained tells whether something else may have ended all the runners that ended under the
+// content: another content that was at work on each of them, or what ended others at the same
+// moments.
 func (j *Judge) explained(record Record) bool {
 	for _, other := range j.records {
 		if other.explains(record) {
 			return true
 		}
 	}
-	return false
+	return !slices.ContainsFunc(record.standing(), func(end End) bool { return !j.inWave(record, end) })
+}
+
+// inWave tells whether runners that the content was never at ended together with the one.
+func (j *Judge) inWave(record Record, end End) bool {
+	others := map[Runner]bool{}
+	for _, known := range j.records {
+		for _, other := range known.Ends {
+			if other.At.Sub(end.At).Abs() <= waveTime && !record.names(other.Runner) {
+				others[other.Runner] = true
+			}
+		}
+	}
+	return len(others) >= waveRunners
 }
 
 // Record returns what is known of the content.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -115,10 +115,15 @@
 	// sent any more. In the model of mixed fleets (simulation_test.go) two refuse others'
 	// requests in waves of crashes, and four cost one runner more for each such content.
 	endsToQuarantine = 3
-	// endsIfExplained is the same while another content was at work on all of these runners,
-	// which may have ended them: two more, so that two contents that always come together
-	// end no more runners than the three and three more that are borne.
+	// endsIfExplained is the same while something else explains the ends: two more, so that
+	// also then no more runners end than the three and three more that are borne.
 	endsIfExplained = 5
+	// waveTime is within which runners count as lost together, and waveRunners how many others
+	// make it a wave: runners that are lost at once are found to have ended within 10 ms, or
+	// when their next answer is due. One content that ends runners meets so many others by
+	// chance now and then, and hardly at each of its ends.
+	waveTime    = 300 * time.Millisecond
+	waveRunners = 2
 	// quarantineTime is how long a content is not sent at first. One that is refused wrongly
 	// is shut out for so long, and each trial may cost a runner: after 5, 15, 35 and 75
 	// minutes, three in the first hour.
