--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -154,10 +154,12 @@
 			if !g.pause(g.jitter(quarantineSettle)) {
 				return
 			}
-			if err := k.writeOne(content); err == nil {
+			err := k.writeOne(content)
+			if err == nil {
 				failures = 0
 				continue
-			} else if !k.failed(callWrite, err, failures) {
+			}
+			if !k.failed(callWrite, err, failures) {
 				return
 			}
 			failures++
@@ -181,37 +183,55 @@
 
 // writeOne makes the store have what this router knows of the content.
 func (k *keptQuarantines) writeOne(content quarantine.Content) error {
+	stored, isStored := k.takePending(content)
 	record, verdict := k.gateway.suspects.record(content)
-	k.mutex.Lock()
-	delete(k.pending, content)
-	stored, isStored := k.stored[content]
-	k.mutex.Unlock()
-	missing := !isStored
+	cleared, missing := verdict.State == quarantine.Clear, !isStored
 	if isStored {
 		record, missing = stored.Merge(record)
 	}
-	err := error(nil)
+	var err error
 	switch {
-	case verdict.State == quarantine.Clear && isStored:
-		if err = k.call(func(ctx context.Context) error { return k.gateway.ports.Store.DropQuarantine(ctx, content) }); err == nil {
-			k.mutex.Lock()
-			delete(k.stored, content)
-			k.mutex.Unlock()
-		}
-	case verdict.State != quarantine.Clear && missing:
-		written := toTimesOfDay(k.gateway.now(), time.Now().Round(0), record)
-		if err = k.call(func(ctx context.Context) error { return k.gateway.ports.Store.KeepQuarantine(ctx, written) }); err == nil {
-			k.noteStored(record)
-		}
+	case cleared && isStored:
+		err = k.drop(content)
+	case !cleared && missing:
+		err = k.keep(record)
 	}
 	if err != nil {
-		k.mutex.Lock()
-		k.pending[content] = true
-		k.mutex.Unlock()
+		k.changed(content, endsToKeep)
 	}
 	return err
 }
 
+// takePending takes the content out of those to be written, and returns what the store has.
+func (k *keptQuarantines) takePending(content quarantine.Content) (stored quarantine.Record, isStored bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	delete(k.pending, content)
+	stored, isStored = k.stored[content]
+	return stored, isStored
+}
+
+func (k *keptQuarantines) keep(record quarantine.Record) error {
+	g := k.gateway
+	written := toTimesOfDay(g.now(), time.Now().Round(0), record)
+	if err := k.call(func(ctx context.Context) error { return g.ports.Store.KeepQuarantine(ctx, written) }); err != nil {
+		return err
+	}
+	k.noteStored(record)
+	return nil
+}
+
+func (k *keptQuarantines) drop(content quarantine.Content) error {
+	g := k.gateway
+	if err := k.call(func(ctx context.Context) error { return g.ports.Store.DropQuarantine(ctx, content) }); err != nil {
+		return err
+	}
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	delete(k.stored, content)
+	return nil
+}
+
 func (k *keptQuarantines) call(call func(ctx context.Context) error) error {
 	g, sent := k.gateway, k.gateway.now()
 	ctx, cancel := context.WithTimeout(g.ctx, quarantineCall)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -110,28 +110,45 @@
 // note logs what follows from changed records, and has them kept.
 func (s *suspects) note(now time.Time, changed []quarantine.Record) {
 	for _, record := range changed {
-		verdict := s.verdict(now, record.Content)
-		s.mutex.Lock()
-		until, logged := s.logged[record.Content]
-		isNews := verdict.State == quarantine.Quarantined && !until.Equal(verdict.Until)
-		lifted := verdict.State == quarantine.Clear && logged
-		switch {
-		case isNews:
-			s.logged[record.Content] = verdict.Until
-		case lifted:
-			delete(s.logged, record.Content)
-		}
-		s.mutex.Unlock()
-		switch {
-		case isNews:
+		verdict, step := s.step(now, record.Content)
+		switch step {
+		case quarantineBegan:
 			s.quarantined(now, record, verdict)
-		case lifted:
+		case quarantineLifted:
 			s.gateway.log.Log(events.QuarantineLifted, events.Fields{"content": record.Content.String(), "tenant": record.Content.Tenant})
 		}
 		s.kept.changed(record.Content, verdict.Ends)
 	}
 }
 
+// quarantineStep is what has become of a content's quarantine.
+type quarantineStep uint8
+
+// The steps.
+const (
+	noStep quarantineStep = iota
+	// quarantineBegan also means that one began anew, after a trial.
+	quarantineBegan
+	quarantineLifted
+)
+
+// step judges a content whose record has changed, and tells what is to be logged of it.
+func (s *suspects) step(now time.Time, content quarantine.Content) (quarantine.Verdict, quarantineStep) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	verdict := s.judge.Verdict(now, content)
+	until, logged := s.logged[content]
+	switch {
+	case verdict.State == quarantine.Quarantined && !until.Equal(verdict.Until):
+		s.logged[content] = verdict.Until
+		return verdict, quarantineBegan
+	case verdict.State == quarantine.Clear && logged:
+		delete(s.logged, content)
+		return verdict, quarantineLifted
+	}
+	return verdict, noStep
+}
+
 // quarantined notes that a content is not sent any more.
 func (s *suspects) quarantined(now time.Time, record quarantine.Record, verdict quarantine.Verdict) {
 	g := s.gateway
