--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -42,6 +42,7 @@
 // poisonedFleet is runners that end under poisonBody and start again, before routers.
 type poisonedFleet struct {
 	*fleet
+	service string
 	silent  bool
 	routers []*router
 	// poisonEvery is one in how many thirtieths of a second the poison is sent.
@@ -53,9 +54,13 @@
 	reviver sync.WaitGroup
 }
 
-// newPoisonedFleet starts the runners; silent ones end without the head of an answer.
+// newPoisonedFleet starts runners of a model; silent ones end without the head of an answer.
 func newPoisonedFleet(t *testing.T, runners int, silent bool) *poisonedFleet {
-	p := &poisonedFleet{fleet: newFleet(t), silent: silent, poisonEvery: 5}
+	return newPoisonedService(t, "engines", runners, silent)
+}
+
+func newPoisonedService(t *testing.T, service string, runners int, silent bool) *poisonedFleet {
+	p := &poisonedFleet{fleet: newFleet(t), service: service, silent: silent, poisonEvery: 5}
 	p.configure(1, defaultRoutes(), goodKey)
 	for range runners {
 		p.start()
@@ -68,11 +73,14 @@
 func (p *poisonedFleet) start() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	runner := p.startRunner(runnerstand.Config{
-		ID: fmt.Sprintf("e%d", len(p.started)), Service: "engines", Model: modelName, Version: 1, Events: 4, EventTime: 40 * time.Millisecond,
+	config := runnerstand.Config{
+		ID: fmt.Sprintf("e%d", len(p.started)), Service: p.service,
 		Poison: runnerstand.Poison{Prefix: poisonBody, After: 60 * time.Millisecond, Silent: p.silent, Ended: p.ended},
-	})
-	p.started = append(p.started, runner)
+	}
+	if p.service == "engines" {
+		config.Model, config.Version, config.Events, config.EventTime = modelName, 1, 4, 40*time.Millisecond
+	}
+	p.started = append(p.started, p.startRunner(config))
 }
 
 // ended notes the end of a runner and starts it again later.
@@ -183,17 +191,20 @@
 
 func TestRequestThatEndsItsRunnersIsNotSentForever(t *testing.T) {
 	for name, test := range map[string]struct {
-		path   string
-		silent bool
+		service, path string
+		runners       int
+		silent        bool
 	}{
-		"may run once, after an event":   {"/once/", false},
-		"may run once, without a head":   {"/once/", true},
-		"may be resumed, after an event": {"/stream/", false},
-		"may be resumed, without a head": {"/stream/", true},
+		"may run once, after an event":   {"engines", "/once/", 12, false},
+		"may run once, without a head":   {"engines", "/once/", 12, true},
+		"may be resumed, after an event": {"engines", "/stream/", 12, false},
+		"may be resumed, without a head": {"engines", "/stream/", 12, true},
+		"no model, may run once":         {"plain", "/unsafe/", 4, true},
+		"no model, may be repeated":      {"plain", "/safe/", 4, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := newPoisonedFleet(t, 12, test.silent)
+			p := newPoisonedService(t, test.service, test.runners, test.silent)
 			p.route(2)
 			poison, others := p.load(test.path, 6*time.Second)
 			ended, counted := p.endedBy()
