Records that outlive their use stay in the store (failing test)

A record is taken out by the routers that know it; after all of them were away for longer than it is of use, nobody does, and each such content leaves an object behind.

--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -11,9 +11,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/platform"
 )
 
@@ -163,3 +165,21 @@
 	p.routers[0].logs("content is sent again")
 	p.g.Eventually(func() []string { return p.store.Specs(platform.KindQuarantines) }, time.Second, 5*time.Millisecond).Should(BeEmpty())
 }
+
+// All routers were away for longer than the record was of use: nobody else takes it out.
+func TestRecordThatIsOfNoUseAnyMoreIsTakenOutOfTheStore(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 1, false)
+	record := quarantine.Record{Content: quarantine.Content{Tenant: "tenant-one", Digest: 255}}
+	for i, id := range []string{"a", "b", "c"} {
+		ended := time.Now().Add(time.Duration(i)*time.Second - 48*time.Hour)
+		record.Ends = append(record.Ends, quarantine.End{Runner: quarantine.Runner{ID: id}, Began: ended.Add(-time.Millisecond), At: ended})
+	}
+	door, err := p.store.Open()
+	p.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(door.Close)
+	client := &platform.Store{Address: door.Address, Pool: httpconn.NewPool(httpconn.DefaultDialTimeout)}
+	p.g.Expect(client.KeepQuarantine(t.Context(), record)).To(Succeed())
+	p.servingRouter("r1", nil)
+	p.g.Eventually(func() []string { return p.store.Specs(platform.KindQuarantines) }, 2*time.Second, 5*time.Millisecond).Should(BeEmpty())
+}
