Records that outlive their use are taken out of the store by whoever reads them

Cause: only routers that knew a record took it out.

Mend: a record that is read from the store and is of no use any more, or was cleared, is taken out by the router that reads it.

Why it holds: each router that reads the store reads all records at its start.

Two comments on grounds of figures say what was measured.

--- a/internal/backend/suspects.go
+++ b/internal/backend/suspects.go
@@ -19,7 +19,7 @@
 	// bystanderCost is that of each request that would end with the runner.
 	bystanderCost = 1000
 	// besideSuspectCost is that of a runner with a suspected content for all other requests:
-	// 0.1 s of reading, as one of ten contents that are suspected ends its runner again.
+	// 0.1 s of reading. Most contents that were at work on an ended runner did not end it.
 	besideSuspectCost = 4000
 )
 
--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -132,6 +132,12 @@
 		}
 	}
 	g.suspects.learn(records)
+	for _, record := range records {
+		if _, verdict := g.suspects.record(record.Content); verdict.State == quarantine.Clear {
+			// It is of no use any more, and whoever kept it may be gone.
+			k.changed(record.Content, verdict.Ends)
+		}
+	}
 }
 
 func (k *keptQuarantines) noteStored(record quarantine.Record) {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -13,7 +13,7 @@
 // shares them with all others: what it sees itself goes to the seeds, which push it, and
 // pulls repair what was lost. So all routers judge by the same ends within some milliseconds,
 // and routers that are cut off, or whose seeds are of a version that does not know this
-// message, still judge by their own. Seeds keep quarantines in the store.
+// message, still judge by their own. What has ended two runners is kept in the store.
 type suspects struct {
 	gateway *Gateway
 	kept    *keptQuarantines
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -112,8 +112,9 @@
 // Bounds of judging.
 const (
 	// endsToQuarantine is how many runners must have ended under a content before it is not
-	// sent any more. In the model of mixed fleets (simulation_test.go) two refuse others'
-	// requests in waves of crashes, and four cost one runner more for each such content.
+	// sent any more. In the model of mixed fleets (simulation_test.go) four cost one runner
+	// more for each such content; two spare one, and would refuse what was at two ended
+	// runners by chance, as long requests are.
 	endsToQuarantine = 3
 	// endsIfExplained is the same while something else explains the ends: two more, so that
 	// also then no more runners end than the three and three more that are borne.
