--- /dev/null
+++ b/internal/gateway/keptquarantines_internal_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// forgetfulStore has forgotten its history up to a revision, and lists that may be old stand
+// for an earlier one.
+type forgetfulStore struct {
+	Store
+	calls atomic.Int64
+}
+
+const (
+	oldRevision = 5
+	newRevision = 10
+)
+
+func (s *forgetfulStore) Quarantines(_ context.Context, stale bool) ([]KeptQuarantine, uint64, error) {
+	s.calls.Add(1)
+	if stale {
+		return nil, oldRevision, nil
+	}
+	return nil, newRevision, nil
+}
+
+func (s *forgetfulStore) WatchQuarantines(ctx context.Context, revision uint64, _ time.Duration) ([]KeptQuarantine, uint64, error) {
+	s.calls.Add(1)
+	if revision < newRevision {
+		return nil, 0, ErrHistoryGone
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// A router that reads the store for want of seeds listed what may be old, was told that the
+// history since was gone, listed again, and so on: a call each time that the store answers.
+// Found by reading, beside a soak in which no call to the store was answered any more.
+func TestStoreThatForgetsIsNotAskedOnAndOn(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	store := &forgetfulStore{}
+	gateway := &Gateway{ports: Ports{Clock: clock.New(), Store: store}, ctx: ctx, cancel: cancel, direct: newDirectSwitch(), log: events.NewLogger(io.Discard, "r", logrus.InfoLevel)}
+	gateway.settings.FirstStart, gateway.settings.PeerAddress = true, "127.0.0.1:1"
+	gateway.relays = newRelays(gateway)
+	// Any will do: a router with others, which is no seed.
+	gateway.relays.transport = &wire.Transport{}
+	gateway.metrics = newMetrics(gateway)
+	gateway.suspects = newSuspects(gateway)
+	gateway.direct.set(true)
+	done := make(chan struct{})
+	go func() { gateway.suspects.kept.follow(); close(done) }()
+	time.Sleep(300 * time.Millisecond)
+	g.Expect(store.calls.Load()).To(BeNumerically("<=", 4), "a list, a watch, and both again")
+	cancel()
+	g.Eventually(done, time.Second).Should(BeClosed())
+}
