A store that has forgotten its history is listed anew, and with a pause

Cause: after the word that the history is gone the same list, which may be old, was asked for at once, and led to the same word.

Mend: the next list is one that is not old, and each step that leads nowhere is followed by the pause after a failed call.

Why it holds: a list that is not old stands for a revision whose history is there, as the copies of configuration, runners and weights are listed after such a word.

--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -71,15 +71,17 @@
 // follow learns what others keep while this router reads the store.
 func (k *keptQuarantines) follow() {
 	g, revision, failures := k.gateway, uint64(0), 0
+	// Many read at once where there is no seed: a list that may be old costs the store little.
+	// One whose history is gone leads nowhere, and is not asked for again.
+	stale := !g.relays.isSource()
 	for g.direct.wait(g.ctx) {
-		next, err := k.learn(revision)
-		if err == nil {
+		next, err := k.learn(revision, stale)
+		if err == nil && next > 0 {
 			revision, failures = next, 0
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			revision = 0
-			continue
+			revision, stale = 0, false
 		}
 		if !k.failed(callWatch, err, failures) {
 			return
@@ -89,8 +91,8 @@
 }
 
 // learn lists all records at first, and then waits for changes after the revision. It
-// returns the next revision.
-func (k *keptQuarantines) learn(revision uint64) (next uint64, err error) {
+// returns the next revision, 0 for none.
+func (k *keptQuarantines) learn(revision uint64, stale bool) (next uint64, err error) {
 	g, name, wait, sent := k.gateway, callWatch, directoryWait, k.gateway.now()
 	if revision == 0 {
 		name, wait = callList, 0
@@ -99,8 +101,7 @@
 	defer cancel()
 	var kept []KeptQuarantine
 	if revision == 0 {
-		// Many read at once where there is no seed: a list that may be old costs the store little.
-		kept, next, err = g.ports.Store.Quarantines(ctx, !g.relays.isSource())
+		kept, next, err = g.ports.Store.Quarantines(ctx, stale)
 	} else {
 		kept, next, err = g.ports.Store.WatchQuarantines(ctx, revision, wait)
 	}
@@ -246,15 +247,17 @@
 	return call(ctx)
 }
 
-// failed notes a call that failed after others, and waits before the next. It returns false
-// when the gateway stops.
+// failed notes a call that failed, or led nowhere, after others, and waits before the next.
+// It returns false when the gateway stops.
 func (k *keptQuarantines) failed(call string, err error, failures int) bool {
 	g := k.gateway
 	if g.ctx.Err() != nil {
 		return false
 	}
-	g.metrics.storeFailures.WithLabelValues(quarantineKind).Inc()
-	if failures == 0 {
+	if err != nil {
+		g.metrics.storeFailures.WithLabelValues(quarantineKind).Inc()
+	}
+	if err != nil && failures == 0 {
 		g.log.Log(events.QuarantineCallFailed, events.Fields{"call": call, "error": err.Error()})
 	}
 	return g.pause(g.jitter(min(quarantineRetry<<min(failures, 4), quarantineLongest)))
--- a/internal/gateway/keptquarantines_internal_test.go
+++ b/internal/gateway/keptquarantines_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -57,7 +58,7 @@
 	gateway.relays = newRelays(gateway)
 	// Any will do: a router with others, which is no seed.
 	gateway.relays.transport = &wire.Transport{}
-	gateway.metrics = newMetrics(gateway)
+	gateway.metrics, gateway.random = newMetrics(gateway), rand.New(rand.NewPCG(1, 2))
 	gateway.suspects = newSuspects(gateway)
 	gateway.direct.set(true)
 	done := make(chan struct{})
