A soak that may need more open files than the limit is refused

Cause: the soak's own process, which holds the stand-ins and both ends of each proxied connection, ran out of open files (19,400 to 20,000 of 20,000; connections that fell silent for good stay). Its stand-ins then took no connections.

Mend: four files a pair of gateway and runner are counted before anything starts.

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -97,6 +97,9 @@
 
 // Run plays one soak.
 func Run(ctx context.Context, settings Settings) (Report, error) {
+	if err := settings.checkDescriptors(); err != nil {
+		return Report{}, err
+	}
 	s := &Soak{
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 		store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
