Proxies of the lab go on after a connection that they could not take; soaks count their open files

Cause: a proxy stopped taking connections at the first error, as when the process has no open files left; the system went on completing them, so callers saw silence. Paths between gateways, too, take files, which the bound before the start does not count.

Mend: a proxy goes on until it is closed.

--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -3,6 +3,7 @@
 package faultproxy
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -35,8 +36,12 @@
 	return [...]string{"pass", "delay", "reset", "cut back", "silence", "mute"}[m]
 }
 
-// delayTime is the pause of Delay.
-const delayTime = 150 * time.Millisecond
+const (
+	// delayTime is the pause of Delay.
+	delayTime = 150 * time.Millisecond
+	// acceptPause follows a connection that could not be taken; net/http waits 5 ms at first.
+	acceptPause = 10 * time.Millisecond
+)
 
 // Proxy forwards connections to one server.
 type Proxy struct {
@@ -110,9 +115,14 @@
 func (p *Proxy) accept() {
 	for {
 		client, err := p.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// The process has no open files left, for one; what waits is taken later.
+			time.Sleep(acceptPause)
+			continue
+		}
 		l := &link{client: client}
 		p.mutex.Lock()
 		p.open[l] = true
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -111,6 +111,7 @@
 	}
 	load, stopLoad := context.WithCancel(ctx)
 	var group sync.WaitGroup
+	group.Go(func() { s.watchDescriptors(load) })
 	for i := range callers {
 		group.Add(1)
 		go func() { defer group.Done(); s.call(load, rand.New(rand.NewPCG(settings.Seed, uint64(i)))) }()
