--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -12,10 +12,13 @@
 	// maxRecords bounds the contents that are remembered: at some 200 bytes each, 0.4 MB. A
 	// loss of 70 runners with 16 requests each names half of them.
 	maxRecords = 2048
-	// harmlessRecords and harmlessTime bound the contents that a runner has outlived of
-	// late: what 400 routers are asked in 30 s at 27,000 requests a second.
+	// harmlessRecords bounds the contents that a runner has outlived of late: what one of 400
+	// routers is asked in harmlessTime at 27,000 requests a second.
 	harmlessRecords = 2048
-	harmlessTime    = 30 * time.Second
+	// harmlessTime is for how long, up to twice, such a content is not suspected. Crashes of
+	// runners that follow each other within seconds name contents that are asked all the time;
+	// one that begins to end runners is judged that much later.
+	harmlessTime = 30 * time.Second
 )
 
 // Judge holds the records of contents under which runners have ended. It is not safe for
