Routers that do not read the store keep the names of forgotten contents (failing test)

What is seen: a router that never reads the store notes each content under which two runners have ended as one to write, and keeps the note when the record is forgotten: memory grows with the contents that ever were, not with the records that there are. Found by reading.

--- a/internal/gateway/keptquarantines_internal_test.go
+++ b/internal/gateway/keptquarantines_internal_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -45,26 +46,50 @@
 	return nil, 0, ctx.Err()
 }
 
-// A router that reads the store for want of seeds listed what may be old, was told that the
-// history since was gone, listed again, and so on: a call each time that the store answers.
-// Found by reading, beside a soak in which no call to the store was answered any more.
-func TestStoreThatForgetsIsNotAskedOnAndOn(t *testing.T) {
-	t.Parallel()
-	g := NewWithT(t)
+// quarantining is a router with others, which is no seed and does not read the store yet.
+func quarantining(t *testing.T, store Store) *Gateway {
 	ctx, cancel := context.WithCancel(t.Context())
-	store := &forgetfulStore{}
 	gateway := &Gateway{ports: Ports{Clock: clock.New(), Store: store}, ctx: ctx, cancel: cancel, direct: newDirectSwitch(), log: events.NewLogger(io.Discard, "r", logrus.InfoLevel)}
 	gateway.settings.FirstStart, gateway.settings.PeerAddress = true, "127.0.0.1:1"
 	gateway.relays = newRelays(gateway)
-	// Any will do: a router with others, which is no seed.
+	// Any will do: nothing is sent.
 	gateway.relays.transport = &wire.Transport{}
 	gateway.metrics, gateway.random = newMetrics(gateway), rand.New(rand.NewPCG(1, 2))
 	gateway.suspects = newSuspects(gateway)
+	return gateway
+}
+
+// A router that reads the store for want of seeds listed what may be old, was told that the
+// history since was gone, listed again, and so on: a call each time that the store answers.
+// Found by reading, beside a soak in which no call to the store was answered any more.
+func TestStoreThatForgetsIsNotAskedOnAndOn(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	store := &forgetfulStore{}
+	gateway := quarantining(t, store)
 	gateway.direct.set(true)
 	done := make(chan struct{})
 	go func() { gateway.suspects.kept.follow(); close(done) }()
 	time.Sleep(300 * time.Millisecond)
 	g.Expect(store.calls.Load()).To(BeNumerically("<=", 4), "a list, a watch, and both again")
-	cancel()
+	gateway.cancel()
 	g.Eventually(done, time.Second).Should(BeClosed())
 }
+
+// A router that never reads the store noted each content under which two runners had ended
+// as one to write, and kept the note when its record was forgotten. Found by reading.
+func TestRecordsThatAreForgottenAreNotToBeWrittenForEver(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	gateway := quarantining(t, &forgetfulStore{})
+	now := gateway.now()
+	for digest := range uint64(100) {
+		gateway.suspects.learn([]quarantine.Record{{Content: quarantine.Content{Digest: digest}, Ends: []quarantine.End{
+			{Runner: quarantine.Runner{ID: "a"}, Began: now, At: now}, {Runner: quarantine.Runner{ID: "b"}, Began: now, At: now},
+		}}})
+	}
+	g.Expect(gateway.suspects.kept.pending).To(HaveLen(100))
+	gateway.suspects.sweep(now.Add(2 * time.Hour))
+	g.Expect(gateway.suspects.judge.Counts(now)).To(BeEmpty())
+	g.Expect(gateway.suspects.kept.pending).To(BeEmpty())
+}
