Contents whose records are forgotten are not to be written any more

Cause: what is to be written was noted for each content under which two runners had ended, and taken off the list by the write only. Most routers never write, as they do not read the store.

Mend: a change that leaves nothing to write takes the note off the list.

Why it holds: each record's end is told as a change, so notes are as few as records and what the store has. A write of such a content did nothing before.

--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -48,13 +48,16 @@
 	}
 }
 
-// changed has the content's record written, if it is to be kept, as soon as this router reads
-// the store.
+// changed has the content's record written, if it is to be kept or taken out, as soon as this
+// router reads the store.
 func (k *keptQuarantines) changed(content quarantine.Content, ends int) {
 	k.mutex.Lock()
-	_, stored := k.stored[content]
-	if ends >= endsToKeep || stored {
+	if _, stored := k.stored[content]; ends >= endsToKeep || stored {
 		k.pending[content] = true
+	} else {
+		// There is nothing to write any more, and a router that does not read the store would
+		// never find that out.
+		delete(k.pending, content)
 	}
 	k.mutex.Unlock()
 	k.want()
