--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -238,7 +238,7 @@
 		f.lost = true
 		g.log.Log(events.StoreLost, events.Fields{"kind": f.kind.String(), "revision": g.copies.revision(f.kind), "error": err.Error()})
 	}
-	g.pause(g.jitter(min(firstRetry<<min(f.failures-1, 4), lastRetry)))
+	g.backOff(f.failures-1, firstRetry, lastRetry)
 }
 
 func (f *follower) succeeded() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,6 +220,15 @@
 	return duration/2 + time.Duration(g.random.Int64N(int64(duration/2)+1))
 }
 
+// maxDoublings keeps the shift of backOff small: pauses are at their longest before.
+const maxDoublings = 4
+
+// backOff waits after one more failed call than the failures before it, twice as long each
+// time from the first pause to the longest. It returns false when the gateway stops.
+func (g *Gateway) backOff(failures int, first, longest time.Duration) bool {
+	return g.pause(g.jitter(min(first<<min(failures, maxDoublings), longest)))
+}
+
 // noteSuspended notes that the machine was suspended, and returns for how long in all. What
 // timers were to withdraw meanwhile is withdrawn now.
 func (g *Gateway) noteSuspended(before time.Duration) time.Duration {
--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -263,7 +263,7 @@
 	if err != nil && failures == 0 {
 		g.log.Log(events.QuarantineCallFailed, events.Fields{"call": call, "error": err.Error()})
 	}
-	return g.pause(g.jitter(min(quarantineRetry<<min(failures, 4), quarantineLongest)))
+	return g.backOff(failures, quarantineRetry, quarantineLongest)
 }
 
 // fromTimesOfDay moves a record's moments, which the store has as times of day, to this
