--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -160,7 +160,7 @@
 // version that was in touch.
 func (p *poisons) counts(call *callRecord, at time.Time) bool {
 	ends := p.ends[call.body]
-	if len(ends) < 3 || at.Sub(ends[2]) <= contactTime || p.soak.isOlder(call.process) {
+	if len(ends) < 3 || at.Sub(ends[2]) <= contactTime || p.soak.older[call.process] {
 		return false
 	}
 	return p.soak.calm(at, storeForEach, call.process, storeOf(call.process)) > contactTime
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -76,9 +76,11 @@
 	random    *rand.Rand
 	store     *storestand.Store
 	processes []*process
-	runners   *fleet
-	config    *configuration
-	calls     *callLog
+	// older names the gateways that run an earlier version.
+	older   map[string]bool
+	runners *fleet
+	config  *configuration
+	calls   *callLog
 	// disturbances are what the faults disturb.
 	disturbances *disturbances
 	// poisons are the contents that end runners.
@@ -102,7 +104,7 @@
 	}
 	s := &Soak{
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
-		store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
+		older: map[string]bool{}, store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
 	}
 	s.poisons = newPoisons(s)
 	defer s.close()
@@ -181,8 +183,9 @@
 	}
 	for i, free := range addresses {
 		program := s.settings.Program
-		if s.isOlder(gatewayName(i)) {
+		if s.settings.Older != "" && i%2 == 1 {
 			program = []string{s.settings.Older}
+			s.older[gatewayName(i)] = true
 		}
 		door, err := s.store.Open()
 		if err != nil {
@@ -206,17 +209,6 @@
 
 func gatewayName(number int) string { return fmt.Sprintf("gateway-%d", number) }
 
-// isOlder tells whether the gateway runs an earlier version: every second one does, if there
-// is any.
-func (s *Soak) isOlder(name string) bool {
-	for i := 1; s.settings.Older != "" && i < cmp.Or(s.settings.Gateways, gateways); i += 2 {
-		if name == gatewayName(i) {
-			return true
-		}
-	}
-	return false
-}
-
 func (s *Soak) close() {
 	for _, p := range s.processes {
 		p.kill()
