Sight: what runners say of themselves in answers is read, logged and counted

Cause: the headers by which a runner limits requests, leaves or asks for rest were not read anywhere, so that neither a log line nor a counter could tell whether an answer had said so.

Change: they are decoded with the head of the answer, kept for the start of the runner that said them, and what is new is logged (523) and counted; values that cannot be read are logged (524, once a second) and say nothing. No choice of a runner goes by any of it yet.

--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -10,6 +10,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 )
 
 // ModelVersion is a model that a runner holds and the version of its weights.
@@ -90,6 +92,8 @@
 	// learned is the version of each model's weights as answers named it, which
 	// may be newer than the directory's.
 	learned map[string]uint64
+	// said is what the runner said of itself in answers, nil if it said nothing.
+	said *backpressure.State
 	// updating is true while an order of this router's is under way there.
 	updating bool
 }
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/cacheindex"
 )
 
@@ -35,6 +36,9 @@
 	demands map[string]*demand
 	// speeds are the learned reading speeds of each service's runners.
 	speeds map[string]*readSpeed
+	// signals is what runners said of themselves in answers, also of those that are not
+	// listed now.
+	signals *backpressure.Table
 	// rolloutTime is within which all runners of a service take named weights.
 	rolloutTime time.Duration
 }
@@ -46,6 +50,7 @@
 		cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}, changed: map[string]bool{},
 		holding: map[string]time.Duration{}, others: map[string]*otherLoads{}, told: map[string]bool{},
 		demands: map[string]*demand{}, speeds: map[string]*readSpeed{}, rolloutTime: defaultRolloutTime,
+		signals: backpressure.NewTable(),
 	}
 }
 
@@ -81,7 +86,7 @@
 		// Those who count its load are told that none is left.
 		s.changed[runner.ID] = true
 	}
-	created := &entry{Runner: runner, learned: map[string]uint64{}}
+	created := &entry{Runner: runner, learned: map[string]uint64{}, said: s.signals.Of(runner.start())}
 	s.entries[runner.ID] = created
 	list := append(s.byService[runner.Service], created)
 	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -57,6 +57,8 @@
 	ContentQuarantined   = define(521, logrus.WarnLevel, "content is not sent any more: runners ended under it")
 	QuarantineLifted     = define(522, logrus.InfoLevel, "content is sent again: a runner has outlived it")
 	ClaimsServing        = define(600, logrus.InfoLevel, "serving claims of an assignment")
+	RunnerSignalled      = define(523, logrus.InfoLevel, "runner says something new of itself")
+	SignalUnreadable     = define(524, logrus.WarnLevel, "what a runner says of itself cannot be read")
 	ClaimsRetired        = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed   = define(602, logrus.InfoLevel, "claim assignment written")
 	AssignmentBlocked    = define(603, logrus.WarnLevel, "claim assignment cannot change yet")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,8 @@
 	shares *shares
 	// ends finds out which runners have ended, and under which requests.
 	ends *runnerEnds
+	// signals are what runners say of themselves in answers.
+	signals *signals
 	// suspects are the contents of requests under which runners have ended.
 	suspects *suspects
 	// cacheStores watches the stores of kept cache.
@@ -149,7 +151,7 @@
 	ports.RunnerPool.Opened, ports.RunnerPool.Silent = g.metrics.connections.Inc, g.metrics.silentConnections.Inc
 	ports.RunnerPool.SilentAfter = runnerSilence
 	g.schedulers, g.shares = newSchedulers(g), newShares(g)
-	g.ends, g.suspects = newRunnerEnds(g), newSuspects(g)
+	g.ends, g.suspects, g.signals = newRunnerEnds(g), newSuspects(g), newSignals(g)
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
@@ -198,6 +200,7 @@
 		suspended = g.noteSuspended(suspended)
 		g.noteStale(g.now())
 		g.ends.sweep(g.now())
+		g.signals.sweep(g.now())
 		g.suspects.sweep(g.now())
 		if dropped := g.droppedLines(); dropped > reported {
 			g.log.Log(events.LinesDropped, events.Fields{"lines": dropped - reported, "total": dropped})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,7 +50,9 @@
 	// long after the first runner's end this router knew that.
 	quarantines     prometheus.Counter
 	quarantineTimes prometheus.Histogram
-	connections     prometheus.Counter
+	// signals counts what is new of what runners say of themselves in answers.
+	signals     *prometheus.CounterVec
+	connections prometheus.Counter
 	// silentConnections counts kept connections to runners that were closed unused.
 	silentConnections prometheus.Counter
 
@@ -94,6 +96,7 @@
 		latencies:      seconds("call_seconds", "Time from a call's arrival to its end.", "service", "kind"),
 		firstEvents:    seconds("first_event_seconds", "Time from a call's arrival to the first event of its stream.", "service"),
 		refusals:       counters("refusals_total", "Calls refused without having run, by status and reason.", "status", "reason"),
+		signals:        counters("runner_signals_total", "Answers in which a runner said something new of itself, by what it was.", "service", "signal"),
 		attempts:       counters("attempts_total", "Sends of calls to runners.", "service"),
 		retries:        counters("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
 		runnerFailures: counters("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
@@ -146,7 +149,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.suspensions, m.connections, m.silentConnections,
+		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.signals, m.suspensions, m.connections, m.silentConnections,
 		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &contentStates{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
@@ -84,6 +85,8 @@
 	WeightVersion uint64
 	// Encoded answers are not the runner's plain bytes.
 	Encoded bool
+	// Signals is what the runner says of itself.
+	Signals backpressure.Signals
 }
 
 // Protocol is how callers, routers and runners write what they say of a
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -121,6 +121,7 @@
 	defer response.Body.Close()
 	answer := c.gateway.ports.Protocol.Answer(response.Status, response.Header)
 	c.answering = answer.WeightVersion
+	c.hear(answer, response.Status)
 	news := c.learnVersion(answer.WeightVersion)
 	switch {
 	case answer.NotRun:
