Runners that limit requests get all that they got before (failing test)

Seen: a runner that named a limit of one request a second in its answers got up to 21 requests in 4 s from the routers that had passed them on.

--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -147,9 +147,12 @@
 }
 
 // ask sends a call beside others and counts its outcome.
-func (o *outcomes) ask(r *router, path, body string) {
+func (o *outcomes) ask(r *router, path, body string) { o.askWith(r, path, asking(body)) }
+
+// askWith sends a changed call beside others and counts its outcome.
+func (o *outcomes) askWith(r *router, path string, change func(*http.Request)) {
 	o.group.Go(func() {
-		got := r.callWithin(context.Background(), path, asking(body))
+		got := r.callWithin(context.Background(), path, change)
 		o.mutex.Lock()
 		defer o.mutex.Unlock()
 		o.sent++
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -106,6 +106,8 @@
 	queueing time.Duration
 	resume   chan struct{}
 	broken   chan struct{}
+	// announced are headers of all its answers.
+	announced http.Header
 	// reports counts the questions for a report, which are answered after reportTime.
 	reports    int
 	reportTime time.Duration
@@ -320,6 +322,7 @@
 		r.endUnder(writer, run)
 	}
 	header := writer.Header()
+	r.announce(header)
 	header.Set(platform.HeaderRequestID, run.Request)
 	header.Set(platform.HeaderVersions, strconv.FormatUint(r.Version(), 10))
 	switch behaviour {
