Runners that limit requests get what their limits allow

Callers saw runners in need that were given many times what they had said they take: up to 21 requests in 4 s at a limit of one a second, and so slow or lost answers there.

The class: news that reaches a router only in an answer has no way into the choice of a runner.

Change: what a runner says is kept for its start (internal/backpressure), beside its entry, and told to all routers by the seeds, as records that merge in any order; pulls repair what is lost. A limit is cut into equal parts, one for each router that places requests for others; a send to a limited runner needs a permit of one of these parts, which comes with the choice of the runner and lapses after a second. It is looked at again right before the first byte. A router that reaches no scheduler sends nothing to such runners. Families of prompts have their homes elsewhere meanwhile. A permit that is unused for 2 s is used next, as only an answer tells that the limit has ended. Where no runner takes a request the caller is told at once when one does.

Why it holds: a part belongs to its router for good, so nothing has to be agreed on. A new scheduler waits until those before it have ceased to grant; a larger part counts once others know theirs are smaller.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/admission"
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
@@ -84,6 +85,10 @@
 		if !usable {
 			continue
 		}
+		if wait, rate := s.heldBack(now, e); wait > 0 {
+			request.HeldBack.Add(wait, rate)
+			continue
+		}
 		if now.Before(e.asideUntil) {
 			request.Excluded = append(request.Excluded, e.ID)
 		}
@@ -101,6 +106,7 @@
 			ExtraTokens:     cost + s.evidenceCost(now, e, zone) + speed.tokensIn(slowness),
 			Pauses:          e.pauses(other),
 			ApartTokens:     split.cost(e) + e.suspectCost(query, other),
+			First:           e.said.Limits() && query.Suspect == 0 && s.permits.Unused(now, e.start()),
 		})
 	}
 	if query.EventGap > 0 {
@@ -119,7 +125,7 @@
 	ids, others := make([]string, 0, len(entries)), []string(nil)
 	for _, e := range entries {
 		switch {
-		case e.Draining || now.Before(e.asideUntil):
+		case e.Draining || now.Before(e.asideUntil) || e.said.Limits():
 		case split.suits(e):
 			ids = append(ids, e.ID)
 		default:
@@ -182,9 +188,9 @@
 
 // Usable tells whether the runner, chosen by another router or earlier, may get the
 // request by what this one knows now: its own word on leaving runners, weights and failures binds.
-func (s *Set) Usable(now time.Time, id string, query Query) bool {
+func (s *Set) Usable(now time.Time, id string, query Query, permit backpressure.Permit) bool {
 	e := s.staying(id, query.Service)
-	if e == nil || now.Before(e.asideUntil) || slices.Contains(query.Excluded, id) {
+	if e == nil || now.Before(e.asideUntil) || slices.Contains(query.Excluded, id) || !e.takes(now, permit) {
 		return false
 	}
 	_, usable := s.weightsCost(now, e, query)
@@ -210,12 +216,15 @@
 func (s *Set) Stays(id, service string) bool { return s.staying(id, service) != nil }
 
 // MaySend tells whether a request that the runner was chosen for, and that is counted
-// there, may still be sent: the runner stays and has the weights that the request names,
-// which have not expired. What the choice weighed beyond that is not weighed again.
-func (s *Set) MaySend(now time.Time, id string, query Query, version uint64) bool {
+// there, may still be sent: the runner stays, takes it and has the weights that the request
+// names, which have not expired. What the choice weighed beyond that is not weighed again.
+func (s *Set) MaySend(now time.Time, id string, query Query, version uint64, permit backpressure.Permit) bool {
 	e := s.staying(id, query.Service)
-	if e == nil || query.Model == "" {
-		return e != nil
+	if e == nil || !e.takes(now, permit) {
+		return false
+	}
+	if query.Model == "" {
+		return true
 	}
 	known, held := e.version(query.Model)
 	if !held || known != version {
@@ -251,7 +260,7 @@
 	var best *entry
 	for _, e := range s.byService[primary.Service] {
 		other, held := e.version(model)
-		if e == primary || !held || other != version || e.Draining || e.updating || now.Before(e.asideUntil) {
+		if e == primary || !held || other != version || e.Draining || e.updating || now.Before(e.asideUntil) || !e.takes(now, backpressure.Permit{}) {
 			continue
 		}
 		if best == nil || backupCost(primary, e) < backupCost(primary, best) {
--- a/internal/backend/ledger_test.go
+++ b/internal/backend/ledger_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 )
 
 var ledgerKey = SendKey{Router: "r", Incarnation: 1, Send: 7}
@@ -72,15 +74,15 @@
 func TestUsableRunnersAreThoseThatThisRouterKnowsNothingAgainst(t *testing.T) {
 	g := NewWithT(t)
 	set, _ := ledgerSet()
-	g.Expect(set.Usable(start, "a", Query{Service: "s"})).To(BeTrue())
-	g.Expect(set.Usable(start, "a", Query{Service: "other"})).To(BeFalse())
-	g.Expect(set.Usable(start, "c", Query{Service: "s"})).To(BeFalse(), "not in the directory here")
-	g.Expect(set.Usable(start, "a", Query{Service: "s", Excluded: []string{"a"}})).To(BeFalse())
-	g.Expect(set.Usable(start, "a", Query{Service: "s", Model: "m"})).To(BeFalse(), "does not hold the model")
+	g.Expect(set.Usable(start, "a", Query{Service: "s"}, backpressure.Permit{})).To(BeTrue())
+	g.Expect(set.Usable(start, "a", Query{Service: "other"}, backpressure.Permit{})).To(BeFalse())
+	g.Expect(set.Usable(start, "c", Query{Service: "s"}, backpressure.Permit{})).To(BeFalse(), "not in the directory here")
+	g.Expect(set.Usable(start, "a", Query{Service: "s", Excluded: []string{"a"}}, backpressure.Permit{})).To(BeFalse())
+	g.Expect(set.Usable(start, "a", Query{Service: "s", Model: "m"}, backpressure.Permit{})).To(BeFalse(), "does not hold the model")
 	set.End(start, set.Begin(start, "a", 0), Unreachable)
-	g.Expect(set.Usable(start, "a", Query{Service: "s"})).To(BeFalse(), "could not be reached just now")
+	g.Expect(set.Usable(start, "a", Query{Service: "s"}, backpressure.Permit{})).To(BeFalse(), "could not be reached just now")
 	set.Put(Runner{ID: "b", Service: "s", Draining: true})
-	g.Expect(set.Usable(start, "b", Query{Service: "s"})).To(BeFalse())
+	g.Expect(set.Usable(start, "b", Query{Service: "s"}, backpressure.Permit{})).To(BeFalse())
 }
 
 // The directory tells of new weights later than the answers do.
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -39,6 +39,8 @@
 	// signals is what runners said of themselves in answers, also of those that are not
 	// listed now.
 	signals *backpressure.Table
+	// permits is this router's part of the limits that runners named.
+	permits *backpressure.Permits
 	// rolloutTime is within which all runners of a service take named weights.
 	rolloutTime time.Duration
 }
@@ -50,7 +52,7 @@
 		cached: cacheindex.NewShard(confirmTime), next: map[updateGroup]nextUpdates{}, changed: map[string]bool{},
 		holding: map[string]time.Duration{}, others: map[string]*otherLoads{}, told: map[string]bool{},
 		demands: map[string]*demand{}, speeds: map[string]*readSpeed{}, rolloutTime: defaultRolloutTime,
-		signals: backpressure.NewTable(),
+		signals: backpressure.NewTable(), permits: backpressure.NewPermits(),
 	}
 }
 
@@ -156,13 +158,15 @@
 	Updating
 	// SetAside runners failed or refused of late and are used last.
 	SetAside
+	// Limited runners get as many requests as they have named.
+	Limited
 	// Serving runners get requests.
 	Serving
 )
 
 // String returns the state's name.
 func (s State) String() string {
-	return [...]string{"draining", "updating", "set aside", "serving"}[s]
+	return [...]string{"draining", "updating", "set aside", "limited", "serving"}[s]
 }
 
 // StateCount is the key of counted runners.
@@ -193,6 +197,10 @@
 	InFlight int `json:"inFlight"`
 	// FailureShare is the decaying share of its answers that were failures.
 	FailureShare float64 `json:"failureShare"`
+	// Limit is the requests a second that the runner takes of all routers, absent without a
+	// limit, and Share this router's part of it, which it grants.
+	Limit *float64 `json:"limit,omitempty"`
+	Share float64  `json:"share,omitempty"`
 }
 
 // Summary describes all runners, by service and id.
@@ -203,6 +211,10 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, State: e.state(now).String(),
 			InFlight: e.inFlight, FailureShare: e.currentFailureShare(now),
 		}
+		if e.said.Limits() {
+			rate := e.said.Rate
+			summary.Limit, summary.Share = &rate, s.permits.Share(now, rate)
+		}
 		for _, model := range e.Models {
 			if summary.Weights == nil {
 				summary.Weights = map[string]uint64{}
@@ -225,6 +237,8 @@
 		return Updating
 	case now.Before(e.asideUntil):
 		return SetAside
+	case e.said.Limits():
+		return Limited
 	}
 	return Serving
 }
--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -26,9 +26,6 @@
 	}
 }
 
-// Said returns what the runner said of itself, nil if it said nothing.
-func (s *Set) Said(runner Runner) *backpressure.State { return s.signals.Of(runner.start()) }
-
 // SweepSignals forgets what runners said that are gone for long.
 func (s *Set) SweepSignals(now time.Time) {
 	s.signals.Sweep(now, func(runner backpressure.Runner) bool {
@@ -36,3 +33,49 @@
 		return e != nil && e.Incarnation == runner.Incarnation
 	})
 }
+
+// Permits returns this router's part of the limits that runners named.
+func (s *Set) Permits() *backpressure.Permits { return s.permits }
+
+// heldBack returns for how long the runner takes no request by this router's leave, 0 if it
+// takes one now, and how many a second it takes of it.
+func (s *Set) heldBack(now time.Time, e *entry) (wait time.Duration, rate float64) {
+	if e.said.Limits() {
+		return s.permits.Wait(now, e.start(), e.said.Rate), s.permits.Share(now, e.said.Rate)
+	}
+	return 0, 0
+}
+
+// takes tells whether the runner takes a request that the permit, if any, was granted for.
+func (e *entry) takes(now time.Time, permit backpressure.Permit) bool {
+	return !e.said.Limits() || permit.Valid(now)
+}
+
+// Grant spends this router's next permit for the runner if it limits requests; Candidates
+// has found it free. Other runners need none.
+func (s *Set) Grant(now time.Time, id string) backpressure.Permit {
+	e := s.entries[id]
+	if e == nil || !e.said.Limits() {
+		return backpressure.Permit{}
+	}
+	return s.permits.Take(now, e.start(), e.said.Rate)
+}
+
+// Limited tells whether the runner limits requests.
+func (s *Set) Limited(id string) bool {
+	e := s.entries[id]
+	return e != nil && e.said.Limits()
+}
+
+// MergeSignals takes what another router tells of runners, and returns what others are to
+// know.
+func (s *Set) MergeSignals(now time.Time, records []backpressure.Record) []backpressure.Record {
+	changed := s.signals.Merge(now, records)
+	for _, record := range records {
+		s.attach(record.Runner)
+	}
+	return changed
+}
+
+// Signals returns what runners have said of themselves.
+func (s *Set) Signals() *backpressure.Table { return s.signals }
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -8,7 +8,10 @@
 // The package has no I/O and no clock.
 package backpressure
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Signals is what a runner says of itself in one answer.
 type Signals struct {
@@ -27,3 +30,11 @@
 
 // says tells whether the answer says anything of its runner.
 func (s Signals) says() bool { return s.Leaving || s.Limited || s.Rest > 0 }
+
+// ReadableRate returns a rate told by another router, 0 for what is none.
+func ReadableRate(rate float64) float64 {
+	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0
+	}
+	return rate
+}
--- /dev/null
+++ b/internal/backpressure/table_test.go
@@ -0,0 +1,89 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestLimitIsLiftedByALaterRequestOnly(t *testing.T) {
+	g, table := NewWithT(t), NewTable()
+	g.Expect(table.Hear(start, start, runner, Signals{}, true).Any()).To(BeFalse())
+	g.Expect(table.Of(runner)).To(BeNil(), "most runners say nothing")
+	g.Expect(table.Hear(start, start, runner, Signals{Limited: true, Rate: 1}, true).Limit).To(BeTrue())
+	later := start.Add(2 * liftMargin)
+	g.Expect(table.Hear(later, start.Add(-time.Second), runner, Signals{}, true).Any()).To(BeFalse(), "sent before the limit was named")
+	g.Expect(table.Hear(later, later, runner, Signals{}, false).Any()).To(BeFalse(), "a failure names nothing")
+	g.Expect(table.Hear(later, later, runner, Signals{Unreadable: []string{"x"}}, true).Any()).To(BeFalse())
+	g.Expect(table.Of(runner).Limits()).To(BeTrue())
+	g.Expect(table.Hear(later, later, runner, Signals{}, true).Limit).To(BeTrue())
+	g.Expect(table.Of(runner).Limits()).To(BeFalse())
+}
+
+func TestNextStartOfARunnerHasSaidNothing(t *testing.T) {
+	g, table := NewWithT(t), NewTable()
+	table.Hear(start, start, runner, Signals{Leaving: true, Limited: true, Rate: 1}, true)
+	g.Expect(table.Of(Runner{ID: runner.ID, Incarnation: runner.Incarnation + 1})).To(BeNil())
+}
+
+func TestUnlistedRunnersAreForgottenAfterLong(t *testing.T) {
+	g, table := NewWithT(t), NewTable()
+	table.Hear(start, start, runner, Signals{Leaving: true}, true)
+	nobody := func(Runner) bool { return false }
+	table.Sweep(start.Add(memory), nobody)
+	g.Expect(table.Of(runner).Leaves()).To(BeTrue())
+	table.Sweep(start.Add(memory+1), func(Runner) bool { return true })
+	g.Expect(table.Of(runner).Leaves()).To(BeTrue(), "listed")
+	table.Sweep(start.Add(memory+1), nobody)
+	g.Expect(table.Of(runner)).To(BeNil())
+}
+
+func TestRestIsThisRoutersAlone(t *testing.T) {
+	g, table := NewWithT(t), NewTable()
+	heard := table.Hear(start, start, runner, Signals{Rest: 3 * time.Second}, false)
+	g.Expect(heard).To(Equal(Heard{Rest: true}))
+	g.Expect(heard.Shared()).To(BeFalse())
+	g.Expect(table.Resting(start.Add(time.Second))).To(Equal([]string{runner.ID}))
+	table.Hear(start, start, runner, Signals{Rest: time.Second}, false)
+	g.Expect(table.Of(runner).Resting(start.Add(2*time.Second))).To(BeTrue(), "the longest holds")
+	g.Expect(table.Resting(start.Add(3 * time.Second))).To(BeEmpty())
+}
+
+func TestRouterThatKnowsMoreTellsIt(t *testing.T) {
+	g, table := NewWithT(t), NewTable()
+	named := start.Add(10 * time.Second)
+	table.Hear(named, start, runner, Signals{Limited: true, Rate: 1}, true)
+	lifted := Record{Runner: runner, Rate: 1, NamedAt: start, LiftedAt: start.Add(5 * time.Second)}
+	changed := table.Merge(named, []Record{lifted})
+	g.Expect(changed).To(HaveLen(1))
+	g.Expect(changed[0].Limited()).To(BeTrue(), "named again later")
+	g.Expect(table.Merge(named, []Record{lifted})).To(BeEmpty(), "not at once again")
+	g.Expect(table.Merge(named, changed)).To(BeEmpty())
+}
+
+// Records come in any order and any number of times, and all routers come to the same.
+func TestRecordsMergeToTheSameInAnyOrder(t *testing.T) {
+	moment := rapid.Custom(func(t *rapid.T) time.Time {
+		if seconds := rapid.IntRange(0, 9).Draw(t, "seconds"); seconds > 0 {
+			return start.Add(time.Duration(seconds) * time.Second)
+		}
+		return time.Time{}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		// Equal moments of naming would need equal rates: one answer is one moment.
+		records := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Record {
+			return Record{Runner: runner, LeavingAt: moment.Draw(t, "leaving"), Rate: 1, NamedAt: moment.Draw(t, "named"), LiftedAt: moment.Draw(t, "lifted")}
+		}), 1, 6, func(r Record) Record { return r }).Draw(t, "records")
+		shuffled := rapid.Permutation(append(records, records...)).Draw(t, "shuffled")
+		one, other := NewTable(), NewTable()
+		one.Merge(start, records)
+		for _, record := range shuffled {
+			other.Merge(start, []Record{record})
+		}
+		if a, b := one.Of(runner).Record, other.Of(runner).Record; a != b {
+			t.Fatalf("%+v and %+v", a, b)
+		}
+	})
+}
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -59,6 +59,7 @@
 	ClaimsServing        = define(600, logrus.InfoLevel, "serving claims of an assignment")
 	RunnerSignalled      = define(523, logrus.InfoLevel, "runner says something new of itself")
 	SignalUnreadable     = define(524, logrus.WarnLevel, "what a runner says of itself cannot be read")
+	RunnerSignalTold     = define(525, logrus.InfoLevel, "another router told what a runner says of itself")
 	ClaimsRetired        = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed   = define(602, logrus.InfoLevel, "claim assignment written")
 	AssignmentBlocked    = define(603, logrus.WarnLevel, "claim assignment cannot change yet")
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/routing"
@@ -79,7 +80,7 @@
 		// The copy ended with the incarnation that held it.
 		return false
 	}
-	return c.gateway.runners.Usable(now, c.backup.ID, query)
+	return c.gateway.runners.Usable(now, c.backup.ID, query, backpressure.Permit{})
 }
 
 // runnerEnded tells whether the runner cannot be reached or is another process by now.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
@@ -70,6 +71,10 @@
 	// runner works on the call; nil when this router chose itself.
 	placing *placementAsk
 	placed  *placed
+	// permit allows the send to a runner that limits requests, and permitAt is when it was
+	// asked for.
+	permit   backpressure.Permit
+	permitAt time.Time
 	// forShare is set when the call was refused only as its tenant was beyond its fair share.
 	forShare bool
 	// paid is set while a repeat that was taken from the budget has reached nobody.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,6 +173,7 @@
 	g.spawn(g.caches.run)
 	g.spawn(g.schedulers.shareLoop)
 	g.spawn(g.suspects.out.run)
+	g.spawn(g.signals.out.run)
 	g.spawn(g.suspects.kept.follow)
 	g.spawn(g.suspects.kept.write)
 	g.spawn(g.sweepLoop)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -51,7 +51,13 @@
 	quarantines     prometheus.Counter
 	quarantineTimes prometheus.Histogram
 	// signals counts what is new of what runners say of themselves in answers.
-	signals     *prometheus.CounterVec
+	signals *prometheus.CounterVec
+	// limitedSends counts sends to runners that limit requests, and permitAges tells how long
+	// before such a send its permit was asked for.
+	limitedSends *prometheus.CounterVec
+	permitAges   *prometheus.HistogramVec
+	// grants counts permits that this router has granted, for itself and for others.
+	grants      *prometheus.CounterVec
 	connections prometheus.Counter
 	// silentConnections counts kept connections to runners that were closed unused.
 	silentConnections prometheus.Counter
@@ -91,12 +97,17 @@
 
 func newMetrics(g *Gateway) *metrics {
 	m := &metrics{
-		registry:       prometheus.NewRegistry(),
-		calls:          counters("calls_total", "Calls sent to a runner, by how they ended.", "route", "service", "kind", "outcome"),
-		latencies:      seconds("call_seconds", "Time from a call's arrival to its end.", "service", "kind"),
-		firstEvents:    seconds("first_event_seconds", "Time from a call's arrival to the first event of its stream.", "service"),
-		refusals:       counters("refusals_total", "Calls refused without having run, by status and reason.", "status", "reason"),
-		signals:        counters("runner_signals_total", "Answers in which a runner said something new of itself, by what it was.", "service", "signal"),
+		registry:     prometheus.NewRegistry(),
+		calls:        counters("calls_total", "Calls sent to a runner, by how they ended.", "route", "service", "kind", "outcome"),
+		latencies:    seconds("call_seconds", "Time from a call's arrival to its end.", "service", "kind"),
+		firstEvents:  seconds("first_event_seconds", "Time from a call's arrival to the first event of its stream.", "service"),
+		refusals:     counters("refusals_total", "Calls refused without having run, by status and reason.", "status", "reason"),
+		signals:      counters("runner_signals_total", "Answers in which a runner said something new of itself, by what it was.", "service", "signal"),
+		limitedSends: counters("limited_sends_total", "Sends to runners that limit requests, by whether a permit allowed them.", "service", "outcome"),
+		permitAges: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "permit_age_seconds", Help: "Time from the question for a permit to the send that it allowed.", Buckets: quotaBuckets,
+		}, []string{"service"}),
+		grants:         counters("permits_granted_total", "Permits that this router has granted for sends to runners that limit requests.", "service"),
 		attempts:       counters("attempts_total", "Sends of calls to runners.", "service"),
 		retries:        counters("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
 		runnerFailures: counters("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
@@ -149,7 +160,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.signals, m.suspensions, m.connections, m.silentConnections,
+		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.signals, m.limitedSends, m.permitAges, m.grants, m.suspensions, m.connections, m.silentConnections,
 		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &contentStates{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
@@ -204,6 +215,17 @@
 	m.refusals.WithLabelValues(strconv.Itoa(status), reason).Inc()
 }
 
+// limitedSend notes a send to a runner that limits requests, right before it, with the age
+// of its permit.
+func (m *metrics) limitedSend(service string, permitted bool, age time.Duration) {
+	if !permitted {
+		m.limitedSends.WithLabelValues(service, "not permitted").Inc()
+		return
+	}
+	m.limitedSends.WithLabelValues(service, "permitted").Inc()
+	m.permitAges.WithLabelValues(service).Observe(age.Seconds())
+}
+
 // Labels of placements and prompt tokens.
 const (
 	labelKept = "yes"
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -32,7 +32,11 @@
 	limit = g.order.Limit(now, demand, loadOf(candidates))
 	request.MaxWait = limit.MaxQueue
 	chosen = placement.Choose(request, candidates, placementWeights, g.random)
-	if chosen.Status == placement.NoRunner {
+	if chosen.Status == placement.AllHeldBack {
+		held := request.HeldBack
+		chosen.RetryAfter = g.runners.Permits().Promise(now, query.Service, held.Wait, held.Rate)
+	}
+	if chosen.Status == placement.NoRunner || chosen.Status == placement.AllHeldBack {
 		return chosen, limit, false
 	}
 	refused := chosen.Status == placement.Overloaded
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -6,6 +6,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/wire"
@@ -30,6 +31,12 @@
 	queueing time.Duration
 	limit    admission.Limit
 	forShare bool
+	// heldBack is set in place of a runner when all of them take no request now, and
+	// permitted when the choice is one that the limit of its runner allows; asked is when the
+	// scheduler was asked.
+	heldBack  bool
+	permitted bool
+	asked     time.Time
 }
 
 // placementAsk is a question to a scheduler that is under way.
@@ -79,6 +86,7 @@
 
 // call makes one question and returns the choice, or nil.
 func (s *schedulers) call(scheduler string, ask *wire.RunnerAsk) *placed {
+	asked := s.gateway.now()
 	reply, taken := s.gateway.relays.Call(scheduler, &wire.Envelope{Body: &wire.Envelope_RunnerAsk{RunnerAsk: ask}})
 	answer := reply.GetRunnerAnswer()
 	answered := answer != nil && !answer.GetDeclined()
@@ -97,16 +105,27 @@
 			queueing: queueing, limit: limit, forShare: answer.GetForShare(),
 		}
 	}
+	if answer.GetHeldBack() {
+		return &placed{scheduler: scheduler, heldBack: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond, limit: limit}
+	}
 	if answer.GetRunner() == "" {
 		return nil
 	}
 	return &placed{
 		scheduler: scheduler, send: ask.GetSend(), runner: answer.GetRunner(), cachedTokens: int(answer.GetCachedTokens()),
 		wait: time.Duration(answer.GetWaitMillis()) * time.Millisecond, pendingRequests: int(answer.GetPendingRequests()),
-		queueing: queueing, limit: limit,
+		queueing: queueing, limit: limit, permitted: answer.GetPermitted(), asked: asked,
 	}
 }
 
+// permit is what the scheduler has granted for the send, if its runner limits requests.
+func (p *placed) permit() backpressure.Permit {
+	if !p.permitted {
+		return backpressure.Permit{}
+	}
+	return backpressure.PermitAskedAt(p.asked)
+}
+
 // noteSilence has a scheduler that did not answer asked last for a while.
 func (s *schedulers) noteSilence(scheduler string) {
 	s.mutex.Lock()
@@ -146,7 +165,7 @@
 // notify tells the scheduler what became of the send, and the version of the weights
 // that answered, if known. A lost notice is made up for when the request's time is over.
 func (s *schedulers) notify(p *placed, ended bool, outcome backend.Outcome, weights uint64) {
-	if p == nil || p.refused {
+	if p == nil || p.refused || p.heldBack {
 		return
 	}
 	_ = s.gateway.relays.transport.Send("", p.scheduler, &wire.Envelope{Body: &wire.Envelope_SendNotice{
@@ -181,7 +200,10 @@
 	if choice.refused {
 		return placement.Pick{Status: placement.Overloaded, RetryAfter: choice.retryAfter, Queueing: choice.queueing}, true
 	}
-	if !g.runners.Usable(now, choice.runner, c.query) {
+	if choice.heldBack {
+		return placement.Pick{Status: placement.AllHeldBack, RetryAfter: choice.retryAfter}, true
+	}
+	if !g.runners.Usable(now, choice.runner, c.query, choice.permit()) {
 		c.note(events.PlacementDeclined, events.Fields{"runner": choice.runner, "scheduler": choice.scheduler})
 		g.schedulers.release(choice)
 		return placement.Pick{}, false
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -202,6 +202,7 @@
 		return false
 	}
 	r.gateway.suspects.told(address, answer.GetSuspects())
+	r.gateway.signals.told(address, answer.GetSignals())
 	r.gateway.takeBounds(answer.GetWeightBounds(), sent)
 	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
 	r.checkProofs(answer, sent, age)
@@ -243,6 +244,7 @@
 		g.caches.ask(address, request)
 	}
 	g.suspects.ask(address, request)
+	g.signals.ask(address, request)
 	for _, kind := range kinds {
 		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
 	}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -56,6 +56,8 @@
 		r.gateway.schedulers.told(envelope.GetFrom(), body.LoadShare)
 	case *wire.Envelope_SuspectNews:
 		r.gateway.suspects.learn(recordsOf(r.gateway.now(), body.SuspectNews.GetRecords()))
+	case *wire.Envelope_SignalNews:
+		r.gateway.signals.learn(body.SignalNews.GetSignals())
 	case *wire.Envelope_QuotaReturn:
 		r.gateway.limits.Returned(body.QuotaReturn)
 	}
@@ -83,7 +85,7 @@
 		answer.Unconfigured = true
 		answer.ProofAgeMillis = wire.AgeMillis(r.gateway.since(*empty))
 	}
-	answer.Suspects = g.suspects.answer(pull)
+	answer.Suspects, answer.Signals = g.suspects.answer(pull), g.signals.answer(pull)
 	answer.TellsProofs, answer.Proofs, answer.WeightBounds = true, g.copies.proofs(), g.firmBounds()
 	if newest, known := g.copies.checkpoints.newest(); known {
 		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, wire.AgeMillis(r.gateway.since(newest.at))
--- a/internal/gateway/runnerlimits_test.go
+++ b/internal/gateway/runnerlimits_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -18,7 +19,9 @@
 
 // Runners in need named a limit of one request a second in their answers, and went on to get
 // what they had got before: up to 21 requests in 4 s. Routers passed the answers on and read
-// nothing of them.
+// nothing of them: what a runner said of itself had no way into the choice of a runner. A test
+// at one router, which nobody else chooses for, got as many requests as one at six, so that it
+// was not a matter of telling those who choose; the sum over several needs that as well.
 
 const (
 	// limitWindow is the time over which a limit is judged, limitShare how much of it may
@@ -152,6 +155,7 @@
 				rate := float64(arrivedAfter(engine, counted)) / lasted
 				t.Logf("%s: at most %d in a window, %.2f a second", engine.ID, mostInWindow(engine, counted), rate)
 				f.g.Expect(mostInWindow(engine, counted)).To(BeNumerically("<=", allowedInWindow(limitedRate)))
+				f.g.Expect(rate).To(BeNumerically(">", 0.3*limitedRate), "only its answers tell whether it still names the limit")
 				if test.limited == len(f.engines) {
 					f.g.Expect(rate).To(BeNumerically(">=", 0.7*limitedRate), "the runner takes more than it gets")
 				}
@@ -163,3 +167,69 @@
 		})
 	}
 }
+
+// A limit holds for as long as the runner says so, and is over soon after.
+func TestLimitEndsWithTheAnswersThatNameIt(t *testing.T) {
+	t.Parallel()
+	f := newSignalFleet(t, 4, 3, 2)
+	f.load(f.routers, time.Second)
+	limited := f.busiest(1)
+	announce(limited, platform.HeaderLimit, strconv.Itoa(limitedRate))
+	f.load(f.routers, 6*time.Second)
+	announce(limited)
+	f.load(f.routers, 8*time.Second)
+	free := time.Now()
+	f.load(f.routers, 4*time.Second)
+	f.g.Expect(mostInWindow(limited[0], free)).To(BeNumerically(">", 2*allowedInWindow(limitedRate)), "its families come back")
+}
+
+// What a router has been told binds it also when it reaches nobody who grants requests: the
+// sum of routers that each go by what they see themselves has no bound.
+func TestRouterThatReachesNoSchedulerKeepsToLimits(t *testing.T) {
+	t.Parallel()
+	f := newSignalFleet(t, 4, 1, 4)
+	f.load(f.routers, time.Second)
+	limited := f.busiest(1)
+	announce(limited, platform.HeaderLimit, strconv.Itoa(limitedRate))
+	named := time.Now()
+	f.load(f.routers, contactTime)
+	f.routers[0].Kill()
+	got := f.load(f.routers[1:], 2*limitWindow)
+	f.g.Expect(mostInWindow(limited[0], named.Add(contactTime))).To(BeNumerically("<=", allowedInWindow(limitedRate)))
+	f.g.Expect(got.whole).To(Equal(got.sent), "other runners serve them")
+}
+
+// Callers that no runner takes are told when one does, at once.
+func TestRefusedForLimitsAreToldWhenThereIsRoom(t *testing.T) {
+	t.Parallel()
+	f := newSignalFleet(t, 2, 0, 0)
+	announce(f.engines, platform.HeaderLimit, "0.5")
+	f.load(f.routers, 4*time.Second)
+	r := f.routers[0]
+	refused := r.call("/once/x", nil)
+	for refused.status == http.StatusOK {
+		refused = r.call("/once/x", nil)
+	}
+	f.g.Expect(refused.status).To(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(refused.after).To(BeNumerically("<", 250*time.Millisecond))
+	seconds, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.g.Expect(seconds).To(And(BeNumerically(">", 0), BeNumerically("<=", 10)))
+	time.Sleep(time.Duration(seconds * float64(time.Second)))
+	f.g.Expect(r.call("/once/x", nil).status).To(Equal(http.StatusOK))
+}
+
+// Values that make no sense are logged and change nothing.
+func TestLimitsThatCannotBeReadAreHarmless(t *testing.T) {
+	t.Parallel()
+	f := newSignalFleet(t, 2, 0, 0)
+	for _, value := range []string{"NaN", "-1", "Inf", "x", "1e999"} {
+		announce(f.engines, platform.HeaderLimit, value, platform.HeaderLeaving, value)
+		got := f.load(f.routers, time.Second)
+		f.g.Expect(got.whole).To(Equal(got.sent), value)
+	}
+	f.routers[0].logs("what a runner says of itself cannot be read")
+	announce(f.engines, platform.HeaderLimit, "1e300")
+	got := f.load(f.routers, time.Second)
+	f.g.Expect(got.whole).To(Equal(got.sent), "as good as none")
+}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -40,8 +40,13 @@
 // setSchedulers takes over the routers that place requests for others.
 func (s *schedulers) setSchedulers(seeds []string) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
 	s.ranking.Set(seeds)
+	parts := 0
+	if s.ranking.HasSelf() {
+		parts = s.ranking.Count()
+	}
+	s.mutex.Unlock()
+	s.gateway.setPermits(len(seeds) == 0 || s.gateway.settings.PeerAddress == "", parts)
 }
 
 // nearest returns the scheduler to ask, or "" when this router is to choose itself.
@@ -80,9 +85,14 @@
 		answer.Overloaded, answer.RetryAfterMillis = true, uint32(chosen.RetryAfter.Milliseconds())
 		return answer
 	}
+	if chosen.Status == placement.AllHeldBack {
+		answer.HeldBack, answer.RetryAfterMillis = true, uint32(chosen.RetryAfter.Milliseconds())
+		return answer
+	}
 	if chosen.Status != placement.Picked {
 		return answer
 	}
+	answer.Permitted = g.grant(now, query.Service, chosen.Candidate.Name).Valid(now)
 	key := backend.SendKey{Router: envelope.GetFrom(), Incarnation: envelope.GetFromIncarnation(), Send: ask.GetSend()}
 	s.ledger.Begin(now, key, chosen.Candidate.Name, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0), query, left+ledgerSlack)
 	answer.Runner, answer.CachedTokens = chosen.Candidate.Name, uint32(chosen.Candidate.CachedTokens)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -66,13 +66,14 @@
 		g.budget(c.service).Earn()
 	}
 	runner, _ := g.runners.Get(chosen.Candidate.Name)
+	c.takePermit(now, runner.ID)
 	c.weights = g.runners.WeightVersion(runner.ID, query.Model)
 	g.metrics.placed(query, chosen.Candidate.CachedTokens)
 	c.note(events.RequestSent, events.Fields{
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.Queueing.Milliseconds(), "excess": c.limit.Excess,
-		"content": c.content.String(), "directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
+		"permitted": c.permit.Valid(now), "content": c.content.String(), "directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
 	c.beginSend(now, runner, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
 	c.pickBackup(now, runner)
@@ -81,6 +82,9 @@
 
 // refusalOf says why the choice named no runner.
 func (c *call) refusalOf(chosen placement.Pick) *refusal {
+	if chosen.Status == placement.AllHeldBack {
+		return unavailable(chosen.Status.String(), max(chosen.RetryAfter, busyRetryAfter))
+	}
 	if chosen.Status != placement.Overloaded {
 		return unavailable(chosen.Status.String(), max(chosen.RetryAfter, busyRetryAfter))
 	}
@@ -184,7 +188,11 @@
 		// The run began before, so that its weights may go on.
 		return g.runners.Stays(c.runner.ID, c.service)
 	}
-	return g.runners.MaySend(c.gateway.now(), c.runner.ID, c.query, c.weights)
+	now := g.now()
+	if g.runners.Limited(c.runner.ID) {
+		g.metrics.limitedSend(c.service, c.permit.Valid(now), now.Sub(c.permitAt))
+	}
+	return g.runners.MaySend(now, c.runner.ID, c.query, c.weights, c.permit)
 }
 
 // learnVersion notes the version of the weights that the runner named.
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -6,6 +6,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 // Names of what runners say, in counters.
@@ -19,15 +20,27 @@
 // unreadablePause is the least time between two log lines on values that cannot be read.
 const unreadablePause = time.Second
 
-// signals takes what runners say of themselves in their answers. The gateway's mutex guards
-// what is known, which the set of runners holds.
+// signals takes what runners say of themselves in their answers, and shares it with all
+// routers: what this one hears goes to the seeds, which choose runners for others and push it,
+// and pulls repair what was lost. The gateway's mutex guards what is known, which the set of
+// runners holds, and the fields.
 type signals struct {
 	gateway *Gateway
+	out     *newsOutbox[backpressure.Runner]
+	// followed is how far this router knows the records of those that it pulls from.
+	followed map[string]feedPlace
 	// unreadableAt is when a value was last logged that cannot be read.
 	unreadableAt time.Time
 }
 
-func newSignals(g *Gateway) *signals { return &signals{gateway: g} }
+// mostSignals bounds the records in one answer; the rest comes with the next.
+const mostSignals = 64
+
+func newSignals(g *Gateway) *signals {
+	s := &signals{gateway: g, followed: map[string]feedPlace{}}
+	s.out = newNewsOutbox(g, s.news)
+	return s
+}
 
 // hear takes what the runner says of itself in the head of an answer.
 func (c *call) hear(answer AnswerFacts, status int) {
@@ -63,6 +76,109 @@
 		"runner": runner.ID, "address": runner.Address, "service": service, "request": request,
 		"leaving": said.Leaving, "limited": said.Limited, "rate": said.Rate, "rest_ms": said.Rest.Milliseconds(),
 	})
+	if heard.Shared() {
+		s.out.add([]backpressure.Runner{{ID: runner.ID, Incarnation: runner.Incarnation}}, true)
+	}
+}
+
+// learn takes what another router tells, and passes on what is news.
+func (s *signals) learn(messages []*wire.RunnerSignal) {
+	g, now := s.gateway, s.gateway.now()
+	g.mutex.Lock()
+	changed := g.runners.MergeSignals(now, signalsOf(now, messages))
+	g.mutex.Unlock()
+	runners := make([]backpressure.Runner, 0, len(changed))
+	for _, record := range changed {
+		runners = append(runners, record.Runner)
+		g.log.Log(events.RunnerSignalTold, events.Fields{"runner": record.ID, "leaving": record.Leaving(), "limited": record.Limited(), "rate": record.Rate})
+	}
+	s.out.add(runners, false)
+}
+
+// news tells other routers what is known by now of the runners.
+func (s *signals) news(now time.Time, runners []backpressure.Runner) *wire.Envelope {
+	s.gateway.mutex.Lock()
+	defer s.gateway.mutex.Unlock()
+	var records []backpressure.Record
+	for _, runner := range runners {
+		if state := s.gateway.runners.Signals().Of(runner); state != nil {
+			records = append(records, state.Record)
+		}
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return &wire.Envelope{Body: &wire.Envelope_SignalNews{SignalNews: &wire.SignalNews{Signals: signalMessages(now, records)}}}
+}
+
+// ask says in a pull how far this router knows the records of the one at the address.
+func (s *signals) ask(address string, pull *wire.CopyPull) {
+	s.gateway.mutex.Lock()
+	defer s.gateway.mutex.Unlock()
+	known := s.followed[address]
+	pull.WantsSignals, pull.SignalsFeed, pull.SignalsThrough = true, known.feed, known.through
+}
+
+// answer returns what the asking router lacks, nil for nothing or for a version that does
+// not ask.
+func (s *signals) answer(pull *wire.CopyPull) *wire.SignalDelta {
+	if !pull.GetWantsSignals() {
+		return nil
+	}
+	feed, through := uint64(s.gateway.started.UnixMilli()), pull.GetSignalsThrough()
+	if pull.GetSignalsFeed() != feed {
+		through = 0
+	}
+	s.gateway.mutex.Lock()
+	defer s.gateway.mutex.Unlock()
+	records, reached := s.gateway.runners.Signals().Since(through, mostSignals)
+	if reached == through {
+		return nil
+	}
+	return &wire.SignalDelta{Feed: feed, Through: reached, Signals: signalMessages(s.gateway.now(), records)}
+}
+
+// told takes the answer of the router at the address.
+func (s *signals) told(address string, delta *wire.SignalDelta) {
+	if delta == nil {
+		return
+	}
+	s.learn(delta.GetSignals())
+	s.gateway.mutex.Lock()
+	defer s.gateway.mutex.Unlock()
+	s.followed[address] = feedPlace{feed: delta.GetFeed(), through: delta.GetThrough()}
+}
+
+// setPermits takes into how many parts limits are cut, 0 if this router grants none. A router
+// that knows no others keeps to all of each limit by itself.
+func (g *Gateway) setPermits(alone bool, parts int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if alone {
+		g.runners.Permits().SetAlone()
+		return
+	}
+	g.runners.Permits().SetParts(g.now(), parts)
+}
+
+// takePermit takes the permit for the send to the chosen runner, if that limits requests: the
+// scheduler's that chose it, or one of this router's own part. The gateway's mutex is held.
+func (c *call) takePermit(now time.Time, runner string) {
+	if c.placed != nil {
+		c.permit, c.permitAt = c.placed.permit(), c.placed.asked
+		return
+	}
+	c.permit, c.permitAt = c.gateway.grant(now, c.service, runner), now
+}
+
+// grant spends this router's next permit for the runner, if that limits requests. The
+// gateway's mutex is held.
+func (g *Gateway) grant(now time.Time, service, runner string) backpressure.Permit {
+	permit := g.runners.Grant(now, runner)
+	if permit.Valid(now) {
+		g.metrics.grants.WithLabelValues(service).Inc()
+	}
+	return permit
 }
 
 func (s *signals) sweep(now time.Time) {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -17,17 +17,17 @@
 type suspects struct {
 	gateway *Gateway
 	kept    *keptQuarantines
-	out     *suspectOutbox
+	out     *newsOutbox[quarantine.Content]
 	mutex   sync.Mutex
 	judge   *quarantine.Judge
 	// followed is how far this router knows the records of those that it pulls from.
-	followed map[string]suspectFeed
+	followed map[string]feedPlace
 	// logged holds until when contents were logged to be quarantined.
 	logged map[quarantine.Content]time.Time
 }
 
-// suspectFeed is a place in the changes of another router's records.
-type suspectFeed struct {
+// feedPlace is a place in the changes of another router's records.
+type feedPlace struct {
 	// feed is that router's start, and through the number of the change.
 	feed, through uint64
 }
@@ -36,10 +36,35 @@
 const mostSuspects = 64
 
 func newSuspects(g *Gateway) *suspects {
-	return &suspects{
-		gateway: g, kept: newKeptQuarantines(g), out: newSuspectOutbox(g), judge: quarantine.NewJudge(),
-		followed: map[string]suspectFeed{}, logged: map[quarantine.Content]time.Time{},
+	s := &suspects{
+		gateway: g, kept: newKeptQuarantines(g), judge: quarantine.NewJudge(),
+		followed: map[string]feedPlace{}, logged: map[quarantine.Content]time.Time{},
 	}
+	s.out = newNewsOutbox(g, s.news)
+	return s
+}
+
+// news tells other routers what is known by now of the contents.
+func (s *suspects) news(now time.Time, contents []quarantine.Content) *wire.Envelope {
+	var records []quarantine.Record
+	for _, content := range contents {
+		if record, _ := s.record(content); len(record.Ends) > 0 {
+			records = append(records, record)
+		}
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return &wire.Envelope{Body: &wire.Envelope_SuspectNews{SuspectNews: suspectNews(now, records)}}
+}
+
+// contentsOf names the contents of the records.
+func contentsOf(records []quarantine.Record) []quarantine.Content {
+	contents := make([]quarantine.Content, 0, len(records))
+	for _, record := range records {
+		contents = append(contents, record.Content)
+	}
+	return contents
 }
 
 // verdict judges the content.
@@ -81,7 +106,7 @@
 		return
 	}
 	s.note(now, changed)
-	s.out.add(changed, true)
+	s.out.add(contentsOf(changed), true)
 }
 
 // learn takes what another router has told, and passes on what is news.
@@ -94,7 +119,7 @@
 		return
 	}
 	s.note(now, changed)
-	s.out.add(changed, false)
+	s.out.add(contentsOf(changed), false)
 }
 
 // note logs what follows from changed records, and has them kept.
@@ -196,7 +221,7 @@
 	s.learn(recordsOf(s.gateway.now(), delta.GetRecords()))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.followed[address] = suspectFeed{feed: delta.GetFeed(), through: delta.GetThrough()}
+	s.followed[address] = feedPlace{feed: delta.GetFeed(), through: delta.GetThrough()}
 }
 
 // sweep forgets records that are of no use any more.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/clovertiller/clovertiller/internal/fleet"
 )
@@ -9,12 +10,20 @@
 // Choose picks the runner with the lowest score; near ties are drawn by random,
 // so that several nodes with the same lagging reports do not all choose one runner.
 func Choose(request Request, candidates []Candidate, weights Weights, random *rand.Rand) Pick {
+	if first := slices.IndexFunc(candidates, func(c Candidate) bool { return c.First }); first >= 0 {
+		if pick := chooseAmong(request, candidates[first:first+1], weights, random); pick.Status == Picked {
+			return pick
+		}
+	}
 	pick := chooseAmong(request, candidates, weights, random)
 	if pick.Status == NoRunner && len(request.Excluded) > 0 {
 		// A runner that failed before is better than none.
 		request.Excluded = nil
 		pick = chooseAmong(request, candidates, weights, random)
 	}
+	if pick.Status == NoRunner && request.HeldBack.Runners > 0 {
+		return Pick{Status: AllHeldBack, RetryAfter: request.HeldBack.Wait}
+	}
 	return pick
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -27,6 +27,27 @@
 	// Excluded names runners that refused or failed this request, or failed
 	// others of late. They are used only when no other runner can serve.
 	Excluded []string
+	// HeldBack are the runners that are left out of the candidates as they take no request
+	// now.
+	HeldBack HeldBack
+}
+
+// HeldBack sums up runners that take no request now, by their own word.
+type HeldBack struct {
+	// Runners counts them, and Wait is when the first takes one again.
+	Runners int
+	Wait    time.Duration
+	// Rate is how many requests a second they take together.
+	Rate float64
+}
+
+// Add takes one runner into the sum.
+func (h *HeldBack) Add(wait time.Duration, rate float64) {
+	if h.Runners == 0 || wait < h.Wait {
+		h.Wait = wait
+	}
+	h.Runners++
+	h.Rate += rate
 }
 
 // Candidate is a runner of the request's pool.
@@ -54,6 +75,9 @@
 	ExtraTokens int
 	// Pauses is who bears the reading of the prompt at the runner.
 	Pauses
+	// First is set for a runner that is to get the next request that it can serve, whatever
+	// it costs.
+	First bool
 	// ApartTokens is the cost, in prompt tokens, of a runner that is better left to
 	// requests of another kind. It is no part of the wait.
 	ApartTokens int
@@ -78,6 +102,9 @@
 	NoRunner
 	// Overloaded means that every runner's expected wait is above the tier's.
 	Overloaded
+	// AllHeldBack means that every runner that could serve the request takes none now, by its
+	// own word.
+	AllHeldBack
 )
 
 // String returns the status as used in messages to callers.
@@ -89,6 +116,8 @@
 		return "no runner serves the model now"
 	case Overloaded:
 		return "expected wait is above the tier's limit"
+	case AllHeldBack:
+		return "all runners rest or have got what their limits allow"
 	}
 	return "unknown"
 }
