--- a/internal/lab/runnerstand/records.go
+++ b/internal/lab/runnerstand/records.go
@@ -23,6 +23,7 @@
 // Arrival is one call that reached the runner, run or not.
 type Arrival struct {
 	Request string
+	Path    string
 	At      time.Time
 }
 
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -280,7 +280,7 @@
 func (r *Runner) take(request *http.Request, body []byte, arrived time.Time) (Behaviour, Run) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{Request: request.Header.Get(platform.HeaderRequestID), At: arrived})
+	r.arrivals = append(r.arrivals, Arrival{Request: request.Header.Get(platform.HeaderRequestID), Path: request.RequestURI, At: arrived})
 	behaviour := r.behaviour
 	if r.once {
 		r.behaviour, r.once = Well, false
