Runners that say in their answers that they leave get no further requests

Callers' requests went to runners for up to 11 s after an answer had told the router that they leave; such runners end soon, and what is at them then is lost.

Cause: only the directory told that a runner leaves. An answer's word was read nowhere, and the directory lags, as long as the store is away in the record.

Change: the word of an answer counts like that of the entry, for the start of the runner that said it: whatever a list says later, over its removal from the list and back, and at routers that reach nobody.

Why it holds: the word lives beside the directory's entries and is never taken back for one start of a runner; it is asked at each choice, of a scheduler's choice too, and right before the first byte of a request is sent.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -98,7 +98,7 @@
 		queue, slowness := s.waits(now, e, query.Model, e.inFlight+other.Requests)
 		cached := cachedTokens(query, e.ID == home, depth)
 		candidates = append(candidates, placement.Candidate{
-			Name: e.ID, Leaving: e.Draining, Report: s.report(now, e, query.Model, speed),
+			Name: e.ID, Leaving: e.leaves(), Report: s.report(now, e, query.Model, speed),
 			CachedTokens:    cached,
 			FetchableTokens: max(deepest-cached, 0),
 			PendingTokens:   e.pendingTokens + other.Tokens + speed.tokensIn(queue),
@@ -125,7 +125,7 @@
 	ids, others := make([]string, 0, len(entries)), []string(nil)
 	for _, e := range entries {
 		switch {
-		case e.Draining || now.Before(e.asideUntil) || e.said.Limits():
+		case e.leaves() || now.Before(e.asideUntil) || e.said.Limits():
 		case split.suits(e):
 			ids = append(ids, e.ID)
 		default:
@@ -150,7 +150,7 @@
 
 func (s *Set) report(now time.Time, e *entry, model string, speed *readSpeed) fleet.Report {
 	state := fleet.Serving
-	if e.Draining {
+	if e.leaves() {
 		state = fleet.Draining
 	}
 	return fleet.Report{
@@ -206,7 +206,7 @@
 // staying returns the service's runner, or nil if it leaves or has left.
 func (s *Set) staying(id, service string) *entry {
 	e := s.entries[id]
-	if e == nil || e.Service != service || e.Draining {
+	if e == nil || e.Service != service || e.leaves() {
 		return nil
 	}
 	return e
@@ -260,7 +260,7 @@
 	var best *entry
 	for _, e := range s.byService[primary.Service] {
 		other, held := e.version(model)
-		if e == primary || !held || other != version || e.Draining || e.updating || now.Before(e.asideUntil) || !e.takes(now, backpressure.Permit{}) {
+		if e == primary || !held || other != version || e.leaves() || e.updating || now.Before(e.asideUntil) || !e.takes(now, backpressure.Permit{}) {
 			continue
 		}
 		if best == nil || backupCost(primary, e) < backupCost(primary, best) {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -231,7 +231,7 @@
 
 func (e *entry) state(now time.Time) State {
 	switch {
-	case e.Draining:
+	case e.leaves():
 		return Draining
 	case e.updating:
 		return Updating
--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -34,6 +34,10 @@
 	})
 }
 
+// leaves tells whether the runner leaves, by its entry or by its own word in an answer: the
+// entry says so later, or not at all while the store is away, and the word is not taken back.
+func (e *entry) leaves() bool { return e.Draining || e.said.Leaves() }
+
 // Permits returns this router's part of the limits that runners named.
 func (s *Set) Permits() *backpressure.Permits { return s.permits }
 
--- a/internal/gateway/leavingrunners_test.go
+++ b/internal/gateway/leavingrunners_test.go
@@ -14,7 +14,9 @@
 
 // Runners that had said in their answers that they leave went on to get requests: 11 s later
 // from a router that had passed such an answer on. Their entries in the directory said so
-// later, as the store was away, and routers went by the directory alone.
+// later, as the store was away, and routers went by the directory alone: the list that they took
+// with the store's return knew nothing of the leaving yet. The tests show it with a store that is
+// there, too, so that a list read anew is only one of the ways back.
 
 // drainTime is how long after a router has passed on an answer that says so a runner that
 // leaves may still get requests from it.
