The end of a runner that has said in an answer that it leaves is planned

Found by looking for the same cause elsewhere: contents that were at work on a runner which ends as it has said in its answers would be suspected of having ended it, as only the directory's word counted there, too.

--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -83,13 +83,13 @@
 }
 
 // expectedToRun tells whether the directory lists this start of the runner and it has not
-// said that it leaves: the end of one that leaves is planned.
+// said that it leaves, there or in an answer: the end of one that leaves is planned.
 func (e *runnerEnds) expectedToRun(runner backend.Runner) bool {
 	g := e.gateway
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	listed, found := g.runners.Get(runner.ID)
-	return found && listed.Incarnation == runner.Incarnation && !listed.Draining
+	return found && listed.Incarnation == runner.Incarnation && g.runners.Stays(runner.ID, listed.Service)
 }
 
 // find asks the runner and notes what that shows.
--- a/internal/gateway/runnerends_test.go
+++ b/internal/gateway/runnerends_test.go
@@ -10,6 +10,7 @@
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/platform"
 )
 
 // counts waits until the figures at the address have the value of the series.
@@ -38,20 +39,34 @@
 	f.counts(at, `clovertiller_runner_checks_total{outcome="ended",service="engines"}`, 1)
 }
 
-// The end of a runner that has said that it leaves is planned, and not looked into.
+// The end of a runner that has said that it leaves is planned, and not looked into: the contents
+// at it would be suspected.
 func TestPlannedEndOfARunnerIsNotLookedInto(t *testing.T) {
+	for name, byAnswer := range map[string]bool{"by its entry": false, "by its answer": true} {
+		t.Run(name, func(t *testing.T) { testPlannedEnd(t, byAnswer) })
+	}
+}
+
+func testPlannedEnd(t *testing.T, byAnswer bool) {
 	t.Parallel()
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), goodKey)
 	runner := f.runner("e1", "engines")
 	runner.Behave(runnerstand.Pauses)
+	if byAnswer {
+		runner.Announce(platform.HeaderLeaving, "1")
+	}
 	at := loopback.FreeAddress()
 	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.MetricsAddress = at })
 	done := make(chan answer)
 	go func() { done <- r.call("/once/x", nil) }()
 	f.g.Eventually(runner.Arrivals).Should(Equal(1))
-	f.list(runner, "draining")
-	r.logs(`"draining":true`)
+	if byAnswer {
+		r.logs(`"leaving":true`)
+	} else {
+		f.list(runner, "draining")
+		r.logs(`"draining":true`)
+	}
 	runner.Close()
 	f.g.Expect((<-done).cut).To(BeTrue())
 	f.g.Consistently(r.log.String, "300ms").ShouldNot(ContainSubstring("runner ended with requests at work"))
