Runners that ask a router for rest are left alone by it until the rest ends

Cause: a refusal set its runner aside for 0.15 s, whatever rest it asked for, as a preference only, and not with the schedulers that choose for the router. The class is the same as for limits and leaving.

Change: the rest is kept with what the runner said of itself, binds this router at each choice and right before the first byte, and goes with each question to a scheduler. Schedulers and other routers prefer others for at most a second, as what the runner lacks is mostly lacking for all, but may use it: they were not asked. Homes of prompt families are elsewhere for the router meanwhile. Where all runners rest a caller is refused at once and told when the first rest ends.

Why it holds: the router's own word decides last, whoever chose the runner; a rest is of one start of a runner.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -65,6 +65,24 @@
 	Ticket uint64
 	// Suspect names the content of a request that may end its runner, 0 for any other.
 	Suspect uint64
+	// Resting are the runners that want no requests from the router that sends it.
+	Resting []Rest
+}
+
+// Rest is a runner that wants no requests from one router for the time left.
+type Rest struct {
+	Runner string
+	Left   time.Duration
+}
+
+// restOf is for how long the runner wants none of the router's requests, 0 if it takes them.
+func (q Query) restOf(runner string) time.Duration {
+	for _, rest := range q.Resting {
+		if rest.Runner == runner {
+			return rest.Left
+		}
+	}
+	return 0
 }
 
 // Candidates returns the service's runners with their costs, for placement.
@@ -85,8 +103,7 @@
 		if !usable {
 			continue
 		}
-		if wait, rate := s.heldBack(now, e); wait > 0 {
-			request.HeldBack.Add(wait, rate)
+		if s.heldBack(now, e, query, &request.HeldBack) {
 			continue
 		}
 		if now.Before(e.asideUntil) {
@@ -125,7 +142,7 @@
 	ids, others := make([]string, 0, len(entries)), []string(nil)
 	for _, e := range entries {
 		switch {
-		case e.leaves() || now.Before(e.asideUntil) || e.said.Limits():
+		case e.leaves() || now.Before(e.asideUntil) || e.said.Limits() || query.restOf(e.ID) > 0:
 		case split.suits(e):
 			ids = append(ids, e.ID)
 		default:
--- a/internal/backend/ledger.go
+++ b/internal/backend/ledger.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// Rest notes that the runner of a request wants a rest from the router that sent it.
+func (l *Ledger) Rest(now time.Time, key SendKey, rest time.Duration) {
+	if placed := l.sends[key]; placed != nil {
+		l.set.AvoidFor(now, placed.send, rest)
+	}
+}
+
 // forget drops a request whose outcome is not known.
 func (l *Ledger) forget(key SendKey) {
 	if placed := l.sends[key]; placed != nil {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -201,6 +201,8 @@
 	// limit, and Share this router's part of it, which it grants.
 	Limit *float64 `json:"limit,omitempty"`
 	Share float64  `json:"share,omitempty"`
+	// RestMillis is for how long the runner wants no requests from this router.
+	RestMillis int64 `json:"restMillis,omitempty"`
 }
 
 // Summary describes all runners, by service and id.
@@ -211,6 +213,9 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, State: e.state(now).String(),
 			InFlight: e.inFlight, FailureShare: e.currentFailureShare(now),
 		}
+		if e.said.Resting(now) {
+			summary.RestMillis = e.said.RestUntil.Sub(now).Milliseconds()
+		}
 		if e.said.Limits() {
 			rate := e.said.Rate
 			summary.Limit, summary.Share = &rate, s.permits.Share(now, rate)
--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backpressure"
+	"github.com/clovertiller/clovertiller/internal/placement"
 )
 
 // start names the start of the runner that the entry is of.
@@ -41,18 +42,50 @@
 // Permits returns this router's part of the limits that runners named.
 func (s *Set) Permits() *backpressure.Permits { return s.permits }
 
-// heldBack returns for how long the runner takes no request by this router's leave, 0 if it
-// takes one now, and how many a second it takes of it.
-func (s *Set) heldBack(now time.Time, e *entry) (wait time.Duration, rate float64) {
-	if e.said.Limits() {
-		return s.permits.Wait(now, e.start(), e.said.Rate), s.permits.Share(now, e.said.Rate)
+// heldBack tells whether the runner takes no request of the query now, and adds it to those.
+func (s *Set) heldBack(now time.Time, e *entry, query Query, held *placement.HeldBack) bool {
+	if rest := query.restOf(e.ID); rest > 0 {
+		held.AddResting(rest)
+		return true
 	}
-	return 0, 0
+	if !e.said.Limits() {
+		return false
+	}
+	wait := s.permits.Wait(now, e.start(), e.said.Rate)
+	if wait > 0 {
+		held.AddLimited(wait, s.permits.Share(now, e.said.Rate))
+	}
+	return wait > 0
 }
 
-// takes tells whether the runner takes a request that the permit, if any, was granted for.
+// takes tells whether the runner takes a request of this router's that the permit, if any,
+// was granted for.
 func (e *entry) takes(now time.Time, permit backpressure.Permit) bool {
-	return !e.said.Limits() || permit.Valid(now)
+	return !e.said.Resting(now) && (!e.said.Limits() || permit.Valid(now))
+}
+
+// Resting returns the runners that want no requests from this router.
+func (s *Set) Resting(now time.Time) (resting []Rest) {
+	for _, state := range s.signals.Resting(now) {
+		// A runner that has started again since has not asked for it.
+		if e := s.entries[state.ID]; e != nil && e.said == state {
+			resting = append(resting, Rest{Runner: state.ID, Left: state.RestUntil.Sub(now)})
+		}
+	}
+	return resting
+}
+
+// othersRest bounds the time for which requests of other routers avoid a runner that wants a
+// rest from one: it has not asked them, but what it lacks is mostly lacking for all.
+const othersRest = time.Second
+
+// AvoidFor has all requests avoid the runner of the send for a while, at most othersRest.
+func (s *Set) AvoidFor(now time.Time, send *Send, rest time.Duration) {
+	if e := s.listed(send); e != nil && rest > 0 {
+		if until := now.Add(min(rest, othersRest)); until.After(e.asideUntil) {
+			e.asideUntil = until
+		}
+	}
 }
 
 // Grant spends this router's next permit for the runner if it limits requests; Candidates
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -53,8 +53,8 @@
 type Table struct {
 	states  map[Runner]*State
 	changes uint64
-	// rests counts the states that may have a rest, so that there is nothing to look for
-	// while no runner wants one.
+	// rests are the states that may have a rest, so that there is nothing to look for while no
+	// runner wants one.
 	rests map[Runner]*State
 }
 
@@ -142,16 +142,16 @@
 	return records, through
 }
 
-// Resting returns the ids of the runners that want no requests from this router now.
-func (t *Table) Resting(now time.Time) (ids []string) {
+// Resting returns the runners that want no requests from this router now.
+func (t *Table) Resting(now time.Time) (resting []*State) {
 	for runner, state := range t.rests {
 		if !state.Resting(now) {
 			delete(t.rests, runner)
 			continue
 		}
-		ids = append(ids, runner.ID)
+		resting = append(resting, state)
 	}
-	return ids
+	return resting
 }
 
 // Sweep forgets runners that are not listed and were not heard of for long.
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -45,7 +45,7 @@
 	heard := table.Hear(start, start, runner, Signals{Rest: 3 * time.Second}, false)
 	g.Expect(heard).To(Equal(Heard{Rest: true}))
 	g.Expect(heard.Shared()).To(BeFalse())
-	g.Expect(table.Resting(start.Add(time.Second))).To(Equal([]string{runner.ID}))
+	g.Expect(table.Resting(start.Add(time.Second))).To(Equal([]*State{table.Of(runner)}))
 	table.Hear(start, start, runner, Signals{Rest: time.Second}, false)
 	g.Expect(table.Of(runner).Resting(start.Add(2*time.Second))).To(BeTrue(), "the longest holds")
 	g.Expect(table.Resting(start.Add(3 * time.Second))).To(BeEmpty())
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -108,6 +108,8 @@
 	weights uint64
 	// answering is the version that the runner named in its answer, 0 for none.
 	answering uint64
+	// rest is for how long the runner that answered wants no further requests, 0 for none.
+	rest time.Duration
 	// backup is the runner that the run's memory is copied to; copyAt is set when
 	// the call is to go on there, and continuing once it does.
 	backup     backend.Runner
--- a/internal/gateway/callquery.go
+++ b/internal/gateway/callquery.go
@@ -16,7 +16,7 @@
 	query := backend.Query{
 		Service: c.service, Excluded: c.request.Excluded(), Zone: c.gateway.settings.Zone, MaxQueue: c.maxQueue,
 		Target: c.route.Target, EventGap: c.route.EventGap, Rank: c.rank(), Tenant: c.tenantName(), MaxTokens: c.facts.MaxTokens,
-		Suspect: c.suspect(),
+		Suspect: c.suspect(), Resting: c.gateway.resting(),
 	}
 	if c.request.Attempt() > 0 {
 		// What has been let in is not turned away at its second attempt.
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -33,8 +33,7 @@
 	request.MaxWait = limit.MaxQueue
 	chosen = placement.Choose(request, candidates, placementWeights, g.random)
 	if chosen.Status == placement.AllHeldBack {
-		held := request.HeldBack
-		chosen.RetryAfter = g.runners.Permits().Promise(now, query.Service, held.Wait, held.Rate)
+		chosen.RetryAfter = g.whenTaken(now, query.Service, request.HeldBack)
 	}
 	if chosen.Status == placement.NoRunner || chosen.Status == placement.AllHeldBack {
 		return chosen, limit, false
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -77,6 +77,10 @@
 		Tier: uint32(query.Rank.Tier), RouteRank: uint32(query.Rank.Route), Tenant: query.Tenant,
 		MaxTokens: uint32(max(query.MaxTokens, 0)), Ticket: query.Ticket, Suspect: query.Suspect,
 	}
+	for _, rest := range query.Resting {
+		message.Resting = append(message.Resting, rest.Runner)
+		message.RestingMillis = append(message.RestingMillis, uint32(max(rest.Left.Milliseconds(), 1)))
+	}
 	for _, part := range query.Shared {
 		message.Parts = append(message.Parts, part.ID)
 		message.Depths = append(message.Depths, uint32(max(part.Depth, 0)))
@@ -160,16 +164,17 @@
 
 // release tells the scheduler that its choice is not used. The time since the choice, in
 // which mostly a body arrived, says nothing about the runner.
-func (s *schedulers) release(p *placed) { s.notify(p, true, backend.NotConfirmed, 0) }
+func (s *schedulers) release(p *placed) { s.notify(p, true, backend.NotConfirmed, 0, 0) }
 
-// notify tells the scheduler what became of the send, and the version of the weights
-// that answered, if known. A lost notice is made up for when the request's time is over.
-func (s *schedulers) notify(p *placed, ended bool, outcome backend.Outcome, weights uint64) {
+// notify tells the scheduler what became of the send, the version of the weights that
+// answered, if known, and the rest that the runner wants, if any. A lost notice is made up for
+// when the request's time is over.
+func (s *schedulers) notify(p *placed, ended bool, outcome backend.Outcome, weights uint64, rest time.Duration) {
 	if p == nil || p.refused || p.heldBack {
 		return
 	}
 	_ = s.gateway.relays.transport.Send("", p.scheduler, &wire.Envelope{Body: &wire.Envelope_SendNotice{
-		SendNotice: &wire.SendNotice{Send: p.send, Ended: ended, Outcome: uint32(outcome), Weights: weights},
+		SendNotice: &wire.SendNotice{Send: p.send, Ended: ended, Outcome: uint32(outcome), Weights: weights, RestMillis: uint32(rest.Milliseconds())},
 	}})
 }
 
--- a/internal/gateway/restingrunners_test.go
+++ b/internal/gateway/restingrunners_test.go
@@ -15,8 +15,10 @@
 )
 
 // Runners that turned requests away and asked for 3 s of rest got up to 8 more from the same
-// router in that time. A refusal set its runner aside for 0.15 s, whatever it asked for, and
-// schedulers that choose for others did not hear of it.
+// router in that time. A refusal set its runner aside for 0.15 s, whatever it asked for, and as
+// a preference only, and schedulers that choose for others did not hear of it: the second try of
+// a request went to a runner that rested, too. One router alone sends as many, so that the
+// time is the cause at any number of routers.
 
 const (
 	// restTime is the rest that runners ask for, and restSeconds the same in their answers.
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -121,6 +121,12 @@
 		Tenant:   ask.GetTenant(), MaxTokens: int(ask.GetMaxTokens()),
 		Ticket: ask.GetTicket(), Suspect: ask.GetSuspect(),
 	}
+	for i, runner := range ask.GetResting() {
+		if i < len(ask.GetRestingMillis()) {
+			left := time.Duration(ask.GetRestingMillis()[i]) * time.Millisecond
+			query.Resting = append(query.Resting, backend.Rest{Runner: runner, Left: left})
+		}
+	}
 	for i, part := range ask.GetParts() {
 		if i < len(ask.GetDepths()) {
 			query.SharedTokens = int(ask.GetDepths()[i])
@@ -141,6 +147,7 @@
 		if query, send, found := s.ledger.Placed(key); found {
 			s.gateway.shares.refund(s.gateway.now(), query, send, outcome)
 		}
+		s.ledger.Rest(s.gateway.now(), key, time.Duration(notice.GetRestMillis())*time.Millisecond)
 		s.ledger.End(s.gateway.now(), key, outcome)
 		return
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -112,7 +112,7 @@
 func (c *call) send() attempt.Next {
 	defer c.releaseSend()
 	c.request.Dispatching(c.runner.ID)
-	c.answering = 0
+	c.answering, c.rest = 0, 0
 	c.sent = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
 	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.message())
@@ -124,7 +124,7 @@
 	}
 	defer response.Body.Close()
 	answer := c.gateway.ports.Protocol.Answer(response.Status, response.Header)
-	c.answering = answer.WeightVersion
+	c.answering, c.rest = answer.WeightVersion, answer.Signals.Rest
 	c.hear(answer, response.Status)
 	news := c.learnVersion(answer.WeightVersion)
 	switch {
@@ -231,8 +231,9 @@
 		g.shares.refund(c.gateway.now(), c.query, c.open, outcome)
 	}
 	g.runners.End(c.gateway.now(), c.open, outcome)
+	g.runners.AvoidFor(c.gateway.now(), c.open, c.rest)
 	g.mutex.Unlock()
-	g.schedulers.notify(c.placed, true, outcome, c.answering)
+	g.schedulers.notify(c.placed, true, outcome, c.answering, c.rest)
 	c.placed = nil
 }
 
@@ -244,7 +245,7 @@
 	}
 	if !c.open.Answered() && c.route.Kind == routing.Streaming {
 		// Other answers are over as soon as they begin.
-		g.schedulers.notify(c.placed, false, backend.Answered, c.answering)
+		g.schedulers.notify(c.placed, false, backend.Answered, c.answering, 0)
 	}
 	g.mutex.Lock()
 	now := c.gateway.now()
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -6,6 +6,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -149,6 +150,27 @@
 	s.followed[address] = feedPlace{feed: delta.GetFeed(), through: delta.GetThrough()}
 }
 
+// resting returns the runners that want no requests from this router.
+func (g *Gateway) resting() []backend.Rest {
+	now := g.now()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.runners.Resting(now)
+}
+
+// whenTaken is when a refused caller may come back: at the end of the first rest, or when a
+// limit allows its request after those that were refused before it. The gateway's mutex is held.
+func (g *Gateway) whenTaken(now time.Time, service string, held placement.HeldBack) time.Duration {
+	if held.Limited == 0 {
+		return held.RestWait
+	}
+	allowed := g.runners.Permits().Promise(now, service, held.LimitWait, held.Rate)
+	if held.Resting > 0 {
+		return min(allowed, held.RestWait)
+	}
+	return allowed
+}
+
 // setPermits takes into how many parts limits are cut, 0 if this router grants none. A router
 // that knows no others keeps to all of each limit by itself.
 func (g *Gateway) setPermits(alone bool, parts int) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -21,8 +21,8 @@
 		request.Excluded = nil
 		pick = chooseAmong(request, candidates, weights, random)
 	}
-	if pick.Status == NoRunner && request.HeldBack.Runners > 0 {
-		return Pick{Status: AllHeldBack, RetryAfter: request.HeldBack.Wait}
+	if pick.Status == NoRunner && request.HeldBack.Any() {
+		return Pick{Status: AllHeldBack}
 	}
 	return pick
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,22 +34,35 @@
 
 // HeldBack sums up runners that take no request now, by their own word.
 type HeldBack struct {
-	// Runners counts them, and Wait is when the first takes one again.
-	Runners int
-	Wait    time.Duration
-	// Rate is how many requests a second they take together.
+	// Resting and Limited count them by what they have said.
+	Resting, Limited int
+	// RestWait is when the first rest ends, and LimitWait when the first limit allows a
+	// request again.
+	RestWait, LimitWait time.Duration
+	// Rate is how many requests a second the limits allow together.
 	Rate float64
 }
 
-// Add takes one runner into the sum.
-func (h *HeldBack) Add(wait time.Duration, rate float64) {
-	if h.Runners == 0 || wait < h.Wait {
-		h.Wait = wait
+// AddResting takes a runner that rests into the sum.
+func (h *HeldBack) AddResting(wait time.Duration) {
+	if h.Resting == 0 || wait < h.RestWait {
+		h.RestWait = wait
 	}
-	h.Runners++
+	h.Resting++
+}
+
+// AddLimited takes a runner that has got what its limit allows.
+func (h *HeldBack) AddLimited(wait time.Duration, rate float64) {
+	if h.Limited == 0 || wait < h.LimitWait {
+		h.LimitWait = wait
+	}
+	h.Limited++
 	h.Rate += rate
 }
 
+// Any tells whether there is any such runner.
+func (h HeldBack) Any() bool { return h.Resting+h.Limited > 0 }
+
 // Candidate is a runner of the request's pool.
 type Candidate struct {
 	Name string
