Schedulers that restart hear of no limit (failing test)

Seen in a test: a scheduler that has restarted chooses limited runners for routers that know of the limit. They take none of these choices, rightly, and tell it nothing, so that the runner gets nothing, also after its limit ends.

--- a/internal/gateway/runnerlimits_test.go
+++ b/internal/gateway/runnerlimits_test.go
@@ -233,3 +233,24 @@
 	got := f.load(f.routers, time.Second)
 	f.g.Expect(got.whole).To(Equal(got.sent), "as good as none")
 }
+
+// A scheduler that restarts knows of no limit. It chose the limited runner for routers that
+// know it, which took none of these choices, and the runner got nothing from then on.
+func TestRestartedSchedulerLearnsLimitsFromThoseItChoosesFor(t *testing.T) {
+	t.Parallel()
+	f := newSignalFleet(t, 4, 1, 3)
+	f.load(f.routers, time.Second)
+	limited := f.busiest(1)
+	announce(limited, platform.HeaderLimit, strconv.Itoa(limitedRate))
+	named := time.Now()
+	f.load(f.routers, contactTime)
+	f.routers[0].Kill()
+	f.routers[0] = f.servingRouter("seed-0-again", f.asSeed(f.seeds[0]))
+	restarted := time.Now()
+	got := f.load(f.routers[1:], 2*limitWindow)
+	f.routers[0].logs("another router told what a runner says of itself")
+	f.load(f.routers[1:], limitWindow)
+	f.g.Expect(got.whole).To(Equal(got.sent))
+	f.g.Expect(mostInWindow(limited[0], named.Add(contactTime))).To(BeNumerically("<=", allowedInWindow(limitedRate)))
+	f.g.Expect(arrivedAfter(limited[0], restarted.Add(2*limitWindow))).To(BeNumerically(">", 0))
+}
