Schedulers that restart learn limits and leaving from routers that decline their choice

Callers saw nothing, but a limited runner got nothing any more after its scheduler had restarted, also once its limit had ended, until the scheduler itself sent it a request.

Cause: what a runner says was told once, when it was news. A scheduler that restarts has no other router to pull from.

Change: a router that declines a scheduler's choice for what the runner has said tells all schedulers again.

Merging makes repeats harmless.

--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -98,12 +98,17 @@
 	return s.permits.Take(now, e.start(), e.said.Rate)
 }
 
-// Limited tells whether the runner limits requests.
-func (s *Set) Limited(id string) bool {
-	e := s.entries[id]
-	return e != nil && e.said.Limits()
+// Said returns what the runner has said of itself, nil if it is not listed or said nothing.
+func (s *Set) Said(id string) *backpressure.State {
+	if e := s.entries[id]; e != nil {
+		return e.said
+	}
+	return nil
 }
 
+// Limited tells whether the runner limits requests.
+func (s *Set) Limited(id string) bool { return s.Said(id).Limits() }
+
 // MergeSignals takes what another router tells of runners, and returns what others are to
 // know.
 func (s *Set) MergeSignals(now time.Time, records []backpressure.Record) []backpressure.Record {
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -210,6 +210,7 @@
 	}
 	if !g.runners.Usable(now, choice.runner, c.query, choice.permit()) {
 		c.note(events.PlacementDeclined, events.Fields{"runner": choice.runner, "scheduler": choice.scheduler})
+		g.signals.repeat(choice.runner)
 		g.schedulers.release(choice)
 		return placement.Pick{}, false
 	}
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// repeat tells the schedulers again what the runner has said, as one of them has chosen it
+// without knowing. The gateway's mutex is held.
+func (s *signals) repeat(runner string) {
+	if said := s.gateway.runners.Said(runner); said.Leaves() || said.Limits() {
+		s.out.add([]backpressure.Runner{said.Runner}, true)
+	}
+}
+
 // learn takes what another router tells, and passes on what is news.
 func (s *signals) learn(messages []*wire.RunnerSignal) {
 	g, now := s.gateway, s.gateway.now()
