Soak: runners say that they leave, limit requests or want a rest

Runners put the headers into their answers for 5 to 12 s, leaving ones with an entry that says so later or never, and then as another start. What gateways were told is taken from the answers that their callers got, and what runners got is checked against it: the sum at each limit, requests after leaving, requests in a rest. Restarts, freezes and disturbed paths excuse as the promises say; cuts between gateways do not.

--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The fault soak: the seeds that ever failed, then fresh ones, these with contents that end
-# runners and with suspended machines.
+# runners, with suspended machines and with runners that speak of themselves.
 # usage: hack/soak.sh [FRESH] [DURATION]
 set -u
 cd "$(dirname "$0")/.."
@@ -19,6 +19,6 @@
   esac
 done < <(grep -v '^#' test/soak/seeds.txt)
 for _ in $(seq "$fresh"); do
-  play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions
+  play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions --signals
 done
 exit $failed
--- a/internal/lab/runnerstand/records.go
+++ b/internal/lab/runnerstand/records.go
@@ -25,6 +25,8 @@
 	Request string
 	Path    string
 	At      time.Time
+	// Rest is the rest that the runner asked for when it turned the call away, 0 for none.
+	Rest time.Duration
 }
 
 // Order is an order that the runner saw.
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -280,7 +280,17 @@
 func (r *Runner) take(request *http.Request, body []byte, arrived time.Time) (Behaviour, Run) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{Request: request.Header.Get(platform.HeaderRequestID), Path: request.RequestURI, At: arrived})
+	behaviour, run := r.judgeCall(request, body)
+	arrival := Arrival{Request: run.Request, Path: run.Path, At: arrived}
+	if behaviour == Sheds {
+		arrival.Rest = r.rest()
+	}
+	r.arrivals = append(r.arrivals, arrival)
+	return behaviour, run
+}
+
+// judgeCall decides what to do with a call. The mutex is held.
+func (r *Runner) judgeCall(request *http.Request, body []byte) (Behaviour, Run) {
 	behaviour := r.behaviour
 	if r.once {
 		r.behaviour, r.once = Well, false
--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -20,7 +20,9 @@
 	body   string
 	tenant string
 	// process is the name of the gateway that was called.
-	process    string
+	process string
+	// sent is when the caller sent it.
+	sent       time.Time
 	repeatable bool
 	status     int
 	// poison is set for a call that ends its runner, and quarantined when the call was
@@ -140,12 +142,14 @@
 	request.Header.Set(platform.HeaderModel, modelName)
 	request.Header.Set(platform.HeaderPrompt, "aa:100,bb:200,cc:50")
 	began := time.Now()
+	call.sent = began
 	response, err := client.Do(request)
 	if err != nil {
 		s.checkAnswered(ctx, target, call, began)
 		return
 	}
 	defer response.Body.Close()
+	s.signals.hear(call.process, response.Header)
 	body, err := io.ReadAll(response.Body)
 	s.calls.ended(call, response.StatusCode, string(body) == quarantinedText)
 	s.checkAnswered(ctx, target, call, began)
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -44,6 +44,10 @@
 	if s.settings.Suspensions {
 		group.Go(func() { others = newSuspensions(s).run(ctx, deadline) })
 	}
+	spoken := 0
+	if s.settings.Signals {
+		group.Go(func() { spoken = s.signals.run(ctx, deadline) })
+	}
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -54,7 +58,7 @@
 	s.inject(s.lateNews, &group)
 	group.Wait()
 	peers.last()
-	return count + peerCount + others + 1
+	return count + peerCount + others + spoken + 1
 }
 
 // inject begins the fault, which ends in the group.
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -39,7 +39,7 @@
 
 // add starts a runner with the version of the weights, which the poison ends.
 func (f *fleet) add(id, service string, version uint64, poison runnerstand.Poison) error {
-	config := runnerstand.Config{ID: id, Service: service, Zone: "z", Delay: 300 * time.Millisecond, Peer: f.at, Poison: poison}
+	config := runnerstand.Config{ID: id, Service: service, Zone: "z", Delay: 300 * time.Millisecond, Peer: f.at, Poison: poison, Incarnation: 1}
 	if service == "engines" {
 		config.Model, config.Version, config.Events = modelName, version, streamEvents
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -33,7 +33,9 @@
 	// suspended; the program then has to go by SuspendableClock.
 	Poison      bool
 	Suspensions bool
-	Seed        uint64
+	// Signals has runners say of themselves that they leave, limit requests or want a rest.
+	Signals bool
+	Seed    uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// Folder takes settings files and logs.
@@ -84,7 +86,9 @@
 	// disturbances are what the faults disturb.
 	disturbances *disturbances
 	// poisons are the contents that end runners.
-	poisons  *poisons
+	poisons *poisons
+	// signals is what runners say of themselves.
+	signals  *signals
 	mutex    sync.Mutex
 	failures []string
 }
@@ -106,7 +110,7 @@
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 		older: map[string]bool{}, store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
 	}
-	s.poisons = newPoisons(s)
+	s.poisons, s.signals = newPoisons(s), newSignals(s)
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -130,6 +134,9 @@
 	if settings.Poison {
 		s.poisons.check()
 	}
+	if settings.Signals {
+		s.signals.check()
+	}
 	calls, served := s.calls.totals()
 	return Report{Calls: calls, Served: served, Faults: faults, Failures: s.failures}, ctx.Err()
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -30,6 +30,13 @@
 	poisonTime = 26 * time.Second
 )
 
+// signalSeed has runners say that they leave, limit requests or want a rest, for signalTime. The
+// code before routers read that breaks all three promises on it.
+const (
+	signalSeed = 2
+	signalTime = 20 * time.Second
+)
+
 // The seeds run one after the other, so that there are no more than four gateways at once.
 func TestSoakOfFixedSeeds(t *testing.T) {
 	for _, seed := range fixedSeeds {
@@ -43,6 +50,10 @@
 	})
 }
 
+func TestSoakOfWhatRunnersSayOfThemselves(t *testing.T) {
+	play(t, soak.Settings{Program: []string{build(t, "clovertiller-gateway")}, Seed: signalSeed, Duration: signalTime, Signals: true})
+}
+
 // build builds one of the commands and returns its path.
 func build(t *testing.T, command string) string {
 	t.Helper()
