Limits that change with each answer are told once a second; routers that grant nothing promise nothing

A runner may name another limit in each answer, and each change went to all routers at once: at 300 routers some 300 messages an answer. Now a changed rate is told once a second at most, and the router that heard it goes by the last one. A router that grants nothing told refused callers to come back after 10 s, which is not what it knows; it tells them to ask again soon. Tests of messages between versions.

--- a/internal/backpressure/permits.go
+++ b/internal/backpressure/permits.go
@@ -24,6 +24,9 @@
 	// unusedTime is how long a permit may stay unused before the next request of the service
 	// is to use it: only an answer tells whether the runner still names its limit.
 	unusedTime = 2 * time.Second
+	// askAgainTime is told by a router that grants nothing: it does not know when there is room,
+	// and the next question to a scheduler tells.
+	askAgainTime = 250 * time.Millisecond
 	// longestPromise bounds the time told to a refused caller.
 	longestPromise = 10 * time.Second
 )
@@ -103,7 +106,7 @@
 func (p *Permits) Wait(now time.Time, runner Runner, rate float64) time.Duration {
 	share := p.Share(now, rate)
 	if share == 0 {
-		return longestPromise
+		return askAgainTime
 	}
 	due := p.from
 	if known := p.paces[runner]; known != nil {
@@ -153,11 +156,11 @@
 // Promise returns when a refused caller of the service finds room: when a runner takes a
 // request again, and after those that were refused before it, as many a second as the share.
 func (p *Permits) Promise(now time.Time, service string, wait time.Duration, share float64) time.Duration {
-	room := later(now.Add(wait), p.promised[service])
-	next := now.Add(longestPromise)
-	if share > 0 {
-		next = room.Add(interval(share))
+	if share == 0 {
+		return wait
 	}
+	room := later(now.Add(wait), p.promised[service])
+	next := room.Add(interval(share))
 	if latest := now.Add(longestPromise); next.After(latest) {
 		next = latest
 	}
--- a/internal/backpressure/permits_test.go
+++ b/internal/backpressure/permits_test.go
@@ -28,6 +28,8 @@
 func TestNewSchedulerWaitsUntilOthersHaveCeasedToGrant(t *testing.T) {
 	g, permits := NewWithT(t), NewPermits()
 	g.Expect(permits.Wait(start, runner, 1)).To(BeNumerically(">", 0), "grants nothing while it is none")
+	g.Expect(permits.Promise(start, "s", askAgainTime, permits.Share(start, 1))).To(Equal(askAgainTime))
+	g.Expect(permits.Promise(start, "s", askAgainTime, permits.Share(start, 1))).To(Equal(askAgainTime), "it has promised nothing")
 	permits.SetParts(start, 3)
 	g.Expect(permits.Wait(start.Add(handoverTime-time.Millisecond), runner, 1)).To(BeNumerically(">", 0))
 	g.Expect(permits.Wait(start.Add(handoverTime), runner, 1)).To(BeZero())
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -12,6 +12,9 @@
 	memory = time.Hour
 	// repeatPause is the least time after which a router is told again what it should know.
 	repeatPause = 250 * time.Millisecond
+	// ratePause is the least time between two changes of a limit that others are told: a
+	// runner may name another one in each answer.
+	ratePause = time.Second
 )
 
 // State is what this router knows of one runner.
@@ -20,9 +23,13 @@
 	// RestUntil is until when the runner wants no requests from this router. Other routers
 	// are not asked for the same rest.
 	RestUntil time.Time
-	// change numbers the last change that other routers are to know.
+	// change numbers the last change that other routers are to know, told is what was known
+	// then, and toldAt when it was.
 	change uint64
-	// heardAt is when anything was last heard, and repeatedAt when it was last repeated.
+	told   Record
+	toldAt time.Time
+	// heardAt is when anything was last heard, and repeatedAt when a router that knew less was
+	// last told.
 	heardAt    time.Time
 	repeatedAt time.Time
 }
@@ -95,19 +102,24 @@
 	}
 	heard := Heard{
 		Leaving: state.Leaving() && !before.Leaving(),
-		Limit:   state.Limited() != before.Limited() || state.Limited() && state.Rate != before.Rate,
+		Limit:   state.Limited() != before.Limited() || state.rateChanged(now),
 		Rest:    !rested && state.Resting(now),
 	}
 	if heard.Shared() {
-		t.note(state)
+		t.note(now, state)
 	}
 	return heard
 }
 
+// rateChanged tells whether others are to know that the limit is another one.
+func (s *State) rateChanged(now time.Time) bool {
+	return s.Limited() && s.Rate != s.told.Rate && now.Sub(s.toldAt) >= ratePause
+}
+
 // note numbers a change that others are to know.
-func (t *Table) note(state *State) {
+func (t *Table) note(now time.Time, state *State) {
 	t.changes++
-	state.change = t.changes
+	state.change, state.told, state.toldAt = t.changes, state.Record, now
 }
 
 // Merge takes what another router tells, and returns the records that others are to know:
@@ -119,7 +131,7 @@
 		state.Record, state.heardAt = before.merge(record), now
 		if !state.agrees(before) || !state.agrees(record) && now.Sub(state.repeatedAt) >= repeatPause {
 			state.repeatedAt = now
-			t.note(state)
+			t.note(now, state)
 			changed = append(changed, state.Record)
 		}
 	}
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -22,6 +22,18 @@
 	g.Expect(table.Of(runner).Limits()).To(BeFalse())
 }
 
+func TestLimitThatChangesWithEachAnswerIsToldNowAndThen(t *testing.T) {
+	g, table, told := NewWithT(t), NewTable(), 0
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		if table.Hear(now, now, runner, Signals{Limited: true, Rate: float64(i)}, true).Shared() {
+			told++
+		}
+		g.Expect(table.Of(runner).Rate).To(Equal(float64(i)), "this router goes by the last one")
+	}
+	g.Expect(told).To(Equal(10))
+}
+
 func TestNextStartOfARunnerHasSaidNothing(t *testing.T) {
 	g, table := NewWithT(t), NewTable()
 	table.Hear(start, start, runner, Signals{Leaving: true, Limited: true, Rate: 1}, true)
--- a/internal/gateway/otherversions_test.go
+++ b/internal/gateway/otherversions_test.go
@@ -1,14 +1,20 @@
 package gateway
 
 import (
+	"io"
+	"math"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/clock"
+	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -78,3 +84,70 @@
 	e.Expect(proto.Unmarshal(unknown, &envelope)).To(Succeed())
 	e.Expect(g.relays.handle(t.Context(), &envelope)).To(BeNil())
 }
+
+// signallingGateway knows one runner that leaves and has named a limit.
+func signallingGateway() *Gateway {
+	g := &Gateway{ports: Ports{Clock: clock.New()}, relays: &relays{}, direct: newDirectSwitch(), runners: backend.NewSet("z"), log: events.NewLogger(io.Discard, "r", logrus.InfoLevel)}
+	g.signals = newSignals(g)
+	g.signals.learn(signalMessages(g.now(), oneSignal(g.now())))
+	return g
+}
+
+func oneSignal(now time.Time) []backpressure.Record {
+	return []backpressure.Record{{
+		Runner: backpressure.Runner{ID: "a", Incarnation: 3}, LeavingAt: now.Add(-time.Second),
+		Rate: 1.5, NamedAt: now.Add(-3 * time.Second), LiftedAt: now.Add(-5 * time.Second),
+	}}
+}
+
+func TestVersionsThatDoNotAskAreToldNoSignals(t *testing.T) {
+	t.Parallel()
+	e, g := NewWithT(t), signallingGateway()
+	e.Expect(g.signals.answer(&wire.CopyPull{})).To(BeNil())
+	pull := &wire.CopyPull{}
+	g.signals.ask("seed", pull)
+	told := g.signals.answer(pull)
+	e.Expect(told.GetSignals()).To(HaveLen(1))
+	g.signals.told("seed", told)
+	g.signals.ask("seed", pull)
+	e.Expect(g.signals.answer(pull)).To(BeNil(), "nothing has changed since")
+	g.signals.told("seed of an earlier version", nil)
+}
+
+func TestSignalsPassBetweenRouters(t *testing.T) {
+	t.Parallel()
+	e, now := NewWithT(t), time.Now()
+	records := oneSignal(now)
+	encoded, err := proto.Marshal(&wire.SignalNews{Signals: signalMessages(now, records)})
+	e.Expect(err).NotTo(HaveOccurred())
+	// A later version tells more.
+	encoded = protowire.AppendString(protowire.AppendTag(encoded, 90, protowire.BytesType), "more")
+	var news wire.SignalNews
+	e.Expect(proto.Unmarshal(encoded, &news)).To(Succeed())
+	read := signalsOf(now, news.GetSignals())
+	e.Expect(read).To(HaveLen(1))
+	e.Expect(read[0].Runner).To(Equal(records[0].Runner))
+	e.Expect(read[0].Rate).To(Equal(1.5))
+	e.Expect(read[0].Limited()).To(BeTrue())
+	e.Expect(read[0].LeavingAt).To(BeTemporally("~", records[0].LeavingAt, 2*time.Millisecond))
+	e.Expect(read[0].NamedAt).To(BeTemporally("~", records[0].NamedAt, 2*time.Millisecond))
+	e.Expect(read[0].LiftedAt).To(BeTemporally("~", records[0].LiftedAt, 2*time.Millisecond))
+}
+
+// Rates that make no sense come from routers that are wrong, and are harmless here.
+func TestRatesOfOtherRoutersAreChecked(t *testing.T) {
+	t.Parallel()
+	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
+		read := signalsOf(time.Now(), []*wire.RunnerSignal{{Runner: "a", Named: true, Rate: rate}})
+		NewWithT(t).Expect(read[0].Rate).To(BeZero())
+	}
+}
+
+// An earlier version's scheduler answers without a permit: its choice of a limited runner is
+// not taken by a router that knows of the limit.
+func TestChoicesOfEarlierVersionsGrantNothing(t *testing.T) {
+	t.Parallel()
+	e := NewWithT(t)
+	e.Expect((&placed{asked: time.Now()}).permit().Valid(time.Now())).To(BeFalse())
+	e.Expect((&placed{asked: time.Now(), permitted: true}).permit().Valid(time.Now())).To(BeTrue())
+}
