--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -29,10 +29,13 @@
 
 // SweepSignals forgets what runners said that are gone for long.
 func (s *Set) SweepSignals(now time.Time) {
-	s.signals.Sweep(now, func(runner backpressure.Runner) bool {
+	listed := func(runner backpressure.Runner) bool {
 		e := s.entries[runner.ID]
 		return e != nil && e.Incarnation == runner.Incarnation
-	})
+	}
+	for _, runner := range s.signals.Sweep(now, listed) {
+		s.permits.Forget(runner)
+	}
 }
 
 // leaves tells whether the runner leaves, by its entry or by its own word in an answer: the
--- a/internal/backpressure/permits.go
+++ b/internal/backpressure/permits.go
@@ -168,5 +168,5 @@
 	return min(room.Sub(now), longestPromise)
 }
 
-// Forget drops what is remembered of a runner that names no limit.
+// Forget drops what is remembered of a runner that is gone.
 func (p *Permits) Forget(runner Runner) { delete(p.paces, runner) }
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -31,10 +31,5 @@
 // says tells whether the answer says anything of its runner.
 func (s Signals) says() bool { return s.Leaving || s.Limited || s.Rest > 0 }
 
-// ReadableRate returns a rate told by another router, 0 for what is none.
-func ReadableRate(rate float64) float64 {
-	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
-		return 0
-	}
-	return rate
-}
+// ReadableRate tells whether the number can be a limit.
+func ReadableRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 0) }
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -138,6 +138,17 @@
 	return changed
 }
 
+// Repeat tells whether others are to be told again what the runner has said, as one of them has
+// chosen it without knowing.
+func (t *Table) Repeat(now time.Time, runner Runner) bool {
+	state := t.states[runner]
+	if state == nil || !state.Leaving() && !state.Limited() || now.Sub(state.repeatedAt) < repeatPause {
+		return false
+	}
+	state.repeatedAt = now
+	return true
+}
+
 // Since returns the records that have changed after the numbered change, most at once, and
 // the number that they reach.
 func (t *Table) Since(through uint64, most int) (records []Record, reached uint64) {
@@ -166,12 +177,14 @@
 	return resting
 }
 
-// Sweep forgets runners that are not listed and were not heard of for long.
-func (t *Table) Sweep(now time.Time, listed func(Runner) bool) {
+// Sweep forgets runners that are not listed and were not heard of for long, and returns them.
+func (t *Table) Sweep(now time.Time, listed func(Runner) bool) (forgotten []Runner) {
 	for runner, state := range t.states {
 		if now.Sub(state.heardAt) > memory && !listed(runner) {
 			delete(t.states, runner)
 			delete(t.rests, runner)
+			forgotten = append(forgotten, runner)
 		}
 	}
+	return forgotten
 }
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -75,6 +75,18 @@
 	g.Expect(table.Merge(named, changed)).To(BeEmpty())
 }
 
+func TestWhatWasSaidIsRepeatedNowAndThen(t *testing.T) {
+	g, table := NewWithT(t), NewTable()
+	repeats := func(now time.Time) bool { return table.Repeat(now, runner) }
+	g.Expect(repeats(start)).To(BeFalse(), "it has said nothing")
+	table.Hear(start, start, runner, Signals{Rest: time.Second}, false)
+	g.Expect(repeats(start)).To(BeFalse(), "a rest is this router's alone")
+	table.Hear(start, start, runner, Signals{Limited: true, Rate: 1}, true)
+	g.Expect(repeats(start)).To(BeTrue())
+	g.Expect(repeats(start.Add(repeatPause - 1))).To(BeFalse())
+	g.Expect(repeats(start.Add(repeatPause))).To(BeTrue())
+}
+
 // Records come in any order and any number of times, and all routers come to the same.
 func TestRecordsMergeToTheSameInAnyOrder(t *testing.T) {
 	moment := rapid.Custom(func(t *rapid.T) time.Time {
--- a/internal/gateway/otherversions_test.go
+++ b/internal/gateway/otherversions_test.go
@@ -139,7 +139,7 @@
 	t.Parallel()
 	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
 		read := signalsOf(time.Now(), []*wire.RunnerSignal{{Runner: "a", Named: true, Rate: rate}})
-		NewWithT(t).Expect(read[0].Rate).To(BeZero())
+		NewWithT(t).Expect(read[0].Limited()).To(BeFalse())
 	}
 }
 
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -210,7 +210,9 @@
 	}
 	if !g.runners.Usable(now, choice.runner, c.query, choice.permit()) {
 		c.note(events.PlacementDeclined, events.Fields{"runner": choice.runner, "scheduler": choice.scheduler})
-		g.signals.repeat(choice.runner)
+		if declined, listed := g.runners.Get(choice.runner); listed {
+			g.signals.repeat(now, declined)
+		}
 		g.schedulers.release(choice)
 		return placement.Pick{}, false
 	}
--- a/internal/gateway/runnerlimits_test.go
+++ b/internal/gateway/runnerlimits_test.go
@@ -254,3 +254,17 @@
 	f.g.Expect(mostInWindow(limited[0], named.Add(contactTime))).To(BeNumerically("<=", allowedInWindow(limitedRate)))
 	f.g.Expect(arrivedAfter(limited[0], restarted.Add(2*limitWindow))).To(BeNumerically(">", 0))
 }
+
+// What one router hears all know soon, those that choose for others first.
+func TestAllRoutersKnowWhatARunnerSays(t *testing.T) {
+	t.Parallel()
+	f := newSignalFleet(t, 1, 2, 8)
+	announce(f.engines, platform.HeaderLimit, "5", platform.HeaderLeaving, "1")
+	f.g.Expect(f.routers[len(f.routers)-1].call("/once/x", nil).status).To(Equal(http.StatusOK))
+	heard := time.Now()
+	for _, r := range f.routers[:len(f.routers)-1] {
+		f.g.Eventually(r.log.String, time.Second, time.Millisecond).Should(ContainSubstring("another router told what a runner says of itself"))
+	}
+	t.Logf("all routers know after %v", time.Since(heard))
+	f.g.Expect(time.Since(heard)).To(BeNumerically("<", 500*time.Millisecond))
+}
--- a/internal/gateway/signalnews.go
+++ b/internal/gateway/signalnews.go
@@ -32,13 +32,15 @@
 func signalsOf(now time.Time, messages []*wire.RunnerSignal) []backpressure.Record {
 	records := make([]backpressure.Record, 0, len(messages))
 	for _, message := range messages {
-		records = append(records, backpressure.Record{
+		record := backpressure.Record{
 			Runner:    backpressure.Runner{ID: message.GetRunner(), Incarnation: message.GetIncarnation()},
-			Rate:      backpressure.ReadableRate(message.GetRate()),
 			LeavingAt: momentOf(now, message.GetLeaving(), message.GetLeavingAgeMillis()),
-			NamedAt:   momentOf(now, message.GetNamed(), message.GetNamedAgeMillis()),
 			LiftedAt:  momentOf(now, message.GetLifted(), message.GetLiftedAgeMillis()),
-		})
+		}
+		if backpressure.ReadableRate(message.GetRate()) {
+			record.Rate, record.NamedAt = message.GetRate(), momentOf(now, message.GetNamed(), message.GetNamedAgeMillis())
+		}
+		records = append(records, record)
 	}
 	return records
 }
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -84,9 +84,10 @@
 
 // repeat tells the schedulers again what the runner has said, as one of them has chosen it
 // without knowing. The gateway's mutex is held.
-func (s *signals) repeat(runner string) {
-	if said := s.gateway.runners.Said(runner); said.Leaves() || said.Limits() {
-		s.out.add([]backpressure.Runner{said.Runner}, true)
+func (s *signals) repeat(now time.Time, runner backend.Runner) {
+	start := backpressure.Runner{ID: runner.ID, Incarnation: runner.Incarnation}
+	if s.gateway.runners.Signals().Repeat(now, start) {
+		s.out.add([]backpressure.Runner{start}, true)
 	}
 }
 
