--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -46,7 +46,11 @@
 func (s *Set) Permits() *backpressure.Permits { return s.permits }
 
 // heldBack tells whether the runner takes no request of the query now, and adds it to those.
+// One that leaves takes none later either.
 func (s *Set) heldBack(now time.Time, e *entry, query Query, held *placement.HeldBack) bool {
+	if e.leaves() {
+		return false
+	}
 	if rest := query.restOf(e.ID); rest > 0 {
 		held.AddResting(rest)
 		return true
--- a/internal/backend/signals_test.go
+++ b/internal/backend/signals_test.go
@@ -103,6 +103,15 @@
 	g.Expect(request.Excluded).To(BeEmpty())
 }
 
+// Nobody is told to come back for a runner that leaves.
+func TestLeavingRunnerIsNotHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	set, query := speakingSet(backpressure.Signals{Limited: true, Rate: 1, Leaving: true, Rest: time.Second})
+	set.Grant(start, "a")
+	_, held := offered(set, query)
+	g.Expect(held.Any()).To(BeFalse())
+}
+
 // What other routers tell of runners that are not listed yet holds once they are.
 func TestSignalOfARunnerThatIsListedLaterHolds(t *testing.T) {
 	g, set := NewWithT(t), NewSet("z")
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -152,6 +152,9 @@
 // Since returns the records that have changed after the numbered change, most at once, and
 // the number that they reach.
 func (t *Table) Since(through uint64, most int) (records []Record, reached uint64) {
+	if through >= t.changes {
+		return nil, through
+	}
 	var changed []*State
 	for _, state := range t.states {
 		if state.change > through {
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -75,6 +75,21 @@
 	g.Expect(table.Merge(named, changed)).To(BeEmpty())
 }
 
+func TestChangesAreGivenOnce(t *testing.T) {
+	g, table := NewWithT(t), NewTable()
+	other := Runner{ID: "f"}
+	table.Hear(start, start, runner, Signals{Leaving: true}, true)
+	table.Hear(start, start, other, Signals{Leaving: true}, true)
+	first, reached := table.Since(0, 1)
+	g.Expect(first).To(HaveLen(1))
+	second, reached := table.Since(reached, 1)
+	g.Expect(second).To(HaveLen(1))
+	g.Expect(first[0].Runner).NotTo(Equal(second[0].Runner))
+	none, same := table.Since(reached, 1)
+	g.Expect(none).To(BeEmpty())
+	g.Expect(same).To(Equal(reached))
+}
+
 func TestWhatWasSaidIsRepeatedNowAndThen(t *testing.T) {
 	g, table := NewWithT(t), NewTable()
 	repeats := func(now time.Time) bool { return table.Repeat(now, runner) }
