Mutants of limits, leaving and rest

Seven mutants of the mends are refuted. One, by which any answer lifted a limit, survived; the test of it now has an answer to a request that was sent within the margin, and refutes it.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -61,9 +61,16 @@
 mutant "8 contents are not judged" internal/gateway/suspects.go 's/return s.judge.Verdict\(now, content\)/return quarantine.Verdict{}/' ./internal/gateway -run RequestThatEndsItsRunnersIsNotSentForever
 mutant "8 lost connections count as ends" internal/gateway/runnerends.go 's/liveness := e.ask\(runner\)/liveness := max(e.ask(runner), RunnerEnded)/' ./internal/gateway -run EndOfARunnerIsToldFromALostConnection
 mutant "8 quarantines are not kept" internal/gateway/keptquarantines.go 's/endsToKeep = 2/endsToKeep = 99/' ./internal/gateway -run 'KnownAfterTheLossOfAllRouters|KeptQuarantinesAreRead'
-mutant "8 routers do not tell of ends" internal/gateway/suspectoutbox.go 's/schedulers.others\(\), forSeeds/schedulers.others()[:0], forSeeds/' ./internal/gateway -run AllRoutersKnowWhatIsQuarantined
+mutant "8 routers do not tell of ends" internal/gateway/newsoutbox.go 's/schedulers.others\(\), forSeeds/schedulers.others()[:0], forSeeds/' ./internal/gateway -run AllRoutersKnowWhatIsQuarantined
 mutant "8 runners that are lost at once quarantine contents" internal/quarantine/record.go 's/end.Began.After\(ends\[0\].At\)/true/' ./internal/quarantine
 mutant "9 suspensions do not count" internal/clock/clock.go 's/return steady.Add\(time.Duration\(c.suspended.Load\(\)\)\)/return steady/' ./internal/clock
+mutant "10 a limited runner needs no permit" internal/backend/signals.go 's/\(!e.said.Limits\(\) \|\| permit.Valid\(now\)\)/true/' ./internal/backend -run 'OwnWord|PermitAllows'
+mutant "10 new schedulers grant at once" internal/backpressure/permits.go 's/p.parts, p.fewer, p.from = parts, 0, now.Add\(handoverTime\)/p.parts, p.fewer = parts, 0/' ./internal/backpressure
+mutant "10 larger parts count at once" internal/backpressure/permits.go 's/now.Add\(handoverTime\)\n\t\}/now\n\t}/' ./internal/backpressure
+mutant "10 any answer lifts a limit" internal/backpressure/record.go 's/r.LiftedAt.Before\(r.NamedAt.Add\(liftMargin\)\)/!r.LiftedAt.After(r.NamedAt)/' ./internal/backpressure
+mutant "10 the directory takes leaving back" internal/backend/signals.go 's/e.Draining \|\| e.said.Leaves\(\)/e.Draining/' ./internal/gateway -run 'Leaving'
+mutant "10 a rest is a preference" internal/backend/signals.go 's/!e.said.Resting\(now\) && //' ./internal/backend -run 'OwnWord'
+mutant "10 routers do not tell what runners say" internal/gateway/newsoutbox.go 's/schedulers.others\(\), forSeeds/schedulers.others()[:0], forSeeds/' ./internal/gateway -run AllRoutersKnowWhatARunnerSays
 
 echo "mutants: $refuted refuted, $survived survived, $unclear unclear"
 [ "$survived$unclear" = 00 ]
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -13,6 +13,8 @@
 	g.Expect(table.Hear(start, start, runner, Signals{}, true).Any()).To(BeFalse())
 	g.Expect(table.Of(runner)).To(BeNil(), "most runners say nothing")
 	g.Expect(table.Hear(start, start, runner, Signals{Limited: true, Rate: 1}, true).Limit).To(BeTrue())
+	soon := start.Add(liftMargin - time.Millisecond)
+	g.Expect(table.Hear(soon, soon, runner, Signals{}, true).Any()).To(BeFalse(), "another router may have heard the limit later")
 	later := start.Add(2 * liftMargin)
 	g.Expect(table.Hear(later, start.Add(-time.Second), runner, Signals{}, true).Any()).To(BeFalse(), "sent before the limit was named")
 	g.Expect(table.Hear(later, later, runner, Signals{}, false).Any()).To(BeFalse(), "a failure names nothing")
