Sight: the era of the store's answers, lists that are passed over, answers from the past

Nothing is decided by it. Event 829 and store_restores_total tell that the store came back from a copy, event 845 and store_answers_behind_total why calls fail afterwards; a list logs whether the copy took it, and the era.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -52,6 +52,8 @@
 	failures int
 	// lost is true after the store was reported as lost.
 	lost bool
+	// behind is true after an answer that was older than what is known.
+	behind bool
 	// renewing is true from when the watch was found to be behind until the next one is
 	// answered, and interrupt ends the one that waits.
 	renewing  atomic.Bool
@@ -111,15 +113,16 @@
 	}
 	delta := config.Delta{Through: answer.revision, Full: true, Objects: answer.objects}
 	shown := g.copies.shownBy(answer, answer.sent)
-	g.copies.apply(f.kind, delta, proof{at: answer.sent, given: shown && !stale})
+	outcome := g.copies.apply(f.kind, delta, proof{at: answer.sent, given: shown && !stale})
 	if !shown && !stale {
+		f.noteBehind(callList, answer)
 		return errFromThePast
 	}
 	f.listed = true
 	if f.kind == ConfigObjects && !stale {
 		g.verifyCopies(checkpoint{revision: answer.revision, at: answer.sent}, true)
 	}
-	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision, "stale": stale})
+	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision, "stale": stale, "taken": outcome == config.Applied, "era": g.era.newest.Load()})
 	return nil
 }
 
@@ -141,6 +144,7 @@
 		g.verifyCopies(known, shown)
 	}
 	if !shown {
+		f.noteBehind(callWatch, answer)
 		return errFromThePast
 	}
 	if f.kind == ConfigObjects {
@@ -152,6 +156,20 @@
 	return nil
 }
 
+// noteBehind notes an answer that is older than what was known, and logs the first of several.
+func (f *follower) noteBehind(call string, answer storeAnswer) {
+	g := f.gateway
+	g.metrics.storeBehind.WithLabelValues(f.kind.String()).Inc()
+	if f.behind {
+		return
+	}
+	f.behind = true
+	g.log.Log(events.StoreBehind, events.Fields{
+		"kind": f.kind.String(), "call": call, "revision": answer.revision, "known": g.copies.newestRevision(),
+		"objects": len(answer.objects), "era": g.era.newest.Load(),
+	})
+}
+
 // call makes one call to the store and notes how it went.
 func (f *follower) call(ctx context.Context, name string, made func() ([]v1.Object, uint64, error)) storeAnswer {
 	g := f.gateway
@@ -246,5 +264,5 @@
 		f.lost = false
 		f.gateway.log.Log(events.StoreRegained, events.Fields{"kind": f.kind.String(), "revision": f.gateway.copies.revision(f.kind), "failures": f.failures})
 	}
-	f.failures = 0
+	f.failures, f.behind = 0, false
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -99,6 +99,8 @@
 	relays *relays
 	// followers read each kind of objects while this router reads the store.
 	followers []*follower
+	// era is how often the store came back from a copy.
+	era *storeEra
 	// disturbance is when a call to the store last failed.
 	disturbance disturbance
 	// schedulers place requests for other routers, or this one's.
@@ -155,6 +157,8 @@
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
+	g.era = newStoreEra(g)
+	ports.Store.OnEra(g.era.told)
 	g.limits = limits.New(g.limitsConfig())
 	for _, kind := range objectKinds {
 		g.followers = append(g.followers, newFollower(g, kind))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -67,6 +67,10 @@
 
 	storeCalls    *prometheus.HistogramVec
 	storeFailures *prometheus.CounterVec
+	// storeRestores counts how often the store came back from a copy while this router ran,
+	// and storeBehind answers that were older than what was known.
+	storeRestores prometheus.Counter
+	storeBehind   *prometheus.CounterVec
 	renewals      *prometheus.CounterVec
 	peerCalls     *prometheus.HistogramVec
 
@@ -134,6 +138,10 @@
 		}),
 		storeCalls:    seconds("store_call_seconds", "Calls to the store, watches with their waits.", "kind", "call"),
 		storeFailures: counters("store_failures_total", "Calls to the store that failed, by kind of object.", "kind"),
+		storeRestores: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, without what it had acknowledged since.",
+		}),
+		storeBehind:   counters("store_answers_behind_total", "Answers of the store that were older than what was known.", "kind"),
 		renewals:      counters("watch_renewals_total", "Watches that were behind and made anew, by whether the next one brought changes.", "kind", "outcome"),
 		peerCalls:     seconds("peer_call_seconds", "Pulls of changes from other routers.", "outcome"),
 		orders:        counters("orders_total", "Orders given to runners, by outcome.", "outcome"),
@@ -161,12 +169,13 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.signals, m.limitedSends, m.permitAges, m.grants, m.suspensions, m.connections, m.silentConnections,
-		m.storeCalls, m.storeFailures, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
+		m.storeCalls, m.storeFailures, m.storeRestores, m.storeBehind, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &contentStates{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.Tenants() }),
 		gauge("share_tenants", "Tenants of whose recent use of services this router keeps a sum.", func() float64 { return g.shares.tenants() }),
+		gauge("store_era", "Era of the store: how often it came back from a copy, counted by itself; 0 when unknown.", func() float64 { return float64(g.era.newest.Load()) }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
 		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
 		gauge("peer_connections_silent", "Connections to other routers closed since they answered nothing.", func() float64 { return g.relays.silentConnections() }),
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -182,6 +182,11 @@
 	KeepQuarantine(ctx context.Context, record quarantine.Record) error
 	// DropQuarantine takes the content out; one that is not kept is no error.
 	DropQuarantine(ctx context.Context, content quarantine.Content) error
+	// OnEra has the function told the era of each answer that names one, refusals included.
+	// It is set before the first call. The era rises by one whenever the store comes back
+	// from a copy: it then lacks what it acknowledged since, and gives out the revisions of
+	// that time again.
+	OnEra(told func(era uint64))
 }
 
 // KeptQuarantine is one object of the store that keeps a quarantine.
