--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -48,7 +48,7 @@
 type Object struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
-	// Version is the platform's revision at which the object last changed.
+	// Version is the platform's revision at which the object last changed, with its era.
 	// It orders all accepted states of the object.
 	Version uint64 `json:"version"`
 	// Deleted marks a tombstone: Version is then the revision of the deletion.
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -37,7 +37,7 @@
 // NewSnapshot builds the typed view of the store.
 func NewSnapshot(store *Store) *Snapshot {
 	snapshot := &Snapshot{
-		Revision:  store.revision,
+		Revision:  uint64(store.revision),
 		Tenants:   map[string]*Tenant{},
 		ByKeyHash: map[string]*Tenant{},
 		Models:    map[string]*v1.ModelSpec{},
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -4,12 +4,15 @@
 //
 // The store has no I/O and no clock. The platform's revision orders all
 // changes: a store "at revision R" holds the effect of every change up to R.
+// Only a full delta leads from one era of the platform's store into the next,
+// as what the former one wrote last is not in the next one's history.
 package config
 
 import (
-	"sort"
+	"slices"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // MaxTombstones bounds the remembered deletions. A peer that is older than the
@@ -19,8 +22,8 @@
 // Delta is a set of changes. It holds every change in (From, Through], or, when
 // Full, every live object at Through.
 type Delta struct {
-	From    uint64
-	Through uint64
+	From    storerev.Revision
+	Through storerev.Revision
 	Full    bool
 	Objects []v1.Object
 }
@@ -49,18 +52,18 @@
 
 // Store is the configuration of one node. It is not safe for concurrent use.
 type Store struct {
-	revision   uint64
+	revision   storerev.Revision
 	objects    map[v1.Key]*entry
-	tombstones map[v1.Key]uint64
+	tombstones map[v1.Key]storerev.Revision
 	// horizon is the revision up to which deletions may be unknown here.
-	horizon uint64
+	horizon storerev.Revision
 	// opaque stores keep specs as they are and do not validate them.
 	opaque bool
 }
 
 // NewStore returns an empty store at revision 0.
 func NewStore() *Store {
-	return &Store{objects: map[v1.Key]*entry{}, tombstones: map[v1.Key]uint64{}}
+	return &Store{objects: map[v1.Key]*entry{}, tombstones: map[v1.Key]storerev.Revision{}}
 }
 
 // NewOpaqueStore returns an empty store of objects whose specs are not the
@@ -72,7 +75,7 @@
 }
 
 // Revision returns the platform revision through which the store is complete.
-func (s *Store) Revision() uint64 { return s.revision }
+func (s *Store) Revision() storerev.Revision { return s.revision }
 
 // Len returns the number of live objects.
 func (s *Store) Len() int { return len(s.objects) }
@@ -89,7 +92,7 @@
 		s.applyFull(delta)
 		return Applied
 	}
-	if delta.From > s.revision {
+	if delta.From > s.revision || delta.Through.Era() != s.revision.Era() {
 		return Gap
 	}
 	for _, object := range delta.Objects {
@@ -108,8 +111,8 @@
 		s.applyObject(object)
 	}
 	for key, current := range s.objects {
-		if !present[key] && current.object.Version <= delta.Through {
-			s.applyObject(v1.Object{Kind: key.Kind, Name: key.Name, Version: delta.Through, Deleted: true})
+		if !present[key] && revisionOf(current.object) <= delta.Through {
+			s.applyObject(v1.Object{Kind: key.Kind, Name: key.Name, Version: uint64(delta.Through), Deleted: true})
 		}
 	}
 	s.revision = delta.Through
@@ -118,18 +121,21 @@
 	s.horizon = max(s.horizon, delta.Through)
 }
 
+// revisionOf returns the revision at which the object last changed.
+func revisionOf(object v1.Object) storerev.Revision { return storerev.Revision(object.Version) }
+
 func (s *Store) applyObject(object v1.Object) {
-	key := object.Key()
-	if s.tombstones[key] >= object.Version {
+	key, revision := object.Key(), revisionOf(object)
+	if s.tombstones[key] >= revision {
 		return
 	}
 	current := s.objects[key]
-	if current != nil && current.object.Version >= object.Version {
+	if current != nil && revisionOf(current.object) >= revision {
 		return
 	}
 	if object.Deleted {
 		delete(s.objects, key)
-		s.tombstones[key] = object.Version
+		s.tombstones[key] = revision
 		s.trimTombstones()
 		return
 	}
@@ -167,11 +173,11 @@
 	if len(s.tombstones) <= MaxTombstones {
 		return
 	}
-	versions := make([]uint64, 0, len(s.tombstones))
+	versions := make([]storerev.Revision, 0, len(s.tombstones))
 	for _, version := range s.tombstones {
 		versions = append(versions, version)
 	}
-	sort.Slice(versions, func(i, j int) bool { return versions[i] < versions[j] })
+	slices.Sort(versions)
 	s.horizon = max(s.horizon, versions[len(versions)/2])
 	for key, version := range s.tombstones {
 		if version <= versions[len(versions)/2] {
@@ -182,11 +188,11 @@
 
 // Since returns the changes after the revision, or a full delta when they are
 // no longer all known.
-func (s *Store) Since(revision uint64) Delta {
+func (s *Store) Since(revision storerev.Revision) Delta {
 	delta := Delta{From: revision, Through: s.revision}
 	delta.Full = revision < s.horizon || revision == 0
 	for _, current := range s.objects {
-		if delta.Full || current.object.Version > revision {
+		if delta.Full || revisionOf(current.object) > revision {
 			delta.Objects = append(delta.Objects, current.object)
 		}
 	}
@@ -196,7 +202,7 @@
 	}
 	for key, version := range s.tombstones {
 		if version > revision {
-			delta.Objects = append(delta.Objects, v1.Object{Kind: key.Kind, Name: key.Name, Version: version, Deleted: true})
+			delta.Objects = append(delta.Objects, v1.Object{Kind: key.Kind, Name: key.Name, Version: uint64(version), Deleted: true})
 		}
 	}
 	return delta
--- a/internal/config/store_property_test.go
+++ b/internal/config/store_property_test.go
@@ -10,6 +10,7 @@
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/lab/testkit"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // authority is the platform: the ordered log of all accepted changes.
@@ -29,7 +30,7 @@
 }
 
 // stateAt returns the live objects at a revision.
-func (a *authority) stateAt(revision uint64) map[v1.Key]uint64 {
+func (a *authority) stateAt(revision storerev.Revision) map[v1.Key]uint64 {
 	state := map[v1.Key]uint64{}
 	for _, object := range a.log[:revision] {
 		if object.Deleted {
@@ -41,7 +42,7 @@
 	return state
 }
 
-func (a *authority) listAt(revision uint64) Delta {
+func (a *authority) listAt(revision storerev.Revision) Delta {
 	delta := Delta{Through: revision, Full: true}
 	for key, version := range a.stateAt(revision) {
 		delta.Objects = append(delta.Objects, a.log[version-1])
@@ -59,10 +60,12 @@
 	rapid.Check(t, func(t *rapid.T) {
 		platform := &authority{}
 		stores := []*Store{NewStore(), NewStore(), NewStore()}
-		highest := make([]uint64, len(stores))
+		highest := make([]storerev.Revision, len(stores))
 		var inFlight []Delta
 		pick := func(name string) int { return rapid.IntRange(0, len(stores)-1).Draw(t, name) }
-		anyRevision := func() uint64 { return uint64(rapid.IntRange(0, len(platform.log)).Draw(t, "revision")) }
+		anyRevision := func() storerev.Revision {
+			return storerev.Revision(rapid.IntRange(0, len(platform.log)).Draw(t, "revision"))
+		}
 		t.Repeat(map[string]func(*rapid.T){
 			"change":      platform.change,
 			"change more": platform.change,
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 func object(kind v1.Kind, name string, version uint64, spec any) v1.Object {
@@ -30,11 +31,11 @@
 func TestForgottenTombstonesMakeTheDeltaFull(t *testing.T) {
 	g := NewWithT(t)
 	store := NewStore()
-	version := uint64(0)
+	version := storerev.Revision(0)
 	for i := range MaxTombstones + 1 {
 		name := fmt.Sprintf("t-%d", i)
-		store.Apply(Delta{From: version, Through: version + 1, Objects: []v1.Object{object(v1.KindTier, name, version+1, v1.TierSpec{MaxWaitMillis: 1})}})
-		store.Apply(Delta{From: version + 1, Through: version + 2, Objects: []v1.Object{{Kind: v1.KindTier, Name: name, Version: version + 2, Deleted: true}}})
+		store.Apply(Delta{From: version, Through: version + 1, Objects: []v1.Object{object(v1.KindTier, name, uint64(version+1), v1.TierSpec{MaxWaitMillis: 1})}})
+		store.Apply(Delta{From: version + 1, Through: version + 2, Objects: []v1.Object{{Kind: v1.KindTier, Name: name, Version: uint64(version + 2), Deleted: true}}})
 		version += 2
 	}
 	g.Expect(store.Since(2).Full).To(BeTrue())
--- a/internal/control/configuration.go
+++ b/internal/control/configuration.go
@@ -6,6 +6,7 @@
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/fleet"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -21,7 +22,7 @@
 	outcome := c.store.Apply(delta)
 	switch outcome {
 	case config.Applied:
-		c.members.SetRevision(c.store.Revision())
+		c.members.SetRevision(uint64(c.store.Revision()))
 		c.ready.ConfigChanged = true
 		c.forgetRunners()
 		c.passOn(before, from)
@@ -35,7 +36,7 @@
 
 // passOn gives a change to a few random peers of the zone, once; heartbeats
 // repair what this misses.
-func (c *Core) passOn(before uint64, from string) {
+func (c *Core) passOn(before storerev.Revision, from string) {
 	if before == 0 {
 		// A first full copy is nobody else's news.
 		return
@@ -45,7 +46,7 @@
 	envelope := deltaEnvelope(c.store.Since(before))
 	sent := 0
 	for _, peer := range peers {
-		if peer.ID == from || peer.Revision >= c.store.Revision() {
+		if peer.ID == from || storerev.Revision(peer.Revision) >= c.store.Revision() {
 			continue
 		}
 		if sent == c.settings.ConfigFanout {
@@ -61,11 +62,11 @@
 		return
 	}
 	c.nextPull = now.Add(c.settings.PullInterval)
-	pull := &wire.ConfigPull{FromRevision: c.store.Revision()}
+	pull := &wire.ConfigPull{FromRevision: uint64(c.store.Revision())}
 	c.send(node, address, &wire.Envelope{Body: &wire.Envelope_ConfigPull{ConfigPull: pull}})
 }
 
-func (c *Core) answerPull(node string, revision uint64) {
+func (c *Core) answerPull(node string, revision storerev.Revision) {
 	member, found := c.members.Member(node)
 	if !found || revision >= c.store.Revision() {
 		return
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -14,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/membership"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -158,7 +159,7 @@
 			Updates: membersFromWire(body.MemberList.GetMembers()),
 		})
 	case *wire.Envelope_ConfigPull:
-		c.answerPull(envelope.GetFrom(), body.ConfigPull.GetFromRevision())
+		c.answerPull(envelope.GetFrom(), storerev.Revision(body.ConfigPull.GetFromRevision()))
 	case *wire.Envelope_ConfigDelta:
 		c.applyDelta(now, DeltaFromWire(body.ConfigDelta), envelope.GetFrom())
 	case *wire.Envelope_FleetPull:
@@ -179,7 +180,7 @@
 		// The first peer heard of after a start is asked for what this node lost.
 		c.send(sender.ID, sender.PeerAddress, &wire.Envelope{Body: &wire.Envelope_FleetPull{FleetPull: &wire.FleetPull{}}})
 	}
-	if sender.Revision > c.store.Revision() {
+	if storerev.Revision(sender.Revision) > c.store.Revision() {
 		c.pull(now, sender.ID, sender.PeerAddress)
 	}
 }
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -7,6 +7,7 @@
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/membership"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -85,7 +86,7 @@
 
 // DeltaToWire converts a set of changes.
 func DeltaToWire(delta config.Delta) *wire.ConfigDelta {
-	converted := &wire.ConfigDelta{FromRevision: delta.From, ThroughRevision: delta.Through, Full: delta.Full}
+	converted := &wire.ConfigDelta{FromRevision: uint64(delta.From), ThroughRevision: uint64(delta.Through), Full: delta.Full}
 	for _, object := range delta.Objects {
 		converted.Objects = append(converted.Objects, &wire.ConfigObject{
 			Kind: string(object.Kind), Name: object.Name, Version: object.Version, Deleted: object.Deleted, Spec: object.Spec,
@@ -96,7 +97,7 @@
 
 // DeltaFromWire converts a set of changes.
 func DeltaFromWire(delta *wire.ConfigDelta) config.Delta {
-	converted := config.Delta{From: delta.GetFromRevision(), Through: delta.GetThroughRevision(), Full: delta.GetFull()}
+	converted := config.Delta{From: storerev.Revision(delta.GetFromRevision()), Through: storerev.Revision(delta.GetThroughRevision()), Full: delta.GetFull()}
 	for _, object := range delta.GetObjects() {
 		converted.Objects = append(converted.Objects, v1.Object{
 			Kind: v1.Kind(object.GetKind()), Name: object.GetName(), Version: object.GetVersion(), Deleted: object.GetDeleted(), Spec: object.GetSpec(),
--- a/internal/gateway/checkpoints.go
+++ b/internal/gateway/checkpoints.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/namings"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // checkpoint says that the store's revision was the newest at the moment. It counts the
 // changes of all kinds, so a copy that is complete up to it lacked nothing then, and what
-// has a higher revision was written later.
+// has a higher revision of the same era was written later.
 type checkpoint struct {
-	revision uint64
+	revision storerev.Revision
 	at       time.Time
 }
 
@@ -52,14 +53,14 @@
 	return newest, len(c.kept) > 0
 }
 
-// before returns the latest moment at which the store had not reached the revision, zero
+// before returns the latest moment at which what has the revision had not been written, zero
 // when none is known.
-func (c *checkpoints) before(revision uint64) time.Time {
+func (c *checkpoints) before(revision storerev.Revision) time.Time {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var latest time.Time
 	for _, known := range c.kept {
-		if known.revision < revision {
+		if revision.WrittenAfter(known.revision) {
 			latest = namings.Later(latest, known.at)
 		}
 	}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -10,6 +10,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/namings"
 	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // objectKinds lists the kinds that are copied from the store.
@@ -28,7 +29,7 @@
 
 // copies are this router's copies of the store's objects. Whatever way changes
 // come, from the store or another router, they are applied here, one at a time,
-// and a copy never goes back.
+// and a copy never goes back, also where the store does.
 type copies struct {
 	gateway *Gateway
 	mutex   sync.Mutex
@@ -85,21 +86,23 @@
 }
 
 // revision returns the store's revision up to which the copy is complete.
-func (c *copies) revision(kind ObjectKind) uint64 {
+func (c *copies) revision(kind ObjectKind) storerev.Revision {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.stores[kind].Revision()
 }
 
 // since returns the changes after the revision.
-func (c *copies) since(kind ObjectKind, revision uint64) config.Delta {
+func (c *copies) since(kind ObjectKind, revision storerev.Revision) config.Delta {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.stores[kind].Since(revision)
 }
 
-// apply takes changes into the copy and puts them in force.
+// apply takes changes into the copy and puts them in force. What comes from an earlier era of
+// the store than the copy proves nothing: it knows nothing of what was written since.
 func (c *copies) apply(kind ObjectKind, delta config.Delta, proven proof) config.Outcome {
+	c.gateway.era.told(delta.Through.Era())
 	c.mutex.Lock()
 	before := c.stores[kind].Revision()
 	outcome := c.stores[kind].Apply(delta)
@@ -107,7 +110,7 @@
 		c.gateway.putInForce(kind, newerThan(before, delta))
 	}
 	c.noteReached(checkpoint{revision: c.stores[kind].Revision(), at: c.gateway.now()})
-	if proven.given && outcome != config.Gap {
+	if proven.given && outcome != config.Gap && delta.Through.Era() == c.stores[kind].Revision().Era() {
 		c.prove(kind, proven.at)
 	}
 	if c.stores[RunnerObjects].Revision() > 0 && c.gateway.proven(c.gateway.now()) {
@@ -122,14 +125,14 @@
 
 // newerThan leaves out what was in force at the revision already: two watches may bring
 // the same changes, and an older one must not come into force for a moment.
-func newerThan(revision uint64, delta config.Delta) config.Delta {
+func newerThan(revision storerev.Revision, delta config.Delta) config.Delta {
 	if delta.Full {
 		return delta
 	}
 	changed := delta
 	changed.Objects = nil
 	for _, object := range delta.Objects {
-		if object.Version > revision {
+		if storerev.Revision(object.Version) > revision {
 			changed.Objects = append(changed.Objects, object)
 		}
 	}
@@ -139,7 +142,7 @@
 // putInForce applies changed objects in order.
 func (g *Gateway) putInForce(kind ObjectKind, delta config.Delta) {
 	if kind == RunnerObjects {
-		g.directoryRevision.Store(delta.Through)
+		g.directoryRevision.Store(uint64(delta.Through))
 	}
 	if kind == RunnerObjects && delta.Full {
 		g.retainRunners(delta.Objects)
@@ -179,7 +182,7 @@
 	g.mutex.Unlock()
 	g.view.Store(next)
 	g.log.Log(events.ConfigInForce, events.Fields{
-		"version": object.Config.Version, "revision": object.Revision,
+		"version": object.Config.Version, "revision": object.Revision.Number(), "era": object.Revision.Era(),
 		"routes": len(object.Config.Routes), "services": len(object.Config.Services), "tenants": len(object.Config.Tenants),
 	})
 	if current == nil {
@@ -223,7 +226,7 @@
 		return
 	}
 	if g.stale.CompareAndSwap(false, true) {
-		g.log.Log(events.ConfigStale, events.Fields{"version": current.table.Version, "revision": current.revision, "unproven_ms": now.Sub(current.provenAt).Milliseconds()})
+		g.log.Log(events.ConfigStale, events.Fields{"version": current.table.Version, "revision": current.revision.Number(), "unproven_ms": now.Sub(current.provenAt).Milliseconds()})
 	}
 }
 
@@ -243,7 +246,7 @@
 	until := known.OlderUntil(g.settings.namingTimes())
 	g.mutex.Unlock()
 	g.log.Log(events.WeightsNamed, events.Fields{
-		"model": model, "version": version, "revision": object.Revision,
+		"model": model, "version": version, "revision": object.Revision.Number(), "era": object.Revision.Era(),
 		"older_until_ms": until.Sub(now).Milliseconds(), "copy_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
 	select {
--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -4,14 +4,17 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
-// check proves the copy by the checkpoint, or returns false when it is not complete so far.
+// check proves the copy by the checkpoint, or returns false when it is not complete so far. A
+// checkpoint of an earlier era says nothing of the copy's.
 func (c *copies) check(kind ObjectKind, known checkpoint) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.stores[kind].Revision() < known.revision {
+	revision := c.stores[kind].Revision()
+	if revision < known.revision || revision.Era() != known.revision.Era() {
 		return false
 	}
 	c.prove(kind, known.at)
@@ -19,7 +22,7 @@
 }
 
 // newestRevision is the highest revision that any copy has reached.
-func (c *copies) newestRevision() uint64 {
+func (c *copies) newestRevision() storerev.Revision {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.reachedBy(c.gateway.now())
@@ -36,7 +39,7 @@
 
 // reachedBy returns the highest revision that any copy had reached by the moment, 0 when
 // that is not known any more. The mutex is held.
-func (c *copies) reachedBy(moment time.Time) uint64 {
+func (c *copies) reachedBy(moment time.Time) storerev.Revision {
 	for _, known := range slices.Backward(c.reached) {
 		if !known.at.After(moment) {
 			return known.revision
@@ -74,7 +77,7 @@
 		if !known {
 			continue
 		}
-		proofs = append(proofs, &wire.CopyProof{Kind: uint32(kind), AgeMillis: wire.AgeMillis(age), Revision: c.revision(kind)})
+		proofs = append(proofs, &wire.CopyProof{Kind: uint32(kind), AgeMillis: wire.AgeMillis(age), Revision: uint64(c.revision(kind))})
 	}
 	return proofs
 }
@@ -96,7 +99,7 @@
 func (r *relays) checkProofs(answer *wire.CopyAnswer, sent time.Time, configAge time.Duration) {
 	copies := r.gateway.copies
 	if answer.GetStoreRevision() > 0 {
-		copies.checkpoints.note(checkpoint{revision: answer.GetStoreRevision(), at: sent.Add(-wire.Age(answer.GetStoreAgeMillis()))})
+		copies.checkpoints.note(checkpoint{revision: storerev.Revision(answer.GetStoreRevision()), at: sent.Add(-wire.Age(answer.GetStoreAgeMillis()))})
 	}
 	if !answer.GetTellsProofs() {
 		newest, _ := copies.checkpoints.newest()
@@ -108,7 +111,7 @@
 	for _, told := range answer.GetProofs() {
 		kind := ObjectKind(told.GetKind())
 		if int(kind) < len(objectKinds) && kind != ConfigObjects {
-			copies.check(kind, checkpoint{revision: told.GetRevision(), at: sent.Add(-wire.Age(told.GetAgeMillis()))})
+			copies.check(kind, checkpoint{revision: storerev.Revision(told.GetRevision()), at: sent.Add(-wire.Age(told.GetAgeMillis()))})
 		}
 	}
 }
--- a/internal/gateway/copyproofs_test.go
+++ b/internal/gateway/copyproofs_test.go
@@ -5,13 +5,15 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // What was learned after the moment that an answer tells of does not speak against it.
 func TestOnlyAnswersThatAreAsNewAsWhatWasKnownShowAnything(t *testing.T) {
 	now := time.Unix(1_000, 0)
 	for name, test := range map[string]struct {
-		revision, known, newest uint64
+		revision, known, newest storerev.Revision
 		newestAt                time.Time
 		want                    bool
 	}{
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -8,7 +8,7 @@
 // ignoreObject notes that an object is not used. A directory entry that cannot be read
 // says that the runner known by its name until now is no longer one.
 func (g *Gateway) ignoreObject(kind ObjectKind, object Object, fault string) {
-	g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision, "fault": fault})
+	g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision.Number(), "fault": fault})
 	if kind == RunnerObjects {
 		g.removeRunner(object, "entry cannot be read")
 	}
@@ -50,11 +50,11 @@
 	case added && known && before.Service == runner.Service:
 		// What idle connections led to has ended.
 		g.ports.RunnerPool.CloseIdle(before.Address)
-		g.log.Log(events.RunnerRestarted, events.Fields{"runner": runner.ID, "address": runner.Address, "incarnation": runner.Incarnation, "before": before.Incarnation, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
+		g.log.Log(events.RunnerRestarted, events.Fields{"runner": runner.ID, "address": runner.Address, "incarnation": runner.Incarnation, "before": before.Incarnation, "draining": runner.Draining, "revision": object.Revision.Number(), "copy_age_ms": age})
 	case added:
-		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
+		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision.Number(), "copy_age_ms": age})
 	case known && before.Draining != runner.Draining:
-		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision, "copy_age_ms": age})
+		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision.Number(), "copy_age_ms": age})
 	}
 }
 
@@ -64,6 +64,6 @@
 	removed := g.runners.Remove(object.Name)
 	g.mutex.Unlock()
 	if removed {
-		g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision, "cause": cause, "copy_age_ms": g.copies.ageMillis(g.now(), RunnerObjects)})
+		g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision.Number(), "cause": cause, "copy_age_ms": g.copies.ageMillis(g.now(), RunnerObjects)})
 	}
 }
--- a/internal/gateway/era.go
+++ b/internal/gateway/era.go
@@ -1,28 +1,42 @@
 package gateway
 
 import (
-	"sync/atomic"
+	"sync"
 
 	"github.com/clovertiller/clovertiller/internal/events"
 )
 
-// storeEra is the newest era of the store that this router has heard of, 0 before any.
+// storeEra is the newest era of the store that this router has heard of, from the store or from
+// another router. It is safe for concurrent use.
 type storeEra struct {
 	gateway *Gateway
-	newest  atomic.Uint64
+	mutex   sync.Mutex
+	era     uint64
 }
 
 func newStoreEra(g *Gateway) *storeEra { return &storeEra{gateway: g} }
 
-// told takes the era of an answer of the store.
+// told takes the era of an answer.
 func (e *storeEra) told(era uint64) {
-	for known := e.newest.Load(); era > known; known = e.newest.Load() {
-		if !e.newest.CompareAndSwap(known, era) {
-			continue
-		}
-		if known > 0 {
-			e.gateway.metrics.storeRestores.Inc()
-			e.gateway.log.Log(events.StoreRestored, events.Fields{"era": era, "before": known, "revision": e.gateway.copies.newestRevision()})
-		}
+	e.mutex.Lock()
+	before := e.era
+	if era <= before {
+		e.mutex.Unlock()
+		return
 	}
+	e.era = era
+	e.mutex.Unlock()
+	if before == 0 {
+		return
+	}
+	e.gateway.metrics.storeRestores.Inc()
+	known := e.gateway.copies.newestRevision()
+	e.gateway.log.Log(events.StoreRestored, events.Fields{"era": era, "before": before, "known_revision": known.Number()})
+}
+
+// newest returns the era, 0 before any.
+func (e *storeEra) newest() uint64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.era
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -9,6 +9,7 @@
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Times of following the store.
@@ -29,6 +30,9 @@
 	// nobody to ask: many may do so at once, each for itself, and every answer that
 	// brings one change is a call.
 	fallbackSettle = 500 * time.Millisecond
+	// newEraPause is the longest pause before a router that reads for itself only lists what a
+	// store in a new era holds.
+	newEraPause = 500 * time.Millisecond
 	// regainWait is how long watches wait that look whether the store answers again.
 	regainWait = 50 * time.Millisecond
 	// callSlack is how much longer than its wait a call may take.
@@ -53,7 +57,7 @@
 	// lost is true after the store was reported as lost.
 	lost bool
 	// behind is true after an answer that was older than what is known.
-	behind bool
+	behind atomic.Bool
 	// renewing is true from when the watch was found to be behind until the next one is
 	// answered, and interrupt ends the one that waits.
 	renewing  atomic.Bool
@@ -106,7 +110,7 @@
 	g := f.gateway
 	stale := f.listed && !g.relays.isSource()
 	answer := f.ask(g.ctx, listTime, func(ctx context.Context) storeAnswer {
-		return f.call(ctx, callList, func() ([]v1.Object, uint64, error) { return g.ports.Store.List(ctx, f.kind, stale) })
+		return f.call(ctx, callList, func() ([]v1.Object, storerev.Revision, error) { return g.ports.Store.List(ctx, f.kind, stale) })
 	})
 	if answer.err != nil {
 		return answer.err
@@ -122,11 +126,11 @@
 	if f.kind == ConfigObjects && !stale {
 		g.verifyCopies(checkpoint{revision: answer.revision, at: answer.sent}, true)
 	}
-	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision, "stale": stale, "taken": outcome == config.Applied, "era": g.era.newest.Load()})
+	g.log.Log(events.StoreListed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": answer.revision.Number(), "stale": stale, "taken": outcome == config.Applied, "era": answer.revision.Era()})
 	return nil
 }
 
-func (f *follower) watch(revision uint64) error {
+func (f *follower) watch(revision storerev.Revision) error {
 	g := f.gateway
 	ctx, end := f.interruptible()
 	defer end(nil)
@@ -160,18 +164,18 @@
 func (f *follower) noteBehind(call string, answer storeAnswer) {
 	g := f.gateway
 	g.metrics.storeBehind.WithLabelValues(f.kind.String()).Inc()
-	if f.behind {
+	if f.behind.Swap(true) {
 		return
 	}
-	f.behind = true
+	known := g.copies.newestRevision()
 	g.log.Log(events.StoreBehind, events.Fields{
-		"kind": f.kind.String(), "call": call, "revision": answer.revision, "known": g.copies.newestRevision(),
-		"objects": len(answer.objects), "era": g.era.newest.Load(),
+		"kind": f.kind.String(), "call": call, "revision": answer.revision.Number(), "era": answer.revision.Era(),
+		"known_revision": known.Number(), "known_era": known.Era(), "objects": len(answer.objects),
 	})
 }
 
 // call makes one call to the store and notes how it went.
-func (f *follower) call(ctx context.Context, name string, made func() ([]v1.Object, uint64, error)) storeAnswer {
+func (f *follower) call(ctx context.Context, name string, made func() ([]v1.Object, storerev.Revision, error)) storeAnswer {
 	g := f.gateway
 	answer := storeAnswer{known: g.copies.newestRevision(), sent: f.gateway.now()}
 	answer.objects, answer.revision, answer.err = made()
@@ -180,14 +184,28 @@
 	return answer
 }
 
-// callWatch makes one watch.
-func (f *follower) callWatch(ctx context.Context, revision uint64, wait time.Duration) storeAnswer {
-	return f.call(ctx, callWatch, func() ([]v1.Object, uint64, error) { return f.gateway.ports.Store.Watch(ctx, f.kind, revision, wait) })
+// callWatch makes one watch. A store in another era may well have the revision's number, but
+// what it answers does not follow on what the copy holds.
+func (f *follower) callWatch(ctx context.Context, revision storerev.Revision, wait time.Duration) storeAnswer {
+	answer := f.call(ctx, callWatch, func() ([]v1.Object, storerev.Revision, error) {
+		return f.gateway.ports.Store.Watch(ctx, f.kind, revision, wait)
+	})
+	if answer.err != nil {
+		return answer
+	}
+	switch {
+	case answer.revision.Era() > revision.Era():
+		answer.err = ErrHistoryGone
+	case answer.revision.Era() < revision.Era():
+		f.noteBehind(callWatch, answer)
+		answer.err = errFromThePast
+	}
+	return answer
 }
 
 // take takes a watch's answer into the copy and returns the checkpoint that it tells, and
 // whether that is shown.
-func (f *follower) take(revision uint64, wait time.Duration, answer storeAnswer) (known checkpoint, shown bool) {
+func (f *follower) take(revision storerev.Revision, wait time.Duration, answer storeAnswer) (known checkpoint, shown bool) {
 	g := f.gateway
 	known = checkpoint{revision: answer.revision, at: provenSince(g.now(), answer.sent, wait, answer.objects)}
 	shown = g.copies.shownBy(answer, known.at)
@@ -232,10 +250,10 @@
 }
 
 // throughOf returns the revision up to which a watch's answer is complete.
-func throughOf(objects []v1.Object, revision, at uint64) uint64 {
+func throughOf(objects []v1.Object, revision, at storerev.Revision) storerev.Revision {
 	through := max(revision, at)
 	for _, object := range objects {
-		through = max(through, object.Version)
+		through = max(through, storerev.Revision(object.Version))
 	}
 	return through
 }
@@ -246,23 +264,37 @@
 		return
 	}
 	if errors.Is(err, ErrHistoryGone) {
-		f.listed = false
-		g.log.Log(events.StoreHistoryGone, events.Fields{"kind": f.kind.String(), "revision": g.copies.revision(f.kind)})
+		f.historyGone()
 		return
 	}
 	f.failures++
 	g.metrics.storeFailures.WithLabelValues(f.kind.String()).Inc()
 	if !f.lost {
 		f.lost = true
-		g.log.Log(events.StoreLost, events.Fields{"kind": f.kind.String(), "revision": g.copies.revision(f.kind), "error": err.Error()})
+		g.log.Log(events.StoreLost, events.Fields{"kind": f.kind.String(), "revision": g.copies.revision(f.kind).Number(), "error": err.Error()})
 	}
 	g.backOff(f.failures-1, firstRetry, lastRetry)
 }
 
+// historyGone has the copy listed anew. When the store has entered another era all routers
+// find that out at once: those that read for nobody else give the others time to tell them.
+func (f *follower) historyGone() {
+	g := f.gateway
+	f.listed = false
+	revision := g.copies.revision(f.kind)
+	g.log.Log(events.StoreHistoryGone, events.Fields{"kind": f.kind.String(), "revision": revision.Number(), "era": revision.Era()})
+	if g.relays.isSource() || g.era.newest() == revision.Era() {
+		return
+	}
+	g.pause(g.jitter(newEraPause))
+	f.listed = g.copies.revision(f.kind).Era() == g.era.newest()
+}
+
 func (f *follower) succeeded() {
 	if f.lost {
 		f.lost = false
-		f.gateway.log.Log(events.StoreRegained, events.Fields{"kind": f.kind.String(), "revision": f.gateway.copies.revision(f.kind), "failures": f.failures})
+		f.gateway.log.Log(events.StoreRegained, events.Fields{"kind": f.kind.String(), "revision": f.gateway.copies.revision(f.kind).Number(), "failures": f.failures})
 	}
-	f.failures, f.behind = 0, false
+	f.failures = 0
+	f.behind.Store(false)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/namings"
 	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Ports are the platform's implementations of what the gateway needs.
@@ -52,7 +53,7 @@
 type view struct {
 	table *routing.Table
 	// revision is the store's revision of the configuration.
-	revision uint64
+	revision storerev.Revision
 	// provenAt is when the call was sent whose answer proved the configuration.
 	provenAt time.Time
 }
--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -8,6 +8,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Times of the records in the store.
@@ -73,7 +74,7 @@
 
 // follow learns what others keep while this router reads the store.
 func (k *keptQuarantines) follow() {
-	g, revision, failures := k.gateway, uint64(0), 0
+	g, revision, failures := k.gateway, storerev.Revision(0), 0
 	// Many read at once where there is no seed: a list that may be old costs the store little.
 	// One whose history is gone leads nowhere, and is not asked for again.
 	stale := !g.relays.isSource()
@@ -84,6 +85,11 @@
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
+			// When the store has entered another era all routers find that out at once: those
+			// that read for nobody else leave it to the others, if they can.
+			if !g.relays.isSource() && !g.pause(g.jitter(newEraPause)) {
+				return
+			}
 			revision, stale = 0, false
 		}
 		if !k.failed(callWatch, err, failures) {
@@ -95,7 +101,7 @@
 
 // learn lists all records at first, and then waits for changes after the revision. It
 // returns the next revision, 0 for none.
-func (k *keptQuarantines) learn(revision uint64, stale bool) (next uint64, err error) {
+func (k *keptQuarantines) learn(revision storerev.Revision, stale bool) (next storerev.Revision, err error) {
 	g, name, wait, sent := k.gateway, callWatch, directoryWait, k.gateway.now()
 	if revision == 0 {
 		name, wait = callList, 0
@@ -109,8 +115,13 @@
 		kept, next, err = g.ports.Store.WatchQuarantines(ctx, revision, wait)
 	}
 	g.metrics.storeCall(quarantineKind, name, g.since(sent))
-	if err != nil {
+	switch {
+	case err != nil:
 		return revision, err
+	case next < revision:
+		return revision, errFromThePast
+	case revision > 0 && next.Era() != revision.Era():
+		return revision, ErrHistoryGone
 	}
 	k.take(kept)
 	if revision == 0 {
--- a/internal/gateway/keptquarantines_internal_test.go
+++ b/internal/gateway/keptquarantines_internal_test.go
@@ -14,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -29,7 +30,7 @@
 	newRevision = 10
 )
 
-func (s *forgetfulStore) Quarantines(_ context.Context, stale bool) ([]KeptQuarantine, uint64, error) {
+func (s *forgetfulStore) Quarantines(_ context.Context, stale bool) ([]KeptQuarantine, storerev.Revision, error) {
 	s.calls.Add(1)
 	if stale {
 		return nil, oldRevision, nil
@@ -37,7 +38,7 @@
 	return nil, newRevision, nil
 }
 
-func (s *forgetfulStore) WatchQuarantines(ctx context.Context, revision uint64, _ time.Duration) ([]KeptQuarantine, uint64, error) {
+func (s *forgetfulStore) WatchQuarantines(ctx context.Context, revision storerev.Revision, _ time.Duration) ([]KeptQuarantine, storerev.Revision, error) {
 	s.calls.Add(1)
 	if revision < newRevision {
 		return nil, 0, ErrHistoryGone
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -7,6 +7,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/lease"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Times of the lease on ordering runners.
@@ -95,17 +96,17 @@
 // term is the right to order under one fencing token.
 type term struct {
 	holder string
-	token  uint64
+	token  storerev.Revision
 	// until is when the right ends unless the lease is renewed.
 	until time.Time
 }
 
-func (l *leader) term(token uint64) term {
+func (l *leader) term(token storerev.Revision) term {
 	return term{holder: l.gateway.settings.Node, token: token, until: l.candidate.ValidUntil()}
 }
 
 // keep takes or renews the lease and returns the fencing token while it is held.
-func (l *leader) keep() (uint64, bool) {
+func (l *leader) keep() (storerev.Revision, bool) {
 	now := l.gateway.now()
 	if token, held := l.candidate.Token(now); held {
 		if l.candidate.Next(now) == lease.Renew {
@@ -162,7 +163,7 @@
 		l.retryLater(err)
 		return false
 	default:
-		l.candidate.Observe(now, lease.Observation{Exists: true, Version: revision, Spec: spec})
+		l.candidate.Observe(now, lease.Observation{Exists: true, Revision: revision, Spec: spec})
 	}
 	return true
 }
@@ -172,7 +173,8 @@
 	defer cancel()
 	proposal := l.candidate.Proposal(action)
 	sent := l.gateway.now()
-	written, err := l.gateway.ports.Store.WriteLease(ctx, proposal, l.candidate.Seen().Version)
+	seen := l.candidate.Seen()
+	written, err := l.gateway.ports.Store.WriteLease(ctx, proposal, seen.Exists, seen.Revision)
 	l.gateway.metrics.storeCall(leaseKind, callWrite, l.gateway.since(sent))
 	if err != nil {
 		// Lost or refused: the next read shows what is in place.
@@ -186,17 +188,17 @@
 	g := l.gateway
 	g.metrics.storeFailures.WithLabelValues(leaseKind).Inc()
 	l.nextRead = l.gateway.now().Add(g.jitter(leaseRetry))
-	g.log.Log(events.LeaseCallFailed, events.Fields{"error": err.Error(), "seen": l.candidate.Seen().Version, "holder": l.candidate.Seen().Spec.Holder})
+	g.log.Log(events.LeaseCallFailed, events.Fields{"error": err.Error(), "seen": l.candidate.Seen().Revision.Number(), "holder": l.candidate.Seen().Spec.Holder})
 }
 
-func (l *leader) note(token uint64, held bool) {
+func (l *leader) note(token storerev.Revision, held bool) {
 	if held == l.held {
 		return
 	}
 	l.held = held
-	l.gateway.leaseToken.Store(token)
+	l.gateway.leaseToken.Store(uint64(token))
 	if held {
-		l.gateway.log.Log(events.LeaseAcquired, events.Fields{"token": token})
+		l.gateway.log.Log(events.LeaseAcquired, events.Fields{"token": token, "era": token.Era()})
 		return
 	}
 	l.gateway.log.Log(events.LeaseLost, events.Fields{"holder": l.candidate.Seen().Spec.Holder})
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -175,7 +175,7 @@
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
 		gauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.Tenants() }),
 		gauge("share_tenants", "Tenants of whose recent use of services this router keeps a sum.", func() float64 { return g.shares.tenants() }),
-		gauge("store_era", "Era of the store: how often it came back from a copy, counted by itself; 0 when unknown.", func() float64 { return float64(g.era.newest.Load()) }),
+		gauge("store_era", "Era of the store: how often it came back from a copy, counted by itself; 0 when unknown.", func() float64 { return float64(g.era.newest()) }),
 		gauge("config_version", "Version of the configuration in force.", g.configVersion),
 		gauge("config_proof_age_seconds", "Time since the configuration in force was proved; -1 without one.", g.proofAge),
 		gauge("peer_connections_silent", "Connections to other routers closed since they answered nothing.", func() float64 { return g.relays.silentConnections() }),
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -11,6 +11,7 @@
 	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Clock tells moments by a clock that goes on while the machine is suspended.
@@ -136,7 +137,7 @@
 // unless the object is gone or could not be read.
 type Object struct {
 	Name     string
-	Revision uint64
+	Revision storerev.Revision
 	Gone     bool
 	Config   *routing.Config
 	Runner   *backend.Runner
@@ -164,20 +165,22 @@
 type Store interface {
 	// List returns all objects of the kind and the revision that they stand for. A
 	// stale list may be some seconds old and costs the store little.
-	List(ctx context.Context, kind ObjectKind, stale bool) (objects []v1.Object, revision uint64, err error)
+	List(ctx context.Context, kind ObjectKind, stale bool) (objects []v1.Object, revision storerev.Revision, err error)
 	// Watch returns the changes after the revision as soon as there are any, or
-	// none after the wait, with the revision up to which nothing else changed.
-	Watch(ctx context.Context, kind ObjectKind, revision uint64, wait time.Duration) (objects []v1.Object, at uint64, err error)
-	// Lease reads the lease object; ErrNotFound when there is none.
-	Lease(ctx context.Context) (spec v1.LeaseSpec, revision uint64, err error)
-	// WriteLease writes it if it still has the revision, 0 for none.
-	WriteLease(ctx context.Context, spec v1.LeaseSpec, revision uint64) (written uint64, err error)
+	// none after the wait, with the revision up to which nothing else changed. The store
+	// goes by the number alone: an answer of another era has no changes of the one between.
+	Watch(ctx context.Context, kind ObjectKind, revision storerev.Revision, wait time.Duration) (objects []v1.Object, at storerev.Revision, err error)
+	// Lease reads the lease object. When there is none it returns ErrNotFound and the start
+	// of the era.
+	Lease(ctx context.Context) (spec v1.LeaseSpec, revision storerev.Revision, err error)
+	// WriteLease writes it if its number still is the revision's, or creates it.
+	WriteLease(ctx context.Context, spec v1.LeaseSpec, exists bool, revision storerev.Revision) (written storerev.Revision, err error)
 	// Quarantines lists the contents that are kept, and the revision that the list stands for;
 	// a stale list may be some seconds old.
-	Quarantines(ctx context.Context, stale bool) ([]KeptQuarantine, uint64, error)
+	Quarantines(ctx context.Context, stale bool) ([]KeptQuarantine, storerev.Revision, error)
 	// WatchQuarantines returns the changes after the revision as soon as there are any, or
 	// none after the wait, with the revision up to which nothing else changed.
-	WatchQuarantines(ctx context.Context, revision uint64, wait time.Duration) ([]KeptQuarantine, uint64, error)
+	WatchQuarantines(ctx context.Context, revision storerev.Revision, wait time.Duration) ([]KeptQuarantine, storerev.Revision, error)
 	// KeepQuarantine writes what is known of a content, in place of what is kept of it.
 	KeepQuarantine(ctx context.Context, record quarantine.Record) error
 	// DropQuarantine takes the content out; one that is not kept is no error.
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -8,6 +8,7 @@
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/control"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -180,6 +181,8 @@
 	now := r.gateway.now()
 	age := wire.Age(answer.GetProofAgeMillis())
 	known := answer.GetProven() || answer.GetUnconfigured()
+	// A router that knows nothing of the era of this one's copies proves none of them.
+	usable := known && !r.ofEarlierEra(answer)
 	r.mutex.Lock()
 	oldest := r.oldestProof(address)
 	switch {
@@ -190,7 +193,7 @@
 	case !known:
 		r.chooser.Starting(now, address)
 		r.patientUntil = r.gateway.started.Add(seedPatience)
-	case !recent(answer, oldest):
+	case !usable, !recent(answer, oldest):
 		r.chooser.Failed(now, address)
 	default:
 		r.chooser.Answered(address, answer.GetZone())
@@ -211,7 +214,23 @@
 	}
 	r.gateway.caches.told(address, answer.GetCache())
 	r.gateway.cacheStores.told(cacheStores{config: answer.GetCacheStoresConfig(), answering: answer.GetCacheStores()}, address)
-	return recent(answer, oldest)
+	return usable && recent(answer, oldest)
+}
+
+// ofEarlierEra tells whether the answer stands for an earlier era of the store than this
+// router's copies. The configuration's revision is told by all versions of the router.
+func (r *relays) ofEarlierEra(answer *wire.CopyAnswer) bool {
+	for _, delta := range answer.GetDeltas() {
+		if ObjectKind(delta.GetKind()) != ConfigObjects {
+			continue
+		}
+		unpacked, err := wire.UnpackCopyDelta(delta)
+		if err != nil {
+			return true
+		}
+		return storerev.Revision(unpacked.GetThroughRevision()).Era() < r.gateway.copies.revision(ConfigObjects).Era()
+	}
+	return false
 }
 
 // refer takes another router's word on whom to ask. The mutex is held.
@@ -246,7 +265,7 @@
 	g.suspects.ask(address, request)
 	g.signals.ask(address, request)
 	for _, kind := range kinds {
-		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: g.copies.revision(kind)})
+		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: uint64(g.copies.revision(kind))})
 	}
 	sent := r.gateway.now()
 	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
--- a/internal/gateway/quotacall.go
+++ b/internal/gateway/quotacall.go
@@ -32,7 +32,7 @@
 	limit := c.tenant.Quota
 	c.spending = limits.Spending{
 		Tenant: c.tenant.Name, Amount: limit.Amount(c.facts.PromptTokens, c.facts.MaxTokens, c.facts.Counted),
-		Limit: quota.Limit{Rate: limit.Rate, Burst: limit.Burst, Window: c.gateway.settings.QuotaWindow, Revision: c.view.revision},
+		Limit: quota.Limit{Rate: limit.Rate, Burst: limit.Burst, Window: c.gateway.settings.QuotaWindow, Revision: uint64(c.view.revision)},
 	}
 	decided, arrived, ctx, s := make(chan limits.Decision, 1), make(chan struct{}), c.caller.Context(), c.spending
 	go func() { decided <- c.gateway.limits.Decide(ctx, s, arrived) }()
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -6,6 +6,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/control"
 	"github.com/clovertiller/clovertiller/internal/relay"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -22,7 +23,7 @@
 
 // packedCopy is the encoded changes between two revisions.
 type packedCopy struct {
-	from, through uint64
+	from, through storerev.Revision
 	// reusable copies are given out for a while though there are newer changes:
 	// whole directories only. A configuration goes with a proof that it is the
 	// newest, so an older one must never be given.
@@ -32,8 +33,8 @@
 }
 
 // answers tells whether the copy serves for changes between the revisions.
-func (p packedCopy) answers(from, through uint64, now time.Time) bool {
-	if p.message == nil || p.from != from {
+func (p packedCopy) answers(from, through storerev.Revision, now time.Time) bool {
+	if p.message == nil || p.from != from || p.through.Era() != through.Era() {
 		return false
 	}
 	return p.through == through || (p.reusable && now.Sub(p.at) < fullTime)
@@ -88,15 +89,16 @@
 	answer.Suspects, answer.Signals = g.suspects.answer(pull), g.signals.answer(pull)
 	answer.TellsProofs, answer.Proofs, answer.WeightBounds = true, g.copies.proofs(), g.firmBounds()
 	if newest, known := g.copies.checkpoints.newest(); known {
-		answer.StoreRevision, answer.StoreAgeMillis = newest.revision, wire.AgeMillis(r.gateway.since(newest.at))
+		answer.StoreRevision, answer.StoreAgeMillis = uint64(newest.revision), wire.AgeMillis(r.gateway.since(newest.at))
 	}
 	for _, have := range pull.GetHave() {
 		kind := ObjectKind(have.GetKind())
 		if int(kind) >= len(objectKinds) {
 			continue
 		}
-		if kind == ConfigObjects || g.copies.revision(kind) > have.GetRevision() {
-			answer.Deltas = append(answer.Deltas, r.changes(kind, have.GetRevision()))
+		known := storerev.Revision(have.GetRevision())
+		if kind == ConfigObjects || g.copies.revision(kind) > known {
+			answer.Deltas = append(answer.Deltas, r.changes(kind, known))
 		}
 	}
 	return answer
@@ -200,7 +202,7 @@
 
 // changes returns what changed after the revision, encoded. The last such
 // answer is kept, as many routers ask for the same after a change or a restart.
-func (r *relays) changes(kind ObjectKind, after uint64) *wire.CopyDelta {
+func (r *relays) changes(kind ObjectKind, after storerev.Revision) *wire.CopyDelta {
 	through := r.gateway.copies.revision(kind)
 	r.mutex.Lock()
 	kept := r.packed[kind]
@@ -221,7 +223,7 @@
 }
 
 // push tells the routers that pulled of late what has changed after the revision.
-func (r *relays) push(kind ObjectKind, after uint64) {
+func (r *relays) push(kind ObjectKind, after storerev.Revision) {
 	addresses := r.pushed(r.gateway.now())
 	if len(addresses) == 0 {
 		return
--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // A watch that waits for a change looks the same as one whose answer is lost or whose
@@ -72,7 +73,7 @@
 	g.metrics.renewals.WithLabelValues(f.kind.String(), renewalOutcome(len(answer.objects) > 0)).Inc()
 	if len(answer.objects) > 0 {
 		f.endWatch()
-		g.log.Log(events.WatchRenewed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": g.copies.revision(f.kind)})
+		g.log.Log(events.WatchRenewed, events.Fields{"kind": f.kind.String(), "objects": len(answer.objects), "revision": g.copies.revision(f.kind).Number()})
 	}
 }
 
@@ -83,7 +84,7 @@
 	}
 }
 
-func (f *follower) askBeside(revision uint64) storeAnswer {
+func (f *follower) askBeside(revision storerev.Revision) storeAnswer {
 	ctx, cancel := context.WithTimeout(f.gateway.ctx, regainWait+callSlack)
 	defer cancel()
 	return f.callWatch(ctx, revision, regainWait)
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -10,6 +10,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/rollout"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Times and limits of rollouts.
@@ -49,7 +50,7 @@
 	setBackUntil map[string]time.Time
 	current      term
 	// fenced is the highest token that a runner refused as too low.
-	fenced uint64
+	fenced storerev.Revision
 	// taken is the decaying average of what updates lasted.
 	taken time.Duration
 }
@@ -288,7 +289,7 @@
 }
 
 // refused tells whether a runner refused the token as too low.
-func (r *rollouts) refused(token uint64) bool {
+func (r *rollouts) refused(token storerev.Revision) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return token <= r.fenced
--- a/internal/gateway/runnerports.go
+++ b/internal/gateway/runnerports.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // RunnerReport is a runner's own word on its state.
@@ -26,7 +27,7 @@
 	Version uint64
 	// Holder and Token are the lease's holder and fencing token.
 	Holder string
-	Token  uint64
+	Token  storerev.Revision
 	// ExpectedOrders is the number of orders taken at which it is to be carried out.
 	ExpectedOrders uint64
 	// KeepRunning lets running requests go on under the new weights instead of
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // fetchCost is the cost of a prompt token that a runner fetches, in tokens that it
@@ -73,7 +74,7 @@
 		"runner": runner.ID, "address": runner.Address, "attempt": c.request.Attempt() + 1, "weights": c.weights,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.Queueing.Milliseconds(), "excess": c.limit.Excess,
-		"permitted": c.permit.Valid(now), "content": c.content.String(), "directory": g.directoryRevision.Load(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
+		"permitted": c.permit.Valid(now), "content": c.content.String(), "directory": storerev.Revision(g.directoryRevision.Load()).Number(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 	})
 	c.beginSend(now, runner, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
 	c.pickBackup(now, runner)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // StatusPath is the path of the status, beside the counters.
@@ -18,6 +19,8 @@
 	// ConfigVersion and ConfigRevision are those in force, 0 without one.
 	ConfigVersion  uint64 `json:"configVersion"`
 	ConfigRevision uint64 `json:"configRevision"`
+	// StoreEra is the newest era of the store that the router knows of, 0 before any.
+	StoreEra uint64 `json:"storeEra"`
 	// ProofAgeMillis is the age of the proof of the configuration, -1 without one.
 	ProofAgeMillis int64 `json:"proofAgeMillis"`
 	// Proven tells whether requests with a key are served.
@@ -56,11 +59,11 @@
 	now := g.now()
 	status := Status{
 		Node: g.settings.Node, Zone: g.settings.Zone, Draining: g.draining.Load(), ProofAgeMillis: -1,
-		Proven: g.proven(now), DirectoryRevision: g.directoryRevision.Load(), ReadsStore: g.direct.on(),
+		Proven: g.proven(now), DirectoryRevision: storerev.Revision(g.directoryRevision.Load()).Number(), StoreEra: g.era.newest(), ReadsStore: g.direct.on(),
 		LeaseToken: g.leaseToken.Load(),
 	}
 	if current := g.view.Load(); current != nil {
-		status.ConfigVersion, status.ConfigRevision = current.table.Version, current.revision
+		status.ConfigVersion, status.ConfigRevision = current.table.Version, current.revision.Number()
 		if !current.provenAt.IsZero() {
 			status.ProofAgeMillis = now.Sub(current.provenAt).Milliseconds()
 		}
--- a/internal/gateway/storecall.go
+++ b/internal/gateway/storecall.go
@@ -6,16 +6,17 @@
 	"time"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // storeAnswer is what a list or a watch brought.
 type storeAnswer struct {
 	objects  []v1.Object
-	revision uint64
+	revision storerev.Revision
 	// sent is when the call that was answered left, and known the newest revision that
 	// this router knew of then.
 	sent  time.Time
-	known uint64
+	known storerev.Revision
 	err   error
 }
 
--- /dev/null
+++ b/internal/gateway/storeera_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+)
+
+// Guards against keys that are served on answers of a store whose era cannot be told from an
+// earlier one, and against routers that stay so once it can.
+func TestAnswersWhoseEraIsNotTheNewestProveNothing(t *testing.T) {
+	for what, write := range map[string]func(era uint64) string{
+		"no era":                     func(uint64) string { return "" },
+		"an era that cannot be read": func(uint64) string { return "two" },
+		"an era of 0":                func(uint64) string { return "0" },
+		"an earlier era":             func(era uint64) string { return strconv.FormatUint(era-1, 10) },
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			f := newRestorable(t, 1, func(settings *gateway.Settings) { settings.ConfigLease = 3 * time.Second })
+			f.restore(f.store.Copy(), storeAway/8, nil)
+			f.inNewEra()
+			f.serves()
+			f.store.WriteEra(write)
+			f.configure(2, defaultRoutes(), goodKey)
+			r := f.routers[0]
+			f.g.Eventually(func() int { return r.call("/safe/x", withKey("key-two")).status }, 3*time.Second, 10*time.Millisecond).Should(Equal(http.StatusServiceUnavailable))
+			f.g.Consistently(func() int { return r.call("/safe/x", nil).status }, 500*time.Millisecond, 10*time.Millisecond).Should(Equal(http.StatusServiceUnavailable))
+			f.store.WriteEra(func(era uint64) string { return strconv.FormatUint(era, 10) })
+			f.serves()
+			f.g.Expect(r.call("/safe/x", withKey("key-two")).status).To(Equal(http.StatusUnauthorized))
+		})
+	}
+}
+
+// Guards against an older store, which tells no era, that is not read.
+func TestStoresThatTellNoEraAreReadAsBefore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.WriteEra(func(uint64) string { return "" })
+	f.configure(1, defaultRoutes(), goodKey)
+	f.runner("p1", "plain")
+	r := f.servingRouter("r1", nil)
+	f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	f.configure(2, defaultRoutes(), "key-two")
+	f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, inForceTime, 5*time.Millisecond).Should(Equal(http.StatusUnauthorized))
+}
+
+// Guards against a herd of calls when all routers find out at once that the store came back
+// from a copy.
+func TestReturnOfTheStoreCostsFewCalls(t *testing.T) {
+	t.Parallel()
+	const routers = 12
+	f := newRestorable(t, routers, nil)
+	kept := f.store.Copy()
+	f.configure(2, added("fresh"), goodKey)
+	f.grow(lostWrites)
+	time.Sleep(shortestSight)
+	f.setDoors(storestand.Reset)
+	time.Sleep(storeAway)
+	f.store.Restore(kept)
+	calls := f.calls()
+	f.setDoors(storestand.Healthy)
+	f.inNewEra()
+	time.Sleep(storeAway)
+	f.g.Expect(f.calls()-calls).To(BeNumerically("<", 10*routers), "calls to the store in its first seconds")
+}
+
+// calls counts the calls to the store of all routers.
+func (f *restorable) calls() (count int) {
+	for _, r := range f.routers {
+		count += r.door.Calls()
+	}
+	return count
+}
--- a/internal/gateway/weightdeadline.go
+++ b/internal/gateway/weightdeadline.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/namings"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Times of news.
@@ -27,7 +28,7 @@
 
 // newsOfWeights returns what is known of weights that were named at the revision, before
 // they are taken into the copy.
-func (g *Gateway) newsOfWeights(now time.Time, revision uint64) namings.News {
+func (g *Gateway) newsOfWeights(now time.Time, revision storerev.Revision) namings.News {
 	proven := g.copies.provenAt(WeightObjects)
 	return namings.News{
 		Learned: now, Started: g.started, Disturbed: g.disturbance.latest(), Alone: g.relays.alone(),
--- a/internal/gateway/weightdeadline_test.go
+++ b/internal/gateway/weightdeadline_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/namings"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 func TestCheckpointsBoundWhenARevisionWasWritten(t *testing.T) {
@@ -16,14 +17,14 @@
 	var known checkpoints
 	at := time.Unix(1_000, 0)
 	g.Expect(known.before(5)).To(BeZero())
-	for revision := range uint64(keptCheckpoints + 4) {
+	for revision := range storerev.Revision(keptCheckpoints + 4) {
 		known.note(checkpoint{revision: revision, at: at.Add(time.Duration(revision) * time.Second)})
 	}
 	g.Expect(known.before(10)).To(Equal(at.Add(9 * time.Second)))
 	g.Expect(known.before(4)).To(BeZero(), "no longer known")
 	newest, found := known.newest()
 	g.Expect(found).To(BeTrue())
-	g.Expect(newest.revision).To(Equal(uint64(keptCheckpoints + 3)))
+	g.Expect(newest.revision).To(Equal(storerev.Revision(keptCheckpoints + 3)))
 }
 
 func TestFailuresWithAGapBetweenAreApart(t *testing.T) {
--- a/internal/lab/storestand/restore.go
+++ b/internal/lab/storestand/restore.go
@@ -110,3 +110,10 @@
 	}
 	return cloned
 }
+
+// Writes returns how many changes of the kind the history has.
+func (s *Store) Writes(kind string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.history[kind])
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -1,22 +1,26 @@
 // Package lease decides who holds a lease kept in the platform's object API.
 //
-// The version of the lease object at the acquiring write is the fencing token
+// The revision of the lease object at the acquiring write is the fencing token
 // of the holder's term. Engines remember the highest token they have seen and
 // refuse lower ones, so a holder that was paused past its lease and wakes does
-// no harm. The package has no I/O and no clock; spec/lease.pml models it.
+// no harm. Revisions hold the era of the platform's store first, so tokens rise
+// too when the store comes back from a copy and gives out numbers again.
+// The package has no I/O and no clock; spec/lease.pml models it.
 package lease
 
 import (
 	"time"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Observation is the lease object as last read.
 type Observation struct {
-	Exists  bool
-	Version uint64
-	Spec    v1.LeaseSpec
+	Exists bool
+	// Revision is when the object last changed; without one, any of the era.
+	Revision storerev.Revision
+	Spec     v1.LeaseSpec
 }
 
 // Action is what a candidate is to do.
@@ -43,10 +47,10 @@
 	takeover time.Duration
 
 	seen Observation
-	// changedAt is when this node saw the observed version first, by its own clock.
+	// changedAt is when this node saw the observed revision first, by its own clock.
 	changedAt time.Time
 	// token is the fencing token of the own term, 0 when not holding.
-	token uint64
+	token storerev.Revision
 	// validUntil is when the own term ends unless renewed, counted from before
 	// the write that started or renewed it.
 	validUntil time.Time
@@ -54,7 +58,7 @@
 
 // NewCandidate returns a candidate for a lease of the given duration.
 func NewCandidate(node string, duration time.Duration) *Candidate {
-	return &Candidate{node: node, duration: duration, takeover: duration}
+	return NewCandidateWithGap(node, duration, 0)
 }
 
 // NewCandidateWithGap returns a candidate for a lease of the given duration
@@ -67,10 +71,10 @@
 // Observe takes a read of the lease object. A holder that sees another one's
 // write has lost its term.
 func (c *Candidate) Observe(now time.Time, observation Observation) {
-	if observation.Version < c.seen.Version {
+	if observation.Revision < c.seen.Revision {
 		return
 	}
-	if observation.Version != c.seen.Version || c.changedAt.IsZero() {
+	if observation.Revision != c.seen.Revision || c.changedAt.IsZero() {
 		c.changedAt = now
 	}
 	c.seen = observation
@@ -118,12 +122,12 @@
 // Written notes a write that the platform accepted. The term is counted from
 // before the write was sent, so that this node never believes in it for longer
 // than the others do.
-func (c *Candidate) Written(sent time.Time, action Action, version uint64, spec v1.LeaseSpec) {
-	c.seen = Observation{Exists: true, Version: version, Spec: spec}
+func (c *Candidate) Written(sent time.Time, action Action, revision storerev.Revision, spec v1.LeaseSpec) {
+	c.seen = Observation{Exists: true, Revision: revision, Spec: spec}
 	c.changedAt = sent
 	c.validUntil = sent.Add(c.duration)
 	if action == Acquire {
-		c.token = version
+		c.token = revision
 	}
 }
 
@@ -131,7 +135,7 @@
 func (c *Candidate) Release() { c.token = 0 }
 
 // Token returns the fencing token of the own term while it is valid.
-func (c *Candidate) Token(now time.Time) (uint64, bool) {
+func (c *Candidate) Token(now time.Time) (storerev.Revision, bool) {
 	if c.token == 0 || !now.Before(c.validUntil) {
 		return 0, false
 	}
--- a/internal/lease/lease_property_test.go
+++ b/internal/lease/lease_property_test.go
@@ -9,6 +9,7 @@
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/lab/testkit"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 const duration = 3 * time.Second
@@ -17,14 +18,14 @@
 // that may be paused between deciding and acting.
 type world struct {
 	now        time.Time
-	version    uint64
+	version    storerev.Revision
 	spec       v1.LeaseSpec
 	candidates []*Candidate
 	// orders are orders on their way to the engine, each with its token.
-	orders []uint64
-	fence  uint64
+	orders []storerev.Revision
+	fence  storerev.Revision
 	// issued maps each token to the node that it was issued to.
-	issued map[uint64]int
+	issued map[storerev.Revision]int
 }
 
 func (w *world) pick(t *rapid.T) int {
@@ -32,7 +33,7 @@
 }
 
 func (w *world) observe(t *rapid.T) {
-	w.candidates[w.pick(t)].Observe(w.now, Observation{Exists: w.version > 0, Version: w.version, Spec: w.spec})
+	w.candidates[w.pick(t)].Observe(w.now, Observation{Exists: w.version > 0, Revision: w.version, Spec: w.spec})
 }
 
 // write lets a node act on what it last observed; its answer may be lost.
@@ -44,7 +45,7 @@
 		return
 	}
 	sent := w.now
-	if candidate.Seen().Version != w.version {
+	if candidate.Seen().Revision != w.version {
 		return
 	}
 	proposal := candidate.Proposal(action)
@@ -85,11 +86,11 @@
 func TestOneBelieverAtATimeAndTokensRise(t *testing.T) {
 	testkit.Properties(20000)
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{now: time.Unix(1_000, 0), issued: map[uint64]int{}}
+		w := &world{now: time.Unix(1_000, 0), issued: map[storerev.Revision]int{}}
 		for i := range 3 {
 			w.candidates = append(w.candidates, NewCandidate(fmt.Sprintf("n%d", i), duration))
 		}
-		lastHolder, lastToken := -1, uint64(0)
+		lastHolder, lastToken := -1, storerev.Revision(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"observe":      w.observe,
 			"observe more": w.observe,
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -17,6 +17,7 @@
 	"github.com/clovertiller/clovertiller/internal/platform"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 	"github.com/clovertiller/clovertiller/internal/rollout"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Times and sizes of the controller.
@@ -85,7 +86,8 @@
 	if c.mayHold() {
 		c.stepLease()
 	}
-	return c.candidate.Token(time.Now())
+	token, held := c.candidate.Token(time.Now())
+	return uint64(token), held
 }
 
 func (c *controller) stepLease() {
@@ -103,13 +105,13 @@
 	proposal := c.candidate.Proposal(action)
 	spec, _ := json.Marshal(proposal)
 	sent := time.Now()
-	stored, err := c.node.platform.Put(c.node.ctx, v1.Object{Kind: leaseKey.Kind, Name: leaseKey.Name, Version: c.candidate.Seen().Version, Spec: spec})
+	stored, err := c.node.platform.Put(c.node.ctx, v1.Object{Kind: leaseKey.Kind, Name: leaseKey.Name, Version: uint64(c.candidate.Seen().Revision), Spec: spec})
 	if err != nil {
 		// Lost or refused: the next read shows what is in place.
 		c.nextRead = time.Time{}
 		return
 	}
-	c.candidate.Written(sent, action, stored.Version, proposal)
+	c.candidate.Written(sent, action, storerev.Revision(stored.Version), proposal)
 }
 
 func (c *controller) readLease() bool {
@@ -122,7 +124,7 @@
 	case err != nil:
 		return false
 	}
-	observation := lease.Observation{Exists: true, Version: object.Version}
+	observation := lease.Observation{Exists: true, Revision: storerev.Revision(object.Version)}
 	if json.Unmarshal(object.Spec, &observation.Spec) != nil {
 		return false
 	}
@@ -232,7 +234,7 @@
 // lowestRevision returns the lowest revision heard to be in force on a usable
 // router. The mutex is held.
 func (n *Node) lowestRevision() uint64 {
-	lowest := n.control.Store().Revision()
+	lowest := uint64(n.control.Store().Revision())
 	for _, id := range n.control.UsableNodes() {
 		member, _ := n.control.Members().Member(id)
 		lowest = min(lowest, member.Revision)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -8,6 +8,7 @@
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/platform"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // Times of reading from the platform.
@@ -76,7 +77,7 @@
 	if err != nil {
 		return false
 	}
-	n.applyPlatform(config.Delta{Through: list.Revision, Full: true, Objects: watched(list.Items)})
+	n.applyPlatform(config.Delta{Through: storerev.Revision(list.Revision), Full: true, Objects: watched(list.Items)})
 	return true
 }
 
@@ -89,7 +90,7 @@
 	}
 	// The watch is in order and from the revision in force on, so the batch
 	// holds every change after what this node has.
-	n.applyPlatform(config.Delta{From: 0, Through: batch.Revision, Objects: objects})
+	n.applyPlatform(config.Delta{From: 0, Through: storerev.Revision(batch.Revision), Objects: objects})
 }
 
 func (n *Node) applyPlatform(delta config.Delta) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -27,7 +27,7 @@
 	Rate   float64
 	Burst  float64
 	Window time.Duration
-	// Revision is the store's revision of the configuration that the limit is from.
+	// Revision is the store's revision, with its era, of the configuration that the limit is from.
 	Revision uint64
 }
 
