What routers know better than the copy of the store is kept

Callers would see, once news of a new era is taken: keys that were taken away served again by routers that start after the return, requests to runners that had said that they leave or were gone, and none to runners that the copy lacks.

Cause: the first list of an era is complete for the store and older than what routers have acted on. What it lacks is written again, by the operator and the runners, some time later.

Change: the copies reconcile such a list by the order that objects carry themselves: versions of configurations and weights, and of a runner its start, that it leaves, its weights. The newer state is kept under the listed revision; what is missing is kept under its old one, which tells all routers that nobody has written it again, so nothing is added to messages. Event 846 and store_lost_objects_total say what was lost.

--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -41,6 +41,25 @@
 	Models []ModelVersion
 }
 
+// Precedes tells whether the entry says less of the runner than the other one: it is of an
+// earlier start, or of before the runner began to leave or took newer weights.
+func (r Runner) Precedes(other Runner) bool {
+	if r.Incarnation != other.Incarnation || r.Service != other.Service {
+		return r.Incarnation < other.Incarnation
+	}
+	if r.Draining != other.Draining {
+		return other.Draining
+	}
+	for _, model := range r.Models {
+		for _, newer := range other.Models {
+			if model.Name == newer.Name && model.Version < newer.Version {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Times and weights of evidence.
 const (
 	// minAside and maxAside bound how long a runner that could not be reached
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -208,6 +208,39 @@
 	return delta
 }
 
+// Object returns a live object.
+func (s *Store) Object(key v1.Key) (v1.Object, bool) {
+	current := s.objects[key]
+	if current == nil {
+		return v1.Object{}, false
+	}
+	return current.object, true
+}
+
+// Objects returns all live objects.
+func (s *Store) Objects() []v1.Object {
+	objects := make([]v1.Object, 0, len(s.objects))
+	for _, current := range s.objects {
+		objects = append(objects, current.object)
+	}
+	return objects
+}
+
+// RemoveOlder removes the objects that were written last before the revision and returns them
+// as deleted. They do not come back at the revisions that they had.
+func (s *Store) RemoveOlder(revision storerev.Revision) []v1.Object {
+	var removed []v1.Object
+	for key, current := range s.objects {
+		if revisionOf(current.object) < revision {
+			removed = append(removed, v1.Object{Kind: key.Kind, Name: key.Name, Version: current.object.Version, Deleted: true})
+			delete(s.objects, key)
+			s.tombstones[key] = revisionOf(current.object)
+		}
+	}
+	s.trimTombstones()
+	return removed
+}
+
 // Version returns the version of a live object, or 0.
 func (s *Store) Version(key v1.Key) uint64 {
 	if current := s.objects[key]; current != nil {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -83,6 +83,7 @@
 	ObjectUnreadable     = define(813, logrus.ErrorLevel, "object of the store cannot be read and is ignored")
 	QuarantineCallFailed = define(828, logrus.WarnLevel, "call on the kept quarantines failed")
 	StoreBehind          = define(845, logrus.WarnLevel, "answer of the store is older than what is known")
+	StoreLostChanges     = define(846, logrus.WarnLevel, "store came back from a copy that lacks changes; what is known of them is kept")
 	StoreListed          = define(820, logrus.InfoLevel, "objects of a kind listed")
 	StoreHistoryGone     = define(821, logrus.WarnLevel, "history of the store is gone; listing again")
 	StoreLost            = define(822, logrus.WarnLevel, "store does not answer well")
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -42,10 +42,13 @@
 	reached []checkpoint
 	// checkpoints are the store's latest revisions.
 	checkpoints checkpoints
+	// returned are the revisions of entries of runners that were gone before the store came
+	// back from a copy that has them, by name.
+	returned map[string]storerev.Revision
 }
 
 func newCopies(g *Gateway) *copies {
-	c := &copies{gateway: g, stores: map[ObjectKind]*config.Store{}, proven: map[ObjectKind]*atomic.Pointer[time.Time]{}}
+	c := &copies{gateway: g, stores: map[ObjectKind]*config.Store{}, proven: map[ObjectKind]*atomic.Pointer[time.Time]{}, returned: map[string]storerev.Revision{}}
 	for _, kind := range objectKinds {
 		c.stores[kind] = config.NewOpaqueStore()
 		c.proven[kind] = &atomic.Pointer[time.Time]{}
@@ -105,9 +108,10 @@
 	c.gateway.era.told(delta.Through.Era())
 	c.mutex.Lock()
 	before := c.stores[kind].Revision()
+	delta = c.reconcile(kind, delta)
 	outcome := c.stores[kind].Apply(delta)
 	if outcome == config.Applied {
-		c.gateway.putInForce(kind, newerThan(before, delta))
+		c.gateway.putInForce(kind, c.withoutReturned(kind, newerThan(before, delta)))
 	}
 	c.noteReached(checkpoint{revision: c.stores[kind].Revision(), at: c.gateway.now()})
 	if proven.given && outcome != config.Gap && delta.Through.Era() == c.stores[kind].Revision().Era() {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -71,8 +71,10 @@
 	// and storeBehind answers that were older than what was known.
 	storeRestores prometheus.Counter
 	storeBehind   *prometheus.CounterVec
-	renewals      *prometheus.CounterVec
-	peerCalls     *prometheus.HistogramVec
+	// storeLosses counts objects that the store had lost when it came back from a copy.
+	storeLosses *prometheus.CounterVec
+	renewals    *prometheus.CounterVec
+	peerCalls   *prometheus.HistogramVec
 
 	orders        *prometheus.CounterVec
 	weightUpdates *prometheus.HistogramVec
@@ -142,6 +144,7 @@
 			Namespace: namespace, Name: "store_restores_total", Help: "Times that the store came back from a copy, without what it had acknowledged since.",
 		}),
 		storeBehind:   counters("store_answers_behind_total", "Answers of the store that were older than what was known.", "kind"),
+		storeLosses:   counters("store_lost_objects_total", "Objects that the store came back with in an earlier state, without, or with again though they were gone.", "kind", "state"),
 		renewals:      counters("watch_renewals_total", "Watches that were behind and made anew, by whether the next one brought changes.", "kind", "outcome"),
 		peerCalls:     seconds("peer_call_seconds", "Pulls of changes from other routers.", "outcome"),
 		orders:        counters("orders_total", "Orders given to runners, by outcome.", "outcome"),
@@ -169,7 +172,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.latencies, m.firstEvents, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.runnerEndRuns, m.quarantines, m.quarantineTimes, m.signals, m.limitedSends, m.permitAges, m.grants, m.suspensions, m.connections, m.silentConnections,
-		m.storeCalls, m.storeFailures, m.storeRestores, m.storeBehind, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
+		m.storeCalls, m.storeFailures, m.storeRestores, m.storeBehind, m.storeLosses, m.renewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.sources, m.choices, m.placementCalls, m.yields, m.returns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStates{gateway: g}, &copyAges{gateway: g}, &contentStates{gateway: g}, &serviceWork{gateway: g},
 		gauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.open() }),
 		gauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.routers.Load()) }),
--- /dev/null
+++ b/internal/gateway/restoredrunners_test.go
@@ -0,0 +1,151 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// restore has the store go away for the time and come back from the copy; between both the
+// function may write.
+func (f *restorable) restore(kept storestand.Copy, away time.Duration, between func()) {
+	f.setDoors(storestand.Reset)
+	time.Sleep(away)
+	f.store.Restore(kept)
+	if between != nil {
+		between()
+	}
+	f.setDoors(storestand.Healthy)
+}
+
+// listedTime is within which a router has listed all kinds once it knows of a new era.
+const listedTime = 700 * time.Millisecond
+
+// inNewEra waits until all routers have listed what the store has in the new era.
+func (f *restorable) inNewEra() {
+	f.t.Helper()
+	for _, r := range f.routers {
+		f.g.Eventually(r.log.String, inForceTime, 5*time.Millisecond).Should(ContainSubstring(`"event":829`))
+	}
+	time.Sleep(listedTime)
+}
+
+// Guards against runners that get no requests since the copy, from which the store came back,
+// does not list them, until they have written their entries again.
+func TestRunnersThatACopyOfTheStoreLacksAreUsedOn(t *testing.T) {
+	t.Parallel()
+	f := newRestorable(t, 3, nil)
+	f.plain.Close()
+	f.store.Remove(platform.KindServers, f.plain.ID)
+	kept := f.store.Copy()
+	joined := f.runner("joined", "plain")
+	f.grow(lostWrites)
+	f.serves()
+	f.restore(kept, storeAway/4, nil)
+	f.inNewEra()
+	for _, r := range f.routers {
+		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	}
+	f.list(joined, "ready")
+	time.Sleep(2500 * time.Millisecond)
+	for _, r := range f.routers {
+		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK), "its entry is written again")
+	}
+}
+
+// Guards against runners that are used for good though their entries are neither in the copy,
+// from which the store came back, nor written again.
+func TestRunnersThatDoNotWriteTheirEntriesAgainAreDropped(t *testing.T) {
+	t.Parallel()
+	f := newRestorable(t, 3, nil)
+	f.plain.Close()
+	f.store.Remove(platform.KindServers, f.plain.ID)
+	kept := f.store.Copy()
+	joined := f.runner("joined", "plain")
+	f.grow(lostWrites)
+	f.serves()
+	f.restore(kept, storeAway/4, nil)
+	f.inNewEra()
+	time.Sleep(2500 * time.Millisecond)
+	ran := len(joined.Runs())
+	for _, r := range f.routers {
+		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusServiceUnavailable))
+	}
+	f.g.Expect(joined.Runs()).To(HaveLen(ran))
+}
+
+// Guards against requests to runners that had said that they leave, or had left, before the
+// store came back from a copy that knows nothing of that.
+func TestRunnersThatLeftBeforeACopyOfTheStoreCameBackGetNoRequests(t *testing.T) {
+	t.Parallel()
+	f := newRestorable(t, 3, nil)
+	leaving, gone := f.runner("leaving", "plain"), f.runner("gone", "plain")
+	for _, r := range f.routers {
+		r.logs(`"runner":"leaving"`)
+		r.logs(`"runner":"gone"`)
+	}
+	kept := f.store.Copy()
+	f.list(leaving, "draining")
+	f.store.Remove(platform.KindServers, gone.ID)
+	f.grow(lostWrites)
+	for _, r := range f.routers {
+		r.logs(`"draining":true`)
+		r.logs("runner removed")
+	}
+	f.restore(kept, storeAway/4, nil)
+	f.inNewEra()
+	ran := []int{len(leaving.Runs()), len(gone.Runs())}
+	for range 30 {
+		for _, r := range f.routers {
+			f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+		}
+	}
+	f.g.Expect([]int{len(leaving.Runs()), len(gone.Runs())}).To(Equal(ran))
+
+	f.store.Put(platform.KindServers, gone.ID, gone.Entry("ready"))
+	f.g.Eventually(func() int {
+		f.routers[0].call("/safe/x", nil)
+		return len(gone.Runs())
+	}, inForceTime, 5*time.Millisecond).Should(BeNumerically(">", ran[1]), "a runner that writes its entry again lives")
+}
+
+// Guards against runs and streams that end, or loads that are ordered anew, as the copy from
+// which the store came back has older entries of the runners.
+func TestRunningWorkGoesOnWhileTheStoreComesBackFromACopy(t *testing.T) {
+	t.Parallel()
+	f := newRestorable(t, 3, nil)
+	kept := f.store.Copy()
+	name(f.fleet, 2)
+	f.haveWeights(2)
+	for _, engine := range f.engines {
+		f.list(engine, "ready")
+	}
+	f.grow(lostWrites)
+	time.Sleep(shortestSight)
+	orders := f.orders()
+	streams := make(chan answer, len(f.routers))
+	f.setDoors(storestand.Reset)
+	for _, r := range f.routers {
+		go func() { streams <- r.call("/stream/x", nil) }()
+	}
+	f.store.Restore(kept)
+	f.setDoors(storestand.Healthy)
+	f.inNewEra()
+	for range f.routers {
+		got := <-streams
+		f.g.Expect(got.status).To(Equal(http.StatusOK))
+		f.g.Expect(got.cut).To(BeFalse())
+	}
+	for range 10 {
+		for _, r := range f.routers {
+			f.g.Expect(r.call("/stream/x", nil).status).To(Equal(http.StatusOK))
+		}
+	}
+	f.g.Expect(f.orders()).To(Equal(orders), "orders given to runners")
+	f.g.Expect(f.routers[0].log.String()).NotTo(ContainSubstring("runner started again"))
+}
--- a/internal/gateway/restoredstore_test.go
+++ b/internal/gateway/restoredstore_test.go
@@ -276,23 +276,3 @@
 	f.inForce(changed, "/fresh/x", "key-two")
 	f.haveWeights(2)
 }
-
-// restore has the store go away for the time and come back from the copy; between both the
-// function may write.
-func (f *restorable) restore(kept storestand.Copy, away time.Duration, between func()) {
-	f.setDoors(storestand.Reset)
-	time.Sleep(away)
-	f.store.Restore(kept)
-	if between != nil {
-		between()
-	}
-	f.setDoors(storestand.Healthy)
-}
-
-// inNewEra waits until all routers have listed the runners in the era.
-func (f *restorable) inNewEra() {
-	f.t.Helper()
-	for _, r := range f.routers {
-		f.g.Eventually(r.log.String, inForceTime, 5*time.Millisecond).Should(MatchRegexp(`"event":829`))
-	}
-}
--- a/internal/gateway/storeera_test.go
+++ b/internal/gateway/storeera_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 )
 
@@ -72,6 +73,32 @@
 	f.g.Expect(f.calls()-calls).To(BeNumerically("<", 10*routers), "calls to the store in its first seconds")
 }
 
+// Guards against a return of the store, and losses with it, that nobody can see.
+func TestReturnOfTheStoreIsLoggedAndCounted(t *testing.T) {
+	t.Parallel()
+	metricsAt := loopback.FreeAddress()
+	f := newRestorable(t, 1, func(settings *gateway.Settings) { settings.MetricsAddress = metricsAt })
+	kept := f.store.Copy()
+	f.configure(2, added("fresh"), goodKey)
+	f.runner("joined", "plain")
+	f.grow(lostWrites)
+	time.Sleep(shortestSight)
+	f.restore(kept, storeAway/4, nil)
+	f.inNewEra()
+	f.serves()
+	for _, line := range []string{
+		`"before":1,"era":2,"event":829`, `"era":2,"event":846,"kind":"configuration",.*"older":1`, `"era":2,"event":846,"kind":"runners",.*"missing":1`,
+	} {
+		f.g.Eventually(f.routers[0].log.String, inForceTime, 5*time.Millisecond).Should(MatchRegexp(line))
+	}
+	read := figures(f.g, metricsAt)
+	f.g.Expect(read[`clovertiller_store_era`]).To(Equal(2.0))
+	f.g.Expect(read[`clovertiller_store_restores_total`]).To(Equal(1.0))
+	f.g.Expect(read[`clovertiller_store_lost_objects_total{kind="configuration",state="older"}`]).To(Equal(1.0))
+	f.g.Expect(f.statusOf(metricsAt).StoreEra).To(Equal(uint64(2)))
+	f.g.Expect(f.statusOf(metricsAt).ConfigVersion).To(Equal(uint64(2)))
+}
+
 // calls counts the calls to the store of all routers.
 func (f *restorable) calls() (count int) {
 	for _, r := range f.routers {
