Quarantines that the store lost are written again

Callers would see a content that ends its runners sent again, to three more of them, after all routers have restarted.

Cause: routers went on to believe that the store has the records that it had acknowledged, and nobody else writes these.

Change: with the first list of a new era what the store is known to have is forgotten, and records of contents that ended two runners or more are written where the list lacks them, each after a short random pause; the first write is seen by the other routers, which leave theirs.

Evidence: TestQuarantinesThatTheStoreLostAreWrittenAgain fails without and passes with it, with two writes at most from three routers.

--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -34,6 +34,8 @@
 type keptQuarantines struct {
 	gateway *Gateway
 	mutex   sync.Mutex
+	// era is that of the store's last list, 0 before any.
+	era uint64
 	// stored holds what the store is known to have of each content.
 	stored map[quarantine.Content]quarantine.Record
 	// pending are contents whose record is to be written or, once it is cleared or
@@ -123,7 +125,11 @@
 	case revision > 0 && next.Era() != revision.Era():
 		return revision, ErrHistoryGone
 	}
+	restored := revision == 0 && k.enterEra(next.Era())
 	k.take(kept)
+	if restored {
+		k.keepAll()
+	}
 	if revision == 0 {
 		// What was learned while this router did not read the store may be missing there.
 		k.want()
@@ -131,6 +137,28 @@
 	return max(next, revision), nil
 }
 
+// enterEra forgets what the store is known to have when it has come back from a copy since, and
+// tells whether it has.
+func (k *keptQuarantines) enterEra(era uint64) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	restored := k.era != 0 && era > k.era
+	if restored {
+		clear(k.stored)
+	}
+	k.era = max(k.era, era)
+	return restored
+}
+
+// keepAll has the store get all records again that are to be kept and that it lacks. Nobody
+// but routers writes them.
+func (k *keptQuarantines) keepAll() {
+	for _, content := range k.gateway.suspects.contents() {
+		_, verdict := k.gateway.suspects.record(content)
+		k.changed(content, verdict.Ends)
+	}
+}
+
 // take takes what the store has. What is gone was cleared or forgotten by whoever took it
 // out, and each router finds that out by itself.
 func (k *keptQuarantines) take(kept []KeptQuarantine) {
@@ -234,10 +262,15 @@
 
 func (k *keptQuarantines) keep(record quarantine.Record) error {
 	g := k.gateway
-	written := toTimesOfDay(g.now(), time.Now().Round(0), record)
+	written, era := toTimesOfDay(g.now(), time.Now().Round(0), record), g.era.newest()
 	if err := k.call(func(ctx context.Context) error { return g.ports.Store.KeepQuarantine(ctx, written) }); err != nil {
 		return err
 	}
+	if g.era.newest() != era {
+		// The store may have come back without it.
+		k.changed(record.Content, endsToKeep)
+		return nil
+	}
 	k.noteStored(record)
 	return nil
 }
--- a/internal/gateway/keptquarantines_internal_test.go
+++ b/internal/gateway/keptquarantines_internal_test.go
@@ -56,7 +56,7 @@
 	// Any will do: nothing is sent.
 	gateway.relays.transport = &wire.Transport{}
 	gateway.metrics, gateway.random = newMetrics(gateway), rand.New(rand.NewPCG(1, 2))
-	gateway.suspects = newSuspects(gateway)
+	gateway.suspects, gateway.era = newSuspects(gateway), newStoreEra(gateway)
 	return gateway
 }
 
--- a/internal/gateway/storeera_test.go
+++ b/internal/gateway/storeera_test.go
@@ -11,6 +11,7 @@
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
 )
 
 // Guards against keys that are served on answers of a store whose era cannot be told from an
@@ -106,3 +107,25 @@
 	}
 	return count
 }
+
+// Guards against contents that end their runners again after all routers have restarted, as
+// the store came back from a copy without their records and nobody writes these but routers.
+func TestQuarantinesThatTheStoreLostAreWrittenAgain(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	p.route(3)
+	kept := p.store.Copy()
+	p.endRunners(3)
+	p.keeps(3)
+	for _, r := range p.routers {
+		r.door.Set(storestand.Reset)
+	}
+	p.store.Restore(kept)
+	p.g.Expect(p.store.Specs(platform.KindQuarantines)).To(BeEmpty())
+	for _, r := range p.routers {
+		r.door.Set(storestand.Healthy)
+	}
+	p.keeps(3)
+	time.Sleep(time.Second)
+	p.g.Expect(p.store.Writes(platform.KindQuarantines)).To(BeNumerically("<=", 2), "not by all routers")
+}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -245,6 +245,13 @@
 	return record, s.judge.Verdict(s.gateway.now(), content)
 }
 
+// contents returns all contents that this router has a record of.
+func (s *suspects) contents() []quarantine.Content {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return contentsOf(s.judge.Records())
+}
+
 // summary returns the contents that are quarantined for the status.
 func (s *suspects) summary(now time.Time) (summary []QuarantinedContent) {
 	s.mutex.Lock()
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -182,11 +182,16 @@
 	return records, through
 }
 
+// Records returns all records, in the order of their last changes.
+func (j *Judge) Records() []Record {
+	all, _ := j.Since(0, maxRecords)
+	return all
+}
+
 // Quarantined returns the records of contents that are quarantined, in the order of their
 // last changes and at most so many.
 func (j *Judge) Quarantined(now time.Time, most int) (records []Record) {
-	all, _ := j.Since(0, maxRecords)
-	for _, record := range all {
+	for _, record := range j.Records() {
 		if len(records) < most && j.Verdict(now, record.Content).State == Quarantined {
 			records = append(records, record)
 		}
