Soak: the store comes back from copies

In series, beside cuts, freezes, restarts and rollouts: the store goes away, comes back from a copy at most 2.5 s old, and what was lost is written again up to 0.7 s later, at times with a key taken away or new weights right after. A new check: keys that were added are known within 2 s at gateways that were left alone.

--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # The fault soak: the seeds that ever failed, then fresh ones, these with contents that end
-# runners, with suspended machines and with runners that speak of themselves.
+# runners, with suspended machines, with runners that speak of themselves and with a store that
+# comes back from copies.
 # usage: hack/soak.sh [FRESH] [DURATION]
 set -u
 cd "$(dirname "$0")/.."
@@ -15,10 +16,11 @@
 while read -r seed cause; do
   case "$cause" in
     "(poison)"*) play "$seed" --poison --suspensions ;;
+    "(restores)"*) play "$seed" --restores ;;
     *) play "$seed" ;;
   esac
 done < <(grep -v '^#' test/soak/seeds.txt)
 for _ in $(seq "$fresh"); do
-  play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions --signals
+  play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions --signals --restores
 done
 exit $failed
--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -29,6 +29,8 @@
 	// refused for what it asks.
 	poison      bool
 	quarantined bool
+	// keyAdded is when the store took the call's key, if that is not taken away.
+	keyAdded time.Time
 	// keyTaken is true when the call was sent long after its key was taken away.
 	keyTaken   bool
 	sinceTaken time.Duration
@@ -39,6 +41,11 @@
 	return c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
 }
 
+// denied tells whether the caller was told that its key, which is not taken away, is not known.
+func (c *callRecord) denied() bool {
+	return c.status == http.StatusUnauthorized && !c.keyAdded.IsZero()
+}
+
 // callLog holds all calls of a run.
 type callLog struct {
 	mutex  sync.Mutex
@@ -109,10 +116,10 @@
 	client := &http.Client{Transport: transport}
 	for number := 0; ctx.Err() == nil; number++ {
 		route := paths[random.IntN(len(paths))]
-		key, tenant, taken := s.config.key(random)
+		key, tenant, added, taken := s.config.key(random)
 		call := &callRecord{
 			id: fmt.Sprintf("%x-%d", random.Uint64(), number), path: fmt.Sprintf("%s%d", route.path, number),
-			body: strings.Repeat("b", random.IntN(200)), tenant: tenant, repeatable: route.repeatable,
+			body: strings.Repeat("b", random.IntN(200)), tenant: tenant, repeatable: route.repeatable, keyAdded: added,
 		}
 		if !taken.IsZero() {
 			call.sinceTaken = time.Since(taken)
--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -20,9 +20,10 @@
 	named   uint64
 	// namedAt is when the store acknowledged each version of the weights but the first.
 	namedAt []time.Time
-	// keys are valid, taken are those that were taken away, with the moment of
-	// the store's acknowledgement.
+	// keys are valid, and taken are those that were taken away. Both have the moment of the
+	// store's acknowledgement, added holds that of valid ones.
 	keys  []string
+	added map[string]time.Time
 	taken map[string]time.Time
 	next  int
 }
@@ -31,7 +32,7 @@
 const tenantName = "tenant-one"
 
 func newConfiguration(store *storestand.Store) *configuration {
-	c := &configuration{store: store, named: 1, taken: map[string]time.Time{}}
+	c := &configuration{store: store, named: 1, added: map[string]time.Time{}, taken: map[string]time.Time{}}
 	for range 3 {
 		c.addKey()
 	}
@@ -44,8 +45,32 @@
 	c.keys = append(c.keys, fmt.Sprintf("key-%d", c.next))
 }
 
+// write writes a new version.
 func (c *configuration) write() {
 	c.version++
+	c.put()
+	for _, key := range c.keys {
+		if c.added[key].IsZero() {
+			c.added[key] = time.Now()
+		}
+	}
+}
+
+// writeAgain writes what is newest of all, as the operator does once the store has lost it.
+func (c *configuration) writeAgain() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.put()
+	if c.named > 1 {
+		c.putWeights()
+	}
+}
+
+func (c *configuration) putWeights() {
+	c.store.Put(platform.KindVersions, modelName, map[string]any{"model": modelName, "version": c.named})
+}
+
+func (c *configuration) put() {
 	route := func(name, kind, service string, more map[string]any) map[string]any {
 		spec := map[string]any{
 			"name": name, "host": hostName, "path_prefix": "/" + name + "/", "kind": kind, "service": service,
@@ -92,7 +117,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.named++
-	c.store.Put(platform.KindVersions, modelName, map[string]any{"model": modelName, "version": c.named})
+	c.putWeights()
 	c.namedAt = append(c.namedAt, time.Now())
 }
 
@@ -124,17 +149,18 @@
 	return c.keys[len(c.keys)-1]
 }
 
-// key returns a key with its tenant, and when it was taken away if it was.
-func (c *configuration) key(random *rand.Rand) (key, tenant string, taken time.Time) {
+// key returns a key with its tenant, and when it was added or, if it was, taken away.
+func (c *configuration) key(random *rand.Rand) (key, tenant string, added, taken time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.taken) > 0 && random.IntN(takenShare) == 0 {
 		for number := 1; number < c.next; number++ {
 			key := fmt.Sprintf("key-%d", number)
 			if at, gone := c.taken[key]; gone && random.IntN(2) == 0 {
-				return key, tenantName, at
+				return key, tenantName, time.Time{}, at
 			}
 		}
 	}
-	return c.keys[random.IntN(len(c.keys))], tenantName, time.Time{}
+	key = c.keys[random.IntN(len(c.keys))]
+	return key, tenantName, c.added[key], time.Time{}
 }
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -48,6 +48,10 @@
 	if s.settings.Signals {
 		group.Go(func() { spoken = s.signals.run(ctx, deadline) })
 	}
+	restored := 0
+	if s.settings.Restores {
+		group.Go(func() { restored = newRestores(s).run(ctx, deadline) })
+	}
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -58,7 +62,7 @@
 	s.inject(s.lateNews, &group)
 	group.Wait()
 	peers.last()
-	return count + peerCount + others + spoken + 1
+	return count + peerCount + others + spoken + restored + 1
 }
 
 // inject begins the fault, which ends in the group.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -35,7 +35,9 @@
 	Suspensions bool
 	// Signals has runners say of themselves that they leave, limit requests or want a rest.
 	Signals bool
-	Seed    uint64
+	// Restores has the store come back from copies.
+	Restores bool
+	Seed     uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// Folder takes settings files and logs.
@@ -131,6 +133,7 @@
 	s.checkRuns()
 	s.checkOrders()
 	s.checkNews()
+	s.checkInForce()
 	if settings.Poison {
 		s.poisons.check()
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,6 +37,13 @@
 	signalTime = 20 * time.Second
 )
 
+// restoreSeed has the store come back from copies, in series beside all other faults, for
+// restoreTime.
+const (
+	restoreSeed = 1
+	restoreTime = 20 * time.Second
+)
+
 // The seeds run one after the other, so that there are no more than four gateways at once.
 func TestSoakOfFixedSeeds(t *testing.T) {
 	for _, seed := range fixedSeeds {
@@ -54,6 +61,10 @@
 	play(t, soak.Settings{Program: []string{build(t, "clovertiller-gateway")}, Seed: signalSeed, Duration: signalTime, Signals: true})
 }
 
+func TestSoakOfAStoreThatComesBackFromCopies(t *testing.T) {
+	play(t, soak.Settings{Program: []string{build(t, "clovertiller-gateway")}, Seed: restoreSeed, Duration: restoreTime, Restores: true})
+}
+
 // build builds one of the commands and returns its path.
 func build(t *testing.T, command string) string {
 	t.Helper()
