A renewal that meets another era of the store prolongs no term

Seen by a model of the lease on a store that comes back from a copy (spec/restore.pml), before anybody else: two holders. A holder's renewal is on its way while the store comes back; another node waits, takes the lease in the new era and gets the very number that the renewal is conditional on; the renewal replaces it, and both believe in their leases.

Cause: a write that meets another era than the read before it was trusted if its sender held the lease when it sent it. Change: it begins and prolongs no term, whoever sent it; a holder reads the lease and takes it anew.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,7 +9,7 @@
 // Such a copy may lack the lease of a node that still believes in it. So no
 // lease is taken in a new era before that belief has ended, but by its holder.
 //
-// The package has no I/O and no clock; spec/lease.pml models it.
+// The package has no I/O and no clock; spec/lease.pml and spec/restore.pml model it.
 package lease
 
 import (
@@ -149,17 +149,16 @@
 // Written notes a write that the platform accepted. The term is counted from
 // before the write was sent, so that this node never believes in it for longer
 // than the others do. A write that meets another era than the read before it may
-// have replaced what was not read: it begins a term of a holder only.
+// have replaced what was not read: it begins and prolongs no term.
 func (c *Candidate) Written(sent, answered time.Time, action Action, revision storerev.Revision, spec v1.LeaseSpec) {
-	_, held := c.Token(sent)
-	c.EnterEra(answered, revision.Era())
 	sameEra := c.seen.Revision.Era() == revision.Era()
+	c.EnterEra(answered, revision.Era())
 	c.seen = Observation{Exists: true, Revision: revision, Spec: spec}
-	c.changedAt = sent
-	if !held && !sameEra {
+	if !sameEra {
 		c.changedAt = answered
 		return
 	}
+	c.changedAt = sent
 	c.validUntil = sent.Add(c.duration)
 	if action == Acquire {
 		c.token = revision
