A lease that was written late from an earlier era is not taken at once

Seen by reading: a node takes its own lease at once, as nobody else can have held it since it wrote it. A write that had no answer may be done seconds later, in the next era, where it meets a number that was given out again and replaces the lease of a node that believes in it.

Change: the lease says in which era its writer had read it. One that was read in another era than it was written in is waited for like any other node's. The field is left out in the first era, and versions that do not know it pass it over.

Evidence: TestLeaseWrittenLateFromAnEarlierEraIsNotTakenAtOnce failed before.

--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -200,6 +200,9 @@
 	RenewCount uint64 `json:"renewCount"`
 	// DurationMillis is the time without renewal after which it may be taken.
 	DurationMillis int64 `json:"durationMillis"`
+	// StoreEra is the era of the platform's store in which the writer had read the
+	// lease before; without one, the first.
+	StoreEra uint64 `json:"storeEra,omitempty"`
 }
 
 // ClaimHolder is one process that holds claims: a node and its incarnation, so
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -23,7 +23,7 @@
 
 // TestPureCoresHaveNoInputOrOutput keeps the decision logic free of sockets and clocks.
 func TestPureCoresHaveNoInputOrOutput(t *testing.T) {
-	cores := []string{"admission", "attempt", "cacheindex", "claim", "config", "control", "fleet", "lease", "membership", "placement", "prefix", "quarantine", "rendezvous", "rollout"}
+	cores := []string{"admission", "attempt", "cacheindex", "claim", "config", "control", "fleet", "lease", "membership", "placement", "prefix", "quarantine", "rendezvous", "rollout", "storerev"}
 	for _, core := range cores {
 		t.Run(core, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -123,7 +123,7 @@
 	if now.Before(c.lostUntil) {
 		return Wait
 	}
-	if !c.seen.Exists || c.seen.Spec.Holder == "" || c.seen.Spec.Holder == c.node {
+	if !c.seen.Exists || c.seen.Spec.Holder == "" || c.heldHere() {
 		return Acquire
 	}
 	if !c.changedAt.IsZero() && now.Sub(c.changedAt) >= c.takeover {
@@ -132,6 +132,13 @@
 	return Wait
 }
 
+// heldHere tells whether no other node can have held the lease since this one wrote it: a
+// write that left in an earlier era may be done late, in place of a lease of this era.
+func (c *Candidate) heldHere() bool {
+	writtenIn := max(c.seen.Spec.StoreEra, storerev.FirstEra)
+	return c.seen.Spec.Holder == c.node && writtenIn == c.seen.Revision.Era()
+}
+
 // Proposal returns the lease content to write for the action.
 func (c *Candidate) Proposal(action Action) v1.LeaseSpec {
 	proposal := v1.LeaseSpec{
@@ -143,6 +150,9 @@
 	if action == Acquire {
 		proposal.Term++
 	}
+	if era := c.seen.Revision.Era(); era > storerev.FirstEra {
+		proposal.StoreEra = era
+	}
 	return proposal
 }
 
--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -47,3 +47,21 @@
 	g.Expect(token).To(BeNumerically(">", revisionOf(t, 1, 7)), "its engines have seen the former token")
 	g.Expect(c.Next(back)).To(Equal(Hold))
 }
+
+// Guards against a node that takes its own lease at once when a write of its, which nobody
+// answered, was done late in another era, in place of the lease of a node that believes in it.
+func TestLeaseWrittenLateFromAnEarlierEraIsNotTakenAtOnce(t *testing.T) {
+	g, now := NewWithT(t), time.Unix(1_000, 0)
+	c := NewCandidateWithGap("n1", duration, gap)
+	c.Observe(now, Observation{Exists: true, Revision: revisionOf(t, 1, 7)})
+	late := c.Proposal(Acquire)
+	c.EnterEra(now, 2)
+	now = now.Add(time.Minute)
+	c.Observe(now, Observation{Exists: true, Revision: revisionOf(t, 2, 9), Spec: late})
+	g.Expect(c.Next(now)).To(Equal(Wait))
+	g.Expect(c.Next(now.Add(duration + gap))).To(Equal(Acquire))
+
+	inTime := c.Proposal(Acquire)
+	c.Observe(now, Observation{Exists: true, Revision: revisionOf(t, 2, 10), Spec: inTime})
+	g.Expect(c.Next(now)).To(Equal(Acquire), "its answer was lost, in the era of its read")
+}
