Runners that are not used yet stay so when the store comes back a second time

Seen by reading, then by the test: a runner that was gone, and that a copy lists again, is in the router's copy but not used. When the store came back once more within seconds it counted as known, and got requests.

Change: a runner that is not used yet stays so in the next era. Besides: changes across eras that are not a whole list are left to the copy, which refuses them; an answer on quarantines that is behind within an era is taken as before; the command line prints the store's own numbers.

Evidence: TestRunnersThatLeftBeforeACopyOfTheStoreCameBackGetNoRequests, with a second return, failed before.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // storeTimeout bounds one call to the store.
@@ -44,11 +45,11 @@
 		faults := 0
 		for _, stored := range objects {
 			for _, fault := range faultsOf(ports.Decode(kind, stored)) {
-				env.complain("%s %s at revision %d: %s", kind, stored.Name, stored.Version, fault)
+				env.complain("%s %s at revision %d: %s", kind, stored.Name, storerev.Revision(stored.Version).Number(), fault)
 				faults++
 			}
 		}
-		fmt.Fprintf(env.Out, "%s: %d objects at revision %d, %d faults\n", kind, len(objects), revision, faults)
+		fmt.Fprintf(env.Out, "%s: %d objects at revision %d, %d faults\n", kind, len(objects), revision.Number(), faults)
 		if faults > 0 {
 			code = ExitInvalid
 		}
--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -120,9 +120,9 @@
 	switch {
 	case err != nil:
 		return revision, err
-	case next < revision:
+	case next.Era() < revision.Era():
 		return revision, errFromThePast
-	case revision > 0 && next.Era() != revision.Era():
+	case revision > 0 && next.Era() > revision.Era():
 		return revision, ErrHistoryGone
 	}
 	restored := revision == 0 && k.enterEra(next.Era())
--- a/internal/gateway/newera.go
+++ b/internal/gateway/newera.go
@@ -40,6 +40,10 @@
 		return delta
 	}
 	newEra := delta.Through.Era() > store.Revision().Era()
+	if newEra && !delta.Full {
+		// A gap, which the copy does not take.
+		return delta
+	}
 	reconciled := delta
 	reconciled.Objects = slices.Clone(delta.Objects)
 	var lost losses
@@ -110,11 +114,16 @@
 	return storerev.Revision(object.Version).Era() < revision.Era()
 }
 
-// noteReturned notes the runners of a list that were gone before, and returns how many are.
+// noteReturned notes the runners of a list that were gone before, or are not used yet since the
+// store came back the last time, and returns how many are.
 func (c *copies) noteReturned(list config.Delta) int {
-	clear(c.returned)
+	unused := c.returned
+	c.returned = map[string]storerev.Revision{}
 	for _, object := range list.Objects {
-		if c.stores[RunnerObjects].Deleted(object.Key()) {
+		known, listed := c.stores[RunnerObjects].Object(object.Key())
+		revision, returned := unused[object.Name]
+		stillUnused := listed && returned && storerev.Revision(known.Version) == revision
+		if stillUnused || c.stores[RunnerObjects].Deleted(object.Key()) {
 			c.returned[object.Name] = storerev.Revision(object.Version)
 		}
 	}
--- a/internal/gateway/restoredrunners_test.go
+++ b/internal/gateway/restoredrunners_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -35,10 +36,9 @@
 	time.Sleep(listedTime)
 }
 
-// Guards against runners that get no requests since the copy, from which the store came back,
-// does not list them, until they have written their entries again.
-func TestRunnersThatACopyOfTheStoreLacksAreUsedOn(t *testing.T) {
-	t.Parallel()
+// withLostRunner returns a fleet whose only plain runner joined after the copy was made, from
+// which the store has come back.
+func withLostRunner(t *testing.T) (*restorable, *runnerstand.Runner) {
 	f := newRestorable(t, 3, nil)
 	f.plain.Close()
 	f.store.Remove(platform.KindServers, f.plain.ID)
@@ -48,34 +48,39 @@
 	f.serves()
 	f.restore(kept, storeAway/4, nil)
 	f.inNewEra()
-	for _, r := range f.routers {
-		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	return f, joined
+}
+
+// answersNow checks how all routers answer a call for the plain runner now.
+func (f *restorable) answersNow(status int) {
+	f.t.Helper()
+	for i, r := range f.routers {
+		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(status), "router %d", i+1)
 	}
+}
+
+// droppedTime is within which runners are dropped that do not write their entries again.
+const droppedTime = 2500 * time.Millisecond
+
+// Guards against runners that get no requests since the copy, from which the store came back,
+// does not list them, until they have written their entries again.
+func TestRunnersThatACopyOfTheStoreLacksAreUsedOn(t *testing.T) {
+	t.Parallel()
+	f, joined := withLostRunner(t)
+	f.answersNow(http.StatusOK)
 	f.list(joined, "ready")
-	time.Sleep(2500 * time.Millisecond)
-	for _, r := range f.routers {
-		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK), "its entry is written again")
-	}
+	time.Sleep(droppedTime)
+	f.answersNow(http.StatusOK)
 }
 
 // Guards against runners that are used for good though their entries are neither in the copy,
 // from which the store came back, nor written again.
 func TestRunnersThatDoNotWriteTheirEntriesAgainAreDropped(t *testing.T) {
 	t.Parallel()
-	f := newRestorable(t, 3, nil)
-	f.plain.Close()
-	f.store.Remove(platform.KindServers, f.plain.ID)
-	kept := f.store.Copy()
-	joined := f.runner("joined", "plain")
-	f.grow(lostWrites)
-	f.serves()
-	f.restore(kept, storeAway/4, nil)
-	f.inNewEra()
-	time.Sleep(2500 * time.Millisecond)
+	f, joined := withLostRunner(t)
+	time.Sleep(droppedTime)
 	ran := len(joined.Runs())
-	for _, r := range f.routers {
-		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusServiceUnavailable))
-	}
+	f.answersNow(http.StatusServiceUnavailable)
 	f.g.Expect(joined.Runs()).To(HaveLen(ran))
 }
 
@@ -97,15 +102,15 @@
 		r.logs(`"draining":true`)
 		r.logs("runner removed")
 	}
-	f.restore(kept, storeAway/4, nil)
-	f.inNewEra()
 	ran := []int{len(leaving.Runs()), len(gone.Runs())}
-	for range 30 {
-		for _, r := range f.routers {
-			f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	for range 2 {
+		f.restore(kept, storeAway/4, nil)
+		f.inNewEra()
+		for range 30 {
+			f.answersNow(http.StatusOK)
 		}
+		f.g.Expect([]int{len(leaving.Runs()), len(gone.Runs())}).To(Equal(ran))
 	}
-	f.g.Expect([]int{len(leaving.Runs()), len(gone.Runs())}).To(Equal(ran))
 
 	f.store.Put(platform.KindServers, gone.ID, gone.Entry("ready"))
 	f.g.Eventually(func() int {
