Soak: entries of ended runners that a copy brings back lapse

Traced by its logs: the copy had brought back the entry of a runner that had ended for good, and in this store entries do not lapse by themselves, so that the holder of the lease went on to ask it. The real store drops an entry after three heartbeats of silence; the soak does so 3 s after the return now.

--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -78,6 +78,17 @@
 	return f.ended[id]
 }
 
+// lapse removes the entries of runners that have ended.
+func (f *fleet) lapse() {
+	f.listing.Lock()
+	defer f.listing.Unlock()
+	for _, runner := range f.all() {
+		if f.hasEnded(runner.ID) {
+			f.store.Remove(platform.KindServers, runner.ID)
+		}
+	}
+}
+
 // living returns the runners that have not ended.
 func (f *fleet) living() []*runnerstand.Runner {
 	return slices.DeleteFunc(f.all(), func(runner *runnerstand.Runner) bool { return f.hasEnded(runner.ID) })
--- a/internal/lab/soak/restores.go
+++ b/internal/lab/soak/restores.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
@@ -25,6 +26,8 @@
 	// started anew meanwhile cannot know it.
 	awayMost  = time.Second
 	againMost = 700 * time.Millisecond
+	// lapseTime is after how long entries lapse that the copy has of runners that have ended.
+	lapseTime = 3 * time.Second
 	// restoreChanges is one in how many returns that a key, or weights, change right after.
 	restoreChanges = 3
 )
@@ -41,6 +44,8 @@
 	soak   *Soak
 	random *rand.Rand
 	copies []storeCopy
+	// group are the entries that are to lapse.
+	group sync.WaitGroup
 }
 
 func newRestores(s *Soak) *restores {
@@ -49,6 +54,7 @@
 
 // run brings the store back from copies until the time is over and returns how often.
 func (f *restores) run(ctx context.Context, deadline time.Time) (count int) {
+	defer f.group.Wait()
 	for {
 		f.copyFor(restoreGap/2 + f.upTo(restoreGap))
 		if !time.Now().Before(deadline) || ctx.Err() != nil {
@@ -97,6 +103,7 @@
 	for _, p := range s.processes {
 		p.door.Set(storestand.Healthy)
 	}
+	f.group.Go(func() { time.Sleep(lapseTime); s.runners.lapse() })
 	time.Sleep(f.upTo(againMost))
 	s.config.writeAgain()
 	f.change()
