Soak: only gateways that listen are told to read their settings again

Traced: the first fault, 40 ms after the start, signalled gateway 2 before its program handled signals, which ended it; it has no line in its log. The check of gateway 2 took the time of gateway 3's, which served all along.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -151,6 +151,10 @@
 
 func (s *Soak) reload(time.Duration) (string, func()) {
 	p := s.anyProcess()
+	if !p.listens() {
+		// A program that has not come to handle the signal yet is ended by it.
+		return "reload " + p.name + ", which has not started", func() {}
+	}
 	p.signal(syscall.SIGHUP)
 	return "reload " + p.name, func() {}
 }
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +19,9 @@
 	"github.com/clovertiller/clovertiller/platform"
 )
 
+// listenTime bounds the question whether a process listens.
+const listenTime = 100 * time.Millisecond
+
 // processAddresses are where one gateway listens; others reach it through a proxy.
 type processAddresses struct {
 	Callers string
@@ -165,6 +169,16 @@
 	return p.harmedUntil.After(from)
 }
 
+// listens tells whether the process has come so far that it answers readiness checks.
+func (p *process) listens() bool {
+	connection, err := net.DialTimeout("tcp", p.addresses.Ready, listenTime)
+	if err != nil {
+		return false
+	}
+	connection.Close()
+	return true
+}
+
 func (p *process) readyBy(ctx context.Context, deadline time.Time) bool {
 	client := &http.Client{Timeout: time.Second}
 	for time.Now().Before(deadline) && ctx.Err() == nil {
