--- a/internal/gateway/restoredlease_test.go
+++ b/internal/gateway/restoredlease_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -41,7 +40,6 @@
 	f.haveWeights(4)
 
 	orders := ordersOf(f.engines)
-	slices.SortFunc(orders, func(a, b runnerstand.Order) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
 	for i, order := range orders {
 		f.g.Expect(order.Status).NotTo(Equal(http.StatusPreconditionFailed), "order %d", i)
 		if i == 0 || order.Holder == orders[i-1].Holder {
@@ -75,7 +73,7 @@
 	f := newRestorable(t, 6, nil)
 	kept := f.store.Copy()
 	f.grow(lostWrites)
-	time.Sleep(shortestSight)
+	time.Sleep(seenTime)
 	cutOff := f.routers[3:]
 	f.restore(kept, storeAway/4, func() {
 		f.writeAgain(1)
@@ -110,5 +108,6 @@
 	for _, engine := range engines {
 		orders = append(orders, engine.Orders()...)
 	}
+	slices.SortFunc(orders, func(a, b runnerstand.Order) int { return a.At.Compare(b.At) })
 	return orders
 }
--- a/internal/gateway/restoredrunners_test.go
+++ b/internal/gateway/restoredrunners_test.go
@@ -12,30 +12,6 @@
 	"github.com/clovertiller/clovertiller/platform"
 )
 
-// restore has the store go away for the time and come back from the copy; between both the
-// function may write.
-func (f *restorable) restore(kept storestand.Copy, away time.Duration, between func()) {
-	f.setDoors(storestand.Reset)
-	time.Sleep(away)
-	f.store.Restore(kept)
-	if between != nil {
-		between()
-	}
-	f.setDoors(storestand.Healthy)
-}
-
-// listedTime is within which a router has listed all kinds once it knows of a new era.
-const listedTime = 700 * time.Millisecond
-
-// inNewEra waits until all routers have listed what the store has in the new era.
-func (f *restorable) inNewEra() {
-	f.t.Helper()
-	for _, r := range f.routers {
-		f.g.Eventually(r.log.String, inForceTime, 5*time.Millisecond).Should(ContainSubstring(`"event":829`))
-	}
-	time.Sleep(listedTime)
-}
-
 // withLostRunner returns a fleet whose only plain runner joined after the copy was made, from
 // which the store has come back.
 func withLostRunner(t *testing.T) (*restorable, *runnerstand.Runner) {
@@ -131,7 +107,7 @@
 		f.list(engine, "ready")
 	}
 	f.grow(lostWrites)
-	time.Sleep(shortestSight)
+	time.Sleep(seenTime)
 	orders := f.orders()
 	streams := make(chan answer, len(f.routers))
 	f.setDoors(storestand.Reset)
--- a/internal/gateway/restoredstore_test.go
+++ b/internal/gateway/restoredstore_test.go
@@ -20,6 +20,8 @@
 const (
 	// storeAway is how long the store is away meanwhile.
 	storeAway = 1200 * time.Millisecond
+	// seenTime is within which routers know of the newest revision.
+	seenTime = 1200 * time.Millisecond
 	// inForceTime is within which a change has to be in force once the store took it.
 	inForceTime = 2 * time.Second
 	// weightsTime is within which runners have to have named weights.
@@ -68,6 +70,30 @@
 	}
 }
 
+// restore has the store go away for the time and come back from the copy; between both the
+// function may write.
+func (f *restorable) restore(kept storestand.Copy, away time.Duration, between func()) {
+	f.setDoors(storestand.Reset)
+	time.Sleep(away)
+	f.store.Restore(kept)
+	if between != nil {
+		between()
+	}
+	f.setDoors(storestand.Healthy)
+}
+
+// listedTime is within which a router has listed all kinds once it knows of a new era.
+const listedTime = 700 * time.Millisecond
+
+// inNewEra waits until all routers have listed what the store has in the new era.
+func (f *restorable) inNewEra() {
+	f.t.Helper()
+	for _, r := range f.routers {
+		f.g.Eventually(r.log.String, inForceTime, 5*time.Millisecond).Should(ContainSubstring(`"event":829`))
+	}
+	time.Sleep(listedTime)
+}
+
 // grow raises the store's revision.
 func (f *fleet) grow(writes int) {
 	for i := range writes {
@@ -147,13 +173,9 @@
 				name(f.fleet, 2)
 				f.haveWeights(2)
 				f.grow(lostWrites)
-				time.Sleep(shortestSight)
+				time.Sleep(seenTime)
 				lost := f.store.Revision()
-				f.setDoors(storestand.Reset)
-				time.Sleep(storeAway)
-				f.store.Restore(kept)
-				back(f, lost)
-				f.setDoors(storestand.Healthy)
+				f.restore(kept, storeAway, func() { back(f, lost) })
 				f.serves()
 
 				changed := time.Now()
@@ -166,9 +188,6 @@
 	}
 }
 
-// shortestSight is within which routers know of the newest revision.
-const shortestSight = 1200 * time.Millisecond
-
 // Guards against changes that are passed over for good as they were given revisions that
 // routers had seen already, and are older than what the store has when these ask again.
 func TestChangesWithRevisionsGivenOutAgainAreInForce(t *testing.T) {
@@ -178,17 +197,17 @@
 			f := newRestorable(t, routers, nil)
 			kept := f.store.Copy()
 			f.grow(lostWrites)
-			time.Sleep(shortestSight)
-			f.setDoors(storestand.Reset)
-			time.Sleep(storeAway)
-			f.store.Restore(kept)
-			f.writeAgain(1)
-			changed := time.Now()
-			f.configure(2, added("fresh"), goodKey)
-			name(f.fleet, 2)
-			joined := f.runner("p2", "plain")
-			f.grow(lostWrites)
-			f.setDoors(storestand.Healthy)
+			time.Sleep(seenTime)
+			var changed time.Time
+			var joined *runnerstand.Runner
+			f.restore(kept, storeAway, func() {
+				f.writeAgain(1)
+				changed = time.Now()
+				f.configure(2, added("fresh"), goodKey)
+				name(f.fleet, 2)
+				joined = f.runner("p2", "plain")
+				f.grow(lostWrites)
+			})
 			f.inForce(changed, "/fresh/x", "key-two")
 			f.haveWeights(2)
 			f.plain.Close()
@@ -210,7 +229,7 @@
 	f.haveWeights(2)
 	f.inForce(time.Now(), "/fresh/x", "key-two")
 	f.grow(lostWrites)
-	time.Sleep(shortestSight)
+	time.Sleep(seenTime)
 
 	var served, refused, denied atomic.Int64
 	done := make(chan struct{})
@@ -233,10 +252,7 @@
 			}
 		}()
 	}
-	f.setDoors(storestand.Reset)
-	time.Sleep(storeAway)
-	f.store.Restore(kept)
-	f.setDoors(storestand.Healthy)
+	f.restore(kept, storeAway, nil)
 	time.Sleep(2 * storeAway)
 	fresh := f.servingRouter("late", func(settings *gateway.Settings) {
 		settings.PeerAddress, settings.Seeds = loopback.FreeAddress(), f.routers[0].seeds
@@ -260,13 +276,9 @@
 	f := newRestorable(t, 3, nil)
 	kept := f.store.Copy()
 	f.grow(lostWrites)
-	time.Sleep(shortestSight)
+	time.Sleep(seenTime)
 	for range 2 {
-		f.setDoors(storestand.Reset)
-		time.Sleep(storeAway / 4)
-		f.store.Restore(kept)
-		f.writeAgain(1)
-		f.setDoors(storestand.Healthy)
+		f.restore(kept, storeAway/4, func() { f.writeAgain(1) })
 		time.Sleep(storeAway / 2)
 	}
 	f.serves()
