Prove: new keys are taken after each change of claim holders

All three changes were over within 0.4 s, in which the client sent one batch; a holder had been killed as it was sent, each pair of duplicates got one of the two others, and none a majority (409, run state unknown, nothing ran). That is allowed for duplicates that race. Whether one of them completes is a matter of chance.

Change: the test asks after each of the three changes that a new key which two routers get at once is taken, within the settling time, beside the traffic; before, one completed request in all sufficed. The checks of each outcome stay as they were.

--- a/test/prove/once_test.go
+++ b/test/prove/once_test.go
@@ -192,6 +192,13 @@
 			Expect(c.Routers[victim].Start()).To(Succeed())
 			await("the routers are whole", c.Settled)
 			Expect(c.Status(0).Assignment).To(BeNumerically(">=", number))
+			await("a new key that two routers get at once is taken", func() bool {
+				call := holds(1)[0]
+				pair := []cluster.Call{call, call}
+				taken := each(c, pair, func(i int) int { return i })
+				expectAtMostOnce(c, pair, taken)
+				return taken[0].Complete() || taken[1].Complete()
+			})
 		}
 		close(stop)
 		<-finished
@@ -202,7 +209,8 @@
 				complete++
 			}
 		}
+		// Duplicates that race while a holder is gone may each get one of the others and none a
+		// majority, so none of these need be complete.
 		AddReportEntry("holds", fmt.Sprintf("%d sent twice, %d complete", len(made)/2, complete))
-		Expect(complete).To(BeNumerically(">", 0))
 	})
 })
