Copies: deltas of a pull are unpacked once; one pause before lists in a new era

Tidying, no change in what is decided, but for one: an answer with any delta that cannot be read is not usable, where only the configuration's counted before. relays.ofEarlierEra shared its name with a function on objects, and unpacked the configuration a second time.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -30,9 +30,6 @@
 	// nobody to ask: many may do so at once, each for itself, and every answer that
 	// brings one change is a call.
 	fallbackSettle = 500 * time.Millisecond
-	// newEraPause is the longest pause before a router that reads for itself only lists what a
-	// store in a new era holds.
-	newEraPause = 500 * time.Millisecond
 	// regainWait is how long watches wait that look whether the store answers again.
 	regainWait = 50 * time.Millisecond
 	// callSlack is how much longer than its wait a call may take.
@@ -276,8 +273,8 @@
 	g.backOff(f.failures-1, firstRetry, lastRetry)
 }
 
-// historyGone has the copy listed anew. When the store has entered another era all routers
-// find that out at once: those that read for nobody else give the others time to tell them.
+// historyGone has the copy listed anew, unless another router tells what the store holds in a new
+// era.
 func (f *follower) historyGone() {
 	g := f.gateway
 	f.listed = false
@@ -286,7 +283,7 @@
 	if g.relays.isSource() || g.era.newest() == revision.Era() {
 		return
 	}
-	g.pause(g.jitter(newEraPause))
+	g.pauseInNewEra()
 	f.listed = g.copies.revision(f.kind).Era() == g.era.newest()
 }
 
--- a/internal/gateway/keptquarantines.go
+++ b/internal/gateway/keptquarantines.go
@@ -87,9 +87,7 @@
 			continue
 		}
 		if errors.Is(err, ErrHistoryGone) {
-			// When the store has entered another era all routers find that out at once: those
-			// that read for nobody else leave it to the others, if they can.
-			if !g.relays.isSource() && !g.pause(g.jitter(newEraPause)) {
+			if !g.pauseInNewEra() {
 				return
 			}
 			revision, stale = 0, false
--- a/internal/gateway/newera.go
+++ b/internal/gateway/newera.go
@@ -22,8 +22,18 @@
 	// returnedGrace is how long runners are not used that the list has though they were gone:
 	// the entry of one that ended lapses after three heartbeats, each of two seconds at most.
 	returnedGrace = 6 * time.Second
+	// newEraPause is the longest pause before a router that reads for itself only lists what a
+	// store in a new era holds.
+	newEraPause = 500 * time.Millisecond
 )
 
+// pauseInNewEra has a router that reads the store for nobody else wait before it lists what the
+// store holds in a new era: all routers find that out at once, and those that are told need no
+// list of their own. It returns false when the router stops.
+func (g *Gateway) pauseInNewEra() bool {
+	return g.relays.isSource() || g.pause(g.jitter(newEraPause))
+}
+
 // losses counts what a whole list lacks that is known from the era before.
 type losses struct {
 	// older objects are listed as they were before, missing ones are not listed, and returned
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -8,7 +8,6 @@
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/control"
 	"github.com/clovertiller/clovertiller/internal/events"
-	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -181,8 +180,9 @@
 	now := r.gateway.now()
 	age := wire.Age(answer.GetProofAgeMillis())
 	known := answer.GetProven() || answer.GetUnconfigured()
+	deltas, readable := r.unpack(answer.GetDeltas())
 	// A router that knows nothing of the era of this one's copies proves none of them.
-	usable := known && !r.ofEarlierEra(answer)
+	usable := known && readable && !r.behindEra(deltas)
 	r.mutex.Lock()
 	oldest := r.oldestProof(address)
 	switch {
@@ -207,7 +207,7 @@
 	r.gateway.suspects.told(address, answer.GetSuspects())
 	r.gateway.signals.told(address, answer.GetSignals())
 	r.gateway.takeBounds(answer.GetWeightBounds(), sent)
-	r.applyDeltas(answer.GetDeltas(), proof{at: sent.Add(-age), given: true})
+	r.applyDeltas(deltas, proof{at: sent.Add(-age), given: true})
 	r.checkProofs(answer, sent, age)
 	if !r.isSource() {
 		r.gateway.routers.Store(int64(answer.GetRouters()))
@@ -217,18 +217,13 @@
 	return usable && recent(answer, oldest)
 }
 
-// ofEarlierEra tells whether the answer stands for an earlier era of the store than this
-// router's copies. The configuration's revision is told by all versions of the router.
-func (r *relays) ofEarlierEra(answer *wire.CopyAnswer) bool {
-	for _, delta := range answer.GetDeltas() {
-		if ObjectKind(delta.GetKind()) != ConfigObjects {
-			continue
-		}
-		unpacked, err := wire.UnpackCopyDelta(delta)
-		if err != nil {
-			return true
+// behindEra tells whether the deltas are of an earlier era of the store than this router's
+// copies. The configuration's revision is told by all versions of the router.
+func (r *relays) behindEra(deltas []copyDelta) bool {
+	for _, d := range deltas {
+		if d.kind == ConfigObjects {
+			return d.delta.Through.Era() < r.gateway.copies.revision(ConfigObjects).Era()
 		}
-		return storerev.Revision(unpacked.GetThroughRevision()).Era() < r.gateway.copies.revision(ConfigObjects).Era()
 	}
 	return false
 }
@@ -325,20 +320,37 @@
 	return pullTime, objectKinds
 }
 
-// applyDeltas applies changes from another router.
-func (r *relays) applyDeltas(deltas []*wire.CopyDelta, proven proof) {
-	for _, delta := range deltas {
-		kind := ObjectKind(delta.GetKind())
+// copyDelta is what an answer says of the copy of one kind.
+type copyDelta struct {
+	kind  ObjectKind
+	delta config.Delta
+}
+
+// unpack returns the deltas of a message, and false when one cannot be read, which it logs. Kinds
+// that this version of the router does not know are left out.
+func (r *relays) unpack(packed []*wire.CopyDelta) (deltas []copyDelta, readable bool) {
+	readable = true
+	for _, one := range packed {
+		kind := ObjectKind(one.GetKind())
 		if int(kind) >= len(objectKinds) {
 			continue
 		}
-		given := proof{at: proven.at, given: proven.given && kind == ConfigObjects}
-		unpacked, err := wire.UnpackCopyDelta(delta)
+		unpacked, err := wire.UnpackCopyDelta(one)
 		if err != nil {
 			r.gateway.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "fault": err.Error()})
+			readable = false
 			continue
 		}
-		if r.gateway.copies.apply(kind, control.DeltaFromWire(unpacked), given) == config.Gap {
+		deltas = append(deltas, copyDelta{kind: kind, delta: control.DeltaFromWire(unpacked)})
+	}
+	return deltas, readable
+}
+
+// applyDeltas applies changes from another router.
+func (r *relays) applyDeltas(deltas []copyDelta, proven proof) {
+	for _, d := range deltas {
+		given := proof{at: proven.at, given: proven.given && d.kind == ConfigObjects}
+		if r.gateway.copies.apply(d.kind, d.delta, given) == config.Gap {
 			r.askAgain()
 		}
 	}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -46,7 +46,8 @@
 	case *wire.Envelope_CopyPull:
 		return &wire.Envelope{Body: &wire.Envelope_CopyAnswer{CopyAnswer: r.answer(body.CopyPull)}}
 	case *wire.Envelope_CopyPush:
-		r.applyDeltas(body.CopyPush.GetDeltas(), proof{})
+		deltas, _ := r.unpack(body.CopyPush.GetDeltas())
+		r.applyDeltas(deltas, proof{})
 	case *wire.Envelope_QuotaAsk:
 		return &wire.Envelope{Body: &wire.Envelope_QuotaAnswer{QuotaAnswer: r.gateway.limits.Answer(body.QuotaAsk)}}
 	case *wire.Envelope_RunnerAsk:
