--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -17,6 +17,7 @@
   case "$cause" in
     "(poison)"*) play "$seed" --poison --suspensions ;;
     "(restores)"*) play "$seed" --restores ;;
+    "(restores, suspensions)"*) play "$seed" --restores --suspensions ;;
     *) play "$seed" ;;
   esac
 done < <(grep -v '^#' test/soak/seeds.txt)
