A router that starts in a new era of the store has others transfer their copies

What callers saw: after the store came back from a copy, and until the operator had written again what it lost, a seed that was started answered 404 on a route that the others served, and served a key that had been taken away; so did a follower whose seeds were silent for its first 0.1 s.

Cause: it lists what the copy has. The others know newer states, kept at the revisions of that same list, so that its copy counts as equal to theirs and no delta corrects it.

Change: a router without copies whose first list is of a later era asks other seeds, and routers that pull from it, for their whole copies, holds its first lists back for 0.1 s, and goes on asking for 10 s. It takes what is newer by the objects' own order, and runners that only others know. One that is itself without an answer says so (store_only) and is not taken for one that knows. Deployments whose store never came back from a copy see no change. Builds without the field answer a transfer like any first pull.

--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -226,6 +226,17 @@
 	return objects
 }
 
+// Replace puts the objects in place of those of the same names, whatever their revisions. They
+// are newer states of what the platform's store lists at these revisions, as it came back from
+// a copy.
+func (s *Store) Replace(objects []v1.Object) {
+	for _, object := range objects {
+		delete(s.objects, object.Key())
+		delete(s.tombstones, object.Key())
+		s.applyObject(object)
+	}
+}
+
 // RemoveOlder removes the objects that were written last before the revision and returns them
 // as deleted. They do not come back at the revisions that they had.
 func (s *Store) RemoveOlder(revision storerev.Revision) []v1.Object {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -84,6 +84,7 @@
 	QuarantineCallFailed = define(828, logrus.WarnLevel, "call on the kept quarantines failed")
 	StoreBehind          = define(845, logrus.WarnLevel, "answer of the store is older than what is known")
 	StoreLostChanges     = define(846, logrus.WarnLevel, "store came back from a copy that lacks changes; what is known of them is kept")
+	StateTransferred     = define(847, logrus.InfoLevel, "another router told what it knows beyond a store that came back from a copy")
 	StoreListed          = define(820, logrus.InfoLevel, "objects of a kind listed")
 	StoreHistoryGone     = define(821, logrus.WarnLevel, "history of the store is gone; listing again")
 	StoreLost            = define(822, logrus.WarnLevel, "store does not answer well")
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -95,6 +95,18 @@
 	return c.stores[kind].Revision()
 }
 
+// complete tells whether there is a copy of each kind.
+func (c *copies) complete() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, store := range c.stores {
+		if store.Revision() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // since returns the changes after the revision.
 func (c *copies) since(kind ObjectKind, revision storerev.Revision) config.Delta {
 	c.mutex.Lock()
@@ -173,7 +185,7 @@
 // applyConfig puts a configuration in force. It never goes back to an older one.
 func (g *Gateway) applyConfig(object Object) {
 	current := g.view.Load()
-	if current != nil && (object.Revision <= current.revision || object.Config.Version < current.table.Version) {
+	if current != nil && !current.precedes(object) {
 		return
 	}
 	next := &view{table: routing.NewTable(object.Config), revision: object.Revision}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -112,6 +112,7 @@
 	if answer.err != nil {
 		return answer.err
 	}
+	g.transfer.await(answer.revision.Era())
 	delta := config.Delta{Through: answer.revision, Full: true, Objects: answer.objects}
 	shown := g.copies.shownBy(answer, answer.sent)
 	outcome := g.copies.apply(f.kind, delta, proof{at: answer.sent, given: shown && !stale})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,15 @@
 	provenAt time.Time
 }
 
+// precedes tells whether the object holds a configuration that replaces the one in force. At one
+// revision a later version does: it was lost by a store that came back from a copy.
+func (v *view) precedes(object Object) bool {
+	if object.Revision == v.revision {
+		return object.Config.Version > v.table.Version
+	}
+	return object.Revision > v.revision && object.Config.Version >= v.table.Version
+}
+
 // Gateway is one router process.
 type Gateway struct {
 	settings Settings
@@ -102,6 +111,8 @@
 	followers []*follower
 	// era is how often the store came back from a copy.
 	era *storeEra
+	// transfer has other routers tell what the store lost before this one started.
+	transfer *stateTransfer
 	// disturbance is when a call to the store last failed.
 	disturbance disturbance
 	// schedulers place requests for other routers, or this one's.
@@ -158,7 +169,7 @@
 	g.cacheStores = newCacheStoreWatch(g)
 	g.caches = newCacheReader(g)
 	g.copies, g.direct, g.relays = newCopies(g), newDirectSwitch(), newRelays(g)
-	g.era = newStoreEra(g)
+	g.era, g.transfer = newStoreEra(g), newStateTransfer(g)
 	ports.Store.OnEra(g.era.told)
 	g.limits = limits.New(g.limitsConfig())
 	for _, kind := range objectKinds {
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -120,6 +120,14 @@
 // found within 0.3 s.
 const askedFollowers = 3
 
+// transferSources returns the routers that may know more than the store.
+func (r *relays) transferSources() []string {
+	r.mutex.Lock()
+	seeds := r.chooser.Others()
+	r.mutex.Unlock()
+	return append(seeds, r.someFollowers()...)
+}
+
 // someFollowers returns a few routers that pull from this seed, at random: the store may
 // turn all seeds away while it serves others.
 func (r *relays) someFollowers() []string {
@@ -204,6 +212,9 @@
 	if !known {
 		return false
 	}
+	if answer.GetStoreOnly() {
+		r.gateway.transfer.begin()
+	}
 	r.gateway.suspects.told(address, answer.GetSuspects())
 	r.gateway.signals.told(address, answer.GetSignals())
 	r.gateway.takeBounds(answer.GetWeightBounds(), sent)
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -70,11 +70,15 @@
 // configuration. The delta of the configuration is always there: it may be empty.
 func (r *relays) answer(pull *wire.CopyPull) *wire.CopyAnswer {
 	g := r.gateway
+	if pull.GetStateTransfer() {
+		return g.transfer.answer(pull)
+	}
 	referTo, interval := r.noteFollower(pull)
 	stores := g.cacheStores.state.Load()
 	answer := &wire.CopyAnswer{
 		Zone: g.settings.Zone, CacheStores: stores.answering, CacheStoresConfig: stores.config, Routers: uint32(g.routerCount()),
 		ReferTo: referTo, PullAfterMillis: uint32(interval.Milliseconds()),
+		StoreOnly: g.transfer.running.Load(),
 	}
 	if pull.GetWantsCache() {
 		answer.Cache = g.caches.answer(pull.GetCacheFeed(), pull.GetCacheThrough())
@@ -223,6 +227,13 @@
 	return message
 }
 
+// forgetPacked has answers packed anew after a change that no revision tells.
+func (r *relays) forgetPacked() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	clear(r.packed)
+}
+
 // push tells the routers that pulled of late what has changed after the revision.
 func (r *relays) push(kind ObjectKind, after storerev.Revision) {
 	addresses := r.pushed(r.gateway.now())
--- a/internal/relay/chooser.go
+++ b/internal/relay/chooser.go
@@ -50,11 +50,14 @@
 // Seeds returns how many seeds there are.
 func (c *Chooser) Seeds() int { return len(c.seeds) }
 
-// HasOthers tells whether there are seeds beside this router.
-func (c *Chooser) HasOthers() bool {
-	return slices.ContainsFunc(c.seeds, func(seed string) bool { return seed != c.self })
+// Others returns the seeds beside this router, also those that are passed over.
+func (c *Chooser) Others() []string {
+	return slices.DeleteFunc(slices.Clone(c.seeds), func(seed string) bool { return seed == c.self })
 }
 
+// HasOthers tells whether there are seeds beside this router.
+func (c *Chooser) HasOthers() bool { return len(c.Others()) > 0 }
+
 // IsSeed tells whether this router reads the store for others.
 func (c *Chooser) IsSeed() bool { return c.HasSeed(c.self) }
 
