--- a/cmd/clovertiller-lab/soak.go
+++ b/cmd/clovertiller-lab/soak.go
@@ -14,7 +14,7 @@
 func soakCommand() command {
 	subcommand := newSubcommand("soak", "Run gateways under random faults from outside and check the promises.")
 	program, older, root := "", "", "out"
-	poison, suspensions, signals, restores := false, false, false, false
+	poison, suspensions, signals, restores, lateOperator := false, false, false, false, false
 	seed, duration := uint64(0), time.Minute
 	gateways, engines := 0, 0
 	subcommand.String(&program, "", "program", "Path of the gateway; empty for the one in this program.")
@@ -23,6 +23,7 @@
 	subcommand.Bool(&suspensions, "", "suspensions", "Suspend machines; needs the gateway in this program.")
 	subcommand.Bool(&signals, "", "signals", "Have runners say that they leave, limit requests or want a rest.")
 	subcommand.Bool(&restores, "", "restores", "Have the store come back from copies.")
+	subcommand.Bool(&lateOperator, "", "late-operator", "Have the operator write again late what such a store lost.")
 	subcommand.String(&root, "", "folder", "Where settings and logs go.")
 	subcommand.UInt64(&seed, "", "seed", "Seed of the faults; 0 draws one.")
 	subcommand.Duration(&duration, "", "duration", "How long faults are injected.")
@@ -42,7 +43,7 @@
 		}
 		fmt.Println("seed", seed)
 		report, err := soak.Run(ctx, soak.Settings{
-			Program: command, Older: older, Poison: poison, Suspensions: suspensions, Signals: signals, Restores: restores,
+			Program: command, Older: older, Poison: poison, Suspensions: suspensions, Signals: signals, Restores: restores, LateOperator: lateOperator,
 			Seed: seed, Duration: duration, Folder: soak.LogFolder(root, seed), Out: os.Stdout, Gateways: gateways, Engines: engines,
 		})
 		if err != nil {
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -57,3 +57,21 @@
 	g.Expect(snapshot.Tenants["two"].Tier.Priority).To(Equal(100))
 	g.Expect(snapshot.ByPool["p"][0].Leaving).To(BeTrue())
 }
+
+// Guards against a state that is newer than the platform's store lists, and is passed over as it
+// has no later revision.
+func TestReplacedObjectsCountAtTheRevisionsThatTheyHave(t *testing.T) {
+	g := NewWithT(t)
+	store := NewStore()
+	tier := func(revision uint64, wait int) v1.Object {
+		return object(v1.KindTier, "gold", revision, v1.TierSpec{MaxWaitMillis: wait})
+	}
+	store.Apply(Delta{Through: 5, Full: true, Objects: []v1.Object{tier(3, 1)}})
+	store.Replace([]v1.Object{tier(3, 2), object(v1.KindTier, "silver", 2, v1.TierSpec{MaxWaitMillis: 9})})
+	g.Expect(store.Revision()).To(Equal(storerev.Revision(5)))
+	g.Expect(store.Since(0).Objects).To(ConsistOf(tier(3, 2), object(v1.KindTier, "silver", 2, v1.TierSpec{MaxWaitMillis: 9})))
+	g.Expect(store.Since(4).Objects).To(BeEmpty())
+
+	store.Apply(Delta{From: 5, Through: 6, Objects: []v1.Object{tier(6, 3)}})
+	g.Expect(store.Since(5).Objects).To(ConsistOf(tier(6, 3)))
+}
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -101,6 +101,13 @@
 	f.write(runner)
 }
 
+// listAll has all runners that have not ended write their entries.
+func (f *fleet) listAll() {
+	for _, runner := range f.living() {
+		f.list(runner)
+	}
+}
+
 // leave has the runner say that it leaves, unless it does already or half of its service
 // would be gone. It returns what ends this leave, so that no other fault shortens it.
 func (f *fleet) leave(runner *runnerstand.Runner) (comeBack func()) {
--- a/internal/lab/soak/restores.go
+++ b/internal/lab/soak/restores.go
@@ -26,6 +26,9 @@
 	// started anew meanwhile cannot know it.
 	awayMost  = time.Second
 	againMost = 700 * time.Millisecond
+	// lateAgainMost is how long after the return a late operator writes again, within the
+	// time after which no key that was taken away is used.
+	lateAgainMost = 3200 * time.Millisecond
 	// lapseTime is after how long entries lapse that the copy has of runners that have ended.
 	lapseTime = 3 * time.Second
 	// restoreChanges is one in how many returns that a key, or weights, change right after.
@@ -105,11 +108,14 @@
 	}
 	f.group.Go(func() { time.Sleep(lapseTime); s.runners.lapse() })
 	time.Sleep(f.upTo(againMost))
+	if s.settings.LateOperator {
+		s.runners.listAll()
+		left := revokeTime - keySlack - time.Since(from.at)
+		time.Sleep(f.upTo(max(min(lateAgainMost, left), againMost)))
+	}
 	s.config.writeAgain()
 	f.change()
-	for _, runner := range s.runners.living() {
-		s.runners.list(runner)
-	}
+	s.runners.listAll()
 }
 
 // change has the operator change something of what was written again, while the store gives out
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -37,7 +37,9 @@
 	Signals bool
 	// Restores has the store come back from copies.
 	Restores bool
-	Seed     uint64
+	// LateOperator has what the operator wrote be lost for longer after a return.
+	LateOperator bool
+	Seed         uint64
 	// Duration is how long faults are injected.
 	Duration time.Duration
 	// Folder takes settings files and logs.
