--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -78,6 +78,11 @@
 mutant "11 a lost lease is taken at once" internal/lease/lease.go 's/now.Before\(c.lostUntil\)/false/' ./internal/lease
 mutant "11 writes count across eras" internal/lease/lease.go 's/if !sameEra \{/if false \&\& !sameEra {/' ./internal/lease
 mutant "11 lost quarantines stay lost" internal/gateway/keptquarantines.go 's/\t\tk.keepAll\(\)\n//' ./internal/gateway -run QuarantinesThatTheStoreLost
+mutant "11 routers that start go by the copy" internal/gateway/statetransfer.go 's/if era == storerev.FirstEra \{/if era >= storerev.FirstEra {/' ./internal/gateway -run RouterThatStartsInANewEraLearnsWhat
+mutant "11 routers that know nothing transfer it" internal/gateway/statetransfer.go 's/ \|\| answer.GetStoreOnly\(\)//; s/ \|\| answer.StoreOnly//' ./internal/gateway -run StartTogetherInANewEra
+mutant "11 newer states at listed revisions are passed over" internal/gateway/statetransfer.go 's/case found \&\& /case false \&\& found \&\& /' ./internal/gateway -run SeedsThatAnswerLate
+mutant "11 runners that only others know stay unknown" internal/gateway/statetransfer.go 's/case !found \&\& /case false \&\& /' ./internal/gateway -run SeedsThatAnswerLate
+mutant "11 a transfer is asked for once" internal/gateway/statetransfer.go 's/transferTime = 10 \* time.Second/transferTime = time.Nanosecond/' ./internal/gateway -run SeedsThatAnswerLate
 
 echo "mutants: $refuted refuted, $survived survived, $unclear unclear"
 [ "$survived$unclear" = 00 ]
