State transfer: whole copies are asked only of routers that have just said that they have any

A call that may take so long keeps a connection that has fallen silent from being replaced for 2 s, where it takes 0.22 s otherwise, and after the loss of all routers in a later era everybody asks for 10 s.

Change: from the second attempt on a question without copies, of 0.25 s, comes first; only a router that has just said that it knows more than the store is asked for whole copies.

--- a/internal/gateway/restoredstart_test.go
+++ b/internal/gateway/restoredstart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +121,30 @@
 		f.learns(r)
 	}
 }
+
+// Guards against questions of a state transfer that keep a silent connection between routers open for
+// as long as a whole copy may take: a follower knew nothing new for 2 s and more.
+func TestStateTransferDoesNotHoldTheLossOfAConnectionUp(t *testing.T) {
+	t.Parallel()
+	f := &restorable{fleet: newFleet(t)}
+	f.configure(1, defaultRoutes(), goodKey)
+	f.plain = f.runner("p1", "plain")
+	f.store.Restore(f.store.Copy())
+	seed := loopback.FreeAddress()
+	proxy, err := faultproxy.Start(seed)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(proxy.Close)
+	// Nobody knows more than the store, so that both ask for a transfer for as long as they may.
+	f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = seed, []string{seed} })
+	follower := f.servingRouter("follower", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds = loopback.FreeAddress(), []string{proxy.Address}
+	})
+	time.Sleep(2 * seenTime)
+	found := func() int { return strings.Count(follower.log.String(), `"store":false`) }
+	for range 4 {
+		before := found()
+		proxy.Set(faultproxy.Mute)
+		proxy.Set(faultproxy.Pass)
+		f.g.Eventually(found, seenTime, 5*time.Millisecond).Should(BeNumerically(">", before), "its seed is found again")
+	}
+}
--- a/internal/gateway/statetransfer.go
+++ b/internal/gateway/statetransfer.go
@@ -76,19 +76,17 @@
 	}()
 	began := g.now()
 	for attempt := 0; g.since(began) < transferTime; attempt++ {
-		patience := min(pullTime<<min(attempt, maxDoublings), directoryTime)
-		if t.askAny(g.relays.transferSources(), patience) || !g.backOff(attempt, transferFirstRetry, transferLastRetry) {
+		if t.askAny(g.relays.transferSources(), attempt > 0) || !g.backOff(attempt, transferFirstRetry, transferLastRetry) {
 			return
 		}
 	}
 }
 
-// askAny asks the routers at once and tells whether one has transferred its copies. Questions to
-// routers that are starting may be lost, and the first whole copy may take long.
-func (t *stateTransfer) askAny(addresses []string, patience time.Duration) bool {
+// askAny asks the routers at once and tells whether one has transferred its copies.
+func (t *stateTransfer) askAny(addresses []string, again bool) bool {
 	answers := make(chan bool, len(addresses))
 	for _, address := range addresses {
-		t.gateway.spawn(func() { answers <- t.ask(address, patience) })
+		t.gateway.spawn(func() { answers <- t.ask(address, again) })
 	}
 	for range addresses {
 		if <-answers {
@@ -98,19 +96,19 @@
 	return false
 }
 
-// ask asks one router and takes its copies.
-func (t *stateTransfer) ask(address string, patience time.Duration) bool {
-	g := t.gateway
-	ctx, cancel := context.WithTimeout(g.ctx, patience)
-	defer cancel()
-	request := g.relays.newPull(address)
-	request.StateTransfer = true
-	for _, kind := range objectKinds {
-		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind)})
+// ask asks one router and takes its copies. Whole copies may take long, and a call that may take
+// long keeps a silent connection from being replaced: from the second time on they are asked of
+// routers only that have just said that they have any.
+func (t *stateTransfer) ask(address string, again bool) bool {
+	g, patience := t.gateway, pullTime
+	if again {
+		if !knows(t.call(address, pullTime, nil)) {
+			return false
+		}
+		patience = directoryTime
 	}
-	reply, err := g.relays.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
-	answer := reply.GetCopyAnswer()
-	if err != nil || !answer.GetProven() || answer.GetStoreOnly() {
+	answer := t.call(address, patience, objectKinds)
+	if !knows(answer) {
 		return false
 	}
 	deltas, readable := g.relays.unpack(answer.GetDeltas())
@@ -122,6 +120,27 @@
 	return readable
 }
 
+// knows tells whether the answer is of a router that knows more than the store may.
+func knows(answer *wire.CopyAnswer) bool { return answer.GetProven() && !answer.GetStoreOnly() }
+
+// call asks a router for whole copies of the kinds and returns its answer, or nil.
+func (t *stateTransfer) call(address string, patience time.Duration, kinds []ObjectKind) *wire.CopyAnswer {
+	relays := t.gateway.relays
+	ctx, cancel := context.WithTimeout(t.gateway.ctx, patience)
+	defer cancel()
+	request := relays.newPull(address)
+	request.StateTransfer = true
+	for _, kind := range kinds {
+		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind)})
+	}
+	reply, err := relays.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
+	if err != nil {
+		// The next attempt asks again.
+		return nil
+	}
+	return reply.GetCopyAnswer()
+}
+
 // answer returns this router's copies.
 func (t *stateTransfer) answer(pull *wire.CopyPull) *wire.CopyAnswer {
 	g := t.gateway
