Runners that are gone do not come back with another router's whole copy

The holder of the lease asked two runners that had ended for their weights to the end, 30 s after their entries had lapsed. In a test the gone runner gets requests for good.

Cause: a router that had missed the lapse kept the two at their old revisions, as the first list of an era lacked them, and told them with its whole copy. The copy of the router that took it refused them, by its tombstones, but what was put in force was the delta as it came. Nothing removes a runner that is in force and not in the copy. Before eras whole deltas held nothing that the copy refuses.

Change: a whole delta puts in force what the copy has once it is taken.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -123,7 +123,7 @@
 	delta = c.reconcile(kind, delta)
 	outcome := c.stores[kind].Apply(delta)
 	if outcome == config.Applied {
-		c.gateway.putInForce(kind, c.withoutReturned(kind, newerThan(before, delta)))
+		c.gateway.putInForce(kind, c.withoutReturned(kind, c.changed(kind, before, delta)))
 	}
 	c.noteReached(checkpoint{revision: c.stores[kind].Revision(), at: c.gateway.now()})
 	if proven.given && outcome != config.Gap && delta.Through.Era() == c.stores[kind].Revision().Era() {
@@ -139,13 +139,16 @@
 	return outcome
 }
 
-// newerThan leaves out what was in force at the revision already: two watches may bring
-// the same changes, and an older one must not come into force for a moment.
-func newerThan(revision storerev.Revision, delta config.Delta) config.Delta {
+// changed returns what a delta that was taken at the revision changes. A whole one stands for all
+// that the copy has now: another router's may hold what this one knows to be gone. Of others what
+// was in force already is left out: two watches may bring the same changes, and an older one must
+// not come into force for a moment. The mutex is held.
+func (c *copies) changed(kind ObjectKind, revision storerev.Revision, delta config.Delta) config.Delta {
+	changed := delta
 	if delta.Full {
-		return delta
+		changed.Objects = c.stores[kind].Objects()
+		return changed
 	}
-	changed := delta
 	changed.Objects = nil
 	for _, object := range delta.Objects {
 		if storerev.Revision(object.Version) > revision {
--- a/internal/gateway/restoredrunners_test.go
+++ b/internal/gateway/restoredrunners_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 	"github.com/clovertiller/clovertiller/platform"
@@ -130,3 +134,49 @@
 	f.g.Expect(f.orders()).To(Equal(orders), "orders given to runners")
 	f.g.Expect(f.routers[0].log.String()).NotTo(ContainSubstring("runner started again"))
 }
+
+// Guards against runners that are used for good though they are gone, as a router that missed that
+// tells of them: its whole copy keeps what the first list of an era lacks.
+func TestRunnersThatAreGoneDoNotComeBackFromARouterThatMissedIt(t *testing.T) {
+	t.Parallel()
+	f := newRestorable(t, 1, nil)
+	gone, seed := f.runner("gone", "plain"), f.routers[0]
+	seed.logs(`"runner":"gone"`)
+	bound := loopback.FreeAddress()
+	var proxies []*faultproxy.Proxy
+	for _, address := range []string{seed.seeds[0], bound} {
+		proxy, err := faultproxy.Start(address)
+		f.g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(proxy.Close)
+		proxies = append(proxies, proxy)
+	}
+	cut := func(mode faultproxy.Mode) {
+		for _, proxy := range proxies {
+			proxy.Set(mode)
+		}
+	}
+	follower := f.servingRouter("follower", func(settings *gateway.Settings) {
+		settings.Seeds, settings.PeerAddress, settings.PeerBindAddress = []string{proxies[0].Address}, proxies[1].Address, bound
+	})
+	follower.logs(`"runner":"gone"`)
+	follower.door.Set(storestand.Reset)
+	cut(faultproxy.Reset)
+	f.store.Remove(platform.KindServers, gone.ID)
+	seed.logs("runner removed")
+	f.store.Restore(f.store.Copy())
+	seed.logs(`"event":829`)
+	time.Sleep(listedTime)
+	seed.door.Set(storestand.Throttled)
+	f.grow(3)
+	follower.door.Set(storestand.Healthy)
+	follower.logs(`"missing":1`)
+	cut(faultproxy.Pass)
+
+	time.Sleep(droppedTime)
+	ran := len(gone.Runs())
+	for range 30 {
+		f.g.Expect(seed.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	}
+	f.g.Expect(gone.Runs()).To(HaveLen(ran))
+	f.g.Expect(strings.Count(seed.log.String(), `"runner":"gone","service"`)).To(Equal(1), "times at which it was added")
+}
