--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -18,10 +18,12 @@
     "(poison)"*) play "$seed" --poison --suspensions ;;
     "(restores)"*) play "$seed" --restores ;;
     "(restores, suspensions)"*) play "$seed" --restores --suspensions ;;
+    "(late operator)"*) play "$seed" --restores --late-operator ;;
+    "(late operator, all)"*) play "$seed" --restores --late-operator --poison --suspensions --signals ;;
     *) play "$seed" ;;
   esac
 done < <(grep -v '^#' test/soak/seeds.txt)
 for _ in $(seq "$fresh"); do
-  play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions --signals --restores
+  play $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions --signals --restores --late-operator
 done
 exit $failed
