--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
@@ -174,6 +175,14 @@
 	return b.text.String()
 }
 
+// proxyTo starts a proxy in front of the address that ends with the test.
+func (f *fleet) proxyTo(address string) *faultproxy.Proxy {
+	proxy, err := faultproxy.Start(address)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.t.Cleanup(proxy.Close)
+	return proxy
+}
+
 // router starts a gateway; adjust may change its settings.
 func (f *fleet) router(name string, adjust func(*gateway.Settings)) *router {
 	return f.routerAt(name, adjust, storestand.Healthy)
--- a/internal/gateway/restoredrunners_test.go
+++ b/internal/gateway/restoredrunners_test.go
@@ -143,13 +143,7 @@
 	gone, seed := f.runner("gone", "plain"), f.routers[0]
 	seed.logs(`"runner":"gone"`)
 	bound := loopback.FreeAddress()
-	var proxies []*faultproxy.Proxy
-	for _, address := range []string{seed.seeds[0], bound} {
-		proxy, err := faultproxy.Start(address)
-		f.g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(proxy.Close)
-		proxies = append(proxies, proxy)
-	}
+	proxies := []*faultproxy.Proxy{f.proxyTo(seed.seeds[0]), f.proxyTo(bound)}
 	cut := func(mode faultproxy.Mode) {
 		for _, proxy := range proxies {
 			proxy.Set(mode)
--- a/internal/gateway/restoredstart_test.go
+++ b/internal/gateway/restoredstart_test.go
@@ -91,9 +91,7 @@
 	var proxies []*faultproxy.Proxy
 	var seeds []string
 	for _, seed := range f.seeds {
-		proxy, err := faultproxy.Start(seed)
-		f.g.Expect(err).NotTo(HaveOccurred())
-		t.Cleanup(proxy.Close)
+		proxy := f.proxyTo(seed)
 		proxy.Set(faultproxy.Reset)
 		proxies, seeds = append(proxies, proxy), append(seeds, proxy.Address)
 	}
@@ -131,9 +129,7 @@
 	f.plain = f.runner("p1", "plain")
 	f.store.Restore(f.store.Copy())
 	seed := loopback.FreeAddress()
-	proxy, err := faultproxy.Start(seed)
-	f.g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(proxy.Close)
+	proxy := f.proxyTo(seed)
 	// Nobody knows more than the store, so that both ask for a transfer for as long as they may.
 	f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = seed, []string{seed} })
 	follower := f.servingRouter("follower", func(settings *gateway.Settings) {
