versionrollout: which share of a service another version may get, and its verdict

Nothing in the code answered an operator's order to move a service to another version of its runners. The decisions come first, without I/O: a Controller judges the target version by route against the old version in the same time, over the whole rollout and in a sliding window, and an Exposure at each placing router turns the permitted share into single requests. Each router's part comes out of its own requests, so the sum over any number of routers stays within the share.

Property test over 1, 3 and 30 placers, a lost leader and a router that is cut off: exposure, last request after the 50th bad answer, a final state before the deadline.

--- /dev/null
+++ b/internal/versionrollout/versionrollout_test.go
@@ -0,0 +1,345 @@
+package versionrollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// quality is how a version of a simulated service answers.
+type quality struct {
+	name string
+	// badShare returns the share of bad answers of the target version.
+	badShare func(progress float64, route string, concurrent int) float64
+	// oldBadShare is the share of bad answers of the old version.
+	oldBadShare float64
+	isGood      bool
+}
+
+const (
+	simulatedBad     = 0.3
+	simulatedOldBad  = 0.02
+	simulatedRoutes  = 3
+	simulatedLoad    = 3
+	simulatedSlack   = 50
+	simulatedTick    = 10 * time.Millisecond
+	rollbackLimit    = 5 * time.Second
+	badAnswersBefore = 50
+)
+
+func qualities() []quality {
+	return []quality{
+		{name: "good", badShare: func(float64, string, int) float64 { return simulatedOldBad }, oldBadShare: simulatedOldBad, isGood: true},
+		{name: "bad at once", badShare: func(float64, string, int) float64 { return simulatedBad }, oldBadShare: simulatedOldBad},
+		{name: "bad late", oldBadShare: simulatedOldBad, badShare: func(progress float64, _ string, _ int) float64 {
+			if progress > 0.35 {
+				return simulatedBad
+			}
+			return simulatedOldBad
+		}},
+		{name: "bad under load", oldBadShare: simulatedOldBad, badShare: func(_ float64, _ string, concurrent int) float64 {
+			if concurrent >= simulatedLoad {
+				return simulatedBad * 2
+			}
+			return simulatedOldBad
+		}},
+		{name: "bad on one route", oldBadShare: simulatedOldBad, badShare: func(_ float64, route string, _ int) float64 {
+			if route == "route 1" {
+				return simulatedBad * 2
+			}
+			return simulatedOldBad
+		}},
+		{name: "old and new equally bad", badShare: func(float64, string, int) float64 { return simulatedBad }, oldBadShare: simulatedBad, isGood: true},
+	}
+}
+
+// placer is a simulated router that places requests.
+type placer struct {
+	exposure Exposure
+	counted  Report
+	// nextAskAt is when it asks the leader next.
+	nextAskAt time.Time
+	cutOff    bool
+}
+
+// answer is a response that is still to come.
+type pendingAnswer struct {
+	at     time.Time
+	from   *placer
+	route  string
+	target bool
+	bad    bool
+}
+
+// world simulates a rollout over several placers and one leader at a time.
+type world struct {
+	random     *rand.Rand
+	now, start time.Time
+	order      Order
+	quality    quality
+	placers    []*placer
+	controller *Controller
+	decision   Decision
+	// leaderLostAt is when the leader is lost, zero for never, and leaderlessUntil when the next
+	// one begins.
+	leaderLostAt, leaderlessUntil time.Time
+	pending                       []pendingAnswer
+	requests                      int
+	exposed                       int
+	badAnswers                    int
+	fiftiethBadAt                 time.Time
+	lastExposedAt                 time.Time
+	endedAt                       time.Time
+}
+
+const simulatedShare = 0.1
+
+func newWorld(seed uint64, quality quality, placers int) *world {
+	start := time.Unix(1000, 0)
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, quality: quality, order: Order{Service: "s", Target: "v2", Duration: 12 * time.Second}}
+	for range placers {
+		w.placers = append(w.placers, &placer{counted: Report{Routes: map[string]RouteTally{}}})
+	}
+	w.newLeader()
+	return w
+}
+
+func (w *world) newLeader() {
+	w.controller = NewController(Config{Order: w.order, MaxShare: simulatedShare, StartedAt: w.start})
+	w.controller.TargetListed = true
+	w.decision = Decision{}
+}
+
+func (w *world) ask(i int, p *placer) {
+	if p.cutOff || w.now.Before(w.leaderlessUntil) || w.decision.State.IsFinal() {
+		return
+	}
+	copied := Report{Requests: p.counted.Requests, Exposed: p.counted.Exposed, Routes: map[string]RouteTally{}}
+	for route, tally := range p.counted.Routes {
+		copied.Routes[route] = tally
+	}
+	w.controller.Report(Source{Router: fmt.Sprint(i)}, copied)
+	if w.decision.Phase == Testing {
+		p.exposure.Permit(w.now, w.decision.Share)
+	}
+}
+
+func (w *world) place(p *placer) {
+	w.requests++
+	route := fmt.Sprintf("route %d", w.random.IntN(simulatedRoutes))
+	target := w.decision.Phase == Testing && p.exposure.Take(w.now)
+	p.exposure.CountRequest(w.now)
+	p.counted.Requests++
+	concurrent := 0
+	for _, answer := range w.pending {
+		if answer.target {
+			concurrent++
+		}
+	}
+	share := w.quality.oldBadShare
+	if target {
+		w.exposed++
+		p.counted.Exposed++
+		w.lastExposedAt = w.now
+		share = w.quality.badShare(w.now.Sub(w.start).Seconds()/w.order.Duration.Seconds(), route, concurrent)
+	}
+	took := time.Duration(20+w.random.IntN(160)) * time.Millisecond
+	w.pending = append(w.pending, pendingAnswer{at: w.now.Add(took), from: p, route: route, target: target, bad: w.random.Float64() < share})
+}
+
+func (w *world) deliver() {
+	var open []pendingAnswer
+	for _, answer := range w.pending {
+		if answer.at.After(w.now) {
+			open = append(open, answer)
+			continue
+		}
+		tally := answer.from.counted.Routes[answer.route]
+		counted := &tally.Old
+		if answer.target {
+			counted = &tally.Target
+		}
+		counted.Answers++
+		if answer.bad {
+			counted.Bad++
+			w.countBad(answer.target)
+		}
+		answer.from.counted.Routes[answer.route] = tally
+	}
+	w.pending = open
+}
+
+func (w *world) countBad(target bool) {
+	if !target {
+		return
+	}
+	w.badAnswers++
+	if w.badAnswers == badAnswersBefore {
+		w.fiftiethBadAt = w.now
+	}
+}
+
+// run plays the whole duration with the rate of requests a second.
+func (w *world) run(rate float64) {
+	for w.now.Before(w.start.Add(w.order.Duration)) {
+		w.now = w.now.Add(simulatedTick)
+		w.deliver()
+		if !w.leaderLostAt.IsZero() && !w.now.Before(w.leaderLostAt) {
+			w.newLeader()
+			w.leaderLostAt, w.leaderlessUntil = time.Time{}, w.now.Add(2*time.Second)
+		}
+		for i, p := range w.placers {
+			if !w.now.Before(p.nextAskAt) {
+				p.nextAskAt = w.now.Add(time.Duration(100+w.random.IntN(300)) * time.Millisecond)
+				w.ask(i, p)
+			}
+		}
+		if !w.now.Before(w.leaderlessUntil) && !w.decision.State.IsFinal() {
+			w.decision = w.controller.Step(w.now)
+			if w.decision.State.IsFinal() {
+				w.endedAt = w.now
+			}
+		}
+		for range int(rate*simulatedTick.Seconds() + w.random.Float64()) {
+			if w.decision.Phase == Testing && !w.decision.State.IsFinal() {
+				w.place(w.placers[w.random.IntN(len(w.placers))])
+			}
+		}
+	}
+}
+
+func TestRolloutOfAnyVersionKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := NewWithT(t)
+		quality := rapid.SampledFrom(qualities()).Draw(t, "quality")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), quality, rapid.SampledFrom([]int{1, 3, 30}).Draw(t, "placers"))
+		if rapid.Bool().Draw(t, "cut off") {
+			w.placers[0].cutOff = true
+		}
+		if rapid.Bool().Draw(t, "leader lost") {
+			w.leaderLostAt = w.start.Add(time.Duration(rapid.Float64Range(0, 1).Draw(t, "lost at") * float64(w.order.Duration/2)))
+		}
+		w.run(rapid.Float64Range(150, 800).Draw(t, "rate"))
+		g.Expect(float64(w.exposed)).To(BeNumerically("<=", simulatedShare*float64(w.requests)+simulatedSlack), "exposure")
+		if !w.fiftiethBadAt.IsZero() && !quality.isGood {
+			g.Expect(w.lastExposedAt).To(BeTemporally("<=", w.fiftiethBadAt.Add(rollbackLimit)), "requests after the 50th bad answer")
+		}
+		g.Expect(w.endedAt.IsZero()).To(BeFalse(), "a final state before the deadline")
+	})
+}
+
+// verdicts plays each quality with many seeds and returns the shares of final states that are
+// right.
+func verdicts(t *testing.T, placers int, leaderLoss bool) map[string]float64 {
+	t.Helper()
+	const plays = 60
+	right := map[string]float64{}
+	for _, quality := range qualities() {
+		for seed := range plays {
+			w := newWorld(uint64(seed), quality, placers)
+			if leaderLoss {
+				w.leaderLostAt = w.start.Add(w.order.Duration / 4)
+			}
+			w.run(400)
+			if (w.decision.State == Succeeded) == quality.isGood && w.decision.State.IsFinal() {
+				right[quality.name] += 1.0 / plays
+			}
+		}
+	}
+	return right
+}
+
+func TestVerdicts(t *testing.T) {
+	for _, placers := range []int{1, 3, 30} {
+		for _, leaderLoss := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d placers, leader lost %v", placers, leaderLoss), func(t *testing.T) {
+				t.Parallel()
+				g := NewWithT(t)
+				right := verdicts(t, placers, leaderLoss)
+				t.Log(right)
+				for _, quality := range qualities() {
+					g.Expect(right[quality.name]).To(BeNumerically(">=", 0.95), quality.name)
+				}
+			})
+		}
+	}
+}
+
+func TestPermitRunsOut(t *testing.T) {
+	g := NewWithT(t)
+	now, e := time.Unix(1000, 0), Exposure{}
+	e.Permit(now, 1)
+	e.CountRequest(now)
+	e.CountRequest(now)
+	g.Expect(e.Take(now.Add(PermitDuration - time.Millisecond))).To(BeTrue())
+	g.Expect(e.Take(now.Add(PermitDuration))).To(BeFalse(), "the leader was not reached for the whole time")
+	e.Permit(now, 1)
+	e.Revoke()
+	g.Expect(e.Take(now)).To(BeFalse())
+}
+
+func TestExposureOfManyRoutersAddsUp(t *testing.T) {
+	g := NewWithT(t)
+	for _, routers := range []int{3, 81, 1000} {
+		requests, exposed := 0, 0
+		exposures := make([]Exposure, routers)
+		random := rand.New(rand.NewPCG(7, uint64(routers)))
+		now := time.Unix(1000, 0)
+		for i := range exposures {
+			exposures[i].Permit(now, simulatedShare)
+		}
+		for range 100_000 {
+			e := &exposures[random.IntN(routers)]
+			if e.Take(now) {
+				exposed++
+			}
+			e.CountRequest(now)
+			requests++
+		}
+		g.Expect(float64(exposed)).To(BeNumerically("<=", simulatedShare*float64(requests)), "%d routers", routers)
+		g.Expect(float64(exposed)).To(BeNumerically(">", simulatedShare*float64(requests)*0.9-float64(routers)), "%d routers", routers)
+	}
+}
+
+func TestTargetWithoutRunnersOrAnswersIsRolledBack(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	order := Order{Service: "s", Target: "v2", Duration: 10 * time.Second}
+	c := NewController(Config{Order: order, MaxShare: simulatedShare, StartedAt: start})
+	g.Expect(c.Step(start.Add(5 * time.Second)).State).To(Equal(Running))
+	g.Expect(c.Step(start.Add(7*time.Second)).State).To(Equal(RolledBack), "no runner is listed")
+	c = NewController(Config{Order: order, MaxShare: simulatedShare, StartedAt: start})
+	c.TargetListed = true
+	c.Report(Source{Router: "r"}, Report{Requests: 500, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: 500}}}})
+	g.Expect(c.Step(start.Add(7*time.Second)).State).To(Equal(RolledBack), "there is traffic, but no answer of the target version")
+}
+
+func TestFinalStateStays(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	c := NewController(Config{Order: Order{Service: "s", Target: "v2", Duration: 10 * time.Second}, MaxShare: simulatedShare, StartedAt: start})
+	c.TargetListed = true
+	c.Report(Source{Router: "r"}, Report{Requests: 200, Exposed: 20, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: 180}, Target: Tally{Answers: 20, Bad: 20}}}})
+	g.Expect(c.Step(start.Add(time.Second)).State).To(Equal(RolledBack))
+	c.Report(Source{Router: "r"}, Report{Requests: 20000, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: 18000}, Target: Tally{Answers: 2000}}}})
+	g.Expect(c.Step(start.Add(9 * time.Second)).State).To(Equal(RolledBack))
+}
+
+func TestOrdersThatCannotBeCarriedOut(t *testing.T) {
+	g := NewWithT(t)
+	valid := Order{Service: "s", Target: "v2", Duration: time.Minute}
+	g.Expect(valid.Check(true)).To(Succeed())
+	g.Expect(valid.Check(false)).To(MatchError(ContainSubstring("not configured")))
+	for _, duration := range []time.Duration{0, -time.Second, 48 * time.Hour} {
+		order := valid
+		order.Duration = duration
+		g.Expect(order.Check(true)).To(MatchError(ContainSubstring("duration")))
+	}
+	order := valid
+	order.Target = ""
+	g.Expect(order.Check(true)).To(MatchError(ContainSubstring("target version")))
+}
