backend: a new runner is inserted into its service's list, not sorted into it

Cause: each added runner sorted the whole list of its service, so that a router spent the square of the number of runners: entries x entries comparisons at each router. At 9,675 runners that is about one second of a core for the first directory, and five seconds on a machine with 0.192 of a core, in which it answers and pulls nothing.

Change: binary search and insertion.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -96,9 +96,9 @@
 	}
 	created := &entry{Runner: runner, learnedVersions: map[string]uint64{}, signalState: s.signals.Get(runner.signalKey())}
 	s.entries[runner.ID] = created
-	list := append(s.byService[runner.Service], created)
-	slices.SortFunc(list, func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
-	s.byService[runner.Service] = list
+	list := s.byService[runner.Service]
+	position, _ := slices.BinarySearchFunc(list, created.ID, func(e *entry, id string) int { return cmp.Compare(e.ID, id) })
+	s.byService[runner.Service] = slices.Insert(list, position, created)
 	return true
 }
 
