Rollouts of a service's software version

Cause: the operator's order to move a service to another version of its runners was not read at all; runners of a new version got requests as soon as they were listed.

Change: rollouts are copied from the store like weights, on deployments that bound the exposure of a bad version. Schedulers test the target version with the share that the lease holder permits, for a second at a time, and count how requests end by version and route; the lease holder decides and writes the status. A final state that a restored store lost is written again. Without an order only the version that a service had first gets requests.

Without the settings' bound nothing is read or counted.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -75,6 +75,11 @@
 	SuspectContent uint64
 	// Backoffs are the backoffs that runners requested from the sending router.
 	Backoffs []RunnerBackoff
+	// TargetVersion is the only software version that may get the request, empty for the versions
+	// that the service's rule allows.
+	TargetVersion string
+	// Route is the request's route while a rollout of its service runs, otherwise empty.
+	Route string
 }
 
 // RunnerBackoff is a runner's request to one router to send it no requests for the
@@ -102,7 +107,7 @@
 // Excluded.
 func (s *Set) Candidates(now time.Time, query Query) (placement.Request, []placement.Candidate) {
 	request := placement.Request{Model: query.Model, PromptTokens: query.PromptTokens, MaxWait: query.MaxQueueTime, Excluded: slices.Clone(query.Excluded)}
-	entries := s.byService[query.Service]
+	entries := s.allowedEntries(query)
 	prefill := s.servicePrefill(query.Service)
 	split := s.split(now, query, len(entries))
 	home := s.homeRunner(now, entries, query, split)
@@ -222,7 +227,7 @@
 // its weights and its recent failures.
 func (s *Set) Usable(now time.Time, id string, query Query, permit backpressure.Permit) bool {
 	e := s.findActive(id, query.Service)
-	if e == nil || now.Before(e.avoidUntil) || slices.Contains(query.Excluded, id) || !e.accepts(now, permit) {
+	if e == nil || now.Before(e.avoidUntil) || slices.Contains(query.Excluded, id) || !e.accepts(now, permit) || !s.allowsVersion(e, query) {
 		return false
 	}
 	_, usable := s.weightsCost(now, e, query)
@@ -254,7 +259,7 @@
 // weighed by the placement and are not checked again.
 func (s *Set) MaySend(now time.Time, id string, query Query, version uint64, permit backpressure.Permit) bool {
 	e := s.findActive(id, query.Service)
-	if e == nil || !e.accepts(now, permit) {
+	if e == nil || !e.accepts(now, permit) || !s.allowsVersion(e, query) {
 		return false
 	}
 	if query.Model == "" {
@@ -297,7 +302,7 @@
 	var best *entry
 	for _, e := range s.byService[primary.Service] {
 		other, held := e.weightVersion(model)
-		if e == primary || !held || other != version || e.isLeaving() || e.updating || now.Before(e.avoidUntil) || !e.accepts(now, backpressure.Permit{}) {
+		if e == primary || !held || other != version || e.SoftwareVersion != primary.SoftwareVersion || e.isLeaving() || e.updating || now.Before(e.avoidUntil) || !e.accepts(now, backpressure.Permit{}) {
 			continue
 		}
 		if best == nil || backupCost(primary, e) < backupCost(primary, best) {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -47,6 +47,10 @@
 	// rolloutTime is the time within which all runners of a service should have a new
 	// target version.
 	rolloutTime time.Duration
+	// versionRules restrict the software versions that get requests, by service, and exposedShare
+	// is the largest share of a service's requests that names a version.
+	versionRules map[string]VersionRule
+	exposedShare float64
 }
 
 // NewSet returns an empty table for a router in the zone.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -79,6 +79,8 @@
 	// requested.
 	permit            backpressure.Permit
 	permitRequestedAt time.Time
+	// versionPermittedAt is when the permit for the query's target version was requested.
+	versionPermittedAt time.Time
 	// refusedForShare is set if the call was refused only because its tenant exceeds its fair
 	// share.
 	refusedForShare bool
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -13,12 +13,18 @@
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
-// objectKinds lists the kinds of objects that the router copies from the store.
-var objectKinds = []ObjectKind{ConfigObjects, RunnerObjects, WeightObjects}
+// objectKinds returns the kinds of objects that the router copies from the store.
+func (s *Settings) objectKinds() []ObjectKind {
+	kinds := []ObjectKind{ConfigObjects, RunnerObjects, WeightObjects}
+	if s.ExposedShare > 0 {
+		kinds = append(kinds, RolloutObjects)
+	}
+	return kinds
+}
 
-// separatelyProvenKinds lists the kinds whose proofs are sent separately from their objects. The
+// separatelyProvenKinds returns the kinds whose proofs are sent separately from their objects. The
 // proof of the configuration is sent together with it.
-var separatelyProvenKinds = []ObjectKind{RunnerObjects, WeightObjects}
+func (s *Settings) separatelyProvenKinds() []ObjectKind { return s.objectKinds()[1:] }
 
 // proof states that a delta completed the copy of a kind as of the time at. That is the time before
 // the store call was sent. The proof holds only if valid is set.
@@ -49,7 +55,7 @@
 
 func newCopies(g *Gateway) *copies {
 	c := &copies{gateway: g, stores: map[ObjectKind]*config.Store{}, provenTimes: map[ObjectKind]*atomic.Pointer[time.Time]{}, reappeared: map[string]storerev.Revision{}}
-	for _, kind := range objectKinds {
+	for _, kind := range g.settings.objectKinds() {
 		c.stores[kind] = config.NewOpaqueStore()
 		c.provenTimes[kind] = &atomic.Pointer[time.Time]{}
 	}
@@ -89,6 +95,9 @@
 	}
 }
 
+// holds reports whether the router copies the kind.
+func (c *copies) holds(kind ObjectKind) bool { return c.stores[kind] != nil }
+
 // revision returns the store revision through which the copy is complete.
 func (c *copies) revision(kind ObjectKind) storerev.Revision {
 	c.mutex.Lock()
@@ -165,12 +174,18 @@
 	if kind == RunnerObjects {
 		g.directoryRevision.Store(uint64(delta.Through))
 	}
-	if kind == RunnerObjects && delta.Full {
+	switch {
+	case kind == RunnerObjects && delta.Full:
 		g.retainRunners(delta.Objects)
+	case kind == RolloutObjects && delta.Full:
+		g.versionRollouts.retain(delta.Objects)
 	}
 	for _, object := range delta.Objects {
 		g.applyObject(kind, object)
 	}
+	if kind == RunnerObjects || kind == RolloutObjects {
+		g.versionRollouts.updateRules()
+	}
 }
 
 func (g *Gateway) applyObject(kind ObjectKind, stored v1.Object) {
@@ -184,6 +199,8 @@
 		g.applyRunner(object)
 	case object.Weights != nil:
 		g.applyWeights(object)
+	case kind == RolloutObjects:
+		g.versionRollouts.apply(object)
 	}
 }
 
@@ -202,6 +219,7 @@
 	g.runners.SetServices(serviceNames(object.Config))
 	g.mutex.Unlock()
 	g.activeConfig.Store(next)
+	g.versionRollouts.applyConfigChange()
 	g.log.Log(events.ConfigInForce, events.Fields{
 		"version": object.Config.Version, "revision": object.Revision.Number(), "era": object.Revision.Era(),
 		"routes": len(object.Config.Routes), "services": len(object.Config.Services), "tenants": len(object.Config.Tenants),
--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -61,7 +61,7 @@
 
 // anyOlderThan reports whether the copy of runners or of weights may be older than the limit.
 func (c *copies) anyOlderThan(now time.Time, limit time.Duration) bool {
-	for _, kind := range separatelyProvenKinds {
+	for _, kind := range c.gateway.settings.separatelyProvenKinds() {
 		if age, known := c.age(now, kind); known && age > limit {
 			return true
 		}
@@ -73,7 +73,7 @@
 // revision, so the revision is at least the one that the proof covers.
 func (c *copies) proofs() []*wire.CopyProof {
 	var proofs []*wire.CopyProof
-	for _, kind := range separatelyProvenKinds {
+	for _, kind := range c.gateway.settings.separatelyProvenKinds() {
 		age, known := c.age(c.gateway.now(), kind)
 		if !known {
 			continue
@@ -104,14 +104,14 @@
 	}
 	if !answer.GetTellsProofs() {
 		newest, _ := copies.checkpoints.newest()
-		for _, kind := range separatelyProvenKinds {
+		for _, kind := range r.gateway.settings.separatelyProvenKinds() {
 			copies.proveByCheckpoint(kind, checkpoint{revision: newest.revision, at: sentAt.Add(-configAge)})
 		}
 		return
 	}
 	for _, copyProof := range answer.GetProofs() {
 		kind := ObjectKind(copyProof.GetKind())
-		if int(kind) < len(objectKinds) && kind != ConfigObjects {
+		if copies.holds(kind) && kind != ConfigObjects {
 			copies.proveByCheckpoint(kind, checkpoint{revision: storerev.Revision(copyProof.GetRevision()), at: sentAt.Add(-wire.AgeFromMillis(copyProof.GetAgeMillis()))})
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -137,6 +137,8 @@
 	// cacheReader reads which prompt parts runners and cache stores hold, and sends the result to
 	// other routers.
 	cacheReader *cacheReader
+	// versionRollouts moves services to other software versions.
+	versionRollouts *versionRollouts
 	// weightsNamed receives a value when a new version of a model's weights is named.
 	weightsNamed chan struct{}
 
@@ -177,9 +179,10 @@
 	g.cacheReader = newCacheReader(g)
 	g.copies, g.directReads, g.peerRouters = newCopies(g), newDirectMode(), newPeerRouters(g)
 	g.eraTracker, g.transfer = newEraTracker(g), newStateTransfer(g)
+	g.versionRollouts = newVersionRollouts(g)
 	ports.Store.OnEra(g.eraTracker.observe)
 	g.limits = limits.New(g.limitsConfig())
-	for _, kind := range objectKinds {
+	for _, kind := range settings.objectKinds() {
 		g.storeWatchers = append(g.storeWatchers, newStoreWatcher(g, kind))
 	}
 	if err := g.listen(); err != nil {
@@ -195,6 +198,7 @@
 	g.spawn(g.cacheStoreMonitor.run)
 	g.spawn(g.cacheReader.run)
 	g.spawn(g.schedulers.loadReportLoop)
+	g.spawn(g.versionRollouts.reportLoop)
 	g.spawn(g.suspects.broadcasts.run)
 	g.spawn(g.signals.broadcasts.run)
 	g.spawn(g.suspects.stored.readLoop)
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -55,19 +55,21 @@
 func (l *leader) run() {
 	for l.waitForWork() {
 		outdated := l.rollout.countOutdated()
-		if outdated == 0 {
+		leadsRollouts := l.gateway.versionRollouts.needsLeader()
+		if outdated == 0 && !leadsRollouts {
 			l.outdatedRunners = 0
 			l.setHoldsLease(0, false)
 			continue
 		}
 		l.releaseIfFenced()
-		if !l.seeksLease(l.gateway.now(), outdated) {
+		if !leadsRollouts && !l.seeksLease(l.gateway.now(), outdated) {
 			continue
 		}
 		token, held := l.acquireOrRenew()
 		l.setHoldsLease(token, held)
 		if held {
 			l.rollout.startUpdates(l.term(token))
+			l.gateway.versionRollouts.leadAll(l.term(token))
 		}
 	}
 }
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -19,8 +19,24 @@
 // runners themselves for their own calls. It also returns the queue limit that applied, and whether
 // the request was refused only because its tenant exceeds its fair share. The gateway's mutex must
 // be held.
-func (g *Gateway) placeRequest(now time.Time, query backend.Query, timeLeft time.Duration) (chosen placement.Pick, queueLimit admission.QueueLimit, refusedForShare bool) {
-	return g.placeRequestWithExcess(now, query, timeLeft, g.fairShares.excess(now, query))
+//
+// The request may test the target version of a rollout, and then names that version afterwards.
+func (g *Gateway) placeRequest(now time.Time, query *backend.Query, timeLeft time.Duration) (chosen placement.Pick, queueLimit admission.QueueLimit, refusedForShare bool) {
+	if target := g.versionRollouts.takeExposure(now, *query); target != "" {
+		query.TargetVersion = target
+		chosen, queueLimit, refusedForShare = g.placeRequestWithExcess(now, *query, timeLeft, g.fairShares.excess(now, *query))
+		if chosen.Status == placement.Picked {
+			g.versionRollouts.recordPlaced(now, *query)
+			return chosen, queueLimit, refusedForShare
+		}
+		query.TargetVersion = ""
+		g.versionRollouts.returnExposure(query.Service)
+	}
+	chosen, queueLimit, refusedForShare = g.placeRequestWithExcess(now, *query, timeLeft, g.fairShares.excess(now, *query))
+	if chosen.Status == placement.Picked {
+		g.versionRollouts.recordPlaced(now, *query)
+	}
+	return chosen, queueLimit, refusedForShare
 }
 
 // placeRequestWithExcess is placeRequest for a tenant with the given excess over its fair share.
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -39,6 +39,8 @@
 	heldBack    bool
 	permitted   bool
 	requestedAt time.Time
+	// version is the target version of a rollout that the send may use, empty for none.
+	version string
 }
 
 // placementRequest is a request to a scheduler that has not been answered yet.
@@ -79,7 +81,7 @@
 		MaxQueueMillis: uint32(query.MaxQueueTime.Milliseconds()),
 		TargetMillis:   uint32(query.LatencyTarget.Milliseconds()), GapMillis: uint32(query.MaxEventGap.Milliseconds()),
 		Tier: uint32(query.Rank.Tier), RouteRank: uint32(query.Rank.Route), Tenant: query.Tenant,
-		MaxTokens: uint32(max(query.MaxTokens, 0)), Ticket: query.Ticket, Suspect: query.SuspectContent,
+		MaxTokens: uint32(max(query.MaxTokens, 0)), Ticket: query.Ticket, Suspect: query.SuspectContent, Route: query.Route,
 	}
 	for _, backoff := range query.Backoffs {
 		message.Resting = append(message.Resting, backoff.Runner)
@@ -123,7 +125,7 @@
 	return &placementChoice{
 		scheduler: scheduler, sendNumber: message.GetSend(), runner: answer.GetRunner(), cachedTokens: int(answer.GetCachedTokens()),
 		expectedWait: time.Duration(answer.GetWaitMillis()) * time.Millisecond, pendingRequests: int(answer.GetPendingRequests()),
-		queueWait: queueWait, queueLimit: queueLimit, permitted: answer.GetPermitted(), requestedAt: requestedAt,
+		queueWait: queueWait, queueLimit: queueLimit, permitted: answer.GetPermitted(), requestedAt: requestedAt, version: answer.GetVersion(),
 	}
 }
 
@@ -218,7 +220,9 @@
 	if choice.heldBack {
 		return placement.Pick{Status: placement.AllHeldBack, RetryAfter: choice.retryAfter}, true
 	}
-	if !g.runners.Usable(now, choice.runner, c.query, choice.permit()) {
+	c.query.TargetVersion, c.versionPermittedAt = choice.version, choice.requestedAt
+	if !g.versionRollouts.maySend(now, c.query, choice.requestedAt) || !g.runners.Usable(now, choice.runner, c.query, choice.permit()) {
+		c.query.TargetVersion = ""
 		c.bufferLog(events.PlacementDeclined, events.Fields{"runner": choice.runner, "scheduler": choice.scheduler})
 		if rejected, listed := g.runners.Get(choice.runner); listed {
 			g.signals.resend(now, rejected)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -12,6 +12,7 @@
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/storerev"
+	"github.com/clovertiller/clovertiller/internal/versionrollout"
 )
 
 // Clock is a clock that keeps running while the machine is suspended.
@@ -122,11 +123,13 @@
 	RunnerObjects
 	// WeightObjects hold the newest version of a model's weights.
 	WeightObjects
+	// RolloutObjects hold the operator's orders to move a service to another software version.
+	RolloutObjects
 )
 
 // String returns the kind's name in logs and metrics, which is also the kind of its objects.
 func (k ObjectKind) String() string {
-	return [...]string{"configuration", "runners", "weights"}[k]
+	return [...]string{"configuration", "runners", "weights", "rollouts"}[k]
 }
 
 // NamedWeights is the newest named version of a model's weights.
@@ -135,6 +138,23 @@
 	Version uint64
 }
 
+// StoredRollout is an order to move a service to another software version, as stored.
+type StoredRollout struct {
+	Order versionrollout.Order
+	// Status is nil if none has been written for this order.
+	Status *RolloutStatus
+}
+
+// RolloutStatus is the stored status of a rollout. Its times are wall clock times.
+type RolloutStatus struct {
+	State versionrollout.State
+	// StartedAt is when the rollout began, and PromotedAt when all traffic was moved to the target
+	// version, zero if it was not.
+	StartedAt  time.Time
+	PromotedAt time.Time
+	Reason     string
+}
+
 // Object is a decoded object of the store. Exactly one pointer is set, unless the object was
 // removed or could not be decoded.
 type Object struct {
@@ -144,6 +164,7 @@
 	Config   *routing.Config
 	Runner   *backend.Runner
 	Weights  *NamedWeights
+	Rollout  *StoredRollout
 	// Fault is the reason why the object could not be decoded, or empty.
 	Fault string
 }
@@ -177,6 +198,9 @@
 	// WriteLease writes the lease object if the number of its revision has not changed, or creates
 	// it if exists is false.
 	WriteLease(ctx context.Context, spec v1.LeaseSpec, exists bool, revision storerev.Revision) (written storerev.Revision, err error)
+	// WriteRolloutStatus writes the status of the named rollout if the number of its revision has not
+	// changed.
+	WriteRolloutStatus(ctx context.Context, name string, rollout StoredRollout, revision storerev.Revision) (written storerev.Revision, err error)
 	// ListQuarantines returns the stored quarantine records and the revision of the list. A stale
 	// list may be some seconds old.
 	ListQuarantines(ctx context.Context, stale bool) ([]StoredQuarantine, storerev.Revision, error)
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -62,7 +62,7 @@
 	r.mutex.Lock()
 	maxAge := r.proofAgeLimit(r.lastSource())
 	r.mutex.Unlock()
-	for _, kind := range objectKinds {
+	for _, kind := range r.gateway.settings.objectKinds() {
 		limit := maxAge
 		if kind != ConfigObjects {
 			limit += copyProofMargin
@@ -328,9 +328,9 @@
 	case !r.gateway.knowsConfigState():
 		return firstPullTimeout, []ObjectKind{ConfigObjects, WeightObjects}
 	case r.gateway.copies.revision(RunnerObjects) == 0:
-		return directoryPullTimeout, objectKinds
+		return directoryPullTimeout, r.gateway.settings.objectKinds()
 	}
-	return pullTimeout, objectKinds
+	return pullTimeout, r.gateway.settings.objectKinds()
 }
 
 // copyDelta is the change of the copy of one kind.
@@ -345,7 +345,7 @@
 	ok = true
 	for _, message := range messages {
 		kind := ObjectKind(message.GetKind())
-		if int(kind) >= len(objectKinds) {
+		if !r.gateway.copies.holds(kind) {
 			continue
 		}
 		unpacked, err := wire.UnpackCopyDelta(message)
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -60,6 +60,8 @@
 		r.gateway.suspects.merge(decodeSuspects(r.gateway.now(), body.SuspectNews.GetRecords()))
 	case *wire.Envelope_SignalNews:
 		r.gateway.signals.merge(body.SignalNews.GetSignals())
+	case *wire.Envelope_RolloutReport:
+		return &wire.Envelope{Body: &wire.Envelope_RolloutPermit{RolloutPermit: r.gateway.versionRollouts.handleReport(envelope, body.RolloutReport)}}
 	case *wire.Envelope_QuotaReturn:
 		r.gateway.limits.HandleReturn(body.QuotaReturn)
 	}
@@ -98,7 +100,7 @@
 	}
 	for _, have := range pull.GetHave() {
 		kind := ObjectKind(have.GetKind())
-		if int(kind) >= len(objectKinds) {
+		if !g.copies.holds(kind) {
 			continue
 		}
 		known := storerev.Revision(have.GetRevision())
--- /dev/null
+++ b/internal/gateway/rolloutsummary.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/versionrollout"
+)
+
+// RolloutSummary describes in the status how a service is moved to another software version.
+type RolloutSummary struct {
+	Service  string `json:"service"`
+	Target   string `json:"target"`
+	State    string `json:"state"`
+	Promoted bool   `json:"promoted"`
+	// Reason is why the rollout was promoted or rolled back, empty before.
+	Reason string `json:"reason,omitempty"`
+	// ElapsedMillis is the time since the order, and DurationMillis the time from the order to its
+	// deadline.
+	ElapsedMillis  int64 `json:"elapsedMillis"`
+	DurationMillis int64 `json:"durationMillis"`
+	// Leads is set if this router decides on the rollout. Share, Requests, Exposed and Routes are
+	// then those of all routers, and otherwise what this router has counted itself.
+	Leads    bool           `json:"leads"`
+	Share    float64        `json:"share"`
+	Requests uint64         `json:"requests"`
+	Exposed  uint64         `json:"exposed"`
+	Routes   []RouteSummary `json:"routes,omitempty"`
+}
+
+// RouteSummary counts the answers of both versions on one route.
+type RouteSummary struct {
+	Route         string `json:"route"`
+	OldAnswers    uint64 `json:"oldAnswers"`
+	OldBad        uint64 `json:"oldBad"`
+	TargetAnswers uint64 `json:"targetAnswers"`
+	TargetBad     uint64 `json:"targetBad"`
+}
+
+// summaries describes all rollouts in the order of their services.
+func (v *versionRollouts) summaries(now time.Time) (summaries []RolloutSummary) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(v.byService)) {
+		summaries = append(summaries, v.byService[service].summary(now))
+	}
+	return summaries
+}
+
+func (r *serviceRollout) summary(now time.Time) RolloutSummary {
+	summary := RolloutSummary{
+		Service: r.stored.Order.Service, Target: r.stored.Order.Target, State: r.state.String(), Promoted: r.promoted,
+		ElapsedMillis: now.Sub(r.startedAt).Milliseconds(), DurationMillis: r.stored.Order.Duration.Milliseconds(),
+		Leads: r.lead.controller != nil && now.Before(r.lead.validUntil),
+	}
+	if r.stored.Status != nil {
+		summary.Reason = r.stored.Status.Reason
+	}
+	counted := r.counted
+	if summary.Leads {
+		counted, summary.Share = r.lead.controller.Totals(), r.lead.decision.Share
+	}
+	summary.Requests, summary.Exposed = counted.Requests, counted.Exposed
+	for _, route := range slices.Sorted(maps.Keys(counted.Routes)) {
+		summary.Routes = append(summary.Routes, newRouteSummary(route, counted.Routes[route]))
+	}
+	return summary
+}
+
+func newRouteSummary(route string, tally versionrollout.RouteTally) RouteSummary {
+	return RouteSummary{Route: route, OldAnswers: tally.Old.Answers, OldBad: tally.Old.Bad, TargetAnswers: tally.Target.Answers, TargetBad: tally.Target.Bad}
+}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -78,7 +78,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	timeLeft := time.Duration(message.GetLeftMillis()) * time.Millisecond
-	pick, limit, forShare := g.placeRequest(now, query, timeLeft)
+	pick, limit, forShare := g.placeRequest(now, &query, timeLeft)
 	answer := &wire.RunnerAnswer{
 		Zone: g.settings.Zone, QueueMillis: uint32(max(pick.QueueWait.Milliseconds(), 0)),
 		MaxQueueMillis: uint32(limit.MaxQueue.Milliseconds()), YieldPercent: uint32(percent * limit.PriorityFactor), Returned: limit.Returned,
@@ -95,6 +95,7 @@
 	if pick.Status != placement.Picked {
 		return answer
 	}
+	answer.Version = query.TargetVersion
 	answer.Permitted = g.grantPermit(now, query.Service, pick.Candidate.Name).Valid(now)
 	key := backend.SendKey{Router: envelope.GetFrom(), Incarnation: envelope.GetFromIncarnation(), Number: message.GetSend()}
 	s.placedSends.Begin(now, key, pick.Candidate.Name, max(query.PromptTokens-pick.Candidate.CachedTokens, 0), query, timeLeft+placedSendSlack)
@@ -123,7 +124,7 @@
 		MaxEventGap:   time.Duration(message.GetGapMillis()) * time.Millisecond,
 		Rank:          admission.Rank{Tier: int(message.GetTier()), Route: int(message.GetRouteRank())},
 		Tenant:        message.GetTenant(), MaxTokens: int(message.GetMaxTokens()),
-		Ticket: message.GetTicket(), SuspectContent: message.GetSuspect(),
+		Ticket: message.GetTicket(), SuspectContent: message.GetSuspect(), Route: message.GetRoute(),
 	}
 	for i, runner := range message.GetResting() {
 		if i < len(message.GetRestingMillis()) {
@@ -150,6 +151,7 @@
 	if notice.GetEnded() {
 		if query, send, found := s.placedSends.Get(key); found {
 			s.gateway.fairShares.refund(s.gateway.now(), query, send, outcome)
+			s.gateway.versionRollouts.recordOutcome(s.gateway.now(), query, send.SentAt(), outcome)
 		}
 		s.placedSends.AvoidRunner(s.gateway.now(), key, time.Duration(notice.GetRestMillis())*time.Millisecond)
 		s.placedSends.End(s.gateway.now(), key, outcome)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -108,7 +108,8 @@
 		return chosen, choice.scheduler
 	}
 	g.metrics.runnerChoices.WithLabelValues(chosenLocally).Inc()
-	chosen, c.queueLimit, c.refusedForShare = g.placeRequest(now, c.query, c.deadline.Sub(now))
+	c.versionPermittedAt = now
+	chosen, c.queueLimit, c.refusedForShare = g.placeRequest(now, &c.query, c.deadline.Sub(now))
 	return chosen, chosenLocally
 }
 
@@ -200,7 +201,7 @@
 	if g.runners.IsLimited(c.runner.ID) {
 		g.metrics.observeLimitedSend(c.service, c.permit.Valid(now), now.Sub(c.permitRequestedAt))
 	}
-	return g.runners.MaySend(now, c.runner.ID, c.query, c.weightVersion, c.permit)
+	return g.versionRollouts.maySend(now, c.query, c.versionPermittedAt) && g.runners.MaySend(now, c.runner.ID, c.query, c.weightVersion, c.permit)
 }
 
 // recordWeightVersion records the weight version that the runner reported, and reports whether
@@ -241,6 +242,9 @@
 	if c.schedulerChoice == nil && !c.continuing && g.fairShares.tracksUsage() {
 		g.fairShares.refund(c.gateway.now(), c.query, c.currentSend, outcome)
 	}
+	if c.schedulerChoice == nil && !c.continuing && g.versionRollouts.isPlacer() {
+		g.versionRollouts.recordOutcome(c.gateway.now(), c.query, c.currentSend.SentAt(), outcome)
+	}
 	g.runners.End(c.gateway.now(), c.currentSend, outcome)
 	g.runners.AvoidFor(c.gateway.now(), c.currentSend, c.requestedBackoff)
 	g.mutex.Unlock()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -76,6 +76,9 @@
 	// RetrySlack is the number of retries that all routers together may make at once beyond
 	// RetryShare. 0 disables the common limit.
 	RetrySlack float64
+	// ExposedShare is the largest share of a service's requests that a bad new software version
+	// may get while the service is moved to it. 0 means that no service is ever moved.
+	ExposedShare float64
 }
 
 // Defaults of the settings.
@@ -192,6 +195,9 @@
 	if s.DirectFollowers < 0 || s.CPUShare < 0 || s.LinkMegabits < 0 {
 		faults = append(faults, "direct followers, processor share and link: must not be negative")
 	}
+	if s.ExposedShare < 0 || s.ExposedShare > 1 {
+		faults = append(faults, "exposed share: must be between 0 and 1")
+	}
 	if s.RetryShare < 0 || s.RetryShare > 1 {
 		faults = append(faults, "retry share: must be between 0 and 1")
 	}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -29,6 +29,7 @@
 	g.settings.Zone = "z"
 	g.metrics = newMetrics(g)
 	g.schedulers, g.fairShares = newSchedulers(g), newFairShares(g)
+	g.versionRollouts = newVersionRollouts(g)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	config := &routing.Config{Version: 1}
 	for _, tenant := range tenants {
@@ -50,7 +51,7 @@
 // that runner.
 func (g *Gateway) placeFor(now time.Time, tenant string) (chosen placement.Pick, forShare bool) {
 	q := tenantQuery(tenant)
-	chosen, _, forShare = g.placeRequest(now, q, time.Minute)
+	chosen, _, forShare = g.placeRequest(now, &q, time.Minute)
 	if chosen.Status == placement.Picked {
 		g.runners.Begin(now, chosen.Candidate.Name, q.PromptTokens)
 	}
--- a/internal/gateway/statetransfer.go
+++ b/internal/gateway/statetransfer.go
@@ -108,7 +108,7 @@
 		}
 		timeout = directoryPullTimeout
 	}
-	answer := t.sendPull(address, timeout, objectKinds)
+	answer := t.sendPull(address, timeout, t.gateway.settings.objectKinds())
 	if !canTransfer(answer) {
 		return false
 	}
@@ -152,7 +152,7 @@
 	}
 	answer.ProofAgeMillis = wire.AgeToMillis(g.since(current.provenAt))
 	for _, have := range pull.GetHave() {
-		if kind := ObjectKind(have.GetKind()); int(kind) < len(objectKinds) {
+		if kind := ObjectKind(have.GetKind()); t.gateway.copies.holds(kind) {
 			answer.Deltas = append(answer.Deltas, g.peerRouters.packedChanges(kind, 0))
 		}
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -40,6 +40,8 @@
 	// TenantExcesses lists the known tenants that exceed their fair shares of overloaded services
 	// the most. It is empty on routers that place no requests.
 	TenantExcesses []TenantExcess `json:"beyondShare,omitempty"`
+	// Rollouts are the services that are being moved to another software version, or were.
+	Rollouts []RolloutSummary `json:"rollouts,omitempty"`
 	// Quarantined lists up to maxQuarantinedInStatus quarantined contents.
 	Quarantined []QuarantinedContent `json:"quarantined,omitempty"`
 }
@@ -75,6 +77,7 @@
 		status.Source = g.peerRouters.lastSource()
 	}
 	status.Quarantined = g.suspects.summary(now)
+	status.Rollouts = g.versionRollouts.summaries(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	status.Weights = g.runners.WeightTargets().Targets()
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -3,6 +3,7 @@
 package runnerstand
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -65,6 +66,8 @@
 	// Model is empty for a runner without a language model.
 	Model   string
 	Version uint64
+	// SoftwareVersion is the version of the runner's program, v1 if it is empty.
+	SoftwareVersion string
 	// Incarnation is part of the directory entry and of reports, unless it is 0.
 	Incarnation uint64
 	// EventCount is the number of events in a stream. If it is 0, responses are not streams.
@@ -164,7 +167,7 @@
 	if r.Model != "" {
 		models = append(models, map[string]any{"name": r.Model, "version": r.weightVersion, "adapters": []string{}})
 	}
-	entry := map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": 8, "state": state, "models": models, "cold_remaining_ms": 0, "seq": r.weightRevision}
+	entry := map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": cmp.Or(r.SoftwareVersion, "v1"), "slots": 8, "state": state, "models": models, "cold_remaining_ms": 0, "seq": r.weightRevision}
 	r.addIncarnation(entry)
 	return entry
 }
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 )
 
@@ -134,6 +135,17 @@
 	return object
 }
 
+// writeStatusLocked replaces the status of an existing object. The mutex must be held.
+func (s *Store) writeStatusLocked(kind, name string, status json.RawMessage) Object {
+	s.revision++
+	object := s.objects[kind][name]
+	object.Metadata.Revision, object.Status = s.revision, status
+	s.objects[kind][name] = object
+	s.history[kind] = append(s.history[kind], Event{Object: object})
+	s.notifyWatchers()
+	return object
+}
+
 // eventsSince returns the changes of the kind after the revision, the revision up to which they
 // are complete, and a channel that is closed at the next change. compacted is set if the history
 // does not reach back to the revision, or if the revision is in the future.
@@ -156,6 +168,7 @@
 	if method == http.MethodPost {
 		name = body.Metadata.Name
 	}
+	name, ofStatus := strings.CutSuffix(name, "/status")
 	current, found := s.objects[kind][name]
 	switch {
 	case method == http.MethodPost && found:
@@ -168,5 +181,8 @@
 	case method == http.MethodPut && body.Metadata.Revision != 0 && body.Metadata.Revision != current.Metadata.Revision:
 		return http.StatusConflict, current
 	}
+	if ofStatus {
+		return http.StatusOK, s.writeStatusLocked(kind, name, body.Status)
+	}
 	return http.StatusOK, s.writeLocked(kind, name, body.Spec)
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -283,5 +284,8 @@
 // Service returns the service with the name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// ServiceNames returns the names of all services in order.
+func (t *Table) ServiceNames() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // CacheStores returns the IP:port addresses of the cache stores.
 func (t *Table) CacheStores() []string { return t.cacheStores }
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -55,6 +55,11 @@
 	Ended
 )
 
+// String returns the phase's name in logs.
+func (p Phase) String() string {
+	return [...]string{"testing", "promoting", "ended"}[p]
+}
+
 // Decision is the result of one step.
 type Decision struct {
 	Phase Phase
--- a/internal/versionrollout/versionrollout.go
+++ b/internal/versionrollout/versionrollout.go
@@ -8,6 +8,7 @@
 package versionrollout
 
 import (
+	"maps"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -89,6 +90,12 @@
 	Routes            map[string]RouteTally
 }
 
+// Clone returns a copy that shares nothing with the report.
+func (r Report) Clone() Report {
+	r.Routes = maps.Clone(r.Routes)
+	return r
+}
+
 // Source identifies one run of a router that reports.
 type Source struct {
 	Router      string
--- a/internal/versionrollout/versionrollout_test.go
+++ b/internal/versionrollout/versionrollout_test.go
@@ -343,3 +343,23 @@
 	order.Target = ""
 	g.Expect(order.Check(true)).To(MatchError(ContainSubstring("target version")))
 }
+
+// Guards against a good start that covers what comes later: the recent answers are judged on their
+// own.
+func TestVersionThatTurnsBadLate(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(1000, 0)
+	c := NewController(Config{Order: Order{Service: "s", Target: "v2", Duration: 20 * time.Second}, MaxShare: simulatedShare, StartedAt: start})
+	c.TargetListed = true
+	counted := RouteTally{}
+	for i := range 100 {
+		counted.Old.Answers += 50
+		counted.Target.Answers += 5
+		if i >= 90 {
+			counted.Target.Bad++
+		}
+		c.Report(Source{Router: "r"}, Report{Requests: counted.Old.Answers + counted.Target.Answers, Routes: map[string]RouteTally{"a": counted}})
+		c.Step(start.Add(time.Duration(i) * 100 * time.Millisecond))
+	}
+	g.Expect(c.Step(start.Add(10 * time.Second)).State).To(Equal(RolledBack), "10 of the last 50 answers, 10 of all 500")
+}
