gateway: a page of many changes is not an old state of the store

Cause: the store returns at most 500 changes in one response to a watch, with the revision of the last of them. While thousands of runners register, such a response is below the newest known revision, and was taken for a replica that lags behind: the reader backed off, sent second watches of the same pages, and proved its directory to nobody. All routers that pull from it then read the store themselves, each all pages: calls grow with routers x entries / 500.

Change: a response that is behind but brings changes is followed by the next one at once, and no second watch is sent meanwhile. A response that is behind and brings nothing still counts as old.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -56,6 +56,9 @@
 	unavailable bool
 	// stale is true after a response that was older than the newest known revision.
 	stale atomic.Bool
+	// catchingUp is true while responses bring changes but do not reach the newest known revision
+	// yet: the store returns many changes in several responses.
+	catchingUp atomic.Bool
 	// probing is true from when the pending watch was found to have missed changes until the next
 	// one is answered. cancelWatch cancels the pending watch.
 	probing     atomic.Bool
@@ -145,14 +148,14 @@
 	if w.kind == ConfigObjects {
 		g.verifyCopies(observed, current)
 	}
-	if !current {
+	w.catchingUp.Store(!current && len(response.objects) > 0)
+	switch {
+	case w.catchingUp.Load():
+		return nil
+	case !current:
 		w.recordStaleResponse(callWatch, response)
 		return errStaleResponse
-	}
-	if w.kind == ConfigObjects {
-		return nil
-	}
-	if len(response.objects) > 0 {
+	case w.kind != ConfigObjects && len(response.objects) > 0:
 		g.pause(w.delayAfterChange())
 	}
 	return nil
@@ -218,7 +221,7 @@
 
 // nextWatchTimeout returns how long the next watch waits for changes.
 func (w *storeWatcher) nextWatchTimeout() time.Duration {
-	if w.failures > 0 || w.probing.Load() {
+	if w.failures > 0 || w.probing.Load() || w.catchingUp.Load() {
 		return shortWatchTimeout
 	}
 	if w.kind != ConfigObjects {
@@ -267,6 +270,7 @@
 		return
 	}
 	w.failures++
+	w.catchingUp.Store(false)
 	g.metrics.storeFailures.WithLabelValues(w.kind.String()).Inc()
 	if !w.unavailable {
 		w.unavailable = true
--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -45,7 +45,7 @@
 		return
 	}
 	time.AfterFunc(w.delayAfterChange()+watchLatencyMargin, func() {
-		if !w.gateway.copies.proveByCheckpoint(w.kind, observed) {
+		if !w.gateway.copies.proveByCheckpoint(w.kind, observed) && !w.catchingUp.Load() {
 			w.probe()
 		}
 	})
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -45,6 +45,8 @@
 	changed           chan struct{}
 	// era is 1 plus the number of restores.
 	era uint64
+	// watchPage is the maximum number of changes in one response to a watch, 0 for no limit.
+	watchPage int
 	// formatEra formats the era for the header of responses, empty to omit the header.
 	formatEra func(era uint64) string
 }
@@ -66,6 +68,14 @@
 	return s.writeLocked(kind, name, encoded).Metadata.Revision
 }
 
+// SetWatchPage limits the number of changes in one response to a watch. A limited response tells
+// the revision of its last change.
+func (s *Store) SetWatchPage(changes int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.watchPage = changes
+}
+
 // Delete deletes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mutex.Lock()
@@ -157,7 +167,12 @@
 	}
 	history := s.history[kind]
 	first := sort.Search(len(history), func(i int) bool { return history[i].Object.Metadata.Revision > fromRevision })
-	return append([]Event{}, history[first:]...), s.revision, false, s.changed
+	events, atRevision = append([]Event{}, history[first:]...), s.revision
+	if s.watchPage > 0 && len(events) > s.watchPage {
+		events = events[:s.watchPage]
+		atRevision = events[len(events)-1].Object.Metadata.Revision
+	}
+	return events, atRevision, false, s.changed
 }
 
 // applyRequest applies a write request and returns the HTTP status and the object for the response.
