gateway: one log line for many runners received from another router

Cause: each router logs each runner that it learns of, so lines grow with routers x runners: 9.5 million at the start of a fleet of 985 routers and 9,675 runners. A line takes 30 us, three fifths of the time to apply an entry.

Routers that read the store log each runner, and small changes are logged as before.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -180,15 +180,18 @@
 	case kind == RolloutObjects && delta.Full:
 		g.versionRollouts.retain(delta.Objects)
 	}
+	batch := g.newRunnerBatch(kind, delta)
 	for _, object := range delta.Objects {
-		g.applyObject(kind, object)
+		g.applyObject(kind, object, batch)
 	}
+	batch.logTotal()
 	if kind == RunnerObjects || kind == RolloutObjects {
 		g.versionRollouts.updateRules()
 	}
 }
 
-func (g *Gateway) applyObject(kind ObjectKind, stored v1.Object) {
+// applyObject applies one object. batch collects the runners that are added.
+func (g *Gateway) applyObject(kind ObjectKind, stored v1.Object, batch *runnerBatch) {
 	object := g.ports.Decode(kind, stored)
 	switch {
 	case object.Fault != "":
@@ -196,7 +199,7 @@
 	case object.Config != nil:
 		g.applyConfig(object)
 	case object.Runner != nil || (kind == RunnerObjects && object.Removed):
-		g.applyRunner(object)
+		g.applyRunner(object, batch)
 	case object.Weights != nil:
 		g.applyWeights(object)
 	case kind == RolloutObjects:
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -2,7 +2,10 @@
 
 import (
 	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
 // ignoreObject logs that an object is not used. If it is an unreadable directory entry, the
@@ -29,7 +32,7 @@
 }
 
 // applyRunner applies a directory entry.
-func (g *Gateway) applyRunner(object Object) {
+func (g *Gateway) applyRunner(object Object, batch *runnerBatch) {
 	if object.Removed {
 		g.removeRunner(object, "gone")
 		g.mutex.Lock()
@@ -52,12 +55,48 @@
 		g.ports.RunnerPool.CloseIdle(before.Address)
 		g.log.Log(events.RunnerRestarted, events.Fields{"runner": runner.ID, "address": runner.Address, "incarnation": runner.Incarnation, "before": before.Incarnation, "draining": runner.Draining, "revision": object.Revision.Number(), "copy_age_ms": age})
 	case added:
-		g.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": object.Revision.Number(), "copy_age_ms": age})
+		batch.add(runner, object.Revision, age)
 	case known && before.Draining != runner.Draining:
 		g.log.Log(events.RunnerChanged, events.Fields{"runner": runner.ID, "draining": runner.Draining, "revision": object.Revision.Number(), "copy_age_ms": age})
 	}
 }
 
+// maxNamedRunners is the number of runners in one change up to which each is logged. Every router
+// receives the whole directory when it starts.
+const maxNamedRunners = 16
+
+// runnerBatch logs the runners that are added by one change of the directory: each by itself, or
+// only their number where many arrive at once from another router, which has logged each.
+type runnerBatch struct {
+	gateway   *Gateway
+	summarize bool
+	added     int
+	byService map[string]int
+	revision  storerev.Revision
+}
+
+func (g *Gateway) newRunnerBatch(kind ObjectKind, delta config.Delta) *runnerBatch {
+	summarize := kind == RunnerObjects && len(delta.Objects) > maxNamedRunners && !g.directReads.isEnabled()
+	return &runnerBatch{gateway: g, summarize: summarize, byService: map[string]int{}, revision: delta.Through}
+}
+
+// add logs or counts a runner that was added.
+func (b *runnerBatch) add(runner backend.Runner, revision storerev.Revision, ageMillis int64) {
+	if b.summarize {
+		b.added++
+		b.byService[runner.Service]++
+		return
+	}
+	b.gateway.log.Log(events.RunnerAdded, events.Fields{"runner": runner.ID, "service": runner.Service, "address": runner.Address, "zone": runner.Zone, "draining": runner.Draining, "revision": revision.Number(), "copy_age_ms": ageMillis})
+}
+
+// logTotal logs how many runners were counted.
+func (b *runnerBatch) logTotal() {
+	if b.added > 0 {
+		b.gateway.log.Log(events.DirectoryReceived, events.Fields{"runners": b.added, "services": b.byService, "revision": b.revision.Number(), "source": b.gateway.peerRouters.lastSource(), "copy_age_ms": b.gateway.copies.ageMillis(b.gateway.now(), RunnerObjects)})
+	}
+}
+
 // removeRunner removes the runner with the object's name, if there is one.
 func (g *Gateway) removeRunner(object Object, cause string) {
 	g.mutex.Lock()
--- a/internal/gateway/manychanges_test.go
+++ b/internal/gateway/manychanges_test.go
@@ -78,6 +78,9 @@
 			for _, r := range readers {
 				f.g.Expect(strings.Contains(r.log.String(), "older than the known one")).To(BeFalse(), "a page is not taken for an old state")
 			}
+			for _, r := range others {
+				f.g.Expect(strings.Count(r.log.String(), "\n")).To(BeNumerically("<", runners/10), "log lines do not grow with routers times runners")
+			}
 			f.g.Expect(followerCalls).To(BeZero(), "only seeds read the store")
 			// Each seed reads each page once, and the configuration and the end of a batch a few
 			// times a second.
--- a/internal/gateway/statetransfer.go
+++ b/internal/gateway/statetransfer.go
@@ -173,7 +173,7 @@
 	store.Replace(newer)
 	c.gateway.peerRouters.clearPackedDeltas()
 	for _, object := range newer {
-		c.gateway.applyObject(kind, object)
+		c.gateway.applyObject(kind, object, c.gateway.newRunnerBatch(kind, config.Delta{}))
 	}
 	c.scheduleGracePeriods(kind, config.Delta{Through: store.Revision(), Full: true, Objects: newer})
 	return len(newer)
--- a/internal/versionrollout/versionrollout_test.go
+++ b/internal/versionrollout/versionrollout_test.go
@@ -361,5 +361,5 @@
 		c.Report(Source{Router: "r"}, Report{Requests: counted.Old.Answers + counted.Target.Answers, Routes: map[string]RouteTally{"a": counted}})
 		c.Step(start.Add(time.Duration(i) * 100 * time.Millisecond))
 	}
-	g.Expect(c.Step(start.Add(10 * time.Second)).State).To(Equal(RolledBack), "10 of the last 50 answers, 10 of all 500")
+	g.Expect(c.Step(start.Add(10*time.Second)).State).To(Equal(RolledBack), "10 of the last 50 answers, 10 of all 500")
 }
