gateway: holders of cached parts are listed again only after a change

Cause: each reader listed all runners five times a second to see which caches to read, whether or not the directory had changed: runners x 5 visits and a map of all of them.

Change: the list is made when the listed runners, the configured services or the configuration have changed.

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -51,6 +51,8 @@
 	// is the largest share of a service's requests that names a version.
 	versionRules map[string]VersionRule
 	exposedShare float64
+	// listChanges counts the changes of the listed runners and of the configured services.
+	listChanges uint64
 	// outdated is the last count of outdated runners, and outdatedScans the number of scans.
 	outdated      outdatedCount
 	outdatedScans int
@@ -77,9 +79,18 @@
 	for _, name := range names {
 		s.configuredServices[name] = true
 	}
+	s.recordListChange()
+}
+
+// recordListChange records that the listed runners or the configured services have changed.
+func (s *Set) recordListChange() {
+	s.listChanges++
 	s.outdated.valid = false
 }
 
+// ListChanges returns the number of changes of the listed runners and of the configured services.
+func (s *Set) ListChanges() uint64 { return s.listChanges }
+
 // isConfigured reports whether the runner's service is in the current configuration, or no
 // configuration has been set yet.
 func (s *Set) isConfigured(e *entry) bool {
@@ -89,7 +100,7 @@
 // Put adds or updates a runner and reports whether it is new. A runner that has restarted
 // is new: nothing known about its previous incarnation applies.
 func (s *Set) Put(runner Runner) (added bool) {
-	s.outdated.valid = false
+	s.recordListChange()
 	if runner.Incarnation != 0 {
 		s.knownIncarnations[runner.ID] = true
 	}
@@ -128,7 +139,7 @@
 	if known == nil {
 		return false
 	}
-	s.outdated.valid = false
+	s.recordListChange()
 	delete(s.entries, id)
 	delete(s.changedLoads, id)
 	s.cacheIndex.RemoveRunner(id)
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -8,6 +8,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/cacheindex"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // Intervals and timeouts for reading which prompt parts runners hold.
@@ -66,6 +67,9 @@
 	holders map[string]*holderState
 	// appliedPosition is the position up to which the own feed is applied to the own index.
 	appliedPosition uint64
+	// holdersListed is the state of the directory and the configuration for which the holders were
+	// last listed.
+	holdersListed listedHolders
 	// followed is the feed of another router that this one follows.
 	followed followedFeed
 }
@@ -83,6 +87,11 @@
 	failing bool
 }
 
+// listedHolders identifies a set of holders.
+type listedHolders struct {
+	listChanges, configVersion uint64
+}
+
 func newCacheReader(g *Gateway) *cacheReader {
 	return &cacheReader{gateway: g, holders: map[string]*holderState{}}
 }
@@ -99,7 +108,7 @@
 		case !r.readsHolders:
 			r.dropSilentFeed()
 		case current != nil:
-			r.updateHolders(current.table.CacheStores())
+			r.updateHolders(current.table)
 		}
 	}
 }
@@ -113,7 +122,7 @@
 		r.mutex.Unlock()
 		return
 	}
-	r.readsHolders = reads
+	r.readsHolders, r.holdersListed = reads, listedHolders{}
 	for holder, state := range r.holders {
 		state.cancel()
 		delete(r.holders, holder)
@@ -135,13 +144,19 @@
 
 // updateHolders starts reading new runners and cache stores, and stops reading those that are
 // gone.
-func (r *cacheReader) updateHolders(stores []string) {
+func (r *cacheReader) updateHolders(table *routing.Table) {
 	g := r.gateway
 	g.mutex.Lock()
+	current := listedHolders{listChanges: g.runners.ListChanges(), configVersion: table.Version}
+	if current == r.holdersListed {
+		g.mutex.Unlock()
+		return
+	}
 	runners := g.runners.CacheHolders()
 	g.mutex.Unlock()
+	r.holdersListed = current
 	listed := map[string]bool{}
-	for _, address := range stores {
+	for _, address := range table.CacheStores() {
 		listed[address] = true
 		r.startReading(address, backend.CacheHolder{Address: address}, "")
 	}
