gateway: each runner's cache is read by one of the readers, which tell each other

Cause: each of three seeds read each runner over a connection of its own: 3 x runners connections and calls, 29,025 with 9,675 runners, and more at one seed than a machine has descriptors for (9,675 of 8,192; 12,104 were seen).

Change: rendezvous hashing over the live readers says who reads a runner. A reader sends the changes of what it reads to the others, each 100 ms, acknowledged, and at least each 500 ms; after 1.5 s without a message its part is read by the others. What it has told stays known meanwhile. A reader of an earlier version sends nothing, so newer ones read everything beside it, as before.

--- a/internal/cacheindex/feed.go
+++ b/internal/cacheindex/feed.go
@@ -128,6 +128,15 @@
 	}
 }
 
+// Position returns the position of the latest change.
+func (f *Feed) Position() uint64 { return f.lastPosition }
+
+// Forget drops the holder without a change, because another router reads it from now on.
+func (f *Feed) Forget(holder string) {
+	f.partCount -= len(f.partsByHolder[holder])
+	delete(f.partsByHolder, holder)
+}
+
 func (f *Feed) appendChange(change PartChange) {
 	f.lastPosition++
 	f.log = append(f.log, change)
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -43,8 +43,8 @@
 	readResultFailed  = "failed"
 )
 
-// cacheReader reads which prompt parts runners and cache stores hold. Only seeds read them. All
-// other routers receive the changes with their pulls, so that the number of calls does not grow
+// cacheReader reads which prompt parts runners and cache stores hold. Only seeds read them, each of
+// them its part, and tell each other what they read (cachesplit.go). All other routers receive the changes with their pulls, so that the number of calls does not grow
 // with the number of routers, not even when all routers read the object store themselves
 // because no seed can prove its copies. A router to which seeds refer others relays the feed
 // that it follows.
@@ -63,6 +63,12 @@
 	lastPulledAt time.Time
 	// feedID identifies the feed to its followers. Each new feed has another ID.
 	feedID uint64
+	// own holds what this router reads itself, and ownID identifies it to the other readers in peers.
+	// readingSince is when this router began to read.
+	own          *cacheindex.Feed
+	ownID        uint64
+	peers        map[string]*readerPeer
+	readingSince time.Time
 	// holders holds the read state of each runner and cache store that is being read.
 	holders map[string]*holderState
 	// appliedPosition is the position up to which the own feed is applied to the own index.
@@ -90,10 +96,11 @@
 // listedHolders identifies a set of holders.
 type listedHolders struct {
 	listChanges, configVersion uint64
+	readers                    string
 }
 
 func newCacheReader(g *Gateway) *cacheReader {
-	return &cacheReader{gateway: g, holders: map[string]*holderState{}}
+	return &cacheReader{gateway: g, holders: map[string]*holderState{}, peers: map[string]*readerPeer{}}
 }
 
 func (r *cacheReader) run() {
@@ -128,8 +135,10 @@
 		delete(r.holders, holder)
 	}
 	r.feed, r.feedComplete, r.appliedPosition, r.followed = nil, false, 0, followedFeed{}
+	clear(r.peers)
 	if reads {
 		r.startFeed()
+		r.own, r.ownID, r.readingSince = cacheindex.NewFeed(), r.feedID, r.gateway.now()
 	}
 	r.mutex.Unlock()
 	r.gateway.mutex.Lock()
@@ -146,8 +155,11 @@
 // gone.
 func (r *cacheReader) updateHolders(table *routing.Table) {
 	g := r.gateway
+	r.mutex.Lock()
+	readers := r.readers(g.now())
+	r.mutex.Unlock()
 	g.mutex.Lock()
-	current := listedHolders{listChanges: g.runners.ListChanges(), configVersion: table.Version}
+	current := listedHolders{readers: readersKey(readers), listChanges: g.runners.ListChanges(), configVersion: table.Version}
 	if current == r.holdersListed {
 		g.mutex.Unlock()
 		return
@@ -158,20 +170,31 @@
 	listed := map[string]bool{}
 	for _, address := range table.CacheStores() {
 		listed[address] = true
-		r.startReading(address, backend.CacheHolder{Address: address}, "")
+		if r.ownsHolder(readers, address) {
+			r.startReading(address, backend.CacheHolder{Address: address}, "")
+		}
 	}
 	for id, source := range runners {
-		r.startReading(id, source, id)
+		if r.ownsHolder(readers, id) {
+			r.startReading(id, source, id)
+		}
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	isListed := func(holder string) bool { return listed[holder] || runners[holder].Address != "" }
 	for holder, state := range r.holders {
-		if !isListed(holder) {
+		switch {
+		case !isListed(holder):
 			state.cancel()
 			delete(r.holders, holder)
+		case !r.ownsHolder(readers, holder):
+			// Another reader has its contents soon, and they stay known until then.
+			state.cancel()
+			delete(r.holders, holder)
+			r.own.Forget(holder)
 		}
 	}
+	r.own.RetainHolders(isListed)
 	r.feed.RetainHolders(isListed)
 	r.applyOwnFeed()
 }
@@ -186,7 +209,7 @@
 			return
 		}
 		current.cancel()
-		r.feed.Replace(holder, nil)
+		r.replaceParts(holder, nil)
 	}
 	ctx, cancel := context.WithCancel(r.gateway.ctx)
 	state := &holderState{cancel: cancel, source: source}
@@ -259,7 +282,7 @@
 		return
 	}
 	state.failing = false
-	r.feed.Replace(holder, hashes)
+	r.replaceParts(holder, hashes)
 	state.position = position
 	state.nextListAt = r.gateway.now().Add(r.gateway.jitter(cacheListInterval))
 	r.applyOwnFeed()
@@ -285,14 +308,22 @@
 	for _, event := range changes.Events {
 		hash := backend.PartHash(event.Salt, event.Part)
 		if event.Removed {
+			r.own.Remove(holder, hash)
 			r.feed.Remove(holder, hash)
 		} else {
+			r.own.Add(holder, hash)
 			r.feed.Add(holder, hash)
 		}
 	}
 	r.applyOwnFeed()
 }
 
+// replaceParts replaces the parts of a holder that this router reads. The mutex must be held.
+func (r *cacheReader) replaceParts(holder string, parts []uint64) {
+	r.own.Replace(holder, parts)
+	r.feed.Replace(holder, parts)
+}
+
 // recordFailure records that a runner or cache store could not be read. What was known about it
 // is kept until it is read again or leaves the directory.
 func (r *cacheReader) recordFailure(holder string, state *holderState, err error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,6 +197,7 @@
 	g.spawn(func() { newLeader(g).run() })
 	g.spawn(g.cacheStoreMonitor.run)
 	g.spawn(g.cacheReader.run)
+	g.spawn(g.cacheReader.shareLoop)
 	g.spawn(g.schedulers.loadReportLoop)
 	g.spawn(g.versionRollouts.reportLoop)
 	g.spawn(g.suspects.broadcasts.run)
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -175,6 +175,16 @@
 	return !isSeed || current == nil || r.gateway.since(current.provenAt) > maxProofAge || r.gateway.copies.anyOlderThan(r.gateway.now(), maxProofAge+copyProofMargin)
 }
 
+// otherSeeds returns the seeds other than this router if it is a seed itself.
+func (r *peerRouters) otherSeeds() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.transport == nil || !r.selector.IsSeed() {
+		return nil
+	}
+	return r.selector.OtherSeeds()
+}
+
 // hasNoPeers reports whether there are no other routers to pull from.
 func (r *peerRouters) hasNoPeers() bool {
 	r.mutex.Lock()
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -62,6 +62,10 @@
 		r.gateway.signals.merge(body.SignalNews.GetSignals())
 	case *wire.Envelope_RolloutReport:
 		return &wire.Envelope{Body: &wire.Envelope_RolloutPermit{RolloutPermit: r.gateway.versionRollouts.handleReport(envelope, body.RolloutReport)}}
+	case *wire.Envelope_CacheShare:
+		if ack := r.gateway.cacheReader.handleShare(body.CacheShare); ack != nil {
+			return &wire.Envelope{Body: &wire.Envelope_CacheShareAck{CacheShareAck: ack}}
+		}
 	case *wire.Envelope_QuotaReturn:
 		r.gateway.limits.HandleReturn(body.QuotaReturn)
 	}
