gateway: a fallback reader of the store pauses between pages

Cause: a router that reads the store only because it found no other router took all pages of a changing directory one after the other, each at the full price of a call.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -151,6 +151,10 @@
 	w.catchingUp.Store(!current && len(response.objects) > 0)
 	switch {
 	case w.catchingUp.Load():
+		if !g.peerRouters.alwaysReadsStore() {
+			// Another router that reads the store will have caught up soon.
+			g.pause(fallbackBatchDelay)
+		}
 		return nil
 	case !current:
 		w.recordStaleResponse(callWatch, response)
