gateway: starting routers ask busy seeds less and less, and later for the store

Cause: at a start each router asks all seeds up to twenty times a second until one answers.

Change: interval, stagger and time-out of pulls double up to four times while no pull is answered. When the whole system starts for the first time, before there are callers, a router waits 1.5 to 3 s, each another time, before it reads the store.

--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -30,6 +30,10 @@
 	// sent at intervals of firstPullStagger, so that most routers need only one.
 	firstPullTimeout = 50 * time.Millisecond
 	firstPullStagger = 12 * time.Millisecond
+	// maxFirstPullDoublings bounds how often these times and the interval are doubled while no pull
+	// is answered. When all routers start at once, seeds can't answer each of them at first, and
+	// repeated pulls would only keep them from it.
+	maxFirstPullDoublings = 4
 	// directoryPullTimeout is the timeout of the first pull of the whole directory, which may take
 	// long when many routers request it.
 	directoryPullTimeout = 2 * time.Second
@@ -43,7 +47,7 @@
 	interval := r.pullInterval()
 	switch {
 	case !r.gateway.knowsConfigState():
-		interval = minRetryDelay
+		interval = minRetryDelay << r.firstPullDoublings.Load()
 	case r.gateway.copies.revision(RunnerObjects) == 0:
 		interval = nextPullDelay
 	}
@@ -163,9 +167,10 @@
 	g := r.gateway
 	sources := make(chan string, len(addresses))
 	var found atomic.Bool
+	stagger := firstPullStagger << r.firstPullDoublings.Load()
 	for i, address := range addresses {
 		g.spawn(func() {
-			running := g.pause(time.Duration(i) * firstPullStagger)
+			running := g.pause(time.Duration(i) * stagger)
 			if !running || found.Load() || !r.pullFrom(address) {
 				address = ""
 			}
@@ -180,6 +185,9 @@
 		}
 	}
 	r.setSource("")
+	if !g.knowsConfigState() {
+		r.firstPullDoublings.Store(min(r.firstPullDoublings.Load()+1, maxFirstPullDoublings))
+	}
 	return false
 }
 
@@ -326,7 +334,7 @@
 func (r *peerRouters) pullParameters() (timeout time.Duration, kinds []ObjectKind) {
 	switch {
 	case !r.gateway.knowsConfigState():
-		return firstPullTimeout, []ObjectKind{ConfigObjects, WeightObjects}
+		return firstPullTimeout << r.firstPullDoublings.Load(), []ObjectKind{ConfigObjects, WeightObjects}
 	case r.gateway.copies.revision(RunnerObjects) == 0:
 		return directoryPullTimeout, r.gateway.settings.objectKinds()
 	}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -35,6 +35,10 @@
 	// either, as when all routers start at once. Then only a few of them should read the store.
 	silentSeedTimeout   = 100 * time.Millisecond
 	startingSeedTimeout = time.Second
+	// firstStartSeedTimeout is the same when the whole system starts for the first time, before
+	// there are callers. Routers wait for different times, so that they do not all read the store
+	// at once if the seeds stay silent.
+	firstStartSeedTimeout = 3 * time.Second
 )
 
 // peerRouters connects this router to those that it pulls from and those that pull from it.
@@ -56,6 +60,9 @@
 	// requestedInterval is the pull interval that the last source requested, or 0 if it is of a
 	// version that requests none.
 	requestedInterval time.Duration
+	// firstPullDoublings is how often the times of pulls were doubled since the start, while no pull
+	// was answered.
+	firstPullDoublings atomic.Int32
 	// pullNow receives a value when a push showed that changes are missing.
 	pullNow chan struct{}
 	// source is the router that last provided a recent proof, nil or "" if there is none.
@@ -81,7 +88,7 @@
 // would read the store.
 func initialSeedWait(g *Gateway) time.Duration {
 	if g.settings.FirstStart {
-		return startingSeedTimeout
+		return g.jitter(firstStartSeedTimeout)
 	}
 	return g.jitter(silentSeedTimeout)
 }
