gateway: counters of messages and bytes to other routers, by kind

The processor and the bytes of a router were known in sum only, so nothing told what grows with the fleet.

--- a/internal/gateway/collectors.go
+++ b/internal/gateway/collectors.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 // runnerStateCollector counts the runners of the directory by service and state when metrics
@@ -44,6 +46,36 @@
 	}
 }
 
+// peerTrafficCollector reports what this router has sent to others when metrics are collected.
+type peerTrafficCollector struct{ gateway *Gateway }
+
+var (
+	peerMessagesDesc = prometheus.NewDesc(namespace+"_peer_messages_sent_total", "Messages sent to other routers.", []string{"kind"}, nil)
+	peerBytesDesc    = prometheus.NewDesc(namespace+"_peer_bytes_sent_total", "Bytes sent to other routers.", []string{"kind"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *peerTrafficCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- peerMessagesDesc
+	ch <- peerBytesDesc
+}
+
+// Collect implements prometheus.Collector.
+func (c *peerTrafficCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, count := range c.gateway.SentToPeers() {
+		ch <- prometheus.MustNewConstMetric(peerMessagesDesc, prometheus.CounterValue, float64(count.Frames), count.Kind)
+		ch <- prometheus.MustNewConstMetric(peerBytesDesc, prometheus.CounterValue, float64(count.Bytes), count.Kind)
+	}
+}
+
+// SentToPeers returns what this router has sent to others, by kind of message.
+func (g *Gateway) SentToPeers() []wire.KindCount {
+	if g.peerRouters.transport == nil {
+		return nil
+	}
+	return g.peerRouters.transport.Counters().SentByKind()
+}
+
 // contentStateCollector counts the contents that may crash runners, by state, when metrics are
 // collected.
 type contentStateCollector struct{ gateway *Gateway }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -177,7 +177,7 @@
 	m.registry.MustRegister(
 		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals,
-		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g},
+		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g},
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
 		newGauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.knownRouters.Load()) }),
 		newGauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.TenantCount() }),
--- a/internal/wire/accept.go
+++ b/internal/wire/accept.go
@@ -85,8 +85,7 @@
 		return
 	}
 	if replies.tryEnqueue(frame) {
-		t.counters.FramesSent.Add(1)
-		t.counters.BytesSent.Add(uint64(len(frame)))
+		t.counters.countSent(reply, len(frame))
 	} else {
 		t.counters.FramesDropped.Add(1)
 	}
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -79,6 +79,7 @@
 	// SilentConnections counts connections that were closed because requests on them were
 	// not answered.
 	SilentConnections atomic.Uint64
+	kinds             kindCounters
 }
 
 // NewTransport returns a transport that passes messages from connections accepted on the
@@ -166,8 +167,7 @@
 	}
 	select {
 	case target.queue <- frame:
-		t.counters.FramesSent.Add(1)
-		t.counters.BytesSent.Add(uint64(len(frame)))
+		t.counters.countSent(envelope, len(frame))
 		return target, nil
 	default:
 		t.counters.FramesDropped.Add(1)
