--- a/internal/gateway/firstpulls_test.go
+++ b/internal/gateway/firstpulls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -46,3 +48,22 @@
 	f.g.Expect(received.Load()).To(BeNumerically(">=", 3))
 	f.g.Expect(received.Load()).To(BeNumerically("<=", 12), "pulls of one router in its first second")
 }
+
+// Guards against seeds that notice only after a while that hundreds of routers pull from them.
+func TestSeedRefersRoutersToRelaysFromTheirFirstPulls(t *testing.T) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.runner("p1", "plain")
+	seeds := []string{loopback.FreeAddress()}
+	seed := f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.Seeds, settings.DirectFollowers = seeds[0], seeds, 5
+	})
+	const starting = 60
+	for i := range starting {
+		f.router(fmt.Sprintf("starting-%d", i), f.followerSettings(seeds))
+	}
+	time.Sleep(400 * time.Millisecond)
+	answers := sentByKind([]*router{seed})["copy_answer"].messages
+	t.Logf("the seed answered %.0f pulls of %d routers in their first 0.4 s", answers, starting)
+	f.g.Expect(answers).To(BeNumerically("<=", 3*starting))
+}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -130,6 +130,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if address != "" {
+		if _, known := r.followers[address]; !known {
+			// Hundreds of routers may start before the followers are counted again.
+			r.activeFollowers++
+		}
 		r.followers[address] = followerState{pushUntil: now.Add(pushWindow), followerCount: int(pull.GetFollowers())}
 	}
 	if !now.Before(r.nextCountAt) {
