gateway: pulls are slowed down only by seeds that do not answer

Cause: a router doubled the times of its first pulls also when seeds answered at once that they know nothing yet, and found out up to a second late that they do.

Change: an answer of any kind ends the doubling.

--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -167,7 +167,7 @@
 	g := r.gateway
 	sources := make(chan string, len(addresses))
 	var found atomic.Bool
-	stagger := firstPullStagger << r.firstPullDoublings.Load()
+	stagger, answersBefore := firstPullStagger<<r.firstPullDoublings.Load(), r.pullAnswers.Load()
 	for i, address := range addresses {
 		g.spawn(func() {
 			running := g.pause(time.Duration(i) * stagger)
@@ -185,7 +185,7 @@
 		}
 	}
 	r.setSource("")
-	if !g.knowsConfigState() {
+	if !g.knowsConfigState() && r.pullAnswers.Load() == answersBefore {
 		r.firstPullDoublings.Store(min(r.firstPullDoublings.Load()+1, maxFirstPullDoublings))
 	}
 	return false
@@ -194,6 +194,10 @@
 // pullFrom pulls changes from one router and reports whether its proof is recent.
 func (r *peerRouters) pullFrom(address string) bool {
 	answer, sentAt := r.sendPull(address)
+	if answer != nil {
+		r.pullAnswers.Add(1)
+		r.firstPullDoublings.Store(0)
+	}
 	now := r.gateway.now()
 	age := wire.AgeFromMillis(answer.GetProofAgeMillis())
 	hasState := answer.GetProven() || answer.GetUnconfigured()
