--- a/internal/backend/sample_test.go
+++ b/internal/backend/sample_test.go
@@ -96,7 +96,7 @@
 	pick := choose(set, start, query, random)
 	g.Expect(pick.Status).To(Equal(placement.Picked))
 	g.Expect(pick.Candidate.Name).To(Equal("i-01234"))
-	g.Expect(set.NextScope(start.Add(scanInterval / 2))).To(Equal(LargeSample), "all runners are not looked at for each refused request")
+	g.Expect(set.NextScope(start.Add(scanInterval/2))).To(Equal(LargeSample), "all runners are not looked at for each refused request")
 }
 
 // choose places one request like a router does.
