gateway: an idle router wakes its machine less often

Cause: each router checked several times a second whether there is work for a leader (5), whether its feed of cached parts is silent (7), whether it has become a reader (13) or a scheduler (2), and pulled nine times a second whether or not pulls brought anything: wake-ups grow with routers, 70 a second for each of them.

Change: routers that compete for the lease only as a last resort, read no caches and place for nobody check once a second. The interval of pulls doubles up to the old maximum of 450 ms while pulls bring nothing, and is short again after the first change.

--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -32,7 +32,7 @@
 	// Some events are lost, and the index is wrong about their parts until the next list.
 	cacheListInterval = 30 * time.Second
 	// cacheHolderCheckInterval is how often the set of runners being read is compared with the
-	// directory, and a follower checks whether its feed is silent.
+	// directory.
 	cacheHolderCheckInterval = 200 * time.Millisecond
 )
 
@@ -108,8 +108,13 @@
 	if g.ports.Caches == nil {
 		return
 	}
-	for g.pause(g.jitter(cacheHolderCheckInterval)) {
+	interval := cacheHolderCheckInterval
+	for g.pause(g.jitter(interval)) {
 		r.setReadsHolders(g.peerRouters.alwaysReadsStore())
+		interval = roleCheckInterval
+		if r.readsHolders {
+			interval = cacheHolderCheckInterval
+		}
 		current := g.activeConfig.Load()
 		switch {
 		case !r.readsHolders:
--- a/internal/gateway/cachesplit.go
+++ b/internal/gateway/cachesplit.go
@@ -72,8 +72,15 @@
 	if g.ports.Caches == nil || g.peerRouters.transport == nil {
 		return
 	}
-	for g.pause(g.jitter(cacheShareInterval)) {
-		for _, address := range g.peerRouters.otherSeeds() {
+	for {
+		others, interval := g.peerRouters.otherSeeds(), cacheShareInterval
+		if len(others) == 0 {
+			interval = roleCheckInterval
+		}
+		if !g.pause(g.jitter(interval)) {
+			return
+		}
+		for _, address := range others {
 			if message := r.nextShare(g.now(), address); message != nil {
 				g.spawn(func() { r.sendShare(address, message) })
 			}
@@ -139,8 +146,8 @@
 	return &wire.CacheShareAck{}
 }
 
-// applyShare applies the changes of another reader to the common feed. A full delta holds all parts
-// of the holders that it names, and says nothing about others. The mutex must be held.
+// applyShare applies the changes of another reader to the common feed. A full delta replaces the
+// parts of the holders that it names and leaves the others as they are. The mutex must be held.
 func (r *cacheReader) applyShare(delta cacheindex.FeedDelta) {
 	if !delta.Full {
 		r.feed.Apply(delta)
--- a/internal/gateway/fleetgrowth_test.go
+++ b/internal/gateway/fleetgrowth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime/metrics"
 	"testing"
 	"time"
 
@@ -71,3 +72,37 @@
 	NewWithT(t).Expect(bytesPerRouter[100]).To(BeNumerically("<=", 1.25*bytesPerRouter[30]))
 	NewWithT(t).Expect(seedMessages[100]).To(BeNumerically("<=", seedMessages[30]), "relays answer most pulls")
 }
+
+// wakeups returns about how often goroutines of this process were scheduled so far. The runtime
+// samples one in eight.
+func wakeups() float64 {
+	const sampling = 8
+	sample := []metrics.Sample{{Name: "/sched/latencies:seconds"}}
+	metrics.Read(sample)
+	total := uint64(0)
+	for _, count := range sample[0].Value.Float64Histogram().Counts {
+		total += count
+	}
+	return float64(total) * sampling
+}
+
+// An idle router costs its machine a few wake-ups a second, so that hundreds of them leave the
+// processor to requests.
+func TestIdleRouterWakesItsMachineRarely(t *testing.T) {
+	const size, seconds, most = 30, 4, 40
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.register(registerPerStep, 0)
+	addresses := []string{loopback.FreeAddress()}
+	f.router("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = addresses[0], addresses })
+	for i := range size {
+		r := f.router(fmt.Sprintf("follower-%d", i), f.followerSettings(addresses))
+		f.g.Eventually(r.isReady, 5*time.Second, 50*time.Millisecond).Should(BeTrue())
+	}
+	time.Sleep(3 * time.Second)
+	before := wakeups()
+	time.Sleep(seconds * time.Second)
+	each := (wakeups() - before) / seconds / size
+	t.Logf("%.0f wake-ups a second and router", each)
+	f.g.Expect(each).To(BeNumerically("<", most))
+}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -14,6 +14,9 @@
 const (
 	// leaderPollInterval is how often a router checks whether runners need orders.
 	leaderPollInterval = 200 * time.Millisecond
+	// standbyPollInterval is the same for a router that competes only when the others make no
+	// progress, while no runner needs orders.
+	standbyPollInterval = time.Second
 	// standbyDelay is how long the number of outdated runners must stay unchanged before
 	// routers that do not read the store also compete for the lease.
 	standbyDelay = 2 * time.Second
@@ -89,12 +92,20 @@
 func (l *leader) waitForWork() bool {
 	select {
 	case <-l.gateway.weightsNamed:
-	case <-time.After(leaderPollInterval):
+	case <-time.After(l.pollInterval()):
 	case <-l.gateway.ctx.Done():
 	}
 	return l.gateway.ctx.Err() == nil
 }
 
+// pollInterval returns how long to wait for the next check.
+func (l *leader) pollInterval() time.Duration {
+	if l.gateway.directReads.isEnabled() || l.holdsLease || l.outdatedRunners > 0 {
+		return leaderPollInterval
+	}
+	return standbyPollInterval
+}
+
 // term is a period during which one holder may order runners, identified by its fencing token.
 type term struct {
 	holder string
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -17,8 +17,9 @@
 	// schedulers that missed some changes: twice in the time for which they keep reported loads.
 	fullReportRounds = 50
 	// roleCheckInterval is how often a router checks whether it has become a scheduler. The
-	// settings that make it one arrive seconds after a change, so a shorter interval gains nothing.
-	roleCheckInterval = 500 * time.Millisecond
+	// settings that make it one arrive seconds after a change, so a shorter interval gains nothing,
+	// and each check wakes an idle machine.
+	roleCheckInterval = time.Second
 )
 
 // handleLoadShare applies the loads, reservations and tenant usage that another scheduler reported.
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +45,7 @@
 // waitForNextPull waits until the next pull is due. The wait is shorter if changes are missing or
 // nothing is known yet.
 func (r *peerRouters) waitForNextPull() {
-	interval := r.pullInterval()
+	interval := min(r.pullInterval()<<r.idlePulls.Load(), maxPullInterval)
 	switch {
 	case !r.gateway.knowsConfigState():
 		interval = minRetryDelay << r.firstPullDoublings.Load()
@@ -231,6 +232,7 @@
 	r.gateway.suspects.applyPull(address, answer.GetSuspects())
 	r.gateway.signals.applyPull(address, answer.GetSignals())
 	r.gateway.receiveBounds(answer.GetWeightBounds(), sentAt)
+	r.recordPullContent(hasObjects(deltas) || len(answer.GetCache().GetHolders()) > 0)
 	r.applyDeltas(deltas, proof{at: sentAt.Add(-age), valid: true})
 	r.applyProofs(answer, sentAt, age)
 	if !r.alwaysReadsStore() {
@@ -241,6 +243,22 @@
 	return usable && isRecent(answer, maxAge)
 }
 
+// maxIdlePulls bounds how often the interval is doubled while pulls bring no changes.
+const maxIdlePulls = 2
+
+// recordPullContent counts pulls in a row that brought no changes.
+func (r *peerRouters) recordPullContent(changed bool) {
+	if changed {
+		r.idlePulls.Store(0)
+		return
+	}
+	r.idlePulls.Store(min(r.idlePulls.Load()+1, maxIdlePulls))
+}
+
+func hasObjects(deltas []copyDelta) bool {
+	return slices.ContainsFunc(deltas, func(d copyDelta) bool { return len(d.delta.Objects) > 0 })
+}
+
 // fromEarlierEra reports whether the deltas are of an earlier era of the store than this router's
 // copies. It compares the configuration, whose revision all router versions send.
 func (r *peerRouters) fromEarlierEra(deltas []copyDelta) bool {
--- a/internal/gateway/rolloutlead.go
+++ b/internal/gateway/rolloutlead.go
@@ -32,7 +32,7 @@
 }
 
 // needsLeader reports whether a rollout has to be led, or its final state to be written again, and
-// this router is one that hears the counts.
+// this router is one that receives the counts.
 func (v *versionRollouts) needsLeader() bool {
 	if !v.isEnabled() || !v.isPlacer() {
 		return false
@@ -136,7 +136,7 @@
 	}
 }
 
-// sameRolloutStatus reports whether the two statuses tell the operator and other routers the same.
+// sameRolloutStatus reports whether the two statuses mean the same to the operator and other routers.
 func sameRolloutStatus(a, b RolloutStatus) bool {
 	return a.State == b.State && a.PromotedAt.IsZero() == b.PromotedAt.IsZero()
 }
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -68,8 +68,8 @@
 	return s.writeLocked(kind, name, encoded).Metadata.Revision
 }
 
-// SetWatchPage limits the number of changes in one response to a watch. A limited response tells
-// the revision of its last change.
+// SetWatchPage limits the number of changes in one response to a watch. The revision of a
+// limited response is that of its last change.
 func (s *Store) SetWatchPage(changes int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -66,7 +66,7 @@
 	State State
 	// Share is the share of the requests that the target version may get while it is tested.
 	Share float64
-	// Reason says why the rollout is promoted or rolled back, and is empty before.
+	// Reason is why the rollout is promoted or rolled back, empty before.
 	Reason string
 }
 
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -31,8 +31,8 @@
 }
 
 // isTargetWorse reports whether the target version gave more bad answers than the old version did in
-// the same time. An old version that is as bad, as when a dependency of both fails, says nothing
-// against the target.
+// the same time. An old version that is as bad, as when a dependency of both fails, is no
+// evidence against the target.
 func (t RouteTally) isTargetWorse(deviations float64) bool {
 	if t.Target.Bad < minBadAnswers {
 		return false
--- a/internal/versionrollout/versionrollout.go
+++ b/internal/versionrollout/versionrollout.go
@@ -1,10 +1,10 @@
 // Package versionrollout decides how the traffic of a service moves to another version of its
-// runners. A Controller judges the new version from the answers of both versions and says which
-// share of the requests it may get. An Exposure, one at each router that places requests, turns
+// runners. A Controller judges the new version by the answers of both versions and sets the share of
+// the requests that it may get. An Exposure, one at each router that places requests, turns
 // that share into single requests.
 //
-// The package has no I/O and no clock. It doesn't know how reports and permits travel, or who is
-// the leader: any number of controllers may exist, as only the permits of one are used at a time.
+// The package has no I/O and no clock. The leader is elected elsewhere: any number of controllers
+// may exist, and only the permits of one are used at a time.
 package versionrollout
 
 import (
@@ -27,7 +27,7 @@
 // maxDuration is the longest duration of an order that is not taken for a mistake.
 const maxDuration = 24 * time.Hour
 
-// Check returns an error if the order can't be carried out. serviceExists tells whether the
+// Check returns an error if the order can't be carried out. serviceExists is set if the
 // configuration has the service.
 func (o Order) Check(serviceExists bool) error {
 	switch {
