--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -91,6 +93,7 @@
 	}
 	if len(statuses) > 0 {
 		printGatewayTable(env, statuses)
+		printRolloutTable(env, statuses)
 		printRunnerTable(env, statuses[0])
 	}
 	return code
@@ -156,6 +159,33 @@
 	return strings.Join(parts, " ")
 }
 
+// printRolloutTable prints the moves of services to other software versions, as the gateway that
+// leads them sees them, or else the first that knows them.
+func printRolloutTable(env *Env, statuses []*gateway.Status) {
+	rollouts := map[string]gateway.RolloutSummary{}
+	for _, status := range statuses {
+		for _, rollout := range status.Rollouts {
+			if _, known := rollouts[rollout.Service]; !known || rollout.Leads {
+				rollouts[rollout.Service] = rollout
+			}
+		}
+	}
+	if len(rollouts) == 0 {
+		return
+	}
+	fmt.Fprintln(env.Out, "\nrollouts")
+	table := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "SERVICE\tTARGET\tSTATE\tSHARE\tROUTE\tOLD ANSWERS\tBAD\tTARGET ANSWERS\tBAD\tREASON")
+	for _, service := range slices.Sorted(maps.Keys(rollouts)) {
+		rollout := rollouts[service]
+		fmt.Fprintf(table, "%s\t%s\t%s\t%.1f%%\tall\t%d\t\t%d\t\t%s\n", service, rollout.Target, rollout.State, rollout.Share*100, rollout.Requests-min(rollout.Exposed, rollout.Requests), rollout.Exposed, rollout.Reason)
+		for _, route := range rollout.Routes {
+			fmt.Fprintf(table, "\t\t\t\t%s\t%d\t%d\t%d\t%d\t\n", route.Route, route.OldAnswers, route.OldBad, route.TargetAnswers, route.TargetBad)
+		}
+	}
+	table.Flush()
+}
+
 func printRunnerTable(env *Env, status *gateway.Status) {
 	fmt.Fprintf(env.Out, "\nrunners as %s sees them\n", status.Node)
 	table := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
