gateway: idle pulls are spread by the size of the fleet

Cause: pulls that bring nothing were made less often in any fleet, also in small ones, where a silent connection between routers is found by the next pull.

Change: the interval of idle pulls is such that all routers together pull 2,000 times a second, up to the old maximum of 450 ms: at 300 routers and below nothing changes.

--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -45,7 +45,7 @@
 // waitForNextPull waits until the next pull is due. The wait is shorter if changes are missing or
 // nothing is known yet.
 func (r *peerRouters) waitForNextPull() {
-	interval := min(r.pullInterval()<<r.idlePulls.Load(), maxPullInterval)
+	interval := max(r.pullInterval(), r.idlePullInterval())
 	switch {
 	case !r.gateway.knowsConfigState():
 		interval = minRetryDelay << r.firstPullDoublings.Load()
@@ -232,7 +232,7 @@
 	r.gateway.suspects.applyPull(address, answer.GetSuspects())
 	r.gateway.signals.applyPull(address, answer.GetSignals())
 	r.gateway.receiveBounds(answer.GetWeightBounds(), sentAt)
-	r.recordPullContent(hasObjects(deltas) || len(answer.GetCache().GetHolders()) > 0)
+	r.lastPullIdle.Store(!hasObjects(deltas) && len(answer.GetCache().GetHolders()) == 0)
 	r.applyDeltas(deltas, proof{at: sentAt.Add(-age), valid: true})
 	r.applyProofs(answer, sentAt, age)
 	if !r.alwaysReadsStore() {
@@ -243,16 +243,23 @@
 	return usable && isRecent(answer, maxAge)
 }
 
-// maxIdlePulls bounds how often the interval is doubled while pulls bring no changes.
-const maxIdlePulls = 2
+// targetIdlePullRate is the number of pulls per second that all routers of a fleet should make while
+// pulls bring no changes. Short intervals find silent connections sooner, but wake each machine.
+const targetIdlePullRate = 2000
 
-// recordPullContent counts pulls in a row that brought no changes.
-func (r *peerRouters) recordPullContent(changed bool) {
-	if changed {
-		r.idlePulls.Store(0)
-		return
+// idlePullInterval returns the minimum interval between pulls, which is 0 unless the last pull brought
+// no changes.
+func (r *peerRouters) idlePullInterval() time.Duration {
+	if !r.lastPullIdle.Load() {
+		return 0
 	}
-	r.idlePulls.Store(min(r.idlePulls.Load()+1, maxIdlePulls))
+	return idlePullIntervalFor(int(r.gateway.knownRouters.Load()))
+}
+
+// idlePullIntervalFor returns the minimum interval between pulls that bring no changes in a fleet of
+// the given size.
+func idlePullIntervalFor(routers int) time.Duration {
+	return min(time.Duration(routers)*time.Second/targetIdlePullRate, maxPullInterval)
 }
 
 func hasObjects(deltas []copyDelta) bool {
--- a/internal/gateway/pull_test.go
+++ b/internal/gateway/pull_test.go
@@ -19,3 +19,15 @@
 		})
 	}
 }
+
+// The pulls of an idle fleet are bounded, whatever its size, and those of a small one are as frequent as
+// others.
+func TestIdlePullIntervalGrowsWithTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	for _, routers := range []int{1, 30, 100, 300} {
+		g.Expect(idlePullIntervalFor(routers)).To(BeNumerically("<=", minPullInterval), "%d routers", routers)
+	}
+	for _, routers := range []int{985, 2000} {
+		g.Expect(idlePullIntervalFor(routers)).To(Equal(maxPullInterval), "%d routers", routers)
+	}
+}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -63,8 +63,8 @@
 	// firstPullDoublings is how often the times of pulls were doubled since the start, while no pull
 	// was answered.
 	firstPullDoublings atomic.Int32
-	// idlePulls counts the last pulls that brought no changes, up to maxIdlePulls.
-	idlePulls atomic.Int32
+	// lastPullIdle is set if the last answered pull brought no changes.
+	lastPullIdle atomic.Bool
 	// pullAnswers counts the answered pulls.
 	pullAnswers atomic.Uint64
 	// pullNow receives a value when a push showed that changes are missing.
