gateway: an order for a version outlives the one that it replaced

Cause: the name of each order's object was kept beside the order. When a service got an order under another name, deleting the earlier object ended the new order. Found by reading; the test failed before.

Change: the name is looked up at the orders themselves. The runners of a service are counted only once a request may test the target version.

--- a/internal/gateway/versionrollouts.go
+++ b/internal/gateway/versionrollouts.go
@@ -34,9 +34,8 @@
 	// mutex guards the fields below. It may be locked while the gateway's mutex is held, but not
 	// the other way round.
 	mutex sync.Mutex
-	// byService holds the valid order of each service, and names the names of their objects.
+	// byService holds the valid order of each service.
 	byService map[string]*serviceRollout
-	names     map[string]string
 	// rejected holds the orders that can't be carried out under the current configuration, by name.
 	rejected map[string]Object
 	// baseVersions holds, by service, the version that gets requests without an order.
@@ -78,7 +77,7 @@
 }
 
 func newVersionRollouts(g *Gateway) *versionRollouts {
-	return &versionRollouts{gateway: g, byService: map[string]*serviceRollout{}, names: map[string]string{}, rejected: map[string]Object{}, baseVersions: map[string]string{}}
+	return &versionRollouts{gateway: g, byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, baseVersions: map[string]string{}}
 }
 
 // isEnabled reports whether services may be moved on this deployment.
@@ -88,23 +87,18 @@
 func (v *versionRollouts) retain(objects []v1.Object) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	maps.DeleteFunc(v.rejected, func(name string, _ Object) bool {
+	isMissing := func(name string) bool {
 		return !slices.ContainsFunc(objects, func(o v1.Object) bool { return o.Name == name && !o.Deleted })
-	})
-	for name, service := range v.names {
-		if !slices.ContainsFunc(objects, func(o v1.Object) bool { return o.Name == name && !o.Deleted }) {
-			delete(v.names, name)
-			delete(v.byService, service)
-		}
 	}
+	maps.DeleteFunc(v.rejected, func(name string, _ Object) bool { return isMissing(name) })
+	maps.DeleteFunc(v.byService, func(_ string, r *serviceRollout) bool { return isMissing(r.name) })
 }
 
 // apply applies an order or its removal.
 func (v *versionRollouts) apply(object Object) {
 	if object.Removed || object.Rollout == nil {
 		v.mutex.Lock()
-		delete(v.byService, v.names[object.Name])
-		delete(v.names, object.Name)
+		maps.DeleteFunc(v.byService, func(_ string, r *serviceRollout) bool { return r.name == object.Name })
 		delete(v.rejected, object.Name)
 		v.mutex.Unlock()
 		return
@@ -127,7 +121,7 @@
 			name: object.Name, startedAt: startedAt, latency: map[string]*usualLatency{},
 			counted: versionrollout.Report{Routes: map[string]versionrollout.RouteTally{}},
 		}
-		v.byService[order.Service], v.names[object.Name] = known, order.Service
+		v.byService[order.Service] = known
 		v.gateway.log.Log(events.RolloutOrdered, events.Fields{"service": order.Service, "target": order.Target, "duration_ms": order.Duration.Milliseconds(), "revision": object.Revision.Number()})
 	}
 	if object.Revision < known.revision {
@@ -262,8 +256,12 @@
 	if r == nil || r.state.IsFinal() || r.promoted {
 		return ""
 	}
+	if !r.exposure.Take(now) {
+		return ""
+	}
 	target := r.stored.Order.Target
-	if v.gateway.runners.VersionCounts(query.Service)[target] == 0 || !r.exposure.Take(now) {
+	if v.gateway.runners.VersionCounts(query.Service)[target] == 0 {
+		r.exposure.Return()
 		return ""
 	}
 	return target
--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -282,3 +282,17 @@
 	f.g.Consistently(f.exposed, time.Second).Should(BeZero())
 	f.g.Expect(f.state()).To(BeEmpty())
 }
+
+// Guards against an order that ends when an earlier one for the same service, which it has replaced, is
+// deleted.
+func TestOrderOutlivesTheOneThatItReplaced(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 1, runnerstand.Normal)
+	rollouts := func() int { return len(f.routers[0].Status().Rollouts) }
+	f.store.Put(platform.KindRollouts, "earlier", map[string]any{"service": "plain", "target_version": "v0", "duration_s": 3600})
+	f.g.Eventually(rollouts, 2*time.Second, 10*time.Millisecond).Should(Equal(1))
+	f.order(time.Hour)
+	f.g.Eventually(func() string { return f.routers[0].Status().Rollouts[0].Target }, 2*time.Second, 10*time.Millisecond).Should(Equal(targetVersion))
+	f.store.Delete(platform.KindRollouts, "earlier")
+	f.g.Consistently(rollouts, 800*time.Millisecond).Should(Equal(1))
+}
