gateway: a reader copies all its parts only to send all of them

Cause: each message to another reader, up to ten a second to each, first made a copy of all parts that the router reads, under the reader's mutex, and then dropped it for the changes.

Change: the copy is made where it is sent. Behaviour is the same.

--- a/internal/cacheindex/feed.go
+++ b/internal/cacheindex/feed.go
@@ -108,16 +108,28 @@
 
 // replaceAll replaces the parts of all holders.
 func (f *Feed) replaceAll(entries []PartChange) {
-	parts := map[string][]uint64{}
-	for _, change := range entries {
-		parts[change.Holder] = append(parts[change.Holder], change.Part)
-	}
+	parts := groupByHolder(entries)
 	f.RetainHolders(func(holder string) bool { return parts[holder] != nil })
+	f.replaceParts(parts)
+}
+
+// ReplaceHolders replaces the parts of the holders in the entries and leaves the others as they are.
+func (f *Feed) ReplaceHolders(entries []PartChange) { f.replaceParts(groupByHolder(entries)) }
+
+func (f *Feed) replaceParts(parts map[string][]uint64) {
 	for holder, list := range parts {
 		f.Replace(holder, list)
 	}
 }
 
+func groupByHolder(entries []PartChange) map[string][]uint64 {
+	parts := map[string][]uint64{}
+	for _, change := range entries {
+		parts[change.Holder] = append(parts[change.Holder], change.Part)
+	}
+	return parts
+}
+
 // RetainHolders removes all holders for which retain returns false.
 func (f *Feed) RetainHolders(retain func(holder string) bool) {
 	for _, holder := range slices.Collect(maps.Keys(f.partsByHolder)) {
--- a/internal/gateway/cachesplit.go
+++ b/internal/gateway/cachesplit.go
@@ -100,9 +100,11 @@
 	if peer.sending || (!heartbeatDue && !(peer.synced && r.own.Position() > peer.acknowledged)) {
 		return nil
 	}
-	delta := r.own.Snapshot()
+	var delta cacheindex.FeedDelta
 	if peer.synced {
 		delta = r.own.Since(peer.acknowledged)
+	} else {
+		delta = r.own.Snapshot()
 	}
 	peer.lastSent, peer.sending = now, true
 	return &wire.CacheShare{Delta: cacheDeltaToWire(r.ownID, delta), After: peer.acknowledged, From: r.gateway.settings.PeerAddress}
@@ -149,16 +151,10 @@
 // applyShare applies the changes of another reader to the common feed. A full delta replaces the
 // parts of the holders that it names and leaves the others as they are. The mutex must be held.
 func (r *cacheReader) applyShare(delta cacheindex.FeedDelta) {
-	if !delta.Full {
-		r.feed.Apply(delta)
+	if delta.Full {
+		r.feed.ReplaceHolders(delta.Changes)
 	} else {
-		parts := map[string][]uint64{}
-		for _, change := range delta.Changes {
-			parts[change.Holder] = append(parts[change.Holder], change.Part)
-		}
-		for holder, held := range parts {
-			r.feed.Replace(holder, held)
-		}
+		r.feed.Apply(delta)
 	}
 	r.applyOwnFeed()
 }
