--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -165,7 +165,7 @@
 	ids, otherIDs := make([]string, 0, len(entries)), []string(nil)
 	for _, e := range entries {
 		switch {
-		case e.isLeaving() || now.Before(e.avoidUntil) || e.signalState.IsLimited() || query.backoffRemaining(e.ID) > 0:
+		case !e.mayBeHome(now, query):
 		case split.prefers(e):
 			ids = append(ids, e.ID)
 		default:
@@ -178,6 +178,12 @@
 	return rendezvous.Owner(ids, query.Family)
 }
 
+// mayBeHome reports whether the runner accepts work now, so that the query's prompt family may have
+// its home there.
+func (e *entry) mayBeHome(now time.Time, query Query) bool {
+	return !e.isLeaving() && !now.Before(e.avoidUntil) && !e.signalState.IsLimited() && query.backoffRemaining(e.ID) == 0
+}
+
 // cachedTokens returns how many tokens of the prompt count as cached by a runner whose
 // known cached depth is given. The home runner counts as caching all shared tokens, so that
 // all routers send a family there before any of them knows what it caches.
--- a/internal/backend/sample.go
+++ b/internal/backend/sample.go
@@ -171,9 +171,7 @@
 // sampledHome returns the home runner of the query's prompt family. All routers that know the same
 // runners choose the same one, and the loss of a runner moves only its families.
 func (s *Set) sampledHome(now time.Time, ring *ring, query Query, split split) *entry {
-	accepts := func(e *entry) bool {
-		return !e.isLeaving() && !now.Before(e.avoidUntil) && !e.signalState.IsLimited() && query.backoffRemaining(e.ID) == 0 && s.allowsVersion(e, query)
-	}
+	accepts := func(e *entry) bool { return e.mayBeHome(now, query) && s.allowsVersion(e, query) }
 	if preferred := ring.nearest(query.Family, func(e *entry) bool { return accepts(e) && split.prefers(e) }); preferred != nil {
 		return preferred
 	}
--- a/internal/gateway/cachesplit_test.go
+++ b/internal/gateway/cachesplit_test.go
@@ -17,10 +17,9 @@
 func (f *fleet) listEngines(count int) (ids []string) {
 	for i := range count {
 		id := fmt.Sprintf("c-%03d", i)
-		f.store.Put(platform.KindRunners, id, map[string]any{
-			"service": "engines", "address": fmt.Sprintf("127.1.0.%d:1", i), "zone": "z", "version": "v1", "slots": 8, "state": "draining", "cold_remaining_ms": 0, "seq": 1,
-			"models": []map[string]any{{"name": modelName, "version": 1}},
-		})
+		entry := directoryEntry("engines", fmt.Sprintf("127.1.0.%d:1", i), "draining")
+		entry["models"] = []map[string]any{{"name": modelName, "version": 1}}
+		f.store.Put(platform.KindRunners, id, entry)
 		ids = append(ids, id)
 	}
 	return ids
--- a/internal/gateway/collectors.go
+++ b/internal/gateway/collectors.go
@@ -39,7 +39,7 @@
 
 // Collect implements prometheus.Collector.
 func (c *copyAgeCollector) Collect(ch chan<- prometheus.Metric) {
-	for _, kind := range c.gateway.settings.objectKinds() {
+	for _, kind := range c.gateway.copies.kinds {
 		if age, known := c.gateway.copies.age(c.gateway.now(), kind); known {
 			ch <- prometheus.MustNewConstMetric(copyAgeDesc, prometheus.GaugeValue, age.Seconds(), kind.String())
 		}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -24,7 +24,7 @@
 
 // separatelyProvenKinds returns the kinds whose proofs are sent separately from their objects. The
 // proof of the configuration is sent together with it.
-func (s *Settings) separatelyProvenKinds() []ObjectKind { return s.objectKinds()[1:] }
+func (c *copies) separatelyProvenKinds() []ObjectKind { return c.kinds[1:] }
 
 // proof states that a delta completed the copy of a kind as of the time at. That is the time before
 // the store call was sent. The proof holds only if valid is set.
@@ -38,8 +38,10 @@
 // decreases, even if the store is restored from a backup.
 type copies struct {
 	gateway *Gateway
-	mutex   sync.Mutex
-	stores  map[ObjectKind]*config.Store
+	// kinds are the kinds that are copied, the configuration first.
+	kinds  []ObjectKind
+	mutex  sync.Mutex
+	stores map[ObjectKind]*config.Store
 	// provenTimes holds the latest time at which each copy was known to be complete, nil before the
 	// first one. It is read without the mutex, which is held while whole lists are decoded.
 	provenTimes map[ObjectKind]*atomic.Pointer[time.Time]
@@ -54,8 +56,8 @@
 }
 
 func newCopies(g *Gateway) *copies {
-	c := &copies{gateway: g, stores: map[ObjectKind]*config.Store{}, provenTimes: map[ObjectKind]*atomic.Pointer[time.Time]{}, reappeared: map[string]storerev.Revision{}}
-	for _, kind := range g.settings.objectKinds() {
+	c := &copies{gateway: g, kinds: g.settings.objectKinds(), stores: map[ObjectKind]*config.Store{}, provenTimes: map[ObjectKind]*atomic.Pointer[time.Time]{}, reappeared: map[string]storerev.Revision{}}
+	for _, kind := range c.kinds {
 		c.stores[kind] = config.NewOpaqueStore()
 		c.provenTimes[kind] = &atomic.Pointer[time.Time]{}
 	}
@@ -190,6 +192,11 @@
 	}
 }
 
+// applySingleObject applies one object that is not part of a batch.
+func (g *Gateway) applySingleObject(kind ObjectKind, stored v1.Object) {
+	g.applyObject(kind, stored, &runnerBatch{gateway: g})
+}
+
 // applyObject applies one object. batch collects the runners that are added.
 func (g *Gateway) applyObject(kind ObjectKind, stored v1.Object, batch *runnerBatch) {
 	object := g.ports.Decode(kind, stored)
--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -61,7 +61,7 @@
 
 // anyOlderThan reports whether the copy of runners or of weights may be older than the limit.
 func (c *copies) anyOlderThan(now time.Time, limit time.Duration) bool {
-	for _, kind := range c.gateway.settings.separatelyProvenKinds() {
+	for _, kind := range c.separatelyProvenKinds() {
 		if age, known := c.age(now, kind); known && age > limit {
 			return true
 		}
@@ -73,7 +73,7 @@
 // revision, so the revision is at least the one that the proof covers.
 func (c *copies) proofs() []*wire.CopyProof {
 	var proofs []*wire.CopyProof
-	for _, kind := range c.gateway.settings.separatelyProvenKinds() {
+	for _, kind := range c.separatelyProvenKinds() {
 		age, known := c.age(c.gateway.now(), kind)
 		if !known {
 			continue
@@ -104,7 +104,7 @@
 	}
 	if !answer.GetTellsProofs() {
 		newest, _ := copies.checkpoints.newest()
-		for _, kind := range r.gateway.settings.separatelyProvenKinds() {
+		for _, kind := range copies.separatelyProvenKinds() {
 			copies.proveByCheckpoint(kind, checkpoint{revision: newest.revision, at: sentAt.Add(-configAge)})
 		}
 		return
--- a/internal/gateway/firstpulls_test.go
+++ b/internal/gateway/firstpulls_test.go
@@ -15,17 +15,23 @@
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
-// startOverloadedSeed starts a seed that receives messages and answers none. It counts them.
-func startOverloadedSeed(f *fleet, received *atomic.Int64) string {
+// startPeer starts a simulated router and returns its address. answer returns the reply to a message,
+// or nil.
+func startPeer(f *fleet, answer func() *wire.Envelope) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	f.g.Expect(err).NotTo(HaveOccurred())
 	address := listener.Addr().String()
-	transport := wire.NewTransport(wire.Identity{Node: address, Incarnation: 1}, listener, func(context.Context, *wire.Envelope) *wire.Envelope {
+	transport := wire.NewTransport(wire.Identity{Node: address, Incarnation: 1}, listener, func(context.Context, *wire.Envelope) *wire.Envelope { return answer() })
+	f.t.Cleanup(transport.Close)
+	return address
+}
+
+// startOverloadedSeed starts a seed that receives messages and answers none. It counts them.
+func startOverloadedSeed(f *fleet, received *atomic.Int64) string {
+	return startPeer(f, func() *wire.Envelope {
 		received.Add(1)
 		return nil
 	})
-	f.t.Cleanup(transport.Close)
-	return address
 }
 
 // When hundreds of routers start at once, seeds are too busy to answer in the first moments. Guards
--- a/internal/gateway/fleetgrowth_test.go
+++ b/internal/gateway/fleetgrowth_test.go
@@ -1,9 +1,7 @@
 package gateway_test
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"runtime/metrics"
 	"testing"
 	"time"
@@ -92,21 +90,14 @@
 
 // startIdleSeed starts a seed of a fleet of the given size, in which nothing ever changes.
 func startIdleSeed(f *fleet, routers uint32) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	f.g.Expect(err).NotTo(HaveOccurred())
 	revision, err := storerev.New(storerev.FirstEra, 5)
 	f.g.Expect(err).NotTo(HaveOccurred())
-	address := listener.Addr().String()
 	answer := &wire.CopyAnswer{Unconfigured: true, Zone: "z", Routers: routers, PullAfterMillis: 150, TellsProofs: true}
 	for _, kind := range []gateway.ObjectKind{gateway.ConfigObjects, gateway.RunnerObjects, gateway.WeightObjects} {
 		answer.Deltas = append(answer.Deltas, &wire.CopyDelta{Kind: uint32(kind), Delta: &wire.ConfigDelta{Full: true, ThroughRevision: uint64(revision)}})
 		answer.Proofs = append(answer.Proofs, &wire.CopyProof{Kind: uint32(kind), Revision: uint64(revision)})
 	}
-	transport := wire.NewTransport(wire.Identity{Node: address, Incarnation: 1}, listener, func(context.Context, *wire.Envelope) *wire.Envelope {
-		return &wire.Envelope{Body: &wire.Envelope_CopyAnswer{CopyAnswer: answer}}
-	})
-	f.t.Cleanup(transport.Close)
-	return address
+	return startPeer(f, func() *wire.Envelope { return &wire.Envelope{Body: &wire.Envelope_CopyAnswer{CopyAnswer: answer}} })
 }
 
 // An idle router of a large fleet costs its machine a few wake-ups a second, so that hundreds of them
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,7 +182,7 @@
 	g.versionRollouts = newVersionRollouts(g)
 	ports.Store.OnEra(g.eraTracker.observe)
 	g.limits = limits.New(g.limitsConfig())
-	for _, kind := range settings.objectKinds() {
+	for _, kind := range g.copies.kinds {
 		g.storeWatchers = append(g.storeWatchers, newStoreWatcher(g, kind))
 	}
 	if err := g.listen(); err != nil {
--- a/internal/gateway/manychanges_test.go
+++ b/internal/gateway/manychanges_test.go
@@ -24,15 +24,17 @@
 	registerPerStep = 200
 )
 
+// directoryEntry returns the entry of a runner that does not run.
+func directoryEntry(service, address, state string) map[string]any {
+	return map[string]any{"service": service, "address": address, "zone": "z", "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0, "seq": 1}
+}
+
 // register adds runners to the directory in steps over the given time.
 func (f *fleet) register(runners int, duration time.Duration) {
 	steps := runners / registerPerStep
 	for step := range steps {
 		for i := range registerPerStep {
-			id := fmt.Sprintf("i-%05d", step*registerPerStep+i)
-			f.store.Put(platform.KindRunners, id, map[string]any{
-				"service": "plain", "address": fmt.Sprintf("127.1.%d.%d:1", step, i), "zone": "z", "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq": 1,
-			})
+			f.store.Put(platform.KindRunners, fmt.Sprintf("i-%05d", step*registerPerStep+i), directoryEntry("plain", fmt.Sprintf("127.1.%d.%d:1", step, i), "ready"))
 		}
 		time.Sleep(duration / time.Duration(steps))
 	}
--- a/internal/gateway/newera.go
+++ b/internal/gateway/newera.go
@@ -193,7 +193,7 @@
 // removeMissing removes the runners whose entries were not rewritten in this era.
 func (c *copies) removeMissing(runners *config.Store) {
 	for _, removed := range runners.DeleteOlderThan(storerev.StartOf(runners.Revision().Era())) {
-		c.gateway.applyObject(RunnerObjects, removed, c.gateway.newRunnerBatch(RunnerObjects, config.Delta{}))
+		c.gateway.applySingleObject(RunnerObjects, removed)
 	}
 }
 
@@ -203,7 +203,7 @@
 	for name, revision := range c.reappeared {
 		object, found := runners.Object(v1.Key{Kind: v1.Kind(RunnerObjects.String()), Name: name})
 		if found && storerev.Revision(object.Version) == revision {
-			c.gateway.applyObject(RunnerObjects, object, c.gateway.newRunnerBatch(RunnerObjects, config.Delta{}))
+			c.gateway.applySingleObject(RunnerObjects, object)
 		}
 	}
 	clear(c.reappeared)
--- a/internal/gateway/statetransfer.go
+++ b/internal/gateway/statetransfer.go
@@ -108,7 +108,7 @@
 		}
 		timeout = directoryPullTimeout
 	}
-	answer := t.sendPull(address, timeout, t.gateway.settings.objectKinds())
+	answer := t.sendPull(address, timeout, t.gateway.copies.kinds)
 	if !canTransfer(answer) {
 		return false
 	}
@@ -173,7 +173,7 @@
 	store.Replace(newer)
 	c.gateway.peerRouters.clearPackedDeltas()
 	for _, object := range newer {
-		c.gateway.applyObject(kind, object, c.gateway.newRunnerBatch(kind, config.Delta{}))
+		c.gateway.applySingleObject(kind, object)
 	}
 	c.scheduleGracePeriods(kind, config.Delta{Through: store.Revision(), Full: true, Objects: newer})
 	return len(newer)
