--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -293,6 +293,8 @@
 	f.g.Eventually(rollouts, 2*time.Second, 10*time.Millisecond).Should(Equal(1))
 	f.order(time.Hour)
 	f.g.Eventually(func() string { return f.routers[0].Status().Rollouts[0].Target }, 2*time.Second, 10*time.Millisecond).Should(Equal(targetVersion))
+	f.g.Eventually(f.state, 2*time.Second, 10*time.Millisecond).Should(Equal("running"))
+	time.Sleep(500 * time.Millisecond) // The deletion must not arrive together with the status.
 	f.store.Delete(platform.KindRollouts, "earlier")
 	f.g.Consistently(rollouts, 800*time.Millisecond).Should(Equal(1))
 }
