--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -10,6 +12,10 @@
 type Settings struct {
 	Node string
 	Zone string
+	// Region is the region of the zone, and ZoneRegions the region of each zone of the deployment.
+	// Both are empty if the settings name no regions.
+	Region      string
+	ZoneRegions map[string]string
 	// CallerAddress and ReadyAddress are the IP:ports to listen on for callers and for the
 	// readiness check.
 	CallerAddress string
@@ -79,6 +85,9 @@
 	// ExposedShare is the largest share of a service's requests that a bad new software version
 	// may get while the service is moved to it. 0 means that no service is ever moved.
 	ExposedShare float64
+	// ExposedSlack is the number of requests that a bad new software version may get beyond
+	// ExposedShare.
+	ExposedSlack float64
 }
 
 // Defaults of the settings.
@@ -104,6 +113,9 @@
 
 // SetDefaults sets the fields that are zero to their defaults.
 func (s *Settings) SetDefaults() {
+	if s.Region == "" {
+		s.Region = s.ZoneRegions[s.Zone]
+	}
 	setDefaultDuration(&s.ConfigLease, defaultConfigLease)
 	setDefaultDuration(&s.DrainGrace, defaultDrainGrace)
 	setDefaultDuration(&s.WeightDeadline, defaultWeightDeadline)
@@ -198,8 +210,31 @@
 	if s.ExposedShare < 0 || s.ExposedShare > 1 {
 		faults = append(faults, "exposed share: must be between 0 and 1")
 	}
+	if s.ExposedSlack < 0 {
+		faults = append(faults, "exposed slack: must not be negative")
+	}
 	if s.RetryShare < 0 || s.RetryShare > 1 {
 		faults = append(faults, "retry share: must be between 0 and 1")
 	}
+	return append(faults, s.checkRegions()...)
+}
+
+// checkRegions returns the errors in the regions. Settings without regions are valid.
+func (s *Settings) checkRegions() []string {
+	if len(s.ZoneRegions) == 0 {
+		return nil
+	}
+	var faults []string
+	for _, zone := range slices.Sorted(maps.Keys(s.ZoneRegions)) {
+		if s.ZoneRegions[zone] == "" {
+			faults = append(faults, fmt.Sprintf("zones: zone %q has no region", zone))
+		}
+	}
+	switch region, listed := s.ZoneRegions[s.Zone]; {
+	case !listed:
+		faults = append(faults, fmt.Sprintf("zone: %q is not among the zones", s.Zone))
+	case s.Region != "" && s.Region != region:
+		faults = append(faults, fmt.Sprintf("region: %q is not the region of zone %q, which is %q", s.Region, s.Zone, region))
+	}
 	return faults
 }
