quota: restarted servers start with a part of the limit's tolerance

Callers that were held up by the loss of all routers send at once when these are back, before the empty buckets of the restarted servers have accrued much.

A bucket starts with a third of the tolerance (the settings' quota_over) of its share of what the limit allows within the window, so three restarts within one window stay within the tolerance. The property test and the model count this amount for each restart; without a tolerance nothing changes.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -79,6 +79,8 @@
 	// QuotaWindow is the time over which a tenant's quota is enforced. A request that needs
 	// more than the quota allows within this time can never be served.
 	QuotaWindow time.Duration
+	// QuotaTolerance is the share of a tenant's quota within the window by which it may be exceeded.
+	QuotaTolerance float64
 	// RetrySlack is the number of retries that all routers together may make at once beyond
 	// RetryShare. 0 disables the common limit.
 	RetrySlack float64
@@ -210,6 +212,9 @@
 	if s.ExposedShare < 0 || s.ExposedShare > 1 {
 		faults = append(faults, "exposed share: must be between 0 and 1")
 	}
+	if s.QuotaTolerance < 0 || s.QuotaTolerance > 1 {
+		faults = append(faults, "quota tolerance: must be between 0 and 1")
+	}
 	if s.ExposedSlack < 0 {
 		faults = append(faults, "exposed slack: must not be negative")
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -31,6 +31,8 @@
 	// Seeds are the routers that serve shares of the limits.
 	Seeds     []string
 	StartTime time.Time
+	// Tolerance is the share by which limits may be exceeded.
+	Tolerance float64
 	Peers     Peers
 	// RouterCount returns the estimated number of routers, including this one.
 	RouterCount func() int
@@ -50,7 +52,7 @@
 // New returns a client that uses the seeds of the config as servers.
 func New(config Config) *Client {
 	c := &Client{
-		config: config, server: quota.NewServer(config.StartTime),
+		config: config, server: quota.NewServerWithTolerance(config.StartTime, config.Tolerance),
 		requester: quota.NewRequester(config.PeerAddress, config.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	c.requester.RecordContact(config.StartTime)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -9,8 +9,9 @@
 // handover has to be agreed on. The disadvantage is that a tenant is limited to the remaining
 // shares while a server is down.
 //
-// A server keeps no state across a restart. It starts with an empty bucket that refills at the base
-// rate only, so that it does not grant again what it granted before the restart.
+// A server keeps no state across a restart. It starts with a bucket that refills at the base rate only,
+// so that it does not grant again what it granted before the restart. The bucket is empty unless the
+// limits have a tolerance, of which it then holds a part.
 //
 // The package has no I/O and no clock.
 package quota
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -75,6 +75,35 @@
 	g.Expect(restarted).To(BeNumerically("~", 4*3000, 200), "the base rate without burst")
 }
 
+// Guards against a tolerance that is used up more than once: a tenant that spends all it is granted
+// stays within the tolerance over three restarts of its server in one window.
+func TestRestartsWithinAWindowStayWithinTheTolerance(t *testing.T) {
+	g := NewWithT(t)
+	const tolerance, amount = 0.1, 100.0
+	limit := Limit{Window: testWindow, Rate: 3000, Burst: 30000}
+	granted := spendRepeatedly(NewServer(start), 5000, 7000, amount, limit, 1)
+	for _, restartedAt := range []int{7000, 9000, 11000} {
+		granted += spendRepeatedly(NewServerWithTolerance(atMillis(restartedAt), tolerance), restartedAt, restartedAt+2000, amount, limit, 1)
+	}
+	g.Expect(granted).To(BeNumerically("<=", limit.MaxPerWindow()*(1+tolerance)+4*amount))
+}
+
+// Guards against refusals of tenants below their limits after the loss of all servers. Callers that
+// were held up for half a second retry within 30 ms, before the new buckets have accrued much.
+func TestTenantsBelowTheirLimitAreServedAfterTheLossOfAllServers(t *testing.T) {
+	const routers, tolerance, amount = 80, 0.1, 2000.0
+	limit := Limit{Window: testWindow, Rate: 1_113_275, Burst: 1_113_275}
+	s := newSimulation(routers, limit, 1)
+	s.restartAll(atMillis(13500), tolerance)
+	heldUp := int(0.6 * 0.5 * limit.Rate / amount)
+	for i := range heldUp {
+		s.request(atMillis(13600+i*30/heldUp), i%routers, amount, func() bool { return false })
+	}
+	if s.refusals > 0 {
+		t.Fatalf("%d of %d requests refused", s.refusals, s.requests)
+	}
+}
+
 func TestLowerLimitAppliesImmediatelyAndOlderRevisionIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	server := NewServer(start)
