rolloutdriver: the driver of rollouts leaves the gateway's package

versionrollouts.go, rolloutlead.go and rolloutsummary.go become the package internal/rolloutdriver. It reaches the table of runners, the configuration, the schedulers, the peers, the store, the log and the clock through small interfaces, which internal/gateway/rolloutports.go implements, so that it can be tested with fakes and adds no state under the gateway's mutex.

The types of a stored rollout and of its summary move along (StoredRollout, Status, Summary, RouteSummary). Their JSON form and the log events stay as they were.

Tests of the gateway that match 'Version|Rollout|FinalState|Order|Scheduler' pass, and those of platform, internal/cli and internal/lab/rules.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -85,9 +85,9 @@
 mutant "11 runners that only other routers know stay unknown" internal/gateway/statetransfer.go 's/case !found \&\& /case false \&\& /' ./internal/gateway -run LearnsFromLateSeeds
 mutant "11 a state transfer is requested only once" internal/gateway/statetransfer.go 's/transferTimeout = 10 \* time.Second/transferTimeout = time.Nanosecond/' ./internal/gateway -run LearnsFromLateSeeds
 mutant "12 permits of the leader never run out" internal/versionrollout/exposure.go 's/PermitDuration = time.Second/PermitDuration = time.Hour/' ./internal/gateway -run 'SchedulerThatIsCutOffFromTheLeader'
-mutant "12 versions without an order get requests" internal/gateway/versionrollouts.go 's/rules\[service\] = backend.VersionRule\{Only: base\}/_ = base/' ./internal/gateway -run NewVersionWithoutOrder
-mutant "12 slow answers are good" internal/gateway/versionrollouts.go 's/if failed \|\| slow/if failed/' ./internal/gateway -run SlowVersionIsRolledBack
-mutant "12 a lost final state is not written again" internal/gateway/rolloutlead.go 's/return r.stored.Status == nil \|\| !r.stored/return !r.state.IsFinal() \&\& !r.stored/' ./internal/gateway -run FinalStateIsWrittenAgain
+mutant "12 versions without an order get requests" internal/rolloutdriver/driver.go 's/rules\[service\] = backend.VersionRule\{Only: base\}/_ = base/' ./internal/gateway -run NewVersionWithoutOrder
+mutant "12 slow answers are good" internal/rolloutdriver/driver.go 's/if failed \|\| slow/if failed/' ./internal/gateway -run SlowVersionIsRolledBack
+mutant "12 a lost final state is not written again" internal/rolloutdriver/lead.go 's/return r.stored.Status == nil \|\| !r.stored/return !r.state.IsFinal() \&\& !r.stored/' ./internal/gateway -run FinalStateIsWrittenAgain
 mutant "12 the share of a router is not counted" internal/versionrollout/exposure.go 's/\te.credit--\n//' ./internal/versionrollout -run 'ExposureOfManyRouters'
 mutant "12 only the whole rollout is judged" internal/versionrollout/controller.go 's/if now.Sub\(c.snapshots\[i\].at\) >= c.window\(\)/if false/' ./internal/versionrollout -run 'TestVersionThatTurnsBadLate'
 mutant "12 routes are not judged on their own" internal/versionrollout/evidence.go 's/low > high\+toleratedShare/low > high+2/' ./internal/versionrollout -run 'Verdicts'
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
@@ -162,7 +163,7 @@
 // printRolloutTable prints the moves of services to other software versions, as the gateway that
 // leads them sees them, or else the first that knows them.
 func printRolloutTable(env *Env, statuses []*gateway.Status) {
-	rollouts := map[string]gateway.RolloutSummary{}
+	rollouts := map[string]rolloutdriver.Summary{}
 	for _, status := range statuses {
 		for _, rollout := range status.Rollouts {
 			if _, known := rollouts[rollout.Service]; !known || rollout.Leads {
--- a/internal/cli/gateway_test.go
+++ b/internal/cli/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/platform"
 )
 
@@ -65,7 +66,7 @@
 		g.Expect(request.URL.Path).To(Equal(gateway.StatusPath))
 		json.NewEncoder(writer).Encode(gateway.Status{
 			Node: "r1", Zone: "z", ConfigVersion: 7, ProofAgeMillis: 1200, Proven: true, Source: "10.0.0.1:1", LeaseToken: 44,
-			Rollouts: []gateway.RolloutSummary{{Service: "s", Target: "v2", State: "rolled back", Reason: "route a: bad", Requests: 500, Exposed: 41, Routes: []gateway.RouteSummary{{Route: "a", TargetAnswers: 40, TargetBad: 17}}}},
+			Rollouts: []rolloutdriver.Summary{{Service: "s", Target: "v2", State: "rolled back", Reason: "route a: bad", Requests: 500, Exposed: 41, Routes: []rolloutdriver.RouteSummary{{Route: "a", TargetAnswers: 40, TargetBad: 17}}}},
 			Weights:  map[string]uint64{"m": 3}, Runners: []backend.RunnerSummary{{ID: "e1", Service: "s", State: "set aside", Weights: map[string]uint64{"m": 2}, FailureShare: 0.5}},
 		})
 	}))
--- a/internal/gateway/callquery.go
+++ b/internal/gateway/callquery.go
@@ -16,7 +16,7 @@
 	query := backend.Query{
 		Service: c.service, Excluded: c.attemptState.Excluded(), Zone: c.gateway.settings.Zone, MaxQueueTime: c.maxQueueTime,
 		LatencyTarget: c.route.LatencyTarget, MaxEventGap: c.route.MaxEventGap, Rank: c.rank(), Tenant: c.tenantName(), MaxTokens: c.metadata.MaxTokens,
-		SuspectContent: c.suspectHash(), Backoffs: c.gateway.runnerBackoffs(), Route: c.gateway.versionRollouts.routeName(c.service, c.route.Name),
+		SuspectContent: c.suspectHash(), Backoffs: c.gateway.runnerBackoffs(), Route: c.gateway.rolloutDriver.RouteName(c.service, c.route.Name),
 	}
 	if c.attemptState.Attempt() > 0 {
 		// A call whose first attempt was admitted is not refused for its queueing time later.
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -9,6 +9,7 @@
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/namings"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
@@ -180,7 +181,7 @@
 	case kind == RunnerObjects && delta.Full:
 		g.retainRunners(delta.Objects)
 	case kind == RolloutObjects && delta.Full:
-		g.versionRollouts.retain(delta.Objects)
+		g.rolloutDriver.Retain(listedNames(delta.Objects))
 	}
 	batch := g.newRunnerBatch(kind, delta)
 	for _, object := range delta.Objects {
@@ -188,7 +189,7 @@
 	}
 	batch.logTotal()
 	if kind == RunnerObjects || kind == RolloutObjects {
-		g.versionRollouts.updateRules()
+		g.rolloutDriver.UpdateRules()
 	}
 }
 
@@ -210,7 +211,7 @@
 	case object.Weights != nil:
 		g.applyWeights(object)
 	case kind == RolloutObjects:
-		g.versionRollouts.apply(object)
+		g.rolloutDriver.Apply(rolloutdriver.Object{Name: object.Name, Revision: object.Revision, Rollout: object.Rollout})
 	}
 }
 
@@ -229,7 +230,7 @@
 	g.runners.SetServices(serviceNames(object.Config))
 	g.mutex.Unlock()
 	g.activeConfig.Store(next)
-	g.versionRollouts.applyConfigChange()
+	g.rolloutDriver.ApplyConfigChange()
 	g.log.Log(events.ConfigInForce, events.Fields{
 		"version": object.Config.Version, "revision": object.Revision.Number(), "era": object.Revision.Era(),
 		"routes": len(object.Config.Routes), "services": len(object.Config.Services), "tenants": len(object.Config.Tenants),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/namings"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
@@ -137,8 +138,8 @@
 	// cacheReader reads which prompt parts runners and cache stores hold, and sends the result to
 	// other routers.
 	cacheReader *cacheReader
-	// versionRollouts moves services to other software versions.
-	versionRollouts *versionRollouts
+	// rolloutDriver moves services to other software versions.
+	rolloutDriver *rolloutdriver.Driver
 	// weightsNamed receives a value when a new version of a model's weights is named.
 	weightsNamed chan struct{}
 
@@ -179,7 +180,7 @@
 	g.cacheReader = newCacheReader(g)
 	g.copies, g.directReads, g.peerRouters = newCopies(g), newDirectMode(), newPeerRouters(g)
 	g.eraTracker, g.transfer = newEraTracker(g), newStateTransfer(g)
-	g.versionRollouts = newVersionRollouts(g)
+	g.rolloutDriver = newRolloutDriver(g)
 	ports.Store.OnEra(g.eraTracker.observe)
 	g.limits = limits.New(g.limitsConfig())
 	for _, kind := range g.copies.kinds {
@@ -199,7 +200,9 @@
 	g.spawn(g.cacheReader.run)
 	g.spawn(g.cacheReader.shareLoop)
 	g.spawn(g.schedulers.loadReportLoop)
-	g.spawn(g.versionRollouts.reportLoop)
+	if g.peerRouters.transport != nil {
+		g.spawn(func() { g.rolloutDriver.ReportLoop(g.ctx) })
+	}
 	g.spawn(g.suspects.broadcasts.run)
 	g.spawn(g.signals.broadcasts.run)
 	g.spawn(g.suspects.stored.readLoop)
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -58,7 +58,7 @@
 func (l *leader) run() {
 	for l.waitForWork() {
 		outdated := l.rollout.countOutdated()
-		leadsRollouts := l.gateway.versionRollouts.needsLeader()
+		leadsRollouts := l.gateway.rolloutDriver.NeedsLeader()
 		if outdated == 0 && !leadsRollouts {
 			l.outdatedRunners = 0
 			l.setHoldsLease(0, false)
@@ -72,7 +72,7 @@
 		l.setHoldsLease(token, held)
 		if held {
 			l.rollout.startUpdates(l.term(token))
-			l.gateway.versionRollouts.leadAll(l.term(token))
+			l.gateway.rolloutDriver.LeadAll(l.gateway.ctx, l.candidate.ValidUntil())
 		}
 	}
 }
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -22,19 +22,19 @@
 //
 // The request may test the target version of a rollout, and then names that version afterwards.
 func (g *Gateway) placeRequest(now time.Time, query *backend.Query, timeLeft time.Duration) (chosen placement.Pick, queueLimit admission.QueueLimit, refusedForShare bool) {
-	if target := g.versionRollouts.takeExposure(now, *query); target != "" {
+	if target := g.rolloutDriver.TakeExposure(now, *query, g.runners); target != "" {
 		query.TargetVersion = target
 		chosen, queueLimit, refusedForShare = g.placeRequestWithExcess(now, *query, timeLeft, g.fairShares.excess(now, *query))
 		if chosen.Status == placement.Picked {
-			g.versionRollouts.recordPlaced(now, *query)
+			g.rolloutDriver.RecordPlaced(now, *query)
 			return chosen, queueLimit, refusedForShare
 		}
 		query.TargetVersion = ""
-		g.versionRollouts.returnExposure(query.Service)
+		g.rolloutDriver.ReturnExposure(query.Service)
 	}
 	chosen, queueLimit, refusedForShare = g.placeRequestWithExcess(now, *query, timeLeft, g.fairShares.excess(now, *query))
 	if chosen.Status == placement.Picked {
-		g.versionRollouts.recordPlaced(now, *query)
+		g.rolloutDriver.RecordPlaced(now, *query)
 	}
 	return chosen, queueLimit, refusedForShare
 }
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -221,7 +221,7 @@
 		return placement.Pick{Status: placement.AllHeldBack, RetryAfter: choice.retryAfter}, true
 	}
 	c.query.TargetVersion, c.versionPermittedAt = choice.version, choice.requestedAt
-	if !g.versionRollouts.maySend(now, c.query, choice.requestedAt) || !g.runners.Usable(now, choice.runner, c.query, choice.permit()) {
+	if !g.rolloutDriver.MaySend(now, c.query, choice.requestedAt) || !g.runners.Usable(now, choice.runner, c.query, choice.permit()) {
 		c.query.TargetVersion = ""
 		c.bufferLog(events.PlacementDeclined, events.Fields{"runner": choice.runner, "scheduler": choice.scheduler})
 		if rejected, listed := g.runners.Get(choice.runner); listed {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -10,9 +10,9 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/storerev"
-	"github.com/clovertiller/clovertiller/internal/versionrollout"
 )
 
 // Clock is a clock that keeps running while the machine is suspended.
@@ -138,23 +138,6 @@
 	Version uint64
 }
 
-// StoredRollout is an order to move a service to another software version, as stored.
-type StoredRollout struct {
-	Order versionrollout.Order
-	// Status is nil if none has been written for this order.
-	Status *RolloutStatus
-}
-
-// RolloutStatus is the stored status of a rollout. Its times are wall clock times.
-type RolloutStatus struct {
-	State versionrollout.State
-	// StartedAt is when the rollout began, and PromotedAt when all traffic was moved to the target
-	// version, zero if it was not.
-	StartedAt  time.Time
-	PromotedAt time.Time
-	Reason     string
-}
-
 // Object is a decoded object of the store. Exactly one pointer is set, unless the object was
 // removed or could not be decoded.
 type Object struct {
@@ -164,7 +147,7 @@
 	Config   *routing.Config
 	Runner   *backend.Runner
 	Weights  *NamedWeights
-	Rollout  *StoredRollout
+	Rollout  *rolloutdriver.StoredRollout
 	// Fault is the reason why the object could not be decoded, or empty.
 	Fault string
 }
@@ -200,7 +183,7 @@
 	WriteLease(ctx context.Context, spec v1.LeaseSpec, exists bool, revision storerev.Revision) (written storerev.Revision, err error)
 	// WriteRolloutStatus writes the status of the named rollout if the number of its revision has not
 	// changed.
-	WriteRolloutStatus(ctx context.Context, name string, rollout StoredRollout, revision storerev.Revision) (written storerev.Revision, err error)
+	WriteRolloutStatus(ctx context.Context, name string, rollout rolloutdriver.StoredRollout, revision storerev.Revision) (written storerev.Revision, err error)
 	// ListQuarantines returns the stored quarantine records and the revision of the list. A stale
 	// list may be some seconds old.
 	ListQuarantines(ctx context.Context, stale bool) ([]StoredQuarantine, storerev.Revision, error)
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -61,7 +61,7 @@
 	case *wire.Envelope_SignalNews:
 		r.gateway.signals.merge(body.SignalNews.GetSignals())
 	case *wire.Envelope_RolloutReport:
-		return &wire.Envelope{Body: &wire.Envelope_RolloutPermit{RolloutPermit: r.gateway.versionRollouts.handleReport(envelope, body.RolloutReport)}}
+		return &wire.Envelope{Body: &wire.Envelope_RolloutPermit{RolloutPermit: r.gateway.rolloutDriver.HandleReport(envelope, body.RolloutReport)}}
 	case *wire.Envelope_CacheShare:
 		if ack := r.gateway.cacheReader.handleShare(body.CacheShare); ack != nil {
 			return &wire.Envelope{Body: &wire.Envelope_CacheShareAck{CacheShareAck: ack}}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -151,7 +151,7 @@
 	if notice.GetEnded() {
 		if query, send, found := s.placedSends.Get(key); found {
 			s.gateway.fairShares.refund(s.gateway.now(), query, send, outcome)
-			s.gateway.versionRollouts.recordOutcome(s.gateway.now(), query, send.SentAt(), outcome)
+			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send.SentAt(), outcome)
 		}
 		s.placedSends.AvoidRunner(s.gateway.now(), key, time.Duration(notice.GetRestMillis())*time.Millisecond)
 		s.placedSends.End(s.gateway.now(), key, outcome)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -201,7 +201,7 @@
 	if g.runners.IsLimited(c.runner.ID) {
 		g.metrics.observeLimitedSend(c.service, c.permit.Valid(now), now.Sub(c.permitRequestedAt))
 	}
-	return g.versionRollouts.maySend(now, c.query, c.versionPermittedAt) && g.runners.MaySend(now, c.runner.ID, c.query, c.weightVersion, c.permit)
+	return g.rolloutDriver.MaySend(now, c.query, c.versionPermittedAt) && g.runners.MaySend(now, c.runner.ID, c.query, c.weightVersion, c.permit)
 }
 
 // recordWeightVersion records the weight version that the runner reported, and reports whether
@@ -242,8 +242,8 @@
 	if c.schedulerChoice == nil && !c.continuing && g.fairShares.tracksUsage() {
 		g.fairShares.refund(c.gateway.now(), c.query, c.currentSend, outcome)
 	}
-	if c.schedulerChoice == nil && !c.continuing && g.versionRollouts.isPlacer() {
-		g.versionRollouts.recordOutcome(c.gateway.now(), c.query, c.currentSend.SentAt(), outcome)
+	if c.schedulerChoice == nil && !c.continuing && g.rolloutDriver.IsPlacer() {
+		g.rolloutDriver.RecordOutcome(c.gateway.now(), c.query, c.currentSend.SentAt(), outcome)
 	}
 	g.runners.End(c.gateway.now(), c.currentSend, outcome)
 	g.runners.AvoidFor(c.gateway.now(), c.currentSend, c.requestedBackoff)
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -29,7 +29,7 @@
 	g.settings.Zone = "z"
 	g.metrics = newMetrics(g)
 	g.schedulers, g.fairShares = newSchedulers(g), newFairShares(g)
-	g.versionRollouts = newVersionRollouts(g)
+	g.rolloutDriver = newRolloutDriver(g)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	config := &routing.Config{Version: 1}
 	for _, tenant := range tenants {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
@@ -41,7 +42,7 @@
 	// the most. It is empty on routers that place no requests.
 	TenantExcesses []TenantExcess `json:"beyondShare,omitempty"`
 	// Rollouts are the services that are being moved to another software version, or were.
-	Rollouts []RolloutSummary `json:"rollouts,omitempty"`
+	Rollouts []rolloutdriver.Summary `json:"rollouts,omitempty"`
 	// Quarantined lists up to maxQuarantinedInStatus quarantined contents.
 	Quarantined []QuarantinedContent `json:"quarantined,omitempty"`
 }
@@ -77,7 +78,7 @@
 		status.Source = g.peerRouters.lastSource()
 	}
 	status.Quarantined = g.suspects.summary(now)
-	status.Rollouts = g.versionRollouts.summaries(now)
+	status.Rollouts = g.rolloutDriver.Summaries(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	status.Weights = g.runners.WeightTargets().Targets()
--- a/internal/gateway/versionrollouts.go
+++ b/internal/rolloutdriver/driver.go
@@ -1,4 +1,7 @@
-package gateway
+// Package rolloutdriver applies the operator's orders to move services to other software versions. It
+// connects the decisions of package versionrollout with the router: the table of runners, the other
+// schedulers, the store and the log, which it reaches through the interfaces in ports.go.
+package rolloutdriver
 
 import (
 	"maps"
@@ -7,7 +10,6 @@
 	"sync"
 	"time"
 
-	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/storerev"
@@ -25,14 +27,27 @@
 	minLatencyAnswers = 5
 )
 
-// versionRollouts applies the operator's orders to move services to other software versions at this
+// Config is the configuration of a driver.
+type Config struct {
+	// Node is the name of this router.
+	Node string
+	// MaxShare is the share of a service's requests that a bad version may get. If it is 0, services
+	// can't be moved.
+	MaxShare float64
+}
+
+// Driver applies the operator's orders to move services to other software versions at this
 // router: which versions get requests, which requests test a target version, and how they end.
 // Requests test it only where they are placed by a router that holds a permit of the leader, so a
 // router that is cut off from the leader, or is no scheduler, sends none there.
-type versionRollouts struct {
-	gateway *Gateway
-	// mutex guards the fields below. It may be locked while the gateway's mutex is held, but not
-	// the other way round.
+type Driver struct {
+	config Config
+	ports  Ports
+	// rulesMutex serializes updates of the rules, so that older rules never replace newer ones. It is
+	// locked before the mutex and before those of the ports.
+	rulesMutex sync.Mutex
+	// mutex guards the fields below. It may be locked while the mutex of the table of runners is
+	// held, but not the other way round.
 	mutex sync.Mutex
 	// byService holds the valid order of each service.
 	byService map[string]*serviceRollout
@@ -56,7 +71,7 @@
 	exposure versionrollout.Exposure
 	counted  versionrollout.Report
 	latency  map[string]*usualLatency
-	lead     rolloutLead
+	lead     lead
 }
 
 // usualLatency is the moving average of the logarithm of the old version's latency on one route.
@@ -76,53 +91,52 @@
 	return l.answers >= minLatencyAnswers && latency.Seconds() > slowFactor*math.Exp(l.meanLog)
 }
 
-func newVersionRollouts(g *Gateway) *versionRollouts {
-	return &versionRollouts{gateway: g, byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, baseVersions: map[string]string{}}
+// New returns a driver without orders.
+func New(config Config, ports Ports) *Driver {
+	return &Driver{config: config, ports: ports, byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, baseVersions: map[string]string{}}
 }
 
 // isEnabled reports whether services may be moved on this deployment.
-func (v *versionRollouts) isEnabled() bool { return v.gateway.settings.ExposedShare > 0 }
+func (d *Driver) isEnabled() bool { return d.config.MaxShare > 0 }
 
-// retain removes the orders whose objects are missing from a complete list.
-func (v *versionRollouts) retain(objects []v1.Object) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	isMissing := func(name string) bool {
-		return !slices.ContainsFunc(objects, func(o v1.Object) bool { return o.Name == name && !o.Deleted })
-	}
-	maps.DeleteFunc(v.rejected, func(name string, _ Object) bool { return isMissing(name) })
-	maps.DeleteFunc(v.byService, func(_ string, r *serviceRollout) bool { return isMissing(r.name) })
+// Retain removes the orders whose objects are missing from a complete list of names.
+func (d *Driver) Retain(names []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	isMissing := func(name string) bool { return !slices.Contains(names, name) }
+	maps.DeleteFunc(d.rejected, func(name string, _ Object) bool { return isMissing(name) })
+	maps.DeleteFunc(d.byService, func(_ string, r *serviceRollout) bool { return isMissing(r.name) })
 }
 
-// apply applies an order or its removal.
-func (v *versionRollouts) apply(object Object) {
-	if object.Removed || object.Rollout == nil {
-		v.mutex.Lock()
-		maps.DeleteFunc(v.byService, func(_ string, r *serviceRollout) bool { return r.name == object.Name })
-		delete(v.rejected, object.Name)
-		v.mutex.Unlock()
+// Apply applies an order or its removal.
+func (d *Driver) Apply(object Object) {
+	if object.Rollout == nil {
+		d.mutex.Lock()
+		maps.DeleteFunc(d.byService, func(_ string, r *serviceRollout) bool { return r.name == object.Name })
+		delete(d.rejected, object.Name)
+		d.mutex.Unlock()
 		return
 	}
 	order := object.Rollout.Order
-	if err := order.Check(v.isConfigured(order.Service)); err != nil {
-		v.mutex.Lock()
-		v.rejected[object.Name] = object
-		v.mutex.Unlock()
-		v.gateway.log.Log(events.RolloutRejected, events.Fields{"name": object.Name, "service": order.Service, "target": order.Target, "duration_ms": order.Duration.Milliseconds(), "reason": err.Error()})
+	if err := order.Check(d.isConfigured(order.Service)); err != nil {
+		d.mutex.Lock()
+		d.rejected[object.Name] = object
+		d.mutex.Unlock()
+		d.ports.Log.Log(events.RolloutRejected, events.Fields{"name": object.Name, "service": order.Service, "target": order.Target, "duration_ms": order.Duration.Milliseconds(), "reason": err.Error()})
 		return
 	}
-	startedAt := v.startTime(object)
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	delete(v.rejected, object.Name)
-	known := v.byService[order.Service]
+	startedAt := d.startTime(object)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	delete(d.rejected, object.Name)
+	known := d.byService[order.Service]
 	if known == nil || known.stored.Order != order || known.name != object.Name {
 		known = &serviceRollout{
 			name: object.Name, startedAt: startedAt, latency: map[string]*usualLatency{},
 			counted: versionrollout.Report{Routes: map[string]versionrollout.RouteTally{}},
 		}
-		v.byService[order.Service] = known
-		v.gateway.log.Log(events.RolloutOrdered, events.Fields{"service": order.Service, "target": order.Target, "duration_ms": order.Duration.Milliseconds(), "revision": object.Revision.Number()})
+		d.byService[order.Service] = known
+		d.ports.Log.Log(events.RolloutOrdered, events.Fields{"service": order.Service, "target": order.Target, "duration_ms": order.Duration.Milliseconds(), "revision": object.Revision.Number()})
 	}
 	if object.Revision < known.revision {
 		return
@@ -130,48 +144,48 @@
 	known.stored, known.revision = *object.Rollout, object.Revision
 	if status := object.Rollout.Status; status != nil {
 		known.promoted = known.promoted || !status.PromotedAt.IsZero()
-		v.enterState(known, status.State, status.Reason)
+		d.enterState(known, status.State, status.Reason)
 	}
 }
 
-// applyConfigChange checks the rejected orders again and updates the rules under a new configuration.
-func (v *versionRollouts) applyConfigChange() {
-	v.mutex.Lock()
-	rejected := slices.Collect(maps.Values(v.rejected))
-	v.mutex.Unlock()
+// ApplyConfigChange checks the rejected orders again and updates the rules under a new configuration.
+func (d *Driver) ApplyConfigChange() {
+	d.mutex.Lock()
+	rejected := slices.Collect(maps.Values(d.rejected))
+	d.mutex.Unlock()
 	for _, object := range rejected {
-		v.apply(object)
+		d.Apply(object)
 	}
-	v.updateRules()
+	d.UpdateRules()
 }
 
-func (v *versionRollouts) isConfigured(service string) bool {
-	current := v.gateway.activeConfig.Load()
-	return current != nil && current.table.Service(service) != nil
+func (d *Driver) isConfigured(service string) bool {
+	services, _ := d.ports.Services.ServiceNames()
+	return slices.Contains(services, service)
 }
 
 // startTime returns the earliest time at which the order may have been written.
-func (v *versionRollouts) startTime(object Object) time.Time {
-	now := v.gateway.now()
+func (d *Driver) startTime(object Object) time.Time {
+	now := d.ports.Clock.Now()
 	if status := object.Rollout.Status; status != nil && !status.StartedAt.IsZero() {
 		// The wall clock may jump.
 		elapsed := min(max(time.Since(status.StartedAt), 0), object.Rollout.Order.Duration)
 		return now.Add(-elapsed)
 	}
-	if written := v.gateway.copies.checkpoints.latestBefore(object.Revision); !written.IsZero() && written.Before(now) {
+	if written := d.ports.Store.LatestBefore(object.Revision); !written.IsZero() && written.Before(now) {
 		return written
 	}
 	return now
 }
 
 // enterState records a state. A final one stays. The mutex must be held.
-func (v *versionRollouts) enterState(r *serviceRollout, state versionrollout.State, reason string) {
+func (d *Driver) enterState(r *serviceRollout, state versionrollout.State, reason string) {
 	if r.state == state || r.state.IsFinal() {
 		return
 	}
 	r.state = state
 	r.exposure.Revoke()
-	v.gateway.log.Log(events.RolloutEnded, events.Fields{"service": r.stored.Order.Service, "target": r.stored.Order.Target, "state": state.String(), "reason": reason})
+	d.ports.Log.Log(events.RolloutEnded, events.Fields{"service": r.stored.Order.Service, "target": r.stored.Order.Target, "state": state.String(), "reason": reason})
 }
 
 // rule returns which versions get requests under the order.
@@ -183,31 +197,42 @@
 	return backend.VersionRule{Excluded: target}
 }
 
-// updateRules sets which versions of each service get requests. Without an order that is the version
+// UpdateRules sets which versions of each service get requests. Without an order that is the version
 // that the service had first, as long as one of its runners has it.
-func (v *versionRollouts) updateRules() {
-	g := v.gateway
-	current := g.activeConfig.Load()
-	if !v.isEnabled() || current == nil {
+func (d *Driver) UpdateRules() {
+	if !d.isEnabled() {
+		return
+	}
+	d.rulesMutex.Lock()
+	defer d.rulesMutex.Unlock()
+	services, configured := d.ports.Services.ServiceNames()
+	if !configured {
 		return
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
+	counts := map[string]map[string]int{}
+	for _, service := range services {
+		counts[service] = d.ports.Runners.VersionCounts(service)
+	}
+	d.ports.Runners.SetVersionRules(d.rules(services, counts), d.config.MaxShare)
+}
+
+// rules returns the rules of the services, given how many runners have each version.
+func (d *Driver) rules(services []string, counts map[string]map[string]int) map[string]backend.VersionRule {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	rules := map[string]backend.VersionRule{}
-	for _, service := range current.table.ServiceNames() {
-		if r := v.byService[service]; r != nil {
+	for _, service := range services {
+		if r := d.byService[service]; r != nil {
 			rules[service] = r.rule()
-			delete(v.baseVersions, service)
+			delete(d.baseVersions, service)
 			continue
 		}
-		if base := baseVersion(v.baseVersions[service], g.runners.VersionCounts(service)); base != "" {
-			v.baseVersions[service] = base
+		if base := baseVersion(d.baseVersions[service], counts[service]); base != "" {
+			d.baseVersions[service] = base
 			rules[service] = backend.VersionRule{Only: base}
 		}
 	}
-	g.runners.SetVersionRules(rules, g.settings.ExposedShare)
+	return rules
 }
 
 // baseVersion returns the previous base version if runners still have it, and otherwise the version
@@ -225,34 +250,31 @@
 	return base
 }
 
-// isPlacer reports whether this router places requests with knowledge of what the leader permits: a
-// scheduler, or a router without peers.
-func (v *versionRollouts) isPlacer() bool {
-	return v.gateway.peerRouters.transport == nil || v.gateway.schedulers.isScheduler()
-}
+// IsPlacer reports whether requests that this router places are counted as evidence.
+func (d *Driver) IsPlacer() bool { return d.ports.Schedulers.IsPlacer() }
 
-// routeName returns the name of the call's route if answers are counted by route, and else "".
-func (v *versionRollouts) routeName(service, route string) string {
-	if !v.isEnabled() {
+// RouteName returns the name of the call's route if answers are counted by route, and else "".
+func (d *Driver) RouteName(service, route string) string {
+	if !d.isEnabled() {
 		return ""
 	}
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	if r := v.byService[service]; r == nil || r.state.IsFinal() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if r := d.byService[service]; r == nil || r.state.IsFinal() {
 		return ""
 	}
 	return route
 }
 
-// takeExposure returns the target version if the request is to test it, and else "". The gateway's
-// mutex must be held.
-func (v *versionRollouts) takeExposure(now time.Time, query backend.Query) string {
-	if !v.isEnabled() || len(query.Excluded) > 0 || !v.isPlacer() {
+// TakeExposure returns the target version if the request is to test it, and else "". The mutex of
+// the table of runners may be held; the caller passes the table for this reason.
+func (d *Driver) TakeExposure(now time.Time, query backend.Query, runners VersionCounter) string {
+	if !d.isEnabled() || len(query.Excluded) > 0 || !d.ports.Schedulers.IsPlacer() {
 		return ""
 	}
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	r := v.byService[query.Service]
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	r := d.byService[query.Service]
 	if r == nil || r.state.IsFinal() || r.promoted {
 		return ""
 	}
@@ -260,30 +282,30 @@
 		return ""
 	}
 	target := r.stored.Order.Target
-	if v.gateway.runners.VersionCounts(query.Service)[target] == 0 {
+	if runners.VersionCounts(query.Service)[target] == 0 {
 		r.exposure.Return()
 		return ""
 	}
 	return target
 }
 
-// returnExposure returns what takeExposure took for a request that was not placed.
-func (v *versionRollouts) returnExposure(service string) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	if r := v.byService[service]; r != nil {
+// ReturnExposure returns what TakeExposure took for a request that was not placed.
+func (d *Driver) ReturnExposure(service string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if r := d.byService[service]; r != nil {
 		r.exposure.Return()
 	}
 }
 
-// recordPlaced counts a request that was placed. Retries are not counted.
-func (v *versionRollouts) recordPlaced(now time.Time, query backend.Query) {
-	if !v.isEnabled() {
+// RecordPlaced counts a request that was placed. Retries are not counted.
+func (d *Driver) RecordPlaced(now time.Time, query backend.Query) {
+	if !d.isEnabled() {
 		return
 	}
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	r := v.byService[query.Service]
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	r := d.byService[query.Service]
 	if r == nil || r.state.IsFinal() || len(query.Excluded) > 0 {
 		return
 	}
@@ -294,26 +316,26 @@
 	}
 }
 
-// maySend reports whether a request that names a version may still be sent there, given when it was
+// MaySend reports whether a request that names a version may still be sent there, given when it was
 // permitted.
-func (v *versionRollouts) maySend(now time.Time, query backend.Query, permittedAt time.Time) bool {
+func (d *Driver) MaySend(now time.Time, query backend.Query, permittedAt time.Time) bool {
 	if query.TargetVersion == "" {
 		return true
 	}
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	r := v.byService[query.Service]
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	r := d.byService[query.Service]
 	return r != nil && r.state != versionrollout.RolledBack && r.stored.Order.Target == query.TargetVersion && now.Sub(permittedAt) < versionrollout.PermitDuration
 }
 
-// recordOutcome counts the end of a request that this router placed.
-func (v *versionRollouts) recordOutcome(now time.Time, query backend.Query, sentAt time.Time, outcome backend.Outcome) {
+// RecordOutcome counts the end of a request that this router placed.
+func (d *Driver) RecordOutcome(now time.Time, query backend.Query, sentAt time.Time, outcome backend.Outcome) {
 	if query.Route == "" {
 		return
 	}
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	r := v.byService[query.Service]
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	r := d.byService[query.Service]
 	if r == nil || r.state.IsFinal() {
 		return
 	}
--- a/internal/gateway/rolloutsummary.go
+++ b/internal/rolloutdriver/summary.go
@@ -1,4 +1,4 @@
-package gateway
+package rolloutdriver
 
 import (
 	"maps"
@@ -8,8 +8,8 @@
 	"github.com/clovertiller/clovertiller/internal/versionrollout"
 )
 
-// RolloutSummary describes in the status how a service is moved to another software version.
-type RolloutSummary struct {
+// Summary describes in the status how a service is moved to another software version.
+type Summary struct {
 	Service  string `json:"service"`
 	Target   string `json:"target"`
 	State    string `json:"state"`
@@ -38,18 +38,18 @@
 	TargetBad     uint64 `json:"targetBad"`
 }
 
-// summaries describes all rollouts in the order of their services.
-func (v *versionRollouts) summaries(now time.Time) (summaries []RolloutSummary) {
-	v.mutex.Lock()
-	defer v.mutex.Unlock()
-	for _, service := range slices.Sorted(maps.Keys(v.byService)) {
-		summaries = append(summaries, v.byService[service].summary(now))
+// Summaries describes all rollouts in the order of their services.
+func (d *Driver) Summaries(now time.Time) (summaries []Summary) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, service := range slices.Sorted(maps.Keys(d.byService)) {
+		summaries = append(summaries, d.byService[service].summary(now))
 	}
 	return summaries
 }
 
-func (r *serviceRollout) summary(now time.Time) RolloutSummary {
-	summary := RolloutSummary{
+func (r *serviceRollout) summary(now time.Time) Summary {
+	summary := Summary{
 		Service: r.stored.Order.Service, Target: r.stored.Order.Target, State: r.state.String(), Promoted: r.promoted,
 		ElapsedMillis: now.Sub(r.startedAt).Milliseconds(), DurationMillis: r.stored.Order.Duration.Milliseconds(),
 		Leads: r.lead.controller != nil && now.Before(r.lead.validUntil),
