peers, relay, quota: order routers by region

Where regions are configured, a router that asked a scheduler 20 ms away got its choice after PlacePatience and chose by itself, knowing only its own requests; and it pulled from seeds of other regions as soon as from a nearer zone.

peers.Ranking and relay.Selector order the same zone, the same region, unknown zones and other regions, in this order. A router asks only schedulers of its own region for a choice. Quota servers are ordered alike, and so are the seeds to pull from; routers of a region without a seed order the seeds by the hash of their region, so that they all learn from the same one. The zones of schedulers are also learned from answers to pulls. Round trips of pulls, placement requests and quota requests are recorded in distance.Table. Without regions all orders are as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/limits"
@@ -120,6 +121,8 @@
 	transfer *stateTransfer
 	// storeFailures records when calls to the store last failed.
 	storeFailures storeFailures
+	// distances knows the regions of zones and how far away they are.
+	distances *distance.Table
 	// schedulers chooses runners for the requests of other routers, or asks other routers to choose
 	// for this one.
 	schedulers *schedulers
@@ -168,6 +171,7 @@
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		weightsNamed:    make(chan struct{}, 1),
 	}
+	g.distances = distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions})
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	g.runners.SetRolloutTime(time.Duration(rolloutDeadlineShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
--- a/internal/gateway/mutualpulls_test.go
+++ b/internal/gateway/mutualpulls_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/relay"
 )
 
@@ -16,7 +17,7 @@
 	now := time.Now()
 	firstAddress, secondAddress := "127.0.0.1:1", "127.0.0.1:2"
 	newRouter := func(self string) *peerRouters {
-		return &peerRouters{selector: relay.NewSelector(self, "z", []string{"127.0.0.1:9"}), followers: map[string]followerState{}}
+		return &peerRouters{selector: relay.NewSelector(self, "z", distance.New(distance.Config{}), []string{"127.0.0.1:9"}), followers: map[string]followerState{}}
 	}
 	first, second := newRouter(firstAddress), newRouter(secondAddress)
 	report := func(from *peerRouters, fromAddress string, to *peerRouters, toAddress string) {
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -232,6 +233,10 @@
 	if err != nil {
 		return nil, sentAt
 	}
+	r.recordRoundTrip(reply, r.gateway.since(sentAt))
+	if zone := reply.GetCopyAnswer().GetZone(); zone != "" {
+		g.schedulers.recordZone(address, zone)
+	}
 	return reply.GetCopyAnswer(), sentAt
 }
 
@@ -251,9 +256,18 @@
 	if err != nil {
 		return nil, elapsed
 	}
+	r.recordRoundTrip(reply, elapsed)
 	return reply, elapsed
 }
 
+// recordRoundTrip records how long another router took to reply, if the reply names its zone.
+func (r *peerRouters) recordRoundTrip(reply *wire.Envelope, elapsed time.Duration) {
+	zone := cmp.Or(reply.GetCopyAnswer().GetZone(), reply.GetRunnerAnswer().GetZone(), reply.GetQuotaAnswer().GetZone())
+	if zone != "" {
+		r.gateway.distances.RecordRoundTrip(r.gateway.now(), zone, elapsed)
+	}
+}
+
 // Send sends a message to a router. It may be lost. The comments where Send is used state the
 // effect of a loss.
 func (r *peerRouters) Send(address string, message *wire.Envelope) {
--- a/internal/gateway/quotacall.go
+++ b/internal/gateway/quotacall.go
@@ -15,7 +15,7 @@
 // limitsConfig returns the configuration of the client that enforces tenants' limits.
 func (g *Gateway) limitsConfig() limits.Config {
 	return limits.Config{
-		PeerAddress: g.settings.PeerAddress, Zone: g.settings.Zone, Seeds: g.settings.Seeds, StartTime: g.startedAt,
+		PeerAddress: g.settings.PeerAddress, Zone: g.settings.Zone, Distances: g.distances, Seeds: g.settings.Seeds, StartTime: g.startedAt,
 		Peers: g.peerRouters, RouterCount: g.routerCount,
 		ObserveCall: func(answered bool, roundTrip time.Duration) {
 			g.metrics.quotaCalls.WithLabelValues(outcomeLabel(answered)).Observe(roundTrip.Seconds())
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -81,7 +81,7 @@
 
 func newPeerRouters(g *Gateway) *peerRouters {
 	return &peerRouters{
-		gateway: g, selector: relay.NewSelector(g.settings.PeerAddress, g.settings.Zone, g.settings.Seeds),
+		gateway: g, selector: relay.NewSelector(g.settings.PeerAddress, g.settings.Zone, g.distances, g.settings.Seeds),
 		assigner: relay.NewAssigner(), followers: map[string]followerState{}, counter: peers.NewRouterCounter(), pullNow: make(chan struct{}, 1), packedDeltas: map[ObjectKind]packedDelta{},
 		seedWaitUntil: g.startedAt.Add(initialSeedWait(g)),
 	}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -34,7 +34,7 @@
 }
 
 func newSchedulers(g *Gateway) *schedulers {
-	s := &schedulers{gateway: g, ranking: peers.NewRanking(g.settings.PeerAddress, g.settings.Zone), placedSends: backend.NewPlacedSends(g.runners)}
+	s := &schedulers{gateway: g, ranking: peers.NewRanking(g.settings.PeerAddress, g.settings.Zone, g.distances), placedSends: backend.NewPlacedSends(g.runners)}
 	s.setSchedulers(g.settings.Seeds)
 	return s
 }
@@ -52,7 +52,8 @@
 }
 
 // nearest returns the address of the scheduler to ask, or "" if this router has to choose runners
-// itself.
+// itself. Where regions are configured, it is a scheduler of the own region: the answer of another
+// one would come too late.
 func (s *schedulers) nearest(now time.Time) string {
 	if s.gateway.peerRouters.transport == nil {
 		return ""
@@ -60,6 +61,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	order := s.ranking.Order(now)
+	if s.gateway.distances.HasRegions() {
+		order = s.ranking.RegionOrder(now)
+	}
 	if len(order) == 0 || order[0] == s.gateway.settings.PeerAddress || s.ranking.IsSilent(now, order[0]) {
 		return ""
 	}
@@ -104,6 +108,17 @@
 	return answer
 }
 
+// recordZone records the zone that a scheduler named in its answer to a pull. Without regions the
+// order of schedulers depends on answers to placement requests only.
+func (s *schedulers) recordZone(scheduler, zone string) {
+	if !s.gateway.distances.HasRegions() {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ranking.RecordZone(scheduler, zone)
+}
+
 // isScheduler reports whether this router places requests for others.
 func (s *schedulers) isScheduler() bool {
 	if s.gateway.peerRouters.transport == nil {
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -12,6 +12,7 @@
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/clock"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/wire"
@@ -24,7 +25,7 @@
 
 // newSharingGateway returns a router without peers that knows the runners and the tenants.
 func newSharingGateway(tenants ...string) *Gateway {
-	g := &Gateway{ports: Ports{Clock: clock.New()}, runners: backend.NewSet("z"), random: rand.New(rand.NewPCG(1, 2))}
+	g := &Gateway{ports: Ports{Clock: clock.New()}, runners: backend.NewSet("z"), distances: distance.New(distance.Config{}), random: rand.New(rand.NewPCG(1, 2))}
 	g.peerRouters = &peerRouters{gateway: g}
 	g.settings.Zone = "z"
 	g.metrics = newMetrics(g)
--- a/internal/gateway/storedquarantines_internal_test.go
+++ b/internal/gateway/storedquarantines_internal_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clovertiller/clovertiller/internal/clock"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/storerev"
@@ -50,7 +51,7 @@
 // newQuarantineGateway returns a router that has peers, is no seed and does not read the store yet.
 func newQuarantineGateway(t *testing.T, store Store) *Gateway {
 	ctx, cancel := context.WithCancel(t.Context())
-	gateway := &Gateway{ports: Ports{Clock: clock.New(), Store: store}, ctx: ctx, cancel: cancel, random: rand.New(rand.NewPCG(1, 2)), directReads: newDirectMode(), log: events.NewLogger(io.Discard, "r", logrus.InfoLevel)}
+	gateway := &Gateway{ports: Ports{Clock: clock.New(), Store: store}, ctx: ctx, cancel: cancel, random: rand.New(rand.NewPCG(1, 2)), directReads: newDirectMode(), distances: distance.New(distance.Config{}), log: events.NewLogger(io.Discard, "r", logrus.InfoLevel)}
 	gateway.settings.FirstStart, gateway.settings.PeerAddress = true, "127.0.0.1:1"
 	gateway.peerRouters = newPeerRouters(gateway)
 	// Any transport will do, since nothing is sent.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/quota"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -28,6 +29,8 @@
 	// router.
 	PeerAddress string
 	Zone        string
+	// Distances knows the regions by which the servers are ordered.
+	Distances *distance.Table
 	// Seeds are the routers that serve shares of the limits.
 	Seeds     []string
 	StartTime time.Time
@@ -51,7 +54,7 @@
 func New(config Config) *Client {
 	c := &Client{
 		config: config, server: quota.NewServer(config.StartTime),
-		requester: quota.NewRequester(config.PeerAddress, config.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		requester: quota.NewRequester(config.PeerAddress, config.Zone, config.Distances, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	c.requester.RecordContact(config.StartTime)
 	c.SetServers(config.Seeds)
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/quota"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -29,7 +30,7 @@
 // newClient returns a client with one server that is reached through the peers.
 func newClient(peers *fakePeers) *Client {
 	return New(Config{
-		PeerAddress: "10.0.0.1:1", Zone: "a", Seeds: []string{"10.0.0.2:1"}, StartTime: time.Now().Add(-time.Minute), Peers: peers,
+		PeerAddress: "10.0.0.1:1", Zone: "a", Distances: distance.New(distance.Config{}), Seeds: []string{"10.0.0.2:1"}, StartTime: time.Now().Add(-time.Minute), Peers: peers,
 		RouterCount: func() int { return 2 }, ObserveCall: func(bool, time.Duration) {},
 	})
 }
--- a/internal/peers/ranking.go
+++ b/internal/peers/ranking.go
@@ -1,5 +1,5 @@
 // Package peers ranks the routers that a router may send requests to: itself first, then routers
-// of its own zone, and last those that did not reply recently. The delay before a request is
+// of its own zone and of its own region, and last those that did not reply recently. The delay before a request is
 // hedged to another router follows from the observed round trip times. The package also estimates
 // the number of routers of a system.
 //
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 )
 
@@ -42,6 +43,7 @@
 
 // peerStats holds what was observed of one router.
 type peerStats struct {
+	// zone is empty until it is known.
 	zone string
 	// roundTrip is the smoothed round trip time, or 0 if the router has never replied.
 	roundTrip time.Duration
@@ -53,6 +55,7 @@
 // use.
 type Ranking struct {
 	self, zone string
+	distances  *distance.Table
 	// addresses are the routers in this router's own order of preference.
 	addresses []string
 	// peers holds the stats of the routers that were used so far, by address.
@@ -60,8 +63,8 @@
 }
 
 // NewRanking returns an empty ranking for the router with the peer address self in the zone.
-func NewRanking(self, zone string) *Ranking {
-	return &Ranking{self: self, zone: zone, peers: map[string]*peerStats{}}
+func NewRanking(self, zone string, distances *distance.Table) *Ranking {
+	return &Ranking{self: self, zone: zone, distances: distances, peers: map[string]*peerStats{}}
 }
 
 // Set replaces the addresses of the routers. Each router orders them differently, which spreads
@@ -93,10 +96,11 @@
 	return slices.DeleteFunc(slices.Clone(r.addresses), func(address string) bool { return address == r.self })
 }
 
-// Ranks of routers, the best first.
+// Ranks of routers, the best first. Without regions, all other zones are equal and rank last.
 const (
 	rankSelf = iota
 	rankSameZone
+	rankSameRegion
 	rankUnknownZone
 	rankOtherZone
 	rankSilent
@@ -114,10 +118,22 @@
 		return rankSilent
 	case stats.zone == r.zone:
 		return rankSameZone
+	case !r.distances.HasRegions():
+		return rankOtherZone
+	case stats.zone == "":
+		return rankUnknownZone
+	case r.distances.Relation(r.zone, stats.zone) == distance.SameRegion:
+		return rankSameRegion
 	}
 	return rankOtherZone
 }
 
+// RegionOrder returns the routers of the own region that are not silent, in the order in which to
+// send requests to them. A router whose zone is unknown is not among them.
+func (r *Ranking) RegionOrder(now time.Time) []string {
+	return slices.DeleteFunc(r.Order(now), func(address string) bool { return r.rank(now, address) > rankSameRegion })
+}
+
 // Reachable reports whether any router is not silent.
 func (r *Ranking) Reachable(now time.Time) bool {
 	for _, address := range r.addresses {
@@ -162,6 +178,13 @@
 	stats.roundTrip += time.Duration(roundTripWeight * float64(roundTrip-stats.roundTrip))
 }
 
+// RecordZone records the zone of a router that was learned otherwise than from its reply.
+func (r *Ranking) RecordZone(address, zone string) {
+	if stats := r.statsFor(address); stats != nil {
+		stats.zone = zone
+	}
+}
+
 // RecordTimeout records that a router did not reply in time.
 func (r *Ranking) RecordTimeout(now time.Time, address string) {
 	stats := r.statsFor(address)
--- a/internal/peers/ranking_test.go
+++ b/internal/peers/ranking_test.go
@@ -5,13 +5,15 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/distance"
 )
 
 var start = time.Unix(1_000, 0)
 
 // newRanking returns a ranking of the routers a, b and c for a router in zone z1.
 func newRanking(self string) *Ranking {
-	r := NewRanking(self, "z1")
+	r := NewRanking(self, "z1", distance.New(distance.Config{}))
 	r.Set([]string{"a", "b", "c"})
 	return r
 }
@@ -68,3 +70,27 @@
 	r.RecordReply("a", "z1", time.Millisecond)
 	g.Expect(r.Order(start)).To(ConsistOf("b", "d"))
 }
+
+// newRegionalRanking is newRanking with regions: z1 and z2 are in the own one, and z3 in another.
+func newRegionalRanking(self string) *Ranking {
+	r := NewRanking(self, "z1", distance.New(distance.Config{Zone: "z1", Regions: map[string]string{"z1": "near", "z2": "near", "z3": "far"}}))
+	r.Set([]string{"a", "b", "c", "d"})
+	return r
+}
+
+// Guards against requests to routers of another region while nearer ones answer, also to those whose
+// zone is not known yet.
+func TestOrderPrefersRoutersOfSameRegion(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegionalRanking("r")
+	r.RecordReply("a", "z3", 40*time.Millisecond)
+	r.RecordReply("b", "z2", time.Millisecond)
+	r.RecordZone("c", "z1")
+	g.Expect(r.Order(start)).To(Equal([]string{"c", "b", "d", "a"}), "own zone, own region, unknown zone, other region")
+	g.Expect(r.RegionOrder(start)).To(Equal([]string{"c", "b"}))
+	r.RecordTimeout(start, "c")
+	g.Expect(r.Order(start)).To(Equal([]string{"b", "d", "a", "c"}))
+	g.Expect(r.RegionOrder(start)).To(Equal([]string{"b"}))
+	r.RecordTimeout(start, "d")
+	g.Expect(r.RegionOrder(start.Add(startupPenalty))).To(Equal([]string{"c", "b"}), "the zone of d is still unknown")
+}
--- a/internal/quota/quota_property_test.go
+++ b/internal/quota/quota_property_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/clovertiller/clovertiller/internal/distance"
 )
 
 // simulation runs requesters and servers over a network that loses requests, replies and refunds
@@ -37,7 +39,7 @@
 		s.servers[name] = NewServer(start)
 	}
 	for i := range routers {
-		requester := NewRequester("r"+strconv.Itoa(i), "z", rand.New(rand.NewPCG(seed, uint64(i))))
+		requester := NewRequester("r"+strconv.Itoa(i), "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(seed, uint64(i))))
 		requester.Servers().Set(s.serverNames)
 		requester.RecordContact(start)
 		s.requesters = append(s.requesters, requester)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/distance"
 )
 
 var start = time.Unix(1_000, 0)
@@ -147,7 +149,7 @@
 
 // newRequester returns a requester in zone z1 with the servers k1, k2 and k3.
 func newRequester(self string) *Requester {
-	requester := NewRequester(self, "z1", rand.New(rand.NewPCG(1, 2)))
+	requester := NewRequester(self, "z1", distance.New(distance.Config{}), rand.New(rand.NewPCG(1, 2)))
 	requester.Servers().Set([]string{"k1", "k2", "k3"})
 	return requester
 }
@@ -176,7 +178,7 @@
 	limit := Limit{Window: testWindow, Rate: 139000, Burst: 139000}
 	spentLocally := 0.0
 	for i := range partitioned {
-		requester := NewRequester("r", "z", rand.New(rand.NewPCG(1, uint64(i))))
+		requester := NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(1, uint64(i))))
 		for at := 0; at < 3000; at += 1000 {
 			requester.RecordGrant(atMillis(at), "t", limit.Rate/routers)
 			requester.RecordContact(atMillis(at))
@@ -198,7 +200,7 @@
 	limit := Limit{Window: testWindow, Rate: 53000, Burst: 69000}
 	granted := 0.0
 	for i := range routers {
-		requester := NewRequester("r", "z", rand.New(rand.NewPCG(3, uint64(i))))
+		requester := NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(3, uint64(i))))
 		requester.RecordContact(atMillis(0))
 		for at := 0; at < 8000; at += 200 {
 			if requester.DecideLocally(atMillis(at), "t", size, limit, routers).Granted {
@@ -221,7 +223,7 @@
 		random := rand.New(rand.NewPCG(5, seed))
 		requesters := make([]*Requester, routers)
 		for i := range requesters {
-			requesters[i] = NewRequester("r", "z", rand.New(rand.NewPCG(seed, uint64(i))))
+			requesters[i] = NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(seed, uint64(i))))
 			requesters[i].RecordContact(atMillis(0))
 		}
 		for at := 0.0; at < outage; at += random.ExpFloat64() * size / (0.4 * limit.Rate / 1000) {
@@ -245,7 +247,7 @@
 	limit := Limit{Window: testWindow, Rate: 4000, Burst: 40000}
 	granted, runs, seconds := 0.0, 50, 60
 	for seed := range runs {
-		requester := NewRequester("r", "z", rand.New(rand.NewPCG(9, uint64(seed))))
+		requester := NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(9, uint64(seed))))
 		requester.RecordContact(atMillis(0))
 		for at := 100; at < seconds*1000; at += 2100 {
 			if requester.DecideLocally(atMillis(at), "t", size, limit, routers).Granted {
--- a/internal/quota/requester.go
+++ b/internal/quota/requester.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/peers"
 )
 
@@ -63,9 +64,9 @@
 }
 
 // NewRequester returns a requester for the router with the peer address self in the zone.
-func NewRequester(self, zone string, random *rand.Rand) *Requester {
+func NewRequester(self, zone string, distances *distance.Table, random *rand.Rand) *Requester {
 	return &Requester{
-		servers: peers.NewRanking(self, zone), refusals: map[serverTenant]refusal{},
+		servers: peers.NewRanking(self, zone, distances), refusals: map[serverTenant]refusal{},
 		usages: map[string]*usage{}, localBuckets: map[string]*bucket{}, random: random,
 	}
 }
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -15,6 +15,7 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 )
 
@@ -23,8 +24,10 @@
 
 // Selector selects the routers that one router pulls from. It is not safe for concurrent use.
 type Selector struct {
-	self  string
-	seeds []string
+	self string
+	// seeds are in this router's own order of preference, and regionSeeds in that of its region.
+	seeds, regionSeeds []string
+	distances          *distance.Table
 	// retryAt is when the skipped seeds become candidates again, by address.
 	retryAt map[string]time.Time
 	// zone is the zone of this router, and seedZones the zones of the seeds that have replied.
@@ -35,8 +38,8 @@
 }
 
 // NewSelector returns a selector for the router with the peer address self in the zone.
-func NewSelector(self, zone string, seeds []string) *Selector {
-	s := &Selector{self: self, zone: zone, retryAt: map[string]time.Time{}, seedZones: map[string]string{}}
+func NewSelector(self, zone string, distances *distance.Table, seeds []string) *Selector {
+	s := &Selector{self: self, zone: zone, distances: distances, retryAt: map[string]time.Time{}, seedZones: map[string]string{}}
 	s.SetSeeds(seeds)
 	return s
 }
@@ -44,6 +47,7 @@
 // SetSeeds replaces the seeds. Each router orders them differently, which spreads the load.
 func (s *Selector) SetSeeds(seeds []string) {
 	s.seeds = rendezvous.Ranked(seeds, rendezvous.KeyOf(s.self), len(seeds))
+	s.regionSeeds = rendezvous.Ranked(seeds, rendezvous.KeyOf(s.distances.Region(s.zone)), len(seeds))
 }
 
 // SeedCount returns the number of seeds.
@@ -74,7 +78,9 @@
 func (s *Selector) Relay() string { return s.relay }
 
 // Candidates returns the routers to pull from that are not skipped, the best first: the assigned
-// relay, seeds of the own zone, seeds of unknown zone, and seeds of other zones.
+// relay, seeds of the own zone, seeds of the own region, seeds of unknown zone, and seeds of other
+// zones. All routers of a region order the seeds of other regions alike, so that a region without a
+// seed learns everything from one place.
 func (s *Selector) Candidates(now time.Time) []string {
 	var candidates []string
 	if s.relay != "" {
@@ -85,14 +91,21 @@
 			candidates = append(candidates, seed)
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b string) int { return cmp.Compare(s.rank(a), s.rank(b)) })
+	slices.SortStableFunc(candidates, func(a, b string) int {
+		rankA, rankB := s.rank(a), s.rank(b)
+		if rankA == rankOtherZone && rankB == rankOtherZone && s.distances.HasRegions() {
+			return cmp.Compare(slices.Index(s.regionSeeds, a), slices.Index(s.regionSeeds, b))
+		}
+		return cmp.Compare(rankA, rankB)
+	})
 	return candidates
 }
 
-// Ranks of candidates, the best first.
+// Ranks of candidates, the best first. Without regions, all other zones are equal and rank last.
 const (
 	rankRelay = iota
 	rankSameZone
+	rankSameRegion
 	rankUnknownZone
 	rankOtherZone
 )
@@ -107,6 +120,8 @@
 		return rankUnknownZone
 	case zone == s.zone:
 		return rankSameZone
+	case s.distances.HasRegions() && s.distances.Relation(s.zone, zone) == distance.SameRegion:
+		return rankSameRegion
 	}
 	return rankOtherZone
 }
