backend, gateway: distance to another region is a time

A runner in another zone costs 400 prompt tokens, whether the zone is 0.5 or 20 ms away, so 42 of 100 requests leave their region although it has runners of their service.

The round trip to a runner in another region is added to this cost, in prompt tokens at the learned prefill speed. While a runner of the region has a free slot, a request without a prompt leaves only if its runners fail or are updated. The gateway creates the table of distances from the settings.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -22,7 +22,8 @@
 	// costs proportionally less.
 	failureCost = 40000
 	// crossZoneCost is the cost of a runner outside the zone of the router that sends the
-	// request.
+	// request. It also stands for the price of bytes between zones. For another region, the round
+	// trip is added.
 	crossZoneCost = 400
 	// staleWeightsCost is the cost of weights past their grace period.
 	staleWeightsCost = 1500
@@ -116,10 +117,14 @@
 	split := s.split(now, query, len(s.byService[query.Service]))
 	entries, home := s.scopedEntries(now, query, scope, split)
 	zone := cmp.Or(query.Zone, s.zone)
+	view := s.regions.view(now, zone)
 	s.cacheIndex.ExpireProvisional(now)
 	depths := &depthLookup{set: s, query: &query, byVersion: map[uint64]versionDepths{}}
 	candidates := make([]placement.Candidate, 0, len(entries))
 	var usage slotUsage
+	// The separation cost of a runner in another region is not part of the expected wait, so no request
+	// is refused because of it.
+	keepInRegion, hasFreeRunner := view != nil && query.PromptTokens == 0 && query.SuspectContent == 0, false
 	for _, e := range entries {
 		cost, usable := s.weightsCost(now, e, query)
 		if !usable {
@@ -128,29 +133,40 @@
 		if s.heldBack(now, e, query, &request.HeldBack) {
 			continue
 		}
-		if now.Before(e.avoidUntil) {
+		avoided := now.Before(e.avoidUntil)
+		if avoided {
 			request.Excluded = append(request.Excluded, e.ID)
 		}
 		depth, deepest := depths.holderDepths(e)
 		fromPeers := s.peerLoad(now, e.ID)
-		usage.add(e.inFlight+fromPeers.Requests, e.Slots)
-		queue, slowness := s.expectedWaits(now, e, query.Model, e.inFlight+fromPeers.Requests)
+		openRequests := e.inFlight + fromPeers.Requests
+		usage.add(openRequests, e.Slots)
+		queue, slowness := s.expectedWaits(now, e, query.Model, openRequests)
+		isFar := view.isFar(e)
+		hasFreeRunner = hasFreeRunner || !isFar && !avoided && !e.isLeaving() && hasFreeSlot(openRequests, e.Slots) && !slices.Contains(query.Excluded, e.ID)
+		separation := split.cost(e) + e.suspectCost(query, fromPeers)
+		if isFar && keepInRegion {
+			separation += leaveRegionCost
+		}
 		cached := cachedTokens(query, e.ID == home, depth)
 		candidates = append(candidates, placement.Candidate{
 			Name: e.ID, Leaving: e.isLeaving(), Report: s.loadReport(now, e, query.Model, prefill),
 			CachedTokens:            cached,
 			FetchableTokens:         max(deepest-cached, 0),
 			PendingTokens:           e.pendingTokens + fromPeers.Tokens + prefill.tokensIn(queue),
-			PendingRequests:         e.inFlight + fromPeers.Requests,
-			PenaltyTokens:           cost + s.runnerCost(now, e, zone) + prefill.tokensIn(slowness),
+			PendingRequests:         openRequests,
+			PenaltyTokens:           cost + s.runnerCost(now, e, zone) + prefill.tokensIn(slowness+view.roundTrip(e)),
 			StreamLoad:              e.streamPauses(fromPeers),
-			SeparationPenaltyTokens: split.cost(e) + e.suspectCost(query, fromPeers),
-			PickFirst:               e.signalState.IsLimited() && query.SuspectContent == 0 && s.permits.HasUnusedPermit(now, e.signalKey()),
+			SeparationPenaltyTokens: separation,
+			PickFirst:               !isFar && e.signalState.IsLimited() && query.SuspectContent == 0 && s.permits.HasUnusedPermit(now, e.signalKey()),
 		})
 	}
 	if query.MaxEventGap > 0 {
 		s.demand(now, query.Service).recordSlotUsage(usage)
 	}
+	if keepInRegion && !hasFreeRunner {
+		s.mayLeaveRegion(view, candidates)
+	}
 	return request, candidates
 }
 
--- a/internal/backend/candidates_bench_test.go
+++ b/internal/backend/candidates_bench_test.go
@@ -8,16 +8,19 @@
 	"github.com/clovertiller/clovertiller/internal/placement"
 )
 
-// BenchmarkCandidatesChoose measures one placement among the runners of a large pool.
+// BenchmarkCandidatesChoose measures one placement among the runners of a large pool, and of a pool
+// that is small enough to look at all of them, with and without regions.
 func BenchmarkCandidatesChoose(b *testing.B) {
-	set := NewSet("z")
-	for i := range 3000 {
-		set.Put(runner(fmt.Sprintf("i-%04d", i), "z"))
-	}
-	random := rand.New(rand.NewPCG(1, 2))
-	query := Query{Service: "s", Model: "m", PromptTokens: 9000, SharedTokens: 6000, Family: 7, MaxEventGap: 300_000_000}
-	for b.Loop() {
-		request, candidates := set.Candidates(start, query)
-		placement.Choose(request, candidates, placement.ScoreWeights{Uncached: 1}, random)
+	for _, perZone := range []int{500, 23} {
+		for name, regions := range map[string]map[string]string{"none": nil, "three": testRegions} {
+			b.Run(fmt.Sprintf("runners=%d/regions=%s", 6*perZone, name), func(b *testing.B) {
+				set, random := newRegionSet(regions, perZone), rand.New(rand.NewPCG(1, 2))
+				query := Query{Service: "s", Model: "m", PromptTokens: 9000, SharedTokens: 6000, Family: 7, MaxEventGap: 300_000_000}
+				for b.Loop() {
+					request, candidates := set.Candidates(start, query)
+					placement.Choose(request, candidates, placement.ScoreWeights{Uncached: 1}, random)
+				}
+			})
+		}
 	}
 }
--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -79,6 +79,9 @@
 // entry is a listed runner with the evidence about it.
 type entry struct {
 	Runner
+	// zoneNumber is the number of the runner's zone among the zones of all runners, 0 without
+	// regions.
+	zoneNumber int
 	// inFlight counts this router's open requests at the runner.
 	inFlight int
 	// pendingTokens is the number of prompt tokens of this router's requests whose response
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -56,6 +56,8 @@
 	rings       map[string]*ring
 	sampleCount uint64
 	lastScan    time.Time
+	// regions is nil where the settings name fewer than two regions.
+	regions *regions
 	// listChanges counts the changes of the listed runners and of the configured services.
 	listChanges uint64
 	// outdated is the last count of outdated runners, and outdatedScans the number of scans.
@@ -112,6 +114,7 @@
 	known := s.entries[runner.ID]
 	if known != nil && known.Service == runner.Service && known.Incarnation == runner.Incarnation {
 		known.update(runner)
+		known.zoneNumber = s.regions.zoneNumber(runner.Zone)
 		return false
 	}
 	if known != nil {
@@ -119,7 +122,7 @@
 		// Routers that count its load are told that none is left.
 		s.changedLoads[runner.ID] = true
 	}
-	created := &entry{Runner: runner, learnedVersions: map[string]uint64{}, signalState: s.signals.Get(runner.signalKey())}
+	created := &entry{Runner: runner, learnedVersions: map[string]uint64{}, signalState: s.signals.Get(runner.signalKey()), zoneNumber: s.regions.zoneNumber(runner.Zone)}
 	s.entries[runner.ID] = created
 	list := s.byService[runner.Service]
 	position, _ := slices.BinarySearchFunc(list, created.ID, func(e *entry, id string) int { return cmp.Compare(e.ID, id) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/limits"
@@ -137,6 +138,8 @@
 	// cacheReader reads which prompt parts runners and cache stores hold, and sends the result to
 	// other routers.
 	cacheReader *cacheReader
+	// distances knows the regions of zones and learns the times between them.
+	distances *distance.Table
 	// versionRollouts moves services to other software versions.
 	versionRollouts *versionRollouts
 	// weightsNamed receives a value when a new version of a model's weights is named.
@@ -167,7 +170,9 @@
 		retryBudgets:    map[string]*admission.RetryBudget{},
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		weightsNamed:    make(chan struct{}, 1),
+		distances:       distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions}),
 	}
+	g.runners.UseDistances(g.distances)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	g.runners.SetRolloutTime(time.Duration(rolloutDeadlineShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
