--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -171,8 +171,9 @@
 		retryBudgets:    map[string]*admission.RetryBudget{},
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		weightsNamed:    make(chan struct{}, 1),
+		distances:       distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions}),
 	}
-	g.distances = distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions})
+	g.runners.UseDistances(g.distances)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	g.runners.SetRolloutTime(time.Duration(rolloutDeadlineShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
