backend: cached parts are fetched over a border only where that is sooner

A fetch source in another zone costs 20 open requests wherever the zone is, and each holder counts as a source of fetchable tokens. A transfer between regions takes five times as long as between zones of a region, and longer than the prefill at usual speeds.

With regions, a source in another region is used, and its tokens count as fetchable, only if the fetch with its round trip is sooner than the best source of the region and the prefill of the rest. Cache stores count as near, as their zones aren't known.

Tests of internal/backend pass.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/cacheindex"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/prefix"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 )
@@ -58,6 +59,7 @@
 // service's runners have one or two versions.
 type depthLookup struct {
 	set       *Set
+	now       time.Time
 	query     *Query
 	byVersion map[uint64]versionDepths
 }
@@ -66,13 +68,17 @@
 // from its start.
 type versionDepths struct {
 	byHolder map[string]int
-	// deepest is the maximum over all holders.
+	// deepest is the maximum over all holders or, with regions, over those outside the table of
+	// runners, such as cache stores.
 	deepest int
+	// byZone is the maximum over the runners of each zone, indexed by the number of the zone, nil
+	// without regions.
+	byZone []int
 }
 
-// holderDepths returns how many tokens of the prompt the runner has cached, and how many
-// some holder has cached under the same weight version, which the runner can fetch.
-func (l *depthLookup) holderDepths(e *entry) (depth, deepest int) {
+// holderDepths returns how many tokens of the prompt the runner has cached, and how many it can have
+// by fetching the others from a holder under the same weight version.
+func (l *depthLookup) holderDepths(e *entry) (depth, fetchableDepth int) {
 	if len(l.query.Shared) == 0 {
 		return 0, 0
 	}
@@ -80,12 +86,61 @@
 	depths, found := l.byVersion[version]
 	if !found {
 		depths.byHolder = l.set.cachedDepths(l.query, version)
-		for _, depth := range depths.byHolder {
-			depths.deepest = max(depths.deepest, depth)
-		}
+		l.set.findDeepest(&depths)
 		l.byVersion[version] = depths
 	}
-	return depths.byHolder[e.ID], depths.deepest
+	depth = depths.byHolder[e.ID]
+	if depths.byZone == nil {
+		return depth, depths.deepest
+	}
+	return depth, l.set.fetchableDepth(l.now, e, depth, depths)
+}
+
+// findDeepest sets the maxima of the depths.
+func (s *Set) findDeepest(depths *versionDepths) {
+	if s.regions != nil {
+		depths.byZone = make([]int, len(s.regions.names))
+	}
+	for holder, depth := range depths.byHolder {
+		if source := s.entries[holder]; source != nil && depths.byZone != nil {
+			depths.byZone[source.zoneNumber] = max(depths.byZone[source.zoneNumber], depth)
+			continue
+		}
+		depths.deepest = max(depths.deepest, depth)
+	}
+}
+
+// fetchableDepth returns up to which depth the runner can fetch the prompt: from the deepest holder
+// of its region, or from another region as far as that is sooner than the prefill.
+func (s *Set) fetchableDepth(now time.Time, e *entry, cached int, depths versionDepths) int {
+	view, prefill := s.regions.view(now, e.Zone), s.runnerPrefill(e)
+	inRegion := max(depths.deepest, cached)
+	for zone, depth := range depths.byZone {
+		if view.zones[zone].relation != distance.OtherRegion {
+			inRegion = max(inRegion, depth)
+		}
+	}
+	best := inRegion
+	for zone, depth := range depths.byZone {
+		if view.zones[zone].relation != distance.OtherRegion || depth <= inRegion {
+			continue
+		}
+		if saved := (depth - inRegion) - fetchCost(prefill, view.zones[zone], depth-inRegion); saved > 0 {
+			// Fetching these tokens is as expensive as prefilling the rest of them.
+			best = max(best, inRegion+saved)
+		}
+	}
+	return best
+}
+
+// fetchShares are the costs of a fetched token by the relation of the zones, in prefilled tokens. The
+// cost of a fetched token in scores, a quarter, was measured with sources in other zones of one
+// region; a transfer takes half as long within a zone and five times as long between regions.
+var fetchShares = [...]float64{distance.SameZone: 0.125, distance.SameRegion: 0.25, distance.OtherRegion: 1.25}
+
+// fetchCost returns the time to fetch the tokens over the distance, in prompt tokens.
+func fetchCost(prefill *prefillModel, from zoneDistance, tokens int) int {
+	return int(fetchShares[from.relation]*float64(tokens)) + prefill.tokensIn(from.roundTrip)
 }
 
 // ApplyCacheDelta applies changes to the index of prompt parts that runners and cache
@@ -142,7 +197,8 @@
 
 // ChooseFetchSource returns the source from which the runner should fetch the part of the
 // prompt that it lacks: the holder with the most tokens and, among equals, the cheapest by
-// sourceCost. store is the address of the cache store that serves the prompt, or "". Until
+// sourceCost. A runner in another region is the source only if that is sooner than the best source of
+// the region with the prefill of the rest. store is the address of the cache store that serves the prompt, or "". Until
 // the cache index is loaded, the store is the source.
 func (s *Set) ChooseFetchSource(now time.Time, id string, query Query, weightVersion uint64, store string) FetchSource {
 	requester := s.entries[id]
@@ -153,13 +209,17 @@
 		return FetchSource{Address: store}
 	}
 	depths := s.cachedDepths(&query, weightVersion)
-	best, bestCost := FetchSource{Depth: depths[id], StoreHasAll: store != "" && depths[store] >= query.SharedTokens}, 0
-	for holder, depth := range depths {
-		address, cost, usable := s.sourceCost(now, requester, holder, store)
-		if !usable || depth < best.Depth || (depth == best.Depth && (best.Address == "" || cost >= bestCost)) {
-			continue
+	known := FetchSource{Depth: depths[id], StoreHasAll: store != "" && depths[store] >= query.SharedTokens}
+	view := s.regions.view(now, requester.Zone)
+	best, from := s.deepestSource(now, requester, depths, known, store, func(source *entry) bool { return !view.isFar(source) })
+	if view != nil {
+		cost := func(source FetchSource, from zoneDistance) int {
+			return fetchCost(s.runnerPrefill(requester), from, source.Depth-known.Depth) + query.SharedTokens - source.Depth
+		}
+		far, fromFar := s.deepestSource(now, requester, depths, known, store, view.isFar)
+		if far.Depth > best.Depth && cost(far, fromFar) < cost(best, from) {
+			best = far
 		}
-		best.Address, best.Depth, bestCost = address, depth, cost
 	}
 	if best.Address == "" && best.Depth < query.SharedTokens {
 		// The index may be out of date, and a miss costs only a millisecond.
@@ -168,6 +228,27 @@
 	return best
 }
 
+// deepestSource returns the deepest source among the cache store and the runners for which the filter
+// is true, and its distance. It returns known if no source has more tokens than the requester.
+func (s *Set) deepestSource(now time.Time, requester *entry, depths map[string]int, known FetchSource, store string, filter func(*entry) bool) (best FetchSource, from zoneDistance) {
+	best, bestCost, view := known, 0, s.regions.view(now, requester.Zone)
+	for holder, depth := range depths {
+		source := s.entries[holder]
+		if source != nil && !filter(source) {
+			continue
+		}
+		address, cost, usable := s.sourceCost(now, requester, holder, store)
+		if !usable || depth < best.Depth || (depth == best.Depth && (best.Address == "" || cost >= bestCost)) {
+			continue
+		}
+		best.Address, best.Depth, bestCost, from = address, depth, cost, zoneDistance{relation: distance.SameRegion}
+		if source != nil && view != nil {
+			from = view.zones[source.zoneNumber]
+		}
+	}
+	return best, from
+}
+
 // sourceCost reports whether the runner may fetch from the holder, and at which cost.
 func (s *Set) sourceCost(now time.Time, requester *entry, holder, store string) (address string, cost int, usable bool) {
 	if holder == store {
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -119,7 +119,7 @@
 	zone := cmp.Or(query.Zone, s.zone)
 	view := s.regions.view(now, zone)
 	s.cacheIndex.ExpireProvisional(now)
-	depths := &depthLookup{set: s, query: &query, byVersion: map[uint64]versionDepths{}}
+	depths := &depthLookup{set: s, now: now, query: &query, byVersion: map[uint64]versionDepths{}}
 	candidates := make([]placement.Candidate, 0, len(entries))
 	var usage slotUsage
 	// The separation cost of a runner in another region is not part of the expected wait, so no request
@@ -137,7 +137,7 @@
 		if avoided {
 			request.Excluded = append(request.Excluded, e.ID)
 		}
-		depth, deepest := depths.holderDepths(e)
+		depth, fetchableDepth := depths.holderDepths(e)
 		fromPeers := s.peerLoad(now, e.ID)
 		openRequests := e.inFlight + fromPeers.Requests
 		usage.add(openRequests, e.Slots)
@@ -152,7 +152,7 @@
 		candidates = append(candidates, placement.Candidate{
 			Name: e.ID, Leaving: e.isLeaving(), Report: s.loadReport(now, e, query.Model, prefill),
 			CachedTokens:            cached,
-			FetchableTokens:         max(deepest-cached, 0),
+			FetchableTokens:         max(fetchableDepth-cached, 0),
 			PendingTokens:           e.pendingTokens + fromPeers.Tokens + prefill.tokensIn(queue),
 			PendingRequests:         openRequests,
 			PenaltyTokens:           cost + s.runnerCost(now, e, zone) + prefill.tokensIn(slowness+view.roundTrip(e)),
--- a/internal/backend/regions_test.go
+++ b/internal/backend/regions_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/cacheindex"
 	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/placement"
 )
@@ -142,3 +143,61 @@
 		}
 	}
 }
+
+// longPromptQuery has shared parts of 2,500 and 6,300 tokens.
+func longPromptQuery(zone string) Query {
+	return Query{
+		Service: "s", Model: "m", PromptTokens: 9000, SharedTokens: 6300, Family: 7, Owner: "shared", Zone: zone,
+		Shared: []SharedPart{{ID: "trunk", Depth: 2500}, {ID: "branch", Depth: 6300}},
+	}
+}
+
+func setCached(set *Set, changes ...[]cacheindex.PartChange) {
+	delta := cacheindex.FeedDelta{Full: true}
+	for _, each := range changes {
+		delta.Changes = append(delta.Changes, each...)
+	}
+	set.ApplyCacheDelta(delta)
+}
+
+// Guards against fetches from another region that take longer than the prefill, and against fetches
+// over the border of parts that the region has.
+func TestFetchSourcesWithRegions(t *testing.T) {
+	all := []string{"trunk", "branch"}
+	for name, test := range map[string]struct {
+		farShare float64
+		kept     [][]cacheindex.PartChange
+		want     string
+		// fetchable is the depth to which a runner in a1 counts as able to fetch.
+		fetchable int
+	}{
+		"far and slow":          {1.25, [][]cacheindex.PartChange{cachedChanges("b1-0", all...)}, "", 0},
+		"far and quick":         {0.25, [][]cacheindex.PartChange{cachedChanges("b1-0", all...)}, "b1-0:1", 6300 - 1575 - 1520},
+		"far, quick, few parts": {0.25, [][]cacheindex.PartChange{cachedChanges("b1-0", "trunk")}, "b1-0:1", 2500 - 625 - 1520},
+		"near but less":         {1.25, [][]cacheindex.PartChange{cachedChanges("b1-0", all...), cachedChanges("a2-0", "trunk")}, "a2-0:1", 2500},
+		"near and equal":        {0.25, [][]cacheindex.PartChange{cachedChanges("b1-0", all...), cachedChanges("a2-0", all...)}, "a2-0:1", 6300},
+		"store before far":      {0.25, [][]cacheindex.PartChange{cachedChanges("b1-0", all...), cachedChanges(storeAddress, all...)}, storeAddress, 6300},
+	} {
+		t.Run(name, func(t *testing.T) {
+			defer func(share float64) { fetchShares[distance.OtherRegion] = share }(fetchShares[distance.OtherRegion])
+			fetchShares[distance.OtherRegion] = test.farShare
+			g, set, store := NewWithT(t), newRegionSet(testRegions, 1), ""
+			setCached(set, test.kept...)
+			if name == "store before far" {
+				store = storeAddress
+			}
+			query := longPromptQuery("a1")
+			query.Family = 0
+			g.Expect(set.ChooseFetchSource(start, "a1-0", query, 1, store).Address).To(Equal(test.want))
+			_, candidates := set.Candidates(start, query)
+			for _, candidate := range candidates {
+				if candidate.Name == "a1-0" {
+					g.Expect(candidate.FetchableTokens).To(BeNumerically("~", test.fetchable, 1))
+				}
+				if candidate.Name == "b2-0" {
+					g.Expect(candidate.FetchableTokens).To(BeNumerically(">=", 2500), "holders of its own region")
+				}
+			}
+		})
+	}
+}
