gateway: runners use the cache stores of their own region

A prompt family had one cache store among those of all regions, so two of three saves and fetches crossed regions, where a transfer takes ten times as long as within a zone, and mostly longer than the prefill. A runner now uses the store of its family among those of its region, and none if its region has none; a store of another region counts as far among the holders of cached parts. The test fails before (the runner of region a is sent to the store of region b or the reverse). Without regions nothing changes.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -68,10 +68,9 @@
 // from its start.
 type versionDepths struct {
 	byHolder map[string]int
-	// deepest is the maximum over all holders or, with regions, over those outside the table of
-	// runners, such as cache stores.
+	// deepest is the maximum over all holders or, with regions, over those whose zone is unknown.
 	deepest int
-	// byZone is the maximum over the runners of each zone, indexed by the number of the zone, nil
+	// byZone is the maximum over the holders of each zone, indexed by the number of the zone, nil
 	// without regions.
 	byZone []int
 }
@@ -102,14 +101,23 @@
 		depths.byZone = make([]int, len(s.regions.names))
 	}
 	for holder, depth := range depths.byHolder {
-		if source := s.entries[holder]; source != nil && depths.byZone != nil {
-			depths.byZone[source.zoneNumber] = max(depths.byZone[source.zoneNumber], depth)
+		if number, known := s.holderZone(holder); known && depths.byZone != nil {
+			depths.byZone[number] = max(depths.byZone[number], depth)
 			continue
 		}
 		depths.deepest = max(depths.deepest, depth)
 	}
 }
 
+// holderZone returns the number of the zone of a runner or cache store.
+func (s *Set) holderZone(holder string) (number int, known bool) {
+	if source := s.entries[holder]; source != nil {
+		return source.zoneNumber, true
+	}
+	number, known = s.cacheStoreZones[holder]
+	return number, known
+}
+
 // fetchableDepth returns up to which depth the runner can fetch the prompt: from the deepest holder
 // of its region, or from another region as far as that is sooner than the prefill.
 func (s *Set) fetchableDepth(now time.Time, e *entry, cached int, depths versionDepths) int {
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -8,6 +8,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/cacheindex"
+	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // Set is the table of runners known to this router. It is not safe for concurrent use.
@@ -58,6 +59,9 @@
 	lastScan    time.Time
 	// regions is nil where the settings name fewer than two regions.
 	regions *regions
+	// cacheStoreZones holds the number of the zone of each cache store whose zone is configured, by
+	// address. It is empty without regions.
+	cacheStoreZones map[string]int
 	// listChanges counts the changes of the listed runners and of the configured services.
 	listChanges uint64
 	// outdated is the last count of outdated runners, and outdatedScans the number of scans.
@@ -89,6 +93,16 @@
 	s.recordListChange()
 }
 
+// SetCacheStores sets the cache stores of the current configuration.
+func (s *Set) SetCacheStores(stores []routing.CacheStore) {
+	s.cacheStoreZones = map[string]int{}
+	for _, store := range stores {
+		if s.regions != nil && store.Zone != "" {
+			s.cacheStoreZones[store.Address] = s.regions.zoneNumber(store.Zone)
+		}
+	}
+}
+
 // recordListChange records that the listed runners or the configured services have changed.
 func (s *Set) recordListChange() {
 	s.listChanges++
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -173,10 +173,10 @@
 	g.mutex.Unlock()
 	r.holdersListed = current
 	listed := map[string]bool{}
-	for _, address := range table.CacheStores() {
-		listed[address] = true
-		if r.ownsHolder(readers, address) {
-			r.startReading(address, backend.CacheHolder{Address: address}, "")
+	for _, store := range table.CacheStores() {
+		listed[store.Address] = true
+		if r.ownsHolder(readers, store.Address) {
+			r.startReading(store.Address, backend.CacheHolder{Address: store.Address}, "")
 		}
 	}
 	for id, source := range runners {
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 	"github.com/clovertiller/clovertiller/internal/routing"
@@ -45,13 +46,15 @@
 }
 
 // storeForFamily returns the address of the cache store that keeps the shared parts of the
-// prompt family, or "" if none is available. All routers choose the same one.
-func (m *cacheStoreMonitor) storeForFamily(table *routing.Table, family uint64) string {
+// prompt family for runners of the zone, or "" if none is available. All routers choose the same
+// one. Stores of other regions are not used: a transfer between regions takes ten times as long as
+// within a zone, and mostly longer than the prefill.
+func (m *cacheStoreMonitor) storeForFamily(table *routing.Table, family uint64, zone string) string {
 	status := m.status.Load()
 	var usable []string
-	for i, address := range table.CacheStores() {
-		if status.isAvailable(i) {
-			usable = append(usable, address)
+	for i, store := range table.CacheStores() {
+		if status.isAvailable(i) && m.gateway.distances.Relation(zone, store.Zone) != distance.OtherRegion {
+			usable = append(usable, store.Address)
 		}
 	}
 	return rendezvous.Owner(usable, family)
@@ -79,9 +82,9 @@
 	defer cancel()
 	var availableBits atomic.Uint64
 	var group sync.WaitGroup
-	for i, address := range table.CacheStores() {
+	for i, store := range table.CacheStores() {
 		group.Go(func() {
-			if g.ports.Runners.CacheStoreAvailable(ctx, address) {
+			if g.ports.Runners.CacheStoreAvailable(ctx, store.Address) {
 				availableBits.Or(1 << i)
 			}
 		})
@@ -105,9 +108,9 @@
 // setStatus replaces the status and logs what changed.
 func (m *cacheStoreMonitor) setStatus(table *routing.Table, status cacheStoreStatus, source string) {
 	before := m.status.Swap(&status)
-	for i, address := range table.CacheStores() {
+	for i, store := range table.CacheStores() {
 		if before.isAvailable(i) != status.isAvailable(i) {
-			m.gateway.log.Log(events.CacheStoreAvailabilityChanged, events.Fields{"address": address, "answers": status.isAvailable(i), "source": source})
+			m.gateway.log.Log(events.CacheStoreAvailabilityChanged, events.Fields{"address": store.Address, "answers": status.isAvailable(i), "source": source})
 		}
 	}
 }
--- a/internal/gateway/cachestore_test.go
+++ b/internal/gateway/cachestore_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/platform"
 )
 
@@ -83,3 +84,38 @@
 		}
 	}
 }
+
+// Guards against transfers between regions: a runner fetches from the cache store of its own region,
+// whichever router sends the request, and from none if its region has no store.
+func TestRunnersUseCacheStoresOfTheirRegion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	stores := map[string]*fakeCacheStore{}
+	spec := config(1, defaultRoutes(), validKey)
+	services := spec["services"].([]map[string]any)
+	for _, zone := range []string{"a1", "b1"} {
+		stores[zone] = newFakeCacheStore(t)
+		services = append(services, map[string]any{"name": "kept-" + zone, "kv_store_addr": stores[zone].address(), "zone": zone})
+	}
+	spec["services"] = services
+	f.store.Put(configKind, configName, spec)
+	r := f.router("alone", func(settings *gateway.Settings) {
+		settings.Zone, settings.ZoneRegions = "b1", map[string]string{"a1": "a", "a2": "a", "b1": "b", "c1": "c"}
+	})
+	f.g.Eventually(func() int { return strings.Count(r.log.String(), `"event":842`) }, 4*time.Second, 20*time.Millisecond).Should(Equal(2))
+	for _, c := range []struct{ zone, store string }{{"a2", stores["a1"].address()}, {"b1", stores["b1"].address()}, {"c1", ""}} {
+		runner := f.engine("in-"+c.zone, 1)
+		runner.Zone = c.zone
+		f.putEntry(runner, "ready")
+		f.g.Eventually(func() string {
+			r.call("/stream/x", withPrompt("aa:100,bb:200,cc:50"))
+			runs := runner.Runs()
+			if len(runs) == 0 {
+				return "not run"
+			}
+			return runs[len(runs)-1].Header.Get(platform.HeaderKVFetch)
+		}, 3*time.Second, 20*time.Millisecond).Should(Equal(c.store), c.zone)
+		f.putEntry(runner, "draining")
+		time.Sleep(200 * time.Millisecond) // The next runner must be the only one in use.
+	}
+}
--- a/internal/gateway/callcache.go
+++ b/internal/gateway/callcache.go
@@ -14,7 +14,7 @@
 	if len(c.metadata.Prompt) < 2 {
 		return
 	}
-	now, store := c.gateway.now(), c.gateway.cacheStoreMonitor.storeForFamily(c.config.table, c.query.Family)
+	now, store := c.gateway.now(), c.gateway.cacheStoreMonitor.storeForFamily(c.config.table, c.query.Family, c.runner.Zone)
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
 	source := c.gateway.runners.ChooseFetchSource(now, c.runner.ID, c.query, c.weightVersion, store)
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -228,6 +228,7 @@
 	g.mutex.Lock()
 	g.splitter.Retain(object.Config)
 	g.runners.SetServices(serviceNames(object.Config))
+	g.runners.SetCacheStores(next.table.CacheStores())
 	g.mutex.Unlock()
 	g.activeConfig.Store(next)
 	g.rolloutDriver.ApplyConfigChange()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -175,8 +175,8 @@
 	// those of the non-public routes to each service, both in ascending order.
 	tenantPriorities []int
 	routePriorities  map[string][]int
-	// cacheStores are the addresses of the cache stores.
-	cacheStores []string
+	// cacheStores are the cache stores.
+	cacheStores []CacheStore
 	hasTenants  bool
 	// tenantWeights are the tenants' fair-share weights by tenant name.
 	tenantWeights map[string]float64
@@ -217,7 +217,7 @@
 		service := &config.Services[i]
 		t.services[service.Name] = service
 		if service.CacheStoreAddress != "" {
-			t.cacheStores = append(t.cacheStores, service.CacheStoreAddress)
+			t.cacheStores = append(t.cacheStores, CacheStore{Address: service.CacheStoreAddress, Zone: service.CacheStoreZone})
 		}
 	}
 	return t
@@ -287,5 +287,8 @@
 // ServiceNames returns the names of all services in order.
 func (t *Table) ServiceNames() []string { return slices.Sorted(maps.Keys(t.services)) }
 
-// CacheStores returns the IP:port addresses of the cache stores.
-func (t *Table) CacheStores() []string { return t.cacheStores }
+// CacheStore is the IP:port address of a cache store, and its zone, empty if it is not configured.
+type CacheStore struct{ Address, Zone string }
+
+// CacheStores returns the cache stores in the order of the configuration.
+func (t *Table) CacheStores() []CacheStore { return t.cacheStores }
