gateway, relay, peers: standby schedulers in each region

A region without a seed had no scheduler within PlacePatience, and one whose seeds were lost or cut off had none at all: its routers chose by themselves, each knowing only its own requests.

Each region gets up to two standby schedulers. The seed that a router pulls from selects them from its live followers of the region (relay.StandbySelector) and sends the list with answers to pulls; relays pass it on. Routers ask the schedulers of their region in order. Standby schedulers place from their own copies, grant no permits and test no new version. While they are asked they exchange loads with seeds and the schedulers of their region, each 5 ms, and each 25 ms with other regions. Routers that reach no seed pull from the standby schedulers, which read the store.

A follower stays live for 2 s after a pull, since pulls on a lossy link may be more than a second apart. The status and two gauges name the schedulers of the region and those that answer. Without regions nothing changes.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -97,6 +97,7 @@
 	StoreRecovered                = define(823, logrus.InfoLevel, "store answers again")
 	SourceChanged                 = define(824, logrus.InfoLevel, "switched between reading objects from the store and from another router")
 	RelayChanged                  = define(825, logrus.InfoLevel, "changes are requested from another router of the zone")
+	RegionSchedulersChanged       = define(835, logrus.InfoLevel, "schedulers of the own region changed")
 	WatchStalled                  = define(826, logrus.WarnLevel, "watch of the store was stalled; a second watch returned changes")
 	PeerConnectionLost            = define(827, logrus.WarnLevel, "connection to another router was lost; closed idle connections to runners")
 	StoreRestored                 = define(829, logrus.WarnLevel, "store was restored from a backup")
--- a/internal/gateway/broadcaster.go
+++ b/internal/gateway/broadcaster.go
@@ -81,7 +81,7 @@
 	b.mutex.Unlock()
 	// A router that misses a message gets the records with its next pull, and a seed from the next
 	// router that detects the same.
-	b.sendTo(b.gateway.schedulers.otherSchedulers(), forSeeds)
+	b.sendTo(b.gateway.schedulers.recordReceivers(), forSeeds)
 	b.sendTo(b.gateway.peerRouters.pushTargets(b.gateway.now()), forFollowers)
 }
 
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -13,6 +15,9 @@
 	// fleet of 90 runners, three schedulers choose as well as a single one at 5 ms; at 20 ms, one
 	// prompt in 100 waits 80 ms (internal/backend, loadsharing_test.go).
 	loadReportInterval = 5 * time.Millisecond
+	// farReportRounds is the number of rounds between reports to schedulers of other regions, 25 ms. A
+	// report takes 20 ms to get there, and bytes between regions cost more.
+	farReportRounds = 5
 	// fullReportRounds is the number of rounds after which a report contains all loads, for
 	// schedulers that missed some changes: twice in the time for which they keep reported loads.
 	fullReportRounds = 50
@@ -31,6 +36,7 @@
 			Streams: int(load.GetStreams()), TotalMaxGap: time.Duration(load.GetGapsMillis()) * time.Millisecond, Suspects: load.GetSuspects(),
 		}
 	}
+	s.recordReporter(share)
 	s.gateway.peerRouters.recordSeedCount(router, int(share.GetRouters()))
 	s.gateway.mutex.Lock()
 	defer s.gateway.mutex.Unlock()
@@ -45,37 +51,121 @@
 // loadReportLoop sends what this router has placed to the other schedulers while it is a scheduler
 // itself.
 func (s *schedulers) loadReportLoop() {
+	far := newPendingReport()
 	for round := 0; ; round++ {
-		interval, isScheduler := roleCheckInterval, s.isScheduler()
-		if isScheduler {
+		interval, exchanges := roleCheckInterval, s.exchangesLoads()
+		if exchanges {
 			interval = loadReportInterval
 		}
-		if !s.gateway.pause(interval) {
+		if !s.awaitReport(interval) {
 			return
 		}
-		if !isScheduler {
+		if !exchanges {
+			// The first report of a router that becomes a scheduler contains all loads.
+			round = -1
 			continue
 		}
-		full := round%fullReportRounds == 0
-		s.gateway.mutex.Lock()
-		loads, usage := s.gateway.runners.ChangedLoads(), []*wire.PoolUse(nil)
-		if full {
-			loads = s.gateway.runners.Loads()
-			usage = s.gateway.fairShares.localUsage(s.gateway.now())
-		}
-		reservations := s.gateway.loadShedder.TakeReservations()
-		s.gateway.mutex.Unlock()
-		if !full && len(loads) == 0 && len(reservations) == 0 {
-			continue
-		}
-		message := newLoadShare(loads, full)
-		message.Promises = encodeReservations(reservations)
-		if full {
-			message.Uses = usage
-			message.Routers = uint32(s.gateway.peerRouters.countRouters())
+		s.reportLoads(round, far)
+	}
+}
+
+// awaitReport waits for the interval, or until this router is asked to place requests after a while.
+// It returns false if the gateway stops first.
+func (s *schedulers) awaitReport(interval time.Duration) bool {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.activated:
+	case <-s.gateway.ctx.Done():
+		return false
+	}
+	return true
+}
+
+// pendingReport collects what is to be reported to the schedulers of other regions.
+type pendingReport struct {
+	loads        map[string]backend.Load
+	reservations []admission.Reservation
+}
+
+func newPendingReport() *pendingReport { return &pendingReport{loads: map[string]backend.Load{}} }
+
+// add adds changed loads, which replace earlier ones, and reservations.
+func (p *pendingReport) add(loads map[string]backend.Load, reservations []admission.Reservation) {
+	maps.Copy(p.loads, loads)
+	p.reservations = append(p.reservations, reservations...)
+}
+
+// take returns what was collected and starts anew.
+func (p *pendingReport) take() (map[string]backend.Load, []admission.Reservation) {
+	loads, reservations := p.loads, p.reservations
+	p.loads, p.reservations = map[string]backend.Load{}, nil
+	return loads, reservations
+}
+
+// reportLoads sends the changed loads to the schedulers that are due in the round, or all loads to all
+// schedulers.
+func (s *schedulers) reportLoads(round int, far *pendingReport) {
+	full := round%fullReportRounds == 0
+	s.gateway.mutex.Lock()
+	loads, usage := s.gateway.runners.ChangedLoads(), []*wire.PoolUse(nil)
+	if full {
+		loads = s.gateway.runners.Loads()
+		usage = s.gateway.fairShares.localUsage(s.gateway.now())
+	}
+	reservations := s.gateway.loadShedder.TakeReservations()
+	s.gateway.mutex.Unlock()
+	nearTargets, farTargets := s.loadTargets(s.gateway.now())
+	far.add(loads, reservations)
+	if full {
+		routers := 0
+		if s.isScheduler() {
+			// Only seeds say how many routers receive changes through them.
+			routers = s.gateway.peerRouters.countRouters()
 		}
-		s.broadcastLoadShare(message)
+		// What was collected before is part of all loads, unless it has ended.
+		_, farReservations := far.take()
+		s.sendFullReport(nearTargets, loads, reservations, usage, routers)
+		s.sendFullReport(farTargets, loads, farReservations, usage, routers)
+		return
+	}
+	s.sendChanges(nearTargets, loads, reservations)
+	if round%farReportRounds == 0 {
+		loads, reservations = far.take()
+		s.sendChanges(farTargets, loads, reservations)
+	}
+}
+
+// sendChanges sends changed loads and new reservations, if there are any.
+func (s *schedulers) sendChanges(targets []string, loads map[string]backend.Load, reservations []admission.Reservation) {
+	if len(targets) == 0 || len(loads) == 0 && len(reservations) == 0 {
+		return
 	}
+	message := newLoadShare(loads, false)
+	message.Promises = encodeReservations(reservations)
+	s.sendLoadShare(targets, message)
+}
+
+// sendFullReport sends all loads.
+func (s *schedulers) sendFullReport(targets []string, loads map[string]backend.Load, reservations []admission.Reservation, usage []*wire.PoolUse, routers int) {
+	if len(targets) == 0 {
+		return
+	}
+	message := newLoadShare(loads, true)
+	message.Promises, message.Uses, message.Routers = encodeReservations(reservations), usage, uint32(routers)
+	s.sendLoadShare(targets, message)
+}
+
+// loadTargets returns the schedulers that get loads from this one, apart by whether they are in
+// another region. Without regions, none is.
+func (s *schedulers) loadTargets(now time.Time) (near, far []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.gateway.distances.HasRegions() {
+		return s.ranking.Others(), nil
+	}
+	return s.loadExchange.Targets(now, s.ranking.Others(), s.regionList.Addresses(), s.ranking.IncludesSelf())
 }
 
 // newLoadShare returns the message that reports the loads. full means that they are all loads of
@@ -92,14 +182,17 @@
 	return share
 }
 
-func (s *schedulers) broadcastLoadShare(share *wire.LoadShare) {
-	for _, address := range s.otherSchedulers() {
+func (s *schedulers) sendLoadShare(targets []string, share *wire.LoadShare) {
+	if region := s.gateway.regionName(); region != "" {
+		share.From, share.Region = s.gateway.settings.PeerAddress, region
+	}
+	for _, address := range targets {
 		// Lost reports are repaired by the next one with all loads.
 		_ = s.gateway.peerRouters.transport.Send("", address, &wire.Envelope{Body: &wire.Envelope_LoadShare{LoadShare: share}})
 	}
 }
 
-// otherSchedulers returns the addresses of the schedulers other than this router.
+// otherSchedulers returns the addresses of the seeds other than this router.
 func (s *schedulers) otherSchedulers() []string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -179,6 +179,9 @@
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g},
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
+		newGauge("region_schedulers", "Schedulers of the own region that this router knows; 0 without regions.", func() float64 { known, _ := g.schedulers.regionSchedulerCounts(); return float64(known) }),
+		newGauge("region_schedulers_answering", "Schedulers of the own region that have answered this router and are not silent.", func() float64 { _, answering := g.schedulers.regionSchedulerCounts(); return float64(answering) }),
+		newGauge("standby_scheduler_active", "1 while this router is no seed and is asked to place requests.", g.activeStandby),
 		newGauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.knownRouters.Load()) }),
 		newGauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.TenantCount() }),
 		newGauge("share_tenants", "Tenants of whose recent use of services this router keeps a sum.", func() float64 { return g.fairShares.tenantCount() }),
@@ -203,6 +206,13 @@
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value)
 }
 
+func (g *Gateway) activeStandby() float64 {
+	if g.schedulers.isActiveStandby(g.now()) {
+		return 1
+	}
+	return 0
+}
+
 func (g *Gateway) activeConfigVersion() float64 {
 	if current := g.activeConfig.Load(); current != nil {
 		return float64(current.table.Version)
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/admission"
@@ -43,26 +44,28 @@
 	version string
 }
 
-// placementRequest is a request to a scheduler that has not been answered yet.
+// placementRequest is a request to the schedulers that has not been answered yet.
 type placementRequest struct {
 	schedulers *schedulers
-	scheduler  string
-	choices    chan *placementChoice
+	// scheduler is the one that is being asked.
+	scheduler atomic.Pointer[string]
+	choices   chan *placementChoice
 	// cancelled is closed when nobody waits for the choice any more.
 	canceled chan struct{}
 }
 
-// requestPlacement asks the nearest scheduler to choose a runner. It returns nil if this router has
-// to choose one itself.
+// requestPlacement asks the schedulers to choose a runner, one after the other until one has chosen.
+// It returns nil if this router has to choose one itself.
 func (s *schedulers) requestPlacement(query backend.Query, timeLeft time.Duration) *placementRequest {
-	scheduler := s.nearest(s.gateway.now())
-	if scheduler == "" {
+	order := s.order(s.gateway.now())
+	if len(order) == 0 {
 		return nil
 	}
-	r := &placementRequest{schedulers: s, scheduler: scheduler, choices: make(chan *placementChoice), canceled: make(chan struct{})}
+	r := &placementRequest{schedulers: s, choices: make(chan *placementChoice), canceled: make(chan struct{})}
+	r.scheduler.Store(&order[0])
 	message := encodePlacementQuery(query, s.lastSendNumber.Add(1), timeLeft)
 	go func() {
-		choice := s.callScheduler(scheduler, message)
+		choice := r.ask(order, message)
 		select {
 		case r.choices <- choice:
 		case <-r.canceled:
@@ -72,6 +75,24 @@
 	return r
 }
 
+// ask asks the schedulers in order until one answers or nobody waits for the choice any more. A
+// scheduler that is lost refuses the connection, which leaves time to ask the next one.
+func (r *placementRequest) ask(order []string, message *wire.RunnerAsk) *placementChoice {
+	for i := range order {
+		r.scheduler.Store(&order[i])
+		choice, answered := r.schedulers.callScheduler(order[i], message)
+		if answered {
+			return choice
+		}
+		select {
+		case <-r.canceled:
+			return nil
+		default:
+		}
+	}
+	return nil
+}
+
 // encodePlacementQuery returns the message that asks a scheduler for a runner. Remaining backoffs
 // are at least 1 ms, so that they are not rounded to zero on the wire.
 func encodePlacementQuery(query backend.Query, sendNumber uint64, timeLeft time.Duration) *wire.RunnerAsk {
@@ -94,17 +115,17 @@
 	return message
 }
 
-// callScheduler sends one request to a scheduler and returns its choice, or nil if the scheduler
-// declined, failed to answer or has no runner.
-func (s *schedulers) callScheduler(scheduler string, message *wire.RunnerAsk) *placementChoice {
+// callScheduler sends one request to a scheduler and returns its choice, which is nil if it has no
+// runner. answered is false if the scheduler declined or failed to answer.
+func (s *schedulers) callScheduler(scheduler string, message *wire.RunnerAsk) (choice *placementChoice, answered bool) {
 	requestedAt := s.gateway.now()
 	reply, roundTrip := s.gateway.peerRouters.Call(scheduler, &wire.Envelope{Body: &wire.Envelope_RunnerAsk{RunnerAsk: message}})
 	answer := reply.GetRunnerAnswer()
-	answered := answer != nil && !answer.GetDeclined()
+	answered = answer != nil && !answer.GetDeclined()
 	s.gateway.metrics.placementCalls.WithLabelValues(outcomeLabel(answered)).Observe(roundTrip.Seconds())
 	if !answered {
 		s.markUnresponsive(scheduler)
-		return nil
+		return nil, false
 	}
 	s.mutex.Lock()
 	s.ranking.RecordReply(scheduler, answer.GetZone(), roundTrip)
@@ -114,19 +135,19 @@
 		return &placementChoice{
 			scheduler: scheduler, overloaded: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond,
 			queueWait: queueWait, queueLimit: queueLimit, forShare: answer.GetForShare(),
-		}
+		}, true
 	}
 	if answer.GetHeldBack() {
-		return &placementChoice{scheduler: scheduler, heldBack: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond, queueLimit: queueLimit}
+		return &placementChoice{scheduler: scheduler, heldBack: true, retryAfter: time.Duration(answer.GetRetryAfterMillis()) * time.Millisecond, queueLimit: queueLimit}, true
 	}
 	if answer.GetRunner() == "" {
-		return nil
+		return nil, true
 	}
 	return &placementChoice{
 		scheduler: scheduler, sendNumber: message.GetSend(), runner: answer.GetRunner(), cachedTokens: int(answer.GetCachedTokens()),
 		expectedWait: time.Duration(answer.GetWaitMillis()) * time.Millisecond, pendingRequests: int(answer.GetPendingRequests()),
 		queueWait: queueWait, queueLimit: queueLimit, permitted: answer.GetPermitted(), requestedAt: requestedAt, version: answer.GetVersion(),
-	}
+	}, true
 }
 
 // permit returns the permit that the scheduler granted for the send. It is invalid if the runner
@@ -158,7 +179,7 @@
 	case choice := <-r.choices:
 		return choice
 	case <-timer.C:
-		r.schedulers.markUnresponsive(r.scheduler)
+		r.schedulers.markUnresponsive(*r.scheduler.Load())
 	case <-ctx.Done():
 	}
 	close(r.canceled)
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -163,6 +163,7 @@
 	if answer.GetStoreOnly() {
 		r.gateway.transfer.start()
 	}
+	r.gateway.schedulers.applyList(address, answer.GetSchedulers())
 	r.gateway.suspects.applyPull(address, answer.GetSuspects())
 	r.gateway.signals.applyPull(address, answer.GetSignals())
 	r.gateway.receiveBounds(answer.GetWeightBounds(), sentAt)
@@ -276,10 +277,11 @@
 
 // newPull returns a pull that describes this router to the router at the address.
 func (r *peerRouters) newPull(address string) *wire.CopyPull {
-	settings := r.gateway.settings
+	settings, list := r.gateway.settings, r.gateway.schedulers.list()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return &wire.CopyPull{
+		Region: r.gateway.regionName(), SchedulersDigest: list.GetDigest(),
 		PeerAddress: settings.PeerAddress, Zone: settings.Zone,
 		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.countOtherFollowers(r.gateway.now(), address)),
 	}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -49,6 +49,8 @@
 	selector  *relay.Selector
 	// assigner assigns followers to relays while this router is a seed.
 	assigner *relay.Assigner
+	// standbys selects the standby schedulers of each region while this router is a seed.
+	standbys *relay.StandbySelector
 	// followers holds the routers that pulled recently, by address.
 	followers map[string]followerState
 	// activeFollowers is the number of routers that pulled recently, and nextCountAt when they are
@@ -82,7 +84,7 @@
 func newPeerRouters(g *Gateway) *peerRouters {
 	return &peerRouters{
 		gateway: g, selector: relay.NewSelector(g.settings.PeerAddress, g.settings.Zone, g.distances, g.settings.Seeds),
-		assigner: relay.NewAssigner(), followers: map[string]followerState{}, counter: peers.NewRouterCounter(), pullNow: make(chan struct{}, 1), packedDeltas: map[ObjectKind]packedDelta{},
+		assigner: relay.NewAssigner(), standbys: relay.NewStandbySelector(), followers: map[string]followerState{}, counter: peers.NewRouterCounter(), pullNow: make(chan struct{}, 1), packedDeltas: map[ObjectKind]packedDelta{},
 		seedWaitUntil: g.startedAt.Add(initialSeedWait(g)),
 	}
 }
@@ -179,9 +181,7 @@
 	if r.transport == nil {
 		return false
 	}
-	r.mutex.Lock()
-	isSeed := r.selector.IsSeed()
-	r.mutex.Unlock()
+	isSeed := r.isSeed()
 	current := r.gateway.activeConfig.Load()
 	return !isSeed || current == nil || r.gateway.since(current.provenAt) > maxProofAge || r.gateway.copies.anyOlderThan(r.gateway.now(), maxProofAge+copyProofMargin)
 }
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -84,7 +84,7 @@
 	answer := &wire.CopyAnswer{
 		Zone: g.settings.Zone, CacheStores: stores.availableBits, CacheStoresConfig: stores.configVersion, Routers: uint32(g.routerCount()),
 		ReferTo: referTo, PullAfterMillis: uint32(interval.Milliseconds()),
-		StoreOnly: g.transfer.running.Load(),
+		StoreOnly: g.transfer.running.Load(), Region: g.regionName(), Schedulers: r.listFor(pull),
 	}
 	if pull.GetWantsCache() {
 		answer.Cache = g.cacheReader.deltaSince(pull.GetCacheFeed(), pull.GetCacheThrough())
@@ -140,6 +140,7 @@
 		r.nextCountAt = now.Add(followerCountInterval)
 		r.countFollowers(now)
 	}
+	r.recordStandbyCandidate(now, pull)
 	return r.referral(now, pull), pullIntervalFor(r.activeFollowers)
 }
 
@@ -213,6 +214,7 @@
 	assigned := r.assigner.Assign(now, puller, r.activeFollowers > r.gateway.settings.DirectFollowers)
 	if assigned != "" {
 		delete(r.followers, puller.Address)
+		r.standbys.Forget(puller.Address, pull.GetRegion())
 	}
 	return assigned
 }
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -17,8 +17,9 @@
 const placedSendSlack = time.Second
 
 // schedulers is the client and server side of central placement. A few routers, the seeds of the
-// settings, choose the runners for the requests of all routers, so that each choice takes into
-// account what has been placed on the runners. A router asks the nearest scheduler and reports to
+// settings and where regions are configured the standby schedulers of each region, choose the runners
+// for the requests of all routers, so that each choice takes into account what has been placed on the
+// runners. A router asks the nearest scheduler and reports to
 // it when the runner responds and how the request ends; schedulers exchange the loads that they
 // have placed. A router that gets no answer in time chooses a runner itself, knowing only its own
 // requests.
@@ -26,6 +27,13 @@
 	gateway *Gateway
 	mutex   sync.Mutex
 	ranking *peers.Ranking
+	// regionList is the list of the own region's schedulers. It is empty at seeds, which make it.
+	regionList *peers.SchedulerList
+	// loadExchange decides with whom loads are exchanged. It is used where regions are configured.
+	loadExchange *peers.LoadExchange
+	// activated receives a value when this router, as a standby scheduler, is asked for the first time
+	// in a while.
+	activated chan struct{}
 	// lastSendNumber is the number of this router's last placement request.
 	lastSendNumber atomic.Uint64
 	// placedSends holds the open requests that this router placed for others. The gateway's mutex
@@ -34,7 +42,10 @@
 }
 
 func newSchedulers(g *Gateway) *schedulers {
-	s := &schedulers{gateway: g, ranking: peers.NewRanking(g.settings.PeerAddress, g.settings.Zone, g.distances), placedSends: backend.NewPlacedSends(g.runners)}
+	s := &schedulers{
+		gateway: g, regionList: &peers.SchedulerList{}, loadExchange: peers.NewLoadExchange(g.settings.PeerAddress, g.settings.Region), activated: make(chan struct{}, 1),
+		ranking: peers.NewRanking(g.settings.PeerAddress, g.settings.Zone, g.distances), placedSends: backend.NewPlacedSends(g.runners),
+	}
 	s.setSchedulers(g.settings.Seeds)
 	return s
 }
@@ -51,23 +62,38 @@
 	s.gateway.configurePermits(len(addresses) == 0 || s.gateway.settings.PeerAddress == "", count)
 }
 
-// nearest returns the address of the scheduler to ask, or "" if this router has to choose runners
-// itself. Where regions are configured, it is a scheduler of the own region: the answer of another
-// one would come too late.
-func (s *schedulers) nearest(now time.Time) string {
+// order returns the addresses of the schedulers to ask, the best first. It is empty if this router
+// has to choose runners itself. Where regions are configured, they are the schedulers of the own
+// region: the answer of another one would come too late. Without regions it is the nearest scheduler.
+func (s *schedulers) order(now time.Time) []string {
 	if s.gateway.peerRouters.transport == nil {
-		return ""
+		return nil
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	order := s.ranking.Order(now)
 	if s.gateway.distances.HasRegions() {
-		order = s.ranking.RegionOrder(now)
+		return s.regionOrder(now)
 	}
+	order := s.ranking.Order(now)
 	if len(order) == 0 || order[0] == s.gateway.settings.PeerAddress || s.ranking.IsSilent(now, order[0]) {
-		return ""
+		return nil
+	}
+	return order[:1]
+}
+
+// regionOrder returns the schedulers of the own region to ask before this router chooses itself. The
+// mutex must be held.
+func (s *schedulers) regionOrder(now time.Time) []string {
+	order := s.ranking.RegionOrder(now)
+	last := len(order) - 1
+	if last < 0 || order[last] != s.gateway.settings.PeerAddress {
+		return order
+	}
+	if last == 0 {
+		// It is its own scheduler, and the other schedulers need to know what it places.
+		s.recordAsked(now)
 	}
-	return order[0]
+	return order[:last]
 }
 
 // place chooses a runner for another router. It declines if this router is shutting down or its
@@ -75,7 +101,7 @@
 // runners exist.
 func (s *schedulers) place(envelope *wire.Envelope, message *wire.RunnerAsk) *wire.RunnerAnswer {
 	g, now := s.gateway, s.gateway.now()
-	if g.draining.Load() || !g.configIsProven(now) || g.copies.anyOlderThan(now, validAfterProof(g.settings.ConfigLease)) || !s.isScheduler() {
+	if g.draining.Load() || !g.configIsProven(now) || g.copies.anyOlderThan(now, validAfterProof(g.settings.ConfigLease)) || !s.acceptsRequests(now) {
 		return &wire.RunnerAnswer{Declined: true}
 	}
 	query := decodePlacementQuery(message)
@@ -119,7 +145,8 @@
 	s.ranking.RecordZone(scheduler, zone)
 }
 
-// isScheduler reports whether this router places requests for others.
+// isScheduler reports whether this router is a seed, and thereby places requests for others, grants
+// permits and tests new versions.
 func (s *schedulers) isScheduler() bool {
 	if s.gateway.peerRouters.transport == nil {
 		return false
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -107,9 +107,9 @@
 }
 
 // tracksUsage reports whether this router sees enough of all requests to compute shares: it is a
-// scheduler, or there are no other routers.
+// scheduler, also a standby scheduler that is asked, or there are no other routers.
 func (s *fairShares) tracksUsage() bool {
-	return s.syncWeights() && (s.gateway.peerRouters.transport == nil || s.gateway.schedulers.isScheduler())
+	return s.syncWeights() && (s.gateway.peerRouters.transport == nil || s.gateway.schedulers.exchangesLoads())
 }
 
 // refund cancels the charge for a request that no runner executed.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -13,8 +13,10 @@
 
 // Status is a snapshot of a router's state, for operators.
 type Status struct {
-	Node     string `json:"node"`
-	Zone     string `json:"zone"`
+	Node string `json:"node"`
+	Zone string `json:"zone"`
+	// Region is empty if the settings name fewer than two regions.
+	Region   string `json:"region,omitempty"`
 	Draining bool   `json:"draining"`
 	// ConfigVersion and ConfigRevision are those of the active configuration, 0 if there is none.
 	ConfigVersion  uint64 `json:"configVersion"`
@@ -37,6 +39,10 @@
 	LeaseToken uint64                  `json:"leaseToken"`
 	Weights    map[string]uint64       `json:"weights"`
 	Runners    []backend.RunnerSummary `json:"runners"`
+	// Schedulers are the schedulers of the own region in the order in which this router asks them.
+	Schedulers []SchedulerStatus `json:"schedulers,omitempty"`
+	// SchedulersByRegion is the number of schedulers of each region as this seed knows them.
+	SchedulersByRegion map[string]int `json:"schedulersByRegion,omitempty"`
 	// TenantExcesses lists the known tenants that exceed their fair shares of overloaded services
 	// the most. It is empty on routers that place no requests.
 	TenantExcesses []TenantExcess `json:"beyondShare,omitempty"`
@@ -63,7 +69,7 @@
 func (g *Gateway) Status() Status {
 	now := g.now()
 	status := Status{
-		Node: g.settings.Node, Zone: g.settings.Zone, Draining: g.draining.Load(), ProofAgeMillis: -1,
+		Node: g.settings.Node, Zone: g.settings.Zone, Region: g.regionName(), Draining: g.draining.Load(), ProofAgeMillis: -1,
 		Proven: g.configIsProven(now), DirectoryRevision: storerev.Revision(g.directoryRevision.Load()).Number(), StoreEra: g.eraTracker.newest(), ReadsStore: g.directReads.isEnabled(),
 		LeaseToken: g.leaseToken.Load(),
 	}
@@ -76,6 +82,7 @@
 	if !status.ReadsStore {
 		status.Source = g.peerRouters.lastSource()
 	}
+	status.Schedulers, status.SchedulersByRegion = g.schedulers.summary(now), g.peerRouters.countSchedulersByRegion()
 	status.Quarantined = g.suspects.summary(now)
 	status.Rollouts = g.versionRollouts.summaries(now)
 	g.mutex.Lock()
--- a/internal/peers/ranking.go
+++ b/internal/peers/ranking.go
@@ -58,6 +58,9 @@
 	distances  *distance.Table
 	// addresses are the routers in this router's own order of preference.
 	addresses []string
+	// listed are the routers of the own region as a seed named them, in the order in which to send
+	// requests to them. They may include addresses, and others.
+	listed []string
 	// peers holds the stats of the routers that were used so far, by address.
 	peers map[string]*peerStats
 }
@@ -71,18 +74,34 @@
 // the load.
 func (r *Ranking) Set(addresses []string) {
 	r.addresses = rendezvous.Ranked(addresses, rendezvous.KeyOf(r.self), len(addresses))
+	r.removeUnknownPeers()
+}
+
+// SetListed replaces the list of the routers of the own region.
+func (r *Ranking) SetListed(addresses []string) {
+	r.listed = slices.Clone(addresses)
+	r.removeUnknownPeers()
+}
+
+// removeUnknownPeers removes the stats of routers that are no longer in a list.
+func (r *Ranking) removeUnknownPeers() {
 	for address := range r.peers {
-		if !slices.Contains(addresses, address) {
+		if !r.includes(address) {
 			delete(r.peers, address)
 		}
 	}
 }
 
+// includes reports whether the router is in one of the lists.
+func (r *Ranking) includes(address string) bool {
+	return r.Ranks(address) || slices.Contains(r.listed, address)
+}
+
 // Len returns the number of routers.
 func (r *Ranking) Len() int { return len(r.addresses) }
 
 // IncludesSelf reports whether this router is in the list itself.
-func (r *Ranking) IncludesSelf() bool { return slices.Contains(r.addresses, r.self) }
+func (r *Ranking) IncludesSelf() bool { return r.Ranks(r.self) }
 
 // Order returns the routers in the order in which to send requests to them, the best first.
 func (r *Ranking) Order(now time.Time) []string {
@@ -91,6 +110,9 @@
 	return order
 }
 
+// Ranks reports whether the router is ranked, and not only listed.
+func (r *Ranking) Ranks(address string) bool { return slices.Contains(r.addresses, address) }
+
 // Others returns the routers other than this one.
 func (r *Ranking) Others() []string {
 	return slices.DeleteFunc(slices.Clone(r.addresses), func(address string) bool { return address == r.self })
@@ -128,10 +150,50 @@
 	return rankOtherZone
 }
 
-// RegionOrder returns the routers of the own region that are not silent, in the order in which to
-// send requests to them. A router whose zone is unknown is not among them.
+// RegionMembers returns the known routers of the own region in the order in which to send requests to
+// them: those that are ranked, and then the others in the order of the list. A ranked router whose
+// zone is unknown is among them only if it is listed.
+func (r *Ranking) RegionMembers(now time.Time) []string {
+	var members []string
+	for _, address := range r.Order(now) {
+		if r.isInRegion(address) {
+			members = append(members, address)
+		}
+	}
+	for _, address := range r.listed {
+		if !r.Ranks(address) {
+			members = append(members, address)
+		}
+	}
+	return members
+}
+
+// isInRegion reports whether a router is known to be in the own region.
+func (r *Ranking) isInRegion(address string) bool {
+	if address == r.self || slices.Contains(r.listed, address) {
+		return true
+	}
+	stats := r.peers[address]
+	return stats != nil && stats.zone != "" && r.distances.Relation(r.zone, stats.zone) != distance.OtherRegion
+}
+
+// RegionOrder returns the members of the own region without those that are silent. Routers after this
+// one are left out, because it needs no others then.
 func (r *Ranking) RegionOrder(now time.Time) []string {
-	return slices.DeleteFunc(r.Order(now), func(address string) bool { return r.rank(now, address) > rankSameRegion })
+	order := slices.DeleteFunc(r.RegionMembers(now), func(address string) bool { return r.IsSilent(now, address) })
+	if own := slices.Index(order, r.self); own >= 0 {
+		order = order[:own+1]
+	}
+	return order
+}
+
+// Answers reports whether a router has replied and is not silent, or is this one.
+func (r *Ranking) Answers(now time.Time, address string) bool {
+	if address == r.self {
+		return true
+	}
+	stats := r.peers[address]
+	return stats != nil && stats.roundTrip > 0 && !now.Before(stats.penalizedUntil)
 }
 
 // Reachable reports whether any router is not silent.
@@ -197,9 +259,9 @@
 	}
 }
 
-// statsFor returns the stats of a router in the list, or nil for any other router.
+// statsFor returns the stats of a router in one of the lists, or nil for any other router.
 func (r *Ranking) statsFor(address string) *peerStats {
-	if !slices.Contains(r.addresses, address) {
+	if !r.includes(address) {
 		return nil
 	}
 	if r.peers[address] == nil {
--- a/internal/peers/ranking_test.go
+++ b/internal/peers/ranking_test.go
@@ -94,3 +94,21 @@
 	r.RecordTimeout(start, "d")
 	g.Expect(r.RegionOrder(start.Add(startupPenalty))).To(Equal([]string{"c", "b"}), "the zone of d is still unknown")
 }
+
+// Guards against a region without a router that answers while a standby scheduler would, and against
+// requests to a router that the list places after this one.
+func TestRegionOrderContinuesWithListedRouters(t *testing.T) {
+	g := NewWithT(t)
+	r := newRegionalRanking("y")
+	r.SetListed([]string{"a", "x", "y", "z"})
+	r.RecordReply("b", "z2", time.Millisecond)
+	r.RecordReply("c", "z3", 40*time.Millisecond)
+	g.Expect(r.RegionOrder(start)).To(Equal([]string{"b", "a", "x", "y"}), "the zone of a is unknown, but a is listed")
+	r.RecordReply("x", "z2", time.Millisecond)
+	r.RecordTimeout(start, "x")
+	r.RecordTimeout(start, "b")
+	g.Expect(r.RegionOrder(start)).To(Equal([]string{"a", "y"}))
+	r.SetListed([]string{"y"})
+	r.SetListed([]string{"x", "y"})
+	g.Expect(r.RegionOrder(start)).To(Equal([]string{"x", "y"}), "a router that was removed from the list starts anew")
+}
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -35,6 +35,8 @@
 	seedZones map[string]string
 	// relay is the relay that this router was assigned to, or "".
 	relay string
+	// standbys are the standby schedulers of the own region.
+	standbys []string
 }
 
 // NewSelector returns a selector for the router with the peer address self in the zone.
@@ -50,6 +52,19 @@
 	s.regionSeeds = rendezvous.Ranked(seeds, rendezvous.KeyOf(s.distances.Region(s.zone)), len(seeds))
 }
 
+// Seeds returns the seeds.
+func (s *Selector) Seeds() []string { return slices.Clone(s.seeds) }
+
+// SetStandbys replaces the standby schedulers of the own region, which are the last candidates. If
+// this router is one of them, it has no such candidates: it reads the store instead, without waiting
+// for the others.
+func (s *Selector) SetStandbys(addresses []string) {
+	s.standbys = nil
+	if !slices.Contains(addresses, s.self) {
+		s.standbys = slices.DeleteFunc(slices.Clone(addresses), s.HasSeed)
+	}
+}
+
 // SeedCount returns the number of seeds.
 func (s *Selector) SeedCount() int { return len(s.seeds) }
 
@@ -80,7 +95,8 @@
 // Candidates returns the routers to pull from that are not skipped, the best first: the assigned
 // relay, seeds of the own zone, seeds of the own region, seeds of unknown zone, and seeds of other
 // zones. All routers of a region order the seeds of other regions alike, so that a region without a
-// seed learns everything from one place.
+// seed learns everything from one place. The standby schedulers of the own region come last: they
+// read the store when no seed answers.
 func (s *Selector) Candidates(now time.Time) []string {
 	var candidates []string
 	if s.relay != "" {
@@ -91,6 +107,11 @@
 			candidates = append(candidates, seed)
 		}
 	}
+	for _, standby := range s.standbys {
+		if standby != s.relay && !s.HasSeed(standby) && !now.Before(s.retryAt[standby]) {
+			candidates = append(candidates, standby)
+		}
+	}
 	slices.SortStableFunc(candidates, func(a, b string) int {
 		rankA, rankB := s.rank(a), s.rank(b)
 		if rankA == rankOtherZone && rankB == rankOtherZone && s.distances.HasRegions() {
@@ -108,6 +129,7 @@
 	rankSameRegion
 	rankUnknownZone
 	rankOtherZone
+	rankStandby
 )
 
 // rank returns the rank of a candidate.
@@ -116,6 +138,8 @@
 	switch {
 	case address == s.relay:
 		return rankRelay
+	case slices.Contains(s.standbys, address):
+		return rankStandby
 	case !known:
 		return rankUnknownZone
 	case zone == s.zone:
--- a/internal/relay/selector_test.go
+++ b/internal/relay/selector_test.go
@@ -120,3 +120,19 @@
 	}
 	g.Expect(firsts).To(HaveLen(1))
 }
+
+// Guards against a whole region that reads the store when it loses its seeds, and against standby
+// schedulers that wait for each other.
+func TestStandbysAreLastCandidates(t *testing.T) {
+	g := NewWithT(t)
+	selector := NewSelector("x", "z1", regional("z1"), []string{"a"})
+	selector.RecordReply("a", "z3")
+	selector.SetStandbys([]string{"a", "s", "t"})
+	g.Expect(selector.Candidates(start)).To(Equal([]string{"a", "s", "t"}))
+	selector.RecordFailure(start, "a")
+	g.Expect(selector.Candidates(start)).To(Equal([]string{"s", "t"}))
+	selector.RecordFailure(start, "s")
+	g.Expect(selector.Candidates(start)).To(Equal([]string{"t"}))
+	selector.SetStandbys([]string{"a", "x", "t"})
+	g.Expect(selector.Candidates(start)).To(BeEmpty(), "a standby scheduler reads the store")
+}
