backend: loads reported before a cut do not count again after it

A report of changed loads that arrived after the reported loads had expired renewed the time of all of them. Expired loads are now dropped with the first change that arrives.

Measured: the new test fails on the code before and passes; the tests of backend pass.

--- a/internal/backend/loads.go
+++ b/internal/backend/loads.go
@@ -55,10 +55,11 @@
 }
 
 // SetPeerLoads stores the loads that another router reports: all of them if full is set,
-// otherwise only the changed ones.
+// otherwise only the changed ones. Loads that have expired, for example while the link to that
+// router was cut, do not count again because a change arrives.
 func (s *Set) SetPeerLoads(now time.Time, router string, full bool, loads map[string]Load) {
 	known := s.peers[router]
-	if known == nil || full {
+	if known == nil || full || now.Sub(known.reportedAt) >= peerLoadTTL {
 		known = &peerLoads{byRunner: map[string]Load{}}
 		s.peers[router] = known
 	}
--- a/internal/backend/placedsends_test.go
+++ b/internal/backend/placedsends_test.go
@@ -108,3 +108,17 @@
 	set.Remove("a")
 	g.Expect(set.ChangedLoads()).To(BeEmpty())
 }
+
+// Guards against loads from before a cut of the link between two schedulers that count again with the
+// first change that arrives after it.
+func TestExpiredLoadsDoNotCountAgainAfterChange(t *testing.T) {
+	g := NewWithT(t)
+	set, _ := newPlacedSendsSet()
+	set.SetPeerLoads(start, "x", true, map[string]Load{"a": {Requests: 7}})
+	set.SetPeerLoads(start.Add(peerLoadTTL-1), "x", false, map[string]Load{"b": {Requests: 1}})
+	g.Expect(set.peerLoad(start.Add(peerLoadTTL), "a").Requests).To(Equal(7), "one lost report changes nothing")
+	back := start.Add(3 * time.Minute)
+	set.SetPeerLoads(back, "x", false, map[string]Load{"b": {Requests: 2}})
+	g.Expect(set.peerLoad(back, "a").Requests).To(BeZero())
+	g.Expect(set.peerLoad(back, "b").Requests).To(Equal(2))
+}
