gateway: a runner's cache is read by a seed of its region

Runners' caches were divided among the seeds by hash, so that two of three calls for changes went over a border where the seeds are in three regions. A runner is now read by a seed of its region if one is live, and otherwise by any seed as before. Only regions that seeds name in their load reports count: a seed of the previous build reads its share of all runners, and would leave some of its region unread. The test of CacheHolders expects the zone of the runner too.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -189,6 +189,8 @@
 type CacheHolder struct {
 	Address     string
 	Incarnation uint64
+	// Zone is empty for a cache store.
+	Zone string
 }
 
 // CacheHolders returns the runners that cache prompt parts and belong to configured
@@ -197,7 +199,7 @@
 	holders := map[string]CacheHolder{}
 	for _, e := range s.entries {
 		if len(e.Models) > 0 && s.isConfigured(e) {
-			holders[e.ID] = CacheHolder{Address: e.Address, Incarnation: e.Incarnation}
+			holders[e.ID] = CacheHolder{Address: e.Address, Incarnation: e.Incarnation, Zone: e.Zone}
 		}
 	}
 	return holders
--- a/internal/backend/restart_test.go
+++ b/internal/backend/restart_test.go
@@ -114,7 +114,7 @@
 	set.Put(unconfigured)
 	set.WeightTargets().SetTarget("m", 2, Deadlines{StaleAt: start, Expiry: start.Add(time.Minute)})
 	set.SetServices([]string{"s"})
-	g.Expect(set.CacheHolders()).To(Equal(map[string]CacheHolder{"a": {Address: "a:1"}}))
+	g.Expect(set.CacheHolders()).To(Equal(map[string]CacheHolder{"a": {Address: "a:1", Zone: "z"}}))
 	g.Expect(set.CountOutdated()).To(Equal(1))
 	groups := set.ModelGroups(start, time.Second)
 	g.Expect(groups).To(HaveLen(1))
--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -175,12 +175,12 @@
 	listed := map[string]bool{}
 	for _, address := range table.CacheStores() {
 		listed[address] = true
-		if r.ownsHolder(readers, address) {
+		if r.ownsHolder(readers, address, "") {
 			r.startReading(address, backend.CacheHolder{Address: address}, "")
 		}
 	}
 	for id, source := range runners {
-		if r.ownsHolder(readers, id) {
+		if r.ownsHolder(readers, id, source.Zone) {
 			r.startReading(id, source, id)
 		}
 	}
@@ -192,7 +192,7 @@
 		case !isListed(holder):
 			state.cancel()
 			delete(r.holders, holder)
-		case !r.ownsHolder(readers, holder):
+		case !r.ownsHolder(readers, holder, runners[holder].Zone):
 			// Another reader has its contents soon, and they stay known until then.
 			state.cancel()
 			delete(r.holders, holder)
--- a/internal/gateway/cachesplit.go
+++ b/internal/gateway/cachesplit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -49,21 +50,43 @@
 // readers returns the addresses of the live readers, including this router, in order. A router that
 // has just started assumes that the others are alive, so that it does not begin to read what they
 // read already. The mutex must be held.
-func (r *cacheReader) readers(now time.Time) []string {
+func (r *cacheReader) readers(now time.Time) []liveReader {
 	g := r.gateway
-	live := []string{g.settings.PeerAddress}
+	live := []liveReader{{address: g.settings.PeerAddress, region: g.regionName()}}
 	for _, address := range g.peerRouters.otherSeeds() {
 		if now.Sub(r.peer(address).lastHeard) < readerTimeout || now.Sub(r.readingSince) < readerTimeout {
-			live = append(live, address)
+			live = append(live, liveReader{address: address, region: g.schedulers.seedRegion(address)})
 		}
 	}
-	slices.Sort(live)
+	slices.SortFunc(live, func(a, b liveReader) int { return cmp.Compare(a.address, b.address) })
 	return live
 }
 
-// ownsHolder reports whether this router is the one of the readers that reads the holder.
-func (r *cacheReader) ownsHolder(readers []string, holder string) bool {
-	return rendezvous.Owner(readers, rendezvous.KeyOf(holder)) == r.gateway.settings.PeerAddress
+// liveReader is a router that reads runners' caches at present, and the region that it named. The
+// region is empty for a router of a version that names none: such a router reads its share of the
+// holders of all regions.
+type liveReader struct{ address, region string }
+
+// ownsHolder reports whether this router is the one of the readers that reads the holder in the zone.
+// That is a reader of the holder's region if there is one, so that calls for changes stay within the
+// region and only their results cross its border.
+func (r *cacheReader) ownsHolder(readers []liveReader, holder, zone string) bool {
+	return rendezvous.Owner(readersOf(readers, r.gateway.distances.Region(zone)), rendezvous.KeyOf(holder)) == r.gateway.settings.PeerAddress
+}
+
+// readersOf returns the addresses of the readers in the region, or of all readers if there are none.
+func readersOf(readers []liveReader, region string) []string {
+	var all, inRegion []string
+	for _, reader := range readers {
+		all = append(all, reader.address)
+		if reader.region != "" && reader.region == region {
+			inRegion = append(inRegion, reader.address)
+		}
+	}
+	if len(inRegion) > 0 {
+		return inRegion
+	}
+	return all
 }
 
 // shareLoop sends what this router reads to the other readers.
@@ -160,4 +183,10 @@
 }
 
 // readersKey identifies a set of readers.
-func readersKey(readers []string) string { return strings.Join(readers, " ") }
+func readersKey(readers []liveReader) string {
+	var key strings.Builder
+	for _, reader := range readers {
+		key.WriteString(reader.address + " " + reader.region + "\n")
+	}
+	return key.String()
+}
