faultproxy: a settable delay of the link

Tests of regions need links that are long but not slow. SetDelay delays what is read in each direction without holding back what follows. The mode with a fixed delay stays as it is.

--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -3,6 +3,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -51,6 +52,7 @@
 	listener net.Listener
 	mutex    sync.Mutex
 	mode     Mode
+	delay    time.Duration
 	links    map[*link]bool
 }
 
@@ -91,6 +93,21 @@
 	}
 }
 
+// SetDelay sets how much later everything that is read from now on arrives, in each direction, as on
+// a link of that length. Unlike Delay, it does not limit the throughput. It applies in every mode.
+func (p *Proxy) SetDelay(delay time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.delay = delay
+}
+
+// currentDelay returns the delay that SetDelay has set.
+func (p *Proxy) currentDelay() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.delay
+}
+
 // Close stops the proxy and closes all connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -166,39 +183,77 @@
 	l.forEachConn(func(conn net.Conn) { conn.Close() })
 }
 
+// chunk is the result of one read, which is to be forwarded when it is due.
+type chunk struct {
+	data []byte
+	err  error
+	due  time.Time
+}
+
+// maxDelayedChunks is the number of chunks of one direction that may be on their way.
+const maxDelayedChunks = 1024
+
 // forward copies from source to target until either is closed, and then sends on done.
 // isResponse is set for the direction from the server to the client.
 func (p *Proxy) forward(l *link, target, source net.Conn, isResponse bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
+	chunks, stopped := make(chan chunk, maxDelayedChunks), make(chan struct{})
+	defer close(stopped)
+	go p.readChunks(l, source, chunks, stopped)
+	for c := range chunks {
+		time.Sleep(time.Until(c.due))
+		if !p.write(l, target, c, isResponse) {
+			return
+		}
+	}
+}
+
+// readChunks reads from the source until an error occurs or stopped is closed.
+func (p *Proxy) readChunks(l *link, source net.Conn, chunks chan<- chunk, stopped <-chan struct{}) {
+	defer close(chunks)
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := source.Read(buffer)
 		if p.effectiveMode(l) == Delay {
 			time.Sleep(forwardDelay)
 		}
-		mode := p.effectiveMode(l)
-		dropped := mode == MuteExisting || mode == Blackhole || (mode == DropResponses && isResponse)
-		if n > 0 && !dropped {
-			if _, writeErr := target.Write(buffer[:n]); writeErr != nil {
-				return
-			}
-		}
-		if err == io.EOF && !dropped {
-			if tcp, ok := target.(*net.TCPConn); ok {
-				// The other direction may still be in use.
-				_ = tcp.CloseWrite()
-			}
+		select {
+		case chunks <- chunk{data: bytes.Clone(buffer[:n]), err: err, due: time.Now().Add(p.currentDelay())}:
+		case <-stopped:
 			return
 		}
 		if err != nil {
-			if mode != MuteExisting {
-				resetConn(target)
-			}
 			return
 		}
 	}
 }
 
+// write forwards what was read, unless the mode drops it, and reports whether the direction is still
+// open.
+func (p *Proxy) write(l *link, target net.Conn, c chunk, isResponse bool) bool {
+	mode := p.effectiveMode(l)
+	dropped := mode == MuteExisting || mode == Blackhole || (mode == DropResponses && isResponse)
+	if len(c.data) > 0 && !dropped {
+		if _, err := target.Write(c.data); err != nil {
+			return false
+		}
+	}
+	if c.err == io.EOF && !dropped {
+		if tcp, ok := target.(*net.TCPConn); ok {
+			// The other direction may still be in use.
+			_ = tcp.CloseWrite()
+		}
+		return false
+	}
+	if c.err != nil {
+		if mode != MuteExisting {
+			resetConn(target)
+		}
+		return false
+	}
+	return true
+}
+
 // forEachConn calls do with each connection of the link that exists. The mutex of the proxy must
 // be held.
 func (l *link) forEachConn(do func(net.Conn)) {
--- a/internal/lab/faultproxy/proxy_test.go
+++ b/internal/lab/faultproxy/proxy_test.go
@@ -122,3 +122,36 @@
 	_, err = server.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError(os.ErrDeadlineExceeded))
 }
+
+// Guards against a delay that also limits the throughput: a link between regions is long, not slow.
+func TestSetDelayDelaysWithoutLimitingThroughput(t *testing.T) {
+	g := NewWithT(t)
+	proxy, err := Start(startEchoServer(g))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer proxy.Close()
+	const delay, chunks = 30 * time.Millisecond, 20
+	proxy.SetDelay(delay)
+	conn, err := net.Dial("tcp", proxy.Address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(5 * time.Second))
+	start := time.Now()
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		for range chunks {
+			conn.Write([]byte("x"))
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	_, err = io.ReadFull(conn, make([]byte, chunks))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(time.Since(start)).To(And(BeNumerically(">=", 2*delay), BeNumerically("<", chunks*delay)))
+	<-sent
+	proxy.SetDelay(0)
+	start = time.Now()
+	conn.Write([]byte("y"))
+	_, err = io.ReadFull(conn, make([]byte, 1))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(time.Since(start)).To(BeNumerically("<", delay))
+}
