--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -121,8 +121,6 @@
 	transfer *stateTransfer
 	// storeFailures records when calls to the store last failed.
 	storeFailures storeFailures
-	// distances knows the regions of zones and how far away they are.
-	distances *distance.Table
 	// schedulers chooses runners for the requests of other routers, or asks other routers to choose
 	// for this one.
 	schedulers *schedulers
@@ -140,6 +138,8 @@
 	// cacheReader reads which prompt parts runners and cache stores hold, and sends the result to
 	// other routers.
 	cacheReader *cacheReader
+	// distances knows the regions of zones and learns the times between them.
+	distances *distance.Table
 	// versionRollouts moves services to other software versions.
 	versionRollouts *versionRollouts
 	// weightsNamed receives a value when a new version of a model's weights is named.
@@ -170,8 +170,9 @@
 		retryBudgets:    map[string]*admission.RetryBudget{},
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		weightsNamed:    make(chan struct{}, 1),
+		distances:       distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions}),
 	}
-	g.distances = distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions})
+	g.runners.UseDistances(g.distances)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	g.runners.SetRolloutTime(time.Duration(rolloutDeadlineShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
