--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,8 +122,6 @@
 	transfer *stateTransfer
 	// storeFailures records when calls to the store last failed.
 	storeFailures storeFailures
-	// distances knows the regions of zones and how far away they are.
-	distances *distance.Table
 	// schedulers chooses runners for the requests of other routers, or asks other routers to choose
 	// for this one.
 	schedulers *schedulers
@@ -141,6 +139,8 @@
 	// cacheReader reads which prompt parts runners and cache stores hold, and sends the result to
 	// other routers.
 	cacheReader *cacheReader
+	// distances knows the regions of zones and learns the times between them.
+	distances *distance.Table
 	// rolloutDriver moves services to other software versions.
 	rolloutDriver *rolloutdriver.Driver
 	// weightsNamed receives a value when a new version of a model's weights is named.
