versionrollout: account of exposure in numbers, beside the controller of shares

The share of requests permitted to a target version bounded the tests only: a version that turned bad at the promotion got all requests until the deadline.

The previous controller is renamed (ShareController, ShareExposure) and used until the driver has switched.

--- a/internal/gateway/rolloutlead.go
+++ b/internal/gateway/rolloutlead.go
@@ -25,8 +25,8 @@
 // rolloutLead is what the holder of the lease knows about a rollout that it leads. Nothing of it has
 // to survive its loss: the placers keep their counts and report them to the next leader.
 type rolloutLead struct {
-	controller *versionrollout.Controller
-	decision   versionrollout.Decision
+	controller *versionrollout.ShareController
+	decision   versionrollout.ShareDecision
 	// validUntil is when the leader's term ends unless it is renewed.
 	validUntil time.Time
 }
@@ -112,11 +112,11 @@
 // step lets the controller decide. The mutex must be held.
 func (v *versionRollouts) step(now time.Time, r *serviceRollout, targetListed bool, current term) {
 	if r.lead.controller == nil {
-		config := versionrollout.Config{Order: r.stored.Order, MaxShare: v.gateway.settings.ExposedShare, StartedAt: r.startedAt}
+		config := versionrollout.ShareConfig{Order: r.stored.Order, MaxShare: v.gateway.settings.ExposedShare, StartedAt: r.startedAt}
 		if r.promoted {
 			config.PromotedAt = now
 		}
-		r.lead.controller = versionrollout.NewController(config)
+		r.lead.controller = versionrollout.NewShareController(config)
 	}
 	controller := r.lead.controller
 	controller.TargetListed = controller.TargetListed || targetListed
--- a/internal/gateway/versionrollouts.go
+++ b/internal/gateway/versionrollouts.go
@@ -53,7 +53,7 @@
 	// store is away, and after it was restored from a backup.
 	state    versionrollout.State
 	promoted bool
-	exposure versionrollout.Exposure
+	exposure versionrollout.ShareExposure
 	counted  versionrollout.Report
 	latency  map[string]*usualLatency
 	lead     rolloutLead
--- /dev/null
+++ b/internal/versionrollout/account.go
@@ -0,0 +1,119 @@
+package versionrollout
+
+import "time"
+
+// account adds up how many requests to the target version have been allowed since the order. The sum
+// never falls: an allowance that was granted counts as spent for good, because the placer may have
+// used it without a report that says so. Allowances are raised in small steps, so little is lost by
+// that when a placer is lost or gets no more requests.
+type account struct {
+	// spentBefore is what earlier leaders had reserved. All of it counts as spent.
+	spentBefore uint64
+	// reserved is the number that the store has accepted, and asked the largest that this
+	// leader asked it to accept.
+	reserved, asked uint64
+	placers         map[Source]*placerAccount
+	// granted is the sum of what this leader allowed at all placers, and total that of their reports.
+	granted uint64
+	total   counts
+}
+
+// placerAccount is the part of the account for one run of a placer.
+type placerAccount struct {
+	report     Report
+	reportedAt time.Time
+	// previous is the report before, which tells the present rate of requests.
+	previousRequests   uint64
+	previousReportedAt time.Time
+	// exposedBefore is what the placer had reported before this leader's first grant to it. The
+	// reservations of earlier leaders cover it.
+	exposedBefore uint64
+	// allowance is the largest one granted by this leader, 0 if it granted none.
+	allowance uint64
+}
+
+func newAccount(reserved uint64) *account {
+	return &account{
+		spentBefore: reserved, reserved: reserved, asked: reserved, placers: map[Source]*placerAccount{},
+		total: counts{routes: map[string]RouteTally{}},
+	}
+}
+
+// record merges a report and returns by how much the placer's count of requests rose. The first report of a
+// placer counts as no rise: its requests may have come at any time before.
+func (a *account) record(now time.Time, source Source, report Report) (requests uint64) {
+	p := a.placers[source]
+	isFirst := p == nil
+	if isFirst {
+		p = &placerAccount{reportedAt: now, previousReportedAt: now}
+		a.placers[source] = p
+	}
+	before, granted := p.report, p.granted()
+	p.report = before.merge(report)
+	if now.After(p.reportedAt) {
+		p.previousRequests, p.previousReportedAt = before.Requests, p.reportedAt
+	}
+	p.reportedAt = now
+	if p.allowance == 0 {
+		p.exposedBefore = p.report.Exposed
+	}
+	a.granted += p.granted() - granted
+	a.total.add(before, p.report)
+	if isFirst {
+		p.previousRequests = p.report.Requests
+		return 0
+	}
+	return p.report.Requests - before.Requests
+}
+
+// recordReserved notes what the store holds. What goes beyond the number that this leader asked for
+// was reserved by another one, and counts as spent.
+func (a *account) recordReserved(total uint64) {
+	if total > a.asked {
+		a.spentBefore += total - a.asked
+		a.asked = total
+	}
+	a.reserved = max(a.reserved, total)
+}
+
+// granted returns how many requests this leader has allowed at the placer.
+func (p *placerAccount) granted() uint64 {
+	return max(p.allowance, p.report.Exposed) - p.exposedBefore
+}
+
+// used returns how many of them the placer has reported.
+func (p *placerAccount) used() uint64 { return p.report.Exposed - p.exposedBefore }
+
+func (p *placerAccount) isLive(now time.Time) bool {
+	return now.Sub(p.reportedAt) < PermitDuration
+}
+
+// allowed returns the upper bound on all requests to the target version that any leader allowed.
+func (a *account) allowed() uint64 { return a.spentBefore + a.granted }
+
+// spent returns the number of requests sent to the target version as far as it is known: what live
+// placers reported, and all that was allowed at others and by earlier leaders.
+func (a *account) spent(now time.Time) uint64 {
+	total := a.spentBefore
+	for _, p := range a.placers {
+		if p.isLive(now) {
+			total += p.used()
+		} else {
+			total += p.granted()
+		}
+	}
+	return total
+}
+
+// grant raises the placer's allowance to as much of the wanted one as the limit on the whole account
+// leaves, and returns it.
+func (a *account) grant(p *placerAccount, wanted, limit uint64) uint64 {
+	limit = min(limit, a.reserved)
+	total, current := a.allowed(), max(p.allowance, p.report.Exposed)
+	if wanted > current && total < limit {
+		added := min(wanted-current, limit-total)
+		p.allowance = current + added
+		a.granted += added
+	}
+	return p.allowance
+}
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -1,251 +1,509 @@
 package versionrollout
 
 import (
-	"fmt"
 	"maps"
-	"slices"
+	"math"
 	"time"
 )
 
 // Schedule of a rollout, as shares of its duration.
 const (
-	// secondStepAt and fullStepAt are when the share of the target version rises.
+	// secondStepAt and fullStepAt are when more of the budget for tests may be used.
 	secondStepAt = 0.08
 	fullStepAt   = 0.2
-	// decideAt is when a target version without evidence against it is promoted. The full step is
-	// longer than the others together, because some faults show late or under load only.
-	decideAt = 0.6
-	// evidenceAt is until when the decision waits for enough answers. What remains is for the
-	// promotion and a change of the leader.
-	evidenceAt = 0.7
-	// promotionShare bounds the time between the promotion and the end of the old version.
-	promotionShare = 0.15
+	// promoteAt is the earliest time of the promotion, as some faults show late or under load only.
+	promoteAt = 0.6
+	// answersAt is until when a promotion waits for minAnswers answers, if it could be made earlier.
+	answersAt = 0.8
 )
 
-// Shares of the permitted exposure in the first two steps.
 const (
+	// firstStepShare and secondStepShare are the parts of the budget for tests in the first two steps.
 	firstStepShare  = 0.25
 	secondStepShare = 0.5
-	// exposureMargin is the part of the bound that is used. The rest is for requests that were
-	// counted and reached no runner.
-	exposureMargin = 0.9
+	// budgetMargin is the part of the bound that is used. The rest is for requests that come faster
+	// than expected after the last promotion step.
+	budgetMargin = 0.9
+	// testPart is the part of the budget that is used for tests. The rest is for the promotion.
+	testPart = 0.2
+	// minAnswers is the number of answers of the target version for which the promotion waits.
+	minAnswers = 10
 )
 
-// maxPromotion is how long all traffic goes to the target version before the old runners may stop:
-// all routers know of the promotion by then, and most requests at old runners have ended.
-const maxPromotion = 2 * time.Second
-
-// minAnswers is the number of answers of the target version without which it isn't promoted.
-const minAnswers = 10
-
-// windowShare is the length of the window, as a share of the duration, in which answers are also
-// judged on their own. A version that turns bad late would otherwise be covered by its good start.
-const windowShare = 0.1
-
-// Phase is what routers do at present.
-type Phase uint8
-
-// The phases.
+// Timing of the leader.
 const (
-	// Testing sends a share of the requests to the target version.
-	Testing Phase = iota
-	// Promoting sends all requests to the target version, and the old runners still run.
-	Promoting
-	// Ended means that the state is final.
-	Ended
+	// usualInterval is the time between two steps, and between two reports of a placer.
+	usualInterval = 250 * time.Millisecond
+	// shortestInterval is the same when a promotion or the deadline is near. It is short enough for
+	// a rollout of some seconds, in which only some tenths of a second are left for the promotion.
+	shortestInterval = 25 * time.Millisecond
+	// reportLoad is the number of reports per second that the leader asks all placers for at most.
+	reportLoad = 2000
+	// reserveInterval is the minimum time between two reservations, each of which is a write to the store.
+	reserveInterval = 500 * time.Millisecond
+	// shortestEndLead and longestEndLead bound how long before the deadline the final state is decided.
+	// A write takes 5 to 100 ms.
+	shortestEndLead = 200 * time.Millisecond
+	longestEndLead  = 2 * time.Second
+	endLeadShare    = 0.02
 )
 
-// String returns the phase's name in logs.
-func (p Phase) String() string {
-	return [...]string{"testing", "promoting", "ended"}[p]
+// reserveSteps is the number of steps in which the expected bound is reserved. A change of the leader
+// costs at most one step of the budget.
+const reserveSteps = 20
+
+// Config is the configuration of a controller.
+type Config struct {
+	Order Order
+	// MaxShare is the share of the service's requests that a bad version may get, and Slack the
+	// number beyond this share.
+	MaxShare float64
+	Slack    float64
+	// EarliestStart and LatestStart bound the time at which the order was written.
+	EarliestStart, LatestStart time.Time
+	// Reserved is the number of requests to the target version that the store says earlier leaders have
+	// reserved.
+	Reserved uint64
+	// LeaderSince is when this router became the leader.
+	LeaderSince time.Time
+}
+
+// Capacity describes whether the target version can carry the service.
+type Capacity struct {
+	// TargetRunners is the number of listed runners of the target version, and TargetSlots how many
+	// requests they run at the same time.
+	TargetRunners, TargetSlots int
+	// Load is the number of requests of the service that run at the same time.
+	Load int
 }
 
+func (c Capacity) suffices() bool { return c.TargetRunners > 0 && c.TargetSlots >= c.Load }
+
 // Decision is the result of one step.
 type Decision struct {
 	Phase Phase
+	// State is the state to be stored. Succeeded may be withdrawn by a later step until it is stored;
+	// RolledBack stays.
 	State State
-	// Share is the share of the requests that the target version may get while it is tested.
+	// Share is the share of the requests that may test the target version.
 	Share float64
-	// Reason is why the rollout is promoted or rolled back, empty before.
+	// Reserve is the number to be reserved in the store, 0 if the stored one suffices.
+	Reserve uint64
+	// WakeAfter is how long the caller waits before the next step.
+	WakeAfter time.Duration
+	// Reason is why the rollout is promoted or has ended, or what it waits for.
 	Reason string
 }
 
-// Config is the configuration of a controller.
-type Config struct {
-	Order Order
-	// MaxShare is the share of the service's requests that a bad version may get.
-	MaxShare float64
-	// StartedAt is the earliest time at which the order may have been written.
-	StartedAt time.Time
-	// PromotedAt is when an earlier leader promoted the target version, zero if none did.
-	PromotedAt time.Time
+// Controller leads one rollout at the present leader. It is not safe for concurrent use.
+type Controller struct {
+	config   Config
+	account  *account
+	demand   *demand
+	history  *history
+	capacity Capacity
+	// schedulers holds the other schedulers, and when they were named.
+	schedulers map[string]time.Time
+	// isReady is set when each of them has reported or was silent.
+	isReady    bool
+	promotedAt time.Time
+	reservedAt time.Time
+	rolledBack string
+	forecast   forecast
+	decision   Decision
 }
 
-// snapshot is the sum of all reports at one time.
-type snapshot struct {
-	at     time.Time
-	routes map[string]RouteTally
+// NewController returns the controller of a leader that has no reports yet.
+func NewController(config Config) *Controller {
+	return &Controller{
+		config: config, account: newAccount(config.Reserved), demand: newDemand(config.Order.Duration),
+		schedulers: map[string]time.Time{}, decision: Decision{Phase: Waiting},
+	}
 }
 
-// Controller judges one rollout. It is not safe for concurrent use.
-type Controller struct {
-	config     Config
-	reports    map[Source]Report
-	snapshots  []snapshot
-	promotedAt time.Time
-	end        Decision
-	// TargetListed is set once a runner of the target version is known.
-	TargetListed bool
+// Report records the report of a placer, also of this router. Reports may arrive late and in any order.
+func (c *Controller) Report(now time.Time, source Source, report Report) {
+	c.demand.arrived += c.account.record(now, source, report)
 }
 
-// NewController returns a controller without reports.
-func NewController(config Config) *Controller {
-	return &Controller{config: config, reports: map[Source]Report{}, promotedAt: config.PromotedAt}
+// SetSchedulers names the other schedulers that should report.
+func (c *Controller) SetSchedulers(now time.Time, names []string) {
+	named := map[string]time.Time{}
+	for _, name := range names {
+		named[name] = now
+		if before, ok := c.schedulers[name]; ok {
+			named[name] = before
+		}
+	}
+	c.schedulers = named
 }
 
-// Report replaces the report of one router. The reports of its earlier runs keep counting.
-func (c *Controller) Report(source Source, report Report) { c.reports[source] = report }
+// SetCapacity sets what is known of the runners of the target version.
+func (c *Controller) SetCapacity(capacity Capacity) { c.capacity = capacity }
+
+// RecordReserved notes that the store holds the given reservation: because it has accepted the one of
+// a decision, or because another leader wrote it.
+func (c *Controller) RecordReserved(total uint64) { c.account.recordReserved(total) }
 
 // Totals returns the sum of all reports.
 func (c *Controller) Totals() Report {
-	total := Report{Routes: map[string]RouteTally{}}
-	for _, report := range c.reports {
-		total.Requests += report.Requests
-		total.Exposed += report.Exposed
-		for route, tally := range report.Routes {
-			total.Routes[route] = total.Routes[route].plus(tally)
-		}
-	}
+	current := c.counts(time.Time{})
+	return Report{Requests: current.requests, Exposed: current.exposed, Unjudged: current.unjudged, Routes: current.routes}
+}
+
+// Allowed returns the upper bound on the requests to the target version that were ever allowed, and
+// Budget the bound that it keeps to.
+func (c *Controller) Allowed() uint64 { return c.account.allowed() }
+
+// Budget returns the number of requests that may go to the target version at present.
+func (c *Controller) Budget() uint64 { return uint64(c.budget(c.account.total)) }
+
+// counts returns the sum of all reports.
+func (c *Controller) counts(now time.Time) counts {
+	total := c.account.total
+	total.at, total.routes = now, maps.Clone(total.routes)
 	return total
 }
 
-// Step decides what happens now. After a final state it returns the same decision again.
+func (c *Controller) budget(total counts) float64 {
+	return budgetMargin * (c.config.MaxShare*float64(total.requests) + c.config.Slack)
+}
+
+// earliestDeadline is the deadline for states, latestDeadline that for requests still to come.
+func (c *Controller) earliestDeadline() time.Time {
+	return c.config.EarliestStart.Add(c.config.Order.Duration)
+}
+
+func (c *Controller) latestDeadline() time.Time {
+	return c.config.LatestStart.Add(c.config.Order.Duration)
+}
+
+// endAt is when the final state is decided.
+func (c *Controller) endAt() time.Time {
+	lead := time.Duration(endLeadShare * float64(c.config.Order.Duration))
+	return c.earliestDeadline().Add(-min(max(lead, shortestEndLead), longestEndLead))
+}
+
+func (c *Controller) progress(now time.Time) float64 {
+	return now.Sub(c.config.EarliestStart).Seconds() / c.config.Order.Duration.Seconds()
+}
+
+// Step decides what happens now.
 func (c *Controller) Step(now time.Time) Decision {
-	if c.end.State.IsFinal() {
-		return c.end
+	if c.rolledBack != "" {
+		return c.decision
+	}
+	total := c.counts(now)
+	c.demand.sample(now)
+	if !c.updateReady(now) {
+		c.decision = Decision{Phase: Waiting, WakeAfter: c.interval(0), Reason: "waits for reports"}
+		return c.decision
+	}
+	if c.history == nil {
+		c.history = newHistory(c.config.Order.Duration, total)
 	}
-	total := c.Totals()
+	c.history.add(total)
 	if reason := c.condemnation(now, total); reason != "" {
-		return c.finish(RolledBack, reason)
+		c.rolledBack = reason
+		c.decision = Decision{Phase: Ended, State: RolledBack, Reason: reason}
+		return c.decision
 	}
-	c.addSnapshot(now, total)
-	progress := now.Sub(c.config.StartedAt).Seconds() / c.config.Order.Duration.Seconds()
-	switch {
-	case !c.promotedAt.IsZero():
-		return c.promote(now)
-	case progress < decideAt:
-		return Decision{Share: c.stepShare(progress)}
+	c.forecast = c.newForecast(now, total)
+	fits := c.forecast.untilFit
+	if c.promotedAt.IsZero() && c.mayPromote(now, total) && fits <= 0 {
+		c.promotedAt = now
 	}
-	return c.decide(now, progress, total)
-}
-
-func (c *Controller) stepShare(progress float64) float64 {
-	share := c.config.MaxShare * exposureMargin
-	switch {
-	case progress < secondStepAt:
-		return share * firstStepShare
-	case progress < fullStepAt:
-		return share * secondStepShare
+	next := Decision{Phase: Testing, Share: c.share(now, total), WakeAfter: c.wakeAfter(now, fits)}
+	if !c.promotedAt.IsZero() {
+		next.Phase, next.Share, next.Reason = Promoting, 0, "no worse so far"
+		if c.maySucceed(now, fits) {
+			next.State, next.Reason = Succeeded, "the target version is no worse than the old one"
+		}
 	}
-	return share
+	next.Reserve = c.reserve(now, total, fits)
+	c.decision = next
+	return c.decision
 }
 
-// decide promotes the target version or rolls it back, or waits for more answers.
-func (c *Controller) decide(now time.Time, progress float64, total Report) Decision {
-	if reason := worseRoute(total.Routes, finalDeviations); reason != "" {
-		return c.finish(RolledBack, reason)
-	}
-	answers := sum(total.Routes).Target.Answers
-	if answers < minAnswers && progress < evidenceAt {
-		return Decision{Share: c.stepShare(progress)}
+// updateReady reports whether each scheduler has reported to this leader or was silent for longer than a
+// permit lasts.
+func (c *Controller) updateReady(now time.Time) bool {
+	if c.isReady {
+		return true
 	}
-	switch {
-	case !c.TargetListed:
-		return c.finish(RolledBack, "no runner of the target version is listed")
-	case answers < minAnswers && total.Requests > 0:
-		return c.finish(RolledBack, fmt.Sprintf("only %d answers of the target version", answers))
+	if now.Sub(c.config.LeaderSince) < PermitDuration {
+		for name := range c.schedulers {
+			if !c.hasReported(name) {
+				return false
+			}
+		}
 	}
-	c.promotedAt = now
-	return c.promote(now)
+	c.isReady = true
+	return true
 }
 
-func (c *Controller) promote(now time.Time) Decision {
-	promotion := min(maxPromotion, time.Duration(promotionShare*float64(c.config.Order.Duration)))
-	if now.Sub(c.promotedAt) >= promotion {
-		return c.finish(Succeeded, "the target version is no worse than the old one")
+func (c *Controller) hasReported(router string) bool {
+	for source := range c.account.placers {
+		if source.Router == router {
+			return true
+		}
 	}
-	return Decision{Phase: Promoting, Reason: "no worse so far"}
+	return false
 }
 
-func (c *Controller) finish(state State, reason string) Decision {
-	c.end = Decision{Phase: Ended, State: state, Reason: reason}
-	return c.end
+// hearsPlacers reports whether what this leader knows of the service may be taken for all that there is:
+// another scheduler reports to it, or it places requests itself, or there is no other one.
+func (c *Controller) hearsPlacers(now time.Time, total counts) bool {
+	if len(c.schedulers) == 0 || total.requests > 0 {
+		return len(c.account.placers) > 0
+	}
+	for source, p := range c.account.placers {
+		if _, other := c.schedulers[source.Router]; other && p.isLive(now) {
+			return true
+		}
+	}
+	return false
 }
 
-// condemnation returns the reason why the target version is rolled back at once, or "".
-func (c *Controller) condemnation(now time.Time, total Report) string {
-	if reason := worseRoute(total.Routes, condemnDeviations); reason != "" {
+// condemnation returns the reason why the target version is rolled back now, or "".
+func (c *Controller) condemnation(now time.Time, total counts) string {
+	if reason := c.history.worse(total); reason != "" {
 		return reason
 	}
-	earlier := c.windowStart(now)
-	if earlier == nil {
+	if now.Before(c.endAt()) || !c.hearsPlacers(now, total) {
 		return ""
 	}
-	recent := map[string]RouteTally{}
-	for route, tally := range total.Routes {
-		before := earlier.routes[route]
-		recent[route] = RouteTally{Old: tally.Old.minus(before.Old), Target: tally.Target.minus(before.Target)}
+	if c.capacity.TargetRunners == 0 {
+		return "no runner of the target version is listed"
 	}
-	return worseRoute(recent, condemnDeviations)
+	return worseSince(counts{}, total, finalStrength)
+}
+
+// forecast is what the leader expects until the deadline, as of the last step.
+type forecast struct {
+	// rate is an upper bound on the rate of requests per second. It is not known in the first moments of a
+	// leader.
+	rate    float64
+	isKnown bool
+	// untilFit is how long it takes at this rate until the requests that can still come until the latest
+	// deadline fit into the budget, 0 if they do.
+	untilFit time.Duration
 }
 
-func (c *Controller) window() time.Duration {
-	return time.Duration(windowShare * float64(c.config.Order.Duration))
+func (c *Controller) newForecast(now time.Time, total counts) forecast {
+	rate, known := c.rate(now, total)
+	f := forecast{rate: rate, isKnown: known}
+	f.untilFit = c.timeUntilFit(now, total, f)
+	return f
 }
 
-// windowStart returns the last snapshot that is at least one window old, or nil.
-func (c *Controller) windowStart(now time.Time) *snapshot {
-	for i := range slices.Backward(c.snapshots) {
-		if now.Sub(c.snapshots[i].at) >= c.window() {
-			return &c.snapshots[i]
+// rate returns an upper bound on the rate of requests until the deadline, and false while too little is known.
+func (c *Controller) rate(now time.Time, total counts) (float64, bool) {
+	highest, known := c.demand.highestRecent()
+	if elapsed := now.Sub(c.config.EarliestStart); elapsed > 0 {
+		highest = max(highest, float64(total.requests)/elapsed.Seconds())
+	}
+	// Schedulers that don't report may place as many requests as the others.
+	live, silent := 0, 0
+	for _, p := range c.account.placers {
+		if p.isLive(now) {
+			live++
+		}
+	}
+	for name := range c.schedulers {
+		if !c.isLiveScheduler(now, name) {
+			silent++
 		}
 	}
-	return nil
+	return rateFactor * highest * (1 + float64(silent)/float64(max(live, 1))), known
 }
 
-// addSnapshot keeps the sum of the reports, at most four in a window.
-func (c *Controller) addSnapshot(now time.Time, total Report) {
-	if last := len(c.snapshots) - 1; last >= 0 && now.Sub(c.snapshots[last].at) < c.window()/4 {
-		return
+func (c *Controller) isLiveScheduler(now time.Time, name string) bool {
+	for source, p := range c.account.placers {
+		if source.Router == name && p.isLive(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) timeUntilFit(now time.Time, total counts, f forecast) time.Duration {
+	left := c.latestDeadline().Sub(now)
+	if left <= 0 {
+		return 0
+	}
+	if !f.isKnown {
+		return left
+	}
+	// Each request to come raises the budget as well. Requests since the last reports also come.
+	perRequest := 1 - budgetMargin*c.config.MaxShare
+	toCome := f.rate * (left + c.reportAge(now)).Seconds() * perRequest
+	excess := float64(c.account.spent(now)) + toCome - c.budget(total)
+	if excess <= 0 {
+		return 0
 	}
-	c.snapshots = append(c.snapshots, snapshot{at: now, routes: total.Routes})
-	for len(c.snapshots) > 1 && now.Sub(c.snapshots[1].at) >= c.window() {
-		c.snapshots = c.snapshots[1:]
+	return min(left, time.Duration(excess/(f.rate*perRequest)*float64(time.Second)))
+}
+
+// reportAge returns the mean age of the reports of live placers.
+func (c *Controller) reportAge(now time.Time) time.Duration {
+	var sum time.Duration
+	live := 0
+	for _, p := range c.account.placers {
+		if p.isLive(now) {
+			sum += now.Sub(p.reportedAt)
+			live++
+		}
 	}
+	return sum / time.Duration(max(live, 1))
 }
 
-func sum(routes map[string]RouteTally) (total RouteTally) {
-	for _, tally := range routes {
-		total = total.plus(tally)
+// mayPromote reports whether the evidence allows the promotion.
+func (c *Controller) mayPromote(now time.Time, total counts) bool {
+	progress := c.progress(now)
+	if progress < promoteAt || !c.hearsPlacers(now, total) || !c.capacity.suffices() {
+		return false
 	}
-	return total
+	tally := total.tally()
+	if total.requests > 0 && tally.Target.Answers < minAnswers && progress < answersAt {
+		return false
+	}
+	return worseSince(counts{}, total, finalStrength) == ""
 }
 
-// worseRoute describes the first route on which the target version is worse than the old one, or
-// all routes together. It returns "" if there is none.
-func worseRoute(routes map[string]RouteTally, deviations float64) string {
-	for _, route := range slices.Sorted(maps.Keys(routes)) {
-		if routes[route].isTargetWorse(deviations) {
-			return describe("route "+route, routes[route])
+// maySucceed reports whether the old runners may stop now.
+func (c *Controller) maySucceed(now time.Time, fits time.Duration) bool {
+	if now.Before(c.endAt()) || fits > 0 || !c.capacity.suffices() {
+		return false
+	}
+	for _, p := range c.account.placers {
+		if p.isLive(now) && !p.report.Promoted {
+			return false
 		}
 	}
-	if total := sum(routes); total.isTargetWorse(deviations) {
-		return describe("all routes", total)
+	return true
+}
+
+// stepPart returns which part of the budget for tests may be used at present.
+func (c *Controller) stepPart(now time.Time) float64 {
+	switch progress := c.progress(now); {
+	case progress < secondStepAt:
+		return firstStepShare
+	case progress < fullStepAt:
+		return secondStepShare
+	}
+	return 1
+}
+
+// testLimit returns how many requests may go to the target version before the promotion.
+func (c *Controller) testLimit(now time.Time, total counts) float64 {
+	limit := c.budget(total) * c.stepPart(now)
+	if c.forecast.untilFit <= 0 {
+		return limit
+	}
+	return limit * testPart
+}
+
+// expectedRequests returns the number of requests that are expected until the deadline at the mean rate.
+func (c *Controller) expectedRequests(now time.Time, total counts) float64 {
+	return float64(total.requests) / min(max(c.progress(now), 0.01), 1)
+}
+
+// share returns the share of requests that test the target version. Where a placer is expected to get so few
+// requests that this share of them is less than one or two, each request may test, as far as the
+// allowance goes.
+func (c *Controller) share(now time.Time, total counts) float64 {
+	expected := c.expectedRequests(now, total)
+	if expected == 0 {
+		return 0
+	}
+	if c.forecast.untilFit <= 0 {
+		return 1
+	}
+	share := c.stepPart(now) * testPart * budgetMargin * (c.config.MaxShare + c.config.Slack/expected)
+	if share*expected < 2*float64(len(c.account.placers)) {
+		return 1
+	}
+	return min(share, 1)
+}
+
+// reserve returns the number to be reserved in the store, 0 if nothing is to be written now.
+func (c *Controller) reserve(now time.Time, total counts, fits time.Duration) uint64 {
+	if !c.reservedAt.IsZero() && now.Sub(c.reservedAt) < reserveInterval {
+		return 0
+	}
+	step := (c.config.MaxShare*c.expectedRequests(now, total) + c.config.Slack) / reserveSteps
+	limit := c.testLimit(now, total)
+	if !c.promotedAt.IsZero() || fits < 2*reserveInterval && c.progress(now) >= promoteAt {
+		limit = c.budget(total)
+		step = max(step, c.forecast.rate*2*reserveInterval.Seconds())
+	}
+	allowed := float64(c.account.allowed())
+	wanted := uint64(min(allowed+step, max(limit, allowed)))
+	if c.isUnlimited(now) || wanted <= c.account.reserved || float64(c.account.reserved)-allowed > step/2 {
+		return 0
+	}
+	c.reservedAt = now
+	c.account.asked = max(c.account.asked, wanted)
+	return wanted
+}
+
+// isUnlimited reports whether the deadline has certainly passed, so that no request counts any more.
+func (c *Controller) isUnlimited(now time.Time) bool { return !now.Before(c.latestDeadline()) }
+
+// interval returns the time between two steps if something is expected to happen after the given time.
+func (c *Controller) interval(expected time.Duration) time.Duration {
+	shortest := max(shortestInterval, time.Duration(len(c.account.placers))*time.Second/reportLoad)
+	return min(max(expected/4, shortest), usualInterval)
+}
+
+// wakeAfter returns the time until the next step.
+func (c *Controller) wakeAfter(now time.Time, fits time.Duration) time.Duration {
+	untilEnd := max(c.endAt().Sub(now), 0)
+	if !c.promotedAt.IsZero() {
+		return c.interval(untilEnd)
 	}
-	return ""
+	untilPromotion := max(fits, c.config.EarliestStart.Add(time.Duration(promoteAt*float64(c.config.Order.Duration))).Sub(now))
+	return min(c.interval(untilPromotion), c.interval(untilEnd))
 }
 
-func describe(where string, tally RouteTally) string {
-	return fmt.Sprintf("%s: %d of %d answers of the target version were bad, %d of %d of the old one",
-		where, tally.Target.Bad, tally.Target.Answers, tally.Old.Bad, tally.Old.Answers)
+// Permit answers the report that the source has just made. It is the zero permit, which ends an earlier
+// one, if the source may send nothing to the target version.
+func (c *Controller) Permit(now time.Time, source Source) Permit {
+	permit := Permit{ReportAfter: c.decision.WakeAfter}
+	p := c.account.placers[source]
+	if p == nil || c.decision.Phase == Waiting || c.decision.Phase == Ended {
+		return permit
+	}
+	total := c.account.total
+	if c.decision.Phase == Promoting {
+		permit.Promoted = true
+		if c.isUnlimited(now) {
+			permit.Allowance = math.MaxUint64
+			return permit
+		}
+		permit.Allowance = c.account.grant(p, p.report.Exposed+c.expectedAt(now, p, total, 1), uint64(c.budget(total)))
+		return permit
+	}
+	permit.Share = c.decision.Share
+	permit.Allowance = c.account.grant(p, p.report.Exposed+c.expectedAt(now, p, total, permit.Share), uint64(c.testLimit(now, total)))
+	return permit
+}
+
+// expectedAt returns how many requests the placer is expected to send to the target version until it has had
+// time for four reports.
+func (c *Controller) expectedAt(now time.Time, p *placerAccount, total counts, share float64) uint64 {
+	rate := c.forecast.rate
+	if total.requests > 0 {
+		rate *= float64(p.report.Requests) / float64(total.requests)
+	}
+	if elapsed := p.reportedAt.Sub(p.previousReportedAt); elapsed > 0 {
+		rate = max(rate, float64(p.report.Requests-p.previousRequests)/elapsed.Seconds())
+	}
+	if share < 1 {
+		share *= 2
+	} else if c.promotedAt.IsZero() {
+		return 1
+	}
+	return 1 + uint64(min(share, 1)*rate*(4*c.decision.WakeAfter).Seconds())
 }
--- /dev/null
+++ b/internal/versionrollout/demand.go
@@ -0,0 +1,65 @@
+package versionrollout
+
+import "time"
+
+const (
+	// rateFactor is how much faster than the highest recent rate requests may come at any time
+	// until the deadline.
+	rateFactor = 2
+	// minRateWindow and maxRateWindow bound the time over which a rate is measured. Reports come
+	// each 250 ms, so a shorter one would measure the arrival of reports.
+	minRateWindow = 600 * time.Millisecond
+	maxRateWindow = 5 * time.Second
+	// recentWindows is the number of windows of which the highest rate counts.
+	recentWindows = 4
+)
+
+// demand measures the rate of requests at the service.
+type demand struct {
+	window time.Duration
+	// arrived is the number of requests that were reported since the leader began.
+	arrived uint64
+	samples []demandSample
+	rates   []rateSample
+}
+
+type demandSample struct {
+	at      time.Time
+	arrived uint64
+}
+
+type rateSample struct {
+	at   time.Time
+	rate float64
+}
+
+func newDemand(duration time.Duration) *demand {
+	return &demand{window: min(max(duration/20, minRateWindow), maxRateWindow)}
+}
+
+// sample notes the requests reported until now.
+func (d *demand) sample(now time.Time) {
+	if last := len(d.samples) - 1; last >= 0 && now.Sub(d.samples[last].at) < d.window/16 {
+		return
+	}
+	d.samples = append(d.samples, demandSample{at: now, arrived: d.arrived})
+	for len(d.samples) > 1 && now.Sub(d.samples[1].at) >= d.window {
+		d.samples = d.samples[1:]
+	}
+	first := d.samples[0]
+	if elapsed := now.Sub(first.at); elapsed >= d.window {
+		d.rates = append(d.rates, rateSample{at: now, rate: float64(d.arrived-first.arrived) / elapsed.Seconds()})
+	}
+	for len(d.rates) > 0 && now.Sub(d.rates[0].at) >= recentWindows*d.window {
+		d.rates = d.rates[1:]
+	}
+}
+
+// highestRecent returns the highest recent rate per second, and false before the first window has
+// passed.
+func (d *demand) highestRecent() (rate float64, known bool) {
+	for _, sample := range d.rates {
+		rate = max(rate, sample.rate)
+	}
+	return rate, len(d.rates) > 0
+}
--- a/internal/versionrollout/versionrollout_test.go
+++ b/internal/versionrollout/sharecontroller_test.go
@@ -10,8 +10,8 @@
 	"pgregory.net/rapid"
 )
 
-// quality is how a version of a simulated service answers.
-type quality struct {
+// shareQuality is how a version of a simulated service answers.
+type shareQuality struct {
 	name string
 	// badShare returns the share of bad answers of the target version.
 	badShare func(progress float64, route string, concurrent int) float64
@@ -31,8 +31,8 @@
 	badAnswersBefore = 50
 )
 
-func qualities() []quality {
-	return []quality{
+func shareQualities() []shareQuality {
+	return []shareQuality{
 		{name: "good", badShare: func(float64, string, int) float64 { return simulatedOldBad }, oldBadShare: simulatedOldBad, isGood: true},
 		{name: "bad at once", badShare: func(float64, string, int) float64 { return simulatedBad }, oldBadShare: simulatedOldBad},
 		{name: "bad late", oldBadShare: simulatedOldBad, badShare: func(progress float64, _ string, _ int) float64 {
@@ -57,9 +57,9 @@
 	}
 }
 
-// placer is a simulated router that places requests.
-type placer struct {
-	exposure Exposure
+// sharePlacer is a simulated router that places requests.
+type sharePlacer struct {
+	exposure ShareExposure
 	counted  Report
 	// nextAskAt is when it asks the leader next.
 	nextAskAt time.Time
@@ -67,27 +67,27 @@
 }
 
 // answer is a response that is still to come.
-type pendingAnswer struct {
+type sharePendingAnswer struct {
 	at     time.Time
-	from   *placer
+	from   *sharePlacer
 	route  string
 	target bool
 	bad    bool
 }
 
-// world simulates a rollout over several placers and one leader at a time.
-type world struct {
-	random     *rand.Rand
-	now, start time.Time
-	order      Order
-	quality    quality
-	placers    []*placer
-	controller *Controller
-	decision   Decision
+// shareWorld simulates a rollout over several placers and one leader at a time.
+type shareWorld struct {
+	random       *rand.Rand
+	now, start   time.Time
+	order        Order
+	shareQuality shareQuality
+	placers      []*sharePlacer
+	controller   *ShareController
+	decision     ShareDecision
 	// leaderLostAt is when the leader is lost, zero for never, and leaderlessUntil when the next
 	// one begins.
 	leaderLostAt, leaderlessUntil time.Time
-	pending                       []pendingAnswer
+	pending                       []sharePendingAnswer
 	requests                      int
 	exposed                       int
 	badAnswers                    int
@@ -98,23 +98,23 @@
 
 const simulatedShare = 0.1
 
-func newWorld(seed uint64, quality quality, placers int) *world {
+func newShareWorld(seed uint64, shareQuality shareQuality, placers int) *shareWorld {
 	start := time.Unix(1000, 0)
-	w := &world{random: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, quality: quality, order: Order{Service: "s", Target: "v2", Duration: 12 * time.Second}}
+	w := &shareWorld{random: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, shareQuality: shareQuality, order: Order{Service: "s", Target: "v2", Duration: 12 * time.Second}}
 	for range placers {
-		w.placers = append(w.placers, &placer{counted: Report{Routes: map[string]RouteTally{}}})
+		w.placers = append(w.placers, &sharePlacer{counted: Report{Routes: map[string]RouteTally{}}})
 	}
 	w.newLeader()
 	return w
 }
 
-func (w *world) newLeader() {
-	w.controller = NewController(Config{Order: w.order, MaxShare: simulatedShare, StartedAt: w.start})
+func (w *shareWorld) newLeader() {
+	w.controller = NewShareController(ShareConfig{Order: w.order, MaxShare: simulatedShare, StartedAt: w.start})
 	w.controller.TargetListed = true
-	w.decision = Decision{}
+	w.decision = ShareDecision{}
 }
 
-func (w *world) ask(i int, p *placer) {
+func (w *shareWorld) ask(i int, p *sharePlacer) {
 	if p.cutOff || w.now.Before(w.leaderlessUntil) || w.decision.State.IsFinal() {
 		return
 	}
@@ -128,7 +128,7 @@
 	}
 }
 
-func (w *world) place(p *placer) {
+func (w *shareWorld) place(p *sharePlacer) {
 	w.requests++
 	route := fmt.Sprintf("route %d", w.random.IntN(simulatedRoutes))
 	target := w.decision.Phase == Testing && p.exposure.Take(w.now)
@@ -140,19 +140,19 @@
 			concurrent++
 		}
 	}
-	share := w.quality.oldBadShare
+	share := w.shareQuality.oldBadShare
 	if target {
 		w.exposed++
 		p.counted.Exposed++
 		w.lastExposedAt = w.now
-		share = w.quality.badShare(w.now.Sub(w.start).Seconds()/w.order.Duration.Seconds(), route, concurrent)
+		share = w.shareQuality.badShare(w.now.Sub(w.start).Seconds()/w.order.Duration.Seconds(), route, concurrent)
 	}
 	took := time.Duration(20+w.random.IntN(160)) * time.Millisecond
-	w.pending = append(w.pending, pendingAnswer{at: w.now.Add(took), from: p, route: route, target: target, bad: w.random.Float64() < share})
+	w.pending = append(w.pending, sharePendingAnswer{at: w.now.Add(took), from: p, route: route, target: target, bad: w.random.Float64() < share})
 }
 
-func (w *world) deliver() {
-	var open []pendingAnswer
+func (w *shareWorld) deliver() {
+	var open []sharePendingAnswer
 	for _, answer := range w.pending {
 		if answer.at.After(w.now) {
 			open = append(open, answer)
@@ -173,7 +173,7 @@
 	w.pending = open
 }
 
-func (w *world) countBad(target bool) {
+func (w *shareWorld) countBad(target bool) {
 	if !target {
 		return
 	}
@@ -184,7 +184,7 @@
 }
 
 // run plays the whole duration with the rate of requests a second.
-func (w *world) run(rate float64) {
+func (w *shareWorld) run(rate float64) {
 	for w.now.Before(w.start.Add(w.order.Duration)) {
 		w.now = w.now.Add(simulatedTick)
 		w.deliver()
@@ -212,11 +212,11 @@
 	}
 }
 
-func TestRolloutOfAnyVersionKeepsItsBounds(t *testing.T) {
+func TestShareRolloutOfAnyVersionKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		quality := rapid.SampledFrom(qualities()).Draw(t, "quality")
-		w := newWorld(rapid.Uint64().Draw(t, "seed"), quality, rapid.SampledFrom([]int{1, 3, 30}).Draw(t, "placers"))
+		shareQuality := rapid.SampledFrom(shareQualities()).Draw(t, "shareQuality")
+		w := newShareWorld(rapid.Uint64().Draw(t, "seed"), shareQuality, rapid.SampledFrom([]int{1, 3, 30}).Draw(t, "placers"))
 		if rapid.Bool().Draw(t, "cut off") {
 			w.placers[0].cutOff = true
 		}
@@ -225,53 +225,53 @@
 		}
 		w.run(rapid.Float64Range(150, 800).Draw(t, "rate"))
 		g.Expect(float64(w.exposed)).To(BeNumerically("<=", simulatedShare*float64(w.requests)+simulatedSlack), "exposure")
-		if !w.fiftiethBadAt.IsZero() && !quality.isGood {
+		if !w.fiftiethBadAt.IsZero() && !shareQuality.isGood {
 			g.Expect(w.lastExposedAt).To(BeTemporally("<=", w.fiftiethBadAt.Add(rollbackLimit)), "requests after the 50th bad answer")
 		}
 		g.Expect(w.endedAt.IsZero()).To(BeFalse(), "a final state before the deadline")
 	})
 }
 
-// verdicts plays each quality with many seeds and returns the shares of final states that are
+// shareVerdicts plays each shareQuality with many seeds and returns the shares of final states that are
 // right.
-func verdicts(t *testing.T, placers int, leaderLoss bool) map[string]float64 {
+func shareVerdicts(t *testing.T, placers int, leaderLoss bool) map[string]float64 {
 	t.Helper()
 	const plays = 60
 	right := map[string]float64{}
-	for _, quality := range qualities() {
+	for _, shareQuality := range shareQualities() {
 		for seed := range plays {
-			w := newWorld(uint64(seed), quality, placers)
+			w := newShareWorld(uint64(seed), shareQuality, placers)
 			if leaderLoss {
 				w.leaderLostAt = w.start.Add(w.order.Duration / 4)
 			}
 			w.run(400)
-			if (w.decision.State == Succeeded) == quality.isGood && w.decision.State.IsFinal() {
-				right[quality.name] += 1.0 / plays
+			if (w.decision.State == Succeeded) == shareQuality.isGood && w.decision.State.IsFinal() {
+				right[shareQuality.name] += 1.0 / plays
 			}
 		}
 	}
 	return right
 }
 
-func TestVerdicts(t *testing.T) {
+func TestShareVerdicts(t *testing.T) {
 	for _, placers := range []int{1, 3, 30} {
 		for _, leaderLoss := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d placers, leader lost %v", placers, leaderLoss), func(t *testing.T) {
 				t.Parallel()
 				g := NewWithT(t)
-				right := verdicts(t, placers, leaderLoss)
+				right := shareVerdicts(t, placers, leaderLoss)
 				t.Log(right)
-				for _, quality := range qualities() {
-					g.Expect(right[quality.name]).To(BeNumerically(">=", 0.95), quality.name)
+				for _, shareQuality := range shareQualities() {
+					g.Expect(right[shareQuality.name]).To(BeNumerically(">=", 0.95), shareQuality.name)
 				}
 			})
 		}
 	}
 }
 
-func TestPermitRunsOut(t *testing.T) {
+func TestSharePermitRunsOut(t *testing.T) {
 	g := NewWithT(t)
-	now, e := time.Unix(1000, 0), Exposure{}
+	now, e := time.Unix(1000, 0), ShareExposure{}
 	e.Permit(now, 1)
 	e.CountRequest(now)
 	e.CountRequest(now)
@@ -282,11 +282,11 @@
 	g.Expect(e.Take(now)).To(BeFalse())
 }
 
-func TestExposureOfManyRoutersAddsUp(t *testing.T) {
+func TestShareExposureOfManyRoutersAddsUp(t *testing.T) {
 	g := NewWithT(t)
 	for _, routers := range []int{3, 81, 1000} {
 		requests, exposed := 0, 0
-		exposures := make([]Exposure, routers)
+		exposures := make([]ShareExposure, routers)
 		random := rand.New(rand.NewPCG(7, uint64(routers)))
 		now := time.Unix(1000, 0)
 		for i := range exposures {
@@ -305,23 +305,23 @@
 	}
 }
 
-func TestTargetWithoutRunnersOrAnswersIsRolledBack(t *testing.T) {
+func TestShareTargetWithoutRunnersOrAnswersIsRolledBack(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(1000, 0)
 	order := Order{Service: "s", Target: "v2", Duration: 10 * time.Second}
-	c := NewController(Config{Order: order, MaxShare: simulatedShare, StartedAt: start})
+	c := NewShareController(ShareConfig{Order: order, MaxShare: simulatedShare, StartedAt: start})
 	g.Expect(c.Step(start.Add(5 * time.Second)).State).To(Equal(Running))
 	g.Expect(c.Step(start.Add(7*time.Second)).State).To(Equal(RolledBack), "no runner is listed")
-	c = NewController(Config{Order: order, MaxShare: simulatedShare, StartedAt: start})
+	c = NewShareController(ShareConfig{Order: order, MaxShare: simulatedShare, StartedAt: start})
 	c.TargetListed = true
 	c.Report(Source{Router: "r"}, Report{Requests: 500, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: 500}}}})
 	g.Expect(c.Step(start.Add(7*time.Second)).State).To(Equal(RolledBack), "there is traffic, but no answer of the target version")
 }
 
-func TestFinalStateStays(t *testing.T) {
+func TestShareFinalStateStays(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(1000, 0)
-	c := NewController(Config{Order: Order{Service: "s", Target: "v2", Duration: 10 * time.Second}, MaxShare: simulatedShare, StartedAt: start})
+	c := NewShareController(ShareConfig{Order: Order{Service: "s", Target: "v2", Duration: 10 * time.Second}, MaxShare: simulatedShare, StartedAt: start})
 	c.TargetListed = true
 	c.Report(Source{Router: "r"}, Report{Requests: 200, Exposed: 20, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: 180}, Target: Tally{Answers: 20, Bad: 20}}}})
 	g.Expect(c.Step(start.Add(time.Second)).State).To(Equal(RolledBack))
@@ -329,7 +329,7 @@
 	g.Expect(c.Step(start.Add(9 * time.Second)).State).To(Equal(RolledBack))
 }
 
-func TestOrdersThatCannotBeCarriedOut(t *testing.T) {
+func TestShareOrdersThatCannotBeCarriedOut(t *testing.T) {
 	g := NewWithT(t)
 	valid := Order{Service: "s", Target: "v2", Duration: time.Minute}
 	g.Expect(valid.Check(true)).To(Succeed())
@@ -346,10 +346,10 @@
 
 // Guards against a good start that covers what comes later: the recent answers are judged on their
 // own.
-func TestVersionThatTurnsBadLate(t *testing.T) {
+func TestShareVersionThatTurnsBadLate(t *testing.T) {
 	g := NewWithT(t)
 	start := time.Unix(1000, 0)
-	c := NewController(Config{Order: Order{Service: "s", Target: "v2", Duration: 20 * time.Second}, MaxShare: simulatedShare, StartedAt: start})
+	c := NewShareController(ShareConfig{Order: Order{Service: "s", Target: "v2", Duration: 20 * time.Second}, MaxShare: simulatedShare, StartedAt: start})
 	c.TargetListed = true
 	counted := RouteTally{}
 	for i := range 100 {
--- a/internal/versionrollout/versionrollout.go
+++ b/internal/versionrollout/versionrollout.go
@@ -1,10 +1,14 @@
 // Package versionrollout decides how the traffic of a service moves to another version of its
-// runners. A Controller judges the new version by the answers of both versions and sets the share of
-// the requests that it may get. An Exposure, one at each router that places requests, turns
-// that share into single requests.
+// runners. A Controller, at the elected leader, judges the target version by the answers of both
+// versions and allows requests to it in numbers. An Exposure, one at each placer (a router that places
+// requests), keeps to the number allowed there. Outcomes, also at each placer, turns the ends of
+// requests into the counts by which the versions are compared.
 //
-// The package has no I/O and no clock. The leader is elected elsewhere: any number of controllers
-// may exist, and only the permits of one are used at a time.
+// The sum of all numbers that leaders ever handed out is at most the number reserved in the
+// store, and at most a share of the requests reported so far. Lost messages, leaders and placers can
+// therefore make a rollout slower, but can't raise the number of requests to the target version.
+//
+// The package has no I/O and no clock.
 package versionrollout
 
 import (
@@ -59,6 +63,28 @@
 // IsFinal reports whether the rollout has ended.
 func (s State) IsFinal() bool { return s != Running }
 
+// Phase is what routers do at present.
+type Phase uint8
+
+// The phases.
+const (
+	// Testing sends a share of the requests to the target version.
+	Testing Phase = iota
+	// Promoting sends all requests to the target version as far as the allowances last, and the
+	// old runners still run.
+	Promoting
+	// Ended means that the state is final.
+	Ended
+	// Waiting is the time in which a new leader collects reports. Nothing goes to the target
+	// version.
+	Waiting
+)
+
+// String returns the phase's name in logs.
+func (p Phase) String() string {
+	return [...]string{"testing", "promoting", "ended", "waiting"}[p]
+}
+
 // Tally counts the answers of one version.
 type Tally struct {
 	Answers uint64
@@ -75,9 +101,18 @@
 	return Tally{Answers: t.Answers - min(earlier.Answers, t.Answers), Bad: t.Bad - min(earlier.Bad, t.Bad)}
 }
 
+// larger returns the larger of each count.
+func (t Tally) larger(other Tally) Tally {
+	return Tally{Answers: max(t.Answers, other.Answers), Bad: max(t.Bad, other.Bad)}
+}
+
 // RouteTally counts the answers of both versions on one route.
 type RouteTally struct{ Old, Target Tally }
 
+func (t RouteTally) minus(earlier RouteTally) RouteTally {
+	return RouteTally{Old: t.Old.minus(earlier.Old), Target: t.Target.minus(earlier.Target)}
+}
+
 func (t RouteTally) plus(other RouteTally) RouteTally {
 	return RouteTally{Old: t.Old.plus(other.Old), Target: t.Target.plus(other.Target)}
 }
@@ -87,7 +122,14 @@
 	// Requests is the number of requests placed at the service, and Exposed how many of them went
 	// to the target version.
 	Requests, Exposed uint64
-	Routes            map[string]RouteTally
+	// Unjudged is how many of the exposed requests ended without evidence (see Outcomes). Exposed
+	// requests that neither are in Routes nor ended this way are still open.
+	Unjudged uint64
+	// Promoted is set while the router's permit sends all requests to the target version.
+	Promoted bool
+	// OpenOld is the number of open requests that the router placed at other versions.
+	OpenOld uint64
+	Routes  map[string]RouteTally
 }
 
 // Clone returns a copy that shares nothing with the report.
@@ -96,6 +138,22 @@
 	return r
 }
 
+// merge returns the larger of each count of two reports of one source, which may have arrived in any
+// order, and what else the other one says.
+func (r Report) merge(other Report) Report {
+	merged := other.Clone()
+	merged.Requests = max(r.Requests, other.Requests)
+	merged.Exposed = max(r.Exposed, other.Exposed)
+	merged.Unjudged = max(r.Unjudged, other.Unjudged)
+	if merged.Routes == nil {
+		merged.Routes = map[string]RouteTally{}
+	}
+	for route, tally := range r.Routes {
+		merged.Routes[route] = RouteTally{Old: tally.Old.larger(other.Routes[route].Old), Target: tally.Target.larger(other.Routes[route].Target)}
+	}
+	return merged
+}
+
 // Source identifies one run of a router that reports.
 type Source struct {
 	Router      string
