--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -25,8 +25,8 @@
 // lead is what the holder of the lease knows about a rollout that it leads. Nothing of it has
 // to survive its loss: the placers keep their counts and report them to the next leader.
 type lead struct {
-	controller *versionrollout.Controller
-	decision   versionrollout.Decision
+	controller *versionrollout.ShareController
+	decision   versionrollout.ShareDecision
 	// validUntil is when the leader's term ends unless it is renewed.
 	validUntil time.Time
 }
@@ -108,11 +108,11 @@
 // step lets the controller decide. The mutex must be held.
 func (d *Driver) step(now time.Time, r *serviceRollout, targetListed bool, validUntil time.Time) {
 	if r.lead.controller == nil {
-		config := versionrollout.Config{Order: r.stored.Order, MaxShare: d.config.MaxShare, StartedAt: r.startedAt}
+		config := versionrollout.ShareConfig{Order: r.stored.Order, MaxShare: d.config.MaxShare, StartedAt: r.startedAt}
 		if r.promoted {
 			config.PromotedAt = now
 		}
-		r.lead.controller = versionrollout.NewController(config)
+		r.lead.controller = versionrollout.NewShareController(config)
 	}
 	controller := r.lead.controller
 	controller.TargetListed = controller.TargetListed || targetListed
