--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -78,6 +78,11 @@
 	// TargetVersion is the only software version that may get the request, empty for the versions
 	// that the service's rule allows.
 	TargetVersion string
+	// Testing is set if the request tests the target version. It then goes to few runners of it.
+	Testing bool
+	// Fallback is set if the request may go to the target version only because no runner of the
+	// other versions is left. It isn't counted as allowed there.
+	Fallback bool
 	// Route is the request's route while a rollout of its service runs, otherwise empty.
 	Route string
 }
--- a/internal/backend/sample.go
+++ b/internal/backend/sample.go
@@ -118,7 +118,7 @@
 
 // IsSampled reports whether choices for the query look at a sample of the runners.
 func (s *Set) IsSampled(query Query) bool {
-	return len(s.byService[query.Service]) > maxScannedRunners && query.TargetVersion == ""
+	return len(s.byService[query.Service]) > maxScannedRunners && !query.Testing
 }
 
 // NextScope returns the scope for another try after no runner of a sample could take the request: all
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -47,6 +47,15 @@
 // response began.
 func (s *Send) Tokens() int { return s.tokens }
 
+// RunnerIncarnation returns the ID of the runner that the request was sent to, and the incarnation, 0 if
+// it is unknown.
+func (s *Send) RunnerIncarnation() (id string, incarnation uint64) {
+	if s.entry != nil {
+		incarnation = s.entry.Incarnation
+	}
+	return s.runner, incarnation
+}
+
 // SentAt returns when the request was placed on the runner.
 func (s *Send) SentAt() time.Time { return s.sentAt }
 
--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"time"
 )
 
 // VersionRule restricts which software versions of a service's runners get requests. The zero
@@ -19,7 +21,7 @@
 }
 
 // SetVersionRules replaces the rules of all services. exposedShare is the largest share of a
-// service's requests that names a version.
+// service's requests that tests a version.
 func (s *Set) SetVersionRules(rules map[string]VersionRule, exposedShare float64) {
 	s.versionRules, s.exposedShare = rules, exposedShare
 }
@@ -43,7 +45,40 @@
 	return s.versionRules[e.Service].allows(e.SoftwareVersion)
 }
 
-// allowedEntries returns the service's runners to which the request may go. Requests that name a
+// VersionLoad compares the runners of one version of a service with the others.
+type VersionLoad struct {
+	// Runners is the number of runners of the version that are not leaving, Slots how many requests they
+	// run at the same time, and OtherSlots the same for the other versions.
+	Runners, Slots, OtherSlots int
+	// Open is the number of open requests of the service, as far as this router knows, and
+	// PlacedAtOthers how many of those that it placed itself are at other versions.
+	Open, PlacedAtOthers int
+}
+
+// VersionLoad returns the load of the service and what its runners of the version can carry.
+func (s *Set) VersionLoad(now time.Time, service, version string) (load VersionLoad) {
+	for _, e := range s.byService[service] {
+		load.Open += e.inFlight + s.peerLoad(now, e.ID).Requests
+		switch {
+		case e.SoftwareVersion != version:
+			load.PlacedAtOthers += e.inFlight
+			if !e.isLeaving() {
+				load.OtherSlots += e.Slots
+			}
+		case !e.isLeaving():
+			load.Runners++
+			load.Slots += e.Slots
+		}
+	}
+	return load
+}
+
+// HaveVersion reports whether one of the runners has the software version.
+func (s *Set) HaveVersion(ids []string, version string) bool {
+	return slices.ContainsFunc(ids, func(id string) bool { return s.entries[id] != nil && s.entries[id].SoftwareVersion == version })
+}
+
+// allowedEntries returns the service's runners to which the request may go. Requests that test a
 // version go to so few of its runners that each has as much load as the runners of the other
 // versions have: some faults show only under load.
 func (s *Set) allowedEntries(query Query) []*entry {
@@ -57,7 +92,7 @@
 			allowed = append(allowed, e)
 		}
 	}
-	if query.TargetVersion != "" {
+	if query.Testing {
 		others := len(all) - len(allowed)
 		allowed = allowed[:min(len(allowed), max(1, int(math.Ceil(s.exposedShare*float64(others)))))]
 	}
