--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -86,7 +86,7 @@
 mutant "11 a state transfer is requested only once" internal/gateway/statetransfer.go 's/transferTimeout = 10 \* time.Second/transferTimeout = time.Nanosecond/' ./internal/gateway -run LearnsFromLateSeeds
 mutant "12 permits of the leader never run out" internal/versionrollout/exposure.go 's/PermitDuration = time.Second/PermitDuration = time.Hour/' ./internal/gateway -run 'SchedulerThatIsCutOffFromTheLeader'
 mutant "12 versions without an order get requests" internal/rolloutdriver/driver.go 's/rules\[service\] = backend.VersionRule\{Only: base\}/_ = base/' ./internal/gateway -run NewVersionWithoutOrder
-mutant "12 slow answers are good" internal/rolloutdriver/driver.go 's/if failed \|\| slow/if failed/' ./internal/gateway -run SlowVersionIsRolledBack
+mutant "12 slow answers are good" internal/versionrollout/outcomes.go 's/ \|\| isSlow \{/ {/' ./internal/gateway -run SlowVersionIsRolledBack
 mutant "12 a lost final state is not written again" internal/rolloutdriver/lead.go 's/return r.stored.Status == nil \|\| !r.stored/return !r.state.IsFinal() \&\& !r.stored/' ./internal/gateway -run FinalStateIsWrittenAgain
 mutant "12 the share of a router is not counted" internal/versionrollout/exposure.go 's/\te.credit--\n//' ./internal/versionrollout -run 'ExposureOfManyRouters'
 mutant "12 only the whole rollout is judged" internal/versionrollout/controller.go 's/if now.Sub\(c.snapshots\[i\].at\) >= c.window\(\)/if false/' ./internal/versionrollout -run 'TestVersionThatTurnsBadLate'
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -87,6 +87,8 @@
 	// hasUnusedRetry is set while a retry that the call has withdrawn from the budget has not been
 	// sent to a runner yet.
 	hasUnusedRetry bool
+	// lastNotSent is set if the last attempt reached no runner.
+	lastNotSent bool
 	// lastFailure is the last failure returned by a runner. It is forwarded if no later attempt
 	// succeeds.
 	lastFailure *bufferedResponse
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -200,6 +200,7 @@
 	g.spawn(g.cacheReader.run)
 	g.spawn(g.cacheReader.shareLoop)
 	g.spawn(g.schedulers.loadReportLoop)
+	g.spawn(func() { g.rolloutDriver.LeadLoop(g.ctx) })
 	if g.peerRouters.transport != nil {
 		g.spawn(func() { g.rolloutDriver.ReportLoop(g.ctx) })
 	}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -60,6 +60,7 @@
 		outdated := l.rollout.countOutdated()
 		leadsRollouts := l.gateway.rolloutDriver.NeedsLeader()
 		if outdated == 0 && !leadsRollouts {
+			l.gateway.rolloutDriver.SetTerm(time.Time{})
 			l.outdatedRunners = 0
 			l.setHoldsLease(0, false)
 			continue
@@ -70,10 +71,12 @@
 		}
 		token, held := l.acquireOrRenew()
 		l.setHoldsLease(token, held)
-		if held {
-			l.rollout.startUpdates(l.term(token))
-			l.gateway.rolloutDriver.LeadAll(l.gateway.ctx, l.candidate.ValidUntil())
+		if !held {
+			l.gateway.rolloutDriver.SetTerm(time.Time{})
+			continue
 		}
+		l.gateway.rolloutDriver.SetTerm(l.candidate.ValidUntil())
+		l.rollout.startUpdates(l.term(token))
 	}
 }
 
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -20,49 +20,31 @@
 // the request was refused only because its tenant exceeds its fair share. The gateway's mutex must
 // be held.
 //
-// The request may test the target version of a rollout, and then names that version afterwards.
+// The request may go to the target version of a rollout, and then names that version afterwards.
 func (g *Gateway) placeRequest(now time.Time, query *backend.Query, timeLeft time.Duration) (chosen placement.Pick, queueLimit admission.QueueLimit, refusedForShare bool) {
-	if target := g.rolloutDriver.TakeExposure(now, *query, g.runners); target != "" {
-		query.TargetVersion = target
-		chosen, queueLimit, refusedForShare = g.placeRequestWithExcess(now, *query, timeLeft, g.fairShares.excess(now, *query))
-		if chosen.Status == placement.Picked {
-			g.rolloutDriver.RecordPlaced(now, *query)
-			return chosen, queueLimit, refusedForShare
-		}
-		query.TargetVersion = ""
-		g.rolloutDriver.ReturnExposure(query.Service)
-	}
-	chosen, queueLimit, refusedForShare = g.placeRequestWithExcess(now, *query, timeLeft, g.fairShares.excess(now, *query))
-	if chosen.Status == placement.Picked {
-		g.rolloutDriver.RecordPlaced(now, *query)
-	}
-	return chosen, queueLimit, refusedForShare
+	return g.placeRequestWithExcess(now, query, timeLeft, g.fairShares.excess(now, *query))
 }
 
 // placeRequestWithExcess is placeRequest for a tenant with the given excess over its fair share.
-func (g *Gateway) placeRequestWithExcess(now time.Time, query backend.Query, timeLeft time.Duration, excess float64) (chosen placement.Pick, queueLimit admission.QueueLimit, refusedForShare bool) {
-	request, candidates := g.runners.Candidates(now, query)
+func (g *Gateway) placeRequestWithExcess(now time.Time, query *backend.Query, timeLeft time.Duration, excess float64) (chosen placement.Pick, queueLimit admission.QueueLimit, refusedForShare bool) {
 	admissionRequest := admission.Request{
 		Service: query.Service, Rank: query.Rank, LatencyTarget: query.LatencyTarget, MaxQueue: query.MaxQueueTime, TimeLeft: timeLeft,
 		Excess: excess, Ticket: query.Ticket,
 	}
-	queueLimit = g.loadShedder.QueueLimit(now, admissionRequest, totalLoad(candidates))
-	request.MaxWait = queueLimit.MaxQueue
-	chosen = placement.Choose(request, candidates, placementWeights, g.random)
-	if chosen.Status != placement.Picked && g.runners.IsSampled(query) {
-		request, candidates = g.runners.CandidatesIn(now, query, g.runners.NextScope(now))
-		request.MaxWait = queueLimit.MaxQueue
-		chosen = placement.Choose(request, candidates, placementWeights, g.random)
+	if query.TargetVersion == "" {
+		chosen, queueLimit = g.chooseForRollout(now, query, admissionRequest)
+	} else {
+		chosen, queueLimit = g.chooseRunner(now, *query, admissionRequest, nil)
 	}
-	if chosen.Status == placement.AllHeldBack {
-		chosen.RetryAfter = g.heldBackRetryAfter(now, query.Service, request.HeldBack)
+	if chosen.Status == placement.Picked {
+		g.rolloutDriver.RecordPlaced(now, *query)
 	}
 	if chosen.Status == placement.NoRunner || chosen.Status == placement.AllHeldBack {
 		return chosen, queueLimit, false
 	}
 	refused := chosen.Status == placement.Overloaded
 	refusedForShare = refused && chosen.QueueWait <= queueLimit.MaxQueueAtFairShare
-	g.fairShares.recordChoice(now, query, chosen, refusedForShare)
+	g.fairShares.recordChoice(now, *query, chosen, refusedForShare)
 	reservedRetryAfter := g.loadShedder.RecordDecision(now, admissionRequest, chosen.QueueWait, refused, max(chosen.RetryAfter, busyRetryAfter))
 	switch {
 	case refusedForShare:
@@ -75,6 +57,56 @@
 	return chosen, queueLimit, refusedForShare
 }
 
+// chooseForRollout chooses a runner of the version to which a rollout sends the request, if there is one,
+// and otherwise one of the versions that the service's rule allows. The queue limit is asked for once: it
+// uses up the caller's retry reservation.
+func (g *Gateway) chooseForRollout(now time.Time, query *backend.Query, admissionRequest admission.Request) (chosen placement.Pick, queueLimit admission.QueueLimit) {
+	target := g.rolloutDriver.TakeTarget(now, *query, g.runners)
+	query.TargetVersion, query.Testing = target.Version, target.Testing
+	chosen, queueLimit = g.chooseRunner(now, *query, admissionRequest, nil)
+	if chosen.Status != placement.Picked && target.IsCounted() {
+		g.rolloutDriver.ReturnTarget(query.Service, target)
+		query.TargetVersion, query.Testing = "", false
+		chosen, _ = g.chooseRunner(now, *query, admissionRequest, &queueLimit)
+	}
+	if chosen.Status != placement.NoRunner {
+		return chosen, queueLimit
+	}
+	if version := g.rolloutFallback(*query); version != "" {
+		query.TargetVersion, query.Fallback = version, true
+		chosen, _ = g.chooseRunner(now, *query, admissionRequest, &queueLimit)
+	}
+	return chosen, queueLimit
+}
+
+// rolloutFallback returns the version to which the request may go if no runner of the other versions is
+// left, and else "".
+func (g *Gateway) rolloutFallback(query backend.Query) string {
+	return g.rolloutDriver.Fallback(query, func(target string) bool { return g.runners.HaveVersion(query.Excluded, target) })
+}
+
+// chooseRunner chooses a runner that the query allows, within the queue limit. It asks for the limit if
+// there is none yet.
+func (g *Gateway) chooseRunner(now time.Time, query backend.Query, admissionRequest admission.Request, known *admission.QueueLimit) (chosen placement.Pick, queueLimit admission.QueueLimit) {
+	request, candidates := g.runners.Candidates(now, query)
+	if known != nil {
+		queueLimit = *known
+	} else {
+		queueLimit = g.loadShedder.QueueLimit(now, admissionRequest, totalLoad(candidates))
+	}
+	request.MaxWait = queueLimit.MaxQueue
+	chosen = placement.Choose(request, candidates, placementWeights, g.random)
+	if chosen.Status != placement.Picked && g.runners.IsSampled(query) {
+		request, candidates = g.runners.CandidatesIn(now, query, g.runners.NextScope(now))
+		request.MaxWait = queueLimit.MaxQueue
+		chosen = placement.Choose(request, candidates, placementWeights, g.random)
+	}
+	if chosen.Status == placement.AllHeldBack {
+		chosen.RetryAfter = g.heldBackRetryAfter(now, query.Service, request.HeldBack)
+	}
+	return chosen, queueLimit
+}
+
 // totalLoad returns the total load and capacity of the candidates that are not leaving.
 func totalLoad(candidates []placement.Candidate) admission.Load {
 	load := admission.Load{}
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -175,18 +175,18 @@
 // release tells the scheduler that its choice is not used. The outcome is NotConfirmed because the
 // time since the choice was mostly spent receiving the request body and is no evidence about the
 // runner.
-func (s *schedulers) release(p *placementChoice) { s.notify(p, true, backend.NotConfirmed, 0, 0) }
+func (s *schedulers) release(p *placementChoice) {
+	s.notify(p, &wire.SendNotice{Ended: true, Outcome: uint32(backend.NotConfirmed)})
+}
 
-// notify tells the scheduler that the send got its first response or ended, which weight version
-// answered, if known, and the backoff that the runner requested, if any. If the notice is lost, the
+// notify tells the scheduler that the send got its first response or ended. If the notice is lost, the
 // scheduler drops the send after its deadline.
-func (s *schedulers) notify(p *placementChoice, ended bool, outcome backend.Outcome, weightVersion uint64, backoff time.Duration) {
+func (s *schedulers) notify(p *placementChoice, notice *wire.SendNotice) {
 	if p == nil || p.overloaded || p.heldBack {
 		return
 	}
-	_ = s.gateway.peerRouters.transport.Send("", p.scheduler, &wire.Envelope{Body: &wire.Envelope_SendNotice{
-		SendNotice: &wire.SendNotice{Send: p.sendNumber, Ended: ended, Outcome: uint32(outcome), Weights: weightVersion, RestMillis: uint32(backoff.Milliseconds())},
-	}})
+	notice.Send = p.sendNumber
+	_ = s.gateway.peerRouters.transport.Send("", p.scheduler, &wire.Envelope{Body: &wire.Envelope_SendNotice{SendNotice: notice}})
 }
 
 // startPlacement requests a runner for the next send. For the first send it does so while the
--- a/internal/gateway/rolloutports.go
+++ b/internal/gateway/rolloutports.go
@@ -16,7 +16,9 @@
 
 func newRolloutDriver(g *Gateway) *rolloutdriver.Driver {
 	ports := &rolloutPorts{gateway: g}
-	config := rolloutdriver.Config{Node: g.settings.Node, MaxShare: g.settings.ExposedShare}
+	config := rolloutdriver.Config{
+		Node: g.settings.Node, Incarnation: uint64(g.startedAt.UnixMilli()), MaxShare: g.settings.ExposedShare, Slack: g.settings.ExposedSlack,
+	}
 	return rolloutdriver.New(config, rolloutdriver.Ports{
 		Runners: ports, Services: ports, Schedulers: ports, Peers: ports, Store: ports, Log: g.log, Clock: g.ports.Clock, Spawn: g.spawn,
 	})
@@ -29,6 +31,13 @@
 	return p.gateway.runners.VersionCounts(service)
 }
 
+// VersionLoad implements rolloutdriver.Runners.
+func (p *rolloutPorts) VersionLoad(service, version string) backend.VersionLoad {
+	p.gateway.mutex.Lock()
+	defer p.gateway.mutex.Unlock()
+	return p.gateway.runners.VersionLoad(p.gateway.now(), service, version)
+}
+
 // SetVersionRules implements rolloutdriver.Runners.
 func (p *rolloutPorts) SetVersionRules(rules map[string]backend.VersionRule, exposedShare float64) {
 	p.gateway.mutex.Lock()
@@ -53,6 +62,9 @@
 // OtherSchedulers implements rolloutdriver.Schedulers.
 func (p *rolloutPorts) OtherSchedulers() []string { return p.gateway.schedulers.otherSchedulers() }
 
+// SelfAddress implements rolloutdriver.Schedulers.
+func (p *rolloutPorts) SelfAddress() string { return p.gateway.settings.PeerAddress }
+
 // CallPeer implements rolloutdriver.Peers.
 func (p *rolloutPorts) CallPeer(ctx context.Context, address string, message *wire.Envelope) (*wire.Envelope, error) {
 	return p.gateway.peerRouters.transport.Call(ctx, "", address, message)
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -9,6 +9,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/peers"
 	"github.com/clovertiller/clovertiller/internal/placement"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -151,7 +152,7 @@
 	if notice.GetEnded() {
 		if query, send, found := s.placedSends.Get(key); found {
 			s.gateway.fairShares.refund(s.gateway.now(), query, send, outcome)
-			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send.SentAt(), outcome)
+			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send, rolloutdriver.SendEnd{Outcome: outcome, NotSent: notice.GetNotSent(), ConnectionLost: notice.GetConnectionLost()})
 		}
 		s.placedSends.AvoidRunner(s.gateway.now(), key, time.Duration(notice.GetRestMillis())*time.Millisecond)
 		s.placedSends.End(s.gateway.now(), key, outcome)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,8 +12,10 @@
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/storerev"
+	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 // fetchedTokenCost is the placement cost of a prompt token that a runner fetches from a cache,
@@ -103,6 +105,11 @@
 // itself. It also returns who chose. The gateway's mutex must be held.
 func (c *call) chooseRunner(now time.Time, choice *placementChoice) (chosen placement.Pick, placedBy string) {
 	g := c.gateway
+	if target := c.unreachableFallback(); target != "" {
+		// The scheduler doesn't know that the runners which this router tried were unreachable.
+		g.schedulers.release(choice)
+		choice, c.query.TargetVersion, c.query.Fallback = nil, target, true
+	}
 	if chosen, accepted := c.acceptChoice(now, choice); accepted {
 		g.metrics.runnerChoices.WithLabelValues(chosenByScheduler).Inc()
 		return chosen, choice.scheduler
@@ -113,10 +120,20 @@
 	return chosen, chosenLocally
 }
 
+// unreachableFallback returns the target version of a rollout if the call may go there because its last
+// attempts could not be sent, and else "". The gateway's mutex must be held.
+func (c *call) unreachableFallback() string {
+	if c.attemptState.Attempt() == 0 || !c.lastNotSent {
+		return ""
+	}
+	return c.gateway.rolloutFallback(c.query)
+}
+
 // send sends the call to c.runner and forwards the response.
 func (c *call) send() attempt.Action {
 	defer c.releaseSendContext()
 	c.attemptState.BeginDispatch(c.runner.ID)
+	c.lastNotSent = false
 	c.responseWeightVersion, c.requestedBackoff = 0, 0
 	c.sentAt = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
@@ -236,6 +253,9 @@
 // accounting, the runner table and the scheduler that chose the runner.
 func (c *call) recordOutcome(outcome backend.Outcome, runOutcome quarantine.RunOutcome) {
 	g := c.gateway
+	end := rolloutdriver.SendEnd{
+		Outcome: outcome, NotSent: outcome == backend.Unreachable && runOutcome == quarantine.NotRun, ConnectionLost: runOutcome == quarantine.ConnectionLost,
+	}
 	c.recordRunOutcome(runOutcome)
 	g.mutex.Lock()
 	c.preventWithdrawal()
@@ -243,12 +263,15 @@
 		g.fairShares.refund(c.gateway.now(), c.query, c.currentSend, outcome)
 	}
 	if c.schedulerChoice == nil && !c.continuing && g.rolloutDriver.IsPlacer() {
-		g.rolloutDriver.RecordOutcome(c.gateway.now(), c.query, c.currentSend.SentAt(), outcome)
+		g.rolloutDriver.RecordOutcome(c.gateway.now(), c.query, c.currentSend, end)
 	}
 	g.runners.End(c.gateway.now(), c.currentSend, outcome)
 	g.runners.AvoidFor(c.gateway.now(), c.currentSend, c.requestedBackoff)
 	g.mutex.Unlock()
-	g.schedulers.notify(c.schedulerChoice, true, outcome, c.responseWeightVersion, c.requestedBackoff)
+	g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{
+		Ended: true, Outcome: uint32(outcome), Weights: c.responseWeightVersion, RestMillis: uint32(c.requestedBackoff.Milliseconds()),
+		NotSent: end.NotSent, ConnectionLost: end.ConnectionLost,
+	})
 	c.schedulerChoice = nil
 }
 
@@ -260,7 +283,7 @@
 	}
 	if !c.currentSend.Responded() && c.route.Kind == routing.Streaming {
 		// For other responses, the notification of the end follows immediately.
-		g.schedulers.notify(c.schedulerChoice, false, backend.Succeeded, c.responseWeightVersion, 0)
+		g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{Weights: c.responseWeightVersion})
 	}
 	g.mutex.Lock()
 	now := c.gateway.now()
@@ -284,6 +307,7 @@
 		return c.handleWithdrawn(errors.Is(err, httpconn.ErrNotSent))
 	}
 	if errors.Is(err, httpconn.ErrNotSent) {
+		c.lastNotSent = true
 		c.endAttempt(backend.Unreachable, quarantine.NotRun, err.Error(), 0)
 		return c.attemptState.NotSent()
 	}
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -86,19 +86,20 @@
 			g.runners.Begin(now, fmt.Sprint(i), 0) // most of its slots are occupied
 		}
 	}
-	chosen, _, forShare := g.placeRequestWithExcess(now, tenantQuery("hot"), time.Minute, excess)
+	hot, calm := tenantQuery("hot"), tenantQuery("calm")
+	chosen, _, forShare := g.placeRequestWithExcess(now, &hot, time.Minute, excess)
 	e.Expect(chosen.Status).To(Equal(placement.Overloaded))
 	e.Expect(forShare).To(BeTrue())
 	e.Expect(chosen.RetryAfter).To(Equal(g.fairShares.tracker.RecoveryTime(excess)), "not before its usage has decayed to its share")
-	chosen, _, forShare = g.placeRequestWithExcess(now, tenantQuery("calm"), time.Minute, 1)
+	chosen, _, forShare = g.placeRequestWithExcess(now, &calm, time.Minute, 1)
 	e.Expect(chosen.Status).To(Equal(placement.Picked))
 	e.Expect(forShare).To(BeFalse())
 	idle := newSharingGateway("hot", "calm")
-	chosen, _, _ = idle.placeRequestWithExcess(now, tenantQuery("hot"), time.Minute, excess)
+	chosen, _, _ = idle.placeRequestWithExcess(now, &hot, time.Minute, excess)
 	e.Expect(chosen.Status).To(Equal(placement.Picked), "no refusal without queueing")
 	admitted := tenantQuery("hot")
 	admitted.MaxQueueTime = 0
-	chosen, _, _ = g.placeRequestWithExcess(now, admitted, time.Minute, excess)
+	chosen, _, _ = g.placeRequestWithExcess(now, &admitted, time.Minute, excess)
 	e.Expect(chosen.Status).To(Equal(placement.Picked), "admitted requests are not refused")
 }
 
--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
@@ -35,6 +36,8 @@
 	stop       chan struct{}
 	callers    sync.WaitGroup
 	orderedAt  time.Time
+	// proxies forward the messages of other routers to each router, in the order of the routers.
+	proxies []*faultproxy.Proxy
 }
 
 // newRolloutFleet starts routers, of which up to three are seeds, and runners of both versions. The
@@ -46,14 +49,17 @@
 	for i := range runnersPerPart {
 		f.old = append(f.old, f.runner(fmt.Sprintf("old-%d", i), "plain"))
 	}
-	var addresses []string
+	var addresses, bindAddresses []string
 	for range routers {
-		addresses = append(addresses, loopback.FreeAddress())
+		bindAddresses = append(bindAddresses, loopback.FreeAddress())
+		f.proxies = append(f.proxies, f.proxyTo(bindAddresses[len(bindAddresses)-1]))
+		addresses = append(addresses, f.proxies[len(f.proxies)-1].Address)
 	}
 	seeds := addresses[:min(3, routers)]
 	for i, address := range addresses {
 		f.routers = append(f.routers, f.router(fmt.Sprintf("r%d", i), func(settings *gateway.Settings) {
-			settings.PeerAddress, settings.Seeds, settings.ExposedShare = address, seeds, rolloutShare
+			settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = address, bindAddresses[i], seeds
+			settings.ExposedShare, settings.ExposedSlack = rolloutShare, rolloutSlack
 		}))
 	}
 	for _, r := range f.routers {
@@ -80,8 +86,10 @@
 }
 
 // load sends requests through the routers until endLoad or the end of the test.
-func (f *rolloutFleet) load(routers []*router) {
-	const callers, pause = 12, 20 * time.Millisecond
+func (f *rolloutFleet) load(routers []*router) { f.loadWith(routers, 12, 20*time.Millisecond) }
+
+// loadWith is load with the given number of callers and their pause between two requests.
+func (f *rolloutFleet) loadWith(routers []*router, callers int, pause time.Duration) {
 	for i := range callers {
 		f.callers.Go(func() {
 			for n := i; ; n++ {
@@ -109,6 +117,38 @@
 	f.callers.Wait()
 }
 
+// stopOldRunnersAtSuccess stops the old runners at once when the rollout has succeeded, as the operator
+// does.
+func (f *rolloutFleet) stopOldRunnersAtSuccess() {
+	f.callers.Go(func() {
+		for f.state() != "succeeded" {
+			select {
+			case <-f.stop:
+				return
+			case <-time.After(2 * time.Millisecond):
+			}
+		}
+		for _, runner := range f.old {
+			runner.Close()
+			f.store.Delete(platform.KindRunners, runner.ID)
+		}
+	})
+}
+
+// turnBad makes the new version fail all requests after the time since the order.
+func (f *rolloutFleet) turnBad(after time.Duration) {
+	f.callers.Go(func() {
+		select {
+		case <-f.stop:
+			return
+		case <-time.After(time.Until(f.orderedAt.Add(after))):
+		}
+		for _, runner := range f.fresh {
+			runner.SetBehaviour(runnerstand.Fails)
+		}
+	})
+}
+
 // state returns the stored state of the rollout, "" if there is none.
 func (f *rolloutFleet) state() string {
 	object, _ := f.store.Get(platform.KindRollouts, "plain")
--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -5,8 +5,8 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -16,29 +16,23 @@
 	"github.com/clovertiller/clovertiller/internal/versionrollout"
 )
 
-// Parameters for judging the latency of answers.
-const (
-	// slowFactor is how many times the usual latency of the old version on the same route makes an
-	// answer count as slow.
-	slowFactor = 3
-	// latencySmoothing is the weight of one answer in the usual latency.
-	latencySmoothing = 0.05
-	// minLatencyAnswers is the number of answers before which the usual latency is not known.
-	minLatencyAnswers = 5
-)
+// maxClockSkew is how far the wall clocks of two machines are assumed to differ at most. They are
+// compared only by routers that learn of an order from its status.
+const maxClockSkew = 100 * time.Millisecond
 
 // Config is the configuration of a driver.
 type Config struct {
-	// Node is the name of this router.
-	Node string
-	// MaxShare is the share of a service's requests that a bad version may get. If it is 0, services
-	// can't be moved.
-	MaxShare float64
+	// Node is the name of this router, and Incarnation differs for each start of it.
+	Node        string
+	Incarnation uint64
+	// MaxShare is the share of a service's requests that a bad version may get, and Slack the number
+	// beyond this share. If the share is 0, services can't be moved.
+	MaxShare, Slack float64
 }
 
 // Driver applies the operator's orders to move services to other software versions at this
-// router: which versions get requests, which requests test a target version, and how they end.
-// Requests test it only where they are placed by a router that holds a permit of the leader, so a
+// router: which versions get requests, which requests go to a target version, and how they end.
+// Requests go there only where they are placed by a router that holds a permit of the leader, so a
 // router that is cut off from the leader, or is no scheduler, sends none there.
 type Driver struct {
 	config Config
@@ -46,9 +40,13 @@
 	// rulesMutex serializes updates of the rules, so that older rules never replace newer ones. It is
 	// locked before the mutex and before those of the ports.
 	rulesMutex sync.Mutex
+	// leadWake and reportWake end the wait of LeadLoop and ReportLoop.
+	leadWake, reportWake chan struct{}
 	// mutex guards the fields below. It may be locked while the mutex of the table of runners is
 	// held, but not the other way round.
 	mutex sync.Mutex
+	// termEnd is when this router's term as the leader ends unless it is renewed, zero without one.
+	termEnd time.Time
 	// byService holds the valid order of each service.
 	byService map[string]*serviceRollout
 	// rejected holds the orders that can't be carried out under the current configuration, by name.
@@ -62,43 +60,47 @@
 	name     string
 	stored   StoredRollout
 	revision storerev.Revision
-	// startedAt is the earliest time at which the order may have been written.
-	startedAt time.Time
-	// state and promoted are the newest known. They are ahead of the stored status while the
+	// earliestStart and latestStart bound the time at which the order was written.
+	earliestStart, latestStart time.Time
+	// learnedAt is when this router learned of the order. Requests placed before do not count.
+	learnedAt time.Time
+	// state and reserved are the newest known. They are ahead of the stored status while the
 	// store is away, and after it was restored from a backup.
 	state    versionrollout.State
-	promoted bool
-	exposure versionrollout.ShareExposure
-	counted  versionrollout.Report
-	latency  map[string]*usualLatency
+	reason   string
+	reserved uint64
+	placer   placer
 	lead     lead
-}
-
-// usualLatency is the moving average of the logarithm of the old version's latency on one route.
-type usualLatency struct {
-	answers int
-	meanLog float64
-}
-
-func (l *usualLatency) record(latency time.Duration) {
-	l.answers++
-	weight := max(latencySmoothing, 1/float64(l.answers))
-	l.meanLog += weight * (math.Log(latency.Seconds()) - l.meanLog)
-}
-
-// isSlow reports whether the latency is several times the usual one.
-func (l *usualLatency) isSlow(latency time.Duration) bool {
-	return l.answers >= minLatencyAnswers && latency.Seconds() > slowFactor*math.Exp(l.meanLog)
+	// write is the status that is being written, nil if none is.
+	write *statusWrite
+	// writeAfter is when the next write may start after one that failed.
+	writeAfter time.Time
 }
 
 // New returns a driver without orders.
 func New(config Config, ports Ports) *Driver {
-	return &Driver{config: config, ports: ports, byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, baseVersions: map[string]string{}}
+	return &Driver{
+		config: config, ports: ports, leadWake: make(chan struct{}, 1), reportWake: make(chan struct{}, 1),
+		byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, baseVersions: map[string]string{},
+	}
 }
 
 // isEnabled reports whether services may be moved on this deployment.
 func (d *Driver) isEnabled() bool { return d.config.MaxShare > 0 }
 
+// writer identifies this run of the router in statuses.
+func (d *Driver) writer() string {
+	return d.config.Node + "/" + strconv.FormatUint(d.config.Incarnation, 10)
+}
+
+// wake ends the wait of a loop.
+func wake(loop chan struct{}) {
+	select {
+	case loop <- struct{}{}:
+	default:
+	}
+}
+
 // Retain removes the orders whose objects are missing from a complete list of names.
 func (d *Driver) Retain(names []string) {
 	d.mutex.Lock()
@@ -125,27 +127,48 @@
 		d.ports.Log.Log(events.RolloutRejected, events.Fields{"name": object.Name, "service": order.Service, "target": order.Target, "duration_ms": order.Duration.Milliseconds(), "reason": err.Error()})
 		return
 	}
-	startedAt := d.startTime(object)
+	earliestStart, latestStart := d.startTimes(object)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	delete(d.rejected, object.Name)
 	known := d.byService[order.Service]
 	if known == nil || known.stored.Order != order || known.name != object.Name {
-		known = &serviceRollout{
-			name: object.Name, startedAt: startedAt, latency: map[string]*usualLatency{},
-			counted: versionrollout.Report{Routes: map[string]versionrollout.RouteTally{}},
-		}
+		known = &serviceRollout{name: object.Name, earliestStart: earliestStart, latestStart: latestStart, learnedAt: d.ports.Clock.Now()}
 		d.byService[order.Service] = known
 		d.ports.Log.Log(events.RolloutOrdered, events.Fields{"service": order.Service, "target": order.Target, "duration_ms": order.Duration.Milliseconds(), "revision": object.Revision.Number()})
+		wake(d.leadWake)
 	}
 	if object.Revision < known.revision {
 		return
 	}
-	known.stored, known.revision = *object.Rollout, object.Revision
-	if status := object.Rollout.Status; status != nil {
-		known.promoted = known.promoted || !status.PromotedAt.IsZero()
-		d.enterState(known, status.State, status.Reason)
+	d.applyStored(known, *object.Rollout, object.Revision)
+}
+
+// applyStored replaces what is known to be stored. The mutex must be held.
+func (d *Driver) applyStored(r *serviceRollout, stored StoredRollout, revision storerev.Revision) {
+	if !r.isOwnWrite(stored.Status) && !sameStatus(r.stored.Status, stored.Status) {
+		// Another leader wrote it, or the store was restored. A new account takes all that was
+		// reserved as spent.
+		r.lead.controller = nil
+	}
+	r.stored, r.revision = stored, revision
+	status := stored.Status
+	if status == nil {
+		return
 	}
+	r.reserved = max(r.reserved, status.Reserved)
+	if r.lead.controller != nil {
+		r.lead.controller.RecordReserved(r.reserved)
+	}
+	d.enterState(r, status.State, status.Reason)
+}
+
+// sameStatus reports whether the two statuses are equal or both missing.
+func sameStatus(a, b *Status) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.State == b.State && a.Reserved == b.Reserved && a.Promoted == b.Promoted && a.Writer == b.Writer && a.Uncounted == b.Uncounted
 }
 
 // ApplyConfigChange checks the rejected orders again and updates the rules under a new configuration.
@@ -164,18 +187,27 @@
 	return slices.Contains(services, service)
 }
 
-// startTime returns the earliest time at which the order may have been written.
-func (d *Driver) startTime(object Object) time.Time {
+// startTimes returns the earliest and the latest time at which the order may have been written.
+func (d *Driver) startTimes(object Object) (earliest, latest time.Time) {
 	now := d.ports.Clock.Now()
 	if status := object.Rollout.Status; status != nil && !status.StartedAt.IsZero() {
 		// The wall clock may jump.
 		elapsed := min(max(time.Since(status.StartedAt), 0), object.Rollout.Order.Duration)
-		return now.Add(-elapsed)
+		earliest = now.Add(-elapsed)
+		latest = earliest.Add(status.StartUncertainty + maxClockSkew)
+		return earliest.Add(-maxClockSkew), earlier(latest, now)
 	}
 	if written := d.ports.Store.LatestBefore(object.Revision); !written.IsZero() && written.Before(now) {
-		return written
+		return written, now
+	}
+	return now, now
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return now
+	return b
 }
 
 // enterState records a state. A final one stays. The mutex must be held.
@@ -183,15 +215,16 @@
 	if r.state == state || r.state.IsFinal() {
 		return
 	}
-	r.state = state
-	r.exposure.Revoke()
+	r.state, r.reason = state, reason
+	r.placer.exposure.Revoke()
 	d.ports.Log.Log(events.RolloutEnded, events.Fields{"service": r.stored.Order.Service, "target": r.stored.Order.Target, "state": state.String(), "reason": reason})
 }
 
-// rule returns which versions get requests under the order.
+// rule returns which versions get the requests that name none. While the service is moved, the
+// requests for the target version name it.
 func (r *serviceRollout) rule() backend.VersionRule {
 	target := r.stored.Order.Target
-	if r.state == versionrollout.Succeeded || (r.promoted && r.state != versionrollout.RolledBack) {
+	if r.state == versionrollout.Succeeded {
 		return backend.VersionRule{Only: target}
 	}
 	return backend.VersionRule{Excluded: target}
@@ -249,118 +282,3 @@
 	}
 	return base
 }
-
-// IsPlacer reports whether requests that this router places are counted as evidence.
-func (d *Driver) IsPlacer() bool { return d.ports.Schedulers.IsPlacer() }
-
-// RouteName returns the name of the call's route if answers are counted by route, and else "".
-func (d *Driver) RouteName(service, route string) string {
-	if !d.isEnabled() {
-		return ""
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if r := d.byService[service]; r == nil || r.state.IsFinal() {
-		return ""
-	}
-	return route
-}
-
-// TakeExposure returns the target version if the request is to test it, and else "". The mutex of
-// the table of runners may be held; the caller passes the table for this reason.
-func (d *Driver) TakeExposure(now time.Time, query backend.Query, runners VersionCounter) string {
-	if !d.isEnabled() || len(query.Excluded) > 0 || !d.ports.Schedulers.IsPlacer() {
-		return ""
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	r := d.byService[query.Service]
-	if r == nil || r.state.IsFinal() || r.promoted {
-		return ""
-	}
-	if !r.exposure.Take(now) {
-		return ""
-	}
-	target := r.stored.Order.Target
-	if runners.VersionCounts(query.Service)[target] == 0 {
-		r.exposure.Return()
-		return ""
-	}
-	return target
-}
-
-// ReturnExposure returns what TakeExposure took for a request that was not placed.
-func (d *Driver) ReturnExposure(service string) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if r := d.byService[service]; r != nil {
-		r.exposure.Return()
-	}
-}
-
-// RecordPlaced counts a request that was placed. Retries are not counted.
-func (d *Driver) RecordPlaced(now time.Time, query backend.Query) {
-	if !d.isEnabled() {
-		return
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	r := d.byService[query.Service]
-	if r == nil || r.state.IsFinal() || len(query.Excluded) > 0 {
-		return
-	}
-	r.exposure.CountRequest(now)
-	r.counted.Requests++
-	if query.TargetVersion != "" {
-		r.counted.Exposed++
-	}
-}
-
-// MaySend reports whether a request that names a version may still be sent there, given when it was
-// permitted.
-func (d *Driver) MaySend(now time.Time, query backend.Query, permittedAt time.Time) bool {
-	if query.TargetVersion == "" {
-		return true
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	r := d.byService[query.Service]
-	return r != nil && r.state != versionrollout.RolledBack && r.stored.Order.Target == query.TargetVersion && now.Sub(permittedAt) < versionrollout.PermitDuration
-}
-
-// RecordOutcome counts the end of a request that this router placed.
-func (d *Driver) RecordOutcome(now time.Time, query backend.Query, sentAt time.Time, outcome backend.Outcome) {
-	if query.Route == "" {
-		return
-	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	r := d.byService[query.Service]
-	if r == nil || r.state.IsFinal() {
-		return
-	}
-	usual := r.latency[query.Route]
-	if usual == nil {
-		usual = &usualLatency{}
-		r.latency[query.Route] = usual
-	}
-	elapsed := now.Sub(sentAt)
-	failed := outcome == backend.Failed || outcome == backend.Unreachable
-	slow := usual.isSlow(elapsed)
-	switch {
-	case outcome == backend.Abandoned && !slow, outcome == backend.Refused, outcome == backend.NotConfirmed:
-		return
-	case outcome == backend.Succeeded && query.TargetVersion == "":
-		usual.record(max(elapsed, time.Millisecond))
-	}
-	tally := r.counted.Routes[query.Route]
-	counted := &tally.Old
-	if query.TargetVersion != "" || r.promoted {
-		counted = &tally.Target
-	}
-	counted.Answers++
-	if failed || slow {
-		counted.Bad++
-	}
-	r.counted.Routes[query.Route] = tally
-}
--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -6,29 +6,48 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/versionrollout"
-	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
-// Timing of the messages between placers and the leader of a rollout.
 const (
-	// reportInterval is how often a placer reports its counts while a rollout runs. Several
-	// reports fit into the validity of a permit.
-	reportInterval = 250 * time.Millisecond
-	// reportTimeout bounds one report.
-	reportTimeout = 400 * time.Millisecond
+	// idleLeadInterval is the time between two looks for rollouts to lead.
+	idleLeadInterval = 250 * time.Millisecond
+	// minLeadInterval bounds the time that a step asks for.
+	minLeadInterval = 10 * time.Millisecond
 	// statusTimeout bounds one write of a status.
 	statusTimeout = 800 * time.Millisecond
+	// writeRetryDelay is the delay after a write that failed.
+	writeRetryDelay = 250 * time.Millisecond
+	// unknownReservation counts as more than any budget. It stands for the requests that a previous
+	// build sends after its promotion, which nobody counts.
+	unknownReservation = 1 << 40
+	// previousBuildMargin is the part of the share of the bound that a previous build used for tests.
+	previousBuildMargin = 0.9
 )
 
-// lead is what the holder of the lease knows about a rollout that it leads. Nothing of it has
-// to survive its loss: the placers keep their counts and report them to the next leader.
+// lead is what the leader knows about a rollout. Nothing of it has to survive its loss: the placers keep
+// their counts and report them to the next leader, which takes all that was reserved as spent.
 type lead struct {
-	controller *versionrollout.ShareController
-	decision   versionrollout.ShareDecision
-	// validUntil is when the leader's term ends unless it is renewed.
-	validUntil time.Time
+	controller *versionrollout.Controller
+	decision   versionrollout.Decision
+	// reserve is the reservation to be written.
+	reserve uint64
+	// countsPrevious is set until the exposure that a previous build allowed is part of the account.
+	countsPrevious bool
+}
+
+// statusWrite is a status that is being written, and the controller that asked for it.
+type statusWrite struct {
+	status     Status
+	controller *versionrollout.Controller
+}
+
+// isOwnWrite reports whether the status is the one that is being written for the present controller.
+func (r *serviceRollout) isOwnWrite(status *Status) bool {
+	return status != nil && r.write != nil && r.write.controller == r.lead.controller && sameStatus(status, &r.write.status)
 }
 
 // NeedsLeader reports whether a rollout has to be led, or its final state to be written again, and
@@ -52,180 +71,199 @@
 	return r.stored.Status == nil || !r.stored.Status.State.IsFinal()
 }
 
-// LeadAll decides on all running rollouts and writes what changed, under a term that is valid until the
-// given time.
-func (d *Driver) LeadAll(ctx context.Context, validUntil time.Time) {
+// SetTerm sets until when this router holds the lease. A time in the past means that it doesn't.
+func (d *Driver) SetTerm(end time.Time) {
 	d.mutex.Lock()
-	services := slices.Sorted(maps.Keys(d.byService))
-	d.mutex.Unlock()
-	for _, service := range services {
-		d.leadOne(ctx, service, validUntil)
+	defer d.mutex.Unlock()
+	now := d.ports.Clock.Now()
+	if !now.Before(d.termEnd) {
+		// Another leader may have granted allowances meanwhile.
+		for _, r := range d.byService {
+			r.lead = lead{}
+		}
+		if now.Before(end) {
+			wake(d.leadWake)
+		}
 	}
+	d.termEnd = end
 }
 
-// leadOne takes one step of the service's rollout.
-func (d *Driver) leadOne(ctx context.Context, service string, validUntil time.Time) {
-	versions := d.ports.Runners.VersionCounts(service)
-	d.mutex.Lock()
-	r := d.byService[service]
-	if r == nil || !r.isUnfinished() {
-		d.mutex.Unlock()
+// LeadLoop takes the steps of all rollouts while this router holds the lease, until the context is done.
+func (d *Driver) LeadLoop(ctx context.Context) {
+	if !d.isEnabled() {
 		return
 	}
-	now := d.ports.Clock.Now()
-	next := StoredRollout{Order: r.stored.Order, Status: &Status{State: r.state}}
-	if previous := r.stored.Status; previous != nil {
-		*next.Status = *previous
-		next.Status.State = r.state
+	wait := idleLeadInterval
+	for d.sleep(ctx, wait, d.leadWake) {
+		wait = d.leadAll(ctx)
 	}
-	if next.Status.StartedAt.IsZero() {
-		next.Status.StartedAt = time.Now().Add(-now.Sub(r.startedAt)).Round(0)
+}
+
+// leadAll takes one step of each rollout and returns the time until the next.
+func (d *Driver) leadAll(ctx context.Context) time.Duration {
+	wait := idleLeadInterval
+	if !d.ports.Schedulers.IsPlacer() {
+		return wait
 	}
-	if !r.state.IsFinal() {
-		d.step(now, r, versions[r.stored.Order.Target] > 0, validUntil)
-		next.Status.State, next.Status.Reason = r.state, r.lead.decision.Reason
-		if r.lead.decision.Phase == versionrollout.Promoting && next.Status.PromotedAt.IsZero() {
-			next.Status.PromotedAt = time.Now().Round(0)
+	d.mutex.Lock()
+	targets := map[string]string{}
+	for service, r := range d.byService {
+		if r.isUnfinished() && d.ports.Clock.Now().Before(d.termEnd) {
+			targets[service] = r.stored.Order.Target
 		}
 	}
-	name, revision, changed := r.name, r.revision, r.stored.Status == nil || !sameStatus(*r.stored.Status, *next.Status)
 	d.mutex.Unlock()
-	if !changed {
-		return
+	for _, service := range slices.Sorted(maps.Keys(targets)) {
+		wait = min(wait, d.leadOne(ctx, service, targets[service]))
 	}
-	d.UpdateRules()
-	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
-	defer cancel()
-	written, err := d.ports.Store.WriteRolloutStatus(ctx, name, next, revision)
-	if err != nil {
-		d.ports.Log.Log(events.RolloutStatusNotWritten, events.Fields{"service": service, "state": next.Status.State.String(), "error": err.Error()})
-		return
+	return max(wait, minLeadInterval)
+}
+
+// leadOne takes one step of the service's rollout, starts a write of what changed, and returns the time
+// until the next step.
+func (d *Driver) leadOne(ctx context.Context, service, target string) time.Duration {
+	load := d.ports.Runners.VersionLoad(service, target)
+	others, self := d.ports.Schedulers.OtherSchedulers(), d.ports.Schedulers.SelfAddress()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.ports.Clock.Now()
+	r := d.byService[service]
+	if r == nil || r.stored.Order.Target != target || !r.isUnfinished() || !now.Before(d.termEnd) {
+		return idleLeadInterval
+	}
+	wait := idleLeadInterval
+	if !r.state.IsFinal() {
+		wait = d.step(now, r, load, others, self)
 	}
-	d.Apply(Object{Name: name, Revision: written, Rollout: &next})
-	d.UpdateRules()
+	d.startWrite(ctx, now, r)
+	return wait
 }
 
 // step lets the controller decide. The mutex must be held.
-func (d *Driver) step(now time.Time, r *serviceRollout, targetListed bool, validUntil time.Time) {
+func (d *Driver) step(now time.Time, r *serviceRollout, load backend.VersionLoad, others []string, self string) time.Duration {
 	if r.lead.controller == nil {
-		config := versionrollout.ShareConfig{Order: r.stored.Order, MaxShare: d.config.MaxShare, StartedAt: r.startedAt}
-		if r.promoted {
-			config.PromotedAt = now
-		}
-		r.lead.controller = versionrollout.NewShareController(config)
+		r.lead = d.newLead(now, r)
 	}
 	controller := r.lead.controller
-	controller.TargetListed = controller.TargetListed || targetListed
-	controller.Report(versionrollout.Source{Router: d.config.Node}, r.counted.Clone())
-	before := r.lead.decision
-	r.lead.decision, r.lead.validUntil = controller.Step(now), validUntil
-	decision := r.lead.decision
-	if decision.Phase != before.Phase || decision.Share != before.Share {
+	source := versionrollout.Source{Router: self, Incarnation: d.config.Incarnation}
+	controller.SetSchedulers(now, others)
+	// Requests that wait for a slot need none more than there are.
+	controller.SetCapacity(versionrollout.Capacity{TargetRunners: load.Runners, TargetSlots: load.Slots, Load: min(load.Open, load.OtherSlots)})
+	controller.Report(now, source, r.placer.report(now, load.PlacedAtOthers))
+	before, decision := r.lead.decision, controller.Step(now)
+	r.lead.decision = decision
+	r.lead.reserve = max(r.lead.reserve, decision.Reserve)
+	if r.lead.countsPrevious && decision.Phase != versionrollout.Waiting {
+		r.lead.countsPrevious = false
+		r.reserved = max(r.reserved, r.reserved+d.spentByPreviousBuild(r))
+		controller.RecordReserved(r.reserved)
+	}
+	if decision.Phase != before.Phase || decision.Reason != before.Reason {
 		total := controller.Totals()
-		d.ports.Log.Log(events.RolloutStep, events.Fields{"service": r.stored.Order.Service, "target": r.stored.Order.Target, "share": decision.Share, "phase": decision.Phase.String(), "requests": total.Requests, "exposed": total.Exposed, "reason": decision.Reason})
+		d.ports.Log.Log(events.RolloutStep, events.Fields{
+			"service": r.stored.Order.Service, "target": r.stored.Order.Target, "share": decision.Share, "phase": decision.Phase.String(), "requests": total.Requests,
+			"exposed": total.Exposed, "allowed": controller.Allowed(), "reserved": r.reserved, "budget": controller.Budget(), "reason": decision.Reason,
+		})
 	}
-	switch decision.Phase {
-	case versionrollout.Testing:
-		r.exposure.Permit(now, decision.Share)
-	case versionrollout.Ended:
+	if decision.Phase == versionrollout.Ended {
 		d.enterState(r, decision.State, decision.Reason)
+	} else {
+		r.placer.exposure.SetPermit(now, controller.Permit(now, source))
 	}
+	if decision.WakeAfter <= 0 {
+		return idleLeadInterval
+	}
+	return decision.WakeAfter
 }
 
-// sameStatus reports whether the two statuses mean the same to the operator and other routers.
-func sameStatus(a, b Status) bool {
-	return a.State == b.State && a.PromotedAt.IsZero() == b.PromotedAt.IsZero()
-}
-
-// ReportLoop reports the counts of this placer to the leader and renews its permits until the context
-// is done.
-func (d *Driver) ReportLoop(ctx context.Context) {
-	if !d.isEnabled() {
-		return
-	}
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		if !d.ports.Schedulers.IsPlacer() {
-			continue
-		}
-		for _, report := range d.pendingReports() {
-			for _, address := range d.ports.Schedulers.OtherSchedulers() {
-				d.ports.Spawn(func() { d.sendReport(ctx, address, report) })
-			}
-		}
+// newLead returns the state of a leader that has no reports yet. The mutex must be held.
+func (d *Driver) newLead(now time.Time, r *serviceRollout) lead {
+	return lead{
+		controller: versionrollout.NewController(versionrollout.Config{
+			Order: r.stored.Order, MaxShare: d.config.MaxShare, Slack: d.config.Slack, EarliestStart: r.earliestStart, LatestStart: r.latestStart,
+			Reserved: r.reserved, LeaderSince: now,
+		}),
+		countsPrevious: r.stored.Status != nil && r.stored.Status.Uncounted,
 	}
 }
 
-// pendingReports returns the reports on all running rollouts.
-func (d *Driver) pendingReports() (reports []*wire.RolloutReport) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	for _, r := range d.byService {
-		if !r.state.IsFinal() {
-			reports = append(reports, encodeReport(r.stored.Order, r.counted))
-		}
+// spentByPreviousBuild returns an upper bound on the requests to the target version that a leader of a
+// previous build has allowed: nine tenths of the share until the promotion, and all after it.
+func (d *Driver) spentByPreviousBuild(r *serviceRollout) uint64 {
+	if r.stored.Status.UncountedPromotion {
+		return unknownReservation
 	}
-	return reports
+	return uint64(previousBuildMargin * d.config.MaxShare * float64(r.lead.controller.Totals().Requests))
 }
 
-func (d *Driver) sendReport(ctx context.Context, address string, report *wire.RolloutReport) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	sentAt := d.ports.Clock.Now()
-	reply, err := d.ports.Peers.CallPeer(ctx, address, &wire.Envelope{Body: &wire.Envelope_RolloutReport{RolloutReport: report}})
-	if err != nil || !reply.GetRolloutPermit().GetGranted() {
-		// Without an answer the last permit runs out.
-		return
+// nextStatus returns the status to be written. The mutex must be held.
+func (r *serviceRollout) nextStatus(now time.Time, writer string) Status {
+	next := Status{
+		State: r.state, Reserved: max(r.reserved, r.lead.reserve), Writer: writer, Reason: r.lead.decision.Reason,
+		StartUncertainty: r.latestStart.Sub(r.earliestStart),
+		StartedAt:        time.Now().Add(-now.Sub(r.earliestStart)).Round(0),
 	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if r := d.byService[report.GetService()]; r != nil && r.stored.Order == decodeOrder(report) && !r.state.IsFinal() {
-		r.exposure.Permit(sentAt, reply.GetRolloutPermit().GetShare())
+	if stored := r.stored.Status; stored != nil {
+		next.Promoted = stored.Promoted
+		if !stored.StartedAt.IsZero() {
+			next.StartedAt, next.StartUncertainty = stored.StartedAt, stored.StartUncertainty
+		}
 	}
-}
-
-// HandleReport records the counts of another placer and returns its permit.
-func (d *Driver) HandleReport(envelope *wire.Envelope, report *wire.RolloutReport) *wire.RolloutPermit {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	r := d.byService[report.GetService()]
-	if r == nil || r.lead.controller == nil || r.stored.Order != decodeOrder(report) || !d.ports.Clock.Now().Before(r.lead.validUntil) {
-		return &wire.RolloutPermit{}
+	switch r.lead.decision.Phase {
+	case versionrollout.Testing:
+		next.Promoted = false
+	case versionrollout.Promoting:
+		next.Promoted = true
+	}
+	if r.state.IsFinal() {
+		next.Reason = r.reason
+	} else {
+		next.State = r.lead.decision.State
 	}
-	source := versionrollout.Source{Router: envelope.GetFrom(), Incarnation: envelope.GetFromIncarnation()}
-	r.lead.controller.Report(source, decodeReport(report))
-	return &wire.RolloutPermit{Granted: r.lead.decision.Phase == versionrollout.Testing, Share: r.lead.decision.Share}
+	return next
 }
 
-func decodeOrder(report *wire.RolloutReport) versionrollout.Order {
-	return versionrollout.Order{Service: report.GetService(), Target: report.GetTarget(), Duration: time.Duration(report.GetDurationMillis()) * time.Millisecond}
+// differs reports whether the next status has to be written.
+func (r *serviceRollout) differs(next Status) bool {
+	stored := r.stored.Status
+	return stored == nil || stored.State != next.State || stored.Promoted != next.Promoted || stored.Reserved != next.Reserved
 }
 
-func encodeReport(order versionrollout.Order, report versionrollout.Report) *wire.RolloutReport {
-	message := &wire.RolloutReport{
-		Service: order.Service, Target: order.Target, DurationMillis: uint64(order.Duration.Milliseconds()), Requests: report.Requests, Exposed: report.Exposed,
-	}
-	for route, tally := range report.Routes {
-		message.Routes = append(message.Routes, &wire.RouteTally{
-			Route: route, OldAnswers: tally.Old.Answers, OldBad: tally.Old.Bad, TargetAnswers: tally.Target.Answers, TargetBad: tally.Target.Bad,
-		})
+// startWrite starts a write of the status if it has changed and none is under way. The mutex must be
+// held.
+func (d *Driver) startWrite(ctx context.Context, now time.Time, r *serviceRollout) {
+	next := r.nextStatus(now, d.writer())
+	if r.write != nil || now.Before(r.writeAfter) || !r.differs(next) {
+		return
 	}
-	return message
+	write := &statusWrite{status: next, controller: r.lead.controller}
+	r.write = write
+	name, rollout, revision := r.name, StoredRollout{Order: r.stored.Order, Status: &write.status}, r.revision
+	d.ports.Spawn(func() {
+		ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+		defer cancel()
+		written, err := d.ports.Store.WriteRolloutStatus(ctx, name, rollout, revision)
+		d.endWrite(r, written, err)
+		if err == nil {
+			d.UpdateRules()
+			wake(d.leadWake)
+		}
+	})
 }
 
-func decodeReport(message *wire.RolloutReport) versionrollout.Report {
-	report := versionrollout.Report{Requests: message.GetRequests(), Exposed: message.GetExposed(), Routes: map[string]versionrollout.RouteTally{}}
-	for _, tally := range message.GetRoutes() {
-		report.Routes[tally.GetRoute()] = versionrollout.RouteTally{
-			Old:    versionrollout.Tally{Answers: tally.GetOldAnswers(), Bad: tally.GetOldBad()},
-			Target: versionrollout.Tally{Answers: tally.GetTargetAnswers(), Bad: tally.GetTargetBad()},
-		}
+// endWrite records the result of the write of a status.
+func (d *Driver) endWrite(r *serviceRollout, written storerev.Revision, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	write := r.write
+	defer func() { r.write = nil }()
+	if err != nil {
+		r.writeAfter = d.ports.Clock.Now().Add(writeRetryDelay)
+		d.ports.Log.Log(events.RolloutStatusNotWritten, events.Fields{"service": r.stored.Order.Service, "state": write.status.State.String(), "error": err.Error()})
+		return
+	}
+	// The copy of the store may have brought the status, or a later one, before the response.
+	if written > r.revision && d.byService[r.stored.Order.Service] == r {
+		d.applyStored(r, StoredRollout{Order: r.stored.Order, Status: &write.status}, written)
 	}
-	return report
 }
--- a/internal/rolloutdriver/ports.go
+++ b/internal/rolloutdriver/ports.go
@@ -12,7 +12,7 @@
 )
 
 // Ports are the parts of the router that the driver uses. The driver calls them without holding its
-// own mutex, except for Clock and Log.
+// own mutex, except for Clock, Log and Schedulers.IsPlacer.
 type Ports struct {
 	Runners    Runners
 	Services   Services
@@ -34,8 +34,10 @@
 // Runners is the table of runners.
 type Runners interface {
 	VersionCounter
+	// VersionLoad returns the load of the service and what its runners of the version can carry.
+	VersionLoad(service, version string) backend.VersionLoad
 	// SetVersionRules replaces the rules of all services. exposedShare is the largest share of a
-	// service's requests that names a version.
+	// service's requests that tests a version.
 	SetVersionRules(rules map[string]backend.VersionRule, exposedShare float64)
 }
 
@@ -47,11 +49,13 @@
 
 // Schedulers tells which routers place requests.
 type Schedulers interface {
-	// IsPlacer reports whether this router places requests with knowledge of what the leader permits:
-	// a scheduler, or a router without peers.
+	// IsPlacer reports whether this router places requests with knowledge of what the leader permits,
+	// and may lead rollouts: a seed, or a router without peers.
 	IsPlacer() bool
-	// OtherSchedulers returns the addresses of the other schedulers.
+	// OtherSchedulers returns the addresses of the other schedulers, and SelfAddress that of this
+	// router.
 	OtherSchedulers() []string
+	SelfAddress() string
 }
 
 // Peers sends messages to other routers.
@@ -87,14 +91,25 @@
 	Status *Status
 }
 
-// Status is the stored status of a rollout. Its times are wall clock times.
+// Status is the stored status of a rollout.
 type Status struct {
 	State versionrollout.State
-	// StartedAt is when the rollout began, and PromotedAt when all traffic was moved to the target
-	// version, zero if it was not.
-	StartedAt  time.Time
-	PromotedAt time.Time
-	Reason     string
+	// StartedAt is the earliest time at which the order may have been written, by the wall clock, and
+	// StartUncertainty how much later it may have been.
+	StartedAt        time.Time
+	StartUncertainty time.Duration
+	// Reserved is the number of requests to the target version that leaders may have allowed. No
+	// request is allowed beyond it.
+	Reserved uint64
+	// Promoted is set while all requests go to the target version. The requests that can still
+	// come until the deadline then fit into the bound.
+	Promoted bool
+	Reason   string
+	// Writer identifies the run of the router that wrote the status.
+	Writer string
+	// Uncounted is set in a status of a previous build, which has no reservation. UncountedPromotion
+	// is set if that build has moved all requests to the target version.
+	Uncounted, UncountedPromotion bool
 }
 
 // Object is a decoded object of the store.
--- a/internal/rolloutdriver/summary.go
+++ b/internal/rolloutdriver/summary.go
@@ -27,6 +27,14 @@
 	Requests uint64         `json:"requests"`
 	Exposed  uint64         `json:"exposed"`
 	Routes   []RouteSummary `json:"routes,omitempty"`
+	// Reserved is the number of requests to the target version that the store allows. Phase, Allowed (what
+	// was granted of it) and Budget (what the bound leaves at present) are known to the leader only,
+	// and Waits says why it has not gone further.
+	Reserved uint64 `json:"reserved"`
+	Phase    string `json:"phase,omitempty"`
+	Allowed  uint64 `json:"allowed,omitempty"`
+	Budget   uint64 `json:"budget,omitempty"`
+	Waits    string `json:"waits,omitempty"`
 }
 
 // RouteSummary counts the answers of both versions on one route.
@@ -43,23 +51,25 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, service := range slices.Sorted(maps.Keys(d.byService)) {
-		summaries = append(summaries, d.byService[service].summary(now))
+		summaries = append(summaries, d.byService[service].summary(now, d.termEnd))
 	}
 	return summaries
 }
 
-func (r *serviceRollout) summary(now time.Time) Summary {
+func (r *serviceRollout) summary(now, termEnd time.Time) Summary {
 	summary := Summary{
-		Service: r.stored.Order.Service, Target: r.stored.Order.Target, State: r.state.String(), Promoted: r.promoted,
-		ElapsedMillis: now.Sub(r.startedAt).Milliseconds(), DurationMillis: r.stored.Order.Duration.Milliseconds(),
-		Leads: r.lead.controller != nil && now.Before(r.lead.validUntil),
+		Service: r.stored.Order.Service, Target: r.stored.Order.Target, State: r.state.String(),
+		ElapsedMillis: now.Sub(r.earliestStart).Milliseconds(), DurationMillis: r.stored.Order.Duration.Milliseconds(),
+		Leads: r.lead.controller != nil && now.Before(termEnd), Reserved: r.reserved,
 	}
-	if r.stored.Status != nil {
-		summary.Reason = r.stored.Status.Reason
+	if status := r.stored.Status; status != nil {
+		summary.Reason, summary.Promoted = status.Reason, status.Promoted || status.State == versionrollout.Succeeded
 	}
-	counted := r.counted
+	counted := r.placer.report(now, 0)
 	if summary.Leads {
-		counted, summary.Share = r.lead.controller.Totals(), r.lead.decision.Share
+		controller, decision := r.lead.controller, r.lead.decision
+		counted, summary.Share = controller.Totals(), decision.Share
+		summary.Phase, summary.Allowed, summary.Budget, summary.Waits = decision.Phase.String(), controller.Allowed(), controller.Budget(), decision.Reason
 	}
 	summary.Requests, summary.Exposed = counted.Requests, counted.Exposed
 	for _, route := range slices.Sorted(maps.Keys(counted.Routes)) {
