rolloutdriver: tests with fakes for each failure in the table

Drivers exchange messages and share a store on a clock that the test moves: a leader that is lost, cut off or replaced, a lost scheduler, one that is cut off, a holder of the lease that is no scheduler, an unavailable and a restored store, a restart of all routers, changed and deleted orders, and messages and statuses of a previous build. All requests until the deadline are counted.

--- /dev/null
+++ b/internal/rolloutdriver/driver_test.go
@@ -0,0 +1,319 @@
+package rolloutdriver
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/versionrollout"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+func TestGoodVersionSucceedsBeforeTheDeadline(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.run(testDuration - testTick)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+// Guards against allowances of a lost leader that are granted a second time, and against a new
+// leader that grants before it knows what the schedulers have used.
+func TestNextLeaderTakesTheReservationAsSpent(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(10)
+	f.leader.isStopped = true
+	f.leader = nil
+	f.run(versionrollout.PermitDuration)
+	exposed, reserved := f.exposed, f.stored.Status.Reserved
+	f.g.Expect(exposed).To(BeNumerically("<=", reserved))
+	f.run(testLease + testLeaseGap - versionrollout.PermitDuration)
+	f.g.Expect(f.exposed).To(Equal(exposed), "no permit outlives its leader by more than a second")
+	f.leader = f.routers[1]
+	f.run(500 * time.Millisecond)
+	f.g.Expect(f.exposed).To(Equal(exposed), "the lost scheduler may still report")
+	f.runUntilExposed(exposed + 1)
+	f.g.Expect(f.routers[1].Summaries(f.now)[0].Allowed).To(BeNumerically(">", reserved))
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+// Guards against a leader that was cut off, grants what it had reserved, and is replaced meanwhile.
+func TestLeaderThatIsCutOffGrantsNothingAfterItsTerm(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(10)
+	first := f.leader
+	first.isCutOff, first.lacksStore = true, true
+	f.replaceLeader(f.routers[1])
+	own := first.ownExposed
+	f.run(testDuration / 2)
+	f.g.Expect(first.ownExposed).To(Equal(own))
+	first.isCutOff, first.lacksStore = false, false
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+// Guards against an allowance of a lost scheduler that is handed out again: it may have been used.
+func TestAllowanceOfALostSchedulerCountsAsSpent(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(10)
+	allowed := f.leader.Summaries(f.now)[0].Allowed
+	f.routers[2].isStopped = true
+	f.run(2 * time.Second)
+	f.g.Expect(f.leader.Summaries(f.now)[0].Allowed).To(BeNumerically(">=", allowed))
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+// Guards against a scheduler that uses its allowance without a leader that hears of it.
+func TestSchedulerThatIsCutOffFromTheLeaderSendsNothing(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(10)
+	cutOff := f.routers[2]
+	cutOff.isCutOff = true
+	f.run(versionrollout.PermitDuration)
+	exposed := cutOff.ownExposed
+	f.run(3 * time.Second)
+	f.g.Expect(cutOff.ownExposed).To(Equal(exposed))
+	cutOff.isCutOff = false
+	f.run(3 * time.Second)
+	f.g.Expect(cutOff.ownExposed).To(BeNumerically(">", exposed))
+}
+
+// Guards against steps of a holder of the lease that is no scheduler.
+func TestHolderOfTheLeaseThatIsNoSchedulerTakesNoStep(t *testing.T) {
+	f := newTestFleet(t, 4)
+	f.routers[3].isNoPlacer = true
+	f.leader = f.routers[3]
+	f.order(testDuration)
+	f.run(testDuration + time.Second)
+	f.g.Expect(f.stored.Status).To(BeNil())
+	f.g.Expect(f.exposed).To(BeZero())
+}
+
+// Guards against allowances that were not reserved before.
+func TestNothingBeyondTheReservationIsAllowedWithoutTheStore(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(5)
+	f.storeFails = true
+	reserved := f.stored.Status.Reserved
+	f.run(2 * time.Second)
+	f.g.Expect(f.exposed).To(BeNumerically("<=", reserved))
+	f.storeFails = false
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+// Guards against what was spent being spent again after the store was restored from a copy.
+func TestReservationOutlivesARestoredStore(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.run(500 * time.Millisecond)
+	backup := *f.stored
+	f.runUntilExposed(20)
+	reserved := f.stored.Status.Reserved
+	f.g.Expect(backup.Status.Reserved).To(BeNumerically("<", reserved))
+	f.stored = &backup
+	f.revision += 100 // The next era.
+	f.run(time.Second)
+	f.g.Expect(f.stored.Status.Reserved).To(BeNumerically(">=", reserved))
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+func TestFinalStateOutlivesARestoredStore(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.isBad = true
+	f.order(testDuration)
+	f.run(500 * time.Millisecond)
+	backup := *f.stored
+	f.run(testDuration / 2)
+	f.g.Expect(f.state()).To(Equal(versionrollout.RolledBack))
+	exposed, reason := f.exposed, f.stored.Status.Reason
+	f.stored = &backup
+	f.revision += 100 // The next era.
+	f.run(time.Second)
+	f.g.Expect(f.state()).To(Equal(versionrollout.RolledBack))
+	f.g.Expect(f.stored.Status.Reason).To(Equal(reason))
+	f.g.Expect(f.exposed).To(Equal(exposed))
+}
+
+// Guards against allowances of the earlier runs of all routers that are forgotten.
+func TestReservationOutlivesARestartOfAllRouters(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(20)
+	reserved := f.stored.Status.Reserved
+	for i := range f.routers {
+		f.restart(i)
+	}
+	f.replaceLeader(f.routers[0])
+	f.run(2 * time.Second)
+	summary := f.leader.Summaries(f.now)[0]
+	f.g.Expect(summary.Allowed).To(BeNumerically(">=", reserved))
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+// Guards against an order that inherits the state or the account of the one that it replaces.
+func TestChangedOrderBeginsANewAccount(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.isBad = true
+	f.order(testDuration)
+	f.run(testDuration / 2)
+	f.g.Expect(f.state()).To(Equal(versionrollout.RolledBack))
+	f.isBad, f.requests, f.exposed = false, 0, 0
+	f.order(2 * testDuration)
+	f.run(time.Second)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Running))
+	f.g.Expect(f.stored.Status.Reserved).To(BeNumerically("<=", testShare*float64(f.requests)+testSlack))
+	f.run(2*testDuration - time.Second - testTick)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+	f.expectWithinBound()
+}
+
+func TestDeletedOrderSendsNothingMore(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(5)
+	f.stored = nil
+	for _, r := range f.routers {
+		r.Apply(Object{Name: testService})
+	}
+	exposed := f.exposed
+	f.run(time.Second)
+	f.g.Expect(f.exposed).To(Equal(exposed))
+	f.g.Expect(f.routers[0].Summaries(f.now)).To(BeEmpty())
+}
+
+// Guards against permits of a previous build, which bound a share and no number.
+func TestPermitOfAPreviousBuildAllowsNothing(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.leader = nil
+	f.routers[0].answer = func(*wire.RolloutReport) *wire.RolloutPermit {
+		return &wire.RolloutPermit{Granted: true, Share: testShare}
+	}
+	f.order(testDuration)
+	f.run(testDuration)
+	f.g.Expect(f.exposed).To(BeZero())
+}
+
+// Guards against a permit for a placer of a previous build, which would exceed it, and against its
+// requests missing in the budget.
+func TestReportOfAPreviousBuildGetsNoPermit(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.order(testDuration)
+	f.run(time.Second)
+	order := f.stored.Order
+	report := encodeReport(order, versionrollout.Report{Requests: 10_000})
+	report.Counted, report.From = false, ""
+	budget := f.leader.Summaries(f.now)[0].Budget
+	permit := f.leader.HandleReport(&wire.Envelope{From: "node", FromIncarnation: 7}, report)
+	f.g.Expect(permit.GetGranted()).To(BeFalse())
+	f.g.Expect(permit.GetReportAfterMillis()).To(BeZero())
+	f.g.Expect(f.leader.Summaries(f.now)[0].Budget).To(BeNumerically(">=", budget+800))
+}
+
+// Guards against a status of a previous build, which has no reservation, being taken for one of a
+// rollout that has spent nothing.
+func TestStatusOfAPreviousBuildCountsAsSpent(t *testing.T) {
+	for _, promoted := range []bool{false, true} {
+		f := newTestFleet(t, 3)
+		f.order(testDuration)
+		f.stored.Status = &Status{Uncounted: true, UncountedPromotion: promoted}
+		f.run(2 * time.Second)
+		status := f.stored.Status
+		f.g.Expect(status.Uncounted).To(BeFalse())
+		if promoted {
+			f.g.Expect(f.exposed).To(BeZero())
+			f.g.Expect(status.Reserved).To(BeNumerically(">=", unknownReservation))
+		} else {
+			f.g.Expect(status.Reserved).To(BeNumerically(">", 0))
+		}
+		f.run(testDuration)
+		f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded), "at the latest after the deadline")
+	}
+}
+
+// Guards against a write that another router's write has overtaken and that counts as the leader's own: the
+// other one may have allowed what it reserved.
+func TestReservationOfAnotherLeaderIsNotGrantedAgain(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(10)
+	allowed := f.leader.Summaries(f.now)[0].Allowed
+	other := *f.stored.Status
+	other.Reserved, other.Writer = other.Reserved+5, "other"
+	f.stored = &StoredRollout{Order: f.stored.Order, Status: &other}
+	f.revision++
+	f.run(3 * time.Second)
+	f.g.Expect(f.leader.Summaries(f.now)[0].Allowed).To(BeNumerically(">=", max(allowed, other.Reserved)))
+	f.expectWithinBound()
+}
+
+// Guards against evidence from requests that could not be sent, that may crash any runner, or that were
+// open when one runner was lost.
+func TestEndsThatAreNoEvidence(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.order(testDuration)
+	f.run(500 * time.Millisecond)
+	r := f.routers[0]
+	send := r.set.Begin(f.now, "4", 0)
+	query := backend.Query{Service: testService, Route: "route", TargetVersion: testTarget}
+	bad := func() uint64 {
+		total := uint64(0)
+		for _, route := range r.Summaries(f.now)[0].Routes {
+			total += route.TargetBad
+		}
+		return total
+	}
+	f.leader = nil
+	f.run(2 * time.Second)
+	for range 20 {
+		r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Unreachable, NotSent: true})
+		r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.NotConfirmed})
+		r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Refused})
+	}
+	suspect := query
+	suspect.SuspectContent = 1
+	r.RecordOutcome(f.now, suspect, send, SendEnd{Outcome: backend.Failed})
+	f.g.Expect(bad()).To(BeZero())
+	for range 20 {
+		r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Unreachable, ConnectionLost: true})
+		r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Failed, ConnectionLost: true})
+	}
+	f.g.Expect(bad()).To(Equal(uint64(1)))
+	r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Failed})
+	f.g.Expect(bad()).To(Equal(uint64(2)))
+}
+
+// Guards against tests with requests that may crash runners, with retries, and with requests whose router
+// has not heard of the order.
+func TestRequestsThatTestNothing(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.order(testDuration)
+	f.runUntilExposed(3)
+	r := f.routers[0]
+	for _, query := range []backend.Query{
+		{Service: testService, Route: "route", SuspectContent: 1},
+		{Service: testService, Route: "route", Excluded: []string{"0"}},
+		{Service: testService},
+	} {
+		for range 100 {
+			f.g.Expect(r.TakeTarget(f.now, query, r.set)).To(Equal(Target{}))
+		}
+	}
+}
