--- a/internal/versionrollout/account.go
+++ b/internal/versionrollout/account.go
@@ -22,7 +22,10 @@
 type placerAccount struct {
 	report     Report
 	reportedAt time.Time
-	// previous is the report before, which tells the present rate of requests.
+	// isPromoted is set once the placer has reported to be promoted, until it has been silent for so long that
+	// its permit has ended.
+	isPromoted bool
+	// previousRequests are those of the report before, which tell the present rate of requests.
 	previousRequests   uint64
 	previousReportedAt time.Time
 	// exposedBefore is what the placer had reported before this leader's first grant to it. The
@@ -50,6 +53,7 @@
 	}
 	before, granted := p.report, p.granted()
 	p.report = before.merge(report)
+	p.isPromoted = report.Promoted || p.isPromoted && p.isLive(now)
 	if now.After(p.reportedAt) {
 		p.previousRequests, p.previousReportedAt = before.Requests, p.reportedAt
 	}
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -32,20 +32,25 @@
 
 // Timing of the leader.
 const (
-	// usualInterval is the time between two steps, and between two reports of a placer.
+	// usualInterval is the time between two steps, and between two reports of a placer. It is shorter in
+	// rollouts of a few seconds, where the rate of requests is to be measured within a second.
 	usualInterval = 250 * time.Millisecond
+	usualShare    = 0.008
 	// shortestInterval is the same when a promotion or the deadline is near. It is short enough for
 	// a rollout of some seconds, in which only some tenths of a second are left for the promotion.
 	shortestInterval = 25 * time.Millisecond
 	// reportLoad is the number of reports per second that the leader asks all placers for at most.
-	reportLoad = 2000
+	reportLoad = 5000
+	// confirmIntervals is how many reports it takes until all placers are known to be promoted, some of
+	// which may be lost.
+	confirmIntervals = 6
 	// reserveInterval is the minimum time between two reservations, each of which is a write to the store.
 	reserveInterval = 500 * time.Millisecond
 	// shortestEndLead and longestEndLead bound how long before the deadline the final state is decided.
 	// A write takes 5 to 100 ms.
-	shortestEndLead = 200 * time.Millisecond
+	shortestEndLead = 150 * time.Millisecond
 	longestEndLead  = 2 * time.Second
-	endLeadShare    = 0.02
+	endLeadShare    = 0.01
 )
 
 // reserveSteps is the number of steps in which the expected bound is reserved. A change of the leader
@@ -64,6 +69,9 @@
 	// Reserved is the number of requests to the target version that the store says earlier leaders have
 	// reserved.
 	Reserved uint64
+	// Requests is the number of the service's requests that was stored with the reservation, 0 if none was. It
+	// lets the budget outlast the loss of the placers that counted them.
+	Requests uint64
 	// LeaderSince is when this router became the leader.
 	LeaderSince time.Time
 }
@@ -105,12 +113,15 @@
 	// schedulers holds the other schedulers, and when they were named.
 	schedulers map[string]time.Time
 	// isReady is set when each of them has reported or was silent.
-	isReady    bool
-	promotedAt time.Time
-	reservedAt time.Time
-	rolledBack string
-	forecast   forecast
-	decision   Decision
+	isReady bool
+	// promotedAt is when the present promotion began, and promotedTotal what had been counted until then.
+	promotedAt    time.Time
+	promotedTotal counts
+	pause         *pause
+	reservedAt    time.Time
+	rolledBack    string
+	forecast      forecast
+	decision      Decision
 }
 
 // NewController returns the controller of a leader that has no reports yet.
@@ -148,7 +159,7 @@
 // Totals returns the sum of all reports.
 func (c *Controller) Totals() Report {
 	current := c.counts(time.Time{})
-	return Report{Requests: current.requests, Exposed: current.exposed, Unjudged: current.unjudged, Routes: current.routes}
+	return Report{Requests: current.requests, Exposed: current.exposed, Unjudged: current.unjudged, Routes: maps.Clone(current.routes)}
 }
 
 // Allowed returns the upper bound on the requests to the target version that were ever allowed, and
@@ -158,15 +169,20 @@
 // Budget returns the number of requests that may go to the target version at present.
 func (c *Controller) Budget() uint64 { return uint64(c.budget(c.account.total)) }
 
-// counts returns the sum of all reports.
+// counts returns the sum of all reports. The caller must not keep it.
 func (c *Controller) counts(now time.Time) counts {
 	total := c.account.total
-	total.at, total.routes = now, maps.Clone(total.routes)
+	total.at = now
 	return total
 }
 
 func (c *Controller) budget(total counts) float64 {
-	return budgetMargin * (c.config.MaxShare*float64(total.requests) + c.config.Slack)
+	return budgetMargin * (c.config.MaxShare*float64(c.knownRequests(total)) + c.config.Slack)
+}
+
+// knownRequests returns how many requests have come at least.
+func (c *Controller) knownRequests(total counts) uint64 {
+	return max(total.requests, c.config.Requests)
 }
 
 // earliestDeadline is the deadline for states, latestDeadline that for requests still to come.
@@ -200,18 +216,24 @@
 		return c.decision
 	}
 	if c.history == nil {
-		c.history = newHistory(c.config.Order.Duration, total)
+		c.history = newHistory(c.config.Order.Duration, counts{}, total.clone())
 	}
 	c.history.add(total)
 	if reason := c.condemnation(now, total); reason != "" {
+		if c.isPaused(now, total, reason) {
+			c.decision = Decision{Phase: Waiting, WakeAfter: c.shortestInterval(), Reason: "compares with the old version: " + reason}
+			return c.decision
+		}
 		c.rolledBack = reason
 		c.decision = Decision{Phase: Ended, State: RolledBack, Reason: reason}
 		return c.decision
 	}
 	c.forecast = c.newForecast(now, total)
 	fits := c.forecast.untilFit
-	if c.promotedAt.IsZero() && c.mayPromote(now, total) && fits <= 0 {
+	if c.promotedAt.IsZero() && c.mayPromote(now, total) && (fits <= 0 || c.isLastMoment(now, total)) {
 		c.promotedAt = now
+		c.history.keepOld(total)
+		c.promotedTotal = total.clone()
 	}
 	next := Decision{Phase: Testing, Share: c.share(now, total), WakeAfter: c.wakeAfter(now, fits)}
 	if !c.promotedAt.IsZero() {
@@ -232,8 +254,9 @@
 		return true
 	}
 	if now.Sub(c.config.LeaderSince) < PermitDuration {
+		live := c.liveRouters(now)
 		for name := range c.schedulers {
-			if !c.hasReported(name) {
+			if !live[name] {
 				return false
 			}
 		}
@@ -242,31 +265,26 @@
 	return true
 }
 
-func (c *Controller) hasReported(router string) bool {
-	for source := range c.account.placers {
-		if source.Router == router {
-			return true
-		}
-	}
-	return false
-}
-
 // hearsPlacers reports whether what this leader knows of the service may be taken for all that there is:
 // another scheduler reports to it, or it places requests itself, or there is no other one.
 func (c *Controller) hearsPlacers(now time.Time, total counts) bool {
 	if len(c.schedulers) == 0 || total.requests > 0 {
 		return len(c.account.placers) > 0
 	}
-	for source, p := range c.account.placers {
-		if _, other := c.schedulers[source.Router]; other && p.isLive(now) {
+	live := c.liveRouters(now)
+	for name := range c.schedulers {
+		if live[name] {
 			return true
 		}
 	}
 	return false
 }
 
-// condemnation returns the reason why the target version is rolled back now, or "".
+// condemnation returns the reason why the target version is to be rolled back, or "".
 func (c *Controller) condemnation(now time.Time, total counts) string {
+	if c.pause != nil {
+		return c.pauseResult(now, total)
+	}
 	if reason := c.history.worse(total); reason != "" {
 		return reason
 	}
@@ -276,7 +294,13 @@
 	if c.capacity.TargetRunners == 0 {
 		return "no runner of the target version is listed"
 	}
-	return worseSince(counts{}, total, finalStrength)
+	if !c.promotedAt.IsZero() {
+		// A version that is bad under load has shown it in the promotion only.
+		if reason := c.history.worseSince(c.promotedTotal, total, finalStrength); reason != "" {
+			return reason
+		}
+	}
+	return c.history.worseOverall(total)
 }
 
 // forecast is what the leader expects until the deadline, as of the last step.
@@ -300,31 +324,30 @@
 // rate returns an upper bound on the rate of requests until the deadline, and false while too little is known.
 func (c *Controller) rate(now time.Time, total counts) (float64, bool) {
 	highest, known := c.demand.highestRecent()
+	rate := burstFactor * highest
 	if elapsed := now.Sub(c.config.EarliestStart); elapsed > 0 {
-		highest = max(highest, float64(total.requests)/elapsed.Seconds())
+		rate = max(rate, rateFactor*float64(c.knownRequests(total))/elapsed.Seconds())
 	}
 	// Schedulers that don't report may place as many requests as the others.
-	live, silent := 0, 0
-	for _, p := range c.account.placers {
-		if p.isLive(now) {
-			live++
-		}
-	}
+	live := c.liveRouters(now)
+	silent := 0
 	for name := range c.schedulers {
-		if !c.isLiveScheduler(now, name) {
+		if !live[name] {
 			silent++
 		}
 	}
-	return rateFactor * highest * (1 + float64(silent)/float64(max(live, 1))), known
+	return rate * (1 + float64(silent)/float64(max(len(live), 1))), known
 }
 
-func (c *Controller) isLiveScheduler(now time.Time, name string) bool {
+// liveRouters returns the routers that have reported recently.
+func (c *Controller) liveRouters(now time.Time) map[string]bool {
+	live := map[string]bool{}
 	for source, p := range c.account.placers {
-		if source.Router == name && p.isLive(now) {
-			return true
+		if p.isLive(now) {
+			live[source.Router] = true
 		}
 	}
-	return false
+	return live
 }
 
 func (c *Controller) timeUntilFit(now time.Time, total counts, f forecast) time.Duration {
@@ -364,11 +387,17 @@
 	if progress < promoteAt || !c.hearsPlacers(now, total) || !c.capacity.suffices() {
 		return false
 	}
-	tally := total.tally()
-	if total.requests > 0 && tally.Target.Answers < minAnswers && progress < answersAt {
+	if total.requests > 0 && total.sum.Target.Answers < minAnswers && progress < answersAt {
 		return false
 	}
-	return worseSince(counts{}, total, finalStrength) == ""
+	return c.history.worseOverall(total) == ""
+}
+
+// isLastMoment reports whether the promotion must start now for the end before the deadline, and the budget
+// suffices for what comes after the end. Until then, allowances keep to the budget.
+func (c *Controller) isLastMoment(now time.Time, total counts) bool {
+	confirmed := now.Add(confirmIntervals * c.shortestInterval())
+	return c.forecast.isKnown && confirmed.After(c.endAt()) && c.account.spent(now) < c.promotionLimit(now, total)
 }
 
 // maySucceed reports whether the old runners may stop now.
@@ -377,7 +406,7 @@
 		return false
 	}
 	for _, p := range c.account.placers {
-		if p.isLive(now) && !p.report.Promoted {
+		if p.isLive(now) && !p.isPromoted {
 			return false
 		}
 	}
@@ -406,7 +435,7 @@
 
 // expectedRequests returns the number of requests that are expected until the deadline at the mean rate.
 func (c *Controller) expectedRequests(now time.Time, total counts) float64 {
-	return float64(total.requests) / min(max(c.progress(now), 0.01), 1)
+	return float64(c.knownRequests(total)) / min(max(c.progress(now), 0.01), 1)
 }
 
 // share returns the share of requests that test the target version. Where a placer is expected to get so few
@@ -434,9 +463,9 @@
 	}
 	step := (c.config.MaxShare*c.expectedRequests(now, total) + c.config.Slack) / reserveSteps
 	limit := c.testLimit(now, total)
-	if !c.promotedAt.IsZero() || fits < 2*reserveInterval && c.progress(now) >= promoteAt {
+	if !c.promotedAt.IsZero() || fits < reserveInterval && c.progress(now) >= promoteAt {
 		limit = c.budget(total)
-		step = max(step, c.forecast.rate*2*reserveInterval.Seconds())
+		step = max(step, c.forecast.rate*reserveInterval.Seconds())
 	}
 	allowed := float64(c.account.allowed())
 	wanted := uint64(min(allowed+step, max(limit, allowed)))
@@ -451,10 +480,16 @@
 // isUnlimited reports whether the deadline has certainly passed, so that no request counts any more.
 func (c *Controller) isUnlimited(now time.Time) bool { return !now.Before(c.latestDeadline()) }
 
+// shortestInterval returns the shortest time between two reports of one placer.
+func (c *Controller) shortestInterval() time.Duration {
+	return max(shortestInterval, time.Duration(len(c.account.placers))*time.Second/reportLoad)
+}
+
 // interval returns the time between two steps if something is expected to happen after the given time.
 func (c *Controller) interval(expected time.Duration) time.Duration {
-	shortest := max(shortestInterval, time.Duration(len(c.account.placers))*time.Second/reportLoad)
-	return min(max(expected/4, shortest), usualInterval)
+	shortest := c.shortestInterval()
+	usual := min(time.Duration(usualShare*float64(c.config.Order.Duration)), usualInterval)
+	return max(min(expected/4, usual), shortest)
 }
 
 // wakeAfter returns the time until the next step.
@@ -482,7 +517,7 @@
 			permit.Allowance = math.MaxUint64
 			return permit
 		}
-		permit.Allowance = c.account.grant(p, p.report.Exposed+c.expectedAt(now, p, total, 1), uint64(c.budget(total)))
+		permit.Allowance = c.account.grant(p, p.report.Exposed+c.expectedAt(now, p, total, 1), c.promotionLimit(now, total))
 		return permit
 	}
 	permit.Share = c.decision.Share
@@ -490,6 +525,17 @@
 	return permit
 }
 
+// promotionLimit returns how many requests may go to the target version while the old runners run. What is needed
+// after they have stopped is kept back, also if requests come faster than expected during the promotion.
+func (c *Controller) promotionLimit(now time.Time, total counts) uint64 {
+	end := c.endAt()
+	if end.Before(now) {
+		end = now
+	}
+	keptBack := c.forecast.rate * (c.latestDeadline().Sub(end) + c.reportAge(now)).Seconds()
+	return uint64(max(c.budget(total)-keptBack, 0))
+}
+
 // expectedAt returns how many requests the placer is expected to send to the target version until it has had
 // time for four reports.
 func (c *Controller) expectedAt(now time.Time, p *placerAccount, total counts, share float64) uint64 {
--- /dev/null
+++ b/internal/versionrollout/controller_test.go
@@ -0,0 +1,387 @@
+package versionrollout
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// rolloutAt is the start of the rollouts of the tests below, which take 100 s.
+var rolloutAt = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time {
+	return rolloutAt.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func newTestController(change func(*Config)) *Controller {
+	config := Config{
+		Order:    Order{Service: "s", Target: "v2", Duration: 100 * time.Second},
+		MaxShare: simulatedShare, Slack: simulatedSlack, EarliestStart: rolloutAt, LatestStart: rolloutAt, LeaderSince: rolloutAt,
+	}
+	if change != nil {
+		change(&config)
+	}
+	c := NewController(config)
+	c.SetCapacity(Capacity{TargetRunners: 1, TargetSlots: 10, Load: 5})
+	return c
+}
+
+// placed is a report in which every tenth request that is not placed at the target version has a bad answer.
+func placed(requests, exposed, bad uint64) Report {
+	return Report{Requests: requests, Exposed: exposed, Routes: map[string]RouteTally{
+		"a": {Old: Tally{Answers: requests - exposed, Bad: (requests - exposed) / 100}, Target: Tally{Answers: exposed, Bad: bad}},
+	}}
+}
+
+var (
+	own   = Source{Router: "own"}
+	other = Source{Router: "other"}
+)
+
+// steps lets a placer report 10 requests a second, of which those within its allowance go to the target version. It
+// returns the last decision, and the requests and exposed ones.
+func steps(c *Controller, source Source, from, to float64, report *Report, badOf func(exposed uint64) uint64) (last Decision) {
+	for second := from; second <= to; second += 0.25 {
+		report.Requests += 3
+		permit := c.Permit(at(second), source)
+		if permit.Allowance > report.Exposed && (permit.Promoted || report.Requests%60 == 0) {
+			report.Exposed++
+		}
+		*report = Report{Requests: report.Requests, Exposed: report.Exposed, Promoted: permit.Promoted, Routes: placed(report.Requests, report.Exposed, badOf(report.Exposed)).Routes}
+		c.Report(at(second), source, *report)
+		last = c.Step(at(second))
+		if last.Reserve > 0 {
+			c.RecordReserved(last.Reserve)
+		}
+	}
+	return last
+}
+
+func noneBad(uint64) uint64 { return 0 }
+
+// Guards against requests that are allowed before the store has the reservation.
+func TestNothingIsAllowedBeyondTheReservation(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.Report(at(1), own, placed(100, 0, 0))
+	decision := c.Step(at(1))
+	g.Expect(decision.Phase).To(Equal(Testing))
+	g.Expect(decision.Reserve).To(BeNumerically(">", 0))
+	g.Expect(c.Permit(at(1), own).Allowance).To(BeZero(), "the store has not accepted the reservation")
+	c.RecordReserved(decision.Reserve)
+	allowance := c.Permit(at(1), own).Allowance
+	g.Expect(allowance).To(And(BeNumerically(">", 0), BeNumerically("<=", decision.Reserve)))
+	for i := range 100 {
+		source := Source{Router: "r", Incarnation: uint64(i)}
+		c.Report(at(1), source, placed(100, 0, 0))
+		c.Permit(at(1), source)
+	}
+	g.Expect(c.Allowed()).To(BeNumerically("<=", decision.Reserve), "also over all incarnations of a router")
+	g.Expect(c.Step(at(1.1)).Reserve).To(BeZero(), "at most two writes a second")
+}
+
+// Guards against two leaders that both hand out the same part of the budget.
+func TestNewLeaderCountsTheReservationAsSpent(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(func(config *Config) { config.Reserved = 40 })
+	c.Report(at(30), own, placed(100, 20, 0))
+	g.Expect(c.Allowed()).To(BeEquivalentTo(40), "what the placer has reported is part of it")
+	c.Step(at(30))
+	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
+	c.RecordReserved(45)
+	g.Expect(c.Allowed()).To(BeEquivalentTo(45), "reserved by another leader meanwhile")
+	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
+}
+
+// Guards against an account that forgets the requests of placers that were lost or cut off.
+func TestAllowanceOfLostPlacerStaysSpent(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.Report(at(1), own, placed(100, 0, 0))
+	c.RecordReserved(c.Step(at(1)).Reserve)
+	allowance := c.Permit(at(1), own).Allowance
+	g.Expect(allowance).To(BeNumerically(">", 0))
+	c.Report(at(50), other, placed(100, 0, 0))
+	c.Step(at(50))
+	g.Expect(c.Allowed()).To(BeNumerically(">=", allowance))
+	g.Expect(c.account.spent(at(50))).To(BeNumerically(">=", allowance))
+	c.Report(at(51), Source{Router: own.Router, Incarnation: 1}, placed(0, 0, 0))
+	g.Expect(c.Allowed()).To(BeNumerically(">=", allowance), "its next incarnation counts anew")
+}
+
+// Guards against late reports that lower counts, and thereby what is spent.
+func TestReportsInAnyOrder(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.Report(at(2), own, placed(200, 20, 3))
+	c.Report(at(2.1), own, placed(100, 10, 1))
+	total := c.Totals()
+	g.Expect(total.Requests).To(BeEquivalentTo(200))
+	g.Expect(total.Exposed).To(BeEquivalentTo(20))
+	g.Expect(total.Routes["a"].Target).To(Equal(Tally{Answers: 20, Bad: 3}))
+}
+
+// Guards against a new leader that decides on the counts of one of several schedulers.
+func TestNewLeaderWaitsForSchedulers(t *testing.T) {
+	g := NewWithT(t)
+	newLeader := func() *Controller {
+		c := newTestController(func(config *Config) { config.LeaderSince, config.Reserved = at(90), 100 })
+		c.SetSchedulers(at(90), []string{"other", "silent"})
+		c.Report(at(90), own, placed(100, 20, 20))
+		return c
+	}
+	c := newLeader()
+	g.Expect(c.Step(at(90.1)).Phase).To(Equal(Waiting))
+	g.Expect(c.Permit(at(90.1), own)).To(HaveField("Allowance", BeZero()))
+	c.Report(at(90.2), other, placed(100, 0, 0))
+	g.Expect(c.Step(at(90.2)).Phase).To(Equal(Waiting), "one is missing")
+	g.Expect(c.Step(at(91)).State).To(Equal(RolledBack), "it was silent for longer than a permit lasts")
+	c = newLeader()
+	c.Report(at(90.2), other, placed(100, 0, 0))
+	c.Report(at(90.3), Source{Router: "silent"}, placed(100, 0, 0))
+	g.Expect(c.Step(at(90.3)).State).To(Equal(RolledBack))
+}
+
+// Guards against a leader without any knowledge of the service that promotes a version or rolls it back.
+func TestLeaderThatHearsNobodyDecidesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.SetCapacity(Capacity{})
+	c.SetSchedulers(at(0), []string{"other"})
+	for second := 1.0; second < 200; second++ {
+		c.Report(at(second), own, placed(0, 0, 0))
+		decision := c.Step(at(second))
+		g.Expect(decision.State).To(Equal(Running))
+		g.Expect(decision.Phase).To(Equal(Testing))
+	}
+}
+
+func TestServiceWithoutRequestsIsMoved(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.SetSchedulers(at(0), []string{"other"})
+	promoted, end := time.Time{}, time.Time{}
+	for second := 1.0; second < 100; second += 0.25 {
+		for _, source := range []Source{own, other} {
+			c.Report(at(second), source, Report{Promoted: !promoted.IsZero()})
+		}
+		decision := c.Step(at(second))
+		if promoted.IsZero() && decision.Phase == Promoting {
+			promoted = at(second)
+		}
+		if end.IsZero() && decision.State == Succeeded {
+			end = at(second)
+		}
+	}
+	g.Expect(promoted).To(BeTemporally(">=", at(60)))
+	g.Expect(end).To(And(BeTemporally(">=", at(90)), BeTemporally("<", at(100))))
+}
+
+// Guards against a good version that is rolled back for lack of requests.
+func TestTooFewAnswersAreNoEvidence(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.SetSchedulers(at(0), []string{"other"})
+	var decision Decision
+	for second := 1.0; second < 99.5; second += 0.25 {
+		c.Report(at(second), other, Report{Requests: uint64(second / 10), Promoted: second > 90, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: uint64(second / 10)}}}})
+		decision = c.Step(at(second))
+		g.Expect(decision.State).NotTo(Equal(RolledBack))
+	}
+	g.Expect(decision.State).To(Equal(Succeeded))
+}
+
+// Guards against a version that passes because its bad answers never come.
+func TestRequestsWithoutAnswerAreEvidence(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	var decision Decision
+	for i := range 40 {
+		requests, exposed := uint64(100+40*i), uint64(min(i, 30))
+		c.Report(at(float64(i)), own, Report{Requests: requests, Exposed: exposed, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: requests - exposed}}}})
+		decision = c.Step(at(float64(i)))
+	}
+	g.Expect(decision.State).To(Equal(RolledBack))
+	g.Expect(decision.Reason).To(ContainSubstring("no answer"))
+	c = newTestController(nil)
+	for i := range 40 {
+		requests, exposed := uint64(100+40*i), uint64(min(i, 30))
+		c.Report(at(float64(i)), own, Report{Requests: requests, Exposed: exposed, Unjudged: exposed, Routes: map[string]RouteTally{"a": {Old: Tally{Answers: requests - exposed}}}})
+		g.Expect(c.Step(at(float64(i))).State).To(Equal(Running), "they ended without evidence")
+	}
+	c = newTestController(nil)
+	for i := range 40 {
+		c.Report(at(float64(i)), own, Report{Requests: uint64(100 + 40*i), Exposed: uint64(min(i, 30))})
+		g.Expect(c.Step(at(float64(i))).State).To(Equal(Running), "answers of the old version are missing as well")
+	}
+}
+
+// Guards against the end of the old runners while the new ones can't carry the service.
+func TestPromotionWaitsForCapacity(t *testing.T) {
+	g := NewWithT(t)
+	c, report := newTestController(nil), &Report{}
+	c.SetCapacity(Capacity{TargetRunners: 1, TargetSlots: 4, Load: 5})
+	g.Expect(steps(c, own, 0, 99, report, noneBad).Phase).To(Equal(Testing))
+	g.Expect(steps(c, own, 99, 150, report, noneBad).State).To(Equal(Running), "also after the deadline")
+	c.SetCapacity(Capacity{TargetRunners: 2, TargetSlots: 8, Load: 5})
+	g.Expect(steps(c, own, 150, 152, report, noneBad).State).To(Equal(Succeeded))
+}
+
+// A target version whose runners never start is rolled back before the deadline.
+func TestTargetWithoutRunnersIsRolledBack(t *testing.T) {
+	g := NewWithT(t)
+	c, report := newTestController(nil), &Report{}
+	c.SetCapacity(Capacity{})
+	g.Expect(steps(c, own, 0, 90, report, noneBad).State).To(Equal(Running))
+	g.Expect(steps(c, own, 90, 99.75, report, noneBad).State).To(Equal(RolledBack))
+}
+
+// Guards against an end that is written although the requests still to come exceed the budget.
+func TestEndWaitsForTheDeadlineIfTheBudgetIsSpent(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(func(config *Config) { config.Reserved, config.LatestStart = 10_000, at(5) })
+	report := &Report{}
+	for second := 0.0; second < 105; second += 0.25 {
+		g.Expect(steps(c, own, second, second, report, noneBad).State).To(Equal(Running))
+	}
+	g.Expect(report.Exposed).To(BeZero())
+	g.Expect(steps(c, own, 105, 107, report, noneBad).State).To(Equal(Succeeded))
+}
+
+// Guards against the end of the old runners before all placers send to the new ones, and against an end long
+// before the deadline.
+func TestEndWaitsForAllPlacers(t *testing.T) {
+	g := NewWithT(t)
+	c, report, behind := newTestController(nil), &Report{}, Report{}
+	var decision Decision
+	for second := 0.0; second < 99.5; second += 0.25 {
+		c.Report(at(second), other, behind)
+		decision = steps(c, own, second, second, report, noneBad)
+		g.Expect(decision.State).To(Equal(Running))
+	}
+	g.Expect(decision.Phase).To(Equal(Promoting))
+	behind.Promoted = true
+	c.Report(at(99.5), other, behind)
+	g.Expect(c.Step(at(99.5)).State).To(Equal(Succeeded))
+	c.Report(at(99.6), own, placed(report.Requests, report.Exposed+200, 150))
+	decision = c.Step(at(99.6))
+	g.Expect(decision.State).To(Equal(RolledBack), "the end was not written yet")
+	g.Expect(c.Permit(at(99.6), own).Allowance).To(BeZero())
+	g.Expect(c.Step(at(99.7)).State).To(Equal(RolledBack), "a version that was condemned stays so")
+}
+
+// Guards against a version that turns bad during the promotion and keeps all requests.
+func TestVersionThatTurnsBadInThePromotion(t *testing.T) {
+	g := NewWithT(t)
+	c, report := newTestController(nil), &Report{}
+	second, phase := 0.0, Testing
+	for ; phase != Promoting; second += 0.25 {
+		phase = steps(c, own, second, second, report, noneBad).Phase
+	}
+	before, began := report.Exposed, second
+	var decision Decision
+	for ; decision.Phase != Ended; second += 0.25 {
+		decision = steps(c, own, second, second, report, func(exposed uint64) uint64 { return exposed - before })
+	}
+	g.Expect(decision.State).To(Equal(RolledBack))
+	g.Expect(second - began).To(BeNumerically("<", rollbackLimit.Seconds()))
+}
+
+// Guards against a good version that is rolled back for a failure of both that begins in the promotion, when
+// the old version gets no requests to compare with.
+func TestBothVersionsFailInThePromotion(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	tally := RouteTally{}
+	promotions, paused, state := 0, false, Running
+	phase := Testing
+	for second := 0.0; second < 100; second += 0.05 {
+		permit := c.Permit(at(second), own)
+		failing := promotions > 0
+		exposed := tally.Target.Answers
+		if permit.Promoted && exposed < permit.Allowance {
+			tally.Target.Answers++
+			if failing {
+				tally.Target.Bad++
+			}
+		} else {
+			tally.Old.Answers++
+			if failing {
+				tally.Old.Bad++
+			}
+		}
+		c.Report(at(second), own, Report{
+			Requests: tally.Old.Answers + tally.Target.Answers, Exposed: tally.Target.Answers, Promoted: permit.Promoted,
+			Routes: map[string]RouteTally{"a": tally},
+		})
+		decision := c.Step(at(second))
+		if decision.Reserve > 0 {
+			c.RecordReserved(decision.Reserve)
+		}
+		if decision.Phase == Promoting && phase != Promoting {
+			promotions++
+		}
+		paused = paused || decision.Phase == Waiting
+		phase, state = decision.Phase, decision.State
+	}
+	g.Expect(paused).To(BeTrue())
+	g.Expect(promotions).To(Equal(2))
+	g.Expect(state).To(Equal(Succeeded))
+}
+
+// Guards against a good start that covers what comes later: recent answers are judged on their own.
+func TestVersionThatTurnsBadLate(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(func(config *Config) { config.Order.Duration = 20 * time.Second })
+	counted := RouteTally{}
+	var decision Decision
+	for i := range 100 {
+		counted.Old.Answers += 50
+		counted.Target.Answers += 5
+		if i >= 90 {
+			counted.Target.Bad++
+		}
+		c.Report(at(0.1*float64(i)), own, Report{Requests: counted.Old.Answers + counted.Target.Answers, Exposed: counted.Target.Answers, Routes: map[string]RouteTally{"a": counted}})
+		decision = c.Step(at(0.1 * float64(i)))
+	}
+	g.Expect(decision.State).To(Equal(RolledBack), "10 of the last 50 answers, 10 of all 500")
+}
+
+func TestFinalStateStays(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.Report(at(1), own, placed(200, 20, 20))
+	g.Expect(c.Step(at(1)).State).To(Equal(RolledBack))
+	c.Report(at(90), own, placed(20000, 2000, 20))
+	g.Expect(c.Step(at(90)).State).To(Equal(RolledBack))
+}
+
+// Guards against an old version that answers as badly and is not taken into account.
+func TestFailureOfBothVersions(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	for i := range 50 {
+		old, target := uint64(50*i), uint64(2*i)
+		c.Report(at(float64(i)), own, Report{Requests: old + target, Exposed: target, Routes: map[string]RouteTally{
+			"a": {Old: Tally{Answers: old, Bad: old / 2}, Target: Tally{Answers: target, Bad: target / 2}},
+		}})
+		g.Expect(c.Step(at(float64(i))).State).To(Equal(Running))
+	}
+}
+
+// Guards against a rollout of some seconds in which the leader or the placers are too slow for the end.
+func TestShortRolloutHasShortIntervals(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(func(config *Config) { config.Order.Duration = 6 * time.Second })
+	report := &Report{}
+	for second := 0.0; second < 5.8; second += 0.05 {
+		report.Requests += 4
+		c.Report(at(second), own, placed(report.Requests, 0, 0))
+		decision := c.Step(at(second))
+		g.Expect(c.Permit(at(second), own).ReportAfter).To(Equal(decision.WakeAfter))
+		if second > 5.3 {
+			g.Expect(decision.WakeAfter).To(BeNumerically("<=", 50*time.Millisecond), "at %.2f s", second)
+		}
+	}
+}
--- a/internal/versionrollout/demand.go
+++ b/internal/versionrollout/demand.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// rateFactor is how much faster than the highest recent rate requests may come at any time
-	// until the deadline.
-	rateFactor = 2
+	// rateFactor is how much faster than their mean rate since the order requests may come until the deadline,
+	// and burstFactor how much faster than their highest recent rate. A burst that has begun is not expected to
+	// be doubled by another one: with twice the highest recent rate, rollouts of less than 30 s missed the
+	// deadline if it fell into a burst of three times the rate.
+	rateFactor  = 2
+	burstFactor = 1.25
 	// minRateWindow and maxRateWindow bound the time over which a rate is measured. Reports come
 	// each 250 ms, so a shorter one would measure the arrival of reports.
 	minRateWindow = 600 * time.Millisecond
@@ -47,7 +50,7 @@
 		d.samples = d.samples[1:]
 	}
 	first := d.samples[0]
-	if elapsed := now.Sub(first.at); elapsed >= d.window {
+	if elapsed := now.Sub(first.at); elapsed >= min(d.window, minRateWindow) {
 		d.rates = append(d.rates, rateSample{at: now, rate: float64(d.arrived-first.arrived) / elapsed.Seconds()})
 	}
 	for len(d.rates) > 0 && now.Sub(d.rates[0].at) >= recentWindows*d.window {
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -10,13 +10,14 @@
 
 const (
 	// oldDeviations is the confidence, in standard deviations, with which the share of bad answers of the
-	// old version is bounded from above.
-	oldDeviations = 3
+	// old version since the order is bounded from above, and recentDeviations that for its recent answers.
+	oldDeviations    = 3
+	recentDeviations = 1
 	// condemnStrength and finalStrength are the negative logarithms of the chance at which bad
 	// answers of the target version are no longer taken for bad luck: at each check during the
 	// rollout, to which the logarithm of the number of checks is added, and at the one before the end.
-	condemnStrength = 9
-	finalStrength   = 8
+	condemnStrength = 8
+	finalStrength   = 6
 	// minBadAnswers is the number of bad answers below which a version is not condemned.
 	minBadAnswers = 4
 	// toleratedShare is the difference in the share of bad answers that is never held against the
@@ -25,12 +26,11 @@
 	// toleratedMissing is the same for requests without an answer, of which some are lost in other
 	// ways than by a version that hangs.
 	toleratedMissing = 0.2
-	// minOldAnswers is the number of answers of the old version in a window below which its answers
-	// since the order are used instead, as while all requests go to the target version.
-	minOldAnswers = 20
 	// shortestWindow is the length of the shortest window in which answers are judged on their own.
 	// A version that turns bad late would otherwise be covered by its good start.
 	shortestWindow = 250 * time.Millisecond
+	// windowSteps is the number of steps in which a window moves on.
+	windowSteps = 4
 )
 
 // counts is the sum of all reports at one time.
@@ -38,6 +38,8 @@
 	at                          time.Time
 	requests, exposed, unjudged uint64
 	routes                      map[string]RouteTally
+	// sum is that of all routes.
+	sum RouteTally
 }
 
 // add replaces what an earlier report of one placer added by the later one.
@@ -46,58 +48,108 @@
 	c.exposed += later.Exposed - earlier.Exposed
 	c.unjudged += later.Unjudged - earlier.Unjudged
 	for route, tally := range later.Routes {
-		c.routes[route] = c.routes[route].plus(tally.minus(earlier.Routes[route]))
+		added := tally.minus(earlier.Routes[route])
+		c.routes[route], c.sum = c.routes[route].plus(added), c.sum.plus(added)
 	}
 }
 
-func (c counts) tally() (total RouteTally) {
-	for _, tally := range c.routes {
-		total = total.plus(tally)
-	}
-	return total
+// clone returns a copy that shares nothing with the counts.
+func (c counts) clone() counts {
+	c.routes = maps.Clone(c.routes)
+	return c
 }
 
-// window holds the counts at the start of the period in which answers are judged. The period is
-// one to two times as long as the window's length.
+// window holds the counts at the start of the period in which answers are judged.
 type window struct {
-	length        time.Duration
-	before, start counts
+	length time.Duration
+	// starts holds counts of the last length of time, several in a window. The first one is at least as old
+	// as the window is long, once the rollout is.
+	starts []counts
+}
+
+// start returns the counts at the start of the window.
+func (w window) start() counts { return w.starts[0] }
+
+// isDue reports whether the window needs the present counts.
+func (w window) isDue(now time.Time) bool {
+	return now.Sub(w.starts[len(w.starts)-1].at) >= w.length/windowSteps
+}
+
+func (w *window) add(current counts) {
+	w.starts = append(w.starts, current)
+	for len(w.starts) > 1 && current.at.Sub(w.starts[1].at) >= w.length {
+		w.starts = w.starts[1:]
+	}
 }
 
 // history keeps windows whose lengths double from the shortest one to the duration of the rollout.
 type history struct {
 	duration time.Duration
-	windows  []window
+	// base holds the counts from which on answers are judged, all of them unless a pause has shown that both
+	// versions fail.
+	base    counts
+	windows []window
+	// oldShares holds, by route and for all together (allRoutes), the highest raised share of the old version in
+	// any window that ended with the promotion. Afterwards it gets hardly any requests.
+	oldShares map[string]float64
 }
 
-func newHistory(duration time.Duration, start counts) *history {
-	h := &history{duration: duration}
+// allRoutes stands for the sum of all routes.
+const allRoutes = ""
+
+func newHistory(duration time.Duration, base, start counts) *history {
+	h := &history{duration: duration, base: base}
 	for length := shortestWindow; length < duration; length *= 2 {
-		h.windows = append(h.windows, window{length: length, before: start, start: start})
+		h.windows = append(h.windows, window{length: length, starts: []counts{start}})
 	}
 	return h
 }
 
 // add moves the windows on.
 func (h *history) add(current counts) {
+	var kept *counts
 	for i := range h.windows {
-		if w := &h.windows[i]; current.at.Sub(w.start.at) >= w.length {
-			w.before, w.start = w.start, current
+		w := &h.windows[i]
+		if !w.isDue(current.at) {
+			continue
+		}
+		if kept == nil {
+			copied := current.clone()
+			kept = &copied
 		}
+		w.add(*kept)
+	}
+}
+
+// worseOverall describes evidence, at the time of a final decision, that the target version is worse.
+func (h *history) worseOverall(current counts) string {
+	return h.worseSince(h.base, current, finalStrength)
+}
+
+// keepOld keeps how the old version answers at the time of the promotion.
+func (h *history) keepOld(current counts) {
+	h.oldShares = map[string]float64{}
+	for _, w := range h.windows {
+		for route, tally := range current.routes {
+			recent := tally.Old.minus(w.start().routes[route].Old)
+			h.oldShares[route] = max(h.oldShares[route], recent.raisedShare())
+		}
+		recent := current.sum.Old.minus(w.start().sum.Old)
+		h.oldShares[allRoutes] = max(h.oldShares[allRoutes], recent.raisedShare())
 	}
 }
 
 // worse describes evidence that the target version is worse than the old one, "" if there is none.
 func (h *history) worse(current counts) string {
-	if reason := worseSince(counts{}, current, condemnStrength); reason != "" {
+	if reason := h.worseSince(h.base, current, condemnStrength); reason != "" {
 		return reason
 	}
 	for _, w := range h.windows {
 		checks := 1 + h.duration.Seconds()/w.length.Seconds()
-		if reason := worseSince(w.before, current, condemnStrength+math.Log(checks)); reason != "" {
+		if reason := h.worseSince(w.start(), current, condemnStrength+math.Log(checks)); reason != "" {
 			return reason
 		}
-		if reason := missingSince(w.before, current, condemnStrength+math.Log(checks)); reason != "" {
+		if reason := missingSince(w.start(), current, condemnStrength+math.Log(checks)); reason != "" {
 			return reason
 		}
 	}
@@ -105,37 +157,50 @@
 }
 
 // worseSince compares the answers since earlier counts, on each route and on all together.
-func worseSince(earlier, current counts, strength float64) string {
+func (h *history) worseSince(earlier, current counts, strength float64) string {
+	recent := current.sum.minus(earlier.sum)
+	if recent.Target.Bad < minBadAnswers {
+		return ""
+	}
+	if recent.isTargetWorse(h.oldShare(allRoutes, recent.Old, current.sum.Old), strength) {
+		return describe("all routes", recent)
+	}
 	for _, route := range slices.Sorted(maps.Keys(current.routes)) {
 		recent := current.routes[route].minus(earlier.routes[route])
-		if isTargetWorse(recent, current.routes[route].Old, strength) {
+		if recent.isTargetWorse(h.oldShare(route, recent.Old, current.routes[route].Old), strength) {
 			return describe("route "+route, recent)
 		}
 	}
-	total := current.tally()
-	if recent := total.minus(earlier.tally()); isTargetWorse(recent, total.Old, strength) {
-		return describe("all routes", recent)
-	}
 	return ""
 }
 
-// isTargetWorse reports whether the target version gave more bad answers than the old version did. An
-// old version that is as bad, as when a dependency of both fails, is no evidence against the
-// target. allOld are the answers of the old version since the order.
-func isTargetWorse(recent RouteTally, allOld Tally, strength float64) bool {
-	old := recent.Old
-	if old.Answers < minOldAnswers {
-		old = allOld
+// oldShare returns the upper bound on the share of bad answers of the old version, from all its answers since the
+// order. It is raised if the old version answers worse at present, or did so shortly before the promotion.
+func (h *history) oldShare(route string, recent, all Tally) float64 {
+	return max(all.upperShare(oldDeviations), recent.raisedShare(), h.oldShares[route])
+}
+
+// raisedShare returns the upper bound on the share of bad answers in a window, 0 if there are too few bad ones to
+// say that it differs from the usual share.
+func (t Tally) raisedShare() float64 {
+	if t.Bad < minBadAnswers {
+		return 0
 	}
-	return recent.Target.Bad >= minBadAnswers && recent.Target.exceeds(old.upperShare()+toleratedShare, strength)
+	return t.upperShare(recentDeviations)
+}
+
+// isTargetWorse reports whether the target version gave more bad answers than the old version did. An
+// old version that is as bad, as when a dependency of both fails, is no evidence against the target.
+func (t RouteTally) isTargetWorse(oldShare, strength float64) bool {
+	return t.Target.Bad >= minBadAnswers && t.Target.exceeds(oldShare+toleratedShare, strength)
 }
 
 // missingSince compares how many of the requests sent before the earlier counts have no answer yet.
 func missingSince(earlier, current counts, strength float64) string {
-	total := current.tally()
+	total := current.sum
 	target := missing(earlier.exposed, total.Target.Answers+current.unjudged)
 	old := missing(earlier.requests-earlier.exposed, total.Old.Answers)
-	if target.Bad >= minBadAnswers && target.exceeds(old.upperShare()+toleratedMissing, strength) {
+	if target.Bad >= minBadAnswers && target.exceeds(old.upperShare(oldDeviations)+toleratedMissing, strength) {
 		return fmt.Sprintf("%d of %d requests to the target version have no answer, %d of %d to the old one", target.Bad, target.Answers, old.Bad, old.Answers)
 	}
 	return ""
@@ -164,14 +229,14 @@
 
 // upperShare returns the upper bound of the Wilson score interval for the share of bad answers. Without
 // answers nothing is known, and it is 1.
-func (t Tally) upperShare() float64 {
+func (t Tally) upperShare(deviations float64) float64 {
 	if t.Answers == 0 {
 		return 1
 	}
-	const z2 = oldDeviations * oldDeviations
+	z2 := deviations * deviations
 	n, share := float64(t.Answers), float64(t.Bad)/float64(t.Answers)
 	centre := (share + z2/(2*n)) / (1 + z2/n)
-	return centre + oldDeviations/(1+z2/n)*math.Sqrt(share*(1-share)/n+z2/(4*n*n))
+	return centre + deviations/(1+z2/n)*math.Sqrt(share*(1-share)/n+z2/(4*n*n))
 }
 
 func describe(where string, tally RouteTally) string {
--- a/internal/versionrollout/sharecontroller_test.go
+++ b/internal/versionrollout/sharecontroller_test.go
@@ -21,14 +21,7 @@
 }
 
 const (
-	simulatedBad     = 0.3
-	simulatedOldBad  = 0.02
-	simulatedRoutes  = 3
-	simulatedLoad    = 3
-	simulatedSlack   = 50
-	simulatedTick    = 10 * time.Millisecond
-	rollbackLimit    = 5 * time.Second
-	badAnswersBefore = 50
+	simulatedTick = 10 * time.Millisecond
 )
 
 func shareQualities() []shareQuality {
@@ -96,8 +89,6 @@
 	endedAt                       time.Time
 }
 
-const simulatedShare = 0.1
-
 func newShareWorld(seed uint64, shareQuality shareQuality, placers int) *shareWorld {
 	start := time.Unix(1000, 0)
 	w := &shareWorld{random: rand.New(rand.NewPCG(seed, 1)), now: start, start: start, shareQuality: shareQuality, order: Order{Service: "s", Target: "v2", Duration: 12 * time.Second}}
@@ -130,7 +121,7 @@
 
 func (w *shareWorld) place(p *sharePlacer) {
 	w.requests++
-	route := fmt.Sprintf("route %d", w.random.IntN(simulatedRoutes))
+	route := fmt.Sprintf("route %d", w.random.IntN(3))
 	target := w.decision.Phase == Testing && p.exposure.Take(w.now)
 	p.exposure.CountRequest(w.now)
 	p.counted.Requests++
