gateway: tests of late routers and of requests that find no runner to test

A router that has heard of the promotion and is cut off before the success serves its callers after the old runners have stopped; without the fallback the first call is refused (503). Before the promotion, unreachable old runners move nothing.

--- a/internal/gateway/rolloutbound_test.go
+++ b/internal/gateway/rolloutbound_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 )
@@ -90,3 +93,67 @@
 	f.expectState("succeeded")
 	f.expectExposureInBound()
 }
+
+// lateRouter starts a router that hears of the store's changes through links of its own to the seeds. The
+// returned function cuts these links and the one to the store.
+func (f *rolloutFleet) lateRouter() (late *router, cutOff func()) {
+	bindAddress := loopback.FreeAddress()
+	proxies := []*faultproxy.Proxy{f.proxyTo(bindAddress)}
+	address, seeds := proxies[0].Address, []string(nil)
+	for _, seed := range f.routers[0].seeds {
+		proxies = append(proxies, f.proxyTo(seed))
+		seeds = append(seeds, proxies[len(proxies)-1].Address)
+	}
+	late = f.servingRouter("late", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = address, bindAddress, seeds
+		settings.ExposedShare, settings.ExposedSlack = rolloutShare, rolloutSlack
+	})
+	return late, func() {
+		late.storeEndpoint.SetFault(storestand.Hangs)
+		for _, proxy := range proxies {
+			proxy.SetMode(faultproxy.Reset)
+		}
+	}
+}
+
+// Guards against refused callers at routers that choose by themselves and hear late of the success, as
+// the old runners stop at once. They serve, also what can't be repeated, once they know of the promotion.
+func TestRouterThatHearsLateOfTheSuccessServesItsCallers(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 3, runnerstand.Normal)
+	late, cutOff := f.lateRouter()
+	f.loadWith(f.routers, 4, 20*time.Millisecond)
+	f.order(rolloutDuration)
+	f.stopOldRunnersAtSuccess()
+	f.g.Eventually(func() bool {
+		rollouts := late.Status().Rollouts
+		return len(rollouts) > 0 && rollouts[0].Promoted
+	}, rolloutDuration, 5*time.Millisecond).Should(BeTrue())
+	cutOff()
+	f.expectState("succeeded")
+	f.g.Eventually(f.oldStopped.Load, time.Second, time.Millisecond).Should(BeTrue())
+	f.g.Expect(late.Status().Rollouts[0].State).To(Equal("running"))
+	for range 20 {
+		f.g.Expect(late.call("/unsafe/x", nil).status).To(Equal(http.StatusOK))
+		f.g.Expect(late.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	}
+	f.g.Expect(late.Status().Rollouts[0].State).To(Equal("running"))
+}
+
+// Guards against requests to a target version that is only tested, from routers whose old runners can't be
+// reached: nobody has allowed them.
+func TestUnreachableOldRunnersMoveNothingBeforeThePromotion(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 3, runnerstand.Normal)
+	late, cutOff := f.lateRouter()
+	f.order(time.Hour)
+	f.g.Eventually(func() int { return len(late.Status().Rollouts) }, 2*time.Second, 5*time.Millisecond).Should(Equal(1))
+	cutOff()
+	for _, runner := range f.old {
+		runner.Close()
+	}
+	for range 5 {
+		f.g.Expect(late.call("/safe/x", nil).status).NotTo(Equal(http.StatusOK))
+	}
+	f.g.Expect(f.exposed()).To(BeZero())
+}
--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -36,6 +36,8 @@
 	stop       chan struct{}
 	callers    sync.WaitGroup
 	orderedAt  time.Time
+	// oldStopped is set when the old runners were stopped after the success.
+	oldStopped atomic.Bool
 	// proxies forward the messages of other routers to each router, in the order of the routers.
 	proxies []*faultproxy.Proxy
 }
@@ -132,6 +134,7 @@
 			runner.Close()
 			f.store.Delete(platform.KindRunners, runner.ID)
 		}
+		f.oldStopped.Store(true)
 	})
 }
 
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -50,6 +50,7 @@
 	first := f.leader
 	first.isCutOff, first.lacksStore = true, true
 	f.replaceLeader(f.routers[1])
+	f.run(versionrollout.PermitDuration) // The permit that it gave to itself at the end of its term.
 	own := first.ownExposed
 	f.run(testDuration / 2)
 	f.g.Expect(first.ownExposed).To(Equal(own))
