gateway, rolloutdriver: operators see a rollout's account

The status and two gauges of the leader have the phase and the account: reported, exposed, allowed, reserved and the budget. A counter has the requests that went to a promoted version uncounted because no other runner was left.

--- a/internal/gateway/collectors.go
+++ b/internal/gateway/collectors.go
@@ -93,3 +93,33 @@
 		ch <- prometheus.MustNewConstMetric(contentStatesDesc, prometheus.GaugeValue, float64(count), state.String())
 	}
 }
+
+// rolloutCollector reports the account of each rollout that this router leads when metrics are
+// collected.
+type rolloutCollector struct{ gateway *Gateway }
+
+var (
+	rolloutRequestsDesc = prometheus.NewDesc(namespace+"_rollout_requests", "Requests of a service since its rollout was ordered, on the router that leads the rollout: reported, exposed to the target version, allowed there, reserved in the store, and the budget.", []string{"service", "kind"}, nil)
+	rolloutPhaseDesc    = prometheus.NewDesc(namespace+"_rollout_phase", "1 for the phase of a service's rollout, on the router that leads it.", []string{"service", "phase"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *rolloutCollector) Describe(ch chan<- *prometheus.Desc) {
+	ch <- rolloutRequestsDesc
+	ch <- rolloutPhaseDesc
+}
+
+// Collect implements prometheus.Collector.
+func (c *rolloutCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, rollout := range c.gateway.rolloutDriver.Summaries(c.gateway.now()) {
+		if !rollout.Leads {
+			continue
+		}
+		ch <- prometheus.MustNewConstMetric(rolloutPhaseDesc, prometheus.GaugeValue, 1, rollout.Service, rollout.Phase)
+		for kind, count := range map[string]uint64{
+			"reported": rollout.Requests, "exposed": rollout.Exposed, "allowed": rollout.Allowed, "reserved": rollout.Reserved, "budget": rollout.Budget,
+		} {
+			ch <- prometheus.MustNewConstMetric(rolloutRequestsDesc, prometheus.GaugeValue, float64(count), rollout.Service, kind)
+		}
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -95,6 +95,9 @@
 	callerReturns   *prometheus.CounterVec
 	// shareRefusals counts refusals for a tenant's fair share, on the router that decided them.
 	shareRefusals *prometheus.CounterVec
+	// rolloutFallbacks counts requests that went to the target version of a rollout, uncounted by its
+	// leader, as no runner of the other versions was left.
+	rolloutFallbacks *prometheus.CounterVec
 
 	quotaDecisions *prometheus.CounterVec
 	// quotaFalseRefusals counts refusals of tenants whose quota was not used up.
@@ -165,6 +168,8 @@
 		callerReturns: newCounterVec("returns_total", "Calls that came back at the moment that they were told, by whether they were let in.", "route", "outcome"),
 		shareRefusals: newCounterVec("share_refusals_total", "Requests refused by this router's choice only as their tenant is beyond its fair share of the service.", "service"),
 
+		rolloutFallbacks: newCounterVec("rollout_fallbacks_total", "Choices of the target version of a promoted rollout because no runner of the other versions could be reached.", "service"),
+
 		quotaDecisions: newCounterVec("quota_decisions_total", "Calls counted against their tenant's limit, by who decided.", "by", "outcome"),
 		quotaFalseRefusals: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "quota_refusals_below_limit_total", Help: "Calls refused for their tenant's limit by all keepers although their parts together had room.",
@@ -176,8 +181,8 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections,
-		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals,
-		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g},
+		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
+		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
 		newGauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.knownRouters.Load()) }),
 		newGauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.TenantCount() }),
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -38,6 +38,9 @@
 	}
 	if chosen.Status == placement.Picked {
 		g.rolloutDriver.RecordPlaced(now, *query)
+		if query.Fallback {
+			g.metrics.rolloutFallbacks.WithLabelValues(query.Service).Inc()
+		}
 	}
 	if chosen.Status == placement.NoRunner || chosen.Status == placement.AllHeldBack {
 		return chosen, queueLimit, false
--- a/internal/gateway/rolloutbound_test.go
+++ b/internal/gateway/rolloutbound_test.go
@@ -157,3 +157,31 @@
 	}
 	f.g.Expect(f.exposed()).To(BeZero())
 }
+
+// Guards against an account that operators can't follow while a rollout runs.
+func TestLeaderReportsTheAccountOfARollout(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 3, runnerstand.Normal)
+	f.loadWith(f.routers, 4, 20*time.Millisecond)
+	f.order(time.Hour)
+	f.g.Eventually(f.exposed, 5*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
+	leader := f.leader()
+	for i, r := range f.routers {
+		got := scrapeMetrics(f.g, f.metrics[i])
+		account := func(kind string) float64 {
+			return got[fmt.Sprintf(`clovertiller_rollout_requests{kind=%q,service="plain"}`, kind)]
+		}
+		if r != leader {
+			f.g.Expect(account("budget")).To(BeZero(), "only the leader knows it")
+			continue
+		}
+		f.g.Expect(got[`clovertiller_rollout_phase{phase="testing",service="plain"}`]).To(Equal(1.0))
+		f.g.Expect(account("reported")).To(BeNumerically(">", 0))
+		f.g.Expect(account("allowed")).To(BeNumerically(">", 0))
+		f.g.Expect(account("reserved")).To(BeNumerically(">=", account("allowed")))
+		f.g.Expect(account("budget")).To(BeNumerically(">=", account("reserved")))
+		summary := r.Status().Rollouts[0]
+		f.g.Expect(summary.Phase).To(Equal("testing"))
+		f.g.Expect(float64(summary.Reserved)).To(BeNumerically(">=", account("reserved")))
+	}
+}
--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -40,6 +40,8 @@
 	oldStopped atomic.Bool
 	// proxies forward the messages of other routers to each router, in the order of the routers.
 	proxies []*faultproxy.Proxy
+	// metrics are the addresses of the routers' metrics.
+	metrics []string
 }
 
 // newRolloutFleet starts routers, of which up to three are seeds, and runners of both versions. The
@@ -56,12 +58,13 @@
 		bindAddresses = append(bindAddresses, loopback.FreeAddress())
 		f.proxies = append(f.proxies, f.proxyTo(bindAddresses[len(bindAddresses)-1]))
 		addresses = append(addresses, f.proxies[len(f.proxies)-1].Address)
+		f.metrics = append(f.metrics, loopback.FreeAddress())
 	}
 	seeds := addresses[:min(3, routers)]
 	for i, address := range addresses {
 		f.routers = append(f.routers, f.router(fmt.Sprintf("r%d", i), func(settings *gateway.Settings) {
 			settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = address, bindAddresses[i], seeds
-			settings.ExposedShare, settings.ExposedSlack = rolloutShare, rolloutSlack
+			settings.ExposedShare, settings.ExposedSlack, settings.MetricsAddress = rolloutShare, rolloutSlack, f.metrics[i]
 		}))
 	}
 	for _, r := range f.routers {
--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -149,6 +149,9 @@
 	if !r.isOwnWrite(stored.Status) && !sameStatus(r.stored.Status, stored.Status) {
 		// Another leader wrote it, or the store was restored. A new account takes all that was
 		// reserved as spent.
+		if r.lead.controller != nil && d.ports.Clock.Now().Before(d.termEnd) && !r.state.IsFinal() {
+			d.ports.Log.Log(events.RolloutAccountRestarted, events.Fields{"service": stored.Order.Service, "target": stored.Order.Target, "reserved": max(r.reserved, reservedIn(stored.Status)), "revision": revision.Number()})
+		}
 		r.lead.controller = nil
 	}
 	r.stored, r.revision = stored, revision
@@ -163,6 +166,14 @@
 	d.enterState(r, status.State, status.Reason)
 }
 
+// reservedIn returns the reservation of a status, 0 if there is none.
+func reservedIn(status *Status) uint64 {
+	if status == nil {
+		return 0
+	}
+	return status.Reserved
+}
+
 // sameStatus reports whether the two statuses are equal or both missing.
 func sameStatus(a, b *Status) bool {
 	if a == nil || b == nil {
