rolloutdriver: placers report less often to a leader that no longer answers

The interval that a permit asked for stayed in force after the loss of the leader, as short as 25 ms near the end of a rollout, until another leader answered. It ends with the permit.

--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -318,3 +318,17 @@
 		}
 	}
 }
+
+// Guards against frequent reports to a lost leader until the end of the rollout.
+func TestPlacerReportsLessOftenToALostLeader(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.order(testDuration)
+	f.run(time.Second)
+	schedule := &f.routers[1].byService[testService].placer.schedule
+	schedule.leaderInterval = 20 * time.Millisecond
+	f.g.Expect(schedule.leader).To(Equal("r0"))
+	f.leader.isStopped = true
+	f.run(2 * time.Second)
+	f.g.Expect(schedule.leader).To(BeEmpty())
+	f.g.Expect(schedule.interval(f.now, f.deadline)).To(Equal(reportInterval))
+}
--- a/internal/rolloutdriver/report.go
+++ b/internal/rolloutdriver/report.go
@@ -30,8 +30,17 @@
 	// one that granted the last permit.
 	lastToAll, lastToLeader time.Time
 	leader                  string
-	// leaderInterval is the time between reports that the leader asked for.
+	// leaderInterval is the time between reports that the leader asked for, and leaderHeardAt when the
+	// report was sent that it answered last.
 	leaderInterval time.Duration
+	leaderHeardAt  time.Time
+}
+
+// forgetSilentLeader ends the more frequent reports to a leader that no longer answers.
+func (s *reportSchedule) forgetSilentLeader(now time.Time) {
+	if now.Sub(s.leaderHeardAt) >= versionrollout.PermitDuration {
+		s.leader, s.leaderInterval = "", 0
+	}
 }
 
 // interval returns the time between reports to the leader, given when the rollout ends.
@@ -128,6 +137,7 @@
 			continue
 		}
 		schedule := &r.placer.schedule
+		schedule.forgetSilentLeader(now)
 		interval := schedule.interval(now, r.latestStart.Add(r.stored.Order.Duration))
 		switch {
 		case now.Sub(schedule.lastToAll) >= reportInterval || (schedule.leader == "" && now.Sub(schedule.lastToAll) >= interval):
@@ -162,7 +172,7 @@
 		return
 	}
 	r.placer.exposure.SetPermit(sentAt, permit)
-	r.placer.schedule.leader, r.placer.schedule.leaderInterval = address, permit.ReportAfter
+	r.placer.schedule.leader, r.placer.schedule.leaderInterval, r.placer.schedule.leaderHeardAt = address, permit.ReportAfter, sentAt
 	if permit.ReportAfter < reportInterval {
 		wake(d.reportWake)
 	}
