gateway: the lease is left to a scheduler while a rollout waits for one

A router that is no scheduler takes the lease for orders to runners while the schedulers don't reach the store, and kept it for as long as any runner needed orders. Since it may not lead rollouts, a rollout stayed running when the schedulers were back: with a runner that ignores its orders, for the 15 s that the test waits. After 3 s it now leaves the lease to the schedulers for 3 s, unless it still reads the store itself, which means that they are not back. The extended test TestRouterThatIsNoSchedulerTakesNoStep fails without the change.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -32,6 +32,11 @@
 	leasePollInterval = time.Second
 	// leaseRetryDelay is the delay after a failed call on the lease.
 	leaseRetryDelay = 200 * time.Millisecond
+	// yieldAfter is how long a router that leads no rollouts holds the lease while a rollout waits
+	// for a leader, and yieldPause how long it then leaves the lease to the schedulers. The pause is
+	// longer than a term with its gap and the interval at which a scheduler reads the lease.
+	yieldAfter = 3 * time.Second
+	yieldPause = 3 * time.Second
 )
 
 // leader competes for the lease while runners need orders, and sends orders while it holds the
@@ -43,6 +48,8 @@
 	// nextReadAt is when the lease is read again while another router holds it.
 	nextReadAt time.Time
 	holdsLease bool
+	// heldSince is when this router last acquired the lease.
+	heldSince time.Time
 	// outdatedRunners is the number of runners with weights older than the target at the last
 	// check, and outdatedChangedAt when this number last changed.
 	outdatedRunners   int
@@ -70,6 +77,11 @@
 			continue
 		}
 		token, held := l.acquireOrRenew()
+		if held && l.yieldsToScheduler(l.gateway.now()) {
+			l.candidate.Release()
+			l.nextReadAt = l.gateway.now().Add(yieldPause)
+			token, held = 0, false
+		}
 		l.setHoldsLease(token, held)
 		if !held {
 			l.gateway.rolloutDriver.SetTerm(time.Time{})
@@ -80,6 +92,13 @@
 	}
 }
 
+// yieldsToScheduler reports whether the lease is left to a scheduler, because a rollout waits for one.
+// Otherwise a router that took the lease while the schedulers did not reach the store would keep it
+// for as long as any runner needs orders. While this router reads the store itself, they are not back.
+func (l *leader) yieldsToScheduler(now time.Time) bool {
+	return l.holdsLease && now.Sub(l.heldSince) >= yieldAfter && !l.gateway.directReads.isEnabled() && l.gateway.rolloutDriver.AwaitsScheduler()
+}
+
 // seeksLease reports whether this router competes for the lease. Routers that read the store do
 // so at once, and so does the last holder, as the others wait for its lease to expire. All
 // others do so only when there is no progress, so that a newly named version does not cause a
@@ -230,6 +249,7 @@
 	l.holdsLease = held
 	l.gateway.leaseToken.Store(uint64(token))
 	if held {
+		l.heldSince = l.gateway.now()
 		l.gateway.log.Log(events.LeaseAcquired, events.Fields{"token": token, "era": token.Era()})
 		return
 	}
--- a/internal/gateway/rolloutbound_test.go
+++ b/internal/gateway/rolloutbound_test.go
@@ -44,7 +44,8 @@
 }
 
 // Guards against steps of a router that isn't a scheduler and holds the lease because runners need orders:
-// it hears no reports, so it would promote or roll back without evidence.
+// it hears no reports, so it would promote or roll back without evidence. It must not keep the lease from the
+// schedulers once these are back, although a runner still needs orders.
 func TestRouterThatIsNoSchedulerTakesNoStep(t *testing.T) {
 	t.Parallel()
 	f := newRolloutFleet(t, 5, runnerstand.Normal)
@@ -59,6 +60,10 @@
 	f.g.Eventually(func() uint64 { return f.routers[3].Status().LeaseToken + f.routers[4].Status().LeaseToken }, 6*time.Second, 10*time.Millisecond).ShouldNot(BeZero())
 	f.g.Consistently(f.state, time.Until(f.orderedAt.Add(rolloutDuration+time.Second)), 20*time.Millisecond).Should(Or(BeEmpty(), Equal("running")))
 	f.g.Expect(f.exposed()).To(BeZero())
+	for _, r := range f.routers[:3] {
+		r.storeEndpoint.SetFault(storestand.Healthy)
+	}
+	f.g.Eventually(f.state, 15*time.Second, 20*time.Millisecond).Should(Equal("succeeded"))
 }
 
 // Guards against decisions of a leader to which nobody reports: one promoted a version that always
--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -52,8 +52,13 @@
 
 // NeedsLeader reports whether a rollout has to be led, or its final state to be written again, and
 // this router is one that receives the counts.
-func (d *Driver) NeedsLeader() bool {
-	if !d.isEnabled() || !d.ports.Schedulers.IsPlacer() {
+func (d *Driver) NeedsLeader() bool { return d.ports.Schedulers.IsPlacer() && d.hasUnfinished() }
+
+// AwaitsScheduler reports whether a rollout has to be led by another router.
+func (d *Driver) AwaitsScheduler() bool { return !d.ports.Schedulers.IsPlacer() && d.hasUnfinished() }
+
+func (d *Driver) hasUnfinished() bool {
+	if !d.isEnabled() {
 		return false
 	}
 	d.mutex.Lock()
