backend: homes of prompt families by region

A family has one home among all runners, so two thirds of its requests cross to another region, although a home in each region would make the caches too small for all families.

A family gets a home in a region if the region's requests come often enough that the parts are still cached, by the learned retention time of unused parts; parts that are cached nowhere are prefilled in the region. Otherwise a request goes to a runner that has the parts, as far as that is sooner. Samples of large services are mostly runners of the region.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -72,8 +73,10 @@
 	// runners, such as cache stores.
 	deepest int
 	// byZone is the maximum over the runners of each zone, indexed by the number of the zone, nil
-	// without regions.
-	byZone []int
+	// without regions. fetchable memoizes how far runners of each zone can fetch the prompt, -1 if it
+	// has not been computed.
+	byZone    []int
+	fetchable []int
 }
 
 // holderDepths returns how many tokens of the prompt the runner has cached, and how many it can have
@@ -82,6 +85,30 @@
 	if len(l.query.Shared) == 0 {
 		return 0, 0
 	}
+	depths := l.versionDepths(e)
+	depth = depths.byHolder[e.ID]
+	if depths.byZone == nil {
+		return depth, depths.deepest
+	}
+	if depths.fetchable[e.zoneNumber] < 0 {
+		depths.fetchable[e.zoneNumber] = l.set.fetchableDepth(l.now, e, depths)
+	}
+	return depth, max(depth, depths.fetchable[e.zoneNumber])
+}
+
+// cachedDepth returns how many tokens of the prompt the runner has cached, and the maximum over all
+// holders under the same weight version.
+func (l *depthLookup) cachedDepth(e *entry) (depth, deepest int) {
+	depths := l.versionDepths(e)
+	deepest = depths.deepest
+	for _, depth := range depths.byZone {
+		deepest = max(deepest, depth)
+	}
+	return depths.byHolder[e.ID], deepest
+}
+
+// versionDepths returns the cached depths under the runner's weight version.
+func (l *depthLookup) versionDepths(e *entry) versionDepths {
 	version, _ := e.weightVersion(l.query.Model)
 	depths, found := l.byVersion[version]
 	if !found {
@@ -89,17 +116,14 @@
 		l.set.findDeepest(&depths)
 		l.byVersion[version] = depths
 	}
-	depth = depths.byHolder[e.ID]
-	if depths.byZone == nil {
-		return depth, depths.deepest
-	}
-	return depth, l.set.fetchableDepth(l.now, e, depth, depths)
+	return depths
 }
 
 // findDeepest sets the maxima of the depths.
 func (s *Set) findDeepest(depths *versionDepths) {
 	if s.regions != nil {
 		depths.byZone = make([]int, len(s.regions.names))
+		depths.fetchable = slices.Repeat([]int{-1}, len(s.regions.names))
 	}
 	for holder, depth := range depths.byHolder {
 		if source := s.entries[holder]; source != nil && depths.byZone != nil {
@@ -110,11 +134,11 @@
 	}
 }
 
-// fetchableDepth returns up to which depth the runner can fetch the prompt: from the deepest holder
-// of its region, or from another region as far as that is sooner than the prefill.
-func (s *Set) fetchableDepth(now time.Time, e *entry, cached int, depths versionDepths) int {
+// fetchableDepth returns up to which depth runners in the zone of e can fetch the prompt: from the
+// deepest holder of their region, or from another region as far as that is sooner than the prefill.
+func (s *Set) fetchableDepth(now time.Time, e *entry, depths versionDepths) int {
 	view, prefill := s.regions.view(now, e.Zone), s.runnerPrefill(e)
-	inRegion := max(depths.deepest, cached)
+	inRegion := depths.deepest
 	for zone, depth := range depths.byZone {
 		if view.zones[zone].relation != distance.OtherRegion {
 			inRegion = max(inRegion, depth)
@@ -122,11 +146,9 @@
 	}
 	best := inRegion
 	for zone, depth := range depths.byZone {
-		if view.zones[zone].relation != distance.OtherRegion || depth <= inRegion {
-			continue
-		}
-		if saved := (depth - inRegion) - fetchCost(prefill, view.zones[zone], depth-inRegion); saved > 0 {
-			// Fetching these tokens is as expensive as prefilling the rest of them.
+		if view.zones[zone].relation == distance.OtherRegion && depth > inRegion {
+			// Fetching these tokens is as expensive as prefilling those that are not saved.
+			saved := (depth - inRegion) - fetchCost(prefill, view.zones[zone], depth-inRegion)
 			best = max(best, inRegion+saved)
 		}
 	}
--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -115,11 +115,11 @@
 	request := placement.Request{Model: query.Model, PromptTokens: query.PromptTokens, MaxWait: query.MaxQueueTime, Excluded: slices.Clone(query.Excluded)}
 	prefill := s.servicePrefill(query.Service)
 	split := s.split(now, query, len(s.byService[query.Service]))
-	entries, home := s.scopedEntries(now, query, scope, split)
 	zone := cmp.Or(query.Zone, s.zone)
 	view := s.regions.view(now, zone)
-	s.cacheIndex.ExpireProvisional(now)
 	depths := &depthLookup{set: s, now: now, query: &query, byVersion: map[uint64]versionDepths{}}
+	entries, home := s.scopedEntries(now, query, scope, split, depths)
+	s.cacheIndex.ExpireProvisional(now)
 	candidates := make([]placement.Candidate, 0, len(entries))
 	var usage slotUsage
 	// The separation cost of a runner in another region is not part of the expected wait, so no request
@@ -148,7 +148,7 @@
 		if isFar && keepInRegion {
 			separation += leaveRegionCost
 		}
-		cached := cachedTokens(query, e.ID == home, depth)
+		cached := cachedTokens(query, e == home, depth)
 		candidates = append(candidates, placement.Candidate{
 			Name: e.ID, Leaving: e.isLeaving(), Report: s.loadReport(now, e, query.Model, prefill),
 			CachedTokens:            cached,
@@ -170,28 +170,41 @@
 	return request, candidates
 }
 
-// homeRunner returns the id of the runner that all requests of the prompt family prefer, so
-// that it caches the family's shared parts. It is chosen by rendezvous hashing among the
-// runners that accept work, so all routers agree on it. While long prefills are kept on
-// separate runners, it is one of the runners preferred for this kind of request.
-func (s *Set) homeRunner(now time.Time, entries []*entry, query Query, split split) string {
+// homeRunners returns the runners that all requests of the prompt family prefer, so that they cache
+// the family's shared parts: among all runners and among those of the sender's region. They are
+// chosen by rendezvous hashing among the runners that accept work, so all routers agree on them. While
+// long prefills are kept on separate runners, they are of the runners preferred for this kind of
+// request. Without regions, both are the same.
+func (s *Set) homeRunners(now time.Time, entries []*entry, query Query, split split) (global, regional *entry) {
 	if query.Family == 0 {
-		return ""
+		return nil, nil
 	}
-	ids, otherIDs := make([]string, 0, len(entries)), []string(nil)
+	view := s.regions.view(now, cmp.Or(query.Zone, s.zone))
+	var all, near homeChoice
 	for _, e := range entries {
-		switch {
-		case !e.mayBeHome(now, query):
-		case split.prefers(e):
-			ids = append(ids, e.ID)
-		default:
-			otherIDs = append(otherIDs, e.ID)
+		if !e.mayBeHome(now, query) {
+			continue
+		}
+		weight, preferred := rendezvous.Weight(e.ID, query.Family), split.prefers(e)
+		all.add(e, weight, preferred)
+		if !view.isFar(e) {
+			near.add(e, weight, preferred)
 		}
 	}
-	if len(ids) == 0 {
-		ids = otherIDs
+	return all.best, near.best
+}
+
+// homeChoice is the runner with the highest weight so far, of the preferred ones if there are any.
+type homeChoice struct {
+	best      *entry
+	weight    uint64
+	preferred bool
+}
+
+func (h *homeChoice) add(e *entry, weight uint64, preferred bool) {
+	if h.best == nil || preferred && !h.preferred || preferred == h.preferred && weight > h.weight {
+		*h = homeChoice{best: e, weight: weight, preferred: preferred}
 	}
-	return rendezvous.Owner(ids, query.Family)
 }
 
 // mayBeHome reports whether the runner accepts work now, so that the query's prompt family may have
--- a/internal/backend/candidates_bench_test.go
+++ b/internal/backend/candidates_bench_test.go
@@ -15,7 +15,9 @@
 		for name, regions := range map[string]map[string]string{"none": nil, "three": testRegions} {
 			b.Run(fmt.Sprintf("runners=%d/regions=%s", 6*perZone, name), func(b *testing.B) {
 				set, random := newRegionSet(regions, perZone), rand.New(rand.NewPCG(1, 2))
-				query := Query{Service: "s", Model: "m", PromptTokens: 9000, SharedTokens: 6000, Family: 7, MaxEventGap: 300_000_000}
+				query := longPromptQuery("a1")
+				query.MaxEventGap = 300_000_000
+				setCached(set, cachedChanges("b1-0", "trunk", "branch"), cachedChanges("a1-0", "trunk"))
 				for b.Loop() {
 					request, candidates := set.Candidates(start, query)
 					placement.Choose(request, candidates, placement.ScoreWeights{Uncached: 1}, random)
--- a/internal/backend/regions.go
+++ b/internal/backend/regions.go
@@ -20,9 +20,15 @@
 	zones map[string]int
 	names []string
 	// views are the distances seen from the zones of senders.
-	views map[string]*zoneView
+	views    map[string]*zoneView
+	families families
+	// rings hold the runners of each service and region in the order of a hash.
+	rings map[ringKey]*ring
 }
 
+// ringKey identifies the runners of a service in a region.
+type ringKey struct{ service, region string }
+
 // viewLifetime is how long the distances seen from a zone are reused. Looking them up for each
 // choice would take several percent of its time, and they change within seconds at most.
 const viewLifetime = 100 * time.Millisecond
@@ -51,7 +57,7 @@
 // Put. A table without regions changes nothing.
 func (s *Set) UseDistances(table *distance.Table) {
 	if table.HasRegions() {
-		s.regions = &regions{table: table, zones: map[string]int{}, views: map[string]*zoneView{}}
+		s.regions = &regions{table: table, zones: map[string]int{}, views: map[string]*zoneView{}, families: newFamilies(), rings: map[ringKey]*ring{}}
 	}
 }
 
@@ -68,6 +74,43 @@
 	return number
 }
 
+// ringKey returns the key of the ring that holds the service's runner in the zone.
+func (r *regions) ringKey(service, zone string) ringKey {
+	return ringKey{service: service, region: r.table.Region(zone)}
+}
+
+// add adds a new runner to the ring of its region.
+func (r *regions) add(e *entry) {
+	if r == nil {
+		return
+	}
+	key := r.ringKey(e.Service, e.Zone)
+	if r.rings[key] == nil {
+		r.rings[key] = &ring{}
+	}
+	r.rings[key].add(e)
+}
+
+// remove removes a runner from the ring of its region.
+func (r *regions) remove(e *entry) {
+	if r != nil {
+		r.rings[r.ringKey(e.Service, e.Zone)].remove(e)
+	}
+}
+
+// regionRing returns the runners of the query's service in the region of its sender, nil if there are
+// none or without regions.
+func (s *Set) regionRing(query Query) *ring {
+	if s.regions == nil {
+		return nil
+	}
+	found := s.regions.rings[s.regions.ringKey(query.Service, cmp.Or(query.Zone, s.zone))]
+	if found == nil || len(found.sorted()) == 0 {
+		return nil
+	}
+	return found
+}
+
 // view returns the distances of the runners' zones from the zone, nil without regions.
 func (r *regions) view(now time.Time, zone string) *zoneView {
 	if r == nil {
@@ -112,6 +155,17 @@
 	return v.zones[e.zoneNumber].roundTrip
 }
 
+// nearestFar returns the round trip to the nearest other region that has runners.
+func (v *zoneView) nearestFar() time.Duration {
+	nearest := time.Duration(0)
+	for _, zone := range v.zones {
+		if zone.relation == distance.OtherRegion && (nearest == 0 || zone.roundTrip < nearest) {
+			nearest = zone.roundTrip
+		}
+	}
+	return nearest
+}
+
 // Relation returns how close the runner is to the zone, empty for this router's zone. Without
 // regions, each zone counts as one of the same region.
 func (s *Set) Relation(zone string, runner Runner) distance.Relation {
--- a/internal/backend/sample.go
+++ b/internal/backend/sample.go
@@ -19,6 +19,9 @@
 	// number if none of those can take the request.
 	sampleSize      = 96
 	largeSampleSize = 1024
+	// sampleRegionStep makes one of so many sampled runners one of all regions; the others are of the
+	// region of the request.
+	sampleRegionStep = 4
 	// maxSampledHolders is the number of runners with cached parts that a choice looks at.
 	maxSampledHolders = 32
 	// scanInterval is the minimum time between two choices that look at all runners, because no
@@ -131,17 +134,20 @@
 	return AllRunners
 }
 
-// scopedEntries returns the runners that a choice looks at, and the home runner's id.
-func (s *Set) scopedEntries(now time.Time, query Query, scope Scope, split split) (entries []*entry, home string) {
+// scopedEntries returns the runners that a choice looks at, and the home runner, nil if there is none.
+func (s *Set) scopedEntries(now time.Time, query Query, scope Scope, split split, depths *depthLookup) (entries []*entry, home *entry) {
 	if !s.IsSampled(query) {
 		entries = s.allowedEntries(query)
-		return entries, s.homeRunner(now, entries, query, split)
+		global, regional := s.homeRunners(now, entries, query, split)
+		return entries, s.chooseHome(now, query, regional, func() *entry { return global }, depths)
 	}
-	ring := s.rings[query.Service]
+	ring, regionRing := s.rings[query.Service], s.regionRing(query)
 	if query.Family != 0 {
-		if e := s.sampledHome(now, ring, query, split); e != nil {
-			home = e.ID
+		var regional *entry
+		if regionRing != nil && len(query.Shared) > 0 {
+			regional = s.sampledHome(now, regionRing, query, split)
 		}
+		home = s.chooseHome(now, query, regional, func() *entry { return s.sampledHome(now, ring, query, split) }, depths)
 	}
 	if scope == AllRunners {
 		return s.allowedEntries(query), home
@@ -157,13 +163,17 @@
 			entries = append(entries, e)
 		}
 	}
-	add(s.entries[home])
-	for _, holder := range s.deepestHolders(query, ring.sorted()[0].entry) {
+	add(home)
+	for _, holder := range s.deepestHolders(now, query, ring.sorted()[0].entry) {
 		add(s.entries[holder])
 	}
-	for range size {
+	for i := range size {
 		s.sampleCount++
-		add(ring.sorted()[rendezvous.Weight("", s.sampleCount)%uint64(len(ring.members))].entry)
+		from := ring
+		if regionRing != nil && i%sampleRegionStep != 0 {
+			from = regionRing
+		}
+		add(from.sorted()[rendezvous.Weight("", s.sampleCount)%uint64(len(from.members))].entry)
 	}
 	return entries, home
 }
@@ -179,8 +189,9 @@
 }
 
 // deepestHolders returns up to maxSampledHolders runners that hold the most of the prompt under the
-// target weights, or under those of some runner if none have been named.
-func (s *Set) deepestHolders(query Query, some *entry) []string {
+// target weights, or under those of some runner if none have been named. Among equals, those of the
+// sender's region come first.
+func (s *Set) deepestHolders(now time.Time, query Query, some *entry) []string {
 	if len(query.Shared) == 0 {
 		return nil
 	}
@@ -195,6 +206,9 @@
 			holders = append(holders, holder)
 		}
 	}
-	slices.SortFunc(holders, func(a, b string) int { return cmp.Or(cmp.Compare(depths[b], depths[a]), cmp.Compare(a, b)) })
+	view := s.regions.view(now, cmp.Or(query.Zone, s.zone))
+	slices.SortFunc(holders, func(a, b string) int {
+		return cmp.Or(cmp.Compare(depths[b], depths[a]), cmp.Compare(view.roundTrip(s.entries[a]), view.roundTrip(s.entries[b])), cmp.Compare(a, b))
+	})
 	return holders[:min(len(holders), maxSampledHolders)]
 }
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -37,6 +37,7 @@
 		s.recordLongPrefill(now, query.Service, tokens)
 	}
 	if e := s.listedEntry(send); e != nil {
+		s.recordFamily(now, e, query)
 		send.suspectContent = query.SuspectContent
 		e.suspects = e.suspects.add(query.SuspectContent)
 	}
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -113,8 +113,15 @@
 	}
 	known := s.entries[runner.ID]
 	if known != nil && known.Service == runner.Service && known.Incarnation == runner.Incarnation {
+		moved := known.Zone != runner.Zone
+		if moved {
+			s.regions.remove(known)
+		}
 		known.update(runner)
-		known.zoneNumber = s.regions.zoneNumber(runner.Zone)
+		if moved {
+			known.zoneNumber = s.regions.zoneNumber(runner.Zone)
+			s.regions.add(known)
+		}
 		return false
 	}
 	if known != nil {
@@ -131,6 +138,7 @@
 		s.rings[runner.Service] = &ring{}
 	}
 	s.rings[runner.Service].add(created)
+	s.regions.add(created)
 	return true
 }
 
@@ -160,6 +168,7 @@
 		delete(other.byRunner, id)
 	}
 	s.rings[known.Service].remove(known)
+	s.regions.remove(known)
 	s.byService[known.Service] = slices.DeleteFunc(slices.Clone(s.byService[known.Service]), func(e *entry) bool { return e == known })
 	return true
 }
--- a/internal/backend/signals_test.go
+++ b/internal/backend/signals_test.go
@@ -57,7 +57,8 @@
 			g.Expect(found).To(BeFalse(), "the runner must not be a backup")
 			for family := range uint64(20) {
 				query.Family = family + 1
-				g.Expect(set.homeRunner(start, set.byService["s"], query, split{})).To(Equal("b"))
+				global, regional := set.homeRunners(start, set.byService["s"], query, split{})
+				g.Expect([]string{global.ID, regional.ID}).To(Equal([]string{"b", "b"}))
 			}
 		})
 	}
