backend: a backup of a run is in the same region where that is possible

A backup in another zone is preferred wherever the zone is, so copies of runs go to other regions, over links that take five times as long, and a run that continues there is far from its caller.

With regions, another zone of the region comes first, then the same zone, then another region.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -7,6 +7,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backpressure"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/fleet"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
@@ -330,8 +331,8 @@
 
 // Backup returns the runner best suited to hold a copy of a run's state. It serves the same
 // service with the same weight version and is not leaving, updating or avoided. A runner in
-// another zone is preferred, as runners of one zone are lost together, and then the one
-// with the fewest open requests of this router.
+// another zone of the region is preferred, as runners of one zone are lost together, then one in the
+// same zone, and then the one with the fewest open requests of this router.
 func (s *Set) Backup(now time.Time, id, model string) (Runner, bool) {
 	primary := s.entries[id]
 	if primary == nil {
@@ -344,7 +345,7 @@
 		if e == primary || !held || other != version || e.SoftwareVersion != primary.SoftwareVersion || e.isLeaving() || e.updating || now.Before(e.avoidUntil) || !e.accepts(now, backpressure.Permit{}) {
 			continue
 		}
-		if best == nil || backupCost(primary, e) < backupCost(primary, best) {
+		if best == nil || s.backupCost(primary, e) < s.backupCost(primary, best) {
 			best = e
 		}
 	}
@@ -354,14 +355,20 @@
 	return best.Runner, true
 }
 
-// sameZoneBackupCost is the cost of a backup in the primary's own zone, in units of one
-// open request.
-const sameZoneBackupCost = 1000
+// Costs of a backup by its distance, in units of one open request.
+const (
+	sameZoneBackupCost = 1000
+	// A copy to another region takes five times as long as to another zone, and a run that continues
+	// there is far from its caller. Losses of zones are rarer than runs.
+	otherRegionBackupCost = 2000
+)
 
-func backupCost(primary, e *entry) int {
-	cost := e.inFlight
-	if e.Zone == primary.Zone {
-		cost += sameZoneBackupCost
+func (s *Set) backupCost(primary, e *entry) int {
+	switch s.Relation(primary.Zone, e.Runner) {
+	case distance.SameZone:
+		return e.inFlight + sameZoneBackupCost
+	case distance.OtherRegion:
+		return e.inFlight + otherRegionBackupCost
 	}
-	return cost
+	return e.inFlight
 }
--- a/internal/backend/families_test.go
+++ b/internal/backend/families_test.go
@@ -93,6 +93,30 @@
 	g.Expect(f.get(used).count).To(BeNumerically("==", 10*maxFamilies/1000+1))
 }
 
+// Guards against a backup in another region while the region has another runner, and against none
+// at all when it has not.
+func TestBackupPrefersTheRegion(t *testing.T) {
+	for name, test := range map[string]struct {
+		zones []string
+		want  string
+	}{
+		"other zone of the region": {[]string{"a1", "b1", "a2", "c1"}, "a2"},
+		"same zone":                {[]string{"a1", "b1", "c1"}, "a1"},
+		"other region":             {[]string{"b1"}, "b1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, set := NewWithT(t), newRegionSet(testRegions, 0)
+			set.Put(runner("primary", "a1"))
+			for _, zone := range test.zones {
+				set.Put(runner("r-"+zone, zone))
+			}
+			backup, found := set.Backup(start, "primary", "m")
+			g.Expect(found).To(BeTrue())
+			g.Expect(backup.Zone).To(Equal(test.want))
+		})
+	}
+}
+
 // Guards against samples of a large service in which the region's runners are rare, and against samples
 // that never show another region.
 func TestSamplesAreMostlyOfTheRegion(t *testing.T) {
