gateway, backend: reason and count of requests that leave their region

Neither logs nor counters show how far requests are sent or why.

A scheduler reports the reason in RunnerAnswer.leave_reason (23), which routers of the previous build ignore. sends_by_distance_total counts sends by distance and reason.

--- a/internal/backend/regions.go
+++ b/internal/backend/regions.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/distance"
@@ -188,6 +189,26 @@
 	}
 }
 
+// LeaveReason returns why a request goes to the chosen one of the candidates, if it is in another
+// region.
+func (s *Set) LeaveReason(now time.Time, query Query, request placement.Request, candidates []placement.Candidate, chosen string) placement.LeaveReason {
+	view, picked := s.regions.view(now, cmp.Or(query.Zone, s.zone)), s.entries[chosen]
+	if picked == nil || !view.isFar(picked) {
+		return placement.NotLeft
+	}
+	reason := placement.NoRunnerInRegion
+	for _, candidate := range candidates {
+		if candidate.Leaving || view.isFar(s.entries[candidate.Name]) || slices.Contains(request.Excluded, candidate.Name) {
+			continue
+		}
+		if hasFreeSlot(candidate.PendingRequests, candidate.Report.Load.MaxRunning) {
+			return placement.Sooner
+		}
+		reason = placement.Full
+	}
+	return reason
+}
+
 // hasFreeSlot reports whether a runner with the given number of open requests serves another one at
 // once. Runners that report no slots are free while they have no requests.
 func hasFreeSlot(openRequests, slots int) bool { return openRequests < max(slots, 1) }
--- a/internal/backend/regions_test.go
+++ b/internal/backend/regions_test.go
@@ -201,3 +201,32 @@
 		})
 	}
 }
+
+// Guards against a wrong reason in the log of a request that left its region.
+func TestLeaveReason(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(*Set)
+		chosen  string
+		want    placement.LeaveReason
+	}{
+		"stays":  {func(*Set) {}, "a2-0", placement.NotLeft},
+		"sooner": {func(set *Set) { set.Begin(start, "a1-0", 9000) }, "b1-0", placement.Sooner},
+		"full": {func(set *Set) {
+			for range 8 {
+				set.Begin(start, "a1-0", 0)
+				set.Begin(start, "a2-0", 0)
+			}
+		}, "b1-0", placement.Full},
+		"no runner": {func(set *Set) {
+			set.Remove("a1-0")
+			set.End(start, set.Begin(start, "a2-0", 0), Unreachable)
+		}, "b1-0", placement.NoRunnerInRegion},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set, query := newRegionSet(testRegions, 1), Query{Service: "s", Model: "m", PromptTokens: 100, Zone: "a1"}
+			test.prepare(set)
+			request, candidates := set.Candidates(start, query)
+			NewWithT(t).Expect(set.LeaveReason(start, query, request, candidates, test.chosen)).To(Equal(test.want))
+		})
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,9 @@
 	runnerFailures *prometheus.CounterVec
 	placements     *prometheus.CounterVec
 	promptTokens   *prometheus.CounterVec
+	// sendDistances counts the requests sent by the distance of the runner, and for other regions
+	// also by the reason.
+	sendDistances *prometheus.CounterVec
 	// runnerChecks counts the checks whether a runner is still running, and requestsAtCrash
 	// observes the number of requests that were running on a runner when it crashed.
 	runnerChecks    *prometheus.CounterVec
@@ -122,6 +125,7 @@
 		retries:        newCounterVec("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
 		runnerFailures: newCounterVec("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
 		placements:     newCounterVec("placements_total", "Prompts placed, by whether the runner is expected to keep their shared parts.", "service", "kept"),
+		sendDistances:  newCounterVec("sends_by_distance_total", "Requests sent, by whether the runner is in the same zone, in the same region or in another region, and why they left the region.", "service", "distance", "reason"),
 		promptTokens:   newCounterVec("prompt_tokens_total", "Prompt tokens placed, by whether the runner is expected to keep them.", "service", "kept"),
 		runnerChecks:   newCounterVec("runner_checks_total", "Questions, after an answer that broke off, whether its runner still runs, by answer.", "service", "outcome"),
 		requestsAtCrash: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -175,7 +179,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g},
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -54,6 +54,9 @@
 		request.MaxWait = queueLimit.MaxQueue
 		chosen = placement.Choose(request, candidates, placementWeights, g.random)
 	}
+	if chosen.Status == placement.Picked {
+		chosen.LeaveReason = g.runners.LeaveReason(now, query, request, candidates, chosen.Candidate.Name)
+	}
 	if chosen.Status == placement.AllHeldBack {
 		chosen.RetryAfter = g.heldBackRetryAfter(now, query.Service, request.HeldBack)
 	}
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/admission"
@@ -41,6 +42,8 @@
 	requestedAt time.Time
 	// version is the target version of a rollout that the send may use, empty for none.
 	version string
+	// leaveReason is why the runner is in another region.
+	leaveReason placement.LeaveReason
 }
 
 // placementRequest is a request to a scheduler that has not been answered yet.
@@ -126,6 +129,7 @@
 		scheduler: scheduler, sendNumber: message.GetSend(), runner: answer.GetRunner(), cachedTokens: int(answer.GetCachedTokens()),
 		expectedWait: time.Duration(answer.GetWaitMillis()) * time.Millisecond, pendingRequests: int(answer.GetPendingRequests()),
 		queueWait: queueWait, queueLimit: queueLimit, permitted: answer.GetPermitted(), requestedAt: requestedAt, version: answer.GetVersion(),
+		leaveReason: placement.LeaveReason(min(answer.GetLeaveReason(), math.MaxUint8)),
 	}
 }
 
@@ -231,7 +235,7 @@
 		return placement.Pick{}, false
 	}
 	c.schedulerChoice = choice
-	return placement.Pick{Status: placement.Picked, Wait: choice.expectedWait, QueueWait: choice.queueWait, Candidate: placement.Candidate{
+	return placement.Pick{Status: placement.Picked, Wait: choice.expectedWait, QueueWait: choice.queueWait, LeaveReason: choice.leaveReason, Candidate: placement.Candidate{
 		Name: choice.runner, CachedTokens: choice.cachedTokens, PendingRequests: choice.pendingRequests,
 	}}, true
 }
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -95,7 +95,7 @@
 	if pick.Status != placement.Picked {
 		return answer
 	}
-	answer.Version = query.TargetVersion
+	answer.Version, answer.LeaveReason = query.TargetVersion, uint32(pick.LeaveReason)
 	answer.Permitted = g.grantPermit(now, query.Service, pick.Candidate.Name).Valid(now)
 	key := backend.SendKey{Router: envelope.GetFrom(), Incarnation: envelope.GetFromIncarnation(), Number: message.GetSend()}
 	s.placedSends.Begin(now, key, pick.Candidate.Name, max(query.PromptTokens-pick.Candidate.CachedTokens, 0), query, timeLeft+placedSendSlack)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -72,12 +72,18 @@
 	c.takePermit(now, runner.ID)
 	c.weightVersion = g.runners.WeightVersion(runner.ID, query.Model)
 	g.metrics.countPlacement(query, chosen.Candidate.CachedTokens)
-	c.bufferLog(events.RequestSent, events.Fields{
+	g.metrics.sendDistances.WithLabelValues(query.Service, g.runners.Relation(query.Zone, runner).String(), chosen.LeaveReason.String()).Inc()
+	fields := events.Fields{
 		"runner": runner.ID, "address": runner.Address, "attempt": c.attemptState.Attempt() + 1, "weights": c.weightVersion,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.QueueWait.Milliseconds(), "excess": c.queueLimit.Excess,
 		"permitted": c.permit.Valid(now), "content": c.content.String(), "directory": storerev.Revision(g.directoryRevision.Load()).Number(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
-	})
+		"zone": runner.Zone,
+	}
+	if reason := chosen.LeaveReason.String(); reason != "" {
+		fields["left_region"] = reason
+	}
+	c.bufferLog(events.RequestSent, fields)
 	c.beginSend(now, runner, max(query.PromptTokens-chosen.Candidate.CachedTokens, 0))
 	c.chooseBackup(now, runner)
 	return runner, nil
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -153,6 +153,8 @@
 	QueueWait time.Duration
 	// RetryAfter is the time after which a refused caller should retry.
 	RetryAfter time.Duration
+	// LeaveReason is why the candidate is in another region. The caller of Choose sets it.
+	LeaveReason LeaveReason
 }
 
 // Score parameters. defaultPrefillRate, in prompt tokens per second, and defaultMaxRunning, in
