--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -104,7 +104,10 @@
 		request.MaxWait = queueLimit.MaxQueue
 		chosen = placement.Choose(request, candidates, placementWeights, g.random)
 	}
-	if chosen.Status == placement.AllHeldBack {
+	switch chosen.Status {
+	case placement.Picked:
+		chosen.LeaveReason = g.runners.LeaveReason(now, query, request, candidates, chosen.Candidate.Name)
+	case placement.AllHeldBack:
 		chosen.RetryAfter = g.heldBackRetryAfter(now, query.Service, request.HeldBack)
 	}
 	return chosen, queueLimit
