--- a/internal/backend/families_test.go
+++ b/internal/backend/families_test.go
@@ -141,3 +141,29 @@
 		g.Expect(candidateNames(candidates)).NotTo(ContainElement("c2-0"))
 	}
 }
+
+// Guards against a family that leaves its region with the loss of its home, and against a region
+// without runners whose requests have no home.
+func TestHomeAfterLossOfRunners(t *testing.T) {
+	g, set, now := NewWithT(t), newRegionSet(testRegions, 4), start
+	setCached(set)
+	var home string
+	for range 100 {
+		now = now.Add(200 * time.Millisecond)
+		home = sendLong(set, now, "b1")
+	}
+	g.Expect(home).To(HavePrefix("b"))
+	set.End(now, set.Begin(now, home, 0), Unreachable)
+	next := sendLong(set, now, "b2")
+	g.Expect(next).To(HavePrefix("b"))
+	g.Expect(next).NotTo(Equal(home), "the home is avoided")
+	for i := range 4 {
+		set.Remove(fmt.Sprintf("b1-%d", i))
+		set.Remove(fmt.Sprintf("b2-%d", i))
+	}
+	first := sendLong(set, now, "b1")
+	g.Expect(first).NotTo(HavePrefix("b"))
+	for i := range 5 {
+		g.Expect(sendLong(set, now.Add(time.Duration(i)*time.Second), "b2")).To(Equal(first))
+	}
+}
