backend: way to another region is no wait, and no home is no panic

The time until a runner in another region responds includes the round trip, which counted as a wait at the runner beside the cost of its distance, and as a sample of the prefill speed. It is subtracted now.

If nearly all runners of a large service are avoided, its family has a home in the region but none among all runners, and the choice panicked: the new test fails so without the change. A sender in a zone outside the settings samples all runners.

--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -219,9 +219,9 @@
 
 // ChooseFetchSource returns the source from which the runner should fetch the part of the
 // prompt that it lacks: the holder with the most tokens and, among equals, the cheapest by
-// sourceCost. A runner in another region is the source only if that is sooner than the best source of
-// the region with the prefill of the rest. store is the address of the cache store that serves the prompt, or "". Until
-// the cache index is loaded, the store is the source.
+// sourceCost. A runner in another region is the source only if that is sooner than the best
+// source of the region with the prefill of the rest. store is the address of the cache store
+// that serves the prompt, or "". Until the cache index is loaded, the store is the source.
 func (s *Set) ChooseFetchSource(now time.Time, id string, query Query, weightVersion uint64, store string) FetchSource {
 	requester := s.entries[id]
 	if requester == nil || len(query.Shared) == 0 {
--- a/internal/backend/families.go
+++ b/internal/backend/families.go
@@ -166,7 +166,7 @@
 		return regional
 	case deepest < query.SharedTokens:
 		// The parts have to be prefilled now, in the region or at the home among all runners.
-		if global := globalHome(); near > crossing+s.expectedPrefill(now, query, use, global, depths) {
+		if global := globalHome(); global != nil && near > crossing+s.expectedPrefill(now, query, use, global, depths) {
 			return global
 		}
 		return regional
--- a/internal/backend/regions.go
+++ b/internal/backend/regions.go
@@ -100,13 +100,14 @@
 }
 
 // regionRing returns the runners of the query's service in the region of its sender, nil if there are
-// none or without regions.
+// none, the region is unknown, or without regions.
 func (s *Set) regionRing(query Query) *ring {
 	if s.regions == nil {
 		return nil
 	}
-	found := s.regions.rings[s.regions.ringKey(query.Service, cmp.Or(query.Zone, s.zone))]
-	if found == nil || len(found.sorted()) == 0 {
+	key := s.regions.ringKey(query.Service, cmp.Or(query.Zone, s.zone))
+	found := s.regions.rings[key]
+	if key.region == "" || found == nil || len(found.sorted()) == 0 {
 		return nil
 	}
 	return found
--- a/internal/backend/regions_test.go
+++ b/internal/backend/regions_test.go
@@ -230,3 +230,32 @@
 		})
 	}
 }
+
+// Guards against the way to another region that counts as a wait at its runners, in addition to the cost
+// of their distance.
+func TestRoundTripIsNoWaitAtTheRunner(t *testing.T) {
+	g, set, now := NewWithT(t), newRegionSet(testRegions, 1), start
+	query := Query{Service: "s", Model: "m", PromptTokens: 1000, Zone: "a1"}
+	send := set.BeginQuery(now, "b1-0", 1000, query)
+	now = now.Add(assumedPrefillTime(1000) + 41*time.Millisecond)
+	set.FirstResponse(now, send)
+	g.Expect(set.entries["b1-0"].learnedWait).To(BeNumerically("<", 2*time.Millisecond))
+}
+
+// Guards against a panic when nearly all runners of a large service are avoided, so that no home is
+// found among them.
+func TestLargeServiceWithoutHome(t *testing.T) {
+	g, set := NewWithT(t), newRegionSet(testRegions, 100)
+	setCached(set)
+	for id := range set.entries {
+		if id != "a1-7" {
+			set.End(start, set.Begin(start, id, 0), Unreachable)
+		}
+	}
+	for family := range uint64(50) {
+		query := longPromptQuery("a1")
+		query.Family = family + 1
+		request, candidates := set.CandidatesIn(start, query, AllRunners)
+		g.Expect(placement.Choose(request, candidates, testWeights, testRandom()).Candidate.Name).To(Equal("a1-7"))
+	}
+}
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -21,6 +22,8 @@
 	// suspectContent is the hash of content suspected of crashing the runner, 0 for any
 	// other request.
 	suspectContent uint64
+	// roundTrip is the time that the request is on the way to another region and back.
+	roundTrip time.Duration
 	// prefillIdle is set when the runner had no other prompt to prefill at the time of the
 	// send.
 	prefillIdle bool
@@ -38,6 +41,7 @@
 	}
 	if e := s.listedEntry(send); e != nil {
 		s.recordFamily(now, e, query)
+		send.roundTrip = s.regions.view(now, cmp.Or(query.Zone, s.zone)).roundTrip(e)
 		send.suspectContent = query.SuspectContent
 		e.suspects = e.suspects.add(query.SuspectContent)
 	}
@@ -114,7 +118,7 @@
 	e.assumedWait = (e.currentAssumedWait(now) + send.excessWait(now)) / 2
 	e.assumedWaitAt = now
 	prefill := s.runnerPrefill(e)
-	elapsed := now.Sub(send.sentAt)
+	elapsed := max(now.Sub(send.sentAt)-send.roundTrip, 0)
 	learnedExcess := max(elapsed-prefill.firstResponseTime(send.tokens), 0)
 	e.learnedWait = (decayedTime(e.learnedWait, now.Sub(e.learnedWaitAt)) + learnedExcess) / 2
 	e.learnedWaitAt = now
