rolloutdriver, gateway: tests of the fallback's limits and of the reservation in a restored store

The fallback needs a promotion, ends with a rollback, is used once by a request, and gives nothing back to the allowance. With real routers, the reservation that a restored store has lost is written again.

--- a/internal/gateway/rolloutbound_test.go
+++ b/internal/gateway/rolloutbound_test.go
@@ -190,3 +190,21 @@
 		f.g.Expect(float64(summary.Reserved)).To(BeNumerically(">=", account("reserved")))
 	}
 }
+
+// Guards against a reservation that is forgotten when the store comes back from a copy.
+func TestReservationOutlivesARestoredStore(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 3, runnerstand.Normal)
+	f.loadWith(f.routers, 6, 20*time.Millisecond)
+	f.order(rolloutDuration)
+	f.g.Eventually(f.reserved, 2*time.Second, time.Millisecond).Should(BeNumerically(">", 0))
+	backup, atBackup := f.store.Backup(), f.reserved()
+	f.g.Eventually(f.reserved, 3*time.Second, time.Millisecond).Should(BeNumerically(">=", atBackup+5))
+	time.Sleep(100 * time.Millisecond) // The other routers learn of it.
+	reserved := f.reserved()
+	f.store.Restore(backup)
+	f.g.Expect(f.reserved()).To(Equal(atBackup))
+	f.g.Eventually(f.reserved, 2*time.Second, time.Millisecond).Should(BeNumerically(">=", reserved))
+	f.expectState("succeeded")
+	f.expectExposureInBound()
+}
--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -168,6 +168,16 @@
 	return status.State
 }
 
+// reserved returns the stored number of requests that may go to the new version.
+func (f *rolloutFleet) reserved() int {
+	object, _ := f.store.Get(platform.KindRollouts, "plain")
+	var status struct {
+		Reserved int `json:"reserved"`
+	}
+	_ = json.Unmarshal(object.Status, &status)
+	return status.Reserved
+}
+
 // exposed returns how many requests have reached the new runners.
 func (f *rolloutFleet) exposed() int { return totalRuns(f.fresh) }
 
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -332,3 +332,46 @@
 	f.g.Expect(schedule.leader).To(BeEmpty())
 	f.g.Expect(schedule.interval(f.now, f.deadline)).To(Equal(reportInterval))
 }
+
+// Guards against requests to the target version that nobody has allowed, because the runners of the other
+// versions are gone.
+func TestFallbackNeedsAPromotion(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.order(testDuration)
+	query := backend.Query{Service: testService, Route: "route"}
+	failedThere := false
+	fallback := func() string {
+		return f.routers[1].Fallback(query, func(string) bool { return failedThere })
+	}
+	f.run(time.Second)
+	f.g.Expect(fallback()).To(BeEmpty(), "while the version is tested")
+	for f.stored.Status == nil || !f.stored.Status.Promoted {
+		f.run(testTick)
+	}
+	f.run(testTick)
+	f.g.Expect(fallback()).To(Equal(testTarget))
+	failedThere = true
+	f.g.Expect(fallback()).To(BeEmpty(), "a request goes there once")
+	failedThere, f.isBad = false, true
+	for f.state() == versionrollout.Running {
+		f.run(testTick)
+	}
+	f.run(testTick)
+	f.g.Expect(f.state()).To(Equal(versionrollout.RolledBack))
+	f.g.Expect(fallback()).To(BeEmpty())
+}
+
+// Guards against an allowance that grows by requests that were never taken from it.
+func TestFallbackThatIsNotSentReturnsNothing(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.order(testDuration)
+	f.runUntilExposed(3)
+	r := f.routers[0]
+	query := backend.Query{Service: testService, Route: "route", TargetVersion: testTarget, Fallback: true}
+	exposed := r.byService[testService].placer.exposure.Exposed()
+	r.RecordOutcome(f.now, query, r.set.Begin(f.now, "4", 0), SendEnd{Outcome: backend.Unreachable, NotSent: true})
+	f.g.Expect(r.byService[testService].placer.exposure.Exposed()).To(Equal(exposed))
+	query.Fallback = false
+	r.RecordOutcome(f.now, query, r.set.Begin(f.now, "4", 0), SendEnd{Outcome: backend.Unreachable, NotSent: true})
+	f.g.Expect(r.byService[testService].placer.exposure.Exposed()).To(Equal(exposed - 1))
+}
