versionrollout: quicker judgement near the 50th bad answer and of bursts, and failures of both

From 40 bad answers on weaker evidence suffices; the usual latency is smoothed more; after a pause the old version's share on all routes counts on each; the rate of the last 0.6 s counts, so that the end is not written in a burst.

--- a/internal/versionrollout/account.go
+++ b/internal/versionrollout/account.go
@@ -25,6 +25,8 @@
 	// isPromoted is set once the placer has reported to be promoted, until it has been silent for so long that
 	// its permit has ended.
 	isPromoted bool
+	// openOld is the number of its open requests at other versions.
+	openOld uint64
 	// previousRequests are those of the report before, which tell the present rate of requests.
 	previousRequests   uint64
 	previousReportedAt time.Time
@@ -42,32 +44,31 @@
 	}
 }
 
-// record merges a report and returns by how much the placer's count of requests rose. The first report of a
+// record adds a report and returns by how much the placer's count of requests rose. The first report of a
 // placer counts as no rise: its requests may have come at any time before.
 func (a *account) record(now time.Time, source Source, report Report) (requests uint64) {
 	p := a.placers[source]
 	isFirst := p == nil
 	if isFirst {
-		p = &placerAccount{reportedAt: now, previousReportedAt: now}
+		p = &placerAccount{report: Report{Routes: map[string]RouteTally{}}, reportedAt: now}
 		a.placers[source] = p
 	}
-	before, granted := p.report, p.granted()
-	p.report = before.merge(report)
-	p.isPromoted = report.Promoted || p.isPromoted && p.isLive(now)
-	if now.After(p.reportedAt) {
-		p.previousRequests, p.previousReportedAt = before.Requests, p.reportedAt
+	before, granted := p.report.Requests, p.granted()
+	a.total.raise(&p.report, report)
+	requests = p.report.Requests - before
+	if isFirst {
+		before, requests = p.report.Requests, 0
+	}
+	if now.After(p.reportedAt) || isFirst {
+		p.previousRequests, p.previousReportedAt = before, p.reportedAt
 	}
-	p.reportedAt = now
+	p.isPromoted = report.Promoted || p.isPromoted && p.isLive(now)
+	p.reportedAt, p.openOld = now, report.OpenOld
 	if p.allowance == 0 {
 		p.exposedBefore = p.report.Exposed
 	}
 	a.granted += p.granted() - granted
-	a.total.add(before, p.report)
-	if isFirst {
-		p.previousRequests = p.report.Requests
-		return 0
-	}
-	return p.report.Requests - before.Requests
+	return requests
 }
 
 // recordReserved notes what the store holds. What goes beyond the number that this leader asked for
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -405,12 +405,18 @@
 	if now.Before(c.endAt()) || fits > 0 || !c.capacity.suffices() {
 		return false
 	}
+	var openOld uint64
 	for _, p := range c.account.placers {
-		if p.isLive(now) && !p.isPromoted {
+		if !p.isLive(now) {
+			continue
+		}
+		if !p.isPromoted {
 			return false
 		}
+		openOld += p.openOld
 	}
-	return true
+	// After the deadline, some more time for the last requests at the old runners costs nothing.
+	return !c.isUnlimited(now) || openOld == 0 || now.Sub(c.promotedAt) >= longestEndLead
 }
 
 // stepPart returns which part of the budget for tests may be used at present.
--- a/internal/versionrollout/demand.go
+++ b/internal/versionrollout/demand.go
@@ -1,6 +1,9 @@
 package versionrollout
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// rateFactor is how much faster than their mean rate since the order requests may come until the deadline,
@@ -24,6 +27,8 @@
 	arrived uint64
 	samples []demandSample
 	rates   []rateSample
+	// current is the rate in the last shortest window, which shows a burst at once.
+	current float64
 }
 
 type demandSample struct {
@@ -42,7 +47,7 @@
 
 // sample notes the requests reported until now.
 func (d *demand) sample(now time.Time) {
-	if last := len(d.samples) - 1; last >= 0 && now.Sub(d.samples[last].at) < d.window/16 {
+	if last := len(d.samples) - 1; last >= 0 && now.Sub(d.samples[last].at) < min(d.window/16, minRateWindow/4) {
 		return
 	}
 	d.samples = append(d.samples, demandSample{at: now, arrived: d.arrived})
@@ -53,6 +58,12 @@
 	if elapsed := now.Sub(first.at); elapsed >= min(d.window, minRateWindow) {
 		d.rates = append(d.rates, rateSample{at: now, rate: float64(d.arrived-first.arrived) / elapsed.Seconds()})
 	}
+	for _, sample := range slices.Backward(d.samples) {
+		if elapsed := now.Sub(sample.at); elapsed >= minRateWindow {
+			d.current = float64(d.arrived-sample.arrived) / elapsed.Seconds()
+			break
+		}
+	}
 	for len(d.rates) > 0 && now.Sub(d.rates[0].at) >= recentWindows*d.window {
 		d.rates = d.rates[1:]
 	}
@@ -61,6 +72,7 @@
 // highestRecent returns the highest recent rate per second, and false before the first window has
 // passed.
 func (d *demand) highestRecent() (rate float64, known bool) {
+	rate = d.current
 	for _, sample := range d.rates {
 		rate = max(rate, sample.rate)
 	}
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -18,6 +18,10 @@
 	// rollout, to which the logarithm of the number of checks is added, and at the one before the end.
 	condemnStrength = 8
 	finalStrength   = 6
+	// manyBadAnswers is the number of bad answers at which manyBadStrength suffices, as a bad version may get no
+	// requests some seconds after its 50th bad answer.
+	manyBadAnswers  = 40
+	manyBadStrength = 5
 	// minBadAnswers is the number of bad answers below which a version is not condemned.
 	minBadAnswers = 4
 	// toleratedShare is the difference in the share of bad answers that is never held against the
@@ -42,17 +46,31 @@
 	sum RouteTally
 }
 
-// add replaces what an earlier report of one placer added by the later one.
-func (c *counts) add(earlier, later Report) {
-	c.requests += later.Requests - earlier.Requests
-	c.exposed += later.Exposed - earlier.Exposed
-	c.unjudged += later.Unjudged - earlier.Unjudged
-	for route, tally := range later.Routes {
-		added := tally.minus(earlier.Routes[route])
+// raise raises the counts of one placer, which are part of the sum, to those of a report. Reports may arrive in
+// any order, so the larger of each count holds.
+func (c *counts) raise(placer *Report, report Report) {
+	c.requests += raise(&placer.Requests, report.Requests)
+	c.exposed += raise(&placer.Exposed, report.Exposed)
+	c.unjudged += raise(&placer.Unjudged, report.Unjudged)
+	for route, tally := range report.Routes {
+		before := placer.Routes[route]
+		after := before.larger(tally)
+		if after == before {
+			continue
+		}
+		placer.Routes[route] = after
+		added := after.minus(before)
 		c.routes[route], c.sum = c.routes[route].plus(added), c.sum.plus(added)
 	}
 }
 
+// raise raises a count and returns by how much.
+func raise(count *uint64, to uint64) uint64 {
+	before := *count
+	*count = max(before, to)
+	return *count - before
+}
+
 // clone returns a copy that shares nothing with the counts.
 func (c counts) clone() counts {
 	c.routes = maps.Clone(c.routes)
@@ -141,7 +159,11 @@
 
 // worse describes evidence that the target version is worse than the old one, "" if there is none.
 func (h *history) worse(current counts) string {
-	if reason := h.worseSince(h.base, current, condemnStrength); reason != "" {
+	strength := float64(condemnStrength)
+	if current.sum.Target.Bad-h.base.sum.Target.Bad >= manyBadAnswers {
+		strength = manyBadStrength
+	}
+	if reason := h.worseSince(h.base, current, strength); reason != "" {
 		return reason
 	}
 	for _, w := range h.windows {
@@ -175,9 +197,10 @@
 }
 
 // oldShare returns the upper bound on the share of bad answers of the old version, from all its answers since the
-// order. It is raised if the old version answers worse at present, or did so shortly before the promotion.
+// order. It is raised if the old version answers worse at present, or did so shortly before the promotion, on this
+// route or on all together.
 func (h *history) oldShare(route string, recent, all Tally) float64 {
-	return max(all.upperShare(oldDeviations), recent.raisedShare(), h.oldShares[route])
+	return max(all.upperShare(oldDeviations), recent.raisedShare(), h.oldShares[route], h.oldShares[allRoutes])
 }
 
 // raisedShare returns the upper bound on the share of bad answers in a window, 0 if there are too few bad ones to
--- a/internal/versionrollout/outcomes.go
+++ b/internal/versionrollout/outcomes.go
@@ -11,8 +11,9 @@
 	// slowFactor is how many times the usual latency of the old version on the same route makes an answer
 	// count as slow. Runners that are slower by build stay below it.
 	slowFactor = 3
-	// latencySmoothing is the weight of one answer in the usual latency.
-	latencySmoothing = 0.05
+	// latencySmoothing is the weight of one answer in the usual latency. With 0.05 a few fast answers before a
+	// promotion, in which the old version gets no more, made a good version count as slow.
+	latencySmoothing = 0.02
 	// minLatencyAnswers is the number of answers before which the usual latency is not known.
 	minLatencyAnswers = 5
 	// minLatency is the shortest latency that is told from others.
--- a/internal/versionrollout/pause.go
+++ b/internal/versionrollout/pause.go
@@ -5,7 +5,7 @@
 const (
 	// longestPause bounds the time in which a version that answers badly during the promotion is compared with
 	// the old one, and shortestPause is the time below which the comparison isn't worth while.
-	longestPause  = time.Second
+	longestPause  = 2 * time.Second
 	shortestPause = 200 * time.Millisecond
 	// pauseAnswers is the number of answers of the old version that end the comparison.
 	pauseAnswers = 50
--- a/internal/versionrollout/versionrollout.go
+++ b/internal/versionrollout/versionrollout.go
@@ -113,6 +113,10 @@
 	return RouteTally{Old: t.Old.minus(earlier.Old), Target: t.Target.minus(earlier.Target)}
 }
 
+func (t RouteTally) larger(other RouteTally) RouteTally {
+	return RouteTally{Old: t.Old.larger(other.Old), Target: t.Target.larger(other.Target)}
+}
+
 func (t RouteTally) plus(other RouteTally) RouteTally {
 	return RouteTally{Old: t.Old.plus(other.Old), Target: t.Target.plus(other.Target)}
 }
@@ -138,22 +142,6 @@
 	return r
 }
 
-// merge returns the larger of each count of two reports of one source, which may have arrived in any
-// order, and what else the other one says.
-func (r Report) merge(other Report) Report {
-	merged := other.Clone()
-	merged.Requests = max(r.Requests, other.Requests)
-	merged.Exposed = max(r.Exposed, other.Exposed)
-	merged.Unjudged = max(r.Unjudged, other.Unjudged)
-	if merged.Routes == nil {
-		merged.Routes = map[string]RouteTally{}
-	}
-	for route, tally := range r.Routes {
-		merged.Routes[route] = RouteTally{Old: tally.Old.larger(other.Routes[route].Old), Target: tally.Target.larger(other.Routes[route].Target)}
-	}
-	return merged
-}
-
 // Source identifies one run of a router that reports.
 type Source struct {
 	Router      string
