--- a/internal/versionrollout/account.go
+++ b/internal/versionrollout/account.go
@@ -9,10 +9,9 @@
 type account struct {
 	// spentBefore is what earlier leaders had reserved. All of it counts as spent.
 	spentBefore uint64
-	// reserved is the number that the store has accepted, and asked the largest that this
-	// leader asked it to accept.
-	reserved, asked uint64
-	placers         map[Source]*placerAccount
+	// reserved is the number that the store has accepted.
+	reserved uint64
+	placers  map[Source]*placerAccount
 	// granted is the sum of what this leader allowed at all placers, and total that of their reports.
 	granted uint64
 	total   counts
@@ -39,7 +38,7 @@
 
 func newAccount(reserved uint64) *account {
 	return &account{
-		spentBefore: reserved, reserved: reserved, asked: reserved, placers: map[Source]*placerAccount{},
+		spentBefore: reserved, reserved: reserved, placers: map[Source]*placerAccount{},
 		total: counts{routes: map[string]RouteTally{}},
 	}
 }
@@ -71,14 +70,12 @@
 	return requests
 }
 
-// recordReserved notes what the store holds. What goes beyond the number that this leader asked for
-// was reserved by another one, and counts as spent.
-func (a *account) recordReserved(total uint64) {
-	if total > a.asked {
-		a.spentBefore += total - a.asked
-		a.asked = total
+// recordOther notes a reservation of another leader. All of it counts as spent.
+func (a *account) recordOther(total uint64) {
+	if total > a.reserved {
+		a.spentBefore += total - a.reserved
+		a.reserved = total
 	}
-	a.reserved = max(a.reserved, total)
 }
 
 // granted returns how many requests this leader has allowed at the placer.
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -152,9 +152,14 @@
 // SetCapacity sets what is known of the runners of the target version.
 func (c *Controller) SetCapacity(capacity Capacity) { c.capacity = capacity }
 
-// RecordReserved notes that the store holds the given reservation: because it has accepted the one of
-// a decision, or because another leader wrote it.
-func (c *Controller) RecordReserved(total uint64) { c.account.recordReserved(total) }
+// RecordReserved notes that the store has accepted the reservation of a decision.
+func (c *Controller) RecordReserved(total uint64) {
+	c.account.reserved = max(c.account.reserved, total)
+}
+
+// RecordOther notes that the store, or another router, has a reservation that this leader did not write. It counts
+// as spent. It must not be called with a reservation of this leader whose write has no result yet.
+func (c *Controller) RecordOther(total uint64) { c.account.recordOther(total) }
 
 // Totals returns the sum of all reports.
 func (c *Controller) Totals() Report {
@@ -225,7 +230,7 @@
 			return c.decision
 		}
 		c.rolledBack = reason
-		c.decision = Decision{Phase: Ended, State: RolledBack, Reason: reason}
+		c.decision = Decision{Phase: Ended, State: RolledBack, WakeAfter: usualInterval, Reason: reason}
 		return c.decision
 	}
 	c.forecast = c.newForecast(now, total)
@@ -266,14 +271,11 @@
 }
 
 // hearsPlacers reports whether what this leader knows of the service may be taken for all that there is:
-// another scheduler reports to it, or it places requests itself, or there is no other one.
-func (c *Controller) hearsPlacers(now time.Time, total counts) bool {
-	if len(c.schedulers) == 0 || total.requests > 0 {
-		return len(c.account.placers) > 0
-	}
-	live := c.liveRouters(now)
-	for name := range c.schedulers {
-		if live[name] {
+// another scheduler reports to it, or it places requests itself, or there is no other scheduler.
+func (c *Controller) hearsPlacers(now time.Time) bool {
+	for source, p := range c.account.placers {
+		_, isOther := c.schedulers[source.Router]
+		if p.isLive(now) && (isOther || len(c.schedulers) == 0 || p.report.Requests > 0) {
 			return true
 		}
 	}
@@ -288,7 +290,7 @@
 	if reason := c.history.worse(total); reason != "" {
 		return reason
 	}
-	if now.Before(c.endAt()) || !c.hearsPlacers(now, total) {
+	if now.Before(c.endAt()) || !c.hearsPlacers(now) {
 		return ""
 	}
 	if c.capacity.TargetRunners == 0 {
@@ -384,7 +386,7 @@
 // mayPromote reports whether the evidence allows the promotion.
 func (c *Controller) mayPromote(now time.Time, total counts) bool {
 	progress := c.progress(now)
-	if progress < promoteAt || !c.hearsPlacers(now, total) || !c.capacity.suffices() {
+	if progress < promoteAt || !c.hearsPlacers(now) || !c.capacity.suffices() {
 		return false
 	}
 	if total.requests > 0 && total.sum.Target.Answers < minAnswers && progress < answersAt {
@@ -402,9 +404,12 @@
 
 // maySucceed reports whether the old runners may stop now.
 func (c *Controller) maySucceed(now time.Time, fits time.Duration) bool {
-	if now.Before(c.endAt()) || fits > 0 || !c.capacity.suffices() {
+	if now.Before(c.endAt()) || fits > 0 || !c.hearsPlacers(now) || !c.capacity.suffices() {
 		return false
 	}
+	if c.isUnlimited(now) && now.Sub(c.promotedAt) >= longestEndLead {
+		return true
+	}
 	var openOld uint64
 	for _, p := range c.account.placers {
 		if !p.isLive(now) {
@@ -416,7 +421,7 @@
 		openOld += p.openOld
 	}
 	// After the deadline, some more time for the last requests at the old runners costs nothing.
-	return !c.isUnlimited(now) || openOld == 0 || now.Sub(c.promotedAt) >= longestEndLead
+	return openOld == 0 || !c.isUnlimited(now)
 }
 
 // stepPart returns which part of the budget for tests may be used at present.
@@ -479,7 +484,6 @@
 		return 0
 	}
 	c.reservedAt = now
-	c.account.asked = max(c.account.asked, wanted)
 	return wanted
 }
 
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -89,7 +89,8 @@
 	g.Expect(c.Allowed()).To(BeEquivalentTo(40), "what the placer has reported is part of it")
 	c.Step(at(30))
 	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
-	c.RecordReserved(45)
+	c.RecordOther(45)
+	c.RecordOther(43)
 	g.Expect(c.Allowed()).To(BeEquivalentTo(45), "reserved by another leader meanwhile")
 	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
 }
@@ -143,6 +144,28 @@
 	g.Expect(c.Step(at(90.3)).State).To(Equal(RolledBack))
 }
 
+// Guards against a leader that is cut off from all others and decides on what it heard before.
+func TestLeaderThatIsCutOffDecidesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.SetSchedulers(at(0), []string{"other"})
+	c.Report(at(1), other, placed(1000, 10, 0))
+	for second := 1.0; second < 200; second++ {
+		c.Report(at(second), own, placed(0, 0, 0))
+		decision := c.Step(at(second))
+		g.Expect(decision.State).To(Equal(Running))
+		g.Expect(decision.Phase).To(Equal(Testing))
+	}
+	c = newTestController(nil)
+	report := &Report{}
+	steps(c, own, 0, 98, report, noneBad)
+	c.SetSchedulers(at(99), []string{"own"})
+	for second := 99.25; second < 200; second++ {
+		c.Report(at(second), other, Report{Promoted: true})
+		g.Expect(c.Step(at(second))).To(And(HaveField("Phase", Promoting), HaveField("State", Running)), "at %v s", second)
+	}
+}
+
 // Guards against a leader without any knowledge of the service that promotes a version or rolls it back.
 func TestLeaderThatHearsNobodyDecidesNothing(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/versionrollout/versionrollout_test.go
+++ b/internal/versionrollout/versionrollout_test.go
@@ -242,3 +242,25 @@
 		}
 	}
 }
+
+// Guards against reports, steps and writes that are too slow for the end of a rollout of some seconds.
+func TestShortRolloutsEndInTime(t *testing.T) {
+	t.Parallel()
+	var scenarios []scenario
+	for seed := range 60 {
+		for _, placers := range []int{1, 3} {
+			scenarios = append(scenarios, scenario{
+				seed: uint64(seed), fault: faultNamed("good"), placers: placers, rate: 80, duration: 6 * time.Second, leaderLostAt: -1, cutOffAt: -1, restartAt: -1,
+			})
+		}
+	}
+	earliest, latest := time.Duration(math.MaxInt64), time.Duration(0)
+	playAll(scenarios, func(p played) {
+		if p.final != Succeeded || !p.isInBound() {
+			t.Errorf("%v", p)
+		}
+		before := p.deadline.Sub(p.finalAt)
+		earliest, latest = min(earliest, before), max(latest, before)
+	})
+	t.Logf("succeeded %v to %v before the deadline", latest, earliest)
+}
