--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -475,3 +475,22 @@
 		g.Expect(c.forecast.rate).To(BeNumerically("~", 2*before, before/10), "a scheduler that can't report places requests as well")
 	}
 }
+
+// Guards against bad luck of the old version shortly before the promotion that covers a target version which is bad
+// under load, and against a failure of the old version that is not seen there.
+func TestOldVersionBeforeThePromotion(t *testing.T) {
+	g := NewWithT(t)
+	oldShare := func(bad uint64) float64 {
+		start := counts{at: at(0), routes: map[string]RouteTally{}}
+		h := newHistory(100*time.Second, counts{}, start)
+		usual := counts{at: at(90), routes: map[string]RouteTally{"a": {Old: Tally{Answers: 10_000, Bad: 200}}}, sum: RouteTally{Old: Tally{Answers: 10_000, Bad: 200}}}
+		h.add(usual)
+		recent := RouteTally{Old: Tally{Answers: 10_040, Bad: 200 + bad}}
+		current := counts{at: at(91), routes: map[string]RouteTally{"a": recent}, sum: recent}
+		h.add(current)
+		h.keepOld(current)
+		return h.oldShares["a"]
+	}
+	g.Expect(oldShare(4)).To(BeZero(), "4 of the last 40, 204 of 10,040")
+	g.Expect(oldShare(12)).To(BeNumerically(">", 0.3))
+}
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -24,6 +24,8 @@
 	manyBadStrength = 5
 	// minBadAnswers is the number of bad answers below which a version is not condemned.
 	minBadAnswers = 4
+	// raisedStrength is the same strength for a higher share of bad answers of the old version.
+	raisedStrength = 4
 	// toleratedShare is the difference in the share of bad answers that is never held against the
 	// target version.
 	toleratedShare = 0.02
@@ -150,10 +152,10 @@
 	for _, w := range h.windows {
 		for route, tally := range current.routes {
 			recent := tally.Old.minus(w.start().routes[route].Old)
-			h.oldShares[route] = max(h.oldShares[route], recent.raisedShare())
+			h.oldShares[route] = max(h.oldShares[route], recent.raisedShare(tally.Old))
 		}
 		recent := current.sum.Old.minus(w.start().sum.Old)
-		h.oldShares[allRoutes] = max(h.oldShares[allRoutes], recent.raisedShare())
+		h.oldShares[allRoutes] = max(h.oldShares[allRoutes], recent.raisedShare(current.sum.Old))
 	}
 }
 
@@ -200,13 +202,14 @@
 // order. It is raised if the old version answers worse at present, or did so shortly before the promotion, on this
 // route or on all together.
 func (h *history) oldShare(route string, recent, all Tally) float64 {
-	return max(all.upperShare(oldDeviations), recent.raisedShare(), h.oldShares[route], h.oldShares[allRoutes])
+	return max(all.upperShare(oldDeviations), recent.raisedShare(all), h.oldShares[route], h.oldShares[allRoutes])
 }
 
-// raisedShare returns the upper bound on the share of bad answers in a window, 0 if there are too few bad ones to
-// say that it differs from the usual share.
-func (t Tally) raisedShare() float64 {
-	if t.Bad < minBadAnswers {
+// raisedShare returns the upper bound on the share of bad answers in a window if it is certainly higher than that of
+// all answers, and else 0. Some bad answers in a row of an old version that answers as usual must not
+// cover a target version that is bad under load.
+func (t Tally) raisedShare(all Tally) float64 {
+	if t.Bad < minBadAnswers || !t.exceeds(all.upperShare(oldDeviations), raisedStrength) {
 		return 0
 	}
 	return t.upperShare(recentDeviations)
--- a/internal/versionrollout/pause.go
+++ b/internal/versionrollout/pause.go
@@ -50,7 +50,7 @@
 		return p.reason
 	}
 	old, target := p.old(total), total.sum.minus(c.promotedTotal.sum).Target
-	if old.Bad < minBadAnswers || target.exceeds(old.raisedShare()+toleratedShare, finalStrength) {
+	if old.Bad < minBadAnswers || target.exceeds(old.raisedShare(total.sum.Old)+toleratedShare, finalStrength) {
 		return p.reason
 	}
 	c.pause = nil
