versionrollout: failures that raise the old version's share, long waits, lost reservations

A promotion that fits but waits for answers or slots no longer makes leader and placers exchange 40 reports a second. A new leader waits for a scheduler that is named late as well. Where the store has lost a reservation, what placers report counts as spent.

--- a/internal/versionrollout/account.go
+++ b/internal/versionrollout/account.go
@@ -7,8 +7,9 @@
 // used it without a report that says so. Allowances are raised in small steps, so little is lost by
 // that when a placer is lost or gets no more requests.
 type account struct {
-	// spentBefore is what earlier leaders had reserved. All of it counts as spent.
-	spentBefore uint64
+	// spentBefore is what earlier leaders had reserved. All of it counts as spent. exposedBefore is the sum of
+	// what placers had sent under their permits, which is more only if the store has lost a reservation.
+	spentBefore, exposedBefore uint64
 	// reserved is the number that the store has accepted.
 	reserved uint64
 	placers  map[Source]*placerAccount
@@ -52,7 +53,7 @@
 		p = &placerAccount{report: Report{Routes: map[string]RouteTally{}}, reportedAt: now}
 		a.placers[source] = p
 	}
-	before, granted := p.report.Requests, p.granted()
+	before, granted, exposedBefore := p.report.Requests, p.granted(), p.exposedBefore
 	a.total.raise(&p.report, report)
 	requests = p.report.Requests - before
 	if isFirst {
@@ -67,6 +68,7 @@
 		p.exposedBefore = p.report.Exposed
 	}
 	a.granted += p.granted() - granted
+	a.exposedBefore += p.exposedBefore - exposedBefore
 	return requests
 }
 
@@ -91,12 +93,15 @@
 }
 
 // allowed returns the upper bound on all requests to the target version that any leader allowed.
-func (a *account) allowed() uint64 { return a.spentBefore + a.granted }
+func (a *account) allowed() uint64 { return a.before() + a.granted }
+
+// before returns the upper bound on what earlier leaders allowed.
+func (a *account) before() uint64 { return max(a.spentBefore, a.exposedBefore) }
 
 // spent returns the number of requests sent to the target version as far as it is known: what live
 // placers reported, and all that was allowed at others and by earlier leaders.
 func (a *account) spent(now time.Time) uint64 {
-	total := a.spentBefore
+	total := a.before()
 	for _, p := range a.placers {
 		if p.isLive(now) {
 			total += p.used()
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -21,8 +21,8 @@
 	// firstStepShare and secondStepShare are the parts of the budget for tests in the first two steps.
 	firstStepShare  = 0.25
 	secondStepShare = 0.5
-	// budgetMargin is the part of the bound that is used. The rest is for requests that come faster
-	// than expected after the last promotion step.
+	// budgetMargin is the part of the bound that is used. The rest is for requests that come faster than
+	// expected after the end, when none can be held back any more.
 	budgetMargin = 0.9
 	// testPart is the part of the budget that is used for tests. The rest is for the promotion.
 	testPart = 0.2
@@ -32,8 +32,8 @@
 
 // Timing of the leader.
 const (
-	// usualInterval is the time between two steps, and between two reports of a placer. It is shorter in
-	// rollouts of a few seconds, where the rate of requests is to be measured within a second.
+	// usualInterval is the time between two steps, and between two reports of a placer. In rollouts of a few
+	// seconds it is usualShare of the duration, as the rate of requests is to be measured within a second there.
 	usualInterval = 250 * time.Millisecond
 	usualShare    = 0.008
 	// shortestInterval is the same when a promotion or the deadline is near. It is short enough for
@@ -49,8 +49,10 @@
 	// shortestEndLead and longestEndLead bound how long before the deadline the final state is decided.
 	// A write takes 5 to 100 ms.
 	shortestEndLead = 150 * time.Millisecond
-	longestEndLead  = 2 * time.Second
-	endLeadShare    = 0.01
+	// A longer time would leave more requests to the estimate of their rate. endLeadShare is the share of the
+	// duration between these bounds.
+	longestEndLead = 2 * time.Second
+	endLeadShare   = 0.01
 )
 
 // reserveSteps is the number of steps in which the expected bound is reserved. A change of the leader
@@ -76,6 +78,12 @@
 	LeaderSince time.Time
 }
 
+// AssumedReservation returns the reservation to assume where a status of a build that reserved nothing is found:
+// the part of the budget for tests.
+func AssumedReservation(maxShare, slack float64, requests uint64) uint64 {
+	return uint64(testPart * budgetMargin * (maxShare*float64(requests) + slack))
+}
+
 // Capacity describes whether the target version can carry the service.
 type Capacity struct {
 	// TargetRunners is the number of listed runners of the target version, and TargetSlots how many
@@ -240,7 +248,7 @@
 		c.history.keepOld(total)
 		c.promotedTotal = total.clone()
 	}
-	next := Decision{Phase: Testing, Share: c.share(now, total), WakeAfter: c.wakeAfter(now, fits)}
+	next := Decision{Phase: Testing, Share: c.share(now, total), WakeAfter: c.wakeAfter(now, total, fits)}
 	if !c.promotedAt.IsZero() {
 		next.Phase, next.Share, next.Reason = Promoting, 0, "no worse so far"
 		if c.maySucceed(now, fits) {
@@ -258,12 +266,14 @@
 	if c.isReady {
 		return true
 	}
-	if now.Sub(c.config.LeaderSince) < PermitDuration {
-		live := c.liveRouters(now)
-		for name := range c.schedulers {
-			if !live[name] {
-				return false
-			}
+	live := c.liveRouters(now)
+	for name, namedAt := range c.schedulers {
+		since := now.Sub(namedAt)
+		if namedAt.Before(c.config.LeaderSince) {
+			since = now.Sub(c.config.LeaderSince)
+		}
+		if !live[name] && since < PermitDuration {
+			return false
 		}
 	}
 	c.isReady = true
@@ -302,7 +312,7 @@
 			return reason
 		}
 	}
-	return c.history.worseOverall(total)
+	return c.history.worseSinceBase(total, finalStrength)
 }
 
 // forecast is what the leader expects until the deadline, as of the last step.
@@ -352,6 +362,7 @@
 	return live
 }
 
+// timeUntilFit returns how long it takes until the requests that can still come fit into the budget.
 func (c *Controller) timeUntilFit(now time.Time, total counts, f forecast) time.Duration {
 	left := c.latestDeadline().Sub(now)
 	if left <= 0 {
@@ -392,7 +403,7 @@
 	if total.requests > 0 && total.sum.Target.Answers < minAnswers && progress < answersAt {
 		return false
 	}
-	return c.history.worseOverall(total) == ""
+	return c.history.worseSinceBase(total, finalStrength) == ""
 }
 
 // isLastMoment reports whether the promotion must start now for the end before the deadline, and the budget
@@ -503,13 +514,19 @@
 }
 
 // wakeAfter returns the time until the next step.
-func (c *Controller) wakeAfter(now time.Time, fits time.Duration) time.Duration {
+func (c *Controller) wakeAfter(now time.Time, total counts, fits time.Duration) time.Duration {
+	if now.Sub(c.latestDeadline()) > longestEndLead {
+		return usualInterval
+	}
 	untilEnd := max(c.endAt().Sub(now), 0)
 	if !c.promotedAt.IsZero() {
 		return c.interval(untilEnd)
 	}
-	untilPromotion := max(fits, c.config.EarliestStart.Add(time.Duration(promoteAt*float64(c.config.Order.Duration))).Sub(now))
-	return min(c.interval(untilPromotion), c.interval(untilEnd))
+	untilPromotion := c.config.EarliestStart.Add(time.Duration(promoteAt * float64(c.config.Order.Duration))).Sub(now)
+	if untilPromotion <= 0 && !c.mayPromote(now, total) {
+		return c.interval(untilEnd)
+	}
+	return min(c.interval(max(fits, untilPromotion)), c.interval(untilEnd))
 }
 
 // Permit answers the report that the source has just made. It is the zero permit, which ends an earlier
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -95,6 +95,19 @@
 	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
 }
 
+// Guards against a store that was restored from a copy without the reservation.
+func TestReportedExposureCountsWithoutReservation(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(func(config *Config) { config.Reserved = 5 })
+	c.Report(at(30), own, placed(100, 20, 0))
+	c.Report(at(30), other, placed(100, 25, 0))
+	g.Expect(c.Allowed()).To(BeEquivalentTo(45))
+	g.Expect(c.account.spent(at(30))).To(BeEquivalentTo(45))
+	c.Step(at(30))
+	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
+	g.Expect(AssumedReservation(0.1, 50, 1000)).To(BeEquivalentTo(27), "a fifth of nine tenths of 150")
+}
+
 // Guards against an account that forgets the requests of placers that were lost or cut off.
 func TestAllowanceOfLostPlacerStaysSpent(t *testing.T) {
 	g := NewWithT(t)
@@ -414,6 +427,22 @@
 	}
 }
 
+// Guards against a leader and placers that exchange 40 reports a second for minutes, because a promotion that
+// would fit has to wait for something else.
+func TestLongWaitHasLongIntervals(t *testing.T) {
+	g := NewWithT(t)
+	c, report := newTestController(func(config *Config) { config.Order.Duration = time.Hour }), &Report{}
+	c.SetCapacity(Capacity{TargetRunners: 1, TargetSlots: 1, Load: 2})
+	for second := 0.0; second < 4000; second += 10 {
+		report.Requests++
+		c.Report(at(second), own, placed(report.Requests, 0, 0))
+		decision := c.Step(at(second))
+		if second < 3590 || second > 3610 {
+			g.Expect(decision.WakeAfter).To(Equal(usualInterval), "at %v s", second)
+		}
+	}
+}
+
 // Guards against a rollout of some seconds in which the leader or the placers are too slow for the end.
 func TestShortRolloutHasShortIntervals(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -141,22 +141,31 @@
 	}
 }
 
-// worseOverall describes evidence, at the time of a final decision, that the target version is worse.
-func (h *history) worseOverall(current counts) string {
-	return h.worseSince(h.base, current, finalStrength)
+// worseSinceBase compares all answers that are judged. If the share of the old version has risen since, as when a
+// dependency fails, a target version that was tested more after than before would look worse than the old
+// one for this reason alone. The share in the worst window is therefore taken into account.
+func (h *history) worseSinceBase(current counts, strength float64) string {
+	reason := h.worseSince(h.base, current, strength)
+	if reason == "" {
+		return ""
+	}
+	withWindows := *h
+	withWindows.keepOld(current)
+	return withWindows.worseSince(h.base, current, strength)
 }
 
-// keepOld keeps how the old version answers at the time of the promotion.
+// keepOld keeps how the old version answers at present, in the worst window.
 func (h *history) keepOld(current counts) {
-	h.oldShares = map[string]float64{}
+	shares := map[string]float64{}
 	for _, w := range h.windows {
 		for route, tally := range current.routes {
 			recent := tally.Old.minus(w.start().routes[route].Old)
-			h.oldShares[route] = max(h.oldShares[route], recent.raisedShare(tally.Old))
+			shares[route] = max(shares[route], h.oldShares[route], recent.raisedShare(tally.Old))
 		}
 		recent := current.sum.Old.minus(w.start().sum.Old)
-		h.oldShares[allRoutes] = max(h.oldShares[allRoutes], recent.raisedShare(current.sum.Old))
+		shares[allRoutes] = max(shares[allRoutes], h.oldShares[allRoutes], recent.raisedShare(current.sum.Old))
 	}
+	h.oldShares = shares
 }
 
 // worse describes evidence that the target version is worse than the old one, "" if there is none.
@@ -165,7 +174,7 @@
 	if current.sum.Target.Bad-h.base.sum.Target.Bad >= manyBadAnswers {
 		strength = manyBadStrength
 	}
-	if reason := h.worseSince(h.base, current, strength); reason != "" {
+	if reason := h.worseSinceBase(current, strength); reason != "" {
 		return reason
 	}
 	for _, w := range h.windows {
