--- a/internal/versionrollout/account.go
+++ b/internal/versionrollout/account.go
@@ -7,12 +7,12 @@
 // used it without a report that says so. Allowances are raised in small steps, so little is lost by
 // that when a placer is lost or gets no more requests.
 type account struct {
-	// spentBefore is what earlier leaders had reserved. All of it counts as spent.
-	spentBefore uint64
-	// reserved is the number that the store has accepted, and asked the largest that this
-	// leader asked it to accept.
-	reserved, asked uint64
-	placers         map[Source]*placerAccount
+	// spentBefore is what earlier leaders had reserved. All of it counts as spent. exposedBefore is the sum of
+	// what placers had sent under their permits, which is more only if the store has lost a reservation.
+	spentBefore, exposedBefore uint64
+	// reserved is the number that the store has accepted.
+	reserved uint64
+	placers  map[Source]*placerAccount
 	// granted is the sum of what this leader allowed at all placers, and total that of their reports.
 	granted uint64
 	total   counts
@@ -25,6 +25,8 @@
 	// isPromoted is set once the placer has reported to be promoted, until it has been silent for so long that
 	// its permit has ended.
 	isPromoted bool
+	// openOld is the number of its open requests at other versions.
+	openOld uint64
 	// previousRequests are those of the report before, which tell the present rate of requests.
 	previousRequests   uint64
 	previousReportedAt time.Time
@@ -37,47 +39,45 @@
 
 func newAccount(reserved uint64) *account {
 	return &account{
-		spentBefore: reserved, reserved: reserved, asked: reserved, placers: map[Source]*placerAccount{},
+		spentBefore: reserved, reserved: reserved, placers: map[Source]*placerAccount{},
 		total: counts{routes: map[string]RouteTally{}},
 	}
 }
 
-// record merges a report and returns by how much the placer's count of requests rose. The first report of a
+// record adds a report and returns by how much the placer's count of requests rose. The first report of a
 // placer counts as no rise: its requests may have come at any time before.
 func (a *account) record(now time.Time, source Source, report Report) (requests uint64) {
 	p := a.placers[source]
 	isFirst := p == nil
 	if isFirst {
-		p = &placerAccount{reportedAt: now, previousReportedAt: now}
+		p = &placerAccount{report: Report{Routes: map[string]RouteTally{}}, reportedAt: now}
 		a.placers[source] = p
 	}
-	before, granted := p.report, p.granted()
-	p.report = before.merge(report)
-	p.isPromoted = report.Promoted || p.isPromoted && p.isLive(now)
-	if now.After(p.reportedAt) {
-		p.previousRequests, p.previousReportedAt = before.Requests, p.reportedAt
+	before, granted, exposedBefore := p.report.Requests, p.granted(), p.exposedBefore
+	a.total.raise(&p.report, report)
+	requests = p.report.Requests - before
+	if isFirst {
+		before, requests = p.report.Requests, 0
 	}
-	p.reportedAt = now
+	if now.After(p.reportedAt) || isFirst {
+		p.previousRequests, p.previousReportedAt = before, p.reportedAt
+	}
+	p.isPromoted = report.Promoted || p.isPromoted && p.isLive(now)
+	p.reportedAt, p.openOld = now, report.OpenOld
 	if p.allowance == 0 {
 		p.exposedBefore = p.report.Exposed
 	}
 	a.granted += p.granted() - granted
-	a.total.add(before, p.report)
-	if isFirst {
-		p.previousRequests = p.report.Requests
-		return 0
-	}
-	return p.report.Requests - before.Requests
+	a.exposedBefore += p.exposedBefore - exposedBefore
+	return requests
 }
 
-// recordReserved notes what the store holds. What goes beyond the number that this leader asked for
-// was reserved by another one, and counts as spent.
-func (a *account) recordReserved(total uint64) {
-	if total > a.asked {
-		a.spentBefore += total - a.asked
-		a.asked = total
+// recordOther notes a reservation of another leader. All of it counts as spent.
+func (a *account) recordOther(total uint64) {
+	if total > a.reserved {
+		a.spentBefore += total - a.reserved
+		a.reserved = total
 	}
-	a.reserved = max(a.reserved, total)
 }
 
 // granted returns how many requests this leader has allowed at the placer.
@@ -93,12 +93,15 @@
 }
 
 // allowed returns the upper bound on all requests to the target version that any leader allowed.
-func (a *account) allowed() uint64 { return a.spentBefore + a.granted }
+func (a *account) allowed() uint64 { return a.before() + a.granted }
+
+// before returns the upper bound on what earlier leaders allowed.
+func (a *account) before() uint64 { return max(a.spentBefore, a.exposedBefore) }
 
 // spent returns the number of requests sent to the target version as far as it is known: what live
 // placers reported, and all that was allowed at others and by earlier leaders.
 func (a *account) spent(now time.Time) uint64 {
-	total := a.spentBefore
+	total := a.before()
 	for _, p := range a.placers {
 		if p.isLive(now) {
 			total += p.used()
--- a/internal/versionrollout/pause.go
+++ b/internal/versionrollout/pause.go
@@ -5,7 +5,7 @@
 const (
 	// longestPause bounds the time in which a version that answers badly during the promotion is compared with
 	// the old one, and shortestPause is the time below which the comparison isn't worth while.
-	longestPause  = time.Second
+	longestPause  = 2 * time.Second
 	shortestPause = 200 * time.Millisecond
 	// pauseAnswers is the number of answers of the old version that end the comparison.
 	pauseAnswers = 50
@@ -50,7 +50,7 @@
 		return p.reason
 	}
 	old, target := p.old(total), total.sum.minus(c.promotedTotal.sum).Target
-	if old.Bad < minBadAnswers || target.exceeds(old.raisedShare()+toleratedShare, finalStrength) {
+	if old.Bad < minBadAnswers || target.exceeds(old.raisedShare(total.sum.Old)+toleratedShare, finalStrength) {
 		return p.reason
 	}
 	c.pause = nil
