--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -21,8 +21,8 @@
 	// firstStepShare and secondStepShare are the parts of the budget for tests in the first two steps.
 	firstStepShare  = 0.25
 	secondStepShare = 0.5
-	// budgetMargin is the part of the bound that is used. The rest is for requests that come faster
-	// than expected after the last promotion step.
+	// budgetMargin is the part of the bound that is used. The rest is for requests that come faster than
+	// expected after the end, when none can be held back any more.
 	budgetMargin = 0.9
 	// testPart is the part of the budget that is used for tests. The rest is for the promotion.
 	testPart = 0.2
@@ -32,8 +32,8 @@
 
 // Timing of the leader.
 const (
-	// usualInterval is the time between two steps, and between two reports of a placer. It is shorter in
-	// rollouts of a few seconds, where the rate of requests is to be measured within a second.
+	// usualInterval is the time between two steps, and between two reports of a placer. In rollouts of a few
+	// seconds it is usualShare of the duration, as the rate of requests is to be measured within a second there.
 	usualInterval = 250 * time.Millisecond
 	usualShare    = 0.008
 	// shortestInterval is the same when a promotion or the deadline is near. It is short enough for
@@ -49,8 +49,10 @@
 	// shortestEndLead and longestEndLead bound how long before the deadline the final state is decided.
 	// A write takes 5 to 100 ms.
 	shortestEndLead = 150 * time.Millisecond
-	longestEndLead  = 2 * time.Second
-	endLeadShare    = 0.01
+	// A longer time would leave more requests to the estimate of their rate. endLeadShare is the share of the
+	// duration between these bounds.
+	longestEndLead = 2 * time.Second
+	endLeadShare   = 0.01
 )
 
 // reserveSteps is the number of steps in which the expected bound is reserved. A change of the leader
@@ -76,6 +78,12 @@
 	LeaderSince time.Time
 }
 
+// AssumedReservation returns the reservation to assume where a status of a build that reserved nothing is found:
+// the part of the budget for tests.
+func AssumedReservation(maxShare, slack float64, requests uint64) uint64 {
+	return uint64(testPart * budgetMargin * (maxShare*float64(requests) + slack))
+}
+
 // Capacity describes whether the target version can carry the service.
 type Capacity struct {
 	// TargetRunners is the number of listed runners of the target version, and TargetSlots how many
@@ -152,9 +160,14 @@
 // SetCapacity sets what is known of the runners of the target version.
 func (c *Controller) SetCapacity(capacity Capacity) { c.capacity = capacity }
 
-// RecordReserved notes that the store holds the given reservation: because it has accepted the one of
-// a decision, or because another leader wrote it.
-func (c *Controller) RecordReserved(total uint64) { c.account.recordReserved(total) }
+// RecordReserved notes that the store has accepted the reservation of a decision.
+func (c *Controller) RecordReserved(total uint64) {
+	c.account.reserved = max(c.account.reserved, total)
+}
+
+// RecordOther notes that the store, or another router, has a reservation that this leader did not write. It counts
+// as spent. It must not be called with a reservation of this leader whose write has no result yet.
+func (c *Controller) RecordOther(total uint64) { c.account.recordOther(total) }
 
 // Totals returns the sum of all reports.
 func (c *Controller) Totals() Report {
@@ -225,7 +238,7 @@
 			return c.decision
 		}
 		c.rolledBack = reason
-		c.decision = Decision{Phase: Ended, State: RolledBack, Reason: reason}
+		c.decision = Decision{Phase: Ended, State: RolledBack, WakeAfter: usualInterval, Reason: reason}
 		return c.decision
 	}
 	c.forecast = c.newForecast(now, total)
@@ -235,7 +248,7 @@
 		c.history.keepOld(total)
 		c.promotedTotal = total.clone()
 	}
-	next := Decision{Phase: Testing, Share: c.share(now, total), WakeAfter: c.wakeAfter(now, fits)}
+	next := Decision{Phase: Testing, Share: c.share(now, total), WakeAfter: c.wakeAfter(now, total, fits)}
 	if !c.promotedAt.IsZero() {
 		next.Phase, next.Share, next.Reason = Promoting, 0, "no worse so far"
 		if c.maySucceed(now, fits) {
@@ -253,12 +266,14 @@
 	if c.isReady {
 		return true
 	}
-	if now.Sub(c.config.LeaderSince) < PermitDuration {
-		live := c.liveRouters(now)
-		for name := range c.schedulers {
-			if !live[name] {
-				return false
-			}
+	live := c.liveRouters(now)
+	for name, namedAt := range c.schedulers {
+		since := now.Sub(namedAt)
+		if namedAt.Before(c.config.LeaderSince) {
+			since = now.Sub(c.config.LeaderSince)
+		}
+		if !live[name] && since < PermitDuration {
+			return false
 		}
 	}
 	c.isReady = true
@@ -266,14 +281,11 @@
 }
 
 // hearsPlacers reports whether what this leader knows of the service may be taken for all that there is:
-// another scheduler reports to it, or it places requests itself, or there is no other one.
-func (c *Controller) hearsPlacers(now time.Time, total counts) bool {
-	if len(c.schedulers) == 0 || total.requests > 0 {
-		return len(c.account.placers) > 0
-	}
-	live := c.liveRouters(now)
-	for name := range c.schedulers {
-		if live[name] {
+// another scheduler reports to it, or it places requests itself, or there is no other scheduler.
+func (c *Controller) hearsPlacers(now time.Time) bool {
+	for source, p := range c.account.placers {
+		_, isOther := c.schedulers[source.Router]
+		if p.isLive(now) && (isOther || len(c.schedulers) == 0 || p.report.Requests > 0) {
 			return true
 		}
 	}
@@ -288,7 +300,7 @@
 	if reason := c.history.worse(total); reason != "" {
 		return reason
 	}
-	if now.Before(c.endAt()) || !c.hearsPlacers(now, total) {
+	if now.Before(c.endAt()) || !c.hearsPlacers(now) {
 		return ""
 	}
 	if c.capacity.TargetRunners == 0 {
@@ -300,7 +312,7 @@
 			return reason
 		}
 	}
-	return c.history.worseOverall(total)
+	return c.history.worseSinceBase(total, finalStrength)
 }
 
 // forecast is what the leader expects until the deadline, as of the last step.
@@ -350,6 +362,7 @@
 	return live
 }
 
+// timeUntilFit returns how long it takes until the requests that can still come fit into the budget.
 func (c *Controller) timeUntilFit(now time.Time, total counts, f forecast) time.Duration {
 	left := c.latestDeadline().Sub(now)
 	if left <= 0 {
@@ -384,13 +397,13 @@
 // mayPromote reports whether the evidence allows the promotion.
 func (c *Controller) mayPromote(now time.Time, total counts) bool {
 	progress := c.progress(now)
-	if progress < promoteAt || !c.hearsPlacers(now, total) || !c.capacity.suffices() {
+	if progress < promoteAt || !c.hearsPlacers(now) || !c.capacity.suffices() {
 		return false
 	}
 	if total.requests > 0 && total.sum.Target.Answers < minAnswers && progress < answersAt {
 		return false
 	}
-	return c.history.worseOverall(total) == ""
+	return c.history.worseSinceBase(total, finalStrength) == ""
 }
 
 // isLastMoment reports whether the promotion must start now for the end before the deadline, and the budget
@@ -402,15 +415,24 @@
 
 // maySucceed reports whether the old runners may stop now.
 func (c *Controller) maySucceed(now time.Time, fits time.Duration) bool {
-	if now.Before(c.endAt()) || fits > 0 || !c.capacity.suffices() {
+	if now.Before(c.endAt()) || fits > 0 || !c.hearsPlacers(now) || !c.capacity.suffices() {
 		return false
 	}
+	if c.isUnlimited(now) && now.Sub(c.promotedAt) >= longestEndLead {
+		return true
+	}
+	var openOld uint64
 	for _, p := range c.account.placers {
-		if p.isLive(now) && !p.isPromoted {
+		if !p.isLive(now) {
+			continue
+		}
+		if !p.isPromoted {
 			return false
 		}
+		openOld += p.openOld
 	}
-	return true
+	// After the deadline, some more time for the last requests at the old runners costs nothing.
+	return openOld == 0 || !c.isUnlimited(now)
 }
 
 // stepPart returns which part of the budget for tests may be used at present.
@@ -473,7 +495,6 @@
 		return 0
 	}
 	c.reservedAt = now
-	c.account.asked = max(c.account.asked, wanted)
 	return wanted
 }
 
@@ -493,13 +514,19 @@
 }
 
 // wakeAfter returns the time until the next step.
-func (c *Controller) wakeAfter(now time.Time, fits time.Duration) time.Duration {
+func (c *Controller) wakeAfter(now time.Time, total counts, fits time.Duration) time.Duration {
+	if now.Sub(c.latestDeadline()) > longestEndLead {
+		return usualInterval
+	}
 	untilEnd := max(c.endAt().Sub(now), 0)
 	if !c.promotedAt.IsZero() {
 		return c.interval(untilEnd)
 	}
-	untilPromotion := max(fits, c.config.EarliestStart.Add(time.Duration(promoteAt*float64(c.config.Order.Duration))).Sub(now))
-	return min(c.interval(untilPromotion), c.interval(untilEnd))
+	untilPromotion := c.config.EarliestStart.Add(time.Duration(promoteAt * float64(c.config.Order.Duration))).Sub(now)
+	if untilPromotion <= 0 && !c.mayPromote(now, total) {
+		return c.interval(untilEnd)
+	}
+	return min(c.interval(max(fits, untilPromotion)), c.interval(untilEnd))
 }
 
 // Permit answers the report that the source has just made. It is the zero permit, which ends an earlier
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -89,11 +89,25 @@
 	g.Expect(c.Allowed()).To(BeEquivalentTo(40), "what the placer has reported is part of it")
 	c.Step(at(30))
 	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
-	c.RecordReserved(45)
+	c.RecordOther(45)
+	c.RecordOther(43)
 	g.Expect(c.Allowed()).To(BeEquivalentTo(45), "reserved by another leader meanwhile")
 	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
 }
 
+// Guards against a store that was restored from a copy without the reservation.
+func TestReportedExposureCountsWithoutReservation(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(func(config *Config) { config.Reserved = 5 })
+	c.Report(at(30), own, placed(100, 20, 0))
+	c.Report(at(30), other, placed(100, 25, 0))
+	g.Expect(c.Allowed()).To(BeEquivalentTo(45))
+	g.Expect(c.account.spent(at(30))).To(BeEquivalentTo(45))
+	c.Step(at(30))
+	g.Expect(c.Permit(at(30), own).Allowance).To(BeZero())
+	g.Expect(AssumedReservation(0.1, 50, 1000)).To(BeEquivalentTo(27), "a fifth of nine tenths of 150")
+}
+
 // Guards against an account that forgets the requests of placers that were lost or cut off.
 func TestAllowanceOfLostPlacerStaysSpent(t *testing.T) {
 	g := NewWithT(t)
@@ -143,6 +157,28 @@
 	g.Expect(c.Step(at(90.3)).State).To(Equal(RolledBack))
 }
 
+// Guards against a leader that is cut off from all others and decides on what it heard before.
+func TestLeaderThatIsCutOffDecidesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	c.SetSchedulers(at(0), []string{"other"})
+	c.Report(at(1), other, placed(1000, 10, 0))
+	for second := 1.0; second < 200; second++ {
+		c.Report(at(second), own, placed(0, 0, 0))
+		decision := c.Step(at(second))
+		g.Expect(decision.State).To(Equal(Running))
+		g.Expect(decision.Phase).To(Equal(Testing))
+	}
+	c = newTestController(nil)
+	report := &Report{}
+	steps(c, own, 0, 98, report, noneBad)
+	c.SetSchedulers(at(99), []string{"own"})
+	for second := 99.25; second < 200; second++ {
+		c.Report(at(second), other, Report{Promoted: true})
+		g.Expect(c.Step(at(second))).To(And(HaveField("Phase", Promoting), HaveField("State", Running)), "at %v s", second)
+	}
+}
+
 // Guards against a leader without any knowledge of the service that promotes a version or rolls it back.
 func TestLeaderThatHearsNobodyDecidesNothing(t *testing.T) {
 	g := NewWithT(t)
@@ -246,7 +282,28 @@
 		g.Expect(steps(c, own, second, second, report, noneBad).State).To(Equal(Running))
 	}
 	g.Expect(report.Exposed).To(BeZero())
-	g.Expect(steps(c, own, 105, 107, report, noneBad).State).To(Equal(Succeeded))
+	c.Report(at(105), other, Report{Promoted: true, OpenOld: 3})
+	g.Expect(steps(c, own, 105, 105.75, report, noneBad).State).To(Equal(Running), "requests at the old runners are still open")
+	g.Expect(steps(c, own, 106, 108, report, noneBad).State).To(Equal(Succeeded))
+}
+
+// Guards against an end in a burst that would exceed the bound after the old runners have stopped.
+func TestEndWaitsForTheDeadlineInABurst(t *testing.T) {
+	g := NewWithT(t)
+	c, report := newTestController(nil), &Report{}
+	g.Expect(steps(c, own, 0, 98, report, noneBad).Phase).To(Equal(Promoting))
+	isOver := false
+	for second := 98.0; second < 100; second += 0.05 {
+		// 500 requests a second
+		report.Requests += 25
+		if isOver {
+			report.Exposed += 25
+			continue
+		}
+		c.Report(at(second), own, Report{Requests: report.Requests, Exposed: report.Exposed, Promoted: true, Routes: placed(report.Requests, report.Exposed, 0).Routes})
+		isOver = c.Step(at(second)).State == Succeeded
+	}
+	g.Expect(float64(report.Exposed)).To(BeNumerically("<=", simulatedShare*float64(report.Requests)+simulatedSlack))
 }
 
 // Guards against the end of the old runners before all placers send to the new ones, and against an end long
@@ -370,6 +427,22 @@
 	}
 }
 
+// Guards against a leader and placers that exchange 40 reports a second for minutes, because a promotion that
+// would fit has to wait for something else.
+func TestLongWaitHasLongIntervals(t *testing.T) {
+	g := NewWithT(t)
+	c, report := newTestController(func(config *Config) { config.Order.Duration = time.Hour }), &Report{}
+	c.SetCapacity(Capacity{TargetRunners: 1, TargetSlots: 1, Load: 2})
+	for second := 0.0; second < 4000; second += 10 {
+		report.Requests++
+		c.Report(at(second), own, placed(report.Requests, 0, 0))
+		decision := c.Step(at(second))
+		if second < 3590 || second > 3610 {
+			g.Expect(decision.WakeAfter).To(Equal(usualInterval), "at %v s", second)
+		}
+	}
+}
+
 // Guards against a rollout of some seconds in which the leader or the placers are too slow for the end.
 func TestShortRolloutHasShortIntervals(t *testing.T) {
 	g := NewWithT(t)
@@ -385,3 +458,68 @@
 		}
 	}
 }
+
+// Guards against a promotion that uses up what comes after the end: the end would then have to wait for the
+// deadline.
+func TestPromotionKeepsBackWhatTheEndNeeds(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	report := &Report{}
+	phase, second := Testing, 0.0
+	for ; phase != Promoting; second += 0.25 {
+		phase = steps(c, own, second, second, report, noneBad).Phase
+	}
+	c.RecordReserved(1_000)
+	c.account.spentBefore = 0
+	for range 1000 {
+		exposed := c.Permit(at(second), own).Allowance
+		report.Exposed, report.Requests = exposed, report.Requests+1
+		c.Report(at(second), own, placed(report.Requests, report.Exposed, 0))
+	}
+	rate := float64(report.Requests) / second
+	g.Expect(float64(c.Allowed())).To(BeNumerically("<=", float64(c.Budget())-rate))
+	g.Expect(c.Allowed()).To(BeNumerically(">", c.Budget()/2))
+}
+
+// Guards against an end in the expectation of fewer requests than come: they can no longer be held back then.
+func TestRateIsEstimatedFromAbove(t *testing.T) {
+	g := NewWithT(t)
+	for _, rates := range [][]float64{{10, 10, 10, 10, 10}, {10, 10, 10, 10, 30}, {30, 10, 10, 10, 10}, {10, 10, 10, 30, 10}} {
+		c := newTestController(nil)
+		requests, highest := 0.0, 0.0
+		for second := 0.0; second < 100; second += 0.25 {
+			rate := rates[int(second/20)]
+			requests += rate / 4
+			if second > 80 {
+				highest = max(highest, rate)
+			}
+			c.Report(at(second), own, placed(uint64(requests), 0, 0))
+			c.Step(at(second))
+		}
+		g.Expect(c.forecast.rate).To(BeNumerically(">=", 2*requests/100-1))
+		g.Expect(c.forecast.rate).To(BeNumerically(">=", 1.2*highest))
+		before := c.forecast.rate
+		c.SetSchedulers(at(99), []string{"silent"})
+		c.Step(at(99.75))
+		g.Expect(c.forecast.rate).To(BeNumerically("~", 2*before, before/10), "a scheduler that can't report places requests as well")
+	}
+}
+
+// Guards against bad luck of the old version shortly before the promotion that covers a target version which is bad
+// under load, and against a failure of the old version that is not seen there.
+func TestOldVersionBeforeThePromotion(t *testing.T) {
+	g := NewWithT(t)
+	oldShare := func(bad uint64) float64 {
+		start := counts{at: at(0), routes: map[string]RouteTally{}}
+		h := newHistory(100*time.Second, counts{}, start)
+		usual := counts{at: at(90), routes: map[string]RouteTally{"a": {Old: Tally{Answers: 10_000, Bad: 200}}}, sum: RouteTally{Old: Tally{Answers: 10_000, Bad: 200}}}
+		h.add(usual)
+		recent := RouteTally{Old: Tally{Answers: 10_040, Bad: 200 + bad}}
+		current := counts{at: at(91), routes: map[string]RouteTally{"a": recent}, sum: recent}
+		h.add(current)
+		h.keepOld(current)
+		return h.oldShares["a"]
+	}
+	g.Expect(oldShare(4)).To(BeZero(), "4 of the last 40, 204 of 10,040")
+	g.Expect(oldShare(12)).To(BeNumerically(">", 0.3))
+}
