gateway: the test of a rollout's account sends enough requests beside load

TestLeaderReportsTheAccountOfARollout failed once at a load of 30 on 12 cores: no request had tested the version within 5 s, because only one in 200 does early in a long rollout and four callers sent too few.

--- a/internal/gateway/rolloutbound_test.go
+++ b/internal/gateway/rolloutbound_test.go
@@ -167,7 +167,9 @@
 func TestLeaderReportsTheAccountOfARollout(t *testing.T) {
 	t.Parallel()
 	f := newRolloutFleet(t, 3, runnerstand.Normal)
-	f.loadWith(f.routers, 4, 20*time.Millisecond)
+	// Early in a long rollout, one in 200 requests tests the version. Four callers beside a load of 30
+	// sent too few in five seconds.
+	f.load(f.routers)
 	f.order(time.Hour)
 	f.g.Eventually(f.exposed, 5*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
 	leader := f.leader()
