soak: rollouts to good and bad versions, with the bound on exposure checked

The soak never moved a service to another software version, so no run showed what leader losses, cut connections and restores do to a rollout. A target version is good, bad, bad from a random moment of the duration on, or slow. A rollout without a final state is logged, not failed.

The end of a fault restores how a runner usually behaves, so that it does not mend a bad version.

--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -89,12 +89,12 @@
 	c.store.Put(platform.KindConfig, "main", map[string]any{
 		"version": c.configVersion,
 		"routes": []map[string]any{
-			route("safe", "safe", "plain", nil), route("unsafe", "unsafe", "plain", nil),
+			route("safe", "safe", plainService, nil), route("unsafe", "unsafe", plainService, nil),
 			route("stream", "streaming", "engines", map[string]any{"sticky": true, "resumable": true}),
 			route("once", "streaming", "engines", map[string]any{"sticky": true, "max_attempts": 1}),
 		},
 		"services": []map[string]any{
-			{"name": "plain"},
+			{"name": plainService},
 			{"name": "engines", "engine": map[string]any{"slots": 8, "backups": true, "models": []map[string]any{{"name": modelName}}}},
 		},
 		"tenants": []map[string]any{{"name": tenantName, "api_keys": c.validKeys}},
--- a/internal/lab/soak/descriptors.go
+++ b/internal/lab/soak/descriptors.go
@@ -30,6 +30,10 @@
 // neededDescriptors returns the number of descriptors that the paths to runners may use.
 func (s Settings) neededDescriptors() uint64 {
 	runners := plainRunners + cmp.Or(s.Engines, defaultEngines)
+	if s.Rollouts {
+		// Those of the target version.
+		runners += plainRunners
+	}
 	return uint64(cmp.Or(s.Gateways, defaultGateways) * runners * descriptorsPerPath)
 }
 
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -52,6 +52,10 @@
 	if s.settings.Restores {
 		group.Go(func() { restoreCount = newRestoreInjector(s).run(ctx, deadline) })
 	}
+	rolloutCount := 0
+	if s.settings.Rollouts {
+		group.Go(func() { rolloutCount = s.rollouts.run(ctx, deadline) })
+	}
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -62,7 +66,7 @@
 	s.inject(s.updatesDuringSilence, &group)
 	group.Wait()
 	peerFaults.injectLastCutOff()
-	return count + peerFaultCount + suspensionCount + signalCount + restoreCount + 1
+	return count + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + 1
 }
 
 // inject starts the fault and ends it in the group.
@@ -84,7 +88,7 @@
 		p.signal(syscall.SIGCONT)
 	}
 	for _, runner := range s.runners.running() {
-		runner.SetBehaviour(runnerstand.Normal)
+		s.runners.endMisbehaviour(runner)
 		s.runners.proxy(runner.ID).SetMode(faultproxy.Pass)
 		s.runners.writeEntry(runner)
 	}
@@ -215,7 +219,7 @@
 	}
 	runner, behaviour := s.randomRunner(), behaviours[s.random.IntN(len(behaviours))]
 	runner.SetBehaviour(behaviour)
-	return "runner " + runner.ID + " " + behaviour.String(), func() { runner.SetBehaviour(runnerstand.Normal) }
+	return "runner " + runner.ID + " " + behaviour.String(), func() { s.runners.endMisbehaviour(runner) }
 }
 
 func (s *Soak) drainRunner(time.Duration) (string, func()) {
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -12,6 +12,9 @@
 	"github.com/clovertiller/clovertiller/platform"
 )
 
+// plainService is the name of the service without a model.
+const plainService = "plain"
+
 // modelName is the name of the model of the engines.
 const modelName = "m"
 
@@ -30,38 +33,79 @@
 	entryMutex sync.Mutex
 	// drains holds the intervals during which each runner was draining.
 	drains map[string][]interval
-	// crashed holds the runners that have crashed. They are never started again.
+	// crashed holds the runners that have crashed or were stopped. They are never started again.
 	crashed map[string]bool
+	// usualBehaviours holds how runners behave without a fault, if that is not Normal.
+	usualBehaviours map[string]runnerstand.Behaviour
 }
 
 func newFleet(store *storestand.Store) *fleet {
-	return &fleet{store: store, proxies: map[string]*faultproxy.Proxy{}, drains: map[string][]interval{}, crashed: map[string]bool{}}
+	return &fleet{store: store, proxies: map[string]*faultproxy.Proxy{}, drains: map[string][]interval{}, crashed: map[string]bool{}, usualBehaviours: map[string]runnerstand.Behaviour{}}
 }
 
 // add starts a runner with the weight version, and adds it to the directory.
 func (f *fleet) add(id, service string, version uint64, poison runnerstand.Poison) error {
-	config := runnerstand.Config{ID: id, Service: service, Zone: "z", ResponseDelay: 300 * time.Millisecond, FindPeer: f.runnerAt, Poison: poison, Incarnation: 1}
+	config := runnerstand.Config{ID: id, Service: service, Poison: poison}
 	if service == "engines" {
 		config.Model, config.Version, config.EventCount = modelName, version, streamEvents
 	}
+	_, err := f.start(config, runnerstand.Normal)
+	return err
+}
+
+// addVersion starts a runner without a model that has the software version and usual behaviour, and
+// adds it to the directory.
+func (f *fleet) addVersion(id, service, softwareVersion string, usual runnerstand.Behaviour) (*runnerstand.Runner, error) {
+	return f.start(runnerstand.Config{ID: id, Service: service, SoftwareVersion: softwareVersion}, usual)
+}
+
+// start starts a runner and its proxy, and adds the runner to the directory.
+func (f *fleet) start(config runnerstand.Config, usual runnerstand.Behaviour) (*runnerstand.Runner, error) {
+	config.Zone, config.ResponseDelay, config.FindPeer, config.Incarnation = "z", 300*time.Millisecond, f.runnerAt, 1
 	runner, err := runnerstand.Start(config)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	runner.SetQueueTime(queueTime)
 	proxy, err := faultproxy.Start(runner.Address)
 	if err != nil {
-		return err
+		runner.Close()
+		return nil, err
 	}
 	f.mutex.Lock()
 	f.runners = append(f.runners, runner)
-	f.proxies[id] = proxy
+	f.proxies[config.ID] = proxy
 	f.mutex.Unlock()
+	f.setUsualBehaviour(runner, usual)
 	f.writeEntry(runner)
-	return nil
+	return runner, nil
+}
+
+// setUsualBehaviour sets how the runner behaves without a fault, and ends a fault of its behaviour.
+func (f *fleet) setUsualBehaviour(runner *runnerstand.Runner, usual runnerstand.Behaviour) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.usualBehaviours[runner.ID] = usual
+	runner.SetBehaviour(usual)
+}
+
+// endMisbehaviour ends a fault of the runner's behaviour.
+func (f *fleet) endMisbehaviour(runner *runnerstand.Runner) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	runner.SetBehaviour(f.usualBehaviours[runner.ID])
 }
 
-// markCrashed excludes a crashed runner from faults and heartbeats, and closes its proxy so that
+// stop stops the runner without draining it and deletes its directory entry.
+func (f *fleet) stop(runner *runnerstand.Runner) {
+	f.markCrashed(runner)
+	runner.Close()
+	f.entryMutex.Lock()
+	defer f.entryMutex.Unlock()
+	f.store.Delete(platform.KindRunners, runner.ID)
+}
+
+// markCrashed excludes a crashed or stopped runner from faults and heartbeats, and closes its proxy so that
 // connections are refused. It returns false if the runner had crashed before.
 func (f *fleet) markCrashed(runner *runnerstand.Runner) bool {
 	f.mutex.Lock()
@@ -126,10 +170,25 @@
 	if f.isDraining(runner.ID) || 2*(drainingCount+1) > len(sameService) {
 		return func() {}
 	}
+	f.markDraining(runner)
+	return func() { f.stopDraining(runner) }
+}
+
+// markDraining marks the runner as draining. entryMutex must be held.
+func (f *fleet) markDraining(runner *runnerstand.Runner) {
 	f.drains[runner.ID] = append(f.drains[runner.ID], interval{})
 	f.writeEntryLocked(runner)
 	f.drains[runner.ID][len(f.drains[runner.ID])-1].from = time.Now()
-	return func() { f.stopDraining(runner) }
+}
+
+// drainForGood marks the runner as draining however many runners of its service are draining. The
+// drain never ends.
+func (f *fleet) drainForGood(runner *runnerstand.Runner) {
+	f.entryMutex.Lock()
+	defer f.entryMutex.Unlock()
+	if !f.isDraining(runner.ID) {
+		f.markDraining(runner)
+	}
 }
 
 // stopDraining marks a draining runner as ready again.
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -36,11 +36,13 @@
 
 // process is one gateway process. It is started again whenever it exits.
 type process struct {
-	name          string
-	program       []string
-	folder        string
-	addresses     processAddresses
-	seeds         []string
+	name      string
+	program   []string
+	folder    string
+	addresses processAddresses
+	seeds     []string
+	// hasRollouts is set if the settings have the bounds of rollouts.
+	hasRollouts   bool
 	storeEndpoint *storestand.Endpoint
 	// storeProxy is between the gateway and the store, and peerProxy between other gateways and
 	// this one.
@@ -73,14 +75,18 @@
 
 // writeSettings writes the settings file of the gateway.
 func (p *process) writeSettings() error {
+	bounds := map[string]any{
+		"contact_ms": settleTime.Milliseconds(), "grace_s": gracePeriod.Seconds(), "revoke_ms": maxRevokeDelay.Milliseconds(),
+		"lease_ms": leaseDuration.Milliseconds(), "version_ms": maxOldWeightsTime.Milliseconds(), "budget_ratio": 0.2,
+	}
+	if p.hasRollouts {
+		bounds["expose_share"], bounds["expose_slack"], bounds["rollback_ms"] = exposeShare, exposeSlack, maxRollbackTime.Milliseconds()
+	}
 	settings := map[string]any{
 		"node": p.name, "zone": "z", "ip": "127.0.0.1",
-		"listen": map[string]any{"front": p.addresses.CallAddress, "ready": p.addresses.ReadinessAddress, "control": p.peerProxy.Address, "control_bind": p.addresses.PeerAddress},
-		"seeds":  p.seeds,
-		"bounds": map[string]any{
-			"contact_ms": settleTime.Milliseconds(), "grace_s": gracePeriod.Seconds(), "revoke_ms": maxRevokeDelay.Milliseconds(),
-			"lease_ms": leaseDuration.Milliseconds(), "version_ms": maxOldWeightsTime.Milliseconds(), "budget_ratio": 0.2,
-		},
+		"listen":   map[string]any{"front": p.addresses.CallAddress, "ready": p.addresses.ReadinessAddress, "control": p.peerProxy.Address, "control_bind": p.addresses.PeerAddress},
+		"seeds":    p.seeds,
+		"bounds":   bounds,
 		"platform": map[string]any{"address": p.storeProxy.Address},
 	}
 	encoded, err := json.Marshal(settings)
--- a/internal/lab/soak/restores.go
+++ b/internal/lab/soak/restores.go
@@ -119,6 +119,7 @@
 		time.Sleep(f.randomDuration(max(min(maxLateRewriteDelay, remaining), maxRewriteDelay)))
 	}
 	s.config.rewrite()
+	s.rollouts.rewrite()
 	f.changeAfterRestore()
 	s.runners.writeAllEntries()
 }
--- a/internal/lab/soak/signals.go
+++ b/internal/lab/soak/signals.go
@@ -168,7 +168,7 @@
 	runner.SetResponseHeaders(platform.HeaderRetryAfter, fmt.Sprintf("%.3f", backoff.Seconds()))
 	runner.SetBehaviour(runnerstand.Sheds)
 	time.Sleep(duration)
-	runner.SetBehaviour(runnerstand.Normal)
+	f.soak.runners.endMisbehaviour(runner)
 	runner.SetResponseHeaders()
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -41,7 +41,9 @@
 	// LateOperator makes the operator write later after a restore, so that what the store lost is
 	// missing for longer.
 	LateOperator bool
-	Seed         uint64
+	// Rollouts makes the operator move a service to good and bad software versions.
+	Rollouts bool
+	Seed     uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Folder is where settings files and logs are written.
@@ -95,7 +97,9 @@
 	// poisons sends the contents that crash runners.
 	poisons *poisonInjector
 	// signals makes runners send signals.
-	signals  *signalInjector
+	signals *signalInjector
+	// rollouts orders rollouts.
+	rollouts *rolloutInjector
 	mutex    sync.Mutex
 	failures []string
 }
@@ -118,7 +122,7 @@
 		settings: settings, random: rand.New(rand.NewPCG(settings.Seed, settings.Seed)),
 		olderGateways: map[string]bool{}, store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
 	}
-	s.poisons, s.signals = newPoisonInjector(s), newSignalInjector(s)
+	s.poisons, s.signals, s.rollouts = newPoisonInjector(s), newSignalInjector(s), newRolloutInjector(s)
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -146,6 +150,7 @@
 	if settings.Signals {
 		s.signals.checkSignals()
 	}
+	s.rollouts.checkExposures()
 	calls, served := s.calls.totals()
 	return Report{Calls: calls, Served: served, Faults: faults, Failures: s.failures}, ctx.Err()
 }
@@ -171,7 +176,7 @@
 	}
 	s.runners = newFleet(s.store)
 	for i := range plainRunners {
-		if err := s.runners.add(fmt.Sprintf("p%d", i), "plain", 0, runnerstand.Poison{}); err != nil {
+		if err := s.runners.add(fmt.Sprintf("p%d", i), plainService, 0, runnerstand.Poison{}); err != nil {
 			return err
 		}
 	}
@@ -214,7 +219,7 @@
 		if err != nil {
 			return err
 		}
-		p := &process{name: gatewayName(i), program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
+		p := &process{name: gatewayName(i), program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
 		if err := p.writeSettings(); err != nil {
 			return err
 		}
