soak: the operator waits for the end of a rollout until the last fault has ended

The operator gave up 10 s after the deadline of a rollout, while faults were still injected, and ordered no further one. Now it waits until 10 s after the last fault.

--- a/internal/lab/soak/rollouts.go
+++ b/internal/lab/soak/rollouts.go
@@ -19,8 +19,8 @@
 	minRolloutDuration, maxRolloutDuration = 6 * time.Second, 12 * time.Second
 	// statusInterval is the interval at which the operator reads the status of the rollout.
 	statusInterval = 20 * time.Millisecond
-	// maxStatusDelay is how long after its deadline the operator waits for the end of a rollout
-	// before the run ends without it.
+	// maxStatusDelay is how long after the last fault the operator waits for the end of a rollout
+	// whose deadline has passed.
 	maxStatusDelay = 10 * time.Second
 	// maxRollbackDrainDelay is the maximum time between rolled_back and the drain of the runners of
 	// the target version.
@@ -110,11 +110,7 @@
 		if time.Now().Add(next.duration).After(deadline) {
 			break
 		}
-		f.perform(ctx, next)
-		if next.finalState == "" {
-			f.soak.logf("rollout: %s has no final state %v after its deadline", next, time.Since(next.deadline()).Round(time.Millisecond))
-			break
-		}
+		f.perform(ctx, next, deadline.Add(maxStatusDelay))
 	}
 	return len(f.rollouts)
 }
@@ -130,14 +126,14 @@
 }
 
 // perform orders the rollout and returns when its deadline has passed and it has a final state, or
-// when that state takes too long.
-func (f *rolloutInjector) perform(ctx context.Context, r *rollout) {
+// at the given time.
+func (f *rolloutInjector) perform(ctx context.Context, r *rollout, until time.Time) {
 	f.order(r)
 	if r.quality == badLaterVersion {
 		turnsBad := time.AfterFunc(r.badFrom, func() { f.setBehaviour(r, runnerstand.Fails) })
 		defer turnsBad.Stop()
 	}
-	for r.finalState == "" && ctx.Err() == nil && time.Since(r.deadline()) < maxStatusDelay {
+	for r.finalState == "" && ctx.Err() == nil && time.Now().Before(until) {
 		time.Sleep(statusInterval)
 		r.finalState = f.readFinalState(r)
 	}
