faultproxy: delays and cuts by group of clients

A border between regions delays and cuts connections of some clients of a gateway and leaves those of others alone. All gateways of a soak share one IP address, so that a proxy couldn't tell them apart.

Connections of a proxy started by StartGrouped belong to groups. Each group has a settable delay, which is applied once to data in quick succession, and can be cut.

--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -52,22 +52,34 @@
 	mutex    sync.Mutex
 	mode     Mode
 	links    map[*link]bool
+	// groupOf returns the group of a client. It is nil if clients have no groups.
+	groupOf GroupOf
+	// groupDelays and cutGroups hold the delay of groups, and the groups that are cut.
+	groupDelays map[string]time.Duration
+	cutGroups   map[string]bool
 }
 
+// GroupOf returns the group of the client that is connected to the proxy, empty for none.
+type GroupOf func(client, proxy *net.TCPAddr) string
+
 // link is a client connection with the server connection to which it is forwarded. Its fields
 // are guarded by the mutex of the proxy.
 type link struct {
 	client, server net.Conn
+	group          string
 	muted          bool
 }
 
 // Start starts a proxy on a free loopback address that forwards to the server, an IP:port.
-func Start(server string) (*Proxy, error) {
+func Start(server string) (*Proxy, error) { return StartGrouped(server, nil) }
+
+// StartGrouped is like Start. The connections of each group of clients can also be delayed and cut.
+func StartGrouped(server string, groupOf GroupOf) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: listener.Addr().String(), server: server, listener: listener, links: map[*link]bool{}}
+	p := &Proxy{Address: listener.Addr().String(), server: server, listener: listener, links: map[*link]bool{}, groupOf: groupOf, groupDelays: map[string]time.Duration{}, cutGroups: map[string]bool{}}
 	go p.acceptLoop()
 	return p, nil
 }
@@ -91,6 +103,47 @@
 	}
 }
 
+// SetGroupDelay sets the delay of each direction for the connections of a group.
+func (p *Proxy) SetGroupDelay(group string, delay time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.groupDelays[group] = delay
+}
+
+// SetGroupCut sets whether the connections of a group are treated as with Blackhole, whatever the mode.
+func (p *Proxy) SetGroupCut(group string, cut bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	wasCut := p.cutGroups[group]
+	p.cutGroups[group] = cut
+	for l := range p.links {
+		// Like at the end of Blackhole, the dropped bytes are lost.
+		if wasCut && !cut && l.group == group && !l.muted {
+			l.forEachConn(resetConn)
+		}
+	}
+}
+
+// groupDelay returns the present delay of the link.
+func (p *Proxy) groupDelay(l *link) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.groupDelays[l.group]
+}
+
+// assignGroup determines the group of the link.
+func (p *Proxy) assignGroup(l *link) {
+	client, isTCP := l.client.RemoteAddr().(*net.TCPAddr)
+	own, _ := l.client.LocalAddr().(*net.TCPAddr)
+	if p.groupOf == nil || !isTCP {
+		return
+	}
+	group := p.groupOf(client, own)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	l.group = group
+}
+
 // Close stops the proxy and closes all connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -108,6 +161,8 @@
 	switch {
 	case l.muted:
 		return MuteExisting
+	case p.cutGroups[l.group]:
+		return Blackhole
 	case p.mode == MuteExisting:
 		return Pass
 	}
@@ -137,6 +192,7 @@
 // serve connects to the server and forwards both directions of the link until either side closes.
 func (p *Proxy) serve(l *link) {
 	defer p.closeLink(l)
+	p.assignGroup(l)
 	if p.effectiveMode(l) == Reset {
 		resetConn(l.client)
 		return
@@ -170,6 +226,12 @@
 // isResponse is set for the direction from the server to the client.
 func (p *Proxy) forward(l *link, target, source net.Conn, isResponse bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
+	var delay func() time.Duration
+	if p.groupOf != nil {
+		delay = func() time.Duration { return p.groupDelay(l) }
+	}
+	out := newSender(target, delay)
+	defer out.end()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := source.Read(buffer)
@@ -179,11 +241,12 @@
 		mode := p.effectiveMode(l)
 		dropped := mode == MuteExisting || mode == Blackhole || (mode == DropResponses && isResponse)
 		if n > 0 && !dropped {
-			if _, writeErr := target.Write(buffer[:n]); writeErr != nil {
+			if out.write(buffer[:n]) != nil {
 				return
 			}
 		}
 		if err == io.EOF && !dropped {
+			out.end()
 			if tcp, ok := target.(*net.TCPConn); ok {
 				// The other direction may still be in use.
 				_ = tcp.CloseWrite()
