soak: regions with delays between them, and cuts of a region's border

No run had routers of several regions, so nothing showed what delays and cut borders between regions do to the promises.

Without the option, faults and checks of a seed are as before.

--- a/internal/lab/soak/descriptors.go
+++ b/internal/lab/soak/descriptors.go
@@ -34,7 +34,7 @@
 		// Those of the target version.
 		runners += plainRunners
 	}
-	return uint64(cmp.Or(s.Gateways, defaultGateways) * runners * descriptorsPerPath)
+	return uint64(s.gatewayCount() * runners * descriptorsPerPath)
 }
 
 // checkDescriptors returns a trace.LimitExceeded error if the descriptor limit is too low for the
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -56,6 +56,10 @@
 	if s.settings.Rollouts {
 		group.Go(func() { rolloutCount = s.rollouts.run(ctx, deadline) })
 	}
+	borderCutCount := 0
+	if s.settings.Regions {
+		group.Go(func() { borderCutCount = s.borders.run(ctx, deadline) })
+	}
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -66,7 +70,7 @@
 	s.inject(s.updatesDuringSilence, &group)
 	group.Wait()
 	peerFaults.injectLastCutOff()
-	return count + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + 1
+	return count + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + 1
 }
 
 // inject starts the fault and ends it in the group.
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -24,10 +24,12 @@
 
 // fleet holds the runners, each behind a proxy. It is safe for concurrent use.
 type fleet struct {
-	store   *storestand.Store
-	mutex   sync.Mutex
-	runners []*runnerstand.Runner
-	proxies map[string]*faultproxy.Proxy
+	store *storestand.Store
+	// geography gives the runners their zones.
+	geography *geography
+	mutex     sync.Mutex
+	runners   []*runnerstand.Runner
+	proxies   map[string]*faultproxy.Proxy
 	// entryMutex is held while a directory entry is written, so that entries match the states. It
 	// guards drains.
 	entryMutex sync.Mutex
@@ -39,8 +41,8 @@
 	usualBehaviours map[string]runnerstand.Behaviour
 }
 
-func newFleet(store *storestand.Store) *fleet {
-	return &fleet{store: store, proxies: map[string]*faultproxy.Proxy{}, drains: map[string][]interval{}, crashed: map[string]bool{}, usualBehaviours: map[string]runnerstand.Behaviour{}}
+func newFleet(store *storestand.Store, geography *geography) *fleet {
+	return &fleet{store: store, geography: geography, proxies: map[string]*faultproxy.Proxy{}, drains: map[string][]interval{}, crashed: map[string]bool{}, usualBehaviours: map[string]runnerstand.Behaviour{}}
 }
 
 // add starts a runner with the weight version, and adds it to the directory.
@@ -61,13 +63,13 @@
 
 // start starts a runner and its proxy, and adds the runner to the directory.
 func (f *fleet) start(config runnerstand.Config, usual runnerstand.Behaviour) (*runnerstand.Runner, error) {
-	config.Zone, config.ResponseDelay, config.FindPeer, config.Incarnation = "z", 300*time.Millisecond, f.runnerAt, 1
+	config.Zone, config.ResponseDelay, config.FindPeer, config.Incarnation = f.nextZone(config), 300*time.Millisecond, f.runnerAt, 1
 	runner, err := runnerstand.Start(config)
 	if err != nil {
 		return nil, err
 	}
 	runner.SetQueueTime(queueTime)
-	proxy, err := faultproxy.Start(runner.Address)
+	proxy, err := f.geography.startProxy(runner.Address, config.Zone)
 	if err != nil {
 		runner.Close()
 		return nil, err
@@ -81,6 +83,18 @@
 	return runner, nil
 }
 
+// nextZone returns the zone of a new runner. The runners of a service and software version are spread over
+// the zones.
+func (f *fleet) nextZone(config runnerstand.Config) string {
+	sameKind := 0
+	for _, runner := range f.all() {
+		if runner.Service == config.Service && runner.SoftwareVersion == config.SoftwareVersion {
+			sameKind++
+		}
+	}
+	return f.geography.zone(sameKind)
+}
+
 // setUsualBehaviour sets how the runner behaves without a fault, and ends a fault of its behaviour.
 func (f *fleet) setUsualBehaviour(runner *runnerstand.Runner, usual runnerstand.Behaviour) {
 	f.mutex.Lock()
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -37,6 +37,8 @@
 // process is one gateway process. It is started again whenever it exits.
 type process struct {
 	name      string
+	zone      string
+	geography *geography
 	program   []string
 	folder    string
 	addresses processAddresses
@@ -83,12 +85,15 @@
 		bounds["expose_share"], bounds["expose_slack"], bounds["rollback_ms"] = exposeShare, exposeSlack, maxRollbackTime.Milliseconds()
 	}
 	settings := map[string]any{
-		"node": p.name, "zone": "z", "ip": "127.0.0.1",
+		"node": p.name, "zone": p.zone, "ip": "127.0.0.1",
 		"listen":   map[string]any{"front": p.addresses.CallAddress, "ready": p.addresses.ReadinessAddress, "control": p.peerProxy.Address, "control_bind": p.addresses.PeerAddress},
 		"seeds":    p.seeds,
 		"bounds":   bounds,
 		"platform": map[string]any{"address": p.storeProxy.Address},
 	}
+	if p.geography.hasRegions() {
+		settings["region"], settings["zones"] = p.geography.regionOf[p.zone], p.geography.regionOf
+	}
 	encoded, err := json.Marshal(settings)
 	if err != nil {
 		return err
@@ -125,6 +130,17 @@
 	return nil
 }
 
+// processID returns the ID of the current process, or of the last one if it has exited. It is 0 before the
+// first start.
+func (p *process) processID() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
 // isRunning reports whether the process was started and has not exited. The mutex must be held.
 func (p *process) isRunning() bool {
 	if p.exited == nil {
--- a/internal/lab/soak/rollouts_test.go
+++ b/internal/lab/soak/rollouts_test.go
@@ -26,7 +26,7 @@
 func newRolloutScene(t *testing.T, quality versionQuality) *rolloutScene {
 	g := NewWithT(t)
 	s := &Soak{settings: Settings{Out: io.Discard}, store: storestand.New()}
-	s.runners, s.rollouts = newFleet(s.store), newRolloutInjector(s)
+	s.runners, s.rollouts = newFleet(s.store, newGeography()), newRolloutInjector(s)
 	t.Cleanup(s.runners.close)
 	old, err := s.runners.addVersion("old", plainService, "v1", runnerstand.Normal)
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -43,7 +43,9 @@
 	LateOperator bool
 	// Rollouts makes the operator move a service to good and bad software versions.
 	Rollouts bool
-	Seed     uint64
+	// Regions puts gateways and runners into two or three regions, and cuts the borders of regions.
+	Regions bool
+	Seed    uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Folder is where settings files and logs are written.
@@ -54,6 +56,14 @@
 	Engines  int
 }
 
+// gatewayCount returns the number of gateways.
+func (s Settings) gatewayCount() int {
+	if s.Regions {
+		return cmp.Or(s.Gateways, regionGateways)
+	}
+	return cmp.Or(s.Gateways, defaultGateways)
+}
+
 // Sizes of the deployment.
 const (
 	defaultGateways = 4
@@ -98,6 +108,9 @@
 	poisons *poisonInjector
 	// signals makes runners send signals.
 	signals *signalInjector
+	// geography holds the zones, and borders cuts the borders of regions.
+	geography *geography
+	borders   *borderInjector
 	// rollouts orders rollouts.
 	rollouts *rolloutInjector
 	mutex    sync.Mutex
@@ -123,6 +136,12 @@
 		olderGateways: map[string]bool{}, store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
 	}
 	s.poisons, s.signals, s.rollouts = newPoisonInjector(s), newSignalInjector(s), newRolloutInjector(s)
+	s.geography = newGeography()
+	if settings.Regions {
+		random := rand.New(rand.NewPCG(settings.Seed, settings.Seed+7))
+		s.geography = newRegions(random)
+		s.borders = newBorderInjector(s, random)
+	}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -174,7 +193,7 @@
 	if err := os.MkdirAll(s.settings.Folder, 0o755); err != nil {
 		return err
 	}
-	s.runners = newFleet(s.store)
+	s.runners = newFleet(s.store, s.geography)
 	for i := range plainRunners {
 		if err := s.runners.add(fmt.Sprintf("p%d", i), plainService, 0, runnerstand.Poison{}); err != nil {
 			return err
@@ -194,9 +213,9 @@
 	var addresses []processAddresses
 	var peerProxies []*faultproxy.Proxy
 	var seeds []string
-	for range cmp.Or(s.settings.Gateways, defaultGateways) {
+	for i := range s.settings.gatewayCount() {
 		free := freeAddresses()
-		proxy, err := faultproxy.Start(free.PeerAddress)
+		proxy, err := s.geography.startProxy(free.PeerAddress, s.geography.zone(i))
 		if err != nil {
 			return err
 		}
@@ -219,10 +238,12 @@
 		if err != nil {
 			return err
 		}
-		p := &process{name: gatewayName(i), program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
+		p := &process{name: gatewayName(i), zone: s.geography.zone(i), geography: s.geography, program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
 		if err := p.writeSettings(); err != nil {
 			return err
 		}
+		// Known before its first connection.
+		s.geography.addGateway(p)
 		if err := p.start(); err != nil {
 			return err
 		}
