--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,10 +20,12 @@
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/namings"
+	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
@@ -137,8 +139,10 @@
 	// cacheReader reads which prompt parts runners and cache stores hold, and sends the result to
 	// other routers.
 	cacheReader *cacheReader
-	// versionRollouts moves services to other software versions.
-	versionRollouts *versionRollouts
+	// distances knows the regions of zones and learns the times between them.
+	distances *distance.Table
+	// rolloutDriver moves services to other software versions.
+	rolloutDriver *rolloutdriver.Driver
 	// weightsNamed receives a value when a new version of a model's weights is named.
 	weightsNamed chan struct{}
 
@@ -167,7 +171,9 @@
 		retryBudgets:    map[string]*admission.RetryBudget{},
 		random:          rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		weightsNamed:    make(chan struct{}, 1),
+		distances:       distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions}),
 	}
+	g.runners.UseDistances(g.distances)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	g.runners.SetRolloutTime(time.Duration(rolloutDeadlineShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
@@ -179,7 +185,7 @@
 	g.cacheReader = newCacheReader(g)
 	g.copies, g.directReads, g.peerRouters = newCopies(g), newDirectMode(), newPeerRouters(g)
 	g.eraTracker, g.transfer = newEraTracker(g), newStateTransfer(g)
-	g.versionRollouts = newVersionRollouts(g)
+	g.rolloutDriver = newRolloutDriver(g)
 	ports.Store.OnEra(g.eraTracker.observe)
 	g.limits = limits.New(g.limitsConfig())
 	for _, kind := range g.copies.kinds {
@@ -199,7 +205,10 @@
 	g.spawn(g.cacheReader.run)
 	g.spawn(g.cacheReader.shareLoop)
 	g.spawn(g.schedulers.loadReportLoop)
-	g.spawn(g.versionRollouts.reportLoop)
+	g.spawn(func() { g.rolloutDriver.LeadLoop(g.ctx) })
+	if g.peerRouters.transport != nil {
+		g.spawn(func() { g.rolloutDriver.ReportLoop(g.ctx) })
+	}
 	g.spawn(g.suspects.broadcasts.run)
 	g.spawn(g.signals.broadcasts.run)
 	g.spawn(g.suspects.stored.readLoop)
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -12,6 +12,7 @@
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/clock"
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/placement"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/wire"
@@ -24,12 +25,12 @@
 
 // newSharingGateway returns a router without peers that knows the runners and the tenants.
 func newSharingGateway(tenants ...string) *Gateway {
-	g := &Gateway{ports: Ports{Clock: clock.New()}, runners: backend.NewSet("z"), random: rand.New(rand.NewPCG(1, 2))}
+	g := &Gateway{ports: Ports{Clock: clock.New()}, runners: backend.NewSet("z"), distances: distance.New(distance.Config{}), random: rand.New(rand.NewPCG(1, 2))}
 	g.peerRouters = &peerRouters{gateway: g}
 	g.settings.Zone = "z"
 	g.metrics = newMetrics(g)
 	g.schedulers, g.fairShares = newSchedulers(g), newFairShares(g)
-	g.versionRollouts = newVersionRollouts(g)
+	g.rolloutDriver = newRolloutDriver(g)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	config := &routing.Config{Version: 1}
 	for _, tenant := range tenants {
@@ -86,19 +87,20 @@
 			g.runners.Begin(now, fmt.Sprint(i), 0) // most of its slots are occupied
 		}
 	}
-	chosen, _, forShare := g.placeRequestWithExcess(now, tenantQuery("hot"), time.Minute, excess)
+	hot, calm := tenantQuery("hot"), tenantQuery("calm")
+	chosen, _, forShare := g.placeRequestWithExcess(now, &hot, time.Minute, excess)
 	e.Expect(chosen.Status).To(Equal(placement.Overloaded))
 	e.Expect(forShare).To(BeTrue())
 	e.Expect(chosen.RetryAfter).To(Equal(g.fairShares.tracker.RecoveryTime(excess)), "not before its usage has decayed to its share")
-	chosen, _, forShare = g.placeRequestWithExcess(now, tenantQuery("calm"), time.Minute, 1)
+	chosen, _, forShare = g.placeRequestWithExcess(now, &calm, time.Minute, 1)
 	e.Expect(chosen.Status).To(Equal(placement.Picked))
 	e.Expect(forShare).To(BeFalse())
 	idle := newSharingGateway("hot", "calm")
-	chosen, _, _ = idle.placeRequestWithExcess(now, tenantQuery("hot"), time.Minute, excess)
+	chosen, _, _ = idle.placeRequestWithExcess(now, &hot, time.Minute, excess)
 	e.Expect(chosen.Status).To(Equal(placement.Picked), "no refusal without queueing")
 	admitted := tenantQuery("hot")
 	admitted.MaxQueueTime = 0
-	chosen, _, _ = g.placeRequestWithExcess(now, admitted, time.Minute, excess)
+	chosen, _, _ = g.placeRequestWithExcess(now, &admitted, time.Minute, excess)
 	e.Expect(chosen.Status).To(Equal(placement.Picked), "admitted requests are not refused")
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/quota"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -28,9 +29,13 @@
 	// router.
 	PeerAddress string
 	Zone        string
+	// Distances knows the regions by which the servers are ordered.
+	Distances *distance.Table
 	// Seeds are the routers that serve shares of the limits.
 	Seeds     []string
 	StartTime time.Time
+	// Tolerance is the share by which limits may be exceeded.
+	Tolerance float64
 	Peers     Peers
 	// RouterCount returns the estimated number of routers, including this one.
 	RouterCount func() int
@@ -50,8 +55,8 @@
 // New returns a client that uses the seeds of the config as servers.
 func New(config Config) *Client {
 	c := &Client{
-		config: config, server: quota.NewServer(config.StartTime),
-		requester: quota.NewRequester(config.PeerAddress, config.Zone, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		config: config, server: quota.NewServerWithTolerance(config.StartTime, config.Tolerance),
+		requester: quota.NewRequester(config.PeerAddress, config.Zone, config.Distances, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 	c.requester.RecordContact(config.StartTime)
 	c.SetServers(config.Seeds)
