--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -36,11 +36,15 @@
 
 // process is one gateway process. It is started again whenever it exits.
 type process struct {
-	name          string
-	program       []string
-	folder        string
-	addresses     processAddresses
-	seeds         []string
+	name      string
+	zone      string
+	geography *geography
+	program   []string
+	folder    string
+	addresses processAddresses
+	seeds     []string
+	// hasRollouts is set if the settings have the bounds of rollouts.
+	hasRollouts   bool
 	storeEndpoint *storestand.Endpoint
 	// storeProxy is between the gateway and the store, and peerProxy between other gateways and
 	// this one.
@@ -73,16 +77,23 @@
 
 // writeSettings writes the settings file of the gateway.
 func (p *process) writeSettings() error {
+	bounds := map[string]any{
+		"contact_ms": settleTime.Milliseconds(), "grace_s": gracePeriod.Seconds(), "revoke_ms": maxRevokeDelay.Milliseconds(),
+		"lease_ms": leaseDuration.Milliseconds(), "version_ms": maxOldWeightsTime.Milliseconds(), "budget_ratio": 0.2,
+	}
+	if p.hasRollouts {
+		bounds["expose_share"], bounds["expose_slack"], bounds["rollback_ms"] = exposeShare, exposeSlack, maxRollbackTime.Milliseconds()
+	}
 	settings := map[string]any{
-		"node": p.name, "zone": "z", "ip": "127.0.0.1",
-		"listen": map[string]any{"front": p.addresses.CallAddress, "ready": p.addresses.ReadinessAddress, "control": p.peerProxy.Address, "control_bind": p.addresses.PeerAddress},
-		"seeds":  p.seeds,
-		"bounds": map[string]any{
-			"contact_ms": settleTime.Milliseconds(), "grace_s": gracePeriod.Seconds(), "revoke_ms": maxRevokeDelay.Milliseconds(),
-			"lease_ms": leaseDuration.Milliseconds(), "version_ms": maxOldWeightsTime.Milliseconds(), "budget_ratio": 0.2,
-		},
+		"node": p.name, "zone": p.zone, "ip": "127.0.0.1",
+		"listen":   map[string]any{"front": p.addresses.CallAddress, "ready": p.addresses.ReadinessAddress, "control": p.peerProxy.Address, "control_bind": p.addresses.PeerAddress},
+		"seeds":    p.seeds,
+		"bounds":   bounds,
 		"platform": map[string]any{"address": p.storeProxy.Address},
 	}
+	if p.geography.hasRegions() {
+		settings["region"], settings["zones"] = p.geography.regionOf[p.zone], p.geography.regionOf
+	}
 	encoded, err := json.Marshal(settings)
 	if err != nil {
 		return err
@@ -119,6 +130,17 @@
 	return nil
 }
 
+// processID returns the ID of the current process, or of the last one if it has exited. It is 0 before the
+// first start.
+func (p *process) processID() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
 // isRunning reports whether the process was started and has not exited. The mutex must be held.
 func (p *process) isRunning() bool {
 	if p.exited == nil {
