versionrollout: a hang is told from answers that take long, and windows from a rise of the old version's share

A version whose answers take 8 s was condemned at the promotion, because its requests had no answer yet while most of those to the old version since the order had one (TestLongAnswersOfPromotedVersion). Requests count as unanswered only after five mean answer times, which the open requests at the old version and their rate tell.

As for the comparison since the order, the worst window of the old version counts now.

--- a/internal/versionrollout/account.go
+++ b/internal/versionrollout/account.go
@@ -112,6 +112,16 @@
 	return total
 }
 
+// openOld returns the number of open requests at other versions than the target.
+func (a *account) openOld(now time.Time) (open uint64) {
+	for _, p := range a.placers {
+		if p.isLive(now) {
+			open += p.openOld
+		}
+	}
+	return open
+}
+
 // grant raises the placer's allowance to as much of the wanted one as the limit on the whole account
 // leaves, and returns it.
 func (a *account) grant(p *placerAccount, wanted, limit uint64) uint64 {
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -232,6 +232,9 @@
 		c.history = newHistory(c.config.Order.Duration, counts{}, total.clone())
 	}
 	c.history.add(total)
+	if rate, known := c.demand.highestRecent(); known && c.promotedAt.IsZero() {
+		c.history.observeOpen(c.account.openOld(now), rate)
+	}
 	if reason := c.condemnation(now, total); reason != "" {
 		if c.isPaused(now, total, reason) {
 			c.decision = Decision{Phase: Waiting, WakeAfter: c.shortestInterval(), Reason: "compares with the old version: " + reason}
@@ -421,18 +424,13 @@
 	if c.isUnlimited(now) && now.Sub(c.promotedAt) >= longestEndLead {
 		return true
 	}
-	var openOld uint64
 	for _, p := range c.account.placers {
-		if !p.isLive(now) {
-			continue
-		}
-		if !p.isPromoted {
+		if p.isLive(now) && !p.isPromoted {
 			return false
 		}
-		openOld += p.openOld
 	}
 	// After the deadline, some more time for the last requests at the old runners costs nothing.
-	return openOld == 0 || !c.isUnlimited(now)
+	return !c.isUnlimited(now) || c.account.openOld(now) == 0
 }
 
 // stepPart returns which part of the budget for tests may be used at present.
--- a/internal/versionrollout/demand.go
+++ b/internal/versionrollout/demand.go
@@ -8,7 +8,7 @@
 const (
 	// rateFactor is how much faster than their mean rate since the order requests may come until the deadline,
 	// and burstFactor how much faster than their highest recent rate. A burst that has begun is not expected to
-	// be doubled by another one: with twice the highest recent rate, rollouts of less than 30 s missed the
+	// be doubled by another one: with twice the highest recent rate, rollouts of 5 to 13 s missed the
 	// deadline if it fell into a burst of three times the rate.
 	rateFactor  = 2
 	burstFactor = 1.25
--- a/internal/versionrollout/evidence.go
+++ b/internal/versionrollout/evidence.go
@@ -25,13 +25,15 @@
 	// minBadAnswers is the number of bad answers below which a version is not condemned.
 	minBadAnswers = 4
 	// raisedStrength is the same strength for a higher share of bad answers of the old version.
-	raisedStrength = 4
+	raisedStrength = 3
 	// toleratedShare is the difference in the share of bad answers that is never held against the
 	// target version.
 	toleratedShare = 0.02
 	// toleratedMissing is the same for requests without an answer, of which some are lost in other
 	// ways than by a version that hangs.
 	toleratedMissing = 0.2
+	// answerTimes is the number of mean answer times after which a request should have an answer.
+	answerTimes = 5
 	// shortestWindow is the length of the shortest window in which answers are judged on their own.
 	// A version that turns bad late would otherwise be covered by its good start.
 	shortestWindow = 250 * time.Millisecond
@@ -112,6 +114,8 @@
 	// oldShares holds, by route and for all together (allRoutes), the highest raised share of the old version in
 	// any window that ended with the promotion. Afterwards it gets hardly any requests.
 	oldShares map[string]float64
+	// answerTime is the highest mean time from request to answer that the old version had, 0 if it isn't known.
+	answerTime time.Duration
 }
 
 // allRoutes stands for the sum of all routes.
@@ -141,17 +145,21 @@
 	}
 }
 
-// worseSinceBase compares all answers that are judged. If the share of the old version has risen since, as when a
-// dependency fails, a target version that was tested more after than before would look worse than the old
-// one for this reason alone. The share in the worst window is therefore taken into account.
+// worseSinceBase compares all answers that are judged.
 func (h *history) worseSinceBase(current counts, strength float64) string {
-	reason := h.worseSince(h.base, current, strength)
-	if reason == "" {
+	return h.worseSince(h.base, current, strength)
+}
+
+// worseSince compares the answers since earlier counts. If the share of the old version has risen since, as when a
+// dependency fails, a target version that was tested more after than before would look worse than the old
+// one for this reason alone. The share of the old version in its worst window is therefore taken into account.
+func (h *history) worseSince(earlier, current counts, strength float64) string {
+	if reason := h.compare(earlier, current, strength); reason == "" {
 		return ""
 	}
 	withWindows := *h
 	withWindows.keepOld(current)
-	return withWindows.worseSince(h.base, current, strength)
+	return withWindows.compare(earlier, current, strength)
 }
 
 // keepOld keeps how the old version answers at present, in the worst window.
@@ -182,6 +190,9 @@
 		if reason := h.worseSince(w.start(), current, condemnStrength+math.Log(checks)); reason != "" {
 			return reason
 		}
+		if h.answerTime == 0 || w.length < answerTimes*h.answerTime {
+			continue
+		}
 		if reason := missingSince(w.start(), current, condemnStrength+math.Log(checks)); reason != "" {
 			return reason
 		}
@@ -189,8 +200,8 @@
 	return ""
 }
 
-// worseSince compares the answers since earlier counts, on each route and on all together.
-func (h *history) worseSince(earlier, current counts, strength float64) string {
+// compare compares the answers since earlier counts, on each route and on all together.
+func (h *history) compare(earlier, current counts, strength float64) string {
 	recent := current.sum.minus(earlier.sum)
 	if recent.Target.Bad < minBadAnswers {
 		return ""
@@ -230,6 +241,14 @@
 	return t.Target.Bad >= minBadAnswers && t.Target.exceeds(oldShare+toleratedShare, strength)
 }
 
+// observeOpen learns the mean answer time of the old version from the requests that are open there, which is their
+// rate times this time.
+func (h *history) observeOpen(open uint64, rate float64) {
+	if rate > 0 {
+		h.answerTime = max(h.answerTime, time.Duration(float64(open)/rate*float64(time.Second)))
+	}
+}
+
 // missingSince compares how many of the requests sent before the earlier counts have no answer yet.
 func missingSince(earlier, current counts, strength float64) string {
 	total := current.sum
--- a/internal/versionrollout/pause.go
+++ b/internal/versionrollout/pause.go
@@ -42,8 +42,7 @@
 func (p *pause) old(total counts) Tally { return total.sum.minus(p.start.sum).Old }
 
 // pauseResult returns the pause's reason while it goes on and if the old version answers better than the target
-// version did in the promotion. Otherwise both fail, and
-// the judgement starts anew at the pause.
+// version did in the promotion. Otherwise both fail, and the judgement starts anew at the start of the pause.
 func (c *Controller) pauseResult(now time.Time, total counts) string {
 	p := c.pause
 	if p.goesOn(now, total) {
@@ -54,6 +53,8 @@
 		return p.reason
 	}
 	c.pause = nil
+	answerTime := c.history.answerTime
 	c.history = newHistory(c.config.Order.Duration, p.start, p.start)
+	c.history.answerTime = answerTime
 	return ""
 }
--- a/internal/versionrollout/versionrollout.go
+++ b/internal/versionrollout/versionrollout.go
@@ -131,7 +131,8 @@
 	Unjudged uint64
 	// Promoted is set while the router's permit sends all requests to the target version.
 	Promoted bool
-	// OpenOld is the number of open requests that the router placed at other versions.
+	// OpenOld is the number of open requests that the router placed at other versions. It tells how long answers
+	// usually take.
 	OpenOld uint64
 	Routes  map[string]RouteTally
 }
