--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -112,6 +112,12 @@
 }
 
 // Controller leads one rollout at the present leader. It is not safe for concurrent use.
+//
+// The caller gives it the reports of all placers, answers each with Permit, and calls Step as often as the decision
+// says, after SetSchedulers, SetCapacity and the report of its own router. It writes what the decision
+// says in one write: the reservation with the number of requests of Totals, and a final state. After the store has
+// accepted a reservation it calls RecordReserved; only then do permits make use of it. A report of a router that
+// keeps to no allowance must not be given to it.
 type Controller struct {
 	config   Config
 	account  *account
