rolloutdriver: a replaced order stays replaced when its status changes

Two orders for one service were in force in the order in which their objects changed last, also if only the status did. The test with fakes fails without the change.

The newest account tells the leader's own reservations from others'; the exposure that a previous build allowed is recorded as one of another leader.

--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -51,6 +51,9 @@
 	byService map[string]*serviceRollout
 	// rejected holds the orders that can't be carried out under the current configuration, by name.
 	rejected map[string]Object
+	// replaced holds the orders that one of another name has replaced for their service, by name. They
+	// don't come back into force by a change of their status.
+	replaced map[string]versionrollout.Order
 	// baseVersions holds, by service, the version that gets requests without an order.
 	baseVersions map[string]string
 }
@@ -81,7 +84,7 @@
 func New(config Config, ports Ports) *Driver {
 	return &Driver{
 		config: config, ports: ports, leadWake: make(chan struct{}, 1), reportWake: make(chan struct{}, 1),
-		byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, baseVersions: map[string]string{},
+		byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, replaced: map[string]versionrollout.Order{}, baseVersions: map[string]string{},
 	}
 }
 
@@ -107,6 +110,7 @@
 	defer d.mutex.Unlock()
 	isMissing := func(name string) bool { return !slices.Contains(names, name) }
 	maps.DeleteFunc(d.rejected, func(name string, _ Object) bool { return isMissing(name) })
+	maps.DeleteFunc(d.replaced, func(name string, _ versionrollout.Order) bool { return isMissing(name) })
 	maps.DeleteFunc(d.byService, func(_ string, r *serviceRollout) bool { return isMissing(r.name) })
 }
 
@@ -116,6 +120,7 @@
 		d.mutex.Lock()
 		maps.DeleteFunc(d.byService, func(_ string, r *serviceRollout) bool { return r.name == object.Name })
 		delete(d.rejected, object.Name)
+		delete(d.replaced, object.Name)
 		d.mutex.Unlock()
 		return
 	}
@@ -132,6 +137,13 @@
 	defer d.mutex.Unlock()
 	delete(d.rejected, object.Name)
 	known := d.byService[order.Service]
+	if known != nil && known.name != object.Name {
+		if d.replaced[object.Name] == order {
+			return
+		}
+		d.replaced[known.name] = known.stored.Order
+	}
+	delete(d.replaced, object.Name)
 	if known == nil || known.stored.Order != order || known.name != object.Name {
 		known = &serviceRollout{name: object.Name, earliestStart: earliestStart, latestStart: latestStart, learnedAt: d.ports.Clock.Now()}
 		d.byService[order.Service] = known
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -186,6 +186,25 @@
 	f.expectWithinBound()
 }
 
+// Guards against an order that comes back into force after another one has replaced it, because a write of
+// its status was still under way.
+func TestReplacedOrderDoesNotComeBackByItsStatus(t *testing.T) {
+	f := newTestFleet(t, 1)
+	r := f.routers[0]
+	target := func() string { return r.Summaries(f.now)[0].Target }
+	first := versionrollout.Order{Service: testService, Target: "v0", Duration: time.Hour}
+	second := versionrollout.Order{Service: testService, Target: testTarget, Duration: time.Hour}
+	r.Apply(Object{Name: "first", Revision: 1, Rollout: &StoredRollout{Order: first}})
+	r.Apply(Object{Name: "second", Revision: 2, Rollout: &StoredRollout{Order: second}})
+	r.Apply(Object{Name: "first", Revision: 3, Rollout: &StoredRollout{Order: first, Status: &Status{}}})
+	f.g.Expect(target()).To(Equal(testTarget))
+	first.Duration *= 2
+	r.Apply(Object{Name: "first", Revision: 4, Rollout: &StoredRollout{Order: first}})
+	f.g.Expect(target()).To(Equal("v0"), "the operator has changed it")
+	r.Apply(Object{Name: "second", Revision: 5, Rollout: &StoredRollout{Order: second, Status: &Status{}}})
+	f.g.Expect(target()).To(Equal("v0"))
+}
+
 func TestDeletedOrderSendsNothingMore(t *testing.T) {
 	f := newTestFleet(t, 3)
 	f.order(testDuration)
--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -160,8 +160,8 @@
 	r.lead.reserve = max(r.lead.reserve, decision.Reserve)
 	if r.lead.countsPrevious && decision.Phase != versionrollout.Waiting {
 		r.lead.countsPrevious = false
-		r.reserved = max(r.reserved, r.reserved+d.spentByPreviousBuild(r))
-		controller.RecordReserved(r.reserved)
+		r.reserved += d.spentByPreviousBuild(r)
+		controller.RecordOther(r.reserved)
 	}
 	if decision.Phase != before.Phase || decision.Reason != before.Reason {
 		total := controller.Totals()
@@ -193,12 +193,15 @@
 }
 
 // spentByPreviousBuild returns an upper bound on the requests to the target version that a leader of a
-// previous build has allowed: nine tenths of the share until the promotion, and all after it.
+// previous build has allowed: nine tenths of the share until the promotion, and all after it. It is at least
+// the part of the budget for tests. The mutex must be held.
 func (d *Driver) spentByPreviousBuild(r *serviceRollout) uint64 {
 	if r.stored.Status.UncountedPromotion {
 		return unknownReservation
 	}
-	return uint64(previousBuildMargin * d.config.MaxShare * float64(r.lead.controller.Totals().Requests))
+	requests := r.lead.controller.Totals().Requests
+	spent := uint64(previousBuildMargin * d.config.MaxShare * float64(requests))
+	return max(spent, versionrollout.AssumedReservation(d.config.MaxShare, d.config.Slack, requests))
 }
 
 // nextStatus returns the status to be written. The mutex must be held.
