soak: a bad version that succeeded is mended after its deadline

After a bad version had succeeded, the service's own version was bad, so that no later target version of the run could be condemned.

--- a/internal/lab/soak/rollouts.go
+++ b/internal/lab/soak/rollouts.go
@@ -130,7 +130,10 @@
 func (f *rolloutInjector) perform(ctx context.Context, r *rollout, until time.Time) {
 	f.order(r)
 	if r.quality == badLaterVersion {
-		turnsBad := time.AfterFunc(r.badFrom, func() { f.setBehaviour(r, runnerstand.Fails) })
+		turnsBad := time.AfterFunc(r.badFrom, func() {
+			f.soak.logf("rollout: version %s turns bad", r.target)
+			f.setBehaviour(r, runnerstand.Fails)
+		})
 		defer turnsBad.Stop()
 	}
 	for r.finalState == "" && ctx.Err() == nil && time.Now().Before(until) {
@@ -153,6 +156,10 @@
 	for time.Now().Before(r.deadline()) && ctx.Err() == nil {
 		time.Sleep(statusInterval)
 	}
+	if r.finalState == stateSucceeded {
+		// The next target version would be no worse than a bad one that succeeded.
+		f.setBehaviour(r, runnerstand.Normal)
+	}
 }
 
 // order writes the order and starts the runners of the target version.
@@ -216,7 +223,6 @@
 
 // setBehaviour sets the behaviour that the runners of the target version have without faults.
 func (f *rolloutInjector) setBehaviour(r *rollout, behaviour runnerstand.Behaviour) {
-	f.soak.logf("rollout: version %s turns bad", r.target)
 	for _, runner := range r.targets {
 		f.soak.runners.setUsualBehaviour(runner, behaviour)
 	}
