gateway: regions without a seed pull through relays of their zones

Relays were assigned only at an overloaded seed, so that each router of a region without a seed fetched every change of runners' caches over the border. A seed now refers routers of such a region to a relay of their zone also with few followers, except the region's standby schedulers. It does so only when it knows the regions of all seeds: a router whose region has a seed would stay with the relay and never find that seed.

hack/mutants.sh: seven mutants of standby schedulers, and the two patterns that named otherSchedulers follow recordReceivers.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -62,7 +62,7 @@
 mutant "8 contents are never quarantined" internal/gateway/suspects.go 's/return s.detector.Evaluate\(now, content\)/return quarantine.Status{}/' ./internal/gateway -run TestPoisonRequestIsQuarantined
 mutant "8 every lost connection counts as a crash" internal/gateway/runnerends.go 's/liveness := d.probe\(runner\)/liveness := max(d.probe(runner), RunnerEnded)/' ./internal/gateway -run TestCrashIsDistinguishedFromLostConnection
 mutant "8 quarantines are not stored" internal/gateway/storedquarantines.go 's/minStoredCrashes = 2/minStoredCrashes = 99/' ./internal/gateway -run 'TestQuarantineSurvivesLossOfAllRouters|TestStoredQuarantinesAreRead'
-mutant "8 routers do not report crashes to each other" internal/gateway/broadcaster.go 's/schedulers.otherSchedulers\(\), forSeeds/schedulers.otherSchedulers()[:0], forSeeds/' ./internal/gateway -run TestQuarantineReachesAllRouters
+mutant "8 routers do not report crashes to each other" internal/gateway/broadcaster.go 's/schedulers.recordReceivers\(\), forSeeds/schedulers.recordReceivers()[:0], forSeeds/' ./internal/gateway -run TestQuarantineReachesAllRouters
 mutant "8 runners that crash together quarantine contents" internal/quarantine/record.go 's/crash.SentAt.After\(crashes\[0\].DetectedAt\)/true/' ./internal/quarantine
 mutant "9 the clock stops during suspensions" internal/clock/clock.go 's/return monotonic.Add\(time.Duration\(c.suspended.Load\(\)\)\)/return monotonic/' ./internal/clock
 mutant "10 a limited runner needs no permit" internal/backend/signals.go 's/\(!e.signalState.IsLimited\(\) \|\| permit.Valid\(now\)\)/true/' ./internal/backend -run 'SignalsAreRespected|PermitAllows'
@@ -71,7 +71,7 @@
 mutant "10 any response lifts a rate limit" internal/backpressure/record.go 's/r.LimitLiftedAt.Before\(r.LimitReportedAt.Add\(liftMargin\)\)/!r.LimitLiftedAt.After(r.LimitReportedAt)/' ./internal/backpressure
 mutant "10 only the directory tells which runners leave" internal/backend/signals.go 's/e.Draining \|\| e.signalState.IsLeaving\(\)/e.Draining/' ./internal/gateway -run 'Leaving'
 mutant "10 runners in backoff get requests" internal/backend/signals.go 's/!e.signalState.InBackoff\(now\) && //' ./internal/backend -run 'SignalsAreRespected'
-mutant "10 routers do not report runners' signals to each other" internal/gateway/broadcaster.go 's/schedulers.otherSchedulers\(\), forSeeds/schedulers.otherSchedulers()[:0], forSeeds/' ./internal/gateway -run TestSignalsReachAllRouters
+mutant "10 routers do not report runners' signals to each other" internal/gateway/broadcaster.go 's/schedulers.recordReceivers\(\), forSeeds/schedulers.recordReceivers()[:0], forSeeds/' ./internal/gateway -run TestSignalsReachAllRouters
 mutant "11 revisions ignore the era" internal/storerev/storerev.go 's/\(era-FirstEra\)<<numberBits \| number/number/' ./internal/storerev
 mutant "11 watches of another era are accepted" internal/gateway/follow.go 's/response.revision.Era\(\) > revision.Era\(\)/false/' ./internal/gateway -run ChangesWithReusedRevisions
 mutant "11 a restored store overwrites newer states" internal/gateway/newera.go 's/kind != RunnerObjects \|\| newEra \{/false {/' ./internal/gateway -run CallersAreServedDuringStoreRestore
@@ -91,6 +91,13 @@
 mutant "12 the share of a router is not counted" internal/versionrollout/exposure.go 's/\te.credit--\n//' ./internal/versionrollout -run 'ExposureOfManyRouters'
 mutant "12 only the whole rollout is judged" internal/versionrollout/controller.go 's/if now.Sub\(c.snapshots\[i\].at\) >= c.window\(\)/if false/' ./internal/versionrollout -run 'TestVersionThatTurnsBadLate'
 mutant "12 routes are not judged on their own" internal/versionrollout/evidence.go 's/low > high\+toleratedShare/low > high+2/' ./internal/versionrollout -run 'Verdicts'
+mutant "13 any stronger router replaces a standby scheduler" internal/relay/standbys.go 's/replacementFactor\*r/1 + r/' ./internal/relay -run Standbys
+mutant "13 the list of any seed replaces the current one" internal/peers/schedulerlist.go 's/fromSeed \&\& now.Sub\(l.confirmedAt\) >= listSourceTimeout/fromSeed/' ./internal/peers
+mutant "13 standby schedulers place nothing" internal/gateway/standbyschedulers.go 's/if !s.gateway.distances.HasRegions\(\) \{\n\t\treturn s.isScheduler/if true {\n\t\treturn s.isScheduler/' ./internal/gateway -run TestRegionWithoutSeedHasStandbySchedulers
+mutant "13 schedulers of other regions are asked" internal/gateway/schedulers.go 's/\tif s.gateway.distances.HasRegions\(\) \{\n\t\treturn s.regionOrder\(now\)\n\t\}\n//' ./internal/gateway -run TestRegionServesWhileBorderIsCut
+mutant "13 all routers of a region without seeds read the store" internal/relay/selector.go 's/range s.standbys \{/range s.standbys[:0] {/' ./internal/relay
+mutant "13 loads from before a cut count again" internal/backend/loads.go 's/ \|\| now.Sub\(known.reportedAt\) >= peerLoadTTL//' ./internal/backend -run PeerLoads\|ExpiredLoads
+mutant "13 relays keep routers from the seed of their region" internal/gateway/standbyschedulers.go 's/known == "" \|\| known == region/known == "none"/' ./internal/gateway -run TestRoutersPullFromSeedOfTheirRegion
 
 echo "mutants: $refuted refuted, $survived survived, $unclear unclear"
 [ "$survived$unclear" = 00 ]
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -198,7 +198,9 @@
 }
 
 // referral returns the address that the pulling router should pull from instead, or "". An
-// overloaded seed refers it to a relay of its zone. A router that has a relay itself refers to that
+// overloaded seed refers it to a relay of its zone, and any seed does so with routers of regions without a
+// seed: changes then cross the border once for each zone, and not once for each router. Standby schedulers
+// stay, because the seed selects them from the routers that pull from it. A router that has a relay itself refers to that
 // one, so that changes never need more than two hops. The mutex must be held.
 func (r *peerRouters) referral(now time.Time, pull *wire.CopyPull) string {
 	if r.selector.HasSeed(pull.GetPeerAddress()) {
@@ -211,11 +213,12 @@
 		Address: pull.GetPeerAddress(), Zone: pull.GetZone(),
 		Capacity: int(pull.GetCapacity()), Followers: int(pull.GetFollowers()),
 	}
-	assigned := r.assigner.Assign(now, puller, r.activeFollowers > r.gateway.settings.DirectFollowers)
-	if assigned != "" {
-		delete(r.followers, puller.Address)
-		r.standbys.Forget(puller.Address, pull.GetRegion())
+	assigned := r.assigner.Assign(now, puller, r.activeFollowers > r.gateway.settings.DirectFollowers || r.isFromRegionWithoutSeed(pull))
+	if assigned == "" || r.isStandby(now, pull) {
+		return ""
 	}
+	delete(r.followers, puller.Address)
+	r.standbys.Forget(puller.Address, pull.GetRegion())
 	return assigned
 }
 
--- a/internal/gateway/standbyschedulers.go
+++ b/internal/gateway/standbyschedulers.go
@@ -171,6 +171,27 @@
 	}
 }
 
+// isFromRegionWithoutSeed reports whether the pulling router's region is known to have no seed. It does
+// not find a nearer one later, so a relay does not keep it from that.
+func (r *peerRouters) isFromRegionWithoutSeed(pull *wire.CopyPull) bool {
+	region := pull.GetRegion()
+	if region == "" || r.gateway.regionName() == "" {
+		return false
+	}
+	for _, seed := range r.selector.Seeds() {
+		if known := r.gateway.schedulers.seedRegion(seed); known == "" || known == region {
+			return false
+		}
+	}
+	return true
+}
+
+// isStandby reports whether the pulling router is a standby scheduler of its region. The mutex must be
+// held.
+func (r *peerRouters) isStandby(now time.Time, pull *wire.CopyPull) bool {
+	return pull.GetRegion() != "" && slices.Contains(r.standbys.Standbys(now, pull.GetRegion()), pull.GetPeerAddress())
+}
+
 // isSeed reports whether this router is a seed.
 func (r *peerRouters) isSeed() bool {
 	r.mutex.Lock()
