cli: the status of gateways lists the schedulers of each region

An operator sees which schedulers each region has, how many of the routers that were asked get answers from each of them, and how many schedulers a seed knows in each region. Without regions nothing is printed.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -93,6 +93,7 @@
 	}
 	if len(statuses) > 0 {
 		printGatewayTable(env, statuses)
+		printRegionTable(env, statuses)
 		printRolloutTable(env, statuses)
 		printRunnerTable(env, statuses[0])
 	}
