--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -17,18 +17,18 @@
 // the end of it.
 const placedSendSlack = time.Second
 
-// schedulers is the client and server side of central placement. A few routers, the seeds of the
-// settings and where regions are configured the standby schedulers of each region, choose the runners
-// for the requests of all routers, so that each choice takes into account what has been placed on the
-// runners. A router asks the nearest scheduler and reports to
-// it when the runner responds and how the request ends; schedulers exchange the loads that they
-// have placed. A router that gets no answer in time chooses a runner itself, knowing only its own
-// requests.
+// schedulers is the client and server side of central placement. A few routers choose the runners for
+// the requests of all routers, so that each choice takes into account what has been placed on the
+// runners. They are the seeds of the settings and, where regions are configured, the standby schedulers
+// of each region. A router asks the nearest scheduler and reports to it when the runner responds and
+// how the request ends; schedulers exchange the loads that they have placed. A router that gets no
+// answer in time chooses a runner itself, knowing only its own requests.
 type schedulers struct {
 	gateway *Gateway
 	mutex   sync.Mutex
 	ranking *peers.Ranking
-	// regionList is the list of the own region's schedulers. It is empty at seeds, which make it.
+	// regionList is the list of the own region's schedulers. It is empty at seeds, which make the lists
+	// of their followers.
 	regionList *peers.SchedulerList
 	// loadExchange decides with whom loads are exchanged. It is used where regions are configured.
 	loadExchange *peers.LoadExchange
--- a/internal/gateway/standbyschedulers.go
+++ b/internal/gateway/standbyschedulers.go
@@ -91,8 +91,9 @@
 	})
 }
 
-// recordReceivers returns the routers that get the records of what this router has detected: the
-// seeds, and the standby schedulers of the own region, which need them when no seed is reached.
+// recordReceivers returns the routers to which this router sends what it has detected about runners and
+// request contents: the seeds, and the standby schedulers of the own region, because the region may
+// reach no seed.
 func (s *schedulers) recordReceivers() []string { return append(s.otherSchedulers(), s.standbys()...) }
 
 // applyList applies the list of the own region's schedulers in an answer of the router at the address.
@@ -109,7 +110,8 @@
 		s.mutex.Unlock()
 		return
 	}
-	changed := s.regionList.Receive(now, from, fromSeed, list.GetDigest(), list.GetAddresses(), len(s.ranking.RegionOrder(now)) > 0)
+	usable := len(s.ranking.RegionOrder(now)) > 0
+	changed := s.regionList.Receive(now, from, fromSeed, list.GetDigest(), list.GetAddresses(), usable)
 	if changed {
 		s.ranking.SetListed(list.GetAddresses())
 	}
@@ -171,8 +173,9 @@
 	}
 }
 
-// isFromRegionWithoutSeed reports whether the pulling router's region is known to have no seed. It does
-// not find a nearer one later, so a relay does not keep it from that.
+// isFromRegionWithoutSeed reports whether the pulling router's region is known to have no seed. A router
+// of any other region must not get a relay from a distant seed: it would stay with the relay instead of
+// finding the seed of its region. The mutex must be held.
 func (r *peerRouters) isFromRegionWithoutSeed(pull *wire.CopyPull) bool {
 	region := pull.GetRegion()
 	if region == "" || r.gateway.regionName() == "" {
--- a/internal/peers/loadexchange.go
+++ b/internal/peers/loadexchange.go
@@ -14,7 +14,7 @@
 // requests. A LoadExchange is not safe for concurrent use.
 type LoadExchange struct {
 	self, region string
-	// lastAskedAt is when this router was last asked to place a request.
+	// lastAskedAt is when this router was last asked to place a request, zero if it never was.
 	lastAskedAt time.Time
 	// reporters holds the schedulers that named their regions in reports, by address.
 	reporters map[string]reporter
@@ -55,11 +55,11 @@
 // Region returns the region that the scheduler named, "" if it has named none.
 func (e *LoadExchange) Region(address string) string { return e.reporters[address].region }
 
-// Targets returns the schedulers to report loads to, apart by whether they are in another region.
-// seeds are the other seeds, and listed the schedulers of the own region as far as they are known.
-// The targets are the seeds, the schedulers of the own region that this router may replace or be
-// replaced by, and those that reported recently: to a seed, schedulers of all regions. A seed of
-// unknown region counts as near unless listed shows which seeds are.
+// Targets returns the schedulers to report loads to, those of the own region and of other regions.
+// seeds are the other seeds, and listed is the list of the own region's schedulers, empty if there is
+// none. The targets are the seeds, the listed schedulers and the schedulers that reported recently, of
+// which a standby scheduler takes only those of its own region. A seed that has named no region is in
+// the own region if it is listed, or if there is no list.
 func (e *LoadExchange) Targets(now time.Time, seeds, listed []string, isSeed bool) (near, far []string) {
 	e.sweep(now, seeds)
 	for _, seed := range seeds {
--- a/internal/peers/schedulerlist.go
+++ b/internal/peers/schedulerlist.go
@@ -35,8 +35,8 @@
 }
 
 // Receive applies the list that a router sent, and reports whether the schedulers change. As long as
-// the current list is usable, which means that one of its schedulers answers, it is replaced only by a
-// list from its own source or, if that has been silent for a while, from another seed or relay.
+// the current list is usable, which means that one of its schedulers is not silent, it is replaced only
+// by a list from its own source or, if that has been silent for a while, from another seed or relay.
 // fromSeed is set for these: the list of any other router may be older than the current one.
 func (l *SchedulerList) Receive(now time.Time, source string, fromSeed bool, digest uint64, addresses []string, usable bool) (changed bool) {
 	isReplaceable := source == l.source || fromSeed && now.Sub(l.confirmedAt) >= listSourceTimeout
--- a/internal/peers/schedulerlist_test.go
+++ b/internal/peers/schedulerlist_test.go
@@ -22,6 +22,6 @@
 	g.Expect(list.Addresses()).To(Equal([]string{"a", "b"}))
 	g.Expect(list.Digest()).To(BeNumerically("==", 1))
 	g.Expect(list.Receive(almost, "s1", true, 3, []string{"b", "a"}, true)).To(BeTrue(), "its own source")
-	g.Expect(list.Receive(almost, "s2", true, 2, []string{"c"}, false)).To(BeTrue(), "no scheduler of the list answers")
+	g.Expect(list.Receive(almost, "s2", true, 2, []string{"c"}, false)).To(BeTrue(), "all schedulers of the list are silent")
 	g.Expect(list.Receive(almost.Add(listSourceTimeout), "s1", true, 1, []string{"a"}, true)).To(BeTrue(), "the source is lost")
 }
