backend: a home in a region pays for the parts that it displaces

A home was given as long as it saved time by itself, so homes filled the caches until they gained nothing more: at three times the cache memory first tokens of long requests were later with homes by use (107 ms) than without regions (94 ms).

The cost of a home includes 0.4 of the prefill of the parts that it pushes out.

Tests of internal/backend pass.

--- a/internal/backend/families.go
+++ b/internal/backend/families.go
@@ -24,6 +24,10 @@
 	// homeHysteresis is by which factor the cost of a home in the region must exceed its use before
 	// it is given up: a home that moves prefills the parts again.
 	homeHysteresis = 1.33
+	// displacedPrice is the price of parts of other families that a home pushes out of the caches,
+	// relative to prefilling them again. A price of 0 gives homes until they gain nothing, 1 sends
+	// more than 15% of the prompts of the measured load to other regions (docs/design/regions.md).
+	displacedPrice = 0.4
 )
 
 // meanCountWindow is the time over which a decaying count sums up a constant rate: the half-life
@@ -49,7 +53,7 @@
 	isRegional bool
 }
 
-// rate returns the requests per second. A family seen for a short time counts as seen for a
+// rate returns the requests per second. A family seen for a short time counts as seen for half a
 // half-life, so that two requests do not make it a frequent one.
 func (u *familyUse) rate(now time.Time) float64 {
 	if u == nil {
@@ -186,12 +190,19 @@
 	return u.isRegional
 }
 
-// expectedPrefill returns the mean time that a request of the family prefills shared parts at the
-// runner if the region's requests go there, because the parts have been evicted since the previous
-// request.
+// expectedPrefill returns the mean time for which prompts are prefilled again with each request of the
+// family, if the region's requests go to the runner: the family's own parts if they have been evicted
+// since the previous request, and the parts of other families that they displace. In a full cache,
+// tokens that stay for a retention time displace as many others, each of which would have been used
+// about once in that time.
 func (s *Set) expectedPrefill(now time.Time, query Query, use *familyUse, e *entry, depths *depthLookup) time.Duration {
-	missShare := math.Exp(-use.rate(now) * s.regions.families.retentionOf(s.regions.ringKey(query.Service, e.Zone)).Seconds())
-	return time.Duration(missShare * float64(s.servicePrefill(query.Service).prefillTime(query.ownSharedTokens(e, depths))))
+	perRetention := use.rate(now) * s.regions.families.retentionOf(s.regions.ringKey(query.Service, e.Zone)).Seconds()
+	missShare, displaced := math.Exp(-perRetention), 1.0
+	if perRetention > 0 {
+		displaced = (1 - missShare) / perRetention
+	}
+	again := (missShare + displacedPrice*displaced) * float64(query.ownSharedTokens(e, depths))
+	return s.servicePrefill(query.Service).prefillTime(int(again))
 }
 
 // ownSharedTokens returns the number of shared tokens that a home of the family at the runner adds to
--- a/internal/backend/regionload_test.go
+++ b/internal/backend/regionload_test.go
@@ -223,7 +223,7 @@
 		before  func(*Set)
 	}{
 		{"without regions", nil, func(*Set) {}},
-		{"one home for all", testRegions, fixRetention(1)},
+		{"home in one region", testRegions, fixRetention(1)},
 		{"a home in each region", testRegions, fixRetention(time.Hour * 1000)},
 		{"homes by use", testRegions, func(*Set) {}},
 	}
