rolloutdriver, platform: the store keeps the number of requests with a reservation

The controller takes the requests that were stored with the reservation, so that the budget outlasts the routers that counted them, but nothing stored them. The status has the new field requests; routers of other builds ignore it.

--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -186,6 +186,14 @@
 	return status.Reserved
 }
 
+// countedIn returns the number of requests in a status, 0 if there is none.
+func countedIn(status *Status) uint64 {
+	if status == nil {
+		return 0
+	}
+	return status.Requests
+}
+
 // sameStatus reports whether the two statuses are equal or both missing.
 func sameStatus(a, b *Status) bool {
 	if a == nil || b == nil {
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -169,6 +169,22 @@
 	f.expectWithinBound()
 }
 
+// Guards against a budget that begins at zero when all routers restart: what was reserved before would
+// exceed it, and nothing could be tested until as many requests have come again.
+func TestBudgetOutlivesARestartOfAllRouters(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.run(testDuration / 2)
+	before := f.leader.Summaries(f.now)[0].Budget
+	for i := range f.routers {
+		f.restart(i)
+	}
+	f.replaceLeader(f.routers[0])
+	f.run(500 * time.Millisecond)
+	after := f.leader.Summaries(f.now)[0].Budget
+	f.g.Expect(after).To(BeNumerically(">=", 0.9*float64(before)), "the store had at least nine tenths of the requests")
+}
+
 // Guards against an order that inherits the state or the account of the one that it replaces.
 func TestChangedOrderBeginsANewAccount(t *testing.T) {
 	f := newTestFleet(t, 3)
--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -186,7 +186,7 @@
 	return lead{
 		controller: versionrollout.NewController(versionrollout.Config{
 			Order: r.stored.Order, MaxShare: d.config.MaxShare, Slack: d.config.Slack, EarliestStart: r.earliestStart, LatestStart: r.latestStart,
-			Reserved: r.reserved, LeaderSince: now,
+			Reserved: r.reserved, Requests: countedIn(r.stored.Status), LeaderSince: now,
 		}),
 		countsPrevious: r.stored.Status != nil && r.stored.Status.Uncounted,
 	}
@@ -211,6 +211,10 @@
 		StartUncertainty: r.latestStart.Sub(r.earliestStart),
 		StartedAt:        time.Now().Add(-now.Sub(r.earliestStart)).Round(0),
 	}
+	next.Requests = countedIn(r.stored.Status)
+	if r.lead.controller != nil {
+		next.Requests = max(next.Requests, r.lead.controller.Totals().Requests)
+	}
 	if stored := r.stored.Status; stored != nil {
 		next.Promoted = stored.Promoted
 		if !stored.StartedAt.IsZero() {
--- a/internal/rolloutdriver/ports.go
+++ b/internal/rolloutdriver/ports.go
@@ -101,6 +101,9 @@
 	// Reserved is the number of requests to the target version that leaders may have allowed. No
 	// request is allowed beyond it.
 	Reserved uint64
+	// Requests is the number of the service's requests that had been counted when the reservation was
+	// written. It keeps the budget over the loss of the placers that counted them.
+	Requests uint64
 	// Promoted is set while all requests go to the target version. The requests that can still
 	// come until the deadline then fit into the bound.
 	Promoted bool
