--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -238,8 +238,8 @@
 		c.history = newHistory(c.config.Order.Duration, counts{}, total.clone())
 	}
 	c.history.add(total)
-	if rate, known := c.demand.highestRecent(); known && c.promotedAt.IsZero() {
-		c.history.observeOpen(c.account.openOld(now), rate)
+	if highest, known := c.demand.highestRecent(); known && c.promotedAt.IsZero() {
+		c.history.observeOpen(c.account.openOld(now), max(highest, c.meanRate(now, total)))
 	}
 	if reason := c.condemnation(now, total); reason != "" {
 		if c.isPaused(now, total, reason) {
@@ -345,10 +345,7 @@
 // rate returns an upper bound on the rate of requests until the deadline, and false while too little is known.
 func (c *Controller) rate(now time.Time, total counts) (float64, bool) {
 	highest, known := c.demand.highestRecent()
-	rate := burstFactor * highest
-	if elapsed := now.Sub(c.config.EarliestStart); elapsed > 0 {
-		rate = max(rate, rateFactor*float64(c.knownRequests(total))/elapsed.Seconds())
-	}
+	rate := max(burstFactor*highest, rateFactor*c.meanRate(now, total))
 	// Schedulers that don't report may place as many requests as the others.
 	live := c.liveRouters(now)
 	silent := 0
@@ -357,9 +354,20 @@
 			silent++
 		}
 	}
+	// In the first moments of a rollout, the mean rate isn't known either.
+	known = known && now.Sub(c.config.EarliestStart) >= minRateWindow
 	return rate * (1 + float64(silent)/float64(max(len(live), 1))), known
 }
 
+// meanRate returns the mean rate of requests since the order.
+func (c *Controller) meanRate(now time.Time, total counts) float64 {
+	elapsed := now.Sub(c.config.EarliestStart)
+	if elapsed <= 0 {
+		return 0
+	}
+	return float64(c.knownRequests(total)) / elapsed.Seconds()
+}
+
 // liveRouters returns the routers that have reported recently.
 func (c *Controller) liveRouters(now time.Time) map[string]bool {
 	live := map[string]bool{}
--- a/internal/versionrollout/demand.go
+++ b/internal/versionrollout/demand.go
@@ -16,6 +16,9 @@
 	// each 250 ms, so a shorter one would measure the arrival of reports.
 	minRateWindow = 600 * time.Millisecond
 	maxRateWindow = 5 * time.Second
+	// firstRateWindow is the time after which a new leader takes the rate that it has seen for known. It knows
+	// the mean rate since the order as well, and shortly before the deadline it can't wait longer.
+	firstRateWindow = 150 * time.Millisecond
 	// recentWindows is the number of windows of which the highest rate counts.
 	recentWindows = 4
 )
@@ -47,7 +50,7 @@
 
 // sample notes the requests reported until now.
 func (d *demand) sample(now time.Time) {
-	if last := len(d.samples) - 1; last >= 0 && now.Sub(d.samples[last].at) < min(d.window/16, minRateWindow/4) {
+	if last := len(d.samples) - 1; last >= 0 && now.Sub(d.samples[last].at) < min(d.window/16, minRateWindow/8) {
 		return
 	}
 	d.samples = append(d.samples, demandSample{at: now, arrived: d.arrived})
@@ -55,7 +58,7 @@
 		d.samples = d.samples[1:]
 	}
 	first := d.samples[0]
-	if elapsed := now.Sub(first.at); elapsed >= min(d.window, minRateWindow) {
+	if elapsed := now.Sub(first.at); elapsed >= firstRateWindow {
 		d.rates = append(d.rates, rateSample{at: now, rate: float64(d.arrived-first.arrived) / elapsed.Seconds()})
 	}
 	for _, sample := range slices.Backward(d.samples) {
@@ -69,8 +72,7 @@
 	}
 }
 
-// highestRecent returns the highest recent rate per second, and false before the first window has
-// passed.
+// highestRecent returns the highest recent rate per second, and false before the first one is known.
 func (d *demand) highestRecent() (rate float64, known bool) {
 	rate = d.current
 	for _, sample := range d.rates {
--- a/internal/versionrollout/versionrollout_test.go
+++ b/internal/versionrollout/versionrollout_test.go
@@ -201,7 +201,9 @@
 	})
 	t.Logf("in bound %v, stopped in time %v; good versions succeeded before the deadline: %v without losses, %v with lost messages and routers, %v after the loss of the leader (%v of them early enough), %v with too little time for their rate, %v where the old version began to fail as well after the promotion",
 		inBound, stopped, inTime, lossy, afterLoss, longAfterLoss, late, unseen)
-	NewWithT(t).Expect(float64(longAfterLoss.good)).To(BeNumerically(">=", 0.95*float64(longAfterLoss.all)))
+	g := NewWithT(t)
+	g.Expect(float64(afterLoss.good)).To(BeNumerically(">=", 0.95*float64(afterLoss.all)))
+	g.Expect(float64(longAfterLoss.good)).To(BeNumerically(">=", 0.98*float64(longAfterLoss.all)))
 }
 
 // verdictsOf plays a fault with several seeds in the setting of the measurements on the design page.
