--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -27,7 +27,8 @@
 	return c
 }
 
-// placed is a report in which every tenth request that is not placed at the target version has a bad answer.
+// placed returns a report of answered requests, in which 1 of 100 answers of the old version and the given number of
+// the target version are bad.
 func placed(requests, exposed, bad uint64) Report {
 	return Report{Requests: requests, Exposed: exposed, Routes: map[string]RouteTally{
 		"a": {Old: Tally{Answers: requests - exposed, Bad: (requests - exposed) / 100}, Target: Tally{Answers: exposed, Bad: bad}},
@@ -39,8 +40,8 @@
 	other = Source{Router: "other"}
 )
 
-// steps lets a placer report 10 requests a second, of which those within its allowance go to the target version. It
-// returns the last decision, and the requests and exposed ones.
+// steps lets a placer place and report 12 requests a second for some time. One in 60, or one in three while it is
+// promoted, goes to the target version within its allowance. It returns the last decision.
 func steps(c *Controller, source Source, from, to float64, report *Report, badOf func(exposed uint64) uint64) (last Decision) {
 	for second := from; second <= to; second += 0.25 {
 		report.Requests += 3
@@ -169,6 +170,7 @@
 		g.Expect(decision.State).To(Equal(Running))
 		g.Expect(decision.Phase).To(Equal(Testing))
 	}
+	// Also in a promotion: the one router that still reports is no scheduler and places nothing.
 	c = newTestController(nil)
 	report := &Report{}
 	steps(c, own, 0, 98, report, noneBad)
--- a/internal/versionrollout/simulation_test.go
+++ b/internal/versionrollout/simulation_test.go
@@ -113,7 +113,7 @@
 	ended(w *world, answer simulatedAnswer)
 }
 
-// simulatedAnswer is a response that is still to come, and simulatedMessage a message under way.
+// simulatedAnswer is a response that is still to come. It is faulty if the target version's fault made it bad.
 type simulatedAnswer struct {
 	placer, incarnation int
 	route               int
