--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -168,6 +168,12 @@
 	return status.State
 }
 
+// storedStatus returns the stored status of the rollout, which has the reason of its state.
+func (f *rolloutFleet) storedStatus() string {
+	object, _ := f.store.Get(platform.KindRollouts, "plain")
+	return string(object.Status)
+}
+
 // reserved returns the stored number of requests that may go to the new version.
 func (f *rolloutFleet) reserved() int {
 	object, _ := f.store.Get(platform.KindRollouts, "plain")
@@ -188,7 +194,7 @@
 
 func (f *rolloutFleet) expectState(state string) {
 	f.t.Helper()
-	f.g.Eventually(f.state, rolloutDuration, 20*time.Millisecond).Should(Equal(state))
+	f.g.Eventually(f.state, rolloutDuration, 20*time.Millisecond).Should(Equal(state), f.storedStatus)
 	f.t.Logf("%s after %v: %d of %d requests to the new version, %d not served", state, time.Since(f.orderedAt), f.exposed(), f.sent.Load(), f.bad.Load())
 	f.g.Expect(time.Since(f.orderedAt)).To(BeNumerically("<", rolloutDuration))
 }
