--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,9 @@
 	runnerFailures *prometheus.CounterVec
 	placements     *prometheus.CounterVec
 	promptTokens   *prometheus.CounterVec
+	// sendDistances counts the requests sent by the distance of the runner, and for other regions
+	// also by the reason.
+	sendDistances *prometheus.CounterVec
 	// runnerChecks counts the checks whether a runner is still running, and requestsAtCrash
 	// observes the number of requests that were running on a runner when it crashed.
 	runnerChecks    *prometheus.CounterVec
@@ -125,6 +128,7 @@
 		retries:        newCounterVec("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
 		runnerFailures: newCounterVec("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
 		placements:     newCounterVec("placements_total", "Prompts placed, by whether the runner is expected to keep their shared parts.", "service", "kept"),
+		sendDistances:  newCounterVec("sends_by_distance_total", "Requests sent, by whether the runner is in the same zone, in the same region or in another region, and why they left the region.", "service", "distance", "reason"),
 		promptTokens:   newCounterVec("prompt_tokens_total", "Prompt tokens placed, by whether the runner is expected to keep them.", "service", "kept"),
 		runnerChecks:   newCounterVec("runner_checks_total", "Questions, after an answer that broke off, whether its runner still runs, by answer.", "service", "outcome"),
 		requestsAtCrash: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -180,10 +184,13 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
+		newGauge("region_schedulers", "Schedulers of the own region that this router knows; 0 without regions.", func() float64 { known, _ := g.schedulers.regionSchedulerCounts(); return float64(known) }),
+		newGauge("region_schedulers_answering", "Schedulers of the own region that have answered this router and are not silent.", func() float64 { _, answering := g.schedulers.regionSchedulerCounts(); return float64(answering) }),
+		newGauge("standby_scheduler_active", "1 while this router is no seed and is asked to place requests.", g.activeStandby),
 		newGauge("routers", "Routers that there seem to be, by which budgets and limits are shared out; 0 when unknown.", func() float64 { return float64(g.knownRouters.Load()) }),
 		newGauge("quota_tenants", "Tenants whose limits this router keeps a part of.", func() float64 { return g.limits.TenantCount() }),
 		newGauge("share_tenants", "Tenants of whose recent use of services this router keeps a sum.", func() float64 { return g.fairShares.tenantCount() }),
@@ -208,6 +215,13 @@
 	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, value)
 }
 
+func (g *Gateway) activeStandby() float64 {
+	if g.schedulers.isActiveStandby(g.now()) {
+		return 1
+	}
+	return 0
+}
+
 func (g *Gateway) activeConfigVersion() float64 {
 	if current := g.activeConfig.Load(); current != nil {
 		return float64(current.table.Version)
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -162,6 +163,7 @@
 	if answer.GetStoreOnly() {
 		r.gateway.transfer.start()
 	}
+	r.gateway.schedulers.applyList(address, answer.GetSchedulers())
 	r.gateway.suspects.applyPull(address, answer.GetSuspects())
 	r.gateway.signals.applyPull(address, answer.GetSignals())
 	r.gateway.receiveBounds(answer.GetWeightBounds(), sentAt)
@@ -232,6 +234,10 @@
 	if err != nil {
 		return nil, sentAt
 	}
+	r.recordRoundTrip(reply, r.gateway.since(sentAt))
+	if zone := reply.GetCopyAnswer().GetZone(); zone != "" {
+		g.schedulers.recordZone(address, zone)
+	}
 	return reply.GetCopyAnswer(), sentAt
 }
 
@@ -251,9 +257,18 @@
 	if err != nil {
 		return nil, elapsed
 	}
+	r.recordRoundTrip(reply, elapsed)
 	return reply, elapsed
 }
 
+// recordRoundTrip records how long another router took to reply, if the reply names its zone.
+func (r *peerRouters) recordRoundTrip(reply *wire.Envelope, elapsed time.Duration) {
+	zone := cmp.Or(reply.GetCopyAnswer().GetZone(), reply.GetRunnerAnswer().GetZone(), reply.GetQuotaAnswer().GetZone())
+	if zone != "" {
+		r.gateway.distances.RecordRoundTrip(r.gateway.now(), zone, elapsed)
+	}
+}
+
 // Send sends a message to a router. It may be lost. The comments where Send is used state the
 // effect of a loss.
 func (r *peerRouters) Send(address string, message *wire.Envelope) {
@@ -262,10 +277,11 @@
 
 // newPull returns a pull that describes this router to the router at the address.
 func (r *peerRouters) newPull(address string) *wire.CopyPull {
-	settings := r.gateway.settings
+	settings, list := r.gateway.settings, r.gateway.schedulers.list()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return &wire.CopyPull{
+		Region: r.gateway.regionName(), SchedulersDigest: list.GetDigest(),
 		PeerAddress: settings.PeerAddress, Zone: settings.Zone,
 		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.countOtherFollowers(r.gateway.now(), address)),
 	}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -84,7 +84,7 @@
 	answer := &wire.CopyAnswer{
 		Zone: g.settings.Zone, CacheStores: stores.availableBits, CacheStoresConfig: stores.configVersion, Routers: uint32(g.routerCount()),
 		ReferTo: referTo, PullAfterMillis: uint32(interval.Milliseconds()),
-		StoreOnly: g.transfer.running.Load(),
+		StoreOnly: g.transfer.running.Load(), Region: g.regionName(), Schedulers: r.listFor(pull),
 	}
 	if pull.GetWantsCache() {
 		answer.Cache = g.cacheReader.deltaSince(pull.GetCacheFeed(), pull.GetCacheThrough())
@@ -140,6 +140,7 @@
 		r.nextCountAt = now.Add(followerCountInterval)
 		r.countFollowers(now)
 	}
+	r.recordStandbyCandidate(now, pull)
 	return r.referral(now, pull), pullIntervalFor(r.activeFollowers)
 }
 
@@ -197,7 +198,9 @@
 }
 
 // referral returns the address that the pulling router should pull from instead, or "". An
-// overloaded seed refers it to a relay of its zone. A router that has a relay itself refers to that
+// overloaded seed refers it to a relay of its zone, and any seed does so with routers of regions without a
+// seed: changes then cross the border once for each zone, and not once for each router. Standby schedulers
+// stay, because the seed selects them from the routers that pull from it. A router that has a relay itself refers to that
 // one, so that changes never need more than two hops. The mutex must be held.
 func (r *peerRouters) referral(now time.Time, pull *wire.CopyPull) string {
 	if r.selector.HasSeed(pull.GetPeerAddress()) {
@@ -210,10 +213,12 @@
 		Address: pull.GetPeerAddress(), Zone: pull.GetZone(),
 		Capacity: int(pull.GetCapacity()), Followers: int(pull.GetFollowers()),
 	}
-	assigned := r.assigner.Assign(now, puller, r.activeFollowers > r.gateway.settings.DirectFollowers)
-	if assigned != "" {
-		delete(r.followers, puller.Address)
+	assigned := r.assigner.Assign(now, puller, r.activeFollowers > r.gateway.settings.DirectFollowers || r.isFromRegionWithoutSeed(pull))
+	if assigned == "" || r.isStandby(now, pull) {
+		return ""
 	}
+	delete(r.followers, puller.Address)
+	r.standbys.Forget(puller.Address, pull.GetRegion())
 	return assigned
 }
 
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -3,6 +3,7 @@
 package faultproxy
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -51,23 +52,36 @@
 	listener net.Listener
 	mutex    sync.Mutex
 	mode     Mode
+	delay    time.Duration
 	links    map[*link]bool
+	// groupOf returns the group of a client. It is nil if clients have no groups.
+	groupOf GroupOf
+	// groupDelays and cutGroups hold the delay of groups, and the groups that are cut.
+	groupDelays map[string]time.Duration
+	cutGroups   map[string]bool
 }
 
+// GroupOf returns the group of the client that is connected to the proxy, empty for none.
+type GroupOf func(client, proxy *net.TCPAddr) string
+
 // link is a client connection with the server connection to which it is forwarded. Its fields
 // are guarded by the mutex of the proxy.
 type link struct {
 	client, server net.Conn
+	group          string
 	muted          bool
 }
 
 // Start starts a proxy on a free loopback address that forwards to the server, an IP:port.
-func Start(server string) (*Proxy, error) {
+func Start(server string) (*Proxy, error) { return StartGrouped(server, nil) }
+
+// StartGrouped is like Start. The connections of each group of clients can also be delayed and cut.
+func StartGrouped(server string, groupOf GroupOf) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{Address: listener.Addr().String(), server: server, listener: listener, links: map[*link]bool{}}
+	p := &Proxy{Address: listener.Addr().String(), server: server, listener: listener, links: map[*link]bool{}, groupOf: groupOf, groupDelays: map[string]time.Duration{}, cutGroups: map[string]bool{}}
 	go p.acceptLoop()
 	return p, nil
 }
@@ -91,6 +105,55 @@
 	}
 }
 
+// SetDelay sets how much later everything that is read from now on arrives, in each direction, as on
+// a link of that length. Unlike Delay, it does not limit the throughput. It applies in every mode.
+func (p *Proxy) SetDelay(delay time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.delay = delay
+}
+
+// currentDelay returns the delay that applies to what is read on the link now.
+func (p *Proxy) currentDelay(l *link) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.delay + p.groupDelays[l.group]
+}
+
+// SetGroupDelay is like SetDelay for the connections of a group, and is added to the delay of the proxy.
+func (p *Proxy) SetGroupDelay(group string, delay time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.groupDelays[group] = delay
+}
+
+// SetGroupCut sets whether the connections of a group are treated as with Blackhole, whatever the mode.
+func (p *Proxy) SetGroupCut(group string, cut bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	wasCut := p.cutGroups[group]
+	p.cutGroups[group] = cut
+	for l := range p.links {
+		// Like at the end of Blackhole, the dropped bytes are lost.
+		if wasCut && !cut && l.group == group && !l.muted {
+			l.forEachConn(resetConn)
+		}
+	}
+}
+
+// assignGroup determines the group of the link.
+func (p *Proxy) assignGroup(l *link) {
+	client, isTCP := l.client.RemoteAddr().(*net.TCPAddr)
+	own, _ := l.client.LocalAddr().(*net.TCPAddr)
+	if p.groupOf == nil || !isTCP {
+		return
+	}
+	group := p.groupOf(client, own)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	l.group = group
+}
+
 // Close stops the proxy and closes all connections.
 func (p *Proxy) Close() {
 	p.listener.Close()
@@ -108,6 +171,8 @@
 	switch {
 	case l.muted:
 		return MuteExisting
+	case p.cutGroups[l.group]:
+		return Blackhole
 	case p.mode == MuteExisting:
 		return Pass
 	}
@@ -137,6 +202,7 @@
 // serve connects to the server and forwards both directions of the link until either side closes.
 func (p *Proxy) serve(l *link) {
 	defer p.closeLink(l)
+	p.assignGroup(l)
 	if p.effectiveMode(l) == Reset {
 		resetConn(l.client)
 		return
@@ -166,39 +232,77 @@
 	l.forEachConn(func(conn net.Conn) { conn.Close() })
 }
 
+// chunk is the result of one read, which is to be forwarded when it is due.
+type chunk struct {
+	data []byte
+	err  error
+	due  time.Time
+}
+
+// maxDelayedChunks is the number of chunks of one direction that may be on their way.
+const maxDelayedChunks = 1024
+
 // forward copies from source to target until either is closed, and then sends on done.
 // isResponse is set for the direction from the server to the client.
 func (p *Proxy) forward(l *link, target, source net.Conn, isResponse bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
+	chunks, stopped := make(chan chunk, maxDelayedChunks), make(chan struct{})
+	defer close(stopped)
+	go p.readChunks(l, source, chunks, stopped)
+	for c := range chunks {
+		time.Sleep(time.Until(c.due))
+		if !p.write(l, target, c, isResponse) {
+			return
+		}
+	}
+}
+
+// readChunks reads from the source until an error occurs or stopped is closed.
+func (p *Proxy) readChunks(l *link, source net.Conn, chunks chan<- chunk, stopped <-chan struct{}) {
+	defer close(chunks)
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := source.Read(buffer)
 		if p.effectiveMode(l) == Delay {
 			time.Sleep(forwardDelay)
 		}
-		mode := p.effectiveMode(l)
-		dropped := mode == MuteExisting || mode == Blackhole || (mode == DropResponses && isResponse)
-		if n > 0 && !dropped {
-			if _, writeErr := target.Write(buffer[:n]); writeErr != nil {
-				return
-			}
-		}
-		if err == io.EOF && !dropped {
-			if tcp, ok := target.(*net.TCPConn); ok {
-				// The other direction may still be in use.
-				_ = tcp.CloseWrite()
-			}
+		select {
+		case chunks <- chunk{data: bytes.Clone(buffer[:n]), err: err, due: time.Now().Add(p.currentDelay(l))}:
+		case <-stopped:
 			return
 		}
 		if err != nil {
-			if mode != MuteExisting {
-				resetConn(target)
-			}
 			return
 		}
 	}
 }
 
+// write forwards what was read, unless the mode drops it, and reports whether the direction is still
+// open.
+func (p *Proxy) write(l *link, target net.Conn, c chunk, isResponse bool) bool {
+	mode := p.effectiveMode(l)
+	dropped := mode == MuteExisting || mode == Blackhole || (mode == DropResponses && isResponse)
+	if len(c.data) > 0 && !dropped {
+		if _, err := target.Write(c.data); err != nil {
+			return false
+		}
+	}
+	if c.err == io.EOF && !dropped {
+		if tcp, ok := target.(*net.TCPConn); ok {
+			// The other direction may still be in use.
+			_ = tcp.CloseWrite()
+		}
+		return false
+	}
+	if c.err != nil {
+		if mode != MuteExisting {
+			resetConn(target)
+		}
+		return false
+	}
+	return true
+}
+
 // forEachConn calls do with each connection of the link that exists. The mutex of the proxy must
 // be held.
 func (l *link) forEachConn(do func(net.Conn)) {
--- a/internal/lab/soak/descriptors.go
+++ b/internal/lab/soak/descriptors.go
@@ -30,7 +30,11 @@
 // neededDescriptors returns the number of descriptors that the paths to runners may use.
 func (s Settings) neededDescriptors() uint64 {
 	runners := plainRunners + cmp.Or(s.Engines, defaultEngines)
-	return uint64(cmp.Or(s.Gateways, defaultGateways) * runners * descriptorsPerPath)
+	if s.Rollouts {
+		// Those of the target version.
+		runners += plainRunners
+	}
+	return uint64(s.gatewayCount() * runners * descriptorsPerPath)
 }
 
 // checkDescriptors returns a trace.LimitExceeded error if the descriptor limit is too low for the
--- a/internal/peers/ranking.go
+++ b/internal/peers/ranking.go
@@ -1,5 +1,5 @@
 // Package peers ranks the routers that a router may send requests to: itself first, then routers
-// of its own zone, and last those that did not reply recently. The delay before a request is
+// of its own zone and of its own region, and last those that did not reply recently. The delay before a request is
 // hedged to another router follows from the observed round trip times. The package also estimates
 // the number of routers of a system.
 //
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 )
 
@@ -42,6 +43,7 @@
 
 // peerStats holds what was observed of one router.
 type peerStats struct {
+	// zone is empty until it is known.
 	zone string
 	// roundTrip is the smoothed round trip time, or 0 if the router has never replied.
 	roundTrip time.Duration
@@ -53,33 +55,53 @@
 // use.
 type Ranking struct {
 	self, zone string
+	distances  *distance.Table
 	// addresses are the routers in this router's own order of preference.
 	addresses []string
+	// listed are the routers of the own region as a seed named them, in the order in which to send
+	// requests to them. They may include addresses, and others.
+	listed []string
 	// peers holds the stats of the routers that were used so far, by address.
 	peers map[string]*peerStats
 }
 
 // NewRanking returns an empty ranking for the router with the peer address self in the zone.
-func NewRanking(self, zone string) *Ranking {
-	return &Ranking{self: self, zone: zone, peers: map[string]*peerStats{}}
+func NewRanking(self, zone string, distances *distance.Table) *Ranking {
+	return &Ranking{self: self, zone: zone, distances: distances, peers: map[string]*peerStats{}}
 }
 
 // Set replaces the addresses of the routers. Each router orders them differently, which spreads
 // the load.
 func (r *Ranking) Set(addresses []string) {
 	r.addresses = rendezvous.Ranked(addresses, rendezvous.KeyOf(r.self), len(addresses))
+	r.removeUnknownPeers()
+}
+
+// SetListed replaces the list of the routers of the own region.
+func (r *Ranking) SetListed(addresses []string) {
+	r.listed = slices.Clone(addresses)
+	r.removeUnknownPeers()
+}
+
+// removeUnknownPeers removes the stats of routers that are no longer in a list.
+func (r *Ranking) removeUnknownPeers() {
 	for address := range r.peers {
-		if !slices.Contains(addresses, address) {
+		if !r.includes(address) {
 			delete(r.peers, address)
 		}
 	}
 }
 
+// includes reports whether the router is in one of the lists.
+func (r *Ranking) includes(address string) bool {
+	return r.Ranks(address) || slices.Contains(r.listed, address)
+}
+
 // Len returns the number of routers.
 func (r *Ranking) Len() int { return len(r.addresses) }
 
 // IncludesSelf reports whether this router is in the list itself.
-func (r *Ranking) IncludesSelf() bool { return slices.Contains(r.addresses, r.self) }
+func (r *Ranking) IncludesSelf() bool { return r.Ranks(r.self) }
 
 // Order returns the routers in the order in which to send requests to them, the best first.
 func (r *Ranking) Order(now time.Time) []string {
@@ -88,15 +110,19 @@
 	return order
 }
 
+// Ranks reports whether the router is ranked, and not only listed.
+func (r *Ranking) Ranks(address string) bool { return slices.Contains(r.addresses, address) }
+
 // Others returns the routers other than this one.
 func (r *Ranking) Others() []string {
 	return slices.DeleteFunc(slices.Clone(r.addresses), func(address string) bool { return address == r.self })
 }
 
-// Ranks of routers, the best first.
+// Ranks of routers, the best first. Without regions, all other zones are equal and rank last.
 const (
 	rankSelf = iota
 	rankSameZone
+	rankSameRegion
 	rankUnknownZone
 	rankOtherZone
 	rankSilent
@@ -114,10 +140,62 @@
 		return rankSilent
 	case stats.zone == r.zone:
 		return rankSameZone
+	case !r.distances.HasRegions():
+		return rankOtherZone
+	case stats.zone == "":
+		return rankUnknownZone
+	case r.distances.Relation(r.zone, stats.zone) == distance.SameRegion:
+		return rankSameRegion
 	}
 	return rankOtherZone
 }
 
+// RegionMembers returns the known routers of the own region in the order in which to send requests to
+// them: those that are ranked, and then the others in the order of the list. A ranked router whose
+// zone is unknown is among them only if it is listed.
+func (r *Ranking) RegionMembers(now time.Time) []string {
+	var members []string
+	for _, address := range r.Order(now) {
+		if r.isInRegion(address) {
+			members = append(members, address)
+		}
+	}
+	for _, address := range r.listed {
+		if !r.Ranks(address) {
+			members = append(members, address)
+		}
+	}
+	return members
+}
+
+// isInRegion reports whether a router is known to be in the own region.
+func (r *Ranking) isInRegion(address string) bool {
+	if address == r.self || slices.Contains(r.listed, address) {
+		return true
+	}
+	stats := r.peers[address]
+	return stats != nil && stats.zone != "" && r.distances.Relation(r.zone, stats.zone) != distance.OtherRegion
+}
+
+// RegionOrder returns the members of the own region without those that are silent. Routers after this
+// one are left out, because it needs no others then.
+func (r *Ranking) RegionOrder(now time.Time) []string {
+	order := slices.DeleteFunc(r.RegionMembers(now), func(address string) bool { return r.IsSilent(now, address) })
+	if own := slices.Index(order, r.self); own >= 0 {
+		order = order[:own+1]
+	}
+	return order
+}
+
+// Answers reports whether a router has replied and is not silent, or is this one.
+func (r *Ranking) Answers(now time.Time, address string) bool {
+	if address == r.self {
+		return true
+	}
+	stats := r.peers[address]
+	return stats != nil && stats.roundTrip > 0 && !now.Before(stats.penalizedUntil)
+}
+
 // Reachable reports whether any router is not silent.
 func (r *Ranking) Reachable(now time.Time) bool {
 	for _, address := range r.addresses {
@@ -162,6 +240,13 @@
 	stats.roundTrip += time.Duration(roundTripWeight * float64(roundTrip-stats.roundTrip))
 }
 
+// RecordZone records the zone of a router that was learned otherwise than from its reply.
+func (r *Ranking) RecordZone(address, zone string) {
+	if stats := r.statsFor(address); stats != nil {
+		stats.zone = zone
+	}
+}
+
 // RecordTimeout records that a router did not reply in time.
 func (r *Ranking) RecordTimeout(now time.Time, address string) {
 	stats := r.statsFor(address)
@@ -174,9 +259,9 @@
 	}
 }
 
-// statsFor returns the stats of a router in the list, or nil for any other router.
+// statsFor returns the stats of a router in one of the lists, or nil for any other router.
 func (r *Ranking) statsFor(address string) *peerStats {
-	if !slices.Contains(r.addresses, address) {
+	if !r.includes(address) {
 		return nil
 	}
 	if r.peers[address] == nil {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/distance"
 )
 
 var start = time.Unix(1_000, 0)
@@ -75,6 +77,35 @@
 	g.Expect(restarted).To(BeNumerically("~", 4*3000, 200), "the base rate without burst")
 }
 
+// Guards against a tolerance that is used up more than once: a tenant that spends all it is granted
+// stays within the tolerance over three restarts of its server in one window.
+func TestRestartsWithinAWindowStayWithinTheTolerance(t *testing.T) {
+	g := NewWithT(t)
+	const tolerance, amount = 0.1, 100.0
+	limit := Limit{Window: testWindow, Rate: 3000, Burst: 30000}
+	granted := spendRepeatedly(NewServer(start), 5000, 7000, amount, limit, 1)
+	for _, restartedAt := range []int{7000, 9000, 11000} {
+		granted += spendRepeatedly(NewServerWithTolerance(atMillis(restartedAt), tolerance), restartedAt, restartedAt+2000, amount, limit, 1)
+	}
+	g.Expect(granted).To(BeNumerically("<=", limit.MaxPerWindow()*(1+tolerance)+4*amount))
+}
+
+// Guards against refusals of tenants below their limits after the loss of all servers. Callers that
+// were held up for half a second retry within 30 ms, before the new buckets have accrued much.
+func TestTenantsBelowTheirLimitAreServedAfterTheLossOfAllServers(t *testing.T) {
+	const routers, tolerance, amount = 80, 0.1, 2000.0
+	limit := Limit{Window: testWindow, Rate: 1_113_275, Burst: 1_113_275}
+	s := newSimulation(routers, limit, 1)
+	s.restartAll(atMillis(13500), tolerance)
+	heldUp := int(0.6 * 0.5 * limit.Rate / amount)
+	for i := range heldUp {
+		s.request(atMillis(13600+i*30/heldUp), i%routers, amount, func() bool { return false })
+	}
+	if s.refusals > 0 {
+		t.Fatalf("%d of %d requests refused", s.refusals, s.requests)
+	}
+}
+
 func TestLowerLimitAppliesImmediatelyAndOlderRevisionIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	server := NewServer(start)
@@ -147,7 +178,7 @@
 
 // newRequester returns a requester in zone z1 with the servers k1, k2 and k3.
 func newRequester(self string) *Requester {
-	requester := NewRequester(self, "z1", rand.New(rand.NewPCG(1, 2)))
+	requester := NewRequester(self, "z1", distance.New(distance.Config{}), rand.New(rand.NewPCG(1, 2)))
 	requester.Servers().Set([]string{"k1", "k2", "k3"})
 	return requester
 }
@@ -176,7 +207,7 @@
 	limit := Limit{Window: testWindow, Rate: 139000, Burst: 139000}
 	spentLocally := 0.0
 	for i := range partitioned {
-		requester := NewRequester("r", "z", rand.New(rand.NewPCG(1, uint64(i))))
+		requester := NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(1, uint64(i))))
 		for at := 0; at < 3000; at += 1000 {
 			requester.RecordGrant(atMillis(at), "t", limit.Rate/routers)
 			requester.RecordContact(atMillis(at))
@@ -198,7 +229,7 @@
 	limit := Limit{Window: testWindow, Rate: 53000, Burst: 69000}
 	granted := 0.0
 	for i := range routers {
-		requester := NewRequester("r", "z", rand.New(rand.NewPCG(3, uint64(i))))
+		requester := NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(3, uint64(i))))
 		requester.RecordContact(atMillis(0))
 		for at := 0; at < 8000; at += 200 {
 			if requester.DecideLocally(atMillis(at), "t", size, limit, routers).Granted {
@@ -221,7 +252,7 @@
 		random := rand.New(rand.NewPCG(5, seed))
 		requesters := make([]*Requester, routers)
 		for i := range requesters {
-			requesters[i] = NewRequester("r", "z", rand.New(rand.NewPCG(seed, uint64(i))))
+			requesters[i] = NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(seed, uint64(i))))
 			requesters[i].RecordContact(atMillis(0))
 		}
 		for at := 0.0; at < outage; at += random.ExpFloat64() * size / (0.4 * limit.Rate / 1000) {
@@ -245,7 +276,7 @@
 	limit := Limit{Window: testWindow, Rate: 4000, Burst: 40000}
 	granted, runs, seconds := 0.0, 50, 60
 	for seed := range runs {
-		requester := NewRequester("r", "z", rand.New(rand.NewPCG(9, uint64(seed))))
+		requester := NewRequester("r", "z", distance.New(distance.Config{}), rand.New(rand.NewPCG(9, uint64(seed))))
 		requester.RecordContact(atMillis(0))
 		for at := 100; at < seconds*1000; at += 2100 {
 			if requester.DecideLocally(atMillis(at), "t", size, limit, routers).Granted {
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -112,6 +112,12 @@
 }
 
 // Controller leads one rollout at the present leader. It is not safe for concurrent use.
+//
+// The caller gives it the reports of all placers, answers each with Permit, and calls Step as often as the decision
+// says, after SetSchedulers, SetCapacity and the report of its own router. It writes what the decision
+// says in one write: the reservation with the number of requests of Totals, and a final state. After the store has
+// accepted a reservation it calls RecordReserved; only then do permits make use of it. A report of a router that
+// keeps to no allowance must not be given to it.
 type Controller struct {
 	config   Config
 	account  *account
@@ -232,6 +238,9 @@
 		c.history = newHistory(c.config.Order.Duration, counts{}, total.clone())
 	}
 	c.history.add(total)
+	if rate, known := c.demand.highestRecent(); known && c.promotedAt.IsZero() {
+		c.history.observeOpen(c.account.openOld(now), rate)
+	}
 	if reason := c.condemnation(now, total); reason != "" {
 		if c.isPaused(now, total, reason) {
 			c.decision = Decision{Phase: Waiting, WakeAfter: c.shortestInterval(), Reason: "compares with the old version: " + reason}
@@ -421,18 +430,13 @@
 	if c.isUnlimited(now) && now.Sub(c.promotedAt) >= longestEndLead {
 		return true
 	}
-	var openOld uint64
 	for _, p := range c.account.placers {
-		if !p.isLive(now) {
-			continue
-		}
-		if !p.isPromoted {
+		if p.isLive(now) && !p.isPromoted {
 			return false
 		}
-		openOld += p.openOld
 	}
 	// After the deadline, some more time for the last requests at the old runners costs nothing.
-	return openOld == 0 || !c.isUnlimited(now)
+	return !c.isUnlimited(now) || c.account.openOld(now) == 0
 }
 
 // stepPart returns which part of the budget for tests may be used at present.
