rolloutdriver, backend: the way to another region is no slowness of a version

An answer counts as bad if it takes three times the usual latency of the old version on its route. The few runners on which a version is tested may all be in another region than a request's router, so a good version of a service that answers within 20 ms would have counted as slow by the 40 ms of the way alone. The time that the distance adds is taken off, at both versions. Without regions nothing changes.

--- a/internal/backend/regions.go
+++ b/internal/backend/regions.go
@@ -168,6 +168,15 @@
 	return nearest
 }
 
+// RoundTrip returns the time that the distance between the zone, empty for this router's zone, and the
+// runner of the send adds to a request. It is 0 within a region.
+func (s *Set) RoundTrip(zone string, send *Send) time.Duration {
+	if s.regions == nil || send.entry == nil {
+		return 0
+	}
+	return s.regions.distance(cmp.Or(zone, s.zone), send.entry.Zone).roundTrip
+}
+
 // Relation returns how close the runner is to the zone, empty for this router's zone. Without
 // regions, each zone counts as one of the same region.
 func (s *Set) Relation(zone string, runner Runner) distance.Relation {
--- a/internal/backend/regions_test.go
+++ b/internal/backend/regions_test.go
@@ -259,3 +259,13 @@
 		g.Expect(placement.Choose(request, candidates, testWeights, testRandom()).Candidate.Name).To(Equal("a1-7"))
 	}
 }
+
+// Guards against answers of runners in another region that count as slow.
+func TestRoundTripOfASend(t *testing.T) {
+	g, set := NewWithT(t), newRegionSet(testRegions, 1)
+	g.Expect(set.RoundTrip("a1", set.Begin(start, "a2-0", 0))).To(BeZero())
+	g.Expect(set.RoundTrip("a1", set.Begin(start, "b1-0", 0))).To(Equal(40 * time.Millisecond))
+	g.Expect(set.RoundTrip("b2", set.Begin(start, "b1-0", 0))).To(BeZero())
+	g.Expect(set.RoundTrip("", set.Begin(start, "gone", 0))).To(BeZero())
+	g.Expect(newRegionSet(nil, 1).RoundTrip("a1", set.Begin(start, "b1-0", 0))).To(BeZero())
+}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -194,7 +194,9 @@
 	if notice.GetEnded() {
 		if query, send, found := s.placedSends.Get(key); found {
 			s.gateway.fairShares.refund(s.gateway.now(), query, send, outcome)
-			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send, rolloutdriver.SendEnd{Outcome: outcome, NotSent: notice.GetNotSent(), ConnectionLost: notice.GetConnectionLost()})
+			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send, rolloutdriver.SendEnd{
+				Outcome: outcome, NotSent: notice.GetNotSent(), ConnectionLost: notice.GetConnectionLost(), RoundTrip: s.gateway.runners.RoundTrip(query.Zone, send),
+			})
 		}
 		s.placedSends.AvoidRunner(s.gateway.now(), key, time.Duration(notice.GetRestMillis())*time.Millisecond)
 		s.placedSends.End(s.gateway.now(), key, outcome)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -269,6 +269,7 @@
 		g.fairShares.refund(c.gateway.now(), c.query, c.currentSend, outcome)
 	}
 	if c.schedulerChoice == nil && !c.continuing && g.rolloutDriver.IsPlacer() {
+		end.RoundTrip = g.runners.RoundTrip(c.query.Zone, c.currentSend)
 		g.rolloutDriver.RecordOutcome(c.gateway.now(), c.query, c.currentSend, end)
 	}
 	g.runners.End(c.gateway.now(), c.currentSend, outcome)
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -403,3 +403,23 @@
 	r.RecordOutcome(f.now, query, r.set.Begin(f.now, "4", 0), SendEnd{Outcome: backend.Unreachable, NotSent: true})
 	f.g.Expect(r.byService[testService].placer.exposure.Exposed()).To(Equal(exposed - 1))
 }
+
+// Guards against a good version that counts as slow because the few runners on which it is tested are in
+// another region.
+func TestDistanceToAnotherRegionIsNoSlowness(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.order(testDuration)
+	f.run(time.Second)
+	f.leader = nil
+	f.run(2 * time.Second)
+	r := f.routers[0]
+	query := backend.Query{Service: testService, Route: "route", TargetVersion: testTarget}
+	bad := func() uint64 { return r.Summaries(f.now)[0].Routes[0].TargetBad }
+	send := r.set.Begin(f.now.Add(-45*time.Millisecond), "4", 0)
+	before := bad()
+	r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Succeeded, RoundTrip: 40 * time.Millisecond})
+	f.g.Expect(bad()).To(Equal(before))
+	send = r.set.Begin(f.now.Add(-500*time.Millisecond), "4", 0)
+	r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Succeeded, RoundTrip: 40 * time.Millisecond})
+	f.g.Expect(bad()).To(Equal(before + 1))
+}
--- a/internal/rolloutdriver/placer.go
+++ b/internal/rolloutdriver/placer.go
@@ -159,6 +159,9 @@
 	// NotSent is set if the runner got nothing of the request, and ConnectionLost if the connection
 	// to it broke.
 	NotSent, ConnectionLost bool
+	// RoundTrip is the part of its time that is due to the distance to another region, and says nothing
+	// about the version.
+	RoundTrip time.Duration
 }
 
 // result returns what the end says about the version that got the request.
@@ -189,7 +192,7 @@
 	}
 	ended := versionrollout.Completion{
 		Route: query.Route, IsTarget: query.TargetVersion != "", Result: end.result(),
-		IsSuspect: query.SuspectContent != 0, Latency: now.Sub(send.SentAt()),
+		IsSuspect: query.SuspectContent != 0, Latency: max(now.Sub(send.SentAt())-end.RoundTrip, 0),
 	}
 	if end.Outcome == backend.Refused {
 		// It reached the version, which therefore has used one request, and was not run.
