rolloutdriver: reports of a previous build stay out of the account

The account of exposure is for routers that keep to an allowance. The requests of others raised the budget, and the end waited for them to be promoted, which they never report. Their numbers are kept apart and count only for what a previous build may have exposed.

--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -37,6 +37,15 @@
 	reserve uint64
 	// countsPrevious is set until the exposure that a previous build allowed is part of the account.
 	countsPrevious bool
+	// uncounted holds the numbers of requests that routers of a previous build have reported.
+	uncounted map[versionrollout.Source]uint64
+}
+
+func (l *lead) recordUncounted(source versionrollout.Source, requests uint64) {
+	if l.uncounted == nil {
+		l.uncounted = map[versionrollout.Source]uint64{}
+	}
+	l.uncounted[source] = max(l.uncounted[source], requests)
 }
 
 // statusWrite is a status that is being written, and the controller that asked for it.
@@ -200,6 +209,9 @@
 		return unknownReservation
 	}
 	requests := r.lead.controller.Totals().Requests
+	for _, uncounted := range r.lead.uncounted {
+		requests += uncounted
+	}
 	spent := uint64(previousBuildMargin * d.config.MaxShare * float64(requests))
 	return max(spent, versionrollout.AssumedReservation(d.config.MaxShare, d.config.Slack, requests))
 }
--- a/internal/rolloutdriver/report.go
+++ b/internal/rolloutdriver/report.go
@@ -192,11 +192,13 @@
 	if source.Router == "" {
 		source.Router = envelope.GetFrom()
 	}
-	r.lead.controller.Report(now, source, decodeReport(report))
 	if !report.GetCounted() {
-		// A router of a previous build doesn't know allowances.
+		// A router of a previous build doesn't know allowances, so nothing that it counts may raise the
+		// budget, and the end doesn't wait until it is promoted.
+		r.lead.recordUncounted(source, report.GetRequests())
 		return &wire.RolloutPermit{}
 	}
+	r.lead.controller.Report(now, source, decodeReport(report))
 	return encodePermit(r.lead.controller.Permit(now, source))
 }
 
