--- a/internal/rolloutdriver/ports.go
+++ b/internal/rolloutdriver/ports.go
@@ -12,7 +12,7 @@
 )
 
 // Ports are the parts of the router that the driver uses. The driver calls them without holding its
-// own mutex, except for Clock, Log and Schedulers.IsPlacer.
+// own mutex, except for Clock, Log, Spawn and Schedulers.IsPlacer.
 type Ports struct {
 	Runners    Runners
 	Services   Services
