--- a/internal/rolloutdriver/placer.go
+++ b/internal/rolloutdriver/placer.go
@@ -106,10 +106,10 @@
 // may go there, and else "". hasFailedThere reports whether the request has already been sent to the
 // version.
 //
-// The promotion begins only when the requests that can still come until the deadline fit into the bound
-// at twice their present rate. A request that would otherwise have gone to the old version is one of
-// these, and goes to the target version once. Without this rule a router that hears of the success late would
-// refuse its callers, as the old runners stop at once.
+// The promotion begins only when the requests that can still come until the deadline, estimated from above,
+// fit into the bound. A request that would otherwise have gone to the old version is one of these, and goes
+// to the target version once. Without this rule a router that hears of the success late would refuse its
+// callers, as the old runners stop at once.
 func (d *Driver) Fallback(query backend.Query, hasFailedThere func(target string) bool) string {
 	if !d.isEnabled() || query.TargetVersion != "" {
 		return ""
@@ -159,6 +159,9 @@
 	// NotSent is set if the runner got nothing of the request, and ConnectionLost if the connection
 	// to it broke.
 	NotSent, ConnectionLost bool
+	// RoundTrip is the part of its time that is due to the distance to another region, and says nothing
+	// about the version.
+	RoundTrip time.Duration
 }
 
 // result returns what the end says about the version that got the request.
@@ -189,7 +192,7 @@
 	}
 	ended := versionrollout.Completion{
 		Route: query.Route, IsTarget: query.TargetVersion != "", Result: end.result(),
-		IsSuspect: query.SuspectContent != 0, Latency: now.Sub(send.SentAt()),
+		IsSuspect: query.SuspectContent != 0, Latency: max(now.Sub(send.SentAt())-end.RoundTrip, 0),
 	}
 	if end.Outcome == backend.Refused {
 		// It reached the version, which therefore has used one request, and was not run.
