--- a/internal/backend/regionload_test.go
+++ b/internal/backend/regionload_test.go
@@ -24,28 +24,16 @@
 	loadFamilySkew   = 0.3
 	loadHold         = 1200 * time.Millisecond // slot time after the first token
 	loadBorder       = 40 * time.Millisecond   // round trip to another region
-	loadZones        = time.Millisecond        // round trip to another zone
 	loadWarmUp       = 40 * time.Second
 	loadMeasured     = 20 * time.Second
 	loadRoutesShared = 2520 // tokens that a fourth of all long families have in common
 )
 
-type loadKind struct {
-	rate, families, shared, own int
-	cumulative                  []float64
-}
+type loadKind struct{ rate, families, shared, own int }
 
-// draw returns a family by its frequency.
+// draw returns a family by its frequency (Zipf).
 func (k *loadKind) draw(random *rand.Rand) int {
-	if k.cumulative == nil {
-		sum := 0.0
-		for i := range k.families {
-			sum += math.Pow(float64(i+1), -loadFamilySkew)
-			k.cumulative = append(k.cumulative, sum)
-		}
-	}
-	index, _ := slices.BinarySearch(k.cumulative, random.Float64()*k.cumulative[k.families-1])
-	return index
+	return int(float64(k.families) * math.Pow(random.Float64(), 1/(1-loadFamilySkew)))
 }
 
 func (k *loadKind) query(family int, zone string) Query {
@@ -71,29 +59,31 @@
 	tokens int
 }
 
-// use moves the part to the end of the cached ones, or adds it, and returns the evicted parts.
-func (r *loadRunner) use(part loadPart) (isNew bool, evicted []loadPart) {
+// use moves the part to the end of the cached ones, or adds it and evicts others, and returns the changes.
+func (r *loadRunner) use(id string, part loadPart) (changes []cacheindex.PartChange) {
 	if at := slices.IndexFunc(r.cached, func(p loadPart) bool { return p.hash == part.hash }); at >= 0 {
 		r.cached = append(slices.Delete(r.cached, at, at+1), part)
-		return false, nil
+		return nil
 	}
 	r.cached, r.tokens = append(r.cached, part), r.tokens+part.tokens
-	for r.tokens > loadCacheTokens {
-		evicted, r.tokens, r.cached = append(evicted, r.cached[0]), r.tokens-r.cached[0].tokens, r.cached[1:]
+	changes = append(changes, cacheindex.PartChange{Holder: id, Part: part.hash})
+	for ; r.tokens > loadCacheTokens; r.cached = r.cached[1:] {
+		r.tokens -= r.cached[0].tokens
+		changes = append(changes, cacheindex.PartChange{Holder: id, Part: r.cached[0].hash, Removed: true})
 	}
-	return true, evicted
+	return changes
 }
 
 // loadResult is what the requests of one kind experienced.
 type loadResult struct {
-	requests, left, again int
-	firstTokens           []time.Duration
+	left, again int
+	firstTokens []time.Duration
 }
 
 func (r *loadResult) String() string {
 	slices.Sort(r.firstTokens)
-	return fmt.Sprintf("%5.1f%% leave, %4d shared tokens prefilled a request, first token %v mean %v p95", 100*float64(r.left)/float64(r.requests),
-		r.again/r.requests, r.mean().Round(time.Millisecond), r.firstTokens[len(r.firstTokens)*95/100].Round(time.Millisecond))
+	return fmt.Sprintf("%5.1f%% leave, %4d shared tokens prefilled a request, first token %v mean %v p95", 100*float64(r.left)/float64(len(r.firstTokens)),
+		r.again/len(r.firstTokens), r.mean().Round(time.Millisecond), r.firstTokens[len(r.firstTokens)*95/100].Round(time.Millisecond))
 }
 
 func (r *loadResult) mean() time.Duration {
@@ -101,12 +91,12 @@
 	for _, t := range r.firstTokens {
 		sum += t
 	}
-	return sum / time.Duration(r.requests)
+	return sum / time.Duration(len(r.firstTokens))
 }
 
-// playLoad plays the load. beforeChoice may change the set before each choice. Caches hold
-// shared parts only. It returns the results of long and of short requests.
-func playLoad(set *Set, beforeChoice func(*Set)) [2]*loadResult {
+// playLoad plays the load, with the given retention time if it isn't 0. Caches hold shared parts only.
+// It returns the results of long and of short requests.
+func playLoad(set *Set, retention time.Duration) [2]*loadResult {
 	random, zones := rand.New(rand.NewPCG(1, 2)), []string{"a1", "a2", "b1", "b2", "c1", "c2"}
 	runners, results := map[string]*loadRunner{}, [2]*loadResult{{}, {}}
 	for i := range loadRunners {
@@ -124,7 +114,7 @@
 		case a == b:
 			return 0.125, 0
 		case a[0] == b[0]:
-			return 0.25, loadZones
+			return 0.25, time.Millisecond
 		}
 		return 1.25, loadBorder
 	}
@@ -136,7 +126,11 @@
 	}
 	place := func(now time.Time, kind *loadKind, result *loadResult) {
 		query := kind.query(kind.draw(random), zones[random.IntN(len(zones))])
-		beforeChoice(set)
+		for _, region := range []string{"a", "b", "c"} {
+			if retention > 0 {
+				set.regions.families.retention[ringKey{"s", region}] = retention
+			}
+		}
 		request, candidates := set.Candidates(now, query)
 		picked := placement.Choose(request, candidates, testWeights, random).Candidate
 		chosen, _ := set.Get(picked.Name)
@@ -161,18 +155,9 @@
 		first := r.prefill.Add(roundTrip / 2)
 		r.slots[slot] = r.prefill.Add(loadHold)
 		var changes []cacheindex.PartChange
-		use := func(part loadPart) {
-			isNew, evicted := r.use(part)
-			if isNew {
-				changes = append(changes, cacheindex.PartChange{Holder: chosen.ID, Part: part.hash})
-			}
-			for _, gone := range evicted {
-				changes = append(changes, cacheindex.PartChange{Holder: chosen.ID, Part: gone.hash, Removed: true})
-			}
-		}
 		previous := 0
 		for _, part := range query.Shared {
-			use(loadPart{PartHash(salt, part.ID), part.Depth - previous})
+			changes = append(changes, r.use(chosen.ID, loadPart{PartHash(salt, part.ID), part.Depth - previous})...)
 			previous = part.Depth
 		}
 		send := set.BeginQuery(now, chosen.ID, query.PromptTokens-picked.CachedTokens, query)
@@ -185,7 +170,6 @@
 		if now.Sub(start) < loadWarmUp {
 			return
 		}
-		result.requests++
 		result.again += max(query.SharedTokens-depth, 0)
 		result.firstTokens = append(result.firstTokens, first.Sub(now))
 		if roundTrip == loadBorder {
@@ -210,35 +194,28 @@
 // Guards against a rule of homes that sends too many requests over the border, or that keeps them in
 // their region at the price of later first tokens.
 func TestPlacementOverRegions(t *testing.T) {
-	fixRetention := func(fixed time.Duration) func(*Set) {
-		return func(set *Set) {
-			for _, region := range []string{"a", "b", "c"} {
-				set.regions.families.retention[ringKey{"s", region}] = fixed
-			}
-		}
-	}
 	rules := []struct {
-		name    string
-		regions map[string]string
-		before  func(*Set)
+		name      string
+		regions   map[string]string
+		retention time.Duration // fixed if it isn't 0
 	}{
-		{"without regions", nil, func(*Set) {}},
-		{"home in one region", testRegions, fixRetention(1)},
-		{"a home in each region", testRegions, fixRetention(time.Hour * 1000)},
-		{"homes by use", testRegions, func(*Set) {}},
+		{"without regions", nil, 0},
+		{"home in one region", testRegions, 1},
+		{"a home in each region", testRegions, time.Hour * 1000},
+		{"homes by use", testRegions, 0},
 	}
 	all := make([][2]*loadResult, len(rules))
 	t.Run("rules", func(t *testing.T) {
 		for i, rule := range rules {
 			t.Run(rule.name, func(t *testing.T) {
 				t.Parallel()
-				all[i] = playLoad(newRegionSet(rule.regions, 0), rule.before)
+				all[i] = playLoad(newRegionSet(rule.regions, 0), rule.retention)
 				t.Logf("%s\n  long:  %v\n  short: %v", rule.name, all[i][0], all[i][1])
 			})
 		}
 	})
 	g, before, after := NewWithT(t), all[0], all[len(all)-1]
-	left := float64(after[0].left+after[1].left) / float64(after[0].requests+after[1].requests)
+	left := float64(after[0].left+after[1].left) / float64(len(after[0].firstTokens)+len(after[1].firstTokens))
 	g.Expect(left).To(BeNumerically("<", 0.15), "of all requests with a prompt")
 	for kind := range after {
 		g.Expect(after[kind].mean()).To(BeNumerically("<", before[kind].mean()))
