soak: names of the field for regions, and a failed run if borders cannot be applied

A proxy that can't look up the owner of a connection, as on a system without socket diagnosis, left the connection without delay and cut, and all promises held. Such a run fails now.

--- a/internal/lab/faultproxy/groups_test.go
+++ b/internal/lab/faultproxy/groups_test.go
@@ -10,8 +10,8 @@
 	. "github.com/onsi/gomega"
 )
 
-// groupedScene is a proxy to an echo server, whose clients are in the groups "near" and "far".
-type groupedScene struct {
+// groupedFixture is a proxy to an echo server, whose clients are in the groups "near" and "far".
+type groupedFixture struct {
 	*WithT
 	t     *testing.T
 	proxy *Proxy
@@ -20,8 +20,8 @@
 	group string
 }
 
-func newGroupedScene(t *testing.T) *groupedScene {
-	s := &groupedScene{WithT: NewWithT(t), t: t}
+func newGroupedFixture(t *testing.T) *groupedFixture {
+	s := &groupedFixture{WithT: NewWithT(t), t: t}
 	proxy, err := StartGrouped(startEchoServer(s.WithT), func(client, own *net.TCPAddr) string {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
@@ -35,7 +35,7 @@
 }
 
 // dial connects a client of the group and returns the connection after a first round trip.
-func (s *groupedScene) dial(group string) net.Conn {
+func (s *groupedFixture) dial(group string) net.Conn {
 	s.mutex.Lock()
 	s.group = group
 	s.mutex.Unlock()
@@ -47,7 +47,7 @@
 }
 
 // roundTrip returns how long the echo of the messages takes, or a second if it does not arrive by then.
-func (s *groupedScene) roundTrip(conn net.Conn, messages int) time.Duration {
+func (s *groupedFixture) roundTrip(conn net.Conn, messages int) time.Duration {
 	start := time.Now()
 	conn.SetDeadline(start.Add(time.Second))
 	for range messages {
@@ -66,7 +66,7 @@
 // succession, which would make a delayed path a slow one.
 func TestGroupDelayIsAppliedOnceToEachDirection(t *testing.T) {
 	const delay, messages = 100 * time.Millisecond, 50
-	s := newGroupedScene(t)
+	s := newGroupedFixture(t)
 	near, far := s.dial("near"), s.dial("far")
 	s.proxy.SetGroupDelay("far", delay)
 	s.Expect(s.roundTrip(near, 1)).To(BeNumerically("<", delay))
@@ -105,7 +105,7 @@
 // Guards against a cut that concerns other groups, or that leaves connections usable which have lost
 // bytes.
 func TestCutGroupIsSilentAndResetAtTheEnd(t *testing.T) {
-	s := newGroupedScene(t)
+	s := newGroupedFixture(t)
 	near, far := s.dial("near"), s.dial("far")
 	s.proxy.SetGroupCut("far", true)
 	s.Expect(s.roundTrip(near, 1)).To(BeNumerically("<", time.Second))
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -25,11 +25,11 @@
 // fleet holds the runners, each behind a proxy. It is safe for concurrent use.
 type fleet struct {
 	store *storestand.Store
-	// geography gives the runners their zones.
-	geography *geography
-	mutex     sync.Mutex
-	runners   []*runnerstand.Runner
-	proxies   map[string]*faultproxy.Proxy
+	// topology gives the runners their zones.
+	topology *topology
+	mutex    sync.Mutex
+	runners  []*runnerstand.Runner
+	proxies  map[string]*faultproxy.Proxy
 	// entryMutex is held while a directory entry is written, so that entries match the states. It
 	// guards drains.
 	entryMutex sync.Mutex
@@ -41,8 +41,8 @@
 	usualBehaviours map[string]runnerstand.Behaviour
 }
 
-func newFleet(store *storestand.Store, geography *geography) *fleet {
-	return &fleet{store: store, geography: geography, proxies: map[string]*faultproxy.Proxy{}, drains: map[string][]interval{}, crashed: map[string]bool{}, usualBehaviours: map[string]runnerstand.Behaviour{}}
+func newFleet(store *storestand.Store, topology *topology) *fleet {
+	return &fleet{store: store, topology: topology, proxies: map[string]*faultproxy.Proxy{}, drains: map[string][]interval{}, crashed: map[string]bool{}, usualBehaviours: map[string]runnerstand.Behaviour{}}
 }
 
 // add starts a runner with the weight version, and adds it to the directory.
@@ -69,7 +69,7 @@
 		return nil, err
 	}
 	runner.SetQueueTime(queueTime)
-	proxy, err := f.geography.startProxy(runner.Address, config.Zone)
+	proxy, err := f.topology.startProxy(runner.Address, config.Zone)
 	if err != nil {
 		runner.Close()
 		return nil, err
@@ -92,7 +92,7 @@
 			sameKind++
 		}
 	}
-	return f.geography.zone(sameKind)
+	return f.topology.zone(sameKind)
 }
 
 // setUsualBehaviour sets how the runner behaves without a fault, and ends a fault of its behaviour.
@@ -195,9 +195,9 @@
 	f.drains[runner.ID][len(f.drains[runner.ID])-1].from = time.Now()
 }
 
-// drainForGood marks the runner as draining however many runners of its service are draining. The
+// startFinalDrain marks the runner as draining however many runners of its service are draining. The
 // drain never ends.
-func (f *fleet) drainForGood(runner *runnerstand.Runner) {
+func (f *fleet) startFinalDrain(runner *runnerstand.Runner) {
 	f.entryMutex.Lock()
 	defer f.entryMutex.Unlock()
 	if !f.isDraining(runner.ID) {
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -38,7 +38,7 @@
 type process struct {
 	name      string
 	zone      string
-	geography *geography
+	topology  *topology
 	program   []string
 	folder    string
 	addresses processAddresses
@@ -91,8 +91,8 @@
 		"bounds":   bounds,
 		"platform": map[string]any{"address": p.storeProxy.Address},
 	}
-	if p.geography.hasRegions() {
-		settings["region"], settings["zones"] = p.geography.regionOf[p.zone], p.geography.regionOf
+	if p.topology.hasRegions() {
+		settings["region"], settings["zones"] = p.topology.regionOf[p.zone], p.topology.regionOf
 	}
 	encoded, err := json.Marshal(settings)
 	if err != nil {
--- a/internal/lab/soak/regions.go
+++ b/internal/lab/soak/regions.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/socketowner"
 )
@@ -30,15 +32,17 @@
 	oneZone = "z"
 )
 
-// geography holds the zones and regions of a run, and the proxies that a border lies in front of. It
-// is safe for concurrent use.
-type geography struct {
+// topology holds the zones and regions of a run, and the proxies of the servers in them. It is safe
+// for concurrent use.
+type topology struct {
 	// zones lists the zones so that successive ones are in different regions.
 	zones []string
 	// regions lists the regions, and regionOf holds the region of each zone. Both are empty in a run
 	// without regions.
 	regions  []string
 	regionOf map[string]string
+	// failf fails the run.
+	failf func(format string, args ...any)
 
 	mutex sync.Mutex
 	// gateways holds the gateways whose connections may cross a border.
@@ -54,96 +58,100 @@
 	region string
 }
 
-// newGeography returns a geography with one zone and no regions.
-func newGeography() *geography { return &geography{zones: []string{oneZone}} }
+// newSingleZone returns a topology with one zone and no regions.
+func newSingleZone() *topology { return &topology{zones: []string{oneZone}} }
 
-// newRegions returns a geography with a random number of regions.
-func newRegions(random *rand.Rand) *geography {
-	g := &geography{regionOf: map[string]string{}}
+// newRegionTopology returns a topology with a random number of regions.
+func newRegionTopology(random *rand.Rand, failf func(format string, args ...any)) *topology {
+	t := &topology{regionOf: map[string]string{}, failf: failf}
 	for i := range minRegions + random.IntN(maxRegions-minRegions+1) {
-		g.regions = append(g.regions, fmt.Sprintf("region-%d", i))
+		t.regions = append(t.regions, fmt.Sprintf("region-%d", i))
 	}
 	for i := range zonesPerRegion {
-		for _, region := range g.regions {
+		for _, region := range t.regions {
 			zone := fmt.Sprintf("%s-zone-%d", region, i)
-			g.zones = append(g.zones, zone)
-			g.regionOf[zone] = region
+			t.zones = append(t.zones, zone)
+			t.regionOf[zone] = region
 		}
 	}
-	return g
+	return t
 }
 
-func (g *geography) hasRegions() bool { return len(g.regions) > 0 }
+func (t *topology) hasRegions() bool { return len(t.regions) > 0 }
 
 // zone returns the zone of the gateway or runner with the number.
-func (g *geography) zone(number int) string { return g.zones[number%len(g.zones)] }
+func (t *topology) zone(number int) string { return t.zones[number%len(t.zones)] }
 
 // addGateway makes the regions of the gateway's connections known to proxies.
-func (g *geography) addGateway(p *process) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.gateways = append(g.gateways, p)
+func (t *topology) addGateway(p *process) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.gateways = append(t.gateways, p)
 }
 
-func (g *geography) knownGateways() []*process {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return slices.Clone(g.gateways)
+func (t *topology) knownGateways() []*process {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Clone(t.gateways)
 }
 
 // startProxy starts a proxy in front of a server in the zone. Connections of gateways in other regions
 // are delayed, and dropped while a border between the regions is cut.
-func (g *geography) startProxy(server, zone string) (*faultproxy.Proxy, error) {
-	if !g.hasRegions() {
+func (t *topology) startProxy(server, zone string) (*faultproxy.Proxy, error) {
+	if !t.hasRegions() {
 		return faultproxy.Start(server)
 	}
-	proxy, err := faultproxy.StartGrouped(server, g.clientRegion)
+	proxy, err := faultproxy.StartGrouped(server, t.clientRegion)
 	if err != nil {
 		return nil, err
 	}
-	added := regionalProxy{proxy, g.regionOf[zone]}
-	for _, region := range g.regions {
+	added := regionalProxy{proxy, t.regionOf[zone]}
+	for _, region := range t.regions {
 		if region != added.region {
 			proxy.SetGroupDelay(region, regionDelay)
 		}
 	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.proxies = append(g.proxies, added)
-	g.applyCut(added)
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.proxies = append(t.proxies, added)
+	t.applyCut(added)
 	return proxy, nil
 }
 
 // clientRegion returns the region of the gateway that has the connection to the proxy open, empty if it
 // is none of the gateways.
-func (g *geography) clientRegion(client, proxy *net.TCPAddr) string {
+func (t *topology) clientRegion(client, proxy *net.TCPAddr) string {
 	inode, err := socketowner.Inode(client, proxy)
-	if err != nil {
+	switch {
+	case trace.IsNotFound(err):
 		// The client has closed the connection.
 		return ""
+	case err != nil:
+		t.failf("soak: no border can be applied to the connection of %v: %v", client, err)
+		return ""
 	}
-	for _, p := range g.knownGateways() {
+	for _, p := range t.knownGateways() {
 		if socketowner.IsOpenIn(p.processID(), inode) {
-			return g.regionOf[p.zone]
+			return t.regionOf[p.zone]
 		}
 	}
 	return ""
 }
 
 // cutBorder cuts all connections between the region and the others. An empty region ends the cut.
-func (g *geography) cutBorder(region string) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.cutRegion = region
-	for _, proxy := range g.proxies {
-		g.applyCut(proxy)
+func (t *topology) cutBorder(region string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.cutRegion = region
+	for _, proxy := range t.proxies {
+		t.applyCut(proxy)
 	}
 }
 
 // applyCut cuts the groups of the proxy as the cut border requires. The mutex must be held.
-func (g *geography) applyCut(proxy regionalProxy) {
-	for _, region := range g.regions {
-		crosses := region != proxy.region && (region == g.cutRegion || proxy.region == g.cutRegion)
+func (t *topology) applyCut(proxy regionalProxy) {
+	for _, region := range t.regions {
+		crosses := region != proxy.region && (region == t.cutRegion || proxy.region == t.cutRegion)
 		proxy.SetGroupCut(region, crosses)
 	}
 }
@@ -175,12 +183,12 @@
 // runners only: gateways that lose their seeds must keep the bounds on times through the store.
 func (f *borderInjector) cut(duration time.Duration) {
 	s := f.soak
-	region := s.geography.regions[f.random.IntN(len(s.geography.regions))]
+	region := s.topology.regions[f.random.IntN(len(s.topology.regions))]
 	s.logf("fault: the border of %s is cut for %v", region, duration.Round(time.Millisecond))
 	for _, runner := range s.runners.running() {
 		defer s.disturbances.begin(runnerPathSubject(runner.ID))()
 	}
-	s.geography.cutBorder(region)
+	s.topology.cutBorder(region)
 	time.Sleep(duration)
-	s.geography.cutBorder("")
+	s.topology.cutBorder("")
 }
--- a/internal/lab/soak/regions_test.go
+++ b/internal/lab/soak/regions_test.go
@@ -14,25 +14,25 @@
 	. "github.com/onsi/gomega"
 )
 
-// regionScene has regions in which this process is a gateway of the first one.
-type regionScene struct {
+// regionFixture has regions in which this process is a gateway of the first one.
+type regionFixture struct {
 	*WithT
 	t *testing.T
-	*geography
+	*topology
 }
 
-func newRegionScene(t *testing.T) *regionScene {
+func newRegionFixture(t *testing.T) *regionFixture {
 	g := NewWithT(t)
 	self, err := os.FindProcess(os.Getpid())
 	g.Expect(err).NotTo(HaveOccurred())
-	geography := newRegions(rand.New(rand.NewPCG(1, 1)))
-	geography.addGateway(&process{zone: geography.zone(0), command: &exec.Cmd{Process: self}})
-	return &regionScene{WithT: g, t: t, geography: geography}
+	topology := newRegionTopology(rand.New(rand.NewPCG(1, 1)), t.Errorf)
+	topology.addGateway(&process{zone: topology.zone(0), command: &exec.Cmd{Process: self}})
+	return &regionFixture{WithT: g, t: t, topology: topology}
 }
 
 // ask returns a function that calls a server in the zone through its proxy, and returns the time that
 // this takes, or the error.
-func (s *regionScene) ask(zone string) func() (time.Duration, error) {
+func (s *regionFixture) ask(zone string) func() (time.Duration, error) {
 	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { io.WriteString(writer, "answer") }))
 	s.t.Cleanup(server.Close)
 	proxy, err := s.startProxy(server.Listener.Addr().String(), zone)
@@ -53,7 +53,7 @@
 
 // Guards against runs with regions whose borders neither delay nor cut, so that all promises hold.
 func TestBordersDelayAndCut(t *testing.T) {
-	s := newRegionScene(t)
+	s := newRegionFixture(t)
 	near, far := s.ask(s.zone(0)), s.ask(s.zone(1))
 	// expectServed checks the shortest of some calls, since a busy machine delays some.
 	expectServed := func(ask func() (time.Duration, error), shortest OmegaMatcher) {
@@ -84,12 +84,12 @@
 func TestSuccessiveZonesAreInDifferentRegions(t *testing.T) {
 	for seed := range uint64(10) {
 		g := NewWithT(t)
-		geography := newRegions(rand.New(rand.NewPCG(seed, 0)))
+		topology := newRegionTopology(rand.New(rand.NewPCG(seed, 0)), t.Errorf)
 		var regions []string
-		for i := range geography.regions {
-			regions = append(regions, geography.regionOf[geography.zone(i)])
+		for i := range topology.regions {
+			regions = append(regions, topology.regionOf[topology.zone(i)])
 		}
 		slices.Sort(regions)
-		g.Expect(regions).To(Equal(geography.regions))
+		g.Expect(regions).To(Equal(topology.regions))
 	}
 }
--- a/internal/lab/soak/rollouts.go
+++ b/internal/lab/soak/rollouts.go
@@ -232,7 +232,7 @@
 func (f *rolloutInjector) drainTargets(r *rollout, delay time.Duration) {
 	time.Sleep(delay)
 	for _, runner := range r.targets {
-		f.soak.runners.drainForGood(runner)
+		f.soak.runners.startFinalDrain(runner)
 	}
 	time.Sleep(gracePeriod)
 	for _, runner := range r.targets {
--- a/internal/lab/soak/rollouts_test.go
+++ b/internal/lab/soak/rollouts_test.go
@@ -14,8 +14,8 @@
 	"github.com/clovertiller/clovertiller/platform"
 )
 
-// rolloutScene is a finished rollout with one runner of each version and no gateways.
-type rolloutScene struct {
+// rolloutFixture is a finished rollout with one runner of each version and no gateways.
+type rolloutFixture struct {
 	*WithT
 	soak *Soak
 	old  *runnerstand.Runner
@@ -23,10 +23,10 @@
 	sent int
 }
 
-func newRolloutScene(t *testing.T, quality versionQuality) *rolloutScene {
+func newRolloutFixture(t *testing.T, quality versionQuality) *rolloutFixture {
 	g := NewWithT(t)
 	s := &Soak{settings: Settings{Out: io.Discard}, store: storestand.New()}
-	s.runners, s.rollouts = newFleet(s.store, newGeography()), newRolloutInjector(s)
+	s.runners, s.rollouts = newFleet(s.store, newSingleZone()), newRolloutInjector(s)
 	t.Cleanup(s.runners.close)
 	old, err := s.runners.addVersion("old", plainService, "v1", runnerstand.Normal)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -34,11 +34,11 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	r := &rollout{target: "v2", quality: quality, orderedAt: time.Now(), duration: time.Minute, targets: []*runnerstand.Runner{target}}
 	s.rollouts.rollouts = []*rollout{r}
-	return &rolloutScene{WithT: g, soak: s, old: old, rollout: r}
+	return &rolloutFixture{WithT: g, soak: s, old: old, rollout: r}
 }
 
 // send sends requests, each with its own ID, to the runner.
-func (c *rolloutScene) send(runner *runnerstand.Runner, count int) {
+func (c *rolloutFixture) send(runner *runnerstand.Runner, count int) {
 	for range count {
 		c.sent++
 		request, err := http.NewRequest(http.MethodPost, "http://"+runner.Address+"/safe/x", nil)
@@ -54,7 +54,7 @@
 func TestExposureOfBadVersionIsCheckedAgainstTheBound(t *testing.T) {
 	for quality, failures := range map[versionQuality]int{badVersion: 1, badLaterVersion: 1, slowVersion: 1, goodVersion: 0} {
 		t.Run(quality.String(), func(t *testing.T) {
-			c := newRolloutScene(t, quality)
+			c := newRolloutFixture(t, quality)
 			// 56 of 69 requests exceed 0.1 * 69 + 50 = 56.9 only with the next one.
 			c.send(c.old, 13)
 			c.send(c.targets[0], 56)
@@ -72,7 +72,7 @@
 
 // Requests before the order and after the deadline do not count, neither for nor against a version.
 func TestExposureIsCountedBetweenOrderAndDeadline(t *testing.T) {
-	c := newRolloutScene(t, badVersion)
+	c := newRolloutFixture(t, badVersion)
 	c.send(c.targets[0], 3)
 	c.send(c.old, 2)
 	c.orderedAt = time.Now()
@@ -86,7 +86,7 @@
 
 // The end of a fault must not turn a bad version into a good one.
 func TestFaultEndsInTheUsualBehaviour(t *testing.T) {
-	c := newRolloutScene(t, badLaterVersion)
+	c := newRolloutFixture(t, badLaterVersion)
 	target := c.targets[0]
 	status := func() int {
 		response, err := http.Post("http://"+target.Address+"/safe/x", "", nil)
@@ -103,13 +103,13 @@
 // At succeeded the old runners stop without draining, and at rolled_back those of the target version
 // drain first.
 func TestRunnersOfAnObsoleteVersionStop(t *testing.T) {
-	c := newRolloutScene(t, goodVersion)
+	c := newRolloutFixture(t, goodVersion)
 	c.soak.runners.stop(c.old)
 	_, listed := c.soak.store.Get(platform.KindRunners, c.old.ID)
 	c.Expect(listed).To(BeFalse())
 	c.Expect(c.soak.runners.ofService(plainService)).To(Equal(c.targets))
 
-	c.soak.runners.drainForGood(c.targets[0])
+	c.soak.runners.startFinalDrain(c.targets[0])
 	_, draining := c.soak.runners.drainingSince(c.targets[0].ID, time.Now())
 	c.Expect(draining).To(BeTrue())
 	entry, listed := c.soak.store.Get(platform.KindRunners, c.targets[0].ID)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -108,9 +108,9 @@
 	poisons *poisonInjector
 	// signals makes runners send signals.
 	signals *signalInjector
-	// geography holds the zones, and borders cuts the borders of regions.
-	geography *geography
-	borders   *borderInjector
+	// topology holds the zones, and borders cuts the borders of regions.
+	topology *topology
+	borders  *borderInjector
 	// rollouts orders rollouts.
 	rollouts *rolloutInjector
 	mutex    sync.Mutex
@@ -136,10 +136,10 @@
 		olderGateways: map[string]bool{}, store: storestand.New(), calls: newCallLog(), disturbances: newDisturbances(),
 	}
 	s.poisons, s.signals, s.rollouts = newPoisonInjector(s), newSignalInjector(s), newRolloutInjector(s)
-	s.geography = newGeography()
+	s.topology = newSingleZone()
 	if settings.Regions {
 		random := rand.New(rand.NewPCG(settings.Seed, settings.Seed+7))
-		s.geography = newRegions(random)
+		s.topology = newRegionTopology(random, s.failf)
 		s.borders = newBorderInjector(s, random)
 	}
 	defer s.close()
@@ -193,7 +193,7 @@
 	if err := os.MkdirAll(s.settings.Folder, 0o755); err != nil {
 		return err
 	}
-	s.runners = newFleet(s.store, s.geography)
+	s.runners = newFleet(s.store, s.topology)
 	for i := range plainRunners {
 		if err := s.runners.add(fmt.Sprintf("p%d", i), plainService, 0, runnerstand.Poison{}); err != nil {
 			return err
@@ -215,7 +215,7 @@
 	var seeds []string
 	for i := range s.settings.gatewayCount() {
 		free := freeAddresses()
-		proxy, err := s.geography.startProxy(free.PeerAddress, s.geography.zone(i))
+		proxy, err := s.topology.startProxy(free.PeerAddress, s.topology.zone(i))
 		if err != nil {
 			return err
 		}
@@ -238,12 +238,12 @@
 		if err != nil {
 			return err
 		}
-		p := &process{name: gatewayName(i), zone: s.geography.zone(i), geography: s.geography, program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
+		p := &process{name: gatewayName(i), zone: s.topology.zone(i), topology: s.topology, program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
 		if err := p.writeSettings(); err != nil {
 			return err
 		}
 		// Known before its first connection.
-		s.geography.addGateway(p)
+		s.topology.addGateway(p)
 		if err := p.start(); err != nil {
 			return err
 		}
--- a/internal/lab/soak/updates_test.go
+++ b/internal/lab/soak/updates_test.go
@@ -26,7 +26,7 @@
 	store := storestand.New()
 	s := &Soak{
 		settings: Settings{Out: io.Discard}, store: store, calls: newCallLog(), disturbances: newDisturbances(),
-		runners: newFleet(store, newGeography()), config: newConfiguration(store),
+		runners: newFleet(store, newSingleZone()), config: newConfiguration(store),
 	}
 	t.Cleanup(s.runners.close)
 	for _, id := range []string{"e0", "e1"} {
