--- a/internal/backend/cachedparts.go
+++ b/internal/backend/cachedparts.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -71,8 +72,10 @@
 	// deepest is the maximum over all holders or, with regions, over those whose zone is unknown.
 	deepest int
 	// byZone is the maximum over the holders of each zone, indexed by the number of the zone, nil
-	// without regions.
-	byZone []int
+	// without regions. fetchable memoizes how far runners of each zone can fetch the prompt, -1 if it
+	// has not been computed.
+	byZone    []int
+	fetchable []int
 }
 
 // holderDepths returns how many tokens of the prompt the runner has cached, and how many it can have
@@ -81,6 +84,30 @@
 	if len(l.query.Shared) == 0 {
 		return 0, 0
 	}
+	depths := l.versionDepths(e)
+	depth = depths.byHolder[e.ID]
+	if depths.byZone == nil {
+		return depth, depths.deepest
+	}
+	if depths.fetchable[e.zoneNumber] < 0 {
+		depths.fetchable[e.zoneNumber] = l.set.fetchableDepth(l.now, e, depths)
+	}
+	return depth, max(depth, depths.fetchable[e.zoneNumber])
+}
+
+// cachedDepth returns how many tokens of the prompt the runner has cached, and the maximum over all
+// holders under the same weight version.
+func (l *depthLookup) cachedDepth(e *entry) (depth, deepest int) {
+	depths := l.versionDepths(e)
+	deepest = depths.deepest
+	for _, depth := range depths.byZone {
+		deepest = max(deepest, depth)
+	}
+	return depths.byHolder[e.ID], deepest
+}
+
+// versionDepths returns the cached depths under the runner's weight version.
+func (l *depthLookup) versionDepths(e *entry) versionDepths {
 	version, _ := e.weightVersion(l.query.Model)
 	depths, found := l.byVersion[version]
 	if !found {
@@ -88,17 +115,14 @@
 		l.set.findDeepest(&depths)
 		l.byVersion[version] = depths
 	}
-	depth = depths.byHolder[e.ID]
-	if depths.byZone == nil {
-		return depth, depths.deepest
-	}
-	return depth, l.set.fetchableDepth(l.now, e, depth, depths)
+	return depths
 }
 
 // findDeepest sets the maxima of the depths.
 func (s *Set) findDeepest(depths *versionDepths) {
 	if s.regions != nil {
 		depths.byZone = make([]int, len(s.regions.names))
+		depths.fetchable = slices.Repeat([]int{-1}, len(s.regions.names))
 	}
 	for holder, depth := range depths.byHolder {
 		if number, known := s.holderZone(holder); known && depths.byZone != nil {
@@ -118,11 +142,11 @@
 	return number, known
 }
 
-// fetchableDepth returns up to which depth the runner can fetch the prompt: from the deepest holder
-// of its region, or from another region as far as that is sooner than the prefill.
-func (s *Set) fetchableDepth(now time.Time, e *entry, cached int, depths versionDepths) int {
+// fetchableDepth returns up to which depth runners in the zone of e can fetch the prompt: from the
+// deepest holder of their region, or from another region as far as that is sooner than the prefill.
+func (s *Set) fetchableDepth(now time.Time, e *entry, depths versionDepths) int {
 	view, prefill := s.regions.view(now, e.Zone), s.runnerPrefill(e)
-	inRegion := max(depths.deepest, cached)
+	inRegion := depths.deepest
 	for zone, depth := range depths.byZone {
 		if view.zones[zone].relation != distance.OtherRegion {
 			inRegion = max(inRegion, depth)
@@ -130,11 +154,9 @@
 	}
 	best := inRegion
 	for zone, depth := range depths.byZone {
-		if view.zones[zone].relation != distance.OtherRegion || depth <= inRegion {
-			continue
-		}
-		if saved := (depth - inRegion) - fetchCost(prefill, view.zones[zone], depth-inRegion); saved > 0 {
-			// Fetching these tokens is as expensive as prefilling the rest of them.
+		if view.zones[zone].relation == distance.OtherRegion && depth > inRegion {
+			// Fetching these tokens is as expensive as prefilling those that are not saved.
+			saved := (depth - inRegion) - fetchCost(prefill, view.zones[zone], depth-inRegion)
 			best = max(best, inRegion+saved)
 		}
 	}
@@ -205,9 +227,9 @@
 
 // ChooseFetchSource returns the source from which the runner should fetch the part of the
 // prompt that it lacks: the holder with the most tokens and, among equals, the cheapest by
-// sourceCost. A runner in another region is the source only if that is sooner than the best source of
-// the region with the prefill of the rest. store is the address of the cache store that serves the prompt, or "". Until
-// the cache index is loaded, the store is the source.
+// sourceCost. A runner in another region is the source only if that is sooner than the best
+// source of the region with the prefill of the rest. store is the address of the cache store
+// that serves the prompt, or "". Until the cache index is loaded, the store is the source.
 func (s *Set) ChooseFetchSource(now time.Time, id string, query Query, weightVersion uint64, store string) FetchSource {
 	requester := s.entries[id]
 	if requester == nil || len(query.Shared) == 0 {
--- a/internal/backend/regions_test.go
+++ b/internal/backend/regions_test.go
@@ -201,3 +201,71 @@
 		})
 	}
 }
+
+// Guards against a wrong reason in the log of a request that left its region.
+func TestLeaveReason(t *testing.T) {
+	for name, test := range map[string]struct {
+		prepare func(*Set)
+		chosen  string
+		want    placement.LeaveReason
+	}{
+		"stays":  {func(*Set) {}, "a2-0", placement.NotLeft},
+		"sooner": {func(set *Set) { set.Begin(start, "a1-0", 9000) }, "b1-0", placement.Sooner},
+		"full": {func(set *Set) {
+			for range 8 {
+				set.Begin(start, "a1-0", 0)
+				set.Begin(start, "a2-0", 0)
+			}
+		}, "b1-0", placement.Full},
+		"no runner": {func(set *Set) {
+			set.Remove("a1-0")
+			set.End(start, set.Begin(start, "a2-0", 0), Unreachable)
+		}, "b1-0", placement.NoRunnerInRegion},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set, query := newRegionSet(testRegions, 1), Query{Service: "s", Model: "m", PromptTokens: 100, Zone: "a1"}
+			test.prepare(set)
+			request, candidates := set.Candidates(start, query)
+			NewWithT(t).Expect(set.LeaveReason(start, query, request, candidates, test.chosen)).To(Equal(test.want))
+		})
+	}
+}
+
+// Guards against the way to another region that counts as a wait at its runners, in addition to the cost
+// of their distance.
+func TestRoundTripIsNoWaitAtTheRunner(t *testing.T) {
+	g, set, now := NewWithT(t), newRegionSet(testRegions, 1), start
+	query := Query{Service: "s", Model: "m", PromptTokens: 1000, Zone: "a1"}
+	send := set.BeginQuery(now, "b1-0", 1000, query)
+	now = now.Add(assumedPrefillTime(1000) + 41*time.Millisecond)
+	set.FirstResponse(now, send)
+	g.Expect(set.entries["b1-0"].learnedWait).To(BeNumerically("<", 2*time.Millisecond))
+}
+
+// Guards against a panic when nearly all runners of a large service are avoided, so that no home is
+// found among them.
+func TestLargeServiceWithoutHome(t *testing.T) {
+	g, set := NewWithT(t), newRegionSet(testRegions, 100)
+	setCached(set)
+	for id := range set.entries {
+		if id != "a1-7" {
+			set.End(start, set.Begin(start, id, 0), Unreachable)
+		}
+	}
+	for family := range uint64(50) {
+		query := longPromptQuery("a1")
+		query.Family = family + 1
+		request, candidates := set.CandidatesIn(start, query, AllRunners)
+		g.Expect(placement.Choose(request, candidates, testWeights, testRandom()).Candidate.Name).To(Equal("a1-7"))
+	}
+}
+
+// Guards against answers of runners in another region that count as slow.
+func TestRoundTripOfASend(t *testing.T) {
+	g, set := NewWithT(t), newRegionSet(testRegions, 1)
+	g.Expect(set.RoundTrip("a1", set.Begin(start, "a2-0", 0))).To(BeZero())
+	g.Expect(set.RoundTrip("a1", set.Begin(start, "b1-0", 0))).To(Equal(40 * time.Millisecond))
+	g.Expect(set.RoundTrip("b2", set.Begin(start, "b1-0", 0))).To(BeZero())
+	g.Expect(set.RoundTrip("", set.Begin(start, "gone", 0))).To(BeZero())
+	g.Expect(newRegionSet(nil, 1).RoundTrip("a1", set.Begin(start, "b1-0", 0))).To(BeZero())
+}
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,8 @@
 	requestedAt time.Time
 	// version is the target version of a rollout that the send may use, empty for none.
 	version string
+	// leaveReason is why the runner is in another region.
+	leaveReason placement.LeaveReason
 }
 
 // placementRequest is a request to the schedulers that has not been answered yet.
@@ -147,6 +150,7 @@
 		scheduler: scheduler, sendNumber: message.GetSend(), runner: answer.GetRunner(), cachedTokens: int(answer.GetCachedTokens()),
 		expectedWait: time.Duration(answer.GetWaitMillis()) * time.Millisecond, pendingRequests: int(answer.GetPendingRequests()),
 		queueWait: queueWait, queueLimit: queueLimit, permitted: answer.GetPermitted(), requestedAt: requestedAt, version: answer.GetVersion(),
+		leaveReason: placement.LeaveReason(min(answer.GetLeaveReason(), math.MaxUint8)),
 	}, true
 }
 
@@ -252,7 +256,7 @@
 		return placement.Pick{}, false
 	}
 	c.schedulerChoice = choice
-	return placement.Pick{Status: placement.Picked, Wait: choice.expectedWait, QueueWait: choice.queueWait, Candidate: placement.Candidate{
+	return placement.Pick{Status: placement.Picked, Wait: choice.expectedWait, QueueWait: choice.queueWait, LeaveReason: choice.leaveReason, Candidate: placement.Candidate{
 		Name: choice.runner, CachedTokens: choice.cachedTokens, PendingRequests: choice.pendingRequests,
 	}}, true
 }
--- a/internal/gateway/rolloutbound_test.go
+++ b/internal/gateway/rolloutbound_test.go
@@ -167,7 +167,9 @@
 func TestLeaderReportsTheAccountOfARollout(t *testing.T) {
 	t.Parallel()
 	f := newRolloutFleet(t, 3, runnerstand.Normal)
-	f.loadWith(f.routers, 4, 20*time.Millisecond)
+	// Early in a long rollout, one in 200 requests tests the version. Four callers beside a load of 30
+	// sent too few in five seconds.
+	f.load(f.routers)
 	f.order(time.Hour)
 	f.g.Eventually(f.exposed, 5*time.Second, 10*time.Millisecond).Should(BeNumerically(">", 0))
 	leader := f.leader()
@@ -190,3 +192,21 @@
 		f.g.Expect(float64(summary.Reserved)).To(BeNumerically(">=", account("reserved")))
 	}
 }
+
+// Guards against a reservation that is forgotten when the store comes back from a copy.
+func TestReservationOutlivesARestoredStore(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 3, runnerstand.Normal)
+	f.loadWith(f.routers, 6, 20*time.Millisecond)
+	f.order(rolloutDuration)
+	f.g.Eventually(f.reserved, 2*time.Second, time.Millisecond).Should(BeNumerically(">", 0))
+	backup, atBackup := f.store.Backup(), f.reserved()
+	f.g.Eventually(f.reserved, 3*time.Second, time.Millisecond).Should(BeNumerically(">=", atBackup+5))
+	time.Sleep(100 * time.Millisecond) // The other routers learn of it.
+	reserved := f.reserved()
+	f.store.Restore(backup)
+	f.g.Expect(f.reserved()).To(Equal(atBackup))
+	f.g.Eventually(f.reserved, 2*time.Second, time.Millisecond).Should(BeNumerically(">=", reserved))
+	f.expectState("succeeded")
+	f.expectExposureInBound()
+}
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -17,18 +17,18 @@
 // the end of it.
 const placedSendSlack = time.Second
 
-// schedulers is the client and server side of central placement. A few routers, the seeds of the
-// settings and where regions are configured the standby schedulers of each region, choose the runners
-// for the requests of all routers, so that each choice takes into account what has been placed on the
-// runners. A router asks the nearest scheduler and reports to
-// it when the runner responds and how the request ends; schedulers exchange the loads that they
-// have placed. A router that gets no answer in time chooses a runner itself, knowing only its own
-// requests.
+// schedulers is the client and server side of central placement. A few routers choose the runners for
+// the requests of all routers, so that each choice takes into account what has been placed on the
+// runners. They are the seeds of the settings and, where regions are configured, the standby schedulers
+// of each region. A router asks the nearest scheduler and reports to it when the runner responds and
+// how the request ends; schedulers exchange the loads that they have placed. A router that gets no
+// answer in time chooses a runner itself, knowing only its own requests.
 type schedulers struct {
 	gateway *Gateway
 	mutex   sync.Mutex
 	ranking *peers.Ranking
-	// regionList is the list of the own region's schedulers. It is empty at seeds, which make it.
+	// regionList is the list of the own region's schedulers. It is empty at seeds, which make the lists
+	// of their followers.
 	regionList *peers.SchedulerList
 	// loadExchange decides with whom loads are exchanged. It is used where regions are configured.
 	loadExchange *peers.LoadExchange
@@ -126,7 +126,7 @@
 	if pick.Status != placement.Picked {
 		return answer
 	}
-	answer.Version = query.TargetVersion
+	answer.Version, answer.LeaveReason = query.TargetVersion, uint32(pick.LeaveReason)
 	answer.Permitted = g.grantPermit(now, query.Service, pick.Candidate.Name).Valid(now)
 	key := backend.SendKey{Router: envelope.GetFrom(), Incarnation: envelope.GetFromIncarnation(), Number: message.GetSend()}
 	s.placedSends.Begin(now, key, pick.Candidate.Name, max(query.PromptTokens-pick.Candidate.CachedTokens, 0), query, timeLeft+placedSendSlack)
@@ -194,7 +194,9 @@
 	if notice.GetEnded() {
 		if query, send, found := s.placedSends.Get(key); found {
 			s.gateway.fairShares.refund(s.gateway.now(), query, send, outcome)
-			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send, rolloutdriver.SendEnd{Outcome: outcome, NotSent: notice.GetNotSent(), ConnectionLost: notice.GetConnectionLost()})
+			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send, rolloutdriver.SendEnd{
+				Outcome: outcome, NotSent: notice.GetNotSent(), ConnectionLost: notice.GetConnectionLost(), RoundTrip: s.gateway.runners.RoundTrip(query.Zone, send),
+			})
 		}
 		s.placedSends.AvoidRunner(s.gateway.now(), key, time.Duration(notice.GetRestMillis())*time.Millisecond)
 		s.placedSends.End(s.gateway.now(), key, outcome)
--- a/internal/gateway/standbyschedulers.go
+++ b/internal/gateway/standbyschedulers.go
@@ -91,8 +91,9 @@
 	})
 }
 
-// recordReceivers returns the routers that get the records of what this router has detected: the
-// seeds, and the standby schedulers of the own region, which need them when no seed is reached.
+// recordReceivers returns the routers to which this router sends what it has detected about runners and
+// request contents: the seeds, and the standby schedulers of the own region, because the region may
+// reach no seed.
 func (s *schedulers) recordReceivers() []string { return append(s.otherSchedulers(), s.standbys()...) }
 
 // applyList applies the list of the own region's schedulers in an answer of the router at the address.
@@ -109,7 +110,8 @@
 		s.mutex.Unlock()
 		return
 	}
-	changed := s.regionList.Receive(now, from, fromSeed, list.GetDigest(), list.GetAddresses(), len(s.ranking.RegionOrder(now)) > 0)
+	usable := len(s.ranking.RegionOrder(now)) > 0
+	changed := s.regionList.Receive(now, from, fromSeed, list.GetDigest(), list.GetAddresses(), usable)
 	if changed {
 		s.ranking.SetListed(list.GetAddresses())
 	}
@@ -171,6 +173,28 @@
 	}
 }
 
+// isFromRegionWithoutSeed reports whether the pulling router's region is known to have no seed. A router
+// of any other region must not get a relay from a distant seed: it would stay with the relay instead of
+// finding the seed of its region. The mutex must be held.
+func (r *peerRouters) isFromRegionWithoutSeed(pull *wire.CopyPull) bool {
+	region := pull.GetRegion()
+	if region == "" || r.gateway.regionName() == "" {
+		return false
+	}
+	for _, seed := range r.selector.Seeds() {
+		if known := r.gateway.schedulers.seedRegion(seed); known == "" || known == region {
+			return false
+		}
+	}
+	return true
+}
+
+// isStandby reports whether the pulling router is a standby scheduler of its region. The mutex must be
+// held.
+func (r *peerRouters) isStandby(now time.Time, pull *wire.CopyPull) bool {
+	return pull.GetRegion() != "" && slices.Contains(r.standbys.Standbys(now, pull.GetRegion()), pull.GetPeerAddress())
+}
+
 // isSeed reports whether this router is a seed.
 func (r *peerRouters) isSeed() bool {
 	r.mutex.Lock()
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -127,7 +127,7 @@
 	f.g.Expect(backup.Status.Reserved).To(BeNumerically("<", reserved))
 	f.stored = &backup
 	f.revision += 100 // The next era.
-	f.run(time.Second)
+	f.run(5 * testTick)
 	f.g.Expect(f.stored.Status.Reserved).To(BeNumerically(">=", reserved))
 	f.run(testDuration)
 	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
@@ -169,6 +169,22 @@
 	f.expectWithinBound()
 }
 
+// Guards against a budget that begins at zero when all routers restart: what was reserved before would
+// exceed it, and nothing could be tested until as many requests have come again.
+func TestBudgetOutlivesARestartOfAllRouters(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.run(testDuration / 2)
+	before := f.leader.Summaries(f.now)[0].Budget
+	for i := range f.routers {
+		f.restart(i)
+	}
+	f.replaceLeader(f.routers[0])
+	f.run(500 * time.Millisecond)
+	after := f.leader.Summaries(f.now)[0].Budget
+	f.g.Expect(after).To(BeNumerically(">=", 0.9*float64(before)), "the store had at least nine tenths of the requests")
+}
+
 // Guards against an order that inherits the state or the account of the one that it replaces.
 func TestChangedOrderBeginsANewAccount(t *testing.T) {
 	f := newTestFleet(t, 3)
@@ -186,6 +202,25 @@
 	f.expectWithinBound()
 }
 
+// Guards against an order that comes back into force after another one has replaced it, because a write of
+// its status was still under way.
+func TestReplacedOrderDoesNotComeBackByItsStatus(t *testing.T) {
+	f := newTestFleet(t, 1)
+	r := f.routers[0]
+	target := func() string { return r.Summaries(f.now)[0].Target }
+	first := versionrollout.Order{Service: testService, Target: "v0", Duration: time.Hour}
+	second := versionrollout.Order{Service: testService, Target: testTarget, Duration: time.Hour}
+	r.Apply(Object{Name: "first", Revision: 1, Rollout: &StoredRollout{Order: first}})
+	r.Apply(Object{Name: "second", Revision: 2, Rollout: &StoredRollout{Order: second}})
+	r.Apply(Object{Name: "first", Revision: 3, Rollout: &StoredRollout{Order: first, Status: &Status{}}})
+	f.g.Expect(target()).To(Equal(testTarget))
+	first.Duration *= 2
+	r.Apply(Object{Name: "first", Revision: 4, Rollout: &StoredRollout{Order: first}})
+	f.g.Expect(target()).To(Equal("v0"), "the operator has changed it")
+	r.Apply(Object{Name: "second", Revision: 5, Rollout: &StoredRollout{Order: second, Status: &Status{}}})
+	f.g.Expect(target()).To(Equal("v0"))
+}
+
 func TestDeletedOrderSendsNothingMore(t *testing.T) {
 	f := newTestFleet(t, 3)
 	f.order(testDuration)
@@ -202,7 +237,7 @@
 
 // Guards against permits of a previous build, which bound a share and no number.
 func TestPermitOfAPreviousBuildAllowsNothing(t *testing.T) {
-	f := newTestFleet(t, 3)
+	f := newTestFleet(t, 2)
 	f.leader = nil
 	f.routers[0].answer = func(*wire.RolloutReport) *wire.RolloutPermit {
 		return &wire.RolloutPermit{Granted: true, Share: testShare}
@@ -212,8 +247,8 @@
 	f.g.Expect(f.exposed).To(BeZero())
 }
 
-// Guards against a permit for a placer of a previous build, which would exceed it, and against its
-// requests missing in the budget.
+// Guards against a permit for a placer of a previous build, which would exceed it, and against a budget that
+// its requests raise although nothing bounds what it sends to the target version.
 func TestReportOfAPreviousBuildGetsNoPermit(t *testing.T) {
 	f := newTestFleet(t, 2)
 	f.order(testDuration)
@@ -225,7 +260,23 @@
 	permit := f.leader.HandleReport(&wire.Envelope{From: "node", FromIncarnation: 7}, report)
 	f.g.Expect(permit.GetGranted()).To(BeFalse())
 	f.g.Expect(permit.GetReportAfterMillis()).To(BeZero())
-	f.g.Expect(f.leader.Summaries(f.now)[0].Budget).To(BeNumerically(">=", budget+800))
+	f.g.Expect(f.leader.Summaries(f.now)[0].Budget).To(Equal(budget))
+}
+
+// Guards against the exposure of a previous build that is forgotten because its routers' requests are not
+// part of the account.
+func TestExposureOfAPreviousBuildCountsItsRequests(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.order(testDuration)
+	f.stored.Status = &Status{Uncounted: true}
+	report := encodeReport(f.stored.Order, versionrollout.Report{Requests: 10_000})
+	report.Counted = false
+	for f.leader.byService[testService] == nil || f.leader.byService[testService].lead.controller == nil {
+		f.run(testTick)
+	}
+	f.leader.HandleReport(&wire.Envelope{From: "node", FromIncarnation: 7}, report)
+	f.run(time.Second)
+	f.g.Expect(f.stored.Status.Reserved).To(BeNumerically(">=", 900))
 }
 
 // Guards against a status of a previous build, which has no reservation, being taken for one of a
@@ -249,19 +300,28 @@
 	}
 }
 
-// Guards against a write that another router's write has overtaken and that counts as the leader's own: the
-// other one may have allowed what it reserved.
+// Guards against a reservation of another leader that counts as the leader's own, because this one has
+// just asked for the same number: the other one may have allowed all of it.
 func TestReservationOfAnotherLeaderIsNotGrantedAgain(t *testing.T) {
 	f := newTestFleet(t, 3)
 	f.order(testDuration)
 	f.runUntilExposed(10)
-	allowed := f.leader.Summaries(f.now)[0].Allowed
+	f.leader.writesFail = true
+	lead := &f.leader.byService[testService].lead
+	for lead.reserve <= f.stored.Status.Reserved {
+		f.run(testTick)
+	}
 	other := *f.stored.Status
-	other.Reserved, other.Writer = other.Reserved+5, "other"
+	other.Reserved, other.Writer = lead.reserve, "other"
 	f.stored = &StoredRollout{Order: f.stored.Order, Status: &other}
 	f.revision++
-	f.run(3 * time.Second)
-	f.g.Expect(f.leader.Summaries(f.now)[0].Allowed).To(BeNumerically(">=", max(allowed, other.Reserved)))
+	f.leader.writesFail = false
+	f.run(400 * time.Millisecond)
+	summary := f.leader.Summaries(f.now)[0]
+	f.g.Expect(summary.Phase).To(Equal("testing"))
+	f.g.Expect(summary.Allowed).To(BeNumerically(">=", other.Reserved))
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
 	f.expectWithinBound()
 }
 
@@ -332,3 +392,66 @@
 	f.g.Expect(schedule.leader).To(BeEmpty())
 	f.g.Expect(schedule.interval(f.now, f.deadline)).To(Equal(reportInterval))
 }
+
+// Guards against requests to the target version that nobody has allowed, because the runners of the other
+// versions are gone.
+func TestFallbackNeedsAPromotion(t *testing.T) {
+	f := newTestFleet(t, 2)
+	f.order(testDuration)
+	query := backend.Query{Service: testService, Route: "route"}
+	failedThere := false
+	fallback := func() string {
+		return f.routers[1].Fallback(query, func(string) bool { return failedThere })
+	}
+	f.run(time.Second)
+	f.g.Expect(fallback()).To(BeEmpty(), "while the version is tested")
+	for f.stored.Status == nil || !f.stored.Status.Promoted {
+		f.run(testTick)
+	}
+	f.run(testTick)
+	f.g.Expect(fallback()).To(Equal(testTarget))
+	failedThere = true
+	f.g.Expect(fallback()).To(BeEmpty(), "a request goes there once")
+	failedThere, f.isBad = false, true
+	for f.state() == versionrollout.Running {
+		f.run(testTick)
+	}
+	f.run(testTick)
+	f.g.Expect(f.state()).To(Equal(versionrollout.RolledBack))
+	f.g.Expect(fallback()).To(BeEmpty())
+}
+
+// Guards against an allowance that grows by requests that were never taken from it.
+func TestFallbackThatIsNotSentReturnsNothing(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.order(testDuration)
+	f.runUntilExposed(3)
+	r := f.routers[0]
+	query := backend.Query{Service: testService, Route: "route", TargetVersion: testTarget, Fallback: true}
+	exposed := r.byService[testService].placer.exposure.Exposed()
+	r.RecordOutcome(f.now, query, r.set.Begin(f.now, "4", 0), SendEnd{Outcome: backend.Unreachable, NotSent: true})
+	f.g.Expect(r.byService[testService].placer.exposure.Exposed()).To(Equal(exposed))
+	query.Fallback = false
+	r.RecordOutcome(f.now, query, r.set.Begin(f.now, "4", 0), SendEnd{Outcome: backend.Unreachable, NotSent: true})
+	f.g.Expect(r.byService[testService].placer.exposure.Exposed()).To(Equal(exposed - 1))
+}
+
+// Guards against a good version that counts as slow because the few runners on which it is tested are in
+// another region.
+func TestDistanceToAnotherRegionIsNoSlowness(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.order(testDuration)
+	f.run(time.Second)
+	f.leader = nil
+	f.run(2 * time.Second)
+	r := f.routers[0]
+	query := backend.Query{Service: testService, Route: "route", TargetVersion: testTarget}
+	bad := func() uint64 { return r.Summaries(f.now)[0].Routes[0].TargetBad }
+	send := r.set.Begin(f.now.Add(-45*time.Millisecond), "4", 0)
+	before := bad()
+	r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Succeeded, RoundTrip: 40 * time.Millisecond})
+	f.g.Expect(bad()).To(Equal(before))
+	send = r.set.Begin(f.now.Add(-500*time.Millisecond), "4", 0)
+	r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Succeeded, RoundTrip: 40 * time.Millisecond})
+	f.g.Expect(bad()).To(Equal(before + 1))
+}
--- a/internal/versionrollout/pause.go
+++ b/internal/versionrollout/pause.go
@@ -5,7 +5,7 @@
 const (
 	// longestPause bounds the time in which a version that answers badly during the promotion is compared with
 	// the old one, and shortestPause is the time below which the comparison isn't worth while.
-	longestPause  = time.Second
+	longestPause  = 2 * time.Second
 	shortestPause = 200 * time.Millisecond
 	// pauseAnswers is the number of answers of the old version that end the comparison.
 	pauseAnswers = 50
@@ -42,18 +42,19 @@
 func (p *pause) old(total counts) Tally { return total.sum.minus(p.start.sum).Old }
 
 // pauseResult returns the pause's reason while it goes on and if the old version answers better than the target
-// version did in the promotion. Otherwise both fail, and
-// the judgement starts anew at the pause.
+// version did in the promotion. Otherwise both fail, and the judgement starts anew at the start of the pause.
 func (c *Controller) pauseResult(now time.Time, total counts) string {
 	p := c.pause
 	if p.goesOn(now, total) {
 		return p.reason
 	}
 	old, target := p.old(total), total.sum.minus(c.promotedTotal.sum).Target
-	if old.Bad < minBadAnswers || target.exceeds(old.raisedShare()+toleratedShare, finalStrength) {
+	if old.Bad < minBadAnswers || target.exceeds(old.raisedShare(total.sum.Old)+toleratedShare, finalStrength) {
 		return p.reason
 	}
 	c.pause = nil
+	answerTime := c.history.answerTime
 	c.history = newHistory(c.config.Order.Duration, p.start, p.start)
+	c.history.answerTime = answerTime
 	return ""
 }
