gateway: standby schedulers without the store are proved by routers that reach it

With the border cut and the standby schedulers unable to reach the store, they declined once their proofs were too old, although other routers of the region read the store. A standby scheduler without a recent proof now pulls from its followers, and goes on trying the store: it must not rely on routers that rely on it. Seeds did the same already.

The whole of gateway passes (234 s). One run before it, at a load of 38, failed TestIdleTrafficDoesNotGrowWithTheFleet and TestRestartedSchedulerLearnsLimitsFromRouters, which passed three of three times alone.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -104,6 +104,7 @@
 mutant "13 schedulers of other regions are asked" internal/gateway/schedulers.go 's/\tif s.gateway.distances.HasRegions\(\) \{\n\t\treturn s.regionOrder\(now\)\n\t\}\n//' ./internal/gateway -run TestRegionServesWhileBorderIsCut
 mutant "13 all routers of a region without seeds read the store" internal/relay/selector.go 's/range s.standbys \{/range s.standbys[:0] {/' ./internal/relay
 mutant "13 loads from before a cut count again" internal/backend/loads.go 's/ \|\| now.Sub\(known.reportedAt\) >= peerLoadTTL//' ./internal/backend -run PeerLoads\|ExpiredLoads
+mutant "13 standby schedulers without the store get no proof" internal/gateway/standbyschedulers.go 's/if !r.selector.IsStandby\(\) \{/if true {/' ./internal/gateway -run TestStandbysGetProofFromRoutersOfTheirRegion
 mutant "13 relays keep routers from the seed of their region" internal/gateway/standbyschedulers.go 's/known == "" \|\| known == region/known == "none"/' ./internal/gateway -run TestRoutersPullFromSeedOfTheirRegion
 
 echo "mutants: $refuted refuted, $survived survived, $unclear unclear"
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -77,6 +77,11 @@
 	if !r.selector.IsSeed() {
 		return nil
 	}
+	return r.someFollowers(now)
+}
+
+// someFollowers returns a few random followers that are no seeds. The mutex must be held.
+func (r *peerRouters) someFollowers(now time.Time) []string {
 	var addresses []string
 	for address, follower := range r.followers {
 		if len(addresses) == maxFollowerPulls {
--- a/internal/gateway/regions_test.go
+++ b/internal/gateway/regions_test.go
@@ -429,3 +429,24 @@
 	}
 	f.g.Consistently(func() string { return routers[4].Status().Source }, time.Second, 20*time.Millisecond).Should(Equal(near))
 }
+
+// Row "border between regions cut": the standby schedulers don't reach the store either, and get their
+// proofs from the router of the region that does.
+func TestStandbysGetProofFromRoutersOfTheirRegion(t *testing.T) {
+	t.Parallel()
+	f := newRegionFleet(t, 1, 3)
+	weakest := f.members[0]
+	f.serveFor(weakest, 200*time.Millisecond)
+	f.setBorders(faultproxy.Blackhole)
+	for _, standby := range f.standbys(weakest) {
+		f.memberNamed(standby).storeEndpoint.SetFault(storestand.Hangs)
+	}
+	before := f.choices(weakest)
+	calls := f.serveFor(weakest, 6*time.Second)
+	for _, member := range f.members {
+		f.g.Expect(member.Status().Proven).To(BeTrue(), f.name(member))
+	}
+	chosen := f.choices(weakest) - before
+	t.Logf("schedulers made %v of %d choices", chosen, calls)
+	f.g.Expect(chosen).To(BeNumerically(">=", 0.9*float64(calls)))
+}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -146,6 +146,9 @@
 	for g.ctx.Err() == nil {
 		pulled := r.shouldPull() && r.pull()
 		r.setDirectReads(r.shouldReadStore(pulled))
+		if followers := r.followersOfUnprovenStandby(); !pulled && len(followers) > 0 {
+			r.pullFromAny(followers)
+		}
 		r.waitForNextPull()
 	}
 }
--- a/internal/gateway/standbyschedulers.go
+++ b/internal/gateway/standbyschedulers.go
@@ -195,6 +195,22 @@
 	return pull.GetRegion() != "" && slices.Contains(r.standbys.Standbys(now, pull.GetRegion()), pull.GetPeerAddress())
 }
 
+// followersOfUnprovenStandby returns a few followers of this router if it is a standby scheduler that
+// gets no recent proof from the store, while it reaches no seed either. Other routers of its region may
+// reach the store. It continues to read the store, so that it never relies on routers that rely on it.
+func (r *peerRouters) followersOfUnprovenStandby() []string {
+	now, current := r.gateway.now(), r.gateway.activeConfig.Load()
+	if current == nil || now.Sub(current.provenAt) <= maxProofAge {
+		return nil
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if !r.selector.IsStandby() {
+		return nil
+	}
+	return r.someFollowers(now)
+}
+
 // isSeed reports whether this router is a seed.
 func (r *peerRouters) isSeed() bool {
 	r.mutex.Lock()
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -35,8 +35,10 @@
 	seedZones map[string]string
 	// relay is the relay that this router was assigned to, or "".
 	relay string
-	// standbys are the standby schedulers of the own region.
-	standbys []string
+	// standbys are the standby schedulers of the own region to pull from, and isStandby is set if this
+	// router is one of them.
+	standbys  []string
+	isStandby bool
 }
 
 // NewSelector returns a selector for the router with the peer address self in the zone.
@@ -59,12 +61,15 @@
 // this router is one of them, it has no such candidates: it reads the store instead, without waiting
 // for the others.
 func (s *Selector) SetStandbys(addresses []string) {
-	s.standbys = nil
+	s.standbys, s.isStandby = nil, slices.Contains(addresses, s.self) && !s.IsSeed()
 	if !slices.Contains(addresses, s.self) {
 		s.standbys = slices.DeleteFunc(slices.Clone(addresses), s.HasSeed)
 	}
 }
 
+// IsStandby reports whether this router is a standby scheduler of its region.
+func (s *Selector) IsStandby() bool { return s.isStandby }
+
 // SeedCount returns the number of seeds.
 func (s *Selector) SeedCount() int { return len(s.seeds) }
 
