backend: routers that no longer report loads are forgotten

Each choice looks at the loads of all routers that ever reported some. With standby schedulers these are no longer only the seeds, so they are removed once their loads have expired.

--- a/internal/backend/loads.go
+++ b/internal/backend/loads.go
@@ -1,6 +1,9 @@
 package backend
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Load is the open work that one router has placed on a runner.
 type Load struct {
@@ -59,6 +62,10 @@
 // router was cut, do not count again because a change arrives.
 func (s *Set) SetPeerLoads(now time.Time, router string, full bool, loads map[string]Load) {
 	known := s.peers[router]
+	if known == nil {
+		// Each choice looks at all reporting routers, and standby schedulers come and go.
+		maps.DeleteFunc(s.peers, func(_ string, other *peerLoads) bool { return now.Sub(other.reportedAt) >= peerLoadTTL })
+	}
 	if known == nil || full || now.Sub(known.reportedAt) >= peerLoadTTL {
 		known = &peerLoads{byRunner: map[string]Load{}}
 		s.peers[router] = known
--- a/internal/backend/placedsends_test.go
+++ b/internal/backend/placedsends_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,18 @@
 	g.Expect(set.peerLoad(back, "a").Requests).To(BeZero())
 	g.Expect(set.peerLoad(back, "b").Requests).To(Equal(2))
 }
+
+// Guards against choices that get slower, and memory that grows, with each router that was a standby
+// scheduler for a while.
+func TestRoutersThatNoLongerReportAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	set, _ := newPlacedSendsSet()
+	now := start
+	for i := range 100 {
+		now = now.Add(peerLoadTTL)
+		set.SetPeerLoads(now, fmt.Sprint(i), true, map[string]Load{"a": {Requests: 1}})
+		g.Expect(len(set.peers)).To(Equal(1))
+	}
+	set.SetPeerLoads(now.Add(peerLoadTTL-1), "other", true, map[string]Load{"a": {Requests: 2}})
+	g.Expect(set.peerLoad(now.Add(peerLoadTTL-1), "a").Requests).To(Equal(3), "a router that still reports")
+}
