gateway: cache stores are read by the reader of their region

The reader of a store's region began to read it and stopped at once, because it looked for the store's owner without its zone. Stores whose owner among all readers is in another region were read by nobody.

--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -172,27 +172,28 @@
 	runners := g.runners.CacheHolders()
 	g.mutex.Unlock()
 	r.holdersListed = current
-	listed := map[string]bool{}
+	zones := map[string]string{}
 	for _, store := range table.CacheStores() {
-		listed[store.Address] = true
+		zones[store.Address] = store.Zone
 		if r.ownsHolder(readers, store.Address, store.Zone) {
 			r.startReading(store.Address, backend.CacheHolder{Address: store.Address}, "")
 		}
 	}
 	for id, source := range runners {
+		zones[id] = source.Zone
 		if r.ownsHolder(readers, id, source.Zone) {
 			r.startReading(id, source, id)
 		}
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	isListed := func(holder string) bool { return listed[holder] || runners[holder].Address != "" }
+	isListed := func(holder string) bool { _, listed := zones[holder]; return listed }
 	for holder, state := range r.holders {
 		switch {
 		case !isListed(holder):
 			state.cancel()
 			delete(r.holders, holder)
-		case !r.ownsHolder(readers, holder, runners[holder].Zone):
+		case !r.ownsHolder(readers, holder, zones[holder]):
 			// Another reader has its contents soon, and they stay known until then.
 			state.cancel()
 			delete(r.holders, holder)
--- a/internal/gateway/cachesplit_internal_test.go
+++ b/internal/gateway/cachesplit_internal_test.go
@@ -1,9 +1,17 @@
 package gateway
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/cacheindex"
+	"github.com/clovertiller/clovertiller/internal/distance"
+	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // Guards against runners that are read over a border, and against runners that nobody reads as each
@@ -18,3 +26,46 @@
 	g.Expect(readersOf(readers, "")).To(Equal(all), "a cache store, or without regions")
 	g.Expect(readersKey(readers)).NotTo(Equal(readersKey([]liveReader{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"old", "b"}})), "a region that is learned later changes who reads")
 }
+
+// silentCaches never answers.
+type silentCaches struct{}
+
+func (silentCaches) ListCache(ctx context.Context, _, _ string) ([]CachedPart, CachePosition, error) {
+	<-ctx.Done()
+	return nil, CachePosition{}, ctx.Err()
+}
+
+func (silentCaches) WatchCache(ctx context.Context, _, _ string, _ CachePosition, _ time.Duration) (CacheChanges, error) {
+	<-ctx.Done()
+	return CacheChanges{}, ctx.Err()
+}
+
+// Guards against cache stores that the reader of their region begins to read and gives up again at once,
+// because it looks for their owner without their zone.
+func TestCacheStoresAreReadByReaderOfTheirRegion(t *testing.T) {
+	g := NewWithT(t)
+	router := newQuarantineGateway(t, nil)
+	router.ports.Caches, router.runners = silentCaches{}, backend.NewSet("a1")
+	router.settings.Zone, router.settings.Region, router.settings.Seeds = "a1", "a", []string{router.settings.PeerAddress, "other"}
+	router.distances = distance.New(distance.Config{Zone: "a1", Regions: map[string]string{"a1": "a", "b1": "b"}})
+	router.peerRouters.selector.SetSeeds(router.settings.Seeds)
+	router.schedulers = newSchedulers(router)
+	router.schedulers.loadExchange.RecordReport(router.now(), "other", "b")
+	reader := newCacheReader(router)
+	reader.feed, reader.own = cacheindex.NewFeed(), cacheindex.NewFeed()
+	reader.peer("other").lastHeard = router.now()
+	config := &routing.Config{}
+	for i := range 20 {
+		for _, zone := range []string{"a1", "b1"} {
+			name := fmt.Sprint(zone, "-", i)
+			config.Services = append(config.Services, routing.Service{Name: name, CacheStoreAddress: name, CacheStoreZone: zone})
+		}
+	}
+	reader.updateHolders(routing.NewTable(config))
+	for i := range 20 {
+		g.Expect(reader.holders).To(HaveKey(fmt.Sprint("a1-", i)))
+		g.Expect(reader.holders).NotTo(HaveKey(fmt.Sprint("b1-", i)))
+	}
+	router.cancel()
+	router.goroutines.Wait()
+}
