gateway: seeds keep no list of standby schedulers

A seed that pulled once because it lacked a proof, or a follower that became a seed, kept the list that it had received. Nothing replaces it at a seed, so it reported its loads every 5 ms to standby schedulers long after they were lost.

--- a/internal/gateway/cachesplit_internal_test.go
+++ b/internal/gateway/cachesplit_internal_test.go
@@ -8,9 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/cacheindex"
-	"github.com/clovertiller/clovertiller/internal/distance"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -44,12 +42,8 @@
 // because it looks for their owner without their zone.
 func TestCacheStoresAreReadByReaderOfTheirRegion(t *testing.T) {
 	g := NewWithT(t)
-	router := newQuarantineGateway(t, nil)
-	router.ports.Caches, router.runners = silentCaches{}, backend.NewSet("a1")
-	router.settings.Zone, router.settings.Region, router.settings.Seeds = "a1", "a", []string{router.settings.PeerAddress, "other"}
-	router.distances = distance.New(distance.Config{Zone: "a1", Regions: map[string]string{"a1": "a", "b1": "b"}})
-	router.peerRouters.selector.SetSeeds(router.settings.Seeds)
-	router.schedulers = newSchedulers(router)
+	router := newRegionGateway(t)
+	router.ports.Caches = silentCaches{}
 	router.schedulers.loadExchange.RecordReport(router.now(), "other", "b")
 	reader := newCacheReader(router)
 	reader.feed, reader.own = cacheindex.NewFeed(), cacheindex.NewFeed()
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -58,6 +58,8 @@
 	count := 0
 	if s.ranking.IncludesSelf() {
 		count = s.ranking.Len()
+		s.regionList = &peers.SchedulerList{}
+		s.ranking.SetListed(nil)
 	}
 	s.mutex.Unlock()
 	s.gateway.configurePermits(len(addresses) == 0 || s.gateway.settings.PeerAddress == "", count)
--- a/internal/gateway/standbyschedulers.go
+++ b/internal/gateway/standbyschedulers.go
@@ -98,13 +98,17 @@
 
 // applyList applies the list of the own region's schedulers in an answer of the router at the address.
 // The list is nil if that router has the same one or none. A standby scheduler learns from the list that
-// it is one.
+// it is one. A seed that pulls because it lacks a proof applies no list: nothing would replace it later.
 func (s *schedulers) applyList(from string, list *wire.SchedulerList) {
 	if s.gateway.regionName() == "" {
 		return
 	}
 	now, fromSeed := s.gateway.now(), s.gateway.peerRouters.isSeedOrRelay(from)
 	s.mutex.Lock()
+	if s.ranking.IncludesSelf() {
+		s.mutex.Unlock()
+		return
+	}
 	if list == nil {
 		s.regionList.RecordAnswer(now, from)
 		s.mutex.Unlock()
