backend: loads leave out requests that another router placed

A standby scheduler that is asked by some routers may send its own requests to runners that a seed chose. Both reported these requests, so other schedulers counted them twice.

--- a/internal/backend/loads.go
+++ b/internal/backend/loads.go
@@ -29,9 +29,28 @@
 	byRunner   map[string]Load
 }
 
-// localLoad returns the open work that this router has placed on the runner.
+// localLoad returns the open work that this router has placed on the runner. Suspects include those that
+// another router has placed, as it matters only which contents run there.
 func (e *entry) localLoad() Load {
-	return Load{Tokens: e.pendingTokens, Requests: e.inFlight, Streams: e.streams.count, TotalMaxGap: e.streams.totalMaxGap, Suspects: e.suspects.contents()}
+	return Load{
+		Tokens: e.pendingTokens - e.elsewhere.Tokens, Requests: e.inFlight - e.elsewhere.Requests,
+		Streams: e.streams.count - e.elsewhere.Streams, TotalMaxGap: e.streams.totalMaxGap - e.elsewhere.TotalMaxGap, Suspects: e.suspects.contents(),
+	}
+}
+
+// addElsewhere adds the send, in its current state, to the work that other routers report, or removes it if
+// sign is -1.
+func (e *entry) addElsewhere(send *Send, sign int) {
+	if !send.reportedElsewhere {
+		return
+	}
+	e.elsewhere.Requests += sign
+	if !send.responded {
+		e.elsewhere.Tokens += sign * send.tokens
+	} else if send.maxEventGap > 0 {
+		e.elsewhere.Streams += sign
+		e.elsewhere.TotalMaxGap += time.Duration(sign) * send.maxEventGap
+	}
 }
 
 // Loads returns the open work that this router has placed, by runner. Runners without any
@@ -39,7 +58,7 @@
 func (s *Set) Loads() map[string]Load {
 	loads := map[string]Load{}
 	for id, e := range s.entries {
-		if e.inFlight > 0 {
+		if e.inFlight > e.elsewhere.Requests {
 			loads[id] = e.localLoad()
 		}
 	}
--- a/internal/backend/placedsends_test.go
+++ b/internal/backend/placedsends_test.go
@@ -138,3 +138,44 @@
 	set.SetPeerLoads(now.Add(peerLoadTTL-1), "other", true, map[string]Load{"a": {Requests: 2}})
 	g.Expect(set.peerLoad(now.Add(peerLoadTTL-1), "a").Requests).To(Equal(3), "a router that still reports")
 }
+
+// Guards against requests that count twice: a standby scheduler sends a request to the runner that a seed
+// chose, and both report it.
+func TestSendsThatAnotherRouterReportsAreNotInLoads(t *testing.T) {
+	for name, end := range map[string]func(*Set, *Send){
+		"without response": func(set *Set, send *Send) { set.End(start, send, Unreachable) },
+		"not confirmed":    func(set *Set, send *Send) { set.End(start, send, NotConfirmed) },
+		"after response": func(set *Set, send *Send) {
+			set.FirstResponse(start, send)
+			set.End(start, send, Succeeded)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			set, sends := newPlacedSendsSet()
+			query := Query{Service: "s", MaxEventGap: time.Second}
+			own := set.BeginQuery(start, "a", 300, query)
+			set.ReportedElsewhere(own)
+			g.Expect(set.Loads()).To(BeEmpty())
+			sends.Begin(start, testSendKey, "a", 500, query, time.Minute)
+			placed := map[string]Load{"a": {Tokens: 500, Requests: 1}}
+			g.Expect(set.Loads()).To(Equal(placed))
+			_, candidates := set.Candidates(start, query)
+			g.Expect(candidates[0].PendingRequests).To(Equal(2), "the router itself counts both")
+			end(set, own)
+			g.Expect(set.Loads()).To(Equal(placed))
+			sends.FirstResponse(start, testSendKey)
+			streaming := map[string]Load{"a": {Requests: 1, Streams: 1, TotalMaxGap: time.Second}}
+			g.Expect(set.Loads()).To(Equal(streaming))
+			other := set.BeginQuery(start, "a", 300, query)
+			set.ReportedElsewhere(other)
+			set.FirstResponse(start, other)
+			g.Expect(set.Loads()).To(Equal(streaming))
+			g.Expect(set.ChangedLoads()).To(Equal(streaming))
+			set.End(start, other, Succeeded)
+			sends.End(start, testSendKey, Succeeded)
+			g.Expect(set.Loads()).To(BeEmpty())
+			g.Expect(set.ChangedLoads()).To(Equal(map[string]Load{"a": {}}))
+		})
+	}
+}
--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -84,6 +84,8 @@
 	zoneNumber int
 	// inFlight counts this router's open requests at the runner.
 	inFlight int
+	// elsewhere is the part of this router's open requests whose runner another router chose.
+	elsewhere Load
 	// pendingTokens is the number of prompt tokens of this router's requests whose response
 	// has not begun.
 	pendingTokens int
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -27,6 +27,9 @@
 	// prefillIdle is set when the runner had no other prompt to prefill at the time of the
 	// send.
 	prefillIdle bool
+	// reportedElsewhere is set if another router chose the runner. That router reports the send as part
+	// of its loads.
+	reportedElsewhere bool
 }
 
 // BeginQuery records a request sent to the runner, like Begin, and also tracks the query's
@@ -48,6 +51,15 @@
 	return send
 }
 
+// ReportedElsewhere leaves the open send out of the reported loads, because the router that chose its runner
+// reports it.
+func (s *Set) ReportedElsewhere(send *Send) {
+	if e := s.listedEntry(send); e != nil && !send.reportedElsewhere {
+		send.reportedElsewhere = true
+		e.addElsewhere(send, 1)
+	}
+}
+
 // Tokens returns the number of prompt tokens that the runner had to prefill before its
 // response began.
 func (s *Send) Tokens() int { return s.tokens }
@@ -101,6 +113,7 @@
 	if e != nil {
 		s.changedLoads[send.runner] = true
 		e.inFlight = max(e.inFlight-1, 0)
+		e.addElsewhere(send, -1)
 		e.removeStream(send)
 		e.suspects.remove(send.suspectContent)
 	}
@@ -122,8 +135,10 @@
 		return
 	}
 	s.changedLoads[send.runner] = true
+	e.addElsewhere(send, -1)
 	e.markResponded(now, send)
 	e.addStream(send)
+	e.addElsewhere(send, 1)
 	e.assumedWait = (e.currentAssumedWait(now) + send.excessWait(now)) / 2
 	e.assumedWaitAt = now
 	prefill := s.runnerPrefill(e)
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -33,6 +33,9 @@
 func (c *call) beginSend(now time.Time, runner backend.Runner, prefillTokens int) {
 	g := c.gateway
 	c.currentSend = g.runners.BeginQuery(now, runner.ID, prefillTokens, c.query)
+	if c.schedulerChoice != nil {
+		g.runners.ReportedElsewhere(c.currentSend)
+	}
 	c.run = g.crashDetector.begin(now, runner, c.content)
 	c.sendCtx, c.unstarted = c.ctx, nil
 	if !c.isStartObservable() {
