rolloutdriver: a stored success holds over a rollback that was not stored

A leader that condemned the version while its write of the success was under way kept to the old version, whose runners stop at the success.

--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -74,6 +74,8 @@
 	reserved uint64
 	placer   placer
 	lead     lead
+	// rollbackIsStored is set once a status that says rolled back was in the store.
+	rollbackIsStored bool
 	// write is the status that is being written, nil if none is.
 	write *statusWrite
 	// writeAfter is when the next write may start after one that failed.
@@ -175,6 +177,9 @@
 	if r.lead.controller != nil {
 		r.lead.controller.RecordReserved(r.reserved)
 	}
+	if status.State == versionrollout.RolledBack {
+		r.rollbackIsStored = true
+	}
 	d.enterState(r, status.State, status.Reason)
 }
 
@@ -241,9 +246,11 @@
 	return b
 }
 
-// enterState records a state. A final one stays. The mutex must be held.
+// enterState records a state. A final one stays, except that a stored success holds over a rollback that never was in
+// the store, as the old runners stop at the success. The mutex must be held.
 func (d *Driver) enterState(r *serviceRollout, state versionrollout.State, reason string) {
-	if r.state == state || r.state.IsFinal() {
+	overrulesRollback := state == versionrollout.Succeeded && !r.rollbackIsStored
+	if r.state == state || (r.state.IsFinal() && !overrulesRollback) {
 		return
 	}
 	r.state, r.reason = state, reason
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -151,6 +151,26 @@
 	f.g.Expect(f.exposed).To(Equal(exposed))
 }
 
+// Guards against a leader that condemns the version while its write of the success is under way: the old runners
+// stop at the stored success, so no router may keep to them.
+func TestStoredSuccessHoldsOverARollbackThatWasNotStored(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(10)
+	leader := f.leader
+	leader.mutex.Lock()
+	leader.enterState(leader.byService[testService], versionrollout.RolledBack, "bad answers")
+	leader.mutex.Unlock()
+	succeeded := *f.stored.Status
+	succeeded.State, succeeded.Writer = versionrollout.Succeeded, "other"
+	f.stored = &StoredRollout{Order: f.stored.Order, Status: &succeeded}
+	f.revision++
+	f.run(2 * testTick)
+	for _, r := range f.routers {
+		f.g.Expect(r.Summaries(f.now)[0].State).To(Equal("succeeded"), r.address)
+	}
+}
+
 // Guards against allowances of the earlier runs of all routers that are forgotten.
 func TestReservationOutlivesARestartOfAllRouters(t *testing.T) {
 	f := newTestFleet(t, 3)
