backend: the way to another region is no wait for requests without a model

The wait that requests without a model expect, and the time after which a caller gave up, still held the round trip, which the cost of the distance already counts.

--- a/internal/backend/regions_test.go
+++ b/internal/backend/regions_test.go
@@ -240,6 +240,11 @@
 	now = now.Add(assumedPrefillTime(1000) + 41*time.Millisecond)
 	set.FirstResponse(now, send)
 	g.Expect(set.entries["b1-0"].learnedWait).To(BeNumerically("<", 2*time.Millisecond))
+	g.Expect(set.entries["b1-0"].assumedWait).To(BeNumerically("<", 2*time.Millisecond), "used for requests without a model")
+	abandoned := set.BeginQuery(now, "c1-0", 0, query)
+	set.End(now.Add(41*time.Millisecond), abandoned, Abandoned)
+	g.Expect(set.entries["c1-0"].learnedWait).To(BeNumerically("<", 2*time.Millisecond))
+	g.Expect(set.entries["c1-0"].assumedWait).To(BeNumerically("<", 2*time.Millisecond))
 }
 
 // Guards against a panic when nearly all runners of a large service are avoided, so that no home is
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -142,7 +142,7 @@
 	e.assumedWait = (e.currentAssumedWait(now) + send.excessWait(now)) / 2
 	e.assumedWaitAt = now
 	prefill := s.runnerPrefill(e)
-	elapsed := max(now.Sub(send.sentAt)-send.roundTrip, 0)
+	elapsed := send.elapsed(now)
 	learnedExcess := max(elapsed-prefill.firstResponseTime(send.tokens), 0)
 	e.learnedWait = (decayedTime(e.learnedWait, now.Sub(e.learnedWaitAt)) + learnedExcess) / 2
 	e.learnedWaitAt = now
@@ -174,10 +174,15 @@
 // Responded reports whether the runner has begun to respond.
 func (s *Send) Responded() bool { return s.responded }
 
-// excessWait returns the time since the send that its own prefill at the assumed rate does
+// elapsed returns the time since the send without the way to another region and back.
+func (s *Send) elapsed(now time.Time) time.Duration {
+	return max(now.Sub(s.sentAt)-s.roundTrip, 0)
+}
+
+// excessWait returns the elapsed time that its own prefill at the assumed rate does
 // not explain.
 func (s *Send) excessWait(now time.Time) time.Duration {
-	return max(now.Sub(s.sentAt)-assumedPrefillTime(s.tokens), 0)
+	return max(s.elapsed(now)-assumedPrefillTime(s.tokens), 0)
 }
 
 func assumedPrefillTime(tokens int) time.Duration {
@@ -224,7 +229,7 @@
 			// The request waited at least this long, and would have waited longer.
 			e.assumedWait, e.assumedWaitAt = max(e.currentAssumedWait(now), send.excessWait(now)), now
 			prefill := s.runnerPrefill(e)
-			e.learnedWait, e.learnedWaitAt = max(e.currentLearnedWait(now, prefill), now.Sub(send.sentAt)-prefill.firstResponseTime(send.tokens)), now
+			e.learnedWait, e.learnedWaitAt = max(e.currentLearnedWait(now, prefill), send.elapsed(now)-prefill.firstResponseTime(send.tokens)), now
 		}
 		e.markResponded(now, send)
 	}
