--- a/internal/gateway/schedulers_internal_test.go
+++ b/internal/gateway/schedulers_internal_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/distance"
+	"github.com/clovertiller/clovertiller/internal/relay"
+	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 // newRegionGateway returns a router in region a that is one of two seeds. The other one has the address
@@ -43,3 +45,16 @@
 	g.Expect(router.schedulers.recordReceivers()).To(ConsistOf("other"))
 	g.Expect(router.schedulers.list().GetAddresses()).To(BeEmpty())
 }
+
+// Guards against memory of a relay that grows with each router that ever pulled from it.
+func TestOnlySeedsRecordStandbyCandidates(t *testing.T) {
+	g := NewWithT(t)
+	router := newRegionGateway(t)
+	pull := &wire.CopyPull{PeerAddress: "follower", Zone: "a1", Region: "a", Capacity: 3}
+	router.peerRouters.recordStandbyCandidate(router.now(), pull)
+	g.Expect(router.peerRouters.standbys.Standbys(router.now(), "a")).To(ConsistOf("follower"))
+	router.peerRouters.standbys = relay.NewStandbySelector()
+	router.peerRouters.selector.SetSeeds([]string{"other"})
+	router.peerRouters.recordStandbyCandidate(router.now(), pull)
+	g.Expect(router.peerRouters.standbys.Standbys(router.now(), "a")).To(BeEmpty())
+}
--- a/internal/gateway/standbyschedulers.go
+++ b/internal/gateway/standbyschedulers.go
@@ -169,10 +169,10 @@
 	return append(seeds, standbys...)
 }
 
-// recordStandbyCandidate records a pull of a router that may become a standby scheduler. The mutex
-// must be held.
+// recordStandbyCandidate records, at a seed, a pull of a router that may become a standby scheduler. The
+// mutex must be held.
 func (r *peerRouters) recordStandbyCandidate(now time.Time, pull *wire.CopyPull) {
-	if r.gateway.regionName() != "" && !r.selector.HasSeed(pull.GetPeerAddress()) {
+	if r.gateway.regionName() != "" && r.selector.IsSeed() && !r.selector.HasSeed(pull.GetPeerAddress()) {
 		r.standbys.RecordPull(now, pull.GetPeerAddress(), pull.GetRegion(), int(pull.GetCapacity()))
 	}
 }
