--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -172,16 +172,16 @@
 	runners := g.runners.CacheHolders()
 	g.mutex.Unlock()
 	r.holdersListed = current
-	zones := map[string]string{}
+	zones, owns := map[string]string{}, r.ownsHolder(readers)
 	for _, store := range table.CacheStores() {
 		zones[store.Address] = store.Zone
-		if r.ownsHolder(readers, store.Address, store.Zone) {
+		if owns(store.Address, store.Zone) {
 			r.startReading(store.Address, backend.CacheHolder{Address: store.Address}, "")
 		}
 	}
 	for id, source := range runners {
 		zones[id] = source.Zone
-		if r.ownsHolder(readers, id, source.Zone) {
+		if owns(id, source.Zone) {
 			r.startReading(id, source, id)
 		}
 	}
@@ -193,7 +193,7 @@
 		case !isListed(holder):
 			state.cancel()
 			delete(r.holders, holder)
-		case !r.ownsHolder(readers, holder, zones[holder]):
+		case !owns(holder, zones[holder]):
 			// Another reader has its contents soon, and they stay known until then.
 			state.cancel()
 			delete(r.holders, holder)
--- a/internal/gateway/cachesplit.go
+++ b/internal/gateway/cachesplit.go
@@ -67,11 +67,18 @@
 // holders of all regions.
 type liveReader struct{ address, region string }
 
-// ownsHolder reports whether this router is the one of the readers that reads the holder in the zone.
-// That is a reader of the holder's region if there is one, so that calls for changes stay within the
-// region and only their results cross its border.
-func (r *cacheReader) ownsHolder(readers []liveReader, holder, zone string) bool {
-	return rendezvous.Owner(readersOf(readers, r.gateway.distances.Region(zone)), rendezvous.KeyOf(holder)) == r.gateway.settings.PeerAddress
+// ownsHolder returns a function that reports whether this router is the one of the readers that reads the
+// holder in the zone. That is a reader of the holder's region if there is one, so that calls for changes stay
+// within the region and only their results cross its border.
+func (r *cacheReader) ownsHolder(readers []liveReader) func(holder, zone string) bool {
+	byRegion := map[string][]string{}
+	return func(holder, zone string) bool {
+		region := r.gateway.distances.Region(zone)
+		if byRegion[region] == nil {
+			byRegion[region] = readersOf(readers, region)
+		}
+		return rendezvous.Owner(byRegion[region], rendezvous.KeyOf(holder)) == r.gateway.settings.PeerAddress
+	}
 }
 
 // readersOf returns the addresses of the readers in the region, or of all readers if there are none.
