backend: retention is learned only from a loaded index

While the index was empty after a start or after the loss of its source, each request of a known family counted as one whose parts had been evicted.

--- a/internal/backend/families.go
+++ b/internal/backend/families.go
@@ -154,13 +154,13 @@
 	if regional == nil || s.regions == nil || len(query.Shared) == 0 {
 		return globalHome()
 	}
+	if !s.cacheIndexLoaded {
+		return globalHome()
+	}
 	use := s.regions.families.get(s.familyKey(query))
 	if use != nil {
 		s.learnRetention(now, query, use, depths)
 	}
-	if !s.cacheIndexLoaded {
-		return globalHome()
-	}
 	// The cost of a runner in another region, as in scores.
 	crossing := s.regions.view(now, cmp.Or(query.Zone, s.zone)).nearestFar() + s.servicePrefill(query.Service).prefillTime(crossZoneCost)
 	near := s.expectedPrefill(now, query, use, regional, depths)
--- a/internal/backend/families_test.go
+++ b/internal/backend/families_test.go
@@ -167,3 +167,14 @@
 		g.Expect(sendLong(set, now.Add(time.Duration(i)*time.Second), "b2")).To(Equal(first))
 	}
 }
+
+// Guards against a retention time that falls to its minimum while the index of a router that has just
+// started, or lost its source, is empty.
+func TestRetentionIsNotLearnedFromAnIndexThatIsNotLoaded(t *testing.T) {
+	g, set := NewWithT(t), newRegionSet(testRegions, 8)
+	for i := range 20 {
+		now, query := start.Add(time.Duration(i)*5*time.Second), longPromptQuery("a1")
+		set.BeginQuery(now, chooseRunner(set, now, query, testRandom()), 3000, query)
+	}
+	g.Expect(set.regions.families.retentionOf(ringKey{service: "s", region: "a"})).To(Equal(initialRetention))
+}
