--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -117,19 +117,20 @@
 	reservations := s.gateway.loadShedder.TakeReservations()
 	s.gateway.mutex.Unlock()
 	nearTargets, farTargets := s.loadTargets(s.gateway.now())
-	far.add(loads, reservations)
 	if full {
 		routers := 0
 		if s.isScheduler() {
 			// Only seeds say how many routers receive changes through them.
 			routers = s.gateway.peerRouters.countRouters()
 		}
-		// What was collected before is part of all loads, unless it has ended.
+		// All loads replace the changes collected before, but not the reservations.
+		far.add(nil, reservations)
 		_, farReservations := far.take()
 		s.sendFullReport(nearTargets, loads, reservations, usage, routers)
 		s.sendFullReport(farTargets, loads, farReservations, usage, routers)
 		return
 	}
+	far.add(loads, reservations)
 	s.sendChanges(nearTargets, loads, reservations)
 	if round%farReportRounds == 0 {
 		loads, reservations = far.take()
