--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -198,10 +198,11 @@
 }
 
 // referral returns the address that the pulling router should pull from instead, or "". An
-// overloaded seed refers it to a relay of its zone, and any seed does so with routers of regions without a
-// seed: changes then cross the border once for each zone, and not once for each router. Standby schedulers
-// stay, because the seed selects them from the routers that pull from it. A router that has a relay itself refers to that
-// one, so that changes never need more than two hops. The mutex must be held.
+// overloaded seed refers it to a relay of its zone, and any seed does so with routers of regions
+// without a seed: changes then cross the border once for each zone, and not once for each router.
+// Standby schedulers stay, because the seed selects them from the routers that pull from it. A router
+// that has a relay itself refers to that one, so that changes never need more than two hops. The mutex
+// must be held.
 func (r *peerRouters) referral(now time.Time, pull *wire.CopyPull) string {
 	if r.selector.HasSeed(pull.GetPeerAddress()) {
 		return ""
--- a/internal/peers/ranking.go
+++ b/internal/peers/ranking.go
@@ -1,7 +1,7 @@
 // Package peers ranks the routers that a router may send requests to: itself first, then routers
-// of its own zone and of its own region, and last those that did not reply recently. The delay before a request is
-// hedged to another router follows from the observed round trip times. The package also estimates
-// the number of routers of a system.
+// of its own zone and of its own region, and last those that did not reply recently. The delay before a
+// request is hedged to another router follows from the observed round trip times. The package also
+// estimates the number of routers of a system.
 //
 // The package has no I/O and no clock.
 package peers
