--- a/internal/versionrollout/account.go
+++ b/internal/versionrollout/account.go
@@ -23,7 +23,7 @@
 	report     Report
 	reportedAt time.Time
 	// isPromoted is set once the placer has reported to be promoted, until it has been silent for so long that
-	// its permit has ended.
+	// its permit has ended or a pause interrupts the promotion.
 	isPromoted bool
 	// openOld is the number of its open requests at other versions.
 	openOld uint64
@@ -80,6 +80,13 @@
 	}
 }
 
+// forgetPromoted makes a new promotion wait until the placers have reported to be promoted again.
+func (a *account) forgetPromoted() {
+	for _, p := range a.placers {
+		p.isPromoted = false
+	}
+}
+
 // granted returns how many requests this leader has allowed at the placer.
 func (p *placerAccount) granted() uint64 {
 	return max(p.allowance, p.report.Exposed) - p.exposedBefore
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -422,6 +422,20 @@
 	g.Expect(state).To(Equal(Succeeded))
 }
 
+// Guards against a success after a second promotion that a placer has confirmed in the first one only.
+func TestPauseEndsTheConfirmationsOfAPromotion(t *testing.T) {
+	g := NewWithT(t)
+	c := newTestController(nil)
+	report := placed(100, 0, 0)
+	report.Promoted = true
+	c.Report(at(70), own, report)
+	c.promotedAt = at(69)
+	g.Expect(c.account.placers[own].isPromoted).To(BeTrue())
+	g.Expect(c.isPaused(at(70), c.counts(at(70)), "bad answers")).To(BeTrue())
+	c.Report(at(70.25), own, placed(101, 0, 0))
+	g.Expect(c.account.placers[own].isPromoted).To(BeFalse())
+}
+
 // Guards against a good start that covers what comes later: recent answers are judged on their own.
 func TestVersionThatTurnsBadLate(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/versionrollout/pause.go
+++ b/internal/versionrollout/pause.go
@@ -30,6 +30,7 @@
 		}
 		c.pause = &pause{until: now.Add(length), start: total.clone(), reason: reason}
 		c.promotedAt = time.Time{}
+		c.account.forgetPromoted()
 	}
 	return c.pause != nil && c.pause.goesOn(now, total)
 }
