rolloutdriver: the order that was written last holds, whatever the sequence

A copy of the store lists changed objects in no order. With two orders for one service, routers could follow different ones, and each took the other's target version for the old one.

--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -140,7 +140,9 @@
 	delete(d.rejected, object.Name)
 	known := d.byService[order.Service]
 	if known != nil && known.name != object.Name {
-		if d.replaced[object.Name] == order {
+		// A copy of the store brings objects in any sequence.
+		if d.replaced[object.Name] == order || object.Revision < known.revision {
+			d.replaced[object.Name] = order
 			return
 		}
 		d.replaced[known.name] = known.stored.Order
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -241,6 +241,20 @@
 	f.g.Expect(target()).To(Equal("v0"))
 }
 
+// Guards against routers that follow different orders for a service, and take the target version of the other one
+// for the old version: a copy of the store brings objects in any sequence.
+func TestOrderThatWasWrittenLastHolds(t *testing.T) {
+	f := newTestFleet(t, 1)
+	r := f.routers[0]
+	first := versionrollout.Order{Service: testService, Target: "v0", Duration: time.Hour}
+	second := versionrollout.Order{Service: testService, Target: testTarget, Duration: time.Hour}
+	r.Apply(Object{Name: "second", Revision: 2, Rollout: &StoredRollout{Order: second}})
+	r.Apply(Object{Name: "first", Revision: 1, Rollout: &StoredRollout{Order: first}})
+	f.g.Expect(r.Summaries(f.now)[0].Target).To(Equal(testTarget))
+	r.Apply(Object{Name: "first", Revision: 3, Rollout: &StoredRollout{Order: first, Status: &Status{}}})
+	f.g.Expect(r.Summaries(f.now)[0].Target).To(Equal(testTarget), "the status of the first order was written")
+}
+
 func TestDeletedOrderSendsNothingMore(t *testing.T) {
 	f := newTestFleet(t, 3)
 	f.order(testDuration)
