--- a/internal/versionrollout/versionrollout.go
+++ b/internal/versionrollout/versionrollout.go
@@ -12,7 +12,6 @@
 package versionrollout
 
 import (
-	"maps"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -137,12 +136,6 @@
 	Routes  map[string]RouteTally
 }
 
-// Clone returns a copy that shares nothing with the report.
-func (r Report) Clone() Report {
-	r.Routes = maps.Clone(r.Routes)
-	return r
-}
-
 // Source identifies one run of a router that reports.
 type Source struct {
 	Router      string
