versionrollout: no promotion of a version that has answered nothing

From 80% of the duration on, a version was promoted without answers.

A promotion now needs as many answers as could condemn the version, unless so few requests are expected that the bound covers all of them. After the deadline, when no request counts any more, tests go on with their small share until there are answers. Two tests had a version succeed with no answer; they now give it some, and ask that it does not succeed before.

--- a/internal/versionrollout/allowances.go
+++ b/internal/versionrollout/allowances.go
@@ -17,6 +17,9 @@
 	testPart = 0.2
 	// minAnswers is the number of answers of the target version for which the promotion waits.
 	minAnswers = 10
+	// fewRequests is the number of requests until the deadline below which no answer is needed: all of
+	// them fit into a slack of some tens of requests.
+	fewRequests = 4 * minAnswers
 )
 
 // reserveSteps is the number of steps in which the expected bound is reserved. A change of the leader
@@ -66,7 +69,7 @@
 	if expected == 0 {
 		return 0
 	}
-	if c.forecast.untilFit <= 0 {
+	if c.forecast.untilFit <= 0 && !c.isUnlimited(now) {
 		return 1
 	}
 	share := c.stepPart(now) * testPart * budgetMargin * (c.config.MaxShare + c.config.Slack/expected)
@@ -115,6 +118,10 @@
 		return permit
 	}
 	permit.Share = c.decision.Share
+	if c.isUnlimited(now) {
+		permit.Allowance = p.report.Exposed + c.expectedAt(now, p, total, permit.Share)
+		return permit
+	}
 	permit.Allowance = c.account.grant(p, p.report.Exposed+c.expectedAt(now, p, total, permit.Share), uint64(c.testLimit(now, total)))
 	return permit
 }
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -248,12 +248,23 @@
 	if progress < promoteAt || !c.hearsPlacers(now) || !c.capacity.suffices() {
 		return false
 	}
-	if total.requests > 0 && total.sum.Target.Answers < minAnswers && progress < answersAt {
+	if !c.hasEvidence(now, total) {
 		return false
 	}
 	return c.history.worseSinceBase(total, finalStrength) == ""
 }
 
+// hasEvidence reports whether the target version has answered enough requests for a promotion. Fewer answers than
+// could condemn it never suffice, unless the service has so few requests that the bound covers all of them: after the
+// loss of the routers that counted the answers, the promotion waits for new ones, also beyond the deadline.
+func (c *Controller) hasEvidence(now time.Time, total counts) bool {
+	answers := total.sum.Target.Answers
+	if c.knownRequests(total) == 0 || answers >= minAnswers {
+		return true
+	}
+	return c.progress(now) >= answersAt && (answers >= minBadAnswers || c.expectedRequests(now, total) < fewRequests)
+}
+
 // isLastMoment reports whether the promotion must start now for the end before the deadline, and the budget
 // suffices for what comes after the end. Until then, allowances keep to the budget.
 func (c *Controller) isLastMoment(now time.Time, total counts) bool {
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -319,7 +319,8 @@
 	g.Expect(report.Exposed).To(BeZero())
 	c.Report(at(105), other, Report{Promoted: true, OpenOld: 3})
 	g.Expect(steps(c, own, 105, 105.75, report, noneBad).State).To(Equal(Running), "requests at the old runners are still open")
-	g.Expect(steps(c, own, 106, 108, report, noneBad).State).To(Equal(Succeeded))
+	g.Expect(steps(c, own, 106, 108, report, noneBad).State).To(Equal(Running), "nothing has been tested")
+	g.Expect(steps(c, own, 108, 160, report, noneBad).State).To(Equal(Succeeded))
 }
 
 // Guards against an end in a burst that would exceed the bound after the old runners have stopped.
@@ -392,7 +393,8 @@
 		permit := c.Permit(at(second), own)
 		failing := promotions > 0
 		exposed := tally.Target.Answers
-		if permit.Promoted && exposed < permit.Allowance {
+		isTest := !permit.Promoted && (tally.Old.Answers+exposed)%60 == 59
+		if (permit.Promoted || isTest) && exposed < permit.Allowance {
 			tally.Target.Answers++
 			if failing {
 				tally.Target.Bad++
@@ -468,6 +470,33 @@
 	g.Expect(decision.Reason).To(ContainSubstring("route quiet"))
 }
 
+// Guards against a promotion on the word of nobody: all routers restarted, what was counted is lost, and
+// the reservation leaves nothing for further tests before the deadline.
+func TestVersionIsTestedBeyondTheDeadlineAfterTheLossOfAllCounts(t *testing.T) {
+	for name, bad := range map[string]bool{"good": false, "bad": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newTestController(func(config *Config) {
+				config.Reserved, config.Requests, config.LeaderSince = 120, 840, at(70)
+			})
+			badOf := noneBad
+			if bad {
+				badOf = func(exposed uint64) uint64 { return exposed }
+			}
+			report := &Report{}
+			decision := steps(c, own, 70, 100, report, badOf)
+			g.Expect(decision.Phase).To(Equal(Testing))
+			g.Expect(decision.State).To(Equal(Running))
+			exposedBefore := report.Exposed
+			decision = steps(c, own, 100.25, 110, report, badOf)
+			g.Expect(decision.State).To(Equal(Running))
+			g.Expect(report.Exposed-exposedBefore).To(BeNumerically("<=", 5), "tests go on with a small share")
+			decision = steps(c, own, 110.25, 200, report, badOf)
+			g.Expect(decision.State).To(Equal(map[bool]State{false: Succeeded, true: RolledBack}[bad]))
+		})
+	}
+}
+
 func TestFinalStateStays(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestController(nil)
