versionrollout: reservations rise in steps while a version is tested

The limit for tests rises with each request, and each rise was reserved at once: 1,159 writes of the status in ten minutes, each of which all routers receive. In the promotion nothing changes.

--- a/internal/versionrollout/allowances.go
+++ b/internal/versionrollout/allowances.go
@@ -85,9 +85,9 @@
 		return 0
 	}
 	step := (c.config.MaxShare*c.expectedRequests(now, total) + c.config.Slack) / reserveSteps
-	limit := c.testLimit(now, total)
+	limit, leastRise := c.testLimit(now, total), min(step, float64(c.account.reserved))/4
 	if !c.promotedAt.IsZero() || fits < reserveInterval && c.progress(now) >= promoteAt {
-		limit = c.budget(total)
+		limit, leastRise = c.budget(total), 0
 		step = max(step, c.forecast.rate*reserveInterval.Seconds())
 	}
 	allowed := float64(c.account.allowed())
@@ -95,6 +95,10 @@
 	if c.isUnlimited(now) || wanted <= c.account.reserved || float64(c.account.reserved)-allowed > step/2 {
 		return 0
 	}
+	if float64(wanted-c.account.reserved) < leastRise {
+		// The limit rises with each request. Each rise is a write that all routers receive.
+		return 0
+	}
 	c.reservedAt = now
 	return wanted
 }
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -497,6 +497,21 @@
 	}
 }
 
+// Guards against a write to the store every half second for the whole rollout: the budget grows with each
+// request, and each bit of it was reserved at once.
+func TestReservationsAreMadeInSteps(t *testing.T) {
+	g := NewWithT(t)
+	c, report, reservations, reserved := newTestController(func(config *Config) { config.Order.Duration = 10 * time.Minute }), &Report{}, 0, uint64(0)
+	for second := 0.0; second < 550; second += 0.25 {
+		steps(c, own, second, second, report, noneBad)
+		if c.account.reserved > reserved {
+			reservations, reserved = reservations+1, c.account.reserved
+		}
+	}
+	g.Expect(report.Exposed).To(BeNumerically(">", 50))
+	g.Expect(reservations).To(BeNumerically("<=", 2*reserveSteps))
+}
+
 func TestFinalStateStays(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestController(nil)
