--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -268,7 +268,8 @@
 	if c.schedulerChoice == nil && !c.continuing && g.fairShares.tracksUsage() {
 		g.fairShares.refund(c.gateway.now(), c.query, c.currentSend, outcome)
 	}
-	if c.schedulerChoice == nil && !c.continuing && g.rolloutDriver.IsPlacer() {
+	// Without a rollout the query names no route.
+	if c.query.Route != "" && c.schedulerChoice == nil && !c.continuing && g.rolloutDriver.IsPlacer() {
 		end.RoundTrip = g.runners.RoundTrip(c.query.Zone, c.currentSend)
 		g.rolloutDriver.RecordOutcome(c.gateway.now(), c.query, c.currentSend, end)
 	}
