gateway, distance: settings that name one region never stop a router

A router refused to start if the settings' zones lacked its own, also where they name a single region, which nothing uses and did not read. The check applies to two regions or more. A zone without a region made regions of one, by the order of a map (the test failed before).

--- a/internal/distance/distance.go
+++ b/internal/distance/distance.go
@@ -62,6 +62,9 @@
 	t := &Table{config: config, links: map[string]*link{}}
 	first := ""
 	for _, region := range config.Regions {
+		if region == "" {
+			continue
+		}
 		t.hasRegions = t.hasRegions || first != "" && region != first
 		first = region
 	}
--- a/internal/distance/distance_test.go
+++ b/internal/distance/distance_test.go
@@ -105,6 +105,14 @@
 
 // Guards against a zone outside the settings that counts as another region, that changes the typical
 // times, or that fills the memory.
+// Guards against regions that depend on the order of a map: a zone without a region is none of its own.
+func TestZoneWithoutRegionIsNoRegion(t *testing.T) {
+	g := NewWithT(t)
+	for range 20 {
+		g.Expect(New(Config{Zone: "a1", Regions: map[string]string{"a1": "a", "x1": ""}}).HasRegions()).To(BeFalse())
+	}
+}
+
 func TestUnknownZone(t *testing.T) {
 	g, table := NewWithT(t), testTable()
 	g.Expect(table.Region("x")).To(BeEmpty())
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -224,9 +224,10 @@
 	return append(faults, s.checkRegions()...)
 }
 
-// checkRegions returns the errors in the regions. Settings without regions are valid.
+// checkRegions returns the errors in the regions. Where the settings name fewer than two, nothing uses
+// them, and a router must not refuse to start because of them.
 func (s *Settings) checkRegions() []string {
-	if len(s.ZoneRegions) == 0 {
+	if len(slices.Compact(slices.Sorted(maps.Values(s.ZoneRegions)))) < 2 {
 		return nil
 	}
 	var faults []string
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -22,7 +22,11 @@
 		"region from the zone": {func(s *Settings) { s.Region = "" }, ""},
 		"unknown zone":         {func(s *Settings) { s.Zone = "c1" }, `zone: "c1" is not among the zones`},
 		"other region":         {func(s *Settings) { s.Region = "b" }, `region: "b" is not the region of zone "a1", which is "a"`},
-		"zone without region":  {func(s *Settings) { s.ZoneRegions["b1"] = "" }, `zones: zone "b1" has no region`},
+		"one region, unknown zone": {func(s *Settings) {
+			s.Zone = "c1"
+			delete(s.ZoneRegions, "b1")
+		}, ""},
+		"zone without region": {func(s *Settings) { s.ZoneRegions["b1"] = "" }, `zones: zone "b1" has no region`},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
