rolloutdriver: versions that no known order names get no requests

Runners of a later order are listed as soon as it is written, and the store may bring the order seconds later. While an order is known, requests that name no version go to the version that the service had before, or to the target version after its success. The test fails before.

--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -54,7 +54,8 @@
 	// replaced holds the orders that one of another name has replaced for their service, by name. They
 	// don't come back into force by a change of their status.
 	replaced map[string]versionrollout.Order
-	// baseVersions holds, by service, the version that gets requests without an order.
+	// baseVersions holds, by service, the version that gets requests without an order, or beside one that
+	// has not succeeded.
 	baseVersions map[string]string
 }
 
@@ -260,14 +261,27 @@
 	d.ports.Log.Log(events.RolloutEnded, events.Fields{"service": r.stored.Order.Service, "target": r.stored.Order.Target, "state": state.String(), "reason": reason})
 }
 
-// rule returns which versions get the requests that name none. While the service is moved, the
-// requests for the target version name it.
-func (r *serviceRollout) rule() backend.VersionRule {
-	target := r.stored.Order.Target
+// orderRule returns which versions get the requests that name none while the order is known: the version that the
+// service had before, or the target version after the success. While the service is moved, the requests for the
+// target version name it. Any other version belongs to a later order that this router does not know yet: its
+// runners are listed as soon as that order is written. The mutex must be held.
+func (d *Driver) orderRule(service string, r *serviceRollout, counts map[string]int) backend.VersionRule {
+	target, base := r.stored.Order.Target, d.baseVersions[service]
 	if r.state == versionrollout.Succeeded {
+		d.baseVersions[service] = target
 		return backend.VersionRule{Only: target}
 	}
-	return backend.VersionRule{Excluded: target}
+	isPromoted := r.stored.Status != nil && r.stored.Status.Promoted
+	if base == target || counts[base] == 0 && !isPromoted {
+		others := maps.Clone(counts)
+		delete(others, target)
+		base = baseVersion("", others)
+	}
+	if base == "" {
+		return backend.VersionRule{Excluded: target}
+	}
+	d.baseVersions[service] = base
+	return backend.VersionRule{Only: base}
 }
 
 // UpdateRules sets which versions of each service get requests. Without an order that is the version
@@ -296,8 +310,7 @@
 	rules := map[string]backend.VersionRule{}
 	for _, service := range services {
 		if r := d.byService[service]; r != nil {
-			rules[service] = r.rule()
-			delete(d.baseVersions, service)
+			rules[service] = d.orderRule(service, r, counts[service])
 			continue
 		}
 		if base := baseVersion(d.baseVersions[service], counts[service]); base != "" {
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -1,6 +1,7 @@
 package rolloutdriver
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -205,6 +206,30 @@
 	f.g.Expect(after).To(BeNumerically(">=", 0.9*float64(before)), "the store had at least nine tenths of the requests")
 }
 
+// Guards against requests to the runners of a later order that this router does not know yet: they are listed
+// as soon as that order is written, and the store may bring the order seconds later.
+func TestVersionOfAnUnknownOrderGetsNoRequests(t *testing.T) {
+	for name, bad := range map[string]bool{"running": false, "rolled back": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(t, 1)
+			f.isBad = bad
+			f.order(testDuration)
+			f.run(testDuration / 2)
+			r := f.routers[0]
+			f.g.Expect(f.state()).To(Equal(map[bool]versionrollout.State{false: versionrollout.Running, true: versionrollout.RolledBack}[bad]))
+			for i := range 4 {
+				r.set.Put(backend.Runner{ID: fmt.Sprint("later-", i), Service: testService, Zone: "z", SoftwareVersion: "v3", Slots: 8})
+			}
+			r.UpdateRules()
+			_, candidates := r.set.Candidates(f.now, backend.Query{Service: testService})
+			f.g.Expect(candidates).To(HaveLen(4))
+			for _, candidate := range candidates {
+				f.g.Expect(candidate.Name).NotTo(HavePrefix("later"))
+			}
+		})
+	}
+}
+
 // Guards against an order that inherits the state or the account of the one that it replaces.
 func TestChangedOrderBeginsANewAccount(t *testing.T) {
 	f := newTestFleet(t, 3)
