--- a/internal/gateway/rolloutbound_test.go
+++ b/internal/gateway/rolloutbound_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against steps of a router that isn't a scheduler and holds the lease because runners need orders:
-// it hears no reports, so it would promote or roll back without evidence. It must not keep the lease from the
+// it receives no reports, so it would promote or roll back without evidence. It must not keep the lease from the
 // schedulers once these are back, although a runner still needs orders.
 func TestRouterThatIsNoSchedulerTakesNoStep(t *testing.T) {
 	t.Parallel()
@@ -99,7 +99,7 @@
 	f.expectExposureInBound()
 }
 
-// lateRouter starts a router that hears of the store's changes through links of its own to the seeds. The
+// lateRouter starts a router that learns of the store's changes through links of its own to the seeds. The
 // returned function cuts these links and the one to the store.
 func (f *rolloutFleet) lateRouter() (late *router, cutOff func()) {
 	bindAddress := loopback.FreeAddress()
@@ -121,7 +121,7 @@
 	}
 }
 
-// Guards against refused callers at routers that choose by themselves and hear late of the success, as
+// Guards against refused callers at routers that choose by themselves and learn late of the success, as
 // the old runners stop at once. They serve, also what can't be repeated, once they know of the promotion.
 func TestRouterThatHearsLateOfTheSuccessServesItsCallers(t *testing.T) {
 	t.Parallel()
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -75,7 +75,7 @@
 	f.expectWithinBound()
 }
 
-// Guards against a scheduler that uses its allowance without a leader that hears of it.
+// Guards against a scheduler that uses its allowance without a leader that learns of it.
 func TestSchedulerThatIsCutOffFromTheLeaderSendsNothing(t *testing.T) {
 	f := newTestFleet(t, 3)
 	f.order(testDuration)
@@ -421,7 +421,7 @@
 }
 
 // Guards against tests with requests that may crash runners, with retries, and with requests whose router
-// has not heard of the order.
+// has not learned of the order.
 func TestRequestsThatTestNothing(t *testing.T) {
 	f := newTestFleet(t, 1)
 	f.order(testDuration)
--- a/internal/rolloutdriver/placer.go
+++ b/internal/rolloutdriver/placer.go
@@ -108,7 +108,7 @@
 //
 // The promotion begins only when the requests that can still come until the deadline, estimated from above,
 // fit into the bound. A request that would otherwise have gone to the old version is one of these, and goes
-// to the target version once. Without this rule a router that hears of the success late would refuse its
+// to the target version once. Without this rule a router that learns of the success late would refuse its
 // callers, as the old runners stop at once.
 func (d *Driver) Fallback(query backend.Query, hasFailedThere func(target string) bool) string {
 	if !d.isEnabled() || query.TargetVersion != "" {
--- a/internal/rolloutdriver/report.go
+++ b/internal/rolloutdriver/report.go
@@ -15,7 +15,7 @@
 	// runs. Several reports fit into the validity of a permit. The leader may ask for more.
 	reportInterval = 250 * time.Millisecond
 	// nearDeadline is how long before the deadline a placer reports each nearDeadlineInterval, also if
-	// no leader has asked for it, so that a new leader hears of it in time.
+	// no leader has asked for it, so that a new leader learns of it in time.
 	nearDeadline         = time.Second
 	nearDeadlineInterval = 100 * time.Millisecond
 	// minReportInterval bounds what the leader may ask for.
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -207,9 +207,9 @@
 	return true
 }
 
-// hearsPlacers reports whether what this leader knows of the service may be taken for all that there is:
+// receivesReports reports whether what this leader knows of the service is complete:
 // another scheduler reports to it, or it places requests itself, or there is no other scheduler.
-func (c *Controller) hearsPlacers(now time.Time) bool {
+func (c *Controller) receivesReports(now time.Time) bool {
 	for source, p := range c.account.placers {
 		_, isOther := c.schedulers[source.Router]
 		if p.isLive(now) && (isOther || len(c.schedulers) == 0 || p.report.Requests > 0) {
@@ -227,7 +227,7 @@
 	if reason := c.history.worse(total); reason != "" {
 		return reason
 	}
-	if now.Before(c.endAt()) || !c.hearsPlacers(now) {
+	if now.Before(c.endAt()) || !c.receivesReports(now) {
 		return ""
 	}
 	if c.capacity.TargetRunners == 0 {
@@ -245,7 +245,7 @@
 // mayPromote reports whether the evidence allows the promotion.
 func (c *Controller) mayPromote(now time.Time, total counts) bool {
 	progress := c.progress(now)
-	if progress < promoteAt || !c.hearsPlacers(now) || !c.capacity.suffices() {
+	if progress < promoteAt || !c.receivesReports(now) || !c.capacity.suffices() {
 		return false
 	}
 	if !c.hasEvidence(now, total) {
@@ -274,7 +274,7 @@
 
 // maySucceed reports whether the old runners may stop now.
 func (c *Controller) maySucceed(now time.Time, fits time.Duration) bool {
-	if now.Before(c.endAt()) || fits > 0 || !c.hearsPlacers(now) || !c.capacity.suffices() {
+	if now.Before(c.endAt()) || fits > 0 || !c.receivesReports(now) || !c.capacity.suffices() {
 		return false
 	}
 	if c.isUnlimited(now) && now.Sub(c.promotedAt) >= longestEndLead {
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -158,7 +158,7 @@
 	g.Expect(c.Step(at(90.3)).State).To(Equal(RolledBack))
 }
 
-// Guards against a leader that is cut off from all others and decides on what it heard before.
+// Guards against a leader that is cut off from all others and decides on what it received before.
 func TestLeaderThatIsCutOffDecidesNothing(t *testing.T) {
 	g := NewWithT(t)
 	c := newTestController(nil)
