gateway: metrics of failed dials to runners and of placed requests' ends

Neither logs nor metrics told a lost link from a lost runner, nor at a scheduler what the reports of other routers consist of.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,6 +178,7 @@
 	g.runners.SetRolloutTime(time.Duration(rolloutDeadlineShare * float64(settings.WeightDeadline)))
 	g.metrics = newMetrics(g)
 	ports.RunnerPool.OnOpen, ports.RunnerPool.OnSilentClosed = g.metrics.runnerConnections.Inc, g.metrics.silentRunnerConnections.Inc
+	ports.RunnerPool.OnDialError = g.metrics.countDialError
 	ports.RunnerPool.SilenceTimeout = runnerSilenceTimeout
 	g.schedulers, g.fairShares = newSchedulers(g), newFairShares(g)
 	g.crashDetector, g.suspects, g.signals = newCrashDetector(g), newSuspects(g), newSignals(g)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"errors"
+	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -67,6 +70,12 @@
 	// silentRunnerConnections counts idle connections to runners that were closed because they may
 	// no longer deliver data.
 	silentRunnerConnections prometheus.Counter
+	// runnerDialErrors counts the connections to runners that could not be opened.
+	runnerDialErrors *prometheus.CounterVec
+	// placedSendEnds counts the reported ends of requests that this router placed for others, and
+	// placedSendWaits observes how long those had been open of which no response began.
+	placedSendEnds  *prometheus.CounterVec
+	placedSendWaits prometheus.Histogram
 
 	// suspendedSeconds counts the seconds for which the machine was suspended.
 	suspendedSeconds prometheus.Counter
@@ -146,6 +155,11 @@
 		silentRunnerConnections: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runner_connections_silent_total", Help: "Kept connections to runners that were closed unused, as they may have fallen silent.",
 		}),
+		runnerDialErrors: newCounterVec("runner_dial_errors_total", "Connections to runners that could not be opened, by cause.", "cause"),
+		placedSendEnds:   newCounterVec("placed_request_ends_total", "Reported ends of requests that this router placed for others, by outcome and whether their sender had begun to send them.", "outcome", "sent"),
+		placedSendWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "placed_request_wait_seconds", Help: "Time that requests placed for others were counted at their runner although no response began.", Buckets: latencyBuckets,
+		}),
 		suspendedSeconds: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "suspended_seconds_total", Help: "Time for which the machine was suspended since the process started.",
 		}),
@@ -184,7 +198,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
@@ -309,6 +323,34 @@
 	return outcomeFailed
 }
 
+// Causes of failed dials, as in metrics.
+const (
+	dialRefused = "refused"
+	dialTimeout = "timeout"
+	dialFailed  = "other"
+)
+
+// countDialError records a connection to a runner that could not be opened.
+func (m *metrics) countDialError(err error) {
+	cause := dialFailed
+	var netErr net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		cause = dialRefused
+	case errors.As(err, &netErr) && netErr.Timeout():
+		cause = dialTimeout
+	}
+	m.runnerDialErrors.WithLabelValues(cause).Inc()
+}
+
+// observePlacedSendEnd records the reported end of a request that this router placed for another.
+func (m *metrics) observePlacedSendEnd(outcome backend.Outcome, notSent, responded bool, open time.Duration) {
+	m.placedSendEnds.WithLabelValues(outcome.String(), strconv.FormatBool(!notSent)).Inc()
+	if !responded {
+		m.placedSendWaits.Observe(open.Seconds())
+	}
+}
+
 func renewalOutcomeLabel(changed bool) string {
 	if changed {
 		return "changes"
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -195,6 +195,7 @@
 	s.placedSends.LearnVersion(key, notice.GetWeights())
 	if notice.GetEnded() {
 		if query, send, found := s.placedSends.Get(key); found {
+			s.gateway.metrics.observePlacedSendEnd(outcome, notice.GetNotSent(), send.Responded(), s.gateway.now().Sub(send.SentAt()))
 			s.gateway.fairShares.refund(s.gateway.now(), query, send, outcome)
 			s.gateway.rolloutDriver.RecordOutcome(s.gateway.now(), query, send, rolloutdriver.SendEnd{
 				Outcome: outcome, NotSent: notice.GetNotSent(), ConnectionLost: notice.GetConnectionLost(), RoundTrip: s.gateway.runners.RoundTrip(query.Zone, send),
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -47,6 +47,9 @@
 	idle  map[string][]*conn
 	// OnOpen is called for each new connection; it may be nil.
 	OnOpen func()
+	// OnDialError is called for each connection that could not be opened, unless the context of
+	// the request ended; it may be nil.
+	OnDialError func(error)
 	// SilenceTimeout is how long the server may take to respond to a request on a
 	// reused connection. After that, the connections to that server are closed that
 	// have been idle since before the request was sent, because what broke one
@@ -91,6 +94,9 @@
 	}
 	netConn, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
+		if p.OnDialError != nil && ctx.Err() == nil {
+			p.OnDialError(err)
+		}
 		return nil, errors.Join(ErrNotSent, err)
 	}
 	if p.OnOpen != nil {
