--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -35,6 +35,8 @@
 	cacheReader gateway.CacheReader
 	// dials can block the routers' connections to runners; nil blocks none.
 	dials *dialBlocker
+	// links are the links to runners of the next router that is started; nil for none.
+	links *runnerLinks
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -146,6 +148,7 @@
 	seeds         []string
 	log           *logBuffer
 	clock         *suspendableClock
+	links         *runnerLinks
 }
 
 // suspendableClock simulates a machine that is suspended by a test. As on a real machine, the
@@ -209,6 +212,9 @@
 	if f.dials != nil {
 		runnerPool.Dial = f.dials.dial
 	}
+	if f.links != nil {
+		runnerPool.Dial, callPool.Dial = f.links.dial, f.links.dial
+	}
 	log, clock := &logBuffer{}, &suspendableClock{}
 	started, err := gateway.Start(settings, gateway.Ports{
 		Protocol: platform.Protocol{}, Decode: platform.Decode, Store: &platform.StoreClient{Address: settings.StoreAddress, Pool: callPool},
@@ -216,7 +222,7 @@
 	}, events.NewLogger(log, name, logrus.InfoLevel))
 	f.g.Expect(err).NotTo(HaveOccurred())
 	f.t.Cleanup(started.Kill)
-	return &router{Gateway: started, fleet: f, storeEndpoint: endpoint, address: settings.CallerAddress, readyAddress: settings.ReadyAddress, seeds: settings.Seeds, log: log, clock: clock}
+	return &router{Gateway: started, fleet: f, storeEndpoint: endpoint, address: settings.CallerAddress, readyAddress: settings.ReadyAddress, seeds: settings.Seeds, log: log, clock: clock, links: f.links}
 }
 
 // servingRouter starts a gateway and waits until it is ready and knows at least one runner.
