--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -112,17 +112,29 @@
 }
 
 // gatewayState returns "refusing keys" for a gateway that refuses requests with a key because
-// its configuration is not proven to be current.
+// its configuration is not proven to be current, and "forwarding" with the services for one that sends
+// their requests through other gateways.
 func gatewayState(status *gateway.Status) string {
 	switch {
 	case status.Draining:
 		return "draining"
 	case !status.Proven:
 		return "refusing keys"
+	case len(status.ImpairedPaths) > 0:
+		return "forwarding " + formatPaths(status.ImpairedPaths)
 	}
 	return "serving"
 }
 
+// formatPaths returns "service (state)" for each service whose runners the gateway cannot reach.
+func formatPaths(paths []gateway.PathStatus) string {
+	parts := make([]string, 0, len(paths))
+	for _, path := range paths {
+		parts = append(parts, fmt.Sprintf("%s (%s)", path.Service, path.State))
+	}
+	return strings.Join(parts, ", ")
+}
+
 // formatProofAge returns how long ago the gateway's copy of the store was last proven to be
 // current.
 func formatProofAge(status *gateway.Status) string {
--- /dev/null
+++ b/internal/egress/paths.go
@@ -0,0 +1,289 @@
+// Package egress decides when a router forwards requests to another router because it cannot reach
+// the runners of a service itself, and to which one.
+//
+// The ingress router took a request from its caller. The egress router sends it to a runner. The
+// package has no I/O and no clock, and its types are not safe for concurrent use.
+package egress
+
+import (
+	"maps"
+	"time"
+)
+
+// State is the state of the links between this router and the runners of one service.
+type State uint8
+
+const (
+	// Direct means that requests are sent to runners over the router's own links.
+	Direct State = iota
+	// ReuseOnly means that open connections deliver but no new ones can be opened.
+	ReuseOnly
+	// Cut means that nothing reaches the runners.
+	Cut
+)
+
+// String returns the name of the state in logs, metrics and the status.
+func (s State) String() string { return [...]string{"direct", "reuse only", "cut"}[s] }
+
+const (
+	// minRunners is the number of runners that must fail before the links are at fault and not the
+	// runners. Of a service with fewer runners, all must fail.
+	minRunners = 3
+	// silenceTimeout is how long nothing must have been heard from a service before its silence
+	// counts.
+	silenceTimeout = 250 * time.Millisecond
+	// verifiedTime is how long silence doesn't count after a runner has accepted a connection: its
+	// requests then wait because the runners are busy.
+	verifiedTime = 2 * time.Second
+	// minConfirmations is the number of runners that must accept a connection before the links count
+	// as restored.
+	minConfirmations = 2
+	// failureLifetime is how long a failure counts, for services without other requests.
+	failureLifetime = 10 * time.Second
+)
+
+// Paths records what this router observes of its links to runners, and derives the state of the links
+// to each service.
+type Paths struct{ services map[string]*servicePaths }
+
+// servicePaths is what was observed of the runners of one service.
+type servicePaths struct {
+	state State
+	since time.Time
+	// lastHeard is when a runner last sent anything or accepted a connection.
+	lastHeard time.Time
+	// verifiedAt is when a runner last accepted a connection.
+	verifiedAt time.Time
+	// failed holds the runners whose connections failed since lastHeard, and undialed those to which no
+	// connection could be opened since verifiedAt, with the times.
+	failed, undialed map[string]time.Time
+	// waits holds the sends without a response.
+	waits map[*Wait]struct{}
+	// confirmed holds the runners that accepted a connection since the state is not Direct.
+	confirmed map[string]struct{}
+	// restoredAt is when the state last became Direct again.
+	restoredAt time.Time
+}
+
+// Wait is a send that has not been answered yet.
+type Wait struct {
+	service, runner string
+	since           time.Time
+}
+
+// NewPaths returns Paths on which nothing has been observed.
+func NewPaths() *Paths { return &Paths{services: map[string]*servicePaths{}} }
+
+func (p *Paths) service(name string) *servicePaths {
+	known := p.services[name]
+	if known == nil {
+		known = &servicePaths{failed: map[string]time.Time{}, undialed: map[string]time.Time{}, waits: map[*Wait]struct{}{}, confirmed: map[string]struct{}{}}
+		p.services[name] = known
+	}
+	return known
+}
+
+// Retain forgets the services that are not in the configuration.
+func (p *Paths) Retain(isConfigured func(service string) bool) {
+	maps.DeleteFunc(p.services, func(name string, s *servicePaths) bool { return !isConfigured(name) && len(s.waits) == 0 })
+}
+
+// BeginWait records a send to a runner. EndWait must be called with the result.
+func (p *Paths) BeginWait(now time.Time, service, runner string) *Wait {
+	w := &Wait{service: service, runner: runner, since: now}
+	p.service(service).waits[w] = struct{}{}
+	return w
+}
+
+// EndWait records that a send is over or that its response has begun.
+func (p *Paths) EndWait(w *Wait) { delete(p.service(w.service).waits, w) }
+
+// Heard records that a runner sent something. Runners may send on open connections while new ones
+// cannot be opened, so this restores the links only if they were never found to be at fault.
+func (p *Paths) Heard(now time.Time, service string) {
+	s := p.service(service)
+	s.lastHeard = now
+	clear(s.failed)
+}
+
+// Connected records that a runner accepted a connection. It reports whether the state has changed.
+func (p *Paths) Connected(now time.Time, service, runner string, runnerCount int) (changed bool) {
+	p.Heard(now, service)
+	s := p.service(service)
+	s.verifiedAt = now
+	clear(s.undialed)
+	if s.state == Direct {
+		return false
+	}
+	s.confirmed[runner] = struct{}{}
+	if len(s.confirmed) < min(minConfirmations, runnerCount) {
+		return false
+	}
+	s.state, s.since, s.restoredAt = Direct, now, now
+	clear(s.confirmed)
+	return true
+}
+
+// DialFailed records that no connection to a runner could be opened.
+func (p *Paths) DialFailed(now time.Time, service, runner string) {
+	s := p.service(service)
+	s.undialed[runner], s.failed[runner] = now, now
+	clear(s.confirmed)
+}
+
+// ConnectionLost records that an open connection to a runner broke.
+func (p *Paths) ConnectionLost(now time.Time, service, runner string) {
+	p.service(service).failed[runner] = now
+}
+
+// Evaluate derives the state of the links to a service with the given number of runners from what was
+// observed. It reports whether the state has become worse.
+func (p *Paths) Evaluate(now time.Time, service string, runnerCount int) (worsened bool) {
+	s := p.service(service)
+	expire(s.failed, now)
+	expire(s.undialed, now)
+	next, required := s.state, min(minRunners, max(runnerCount, 1))
+	if p.isOtherCut(service, s.lastHeard) {
+		required = 1
+	}
+	switch {
+	case len(s.failed) >= required && s.failedDial():
+		next = Cut
+	case len(s.undialed) >= required:
+		next = max(next, ReuseOnly)
+	}
+	if next <= s.state {
+		return false
+	}
+	s.state, s.since = next, now
+	clear(s.confirmed)
+	return true
+}
+
+// failedDial reports whether one of the failures since lastHeard was a dial. Runners that end close their
+// connections too, but accept new ones when they are back.
+func (s *servicePaths) failedDial() bool {
+	for runner := range s.failed {
+		if _, undialed := s.undialed[runner]; undialed {
+			return true
+		}
+	}
+	return false
+}
+
+func expire(failures map[string]time.Time, now time.Time) {
+	maps.DeleteFunc(failures, func(_ string, at time.Time) bool { return now.Sub(at) >= failureLifetime })
+}
+
+// isOtherCut reports whether the links to another service were cut after the given time. The links to
+// all services are usually lost together.
+func (p *Paths) isOtherCut(service string, lastHeard time.Time) bool {
+	for name, other := range p.services {
+		if name != service && other.state == Cut && lastHeard.Before(other.since) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsSilent reports whether sends to several runners wait although nothing was heard from the service for
+// longer than silenceTimeout. That alone doesn't show that the links are at fault, since all runners may be
+// busy: the router then dials one of them.
+func (p *Paths) IsSilent(now time.Time, service string, runnerCount int) bool {
+	s := p.service(service)
+	if s.state == Cut || now.Sub(s.lastHeard) < silenceTimeout || now.Sub(s.verifiedAt) < verifiedTime {
+		return false
+	}
+	required := min(minRunners, max(runnerCount, 1))
+	if p.isOtherCut(service, s.lastHeard) {
+		required = 1
+	}
+	waiting := map[string]struct{}{}
+	for w := range s.waits {
+		if now.Sub(w.since) >= silenceTimeout {
+			waiting[w.runner] = struct{}{}
+		}
+	}
+	return len(waiting) >= required
+}
+
+// ConfirmSilence records that a runner of a silent service accepted no connection, which makes the
+// service Cut. It reports whether the state has changed.
+func (p *Paths) ConfirmSilence(now time.Time, service string, runnerCount int) (changed bool) {
+	if !p.IsSilent(now, service, runnerCount) {
+		return false
+	}
+	s := p.service(service)
+	s.state, s.since = Cut, now
+	clear(s.confirmed)
+	return true
+}
+
+// State returns the state of the links to a service.
+func (p *Paths) State(service string) State {
+	if s := p.services[service]; s != nil {
+		return s.state
+	}
+	return Direct
+}
+
+// Since returns since when the links to a service are in their state, zero if they always were.
+func (p *Paths) Since(service string) time.Time {
+	if s := p.services[service]; s != nil {
+		return s.since
+	}
+	return time.Time{}
+}
+
+// HeardSince reports whether anything was heard from the service after the given time.
+func (p *Paths) HeardSince(service string, since time.Time) bool {
+	s := p.services[service]
+	return s != nil && s.lastHeard.After(since)
+}
+
+// HeardFromOtherServices reports whether anything was heard from a service other than the named one after
+// the given time.
+func (p *Paths) HeardFromOtherServices(service string, since time.Time) bool {
+	for name, s := range p.services {
+		if name != service && s.lastHeard.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
+// AtFault reports whether the links to the service were or may have been at fault at any time since a
+// request was sent. Its outcome is then no evidence about its runner.
+func (p *Paths) AtFault(now time.Time, service string, sentAt time.Time, runnerCount int) bool {
+	s := p.services[service]
+	if s == nil {
+		return false
+	}
+	return s.state != Direct || s.restoredAt.After(sentAt) || p.IsSilent(now, service, runnerCount)
+}
+
+// Impaired returns the services whose links are not Direct.
+func (p *Paths) Impaired() []string {
+	var names []string
+	for name, s := range p.services {
+		if s.state != Direct {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// ReachesNone reports whether the links to a service are cut and nothing has been heard from any service
+// since.
+func (p *Paths) ReachesNone() bool {
+	var cutAt, heardAt time.Time
+	for _, s := range p.services {
+		if s.state == Cut && (cutAt.IsZero() || s.since.Before(cutAt)) {
+			cutAt = s.since
+		}
+		if s.lastHeard.After(heardAt) {
+			heardAt = s.lastHeard
+		}
+	}
+	return !cutAt.IsZero() && !heardAt.After(cutAt)
+}
--- /dev/null
+++ b/internal/egress/paths_test.go
@@ -0,0 +1,181 @@
+package egress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const (
+	service = "s"
+	other   = "t"
+	runners = 4
+)
+
+// failDials records failed dials to the given number of runners and evaluates the state.
+func failDials(p *Paths, now time.Time, service string, count int) (worsened bool) {
+	for i := range count {
+		p.DialFailed(now, service, fmt.Sprint("r", i))
+		worsened = p.Evaluate(now, service, runners) || worsened
+	}
+	return worsened
+}
+
+// Guards against a router that takes the loss of some runners for the loss of its links.
+func TestPathStateIsDirectWhileFewRunnersFail(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	p.Heard(start, service)
+	g.Expect(failDials(p, start.Add(1), service, minRunners-1)).To(BeFalse())
+	p.Heard(start.Add(2), service)
+	p.Connected(start.Add(3), service, "r3", runners)
+	g.Expect(failDials(p, start.Add(4), service, minRunners-1)).To(BeFalse())
+	g.Expect(p.State(service)).To(Equal(Direct))
+}
+
+func TestPathStateIsCutWhenNoRunnerCanBeReached(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	p.Heard(start, service)
+	g.Expect(failDials(p, start.Add(1), service, minRunners)).To(BeTrue())
+	g.Expect(p.State(service)).To(Equal(Cut))
+	g.Expect(p.ReachesNone()).To(BeTrue())
+	p.Heard(start.Add(2), other)
+	g.Expect(p.ReachesNone()).To(BeFalse(), "runners of another service are reached")
+}
+
+func TestPathStateOfSmallServiceIsCutWhenAllRunnersFail(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	p.DialFailed(start, service, "r0")
+	g.Expect(p.Evaluate(start, service, 2)).To(BeFalse())
+	p.DialFailed(start, service, "r1")
+	g.Expect(p.Evaluate(start, service, 2)).To(BeTrue())
+}
+
+func TestPathStateIsReuseOnlyWhileOpenConnectionsDeliver(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	for i := range minRunners {
+		p.DialFailed(start, service, fmt.Sprint("r", i))
+		p.Heard(start, service)
+	}
+	g.Expect(p.Evaluate(start, service, runners)).To(BeTrue())
+	g.Expect(p.State(service)).To(Equal(ReuseOnly))
+}
+
+// Guards against broken connections of runners that end, which accept new ones when they are back.
+func TestPathStateIsDirectWhenOnlyOpenConnectionsBreak(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	for i := range runners {
+		p.ConnectionLost(start, service, fmt.Sprint("r", i))
+	}
+	g.Expect(p.Evaluate(start, service, runners)).To(BeFalse())
+}
+
+// Guards against requests that are sent over a flapping link after each probe that succeeds.
+func TestPathStateIsDirectAgainOnlyAfterTwoRunnersAccept(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	failDials(p, start, service, minRunners)
+	g.Expect(p.Connected(start.Add(1), service, "r0", runners)).To(BeFalse())
+	g.Expect(p.Connected(start.Add(2), service, "r0", runners)).To(BeFalse(), "the same runner counts once")
+	p.DialFailed(start.Add(3), service, "r1")
+	g.Expect(p.Connected(start.Add(4), service, "r2", runners)).To(BeFalse(), "a failure in between starts anew")
+	g.Expect(p.Connected(start.Add(5), service, "r3", runners)).To(BeTrue())
+	g.Expect(p.State(service)).To(Equal(Direct))
+	g.Expect(p.AtFault(start.Add(6), service, start.Add(4), runners)).To(BeTrue(), "the request was sent before the links were restored")
+	g.Expect(p.AtFault(start.Add(6), service, start.Add(5), runners)).To(BeFalse())
+}
+
+// waitAt lets one send wait at each of the given number of runners.
+func waitAt(p *Paths, now time.Time, service string, count int) (waits []*Wait) {
+	for i := range count {
+		waits = append(waits, p.BeginWait(now, service, fmt.Sprint("r", i)))
+	}
+	return waits
+}
+
+// Guards against taking a sound runner that is silent for a second or more for a lost link.
+func TestSilenceOfOneRunnerIsNoCut(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	for range 8 {
+		p.BeginWait(start, service, "r0")
+	}
+	g.Expect(p.IsSilent(start.Add(2*time.Second), service, runners)).To(BeFalse())
+	g.Expect(p.ConfirmSilence(start.Add(2*time.Second), service, runners)).To(BeFalse())
+}
+
+func TestSilenceOfAllRunnersIsCutOnlyIfTheyAcceptNoConnection(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	waits := waitAt(p, start, service, minRunners)
+	now := start.Add(silenceTimeout)
+	g.Expect(p.IsSilent(now.Add(-1), service, runners)).To(BeFalse())
+	g.Expect(p.IsSilent(now, service, runners)).To(BeTrue())
+	p.Connected(now, service, "r0", runners)
+	g.Expect(p.IsSilent(now.Add(time.Second), service, runners)).To(BeFalse(), "the runners are busy")
+	now = now.Add(verifiedTime)
+	g.Expect(p.IsSilent(now, service, runners)).To(BeTrue())
+	p.DialFailed(now, service, "r0")
+	g.Expect(p.ConfirmSilence(now, service, runners)).To(BeTrue())
+	g.Expect(p.State(service)).To(Equal(Cut))
+	for _, w := range waits {
+		p.EndWait(w)
+	}
+	g.Expect(p.IsSilent(now, service, runners)).To(BeFalse())
+}
+
+// Guards against a service with few requests that is found to be cut long after the others, although the
+// links are the same.
+func TestOneFailureIsEnoughWhileAnotherServiceIsCut(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	p.Heard(start, other)
+	failDials(p, start.Add(1), service, minRunners)
+	p.DialFailed(start.Add(2), other, "x0")
+	g.Expect(p.Evaluate(start.Add(2), other, runners)).To(BeTrue())
+	p = NewPaths()
+	failDials(p, start.Add(1), service, minRunners)
+	p.Heard(start.Add(2), other)
+	p.DialFailed(start.Add(3), other, "x0")
+	g.Expect(p.Evaluate(start.Add(3), other, runners)).To(BeFalse(), "it was heard from since")
+}
+
+func TestOldFailuresDoNotCount(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	failDials(p, start, service, minRunners-1)
+	p.DialFailed(start.Add(failureLifetime), service, "r9")
+	g.Expect(p.Evaluate(start.Add(failureLifetime), service, runners)).To(BeFalse())
+}
+
+// A service from which something is heard at least as often as its runners fail is never Cut, and links
+// that work again are found to be Direct.
+func TestPathStateFollowsTheLinks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, now := NewPaths(), start
+		count := rapid.IntRange(1, 8).Draw(t, "runners")
+		linkWorks := true
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond)
+			name := fmt.Sprint("r", rapid.IntRange(0, count-1).Draw(t, "runner"))
+			if rapid.IntRange(0, 9).Draw(t, "change") == 0 {
+				linkWorks = !linkWorks
+			}
+			before := p.State(service)
+			if linkWorks {
+				p.Connected(now, service, name, count)
+			} else {
+				p.DialFailed(now, service, name)
+				p.Evaluate(now, service, count)
+			}
+			if after := p.State(service); linkWorks && after > before {
+				t.Fatalf("the state rose from %s to %s although a runner accepted a connection", before, after)
+			}
+		}
+		for i := range 2 * minConfirmations {
+			p.Connected(now, service, fmt.Sprint("r", i%count), count)
+		}
+		if p.State(service) != Direct {
+			t.Fatalf("the state is %s although %d runners accept connections", p.State(service), count)
+		}
+	})
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -110,7 +110,7 @@
 // routerStateEvents are the events that change the state of a router as a whole.
 var routerStateEvents = eventNumbers(
 	events.GatewayStarted, events.GatewayDraining, events.ConfigInForce, events.ConfigStale, events.ConfigProven, events.StoreUnavailable, events.StoreRecovered,
-	events.SourceChanged, events.WeightsNamed, events.CacheStoreAvailabilityChanged, events.LeaseAcquired, events.LeaseLost,
+	events.SourceChanged, events.WeightsNamed, events.CacheStoreAvailabilityChanged, events.LeaseAcquired, events.LeaseLost, events.PathStateChanged,
 )
 
 // runnerStateEvents are the events that change a router's view of one runner. They are
@@ -204,6 +204,10 @@
 	groups := map[[2]string]*FailureGroup{}
 	for _, line := range l.Lines {
 		id := line.StringField("request")
+		if line.StringField("ingress") != "" {
+			// The ingress router logs the outcome for the caller.
+			continue
+		}
 		switch line.Event {
 		case events.RequestAttemptFailed.Number:
 			lastReasons[id] = line.StringField("outcome") + ": " + line.StringField("cause")
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -38,6 +38,8 @@
 	for name, values := range c.gateway.ports.Protocol.ResponseHeaders(header) {
 		response[name] = values
 	}
+	response.Del(headerForwardResult)
+	c.setForwardResult(forwardResponse)
 }
 
 // forwardResponse buffers the runner's response and forwards it to the caller. A failure of a
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -17,6 +17,7 @@
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 // Limits of calls.
@@ -136,6 +137,14 @@
 	firstResponseAt time.Time
 	// stream is the state of the forwarded stream, nil before its first event.
 	stream *eventStream
+	// forwarded is the message with which another router forwarded the call, nil if this router took it
+	// from the caller.
+	forwarded *wire.ForwardedCall
+	// egressRouter is the router to which the call was last forwarded, and triedEgress are all of them.
+	egressRouter string
+	triedEgress  []string
+	// unsentInSuccession is the number of attempts since the last one that reached a runner.
+	unsentInSuccession int
 }
 
 // serveCall handles one HTTP request from a caller.
@@ -231,15 +240,38 @@
 	if refused := c.authenticate(fresh); refused != nil {
 		return refused
 	}
+	if refused := c.pickService(); refused != nil {
+		return refused
+	}
+	c.setDeadline()
+	c.attemptState = attempt.NewRequest(c.route.Repeatable(), attempt.Limits{MaxAttempts: c.maxAttempts(), MaxRefusals: maxRefusals, MaxUnsent: maxUnsent})
+	return nil
+}
+
+// pickService chooses the service among those of the route, unless the ingress router has chosen it.
+func (c *call) pickService() (refused *refusal) {
+	if c.isForwarded() {
+		if c.service, refused = c.forwardedService(); refused != nil {
+			return refused
+		}
+	}
 	c.gateway.mutex.Lock()
-	c.service = c.gateway.splitter.Pick(c.route)
+	defer c.gateway.mutex.Unlock()
+	if !c.isForwarded() {
+		c.service = c.gateway.splitter.Pick(c.route)
+	}
 	c.maxQueueTime = admission.DrawMaxQueue(c.route.LatencyTarget, c.rank(), c.gateway.random)
-	c.gateway.mutex.Unlock()
-	c.setDeadline()
-	c.attemptState = attempt.NewRequest(c.route.Repeatable(), attempt.Limits{MaxAttempts: max(c.route.MaxAttempts, 1), MaxRefusals: maxRefusals, MaxUnsent: maxUnsent})
 	return nil
 }
 
+// maxAttempts returns how many runners the call may be sent to.
+func (c *call) maxAttempts() int {
+	if c.isForwarded() {
+		return max(min(c.route.MaxAttempts, int(c.forwarded.GetAttemptsLeft())), 1)
+	}
+	return max(c.route.MaxAttempts, 1)
+}
+
 // authenticate sets the call's tenant from its key, unless the route is public or the
 // configuration has no keys.
 func (c *call) authenticate(fresh bool) *refusal {
@@ -312,18 +344,29 @@
 			c.giveUp(refused)
 			return
 		}
-		runner, refused := c.pickRunner()
+		next, refused = c.nextAttempt()
 		if refused != nil {
 			c.attemptState.Fail()
 			c.giveUp(refused)
 			return
 		}
-		c.runner = runner
-		next = c.send()
 	}
 	c.finish()
 }
 
+// nextAttempt sends the call to a runner, or to another router if this one cannot reach the runners.
+func (c *call) nextAttempt() (attempt.Action, *refusal) {
+	if c.shouldForward() {
+		return c.forward()
+	}
+	runner, refused := c.pickRunner()
+	if refused != nil {
+		return attempt.Stop, refused
+	}
+	c.runner = runner
+	return c.send(), nil
+}
+
 // finish ends a call after its last attempt.
 func (c *call) finish() {
 	if c.attemptState.Phase() == attempt.Complete {
--- /dev/null
+++ b/internal/gateway/forward.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/egress"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// The protocol of forwarded calls.
+const (
+	forwardPath = "/forwarded-call"
+	// headerForwardResult names, in the response of an egress router, what the response is.
+	headerForwardResult = "Clovertiller-Forward"
+	// headerRetryAfterMillis is the retry delay of a refusal.
+	headerRetryAfterMillis = "Clovertiller-Forward-Retry-Ms"
+)
+
+// Values of headerForwardResult.
+const (
+	// forwardResponse is a runner's response.
+	forwardResponse = "response"
+	// forwardRefused is the refusal of a call that has not run.
+	forwardRefused = "refused"
+	// forwardDeclined means that the egress router accepts no forwarded calls. The call has not run.
+	forwardDeclined = "declined"
+	// forwardFailed means that the call has failed and may have run.
+	forwardFailed = "failed"
+	// forwardUnreachable counts the calls whose egress router could not be reached or broke off.
+	forwardUnreachable = "unreachable"
+)
+
+const (
+	// maxForwardTries limits how many egress routers may decline one call.
+	maxForwardTries = 3
+	// minUnsentBeforeForward is how many attempts of a call must have reached no runner before it is
+	// forwarded although the links are not known to be at fault.
+	minUnsentBeforeForward = 2
+	// maxRefusalReason bounds the reason that is read from a refusal.
+	maxRefusalReason = 1 << 10
+)
+
+// reasonNoPath is the reason given to callers whose call no router could send to a runner.
+const reasonNoPath = "no runner of the service can be reached"
+
+// shouldForward reports whether the next attempt of the call is to forward it to another router.
+func (c *call) shouldForward() bool {
+	e := c.gateway.egress
+	if c.isForwarded() || c.continueAt != nil || !e.hasRouters() {
+		return false
+	}
+	switch e.pathState(c.service) {
+	case egress.Cut:
+		return true
+	case egress.ReuseOnly:
+		return c.lastNotSent
+	}
+	return c.lastNotSent && c.unsentInSuccession >= minUnsentBeforeForward && !e.heardSince(c.service, c.arrivedAt)
+}
+
+// forward forwards the call to another router and passes on its response. It returns a refusal if no
+// router accepts the call.
+func (c *call) forward() (attempt.Action, *refusal) {
+	g := c.gateway
+	c.placementRequest.discard()
+	c.placementRequest = nil
+	if refused := c.takeRetry(); refused != nil {
+		return attempt.Stop, refused
+	}
+	router, found := g.egress.next(c.service, c.triedEgress)
+	if !found || len(c.triedEgress) >= maxForwardTries {
+		if found {
+			g.egress.end(router, false)
+		}
+		if len(c.triedEgress) > 0 {
+			g.egress.recordUnserved(c.service)
+		}
+		return attempt.Stop, unavailable(reasonNoPath, busyRetryAfter)
+	}
+	c.triedEgress = append(c.triedEgress, router.Address)
+	c.attemptState.BeginDispatch(router.Address)
+	c.sentAt, c.egressRouter = g.now(), router.Address
+	result, action, refused := c.sendForward(router)
+	g.egress.end(router, result == forwardDeclined || result == forwardUnreachable)
+	g.metrics.forwardedCalls.WithLabelValues(c.service, result).Inc()
+	c.bufferLog(events.CallForwarded, events.Fields{"egress": router.Address, "zone": router.Zone, "service": c.service, "result": result, "after_ms": g.since(c.sentAt).Milliseconds()})
+	return action, refused
+}
+
+// takeRetry withdraws a retry from the budget if a runner may have got the call already.
+func (c *call) takeRetry() *refusal {
+	g := c.gateway
+	if c.attemptState.SentDispatches() == 0 || c.hasUnusedRetry {
+		return nil
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.retryBudget(c.service).TryWithdraw() {
+		g.metrics.retries.WithLabelValues(c.service, retryNoBudget).Inc()
+		return unavailable("the budget for further attempts is used up", busyRetryAfter)
+	}
+	c.hasUnusedRetry = true
+	g.metrics.retries.WithLabelValues(c.service, retrySent).Inc()
+	return nil
+}
+
+// sendForward sends the call to the egress router and handles the response. result is what the response
+// was.
+func (c *call) sendForward(router egress.Router) (result string, action attempt.Action, refused *refusal) {
+	request, err := c.newForwardRequest()
+	if err != nil {
+		// A call that net/http has parsed can be encoded.
+		panic("gateway: " + err.Error())
+	}
+	response, err := c.gateway.egress.pool.Send(c.ctx, router.Address, request)
+	if err != nil {
+		return forwardUnreachable, c.handleForwardError(err), nil
+	}
+	defer response.Body.Close()
+	result = response.Header.Get(headerForwardResult)
+	switch {
+	case result == forwardDeclined:
+		_, _, _ = response.Body.ReadAll(maxRefusalReason)
+		return result, c.attemptState.DispatchAborted(), nil
+	case result == forwardRefused:
+		return result, attempt.Stop, c.readRefusal(response)
+	}
+	c.hasUnusedRetry = false
+	switch {
+	case result == forwardResponse && c.route.Kind == routing.Streaming && isSuccess(response.Status):
+		action = c.forwardStream(response)
+		return c.forwardResult(), action, nil
+	case result == forwardResponse && c.stream == nil:
+		action = c.passOn(response)
+		return c.forwardResult(), action, nil
+	}
+	c.attemptState.ConnectionLost()
+	c.attemptState.Fail()
+	return forwardFailed, attempt.Stop, nil
+}
+
+// forwardResult returns the result of passing on a response: whether the egress router broke it off.
+func (c *call) forwardResult() string {
+	if c.attemptState.Phase() == attempt.Complete || c.lastFailure != nil || c.ctx.Err() != nil {
+		return forwardResponse
+	}
+	return forwardUnreachable
+}
+
+// newForwardRequest returns the request that carries the call to an egress router.
+func (c *call) newForwardRequest() (*httpconn.Request, error) {
+	message := &wire.ForwardedCall{
+		Method: c.incoming.Method, Target: requestTarget(c.incoming), Host: c.incoming.Host, Body: c.body, Service: c.service,
+		LeftMillis:   uint32(max(c.gateway.until(c.deadline).Milliseconds(), 1)),
+		AttemptsLeft: uint32(max(c.route.MaxAttempts-c.attemptState.SentDispatches()+1, 1)),
+		LastEvent:    c.metadata.LastEvent, From: c.gateway.settings.Node,
+	}
+	if c.stream != nil && c.stream.lastEvent != "" {
+		message.LastEvent = c.stream.lastEvent
+	}
+	for name, values := range c.incoming.Header {
+		message.Headers = append(message.Headers, &wire.HeaderField{Name: name, Values: values})
+	}
+	body, err := proto.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	protocol, id := c.gateway.ports.Protocol, c.metadata.ID
+	return &httpconn.Request{
+		Method: http.MethodPost, Target: forwardPath, Host: "router", Body: body,
+		MatchesResponse: func(header http.Header) bool {
+			return header.Get(headerForwardResult) == forwardDeclined || protocol.ParseResponse(0, header).RequestID == id
+		},
+	}, nil
+}
+
+// handleForwardError handles a forwarded call that got no response.
+func (c *call) handleForwardError(err error) attempt.Action {
+	notSent := errors.Is(err, httpconn.ErrNotSent)
+	if !notSent {
+		c.hasUnusedRetry = false
+	}
+	if c.ctx.Err() != nil {
+		if notSent {
+			c.attemptState.NotSent()
+		}
+		c.attemptState.Fail()
+		return attempt.Stop
+	}
+	if notSent {
+		return c.attemptState.NotSent()
+	}
+	return c.connectionLost()
+}
+
+// readRefusal returns the refusal of an egress router. A denial of a call that this router's
+// configuration allows is temporary: one of the two configurations is older.
+func (c *call) readRefusal(response *httpconn.Response) *refusal {
+	reason, _, err := response.Body.ReadAll(maxRefusalReason)
+	c.attemptState.Reject()
+	if err != nil {
+		reason = []byte(reasonNoPath)
+	}
+	retryAfter, _ := strconv.Atoi(response.Header.Get(headerRetryAfterMillis))
+	refused := &refusal{status: response.Status, reason: string(reason), retryAfter: time.Duration(retryAfter) * time.Millisecond}
+	if response.Status != http.StatusTooManyRequests && response.Status != http.StatusServiceUnavailable {
+		return unavailable(refused.reason, staleConfigRetryAfter)
+	}
+	return refused
+}
+
+// passOn passes on a whole response of a runner.
+func (c *call) passOn(response *httpconn.Response) attempt.Action {
+	body, truncated, err := response.Body.ReadAll(maxBufferedBody)
+	if err != nil {
+		return c.handleBrokenForward()
+	}
+	c.firstResponseAt = c.gateway.now()
+	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
+	if response.Status >= http.StatusInternalServerError {
+		c.lastFailure = buffered
+		c.attemptState.RunnerFailed()
+		c.attemptState.Fail()
+		return attempt.Stop
+	}
+	c.attemptState.MarkAccepted()
+	c.attemptState.Finish(c.attemptState.Attempt(), 0)
+	if truncated {
+		c.forwardLongResponse(buffered, response)
+		return attempt.Stop
+	}
+	buffered.writeTo(c)
+	return attempt.Stop
+}
+
+// forwardStream passes on a stream of a runner.
+func (c *call) forwardStream(response *httpconn.Response) attempt.Action {
+	remainder, err := copyEvents(response.Body, func(data []byte) error {
+		if c.stream == nil {
+			c.beginStreamResponse(response)
+		}
+		return c.writeToStream(data)
+	})
+	switch {
+	case errors.Is(err, errCallerDisconnected):
+		c.attemptState.Fail()
+		return attempt.Stop
+	case err != nil:
+		return c.handleBrokenForward()
+	}
+	if c.stream == nil {
+		c.beginStreamResponse(response)
+	}
+	if len(remainder) > 0 {
+		if _, err := c.writer.Write(remainder); err != nil {
+			c.attemptState.Fail()
+			return attempt.Stop
+		}
+	}
+	c.attemptState.MarkAccepted()
+	c.attemptState.Finish(c.attemptState.Attempt(), 0)
+	return attempt.Stop
+}
+
+// handleBrokenForward handles a response of an egress router that broke off. The call may have run.
+func (c *call) handleBrokenForward() attempt.Action {
+	if c.ctx.Err() != nil {
+		c.attemptState.Fail()
+		return attempt.Stop
+	}
+	return c.connectionLost()
+}
--- /dev/null
+++ b/internal/gateway/forwardserve.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+const (
+	// maxForwardedCalls is the number of forwarded calls that a router serves at a time. Further ones are
+	// declined, so that they leave memory and descriptors to its own callers.
+	maxForwardedCalls = 256
+	// maxForwardedHeaderBytes is the part of a forwarded call that is not the caller's body.
+	maxForwardedHeaderBytes = 2 * maxHeaderBytes
+)
+
+// isForwarded reports whether another router forwarded the call to this one.
+func (c *call) isForwarded() bool { return c.forwarded != nil }
+
+// serveForwarded serves a call that another router forwards.
+func (g *Gateway) serveForwarded(writer http.ResponseWriter, request *http.Request) {
+	open := g.egress.openCalls.Add(1)
+	defer g.egress.openCalls.Add(-1)
+	message, err := readForwardedCall(request, g.maxBodyBytes())
+	switch {
+	case err != nil:
+		g.log.Log(events.ForwardedCallUnreadable, events.Fields{"from": request.RemoteAddr, "error": err.Error()})
+		g.declineForwarded(writer, "", "unreadable")
+		return
+	case open > maxForwardedCalls:
+		g.declineForwarded(writer, message.GetService(), "full")
+		return
+	case !g.egress.accepts() || g.egress.areCut([]string{message.GetService()}):
+		g.declineForwarded(writer, message.GetService(), "no path")
+		return
+	}
+	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(message.GetLeftMillis())*time.Millisecond)
+	defer cancel()
+	c := g.newForwardedCall(ctx, writer, message)
+	_ = c.controller.SetWriteDeadline(time.Now().Add(time.Duration(message.GetLeftMillis())*time.Millisecond + writeTimeoutSlack))
+	if refused := c.admit(); refused != nil {
+		c.refuse(refused)
+		return
+	}
+	c.content = quarantine.NewContentID(c.tenantName(), c.incoming.Host, requestTarget(c.incoming), c.body)
+	if refused := c.checkQuarantine(); refused != nil {
+		c.refuse(refused)
+		return
+	}
+	g.metrics.servedForwarded.WithLabelValues(c.service, "accepted").Inc()
+	c.startPlacement()
+	c.serve()
+}
+
+// readForwardedCall decodes the body of the request.
+func readForwardedCall(request *http.Request, maxBodyBytes int64) (*wire.ForwardedCall, error) {
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes+maxForwardedHeaderBytes))
+	if err != nil {
+		return nil, err
+	}
+	message := &wire.ForwardedCall{}
+	return message, proto.Unmarshal(body, message)
+}
+
+// newForwardedCall returns the call that the message describes.
+func (g *Gateway) newForwardedCall(ctx context.Context, writer http.ResponseWriter, message *wire.ForwardedCall) *call {
+	incoming := (&http.Request{
+		Method: message.GetMethod(), RequestURI: message.GetTarget(), Host: message.GetHost(), Header: http.Header{},
+		ContentLength: int64(len(message.GetBody())), Body: io.NopCloser(bytes.NewReader(message.GetBody())),
+	}).WithContext(ctx)
+	for _, field := range message.GetHeaders() {
+		incoming.Header[field.GetName()] = field.GetValues()
+	}
+	c := &call{
+		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, ctx: ctx, body: message.GetBody(),
+		metadata: g.ports.Protocol.ParseRequest(incoming.Header), arrivedAt: g.now(), config: g.activeConfig.Load(), forwarded: message,
+	}
+	c.metadata.LastEvent = message.GetLastEvent()
+	c.metadata.Deadline = time.Duration(message.GetLeftMillis()) * time.Millisecond
+	return c
+}
+
+// forwardedService returns the service that the ingress router chose, or a refusal if this router's
+// configuration doesn't allow it.
+func (c *call) forwardedService() (string, *refusal) {
+	for _, backend := range c.route.Backends {
+		if backend.Service == c.forwarded.GetService() {
+			return backend.Service, nil
+		}
+	}
+	return "", unavailable("the route's services have changed", staleConfigRetryAfter)
+}
+
+// declineForwarded answers that this router does not serve the forwarded call. The call has not run.
+func (g *Gateway) declineForwarded(writer http.ResponseWriter, service, reason string) {
+	g.metrics.servedForwarded.WithLabelValues(service, reason).Inc()
+	writer.Header().Set(headerForwardResult, forwardDeclined)
+	if g.draining.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// setForwardResult tells the ingress router what the response is, if the call was forwarded.
+func (c *call) setForwardResult(result string) {
+	if c.isForwarded() {
+		c.writer.Header().Set(headerForwardResult, result)
+	}
+}
+
+// setForwardedRefusal does so for a response that this router generates.
+func (c *call) setForwardedRefusal(r *refusal) {
+	if !c.isForwarded() {
+		return
+	}
+	if c.attemptState != nil && c.attemptState.RunState() != attempt.NotRun {
+		c.setForwardResult(forwardFailed)
+		return
+	}
+	c.setForwardResult(forwardRefused)
+	c.writer.Header().Set(headerRetryAfterMillis, strconv.FormatInt(r.retryAfter.Milliseconds(), 10))
+}
+
+// maxBodyBytes returns the largest body that the configuration allows.
+func (g *Gateway) maxBodyBytes() int64 {
+	if current := g.activeConfig.Load(); current != nil && current.table.Limits.MaxBodyBytes > 0 {
+		return current.table.Limits.MaxBodyBytes
+	}
+	return defaultMaxBodyBytes
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,8 @@
 	// schedulers chooses runners for the requests of other routers, or asks other routers to choose
 	// for this one.
 	schedulers *schedulers
+	// egress forwards calls to other routers while this one cannot reach the runners itself.
+	egress *egressRouters
 	// limits enforces the tenants' quotas, and fairShares their fair shares of overloaded services.
 	limits     *limits.Client
 	fairShares *fairShares
@@ -180,7 +182,7 @@
 	ports.RunnerPool.OnOpen, ports.RunnerPool.OnSilentClosed = g.metrics.runnerConnections.Inc, g.metrics.silentRunnerConnections.Inc
 	ports.RunnerPool.OnDialError = g.metrics.countDialError
 	ports.RunnerPool.SilenceTimeout = runnerSilenceTimeout
-	g.schedulers, g.fairShares = newSchedulers(g), newFairShares(g)
+	g.schedulers, g.fairShares, g.egress = newSchedulers(g), newFairShares(g), newEgressRouters(g)
 	g.crashDetector, g.suspects, g.signals = newCrashDetector(g), newSuspects(g), newSignals(g)
 	g.cacheStoreMonitor = newCacheStoreMonitor(g)
 	g.cacheReader = newCacheReader(g)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -25,6 +25,7 @@
 		callerListener.Close()
 		return trace.ConvertSystemError(err)
 	}
+	g.egress.listen()
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCall))
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.ports.ReadyPath, g.serveReadiness)
--- a/internal/gateway/loadshares.go
+++ b/internal/gateway/loadshares.go
@@ -6,6 +6,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/egress"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -37,6 +38,7 @@
 		}
 	}
 	s.recordReporter(share)
+	s.gateway.egress.learn(share.GetEgress(), egress.FromSeed)
 	s.gateway.peerRouters.recordSeedCount(router, int(share.GetRouters()))
 	s.gateway.mutex.Lock()
 	defer s.gateway.mutex.Unlock()
@@ -122,6 +124,7 @@
 		if s.isScheduler() {
 			// Only seeds say how many routers receive changes through them.
 			routers = s.gateway.peerRouters.countRouters()
+			s.gateway.egress.refreshOwnList()
 		}
 		// All loads replace the changes collected before, but not the reservations.
 		far.add(nil, reservations)
@@ -155,6 +158,7 @@
 	}
 	message := newLoadShare(loads, true)
 	message.Promises, message.Uses, message.Routers = encodeReservations(reservations), usage, uint32(routers)
+	message.Egress = s.gateway.egress.sample()
 	s.sendLoadShare(targets, message)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -72,6 +72,11 @@
 	silentRunnerConnections prometheus.Counter
 	// runnerDialErrors counts the connections to runners that could not be opened.
 	runnerDialErrors *prometheus.CounterVec
+	// forwardedCalls counts the calls forwarded to other routers, servedForwarded those forwarded to this
+	// one, and pathProbes the probes of services whose links are at fault.
+	forwardedCalls  *prometheus.CounterVec
+	servedForwarded *prometheus.CounterVec
+	pathProbes      *prometheus.CounterVec
 	// placedSendEnds counts the reported ends of requests that this router placed for others, and
 	// placedSendWaits observes how long those had been open of which no response began.
 	placedSendEnds  *prometheus.CounterVec
@@ -156,6 +161,9 @@
 			Namespace: namespace, Name: "runner_connections_silent_total", Help: "Kept connections to runners that were closed unused, as they may have fallen silent.",
 		}),
 		runnerDialErrors: newCounterVec("runner_dial_errors_total", "Connections to runners that could not be opened, by cause.", "cause"),
+		forwardedCalls:   newCounterVec("forwarded_calls_total", "Calls forwarded to another router because this one could not reach the runners, by result.", "service", "result"),
+		servedForwarded:  newCounterVec("served_forwarded_calls_total", "Calls that other routers forwarded to this one, by whether it accepted them or why not.", "service", "result"),
+		pathProbes:       newCounterVec("path_probes_total", "Connections opened to find out whether the runners of a service can be reached, by outcome.", "service", "outcome"),
 		placedSendEnds:   newCounterVec("placed_request_ends_total", "Reported ends of requests that this router placed for others, by outcome and whether their sender had begun to send them.", "outcome", "sent"),
 		placedSendWaits: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "placed_request_wait_seconds", Help: "Time that requests placed for others were counted at their runner although no response began.", Buckets: latencyBuckets,
@@ -198,9 +206,11 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
+		newGauge("services_cut", "Services to whose runners this router has lost its links.", func() float64 { return float64(len(g.egress.cutServices())) }),
+		newGauge("forwarded_calls_open", "Calls of other routers that this one is serving.", func() float64 { return float64(g.egress.openCalls.Load()) }),
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
 		newGauge("region_schedulers", "Schedulers of the own region that this router knows; 0 without regions.", func() float64 { known, _ := g.schedulers.regionSchedulerCounts(); return float64(known) }),
 		newGauge("region_schedulers_answering", "Schedulers of the own region that have answered this router and are not silent.", func() float64 { _, answering := g.schedulers.regionSchedulerCounts(); return float64(answering) }),
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -218,6 +218,10 @@
 // request body arrives.
 func (c *call) startPlacement() {
 	c.query = c.newQuery()
+	if !c.isForwarded() && c.gateway.egress.bypasses(c.service) {
+		// The scheduler would reserve a runner for a send that is never made.
+		return
+	}
 	c.placementRequest = c.gateway.schedulers.requestPlacement(c.query, c.gateway.until(c.deadline))
 }
 
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -75,31 +75,61 @@
 func (c *call) streamResponse(response *httpconn.Response) attempt.Action {
 	watchdog := c.startWatchdog(response.Body)
 	defer watchdog.stop()
+	service := c.service
+	remainder, err := copyEvents(watchedBody{response.Body, watchdog.reset}, func(data []byte) error {
+		c.gateway.egress.heard(service)
+		return c.writeEvents(response, data)
+	})
+	switch {
+	case errors.Is(err, errCallerDisconnected):
+		return c.handleCanceled(false)
+	case err != nil:
+		return c.handleBrokenStream(response, err)
+	}
+	return c.finishStream(response, remainder)
+}
+
+// watchedBody is a body that calls onRead after each read.
+type watchedBody struct {
+	io.Reader
+	onRead func()
+}
+
+func (b watchedBody) Read(buffer []byte) (int, error) {
+	n, err := b.Reader.Read(buffer)
+	b.onRead()
+	return n, err
+}
+
+var errEventTooLong = errors.New("event is too long")
+
+// copyEvents reads events until the end of the stream and passes complete ones to write. It returns what
+// follows the last complete event, or the error of a read or of write.
+func copyEvents(body io.Reader, write func(events []byte) error) (remainder []byte, err error) {
 	var pending []byte
 	buffer := make([]byte, streamBufferBytes)
 	for {
-		n, err := response.Body.Read(buffer)
-		watchdog.reset()
+		n, err := body.Read(buffer)
 		pending = append(pending, buffer[:n]...)
 		if complete := bytes.LastIndex(pending, eventSeparator); complete >= 0 {
 			complete += len(eventSeparator)
-			if c.writeEvents(response, pending[:complete]) != nil {
-				return c.handleCanceled(false)
+			if err := write(pending[:complete]); err != nil {
+				return nil, err
 			}
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return c.finishStream(response, pending)
+			return pending, nil
 		case err != nil:
-			return c.handleBrokenStream(response, err)
+			return nil, err
 		case len(pending) > maxEventBytes:
-			return c.handleBrokenStream(response, errors.New("event is too long"))
+			return nil, errEventTooLong
 		}
 	}
 }
 
-// writeEvents writes complete events to the caller.
+// writeEvents writes complete events of a runner to the caller.
 func (c *call) writeEvents(response *httpconn.Response, data []byte) error {
 	if c.stream == nil {
 		c.beginStream(response)
@@ -110,6 +140,11 @@
 	if version, named := c.gateway.ports.Protocol.EventWeightVersion(data); named {
 		c.recordWeightVersion(version)
 	}
+	return c.writeToStream(data)
+}
+
+// writeToStream writes complete events to the caller.
+func (c *call) writeToStream(data []byte) error {
 	startedAt := c.gateway.now()
 	if _, err := c.writer.Write(data); err != nil {
 		return errCallerDisconnected
@@ -127,8 +162,16 @@
 
 // beginStream writes the status and headers of the first runner's response.
 func (c *call) beginStream(response *httpconn.Response) {
-	c.stream = &eventStream{}
 	c.recordFirstResponse()
+	c.beginStreamResponse(response)
+}
+
+// beginStreamResponse writes the status and headers of the first response.
+func (c *call) beginStreamResponse(response *httpconn.Response) {
+	c.stream = &eventStream{}
+	if c.firstResponseAt.IsZero() {
+		c.firstResponseAt = c.gateway.now()
+	}
 	c.gateway.metrics.firstEventLatencies.WithLabelValues(c.service).Observe(c.gateway.since(c.arrivedAt).Seconds())
 	c.setResponseHeaders(response.Header)
 	c.writer.WriteHeader(response.Status)
@@ -163,6 +206,7 @@
 	if c.stream.stalledRecently(c.gateway.now()) {
 		c.endAttempt(backend.Abandoned, quarantine.Canceled, "the caller left the stream unread: "+cause.Error(), response.Status)
 	} else {
+		c.gateway.egress.connectionLost(c.runner)
 		c.endAttempt(backend.Failed, quarantine.ConnectionLost, "stream broke off: "+cause.Error(), response.Status)
 	}
 	if c.prepareContinuation() {
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -169,6 +169,7 @@
 		r.gateway.transfer.start()
 	}
 	r.gateway.schedulers.applyList(address, answer.GetSchedulers())
+	r.gateway.egress.receiveList(answer.GetEgress())
 	r.gateway.suspects.applyPull(address, answer.GetSuspects())
 	r.gateway.signals.applyPull(address, answer.GetSignals())
 	r.gateway.receiveBounds(answer.GetWeightBounds(), sentAt)
@@ -228,6 +229,7 @@
 		// The first answer should be small, and a full feed is not requested again soon.
 		g.cacheReader.addToPull(address, request)
 	}
+	request.Egress = g.egress.report()
 	g.suspects.addPullPosition(address, request)
 	g.signals.addPullPosition(address, request)
 	for _, kind := range kinds {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -43,12 +43,19 @@
 	if outcome != outcomeComplete || reason != "" || c.attemptState.Attempt() > 1 {
 		c.flushLog()
 	}
-	c.gateway.log.Log(events.RequestEnded, events.Fields{
+	fields := events.Fields{
 		"request": c.metadata.ID, "route": c.route.Name, "service": c.service, "runner": c.runner.ID,
 		"tenant": c.tenantName(), "outcome": outcome, "late": reason != "", "late_by": reason, "attempts": c.attemptState.Attempt(), "first_ms": firstResponseTime.Milliseconds(), "pause_ms": maxPause.Milliseconds(), "ms": now.Sub(c.arrivedAt).Milliseconds(),
 		"prompt_tokens": c.query.PromptTokens, "fetched": c.fetchSource, "content": c.content.String(),
 		"config": c.config.table.Version, "config_age_ms": c.arrivedAt.Sub(c.config.provenAt).Milliseconds(),
-	})
+	}
+	if c.egressRouter != "" {
+		fields["egress"] = c.egressRouter
+	}
+	if c.isForwarded() {
+		fields["ingress"] = c.forwarded.GetFrom()
+	}
+	c.gateway.log.Log(events.RequestEnded, fields)
 }
 
 // The reasons why a response is late, as logged.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -49,6 +49,9 @@
 		fields["config"] = c.config.table.Version
 		fields["config_age_ms"] = c.arrivedAt.Sub(c.config.provenAt).Milliseconds()
 	}
+	if c.isForwarded() {
+		fields["ingress"] = c.forwarded.GetFrom()
+	}
 	if c.content != (quarantine.ContentID{}) {
 		fields["content"] = c.content.String()
 	}
@@ -104,6 +107,7 @@
 	for name, values := range c.gateway.ports.Protocol.RefusalHeaders(c.metadata.ID) {
 		header[name] = values
 	}
+	c.setForwardedRefusal(r)
 	header.Set("Content-Type", "text/plain")
 	header.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
 	if r.retryAfter > 0 {
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -85,6 +85,7 @@
 		Zone: g.settings.Zone, CacheStores: stores.availableBits, CacheStoresConfig: stores.configVersion, Routers: uint32(g.routerCount()),
 		ReferTo: referTo, PullAfterMillis: uint32(interval.Milliseconds()),
 		StoreOnly: g.transfer.running.Load(), Region: g.regionName(), Schedulers: r.listFor(pull),
+		Egress: g.egress.answerPull(pull),
 	}
 	if pull.GetWantsCache() {
 		answer.Cache = g.cacheReader.deltaSince(pull.GetCacheFeed(), pull.GetCacheThrough())
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -143,14 +143,17 @@
 	c.responseWeightVersion, c.requestedBackoff = 0, 0
 	c.sentAt = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
+	wait := c.gateway.egress.beginWait(c.runner)
 	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.newRunnerRequest())
+	c.gateway.egress.endWait(wait)
 	if !errors.Is(err, httpconn.ErrNotSent) {
-		c.hasUnusedRetry = false
+		c.hasUnusedRetry, c.unsentInSuccession = false, 0
 	}
 	if err != nil {
 		return c.handleSendError(err)
 	}
 	defer response.Body.Close()
+	c.gateway.egress.heard(c.runner.Service)
 	info := c.gateway.ports.Protocol.ParseResponse(response.Status, response.Header)
 	c.responseWeightVersion, c.requestedBackoff = info.WeightVersion, info.Signals.Backoff
 	c.receiveSignals(info, response.Status)
@@ -196,10 +199,11 @@
 	if c.stream != nil && c.stream.lastEvent != "" {
 		dispatch.LastEvent = c.stream.lastEvent
 	}
-	protocol, id := c.gateway.ports.Protocol, c.metadata.ID
+	protocol, id, runner := c.gateway.ports.Protocol, c.metadata.ID, c.runner
 	return &httpconn.Request{
 		Method: c.incoming.Method, Target: requestTarget(c.incoming), Host: c.incoming.Host,
 		Header: protocol.ForwardHeaders(c.incoming.Header, dispatch), Body: c.body,
+		ReuseOnly: c.gateway.egress.mayOnlyReuse(c), OnDial: func(err error) { c.gateway.egress.recordDial(runner, err) },
 		MatchesResponse: func(header http.Header) bool { return protocol.ParseResponse(0, header).RequestID == id },
 		Confirm:         c.confirmSend,
 	}
@@ -316,9 +320,11 @@
 	}
 	if errors.Is(err, httpconn.ErrNotSent) {
 		c.lastNotSent = true
+		c.unsentInSuccession++
 		c.endAttempt(backend.Unreachable, quarantine.NotRun, err.Error(), 0)
 		return c.attemptState.NotSent()
 	}
+	c.gateway.egress.connectionLost(c.runner)
 	c.endAttempt(backend.Unreachable, quarantine.ConnectionLost, err.Error(), 0)
 	return c.connectionLost()
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -49,10 +49,30 @@
 	TenantExcesses []TenantExcess `json:"beyondShare,omitempty"`
 	// Rollouts are the services that are being moved to another software version, or were.
 	Rollouts []rolloutdriver.Summary `json:"rollouts,omitempty"`
+	// ImpairedPaths are the services whose runners this router cannot reach, or only over open
+	// connections, and EgressRouters the routers to which it then forwards calls.
+	ImpairedPaths []PathStatus   `json:"impairedPaths,omitempty"`
+	EgressRouters []EgressRouter `json:"egressRouters,omitempty"`
+	// ForwardedOpen is the number of calls of other routers that this router is serving.
+	ForwardedOpen int64 `json:"forwardedOpen,omitempty"`
 	// Quarantined lists up to maxQuarantinedInStatus quarantined contents.
 	Quarantined []QuarantinedContent `json:"quarantined,omitempty"`
 }
 
+// PathStatus is the state of the links to the runners of one service.
+type PathStatus struct {
+	Service string `json:"service"`
+	State   string `json:"state"`
+	// ForMillis is the time since the links are in this state.
+	ForMillis int64 `json:"forMillis"`
+}
+
+// EgressRouter is a router to which this one forwards calls when it cannot reach the runners.
+type EgressRouter struct {
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+}
+
 // maxQuarantinedInStatus bounds the number of quarantined contents in the status.
 const maxQuarantinedInStatus = 20
 
@@ -85,6 +105,7 @@
 	}
 	status.Schedulers, status.SchedulersByRegion = g.schedulers.summary(now), g.peerRouters.countSchedulersByRegion()
 	status.Quarantined = g.suspects.summary(now)
+	status.ImpairedPaths, status.EgressRouters, status.ForwardedOpen = g.egress.summary(now)
 	status.Rollouts = g.rolloutDriver.Summaries(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
@@ -25,7 +26,7 @@
 	time.Sleep(min(drainAcceptTime, g.settings.DrainGrace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(g.settings.DrainGrace-shutdownMargin))
 	defer cancel()
-	err := g.callerServer.Shutdown(ctx)
+	err := errors.Join(g.callerServer.Shutdown(ctx), g.egress.shutdown(ctx))
 	g.shutDown()
 	g.log.Log(events.GatewayStopped, events.Fields{"after_ms": time.Since(startedAt).Milliseconds(), "cut": err != nil})
 }
@@ -40,6 +41,7 @@
 func (g *Gateway) shutDown() {
 	g.cancel()
 	g.callerServer.Close()
+	g.egress.close()
 	g.readinessServer.Close()
 	g.peerRouters.close()
 	if g.metricsServer != nil {
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -21,6 +21,11 @@
 	Body   []byte
 	// FreshConnection is set to send the request on a new connection.
 	FreshConnection bool
+	// ReuseOnly is set to send the request only on a reused connection.
+	ReuseOnly bool
+	// OnDial is called with the result when a new connection was dialed for the request, unless
+	// the context ended before. It may be nil.
+	OnDial func(error)
 	// MatchesResponse reports whether a response with the given header belongs to this
 	// request. Other responses are discarded and the next one is read. If it is nil,
 	// the first response is used.
@@ -62,7 +67,7 @@
 // Errors other than ErrNotSent mean that the request may have reached the server.
 // When the context ends, also while the body is read, the connection is closed.
 func (p *Pool) Send(ctx context.Context, address string, request *Request) (*Response, error) {
-	c, err := p.connect(ctx, address, request.FreshConnection)
+	c, err := p.connect(ctx, address, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -33,11 +33,18 @@
 	// maxIdlePerAddress is the maximum number of idle connections to one address.
 	maxIdlePerAddress = 16
 	readBufferBytes   = 2048
+	// probeIdleTimeout is how long a connection opened by Probe is kept. The server has not sent
+	// its Keep-Alive timeout yet.
+	probeIdleTimeout = time.Second
 )
 
 // ErrNotSent means that nothing of the request was sent to the server.
 var ErrNotSent = errors.New("httpconn: nothing was sent")
 
+// ErrNoIdleConnection means that a request for reused connections found none. It is joined with
+// ErrNotSent.
+var ErrNoIdleConnection = errors.New("httpconn: no idle connection")
+
 // Pool sends requests and keeps the idle connections by address. It is safe for
 // concurrent use. The exported fields must not be changed once the pool is used.
 type Pool struct {
@@ -81,8 +88,8 @@
 
 // connect returns a usable idle connection to the address, or a new one if there is
 // none or forceNew is set. All of its errors wrap ErrNotSent.
-func (p *Pool) connect(ctx context.Context, address string, forceNew bool) (*conn, error) {
-	for !forceNew {
+func (p *Pool) connect(ctx context.Context, address string, request *Request) (*conn, error) {
+	for !request.FreshConnection {
 		idle := p.take(address)
 		if idle == nil {
 			break
@@ -92,6 +99,18 @@
 		}
 		idle.Close()
 	}
+	if request.ReuseOnly {
+		return nil, errors.Join(ErrNotSent, ErrNoIdleConnection)
+	}
+	c, err := p.open(ctx, address)
+	if request.OnDial != nil && (err == nil || ctx.Err() == nil) {
+		request.OnDial(err)
+	}
+	return c, err
+}
+
+// open dials a new connection. All of its errors wrap ErrNotSent.
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	netConn, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		if p.OnDialError != nil && ctx.Err() == nil {
@@ -105,6 +124,17 @@
 	return &conn{Conn: netConn, address: address, reader: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
 }
 
+// Probe opens a new connection and keeps it for the next request to the address for a short time.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.idleExpiry = time.Now().Add(probeIdleTimeout)
+	p.put(c)
+	return nil
+}
+
 // take removes and returns the most recently used idle connection to the address, so
 // that the others can expire. It returns nil if there is none.
 func (p *Pool) take(address string) *conn {
--- a/internal/wire/accept.go
+++ b/internal/wire/accept.go
@@ -26,17 +26,21 @@
 	}
 }
 
-// serve handles the frames of an accepted connection in order, until it ends.
+// serve handles the frames of an accepted connection in order, until it ends. A connection without
+// frames is passed to the unframed listener.
 func (t *Transport) serve(connection net.Conn) {
 	defer func() {
-		connection.Close()
 		t.mutex.Lock()
 		delete(t.acceptedConnections, connection)
 		t.mutex.Unlock()
 	}()
+	reader := bufio.NewReaderSize(connection, 4<<10)
+	if t.handOver(connection, reader) {
+		return
+	}
+	defer connection.Close()
 	replies := newConnectionWriter(connection)
 	defer replies.close()
-	reader := bufio.NewReaderSize(connection, 4<<10)
 	for {
 		connection.SetReadDeadline(time.Now().Add(idleTimeout))
 		envelope, err := ReadFrame(reader)
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -54,6 +54,8 @@
 	identity Identity
 	handler  Handler
 	listener net.Listener
+	// unframed accepts the connections that carry HTTP requests instead of frames.
+	unframed *unframedListener
 
 	lastCallID   atomic.Uint64
 	pendingCalls sync.Map // call id -> chan *Envelope
@@ -89,6 +91,7 @@
 		identity:            identity,
 		handler:             handler,
 		listener:            listener,
+		unframed:            newUnframedListener(listener.Addr()),
 		peers:               map[string]*peer{},
 		acceptedConnections: map[net.Conn]struct{}{},
 		partitioned:         map[string]bool{},
@@ -216,6 +219,7 @@
 	}
 	t.closed = true
 	t.listener.Close()
+	t.unframed.Close()
 	for connection := range t.acceptedConnections {
 		connection.Close()
 	}
