gateway: outcomes of a router without links are no evidence about runners

Cause: calls that a cut router sent into silent connections end as unreachable or abandoned after seconds, and count at the schedulers as failures of, or waits at, their runners. Change: while a router's links are or may be at fault, it reports such outcomes as not confirmed. Failed dials count with waiting sends as silence, and only a probe made for it refutes silence.

--- a/internal/egress/paths.go
+++ b/internal/egress/paths.go
@@ -52,10 +52,10 @@
 	since time.Time
 	// lastHeard is when a runner last sent anything or accepted a connection.
 	lastHeard time.Time
-	// verifiedAt is when a runner last accepted a connection.
+	// verifiedAt is when a runner last accepted a connection while the service was silent.
 	verifiedAt time.Time
 	// failed holds the runners whose connections failed since lastHeard, and undialed those to which no
-	// connection could be opened since verifiedAt, with the times.
+	// connection could be opened since one last could, with the times.
 	failed, undialed map[string]time.Time
 	// waits holds the sends without a response.
 	waits map[*Wait]struct{}
@@ -110,7 +110,6 @@
 func (p *Paths) Connected(now time.Time, service, runner string, runnerCount int) (changed bool) {
 	p.Heard(now, service)
 	s := p.service(service)
-	s.verifiedAt = now
 	clear(s.undialed)
 	if s.state == Direct {
 		return false
@@ -186,8 +185,8 @@
 	return false
 }
 
-// IsSilent reports whether sends to several runners wait although nothing was heard from the service for
-// longer than silenceTimeout. That alone doesn't show that the links are at fault, since all runners may be
+// IsSilent reports whether sends to several runners wait or failed although nothing was heard from the
+// service for longer than silenceTimeout. That alone doesn't show that the links are at fault, since all runners may be
 // busy: the router then dials one of them.
 func (p *Paths) IsSilent(now time.Time, service string, runnerCount int) bool {
 	s := p.service(service)
@@ -198,15 +197,21 @@
 	if p.isOtherCut(service, s.lastHeard) {
 		required = 1
 	}
-	waiting := map[string]struct{}{}
+	unanswered := map[string]struct{}{}
 	for w := range s.waits {
 		if now.Sub(w.since) >= silenceTimeout {
-			waiting[w.runner] = struct{}{}
+			unanswered[w.runner] = struct{}{}
 		}
 	}
-	return len(waiting) >= required
+	for runner := range s.failed {
+		unanswered[runner] = struct{}{}
+	}
+	return len(unanswered) >= required
 }
 
+// RefuteSilence records that a runner of a silent service accepted a connection.
+func (p *Paths) RefuteSilence(now time.Time, service string) { p.service(service).verifiedAt = now }
+
 // ConfirmSilence records that a runner of a silent service accepted no connection, which makes the
 // service Cut. It reports whether the state has changed.
 func (p *Paths) ConfirmSilence(now time.Time, service string, runnerCount int) (changed bool) {
--- a/internal/egress/paths_test.go
+++ b/internal/egress/paths_test.go
@@ -113,6 +113,8 @@
 	g.Expect(p.IsSilent(now.Add(-1), service, runners)).To(BeFalse())
 	g.Expect(p.IsSilent(now, service, runners)).To(BeTrue())
 	p.Connected(now, service, "r0", runners)
+	g.Expect(p.IsSilent(now.Add(time.Second), service, runners)).To(BeTrue(), "a connection that was opened earlier shows nothing")
+	p.RefuteSilence(now, service)
 	g.Expect(p.IsSilent(now.Add(time.Second), service, runners)).To(BeFalse(), "the runners are busy")
 	now = now.Add(verifiedTime)
 	g.Expect(p.IsSilent(now, service, runners)).To(BeTrue())
@@ -125,6 +127,14 @@
 	g.Expect(p.IsSilent(now, service, runners)).To(BeFalse())
 }
 
+// Guards against failed dials that hide the silence of the runners whose dials have not failed yet.
+func TestFailedRunnersCountAsSilent(t *testing.T) {
+	g, p := NewWithT(t), NewPaths()
+	p.DialFailed(start, service, "r3")
+	waitAt(p, start, service, minRunners-1)
+	g.Expect(p.IsSilent(start.Add(silenceTimeout), service, runners)).To(BeTrue())
+}
+
 // Guards against a service with few requests that is found to be cut long after the others, although the
 // links are the same.
 func TestOneFailureIsEnoughWhileAnotherServiceIsCut(t *testing.T) {
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -144,13 +144,15 @@
 	}
 	g.metrics.pathProbes.WithLabelValues(service, outcomeLabel(err == nil)).Inc()
 	e.recordDial(runner, err)
-	if err != nil {
-		now := g.now()
-		e.mutex.Lock()
-		changed := e.paths.ConfirmSilence(now, service, len(runners))
-		e.mutex.Unlock()
-		e.handleChange(service, changed)
+	now, changed := g.now(), false
+	e.mutex.Lock()
+	if err == nil {
+		e.paths.RefuteSilence(now, service)
+	} else {
+		changed = e.paths.ConfirmSilence(now, service, len(runners))
 	}
+	e.mutex.Unlock()
+	e.handleChange(service, changed)
 	return err == nil
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -259,10 +259,22 @@
 	})
 }
 
+// mayBlameLinks reports whether a fault of this router's own links can have caused the outcome.
+func mayBlameLinks(outcome backend.Outcome, runOutcome quarantine.RunOutcome) bool {
+	switch outcome {
+	case backend.Unreachable, backend.Abandoned:
+		return true
+	}
+	return outcome == backend.Failed && runOutcome == quarantine.ConnectionLost
+}
+
 // recordOutcome reports the outcome of the current attempt to crash detection, fair-share
 // accounting, the runner table and the scheduler that chose the runner.
 func (c *call) recordOutcome(outcome backend.Outcome, runOutcome quarantine.RunOutcome) {
 	g := c.gateway
+	if mayBlameLinks(outcome, runOutcome) && g.egress.atFault(c.runner.Service, c.sentAt) {
+		outcome = backend.NotConfirmed
+	}
 	end := rolloutdriver.SendEnd{
 		Outcome: outcome, NotSent: outcome == backend.Unreachable && runOutcome == quarantine.NotRun, ConnectionLost: runOutcome == quarantine.ConnectionLost,
 	}
