gateway: a refused connection shows a crash only while another runner is reached

When a router's links were reset while runners processed its requests, each runner refused the check whether it still runs, so all were taken for crashed, and contents that ran on three of them were refused by all routers. Change: the verdict needs an answer of another runner, of up to three, or something heard from another service since; without other runners it stands as before. Evidence: TestLostLinksAreNoCrashesOfRunners fails without the change and passes with it; TestCrashIsDetectedWhileOthersRun and the tests of quarantines pass.

--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -101,6 +101,9 @@
 func (d *crashDetector) runCheck(runner backend.Runner) {
 	probedAt := d.gateway.now()
 	liveness := d.probe(runner)
+	if liveness == RunnerEnded && !d.reachesAnother(runner, probedAt) {
+		liveness = RunnerUnknown
+	}
 	d.gateway.metrics.runnerChecks.WithLabelValues(runner.Service, liveness.String()).Inc()
 	switch liveness {
 	case RunnerRunning:
@@ -138,6 +141,34 @@
 	return RunnerUnknown
 }
 
+// controlProbes is the number of other runners that are probed before a refused connection is
+// attributed to this router's own links.
+const controlProbes = 3
+
+// reachesAnother reports whether this router reaches a runner other than the given one, of which the
+// connection was refused. If it reaches none, its own links may be at fault. It is true if there are no others.
+func (d *crashDetector) reachesAnother(ended backend.Runner, since time.Time) bool {
+	g := d.gateway
+	if g.egress.heardFromOthers(ended, since) {
+		return true
+	}
+	g.mutex.Lock()
+	others := g.runners.Others(ended.ID)
+	g.mutex.Unlock()
+	for i, other := range others {
+		if i == controlProbes {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(g.ctx, livenessTimeout)
+		liveness := g.ports.Runners.Liveness(ctx, other)
+		cancel()
+		if liveness == RunnerRunning {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // hasOpenRun reports whether a run of the content is open.
 func (d *crashDetector) hasOpenRun(content quarantine.ContentID) bool {
 	d.mutex.Lock()
