gateway: the other readers take over the caches of one that reaches no runner

A seed that read a third of the runners' caches and lost its links kept telling the other readers that it lives, so nobody read that part, and prompts were prefilled again. Evidence: TestPartOfPartitionedReaderIsReadByOthers fails without the change (0 lists in 4 s).

--- a/internal/gateway/cachesplit.go
+++ b/internal/gateway/cachesplit.go
@@ -110,6 +110,10 @@
 		if !g.pause(g.jitter(interval)) {
 			return
 		}
+		if g.egress.reachesNone() {
+			// The other readers then read this router's part.
+			continue
+		}
 		for _, address := range others {
 			if message := r.nextShare(g.now(), address); message != nil {
 				g.spawn(func() { r.sendShare(address, message) })
--- a/internal/gateway/cachesplit_test.go
+++ b/internal/gateway/cachesplit_test.go
@@ -85,3 +85,35 @@
 		}
 	}
 }
+
+// Guards against cached prompt parts that nobody reads because their reader has lost its links to runners.
+func TestPartOfPartitionedReaderIsReadByOthers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	caches := newFakeCacheReader()
+	f.cacheReader = caches
+	f.configure(1, defaultRoutes(), validKey)
+	ids := f.listEngines(60)
+	for i := range 4 {
+		f.runner(fmt.Sprint("p", i), "plain")
+	}
+	var addresses []string
+	for range 3 {
+		addresses = append(addresses, loopback.FreeAddress())
+	}
+	var routers []*router
+	for i, address := range addresses {
+		f.links = newRunnerLinks(f)
+		t.Cleanup(f.links.close)
+		routers = append(routers, f.servingRouter(fmt.Sprint("seed-", i), func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, addresses }))
+	}
+	lists := func() (total int) {
+		for _, id := range ids {
+			total += caches.listCount(id)
+		}
+		return total
+	}
+	f.g.Eventually(lists, 3*time.Second, 20*time.Millisecond).Should(BeNumerically(">=", len(ids)))
+	routers[1].awaitCut("/unsafe/x")
+	f.g.Eventually(func() int { return lists() - len(ids) }, 4*time.Second, 20*time.Millisecond).Should(BeNumerically(">", 0))
+}
