gateway: a router that reaches no runner keeps the known status of cache stores

A seed without links reported all cache stores as unavailable to its followers, which then prefilled what was cached there. Change: it checks none while it reaches no runner. Evidence: TestPartitionedSeedKeepsStatusOfCacheStores fails without the change.

--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		interval = cacheStoreCheckInterval
-		if g.directReads.isEnabled() {
+		if g.directReads.isEnabled() && !g.egress.reachesNone() {
 			m.check(current.table)
 		}
 	}
--- a/internal/gateway/cachestore_test.go
+++ b/internal/gateway/cachestore_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/platform"
 )
 
@@ -119,3 +120,27 @@
 		time.Sleep(200 * time.Millisecond) // The next runner must be the only one in use.
 	}
 }
+
+// Guards against followers that stop using a cache store because the seed that checks it has lost its
+// links to all runners and cache stores.
+func TestPartitionedSeedKeepsStatusOfCacheStores(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	store := newFakeCacheStore(t)
+	spec := config(1, defaultRoutes(), validKey)
+	spec["services"] = append(spec["services"].([]map[string]any), map[string]any{"name": "kept", "kv_store_addr": store.address(), "zone": "z"})
+	f.store.Put(configKind, configName, spec)
+	for i := range 3 {
+		f.runner(fmt.Sprint("p", i), "plain")
+	}
+	f.links = newRunnerLinks(f)
+	t.Cleanup(f.links.close)
+	f.links.include(store.address())
+	seed := f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress = loopback.FreeAddress()
+		settings.Seeds = []string{settings.PeerAddress}
+	})
+	seed.waitForLog(`"answers":true`)
+	seed.awaitCut("/unsafe/x")
+	f.g.Consistently(seed.log.String, 3*time.Second, 50*time.Millisecond).ShouldNot(ContainSubstring(`"answers":false`))
+}
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -44,12 +44,17 @@
 	mutex   sync.Mutex
 	fault   linkFault
 	proxies map[string]*faultproxy.Proxy
+	// included holds addresses other than those of runners that the faults affect.
+	included map[string]bool
 }
 
 func newRunnerLinks(f *fleet) *runnerLinks {
-	return &runnerLinks{fleet: f, proxies: map[string]*faultproxy.Proxy{}}
+	return &runnerLinks{fleet: f, proxies: map[string]*faultproxy.Proxy{}, included: map[string]bool{}}
 }
 
+// include makes the faults also affect the address.
+func (l *runnerLinks) include(address string) { l.included[address] = true }
+
 // set starts or ends a fault.
 func (l *runnerLinks) set(fault linkFault) {
 	l.mutex.Lock()
@@ -63,7 +68,7 @@
 
 // dial opens a connection to a runner over the router's link, and to any other address directly.
 func (l *runnerLinks) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if l.fleet.runnerByAddress(address) != nil {
+	if l.included[address] || l.fleet.runnerByAddress(address) != nil {
 		proxy, fault, err := l.link(address)
 		switch {
 		case err != nil:
