tcpoption: a peer's silence of a second or two closes no connection

What callers saw: requests on all connections to a sound runner that was silent for 1.5 s failed. Cause: TCP_USER_TIMEOUT of 1.5 s; once set it also decides when keep-alive probes give up, whatever their count, so idle connections went at the same time. Change: 3.2 s, just above the retransmission 3 s after the first send. What must notice a lost peer sooner has its own means: silent connections between routers, path states, probes of streams.

--- a/internal/tcpoption/tcpoption.go
+++ b/internal/tcpoption/tcpoption.go
@@ -9,15 +9,15 @@
 	"time"
 )
 
-// Timeouts after which a connection to a silent peer is closed.
 const (
-	// unacknowledgedTimeout is how long sent data may stay unacknowledged.
-	unacknowledgedTimeout = 1500 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount configure keep-alive probes
-	// so that an idle connection is closed about two seconds after its peer has
-	// become unreachable.
+	// unacknowledgedTimeout is how long sent data may stay unacknowledged. TCP retransmits 3 s after
+	// the first send, so a peer that was silent for less than that loses no connection. Once it is set, it
+	// also decides when unanswered keep-alive probes close an idle connection, whatever their count.
+	unacknowledgedTimeout = 3200 * time.Millisecond
+	// keepAliveIdle and keepAliveInterval are the times until the first keep-alive probe and between
+	// two probes. keepAliveCount applies where the system rejects unacknowledgedTimeout.
 	keepAliveIdle     = time.Second
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = time.Second
 	keepAliveCount    = 2
 )
 
