gateway: a stream is not moved while its sound runner is silent for a second

What callers saw: streams continued at another runner, with a second run, although the first runner would have gone on. Cause: after 0.7 s without an event two unanswered probes of 0.25 s counted as the runner's end. Change: four probes. Evidence: TestStreamOutlivesSilenceOfItsRunner (1.4 s of silence) saw two runs before and sees one.

--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -18,9 +18,10 @@
 	// longer than a runner usually takes to load new weights.
 	streamSilenceTimeout = 700 * time.Millisecond
 	// reportProbeTimeout is the timeout of one probe, and reportProbeAttempts the number of
-	// consecutive probes that must fail for the runner to count as gone.
+	// consecutive probes that must fail for the runner to count as gone. A sound runner may be silent for
+	// a second or more.
 	reportProbeTimeout  = 250 * time.Millisecond
-	reportProbeAttempts = 2
+	reportProbeAttempts = 4
 )
 
 // chooseBackup chooses the runner to which the state of the run is copied. Only streams that
--- a/internal/gateway/runnersilence_test.go
+++ b/internal/gateway/runnersilence_test.go
@@ -105,3 +105,37 @@
 	calls.Wait()
 	return statuses
 }
+
+// Guards against streams that are broken off because their sound runner was silent for a second and more.
+func TestStreamOutlivesSilenceOfItsRunner(t *testing.T) {
+	t.Parallel()
+	const silence = 1400 * time.Millisecond
+	f := newFleet(t)
+	f.configure(1, routesWithLongTimeout(), validKey)
+	var runners []*runnerstand.Runner
+	var proxies []*faultproxy.Proxy
+	for _, id := range []string{"e1", "e2"} {
+		runner := f.startRunner(runnerstand.Config{ID: id, Service: "engines", Model: modelName, Version: 1, EventCount: 12, EventInterval: 100 * time.Millisecond})
+		proxy := f.proxyTo(runner.Address)
+		entry := runner.DirectoryEntry("ready")
+		entry["address"] = proxy.Address
+		f.store.Put(platform.KindRunners, id, entry)
+		runners, proxies = append(runners, runner), append(proxies, proxy)
+	}
+	r := f.servingRouter("r1", nil)
+	f.g.Eventually(func() int { return strings.Count(r.log.String(), "runner added") }, time.Second).Should(Equal(2))
+	got := r.callWithLongTimeout("/stream/x", nil)
+	f.g.Eventually(func() int { return totalRuns(runners) }, time.Second, 5*time.Millisecond).Should(Equal(1))
+	time.Sleep(300 * time.Millisecond)
+	for _, proxy := range proxies {
+		proxy.SetMode(faultproxy.Stall)
+	}
+	time.Sleep(silence)
+	for _, proxy := range proxies {
+		proxy.SetMode(faultproxy.Pass)
+	}
+	var response callResponse
+	f.g.Eventually(got, 5*time.Second).Should(Receive(&response))
+	f.g.Expect(response.truncated).To(BeFalse())
+	f.g.Expect(totalRuns(runners)).To(Equal(1), "the stream goes on at its runner")
+}
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -30,11 +30,14 @@
 	// data nor the close is forwarded on them, whatever mode follows. New connections pass.
 	// Packets of both sides are still acknowledged, so TCP does not detect the fault.
 	MuteExisting
+	// Stall holds back both directions and forwards what was held when the mode changes, like a
+	// peer that is silent for a while.
+	Stall
 )
 
 // String returns the name of the mode in logs.
 func (m Mode) String() string {
-	return [...]string{"pass", "delay", "reset", "cut back", "silence", "mute"}[m]
+	return [...]string{"pass", "delay", "reset", "cut back", "silence", "mute", "stall"}[m]
 }
 
 const (
@@ -42,6 +45,8 @@
 	forwardDelay = 150 * time.Millisecond
 	// acceptRetryDelay is the wait after a failed Accept. The first wait of net/http is 5 ms.
 	acceptRetryDelay = 10 * time.Millisecond
+	// stallPollInterval is how often a stalled link checks whether the mode has changed.
+	stallPollInterval = 5 * time.Millisecond
 )
 
 // Proxy forwards connections to one server and injects the fault of its mode. It is safe for
@@ -281,6 +286,10 @@
 // open.
 func (p *Proxy) write(l *link, target net.Conn, c chunk, isResponse bool) bool {
 	mode := p.effectiveMode(l)
+	for mode == Stall {
+		time.Sleep(stallPollInterval)
+		mode = p.effectiveMode(l)
+	}
 	dropped := mode == MuteExisting || mode == Blackhole || (mode == DropResponses && isResponse)
 	if len(c.data) > 0 && !dropped {
 		if _, err := target.Write(c.data); err != nil {
