gateway: failing test of brittle runners that fall over under load

Four runners let 1 request wait in place of 16 and fall over when they reject more than 3 in a second.

--- /dev/null
+++ b/internal/gateway/brittle_test.go
@@ -0,0 +1,109 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+)
+
+// brittleLoad is a load on brittle runners: the number of routers and the requests per second as a
+// multiple of what the runners can process.
+type brittleLoad struct {
+	routers  int
+	offered  float64
+	maxFalls int
+	minShare float64
+}
+
+// Guards against runners that fall over, one after the other and again as soon as they are back, because
+// routers together send them more than they have room for.
+func TestBrittleRunnersStayUp(t *testing.T) {
+	t.Parallel()
+	for _, load := range []brittleLoad{
+		{routers: 1, offered: 0.63, minShare: 0.98, maxFalls: 2}, {routers: 1, offered: 1.4, minShare: 0.9, maxFalls: 2},
+		{routers: 4, offered: 0.93, minShare: 0.95, maxFalls: 2}, {routers: 4, offered: 1.4, minShare: 0.9, maxFalls: 2},
+	} {
+		t.Run(fmt.Sprintf("%d routers, %.2f of the capacity", load.routers, load.offered), func(t *testing.T) {
+			t.Parallel()
+			testBrittleRunners(t, load)
+		})
+	}
+}
+
+func testBrittleRunners(t *testing.T, load brittleLoad) {
+	const (
+		count    = 4
+		slots    = 8
+		service  = 200 * time.Millisecond
+		duration = 14 * time.Second
+	)
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	var runners []*runnerstand.Runner
+	for i := range count {
+		runners = append(runners, f.startRunner(runnerstand.Config{
+			ID: fmt.Sprint("p", i), Service: "plain",
+			Capacity: runnerstand.Capacity{Slots: slots, Queue: 16, ServiceTime: service},
+		}))
+	}
+	var seeds []string
+	for range min(load.routers, 3) {
+		seeds = append(seeds, loopback.FreeAddress())
+	}
+	var routers []*router
+	for i := range load.routers {
+		routers = append(routers, f.servingRouter(fmt.Sprint("r", i), func(settings *gateway.Settings) {
+			settings.PeerAddress, settings.Seeds = loopback.FreeAddress(), seeds
+			if i < len(seeds) {
+				settings.PeerAddress = seeds[i]
+			}
+		}))
+	}
+	capacity := count * slots / service.Seconds()
+	interval := time.Duration(float64(time.Second) / (capacity * load.offered))
+	var sent, served atomic.Int64
+	var calls sync.WaitGroup
+	call := func(r *router) {
+		sent.Add(1)
+		if got := r.call("/unsafe/x", nil); got.status == http.StatusOK && !got.truncated {
+			served.Add(1)
+		}
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	warmUpEnd := time.Now().Add(time.Second)
+	for i := 0; time.Now().Before(warmUpEnd); i++ {
+		<-ticker.C
+		calls.Go(func() { call(routers[i%len(routers)]) })
+	}
+	calls.Wait()
+	for _, runner := range runners {
+		runner.SetBrittle(&runnerstand.Brittleness{MaxRejections: 3, Queue: 1, Notice: 3 * time.Second, Downtime: 2 * time.Second})
+	}
+	sent.Store(0)
+	served.Store(0)
+	begin := time.Now()
+	for i := 0; time.Since(begin) < duration; i++ {
+		<-ticker.C
+		calls.Go(func() { call(routers[i%len(routers)]) })
+	}
+	calls.Wait()
+	falls, rejections := 0, 0
+	for _, runner := range runners {
+		fallen, rejected := runner.Falls()
+		falls, rejections = falls+fallen, rejections+rejected
+	}
+	possible := min(float64(sent.Load()), capacity*duration.Seconds())
+	t.Logf("served %d of %d, %.0f were possible; %d falls, %d rejections", served.Load(), sent.Load(), possible, falls, rejections)
+	f.g.Expect(falls).To(BeNumerically("<=", load.maxFalls))
+	f.g.Expect(float64(served.Load()) / possible).To(BeNumerically(">=", load.minShare))
+}
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -77,6 +77,9 @@
 	EventInterval time.Duration
 	// Poison selects the calls that crash the runner.
 	Poison Poison
+	// Capacity bounds the calls that the runner processes and queues at a time. The zero value sets no
+	// bound.
+	Capacity Capacity
 	// FindPeer returns the runner at an address, nil if there is none. The runner sends KV
 	// copies of its streams there.
 	FindPeer func(address string) *Runner
@@ -116,6 +119,8 @@
 	// reportCount counts the requests for a report. The responses are sent after reportDelay.
 	reportCount int
 	reportDelay time.Duration
+	// room is the state of Capacity.
+	room room
 }
 
 // Start starts a runner on a free loopback address.
@@ -124,6 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
+	listener = newFallListener(listener)
 	r := &Runner{Config: config, Address: listener.Addr().String(), listener: listener, weightVersion: config.Version, kvCopies: map[string]bool{}, resumed: make(chan struct{}), aborted: make(chan struct{})}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	go r.server.Serve(listener)
@@ -343,7 +349,14 @@
 	}
 	header := writer.Header()
 	r.addResponseHeaders(header)
+	r.addBrittleHeader(header)
 	header.Set(platform.HeaderRequestID, run.RequestID)
+	if !r.takeSlot(request) {
+		header.Set(platform.HeaderNotExecuted, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer r.releaseSlot()
 	header.Set(platform.HeaderWeightVersions, strconv.FormatUint(r.WeightVersion(), 10))
 	switch behaviour {
 	case Sheds:
