backend: requests to brittle runners are bounded by the room that schedulers count

Cause: nothing read the header; the wait for a slot at a runner was bounded by the caller's patience, not by how many the runner lets wait, and each router retried on the next runner. Change: while a runner of a service is brittle, its runners get requests only up to their slots, counted over all routers where the sum is known: by the schedulers. A rejection stops requests to that runner for a second everywhere and lowers its limit. Routers that are no schedulers choose none.

--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -120,6 +120,10 @@
 	// learnedVersions are the weight versions reported in responses, by model. They may be
 	// newer than those in the directory.
 	learnedVersions map[string]uint64
+	// loweredRoom is the limit of open requests at roomLoweredAt, when the runner last rejected a request
+	// while it was brittle. roomLoweredAt is zero if it never did.
+	loweredRoom   int
+	roomLoweredAt time.Time
 	// signalState is what the runner reported about itself in responses, nil if nothing.
 	signalState *backpressure.RunnerState
 	// updating is true while an order of this router to update the runner's weights is in
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -243,6 +243,7 @@
 		e.recordResult(now, true)
 	case Refused:
 		e.avoidUntil = now.Add(refusedAvoidTime)
+		s.lowerRoom(now, e)
 	case Unreachable:
 		e.recordResult(now, true)
 		e.connectFailures++
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -67,6 +67,10 @@
 	// outdated is the last count of outdated runners, and outdatedScans the number of scans.
 	outdated      outdatedCount
 	outdatedScans int
+	// brittleServices are the services with brittle runners, and roomsCountedSince is when the room of one
+	// was first counted.
+	brittleServices   brittleServices
+	roomsCountedSince time.Time
 }
 
 // NewSet returns an empty table for a router in the zone.
@@ -77,6 +81,7 @@
 		holdTimes: map[string]time.Duration{}, peers: map[string]*peerLoads{}, knownIncarnations: map[string]bool{},
 		demands: map[string]*demand{}, prefillModels: map[string]*prefillModel{}, rolloutTime: defaultRolloutTime,
 		signals: backpressure.NewTable(), permits: backpressure.NewPermits(), rings: map[string]*ring{},
+		brittleServices: brittleServices{checkedAt: map[string]time.Time{}, brittle: map[string]bool{}},
 	}
 }
 
@@ -266,6 +271,8 @@
 	// together, absent without a limit. Share is the part of it that this router grants.
 	Limit *float64 `json:"limit,omitempty"`
 	Share float64  `json:"share,omitempty"`
+	// Brittle is set if the runner says that it falls over when it rejects too many requests.
+	Brittle bool `json:"brittle,omitempty"`
 	// RestMillis is for how long the runner asked this router to send no requests.
 	RestMillis int64 `json:"restMillis,omitempty"`
 }
@@ -278,6 +285,7 @@
 			ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, State: e.state(now).String(),
 			InFlight: e.inFlight, FailureShare: e.decayedFailureShare(now),
 		}
+		summary.Brittle = e.signalState.IsBrittle()
 		if e.signalState.InBackoff(now) {
 			summary.RestMillis = e.signalState.BackoffUntil.Sub(now).Milliseconds()
 		}
--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -48,7 +48,7 @@
 func (s *Set) Permits() *backpressure.Permits { return s.permits }
 
 // heldBack reports whether the runner accepts no request of the query now, because of a
-// backoff or a rate limit, and counts it in held. A leaving runner is not counted, as it will
+// backoff, a rate limit or because it is brittle and has no room, and counts it in held. A leaving runner is not counted, as it will
 // not accept requests later either.
 func (s *Set) heldBack(now time.Time, e *entry, query Query, held *placement.HeldBack) bool {
 	if e.isLeaving() {
@@ -58,6 +58,9 @@
 		held.AddInBackoff(remaining)
 		return true
 	}
+	if s.lacksRoom(now, e, held) {
+		return true
+	}
 	if !e.signalState.IsLimited() {
 		return false
 	}
--- a/internal/backpressure/permits.go
+++ b/internal/backpressure/permits.go
@@ -103,6 +103,9 @@
 	return p.schedulers
 }
 
+// Schedulers returns the number of schedulers, or 0 if this router is not one of them.
+func (p *Permits) Schedulers(now time.Time) int { return p.currentSchedulers(now) }
+
 // Share returns this router's share of the rate, in requests per second, or 0 if this router
 // grants nothing.
 func (p *Permits) Share(now time.Time, rate float64) float64 {
--- a/internal/backpressure/record.go
+++ b/internal/backpressure/record.go
@@ -28,6 +28,14 @@
 	LimitReportedAt time.Time
 	// LimitLiftedAt is when the latest request was sent whose response reported no limit.
 	LimitLiftedAt time.Time
+	// MaxRejections is the number of requests that the runner may reject within a second, and
+	// BrittleReportedAt is when a response last reported it. BrittleLiftedAt is when the latest request
+	// was sent whose response reported no such number.
+	MaxRejections     int
+	BrittleReportedAt time.Time
+	BrittleLiftedAt   time.Time
+	// RejectedAt is when the runner last rejected a request for want of room while it was brittle.
+	RejectedAt time.Time
 }
 
 // Leaving reports whether the runner is shutting down.
@@ -38,9 +46,21 @@
 	return !r.LimitReportedAt.IsZero() && r.LimitLiftedAt.Before(r.LimitReportedAt.Add(liftMargin))
 }
 
+// Brittle reports whether the runner currently falls over if it rejects too many requests.
+func (r Record) Brittle() bool {
+	return !r.BrittleReportedAt.IsZero() && r.BrittleLiftedAt.Before(r.BrittleReportedAt.Add(liftMargin))
+}
+
+// minRejectionInterval is the difference below which two times of a rejection are the same. Times that
+// other routers report are accurate to within the message delay.
+const minRejectionInterval = 100 * time.Millisecond
+
 // isEquivalent reports whether both records have the same effect on placement.
 func (r Record) isEquivalent(other Record) bool {
-	if r.Leaving() != other.Leaving() || r.Limited() != other.Limited() {
+	if r.Leaving() != other.Leaving() || r.Limited() != other.Limited() || r.Brittle() != other.Brittle() {
+		return false
+	}
+	if r.Brittle() && (r.MaxRejections != other.MaxRejections || r.RejectedAt.Sub(other.RejectedAt).Abs() >= minRejectionInterval) {
 		return false
 	}
 	return !r.Limited() || r.Rate == other.Rate
@@ -53,6 +73,10 @@
 		r.Rate, r.LimitReportedAt = other.Rate, other.LimitReportedAt
 	}
 	r.LimitLiftedAt = later(r.LimitLiftedAt, other.LimitLiftedAt)
+	if other.BrittleReportedAt.After(r.BrittleReportedAt) {
+		r.MaxRejections, r.BrittleReportedAt = other.MaxRejections, other.BrittleReportedAt
+	}
+	r.BrittleLiftedAt, r.RejectedAt = later(r.BrittleLiftedAt, other.BrittleLiftedAt), later(r.RejectedAt, other.RejectedAt)
 	return r
 }
 
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -1,6 +1,6 @@
 // Package backpressure tracks the load signals that runners send in their responses: that they
 // are shutting down, that they limit the rate of requests from all routers together, or that
-// one router should back off. It also grants the permits for sending requests under a rate
+// one router should back off, or that they are brittle. It also grants the permits for sending requests under a rate
 // limit.
 //
 // Signals apply to one incarnation of a runner and take precedence over the directory, which
@@ -25,12 +25,18 @@
 	// Backoff is how long the runner wants no requests from the router that received this
 	// response, 0 if the response requests no backoff.
 	Backoff time.Duration
+	// Brittle means that the runner falls over if it rejects more than MaxRejections requests for want
+	// of room within a second.
+	Brittle       bool
+	MaxRejections int
+	// Rejected means that the runner rejected the request for want of room.
+	Rejected bool
 	// Malformed lists the headers whose values could not be parsed. Their signals are ignored.
 	Malformed []string
 }
 
 // hasSignal reports whether the response carries any signal.
-func (s Signals) hasSignal() bool { return s.Leaving || s.Limited || s.Backoff > 0 }
+func (s Signals) hasSignal() bool { return s.Leaving || s.Limited || s.Backoff > 0 || s.Brittle }
 
 // ValidRate reports whether rate can be a limit: a finite number that is not negative.
 func ValidRate(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 0) }
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -46,18 +46,24 @@
 // IsLimited reports whether the runner limits requests.
 func (s *RunnerState) IsLimited() bool { return s != nil && s.Limited() }
 
+// IsBrittle reports whether the runner is brittle.
+func (s *RunnerState) IsBrittle() bool { return s != nil && s.Brittle() }
+
 // Changes reports which signals of a response changed the state of the runner.
 type Changes struct {
 	// Leaving is set by the first response that reports a shutdown, Limit when a limit begins,
 	// changes or ends, and Backoff when a backoff period begins.
 	Leaving, Limit, Backoff bool
+	// Brittle is set when the runner becomes brittle or sound, and Rejected by each rejection for want of
+	// room while it is brittle.
+	Brittle, Rejected bool
 }
 
 // Any reports whether anything changed.
-func (c Changes) Any() bool { return c.Leaving || c.Limit || c.Backoff }
+func (c Changes) Any() bool { return c.Leaving || c.Limit || c.Backoff || c.Brittle || c.Rejected }
 
 // NeedsBroadcast reports whether other routers must be informed of the changes.
-func (c Changes) NeedsBroadcast() bool { return c.Leaving || c.Limit }
+func (c Changes) NeedsBroadcast() bool { return c.Leaving || c.Limit || c.Brittle || c.Rejected }
 
 // Table holds the state of all runners that sent signals. It is not safe for concurrent use.
 type Table struct {
@@ -66,12 +72,17 @@
 	// backoffs holds the states that may be in backoff, so that BackingOff does not have to
 	// search all states.
 	backoffs map[Runner]*RunnerState
+	// brittleSeen is set once any runner has been brittle.
+	brittleSeen bool
 }
 
 func NewTable() *Table {
 	return &Table{states: map[Runner]*RunnerState{}, backoffs: map[Runner]*RunnerState{}}
 }
 
+// AnyBrittle reports whether any runner may be brittle.
+func (t *Table) AnyBrittle() bool { return t.brittleSeen }
+
 // Get returns the state of the runner, or nil if it sent no signals.
 func (t *Table) Get(runner Runner) *RunnerState { return t.states[runner] }
 
@@ -101,6 +112,17 @@
 	case success && len(signals.Malformed) == 0:
 		state.LimitLiftedAt = later(state.LimitLiftedAt, sentAt)
 	}
+	switch {
+	case signals.Brittle:
+		state.MaxRejections, state.BrittleReportedAt = signals.MaxRejections, now
+	case success && len(signals.Malformed) == 0:
+		state.BrittleLiftedAt = later(state.BrittleLiftedAt, sentAt)
+	}
+	t.brittleSeen = t.brittleSeen || state.Brittle()
+	rejected := signals.Rejected && state.Brittle()
+	if rejected {
+		state.RejectedAt = now
+	}
 	if signals.Backoff > 0 {
 		state.BackoffUntil = later(state.BackoffUntil, now.Add(signals.Backoff))
 		t.backoffs[runner] = state
@@ -108,7 +130,7 @@
 	changes := Changes{
 		Leaving: state.Leaving() && !before.Leaving(),
 		Limit:   state.Limited() != before.Limited() || state.hasRateUpdate(now),
-		Backoff: !wasInBackoff && state.InBackoff(now),
+		Backoff: !wasInBackoff && state.InBackoff(now), Brittle: state.Brittle() != before.Brittle(), Rejected: rejected,
 	}
 	if changes.NeedsBroadcast() {
 		t.markChanged(now, state)
@@ -134,6 +156,7 @@
 		state := t.getOrCreate(record.Runner)
 		before := state.Record
 		state.Record, state.updatedAt = before.merge(record), now
+		t.brittleSeen = t.brittleSeen || state.Brittle()
 		if !state.isEquivalent(before) || !state.isEquivalent(record) && now.Sub(state.resentAt) >= minResendInterval {
 			state.resentAt = now
 			t.markChanged(now, state)
@@ -148,7 +171,7 @@
 // minResendInterval.
 func (t *Table) ShouldResend(now time.Time, runner Runner) bool {
 	state := t.states[runner]
-	if state == nil || !state.Leaving() && !state.Limited() || now.Sub(state.resentAt) < minResendInterval {
+	if state == nil || !state.Leaving() && !state.Limited() && !state.Brittle() || now.Sub(state.resentAt) < minResendInterval {
 		return false
 	}
 	state.resentAt = now
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -117,7 +117,8 @@
 		// Records with equal LimitReportedAt must have equal rates, because both come from one
 		// response.
 		records := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Record {
-			return Record{Runner: runner, LeavingAt: drawTime.Draw(t, "leaving"), Rate: 1, LimitReportedAt: drawTime.Draw(t, "limit reported"), LimitLiftedAt: drawTime.Draw(t, "lifted")}
+			return Record{Runner: runner, LeavingAt: drawTime.Draw(t, "leaving"), Rate: 1, LimitReportedAt: drawTime.Draw(t, "limit reported"), LimitLiftedAt: drawTime.Draw(t, "lifted"),
+				MaxRejections: 3, BrittleReportedAt: drawTime.Draw(t, "brittle reported"), BrittleLiftedAt: drawTime.Draw(t, "brittle lifted"), RejectedAt: drawTime.Draw(t, "rejected")}
 		}), 1, 6, func(r Record) Record { return r }).Draw(t, "records")
 		shuffled := rapid.Permutation(append(records, records...)).Draw(t, "shuffled")
 		one, other := NewTable(), NewTable()
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -107,3 +107,25 @@
 	f.g.Expect(falls).To(BeNumerically("<=", load.maxFalls))
 	f.g.Expect(float64(served.Load()) / possible).To(BeNumerically(">=", load.minShare))
 }
+
+// Guards against a router that has lost all schedulers, or that has just started, and fills brittle runners
+// because it knows only its own requests.
+func TestOnlySchedulersChooseBrittleRunners(t *testing.T) {
+	t.Parallel()
+	f, seeds, follower := newSeededFleet(t)
+	runner := f.runnerByID("p1")
+	runner.SetBrittle(&runnerstand.Brittleness{MaxRejections: 0, Downtime: time.Second})
+	f.g.Expect(follower.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	f.g.Eventually(func() bool { return follower.Status().Runners[0].Brittle }, time.Second, 5*time.Millisecond).Should(BeTrue())
+	for _, seed := range seeds {
+		seed.Kill()
+	}
+	before := runner.ArrivalCount()
+	for range 10 {
+		got := follower.call("/safe/x", nil)
+		f.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		f.g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		f.g.Expect(got.duration).To(BeNumerically("<", 400*time.Millisecond))
+	}
+	f.g.Expect(runner.ArrivalCount()).To(Equal(before))
+}
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -61,6 +61,9 @@
 // It returns nil if this router has to choose one itself.
 func (s *schedulers) requestPlacement(query backend.Query, timeLeft time.Duration) *placementRequest {
 	order := s.order(s.gateway.now())
+	if len(order) > 0 && s.gateway.isBrittle(query.Service) {
+		order = s.allInOrder(s.gateway.now())
+	}
 	if len(order) == 0 {
 		return nil
 	}
@@ -173,11 +176,11 @@
 
 // await returns the choice, or nil if none arrives within the timeout or before the context is
 // done. A choice that arrives later is released.
-func (r *placementRequest) await(ctx context.Context) *placementChoice {
+func (r *placementRequest) await(ctx context.Context, patience time.Duration) *placementChoice {
 	if r == nil {
 		return nil
 	}
-	timer := time.NewTimer(r.schedulers.gateway.settings.PlacePatience)
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case choice := <-r.choices:
@@ -214,6 +217,17 @@
 	_ = s.gateway.peerRouters.transport.Send("", p.scheduler, &wire.Envelope{Body: &wire.Envelope_SendNotice{SendNotice: notice}})
 }
 
+// brittlePlacePatience is the maximum time that a call waits for a scheduler's choice among brittle
+// runners. Without a choice it is refused, because this router doesn't know how much room they have.
+const brittlePlacePatience = 100 * time.Millisecond
+
+// isBrittle reports whether the service's runners are brittle.
+func (g *Gateway) isBrittle(service string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.runners.IsBrittle(g.now(), service)
+}
+
 // startPlacement requests a runner for the next send. For the first send it does so while the
 // request body arrives.
 func (c *call) startPlacement() {
@@ -227,7 +241,11 @@
 
 // awaitPlacement returns the scheduler's choice for the next send, or nil if there is none.
 func (c *call) awaitPlacement() *placementChoice {
-	choice := c.placementRequest.await(c.ctx)
+	patience := c.gateway.settings.PlacePatience
+	if c.gateway.isBrittle(c.service) {
+		patience = max(patience, brittlePlacePatience)
+	}
+	choice := c.placementRequest.await(c.ctx, patience)
 	c.placementRequest = nil
 	return choice
 }
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,15 @@
 	return order[:1]
 }
 
+// allInOrder returns the addresses of all schedulers, the best first, without those that are silent.
+func (s *schedulers) allInOrder(now time.Time) []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.DeleteFunc(s.ranking.Order(now), func(address string) bool {
+		return address == s.gateway.settings.PeerAddress || s.ranking.IsSilent(now, address)
+	})
+}
+
 // regionOrder returns the schedulers of the own region to ask before this router chooses itself. The
 // mutex must be held.
 func (s *schedulers) regionOrder(now time.Time) []string {
--- a/internal/gateway/signalencoding.go
+++ b/internal/gateway/signalencoding.go
@@ -16,6 +16,10 @@
 		message.Leaving, message.LeavingAgeMillis = encodeAge(now, record.LeavingAt)
 		message.Named, message.NamedAgeMillis = encodeAge(now, record.LimitReportedAt)
 		message.Lifted, message.LiftedAgeMillis = encodeAge(now, record.LimitLiftedAt)
+		message.MaxRejections = uint32(record.MaxRejections)
+		message.Brittle, message.BrittleAgeMillis = encodeAge(now, record.BrittleReportedAt)
+		message.BrittleLifted, message.BrittleLiftedAgeMillis = encodeAge(now, record.BrittleLiftedAt)
+		message.Rejected, message.RejectedAgeMillis = encodeAge(now, record.RejectedAt)
 		messages = append(messages, message)
 	}
 	return messages
@@ -37,6 +41,11 @@
 			Runner:        backpressure.Runner{ID: message.GetRunner(), Incarnation: message.GetIncarnation()},
 			LeavingAt:     decodeAge(now, message.GetLeaving(), message.GetLeavingAgeMillis()),
 			LimitLiftedAt: decodeAge(now, message.GetLifted(), message.GetLiftedAgeMillis()),
+
+			MaxRejections:     int(message.GetMaxRejections()),
+			BrittleReportedAt: decodeAge(now, message.GetBrittle(), message.GetBrittleAgeMillis()),
+			BrittleLiftedAt:   decodeAge(now, message.GetBrittleLifted(), message.GetBrittleLiftedAgeMillis()),
+			RejectedAt:        decodeAge(now, message.GetRejected(), message.GetRejectedAgeMillis()),
 		}
 		if backpressure.ValidRate(message.GetRate()) {
 			record.Rate, record.LimitReportedAt = message.GetRate(), decodeAge(now, message.GetNamed(), message.GetNamedAgeMillis())
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -14,6 +14,8 @@
 	signalLeaving   = "leaving"
 	signalLimit     = "limit"
 	signalBackoff   = "rest"
+	signalBrittle   = "brittle"
+	signalRejected  = "rejected"
 	signalMalformed = "unreadable"
 )
 
@@ -71,7 +73,7 @@
 // routers need.
 func (s *signals) recordChanges(runner backend.Runner, service string, changes backpressure.Changes, received backpressure.Signals, requestID string) {
 	counters := s.gateway.metrics.runnerSignals
-	for signal, changed := range map[string]bool{signalLeaving: changes.Leaving, signalLimit: changes.Limit, signalBackoff: changes.Backoff} {
+	for signal, changed := range map[string]bool{signalLeaving: changes.Leaving, signalLimit: changes.Limit, signalBackoff: changes.Backoff, signalBrittle: changes.Brittle, signalRejected: changes.Rejected} {
 		if changed {
 			counters.WithLabelValues(service, signal).Inc()
 		}
@@ -79,6 +81,7 @@
 	s.gateway.log.Log(events.RunnerSignalReceived, events.Fields{
 		"runner": runner.ID, "address": runner.Address, "service": service, "request": requestID,
 		"leaving": received.Leaving, "limited": received.Limited, "rate": received.Rate, "rest_ms": received.Backoff.Milliseconds(),
+		"brittle": received.Brittle, "max_rejections": received.MaxRejections, "rejected": changes.Rejected,
 	})
 	if changes.NeedsBroadcast() {
 		s.broadcasts.add([]backpressure.Runner{{ID: runner.ID, Incarnation: runner.Incarnation}}, true)
@@ -104,7 +107,7 @@
 	runners := make([]backpressure.Runner, 0, len(changed))
 	for _, record := range changed {
 		runners = append(runners, record.Runner)
-		g.log.Log(events.RunnerSignalForwarded, events.Fields{"runner": record.ID, "leaving": record.Leaving(), "limited": record.Limited(), "rate": record.Rate})
+		g.log.Log(events.RunnerSignalForwarded, events.Fields{"runner": record.ID, "leaving": record.Leaving(), "limited": record.Limited(), "rate": record.Rate, "brittle": record.Brittle()})
 	}
 	s.broadcasts.add(runners, false)
 }
