egress: links are judged by responses on new connections and probes, not by accepted connections

Cause: an opened connection counted as a working link; leaving runners counted among those that have to fail; outcomes during the doubt were no evidence, so the same runner was chosen again and again. Change: a new connection that breaks before a response counts as failed; only probes that get a response restore links; runners that leave do not count; a failed new connection starts a probe of another runner. Brittle runners: a hold after a rejection is 0.2 s, a second after half of the allowed ones.

--- a/cmd/clovertiller-lab/soak.go
+++ b/cmd/clovertiller-lab/soak.go
@@ -14,7 +14,7 @@
 func soakCommand() command {
 	subcommand := newSubcommand("soak", "Run gateway processes, inject random faults from outside, and check the promises.")
 	program, olderProgram, logRoot := "", "", "out"
-	poison, suspensions, signals, restores, lateOperator, rollouts, regions := false, false, false, false, false, false, false
+	poison, suspensions, signals, restores, lateOperator, rollouts, regions, partitions := false, false, false, false, false, false, false, false
 	seed, duration := uint64(0), time.Minute
 	gateways, engines := 0, 0
 	subcommand.String(&program, "", "program", "Path of the gateway program. Without it, this program's own gateway is run.")
@@ -25,6 +25,7 @@
 	subcommand.Bool(&restores, "", "restores", "Restore the store from backups.")
 	subcommand.Bool(&lateOperator, "", "late-operator", "Delay the operator's rewrite of objects that a restored store has lost.")
 	subcommand.Bool(&rollouts, "", "rollouts", "Move a service to good and bad software versions.")
+	subcommand.Bool(&partitions, "", "partitions", "Cut gateways off all runners, make runners brittle and silence them.")
 	subcommand.Bool(&regions, "", "regions", "Put gateways and runners into two or three regions and cut borders between regions.")
 	subcommand.String(&logRoot, "", "folder", "Folder for settings and logs.")
 	subcommand.UInt64(&seed, "", "seed", "Random seed of the faults; 0 chooses one.")
@@ -45,7 +46,7 @@
 		}
 		fmt.Println("seed", seed)
 		report, err := soak.Run(ctx, soak.Settings{
-			Program: commandLine, OlderProgram: olderProgram, Poison: poison, Suspensions: suspensions, Signals: signals, Restores: restores, LateOperator: lateOperator, Rollouts: rollouts, Regions: regions,
+			Program: commandLine, OlderProgram: olderProgram, Poison: poison, Suspensions: suspensions, Signals: signals, Restores: restores, LateOperator: lateOperator, Rollouts: rollouts, Regions: regions, Partitions: partitions,
 			Seed: seed, FaultDuration: duration, Folder: soak.LogFolder(logRoot, seed), Out: os.Stdout, Gateways: gateways, Engines: engines,
 		})
 		if err != nil {
--- a/internal/backend/brittle.go
+++ b/internal/backend/brittle.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// rejectionHold is how long a brittle runner gets no request after it rejected one. It falls over if it
-	// rejects too many within a second.
-	rejectionHold = time.Second
 	// roomRecoveryTime is the time after which the limit of a brittle runner, lowered by a rejection, rises by
 	// one request.
 	roomRecoveryTime = 2 * time.Second
@@ -97,10 +94,8 @@
 	if s.permits.Schedulers(now) == 0 {
 		return roomUnknownWait
 	}
-	if e.signalState.IsBrittle() {
-		if heldFor := e.signalState.RejectedAt.Add(rejectionHold).Sub(now); heldFor > 0 {
-			return heldFor
-		}
+	if hold := e.signalState.RejectionHold(now); hold > 0 {
+		return hold
 	}
 	limit := s.roomLimit(now, e)
 	if s.openRequests(now, e) < limit {
--- a/internal/backend/reach.go
+++ b/internal/backend/reach.go
@@ -2,8 +2,18 @@
 
 import "time"
 
-// CountListed returns the number of listed runners of a service.
-func (s *Set) CountListed(service string) int { return len(s.byService[service]) }
+// CountActive returns the number of listed runners of a service that are not leaving, at most limit.
+func (s *Set) CountActive(service string, limit int) (count int) {
+	for _, e := range s.byService[service] {
+		if count == limit {
+			break
+		}
+		if !e.isLeaving() {
+			count++
+		}
+	}
+	return count
+}
 
 // Listed returns the listed runners of a service that are not leaving.
 func (s *Set) Listed(service string) []Runner {
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -31,12 +31,55 @@
 	sequence    uint64
 	published   Record
 	publishedAt time.Time
+	// rejections are the times of the rejections for want of room within the last rejectionWindow, oldest
+	// first.
+	rejections []time.Time
 	// updatedAt is when a signal or record was last received, and resentAt is when the record
 	// was last resent because another router had outdated information.
 	updatedAt time.Time
 	resentAt  time.Time
 }
 
+const (
+	// rejectionWindow is the time within which a brittle runner counts its rejections.
+	rejectionWindow = time.Second
+	// shortRejectionHold is how long a brittle runner gets no request after one of few rejections: a slot or two
+	// become free meanwhile.
+	shortRejectionHold = 200 * time.Millisecond
+	// sameRejectionTolerance is the difference below which two reported times are those of one rejection.
+	// Reported times are accurate to within the message delay.
+	sameRejectionTolerance = 20 * time.Millisecond
+)
+
+func (s *RunnerState) countRejection(at time.Time) {
+	recent := s.rejections[:0]
+	for _, earlier := range s.rejections {
+		if at.Sub(earlier) < rejectionWindow {
+			recent = append(recent, earlier)
+		}
+	}
+	s.rejections = append(recent, at)
+}
+
+// RejectionHold returns for how long a brittle runner is to get no request because of its rejections. Once it
+// has rejected half of the requests that it may reject within rejectionWindow, that is the whole window.
+func (s *RunnerState) RejectionHold(now time.Time) time.Duration {
+	if !s.IsBrittle() || len(s.rejections) == 0 {
+		return 0
+	}
+	recent := 0
+	for _, at := range s.rejections {
+		if now.Sub(at) < rejectionWindow {
+			recent++
+		}
+	}
+	hold := shortRejectionHold
+	if 2*recent > s.MaxRejections {
+		hold = rejectionWindow
+	}
+	return max(s.rejections[len(s.rejections)-1].Add(hold).Sub(now), 0)
+}
+
 // InBackoff reports whether the runner wants no requests from this router now.
 func (s *RunnerState) InBackoff(now time.Time) bool { return s != nil && now.Before(s.BackoffUntil) }
 
@@ -122,6 +165,7 @@
 	rejected := signals.Rejected && state.Brittle()
 	if rejected {
 		state.RejectedAt = now
+		state.countRejection(now)
 	}
 	if signals.Backoff > 0 {
 		state.BackoffUntil = later(state.BackoffUntil, now.Add(signals.Backoff))
@@ -156,6 +200,9 @@
 		state := t.getOrCreate(record.Runner)
 		before := state.Record
 		state.Record, state.updatedAt = before.merge(record), now
+		if state.RejectedAt.Sub(before.RejectedAt) >= sameRejectionTolerance {
+			state.countRejection(state.RejectedAt)
+		}
 		t.brittleSeen = t.brittleSeen || state.Brittle()
 		if !state.isEquivalent(before) || !state.isEquivalent(record) && now.Sub(state.resentAt) >= minResendInterval {
 			state.resentAt = now
--- a/internal/egress/paths.go
+++ b/internal/egress/paths.go
@@ -26,17 +26,19 @@
 func (s State) String() string { return [...]string{"direct", "reuse only", "cut"}[s] }
 
 const (
+	// MaxRunnersCounted is the largest number of runners of a service that matters.
+	MaxRunnersCounted = minRunners
 	// minRunners is the number of runners that must fail before the links are at fault and not the
 	// runners. Of a service with fewer runners, all must fail.
 	minRunners = 3
 	// silenceTimeout is how long nothing must have been heard from a service before its silence
 	// counts.
 	silenceTimeout = 250 * time.Millisecond
-	// verifiedTime is how long silence doesn't count after a runner has accepted a connection: its
-	// requests then wait because the runners are busy.
+	// verifiedTime is how long silence doesn't count after a runner has answered a probe: its requests then
+	// wait because the runners are busy.
 	verifiedTime = 2 * time.Second
-	// minConfirmations is the number of runners that must accept a connection before the links count
-	// as restored.
+	// minConfirmations is the number of runners that must answer a probe before the links count as
+	// restored.
 	minConfirmations = 2
 	// failureLifetime is how long a failure counts, for services without other requests.
 	failureLifetime = 10 * time.Second
@@ -50,16 +52,16 @@
 type servicePaths struct {
 	state State
 	since time.Time
-	// lastHeard is when a runner last sent anything or accepted a connection.
+	// lastHeard is when a runner last sent anything.
 	lastHeard time.Time
-	// verifiedAt is when a runner last accepted a connection while the service was silent.
+	// verifiedAt is when a runner last answered a probe while the service was silent.
 	verifiedAt time.Time
-	// failed holds the runners whose connections failed since lastHeard, and undialed those to which no
-	// connection could be opened since one last could, with the times.
-	failed, undialed map[string]time.Time
+	// failed holds the runners whose connections failed since lastHeard, and unopened those to which no
+	// new connection worked since one last did, with the times.
+	failed, unopened map[string]time.Time
 	// waits holds the sends without a response.
 	waits map[*Wait]struct{}
-	// confirmed holds the runners that accepted a connection since the state is not Direct.
+	// confirmed holds the runners that answered a probe since the state is not Direct.
 	confirmed map[string]struct{}
 	// restoredAt is when the state last became Direct again.
 	restoredAt time.Time
@@ -77,7 +79,7 @@
 func (p *Paths) service(name string) *servicePaths {
 	known := p.services[name]
 	if known == nil {
-		known = &servicePaths{failed: map[string]time.Time{}, undialed: map[string]time.Time{}, waits: map[*Wait]struct{}{}, confirmed: map[string]struct{}{}}
+		known = &servicePaths{failed: map[string]time.Time{}, unopened: map[string]time.Time{}, waits: map[*Wait]struct{}{}, confirmed: map[string]struct{}{}}
 		p.services[name] = known
 	}
 	return known
@@ -98,19 +100,23 @@
 // EndWait records that a send is over or that its response has begun.
 func (p *Paths) EndWait(w *Wait) { delete(p.service(w.service).waits, w) }
 
-// Heard records that a runner sent something. Runners may send on open connections while new ones
-// cannot be opened, so this restores the links only if they were never found to be at fault.
-func (p *Paths) Heard(now time.Time, service string) {
+// Heard records that a runner sent something, on a new connection or on one that has worked before. Only
+// probes restore the links once they were found to be at fault.
+func (p *Paths) Heard(now time.Time, service string, isNewConnection bool) {
 	s := p.service(service)
 	s.lastHeard = now
 	clear(s.failed)
+	if isNewConnection {
+		clear(s.unopened)
+	}
 }
 
-// Connected records that a runner accepted a connection. It reports whether the state has changed.
-func (p *Paths) Connected(now time.Time, service, runner string, runnerCount int) (changed bool) {
-	p.Heard(now, service)
+// Answered records that a runner answered a probe over a new connection. It reports whether the state has
+// changed.
+func (p *Paths) Answered(now time.Time, service, runner string, runnerCount int) (changed bool) {
+	p.Heard(now, service, true)
 	s := p.service(service)
-	clear(s.undialed)
+	s.verifiedAt = now
 	if s.state == Direct {
 		return false
 	}
@@ -123,14 +129,15 @@
 	return true
 }
 
-// DialFailed records that no connection to a runner could be opened.
-func (p *Paths) DialFailed(now time.Time, service, runner string) {
+// OpenFailed records that a new connection to a runner could not be opened or broke before it brought
+// anything.
+func (p *Paths) OpenFailed(now time.Time, service, runner string) {
 	s := p.service(service)
-	s.undialed[runner], s.failed[runner] = now, now
+	s.unopened[runner], s.failed[runner] = now, now
 	clear(s.confirmed)
 }
 
-// ConnectionLost records that an open connection to a runner broke.
+// ConnectionLost records that a connection to a runner that has worked before broke.
 func (p *Paths) ConnectionLost(now time.Time, service, runner string) {
 	p.service(service).failed[runner] = now
 }
@@ -140,15 +147,15 @@
 func (p *Paths) Evaluate(now time.Time, service string, runnerCount int) (worsened bool) {
 	s := p.service(service)
 	expire(s.failed, now)
-	expire(s.undialed, now)
+	expire(s.unopened, now)
 	next, required := s.state, min(minRunners, max(runnerCount, 1))
 	if p.isOtherCut(service, s.lastHeard) {
 		required = 1
 	}
 	switch {
-	case len(s.failed) >= required && s.failedDial():
+	case len(s.failed) >= required && s.failedOpen():
 		next = Cut
-	case len(s.undialed) >= required:
+	case len(s.unopened) >= required:
 		next = max(next, ReuseOnly)
 	}
 	if next <= s.state {
@@ -159,11 +166,11 @@
 	return true
 }
 
-// failedDial reports whether one of the failures since lastHeard was a dial. Runners that end close their
-// connections too, but accept new ones when they are back.
-func (s *servicePaths) failedDial() bool {
+// failedOpen reports whether one of the failures since lastHeard was that of a new connection. Runners that
+// end close their connections too, but accept new ones when they are back.
+func (s *servicePaths) failedOpen() bool {
 	for runner := range s.failed {
-		if _, undialed := s.undialed[runner]; undialed {
+		if _, unopened := s.unopened[runner]; unopened {
 			return true
 		}
 	}
@@ -187,7 +194,7 @@
 
 // IsSilent reports whether sends to several runners wait or failed although nothing was heard from the
 // service for longer than silenceTimeout. That alone doesn't show that the links are at fault, since all runners may be
-// busy: the router then dials one of them.
+// busy: the router then probes one of them.
 func (p *Paths) IsSilent(now time.Time, service string, runnerCount int) bool {
 	s := p.service(service)
 	if s.state == Cut || now.Sub(s.lastHeard) < silenceTimeout || now.Sub(s.verifiedAt) < verifiedTime {
@@ -209,11 +216,8 @@
 	return len(unanswered) >= required
 }
 
-// RefuteSilence records that a runner of a silent service accepted a connection.
-func (p *Paths) RefuteSilence(now time.Time, service string) { p.service(service).verifiedAt = now }
-
-// ConfirmSilence records that a runner of a silent service accepted no connection, which makes the
-// service Cut. It reports whether the state has changed.
+// ConfirmSilence records that a runner of a silent service did not answer a probe, which makes the service
+// Cut. It reports whether the state has changed.
 func (p *Paths) ConfirmSilence(now time.Time, service string, runnerCount int) (changed bool) {
 	if !p.IsSilent(now, service, runnerCount) {
 		return false
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -140,6 +140,8 @@
 	// forwarded is the message with which another router forwarded the call, nil if this router took it
 	// from the caller.
 	forwarded *wire.ForwardedCall
+	// isNewConnection is set if the current attempt was sent over a new connection.
+	isNewConnection bool
 	// egressRouter is the router to which the call was last forwarded, and triedEgress are all of them.
 	egressRouter string
 	triedEgress  []string
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -48,9 +48,10 @@
 	selector  *egress.Selector
 	// unservedUntil holds the services for which no egress router was found recently.
 	unservedUntil map[string]time.Time
-	// probing is set while probeLoop runs, and verifying holds the silent services that are being probed.
-	probing   bool
-	verifying map[string]bool
+	// probing is set while probeLoop runs. nextVerifyAt is when a service whose links may be at fault is
+	// probed again at the earliest.
+	probing      bool
+	nextVerifyAt map[string]time.Time
 }
 
 func newEgressRouters(g *Gateway) *egressRouters {
@@ -58,7 +59,7 @@
 	pool.SilenceTimeout = runnerSilenceTimeout
 	return &egressRouters{
 		gateway: g, pool: pool, paths: egress.NewPaths(), directory: egress.NewDirectory(),
-		selector: egress.NewSelector(g.settings.Zone, g.distances), unservedUntil: map[string]time.Time{}, verifying: map[string]bool{},
+		selector: egress.NewSelector(g.settings.Zone, g.distances), unservedUntil: map[string]time.Time{}, nextVerifyAt: map[string]time.Time{},
 	}
 }
 
@@ -86,11 +87,11 @@
 	}
 }
 
-// runnerCount returns the number of listed runners of a service.
+// runnerCount returns the number of runners of a service that are not leaving, as far as it matters.
 func (e *egressRouters) runnerCount(service string) int {
 	e.gateway.mutex.Lock()
 	defer e.gateway.mutex.Unlock()
-	return e.gateway.runners.CountListed(service)
+	return e.gateway.runners.CountActive(service, egress.MaxRunnersCounted)
 }
 
 // pathState returns the state of the links to a service. If the service is silent, it starts to verify
@@ -99,13 +100,22 @@
 	now, count := e.gateway.now(), e.runnerCount(service)
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.paths.IsSilent(now, service, count) && !e.verifying[service] {
-		e.verifying[service] = true
-		e.gateway.spawn(func() { e.verifySilence(service) })
+	if e.paths.IsSilent(now, service, count) {
+		e.verify(now, service, "")
 	}
 	return e.paths.State(service)
 }
 
+// verify probes a runner of the service, unless that was done a moment ago. failed is a runner that need not be
+// probed, or empty. The mutex must be held.
+func (e *egressRouters) verify(now time.Time, service, failed string) {
+	if now.Before(e.nextVerifyAt[service]) {
+		return
+	}
+	e.nextVerifyAt[service] = now.Add(probeInterval)
+	e.gateway.spawn(func() { e.probe(service, failed) })
+}
+
 // bypasses reports whether a call to the service is forwarded without an attempt of this router.
 func (e *egressRouters) bypasses(service string) bool {
 	return e.pathState(service) == egress.Cut && e.hasRouters()
@@ -118,38 +128,35 @@
 	return e.selector.Digest() != 0
 }
 
-// verifySilence probes runners of a silent service.
-func (e *egressRouters) verifySilence(service string) {
-	e.probe(service)
-	e.mutex.Lock()
-	delete(e.verifying, service)
-	e.mutex.Unlock()
-}
-
-// probe opens a connection to a random runner of the service and records the result.
-func (e *egressRouters) probe(service string) (accepted bool) {
+// probe asks a random runner of the service, other than the excluded one, for any response and records the
+// result.
+func (e *egressRouters) probe(service, excluded string) (answered bool) {
 	g := e.gateway
 	g.mutex.Lock()
 	runners := g.runners.Listed(service)
 	g.mutex.Unlock()
+	if len(runners) > 1 {
+		runners = slices.DeleteFunc(runners, func(r backend.Runner) bool { return r.ID == excluded })
+	}
 	if len(runners) == 0 {
 		return false
 	}
 	runner := runners[rand.IntN(len(runners))]
 	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
 	defer cancel()
-	err := g.ports.RunnerPool.Probe(ctx, runner.Address)
+	err := g.ports.Runners.Reaches(ctx, runner)
 	if g.ctx.Err() != nil {
 		return false
 	}
 	g.metrics.pathProbes.WithLabelValues(service, outcomeLabel(err == nil)).Inc()
-	e.recordDial(runner, err)
-	now, changed := g.now(), false
+	now, count, changed := g.now(), e.runnerCount(service), false
 	e.mutex.Lock()
 	if err == nil {
-		e.paths.RefuteSilence(now, service)
+		changed = e.paths.Answered(now, service, runner.ID, count)
 	} else {
-		changed = e.paths.ConfirmSilence(now, service, len(runners))
+		e.paths.OpenFailed(now, service, runner.ID)
+		confirmed := e.paths.ConfirmSilence(now, service, count)
+		changed = e.paths.Evaluate(now, service, count) || confirmed
 	}
 	e.mutex.Unlock()
 	e.handleChange(service, changed)
@@ -192,33 +199,24 @@
 }
 
 // heard records that a runner of the service sent something.
-func (e *egressRouters) heard(service string) {
+func (e *egressRouters) heard(service string, isNewConnection bool) {
 	now := e.gateway.now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.paths.Heard(now, service)
+	e.paths.Heard(now, service, isNewConnection)
 }
 
-// recordDial records the result of opening a connection to the runner.
-func (e *egressRouters) recordDial(runner backend.Runner, err error) {
+// connectionFailed records that a connection to the runner could not be opened or broke. isNew is set if it
+// has not brought anything.
+func (e *egressRouters) connectionFailed(runner backend.Runner, isNew bool) {
 	now, count := e.gateway.now(), e.runnerCount(runner.Service)
 	e.mutex.Lock()
-	var changed bool
-	if err == nil {
-		changed = e.paths.Connected(now, runner.Service, runner.ID, count)
+	if isNew {
+		e.paths.OpenFailed(now, runner.Service, runner.ID)
+		e.verify(now, runner.Service, runner.ID)
 	} else {
-		e.paths.DialFailed(now, runner.Service, runner.ID)
-		changed = e.paths.Evaluate(now, runner.Service, count)
+		e.paths.ConnectionLost(now, runner.Service, runner.ID)
 	}
-	e.mutex.Unlock()
-	e.handleChange(runner.Service, changed)
-}
-
-// connectionLost records that an open connection to the runner broke.
-func (e *egressRouters) connectionLost(runner backend.Runner) {
-	now, count := e.gateway.now(), e.runnerCount(runner.Service)
-	e.mutex.Lock()
-	e.paths.ConnectionLost(now, runner.Service, runner.ID)
 	changed := e.paths.Evaluate(now, runner.Service, count)
 	e.mutex.Unlock()
 	e.handleChange(runner.Service, changed)
@@ -256,8 +254,8 @@
 		}
 		for service, since := range impaired {
 			// A second runner must accept, so it is probed at once.
-			if e.probe(service) {
-				e.probe(service)
+			if e.probe(service, "") {
+				e.probe(service, "")
 			}
 			if e.gateway.now().Sub(since) < slowProbesAfter {
 				interval = probeInterval
--- a/internal/gateway/runnerports.go
+++ b/internal/gateway/runnerports.go
@@ -85,6 +85,9 @@
 	// Liveness checks, over a new connection, whether this incarnation of the runner is still
 	// running.
 	Liveness(ctx context.Context, runner backend.Runner) RunnerLiveness
+	// Reaches returns nil if the runner's address sends any response over a new connection, whoever
+	// answers there, and otherwise why not.
+	Reaches(ctx context.Context, runner backend.Runner) error
 	// Report reads the state of the runner.
 	Report(ctx context.Context, runner backend.Runner) (RunnerReport, error)
 	// Order sends an order to the runner. The error says why the outcome is unknown.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -144,6 +144,7 @@
 	c.sentAt = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
 	wait := c.gateway.egress.beginWait(c.runner)
+	c.isNewConnection = false
 	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.newRunnerRequest())
 	c.gateway.egress.endWait(wait)
 	if !errors.Is(err, httpconn.ErrNotSent) {
@@ -153,7 +154,7 @@
 		return c.handleSendError(err)
 	}
 	defer response.Body.Close()
-	c.gateway.egress.heard(c.runner.Service)
+	c.gateway.egress.heard(c.runner.Service, c.isNewConnection)
 	info := c.gateway.ports.Protocol.ParseResponse(response.Status, response.Header)
 	c.responseWeightVersion, c.requestedBackoff = info.WeightVersion, info.Signals.Backoff
 	c.receiveSignals(info, response.Status)
@@ -180,6 +181,15 @@
 	return c.forwardResponse(response)
 }
 
+// recordDial records the result of opening a connection for the current attempt.
+func (c *call) recordDial(err error) {
+	if err != nil {
+		c.gateway.egress.connectionFailed(c.runner, true)
+		return
+	}
+	c.isNewConnection = true
+}
+
 // isSuccess reports whether the status is 2xx.
 func isSuccess(status int) bool { return status >= 200 && status <= 299 }
 
@@ -199,11 +209,11 @@
 	if c.stream != nil && c.stream.lastEvent != "" {
 		dispatch.LastEvent = c.stream.lastEvent
 	}
-	protocol, id, runner := c.gateway.ports.Protocol, c.metadata.ID, c.runner
+	protocol, id := c.gateway.ports.Protocol, c.metadata.ID
 	return &httpconn.Request{
 		Method: c.incoming.Method, Target: requestTarget(c.incoming), Host: c.incoming.Host,
 		Header: protocol.ForwardHeaders(c.incoming.Header, dispatch), Body: c.body,
-		ReuseOnly: c.gateway.egress.mayOnlyReuse(c), OnDial: func(err error) { c.gateway.egress.recordDial(runner, err) },
+		ReuseOnly: c.gateway.egress.mayOnlyReuse(c), OnDial: c.recordDial,
 		MatchesResponse: func(header http.Header) bool { return protocol.ParseResponse(0, header).RequestID == id },
 		Confirm:         c.confirmSend,
 	}
@@ -336,7 +346,7 @@
 		c.endAttempt(backend.Unreachable, quarantine.NotRun, err.Error(), 0)
 		return c.attemptState.NotSent()
 	}
-	c.gateway.egress.connectionLost(c.runner)
+	c.gateway.egress.connectionFailed(c.runner, c.isNewConnection)
 	c.endAttempt(backend.Unreachable, quarantine.ConnectionLost, err.Error(), 0)
 	return c.connectionLost()
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -33,9 +33,6 @@
 	// maxIdlePerAddress is the maximum number of idle connections to one address.
 	maxIdlePerAddress = 16
 	readBufferBytes   = 2048
-	// probeIdleTimeout is how long a connection opened by Probe is kept. The server has not sent
-	// its Keep-Alive timeout yet.
-	probeIdleTimeout = time.Second
 )
 
 // ErrNotSent means that nothing of the request was sent to the server.
@@ -124,17 +121,6 @@
 	return &conn{Conn: netConn, address: address, reader: bufio.NewReaderSize(netConn, readBufferBytes)}, nil
 }
 
-// Probe opens a new connection and keeps it for the next request to the address for a short time.
-func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.open(ctx, address)
-	if err != nil {
-		return err
-	}
-	c.idleExpiry = time.Now().Add(probeIdleTimeout)
-	p.put(c)
-	return nil
-}
-
 // take removes and returns the most recently used idle connection to the address, so
 // that the others can expire. It returns nil if there is none.
 func (p *Pool) take(address string) *conn {
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -60,6 +60,10 @@
 	if s.settings.Regions {
 		group.Go(func() { borderCutCount = s.borders.run(ctx, deadline) })
 	}
+	partitionCount := 0
+	if s.settings.Partitions {
+		group.Go(func() { partitionCount = s.partitions.run(ctx, deadline) })
+	}
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -70,7 +74,7 @@
 	s.inject(s.updatesDuringSilence, &group)
 	group.Wait()
 	peerFaults.injectLastCutOff()
-	return count + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + 1
+	return count + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + 1
 }
 
 // inject starts the fault and ends it in the group.
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -27,6 +27,8 @@
 	store *storestand.Store
 	// topology gives the runners their zones.
 	topology *topology
+	// capacity is the capacity of each runner.
+	capacity runnerstand.Capacity
 	mutex    sync.Mutex
 	runners  []*runnerstand.Runner
 	proxies  map[string]*faultproxy.Proxy
@@ -47,7 +49,7 @@
 
 // add starts a runner with the weight version, and adds it to the directory.
 func (f *fleet) add(id, service string, version uint64, poison runnerstand.Poison) error {
-	config := runnerstand.Config{ID: id, Service: service, Poison: poison}
+	config := runnerstand.Config{ID: id, Service: service, Poison: poison, Capacity: f.capacity}
 	if service == "engines" {
 		config.Model, config.Version, config.EventCount = modelName, version, streamEvents
 	}
@@ -69,7 +71,7 @@
 		return nil, err
 	}
 	runner.SetQueueTime(queueTime)
-	proxy, err := f.topology.startProxy(runner.Address, config.Zone)
+	proxy, err := f.topology.startRunnerProxy(runner.Address, config.Zone)
 	if err != nil {
 		runner.Close()
 		return nil, err
--- a/internal/lab/soak/regions.go
+++ b/internal/lab/soak/regions.go
@@ -50,6 +50,8 @@
 	proxies  []regionalProxy
 	// cutRegion is the region whose border is cut, empty for none.
 	cutRegion string
+	// knowsClients is set if proxies of runners tell gateways apart, so that single ones can be cut off.
+	knowsClients bool
 }
 
 // regionalProxy is the proxy of a server in a region.
@@ -61,6 +63,11 @@
 // newSingleZone returns a topology with one zone and no regions.
 func newSingleZone() *topology { return &topology{zones: []string{oneZone}} }
 
+// newPartitionTopology returns a topology of three zones in which single gateways can be cut off runners.
+func newPartitionTopology(failf func(format string, args ...any)) *topology {
+	return &topology{zones: []string{"zone-0", "zone-1", "zone-2"}, failf: failf, knowsClients: true}
+}
+
 // newRegionTopology returns a topology with a random number of regions.
 func newRegionTopology(random *rand.Rand, failf func(format string, args ...any)) *topology {
 	t := &topology{regionOf: map[string]string{}, failf: failf}
@@ -118,24 +125,49 @@
 	return proxy, nil
 }
 
+// startRunnerProxy starts a proxy in front of a runner in the zone.
+func (t *topology) startRunnerProxy(runner, zone string) (*faultproxy.Proxy, error) {
+	if t.knowsClients {
+		return faultproxy.StartGrouped(runner, t.clientName)
+	}
+	return t.startProxy(runner, zone)
+}
+
+// clientName returns the name of the gateway that has the connection to the proxy open, empty if it is none
+// of the gateways.
+func (t *topology) clientName(client, proxy *net.TCPAddr) string {
+	if p := t.clientGateway(client, proxy); p != nil {
+		return p.name
+	}
+	return ""
+}
+
 // clientRegion returns the region of the gateway that has the connection to the proxy open, empty if it
 // is none of the gateways.
 func (t *topology) clientRegion(client, proxy *net.TCPAddr) string {
+	if p := t.clientGateway(client, proxy); p != nil {
+		return t.regionOf[p.zone]
+	}
+	return ""
+}
+
+// clientGateway returns the gateway that has the connection to the proxy open, nil if it is none of them.
+func (t *topology) clientGateway(client, proxy *net.TCPAddr) *process {
 	inode, err := socketowner.Inode(client, proxy)
 	switch {
 	case trace.IsNotFound(err):
 		// The client has closed the connection.
-		return ""
+		return nil
 	case err != nil:
-		t.failf("soak: no border can be applied to the connection of %v: %v", client, err)
-		return ""
+		t.failf("soak: the gateway of the connection of %v is not known: %v", client, err)
+		return nil
 	}
 	for _, p := range t.knownGateways() {
 		if socketowner.IsOpenIn(p.processID(), inode) {
-			return t.regionOf[p.zone]
+			return p
 		}
 	}
-	return ""
+	return nil
 }
 
 // cutBorder cuts all connections between the region and the others. An empty region ends the cut.
