--- a/internal/lab/runnerstand/records.go
+++ b/internal/lab/runnerstand/records.go
@@ -51,6 +51,13 @@
 	return append([]Run(nil), r.runs...)
 }
 
+// forgetRun removes the record of a run that was rejected.
+func (r *Runner) forgetRun(run Run) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.runs = slices.DeleteFunc(r.runs, func(other Run) bool { return other.Finished == run.Finished })
+}
+
 // ArrivalCount returns the number of calls that reached the runner, processed or not.
 func (r *Runner) ArrivalCount() int {
 	r.mutex.Lock()
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -123,6 +123,9 @@
 	room room
 }
 
+// defaultSlots is the number of slots in the directory entry of a runner without a capacity.
+const defaultSlots = 8
+
 // Start starts a runner on a free loopback address.
 func Start(config Config) (*Runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -173,7 +176,7 @@
 	if r.Model != "" {
 		models = append(models, map[string]any{"name": r.Model, "version": r.weightVersion, "adapters": []string{}})
 	}
-	entry := map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": cmp.Or(r.SoftwareVersion, "v1"), "slots": 8, "state": state, "models": models, "cold_remaining_ms": 0, "seq": r.weightRevision}
+	entry := map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": cmp.Or(r.SoftwareVersion, "v1"), "slots": cmp.Or(r.Capacity.Slots, defaultSlots), "state": state, "models": models, "cold_remaining_ms": 0, "seq": r.weightRevision}
 	r.addIncarnation(entry)
 	return entry
 }
@@ -352,6 +355,7 @@
 	r.addBrittleHeader(header)
 	header.Set(platform.HeaderRequestID, run.RequestID)
 	if !r.takeSlot(request) {
+		r.forgetRun(run)
 		header.Set(platform.HeaderNotExecuted, "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
