--- a/internal/gateway/runnerlimits_test.go
+++ b/internal/gateway/runnerlimits_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -146,6 +147,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newSignalFleet(t, 6, test.seeds, test.followers)
+			t.Cleanup(func() { f.logSignalsOnFailure() })
 			f.sendLoad(f.routers, time.Second)
 			limited, limitedAt := f.busiest(test.limited), time.Now()
 			announce(limited, platform.HeaderServerLimit, strconv.Itoa(runnerLimit))
@@ -170,6 +172,33 @@
 	}
 }
 
+// logSignalsOnFailure logs what the routers knew about the runners if the test has failed, and what they sent to
+// them.
+func (f *signalFleet) logSignalsOnFailure() {
+	if !f.t.Failed() {
+		return
+	}
+	for _, r := range f.routers {
+		for _, runner := range r.Status().Runners {
+			f.t.Logf("%s: %+v", r.address, runner)
+		}
+		for _, event := range []string{`"event":513`, `"event":519`, `"event":523`, `"event":831`} {
+			for line := range strings.Lines(r.log.String()) {
+				if strings.Contains(line, event) {
+					f.t.Log(strings.TrimSpace(line))
+				}
+			}
+		}
+	}
+	for _, engine := range f.engines {
+		var arrivals []string
+		for _, arrival := range engine.ArrivalLog() {
+			arrivals = append(arrivals, arrival.ReceivedAt.Format("05.000"))
+		}
+		f.t.Logf("%s: arrivals %s", engine.ID, strings.Join(arrivals, " "))
+	}
+}
+
 // A limit applies while the runner's responses report it, and ends soon after.
 func TestLimitEndsWhenResponsesStopReportingIt(t *testing.T) {
 	t.Parallel()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -52,6 +52,14 @@
 	rolloutDuration = 20 * time.Second
 )
 
+// partitionSeed cuts gateways off all runners in each way, seeds and a whole zone among them, and makes
+// runners brittle, within partitionDuration. On earlier code it failed as an egress gateway whose new
+// connections were accepted and then reset took calls of others.
+const (
+	partitionSeed     = 702
+	partitionDuration = 20 * time.Second
+)
+
 // The seeds run one after the other, so that at most four gateways run at the same time.
 func TestSoakFixedSeeds(t *testing.T) {
 	for _, seed := range fixedSeeds {
@@ -77,6 +85,10 @@
 	runSeed(t, soak.Settings{Program: []string{buildCommand(t, "clovertiller-gateway")}, Seed: rolloutSeed, FaultDuration: rolloutDuration, Rollouts: true})
 }
 
+func TestSoakPartitions(t *testing.T) {
+	runSeed(t, soak.Settings{Program: []string{buildCommand(t, "clovertiller-gateway")}, Seed: partitionSeed, FaultDuration: partitionDuration, Partitions: true})
+}
+
 // buildCommand builds the command with the given name and returns the path of the program.
 func buildCommand(t *testing.T, command string) string {
 	t.Helper()
