placement: a runner that can't be picked first doesn't keep others from it

Known failure of limited runners (TestLimitedRunnerGetsWhatItNamed): suspected, not shown to be its cause. What callers would see: a limited runner that has had no request for a while gets none, and can't tell that its limit has ended, as long as another such runner before it in the list is leaving, excluded or too busy. Cause: only the first candidate that is to be picked first was tried. Change: all of them are candidates; the best admissible one is picked. Evidence: TestBlockedRunnerDoesNotKeepOthersFromBeingPickedFirst picked another runner before. Also tried: TestRunnerUnreachableOnceGetsRequestsAgain, one timed-out dial as the limit begins, does not reproduce the failure; the runner is asked again after 3 s.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -35,6 +36,8 @@
 	cacheReader gateway.CacheReader
 	// dials can block the routers' connections to runners; nil blocks none.
 	dials *dialBlocker
+	// dial opens the routers' connections to runners, nil for the default.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// links are the links to runners of the next router that is started; nil for none.
 	links *runnerLinks
 }
@@ -212,6 +215,9 @@
 	if f.dials != nil {
 		runnerPool.Dial = f.dials.dial
 	}
+	if f.dial != nil {
+		runnerPool.Dial = f.dial
+	}
 	if f.links != nil {
 		runnerPool.Dial, callPool.Dial = f.links.dial, f.links.dial
 	}
--- a/internal/lab/runnerstand/capacity.go
+++ b/internal/lab/runnerstand/capacity.go
@@ -172,6 +172,9 @@
 	clear(l.conns)
 }
 
+// CloseIdleConnections closes all open connections. It must not be called while calls are processed.
+func (r *Runner) CloseIdleConnections() { r.listener.(*fallListener).fall(0) }
+
 func (l *fallListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 
 	"github.com/clovertiller/clovertiller/internal/fleet"
 )
@@ -10,8 +9,8 @@
 // Choose picks the runner with the lowest score. Near ties are broken at random, so that several
 // routers that see the same outdated reports do not all choose the same runner.
 func Choose(request Request, candidates []Candidate, weights ScoreWeights, random *rand.Rand) Pick {
-	if preferred := slices.IndexFunc(candidates, func(c Candidate) bool { return c.PickFirst }); preferred >= 0 {
-		if pick := chooseWithinMaxWait(request, candidates[preferred:preferred+1], weights, random); pick.Status == Picked {
+	if preferred := pickFirst(candidates); len(preferred) > 0 {
+		if pick := chooseWithinMaxWait(request, preferred, weights, random); pick.Status == Picked {
 			return pick
 		}
 	}
@@ -27,6 +26,16 @@
 	return pick
 }
 
+// pickFirst returns the candidates that are to be picked first. Some of them may not be admissible.
+func pickFirst(candidates []Candidate) (preferred []Candidate) {
+	for _, candidate := range candidates {
+		if candidate.PickFirst {
+			preferred = append(preferred, candidate)
+		}
+	}
+	return preferred
+}
+
 // chooseWithinMaxWait picks the best runner. If the request would queue for too long there, it
 // picks the best one whose queue is short enough, so that the request is refused only if all
 // queues are too long.
