gateway: one waiting call is enough to probe silent links; path observation apart from egress routers

Cause: only sends that wait at three runners started a probe; a router with few calls has none such. Change: a send that waits 250 ms while nothing is heard starts probes of up to three runners, one after the other until one answers; those that do not count as silent. A timer of the send looks, not the next call.

--- a/internal/backend/reach.go
+++ b/internal/backend/reach.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
 
 // CountActive returns the number of listed runners of a service that are not leaving, at most limit.
 func (s *Set) CountActive(service string, limit int) (count int) {
@@ -15,22 +19,34 @@
 	return count
 }
 
-// Listed returns the listed runners of a service that are not leaving.
-func (s *Set) Listed(service string) []Runner {
-	var runners []Runner
-	for _, e := range s.byService[service] {
-		if !e.isLeaving() {
-			runners = append(runners, e.Runner)
+// RandomActive returns a random runner of a service that is not leaving, other than the excluded ones if there
+// are others. found is false if there is none.
+func (s *Set) RandomActive(service string, excluded []string, random *rand.Rand) (runner Runner, found bool) {
+	entries := s.byService[service]
+	if len(entries) == 0 {
+		return Runner{}, false
+	}
+	first := random.IntN(len(entries))
+	for i := range entries {
+		e := entries[(first+i)%len(entries)]
+		if e.isLeaving() {
+			continue
+		}
+		runner, found = e.Runner, true
+		if !slices.Contains(excluded, e.ID) {
+			break
 		}
 	}
-	return runners
+	return runner, found
 }
 
-// Others returns the listed runners other than the one with the ID, in random order. Runners that are
-// leaving are left out.
-func (s *Set) Others(id string) []Runner {
-	var others []Runner
+// Others returns some of the listed runners other than the one with the ID, in random order and at most limit.
+// Runners that are leaving are left out.
+func (s *Set) Others(id string, limit int) (others []Runner) {
 	for _, e := range s.entries {
+		if len(others) == limit {
+			break
+		}
 		if e.ID != id && !e.isLeaving() {
 			others = append(others, e.Runner)
 		}
--- a/internal/egress/paths.go
+++ b/internal/egress/paths.go
@@ -31,9 +31,9 @@
 	// minRunners is the number of runners that must fail before the links are at fault and not the
 	// runners. Of a service with fewer runners, all must fail.
 	minRunners = 3
-	// silenceTimeout is how long nothing must have been heard from a service before its silence
+	// SilenceTimeout is how long nothing must have been heard from a service before its silence
 	// counts.
-	silenceTimeout = 250 * time.Millisecond
+	SilenceTimeout = 250 * time.Millisecond
 	// verifiedTime is how long silence doesn't count after a runner has answered a probe: its requests then
 	// wait because the runners are busy.
 	verifiedTime = 2 * time.Second
@@ -192,28 +192,45 @@
 	return false
 }
 
+// NeedsProbe reports whether a send waits although nothing was heard from the service for SilenceTimeout. The
+// links may be at fault, or its runner may be busy or silent.
+func (p *Paths) NeedsProbe(now time.Time, service string) bool {
+	s := p.service(service)
+	return s.state != Cut && s.isQuiet(now) && len(s.unanswered(now)) > 0
+}
+
 // IsSilent reports whether sends to several runners wait or failed although nothing was heard from the
-// service for longer than silenceTimeout. That alone doesn't show that the links are at fault, since all runners may be
-// busy: the router then probes one of them.
+// service for SilenceTimeout. That alone doesn't show that the links are at fault, since all runners may be
+// busy.
 func (p *Paths) IsSilent(now time.Time, service string, runnerCount int) bool {
 	s := p.service(service)
-	if s.state == Cut || now.Sub(s.lastHeard) < silenceTimeout || now.Sub(s.verifiedAt) < verifiedTime {
+	if s.state == Cut || !s.isQuiet(now) {
 		return false
 	}
 	required := min(minRunners, max(runnerCount, 1))
 	if p.isOtherCut(service, s.lastHeard) {
 		required = 1
 	}
-	unanswered := map[string]struct{}{}
+	return len(s.unanswered(now)) >= required
+}
+
+// isQuiet reports whether nothing was heard for SilenceTimeout and no probe was answered recently.
+func (s *servicePaths) isQuiet(now time.Time) bool {
+	return now.Sub(s.lastHeard) >= SilenceTimeout && now.Sub(s.verifiedAt) >= verifiedTime
+}
+
+// unanswered returns the runners at which sends wait or failed.
+func (s *servicePaths) unanswered(now time.Time) map[string]struct{} {
+	runners := map[string]struct{}{}
 	for w := range s.waits {
-		if now.Sub(w.since) >= silenceTimeout {
-			unanswered[w.runner] = struct{}{}
+		if now.Sub(w.since) >= SilenceTimeout {
+			runners[w.runner] = struct{}{}
 		}
 	}
 	for runner := range s.failed {
-		unanswered[runner] = struct{}{}
+		runners[runner] = struct{}{}
 	}
-	return len(unanswered) >= required
+	return runners
 }
 
 // ConfirmSilence records that a runner of a silent service did not answer a probe, which makes the service
--- a/internal/gateway/cachesplit.go
+++ b/internal/gateway/cachesplit.go
@@ -110,7 +110,7 @@
 		if !g.pause(g.jitter(interval)) {
 			return
 		}
-		if g.egress.reachesNone() {
+		if g.paths.reachesNone() {
 			// The other readers then read this router's part.
 			continue
 		}
--- a/internal/gateway/cachestore.go
+++ b/internal/gateway/cachestore.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		interval = cacheStoreCheckInterval
-		if g.directReads.isEnabled() && !g.egress.reachesNone() {
+		if g.directReads.isEnabled() && !g.paths.reachesNone() {
 			m.check(current.table)
 		}
 	}
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -230,6 +230,7 @@
 	g.runners.SetServices(serviceNames(object.Config))
 	g.runners.SetCacheStores(next.table.CacheStores())
 	g.mutex.Unlock()
+	g.paths.retain(serviceNames(object.Config))
 	g.activeConfig.Store(next)
 	g.rolloutDriver.ApplyConfigChange()
 	g.log.Log(events.ConfigInForce, events.Fields{
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -2,29 +2,17 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/egress"
-	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 const (
-	// probeInterval is the interval of probes of a service whose links are at fault, and
-	// slowProbeInterval the same once they have been for longer than slowProbesAfter. It is then more
-	// likely that the service is down.
-	probeInterval     = 250 * time.Millisecond
-	slowProbeInterval = time.Second
-	slowProbesAfter   = 15 * time.Second
-	// probeTimeout bounds a probe. A runner's machine accepts a connection within some milliseconds.
-	probeTimeout = 200 * time.Millisecond
 	// unservedTime is how long calls of a service are refused without a send after all egress routers
 	// declined one.
 	unservedTime = 500 * time.Millisecond
@@ -35,7 +23,7 @@
 )
 
 // egressRouters forwards calls to other routers while this one cannot reach the runners of a service,
-// and serves calls that other routers forward. It observes the links to the runners.
+// and serves calls that other routers forward.
 type egressRouters struct {
 	gateway *Gateway
 	// pool holds the connections to egress routers.
@@ -45,23 +33,18 @@
 	openCalls atomic.Int64
 
 	mutex     sync.Mutex
-	paths     *egress.Paths
 	directory *egress.Directory
 	selector  *egress.Selector
 	// unservedUntil holds the services for which no egress router was found recently.
 	unservedUntil map[string]time.Time
-	// probing is set while probeLoop runs. nextVerifyAt is when a service whose links may be at fault is
-	// probed again at the earliest.
-	probing      bool
-	nextVerifyAt map[string]time.Time
 }
 
 func newEgressRouters(g *Gateway) *egressRouters {
 	pool := httpconn.NewPool(forwardDialTimeout)
 	pool.SilenceTimeout = runnerSilenceTimeout
 	return &egressRouters{
-		gateway: g, pool: pool, paths: egress.NewPaths(), directory: egress.NewDirectory(),
-		selector: egress.NewSelector(g.settings.Zone, g.distances), unservedUntil: map[string]time.Time{}, nextVerifyAt: map[string]time.Time{},
+		gateway: g, pool: pool, directory: egress.NewDirectory(),
+		selector: egress.NewSelector(g.settings.Zone, g.distances), unservedUntil: map[string]time.Time{},
 	}
 }
 
@@ -89,38 +72,9 @@
 	}
 }
 
-// runnerCount returns the number of runners of a service that are not leaving, as far as it matters.
-func (e *egressRouters) runnerCount(service string) int {
-	e.gateway.mutex.Lock()
-	defer e.gateway.mutex.Unlock()
-	return e.gateway.runners.CountActive(service, egress.MaxRunnersCounted)
-}
-
-// pathState returns the state of the links to a service. If the service is silent, it starts to verify
-// that.
-func (e *egressRouters) pathState(service string) egress.State {
-	now, count := e.gateway.now(), e.runnerCount(service)
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.paths.IsSilent(now, service, count) {
-		e.verify(now, service, "")
-	}
-	return e.paths.State(service)
-}
-
-// verify probes a runner of the service, unless that was done a moment ago. failed is a runner that need not be
-// probed, or empty. The mutex must be held.
-func (e *egressRouters) verify(now time.Time, service, failed string) {
-	if now.Before(e.nextVerifyAt[service]) {
-		return
-	}
-	e.nextVerifyAt[service] = now.Add(probeInterval)
-	e.gateway.spawn(func() { e.probe(service, failed) })
-}
-
 // bypasses reports whether a call to the service is forwarded without an attempt of this router.
 func (e *egressRouters) bypasses(service string) bool {
-	return e.pathState(service) == egress.Cut && e.hasRouters()
+	return e.gateway.paths.state(service) == egress.Cut && e.hasRouters()
 }
 
 // hasRouters reports whether this router knows any egress routers.
@@ -130,195 +84,10 @@
 	return e.selector.Digest() != 0
 }
 
-// probe asks a random runner of the service, other than the excluded one, for any response and records the
-// result.
-func (e *egressRouters) probe(service, excluded string) (answered bool) {
-	g := e.gateway
-	g.mutex.Lock()
-	runners := g.runners.Listed(service)
-	g.mutex.Unlock()
-	if len(runners) > 1 {
-		runners = slices.DeleteFunc(runners, func(r backend.Runner) bool { return r.ID == excluded })
-	}
-	if len(runners) == 0 {
-		return false
-	}
-	runner := runners[rand.IntN(len(runners))]
-	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
-	defer cancel()
-	err := g.ports.Runners.Reaches(ctx, runner)
-	if g.ctx.Err() != nil {
-		return false
-	}
-	g.metrics.pathProbes.WithLabelValues(service, outcomeLabel(err == nil)).Inc()
-	now, count, changed := g.now(), e.runnerCount(service), false
-	e.mutex.Lock()
-	if err == nil {
-		changed = e.paths.Answered(now, service, runner.ID, count)
-	} else {
-		e.paths.OpenFailed(now, service, runner.ID)
-		confirmed := e.paths.ConfirmSilence(now, service, count)
-		changed = e.paths.Evaluate(now, service, count) || confirmed
-	}
-	e.mutex.Unlock()
-	e.handleChange(service, changed)
-	return err == nil
-}
-
-// beginWait records that a send to the runner waits for its response.
-func (e *egressRouters) beginWait(runner backend.Runner) *egress.Wait {
-	now := e.gateway.now()
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.paths.BeginWait(now, runner.Service, runner.ID)
-}
-
-func (e *egressRouters) endWait(wait *egress.Wait) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.paths.EndWait(wait)
-}
-
 // mayOnlyReuse reports whether the call may be sent only on a kept connection, because no new one can be
 // opened and the call can be forwarded.
 func (e *egressRouters) mayOnlyReuse(c *call) bool {
-	return !c.isForwarded() && e.pathState(c.service) == egress.ReuseOnly && e.hasRouters()
-}
-
-// heardSince reports whether anything was heard from the service after the given time.
-func (e *egressRouters) heardSince(service string, since time.Time) bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.paths.HeardSince(service, since)
-}
-
-// heardFromOthers reports whether a runner of another service than the given runner's has been heard from
-// since the given time.
-func (e *egressRouters) heardFromOthers(runner backend.Runner, since time.Time) bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.paths.HeardFromOtherServices(runner.Service, since)
-}
-
-// heard records that a runner of the service sent something.
-func (e *egressRouters) heard(service string, isNewConnection bool) {
-	now := e.gateway.now()
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	e.paths.Heard(now, service, isNewConnection)
-}
-
-// connectionFailed records that a connection to the runner could not be opened or broke. isNew is set if it
-// has not brought anything.
-func (e *egressRouters) connectionFailed(runner backend.Runner, isNew bool) {
-	now, count := e.gateway.now(), e.runnerCount(runner.Service)
-	e.mutex.Lock()
-	if isNew {
-		e.paths.OpenFailed(now, runner.Service, runner.ID)
-		e.verify(now, runner.Service, runner.ID)
-	} else {
-		e.paths.ConnectionLost(now, runner.Service, runner.ID)
-	}
-	changed := e.paths.Evaluate(now, runner.Service, count)
-	e.mutex.Unlock()
-	e.handleChange(runner.Service, changed)
-}
-
-// handleChange handles a change of the state of the links to a service.
-func (e *egressRouters) handleChange(service string, changed bool) {
-	if !changed {
-		return
-	}
-	g := e.gateway
-	e.mutex.Lock()
-	state, routers := e.paths.State(service), len(e.selector.Routers())
-	startProbing := state != egress.Direct && !e.probing
-	e.probing = e.probing || startProbing
-	delete(e.unservedUntil, service)
-	e.mutex.Unlock()
-	g.log.Log(events.PathStateChanged, events.Fields{"service": service, "state": state.String(), "egress_routers": routers})
-	if state != egress.Direct {
-		g.mutex.Lock()
-		g.runners.ForgetUnreachable(service)
-		g.mutex.Unlock()
-	}
-	if startProbing {
-		g.spawn(e.probeLoop)
-	}
-}
-
-// probeLoop probes the services whose links are at fault until there are none.
-func (e *egressRouters) probeLoop() {
-	for {
-		interval, impaired := slowProbeInterval, e.impaired()
-		if len(impaired) == 0 {
-			return
-		}
-		for service, since := range impaired {
-			// A second runner must accept, so it is probed at once.
-			if e.probe(service, "") {
-				e.probe(service, "")
-			}
-			if e.gateway.now().Sub(since) < slowProbesAfter {
-				interval = probeInterval
-			}
-		}
-		if !e.gateway.pause(e.gateway.jitter(interval)) {
-			return
-		}
-	}
-}
-
-// impaired returns the services whose links are at fault, with the times since when. If there are none,
-// it records that probeLoop ends.
-func (e *egressRouters) impaired() map[string]time.Time {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	services := map[string]time.Time{}
-	for _, service := range e.paths.Impaired() {
-		services[service] = e.paths.Since(service)
-	}
-	e.probing = len(services) > 0
-	return services
-}
-
-// atFault reports whether this router's own links may have decided the outcome of a send.
-func (e *egressRouters) atFault(service string, sentAt time.Time) bool {
-	now, count := e.gateway.now(), e.runnerCount(service)
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.paths.AtFault(now, service, sentAt, count)
-}
-
-// reachesNone reports whether this router reaches no runner, as far as it knows.
-func (e *egressRouters) reachesNone() bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	return e.paths.ReachesNone()
-}
-
-// cutServices returns the services to which the links are cut.
-func (e *egressRouters) cutServices() (services []string) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	for _, service := range e.paths.Impaired() {
-		if e.paths.State(service) == egress.Cut {
-			services = append(services, service)
-		}
-	}
-	return services
-}
-
-// areCut reports whether the links to all of the services are cut.
-func (e *egressRouters) areCut(services []string) bool {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	for _, service := range services {
-		if e.paths.State(service) != egress.Cut {
-			return false
-		}
-	}
-	return len(services) > 0
+	return !c.isForwarded() && e.gateway.paths.state(c.service) == egress.ReuseOnly && e.hasRouters()
 }
 
 // next returns the egress router to which a call of the service is forwarded, or false if there is none or
@@ -341,6 +110,15 @@
 	e.selector.End(now, router.Address, failed)
 }
 
+// pathChanged is called when the state of the links to a service has changed. It returns the number of known
+// egress routers.
+func (e *egressRouters) pathChanged(service string) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	delete(e.unservedUntil, service)
+	return len(e.selector.Routers())
+}
+
 // recordUnserved records that no egress router took a call of the service.
 func (e *egressRouters) recordUnserved(service string) {
 	now := e.gateway.now()
@@ -351,7 +129,7 @@
 
 // accepts reports whether this router accepts forwarded calls.
 func (e *egressRouters) accepts() bool {
-	return e.server != nil && e.gateway.isReady() && !e.reachesNone()
+	return e.server != nil && e.gateway.isReady() && !e.gateway.paths.reachesNone()
 }
 
 // report returns the report that this router adds to its pulls.
@@ -435,17 +213,14 @@
 	e.selector.SetList(e.directory.List(now, egress.Router{Address: settings.PeerAddress, Zone: settings.Zone}, nil))
 }
 
-// summary returns the impaired paths, the egress routers and the number of open forwarded calls.
-func (e *egressRouters) summary(now time.Time) (paths []PathStatus, routers []EgressRouter, open int64) {
+// summary returns the egress routers and the number of open forwarded calls.
+func (e *egressRouters) summary() (routers []EgressRouter, open int64) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	for _, service := range slices.Sorted(slices.Values(e.paths.Impaired())) {
-		paths = append(paths, PathStatus{Service: service, State: e.paths.State(service).String(), ForMillis: now.Sub(e.paths.Since(service)).Milliseconds()})
-	}
 	for _, router := range e.selector.Routers() {
 		routers = append(routers, EgressRouter(router))
 	}
-	return paths, routers, e.openCalls.Load()
+	return routers, e.openCalls.Load()
 }
 
 func encodeEgressRouters(routers []egress.Router) (messages []*wire.EgressRouter) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -57,13 +57,13 @@
 	if c.isForwarded() || c.continueAt != nil || !e.hasRouters() {
 		return false
 	}
-	switch e.pathState(c.service) {
+	switch c.gateway.paths.state(c.service) {
 	case egress.Cut:
 		return true
 	case egress.ReuseOnly:
 		return c.lastNotSent
 	}
-	return c.lastNotSent && c.unsentInSuccession >= minUnsentBeforeForward && !e.heardSince(c.service, c.arrivedAt)
+	return c.lastNotSent && c.unsentInSuccession >= minUnsentBeforeForward && !c.gateway.paths.heardSince(c.service, c.arrivedAt)
 }
 
 // forward forwards the call to another router and passes on its response. It returns a refusal if no
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,8 @@
 	// schedulers chooses runners for the requests of other routers, or asks other routers to choose
 	// for this one.
 	schedulers *schedulers
+	// paths observes the links to the runners.
+	paths *runnerPaths
 	// egress forwards calls to other routers while this one cannot reach the runners itself.
 	egress *egressRouters
 	// limits enforces the tenants' quotas, and fairShares their fair shares of overloaded services.
@@ -182,7 +184,8 @@
 	ports.RunnerPool.OnOpen, ports.RunnerPool.OnSilentClosed = g.metrics.runnerConnections.Inc, g.metrics.silentRunnerConnections.Inc
 	ports.RunnerPool.OnDialError = g.metrics.countDialError
 	ports.RunnerPool.SilenceTimeout = runnerSilenceTimeout
-	g.schedulers, g.fairShares, g.egress = newSchedulers(g), newFairShares(g), newEgressRouters(g)
+	g.schedulers, g.fairShares = newSchedulers(g), newFairShares(g)
+	g.paths, g.egress = newRunnerPaths(g), newEgressRouters(g)
 	g.crashDetector, g.suspects, g.signals = newCrashDetector(g), newSuspects(g), newSignals(g)
 	g.cacheStoreMonitor = newCacheStoreMonitor(g)
 	g.cacheReader = newCacheReader(g)
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -102,7 +102,7 @@
 	g.mutex.Lock()
 	services := g.runners.OutdatedServices()
 	g.mutex.Unlock()
-	return g.egress.areCut(services)
+	return g.paths.areCut(services)
 }
 
 // release gives up the lease, if this router holds it, so that another one can give the orders.
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -77,7 +77,7 @@
 	defer watchdog.stop()
 	service := c.service
 	remainder, err := copyEvents(watchedBody{response.Body, watchdog.reset}, func(data []byte) error {
-		c.gateway.egress.heard(service, false)
+		c.gateway.paths.heard(service, false)
 		return c.writeEvents(response, data)
 	})
 	switch {
@@ -206,7 +206,7 @@
 	if c.stream.stalledRecently(c.gateway.now()) {
 		c.endAttempt(backend.Abandoned, quarantine.Canceled, "the caller left the stream unread: "+cause.Error(), response.Status)
 	} else {
-		c.gateway.egress.connectionFailed(c.runner, false)
+		c.gateway.paths.connectionFailed(c.runner, false)
 		c.endAttempt(backend.Failed, quarantine.ConnectionLost, "stream broke off: "+cause.Error(), response.Status)
 	}
 	if c.prepareContinuation() {
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -149,16 +149,13 @@
 // connection was refused. If it reaches none, its own links may be at fault. It is true if there are no others.
 func (d *crashDetector) reachesAnother(ended backend.Runner, since time.Time) bool {
 	g := d.gateway
-	if g.egress.heardFromOthers(ended, since) {
+	if g.paths.heardFromOthers(ended, since) {
 		return true
 	}
 	g.mutex.Lock()
-	others := g.runners.Others(ended.ID)
+	others := g.runners.Others(ended.ID, controlProbes)
 	g.mutex.Unlock()
-	for i, other := range others {
-		if i == controlProbes {
-			return false
-		}
+	for _, other := range others {
 		ctx, cancel := context.WithTimeout(g.ctx, livenessTimeout)
 		liveness := g.ports.Runners.Liveness(ctx, other)
 		cancel()
--- /dev/null
+++ b/internal/gateway/runnerpaths.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/egress"
+	"github.com/clovertiller/clovertiller/internal/events"
+)
+
+const (
+	// probeInterval is the interval of probes of a service whose links are at fault, and
+	// slowProbeInterval the same once they have been for longer than slowProbesAfter. It is then more
+	// likely that the service is down.
+	probeInterval     = 250 * time.Millisecond
+	slowProbeInterval = time.Second
+	slowProbesAfter   = 15 * time.Second
+	// probeTimeout bounds a probe. A runner's machine answers within some milliseconds.
+	probeTimeout = 200 * time.Millisecond
+	// verifyInterval is the minimum interval of attempts to find out whether silent links are at fault.
+	verifyInterval = 250 * time.Millisecond
+)
+
+// runnerPaths observes the links between this router and the runners, and probes those that are at fault.
+type runnerPaths struct {
+	gateway *Gateway
+	mutex   sync.Mutex
+	paths   *egress.Paths
+	// probing is set while probeLoop runs. nextVerifyAt is when a service whose links may be at fault is
+	// probed again at the earliest.
+	probing      bool
+	nextVerifyAt map[string]time.Time
+}
+
+func newRunnerPaths(g *Gateway) *runnerPaths {
+	return &runnerPaths{gateway: g, paths: egress.NewPaths(), nextVerifyAt: map[string]time.Time{}}
+}
+
+// retain forgets the services that the configuration no longer has.
+func (p *runnerPaths) retain(services []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.paths.Retain(func(service string) bool { return slices.Contains(services, service) })
+}
+
+// summary returns the services whose links are not direct, sorted by name.
+func (p *runnerPaths) summary(now time.Time) (paths []PathStatus) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, service := range slices.Sorted(slices.Values(p.paths.Impaired())) {
+		paths = append(paths, PathStatus{Service: service, State: p.paths.State(service).String(), ForMillis: now.Sub(p.paths.Since(service)).Milliseconds()})
+	}
+	return paths
+}
+
+// runnerCount returns the number of runners of a service that are not leaving, as far as it matters.
+func (p *runnerPaths) runnerCount(service string) int {
+	p.gateway.mutex.Lock()
+	defer p.gateway.mutex.Unlock()
+	return p.gateway.runners.CountActive(service, egress.MaxRunnersCounted)
+}
+
+// state returns the state of the links to a service. If the service is silent, it starts to verify that.
+func (p *runnerPaths) state(service string) egress.State {
+	now := p.gateway.now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.paths.NeedsProbe(now, service) {
+		p.verify(now, service)
+	}
+	return p.paths.State(service)
+}
+
+// verify probes runners of the service, unless that was done a moment ago. The failed runners need not be
+// probed. The mutex must be held.
+func (p *runnerPaths) verify(now time.Time, service string, failed ...string) {
+	if now.Before(p.nextVerifyAt[service]) {
+		return
+	}
+	p.nextVerifyAt[service] = now.Add(verifyInterval)
+	p.gateway.spawn(func() {
+		for range egress.MaxRunnersCounted {
+			probed, answered := p.probe(service, failed...)
+			if answered || p.gateway.ctx.Err() != nil {
+				return
+			}
+			failed = append(failed, probed)
+		}
+	})
+}
+
+// probe asks a random runner of the service, other than the excluded ones, for any response and records the
+// result.
+func (p *runnerPaths) probe(service string, excluded ...string) (probed string, answered bool) {
+	g := p.gateway
+	g.mutex.Lock()
+	runner, found := g.runners.RandomActive(service, excluded, g.random)
+	g.mutex.Unlock()
+	if !found {
+		return "", false
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, probeTimeout)
+	defer cancel()
+	err := g.ports.Runners.Reaches(ctx, runner)
+	if g.ctx.Err() != nil {
+		return runner.ID, false
+	}
+	g.metrics.pathProbes.WithLabelValues(service, outcomeLabel(err == nil)).Inc()
+	now, count, changed := g.now(), p.runnerCount(service), false
+	p.mutex.Lock()
+	if err == nil {
+		changed = p.paths.Answered(now, service, runner.ID, count)
+	} else {
+		p.paths.OpenFailed(now, service, runner.ID)
+		confirmed := p.paths.ConfirmSilence(now, service, count)
+		changed = p.paths.Evaluate(now, service, count) || confirmed
+	}
+	p.mutex.Unlock()
+	p.handleChange(service, changed)
+	return runner.ID, err == nil
+}
+
+// beginWait records that a send to the runner waits for its response.
+func (p *runnerPaths) beginWait(runner backend.Runner) *egress.Wait {
+	now := p.gateway.now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.paths.BeginWait(now, runner.Service, runner.ID)
+}
+
+func (p *runnerPaths) endWait(wait *egress.Wait) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.paths.EndWait(wait)
+}
+
+// heardSince reports whether anything was heard from the service after the given time.
+func (p *runnerPaths) heardSince(service string, since time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.paths.HeardSince(service, since)
+}
+
+// heardFromOthers reports whether a runner of another service than the given runner's has been heard from
+// since the given time.
+func (p *runnerPaths) heardFromOthers(runner backend.Runner, since time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.paths.HeardFromOtherServices(runner.Service, since)
+}
+
+// heard records that a runner of the service sent something.
+func (p *runnerPaths) heard(service string, isNewConnection bool) {
+	now := p.gateway.now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.paths.Heard(now, service, isNewConnection)
+}
+
+// connectionFailed records that a connection to the runner could not be opened or broke. isNew is set if it
+// has not brought anything.
+func (p *runnerPaths) connectionFailed(runner backend.Runner, isNew bool) {
+	now, count := p.gateway.now(), p.runnerCount(runner.Service)
+	p.mutex.Lock()
+	if isNew {
+		p.paths.OpenFailed(now, runner.Service, runner.ID)
+		p.verify(now, runner.Service, runner.ID)
+	} else {
+		p.paths.ConnectionLost(now, runner.Service, runner.ID)
+	}
+	changed := p.paths.Evaluate(now, runner.Service, count)
+	p.mutex.Unlock()
+	p.handleChange(runner.Service, changed)
+}
+
+// handleChange handles a change of the state of the links to a service.
+func (p *runnerPaths) handleChange(service string, changed bool) {
+	if !changed {
+		return
+	}
+	g := p.gateway
+	p.mutex.Lock()
+	state := p.paths.State(service)
+	startProbing := state != egress.Direct && !p.probing
+	p.probing = p.probing || startProbing
+	p.mutex.Unlock()
+	g.log.Log(events.PathStateChanged, events.Fields{"service": service, "state": state.String(), "egress_routers": g.egress.pathChanged(service)})
+	if state != egress.Direct {
+		g.mutex.Lock()
+		g.runners.ForgetUnreachable(service)
+		g.mutex.Unlock()
+	}
+	if startProbing {
+		g.spawn(p.probeLoop)
+	}
+}
+
+// probeLoop probes the services whose links are at fault until there are none.
+func (p *runnerPaths) probeLoop() {
+	for {
+		interval, impaired := slowProbeInterval, p.impaired()
+		if len(impaired) == 0 {
+			return
+		}
+		for service, since := range impaired {
+			// A second runner must answer, so it is probed at once.
+			if probed, answered := p.probe(service); answered {
+				p.probe(service, probed)
+			}
+			if p.gateway.now().Sub(since) < slowProbesAfter {
+				interval = probeInterval
+			}
+		}
+		if !p.gateway.pause(p.gateway.jitter(interval)) {
+			return
+		}
+	}
+}
+
+// impaired returns the services whose links are at fault, with the times since when. If there are none,
+// it records that probeLoop ends.
+func (p *runnerPaths) impaired() map[string]time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	services := map[string]time.Time{}
+	for _, service := range p.paths.Impaired() {
+		services[service] = p.paths.Since(service)
+	}
+	p.probing = len(services) > 0
+	return services
+}
+
+// atFault reports whether this router's own links may have decided the outcome of a send.
+func (p *runnerPaths) atFault(service string, sentAt time.Time) bool {
+	now, count := p.gateway.now(), p.runnerCount(service)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.paths.AtFault(now, service, sentAt, count)
+}
+
+// reachesNone reports whether this router reaches no runner, as far as it knows.
+func (p *runnerPaths) reachesNone() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.paths.ReachesNone()
+}
+
+// cutServices returns the services to which the links are cut.
+func (p *runnerPaths) cutServices() (services []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, service := range p.paths.Impaired() {
+		if p.paths.State(service) == egress.Cut {
+			services = append(services, service)
+		}
+	}
+	return services
+}
+
+// areCut reports whether the links to all of the services are cut.
+func (p *runnerPaths) areCut(services []string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, service := range services {
+		if p.paths.State(service) != egress.Cut {
+			return false
+		}
+	}
+	return len(services) > 0
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/egress"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/placement"
@@ -143,10 +144,12 @@
 	c.responseWeightVersion, c.requestedBackoff = 0, 0
 	c.sentAt = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
-	wait := c.gateway.egress.beginWait(c.runner)
+	wait, service := c.gateway.paths.beginWait(c.runner), c.runner.Service
+	silence := time.AfterFunc(egress.SilenceTimeout, func() { c.gateway.paths.state(service) })
 	c.isNewConnection = false
 	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.newRunnerRequest())
-	c.gateway.egress.endWait(wait)
+	silence.Stop()
+	c.gateway.paths.endWait(wait)
 	if !errors.Is(err, httpconn.ErrNotSent) {
 		c.hasUnusedRetry, c.unsentInSuccession = false, 0
 	}
@@ -154,7 +157,7 @@
 		return c.handleSendError(err)
 	}
 	defer response.Body.Close()
-	c.gateway.egress.heard(c.runner.Service, c.isNewConnection)
+	c.gateway.paths.heard(c.runner.Service, c.isNewConnection)
 	info := c.gateway.ports.Protocol.ParseResponse(response.Status, response.Header)
 	c.responseWeightVersion, c.requestedBackoff = info.WeightVersion, info.Signals.Backoff
 	c.receiveSignals(info, response.Status)
@@ -184,7 +187,7 @@
 // recordDial records the result of opening a connection for the current attempt.
 func (c *call) recordDial(err error) {
 	if err != nil {
-		c.gateway.egress.connectionFailed(c.runner, true)
+		c.gateway.paths.connectionFailed(c.runner, true)
 		return
 	}
 	c.isNewConnection = true
@@ -282,7 +285,7 @@
 // accounting, the runner table and the scheduler that chose the runner.
 func (c *call) recordOutcome(outcome backend.Outcome, runOutcome quarantine.RunOutcome) {
 	g := c.gateway
-	if mayBlameLinks(outcome, runOutcome) && g.egress.atFault(c.runner.Service, c.sentAt) {
+	if mayBlameLinks(outcome, runOutcome) && g.paths.atFault(c.runner.Service, c.sentAt) {
 		outcome = backend.NotConfirmed
 	}
 	end := rolloutdriver.SendEnd{
@@ -346,7 +349,7 @@
 		c.endAttempt(backend.Unreachable, quarantine.NotRun, err.Error(), 0)
 		return c.attemptState.NotSent()
 	}
-	c.gateway.egress.connectionFailed(c.runner, c.isNewConnection)
+	c.gateway.paths.connectionFailed(c.runner, c.isNewConnection)
 	c.endAttempt(backend.Unreachable, quarantine.ConnectionLost, err.Error(), 0)
 	return c.connectionLost()
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -105,7 +105,8 @@
 	}
 	status.Schedulers, status.SchedulersByRegion = g.schedulers.summary(now), g.peerRouters.countSchedulersByRegion()
 	status.Quarantined = g.suspects.summary(now)
-	status.ImpairedPaths, status.EgressRouters, status.ForwardedOpen = g.egress.summary(now)
+	status.ImpairedPaths = g.paths.summary(now)
+	status.EgressRouters, status.ForwardedOpen = g.egress.summary()
 	status.Rollouts = g.rolloutDriver.Summaries(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/lab/runnerstand/capacity.go
+++ b/internal/lab/runnerstand/capacity.go
@@ -43,6 +43,9 @@
 	rejections  []time.Time
 	falls       int
 	rejectTotal int
+	// processed counts the calls that held a slot, and heldTime is for how long altogether.
+	processed int
+	heldTime  time.Duration
 }
 
 // SetBrittle makes the runner brittle, or sound again if b is nil.
@@ -62,6 +65,17 @@
 	return r.room.falls, r.room.rejectTotal
 }
 
+// MeanHoldTime returns the mean time for which calls held a slot, which is longer than Capacity.ServiceTime on a
+// busy machine.
+func (r *Runner) MeanHoldTime() time.Duration {
+	r.room.mutex.Lock()
+	defer r.room.mutex.Unlock()
+	if r.room.processed == 0 {
+		return r.Capacity.ServiceTime
+	}
+	return r.room.heldTime / time.Duration(r.room.processed)
+}
+
 func (r *Runner) addBrittleHeader(header http.Header) {
 	r.room.mutex.Lock()
 	defer r.room.mutex.Unlock()
@@ -102,10 +116,15 @@
 	room.waiting--
 	room.running++
 	room.mutex.Unlock()
+	startedAt := time.Now()
 	select {
 	case <-time.After(r.Capacity.ServiceTime):
 	case <-request.Context().Done():
 	}
+	room.mutex.Lock()
+	defer room.mutex.Unlock()
+	room.processed++
+	room.heldTime += time.Since(startedAt)
 	return true
 }
 
