gateway: each forwarded call has a connection of its own

Change: a new connection for each forwarded call, closed after its response. It also rules out that an egress router closes an idle connection as a call is written to it.

--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -26,7 +26,7 @@
 // and serves calls that other routers forward.
 type egressRouters struct {
 	gateway *Gateway
-	// pool holds the connections to egress routers.
+	// pool opens a connection to an egress router for each forwarded call.
 	pool *httpconn.Pool
 	// server serves forwarded calls, nil without peers. openCalls is the number of them.
 	server    *http.Server
@@ -40,10 +40,8 @@
 }
 
 func newEgressRouters(g *Gateway) *egressRouters {
-	pool := httpconn.NewPool(forwardDialTimeout)
-	pool.SilenceTimeout = runnerSilenceTimeout
 	return &egressRouters{
-		gateway: g, pool: pool, directory: egress.NewDirectory(),
+		gateway: g, pool: httpconn.NewPool(forwardDialTimeout), directory: egress.NewDirectory(),
 		selector: egress.NewSelector(g.settings.Zone, g.distances), unservedUntil: map[string]time.Time{},
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -177,6 +177,8 @@
 	protocol, id := c.gateway.ports.Protocol, c.metadata.ID
 	return &httpconn.Request{
 		Method: http.MethodPost, Target: forwardPath, Host: "router", Body: body,
+		// A kept connection may have fallen silent or may be closed at this moment, which would lose the call.
+		FreshConnection: true, Header: http.Header{"Connection": {"close"}},
 		MatchesResponse: func(header http.Header) bool {
 			return header.Get(headerForwardResult) == resultDeclined || protocol.ParseResponse(0, header).RequestID == id
 		},
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 )
@@ -239,3 +240,25 @@
 	f.g.Eventually(cut.log.String, time.Second).Should(ContainSubstring(`"egress":"` + cut.seeds[0] + `"`))
 	f.g.Expect(strings.Count(cut.log.String(), `"state":"cut"`)).To(Equal(1), "the change of state is logged once")
 }
+
+// Guards against calls that are lost on kept connections to an egress router which fell silent without a reset,
+// while new ones work.
+func TestForwardedCallsSurviveSilentConnections(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.runner("p1", "plain")
+	bind := loopback.FreeAddress()
+	proxy := f.proxyTo(bind)
+	f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = proxy.Address, bind, []string{proxy.Address}
+	})
+	f.links = newRunnerLinks(f)
+	t.Cleanup(f.links.close)
+	cut := f.servingRouter("cut", f.followerSettings([]string{proxy.Address}))
+	f.g.Eventually(func() int { return len(cut.Status().EgressRouters) }, 2*time.Second, 10*time.Millisecond).Should(Equal(1))
+	cut.awaitCut("/safe/x")
+	f.g.Expect(cut.call("/unsafe/x", nil).status).To(Equal(http.StatusOK))
+	proxy.SetMode(faultproxy.MuteExisting)
+	f.g.Expect(cut.call("/unsafe/x", nil).status).To(Equal(http.StatusOK))
+}
