gateway: routers of a region without a seed ask the seeds for brittle runners

Standby schedulers place requests but do not count the room of brittle runners, and found none: in a region without a seed, their own calls and those of routers without another scheduler were refused. Change: for brittle services every router but the seeds asks the seeds, wherever they are. Evidence: TestRegionWithoutSeedIsServedByBrittleRunners got 503 before.

--- a/internal/backend/brittle.go
+++ b/internal/backend/brittle.go
@@ -16,6 +16,8 @@
 	brittleCheckInterval = 20 * time.Millisecond
 	// minRoomWait is the shortest time until a slot is expected to become free.
 	minRoomWait = 5 * time.Millisecond
+	// roomUnknownWait is the wait reported by a router that does not know the load of brittle runners.
+	roomUnknownWait = 250 * time.Millisecond
 )
 
 // brittleServices remembers which services are brittle, because finding out looks at all runners.
@@ -104,9 +106,6 @@
 	return max(s.holdTimes[e.Service]/time.Duration(limit), minRoomWait)
 }
 
-// roomUnknownWait is the wait reported by a router that does not know the load of brittle runners.
-const roomUnknownWait = 250 * time.Millisecond
-
 // lacksRoom reports whether the runner belongs to a brittle service and has no room, and counts it in held.
 func (s *Set) lacksRoom(now time.Time, e *entry, held *placement.HeldBack) bool {
 	if !s.IsBrittle(now, e.Service) {
--- a/internal/gateway/brittle_test.go
+++ b/internal/gateway/brittle_test.go
@@ -133,3 +133,25 @@
 	}
 	f.g.Expect(runner.ArrivalCount()).To(Equal(before))
 }
+
+// Guards against a region without a seed whose routers, standby schedulers among them, send brittle runners
+// nothing, although the seeds that know their room can be asked.
+func TestRegionWithoutSeedIsServedByBrittleRunners(t *testing.T) {
+	t.Parallel()
+	f := newRegionFleet(t, 2, 3)
+	for _, id := range []string{"p1", "p2"} {
+		f.runnerByID(id).SetBrittle(&runnerstand.Brittleness{MaxRejections: 3, Downtime: time.Second})
+	}
+	for _, member := range f.members {
+		f.g.Expect(member.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	}
+	isBrittle := func(r *router) bool { return r.Status().Runners[0].Brittle || r.Status().Runners[1].Brittle }
+	for _, r := range append(f.members, f.seeds...) {
+		f.g.Eventually(func() bool { return isBrittle(r) }, 2*time.Second, 10*time.Millisecond).Should(BeTrue())
+	}
+	for range 5 {
+		for _, member := range f.members {
+			f.g.Expect(member.call("/safe/x", nil).status).To(Equal(http.StatusOK), member.Status().Node)
+		}
+	}
+}
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -61,8 +61,9 @@
 // It returns nil if this router has to choose one itself.
 func (s *schedulers) requestPlacement(query backend.Query, timeLeft time.Duration) *placementRequest {
 	order := s.order(s.gateway.now())
-	if len(order) > 0 && s.gateway.isBrittle(query.Service) {
-		order = s.allInOrder(s.gateway.now())
+	if s.gateway.isBrittle(query.Service) && !s.isScheduler() {
+		// Standby schedulers don't count the room of brittle runners.
+		order = s.seedsInOrder(s.gateway.now())
 	}
 	if len(order) == 0 {
 		return nil
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -85,8 +85,8 @@
 	return order[:1]
 }
 
-// allInOrder returns the addresses of all schedulers, the best first, without those that are silent.
-func (s *schedulers) allInOrder(now time.Time) []string {
+// seedsInOrder returns the addresses of all seeds, the best first, without those that are silent.
+func (s *schedulers) seedsInOrder(now time.Time) []string {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return slices.DeleteFunc(s.ranking.Order(now), func(address string) bool {
