--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -106,6 +106,16 @@
 mutant "13 loads from before a cut count again" internal/backend/loads.go 's/ \|\| now.Sub\(known.reportedAt\) >= peerLoadTTL//' ./internal/backend -run PeerLoads\|ExpiredLoads
 mutant "13 standby schedulers without the store get no proof" internal/gateway/standbyschedulers.go 's/if !r.selector.IsStandby\(\) \{/if true {/' ./internal/gateway -run TestStandbysGetProofFromRoutersOfTheirRegion
 mutant "13 relays keep routers from the seed of their region" internal/gateway/standbyschedulers.go 's/known == "" \|\| known == region/known == "none"/' ./internal/gateway -run TestRoutersPullFromSeedOfTheirRegion
+mutant "14 routers without a path forward nothing" internal/gateway/forward.go 's/case egress.Cut:\n\t\treturn true/case egress.Cut:\n\t\treturn false/' ./internal/gateway -run TestCallersOfPartitionedRoutersAreServed
+mutant "14 lost links are evidence about runners" internal/gateway/send.go 's/if mayBlameLinks\(outcome, runOutcome\) && /if false \&\& mayBlameLinks(outcome, runOutcome) \&\& /' ./internal/gateway -run TestCutRouterLeavesNoEvidence
+mutant "14 a leader without links keeps the lease" internal/gateway/leader.go 's/if outdated > 0 && l.cannotReachOutdated\(\)/if false \&\& l.cannotReachOutdated()/' ./internal/gateway -run TestPartitionedLeader
+mutant "14 lost links look like crashes" internal/gateway/runnerends.go 's/liveness == RunnerEnded && !d.reachesAnother/false \&\& !d.reachesAnother/' ./internal/gateway -run TestLostLinksAreNoCrashes
+mutant "14 one probe restores the links" internal/egress/paths.go 's/minConfirmations = 2/minConfirmations = 1/' ./internal/egress
+mutant "14 reports of egress routers circulate" internal/egress/directory.go 's/known.hops <= maxHops/true/' ./internal/egress
+mutant "14 forwarded calls use kept connections" internal/gateway/forward.go 's/FreshConnection: true, Header: http.Header\{"Connection": \{"close"\}\},//' ./internal/gateway -run TestForwardedCallsSurvive
+mutant "14 brittle runners are filled without bound" internal/backend/brittle.go 's/if s.openRequests\(now, e\) < limit/if true/' ./internal/backend -run Room
+mutant "14 silent schedulers are taken for idle" internal/backend/brittle.go 's/open \+= max\(requests, equalPart\)/open += 0/' ./internal/backend -run Room
+mutant "14 a blocked runner hides those to be picked first" internal/placement/choose.go 's/if candidate.PickFirst \{/if candidate.PickFirst \&\& len(preferred) == 0 {/' ./internal/placement -run TestBlocked
 
 echo "mutants: $refuted refuted, $survived survived, $unclear unclear"
 [ "$survived$unclear" = 00 ]
--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -43,6 +43,14 @@
 	return c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
 }
 
+// service returns the service of the call's route.
+func (c *callRecord) service() string {
+	if strings.HasPrefix(c.path, "/safe/") || strings.HasPrefix(c.path, "/unsafe/") {
+		return plainService
+	}
+	return "engines"
+}
+
 // wasDeniedValidKey reports whether the caller was told that its API key is unknown although the
 // key has not been revoked.
 func (c *callRecord) wasDeniedValidKey() bool {
