soak: time bounds count for the gateway that sent a forwarded call too; probes of links ask nobody's report

Senders are read from the gateways' logs; both gateways have to be undisturbed. Probes name no runner, as any response counts, and the stand-in tells the two apart.

--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -230,6 +230,11 @@
 	}
 	switch request.URL.Path {
 	case platform.PathReport:
+		if request.Header.Get(platform.HeaderExpectInstance) == "" {
+			// Asked whether anything answers here, and not for this runner's report.
+			writer.WriteHeader(http.StatusOK)
+			return
+		}
 		r.handleReport(writer)
 	case platform.PathOrder:
 		r.handleOrder(writer, request)
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -115,6 +115,8 @@
 	borders  *borderInjector
 	// rollouts orders rollouts.
 	rollouts *rolloutInjector
+	// senders holds the gateways that sent the calls which others forwarded to them, by request ID.
+	senders map[string]string
 	// partitions cuts gateways off runners; nil without Partitions.
 	partitions *partitionInjector
 	mutex      sync.Mutex
@@ -167,6 +169,7 @@
 	s.checkRecovery(ctx)
 	stopLoad()
 	group.Wait()
+	s.findSenders()
 	s.checkRuns()
 	s.checkOrders()
 	s.checkUpdates()
--- a/internal/lab/soak/updates.go
+++ b/internal/lab/soak/updates.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"os"
+	"path/filepath"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/explain"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 )
 
@@ -70,7 +73,10 @@
 	}
 	late := lateRequest{
 		kind: "leaving", gateway: call.gatewayName, runner: runner, requestID: call.id, observedAt: arrival.ReceivedAt, updateAge: arrival.ReceivedAt.Sub(since),
-		undisturbedDuration: min(s.undisturbedFor(arrival.ReceivedAt, storeSubject, call.gatewayName, runnerPathSubject(runner)), s.informedFor(arrival.ReceivedAt, call.gatewayName)),
+		undisturbedDuration: s.undisturbedFor(arrival.ReceivedAt, storeSubject, runnerPathSubject(runner)),
+	}
+	for _, gateway := range s.gatewaysOf(call) {
+		late.undisturbedDuration = min(late.undisturbedDuration, s.undisturbedFor(arrival.ReceivedAt, gateway), s.informedFor(arrival.ReceivedAt, gateway))
 	}
 	return late, late.updateAge > maxDrainDelay && late.undisturbedDuration > settleTime
 }
@@ -86,12 +92,49 @@
 	}
 	late := lateRequest{
 		kind: "older weights", gateway: call.gatewayName, runner: runner, requestID: call.id, observedAt: run.StartedAt, updateAge: run.StartedAt.Sub(replacementTime),
-		undisturbedDuration: s.undisturbedFor(run.StartedAt, call.gatewayName, runnerPathSubject(runner)),
+		undisturbedDuration: s.undisturbedFor(run.StartedAt, runnerPathSubject(runner)),
+	}
+	countedAge := min(late.updateAge, s.undisturbedFor(run.StartedAt, storeSubject))
+	for _, gateway := range s.gatewaysOf(call) {
+		late.undisturbedDuration = min(late.undisturbedDuration, s.undisturbedFor(run.StartedAt, gateway))
+		countedAge = min(countedAge, s.informedFor(run.StartedAt, gateway))
 	}
-	countedAge := min(late.updateAge, s.undisturbedFor(run.StartedAt, storeSubject), s.informedFor(run.StartedAt, call.gatewayName))
 	return late, countedAge > maxOldWeightsTime && late.undisturbedDuration > settleTime
 }
 
+// gatewaysOf returns the gateway that took the call and, if it forwarded the call, the one that sent it to a
+// runner. Bounds on time apply to calls that both handled while they were undisturbed.
+func (s *Soak) gatewaysOf(call *callRecord) []string {
+	gateways := []string{call.gatewayName}
+	if sender, forwarded := s.senders[call.id]; forwarded {
+		gateways = append(gateways, sender)
+	}
+	return gateways
+}
+
+// findSenders reads from the logs which gateways sent the calls that others forwarded to them.
+func (s *Soak) findSenders() {
+	s.senders = map[string]string{}
+	for _, p := range s.processes {
+		file, err := os.Open(filepath.Join(s.settings.Folder, p.name+".log"))
+		if err != nil {
+			s.failf("soak: the log of %s cannot be read: %v", p.name, err)
+			continue
+		}
+		log, err := explain.Read(file)
+		file.Close()
+		if err != nil {
+			s.failf("soak: the log of %s cannot be read: %v", p.name, err)
+			continue
+		}
+		for _, line := range log.Lines {
+			if line.StringField("ingress") != "" {
+				s.senders[line.StringField("request")] = p.name
+			}
+		}
+	}
+}
+
 // informedFor returns for how long the gateway could learn what the store holds, from the store or
 // from a seed gateway, which reads the store for all.
 func (s *Soak) informedFor(moment time.Time, gateway string) time.Duration {
