egress, gateway, backpressure, backend: rules that stood twice stand once

No behaviour changes; the tests keep their assertions.

- How many runners must fail before the links are at fault, and what a change of state resets, stood two and three times in egress.Paths.
- Forwarding a call had its own copy of the retry budget's withdrawal and of the end of a whole response. pickRunner and forward now share withdrawRetry, and forwardResponse and passOn share writeResponse.
- A rate limit and brittleness are lifted by one rule, isInForce.
The mutant of that rule is applied to it there, with the same change, and is refuted.
- Permits.Schedulers only wrapped currentSchedulers; Set.openRequests counted what len gives; scanOutdated and OutdatedServices had the same condition.
- A forwarded call was asked twice whether this router is ready.
- Tests: runner links close themselves, and the tests of split cache reads share their set-up.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -68,7 +68,7 @@
 mutant "10 a limited runner needs no permit" internal/backend/signals.go 's/\(!e.signalState.IsLimited\(\) \|\| permit.Valid\(now\)\)/true/' ./internal/backend -run 'SignalsAreRespected|PermitAllows'
 mutant "10 new schedulers grant permits at once" internal/backpressure/permits.go 's/p.schedulers, p.pendingSchedulers, p.grantFrom = count, 0, now.Add\(shareChangeDelay\)/p.schedulers, p.pendingSchedulers = count, 0/' ./internal/backpressure
 mutant "10 larger shares apply at once" internal/backpressure/permits.go 's/now.Add\(shareChangeDelay\)\n\t\}/now\n\t}/' ./internal/backpressure
-mutant "10 any response lifts a rate limit" internal/backpressure/record.go 's/r.LimitLiftedAt.Before\(r.LimitReportedAt.Add\(liftMargin\)\)/!r.LimitLiftedAt.After(r.LimitReportedAt)/' ./internal/backpressure
+mutant "10 any response lifts a rate limit" internal/backpressure/record.go 's/liftedAt.Before\(reportedAt.Add\(liftMargin\)\)/!liftedAt.After(reportedAt)/' ./internal/backpressure
 mutant "10 only the directory tells which runners leave" internal/backend/signals.go 's/e.Draining \|\| e.signalState.IsLeaving\(\)/e.Draining/' ./internal/gateway -run 'Leaving'
 mutant "10 runners in backoff get requests" internal/backend/signals.go 's/!e.signalState.InBackoff\(now\) && //' ./internal/backend -run 'SignalsAreRespected'
 mutant "10 routers do not report runners' signals to each other" internal/gateway/broadcaster.go 's/schedulers.recordReceivers\(\), forSeeds/schedulers.recordReceivers()[:0], forSeeds/' ./internal/gateway -run TestSignalsReachAllRouters
--- a/internal/backend/brittle.go
+++ b/internal/backend/brittle.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/placement"
@@ -36,10 +37,7 @@
 	if checked := known.checkedAt[service]; !checked.IsZero() && now.Sub(checked) < brittleCheckInterval {
 		return known.brittle[service]
 	}
-	brittle := false
-	for _, e := range s.byService[service] {
-		brittle = brittle || e.signalState.IsBrittle()
-	}
+	brittle := slices.ContainsFunc(s.byService[service], func(e *entry) bool { return e.signalState.IsBrittle() })
 	known.checkedAt[service], known.brittle[service] = now, brittle
 	return brittle
 }
@@ -65,9 +63,8 @@
 // have placed. For each other scheduler that is not heard from, it assumes the load that it last reported,
 // or an equal part of the slots if that is more.
 func (s *Set) openRequests(now time.Time, e *entry) int {
-	open, heard := e.inFlight, 0
+	open, equalPart := e.inFlight, 0
 	schedulers := s.permits.Schedulers(now)
-	equalPart := 0
 	if schedulers > 1 {
 		equalPart = max(e.Slots, 1) / schedulers
 	}
@@ -79,13 +76,12 @@
 		case age < silentLoadTime:
 			open += max(requests, equalPart)
 		}
-		heard++
 	}
 	if s.roomsCountedSince.IsZero() {
 		s.roomsCountedSince = now
 	}
 	if now.Sub(s.roomsCountedSince) < silentLoadTime {
-		open += equalPart * max(schedulers-1-heard, 0)
+		open += equalPart * max(schedulers-1-len(s.peers), 0)
 	}
 	return open
 }
--- a/internal/backend/reach.go
+++ b/internal/backend/reach.go
@@ -68,11 +68,8 @@
 func (s *Set) OutdatedServices() []string {
 	var services []string
 	for service, entries := range s.byService {
-		for _, e := range entries {
-			if !e.Draining && s.isConfigured(e) && s.isOutdated(e) {
-				services = append(services, service)
-				break
-			}
+		if slices.ContainsFunc(entries, s.needsUpdate) {
+			services = append(services, service)
 		}
 	}
 	return services
--- a/internal/backend/rollout.go
+++ b/internal/backend/rollout.go
@@ -85,13 +85,16 @@
 	s.outdatedScans++
 	count := 0
 	for _, e := range s.entries {
-		if !e.Draining && s.isConfigured(e) && s.isOutdated(e) {
+		if s.needsUpdate(e) {
 			count++
 		}
 	}
 	return count
 }
 
+// needsUpdate reports whether the runner belongs to a configured service, is not draining and is outdated.
+func (s *Set) needsUpdate(e *entry) bool { return !e.Draining && s.isConfigured(e) && s.isOutdated(e) }
+
 func (s *Set) isOutdated(e *entry) bool {
 	for _, held := range e.Models {
 		if version, _ := e.weightVersion(held.Name); version < s.weightTargets.Target(held.Name) {
--- a/internal/backend/signals.go
+++ b/internal/backend/signals.go
@@ -47,9 +47,9 @@
 // Permits returns this router's part of the rate limits that runners set.
 func (s *Set) Permits() *backpressure.Permits { return s.permits }
 
-// heldBack reports whether the runner accepts no request of the query now, because of a
-// backoff, a rate limit or because it is brittle and has no room, and counts it in held. A leaving runner is not counted, as it will
-// not accept requests later either.
+// heldBack reports whether the runner accepts no request of the query now, because of a backoff or
+// a rate limit, or because it is brittle and has no room, and counts it in held. A leaving runner is
+// not counted, as it will not accept requests later either.
 func (s *Set) heldBack(now time.Time, e *entry, query Query, held *placement.HeldBack) bool {
 	if e.isLeaving() {
 		return false
--- a/internal/backpressure/permits.go
+++ b/internal/backpressure/permits.go
@@ -94,22 +94,19 @@
 	}
 }
 
-// currentSchedulers returns the number of schedulers, after applying a pending change that is
-// due.
-func (p *Permits) currentSchedulers(now time.Time) int {
+// Schedulers returns the number of schedulers, or 0 if this router is not one of them. It applies a pending
+// change that is due.
+func (p *Permits) Schedulers(now time.Time) int {
 	if p.pendingSchedulers > 0 && !now.Before(p.pendingAt) {
 		p.schedulers, p.pendingSchedulers = p.pendingSchedulers, 0
 	}
 	return p.schedulers
 }
 
-// Schedulers returns the number of schedulers, or 0 if this router is not one of them.
-func (p *Permits) Schedulers(now time.Time) int { return p.currentSchedulers(now) }
-
 // Share returns this router's share of the rate, in requests per second, or 0 if this router
 // grants nothing.
 func (p *Permits) Share(now time.Time, rate float64) float64 {
-	schedulers := p.currentSchedulers(now)
+	schedulers := p.Schedulers(now)
 	if schedulers == 0 {
 		return 0
 	}
@@ -141,7 +138,7 @@
 	if existing := p.pacers[runner]; existing != nil {
 		due = later(due, existing.nextAt)
 	}
-	return p.currentSchedulers(now) > 0 && now.Sub(due) >= unusedTimeout
+	return p.Schedulers(now) > 0 && now.Sub(due) >= unusedTimeout
 }
 
 // adjustRate applies the current rate limit and returns when the next permit is due. After an
--- a/internal/backpressure/record.go
+++ b/internal/backpressure/record.go
@@ -43,12 +43,17 @@
 
 // Limited reports whether the runner currently limits requests.
 func (r Record) Limited() bool {
-	return !r.LimitReportedAt.IsZero() && r.LimitLiftedAt.Before(r.LimitReportedAt.Add(liftMargin))
+	return isInForce(r.LimitReportedAt, r.LimitLiftedAt)
 }
 
 // Brittle reports whether the runner currently falls over if it rejects too many requests.
 func (r Record) Brittle() bool {
-	return !r.BrittleReportedAt.IsZero() && r.BrittleLiftedAt.Before(r.BrittleReportedAt.Add(liftMargin))
+	return isInForce(r.BrittleReportedAt, r.BrittleLiftedAt)
+}
+
+// isInForce reports whether a signal that was last reported and last lifted at the given times applies.
+func isInForce(reportedAt, liftedAt time.Time) bool {
+	return !reportedAt.IsZero() && liftedAt.Before(reportedAt.Add(liftMargin))
 }
 
 // minRejectionInterval is the difference below which two times of a rejection are the same. Times that
--- a/internal/backpressure/signals.go
+++ b/internal/backpressure/signals.go
@@ -1,7 +1,7 @@
 // Package backpressure tracks the load signals that runners send in their responses: that they
-// are shutting down, that they limit the rate of requests from all routers together, or that
-// one router should back off, or that they are brittle. It also grants the permits for sending requests under a rate
-// limit.
+// are shutting down, that they limit the rate of requests from all routers together, that one
+// router should back off, or that they are brittle. It also grants the permits for sending
+// requests under a rate limit.
 //
 // Signals apply to one incarnation of a runner and take precedence over the directory, which
 // learns the same later, or not at all while the store is unavailable.
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -52,13 +52,16 @@
 )
 
 func (s *RunnerState) countRejection(at time.Time) {
-	recent := s.rejections[:0]
-	for _, earlier := range s.rejections {
-		if at.Sub(earlier) < rejectionWindow {
-			recent = append(recent, earlier)
-		}
+	s.rejections = append(s.recentRejections(at), at)
+}
+
+// recentRejections returns the rejections within the last rejectionWindow.
+func (s *RunnerState) recentRejections(now time.Time) []time.Time {
+	first := slices.IndexFunc(s.rejections, func(at time.Time) bool { return now.Sub(at) < rejectionWindow })
+	if first < 0 {
+		return nil
 	}
-	s.rejections = append(recent, at)
+	return s.rejections[first:]
 }
 
 // RejectionHold returns for how long a brittle runner is to get no request because of its rejections. Once it
@@ -67,14 +70,8 @@
 	if !s.IsBrittle() || len(s.rejections) == 0 {
 		return 0
 	}
-	recent := 0
-	for _, at := range s.rejections {
-		if now.Sub(at) < rejectionWindow {
-			recent++
-		}
-	}
 	hold := shortRejectionHold
-	if 2*recent > s.MaxRejections {
+	if 2*len(s.recentRejections(now)) > s.MaxRejections {
 		hold = rejectionWindow
 	}
 	return max(s.rejections[len(s.rejections)-1].Add(hold).Sub(now), 0)
--- a/internal/egress/paths.go
+++ b/internal/egress/paths.go
@@ -26,7 +26,8 @@
 func (s State) String() string { return [...]string{"direct", "reuse only", "cut"}[s] }
 
 const (
-	// MaxRunnersCounted is the largest number of runners of a service that matters.
+	// MaxRunnersCounted is the largest number of runners of a service that matters: more do not change any
+	// result.
 	MaxRunnersCounted = minRunners
 	// minRunners is the number of runners that must fail before the links are at fault and not the
 	// runners. Of a service with fewer runners, all must fail.
@@ -124,8 +125,8 @@
 	if len(s.confirmed) < min(minConfirmations, runnerCount) {
 		return false
 	}
-	s.state, s.since, s.restoredAt = Direct, now, now
-	clear(s.confirmed)
+	s.setState(now, Direct)
+	s.restoredAt = now
 	return true
 }
 
@@ -148,10 +149,7 @@
 	s := p.service(service)
 	expire(s.failed, now)
 	expire(s.unopened, now)
-	next, required := s.state, min(minRunners, max(runnerCount, 1))
-	if p.isOtherCut(service, s.lastHeard) {
-		required = 1
-	}
+	next, required := s.state, p.requiredFailures(service, runnerCount)
 	switch {
 	case len(s.failed) >= required && s.failedOpen():
 		next = Cut
@@ -161,11 +159,24 @@
 	if next <= s.state {
 		return false
 	}
-	s.state, s.since = next, now
-	clear(s.confirmed)
+	s.setState(now, next)
 	return true
 }
 
+func (s *servicePaths) setState(now time.Time, state State) {
+	s.state, s.since = state, now
+	clear(s.confirmed)
+}
+
+// requiredFailures returns the number of runners that must fail before the links to a service with the given
+// number of runners are at fault.
+func (p *Paths) requiredFailures(service string, runnerCount int) int {
+	if p.isOtherCut(service, p.service(service).lastHeard) {
+		return 1
+	}
+	return min(minRunners, max(runnerCount, 1))
+}
+
 // failedOpen reports whether one of the failures since lastHeard was that of a new connection. Runners that
 // end close their connections too, but accept new ones when they are back.
 func (s *servicePaths) failedOpen() bool {
@@ -207,11 +218,7 @@
 	if s.state == Cut || !s.isQuiet(now) {
 		return false
 	}
-	required := min(minRunners, max(runnerCount, 1))
-	if p.isOtherCut(service, s.lastHeard) {
-		required = 1
-	}
-	return len(s.unanswered(now)) >= required
+	return len(s.unanswered(now)) >= p.requiredFailures(service, runnerCount)
 }
 
 // isQuiet reports whether nothing was heard for SilenceTimeout and no probe was answered recently.
@@ -240,8 +247,7 @@
 		return false
 	}
 	s := p.service(service)
-	s.state, s.since = Cut, now
-	clear(s.confirmed)
+	s.setState(now, Cut)
 	return true
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -55,6 +55,11 @@
 		return c.handleRunnerFailure(buffered)
 	}
 	c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
+	return c.writeResponse(buffered, response, truncated)
+}
+
+// writeResponse ends the call with the response, of which buffered holds only the beginning if it is truncated.
+func (c *call) writeResponse(buffered *bufferedResponse, response *httpconn.Response, truncated bool) attempt.Action {
 	c.attemptState.MarkAccepted()
 	c.attemptState.Finish(c.attemptState.Attempt(), 0)
 	if truncated {
--- a/internal/gateway/cachereader_test.go
+++ b/internal/gateway/cachereader_test.go
@@ -47,6 +47,14 @@
 	return k.listCalls[runner]
 }
 
+// listCounts returns how often the caches of the runners were listed altogether.
+func (k *fakeCacheReader) listCounts(runners []string) (total int) {
+	for _, runner := range runners {
+		total += k.listCount(runner)
+	}
+	return total
+}
+
 func (k *fakeCacheReader) ListCache(_ context.Context, _, runner string) ([]gateway.CachedPart, gateway.CachePosition, error) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
--- a/internal/gateway/cachesplit_test.go
+++ b/internal/gateway/cachesplit_test.go
@@ -27,10 +27,16 @@
 
 // seeds starts routers that are all seeds.
 func (f *fleet) seeds(count int) (routers []*router, addresses []string) {
+	return f.startSeeds(count, func() {})
+}
+
+// startSeeds starts routers that are all seeds. It calls beforeEach before it starts each of them.
+func (f *fleet) startSeeds(count int, beforeEach func()) (routers []*router, addresses []string) {
 	for range count {
 		addresses = append(addresses, loopback.FreeAddress())
 	}
 	for i, address := range addresses {
+		beforeEach()
 		routers = append(routers, f.servingRouter(fmt.Sprintf("seed-%d", i), func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, addresses }))
 	}
 	return routers, addresses
@@ -46,12 +52,7 @@
 	f.configure(1, defaultRoutes(), validKey)
 	ids := f.listEngines(60)
 	routers, _ := f.seeds(3)
-	lists := func() (total int) {
-		for _, id := range ids {
-			total += caches.listCount(id)
-		}
-		return total
-	}
+	lists := func() int { return caches.listCounts(ids) }
 	f.g.Eventually(lists, 3*time.Second, 20*time.Millisecond).Should(BeNumerically(">=", len(ids)))
 	f.g.Consistently(lists, 2500*time.Millisecond, 50*time.Millisecond).Should(Equal(len(ids)), "each runner is listed once")
 	routers[1].Kill()
@@ -97,22 +98,8 @@
 	for i := range 4 {
 		f.runner(fmt.Sprint("p", i), "plain")
 	}
-	var addresses []string
-	for range 3 {
-		addresses = append(addresses, loopback.FreeAddress())
-	}
-	var routers []*router
-	for i, address := range addresses {
-		f.links = newRunnerLinks(f)
-		t.Cleanup(f.links.close)
-		routers = append(routers, f.servingRouter(fmt.Sprint("seed-", i), func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, addresses }))
-	}
-	lists := func() (total int) {
-		for _, id := range ids {
-			total += caches.listCount(id)
-		}
-		return total
-	}
+	routers, _ := f.startSeeds(3, func() { f.links = newRunnerLinks(f) })
+	lists := func() int { return caches.listCounts(ids) }
 	f.g.Eventually(lists, 3*time.Second, 20*time.Millisecond).Should(BeNumerically(">=", len(ids)))
 	routers[1].awaitCut("/unsafe/x")
 	f.g.Eventually(func() int { return lists() - len(ids) }, 4*time.Second, 20*time.Millisecond).Should(BeNumerically(">", 0))
--- a/internal/gateway/cachestore_test.go
+++ b/internal/gateway/cachestore_test.go
@@ -134,7 +134,6 @@
 		f.runner(fmt.Sprint("p", i), "plain")
 	}
 	f.links = newRunnerLinks(f)
-	t.Cleanup(f.links.close)
 	f.links.include(store.address())
 	seed := f.servingRouter("seed", func(settings *gateway.Settings) {
 		settings.PeerAddress = loopback.FreeAddress()
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -125,6 +125,11 @@
 	e.unservedUntil[service] = now.Add(unservedTime)
 }
 
+// self returns this router as an egress router.
+func (e *egressRouters) self() egress.Router {
+	return egress.Router{Address: e.gateway.settings.PeerAddress, Zone: e.gateway.settings.Zone}
+}
+
 // accepts reports whether this router accepts forwarded calls.
 func (e *egressRouters) accepts() bool {
 	return e.server != nil && e.gateway.isReady() && !e.gateway.paths.reachesNone()
@@ -143,13 +148,12 @@
 
 // sample returns the egress routers that a seed reports to the other seeds.
 func (e *egressRouters) sample() []*wire.EgressRouter {
-	now, settings := e.gateway.now(), e.gateway.settings
-	accepts := e.accepts()
+	now, self, accepts := e.gateway.now(), e.self(), e.accepts()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	routers := e.directory.Sample(now, settings.PeerAddress, egress.FromRelay)
+	routers := e.directory.Sample(now, self.Address, egress.FromRelay)
 	if accepts {
-		routers = append(routers, egress.Router{Address: settings.PeerAddress, Zone: settings.Zone})
+		routers = append(routers, self)
 	}
 	return encodeEgressRouters(routers)
 }
@@ -159,9 +163,9 @@
 	now := e.gateway.now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	for _, router := range routers {
-		if router.GetAddress() != "" && router.GetAddress() != e.gateway.settings.PeerAddress {
-			e.directory.Add(now, egress.Router{Address: router.GetAddress(), Zone: router.GetZone()}, hops)
+	for _, router := range decodeEgressRouters(routers) {
+		if router.Address != "" && router.Address != e.self().Address {
+			e.directory.Add(now, router, hops)
 		}
 	}
 }
@@ -174,7 +178,7 @@
 		return nil
 	}
 	e.learn(report.GetKnown(), egress.FromRelay)
-	now, accepts, settings := e.gateway.now(), e.accepts(), e.gateway.settings
+	now, accepts := e.gateway.now(), e.accepts()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if report.GetAccepts() {
@@ -184,7 +188,7 @@
 	}
 	additional := e.selector.Routers()
 	if accepts {
-		additional = append(additional, egress.Router{Address: settings.PeerAddress, Zone: settings.Zone})
+		additional = append(additional, e.self())
 	}
 	list := e.directory.List(now, follower, additional)
 	if digest := egress.Digest(list); digest != report.GetListDigest() && len(list) > 0 {
@@ -205,10 +209,10 @@
 
 // refreshOwnList makes a seed's own list, which no other router sends it.
 func (e *egressRouters) refreshOwnList() {
-	now, settings := e.gateway.now(), e.gateway.settings
+	now := e.gateway.now()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.selector.SetList(e.directory.List(now, egress.Router{Address: settings.PeerAddress, Zone: settings.Zone}, nil))
+	e.selector.SetList(e.directory.List(now, e.self(), nil))
 }
 
 // summary returns the egress routers and the number of open forwarded calls.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -92,23 +92,6 @@
 	return action, refused
 }
 
-// takeRetry withdraws a retry from the budget if a runner may have got the call already.
-func (c *call) takeRetry() *refusal {
-	g := c.gateway
-	if c.attemptState.SentDispatches() == 0 || c.hasUnusedRetry {
-		return nil
-	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if !g.retryBudget(c.service).TryWithdraw() {
-		g.metrics.retries.WithLabelValues(c.service, retryNoBudget).Inc()
-		return unavailable("the budget for further attempts is used up", busyRetryAfter)
-	}
-	c.hasUnusedRetry = true
-	g.metrics.retries.WithLabelValues(c.service, retrySent).Inc()
-	return nil
-}
-
 // sendForward sends the call to the egress router and handles the response. result is what the response
 // was.
 func (c *call) sendForward(router egress.Router) (result string, action attempt.Action, refused *refusal) {
@@ -234,14 +217,7 @@
 		c.attemptState.Fail()
 		return attempt.Stop
 	}
-	c.attemptState.MarkAccepted()
-	c.attemptState.Finish(c.attemptState.Attempt(), 0)
-	if truncated {
-		c.forwardLongResponse(buffered, response)
-		return attempt.Stop
-	}
-	buffered.writeTo(c)
-	return attempt.Stop
+	return c.writeResponse(buffered, response, truncated)
 }
 
 // forwardStream passes on a stream of a runner.
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -23,7 +23,6 @@
 	seed := loopback.FreeAddress()
 	start := func(name, address string) *router {
 		f.links = newRunnerLinks(f)
-		f.t.Cleanup(f.links.close)
 		return f.servingRouter(name, func(settings *gateway.Settings) {
 			settings.PeerAddress, settings.Seeds = address, []string{seed}
 		})
@@ -254,7 +253,6 @@
 		settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = proxy.Address, bind, []string{proxy.Address}
 	})
 	f.links = newRunnerLinks(f)
-	t.Cleanup(f.links.close)
 	cut := f.servingRouter("cut", f.followerSettings([]string{proxy.Address}))
 	f.g.Eventually(func() int { return len(cut.Status().EgressRouters) }, 2*time.Second, 10*time.Millisecond).Should(Equal(1))
 	cut.awaitCut("/safe/x")
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -43,7 +43,7 @@
 	case !g.isReady():
 		g.declineForwarded(writer, message.GetService(), "not ready")
 		return
-	case !g.egress.accepts() || g.paths.areCut([]string{message.GetService()}):
+	case g.paths.reachesNone() || g.paths.areCut([]string{message.GetService()}):
 		g.declineForwarded(writer, message.GetService(), "no path")
 		return
 	}
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -51,7 +51,9 @@
 }
 
 func newRunnerLinks(f *fleet) *runnerLinks {
-	return &runnerLinks{fleet: f, proxies: map[string]*faultproxy.Proxy{}, included: map[string]bool{}}
+	links := &runnerLinks{fleet: f, proxies: map[string]*faultproxy.Proxy{}, included: map[string]bool{}}
+	f.t.Cleanup(links.close)
+	return links
 }
 
 // include makes the faults also affect the address.
@@ -133,7 +135,6 @@
 	p := &partitionFleet{fleet: f}
 	for i := range 5 {
 		f.links = newRunnerLinks(f)
-		t.Cleanup(f.links.close)
 		r := f.servingRouter(fmt.Sprint("r", i), func(settings *gateway.Settings) {
 			settings.PeerAddress, settings.Seeds = seed, []string{seed}
 			if i > 0 {
--- a/internal/gateway/partitionedleader_test.go
+++ b/internal/gateway/partitionedleader_test.go
@@ -25,7 +25,6 @@
 	var routers []*router
 	for i, address := range seeds {
 		f.links = newRunnerLinks(f)
-		t.Cleanup(f.links.close)
 		routers = append(routers, f.servingRouter([]string{"a", "b"}[i], func(settings *gateway.Settings) {
 			settings.PeerAddress, settings.Seeds, settings.LeaseGap = address, seeds, time.Second
 		}))
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -34,3 +34,37 @@
 	budget.SetCapacity(reserve)
 	return budget
 }
+
+// isRetry reports whether a runner may have got the call already. Attempts that reached no runner do not make
+// the next one a retry.
+func (c *call) isRetry() bool { return c.attemptState.SentDispatches() > 0 }
+
+// takeRetry withdraws a retry from the budget and records it, if the next attempt is one and none is left over.
+func (c *call) takeRetry() *refusal {
+	if !c.isRetry() || c.hasUnusedRetry {
+		return nil
+	}
+	c.gateway.mutex.Lock()
+	defer c.gateway.mutex.Unlock()
+	if refused := c.withdrawRetry(); refused != nil {
+		return refused
+	}
+	c.recordRetry()
+	return nil
+}
+
+// withdrawRetry withdraws a retry from the budget, if the next attempt is one and none is left over. The
+// gateway's mutex must be held.
+func (c *call) withdrawRetry() *refusal {
+	if !c.isRetry() || c.hasUnusedRetry || c.gateway.retryBudget(c.service).TryWithdraw() {
+		return nil
+	}
+	c.gateway.metrics.retries.WithLabelValues(c.service, retryNoBudget).Inc()
+	return unavailable("the budget for further attempts is used up", busyRetryAfter)
+}
+
+// recordRetry records that the next attempt is a retry.
+func (c *call) recordRetry() {
+	c.hasUnusedRetry = true
+	c.gateway.metrics.retries.WithLabelValues(c.service, retrySent).Inc()
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -37,8 +37,6 @@
 // pickRunner chooses the runner for the next attempt, or returns the reason why there is none.
 func (c *call) pickRunner() (backend.Runner, *refusal) {
 	g := c.gateway
-	// Attempts that reached no runner do not make the next one a retry.
-	isRetry := c.attemptState.SentDispatches() > 0
 	if c.continueAt != nil {
 		return c.continueOnBackup()
 	}
@@ -49,10 +47,9 @@
 	now := c.gateway.now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if isRetry && !c.hasUnusedRetry && !g.retryBudget(c.service).TryWithdraw() {
+	if refused := c.withdrawRetry(); refused != nil {
 		g.schedulers.release(choice)
-		g.metrics.retries.WithLabelValues(c.service, retryNoBudget).Inc()
-		return backend.Runner{}, unavailable("the budget for further attempts is used up", busyRetryAfter)
+		return backend.Runner{}, refused
 	}
 	chosen, placedBy := c.chooseRunner(now, choice)
 	c.recordQueueLimit(chosen)
@@ -65,9 +62,8 @@
 		return backend.Runner{}, unavailable("all runners have refused", busyRetryAfter)
 	}
 	switch {
-	case isRetry:
-		c.hasUnusedRetry = true
-		g.metrics.retries.WithLabelValues(c.service, retrySent).Inc()
+	case c.isRetry():
+		c.recordRetry()
 	case c.attemptState.Attempt() == 0:
 		g.retryBudget(c.service).Deposit()
 	}
@@ -145,6 +141,7 @@
 	c.sentAt = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
 	wait, service := c.gateway.paths.beginWait(c.runner), c.runner.Service
+	// Asking for the state makes a silent service be probed.
 	silence := time.AfterFunc(egress.SilenceTimeout, func() { c.gateway.paths.state(service) })
 	c.isNewConnection = false
 	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.newRunnerRequest())
--- a/internal/lab/soak/partitions.go
+++ b/internal/lab/soak/partitions.go
@@ -244,7 +244,8 @@
 
 // checkPartition compares the calls of each service at the cut gateways with those at the others, from settleTime
 // after the beginning of the partition on. Services are compared apart, because one that is short of runners
-// for all gateways would otherwise count as often as its calls happen to be at the cut ones. Calls at gateways that were disturbed otherwise do not count.
+// for all gateways would otherwise count as often as its calls happen to be at the cut ones. Calls at gateways
+// that were disturbed otherwise do not count.
 func (f *partitionInjector) checkPartition(p *partition, calls []*callRecord) {
 	cut, others := map[string]*attempts{plainService: {}, "engines": {}}, map[string]*attempts{plainService: {}, "engines": {}}
 	for _, call := range calls {
