gateway: log and count how responses were delimited and how they ended

Log and metrics could not tell a body that ended with its connection from one with a length or chunks, nor say how the stream ended or whether the caller speaks HTTP/1.0. No change of behaviour: what follows the last event is still written.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/integrity"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
@@ -47,6 +48,7 @@
 func (c *call) forwardResponse(response *httpconn.Response) attempt.Action {
 	c.recordFirstResponse()
 	body, truncated, err := response.Body.ReadAll(maxBufferedBody)
+	c.recordResponseEnd(integrity.EndOfBody(err))
 	if err != nil {
 		return c.handleInvalidResponse(quarantine.ConnectionLost, "response body is incomplete: "+err.Error())
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/integrity"
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
@@ -135,6 +136,9 @@
 	// firstResponseAt is when the first response from a runner began. If there is none, it is set
 	// when the end of the call is logged.
 	firstResponseAt time.Time
+	// responseFraming is how the last response was delimited, and responseEnd how its body ended.
+	responseFraming integrity.Framing
+	responseEnd     integrity.End
 	// stream is the state of the forwarded stream, nil before its first event.
 	stream *eventStream
 	// forwarded is the message with which another router forwarded the call, nil if this router took it
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -105,6 +105,7 @@
 		return resultUnreachable, c.handleForwardError(err), nil
 	}
 	defer response.Body.Close()
+	c.beginResponse(response)
 	result = response.Header.Get(headerForwardResult)
 	switch {
 	case result == resultDeclined:
@@ -238,6 +239,7 @@
 	if c.stream == nil {
 		c.beginStreamResponse(response)
 	}
+	c.recordResponseEnd(endOfStream(remainder))
 	if len(remainder) > 0 {
 		if _, err := c.writer.Write(remainder); err != nil {
 			c.attemptState.Fail()
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -78,6 +78,7 @@
 // newForwardedCall returns the call that the message describes.
 func (g *Gateway) newForwardedCall(ctx context.Context, writer http.ResponseWriter, message *wire.ForwardedCall) *call {
 	incoming := (&http.Request{
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Method: message.GetMethod(), RequestURI: string(message.GetTarget()), Host: string(message.GetHost()), Header: http.Header{},
 		ContentLength: int64(len(message.GetBody())), Body: io.NopCloser(bytes.NewReader(message.GetBody())),
 	}).WithContext(ctx)
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -10,6 +10,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/integrity"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
@@ -182,6 +183,7 @@
 	if c.stream == nil {
 		c.beginStream(response)
 	}
+	c.recordResponseEnd(endOfStream(remainder))
 	if len(remainder) > 0 {
 		if _, err := c.writer.Write(remainder); err != nil {
 			return c.handleCanceled(false)
@@ -193,10 +195,19 @@
 	return attempt.Stop
 }
 
+// endOfStream returns the end of a stream that ended with the remainder after its last event.
+func endOfStream(remainder []byte) integrity.End {
+	if len(remainder) > 0 {
+		return integrity.End{Verdict: integrity.InsideEvent}
+	}
+	return integrity.End{}
+}
+
 // handleBrokenStream handles a stream that broke off. If the route allows it, the stream continues
 // from another runner after the last complete event. The old run is ended first.
 func (c *call) handleBrokenStream(response *httpconn.Response, cause error) attempt.Action {
 	response.Body.Close()
+	c.recordResponseEnd(integrity.EndOfBody(cause))
 	if c.ctx.Err() != nil {
 		return c.handleCanceled(false)
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/integrity"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
@@ -48,6 +50,7 @@
 		"tenant": c.tenantName(), "outcome": outcome, "late": reason != "", "late_by": reason, "attempts": c.attemptState.Attempt(), "first_ms": firstResponseTime.Milliseconds(), "pause_ms": maxPause.Milliseconds(), "ms": now.Sub(c.arrivedAt).Milliseconds(),
 		"prompt_tokens": c.query.PromptTokens, "fetched": c.fetchSource, "content": c.content.String(),
 		"config": c.config.table.Version, "config_age_ms": c.arrivedAt.Sub(c.config.provenAt).Milliseconds(),
+		"framing": c.responseFraming.String(), "response_end": c.responseEnd.Verdict.String(), "http": c.incoming.Proto,
 	}
 	if c.egressRouter != "" {
 		fields["egress"] = c.egressRouter
@@ -58,6 +61,17 @@
 	c.gateway.log.Log(events.RequestEnded, fields)
 }
 
+// beginResponse records the framing of a response that has begun.
+func (c *call) beginResponse(response *httpconn.Response) {
+	c.responseFraming, c.responseEnd = response.Framing, integrity.End{}
+}
+
+// recordResponseEnd records and counts how the body of a response ended.
+func (c *call) recordResponseEnd(end integrity.End) {
+	c.responseEnd = end
+	c.gateway.metrics.responseEnds.WithLabelValues(c.service, c.responseFraming.String(), end.Verdict.String()).Inc()
+}
+
 // The reasons why a response is late, as logged.
 const (
 	lateFirstEvent = "first event"
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -154,6 +154,7 @@
 		return c.handleSendError(err)
 	}
 	defer response.Body.Close()
+	c.beginResponse(response)
 	c.gateway.paths.heard(c.runner.Service, c.isNewConnection)
 	info := c.gateway.ports.Protocol.ParseResponse(response.Status, response.Header)
 	c.responseWeightVersion, c.requestedBackoff = info.WeightVersion, info.Signals.Backoff
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/integrity"
 )
 
 // Request is an HTTP request to a server.
@@ -42,6 +44,7 @@
 	Header http.Header
 	// ContentLength is -1 if the length of the body is unknown.
 	ContentLength int64
+	Framing       integrity.Framing
 	Body          *Body
 }
 
@@ -95,7 +98,7 @@
 		return nil, err
 	}
 	return &Response{
-		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength,
+		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: integrity.FramingOf(response),
 		Body: &Body{pool: p, conn: c, response: response, writeResult: writeResult, stopCancel: stopCancel},
 	}, nil
 }
--- /dev/null
+++ b/internal/integrity/integrity.go
@@ -0,0 +1,104 @@
+// Package integrity decides whether a response is complete.
+//
+// The framing of a response is one part of the answer: a body with a length or in chunks ends where its
+// framing says so, and any other body ends with its connection. Package net/http checks that part and
+// reports it as the error of the last read. The format is the other part: an event stream that ends
+// inside an event has been broken off, although its framing may allow the end.
+//
+// Documents in JSON need no further check, because a part of a JSON object or array cannot be decoded.
+package integrity
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// Framing is how the end of a body is found.
+type Framing uint8
+
+const (
+	// ByLength means that the header names the length of the body, or that it has none.
+	ByLength Framing = iota
+	// ByChunks means that the body ends with its last chunk.
+	ByChunks
+	// ByClose means that the body ends with its connection.
+	ByClose
+)
+
+// String returns the name of the framing in logs and metrics.
+func (f Framing) String() string { return [...]string{"length", "chunks", "close"}[f] }
+
+// FramingOf returns the framing of the response's body.
+func FramingOf(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return ByChunks
+	case response.ContentLength < 0:
+		return ByClose
+	}
+	return ByLength
+}
+
+// Verdict tells whether a body is complete, and why not.
+type Verdict uint8
+
+const (
+	// Complete means that the whole body was received.
+	Complete Verdict = iota
+	// Unfinished means that reading stopped at a limit and the rest of the body can still be read.
+	Unfinished
+	// Interrupted means that the connection was lost before the end that the framing demands.
+	Interrupted
+	// InsideEvent means that an event stream ended inside an event.
+	InsideEvent
+	// WithoutEvent means that an event stream ended with its connection before its first event. Unlike
+	// a whole event, a closed connection alone doesn't show that the sender had finished.
+	WithoutEvent
+	// Oversized means that an event exceeds the size limit.
+	Oversized
+)
+
+// String returns the name of the verdict in logs and metrics.
+func (v Verdict) String() string {
+	return [...]string{"complete", "unfinished", "interrupted", "inside an event", "without an event", "event too long"}[v]
+}
+
+// End is how the reading of a body ended.
+type End struct {
+	Verdict Verdict
+	// Cause is the error of the last read, nil if the framing was satisfied.
+	Cause error
+}
+
+// IsComplete reports whether the whole body was received.
+func (e End) IsComplete() bool { return e.Verdict == Complete }
+
+// IsBroken reports whether the rest of the body is missing and cannot be read any more.
+func (e End) IsBroken() bool { return e.Verdict != Complete && e.Verdict != Unfinished }
+
+// String returns the verdict and its cause.
+func (e End) String() string {
+	if e.Cause == nil {
+		return e.Verdict.String()
+	}
+	return e.Verdict.String() + ": " + e.Cause.Error()
+}
+
+// EndOfBody returns the end of a body without a format of its own, given the error of the last read.
+// The reader must return io.EOF only at an end that the framing allows.
+func EndOfBody(readErr error) End {
+	if readErr == nil || errors.Is(readErr, io.EOF) {
+		return End{Verdict: Complete}
+	}
+	return End{Verdict: Interrupted, Cause: readErr}
+}
+
+// ReadAll reads the body up to the limit in bytes. If the body may be longer, the end is Unfinished.
+func ReadAll(body io.Reader, limit int64) ([]byte, End) {
+	data, err := io.ReadAll(io.LimitReader(body, limit))
+	if err == nil && int64(len(data)) == limit {
+		return data, End{Verdict: Unfinished}
+	}
+	return data, EndOfBody(err)
+}
