Failing tests: broken answers that reach their callers as if they were complete

Stand-in runners can answer without length and chunks, and end an answer inside an event by a reset, a close or a last chunk.

--- a/internal/lab/runnerstand/responses.go
+++ b/internal/lab/runnerstand/responses.go
@@ -13,7 +13,13 @@
 // writeBody writes a response that is not a stream. TruncatesResponse breaks the connection after
 // the first bytes of it.
 func (r *Runner) writeBody(writer http.ResponseWriter, behaviour Behaviour, run Run) {
-	text := "answer to " + run.RequestID
+	text := r.pad("answer to " + run.RequestID)
+	if r.writesOwnFraming() {
+		if body, connected := r.hijack(writer, len(text)); connected {
+			body.writeText(text)
+		}
+		return
+	}
 	writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if behaviour == TruncatesResponse {
 		fmt.Fprint(writer, text[:4])
@@ -23,6 +29,11 @@
 	fmt.Fprint(writer, text)
 }
 
+// pad returns the text with the length of Config.BodyBytes, or unchanged if that is shorter.
+func (r *Runner) pad(text string) string {
+	return text + strings.Repeat(".", max(r.BodyBytes-len(text), 0))
+}
+
 // formatEvent returns the server-sent event with the id.
 func formatEvent(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
 
@@ -37,17 +48,17 @@
 	}
 	lastReceived, _ := strconv.Atoi(request.Header.Get(platform.HeaderLastEventID))
 	writer.Header().Set("Content-Type", "text/event-stream")
-	controller := http.NewResponseController(writer)
+	writeEvent, end := r.beginStream(writer)
+	defer end()
 	for id := lastReceived + 1; id <= r.EventCount; id++ {
 		time.Sleep(r.EventInterval)
 		event := formatEvent(id)
 		if behaviour == TruncatesResponse && id == lastReceived+2 {
 			fmt.Fprint(writer, strings.TrimSuffix(event, "iece "+strconv.Itoa(id)+"\n\n"))
-			_ = controller.Flush()
+			_ = http.NewResponseController(writer).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprint(writer, event)
-		if controller.Flush() != nil {
+		if !writeEvent(event) {
 			return
 		}
 		switch behaviour {
@@ -65,3 +76,20 @@
 		}
 	}
 }
+
+// beginStream returns functions that write the events of a stream and that end it. writeEvent returns false once
+// the stream has ended.
+func (r *Runner) beginStream(writer http.ResponseWriter) (writeEvent func(event string) bool, end func()) {
+	if r.writesOwnFraming() {
+		body, connected := r.hijack(writer, -1)
+		if !connected {
+			return func(string) bool { return false }, func() {}
+		}
+		return body.writeEvent, func() { body.end(EndsWithLastChunk) }
+	}
+	writeEvent = func(event string) bool {
+		fmt.Fprint(writer, event)
+		return http.NewResponseController(writer).Flush() == nil
+	}
+	return writeEvent, func() {}
+}
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -71,7 +71,9 @@
 	// Incarnation is part of the directory entry and of reports, unless it is 0.
 	Incarnation uint64
 	// EventCount is the number of events in a stream. If it is 0, responses are not streams.
-	EventCount    int
+	EventCount int
+	// BodyBytes is the least length of other responses than streams.
+	BodyBytes     int
 	ResponseDelay time.Duration
 	// EventInterval is the wait before each event of a stream.
 	EventInterval time.Duration
@@ -119,6 +121,9 @@
 	// reportCount counts the requests for a report. The responses are sent after reportDelay.
 	reportCount int
 	reportDelay time.Duration
+	// framing delimits the bodies of responses, and cut ends them too early unless it is nil.
+	framing Framing
+	cut     *Cut
 	// room is the state of Capacity.
 	room room
 }
@@ -388,7 +393,7 @@
 	}
 	if behaviour == Fails {
 		writer.WriteHeader(http.StatusInternalServerError)
-		fmt.Fprint(writer, "failed")
+		fmt.Fprint(writer, r.pad("failed"))
 		return
 	}
 	if behaviour == QueuesAfterHeaders && (http.NewResponseController(writer).Flush() != nil || !r.startAfterQueue(request, run)) {
