gateway: broken answers reset the connections of HTTP/1.0 callers

Callers of HTTP/1.0 saw broken streams, and long answers without a length, as complete: such an answer has no chunks, so the end of its connection is its end, and the router closed an aborted answer's connection like any other. The same held when the router's process ended in the middle of an answer.

While an answer of unknown length is written to HTTP/1.0, the connection now has SO_LINGER 0, so that each end of it is a reset, also the one that the kernel makes for a process that was killed; it gets the default back once the whole answer was written.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -94,6 +94,8 @@
 	c.setResponseHeaders(buffered.header)
 	if response.ContentLength >= 0 {
 		c.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
+	} else {
+		c.beginUnframedResponse()
 	}
 	c.writer.WriteHeader(buffered.status)
 	_, err := c.writer.Write(buffered.body)
@@ -104,4 +106,5 @@
 		c.logOutcome(outcomeCut)
 		panic(http.ErrAbortHandler)
 	}
+	c.endUnframedResponse()
 }
--- a/internal/gateway/callerend.go
+++ b/internal/gateway/callerend.go
@@ -16,6 +16,37 @@
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
+// lingerSetter is a connection that can be reset instead of closed.
+type lingerSetter interface{ SetLinger(seconds int) error }
+
+// Values of the linger option of a connection.
+const (
+	lingerReset   = 0
+	lingerDefault = -1
+)
+
+// beginUnframedResponse is called before a response of unknown length is written. In HTTP/1.0 such a response ends
+// with its connection, so until endUnframedResponse any end of the connection, also by the death of this
+// process, resets it.
+func (c *call) beginUnframedResponse() { c.setLinger(lingerReset) }
+
+// endUnframedResponse is called when the whole response was written.
+func (c *call) endUnframedResponse() { c.setLinger(lingerDefault) }
+
+func (c *call) setLinger(seconds int) {
+	if c.incoming.ProtoAtLeast(1, 1) {
+		// The response has chunks, and the missing last chunk shows that it is incomplete.
+		return
+	}
+	connection, isSettable := c.incoming.Context().Value(connectionKey{}).(lingerSetter)
+	if !isSettable {
+		return
+	}
+	if err := connection.SetLinger(seconds); err != nil {
+		c.gateway.log.Log(events.CallerDisconnected, events.Fields{"request": c.metadata.ID, "while": "responding", "error": err.Error()})
+	}
+}
+
 // disconnectedBeforeRead reports whether the caller closed the connection before its request
 // was read, and logs it.
 func (c *call) disconnectedBeforeRead() bool {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -241,6 +241,7 @@
 	if c.stream == nil {
 		c.beginStreamResponse(response)
 	}
+	c.endUnframedResponse()
 	c.attemptState.MarkAccepted()
 	c.attemptState.Finish(c.attemptState.Attempt(), 0)
 	return attempt.Stop
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -124,6 +124,7 @@
 	}
 	c.gateway.metrics.firstEventLatencies.WithLabelValues(c.service).Observe(c.gateway.since(c.arrivedAt).Seconds())
 	c.setResponseHeaders(response.Header)
+	c.beginUnframedResponse()
 	c.writer.WriteHeader(response.Status)
 }
 
@@ -132,6 +133,7 @@
 	if c.stream == nil {
 		c.beginStream(response)
 	}
+	c.endUnframedResponse()
 	c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
 	c.attemptState.MarkAccepted()
 	c.attemptState.Finish(c.attemptState.Attempt(), 0)
--- a/internal/gateway/truncatedanswers_test.go
+++ b/internal/gateway/truncatedanswers_test.go
@@ -15,14 +15,20 @@
 	"github.com/clovertiller/clovertiller/platform"
 )
 
-// callHTTP10 sends one request as HTTP/1.0, whose responses have no chunks.
-func (r *router) callHTTP10(path string) callResponse {
+// openHTTP10 sends one request as HTTP/1.0, whose responses have no chunks, and returns its response when the head has
+// arrived.
+func (r *router) openHTTP10(path string) (*http.Response, error) {
 	conn, err := net.Dial("tcp", r.address)
 	r.fleet.g.Expect(err).NotTo(HaveOccurred())
-	defer conn.Close()
+	r.fleet.t.Cleanup(func() { conn.Close() })
 	fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: h.example\r\nAuthorization: Bearer %s\r\n%s: %s\r\n%s: 2500\r\n%s: %s\r\nContent-Length: 8\r\n\r\nthe body",
 		path, validKey, platform.HeaderRequestID, newRequestID(), platform.HeaderDeadlineMillis, platform.HeaderModel, modelName)
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return http.ReadResponse(bufio.NewReader(conn), nil)
+}
+
+// callHTTP10 sends one request as HTTP/1.0.
+func (r *router) callHTTP10(path string) callResponse {
+	response, err := r.openHTTP10(path)
 	if err != nil {
 		return callResponse{truncated: true}
 	}
@@ -148,6 +154,22 @@
 	testBrokenStreams(f, cut, runners, "1.0")
 }
 
+// Guards against a stream that looks complete to a caller of HTTP/1.0 although its router has ended.
+func TestEndOfRouterIsNoEndOfStreamForHTTP10(t *testing.T) {
+	t.Parallel()
+	f, r, runners := newBreakableStreams(t)
+	for _, runner := range runners {
+		runner.SetBehaviour(runnerstand.Pauses)
+	}
+	response, err := r.openHTTP10("/once/x")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.ReadFull(response.Body, make([]byte, eventBytes))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	r.Kill()
+	_, err = io.ReadAll(response.Body)
+	f.g.Expect(err).To(HaveOccurred(), "the end of the connection is not the end of the response")
+}
+
 // Guards against resumable streams that end early although another runner could go on.
 func TestResumableStreamGoesOnAfterEndInsideAnEvent(t *testing.T) {
 	t.Parallel()
