gateway: a long answer ends its attempt when its body has ended

A runner whose long answer broke off counted as one that had answered well: evidence for ejection, crash detection, the verdict on a rollout and fair shares was a success. Cause: the attempt ended as soon as the first MB was buffered, and the copy of the rest only decided about the caller's connection.

The attempt now ends with the verdict of package integrity on the whole body; an error of the caller's connection is told apart and blames no runner. Bodies of control calls (reports, orders, cache lists, the store's answers) and of refusals of egress routers get their verdict in the same place; JSON documents need no more, as no part of one can be decoded.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -47,29 +49,59 @@
 // repeatable request is kept while another runner is tried.
 func (c *call) forwardResponse(response *httpconn.Response) attempt.Action {
 	c.recordFirstResponse()
-	body, truncated, err := response.Body.ReadAll(maxBufferedBody)
-	c.recordResponseEnd(integrity.EndOfBody(err))
-	if err != nil {
-		return c.handleInvalidResponse(quarantine.ConnectionLost, "response body is incomplete: "+err.Error())
-	}
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
-	if response.Status >= http.StatusInternalServerError || impliesNotRun(response.Status) {
+	buffered, end := c.bufferResponse(response)
+	switch {
+	case end.IsBroken():
+		return c.handleInvalidResponse(quarantine.ConnectionLost, "response body is incomplete: "+end.String())
+	case buffered.isFailure():
 		return c.handleRunnerFailure(buffered)
+	case !end.IsComplete():
+		return c.forwardLongResponse(buffered, response)
 	}
 	c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
-	return c.writeResponse(buffered, response, truncated)
+	c.markComplete()
+	buffered.writeTo(c)
+	return attempt.Stop
 }
 
-// writeResponse ends the call with the response, of which buffered holds only the beginning if it is truncated.
-func (c *call) writeResponse(buffered *bufferedResponse, response *httpconn.Response, truncated bool) attempt.Action {
-	c.attemptState.MarkAccepted()
-	c.attemptState.Finish(c.attemptState.Attempt(), 0)
-	if truncated {
-		c.forwardLongResponse(buffered, response)
+// forwardLongResponse forwards a response that is too long to buffer, and aborts the caller's connection if it
+// breaks off. No other attempt can follow then, because the begin of the response was forwarded.
+func (c *call) forwardLongResponse(buffered *bufferedResponse, response *httpconn.Response) attempt.Action {
+	end, err := c.copyLongResponse(buffered, response)
+	switch {
+	case err != nil || c.ctx.Err() != nil && !end.IsComplete():
+		c.handleCanceled(false)
+	case !end.IsComplete():
+		c.endAttempt(backend.Failed, quarantine.ConnectionLost, "response body is incomplete: "+end.String(), response.Status)
+		c.attemptState.Fail()
+	default:
+		c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
+		c.markComplete()
 		return attempt.Stop
 	}
-	buffered.writeTo(c)
-	return attempt.Stop
+	c.logOutcome(outcomeCut)
+	panic(http.ErrAbortHandler)
+}
+
+// bufferResponse reads the body of the response, or the first part of a long one, in which case the end is
+// Unfinished.
+func (c *call) bufferResponse(response *httpconn.Response) (*bufferedResponse, integrity.End) {
+	body, end := response.Body.ReadAll(maxBufferedBody)
+	if end.Verdict != integrity.Unfinished {
+		c.recordResponseEnd(end)
+	}
+	return &bufferedResponse{status: response.Status, header: response.Header, body: body}, end
+}
+
+// markComplete records that the caller has the whole response.
+func (c *call) markComplete() {
+	c.attemptState.MarkAccepted()
+	c.attemptState.Finish(c.attemptState.Attempt(), 0)
+}
+
+// isFailure reports whether the runner reported a failure of the request.
+func (r *bufferedResponse) isFailure() bool {
+	return r.status >= http.StatusInternalServerError || impliesNotRun(r.status)
 }
 
 // impliesNotRun reports whether callers infer from the status that the request has not run.
@@ -77,8 +109,7 @@
 	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
 }
 
-// handleRunnerFailure handles a failure that the runner itself reported. Statuses that imply
-// that the request has not run are never forwarded.
+// handleRunnerFailure handles a failure that the runner itself reported. Statuses that imply that the request has not run are never forwarded.
 func (c *call) handleRunnerFailure(response *bufferedResponse) attempt.Action {
 	c.endAttempt(backend.Failed, quarantine.Indeterminate, "runner returned a failure", response.status)
 	if response.status != http.StatusServiceUnavailable && !impliesNotRun(response.status) {
@@ -87,10 +118,20 @@
 	return c.attemptState.RunnerFailed()
 }
 
-// forwardLongResponse forwards a response that is too long to buffer. If the runner's
-// connection breaks, the caller's connection is aborted so that the caller sees the response
-// as incomplete.
-func (c *call) forwardLongResponse(buffered *bufferedResponse, response *httpconn.Response) {
+// callerWriter writes to the caller. Its errors are errCallerDisconnected.
+type callerWriter struct{ http.ResponseWriter }
+
+func (w callerWriter) Write(data []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(data)
+	if err != nil {
+		return n, errCallerDisconnected
+	}
+	return n, nil
+}
+
+// copyLongResponse writes a response of which the begin is buffered to the caller, and returns how its body ended,
+// or errCallerDisconnected.
+func (c *call) copyLongResponse(buffered *bufferedResponse, response *httpconn.Response) (integrity.End, error) {
 	c.setResponseHeaders(buffered.header)
 	if response.ContentLength >= 0 {
 		c.writer.Header().Set("Content-Length", strconv.FormatInt(response.ContentLength, 10))
@@ -98,13 +139,14 @@
 		c.beginUnframedResponse()
 	}
 	c.writer.WriteHeader(buffered.status)
-	_, err := c.writer.Write(buffered.body)
-	if err == nil {
-		_, err = io.Copy(c.writer, response.Body)
+	_, err := io.Copy(callerWriter{c.writer}, io.MultiReader(bytes.NewReader(buffered.body), response.Body))
+	if errors.Is(err, errCallerDisconnected) {
+		return integrity.End{}, err
 	}
-	if err != nil {
-		c.logOutcome(outcomeCut)
-		panic(http.ErrAbortHandler)
+	end := integrity.EndOfBody(err)
+	c.recordResponseEnd(end)
+	if end.IsComplete() {
+		c.endUnframedResponse()
 	}
-	c.endUnframedResponse()
+	return end, nil
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -110,7 +110,7 @@
 	result = response.Header.Get(headerForwardResult)
 	switch {
 	case result == resultDeclined:
-		_, _, _ = response.Body.ReadAll(maxRefusalReason)
+		_, _ = response.Body.ReadAll(maxRefusalReason)
 		return result, c.attemptState.DispatchAborted(), nil
 	case result == resultRefused:
 		return result, attempt.Stop, c.readRefusal(response)
@@ -192,9 +192,9 @@
 // readRefusal returns the refusal of an egress router. A denial of a call that this router's
 // configuration allows is temporary: one of the two configurations is older.
 func (c *call) readRefusal(response *httpconn.Response) *refusal {
-	reason, _, err := response.Body.ReadAll(maxRefusalReason)
+	reason, end := response.Body.ReadAll(maxRefusalReason)
 	c.attemptState.Reject()
-	if err != nil {
+	if end.IsBroken() {
 		reason = []byte(reasonNoPath)
 	}
 	retryAfter, _ := strconv.Atoi(response.Header.Get(headerRetryAfterMillis))
@@ -205,21 +205,36 @@
 	return refused
 }
 
-// passOn passes on a whole response of a runner.
+// passOn passes on a response of a runner.
 func (c *call) passOn(response *httpconn.Response) attempt.Action {
-	body, truncated, err := response.Body.ReadAll(maxBufferedBody)
-	if err != nil {
+	buffered, end := c.bufferResponse(response)
+	if end.IsBroken() {
 		return c.handleBrokenForward()
 	}
 	c.firstResponseAt = c.gateway.now()
-	buffered := &bufferedResponse{status: response.Status, header: response.Header, body: body}
-	if response.Status >= http.StatusInternalServerError {
+	switch {
+	case buffered.isFailure():
 		c.lastFailure = buffered
 		c.attemptState.RunnerFailed()
 		c.attemptState.Fail()
 		return attempt.Stop
+	case !end.IsComplete():
+		return c.passOnLong(buffered, response)
 	}
-	return c.writeResponse(buffered, response, truncated)
+	c.markComplete()
+	buffered.writeTo(c)
+	return attempt.Stop
+}
+
+// passOnLong passes on a response that is too long to buffer, and aborts the caller's connection if it breaks off.
+func (c *call) passOnLong(buffered *bufferedResponse, response *httpconn.Response) attempt.Action {
+	if end, err := c.copyLongResponse(buffered, response); err != nil || !end.IsComplete() {
+		c.attemptState.Fail()
+		c.logOutcome(outcomeCut)
+		panic(http.ErrAbortHandler)
+	}
+	c.markComplete()
+	return attempt.Stop
 }
 
 // forwardStream passes on a stream of a runner.
@@ -242,8 +257,7 @@
 		c.beginStreamResponse(response)
 	}
 	c.endUnframedResponse()
-	c.attemptState.MarkAccepted()
-	c.attemptState.Finish(c.attemptState.Attempt(), 0)
+	c.markComplete()
 	return attempt.Stop
 }
 
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -135,8 +135,7 @@
 	}
 	c.endUnframedResponse()
 	c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
-	c.attemptState.MarkAccepted()
-	c.attemptState.Finish(c.attemptState.Attempt(), 0)
+	c.markComplete()
 	return attempt.Stop
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -163,7 +163,7 @@
 	switch {
 	case info.NotRun:
 		// The body is short. Reading it allows the connection to be reused.
-		_, _, _ = response.Body.ReadAll(maxBufferedBody)
+		_, _ = response.Body.ReadAll(maxBufferedBody)
 		if isNewer {
 			c.endAttempt(backend.Abandoned, quarantine.NotRun, "runner has newer weights than known", response.Status)
 			return c.attemptState.RejectStale()
--- a/internal/httpconn/close_idle_race_test.go
+++ b/internal/httpconn/close_idle_race_test.go
@@ -50,7 +50,7 @@
 					failed.Add(1)
 					continue
 				}
-				if _, _, err := response.Body.ReadAll(100); err != nil {
+				if _, end := response.Body.ReadAll(100); !end.IsComplete() {
 					failed.Add(1)
 				}
 				response.Body.Close()
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -229,23 +229,11 @@
 	}
 }
 
-// ReadAll reads the whole body if it has fewer than limit bytes, or limit bytes and a
-// Content-Length. Of other bodies it returns the first limit bytes, with truncated set.
-func (b *Body) ReadAll(limit int64) (data []byte, truncated bool, err error) {
-	if size := b.response.ContentLength; size > 0 && size <= limit {
-		data = make([]byte, size)
-		if _, err = io.ReadFull(b, data); err != nil {
-			return nil, false, err
-		}
-		_, err = b.Read(make([]byte, 1))
-		if errors.Is(err, io.EOF) {
-			return data, false, nil
-		}
-		return nil, false, io.ErrUnexpectedEOF
-	}
-	data, err = io.ReadAll(io.LimitReader(b, limit))
-	if err != nil || int64(len(data)) < limit {
-		return data, false, err
+// ReadAll reads the body up to the limit in bytes. If the body may be longer, the end is Unfinished.
+func (b *Body) ReadAll(limit int64) ([]byte, integrity.End) {
+	if size := b.response.ContentLength; size >= 0 && size <= limit {
+		// The byte above the length is the read that finds the end of the body.
+		limit = size + 1
 	}
-	return data, true, nil
+	return integrity.ReadAll(b, limit)
 }
--- a/internal/httpconn/exchange_test.go
+++ b/internal/httpconn/exchange_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/integrity"
 )
 
 // connHandler serves one connection of a test server, given the connection's number
@@ -67,9 +69,9 @@
 		return "", err
 	}
 	defer response.Body.Close()
-	data, truncated, err := response.Body.ReadAll(1 << 20)
-	g.Expect(truncated).To(BeFalse())
-	return string(data), err
+	data, end := response.Body.ReadAll(1 << 20)
+	g.Expect(end.Verdict).NotTo(Equal(integrity.Unfinished))
+	return string(data), end.Err()
 }
 
 // okResponse is a complete response with the body "ok".
@@ -268,8 +270,8 @@
 	}
 	g.Expect(connections()).To(Equal(3), "one connection in use, one closed, one new")
 	g.Expect(otherConnections()).To(Equal(1))
-	data, _, err := inUse.Body.ReadAll(1 << 20)
-	g.Expect(err).NotTo(HaveOccurred())
+	data, end := inUse.Body.ReadAll(1 << 20)
+	g.Expect(end.Err()).NotTo(HaveOccurred())
 	g.Expect(string(data)).To(Equal("ok"))
 	inUse.Body.Close()
 }
@@ -297,8 +299,8 @@
 		open = append(open, response)
 	}
 	for _, response := range open {
-		_, _, err := response.Body.ReadAll(1 << 20)
-		g.Expect(err).NotTo(HaveOccurred())
+		_, end := response.Body.ReadAll(1 << 20)
+		g.Expect(end.Err()).NotTo(HaveOccurred())
 		response.Body.Close()
 	}
 }
--- a/internal/integrity/integrity.go
+++ b/internal/integrity/integrity.go
@@ -10,6 +10,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 )
@@ -77,6 +78,20 @@
 // IsBroken reports whether the rest of the body is missing and cannot be read any more.
 func (e End) IsBroken() bool { return e.Verdict != Complete && e.Verdict != Unfinished }
 
+// errIncomplete is the cause of an end without an error of its own.
+var errIncomplete = errors.New("the rest of the body was not read")
+
+// Err returns nil if the body is complete, else the cause of its end.
+func (e End) Err() error {
+	switch {
+	case e.IsComplete():
+		return nil
+	case e.Cause != nil:
+		return e.Cause
+	}
+	return fmt.Errorf("%w: %s", errIncomplete, e.Verdict)
+}
+
 // String returns the verdict and its cause.
 func (e End) String() string {
 	if e.Cause == nil {
