gateway: a runner's failure that is too long to buffer is not forwarded in part

Callers got the first MB of a longer failure with a Content-Length of one MB, which looks complete. Cause: bufferedResponse keeps what was read, and nothing told that there was more. A failure is now kept for the caller only if its body is complete; of any other the caller gets the router's own 502. TestLongFailureIsNotCutShort failed before.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -54,7 +54,7 @@
 	case end.IsBroken():
 		return c.handleInvalidResponse(quarantine.ConnectionLost, "response body is incomplete: "+end.String())
 	case buffered.isFailure():
-		return c.handleRunnerFailure(buffered)
+		return c.handleRunnerFailure(buffered, end)
 	case !end.IsComplete():
 		return c.forwardLongResponse(buffered, response)
 	}
@@ -109,10 +109,11 @@
 	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
 }
 
-// handleRunnerFailure handles a failure that the runner itself reported. Statuses that imply that the request has not run are never forwarded.
-func (c *call) handleRunnerFailure(response *bufferedResponse) attempt.Action {
+// handleRunnerFailure handles a failure that the runner itself reported. It is kept for the caller if its
+// body is complete. Statuses that imply that the request has not run are never forwarded.
+func (c *call) handleRunnerFailure(response *bufferedResponse, end integrity.End) attempt.Action {
 	c.endAttempt(backend.Failed, quarantine.Indeterminate, "runner returned a failure", response.status)
-	if response.status != http.StatusServiceUnavailable && !impliesNotRun(response.status) {
+	if end.IsComplete() && response.status != http.StatusServiceUnavailable && !impliesNotRun(response.status) {
 		c.lastFailure = response
 	}
 	return c.attemptState.RunnerFailed()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -214,7 +214,9 @@
 	c.firstResponseAt = c.gateway.now()
 	switch {
 	case buffered.isFailure():
-		c.lastFailure = buffered
+		if end.IsComplete() {
+			c.lastFailure = buffered
+		}
 		c.attemptState.RunnerFailed()
 		c.attemptState.Fail()
 		return attempt.Stop
