soak: answers without length and chunks, broken off inside an event; callers of HTTP/1.0

The stand-ins could write neither, so no soak could find an answer that is framed as complete and isn't.

--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -127,7 +127,7 @@
 func (s *Soak) sendCalls(ctx context.Context, random *rand.Rand) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport}
+	client, http10Client := &http.Client{Transport: transport}, &http.Client{Transport: http10Transport{}}
 	for number := 0; ctx.Err() == nil; number++ {
 		route := routes[random.IntN(len(routes))]
 		key, tenant, addedAt, revokedAt := s.config.randomKey(random)
@@ -142,7 +142,11 @@
 		target := s.processes[random.IntN(len(s.processes))]
 		call.gatewayName = target.name
 		s.calls.add(call)
-		s.sendCall(ctx, client, target, call, key)
+		if s.settings.BrokenAnswers && random.Float64() < http10Share {
+			s.sendCall(ctx, http10Client, target, call, key)
+		} else {
+			s.sendCall(ctx, client, target, call, key)
+		}
 		time.Sleep(callInterval)
 	}
 }
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -47,7 +47,10 @@
 	Partitions bool
 	// Regions puts gateways and runners into two or three regions, and cuts the borders of regions.
 	Regions bool
-	Seed    uint64
+	// BrokenAnswers makes runners answer without length and chunks and break off their answers, and some callers
+	// speak HTTP/1.0.
+	BrokenAnswers bool
+	Seed          uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Folder is where settings files and logs are written.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// brokenAnswersSeed has runners break off streams in each framing and at each kind of end within faultDuration. Code that
+// takes an end inside an event for the end of the stream breaks the promise of whole answers.
+const brokenAnswersSeed = 1
+
+func TestSoakBrokenAnswers(t *testing.T) {
+	runSeed(t, soak.Settings{Program: []string{buildCommand(t, "clovertiller-gateway")}, Seed: brokenAnswersSeed, FaultDuration: faultDuration, BrokenAnswers: true})
+}
+
 // buildCommand builds the command with the given name and returns the path of the program.
 func buildCommand(t *testing.T, command string) string {
 	t.Helper()
