gateway: log software versions of runners and streams that callers take up

512 and 514 name the software version of the runner, 526 that a call takes a stream up and which attempt it names in Resumes. Without them nothing told a continuation at another version from one at the same, nor within an answer from over tries. No change of behaviour.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -61,6 +61,7 @@
 	RunnerSignalReceived          = define(523, logrus.InfoLevel, "runner sent a new leaving, limit or rest signal")
 	SignalUnreadable              = define(524, logrus.WarnLevel, "signal headers of a runner cannot be read")
 	RunnerSignalForwarded         = define(525, logrus.InfoLevel, "received a runner's signal from another router")
+	StreamTakenUp                 = define(526, logrus.InfoLevel, "caller takes a stream up")
 	ClaimsRetired                 = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed            = define(602, logrus.InfoLevel, "claim assignment written")
 	AssignmentBlocked             = define(603, logrus.WarnLevel, "claim assignment cannot change yet")
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -49,7 +49,7 @@
 	c.continueAt, c.backup, c.continuing = nil, backend.Runner{}, true
 	c.runnerGone.Store(false)
 	c.beginSend(c.gateway.now(), runner, 0)
-	c.bufferLog(events.StreamContinued, events.Fields{"from": c.runner.ID, "runner": runner.ID, "last_event": c.stream.lastEvent, "copy": true})
+	c.bufferLog(events.StreamContinued, events.Fields{"from": c.runner.ID, "software": c.runner.SoftwareVersion, "runner": runner.ID, "last_event": c.stream.lastEvent, "copy": true})
 	return runner, nil
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -173,6 +173,9 @@
 		c.refuse(refused)
 		return
 	}
+	if c.metadata.LastEvent != "" {
+		c.bufferLog(events.StreamTakenUp, events.Fields{"resumes": c.metadata.Resumes, "last_event": c.metadata.LastEvent, "route": c.route.Name})
+	}
 	c.startQuotaCheck()
 	c.startPlacement()
 	refused, disconnected := c.readBody()
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -45,6 +45,9 @@
 	Prompt       []PromptPart
 	// LastEvent is the ID of the last event of the stream that the caller has received.
 	LastEvent string
+	// Resumes is the ID of the caller's request that brought the first event of that stream, empty if it
+	// names none.
+	Resumes string
 }
 
 // Dispatch is the information that the router adds to a request when it sends it to a runner.
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -162,7 +162,7 @@
 	}
 	next := c.connectionLost()
 	if next == attempt.Dispatch && c.stream != nil {
-		c.bufferLog(events.StreamContinued, events.Fields{"from": c.runner.ID, "last_event": c.stream.lastEvent})
+		c.bufferLog(events.StreamContinued, events.Fields{"from": c.runner.ID, "software": c.runner.SoftwareVersion, "last_event": c.stream.lastEvent})
 	}
 	return next
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -77,7 +77,7 @@
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.QueueWait.Milliseconds(), "excess": c.queueLimit.Excess,
 		"permitted": c.permit.Valid(now), "content": c.content.String(), "directory": storerev.Revision(g.directoryRevision.Load()).Number(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
-		"zone": runner.Zone,
+		"zone": runner.Zone, "software": runner.SoftwareVersion,
 	}
 	if reason := chosen.LeaveReason.String(); reason != "" {
 		fields["left_region"] = reason
