--- a/internal/lab/runnerstand/responses.go
+++ b/internal/lab/runnerstand/responses.go
@@ -1,6 +1,7 @@
 package runnerstand
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -37,6 +38,14 @@
 // formatEvent returns the server-sent event with the id.
 func formatEvent(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
 
+// newEvent returns the event of the runner with the id.
+func (r *Runner) newEvent(id int) string {
+	if !r.VersionInEvents {
+		return formatEvent(id)
+	}
+	return fmt.Sprintf("id: %d\ndata: piece %d %s\n\n", id, id, cmp.Or(r.SoftwareVersion, DefaultSoftwareVersion))
+}
+
 // writeStream sends the events after the last one that the gateway received. If the gateway names a
 // backup runner, that runner gets a KV copy of the run. TruncatesResponse breaks the connection in
 // the middle of the second event that is sent.
@@ -52,7 +61,7 @@
 	defer end()
 	for id := lastReceived + 1; id <= r.EventCount; id++ {
 		time.Sleep(r.EventInterval)
-		event := formatEvent(id)
+		event := r.newEvent(id)
 		if behaviour == TruncatesResponse && id == lastReceived+2 {
 			fmt.Fprint(writer, strings.TrimSuffix(event, "iece "+strconv.Itoa(id)+"\n\n"))
 			_ = http.NewResponseController(writer).Flush()
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -66,8 +66,10 @@
 	// Model is empty for a runner without a language model.
 	Model   string
 	Version uint64
-	// SoftwareVersion is the version of the runner's program, v1 if it is empty.
+	// SoftwareVersion is the version of the runner's program, DefaultSoftwareVersion if it is empty.
 	SoftwareVersion string
+	// VersionInEvents adds the software version to the data of each event.
+	VersionInEvents bool
 	// Incarnation is part of the directory entry and of reports, unless it is 0.
 	Incarnation uint64
 	// EventCount is the number of events in a stream. If it is 0, responses are not streams.
@@ -128,6 +130,9 @@
 	room room
 }
 
+// DefaultSoftwareVersion is the software version of runners whose configuration names none.
+const DefaultSoftwareVersion = "v1"
+
 // defaultSlots is the number of slots in the directory entry of a runner without a capacity.
 const defaultSlots = 8
 
@@ -181,7 +186,7 @@
 	if r.Model != "" {
 		models = append(models, map[string]any{"name": r.Model, "version": r.weightVersion, "adapters": []string{}})
 	}
-	entry := map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": cmp.Or(r.SoftwareVersion, "v1"), "slots": cmp.Or(r.Capacity.Slots, defaultSlots), "state": state, "models": models, "cold_remaining_ms": 0, "seq": r.weightRevision}
+	entry := map[string]any{"service": r.Service, "address": r.Address, "zone": r.Zone, "version": cmp.Or(r.SoftwareVersion, DefaultSoftwareVersion), "slots": cmp.Or(r.Capacity.Slots, defaultSlots), "state": state, "models": models, "cold_remaining_ms": 0, "seq": r.weightRevision}
 	r.addIncarnation(entry)
 	return entry
 }
