--- /dev/null
+++ b/internal/streamversion/history.go
@@ -0,0 +1,127 @@
+package streamversion
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// VersionSpan is the time during which a software version was listed among the runners of a service.
+type VersionSpan struct {
+	Service, Version string
+	First, Last      time.Time
+}
+
+// History holds which software versions the runners of each service had within the last window, the longest time
+// for which a stream can live. It is not safe for concurrent use.
+type History struct {
+	window time.Duration
+	// since is the time since which the history lacks nothing.
+	since time.Time
+	spans map[Origin]VersionSpan
+}
+
+// NewHistory returns the history of an observer that begins now.
+func NewHistory(now time.Time, window time.Duration) *History {
+	return &History{window: window, since: now, spans: map[Origin]VersionSpan{}}
+}
+
+// SetWindow sets the longest time for which a stream can live.
+func (h *History) SetWindow(window time.Duration) { h.window = window }
+
+// Observe records that the versions are listed now. It must be called when the listed versions change and at least
+// once a window.
+func (h *History) Observe(now time.Time, listed []Origin) {
+	for _, origin := range listed {
+		h.add(VersionSpan{Service: origin.Service, Version: origin.Version, First: now, Last: now})
+	}
+	maps.DeleteFunc(h.spans, func(_ Origin, span VersionSpan) bool { return now.Sub(span.Last) > h.window })
+}
+
+func (h *History) add(span VersionSpan) {
+	origin := Origin{span.Service, span.Version}
+	known, found := h.spans[origin]
+	if !found {
+		h.spans[origin] = span
+		return
+	}
+	known.First = earlier(known.First, span.First)
+	if span.Last.After(known.Last) {
+		known.Last = span.Last
+	}
+	h.spans[origin] = known
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Merge adds the history of another observer, which lacks nothing since the time.
+func (h *History) Merge(since time.Time, spans []VersionSpan) {
+	h.since = earlier(h.since, since)
+	for _, span := range spans {
+		h.add(span)
+	}
+}
+
+// Since returns the time since which the history lacks nothing.
+func (h *History) Since() time.Time { return h.since }
+
+// Spans returns the spans, sorted by service and version.
+func (h *History) Spans() []VersionSpan {
+	return slices.SortedFunc(maps.Values(h.spans), func(a, b VersionSpan) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+}
+
+// CoversWindow reports whether the history lacks nothing of the last window.
+func (h *History) CoversWindow(now time.Time) bool { return now.Sub(h.since) >= h.window }
+
+// IsMixed reports whether streams of the service that live now may have begun at different versions.
+func (h *History) IsMixed(now time.Time, service string) bool {
+	return !h.CoversWindow(now) || len(h.versions(now, service)) > 1
+}
+
+// versions returns the spans of the service's versions within the window, the one listed first at the begin.
+func (h *History) versions(now time.Time, service string) []VersionSpan {
+	var versions []VersionSpan
+	for _, span := range h.Spans() {
+		if span.Service == service && now.Sub(span.Last) <= h.window {
+			versions = append(versions, span)
+		}
+	}
+	slices.SortStableFunc(versions, func(a, b VersionSpan) int { return a.First.Compare(b.First) })
+	return versions
+}
+
+// Only returns the only version that was listed within the window, and false if there were others or none. Before
+// the history covers the window, others may have been listed that it doesn't know.
+func (h *History) Only(now time.Time, service string) (version string, found bool) {
+	versions := h.versions(now, service)
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0].Version, true
+}
+
+// UnrecordedOrigin returns the version at which a stream of the service began that no router has recorded: the one
+// that was the only one at the begin of the window, as routers record only streams of services with several. It
+// returns false if there is no such version.
+func (h *History) UnrecordedOrigin(now time.Time, service string) (version string, found bool) {
+	if !h.CoversWindow(now) {
+		return "", false
+	}
+	versions := h.versions(now, service)
+	if len(versions) == 0 {
+		return "", false
+	}
+	windowStart := now.Add(-h.window)
+	if versions[0].First.After(windowStart) || len(versions) > 1 && !versions[1].First.After(windowStart) {
+		return "", false
+	}
+	return versions[0].Version, true
+}
