gateway: a stream continues within its answer only at the software version that began it

Cause: a continuation was placed like a new request, with no version in its query.

The call is bound to the version of the runner that brought the first event. Query.BoundVersion restricts candidates, travels to schedulers, and is checked again when their choice is accepted and right before the send; the copy of a run's memory obeys it too. A stream that the version under test began takes one of its permitted requests, although it is a retry.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -85,6 +85,9 @@
 	// Fallback is set if the request may go to the target version only because no runner of the
 	// other versions is left. It isn't counted as allowed there.
 	Fallback bool
+	// BoundVersion is the only software version that may get the request because it continues a stream that
+	// this version began, empty for any other request. The service's rule holds as well.
+	BoundVersion string
 	// Route is the request's route while a rollout of its service runs, otherwise empty.
 	Route string
 }
--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -64,6 +64,10 @@
 	cacheStoreZones map[string]int
 	// listChanges counts the changes of the listed runners and of the configured services.
 	listChanges uint64
+	// listedVersions counts the listed runners by service and software version, and versionChanges the changes
+	// of which versions there are.
+	listedVersions map[string]map[string]int
+	versionChanges uint64
 	// outdated is the last count of outdated runners, and outdatedScans the number of scans.
 	outdated      outdatedCount
 	outdatedScans int
@@ -76,7 +80,7 @@
 // NewSet returns an empty table for a router in the zone.
 func NewSet(zone string) *Set {
 	return &Set{
-		zone: zone, entries: map[string]*entry{}, byService: map[string][]*entry{}, weightTargets: NewWeightTargets(),
+		zone: zone, entries: map[string]*entry{}, listedVersions: map[string]map[string]int{}, byService: map[string][]*entry{}, weightTargets: NewWeightTargets(),
 		cacheIndex: cacheindex.NewShard(unconfirmedTTL), upcomingUpdates: map[modelGroupKey]nextUpdates{}, changedLoads: map[string]bool{},
 		holdTimes: map[string]time.Duration{}, peers: map[string]*peerLoads{}, knownIncarnations: map[string]bool{},
 		demands: map[string]*demand{}, prefillModels: map[string]*prefillModel{}, rolloutTime: defaultRolloutTime,
@@ -136,6 +140,8 @@
 		if moved {
 			s.regions.remove(known)
 		}
+		s.countListedVersion(known.Runner, -1)
+		s.countListedVersion(runner, 1)
 		known.update(runner)
 		if moved {
 			known.zoneNumber = s.regions.zoneNumber(runner.Zone)
@@ -150,6 +156,7 @@
 	}
 	created := &entry{Runner: runner, learnedVersions: map[string]uint64{}, signalState: s.signals.Get(runner.signalKey()), zoneNumber: s.regions.zoneNumber(runner.Zone)}
 	s.entries[runner.ID] = created
+	s.countListedVersion(runner, 1)
 	list := s.byService[runner.Service]
 	position, _ := slices.BinarySearchFunc(list, created.ID, func(e *entry, id string) int { return cmp.Compare(e.ID, id) })
 	s.byService[runner.Service] = slices.Insert(list, position, created)
@@ -180,6 +187,7 @@
 	}
 	s.recordListChange()
 	delete(s.entries, id)
+	s.countListedVersion(known.Runner, -1)
 	delete(s.changedLoads, id)
 	s.cacheIndex.RemoveRunner(id)
 	s.cacheIndex.RemoveStale()
--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -39,6 +40,9 @@
 
 // allowsVersion reports whether the request may go to the runner's software version.
 func (s *Set) allowsVersion(e *entry, query Query) bool {
+	if query.BoundVersion != "" && e.SoftwareVersion != query.BoundVersion {
+		return false
+	}
 	if query.TargetVersion != "" {
 		return e.SoftwareVersion == query.TargetVersion
 	}
@@ -73,6 +77,35 @@
 	return load
 }
 
+// ListedVersions returns the software versions of the listed runners, leaving ones included, by service.
+func (s *Set) ListedVersions() map[string][]string {
+	listed := map[string][]string{}
+	for service, counts := range s.listedVersions {
+		listed[service] = slices.Sorted(maps.Keys(counts))
+	}
+	return listed
+}
+
+// VersionChanges counts the changes of what ListedVersions returns.
+func (s *Set) VersionChanges() uint64 { return s.versionChanges }
+
+// countListedVersion adds to the number of listed runners of the software version.
+func (s *Set) countListedVersion(runner Runner, change int) {
+	counts := s.listedVersions[runner.Service]
+	if counts == nil {
+		counts = map[string]int{}
+		s.listedVersions[runner.Service] = counts
+	}
+	before := counts[runner.SoftwareVersion]
+	counts[runner.SoftwareVersion] += change
+	if before == 0 || before+change == 0 {
+		s.versionChanges++
+	}
+	if before+change == 0 {
+		delete(counts, runner.SoftwareVersion)
+	}
+}
+
 // HaveVersion reports whether one of the runners has the software version.
 func (s *Set) HaveVersion(ids []string, version string) bool {
 	return slices.ContainsFunc(ids, func(id string) bool { return s.entries[id] != nil && s.entries[id].SoftwareVersion == version })
@@ -83,7 +116,7 @@
 // versions have: some faults show only under load.
 func (s *Set) allowedEntries(query Query) []*entry {
 	all := s.byService[query.Service]
-	if query.TargetVersion == "" && s.versionRules[query.Service] == (VersionRule{}) {
+	if query.TargetVersion == "" && query.BoundVersion == "" && s.versionRules[query.Service] == (VersionRule{}) {
 		return all
 	}
 	var allowed []*entry
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -78,6 +78,7 @@
 	query := c.query
 	// The copy already includes the prompt, so there is nothing to prefill.
 	query.PromptTokens = 0
+	query.BoundVersion = c.boundVersion
 	c.gateway.mutex.Lock()
 	defer c.gateway.mutex.Unlock()
 	listedRunner, listed := c.gateway.runners.Get(c.backup.ID)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -139,6 +139,8 @@
 	// responseFraming is how the last response was delimited, and responseEnd how its body ended.
 	responseFraming integrity.Framing
 	responseEnd     integrity.End
+	// boundVersion is the software version that began the stream which the call continues, empty if there is none.
+	boundVersion string
 	// stream is the state of the forwarded stream, nil before its first event.
 	stream *eventStream
 	// forwarded is the message with which another router forwarded the call, nil if this router took it
--- a/internal/gateway/callquery.go
+++ b/internal/gateway/callquery.go
@@ -17,6 +17,11 @@
 		Service: c.service, Excluded: c.attemptState.Excluded(), Zone: c.gateway.settings.Zone, MaxQueueTime: c.maxQueueTime,
 		LatencyTarget: c.route.LatencyTarget, MaxEventGap: c.route.MaxEventGap, Rank: c.rank(), Tenant: c.tenantName(), MaxTokens: c.metadata.MaxTokens,
 		SuspectContent: c.suspectHash(), Backoffs: c.gateway.runnerBackoffs(), Route: c.gateway.rolloutDriver.RouteName(c.service, c.route.Name),
+		BoundVersion: c.boundVersion,
+	}
+	if c.boundVersion != "" {
+		// The stream was admitted when it began.
+		query.MaxQueueTime = max(c.gateway.until(c.deadline), 0)
 	}
 	if c.attemptState.Attempt() > 0 {
 		// A call whose first attempt was admitted is not refused for its queueing time later.
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -109,7 +109,7 @@
 		MaxQueueMillis: uint32(query.MaxQueueTime.Milliseconds()),
 		TargetMillis:   uint32(query.LatencyTarget.Milliseconds()), GapMillis: uint32(query.MaxEventGap.Milliseconds()),
 		Tier: uint32(query.Rank.Tier), RouteRank: uint32(query.Rank.Route), Tenant: query.Tenant,
-		MaxTokens: uint32(max(query.MaxTokens, 0)), Ticket: query.Ticket, Suspect: query.SuspectContent, Route: query.Route,
+		MaxTokens: uint32(max(query.MaxTokens, 0)), Ticket: query.Ticket, Suspect: query.SuspectContent, Route: query.Route, BoundVersion: query.BoundVersion,
 	}
 	for _, backoff := range query.Backoffs {
 		message.Resting = append(message.Resting, backoff.Runner)
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -179,7 +179,7 @@
 		MaxEventGap:   time.Duration(message.GetGapMillis()) * time.Millisecond,
 		Rank:          admission.Rank{Tier: int(message.GetTier()), Route: int(message.GetRouteRank())},
 		Tenant:        message.GetTenant(), MaxTokens: int(message.GetMaxTokens()),
-		Ticket: message.GetTicket(), SuspectContent: message.GetSuspect(), Route: message.GetRoute(),
+		Ticket: message.GetTicket(), SuspectContent: message.GetSuspect(), Route: message.GetRoute(), BoundVersion: message.GetBoundVersion(),
 	}
 	for i, runner := range message.GetResting() {
 		if i < len(message.GetRestingMillis()) {
--- a/internal/rolloutdriver/placer.go
+++ b/internal/rolloutdriver/placer.go
@@ -73,10 +73,15 @@
 		return Target{}
 	}
 	target := r.stored.Order.Target
+	isBound := query.BoundVersion != ""
+	if isBound && query.BoundVersion != target {
+		return Target{}
+	}
 	if r.state == versionrollout.Succeeded {
 		return Target{Version: target}
 	}
-	if len(query.Excluded) > 0 || query.SuspectContent != 0 || query.Route == "" || !d.ports.Schedulers.IsPlacer() {
+	// A stream that the target version began can go nowhere else, so it goes there although it is a retry.
+	if len(query.Excluded) > 0 && !isBound || query.SuspectContent != 0 || query.Route == "" || !d.ports.Schedulers.IsPlacer() {
 		return Target{}
 	}
 	isPromoted := r.placer.exposure.IsPromoted(now)
@@ -111,7 +116,7 @@
 // to the target version once. Without this rule a router that learns of the success late would refuse its
 // callers, as the old runners stop at once.
 func (d *Driver) Fallback(query backend.Query, hasFailedThere func(target string) bool) string {
-	if !d.isEnabled() || query.TargetVersion != "" {
+	if !d.isEnabled() || query.TargetVersion != "" || query.BoundVersion != "" {
 		return ""
 	}
 	d.mutex.Lock()
