gateway: a stream that is taken up goes on only at the software version that began it

Cause: nothing read Resumes, and no router knew what another one had sent.

While several versions serve, the serving router has two seeds remember where a stream began: one by the notice that its scheduler gets anyway, one by one message. A router at which a stream is taken up asks all seeds; without a record it binds to the version that served alone before, goes on where only one version is listed, or refuses at once. Ingress and egress routers tell each other the version.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -62,6 +62,8 @@
 	SignalUnreadable              = define(524, logrus.WarnLevel, "signal headers of a runner cannot be read")
 	RunnerSignalForwarded         = define(525, logrus.InfoLevel, "received a runner's signal from another router")
 	StreamTakenUp                 = define(526, logrus.InfoLevel, "caller takes a stream up")
+	StreamOriginResolved          = define(527, logrus.InfoLevel, "software version of a stream that is taken up was looked up")
+	StreamOriginRecorded          = define(528, logrus.InfoLevel, "software version of a stream recorded")
 	ClaimsRetired                 = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed            = define(602, logrus.InfoLevel, "claim assignment written")
 	AssignmentBlocked             = define(603, logrus.WarnLevel, "claim assignment cannot change yet")
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -42,6 +42,7 @@
 		response[name] = values
 	}
 	response.Del(headerForwardResult)
+	response.Del(headerForwardSoftware)
 	c.setForwardResult(resultResponse)
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -139,8 +139,10 @@
 	// responseFraming is how the last response was delimited, and responseEnd how its body ended.
 	responseFraming integrity.Framing
 	responseEnd     integrity.End
-	// boundVersion is the software version that began the stream which the call continues, empty if there is none.
+	// boundVersion is the software version that began the stream which the call continues, empty if there is none,
+	// and streamRecord the record of that, nil if other routers need none.
 	boundVersion string
+	streamRecord *wire.StreamRecord
 	// stream is the state of the forwarded stream, nil before its first event.
 	stream *eventStream
 	// forwarded is the message with which another router forwarded the call, nil if this router took it
@@ -175,8 +177,9 @@
 		c.refuse(refused)
 		return
 	}
-	if c.metadata.LastEvent != "" {
-		c.bufferLog(events.StreamTakenUp, events.Fields{"resumes": c.metadata.Resumes, "last_event": c.metadata.LastEvent, "route": c.route.Name})
+	if refused := c.bindResumedStream(); refused != nil {
+		c.refuse(refused)
+		return
 	}
 	c.startQuotaCheck()
 	c.startPlacement()
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -231,6 +231,7 @@
 	g.runners.SetCacheStores(next.table.CacheStores())
 	g.mutex.Unlock()
 	g.paths.retain(serviceNames(object.Config))
+	g.streams.setWindow(object.Config.Routes)
 	g.activeConfig.Store(next)
 	g.rolloutDriver.ApplyConfigChange()
 	g.log.Log(events.ConfigInForce, events.Fields{
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -25,6 +25,7 @@
 	}
 	g.mutex.Lock()
 	removed := g.runners.Retain(listed)
+	g.streams.observeChange()
 	g.mutex.Unlock()
 	for _, id := range removed {
 		g.log.Log(events.RunnerRemoved, events.Fields{"runner": id, "cause": "not listed"})
@@ -46,6 +47,7 @@
 	before, known := g.runners.Get(runner.ID)
 	writtenByOther := g.runners.WrittenByOther(runner)
 	added := !writtenByOther && g.runners.Put(runner)
+	g.streams.observeChange()
 	g.mutex.Unlock()
 	switch {
 	case writtenByOther:
@@ -101,6 +103,7 @@
 func (g *Gateway) removeRunner(object Object, cause string) {
 	g.mutex.Lock()
 	removed := g.runners.Remove(object.Name)
+	g.streams.observeChange()
 	g.mutex.Unlock()
 	if removed {
 		g.log.Log(events.RunnerRemoved, events.Fields{"runner": object.Name, "revision": object.Revision.Number(), "cause": cause, "copy_age_ms": g.copies.ageMillis(g.now(), RunnerObjects)})
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -23,6 +23,8 @@
 	forwardPath = "/forwarded-call"
 	// headerForwardResult names, in the response of an egress router, what the response is.
 	headerForwardResult = "Clovertiller-Forward"
+	// headerForwardSoftware names the software version of the runner that sent a response.
+	headerForwardSoftware = "Clovertiller-Forward-Software"
 	// headerRetryAfterMillis is the retry delay of a refusal.
 	headerRetryAfterMillis = "Clovertiller-Forward-Retry-Ms"
 )
@@ -143,7 +145,7 @@
 		Method: c.incoming.Method, Target: []byte(requestTarget(c.incoming)), Host: []byte(c.incoming.Host), Body: c.body, Service: c.service,
 		LeftMillis:   uint32(max(c.gateway.until(c.deadline).Milliseconds(), 1)),
 		AttemptsLeft: uint32(max(c.route.MaxAttempts-c.attemptState.SentDispatches()+1, 1)),
-		LastEvent:    []byte(c.metadata.LastEvent), From: c.gateway.settings.Node,
+		LastEvent:    []byte(c.metadata.LastEvent), From: c.gateway.settings.Node, BoundVersion: c.boundVersion,
 	}
 	if c.stream != nil && c.stream.lastEvent != "" {
 		message.LastEvent = []byte(c.stream.lastEvent)
@@ -245,6 +247,7 @@
 		if c.stream == nil {
 			c.beginStreamResponse(response)
 		}
+		c.bind(response.Header.Get(headerForwardSoftware))
 		return c.writeToStream(data, lastID)
 	})
 	if err != nil {
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -55,6 +55,10 @@
 		c.refuse(refused)
 		return
 	}
+	if refused := c.bindResumedStream(); refused != nil {
+		c.refuse(refused)
+		return
+	}
 	c.content = quarantine.NewContentID(c.tenantName(), c.incoming.Host, requestTarget(c.incoming), c.body)
 	if refused := c.checkQuarantine(); refused != nil {
 		c.refuse(refused)
@@ -89,7 +93,7 @@
 	}
 	c := &call{
 		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, ctx: ctx, body: message.GetBody(),
-		metadata: g.ports.Protocol.ParseRequest(incoming.Header), arrivedAt: g.now(), config: g.activeConfig.Load(), forwarded: message,
+		metadata: g.ports.Protocol.ParseRequest(incoming.Header), arrivedAt: g.now(), config: g.activeConfig.Load(), forwarded: message, boundVersion: message.GetBoundVersion(),
 	}
 	c.metadata.LastEvent = string(message.GetLastEvent())
 	c.metadata.Deadline = time.Duration(message.GetLeftMillis()) * time.Millisecond
@@ -119,8 +123,12 @@
 
 // setForwardResult tells the ingress router what the response is, if the call was forwarded.
 func (c *call) setForwardResult(result string) {
-	if c.isForwarded() {
-		c.writer.Header().Set(headerForwardResult, result)
+	if !c.isForwarded() {
+		return
+	}
+	c.writer.Header().Set(headerForwardResult, result)
+	if result == resultResponse {
+		c.writer.Header().Set(headerForwardSoftware, c.runner.SoftwareVersion)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -145,6 +145,8 @@
 	cacheReader *cacheReader
 	// distances knows the regions of zones and learns the times between them.
 	distances *distance.Table
+	// streams knows at which software versions streams began.
+	streams *streamVersions
 	// rolloutDriver moves services to other software versions.
 	rolloutDriver *rolloutdriver.Driver
 	// weightsNamed receives a value when a new version of a model's weights is named.
@@ -192,6 +194,7 @@
 	g.copies, g.directReads, g.peerRouters = newCopies(g), newDirectMode(), newPeerRouters(g)
 	g.eraTracker, g.transfer = newEraTracker(g), newStateTransfer(g)
 	g.rolloutDriver = newRolloutDriver(g)
+	g.streams = newStreamVersions(g)
 	ports.Store.OnEra(g.eraTracker.observe)
 	g.limits = limits.New(g.limitsConfig())
 	for _, kind := range g.copies.kinds {
@@ -219,6 +222,10 @@
 	g.spawn(g.signals.broadcasts.run)
 	g.spawn(g.suspects.stored.readLoop)
 	g.spawn(g.suspects.stored.writeLoop)
+	if g.peerRouters.transport != nil {
+		g.spawn(g.streams.synchronize)
+		g.spawn(g.streams.resendLoop)
+	}
 	g.spawn(g.sweepLoop)
 	return g, nil
 }
@@ -247,6 +254,7 @@
 		g.crashDetector.sweep(g.now())
 		g.signals.sweep(g.now())
 		g.suspects.sweep(g.now())
+		g.streams.sweep(g.now())
 		if dropped := g.droppedLogLines(); dropped > reportedLines {
 			g.log.Log(events.LogLinesDropped, events.Fields{"lines": dropped - reportedLines, "total": dropped})
 			reportedLines = dropped
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -47,8 +47,12 @@
 	runnerFailures *prometheus.CounterVec
 	// responseEnds counts the response bodies read, by framing and verdict.
 	responseEnds *prometheus.CounterVec
-	placements   *prometheus.CounterVec
-	promptTokens *prometheus.CounterVec
+	// streamRecords counts the records of streams that were kept, by what they changed, and streamLookups the
+	// questions where a stream began.
+	streamRecords *prometheus.CounterVec
+	streamLookups *prometheus.CounterVec
+	placements    *prometheus.CounterVec
+	promptTokens  *prometheus.CounterVec
 	// sendDistances counts the requests sent by the distance of the runner, and for other regions
 	// also by the reason.
 	sendDistances *prometheus.CounterVec
@@ -144,6 +148,8 @@
 		retries:        newCounterVec("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
 		runnerFailures: newCounterVec("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
 		responseEnds:   newCounterVec("response_ends_total", "Bodies of responses read from runners and egress routers, by how their end was marked and how they ended.", "service", "framing", "end"),
+		streamRecords:  newCounterVec("stream_records_total", "Records kept of the software versions at which streams began, by what each changed.", "result"),
+		streamLookups:  newCounterVec("stream_lookups_total", "Streams that callers took up, by what was known of the software version that began them.", "resolution"),
 		placements:     newCounterVec("placements_total", "Prompts placed, by whether the runner is expected to keep their shared parts.", "service", "kept"),
 		sendDistances:  newCounterVec("sends_by_distance_total", "Requests sent, by whether the runner is in the same zone, in the same region or in another region, and why they left the region.", "service", "distance", "reason"),
 		promptTokens:   newCounterVec("prompt_tokens_total", "Prompt tokens placed, by whether the runner is expected to keep them.", "service", "kept"),
@@ -209,9 +215,11 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
+		newGauge("stream_records", "Records of the software versions at which streams began.", func() float64 { return float64(g.streams.summary(g.now()).Records) }),
+		newGauge("stream_records_dropped", "Records that were dropped before their time, as there were too many.", func() float64 { return float64(g.streams.summary(g.now()).Dropped) }),
 		newGauge("services_cut", "Services to whose runners this router has lost its links.", func() float64 { return float64(len(g.paths.cutServices())) }),
 		newGauge("forwarded_calls_open", "Calls of other routers that this one is serving.", func() float64 { return float64(g.egress.openCalls.Load()) }),
 		newGauge("placed_requests", "Open requests that this router has placed for others.", func() float64 { return g.schedulers.placedCount() }),
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -79,12 +79,9 @@
 	return n, err
 }
 
-// bind binds the call to the software version that began its stream, unless it is bound already.
-func (c *call) bind(version string) { c.boundVersion = cmp.Or(c.boundVersion, version) }
-
 // writeEvents writes complete events of a runner to the caller.
 func (c *call) writeEvents(response *httpconn.Response, data []byte, lastID string) error {
-	c.bind(c.runner.SoftwareVersion)
+	c.recordStream()
 	if c.stream == nil {
 		c.beginStream(response)
 	}
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -172,6 +172,7 @@
 	r.gateway.egress.receiveList(answer.GetEgress())
 	r.gateway.suspects.applyPull(address, answer.GetSuspects())
 	r.gateway.signals.applyPull(address, answer.GetSignals())
+	r.gateway.streams.mergeHistory(answer.GetVersions())
 	r.gateway.receiveBounds(answer.GetWeightBounds(), sentAt)
 	r.lastPullIdle.Store(!hasObjects(deltas) && len(answer.GetCache().GetHolders()) == 0)
 	r.applyDeltas(deltas, proof{at: sentAt.Add(-age), valid: true})
@@ -288,7 +289,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return &wire.CopyPull{
-		Region: r.gateway.regionName(), SchedulersDigest: list.GetDigest(),
+		Region: r.gateway.regionName(), SchedulersDigest: list.GetDigest(), WantsVersions: r.gateway.streams.wantsHistory(),
 		PeerAddress: settings.PeerAddress, Zone: settings.Zone,
 		Capacity: uint32(settings.relayCapacity()), Followers: uint32(r.countOtherFollowers(r.gateway.now(), address)),
 	}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -66,6 +66,12 @@
 		if ack := r.gateway.cacheReader.handleShare(body.CacheShare); ack != nil {
 			return &wire.Envelope{Body: &wire.Envelope_CacheShareAck{CacheShareAck: ack}}
 		}
+	case *wire.Envelope_StreamRecord:
+		r.gateway.streams.receive(body.StreamRecord)
+	case *wire.Envelope_StreamAsk:
+		return &wire.Envelope{Body: &wire.Envelope_StreamAnswer{StreamAnswer: r.gateway.streams.answer(body.StreamAsk)}}
+	case *wire.Envelope_StreamPull:
+		return &wire.Envelope{Body: &wire.Envelope_StreamState{StreamState: r.gateway.streams.state(body.StreamPull)}}
 	case *wire.Envelope_QuotaReturn:
 		r.gateway.limits.HandleReturn(body.QuotaReturn)
 	}
@@ -87,6 +93,9 @@
 		StoreOnly: g.transfer.running.Load(), Region: g.regionName(), Schedulers: r.listFor(pull),
 		Egress: g.egress.answerPull(pull),
 	}
+	if pull.GetWantsVersions() {
+		answer.Versions = g.streams.encodeHistory()
+	}
 	if pull.GetWantsCache() {
 		answer.Cache = g.cacheReader.deltaSince(pull.GetCacheFeed(), pull.GetCacheThrough())
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -93,6 +93,9 @@
 	if chosen.Status == placement.AllHeldBack {
 		return unavailable(chosen.Status.String(), max(chosen.RetryAfter, busyRetryAfter))
 	}
+	if c.boundVersion != "" && c.gateway.runners.VersionCounts(c.service)[c.boundVersion] == 0 {
+		return unavailable(reasonVersionLost, 0)
+	}
 	if chosen.Status != placement.Overloaded {
 		return unavailable(chosen.Status.String(), max(chosen.RetryAfter, busyRetryAfter))
 	}
@@ -318,7 +321,7 @@
 	}
 	if !c.currentSend.Responded() && c.route.Kind == routing.Streaming {
 		// For other responses, the notification of the end follows immediately.
-		g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{Weights: c.responseWeightVersion})
+		g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{Weights: c.responseWeightVersion, Stream: c.streamRecord})
 	}
 	g.mutex.Lock()
 	now := c.gateway.now()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -55,10 +55,23 @@
 	EgressRouters []EgressRouter `json:"egressRouters,omitempty"`
 	// ForwardedOpen is the number of calls of other routers that this router is serving.
 	ForwardedOpen int64 `json:"forwardedOpen,omitempty"`
+	// Streams is what the router knows of the software versions at which streams began.
+	Streams StreamsStatus `json:"streams"`
 	// Quarantined lists up to maxQuarantinedInStatus quarantined contents.
 	Quarantined []QuarantinedContent `json:"quarantined,omitempty"`
 }
 
+// StreamsStatus is what a router knows of the software versions at which streams began.
+type StreamsStatus struct {
+	Records int    `json:"records"`
+	Dropped uint64 `json:"dropped,omitempty"`
+	// Keeper is set if the router keeps records for others, and Complete if it then lacks none.
+	Keeper   bool `json:"keeper"`
+	Complete bool `json:"complete"`
+	// Mixed are the services of which several versions serve or served lately.
+	Mixed []string `json:"mixed,omitempty"`
+}
+
 // PathStatus is the state of the links to the runners of one service.
 type PathStatus struct {
 	Service string `json:"service"`
@@ -107,6 +120,7 @@
 	status.Quarantined = g.suspects.summary(now)
 	status.ImpairedPaths = g.paths.summary(now)
 	status.EgressRouters, status.ForwardedOpen = g.egress.summary()
+	status.Streams = g.streams.summary(now)
 	status.Rollouts = g.rolloutDriver.Summaries(now)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- /dev/null
+++ b/internal/gateway/streamrecords.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/streamversion"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+const (
+	// maxStateRecords is the maximum number of records in one answer to a pull, about 1 MB.
+	maxStateRecords = 16 << 10
+	// synchronizeInterval is the interval at which a seed that has started asks the other seeds for records.
+	synchronizeInterval = 250 * time.Millisecond
+	// resendInterval is the interval at which undelivered records are sent again, of which at most
+	// maxUndeliveredRecords are held.
+	resendInterval        = 50 * time.Millisecond
+	maxUndeliveredRecords = 4096
+	// keeperAbsence is how long a keeper may be unreachable before its records go to another one.
+	keeperAbsence = time.Second
+)
+
+func encodeStreamRecord(now time.Time, record streamversion.Record) *wire.StreamRecord {
+	return &wire.StreamRecord{
+		Key: record.Key[:], Service: record.Origin.Service, Version: record.Origin.Version,
+		LeftMillis: uint32(max(record.Expires.Sub(now).Milliseconds(), 0)),
+	}
+}
+
+// decodeStreamRecord returns false if there is no valid record.
+func decodeStreamRecord(now time.Time, message *wire.StreamRecord) (record streamversion.Record, valid bool) {
+	if len(message.GetKey()) != len(record.Key) || message.GetVersion() == "" {
+		return record, false
+	}
+	left := min(time.Duration(message.GetLeftMillis())*time.Millisecond, maxCallDuration+takeUpPause)
+	return streamversion.Record{
+		Key: streamversion.Key(message.GetKey()), Expires: now.Add(left),
+		Origin: streamversion.Origin{Service: message.GetService(), Version: message.GetVersion()},
+	}, true
+}
+
+func decodeStreamAnswer(message *wire.StreamAnswer) streamversion.Answer {
+	return streamversion.Answer{
+		Origin:     streamversion.Origin{Service: message.GetRecord().GetService(), Version: message.GetRecord().GetVersion()},
+		IsComplete: message.GetComplete(), Unrecorded: message.GetUnrecorded(),
+	}
+}
+
+// undeliveredRecord is a record that may not have reached its receiver.
+type undeliveredRecord struct {
+	record   streamversion.Record
+	receiver string
+	sentAt   time.Time
+}
+
+// send sends a record to a keeper. If no connection to it is open, the record is sent again once there is one.
+func (s *streamVersions) send(now time.Time, receiver string, record streamversion.Record) {
+	s.sendTo(undeliveredRecord{record: record, receiver: receiver, sentAt: now}, now)
+}
+
+func (s *streamVersions) sendTo(delivery undeliveredRecord, now time.Time) {
+	if !s.gateway.peerRouters.transport.IsConnected(delivery.receiver) {
+		s.mutex.Lock()
+		if len(s.undelivered) < maxUndeliveredRecords {
+			s.undelivered = append(s.undelivered, delivery)
+		}
+		s.mutex.Unlock()
+	}
+	message := encodeStreamRecord(now, delivery.record)
+	s.gateway.peerRouters.Send(delivery.receiver, &wire.Envelope{Body: &wire.Envelope_StreamRecord{StreamRecord: message}})
+}
+
+// resend sends the undelivered records again. Those for a keeper that stays away go to another one.
+func (s *streamVersions) resend(now time.Time) {
+	s.mutex.Lock()
+	undelivered := s.undelivered
+	s.undelivered = nil
+	s.mutex.Unlock()
+	if len(undelivered) == 0 {
+		return
+	}
+	keepers := s.keepers()
+	for _, delivery := range undelivered {
+		if !now.Before(delivery.record.Expires) {
+			continue
+		}
+		if now.Sub(delivery.sentAt) >= keeperAbsence {
+			delivery.receiver = s.connectedKeeper(keepers, delivery.receiver)
+		}
+		s.sendTo(delivery, now)
+	}
+}
+
+// connectedKeeper returns the keeper if it is connected or no other one is, and otherwise another one.
+func (s *streamVersions) connectedKeeper(keepers []string, keeper string) string {
+	for _, candidate := range append([]string{keeper}, keepers...) {
+		if candidate != s.gateway.settings.PeerAddress && s.gateway.peerRouters.transport.IsConnected(candidate) {
+			return candidate
+		}
+	}
+	return keeper
+}
+
+// receive keeps a record that another router sent, if there is one.
+func (s *streamVersions) receive(message *wire.StreamRecord) {
+	now := s.gateway.now()
+	if record, valid := decodeStreamRecord(now, message); valid {
+		s.keep(now, record)
+	}
+}
+
+// answer answers another router's question where a stream began.
+func (s *streamVersions) answer(ask *wire.StreamAsk) *wire.StreamAnswer {
+	now := s.gateway.now()
+	if len(ask.GetKey()) != len(streamversion.Key{}) {
+		return &wire.StreamAnswer{}
+	}
+	key := streamversion.Key(ask.GetKey())
+	own := s.own(now, key, ask.GetService())
+	message := &wire.StreamAnswer{Complete: own.IsComplete, Unrecorded: own.Unrecorded}
+	if own.Origin != (streamversion.Origin{}) {
+		message.Record = encodeStreamRecord(now, streamversion.Record{Key: key, Origin: own.Origin, Expires: now})
+	}
+	return message
+}
+
+// state answers another seed's pull.
+func (s *streamVersions) state(pull *wire.StreamPull) *wire.StreamState {
+	now := s.gateway.now()
+	s.mutex.Lock()
+	records, complete := s.table.Records(now), s.isComplete(now)
+	s.mutex.Unlock()
+	after, _ := slices.BinarySearchFunc(records, pull.GetAfter(), func(record streamversion.Record, after []byte) int {
+		// A record with the key itself comes before the rest.
+		if bytes.Compare(record.Key[:], after) <= 0 {
+			return -1
+		}
+		return 1
+	})
+	records = records[after:]
+	message := &wire.StreamState{Versions: s.encodeHistory(), Complete: complete, More: len(records) > maxStateRecords}
+	for _, record := range records[:min(len(records), maxStateRecords)] {
+		message.Records = append(message.Records, encodeStreamRecord(now, record))
+	}
+	return message
+}
+
+// encodeHistory returns the history of listed versions for another router.
+func (s *streamVersions) encodeHistory() *wire.VersionHistory {
+	now := s.gateway.now()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	message := &wire.VersionHistory{CoveredMillis: wire.AgeToMillis(now.Sub(s.history.Since()))}
+	for _, span := range s.history.Spans() {
+		message.Spans = append(message.Spans, &wire.VersionSpan{
+			Service: span.Service, Version: span.Version, FirstAgeMillis: wire.AgeToMillis(now.Sub(span.First)), LastAgeMillis: wire.AgeToMillis(now.Sub(span.Last)),
+		})
+	}
+	return message
+}
+
+// wantsHistory reports whether this router does not know the listed versions of the whole window.
+func (s *streamVersions) wantsHistory() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.history.CoversWindow(s.gateway.now())
+}
+
+// mergeHistory adds the history of another router, if there is one.
+func (s *streamVersions) mergeHistory(message *wire.VersionHistory) {
+	if message == nil {
+		return
+	}
+	now := s.gateway.now()
+	at := func(ageMillis uint64) time.Time { return now.Add(-wire.AgeFromMillis(ageMillis)) }
+	var spans []streamversion.VersionSpan
+	for _, span := range message.GetSpans() {
+		spans = append(spans, streamversion.VersionSpan{
+			Service: span.GetService(), Version: span.GetVersion(), First: at(span.GetFirstAgeMillis()), Last: at(span.GetLastAgeMillis()),
+		})
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history.Merge(at(message.GetCoveredMillis()), spans)
+}
+
+// synchronize asks the other seeds for their records whenever this router has become a seed, also by its start.
+func (s *streamVersions) synchronize() {
+	answered := map[string]bool{}
+	for running := true; running; running = s.gateway.pause(synchronizeInterval) {
+		keepers := s.keepers()
+		if !s.updateKeeperSince(s.isKeeper(keepers)) {
+			clear(answered)
+			continue
+		}
+		if s.hasAllRecords() {
+			continue
+		}
+		s.synchronizeWith(keepers, answered)
+	}
+}
+
+// resendLoop sends undelivered records again.
+func (s *streamVersions) resendLoop() {
+	for s.gateway.pause(resendInterval) {
+		s.resend(s.gateway.now())
+	}
+}
+
+// updateKeeperSince records since when this router is a seed, and returns whether it is one.
+func (s *streamVersions) updateKeeperSince(isKeeper bool) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch {
+	case !isKeeper:
+		s.keeperSince, s.isSynchronized = time.Time{}, false
+	case s.keeperSince.IsZero():
+		s.keeperSince = s.gateway.now()
+	}
+	return isKeeper
+}
+
+func (s *streamVersions) hasAllRecords() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.isSynchronized || s.gateway.since(s.keeperSince) >= s.window
+}
+
+// synchronizeWith asks the keepers that have not answered yet. This router lacked its own copies when it began, so
+// it has all records only if each other keeper had all of its own.
+func (s *streamVersions) synchronizeWith(keepers []string, answered map[string]bool) {
+	for _, keeper := range keepers {
+		if keeper == s.gateway.settings.PeerAddress {
+			continue
+		}
+		if _, hasAnswered := answered[keeper]; hasAnswered {
+			continue
+		}
+		if complete, finished := s.pullState(keeper); finished {
+			answered[keeper] = complete
+		}
+	}
+	for _, keeper := range keepers {
+		if keeper != s.gateway.settings.PeerAddress && !answered[keeper] {
+			return
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.isSynchronized = len(keepers) > 1
+}
+
+// pullState takes over the records and the history of another keeper. It returns whether that has all records that
+// it should have, and whether it sent all.
+func (s *streamVersions) pullState(keeper string) (complete, finished bool) {
+	var after []byte
+	for {
+		ctx, cancel := context.WithTimeout(s.gateway.ctx, pullTimeout)
+		reply, err := s.gateway.peerRouters.transport.Call(ctx, "", keeper, &wire.Envelope{Body: &wire.Envelope_StreamPull{StreamPull: &wire.StreamPull{After: after}}})
+		cancel()
+		state := reply.GetStreamState()
+		if err != nil || state == nil {
+			return false, false
+		}
+		for _, record := range state.GetRecords() {
+			s.receive(record)
+			after = record.GetKey()
+		}
+		if !state.GetMore() {
+			s.mergeHistory(state.GetVersions())
+			return state.GetComplete(), true
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/streamversions.go
@@ -0,0 +1,353 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
+	"github.com/clovertiller/clovertiller/internal/routing"
+	"github.com/clovertiller/clovertiller/internal/streamversion"
+	"github.com/clovertiller/clovertiller/internal/wire"
+)
+
+// Limits of the records of streams.
+const (
+	// maxStreamRecords is the maximum number of records that a router keeps.
+	maxStreamRecords = 1 << 18
+	// minVersionWindow is the shortest time for which listed software versions are remembered.
+	minVersionWindow = time.Minute
+	// takeUpPause is how long after the end of its time a caller may still take a stream up.
+	takeUpPause = 5 * time.Second
+	// streamAskTimeout bounds the question where a stream began. A router of another region answers within
+	// 50 ms.
+	streamAskTimeout = 150 * time.Millisecond
+	// unconnectedAskTimeout is the same for routers to which no connection is open, which includes lost ones.
+	unconnectedAskTimeout = 75 * time.Millisecond
+	// maxDirectoryAge is the age up to which the directory shows that only one version is listed.
+	maxDirectoryAge = 3 * time.Second
+)
+
+// Reasons for refusing to continue a stream.
+const (
+	reasonVersionLost    = "no runner of the software version that began the stream is left"
+	reasonStreamUnknown  = "it is not known which software version began the stream"
+	reasonRecordsMissing = "routers that may know which software version began the stream do not answer"
+)
+
+// streamVersions knows at which software versions streams began. A router keeps the records of the streams that it
+// serves, and each seed also those that others send it: every stream has a record at two seeds while several versions
+// serve.
+type streamVersions struct {
+	gateway *Gateway
+	// mutex guards the fields below. The gateway's mutex may be held when it is locked, but not the other way
+	// round.
+	mutex   sync.Mutex
+	table   *streamversion.Table
+	history *streamversion.History
+	window  time.Duration
+	// observedChanges is the number of changes of the listed versions up to the last observation.
+	observedChanges uint64
+	// keeperSince is when this router became a seed, zero if it is none. It lacks records of before unless
+	// the other seeds had all of them and sent theirs, which sets isSynchronized.
+	keeperSince    time.Time
+	isSynchronized bool
+	// undelivered holds records for keepers to which no connection was open.
+	undelivered []undeliveredRecord
+}
+
+func newStreamVersions(g *Gateway) *streamVersions {
+	return &streamVersions{
+		gateway: g, table: streamversion.NewTable(maxStreamRecords), window: minVersionWindow,
+		history: streamversion.NewHistory(g.now(), minVersionWindow),
+	}
+}
+
+// setWindow sets for how long listed versions are remembered: as long as a stream of the routes can live.
+func (s *streamVersions) setWindow(routes []routing.Route) {
+	window := minVersionWindow
+	for _, route := range routes {
+		if route.Kind == routing.Streaming && route.Resumable {
+			window = max(window, min(cmp.Or(route.Timeout, maxCallDuration), maxCallDuration)+takeUpPause)
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.window = window
+	s.history.SetWindow(window)
+}
+
+// observeChange records which versions are listed if that has changed. The gateway's mutex must be held, so that no
+// request is placed on a version before.
+func (s *streamVersions) observeChange() {
+	if changes := s.gateway.runners.VersionChanges(); changes != s.observedChanges {
+		s.observedChanges = changes
+		s.observe(s.gateway.now())
+	}
+}
+
+// observe records which versions are listed now. The gateway's mutex must be held.
+func (s *streamVersions) observe(now time.Time) {
+	var listed []streamversion.Origin
+	for service, versions := range s.gateway.runners.ListedVersions() {
+		for _, version := range versions {
+			listed = append(listed, streamversion.Origin{Service: service, Version: version})
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history.Observe(now, listed)
+}
+
+// sweep records which versions are still listed and removes expired records.
+func (s *streamVersions) sweep(now time.Time) {
+	s.gateway.mutex.Lock()
+	s.observe(now)
+	s.gateway.mutex.Unlock()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Prune(now)
+}
+
+// isMixed reports whether streams of the service that live now may have begun at different versions.
+func (s *streamVersions) isMixed(now time.Time, service string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.history.IsMixed(now, service)
+}
+
+// keep adds a record and returns what that changed.
+func (s *streamVersions) keep(now time.Time, record streamversion.Record) streamversion.AddResult {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	result := s.table.Add(now, record)
+	s.gateway.metrics.streamRecords.WithLabelValues(result.String()).Inc()
+	return result
+}
+
+// keepers returns the addresses of the seeds, which keep records for all routers.
+func (s *streamVersions) keepers() []string {
+	r := s.gateway.peerRouters
+	if r.transport == nil {
+		return nil
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.selector.Seeds()
+}
+
+// isKeeper reports whether this router is one of the keepers.
+func (s *streamVersions) isKeeper(keepers []string) bool {
+	return slices.Contains(keepers, s.gateway.settings.PeerAddress)
+}
+
+// receivers returns the keepers that a new record is sent to, given the scheduler that is told of the begin of the
+// stream and gets it that way.
+func (s *streamVersions) receivers(key streamversion.Key, scheduler string) []string {
+	keepers, missing := s.keepers(), streamversion.Copies
+	others := slices.DeleteFunc(slices.Clone(keepers), func(address string) bool {
+		return address == s.gateway.settings.PeerAddress || address == scheduler
+	})
+	missing -= len(keepers) - len(others)
+	ranked := rendezvous.Ranked(others, binary.LittleEndian.Uint64(key[:]), len(others))
+	// A message to a router that is not connected may be lost, so the connected ones come first.
+	slices.SortStableFunc(ranked, func(a, b string) int {
+		return cmp.Compare(s.connectionRank(a), s.connectionRank(b))
+	})
+	return ranked[:min(max(missing, 0), len(ranked))]
+}
+
+// connectionRank returns 0 for connected routers and 1 for others.
+func (s *streamVersions) connectionRank(address string) int {
+	if s.gateway.peerRouters.transport.IsConnected(address) {
+		return 0
+	}
+	return 1
+}
+
+// own returns what this router knows of the stream.
+func (s *streamVersions) own(now time.Time, key streamversion.Key, service string) streamversion.Answer {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	answer := streamversion.Answer{IsComplete: s.isComplete(now)}
+	if record, found := s.table.Find(now, key); found {
+		answer.Origin = record.Origin
+	}
+	answer.Unrecorded, _ = s.history.UnrecordedOrigin(now, service)
+	return answer
+}
+
+// isComplete reports whether this router lacks no record that it should have as a keeper. The mutex must be held.
+func (s *streamVersions) isComplete(now time.Time) bool {
+	hasAll := s.isSynchronized || !s.keeperSince.IsZero() && now.Sub(s.keeperSince) >= s.window
+	return hasAll && s.table.IsComplete(now)
+}
+
+// onlyVersion returns the only version that was listed lately, or empty if there were others or the directory is too old
+// to tell.
+func (s *streamVersions) onlyVersion(now time.Time, service string) string {
+	if age, known := s.gateway.copies.age(now, RunnerObjects); !known || age > maxDirectoryAge {
+		return ""
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	version, _ := s.history.Only(now, service)
+	return version
+}
+
+// streamLookup is the result of asking where a stream began.
+type streamLookup struct {
+	origin     streamversion.Origin
+	resolution streamversion.Resolution
+	// answered is the number of keepers that answered, of all.
+	answered, keepers int
+}
+
+// lookUp finds out where the stream began: from this router's records, or else from the keepers.
+func (s *streamVersions) lookUp(ctx context.Context, key streamversion.Key, service string) streamLookup {
+	now, keepers := s.gateway.now(), s.keepers()
+	own := s.own(now, key, service)
+	if own.Origin != (streamversion.Origin{}) {
+		return streamLookup{origin: own.Origin, resolution: streamversion.Recorded, keepers: len(keepers)}
+	}
+	answers := s.askKeepers(ctx, keepers, key, service)
+	if len(keepers) == 0 || s.isKeeper(keepers) {
+		answers = append(answers, own)
+	}
+	lookup := streamLookup{answered: len(answers), keepers: max(len(keepers), 1)}
+	lookup.origin, lookup.resolution = streamversion.Resolve(service, answers, lookup.keepers, s.onlyVersion(now, service))
+	return lookup
+}
+
+// askKeepers asks all other keepers at once and returns their answers. It returns early once one has a record.
+func (s *streamVersions) askKeepers(ctx context.Context, keepers []string, key streamversion.Key, service string) (answers []streamversion.Answer) {
+	received, asked := make(chan *wire.StreamAnswer, len(keepers)), 0
+	for _, keeper := range keepers {
+		if keeper == s.gateway.settings.PeerAddress {
+			continue
+		}
+		asked++
+		timeout := streamAskTimeout
+		if !s.gateway.peerRouters.transport.IsConnected(keeper) {
+			timeout = unconnectedAskTimeout
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			ask := &wire.Envelope{Body: &wire.Envelope_StreamAsk{StreamAsk: &wire.StreamAsk{Key: key[:], Service: service}}}
+			// A keeper that does not answer is counted as silent.
+			reply, _ := s.gateway.peerRouters.transport.Call(ctx, "", keeper, ask)
+			received <- reply.GetStreamAnswer()
+		}()
+	}
+	for range asked {
+		message := <-received
+		if message == nil {
+			continue
+		}
+		answer := decodeStreamAnswer(message)
+		answers = append(answers, answer)
+		if answer.Origin != (streamversion.Origin{}) {
+			break
+		}
+	}
+	return answers
+}
+
+// summary returns what this router knows, for the status.
+func (s *streamVersions) summary(now time.Time) StreamsStatus {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	status := StreamsStatus{Records: s.table.Len(), Dropped: s.table.Dropped(), Keeper: !s.keeperSince.IsZero(), Complete: s.isComplete(now)}
+	for _, span := range s.history.Spans() {
+		if s.history.IsMixed(now, span.Service) && !slices.Contains(status.Mixed, span.Service) {
+			status.Mixed = append(status.Mixed, span.Service)
+		}
+	}
+	return status
+}
+
+// bind binds the call to the software version that began its stream, unless it is bound already.
+func (c *call) bind(version string) { c.boundVersion = cmp.Or(c.boundVersion, version) }
+
+// streamKey returns the key of the call's stream: that of the request that began it.
+func (c *call) streamKey() streamversion.Key {
+	return streamversion.NewKey(c.tenantName(), c.streamID())
+}
+
+// bindResumedStream binds a call that takes a stream up to the software version that began the stream. It returns a
+// refusal if that is not known.
+func (c *call) bindResumedStream() *refusal {
+	if c.metadata.LastEvent == "" || c.route.Kind != routing.Streaming || !c.route.Resumable {
+		return nil
+	}
+	c.bufferLog(events.StreamTakenUp, events.Fields{"resumes": c.metadata.Resumes, "last_event": c.metadata.LastEvent, "route": c.route.Name, "bound": c.boundVersion})
+	if c.boundVersion != "" {
+		// The ingress router has found out.
+		return nil
+	}
+	startedAt := c.gateway.now()
+	lookup := c.gateway.streams.lookUp(c.incoming.Context(), c.streamKey(), c.service)
+	c.gateway.metrics.streamLookups.WithLabelValues(lookup.resolution.String()).Inc()
+	c.bufferLog(events.StreamOriginResolved, events.Fields{
+		"resumes": c.metadata.Resumes, "resolution": lookup.resolution.String(), "service": lookup.origin.Service, "software": lookup.origin.Version,
+		"answered": lookup.answered, "keepers": lookup.keepers, "after_ms": c.gateway.since(startedAt).Milliseconds(),
+	})
+	switch {
+	case lookup.resolution == streamversion.RecordsMissing:
+		return unavailable(reasonRecordsMissing, busyRetryAfter)
+	case !lookup.resolution.IsKnown():
+		return unavailable(reasonStreamUnknown, 0)
+	}
+	c.bindOrigin(lookup.origin)
+	return nil
+}
+
+// bindOrigin binds the call to the origin of its stream. A route that has moved to another service leaves it unbound.
+func (c *call) bindOrigin(origin streamversion.Origin) {
+	for _, backend := range c.route.Backends {
+		if backend.Service == origin.Service {
+			c.service = origin.Service
+			c.bind(origin.Version)
+			return
+		}
+	}
+}
+
+// recordStream binds the call to the version of its runner when the first event of its stream has arrived. If other
+// routers may need to know, it keeps a record and sends it to keepers; the notice to the scheduler has it too.
+// Messages that are lost leave the other copies.
+func (c *call) recordStream() {
+	c.bind(c.runner.SoftwareVersion)
+	g, now := c.gateway, c.gateway.now()
+	if c.streamRecord != nil || !c.route.Resumable || c.streamID() == "" || !g.streams.isMixed(now, c.service) {
+		return
+	}
+	record := streamversion.Record{
+		Key: c.streamKey(), Origin: streamversion.Origin{Service: c.service, Version: c.boundVersion}, Expires: now.Add(c.streamLifetime()),
+	}
+	c.streamRecord = encodeStreamRecord(now, record)
+	result := g.streams.keep(now, record)
+	scheduler := ""
+	if c.schedulerChoice != nil {
+		scheduler = c.schedulerChoice.scheduler
+	}
+	receivers := g.streams.receivers(record.Key, scheduler)
+	for _, receiver := range receivers {
+		g.streams.send(now, receiver, record)
+	}
+	c.bufferLog(events.StreamOriginRecorded, events.Fields{"software": c.boundVersion, "result": result.String(), "keepers": receivers, "scheduler": scheduler})
+}
+
+// streamID returns the ID of the request that began the call's stream.
+func (c *call) streamID() string { return cmp.Or(c.metadata.Resumes, c.metadata.ID) }
+
+// streamLifetime returns for how long the record of the call's stream is kept: as long as its caller may come back.
+func (c *call) streamLifetime() time.Duration {
+	longest := max(c.metadata.Deadline, min(cmp.Or(c.route.Timeout, maxCallDuration), maxCallDuration))
+	return min(longest, maxCallDuration) + takeUpPause
+}
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -117,7 +117,11 @@
 }
 
 // takeUps counts what became of streams that callers took up.
-type takeUps struct{ total, goneOn, mixed int }
+type takeUps struct {
+	total, goneOn, mixed int
+	// failures are the status and body of the streams that did not go on.
+	failures []string
+}
 
 // takeUpAll takes the streams up at the routers in turn.
 func takeUpAll(streams []openedStream, routers ...*router) (result takeUps) {
@@ -125,6 +129,7 @@
 		got := routers[i%len(routers)].takeUp(stream)
 		result.total++
 		if got.status != http.StatusOK || got.truncated {
+			result.failures = append(result.failures, fmt.Sprint(got.status, " ", got.body))
 			continue
 		}
 		result.goneOn++
@@ -261,3 +266,148 @@
 	f.expectTaken(takeUpAll(healthy[0].openStreams(streamsPerCase), cut))
 	f.expectTaken(takeUpAll(cut.openStreams(streamsPerCase), healthy[1]))
 }
+
+// newMixedFleet starts routers and runners of two versions.
+func newMixedFleet(t *testing.T) (f *fleet, routers []*router, first, second []*runnerstand.Runner) {
+	f = newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	first, second = f.versionedEngines("v1", 3), f.versionedEngines("v2", 3)
+	return f, f.versionedRouters(4, 3, len(first)+len(second)), first, second
+}
+
+// Guards against streams that go on at any version although nothing tells where they began, and against callers that
+// wait, or are told to come back, for nothing.
+func TestUnknownStreamIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f, routers, first, second := newMixedFleet(t)
+	before := totalRuns(append(first, second...))
+	for _, id := range []string{"never-was", strings.Repeat("x", 8000), "\u00e9\u0001", ""} {
+		got := routers[3].takeUp(openedStream{id: id, prompt: "aa:10,bb:10", lastID: "2"})
+		f.g.Expect(got.status).To(BeElementOf(http.StatusServiceUnavailable, 0), id)
+		f.g.Expect(got.duration).To(BeNumerically("<", time.Second))
+	}
+	f.g.Expect(totalRuns(append(first, second...))).To(Equal(before))
+}
+
+// Guards against a tenant that learns, or is bound by, where another tenant's stream began.
+func TestResumesOfAnotherTenantBindsNothing(t *testing.T) {
+	t.Parallel()
+	f, routers, _, _ := newMixedFleet(t)
+	stream := routers[3].openStream("aa:100,bb:50", 2)
+	spec := config(2, defaultRoutes(), validKey)
+	spec["tenants"] = append(spec["tenants"].([]map[string]any), map[string]any{"name": "tenant-two", "api_keys": []string{"key-two"}})
+	f.store.Put(configKind, configName, spec)
+	for _, r := range routers {
+		r.waitForConfig(2)
+	}
+	got := routers[0].call("/stream/x", func(request *http.Request) {
+		setStreamHeaders(request, openedStream{id: newRequestID(), prompt: stream.prompt})
+		request.Header.Set("Authorization", "Bearer key-two")
+		request.Header.Set(platform.HeaderResumes, stream.id)
+		request.Header.Set(platform.HeaderLastEventID, stream.lastID)
+	})
+	f.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(routers[0].takeUp(stream).status).To(Equal(http.StatusOK))
+}
+
+// Guards against streams that lose their version when they are taken up again and again, also at once.
+func TestStreamTakenUpTwiceKeepsItsSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	f, routers, _, _ := newMixedFleet(t)
+	streams := routers[3].openStreams(streamsPerCase / 2)
+	for round := range 3 {
+		results := make(chan takeUps, 2)
+		go func() { results <- takeUpAll(streams, routers[round]) }()
+		go func() { results <- takeUpAll(streams, routers[3]) }()
+		for range 2 {
+			f.expectTaken(<-results)
+		}
+	}
+}
+
+// Guards against callers that are told to come back for a stream whose version is gone, and against streams that then
+// go on at another version.
+func TestStreamOfLostVersionIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f, routers, first, second := newMixedFleet(t)
+	streams := routers[3].openStreams(streamsPerCase)
+	for _, engine := range first {
+		f.store.Delete(platform.KindRunners, engine.ID)
+	}
+	f.g.Eventually(func() int { return len(routers[0].Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(second)))
+	for _, stream := range streams {
+		got := routers[0].takeUp(stream)
+		if stream.version == "v2" {
+			f.g.Expect(got.status).To(Equal(http.StatusOK))
+			f.g.Expect(streamVersions(got.body)).To(Equal(map[string]bool{"v2": true}))
+			continue
+		}
+		f.g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		f.g.Expect(got.header.Get("Retry-After")).To(BeEmpty())
+		f.g.Expect(got.duration).To(BeNumerically("<", 300*time.Millisecond))
+	}
+}
+
+// Guards against streams that began before the second version appeared, have no record and are refused or mixed.
+func TestStreamBegunBeforeTheSecondVersionGoesOn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	first := f.versionedEngines("v1", 3)
+	routers := f.versionedRouters(4, 3, len(first))
+	f.awaitUnmixed(routers)
+	streams := routers[3].openStreams(streamsPerCase)
+	for _, r := range routers {
+		f.g.Expect(r.Status().Streams.Records).To(BeZero())
+	}
+	second := f.versionedEngines("v2", 6)
+	for _, r := range routers {
+		f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(first) + len(second)))
+	}
+	f.expectTaken(takeUpAll(streams, routers[0], routers[1], routers[3]))
+}
+
+// awaitUnmixed lets a minute pass on the routers' clocks, so that they know that one version served alone.
+func (f *fleet) awaitUnmixed(routers []*router) {
+	for _, r := range routers {
+		r.clock.suspend(70 * time.Second)
+	}
+	for _, r := range routers {
+		f.g.Eventually(func() []string { return r.Status().Streams.Mixed }, 5*time.Second, 20*time.Millisecond).Should(BeEmpty())
+		f.g.Eventually(r.isReady, 5*time.Second, 20*time.Millisecond).Should(BeTrue())
+	}
+}
+
+// streamMessages returns how many messages about streams the routers have sent.
+func streamMessages(routers []*router) (count uint64) {
+	for _, r := range routers {
+		for _, sent := range r.SentToPeers() {
+			if sent.Kind == "stream_record" {
+				count += sent.Frames
+			}
+		}
+	}
+	return count
+}
+
+// Guards against messages for streams of services with one version, and against more than one a stream for others.
+func TestMessagesForStreamVersions(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	first := f.versionedEngines("v1", 3)
+	routers := f.versionedRouters(4, 3, len(first))
+	f.awaitUnmixed(routers)
+	before := streamMessages(routers)
+	routers[3].openStreams(streamsPerCase)
+	routers[0].openStreams(streamsPerCase)
+	f.g.Expect(streamMessages(routers)-before).To(BeZero(), "one version serves")
+	second := f.versionedEngines("v2", 3)
+	for _, r := range routers {
+		f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(first) + len(second)))
+	}
+	before = streamMessages(routers)
+	routers[3].openStreams(streamsPerCase)
+	routers[0].openStreams(streamsPerCase)
+	f.g.Expect(streamMessages(routers) - before).To(BeNumerically("<=", 2*streamsPerCase))
+}
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/tcpoption"
@@ -18,6 +19,8 @@
 	queue     chan []byte
 	stop      chan struct{}
 	stopOnce  sync.Once
+	// connected is set while the connection is open.
+	connected atomic.Bool
 	detector  *silenceDetector
 	// silenceDetected is closed when the connection is closed because it fell silent.
 	silenceDetected chan struct{}
@@ -85,6 +88,8 @@
 	}
 	defer connection.Close()
 	p.detector.recordOpened(time.Now())
+	p.connected.Store(true)
+	defer p.connected.Store(false)
 	go p.readReplies(connection)
 	writeFrames(connection, p.queue, p.stop)
 }
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -243,6 +243,13 @@
 	return t.peers[address]
 }
 
+// IsConnected reports whether a connection to the address is open. Messages to any other address are lost if it
+// refuses the connection that Send opens.
+func (t *Transport) IsConnected(address string) bool {
+	target := t.lookupPeer(address)
+	return target != nil && !target.isClosed() && target.connected.Load()
+}
+
 // getOrCreatePeer returns the peer for the address. It creates one if there is none or if the
 // previous one has ended.
 func (t *Transport) getOrCreatePeer(address string) (*peer, error) {
