backend: new streams leave the last room of a software version to streams that are bound to it

A stream that is taken up can go only to the runners of its version, while new ones can go anywhere; with few runners of a version left, new streams filled them. Requests that are not bound now avoid the runners of a version of which three quarters of the slots are taken, as long as another version has room. TestNewStreamsLeaveRoomForBoundOnes fails without the cost.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -130,6 +130,7 @@
 	entries, home := s.scopedEntries(now, query, scope, split, depths)
 	s.cacheIndex.ExpireProvisional(now)
 	candidates := make([]placement.Candidate, 0, len(entries))
+	crowded := s.crowdedVersions(now, entries, query)
 	var usage slotUsage
 	// The separation cost of a runner in another region is not part of the expected wait, so no request
 	// is refused because of it.
@@ -154,6 +155,9 @@
 		isFar := view.isFar(e)
 		hasFreeRunner = hasFreeRunner || !isFar && !avoided && !e.isLeaving() && hasFreeSlot(openRequests, e.Slots) && !slices.Contains(query.Excluded, e.ID)
 		separation := split.cost(e) + e.suspectCost(query, fromPeers)
+		if crowded[e.SoftwareVersion] {
+			separation += crowdedVersionCost
+		}
 		if isFar && keepInRegion {
 			separation += leaveRegionCost
 		}
