--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -74,20 +74,21 @@
 
 func printHistory(out io.Writer, history explain.RequestHistory) {
 	fmt.Fprintf(out, "request %s\n\nstate of the routers and runners:\n", history.Request)
-	printLines(out, history.StateChanges)
+	printLines(out, history.StateChanges, history.Request)
 	fmt.Fprintf(out, "\nevents of the request:\n")
-	printLines(out, history.Lines)
+	printLines(out, history.Lines, history.Request)
 }
 
 // timeOfDayFormat is a layout of package time: the time of day in milliseconds.
 const timeOfDayFormat = "15:04:05.000"
 
-// printLines prints one line for each event, with its fields sorted by name.
-func printLines(out io.Writer, lines []explain.Line) {
+// printLines prints one line for each event, with its fields sorted by name. The request is left out if it is the given
+// one.
+func printLines(out io.Writer, lines []explain.Line, request string) {
 	for _, line := range lines {
 		names := make([]string, 0, len(line.Fields))
 		for name := range line.Fields {
-			if name != "request" {
+			if name != "request" || line.StringField(name) != request {
 				names = append(names, name)
 			}
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -131,12 +131,12 @@
 }
 
 // History returns the history of a request, or false if the log does not mention the
-// request.
+// request. That of a request that takes a stream up includes the request that began the stream.
 func (l *Log) History(id string) (RequestHistory, bool) {
 	history := RequestHistory{Request: id}
-	nodes, runners := map[string]bool{}, map[string]bool{}
+	nodes, runners, requests := map[string]bool{}, map[string]bool{}, l.streamRequests(id)
 	for _, line := range l.Lines {
-		if line.StringField("request") != id {
+		if !requests[line.StringField("request")] {
 			continue
 		}
 		history.Lines = append(history.Lines, line)
@@ -152,6 +152,17 @@
 	return history, true
 }
 
+// streamRequests returns the ID, and that of the request that began the stream which the request takes up.
+func (l *Log) streamRequests(id string) map[string]bool {
+	requests := map[string]bool{id: true}
+	for _, line := range l.Lines {
+		if resumed := line.StringField("resumes"); resumed != "" && line.StringField("request") == id {
+			requests[resumed] = true
+		}
+	}
+	return requests
+}
+
 // stateKey identifies the state that a line changes. A later line with the same key
 // replaces an earlier one.
 type stateKey struct {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -58,3 +58,23 @@
 		{Outcome: "unknown", Reason: "unreachable: reset", Count: 1, Examples: []string{"r1"}},
 	}))
 }
+
+// Guards against histories that show that a stream did not go on, and not where it began.
+func TestHistoryOfTakenUpStreamIncludesItsBegin(t *testing.T) {
+	g := NewWithT(t)
+	log, err := Read(strings.NewReader(`
+{"event":512,"node":"n1","msg":"sent","time":"2026-01-01T00:00:01.000Z","request":"first","runner":"i-1","software":"v1"}
+{"event":510,"node":"n1","msg":"request ended","time":"2026-01-01T00:00:02.000Z","request":"first","outcome":"cut"}
+{"event":526,"node":"n2","msg":"caller takes a stream up","time":"2026-01-01T00:00:03.000Z","request":"second","resumes":"first"}
+{"event":511,"node":"n2","msg":"request refused","time":"2026-01-01T00:00:03.100Z","request":"second","reason":"no runner"}
+{"event":510,"node":"n2","msg":"request ended","time":"2026-01-01T00:00:03.200Z","request":"other","outcome":"complete"}
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	history, found := log.History("second")
+	g.Expect(found).To(BeTrue())
+	var order []int
+	for _, line := range history.Lines {
+		order = append(order, line.Event)
+	}
+	g.Expect(order).To(Equal([]int{512, 510, 526, 511}))
+}
