gateway: records of streams wake no idle router

TestIdleRouterWakesItsMachineRarely failed: 57 wake-ups a second and router, fewer than 40 are asked for. Cause: undelivered records were looked for every 50 ms, and seeds checked four times a second whether they lack records. The timer now runs only while a record is undelivered, and the exchange of records ends once it is finished; a reload that changes the seeds starts it again. A router without others counts as its own keeper.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -222,10 +222,7 @@
 	g.spawn(g.signals.broadcasts.run)
 	g.spawn(g.suspects.stored.readLoop)
 	g.spawn(g.suspects.stored.writeLoop)
-	if g.peerRouters.transport != nil {
-		g.spawn(g.streams.synchronize)
-		g.spawn(g.streams.resendLoop)
-	}
+	g.spawn(g.streams.synchronize)
 	g.spawn(g.sweepLoop)
 	return g, nil
 }
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -19,6 +19,7 @@
 	g.peerRouters.mutex.Unlock()
 	g.limits.SetServers(settings.Seeds)
 	g.schedulers.setSchedulers(settings.Seeds)
+	g.spawn(g.streams.synchronize)
 	g.log.Log(events.SettingsReloaded, events.Fields{"seeds": len(settings.Seeds), "need_restart": g.settings.changedNeedingRestart(settings)})
 }
 
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -63,26 +63,35 @@
 
 func (s *streamVersions) sendTo(delivery undeliveredRecord, now time.Time) {
 	if !s.gateway.peerRouters.transport.IsConnected(delivery.receiver) {
-		s.mutex.Lock()
-		if len(s.undelivered) < maxUndeliveredRecords {
-			s.undelivered = append(s.undelivered, delivery)
-		}
-		s.mutex.Unlock()
+		s.deferDelivery(delivery)
 	}
 	message := encodeStreamRecord(now, delivery.record)
 	s.gateway.peerRouters.Send(delivery.receiver, &wire.Envelope{Body: &wire.Envelope_StreamRecord{StreamRecord: message}})
 }
 
+// deferDelivery holds the record to be sent again after resendInterval.
+func (s *streamVersions) deferDelivery(delivery undeliveredRecord) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.undelivered) >= maxUndeliveredRecords {
+		return
+	}
+	s.undelivered = append(s.undelivered, delivery)
+	if len(s.undelivered) == 1 {
+		time.AfterFunc(resendInterval, s.resend)
+	}
+}
+
 // resend sends the undelivered records again. Those for a keeper that stays away go to another one.
-func (s *streamVersions) resend(now time.Time) {
+func (s *streamVersions) resend() {
 	s.mutex.Lock()
 	undelivered := s.undelivered
 	s.undelivered = nil
 	s.mutex.Unlock()
-	if len(undelivered) == 0 {
+	if s.gateway.ctx.Err() != nil {
 		return
 	}
-	keepers := s.keepers()
+	now, keepers := s.gateway.now(), s.keepers()
 	for _, delivery := range undelivered {
 		if !now.Before(delivery.record.Expires) {
 			continue
@@ -187,26 +196,15 @@
 	s.history.Merge(at(message.GetCoveredMillis()), spans)
 }
 
-// synchronize asks the other seeds for their records whenever this router has become a seed, also by its start.
+// synchronize asks the other seeds for their records, if this router is a seed, until each has answered or the records
+// that it may lack have expired. It is called at the start and when the seeds change.
 func (s *streamVersions) synchronize() {
 	answered := map[string]bool{}
 	for running := true; running; running = s.gateway.pause(synchronizeInterval) {
 		keepers := s.keepers()
-		if !s.updateKeeperSince(s.isKeeper(keepers)) {
-			clear(answered)
-			continue
-		}
-		if s.hasAllRecords() {
-			continue
+		if !s.updateKeeperSince(s.isKeeper(keepers)) || s.hasAllRecords() || s.synchronizeWith(keepers, answered) {
+			return
 		}
-		s.synchronizeWith(keepers, answered)
-	}
-}
-
-// resendLoop sends undelivered records again.
-func (s *streamVersions) resendLoop() {
-	for s.gateway.pause(resendInterval) {
-		s.resend(s.gateway.now())
 	}
 }
 
@@ -229,28 +227,27 @@
 	return s.isSynchronized || s.gateway.since(s.keeperSince) >= s.window
 }
 
-// synchronizeWith asks the keepers that have not answered yet. This router lacked its own copies when it began, so
-// it has all records only if each other keeper had all of its own.
-func (s *streamVersions) synchronizeWith(keepers []string, answered map[string]bool) {
+// synchronizeWith asks the keepers that have not answered yet, and reports whether all have answered. This router
+// lacked its own copies when it began, so it has all records only if each other keeper had all of its own.
+func (s *streamVersions) synchronizeWith(keepers []string, answered map[string]bool) (finished bool) {
+	hasAll := true
 	for _, keeper := range keepers {
 		if keeper == s.gateway.settings.PeerAddress {
 			continue
 		}
-		if _, hasAnswered := answered[keeper]; hasAnswered {
-			continue
-		}
-		if complete, finished := s.pullState(keeper); finished {
+		complete, hasAnswered := answered[keeper]
+		if !hasAnswered {
+			if complete, hasAnswered = s.pullState(keeper); !hasAnswered {
+				return false
+			}
 			answered[keeper] = complete
 		}
-	}
-	for _, keeper := range keepers {
-		if keeper != s.gateway.settings.PeerAddress && !answered[keeper] {
-			return
-		}
+		hasAll = hasAll && complete
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.isSynchronized = len(keepers) > 1
+	s.isSynchronized = hasAll && len(keepers) > 1
+	return true
 }
 
 // pullState takes over the records and the history of another keeper. It returns whether that has all records that
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -140,9 +140,9 @@
 	return r.selector.Seeds()
 }
 
-// isKeeper reports whether this router is one of the keepers.
+// isKeeper reports whether this router is one of the keepers, or the only router.
 func (s *streamVersions) isKeeper(keepers []string) bool {
-	return slices.Contains(keepers, s.gateway.settings.PeerAddress)
+	return len(keepers) == 0 || slices.Contains(keepers, s.gateway.settings.PeerAddress)
 }
 
 // receivers returns the keepers that a new record is sent to, given the scheduler that is told of the begin of the
@@ -215,7 +215,7 @@
 		return streamLookup{origin: own.Origin, resolution: streamversion.Recorded, keepers: len(keepers)}
 	}
 	answers := s.askKeepers(ctx, keepers, key, service)
-	if len(keepers) == 0 || s.isKeeper(keepers) {
+	if s.isKeeper(keepers) {
 		answers = append(answers, own)
 	}
 	lookup := streamLookup{answered: len(answers), keepers: max(len(keepers), 1)}
