backend: streams finish at their version where no order to move the service is known

Cause: where rollouts can be ordered, routers that know no order send requests only to the version that each of them knew first, and after a restart they disagree; bound streams were held to that rule too. It is there so that a version whose order is not known yet gets no requests; a version that has begun streams has had its requests. The rule of an order holds as before.

--- a/internal/backend/versionroom_test.go
+++ b/internal/backend/versionroom_test.go
@@ -47,6 +47,17 @@
 	g.Expect(candidates).To(BeEmpty(), "the service's rule holds as well")
 }
 
+// Guards against streams that are refused because routers without an order disagree on which version serves.
+func TestBoundRequestIgnoresTheRuleWithoutAnOrder(t *testing.T) {
+	g := NewWithT(t)
+	set := newTwoVersions()
+	set.SetVersionRules(map[string]VersionRule{"s": {Only: "v2", WithoutOrder: true}}, 0.1)
+	_, candidates := set.Candidates(start, Query{Service: "s", Model: "m", BoundVersion: "v1"})
+	g.Expect(candidates).To(HaveLen(2))
+	_, candidates = set.Candidates(start, Query{Service: "s", Model: "m"})
+	g.Expect(candidates).To(HaveLen(3), "new streams go to the version of the rule")
+}
+
 // Guards against new streams that take the last room of a version's runners, so that streams which are bound to the
 // version find none.
 func TestNewStreamsLeaveRoomForBoundOnes(t *testing.T) {
--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -14,6 +14,9 @@
 	Only string
 	// Excluded is a version that gets no requests except those that name it, empty for none.
 	Excluded string
+	// WithoutOrder is set if no order to move the service is known. The rule then holds for new streams only: a
+	// version that has begun streams may finish them.
+	WithoutOrder bool
 }
 
 // allows reports whether requests that name no version may go to the version.
@@ -40,8 +43,13 @@
 
 // allowsVersion reports whether the request may go to the runner's software version.
 func (s *Set) allowsVersion(e *entry, query Query) bool {
-	if query.BoundVersion != "" && e.SoftwareVersion != query.BoundVersion {
-		return false
+	if query.BoundVersion != "" {
+		if e.SoftwareVersion != query.BoundVersion {
+			return false
+		}
+		if s.versionRules[e.Service].WithoutOrder {
+			return true
+		}
 	}
 	if query.TargetVersion != "" {
 		return e.SoftwareVersion == query.TargetVersion
--- a/internal/gateway/truncatedanswers_test.go
+++ b/internal/gateway/truncatedanswers_test.go
@@ -116,6 +116,16 @@
 	return f, f.servingRouter("a", nil), runners
 }
 
+// newForwardedStreams starts two runners of streams, and a router that reaches none and forwards its calls.
+func newForwardedStreams(t *testing.T) (*fleet, *router, []*runnerstand.Runner) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runners := []*runnerstand.Runner{f.engine("e1", 1), f.engine("e2", 1)}
+	cut, _ := newCutRouter(f, 1)
+	cut.awaitCut("/once/x")
+	return f, cut, runners
+}
+
 // Guards against a stream that ended inside an event and reaches its caller as if it were complete, and against
 // half events that are passed on.
 func TestStreamBrokenOffInsideAnEventIsNotComplete(t *testing.T) {
@@ -135,22 +145,14 @@
 // Guards against streams that end inside an event and look complete by way of an egress router.
 func TestForwardedStreamBrokenOffInsideAnEventIsNotComplete(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
-	f.configure(1, defaultRoutes(), validKey)
-	runners := []*runnerstand.Runner{f.engine("e1", 1), f.engine("e2", 1)}
-	cut, _ := newCutRouter(f, 1)
-	cut.awaitCut("/once/x")
+	f, cut, runners := newForwardedStreams(t)
 	testBrokenStreams(f, cut, runners, "1.1")
 }
 
 // Guards against the same for callers of HTTP/1.0.
 func TestForwardedBrokenStreamIsNotCompleteForHTTP10(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t)
-	f.configure(1, defaultRoutes(), validKey)
-	runners := []*runnerstand.Runner{f.engine("e1", 1), f.engine("e2", 1)}
-	cut, _ := newCutRouter(f, 1)
-	cut.awaitCut("/once/x")
+	f, cut, runners := newForwardedStreams(t)
 	testBrokenStreams(f, cut, runners, "1.0")
 }
 
--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -315,7 +315,7 @@
 		}
 		if base := baseVersion(d.baseVersions[service], counts[service]); base != "" {
 			d.baseVersions[service] = base
-			rules[service] = backend.VersionRule{Only: base}
+			rules[service] = backend.VersionRule{Only: base, WithoutOrder: true}
 		}
 	}
 	return rules
