--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -23,10 +23,11 @@
     "(late operator, all)"*) run_seed "$seed" --restores --late-operator --poison --suspensions --signals ;;
     "(rollouts)"*) run_seed "$seed" --rollouts ;;
     "(rollouts, regions)"*) run_seed "$seed" --rollouts --regions ;;
+    "(versions, rollouts, signals)"*) run_seed "$seed" --versions --rollouts --signals ;;
     *) run_seed "$seed" ;;
   esac
 done < <(grep -v '^#' test/soak/seeds.txt)
 for _ in $(seq "$new_seeds"); do
-  run_seed $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions --signals --restores --late-operator
+  run_seed $((RANDOM * 32768 + RANDOM + 1)) --poison --suspensions --signals --restores --late-operator --versions --broken-answers
 done
 exit $failed
