--- a/internal/engineapi/stream_test.go
+++ b/internal/engineapi/stream_test.go
@@ -66,3 +66,15 @@
 		}
 	})
 }
+
+// Guards against frames that are delivered although the stream ended inside them, whatever its framing said.
+func TestStreamThatEndsInsideAFrameDeliversNoPartOfIt(t *testing.T) {
+	g := NewWithT(t)
+	whole := AppendFrame(nil, "", "r", 1, 0, 1, []byte("a"))
+	stream := AppendFrame(bytes.Clone(whole), EventEnd, "r", 1, 1, 0, []byte(`{"completion_tokens":1}`))
+	for end := len(whole); end < len(stream); end++ {
+		frames, err := readFrames(string(stream[:end]))
+		g.Expect(err).To(Equal(io.EOF))
+		g.Expect(frames).To(HaveLen(1), "cut after %d of %d bytes", end, len(stream))
+	}
+}
