--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -343,8 +343,14 @@
 	c.bufferLog(events.StreamOriginRecorded, events.Fields{"software": c.boundVersion, "result": result.String(), "keepers": receivers, "scheduler": scheduler})
 }
 
-// streamID returns the ID of the request that began the call's stream.
-func (c *call) streamID() string { return cmp.Or(c.metadata.Resumes, c.metadata.ID) }
+// streamID returns the ID of the request that began the call's stream. A call without a last event begins a stream,
+// whatever it resumes.
+func (c *call) streamID() string {
+	if c.metadata.LastEvent == "" {
+		return c.metadata.ID
+	}
+	return cmp.Or(c.metadata.Resumes, c.metadata.ID)
+}
 
 // streamLifetime returns for how long the record of the call's stream is kept: as long as its caller may come back.
 func (c *call) streamLifetime() time.Duration {
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -325,6 +325,22 @@
 	}
 }
 
+// Guards against a new stream that names another one, without a last event, and spoils the record of either.
+func TestResumesWithoutLastEventBeginsAStream(t *testing.T) {
+	t.Parallel()
+	f, routers, _, _ := newMixedFleet(t)
+	streams := routers[3].openStreams(streamsPerCase)
+	for i, stream := range streams {
+		got := routers[0].call("/stream/x", func(request *http.Request) {
+			setStreamHeaders(request, openedStream{id: newRequestID(), prompt: fmt.Sprintf("ee%d:10,ff%d:10", i, i)})
+			request.Header.Set(platform.HeaderResumes, stream.id)
+		})
+		f.g.Expect(strings.Count(got.body, "\n\n")).To(Equal(versionedEvents))
+	}
+	f.expectTaken(takeUpAll(streams, routers[1]))
+	f.g.Expect(routers[0].Status().Streams.Records).To(BeNumerically(">=", streamsPerCase))
+}
+
 // Guards against callers that are told to come back for a stream whose version is gone, and against streams that then
 // go on at another version.
 func TestStreamOfLostVersionIsRefusedAtOnce(t *testing.T) {
