runnerstand: a runner that refuses connections keeps its port

TestUnsentAttemptsDoNotUseRetryBudget failed in 10 of 288 runs (eight copies at once, twelve times each): a call got 502 or 504. Cause: the port of a closed runner was free, and another connection or listener of the machine got it, so that the dial was not refused. The check is unchanged.

--- a/internal/gateway/calls_test.go
+++ b/internal/gateway/calls_test.go
@@ -234,7 +234,9 @@
 	})
 	f.g.Eventually(func() int { return strings.Count(r.log.String(), "runner added") }, time.Second).Should(Equal(len(runners)))
 	for _, runner := range runners[:6] {
-		runner.Close()
+		release, err := runner.Refuse()
+		f.g.Expect(err).NotTo(HaveOccurred())
+		f.t.Cleanup(release)
 	}
 	for range calls {
 		f.g.Expect(r.call("/unsafe/x", nil).status).To(Equal(http.StatusOK))
