--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -140,8 +140,10 @@
 		if moved {
 			s.regions.remove(known)
 		}
-		s.countListedVersion(known.Runner, -1)
-		s.countListedVersion(runner, 1)
+		if known.SoftwareVersion != runner.SoftwareVersion {
+			s.countListedVersion(known.Runner, -1)
+			s.countListedVersion(runner, 1)
+		}
 		known.update(runner)
 		if moved {
 			known.zoneNumber = s.regions.zoneNumber(runner.Zone)
