--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -438,6 +438,32 @@
 	}
 }
 
+// Guards against streams that the version under test began and that cannot go on, take more than the permitted
+// requests, or are sent to another version.
+func TestBoundStreamsTakePermittedRequestsOfTheirVersion(t *testing.T) {
+	f := newTestFleet(t, 1)
+	f.order(testDuration)
+	f.runUntilExposed(3)
+	r := f.routers[0]
+	bound := backend.Query{Service: testService, Route: "route", Excluded: []string{"4"}, BoundVersion: testTarget}
+	taken := 0
+	for range 200 {
+		f.run(testTick)
+		if target := r.TakeTarget(f.now, bound, r.set); target != (Target{}) {
+			f.g.Expect(target.Version).To(Equal(testTarget))
+			f.g.Expect(target.IsCounted()).To(BeTrue())
+			taken++
+		}
+	}
+	f.g.Expect(taken).To(BeNumerically(">", 0))
+	f.g.Expect(f.exposed + taken).To(BeNumerically("<=", f.stored.Status.Reserved))
+	bound.BoundVersion = "another"
+	for range 1000 {
+		f.g.Expect(r.TakeTarget(f.now, bound, r.set)).To(Equal(Target{}))
+	}
+	f.g.Expect(r.Fallback(bound, func(string) bool { return false })).To(BeEmpty())
+}
+
 // Guards against frequent reports to a lost leader until the end of the rollout.
 func TestPlacerReportsLessOftenToALostLeader(t *testing.T) {
 	f := newTestFleet(t, 2)
