streamversion: the question whether a service is mixed sorts and allocates nothing

It is asked for each write of a resumable stream that has no record. The spans are held by service, and only the few places that need an order sort. What is answered stays the same.

--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -19,14 +19,18 @@
 	window time.Duration
 	// since is the time since which the history lacks nothing.
 	since time.Time
-	spans map[Origin]VersionSpan
+	// spans holds the spans of each service by version.
+	spans map[string]map[string]VersionSpan
 }
 
 // NewHistory returns the history of an observer that begins now.
 func NewHistory(now time.Time, window time.Duration) *History {
-	return &History{window: window, since: now, spans: map[Origin]VersionSpan{}}
+	return &History{window: window, since: now, spans: map[string]map[string]VersionSpan{}}
 }
 
+// Window returns the longest time for which a stream can live.
+func (h *History) Window() time.Duration { return h.window }
+
 // SetWindow sets the longest time for which a stream can live.
 func (h *History) SetWindow(window time.Duration) { h.window = window }
 
@@ -36,21 +40,29 @@
 	for _, origin := range listed {
 		h.add(VersionSpan{Service: origin.Service, Version: origin.Version, First: now, Last: now})
 	}
-	maps.DeleteFunc(h.spans, func(_ Origin, span VersionSpan) bool { return now.Sub(span.Last) > h.window })
+	for _, versions := range h.spans {
+		maps.DeleteFunc(versions, func(_ string, span VersionSpan) bool { return !h.isWithinWindow(now, span) })
+	}
+}
+
+// isWithinWindow reports whether the version was listed within the window.
+func (h *History) isWithinWindow(now time.Time, span VersionSpan) bool {
+	return now.Sub(span.Last) <= h.window
 }
 
 func (h *History) add(span VersionSpan) {
-	origin := Origin{span.Service, span.Version}
-	known, found := h.spans[origin]
-	if !found {
-		h.spans[origin] = span
-		return
+	versions := h.spans[span.Service]
+	if versions == nil {
+		versions = map[string]VersionSpan{}
+		h.spans[span.Service] = versions
 	}
-	known.First = earlier(known.First, span.First)
-	if span.Last.After(known.Last) {
-		known.Last = span.Last
+	if known, found := versions[span.Version]; found {
+		span.First = earlier(known.First, span.First)
+		if known.Last.After(span.Last) {
+			span.Last = known.Last
+		}
 	}
-	h.spans[origin] = known
+	versions[span.Version] = span
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -73,9 +85,13 @@
 
 // Spans returns the spans, sorted by service and version.
 func (h *History) Spans() []VersionSpan {
-	return slices.SortedFunc(maps.Values(h.spans), func(a, b VersionSpan) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
-	})
+	var spans []VersionSpan
+	for _, service := range slices.Sorted(maps.Keys(h.spans)) {
+		for _, version := range slices.Sorted(maps.Keys(h.spans[service])) {
+			spans = append(spans, h.spans[service][version])
+		}
+	}
+	return spans
 }
 
 // CoversWindow reports whether the history lacks nothing of the last window.
@@ -83,18 +99,30 @@
 
 // IsMixed reports whether streams of the service that live now may have begun at different versions.
 func (h *History) IsMixed(now time.Time, service string) bool {
-	return !h.CoversWindow(now) || len(h.versions(now, service)) > 1
+	if !h.CoversWindow(now) {
+		return true
+	}
+	// This is asked for each event of a stream, so it sorts nothing.
+	count := 0
+	for _, span := range h.spans[service] {
+		if h.isWithinWindow(now, span) {
+			count++
+		}
+	}
+	return count > 1
 }
 
 // versions returns the spans of the service's versions within the window, the one listed first at the begin.
 func (h *History) versions(now time.Time, service string) []VersionSpan {
 	var versions []VersionSpan
-	for _, span := range h.Spans() {
-		if span.Service == service && now.Sub(span.Last) <= h.window {
+	for _, span := range h.spans[service] {
+		if h.isWithinWindow(now, span) {
 			versions = append(versions, span)
 		}
 	}
-	slices.SortStableFunc(versions, func(a, b VersionSpan) int { return a.First.Compare(b.First) })
+	slices.SortFunc(versions, func(a, b VersionSpan) int {
+		return cmp.Or(a.First.Compare(b.First), cmp.Compare(a.Version, b.Version))
+	})
 	return versions
 }
 
