gateway: one expression for the records that a keeper lacks, and no second copy of the window

Two functions had the same condition, with and without a check of the time since when the router is a keeper; the window was held twice. Each is there once now; observedChanges is said to be guarded by the mutex that does.

--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -202,29 +202,26 @@
 	answered := map[string]bool{}
 	for running := true; running; running = s.gateway.pause(synchronizeInterval) {
 		keepers := s.keepers()
-		if !s.updateKeeperSince(s.isKeeper(keepers)) || s.hasAllRecords() || s.synchronizeWith(keepers, answered) {
+		if !s.needsRecords(s.isKeeper(keepers)) || s.synchronizeWith(keepers, answered) {
 			return
 		}
 	}
 }
 
-// updateKeeperSince records since when this router is a seed, and returns whether it is one.
-func (s *streamVersions) updateKeeperSince(isKeeper bool) bool {
+// needsRecords records since when this router is a keeper, and reports whether it is one and lacks records of streams
+// that began before.
+func (s *streamVersions) needsRecords(isKeeper bool) bool {
+	now := s.gateway.now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	switch {
-	case !isKeeper:
+	if !isKeeper {
 		s.keeperSince, s.isSynchronized = time.Time{}, false
-	case s.keeperSince.IsZero():
-		s.keeperSince = s.gateway.now()
+		return false
 	}
-	return isKeeper
-}
-
-func (s *streamVersions) hasAllRecords() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.isSynchronized || s.gateway.since(s.keeperSince) >= s.window
+	if s.keeperSince.IsZero() {
+		s.keeperSince = now
+	}
+	return !s.hasEarlierRecords(now)
 }
 
 // synchronizeWith asks the keepers that have not answered yet, and reports whether all have answered. This router
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -43,14 +43,14 @@
 // serve.
 type streamVersions struct {
 	gateway *Gateway
+	// observedChanges is the number of changes of the listed versions up to the last observation. The gateway's
+	// mutex guards it.
+	observedChanges uint64
 	// mutex guards the fields below. The gateway's mutex may be held when it is locked, but not the other way
 	// round.
 	mutex   sync.Mutex
 	table   *streamversion.Table
 	history *streamversion.History
-	window  time.Duration
-	// observedChanges is the number of changes of the listed versions up to the last observation.
-	observedChanges uint64
 	// keeperSince is when this router became a seed, zero if it is none. It lacks records of before unless
 	// the other seeds had all of them and sent theirs, which sets isSynchronized.
 	keeperSince    time.Time
@@ -61,7 +61,7 @@
 
 func newStreamVersions(g *Gateway) *streamVersions {
 	return &streamVersions{
-		gateway: g, table: streamversion.NewTable(maxStreamRecords), window: minVersionWindow,
+		gateway: g, table: streamversion.NewTable(maxStreamRecords),
 		history: streamversion.NewHistory(g.now(), minVersionWindow),
 	}
 }
@@ -76,7 +76,6 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.window = window
 	s.history.SetWindow(window)
 }
 
@@ -182,8 +181,13 @@
 
 // isComplete reports whether this router lacks no record that it should have as a keeper. The mutex must be held.
 func (s *streamVersions) isComplete(now time.Time) bool {
-	hasAll := s.isSynchronized || !s.keeperSince.IsZero() && now.Sub(s.keeperSince) >= s.window
-	return hasAll && s.table.IsComplete(now)
+	return s.hasEarlierRecords(now) && s.table.IsComplete(now)
+}
+
+// hasEarlierRecords reports whether this router has the records of streams that began before it became a keeper, or
+// all of these have expired. The mutex must be held.
+func (s *streamVersions) hasEarlierRecords(now time.Time) bool {
+	return s.isSynchronized || !s.keeperSince.IsZero() && now.Sub(s.keeperSince) >= s.history.Window()
 }
 
 // onlyVersion returns the only version that was listed lately, or empty if there were others or the directory is too old
@@ -257,6 +261,13 @@
 	return answers
 }
 
+// recordCounts returns the number of records, and how many were dropped before their time.
+func (s *streamVersions) recordCounts() (records int, dropped uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.Len(), s.table.Dropped()
+}
+
 // summary returns what this router knows, for the status.
 func (s *streamVersions) summary(now time.Time) StreamsStatus {
 	s.mutex.Lock()
