--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -302,13 +303,15 @@
 	return nil
 }
 
+// routeTimeout returns how long one attempt of a caller may take on the route.
+func routeTimeout(route *routing.Route) time.Duration {
+	return min(cmp.Or(route.Timeout, maxCallDuration), maxCallDuration)
+}
+
 // setDeadline sets the deadline from the shortest timeout of the caller, the route and
 // maxCallDuration.
 func (c *call) setDeadline() {
-	timeout := maxCallDuration
-	if c.route.Timeout > 0 {
-		timeout = min(timeout, c.route.Timeout)
-	}
+	timeout := routeTimeout(c.route)
 	if c.metadata.Deadline > 0 {
 		timeout = min(timeout, c.metadata.Deadline)
 	}
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -71,7 +71,7 @@
 	window := minVersionWindow
 	for _, route := range routes {
 		if route.Kind == routing.Streaming && route.Resumable {
-			window = max(window, min(cmp.Or(route.Timeout, maxCallDuration), maxCallDuration)+takeUpPause)
+			window = max(window, routeTimeout(&route)+takeUpPause)
 		}
 	}
 	s.mutex.Lock()
@@ -364,6 +364,5 @@
 
 // streamLifetime returns for how long the record of the call's stream is kept: as long as its caller may come back.
 func (c *call) streamLifetime() time.Duration {
-	longest := max(c.metadata.Deadline, min(cmp.Or(c.route.Timeout, maxCallDuration), maxCallDuration))
-	return min(longest, maxCallDuration) + takeUpPause
+	return min(max(c.metadata.Deadline, routeTimeout(c.route)), maxCallDuration) + takeUpPause
 }
