--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -154,13 +154,11 @@
 	}
 }
 
-// sendCall sends the call to the gateway, records the outcome and checks the response.
-func (s *Soak) sendCall(ctx context.Context, client *http.Client, target *process, call *callRecord, key string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+2*responseSlack)
-	defer cancel()
+// newRequest returns the HTTP request of the call to the gateway.
+func newRequest(ctx context.Context, target *process, call *callRecord, key, model, prompt string) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.addresses.CallAddress+call.path, strings.NewReader(call.body))
 	if err != nil {
-		return
+		return nil, err
 	}
 	// Without GetBody the HTTP client cannot send the request a second time.
 	request.GetBody = nil
@@ -168,8 +166,19 @@
 	request.Header.Set("Authorization", "Bearer "+key)
 	request.Header.Set(platform.HeaderRequestID, call.id)
 	request.Header.Set(platform.HeaderDeadlineMillis, fmt.Sprint(callTimeout.Milliseconds()))
-	request.Header.Set(platform.HeaderModel, modelName)
-	request.Header.Set(platform.HeaderPromptPrefix, "aa:100,bb:200,cc:50")
+	request.Header.Set(platform.HeaderModel, model)
+	request.Header.Set(platform.HeaderPromptPrefix, prompt)
+	return request, nil
+}
+
+// sendCall sends the call to the gateway, records the outcome and checks the response.
+func (s *Soak) sendCall(ctx context.Context, client *http.Client, target *process, call *callRecord, key string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+2*responseSlack)
+	defer cancel()
+	request, err := newRequest(ctx, target, call, key, modelName, "aa:100,bb:200,cc:50")
+	if err != nil {
+		return
+	}
 	start := time.Now()
 	call.sentAt = start
 	response, err := client.Do(request)
--- a/internal/lab/soak/streams.go
+++ b/internal/lab/soak/streams.go
@@ -91,17 +91,11 @@
 	defer cancel()
 	call := &callRecord{id: id, path: "/" + mixedService + "/" + id, tenant: tenantName, repeatable: true, gatewayName: target.name, sentAt: time.Now()}
 	s.calls.add(call)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target.addresses.CallAddress+call.path, nil)
+	request, err := newRequest(ctx, target, call, s.config.validKey(), mixedModel, prompt)
 	if err != nil {
 		s.failf("versions: %v", err)
 		return
 	}
-	request.Host = hostName
-	request.Header.Set("Authorization", "Bearer "+s.config.validKey())
-	request.Header.Set(platform.HeaderRequestID, id)
-	request.Header.Set(platform.HeaderDeadlineMillis, fmt.Sprint(callTimeout.Milliseconds()))
-	request.Header.Set(platform.HeaderModel, mixedModel)
-	request.Header.Set(platform.HeaderPromptPrefix, prompt)
 	if takesUp {
 		request.Header.Set(platform.HeaderResumes, stream.id)
 		request.Header.Set(platform.HeaderLastEventID, strconv.Itoa(stream.lastID))
