gateway: log, count and show the stages of a start

Logs could not tell which of the hypotheses on the return after a loss holds: 101 says that the configuration is there, not that a call can be served. Event 106 names each stage with its time and source, refusals before the directory is complete are counted and carry start_ms, the status and explain show the stages. No decision changes.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -27,6 +27,7 @@
 	NodeStopped                   = define(103, logrus.InfoLevel, "router stopped")
 	NodePaused                    = define(104, logrus.WarnLevel, "router process was paused")
 	DuplicateNode                 = define(105, logrus.ErrorLevel, "another process uses this node's name")
+	StartStageReached             = define(106, logrus.InfoLevel, "start of the router reached a stage")
 	MemberJoined                  = define(200, logrus.InfoLevel, "member joined")
 	MemberChanged                 = define(201, logrus.InfoLevel, "member changed state")
 	MemberRemoved                 = define(202, logrus.InfoLevel, "dead member removed from the member list")
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -109,7 +109,7 @@
 
 // routerStateEvents are the events that change the state of a router as a whole.
 var routerStateEvents = eventNumbers(
-	events.GatewayStarted, events.GatewayDraining, events.ConfigInForce, events.ConfigStale, events.ConfigProven, events.StoreUnavailable, events.StoreRecovered,
+	events.GatewayStarted, events.StartStageReached, events.GatewayDraining, events.ConfigInForce, events.ConfigStale, events.ConfigProven, events.StoreUnavailable, events.StoreRecovered,
 	events.SourceChanged, events.WeightsNamed, events.CacheStoreAvailabilityChanged, events.LeaseAcquired, events.LeaseLost, events.PathStateChanged,
 )
 
@@ -170,6 +170,7 @@
 	event  int
 	runner string
 	kind   string
+	stage  string
 }
 
 // stateChanges returns the latest line of each state key, up to the given time, that is about
@@ -183,7 +184,7 @@
 		ofRouter := routerStateEvents[line.Event] && nodes[line.Node]
 		ofRunner := runners[line.StringField("runner")] && (globalRunnerEvents[line.Event] || runnerStateEvents[line.Event] && nodes[line.Node])
 		if ofRouter || ofRunner {
-			latest[stateKey{line.Node, line.Event, line.StringField("runner"), line.StringField("kind")}] = line
+			latest[stateKey{line.Node, line.Event, line.StringField("runner"), line.StringField("kind"), line.StringField("stage")}] = line
 		}
 	}
 	var lines []Line
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -6,6 +6,7 @@
 	"time"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/namings"
@@ -136,12 +137,16 @@
 	delta = c.reconcile(kind, delta)
 	outcome := c.stores[kind].Apply(delta)
 	if outcome == config.Applied {
+		c.gateway.startup.reach(coldstart.SourceAnswered, events.Fields{"kind": kind.String()})
 		c.gateway.applyObjects(kind, c.withoutReappeared(kind, c.effectiveChanges(kind, previous, delta)))
 	}
 	c.recordReached(checkpoint{revision: c.stores[kind].Revision(), at: c.gateway.now()})
 	if newProof.valid && outcome != config.Gap && delta.Through.Era() == c.stores[kind].Revision().Era() {
 		c.recordProof(kind, newProof.at)
 	}
+	if kind == RunnerObjects && outcome == config.Applied {
+		c.gateway.startup.reach(coldstart.DirectoryComplete, events.Fields{"runners": c.stores[kind].Len()})
+	}
 	if c.stores[RunnerObjects].Revision() > 0 && c.gateway.configIsProven(c.gateway.now()) {
 		c.gateway.startup.markReady()
 	}
@@ -239,6 +244,7 @@
 		"routes": len(object.Config.Routes), "services": len(object.Config.Services), "tenants": len(object.Config.Tenants),
 	})
 	if current == nil {
+		g.startup.reach(coldstart.ConfigKnown, nil)
 		g.log.Log(events.NodeServing, events.Fields{"after_ms": g.since(g.startedAt).Milliseconds()})
 	}
 }
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -3,6 +3,7 @@
 import (
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/storerev"
@@ -49,6 +50,9 @@
 	added := !writtenByOther && g.runners.Put(runner)
 	g.streams.observeChange()
 	g.mutex.Unlock()
+	if added {
+		g.startup.reach(coldstart.RunnerKnown, events.Fields{"runner": runner.ID})
+	}
 	switch {
 	case writtenByOther:
 		g.ignoreObject(RunnerObjects, object, "runner: the entry no longer names its incarnation")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	started := ports.Clock.Now()
 	g := &Gateway{
-		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, startedAt: started, startup: newStartup(),
+		settings: settings, ports: ports, log: logger, ctx: ctx, cancel: cancel, startedAt: started,
 		runners:         backend.NewSet(settings.Zone),
 		unstartedSends:  map[*unstartedSend]struct{}{},
 		namingHistories: namings.Table{},
@@ -179,6 +179,7 @@
 		weightsNamed:    make(chan struct{}, 1),
 		distances:       distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions}),
 	}
+	g.startup = newStartup(g)
 	g.runners.UseDistances(g.distances)
 	g.loadShedder = admission.NewLoadShedder(g.random)
 	g.runners.SetRolloutTime(time.Duration(rolloutDeadlineShare * float64(settings.WeightDeadline)))
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
+	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
@@ -49,6 +50,10 @@
 		fields["config"] = c.config.table.Version
 		fields["config_age_ms"] = c.arrivedAt.Sub(c.config.provenAt).Milliseconds()
 	}
+	if !c.gateway.startup.has(coldstart.DirectoryComplete) {
+		fields["start_ms"] = c.gateway.since(c.gateway.startedAt).Milliseconds()
+		c.gateway.metrics.startRefusals.WithLabelValues(r.reason).Inc()
+	}
 	if c.isForwarded() {
 		fields["ingress"] = c.forwarded.GetFrom()
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -57,6 +57,8 @@
 	ForwardedOpen int64 `json:"forwardedOpen,omitempty"`
 	// Streams is what the router knows of the software versions at which streams began.
 	Streams StreamsStatus `json:"streams"`
+	// Start holds the stages that the router has reached since its start.
+	Start []StartStage `json:"start"`
 	// Quarantined lists up to maxQuarantinedInStatus quarantined contents.
 	Quarantined []QuarantinedContent `json:"quarantined,omitempty"`
 }
@@ -117,6 +119,7 @@
 		status.Source = g.peerRouters.lastSource()
 	}
 	status.Schedulers, status.SchedulersByRegion = g.schedulers.summary(now), g.peerRouters.countSchedulersByRegion()
+	status.Start = g.startup.summary()
 	status.Quarantined = g.suspects.summary(now)
 	status.ImpairedPaths = g.paths.summary(now)
 	status.EgressRouters, status.ForwardedOpen = g.egress.summary()
