gateway: tests of the return after a loss of all routers, red

Callers are refused for seconds after all routers started again. The four tests name the faults one by one: no runner is used before the last page of the directory, a seed tells others nothing before its own directory is complete, each router reads the whole directory from the store, and routers ask their seeds late. The simulated store can hold pages of lists and has a configurable page.

--- /dev/null
+++ b/internal/gateway/return_test.go
@@ -0,0 +1,128 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// newLargeDirectory returns a fleet with one live runner, which the first page of a list contains, and
+// the entries of many others on further pages.
+func newLargeDirectory(t *testing.T, entries int) *fleet {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.runner("a1", "plain")
+	for i := range entries {
+		f.store.Put(platform.KindRunners, fmt.Sprintf("i-%05d", i), directoryEntry("other", fmt.Sprintf("127.1.%d.%d:1", i/250, i%250), "ready"))
+	}
+	// Otherwise a watch from the beginning returns all entries.
+	f.store.CompactHistory()
+	return f
+}
+
+// seedSettings returns the settings of the seed at the address.
+func seedSettings(address string, seeds []string) func(*gateway.Settings) {
+	return func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, seeds }
+}
+
+func (r *router) serves() bool { return r.call("/safe/x", nil).status == http.StatusOK }
+
+// Guards against a router that uses no runner before it has read the last page of the directory.
+func TestRouterServesBeforeItsDirectoryIsComplete(t *testing.T) {
+	t.Parallel()
+	f := newLargeDirectory(t, 20)
+	r := f.routerWithStoreFault("lone", nil, storestand.Hangs)
+	release := r.storeEndpoint.HoldListPages(platform.KindRunners)
+	defer release()
+	r.storeEndpoint.SetFault(storestand.Healthy)
+	f.g.Eventually(r.serves, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+	f.g.Expect(len(r.Status().Runners)).To(BeNumerically("<", 20))
+	release()
+	f.g.Eventually(func() int { return len(r.Status().Runners) }, 5*time.Second, 10*time.Millisecond).Should(Equal(21))
+}
+
+// Guards against a seed that tells others nothing before its own directory is complete, so that all of
+// them wait for its last page.
+func TestSeedServesOthersBeforeItsDirectoryIsComplete(t *testing.T) {
+	t.Parallel()
+	f := newLargeDirectory(t, 20)
+	seeds := []string{loopback.FreeAddress()}
+	seed := f.routerWithStoreFault("seed", seedSettings(seeds[0], seeds), storestand.Hangs)
+	release := seed.storeEndpoint.HoldListPages(platform.KindRunners)
+	defer release()
+	seed.storeEndpoint.SetFault(storestand.Healthy)
+	follower := f.routerWithStoreFault("follower", f.followerSettings(seeds), storestand.Hangs)
+	f.g.Eventually(follower.serves, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+	f.g.Expect(follower.isReady()).To(BeFalse(), "no runner of the other routed services is known")
+	release()
+	f.g.Eventually(follower.isReady, 5*time.Second, 10*time.Millisecond).Should(BeTrue())
+	f.g.Eventually(func() int { return len(follower.Status().Runners) }, 5*time.Second, 10*time.Millisecond).Should(Equal(21))
+}
+
+// Guards against many routers that start together and each read the whole directory from the store,
+// because their seeds start a moment later.
+func TestStoreCallsOfRoutersThatStartBeforeTheirSeeds(t *testing.T) {
+	const starting, maxCallsPerRouter = 57, 5
+	f := newLargeDirectory(t, 2_000)
+	f.store.SetListPage(100)
+	seeds := []string{loopback.FreeAddress(), loopback.FreeAddress(), loopback.FreeAddress()}
+	var routers []*router
+	for i := range starting {
+		routers = append(routers, f.router(fmt.Sprintf("r%d", i), f.followerSettings(seeds)))
+	}
+	for i, address := range seeds {
+		routers = append(routers, f.router(fmt.Sprintf("seed-%d", i), seedSettings(address, seeds)))
+	}
+	calls := 0
+	for _, r := range routers {
+		f.g.Eventually(func() int { return len(r.Status().Runners) }, 20*time.Second, 20*time.Millisecond).Should(Equal(2_001))
+	}
+	for _, r := range routers {
+		calls += r.storeEndpoint.CallCount()
+	}
+	t.Logf("%d calls of %d routers", calls, len(routers))
+	f.g.Expect(calls).To(BeNumerically("<", maxCallsPerRouter*len(routers)))
+}
+
+// Guards against routers that start before their seeds and ask them again late, because they wait longer
+// after each try at a port where no process listened yet.
+func TestRoutersThatWaitForTheirSeedsAreReadySoonAfterThem(t *testing.T) {
+	const waiting, bound = 8, 250 * time.Millisecond
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.runner("p1", "plain")
+	f.runner("e1", "engines")
+	seeds := []string{loopback.FreeAddress()}
+	var followers []*router
+	for i := range waiting {
+		followers = append(followers, f.routerWithStoreFault(fmt.Sprintf("r%d", i), f.followerSettings(seeds), storestand.Hangs))
+	}
+	time.Sleep(700 * time.Millisecond) // The tries at the seed's port fail for so long.
+	seed := f.router("seed", seedSettings(seeds[0], seeds))
+	f.g.Eventually(seed.isReady, 2*time.Second, time.Millisecond).Should(BeTrue())
+	readyAt := time.Now()
+	var group sync.WaitGroup
+	delays := make([]time.Duration, waiting)
+	for i, r := range followers {
+		group.Go(func() {
+			for !r.isReady() && time.Since(readyAt) < 5*time.Second {
+				time.Sleep(2 * time.Millisecond)
+			}
+			delays[i] = time.Since(readyAt)
+		})
+	}
+	group.Wait()
+	t.Logf("ready after the seed: %v", delays)
+	for _, delay := range delays {
+		f.g.Expect(delay).To(BeNumerically("<", bound))
+	}
+}
--- a/internal/lab/storestand/endpoint.go
+++ b/internal/lab/storestand/endpoint.go
@@ -38,8 +38,8 @@
 	return [...]string{"healthy", "busy", "throttled", "silent", "reset", "loses answers"}[f]
 }
 
-// pageSize is the maximum number of objects in a page of a list.
-const pageSize = 3
+// defaultListPage is the maximum number of objects in a page of a list unless SetListPage sets another.
+const defaultListPage = 3
 
 // Endpoint is an address at which the store is served. Each endpoint has its own fault. It is
 // safe for concurrent use.
@@ -58,6 +58,8 @@
 	// replicaRevisions holds, by kind, the latest revision that watches return. Watches of other
 	// kinds return changes up to the latest revision.
 	replicaRevisions map[string]uint64
+	// heldLists holds, by kind, the channel that is closed when the held pages of lists are answered.
+	heldLists map[string]chan struct{}
 }
 
 // OpenEndpoint serves the store at a free loopback address.
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	endpoint := &Endpoint{Address: listener.Addr().String(), store: s, abandoned: map[string]chan struct{}{}, replicaRevisions: map[string]uint64{}}
+	endpoint := &Endpoint{Address: listener.Addr().String(), store: s, abandoned: map[string]chan struct{}{}, replicaRevisions: map[string]uint64{}, heldLists: map[string]chan struct{}{}}
 	endpoint.server = &http.Server{Handler: http.HandlerFunc(endpoint.serve)}
 	go endpoint.server.Serve(listener)
 	return endpoint, nil
@@ -110,6 +112,37 @@
 	}
 }
 
+// HoldListPages leaves all pages but the first of lists of the kind without a response until release is
+// called.
+func (e *Endpoint) HoldListPages(kind string) (release func()) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	held := make(chan struct{})
+	e.heldLists[kind] = held
+	return sync.OnceFunc(func() {
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		delete(e.heldLists, kind)
+		close(held)
+	})
+}
+
+// awaitListPage waits while the page of a list is held. It returns false if the call ends first.
+func (e *Endpoint) awaitListPage(request *http.Request, kind string) bool {
+	e.mutex.Lock()
+	held := e.heldLists[kind]
+	e.mutex.Unlock()
+	if held == nil || !request.URL.Query().Has("after") {
+		return true
+	}
+	select {
+	case <-held:
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
+
 // watchesAbandoned returns a channel that is closed when the pending watches of the kind are
 // abandoned.
 func (e *Endpoint) watchesAbandoned(kind string) <-chan struct{} {
@@ -177,7 +210,9 @@
 	case request.Method == http.MethodGet && request.URL.Query().Has("watch"):
 		e.handleWatch(writer, request, kind)
 	case request.Method == http.MethodGet && name == "":
-		e.store.writeList(writer, kind, request.URL.Query().Get("after"))
+		if e.awaitListPage(request, kind) {
+			e.store.writeList(writer, kind, request.URL.Query().Get("after"))
+		}
 	case request.Method == http.MethodGet:
 		object, found := e.store.Get(kind, name)
 		if !found {
@@ -219,8 +254,8 @@
 		}
 	}
 	sort.Strings(names)
-	more := len(names) > pageSize
-	names = names[:min(len(names), pageSize)]
+	more := len(names) > s.listPage
+	names = names[:min(len(names), s.listPage)]
 	items := []Object{}
 	for _, name := range names {
 		items = append(items, s.objects[kind][name])
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -47,13 +47,15 @@
 	era uint64
 	// watchPage is the maximum number of changes in one response to a watch, 0 for no limit.
 	watchPage int
+	// listPage is the maximum number of objects in a page of a list.
+	listPage int
 	// formatEra formats the era for the header of responses, empty to omit the header.
 	formatEra func(era uint64) string
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{objects: map[string]map[string]Object{}, history: map[string][]Event{}, changed: make(chan struct{}), era: 1, formatEra: formatDecimalEra}
+	return &Store{objects: map[string]map[string]Object{}, history: map[string][]Event{}, changed: make(chan struct{}), era: 1, listPage: defaultListPage, formatEra: formatDecimalEra}
 }
 
 // Put creates or replaces an object unconditionally, like the operator or a runner, and returns
@@ -76,6 +78,13 @@
 	s.watchPage = changes
 }
 
+// SetListPage limits the number of objects in a page of a list.
+func (s *Store) SetListPage(objects int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listPage = objects
+}
+
 // Delete deletes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mutex.Lock()
