wire: a machine that returns is reached sooner, and not flooded with expired calls

Dials to a peer begin with a timeout of 0.1 s, which doubles up to 0.3 s, and calls that have timed out are not written.

--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -18,12 +18,16 @@
 type peer struct {
 	transport *Transport
 	address   string
-	queue     chan []byte
+	queue     chan queuedFrame
 	stop      chan struct{}
 	stopOnce  sync.Once
+	// dialTimeout bounds the opening of the connection.
+	dialTimeout time.Duration
 	// connected is set while the connection is open.
 	connected atomic.Bool
-	detector  *silenceDetector
+	// wasConnected is set once the connection was opened.
+	wasConnected atomic.Bool
+	detector     *silenceDetector
 	// silenceDetected is closed when the connection is closed because it fell silent.
 	silenceDetected chan struct{}
 	silenceOnce     sync.Once
@@ -31,11 +35,19 @@
 	refused chan struct{}
 }
 
-func newPeer(transport *Transport, address string, detector *silenceDetector) *peer {
+// queuedFrame is a frame that waits to be written. A frame of a call is dropped once the call has timed out,
+// zero for any other.
+type queuedFrame struct {
+	data      []byte
+	expiresAt time.Time
+}
+
+func newPeer(transport *Transport, address string, detector *silenceDetector, dialTimeout time.Duration) *peer {
 	return &peer{
+		dialTimeout:     dialTimeout,
 		transport:       transport,
 		address:         address,
-		queue:           make(chan []byte, maxQueuedFrames),
+		queue:           make(chan queuedFrame, maxQueuedFrames),
 		stop:            make(chan struct{}),
 		detector:        detector,
 		silenceDetected: make(chan struct{}),
@@ -87,7 +99,7 @@
 // time are lost, as on any broken connection.
 func (p *peer) run() {
 	defer p.close()
-	dialer := tcpoption.Dialer(dialTimeout)
+	dialer := tcpoption.Dialer(p.dialTimeout)
 	connection, err := dialer.Dial("tcp", p.address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		close(p.refused)
@@ -101,11 +113,20 @@
 	defer connection.Close()
 	p.detector.recordOpened(time.Now())
 	p.connected.Store(true)
+	p.wasConnected.Store(true)
 	defer p.connected.Store(false)
 	go p.readReplies(connection)
 	writeFrames(connection, p.queue, p.stop)
 }
 
+// nextDialTimeout returns the timeout of the dial that follows this peer's connection.
+func (p *peer) nextDialTimeout() time.Duration {
+	if p.wasConnected.Load() {
+		return minDialTimeout
+	}
+	return min(2*p.dialTimeout, maxDialTimeout)
+}
+
 // waitBeforeRedial delays the end of the peer after a failed dial, so that an unreachable
 // address is not dialled in a tight loop.
 func (p *peer) waitBeforeRedial(delay time.Duration) {
@@ -134,13 +155,17 @@
 
 // writeFrames writes queued frames until stop is closed or a write fails. It flushes when the
 // queue is empty, so that frames that are queued together leave in one system call.
-func writeFrames(connection net.Conn, queue <-chan []byte, stop <-chan struct{}) {
+func writeFrames(connection net.Conn, queue <-chan queuedFrame, stop <-chan struct{}) {
 	writer := bufio.NewWriterSize(connection, 8<<10)
 	for {
 		select {
 		case frame := <-queue:
-			connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err := writer.Write(frame); err != nil {
+			now := time.Now()
+			if !frame.expiresAt.IsZero() && now.After(frame.expiresAt) {
+				break
+			}
+			connection.SetWriteDeadline(now.Add(writeTimeout))
+			if _, err := writer.Write(frame.data); err != nil {
 				return
 			}
 		case <-stop:
@@ -155,12 +180,12 @@
 
 // connectionWriter queues replies and writes them to an accepted connection.
 type connectionWriter struct {
-	queue chan []byte
+	queue chan queuedFrame
 	stop  chan struct{}
 }
 
 func newConnectionWriter(connection net.Conn) *connectionWriter {
-	w := &connectionWriter{queue: make(chan []byte, maxQueuedFrames), stop: make(chan struct{})}
+	w := &connectionWriter{queue: make(chan queuedFrame, maxQueuedFrames), stop: make(chan struct{})}
 	go func() {
 		writeFrames(connection, w.queue, w.stop)
 		connection.Close()
@@ -171,7 +196,7 @@
 // tryEnqueue queues the frame, or returns false if the queue is full.
 func (w *connectionWriter) tryEnqueue(frame []byte) bool {
 	select {
-	case w.queue <- frame:
+	case w.queue <- queuedFrame{data: frame}:
 		return true
 	default:
 		return false
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -18,9 +18,10 @@
 	// maxQueuedFrames bounds the frames queued for one peer. Further frames are dropped, so
 	// that a slow peer uses bounded memory and never blocks a sender.
 	maxQueuedFrames = 512
-	// dialTimeout is short because TCP retransmits a lost SYN only after one second, and a
-	// new dial is faster.
-	dialTimeout = 300 * time.Millisecond
+	// minDialTimeout and maxDialTimeout bound the timeout of a dial, which doubles with each failure.
+	// They are short because TCP retransmits a lost SYN only after one second, and a new dial is faster.
+	minDialTimeout = 100 * time.Millisecond
+	maxDialTimeout = 300 * time.Millisecond
 	// writeTimeout is the time after which the connection to a peer that does not read is
 	// closed.
 	writeTimeout = 5 * time.Second
@@ -147,13 +148,13 @@
 	// A lost one-way message is not sent again, so it must not be queued on a silent
 	// connection.
 	t.closeIfSilent(t.lookupPeer(address))
-	_, err := t.enqueue(node, address, envelope)
+	_, err := t.enqueue(node, address, envelope, time.Time{})
 	return err
 }
 
-// enqueue queues a message and returns the peer whose queue was tried, if any, also when that
+// enqueue queues a message, which is dropped if it is not written by expiresAt. It returns the peer whose queue was tried, if any, also when that
 // queue is full.
-func (t *Transport) enqueue(node, address string, envelope *Envelope) (*peer, error) {
+func (t *Transport) enqueue(node, address string, envelope *Envelope, expiresAt time.Time) (*peer, error) {
 	envelope.From = t.identity.Node
 	envelope.FromIncarnation = t.identity.Incarnation
 	if t.isPartitioned(node) {
@@ -175,7 +176,7 @@
 		target.detector.recordRequest(now)
 	}
 	select {
-	case target.queue <- frame:
+	case target.queue <- queuedFrame{frame, expiresAt}:
 		t.counters.countSent(envelope, len(frame))
 		return target, nil
 	default:
@@ -190,8 +191,9 @@
 func (t *Transport) Call(ctx context.Context, node, address string, envelope *Envelope) (*Envelope, error) {
 	callID := t.lastCallID.Add(1)
 	envelope.CallId, envelope.DeadlineMillis = callID, noDeadline
-	if deadline, hasDeadline := ctx.Deadline(); hasDeadline {
-		envelope.DeadlineMillis = uint32(max(time.Until(deadline).Milliseconds(), 1))
+	expiresAt, hasDeadline := ctx.Deadline()
+	if hasDeadline {
+		envelope.DeadlineMillis = uint32(max(time.Until(expiresAt).Milliseconds(), 1))
 	}
 	replies := make(chan *Envelope, 1)
 	t.pendingCalls.Store(callID, replies)
@@ -202,7 +204,7 @@
 		// longCallSilenceTimeout.
 		t.closeIfSilent(t.lookupPeer(address))
 	}
-	target, err := t.enqueue(node, address, envelope)
+	target, err := t.enqueue(node, address, envelope, expiresAt)
 	if err != nil {
 		t.closeIfSilent(target)
 		return nil, err
@@ -272,11 +274,12 @@
 	if found && !existing.isClosed() {
 		return existing, nil
 	}
-	nextDetector := newSilenceDetector(silenceTimeout)
+	nextDetector, timeout := newSilenceDetector(silenceTimeout), minDialTimeout
 	if found {
 		nextDetector = existing.detector.successor()
+		timeout = existing.nextDialTimeout()
 	}
-	created := newPeer(t, address, nextDetector)
+	created := newPeer(t, address, nextDetector, timeout)
 	t.peers[address] = created
 	go created.run()
 	return created, nil
