gateway: a router serves from the first page of the directory

Three causes, one class: what is needed for the first answer grew with the whole. - No runner was used before the last page of a list, and the whole list was applied under the lock of the copies, so that a seed answered no pull for 1.15 s. Pages are now used as they come, and given on. - Each router without an answer for 0.1 s read all 50 pages itself; small machines gave up after 1.5 s, the timeout of a whole list, and began again. It now reads one page, and others one at a time with pauses. Each page has its own timeout, and a call without an answer is repeated after 0.3 s. - Routers asked seeds that had no data again after up to 0.8 s. Seeds now notify them, one after the other at the pace of their link, and unreachable seeds are tried every 25 to 100 ms. A router is ready once it can serve each routed service. Four tests were red before: serves before the last page (never), through a seed (never), 90 calls of 60 routers (898), ready 8 to 72 ms after the seed (380 to 750).

--- a/internal/backend/set.go
+++ b/internal/backend/set.go
@@ -89,6 +89,11 @@
 	}
 }
 
+// HasService reports whether a runner of the service is listed that isn't leaving.
+func (s *Set) HasService(service string) bool {
+	return slices.ContainsFunc(s.byService[service], func(e *entry) bool { return !e.isLeaving() })
+}
+
 // WeightTargets returns the target versions of the models' weights.
 func (s *Set) WeightTargets() *WeightTargets { return s.weightTargets }
 
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -104,6 +104,25 @@
 	return Applied
 }
 
+// Merge applies objects without moving the revision, and returns those that changed. It is for a store
+// that receives its first objects in parts: Complete ends that.
+func (s *Store) Merge(objects []v1.Object) (changed []v1.Object) {
+	for _, object := range objects {
+		if s.applyObject(object) {
+			changed = append(changed, object)
+		}
+	}
+	return changed
+}
+
+// Complete moves a store without a revision to the given one, through which the merged objects are all
+// live ones.
+func (s *Store) Complete(through storerev.Revision) {
+	if s.revision == 0 {
+		s.revision, s.compactedThrough = through, max(s.compactedThrough, through)
+	}
+}
+
 // applyFull applies a full delta and deletes the objects that it lacks. Only a delta that is newer
 // than the store may delete them; Apply has checked that.
 func (s *Store) applyFull(delta Delta) {
@@ -127,28 +146,29 @@
 func lastChangeRevision(object v1.Object) storerev.Revision { return storerev.Revision(object.Version) }
 
 // applyObject applies one changed or deleted object if it is newer than the stored object and its
-// tombstone.
-func (s *Store) applyObject(object v1.Object) {
+// tombstone, and reports whether it is.
+func (s *Store) applyObject(object v1.Object) bool {
 	key, revision := object.Key(), lastChangeRevision(object)
 	if s.tombstones[key] >= revision {
-		return
+		return false
 	}
 	current := s.objects[key]
 	if current != nil && lastChangeRevision(current.object) >= revision {
-		return
+		return false
 	}
 	if object.Deleted {
 		delete(s.objects, key)
 		s.tombstones[key] = revision
 		s.trimTombstones()
-		return
+		return true
 	}
 	delete(s.tombstones, key)
 	if s.opaque {
 		s.objects[key] = &entry{object: object}
-		return
+		return true
 	}
 	s.objects[key] = newEntry(object, current)
+	return true
 }
 
 // newEntry returns the entry of an object with its decoded spec. If the spec is invalid, the entry
--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -50,6 +50,8 @@
 	// reachedRevisions holds the highest revisions that any copy has reached and when, in ascending
 	// order, at most maxCheckpoints of them.
 	reachedRevisions []checkpoint
+	// assembly tracks the pages of the directory until the router has all of them.
+	assembly *coldstart.Assembly
 	// checkpoints holds the store's latest revisions.
 	checkpoints checkpoints
 	// reappeared holds the revisions of runner entries, by name, that had been deleted and came
@@ -58,7 +60,7 @@
 }
 
 func newCopies(g *Gateway) *copies {
-	c := &copies{gateway: g, kinds: g.settings.objectKinds(), stores: map[ObjectKind]*config.Store{}, provenTimes: map[ObjectKind]*atomic.Pointer[time.Time]{}, reappeared: map[string]storerev.Revision{}}
+	c := &copies{gateway: g, kinds: g.settings.objectKinds(), stores: map[ObjectKind]*config.Store{}, provenTimes: map[ObjectKind]*atomic.Pointer[time.Time]{}, reappeared: map[string]storerev.Revision{}, assembly: coldstart.NewAssembly(coldstart.Position(g.settings.PeerAddress))}
 	for _, kind := range c.kinds {
 		c.stores[kind] = config.NewOpaqueStore()
 		c.provenTimes[kind] = &atomic.Pointer[time.Time]{}
@@ -133,24 +135,27 @@
 func (c *copies) apply(kind ObjectKind, delta config.Delta, newProof proof) config.Outcome {
 	c.gateway.eraTracker.observe(delta.Through.Era())
 	c.mutex.Lock()
-	previous := c.stores[kind].Revision()
+	if kind == RunnerObjects && c.isPartial() && !delta.Full {
+		defer c.mutex.Unlock()
+		return c.applyToPartial(delta, newProof)
+	}
+	previous, applied := c.stores[kind].Revision(), c.appliedVersions(kind)
 	delta = c.reconcile(kind, delta)
 	outcome := c.stores[kind].Apply(delta)
 	if outcome == config.Applied {
 		c.gateway.startup.reach(coldstart.SourceAnswered, events.Fields{"kind": kind.String()})
-		c.gateway.applyObjects(kind, c.withoutReappeared(kind, c.effectiveChanges(kind, previous, delta)))
+		c.gateway.applyObjects(kind, c.withoutReappeared(kind, c.effectiveChanges(kind, previous, delta)), applied)
 	}
 	c.recordReached(checkpoint{revision: c.stores[kind].Revision(), at: c.gateway.now()})
 	if newProof.valid && outcome != config.Gap && delta.Through.Era() == c.stores[kind].Revision().Era() {
 		c.recordProof(kind, newProof.at)
 	}
 	if kind == RunnerObjects && outcome == config.Applied {
-		c.gateway.startup.reach(coldstart.DirectoryComplete, events.Fields{"runners": c.stores[kind].Len()})
-	}
-	if c.stores[RunnerObjects].Revision() > 0 && c.gateway.configIsProven(c.gateway.now()) {
-		c.gateway.startup.markReady()
+		c.recordDirectoryComplete()
 	}
+	c.updateStartup()
 	c.mutex.Unlock()
+	c.gateway.peerRouters.notifyWaiting()
 	if outcome == config.Applied && len(delta.Objects) > 0 && previous > 0 {
 		c.gateway.peerRouters.push(kind, previous)
 	}
@@ -177,8 +182,8 @@
 	return changed
 }
 
-// applyObjects applies changed objects in order.
-func (g *Gateway) applyObjects(kind ObjectKind, delta config.Delta) {
+// applyObjects applies changed objects in order, except those that were applied before in the same version.
+func (g *Gateway) applyObjects(kind ObjectKind, delta config.Delta, applied map[string]uint64) {
 	if kind == RunnerObjects {
 		g.directoryRevision.Store(uint64(delta.Through))
 	}
@@ -188,6 +193,7 @@
 	case kind == RolloutObjects && delta.Full:
 		g.rolloutDriver.Retain(listedNames(delta.Objects))
 	}
+	delta.Objects = withoutApplied(delta.Objects, applied)
 	batch := g.newRunnerBatch(kind, delta)
 	for _, object := range delta.Objects {
 		g.applyObject(kind, object, batch)
--- a/internal/gateway/copyproofs.go
+++ b/internal/gateway/copyproofs.go
@@ -13,11 +13,12 @@
 func (c *copies) proveByCheckpoint(kind ObjectKind, known checkpoint) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	revision := c.stores[kind].Revision()
+	revision := c.currentThroughLocked(kind)
 	if revision < known.revision || revision.Era() != known.revision.Era() {
 		return false
 	}
 	c.recordProof(kind, known.at)
+	c.updateStartup()
 	return true
 }
 
@@ -75,7 +76,7 @@
 	var proofs []*wire.CopyProof
 	for _, kind := range c.separatelyProvenKinds() {
 		age, known := c.age(c.gateway.now(), kind)
-		if !known {
+		if !known || c.revision(kind) == 0 {
 			continue
 		}
 		proofs = append(proofs, &wire.CopyProof{Kind: uint32(kind), AgeMillis: wire.AgeToMillis(age), Revision: uint64(c.revision(kind))})
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -33,6 +33,9 @@
 	// shortWatchTimeout is the timeout of watches that check whether the store responds again or
 	// whether changes were missed.
 	shortWatchTimeout = 50 * time.Millisecond
+	// provingWatchTimeout is the timeout of a watch that proves a copy for the first time. Calls wait for
+	// its response.
+	provingWatchTimeout = time.Millisecond
 	// watchCallMargin is how much longer than the watch timeout a call may take.
 	watchCallMargin = 700 * time.Millisecond
 	listTimeout     = 1500 * time.Millisecond
@@ -59,6 +62,12 @@
 	// catchingUp is true while responses bring changes but do not reach the newest known revision
 	// yet: the store returns many changes in several responses.
 	catchingUp atomic.Bool
+	// pending is the list of which some pages are missing, nil if there is none. paging is true while
+	// readFurtherPages reads them.
+	pending *pendingList
+	paging  atomic.Bool
+	// sentProvingWatch is set once the first watch after a list was sent.
+	sentProvingWatch bool
 	// probing is true from when the pending watch was found to have missed changes until the next
 	// one is answered. cancelWatch cancels the pending watch.
 	probing     atomic.Bool
@@ -85,8 +94,8 @@
 
 // step makes one call and applies its response.
 func (w *storeWatcher) step() error {
-	revision := w.gateway.copies.revision(w.kind)
-	if !w.listed || revision == 0 {
+	revision := w.gateway.copies.currentThrough(w.kind)
+	if !w.listed || revision == 0 || w.pending != nil || w.lacksPages() {
 		return w.list()
 	}
 	return w.watch(revision)
@@ -103,39 +112,14 @@
 	return call(ctx)
 }
 
-// list reads all objects of the kind. A router that has just started and found no router to pull
-// from may be one of many. It accepts a list that is some seconds old, which costs the store
-// little. The next watch brings the copy up to date and proves it.
-func (w *storeWatcher) list() error {
-	g := w.gateway
-	stale := w.listed && !g.peerRouters.alwaysReadsStore()
-	response := w.callWithTimeout(g.ctx, listTimeout, func(ctx context.Context) storeResponse {
-		return w.recordedCall(ctx, callList, func() ([]v1.Object, storerev.Revision, error) { return g.ports.Store.List(ctx, w.kind, stale) })
-	})
-	if response.err != nil {
-		return response.err
-	}
-	g.transfer.await(response.revision.Era())
-	delta := config.Delta{Through: response.revision, Full: true, Objects: response.objects}
-	current := g.copies.isCurrent(response, response.sentAt)
-	outcome := g.copies.apply(w.kind, delta, proof{at: response.sentAt, valid: current && !stale})
-	if !current && !stale {
-		w.recordStaleResponse(callList, response)
-		return errStaleResponse
-	}
-	w.listed = true
-	if w.kind == ConfigObjects && !stale {
-		g.verifyCopies(checkpoint{revision: response.revision, at: response.sentAt}, true)
-	}
-	g.log.Log(events.StoreListed, events.Fields{"kind": w.kind.String(), "objects": len(response.objects), "revision": response.revision.Number(), "stale": stale, "taken": outcome == config.Applied, "era": response.revision.Era()})
-	return nil
-}
-
 func (w *storeWatcher) watch(revision storerev.Revision) error {
 	g := w.gateway
 	ctx, cancel := w.cancelableContext()
 	defer cancel(nil)
-	timeout := w.nextWatchTimeout()
+	timeout, isProving := w.nextWatchTimeout(), w.isProvingWatch()
+	if isProving {
+		timeout, w.sentProvingWatch = provingWatchTimeout, true
+	}
 	response := w.callWithTimeout(ctx, timeout+watchCallMargin, func(ctx context.Context) storeResponse { return w.requestWatch(ctx, revision, timeout) })
 	if errors.Is(context.Cause(ctx), errWatchReplaced) && response.err != nil {
 		return errWatchReplaced
@@ -161,10 +145,20 @@
 		return errStaleResponse
 	case w.kind != ConfigObjects && len(response.objects) > 0:
 		g.pause(w.delayAfterChange())
+	case isProving && !g.peerRouters.alwaysReadsStore():
+		// Another router that reads the store may answer by then.
+		g.pause(fallbackBatchDelay)
 	}
 	return nil
 }
 
+// isProvingWatch reports whether the next watch is the first one after a stale list. Only its response proves
+// the copy.
+func (w *storeWatcher) isProvingWatch() bool {
+	_, proven := w.gateway.copies.age(w.gateway.now(), w.kind)
+	return !proven && !w.sentProvingWatch
+}
+
 // recordStaleResponse counts a response that is older than the newest known revision, and logs the
 // first one of a series.
 func (w *storeWatcher) recordStaleResponse(call string, response storeResponse) {
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -18,13 +18,13 @@
 	callerListener, err := g.listenTCP(g.settings.CallerAddress)
 	if err != nil {
 		g.peerRouters.close()
-		return trace.ConvertSystemError(err)
+		return err
 	}
 	readinessListener, err := g.listenTCP(g.settings.ReadyAddress)
 	if err != nil {
 		g.peerRouters.close()
 		callerListener.Close()
-		return trace.ConvertSystemError(err)
+		return err
 	}
 	g.egress.listen()
 	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCall))
@@ -100,7 +100,7 @@
 }
 
 // isReady reports whether this router can serve calls: it isn't stopping, and knows a proven configuration and
-// the runners.
+// runners of each routed service.
 func (g *Gateway) isReady() bool {
-	return !g.draining.Load() && g.copies.revision(RunnerObjects) > 0 && g.configIsProven(g.now())
+	return !g.draining.Load() && g.configIsProven(g.now()) && g.copies.canServe()
 }
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/config"
 	"github.com/clovertiller/clovertiller/internal/control"
 	"github.com/clovertiller/clovertiller/internal/events"
@@ -27,18 +29,11 @@
 	targetPullRate = 150
 	// pullTimeout is the timeout of one pull.
 	pullTimeout = 250 * time.Millisecond
-	// firstPullTimeout is the timeout of pulls while a router has no configuration yet. A running
-	// seed answers within a few milliseconds, and callers are waiting. Pulls from further seeds are
-	// sent at intervals of firstPullStagger, so that most routers need only one.
-	firstPullTimeout = 50 * time.Millisecond
-	firstPullStagger = 12 * time.Millisecond
-	// maxFirstPullDoublings bounds how often these times and the interval are doubled while no pull
-	// is answered. When all routers start at once, seeds can't answer each of them at first, and
-	// repeated pulls would only keep them from it.
-	maxFirstPullDoublings = 3
 	// directoryPullTimeout is the timeout of the first pull of the whole directory, which may take
 	// long when many routers request it.
 	directoryPullTimeout = 2 * time.Second
+	// pagePullTimeout is the timeout of a pull of one page of the directory.
+	pagePullTimeout = 500 * time.Millisecond
 	// nextPullDelay is the delay before the directory is pulled.
 	nextPullDelay = 10 * time.Millisecond
 )
@@ -46,6 +41,10 @@
 // pull pulls from the first candidate, and from all candidates if that gives no recent proof. It
 // reports whether it received one.
 func (r *peerRouters) pull() bool {
+	if source := r.notifier.Swap(nil); source != nil && r.pullFrom(*source) {
+		r.setSource(*source)
+		return true
+	}
 	if r.gateway.knowsConfigState() {
 		if candidates := r.candidates(); len(candidates) > 0 && r.pullFrom(candidates[0]) {
 			r.setSource(candidates[0])
@@ -107,7 +106,10 @@
 	g := r.gateway
 	sources := make(chan string, len(addresses))
 	var found atomic.Bool
-	stagger, answersBefore := firstPullStagger<<r.firstPullDoublings.Load(), r.pullAnswers.Load()
+	r.mutex.Lock()
+	stagger := r.schedule.Stagger()
+	r.mutex.Unlock()
+	defer r.endRound()
 	for i, address := range addresses {
 		g.spawn(func() {
 			running := g.pause(time.Duration(i) * stagger)
@@ -125,19 +127,32 @@
 		}
 	}
 	r.setSource("")
-	if !g.knowsConfigState() && r.pullAnswers.Load() == answersBefore {
-		r.firstPullDoublings.Store(min(r.firstPullDoublings.Load()+1, maxFirstPullDoublings))
-	}
 	return false
 }
 
+// endRound ends a series of pulls from several routers.
+func (r *peerRouters) endRound() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.schedule.EndRound()
+}
+
+// replyOf returns how a router replied to a pull.
+func (r *peerRouters) replyOf(address string, answer *wire.CopyAnswer, err error) coldstart.Reply {
+	switch {
+	case errors.Is(err, wire.ErrRefused), err != nil && !r.transport.IsConnected(address):
+		return coldstart.Unreachable
+	case err != nil || answer == nil:
+		return coldstart.Silent
+	case answer.GetProven() || answer.GetUnconfigured():
+		return coldstart.Data
+	}
+	return coldstart.Empty
+}
+
 // pullFrom pulls changes from one router and reports whether its proof is recent.
 func (r *peerRouters) pullFrom(address string) bool {
-	answer, sentAt := r.sendPull(address)
-	if answer != nil {
-		r.pullAnswers.Add(1)
-		r.firstPullDoublings.Store(0)
-	}
+	answer, sentAt, err := r.sendPull(address)
 	now := r.gateway.now()
 	age := wire.AgeFromMillis(answer.GetProofAgeMillis())
 	hasState := answer.GetProven() || answer.GetUnconfigured()
@@ -146,14 +161,18 @@
 	usable := hasState && decoded && !r.fromEarlierEra(deltas)
 	r.mutex.Lock()
 	maxAge := r.proofAgeLimit(address)
+	isFirst := !r.gateway.knowsConfigState()
+	if isFirst {
+		r.schedule.Record(address, r.replyOf(address, answer, err))
+	}
+	backoff := r.schedule.Backoff(address)
 	switch {
 	case answer == nil && !r.gateway.knowsConfigState():
-		r.selector.RecordStarting(now, address)
+		r.selector.RecordStarting(now, address, backoff)
 	case answer == nil, !hasState && address == r.selector.Relay():
 		r.selector.RecordFailure(now, address)
 	case !hasState:
-		r.selector.RecordStarting(now, address)
-		r.seedWaitUntil = r.gateway.startedAt.Add(startingSeedTimeout)
+		r.selector.RecordStarting(now, address, backoff)
 	case !usable, !isRecent(answer, maxAge):
 		r.selector.RecordFailure(now, address)
 	default:
@@ -174,6 +193,11 @@
 	r.gateway.signals.applyPull(address, answer.GetSignals())
 	r.gateway.streams.mergeHistory(answer.GetVersions())
 	r.gateway.receiveBounds(answer.GetWeightBounds(), sentAt)
+	if isFirst {
+		// The next pull requests what the first answer leaves out to be small.
+		r.requestPull()
+	}
+	r.receivePage(address, answer, sentAt)
 	r.lastPullIdle.Store(!hasObjects(deltas) && len(answer.GetCache().GetHolders()) == 0)
 	r.applyDeltas(deltas, proof{at: sentAt.Add(-age), valid: true})
 	r.applyProofs(answer, sentAt, age)
@@ -219,10 +243,10 @@
 	return ""
 }
 
-// sendPull sends one pull. It returns the answer, or nil, and when the pull was sent.
-func (r *peerRouters) sendPull(address string) (*wire.CopyAnswer, time.Time) {
+// sendPull sends one pull. It returns the answer, and when the pull was sent.
+func (r *peerRouters) sendPull(address string) (*wire.CopyAnswer, time.Time, error) {
 	g := r.gateway
-	timeout, kinds := r.pullParameters()
+	timeout, kinds := r.pullParameters(address)
 	ctx, cancel := context.WithTimeout(g.ctx, timeout)
 	defer cancel()
 	request := r.newPull(address)
@@ -233,20 +257,26 @@
 	request.Egress = g.egress.report()
 	g.suspects.addPullPosition(address, request)
 	g.signals.addPullPosition(address, request)
+	r.mutex.Lock()
+	waits := r.schedule.Waits()
+	r.mutex.Unlock()
+	request.DirectoryPage = r.pages.request(address, waits)
 	for _, kind := range kinds {
-		request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: uint64(g.copies.revision(kind))})
+		if have, wanted := r.pages.revisionFor(kind, request.DirectoryPage); wanted {
+			request.Have = append(request.Have, &wire.CopyRevision{Kind: uint32(kind), Revision: uint64(have)})
+		}
 	}
 	sentAt := r.gateway.now()
 	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
 	g.metrics.peerCalls.WithLabelValues(outcomeLabel(err == nil)).Observe(r.gateway.since(sentAt).Seconds())
 	if err != nil {
-		return nil, sentAt
+		return nil, sentAt, err
 	}
 	r.recordRoundTrip(reply, r.gateway.since(sentAt))
 	if zone := reply.GetCopyAnswer().GetZone(); zone != "" {
 		g.schedulers.recordZone(address, zone)
 	}
-	return reply.GetCopyAnswer(), sentAt
+	return reply.GetCopyAnswer(), sentAt, nil
 }
 
 // peerCallTimeout is the timeout of a request to another router on behalf of a call. It is longer
@@ -298,10 +328,14 @@
 // pullParameters returns the kinds to pull and the timeout. A router without a configuration pulls
 // only small kinds, to find a live seed. The whole directory may take long at first, when many
 // routers request it.
-func (r *peerRouters) pullParameters() (timeout time.Duration, kinds []ObjectKind) {
+func (r *peerRouters) pullParameters(address string) (timeout time.Duration, kinds []ObjectKind) {
 	switch {
 	case !r.gateway.knowsConfigState():
-		return firstPullTimeout << r.firstPullDoublings.Load(), []ObjectKind{ConfigObjects, WeightObjects}
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		return r.schedule.Timeout(address), []ObjectKind{ConfigObjects, WeightObjects}
+	case r.pages.requestsFrom(address):
+		return pagePullTimeout, r.gateway.copies.kinds
 	case r.gateway.copies.revision(RunnerObjects) == 0:
 		return directoryPullTimeout, r.gateway.copies.kinds
 	}
--- a/internal/gateway/pulltiming.go
+++ b/internal/gateway/pulltiming.go
@@ -8,9 +8,11 @@
 	interval := max(r.pullInterval(), r.idlePullInterval())
 	switch {
 	case !r.gateway.knowsConfigState():
-		interval = minRetryDelay << r.firstPullDoublings.Load()
+		r.mutex.Lock()
+		interval = r.schedule.Interval()
+		r.mutex.Unlock()
 	case r.gateway.copies.revision(RunnerObjects) == 0:
-		interval = nextPullDelay
+		interval = r.pages.pullInterval()
 	}
 	timer := time.NewTimer(r.limitPause(r.gateway.now(), r.gateway.jitter(interval)))
 	defer timer.Stop()
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -2,13 +2,11 @@
 
 import (
 	"cmp"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/gravitational/trace"
-
+	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/peers"
 	"github.com/clovertiller/clovertiller/internal/relay"
@@ -28,17 +26,6 @@
 	// reported. A router whose source stops receiving changes thus learns of a draining runner
 	// within 1.7 s, or within 1.95 s if the source is a relay.
 	copyProofMargin = watchLatencyMargin
-	// silentSeedTimeout is the maximum time that a router without a configuration waits for seeds
-	// that do not answer. A running seed answers within firstPullTimeout. With a longer wait, the
-	// routers that start first after the loss of all routers would reject callers until the seeds
-	// are back. startingSeedTimeout is the same for seeds that answer but have no configuration yet
-	// either, as when all routers start at once. Then only a few of them should read the store.
-	silentSeedTimeout   = 100 * time.Millisecond
-	startingSeedTimeout = time.Second
-	// firstStartSeedTimeout is the same when the whole system starts for the first time, before
-	// there are callers. Routers wait for different times, so that they do not all read the store
-	// at once if the seeds stay silent.
-	firstStartSeedTimeout = 3 * time.Second
 )
 
 // peerRouters connects this router to those that it pulls from and those that pull from it.
@@ -62,41 +49,41 @@
 	// requestedInterval is the pull interval that the last source requested, or 0 if it is of a
 	// version that requests none.
 	requestedInterval time.Duration
-	// firstPullDoublings is how often the times of pulls were doubled since the start, while no pull
-	// was answered.
-	firstPullDoublings atomic.Int32
+	// schedule decides on pulls until there is a configuration.
+	schedule *coldstart.Schedule
+	// pages requests pages of the directory, and pageServer answers such requests.
+	pages      *pageRequests
+	pageServer *pageServer
+	// notifier is the router that has sent a notification that it has data, nil if there is none.
+	notifier atomic.Pointer[string]
+	// dataLevel is how much data waiting routers were notified of.
+	dataLevel atomic.Int32
+	// pacer spreads the answers to routers without data over time, and paceNow receives a value when some
+	// of them may be notified.
+	pacer   *coldstart.Pacer
+	paceNow chan struct{}
 	// lastPullIdle is set if the last answered pull brought no changes.
 	lastPullIdle atomic.Bool
-	// pullAnswers counts the answered pulls.
-	pullAnswers atomic.Uint64
 	// pullNow receives a value when a push showed that changes are missing.
 	pullNow chan struct{}
 	// source is the router that last provided a recent proof, nil or "" if there is none.
 	source atomic.Pointer[string]
-	// seedWaitUntil is until when a router without a configuration waits for seeds that are
-	// starting too, instead of reading the store with all the others.
-	seedWaitUntil time.Time
 	// packedDeltas holds the last encoded delta of each kind, because many routers request the same
 	// one at once.
 	packedDeltas map[ObjectKind]packedDelta
 }
 
 func newPeerRouters(g *Gateway) *peerRouters {
-	return &peerRouters{
+	r := &peerRouters{
 		gateway: g, selector: relay.NewSelector(g.settings.PeerAddress, g.settings.Zone, g.distances, g.settings.Seeds),
 		assigner: relay.NewAssigner(), standbys: relay.NewStandbySelector(), followers: map[string]followerState{}, counter: peers.NewRouterCounter(), pullNow: make(chan struct{}, 1), packedDeltas: map[ObjectKind]packedDelta{},
-		seedWaitUntil: g.startedAt.Add(initialSeedWait(g)),
-	}
-}
-
-// initialSeedWait returns how long a started router waits for silent seeds. The wait is longer when
-// the whole system starts for the first time: there are no callers yet, and otherwise all routers
-// would read the store.
-func initialSeedWait(g *Gateway) time.Duration {
-	if g.settings.FirstStart {
-		return g.jitter(firstStartSeedTimeout)
+		schedule:   coldstart.NewSchedule(coldstart.ScheduleConfig{Started: g.startedAt, FirstStart: g.settings.FirstStart, Jitter: g.jitter}),
+		pacer:      coldstart.NewPacer(),
+		paceNow:    make(chan struct{}, 1),
+		pages:      newPageRequests(g),
+		pageServer: newPageServer(g),
 	}
-	return g.jitter(silentSeedTimeout)
+	return r
 }
 
 // listen accepts connections of other routers if the settings contain a peer address.
@@ -104,9 +91,9 @@
 	if r.gateway.settings.PeerAddress == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", cmp.Or(r.gateway.settings.PeerBindAddress, r.gateway.settings.PeerAddress))
+	listener, err := r.gateway.listenTCP(cmp.Or(r.gateway.settings.PeerBindAddress, r.gateway.settings.PeerAddress))
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return err
 	}
 	identity := wire.Identity{Node: r.gateway.settings.Node, Incarnation: uint64(r.gateway.startedAt.UnixMilli())}
 	r.transport = wire.NewTransport(identity, listener, r.handle)
@@ -141,10 +128,13 @@
 	g := r.gateway
 	// A seed reads the store from the start, without pulling first.
 	r.setDirectReads(r.shouldReadStore(true))
-	timer := time.AfterFunc(r.gateway.until(r.seedWaitUntil), r.handleSeedWaitExpired)
-	defer timer.Stop()
+	g.spawn(r.readStoreAfterWait)
+	g.spawn(r.paceLoop)
 	for g.ctx.Err() == nil {
 		pulled := r.shouldPull() && r.pull()
+		if !pulled {
+			r.pages.recordNoSource()
+		}
 		r.setDirectReads(r.shouldReadStore(pulled))
 		if followers := r.followersOfUnprovenStandby(); !pulled && len(followers) > 0 {
 			r.pullFromAny(followers)
@@ -153,20 +143,30 @@
 	}
 }
 
-// handleSeedWaitExpired starts to read the store if no configuration was received, while pulls from
-// the seeds continue.
-func (r *peerRouters) handleSeedWaitExpired() {
+// readStoreAfterWait starts to read the store if no configuration was received until the wait for the seeds
+// has ended, while pulls from them continue. Their replies may extend the wait.
+func (r *peerRouters) readStoreAfterWait() {
+	for remaining := r.remainingWait(); remaining > 0; remaining = r.remainingWait() {
+		if !r.gateway.pause(remaining) {
+			return
+		}
+	}
 	if !r.gateway.knowsConfigState() {
 		r.setDirectReads(r.shouldReadStore(false))
 	}
 }
 
+// remainingWait returns how long a router without a configuration still waits for its seeds, instead of
+// reading the store with all the others.
+func (r *peerRouters) remainingWait() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.gateway.until(r.schedule.WaitUntil())
+}
+
 // shouldReadStore reports whether this router must read the store itself.
 func (r *peerRouters) shouldReadStore(pulled bool) bool {
-	r.mutex.Lock()
-	inSeedWait := r.gateway.now().Before(r.seedWaitUntil)
-	r.mutex.Unlock()
-	waits := inSeedWait && !r.gateway.knowsConfigState()
+	waits := r.remainingWait() > 0 && !r.gateway.knowsConfigState()
 	return r.alwaysReadsStore() || !(pulled || waits)
 }
 
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -46,8 +46,7 @@
 	case *wire.Envelope_CopyPull:
 		return &wire.Envelope{Body: &wire.Envelope_CopyAnswer{CopyAnswer: r.answer(body.CopyPull)}}
 	case *wire.Envelope_CopyPush:
-		deltas, _ := r.unpackDeltas(body.CopyPush.GetDeltas())
-		r.applyDeltas(deltas, proof{})
+		r.handlePush(body.CopyPush)
 	case *wire.Envelope_QuotaAsk:
 		return &wire.Envelope{Body: &wire.Envelope_QuotaAnswer{QuotaAnswer: r.gateway.limits.HandleAsk(body.QuotaAsk)}}
 	case *wire.Envelope_RunnerAsk:
@@ -85,6 +84,10 @@
 	if pull.GetStateTransfer() {
 		return g.transfer.answer(pull)
 	}
+	isFirst := isFirstPull(pull)
+	if isFirst && !r.admitsFirstPull(pull) {
+		return r.emptyAnswer()
+	}
 	referTo, interval := r.recordFollower(pull)
 	stores := g.cacheStoreMonitor.status.Load()
 	answer := &wire.CopyAnswer{
@@ -112,7 +115,9 @@
 	if newest, known := g.copies.checkpoints.newest(); known {
 		answer.StoreRevision, answer.StoreAgeMillis = uint64(newest.revision), wire.AgeToMillis(r.gateway.since(newest.at))
 	}
-	for _, have := range pull.GetHave() {
+	page, pageThrough := r.pageServer.answer(pull.GetDirectoryPage(), hasRunners(pull))
+	answer.DirectoryPage = page
+	for _, have := range haveWithPage(pull.GetHave(), pageThrough) {
 		kind := ObjectKind(have.GetKind())
 		if !g.copies.holds(kind) {
 			continue
@@ -122,6 +127,9 @@
 			answer.Deltas = append(answer.Deltas, r.packedChanges(kind, known))
 		}
 	}
+	if isFirst {
+		r.recordFirstAnswer(answer)
+	}
 	return answer
 }
 
--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -62,7 +62,7 @@
 // that the next one is sent at once.
 func (w *storeWatcher) runProbe() {
 	g := w.gateway
-	from := g.copies.revision(w.kind)
+	from := g.copies.currentThrough(w.kind)
 	response := w.probeWatch(from)
 	if response.err != nil {
 		// The next watches are short too, until one is answered.
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -109,12 +109,12 @@
 	return order[:last]
 }
 
-// place chooses a runner for another router. It declines if this router is shutting down or its
-// configuration or directory is not proved to be current, because it may then not know which
-// runners exist.
+// place chooses a runner for another router. It declines if this router is shutting down, its directory is
+// incomplete, or its configuration or directory is not proved to be current, because it may then not know
+// which runners exist.
 func (s *schedulers) place(envelope *wire.Envelope, message *wire.RunnerAsk) *wire.RunnerAnswer {
 	g, now := s.gateway, s.gateway.now()
-	if g.draining.Load() || !g.configIsProven(now) || g.copies.anyOlderThan(now, validAfterProof(g.settings.ConfigLease)) || !s.acceptsRequests(now) {
+	if g.draining.Load() || g.copies.hasPartialDirectory() || !g.configIsProven(now) || g.copies.anyOlderThan(now, validAfterProof(g.settings.ConfigLease)) || !s.acceptsRequests(now) {
 		return &wire.RunnerAnswer{Declined: true}
 	}
 	query := decodePlacementQuery(message)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -8,6 +8,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/egress"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
@@ -53,6 +54,9 @@
 	}
 	chosen, placedBy := c.chooseRunner(now, choice)
 	c.recordQueueLimit(chosen)
+	if chosen.Status == placement.NoRunner && !g.startup.has(coldstart.DirectoryComplete) {
+		return backend.Runner{}, unavailable("the directory of runners is not complete yet", startupRetryAfter)
+	}
 	if chosen.Status != placement.Picked {
 		return backend.Runner{}, c.refusalFor(chosen)
 	}
--- a/internal/gateway/storecall.go
+++ b/internal/gateway/storecall.go
@@ -17,7 +17,9 @@
 	// then.
 	sentAt        time.Time
 	knownRevision storerev.Revision
-	err           error
+	// more is set if other pages of a list follow.
+	more bool
+	err  error
 }
 
 // errStaleResponse means that a response is older than a revision known before its call.
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -193,7 +193,7 @@
 // onlyVersion returns the only version that was listed lately, or empty if there were others or the directory is too old
 // to tell.
 func (s *streamVersions) onlyVersion(now time.Time, service string) string {
-	if age, known := s.gateway.copies.age(now, RunnerObjects); !known || age > maxDirectoryAge {
+	if age, known := s.gateway.copies.age(now, RunnerObjects); !known || age > maxDirectoryAge || s.gateway.copies.hasPartialDirectory() {
 		return ""
 	}
 	s.mutex.Lock()
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -165,15 +165,15 @@
 	s.retryAt[address] = now.Add(failureBackoff)
 }
 
-// startupBackoff is how long a seed is skipped that may be starting.
-const startupBackoff = 80 * time.Millisecond
-
-// RecordStarting skips a seed for a short time because it has no data yet or may be starting at the
+// RecordStarting skips a seed for the given time because it has no data yet or may be starting at the
 // same time as this router.
-func (s *Selector) RecordStarting(now time.Time, seed string) {
-	s.retryAt[seed] = now.Add(startupBackoff)
+func (s *Selector) RecordStarting(now time.Time, seed string, backoff time.Duration) {
+	s.retryAt[seed] = now.Add(backoff)
 }
 
+// RecordNotification makes a seed a candidate again that has sent a notification.
+func (s *Selector) RecordNotification(seed string) { delete(s.retryAt, seed) }
+
 // RecordReply makes a seed a candidate again and records its zone.
 func (s *Selector) RecordReply(seed, zone string) {
 	delete(s.retryAt, seed)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -180,6 +180,8 @@
 	hasTenants  bool
 	// tenantWeights are the tenants' fair-share weights by tenant name.
 	tenantWeights map[string]float64
+	// routedServices are the services that routes name, in order.
+	routedServices []string
 }
 
 // NewTable returns the table of a configuration. The table refers to parts of the
@@ -199,6 +201,7 @@
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
 	}
+	t.routedServices = routedServices(config.Routes)
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
 	}
@@ -223,6 +226,20 @@
 	return t
 }
 
+// routedServices returns the services that the routes name, in order.
+func routedServices(routes []Route) []string {
+	named := map[string]bool{}
+	for i := range routes {
+		for _, backend := range routes[i].Backends {
+			named[backend.Service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(named))
+}
+
+// RoutedServices returns the services that routes name, in order.
+func (t *Table) RoutedServices() []string { return t.routedServices }
+
 // addRoutePriority adds the priority of a route to those of its services. It is not
 // called for public routes: these are checks by operators and have no rank.
 func (t *Table) addRoutePriority(route *Route) {
