soak: losses of many gateways at once, with checks of their return

--returns kills all gateways, half of them, all but the seeds, or the seeds, also again in the middle of the return, with seeds that start last, beside a slow, throttling, busy or silent store, before a directory of several pages. Checked: gateways that say they are ready take connections and don't refuse because of their start; with even seeds, each serves within a second of the last start.

--- a/cmd/clovertiller-lab/soak.go
+++ b/cmd/clovertiller-lab/soak.go
@@ -14,7 +14,7 @@
 func soakCommand() command {
 	subcommand := newSubcommand("soak", "Run gateway processes, inject random faults from outside, and check the promises.")
 	program, olderProgram, logRoot := "", "", "out"
-	poison, suspensions, signals, restores, lateOperator, rollouts, regions, partitions, brokenAnswers, versions := false, false, false, false, false, false, false, false, false, false
+	poison, suspensions, signals, restores, lateOperator, rollouts, regions, partitions, brokenAnswers, versions, returns := false, false, false, false, false, false, false, false, false, false, false
 	seed, duration := uint64(0), time.Minute
 	gateways, engines := 0, 0
 	subcommand.String(&program, "", "program", "Path of the gateway program. Without it, this program's own gateway is run.")
@@ -29,6 +29,7 @@
 	subcommand.Bool(&regions, "", "regions", "Put gateways and runners into two or three regions and cut borders between regions.")
 	subcommand.Bool(&brokenAnswers, "", "broken-answers", "Have runners answer without length and chunks and break off answers, and callers speak HTTP/1.0.")
 	subcommand.Bool(&versions, "", "versions", "Have runners of several software versions in one service, replaced one after the other, and callers that take streams up at other gateways.")
+	subcommand.Bool(&returns, "", "returns", "Kill all gateways at once, half of them, all but the seeds, or the seeds, also in the middle of their return.")
 	subcommand.String(&logRoot, "", "folder", "Folder for settings and logs.")
 	subcommand.UInt64(&seed, "", "seed", "Random seed of the faults; 0 chooses one.")
 	subcommand.Duration(&duration, "", "duration", "Duration of fault injection.")
@@ -48,7 +49,7 @@
 		}
 		fmt.Println("seed", seed)
 		report, err := soak.Run(ctx, soak.Settings{
-			Program: commandLine, OlderProgram: olderProgram, Poison: poison, Suspensions: suspensions, Signals: signals, Restores: restores, LateOperator: lateOperator, Rollouts: rollouts, Regions: regions, Partitions: partitions, BrokenAnswers: brokenAnswers, Versions: versions,
+			Program: commandLine, OlderProgram: olderProgram, Poison: poison, Suspensions: suspensions, Signals: signals, Restores: restores, LateOperator: lateOperator, Rollouts: rollouts, Regions: regions, Partitions: partitions, BrokenAnswers: brokenAnswers, Versions: versions, Returns: returns,
 			Seed: seed, FaultDuration: duration, Folder: soak.LogFolder(logRoot, seed), Out: os.Stdout, Gateways: gateways, Engines: engines,
 		})
 		if err != nil {
--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -168,6 +168,13 @@
 	return c.validKeys[len(c.validKeys)-1]
 }
 
+// oldestKey returns the valid key that was added first, with its tenant.
+func (c *configuration) oldestKey() (key, tenant string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.validKeys[0], tenantName
+}
+
 // randomKey returns a key and its tenant. addedAt is set if the key is valid, revokedAt if it is
 // revoked.
 func (c *configuration) randomKey(random *rand.Rand) (key, tenant string, addedAt, revokedAt time.Time) {
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -37,10 +37,19 @@
 		// Faults of the store disturb all gateways, so that few calls can be compared.
 		faults = []startFault{s.restart(syscall.SIGKILL), s.restart(syscall.SIGTERM), s.reload, s.drainRunner, s.changeConfig, s.revokeKey, s.bumpWeights}
 	}
+	if s.onlyLosses() {
+		faults = []startFault{s.reload, s.drainRunner, s.changeConfig, s.revokeKey, s.bumpWeights}
+	}
 	deadline := time.Now().Add(s.settings.FaultDuration)
 	var group sync.WaitGroup
 	peerFaults, peerFaultCount := newPeerFaultInjector(s), 0
-	group.Go(func() { peerFaultCount = peerFaults.run(ctx, deadline) })
+	if !s.onlyLosses() {
+		group.Go(func() { peerFaultCount = peerFaults.run(ctx, deadline) })
+	}
+	lossCount := 0
+	if s.settings.Returns {
+		group.Go(func() { lossCount = newReturnInjector(s).run(ctx, deadline) })
+	}
 	suspensionCount := 0
 	if s.settings.Poison {
 		group.Go(func() { s.poisons.run(ctx, deadline) })
@@ -85,8 +94,10 @@
 	}
 	s.inject(faults[len(faults)-1], &group)
 	group.Wait()
-	peerFaults.injectLastCutOff()
-	return count + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + 1
+	if !s.onlyLosses() {
+		peerFaults.injectLastCutOff()
+	}
+	return lossCount + count + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + 1
 }
 
 // inject starts the fault and ends it in the group.
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -214,14 +214,20 @@
 func (p *process) waitReady(ctx context.Context, deadline time.Time) bool {
 	client := &http.Client{Timeout: time.Second}
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		response, err := client.Get("http://" + p.addresses.ReadinessAddress + platform.PathReadiness)
-		if err == nil {
-			response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return true
-			}
+		if p.isReady(client) {
+			return true
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	return false
 }
+
+// isReady reports whether the gateway says that it is ready.
+func (p *process) isReady(client *http.Client) bool {
+	response, err := client.Get("http://" + p.addresses.ReadinessAddress + platform.PathReadiness)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -53,7 +53,10 @@
 	// Versions adds a service whose runners have several software versions and are replaced one after the other, and
 	// callers that take streams up at other gateways.
 	Versions bool
-	Seed     uint64
+	// Returns kills many gateways at once and checks how they return. With an even seed, there are no other faults of
+	// gateways and links, so that the time of a return can be checked.
+	Returns bool
+	Seed    uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Folder is where settings files and logs are written.
@@ -242,6 +245,9 @@
 		}
 	}
 	s.config = newConfiguration(s.store)
+	if s.settings.Returns {
+		s.addIdleRunners()
+	}
 	if s.settings.Versions {
 		s.config.addMixedService()
 		if err := s.versions.start(); err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -106,6 +106,21 @@
 	runSeed(t, soak.Settings{Program: []string{buildCommand(t, "clovertiller-gateway")}, Seed: versionsSeed, FaultDuration: faultDuration, Versions: true})
 }
 
+// returnSeeds kill all gateways, half of them, all but the seeds, and the seeds, also in the middle of their return and beside
+// a slow or failing store, within returnDuration. The even seed has no faults of gateways and links besides, so that the times
+// of the returns are checked.
+var returnSeeds = []uint64{5, 8}
+
+const returnDuration = 12 * time.Second
+
+// Guards against gateways that are ready and refuse calls, or take no connections, after a loss of many gateways, and against
+// slow returns.
+func TestSoakReturns(t *testing.T) {
+	for _, seed := range returnSeeds {
+		runSeed(t, soak.Settings{Program: []string{buildCommand(t, "clovertiller-gateway")}, Seed: seed, FaultDuration: returnDuration, Returns: true})
+	}
+}
+
 // buildCommand builds the command with the given name and returns the path of the program.
 func buildCommand(t *testing.T, command string) string {
 	t.Helper()
