--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
@@ -126,3 +127,84 @@
 		f.g.Expect(delay).To(BeNumerically("<", bound))
 	}
 }
+
+// returningFleet is a fleet of routers that are killed and started again together.
+type returningFleet struct {
+	*fleet
+	seeds   []string
+	random  *rand.Rand
+	routers []*router
+	starts  int
+}
+
+// start starts all routers within startSpread, and the seeds seedDelay later.
+func (f *returningFleet) start(count int, seedDelay time.Duration) {
+	const startSpread = 300 * time.Millisecond
+	f.starts++
+	f.routers = make([]*router, count)
+	var group sync.WaitGroup
+	for i := range f.routers {
+		name, delay, adjust := fmt.Sprintf("r%d-%d", i, f.starts), time.Duration(f.random.Int64N(int64(startSpread))), f.followerSettings(f.seeds)
+		if i < len(f.seeds) {
+			delay, adjust = delay+seedDelay, seedSettings(f.seeds[i], f.seeds)
+		}
+		group.Go(func() {
+			time.Sleep(delay)
+			f.routers[i] = f.router(name, adjust)
+		})
+	}
+	group.Wait()
+}
+
+func (f *returningFleet) killAll() {
+	for _, r := range f.routers {
+		r.Kill()
+	}
+}
+
+// storeCalls returns the number of calls of all routers to the store.
+func (f *returningFleet) storeCalls() (calls int) {
+	for _, r := range f.routers {
+		calls += r.storeEndpoint.CallCount()
+	}
+	return calls
+}
+
+// Guards against callers that are refused for long after a loss of all routers, also if they are lost again in
+// the middle of their return, and if their seeds come last. The aims are a second and fewer than five calls a router to
+// the store at 60 routers.
+func TestReturnAfterLossOfAllRouters(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts sixty routers")
+	}
+	const size, runners, bound, maxCallsPerRouter = 60, 2_000, time.Second, 5
+	f := &returningFleet{fleet: newLargeDirectory(t, runners), seeds: []string{loopback.FreeAddress(), loopback.FreeAddress(), loopback.FreeAddress()}, random: rand.New(rand.NewPCG(69, 69))}
+	f.runner("e1", "engines")
+	f.store.SetListPage(100)
+	for _, c := range []struct {
+		name      string
+		again     bool
+		seedDelay time.Duration
+	}{{name: "all"}, {name: "again in the middle", again: true}, {name: "seeds last", seedDelay: time.Second}} {
+		if c.again {
+			f.start(size, 0)
+			f.killAll()
+		}
+		f.start(size, c.seedDelay)
+		startedAt := time.Now()
+		for _, r := range f.routers {
+			f.g.Eventually(r.serves, 10*time.Second, 5*time.Millisecond).Should(BeTrue())
+		}
+		served := time.Since(startedAt)
+		calls := f.storeCalls()
+		t.Logf("%s: all serve %v after the last start, %d calls to the store by then", c.name, served.Round(time.Millisecond), calls)
+		f.g.Expect(served).To(BeNumerically("<", bound))
+		if c.seedDelay == 0 {
+			f.g.Expect(calls).To(BeNumerically("<", maxCallsPerRouter*size))
+		}
+		for _, r := range f.routers {
+			f.g.Eventually(func() int { return len(r.Status().Runners) }, 20*time.Second, 20*time.Millisecond).Should(Equal(runners + 2))
+		}
+		f.killAll()
+	}
+}
