gateway: a starting router requests the cache feed from another seed if one is silent

TestNewRouterLearnsCachedPartsDespiteSilentSeeds, a known red test: a follower fetched no parts within a second. Cause: a whole feed is requested each 3 s at most, and a request to a seed that didn't answer counted like one that did.

--- a/internal/gateway/cachefeed.go
+++ b/internal/gateway/cachefeed.go
@@ -25,6 +25,10 @@
 	// snapshotRequestedAt is when a snapshot was last requested, and lastDeltaAt when the last
 	// delta arrived.
 	snapshotRequestedAt, lastDeltaAt time.Time
+	// snapshotRequestedFrom is the router from which a snapshot was last requested, and requestFailed is
+	// set if it has not answered.
+	snapshotRequestedFrom string
+	requestFailed         bool
 }
 
 // dropSilentFeed drops the contents of the followed feed if it has been silent for feedTimeout,
@@ -60,12 +64,21 @@
 		pull.WantsCache, pull.CacheFeed, pull.CacheThrough = true, r.followed.id, r.followed.position
 		return
 	}
-	if now.Sub(r.followed.snapshotRequestedAt) >= feedSnapshotInterval {
+	// A router that does not answer may be overloaded, but another one may be sound.
+	fromOther := r.followed.requestFailed && address != r.followed.snapshotRequestedFrom
+	if fromOther || now.Sub(r.followed.snapshotRequestedAt) >= feedSnapshotInterval {
 		pull.WantsCache = true
-		r.followed.snapshotRequestedAt = now
+		r.followed.snapshotRequestedAt, r.followed.snapshotRequestedFrom, r.followed.requestFailed = now, address, false
 	}
 }
 
+// recordPullFailure records that the router at the address has not answered a pull.
+func (r *cacheReader) recordPullFailure(address string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.followed.requestFailed = r.followed.requestFailed || r.followed.snapshotRequestedFrom == address && r.followed.address != address
+}
+
 // deltaSince returns the changes of the own feed since the follower's position, or a snapshot
 // if the follower was following another feed. It returns nil if there is no complete feed. A
 // router that does not read runners itself starts to relay the feed that it follows, beginning
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -270,6 +270,7 @@
 	reply, err := r.transport.Call(ctx, "", address, &wire.Envelope{Body: &wire.Envelope_CopyPull{CopyPull: request}})
 	g.metrics.peerCalls.WithLabelValues(outcomeLabel(err == nil)).Observe(r.gateway.since(sentAt).Seconds())
 	if err != nil {
+		g.cacheReader.recordPullFailure(address)
 		return nil, sentAt, err
 	}
 	r.recordRoundTrip(reply, r.gateway.since(sentAt))
