--- a/internal/coldstart/schedule_test.go
+++ b/internal/coldstart/schedule_test.go
@@ -32,6 +32,9 @@
 // Guards against routers that learn late that the process of a source has started.
 func TestStartingSourcesAreAskedAgainSoon(t *testing.T) {
 	g, s := NewWithT(t), newTestSchedule(false)
+	s.Record("a", Unreachable)
+	s.EndRound()
+	g.Expect(s.Interval()).To(BeNumerically("<", minInterval))
 	for range 20 {
 		s.Record("a", Unreachable)
 		s.Record("b", Silent)
