coldstart: no router reads the store before its seeds have had time to reply

Its wait began with that for silent seeds and grew only with the first reply, which takes up to 75 ms. Before the first replies all seeds now count as starting; the wait shrinks if they turn out to be silent. TestWaitDependsOnTheRepliesOfSources failed before: 100 ms in place of 250 before the first reply.

--- a/internal/coldstart/schedule.go
+++ b/internal/coldstart/schedule.go
@@ -55,13 +55,17 @@
 // Schedule decides when a router without data asks its sources again, and when it reads the store itself.
 // It is not safe for concurrent use.
 type Schedule struct {
-	config      ScheduleConfig
-	waitUntil   time.Time
-	doublings   int
-	unreachable int
-	// replies are the last replies of the sources, and round those since the last EndRound.
-	replies map[string]Reply
-	round   []Reply
+	config ScheduleConfig
+	// silentUntil and unreachableUntil are until when the router waits for sources that are silent, or
+	// that can't be reached.
+	silentUntil, unreachableUntil time.Time
+	doublings                     int
+	unreachable                   int
+	// replies are the last replies of the sources, and round those since the last EndRound. hasEnded is set
+	// once all sources have been asked.
+	replies  map[string]Reply
+	round    []Reply
+	hasEnded bool
 }
 
 // ScheduleConfig configures a Schedule.
@@ -76,34 +80,19 @@
 // NewSchedule returns the schedule of a router that has just started.
 func NewSchedule(config ScheduleConfig) *Schedule {
 	s := &Schedule{config: config, replies: map[string]Reply{}}
-	s.extendWait(silentWait)
+	s.silentUntil = config.Started.Add(config.Jitter(silentWait))
+	s.unreachableUntil = config.Started.Add(config.Jitter(unreachableWait))
 	if config.FirstStart {
-		s.extendWait(firstStartWait)
+		s.silentUntil = config.Started.Add(config.Jitter(firstStartWait))
+		s.unreachableUntil = s.silentUntil
 	}
 	return s
 }
 
-// extendWait makes the router wait for at least about the given time after its start.
-func (s *Schedule) extendWait(wait time.Duration) {
-	if until := s.config.Started.Add(s.config.Jitter(wait)); until.After(s.waitUntil) {
-		s.waitUntil = until
-	}
-}
-
 // Record records the reply of a source.
 func (s *Schedule) Record(source string, reply Reply) {
-	previous, known := s.replies[source]
 	s.replies[source] = reply
 	s.round = append(s.round, reply)
-	isNew := !known || previous != reply
-	switch {
-	case reply == Unreachable && isNew && !s.config.FirstStart:
-		s.extendWait(unreachableWait)
-	case reply == Empty:
-		if until := s.config.Started.Add(emptyWait); until.After(s.waitUntil) {
-			s.waitUntil = until
-		}
-	}
 }
 
 // EndRound ends a series of requests to several sources, which decides on the next interval.
@@ -125,15 +114,14 @@
 	case len(s.round) > 0:
 		s.doublings, s.unreachable = 0, 0
 	}
+	s.hasEnded = s.hasEnded || len(s.round) > 0
 	s.round = s.round[:0]
 }
 
 // Interval returns the interval to the next requests.
 func (s *Schedule) Interval() time.Duration {
-	for _, reply := range s.replies {
-		if reply == Unreachable {
-			return min(minUnreachableInterval<<min(s.unreachable, maxDoublings), maxUnreachableInterval)
-		}
+	if s.has(Unreachable) {
+		return min(minUnreachableInterval<<min(s.unreachable, maxDoublings), maxUnreachableInterval)
 	}
 	return minInterval << s.doublings
 }
@@ -161,17 +149,37 @@
 }
 
 // Waits reports whether a source without data will notify the router.
-func (s *Schedule) Waits() bool {
-	for _, reply := range s.replies {
-		if reply == Empty {
+func (s *Schedule) Waits() bool { return s.has(Empty) }
+
+// RecordNotification records that the source has sent a notification that it has data now.
+func (s *Schedule) RecordNotification(source string) { s.replies[source] = Empty }
+
+// WaitUntil returns until when the router waits for its sources instead of reading the store. Before their first
+// replies, they may all be starting.
+func (s *Schedule) WaitUntil() time.Time {
+	until := s.silentUntil
+	if !s.hasEnded || s.has(Unreachable) {
+		until = later(until, s.unreachableUntil)
+	}
+	if s.has(Empty) {
+		until = later(until, s.config.Started.Add(emptyWait))
+	}
+	return until
+}
+
+// has reports whether the last reply of a source is the given one.
+func (s *Schedule) has(reply Reply) bool {
+	for _, last := range s.replies {
+		if last == reply {
 			return true
 		}
 	}
 	return false
 }
 
-// RecordNotification records that the source has sent a notification that it has data now.
-func (s *Schedule) RecordNotification(source string) { s.replies[source] = Empty }
-
-// WaitUntil returns until when the router waits for its sources instead of reading the store.
-func (s *Schedule) WaitUntil() time.Time { return s.waitUntil }
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/coldstart/schedule_test.go
+++ b/internal/coldstart/schedule_test.go
@@ -51,7 +51,9 @@
 	g := NewWithT(t)
 	for reply, want := range map[Reply]time.Duration{Silent: silentWait, Unreachable: unreachableWait, Empty: emptyWait, Data: silentWait} {
 		s := newTestSchedule(false)
+		g.Expect(s.WaitUntil().Sub(started)).To(Equal(unreachableWait), "before the first reply")
 		s.Record("a", reply)
+		s.EndRound()
 		g.Expect(s.WaitUntil().Sub(started)).To(Equal(want), "%d", reply)
 	}
 	g.Expect(newTestSchedule(true).WaitUntil().Sub(started)).To(Equal(firstStartWait))
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -26,6 +26,9 @@
 	// reported. A router whose source stops receiving changes thus learns of a draining runner
 	// within 1.7 s, or within 1.95 s if the source is a relay.
 	copyProofMargin = watchLatencyMargin
+	// waitCheckInterval is the interval at which a starting router checks whether its wait for the seeds
+	// has ended.
+	waitCheckInterval = 10 * time.Millisecond
 )
 
 // peerRouters connects this router to those that it pulls from and those that pull from it.
@@ -144,10 +147,10 @@
 }
 
 // readStoreAfterWait starts to read the store if no configuration was received until the wait for the seeds
-// has ended, while pulls from them continue. Their replies may extend the wait.
+// has ended, while pulls from them continue. Their replies may extend or shorten the wait.
 func (r *peerRouters) readStoreAfterWait() {
 	for remaining := r.remainingWait(); remaining > 0; remaining = r.remainingWait() {
-		if !r.gateway.pause(remaining) {
+		if !r.gateway.pause(min(remaining, waitCheckInterval)) {
 			return
 		}
 	}
