--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -111,7 +111,7 @@
 	PeerConnectionLost            = define(827, logrus.WarnLevel, "connection to another router was lost; closed idle connections to runners")
 	StoreRestored                 = define(829, logrus.WarnLevel, "store was restored from a backup")
 	RunnerAdded                   = define(830, logrus.InfoLevel, "runner added")
-	DirectoryReceived             = define(834, logrus.InfoLevel, "many runners added at once; the routers that read the store name each")
+	DirectoryReceived             = define(834, logrus.InfoLevel, "many runners added at once")
 	RunnerChanged                 = define(831, logrus.InfoLevel, "runner changed state")
 	RunnerRemoved                 = define(832, logrus.InfoLevel, "runner removed")
 	RunnerRestarted               = define(833, logrus.InfoLevel, "runner restarted under its name")
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -72,7 +72,8 @@
 const maxNamedRunners = 16
 
 // runnerBatch logs the runners that are added by one change of the directory: each by itself, or
-// only their number where many arrive at once from another router, which has logged each.
+// only their number where many arrive at once from another router, or with a further page of a first list,
+// when callers wait.
 type runnerBatch struct {
 	gateway   *Gateway
 	summarize bool
@@ -81,8 +82,10 @@
 	revision  storerev.Revision
 }
 
+// newRunnerBatch returns the batch of a change. The mutex of the copies must be held.
 func (g *Gateway) newRunnerBatch(kind ObjectKind, delta config.Delta) *runnerBatch {
-	summarize := kind == RunnerObjects && len(delta.Objects) > maxNamedRunners && !g.directReads.isEnabled()
+	isMany := kind == RunnerObjects && len(delta.Objects) > maxNamedRunners
+	summarize := isMany && (!g.directReads.isEnabled() || g.copies.isPartial())
 	return &runnerBatch{gateway: g, summarize: summarize, byService: map[string]int{}, revision: delta.Through}
 }
 
