--- a/internal/gateway/storedquarantines.go
+++ b/internal/gateway/storedquarantines.go
@@ -81,6 +81,10 @@
 	// little. Once the history since a stale list has been compacted, stale lists are of no use and
 	// are not requested again.
 	stale := !g.peerRouters.alwaysReadsStore()
+	if stale && g.directReads.waitEnabled(g.ctx) {
+		// The router may find a seed meanwhile. Calls can be served without the records.
+		g.pause(g.jitter(fallbackBatchDelay))
+	}
 	for g.directReads.waitEnabled(g.ctx) {
 		next, err := q.read(revision, stale)
 		if err == nil && next > 0 {
