--- a/internal/gateway/directorypages.go
+++ b/internal/gateway/directorypages.go
@@ -70,7 +70,7 @@
 		p.withoutPages[address] = true
 	}
 	// Calls need the processor as well.
-	p.interval = max(nextPullDelay, 2*applied)
+	p.interval = max(nextPullDelay, applied)
 	if answered && !advanced {
 		p.interval = incompletePageDelay
 	}
