--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -159,27 +159,11 @@
 	deltas, decoded := r.unpackDeltas(answer.GetDeltas())
 	// A router that does not know the era of this router's copies proves none of them.
 	usable := hasState && decoded && !r.fromEarlierEra(deltas)
+	isFirst, reply := !r.gateway.knowsConfigState(), r.replyOf(address, answer, err)
 	r.mutex.Lock()
 	maxAge := r.proofAgeLimit(address)
-	isFirst := !r.gateway.knowsConfigState()
-	if isFirst {
-		r.schedule.Record(address, r.replyOf(address, answer, err))
-	}
-	backoff := r.schedule.Backoff(address)
-	switch {
-	case answer == nil && !r.gateway.knowsConfigState():
-		r.selector.RecordStarting(now, address, backoff)
-	case answer == nil, !hasState && address == r.selector.Relay():
-		r.selector.RecordFailure(now, address)
-	case !hasState:
-		r.selector.RecordStarting(now, address, backoff)
-	case !usable, !isRecent(answer, maxAge):
-		r.selector.RecordFailure(now, address)
-	default:
-		r.selector.RecordReply(address, answer.GetZone())
-		r.requestedInterval = time.Duration(answer.GetPullAfterMillis()) * time.Millisecond
-		r.acceptReferral(address, answer.GetReferTo())
-	}
+	isReliable := usable && isRecent(answer, maxAge)
+	r.recordReply(now, address, answer, reply, isReliable)
 	r.mutex.Unlock()
 	if !hasState {
 		return false
@@ -206,7 +190,26 @@
 	}
 	r.gateway.cacheReader.receiveDelta(address, answer.GetCache())
 	r.gateway.cacheStoreMonitor.receiveStatus(cacheStoreStatus{configVersion: answer.GetCacheStoresConfig(), availableBits: answer.GetCacheStores()}, address)
-	return usable && isRecent(answer, maxAge)
+	return isReliable
+}
+
+// recordReply records for later pulls how a router replied to one. isReliable is set if the answer has a recent
+// proof. The mutex must be held.
+func (r *peerRouters) recordReply(now time.Time, address string, answer *wire.CopyAnswer, reply coldstart.Reply, isReliable bool) {
+	isFirst, hasState := !r.gateway.knowsConfigState(), reply == coldstart.Data
+	if isFirst {
+		r.schedule.Record(address, reply)
+	}
+	switch {
+	case isReliable:
+		r.selector.RecordReply(address, answer.GetZone())
+		r.requestedInterval = time.Duration(answer.GetPullAfterMillis()) * time.Millisecond
+		r.acceptReferral(address, answer.GetReferTo())
+	case isFirst && answer == nil, answer != nil && !hasState && address != r.selector.Relay():
+		r.selector.RecordStarting(now, address, r.schedule.Backoff(address))
+	default:
+		r.selector.RecordFailure(now, address)
+	}
 }
 
 func hasObjects(deltas []copyDelta) bool {
