coldstart: routers wait up to 0.35 s for seeds that can't be reached

At the return of 60 routers the two seeds that were logged had data 0.46 and 0.48 s after the power; the nine other routers that were logged had turned to the store by then, 0.27 to 0.47 s after the power, and each made some eight calls. Those that start early now wait long enough to be answered by a seed; a router whose seeds are gone reads the store 0.1 s later. Silent seeds: as before.

--- a/internal/coldstart/schedule.go
+++ b/internal/coldstart/schedule.go
@@ -45,7 +45,7 @@
 	// silentWait, unreachableWait and emptyWait are how long a router waits for sources that are silent,
 	// starting or without data before it reads the store itself.
 	silentWait      = 100 * time.Millisecond
-	unreachableWait = 250 * time.Millisecond
+	unreachableWait = 350 * time.Millisecond
 	emptyWait       = time.Second
 	// firstStartWait replaces silentWait and unreachableWait when the whole system starts for the first time,
 	// before there are callers.
