gateway: routers that start together are not referred to each other in circles

Eleven routers changed their relay 69 times (59 on, where it did no harm: the first pull brought everything). Seeds assign relays each for itself, and a router that is answered by another seed than its usual one was referred to a router that is referred to it. It now follows the referrals of its primary seed only, where the relay of one seed is never a follower of the other, and leaves a relay whose directory is as incomplete as its own. Comments of queued frames, lists and assemblies say what they mean.

--- a/internal/gateway/copies.go
+++ b/internal/gateway/copies.go
@@ -50,7 +50,8 @@
 	// reachedRevisions holds the highest revisions that any copy has reached and when, in ascending
 	// order, at most maxCheckpoints of them.
 	reachedRevisions []checkpoint
-	// assembly tracks the pages of the directory until the router has all of them.
+	// assembly tracks the pages of the directory until the router has all of them. While it is partial, the
+	// runners that were received are in stores, without a revision.
 	assembly *coldstart.Assembly
 	// checkpoints holds the store's latest revisions.
 	checkpoints checkpoints
--- a/internal/gateway/directorypages.go
+++ b/internal/gateway/directorypages.go
@@ -104,8 +104,22 @@
 		}
 		r.gateway.copies.addPage(page, pageProof)
 	}
-	next, _ := r.gateway.copies.wantedPosition()
-	r.pages.record(address, received != nil, next != position, r.gateway.since(startedAt))
+	next, stillWanted := r.gateway.copies.wantedPosition()
+	advanced := next != position || !stillWanted
+	r.pages.record(address, received != nil, advanced, r.gateway.since(startedAt))
+	if !advanced {
+		r.dropIncompleteRelay(address)
+	}
+}
+
+// dropIncompleteRelay makes the next pull go to a seed if the router at the address is the relay. Its directory
+// is as incomplete as this router's.
+func (r *peerRouters) dropIncompleteRelay(address string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if address == r.selector.Relay() {
+		r.selector.RecordFailure(r.gateway.now(), address)
+	}
 }
 
 // decodePage decodes a page. It returns false, and logs why, if that is not possible.
--- a/internal/gateway/firstanswers.go
+++ b/internal/gateway/firstanswers.go
@@ -40,7 +40,8 @@
 	return noData
 }
 
-// isFirstPull reports whether a router without data pulls that understands pages and notifications.
+// isFirstPull reports whether the pull is from a router that has no data, and is of a version that understands
+// pages and notifications.
 func isFirstPull(pull *wire.CopyPull) bool {
 	if pull.GetDirectoryPage() == nil {
 		return false
--- a/internal/gateway/list.go
+++ b/internal/gateway/list.go
@@ -19,7 +19,7 @@
 // silent store is lost.
 const listAttemptTimeout = 300 * time.Millisecond
 
-// pendingList is a list of which some pages are missing.
+// pendingList is a list of the store of which some pages may be missing.
 type pendingList struct {
 	stale bool
 	// objects and names are those of the pages so far, and last is the last name.
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -204,7 +204,9 @@
 	case isReliable:
 		r.selector.RecordReply(address, answer.GetZone())
 		r.requestedInterval = time.Duration(answer.GetPullAfterMillis()) * time.Millisecond
-		r.acceptReferral(address, answer.GetReferTo())
+		if address == r.selector.Primary(now) {
+			r.acceptReferral(address, answer.GetReferTo())
+		}
 	case isFirst && answer == nil, answer != nil && !hasState && address != r.selector.Relay():
 		r.selector.RecordStarting(now, address, r.schedule.Backoff(address))
 	default:
--- a/internal/relay/selector.go
+++ b/internal/relay/selector.go
@@ -127,6 +127,15 @@
 	return candidates
 }
 
+// Primary returns the best candidate, or "" if there is none. Routers that all follow the referrals of their
+// primary seed only are never referred to each other in a circle.
+func (s *Selector) Primary(now time.Time) string {
+	if candidates := s.Candidates(now); len(candidates) > 0 {
+		return candidates[0]
+	}
+	return ""
+}
+
 // Ranks of candidates, the best first. Without regions, all other zones are equal and rank last.
 const (
 	rankRelay = iota
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -35,10 +35,11 @@
 	refused chan struct{}
 }
 
-// queuedFrame is a frame that waits to be written. A frame of a call is dropped once the call has timed out,
-// zero for any other.
+// queuedFrame is a frame that waits to be written.
 type queuedFrame struct {
-	data      []byte
+	data []byte
+	// expiresAt is when the call of the frame times out; the frame is not written after that. It is zero
+	// for frames of other messages.
 	expiresAt time.Time
 }
 
--- a/internal/wire/transport.go
+++ b/internal/wire/transport.go
@@ -152,8 +152,8 @@
 	return err
 }
 
-// enqueue queues a message, which is dropped if it is not written by expiresAt. It returns the peer whose queue was tried, if any, also when that
-// queue is full.
+// enqueue queues a message, which is not written after expiresAt unless that is zero. It returns the peer whose
+// queue was tried, if any, also when that queue is full.
 func (t *Transport) enqueue(node, address string, envelope *Envelope, expiresAt time.Time) (*peer, error) {
 	envelope.From = t.identity.Node
 	envelope.FromIncarnation = t.identity.Incarnation
