--- a/internal/coldstart/pages.go
+++ b/internal/coldstart/pages.go
@@ -12,7 +12,7 @@
 
 const (
 	// pageObjects is the number of objects that a page has on average at most.
-	pageObjects = 256
+	pageObjects = 1024
 	// maxPages bounds the number of pages.
 	maxPages = 1 << 16
 	// runnersPerService is the number of runners of each service in each page, if there are that many.
--- a/internal/coldstart/pages_test.go
+++ b/internal/coldstart/pages_test.go
@@ -48,7 +48,7 @@
 func TestPagesFromAnySourcesMakeUpTheDirectory(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		objects := rapid.IntRange(0, 3000).Draw(t, "objects")
+		objects := rapid.IntRange(0, 6000).Draw(t, "objects")
 		pager := newTestPager(objects, 10, true)
 		// A source that had many more runners, or fewer, has ranges of another size.
 		others := []*Pager{pager, {through: pager.through, complete: true, count: 4 * pager.count, all: pager.all, byService: pager.byService}}
@@ -68,7 +68,7 @@
 
 // Guards against routers that know one page and none of the runners of a small service.
 func TestEachPageHasRunnersOfEachService(t *testing.T) {
-	g, pager := NewWithT(t), newTestPager(4000, 10, true)
+	g, pager := NewWithT(t), newTestPager(5000, 10, true)
 	for index := range pager.count {
 		counts := map[string]int{}
 		for _, object := range pager.Page(Range{index, pager.count}).Objects {
@@ -81,7 +81,7 @@
 
 // Guards against routers that all begin with the same runners after a loss of all, and overload them.
 func TestRoutersBeginWithDifferentPages(t *testing.T) {
-	g, pager, first := NewWithT(t), newTestPager(4000, 10, true), map[uint32]bool{}
+	g, pager, first := NewWithT(t), newTestPager(20_000, 10, true), map[uint32]bool{}
 	for i := range 100 {
 		first[pager.RangeAt(Position(fmt.Sprintf("10.0.0.%d:8783", i))).Index] = true
 	}
@@ -100,11 +100,11 @@
 func TestAssemblyIsCurrentThroughItsLowestPage(t *testing.T) {
 	g, assembly := NewWithT(t), NewAssembly(0)
 	g.Expect(assembly.Advance(0, firstEra(9))).To(BeFalse(), "nothing was received")
-	assembly.Add(newTestPager(1000, 10, true).Page(Range{0, 4}))
+	assembly.Add(newTestPager(4000, 10, true).Page(Range{0, 4}))
 	g.Expect(assembly.Advance(firstEra(11), firstEra(12))).To(BeFalse(), "the change to revision 11 is missing")
 	g.Expect(assembly.Advance(firstEra(8), firstEra(12))).To(BeTrue())
 	g.Expect(assembly.Through()).To(Equal(firstEra(12)))
-	assembly.Add(newTestPager(1000, 11, true).Page(Range{1, 4}))
+	assembly.Add(newTestPager(4000, 11, true).Page(Range{1, 4}))
 	g.Expect(assembly.Through()).To(Equal(firstEra(11)))
 }
 
--- a/internal/coldstart/simulation_test.go
+++ b/internal/coldstart/simulation_test.go
@@ -22,13 +22,13 @@
 	smallCPU    = 0.192
 	roundTrip   = 2 * time.Millisecond
 	storeCall   = 5 * time.Millisecond
-	// answerLinkTime is the time of an answer with a configuration and a page, of 30 KB, on the link of a
+	// answerLinkTime is the time of an answer with a configuration and a page, of 50 KB, on the link of a
 	// seed, of 200 Mbit/s. answerCPU is the processor time for it, emptyCPU that for an answer without
 	// data, and applyCPU that for its use, on a whole core.
-	answerLinkTime = 1200 * time.Microsecond
+	answerLinkTime = 2000 * time.Microsecond
 	answerCPU      = 300 * time.Microsecond
 	emptyCPU       = 100 * time.Microsecond
-	applyCPU       = 15 * time.Millisecond
+	applyCPU       = 25 * time.Millisecond
 	// callsOfSeed is the number of calls of a seed that lists 9,998 runners in pages of 200 and the other
 	// kinds, and callsOfReader that of a router that reads one page, each kind with a proving watch.
 	callsOfSeed       = 60
--- a/internal/gateway/directorypages.go
+++ b/internal/gateway/directorypages.go
@@ -14,7 +14,7 @@
 const (
 	// incompletePageDelay is the interval between two pulls from a router whose directory is incomplete
 	// too. It sends a notification once it is complete.
-	incompletePageDelay = 300 * time.Millisecond
+	incompletePageDelay = 100 * time.Millisecond
 	// partialPagerReuseTime is how long the pages of an incomplete directory are reused although it has
 	// grown.
 	partialPagerReuseTime = 50 * time.Millisecond
--- a/internal/lab/soak/returns.go
+++ b/internal/lab/soak/returns.go
@@ -21,8 +21,8 @@
 const (
 	// idleService has idleRunners in the directory, so that it has several pages, and no route.
 	idleService      = "idle"
-	idleRunners      = 700
-	listPage         = 100
+	idleRunners      = 3000
+	listPage         = 250
 	meanLossInterval = 2 * time.Second
 	// maxLossDowntime and maxStartSpread bound the time until the lost gateways start and that within which
 	// they do, and maxSeedDelay how much later seeds start that come last.
