--- a/internal/gateway/directorypages.go
+++ b/internal/gateway/directorypages.go
@@ -17,7 +17,7 @@
 	incompletePageDelay = 100 * time.Millisecond
 	// partialPagerReuseTime is how long the pages of an incomplete directory are reused although it has
 	// grown.
-	partialPagerReuseTime = 50 * time.Millisecond
+	partialPagerReuseTime = 500 * time.Millisecond
 )
 
 // pageRequests requests the pages of the directory that a router lacks. It is safe for concurrent use.
@@ -152,11 +152,14 @@
 	if request == nil {
 		return nil, 0
 	}
+	if hasRunners && p.gateway.copies.revision(RunnerObjects) == 0 {
+		return &wire.DirectoryPage{}, 0
+	}
 	now := p.gateway.now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.refresh(now)
-	if p.pager == nil || hasRunners && !p.pager.IsComplete() {
+	if p.pager == nil {
 		return &wire.DirectoryPage{}, 0
 	}
 	r := p.pager.RangeAt(request.GetPosition())
--- a/internal/gateway/referrals_internal_test.go
+++ b/internal/gateway/referrals_internal_test.go
@@ -42,3 +42,15 @@
 	r.receivePage("relay", &wire.CopyAnswer{DirectoryPage: &wire.DirectoryPage{}}, r.gateway.now())
 	g.Expect(r.selector.Relay()).To(BeEmpty())
 }
+
+// Guards against a seed that spends its processor on pages for routers which have as many runners as itself, while
+// it reads the directory.
+func TestIncompleteDirectoryIsNotCutForRoutersThatHaveRunners(t *testing.T) {
+	t.Parallel()
+	g, router := NewWithT(t), newFollowerGateway(t)
+	server := newPageServer(router)
+	page, through := server.answer(&wire.DirectoryPosition{}, true)
+	g.Expect(page.GetObjects()).To(BeNil())
+	g.Expect(through).To(BeZero())
+	g.Expect(server.builtAt).To(BeZero())
+}
