gateway: a router without seeds reads the last page of the directory too

It read the directory a page at a time and completed it without the runners of the last page, as only pages that others follow were used. Found with a test of seeds that went the same way.

--- a/internal/gateway/list.go
+++ b/internal/gateway/list.go
@@ -98,7 +98,8 @@
 		return false, errStaleResponse
 	}
 	list.add(response)
-	if w.kind == RunnerObjects && response.more {
+	// A list of one page is applied as a whole.
+	if w.kind == RunnerObjects && (response.more || w.gateway.copies.hasPartialDirectory()) {
 		w.usePage(list, response)
 	}
 	return response.more, nil
--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -223,3 +223,14 @@
 		})).To(BeTrue(), c.name)
 	}
 }
+
+// Guards against a router without seeds that reads the directory a page at a time and loses one of them.
+func TestRouterWithoutSeedsReadsAllPages(t *testing.T) {
+	t.Parallel()
+	f := newLargeDirectory(t, 20)
+	f.runner("z9", "plain")
+	f.store.CompactHistory()
+	f.store.SetListPage(8)
+	r := f.router("lone", f.followerSettings([]string{startSilentPeer(f)}))
+	f.g.Eventually(func() int { return len(r.Status().Runners) }, 10*time.Second, 10*time.Millisecond).Should(Equal(22))
+}
