gateway: seeds read what runners cache once their directory is complete

Pulls of their pages ran into the 0.5 s timeout, after which routers read the store; they have a second now.

--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -119,7 +119,9 @@
 		switch {
 		case !r.readsHolders:
 			r.dropSilentFeed()
-		case current != nil:
+		case current != nil && !g.copies.hasPartialDirectory():
+			// Until the directory is complete, others wait for its pages, and thousands of new connections
+			// to runners would delay them.
 			r.updateHolders(current.table)
 		}
 	}
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -33,7 +33,7 @@
 	// long when many routers request it.
 	directoryPullTimeout = 2 * time.Second
 	// pagePullTimeout is the timeout of a pull of one page of the directory.
-	pagePullTimeout = 500 * time.Millisecond
+	pagePullTimeout = time.Second
 	// nextPullDelay is the delay before the directory is pulled.
 	nextPullDelay = 10 * time.Millisecond
 )
