--- a/internal/gateway/firstanswers.go
+++ b/internal/gateway/firstanswers.go
@@ -148,8 +148,8 @@
 	}
 }
 
-// sendNotification tells a router that this one has data for it. A router that misses the notification pulls
-// again by itself.
+// sendNotification notifies a router that this one has data for it. A router that misses the notification
+// pulls again by itself.
 func (r *peerRouters) sendNotification(address string) {
 	r.Send(address, &wire.Envelope{Body: &wire.Envelope_CopyPush{CopyPush: &wire.CopyPush{HasData: true, Source: r.gateway.settings.PeerAddress}}})
 }
--- a/internal/gateway/partialdirectory.go
+++ b/internal/gateway/partialdirectory.go
@@ -59,7 +59,7 @@
 	return coldstart.Page{Objects: response.objects, Through: response.revision}
 }
 
-// addPage uses the runners of a page. The proof says that the store proved all objects of its source.
+// addPage uses the runners of a page. newProof is the proof of the copy from which the page was cut.
 func (c *copies) addPage(page coldstart.Page, newProof proof) {
 	c.gateway.eraTracker.observe(page.Through.Era())
 	c.mutex.Lock()
--- a/internal/gateway/return_test.go
+++ b/internal/gateway/return_test.go
@@ -51,7 +51,7 @@
 	f.g.Eventually(func() int { return len(r.Status().Runners) }, 5*time.Second, 10*time.Millisecond).Should(Equal(21))
 }
 
-// Guards against a seed that tells others nothing before its own directory is complete, so that all of
+// Guards against a seed that gives others nothing before its own directory is complete, so that all of
 // them wait for its last page.
 func TestSeedServesOthersBeforeItsDirectoryIsComplete(t *testing.T) {
 	t.Parallel()
