store list: continue after the last readable name

Callers saw: with one object in the store that has no readable name, last on a page, no router could list the runners; a started router stayed without a directory.

Cause: the client took the name of the last object of a page, and the gateway derived the name to continue from again from the objects.

Change: ListPage returns the name after which the next page begins, empty if there is none. The set of listed names is derived where it is used instead of kept with the list.

--- a/internal/gateway/list.go
+++ b/internal/gateway/list.go
@@ -22,10 +22,9 @@
 // pendingList is a list of the store of which some pages may be missing.
 type pendingList struct {
 	stale bool
-	// objects and names are those of the pages so far, and last is the last name.
+	// objects are those of the pages so far, and next is the name after which the next page begins.
 	objects []v1.Object
-	names   map[string]bool
-	last    string
+	next    string
 	// through is the lowest revision of the pages, as stale pages may reflect different moments.
 	through storerev.Revision
 	// sentAt is when the first page was requested, and knownRevision the newest revision known then.
@@ -42,9 +41,7 @@
 	l.pages++
 	l.through = min(l.through, response.revision)
 	l.objects = append(l.objects, response.objects...)
-	for _, object := range response.objects {
-		l.names[object.Name], l.last = true, object.Name
-	}
+	l.next = response.next
 }
 
 // list reads the next page of a list. A router that has just started and found no router to pull from may be
@@ -53,7 +50,7 @@
 func (w *storeWatcher) list() error {
 	g := w.gateway
 	if w.pending == nil {
-		w.pending = &pendingList{stale: w.listed && !g.peerRouters.alwaysReadsStore(), names: map[string]bool{}}
+		w.pending = &pendingList{stale: w.listed && !g.peerRouters.alwaysReadsStore()}
 	}
 	more, err := w.readPage(w.pending)
 	if err != nil {
@@ -80,14 +77,14 @@
 	if w.failures > 0 {
 		timeouts.total *= slowCallFactor
 	}
-	after, stale := list.last, list.stale
+	after, stale := list.next, list.stale
 	response := callHedged(g.ctx, timeouts, func(ctx context.Context) storeResponse {
-		more := false
+		next := ""
 		response := w.recordedCall(ctx, callList, func() (objects []v1.Object, revision storerev.Revision, err error) {
-			objects, revision, more, err = g.ports.Store.ListPage(ctx, w.kind, after, stale)
+			objects, revision, next, err = g.ports.Store.ListPage(ctx, w.kind, after, stale)
 			return objects, revision, err
 		})
-		response.more = more
+		response.next = next
 		return response
 	})
 	if response.err != nil {
@@ -99,10 +96,10 @@
 	}
 	list.add(response)
 	// A list of one page is applied as a whole.
-	if w.kind == RunnerObjects && (response.more || w.gateway.copies.hasPartialDirectory()) {
+	if w.kind == RunnerObjects && (response.next != "" || w.gateway.copies.hasPartialDirectory()) {
 		w.usePage(list, response)
 	}
-	return response.more, nil
+	return response.next != "", nil
 }
 
 // usePage uses the runners of a page of an incomplete list.
--- a/internal/gateway/partialdirectory.go
+++ b/internal/gateway/partialdirectory.go
@@ -116,6 +116,10 @@
 // completeList turns a partial directory of which the store has listed all pages into a copy. Objects that
 // the list lacks were deleted, unless they were written after its first page.
 func (c *copies) completeList(list *pendingList) {
+	listed := map[string]bool{}
+	for _, name := range listedNames(list.objects) {
+		listed[name] = true
+	}
 	c.mutex.Lock()
 	if !c.isPartial() {
 		c.mutex.Unlock()
@@ -123,7 +127,7 @@
 	}
 	delta := config.Delta{Full: true, Through: max(list.through, c.assembly.Through())}
 	for _, object := range c.stores[RunnerObjects].Objects() {
-		if list.names[object.Name] || storerev.Revision(object.Version) > list.through {
+		if listed[object.Name] || storerev.Revision(object.Version) > list.through {
 			delta.Objects = append(delta.Objects, object)
 		}
 	}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -175,8 +175,9 @@
 	// seconds old and costs the store little.
 	List(ctx context.Context, kind ObjectKind, stale bool) (objects []v1.Object, revision storerev.Revision, err error)
 	// ListPage returns one page of the objects of the kind in the order of their names, beginning after
-	// the given name, and the revision of the page. more tells whether other pages follow.
-	ListPage(ctx context.Context, kind ObjectKind, after string, stale bool) (objects []v1.Object, revision storerev.Revision, more bool, err error)
+	// the given name, and the revision of the page. next is the name after which the next page begins, empty
+	// if there is no other page.
+	ListPage(ctx context.Context, kind ObjectKind, after string, stale bool) (objects []v1.Object, revision storerev.Revision, next string, err error)
 	// Watch returns the changes after the revision as soon as there are any, or none when the wait
 	// ends, and the revision through which nothing else changed. The store compares only the
 	// revision numbers, so a response of another era lacks the changes between the eras.
--- a/internal/gateway/storecall.go
+++ b/internal/gateway/storecall.go
@@ -17,8 +17,8 @@
 	// then.
 	sentAt        time.Time
 	knownRevision storerev.Revision
-	// more is set if other pages of a list follow.
-	more bool
+	// next is the name after which the next page of a list begins, empty if there is none.
+	next string
 	err  error
 }
 
