start: do not take the copies' lock for calls once the directory is complete

Whether the directory is partial is asked for each call that is placed and for each check of readiness. The lock that the question took is held while whole lists are decoded, so calls waited for it. Once the directory is complete, the recorded stage of the start answers, without that lock. The same stage saves a map of fields for each runner after the first.

Behaviour is unchanged: the stage is recorded with the first revision of the directory, under the same lock, and the revision never returns to 0. The wait for the lock was found by reading and was not measured.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -50,7 +50,7 @@
 	added := !writtenByOther && g.runners.Put(runner)
 	g.streams.observeChange()
 	g.mutex.Unlock()
-	if added {
+	if added && !g.startup.has(coldstart.RunnerKnown) {
 		g.startup.reach(coldstart.RunnerKnown, events.Fields{"runner": runner.ID})
 	}
 	switch {
--- a/internal/gateway/partialdirectory.go
+++ b/internal/gateway/partialdirectory.go
@@ -20,6 +20,10 @@
 
 // hasPartialDirectory reports whether the router has received pages of the directory, but not all.
 func (c *copies) hasPartialDirectory() bool {
+	// The mutex is held while whole lists are decoded, and calls are placed meanwhile.
+	if c.gateway.startup.has(coldstart.DirectoryComplete) {
+		return false
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.isPartial()
@@ -186,6 +190,9 @@
 
 // canServe reports whether the router can serve calls of each routed service.
 func (c *copies) canServe() bool {
+	if c.gateway.startup.has(coldstart.DirectoryComplete) {
+		return true
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.servesRoutes()
--- a/internal/gateway/storedquarantines_internal_test.go
+++ b/internal/gateway/storedquarantines_internal_test.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	gateway := &Gateway{ports: Ports{Clock: clock.New(), Store: store}, ctx: ctx, cancel: cancel, random: rand.New(rand.NewPCG(1, 2)), directReads: newDirectMode(), distances: distance.New(distance.Config{}), log: events.NewLogger(io.Discard, "r", logrus.InfoLevel)}
 	gateway.settings.FirstStart, gateway.settings.PeerAddress = true, "127.0.0.1:1"
-	gateway.peerRouters = newPeerRouters(gateway)
+	gateway.startup, gateway.peerRouters = newStartup(gateway), newPeerRouters(gateway)
 	// Any transport will do, since nothing is sent.
 	gateway.peerRouters.transport = &wire.Transport{}
 	gateway.metrics, gateway.random = newMetrics(gateway), rand.New(rand.NewPCG(1, 2))
