start: derive the waits, share the store fault of the soak

Its counter of rounds is named as one. The soak's two loops that set a fault of the store for all gateways are one method, and two search loops are calls of slices.Contains. Behaviour is unchanged.

--- a/internal/coldstart/schedule.go
+++ b/internal/coldstart/schedule.go
@@ -56,11 +56,11 @@
 // It is not safe for concurrent use.
 type Schedule struct {
 	config ScheduleConfig
-	// silentUntil and unreachableUntil are until when the router waits for sources that are silent, or
-	// that can't be reached.
-	silentUntil, unreachableUntil time.Time
-	doublings                     int
-	unreachable                   int
+	// silentWait and unreachableWait are how long after its start the router waits for sources that are
+	// silent, or that can't be reached.
+	silentWait, unreachableWait time.Duration
+	doublings                   int
+	unreachableRounds           int
 	// replies are the last replies of the sources, and round those since the last EndRound. hasEnded is set
 	// once all sources have been asked.
 	replies  map[string]Reply
@@ -80,11 +80,10 @@
 // NewSchedule returns the schedule of a router that has just started.
 func NewSchedule(config ScheduleConfig) *Schedule {
 	s := &Schedule{config: config, replies: map[string]Reply{}}
-	s.silentUntil = config.Started.Add(config.Jitter(silentWait))
-	s.unreachableUntil = config.Started.Add(config.Jitter(unreachableWait))
+	s.silentWait, s.unreachableWait = config.Jitter(silentWait), config.Jitter(unreachableWait)
 	if config.FirstStart {
-		s.silentUntil = config.Started.Add(config.Jitter(firstStartWait))
-		s.unreachableUntil = s.silentUntil
+		s.silentWait = config.Jitter(firstStartWait)
+		s.unreachableWait = s.silentWait
 	}
 	return s
 }
@@ -97,22 +96,22 @@
 
 // EndRound ends a series of requests to several sources, which decides on the next interval.
 func (s *Schedule) EndRound() {
-	silent, refused := 0, 0
+	silent, unreachable := 0, 0
 	for _, reply := range s.round {
 		switch reply {
 		case Silent:
 			silent++
 		case Unreachable:
-			refused++
+			unreachable++
 		}
 	}
 	switch {
-	case refused > 0:
-		s.unreachable++
+	case unreachable > 0:
+		s.unreachableRounds++
 	case silent > 0 && silent == len(s.round):
 		s.doublings = min(s.doublings+1, maxDoublings)
 	case len(s.round) > 0:
-		s.doublings, s.unreachable = 0, 0
+		s.doublings, s.unreachableRounds = 0, 0
 	}
 	s.hasEnded = s.hasEnded || len(s.round) > 0
 	s.round = s.round[:0]
@@ -121,7 +120,7 @@
 // Interval returns the interval to the next requests.
 func (s *Schedule) Interval() time.Duration {
 	if s.has(Unreachable) {
-		return min(minUnreachableInterval<<min(s.unreachable, maxDoublings), maxUnreachableInterval)
+		return min(minUnreachableInterval<<min(s.unreachableRounds, maxDoublings), maxUnreachableInterval)
 	}
 	return minInterval << s.doublings
 }
@@ -157,14 +156,14 @@
 // WaitUntil returns until when the router waits for its sources instead of reading the store. Before their first
 // replies, they may all be starting.
 func (s *Schedule) WaitUntil() time.Time {
-	until := s.silentUntil
+	wait := s.silentWait
 	if !s.hasEnded || s.has(Unreachable) {
-		until = later(until, s.unreachableUntil)
+		wait = max(wait, s.unreachableWait)
 	}
 	if s.has(Empty) {
-		until = later(until, s.config.Started.Add(emptyWait))
+		wait = max(wait, emptyWait)
 	}
-	return until
+	return s.config.Started.Add(wait)
 }
 
 // has reports whether the last reply of a source is the given one.
@@ -176,10 +175,3 @@
 	}
 	return false
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -77,7 +77,7 @@
 }
 
 func newPeerRouters(g *Gateway) *peerRouters {
-	r := &peerRouters{
+	return &peerRouters{
 		gateway: g, selector: relay.NewSelector(g.settings.PeerAddress, g.settings.Zone, g.distances, g.settings.Seeds),
 		assigner: relay.NewAssigner(), standbys: relay.NewStandbySelector(), followers: map[string]followerState{}, counter: peers.NewRouterCounter(), pullNow: make(chan struct{}, 1), packedDeltas: map[ObjectKind]packedDelta{},
 		schedule:   coldstart.NewSchedule(coldstart.ScheduleConfig{Started: g.startedAt, FirstStart: g.settings.FirstStart, Jitter: g.jitter}),
@@ -86,7 +86,6 @@
 		pages:      newPageRequests(g),
 		pageServer: newPageServer(g),
 	}
-	return r
 }
 
 // listen accepts connections of other routers if the settings contain a peer address.
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -205,15 +205,15 @@
 func (s *Soak) storeFaultForAll(time.Duration) (string, func()) {
 	fault := s.randomStoreFault()
 	endDisturbance := s.disturbances.begin(storeSubject)
+	s.setStoreFault(fault)
+	return "store " + fault.String() + " for all", func() { s.setStoreFault(storestand.Healthy); endDisturbance() }
+}
+
+// setStoreFault sets the fault of the store for all gateways.
+func (s *Soak) setStoreFault(fault storestand.Fault) {
 	for _, p := range s.processes {
 		p.storeEndpoint.SetFault(fault)
 	}
-	return "store " + fault.String() + " for all", func() {
-		for _, p := range s.processes {
-			p.storeEndpoint.SetFault(storestand.Healthy)
-		}
-		endDisturbance()
-	}
 }
 
 func (s *Soak) storeFaultForOne(time.Duration) (string, func()) {
--- a/internal/lab/soak/returns.go
+++ b/internal/lab/soak/returns.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -132,14 +133,8 @@
 func (f *returnInjector) failingStore() (string, func()) {
 	faults := []storestand.Fault{storestand.Throttled, storestand.Busy, storestand.Hangs}
 	fault := faults[f.random.IntN(len(faults))]
-	for _, p := range f.soak.processes {
-		p.storeEndpoint.SetFault(fault)
-	}
-	return fault.String(), func() {
-		for _, p := range f.soak.processes {
-			p.storeEndpoint.SetFault(storestand.Healthy)
-		}
-	}
+	f.soak.setStoreFault(fault)
+	return fault.String(), func() { f.soak.setStoreFault(storestand.Healthy) }
 }
 
 // apply kills the gateways of the loss, starts them again and checks their return.
@@ -179,10 +174,8 @@
 	var group sync.WaitGroup
 	for i, p := range l.lost {
 		delay := time.Duration(f.random.Int64N(int64(maxStartSpread)))
-		for _, late := range l.late {
-			if late == p {
-				delay += time.Duration(f.random.Int64N(int64(maxSeedDelay)))
-			}
+		if slices.Contains(l.late, p) {
+			delay += time.Duration(f.random.Int64N(int64(maxSeedDelay)))
 		}
 		group.Go(func() {
 			time.Sleep(delay)
@@ -250,10 +243,5 @@
 }
 
 func isStartRefusal(body string) bool {
-	for _, reason := range startReasons {
-		if strings.TrimSpace(body) == reason {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(startReasons, strings.TrimSpace(body))
 }
