gateway: log the prompt parts of requests and of the runs on a crashed runner

Without them a part that crashes each runner cannot be told from crashes of another cause, as contents that share nothing but that part have nothing in common in the logs. At most eight parts with IDs of at most 64 bytes are recorded for a request. No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -104,10 +104,12 @@
 	// set, and sendCtx is a child of ctx that is canceled on withdrawal; otherwise sendCtx is ctx.
 	sendCtx   context.Context
 	unstarted *unstartedSend
-	// content identifies the request's content once the body has been read. run is the current
-	// attempt as recorded for crash detection.
-	content quarantine.ContentID
-	run     *quarantine.Run
+	// content identifies the request's content once the body has been read, and sharedParts are the
+	// prompt parts that it may share with other requests. run is the current attempt as recorded for
+	// crash detection.
+	content     quarantine.ContentID
+	sharedParts []string
+	run         *quarantine.Run
 	// suspected is set if the content may crash its runner, and lostConnection if the connection
 	// to a runner was lost during this call. crashChecked is closed once it is known whether
 	// that runner crashed.
@@ -198,7 +200,7 @@
 		c.refuse(refused)
 		return
 	}
-	c.content = quarantine.NewContentID(c.tenantName(), request.Host, requestTarget(request), c.body)
+	c.identifyContent()
 	if refused := c.checkQuarantine(); refused != nil {
 		c.cancelQuotaCheck()
 		c.placementRequest.discard()
--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -20,6 +20,30 @@
 	trialRetryAfter = time.Second
 )
 
+// maxRecordedParts limits the prompt parts of one request that are recorded, and maxRecordedPartBytes the length
+// of the ID of each. Prompts have a handful of parts with short IDs, but callers may name any number.
+const (
+	maxRecordedParts     = 8
+	maxRecordedPartBytes = 64
+)
+
+// identifyContent sets what identifies the request's content.
+func (c *call) identifyContent() {
+	c.content = quarantine.NewContentID(c.tenantName(), c.incoming.Host, requestTarget(c.incoming), c.body)
+	c.sharedParts = recordedParts(c.metadata.Prompt)
+}
+
+// recordedParts returns the IDs of the parts that the prompt may share with others. The last part belongs to the
+// request itself.
+func recordedParts(prompt []PromptPart) (ids []string) {
+	for _, part := range prompt[:min(max(len(prompt)-1, 0), maxRecordedParts)] {
+		if len(part.ID) <= maxRecordedPartBytes {
+			ids = append(ids, part.ID)
+		}
+	}
+	return ids
+}
+
 // checkQuarantine returns the reason for which the call may not be sent because of its content,
 // nil if it may. It is called before each attempt, because the runner of the previous one may
 // have crashed and other routers may have reported crashes in the meantime.
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -12,7 +12,6 @@
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/events"
-	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -59,7 +58,7 @@
 		c.refuse(refused)
 		return
 	}
-	c.content = quarantine.NewContentID(c.tenantName(), c.incoming.Host, requestTarget(c.incoming), c.body)
+	c.identifyContent()
 	if refused := c.checkQuarantine(); refused != nil {
 		c.refuse(refused)
 		return
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -48,7 +48,7 @@
 	fields := events.Fields{
 		"request": c.metadata.ID, "route": c.route.Name, "service": c.service, "runner": c.runner.ID,
 		"tenant": c.tenantName(), "outcome": outcome, "late": reason != "", "late_by": reason, "attempts": c.attemptState.Attempt(), "first_ms": firstResponseTime.Milliseconds(), "pause_ms": maxPause.Milliseconds(), "ms": now.Sub(c.arrivedAt).Milliseconds(),
-		"prompt_tokens": c.query.PromptTokens, "fetched": c.fetchSource, "content": c.content.String(),
+		"prompt_tokens": c.query.PromptTokens, "fetched": c.fetchSource, "content": c.content.String(), "parts": c.sharedParts,
 		"config": c.config.table.Version, "config_age_ms": c.arrivedAt.Sub(c.config.provenAt).Milliseconds(),
 		"framing": c.responseFraming.String(), "response_end": c.responseEnd.Verdict.String(), "http": c.incoming.Proto,
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -58,7 +58,7 @@
 		fields["ingress"] = c.forwarded.GetFrom()
 	}
 	if c.content != (quarantine.ContentID{}) {
-		fields["content"] = c.content.String()
+		fields["content"], fields["parts"] = c.content.String(), c.sharedParts
 	}
 	if r.queueTooLong {
 		fields["queue_ms"], fields["max_queue_ms"] = c.expectedQueueTime.Milliseconds(), c.queueLimit.MaxQueue.Milliseconds()
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -45,10 +45,10 @@
 }
 
 // begin records the run of a request that is about to be sent.
-func (d *crashDetector) begin(now time.Time, runner backend.Runner, content quarantine.ContentID) *quarantine.Run {
+func (d *crashDetector) begin(now time.Time, runner backend.Runner, content quarantine.ContentID, parts []string) *quarantine.Run {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.runTable.Begin(now, incarnationOf(runner), content)
+	return d.runTable.Begin(now, incarnationOf(runner), content, parts)
 }
 
 // end records the outcome of a run.
@@ -123,7 +123,7 @@
 	d.mutex.Unlock()
 	d.gateway.metrics.requestsAtCrash.WithLabelValues(runner.Service).Observe(float64(len(runs)))
 	d.gateway.log.Log(events.RunnerEndDetected, events.Fields{
-		"runner": runner.ID, "address": runner.Address, "service": runner.Service, "runs": len(runs), "contents": contentNames(runs),
+		"runner": runner.ID, "address": runner.Address, "service": runner.Service, "runs": len(runs), "contents": contentNames(runs), "parts": countParts(runs),
 	})
 	d.gateway.suspects.runnerCrashed(now, runs)
 }
@@ -188,3 +188,16 @@
 	}
 	return names
 }
+
+// countParts returns the number of runs with each prompt part for the log, at most maxLoggedContents parts.
+func countParts(runs []*quarantine.Run) map[string]int {
+	counts := map[string]int{}
+	for _, run := range runs {
+		for _, part := range run.Parts {
+			if _, found := counts[part]; found || len(counts) < maxLoggedContents {
+				counts[part]++
+			}
+		}
+	}
+	return counts
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -80,7 +80,7 @@
 		"runner": runner.ID, "address": runner.Address, "attempt": c.attemptState.Attempt() + 1, "weights": c.weightVersion,
 		"expected_wait_ms": chosen.Wait.Milliseconds(), "cached_tokens": chosen.Candidate.CachedTokens, "prompt_tokens": query.PromptTokens,
 		"placed_by": placedBy, "in_flight": chosen.Candidate.PendingRequests, "streams": chosen.Candidate.Streams, "queue_ms": chosen.QueueWait.Milliseconds(), "excess": c.queueLimit.Excess,
-		"permitted": c.permit.Valid(now), "content": c.content.String(), "directory": storerev.Revision(g.directoryRevision.Load()).Number(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
+		"permitted": c.permit.Valid(now), "content": c.content.String(), "parts": c.sharedParts, "directory": storerev.Revision(g.directoryRevision.Load()).Number(), "directory_age_ms": g.copies.ageMillis(now, RunnerObjects), "weights_age_ms": g.copies.ageMillis(now, WeightObjects),
 		"zone": runner.Zone, "software": runner.SoftwareVersion,
 	}
 	if reason := chosen.LeaveReason.String(); reason != "" {
@@ -273,7 +273,7 @@
 	c.gateway.metrics.runnerFailures.WithLabelValues(c.service, outcome.String()).Inc()
 	c.bufferLog(events.RequestAttemptFailed, events.Fields{
 		"runner": c.runner.ID, "address": c.runner.Address, "attempt": c.attemptState.Attempt(),
-		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": c.gateway.since(c.sentAt).Milliseconds(), "content": c.content.String(),
+		"outcome": outcome.String(), "cause": cause, "status": status, "after_ms": c.gateway.since(c.sentAt).Milliseconds(), "content": c.content.String(), "parts": c.sharedParts,
 	})
 }
 
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -36,7 +36,7 @@
 	if c.schedulerChoice != nil {
 		g.runners.ReportedElsewhere(c.currentSend)
 	}
-	c.run = g.crashDetector.begin(now, runner, c.content)
+	c.run = g.crashDetector.begin(now, runner, c.content, c.sharedParts)
 	c.sendCtx, c.unstarted = c.ctx, nil
 	if !c.isStartObservable() {
 		return
--- a/internal/quarantine/runtable.go
+++ b/internal/quarantine/runtable.go
@@ -39,7 +39,9 @@
 // Run is one request sent to a runner.
 type Run struct {
 	Content ContentID
-	Runner  Runner
+	// Parts are the IDs of the prompt parts that the request may share with others.
+	Parts  []string
+	Runner Runner
 	// SentAt is when the request was sent.
 	SentAt time.Time
 	// endedAt is when the router saw the run end, zero while it is open.
@@ -75,8 +77,8 @@
 }
 
 // Begin adds a run for a request that is about to be sent to the runner.
-func (t *RunTable) Begin(now time.Time, runner Runner, content ContentID) *Run {
-	run := &Run{Content: content, Runner: runner, SentAt: now}
+func (t *RunTable) Begin(now time.Time, runner Runner, content ContentID, parts []string) *Run {
+	run := &Run{Content: content, Parts: parts, Runner: runner, SentAt: now}
 	t.runs[runner] = append(t.runs[runner], run)
 	return run
 }
--- a/internal/quarantine/runtable_test.go
+++ b/internal/quarantine/runtable_test.go
@@ -34,12 +34,12 @@
 
 func TestRunnerCrashedReturnsOpenAndRecentlyEndedRuns(t *testing.T) {
 	g, table := NewWithT(t), quarantine.NewRunTable()
-	begin := func(name string) *quarantine.Run { return table.Begin(start, runnerA, content(name)) }
+	begin := func(name string) *quarantine.Run { return table.Begin(start, runnerA, content(name), nil) }
 	open, lost, canceled, old := begin("open"), begin("lost"), begin("canceled"), begin("old")
 	for _, outcome := range []quarantine.RunOutcome{quarantine.NotRun, quarantine.Survived, quarantine.Indeterminate} {
 		table.End(start, begin("settled"), outcome)
 	}
-	table.Begin(start, quarantine.Runner{ID: "a", Incarnation: 2}, content("next incarnation"))
+	table.Begin(start, quarantine.Runner{ID: "a", Incarnation: 2}, content("next incarnation"), nil)
 	table.End(start, old, quarantine.ConnectionLost)
 	now := start.Add(time.Second)
 	table.End(now, lost, quarantine.ConnectionLost)
@@ -54,7 +54,7 @@
 
 func TestRunnerAliveMarksEarlierLostConnectionsAsSurvived(t *testing.T) {
 	g, table := NewWithT(t), quarantine.NewRunTable()
-	before, after, canceled := table.Begin(start, runnerA, content("1")), table.Begin(start, runnerA, content("2")), table.Begin(start, runnerA, content("3"))
+	before, after, canceled := table.Begin(start, runnerA, content("1"), nil), table.Begin(start, runnerA, content("2"), nil), table.Begin(start, runnerA, content("3"), nil)
 	table.End(start, before, quarantine.ConnectionLost)
 	table.End(start, canceled, quarantine.Canceled)
 	table.End(start.Add(2*time.Millisecond), after, quarantine.ConnectionLost)
@@ -64,9 +64,9 @@
 
 func TestEndedRunsPerRunnerAreBounded(t *testing.T) {
 	g, table := NewWithT(t), quarantine.NewRunTable()
-	open := table.Begin(start, runnerA, content("open"))
+	open := table.Begin(start, runnerA, content("open"), nil)
 	for i := range 1000 {
-		table.End(start, table.Begin(start, runnerA, content(fmt.Sprint(i))), quarantine.Canceled)
+		table.End(start, table.Begin(start, runnerA, content(fmt.Sprint(i)), nil), quarantine.Canceled)
 	}
 	runs := table.RunnerCrashed(start, runnerA)
 	g.Expect(len(runs)).To(BeNumerically("<=", 129))
