--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -235,7 +235,7 @@
 func (f *fleet) servingRouter(name string, adjust func(*gateway.Settings)) *router {
 	r := f.router(name, adjust)
 	f.g.Eventually(r.isReady, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
-	f.g.Eventually(r.log.String, 3*time.Second, 10*time.Millisecond).Should(ContainSubstring("runner added"))
+	f.g.Eventually(r.log.String, 3*time.Second, 10*time.Millisecond).Should(ContainSubstring(`"stage":"runner_known"`))
 	return r
 }
 
--- a/internal/gateway/poison_test.go
+++ b/internal/gateway/poison_test.go
@@ -101,11 +101,17 @@
 
 // startRouters starts a seed and followers.
 func (p *poisonedFleet) startRouters(followers int) {
+	p.routers = append(p.routers, p.startSeedAndFollowers(followers)...)
+}
+
+// startSeedAndFollowers starts routers and returns them, the seed first.
+func (f *fleet) startSeedAndFollowers(followers int) (routers []*router) {
 	seeds := []string{loopback.FreeAddress()}
-	p.routers = append(p.routers, p.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = seeds[0], seeds }))
+	routers = append(routers, f.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = seeds[0], seeds }))
 	for i := range followers {
-		p.routers = append(p.routers, p.servingRouter(fmt.Sprintf("follower-%d", i), p.followerSettings(seeds)))
+		routers = append(routers, f.servingRouter(fmt.Sprintf("follower-%d", i), f.followerSettings(seeds)))
 	}
+	return routers
 }
 
 // crashCount returns the number of crashes, and from when on sends of the poison count, which is
--- a/internal/lab/runnerstand/poison.go
+++ b/internal/lab/runnerstand/poison.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,8 +14,11 @@
 // Poison configures which calls crash the runner that processes them, and how.
 type Poison struct {
 	// Prefix is the prefix of the bodies of calls that crash the runner. If it is empty, no
-	// call does.
+	// body does.
 	Prefix string
+	// Part reports whether a prompt part crashes the runner, wherever it stands but at the end. If
+	// it is nil, no part does.
+	Part func(id string) bool
 	// CrashDelay is how long the runner processes the call before it crashes.
 	CrashDelay time.Duration
 	// NoResponse makes the runner crash before it sends response headers. Otherwise it crashes
@@ -24,9 +28,22 @@
 	OnCrash func(*Runner, Run)
 }
 
-// matches reports whether a call with the body crashes the runner.
-func (p Poison) matches(body []byte) bool {
-	return p.Prefix != "" && strings.HasPrefix(string(body), p.Prefix)
+// matches reports whether a call crashes the runner.
+func (p Poison) matches(header http.Header, body []byte) bool {
+	if p.Prefix != "" && strings.HasPrefix(string(body), p.Prefix) {
+		return true
+	}
+	return p.Part != nil && slices.ContainsFunc(SharedParts(header), p.Part)
+}
+
+// SharedParts returns the IDs of all prompt parts of a call but the last, which belongs to the call itself.
+func SharedParts(header http.Header) (ids []string) {
+	parts := strings.Split(header.Get(platform.HeaderPromptPrefix), ",")
+	for _, part := range parts[:len(parts)-1] {
+		id, _, _ := strings.Cut(part, ":")
+		ids = append(ids, id)
+	}
+	return ids
 }
 
 // crash closes the runner while it processes the run, and panics to break the connection.
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -362,7 +362,7 @@
 	if behaviour == Queues && !r.startAfterQueue(request, run) {
 		return
 	}
-	if r.Poison.matches(body) {
+	if r.Poison.matches(request.Header, body) {
 		r.crash(writer, run)
 	}
 	header := writer.Header()
