quarantine: what crashes are attributed to is a Subject

ContentID becomes Subject, which can also be a part of prompts; Record.Content becomes Record.Subject. Nothing creates subjects of parts yet, and behaviour is unchanged.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -107,7 +107,7 @@
 	// content identifies the request's content once the body has been read, and sharedParts are the
 	// prompt parts that it may share with other requests. run is the current attempt as recorded for
 	// crash detection.
-	content     quarantine.ContentID
+	content     quarantine.Subject
 	sharedParts []string
 	run         *quarantine.Run
 	// suspected is set if the content may crash its runner, and lostConnection if the connection
--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -29,7 +29,7 @@
 
 // identifyContent sets what identifies the request's content.
 func (c *call) identifyContent() {
-	c.content = quarantine.NewContentID(c.tenantName(), c.incoming.Host, requestTarget(c.incoming), c.body)
+	c.content = quarantine.NewContent(c.tenantName(), c.incoming.Host, requestTarget(c.incoming), c.body)
 	c.sharedParts = recordedParts(c.metadata.Prompt)
 }
 
--- a/internal/gateway/otherversions_test.go
+++ b/internal/gateway/otherversions_test.go
@@ -31,7 +31,7 @@
 }
 
 func suspectRecords(now time.Time) []quarantine.Record {
-	record := quarantine.Record{Content: quarantine.ContentID{Tenant: "t", Digest: 7}}
+	record := quarantine.Record{Subject: quarantine.Subject{Tenant: "t", Digest: 7}}
 	for i, id := range []string{"a", "b"} {
 		at := now.Add(time.Duration(i-5) * time.Second)
 		record.Crashes = append(record.Crashes, quarantine.Crash{Runner: quarantine.Runner{ID: id, Incarnation: 3}, SentAt: at.Add(-time.Second), DetectedAt: at})
@@ -66,7 +66,7 @@
 	e.Expect(proto.Unmarshal(encoded, &message)).To(Succeed())
 	decoded := decodeSuspects(now, message.GetRecords())
 	e.Expect(decoded).To(HaveLen(1))
-	e.Expect(decoded[0].Content).To(Equal(records[0].Content))
+	e.Expect(decoded[0].Subject).To(Equal(records[0].Subject))
 	e.Expect(decoded[0].SurvivedAt).To(BeTemporally("~", records[0].SurvivedAt, 2*time.Millisecond))
 	for i, crash := range decoded[0].Crashes {
 		e.Expect(crash.Runner).To(Equal(records[0].Crashes[i].Runner))
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -200,7 +200,7 @@
 	// SaveQuarantine writes the record of a content and replaces the stored one.
 	SaveQuarantine(ctx context.Context, record quarantine.Record) error
 	// DeleteQuarantine deletes the record of the content. It is no error if there is none.
-	DeleteQuarantine(ctx context.Context, content quarantine.ContentID) error
+	DeleteQuarantine(ctx context.Context, content quarantine.Subject) error
 	// OnEra registers a function that is called with the era of each response that contains one,
 	// including errors. It must be called before any other method. The era increases by one each
 	// time the store is restored from a backup. The store then lacks the changes acknowledged after
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -174,7 +174,7 @@
 func TestExpiredRecordIsRemovedFromStore(t *testing.T) {
 	t.Parallel()
 	p := newPoisonedFleet(t, 1, false)
-	record := quarantine.Record{Content: quarantine.ContentID{Tenant: "tenant-one", Digest: 255}}
+	record := quarantine.Record{Subject: quarantine.Subject{Tenant: "tenant-one", Digest: 255}}
 	for i, id := range []string{"a", "b", "c"} {
 		detectedAt := time.Now().Add(time.Duration(i)*time.Second - 48*time.Hour)
 		record.Crashes = append(record.Crashes, quarantine.Crash{Runner: quarantine.Runner{ID: id}, SentAt: detectedAt.Add(-time.Millisecond), DetectedAt: detectedAt})
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -57,7 +57,7 @@
 	if c.isForwarded() {
 		fields["ingress"] = c.forwarded.GetFrom()
 	}
-	if c.content != (quarantine.ContentID{}) {
+	if c.content != (quarantine.Subject{}) {
 		fields["content"], fields["parts"] = c.content.String(), c.sharedParts
 	}
 	if r.queueTooLong {
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -45,7 +45,7 @@
 }
 
 // begin records the run of a request that is about to be sent.
-func (d *crashDetector) begin(now time.Time, runner backend.Runner, content quarantine.ContentID, parts []string) *quarantine.Run {
+func (d *crashDetector) begin(now time.Time, runner backend.Runner, content quarantine.Subject, parts []string) *quarantine.Run {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.runTable.Begin(now, incarnationOf(runner), content, parts)
@@ -167,7 +167,7 @@
 }
 
 // hasOpenRun reports whether a run of the content is open.
-func (d *crashDetector) hasOpenRun(content quarantine.ContentID) bool {
+func (d *crashDetector) hasOpenRun(content quarantine.Subject) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	return d.runTable.HasOpenRun(content)
--- a/internal/gateway/runnerends_internal_test.go
+++ b/internal/gateway/runnerends_internal_test.go
@@ -24,7 +24,7 @@
 	time.Sleep(50 * time.Millisecond)
 	began := make(chan struct{})
 	go func() {
-		detector.begin(time.Now(), backend.Runner{ID: "r2"}, quarantine.ContentID{}, nil)
+		detector.begin(time.Now(), backend.Runner{ID: "r2"}, quarantine.Subject{}, nil)
 		close(began)
 	}()
 	g.Eventually(began, time.Second).Should(BeClosed())
--- a/internal/gateway/runnerends_test.go
+++ b/internal/gateway/runnerends_test.go
@@ -27,7 +27,7 @@
 	runner := f.runner("e1", "engines")
 	metricsAddress := loopback.FreeAddress()
 	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.MetricsAddress = metricsAddress })
-	content := quarantine.NewContentID("tenant-one", "h.example", "/once/x", []byte("the body")).String()
+	content := quarantine.NewContent("tenant-one", "h.example", "/once/x", []byte("the body")).String()
 	runner.SetBehaviour(runnerstand.TruncatesResponse)
 	f.g.Expect(r.call("/once/x", nil).truncated).To(BeTrue())
 	f.expectMetric(metricsAddress, `clovertiller_runner_checks_total{outcome="runs",service="engines"}`, 1)
--- a/internal/gateway/storedquarantines.go
+++ b/internal/gateway/storedquarantines.go
@@ -37,23 +37,23 @@
 	// era is the era of the store's last list, 0 before the first.
 	era uint64
 	// stored holds the records that the store is known to have.
-	stored map[quarantine.ContentID]quarantine.Record
+	stored map[quarantine.Subject]quarantine.Record
 	// pending holds the contents whose record must be written to the store or, once it is cleared
 	// or has expired, removed from it. It has at most one entry per record.
-	pending map[quarantine.ContentID]bool
+	pending map[quarantine.Subject]bool
 	// wakeup receives a value when there is something to write.
 	wakeup chan struct{}
 }
 
 func newStoredQuarantines(g *Gateway) *storedQuarantines {
 	return &storedQuarantines{
-		gateway: g, stored: map[quarantine.ContentID]quarantine.Record{}, pending: map[quarantine.ContentID]bool{}, wakeup: make(chan struct{}, 1),
+		gateway: g, stored: map[quarantine.Subject]quarantine.Record{}, pending: map[quarantine.Subject]bool{}, wakeup: make(chan struct{}, 1),
 	}
 }
 
 // recordChanged queues the content if its record must be written to the store or removed from it.
 // The writer handles it as soon as this router reads the store.
-func (q *storedQuarantines) recordChanged(content quarantine.ContentID, crashes int) {
+func (q *storedQuarantines) recordChanged(content quarantine.Subject, crashes int) {
 	q.mutex.Lock()
 	if _, stored := q.stored[content]; crashes >= minStoredCrashes || stored {
 		q.pending[content] = true
@@ -179,9 +179,9 @@
 	}
 	g.suspects.merge(records)
 	for _, record := range records {
-		if _, status := g.suspects.record(record.Content); status.State == quarantine.Clear {
+		if _, status := g.suspects.record(record.Subject); status.State == quarantine.Clear {
 			// The record is no longer needed, and the router that stored it may not exist any more.
-			q.recordChanged(record.Content, status.Crashes)
+			q.recordChanged(record.Subject, status.Crashes)
 		}
 	}
 }
@@ -189,7 +189,7 @@
 func (q *storedQuarantines) markStored(record quarantine.Record) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.stored[record.Content] = record
+	q.stored[record.Subject] = record
 }
 
 // writeLoop writes pending records until the gateway stops. It retries a failed write until it
@@ -221,20 +221,20 @@
 
 // nextPending returns a content whose record must be written, or false if there is none or this
 // router does not read the store.
-func (q *storedQuarantines) nextPending() (quarantine.ContentID, bool) {
+func (q *storedQuarantines) nextPending() (quarantine.Subject, bool) {
 	if !q.gateway.directReads.isEnabled() {
-		return quarantine.ContentID{}, false
+		return quarantine.Subject{}, false
 	}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for content := range q.pending {
 		return content, true
 	}
-	return quarantine.ContentID{}, false
+	return quarantine.Subject{}, false
 }
 
 // syncRecord makes the store's record of the content match this router's.
-func (q *storedQuarantines) syncRecord(content quarantine.ContentID) error {
+func (q *storedQuarantines) syncRecord(content quarantine.Subject) error {
 	stored, isStored := q.takePending(content)
 	record, status := q.gateway.suspects.record(content)
 	cleared, missing := status.State == quarantine.Clear, !isStored
@@ -255,7 +255,7 @@
 }
 
 // takePending removes the content from the pending ones and returns the store's record of it.
-func (q *storedQuarantines) takePending(content quarantine.ContentID) (stored quarantine.Record, isStored bool) {
+func (q *storedQuarantines) takePending(content quarantine.Subject) (stored quarantine.Record, isStored bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	delete(q.pending, content)
@@ -272,7 +272,7 @@
 	}
 	if g.eraTracker.newest() != era {
 		// The store may have been restored from a backup without the record.
-		q.recordChanged(record.Content, minStoredCrashes)
+		q.recordChanged(record.Subject, minStoredCrashes)
 		return nil
 	}
 	q.markStored(record)
@@ -280,7 +280,7 @@
 }
 
 // remove deletes the record of the content from the store.
-func (q *storedQuarantines) remove(content quarantine.ContentID) error {
+func (q *storedQuarantines) remove(content quarantine.Subject) error {
 	g := q.gateway
 	if err := q.callStore(func(ctx context.Context) error { return g.ports.Store.DeleteQuarantine(ctx, content) }); err != nil {
 		return err
--- a/internal/gateway/storedquarantines_internal_test.go
+++ b/internal/gateway/storedquarantines_internal_test.go
@@ -86,7 +86,7 @@
 	gateway := newQuarantineGateway(t, &compactedStore{})
 	now := gateway.now()
 	for digest := range uint64(100) {
-		gateway.suspects.merge([]quarantine.Record{{Content: quarantine.ContentID{Digest: digest}, Crashes: []quarantine.Crash{
+		gateway.suspects.merge([]quarantine.Record{{Subject: quarantine.Subject{Digest: digest}, Crashes: []quarantine.Crash{
 			{Runner: quarantine.Runner{ID: "a"}, SentAt: now, DetectedAt: now}, {Runner: quarantine.Runner{ID: "b"}, SentAt: now, DetectedAt: now},
 		}}})
 	}
--- a/internal/gateway/suspectencoding.go
+++ b/internal/gateway/suspectencoding.go
@@ -17,7 +17,7 @@
 func encodeSuspects(now time.Time, records []quarantine.Record) []*wire.SuspectRecord {
 	messages := make([]*wire.SuspectRecord, 0, len(records))
 	for _, record := range records {
-		message := &wire.SuspectRecord{Tenant: record.Content.Tenant, Digest: record.Content.Digest, Outlived: !record.SurvivedAt.IsZero()}
+		message := &wire.SuspectRecord{Tenant: record.Subject.Tenant, Digest: record.Subject.Digest, Outlived: !record.SurvivedAt.IsZero()}
 		if message.Outlived {
 			message.OutlivedAgeMillis = wire.AgeToMillis(now.Sub(record.SurvivedAt))
 		}
@@ -36,7 +36,7 @@
 func decodeSuspects(now time.Time, messages []*wire.SuspectRecord) []quarantine.Record {
 	records := make([]quarantine.Record, 0, len(messages))
 	for _, message := range messages {
-		record := quarantine.Record{Content: quarantine.ContentID{Tenant: message.GetTenant(), Digest: message.GetDigest()}}
+		record := quarantine.Record{Subject: quarantine.Subject{Tenant: message.GetTenant(), Digest: message.GetDigest()}}
 		if message.GetOutlived() {
 			record.SurvivedAt = now.Add(-wire.AgeFromMillis(message.GetOutlivedAgeMillis()))
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -18,14 +18,14 @@
 type suspects struct {
 	gateway    *Gateway
 	stored     *storedQuarantines
-	broadcasts *broadcaster[quarantine.ContentID]
+	broadcasts *broadcaster[quarantine.Subject]
 	mutex      sync.Mutex
 	detector   *quarantine.Detector
 	// pullPositions holds, by address, up to which position this router has the records of the
 	// routers that it pulls from.
 	pullPositions map[string]feedPosition
 	// loggedUntil holds the end of the quarantine that was last logged for each content.
-	loggedUntil map[quarantine.ContentID]time.Time
+	loggedUntil map[quarantine.Subject]time.Time
 }
 
 // feedPosition is a position in the sequence of changes to another router's records.
@@ -42,7 +42,7 @@
 func newSuspects(g *Gateway) *suspects {
 	s := &suspects{
 		gateway: g, stored: newStoredQuarantines(g), detector: quarantine.NewDetector(),
-		pullPositions: map[string]feedPosition{}, loggedUntil: map[quarantine.ContentID]time.Time{},
+		pullPositions: map[string]feedPosition{}, loggedUntil: map[quarantine.Subject]time.Time{},
 	}
 	s.broadcasts = newBroadcaster(g, s.encodeContents)
 	return s
@@ -50,7 +50,7 @@
 
 // encodeContents returns a message with the current records of the contents, or nil if there are
 // none.
-func (s *suspects) encodeContents(now time.Time, contents []quarantine.ContentID) *wire.Envelope {
+func (s *suspects) encodeContents(now time.Time, contents []quarantine.Subject) *wire.Envelope {
 	var records []quarantine.Record
 	for _, content := range contents {
 		if record, _ := s.record(content); len(record.Crashes) > 0 {
@@ -64,16 +64,16 @@
 }
 
 // contentIDs returns the contents of the records.
-func contentIDs(records []quarantine.Record) []quarantine.ContentID {
-	contents := make([]quarantine.ContentID, 0, len(records))
+func contentIDs(records []quarantine.Record) []quarantine.Subject {
+	contents := make([]quarantine.Subject, 0, len(records))
 	for _, record := range records {
-		contents = append(contents, record.Content)
+		contents = append(contents, record.Subject)
 	}
 	return contents
 }
 
 // status returns the quarantine status of the content.
-func (s *suspects) status(now time.Time, content quarantine.ContentID) quarantine.Status {
+func (s *suspects) status(now time.Time, content quarantine.Subject) quarantine.Status {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.detector.Evaluate(now, content)
@@ -94,7 +94,7 @@
 }
 
 // runnerSurvived records that a runner survived a run of the content.
-func (s *suspects) runnerSurvived(now time.Time, content quarantine.ContentID) {
+func (s *suspects) runnerSurvived(now time.Time, content quarantine.Subject) {
 	var changed []quarantine.Record
 	s.mutex.Lock()
 	if s.detector.RunnerSurvived(now, content) {
@@ -131,14 +131,14 @@
 // records in the store.
 func (s *suspects) applyChanges(now time.Time, changed []quarantine.Record) {
 	for _, record := range changed {
-		status, transition := s.transition(now, record.Content)
+		status, transition := s.transition(now, record.Subject)
 		switch transition {
 		case quarantineBegan:
 			s.startQuarantine(now, record, status)
 		case quarantineLifted:
-			s.gateway.log.Log(events.QuarantineLifted, events.Fields{"content": record.Content.String(), "tenant": record.Content.Tenant})
+			s.gateway.log.Log(events.QuarantineLifted, events.Fields{"content": record.Subject.String(), "tenant": record.Subject.Tenant})
 		}
-		s.stored.recordChanged(record.Content, status.Crashes)
+		s.stored.recordChanged(record.Subject, status.Crashes)
 	}
 }
 
@@ -154,7 +154,7 @@
 )
 
 // transition returns the status of a content whose record has changed, and the transition to log.
-func (s *suspects) transition(now time.Time, content quarantine.ContentID) (quarantine.Status, quarantineTransition) {
+func (s *suspects) transition(now time.Time, content quarantine.Subject) (quarantine.Status, quarantineTransition) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	status := s.detector.Evaluate(now, content)
@@ -178,10 +178,10 @@
 	g.metrics.quarantines.Inc()
 	g.metrics.quarantineDelays.Observe(now.Sub(firstCrash.DetectedAt).Seconds())
 	g.log.Log(events.ContentQuarantined, events.Fields{
-		"content": record.Content.String(), "tenant": record.Content.Tenant, "ends": status.Crashes, "runners": crashedRunners(record),
+		"content": record.Subject.String(), "tenant": record.Subject.Tenant, "ends": status.Crashes, "runners": crashedRunners(record),
 		"after_ms": now.Sub(firstCrash.DetectedAt).Milliseconds(), "for_ms": status.Until.Sub(now).Milliseconds(),
 	})
-	g.withdrawQuarantinedSends(record.Content)
+	g.withdrawQuarantinedSends(record.Subject)
 }
 
 // crashedRunners returns the IDs of the runners that crashed while they processed the content.
@@ -237,16 +237,16 @@
 	s.mutex.Lock()
 	removed := s.detector.Prune(now)
 	for _, record := range removed {
-		delete(s.loggedUntil, record.Content)
+		delete(s.loggedUntil, record.Subject)
 	}
 	s.mutex.Unlock()
 	for _, record := range removed {
-		s.stored.recordChanged(record.Content, 0)
+		s.stored.recordChanged(record.Subject, 0)
 	}
 }
 
 // record returns the record of the content and the status that results from it.
-func (s *suspects) record(content quarantine.ContentID) (quarantine.Record, quarantine.Status) {
+func (s *suspects) record(content quarantine.Subject) (quarantine.Record, quarantine.Status) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	record, _ := s.detector.Record(content)
@@ -254,7 +254,7 @@
 }
 
 // contents returns all contents with a record at this router.
-func (s *suspects) contents() []quarantine.ContentID {
+func (s *suspects) contents() []quarantine.Subject {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return contentIDs(s.detector.Records())
@@ -266,8 +266,8 @@
 	defer s.mutex.Unlock()
 	for _, record := range s.detector.Quarantined(now, maxQuarantinedInStatus) {
 		summary = append(summary, QuarantinedContent{
-			Content: record.Content.String(), Tenant: record.Content.Tenant, Runners: crashedRunners(record),
-			RemainingMillis: s.detector.Evaluate(now, record.Content).Until.Sub(now).Milliseconds(),
+			Content: record.Subject.String(), Tenant: record.Subject.Tenant, Runners: crashedRunners(record),
+			RemainingMillis: s.detector.Evaluate(now, record.Subject).Until.Sub(now).Milliseconds(),
 		})
 	}
 	return summary
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -23,7 +23,7 @@
 	model  string
 	// weightVersion is the version that the runner was known to have when the request was sent.
 	weightVersion uint64
-	content       quarantine.ContentID
+	content       quarantine.Subject
 	cancel        context.CancelCauseFunc
 }
 
@@ -88,7 +88,7 @@
 // withdrawQuarantinedSends closes the connections of streaming requests with the content that
 // wait on runners, because each of them would crash its runner, too. A request that has
 // started without the router knowing it may still do so.
-func (g *Gateway) withdrawQuarantinedSends(content quarantine.ContentID) {
+func (g *Gateway) withdrawQuarantinedSends(content quarantine.Subject) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for send := range g.unstartedSends {
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -27,7 +27,7 @@
 // Detector holds the records of contents that were being processed on runners when these
 // crashed, and decides which contents are quarantined. It is not safe for concurrent use.
 type Detector struct {
-	records map[ContentID]*entry
+	records map[Subject]*entry
 	// sequence is the number of the last change of any record.
 	sequence uint64
 	survived survivedSet
@@ -44,7 +44,7 @@
 }
 
 // NewDetector returns a Detector without records.
-func NewDetector() *Detector { return &Detector{records: map[ContentID]*entry{}} }
+func NewDetector() *Detector { return &Detector{records: map[Subject]*entry{}} }
 
 // RunnerCrashed records that the runner of the run crashed while it processed the run, and
 // reports whether that changed the record of the content. Contents that a runner survived
@@ -53,33 +53,33 @@
 	if d.survived.contains(now, run.Content) {
 		return false
 	}
-	return d.merge(now, Record{Content: run.Content, Crashes: []Crash{{Runner: run.Runner, SentAt: run.SentAt, DetectedAt: now}}})
+	return d.merge(now, Record{Subject: run.Content, Crashes: []Crash{{Runner: run.Runner, SentAt: run.SentAt, DetectedAt: now}}})
 }
 
 // RunnerSurvived records that a runner survived a run of the content, and reports whether that
 // changed its record. It does so only if active crashes are recorded for the content.
-func (d *Detector) RunnerSurvived(now time.Time, content ContentID) (changed bool) {
+func (d *Detector) RunnerSurvived(now time.Time, content Subject) (changed bool) {
 	d.survived.add(now, content)
 	if e := d.records[content]; e == nil || len(e.activeCrashes()) == 0 {
 		return false
 	}
-	return d.merge(now, Record{Content: content, SurvivedAt: now})
+	return d.merge(now, Record{Subject: content, SurvivedAt: now})
 }
 
 // Merge applies records from another router and returns the records that changed.
 func (d *Detector) Merge(now time.Time, records []Record) (changed []Record) {
 	for _, record := range records {
 		if d.merge(now, record) {
-			changed = append(changed, d.records[record.Content].Record)
+			changed = append(changed, d.records[record.Subject].Record)
 		}
 	}
 	return changed
 }
 
 func (d *Detector) merge(now time.Time, record Record) (changed bool) {
-	e := d.records[record.Content]
+	e := d.records[record.Subject]
 	if e == nil {
-		e = &entry{Record: Record{Content: record.Content}}
+		e = &entry{Record: Record{Subject: record.Subject}}
 	}
 	merged, changed := e.Record.Merge(record)
 	e.Record = merged
@@ -88,27 +88,27 @@
 	}
 	d.sequence++
 	e.sequence = d.sequence
-	d.records[record.Content] = e
+	d.records[record.Subject] = e
 	if len(d.records) > maxRecords {
-		d.evictLeastSignificant(record.Content)
+		d.evictLeastSignificant(record.Subject)
 	}
 	return true
 }
 
 // evictLeastSignificant removes the least significant record, but never the record of the content
 // given by keep.
-func (d *Detector) evictLeastSignificant(keep ContentID) {
+func (d *Detector) evictLeastSignificant(keep Subject) {
 	var least *entry
 	for content, e := range d.records {
 		if content != keep && (least == nil || compareSignificance(e.Record, least.Record) < 0) {
 			least = e
 		}
 	}
-	delete(d.records, least.Content)
+	delete(d.records, least.Subject)
 }
 
 // Evaluate returns the current status of the content.
-func (d *Detector) Evaluate(now time.Time, content ContentID) Status {
+func (d *Detector) Evaluate(now time.Time, content Subject) Status {
 	e := d.records[content]
 	if e == nil || !now.Before(e.expiry()) {
 		return Status{}
@@ -154,7 +154,7 @@
 }
 
 // Record returns the record of the content, and whether there is one.
-func (d *Detector) Record(content ContentID) (Record, bool) {
+func (d *Detector) Record(content Subject) (Record, bool) {
 	e := d.records[content]
 	if e == nil {
 		return Record{}, false
@@ -199,7 +199,7 @@
 // limit of them.
 func (d *Detector) Quarantined(now time.Time, limit int) (records []Record) {
 	for _, record := range d.Records() {
-		if len(records) < limit && d.Evaluate(now, record.Content).State == Quarantined {
+		if len(records) < limit && d.Evaluate(now, record.Subject).State == Quarantined {
 			records = append(records, record)
 		}
 	}
@@ -217,7 +217,7 @@
 
 // Prune removes the expired records and returns them.
 func (d *Detector) Prune(now time.Time) (removed []Record) {
-	maps.DeleteFunc(d.records, func(_ ContentID, e *entry) bool {
+	maps.DeleteFunc(d.records, func(_ Subject, e *entry) bool {
 		expired := !now.Before(e.expiry())
 		if expired {
 			removed = append(removed, e.Record)
@@ -230,19 +230,19 @@
 // survivedSet holds the contents that a runner survived recently. It keeps two generations, so
 // that neither the running time nor the memory grows with the traffic.
 type survivedSet struct {
-	current, previous map[ContentID]bool
+	current, previous map[Subject]bool
 	// startedAt is when the current generation began.
 	startedAt time.Time
 }
 
-func (s *survivedSet) add(now time.Time, content ContentID) {
+func (s *survivedSet) add(now time.Time, content Subject) {
 	if s.current == nil || now.Sub(s.startedAt) >= survivedInterval || len(s.current) >= maxSurvivedContents {
-		s.previous, s.current, s.startedAt = s.current, map[ContentID]bool{}, now
+		s.previous, s.current, s.startedAt = s.current, map[Subject]bool{}, now
 	}
 	s.current[content] = true
 }
 
-func (s *survivedSet) contains(now time.Time, content ContentID) bool {
+func (s *survivedSet) contains(now time.Time, content Subject) bool {
 	switch age := now.Sub(s.startedAt); {
 	case age < survivedInterval:
 		return s.current[content] || s.previous[content]
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -16,7 +16,7 @@
 	return startTime.Add(time.Duration(seconds * float64(time.Second)))
 }
 
-func testContent(digest int) ContentID { return ContentID{Tenant: "t", Digest: uint64(digest)} }
+func testContent(digest int) Subject { return Subject{Tenant: "t", Digest: uint64(digest)} }
 
 func testRunner(number int) Runner { return Runner{ID: fmt.Sprint("r", number), Incarnation: 1} }
 
@@ -39,7 +39,7 @@
 	}
 	g.Expect(d.Evaluate(atSeconds(2), testContent(1))).To(Equal(Status{State: Quarantined, Crashes: 3, Until: atSeconds(2).Add(initialQuarantine)}))
 	g.Expect(d.state(2, 2)).To(Equal(Clear), "other contents are not affected")
-	g.Expect(d.Evaluate(atSeconds(2), ContentID{Tenant: "u", Digest: 1}).State).To(Equal(Clear), "the same content of another tenant is not affected")
+	g.Expect(d.Evaluate(atSeconds(2), Subject{Tenant: "u", Digest: 1}).State).To(Equal(Clear), "the same content of another tenant is not affected")
 }
 
 // All routers report the same crash, some of them late.
@@ -187,7 +187,7 @@
 
 // drawRecord returns a random record. A survived run is recorded only after crashes.
 func drawRecord(t *rapid.T) Record {
-	record := Record{Content: testContent(1)}
+	record := Record{Subject: testContent(1)}
 	for range rapid.IntRange(0, 6).Draw(t, "crashes") {
 		runner := rapid.IntRange(0, 30).Draw(t, "runner")
 		// All routers detect the crash of a runner at about the same time.
@@ -207,7 +207,7 @@
 		g := NewWithT(t)
 		a, b, c := drawRecord(t), drawRecord(t), drawRecord(t)
 		merge := func(records ...Record) Record {
-			merged := Record{Content: testContent(1)}
+			merged := Record{Subject: testContent(1)}
 			for _, record := range records {
 				merged, _ = merged.Merge(record)
 			}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -21,7 +21,7 @@
 // result in any order and with any number of repetitions: crashes are a set keyed by runner,
 // and the latest SurvivedAt applies.
 type Record struct {
-	Content ContentID
+	Subject Subject
 	// Crashes holds at most one crash per runner, earliest first and at most maxCrashes.
 	Crashes []Crash
 	// SurvivedAt is when a runner was last seen to survive a run of the content, zero if none
@@ -69,7 +69,7 @@
 // other's crashes.
 func (r Record) coversCrashes(other Record) bool {
 	ownCrashes, otherCrashes := r.activeCrashes(), other.activeCrashes()
-	if r.Content == other.Content || len(ownCrashes) < len(otherCrashes) {
+	if r.Subject == other.Subject || len(ownCrashes) < len(otherCrashes) {
 		return false
 	}
 	for _, crash := range otherCrashes {
--- a/internal/quarantine/runtable.go
+++ b/internal/quarantine/runtable.go
@@ -38,7 +38,7 @@
 
 // Run is one request sent to a runner.
 type Run struct {
-	Content ContentID
+	Content Subject
 	// Parts are the IDs of the prompt parts that the request may share with others.
 	Parts  []string
 	Runner Runner
@@ -77,7 +77,7 @@
 }
 
 // Begin adds a run for a request that is about to be sent to the runner.
-func (t *RunTable) Begin(now time.Time, runner Runner, content ContentID, parts []string) *Run {
+func (t *RunTable) Begin(now time.Time, runner Runner, content Subject, parts []string) *Run {
 	run := &Run{Content: content, Parts: parts, Runner: runner, SentAt: now}
 	t.runs[runner] = append(t.runs[runner], run)
 	return run
@@ -129,7 +129,7 @@
 }
 
 // HasOpenRun reports whether a run of the content is open.
-func (t *RunTable) HasOpenRun(content ContentID) bool {
+func (t *RunTable) HasOpenRun(content Subject) bool {
 	for _, runs := range t.runs {
 		if slices.ContainsFunc(runs, func(run *Run) bool { return run.isOpen() && run.Content == content }) {
 			return true
--- a/internal/quarantine/runtable_test.go
+++ b/internal/quarantine/runtable_test.go
@@ -15,18 +15,18 @@
 	runnerA = quarantine.Runner{ID: "a", Incarnation: 1}
 )
 
-func content(body string) quarantine.ContentID {
-	return quarantine.NewContentID("tenant", "h.example", "/p/", []byte(body))
+func content(body string) quarantine.Subject {
+	return quarantine.NewContent("tenant", "h.example", "/p/", []byte(body))
 }
 
 func TestContentIDCoversTenantHostPathAndBody(t *testing.T) {
 	g := NewWithT(t)
-	base := quarantine.NewContentID("t", "h", "/p", []byte("b"))
-	g.Expect(quarantine.NewContentID("t", "h", "/p", []byte("b"))).To(Equal(base))
-	for _, other := range []quarantine.ContentID{
-		quarantine.NewContentID("u", "h", "/p", []byte("b")), quarantine.NewContentID("t", "i", "/p", []byte("b")),
-		quarantine.NewContentID("t", "h", "/q", []byte("b")), quarantine.NewContentID("t", "h", "/p", []byte("c")),
-		quarantine.NewContentID("t", "h/", "p", []byte("b")), quarantine.NewContentID("t", "h", "/pb", nil),
+	base := quarantine.NewContent("t", "h", "/p", []byte("b"))
+	g.Expect(quarantine.NewContent("t", "h", "/p", []byte("b"))).To(Equal(base))
+	for _, other := range []quarantine.Subject{
+		quarantine.NewContent("u", "h", "/p", []byte("b")), quarantine.NewContent("t", "i", "/p", []byte("b")),
+		quarantine.NewContent("t", "h", "/q", []byte("b")), quarantine.NewContent("t", "h", "/p", []byte("c")),
+		quarantine.NewContent("t", "h/", "p", []byte("b")), quarantine.NewContent("t", "h", "/pb", nil),
 	} {
 		g.Expect(other).NotTo(Equal(base))
 	}
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -86,7 +86,7 @@
 
 // simRequest is one simulated request.
 type simRequest struct {
-	content ContentID
+	content Subject
 	poison  bool
 	family  int
 	tries   int
@@ -119,14 +119,14 @@
 	detectors  []*Detector
 	// crashes counts the crashes caused by each poison content, and thirdCrashAt is the time of
 	// the third one.
-	crashes      map[ContentID]int
-	thirdCrashAt map[ContentID]time.Time
+	crashes      map[Subject]int
+	thirdCrashAt map[Subject]time.Time
 	lastUnique   int
 	result
 }
 
 func newSimulation(sc scenario, p policy, seed uint64) *simulation {
-	s := &simulation{scenario: sc, policy: p, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000, 0), crashes: map[ContentID]int{}, thirdCrashAt: map[ContentID]time.Time{}}
+	s := &simulation{scenario: sc, policy: p, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000, 0), crashes: map[Subject]int{}, thirdCrashAt: map[Subject]time.Time{}}
 	for i := range sc.runners {
 		s.simRunners = append(s.simRunners, &simRunner{runner: Runner{ID: fmt.Sprint(i), Incarnation: 1}})
 	}
@@ -162,15 +162,15 @@
 	for range s.scenario.runners {
 		if s.happens(uniqueRate) {
 			s.lastUnique++
-			s.send(&simRequest{content: ContentID{Digest: uint64(1000 + s.lastUnique)}, family: s.lastUnique % familyCount})
+			s.send(&simRequest{content: Subject{Digest: uint64(1000 + s.lastUnique)}, family: s.lastUnique % familyCount})
 		}
 		if s.happens(sharedRate) {
-			s.send(&simRequest{content: ContentID{Digest: 500}, family: 1})
+			s.send(&simRequest{content: Subject{Digest: 500}, family: 1})
 		}
 	}
 	for i := range s.scenario.poisonContents {
 		if s.happens(1 / s.scenario.poisonInterval.Seconds()) {
-			s.send(&simRequest{content: ContentID{Digest: uint64(1 + i)}, poison: true, family: i % familyCount, tries: maxCallerTries})
+			s.send(&simRequest{content: Subject{Digest: uint64(1 + i)}, poison: true, family: i % familyCount, tries: maxCallerTries})
 		}
 	}
 }
@@ -248,7 +248,7 @@
 }
 
 // isRunning reports whether the runner is processing a request with the content.
-func (r *simRunner) isRunning(content ContentID) bool {
+func (r *simRunner) isRunning(content Subject) bool {
 	return slices.ContainsFunc(r.requests, func(req *simRequest) bool { return req.content == content })
 }
 
