--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -110,9 +110,11 @@
 	content     quarantine.Subject
 	sharedParts []string
 	run         *quarantine.Run
-	// suspected is set if the content may crash its runner, and lostConnection if the connection
+	// verdict is how the call was to be handled when that was last checked. suspected is set if the
+	// call may crash its runner, and lostConnection if the connection
 	// to a runner was lost during this call. crashChecked is closed once it is known whether
 	// that runner crashed.
+	verdict        quarantine.Verdict
 	suspected      bool
 	lostConnection bool
 	crashChecked   <-chan struct{}
--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -7,15 +7,23 @@
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
 )
 
-// reasonQuarantined is the reason given to callers whose requests are quarantined.
-const reasonQuarantined = "runners ended under requests with this content"
+// Reasons given to callers whose requests are quarantined.
+const (
+	reasonQuarantined     = "runners ended under requests with this content"
+	reasonPartQuarantined = "runners ended under requests with a part of this prompt"
+)
 
 const (
 	// crashCheckTimeout limits how long a further attempt waits until it is known whether the
 	// previous runner crashed. The runner's machine answers such a check within a few
 	// milliseconds, and the lack of an answer until then does not show that the runner crashed.
 	crashCheckTimeout = 300 * time.Millisecond
-	// trialRetryAfter is the retry delay while another request with the same content is on
+	// maxHold limits how long a request waits for the decision whether one of its subjects is
+	// quarantined. Runs that take longer than half of it can't clear the subject before.
+	maxHold = 500 * time.Millisecond
+	// decisionPollInterval is how often a waiting request checks for the decision.
+	decisionPollInterval = 20 * time.Millisecond
+	// trialRetryAfter is the retry delay while another request with the same subject is on
 	// trial. Most requests that crash their runner do so within a second.
 	trialRetryAfter = time.Second
 )
@@ -44,26 +52,31 @@
 	return ids
 }
 
-// checkQuarantine returns the reason for which the call may not be sent because of its content,
-// nil if it may. It is called before each attempt, because the runner of the previous one may
-// have crashed and other routers may have reported crashes in the meantime.
+// checkQuarantine returns the reason for which the call may not be sent because of its content or a
+// part of its prompt, nil if it may. It is called before each attempt, because the runner of the
+// previous one may have crashed and other routers may have reported crashes in the meantime.
 func (c *call) checkQuarantine() *refusal {
 	c.awaitCrashCheck()
+	c.awaitDecision()
 	now := c.gateway.now()
-	status := c.gateway.suspects.status(now, c.content)
-	c.suspected = status.State != quarantine.Clear || c.lostConnection
+	c.verdict = c.gateway.suspects.verdict(now, c.content, c.sharedParts)
+	c.suspected = c.verdict.State != quarantine.Clear || c.lostConnection
+	reason := reasonQuarantined
+	if c.verdict.Subject.IsPart() {
+		reason = reasonPartQuarantined
+	}
 	switch {
-	case status.State == quarantine.Quarantined:
-		return unavailable(reasonQuarantined, status.Until.Sub(now))
-	case status.State == quarantine.OnTrial && c.gateway.crashDetector.hasOpenRun(c.content):
-		return unavailable(reasonQuarantined, trialRetryAfter)
+	case c.verdict.State == quarantine.Quarantined:
+		return unavailable(reason, c.verdict.Until.Sub(now))
+	case c.verdict.State == quarantine.OnTrial && c.gateway.crashDetector.hasOpenRun(c.verdict.Subject):
+		return unavailable(reason, trialRetryAfter)
 	}
 	return nil
 }
 
-// isQuarantined reports whether the content is quarantined now.
+// isQuarantined reports whether the content or a part of the prompt is quarantined now.
 func (c *call) isQuarantined() bool {
-	return c.gateway.suspects.status(c.gateway.now(), c.content).State == quarantine.Quarantined
+	return c.gateway.suspects.verdict(c.gateway.now(), c.content, c.sharedParts).State == quarantine.Quarantined
 }
 
 // awaitCrashCheck waits until it is known whether the runner of the previous attempt crashed, if
@@ -86,13 +99,40 @@
 	}
 }
 
-// suspectHash returns a hash of the content for placement if the content is suspected, 0
-// otherwise.
+// awaitDecision waits until it is decided whether the request's subjects are quarantined, if that is about
+// to happen, at most maxHold.
+func (c *call) awaitDecision() {
+	g, startedAt := c.gateway, c.gateway.now()
+	for {
+		now := g.now()
+		verdict := g.suspects.verdict(now, c.content, c.sharedParts)
+		if verdict.State != quarantine.Held || now.Sub(startedAt) >= maxHold {
+			if now.Sub(startedAt) > decisionPollInterval {
+				g.metrics.heldRequests.Observe(now.Sub(startedAt).Seconds())
+			}
+			return
+		}
+		timer := time.NewTimer(min(verdict.Until.Sub(now), decisionPollInterval))
+		select {
+		case <-timer.C:
+		case <-c.incoming.Context().Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// suspectHash returns a hash for placement if the request may crash its runner, 0 otherwise. Requests
+// with the same suspected subject have the same one.
 func (c *call) suspectHash() uint64 {
 	if !c.suspected {
 		return 0
 	}
-	return rendezvous.KeyOf(c.content.Tenant+"/"+c.content.String()) | 1
+	subject := c.content
+	if c.verdict.State != quarantine.Clear {
+		subject = c.verdict.Subject
+	}
+	return rendezvous.KeyOf(subject.Tenant+"/"+subject.String()) | 1
 }
 
 // recordRunOutcome records the outcome of the current attempt's run for crash detection.
@@ -101,7 +141,7 @@
 	g.crashDetector.end(now, c.run, outcome)
 	switch outcome {
 	case quarantine.Survived:
-		g.suspects.runnerSurvived(now, c.content)
+		g.suspects.runnerSurvived(now, c.run)
 	case quarantine.ConnectionLost:
 		c.lostConnection, c.crashChecked = true, g.crashDetector.check(c.runner)
 	}
--- a/internal/gateway/collectors.go
+++ b/internal/gateway/collectors.go
@@ -82,16 +82,23 @@
 
 var contentStatesDesc = prometheus.NewDesc(namespace+"_contents", "Contents of requests under which runners have ended, by what follows for them.", []string{"state"}, nil)
 
+var partStatesDesc = prometheus.NewDesc(namespace+"_prompt_parts", "Parts of prompts under which runners have ended, by what follows for them.", []string{"state"}, nil)
+
 // Describe implements prometheus.Collector.
 func (c *contentStateCollector) Describe(ch chan<- *prometheus.Desc) {
 	ch <- contentStatesDesc
+	ch <- partStatesDesc
 }
 
 // Collect implements prometheus.Collector.
 func (c *contentStateCollector) Collect(ch chan<- prometheus.Metric) {
-	for state, count := range c.gateway.suspects.countByState() {
+	counts := c.gateway.suspects.countByState()
+	for state, count := range counts.Contents {
 		ch <- prometheus.MustNewConstMetric(contentStatesDesc, prometheus.GaugeValue, float64(count), state.String())
 	}
+	for state, count := range counts.Parts {
+		ch <- prometheus.MustNewConstMetric(partStatesDesc, prometheus.GaugeValue, float64(count), state.String())
+	}
 }
 
 // rolloutCollector reports the account of each rollout that this router leads when metrics are
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,9 +68,12 @@
 	// observes the number of requests that were running on a runner when it crashed.
 	runnerChecks    *prometheus.CounterVec
 	requestsAtCrash *prometheus.HistogramVec
-	// quarantines counts the contents quarantined, and quarantineDelays observes the time from the
+	// quarantines counts the contents quarantined, partQuarantines the prompt parts, and quarantineDelays observes the time from the
 	// first runner's crash until this router knew of the quarantine.
-	quarantines      prometheus.Counter
+	quarantines, partQuarantines prometheus.Counter
+	// heldRequests observes how long requests waited for the decision about a prompt part.
+	heldRequests prometheus.Histogram
+
 	quarantineDelays prometheus.Histogram
 	// runnerSignals counts the changes of state that runners report in their responses.
 	runnerSignals *prometheus.CounterVec
@@ -175,6 +178,12 @@
 		requestsAtCrash: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "runner_end_runs", Help: "Requests of this router that were at work on a runner that was found to have ended.", Buckets: requestCountBuckets,
 		}, []string{"service"}),
+		partQuarantines: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "part_quarantines_total", Help: "Parts of prompts that this router began to refuse as runners ended under them.",
+		}),
+		heldRequests: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "held_request_seconds", Help: "How long requests waited until it was decided whether a part of their prompt is quarantined.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 6),
+		}),
 		quarantines: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "quarantines_total", Help: "Contents that this router began to refuse as runners ended under them.",
 		}),
@@ -233,7 +242,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("stream_records", "Records of the software versions at which streams began.", func() float64 { records, _ := g.streams.recordCounts(); return float64(records) }),
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -56,7 +56,7 @@
 	case *wire.Envelope_LoadShare:
 		r.gateway.schedulers.handleLoadShare(envelope.GetFrom(), body.LoadShare)
 	case *wire.Envelope_SuspectNews:
-		r.gateway.suspects.merge(decodeSuspects(r.gateway.now(), body.SuspectNews.GetRecords()))
+		r.gateway.suspects.merge(decodeSuspects(r.gateway.now(), append(body.SuspectNews.GetRecords(), body.SuspectNews.GetParts()...)))
 	case *wire.Envelope_SignalNews:
 		r.gateway.signals.merge(body.SignalNews.GetSignals())
 	case *wire.Envelope_RolloutReport:
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -45,10 +45,17 @@
 }
 
 // begin records the run of a request that is about to be sent.
-func (d *crashDetector) begin(now time.Time, runner backend.Runner, content quarantine.Subject, parts []string) *quarantine.Run {
+func (d *crashDetector) begin(run *quarantine.Run) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.runTable.Begin(now, incarnationOf(runner), content, parts)
+	d.runTable.Begin(run)
+}
+
+// respond records that the runner has begun the response of the run.
+func (d *crashDetector) respond(now time.Time, run *quarantine.Run) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	run.BeganAt = now
 }
 
 // end records the outcome of a run.
@@ -166,11 +173,11 @@
 	return len(others) == 0
 }
 
-// hasOpenRun reports whether a run of the content is open.
-func (d *crashDetector) hasOpenRun(content quarantine.Subject) bool {
+// hasOpenRun reports whether a run of the subject is open.
+func (d *crashDetector) hasOpenRun(subject quarantine.Subject) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.runTable.HasOpenRun(content)
+	return d.runTable.HasOpenRun(subject)
 }
 
 // sweep removes runs that are no longer needed.
--- a/internal/gateway/runnerends_internal_test.go
+++ b/internal/gateway/runnerends_internal_test.go
@@ -24,7 +24,7 @@
 	time.Sleep(50 * time.Millisecond)
 	began := make(chan struct{})
 	go func() {
-		detector.begin(time.Now(), backend.Runner{ID: "r2"}, quarantine.Subject{}, nil)
+		detector.begin(&quarantine.Run{Runner: quarantine.Runner{ID: "r2"}})
 		close(began)
 	}()
 	g.Eventually(began, time.Second).Should(BeClosed())
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -327,6 +327,7 @@
 		// For other responses, the notification of the end follows immediately.
 		g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{Weights: c.responseWeightVersion, Stream: c.streamRecord})
 	}
+	g.crashDetector.respond(g.now(), c.run)
 	g.mutex.Lock()
 	now := c.gateway.now()
 	c.preventWithdrawal()
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -91,11 +91,13 @@
 // maxQuarantinedInStatus bounds the number of quarantined contents in the status.
 const maxQuarantinedInStatus = 20
 
-// QuarantinedContent is a request content that is no longer sent to runners.
+// QuarantinedContent is a request content, or a prompt part, that is no longer sent to runners.
 type QuarantinedContent struct {
-	Content string `json:"content"`
+	// Content is empty for a prompt part, and Part for a content.
+	Content string `json:"content,omitempty"`
+	Part    string `json:"part,omitempty"`
 	Tenant  string `json:"tenant"`
-	// Runners are the runners that crashed while running the content, and RemainingMillis the
+	// Runners are the runners that crashed while running it, and RemainingMillis the
 	// remaining time of the quarantine.
 	Runners         []string `json:"runners"`
 	RemainingMillis int64    `json:"leftMillis"`
--- a/internal/gateway/storedquarantines.go
+++ b/internal/gateway/storedquarantines.go
@@ -22,8 +22,9 @@
 	// maxQuarantineWriteDelay is the maximum random delay before a write. All routers that read the
 	// store learn of a crash at once, and the first one to write saves the others their call.
 	maxQuarantineWriteDelay = 100 * time.Millisecond
-	// minStoredCrashes is the number of crashes from which a content's record is stored. A single
-	// crash is recorded for every content that was running on the runner, usually several.
+	// minStoredCrashes is the number of crashes from which a content's record is stored, or of
+	// generations of them for a prompt part. A single crash is recorded for everything that was
+	// running on the runner, usually several subjects.
 	minStoredCrashes = 2
 )
 
@@ -158,7 +159,7 @@
 func (q *storedQuarantines) queueAll() {
 	for _, content := range q.gateway.suspects.contents() {
 		_, status := q.gateway.suspects.record(content)
-		q.recordChanged(content, status.Crashes)
+		q.recordChanged(content, status.Evidence)
 	}
 }
 
@@ -179,9 +180,9 @@
 	}
 	g.suspects.merge(records)
 	for _, record := range records {
-		if _, status := g.suspects.record(record.Subject); status.State == quarantine.Clear {
+		if _, status := g.suspects.record(record.Subject); status.Crashes == 0 {
 			// The record is no longer needed, and the router that stored it may not exist any more.
-			q.recordChanged(record.Subject, status.Crashes)
+			q.recordChanged(record.Subject, status.Evidence)
 		}
 	}
 }
@@ -237,7 +238,7 @@
 func (q *storedQuarantines) syncRecord(content quarantine.Subject) error {
 	stored, isStored := q.takePending(content)
 	record, status := q.gateway.suspects.record(content)
-	cleared, missing := status.State == quarantine.Clear, !isStored
+	cleared, missing := status.Crashes == 0, !isStored
 	if isStored {
 		record, missing = stored.Merge(record)
 	}
@@ -318,21 +319,31 @@
 // toLocalClock converts the times of a record, which are wall clock times in the store, to this
 // router's clock, because wall clock time may jump.
 func toLocalClock(local, wall time.Time, record quarantine.Record) quarantine.Record {
+	convert := func(at time.Time) time.Time { return local.Add(-max(wall.Sub(at), 0)) }
 	converted := record
 	converted.Crashes = nil
 	for _, crash := range record.Crashes {
-		detectedAt := local.Add(-max(wall.Sub(crash.DetectedAt), 0))
-		converted.Crashes = append(converted.Crashes, quarantine.Crash{Runner: crash.Runner, DetectedAt: detectedAt, SentAt: detectedAt.Add(-crash.DetectedAt.Sub(crash.SentAt))})
+		detectedAt := convert(crash.DetectedAt)
+		crash.DetectedAt, crash.SentAt = detectedAt, detectedAt.Add(-crash.DetectedAt.Sub(crash.SentAt))
+		converted.Crashes = append(converted.Crashes, crash)
+	}
+	if !record.ContrastAt.IsZero() {
+		converted.ContrastAt = convert(record.ContrastAt)
 	}
 	return converted
 }
 
 // toWallClock is the inverse of toLocalClock.
 func toWallClock(local, wall time.Time, record quarantine.Record) quarantine.Record {
+	convert := func(at time.Time) time.Time { return wall.Add(-local.Sub(at)) }
 	converted := record
 	converted.Crashes = nil
 	for _, crash := range record.Crashes {
-		converted.Crashes = append(converted.Crashes, quarantine.Crash{Runner: crash.Runner, DetectedAt: wall.Add(-local.Sub(crash.DetectedAt)), SentAt: wall.Add(-local.Sub(crash.SentAt))})
+		crash.DetectedAt, crash.SentAt = convert(crash.DetectedAt), convert(crash.SentAt)
+		converted.Crashes = append(converted.Crashes, crash)
+	}
+	if !record.ContrastAt.IsZero() {
+		converted.ContrastAt = convert(record.ContrastAt)
 	}
 	return converted
 }
--- a/internal/gateway/storedquarantines_internal_test.go
+++ b/internal/gateway/storedquarantines_internal_test.go
@@ -92,6 +92,6 @@
 	}
 	g.Expect(gateway.suspects.stored.pending).To(HaveLen(100))
 	gateway.suspects.sweep(now.Add(2 * time.Hour))
-	g.Expect(gateway.suspects.detector.CountByState(now)).To(BeEmpty())
+	g.Expect(gateway.suspects.detector.Records()).To(BeEmpty())
 	g.Expect(gateway.suspects.stored.pending).To(BeEmpty())
 }
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -6,6 +6,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
+	"github.com/clovertiller/clovertiller/internal/rendezvous"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
@@ -26,6 +27,8 @@
 	pullPositions map[string]feedPosition
 	// loggedUntil holds the end of the quarantine that was last logged for each content.
 	loggedUntil map[quarantine.Subject]time.Time
+	// undecided holds the subjects whose quarantine is decided at a known time.
+	undecided map[quarantine.Subject]bool
 }
 
 // feedPosition is a position in the sequence of changes to another router's records.
@@ -41,8 +44,8 @@
 
 func newSuspects(g *Gateway) *suspects {
 	s := &suspects{
-		gateway: g, stored: newStoredQuarantines(g), detector: quarantine.NewDetector(),
-		pullPositions: map[string]feedPosition{}, loggedUntil: map[quarantine.Subject]time.Time{},
+		gateway: g, stored: newStoredQuarantines(g), detector: quarantine.NewDetector(rendezvous.KeyOf(g.settings.Node) | 1),
+		pullPositions: map[string]feedPosition{}, loggedUntil: map[quarantine.Subject]time.Time{}, undecided: map[quarantine.Subject]bool{},
 	}
 	s.broadcasts = newBroadcaster(g, s.encodeContents)
 	return s
@@ -53,7 +56,7 @@
 func (s *suspects) encodeContents(now time.Time, contents []quarantine.Subject) *wire.Envelope {
 	var records []quarantine.Record
 	for _, content := range contents {
-		if record, _ := s.record(content); len(record.Crashes) > 0 {
+		if record, _ := s.record(content); len(record.Crashes) > 0 || !record.SurvivedAt.IsZero() {
 			records = append(records, record)
 		}
 	}
@@ -72,35 +75,25 @@
 	return contents
 }
 
-// status returns the quarantine status of the content.
-func (s *suspects) status(now time.Time, content quarantine.Subject) quarantine.Status {
+// verdict returns how a request with the content and the prompt parts is to be handled.
+func (s *suspects) verdict(now time.Time, content quarantine.Subject, parts []string) quarantine.Verdict {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.detector.Evaluate(now, content)
+	return s.detector.EvaluateRequest(now, content, parts)
 }
 
 // runnerCrashed records that a runner crashed during the runs.
 func (s *suspects) runnerCrashed(now time.Time, runs []*quarantine.Run) {
-	var changed []quarantine.Record
 	s.mutex.Lock()
-	for _, run := range runs {
-		if s.detector.RunnerCrashed(now, run) {
-			record, _ := s.detector.Record(run.Content)
-			changed = append(changed, record)
-		}
-	}
+	changed := s.detector.RunnerCrashed(now, runs...)
 	s.mutex.Unlock()
 	s.publish(now, changed)
 }
 
-// runnerSurvived records that a runner survived a run of the content.
-func (s *suspects) runnerSurvived(now time.Time, content quarantine.Subject) {
-	var changed []quarantine.Record
+// runnerSurvived records that a runner survived the run.
+func (s *suspects) runnerSurvived(now time.Time, run *quarantine.Run) {
 	s.mutex.Lock()
-	if s.detector.RunnerSurvived(now, content) {
-		record, _ := s.detector.Record(content)
-		changed = append(changed, record)
-	}
+	changed := s.detector.RunnerSurvived(now, run)
 	s.mutex.Unlock()
 	s.publish(now, changed)
 }
@@ -136,12 +129,36 @@
 		case quarantineBegan:
 			s.startQuarantine(now, record, status)
 		case quarantineLifted:
-			s.gateway.log.Log(events.QuarantineLifted, events.Fields{"content": record.Subject.String(), "tenant": record.Subject.Tenant})
+			s.gateway.log.Log(events.QuarantineLifted, events.Fields{subjectKind(record.Subject): record.Subject.String(), "tenant": record.Subject.Tenant})
 		}
-		s.stored.recordChanged(record.Subject, status.Crashes)
+		if status.State == quarantine.Held {
+			s.scheduleDecision(record.Subject, status.Until)
+		}
+		s.stored.recordChanged(record.Subject, status.Evidence)
 	}
 }
 
+// scheduleDecision applies the quarantine of a held subject when it begins.
+func (s *suspects) scheduleDecision(subject quarantine.Subject, at time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.undecided[subject] {
+		return
+	}
+	s.undecided[subject] = true
+	s.gateway.spawn(func() {
+		if !s.gateway.pause(s.gateway.until(at)) {
+			return
+		}
+		s.mutex.Lock()
+		delete(s.undecided, subject)
+		s.mutex.Unlock()
+		if record, status := s.record(subject); status.Crashes > 0 {
+			s.applyChanges(s.gateway.now(), []quarantine.Record{record})
+		}
+	})
+}
+
 // quarantineTransition is a change of the quarantine of a content.
 type quarantineTransition uint8
 
@@ -163,28 +180,47 @@
 	case status.State == quarantine.Quarantined && !quarantinedUntil.Equal(status.Until):
 		s.loggedUntil[content] = status.Until
 		return status, quarantineBegan
-	case status.State == quarantine.Clear && isLogged:
+	case status.Crashes == 0 && isLogged:
 		delete(s.loggedUntil, content)
 		return status, quarantineLifted
 	}
 	return status, noTransition
 }
 
-// startQuarantine counts and logs the quarantine of a content and withdraws requests with that
-// content.
+// startQuarantine counts and logs the quarantine of a subject and withdraws requests with it.
 func (s *suspects) startQuarantine(now time.Time, record quarantine.Record, status quarantine.Status) {
 	g := s.gateway
 	firstCrash := record.Crashes[max(len(record.Crashes)-status.Crashes, 0)]
-	g.metrics.quarantines.Inc()
+	if record.Subject.IsPart() {
+		g.metrics.partQuarantines.Inc()
+	} else {
+		g.metrics.quarantines.Inc()
+	}
 	g.metrics.quarantineDelays.Observe(now.Sub(firstCrash.DetectedAt).Seconds())
 	g.log.Log(events.ContentQuarantined, events.Fields{
-		"content": record.Subject.String(), "tenant": record.Subject.Tenant, "ends": status.Crashes, "runners": crashedRunners(record),
-		"after_ms": now.Sub(firstCrash.DetectedAt).Milliseconds(), "for_ms": status.Until.Sub(now).Milliseconds(),
+		subjectKind(record.Subject): record.Subject.String(), "tenant": record.Subject.Tenant, "ends": status.Crashes, "evidence": status.Evidence, "runners": crashedRunners(record),
+		"after_ms": now.Sub(firstCrash.DetectedAt).Milliseconds(), "for_ms": status.Until.Sub(now).Milliseconds(), "run_ms": record.RunTime.Milliseconds(), "others": s.suspectsBeside(record),
 	})
 	g.withdrawQuarantinedSends(record.Subject)
 }
 
-// crashedRunners returns the IDs of the runners that crashed while they processed the content.
+// subjectKind returns the name of the log field that holds the subject.
+func subjectKind(subject quarantine.Subject) string {
+	if subject.IsPart() {
+		return "part"
+	}
+	return "content"
+}
+
+// suspectsBeside returns the number of crashes that other prompt parts share with the record, at most
+// maxLoggedContents parts. It shows what spoke against them.
+func (s *suspects) suspectsBeside(record quarantine.Record) map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.detector.SharedCrashes(record, maxLoggedContents)
+}
+
+// crashedRunners returns the IDs of the runners that crashed while they processed the subject.
 func crashedRunners(record quarantine.Record) []string {
 	names := make([]string, 0, len(record.Crashes))
 	for _, crash := range record.Crashes {
@@ -218,7 +254,9 @@
 	if reached == through {
 		return nil
 	}
-	return &wire.SuspectDelta{Feed: feed, Through: reached, Records: encodeSuspects(s.gateway.now(), records)}
+	now := s.gateway.now()
+	contents, parts := splitByKind(records)
+	return &wire.SuspectDelta{Feed: feed, Through: reached, Records: encodeSuspects(now, contents), Parts: encodeSuspects(now, parts)}
 }
 
 // applyPull applies the answer of the router at the address.
@@ -226,7 +264,7 @@
 	if delta == nil {
 		return
 	}
-	s.merge(decodeSuspects(s.gateway.now(), delta.GetRecords()))
+	s.merge(decodeSuspects(s.gateway.now(), append(delta.GetRecords(), delta.GetParts()...)))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.pullPositions[address] = feedPosition{feed: delta.GetFeed(), through: delta.GetThrough()}
@@ -266,15 +304,18 @@
 	defer s.mutex.Unlock()
 	for _, record := range s.detector.Quarantined(now, maxQuarantinedInStatus) {
 		summary = append(summary, QuarantinedContent{
-			Content: record.Subject.String(), Tenant: record.Subject.Tenant, Runners: crashedRunners(record),
+			Tenant: record.Subject.Tenant, Part: record.Subject.Part, Runners: crashedRunners(record),
 			RemainingMillis: s.detector.Evaluate(now, record.Subject).Until.Sub(now).Milliseconds(),
 		})
+		if !record.Subject.IsPart() {
+			summary[len(summary)-1].Content = record.Subject.String()
+		}
 	}
 	return summary
 }
 
-// countByState returns the number of contents in each state.
-func (s *suspects) countByState() map[quarantine.State]int {
+// countByState returns the number of contents and prompt parts in each state.
+func (s *suspects) countByState() quarantine.Counts {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.detector.CountByState(s.gateway.now())
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
@@ -24,6 +25,7 @@
 	// weightVersion is the version that the runner was known to have when the request was sent.
 	weightVersion uint64
 	content       quarantine.Subject
+	parts         []string
 	cancel        context.CancelCauseFunc
 }
 
@@ -36,14 +38,15 @@
 	if c.schedulerChoice != nil {
 		g.runners.ReportedElsewhere(c.currentSend)
 	}
-	c.run = g.crashDetector.begin(now, runner, c.content, c.sharedParts)
+	c.run = &quarantine.Run{Content: c.content, Parts: c.sharedParts, Runner: incarnationOf(runner), Service: runner.Service, SentAt: now}
+	g.crashDetector.begin(c.run)
 	c.sendCtx, c.unstarted = c.ctx, nil
 	if !c.isStartObservable() {
 		return
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.sendCtx = ctx
-	c.unstarted = &unstartedSend{runner: runner.ID, model: c.query.Model, weightVersion: c.weightVersion, content: c.content, cancel: cancel}
+	c.unstarted = &unstartedSend{runner: runner.ID, model: c.query.Model, weightVersion: c.weightVersion, content: c.content, parts: c.sharedParts, cancel: cancel}
 	g.unstartedSends[c.unstarted] = struct{}{}
 }
 
@@ -85,18 +88,34 @@
 	}
 }
 
-// withdrawQuarantinedSends closes the connections of streaming requests with the content that
+// withdrawQuarantinedSends closes the connections of streaming requests with the subject that
 // wait on runners, because each of them would crash its runner, too. A request that has
 // started without the router knowing it may still do so.
-func (g *Gateway) withdrawQuarantinedSends(content quarantine.Subject) {
+func (g *Gateway) withdrawQuarantinedSends(subject quarantine.Subject) {
+	for _, send := range g.unstartedSendsOf(subject) {
+		if g.suspects.verdict(g.now(), send.content, send.parts).State != quarantine.Quarantined {
+			continue
+		}
+		g.mutex.Lock()
+		_, waits := g.unstartedSends[send]
+		delete(g.unstartedSends, send)
+		g.mutex.Unlock()
+		if waits {
+			send.cancel(errContentQuarantined)
+		}
+	}
+}
+
+// unstartedSendsOf returns the sends with the subject that wait on runners.
+func (g *Gateway) unstartedSendsOf(subject quarantine.Subject) (sends []*unstartedSend) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for send := range g.unstartedSends {
-		if send.content == content {
-			delete(g.unstartedSends, send)
-			send.cancel(errContentQuarantined)
+		if send.content == subject || subject.IsPart() && send.content.Tenant == subject.Tenant && slices.Contains(send.parts, subject.Part) {
+			sends = append(sends, send)
 		}
 	}
+	return sends
 }
 
 // isWithdrawn reports whether the send was withdrawn.
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"maps"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Bounds of the memory of a Detector.
@@ -13,24 +17,31 @@
 	// them take 0.4 MB. The loss of 70 runners with 16 requests each creates records for half
 	// of this number.
 	maxRecords = 2048
-	// maxSurvivedContents limits the number of contents in one generation of recently survived
-	// contents. It is the number of requests that one of 400 routers receives in
+	// evictedRecords is how many records are removed at once when there are too many, as finding
+	// the least significant ones takes a pass over all.
+	evictedRecords = maxRecords / 8
+	// maxSurvivedSubjects limits the number of subjects in one generation of recently survived
+	// ones. It is the number of requests that one of 400 routers receives in
 	// survivedInterval at a total of 27,000 requests per second.
-	maxSurvivedContents = 2048
-	// survivedInterval is the minimum time for which a survived content is not suspected; the
+	maxSurvivedSubjects = 2048
+	// survivedInterval is the minimum time for which a subject counts as recently survived; the
 	// maximum is twice as long. Crashes of runners that follow each other within seconds would
 	// otherwise count against contents that are requested all the time. The cost is that a
 	// content that starts to crash runners is detected that much later.
 	survivedInterval = 30 * time.Second
 )
 
-// Detector holds the records of contents that were being processed on runners when these
-// crashed, and decides which contents are quarantined. It is not safe for concurrent use.
+// Detector holds the records of subjects that were being processed on runners when these
+// crashed, and decides which are quarantined. It is not safe for concurrent use.
 type Detector struct {
 	records map[Subject]*entry
 	// sequence is the number of the last change of any record.
 	sequence uint64
-	survived survivedSet
+	// trialKey determines the delay of this router's trials. Without one they are not delayed.
+	trialKey uint64
+	// survivedContents and survivedParts are the subjects that runners survived recently.
+	survivedContents, survivedParts survivedSet
+	derived                         derivedState
 }
 
 // entry is a record with the sequence number of its last change.
@@ -43,27 +54,96 @@
 	otherCauseSequence uint64
 }
 
-// NewDetector returns a Detector without records.
-func NewDetector() *Detector { return &Detector{records: map[Subject]*entry{}} }
+// derivedState caches what follows from all records as of the change numbered sequence.
+type derivedState struct {
+	sequence uint64
+	// suspectParts are the entries of prompt parts with at least two generations of crashes.
+	suspectParts []*entry
+	// quarantined are the entries of subjects that were quarantined, with those on trial.
+	quarantined []*entry
+}
 
-// RunnerCrashed records that the runner of the run crashed while it processed the run, and
-// reports whether that changed the record of the content. Contents that a runner survived
-// recently are ignored.
-func (d *Detector) RunnerCrashed(now time.Time, run *Run) (changed bool) {
-	if d.survived.contains(now, run.Content) {
-		return false
+// NewDetector returns a Detector without records. Routers with different trial keys begin trials at
+// different times; a key of 0 delays no trial.
+func NewDetector(trialKey uint64) *Detector {
+	return &Detector{records: map[Subject]*entry{}, trialKey: trialKey}
+}
+
+// RunnerCrashed records that the runner of the runs crashed while it processed them, and returns the
+// records that changed.
+func (d *Detector) RunnerCrashed(now time.Time, runs ...*Run) (changed []Record) {
+	crashedAt := crashTime(now, runs)
+	for _, run := range runs {
+		changed = append(changed, d.contentCrashed(now, run)...)
+		changed = append(changed, d.partsCrashed(now, crashedAt, run)...)
 	}
-	return d.merge(now, Record{Subject: run.Content, Crashes: []Crash{{Runner: run.Runner, SentAt: run.SentAt, DetectedAt: now}}})
+	return changed
 }
 
-// RunnerSurvived records that a runner survived a run of the content, and reports whether that
-// changed its record. It does so only if active crashes are recorded for the content.
-func (d *Detector) RunnerSurvived(now time.Time, content Subject) (changed bool) {
-	d.survived.add(now, content)
-	if e := d.records[content]; e == nil || len(e.activeCrashes()) == 0 {
-		return false
+// contentCrashed records a crash under the content of the run. Contents that a runner survived recently
+// are ignored.
+func (d *Detector) contentCrashed(now time.Time, run *Run) (changed []Record) {
+	crash := Crash{Runner: run.Runner, SentAt: run.SentAt, DetectedAt: now}
+	if d.survivedContents.runTime(now, run.Content) == 0 && d.merge(now, Record{Subject: run.Content, Crashes: []Crash{crash}}) {
+		changed = append(changed, d.records[run.Content].Record)
+	}
+	return changed
+}
+
+// partsCrashed records a crash under the prompt parts of the run.
+func (d *Detector) partsCrashed(now, crashedAt time.Time, run *Run) (changed []Record) {
+	crash := Crash{Runner: run.Runner, Content: run.Content.Digest, SentAt: run.SentAt, DetectedAt: crashedAt}
+	for _, id := range run.Parts {
+		part := NewPart(run.Content.Tenant, id)
+		record := Record{Subject: part, Crashes: []Crash{crash}, Service: run.Service, RunTime: d.survivedParts.runTime(now, part)}
+		if d.merge(now, record) {
+			changed = append(changed, d.records[part].Record)
+		}
+	}
+	return changed
+}
+
+// RunnerSurvived records that a runner survived the run, and returns the changed records that other
+// routers need.
+func (d *Detector) RunnerSurvived(now time.Time, run *Run) (changed []Record) {
+	d.survivedContents.add(now, run.Content, now.Sub(run.SentAt))
+	if e := d.records[run.Content]; e != nil && len(e.activeCrashes()) > 0 && d.merge(now, Record{Subject: run.Content, SurvivedAt: now}) {
+		changed = append(changed, e.Record)
+	}
+	for _, id := range run.Parts {
+		part := NewPart(run.Content.Tenant, id)
+		d.survivedParts.add(now, part, now.Sub(run.SentAt))
+		e := d.records[part]
+		if e == nil || len(e.activeCrashes()) == 0 {
+			continue
+		}
+		generations := e.generations()
+		// Other routers see parts with a single generation survive themselves, or learn it with
+		// their next pull.
+		if d.merge(now, Record{Subject: part, SurvivedAt: run.startedAt(), RunTime: now.Sub(run.SentAt)}) && generations > 1 {
+			changed = append(changed, e.Record)
+		}
+	}
+	return append(changed, d.recordContrast(now, run)...)
+}
+
+// recordContrast records that a runner survived the run in the records of suspect parts that the run
+// does not have, and returns the records that changed.
+func (d *Detector) recordContrast(now time.Time, run *Run) (changed []Record) {
+	for _, e := range d.derive().suspectParts {
+		if e.Service == run.Service && !run.includes(e.Subject) && d.merge(now, Record{Subject: e.Subject, ContrastAt: run.startedAt()}) {
+			changed = append(changed, e.Record)
+		}
+	}
+	return changed
+}
+
+// Lift drops all crashes of the subject up to now, and returns its record if that changed it.
+func (d *Detector) Lift(now time.Time, subject Subject) (record Record, changed bool) {
+	if d.records[subject] == nil || !d.merge(now, Record{Subject: subject, SurvivedAt: now}) {
+		return Record{}, false
 	}
-	return d.merge(now, Record{Subject: content, SurvivedAt: now})
+	return d.records[subject].Record, true
 }
 
 // Merge applies records from another router and returns the records that changed.
@@ -95,29 +175,62 @@
 	return true
 }
 
-// evictLeastSignificant removes the least significant record, but never the record of the content
+// evictLeastSignificant removes the least significant records, but never the record of the subject
 // given by keep.
 func (d *Detector) evictLeastSignificant(keep Subject) {
-	var least *entry
-	for content, e := range d.records {
-		if content != keep && (least == nil || compareSignificance(e.Record, least.Record) < 0) {
-			least = e
+	type candidate struct {
+		subject Subject
+		crashes int
+		expiry  time.Time
+	}
+	candidates := make([]candidate, 0, len(d.records))
+	for subject, e := range d.records {
+		if subject != keep {
+			candidates = append(candidates, candidate{subject, len(e.activeCrashes()), e.expiry()})
 		}
 	}
-	delete(d.records, least.Subject)
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.expiry.Compare(b.expiry))
+	})
+	for _, c := range candidates[:evictedRecords] {
+		delete(d.records, c.subject)
+	}
 }
 
-// Evaluate returns the current status of the content.
-func (d *Detector) Evaluate(now time.Time, content Subject) Status {
-	e := d.records[content]
+// Evaluate returns the current status of the subject.
+func (d *Detector) Evaluate(now time.Time, subject Subject) Status {
+	e := d.records[subject]
 	if e == nil || !now.Before(e.expiry()) {
 		return Status{}
 	}
-	return e.Evaluate(now, d.crashThreshold(e))
+	return e.Evaluate(now, d.crashThreshold(e), func(duration time.Duration) time.Duration { return d.trialDelay(e.Record, duration) })
 }
 
-// crashThreshold returns the number of crashes that quarantine the content.
+// trialDelay returns how much later than others this router begins trials of the subject, at most
+// duration. Thus one of many routers begins, and the others learn the result before they begin.
+func (d *Detector) trialDelay(record Record, duration time.Duration) time.Duration {
+	if d.trialKey == 0 {
+		return 0
+	}
+	hash := xxhash.New()
+	// Writing to a hash never fails.
+	_, _ = hash.WriteString(record.Subject.Tenant + "/" + record.Subject.String())
+	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, d.trialKey))
+	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(record.Crashes))))
+	return time.Duration(float64(hash.Sum64()) / math.MaxUint64 * float64(duration))
+}
+
+// crashThreshold returns the number of crashes, or for prompt parts of generations of them, that
+// quarantine the subject.
 func (d *Detector) crashThreshold(e *entry) int {
+	if e.Subject.IsPart() && d.isQuarantinedForAnotherTenant(e) {
+		return confirmedThreshold
+	}
+	return d.ownThreshold(e)
+}
+
+// ownThreshold is crashThreshold without regard to other tenants.
+func (d *Detector) ownThreshold(e *entry) int {
 	if len(e.activeCrashes()) >= quarantineThreshold && e.otherCauseSequence != d.sequence {
 		e.otherCause, e.otherCauseSequence = d.hasOtherCause(e.Record), d.sequence
 	}
@@ -127,6 +240,14 @@
 	return quarantineThreshold
 }
 
+// isQuarantinedForAnotherTenant reports whether the same prompt part was quarantined for another tenant
+// by crashes of that tenant's runs.
+func (d *Detector) isQuarantinedForAnotherTenant(e *entry) bool {
+	return slices.ContainsFunc(d.derive().suspectParts, func(other *entry) bool {
+		return other.Subject.Part == e.Subject.Part && other.Subject.Tenant != e.Subject.Tenant && other.isQuarantined(d.ownThreshold(other))
+	})
+}
+
 // hasOtherCause reports whether all crashes in the record may have another cause: either
 // another content that was being processed on each of the crashed runners, or a failure of
 // several runners at the time of each crash.
@@ -139,8 +260,8 @@
 	return !slices.ContainsFunc(record.activeCrashes(), func(crash Crash) bool { return !d.isCorrelated(record, crash) })
 }
 
-// isCorrelated reports whether runners that are not in the record crashed at about the same
-// time as the crash.
+// isCorrelated reports whether runners that are not in the record, and that no other suspect part
+// explains, crashed at about the same time as the crash.
 func (d *Detector) isCorrelated(record Record, crash Crash) bool {
 	otherRunners := map[Runner]bool{}
 	for _, e := range d.records {
@@ -150,12 +271,39 @@
 			}
 		}
 	}
+	for _, e := range d.derive().suspectParts {
+		if e.Subject == record.Subject || e.wasSound() {
+			continue
+		}
+		for _, other := range e.Crashes {
+			delete(otherRunners, other.Runner)
+		}
+	}
 	return len(otherRunners) >= minCorrelatedRunners
 }
 
-// Record returns the record of the content, and whether there is one.
-func (d *Detector) Record(content Subject) (Record, bool) {
-	e := d.records[content]
+// derive returns what follows from all records.
+func (d *Detector) derive() *derivedState {
+	if d.derived.sequence == d.sequence {
+		return &d.derived
+	}
+	d.derived = derivedState{sequence: d.sequence}
+	for _, e := range d.records {
+		if e.Subject.IsPart() && e.generations() > 1 {
+			d.derived.suspectParts = append(d.derived.suspectParts, e)
+		}
+	}
+	for _, e := range d.records {
+		if len(e.activeCrashes()) > 0 && e.isQuarantined(d.crashThreshold(e)) {
+			d.derived.quarantined = append(d.derived.quarantined, e)
+		}
+	}
+	return &d.derived
+}
+
+// Record returns the record of the subject, and whether there is one.
+func (d *Detector) Record(subject Subject) (Record, bool) {
+	e := d.records[subject]
 	if e == nil {
 		return Record{}, false
 	}
@@ -195,7 +343,7 @@
 	return all
 }
 
-// Quarantined returns the records of quarantined contents, oldest change first and at most
+// Quarantined returns the records of quarantined subjects, oldest change first and at most
 // limit of them.
 func (d *Detector) Quarantined(now time.Time, limit int) (records []Record) {
 	for _, record := range d.Records() {
@@ -206,11 +354,19 @@
 	return records
 }
 
-// CountByState returns the number of recorded contents in each state.
-func (d *Detector) CountByState(now time.Time) map[State]int {
-	counts := map[State]int{}
-	for content := range d.records {
-		counts[d.Evaluate(now, content).State]++
+// Counts holds numbers of recorded subjects by state.
+type Counts struct{ Contents, Parts map[State]int }
+
+// CountByState returns the number of recorded contents and prompt parts in each state.
+func (d *Detector) CountByState(now time.Time) Counts {
+	counts := Counts{Contents: map[State]int{}, Parts: map[State]int{}}
+	for subject := range d.records {
+		state := d.Evaluate(now, subject).State
+		if subject.IsPart() {
+			counts.Parts[state]++
+		} else {
+			counts.Contents[state]++
+		}
 	}
 	return counts
 }
@@ -224,30 +380,35 @@
 		}
 		return expired
 	})
+	if len(removed) > 0 {
+		d.derived = derivedState{}
+	}
 	return removed
 }
 
-// survivedSet holds the contents that a runner survived recently. It keeps two generations, so
+// survivedSet holds the subjects that a runner survived recently. It keeps two generations, so
 // that neither the running time nor the memory grows with the traffic.
 type survivedSet struct {
-	current, previous map[Subject]bool
+	// current and previous hold the longest time that a run of each subject took.
+	current, previous map[Subject]time.Duration
 	// startedAt is when the current generation began.
 	startedAt time.Time
 }
 
-func (s *survivedSet) add(now time.Time, content Subject) {
-	if s.current == nil || now.Sub(s.startedAt) >= survivedInterval || len(s.current) >= maxSurvivedContents {
-		s.previous, s.current, s.startedAt = s.current, map[Subject]bool{}, now
+func (s *survivedSet) add(now time.Time, subject Subject, runTime time.Duration) {
+	if s.current == nil || now.Sub(s.startedAt) >= survivedInterval || len(s.current) >= maxSurvivedSubjects {
+		s.previous, s.current, s.startedAt = s.current, map[Subject]time.Duration{}, now
 	}
-	s.current[content] = true
+	s.current[subject] = max(s.current[subject], runTime, 1)
 }
 
-func (s *survivedSet) contains(now time.Time, content Subject) bool {
+// runTime returns the longest time that a run took that a runner survived recently, 0 if there is none.
+func (s *survivedSet) runTime(now time.Time, subject Subject) time.Duration {
 	switch age := now.Sub(s.startedAt); {
 	case age < survivedInterval:
-		return s.current[content] || s.previous[content]
+		return max(s.current[subject], s.previous[subject])
 	case age < 2*survivedInterval:
-		return s.current[content]
+		return s.current[subject]
 	}
-	return false
+	return 0
 }
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -26,35 +26,40 @@
 	d.RunnerCrashed(atSeconds(seconds), &Run{Content: testContent(digest), Runner: testRunner(runner), SentAt: atSeconds(seconds - 0.1)})
 }
 
+// survive records that a runner survived a run of the content, and reports whether that changed its record.
+func (d *Detector) survive(at time.Time, digest int) (changed bool) {
+	return len(d.RunnerSurvived(at, &Run{Content: testContent(digest)})) > 0
+}
+
 func (d *Detector) state(digest int, seconds float64) State {
 	return d.Evaluate(atSeconds(seconds), testContent(digest)).State
 }
 
 func TestThirdCrashQuarantinesContent(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	g.Expect(d.state(1, 0)).To(Equal(Clear))
 	for i, want := range []State{Suspected, Suspected, Quarantined} {
 		d.crash(1, i, float64(i))
 		g.Expect(d.state(1, float64(i))).To(Equal(want))
 	}
-	g.Expect(d.Evaluate(atSeconds(2), testContent(1))).To(Equal(Status{State: Quarantined, Crashes: 3, Until: atSeconds(2).Add(initialQuarantine)}))
+	g.Expect(d.Evaluate(atSeconds(2), testContent(1))).To(Equal(Status{State: Quarantined, Crashes: 3, Evidence: 3, Until: atSeconds(2).Add(initialQuarantine)}))
 	g.Expect(d.state(2, 2)).To(Equal(Clear), "other contents are not affected")
 	g.Expect(d.Evaluate(atSeconds(2), Subject{Tenant: "u", Digest: 1}).State).To(Equal(Clear), "the same content of another tenant is not affected")
 }
 
 // All routers report the same crash, some of them late.
 func TestCrashOfOneRunnerCountsOnce(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 10 {
 		d.crash(1, 7, float64(i))
 	}
-	g.Expect(d.Evaluate(atSeconds(10), testContent(1))).To(Equal(Status{State: Suspected, Crashes: 1}))
+	g.Expect(d.Evaluate(atSeconds(10), testContent(1))).To(Equal(Status{State: Suspected, Crashes: 1, Evidence: 1}))
 }
 
 // Many runners are lost at once, as when a rack fails, while each of them processes a request
 // with the same content.
 func TestSimultaneousCrashesDoNotQuarantine(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 10 {
 		d.RunnerCrashed(atSeconds(1+float64(i)/100), &Run{Content: testContent(1), Runner: testRunner(i), SentAt: atSeconds(0.9)})
 	}
@@ -64,13 +69,13 @@
 }
 
 func TestSurvivedRunClearsContent(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 	}
-	g.Expect(d.RunnerSurvived(atSeconds(4), testContent(1))).To(BeTrue())
+	g.Expect(d.survive(atSeconds(4), 1)).To(BeTrue())
 	g.Expect(d.state(1, 4)).To(Equal(Clear))
-	g.Expect(d.RunnerSurvived(atSeconds(4), testContent(2))).To(BeFalse(), "no crash was recorded for the content")
+	g.Expect(d.survive(atSeconds(4), 2)).To(BeFalse(), "no crash was recorded for the content")
 	for i := range 10 {
 		d.crash(2, 20+i, 5+float64(i))
 	}
@@ -84,7 +89,7 @@
 // The requests of one content ran on every runner that another content crashed. Both contents
 // have the same crashes until one of them runs elsewhere.
 func TestCrashesCoveredByOtherContentNeedHigherThreshold(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 		d.crash(2, i, float64(i))
@@ -99,7 +104,7 @@
 }
 
 func TestContentsAlwaysSentTogetherAreEventuallyQuarantined(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 5 {
 		g.Expect(d.state(1, float64(i))).NotTo(Equal(Quarantined))
 		d.crash(1, i, float64(i))
@@ -109,7 +114,7 @@
 }
 
 func TestQuarantineDoublesAfterFailedTrial(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 	}
@@ -119,13 +124,13 @@
 	d.crash(1, 3, quarantineEnd+1)
 	g.Expect(d.Evaluate(atSeconds(quarantineEnd+1), testContent(1)).Until).To(Equal(atSeconds(quarantineEnd + 1).Add(2 * initialQuarantine)))
 	g.Expect(d.state(1, quarantineEnd+1+2*initialQuarantine.Seconds())).To(Equal(OnTrial))
-	d.RunnerSurvived(atSeconds(quarantineEnd+2+2*initialQuarantine.Seconds()), testContent(1))
+	d.survive(atSeconds(quarantineEnd+2+2*initialQuarantine.Seconds()), 1)
 	g.Expect(d.state(1, quarantineEnd+2+2*initialQuarantine.Seconds())).To(Equal(Clear))
 }
 
 // Runs that were already in progress at the third crash do not count as trials.
 func TestRunsSentBeforeQuarantineDoNotExtendIt(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 8 {
 		d.crash(1, i, float64(i)/10)
 	}
@@ -133,7 +138,7 @@
 }
 
 func TestSuspicionsExpire(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	d.crash(1, 1, 0)
 	g.Expect(d.state(1, suspicionRetention.Seconds()-1)).To(Equal(Suspected))
 	g.Expect(d.state(1, suspicionRetention.Seconds())).To(Equal(Clear))
@@ -145,23 +150,23 @@
 // A caller may vary the body, which creates a new content each time. Such contents must not
 // evict the record of a content that crashed more runners.
 func TestMemoryIsBoundedAndMostSignificantRecordsAreKept(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 	}
 	for i := range 2 * maxRecords {
 		d.crash(10+i, 10+i, 3+float64(i)/1000)
 	}
-	g.Expect(len(d.records)).To(Equal(maxRecords))
+	g.Expect(len(d.records)).To(And(BeNumerically("<=", maxRecords), BeNumerically(">=", maxRecords-evictedRecords)))
 	g.Expect(d.state(1, 10)).To(Equal(Quarantined))
-	for i := range 3 * maxSurvivedContents {
-		d.RunnerSurvived(atSeconds(20), testContent(-i))
+	for i := range 3 * maxSurvivedSubjects {
+		d.survive(atSeconds(20), -i)
 	}
-	g.Expect(len(d.survived.current) + len(d.survived.previous)).To(BeNumerically("<=", 2*maxSurvivedContents))
+	g.Expect(len(d.survivedContents.current) + len(d.survivedContents.previous)).To(BeNumerically("<=", 2*maxSurvivedSubjects))
 }
 
 func TestChangedSinceReturnsChangesInOrderAndInParts(t *testing.T) {
-	g, d, other := NewWithT(t), NewDetector(), NewDetector()
+	g, d, other := NewWithT(t), NewDetector(0), NewDetector(0)
 	for i := range 10 {
 		d.crash(i, i, float64(i))
 	}
@@ -228,7 +233,7 @@
 // survived, and only if one of these runs was sent after the first crash.
 func TestQuarantineRequiresThresholdAndRepeatedSend(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d, seconds := NewDetector(), 0.0
+		d, seconds := NewDetector(0), 0.0
 		// crashesSinceSurvival holds the crashes of each content since a runner last survived a
 		// run of it.
 		crashesSinceSurvival := map[int][]Crash{}
@@ -236,7 +241,7 @@
 			seconds += float64(rapid.IntRange(0, 40).Draw(t, "pause"))
 			digest := rapid.IntRange(1, 4).Draw(t, "content")
 			if rapid.IntRange(0, 4).Draw(t, "event") == 0 {
-				d.RunnerSurvived(atSeconds(seconds), testContent(digest))
+				d.survive(atSeconds(seconds), digest)
 				crashesSinceSurvival[digest] = nil
 			} else {
 				sentAt := seconds - float64(rapid.IntRange(0, 3).Draw(t, "run"))
@@ -266,7 +271,7 @@
 // each of its crashes coincided with crashes of runners that had never run it, which means that
 // something else was crashing runners at these times.
 func TestCorrelatedCrashesNeedHigherThreshold(t *testing.T) {
-	g, d := NewWithT(t), NewDetector()
+	g, d := NewWithT(t), NewDetector(0)
 	massFailure := func(number int, seconds float64) {
 		for i := range 5 {
 			d.crash(100*number+i, 100*number+i, seconds+float64(i)/100)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -6,47 +6,78 @@
 	"time"
 )
 
-// Crash is a crash of one runner that occurred while the runner was processing the content.
+// Crash is a crash of one runner that occurred while the runner was processing a run of the subject.
 type Crash struct {
 	Runner Runner
+	// Content is the digest of the run's content. It is recorded for prompt parts only.
+	Content uint64
 	// SentAt is when the run was sent, and DetectedAt is when the crash was detected.
 	SentAt, DetectedAt time.Time
 }
 
-// maxCrashes limits the crashes in one record. It is more than the content needs to be
+// maxCrashes limits the crashes in one record. It is more than the subject needs to be
 // quarantined and to fail several trials.
 const maxCrashes = 16
 
-// Record holds the crashes of one content. Merging records of several routers gives the same
+// Record holds the crashes of one subject. Merging records of several routers gives the same
 // result in any order and with any number of repetitions: crashes are a set keyed by runner,
-// and the latest SurvivedAt applies.
+// and the latest times apply.
 type Record struct {
 	Subject Subject
-	// Crashes holds at most one crash per runner, earliest first and at most maxCrashes.
+	// Crashes holds at most one crash per runner, earliest first and at most maxCrashes. Crashes
+	// up to SurvivedAt may be missing.
 	Crashes []Crash
-	// SurvivedAt is when a runner was last seen to survive a run of the content, zero if none
-	// did.
+	// SurvivedAt shows that earlier crashes had another cause, zero if nothing does. For a content,
+	// it is when a runner last completed a run; for a prompt part, when the last run that a runner
+	// completed had begun.
 	SurvivedAt time.Time
+	// Service is the service of the runners that crashed under a prompt part.
+	Service string
+	// RunTime is the longest time that runners took to complete runs of the prompt part before a crash,
+	// 0 if none is known to have completed one.
+	RunTime time.Duration
+	// ContrastAt is when a run without the prompt part began that a runner of the service
+	// survived, zero if there is none. It shows that runners were working at that time.
+	ContrastAt time.Time
 }
 
-// Merge combines both records and reports whether that added information. A later SurvivedAt
-// counts as a change only if it makes crashes inactive: times shift slightly in transit, and
-// routers would otherwise send each other the shifted times forever.
+// Merge combines both records and reports whether that added information. A later SurvivedAt or
+// ContrastAt counts as a change only if it changes what the crashes show: times shift slightly in
+// transit, and routers would otherwise send each other the shifted times forever.
 func (r Record) Merge(other Record) (merged Record, changed bool) {
 	merged = r
+	merged.SurvivedAt = latest(r.SurvivedAt, other.SurvivedAt)
+	merged.Service = cmp.Or(r.Service, other.Service)
+	merged.RunTime = max(r.RunTime, other.RunTime)
+	changed = len(merged.activeCrashes()) < len(r.activeCrashes()) || merged.wasSound() != r.wasSound() && len(merged.activeCrashes()) > 0
 	for _, crash := range other.Crashes {
-		if !merged.includesRunner(crash.Runner) {
+		if crash.DetectedAt.After(merged.SurvivedAt) && !merged.includesRunner(crash.Runner) {
 			merged.Crashes, changed = append(slices.Clone(merged.Crashes), crash), true
 		}
 	}
 	slices.SortStableFunc(merged.Crashes, func(a, b Crash) int { return a.DetectedAt.Compare(b.DetectedAt) })
+	merged.Crashes = merged.activeCrashes()
 	merged.Crashes = merged.Crashes[max(len(merged.Crashes)-maxCrashes, 0):]
-	if other.SurvivedAt.After(r.SurvivedAt) {
-		before := len(merged.activeCrashes())
-		merged.SurvivedAt = other.SurvivedAt
-		changed = changed || len(merged.activeCrashes()) < before
+	hadContrast := merged.hasContrast()
+	merged.ContrastAt = latest(r.ContrastAt, other.ContrastAt)
+	return merged, changed || merged.hasContrast() != hadContrast
+}
+
+// latest returns the later one of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return merged, changed
+	return b
+}
+
+// wasSound reports whether runners are known to have completed runs of the prompt part before it crashed some.
+func (r Record) wasSound() bool { return r.RunTime > 0 }
+
+// hasContrast reports whether a run without the prompt part was survived since the first active crash.
+func (r Record) hasContrast() bool {
+	crashes := r.activeCrashes()
+	return len(crashes) > 0 && r.ContrastAt.After(crashes[0].DetectedAt)
 }
 
 // includesRunner reports whether the record contains a crash of the runner.
@@ -65,11 +96,12 @@
 }
 
 // coversCrashes reports whether every runner in the other record's active crashes is also in
-// the active crashes of this record. The content of this record may then be the cause of the
-// other's crashes.
+// the active crashes of this record. The subject of this record may then be the cause of the
+// other's crashes. A part does not cover a content, because the parts of a content are at each of its
+// crashes.
 func (r Record) coversCrashes(other Record) bool {
 	ownCrashes, otherCrashes := r.activeCrashes(), other.activeCrashes()
-	if r.Subject == other.Subject || len(ownCrashes) < len(otherCrashes) {
+	if r.Subject == other.Subject || r.Subject.IsPart() || len(ownCrashes) < len(otherCrashes) {
 		return false
 	}
 	for _, crash := range otherCrashes {
@@ -80,41 +112,46 @@
 	return true
 }
 
-// State determines how requests with a content are handled.
+// State determines how requests with a subject are handled.
 type State uint8
 
-// The states of a content.
+// The states of a subject.
 const (
-	// Clear contents are sent without restrictions.
+	// Clear subjects are sent without restrictions.
 	Clear State = iota
-	// Suspected contents were being processed on a runner that crashed. They are sent, but kept
+	// Suspected subjects were being processed on a runner that crashed. They are sent, but kept
 	// on separate runners.
 	Suspected
-	// Quarantined contents are not sent.
-	Quarantined
-	// OnTrial contents have left their quarantine. They are sent one at a time.
+	// OnTrial subjects have left their quarantine. They are sent one at a time.
 	OnTrial
+	// Held subjects will be quarantined soon, unless a run that is under way survives. Requests with
+	// them wait for that.
+	Held
+	// Quarantined subjects are not sent.
+	Quarantined
 )
 
 // String returns the name of the state.
 func (s State) String() string {
-	return [...]string{"clear", "suspected", "quarantined", "on trial"}[s]
+	return [...]string{"clear", "suspected", "on trial", "held", "quarantined"}[s]
 }
 
-// Status is the state of a content and the reason for it.
+// Status is the state of a subject and the reason for it.
 type Status struct {
 	State State
 	// Crashes is the number of runners that crashed since one last survived a run of the
-	// content.
+	// subject.
 	Crashes int
-	// Until is when the quarantine ends.
+	// Evidence is the number of these crashes that count towards a quarantine.
+	Evidence int
+	// Until is when the quarantine ends, or when it is decided whether a held subject is quarantined.
 	Until time.Time
 }
 
 // Thresholds and durations of the quarantine.
 const (
-	// quarantineThreshold is the number of crashed runners at which a content is no longer
-	// sent. In the simulation of mixed fleets (simulation_test.go), a threshold of four costs
+	// quarantineThreshold is the number of crashed runners, and for prompt parts of generations of
+	// them, at which a subject is no longer sent. In the simulation of mixed fleets (simulation_test.go), a threshold of four costs
 	// one more runner per crashing content. A threshold of two saves one runner, but would
 	// refuse contents that were on two crashed runners by chance, which is likely for long
 	// requests.
@@ -122,6 +159,8 @@
 	// otherCauseThreshold is the threshold while the crashes may have another cause. It is two
 	// higher, so that even then no more runners crash than the accepted three plus three more.
 	otherCauseThreshold = 5
+	// confirmedThreshold is the threshold for a prompt part that was quarantined for another tenant.
+	confirmedThreshold = 1
 	// correlationWindow is the maximum time between crashes that count as correlated, and
 	// minCorrelatedRunners is the number of other crashed runners that makes a crash
 	// correlated. Runners that are lost at once are detected within 10 ms, or when their next
@@ -136,28 +175,49 @@
 	// maxQuarantine limits the length of a quarantine, which doubles with each trial that
 	// crashes a runner.
 	maxQuarantine = 24 * time.Hour
+	// minIsolatedEvidence is the number of generations from which requests with a prompt part that was
+	// sound before are kept on separate runners. Many requests may have such a part, and some of the
+	// runners on which they are run crash for another reason.
+	minIsolatedEvidence = 2
+	// A prompt part that was sound before is not quarantined until runTimeFactor times the time that its
+	// runs took have passed since its first crash, at least minObservation.
+	runTimeFactor  = 2
+	minObservation = 250 * time.Millisecond
 	// suspicionRetention is how long crashes count that did not lead to a quarantine. Contents
 	// that are sent less often than this are never quarantined. A survived run clears the
 	// content earlier.
 	suspicionRetention = time.Hour
 	// clearedRetention is how long the record of a survived run is kept. It is longer than
-	// other routers need to learn of it.
-	clearedRetention = time.Minute
+	// most partitions, after which a router brings crashes back that no longer count.
+	clearedRetention = 10 * time.Minute
 )
 
-// Evaluate returns the status of the content at the given time, if threshold crashes quarantine
-// it.
-func (r Record) Evaluate(now time.Time, threshold int) Status {
+// Evaluate returns the status of the subject at the given time, if threshold crashes quarantine
+// it. A quarantine ends trialDelay later at this router than the crashes imply.
+func (r Record) Evaluate(now time.Time, threshold int, trialDelay func(duration time.Duration) time.Duration) Status {
 	crashes := r.activeCrashes()
-	status := Status{Crashes: len(crashes)}
-	first := quarantiningCrash(crashes, threshold)
-	if first < 0 {
-		if len(crashes) > 0 {
+	status := Status{Crashes: len(crashes), Evidence: len(crashes)}
+	if r.Subject.IsPart() {
+		status.Evidence = r.generations()
+	}
+	first := r.quarantiningCrash(threshold)
+	if first < 0 || !r.hasEnoughContrast() {
+		switch {
+		case first >= 0 && now.Before(r.observedUntil()):
+			status.State, status.Until = Held, r.observedUntil()
+		case len(crashes) > 0 && (!r.wasSound() || status.Evidence >= minIsolatedEvidence):
 			status.State = Suspected
 		}
 		return status
 	}
-	until, _ := quarantinePeriod(crashes, first)
+	if r.wasSound() && now.Before(r.observedUntil()) {
+		status.State, status.Until = Held, r.observedUntil()
+		return status
+	}
+	until, duration := quarantinePeriod(crashes, first)
+	if !now.Before(until) && trialDelay != nil {
+		until = until.Add(trialDelay(duration))
+	}
 	status.State, status.Until = OnTrial, until
 	if now.Before(until) {
 		status.State = Quarantined
@@ -165,11 +225,35 @@
 	return status
 }
 
-// quarantiningCrash returns the index of the crash that first quarantined the content, or -1 if
-// it was not quarantined. Runners that crash all at once, such as those of a failed rack, are
-// no evidence against a content that was running on several of them. Therefore at least one run
-// must have been sent after the first crash was detected.
-func quarantiningCrash(crashes []Crash, threshold int) int {
+// hasEnoughContrast reports whether the crashes can't be put down to runners that crash under all runs.
+// That is assumed of subjects that were not sound before.
+func (r Record) hasEnoughContrast() bool { return !r.wasSound() || r.hasContrast() }
+
+// observedUntil returns when a run of the prompt part that was sent after the first active crash would
+// have been completed.
+func (r Record) observedUntil() time.Time {
+	return r.activeCrashes()[0].DetectedAt.Add(max(runTimeFactor*r.RunTime, minObservation))
+}
+
+// isQuarantined reports whether enough crashes are recorded to quarantine the subject, be it now, in
+// the past, or once runs that are under way could have been completed.
+func (r Record) isQuarantined(threshold int) bool {
+	return r.quarantiningCrash(threshold) >= 0 && r.hasEnoughContrast()
+}
+
+// quarantiningCrash returns the index of the active crash that first quarantined the subject, or -1
+// if it was not quarantined.
+func (r Record) quarantiningCrash(threshold int) int {
+	if r.Subject.IsPart() {
+		return r.quarantiningPartCrash(threshold)
+	}
+	return quarantiningContentCrash(r.activeCrashes(), threshold)
+}
+
+// quarantiningContentCrash implements quarantiningCrash for contents. Runners that crash all at once,
+// such as those of a failed rack, are no evidence against a content that was running on several of
+// them. Therefore at least one run must have been sent after the first crash was detected.
+func quarantiningContentCrash(crashes []Crash, threshold int) int {
 	for i := threshold - 1; i < len(crashes); i++ {
 		if sentAgain := slices.ContainsFunc(crashes[:i+1], func(crash Crash) bool { return crash.SentAt.After(crashes[0].DetectedAt) }); sentAgain {
 			return i
@@ -178,6 +262,46 @@
 	return -1
 }
 
+// quarantiningPartCrash implements quarantiningCrash for prompt parts.
+func (r Record) quarantiningPartCrash(threshold int) int {
+	var counted []Crash
+	for i, crash := range r.activeCrashes() {
+		if isNextGeneration(counted, crash) {
+			counted = append(counted, crash)
+		}
+		if len(counted) >= threshold && (threshold == 1 || hasSeveralContents(counted)) {
+			return i
+		}
+	}
+	return -1
+}
+
+// generations returns the number of active crashes of which each occurred in a run that was sent after
+// the previous one had been detected. Runners that crash all at once are one generation, and so are those
+// that crash under a single content, which would explain them.
+func (r Record) generations() int {
+	var counted []Crash
+	for _, crash := range r.activeCrashes() {
+		if isNextGeneration(counted, crash) {
+			counted = append(counted, crash)
+		}
+	}
+	if !hasSeveralContents(counted) {
+		return min(len(counted), 1)
+	}
+	return len(counted)
+}
+
+// isNextGeneration reports whether the crash is evidence in addition to the counted ones.
+func isNextGeneration(counted []Crash, crash Crash) bool {
+	return len(counted) == 0 || crash.SentAt.After(counted[len(counted)-1].DetectedAt)
+}
+
+// hasSeveralContents reports whether the crashes occurred under more than one content.
+func hasSeveralContents(crashes []Crash) bool {
+	return slices.ContainsFunc(crashes, func(crash Crash) bool { return crash.Content != crashes[0].Content })
+}
+
 // quarantinePeriod returns when the quarantine ends and how long it is. Each crash during a run
 // that was sent after the previous quarantine starts a new quarantine of twice the length.
 func quarantinePeriod(crashes []Crash, first int) (until time.Time, duration time.Duration) {
@@ -192,22 +316,17 @@
 	return until, duration
 }
 
-// expiry returns when the record can be removed. A quarantined content is kept for the length
-// of its quarantine after the quarantine ended, so that the result of its trial counts.
+// expiry returns when the record can be removed. A quarantined subject is kept for twice the length
+// of its quarantine after the quarantine ended, so that the results of trials count, the last of
+// which begin after that length.
 func (r Record) expiry() time.Time {
 	crashes := r.activeCrashes()
 	if len(crashes) == 0 {
 		return r.SurvivedAt.Add(clearedRetention)
 	}
-	if first := quarantiningCrash(crashes, quarantineThreshold); first >= 0 {
+	if first := r.quarantiningCrash(quarantineThreshold); first >= 0 && r.hasEnoughContrast() {
 		until, duration := quarantinePeriod(crashes, first)
-		return until.Add(duration)
+		return until.Add(2 * duration)
 	}
 	return crashes[len(crashes)-1].DetectedAt.Add(suspicionRetention)
 }
-
-// compareSignificance orders records for eviction, least significant first: by the number of
-// active crashes, then by expiry.
-func compareSignificance(a, b Record) int {
-	return cmp.Or(cmp.Compare(len(a.activeCrashes()), len(b.activeCrashes())), a.expiry().Compare(b.expiry()))
-}
--- a/internal/quarantine/runtable.go
+++ b/internal/quarantine/runtable.go
@@ -42,8 +42,11 @@
 	// Parts are the IDs of the prompt parts that the request may share with others.
 	Parts  []string
 	Runner Runner
-	// SentAt is when the request was sent.
-	SentAt time.Time
+	// Service is the service of the runner.
+	Service string
+	// SentAt is when the request was sent, and BeganAt when the runner was seen to begin the
+	// response, zero if it was not.
+	SentAt, BeganAt time.Time
 	// endedAt is when the router saw the run end, zero while it is open.
 	endedAt time.Time
 	outcome RunOutcome
@@ -76,11 +79,18 @@
 	return &RunTable{runs: map[Runner][]*Run{}, crashed: map[Runner]time.Time{}}
 }
 
-// Begin adds a run for a request that is about to be sent to the runner.
-func (t *RunTable) Begin(now time.Time, runner Runner, content Subject, parts []string) *Run {
-	run := &Run{Content: content, Parts: parts, Runner: runner, SentAt: now}
-	t.runs[runner] = append(t.runs[runner], run)
-	return run
+// Begin adds a run that is about to be sent.
+func (t *RunTable) Begin(run *Run) { t.runs[run.Runner] = append(t.runs[run.Runner], run) }
+
+// startedAt returns the latest known time before the runner began the run.
+func (r *Run) startedAt() time.Time { return latest(r.SentAt, r.BeganAt) }
+
+// includes reports whether the run is one of the subject.
+func (r *Run) includes(subject Subject) bool {
+	if subject.IsPart() {
+		return subject.Tenant == r.Content.Tenant && slices.Contains(r.Parts, subject.Part)
+	}
+	return subject == r.Content
 }
 
 // End records the outcome of a run.
@@ -122,16 +132,28 @@
 	return affected
 }
 
+// crashTime returns when the runner of the runs crashed, which was detected at the given time. A crash
+// ends the connections of the runs before it is detected.
+func crashTime(detectedAt time.Time, runs []*Run) time.Time {
+	crashedAt := detectedAt
+	for _, run := range runs {
+		if run.outcome == ConnectionLost && run.endedAt.Before(crashedAt) {
+			crashedAt = run.endedAt
+		}
+	}
+	return crashedAt
+}
+
 // HasCrashed reports whether a crash of the runner was recorded.
 func (t *RunTable) HasCrashed(runner Runner) bool {
 	_, crashed := t.crashed[runner]
 	return crashed
 }
 
-// HasOpenRun reports whether a run of the content is open.
-func (t *RunTable) HasOpenRun(content Subject) bool {
+// HasOpenRun reports whether a run of the subject is open.
+func (t *RunTable) HasOpenRun(subject Subject) bool {
 	for _, runs := range t.runs {
-		if slices.ContainsFunc(runs, func(run *Run) bool { return run.isOpen() && run.Content == content }) {
+		if slices.ContainsFunc(runs, func(run *Run) bool { return run.isOpen() && run.includes(subject) }) {
 			return true
 		}
 	}
--- a/internal/quarantine/runtable_test.go
+++ b/internal/quarantine/runtable_test.go
@@ -19,7 +19,14 @@
 	return quarantine.NewContent("tenant", "h.example", "/p/", []byte(body))
 }
 
-func TestContentIDCoversTenantHostPathAndBody(t *testing.T) {
+// begin begins a run of the content on the runner.
+func begin(table *quarantine.RunTable, runner quarantine.Runner, content quarantine.Subject) *quarantine.Run {
+	run := &quarantine.Run{Content: content, Runner: runner, SentAt: start}
+	table.Begin(run)
+	return run
+}
+
+func TestContentCoversTenantHostPathAndBody(t *testing.T) {
 	g := NewWithT(t)
 	base := quarantine.NewContent("t", "h", "/p", []byte("b"))
 	g.Expect(quarantine.NewContent("t", "h", "/p", []byte("b"))).To(Equal(base))
@@ -34,12 +41,12 @@
 
 func TestRunnerCrashedReturnsOpenAndRecentlyEndedRuns(t *testing.T) {
 	g, table := NewWithT(t), quarantine.NewRunTable()
-	begin := func(name string) *quarantine.Run { return table.Begin(start, runnerA, content(name), nil) }
-	open, lost, canceled, old := begin("open"), begin("lost"), begin("canceled"), begin("old")
+	beginOf := func(name string) *quarantine.Run { return begin(table, runnerA, content(name)) }
+	open, lost, canceled, old := beginOf("open"), beginOf("lost"), beginOf("canceled"), beginOf("old")
 	for _, outcome := range []quarantine.RunOutcome{quarantine.NotRun, quarantine.Survived, quarantine.Indeterminate} {
-		table.End(start, begin("settled"), outcome)
+		table.End(start, beginOf("settled"), outcome)
 	}
-	table.Begin(start, quarantine.Runner{ID: "a", Incarnation: 2}, content("next incarnation"), nil)
+	begin(table, quarantine.Runner{ID: "a", Incarnation: 2}, content("next incarnation"))
 	table.End(start, old, quarantine.ConnectionLost)
 	now := start.Add(time.Second)
 	table.End(now, lost, quarantine.ConnectionLost)
@@ -54,7 +61,7 @@
 
 func TestRunnerAliveMarksEarlierLostConnectionsAsSurvived(t *testing.T) {
 	g, table := NewWithT(t), quarantine.NewRunTable()
-	before, after, canceled := table.Begin(start, runnerA, content("1"), nil), table.Begin(start, runnerA, content("2"), nil), table.Begin(start, runnerA, content("3"), nil)
+	before, after, canceled := begin(table, runnerA, content("1")), begin(table, runnerA, content("2")), begin(table, runnerA, content("3"))
 	table.End(start, before, quarantine.ConnectionLost)
 	table.End(start, canceled, quarantine.Canceled)
 	table.End(start.Add(2*time.Millisecond), after, quarantine.ConnectionLost)
@@ -64,9 +71,9 @@
 
 func TestEndedRunsPerRunnerAreBounded(t *testing.T) {
 	g, table := NewWithT(t), quarantine.NewRunTable()
-	open := table.Begin(start, runnerA, content("open"), nil)
+	open := begin(table, runnerA, content("open"))
 	for i := range 1000 {
-		table.End(start, table.Begin(start, runnerA, content(fmt.Sprint(i)), nil), quarantine.Canceled)
+		table.End(start, begin(table, runnerA, content(fmt.Sprint(i))), quarantine.Canceled)
 	}
 	runs := table.RunnerCrashed(start, runnerA)
 	g.Expect(len(runs)).To(BeNumerically("<=", 129))
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -135,7 +135,7 @@
 		detectorCount = sc.routers
 	}
 	for range detectorCount {
-		s.detectors = append(s.detectors, NewDetector())
+		s.detectors = append(s.detectors, NewDetector(0))
 	}
 	return s
 }
@@ -211,7 +211,7 @@
 	if s.policy == implemented {
 		return s.detector(req.router).Evaluate(s.now, req.content).State == Quarantined
 	}
-	return record.Evaluate(s.now, s.policy.threshold).State == Quarantined
+	return record.Evaluate(s.now, s.policy.threshold, nil).State == Quarantined
 }
 
 // place chooses a runner by prompt family or at random. For suspected contents, it chooses the
@@ -279,7 +279,7 @@
 			s.crash(r)
 			return
 		default:
-			s.detector(req.router).RunnerSurvived(s.now, req.content)
+			s.detector(req.router).RunnerSurvived(s.now, req.run)
 		}
 	}
 	r.requests = remaining
--- /dev/null
+++ b/internal/quarantine/verdict.go
@@ -0,0 +1,87 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Verdict is how a request is to be handled, and the subject of the request that is the reason.
+type Verdict struct {
+	Status
+	Subject Subject
+}
+
+// EvaluateRequest returns how a request is to be handled that has the content and the prompt parts.
+func (d *Detector) EvaluateRequest(now time.Time, content Subject, parts []string) Verdict {
+	subjects := []Subject{content}
+	for _, id := range parts {
+		subjects = append(subjects, NewPart(content.Tenant, id))
+	}
+	var result Verdict
+	for _, subject := range subjects {
+		status := d.Evaluate(now, subject)
+		if status.State == Quarantined && d.hasOtherExplanation(subject, subjects) {
+			status.State = OnTrial
+		}
+		if status.State == Quarantined {
+			return Verdict{Status: status, Subject: subject}
+		}
+		if isStronger(status, result.Status) {
+			result = Verdict{Status: status, Subject: subject}
+		}
+	}
+	return result
+}
+
+// isStronger reports whether a status restricts a request more than another one.
+func isStronger(a, b Status) bool {
+	if a.State != b.State {
+		return a.State > b.State
+	}
+	return a.State != Clear && a.Crashes >= b.Crashes
+}
+
+// hasOtherExplanation reports whether other quarantined subjects, none of which is a subject of the
+// request, were on all runners that crashed under the subject. They may be the cause of all of these
+// crashes, so that the request may be sound.
+func (d *Detector) hasOtherExplanation(subject Subject, request []Subject) bool {
+	e := d.records[subject]
+	explained := map[Runner]bool{}
+	for _, other := range d.derive().quarantined {
+		if other.Subject == subject || !other.sharesCrash(e.Record) {
+			continue
+		}
+		if slices.Contains(request, other.Subject) {
+			return false
+		}
+		for _, crash := range other.activeCrashes() {
+			explained[crash.Runner] = true
+		}
+	}
+	return !slices.ContainsFunc(e.activeCrashes(), func(crash Crash) bool { return !explained[crash.Runner] })
+}
+
+// sharesCrash reports whether an active crash of both records is the same.
+func (r Record) sharesCrash(other Record) bool {
+	return slices.ContainsFunc(r.activeCrashes(), func(crash Crash) bool { return other.includesRunner(crash.Runner) })
+}
+
+// SharedCrashes returns the number of active crashes that other prompt parts of the tenant share with the
+// record, for at most limit parts.
+func (d *Detector) SharedCrashes(record Record, limit int) map[string]int {
+	counts := map[string]int{}
+	for subject, e := range d.records {
+		if !subject.IsPart() || subject == record.Subject || subject.Tenant != record.Subject.Tenant || !e.sharesCrash(record) {
+			continue
+		}
+		if len(counts) == limit {
+			break
+		}
+		for _, crash := range e.activeCrashes() {
+			if record.includesRunner(crash.Runner) {
+				counts[subject.Part]++
+			}
+		}
+	}
+	return counts
+}
