explain: the history of a request includes the quarantines of its subjects

Who asked why a request was refused for a part of its prompt got the refusal and not the crashes. The history now has the lines at which a router first quarantined the content or one of the parts, or sent it again, and the crashes that led to it.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -135,6 +135,7 @@
 func (l *Log) History(id string) (RequestHistory, bool) {
 	history := RequestHistory{Request: id}
 	nodes, runners, requests := map[string]bool{}, map[string]bool{}, l.streamRequests(id)
+	subjects := map[subjectKey]bool{}
 	for _, line := range l.Lines {
 		if !requests[line.StringField("request")] {
 			continue
@@ -144,11 +145,14 @@
 		if runner := line.StringField("runner"); runner != "" {
 			runners[runner] = true
 		}
+		addSubjects(subjects, line)
 	}
 	if len(history.Lines) == 0 {
 		return history, false
 	}
-	history.StateChanges = l.stateChanges(history.Lines[len(history.Lines)-1].Time, nodes, runners)
+	until := history.Lines[len(history.Lines)-1].Time
+	history.StateChanges = append(l.stateChanges(until, nodes, runners), l.quarantineChanges(until, subjects)...)
+	slices.SortStableFunc(history.StateChanges, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return history, true
 }
 
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -78,3 +78,27 @@
 	}
 	g.Expect(order).To(Equal([]int{512, 510, 526, 511}))
 }
+
+// Guards against a history that says that a request was refused for a part of its prompt, and not which
+// crashes led to that.
+func TestHistoryOfQuarantinedRequestIncludesCrashes(t *testing.T) {
+	g := NewWithT(t)
+	log, err := Read(strings.NewReader(`
+{"event":520,"node":"n1","msg":"runner ended","time":"2026-01-01T00:00:01.000Z","runner":"e1","parts":{"aa":2,"bb":1}}
+{"event":520,"node":"n2","msg":"runner ended","time":"2026-01-01T00:00:01.100Z","runner":"e2","parts":{"bb":1}}
+{"event":520,"node":"n2","msg":"runner ended","time":"2026-01-01T00:00:01.200Z","runner":"e9","parts":{"cc":1}}
+{"event":521,"node":"n2","msg":"not sent any more","time":"2026-01-01T00:00:01.300Z","tenant":"t","part":"bb","runners":["e1","e2"]}
+{"event":521,"node":"n1","msg":"not sent any more","time":"2026-01-01T00:00:01.310Z","tenant":"t","part":"bb","runners":["e1","e2"]}
+{"event":521,"node":"n1","msg":"not sent any more","time":"2026-01-01T00:00:01.320Z","tenant":"other","part":"bb","runners":["e9"]}
+{"event":511,"node":"n1","msg":"request refused","time":"2026-01-01T00:00:02.000Z","request":"r1","tenant":"t","content":"4f1c","parts":["aa","bb"],"reason":"runners ended"}
+{"event":529,"node":"n1","msg":"lifted","time":"2026-01-01T00:00:03.000Z","tenant":"t","part":"bb"}
+`))
+	g.Expect(err).NotTo(HaveOccurred())
+	history, found := log.History("r1")
+	g.Expect(found).To(BeTrue())
+	var changes []string
+	for _, line := range history.StateChanges {
+		changes = append(changes, line.Node+" "+line.Message+" "+line.StringField("runner")+line.StringField("part"))
+	}
+	g.Expect(changes).To(Equal([]string{"n1 runner ended e1", "n2 runner ended e2", "n2 not sent any more bb"}))
+}
