gateway lift: a command that lifts a quarantine

A quarantine lasted five minutes or longer, also when an operator had repaired what crashed the runners; the postmortem of the poison requests lists that as open. The command drops the crashes that are recorded for a content or a part of prompts, at one router, which tells the others and removes the stored object. The status lists quarantined parts, also in the table.

--- a/cmd/clovertiller/gateway.go
+++ b/cmd/clovertiller/gateway.go
@@ -13,14 +13,15 @@
 	"github.com/clovertiller/clovertiller/platform"
 )
 
-// gatewayFlags holds the values of the flags of "gateway check" and "gateway status".
+// gatewayFlags holds the values of the flags of the subcommands of "gateway".
 type gatewayFlags struct {
 	settingsPath string
 	checkStore   bool
 	addresses    []string
+	lift         gateway.LiftRequest
 }
 
-// newGatewayCommand adds the subcommands "check" and "status" to the command "gateway".
+// newGatewayCommand adds the subcommands "check", "status" and "lift" to the command "gateway".
 func newGatewayCommand(parent command, f *flags, env func() *cli.Env) command {
 	flagValues := &gatewayFlags{settingsPath: os.Getenv(platform.SettingsEnvVar)}
 	check := flaggy.NewSubcommand("check")
@@ -31,6 +32,13 @@
 	status.Description = "Print the status of gateways and of the runners as they see them."
 	status.StringSlice(&flagValues.addresses, "r", "router", "IP:port of a gateway's metrics server; may be given more than once.")
 	status.String(&f.format, "o", "output", "table or json.")
+	lift := flaggy.NewSubcommand("lift")
+	lift.Description = "Send again what is quarantined, at all gateways that the given one reaches."
+	lift.StringSlice(&flagValues.addresses, "r", "router", "IP:port of a gateway's metrics server.")
+	lift.String(&flagValues.lift.Tenant, "t", "tenant", "Tenant of the requests.")
+	lift.String(&flagValues.lift.Part, "p", "part", "ID of the prompt part.")
+	lift.String(&flagValues.lift.Content, "c", "content", "Content of the requests, as the status lists it.")
+	parent.subcommand.AttachSubcommand(lift, 1)
 	parent.subcommand.AttachSubcommand(check, 1)
 	parent.subcommand.AttachSubcommand(status, 1)
 	parent.run = func(ctx context.Context) int {
@@ -39,8 +47,10 @@
 			return checkGateway(ctx, env(), flagValues)
 		case status.Used && len(flagValues.addresses) > 0:
 			return cli.GatewayStatus(ctx, env(), flagValues.addresses)
+		case lift.Used && len(flagValues.addresses) == 1:
+			return cli.LiftQuarantine(ctx, env(), flagValues.addresses[0], flagValues.lift)
 		}
-		fmt.Fprintln(os.Stderr, "usage: clovertiller gateway check [-s FILE] [--store] | clovertiller gateway status -r IP:PORT...")
+		fmt.Fprintln(os.Stderr, "usage: clovertiller gateway check [-s FILE] [--store] | clovertiller gateway status -r IP:PORT... | clovertiller gateway lift -r IP:PORT -t TENANT (-p PART | -c CONTENT)")
 		return cli.ExitUsage
 	}
 	return parent
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -96,6 +96,7 @@
 		printGatewayTable(env, statuses)
 		printRegionTable(env, statuses)
 		printRolloutTable(env, statuses)
+		printQuarantineTable(env, statuses)
 		printRunnerTable(env, statuses[0])
 	}
 	return code
@@ -200,6 +201,27 @@
 	table.Flush()
 }
 
+// printQuarantineTable prints what the gateways do not send to runners, each once.
+func printQuarantineTable(env *Env, statuses []*gateway.Status) {
+	printed := map[[3]string]bool{}
+	table := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
+	for _, status := range statuses {
+		for _, quarantined := range status.Quarantined {
+			key := [3]string{quarantined.Tenant, quarantined.Part, quarantined.Content}
+			if printed[key] {
+				continue
+			}
+			if len(printed) == 0 {
+				fmt.Fprintln(table, "\nquarantined\nTENANT\tPART\tCONTENT\tLEFT\tCRASHED RUNNERS")
+			}
+			printed[key] = true
+			left := time.Duration(quarantined.RemainingMillis) * time.Millisecond
+			fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\n", quarantined.Tenant, quarantined.Part, quarantined.Content, left, strings.Join(quarantined.Runners, " "))
+		}
+	}
+	table.Flush()
+}
+
 func printRunnerTable(env *Env, status *gateway.Status) {
 	fmt.Fprintf(env.Out, "\nrunners as %s sees them\n", status.Node)
 	table := tabwriter.NewWriter(env.Out, 0, 4, 2, ' ', 0)
--- a/internal/cli/gateway_test.go
+++ b/internal/cli/gateway_test.go
@@ -66,15 +66,16 @@
 		g.Expect(request.URL.Path).To(Equal(gateway.StatusPath))
 		json.NewEncoder(writer).Encode(gateway.Status{
 			Node: "r1", Zone: "z", ConfigVersion: 7, ProofAgeMillis: 1200, Proven: true, Source: "10.0.0.1:1", LeaseToken: 44,
-			Rollouts: []rolloutdriver.Summary{{Service: "s", Target: "v2", State: "rolled back", Reason: "route a: bad", Requests: 500, Exposed: 41, Routes: []rolloutdriver.RouteSummary{{Route: "a", TargetAnswers: 40, TargetBad: 17}}}},
-			Weights:  map[string]uint64{"m": 3}, Runners: []backend.RunnerSummary{{ID: "e1", Service: "s", State: "set aside", Weights: map[string]uint64{"m": 2}, FailureShare: 0.5}},
+			Rollouts:    []rolloutdriver.Summary{{Service: "s", Target: "v2", State: "rolled back", Reason: "route a: bad", Requests: 500, Exposed: 41, Routes: []rolloutdriver.RouteSummary{{Route: "a", TargetAnswers: 40, TargetBad: 17}}}},
+			Quarantined: []gateway.QuarantinedContent{{Tenant: "t1", Part: "5c1e07a2", Runners: []string{"e7", "e8"}, RemainingMillis: 90_000}},
+			Weights:     map[string]uint64{"m": 3}, Runners: []backend.RunnerSummary{{ID: "e1", Service: "s", State: "set aside", Weights: map[string]uint64{"m": 2}, FailureShare: 0.5}},
 		})
 	}))
 	t.Cleanup(server.Close)
 	env, out, errOut := newEnv()
 	address := strings.TrimPrefix(server.URL, "http://")
 	g.Expect(GatewayStatus(context.Background(), env, []string{address, "127.0.0.1:1"})).To(Equal(ExitUnavailable))
-	for _, word := range []string{"r1", "serving", "1.2s", "10.0.0.1:1", "holds 44", "m=3", "set aside", "m=2", "50%", "v2", "rolled back", "route a: bad", "459", "41", "17"} {
+	for _, word := range []string{"r1", "serving", "1.2s", "10.0.0.1:1", "holds 44", "m=3", "set aside", "m=2", "50%", "v2", "rolled back", "route a: bad", "459", "41", "17", "5c1e07a2", "1m30s", "e7 e8"} {
 		g.Expect(out.String()).To(ContainSubstring(word))
 	}
 	g.Expect(errOut.String()).To(ContainSubstring("127.0.0.1:1"))
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -58,6 +58,7 @@
 	RunnerEndDetected             = define(520, logrus.WarnLevel, "runner ended while requests were running on it")
 	ContentQuarantined            = define(521, logrus.WarnLevel, "content is not sent any more: runners ended while processing it")
 	QuarantineLifted              = define(522, logrus.InfoLevel, "content is sent again: a runner survived processing it")
+	QuarantineLiftedByOperator    = define(529, logrus.WarnLevel, "content is sent again: an operator lifted its quarantine")
 	ClaimsServing                 = define(600, logrus.InfoLevel, "serving claims as a holder of the assignment")
 	RunnerSignalReceived          = define(523, logrus.InfoLevel, "runner sent a new leaving, limit or rest signal")
 	SignalUnreadable              = define(524, logrus.WarnLevel, "signal headers of a runner cannot be read")
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -68,6 +68,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, g.metrics.handler())
 	mux.HandleFunc(StatusPath, g.serveStatus)
+	mux.HandleFunc(LiftPath, g.serveLift)
 	g.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
 	go g.metricsServer.Serve(listener)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -68,9 +68,10 @@
 	// observes the number of requests that were running on a runner when it crashed.
 	runnerChecks    *prometheus.CounterVec
 	requestsAtCrash *prometheus.HistogramVec
-	// quarantines counts the contents quarantined, partQuarantines the prompt parts, and quarantineDelays observes the time from the
+	// quarantines counts the contents quarantined, partQuarantines the prompt parts, liftedQuarantines the
+	// quarantines that operators lifted, and quarantineDelays observes the time from the
 	// first runner's crash until this router knew of the quarantine.
-	quarantines, partQuarantines prometheus.Counter
+	quarantines, partQuarantines, liftedQuarantines prometheus.Counter
 	// heldRequests observes how long requests waited for the decision about a prompt part.
 	heldRequests prometheus.Histogram
 
@@ -181,6 +182,9 @@
 		partQuarantines: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "part_quarantines_total", Help: "Parts of prompts that this router began to refuse as runners ended under them.",
 		}),
+		liftedQuarantines: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "lifted_quarantines_total", Help: "Quarantines that operators lifted at this router.",
+		}),
 		heldRequests: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "held_request_seconds", Help: "How long requests waited until it was decided whether a part of their prompt is quarantined.", Buckets: prometheus.ExponentialBuckets(0.02, 2, 6),
 		}),
@@ -242,7 +246,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("stream_records", "Records of the software versions at which streams began.", func() float64 { records, _ := g.streams.recordCounts(); return float64(records) }),
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -98,6 +98,18 @@
 	s.publish(now, changed)
 }
 
+// lift drops all crashes of the subject, here and at all other routers, and reports whether there were any.
+func (s *suspects) lift(subject quarantine.Subject) bool {
+	now := s.gateway.now()
+	s.mutex.Lock()
+	record, changed := s.detector.Lift(now, subject)
+	s.mutex.Unlock()
+	if changed {
+		s.publish(now, []quarantine.Record{record})
+	}
+	return changed
+}
+
 // publish applies and broadcasts changes that this router detected itself.
 func (s *suspects) publish(now time.Time, changed []quarantine.Record) {
 	if len(changed) == 0 {
