--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -44,13 +45,21 @@
 
 func newSuspects(g *Gateway) *suspects {
 	s := &suspects{
-		gateway: g, stored: newStoredQuarantines(g), detector: quarantine.NewDetector(rendezvous.KeyOf(g.settings.Node) | 1),
+		gateway: g, stored: newStoredQuarantines(g), detector: quarantine.NewDetector(detectorConfig(g)),
 		pullPositions: map[string]feedPosition{}, loggedUntil: map[quarantine.Subject]time.Time{}, undecided: map[quarantine.Subject]bool{},
 	}
 	s.broadcasts = newBroadcaster(g, s.encodeContents)
 	return s
 }
 
+// detectorConfig returns the configuration of the router's Detector. The seeds test quarantined parts.
+func detectorConfig(g *Gateway) quarantine.Config {
+	return quarantine.Config{
+		TrialKey: rendezvous.KeyOf(g.settings.Node) | 1, StartedAt: g.startedAt,
+		Probes: len(g.settings.Seeds) == 0 || slices.Contains(g.settings.Seeds, g.settings.PeerAddress),
+	}
+}
+
 // encodeContents returns a message with the current records of the contents, or nil if there are
 // none.
 func (s *suspects) encodeContents(now time.Time, contents []quarantine.Subject) *wire.Envelope {
@@ -123,13 +132,12 @@
 func (s *suspects) merge(records []quarantine.Record) {
 	now := s.gateway.now()
 	s.mutex.Lock()
-	changed := s.detector.Merge(now, records)
+	changed, refuted := s.detector.Merge(now, records)
 	s.mutex.Unlock()
-	if len(changed) == 0 {
-		return
-	}
 	s.applyChanges(now, changed)
 	s.broadcasts.add(contentIDs(changed), false)
+	// Other routers need to know that a runner survived the subject.
+	s.broadcasts.add(contentIDs(refuted), true)
 }
 
 // applyChanges logs the quarantines that begin or end with the changed records, and updates the
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -29,6 +29,12 @@
 	// otherwise count against contents that are requested all the time. The cost is that a
 	// content that starts to crash runners is detected that much later.
 	survivedInterval = 30 * time.Second
+	// A router that started less than warmUpTime ago assumes that a prompt part was sound before, with
+	// runs of assumedRunTime. Popular parts have been survived by the end of that time.
+	warmUpTime     = 5 * time.Second
+	assumedRunTime = 250 * time.Millisecond
+	// runTimeSmoothing is the inverse of the weight of a run in the mean run time.
+	runTimeSmoothing = 8
 )
 
 // Detector holds the records of subjects that were being processed on runners when these
@@ -37,8 +43,7 @@
 	records map[Subject]*entry
 	// sequence is the number of the last change of any record.
 	sequence uint64
-	// trialKey determines the delay of this router's trials. Without one they are not delayed.
-	trialKey uint64
+	config   Config
 	// survivedContents and survivedParts are the subjects that runners survived recently.
 	survivedContents, survivedParts survivedSet
 	derived                         derivedState
@@ -57,16 +62,29 @@
 // derivedState caches what follows from all records as of the change numbered sequence.
 type derivedState struct {
 	sequence uint64
-	// suspectParts are the entries of prompt parts with at least two generations of crashes.
+	// crashedParts are the entries of prompt parts with active crashes, by ID, and suspectParts those with
+	// at least two generations of them.
+	crashedParts map[string][]*entry
 	suspectParts []*entry
 	// quarantined are the entries of subjects that were quarantined, with those on trial.
 	quarantined []*entry
 }
 
-// NewDetector returns a Detector without records. Routers with different trial keys begin trials at
-// different times; a key of 0 delays no trial.
-func NewDetector(trialKey uint64) *Detector {
-	return &Detector{records: map[Subject]*entry{}, trialKey: trialKey}
+// Config is the configuration of a Detector.
+type Config struct {
+	// TrialKey differs between routers, so that they begin trials at different times. 0 delays no trial.
+	TrialKey uint64
+	// Probes makes the router test quarantined prompt parts that were sound before, soon after the
+	// quarantine began. A few routers of a fleet do, so that a part that crashes runners costs few more.
+	Probes bool
+	// StartedAt is when the router started. Shortly after that it does not know which prompt parts were
+	// sound before.
+	StartedAt time.Time
+}
+
+// NewDetector returns a Detector without records.
+func NewDetector(config Config) *Detector {
+	return &Detector{records: map[Subject]*entry{}, config: config}
 }
 
 // RunnerCrashed records that the runner of the runs crashed while it processed them, and returns the
@@ -95,7 +113,7 @@
 	crash := Crash{Runner: run.Runner, Content: run.Content.Digest, SentAt: run.SentAt, DetectedAt: crashedAt}
 	for _, id := range run.Parts {
 		part := NewPart(run.Content.Tenant, id)
-		record := Record{Subject: part, Crashes: []Crash{crash}, Service: run.Service, RunTime: d.survivedParts.runTime(now, part)}
+		record := Record{Subject: part, Crashes: []Crash{crash}, Service: run.Service, RunTime: d.runTimeBefore(now, part)}
 		if d.merge(now, record) {
 			changed = append(changed, d.records[part].Record)
 		}
@@ -103,6 +121,15 @@
 	return changed
 }
 
+// runTimeBefore returns the mean run time of a prompt part under which a runner crashed, 0 if runners did not
+// survive the part before.
+func (d *Detector) runTimeBefore(now time.Time, part Subject) time.Duration {
+	if known := d.survivedParts.runTime(now, part); known > 0 || now.Sub(d.config.StartedAt) >= warmUpTime {
+		return known
+	}
+	return assumedRunTime
+}
+
 // RunnerSurvived records that a runner survived the run, and returns the changed records that other
 // routers need.
 func (d *Detector) RunnerSurvived(now time.Time, run *Run) (changed []Record) {
@@ -111,20 +138,29 @@
 		changed = append(changed, e.Record)
 	}
 	for _, id := range run.Parts {
-		part := NewPart(run.Content.Tenant, id)
-		d.survivedParts.add(now, part, now.Sub(run.SentAt))
-		e := d.records[part]
-		if e == nil || len(e.activeCrashes()) == 0 {
+		changed = append(changed, d.partSurvived(now, run, id)...)
+	}
+	return append(changed, d.recordContrast(now, run)...)
+}
+
+// partSurvived records that a runner survived the run in the records of one of its parts: that of the run's
+// tenant, and those of other tenants whose requests with the part were answered before. A part that was never
+// answered may be another one for another tenant.
+func (d *Detector) partSurvived(now time.Time, run *Run, id string) (changed []Record) {
+	own := NewPart(run.Content.Tenant, id)
+	d.survivedParts.add(now, own, now.Sub(run.SentAt))
+	for _, e := range d.derive().crashedParts[id] {
+		if e.Subject != own && !e.wasSound() {
 			continue
 		}
 		generations := e.generations()
 		// Other routers see parts with a single generation survive themselves, or learn it with
 		// their next pull.
-		if d.merge(now, Record{Subject: part, SurvivedAt: run.startedAt(), RunTime: now.Sub(run.SentAt)}) && generations > 1 {
+		if d.merge(now, Record{Subject: e.Subject, SurvivedAt: run.startedAt(), RunTime: now.Sub(run.SentAt)}) && generations > 1 {
 			changed = append(changed, e.Record)
 		}
 	}
-	return append(changed, d.recordContrast(now, run)...)
+	return changed
 }
 
 // recordContrast records that a runner survived the run in the records of suspect parts that the run
@@ -146,14 +182,18 @@
 	return d.records[subject].Record, true
 }
 
-// Merge applies records from another router and returns the records that changed.
-func (d *Detector) Merge(now time.Time, records []Record) (changed []Record) {
+// Merge applies records from another router. It returns the records that changed, and those that show
+// that crashes of which the other router knows had another cause.
+func (d *Detector) Merge(now time.Time, records []Record) (changed, refuted []Record) {
 	for _, record := range records {
 		if d.merge(now, record) {
 			changed = append(changed, d.records[record.Subject].Record)
 		}
+		if e := d.records[record.Subject]; e != nil && record.Subject.IsPart() && e.refutes(record) {
+			refuted = append(refuted, e.Record)
+		}
 	}
-	return changed
+	return changed, refuted
 }
 
 func (d *Detector) merge(now time.Time, record Record) (changed bool) {
@@ -203,33 +243,40 @@
 	if e == nil || !now.Before(e.expiry()) {
 		return Status{}
 	}
-	return e.Evaluate(now, d.crashThreshold(e), func(duration time.Duration) time.Duration { return d.trialDelay(e.Record, duration) })
+	return d.independent(e).Evaluate(now, d.crashThreshold(e), func(duration time.Duration) time.Duration { return d.trialDelay(e.Record, duration) })
 }
 
 // trialDelay returns how much later than others this router begins trials of the subject, at most
 // duration. Thus one of many routers begins, and the others learn the result before they begin.
 func (d *Detector) trialDelay(record Record, duration time.Duration) time.Duration {
-	if d.trialKey == 0 {
+	if d.config.TrialKey == 0 {
 		return 0
 	}
 	hash := xxhash.New()
 	// Writing to a hash never fails.
 	_, _ = hash.WriteString(record.Subject.Tenant + "/" + record.Subject.String())
-	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, d.trialKey))
+	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, d.config.TrialKey))
 	_, _ = hash.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(record.Crashes))))
 	return time.Duration(float64(hash.Sum64()) / math.MaxUint64 * float64(duration))
 }
 
 // crashThreshold returns the number of crashes, or for prompt parts of generations of them, that
-// quarantine the subject.
+// quarantine the subject. Crashes under runs of other tenants with the same part count as well unless they
+// may have another cause, but at least one must be the tenant's own.
 func (d *Detector) crashThreshold(e *entry) int {
-	if e.Subject.IsPart() && d.isQuarantinedForAnotherTenant(e) {
-		return confirmedThreshold
+	threshold := d.ownThreshold(e)
+	if !e.Subject.IsPart() {
+		return threshold
+	}
+	for _, other := range d.derive().crashedParts[e.Subject.Part] {
+		if other.Subject.Tenant != e.Subject.Tenant && (!other.wasSound() || other.isQuarantined(d.ownThreshold(other))) {
+			threshold -= other.generations()
+		}
 	}
-	return d.ownThreshold(e)
+	return max(threshold, 1)
 }
 
-// ownThreshold is crashThreshold without regard to other tenants.
+// ownThreshold is crashThreshold without the crashes of other tenants.
 func (d *Detector) ownThreshold(e *entry) int {
 	if len(e.activeCrashes()) >= quarantineThreshold && e.otherCauseSequence != d.sequence {
 		e.otherCause, e.otherCauseSequence = d.hasOtherCause(e.Record), d.sequence
@@ -240,12 +287,19 @@
 	return quarantineThreshold
 }
 
-// isQuarantinedForAnotherTenant reports whether the same prompt part was quarantined for another tenant
-// by crashes of that tenant's runs.
-func (d *Detector) isQuarantinedForAnotherTenant(e *entry) bool {
-	return slices.ContainsFunc(d.derive().suspectParts, func(other *entry) bool {
-		return other.Subject.Part == e.Subject.Part && other.Subject.Tenant != e.Subject.Tenant && other.isQuarantined(d.ownThreshold(other))
-	})
+// independent returns the record without the crashes that stronger suspects explain: for a prompt part that
+// was sound before, crashes that are also crashes of suspect parts that were not.
+func (d *Detector) independent(e *entry) Record {
+	record := e.Record
+	if !record.wasSound() || len(record.Crashes) < minHeldEvidence {
+		return record
+	}
+	for _, stronger := range d.derive().suspectParts {
+		if stronger != e && !stronger.wasSound() {
+			record.Crashes = slices.DeleteFunc(slices.Clone(record.Crashes), func(crash Crash) bool { return stronger.includesRunner(crash.Runner) })
+		}
+	}
+	return record
 }
 
 // hasOtherCause reports whether all crashes in the record may have another cause: either
@@ -287,14 +341,18 @@
 	if d.derived.sequence == d.sequence {
 		return &d.derived
 	}
-	d.derived = derivedState{sequence: d.sequence}
+	d.derived = derivedState{sequence: d.sequence, crashedParts: map[string][]*entry{}}
 	for _, e := range d.records {
-		if e.Subject.IsPart() && e.generations() > 1 {
+		if !e.Subject.IsPart() || len(e.activeCrashes()) == 0 {
+			continue
+		}
+		d.derived.crashedParts[e.Subject.Part] = append(d.derived.crashedParts[e.Subject.Part], e)
+		if e.generations() > 1 {
 			d.derived.suspectParts = append(d.derived.suspectParts, e)
 		}
 	}
 	for _, e := range d.records {
-		if len(e.activeCrashes()) > 0 && e.isQuarantined(d.crashThreshold(e)) {
+		if len(e.activeCrashes()) > 0 && d.independent(e).isQuarantined(d.crashThreshold(e)) {
 			d.derived.quarantined = append(d.derived.quarantined, e)
 		}
 	}
@@ -389,7 +447,7 @@
 // survivedSet holds the subjects that a runner survived recently. It keeps two generations, so
 // that neither the running time nor the memory grows with the traffic.
 type survivedSet struct {
-	// current and previous hold the longest time that a run of each subject took.
+	// current and previous hold the mean time that runs of each subject took, recent ones counting most.
 	current, previous map[Subject]time.Duration
 	// startedAt is when the current generation began.
 	startedAt time.Time
@@ -399,10 +457,14 @@
 	if s.current == nil || now.Sub(s.startedAt) >= survivedInterval || len(s.current) >= maxSurvivedSubjects {
 		s.previous, s.current, s.startedAt = s.current, map[Subject]time.Duration{}, now
 	}
-	s.current[subject] = max(s.current[subject], runTime, 1)
+	mean, known := s.current[subject]
+	if !known {
+		mean = runTime
+	}
+	s.current[subject] = max(mean+(runTime-mean)/runTimeSmoothing, 1)
 }
 
-// runTime returns the longest time that a run took that a runner survived recently, 0 if there is none.
+// runTime returns the mean time of the runs that runners survived recently, 0 if there are none.
 func (s *survivedSet) runTime(now time.Time, subject Subject) time.Duration {
 	switch age := now.Sub(s.startedAt); {
 	case age < survivedInterval:
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -36,7 +36,7 @@
 }
 
 func TestThirdCrashQuarantinesContent(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	g.Expect(d.state(1, 0)).To(Equal(Clear))
 	for i, want := range []State{Suspected, Suspected, Quarantined} {
 		d.crash(1, i, float64(i))
@@ -49,7 +49,7 @@
 
 // All routers report the same crash, some of them late.
 func TestCrashOfOneRunnerCountsOnce(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 10 {
 		d.crash(1, 7, float64(i))
 	}
@@ -59,7 +59,7 @@
 // Many runners are lost at once, as when a rack fails, while each of them processes a request
 // with the same content.
 func TestSimultaneousCrashesDoNotQuarantine(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 10 {
 		d.RunnerCrashed(atSeconds(1+float64(i)/100), &Run{Content: testContent(1), Runner: testRunner(i), SentAt: atSeconds(0.9)})
 	}
@@ -69,7 +69,7 @@
 }
 
 func TestSurvivedRunClearsContent(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 	}
@@ -89,7 +89,7 @@
 // The requests of one content ran on every runner that another content crashed. Both contents
 // have the same crashes until one of them runs elsewhere.
 func TestCrashesCoveredByOtherContentNeedHigherThreshold(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 		d.crash(2, i, float64(i))
@@ -104,7 +104,7 @@
 }
 
 func TestContentsAlwaysSentTogetherAreEventuallyQuarantined(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 5 {
 		g.Expect(d.state(1, float64(i))).NotTo(Equal(Quarantined))
 		d.crash(1, i, float64(i))
@@ -114,7 +114,7 @@
 }
 
 func TestQuarantineDoublesAfterFailedTrial(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 	}
@@ -130,7 +130,7 @@
 
 // Runs that were already in progress at the third crash do not count as trials.
 func TestRunsSentBeforeQuarantineDoNotExtendIt(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 8 {
 		d.crash(1, i, float64(i)/10)
 	}
@@ -138,7 +138,7 @@
 }
 
 func TestSuspicionsExpire(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	d.crash(1, 1, 0)
 	g.Expect(d.state(1, suspicionRetention.Seconds()-1)).To(Equal(Suspected))
 	g.Expect(d.state(1, suspicionRetention.Seconds())).To(Equal(Clear))
@@ -150,7 +150,7 @@
 // A caller may vary the body, which creates a new content each time. Such contents must not
 // evict the record of a content that crashed more runners.
 func TestMemoryIsBoundedAndMostSignificantRecordsAreKept(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	for i := range 3 {
 		d.crash(1, i, float64(i))
 	}
@@ -166,7 +166,7 @@
 }
 
 func TestChangedSinceReturnsChangesInOrderAndInParts(t *testing.T) {
-	g, d, other := NewWithT(t), NewDetector(0), NewDetector(0)
+	g, d, other := NewWithT(t), NewDetector(Config{}), NewDetector(Config{})
 	for i := range 10 {
 		d.crash(i, i, float64(i))
 	}
@@ -233,7 +233,7 @@
 // survived, and only if one of these runs was sent after the first crash.
 func TestQuarantineRequiresThresholdAndRepeatedSend(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d, seconds := NewDetector(0), 0.0
+		d, seconds := NewDetector(Config{}), 0.0
 		// crashesSinceSurvival holds the crashes of each content since a runner last survived a
 		// run of it.
 		crashesSinceSurvival := map[int][]Crash{}
@@ -271,7 +271,7 @@
 // each of its crashes coincided with crashes of runners that had never run it, which means that
 // something else was crashing runners at these times.
 func TestCorrelatedCrashesNeedHigherThreshold(t *testing.T) {
-	g, d := NewWithT(t), NewDetector(0)
+	g, d := NewWithT(t), NewDetector(Config{})
 	massFailure := func(number int, seconds float64) {
 		for i := range 5 {
 			d.crash(100*number+i, 100*number+i, seconds+float64(i)/100)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -33,8 +33,8 @@
 	SurvivedAt time.Time
 	// Service is the service of the runners that crashed under a prompt part.
 	Service string
-	// RunTime is the longest time that runners took to complete runs of the prompt part before a crash,
-	// 0 if none is known to have completed one.
+	// RunTime is the mean time that runners took to complete runs of the prompt part before a crash, the
+	// longest of those that routers observed. It is 0 if none is known to have completed one.
 	RunTime time.Duration
 	// ContrastAt is when a run without the prompt part began that a runner of the service
 	// survived, zero if there is none. It shows that runners were working at that time.
@@ -80,6 +80,13 @@
 	return len(crashes) > 0 && r.ContrastAt.After(crashes[0].DetectedAt)
 }
 
+// refutes reports whether the other record lacks the time of a run that was survived, although that makes
+// crashes inactive which count as more than one generation there.
+func (r Record) refutes(other Record) bool {
+	outdated := slices.ContainsFunc(other.activeCrashes(), func(crash Crash) bool { return !crash.DetectedAt.After(r.SurvivedAt) })
+	return outdated && other.generations() > 1
+}
+
 // includesRunner reports whether the record contains a crash of the runner.
 func (r Record) includesRunner(runner Runner) bool {
 	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return crash.Runner == runner })
@@ -159,8 +166,6 @@
 	// otherCauseThreshold is the threshold while the crashes may have another cause. It is two
 	// higher, so that even then no more runners crash than the accepted three plus three more.
 	otherCauseThreshold = 5
-	// confirmedThreshold is the threshold for a prompt part that was quarantined for another tenant.
-	confirmedThreshold = 1
 	// correlationWindow is the maximum time between crashes that count as correlated, and
 	// minCorrelatedRunners is the number of other crashed runners that makes a crash
 	// correlated. Runners that are lost at once are detected within 10 ms, or when their next
@@ -175,10 +180,12 @@
 	// maxQuarantine limits the length of a quarantine, which doubles with each trial that
 	// crashes a runner.
 	maxQuarantine = 24 * time.Hour
-	// minIsolatedEvidence is the number of generations from which requests with a prompt part that was
-	// sound before are kept on separate runners. Many requests may have such a part, and some of the
+	// minHeldEvidence is the number of generations from which requests with a prompt part wait for the
+	// outcome of others, at most outcomeTime after the last crash, and from which those with a part that
+	// was sound before are kept on separate runners. Many requests may have such a part, and some of the
 	// runners on which they are run crash for another reason.
-	minIsolatedEvidence = 2
+	minHeldEvidence = 2
+	outcomeTime     = 150 * time.Millisecond
 	// A prompt part that was sound before is not quarantined until runTimeFactor times the time that its
 	// runs took have passed since its first crash, at least minObservation.
 	runTimeFactor  = 2
@@ -201,19 +208,16 @@
 		status.Evidence = r.generations()
 	}
 	first := r.quarantiningCrash(threshold)
+	if heldUntil := r.heldUntil(threshold); now.Before(heldUntil) {
+		status.State, status.Until = Held, heldUntil
+		return status
+	}
 	if first < 0 || !r.hasEnoughContrast() {
-		switch {
-		case first >= 0 && now.Before(r.observedUntil()):
-			status.State, status.Until = Held, r.observedUntil()
-		case len(crashes) > 0 && (!r.wasSound() || status.Evidence >= minIsolatedEvidence):
+		if len(crashes) > 0 && (!r.wasSound() || status.Evidence >= minHeldEvidence) {
 			status.State = Suspected
 		}
 		return status
 	}
-	if r.wasSound() && now.Before(r.observedUntil()) {
-		status.State, status.Until = Held, r.observedUntil()
-		return status
-	}
 	until, duration := quarantinePeriod(crashes, first)
 	if !now.Before(until) && trialDelay != nil {
 		until = until.Add(trialDelay(duration))
@@ -225,14 +229,36 @@
 	return status
 }
 
+// heldUntil returns until when requests with the subject wait, zero if they do not. A prompt part that was
+// sound before is decided when a run sent after its first crash would have been completed. Before there
+// are enough crashes, requests wait for the outcome of the runs that were sent before the last one.
+func (r Record) heldUntil(threshold int) time.Time {
+	switch {
+	case !r.Subject.IsPart():
+		return time.Time{}
+	case r.quarantiningCrash(threshold) >= 0 && r.wasSound():
+		return r.observedUntil()
+	case r.quarantiningCrash(threshold) < 0 && r.generations() >= minHeldEvidence:
+		crashes := r.activeCrashes()
+		return crashes[len(crashes)-1].DetectedAt.Add(outcomeTime)
+	}
+	return time.Time{}
+}
+
 // hasEnoughContrast reports whether the crashes can't be put down to runners that crash under all runs.
 // That is assumed of subjects that were not sound before.
 func (r Record) hasEnoughContrast() bool { return !r.wasSound() || r.hasContrast() }
 
-// observedUntil returns when a run of the prompt part that was sent after the first active crash would
-// have been completed.
+// observedUntil returns when it is decided whether a prompt part that was sound before is quarantined: when
+// a run that was sent after the first active crash would have been completed, or when the crashes are
+// enough whatever their cause.
 func (r Record) observedUntil() time.Time {
-	return r.activeCrashes()[0].DetectedAt.Add(max(runTimeFactor*r.RunTime, minObservation))
+	crashes := r.activeCrashes()
+	until := crashes[0].DetectedAt.Add(max(runTimeFactor*r.RunTime, minObservation))
+	if last := r.indexOfCrash(otherCauseThreshold, quarantineThreshold); last >= 0 && crashes[last].DetectedAt.Before(until) {
+		return crashes[last].DetectedAt
+	}
+	return until
 }
 
 // isQuarantined reports whether enough crashes are recorded to quarantine the subject, be it now, in
@@ -264,12 +290,23 @@
 
 // quarantiningPartCrash implements quarantiningCrash for prompt parts.
 func (r Record) quarantiningPartCrash(threshold int) int {
+	minGenerations := threshold
+	if !r.wasSound() && r.hasContrast() {
+		// Crashes of the same generation count as well: runs of other parts were completed meanwhile.
+		minGenerations = (threshold + 1) / 2
+	}
+	return r.indexOfCrash(threshold, minGenerations)
+}
+
+// indexOfCrash returns the index of the active crash with which there are the given numbers of crashes and of
+// generations, -1 if there are fewer.
+func (r Record) indexOfCrash(crashes, generations int) int {
 	var counted []Crash
 	for i, crash := range r.activeCrashes() {
 		if isNextGeneration(counted, crash) {
 			counted = append(counted, crash)
 		}
-		if len(counted) >= threshold && (threshold == 1 || hasSeveralContents(counted)) {
+		if i+1 >= crashes && len(counted) >= generations && (crashes == 1 || hasSeveralContents(r.activeCrashes()[:i+1])) {
 			return i
 		}
 	}
@@ -286,7 +323,7 @@
 			counted = append(counted, crash)
 		}
 	}
-	if !hasSeveralContents(counted) {
+	if !hasSeveralContents(r.activeCrashes()) {
 		return min(len(counted), 1)
 	}
 	return len(counted)
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -135,7 +135,7 @@
 		detectorCount = sc.routers
 	}
 	for range detectorCount {
-		s.detectors = append(s.detectors, NewDetector(0))
+		s.detectors = append(s.detectors, NewDetector(Config{}))
 	}
 	return s
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -20,7 +20,7 @@
 	var result Verdict
 	for _, subject := range subjects {
 		status := d.Evaluate(now, subject)
-		if status.State == Quarantined && d.hasOtherExplanation(subject, subjects) {
+		if status.State == Quarantined && (d.hasOtherExplanation(subject, subjects) || d.isProbe(now, subject, subjects)) {
 			status.State = OnTrial
 		}
 		if status.State == Quarantined {
@@ -33,12 +33,57 @@
 	return result
 }
 
-// isStronger reports whether a status restricts a request more than another one.
+// isStronger reports whether a status restricts a request more than another one, or as much for more crashes.
 func isStronger(a, b Status) bool {
 	if a.State != b.State {
 		return a.State > b.State
 	}
-	return a.State != Clear && a.Crashes >= b.Crashes
+	return a.State != Clear && a.Crashes > b.Crashes
+}
+
+// probeDelay is the time between the beginning of a quarantine and its test, and maxProbeStagger limits by how
+// much more it differs between the routers that test.
+const (
+	probeDelay      = time.Second
+	maxProbeStagger = 2 * time.Second
+)
+
+// isProbe reports whether the request may test the quarantined subject: a prompt part that was sound before,
+// of which each crash may be that of another part, and that has not been tested yet. The other parts of the
+// request must be beyond suspicion.
+func (d *Detector) isProbe(now time.Time, subject Subject, request []Subject) bool {
+	e := d.records[subject]
+	if !d.config.Probes || !subject.IsPart() || !e.wasSound() {
+		return false
+	}
+	for _, other := range request {
+		if record := d.records[other]; other != subject && record != nil && len(record.activeCrashes()) > 0 {
+			return false
+		}
+	}
+	if !d.isContested(e) {
+		return false
+	}
+	crashes := e.activeCrashes()
+	probesFrom := latest(crashes[e.quarantiningCrash(d.crashThreshold(e))].DetectedAt, e.observedUntil()).Add(probeDelay)
+	wasTested := slices.ContainsFunc(crashes, func(crash Crash) bool { return !crash.SentAt.Before(probesFrom) })
+	return !wasTested && !now.Before(probesFrom.Add(d.trialDelay(e.Record, maxProbeStagger)))
+}
+
+// isContested reports whether each active crash of the prompt part is also one of another part.
+func (d *Detector) isContested(e *entry) bool {
+	shared := map[Runner]bool{}
+	for _, entries := range d.derive().crashedParts {
+		for _, other := range entries {
+			if other == e {
+				continue
+			}
+			for _, crash := range other.activeCrashes() {
+				shared[crash.Runner] = true
+			}
+		}
+	}
+	return !slices.ContainsFunc(e.activeCrashes(), func(crash Crash) bool { return !shared[crash.Runner] })
 }
 
 // hasOtherExplanation reports whether other quarantined subjects, none of which is a subject of the
