quarantine: a part known from another tenant needs one crash of a tenant's own

TestTwoBadPartsOfTwoTenants crashed 6 and 7 runners under a part that two tenants sent. The second tenant's record has one generation, and runs without the part were recorded from the second on only, so nothing spoke for the part being the cause; and shortly after a start every part was assumed sound before, also one that is quarantined for another tenant. Requests wait at most 0.75 s, longer than the shortest time of observation.

--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -20,7 +20,7 @@
 	crashCheckTimeout = 300 * time.Millisecond
 	// maxHold limits how long a request waits for the decision whether one of its subjects is
 	// quarantined. Runs that take longer than half of it can't clear the subject before.
-	maxHold = 500 * time.Millisecond
+	maxHold = 750 * time.Millisecond
 	// decisionPollInterval is how often a waiting request checks for the decision.
 	decisionPollInterval = 20 * time.Millisecond
 	// trialRetryAfter is the retry delay while another request with the same subject is on
--- a/internal/gateway/otherversions_test.go
+++ b/internal/gateway/otherversions_test.go
@@ -153,3 +153,24 @@
 	e.Expect((&placementChoice{requestedAt: time.Now()}).permit().Valid(time.Now())).To(BeFalse())
 	e.Expect((&placementChoice{requestedAt: time.Now(), permitted: true}).permit().Valid(time.Now())).To(BeTrue())
 }
+
+// Records of prompt parts travel in fields of their own, which earlier versions skip: these would take them for
+// records of a content.
+func TestPartRecordsSurviveEncodingAndAreKeptFromEarlierVersions(t *testing.T) {
+	t.Parallel()
+	e, now := NewWithT(t), time.Now()
+	part := quarantine.Record{
+		Subject: quarantine.NewPart("t", "5c1e"), Service: "engines", RunTime: 1500 * time.Millisecond, ContrastAt: now.Add(-time.Second),
+		Crashes: []quarantine.Crash{{Runner: quarantine.Runner{ID: "a", Incarnation: 3}, Content: 1<<63 + 7, SentAt: now.Add(-3 * time.Second), DetectedAt: now.Add(-2 * time.Second)}},
+	}
+	message := encodeSuspectNews(now, append(suspectRecords(now), part))
+	e.Expect(message.GetRecords()).To(HaveLen(1))
+	decoded := decodeSuspects(now, message.GetParts())
+	e.Expect(decoded).To(HaveLen(1))
+	e.Expect(decoded[0].Subject).To(Equal(part.Subject))
+	e.Expect(decoded[0].Service).To(Equal(part.Service))
+	e.Expect(decoded[0].RunTime).To(Equal(part.RunTime))
+	e.Expect(decoded[0].ContrastAt).To(BeTemporally("~", part.ContrastAt, 2*time.Millisecond))
+	e.Expect(decoded[0].Crashes[0].Content).To(Equal(part.Crashes[0].Content))
+	e.Expect(decoded[0].Crashes[0].DetectedAt).To(BeTemporally("~", part.Crashes[0].DetectedAt, 2*time.Millisecond))
+}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -66,6 +66,9 @@
 	// at least two generations of them.
 	crashedParts map[string][]*entry
 	suspectParts []*entry
+	// contrastable are the entries of prompt parts with enough crashes to be quarantined if runs without them
+	// are survived.
+	contrastable []*entry
 	// quarantined are the entries of subjects that were quarantined, with those on trial.
 	quarantined []*entry
 }
@@ -127,6 +130,11 @@
 	if known := d.survivedParts.runTime(now, part); known > 0 || now.Sub(d.config.StartedAt) >= warmUpTime {
 		return known
 	}
+	isQuarantined := func(e *entry) bool { return slices.Contains(d.derive().quarantined, e) }
+	if slices.ContainsFunc(d.derive().crashedParts[part.Part], isQuarantined) {
+		// The part is known to crash runners, for this tenant or another one.
+		return 0
+	}
 	return assumedRunTime
 }
 
@@ -163,10 +171,10 @@
 	return changed
 }
 
-// recordContrast records that a runner survived the run in the records of suspect parts that the run
-// does not have, and returns the records that changed.
+// recordContrast records that a runner survived the run in the records of parts that may be quarantined and
+// that the run does not have, and returns the records that changed.
 func (d *Detector) recordContrast(now time.Time, run *Run) (changed []Record) {
-	for _, e := range d.derive().suspectParts {
+	for _, e := range d.derive().contrastable {
 		if e.Service == run.Service && !run.includes(e.Subject) && d.merge(now, Record{Subject: e.Subject, ContrastAt: run.startedAt()}) {
 			changed = append(changed, e.Record)
 		}
@@ -352,6 +360,9 @@
 		}
 	}
 	for _, e := range d.records {
+		if e.Subject.IsPart() && (e.generations() > 1 || e.quarantiningCrash(d.crashThreshold(e)) >= 0) {
+			d.derived.contrastable = append(d.derived.contrastable, e)
+		}
 		if len(e.activeCrashes()) > 0 && d.independent(e).isQuarantined(d.crashThreshold(e)) {
 			d.derived.quarantined = append(d.derived.quarantined, e)
 		}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -248,3 +248,16 @@
 	g.Expect(len(d.survivedParts.current) + len(d.survivedParts.previous)).To(BeNumerically("<=", 2*maxSurvivedSubjects))
 	g.Expect(d.verdict("t", 12, "bad")).To(Equal(Quarantined))
 }
+
+// Guards against a part that goes on crashing runners for a second tenant, as the runs without it that were
+// survived were recorded only from the tenant's second crash on.
+func TestContrastIsRecordedForPartsOfFurtherTenants(t *testing.T) {
+	g, d := NewWithT(t), newPartDetector()
+	d.surviveRun("u", 0, "bad")
+	for i := range 3 {
+		d.crashRun("t", i, float64(i+1), "bad")
+	}
+	d.crashRun("u", 3, 4, "bad")
+	d.surviveRun("u", 4.5, "c")
+	g.Expect(d.verdict("u", 5, "bad")).To(Equal(Quarantined))
+}
