admission: what a router saves of its retry budget follows its traffic

All routers could save the same number of retries, an equal share of the common slack (5 of 54 at 7 routers), whatever traffic they had. A router to which most connections go runs most requests of a runner, and when that crashes it may send 5 of them elsewhere and fails the others, while the shares of the other routers are unused.

A budget now also saves what its requests earned within the last second. All routers together save 0.15 times the requests of a second more: in 10 s at most 1.65 R + 35 retries of R requests a second, where 2 R + 54 are allowed.

TestRetryBudgetFollowsTraffic: 185 requests a second allow 33 retries at once (5 before); the rate is bounded as before.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -67,6 +67,41 @@
 	g.Expect(retries).To(BeNumerically(">=", 100))
 }
 
+// Guards against a router that gets most connections and can send only its equal share of retries when a runner
+// crashes under its requests.
+func TestRetryBudgetFollowsTraffic(t *testing.T) {
+	g := NewWithT(t)
+	const ratio, capacity, rate = 0.15, 5.0, 185
+	withdraw := func(budget *RetryBudget) (retries int) {
+		for budget.TryWithdraw() {
+			retries++
+		}
+		return retries
+	}
+	busy, now := NewRetryBudget(ratio, capacity), startTime
+	deposit := func(seconds int) {
+		for range seconds * rate {
+			now = now.Add(time.Second / rate)
+			busy.DepositAt(now)
+		}
+	}
+	deposit(3)
+	busy.SetCapacity(capacity)
+	g.Expect(withdraw(busy)).To(BeNumerically("~", capacity+ratio*rate, 2))
+	g.Expect(withdraw(NewRetryBudget(ratio, capacity))).To(Equal(int(capacity)))
+	retries := 0
+	for range 10 {
+		deposit(1)
+		retries += withdraw(busy)
+	}
+	g.Expect(retries).To(BeNumerically("<=", ratio*rate*10+1), "what is saved does not add to the rate")
+	now = now.Add(time.Minute)
+	for range 100 {
+		busy.DepositAt(now)
+	}
+	g.Expect(withdraw(busy)).To(BeNumerically("<=", capacity+ratio*100+1), "savings of earlier traffic are gone")
+}
+
 func TestPerNodeLimitsAreAtLeastOne(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(PerNodeLimits(2, 1, 400)).To(Equal(Limits{RequestsPerSecond: 1, MaxConcurrent: 1}))
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -69,7 +69,7 @@
 	case c.isRetry():
 		c.recordRetry()
 	case c.attemptState.Attempt() == 0:
-		g.retryBudget(c.service).Deposit()
+		g.retryBudget(c.service).DepositAt(now)
 	}
 	runner, _ := g.runners.Get(chosen.Candidate.Name)
 	c.takePermit(now, runner.ID)
