quarantine: routers without seeds store crashes of prompt parts from the first on

Routers that reach the store and no seed learn of each other's crashes through the store only, which had records of parts from the second generation on. With six such routers each saw one crash and told nobody: 8 runners crashed under one part. While a router has no seed, records of parts are written from the first crash on; seeds and their followers write from the second as before.

--- a/internal/gateway/poisonpartfaults_test.go
+++ b/internal/gateway/poisonpartfaults_test.go
@@ -120,3 +120,22 @@
 		p.g.Expect(p.callBad(p.routers[1], "/once/x", "sound", withKey(key))).To(Equal(http.StatusOK))
 	}
 }
+
+// Guards against routers that reach the store and no seed, each of which saw a single crash of the part and told
+// nobody.
+func TestRoutersWithoutSeedsExchangePartCrashesThroughStore(t *testing.T) {
+	t.Parallel()
+	p := newPartFleet(t, 20, false, isBad)
+	for i := range 6 {
+		p.routers = append(p.routers, p.servingRouter(fmt.Sprint("alone-", i), p.followerSettings([]string{startSilentPeer(p.fleet)})))
+	}
+	for number := range 4 * len(p.routers) {
+		r := p.routers[number%len(p.routers)]
+		p.callBad(r, "/once/x", "bad", nil)
+		p.g.Expect(p.callBad(r, "/once/x", "sound", nil)).To(Equal(http.StatusOK))
+	}
+	crashes := len(p.crashTimes("bad"))
+	p.t.Logf("%d crashes", crashes)
+	p.g.Expect(crashes).To(BeNumerically("<=", maxPartCrashes))
+	p.g.Expect(p.lateRuns("bad")).To(BeNumerically("<=", maxSendsAfter))
+}
--- a/internal/gateway/storedquarantines.go
+++ b/internal/gateway/storedquarantines.go
@@ -55,8 +55,9 @@
 // recordChanged queues the content if its record must be written to the store or removed from it.
 // The writer handles it as soon as this router reads the store.
 func (q *storedQuarantines) recordChanged(content quarantine.Subject, crashes int) {
+	minStored := q.minStored(content)
 	q.mutex.Lock()
-	if _, stored := q.stored[content]; crashes >= minStoredCrashes || stored {
+	if _, stored := q.stored[content]; crashes >= minStored || stored {
 		q.pending[content] = true
 	} else {
 		// There is nothing to write any more. A router that does not read the store would otherwise
@@ -67,6 +68,15 @@
 	q.wakeWriter()
 }
 
+// minStored returns the number of crashes from which the record of the subject is stored. Routers without seeds
+// learn of each other's crashes only through the store, and each of them may see one crash of a prompt part.
+func (q *storedQuarantines) minStored(subject quarantine.Subject) int {
+	if subject.IsPart() && !q.gateway.peerRouters.alwaysReadsStore() {
+		return 1
+	}
+	return minStoredCrashes
+}
+
 // wakeWriter makes the writer check for pending contents.
 func (q *storedQuarantines) wakeWriter() {
 	select {
