quarantine: new routers are told of crashes first; run times are means

Records of cleared subjects are kept for ten minutes, so that a router that was cut off does not bring their crashes back. A started router got them, 64 a pull, before later records of what is quarantined. It now gets records with active crashes only. A record's run time became that of a single long answer, which delayed later verdicts on the part; it is the mean now, also after the memory of answers has been renewed. Both found by reading.

TestNewRouterIsToldNoClearedRecords, TestRunTimeOfRecordIsTheMean.

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -163,6 +163,7 @@
 func (d *Detector) partSurvived(now time.Time, run *Run, id string) (changed []Record) {
 	own := NewPart(run.Content.Tenant, id)
 	d.survivedParts.add(now, own, now.Sub(run.SentAt))
+	runTime := d.survivedParts.runTime(now, own)
 	for _, e := range d.derive().crashedParts[id] {
 		if e.Subject != own && !e.wasSound() {
 			continue
@@ -170,7 +171,7 @@
 		generations := e.generations()
 		// Other routers see parts with a single generation survive themselves, or learn it with
 		// their next pull.
-		if d.merge(now, Record{Subject: e.Subject, SurvivedAt: run.startedAt(), RunTime: now.Sub(run.SentAt)}) && generations > 1 {
+		if d.merge(now, Record{Subject: e.Subject, SurvivedAt: run.startedAt(), RunTime: runTime}) && generations > 1 {
 			changed = append(changed, e.Record)
 		}
 	}
@@ -438,18 +439,13 @@
 func (d *Detector) Sequence() uint64 { return d.sequence }
 
 // ChangedSince returns the records that changed after the sequence number since, oldest change
-// first and at most limit of them, and the sequence number up to which they are complete.
+// first and at most limit of them, and the sequence number up to which they are complete. A router that
+// has no records yet needs none without active crashes.
 func (d *Detector) ChangedSince(since uint64, limit int) (records []Record, reached uint64) {
 	if since >= d.sequence {
 		return nil, d.sequence
 	}
-	var changed []*entry
-	for _, e := range d.records {
-		if e.sequence > since {
-			changed = append(changed, e)
-		}
-	}
-	slices.SortFunc(changed, func(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	changed := d.sortedEntries(func(e *entry) bool { return e.sequence > since && (since > 0 || len(e.activeCrashes()) > 0) })
 	reached = d.sequence
 	if len(changed) > limit {
 		changed = changed[:limit]
@@ -461,10 +457,23 @@
 	return records, reached
 }
 
+// sortedEntries returns the selected entries, oldest change first.
+func (d *Detector) sortedEntries(isSelected func(e *entry) bool) (entries []*entry) {
+	for _, e := range d.records {
+		if isSelected(e) {
+			entries = append(entries, e)
+		}
+	}
+	slices.SortFunc(entries, func(a, b *entry) int { return cmp.Compare(a.sequence, b.sequence) })
+	return entries
+}
+
 // Records returns all records, oldest change first.
-func (d *Detector) Records() []Record {
-	all, _ := d.ChangedSince(0, maxRecords)
-	return all
+func (d *Detector) Records() (records []Record) {
+	for _, e := range d.sortedEntries(func(*entry) bool { return true }) {
+		records = append(records, e.Record)
+	}
+	return records
 }
 
 // Quarantined returns the records of quarantined subjects, oldest change first and at most
@@ -523,10 +532,7 @@
 	if s.current == nil || now.Sub(s.startedAt) >= survivedInterval || len(s.current) >= maxSurvivedSubjects {
 		s.previous, s.current, s.startedAt = s.current, map[Subject]time.Duration{}, now
 	}
-	mean, known := s.current[subject]
-	if !known {
-		mean = runTime
-	}
+	mean := cmp.Or(s.current[subject], s.previous[subject], runTime)
 	s.current[subject] = max(mean+(runTime-mean)/runTimeSmoothing, 1)
 }
 
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -261,3 +261,34 @@
 	d.surviveRun("u", 4.5, "c")
 	g.Expect(d.verdict("u", 5, "bad")).To(Equal(Quarantined))
 }
+
+// Guards against a started router that gets many cleared records before those of what is quarantined.
+func TestNewRouterIsToldNoClearedRecords(t *testing.T) {
+	g, d := NewWithT(t), newPartDetector()
+	for i := range 10 {
+		d.crashRun("t", i, 1, fmt.Sprint("cleared-", i))
+		d.surviveRun("t", 2, fmt.Sprint("cleared-", i))
+	}
+	for i := range 3 {
+		d.crashRun("t", 100+i, 3+float64(i), "bad")
+	}
+	records, reached := d.ChangedSince(0, 100)
+	g.Expect(reached).To(Equal(d.Sequence()))
+	for _, record := range records {
+		g.Expect(record.Subject.Part).NotTo(ContainSubstring("cleared"))
+	}
+	g.Expect(records).To(ContainElement(HaveField("Subject", NewPart("t", "bad"))))
+}
+
+// Guards against a single long answer that delays all later verdicts on its parts.
+func TestRunTimeOfRecordIsTheMean(t *testing.T) {
+	g, d := NewWithT(t), newPartDetector()
+	for i := range 20 {
+		d.surviveRun("t", float64(i), "a")
+	}
+	d.crashRun("t", 1, 30, "a")
+	long := d.newRun("t", 50, 30.1, "a")
+	d.RunnerSurvived(atSeconds(40.1), long)
+	record, _ := d.Record(NewPart("t", "a"))
+	g.Expect(record.RunTime).To(BeNumerically("<", 2*time.Second))
+}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -61,11 +61,11 @@
 			return false
 		}
 	}
-	if !d.isContested(e) {
+	crashes, first := e.activeCrashes(), e.quarantiningCrash(d.crashThreshold(e))
+	if first < 0 || !d.isContested(e) {
 		return false
 	}
-	crashes := e.activeCrashes()
-	probesFrom := latest(crashes[e.quarantiningCrash(d.crashThreshold(e))].DetectedAt, e.observedUntil()).Add(probeDelay)
+	probesFrom := latest(crashes[first].DetectedAt, e.observedUntil()).Add(probeDelay)
 	wasTested := slices.ContainsFunc(crashes, func(crash Crash) bool { return !crash.SentAt.Before(probesFrom) })
 	return !wasTested && !now.Before(probesFrom.Add(d.trialDelay(e.Record, maxProbeStagger)))
 }
