--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -133,11 +133,11 @@
 mutant "16 one silent keeper proves that there is no record" internal/streamversion/resolve.go 's/const Copies = 2/const Copies = 3/' ./internal/streamversion -run TestResolve
 mutant "16 new streams take the last room of a version" internal/backend/versionroom.go 's/if !hasRoom \{/if hasRoom || !hasRoom {/' ./internal/backend -run TestNewStreams
 mutant "16 streams are recorded while one version serves" internal/streamversion/history.go 's/return count > 1/return true/' ./internal/streamversion -run TestHistory
-mutant "17 pages of a list are not used before the last one" internal/gateway/list.go 's/w.kind == RunnerObjects && response.more/false/' ./internal/gateway -run TestRouterServesBefore
+mutant "17 pages of a list are not used before the last one" internal/gateway/list.go 's/if w.kind == RunnerObjects && \(response.next/if false && (response.next/' ./internal/gateway -run TestRouterServesBefore
 mutant "17 routers with a part of the directory give nothing" internal/gateway/firstanswers.go 's/\treturn partialData\n\t\}\n\treturn noData/\treturn noData\n\t}\n\treturn noData/' ./internal/gateway -run TestSeedServesOthers
 mutant "17 first answers are not paced" internal/coldstart/pacer.go 's/return p.busyUntil.Sub\(now\) <= paceBurst/return true/' ./internal/coldstart -run TestTimeUntil
 mutant "17 small services are missing from pages" internal/coldstart/pages.go 's/runnersPerService = 4/runnersPerService = 0/' ./internal/coldstart -run TestEachPage
-mutant "17 unreachable sources are asked less and less" internal/coldstart/schedule.go 's/if reply == Unreachable \{/if reply > Data {/' ./internal/coldstart -run TestStartingSources
+mutant "17 unreachable sources are asked less and less" internal/coldstart/schedule.go 's/if s.has\(Unreachable\) \{/if false {/' ./internal/coldstart -run TestStartingSources
 mutant "17 one failure ends the accept loop" internal/accept/accept.go 's/err == nil \|\| errors.Is/true || err == nil || errors.Is/' ./internal/wire -run TestTransportAccepts
 
 echo "mutants: $refuted refuted, $survived survived, $unclear unclear"
