gateway: parts without an ID are not recorded

A part with an empty ID became the content with the digest 0 of its tenant, which answers with the part never cleared: three chance crashes would have refused the tenant's requests that name such a part. Found by reading. TestRecordedPartsAreBounded.

--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -19,7 +19,7 @@
 	// milliseconds, and the lack of an answer until then does not show that the runner crashed.
 	crashCheckTimeout = 300 * time.Millisecond
 	// maxHold limits how long a request waits for the decision whether one of its subjects is
-	// quarantined. Runs that take longer than half of it can't clear the subject before.
+	// quarantined.
 	maxHold = 750 * time.Millisecond
 	// decisionPollInterval is how often a waiting request checks for the decision.
 	decisionPollInterval = 20 * time.Millisecond
@@ -45,7 +45,7 @@
 // request itself.
 func recordedParts(prompt []PromptPart) (ids []string) {
 	for _, part := range prompt[:min(max(len(prompt)-1, 0), maxRecordedParts)] {
-		if len(part.ID) <= maxRecordedPartBytes {
+		if part.ID != "" && len(part.ID) <= maxRecordedPartBytes {
 			ids = append(ids, part.ID)
 		}
 	}
