quarantine: tidy comments and names after reading the diff

The comment of the threshold is wrapped, the entries whose verdict waits for answered runs without the part are named so, and whether a waiting send has a subject is a method. Behaviour is unchanged.

--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -29,6 +29,14 @@
 	cancel        context.CancelCauseFunc
 }
 
+// includes reports whether the request has the subject.
+func (s *unstartedSend) includes(subject quarantine.Subject) bool {
+	if subject.IsPart() {
+		return s.content.Tenant == subject.Tenant && slices.Contains(s.parts, subject.Part)
+	}
+	return s.content == subject
+}
+
 // beginSend records a send for which the runner has to prefill the given number of prompt
 // tokens. The gateway's mutex must be held since the runner was chosen, so that no withdrawal
 // can occur in between.
@@ -111,7 +119,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for send := range g.unstartedSends {
-		if send.content == subject || subject.IsPart() && send.content.Tenant == subject.Tenant && slices.Contains(send.parts, subject.Part) {
+		if send.includes(subject) {
 			sends = append(sends, send)
 		}
 	}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -72,9 +72,9 @@
 	strongSuspects []*entry
 	// crashes caches allCrashes.
 	crashes []Crash
-	// contrastable are the entries of prompt parts with enough crashes to be quarantined if runs without them
-	// are survived.
-	contrastable []*entry
+	// awaitingContrast are the entries of prompt parts whose verdict may depend on whether runs without them are
+	// survived.
+	awaitingContrast []*entry
 	// quarantined are the entries of subjects that were quarantined, with those on trial.
 	quarantined []*entry
 }
@@ -181,7 +181,7 @@
 // recordContrast records that a runner survived the run in the records of parts that may be quarantined and
 // that the run does not have, and returns the records that changed.
 func (d *Detector) recordContrast(now time.Time, run *Run) (changed []Record) {
-	for _, e := range d.derive().contrastable {
+	for _, e := range d.derive().awaitingContrast {
 		if e.Service == run.Service && !run.includes(e.Subject) && d.merge(now, Record{Subject: e.Subject, ContrastAt: run.startedAt()}) {
 			changed = append(changed, e.Record)
 		}
@@ -394,7 +394,7 @@
 		}
 		threshold := d.crashThreshold(e)
 		if e.Subject.IsPart() && (e.generations() > 1 || e.quarantiningCrash(threshold) >= 0) {
-			s.contrastable = append(s.contrastable, e)
+			s.awaitingContrast = append(s.awaitingContrast, e)
 		}
 		if d.independent(e).isQuarantined(threshold) {
 			s.quarantined = append(s.quarantined, e)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -92,7 +92,7 @@
 	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return crash.Runner == runner })
 }
 
-// activeCrashes returns the crashes since a runner last survived a run of the content. A
+// activeCrashes returns the crashes since a runner last survived a run of the subject. A
 // survived run shows that the earlier crashes had another cause.
 func (r Record) activeCrashes() []Crash {
 	first := slices.IndexFunc(r.Crashes, func(crash Crash) bool { return crash.DetectedAt.After(r.SurvivedAt) })
@@ -158,10 +158,10 @@
 // Thresholds and durations of the quarantine.
 const (
 	// quarantineThreshold is the number of crashed runners, and for prompt parts of generations of
-	// them, at which a subject is no longer sent. In the simulation of mixed fleets (simulation_test.go), a threshold of four costs
-	// one more runner per crashing content. A threshold of two saves one runner, but would
-	// refuse contents that were on two crashed runners by chance, which is likely for long
-	// requests.
+	// them, at which a subject is no longer sent. In the simulation of mixed fleets
+	// (simulation_test.go), a threshold of four costs one more runner per crashing content. A
+	// threshold of two saves one runner, but would refuse contents that were on two crashed runners
+	// by chance, which is likely for long requests.
 	quarantineThreshold = 3
 	// otherCauseThreshold is the threshold while the crashes may have another cause. It is two
 	// higher, so that even then no more runners crash than the accepted three plus three more.
