gateway: a waiting send keeps its run in place of a copy of its subjects

Whether a send has a subject stood twice, at the run and at the send, which also kept the content and the parts that the run has. Behaviour is unchanged.

--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
@@ -24,19 +23,10 @@
 	model  string
 	// weightVersion is the version that the runner was known to have when the request was sent.
 	weightVersion uint64
-	content       quarantine.Subject
-	parts         []string
+	run           *quarantine.Run
 	cancel        context.CancelCauseFunc
 }
 
-// includes reports whether the request has the subject.
-func (s *unstartedSend) includes(subject quarantine.Subject) bool {
-	if subject.IsPart() {
-		return s.content.Tenant == subject.Tenant && slices.Contains(s.parts, subject.Part)
-	}
-	return s.content == subject
-}
-
 // beginSend records a send for which the runner has to prefill the given number of prompt
 // tokens. The gateway's mutex must be held since the runner was chosen, so that no withdrawal
 // can occur in between.
@@ -54,7 +44,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.sendCtx = ctx
-	c.unstarted = &unstartedSend{runner: runner.ID, model: c.query.Model, weightVersion: c.weightVersion, content: c.content, parts: c.sharedParts, cancel: cancel}
+	c.unstarted = &unstartedSend{runner: runner.ID, model: c.query.Model, weightVersion: c.weightVersion, run: c.run, cancel: cancel}
 	g.unstartedSends[c.unstarted] = struct{}{}
 }
 
@@ -101,7 +91,7 @@
 // started without the router knowing it may still do so.
 func (g *Gateway) withdrawQuarantinedSends(subject quarantine.Subject) {
 	for _, send := range g.unstartedSendsOf(subject) {
-		if g.suspects.verdict(g.now(), send.content, send.parts).State != quarantine.Quarantined {
+		if g.suspects.verdict(g.now(), send.run.Content, send.run.Parts).State != quarantine.Quarantined {
 			continue
 		}
 		g.mutex.Lock()
@@ -119,7 +109,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	for send := range g.unstartedSends {
-		if send.includes(subject) {
+		if send.run.Includes(subject) {
 			sends = append(sends, send)
 		}
 	}
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -182,7 +182,7 @@
 // that the run does not have, and returns the records that changed.
 func (d *Detector) recordContrast(now time.Time, run *Run) (changed []Record) {
 	for _, e := range d.derive().awaitingContrast {
-		if e.Service == run.Service && !run.includes(e.Subject) && d.merge(now, Record{Subject: e.Subject, ContrastAt: run.startedAt()}) {
+		if e.Service == run.Service && !run.Includes(e.Subject) && d.merge(now, Record{Subject: e.Subject, ContrastAt: run.startedAt()}) {
 			changed = append(changed, e.Record)
 		}
 	}
--- a/internal/quarantine/partsimulation_test.go
+++ b/internal/quarantine/partsimulation_test.go
@@ -324,7 +324,7 @@
 
 func (s *partSimulation) hasOpenRun(router *partRouter, subject Subject) bool {
 	for _, r := range s.fleet {
-		if slices.ContainsFunc(r.requests, func(other *partRequest) bool { return other.router == router && other.run.includes(subject) }) {
+		if slices.ContainsFunc(r.requests, func(other *partRequest) bool { return other.router == router && other.run.Includes(subject) }) {
 			return true
 		}
 	}
--- a/internal/quarantine/runtable.go
+++ b/internal/quarantine/runtable.go
@@ -85,8 +85,8 @@
 // startedAt returns the latest known time before the runner began the run.
 func (r *Run) startedAt() time.Time { return latest(r.SentAt, r.BeganAt) }
 
-// includes reports whether the run is one of the subject.
-func (r *Run) includes(subject Subject) bool {
+// Includes reports whether the run is one of the subject.
+func (r *Run) Includes(subject Subject) bool {
 	if subject.IsPart() {
 		return subject.Tenant == r.Content.Tenant && slices.Contains(r.Parts, subject.Part)
 	}
@@ -153,7 +153,7 @@
 // HasOpenRun reports whether a run of the subject is open.
 func (t *RunTable) HasOpenRun(subject Subject) bool {
 	for _, runs := range t.runs {
-		if slices.ContainsFunc(runs, func(run *Run) bool { return run.isOpen() && run.includes(subject) }) {
+		if slices.ContainsFunc(runs, func(run *Run) bool { return run.isOpen() && run.Includes(subject) }) {
 			return true
 		}
 	}
