quarantine: the time of a crash is worked out where the runs are guarded

The detector read the ends of runs to find when their runner had crashed, after the table had handed them out: the calls of open runs may be writing these ends at that moment, and a late one could move the crash. Found by reading; the race detector did not meet it. The table now sets the time while it is locked.

TestCrashCountsFromTheFirstLostConnection failed before (0.5 s, not 1 s).

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -99,10 +99,9 @@
 // RunnerCrashed records that the runner of the runs crashed while it processed them, and returns the
 // records that changed.
 func (d *Detector) RunnerCrashed(now time.Time, runs ...*Run) (changed []Record) {
-	crashedAt := crashTime(now, runs)
 	for _, run := range runs {
 		changed = append(changed, d.contentCrashed(now, run)...)
-		changed = append(changed, d.partsCrashed(now, crashedAt, run)...)
+		changed = append(changed, d.partsCrashed(now, run)...)
 	}
 	return changed
 }
@@ -118,8 +117,11 @@
 }
 
 // partsCrashed records a crash under the prompt parts of the run.
-func (d *Detector) partsCrashed(now, crashedAt time.Time, run *Run) (changed []Record) {
-	crash := Crash{Runner: run.Runner, Content: run.Content.Digest, SentAt: run.SentAt, DetectedAt: crashedAt}
+func (d *Detector) partsCrashed(now time.Time, run *Run) (changed []Record) {
+	crash := Crash{Runner: run.Runner, Content: run.Content.Digest, SentAt: run.SentAt, DetectedAt: now}
+	if !run.crashedAt.IsZero() {
+		crash.DetectedAt = run.crashedAt
+	}
 	for _, id := range run.Parts {
 		part := NewPart(run.Content.Tenant, id)
 		record := Record{Subject: part, Crashes: []Crash{crash}, Service: run.Service, RunTime: d.runTimeBefore(now, part)}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -292,3 +292,18 @@
 	record, _ := d.Record(NewPart("t", "a"))
 	g.Expect(record.RunTime).To(BeNumerically("<", 2*time.Second))
 }
+
+// Guards against a crash that counts from its detection, so that the router's own second attempts are no further
+// evidence, and against reading runs that their calls may be ending at the same time.
+func TestCrashCountsFromTheFirstLostConnection(t *testing.T) {
+	g, d, table := NewWithT(t), newPartDetector(), NewRunTable()
+	lost, open := d.newRun("t", 1, 0, "a"), d.newRun("t", 1, 0, "a")
+	table.Begin(lost)
+	table.Begin(open)
+	table.End(atSeconds(1), lost, ConnectionLost)
+	runs := table.RunnerCrashed(atSeconds(1.2), testRunner(1))
+	table.End(atSeconds(0.5), open, ConnectionLost)
+	d.RunnerCrashed(atSeconds(1.2), runs...)
+	record, _ := d.Record(NewPart("t", "a"))
+	g.Expect(record.Crashes[0].DetectedAt).To(Equal(atSeconds(1)))
+}
--- a/internal/quarantine/partsimulation_test.go
+++ b/internal/quarantine/partsimulation_test.go
@@ -431,7 +431,7 @@
 	byRouter, lost := map[*partRouter][]*Run{}, r.requests
 	var order []*partRouter
 	for _, request := range lost {
-		request.run.endedAt, request.run.outcome = s.now.Add(networkDelay), ConnectionLost
+		request.run.crashedAt = s.now.Add(networkDelay)
 		if byRouter[request.router] == nil {
 			order = append(order, request.router)
 		}
--- a/internal/quarantine/runtable.go
+++ b/internal/quarantine/runtable.go
@@ -50,6 +50,8 @@
 	// endedAt is when the router saw the run end, zero while it is open.
 	endedAt time.Time
 	outcome RunOutcome
+	// crashedAt is when the runner crashed, zero if it did not.
+	crashedAt time.Time
 }
 
 // Bounds of the information kept about ended runs and crashed runners.
@@ -123,25 +125,22 @@
 }
 
 // RunnerCrashed marks the runner as crashed and removes and returns its runs: those that are
-// open, and those that ended recently without a response.
+// open, and those that ended recently without a response. The runner crashed when the first of their
+// connections was lost, which is before the crash is detected.
 func (t *RunTable) RunnerCrashed(now time.Time, runner Runner) []*Run {
 	t.pruneRunner(now, runner)
-	affected := t.runs[runner]
-	delete(t.runs, runner)
-	t.crashed[runner] = now
-	return affected
-}
-
-// crashTime returns when the runner of the runs crashed, which was detected at the given time. A crash
-// ends the connections of the runs before it is detected.
-func crashTime(detectedAt time.Time, runs []*Run) time.Time {
-	crashedAt := detectedAt
-	for _, run := range runs {
+	affected, crashedAt := t.runs[runner], now
+	for _, run := range affected {
 		if run.outcome == ConnectionLost && run.endedAt.Before(crashedAt) {
 			crashedAt = run.endedAt
 		}
 	}
-	return crashedAt
+	for _, run := range affected {
+		run.crashedAt = crashedAt
+	}
+	delete(t.runs, runner)
+	t.crashed[runner] = now
+	return affected
 }
 
 // HasCrashed reports whether a crash of the runner was recorded.
