--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -57,9 +57,7 @@
 // previous one may have crashed and other routers may have reported crashes in the meantime.
 func (c *call) checkQuarantine() *refusal {
 	c.awaitCrashCheck()
-	c.awaitDecision()
-	now := c.gateway.now()
-	c.verdict = c.gateway.suspects.verdict(now, c.content, c.sharedParts)
+	c.verdict = c.awaitVerdict()
 	c.suspected = c.verdict.State != quarantine.Clear || c.lostConnection
 	reason := reasonQuarantined
 	if c.verdict.Subject.IsPart() {
@@ -67,7 +65,7 @@
 	}
 	switch {
 	case c.verdict.State == quarantine.Quarantined:
-		return unavailable(reason, c.verdict.Until.Sub(now))
+		return unavailable(reason, c.gateway.until(c.verdict.Until))
 	case c.verdict.State == quarantine.OnTrial && c.gateway.crashDetector.hasOpenRun(c.verdict.Subject):
 		return unavailable(reason, trialRetryAfter)
 	}
@@ -99,25 +97,20 @@
 	}
 }
 
-// awaitDecision waits until it is decided whether the request's subjects are quarantined, if that is about
-// to happen, at most maxHold.
-func (c *call) awaitDecision() {
+// awaitVerdict returns how the request is to be handled. If that is about to be decided, it waits, at most
+// maxHold.
+func (c *call) awaitVerdict() quarantine.Verdict {
 	g, startedAt := c.gateway, c.gateway.now()
-	for {
-		now := g.now()
-		verdict := g.suspects.verdict(now, c.content, c.sharedParts)
-		if verdict.State != quarantine.Held || now.Sub(startedAt) >= maxHold {
-			if now.Sub(startedAt) > decisionPollInterval {
-				g.metrics.heldRequests.Observe(now.Sub(startedAt).Seconds())
+	for now := startedAt; ; now = g.now() {
+		verdict, waited := g.suspects.verdict(now, c.content, c.sharedParts), now.Sub(startedAt)
+		if verdict.State != quarantine.Held || waited >= maxHold {
+			if waited > decisionPollInterval {
+				g.metrics.heldRequests.Observe(waited.Seconds())
 			}
-			return
+			return verdict
 		}
-		timer := time.NewTimer(min(verdict.Until.Sub(now), decisionPollInterval))
-		select {
-		case <-timer.C:
-		case <-c.incoming.Context().Done():
-			timer.Stop()
-			return
+		if !sleep(c.incoming.Context(), min(verdict.Until.Sub(now), decisionPollInterval)) {
+			return verdict
 		}
 	}
 }
