quarantine: count generations in one place, and a status's crashes once

Two loops collected the crashes that count as generations into slices only to compare the last one and take the length; a counter serves both. A status worked out the quarantining crash up to three times and the generations twice.

--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -208,7 +208,7 @@
 		status.Evidence = r.generations()
 	}
 	first := r.quarantiningCrash(threshold)
-	if heldUntil := r.heldUntil(threshold); now.Before(heldUntil) {
+	if heldUntil := r.heldUntil(first, status.Evidence); now.Before(heldUntil) {
 		status.State, status.Until = Held, heldUntil
 		return status
 	}
@@ -229,16 +229,17 @@
 	return status
 }
 
-// heldUntil returns until when requests with the subject wait, zero if they do not. A prompt part that was
-// sound before is decided when a run sent after its first crash would have been completed. Before there
-// are enough crashes, requests wait for the outcome of the runs that were sent before the last one.
-func (r Record) heldUntil(threshold int) time.Time {
+// heldUntil returns until when requests with the subject wait, zero if they do not. first is the index of the
+// crash that quarantines it, -1 if there is none. A prompt part that was sound before is decided when a run sent
+// after its first crash would have been completed. Before there are enough crashes, requests wait for the outcome
+// of the runs that were sent before the last one.
+func (r Record) heldUntil(first, evidence int) time.Time {
 	switch {
 	case !r.Subject.IsPart():
 		return time.Time{}
-	case r.quarantiningCrash(threshold) >= 0 && r.wasSound():
+	case first >= 0 && r.wasSound():
 		return r.observedUntil()
-	case r.quarantiningCrash(threshold) < 0 && r.generations() >= minHeldEvidence:
+	case first < 0 && evidence >= minHeldEvidence:
 		crashes := r.activeCrashes()
 		return crashes[len(crashes)-1].DetectedAt.Add(outcomeTime)
 	}
@@ -301,37 +302,41 @@
 // indexOfCrash returns the index of the active crash with which there are the given numbers of crashes and of
 // generations, -1 if there are fewer.
 func (r Record) indexOfCrash(crashes, generations int) int {
-	var counted []Crash
-	for i, crash := range r.activeCrashes() {
-		if isNextGeneration(counted, crash) {
-			counted = append(counted, crash)
-		}
-		if i+1 >= crashes && len(counted) >= generations && (crashes == 1 || hasSeveralContents(r.activeCrashes()[:i+1])) {
+	active, counted := r.activeCrashes(), generationCounter{}
+	for i, crash := range active {
+		counted.add(crash)
+		if i+1 >= crashes && counted.count >= generations && (crashes == 1 || hasSeveralContents(active[:i+1])) {
 			return i
 		}
 	}
 	return -1
 }
 
-// generations returns the number of active crashes of which each occurred in a run that was sent after
-// the previous one had been detected. Runners that crash all at once are one generation, and so are those
-// that crash under a single content, which would explain them.
+// generations returns the number of generations of active crashes. Crashes under a single content count as
+// one, because that would explain them.
 func (r Record) generations() int {
-	var counted []Crash
-	for _, crash := range r.activeCrashes() {
-		if isNextGeneration(counted, crash) {
-			counted = append(counted, crash)
-		}
+	crashes, counted := r.activeCrashes(), generationCounter{}
+	if !hasSeveralContents(crashes) {
+		return min(len(crashes), 1)
 	}
-	if !hasSeveralContents(r.activeCrashes()) {
-		return min(len(counted), 1)
+	for _, crash := range crashes {
+		counted.add(crash)
 	}
-	return len(counted)
+	return counted.count
 }
 
-// isNextGeneration reports whether the crash is evidence in addition to the counted ones.
-func isNextGeneration(counted []Crash, crash Crash) bool {
-	return len(counted) == 0 || crash.SentAt.After(counted[len(counted)-1].DetectedAt)
+// generationCounter counts the crashes that occurred in a run which was sent after the previous counted one
+// had been detected. Runners that crash all at once are one generation.
+type generationCounter struct {
+	count          int
+	lastDetectedAt time.Time
+}
+
+// add adds the next crash in the order of detection.
+func (c *generationCounter) add(crash Crash) {
+	if c.count == 0 || crash.SentAt.After(c.lastDetectedAt) {
+		c.count, c.lastDetectedAt = c.count+1, crash.DetectedAt
+	}
 }
 
 // hasSeveralContents reports whether the crashes occurred under more than one content.
