--- a/internal/gateway/storedquarantines.go
+++ b/internal/gateway/storedquarantines.go
@@ -329,27 +329,21 @@
 // toLocalClock converts the times of a record, which are wall clock times in the store, to this
 // router's clock, because wall clock time may jump.
 func toLocalClock(local, wall time.Time, record quarantine.Record) quarantine.Record {
-	convert := func(at time.Time) time.Time { return local.Add(-max(wall.Sub(at), 0)) }
-	converted := record
-	converted.Crashes = nil
-	for _, crash := range record.Crashes {
-		detectedAt := convert(crash.DetectedAt)
-		crash.DetectedAt, crash.SentAt = detectedAt, detectedAt.Add(-crash.DetectedAt.Sub(crash.SentAt))
-		converted.Crashes = append(converted.Crashes, crash)
-	}
-	if !record.ContrastAt.IsZero() {
-		converted.ContrastAt = convert(record.ContrastAt)
-	}
-	return converted
+	return convertTimes(record, func(at time.Time) time.Time { return local.Add(-max(wall.Sub(at), 0)) })
 }
 
 // toWallClock is the inverse of toLocalClock.
 func toWallClock(local, wall time.Time, record quarantine.Record) quarantine.Record {
-	convert := func(at time.Time) time.Time { return wall.Add(-local.Sub(at)) }
+	return convertTimes(record, func(at time.Time) time.Time { return wall.Add(-local.Sub(at)) })
+}
+
+// convertTimes returns the record with converted times. Runs keep their length.
+func convertTimes(record quarantine.Record, convert func(time.Time) time.Time) quarantine.Record {
 	converted := record
 	converted.Crashes = nil
 	for _, crash := range record.Crashes {
-		crash.DetectedAt, crash.SentAt = convert(crash.DetectedAt), convert(crash.SentAt)
+		detectedAt := convert(crash.DetectedAt)
+		crash.DetectedAt, crash.SentAt = detectedAt, detectedAt.Add(-crash.DetectedAt.Sub(crash.SentAt))
 		converted.Crashes = append(converted.Crashes, crash)
 	}
 	if !record.ContrastAt.IsZero() {
