--- a/internal/backpressure/permits.go
+++ b/internal/backpressure/permits.go
@@ -1,6 +1,10 @@
 package backpressure
 
-import "time"
+import (
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
+)
 
 // A runner's rate limit applies to all routers together. It is divided into equal shares, one
 // for each scheduler (a router that places requests for others), and each request sent to the
@@ -122,7 +126,7 @@
 	}
 	due := p.grantFrom
 	if existing := p.pacers[runner]; existing != nil {
-		due = later(due, existing.adjustRate(now, rate, share))
+		due = clock.Later(due, existing.adjustRate(now, rate, share))
 	}
 	wait := due.Sub(now)
 	if wait <= earlyTolerance && !now.Before(p.grantFrom) {
@@ -136,7 +140,7 @@
 func (p *Permits) HasUnusedPermit(now time.Time, runner Runner) bool {
 	due := p.grantFrom
 	if existing := p.pacers[runner]; existing != nil {
-		due = later(due, existing.nextAt)
+		due = clock.Later(due, existing.nextAt)
 	}
 	return p.Schedulers(now) > 0 && now.Sub(due) >= unusedTimeout
 }
@@ -159,7 +163,7 @@
 		existing = &pacer{rate: rate}
 		p.pacers[runner] = existing
 	}
-	existing.nextAt = later(existing.nextAt, now).Add(permitInterval(p.Share(now, rate)))
+	existing.nextAt = clock.Later(existing.nextAt, now).Add(permitInterval(p.Share(now, rate)))
 	return NewPermit(now)
 }
 
@@ -175,7 +179,7 @@
 	if share == 0 {
 		return wait
 	}
-	retryAt := later(now.Add(wait), p.lastRetryAt[service])
+	retryAt := clock.Later(now.Add(wait), p.lastRetryAt[service])
 	nextRetryAt := retryAt.Add(permitInterval(share))
 	if latestRetryAt := now.Add(maxRetryAfter); nextRetryAt.After(latestRetryAt) {
 		nextRetryAt = latestRetryAt
--- a/internal/backpressure/record.go
+++ b/internal/backpressure/record.go
@@ -1,6 +1,10 @@
 package backpressure
 
-import "time"
+import (
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
+)
 
 // Runner identifies one run of a runner process. Signals from an earlier incarnation do not
 // apply to a later one.
@@ -73,21 +77,14 @@
 
 // merge combines both records and keeps the newest value of each field.
 func (r Record) merge(other Record) Record {
-	r.LeavingAt = later(r.LeavingAt, other.LeavingAt)
+	r.LeavingAt = clock.Later(r.LeavingAt, other.LeavingAt)
 	if other.LimitReportedAt.After(r.LimitReportedAt) {
 		r.Rate, r.LimitReportedAt = other.Rate, other.LimitReportedAt
 	}
-	r.LimitLiftedAt = later(r.LimitLiftedAt, other.LimitLiftedAt)
+	r.LimitLiftedAt = clock.Later(r.LimitLiftedAt, other.LimitLiftedAt)
 	if other.BrittleReportedAt.After(r.BrittleReportedAt) {
 		r.MaxRejections, r.BrittleReportedAt = other.MaxRejections, other.BrittleReportedAt
 	}
-	r.BrittleLiftedAt, r.RejectedAt = later(r.BrittleLiftedAt, other.BrittleLiftedAt), later(r.RejectedAt, other.RejectedAt)
+	r.BrittleLiftedAt, r.RejectedAt = clock.Later(r.BrittleLiftedAt, other.BrittleLiftedAt), clock.Later(r.RejectedAt, other.RejectedAt)
 	return r
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 const (
@@ -150,13 +152,13 @@
 	case signals.Limited:
 		state.Rate, state.LimitReportedAt = signals.Rate, now
 	case success && len(signals.Malformed) == 0:
-		state.LimitLiftedAt = later(state.LimitLiftedAt, sentAt)
+		state.LimitLiftedAt = clock.Later(state.LimitLiftedAt, sentAt)
 	}
 	switch {
 	case signals.Brittle:
 		state.MaxRejections, state.BrittleReportedAt = signals.MaxRejections, now
 	case success && len(signals.Malformed) == 0:
-		state.BrittleLiftedAt = later(state.BrittleLiftedAt, sentAt)
+		state.BrittleLiftedAt = clock.Later(state.BrittleLiftedAt, sentAt)
 	}
 	t.brittleSeen = t.brittleSeen || state.Brittle()
 	rejected := signals.Rejected && state.Brittle()
@@ -165,7 +167,7 @@
 		state.countRejection(now)
 	}
 	if signals.Backoff > 0 {
-		state.BackoffUntil = later(state.BackoffUntil, now.Add(signals.Backoff))
+		state.BackoffUntil = clock.Later(state.BackoffUntil, now.Add(signals.Backoff))
 		t.backoffs[runner] = state
 	}
 	changes := Changes{
--- /dev/null
+++ b/internal/clock/later.go
@@ -0,0 +1,11 @@
+package clock
+
+import "time"
+
+// Later returns the later one of two times.
+func Later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- a/internal/lab/soak/disturbances.go
+++ b/internal/lab/soak/disturbances.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // storeSubject is the subject of faults of the store, or of the connections to it, that affect all
@@ -60,15 +62,8 @@
 			if end.IsZero() || end.After(moment) {
 				end = moment
 			}
-			last = laterOf(last, end)
+			last = clock.Later(last, end)
 		}
 	}
 	return last
 }
-
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // Crash is a crash of one runner that occurred while the runner was processing a run of the subject.
@@ -46,7 +48,7 @@
 // transit, and routers would otherwise send each other the shifted times forever.
 func (r Record) Merge(other Record) (merged Record, changed bool) {
 	merged = r
-	merged.SurvivedAt = latest(r.SurvivedAt, other.SurvivedAt)
+	merged.SurvivedAt = clock.Later(r.SurvivedAt, other.SurvivedAt)
 	merged.Service = cmp.Or(r.Service, other.Service)
 	merged.RunTime = max(r.RunTime, other.RunTime)
 	changed = len(merged.activeCrashes()) < len(r.activeCrashes()) || merged.wasSound() != r.wasSound() && len(merged.activeCrashes()) > 0
@@ -59,18 +61,10 @@
 	merged.Crashes = merged.activeCrashes()
 	merged.Crashes = merged.Crashes[max(len(merged.Crashes)-maxCrashes, 0):]
 	hadContrast := merged.hasContrast()
-	merged.ContrastAt = latest(r.ContrastAt, other.ContrastAt)
+	merged.ContrastAt = clock.Later(r.ContrastAt, other.ContrastAt)
 	return merged, changed || merged.hasContrast() != hadContrast
 }
 
-// latest returns the later one of two times.
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // wasSound reports whether runners are known to have completed runs of the prompt part before it crashed some.
 func (r Record) wasSound() bool { return r.RunTime > 0 }
 
--- a/internal/quarantine/runtable.go
+++ b/internal/quarantine/runtable.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // Runner identifies one run of a runner process.
@@ -85,7 +87,7 @@
 func (t *RunTable) Begin(run *Run) { t.runs[run.Runner] = append(t.runs[run.Runner], run) }
 
 // startedAt returns the latest known time before the runner began the run.
-func (r *Run) startedAt() time.Time { return latest(r.SentAt, r.BeganAt) }
+func (r *Run) startedAt() time.Time { return clock.Later(r.SentAt, r.BeganAt) }
 
 // Includes reports whether the run is one of the subject.
 func (r *Run) Includes(subject Subject) bool {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // Verdict is how a request is to be handled, and the subject of the request that is the reason.
@@ -65,7 +67,7 @@
 	if first < 0 || !d.isContested(e) {
 		return false
 	}
-	probesFrom := latest(crashes[first].DetectedAt, e.observedUntil()).Add(probeDelay)
+	probesFrom := clock.Later(crashes[first].DetectedAt, e.observedUntil()).Add(probeDelay)
 	wasTested := slices.ContainsFunc(crashes, func(crash Crash) bool { return !crash.SentAt.Before(probesFrom) })
 	return !wasTested && !now.Before(probesFrom.Add(d.trialDelay(e.Record, maxProbeStagger)))
 }
