soak: calls that crash runners are sent and checked in one place

The injector of bad parts repeated the sending loop, the random source and the check of late sends of the injector of poison contents. Both embed a crashCaller now, and one check serves both: three crashes are tolerated for a content, five for a part, as before.

--- a/internal/lab/soak/badparts.go
+++ b/internal/lab/soak/badparts.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,19 +28,15 @@
 	quarantinedPartBody = "runners ended under requests with a part of this prompt\n"
 )
 
-// badPartInjector sends requests with parts that crash runners, two at a time. It has its own random source, so
-// that the other faults of a seed do not change.
+// badPartInjector sends requests with parts that crash runners, two at a time.
 type badPartInjector struct {
-	soak   *Soak
-	random *rand.Rand
-	group  sync.WaitGroup
-	mutex  sync.Mutex
+	crashCaller
 	// badFrom holds when each part begins to crash runners.
 	badFrom map[string]time.Time
 }
 
 func newBadPartInjector(s *Soak) *badPartInjector {
-	return &badPartInjector{soak: s, random: rand.New(rand.NewPCG(s.settings.Seed, s.settings.Seed+11)), badFrom: map[string]time.Time{}}
+	return &badPartInjector{crashCaller: crashCaller{soak: s, random: rand.New(rand.NewPCG(s.settings.Seed, s.settings.Seed+11))}, badFrom: map[string]time.Time{}}
 }
 
 // isBad reports whether the part crashes runners now.
@@ -62,12 +57,6 @@
 	return ""
 }
 
-func (p *badPartInjector) randomInt(limit int) int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.random.IntN(limit)
-}
-
 // run sends requests with one pair of parts after the other until the deadline. The parts of a pair are on
 // different routes and may go bad at different times.
 func (p *badPartInjector) run(ctx context.Context, deadline time.Time) {
@@ -90,52 +79,14 @@
 
 // send sends requests with the part to random gateways, no two alike. The part is the first or the second one.
 func (p *badPartInjector) send(ctx context.Context, client *http.Client, path, part string, until time.Time) {
-	s, prompt := p.soak, "aa:100,%s:200,own%d:50"
+	prompt := "aa:100,%s:200,own%d:50"
 	if p.randomInt(2) == 0 {
 		prompt = "%s:200,bb0:100,own%d:50"
 	}
-	for number := 0; time.Now().Before(until) && ctx.Err() == nil; number++ {
-		target := s.processes[p.randomInt(len(s.processes))]
-		call := &callRecord{
+	p.sendUntil(ctx, client, until, maxBadPartInterval, func(number int) *callRecord {
+		return &callRecord{
 			id: fmt.Sprintf("%s-%d-%d", part, number, p.randomInt(1<<30)), path: fmt.Sprintf("%s%s-%d", path, part, number), body: fmt.Sprint(part, " ", number),
-			tenant: tenantName, gatewayName: target.name, repeatable: path == "/stream/", isPoison: true, badPart: part, prompt: fmt.Sprintf(prompt, part, number),
-		}
-		s.calls.add(call)
-		p.group.Go(func() { s.sendCall(ctx, client, target, call, s.config.validKey()) })
-		time.Sleep(time.Duration(p.randomInt(int(maxBadPartInterval))))
-	}
-}
-
-// check checks that undisturbed gateways stopped sending requests with the bad parts.
-func (p *badPartInjector) check() {
-	p.group.Wait()
-	s, lateSends := p.soak, map[string]int{}
-	for _, runner := range s.runners.all() {
-		for _, arrival := range runner.ArrivalLog() {
-			if call, known := s.calls.find(arrival.RequestID); known && call.badPart != "" && p.isLateSend(call, arrival.ReceivedAt) {
-				lateSends[call.badPart]++
-			}
+			repeatable: path == "/stream/", badPart: part, prompt: fmt.Sprintf(prompt, part, number),
 		}
-	}
-	for part, count := range lateSends {
-		if count > maxLateSends {
-			s.failf("ended runners: requests with the part %s were sent %d times later than %v after the fifth of %d runner crashes", part, count, settleTime, len(s.poisons.crashTimes[part]))
-		}
-	}
-	var crashes []int
-	for part := range p.badFrom {
-		crashes = append(crashes, len(s.poisons.crashTimes[part]))
-	}
-	slices.Sort(crashes)
-	s.logf("bad parts: %d, crashes %v", len(p.badFrom), crashes)
-}
-
-// isLateSend reports whether the call reached a runner later than settleTime after the fifth crash of its part,
-// from an undisturbed gateway of the current version.
-func (p *badPartInjector) isLateSend(call *callRecord, at time.Time) bool {
-	crashTimes := p.soak.poisons.crashTimes[call.badPart]
-	if len(crashTimes) < maxPartCrashes || at.Sub(crashTimes[maxPartCrashes-1]) <= settleTime || p.soak.olderGateways[call.gatewayName] {
-		return false
-	}
-	return p.soak.undisturbedFor(at, storeSubject, call.gatewayName, gatewayStoreSubject(call.gatewayName)) > settleTime
+	})
 }
--- a/internal/lab/soak/poison.go
+++ b/internal/lab/soak/poison.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
@@ -26,8 +25,10 @@
 	poisonDuration    = 12 * time.Second
 	// minReplaceDelay and maxReplaceDelay bound the time until a crashed runner is replaced.
 	minReplaceDelay, maxReplaceDelay = time.Second, 3 * time.Second
-	// maxLateSends is how often a content may be sent to runners later than settleTime after the
-	// third crash.
+	// maxContentCrashes is the number of crashes of a content after which it counts as known.
+	maxContentCrashes = 3
+	// maxLateSends is how often a content or bad part may be sent to runners later than settleTime
+	// after it counts as known.
 	maxLateSends = 3
 	// quarantinedBody is the response body of calls that are refused because of a quarantine.
 	quarantinedBody = "runners ended under requests with this content\n"
@@ -36,13 +37,9 @@
 	callsPerWrongRefusal = 200
 )
 
-// poisonInjector sends contents that crash runners, and replaces the crashed runners. It has its
-// own random source, so that the other faults of a seed do not change.
+// poisonInjector sends contents that crash runners, and replaces the crashed runners.
 type poisonInjector struct {
-	soak   *Soak
-	random *rand.Rand
-	group  sync.WaitGroup
-	mutex  sync.Mutex
+	crashCaller
 	// crashTimes holds when runners crashed while they processed each content, by body, or each bad part.
 	crashTimes map[string][]time.Time
 	// replacementCount numbers the replacements of crashed runners.
@@ -52,7 +49,7 @@
 }
 
 func newPoisonInjector(s *Soak) *poisonInjector {
-	return &poisonInjector{soak: s, random: rand.New(rand.NewPCG(s.settings.Seed, s.settings.Seed+2)), crashTimes: map[string][]time.Time{}}
+	return &poisonInjector{crashCaller: crashCaller{soak: s, random: rand.New(rand.NewPCG(s.settings.Seed, s.settings.Seed+2))}, crashTimes: map[string][]time.Time{}}
 }
 
 // newPoison returns the Poison of a new runner.
@@ -100,26 +97,12 @@
 	}
 }
 
-// randomInt returns a random number in [0, limit).
-func (p *poisonInjector) randomInt(limit int) int {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	return p.random.IntN(limit)
-}
-
 // sendRepeatedly sends calls with the same content to random gateways until the deadline.
 func (p *poisonInjector) sendRepeatedly(ctx context.Context, client *http.Client, path, body string, deadline time.Time) {
-	s := p.soak
-	for number := 0; time.Now().Before(deadline) && ctx.Err() == nil; number++ {
-		target := s.processes[p.randomInt(len(s.processes))]
-		call := &callRecord{
-			id: fmt.Sprintf("%s-%d", body[len(poisonPrefix):]+path[1:2], number) + fmt.Sprint("-", p.randomInt(1<<30)), path: path, body: body,
-			tenant: tenantName, gatewayName: target.name, repeatable: true, isPoison: true,
-		}
-		s.calls.add(call)
-		p.group.Go(func() { s.sendCall(ctx, client, target, call, s.config.validKey()) })
-		time.Sleep(time.Duration(p.randomInt(int(maxPoisonInterval))))
-	}
+	p.sendUntil(ctx, client, deadline, maxPoisonInterval, func(number int) *callRecord {
+		id := fmt.Sprintf("%s-%d", body[len(poisonPrefix):]+path[1:2], number) + fmt.Sprint("-", p.randomInt(1<<30))
+		return &callRecord{id: id, path: path, body: body, repeatable: true}
+	})
 }
 
 // stop ends the replacement of crashed runners and waits for pending calls and replacements.
@@ -130,23 +113,10 @@
 	p.group.Wait()
 }
 
-// checkQuarantines checks that undisturbed gateways stopped sending the contents that crash
-// runners, and that few other calls were refused because of a quarantine.
+// checkQuarantines checks that undisturbed gateways stopped sending what crashes runners, and that few other calls were refused because of a quarantine.
 func (p *poisonInjector) checkQuarantines() {
 	s := p.soak
-	lateSends := map[string]int{}
-	for _, runner := range s.runners.all() {
-		for _, arrival := range runner.ArrivalLog() {
-			if call, known := s.calls.find(arrival.RequestID); known && call.isPoison && call.badPart == "" && p.isLateSend(call, arrival.ReceivedAt) {
-				lateSends[call.body]++
-			}
-		}
-	}
-	for body, count := range lateSends {
-		if count > maxLateSends {
-			s.failf("ended runners: %q was sent %d times later than %v after the third of %d runner crashes", body, count, settleTime, len(p.crashTimes[body]))
-		}
-	}
+	p.checkLateSends()
 	calls, refused := 0, 0
 	for _, call := range s.calls.all() {
 		if !call.isPoison {
@@ -159,20 +129,10 @@
 	if refused*callsPerWrongRefusal > calls {
 		s.failf("innocent: %d of %d calls were refused as if they had crashed runners", refused, calls)
 	}
-	s.logf("poison: %d contents, crashes %v, %d of %d other calls refused", len(p.crashTimes), p.crashCounts(), refused, calls)
-}
-
-// isLateSend reports whether the call reached a runner later than settleTime after the third crash
-// of its content, from an undisturbed gateway of the current version.
-func (p *poisonInjector) isLateSend(call *callRecord, at time.Time) bool {
-	crashTimes := p.crashTimes[call.body]
-	if len(crashTimes) < 3 || at.Sub(crashTimes[2]) <= settleTime || p.soak.olderGateways[call.gatewayName] {
-		return false
-	}
-	return p.soak.undisturbedFor(at, storeSubject, call.gatewayName, gatewayStoreSubject(call.gatewayName)) > settleTime
+	s.logf("poison: %d contents and parts, crashes %v, %d of %d other calls refused", len(p.crashTimes), p.crashCounts(), refused, calls)
 }
 
-// crashCounts returns the number of crashes of each content in ascending order.
+// crashCounts returns the number of crashes of each content and bad part in ascending order.
 func (p *poisonInjector) crashCounts() (counts []int) {
 	for _, crashTimes := range p.crashTimes {
 		counts = append(counts, len(crashTimes))
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -218,9 +218,7 @@
 	s.checkOrders()
 	s.checkUpdates()
 	s.checkConfigUpdates()
-	if settings.BadParts {
-		s.badParts.check()
-	}
+	s.badParts.group.Wait()
 	if settings.Poison || settings.BadParts {
 		s.poisons.checkQuarantines()
 	}
