gateway: log the probes of a silent stream's runner

Line 513 does not tell whether the runner or the router ended a stream, nor on what evidence. Event 531 has the error of each probe and the verdict. Behaviour is unchanged.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -66,6 +66,7 @@
 	StreamTakenUp                 = define(526, logrus.InfoLevel, "caller takes a stream up")
 	StreamOriginResolved          = define(527, logrus.InfoLevel, "software version of a stream that is taken up was looked up")
 	StreamOriginRecorded          = define(528, logrus.InfoLevel, "software version of a stream recorded")
+	SilentRunnerProbed            = define(531, logrus.WarnLevel, "runner of a silent stream did not answer probes")
 	ClaimsRetired                 = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed            = define(602, logrus.InfoLevel, "claim assignment written")
 	AssignmentBlocked             = define(603, logrus.WarnLevel, "claim assignment cannot change yet")
--- a/internal/gateway/backup.go
+++ b/internal/gateway/backup.go
@@ -92,15 +92,26 @@
 // isRunnerGone reports whether the runner cannot be reached or has been replaced by another
 // process.
 func (c *call) isRunnerGone(runner backend.Runner) bool {
+	startedAt := c.gateway.now()
+	var failures []string
+	gone := true
 	for range reportProbeAttempts {
 		ctx, cancel := context.WithTimeout(c.ctx, reportProbeTimeout)
 		_, err := c.gateway.ports.Runners.Report(ctx, runner)
 		cancel()
 		if err == nil || c.ctx.Err() != nil {
-			return false
+			gone = false
+			break
 		}
+		failures = append(failures, err.Error())
 	}
-	return true
+	if len(failures) > 0 {
+		c.gateway.log.Log(events.SilentRunnerProbed, events.Fields{
+			"request": c.metadata.ID, "runner": runner.ID, "address": runner.Address, "gone": gone, "failures": failures,
+			"after_ms": c.gateway.since(startedAt).Milliseconds(),
+		})
+	}
+	return gone
 }
 
 // streamWatchdog aborts a stream whose runner has terminated without closing the connection,
