gateway: silence is no evidence that the runner of a stream has ended

What callers saw: streams whose sound runner was silent for 1.7 s or more had no end, neither an answer nor a refusal, and others were computed twice.

Cause: the watchdog ended a stream after 0.7 s without data and four reports without success, whatever the failures were: 1.7 s of silence, or 0.7 s where reports failed at once. Whether the stream could go on elsewhere was asked afterwards, when there might be no retry left or no other runner.

Now package liveness decides: a runner has ended if it refuses connections twice in a row, or answers no probe for longer than a sound runner may be silent (2 s, even if the silence begins during the first probe). Any answer, also an error, shows that it has not. Data that arrives during a check ends the check's effect. The streams of a runner share its probes. A stream is ended only if it can continue elsewhere: there is a usable runner or router, and the retry that this takes is withdrawn before. Otherwise it waits for its runner.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -286,6 +286,13 @@
 	return usable
 }
 
+// HasUsable reports whether any runner may get the request without a permit.
+func (s *Set) HasUsable(now time.Time, query Query) bool {
+	return slices.ContainsFunc(s.byService[query.Service], func(e *entry) bool {
+		return s.Usable(now, e.ID, query, backpressure.Permit{})
+	})
+}
+
 // MayBegin reports whether a request that waits at the runner may still begin there. It
 // uses the newer of the weight version known when the request was sent and the one known
 // now.
--- a/internal/egress/selector.go
+++ b/internal/egress/selector.go
@@ -66,6 +66,11 @@
 	return best, true
 }
 
+// HasNext reports whether there is a router to which a request can be forwarded.
+func (s *Selector) HasNext(now time.Time) bool {
+	return slices.ContainsFunc(s.list, func(router Router) bool { return !now.Before(s.avoidUntil[router.Address]) })
+}
+
 func (s *Selector) distanceCost(router Router) int {
 	switch s.distances.Relation(s.zone, router.Zone) {
 	case distance.SameZone:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/admission"
@@ -134,8 +133,6 @@
 	backup     backend.Runner
 	continueAt *backend.Runner
 	continuing bool
-	// runnerGone is set by the stream's watchdog if the runner has terminated.
-	runnerGone atomic.Bool
 	// logEntries are the log lines of this call that have not been written yet.
 	logEntries []logEntry
 	// firstResponseAt is when the first response from a runner began. If there is none, it is set
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -82,6 +82,14 @@
 	return e.selector.Digest() != 0
 }
 
+// mayServe reports whether another router may serve a forwarded call of the service.
+func (e *egressRouters) mayServe(service string) bool {
+	now := e.gateway.now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return !now.Before(e.unservedUntil[service]) && e.selector.HasNext(now)
+}
+
 // mayOnlyReuse reports whether the call may be sent only on a kept connection, because no new one can be
 // opened and the call can be forwarded.
 func (e *egressRouters) mayOnlyReuse(c *call) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,8 @@
 	fairShares *fairShares
 	// crashDetector detects which runners have crashed, and which requests they were running.
 	crashDetector *crashDetector
+	// silentRunners checks whether the runners of silent streams have ended.
+	silentRunners *silentRunners
 	// signals holds what runners report about themselves in their responses.
 	signals *signals
 	// suspects holds the request contents that were running when runners crashed.
@@ -190,6 +192,7 @@
 	g.schedulers, g.fairShares = newSchedulers(g), newFairShares(g)
 	g.paths, g.egress = newRunnerPaths(g), newEgressRouters(g)
 	g.crashDetector, g.suspects, g.signals = newCrashDetector(g), newSuspects(g), newSignals(g)
+	g.silentRunners = newSilentRunners(g)
 	g.cacheStoreMonitor = newCacheStoreMonitor(g)
 	g.cacheReader = newCacheReader(g)
 	g.copies, g.directReads, g.peerRouters = newCopies(g), newDirectMode(), newPeerRouters(g)
@@ -250,6 +253,7 @@
 		suspendedTotal = g.recordSuspension(suspendedTotal)
 		g.logStaleConfig(g.now())
 		g.crashDetector.sweep(g.now())
+		g.silentRunners.sweep(g.now())
 		g.signals.sweep(g.now())
 		g.suspects.sweep(g.now())
 		g.streams.sweep(g.now())
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -66,8 +66,10 @@
 	sendDistances *prometheus.CounterVec
 	// runnerChecks counts the checks whether a runner is still running, and requestsAtCrash
 	// observes the number of requests that were running on a runner when it crashed.
-	runnerChecks    *prometheus.CounterVec
-	requestsAtCrash *prometheus.HistogramVec
+	runnerChecks *prometheus.CounterVec
+	// silentRunnerChecks counts the checks of the runners of silent streams.
+	silentRunnerChecks *prometheus.CounterVec
+	requestsAtCrash    *prometheus.HistogramVec
 	// quarantines counts the contents quarantined, partQuarantines the prompt parts, liftedQuarantines the
 	// quarantines that operators lifted, and quarantineDelays observes the time from the
 	// first runner's crash until this router knew of the quarantine.
@@ -165,17 +167,18 @@
 		permitAges: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "permit_age_seconds", Help: "Time from the question for a permit to the send that it allowed.", Buckets: quotaBuckets,
 		}, []string{"service"}),
-		permitsGranted: newCounterVec("permits_granted_total", "Permits that this router has granted for sends to runners that limit requests.", "service"),
-		attempts:       newCounterVec("attempts_total", "Sends of calls to runners.", "service"),
-		retries:        newCounterVec("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
-		runnerFailures: newCounterVec("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
-		responseEnds:   newCounterVec("response_ends_total", "Bodies of responses read from runners and egress routers, by how their end was marked and how they ended.", "service", "framing", "end"),
-		streamRecords:  newCounterVec("stream_records_total", "Records kept of the software versions at which streams began, by what each changed.", "result"),
-		streamLookups:  newCounterVec("stream_lookups_total", "Streams that callers took up, by what was known of the software version that began them.", "resolution"),
-		placements:     newCounterVec("placements_total", "Prompts placed, by whether the runner is expected to keep their shared parts.", "service", "kept"),
-		sendDistances:  newCounterVec("sends_by_distance_total", "Requests sent, by whether the runner is in the same zone, in the same region or in another region, and why they left the region.", "service", "distance", "reason"),
-		promptTokens:   newCounterVec("prompt_tokens_total", "Prompt tokens placed, by whether the runner is expected to keep them.", "service", "kept"),
-		runnerChecks:   newCounterVec("runner_checks_total", "Questions, after an answer that broke off, whether its runner still runs, by answer.", "service", "outcome"),
+		permitsGranted:     newCounterVec("permits_granted_total", "Permits that this router has granted for sends to runners that limit requests.", "service"),
+		attempts:           newCounterVec("attempts_total", "Sends of calls to runners.", "service"),
+		retries:            newCounterVec("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
+		runnerFailures:     newCounterVec("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
+		responseEnds:       newCounterVec("response_ends_total", "Bodies of responses read from runners and egress routers, by how their end was marked and how they ended.", "service", "framing", "end"),
+		streamRecords:      newCounterVec("stream_records_total", "Records kept of the software versions at which streams began, by what each changed.", "result"),
+		streamLookups:      newCounterVec("stream_lookups_total", "Streams that callers took up, by what was known of the software version that began them.", "resolution"),
+		placements:         newCounterVec("placements_total", "Prompts placed, by whether the runner is expected to keep their shared parts.", "service", "kept"),
+		sendDistances:      newCounterVec("sends_by_distance_total", "Requests sent, by whether the runner is in the same zone, in the same region or in another region, and why they left the region.", "service", "distance", "reason"),
+		promptTokens:       newCounterVec("prompt_tokens_total", "Prompt tokens placed, by whether the runner is expected to keep them.", "service", "kept"),
+		silentRunnerChecks: newCounterVec("silent_runner_checks_total", "Checks whether the runner of a silent stream has ended, by verdict.", "service", "verdict"),
+		runnerChecks:       newCounterVec("runner_checks_total", "Questions, after an answer that broke off, whether its runner still runs, by answer.", "service", "outcome"),
 		requestsAtCrash: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "runner_end_runs", Help: "Requests of this router that were at work on a runner that was found to have ended.", Buckets: requestCountBuckets,
 		}, []string{"service"}),
@@ -246,7 +249,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.silentRunnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("stream_records", "Records of the software versions at which streams began.", func() float64 { records, _ := g.streams.recordCounts(); return float64(records) }),
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -53,16 +53,20 @@
 	watchdog := c.startWatchdog(response.Body)
 	defer watchdog.stop()
 	service := c.service
-	end, err := integrity.CopyEvents(watchedBody{response.Body, watchdog.reset}, response.Framing, maxEventBytes, func(data []byte, lastID string) error {
+	end, err := integrity.CopyEvents(watchedBody{response.Body, watchdog.recordRead}, response.Framing, maxEventBytes, func(data []byte, lastID string) error {
 		c.gateway.paths.heard(service, false)
-		return c.writeEvents(response, data, lastID)
+		err := c.writeEvents(response, data, lastID)
+		watchdog.recordEvents(c.stream.lastEvent)
+		return err
 	})
 	if err != nil {
 		return c.handleCanceled(false)
 	}
 	c.recordResponseEnd(end)
+	aborted, tookRetry := watchdog.stop()
+	c.hasUnusedRetry = c.hasUnusedRetry || tookRetry
 	if !end.IsComplete() {
-		return c.handleBrokenStream(response, end)
+		return c.handleBrokenStream(response, end, aborted)
 	}
 	return c.finishStream(response)
 }
@@ -141,8 +145,9 @@
 }
 
 // handleBrokenStream handles a stream that broke off. If the route allows it, the stream continues
-// from another runner after the last complete event. The old run is ended first.
-func (c *call) handleBrokenStream(response *httpconn.Response, end integrity.End) attempt.Action {
+// from another runner after the last complete event. The old run is ended first. aborted is set if the watchdog ended the
+// stream.
+func (c *call) handleBrokenStream(response *httpconn.Response, end integrity.End, aborted bool) attempt.Action {
 	response.Body.Close()
 	if c.ctx.Err() != nil {
 		return c.handleCanceled(false)
@@ -156,9 +161,13 @@
 		if end.Verdict == integrity.Interrupted {
 			c.gateway.paths.connectionFailed(c.runner, false)
 		}
-		c.endAttempt(backend.Failed, quarantine.ConnectionLost, "stream broke off: "+end.String(), response.Status)
+		cause := "stream broke off: " + end.String()
+		if aborted {
+			cause = "the stream was silent and its runner has ended"
+		}
+		c.endAttempt(backend.Failed, quarantine.ConnectionLost, cause, response.Status)
 	}
-	if c.prepareContinuation() {
+	if c.prepareContinuation(aborted) {
 		return c.attemptState.ContinueFromCopy()
 	}
 	next := c.connectionLost()
--- a/internal/gateway/runnerends.go
+++ b/internal/gateway/runnerends.go
@@ -141,7 +141,7 @@
 		ctx, cancel := context.WithTimeout(d.gateway.ctx, livenessTimeout)
 		liveness := d.gateway.ports.Runners.Liveness(ctx, runner)
 		cancel()
-		if liveness != RunnerUnknown || d.gateway.ctx.Err() != nil {
+		if liveness.IsKnown() || d.gateway.ctx.Err() != nil {
 			return liveness
 		}
 	}
--- a/internal/gateway/runnerports.go
+++ b/internal/gateway/runnerports.go
@@ -65,19 +65,24 @@
 
 // The results of a liveness check.
 const (
-	// RunnerUnknown means that there was no answer, or that the answer does not tell whether the
-	// runner is running.
+	// RunnerUnknown means that the answer does not tell whether the runner is running, or that the
+	// connection broke.
 	RunnerUnknown RunnerLiveness = iota
 	// RunnerRunning means that the runner itself answered.
 	RunnerRunning
 	// RunnerEnded means that nothing listens at the runner's address, or that another runner or
 	// another incarnation of it does.
 	RunnerEnded
+	// RunnerSilent means that there was no answer in time.
+	RunnerSilent
 )
 
+// IsKnown reports whether the check has told whether the runner is running.
+func (l RunnerLiveness) IsKnown() bool { return l == RunnerRunning || l == RunnerEnded }
+
 // String returns the name of the result.
 func (l RunnerLiveness) String() string {
-	return [...]string{"unknown", "runs", "ended"}[l]
+	return [...]string{"unknown", "runs", "ended", "silent"}[l]
 }
 
 // RunnerControl reads the state of runners and orders them to load weights.
--- /dev/null
+++ b/internal/gateway/silentrunners.go
@@ -0,0 +1,157 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/liveness"
+	"github.com/clovertiller/clovertiller/internal/quarantine"
+)
+
+// silentCheckLifetime is how long the failed probes of a runner count for its next check.
+const silentCheckLifetime = 3 * time.Second
+
+// silentRunners checks whether the runners of silent streams have ended. The streams of a runner share its probes.
+type silentRunners struct {
+	gateway *Gateway
+	mutex   sync.Mutex
+	// checks holds the checks in progress, and those that found a runner ended for silentCheckLifetime.
+	checks map[quarantine.Runner]*silentRunnerCheck
+}
+
+// silentRunnerCheck is one check of a runner.
+type silentRunnerCheck struct {
+	runner backend.Runner
+	judge  liveness.Judge
+	// done is closed when the check is over, after which verdict and endedAt are set.
+	done    chan struct{}
+	verdict liveness.Verdict
+	endedAt time.Time
+}
+
+func newSilentRunners(g *Gateway) *silentRunners {
+	return &silentRunners{gateway: g, checks: map[quarantine.Runner]*silentRunnerCheck{}}
+}
+
+// check starts to check the runner, unless that is in progress.
+func (s *silentRunners) check(runner backend.Runner) *silentRunnerCheck {
+	now, incarnation := s.gateway.now(), incarnationOf(runner)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	previous := s.checks[incarnation]
+	if previous != nil && previous.endedAt.IsZero() {
+		return previous
+	}
+	next := &silentRunnerCheck{runner: runner, done: make(chan struct{})}
+	if previous != nil && now.Sub(previous.endedAt) < silentCheckLifetime {
+		next.judge = previous.judge
+	}
+	s.checks[incarnation] = next
+	s.gateway.spawn(func() { s.run(next) })
+	return next
+}
+
+// run probes the runner at intervals of liveness.ProbeTimeout until the verdict is known.
+func (s *silentRunners) run(check *silentRunnerCheck) {
+	startedAt := s.gateway.now()
+	ticker := time.NewTicker(liveness.ProbeTimeout)
+	defer ticker.Stop()
+	result := s.probe(check.runner)
+	results, verdict := []string{result.String()}, check.judge.Record(result)
+	for verdict == liveness.Undecided {
+		select {
+		case <-ticker.C:
+		case <-s.gateway.ctx.Done():
+			s.end(check, verdict)
+			return
+		}
+		result = s.probe(check.runner)
+		results, verdict = append(results, result.String()), check.judge.Record(result)
+	}
+	if len(results) > 1 || verdict == liveness.Ended {
+		s.gateway.log.Log(events.SilentRunnerProbed, events.Fields{
+			"runner": check.runner.ID, "address": check.runner.Address, "service": check.runner.Service, "verdict": verdict.String(), "probes": results,
+			"after_ms": s.gateway.since(startedAt).Milliseconds(),
+		})
+	}
+	s.gateway.metrics.silentRunnerChecks.WithLabelValues(check.runner.Service, verdict.String()).Inc()
+	s.end(check, verdict)
+}
+
+// end ends the check with the verdict.
+func (s *silentRunners) end(check *silentRunnerCheck, verdict liveness.Verdict) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	check.verdict, check.endedAt = verdict, s.gateway.now()
+	if verdict != liveness.Ended {
+		delete(s.checks, incarnationOf(check.runner))
+	}
+	close(check.done)
+}
+
+// probe probes the runner once.
+func (s *silentRunners) probe(runner backend.Runner) liveness.Result {
+	sentAt := s.gateway.now()
+	ctx, cancel := context.WithTimeout(s.gateway.ctx, liveness.ProbeTimeout)
+	defer cancel()
+	return s.classify(s.gateway.ports.Runners.Liveness(ctx, runner), runner, sentAt)
+}
+
+// classify returns the result of a probe that was sent at the given time. A runner that is leaving may refuse connections
+// while it finishes its streams, and a refusal is no evidence if this router's own links may be at fault.
+func (s *silentRunners) classify(result RunnerLiveness, runner backend.Runner, sentAt time.Time) liveness.Result {
+	switch result {
+	case RunnerSilent:
+		return liveness.Unanswered
+	case RunnerEnded:
+		if !s.gateway.crashDetector.expectedToRun(runner) || !s.gateway.crashDetector.reachesAnother(runner, sentAt) {
+			return liveness.Unanswered
+		}
+		return liveness.Refused
+	}
+	return liveness.Answered
+}
+
+// hasEnded reports whether the runner of a stream that has broken off has ended. It returns false if the context ends before
+// that is known. A refusal suffices then, since the connection is lost as well.
+func (s *silentRunners) hasEnded(ctx context.Context, runner backend.Runner) bool {
+	if s.probe(runner) == liveness.Refused {
+		return true
+	}
+	check := s.check(runner)
+	select {
+	case <-check.done:
+		return check.hasEnded()
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// hasEnded reports whether the check, which must be over, found that the runner has ended.
+func (c *silentRunnerCheck) hasEnded() bool { return c.verdict == liveness.Ended }
+
+// ended returns the IDs of the runners that were found ended.
+func (s *silentRunners) ended(now time.Time) (ids []string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for incarnation, check := range s.checks {
+		if !check.endedAt.IsZero() && now.Sub(check.endedAt) < silentCheckLifetime {
+			ids = append(ids, incarnation.ID)
+		}
+	}
+	return ids
+}
+
+// sweep removes the checks that no longer count.
+func (s *silentRunners) sweep(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for incarnation, check := range s.checks {
+		if !check.endedAt.IsZero() && now.Sub(check.endedAt) >= silentCheckLifetime {
+			delete(s.checks, incarnation)
+		}
+	}
+}
--- a/internal/gateway/soundsilence_test.go
+++ b/internal/gateway/soundsilence_test.go
@@ -185,3 +185,23 @@
 	engines[0].proxy.SetMode(faultproxy.Blackhole)
 	expectWhole(f.g, responses)
 }
+
+// Guards against streams that are ended because their runner answers no probe although it is not silent: new connections are
+// reset, as at a runner that has too many, while the stream pauses between its events.
+func TestStreamsOutliveFailingProbes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, routesWithLongTimeout(), validKey)
+	engine := f.startRunner(runnerstand.Config{
+		ID: "e0", Service: "engines", Model: modelName, Version: 1, EventCount: 4, EventInterval: 1100 * time.Millisecond,
+	})
+	proxy := f.proxyTo(engine.Address)
+	entry := engine.DirectoryEntry("ready")
+	entry["address"] = proxy.Address
+	f.store.Put(platform.KindRunners, engine.ID, entry)
+	r := f.servingRouter("r1", nil)
+	responses := r.startStreams(4, []proxiedEngine{{engine, proxy}})
+	proxy.SetMode(faultproxy.RejectNew)
+	expectWhole(f.g, responses)
+	f.g.Expect(engine.Runs()).To(HaveLen(4), "each stream goes on at its runner")
+}
