gateway: a forwarded call keeps the admission of its ingress router

What callers saw: beside a change of the configuration, a stream that its router could not finish over its own links had no end, and a waiting call was refused.

Cause: the egress router judged a call that another router had admitted by its own configuration. After the route, its service or the key had gone there, it answered 404, 503 or 401, and the ingress router ended the stream, as no other attempt was possible. A router that goes on by itself keeps the table by which it admitted a call; a call that crossed to another router did not.

ForwardedCall carries the admission: route, tenant and what placement needs of them. The egress router serves the call on these terms. Calls of older routers, which send none, are judged as before, and older egress routers ignore the field.

Evidence: TestForwardedCallKeepsItsAdmission failed before in three of four cases (the route goes, the key goes, the route gets another service) and passes; the tests of forwards and partitions pass.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -245,15 +245,9 @@
 	if c.config == nil {
 		return unavailable("no configuration is known yet", startupRetryAfter)
 	}
-	fresh := c.config.isFresh(c.gateway.now(), c.gateway.settings.ConfigLease)
-	c.route = c.config.table.Match(c.incoming.Host, requestPath(c.incoming))
-	if c.route == nil {
-		if !fresh {
-			return unavailable("the configuration is not proved", staleConfigRetryAfter)
-		}
-		return &refusal{status: http.StatusNotFound, reason: "no route"}
-	}
-	if refused := c.authenticate(fresh); refused != nil {
+	if admission := c.forwarded.GetAdmission(); admission != nil {
+		c.accept(admission)
+	} else if refused := c.matchRoute(); refused != nil {
 		return refused
 	}
 	if refused := c.pickService(); refused != nil {
@@ -264,6 +258,19 @@
 	return nil
 }
 
+// matchRoute selects the route and the tenant of the call by this router's configuration.
+func (c *call) matchRoute() *refusal {
+	fresh := c.config.isFresh(c.gateway.now(), c.gateway.settings.ConfigLease)
+	c.route = c.config.table.Match(c.incoming.Host, requestPath(c.incoming))
+	if c.route == nil {
+		if !fresh {
+			return unavailable("the configuration is not proved", staleConfigRetryAfter)
+		}
+		return &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	return c.authenticate(fresh)
+}
+
 // pickService chooses the service among those of the route, unless the ingress router has chosen it.
 func (c *call) pickService() (refused *refusal) {
 	if c.isForwarded() {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -146,6 +146,7 @@
 		LeftMillis:   uint32(max(c.gateway.until(c.deadline).Milliseconds(), 1)),
 		AttemptsLeft: uint32(max(c.route.MaxAttempts-c.attemptState.SentDispatches()+1, 1)),
 		LastEvent:    []byte(c.metadata.LastEvent), From: c.gateway.settings.Node, BoundVersion: c.boundVersion,
+		Admission: c.admission(),
 	}
 	if c.stream != nil && c.stream.lastEvent != "" {
 		message.LastEvent = []byte(c.stream.lastEvent)
