--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -19,6 +19,12 @@
 	Text string
 }
 
+// WithLevel returns the event at another level, for occurrences that are more or less severe than usual.
+func (e Event) WithLevel(level logrus.Level) Event {
+	e.Level = level
+	return e
+}
+
 // The events. The number of a removed event is never assigned to another one.
 var (
 	NodeStarted                   = define(100, logrus.InfoLevel, "router started")
@@ -66,6 +72,7 @@
 	StreamTakenUp                 = define(526, logrus.InfoLevel, "caller takes a stream up")
 	StreamOriginResolved          = define(527, logrus.InfoLevel, "software version of a stream that is taken up was looked up")
 	StreamOriginRecorded          = define(528, logrus.InfoLevel, "software version of a stream recorded")
+	RequestUnanswered             = define(530, logrus.WarnLevel, "request ended without a complete response")
 	ClaimsRetired                 = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed            = define(602, logrus.InfoLevel, "claim assignment written")
 	AssignmentBlocked             = define(603, logrus.WarnLevel, "claim assignment cannot change yet")
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -26,12 +27,25 @@
 }
 
 // writeTo sends the response to the caller unchanged.
-func (r *bufferedResponse) writeTo(c *call) {
+func (r *bufferedResponse) writeTo(c *call) error {
 	c.setResponseHeaders(r.header)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	c.writer.WriteHeader(r.status)
-	// The HTTP server detects a caller that has disconnected.
-	_, _ = c.writer.Write(r.body)
+	return c.writeWhole(r.status, r.body)
+}
+
+// beginWriting writes the status of the response to the caller.
+func (c *call) beginWriting(status int) {
+	c.responseBegun = true
+	c.writer.WriteHeader(status)
+}
+
+// writeWhole writes a response whose headers are set, and flushes it so that a failed write is noticed.
+func (c *call) writeWhole(status int, body []byte) error {
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.beginWriting(status)
+	if _, err := c.writer.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		return c.recordWrite(err)
+	}
+	return c.recordWrite(c.controller.Flush())
 }
 
 // setResponseHeaders sets the headers of the response to the caller from those of the
@@ -61,7 +75,10 @@
 	}
 	c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
 	c.markComplete()
-	buffered.writeTo(c)
+	if err := buffered.writeTo(c); err != nil {
+		cause, _ := c.interruption()
+		c.abortInterrupted(cause, err.Error())
+	}
 	return attempt.Stop
 }
 
@@ -80,8 +97,17 @@
 		c.markComplete()
 		return attempt.Stop
 	}
+	c.abortLongResponse(end)
+	return attempt.Stop
+}
+
+// abortLongResponse ends a call whose long response broke off or could not be written.
+func (c *call) abortLongResponse(end integrity.End) {
 	c.logOutcome(outcomeCut)
-	panic(http.ErrAbortHandler)
+	if cause, interrupted := c.interruption(); interrupted {
+		c.abort(cause, cmp.Or(errorText(c.writeErr), end.String()))
+	}
+	c.abort(longResponseBrokenOff, cmp.Or(errorText(c.ctx.Err()), end.String()))
 }
 
 // bufferResponse reads the body of the response, or the first part of a long one, in which case the end is
@@ -120,15 +146,21 @@
 	return c.attemptState.RunnerFailed()
 }
 
-// callerWriter writes to the caller. Its errors are errCallerDisconnected.
-type callerWriter struct{ http.ResponseWriter }
+// callerWriter writes to the caller. Its errors are errCallerDisconnected, and the call keeps the cause.
+type callerWriter struct{ call *call }
 
 func (w callerWriter) Write(data []byte) (int, error) {
-	n, err := w.ResponseWriter.Write(data)
-	if err != nil {
-		return n, errCallerDisconnected
+	n, err := w.call.writer.Write(data)
+	return n, w.call.recordWrite(err)
+}
+
+// recordWrite records the error of a write to the caller and returns errCallerDisconnected, or nil if there is none.
+func (c *call) recordWrite(err error) error {
+	if err == nil {
+		return nil
 	}
-	return n, nil
+	c.writeErr = err
+	return errCallerDisconnected
 }
 
 // copyLongResponse writes a response of which the begin is buffered to the caller, and returns how its body ended,
@@ -140,8 +172,8 @@
 	} else {
 		c.beginUnframedResponse()
 	}
-	c.writer.WriteHeader(buffered.status)
-	_, err := io.Copy(callerWriter{c.writer}, io.MultiReader(bytes.NewReader(buffered.body), response.Body))
+	c.beginWriting(buffered.status)
+	_, err := io.Copy(callerWriter{c}, io.MultiReader(bytes.NewReader(buffered.body), response.Body))
 	if errors.Is(err, errCallerDisconnected) {
 		return integrity.End{}, err
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,7 +14,6 @@
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/backpressure"
-	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/integrity"
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
@@ -136,6 +135,10 @@
 	continuing bool
 	// runnerGone is set by the stream's watchdog if the runner has terminated.
 	runnerGone atomic.Bool
+	// responseBegun is set once the status of the response is written, and writeErr is the error of a write to the
+	// caller.
+	responseBegun bool
+	writeErr      error
 	// logEntries are the log lines of this call that have not been written yet.
 	logEntries []logEntry
 	// firstResponseAt is when the first response from a runner began. If there is none, it is set
@@ -188,15 +191,18 @@
 	}
 	c.startQuotaCheck()
 	c.startPlacement()
-	refused, disconnected := c.readBody()
-	disconnected = disconnected || c.disconnectedBeforeRead()
+	refused, readErr := c.readBody()
+	cause, detail, disconnected := callerLeftSending, errorText(readErr), readErr != nil
+	if !disconnected && c.isConnectionClosed() {
+		cause, disconnected = callerLeftUnread, true
+	}
 	if disconnected || refused != nil {
 		c.cancelQuotaCheck()
 		c.placementRequest.discard()
 	}
 	if disconnected {
 		// A caller that closed only its sending side must not get an empty, complete response.
-		panic(http.ErrAbortHandler)
+		c.abort(cause, detail)
 	}
 	if refused != nil {
 		c.refuse(refused)
@@ -322,15 +328,15 @@
 	c.deadline = c.arrivedAt.Add(timeout)
 }
 
-// readBody reads the whole body into memory, so that it can be sent more than once. It sets
-// disconnected if the caller disconnected before the end of the body.
-func (c *call) readBody() (refused *refusal, disconnected bool) {
+// readBody reads the whole body into memory, so that it can be sent more than once. It returns an error
+// if the body did not arrive whole.
+func (c *call) readBody() (*refusal, error) {
 	maxBytes := c.config.table.Limits.MaxBodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
 	if c.incoming.ContentLength > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, false
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
 	var err error
 	if size := c.incoming.ContentLength; size >= 0 {
@@ -340,13 +346,12 @@
 		c.body, err = io.ReadAll(io.LimitReader(c.incoming.Body, maxBytes+1))
 	}
 	if err != nil {
-		c.gateway.log.Log(events.CallerDisconnected, events.Fields{"request": c.metadata.ID, "while": "sending"})
-		return nil, true
+		return nil, err
 	}
 	if int64(len(c.body)) > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, false
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
-	return nil, false
+	return nil, nil
 }
 
 // serve sends the call to runners until one has responded or no further attempt is allowed.
--- a/internal/gateway/callerend.go
+++ b/internal/gateway/callerend.go
@@ -47,16 +47,6 @@
 	}
 }
 
-// disconnectedBeforeRead reports whether the caller closed the connection before its request
-// was read, and logs it.
-func (c *call) disconnectedBeforeRead() bool {
-	if !c.isConnectionClosed() {
-		return false
-	}
-	c.gateway.log.Log(events.CallerDisconnected, events.Fields{"request": c.metadata.ID, "while": "unread"})
-	return true
-}
-
 // isConnectionClosed reports whether the caller has closed its connection. net/http detects that
 // only with a background read that starts after the body has been read, so without this check
 // a call could be sent to a runner after its caller has disconnected.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -226,7 +226,10 @@
 		return c.passOnLong(buffered, response)
 	}
 	c.markComplete()
-	buffered.writeTo(c)
+	if err := buffered.writeTo(c); err != nil {
+		cause, _ := c.interruption()
+		c.abortInterrupted(cause, err.Error())
+	}
 	return attempt.Stop
 }
 
@@ -234,8 +237,7 @@
 func (c *call) passOnLong(buffered *bufferedResponse, response *httpconn.Response) attempt.Action {
 	if end, err := c.copyLongResponse(buffered, response); err != nil || !end.IsComplete() {
 		c.attemptState.Fail()
-		c.logOutcome(outcomeCut)
-		panic(http.ErrAbortHandler)
+		c.abortLongResponse(end)
 	}
 	c.markComplete()
 	return attempt.Stop
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -98,12 +98,12 @@
 func (c *call) writeToStream(data []byte, lastID string) error {
 	startedAt := c.gateway.now()
 	if _, err := c.writer.Write(data); err != nil {
-		return errCallerDisconnected
+		return c.recordWrite(err)
 	}
 	c.stream.recordWrite(c.gateway.now())
 	c.stream.lastEvent = cmp.Or(lastID, c.stream.lastEvent)
 	if err := c.controller.Flush(); err != nil {
-		return errCallerDisconnected
+		return c.recordWrite(err)
 	}
 	if now := c.gateway.now(); now.Sub(startedAt) >= stallThreshold {
 		c.stream.lastStallEnd = now
@@ -126,7 +126,7 @@
 	c.gateway.metrics.firstEventLatencies.WithLabelValues(c.service).Observe(c.gateway.since(c.arrivedAt).Seconds())
 	c.setResponseHeaders(response.Header)
 	c.beginUnframedResponse()
-	c.writer.WriteHeader(response.Status)
+	c.beginWriting(response.Status)
 }
 
 // finishStream handles the end of a complete stream.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -78,19 +79,20 @@
 // failure that a runner returned, if any. A call that has certainly not run is refused with a
 // retry delay; any other gets a status that does not imply that it has not run.
 func (c *call) giveUp(r *refusal) {
-	if c.callerDisconnected() {
-		c.logOutcome(outcomeCallerLeft)
-		// A caller that closed only its sending side must not get a response that looks complete.
-		panic(http.ErrAbortHandler)
+	// A caller that closed only its sending side must not get a response that looks complete.
+	if cause, interrupted := c.interruption(); interrupted {
+		c.abortInterrupted(cause, cmp.Or(errorText(c.writeErr), r.reason))
 	}
 	if c.stream != nil {
 		c.bufferLog(events.StreamCut, events.Fields{"runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": r.reason})
 		c.logOutcome(outcomeCut)
-		panic(http.ErrAbortHandler)
+		c.abort(streamBrokenOff, r.reason)
 	}
 	if c.lastFailure != nil {
 		c.logOutcome(outcomeRunnerFailed)
-		c.lastFailure.writeTo(c)
+		if err := c.lastFailure.writeTo(c); err != nil {
+			c.abortUnwritten()
+		}
 		return
 	}
 	if c.attemptState.RunState() == attempt.NotRun {
@@ -114,11 +116,10 @@
 	}
 	c.setForwardedRefusal(r)
 	header.Set("Content-Type", "text/plain")
-	header.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	c.writer.WriteHeader(r.status)
-	// The HTTP server detects a caller that has disconnected.
-	_, _ = c.writer.Write([]byte(r.reason + "\n"))
+	if err := c.writeWhole(r.status, []byte(r.reason+"\n")); err != nil {
+		c.abortUnwritten()
+	}
 }
