gateway: a long response that breaks off ends its forwarded call

A response too long to buffer that an egress router broke off ended its call in the middle of forward: the router kept the call counted as open at that egress router for good, so later calls went elsewhere, and neither event 861 nor forwarded_calls_total showed it. Such calls now end in giveUp like streams. Event 510 of a caller that leaves during a long response says so in place of "cut".

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -82,8 +81,8 @@
 	return attempt.Stop
 }
 
-// forwardLongResponse forwards a response that is too long to buffer, and aborts the caller's connection if it
-// breaks off. No other attempt can follow then, because the begin of the response was forwarded.
+// forwardLongResponse forwards a response that is too long to buffer. No other attempt can follow if it breaks off,
+// because the begin of the response was forwarded.
 func (c *call) forwardLongResponse(buffered *bufferedResponse, response *httpconn.Response) attempt.Action {
 	end, err := c.copyLongResponse(buffered, response)
 	switch {
@@ -95,21 +94,10 @@
 	default:
 		c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
 		c.markComplete()
-		return attempt.Stop
 	}
-	c.abortLongResponse(end)
 	return attempt.Stop
 }
 
-// abortLongResponse ends a call whose long response broke off or could not be written.
-func (c *call) abortLongResponse(end integrity.End) {
-	c.logOutcome(outcomeCut)
-	if cause, interrupted := c.interruption(); interrupted {
-		c.abort(cause, cmp.Or(errorText(c.writeErr), end.String()))
-	}
-	c.abort(longResponseBrokenOff, cmp.Or(errorText(c.ctx.Err()), end.String()))
-}
-
 // bufferResponse reads the body of the response, or the first part of a long one, in which case the end is
 // Unfinished.
 func (c *call) bufferResponse(response *httpconn.Response) (*bufferedResponse, integrity.End) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -233,11 +233,11 @@
 	return attempt.Stop
 }
 
-// passOnLong passes on a response that is too long to buffer, and aborts the caller's connection if it breaks off.
+// passOnLong passes on a response that is too long to buffer.
 func (c *call) passOnLong(buffered *bufferedResponse, response *httpconn.Response) attempt.Action {
 	if end, err := c.copyLongResponse(buffered, response); err != nil || !end.IsComplete() {
 		c.attemptState.Fail()
-		c.abortLongResponse(end)
+		return attempt.Stop
 	}
 	c.markComplete()
 	return attempt.Stop
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -83,10 +83,8 @@
 	if cause, interrupted := c.interruption(); interrupted {
 		c.abortInterrupted(cause, cmp.Or(errorText(c.writeErr), r.reason))
 	}
-	if c.stream != nil {
-		c.bufferLog(events.StreamCut, events.Fields{"runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": r.reason})
-		c.logOutcome(outcomeCut)
-		c.abort(streamBrokenOff, r.reason)
+	if c.responseBegun {
+		c.abortResponse(r.reason)
 	}
 	if c.lastFailure != nil {
 		c.logOutcome(outcomeRunnerFailed)
@@ -108,6 +106,17 @@
 	c.writeRefusal(&refusal{status: status, reason: "the runner did not answer"})
 }
 
+// abortResponse ends a call whose response has begun and cannot be completed.
+func (c *call) abortResponse(reason string) {
+	cause := longResponseBrokenOff
+	if c.stream != nil {
+		cause = streamBrokenOff
+		c.bufferLog(events.StreamCut, events.Fields{"runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": reason})
+	}
+	c.logOutcome(outcomeCut)
+	c.abort(cause, reason+"; the response's end: "+c.responseEnd.String())
+}
+
 // writeRefusal sends the refusal to the caller.
 func (c *call) writeRefusal(r *refusal) {
 	header := c.writer.Header()
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -155,3 +155,19 @@
 		Should(ConsistOf(HaveKeyWithValue("cause", "caller left while responding")))
 	f.g.Expect(r.loggedEvents(events.RequestEnded)).To(ConsistOf(HaveKeyWithValue("outcome", "caller left")))
 }
+
+// Guards against egress routers that are taken for busy for good after a long response of theirs broke off.
+func TestForwardedCallEndsWhenItsLongResponseBreaksOff(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runner := f.startRunner(runnerstand.Config{ID: "p1", Service: "plain", BodyBytes: longBody})
+	cut, _ := newCutRouter(f, 1)
+	cut.awaitCut("/safe/x")
+	runner.SetCut(&runnerstand.Cut{Bytes: longBody - 10, Ending: runnerstand.EndsWithClose})
+	f.g.Expect(cut.call("/unsafe/x", nil).truncated).To(BeTrue())
+	f.g.Eventually(func() []map[string]any { return cut.loggedEvents(events.RequestUnanswered) }).
+		Should(ConsistOf(HaveKeyWithValue("cause", "long response broken off")))
+	request := cut.loggedEvents(events.RequestUnanswered)[0]["request"]
+	f.g.Expect(cut.loggedEvents(events.CallForwarded)).To(ContainElement(And(HaveKeyWithValue("request", request), HaveKeyWithValue("result", "unreachable"))))
+}
