gateway: a forwarded call whose time is up is answered

The context of a forwarded call's request ended with the call's time, and the egress router takes the end of that context for a caller that left. It closed the connection of the ingress router and logged a caller that left in place of a 504. The request now carries the context of its connection, and only the call's own context ends with its time.

--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -10,11 +11,15 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
+	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/internal/wire"
+	"github.com/clovertiller/clovertiller/platform"
 )
 
 // newCutRouter starts routers of which the first reaches no runner: a seed, as many others as asked for, and
@@ -260,3 +265,25 @@
 	proxy.SetMode(faultproxy.MuteExisting)
 	f.g.Expect(cut.call("/unsafe/x", nil).status).To(Equal(http.StatusOK))
 }
+
+// Guards against an egress router that takes the end of a forwarded call's time for a caller that left.
+func TestForwardedCallWhoseTimeIsUpIsAnswered(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.runner("p1", "plain").SetBehaviour(runnerstand.Hangs)
+	address := loopback.FreeAddress()
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, []string{address} })
+	body, err := proto.Marshal(&wire.ForwardedCall{
+		Method: http.MethodPost, Target: []byte("/public/x"), Host: []byte("h.example"), Body: []byte("the body"), Service: "plain", LeftMillis: 200, AttemptsLeft: 1, From: "ingress",
+		Headers: []*wire.HeaderField{{Name: platform.HeaderRequestID, Values: [][]byte{[]byte(newRequestID())}}},
+	})
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.Post("http://"+address+"/forwarded-call", "", bytes.NewReader(body))
+	f.g.Expect(err).NotTo(HaveOccurred(), "the call is answered")
+	response.Body.Close()
+	f.g.Expect(response.StatusCode).To(Equal(http.StatusGatewayTimeout))
+	f.g.Expect(response.Header.Get("Clovertiller-Forward")).To(Equal("failed"))
+	f.g.Expect(r.loggedEvents(events.RequestEnded)).To(ConsistOf(HaveKeyWithValue("outcome", "unknown")))
+	f.g.Expect(r.loggedEvents(events.RequestUnanswered)).To(BeEmpty())
+}
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -48,7 +48,8 @@
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(message.GetLeftMillis())*time.Millisecond)
 	defer cancel()
-	c := g.newForwardedCall(ctx, writer, message)
+	c := g.newForwardedCall(request.Context(), writer, message)
+	c.ctx = ctx
 	_ = c.controller.SetWriteDeadline(time.Now().Add(time.Duration(message.GetLeftMillis())*time.Millisecond + writeTimeoutSlack))
 	if refused := c.admit(); refused != nil {
 		c.refuse(refused)
@@ -78,20 +79,21 @@
 	return message, proto.Unmarshal(body, message)
 }
 
-// newForwardedCall returns the call that the message describes.
-func (g *Gateway) newForwardedCall(ctx context.Context, writer http.ResponseWriter, message *wire.ForwardedCall) *call {
+// newForwardedCall returns the call that the message describes. The context is canceled when the ingress router
+// disconnects; unlike the call's own, it does not end with the call's time.
+func (g *Gateway) newForwardedCall(connected context.Context, writer http.ResponseWriter, message *wire.ForwardedCall) *call {
 	incoming := (&http.Request{
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Method: message.GetMethod(), RequestURI: string(message.GetTarget()), Host: string(message.GetHost()), Header: http.Header{},
 		ContentLength: int64(len(message.GetBody())), Body: io.NopCloser(bytes.NewReader(message.GetBody())),
-	}).WithContext(ctx)
+	}).WithContext(connected)
 	for _, field := range message.GetHeaders() {
 		for _, value := range field.GetValues() {
 			incoming.Header.Add(field.GetName(), string(value))
 		}
 	}
 	c := &call{
-		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, ctx: ctx, body: message.GetBody(),
+		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, body: message.GetBody(),
 		metadata: g.ports.Protocol.ParseRequest(incoming.Header), arrivedAt: g.now(), config: g.activeConfig.Load(), forwarded: message, boundVersion: message.GetBoundVersion(),
 	}
 	c.metadata.LastEvent = string(message.GetLastEvent())
