--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -27,6 +27,8 @@
 	streamBrokenOff unansweredCause = "stream broken off"
 	// longResponseBrokenOff means that a response broke off of which the begin had been forwarded.
 	longResponseBrokenOff unansweredCause = "long response broken off"
+	// timeUp means that the time of the call passed within a response which had begun.
+	timeUp unansweredCause = "time up"
 	// writeTimedOut means that the caller did not read the response in time.
 	writeTimedOut unansweredCause = "write timed out"
 )
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +48,13 @@
 	r.fleet.g.Expect(err).NotTo(HaveOccurred())
 }
 
+// withDeadline sets the time of a call.
+func withDeadline(millis int) func(*http.Request) {
+	return func(request *http.Request) {
+		request.Header.Set(platform.HeaderDeadlineMillis, strconv.Itoa(millis))
+	}
+}
+
 const wholeBody = "the body"
 
 // unansweredCase is a way in which a request ends without a complete response.
@@ -85,6 +94,10 @@
 		f.runnerByID("p1").SetCut(&runnerstand.Cut{Bytes: longBody - 10, Ending: runnerstand.EndsWithClose})
 		f.g.Expect(r.call("/unsafe/x", nil).truncated).To(BeTrue())
 	}},
+	"stream longer than its time": {"time up", "warning", func(f *fleet, r *router) {
+		f.runnerByID("e1").SetBehaviour(runnerstand.Pauses)
+		f.g.Expect(r.call("/once/x", withDeadline(300)).truncated).To(BeTrue())
+	}},
 	"stream not read": {"write timed out", "warning", func(f *fleet, r *router) {
 		f.startEngineWithWriteTimeout("e2", time.Minute)
 		f.g.Eventually(func() int { return len(r.Status().Runners) }).Should(Equal(3))
