gateway: a panic in a handler is answered, logged and counted

A panic closed the caller's connection without a response, and its trace went to standard error in lines of net/http, outside the log. The send stayed open in the runner table and at the scheduler, so the runner's slot counted as taken for good. A panic within the sections of recordOutcome and recordFirstResponse that held the router's lock would have left it held.

Handlers now recover: event 531 has the stack, the caller gets 500 if no response has begun, else event 530 tells the cause. The send is released without blame for its runner, and locks are released by defer. Lines of all HTTP servers are events (532).

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -72,6 +72,8 @@
 	StreamTakenUp                 = define(526, logrus.InfoLevel, "caller takes a stream up")
 	StreamOriginResolved          = define(527, logrus.InfoLevel, "software version of a stream that is taken up was looked up")
 	StreamOriginRecorded          = define(528, logrus.InfoLevel, "software version of a stream recorded")
+	HandlerPanicked               = define(531, logrus.ErrorLevel, "handler of a request panicked")
+	ServerError                   = define(532, logrus.WarnLevel, "HTTP server reported an error")
 	RequestUnanswered             = define(530, logrus.WarnLevel, "request ended without a complete response")
 	ClaimsRetired                 = define(601, logrus.InfoLevel, "no longer a claim holder")
 	AssignmentProposed            = define(602, logrus.InfoLevel, "claim assignment written")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -96,9 +96,11 @@
 	lastFailure *bufferedResponse
 	// runner is the runner of the current or last attempt.
 	runner backend.Runner
-	// sentAt is when that attempt was sent, and currentSend its record in the runner table.
+	// sentAt is when that attempt was sent, and currentSend its record in the runner table. sendOpen is set until
+	// the outcome of the attempt is recorded.
 	sentAt      time.Time
 	currentSend *backend.Send
+	sendOpen    bool
 	// sendCtx is the context of the current attempt. If the send can be withdrawn, unstarted is
 	// set, and sendCtx is a child of ctx that is canceled on withdrawal; otherwise sendCtx is ctx.
 	sendCtx   context.Context
@@ -173,6 +175,7 @@
 		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: request,
 		metadata: g.ports.Protocol.ParseRequest(request.Header), arrivedAt: now, config: g.activeConfig.Load(),
 	}
+	defer c.recoverPanic()
 	// Replace the write deadline of an earlier request on this connection.
 	_ = c.controller.SetWriteDeadline(time.Now().Add(maxCallDuration))
 	if g.draining.Load() || len(request.TransferEncoding) > 0 {
@@ -198,7 +201,7 @@
 	}
 	if disconnected || refused != nil {
 		c.cancelQuotaCheck()
-		c.placementRequest.discard()
+		c.discardPlacement()
 	}
 	if disconnected {
 		// A caller that closed only its sending side must not get an empty, complete response.
@@ -211,20 +214,20 @@
 	c.identifyContent()
 	if refused := c.checkQuarantine(); refused != nil {
 		c.cancelQuotaCheck()
-		c.placementRequest.discard()
+		c.discardPlacement()
 		c.refuse(refused)
 		return
 	}
 	if c.suspected {
 		// The first placement request was sent before the content was known to be suspect.
-		c.placementRequest.discard()
+		c.discardPlacement()
 		c.startPlacement()
 	}
 	ctx, cancel := context.WithTimeout(request.Context(), g.until(c.deadline))
 	defer cancel()
 	c.ctx = ctx
 	if refused := c.awaitQuotaDecision(); refused != nil {
-		c.placementRequest.discard()
+		c.discardPlacement()
 		c.refuse(refused)
 		return
 	}
@@ -365,7 +368,7 @@
 			refused = unavailable("the time is up", busyRetryAfter)
 		}
 		if refused != nil {
-			c.placementRequest.discard()
+			c.discardPlacement()
 			c.attemptState.Fail()
 			c.giveUp(refused)
 			return
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -52,7 +52,7 @@
 	if transport == nil {
 		return
 	}
-	e.server = newCallerServer(http.HandlerFunc(e.gateway.serveForwarded))
+	e.server = e.gateway.newCallerServer("forwarded calls", http.HandlerFunc(e.gateway.serveForwarded))
 	go e.server.Serve(transport.Unframed())
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -73,8 +73,7 @@
 // router accepts the call.
 func (c *call) forward() (attempt.Action, *refusal) {
 	g := c.gateway
-	c.placementRequest.discard()
-	c.placementRequest = nil
+	c.discardPlacement()
 	if refused := c.takeRetry(); refused != nil {
 		return attempt.Stop, refused
 	}
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -50,6 +50,7 @@
 	defer cancel()
 	c := g.newForwardedCall(request.Context(), writer, message)
 	c.ctx = ctx
+	defer c.recoverPanic()
 	_ = c.controller.SetWriteDeadline(time.Now().Add(time.Duration(message.GetLeftMillis())*time.Millisecond + writeTimeoutSlack))
 	if refused := c.admit(); refused != nil {
 		c.refuse(refused)
@@ -138,7 +139,7 @@
 	if !c.isForwarded() {
 		return
 	}
-	if c.attemptState != nil && c.attemptState.RunState() != attempt.NotRun {
+	if r.status == http.StatusInternalServerError || c.attemptState != nil && c.attemptState.RunState() != attempt.NotRun {
 		c.setForwardResult(resultFailed)
 		return
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -34,6 +34,8 @@
 	runners sync.Map
 	// cacheReader reads the runners' caches on behalf of the routers; nil reads nothing.
 	cacheReader gateway.CacheReader
+	// protocol translates for the routers, nil for that of the platform.
+	protocol gateway.Protocol
 	// dials can block the routers' connections to runners; nil blocks none.
 	dials *dialBlocker
 	// dial opens the routers' connections to runners, nil for the default.
@@ -221,9 +223,13 @@
 	if f.links != nil {
 		runnerPool.Dial, callPool.Dial = f.links.dial, f.links.dial
 	}
+	protocol := f.protocol
+	if protocol == nil {
+		protocol = platform.Protocol{}
+	}
 	log, clock := &logBuffer{}, &suspendableClock{}
 	started, err := gateway.Start(settings, gateway.Ports{
-		Protocol: platform.Protocol{}, Decode: platform.Decode, Store: &platform.StoreClient{Address: settings.StoreAddress, Pool: callPool},
+		Protocol: protocol, Decode: platform.Decode, Store: &platform.StoreClient{Address: settings.StoreAddress, Pool: callPool},
 		Runners: &platform.RunnerClient{Pool: callPool}, Caches: f.cacheReader, ReadyPath: platform.PathReadiness, RunnerPool: runnerPool, Clock: clock,
 	}, events.NewLogger(log, name, logrus.InfoLevel))
 	f.g.Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -27,10 +27,10 @@
 		return err
 	}
 	g.egress.listen()
-	g.callerServer = newCallerServer(http.HandlerFunc(g.serveCall))
+	g.callerServer = g.newCallerServer("callers", http.HandlerFunc(g.serveCall))
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.ports.ReadyPath, g.serveReadiness)
-	g.readinessServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	g.readinessServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.serverErrorLog("readiness")}
 	go g.callerServer.Serve(callerListener)
 	go g.readinessServer.Serve(readinessListener)
 	g.listenMetrics()
@@ -69,7 +69,7 @@
 	mux.Handle(MetricsPath, g.metrics.handler())
 	mux.HandleFunc(StatusPath, g.serveStatus)
 	mux.HandleFunc(LiftPath, g.serveLift)
-	g.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	g.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.serverErrorLog("metrics")}
 	go g.metricsServer.Serve(listener)
 }
 
@@ -85,10 +85,11 @@
 	maxHeaderBytes = 128 << 10
 )
 
-func newCallerServer(handler http.Handler) *http.Server {
+// newCallerServer returns the server of calls with the name.
+func (g *Gateway) newCallerServer(name string, handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ConnContext: withConnection,
+		DisableGeneralOptionsHandler: true, ConnContext: withConnection, ErrorLog: g.serverErrorLog(name),
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,6 +43,8 @@
 	refusals            *prometheus.CounterVec
 	// unansweredRequests counts the requests that ended without a complete response.
 	unansweredRequests *prometheus.CounterVec
+	// handlerPanics counts the panics in the handlers of calls, by whether the caller got a response.
+	handlerPanics *prometheus.CounterVec
 	// startRefusals counts the refusals before this router knew all runners, and startStages holds the
 	// seconds from its start to each stage.
 	startRefusals *prometheus.CounterVec
@@ -162,6 +164,7 @@
 			Namespace: namespace, Name: "start_stage_seconds", Help: "Time from the start of the router to the stage.",
 		}, []string{"stage"}),
 		unansweredRequests: newCounterVec("unanswered_requests_total", "Requests whose connection ended without a complete response, by cause.", "cause"),
+		handlerPanics:      newCounterVec("handler_panics_total", "Panics while a request was handled, by whether the caller got a response.", "answered"),
 		refusals:           newCounterVec("refusals_total", "Calls refused without having run, by status and reason.", "status", "reason"),
 		runnerSignals:      newCounterVec("runner_signals_total", "Answers in which a runner said something new of itself, by what it was.", "service", "signal"),
 		limitedSends:       newCounterVec("limited_sends_total", "Sends to runners that limit requests, by whether a permit allowed them.", "service", "outcome"),
@@ -249,7 +252,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.unansweredRequests, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.unansweredRequests, m.handlerPanics, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("stream_records", "Records of the software versions at which streams began.", func() float64 { records, _ := g.streams.recordCounts(); return float64(records) }),
@@ -331,10 +334,16 @@
 	m.permitAges.WithLabelValues(service).Observe(age.Seconds())
 }
 
+// Values of labels that tell whether something holds.
+const (
+	labelYes = "yes"
+	labelNo  = "no"
+)
+
 // Values of the label that tells whether prompt parts are cached.
 const (
-	labelCached    = "yes"
-	labelNotCached = "no"
+	labelCached    = labelYes
+	labelNotCached = labelNo
 )
 
 // countPlacement records the placement of a prompt and the number of its tokens that the runner
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -147,13 +147,7 @@
 	c.responseWeightVersion, c.requestedBackoff = 0, 0
 	c.sentAt = c.gateway.now()
 	c.gateway.metrics.attempts.WithLabelValues(c.service).Inc()
-	wait, service := c.gateway.paths.beginWait(c.runner), c.runner.Service
-	// Asking for the state makes a silent service be probed.
-	silence := time.AfterFunc(egress.SilenceTimeout, func() { c.gateway.paths.state(service) })
-	c.isNewConnection = false
-	response, err := c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.newRunnerRequest())
-	silence.Stop()
-	c.gateway.paths.endWait(wait)
+	response, err := c.awaitResponse()
 	if !errors.Is(err, httpconn.ErrNotSent) {
 		c.hasUnusedRetry, c.unsentInSuccession = false, 0
 	}
@@ -189,6 +183,17 @@
 	return c.forwardResponse(response)
 }
 
+// awaitResponse sends the call to c.runner and waits until its response begins.
+func (c *call) awaitResponse() (*httpconn.Response, error) {
+	wait, service := c.gateway.paths.beginWait(c.runner), c.runner.Service
+	defer c.gateway.paths.endWait(wait)
+	// Asking for the state makes a silent service be probed.
+	silence := time.AfterFunc(egress.SilenceTimeout, func() { c.gateway.paths.state(service) })
+	defer silence.Stop()
+	c.isNewConnection = false
+	return c.gateway.ports.RunnerPool.Send(c.sendCtx, c.runner.Address, c.newRunnerRequest())
+}
+
 // recordDial records the result of opening a connection for the current attempt.
 func (c *call) recordDial(err error) {
 	if err != nil {
@@ -296,25 +301,32 @@
 	end := rolloutdriver.SendEnd{
 		Outcome: outcome, NotSent: outcome == backend.Unreachable && runOutcome == quarantine.NotRun, ConnectionLost: runOutcome == quarantine.ConnectionLost,
 	}
+	c.sendOpen = false
 	c.recordRunOutcome(runOutcome)
+	c.recordSendEnd(end)
+	g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{
+		Ended: true, Outcome: uint32(outcome), Weights: c.responseWeightVersion, RestMillis: uint32(c.requestedBackoff.Milliseconds()),
+		NotSent: end.NotSent, ConnectionLost: end.ConnectionLost,
+	})
+	c.schedulerChoice = nil
+}
+
+// recordSendEnd reports the end of the current attempt to fair-share accounting, rollouts and the runner table.
+func (c *call) recordSendEnd(end rolloutdriver.SendEnd) {
+	g := c.gateway
 	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	c.preventWithdrawal()
 	if c.schedulerChoice == nil && !c.continuing && g.fairShares.tracksUsage() {
-		g.fairShares.refund(c.gateway.now(), c.query, c.currentSend, outcome)
+		g.fairShares.refund(c.gateway.now(), c.query, c.currentSend, end.Outcome)
 	}
 	// Without a rollout the query names no route.
 	if c.query.Route != "" && c.schedulerChoice == nil && !c.continuing && g.rolloutDriver.IsPlacer() {
 		end.RoundTrip = g.runners.RoundTrip(c.query.Zone, c.currentSend)
 		g.rolloutDriver.RecordOutcome(c.gateway.now(), c.query, c.currentSend, end)
 	}
-	g.runners.End(c.gateway.now(), c.currentSend, outcome)
+	g.runners.End(c.gateway.now(), c.currentSend, end.Outcome)
 	g.runners.AvoidFor(c.gateway.now(), c.currentSend, c.requestedBackoff)
-	g.mutex.Unlock()
-	g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{
-		Ended: true, Outcome: uint32(outcome), Weights: c.responseWeightVersion, RestMillis: uint32(c.requestedBackoff.Milliseconds()),
-		NotSent: end.NotSent, ConnectionLost: end.ConnectionLost,
-	})
-	c.schedulerChoice = nil
 }
 
 // recordFirstResponse records that the runner has begun to respond.
@@ -329,13 +341,13 @@
 	}
 	g.crashDetector.respond(g.now(), c.run)
 	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	now := c.gateway.now()
 	c.preventWithdrawal()
 	g.runners.FirstResponse(now, c.currentSend)
 	if g.runners.IsListed(c.currentSend) {
 		g.runners.RecordPrefill(now, c.runner.ID, c.query, c.weightVersion)
 	}
-	g.mutex.Unlock()
 }
 
 // handleSendError handles an attempt that ended without response headers.
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -29,6 +29,8 @@
 	longResponseBrokenOff unansweredCause = "long response broken off"
 	// timeUp means that the time of the call passed within a response which had begun.
 	timeUp unansweredCause = "time up"
+	// handlerPanicked means that the handler panicked within a response.
+	handlerPanicked unansweredCause = "panic"
 	// writeTimedOut means that the caller did not read the response in time.
 	writeTimedOut unansweredCause = "write timed out"
 )
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -38,7 +38,7 @@
 	}
 	c.run = &quarantine.Run{Content: c.content, Parts: c.sharedParts, Runner: incarnationOf(runner), Service: runner.Service, SentAt: now}
 	g.crashDetector.begin(c.run)
-	c.sendCtx, c.unstarted = c.ctx, nil
+	c.sendCtx, c.unstarted, c.sendOpen = c.ctx, nil, true
 	if !c.isStartObservable() {
 		return
 	}
