gateway: a stopping router ends its last calls itself

At the end of the grace time the router closed its connections: calls that a runner still held got no response, and were logged as left by their callers. Streams that have begun end with the cause "shutdown". A body that is still arriving then is refused, and so are calls that arrive on open connections until they are closed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,7 +53,7 @@
 	tenant    *routing.Tenant
 	service   string
 	body      []byte
-	// ctx is canceled when the caller disconnects or the deadline passes.
+	// ctx is canceled when the caller disconnects, the deadline passes or the router stops.
 	ctx      context.Context
 	deadline time.Time
 	// attemptState decides after each attempt whether another one is allowed.
@@ -175,7 +175,12 @@
 		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: request,
 		metadata: g.ports.Protocol.ParseRequest(request.Header), arrivedAt: now, config: g.activeConfig.Load(),
 	}
+	g.openCalls.Add(1)
+	defer g.openCalls.Add(-1)
 	defer c.recoverPanic()
+	ctx, cancel := g.callContext(request.Context())
+	defer cancel()
+	c.ctx = ctx
 	// Replace the write deadline of an earlier request on this connection.
 	_ = c.controller.SetWriteDeadline(time.Now().Add(maxCallDuration))
 	if g.draining.Load() || len(request.TransferEncoding) > 0 {
@@ -184,6 +189,10 @@
 		// must not be parsed as another request (RFC 9112, section 6.1).
 		writer.Header().Set("Connection", "close")
 	}
+	if g.isEndingCalls() {
+		c.refuse(unavailable(reasonStopping, stoppingRetryAfter))
+		return
+	}
 	if refused := c.admit(); refused != nil {
 		c.refuse(refused)
 		return
@@ -197,7 +206,10 @@
 	refused, readErr := c.readBody()
 	cause, detail, disconnected := callerLeftSending, errorText(readErr), readErr != nil
 	if !disconnected && c.isConnectionClosed() {
-		cause, disconnected = callerLeftUnread, true
+		cause, detail, disconnected = callerLeftUnread, "the connection is closed", true
+	}
+	if disconnected && g.serversClosed.Load() {
+		cause = routerStopped
 	}
 	if disconnected || refused != nil {
 		c.cancelQuotaCheck()
@@ -223,9 +235,9 @@
 		c.discardPlacement()
 		c.startPlacement()
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), g.until(c.deadline))
-	defer cancel()
-	c.ctx = ctx
+	var cancelTimeout context.CancelFunc
+	c.ctx, cancelTimeout = context.WithTimeout(ctx, g.until(c.deadline))
+	defer cancelTimeout()
 	if refused := c.awaitQuotaDecision(); refused != nil {
 		c.discardPlacement()
 		c.refuse(refused)
@@ -341,6 +353,8 @@
 	if c.incoming.ContentLength > maxBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
+	// A read deadline in the past ends the wait for the rest of a body.
+	stop := context.AfterFunc(c.gateway.callsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
 	var err error
 	if size := c.incoming.ContentLength; size >= 0 {
 		c.body = make([]byte, size)
@@ -348,6 +362,10 @@
 	} else {
 		c.body, err = io.ReadAll(io.LimitReader(c.incoming.Body, maxBytes+1))
 	}
+	if !stop() && !c.gateway.serversClosed.Load() {
+		// After the read deadline, net/http may take the caller for disconnected.
+		return unavailable(reasonStopping, stoppingRetryAfter), nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -367,6 +385,9 @@
 			// so it may not have expired yet.
 			refused = unavailable("the time is up", busyRetryAfter)
 		}
+		if c.gateway.isEndingCalls() {
+			refused = unavailable(reasonStopping, stoppingRetryAfter)
+		}
 		if refused != nil {
 			c.discardPlacement()
 			c.attemptState.Fail()
@@ -402,9 +423,13 @@
 		c.logOutcome(outcomeComplete)
 		return
 	}
-	if !c.gateway.now().Before(c.deadline) {
+	switch {
+	case !c.gateway.now().Before(c.deadline):
 		c.giveUp(unavailable("the time is up", busyRetryAfter))
 		return
+	case c.gateway.isEndingCalls():
+		c.giveUp(unavailable(reasonStopping, stoppingRetryAfter))
+		return
 	}
 	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
 }
--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -109,7 +109,7 @@
 			}
 			return verdict
 		}
-		if !sleep(c.incoming.Context(), min(verdict.Until.Sub(now), decisionPollInterval)) {
+		if !sleep(c.ctx, min(verdict.Until.Sub(now), decisionPollInterval)) {
 			return verdict
 		}
 	}
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -46,7 +46,11 @@
 		g.declineForwarded(writer, message.GetService(), "no path")
 		return
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), time.Duration(message.GetLeftMillis())*time.Millisecond)
+	g.openCalls.Add(1)
+	defer g.openCalls.Add(-1)
+	stoppable, cancelStoppable := g.callContext(request.Context())
+	defer cancelStoppable()
+	ctx, cancel := context.WithTimeout(stoppable, time.Duration(message.GetLeftMillis())*time.Millisecond)
 	defer cancel()
 	c := g.newForwardedCall(request.Context(), writer, message)
 	c.ctx = ctx
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,13 @@
 	goroutines      sync.WaitGroup
 	startedAt       time.Time
 	startup         *startup
+	// openCalls is the number of calls being handled, and cutCalls that of calls whose response a stop of the router
+	// cut off.
+	openCalls, cutCalls atomic.Int64
+	// callsCtx is canceled when open calls are to be ended, and serversClosed is set when the connections are closed.
+	callsCtx      context.Context
+	endCalls      context.CancelFunc
+	serversClosed atomic.Bool
 }
 
 // Start starts a gateway, which runs until Stop or Kill.
@@ -179,6 +186,7 @@
 		weightsNamed:    make(chan struct{}, 1),
 		distances:       distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions}),
 	}
+	g.callsCtx, g.endCalls = context.WithCancel(context.Background())
 	g.startup = newStartup(g)
 	g.runners.UseDistances(g.distances)
 	g.loadShedder = admission.NewLoadShedder(g.random)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -113,8 +113,11 @@
 		cause = streamBrokenOff
 		c.bufferLog(events.StreamCut, events.Fields{"runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": reason})
 	}
-	if !c.gateway.now().Before(c.deadline) {
+	switch {
+	case !c.gateway.now().Before(c.deadline):
 		cause = timeUp
+	case c.gateway.isEndingCalls():
+		cause = routerStopped
 	}
 	c.logOutcome(outcomeCut)
 	c.abort(cause, reason+"; the response's end: "+c.responseEnd.String())
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -385,7 +385,11 @@
 
 // handleCanceled ends the call because the caller disconnected or the deadline passed.
 func (c *call) handleCanceled(notSent bool) attempt.Action {
-	c.endAttempt(backend.Abandoned, quarantine.Canceled, "caller disconnected or deadline passed", 0)
+	cause := "caller disconnected or deadline passed"
+	if c.gateway.isEndingCalls() {
+		cause = reasonStopping
+	}
+	c.endAttempt(backend.Abandoned, quarantine.Canceled, cause, 0)
 	if notSent {
 		c.attemptState.NotSent()
 	}
--- a/internal/gateway/unanswered.go
+++ b/internal/gateway/unanswered.go
@@ -29,6 +29,8 @@
 	longResponseBrokenOff unansweredCause = "long response broken off"
 	// timeUp means that the time of the call passed within a response which had begun.
 	timeUp unansweredCause = "time up"
+	// routerStopped means that the router stopped at the end of its grace time.
+	routerStopped unansweredCause = "shutdown"
 	// handlerPanicked means that the handler panicked within a response.
 	handlerPanicked unansweredCause = "panic"
 	// writeTimedOut means that the caller did not read the response in time.
@@ -49,6 +51,9 @@
 func (c *call) abort(cause unansweredCause, detail string) {
 	c.flushLog()
 	c.gateway.metrics.unansweredRequests.WithLabelValues(string(cause)).Inc()
+	if cause == routerStopped {
+		c.gateway.cutCalls.Add(1)
+	}
 	event := events.RequestUnanswered
 	if cause.byCaller() {
 		event = event.WithLevel(logrus.InfoLevel)
@@ -84,6 +89,8 @@
 		return writeTimedOut, true
 	case c.writeErr == nil && !c.callerDisconnected():
 		return "", false
+	case c.gateway.serversClosed.Load():
+		return routerStopped, true
 	case c.responseBegun:
 		return callerLeftResponding, true
 	}
