gateway: only an end of the connection counts as a caller that left

Before a call is sent, its connection is checked by a read that does not block, and every error but two was taken for a close. A lack of memory ended requests of callers that waited for their response. Only errors that tell of the connection's end count now.

--- a/internal/gateway/callerend.go
+++ b/internal/gateway/callerend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 
@@ -57,7 +58,7 @@
 	}
 	raw, err := connection.SyscallConn()
 	if err != nil {
-		return true
+		return errors.Is(err, net.ErrClosed)
 	}
 	var buffer [1]byte
 	var n int
@@ -67,10 +68,19 @@
 		n, _, peekErr = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	if err != nil {
-		return true
+		return errors.Is(err, net.ErrClosed)
 	}
-	if peekErr != nil {
-		return peekErr != syscall.EAGAIN && peekErr != syscall.EINTR
+	return isEndOfConnection(n, peekErr)
+}
+
+// isEndOfConnection reports whether the result of a read that does not block shows that the peer ended the connection.
+// Any other error, such as a lack of memory, says nothing about the peer.
+func isEndOfConnection(n int, err error) bool {
+	switch err {
+	case nil:
+		return n == 0
+	case syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.ENOTCONN, syscall.ECONNABORTED, syscall.EHOSTUNREACH, syscall.ENETUNREACH:
+		return true
 	}
-	return n == 0
+	return false
 }
