--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -343,6 +344,12 @@
 	c.deadline = c.arrivedAt.Add(timeout)
 }
 
+// isConnectionError reports whether the error of a read from a caller comes from its connection, not from what it sent.
+func isConnectionError(err error) bool {
+	var networkError net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &networkError)
+}
+
 // readBody reads the whole body into memory, so that it can be sent more than once. It returns an error
 // if the body did not arrive whole.
 func (c *call) readBody() (*refusal, error) {
@@ -366,6 +373,9 @@
 		// After the read deadline, net/http may take the caller for disconnected.
 		return unavailable(reasonStopping, stoppingRetryAfter), nil
 	}
+	if err != nil && !isConnectionError(err) {
+		return &refusal{status: http.StatusBadRequest, reason: "the body is malformed", detail: err.Error()}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -29,6 +29,8 @@
 type refusal struct {
 	status int
 	reason string
+	// detail is logged with the reason; it may be empty.
+	detail string
 	// retryAfter is the delay after which the caller may retry; 0 omits the header.
 	retryAfter time.Duration
 	// queueTooLong is set if the request would have queued for longer than its queue limit.
@@ -66,6 +68,9 @@
 		fields["yield_percent"], fields["returned"], fields["excess"] = int(percent*c.queueLimit.PriorityFactor), c.queueLimit.Returned, c.queueLimit.Excess
 		fields["service"] = c.service
 	}
+	if r.detail != "" {
+		fields["detail"] = r.detail
+	}
 	if r.retryAfter > 0 {
 		fields["retry_after_ms"] = r.retryAfter.Milliseconds()
 	}
--- a/internal/gateway/unreadcalls_test.go
+++ b/internal/gateway/unreadcalls_test.go
@@ -1,15 +1,18 @@
 package gateway_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 	"github.com/clovertiller/clovertiller/platform"
@@ -67,3 +70,19 @@
 		})
 	}
 }
+
+// Guards against callers whose malformed body is taken for a closed connection: they are there and get a response.
+func TestMalformedBodyIsAnswered(t *testing.T) {
+	t.Parallel()
+	f, r, runners := newPlainFleet(t)
+	connection := r.dial()
+	_, err := fmt.Fprintf(connection, "POST /safe/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n%s: %s\r\nAuthorization: Bearer %s\r\n\r\n8\r\nthe body\r\nno length\r\n",
+		platform.HeaderRequestID, newRequestID(), validKey)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response.Body.Close()
+	f.g.Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+	f.g.Expect(totalRuns(runners)).To(BeZero())
+	f.g.Expect(r.loggedEvents(events.RequestUnanswered)).To(BeEmpty())
+}
