gateway: each late write to a caller has its own time

The write deadline was counted from the call's end: a response that was written when that came was cut off two seconds later, also while its caller was reading it. After the end of the call each 32 KiB now has the two seconds. A caller that reads nothing is cut off as before, with the cause "write timed out".

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
@@ -18,6 +19,9 @@
 // first byte is forwarded. Until then, a failed attempt can be retried on another runner.
 const maxBufferedBody = 1 << 20
 
+// maxWrite is the number of bytes written to a caller at a time, for which the caller has writeTimeoutSlack.
+const maxWrite = 32 << 10
+
 // bufferedResponse is a runner's response whose body has been read into memory.
 type bufferedResponse struct {
 	status int
@@ -41,12 +45,42 @@
 func (c *call) writeWhole(status int, body []byte) error {
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.beginWriting(status)
-	if _, err := c.writer.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		return c.recordWrite(err)
+	if _, err := c.writeBody(body); err != nil {
+		return err
 	}
+	return c.flush()
+}
+
+// writeBody writes a part of the response's body. A caller that reads it is not cut off by the end of the call's time.
+func (c *call) writeBody(data []byte) (int, error) {
+	for written := 0; written < len(data); {
+		c.extendWriteDeadline()
+		n, err := c.writer.Write(data[written:min(len(data), written+maxWrite)])
+		written += n
+		switch {
+		case errors.Is(err, http.ErrBodyNotAllowed):
+			// The response to a HEAD request has no body.
+			return len(data), nil
+		case err != nil:
+			return written, c.recordWrite(err)
+		}
+	}
+	return len(data), nil
+}
+
+// flush sends what is buffered of the response.
+func (c *call) flush() error {
+	c.extendWriteDeadline()
 	return c.recordWrite(c.controller.Flush())
 }
 
+// extendWriteDeadline gives the next write its own time once that of the call has passed.
+func (c *call) extendWriteDeadline() {
+	if !c.deadline.IsZero() && !c.gateway.now().Before(c.deadline) {
+		_ = c.controller.SetWriteDeadline(time.Now().Add(writeTimeoutSlack))
+	}
+}
+
 // setResponseHeaders sets the headers of the response to the caller from those of the
 // runner's response.
 func (c *call) setResponseHeaders(header http.Header) {
@@ -76,7 +110,7 @@
 	c.markComplete()
 	if err := buffered.writeTo(c); err != nil {
 		cause, _ := c.interruption()
-		c.abortInterrupted(cause, err.Error())
+		c.abortInterrupted(cause, errorText(c.writeErr))
 	}
 	return attempt.Stop
 }
@@ -137,10 +171,7 @@
 // callerWriter writes to the caller. Its errors are errCallerDisconnected, and the call keeps the cause.
 type callerWriter struct{ call *call }
 
-func (w callerWriter) Write(data []byte) (int, error) {
-	n, err := w.call.writer.Write(data)
-	return n, w.call.recordWrite(err)
-}
+func (w callerWriter) Write(data []byte) (int, error) { return w.call.writeBody(data) }
 
 // recordWrite records the error of a write to the caller and returns errCallerDisconnected, or nil if there is none.
 func (c *call) recordWrite(err error) error {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,7 +30,7 @@
 	// defaultMaxBodyBytes applies if the configuration does not limit the size of request bodies.
 	defaultMaxBodyBytes = 16 << 20
 	// writeTimeoutSlack is the time after the call's deadline during which the response may still
-	// be written.
+	// be written, and that of each later write.
 	writeTimeoutSlack = 2 * time.Second
 	// maxRefusals limits how many runners may refuse one call.
 	maxRefusals = 3
--- a/internal/gateway/callerend.go
+++ b/internal/gateway/callerend.go
@@ -32,7 +32,11 @@
 func (c *call) beginUnframedResponse() { c.setLinger(lingerReset) }
 
 // endUnframedResponse is called when the whole response was written.
-func (c *call) endUnframedResponse() { c.setLinger(lingerDefault) }
+func (c *call) endUnframedResponse() {
+	c.setLinger(lingerDefault)
+	// net/http writes the end of the response after the handler has returned.
+	c.extendWriteDeadline()
+}
 
 func (c *call) setLinger(seconds int) {
 	if c.incoming.ProtoAtLeast(1, 1) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -227,7 +227,7 @@
 	c.markComplete()
 	if err := buffered.writeTo(c); err != nil {
 		cause, _ := c.interruption()
-		c.abortInterrupted(cause, err.Error())
+		c.abortInterrupted(cause, errorText(c.writeErr))
 	}
 	return attempt.Stop
 }
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -97,13 +97,13 @@
 // writeToStream writes complete events to the caller. lastID is the ID of the last one, empty if none has an ID.
 func (c *call) writeToStream(data []byte, lastID string) error {
 	startedAt := c.gateway.now()
-	if _, err := c.writer.Write(data); err != nil {
-		return c.recordWrite(err)
+	if _, err := c.writeBody(data); err != nil {
+		return err
 	}
 	c.stream.recordWrite(c.gateway.now())
 	c.stream.lastEvent = cmp.Or(lastID, c.stream.lastEvent)
-	if err := c.controller.Flush(); err != nil {
-		return c.recordWrite(err)
+	if err := c.flush(); err != nil {
+		return err
 	}
 	if now := c.gateway.now(); now.Sub(startedAt) >= stallThreshold {
 		c.stream.lastStallEnd = now
