gateway: the time of a forwarded call ends at its deadline

The timer of a forwarded call started before the call's own time was set, and did not know the route's timeout: it could fire before the deadline, which turned a 504 into a 502, or after it. It now ends at the deadline, like that of a caller's call.

--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -50,16 +50,17 @@
 	defer g.openCalls.Add(-1)
 	stoppable, cancelStoppable := g.callContext(request.Context())
 	defer cancelStoppable()
-	ctx, cancel := context.WithTimeout(stoppable, time.Duration(message.GetLeftMillis())*time.Millisecond)
-	defer cancel()
 	c := g.newForwardedCall(request.Context(), writer, message)
-	c.ctx = ctx
+	c.ctx = stoppable
 	defer c.recoverPanic()
 	_ = c.controller.SetWriteDeadline(time.Now().Add(time.Duration(message.GetLeftMillis())*time.Millisecond + writeTimeoutSlack))
 	if refused := c.admit(); refused != nil {
 		c.refuse(refused)
 		return
 	}
+	var cancelTimeout context.CancelFunc
+	c.ctx, cancelTimeout = context.WithTimeout(stoppable, g.until(c.deadline))
+	defer cancelTimeout()
 	if refused := c.bindResumedStream(); refused != nil {
 		c.refuse(refused)
 		return
