--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
@@ -18,6 +19,9 @@
 // first byte is forwarded. Until then, a failed attempt can be retried on another runner.
 const maxBufferedBody = 1 << 20
 
+// maxWrite is the number of bytes written to a caller at a time, for which the caller has writeTimeoutSlack.
+const maxWrite = 32 << 10
+
 // bufferedResponse is a runner's response whose body has been read into memory.
 type bufferedResponse struct {
 	status int
@@ -26,12 +30,55 @@
 }
 
 // writeTo sends the response to the caller unchanged.
-func (r *bufferedResponse) writeTo(c *call) {
+func (r *bufferedResponse) writeTo(c *call) error {
 	c.setResponseHeaders(r.header)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
-	c.writer.WriteHeader(r.status)
-	// The HTTP server detects a caller that has disconnected.
-	_, _ = c.writer.Write(r.body)
+	return c.writeWhole(r.status, r.body)
+}
+
+// beginWriting writes the status of the response to the caller.
+func (c *call) beginWriting(status int) {
+	c.responseBegun = true
+	c.writer.WriteHeader(status)
+}
+
+// writeWhole writes a response whose headers are set, and flushes it so that a failed write is noticed.
+func (c *call) writeWhole(status int, body []byte) error {
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.beginWriting(status)
+	if _, err := c.writeBody(body); err != nil {
+		return err
+	}
+	return c.flush()
+}
+
+// writeBody writes a part of the response's body. A caller that reads it is not cut off by the end of the call's time.
+func (c *call) writeBody(data []byte) (int, error) {
+	for written := 0; written < len(data); {
+		c.extendWriteDeadline()
+		n, err := c.writer.Write(data[written:min(len(data), written+maxWrite)])
+		written += n
+		switch {
+		case errors.Is(err, http.ErrBodyNotAllowed):
+			// The response to a HEAD request has no body.
+			return len(data), nil
+		case err != nil:
+			return written, c.recordWrite(err)
+		}
+	}
+	return len(data), nil
+}
+
+// flush sends what is buffered of the response.
+func (c *call) flush() error {
+	c.extendWriteDeadline()
+	return c.recordWrite(c.controller.Flush())
+}
+
+// extendWriteDeadline gives the next write its own time once that of the call has passed.
+func (c *call) extendWriteDeadline() {
+	if !c.deadline.IsZero() && !c.gateway.now().Before(c.deadline) {
+		_ = c.controller.SetWriteDeadline(time.Now().Add(writeTimeoutSlack))
+	}
 }
 
 // setResponseHeaders sets the headers of the response to the caller from those of the
@@ -61,12 +108,15 @@
 	}
 	c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
 	c.markComplete()
-	buffered.writeTo(c)
+	if err := buffered.writeTo(c); err != nil {
+		cause, _ := c.interruption()
+		c.abortInterrupted(cause, errorText(c.writeErr))
+	}
 	return attempt.Stop
 }
 
-// forwardLongResponse forwards a response that is too long to buffer, and aborts the caller's connection if it
-// breaks off. No other attempt can follow then, because the begin of the response was forwarded.
+// forwardLongResponse forwards a response that is too long to buffer. No other attempt can follow if it breaks off,
+// because the begin of the response was forwarded.
 func (c *call) forwardLongResponse(buffered *bufferedResponse, response *httpconn.Response) attempt.Action {
 	end, err := c.copyLongResponse(buffered, response)
 	switch {
@@ -78,10 +128,8 @@
 	default:
 		c.endAttempt(backend.Succeeded, quarantine.Survived, "", response.Status)
 		c.markComplete()
-		return attempt.Stop
 	}
-	c.logOutcome(outcomeCut)
-	panic(http.ErrAbortHandler)
+	return attempt.Stop
 }
 
 // bufferResponse reads the body of the response, or the first part of a long one, in which case the end is
@@ -120,15 +168,18 @@
 	return c.attemptState.RunnerFailed()
 }
 
-// callerWriter writes to the caller. Its errors are errCallerDisconnected.
-type callerWriter struct{ http.ResponseWriter }
+// callerWriter writes to the caller. Its errors are errCallerDisconnected, and the call keeps the cause.
+type callerWriter struct{ call *call }
+
+func (w callerWriter) Write(data []byte) (int, error) { return w.call.writeBody(data) }
 
-func (w callerWriter) Write(data []byte) (int, error) {
-	n, err := w.ResponseWriter.Write(data)
-	if err != nil {
-		return n, errCallerDisconnected
+// recordWrite records the error of a write to the caller and returns errCallerDisconnected, or nil if there is none.
+func (c *call) recordWrite(err error) error {
+	if err == nil {
+		return nil
 	}
-	return n, nil
+	c.writeErr = err
+	return errCallerDisconnected
 }
 
 // copyLongResponse writes a response of which the begin is buffered to the caller, and returns how its body ended,
@@ -140,8 +191,8 @@
 	} else {
 		c.beginUnframedResponse()
 	}
-	c.writer.WriteHeader(buffered.status)
-	_, err := io.Copy(callerWriter{c.writer}, io.MultiReader(bytes.NewReader(buffered.body), response.Body))
+	c.beginWriting(buffered.status)
+	_, err := io.Copy(callerWriter{c}, io.MultiReader(bytes.NewReader(buffered.body), response.Body))
 	if errors.Is(err, errCallerDisconnected) {
 		return integrity.End{}, err
 	}
--- a/internal/gateway/callerend.go
+++ b/internal/gateway/callerend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 
@@ -31,7 +32,11 @@
 func (c *call) beginUnframedResponse() { c.setLinger(lingerReset) }
 
 // endUnframedResponse is called when the whole response was written.
-func (c *call) endUnframedResponse() { c.setLinger(lingerDefault) }
+func (c *call) endUnframedResponse() {
+	c.setLinger(lingerDefault)
+	// net/http writes the end of the response after the handler has returned.
+	c.extendWriteDeadline()
+}
 
 func (c *call) setLinger(seconds int) {
 	if c.incoming.ProtoAtLeast(1, 1) {
@@ -47,16 +52,6 @@
 	}
 }
 
-// disconnectedBeforeRead reports whether the caller closed the connection before its request
-// was read, and logs it.
-func (c *call) disconnectedBeforeRead() bool {
-	if !c.isConnectionClosed() {
-		return false
-	}
-	c.gateway.log.Log(events.CallerDisconnected, events.Fields{"request": c.metadata.ID, "while": "unread"})
-	return true
-}
-
 // isConnectionClosed reports whether the caller has closed its connection. net/http detects that
 // only with a background read that starts after the body has been read, so without this check
 // a call could be sent to a runner after its caller has disconnected.
@@ -67,7 +62,7 @@
 	}
 	raw, err := connection.SyscallConn()
 	if err != nil {
-		return true
+		return errors.Is(err, net.ErrClosed)
 	}
 	var buffer [1]byte
 	var n int
@@ -77,10 +72,19 @@
 		n, _, peekErr = syscall.Recvfrom(int(fd), buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	if err != nil {
-		return true
+		return errors.Is(err, net.ErrClosed)
 	}
-	if peekErr != nil {
-		return peekErr != syscall.EAGAIN && peekErr != syscall.EINTR
+	return isEndOfConnection(n, peekErr)
+}
+
+// isEndOfConnection reports whether the result of a read that does not block shows that the peer ended the connection.
+// Any other error, such as a lack of memory, says nothing about the peer.
+func isEndOfConnection(n int, err error) bool {
+	switch err {
+	case nil:
+		return n == 0
+	case syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.ENOTCONN, syscall.ECONNABORTED, syscall.EHOSTUNREACH, syscall.ENETUNREACH:
+		return true
 	}
-	return n == 0
+	return false
 }
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -101,13 +101,13 @@
 // writeToStream writes complete events to the caller. lastID is the ID of the last one, empty if none has an ID.
 func (c *call) writeToStream(data []byte, lastID string) error {
 	startedAt := c.gateway.now()
-	if _, err := c.writer.Write(data); err != nil {
-		return errCallerDisconnected
+	if _, err := c.writeBody(data); err != nil {
+		return err
 	}
 	c.stream.recordWrite(c.gateway.now())
 	c.stream.lastEvent = cmp.Or(lastID, c.stream.lastEvent)
-	if err := c.controller.Flush(); err != nil {
-		return errCallerDisconnected
+	if err := c.flush(); err != nil {
+		return err
 	}
 	if now := c.gateway.now(); now.Sub(startedAt) >= stallThreshold {
 		c.stream.lastStallEnd = now
@@ -130,7 +130,7 @@
 	c.gateway.metrics.firstEventLatencies.WithLabelValues(c.service).Observe(c.gateway.since(c.arrivedAt).Seconds())
 	c.setResponseHeaders(response.Header)
 	c.beginUnframedResponse()
-	c.writer.WriteHeader(response.Status)
+	c.beginWriting(response.Status)
 }
 
 // finishStream handles the end of a complete stream.
