gateway: a stopping router serves each request that it reads

http.Server.Shutdown drops the requests that are read after it was called: net/http reads a request whole and closes its connection. Five of five requests sent on open connections 507 to 552 ms after the stop signal, while the router still served, got no response in a test, and neither did one that was half read. Forwarded calls were lost at an egress router in the same way.

The servers of calls are now drained without Shutdown. Listeners are closed, and connections without a request end by a read deadline: a request is either served or never read. A read deadline is lifted again if a request was read before it took effect.

--- /dev/null
+++ b/internal/gateway/callserver.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxDrainIdle is how long a connection may be open during a drain before its first request.
+	maxDrainIdle = time.Second
+	// drainInterval is how often a drain looks for idle connections.
+	drainInterval = 5 * time.Millisecond
+)
+
+// callServer serves calls over HTTP. In contrast to http.Server.Shutdown, which drops the requests that are read after
+// it was called, drain serves each request that is read.
+type callServer struct {
+	*http.Server
+	listener net.Listener
+
+	mutex       sync.Mutex
+	connections map[net.Conn]*connectionState
+}
+
+// connectionState is the state of a connection to a callServer.
+type connectionState struct {
+	state http.ConnState
+	since time.Time
+	// isExpired is set once a read deadline in the past ends the wait for a request.
+	isExpired bool
+}
+
+// receivingConn is a connection that knows whether bytes of a request have arrived.
+type receivingConn struct {
+	*net.TCPConn
+	isReceiving atomic.Bool
+}
+
+// Read reads from the caller.
+func (c *receivingConn) Read(buffer []byte) (int, error) {
+	n, err := c.TCPConn.Read(buffer)
+	if n > 0 {
+		c.isReceiving.Store(true)
+	}
+	return n, err
+}
+
+// receivingListener accepts connections that know whether bytes of a request have arrived.
+type receivingListener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l receivingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if connection, isTCP := accepted.(*net.TCPConn); isTCP {
+		return &receivingConn{TCPConn: connection}, err
+	}
+	return accepted, err
+}
+
+// isReceiving reports whether bytes of a request have arrived on the connection.
+func isReceiving(connection net.Conn) bool {
+	c, isKnown := connection.(*receivingConn)
+	return isKnown && c.isReceiving.Load()
+}
+
+// newCallServer returns a server of calls. Its errors are logged with the name.
+func (g *Gateway) newCallServer(name string, handler http.Handler) *callServer {
+	s := &callServer{connections: map[net.Conn]*connectionState{}}
+	s.Server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		DisableGeneralOptionsHandler: true, ConnContext: withConnection, ErrorLog: g.serverErrorLog(name), ConnState: s.trackState,
+	}
+	return s
+}
+
+// serve serves the connections of the listener until the server is drained or closed.
+func (s *callServer) serve(listener net.Listener) {
+	s.listener = listener
+	go s.Serve(receivingListener{listener})
+}
+
+// trackState is called when a connection changes its state.
+func (s *callServer) trackState(connection net.Conn, state http.ConnState) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.connections[connection]
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(s.connections, connection)
+		return
+	case http.StateIdle:
+		if c, isKnown := connection.(*receivingConn); isKnown {
+			c.isReceiving.Store(false)
+		}
+	case http.StateActive:
+		if before != nil && before.isExpired {
+			// The request was read before the deadline took effect.
+			_ = connection.SetReadDeadline(time.Time{})
+		}
+	}
+	s.connections[connection] = &connectionState{state: state, since: time.Now()}
+}
+
+// expireIdle ends the connections without a request, those that are new only if they have waited for minAge. It returns
+// the number of open connections. A connection is not closed but its next read fails, so a request is either served or
+// not read at all.
+func (s *callServer) expireIdle(minAge time.Duration) (open int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	for connection, state := range s.connections {
+		isIdle := state.state == http.StateIdle || state.state == http.StateNew && now.Sub(state.since) >= minAge
+		if isIdle && !isReceiving(connection) {
+			state.isExpired = true
+			_ = connection.SetReadDeadline(now)
+		}
+	}
+	return len(s.connections)
+}
+
+// drain accepts no more connections and waits until all requests are served and all connections closed, or until the
+// context ends. Once ending is done, new connections are not waited for.
+func (s *callServer) drain(ctx, ending context.Context) error {
+	if err := s.listener.Close(); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		minAge := maxDrainIdle
+		if ending.Err() != nil {
+			minAge = 0
+		}
+		if s.expireIdle(minAge) == 0 {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -29,7 +29,7 @@
 	// pool opens a connection to an egress router for each forwarded call.
 	pool *httpconn.Pool
 	// server serves forwarded calls, nil without peers. openCalls is the number of them.
-	server    *http.Server
+	server    *callServer
 	openCalls atomic.Int64
 
 	mutex     sync.Mutex
@@ -52,16 +52,16 @@
 	if transport == nil {
 		return
 	}
-	e.server = e.gateway.newCallerServer("forwarded calls", http.HandlerFunc(e.gateway.serveForwarded))
-	go e.server.Serve(transport.Unframed())
+	e.server = e.gateway.newCallServer("forwarded calls", http.HandlerFunc(e.gateway.serveForwarded))
+	e.server.serve(transport.Unframed())
 }
 
-// shutdown waits until the forwarded calls have ended, or until the context ends.
-func (e *egressRouters) shutdown(ctx context.Context) error {
+// drain waits until the forwarded calls have ended, or until the context ends.
+func (e *egressRouters) drain(ctx context.Context) error {
 	if e.server == nil {
 		return nil
 	}
-	return e.server.Shutdown(ctx)
+	return e.server.drain(ctx, e.gateway.callsCtx)
 }
 
 func (e *egressRouters) close() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,7 @@
 	// weightsNamed receives a value when a new version of a model's weights is named.
 	weightsNamed chan struct{}
 
-	callerServer    *http.Server
+	callerServer    *callServer
 	readinessServer *http.Server
 	metricsServer   *http.Server
 	ctx             context.Context
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -27,11 +27,11 @@
 		return err
 	}
 	g.egress.listen()
-	g.callerServer = g.newCallerServer("callers", http.HandlerFunc(g.serveCall))
+	g.callerServer = g.newCallServer("callers", http.HandlerFunc(g.serveCall))
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.ports.ReadyPath, g.serveReadiness)
 	g.readinessServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.serverErrorLog("readiness")}
-	go g.callerServer.Serve(callerListener)
+	g.callerServer.serve(callerListener)
 	go g.readinessServer.Serve(readinessListener)
 	g.listenMetrics()
 	return nil
@@ -85,14 +85,6 @@
 	maxHeaderBytes = 128 << 10
 )
 
-// newCallerServer returns the server of calls with the name.
-func (g *Gateway) newCallerServer(name string, handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true, ConnContext: withConnection, ErrorLog: g.serverErrorLog(name),
-	}
-}
-
 func (g *Gateway) serveReadiness(writer http.ResponseWriter, _ *http.Request) {
 	if !g.isReady() {
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	timer := time.AfterFunc(time.Until(closeAt.Add(-endCallsMargin)), g.endCalls)
 	defer timer.Stop()
-	err := errors.Join(g.callerServer.Shutdown(ctx), g.egress.shutdown(ctx))
+	err := errors.Join(g.callerServer.drain(ctx, g.callsCtx), g.egress.drain(ctx))
 	g.shutDown()
 	g.awaitCalls(logMargin)
 	fields := events.Fields{"after_ms": time.Since(startedAt).Milliseconds(), "cut": g.cutCalls.Load() > 0, "open": g.openCalls.Load()}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -11,6 +15,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/platform"
 )
 
 // stopInBackground stops the router and returns a channel that is closed afterwards.
@@ -81,29 +86,70 @@
 	f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
 }
 
-// Guards against requests on kept connections that a stopping router reads and does not answer: it may close a connection
-// only before it has read the request.
-func TestRequestsOnKeptConnectionsAreAnsweredDuringStop(t *testing.T) {
+// Guards against requests that a stopping router reads and drops: net/http does that with all that it reads once it
+// shuts down.
+func TestRequestsOnOpenConnectionsAreAnsweredDuringStop(t *testing.T) {
 	t.Parallel()
-	const connections = 60
+	const connections = 80
+	// answeredUntil is shortly before the router ends its calls, 600 ms after the beginning of its stop.
+	const answeredUntil = 560 * time.Millisecond
 	f, r, _ := newPlainFleet(t)
-	r.call("/safe/x", nil)
+	opened := make([]net.Conn, connections)
+	for i := range opened {
+		opened[i] = r.dial()
+	}
 	stopped := r.stopInBackground()
 	startedAt := time.Now()
+	errs := make([]error, connections)
 	var group sync.WaitGroup
-	for i := range connections {
-		connection := r.dial()
+	for i, connection := range opened {
 		group.Go(func() {
-			reader := bufio.NewReader(connection)
-			time.Sleep(time.Until(startedAt.Add(time.Duration(i) * time.Second / connections)))
+			time.Sleep(time.Until(startedAt.Add(time.Duration(i) * 900 * time.Millisecond / connections)))
 			r.writeCall(connection, "/safe/x", 2500, wholeBody)
-			if response, err := http.ReadResponse(reader, nil); err == nil {
+			sentAfter := time.Since(startedAt)
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			switch {
+			case err == nil:
 				response.Body.Close()
-				f.g.Expect(response.StatusCode).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable, http.StatusBadGateway))
+				if response.StatusCode != http.StatusOK && response.StatusCode != http.StatusServiceUnavailable {
+					errs[i] = fmt.Errorf("status %d after %v", response.StatusCode, sentAfter)
+				}
+			case sentAfter < answeredUntil:
+				errs[i] = fmt.Errorf("no response after %v: %w", sentAfter, err)
 			}
 		})
 	}
 	group.Wait()
+	f.g.Expect(errors.Join(errs...)).NotTo(HaveOccurred())
 	f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
 	f.g.Expect(r.loggedEvents(events.RequestUnanswered)).To(BeEmpty())
 }
+
+// Guards against a kept connection that a stopping router closes while it is reading a request.
+func TestRequestThatIsBeingReadWhenConnectionsCloseIsAnswered(t *testing.T) {
+	t.Parallel()
+	f, r, runners := newPlainFleet(t)
+	connection := r.dial()
+	reader := bufio.NewReader(connection)
+	r.writeCall(connection, "/unsafe/x", 2500, wholeBody)
+	response, err := http.ReadResponse(reader, nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, response.Body)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	request := fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 8\r\n%s: %s\r\nAuthorization: Bearer %s\r\n\r\nthe body",
+		platform.HeaderRequestID, newRequestID(), validKey)
+	_, err = connection.Write([]byte(request[:40]))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	stopped := r.stopInBackground()
+	// Half of the grace time passes before the router closes idle connections.
+	time.Sleep(600 * time.Millisecond)
+	_, err = connection.Write([]byte(request[40:]))
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response, err = http.ReadResponse(reader, nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response.Body.Close()
+	f.g.Expect(response.StatusCode).To(Or(Equal(http.StatusOK), Equal(http.StatusServiceUnavailable)))
+	f.g.Expect(response.Close).To(BeTrue())
+	f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
+	f.g.Expect(totalRuns(runners)).To(BeNumerically(">=", 1))
+}
