--- a/internal/gateway/callserver.go
+++ b/internal/gateway/callserver.go
@@ -13,7 +13,7 @@
 	// maxDrainIdle is how long a connection may be open during a drain before its first request.
 	maxDrainIdle = time.Second
 	// drainInterval is how often a drain looks for idle connections.
-	drainInterval = 5 * time.Millisecond
+	drainInterval = 20 * time.Millisecond
 )
 
 // callServer serves calls over HTTP. In contrast to http.Server.Shutdown, which drops the requests that are read after
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -87,8 +87,10 @@
 	c.triedEgress = append(c.triedEgress, router.Address)
 	c.attemptState.BeginDispatch(router.Address)
 	c.sentAt, c.egressRouter = g.now(), router.Address
+	// A panic in between says nothing about the egress router.
+	result := resultFailed
+	defer func() { g.egress.end(router, result == resultDeclined || result == resultUnreachable) }()
 	result, action, refused := c.sendForward(router)
-	g.egress.end(router, result == resultDeclined || result == resultUnreachable)
 	g.metrics.forwardedCalls.WithLabelValues(c.service, result).Inc()
 	c.bufferLog(events.CallForwarded, events.Fields{"egress": router.Address, "zone": router.Zone, "service": c.service, "result": result, "after_ms": g.since(c.sentAt).Milliseconds()})
 	return action, refused
