--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -14,6 +14,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -153,3 +155,29 @@
 	f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
 	f.g.Expect(totalRuns(runners)).To(BeNumerically(">=", 1))
 }
+
+// Guards against an egress router that reads a forwarded call while it stops and drops it: the ingress router could not
+// tell whether it has run.
+func TestForwardedCallIsAnsweredDuringStop(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.runner("p1", "plain")
+	address := loopback.FreeAddress()
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = address, []string{address} })
+	connection, err := net.Dial("tcp", address)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	defer connection.Close()
+	_, err = io.WriteString(connection, "POST /forwarded-call HTTP/1.1\r\n")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	stopped := r.stopInBackground()
+	// Half of the grace time passes before the router closes its listeners.
+	time.Sleep(550 * time.Millisecond)
+	_, err = io.WriteString(connection, "Host: router\r\nContent-Length: 0\r\n\r\n")
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response.Body.Close()
+	f.g.Expect(response.Header.Get("Clovertiller-Forward")).To(Equal("declined"))
+	f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
+}
