--- a/internal/gateway/callserver.go
+++ b/internal/gateway/callserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -125,9 +126,7 @@
 // drain accepts no more connections and waits until all requests are served and all connections closed, or until the
 // context ends. Once ending is done, new connections are not waited for.
 func (s *callServer) drain(ctx, ending context.Context) error {
-	if err := s.listener.Close(); err != nil {
-		return err
-	}
+	closeErr := s.listener.Close()
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
@@ -136,12 +135,12 @@
 			minAge = 0
 		}
 		if s.expireIdle(minAge) == 0 {
-			return nil
+			return closeErr
 		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return ctx.Err()
+			return errors.Join(closeErr, ctx.Err())
 		}
 	}
 }
