gateway: data from a runner counts as an answer to its probes

What callers saw: a stream whose runner sent an event each 1.1 s was ended, and run a second time elsewhere, while the runner answered no other requests in time.

Cause: the probes of a silent stream's runner are new connections. Where those fail and open ones deliver, five probes fail in a row whatever the streams bring: a check that was in progress when data arrived was joined by the stream's next silence, and the failures of a check counted for the next one.

Now data that arrives on any stream of the runner while a probe waits counts as its answer, and failures before it no longer count. A refused connection remains a refusal, since data of a process that has ended may still be on its way. A failed read is no data.

--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -71,7 +71,7 @@
 	return c.finishStream(response)
 }
 
-// watchedBody is a body that calls onRead after each read.
+// watchedBody is a body that calls onRead when data has arrived.
 type watchedBody struct {
 	io.Reader
 	onRead func()
@@ -79,7 +79,9 @@
 
 func (b watchedBody) Read(buffer []byte) (int, error) {
 	n, err := b.Reader.Read(buffer)
-	b.onRead()
+	if n > 0 {
+		b.onRead()
+	}
 	return n, err
 }
 
--- a/internal/gateway/silentrunners.go
+++ b/internal/gateway/silentrunners.go
@@ -20,6 +20,8 @@
 	mutex   sync.Mutex
 	// checks holds the checks in progress, and those that found a runner ended for silentCheckLifetime.
 	checks map[quarantine.Runner]*silentRunnerCheck
+	// heardAt is when the checked runners last sent data on any stream.
+	heardAt map[quarantine.Runner]time.Time
 }
 
 // silentRunnerCheck is one check of a runner.
@@ -33,7 +35,24 @@
 }
 
 func newSilentRunners(g *Gateway) *silentRunners {
-	return &silentRunners{gateway: g, checks: map[quarantine.Runner]*silentRunnerCheck{}}
+	return &silentRunners{gateway: g, checks: map[quarantine.Runner]*silentRunnerCheck{}, heardAt: map[quarantine.Runner]time.Time{}}
+}
+
+// heard records that the runner has sent data. It matters only for a runner that has been checked.
+func (s *silentRunners) heard(runner backend.Runner) {
+	incarnation := incarnationOf(runner)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.checks[incarnation] != nil {
+		s.heardAt[incarnation] = s.gateway.now()
+	}
+}
+
+// heardSince reports whether the runner has sent data since the given time.
+func (s *silentRunners) heardSince(runner backend.Runner, since time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.heardAt[incarnationOf(runner)].Before(since)
 }
 
 // check starts to check the runner, unless that is in progress.
@@ -46,7 +65,7 @@
 		return previous
 	}
 	next := &silentRunnerCheck{runner: runner, done: make(chan struct{})}
-	if previous != nil && now.Sub(previous.endedAt) < silentCheckLifetime {
+	if previous != nil && now.Sub(previous.endedAt) < silentCheckLifetime && s.heardAt[incarnation].Before(previous.endedAt) {
 		next.judge = previous.judge
 	}
 	s.checks[incarnation] = next
@@ -87,17 +106,28 @@
 	defer s.mutex.Unlock()
 	check.verdict, check.endedAt = verdict, s.gateway.now()
 	if verdict != liveness.Ended {
-		delete(s.checks, incarnationOf(check.runner))
+		s.forget(incarnationOf(check.runner))
 	}
 	close(check.done)
 }
 
-// probe probes the runner once.
+// forget removes what is known about the runner. The mutex must be held.
+func (s *silentRunners) forget(incarnation quarantine.Runner) {
+	delete(s.checks, incarnation)
+	delete(s.heardAt, incarnation)
+}
+
+// probe probes the runner once. Data that the runner sends meanwhile counts as an answer: it may be slow to accept or to answer
+// other requests.
 func (s *silentRunners) probe(runner backend.Runner) liveness.Result {
 	sentAt := s.gateway.now()
 	ctx, cancel := context.WithTimeout(s.gateway.ctx, liveness.ProbeTimeout)
 	defer cancel()
-	return s.classify(s.gateway.ports.Runners.Liveness(ctx, runner), runner, sentAt)
+	result := s.classify(s.gateway.ports.Runners.Liveness(ctx, runner), runner, sentAt)
+	if result == liveness.Unanswered && s.heardSince(runner, sentAt) {
+		return liveness.Answered
+	}
+	return result
 }
 
 // classify returns the result of a probe that was sent at the given time. A runner that is leaving may refuse connections
@@ -133,12 +163,12 @@
 // hasEnded reports whether the check, which must be over, found that the runner has ended.
 func (c *silentRunnerCheck) hasEnded() bool { return c.verdict == liveness.Ended }
 
-// ended returns the IDs of the runners that were found ended.
+// ended returns the IDs of the runners that were found ended and have sent nothing since.
 func (s *silentRunners) ended(now time.Time) (ids []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for incarnation, check := range s.checks {
-		if !check.endedAt.IsZero() && now.Sub(check.endedAt) < silentCheckLifetime {
+		if !check.endedAt.IsZero() && now.Sub(check.endedAt) < silentCheckLifetime && s.heardAt[incarnation].Before(check.endedAt) {
 			ids = append(ids, incarnation.ID)
 		}
 	}
@@ -151,7 +181,7 @@
 	defer s.mutex.Unlock()
 	for incarnation, check := range s.checks {
 		if !check.endedAt.IsZero() && now.Sub(check.endedAt) >= silentCheckLifetime {
-			delete(s.checks, incarnation)
+			s.forget(incarnation)
 		}
 	}
 }
--- a/internal/gateway/streamwatchdog.go
+++ b/internal/gateway/streamwatchdog.go
@@ -61,6 +61,7 @@
 
 // recordRead restarts the silence timeout after data has arrived.
 func (w *streamWatchdog) recordRead() {
+	w.gateway.silentRunners.heard(w.runner)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.lastReadAt = time.Now()
