gateway: the streams of a runner share the probe that it answered

Cost: with 8 streams of an engine that have an event each 1.5 s at different times, the router asked the engine for 48 reports in 7.3 s, nearly all over new connections, since streams shared only probes without an answer yet.

A stream that has broken off still asks anew whether its runner has ended.

--- a/internal/gateway/silentprobes_test.go
+++ b/internal/gateway/silentprobes_test.go
@@ -46,3 +46,26 @@
 	expectWhole(f.g, responses)
 	f.g.Expect(len(first.Runs())+len(second.Runs())).To(Equal(4), "each stream goes on at its runner")
 }
+
+// Guards against a probe, each of which is a new connection, for each of the streams of a runner that pause between their events.
+func TestStreamsOfRunnerShareProbes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, routesWithLongTimeout(), validKey)
+	const streams, events, interval = 8, 4, 1500 * time.Millisecond
+	engine := f.slowEngine("e0", events, interval)
+	engine.SetBehaviour(runnerstand.Queues)
+	r := f.servingRouter("r1", nil)
+	var responses []<-chan callResponse
+	for i := range streams {
+		// The events of the streams come at different times.
+		engine.SetQueueTime(time.Duration(i) * interval / streams)
+		responses = append(responses, r.callWithLongTimeout("/stream/x", withPrompt(fmt.Sprintf("shared%d:100,own%d:50", i, i))))
+		f.g.Eventually(engine.ArrivalCount, time.Second, time.Millisecond).Should(Equal(i + 1))
+	}
+	before, startedAt := engine.ReportCount(), time.Now()
+	expectWhole(f.g, responses)
+	probes, seconds := engine.ReportCount()-before, time.Since(startedAt).Seconds()
+	t.Logf("%d reports in %.1f s", probes, seconds)
+	f.g.Expect(float64(probes)/seconds).To(BeNumerically("<", 4), "%d probes in %.1f s", probes, seconds)
+}
--- a/internal/gateway/silentrunners.go
+++ b/internal/gateway/silentrunners.go
@@ -11,14 +11,18 @@
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
-// silentCheckLifetime is how long the failed probes of a runner count for its next check.
-const silentCheckLifetime = 3 * time.Second
+const (
+	// silentCheckLifetime is how long the failed probes of a runner count for its next check.
+	silentCheckLifetime = 3 * time.Second
+	// runningLifetime is how long a runner that answered a probe is not probed again for another silent stream.
+	runningLifetime = liveness.ProbeTimeout
+)
 
 // silentRunners checks whether the runners of silent streams have ended. The streams of a runner share its probes.
 type silentRunners struct {
 	gateway *Gateway
 	mutex   sync.Mutex
-	// checks holds the checks in progress, and those that found a runner ended for silentCheckLifetime.
+	// checks holds the checks in progress and the last ones, for silentCheckLifetime.
 	checks map[quarantine.Runner]*silentRunnerCheck
 	// heardAt is when the checked runners last sent data on any stream.
 	heardAt map[quarantine.Runner]time.Time
@@ -28,6 +32,8 @@
 type silentRunnerCheck struct {
 	runner backend.Runner
 	judge  liveness.Judge
+	// startedAt is when the check began.
+	startedAt time.Time
 	// done is closed when the check is over, after which verdict and endedAt are set.
 	done    chan struct{}
 	verdict liveness.Verdict
@@ -55,16 +61,16 @@
 	return !s.heardAt[incarnationOf(runner)].Before(since)
 }
 
-// check starts to check the runner, unless that is in progress.
-func (s *silentRunners) check(runner backend.Runner) *silentRunnerCheck {
+// check returns a check of the runner that is in progress or found it running after the given time. If there is none, it starts one.
+func (s *silentRunners) check(runner backend.Runner, since time.Time) *silentRunnerCheck {
 	now, incarnation := s.gateway.now(), incarnationOf(runner)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	previous := s.checks[incarnation]
-	if previous != nil && previous.endedAt.IsZero() {
+	if previous != nil && (previous.endedAt.IsZero() || previous.verdict == liveness.Running && previous.startedAt.After(since)) {
 		return previous
 	}
-	next := &silentRunnerCheck{runner: runner, done: make(chan struct{})}
+	next := &silentRunnerCheck{runner: runner, startedAt: now, done: make(chan struct{})}
 	if previous != nil && now.Sub(previous.endedAt) < silentCheckLifetime && s.heardAt[incarnation].Before(previous.endedAt) {
 		next.judge = previous.judge
 	}
@@ -75,7 +81,6 @@
 
 // run probes the runner at intervals of liveness.ProbeTimeout until the verdict is known.
 func (s *silentRunners) run(check *silentRunnerCheck) {
-	startedAt := s.gateway.now()
 	ticker := time.NewTicker(liveness.ProbeTimeout)
 	defer ticker.Stop()
 	result := s.probe(check.runner)
@@ -93,7 +98,7 @@
 	if len(results) > 1 || verdict == liveness.Ended {
 		s.gateway.log.Log(events.SilentRunnerProbed, events.Fields{
 			"runner": check.runner.ID, "address": check.runner.Address, "service": check.runner.Service, "verdict": verdict.String(), "probes": results,
-			"after_ms": s.gateway.since(startedAt).Milliseconds(),
+			"after_ms": s.gateway.since(check.startedAt).Milliseconds(),
 		})
 	}
 	s.gateway.metrics.silentRunnerChecks.WithLabelValues(check.runner.Service, verdict.String()).Inc()
@@ -105,7 +110,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	check.verdict, check.endedAt = verdict, s.gateway.now()
-	if verdict != liveness.Ended {
+	if verdict == liveness.Undecided {
 		s.forget(incarnationOf(check.runner))
 	}
 	close(check.done)
@@ -151,7 +156,7 @@
 	if s.probe(runner) == liveness.Refused {
 		return true
 	}
-	check := s.check(runner)
+	check := s.check(runner, s.gateway.now())
 	select {
 	case <-check.done:
 		return check.hasEnded()
@@ -168,7 +173,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for incarnation, check := range s.checks {
-		if !check.endedAt.IsZero() && now.Sub(check.endedAt) < silentCheckLifetime && s.heardAt[incarnation].Before(check.endedAt) {
+		if check.verdict == liveness.Ended && now.Sub(check.endedAt) < silentCheckLifetime && s.heardAt[incarnation].Before(check.endedAt) {
 			ids = append(ids, incarnation.ID)
 		}
 	}
--- a/internal/gateway/streamwatchdog.go
+++ b/internal/gateway/streamwatchdog.go
@@ -93,7 +93,7 @@
 // check ends the stream if its runner has ended and it can continue elsewhere, and otherwise restarts the timeout.
 func (w *streamWatchdog) check() {
 	startedAt := time.Now()
-	check := w.gateway.silentRunners.check(w.runner)
+	check := w.gateway.silentRunners.check(w.runner, w.gateway.now().Add(-runningLifetime))
 	select {
 	case <-check.done:
 	case <-w.stopped:
