--- a/internal/gateway/silentrunners.go
+++ b/internal/gateway/silentrunners.go
@@ -11,21 +11,29 @@
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
-// silentCheckLifetime is how long the failed probes of a runner count for its next check.
-const silentCheckLifetime = 3 * time.Second
+const (
+	// silentCheckLifetime is how long the failed probes of a runner count for its next check.
+	silentCheckLifetime = 3 * time.Second
+	// runningLifetime is how long a runner that answered a probe is not probed again for another silent stream.
+	runningLifetime = liveness.ProbeTimeout
+)
 
 // silentRunners checks whether the runners of silent streams have ended. The streams of a runner share its probes.
 type silentRunners struct {
 	gateway *Gateway
 	mutex   sync.Mutex
-	// checks holds the checks in progress, and those that found a runner ended for silentCheckLifetime.
+	// checks holds the checks in progress and the last ones, for silentCheckLifetime.
 	checks map[quarantine.Runner]*silentRunnerCheck
+	// heardAt is when the checked runners last sent data on any stream.
+	heardAt map[quarantine.Runner]time.Time
 }
 
 // silentRunnerCheck is one check of a runner.
 type silentRunnerCheck struct {
 	runner backend.Runner
 	judge  liveness.Judge
+	// startedAt is when the check began.
+	startedAt time.Time
 	// done is closed when the check is over, after which verdict and endedAt are set.
 	done    chan struct{}
 	verdict liveness.Verdict
@@ -33,20 +41,37 @@
 }
 
 func newSilentRunners(g *Gateway) *silentRunners {
-	return &silentRunners{gateway: g, checks: map[quarantine.Runner]*silentRunnerCheck{}}
+	return &silentRunners{gateway: g, checks: map[quarantine.Runner]*silentRunnerCheck{}, heardAt: map[quarantine.Runner]time.Time{}}
 }
 
-// check starts to check the runner, unless that is in progress.
-func (s *silentRunners) check(runner backend.Runner) *silentRunnerCheck {
+// heard records that the runner has sent data. It matters only for a runner that has been checked.
+func (s *silentRunners) heard(runner backend.Runner) {
+	incarnation := incarnationOf(runner)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.checks[incarnation] != nil {
+		s.heardAt[incarnation] = s.gateway.now()
+	}
+}
+
+// heardSince reports whether the runner has sent data since the given time.
+func (s *silentRunners) heardSince(runner backend.Runner, since time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.heardAt[incarnationOf(runner)].Before(since)
+}
+
+// check returns a check of the runner that is in progress or found it running after the given time. If there is none, it starts one.
+func (s *silentRunners) check(runner backend.Runner, since time.Time) *silentRunnerCheck {
 	now, incarnation := s.gateway.now(), incarnationOf(runner)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	previous := s.checks[incarnation]
-	if previous != nil && previous.endedAt.IsZero() {
+	if previous != nil && (previous.endedAt.IsZero() || previous.verdict == liveness.Running && previous.startedAt.After(since)) {
 		return previous
 	}
-	next := &silentRunnerCheck{runner: runner, done: make(chan struct{})}
-	if previous != nil && now.Sub(previous.endedAt) < silentCheckLifetime {
+	next := &silentRunnerCheck{runner: runner, startedAt: now, done: make(chan struct{})}
+	if previous != nil && now.Sub(previous.endedAt) < silentCheckLifetime && s.heardAt[incarnation].Before(previous.endedAt) {
 		next.judge = previous.judge
 	}
 	s.checks[incarnation] = next
@@ -56,7 +81,6 @@
 
 // run probes the runner at intervals of liveness.ProbeTimeout until the verdict is known.
 func (s *silentRunners) run(check *silentRunnerCheck) {
-	startedAt := s.gateway.now()
 	ticker := time.NewTicker(liveness.ProbeTimeout)
 	defer ticker.Stop()
 	result := s.probe(check.runner)
@@ -74,7 +98,7 @@
 	if len(results) > 1 || verdict == liveness.Ended {
 		s.gateway.log.Log(events.SilentRunnerProbed, events.Fields{
 			"runner": check.runner.ID, "address": check.runner.Address, "service": check.runner.Service, "verdict": verdict.String(), "probes": results,
-			"after_ms": s.gateway.since(startedAt).Milliseconds(),
+			"after_ms": s.gateway.since(check.startedAt).Milliseconds(),
 		})
 	}
 	s.gateway.metrics.silentRunnerChecks.WithLabelValues(check.runner.Service, verdict.String()).Inc()
@@ -86,18 +110,29 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	check.verdict, check.endedAt = verdict, s.gateway.now()
-	if verdict != liveness.Ended {
-		delete(s.checks, incarnationOf(check.runner))
+	if verdict == liveness.Undecided {
+		s.forget(incarnationOf(check.runner))
 	}
 	close(check.done)
 }
 
-// probe probes the runner once.
+// forget removes what is known about the runner. The mutex must be held.
+func (s *silentRunners) forget(incarnation quarantine.Runner) {
+	delete(s.checks, incarnation)
+	delete(s.heardAt, incarnation)
+}
+
+// probe probes the runner once. Data that the runner sends meanwhile counts as an answer: it may be slow to accept or to answer
+// other requests.
 func (s *silentRunners) probe(runner backend.Runner) liveness.Result {
 	sentAt := s.gateway.now()
 	ctx, cancel := context.WithTimeout(s.gateway.ctx, liveness.ProbeTimeout)
 	defer cancel()
-	return s.classify(s.gateway.ports.Runners.Liveness(ctx, runner), runner, sentAt)
+	result := s.classify(s.gateway.ports.Runners.Liveness(ctx, runner), runner, sentAt)
+	if result == liveness.Unanswered && s.heardSince(runner, sentAt) {
+		return liveness.Answered
+	}
+	return result
 }
 
 // classify returns the result of a probe that was sent at the given time. A runner that is leaving may refuse connections
@@ -121,7 +156,7 @@
 	if s.probe(runner) == liveness.Refused {
 		return true
 	}
-	check := s.check(runner)
+	check := s.check(runner, s.gateway.now())
 	select {
 	case <-check.done:
 		return check.hasEnded()
@@ -133,12 +168,12 @@
 // hasEnded reports whether the check, which must be over, found that the runner has ended.
 func (c *silentRunnerCheck) hasEnded() bool { return c.verdict == liveness.Ended }
 
-// ended returns the IDs of the runners that were found ended.
+// ended returns the IDs of the runners that were found ended and have sent nothing since.
 func (s *silentRunners) ended(now time.Time) (ids []string) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for incarnation, check := range s.checks {
-		if !check.endedAt.IsZero() && now.Sub(check.endedAt) < silentCheckLifetime {
+		if check.verdict == liveness.Ended && now.Sub(check.endedAt) < silentCheckLifetime && s.heardAt[incarnation].Before(check.endedAt) {
 			ids = append(ids, incarnation.ID)
 		}
 	}
@@ -151,7 +186,7 @@
 	defer s.mutex.Unlock()
 	for incarnation, check := range s.checks {
 		if !check.endedAt.IsZero() && now.Sub(check.endedAt) >= silentCheckLifetime {
-			delete(s.checks, incarnation)
+			s.forget(incarnation)
 		}
 	}
 }
