gateway: calls wait for a service whose runners are all silent for a moment

Callers of a service whose runners all fell silent for 1.2 s were refused with 503 ("no runner of the service can be reached"), although the runners were sound and went on.

Cause: 250 ms of silence and one unanswered probe make the links to a service count as cut. Every router finds the same, so each forwarded its calls to egress routers that declined, and refused the service's calls until a probe was answered. Silence of the runners was taken for a fault of this router's links, and an accepted connection without an answer for one that could not be opened.

Now a probe that was accepted but not answered is told from a failed open. A service that is cut by silence alone, with no other router that reaches it, gets its calls directly for up to two seconds. Broken links are found as early as before, and calls still go to other routers first.

--- a/internal/egress/paths.go
+++ b/internal/egress/paths.go
@@ -41,6 +41,9 @@
 	// minConfirmations is the number of runners that must answer a probe before the links count as
 	// restored.
 	minConfirmations = 2
+	// maxSoundSilence is how long the links to a service may count as cut for its silence alone before its
+	// requests are no longer worth a wait. Sound runners may all fall silent for a second or two at once.
+	maxSoundSilence = 2 * time.Second
 	// failureLifetime is how long a failure counts, for services without other requests.
 	failureLifetime = 10 * time.Second
 )
@@ -60,6 +63,8 @@
 	// failed holds the runners whose connections failed since lastHeard, and unopened those to which no
 	// new connection worked since one last did, with the times.
 	failed, unopened map[string]time.Time
+	// brokenAt is when a connection last failed other than by silence, zero if none has since lastHeard.
+	brokenAt time.Time
 	// waits holds the sends without a response.
 	waits map[*Wait]struct{}
 	// confirmed holds the runners that answered a probe since the state is not Direct.
@@ -105,7 +110,7 @@
 // probes restore the links once they were found to be at fault.
 func (p *Paths) Heard(now time.Time, service string, isNewConnection bool) {
 	s := p.service(service)
-	s.lastHeard = now
+	s.lastHeard, s.brokenAt = now, time.Time{}
 	clear(s.failed)
 	if isNewConnection {
 		clear(s.unopened)
@@ -133,6 +138,13 @@
 // OpenFailed records that a new connection to a runner could not be opened or broke before it brought
 // anything.
 func (p *Paths) OpenFailed(now time.Time, service, runner string) {
+	p.Unanswered(now, service, runner)
+	p.service(service).brokenAt = now
+}
+
+// Unanswered records that a runner accepted a new connection but did not answer a probe on it in time. Unlike
+// a failed open, this may be the silence of a sound runner.
+func (p *Paths) Unanswered(now time.Time, service, runner string) {
 	s := p.service(service)
 	s.unopened[runner], s.failed[runner] = now, now
 	clear(s.confirmed)
@@ -140,7 +152,8 @@
 
 // ConnectionLost records that a connection to a runner that has worked before broke.
 func (p *Paths) ConnectionLost(now time.Time, service, runner string) {
-	p.service(service).failed[runner] = now
+	s := p.service(service)
+	s.failed[runner], s.brokenAt = now, now
 }
 
 // Evaluate derives the state of the links to a service with the given number of runners from what was
@@ -251,6 +264,14 @@
 	return true
 }
 
+// IsOnlySilent reports whether the links to a service count as cut only because its runners are silent, and not
+// for longer than sound runners may be. If no other router reaches them either, the runners are more likely
+// silent than the links of all routers cut.
+func (p *Paths) IsOnlySilent(now time.Time, service string) bool {
+	s := p.services[service]
+	return s != nil && s.state == Cut && s.brokenAt.IsZero() && now.Sub(s.since) < maxSoundSilence
+}
+
 // State returns the state of the links to a service.
 func (p *Paths) State(service string) State {
 	if s := p.services[service]; s != nil {
--- a/internal/egress/paths_test.go
+++ b/internal/egress/paths_test.go
@@ -140,6 +140,47 @@
 	g.Expect(p.IsSilent(now, service, runners)).To(BeFalse())
 }
 
+// Guards against requests that are refused although nothing but a moment of silence speaks against the links, and against
+// requests that wait for links which are known to be broken, or for runners that are silent for good.
+func TestSilenceAloneIsNoFaultOfTheLinksForTwoSeconds(t *testing.T) {
+	silent := func() *Paths {
+		p := NewPaths()
+		p.Heard(start, service, false)
+		waitAt(p, start, service, minRunners)
+		for i := range minRunners {
+			p.Unanswered(start.Add(SilenceTimeout), service, fmt.Sprint("r", i))
+			p.ConfirmSilence(start.Add(SilenceTimeout), service, runners)
+		}
+		return p
+	}
+	cutAt := start.Add(SilenceTimeout)
+	for name, scenario := range map[string]struct {
+		observe func(*Paths)
+		at      time.Time
+		want    bool
+	}{
+		"silence":              {func(*Paths) {}, cutAt.Add(maxSoundSilence - 1), true},
+		"silence for good":     {func(*Paths) {}, cutAt.Add(maxSoundSilence), false},
+		"a refused connection": {func(p *Paths) { p.OpenFailed(cutAt, service, "r0") }, cutAt, false},
+		"a broken connection":  {func(p *Paths) { p.ConnectionLost(cutAt, service, "r0") }, cutAt, false},
+		"one broken before a response": {func(p *Paths) {
+			p.ConnectionLost(cutAt, service, "r0")
+			p.Heard(cutAt.Add(1), service, false)
+		}, cutAt.Add(2), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, p := NewWithT(t), silent()
+			g.Expect(p.State(service)).To(Equal(Cut))
+			scenario.observe(p)
+			g.Expect(p.IsOnlySilent(scenario.at, service)).To(Equal(scenario.want))
+		})
+	}
+	g, p := NewWithT(t), NewPaths()
+	g.Expect(p.IsOnlySilent(start, service)).To(BeFalse(), "the links are direct")
+	failDials(p, start, service, minRunners)
+	g.Expect(p.IsOnlySilent(start, service)).To(BeFalse(), "the links are broken")
+}
+
 // Guards against a router with few requests, each of which is lost in a silent link before the next one shows that
 // no runner answers.
 func TestOneWaitingSendNeedsProbe(t *testing.T) {
--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -70,9 +70,23 @@
 	}
 }
 
-// bypasses reports whether a call to the service is forwarded without an attempt of this router.
-func (e *egressRouters) bypasses(service string) bool {
-	return e.gateway.paths.state(service) == egress.Cut && e.hasRouters()
+// bypasses reports whether the call is forwarded without an attempt of this router.
+func (e *egressRouters) bypasses(c *call) bool {
+	return !c.isForwarded() && e.gateway.paths.state(c.service) == egress.Cut && e.hasRouters() && !e.waitsForRunners(c)
+}
+
+// waitsForRunners reports whether a call to a cut service is sent to a runner all the same: its runners are only
+// silent, and no other router has been found that reaches them.
+func (e *egressRouters) waitsForRunners(c *call) bool {
+	return e.gateway.paths.isOnlySilent(c.service) && (c.foundNoEgress || e.isUnserved(c.service))
+}
+
+// isUnserved reports whether no egress router took a call of the service recently.
+func (e *egressRouters) isUnserved(service string) bool {
+	now := e.gateway.now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return now.Before(e.unservedUntil[service])
 }
 
 // hasRouters reports whether this router knows any egress routers.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -62,7 +62,7 @@
 	}
 	switch c.gateway.paths.state(c.service) {
 	case egress.Cut:
-		return true
+		return !e.waitsForRunners(c)
 	case egress.ReuseOnly:
 		return c.lastNotSent
 	}
@@ -70,7 +70,7 @@
 }
 
 // forward forwards the call to another router and passes on its response. It returns a refusal if no
-// router accepts the call.
+// router accepts the call, unless the runners are only silent: the next attempt then waits for one of them.
 func (c *call) forward() (attempt.Action, *refusal) {
 	g := c.gateway
 	c.placementRequest.discard()
@@ -83,6 +83,10 @@
 		if len(c.triedEgress) > 0 {
 			g.egress.recordUnserved(c.service)
 		}
+		if g.paths.isOnlySilent(c.service) {
+			c.foundNoEgress = true
+			return attempt.Dispatch, nil
+		}
 		return attempt.Stop, unavailable(reasonNoPath, busyRetryAfter)
 	}
 	c.triedEgress = append(c.triedEgress, router.Address)
--- a/internal/gateway/placementask.go
+++ b/internal/gateway/placementask.go
@@ -233,7 +233,7 @@
 // request body arrives.
 func (c *call) startPlacement() {
 	c.query = c.newQuery()
-	if !c.isForwarded() && c.gateway.egress.bypasses(c.service) {
+	if c.gateway.egress.bypasses(c) {
 		// The scheduler would reserve a runner for a send that is never made.
 		return
 	}
--- a/internal/gateway/runnerpaths.go
+++ b/internal/gateway/runnerpaths.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/egress"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/httpconn"
 )
 
 const (
@@ -114,7 +116,11 @@
 	if err == nil {
 		changed = p.paths.Answered(now, service, runner.ID, count)
 	} else {
-		p.paths.OpenFailed(now, service, runner.ID)
+		if ctx.Err() != nil && !errors.Is(err, httpconn.ErrNotSent) {
+			p.paths.Unanswered(now, service, runner.ID)
+		} else {
+			p.paths.OpenFailed(now, service, runner.ID)
+		}
 		confirmed := p.paths.ConfirmSilence(now, service, count)
 		changed = p.paths.Evaluate(now, service, count) || confirmed
 	}
@@ -137,6 +143,14 @@
 	p.paths.EndWait(wait)
 }
 
+// isOnlySilent reports whether only a short silence of the service's runners makes its links count as cut.
+func (p *runnerPaths) isOnlySilent(service string) bool {
+	now := p.gateway.now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.paths.IsOnlySilent(now, service)
+}
+
 // heardSince reports whether anything was heard from the service after the given time.
 func (p *runnerPaths) heardSince(service string, since time.Time) bool {
 	p.mutex.Lock()
@@ -183,11 +197,11 @@
 	}
 	g := p.gateway
 	p.mutex.Lock()
-	state := p.paths.State(service)
+	state, onlySilent := p.paths.State(service), p.paths.IsOnlySilent(g.now(), service)
 	startProbing := state != egress.Direct && !p.probing
 	p.probing = p.probing || startProbing
 	p.mutex.Unlock()
-	g.log.Log(events.PathStateChanged, events.Fields{"service": service, "state": state.String(), "egress_routers": g.egress.pathChanged(service)})
+	g.log.Log(events.PathStateChanged, events.Fields{"service": service, "state": state.String(), "only_silent": onlySilent, "egress_routers": g.egress.pathChanged(service)})
 	if state != egress.Direct {
 		g.mutex.Lock()
 		g.runners.ForgetUnreachable(service)
--- /dev/null
+++ b/internal/gateway/silentservice_test.go
@@ -0,0 +1,112 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// silentService is a service whose runners can be silenced for all routers at once.
+type silentService struct {
+	*fleet
+	proxies []*faultproxy.Proxy
+	routers []*router
+}
+
+// newSilentService starts the runners of the service behind proxies, and the routers, of which the first is the seed.
+func newSilentService(t *testing.T, service string, runners, routers int) *silentService {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	s := &silentService{fleet: f}
+	for i := range runners {
+		id := fmt.Sprint(service, i)
+		settings := runnerstand.Config{ID: id, Service: service}
+		if service == "engines" {
+			settings.Model, settings.Version, settings.EventCount = modelName, 1, 4
+		}
+		runner := f.startRunner(settings)
+		proxy := f.proxyTo(runner.Address)
+		entry := runner.DirectoryEntry("ready")
+		entry["address"] = proxy.Address
+		f.store.Put(platform.KindRunners, id, entry)
+		s.proxies = append(s.proxies, proxy)
+	}
+	seed := loopback.FreeAddress()
+	for i := range routers {
+		s.routers = append(s.routers, f.servingRouter(fmt.Sprint("r", i), func(settings *gateway.Settings) {
+			settings.PeerAddress, settings.Seeds = seed, []string{seed}
+			if i > 0 {
+				settings.PeerAddress = loopback.FreeAddress()
+			}
+		}))
+	}
+	for _, r := range s.routers {
+		f.g.Eventually(func() int { return len(r.Status().EgressRouters) }, 3*time.Second, 10*time.Millisecond).Should(Equal(routers - 1))
+		f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(runners))
+	}
+	return s
+}
+
+// setMode sets the mode of all proxies.
+func (s *silentService) setMode(mode faultproxy.Mode) {
+	for _, proxy := range s.proxies {
+		proxy.SetMode(mode)
+	}
+}
+
+// callThroughSilence calls each path at each router at the interval, from half a second before the silence until two
+// seconds after it, and expects that each response matches.
+func (s *silentService) callThroughSilence(silence, interval time.Duration, expected types.GomegaMatcher, paths ...string) {
+	const before, after = 500 * time.Millisecond, 2 * time.Second
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		time.Sleep(before)
+		s.setMode(faultproxy.Stall)
+		time.Sleep(silence)
+		s.setMode(faultproxy.Pass)
+	})
+	var mutex sync.Mutex
+	statuses, wrong := map[int]int{}, 0
+	for end := time.Now().Add(before + silence + after); time.Now().Before(end); time.Sleep(interval) {
+		for _, r := range s.routers {
+			for _, path := range paths {
+				calls.Go(func() {
+					response := r.call(path, nil)
+					mutex.Lock()
+					defer mutex.Unlock()
+					statuses[response.status]++
+					if matches, _ := expected.Match(response.status); !matches || response.truncated {
+						wrong++
+					}
+				})
+			}
+		}
+	}
+	calls.Wait()
+	s.t.Logf("responses by status: %v", statuses)
+	s.g.Expect(wrong).To(BeZero(), "responses by status: %v", statuses)
+}
+
+// Guards against calls that are refused because all runners of a service are silent for a moment, which every router
+// takes for a fault of its own links.
+func TestCallsOutliveSilenceOfWholeService(t *testing.T) {
+	t.Parallel()
+	for _, routers := range []int{1, 3} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
+			t.Parallel()
+			s := newSilentService(t, "plain", 4, routers)
+			s.callThroughSilence(1200*time.Millisecond, 120*time.Millisecond, Equal(http.StatusOK), "/safe/x", "/unsafe/x")
+		})
+	}
+}
