--- a/internal/gateway/egress.go
+++ b/internal/gateway/egress.go
@@ -70,11 +70,31 @@
 	}
 }
 
-// bypasses reports whether a call to the service is forwarded without an attempt of this router.
-func (e *egressRouters) bypasses(service string) bool {
+// bypasses reports whether the call is forwarded without an attempt of this router.
+func (e *egressRouters) bypasses(c *call) bool {
+	return !c.isForwarded() && e.bypassesService(c.service) && !e.waitsForRunners(c)
+}
+
+// bypassesService reports whether calls to the service are forwarded without an attempt of this router, unless other routers
+// do not reach its runners either.
+func (e *egressRouters) bypassesService(service string) bool {
 	return e.gateway.paths.state(service) == egress.Cut && e.hasRouters()
 }
 
+// waitsForRunners reports whether a call to a cut service is sent to a runner all the same: its runners are only
+// silent, and no other router has been found that reaches them.
+func (e *egressRouters) waitsForRunners(c *call) bool {
+	return e.gateway.paths.isOnlySilent(c.service) && (c.foundNoEgress || e.isUnserved(c.service))
+}
+
+// isUnserved reports whether no egress router took a call of the service recently.
+func (e *egressRouters) isUnserved(service string) bool {
+	now := e.gateway.now()
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return now.Before(e.unservedUntil[service])
+}
+
 // hasRouters reports whether this router knows any egress routers.
 func (e *egressRouters) hasRouters() bool {
 	e.mutex.Lock()
--- a/internal/gateway/streamwatchdog.go
+++ b/internal/gateway/streamwatchdog.go
@@ -127,7 +127,7 @@
 		return false
 	}
 	query.Excluded = append(g.silentRunners.ended(now), query.Excluded...)
-	isForwarded := w.forwards && g.egress.bypasses(query.Service)
+	isForwarded := w.forwards && g.egress.bypassesService(query.Service)
 	if isForwarded && !g.egress.mayServe(query.Service) {
 		return false
 	}
