gateway: a stream leaves its runner only for one that answers

What callers saw: four of four streams of an engine that is silent for 5 s moved to another engine that was silent as well and ran a second time; and four of four streams of a dark engine had no end at their deadline, although a third engine could finish them, because they moved to another dark one.

Cause: whether the stream can continue elsewhere was asked of the list. A runner that is listed and has failed nothing counted as usable, and an attempt is not watched before its first event. The runners found ended were excluded from that question but not from the placement that followed.

Now up to three usable runners, or the one with the copy, are probed, with the shared checks of silent runners, and the stream is ended only once one of them answers. The placement avoids those that have not.

Evidence: TestStreamsDoNotMoveToSilentRunner and TestStreamsLeaveForRunnerThatIsNotSilent failed before (3 of 3) and pass, also with the race detector, as do the other tests of silent runners and of copies. TestStreamsWaitWhileOtherRunnersAreFull still fails.

--- a/internal/backend/candidates.go
+++ b/internal/backend/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -286,11 +287,19 @@
 	return usable
 }
 
-// HasUsable reports whether any runner may get the request without a permit.
-func (s *Set) HasUsable(now time.Time, query Query) bool {
-	return slices.ContainsFunc(s.byService[query.Service], func(e *entry) bool {
-		return s.Usable(now, e.ID, query, backpressure.Permit{})
-	})
+// AnyUsable returns runners that may get the request without a permit, from a random one on and at most limit.
+func (s *Set) AnyUsable(now time.Time, query Query, limit int, random *rand.Rand) (usable []Runner) {
+	entries := s.byService[query.Service]
+	if len(entries) == 0 {
+		return nil
+	}
+	first := random.IntN(len(entries))
+	for i := 0; i < len(entries) && len(usable) < limit; i++ {
+		if e := entries[(first+i)%len(entries)]; s.Usable(now, e.ID, query, backpressure.Permit{}) {
+			usable = append(usable, e.Runner)
+		}
+	}
+	return usable
 }
 
 // MayBegin reports whether a request that waits at the runner may still begin there. It
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -133,6 +133,8 @@
 	backup     backend.Runner
 	continueAt *backend.Runner
 	continuing bool
+	// silentRunners are the runners that did not answer when the call left its last one.
+	silentRunners []string
 	// logEntries are the log lines of this call that have not been written yet.
 	logEntries []logEntry
 	// firstResponseAt is when the first response from a runner began. If there is none, it is set
--- a/internal/gateway/callquery.go
+++ b/internal/gateway/callquery.go
@@ -4,6 +4,7 @@
 	"github.com/clovertiller/clovertiller/internal/admission"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/rendezvous"
+	"slices"
 )
 
 // rank returns the call's priority among the calls that compete for the same runners.
@@ -14,7 +15,7 @@
 // newQuery returns the query by which a runner is chosen for the next attempt.
 func (c *call) newQuery() backend.Query {
 	query := backend.Query{
-		Service: c.service, Excluded: c.attemptState.Excluded(), Zone: c.gateway.settings.Zone, MaxQueueTime: c.maxQueueTime,
+		Service: c.service, Excluded: append(slices.Clone(c.attemptState.Excluded()), c.silentRunners...), Zone: c.gateway.settings.Zone, MaxQueueTime: c.maxQueueTime,
 		LatencyTarget: c.route.LatencyTarget, MaxEventGap: c.route.MaxEventGap, Rank: c.rank(), Tenant: c.tenantName(), MaxTokens: c.metadata.MaxTokens,
 		SuspectContent: c.suspectHash(), Backoffs: c.gateway.runnerBackoffs(), Route: c.gateway.rolloutDriver.RouteName(c.service, c.route.Name),
 		BoundVersion: c.boundVersion,
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -63,10 +63,11 @@
 		return c.handleCanceled(false)
 	}
 	c.recordResponseEnd(end)
-	aborted, tookRetry := watchdog.stop()
-	c.hasUnusedRetry = c.hasUnusedRetry || tookRetry
+	watchdogEnd := watchdog.stop()
+	c.hasUnusedRetry = c.hasUnusedRetry || watchdogEnd.tookRetry
+	c.silentRunners = watchdogEnd.silent
 	if !end.IsComplete() {
-		return c.handleBrokenStream(response, end, aborted)
+		return c.handleBrokenStream(response, end, watchdogEnd.aborted)
 	}
 	return c.finishStream(response)
 }
--- a/internal/gateway/silentrunners.go
+++ b/internal/gateway/silentrunners.go
@@ -168,6 +168,9 @@
 // hasEnded reports whether the check, which must be over, found that the runner has ended.
 func (c *silentRunnerCheck) hasEnded() bool { return c.verdict == liveness.Ended }
 
+// isRunning reports whether the check, which must be over, found that the runner answers.
+func (c *silentRunnerCheck) isRunning() bool { return c.verdict == liveness.Running }
+
 // ended returns the IDs of the runners that were found ended and have sent nothing since.
 func (s *silentRunners) ended(now time.Time) (ids []string) {
 	s.mutex.Lock()
--- a/internal/gateway/streamwatchdog.go
+++ b/internal/gateway/streamwatchdog.go
@@ -39,10 +39,21 @@
 	// bound is set once events were forwarded, after which the stream stays at its software version. hasEventID is set if
 	// one of them had an ID.
 	bound, hasEventID bool
-	// aborted is set if the watchdog has ended the stream, and tookRetry if it withdrew a retry from the budget for that.
+	// end is how the watchdog has ended the stream.
+	end watchdogEnd
+}
+
+// watchdogEnd is how a watchdog has ended a stream.
+type watchdogEnd struct {
+	// aborted is set if it has, and tookRetry if it withdrew a retry from the budget for that.
 	aborted, tookRetry bool
+	// silent are the runners that the stream should not continue at, because they do not answer.
+	silent []string
 }
 
+// maxAlternatives is the number of other runners that are probed at a time before a stream leaves its runner for one of them.
+const maxAlternatives = 3
+
 // startWatchdog starts the watchdog of the stream that is read from body.
 func (c *call) startWatchdog(body *httpconn.Body) *streamWatchdog {
 	w := &streamWatchdog{
@@ -78,8 +89,8 @@
 }
 
 // stop stops the watchdog. The result of a check in progress is ignored, because the connection may already be used by
-// another request when the check ends. It reports whether the watchdog has ended the stream, and whether it took a retry.
-func (w *streamWatchdog) stop() (aborted, tookRetry bool) {
+// another request when the check ends. It returns how the watchdog has ended the stream.
+func (w *streamWatchdog) stop() watchdogEnd {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.timer != nil {
@@ -87,7 +98,7 @@
 		w.timer = nil
 		close(w.stopped)
 	}
-	return w.aborted, w.tookRetry
+	return w.end
 }
 
 // check ends the stream if its runner has ended and it can continue elsewhere, and otherwise restarts the timeout.
@@ -99,43 +110,107 @@
 	case <-w.stopped:
 		return
 	}
+	var next alternative
+	if check.hasEnded() {
+		next = w.findAlternative()
+	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	switch {
 	case w.timer == nil || w.lastReadAt.After(startedAt):
 		// The stream has ended, or data has arrived and restarted the timeout.
-	case check.hasEnded() && w.prepareContinuation():
-		w.aborted = true
+	case next.found && (next.isBackup || w.takeRetry()):
+		w.end.aborted, w.end.silent = true, next.silent
 		w.body.Abort()
 	default:
 		w.timer.Reset(streamSilenceTimeout)
 	}
 }
 
-// prepareContinuation reports whether the stream can continue elsewhere if it is ended now, and withdraws the retry that this
-// takes. The mutex must be held.
-func (w *streamWatchdog) prepareContinuation() bool {
+// alternative tells whether a stream can continue elsewhere.
+type alternative struct {
+	// found is set if it can, at another router or at a runner that answers, and isBackup if that runner has the copy.
+	found, isBackup bool
+	// silent are the runners that do not answer.
+	silent []string
+}
+
+// findAlternative probes the runners at which the stream can continue.
+func (w *streamWatchdog) findAlternative() (next alternative) {
 	g, now := w.gateway, w.gateway.now()
-	query := w.query
-	if w.bound {
-		query.BoundVersion = cmp.Or(query.BoundVersion, w.runner.SoftwareVersion)
-	}
-	if w.backup.ID != "" && w.hasEventID && g.isBackupUsable(now, w.backup, query) {
-		return true
+	query, useBackup := w.continuation(now)
+	if useBackup {
+		next.isBackup = true
+		next.found, _ = w.awaitAny([]backend.Runner{w.backup})
+		return next
 	}
 	if !w.mayRetry {
-		return false
+		return next
 	}
-	query.Excluded = append(g.silentRunners.ended(now), query.Excluded...)
-	isForwarded := w.forwards && g.egress.bypasses(query.Service)
-	if isForwarded && !g.egress.mayServe(query.Service) {
-		return false
+	if w.forwards && g.egress.bypasses(query.Service) {
+		next.found = g.egress.mayServe(query.Service)
+		return next
 	}
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if !isForwarded && !g.runners.HasUsable(now, query) {
-		return false
+	runners := g.runners.AnyUsable(now, query, maxAlternatives, g.random)
+	g.mutex.Unlock()
+	next.found, next.silent = w.awaitAny(runners)
+	next.silent = append(next.silent, g.silentRunners.ended(now)...)
+	return next
+}
+
+// continuation returns the query for a runner at which the stream can continue, and whether it can at the one with the copy.
+func (w *streamWatchdog) continuation(now time.Time) (query backend.Query, useBackup bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	query = w.query
+	if w.bound {
+		query.BoundVersion = cmp.Or(query.BoundVersion, w.runner.SoftwareVersion)
 	}
-	w.tookRetry = g.retryBudget(query.Service).TryWithdraw()
-	return w.tookRetry
+	useBackup = w.backup.ID != "" && w.hasEventID && w.gateway.isBackupUsable(now, w.backup, query)
+	query.Excluded = append(w.gateway.silentRunners.ended(now), query.Excluded...)
+	return query, useBackup
+}
+
+// awaitAny waits until one of the runners answers, and returns those that do not. Without an answer it waits until all checks are over.
+func (w *streamWatchdog) awaitAny(runners []backend.Runner) (answers bool, silent []string) {
+	since := w.gateway.now().Add(-runningLifetime)
+	results := make(chan bool, len(runners))
+	checks := make([]*silentRunnerCheck, len(runners))
+	for i, runner := range runners {
+		check := w.gateway.silentRunners.check(runner, since)
+		checks[i] = check
+		w.gateway.spawn(func() {
+			select {
+			case <-check.done:
+				results <- check.isRunning()
+			case <-w.stopped:
+				results <- false
+			}
+		})
+	}
+	for range runners {
+		if answers = <-results; answers {
+			break
+		}
+	}
+	for _, check := range checks {
+		select {
+		case <-check.done:
+			if check.isRunning() {
+				continue
+			}
+		default:
+		}
+		silent = append(silent, check.runner.ID)
+	}
+	return answers, silent
+}
+
+// takeRetry withdraws a retry from the budget, and reports whether there was one. The mutex must be held.
+func (w *streamWatchdog) takeRetry() bool {
+	w.gateway.mutex.Lock()
+	defer w.gateway.mutex.Unlock()
+	w.end.tookRetry = w.gateway.retryBudget(w.query.Service).TryWithdraw()
+	return w.end.tookRetry
 }
