gateway: a silence that ends for other runners may end for the stream's own

The other engine answered when the silence of both ended, a moment before the data of the stream's own engine arrived.

Now an alternative that took longer than ProbeTimeout to answer counts only once the stream's runner has been probed again.

--- a/internal/gateway/streamwatchdog.go
+++ b/internal/gateway/streamwatchdog.go
@@ -8,6 +8,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/liveness"
 )
 
 // streamSilenceTimeout is how long a stream may be silent before its runner is probed. It is longer than a runner usually
@@ -112,7 +113,10 @@
 	}
 	var next alternative
 	if check.hasEnded() {
+		probedAt := time.Now()
 		next = w.findAlternative()
+		// What ended the silence of the others may have ended that of the stream's runner, too, which is probed again then.
+		next.found = next.found && time.Since(probedAt) < liveness.ProbeTimeout
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
