gateway: the copy of a run is used where an ended runner's machine resets connections

What callers saw: a stream that may run once, and of whose run there is a copy, ended without an end when its connection and all new ones to its runner were reset.

Cause: since any error of a probe counts as an answer, a reset connection showed that the runner had not ended. That holds for a stream which is merely silent, not for one whose connection is lost as well.

Now the check after a stream broke off ends with an answer of the runner itself, or with one refusal or as many failed probes as a silent runner is given.

--- a/internal/gateway/silentalternatives_test.go
+++ b/internal/gateway/silentalternatives_test.go
@@ -59,3 +59,24 @@
 	silence([]proxiedEngine{silent}, 5*time.Second)
 	expectWhole(f.g, responses)
 }
+
+// Guards against the loss of a run of which there is a copy, because the machine of the ended runner resets new connections instead of
+// refusing them.
+func TestStreamContinuesFromCopyWhenConnectionsAreReset(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, routesWithLongTimeout(), validKey)
+	engines := []proxiedEngine{f.proxiedEngine("e0", "a"), f.proxiedEngine("e1", "a")}
+	r := f.servingRouter("r1", enableRunCopies)
+	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(engines)))
+	responded := r.callWithLongTimeout("/once/x", withLongPrompt)
+	f.g.Eventually(func() int { return runsOf(engines) }, 3*time.Second, 5*time.Millisecond).Should(Equal(1))
+	time.Sleep(10 * proxiedEngineInterval)
+	first, second := engines[0], engines[1]
+	if len(second.Runs()) == 1 {
+		first, second = second, first
+	}
+	first.proxy.SetMode(faultproxy.Reset)
+	f.g.Eventually(responded, longTimeout).Should(Receive())
+	f.g.Expect(second.ArrivalCount()).To(Equal(1), "the runner with the copy is asked to continue")
+}
--- a/internal/gateway/silentrunners.go
+++ b/internal/gateway/silentrunners.go
@@ -126,9 +126,7 @@
 // other requests.
 func (s *silentRunners) probe(runner backend.Runner) liveness.Result {
 	sentAt := s.gateway.now()
-	ctx, cancel := context.WithTimeout(s.gateway.ctx, liveness.ProbeTimeout)
-	defer cancel()
-	result := s.classify(s.gateway.ports.Runners.Liveness(ctx, runner), runner, sentAt)
+	result := s.classify(s.ask(s.gateway.ctx, runner), runner, sentAt)
 	if result == liveness.Unanswered && s.heardSince(runner, sentAt) {
 		return liveness.Answered
 	}
@@ -151,20 +149,36 @@
 }
 
 // hasEnded reports whether the runner of a stream that has broken off has ended. It returns false if the context ends before
-// that is known. A refusal suffices then, since the connection is lost as well.
+// that is known. Since the connection is lost as well, one refusal suffices, and only an answer of the runner itself shows that it
+// has not ended: its machine may reset new connections.
 func (s *silentRunners) hasEnded(ctx context.Context, runner backend.Runner) bool {
-	if s.probe(runner) == liveness.Refused {
-		return true
-	}
-	check := s.check(runner, s.gateway.now())
-	select {
-	case <-check.done:
-		return check.hasEnded()
-	case <-ctx.Done():
-		return false
+	ticker := time.NewTicker(liveness.ProbeTimeout)
+	defer ticker.Stop()
+	var judge liveness.Judge
+	for {
+		sentAt := s.gateway.now()
+		result := s.ask(ctx, runner)
+		if result == RunnerRunning || ctx.Err() != nil {
+			return false
+		}
+		if s.classify(result, runner, sentAt) == liveness.Refused || judge.Record(liveness.Unanswered) == liveness.Ended {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		}
 	}
 }
 
+// ask asks the runner once whether it runs.
+func (s *silentRunners) ask(ctx context.Context, runner backend.Runner) RunnerLiveness {
+	ctx, cancel := context.WithTimeout(ctx, liveness.ProbeTimeout)
+	defer cancel()
+	return s.gateway.ports.Runners.Liveness(ctx, runner)
+}
+
 // hasEnded reports whether the check, which must be over, found that the runner has ended.
 func (c *silentRunnerCheck) hasEnded() bool { return c.verdict == liveness.Ended }
 
