--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -135,6 +135,8 @@
 	backup     backend.Runner
 	continueAt *backend.Runner
 	continuing bool
+	// silentRunners are the runners that did not answer when the call left its last one.
+	silentRunners []string
 	// responseBegun is set once the status of the response is written, and writeErr is the error of a write to the
 	// caller.
 	responseBegun bool
