backend: the silence of an engine with free slots is no queue

Streams were refused with 503 ("expected wait is above the tier's limit") while their engines, whose slots were free, were silent for a second, and for 1 to 1.5 s after they had gone on.

Cause: an engine's prefill time is known, so each delay beyond it counted as queueing. While an engine is silent, that estimate rises by a second each second; afterwards the measured waits of the requests that it had left waiting decay with a half-life of 0.7 s. Refusing requests keeps others in time only if they wait for each other, which requests with a slot each at a silent engine do not.

Now the time in which an engine with a free slot neither begins nor ends a response although one is due, for up to two seconds, is slowness as for other services: it counts when an engine is chosen, as before, and not as a queue. Waits measured during a silence that left two requests or more waiting are told from others, and are no samples of the prefill speed. Full engines, and engines that begin or end responses, queue as before.

--- a/internal/backend/runner.go
+++ b/internal/backend/runner.go
@@ -103,11 +103,16 @@
 	// learnedWait is the same with the learned prefill speed. It is used to choose runners.
 	learnedWait   time.Duration
 	learnedWaitAt time.Time
+	// silentWait is the part of learnedWait during which the runner was silent.
+	silentWait time.Duration
 	// awaitingResponse counts this router's requests whose response has not begun.
 	// lastProgress is when a response last began or, if later, when the first of these
 	// requests was sent.
 	awaitingResponse int
 	lastProgress     time.Time
+	// lastEnd is when the runner last ended a response, and silence its last silence that is over.
+	lastEnd time.Time
+	silence interval
 	// streams counts this router's requests that have begun to respond and have a bound on
 	// the pause between events.
 	streams openStreams
--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -135,6 +135,7 @@
 		return
 	}
 	s.changedLoads[send.runner] = true
+	s.recordSilence(now, e)
 	e.addElsewhere(send, -1)
 	e.markResponded(now, send)
 	e.addStream(send)
@@ -144,9 +145,11 @@
 	prefill := s.runnerPrefill(e)
 	elapsed := send.elapsed(now)
 	learnedExcess := max(elapsed-prefill.firstResponseTime(send.tokens), 0)
+	silent := e.silence.overlap(send.sentAt, now)
+	e.silentWait = (e.measuredSilentWait(now) + min(silent, learnedExcess)) / 2
 	e.learnedWait = (decayedTime(e.learnedWait, now.Sub(e.learnedWaitAt)) + learnedExcess) / 2
 	e.learnedWaitAt = now
-	if send.prefillIdle {
+	if send.prefillIdle && silent == 0 {
 		prefill.record(send.tokens, elapsed)
 	}
 }
@@ -224,12 +227,18 @@
 	if e == nil {
 		return
 	}
+	if outcome == Succeeded || outcome == Failed || outcome == Refused {
+		s.recordSilence(now, e)
+		e.lastEnd = now
+	}
 	if !send.responded {
 		if outcome == Abandoned {
 			// The request waited at least this long, and would have waited longer.
+			silent := max(e.measuredSilentWait(now), min(s.silentFor(now, e), send.elapsed(now)))
 			e.assumedWait, e.assumedWaitAt = max(e.currentAssumedWait(now), send.excessWait(now)), now
 			prefill := s.runnerPrefill(e)
 			e.learnedWait, e.learnedWaitAt = max(e.currentLearnedWait(now, prefill), send.elapsed(now)-prefill.firstResponseTime(send.tokens)), now
+			e.silentWait = min(silent, e.learnedWait)
 		}
 		e.markResponded(now, send)
 	}
--- a/internal/backend/slots.go
+++ b/internal/backend/slots.go
@@ -30,12 +30,18 @@
 // expectedWaits returns how long another request is expected to queue at a runner with the
 // given number of open requests, and the extra slowness that counts against the runner
 // without being a queue. With a model, the prefill time is known, so any further delay is
-// queueing. Without one, requests may take any time, so only the wait for a slot is
-// queueing.
+// queueing, unless the runner is or was silent. Without one, requests may take any time, so only
+// the wait for a slot is queueing.
 func (s *Set) expectedWaits(now time.Time, e *entry, model string, openRequests int) (queue, slowness time.Duration) {
 	queue = s.slotWait(e, openRequests)
 	if model == "" {
 		return queue, e.currentAssumedWait(now)
 	}
-	return max(queue, e.currentLearnedWait(now, s.runnerPrefill(e))), 0
+	learned := e.currentLearnedWait(now, s.runnerPrefill(e))
+	if !hasFreeSlot(openRequests, e.Slots) {
+		return max(queue, learned), 0
+	}
+	// A runner with a free slot makes no request wait for a slot.
+	queue = s.queueingTime(now, e, learned)
+	return queue, learned - queue
 }
--- a/internal/gateway/silentservice_test.go
+++ b/internal/gateway/silentservice_test.go
@@ -110,3 +110,20 @@
 		})
 	}
 }
+
+// Guards against streams that are refused because their engines, whose slots are free, are silent for a moment or were:
+// the time of the silence is no queue.
+func TestStreamsAreNotRefusedForSilenceOfTheirEngines(t *testing.T) {
+	t.Parallel()
+	for name, scenario := range map[string]struct{ engines, routers int }{
+		"all engines, one router":             {4, 1},
+		"all engines, three routers":          {4, 3},
+		"the only engine and the only router": {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilentService(t, "engines", scenario.engines, scenario.routers)
+			s.callThroughSilence(1200*time.Millisecond, 400*time.Millisecond, Equal(http.StatusOK), "/once/x", "/stream/x")
+		})
+	}
+}
