gateway: test that calls to a service that stays silent are refused at once

A service that is cut by silence alone gets its calls for two seconds more. A router that knows no other one, as the seed whose list has become empty, still sends such calls and lets them wait until their deadline, as before.

--- a/internal/gateway/silentservice_test.go
+++ b/internal/gateway/silentservice_test.go
@@ -127,3 +127,26 @@
 		})
 	}
 }
+
+// Guards against callers that wait until their time is up for a service that has been silent for longer than sound
+// runners are, although a refusal would tell them at once.
+func TestCallsToServiceThatStaysSilentAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	const soundSilence, detection = 2 * time.Second, time.Second
+	s := newSilentService(t, "plain", 4, 3)
+	s.setMode(faultproxy.Blackhole)
+	for end := time.Now().Add(soundSilence + detection); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, r := range s.routers {
+			go r.call("/unsafe/x", nil)
+		}
+	}
+	// The seed's list of egress routers is empty by now, and a router that knows no other one sends all calls itself.
+	for _, r := range s.routers[1:] {
+		for range 5 {
+			response := r.call("/unsafe/x", nil)
+			s.g.Expect(response.status).To(Equal(http.StatusServiceUnavailable))
+			s.g.Expect(response.header.Get("Retry-After")).NotTo(BeEmpty())
+			s.g.Expect(response.duration).To(BeNumerically("<", 400*time.Millisecond))
+		}
+	}
+}
