--- a/internal/gateway/silentservice_test.go
+++ b/internal/gateway/silentservice_test.go
@@ -110,3 +110,43 @@
 		})
 	}
 }
+
+// Guards against streams that are refused because their engines, whose slots are free, are silent for a moment or were:
+// the time of the silence is no queue.
+func TestStreamsAreNotRefusedForSilenceOfTheirEngines(t *testing.T) {
+	t.Parallel()
+	for name, scenario := range map[string]struct{ engines, routers int }{
+		"all engines, one router":             {4, 1},
+		"all engines, three routers":          {4, 3},
+		"the only engine and the only router": {1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilentService(t, "engines", scenario.engines, scenario.routers)
+			s.callThroughSilence(1200*time.Millisecond, 400*time.Millisecond, Equal(http.StatusOK), "/once/x", "/stream/x")
+		})
+	}
+}
+
+// Guards against callers that wait until their time is up for a service that has been silent for longer than sound
+// runners are, although a refusal would tell them at once.
+func TestCallsToServiceThatStaysSilentAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	const soundSilence, detection = 2 * time.Second, time.Second
+	s := newSilentService(t, "plain", 4, 3)
+	s.setMode(faultproxy.Blackhole)
+	for end := time.Now().Add(soundSilence + detection); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, r := range s.routers {
+			go r.call("/unsafe/x", nil)
+		}
+	}
+	// The seed's list of egress routers is empty by now, and a router that knows no other one sends all calls itself.
+	for _, r := range s.routers[1:] {
+		for range 5 {
+			response := r.call("/unsafe/x", nil)
+			s.g.Expect(response.status).To(Equal(http.StatusServiceUnavailable))
+			s.g.Expect(response.header.Get("Retry-After")).NotTo(BeEmpty())
+			s.g.Expect(response.duration).To(BeNumerically("<", 400*time.Millisecond))
+		}
+	}
+}
