soak: configuration changes in series beside silent runners

No mode of the soak had both, and its callers ignored calls that ended without a response.

Sound runners are silent for 1 to 1.9 s beside it: one, several, a whole service, the only one of a software version. Gateways are suspended for a moment, reloaded and stopped, runners drain and the store fails. Callers use their connections until the gateway closes them and record whether each request was sent whole and how it ended. A request sent whole must be answered, or refused for a reason that a configuration in force gives. Streams of sound runners must run once.

--- a/cmd/clovertiller-lab/soak.go
+++ b/cmd/clovertiller-lab/soak.go
@@ -30,6 +30,7 @@
 	subcommand.Bool(&settings.BrokenAnswers, "", "broken-answers", "Have runners answer without length and chunks and break off answers, and callers speak HTTP/1.0.")
 	subcommand.Bool(&settings.Versions, "", "versions", "Have runners of several software versions in one service, replaced one after the other, and callers that take streams up at other gateways.")
 	subcommand.Bool(&settings.Returns, "", "returns", "Kill all gateways at once, half of them, all but the seeds, or the seeds, also in the middle of their return.")
+	subcommand.Bool(&settings.ConfigChanges, "", "config-changes", "Change routes, services, tenants and limits in quick succession while sound runners are silent, and check that each whole request is answered or refused.")
 	subcommand.String(&logRoot, "", "folder", "Folder for settings and logs.")
 	subcommand.UInt64(&settings.Seed, "", "seed", "Random seed of the faults; 0 chooses one.")
 	subcommand.Duration(&settings.FaultDuration, "", "duration", "Duration of fault injection.")
--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -225,17 +225,17 @@
 	}
 	want := "answer to " + call.id
 	if strings.HasPrefix(call.path, "/stream/") || strings.HasPrefix(call.path, "/once/") {
-		want = expectedStream()
+		want = expectedEvents(streamEvents)
 	}
 	if body != want {
 		s.failf("whole answer: %s (%s) got %q", call.id, call.path, body)
 	}
 }
 
-// expectedStream returns the complete body of a stream.
-func expectedStream() string {
+// expectedEvents returns the complete body of a stream with the number of events.
+func expectedEvents(count int) string {
 	var text strings.Builder
-	for id := 1; id <= streamEvents; id++ {
+	for id := 1; id <= count; id++ {
 		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
 	}
 	return text.String()
--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -18,9 +18,11 @@
 	store *storestand.Store
 	// hasMixedService is set if the configuration has mixedService.
 	hasMixedService bool
-	mutex           sync.Mutex
-	configVersion   int
-	weightVersion   uint64
+	// changing is the part that changes in a run with configuration changes, nil otherwise.
+	changing      *changingConfig
+	mutex         sync.Mutex
+	configVersion int
+	weightVersion uint64
 	// weightChangeTimes holds when the store acknowledged each weight version after the first.
 	weightChangeTimes []time.Time
 	// validKeys holds the API keys that are not revoked. addedAt and revokedAt hold when the store
@@ -96,24 +98,42 @@
 		}
 		return spec
 	}
-	engine := func(service, model string) map[string]any {
-		return map[string]any{"name": service, "engine": map[string]any{"slots": 8, "backups": true, "models": []map[string]any{{"name": model}}}}
-	}
 	routes := []map[string]any{
 		route("safe", "safe", plainService, nil), route("unsafe", "unsafe", plainService, nil),
 		route("stream", "streaming", "engines", map[string]any{"sticky": true, "resumable": true}),
 		route("once", "streaming", "engines", map[string]any{"sticky": true, "max_attempts": 1}),
 	}
-	services := []map[string]any{{"name": plainService}, engine("engines", modelName)}
+	services := []map[string]any{{"name": plainService}, engineService("engines", modelName)}
 	if c.hasMixedService {
 		routes = append(routes, route(mixedService, "streaming", mixedService, map[string]any{"sticky": true, "resumable": true}))
-		services = append(services, engine(mixedService, mixedModel))
+		services = append(services, engineService(mixedService, mixedModel))
+	}
+	tenants, bodyLimit := []map[string]any{{"name": tenantName, "api_keys": c.validKeys}}, usualBodyLimit
+	if c.changing != nil {
+		routes, services = append(routes, c.changing.routeSpecs()...), append(services, c.changing.services()...)
+		tenants, bodyLimit = append(tenants, c.changing.tenants()...), c.changing.bodyLimit
 	}
+	sentAt := time.Now()
 	c.store.Put(platform.KindConfig, "main", map[string]any{
-		"version": c.configVersion, "routes": routes, "services": services,
-		"tenants": []map[string]any{{"name": tenantName, "api_keys": c.validKeys}},
-		"limits":  map[string]any{"max_body_bytes": 1 << 20},
+		"version": c.configVersion, "routes": routes, "services": services, "tenants": tenants,
+		"limits": map[string]any{"max_body_bytes": bodyLimit},
 	})
+	if c.changing != nil {
+		c.changing.record(sentAt, time.Now(), c.validKeys)
+	}
+}
+
+// engineService returns the service of engines with the model.
+func engineService(service, model string) map[string]any {
+	return map[string]any{"name": service, "engine": map[string]any{"slots": 8, "backups": true, "models": []map[string]any{{"name": model}}}}
+}
+
+// addChangingConfig writes a configuration with the part that changes.
+func (c *configuration) addChangingConfig() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.changing = newChangingConfig()
+	c.writeNextVersion()
 }
 
 // update writes the next version of the configuration. With revoke it replaces the oldest valid key
--- a/internal/lab/soak/descriptors.go
+++ b/internal/lab/soak/descriptors.go
@@ -34,6 +34,9 @@
 		// Those of the target version.
 		runners += plainRunners
 	}
+	if s.ConfigChanges {
+		runners += s.longRunnerCount() + 2*pairRunners
+	}
 	return uint64(s.gatewayCount() * runners * descriptorsPerPath)
 }
 
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -40,6 +40,9 @@
 	if s.hasFewFaults() {
 		faults = []startFault{s.reload, s.drainRunner, s.changeConfig, s.revokeKey, s.bumpWeights}
 	}
+	if s.settings.ConfigChanges {
+		faults = s.changeFaults()
+	}
 	deadline := time.Now().Add(s.settings.FaultDuration)
 	var group sync.WaitGroup
 	peerFaults, peerFaultCount := newPeerFaultInjector(s), 0
@@ -92,6 +95,10 @@
 	if s.settings.BrokenAnswers {
 		group.Go(func() { brokenAnswerCount = newBrokenAnswerInjector(s).run(ctx, deadline) })
 	}
+	changeCount := 0
+	if s.settings.ConfigChanges {
+		group.Go(func() { changeCount = s.changes.run(ctx, deadline) })
+	}
 	count := 1
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		s.inject(faults[s.random.IntN(len(faults))], &group)
@@ -104,7 +111,7 @@
 	if !s.hasFewFaults() {
 		peerFaults.injectLastCutOff()
 	}
-	return lossCount + count + skewCount + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + 1
+	return lossCount + count + skewCount + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + changeCount + 1
 }
 
 // inject starts the fault and ends it in the group.
@@ -152,7 +159,7 @@
 func (s *Soak) restart(signal syscall.Signal) startFault {
 	return func(duration time.Duration) (string, func()) {
 		p := s.randomProcess()
-		p.markUnavailable(duration + gracePeriod + startupTime)
+		p.markUnavailable(duration + p.gracePeriod + startupTime)
 		endDisturbance := s.disturbances.begin(p.name)
 		exited := p.terminate(signal)
 		return signal.String() + " " + p.name, func() { s.restartExited(p, exited); endDisturbance() }
@@ -183,7 +190,7 @@
 		select {
 		case <-exited:
 			waiting = false
-		case <-time.After(gracePeriod + startupTime + maxFaultDuration):
+		case <-time.After(p.gracePeriod + startupTime + maxFaultDuration):
 			s.failf("stop: %s did not exit within its grace period", p.name)
 			p.kill()
 		}
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -234,6 +234,15 @@
 	return time.Time{}, false
 }
 
+// wasDraining reports whether the runner was draining at any time between the moments.
+func (f *fleet) wasDraining(id string, from, to time.Time) bool {
+	f.entryMutex.Lock()
+	defer f.entryMutex.Unlock()
+	return slices.ContainsFunc(f.drains[id], func(drain interval) bool {
+		return drain.from.Before(to) && (drain.to.IsZero() || drain.to.After(from))
+	})
+}
+
 // writeEntryLocked writes the directory entry of the runner, with the address of its proxy, unless
 // the runner has crashed. entryMutex must be held.
 func (f *fleet) writeEntryLocked(runner *runnerstand.Runner) {
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -44,7 +44,9 @@
 	addresses processAddresses
 	seeds     []string
 	// hasRollouts is set if the settings have the bounds of rollouts.
-	hasRollouts   bool
+	hasRollouts bool
+	// gracePeriod is the time from SIGTERM to the end.
+	gracePeriod   time.Duration
 	storeEndpoint *storestand.Endpoint
 	// storeProxy is between the gateway and the store, and peerProxy between other gateways and
 	// this one.
@@ -54,6 +56,8 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
+	// lives holds the starts and ends of the process.
+	lives []life
 	// unavailableUntil is when the process will be available again after a fault that stopped or
 	// restarted it.
 	unavailableUntil time.Time
@@ -78,7 +82,7 @@
 // writeSettings writes the settings file of the gateway.
 func (p *process) writeSettings() error {
 	bounds := map[string]any{
-		"contact_ms": settleTime.Milliseconds(), "grace_s": gracePeriod.Seconds(), "revoke_ms": maxRevokeDelay.Milliseconds(),
+		"contact_ms": settleTime.Milliseconds(), "grace_s": p.gracePeriod.Seconds(), "revoke_ms": maxRevokeDelay.Milliseconds(),
 		"lease_ms": leaseDuration.Milliseconds(), "version_ms": maxOldWeightsTime.Milliseconds(), "budget_ratio": 0.2,
 	}
 	if p.hasRollouts {
@@ -127,6 +131,7 @@
 		close(exited)
 	}()
 	p.command, p.exited = command, exited
+	p.lives = append(p.lives, life{startedAt: time.Now()})
 	return nil
 }
 
@@ -171,11 +176,34 @@
 	if p.isRunning() {
 		// A stopped process does not handle the signal until it is continued.
 		_ = p.command.Process.Signal(syscall.SIGCONT)
+		if last := &p.lives[len(p.lives)-1]; last.endedAt.IsZero() || signal == syscall.SIGKILL {
+			last.endedAt, last.signal = time.Now(), signal
+		}
 		_ = p.command.Process.Signal(signal)
 	}
 	return p.exited
 }
 
+// life is the time from a start of a process to the signal that ended it.
+type life struct {
+	startedAt time.Time
+	// endedAt is when signal was sent, zero if none was.
+	endedAt time.Time
+	signal  syscall.Signal
+}
+
+// lifeAt returns the life of the process at the moment.
+func (p *process) lifeAt(moment time.Time) (found life) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, l := range p.lives {
+		if !l.startedAt.After(moment) {
+			found = l
+		}
+	}
+	return found
+}
+
 // kill kills the process and waits until it has exited.
 func (p *process) kill() {
 	if exited := p.terminate(syscall.SIGKILL); exited != nil {
--- a/internal/lab/soak/returns.go
+++ b/internal/lab/soak/returns.go
@@ -207,10 +207,10 @@
 	group.Wait()
 }
 
-// hasFewFaults reports whether no other faults of gateways and links hinder a return, or hide how callers are
-// served during a skew.
+// hasFewFaults reports whether no other faults of gateways and links hinder a return, hide how callers are
+// served during a skew, or excuse an answer that is lost beside a configuration change.
 func (s *Soak) hasFewFaults() bool {
-	return (s.settings.Returns || s.settings.Skews) && s.settings.Seed%2 == 0
+	return s.settings.ConfigChanges || (s.settings.Returns || s.settings.Skews) && s.settings.Seed%2 == 0
 }
 
 // probe reports whether the gateway serves a call. It fails the run if the gateway says that it is ready, but
--- a/internal/lab/soak/rollouts.go
+++ b/internal/lab/soak/rollouts.go
@@ -234,7 +234,7 @@
 	for _, runner := range r.targets {
 		f.soak.runners.startFinalDrain(runner)
 	}
-	time.Sleep(gracePeriod)
+	time.Sleep(usualGracePeriod)
 	for _, runner := range r.targets {
 		f.soak.runners.stop(runner)
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -62,7 +62,10 @@
 	// Returns kills many gateways at once and checks how they return. With an even seed, there are no other faults of
 	// gateways and links, so that the time of a return can be checked.
 	Returns bool
-	Seed    uint64
+	// ConfigChanges changes routes, services, tenants and limits in quick succession while sound runners are silent for
+	// a second or two, and checks that each request which was sent whole is answered or refused.
+	ConfigChanges bool
+	Seed          uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Folder is where settings files and logs are written.
@@ -90,6 +93,14 @@
 	return cmp.Or(s.Engines, defaultEngines)
 }
 
+// gracePeriod returns the time from SIGTERM to the end of a gateway.
+func (s Settings) gracePeriod() time.Duration {
+	if s.ConfigChanges {
+		return longGracePeriod
+	}
+	return usualGracePeriod
+}
+
 // Sizes of the deployment.
 const (
 	defaultGateways = 4
@@ -112,8 +123,10 @@
 	// settleTime is how long after a disturbance a gateway is not held to time bounds.
 	settleTime = 3 * time.Second
 	// maxDrainDelay is the time after which no more requests may reach a draining runner.
-	maxDrainDelay = 2 * time.Second
-	gracePeriod   = 4 * time.Second
+	maxDrainDelay    = 2 * time.Second
+	usualGracePeriod = 4 * time.Second
+	// longGracePeriod lets streams end that are longer than a silence.
+	longGracePeriod = 8 * time.Second
 	// maxRecoveryTime is the time after the last fault within which everything must have recovered.
 	maxRecoveryTime = 6 * time.Second
 )
@@ -151,6 +164,10 @@
 	streams  *streamCallerPool
 	// partitions cuts gateways off runners; nil without Partitions.
 	partitions *partitionInjector
+	// changes changes the configuration and silences runners, and wholeCalls sends and judges the calls that must be
+	// answered or refused; nil without ConfigChanges.
+	changes    *changeInjector
+	wholeCalls *wholeCallerPool
 	mutex      sync.Mutex
 	failures   []string
 }
@@ -191,6 +208,9 @@
 	if settings.Versions {
 		s.versions, s.streams = newVersionInjector(s), &streamCallerPool{soak: s}
 	}
+	if settings.ConfigChanges {
+		s.changes, s.wholeCalls = newChangeInjector(s), &wholeCallerPool{soak: s}
+	}
 	defer s.close()
 	if err := s.start(); err != nil {
 		return Report{}, err
@@ -207,6 +227,11 @@
 			group.Go(func() { s.streams.run(loadCtx, i) })
 		}
 	}
+	if settings.ConfigChanges {
+		for i := range settings.wholeCallerCount() {
+			group.Go(func() { s.wholeCalls.run(loadCtx, i) })
+		}
+	}
 	faults := s.injectFaults(ctx)
 	s.poisons.stop()
 	s.clearFaults()
@@ -235,6 +260,9 @@
 	if settings.Versions {
 		s.streams.check()
 	}
+	if settings.ConfigChanges {
+		s.wholeCalls.check()
+	}
 	calls, served := s.calls.totals()
 	return Report{Calls: calls, Served: served, Faults: faults, Failures: s.failures}, ctx.Err()
 }
@@ -282,6 +310,12 @@
 			return err
 		}
 	}
+	if s.settings.ConfigChanges {
+		s.config.addChangingConfig()
+		if err := s.changes.startRunners(); err != nil {
+			return err
+		}
+	}
 	return s.startProcesses()
 }
 
@@ -315,7 +349,7 @@
 		if err != nil {
 			return err
 		}
-		p := &process{name: gatewayName(i), zone: s.topology.zone(i), topology: s.topology, program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
+		p := &process{name: gatewayName(i), zone: s.topology.zone(i), topology: s.topology, program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, gracePeriod: s.settings.gracePeriod(), storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
 		if err := p.writeSettings(); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/lab/soak/wholechecks_test.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// checkedWholeCall is a check of one whole call at testGateway, which was sent at the time of start and ended after
+// a second.
+type checkedWholeCall struct {
+	*WithT
+	*wholeCallCheck
+	call  *wholeCall
+	start time.Time
+	// gateway is the one that had the call.
+	gateway *process
+}
+
+func newCheckedWholeCall(t *testing.T) *checkedWholeCall {
+	s, _ := newCheckedSoak(t)
+	start := time.Now()
+	s.changes = newChangeInjector(s)
+	gateway := &process{name: testGateway, gracePeriod: longGracePeriod, lives: []life{{startedAt: start.Add(-time.Minute)}}}
+	s.processes = []*process{gateway}
+	s.config.changing = newChangingConfig()
+	s.config.changing.record(start.Add(-time.Minute), start.Add(-time.Minute), nil)
+	call := &wholeCall{
+		callRecord: &callRecord{id: testRequest, gatewayName: testGateway, tenant: secondTenant, key: "second-key-0", sentAt: start, endedAt: start.Add(time.Second)},
+		route:      "long-resumable", streams: true, timeout: 12 * time.Second, connectedAt: start.Add(-time.Second), sentWholeAt: start,
+	}
+	check := &wholeCallCheck{Soak: s, versions: s.config.versions(), runs: map[string][]runnerRun{}, arrivals: map[string]int{}, tallies: map[string]map[string]int{}}
+	return &checkedWholeCall{NewWithT(t), check, call, start, gateway}
+}
+
+// Guards against calls that are lost without a broken promise.
+func TestUnansweredCallHasNoExcuse(t *testing.T) {
+	c := newCheckedWholeCall(t)
+	c.Expect(c.excuse(c.call)).To(BeEmpty())
+	c.Expect(c.checkEnd(c.call)).To(Equal("unanswered"))
+	c.Expect(c.failures).To(HaveLen(1))
+}
+
+// Guards against an excuse for any end at a stopping gateway.
+func TestOnlyUnreadCallsCrossTheClose(t *testing.T) {
+	c := newCheckedWholeCall(t)
+	c.gateway.lives[0].endedAt, c.gateway.lives[0].signal = c.start, syscall.SIGTERM
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "ended later than closeSlack")
+	c.call.endedAt = c.start.Add(closeSlack / 2)
+	c.Expect(c.excuse(c.call)).To(Equal("crossed the close"))
+	c.arrivals[testRequest] = 1
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "had reached a runner")
+	c.arrivals[testRequest], c.call.hasBytes = 0, true
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "had begun to be answered")
+	c.call.hasBytes, c.gateway.lives[0].endedAt = false, time.Time{}
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "the gateway was not stopping")
+}
+
+// Guards against an excuse by a suspension that is only a moment.
+func TestOnlyLongSuspensionsExcuse(t *testing.T) {
+	c := newCheckedWholeCall(t)
+	c.changes.freezes[testGateway] = []interval{{from: c.start, to: c.start.Add(longFreeze / 2)}}
+	c.Expect(c.excuse(c.call)).To(BeEmpty())
+	c.changes.freezes[testGateway][0].to = c.start.Add(longFreeze)
+	c.Expect(c.excuse(c.call)).To(Equal("gateway suspended"))
+}
+
+// Guards against refusals that no configuration which may be in force explains.
+func TestRefusalsNeedAConfiguration(t *testing.T) {
+	c := newCheckedWholeCall(t)
+	c.call.status = 404
+	c.Expect(c.wrongStatus(c.call)).NotTo(BeEmpty())
+	c.call.status = 401
+	c.Expect(c.wrongStatus(c.call)).NotTo(BeEmpty())
+	c.call.status = 200
+	c.Expect(c.wrongStatus(c.call)).To(BeEmpty())
+	changing := c.config.changing
+	changing.route("long-resumable").present, changing.hasSecondTenant = false, false
+	changing.record(c.start.Add(-time.Second), c.start.Add(-time.Second), nil)
+	c.versions = c.config.versions()
+	for _, status := range []int{200, 401, 404} {
+		c.call.status = status
+		c.Expect(c.wrongStatus(c.call)).To(BeEmpty(), "both versions may be in force")
+	}
+	c.versions[1].ackedAt = c.start.Add(-maxConfigDelay - time.Second)
+	c.call.status = 200
+	c.Expect(c.wrongStatus(c.call)).NotTo(BeEmpty(), "only an older version allows it")
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// configChangeSeeds change the configuration in series while sound runners are silent, gateways stop and the store fails,
+// within configChangeDuration. With both, streams of silent runners were ended or run at a second runner.
+var configChangeSeeds = []uint64{2, 4}
+
+const configChangeDuration = 20 * time.Second
+
+// Guards against whole requests that are neither answered nor refused beside changes of the configuration, and against streams
+// that are ended or moved because their sound runner is silent for a second or two.
+func TestSoakConfigChanges(t *testing.T) {
+	for _, seed := range configChangeSeeds {
+		runSeed(t, soak.Settings{Program: []string{buildCommand(t, "clovertiller-gateway")}, Seed: seed, FaultDuration: configChangeDuration, ConfigChanges: true})
+	}
+}
+
 // buildCommand builds the command with the given name and returns the path of the program.
 func buildCommand(t *testing.T, command string) string {
 	t.Helper()
