--- a/internal/lab/soak/wholechecks.go
+++ b/internal/lab/soak/wholechecks.go
@@ -100,6 +100,7 @@
 		return "not sent whole"
 	}
 	if excuse := c.excuse(call); excuse != "" {
+		c.logf("excused: %s ended without an answer after %v: %s, %s", c.describe(call), call.endedAt.Sub(call.sentAt), call.end, excuse)
 		return "unanswered, " + excuse
 	}
 	c.failf("whole: %s ended without an answer after %v: %s", c.describe(call), call.endedAt.Sub(call.sentAt), call.end)
@@ -109,12 +110,12 @@
 // excuse returns why the call may end without an answer, empty if it may not.
 func (c *wholeCallCheck) excuse(call *wholeCall) string {
 	for _, name := range c.gatewaysOf(call.callRecord) {
-		if c.changes.wasSuspendedLong(name, call.sentAt, call.endedAt) {
-			return "gateway suspended"
-		}
 		if excuse := c.stopExcuse(call, c.process(name)); excuse != "" {
 			return excuse
 		}
+		if c.changes.wasSuspendedLong(name, call.sentAt, call.endedAt) {
+			return "gateway suspended"
+		}
 	}
 	if call.endedAt.Sub(call.sentAt) >= c.ownTime(call, slices.Min) {
 		return "time up"
