--- a/internal/lab/soak/changes.go
+++ b/internal/lab/soak/changes.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 )
@@ -53,6 +54,8 @@
 	// longFreezePercent is the percentage of the suspensions that last from longFreeze to twice that.
 	longFreezePercent = 20
 	longFreeze        = time.Second
+	// suspensionEffect is how long after a suspension it explains what a gateway does.
+	suspensionEffect = time.Second
 )
 
 // changeInjector changes the configuration in series, silences sound runners and suspends gateways for a moment. Each
@@ -277,11 +280,12 @@
 	return append([]interval(nil), f.silences[runner]...)
 }
 
-// wasSuspendedLong reports whether the gateway was suspended for longFreeze or longer at any time from the moment
-// on until the other one.
+// wasSuspendedLong reports whether the gateway was suspended for longFreeze or longer between the moments, and
+// continued less than suspensionEffect before the second one.
 func (f *changeInjector) wasSuspendedLong(gateway string, from, to time.Time) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	from = clock.Later(from, to.Add(-suspensionEffect))
 	for _, freeze := range f.freezes[gateway] {
 		if freeze.from.Before(to) && freeze.to.After(from) && freeze.to.Sub(freeze.from) >= longFreeze {
 			return true
--- a/internal/lab/soak/wholechecks.go
+++ b/internal/lab/soak/wholechecks.go
@@ -268,7 +268,7 @@
 		}
 	}
 	for _, name := range c.gatewaysOf(call.callRecord) {
-		if c.changes.wasSuspendedLong(name, call.sentAt, call.endedAt) {
+		if c.changes.wasSuspendedLong(name, call.sentAt, runs[1].StartedAt) {
 			return
 		}
 	}
--- a/internal/lab/soak/wholechecks_test.go
+++ b/internal/lab/soak/wholechecks_test.go
@@ -58,13 +58,15 @@
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "the gateway was not stopping")
 }
 
-// Guards against an excuse by a suspension that is only a moment.
+// Guards against an excuse by a suspension that is only a moment, or past.
 func TestOnlyLongSuspensionsExcuse(t *testing.T) {
 	c := newCheckedWholeCall(t)
 	c.changes.freezes[testGateway] = []interval{{from: c.start, to: c.start.Add(longFreeze / 2)}}
 	c.Expect(c.excuse(c.call)).To(BeEmpty())
 	c.changes.freezes[testGateway][0].to = c.start.Add(longFreeze)
 	c.Expect(c.excuse(c.call)).To(Equal("gateway suspended"))
+	c.call.endedAt = c.start.Add(longFreeze + 2*suspensionEffect)
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "the gateway had continued long before")
 }
 
 // Guards against refusals that no configuration which may be in force explains.
