--- a/internal/lab/soak/wholecalls.go
+++ b/internal/lab/soak/wholecalls.go
@@ -110,10 +110,12 @@
 // run sends calls to one gateway until the context is done. It uses each connection until the gateway closes it.
 func (p *wholeCallerPool) run(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(p.soak.settings.Seed, uint64(2000+number)))
-	target := p.soak.processes[number%len(p.soak.processes)]
-	kind := wholeCallKinds[number/len(p.soak.processes)%len(wholeCallKinds)]
+	gateways := len(p.soak.processes)
+	target := p.soak.processes[number%gateways]
+	// Gateways have different kinds, also if each has fewer callers than there are kinds.
+	kind := wholeCallKinds[(number%gateways+number/gateways)%len(wholeCallKinds)]
 	pause := wholeCallPause
-	if number%3 == 0 {
+	if random.IntN(3) == 0 {
 		pause = maxIdle
 	}
 	var conn *callerConn
