--- a/internal/lab/soak/wholechecks_test.go
+++ b/internal/lab/soak/wholechecks_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 )
 
 // checkedWholeCall is a check of one whole call at testGateway, which was sent at the time of start and ended after
@@ -58,6 +60,24 @@
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "the gateway was not stopping")
 }
 
+// Guards against an excuse for calls that a stopping gateway ends long before its grace period does, or takes too late.
+func TestOnlyTheEndOfTheGracePeriodExcuses(t *testing.T) {
+	c := newCheckedWholeCall(t)
+	c.call.hasBytes = true
+	sigterm := c.start.Add(-graceCallTime / 2)
+	c.gateway.lives[0].endedAt, c.gateway.lives[0].signal = sigterm, syscall.SIGTERM
+	runner := &runnerstand.Runner{Config: runnerstand.Config{ID: "r", EventCount: 10, EventInterval: time.Second}}
+	c.runs[testRequest] = []runnerRun{{runnerstand.Run{StartedAt: c.start}, runner}}
+	c.call.endedAt = sigterm.Add(longGracePeriod - stopMargin - time.Millisecond)
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "ended too early")
+	c.call.endedAt = sigterm.Add(longGracePeriod - stopMargin/2)
+	c.Expect(c.excuse(c.call)).To(Equal("end of the grace period"))
+	runner.EventCount = 1
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "the runner was no longer at work")
+	runner.EventCount, c.call.sentAt = 10, sigterm.Add(graceCallTime)
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "sent too late")
+}
+
 // Guards against an excuse by a suspension that is only a moment, or past.
 func TestOnlyLongSuspensionsExcuse(t *testing.T) {
 	c := newCheckedWholeCall(t)
