gateway: a stopping router begins no stream that it would cut

Cause: since a stopping router serves what it reads, a connection whose last response began before the signal, without Connection: close, brings a request after the time for new ones.

Other calls get a response at the end in any case.

TestStreamThatCannotEndBeforeTheStopIsRefused failed before (unexpected EOF) and passes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -199,6 +199,10 @@
 		c.refuse(refused)
 		return
 	}
+	if refused := c.refuseLateStream(); refused != nil {
+		c.refuse(refused)
+		return
+	}
 	if refused := c.bindResumedStream(); refused != nil {
 		c.refuse(refused)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,8 @@
 	callsCtx      context.Context
 	endCalls      context.CancelFunc
 	serversClosed atomic.Bool
+	// callsEndAt is when open calls are to be ended, nil while new requests are accepted.
+	callsEndAt atomic.Pointer[time.Time]
 }
 
 // Start starts a gateway, which runs until Stop or Kill.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // Durations of the phases of a graceful stop.
@@ -41,7 +42,9 @@
 	closeAt := startedAt.Add(g.settings.DrainGrace - shutdownMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), closeAt)
 	defer cancel()
-	timer := time.AfterFunc(time.Until(closeAt.Add(-endCallsMargin)), g.endCalls)
+	endCallsAt := closeAt.Add(-endCallsMargin)
+	g.callsEndAt.Store(&endCallsAt)
+	timer := time.AfterFunc(time.Until(endCallsAt), g.endCalls)
 	defer timer.Stop()
 	err := errors.Join(g.callerServer.drain(ctx, g.callsCtx), g.egress.drain(ctx))
 	g.shutDown()
@@ -63,6 +66,16 @@
 // isEndingCalls reports whether open calls are to be ended.
 func (g *Gateway) isEndingCalls() bool { return g.callsCtx.Err() != nil }
 
+// refuseLateStream returns a refusal of a stream that arrives after the time for new requests and may take longer than
+// the stopping router runs. Other calls get a response at the end.
+func (c *call) refuseLateStream() *refusal {
+	endAt := c.gateway.callsEndAt.Load()
+	if endAt == nil || c.route.Kind != routing.Streaming || time.Until(*endAt) >= c.gateway.until(c.deadline) {
+		return nil
+	}
+	return unavailable(reasonStopping, stoppingRetryAfter)
+}
+
 // callContext returns a context that is canceled when the parent is, or when open calls are to be ended.
 func (g *Gateway) callContext(parent context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(parent)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -181,3 +181,31 @@
 	f.g.Expect(response.Header.Get("Clovertiller-Forward")).To(Equal("declined"))
 	f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
 }
+
+// Guards against a stream that a stopping router begins, on a connection that an earlier stream kept open, and then cuts at the
+// end of the grace time.
+func TestStreamThatCannotEndBeforeTheStopIsRefused(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.startRunner(runnerstand.Config{ID: "e1", Service: "engines", Model: modelName, Version: 1, EventCount: 15, EventInterval: 100 * time.Millisecond})
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.DrainGrace = 2 * time.Second })
+	connection := r.dial()
+	reader := bufio.NewReader(connection)
+	r.writeCall(connection, "/stream/x", 2500, wholeBody)
+	first, err := http.ReadResponse(reader, nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	stopped := r.stopInBackground()
+	_, err = io.Copy(io.Discard, first.Body)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	f.g.Expect(first.Close).To(BeFalse(), "the connection is kept")
+	r.writeCall(connection, "/stream/x", 2500, wholeBody)
+	second, err := http.ReadResponse(reader, nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, second.Body)
+	f.g.Expect(err).NotTo(HaveOccurred(), "the response is whole")
+	f.g.Expect(second.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(second.Header.Get("Retry-After")).NotTo(BeEmpty())
+	f.g.Eventually(stopped, 3*time.Second).Should(BeClosed())
+	f.g.Expect(r.loggedEvents(events.RequestUnanswered)).To(BeEmpty())
+}
