soak: a call may cross the close of a gateway that is suspended for a moment

A stopping gateway closed its listener when it continued after 0.35 s, and the connection that it had not accepted was reset 0.33 s after its request was sent; the check asked for 0.2 s. The time of the suspension is now added. That no byte of an answer came and that no runner had the call are asked for as before.

--- a/internal/lab/soak/changes.go
+++ b/internal/lab/soak/changes.go
@@ -293,3 +293,17 @@
 	}
 	return false
 }
+
+// longestSuspension returns the longest time for which the gateway was suspended at a time between the moments.
+func (f *changeInjector) longestSuspension(gateway string, from, to time.Time) (longest time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, freeze := range f.freezes[gateway] {
+		begin, end := clock.Later(freeze.from, from), freeze.to
+		if end.After(to) {
+			end = to
+		}
+		longest = max(longest, end.Sub(begin))
+	}
+	return longest
+}
--- a/internal/lab/soak/wholechecks.go
+++ b/internal/lab/soak/wholechecks.go
@@ -132,7 +132,9 @@
 	if stopped.signal == syscall.SIGKILL {
 		return "gateway killed"
 	}
-	if call.gatewayName == gateway.name && !call.hasBytes && c.arrivals[call.id] == 0 && call.endedAt.Sub(call.sentWholeAt) <= closeSlack {
+	// A suspended gateway closes its connections when it continues.
+	closeTime := closeSlack + c.changes.longestSuspension(gateway.name, call.sentWholeAt, call.endedAt)
+	if call.gatewayName == gateway.name && !call.hasBytes && c.arrivals[call.id] == 0 && call.endedAt.Sub(call.sentWholeAt) <= closeTime {
 		return "crossed the close"
 	}
 	graceEnd := stopped.endedAt.Add(gateway.gracePeriod)
--- a/internal/lab/soak/wholechecks_test.go
+++ b/internal/lab/soak/wholechecks_test.go
@@ -52,6 +52,12 @@
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "ended later than closeSlack")
 	c.call.endedAt = c.start.Add(closeSlack / 2)
 	c.Expect(c.excuse(c.call)).To(Equal("crossed the close"))
+	c.call.endedAt = c.start.Add(longFreeze / 2)
+	c.changes.freezes[testGateway] = []interval{{from: c.start.Add(-longFreeze / 4), to: c.call.endedAt.Add(-closeSlack / 2)}}
+	c.Expect(c.excuse(c.call)).To(Equal("crossed the close"), "was suspended")
+	c.changes.freezes[testGateway][0].to = c.call.endedAt.Add(-2 * closeSlack)
+	c.Expect(c.excuse(c.call)).To(BeEmpty(), "continued earlier than closeSlack")
+	c.changes.freezes[testGateway], c.call.endedAt = nil, c.start.Add(closeSlack/2)
 	c.arrivals[testRequest] = 1
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "had reached a runner")
 	c.arrivals[testRequest], c.call.hasBytes = 0, true
