--- a/internal/backend/waits.go
+++ b/internal/backend/waits.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/liveness"
+)
 
 const (
 	// maxStall is how long a runner may begin no response, beyond the prefill of its pending
@@ -13,8 +17,6 @@
 	minSilentRequests = 2
 	// maxSlotGap bounds the time between two releases of a slot of a full runner, in mean times.
 	maxSlotGap = 4
-	// maxSoundSilence is how long a sound runner may be silent.
-	maxSoundSilence = 2 * time.Second
 )
 
 // currentAssumedWait returns the wait of this router's requests at the runner, at the
@@ -110,7 +112,7 @@
 	if wait == measured {
 		return queue
 	}
-	if silent := s.silentFor(now, e); silent < maxSoundSilence {
+	if silent := s.silentFor(now, e); silent < liveness.MaxSilence {
 		return max(queue, wait-silent)
 	}
 	return wait
--- a/internal/backend/waits_test.go
+++ b/internal/backend/waits_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/liveness"
 )
 
 func TestStalledRunnerCountsAsWait(t *testing.T) {
@@ -47,8 +49,8 @@
 	queue, slowness = set.expectedWaits(start.Add(time.Second), engine, "m", 8)
 	g.Expect(queue).To(Equal(900*time.Millisecond), "all slots are taken")
 	g.Expect(slowness).To(BeZero())
-	queue, _ = set.expectedWaits(start.Add(maxStall+maxSoundSilence), engine, "m", 4)
-	g.Expect(queue).To(Equal(maxSoundSilence), "sound engines are not silent for so long")
+	queue, _ = set.expectedWaits(start.Add(maxStall+liveness.MaxSilence), engine, "m", 4)
+	g.Expect(queue).To(Equal(liveness.MaxSilence), "sound engines are not silent for so long")
 }
 
 // Guards against requests that are refused after a silence, when the engine responds at once again.
