--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -14,7 +15,6 @@
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/backpressure"
-	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/integrity"
 	"github.com/clovertiller/clovertiller/internal/limits"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
@@ -54,7 +54,7 @@
 	tenant    *routing.Tenant
 	service   string
 	body      []byte
-	// ctx is canceled when the caller disconnects or the deadline passes.
+	// ctx is canceled when the caller disconnects, the deadline passes or the router stops.
 	ctx      context.Context
 	deadline time.Time
 	// attemptState decides after each attempt whether another one is allowed.
@@ -97,9 +97,11 @@
 	lastFailure *bufferedResponse
 	// runner is the runner of the current or last attempt.
 	runner backend.Runner
-	// sentAt is when that attempt was sent, and currentSend its record in the runner table.
+	// sentAt is when that attempt was sent, and currentSend its record in the runner table. sendOpen is set until
+	// the outcome of the attempt is recorded.
 	sentAt      time.Time
 	currentSend *backend.Send
+	sendOpen    bool
 	// sendCtx is the context of the current attempt. If the send can be withdrawn, unstarted is
 	// set, and sendCtx is a child of ctx that is canceled on withdrawal; otherwise sendCtx is ctx.
 	sendCtx   context.Context
@@ -136,6 +138,10 @@
 	continuing bool
 	// runnerGone is set by the stream's watchdog if the runner has terminated.
 	runnerGone atomic.Bool
+	// responseBegun is set once the status of the response is written, and writeErr is the error of a write to the
+	// caller.
+	responseBegun bool
+	writeErr      error
 	// logEntries are the log lines of this call that have not been written yet.
 	logEntries []logEntry
 	// firstResponseAt is when the first response from a runner began. If there is none, it is set
@@ -170,6 +176,12 @@
 		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: request,
 		metadata: g.ports.Protocol.ParseRequest(request.Header), arrivedAt: now, config: g.activeConfig.Load(),
 	}
+	g.openCalls.Add(1)
+	defer g.openCalls.Add(-1)
+	defer c.recoverPanic()
+	ctx, cancel := g.callContext(request.Context())
+	defer cancel()
+	c.ctx = ctx
 	// Replace the write deadline of an earlier request on this connection.
 	_ = c.controller.SetWriteDeadline(time.Now().Add(maxCallDuration))
 	if g.draining.Load() || len(request.TransferEncoding) > 0 {
@@ -178,6 +190,10 @@
 		// must not be parsed as another request (RFC 9112, section 6.1).
 		writer.Header().Set("Connection", "close")
 	}
+	if g.isEndingCalls() {
+		c.refuse(unavailable(reasonStopping, stoppingRetryAfter))
+		return
+	}
 	if refused := c.admit(); refused != nil {
 		c.refuse(refused)
 		return
@@ -188,15 +204,21 @@
 	}
 	c.startQuotaCheck()
 	c.startPlacement()
-	refused, disconnected := c.readBody()
-	disconnected = disconnected || c.disconnectedBeforeRead()
+	refused, readErr := c.readBody()
+	cause, detail, disconnected := callerLeftSending, errorText(readErr), readErr != nil
+	if !disconnected && c.isConnectionClosed() {
+		cause, detail, disconnected = callerLeftUnread, "the connection is closed", true
+	}
+	if disconnected && g.serversClosed.Load() {
+		cause = routerStopped
+	}
 	if disconnected || refused != nil {
 		c.cancelQuotaCheck()
-		c.placementRequest.discard()
+		c.discardPlacement()
 	}
 	if disconnected {
 		// A caller that closed only its sending side must not get an empty, complete response.
-		panic(http.ErrAbortHandler)
+		c.abort(cause, detail)
 	}
 	if refused != nil {
 		c.refuse(refused)
@@ -205,20 +227,20 @@
 	c.identifyContent()
 	if refused := c.checkQuarantine(); refused != nil {
 		c.cancelQuotaCheck()
-		c.placementRequest.discard()
+		c.discardPlacement()
 		c.refuse(refused)
 		return
 	}
 	if c.suspected {
 		// The first placement request was sent before the content was known to be suspect.
-		c.placementRequest.discard()
+		c.discardPlacement()
 		c.startPlacement()
 	}
-	ctx, cancel := context.WithTimeout(request.Context(), g.until(c.deadline))
-	defer cancel()
-	c.ctx = ctx
+	var cancelTimeout context.CancelFunc
+	c.ctx, cancelTimeout = context.WithTimeout(ctx, g.until(c.deadline))
+	defer cancelTimeout()
 	if refused := c.awaitQuotaDecision(); refused != nil {
-		c.placementRequest.discard()
+		c.discardPlacement()
 		c.refuse(refused)
 		return
 	}
@@ -322,16 +344,24 @@
 	c.deadline = c.arrivedAt.Add(timeout)
 }
 
-// readBody reads the whole body into memory, so that it can be sent more than once. It sets
-// disconnected if the caller disconnected before the end of the body.
-func (c *call) readBody() (refused *refusal, disconnected bool) {
+// isConnectionError reports whether the error of a read from a caller comes from its connection, not from what it sent.
+func isConnectionError(err error) bool {
+	var networkError net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &networkError)
+}
+
+// readBody reads the whole body into memory, so that it can be sent more than once. It returns an error
+// if the body did not arrive whole.
+func (c *call) readBody() (*refusal, error) {
 	maxBytes := c.config.table.Limits.MaxBodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
 	if c.incoming.ContentLength > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, false
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
+	// A read deadline in the past ends the wait for the rest of a body.
+	stop := context.AfterFunc(c.gateway.callsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
 	var err error
 	if size := c.incoming.ContentLength; size >= 0 {
 		c.body = make([]byte, size)
@@ -339,14 +369,20 @@
 	} else {
 		c.body, err = io.ReadAll(io.LimitReader(c.incoming.Body, maxBytes+1))
 	}
+	if !stop() && !c.gateway.serversClosed.Load() {
+		// After the read deadline, net/http may take the caller for disconnected.
+		return unavailable(reasonStopping, stoppingRetryAfter), nil
+	}
+	if err != nil && !isConnectionError(err) {
+		return &refusal{status: http.StatusBadRequest, reason: "the body is malformed", detail: err.Error()}, nil
+	}
 	if err != nil {
-		c.gateway.log.Log(events.CallerDisconnected, events.Fields{"request": c.metadata.ID, "while": "sending"})
-		return nil, true
+		return nil, err
 	}
 	if int64(len(c.body)) > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, false
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
-	return nil, false
+	return nil, nil
 }
 
 // serve sends the call to runners until one has responded or no further attempt is allowed.
@@ -359,8 +395,11 @@
 			// so it may not have expired yet.
 			refused = unavailable("the time is up", busyRetryAfter)
 		}
+		if c.gateway.isEndingCalls() {
+			refused = unavailable(reasonStopping, stoppingRetryAfter)
+		}
 		if refused != nil {
-			c.placementRequest.discard()
+			c.discardPlacement()
 			c.attemptState.Fail()
 			c.giveUp(refused)
 			return
@@ -394,9 +433,13 @@
 		c.logOutcome(outcomeComplete)
 		return
 	}
-	if !c.gateway.now().Before(c.deadline) {
+	switch {
+	case !c.gateway.now().Before(c.deadline):
 		c.giveUp(unavailable("the time is up", busyRetryAfter))
 		return
+	case c.gateway.isEndingCalls():
+		c.giveUp(unavailable(reasonStopping, stoppingRetryAfter))
+		return
 	}
 	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -73,8 +73,7 @@
 // router accepts the call.
 func (c *call) forward() (attempt.Action, *refusal) {
 	g := c.gateway
-	c.placementRequest.discard()
-	c.placementRequest = nil
+	c.discardPlacement()
 	if refused := c.takeRetry(); refused != nil {
 		return attempt.Stop, refused
 	}
@@ -226,16 +225,18 @@
 		return c.passOnLong(buffered, response)
 	}
 	c.markComplete()
-	buffered.writeTo(c)
+	if err := buffered.writeTo(c); err != nil {
+		cause, _ := c.interruption()
+		c.abortInterrupted(cause, err.Error())
+	}
 	return attempt.Stop
 }
 
-// passOnLong passes on a response that is too long to buffer, and aborts the caller's connection if it breaks off.
+// passOnLong passes on a response that is too long to buffer.
 func (c *call) passOnLong(buffered *bufferedResponse, response *httpconn.Response) attempt.Action {
 	if end, err := c.copyLongResponse(buffered, response); err != nil || !end.IsComplete() {
 		c.attemptState.Fail()
-		c.logOutcome(outcomeCut)
-		panic(http.ErrAbortHandler)
+		return attempt.Stop
 	}
 	c.markComplete()
 	return attempt.Stop
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,6 +29,8 @@
 type refusal struct {
 	status int
 	reason string
+	// detail is logged with the reason; it may be empty.
+	detail string
 	// retryAfter is the delay after which the caller may retry; 0 omits the header.
 	retryAfter time.Duration
 	// queueTooLong is set if the request would have queued for longer than its queue limit.
@@ -65,6 +68,9 @@
 		fields["yield_percent"], fields["returned"], fields["excess"] = int(percent*c.queueLimit.PriorityFactor), c.queueLimit.Returned, c.queueLimit.Excess
 		fields["service"] = c.service
 	}
+	if r.detail != "" {
+		fields["detail"] = r.detail
+	}
 	if r.retryAfter > 0 {
 		fields["retry_after_ms"] = r.retryAfter.Milliseconds()
 	}
@@ -78,19 +84,18 @@
 // failure that a runner returned, if any. A call that has certainly not run is refused with a
 // retry delay; any other gets a status that does not imply that it has not run.
 func (c *call) giveUp(r *refusal) {
-	if c.callerDisconnected() {
-		c.logOutcome(outcomeCallerLeft)
-		// A caller that closed only its sending side must not get a response that looks complete.
-		panic(http.ErrAbortHandler)
+	// A caller that closed only its sending side must not get a response that looks complete.
+	if cause, interrupted := c.interruption(); interrupted {
+		c.abortInterrupted(cause, cmp.Or(errorText(c.writeErr), r.reason))
 	}
-	if c.stream != nil {
-		c.bufferLog(events.StreamCut, events.Fields{"runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": r.reason})
-		c.logOutcome(outcomeCut)
-		panic(http.ErrAbortHandler)
+	if c.responseBegun {
+		c.abortResponse(r.reason)
 	}
 	if c.lastFailure != nil {
 		c.logOutcome(outcomeRunnerFailed)
-		c.lastFailure.writeTo(c)
+		if err := c.lastFailure.writeTo(c); err != nil {
+			c.abortUnwritten()
+		}
 		return
 	}
 	if c.attemptState.RunState() == attempt.NotRun {
@@ -106,6 +111,23 @@
 	c.writeRefusal(&refusal{status: status, reason: "the runner did not answer"})
 }
 
+// abortResponse ends a call whose response has begun and cannot be completed.
+func (c *call) abortResponse(reason string) {
+	cause := longResponseBrokenOff
+	if c.stream != nil {
+		cause = streamBrokenOff
+		c.bufferLog(events.StreamCut, events.Fields{"runner": c.runner.ID, "last_event": c.stream.lastEvent, "reason": reason})
+	}
+	switch {
+	case !c.gateway.now().Before(c.deadline):
+		cause = timeUp
+	case c.gateway.isEndingCalls():
+		cause = routerStopped
+	}
+	c.logOutcome(outcomeCut)
+	c.abort(cause, reason+"; the response's end: "+c.responseEnd.String())
+}
+
 // writeRefusal sends the refusal to the caller.
 func (c *call) writeRefusal(r *refusal) {
 	header := c.writer.Header()
@@ -114,11 +136,10 @@
 	}
 	c.setForwardedRefusal(r)
 	header.Set("Content-Type", "text/plain")
-	header.Set("Content-Length", strconv.Itoa(len(r.reason)+1))
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	c.writer.WriteHeader(r.status)
-	// The HTTP server detects a caller that has disconnected.
-	_, _ = c.writer.Write([]byte(r.reason + "\n"))
+	if err := c.writeWhole(r.status, []byte(r.reason+"\n")); err != nil {
+		c.abortUnwritten()
+	}
 }
