soak: compare the callers' lost calls with the gateways' logs

Callers know which requests ended without an answer, gateways log such ends with event 530. Each call that was sent whole and ended without a complete answer must have one such line at its gateway, unless the gateway was killed or never read the call, and no answered call may have one.

--- a/internal/lab/soak/updates.go
+++ b/internal/lab/soak/updates.go
@@ -117,13 +117,7 @@
 func (s *Soak) findSenders() {
 	s.senders = map[string]string{}
 	for _, p := range s.processes {
-		file, err := os.Open(filepath.Join(s.settings.Folder, p.name+".log"))
-		if err != nil {
-			s.failf("soak: the log of %s cannot be read: %v", p.name, err)
-			continue
-		}
-		log, err := explain.Read(file)
-		file.Close()
+		log, err := p.readLog()
 		if err != nil {
 			s.failf("soak: the log of %s cannot be read: %v", p.name, err)
 			continue
@@ -136,6 +130,16 @@
 	}
 }
 
+// readLog returns the log lines of all lives of the process.
+func (p *process) readLog() (*explain.Log, error) {
+	file, err := os.Open(filepath.Join(p.folder, p.name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return explain.Read(file)
+}
+
 // informedFor returns for how long the gateway could learn what the store holds, from the store or
 // from a seed gateway, which reads the store for all.
 func (s *Soak) informedFor(moment time.Time, gateway string) time.Duration {
--- a/internal/lab/soak/wholechecks.go
+++ b/internal/lab/soak/wholechecks.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -26,6 +27,14 @@
 	maxAdmissionTime = time.Second
 )
 
+// Ends of calls for which a gateway need not log that they ended without a complete response.
+const (
+	unansweredPrefix = "unanswered, "
+	notSentWhole     = "not sent whole"
+	crossedClose     = "crossed the close"
+	gatewayKilled    = "gateway killed"
+)
+
 // runnerRun is a run at a runner.
 type runnerRun struct {
 	runnerstand.Run
@@ -39,6 +48,8 @@
 	// runs and arrivals hold the runs and the numbers of arrivals at runners by request ID.
 	runs     map[string][]runnerRun
 	arrivals map[string]int
+	// logged holds the numbers of log lines about requests without a complete response, by gateway and request ID.
+	logged map[string]map[string]int
 	// tallies counts calls by route and end.
 	tallies map[string]map[string]int
 }
@@ -47,6 +58,7 @@
 // configuration explains, and for each stream that a silence ended or moved.
 func (p *wholeCallerPool) check() {
 	c := &wholeCallCheck{Soak: p.soak, versions: p.soak.config.versions(), runs: map[string][]runnerRun{}, arrivals: map[string]int{}, tallies: map[string]map[string]int{}}
+	c.readLogs()
 	for _, runner := range p.soak.runners.all() {
 		for _, run := range runner.Runs() {
 			c.runs[run.RequestID] = append(c.runs[run.RequestID], runnerRun{run, runner})
@@ -59,7 +71,9 @@
 	defer p.mutex.Unlock()
 	for _, call := range p.calls {
 		slices.SortFunc(c.runs[call.id], func(a, b runnerRun) int { return a.StartedAt.Compare(b.StartedAt) })
-		c.tally(call, c.checkEnd(call))
+		end := c.checkEnd(call)
+		c.tally(call, end)
+		c.checkLog(call, end)
 		c.checkRunners(call)
 		c.checkMoves(call)
 	}
@@ -97,15 +111,51 @@
 // checkUnanswered judges a call that ended without a whole answer.
 func (c *wholeCallCheck) checkUnanswered(call *wholeCall) string {
 	if call.sentWholeAt.IsZero() {
-		return "not sent whole"
+		return notSentWhole
 	}
 	if excuse := c.excuse(call); excuse != "" {
-		return "unanswered, " + excuse
+		return unansweredPrefix + excuse
 	}
 	c.failf("whole: %s ended without an answer after %v: %s", c.describe(call), call.endedAt.Sub(call.sentAt), call.end)
 	return "unanswered"
 }
 
+// readLogs reads from the logs which requests ended without a complete response.
+func (c *wholeCallCheck) readLogs() {
+	c.logged = map[string]map[string]int{}
+	for _, p := range c.processes {
+		c.logged[p.name] = map[string]int{}
+		log, err := p.readLog()
+		if err != nil {
+			c.failf("soak: the log of %s cannot be read: %v", p.name, err)
+			continue
+		}
+		for _, line := range log.Lines {
+			if line.Event == events.RequestUnanswered.Number {
+				c.logged[p.name][line.StringField("request")]++
+			}
+		}
+	}
+}
+
+// checkLog fails the run unless the call's gateway logged once that the call ended without a complete response, if it
+// did. Older gateways do not log it.
+func (c *wholeCallCheck) checkLog(call *wholeCall, end string) {
+	if c.olderGateways[call.gatewayName] {
+		return
+	}
+	lines := c.logged[call.gatewayName][call.id]
+	switch {
+	case end == notSentWhole || end == unansweredPrefix+gatewayKilled:
+	case call.answered || end == unansweredPrefix+crossedClose:
+		if lines > 0 {
+			c.failf("log: %s ended as %q, and its gateway logged %d times that it had no answer", c.describe(call), end, lines)
+		}
+	case lines != 1:
+		c.failf("log: %s ended as %q, and its gateway logged %d times that it had no answer", c.describe(call), end, lines)
+	}
+}
+
 // excuse returns why the call may end without an answer, empty if it may not.
 func (c *wholeCallCheck) excuse(call *wholeCall) string {
 	for _, name := range c.gatewaysOf(call.callRecord) {
@@ -129,10 +179,10 @@
 		return ""
 	}
 	if stopped.signal == syscall.SIGKILL {
-		return "gateway killed"
+		return gatewayKilled
 	}
 	if call.gatewayName == gateway.name && !call.hasBytes && c.arrivals[call.id] == 0 && call.endedAt.Sub(call.sentWholeAt) <= closeSlack {
-		return "crossed the close"
+		return crossedClose
 	}
 	graceEnd := stopped.endedAt.Add(gateway.gracePeriod)
 	isLate := call.endedAt.After(graceEnd.Add(-stopMargin)) && call.sentAt.Before(stopped.endedAt.Add(graceCallTime))
--- a/internal/lab/soak/wholechecks_test.go
+++ b/internal/lab/soak/wholechecks_test.go
@@ -49,7 +49,7 @@
 	c.gateway.lives[0].endedAt, c.gateway.lives[0].signal = c.start, syscall.SIGTERM
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "ended later than closeSlack")
 	c.call.endedAt = c.start.Add(closeSlack / 2)
-	c.Expect(c.excuse(c.call)).To(Equal("crossed the close"))
+	c.Expect(c.excuse(c.call)).To(Equal(crossedClose))
 	c.arrivals[testRequest] = 1
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "had reached a runner")
 	c.arrivals[testRequest], c.call.hasBytes = 0, true
@@ -88,3 +88,29 @@
 	c.call.status = 200
 	c.Expect(c.wrongStatus(c.call)).NotTo(BeEmpty(), "only an older version allows it")
 }
+
+// Guards against gateways that end requests without a log line, or log ends that no caller saw.
+func TestUnansweredCallIsLoggedOnce(t *testing.T) {
+	for _, tc := range []struct {
+		end      string
+		answered bool
+		lines    int
+		fails    bool
+	}{
+		{end: "unanswered", lines: 1},
+		{end: "unanswered", fails: true},
+		{end: "unanswered", lines: 2, fails: true},
+		{end: unansweredPrefix + "time up", fails: true},
+		{end: unansweredPrefix + crossedClose},
+		{end: unansweredPrefix + crossedClose, lines: 1, fails: true},
+		{end: unansweredPrefix + gatewayKilled},
+		{end: "200", answered: true},
+		{end: "200", answered: true, lines: 1, fails: true},
+	} {
+		c := newCheckedWholeCall(t)
+		c.call.answered = tc.answered
+		c.logged = map[string]map[string]int{testGateway: {testRequest: tc.lines}}
+		c.checkLog(c.call, tc.end)
+		c.Expect(len(c.failures) > 0).To(Equal(tc.fails), "%+v", tc)
+	}
+}
