--- a/internal/lab/soak/wholechecks_test.go
+++ b/internal/lab/soak/wholechecks_test.go
@@ -51,10 +51,10 @@
 	c.gateway.lives[0].endedAt, c.gateway.lives[0].signal = c.start, syscall.SIGTERM
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "ended later than closeSlack")
 	c.call.endedAt = c.start.Add(closeSlack / 2)
-	c.Expect(c.excuse(c.call)).To(Equal("crossed the close"))
+	c.Expect(c.excuse(c.call)).To(Equal(crossedClose))
 	c.call.endedAt = c.start.Add(longFreeze / 2)
 	c.changes.freezes[testGateway] = []interval{{from: c.start.Add(-longFreeze / 4), to: c.call.endedAt.Add(-closeSlack / 2)}}
-	c.Expect(c.excuse(c.call)).To(Equal("crossed the close"), "was suspended")
+	c.Expect(c.excuse(c.call)).To(Equal(crossedClose), "was suspended")
 	c.changes.freezes[testGateway][0].to = c.call.endedAt.Add(-2 * closeSlack)
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "continued earlier than closeSlack")
 	c.changes.freezes[testGateway], c.call.endedAt = nil, c.start.Add(closeSlack/2)
@@ -90,7 +90,7 @@
 	c.changes.freezes[testGateway] = []interval{{from: c.start, to: c.start.Add(longFreeze / 2)}}
 	c.Expect(c.excuse(c.call)).To(BeEmpty())
 	c.changes.freezes[testGateway][0].to = c.start.Add(longFreeze)
-	c.Expect(c.excuse(c.call)).To(Equal("gateway suspended"))
+	c.Expect(c.excuse(c.call)).To(Equal(gatewaySuspended))
 	c.call.endedAt = c.start.Add(longFreeze + 2*suspensionEffect)
 	c.Expect(c.excuse(c.call)).To(BeEmpty(), "the gateway had continued long before")
 }
@@ -116,3 +116,32 @@
 	c.call.status = 200
 	c.Expect(c.wrongStatus(c.call)).NotTo(BeEmpty(), "only an older version allows it")
 }
+
+// Guards against gateways that end requests without a log line, or log ends that no caller saw.
+func TestUnansweredCallIsLoggedOnce(t *testing.T) {
+	for _, tc := range []struct {
+		end      string
+		answered bool
+		arrivals int
+		lines    int
+		fails    bool
+	}{
+		{end: "unanswered", lines: 1},
+		{end: "unanswered", fails: true},
+		{end: "unanswered", lines: 2, fails: true},
+		{end: unansweredPrefix + "time up", fails: true},
+		{end: unansweredPrefix + crossedClose},
+		{end: unansweredPrefix + crossedClose, lines: 1, fails: true},
+		{end: unansweredPrefix + gatewayKilled},
+		{end: unansweredPrefix + gatewaySuspended},
+		{end: unansweredPrefix + gatewaySuspended, arrivals: 1, fails: true},
+		{end: "200", answered: true},
+		{end: "200", answered: true, lines: 1, fails: true},
+	} {
+		c := newCheckedWholeCall(t)
+		c.call.answered, c.arrivals[testRequest] = tc.answered, tc.arrivals
+		c.logged = map[string]map[string]int{testGateway: {testRequest: tc.lines}}
+		c.checkLog(c.call, tc.end)
+		c.Expect(len(c.failures) > 0).To(Equal(tc.fails), "%+v", tc)
+	}
+}
