--- a/internal/gateway/silentrunners.go
+++ b/internal/gateway/silentrunners.go
@@ -18,7 +18,9 @@
 	runningLifetime = liveness.ProbeTimeout
 )
 
-// silentRunners checks whether the runners of silent streams have ended. The streams of a runner share its probes.
+// silentRunners checks whether the runners of silent streams have ended. The streams of a runner share its probes. In contrast
+// to crashDetector, which attributes a crash to requests and so needs proof of it, it also gives up runners that are silent for
+// longer than sound ones.
 type silentRunners struct {
 	gateway *Gateway
 	mutex   sync.Mutex
@@ -134,7 +136,8 @@
 }
 
 // classify returns the result of a probe that was sent at the given time. A runner that is leaving may refuse connections
-// while it finishes its streams, and a refusal is no evidence if this router's own links may be at fault.
+// while it finishes its streams, and a refusal may be a fault of this router's own links: both count as silence. A runner of
+// which nothing is known but that its machine sent something counts as running.
 func (s *silentRunners) classify(result RunnerLiveness, runner backend.Runner, sentAt time.Time) liveness.Result {
 	switch result {
 	case RunnerSilent:
--- a/internal/gateway/streamwatchdog.go
+++ b/internal/gateway/streamwatchdog.go
@@ -18,6 +18,8 @@
 // streamWatchdog ends a stream whose runner has ended without closing the connection, if the stream can continue elsewhere.
 // When the stream is silent for too long, its runner is probed; silence alone does not end the stream, nor does it help to end
 // a stream that nobody else can continue.
+//
+// Its timer runs beside the call, so it works on copies of what it needs of the call.
 type streamWatchdog struct {
 	gateway *Gateway
 	runner  backend.Runner
