soak: a disturbance at the admission of a long call counts for its check

Its gateway admitted it with a proof 3.2 s old, as it may (5 s less 1.5 s), while the store was silent for all; the check asked whether the gateway was disturbed only for the moment of the end, 3.3 s after the store was back.

Now both moments count. TestDisturbanceAtTheAdmissionOfLongCalls failed before.

--- a/internal/lab/soak/wholechecks.go
+++ b/internal/lab/soak/wholechecks.go
@@ -227,7 +227,7 @@
 // inForce returns the versions of the configuration by which the call may have been admitted. Gateways that were
 // disturbed may use any earlier version.
 func (c *wholeCallCheck) inForce(call *wholeCall) (versions []configVersion) {
-	undisturbed := min(c.undisturbedFor(call.endedAt, storeSubject, call.gatewayName), c.informedFor(call.endedAt, call.gatewayName)) > settleTime
+	undisturbed := c.wasUndisturbed(call.gatewayName, call.sentAt) && c.wasUndisturbed(call.gatewayName, call.endedAt)
 	admittedBy := call.endedAt
 	if undisturbed && call.sentAt.Add(maxAdmissionTime).Before(admittedBy) {
 		admittedBy = call.sentAt.Add(maxAdmissionTime)
@@ -242,6 +242,11 @@
 	return versions
 }
 
+// wasUndisturbed reports whether the gateway is held to time bounds at the moment.
+func (c *wholeCallCheck) wasUndisturbed(gateway string, moment time.Time) bool {
+	return min(c.undisturbedFor(moment, storeSubject, gateway), c.informedFor(moment, gateway)) > settleTime
+}
+
 // ownTime returns the least or greatest time that the call may take.
 func (c *wholeCallCheck) ownTime(call *wholeCall, choose func([]time.Duration) time.Duration) time.Duration {
 	var times []time.Duration
--- a/internal/lab/soak/wholechecks_test.go
+++ b/internal/lab/soak/wholechecks_test.go
@@ -117,6 +117,19 @@
 	c.Expect(c.wrongStatus(c.call)).NotTo(BeEmpty(), "only an older version allows it")
 }
 
+// Guards against a broken promise for a long call that was admitted while the store was disturbed.
+func TestDisturbanceAtTheAdmissionOfLongCalls(t *testing.T) {
+	c := newCheckedWholeCall(t)
+	changing := c.config.changing
+	changing.route("long-resumable").present = false
+	changing.record(c.start.Add(-maxConfigDelay-time.Second), c.start.Add(-maxConfigDelay-time.Second), nil)
+	c.versions = c.config.versions()
+	c.call.status, c.call.endedAt = 200, c.start.Add(2*settleTime)
+	c.Expect(c.wrongStatus(c.call)).NotTo(BeEmpty(), "only an older version allows it")
+	c.disturbances.addPast(c.start, storeSubject, 0)
+	c.Expect(c.wrongStatus(c.call)).To(BeEmpty(), "the gateway did not have to know the newer version")
+}
+
 // Guards against gateways that end requests without a log line, or log ends that no caller saw.
 func TestUnansweredCallIsLoggedOnce(t *testing.T) {
 	for _, tc := range []struct {
