backend: one name for the measured wait at the learned speed, clock.Later in place of two copies

decayedTime of learnedWait stood three times beside measuredAssumedWait, and two comparisons wrote clock.Later anew. Behaviour is unchanged.

--- a/internal/backend/sends.go
+++ b/internal/backend/sends.go
@@ -147,7 +147,7 @@
 	learnedExcess := max(elapsed-prefill.firstResponseTime(send.tokens), 0)
 	silent := e.silence.overlap(send.sentAt, now)
 	e.silentWait = (e.measuredSilentWait(now) + min(silent, learnedExcess)) / 2
-	e.learnedWait = (decayedTime(e.learnedWait, now.Sub(e.learnedWaitAt)) + learnedExcess) / 2
+	e.learnedWait = (e.measuredLearnedWait(now) + learnedExcess) / 2
 	e.learnedWaitAt = now
 	if send.prefillIdle && silent == 0 {
 		prefill.record(send.tokens, elapsed)
--- a/internal/backend/waits.go
+++ b/internal/backend/waits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/liveness"
 )
 
@@ -42,13 +43,18 @@
 
 // currentLearnedWait is currentAssumedWait at the learned prefill speed.
 func (e *entry) currentLearnedWait(now time.Time, prefill *prefillModel) time.Duration {
-	measured := decayedTime(e.learnedWait, now.Sub(e.learnedWaitAt))
+	measured := e.measuredLearnedWait(now)
 	if e.awaitingResponse == 0 {
 		return measured
 	}
 	return max(measured, now.Sub(e.lastProgress)-prefill.firstResponseTime(e.pendingTokens)-maxStall)
 }
 
+// measuredLearnedWait is measuredAssumedWait at the learned prefill speed.
+func (e *entry) measuredLearnedWait(now time.Time) time.Duration {
+	return decayedTime(e.learnedWait, now.Sub(e.learnedWaitAt))
+}
+
 func decayedTime(value, elapsed time.Duration) time.Duration {
 	return time.Duration(decayed(float64(value), elapsed, waitHalfLife))
 }
@@ -75,12 +81,7 @@
 
 // lastHeard returns when the runner last began or ended a response or, if later, when the first of the
 // requests that await one was sent.
-func (e *entry) lastHeard() time.Time {
-	if e.lastEnd.After(e.lastProgress) {
-		return e.lastEnd
-	}
-	return e.lastProgress
-}
+func (e *entry) lastHeard() time.Time { return clock.Later(e.lastEnd, e.lastProgress) }
 
 // recordSilence records that the runner is heard from, which ends a silence.
 func (s *Set) recordSilence(now time.Time, e *entry) {
@@ -94,9 +95,7 @@
 
 // overlap returns how long the interval and the one between the given times overlap.
 func (i interval) overlap(from, to time.Time) time.Duration {
-	if i.from.After(from) {
-		from = i.from
-	}
+	from = clock.Later(i.from, from)
 	if i.to.Before(to) {
 		to = i.to
 	}
@@ -107,7 +106,7 @@
 // with free slots that is silent for a moment are late, but none waits for another: refusing some would
 // not make the others faster. The rest of the wait still counts against the runner when one is chosen.
 func (s *Set) queueingTime(now time.Time, e *entry, wait time.Duration) time.Duration {
-	measured := decayedTime(e.learnedWait, now.Sub(e.learnedWaitAt))
+	measured := e.measuredLearnedWait(now)
 	queue := max(measured-e.measuredSilentWait(now), 0)
 	if wait == measured {
 		return queue
