--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -192,7 +190,7 @@
 		writer.Header().Set("Connection", "close")
 	}
 	if g.isEndingCalls() {
-		c.refuse(unavailable(reasonStopping, stoppingRetryAfter))
+		c.refuse(stopping())
 		return
 	}
 	if refused := c.admit(); refused != nil {
@@ -356,47 +354,6 @@
 	c.deadline = c.arrivedAt.Add(timeout)
 }
 
-// isConnectionError reports whether the error of a read from a caller comes from its connection, not from what it sent.
-func isConnectionError(err error) bool {
-	var networkError net.Error
-	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &networkError)
-}
-
-// readBody reads the whole body into memory, so that it can be sent more than once. It returns an error
-// if the body did not arrive whole.
-func (c *call) readBody() (*refusal, error) {
-	maxBytes := c.config.table.Limits.MaxBodyBytes
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	if c.incoming.ContentLength > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
-	}
-	// A read deadline in the past ends the wait for the rest of a body.
-	stop := context.AfterFunc(c.gateway.callsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
-	var err error
-	if size := c.incoming.ContentLength; size >= 0 {
-		c.body = make([]byte, size)
-		_, err = io.ReadFull(c.incoming.Body, c.body)
-	} else {
-		c.body, err = io.ReadAll(io.LimitReader(c.incoming.Body, maxBytes+1))
-	}
-	if !stop() && !c.gateway.serversClosed.Load() {
-		// After the read deadline, net/http may take the caller for disconnected.
-		return unavailable(reasonStopping, stoppingRetryAfter), nil
-	}
-	if err != nil && !isConnectionError(err) {
-		return &refusal{status: http.StatusBadRequest, reason: "the body is malformed", detail: err.Error()}, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(c.body)) > maxBytes {
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
-	}
-	return nil, nil
-}
-
 // serve sends the call to runners until one has responded or no further attempt is allowed.
 func (c *call) serve() {
 	next := attempt.Dispatch
@@ -408,7 +365,7 @@
 			refused = unavailable("the time is up", busyRetryAfter)
 		}
 		if c.gateway.isEndingCalls() {
-			refused = unavailable(reasonStopping, stoppingRetryAfter)
+			refused = stopping()
 		}
 		if refused != nil {
 			c.discardPlacement()
@@ -450,7 +407,7 @@
 		c.giveUp(unavailable("the time is up", busyRetryAfter))
 		return
 	case c.gateway.isEndingCalls():
-		c.giveUp(unavailable(reasonStopping, stoppingRetryAfter))
+		c.giveUp(stopping())
 		return
 	}
 	c.giveUp(unavailable("no runner is left to try", busyRetryAfter))
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -31,6 +31,9 @@
 	stoppingRetryAfter = 100 * time.Millisecond
 )
 
+// stopping returns the refusal of a call that the router cannot serve before it stops.
+func stopping() *refusal { return unavailable(reasonStopping, stoppingRetryAfter) }
+
 // Stop stops the gateway gracefully. It reports itself as not ready, accepts requests for a
 // while, and then waits for open requests to finish. Shortly before the end of the grace time it ends
 // those that are left, so that their callers get a response.
@@ -73,7 +76,7 @@
 	if endAt == nil || c.route.Kind != routing.Streaming || time.Until(*endAt) >= c.gateway.until(c.deadline) {
 		return nil
 	}
-	return unavailable(reasonStopping, stoppingRetryAfter)
+	return stopping()
 }
 
 // callContext returns a context that is canceled when the parent is, or when open calls are to be ended.
