--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -193,6 +193,15 @@
 	return proxy
 }
 
+// listBehindProxy starts a fault proxy in front of the runner and lists the runner with its address.
+func (f *fleet) listBehindProxy(runner *runnerstand.Runner) *faultproxy.Proxy {
+	proxy := f.proxyTo(runner.Address)
+	entry := runner.DirectoryEntry("ready")
+	entry["address"] = proxy.Address
+	f.store.Put(platform.KindRunners, runner.ID, entry)
+	return proxy
+}
+
 // router starts a gateway. adjust may change its settings; it may be nil.
 func (f *fleet) router(name string, adjust func(*gateway.Settings)) *router {
 	return f.routerWithStoreFault(name, adjust, storestand.Healthy)
@@ -315,6 +324,11 @@
 	r.fleet.g.Eventually(r.log.String, 3*time.Second, 5*time.Millisecond).Should(And(ContainSubstring("configuration in force"), ContainSubstring(want)))
 }
 
+// awaitRunners waits until the gateway knows the number of runners.
+func (r *router) awaitRunners(count int) {
+	r.fleet.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(count))
+}
+
 // waitForLog waits until the gateway has logged the text.
 func (r *router) waitForLog(text string) {
 	r.fleet.g.Eventually(r.log.String, time.Second, 5*time.Millisecond).Should(ContainSubstring(text))
--- a/internal/gateway/runnersilence_test.go
+++ b/internal/gateway/runnersilence_test.go
@@ -13,7 +13,6 @@
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
-	"github.com/clovertiller/clovertiller/platform"
 )
 
 // All open connections to a runner went silent without a reset, while new ones worked. Each call
@@ -78,13 +77,7 @@
 // runnerBehindProxy starts a runner that is listed with the address of a proxy.
 func (f *fleet) runnerBehindProxy(id string) (*runnerstand.Runner, *faultproxy.Proxy) {
 	runner := f.runner(id, "plain")
-	proxy, err := faultproxy.Start(runner.Address)
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.t.Cleanup(proxy.Close)
-	entry := runner.DirectoryEntry("ready")
-	entry["address"] = proxy.Address
-	f.store.Put(platform.KindRunners, id, entry)
-	return runner, proxy
+	return runner, f.listBehindProxy(runner)
 }
 
 // openIdleConnections leaves the router with the given number of idle connections to the runner.
@@ -116,11 +109,7 @@
 	var proxies []*faultproxy.Proxy
 	for _, id := range []string{"e1", "e2"} {
 		runner := f.startRunner(runnerstand.Config{ID: id, Service: "engines", Model: modelName, Version: 1, EventCount: 12, EventInterval: 100 * time.Millisecond})
-		proxy := f.proxyTo(runner.Address)
-		entry := runner.DirectoryEntry("ready")
-		entry["address"] = proxy.Address
-		f.store.Put(platform.KindRunners, id, entry)
-		runners, proxies = append(runners, runner), append(proxies, proxy)
+		runners, proxies = append(runners, runner), append(proxies, f.listBehindProxy(runner))
 	}
 	r := f.servingRouter("r1", nil)
 	f.g.Eventually(func() int { return strings.Count(r.log.String(), "runner added") }, time.Second).Should(Equal(2))
--- a/internal/gateway/silentalternatives_test.go
+++ b/internal/gateway/silentalternatives_test.go
@@ -19,7 +19,7 @@
 	r := f.servingRouter("r1", nil)
 	responses := r.startStreams(4, engines)
 	engines = append(engines, f.proxiedEngine("e1", "a"))
-	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(2))
+	r.awaitRunners(2)
 	silence(engines, 5*time.Second)
 	expectWhole(f.g, responses)
 	f.g.Expect(runsOf(engines)).To(Equal(4), "each stream goes on at its runner")
@@ -36,7 +36,7 @@
 	responses := r.startStreams(4, engines)
 	engines = append(engines, f.proxiedEngine("e1", "a"))
 	f.proxiedEngine("e2", "a")
-	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(3))
+	r.awaitRunners(3)
 	for _, engine := range engines {
 		engine.proxy.SetMode(faultproxy.Blackhole)
 	}
@@ -55,7 +55,7 @@
 		ID: "e1", Service: "engines", Model: modelName, Version: 1, SoftwareVersion: "a", EventCount: 30, EventInterval: 300 * time.Millisecond,
 		Capacity: runnerstand.Capacity{Slots: 1},
 	})
-	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(2))
+	r.awaitRunners(2)
 	silence([]proxiedEngine{silent}, 5*time.Second)
 	expectWhole(f.g, responses)
 }
@@ -68,7 +68,7 @@
 	f.configure(1, routesWithLongTimeout(), validKey)
 	engines := []proxiedEngine{f.proxiedEngine("e0", "a"), f.proxiedEngine("e1", "a")}
 	r := f.servingRouter("r1", enableRunCopies)
-	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(engines)))
+	r.awaitRunners(len(engines))
 	responded := r.callWithLongTimeout("/once/x", withLongPrompt)
 	f.g.Eventually(func() int { return runsOf(engines) }, 3*time.Second, 5*time.Millisecond).Should(Equal(1))
 	time.Sleep(10 * proxiedEngineInterval)
--- a/internal/gateway/silentprobes_test.go
+++ b/internal/gateway/silentprobes_test.go
@@ -39,7 +39,7 @@
 	f.configure(1, routesWithLongTimeout(), validKey)
 	first, second := f.slowEngine("e0", 6, 1100*time.Millisecond), f.slowEngine("e1", 6, 1100*time.Millisecond)
 	r := f.servingRouter("r1", nil)
-	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(2))
+	r.awaitRunners(2)
 	responses := r.startSlowStreams(4, first, second)
 	first.SetReportDelay(5 * time.Second)
 	second.SetReportDelay(5 * time.Second)
--- a/internal/gateway/silentservice_test.go
+++ b/internal/gateway/silentservice_test.go
@@ -15,7 +15,6 @@
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
-	"github.com/clovertiller/clovertiller/platform"
 )
 
 // silentService is a service whose runners can be silenced for all routers at once.
@@ -41,12 +40,7 @@
 		if service == "engines" {
 			settings.Model, settings.Version, settings.EventCount = modelName, 1, 4
 		}
-		runner := f.startRunner(settings)
-		proxy := f.proxyTo(runner.Address)
-		entry := runner.DirectoryEntry("ready")
-		entry["address"] = proxy.Address
-		f.store.Put(platform.KindRunners, id, entry)
-		s.proxies = append(s.proxies, proxy)
+		s.proxies = append(s.proxies, f.listBehindProxy(f.startRunner(settings)))
 	}
 	seed := loopback.FreeAddress()
 	for i := range routers {
@@ -59,7 +53,7 @@
 	}
 	for _, r := range s.routers {
 		f.g.Eventually(func() int { return len(r.Status().EgressRouters) }, 3*time.Second, 10*time.Millisecond).Should(Equal(routers - 1))
-		f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(runners))
+		r.awaitRunners(runners)
 	}
 	return s
 }
--- a/internal/gateway/soundsilence_test.go
+++ b/internal/gateway/soundsilence_test.go
@@ -12,7 +12,6 @@
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
-	"github.com/clovertiller/clovertiller/platform"
 )
 
 const (
@@ -35,11 +34,7 @@
 		ID: id, Service: "engines", Model: modelName, Version: 1, SoftwareVersion: softwareVersion,
 		EventCount: proxiedEngineEvents, EventInterval: proxiedEngineInterval,
 	})
-	engine := proxiedEngine{Runner: runner, proxy: f.proxyTo(runner.Address)}
-	entry := runner.DirectoryEntry("ready")
-	entry["address"] = engine.proxy.Address
-	f.store.Put(platform.KindRunners, id, entry)
-	return engine
+	return proxiedEngine{Runner: runner, proxy: f.listBehindProxy(runner)}
 }
 
 // silence makes the engines silent for the duration, without an end of their connections.
@@ -108,7 +103,7 @@
 				engines = append(engines, f.proxiedEngine(fmt.Sprint("e", i), version))
 			}
 			r := f.servingRouter("r1", nil)
-			f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(engines)))
+			r.awaitRunners(len(engines))
 			const streams = 8
 			responses := r.startStreams(streams, engines)
 			silence(engines[:scenario.silent], soundSilence)
@@ -165,7 +160,7 @@
 				engines = append(engines, f.proxiedEngine(fmt.Sprint("e", i), version))
 			}
 			r := f.servingRouter("r1", scenario.settings)
-			f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(engines)))
+			r.awaitRunners(len(engines))
 			responses := r.startStreams(4, engines)
 			silence(engines[:1], longSilence)
 			expectWhole(f.g, responses)
@@ -180,7 +175,7 @@
 	f.configure(1, routesWithLongTimeout(), validKey)
 	engines := []proxiedEngine{f.proxiedEngine("e0", "a"), f.proxiedEngine("e1", "a")}
 	r := f.servingRouter("r1", nil)
-	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(engines)))
+	r.awaitRunners(len(engines))
 	responses := r.startStreams(4, engines)
 	engines[0].proxy.SetMode(faultproxy.Blackhole)
 	expectWhole(f.g, responses)
@@ -195,10 +190,7 @@
 	engine := f.startRunner(runnerstand.Config{
 		ID: "e0", Service: "engines", Model: modelName, Version: 1, EventCount: 4, EventInterval: 1100 * time.Millisecond,
 	})
-	proxy := f.proxyTo(engine.Address)
-	entry := engine.DirectoryEntry("ready")
-	entry["address"] = proxy.Address
-	f.store.Put(platform.KindRunners, engine.ID, entry)
+	proxy := f.listBehindProxy(engine)
 	r := f.servingRouter("r1", nil)
 	responses := r.startStreams(4, []proxiedEngine{{engine, proxy}})
 	proxy.SetMode(faultproxy.RejectNew)
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -49,7 +49,7 @@
 	r := f.servingRouter(name, func(settings *gateway.Settings) {
 		settings.PeerAddress, settings.Seeds, settings.PlacePatience = address, seeds, longPlacePatience
 	})
-	f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(runners))
+	r.awaitRunners(runners)
 	return r
 }
 
@@ -161,7 +161,7 @@
 		left += len(engines) - 1
 	}
 	for _, r := range routers {
-		f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(left))
+		r.awaitRunners(left)
 	}
 }
 
@@ -380,7 +380,7 @@
 	}
 	second := f.versionedEngines("v2", 6)
 	for _, r := range routers {
-		f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(first) + len(second)))
+		r.awaitRunners(len(first) + len(second))
 	}
 	f.expectTaken(takeUpAll(streams, routers[0], routers[1], routers[3]))
 }
@@ -422,7 +422,7 @@
 	f.g.Expect(streamMessages(routers)-before).To(BeZero(), "one version serves")
 	second := f.versionedEngines("v2", 3)
 	for _, r := range routers {
-		f.g.Eventually(func() int { return len(r.Status().Runners) }, 3*time.Second, 10*time.Millisecond).Should(Equal(len(first) + len(second)))
+		r.awaitRunners(len(first) + len(second))
 	}
 	before = streamMessages(routers)
 	routers[3].openStreams(streamsPerCase)
