review: requests run on parts of prompts made under newer weights (STALE)

Broken: a request that runs under one version of the weights uses parts of its prompt that were made under a newer one. A run that goes on under new weights (mode keep) keeps the parts that it still reads under the salt of the old version. The router names its runner as the source of a fetch for requests that run under the old version elsewhere, without a look at the weights of the source.

--- a/review/cases/mixed/main.go
+++ b/review/cases/mixed/main.go
@@ -73,7 +73,7 @@
 		return false, err
 	}
 	site.NameWeights(1)
-	site.PutConfig(1, true, 110556)
+	site.PutConfig(1, true, "")
 	older, err := startRunners(site, "v1")
 	if err != nil {
 		return false, err
--- a/review/cases/takenup/main.go
+++ b/review/cases/takenup/main.go
@@ -58,7 +58,7 @@
 		return false, err
 	}
 	site.NameWeights(1)
-	site.PutConfig(1, true, 110556)
+	site.PutConfig(1, true, "")
 	for i := range 2 * runnersPerVersion {
 		runner, err := site.StartRunner(rig.RunnerConfig{
 			ID: fmt.Sprintf("i-%d", i+1), Software: fmt.Sprintf("v%d", 1+i%2), Weights: 1, Capacity: 110556, Handle: serveStream,
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -24,8 +24,6 @@
 	Capacity int
 	// Handle serves a request of a caller that the runner is the right one for.
 	Handle func(r *Runner, writer http.ResponseWriter, request *http.Request)
-	// Load is called when an order to take other weights has been carried out, before they are in force.
-	Load func(r *Runner, version uint64)
 	// LoadTime is how long an order is under way.
 	LoadTime time.Duration
 }
@@ -39,6 +37,8 @@
 	born    uint64
 
 	Cache *Cache
+	// reading is held while a piece of a prompt is read.
+	reading sync.Mutex
 
 	mutex   sync.Mutex
 	weights uint64
@@ -192,13 +192,10 @@
 
 func (r *Runner) load(version uint64) {
 	time.Sleep(cmp.Or(r.LoadTime, 600*time.Millisecond))
-	if r.Load != nil {
-		r.Load(r, version)
-	}
+	r.Cache.Clear()
 	r.mutex.Lock()
 	r.weights, r.busy = version, false
 	r.mutex.Unlock()
-	r.Cache.Clear()
 	r.site.Record.Logf("%s has version %d", r.ID, version)
 	r.List()
 }
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -121,19 +121,24 @@
 	}
 }
 
-// PutConfig writes the configuration: one streaming route to the service, which may be resumed or not.
-func (s *Site) PutConfig(version int, resumable bool, kvCapacity int) {
+// PutConfig writes the configuration: one streaming route to the service, which may be resumed or not, and the
+// store of kept KV cache if there is one.
+func (s *Site) PutConfig(version int, resumable bool, kvStore string) {
 	kind := map[string]any{
 		"name": "stream", "host": Host, "path_prefix": "/stream/", "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 600,
 		"priority": 0, "service": Service, "max_attempts": 2, "public": false, "sticky": true, "resumable": resumable, "gap_aim_ms": 500,
 	}
 	engine := map[string]any{
-		"slots": 64, "kv_capacity": kvCapacity, "kv_token_bytes": 163840, "link_mbps": 1100000.0, "backups": true, "stride": 4,
+		"slots": 64, "kv_capacity": 110556, "kv_token_bytes": 163840, "link_mbps": 1100000.0, "backups": true, "stride": 4,
 		"max_concurrent": 12, "pin_ms": 4000, "hold_ms": 2000, "handle_s": 5, "models": []map[string]any{{"name": Model}},
 	}
+	services := []any{map[string]any{"name": Service, "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false, "engine": engine}}
+	if kvStore != "" {
+		services = append(services, map[string]any{"name": "kept", "kv_store_addr": kvStore, "zone": Zone, "kv_capacity": 777391, "link_mbps": 200000.0, "max_concurrent": 12})
+	}
 	s.Store.Put("config", "main", map[string]any{
 		"version": version, "routes": []any{kind},
-		"services": []any{map[string]any{"name": Service, "health_path": "/healthz", "max_connections": 360, "protocol": "h1", "tls": false, "engine": engine}},
+		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": Tenant, "api_keys": []string{Key}, "priority": 1, "isolated": false}},
 	})
