--- a/review/cases/mixed/main.go
+++ b/review/cases/mixed/main.go
@@ -14,13 +14,15 @@
 
 const (
 	routers           = 7
-	runnersPerVersion = 3
+	runnersPerVersion = 4
 	streams           = 42
 	// lastEvent and interval give a stream of seven seconds.
 	lastEvent = 35
 	interval  = 200 * time.Millisecond
 	// serveOn is how long the old runners serve on after their entries are gone.
-	serveOn = 6 * time.Second
+	serveOn = 8 * time.Second
+	// releaseGap is the pause between two runners that are replaced.
+	releaseGap = time.Second
 	// restartDelay is how long after a kill the platform starts the process again.
 	restartDelay = time.Second
 	// maxMixed is the number of streams of two versions that the rule allows.
@@ -47,19 +49,15 @@
 	return 0
 }
 
-// startRunners starts and lists the runners of a software version.
-func startRunners(site *rig.Site, software string) (runners []*rig.Runner, err error) {
-	for i := range runnersPerVersion {
-		runner, err := site.StartRunner(rig.RunnerConfig{
-			ID: fmt.Sprintf("i-%s-%d", software, i+1), Software: software, Weights: 1, Capacity: 110556, Handle: serveStream,
-		})
-		if err != nil {
-			return nil, err
-		}
-		runners = append(runners, runner)
+// startRunner starts and lists a runner of a software version.
+func startRunner(site *rig.Site, software string, number int) (*rig.Runner, error) {
+	runner, err := site.StartRunner(rig.RunnerConfig{
+		ID: fmt.Sprintf("i-%s-%d", software, number), Software: software, Weights: 1, Capacity: 110556, Handle: serveStream,
+	})
+	if err == nil {
 		runner.List()
 	}
-	return runners, nil
+	return runner, err
 }
 
 // play returns whether the rule was broken.
@@ -74,9 +72,19 @@
 	}
 	site.NameWeights(1)
 	site.PutConfig(1, true, "")
-	older, err := startRunners(site, "v1")
-	if err != nil {
-		return false, err
+	var older, newer []*rig.Runner
+	for i := range runnersPerVersion {
+		for _, software := range []string{"v1", "v2"} {
+			runner, err := startRunner(site, software, i+1)
+			if err != nil {
+				return false, err
+			}
+			if software == "v1" {
+				older = append(older, runner)
+			} else {
+				newer = append(newer, runner)
+			}
+		}
 	}
 	for _, router := range site.Routers {
 		if err := router.Start(true); err != nil {
@@ -95,17 +103,18 @@
 		begun = append(begun, caller.Start(fmt.Sprintf("s%d", i), site.Routers[i%routers], lastEvent))
 		time.Sleep(10 * time.Millisecond)
 	}
-	// The runners are replaced by such of another version. The old ones leave without a word and serve on.
-	newer, err := startRunners(site, "v2")
-	if err != nil {
-		return false, err
-	}
-	time.Sleep(2 * time.Second)
-	for _, runner := range older {
+	// A release: half of the runners are replaced, one at a time. The new one starts first. The old one leaves without a word
+	// and serves on.
+	for i, runner := range older {
+		replacement, err := startRunner(site, "v2", runnersPerVersion+i+1)
+		if err != nil {
+			return false, err
+		}
+		newer = append(newer, replacement)
 		runner.Unlist()
 		time.AfterFunc(serveOn, runner.Close)
+		time.Sleep(releaseGap)
 	}
-	time.Sleep(time.Second)
 	if trouble {
 		record.Printf("all %d routers are killed", routers)
 		for _, router := range site.Routers {
--- a/review/cases/staleparts/main.go
+++ b/review/cases/staleparts/main.go
@@ -15,13 +15,13 @@
 	routers = 3
 	runners = 12
 	// families is the number of new families of prompts in each round, and the tokens are those of the three parts of a prompt.
-	families                             = 16
+	families                             = 8
 	trunkTokens, familyTokens, ownTokens = 2520, 11300, 2890
 	tokensOut                            = 13
-	spacing                              = 5 * time.Millisecond
+	spacing                              = 34 * time.Millisecond
 	// rounds is the number of versions that are named, and secondAsk when the families are asked for again.
-	rounds    = 8
-	secondAsk = 950 * time.Millisecond
+	rounds    = 4
+	secondAsk = 900 * time.Millisecond
 	roundTime = 6 * time.Second
 )
 
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -95,7 +95,7 @@
 	}
 	if !current.readPrompt() {
 		if !current.isAtWork {
-			r.reject(writer, http.StatusServiceUnavailable)
+			r.reject(writer, current.rejection())
 		}
 		return
 	}
@@ -191,6 +191,14 @@
 	return true
 }
 
+// rejection returns the status for a request that has not begun: the runner takes other weights, or has taken them.
+func (c *run) rejection() int {
+	if c.runner.IsBusy() {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusMisdirectedRequest
+}
+
 // read reads tokens of the prompt in pieces, one piece of all requests at a time. It returns the version under which the last
 // piece was read.
 func (c *run) read(tokens int) (version uint64, going bool) {
--- a/review/rig/router.go
+++ b/review/rig/router.go
@@ -111,16 +111,6 @@
 	<-exited
 }
 
-// PID returns the number of the process, 0 if there is none.
-func (r *Router) PID() int {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.command == nil {
-		return 0
-	}
-	return r.command.Process.Pid
-}
-
 // ResidentMB returns the resident memory of the process, 0 if it has ended.
 func (r *Router) ResidentMB() float64 {
 	r.mutex.Lock()
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -32,11 +32,9 @@
 type Runner struct {
 	RunnerConfig
 	Address string
-	// Listed is the address in the runner's entry, that of a proxy in front of it or its own.
-	Listed string
-	site   *Site
-	server *http.Server
-	born   uint64
+	site    *Site
+	server  *http.Server
+	born    uint64
 
 	Cache *Cache
 	// reading is held while a piece of a prompt is read.
@@ -70,7 +68,7 @@
 func (r *Runner) List() {
 	r.mutex.Lock()
 	entry := map[string]any{
-		"service": Service, "address": cmp.Or(r.Listed, r.Address), "zone": Zone, "version": r.Software, "slots": 64, "state": "ready", "cold_remaining_ms": 0,
+		"service": Service, "address": r.Address, "zone": Zone, "version": r.Software, "slots": 64, "state": "ready", "cold_remaining_ms": 0,
 		"stage": "both", "models": []any{map[string]any{"name": Model, "version": r.weights, "adapters": []string{}}}, "seq": r.orders, "born": r.born,
 	}
 	r.mutex.Unlock()
@@ -165,8 +163,11 @@
 	err := json.NewDecoder(request.Body).Decode(&taken)
 	r.mutex.Lock()
 	status := r.orderStatus(taken, err)
+	if status != http.StatusBadRequest {
+		r.fence = max(r.fence, taken.Fence)
+	}
 	if status == http.StatusAccepted {
-		r.fence, r.busy = max(r.fence, taken.Fence), true
+		r.busy = true
 		r.orders++
 	}
 	r.mutex.Unlock()
