Observability: a refusal after attempts tells what proves that each did not run

A refused call (511) that had been sent, and one of unknown outcome (510), log for each attempt its runner or router, its connection (new, kept, kept and has carried the call before) and the proof; refusal_proofs_total counts the proofs by kind. Decisions are as they were; the hashes of IDs that a connection keeps are not bounded yet.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -14,6 +14,8 @@
 
 import (
 	"slices"
+
+	"github.com/clovertiller/clovertiller/internal/notrun"
 )
 
 // RunState tells the caller of a failed request whether the request may have run.
@@ -100,6 +102,8 @@
 	uncertain bool
 	excluded  []string
 	runner    string
+	// proofs holds, for each attempt, what proves that it did not run.
+	proofs []notrun.Kind
 }
 
 // NewRequest returns the state machine of a new request. Only a repeatable request may run more
@@ -130,6 +134,7 @@
 		panic("attempt: dispatch while another dispatch is in flight")
 	}
 	r.attempts++
+	r.proofs = append(r.proofs, notrun.Unproved)
 	r.resumes = 0
 	r.runner = runner
 	r.phase = Dispatched
@@ -153,6 +158,7 @@
 // Reject records that the runner reported that it did not run the current attempt and will not
 // run it.
 func (r *Request) Reject() Action {
+	r.prove(notrun.Rejected)
 	r.exclude()
 	return r.retryAfterRefusal()
 }
@@ -160,7 +166,10 @@
 // RejectStale records that the runner reported that it did not run the current attempt because
 // the dispatch referred to something that the runner no longer has. With updated references,
 // the request may be sent to the same runner again.
-func (r *Request) RejectStale() Action { return r.retryAfterRefusal() }
+func (r *Request) RejectStale() Action {
+	r.prove(notrun.Rejected)
+	return r.retryAfterRefusal()
+}
 
 // NotSent records that the dispatch cannot have reached the runner because no connection to it
 // was established.
@@ -172,6 +181,7 @@
 // DispatchAborted records that the dispatch was aborted immediately before it was sent. The
 // runner is not excluded, because it is not at fault.
 func (r *Request) DispatchAborted() Action {
+	r.prove(notrun.Unwritten)
 	if r.limits.MaxUnsent == 0 {
 		return r.retryAfterRefusal()
 	}
@@ -182,6 +192,7 @@
 // Declined records that another router declined the dispatch, so that it cannot have reached a runner. Unlike a dispatch that
 // was not sent, it costs next to no time and is not limited here.
 func (r *Request) Declined() Action {
+	r.prove(notrun.Declined)
 	r.unsent++
 	r.declined++
 	return r.retryNotRun()
@@ -255,6 +266,7 @@
 // NeverSeen records that the same runner process reported that it never received the current
 // attempt and will refuse it from now on.
 func (r *Request) NeverSeen() Action {
+	r.prove(notrun.Barred)
 	r.exclude()
 	if r.fromCopy {
 		return r.retryIfRepeatable()
@@ -262,6 +274,16 @@
 	return r.retry()
 }
 
+// Proofs returns, for each attempt, what proves that it did not run.
+func (r *Request) Proofs() []notrun.Kind { return r.proofs }
+
+// prove records what proves that the current attempt did not run.
+func (r *Request) prove(kind notrun.Kind) {
+	if r.attempts > 0 {
+		r.proofs[r.attempts-1] = kind
+	}
+}
+
 // abandon gives up the current attempt without proof that it has not run.
 func (r *Request) abandon() Action {
 	r.exclude()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,6 +56,8 @@
 	deadline time.Time
 	// attemptState decides after each attempt whether another one is allowed.
 	attemptState *attempt.Request
+	// attempts describes the attempts for logs.
+	attempts []attemptRecord
 	// quotaCharge is the amount charged to the tenant's limit. quotaServer is the router that
 	// granted it, empty if none did. quotaDecision delivers the decision and is nil if the tenant
 	// has no limit.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -111,7 +111,7 @@
 		return attempt.Stop, unavailable(reasonNoPath, busyRetryAfter)
 	}
 	c.triedEgress = append(c.triedEgress, router.Address)
-	c.attemptState.BeginDispatch(router.Address)
+	c.beginAttempt(router.Address)
 	c.sentAt, c.egressRouter, c.declineReason = g.now(), router.Address, ""
 	// A panic in between says nothing about the egress router.
 	result := resultFailed
@@ -233,7 +233,7 @@
 	return &httpconn.Request{
 		Method: http.MethodPost, Target: forwardPath, Host: "router", Body: body,
 		// A kept connection may have fallen silent or may be closed at this moment, which would lose the call.
-		FreshConnection: true, Header: http.Header{"Connection": {"close"}},
+		FreshConnection: true, Header: http.Header{"Connection": {"close"}}, OnConnection: c.recordConnection,
 		MatchesResponse: func(header http.Header) bool {
 			return header.Get(headerForwardResult) == resultDeclined || protocol.ParseResponse(0, header).RequestID == id
 		},
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -57,6 +57,8 @@
 	attempts       *prometheus.CounterVec
 	retries        *prometheus.CounterVec
 	runnerFailures *prometheus.CounterVec
+	// refusalProofs counts the attempts of refused calls by what proves that they did not run.
+	refusalProofs *prometheus.CounterVec
 	// responseEnds counts the response bodies read, by framing and verdict.
 	responseEnds *prometheus.CounterVec
 	// streamRecords counts the records of streams that were kept, by what they changed, and streamLookups the
@@ -177,6 +179,7 @@
 		permitsGranted:     newCounterVec("permits_granted_total", "Permits that this router has granted for sends to runners that limit requests.", "service"),
 		attempts:           newCounterVec("attempts_total", "Sends of calls to runners.", "service"),
 		retries:            newCounterVec("retries_total", "Further attempts that were wanted, by whether they were made.", "service", "outcome"),
+		refusalProofs:      newCounterVec("refusal_proofs_total", "Attempts of refused calls, by what proves that they did not run.", "service", "proof"),
 		runnerFailures:     newCounterVec("runner_failures_total", "Sends that were not answered well.", "service", "outcome"),
 		responseEnds:       newCounterVec("response_ends_total", "Bodies of responses read from runners and egress routers, by how their end was marked and how they ended.", "service", "framing", "end"),
 		streamRecords:      newCounterVec("stream_records_total", "Records kept of the software versions at which streams began, by what each changed.", "result"),
@@ -260,7 +263,7 @@
 	}
 	m.registry.MustRegister(m.endlessResponses)
 	m.registry.MustRegister(
-		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.unansweredRequests, m.handlerPanics, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.silentRunnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
+		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.unansweredRequests, m.handlerPanics, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.refusalProofs, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.silentRunnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
 		m.quotaDecisions, m.quotaFalseRefusals, m.quotaCalls, m.quotaWaits, &runnerStateCollector{gateway: g}, &copyAgeCollector{gateway: g}, &peerTrafficCollector{gateway: g}, &contentStateCollector{gateway: g}, &serviceStatsCollector{gateway: g}, &rolloutCollector{gateway: g},
 		newGauge("stream_records", "Records of the software versions at which streams began.", func() float64 { records, _ := g.streams.recordCounts(); return float64(records) }),
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -52,6 +52,9 @@
 		"config": c.config.table.Version, "config_age_ms": c.arrivedAt.Sub(c.config.provenAt).Milliseconds(),
 		"framing": c.responseFraming.String(), "response_end": c.responseEnd.Verdict.String(), "http": c.incoming.Proto,
 	}
+	if outcome == outcomeUnknown {
+		fields["tried"] = c.describeAttempts()
+	}
 	if c.egressRouter != "" {
 		fields["egress"] = c.egressRouter
 	}
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -68,6 +68,10 @@
 		fields["yield_percent"], fields["returned"], fields["excess"] = int(percent*c.queueLimit.PriorityFactor), c.queueLimit.Returned, c.queueLimit.Excess
 		fields["service"] = c.service
 	}
+	if len(c.attempts) > 0 {
+		fields["tried"] = c.describeAttempts()
+		c.countProofs()
+	}
 	if r.detail != "" {
 		fields["detail"] = r.detail
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -154,7 +154,7 @@
 // send sends the call to c.runner and forwards the response.
 func (c *call) send() attempt.Action {
 	defer c.releaseSendContext()
-	c.attemptState.BeginDispatch(c.runner.ID)
+	c.beginAttempt(c.runner.ID)
 	c.lastNotSent = false
 	c.responseWeightVersion, c.requestedBackoff = 0, 0
 	c.sentAt = c.gateway.now()
@@ -241,7 +241,7 @@
 	return &httpconn.Request{
 		Method: c.incoming.Method, Target: requestTarget(c.incoming), Host: c.incoming.Host,
 		Header: protocol.ForwardHeaders(c.incoming.Header, dispatch), Body: c.body,
-		ReuseOnly: c.gateway.egress.mayOnlyReuse(c), OnDial: c.recordDial,
+		ReuseOnly: c.gateway.egress.mayOnlyReuse(c), OnDial: c.recordDial, ID: id, OnConnection: c.recordConnection,
 		MatchesResponse: func(header http.Header) bool { return protocol.ParseResponse(0, header).RequestID == id },
 	}
 }
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -32,12 +32,22 @@
 	// request. Other responses are discarded and the next one is read. If it is nil,
 	// the first response is used.
 	MatchesResponse func(http.Header) bool
+	// ID identifies the request in responses. It may be empty.
+	ID string
+	// OnConnection is called when the connection for the request is open. It may be nil.
+	OnConnection func(Connection)
 	// Confirm is called when the connection is open, right before the first byte is
 	// written. If it returns false, nothing is sent and Send returns ErrNotConfirmed. It
 	// may be nil.
 	Confirm func() bool
 }
 
+// Connection describes the connection over which a request is sent.
+type Connection struct {
+	// Kept is set if earlier requests were sent over it, and Repeats if one of them had the same ID.
+	Kept, Repeats bool
+}
+
 // Response is the response to a request.
 type Response struct {
 	Status int
@@ -74,6 +84,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.OnConnection != nil {
+		request.OnConnection(Connection{Kept: len(c.carried) > 0, Repeats: c.hasCarried(request.ID)})
+	}
 	if ctx.Err() != nil {
 		c.Close()
 		return nil, errors.Join(ErrNotSent, ctx.Err())
@@ -82,6 +95,7 @@
 		p.putUnused(c)
 		return nil, errors.Join(ErrNotSent, ErrNotConfirmed)
 	}
+	c.carry(request.ID)
 	stopCancel := context.AfterFunc(ctx, func() { c.Close() })
 	stopTimer := p.startSilenceTimer(c)
 	defer stopTimer()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -13,11 +13,14 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/clovertiller/clovertiller/internal/tcpoption"
 )
 
@@ -79,8 +82,16 @@
 	idleExpiry time.Time
 	// idleSince is when the last response ended, or zero before the first one.
 	idleSince time.Time
+	// carried holds the hashes of the IDs of the requests that were sent over the connection.
+	carried []uint64
 }
 
+// carry records that a request with the ID is sent over the connection.
+func (c *conn) carry(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
+
+// hasCarried reports whether a request with the ID was sent over the connection.
+func (c *conn) hasCarried(id string) bool { return slices.Contains(c.carried, xxhash.Sum64String(id)) }
+
 // NewPool returns an empty pool with the given timeout for opening connections.
 func NewPool(dialTimeout time.Duration) *Pool {
 	dialer := tcpoption.Dialer(dialTimeout)
