Failing test: a repeated rejection is taken for the response to the next attempt

What callers see: 503, which promises that the call has not run, for a call that a runner runs. The stand-in runner can send responses a second time now (Surplus).

--- /dev/null
+++ b/internal/gateway/falserefusals_test.go
@@ -0,0 +1,51 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+)
+
+// Guards against a call that can't be repeated and is refused as not run, although it has run: the runner rejects it for newer
+// weights, and repeats that rejection when the router has sent it the call again over the same connection.
+func TestRepeatedRejectionIsNoResponseToTheNextAttempt(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	engine := f.engine("e1", 1)
+	engine.SetSurplus(runnerstand.Surplus{Share: 1})
+	r := f.servingRouter("r1", nil)
+	version := engine.WeightVersion()
+	refused, refusedAndRan, resent := 0, 0, 0
+	for range 60 {
+		version++
+		engine.SetWeightVersion(version)
+		before, arrived := len(engine.Runs()), engine.ArrivalCount()
+		got := r.call("/once/x", nil)
+		ran := len(engine.Runs()) > before
+		if engine.ArrivalCount() > arrived+1 {
+			resent++
+		}
+		if promisesNotRun(got.status) {
+			refused++
+			if ran {
+				refusedAndRan++
+			}
+		}
+	}
+	t.Logf("%d refused, %d of them ran, %d reached the engine twice", refused, refusedAndRan, resent)
+	f.g.Expect(resent).NotTo(BeZero(), "a call that has not run is sent again")
+	f.g.Expect(refusedAndRan).To(BeZero())
+}
+
+// promisesNotRun reports whether callers infer from the status that the call has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/internal/lab/runnerstand/capacity.go
+++ b/internal/lab/runnerstand/capacity.go
@@ -216,6 +216,16 @@
 type trackedConn struct {
 	net.Conn
 	listener *fallListener
+	surplus  surplusResponse
+}
+
+// Read sends the surplus response of the last call before it returns the next one.
+func (c *trackedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.surplus.send(c.Conn)
+	}
+	return n, err
 }
 
 func (c *trackedConn) Close() error {
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/clovertiller/clovertiller/platform"
@@ -128,6 +129,9 @@
 	cut     *Cut
 	// room is the state of Capacity.
 	room room
+	// surplus selects the responses that are sent twice, of which there were surplusCount.
+	surplus      Surplus
+	surplusCount atomic.Int64
 }
 
 // DefaultSoftwareVersion is the software version of runners whose configuration names none.
@@ -144,7 +148,7 @@
 	}
 	listener = newFallListener(listener)
 	r := &Runner{Config: config, Address: listener.Addr().String(), listener: listener, weightVersion: config.Version, kvCopies: map[string]bool{}, resumed: make(chan struct{}), aborted: make(chan struct{})}
-	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ConnContext: withConnection, ConnState: armSurplus}
 	go r.server.Serve(listener)
 	return r, nil
 }
@@ -380,6 +384,7 @@
 	switch behaviour {
 	case Sheds:
 		header.Set(platform.HeaderNotExecuted, "1")
+		r.prepareSurplus(request, writer, http.StatusServiceUnavailable)
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Drops:
@@ -406,7 +411,8 @@
 	}
 	if r.EventCount > 0 {
 		r.writeStream(writer, request, behaviour)
-		return
+	} else {
+		r.writeBody(writer, behaviour, run)
 	}
-	r.writeBody(writer, behaviour, run)
+	r.prepareSurplus(request, writer, http.StatusOK)
 }
