Calls that had run are refused no more: a connection carries each request ID once, and only a proof makes a promise

Callers saw: 503 for a call that can't be repeated, and a runner ran it; once in 60 such calls two runners ran it.

Cause: a response was attributed to an attempt by the request's ID, which is the same for all attempts of a call. A runner that rejects a call for newer weights is sent the call again over the same connection; if it repeats the rejection, that was taken for the response to the second attempt.

Fix: the pool doesn't send a request over a connection that has carried its ID, so a response with the ID is to this attempt. A connection is replaced after 256 requests, which bounds the IDs it keeps.

The mutant of the flag is replaced by two of the new rules.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -42,7 +42,8 @@
 
 mutant "1 every claim wins" internal/node/claims.go 's/return round.Decide\(\), round.Reason\(\), nil/return claim.Won, round.Reason(), nil/' ./test/prove -ginkgo.focus "duplicates sent to all routers"
 mutant "1 unrepeatable requests are retried" internal/attempt/attempt.go 's/if !r.repeatable \{/if !r.repeatable \&\& r.limits.MaxAttempts < 0 {/' ./internal/attempt
-mutant "1 a broken dispatch counts as not run" internal/attempt/attempt.go 's/r.uncertain = true/r.uncertain = false/g' ./internal/attempt
+mutant "1 an attempt without a proof counts as not run" internal/attempt/attempt.go 's/!p.Holds\(\)/false/' ./internal/attempt
+mutant "1 a connection carries an ID twice" internal/httpconn/pool.go 's/if !c.hasCarried\(id\)/if true/' ./internal/httpconn
 mutant "1 the horizon stays when the holders have lost their claims" internal/claim/handover.go 's/handover.Horizon = now/handover.Horizon = time.Time{}/' ./test/prove -ginkgo.focus "when all routers restart"
 mutant "2 frames of other attempts and offsets are relayed" internal/attempt/attempt.go 's/attempt != r.attempts \|\| offset != r.offset \|\| //' ./test/prove -ginkgo.focus "passes on only the frames"
 mutant "2 frames of other requests are relayed" internal/node/relay.go 's/string\(frame.Request\) != x.request.id/len(frame.Request) == 0/' ./test/prove -ginkgo.focus "passes on only the frames"
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -5,10 +5,8 @@
 // The package performs no I/O, does not read the clock and starts no goroutines. Its invariants
 // are:
 //
-//   - NotRun is reported only if no dispatch can have reached a runner, or if the runner itself
-//     refused every dispatch;
-//   - an unrepeatable request is dispatched again only after proof from the runner that the
-//     earlier dispatch has not run and never will;
+//   - NotRun is reported only with a proof for every attempt that it has not run and never will;
+//   - an unrepeatable request is dispatched again only after such a proof for the earlier attempt;
 //   - a frame is relayed only if it belongs to the current attempt and starts at the next offset.
 package attempt
 
@@ -98,12 +96,10 @@
 	// fromCopy is true while a runner is asked to continue a run from its copy of the run's
 	// memory.
 	fromCopy bool
-	// uncertain is true if it is unknown whether some attempt ran.
-	uncertain bool
-	excluded  []string
-	runner    string
-	// proofs holds, for each attempt, what proves that it did not run.
-	proofs []notrun.Kind
+	excluded []string
+	runner   string
+	// proofs holds the proof of each attempt that it has not run, a zero value for attempts that may have run.
+	proofs []notrun.Proof
 }
 
 // NewRequest returns the state machine of a new request. Only a repeatable request may run more
@@ -134,7 +130,7 @@
 		panic("attempt: dispatch while another dispatch is in flight")
 	}
 	r.attempts++
-	r.proofs = append(r.proofs, notrun.Unproved)
+	r.proofs = append(r.proofs, notrun.Proof{})
 	r.resumes = 0
 	r.runner = runner
 	r.phase = Dispatched
@@ -155,49 +151,76 @@
 	}
 }
 
-// Reject records that the runner reported that it did not run the current attempt and will not
-// run it.
-func (r *Request) Reject() Action {
-	r.prove(notrun.Rejected)
+// The following methods record that the current attempt has not run and will not run. Without a proof of that they are the same as
+// RunnerGone.
+
+// Reject records that the runner rejected the current attempt.
+func (r *Request) Reject(proof notrun.Proof) Action {
 	r.exclude()
+	if !r.prove(proof) {
+		return r.abandon()
+	}
 	return r.retryAfterRefusal()
 }
 
-// RejectStale records that the runner reported that it did not run the current attempt because
-// the dispatch referred to something that the runner no longer has. With updated references,
-// the request may be sent to the same runner again.
-func (r *Request) RejectStale() Action {
-	r.prove(notrun.Rejected)
+// RejectStale records that the runner rejected the current attempt because the dispatch referred to something that the runner no
+// longer has. With updated references, the request may be sent to the same runner again.
+func (r *Request) RejectStale(proof notrun.Proof) Action {
+	if !r.prove(proof) {
+		return r.abandon()
+	}
 	return r.retryAfterRefusal()
 }
 
-// NotSent records that the dispatch cannot have reached the runner because no connection to it
-// was established.
-func (r *Request) NotSent() Action {
+// NotSent records that the dispatch cannot have reached the runner because no connection to it was established.
+func (r *Request) NotSent(proof notrun.Proof) Action {
 	r.exclude()
-	return r.DispatchAborted()
+	return r.DispatchAborted(proof)
 }
 
-// DispatchAborted records that the dispatch was aborted immediately before it was sent. The
-// runner is not excluded, because it is not at fault.
-func (r *Request) DispatchAborted() Action {
-	r.prove(notrun.Unwritten)
-	if r.limits.MaxUnsent == 0 {
+// DispatchAborted records that the dispatch was aborted immediately before it was sent. The runner is not excluded, because it is
+// not at fault.
+func (r *Request) DispatchAborted(proof notrun.Proof) Action {
+	switch {
+	case !r.prove(proof):
+		return r.abandon()
+	case r.limits.MaxUnsent == 0:
 		return r.retryAfterRefusal()
 	}
 	r.unsent++
 	return r.retryNotRun()
 }
 
-// Declined records that another router declined the dispatch, so that it cannot have reached a runner. Unlike a dispatch that
-// was not sent, it costs next to no time and is not limited here.
-func (r *Request) Declined() Action {
-	r.prove(notrun.Declined)
+// Declined records that another router declined the dispatch. Unlike a dispatch that was not sent, it costs next to no time and is
+// not limited here.
+func (r *Request) Declined(proof notrun.Proof) Action {
+	if !r.prove(proof) {
+		return r.abandon()
+	}
 	r.unsent++
 	r.declined++
 	return r.retryNotRun()
 }
 
+// NeverSeen records that the same runner process reported that it never received the current attempt and will refuse it from now
+// on.
+func (r *Request) NeverSeen(proof notrun.Proof) Action {
+	r.exclude()
+	switch {
+	case !r.prove(proof):
+		return r.abandon()
+	case r.fromCopy:
+		return r.retryIfRepeatable()
+	}
+	return r.retry()
+}
+
+// prove records the proof of the current attempt, and reports whether it holds.
+func (r *Request) prove(proof notrun.Proof) bool {
+	r.proofs[len(r.proofs)-1] = proof
+	return proof.Holds()
+}
+
 // SentDispatches returns the number of dispatches that may have reached a runner.
 func (r *Request) SentDispatches() int { return int(r.attempts) - r.unsent }
 
@@ -263,31 +286,9 @@
 // reached, so that the stream cannot be resumed there.
 func (r *Request) RunnerGone() Action { return r.abandon() }
 
-// NeverSeen records that the same runner process reported that it never received the current
-// attempt and will refuse it from now on.
-func (r *Request) NeverSeen() Action {
-	r.prove(notrun.Barred)
-	r.exclude()
-	if r.fromCopy {
-		return r.retryIfRepeatable()
-	}
-	return r.retry()
-}
-
-// Proofs returns, for each attempt, what proves that it did not run.
-func (r *Request) Proofs() []notrun.Kind { return r.proofs }
-
-// prove records what proves that the current attempt did not run.
-func (r *Request) prove(kind notrun.Kind) {
-	if r.attempts > 0 {
-		r.proofs[r.attempts-1] = kind
-	}
-}
-
 // abandon gives up the current attempt without proof that it has not run.
 func (r *Request) abandon() Action {
 	r.exclude()
-	r.uncertain = true
 	return r.retryIfRepeatable()
 }
 
@@ -350,9 +351,6 @@
 	if r.phase == Complete {
 		return
 	}
-	if r.phase != Ready {
-		r.uncertain = true
-	}
 	r.phase = Failed
 }
 
@@ -360,15 +358,27 @@
 func (r *Request) MayRetry() bool { return r.repeatable && !r.limitReached() }
 
 // MayHaveRun reports whether any attempt may have run.
-func (r *Request) MayHaveRun() bool { return r.ran || r.uncertain }
+func (r *Request) MayHaveRun() bool { return r.RunState() != NotRun }
 
 // RunState returns the run state to report for a failed request.
 func (r *Request) RunState() RunState {
 	switch {
 	case r.ran:
 		return FailedAfterRun
-	case r.uncertain:
+	case slices.ContainsFunc(r.proofs, func(p notrun.Proof) bool { return !p.Holds() }):
 		return Unknown
 	}
 	return NotRun
 }
+
+// Proofs returns the proof of each attempt that it has not run.
+func (r *Request) Proofs() []notrun.Proof { return r.proofs }
+
+// Promise states that no attempt of a request has run or will run. Only Request.Promise makes one that holds.
+type Promise struct{ holds bool }
+
+// Holds reports whether the value is a promise. The zero value is none.
+func (p Promise) Holds() bool { return p.holds }
+
+// Promise returns the promise that no attempt has run or will run, which holds if there is a proof of it for every attempt.
+func (r *Request) Promise() Promise { return Promise{holds: r.RunState() == NotRun} }
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -7,6 +7,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/clovertiller/clovertiller/internal/lab/testkit"
+	"github.com/clovertiller/clovertiller/internal/notrun"
+)
+
+var (
+	unwritten = notrun.New(notrun.Unwritten)
+	rejected  = notrun.New(notrun.Rejected)
+	barred    = notrun.New(notrun.Barred)
+	declined  = notrun.New(notrun.Declined)
 )
 
 // runnerHistory records what actually happened at the runners, which the state machine cannot
@@ -55,11 +63,11 @@
 	number := request.BeginDispatch("runner")
 	switch rapid.SampledFrom([]string{"no connection", "aborted", "refused", "lost before arrival", "lost after arrival", "accepted"}).Draw(t, "dispatch") {
 	case "no connection":
-		return request.NotSent()
+		return request.NotSent(unwritten)
 	case "aborted":
-		return request.DispatchAborted()
+		return request.DispatchAborted(unwritten)
 	case "refused":
-		return request.Reject()
+		return request.Reject(rejected)
 	case "lost before arrival":
 		// The dispatch is still in transit and may arrive later, unless the runner is told to
 		// refuse it.
@@ -95,7 +103,7 @@
 			// The runner never received the attempt and refuses it from now on, so it will not
 			// run.
 			delete(history.mayRun, number)
-			return request.NeverSeen()
+			return request.NeverSeen(barred)
 		}
 		request.MarkAccepted()
 		return simulateStream(t, request)
@@ -129,7 +137,7 @@
 	request := NewRequest(false, DefaultLimits())
 	request.BeginDispatch("one")
 	g.Expect(request.ConnectionLost()).To(Equal(Resume))
-	g.Expect(request.NeverSeen()).To(Equal(Dispatch))
+	g.Expect(request.NeverSeen(barred)).To(Equal(Dispatch))
 	request.BeginDispatch("two")
 	g.Expect(request.ConnectionLost()).To(Equal(Resume))
 	g.Expect(request.RunnerGone()).To(Equal(Stop))
@@ -142,7 +150,7 @@
 	request.BeginDispatch("a")
 	g.Expect(request.ContinueFromCopy()).To(Equal(Dispatch))
 	request.BeginDispatch("b")
-	g.Expect(request.Reject()).To(Equal(Stop), "the runner has no copy, and no other runner may run the request")
+	g.Expect(request.Reject(rejected)).To(Equal(Stop), "the runner has no copy, and no other runner may run the request")
 	g.Expect(request.RunState()).To(Equal(FailedAfterRun))
 
 	second := NewRequest(false, Limits{MaxAttempts: 1, MaxRefusals: 3})
@@ -156,7 +164,8 @@
 // run. An unrepeatable request must then not be dispatched as a new run.
 func TestUnrepeatableRequestIsNotRetriedAfterFailedContinuation(t *testing.T) {
 	for name, event := range map[string]func(*Request) Action{
-		"rejected": (*Request).Reject, "stale": (*Request).RejectStale, "not sent": (*Request).NotSent, "never seen": (*Request).NeverSeen,
+		"rejected": func(r *Request) Action { return r.Reject(rejected) }, "stale": func(r *Request) Action { return r.RejectStale(rejected) },
+		"not sent": func(r *Request) Action { return r.NotSent(unwritten) }, "never seen": func(r *Request) Action { return r.NeverSeen(barred) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -177,8 +186,8 @@
 		want  RunState
 	}{
 		{"never dispatched", func(*Request) {}, NotRun},
-		{"refused by the runner", func(r *Request) { r.BeginDispatch("a"); r.Reject() }, NotRun},
-		{"no connection", func(r *Request) { r.BeginDispatch("a"); r.NotSent() }, NotRun},
+		{"refused by the runner", func(r *Request) { r.BeginDispatch("a"); r.Reject(rejected) }, NotRun},
+		{"no connection", func(r *Request) { r.BeginDispatch("a"); r.NotSent(unwritten) }, NotRun},
 		{"in flight", func(r *Request) { r.BeginDispatch("a") }, Unknown},
 		{"accepted, not known to have started", func(r *Request) { r.BeginDispatch("a"); r.MarkAccepted() }, Unknown},
 		{"started", func(r *Request) { r.BeginDispatch("a"); r.MarkAccepted(); r.MarkStarted(1) }, FailedAfterRun},
@@ -186,7 +195,7 @@
 			r.BeginDispatch("a")
 			r.RunnerGone()
 			r.BeginDispatch("b")
-			r.Reject()
+			r.Reject(rejected)
 		}, Unknown},
 	}
 	for _, c := range cases {
@@ -198,3 +207,37 @@
 		})
 	}
 }
+
+// Guards against a promise that a call has not run for which the proof of one attempt is missing, and against a further attempt of
+// an unrepeatable request after it.
+func TestAttemptWithoutProofMayHaveRun(t *testing.T) {
+	events := map[string]func(*Request, notrun.Proof) Action{
+		"rejected": (*Request).Reject, "stale": (*Request).RejectStale, "not sent": (*Request).NotSent, "aborted": (*Request).DispatchAborted,
+		"declined": (*Request).Declined, "never seen": (*Request).NeverSeen,
+	}
+	proofs := map[string]notrun.Proof{
+		"rejected": rejected, "stale": rejected, "not sent": unwritten, "aborted": unwritten, "declined": declined, "never seen": barred,
+	}
+	limits := Limits{MaxAttempts: 4, MaxRefusals: 3, MaxUnsent: 3}
+	for name, event := range events {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for _, repeatable := range []bool{false, true} {
+				request := NewRequest(repeatable, limits)
+				request.BeginDispatch("a")
+				g.Expect(event(request, proofs[name])).To(Equal(Dispatch), "what has not run is sent again")
+				g.Expect(request.Promise().Holds()).To(BeTrue())
+				request.BeginDispatch("b")
+				g.Expect(event(request, notrun.Proof{}) == Dispatch).To(Equal(repeatable))
+				g.Expect(request.Promise().Holds()).To(BeFalse())
+				g.Expect(request.RunState()).To(Equal(Unknown))
+				if repeatable {
+					request.BeginDispatch("c")
+					event(request, proofs[name])
+					g.Expect(request.Promise().Holds()).To(BeFalse(), "a later proof is none for the attempt before")
+				}
+			}
+		})
+	}
+	NewWithT(t).Expect(Promise{}.Holds()).To(BeFalse())
+}
--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/clovertiller/clovertiller/internal/integrity"
+	"github.com/clovertiller/clovertiller/internal/notrun"
 )
 
 // Timeouts and limits of the client.
@@ -58,6 +59,17 @@
 	return fmt.Sprintf("engine refused: %s: %s", e.Refusal.Code, e.Refusal.Message)
 }
 
+// Proof returns the proof that the engine did not run the attempt.
+func (e *RefusedError) Proof(kind notrun.Kind) notrun.Proof { return notrun.New(kind) }
+
+// Unwritten returns the proof that the engine did not get the request. It holds if the error is ErrNotConnected.
+func Unwritten(err error) notrun.Proof {
+	if !errors.Is(err, ErrNotConnected) {
+		return notrun.Proof{}
+	}
+	return notrun.New(notrun.Unwritten)
+}
+
 // Client calls the HTTP interface of engines. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -12,6 +12,7 @@
 	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/integrity"
+	"github.com/clovertiller/clovertiller/internal/notrun"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
@@ -32,17 +33,17 @@
 // writeTo sends the response to the caller unchanged.
 func (r *bufferedResponse) writeTo(c *call) error {
 	c.setResponseHeaders(r.header)
-	return c.writeWhole(r.status, r.body)
+	return c.writeWhole(unpromisedStatus(r.status), r.body)
 }
 
 // beginWriting writes the status of the response to the caller.
-func (c *call) beginWriting(status int) {
+func (c *call) beginWriting(status callerStatus) {
 	c.responseBegun = true
-	c.writer.WriteHeader(status)
+	c.writer.WriteHeader(status.code)
 }
 
 // writeWhole writes a response whose headers are set, and flushes it so that a failed write is noticed.
-func (c *call) writeWhole(status int, body []byte) error {
+func (c *call) writeWhole(status callerStatus, body []byte) error {
 	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.beginWriting(status)
 	if _, err := c.writeBody(body); err != nil {
@@ -121,7 +122,7 @@
 	end, err := c.copyLongResponse(buffered, response)
 	switch {
 	case err != nil || c.ctx.Err() != nil && !end.IsComplete():
-		c.handleCanceled(false)
+		c.handleCanceled(notrun.Proof{})
 	case !end.IsComplete():
 		c.endAttempt(backend.Failed, quarantine.ConnectionLost, "response body is incomplete: "+end.String(), response.Status)
 		c.attemptState.Fail()
@@ -156,19 +157,18 @@
 	return r.status >= http.StatusInternalServerError || impliesNotRun(r.status)
 }
 
-// impliesNotRun reports whether callers infer from the status that the request has not run.
-func impliesNotRun(status int) bool {
-	return status == http.StatusTooManyRequests || status == http.StatusRequestTimeout
-}
-
-// handleRunnerFailure handles a failure that the runner itself reported. It is kept for the caller if its
-// body is complete. Statuses that imply that the request has not run are never forwarded.
+// handleRunnerFailure handles a failure that the runner itself reported.
 func (c *call) handleRunnerFailure(response *bufferedResponse, end integrity.End) attempt.Action {
 	c.endAttempt(backend.Failed, quarantine.Indeterminate, "runner returned a failure", response.status)
-	if end.IsComplete() && response.status != http.StatusServiceUnavailable && !impliesNotRun(response.status) {
+	c.keepFailure(response, end)
+	return c.attemptState.RunnerFailed()
+}
+
+// keepFailure keeps the failure for the caller if its body is complete and its status does not imply that the call has not run.
+func (c *call) keepFailure(response *bufferedResponse, end integrity.End) {
+	if end.IsComplete() && !impliesNotRun(response.status) {
 		c.lastFailure = response
 	}
-	return c.attemptState.RunnerFailed()
 }
 
 // callerWriter writes to the caller. Its errors are errCallerDisconnected, and the call keeps the cause.
@@ -194,7 +194,7 @@
 	} else {
 		c.beginUnframedResponse()
 	}
-	c.beginWriting(buffered.status)
+	c.beginWriting(unpromisedStatus(buffered.status))
 	_, err := io.Copy(callerWriter{c}, io.MultiReader(bytes.NewReader(buffered.body), response.Body))
 	if errors.Is(err, errCallerDisconnected) {
 		return integrity.End{}, err
--- a/internal/gateway/attemptrecord.go
+++ b/internal/gateway/attemptrecord.go
@@ -38,8 +38,6 @@
 		words = append(words, "no connection")
 	case !r.connection.Kept:
 		words = append(words, "new connection")
-	case r.connection.Repeats:
-		words = append(words, "kept connection that has carried the call")
 	default:
 		words = append(words, "kept connection")
 	}
@@ -50,7 +48,7 @@
 func (c *call) describeAttempts() (lines []string) {
 	proofs := c.attemptState.Proofs()
 	for i, record := range c.attempts {
-		line := strconv.Itoa(i+1) + " " + record.String() + ": " + proofs[i].String()
+		line := strconv.Itoa(i+1) + " " + record.String() + ": " + proofs[i].Kind().String()
 		if record.detail != "" {
 			line += " (" + record.detail + ")"
 		}
@@ -61,7 +59,7 @@
 
 // countProofs counts what proves that the attempts of a refused call did not run.
 func (c *call) countProofs() {
-	for _, kind := range c.attemptState.Proofs() {
-		c.gateway.metrics.refusalProofs.WithLabelValues(c.service, kind.String()).Inc()
+	for _, proof := range c.attemptState.Proofs() {
+		c.gateway.metrics.refusalProofs.WithLabelValues(c.service, proof.Kind().String()).Inc()
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,7 +54,8 @@
 	// ctx is canceled when the caller disconnects, the deadline passes or the router stops.
 	ctx      context.Context
 	deadline time.Time
-	// attemptState decides after each attempt whether another one is allowed.
+	// attemptState decides after each attempt whether another one is allowed, and promises that none has run. It allows no attempt
+	// until the call is admitted.
 	attemptState *attempt.Request
 	// attempts describes the attempts for logs.
 	attempts []attemptRecord
@@ -190,7 +191,7 @@
 	g.waitForStartup(request.Context(), now)
 	c := &call{
 		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: request,
-		metadata: g.ports.Protocol.ParseRequest(request.Header), arrivedAt: now, config: g.activeConfig.Load(),
+		metadata: g.ports.Protocol.ParseRequest(request.Header), arrivedAt: now, config: g.activeConfig.Load(), attemptState: &attempt.Request{},
 	}
 	g.openCalls.Add(1)
 	defer g.openCalls.Add(-1)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"errors"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/integrity"
+	"github.com/clovertiller/clovertiller/internal/notrun"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -172,14 +172,15 @@
 	defer response.Body.Close()
 	c.beginResponse(response)
 	result = response.Header.Get(headerForwardResult)
+	proof := response.Rejection(notrun.Declined)
 	switch {
 	case result == resultDeclined:
 		c.declineReason = response.Header.Get(headerDeclineReason)
 		c.gateway.egress.refer(decodeReferrals(response.Header))
 		_, _ = response.Body.ReadAll(maxRefusalReason)
-		return result, c.attemptState.Declined(), nil
+		return result, c.attemptState.Declined(proof), nil
 	case result == resultRefused:
-		return result, attempt.Stop, c.readRefusal(response)
+		return result, attempt.Stop, c.readRefusal(response, proof)
 	}
 	c.hasUnusedRetry = false
 	if result == resultResponse {
@@ -242,28 +243,28 @@
 
 // handleForwardError handles a forwarded call that got no response.
 func (c *call) handleForwardError(err error) attempt.Action {
-	notSent := errors.Is(err, httpconn.ErrNotSent)
-	if !notSent {
+	unwritten := httpconn.Unwritten(err)
+	if !unwritten.Holds() {
 		c.hasUnusedRetry = false
 	}
 	if c.ctx.Err() != nil {
-		if notSent {
-			c.attemptState.NotSent()
+		if unwritten.Holds() {
+			c.attemptState.NotSent(unwritten)
 		}
 		c.attemptState.Fail()
 		return attempt.Stop
 	}
-	if notSent {
-		return c.attemptState.NotSent()
+	if unwritten.Holds() {
+		return c.attemptState.NotSent(unwritten)
 	}
 	return c.connectionLost()
 }
 
 // readRefusal returns the refusal of an egress router. A denial of a call that this router's
 // configuration allows is temporary: one of the two configurations is older.
-func (c *call) readRefusal(response *httpconn.Response) *refusal {
+func (c *call) readRefusal(response *httpconn.Response, proof notrun.Proof) *refusal {
 	reason, end := response.Body.ReadAll(maxRefusalReason)
-	c.attemptState.Reject()
+	c.attemptState.Reject(proof)
 	if end.IsBroken() {
 		reason = []byte(reasonNoPath)
 	}
@@ -284,9 +285,7 @@
 	c.firstResponseAt = c.gateway.now()
 	switch {
 	case buffered.isFailure():
-		if end.IsComplete() {
-			c.lastFailure = buffered
-		}
+		c.keepFailure(buffered, end)
 		c.attemptState.RunnerFailed()
 		c.attemptState.Fail()
 		return attempt.Stop
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -125,6 +125,7 @@
 	c := &call{
 		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, body: message.GetBody(),
 		metadata: g.ports.Protocol.ParseRequest(incoming.Header), arrivedAt: g.now(), config: g.activeConfig.Load(), forwarded: message, boundVersion: message.GetBoundVersion(),
+		attemptState: &attempt.Request{},
 	}
 	c.metadata.LastEvent = string(message.GetLastEvent())
 	c.metadata.Deadline = time.Duration(message.GetLeftMillis()) * time.Millisecond
@@ -169,7 +170,7 @@
 	if !c.isForwarded() {
 		return
 	}
-	if r.status == http.StatusInternalServerError || c.attemptState != nil && c.attemptState.RunState() != attempt.NotRun {
+	if r.status == http.StatusInternalServerError || !c.attemptState.Promise().Holds() {
 		c.setForwardResult(resultFailed)
 		return
 	}
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -10,6 +10,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/integrity"
+	"github.com/clovertiller/clovertiller/internal/notrun"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 )
 
@@ -59,7 +60,7 @@
 		return err
 	})
 	if err != nil {
-		return c.handleCanceled(false)
+		return c.handleCanceled(notrun.Proof{})
 	}
 	c.recordResponseEnd(end)
 	watchdogEnd := watchdog.stop()
@@ -132,7 +133,7 @@
 	c.gateway.metrics.firstEventLatencies.WithLabelValues(c.service).Observe(c.gateway.since(c.arrivedAt).Seconds())
 	c.setResponseHeaders(response.Header)
 	c.beginUnframedResponse()
-	c.beginWriting(response.Status)
+	c.beginWriting(unpromisedStatus(response.Status))
 }
 
 // finishStream handles the end of a complete stream.
@@ -152,10 +153,10 @@
 func (c *call) handleBrokenStream(response *httpconn.Response, end integrity.End, aborted bool) attempt.Action {
 	response.Body.Close()
 	if c.ctx.Err() != nil {
-		return c.handleCanceled(false)
+		return c.handleCanceled(notrun.Proof{})
 	}
 	if c.isWithdrawn() {
-		return c.handleWithdrawn(false)
+		return c.handleWithdrawn(notrun.Proof{})
 	}
 	if c.stream.stalledRecently(c.gateway.now()) {
 		c.endAttempt(backend.Abandoned, quarantine.Canceled, "the caller left the stream unread: "+end.String(), response.Status)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
@@ -42,7 +41,7 @@
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
 }
 
-// refuse logs and counts the refusal and sends it to the caller. The call must not have run.
+// refuse logs and counts the refusal of a call that has not run, and sends it to the caller.
 func (c *call) refuse(r *refusal) {
 	route := ""
 	if c.route != nil {
@@ -102,7 +101,7 @@
 		}
 		return
 	}
-	if c.attemptState.RunState() == attempt.NotRun {
+	if c.attemptState.Promise().Holds() {
 		c.refundQuota()
 		c.refuse(r)
 		return
@@ -143,7 +142,7 @@
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if err := c.writeWhole(r.status, []byte(r.reason+"\n")); err != nil {
+	if err := c.writeWhole(promisedStatus(r.status, c.attemptState.Promise()), []byte(r.reason+"\n")); err != nil {
 		c.abortUnwritten()
 	}
 }
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -7,6 +7,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/notrun"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 )
@@ -119,10 +120,10 @@
 
 // handleWithdrawn handles an attempt that was withdrawn. The runner may nevertheless have started
 // the request.
-func (c *call) handleWithdrawn(notSent bool) attempt.Action {
+func (c *call) handleWithdrawn(unwritten notrun.Proof) attempt.Action {
 	c.endAttempt(backend.Abandoned, quarantine.Canceled, context.Cause(c.sendCtx).Error(), 0)
-	if notSent {
-		return c.attemptState.NotSent()
+	if unwritten.Holds() {
+		return c.attemptState.NotSent(unwritten)
 	}
 	return c.connectionLost()
 }
--- a/internal/gateway/writedeadline_internal_test.go
+++ b/internal/gateway/writedeadline_internal_test.go
@@ -50,7 +50,7 @@
 			connection := &slowConnection{ResponseRecorder: httptest.NewRecorder(), bytesPerSecond: rate}
 			c := &call{gateway: &Gateway{ports: Ports{Clock: realClock{}}}, writer: connection, controller: http.NewResponseController(connection), deadline: time.Now()}
 			g.Expect(c.controller.SetWriteDeadline(c.deadline.Add(writeTimeoutSlack))).To(Succeed())
-			err := c.writeWhole(http.StatusOK, bytes.Repeat([]byte("x"), 320<<10))
+			err := c.writeWhole(unpromisedStatus(http.StatusOK), bytes.Repeat([]byte("x"), 320<<10))
 			if name == "reads" {
 				g.Expect(err).NotTo(HaveOccurred(), "it takes 2.5 s")
 				return
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/integrity"
+	"github.com/clovertiller/clovertiller/internal/notrun"
 )
 
 // Request is an HTTP request to a server.
@@ -28,11 +29,13 @@
 	// OnDial is called with the result when a new connection was dialed for the request, unless
 	// the context ended before. It may be nil.
 	OnDial func(error)
-	// MatchesResponse reports whether a response with the given header belongs to this
-	// request. Other responses are discarded and the next one is read. If it is nil,
-	// the first response is used.
+	// MatchesResponse reports whether a response with the given header belongs to a
+	// request with this ID. Other responses are discarded and the next one is read. If it
+	// is nil, the first response is used.
 	MatchesResponse func(http.Header) bool
-	// ID identifies the request in responses. It may be empty.
+	// ID identifies the request in responses. It may be empty. The request is not sent over
+	// a connection that has carried another one with the same ID, whose late response could
+	// not be told from the response to this one.
 	ID string
 	// OnConnection is called when the connection for the request is open. It may be nil.
 	OnConnection func(Connection)
@@ -44,8 +47,8 @@
 
 // Connection describes the connection over which a request is sent.
 type Connection struct {
-	// Kept is set if earlier requests were sent over it, and Repeats if one of them had the same ID.
-	Kept, Repeats bool
+	// Kept is set if earlier requests were sent over it.
+	Kept bool
 }
 
 // Response is the response to a request.
@@ -56,6 +59,25 @@
 	ContentLength int64
 	Framing       integrity.Framing
 	Body          *Body
+	// own is set if the response can be to no other request.
+	own bool
+}
+
+// Rejection returns the proof that the server did not process the request, for a response that says so. It does not hold if the
+// response may be to an earlier request on the connection.
+func (r *Response) Rejection(kind notrun.Kind) notrun.Proof {
+	if !r.own {
+		return notrun.Proof{}
+	}
+	return notrun.New(kind)
+}
+
+// Unwritten returns the proof that the server did not get the request. It holds if the error of Send is ErrNotSent.
+func Unwritten(err error) notrun.Proof {
+	if !errors.Is(err, ErrNotSent) {
+		return notrun.Proof{}
+	}
+	return notrun.New(notrun.Unwritten)
 }
 
 const (
@@ -85,7 +107,7 @@
 		return nil, err
 	}
 	if request.OnConnection != nil {
-		request.OnConnection(Connection{Kept: len(c.carried) > 0, Repeats: c.hasCarried(request.ID)})
+		request.OnConnection(Connection{Kept: c.isKept()})
 	}
 	if ctx.Err() != nil {
 		c.Close()
@@ -95,6 +117,7 @@
 		p.putUnused(c)
 		return nil, errors.Join(ErrNotSent, ErrNotConfirmed)
 	}
+	own := !c.isKept() || request.ID != "" && request.MatchesResponse != nil
 	c.carry(request.ID)
 	stopCancel := context.AfterFunc(ctx, func() { c.Close() })
 	stopTimer := p.startSilenceTimer(c)
@@ -117,6 +140,7 @@
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: integrity.FramingOf(response),
 		Body: &Body{pool: p, conn: c, response: response, writeResult: writeResult, stopCancel: stopCancel},
+		own:  own,
 	}, nil
 }
 
@@ -237,7 +261,7 @@
 
 // reusable reports whether the connection may be used for another request.
 func (b *Body) reusable() bool {
-	if !b.readToEnd || b.response.Close || b.conn.reader.Buffered() > 0 {
+	if !b.readToEnd || b.response.Close || b.conn.reader.Buffered() > 0 || len(b.conn.carried) >= maxRequestsPerConnection {
 		return false
 	}
 	if b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0 {
--- a/internal/httpconn/exchange_test.go
+++ b/internal/httpconn/exchange_test.go
@@ -143,7 +143,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	<-sent
 	g.Eventually(func() bool {
-		idle := pool.take(address)
+		idle := pool.take(address, "")
 		if idle == nil {
 			return true
 		}
@@ -286,7 +286,7 @@
 	_, err := sendAndRead(g, pool, address, newGetRequest())
 	g.Expect(err).NotTo(HaveOccurred())
 	pool.CloseExpired(time.Now().Add(time.Millisecond))
-	g.Expect(pool.take(address)).To(BeNil())
+	g.Expect(pool.take(address, "")).To(BeNil())
 }
 
 // openIdleConnections opens count idle connections to a server that responds to the
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -35,7 +35,9 @@
 	idleMargin = time.Second
 	// maxIdlePerAddress is the maximum number of idle connections to one address.
 	maxIdlePerAddress = 16
-	readBufferBytes   = 2048
+	// maxRequestsPerConnection bounds the IDs that are kept of a connection's requests.
+	maxRequestsPerConnection = 256
+	readBufferBytes          = 2048
 )
 
 // ErrNotSent means that nothing of the request was sent to the server.
@@ -82,15 +84,24 @@
 	idleExpiry time.Time
 	// idleSince is when the last response ended, or zero before the first one.
 	idleSince time.Time
-	// carried holds the hashes of the IDs of the requests that were sent over the connection.
+	// carried holds the hashes of the IDs of the requests that were sent over the connection, empty ones left out.
 	carried []uint64
 }
 
+// isKept reports whether earlier requests were sent over the connection.
+func (c *conn) isKept() bool { return !c.idleSince.IsZero() }
+
 // carry records that a request with the ID is sent over the connection.
-func (c *conn) carry(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
+func (c *conn) carry(id string) {
+	if id != "" {
+		c.carried = append(c.carried, xxhash.Sum64String(id))
+	}
+}
 
 // hasCarried reports whether a request with the ID was sent over the connection.
-func (c *conn) hasCarried(id string) bool { return slices.Contains(c.carried, xxhash.Sum64String(id)) }
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
+}
 
 // NewPool returns an empty pool with the given timeout for opening connections.
 func NewPool(dialTimeout time.Duration) *Pool {
@@ -98,11 +109,12 @@
 	return &Pool{idle: map[string][]*conn{}, Dial: dialer.DialContext}
 }
 
-// connect returns a usable idle connection to the address, or a new one if there is
-// none or forceNew is set. All of its errors wrap ErrNotSent.
+// connect returns a usable idle connection to the address that has not carried the
+// request's ID, or a new one if there is none or FreshConnection is set. All of its
+// errors wrap ErrNotSent.
 func (p *Pool) connect(ctx context.Context, address string, request *Request) (*conn, error) {
 	for !request.FreshConnection {
-		idle := p.take(address)
+		idle := p.take(address, request.ID)
 		if idle == nil {
 			break
 		}
@@ -137,18 +149,20 @@
 	return &conn{Conn: netConn, address: address, head: head, reader: bufio.NewReaderSize(head, readBufferBytes)}, nil
 }
 
-// take removes and returns the most recently used idle connection to the address, so
-// that the others can expire. It returns nil if there is none.
-func (p *Pool) take(address string) *conn {
+// take removes and returns the most recently used idle connection to the address that
+// has not carried a request with the ID, so that the others can expire. It returns nil
+// if there is none.
+func (p *Pool) take(address, id string) *conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.hasCarried(id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	last := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // put adds an idle connection, or closes it if there are maxIdlePerAddress already.
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -38,3 +38,19 @@
 		})
 	}
 }
+
+// Guards against promises that a request has not run which don't come from a client that knows what it has written and read.
+func TestOnlyClientsProveThatAttemptsHaveNotRun(t *testing.T) {
+	g := NewWithT(t)
+	output, err := exec.Command("grep", "-rlF", "notrun.New(", "--include=*.go", "--exclude=*_test.go", "../../..").Output()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(strings.Fields(string(output))).To(ConsistOf("../../../internal/httpconn/exchange.go", "../../../internal/engineapi/client.go"))
+}
+
+// Guards against statuses that promise to callers that a call has not run and are written without a promise.
+func TestStatusesOfCallsAreWrittenInOnePlace(t *testing.T) {
+	g := NewWithT(t)
+	output, err := exec.Command("grep", "-rlE", `c\.writer\.WriteHeader\(|callerStatus\{`, "--include=*.go", "--exclude=*_test.go", "../../gateway").Output()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(strings.Fields(string(output))).To(ConsistOf("../../gateway/answer.go", "../../gateway/callerstatus.go"))
+}
--- a/internal/node/execute.go
+++ b/internal/node/execute.go
@@ -13,6 +13,7 @@
 	"github.com/clovertiller/clovertiller/internal/control"
 	"github.com/clovertiller/clovertiller/internal/engineapi"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/notrun"
 	"github.com/clovertiller/clovertiller/internal/prefix"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -276,11 +277,11 @@
 		return x.state.ConnectionLost()
 	case errors.As(err, &refusal):
 		x.reportRejection(refusal.Refusal.Code == engineapi.CodeDraining)
-		return x.state.Reject()
+		return x.state.Reject(refusal.Proof(notrun.Rejected))
 	case errors.Is(err, engineapi.ErrNotConnected):
 		x.reportRejection(false)
 		x.ejectRunner()
-		return x.state.NotSent()
+		return x.state.NotSent(engineapi.Unwritten(err))
 	}
 	if ctx.Err() != nil {
 		return attempt.Stop
@@ -322,7 +323,7 @@
 	x.ejectRunner()
 	var refusal *engineapi.RefusedError
 	if errors.As(err, &refusal) && refusal.Refusal.Code == engineapi.CodeNeverSeenAndBarred {
-		return x.state.NeverSeen()
+		return x.state.NeverSeen(refusal.Proof(notrun.Barred))
 	}
 	// The stream is lost because the process has ended, was replaced or cannot be reached. If it
 	// still runs behind a network partition, the cancellation stops work that nobody reads.
--- a/internal/notrun/notrun.go
+++ b/internal/notrun/notrun.go
@@ -1,4 +1,5 @@
-// Package notrun names what proves that an attempt of a request has not run and never will.
+// Package notrun holds the proof that an attempt of a request has not run and never will. Only the clients that send attempts
+// make proofs, as only they know which bytes were written and which response belongs to which attempt.
 package notrun
 
 // Kind is a kind of proof.
@@ -22,3 +23,16 @@
 func (k Kind) String() string {
 	return [...]string{"unproved", "unwritten", "rejected", "barred", "declined"}[k]
 }
+
+// Proof proves that one attempt has not run and never will. The zero value proves nothing.
+type Proof struct{ kind Kind }
+
+// New returns a proof. It may be called only by a client that sends attempts, which must know that the proof holds for the
+// attempt at hand: a test of package rules checks the callers.
+func New(kind Kind) Proof { return Proof{kind} }
+
+// Kind returns the kind of the proof.
+func (p Proof) Kind() Kind { return p.kind }
+
+// Holds reports whether the value is a proof.
+func (p Proof) Holds() bool { return p.kind != Unproved }
