--- a/internal/gateway/falserefusals_test.go
+++ b/internal/gateway/falserefusals_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
+	"github.com/clovertiller/clovertiller/platform"
 )
 
 // Guards against a call that can't be repeated and is refused as not run, although it has run: the runner rejects it for newer
@@ -41,6 +43,34 @@
 	f.g.Expect(refusedAndRan).To(BeZero())
 }
 
+// Guards against the same after a runner has started again with another ID at its address: it rejects the call that is meant for
+// the runner before it, which is still listed, and repeats that rejection when it gets the call under its own ID.
+func TestRepeatedRejectionOfRestartedRunnerIsNoResponseToTheNextAttempt(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runner := f.runner("p2", "plain")
+	f.store.Put(platform.KindRunners, "p1", runner.DirectoryEntry("ready"))
+	runner.SetSurplus(runnerstand.Surplus{Share: 1})
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.RetryReserve = 50 })
+	r.awaitRunners(2)
+	served, refusedAndRan := 0, 0
+	for range 60 {
+		before := len(runner.Runs())
+		got := r.call("/unsafe/x", nil)
+		if got.status == http.StatusOK {
+			served++
+		}
+		if promisesNotRun(got.status) && len(runner.Runs()) > before {
+			refusedAndRan++
+		}
+	}
+	t.Logf("%d served, %d refused and run", served, refusedAndRan)
+	f.g.Expect(r.log.String()).To(ContainSubstring(`"attempt":2`), "a call that has not run is sent again")
+	f.g.Expect(served).NotTo(BeZero())
+	f.g.Expect(refusedAndRan).To(BeZero())
+}
+
 // promisesNotRun reports whether callers infer from the status that the call has not run.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -239,6 +239,8 @@
 func (r *Runner) serve(writer http.ResponseWriter, request *http.Request) {
 	if expected := request.Header.Get(platform.HeaderExpectInstance); expected != "" && expected != r.ID {
 		writer.Header().Set(platform.HeaderInstanceID, r.ID)
+		writer.Header().Set(platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID))
+		r.prepareSurplus(request, writer, http.StatusMisdirectedRequest)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
