gateway: the word of an egress router of an earlier version is no proof after an attempt

Callers could get 503 for a call that ran at an egress router which still attributes responses by the request's ID alone: its refusal was passed on. An egress router names the proof of each attempt now (Clovertiller-Forward-Proof), and a refusal without it counts as unproved: a repeatable call goes elsewhere, another one ends with 502. What an earlier version declines at once, before any attempt, still counts, so that calls go on to the next router. A runner's own 408, 421, 429 or 503 that an earlier version passes on is not passed on to the caller.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,10 +30,15 @@
 	headerDeclineReason = "Clovertiller-Forward-Reason"
 	// headerReferral names routers that may serve a declined call, one a value: its address and its zone.
 	headerReferral = "Clovertiller-Forward-Referral"
+	// headerForwardProof tells what proves that a refused or declined call has not run: a line for each attempt, or proofNoAttempt.
+	headerForwardProof = "Clovertiller-Forward-Proof"
 	// headerRetryAfterMillis is the retry delay of a refusal.
 	headerRetryAfterMillis = "Clovertiller-Forward-Retry-Ms"
 )
 
+// proofNoAttempt is the value of headerForwardProof if the egress router made no attempt.
+const proofNoAttempt = "no attempt"
+
 // Values of headerDeclineReason of a router that accepts other calls of the service.
 const (
 	// declinedPathsLost means that the runners with room are among those that the router does not reach.
@@ -172,17 +177,21 @@
 	defer response.Body.Close()
 	c.beginResponse(response)
 	result = response.Header.Get(headerForwardResult)
-	proof := response.Rejection(notrun.Declined)
+	proof := c.readForwardProof(response)
 	switch {
 	case result == resultDeclined:
 		c.declineReason = response.Header.Get(headerDeclineReason)
 		c.gateway.egress.refer(decodeReferrals(response.Header))
 		_, _ = response.Body.ReadAll(maxRefusalReason)
+		c.hasUnusedRetry = c.hasUnusedRetry && proof.Holds()
 		return result, c.attemptState.Declined(proof), nil
-	case result == resultRefused:
+	case result == resultRefused && proof.Holds():
 		return result, attempt.Stop, c.readRefusal(response, proof)
 	}
 	c.hasUnusedRetry = false
+	if result == resultRefused {
+		return result, c.attemptState.Reject(proof), nil
+	}
 	if result == resultResponse {
 		c.gateway.paths.repeatLostSends(c.service)
 	}
@@ -260,6 +269,18 @@
 	return c.connectionLost()
 }
 
+// readForwardProof returns the proof that a call which its egress router refused or declined has not run there. Earlier versions
+// send no headerForwardProof. They may be wrong after an attempt, but not if they decline for a reason that comes before any.
+func (c *call) readForwardProof(response *httpconn.Response) notrun.Proof {
+	values, result, reason := response.Header.Values(headerForwardProof), response.Header.Get(headerForwardResult), response.Header.Get(headerDeclineReason)
+	c.attempts[len(c.attempts)-1].detail = strings.Join(values, "; ")
+	declinedAtOnce := result == resultDeclined && reason != declinedPathsLost && reason != declinedUnscheduled
+	if len(values) == 0 && !declinedAtOnce {
+		return notrun.Proof{}
+	}
+	return response.Rejection(notrun.Declined)
+}
+
 // readRefusal returns the refusal of an egress router. A denial of a call that this router's
 // configuration allows is temporary: one of the two configurations is older.
 func (c *call) readRefusal(response *httpconn.Response, proof notrun.Proof) *refusal {
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -148,6 +148,7 @@
 	g.metrics.servedForwarded.WithLabelValues(service, reason).Inc()
 	writer.Header().Set(headerForwardResult, resultDeclined)
 	writer.Header().Set(headerDeclineReason, reason)
+	writer.Header().Set(headerForwardProof, proofNoAttempt)
 	if g.draining.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -174,6 +175,7 @@
 		c.setForwardResult(resultFailed)
 		return
 	}
+	c.writer.Header()[headerForwardProof] = c.forwardProof()
 	if reason := c.declineReasonOfRefusal(); reason != "" {
 		c.setForwardResult(resultDeclined)
 		c.writer.Header().Set(headerDeclineReason, reason)
@@ -183,6 +185,14 @@
 	c.writer.Header().Set(headerRetryAfterMillis, strconv.FormatInt(r.retryAfter.Milliseconds(), 10))
 }
 
+// forwardProof returns the values of headerForwardProof for a forwarded call that has not run.
+func (c *call) forwardProof() []string {
+	if len(c.attempts) == 0 {
+		return []string{proofNoAttempt}
+	}
+	return c.describeAttempts()
+}
+
 // declineReasonOfRefusal returns why another router may serve a forwarded call that this one refuses, empty if none may.
 func (c *call) declineReasonOfRefusal() string {
 	switch {
