engineapi: a refusal proves that an attempt has not run only if it names that attempt

Engines name request and attempt in refusals; any other one leaves the attempt's fate open, and the router asks the engine by a resume.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -59,7 +59,7 @@
 	return fmt.Sprintf("engine refused: %s: %s", e.Refusal.Code, e.Refusal.Message)
 }
 
-// Proof returns the proof that the engine did not run the attempt.
+// Proof returns the proof that the engine did not run the attempt. A refusal of another attempt is no RefusedError.
 func (e *RefusedError) Proof(kind notrun.Kind) notrun.Proof { return notrun.New(kind) }
 
 // Unwritten returns the proof that the engine did not get the request. It holds if the error is ErrNotConnected.
@@ -107,17 +107,24 @@
 // stream. The error is a *RefusedError, ErrNotConnected or ErrResponseLost. Only in
 // the last case the attempt may be running.
 func (c *Client) Generate(ctx context.Context, address string, request *GenerateRequest) (*Stream, error) {
-	return c.openStream(ctx, address, PathGenerate, request)
+	return c.openStream(ctx, address, PathGenerate, request, attemptID{request.Request, request.Attempt})
 }
 
 // Resume requests the rest of an attempt's output stream. Its errors are those of
 // Generate.
 func (c *Client) Resume(ctx context.Context, address string, request *ResumeRequest) (*Stream, error) {
-	return c.openStream(ctx, address, PathResume, request)
+	return c.openStream(ctx, address, PathResume, request, attemptID{request.Request, request.Attempt})
 }
 
-// openStream sends a request and returns the stream in its response.
-func (c *Client) openStream(ctx context.Context, address, path string, body any) (*Stream, error) {
+// attemptID identifies an attempt.
+type attemptID struct {
+	request string
+	attempt uint32
+}
+
+// openStream sends a request about the attempt and returns the stream in its response. A refusal of another attempt, which an
+// engine may have sent late over a kept connection, says nothing about this one.
+func (c *Client) openStream(ctx context.Context, address, path string, body any, id attemptID) (*Stream, error) {
 	streamCtx, cancel := context.WithCancel(ctx)
 	// The timer limits the wait for the response header, not the stream that follows.
 	timer := time.AfterFunc(ResponseTimeout, cancel)
@@ -134,7 +141,12 @@
 	if response.StatusCode != http.StatusOK {
 		defer cancel()
 		defer response.Body.Close()
-		return nil, readRefusal(response)
+		err := readRefusal(response)
+		var refused *RefusedError
+		if errors.As(err, &refused) && id != (attemptID{refused.Refusal.Request, refused.Refusal.Attempt}) {
+			return nil, ErrResponseLost
+		}
+		return nil, err
 	}
 	reader := bufio.NewReaderSize(response.Body, streamBufferBytes)
 	return NewStream(NewFrameReader(reader), &cancelCloser{response.Body, cancel}), nil
--- a/internal/engineapi/types.go
+++ b/internal/engineapi/types.go
@@ -104,6 +104,9 @@
 	Message string `json:"message"`
 	// Token is the highest fencing token seen, on CodeStaleToken.
 	Token uint64 `json:"token,omitempty"`
+	// Request and Attempt identify the refused attempt, on refusals to generate or resume.
+	Request string `json:"request,omitempty"`
+	Attempt uint32 `json:"attempt,omitempty"`
 }
 
 // Load is the current load of an engine, in requests and prompt tokens.
--- a/internal/lab/engineserver/server.go
+++ b/internal/lab/engineserver/server.go
@@ -357,6 +357,7 @@
 	s.waitWhileFrozen()
 	stream, refusal := s.submit(body)
 	if refusal != nil {
+		refusal.Request, refusal.Attempt = body.Request, body.Attempt
 		writeJSON(writer, http.StatusConflict, refusal)
 		return
 	}
@@ -453,23 +454,27 @@
 		return
 	}
 	s.waitWhileFrozen()
+	refuse := func(code engineapi.Code, format string, args ...any) {
+		refusal := engineapi.Refusal{Code: code, Message: fmt.Sprintf(format, args...), Request: body.Request, Attempt: body.Attempt}
+		writeJSON(writer, http.StatusConflict, refusal)
+	}
 	id := enginemodel.ID{Request: body.Request, Attempt: body.Attempt}
 	s.mutex.Lock()
 	stream := s.streams[id]
 	switch {
 	case body.Incarnation != s.incarnation:
 		s.mutex.Unlock()
-		writeRefusal(writer, http.StatusConflict, engineapi.CodeIncarnationMismatch, "incarnation is %d", s.incarnation)
+		refuse(engineapi.CodeIncarnationMismatch, "incarnation is %d", s.incarnation)
 	case stream == nil && s.barredAttempts[id]:
 		s.mutex.Unlock()
-		writeRefusal(writer, http.StatusConflict, engineapi.CodeNotResumable, "attempt has ended")
+		refuse(engineapi.CodeNotResumable, "attempt has ended")
 	case stream == nil:
 		s.barredAttempts[id] = true
 		s.mutex.Unlock()
-		writeRefusal(writer, http.StatusConflict, engineapi.CodeNeverSeenAndBarred, "attempt was never seen and is now barred")
+		refuse(engineapi.CodeNeverSeenAndBarred, "attempt was never seen and is now barred")
 	case stream.canceled:
 		s.mutex.Unlock()
-		writeRefusal(writer, http.StatusConflict, engineapi.CodeNotResumable, "attempt was cancelled")
+		refuse(engineapi.CodeNotResumable, "attempt was cancelled")
 	default:
 		s.mutex.Unlock()
 		s.relay(writer, request, stream, body.Offset)
