soak: runners that refuse calls in several ways and send responses twice (--refusals)

Half of the responses are sent again, when the next request of the connection has come or up to 30 ms later; runners refuse calls, before the body is in too, have weights that are not requested yet, and are listed with a former ID. 32 callers, bodies of up to 55 kB. Each refusal with 408, 421, 429 or 503 is compared with all runs until the end.

--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -3,22 +3,22 @@
 # runs with new seeds also include requests that crash runners, suspended machines, signals from
 # runners and restores of the store from backups.
 # usage: hack/soak.sh [NUMBER_OF_NEW_SEEDS] [DURATION]
-#        hack/soak.sh --config-changes NUMBER_OF_SEEDS [DURATION] [RUNS_AT_A_TIME] [FLAG...]
-# With --config-changes it runs the seeds from 1 on with changes of the configuration, and no others.
+#        hack/soak.sh KIND NUMBER_OF_SEEDS [DURATION] [RUNS_AT_A_TIME] [FLAG...]
+# With a KIND, --config-changes or --refusals, it runs the seeds from 1 on with this flag, and no others.
 set -u
 cd "$(dirname "$0")/.."
 mkdir -p out
-# run_config_changes SEED DURATION [FLAG...]: runs one seed with changes of the configuration.
-run_config_changes() {
-  local seed=$1 duration=$2 failed=0
-  ./bin/clovertiller-lab soak --config-changes --seed "$seed" --duration "$duration" "${@:3}" >"out/soak-$seed.txt" 2>&1 || failed=1
+# run_kind KIND SEED DURATION [FLAG...]: runs one seed with the kind's flag.
+run_kind() {
+  local kind=$1 seed=$2 duration=$3 failed=0
+  ./bin/clovertiller-lab soak "$kind" --seed "$seed" --duration "$duration" "${@:4}" >"out/soak-$seed.txt" 2>&1 || failed=1
   tail -1 "out/soak-$seed.txt"
-  grep BROKEN "out/soak-$seed.txt"
+  grep -E 'BROKEN| refusals: [0-9]+ calls' "out/soak-$seed.txt"
   return $failed
 }
-if [ "${1:-}" = --config-changes ]; then
-  export -f run_config_changes
-  seq "${2:?the number of seeds}" | xargs -P "${4:-2}" -I{} bash -c 'run_config_changes {} "$@"' _ "${3:-20s}" "${@:5}"
+if [[ "${1:-}" = --* ]]; then
+  export -f run_kind
+  seq "${2:?the number of seeds}" | xargs -P "${4:-2}" -I{} bash -c 'kind=$1; shift; run_kind "$kind" {} "$@"' _ "$1" "${3:-20s}" "${@:5}"
   exit
 fi
 new_seeds=${1:-3}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -54,8 +54,8 @@
 	// ctx is canceled when the caller disconnects, the deadline passes or the router stops.
 	ctx      context.Context
 	deadline time.Time
-	// attemptState decides after each attempt whether another one is allowed, and promises that none has run. It allows no attempt
-	// until the call is admitted.
+	// attemptState decides after each attempt whether another one is allowed, and promises that none has run. It is replaced when
+	// the call is admitted, before any attempt.
 	attemptState *attempt.Request
 	// attempts describes the attempts for logs.
 	attempts []attemptRecord
--- a/internal/lab/runnerstand/runner.go
+++ b/internal/lab/runnerstand/runner.go
@@ -52,11 +52,13 @@
 	QueuesAfterHeaders
 	// Pauses stops after the first event of a stream until ResumeStreams or AbortStreams.
 	Pauses
+	// ShedsEarly is like Sheds, but refuses calls with a long body before it has read the body.
+	ShedsEarly
 )
 
 // String returns the name of the behaviour in logs.
 func (b Behaviour) String() string {
-	return [...]string{"well", "fails", "sheds", "drops", "breaks off", "hangs", "crossed", "unstamped", "delays", "dies", "falls silent", "queues", "queues after head", "pauses"}[b]
+	return [...]string{"well", "fails", "sheds", "drops", "breaks off", "hangs", "crossed", "unstamped", "delays", "dies", "falls silent", "queues", "queues after head", "pauses", "sheds early"}[b]
 }
 
 // Config is the configuration of a runner.
@@ -321,7 +323,7 @@
 	defer r.mutex.Unlock()
 	behaviour, run := r.decideBehaviour(request, body)
 	arrival := Arrival{RequestID: run.RequestID, Path: run.Path, ReceivedAt: receivedAt}
-	if behaviour == Sheds {
+	if behaviour.refuses() {
 		arrival.RetryAfter = r.retryAfter()
 	}
 	r.arrivals = append(r.arrivals, arrival)
@@ -351,7 +353,7 @@
 		r.continuedRuns = append(r.continuedRuns, run.RequestID)
 		return behaviour, run
 	}
-	if behaviour != Sheds && !behaviour.isQueueing() {
+	if !behaviour.refuses() && !behaviour.isQueueing() {
 		r.runs = append(r.runs, run)
 	}
 	return behaviour, run
@@ -359,6 +361,10 @@
 
 func (r *Runner) handleCall(writer http.ResponseWriter, request *http.Request) {
 	receivedAt := time.Now()
+	if r.refusesEarly(request) {
+		r.refuseEarly(writer, request, receivedAt)
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
@@ -384,7 +390,7 @@
 	defer r.releaseSlot()
 	header.Set(platform.HeaderWeightVersions, strconv.FormatUint(r.WeightVersion(), 10))
 	switch behaviour {
-	case Sheds:
+	case Sheds, ShedsEarly:
 		header.Set(platform.HeaderNotExecuted, "1")
 		r.prepareSurplus(request, writer, http.StatusServiceUnavailable)
 		writer.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/lab/soak/calls.go
+++ b/internal/lab/soak/calls.go
@@ -46,7 +46,11 @@
 
 // wasRefusedUnprocessed reports whether the caller was told that the call was not processed.
 func (c *callRecord) wasRefusedUnprocessed() bool {
-	return c.status == http.StatusServiceUnavailable || c.status == http.StatusTooManyRequests
+	switch c.status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // service returns the service of the call's route.
@@ -148,6 +152,9 @@
 			call.sinceRevoked = time.Since(revokedAt)
 			call.usedRevokedKey = call.sinceRevoked > maxRevokeDelay+revocationSlack
 		}
+		if s.settings.Refusals && random.Float64() < longBodyShare {
+			call.body = strings.Repeat("b", random.IntN(maxLongBody))
+		}
 		if s.settings.BadParts {
 			call.prompt = fmt.Sprintf("aa:100,bb%d:200,cc%d:50", random.IntN(sharedParts), number)
 		}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -95,6 +95,10 @@
 	if s.settings.BrokenAnswers {
 		group.Go(func() { brokenAnswerCount = newBrokenAnswerInjector(s).run(ctx, deadline) })
 	}
+	refusalCount := 0
+	if s.settings.Refusals {
+		group.Go(func() { refusalCount = newRefusalInjector(s).run(ctx, deadline) })
+	}
 	changeCount := 0
 	if s.settings.ConfigChanges {
 		group.Go(func() { changeCount = s.changes.run(ctx, deadline) })
@@ -111,7 +115,7 @@
 	if !s.hasFewFaults() {
 		peerFaults.injectLastCutOff()
 	}
-	return lossCount + count + skewCount + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + changeCount + 1
+	return lossCount + count + skewCount + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + changeCount + refusalCount + 1
 }
 
 // inject starts the fault and ends it in the group.
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -258,6 +258,20 @@
 	f.store.Put(platform.KindRunners, runner.ID, entry)
 }
 
+// writeFormerEntry lists the runner with a second ID, and returns a function that ends that.
+func (f *fleet) writeFormerEntry(runner *runnerstand.Runner) (remove func()) {
+	f.entryMutex.Lock()
+	defer f.entryMutex.Unlock()
+	if f.hasCrashed(runner.ID) {
+		return func() {}
+	}
+	former := runner.ID + "-former"
+	entry := runner.DirectoryEntry("ready")
+	entry["address"] = f.proxy(runner.ID).Address
+	f.store.Put(platform.KindRunners, former, entry)
+	return func() { f.store.Delete(platform.KindRunners, former) }
+}
+
 func (f *fleet) proxy(id string) *faultproxy.Proxy {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -68,7 +68,9 @@
 	// ConfigChanges changes routes, services, tenants and limits in quick succession while sound runners are silent for
 	// a second or two, and checks that each request which was sent whole is answered or refused.
 	ConfigChanges bool
-	Seed          uint64
+	// Refusals makes runners refuse calls in several ways and send responses twice.
+	Refusals bool
+	Seed     uint64
 	// FaultDuration is how long faults are injected.
 	FaultDuration time.Duration
 	// Folder is where settings files and logs are written.
@@ -96,6 +98,14 @@
 	return cmp.Or(s.Engines, defaultEngines)
 }
 
+// callerCount returns the number of callers.
+func (s Settings) callerCount() int {
+	if s.Refusals {
+		return refusalCallers
+	}
+	return callers
+}
+
 // gracePeriod returns the time from SIGTERM to the end of a gateway.
 func (s Settings) gracePeriod() time.Duration {
 	if s.ConfigChanges {
@@ -221,7 +231,7 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var group sync.WaitGroup
 	group.Go(func() { s.watchDescriptors(loadCtx) })
-	for i := range callers {
+	for i := range settings.callerCount() {
 		group.Add(1)
 		go func() { defer group.Done(); s.sendCalls(loadCtx, rand.New(rand.NewPCG(settings.Seed, uint64(i)))) }()
 	}
@@ -250,6 +260,9 @@
 	if settings.Poison || settings.BadParts {
 		s.poisons.checkQuarantines()
 	}
+	if settings.Refusals {
+		s.logRefusals()
+	}
 	if settings.Skews {
 		s.skews.check()
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -163,6 +163,22 @@
 	}
 }
 
+// refusalSeeds make runners refuse calls, also early and for weights that gateways don't know yet, list runners with former IDs, and
+// send half of the responses twice, within refusalDuration. The code that attributed responses by the ID of the call alone refuses
+// 4 to 10 calls that run, and runs others twice.
+var refusalSeeds = []uint64{101, 102}
+
+const refusalDuration = 12 * time.Second
+
+// Guards against calls that can't be repeated and are refused as not run, although a runner has run them.
+func TestSoakRefusals(t *testing.T) {
+	for _, seed := range refusalSeeds {
+		runSeed(t, soak.Settings{
+			Program: []string{buildCommand(t, "clovertiller-lab"), "gateway"}, Seed: seed, FaultDuration: refusalDuration, Refusals: true, Suspensions: true,
+		})
+	}
+}
+
 // buildCommand builds the command with the given name and returns the path of the program.
 func buildCommand(t *testing.T, command string) string {
 	t.Helper()
