--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -428,10 +428,10 @@
 	for _, call := range s.calls.all() {
 		ran := runs[call.id]
 		if !call.repeatable && ran > 1 {
-			s.failf("at most once: %s (%s) ran %d times", call.id, call.path, ran)
+			s.failf("at most once: %s (%s) at %s ran %d times", call.id, call.path, call.gatewayName, ran)
 		}
 		if !call.repeatable && call.wasRefusedUnprocessed() && ran > 0 {
-			s.failf("not run: %s got status %d and ran", call.id, call.status)
+			s.failf("not run: %s (%s) got status %d from %s and ran", call.id, call.path, call.status, call.gatewayName)
 		}
 		if call.usedRevokedKey && ran > 0 {
 			s.failf("keys: %s ran %v after its key was revoked", call.id, call.sinceRevoked)
