--- a/internal/gateway/runnersilence_test.go
+++ b/internal/gateway/runnersilence_test.go
@@ -60,6 +60,11 @@
 	f.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(seedProxy.Close)
 	r := f.servingRouter("r1", f.followerSettings([]string{seedProxy.Address}))
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(r.log.String())
+		}
+	})
 	detected := func() bool { return strings.Contains(r.log.String(), "connection to another router was lost") }
 	for round := 0; round < maxRounds && !detected(); round++ {
 		time.Sleep(5 * time.Second) // silence on a younger connection counts as a slow router
