--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -123,7 +123,7 @@
 }
 
 // openStream sends a request about the attempt and returns the stream in its response. A refusal of another attempt, which an
-// engine may have sent late over a kept connection, says nothing about this one.
+// engine may have sent late over a kept connection, is no response to this request.
 func (c *Client) openStream(ctx context.Context, address, path string, body any, id attemptID) (*Stream, error) {
 	streamCtx, cancel := context.WithCancel(ctx)
 	// The timer limits the wait for the response header, not the stream that follows.
--- a/internal/gateway/attemptrecord.go
+++ b/internal/gateway/attemptrecord.go
@@ -14,7 +14,7 @@
 	// connected is set once the attempt has a connection.
 	connected  bool
 	connection httpconn.Connection
-	// detail is what the target told of its own attempts.
+	// detail describes the attempts that the target made itself.
 	detail string
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -30,7 +30,7 @@
 	headerDeclineReason = "Clovertiller-Forward-Reason"
 	// headerReferral names routers that may serve a declined call, one a value: its address and its zone.
 	headerReferral = "Clovertiller-Forward-Referral"
-	// headerForwardProof tells what proves that a refused or declined call has not run: a line for each attempt, or proofNoAttempt.
+	// headerForwardProof lists, in the response to a refused or declined call, each attempt with its proof, or proofNoAttempt.
 	headerForwardProof = "Clovertiller-Forward-Proof"
 	// headerRetryAfterMillis is the retry delay of a refusal.
 	headerRetryAfterMillis = "Clovertiller-Forward-Retry-Ms"
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -34,8 +34,8 @@
 	// is nil, the first response is used.
 	MatchesResponse func(http.Header) bool
 	// ID identifies the request in responses. It may be empty. The request is not sent over
-	// a connection that has carried another one with the same ID, whose late response could
-	// not be told from the response to this one.
+	// a connection that has carried another one with the same ID, because a late response to
+	// that one would be taken for the response to this one.
 	ID string
 	// OnConnection is called when the connection for the request is open. It may be nil.
 	OnConnection func(Connection)
@@ -63,8 +63,8 @@
 	own bool
 }
 
-// Rejection returns the proof that the server did not process the request, for a response that says so. It does not hold if the
-// response may be to an earlier request on the connection.
+// Rejection returns the proof that the server did not process the request. It must be called only for a response with that
+// meaning. It does not hold if the response may be to an earlier request on the connection.
 func (r *Response) Rejection(kind notrun.Kind) notrun.Proof {
 	if !r.own {
 		return notrun.Proof{}
--- a/internal/lab/runnerstand/surplus.go
+++ b/internal/lab/runnerstand/surplus.go
@@ -41,7 +41,7 @@
 }
 
 // prepareSurplus makes the connection of the call send a response with the status and the header of the writer once more after
-// the current one, if Surplus says so.
+// the current one, if it belongs to the share that Surplus selects.
 func (r *Runner) prepareSurplus(request *http.Request, writer http.ResponseWriter, status int) {
 	r.mutex.Lock()
 	surplus := r.surplus
