--- /dev/null
+++ b/internal/lab/soak/soaktest/soaktest.go
@@ -0,0 +1,37 @@
+// Package soaktest runs soaks with fixed seeds in tests.
+package soaktest
+
+import (
+	"bytes"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/soak"
+)
+
+// BuildCommand builds the command with the given name and returns the path of the program.
+func BuildCommand(t *testing.T, command string) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), command)
+	output, err := exec.Command("go", "build", "-o", program, "github.com/clovertiller/clovertiller/cmd/"+command).CombinedOutput()
+	NewWithT(t).Expect(err).NotTo(HaveOccurred(), "%s", output)
+	return program
+}
+
+// RunSeed runs a soak and expects that calls were served and no promise was broken.
+func RunSeed(t *testing.T, settings soak.Settings) {
+	t.Helper()
+	t.Run(fmt.Sprint(settings.Seed), func(t *testing.T) {
+		g := NewWithT(t)
+		var out bytes.Buffer
+		settings.Folder, settings.Out = soak.LogFolder(t.TempDir(), settings.Seed), &out
+		report, err := soak.Run(t.Context(), settings)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(report.Served).NotTo(BeZero())
+		g.Expect(report.Failures).To(BeEmpty(), "%s", &out)
+	})
+}
