--- a/internal/lab/soak/soaktest/soaktest.go
+++ b/internal/lab/soak/soaktest/soaktest.go
@@ -8,7 +8,7 @@
 	"path/filepath"
 	"testing"
 
-	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/lab/soak"
 )
@@ -18,7 +18,7 @@
 	t.Helper()
 	program := filepath.Join(t.TempDir(), command)
 	output, err := exec.Command("go", "build", "-o", program, "github.com/clovertiller/clovertiller/cmd/"+command).CombinedOutput()
-	NewWithT(t).Expect(err).NotTo(HaveOccurred(), "%s", output)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred(), "%s", output)
 	return program
 }
 
@@ -26,12 +26,12 @@
 func RunSeed(t *testing.T, settings soak.Settings) {
 	t.Helper()
 	t.Run(fmt.Sprint(settings.Seed), func(t *testing.T) {
-		g := NewWithT(t)
+		g := gomega.NewWithT(t)
 		var out bytes.Buffer
 		settings.Folder, settings.Out = soak.LogFolder(t.TempDir(), settings.Seed), &out
 		report, err := soak.Run(t.Context(), settings)
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(report.Served).NotTo(BeZero())
-		g.Expect(report.Failures).To(BeEmpty(), "%s", &out)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(report.Served).NotTo(gomega.BeZero())
+		g.Expect(report.Failures).To(gomega.BeEmpty(), "%s", &out)
 	})
 }
