--- /dev/null
+++ b/internal/gateway/outofstep_test.go
@@ -0,0 +1,171 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+)
+
+// outOfStepFleet is a new system with one router whose connections to and from all other routers can be cut.
+type outOfStepFleet struct {
+	*fleet
+	// outOfStep is a seed, and others are the remaining seeds and two more routers.
+	outOfStep *router
+	others    []*router
+	links     []*faultproxy.Proxy
+}
+
+// newOutOfStepFleet starts the routers and runners of one version.
+func newOutOfStepFleet(t *testing.T, seeds int) *outOfStepFleet {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	first := f.versionedEngines("v1", 3)
+	o := &outOfStepFleet{fleet: f}
+	bind := loopback.FreeAddress()
+	incoming := f.proxyTo(bind)
+	o.links = append(o.links, incoming)
+	// The router reaches the others through links of its own.
+	seedsOfOthers, ownSeeds := []string{incoming.Address}, []string{incoming.Address}
+	var others []string
+	for range seeds - 1 {
+		address := loopback.FreeAddress()
+		link := f.proxyTo(address)
+		o.links = append(o.links, link)
+		seedsOfOthers, ownSeeds, others = append(seedsOfOthers, address), append(ownSeeds, link.Address), append(others, address)
+	}
+	for range 2 {
+		others = append(others, loopback.FreeAddress())
+	}
+	o.outOfStep = f.servingRouter("outofstep", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = incoming.Address, bind, ownSeeds
+		settings.PlacePatience, settings.FirstStart = longPlacePatience, true
+	})
+	for i, address := range others {
+		o.others = append(o.others, f.startVersionedRouter(fmt.Sprint("router", i), address, seedsOfOthers, len(first), true))
+	}
+	o.outOfStep.awaitRunners(len(first))
+	time.Sleep(loneVersionTime)
+	return o
+}
+
+// cutLinks makes the links between the router and all others silent.
+func (o *outOfStepFleet) cutLinks() {
+	for _, link := range o.links {
+		link.SetMode(faultproxy.Blackhole)
+	}
+}
+
+func (o *outOfStepFleet) healLinks() {
+	for _, link := range o.links {
+		link.SetMode(faultproxy.Pass)
+	}
+}
+
+// joinSecondVersion starts runners of a second version, and waits until the routers know them.
+func (o *outOfStepFleet) joinSecondVersion(routers ...*router) {
+	o.versionedEngines("v2", 3)
+	for _, r := range routers {
+		r.awaitRunners(6)
+	}
+}
+
+// openStreams opens streams at the first and the last of the other routers until each has several of both versions.
+func (o *outOfStepFleet) openStreams() (streams []openedStream) {
+	for _, r := range []*router{o.others[0], o.others[len(o.others)-1]} {
+		counts := map[string]int{}
+		opened := r.openStreams(streamsPerCase)
+		for _, stream := range opened {
+			counts[stream.version]++
+		}
+		o.g.Expect(counts["v1"]).To(BeNumerically(">=", 2), "%v", counts)
+		o.g.Expect(counts["v2"]).To(BeNumerically(">=", 2), "%v", counts)
+		streams = append(streams, opened...)
+	}
+	return streams
+}
+
+// outOfStepSeeds are the numbers of seeds of the cases below.
+var outOfStepSeeds = []int{1, 2, 3}
+
+// Guards against streams that go on at another software version, or are refused, at a seed that is cut off all other routers
+// while runners of a second version join: it has no record of streams that began elsewhere, and took that for evidence.
+func TestStreamsGoOnAtRouterCutOffTheOthers(t *testing.T) {
+	t.Parallel()
+	for _, seeds := range outOfStepSeeds {
+		for name, pause := range map[string]time.Duration{"at once": 0, "later": 2500 * time.Millisecond} {
+			t.Run(fmt.Sprint(seeds, " seeds, ", name), func(t *testing.T) {
+				t.Parallel()
+				o := newOutOfStepFleet(t, seeds)
+				o.cutLinks()
+				o.joinSecondVersion(append(o.others, o.outOfStep)...)
+				streams := o.openStreams()
+				time.Sleep(pause)
+				o.expectTaken(takeUpAll(streams, o.outOfStep))
+			})
+		}
+	}
+}
+
+// Guards against the same at a router that has stood still: it has heard neither of the second version nor of the streams when
+// callers take these up there.
+func TestStreamsDoNotMixAtRouterThatStoodStill(t *testing.T) {
+	t.Parallel()
+	for _, seeds := range outOfStepSeeds {
+		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
+			t.Parallel()
+			o := newOutOfStepFleet(t, seeds)
+			o.cutLinks()
+			o.outOfStep.storeEndpoint.SetFault(storestand.Hangs)
+			o.joinSecondVersion(o.others...)
+			streams := o.openStreams()
+			time.Sleep(500 * time.Millisecond)
+			o.healLinks()
+			o.outOfStep.storeEndpoint.SetFault(storestand.Healthy)
+			result := takeUpAll(streams, o.outOfStep)
+			o.g.Expect(result.mixed).To(BeZero(), "%+v", result)
+			o.g.Expect(result.goneOn).To(BeNumerically(">=", 95*result.total/100), "%+v", result)
+		})
+	}
+}
+
+// Guards against the same at seeds that the store refuses while it serves a router that is cut off them: what they list is older than the
+// second version, and each of them agrees.
+func TestStreamsDoNotMixAtSeedsThatTheStoreRefuses(t *testing.T) {
+	t.Parallel()
+	for _, pause := range []time.Duration{0, time.Second} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, defaultRoutes(), validKey)
+			first := f.versionedEngines("v1", 3)
+			s := newStreamFleet(f, streamSeeds, len(first))
+			var links []*faultproxy.Proxy
+			var addresses []string
+			for _, address := range s.addresses {
+				link := f.proxyTo(address)
+				links, addresses = append(links, link), append(addresses, link.Address)
+			}
+			served := f.startVersionedRouter("served", loopback.FreeAddress(), addresses, len(first), true)
+			time.Sleep(loneVersionTime)
+			for _, seed := range s.routers {
+				seed.storeEndpoint.SetFault(storestand.Busy)
+			}
+			for _, link := range links {
+				link.SetMode(faultproxy.Blackhole)
+			}
+			second := f.versionedEngines("v2", 3)
+			served.awaitRunners(len(first) + len(second))
+			streams := served.openStreams(streamsPerCase)
+			time.Sleep(pause)
+			result := takeUpAll(streams, s.routers...)
+			f.g.Expect(result.mixed).To(BeZero(), "%+v", result)
+		})
+	}
+}
