--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -48,6 +48,7 @@
 	c.bufferLog(events.StreamOriginResolved, events.Fields{
 		"resumes": c.metadata.Resumes, "resolution": lookup.resolution.String(), "service": lookup.proven.Origin().Service, "software": lookup.proven.Origin().Version,
 		"answered": lookup.answered, "replicas": lookup.replicas, "after_ms": c.gateway.since(startedAt).Milliseconds(),
+		"directory_age_ms": c.gateway.copies.ageMillis(c.gateway.now(), RunnerObjects),
 	})
 	switch {
 	case lookup.resolution == streamversion.RecordsMissing:
