Records of streams that their writer does not acknowledge are written by their router

Cause: the replica that writes a service's records to the store is the first by hash to which a connection is open. Connections to a router that is cut off are opened again and again, so the records wait for it, or are lost on a silent connection.

A writer now acknowledges the records that it is to write, in a call that ends after 150 ms. Without an acknowledgement their router writes them itself and gives that replica none for a second; what the replica gets later it only keeps.

--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -67,10 +67,12 @@
 		}
 	case *wire.Envelope_StreamRecord:
 		r.gateway.streams.receive(body.StreamRecord)
+		return recordsAck()
 	case *wire.Envelope_StreamRecords:
 		for _, record := range body.StreamRecords.GetRecords() {
 			r.gateway.streams.receive(record)
 		}
+		return recordsAck()
 	case *wire.Envelope_StreamAsk:
 		return &wire.Envelope{Body: &wire.Envelope_StreamAnswer{StreamAnswer: r.gateway.streams.answer(body.StreamAsk)}}
 	case *wire.Envelope_StreamPull:
@@ -81,6 +83,11 @@
 	return nil
 }
 
+// recordsAck acknowledges records of streams.
+func recordsAck() *wire.Envelope {
+	return &wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: &wire.Heartbeat{}}}
+}
+
 // answer returns the changes that the pulling router lacks, with the proof of the configuration. It
 // always includes a delta of the configuration, which may be empty.
 func (r *peerRouters) answer(pull *wire.CopyPull) *wire.CopyAnswer {
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/streamversion"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -28,7 +29,8 @@
 	heartbeatInterval = 250 * time.Millisecond
 	// firstStartTime is for how long the routers of a new system exchange which versions they have listed.
 	firstStartTime = 10 * time.Second
-	// replicaAbsence is how long a replica may be unreachable before its records go to another one.
+	// replicaAbsence is how long a replica may be unreachable before its records go to another one, and for how long one that has not
+	// acknowledged records gets none to write.
 	replicaAbsence = time.Second
 	// recordAckTimeout is the timeout of the acknowledgement of records by the router that is to write them to the store. The farthest
 	// routers answer within 150 ms.
@@ -97,9 +99,76 @@
 	if len(records) == 1 {
 		message.Body = &wire.Envelope_StreamRecord{StreamRecord: records[0]}
 	}
+	if slices.ContainsFunc(deliveries, func(delivery undeliveredRecord) bool { return delivery.store }) {
+		go s.sendToWriter(receiver, message, deliveries)
+		return
+	}
 	s.gateway.peerRouters.Send(receiver, message)
 }
 
+// sendToWriter sends records to the router that is to write them to the store. If that does not acknowledge them, this router
+// writes them: an open connection does not show that the other one receives anything.
+func (s *streamVersions) sendToWriter(writer string, message *wire.Envelope, deliveries []undeliveredRecord) {
+	ctx, cancel := context.WithTimeout(s.gateway.ctx, recordAckTimeout)
+	defer cancel()
+	_, err := s.gateway.peerRouters.transport.Call(ctx, "", writer, message)
+	if s.gateway.ctx.Err() != nil {
+		return
+	}
+	s.recordWriter(writer, err == nil)
+	if err == nil {
+		return
+	}
+	records := s.takeOver(deliveries)
+	if len(records) == 0 {
+		return
+	}
+	s.gateway.log.Log(events.RecordsNotAcknowledged, events.Fields{"writer": writer, "records": len(records), "error": err.Error()})
+	now := s.gateway.now()
+	for _, record := range records {
+		s.stored.add(now, record)
+	}
+}
+
+// recordWriter records whether a writer has acknowledged records.
+func (s *streamVersions) recordWriter(writer string, hasAcknowledged bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if hasAcknowledged {
+		delete(s.silentWriters, writer)
+		return
+	}
+	s.silentWriters[writer] = s.gateway.now()
+}
+
+// isSilentWriter reports whether the router has not acknowledged records lately.
+func (s *streamVersions) isSilentWriter(now time.Time, address string) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	since, isSilent := s.silentWriters[address]
+	return isSilent && now.Sub(since) < replicaAbsence
+}
+
+// takeOver returns the records among the deliveries that the receiver was to write and that this router has not taken over yet.
+// If they are sent again, the receiver only keeps them.
+func (s *streamVersions) takeOver(deliveries []undeliveredRecord) (records []streamversion.Record) {
+	taken := map[streamversion.Key]bool{}
+	for _, delivery := range deliveries {
+		if delivery.store {
+			taken[delivery.record.Key] = true
+			records = append(records, delivery.record)
+		}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, held := range [][]undeliveredRecord{s.sent, s.undelivered} {
+		for i := range held {
+			held[i].store = held[i].store && !taken[held[i].record.Key]
+		}
+	}
+	return records
+}
+
 // recordSent holds a sent record for sentRecordTime.
 func (s *streamVersions) recordSent(now time.Time, delivery undeliveredRecord) {
 	s.mutex.Lock()
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -57,12 +57,15 @@
 	// sent holds the records that were sent to replicas lately. While there are any, sendsHeartbeats is set.
 	sent            []undeliveredRecord
 	sendsHeartbeats bool
+	// silentWriters holds when replicas have last not acknowledged records that they were to write to the store.
+	silentWriters map[string]time.Time
 }
 
 func newStreamVersions(g *Gateway) *streamVersions {
 	s := &streamVersions{
 		gateway: g, startedAt: g.now(), table: streamversion.NewTable(maxStreamRecords), stored: newStoredOrigins(g),
 		history: streamversion.NewHistory(g.now(), minVersionWindow), unrecorded: streamversion.NewUnrecorded(maxUnrecordedStreams), historyChanged: make(chan struct{}, 1),
+		silentWriters: map[string]time.Time{},
 	}
 	if g.settings.FirstStart {
 		// No stream began before.
@@ -167,7 +170,7 @@
 		ranked = append(slices.Delete(ranked, index, index+1), scheduler)
 	}
 	for _, replica := range ranked {
-		if replica == self || s.gateway.peerRouters.transport.IsConnected(replica) {
+		if replica == self || s.gateway.peerRouters.transport.IsConnected(replica) && !s.isSilentWriter(now, replica) {
 			return replica
 		}
 	}
@@ -215,9 +218,9 @@
 	return s.connectionRank(address)
 }
 
-// connectionRank returns 0 for connected routers and 1 for others.
+// connectionRank returns 0 for connected routers that acknowledge records, and 1 for others.
 func (s *streamVersions) connectionRank(address string) int {
-	if s.gateway.peerRouters.transport.IsConnected(address) {
+	if s.gateway.peerRouters.transport.IsConnected(address) && !s.isSilentWriter(s.gateway.now(), address) {
 		return 0
 	}
 	return 1
