Tests of streams at followers out of step, at routers cut off everything, and begun there

Further cases around a router that is cut off: one that is no seed, one that the store alone refuses, one cut off routers and store, and streams that began at the cut router.

--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -17,14 +17,18 @@
 // outOfStepFleet is a new system with one router whose connections to and from all other routers can be cut.
 type outOfStepFleet struct {
 	*fleet
-	// outOfStep is a seed, and others are the remaining seeds and two more routers.
+	// others are the remaining seeds and two more routers.
 	outOfStep *router
 	others    []*router
 	links     []*faultproxy.Proxy
 }
 
-// newOutOfStepFleet starts the routers and runners of one version.
+// newOutOfStepFleet starts the routers and runners of one version. The router out of step is one of the seeds.
 func newOutOfStepFleet(t *testing.T, seeds int) *outOfStepFleet {
+	return startOutOfStepFleet(t, seeds, true)
+}
+
+func startOutOfStepFleet(t *testing.T, seeds int, isSeed bool) *outOfStepFleet {
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), validKey)
 	first := f.versionedEngines("v1", 3)
@@ -33,9 +37,11 @@
 	incoming := f.proxyTo(bind)
 	o.links = append(o.links, incoming)
 	// The router reaches the others through links of its own.
-	seedsOfOthers, ownSeeds := []string{incoming.Address}, []string{incoming.Address}
-	var others []string
-	for range seeds - 1 {
+	var seedsOfOthers, ownSeeds, others []string
+	if isSeed {
+		seedsOfOthers, ownSeeds = []string{incoming.Address}, []string{incoming.Address}
+	}
+	for range seeds - len(ownSeeds) {
 		address := loopback.FreeAddress()
 		link := f.proxyTo(address)
 		o.links = append(o.links, link)
@@ -44,13 +50,20 @@
 	for range 2 {
 		others = append(others, loopback.FreeAddress())
 	}
-	o.outOfStep = f.servingRouter("outofstep", func(settings *gateway.Settings) {
-		settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = incoming.Address, bind, ownSeeds
-		settings.PlacePatience, settings.FirstStart = longPlacePatience, true
-	})
+	startOutOfStep := func() {
+		o.outOfStep = f.servingRouter("outofstep", func(settings *gateway.Settings) {
+			settings.PeerAddress, settings.PeerBindAddress, settings.Seeds, settings.FirstStart = incoming.Address, bind, ownSeeds, true
+		})
+	}
+	if isSeed {
+		startOutOfStep()
+	}
 	for i, address := range others {
 		o.others = append(o.others, f.startVersionedRouter(fmt.Sprint("router", i), address, seedsOfOthers, len(first), true))
 	}
+	if !isSeed {
+		startOutOfStep()
+	}
 	o.outOfStep.awaitRunners(len(first))
 	time.Sleep(loneVersionTime)
 	return o
@@ -133,6 +146,70 @@
 	}
 }
 
+// Guards against the same at a router that is no seed.
+func TestStreamsGoOnAtFollowerCutOffTheOthers(t *testing.T) {
+	t.Parallel()
+	for name, pause := range map[string]time.Duration{"at once": 0, "later": 2500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o := startOutOfStepFleet(t, streamSeeds, false)
+			o.cutLinks()
+			o.joinSecondVersion(append(o.others, o.outOfStep)...)
+			streams := o.openStreams()
+			time.Sleep(pause)
+			o.expectTaken(takeUpAll(streams, o.outOfStep))
+		})
+	}
+}
+
+// Guards against streams that begin at a seed while it is cut off the others, and mix or are refused there once it is lost.
+func TestStreamsOfARouterCutOffTheOthersGoOnElsewhere(t *testing.T) {
+	t.Parallel()
+	for _, seeds := range outOfStepSeeds {
+		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
+			t.Parallel()
+			o := newOutOfStepFleet(t, seeds)
+			o.cutLinks()
+			o.joinSecondVersion(append(o.others, o.outOfStep)...)
+			streams := o.outOfStep.openStreams(streamsPerCase)
+			time.Sleep(500 * time.Millisecond)
+			o.outOfStep.Kill()
+			o.expectTaken(takeUpAll(streams, o.others...))
+		})
+	}
+}
+
+// Guards against the same at a router that is cut off the others and the store: nothing tells it where streams began.
+func TestStreamsDoNotMixAtRouterCutOffEverything(t *testing.T) {
+	t.Parallel()
+	for _, seeds := range outOfStepSeeds {
+		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
+			t.Parallel()
+			o := newOutOfStepFleet(t, seeds)
+			o.cutLinks()
+			o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
+			o.joinSecondVersion(o.others...)
+			streams := o.openStreams()
+			result := takeUpAll(streams, o.outOfStep)
+			o.g.Expect(result.mixed).To(BeZero(), "%+v", result)
+		})
+	}
+}
+
+// Guards against the same at a seed that the store alone refuses: the others tell it.
+func TestStreamsGoOnAtSeedThatTheStoreRefuses(t *testing.T) {
+	t.Parallel()
+	for _, seeds := range outOfStepSeeds {
+		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
+			t.Parallel()
+			o := newOutOfStepFleet(t, seeds)
+			o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
+			o.joinSecondVersion(append(o.others, o.outOfStep)...)
+			o.expectTaken(takeUpAgain(o.openStreams(), o.outOfStep))
+		})
+	}
+}
+
 // Guards against the same at a router that has stood still: it has heard neither of the second version nor of the streams when
 // callers take these up there.
 func TestStreamsDoNotMixAtRouterThatStoodStill(t *testing.T) {
@@ -164,8 +241,8 @@
 	for _, r := range o.others {
 		r.storeEndpoint.SetFault(storestand.Busy)
 	}
-	streams := o.openStreams()
-	result := takeUpAll(streams[:4], o.outOfStep)
+	streams := o.others[0].openStreams(4)
+	result := takeUpAll(streams, o.outOfStep)
 	o.g.Expect(result.mixed).To(BeZero(), "%+v", result)
 	o.g.Expect(result.goneOn).To(BeZero(), "%+v", result)
 }
