Store stand-in: objects with any bytes

Store.PutRaw and PutRawSpec hold an object whose bytes in lists, watches and reads are those that a test gives, like another program's that a JSON decoder rejects. Bodies are composed of the bytes of the objects; json.Marshal panicked on such an object, so no test could show what it does to routers.

--- a/internal/lab/storestand/endpoint.go
+++ b/internal/lab/storestand/endpoint.go
@@ -1,7 +1,9 @@
 package storestand
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -219,7 +221,7 @@
 			writer.WriteHeader(http.StatusNotFound)
 			return
 		}
-		writeJSON(writer, http.StatusOK, object)
+		writeJSON(writer, http.StatusOK, object.encode())
 	default:
 		e.handleChange(writer, request, kind, name)
 	}
@@ -256,13 +258,13 @@
 	sort.Strings(names)
 	more := len(names) > s.listPage
 	names = names[:min(len(names), s.listPage)]
-	items := []Object{}
+	var items [][]byte
 	for _, name := range names {
-		items = append(items, s.objects[kind][name])
+		items = append(items, s.objects[kind][name].encode())
 	}
 	listRevision := s.revision
 	s.mutex.Unlock()
-	writeJSON(writer, http.StatusOK, map[string]any{"items": items, "more": more, "at": listRevision})
+	writeJSON(writer, http.StatusOK, fmt.Appendf(nil, `{"items":%s,"more":%t,"at":%d}`, joinArray(items), more, listRevision))
 }
 
 // handleWatch responds as soon as there are changes after the watched revision, or without any
@@ -281,7 +283,7 @@
 			return
 		}
 		if len(events) > 0 || expired {
-			writeJSON(writer, http.StatusOK, map[string]any{"events": events, "at": atRevision})
+			writeJSON(writer, http.StatusOK, encodeEvents(events, atRevision))
 			return
 		}
 		select {
@@ -311,12 +313,26 @@
 	if e.currentFault() == LosesResponses {
 		panic(http.ErrAbortHandler)
 	}
-	writeJSON(writer, status, object)
+	writeJSON(writer, status, object.encode())
 }
 
-func writeJSON(writer http.ResponseWriter, status int, body any) {
+// encodeEvents returns the body of the response to a watch.
+func encodeEvents(events []Event, atRevision uint64) []byte {
+	var encoded [][]byte
+	for _, event := range events {
+		encoded = append(encoded, fmt.Appendf(nil, `{"gone":%t,"object":%s}`, event.Deleted, event.Object.encode()))
+	}
+	return fmt.Appendf(nil, `{"events":%s,"at":%d}`, joinArray(encoded), atRevision)
+}
+
+// joinArray returns the array of the encoded values.
+func joinArray(values [][]byte) []byte {
+	return slices.Concat([]byte("["), bytes.Join(values, []byte(",")), []byte("]"))
+}
+
+// writeJSON writes a response. Writes fail only if the client has disconnected.
+func writeJSON(writer http.ResponseWriter, status int, body []byte) {
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
-	// Encode fails only if the client has disconnected.
-	_ = json.NewEncoder(writer).Encode(body)
+	_, _ = writer.Write(append(body, '\n'))
 }
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -25,6 +25,25 @@
 	Metadata Metadata        `json:"metadata"`
 	Spec     json.RawMessage `json:"spec"`
 	Status   json.RawMessage `json:"status"`
+	// compose returns the bytes of the object in responses, nil for its JSON encoding.
+	compose func(metadata string) string
+}
+
+// encode returns the bytes of the object in responses.
+func (o Object) encode() []byte {
+	if o.compose == nil {
+		return mustEncode(o)
+	}
+	return []byte(o.compose(string(mustEncode(o.Metadata))))
+}
+
+// mustEncode returns the JSON encoding of a value that has one.
+func mustEncode(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
 }
 
 // Event is a change of an object. Deleted is set if the object was deleted.
@@ -61,15 +80,25 @@
 // Put creates or replaces an object unconditionally, like the operator or a runner, and returns
 // its revision.
 func (s *Store) Put(kind, name string, spec any) uint64 {
-	encoded, err := json.Marshal(spec)
-	if err != nil {
-		panic(err)
-	}
+	encoded := mustEncode(spec)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.writeLocked(kind, name, encoded).Metadata.Revision
 }
 
+// PutRaw creates or replaces an object whose bytes in responses are those that compose returns, like another
+// program that writes what routers cannot decode. compose is called with the JSON encoding of the object's metadata.
+func (s *Store) PutRaw(kind, name string, compose func(metadata string) string) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.putLocked(kind, name, func(object *Object) { object.Spec, object.compose = nil, compose }).Metadata.Revision
+}
+
+// PutRawSpec creates or replaces an object whose spec has the given bytes.
+func (s *Store) PutRawSpec(kind, name, spec string) uint64 {
+	return s.PutRaw(kind, name, func(metadata string) string { return `{"metadata":` + metadata + `,"spec":` + spec + `}` })
+}
+
 // SetWatchPage limits the number of changes in one response to a watch. The revision of a
 // limited response is that of its last change.
 func (s *Store) SetWatchPage(changes int) {
@@ -139,12 +168,18 @@
 
 // writeLocked creates or replaces an object. The mutex must be held.
 func (s *Store) writeLocked(kind, name string, spec json.RawMessage) Object {
+	return s.putLocked(kind, name, func(object *Object) { object.Spec, object.compose = spec, nil })
+}
+
+// putLocked creates an object or changes its content. The mutex must be held.
+func (s *Store) putLocked(kind, name string, change func(object *Object)) Object {
 	s.revision++
 	object, found := s.objects[kind][name]
 	if !found {
 		object.Metadata = Metadata{Name: name, Created: s.revision, Finalizers: []string{}}
 	}
-	object.Metadata.Revision, object.Spec = s.revision, spec
+	object.Metadata.Revision = s.revision
+	change(&object)
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]Object{}
 	}
