Each object of the store is decoded by itself, whatever the others are

Seen by callers: one object of another program ended the following of the store. An entry nested 10,001 levels (20 KB), or one with a control character, an unknown literal or a revision out of range, made the whole list and the whole watch undecodable: no runner, weights, configuration or rollout was learned any more by any router, and those that started had none.

Cause: the body of a list or watch was decoded as one JSON document. encoding/json checks the syntax and depth of the whole document before it calls any UnmarshalJSON, so storeObject could keep only errors of type apart. A revision beyond 2^40 failed the conversion of the whole list, and packRollout that of a list of rollouts.

--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -55,6 +55,8 @@
 	Deleted bool            `json:"deleted,omitempty"`
 	Spec    json.RawMessage `json:"spec,omitempty"`
 	Status  *Status         `json:"status,omitempty"`
+	// Fault tells why the object could not be read from the store. It then has no spec. Nodes do not exchange it.
+	Fault string `json:"-"`
 }
 
 // Key returns the kind and name of the object.
--- /dev/null
+++ b/internal/gateway/oddobjects_test.go
@@ -0,0 +1,115 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/platform"
+)
+
+// nestedLevels is more than encoding/json decodes.
+const nestedLevels = 10_001
+
+var (
+	nestedArrays  = strings.Repeat("[", nestedLevels) + strings.Repeat("]", nestedLevels)
+	nestedObjects = strings.Repeat(`{"a":`, nestedLevels) + "1" + strings.Repeat("}", nestedLevels)
+)
+
+// oddObjects writes objects of a kind that cannot be decoded.
+var oddObjects = map[string]func(store *storestand.Store, kind string){
+	"deep spec":              func(store *storestand.Store, kind string) { store.PutRawSpec(kind, "odd", nestedArrays) },
+	"deep field of the spec": func(store *storestand.Store, kind string) { store.PutRawSpec(kind, "odd", `{"x":`+nestedObjects+`}`) },
+	"deep metadata": func(store *storestand.Store, kind string) {
+		store.PutRaw(kind, "odd", func(metadata string) string {
+			return `{"metadata":` + strings.TrimSuffix(metadata, "}") + `,"labels":` + nestedArrays + `},"spec":{}}`
+		})
+	},
+	"deep object": func(store *storestand.Store, kind string) {
+		store.PutRaw(kind, "odd", func(string) string { return nestedArrays })
+	},
+	"control characters": func(store *storestand.Store, kind string) { store.PutRawSpec(kind, "odd", "\"a\x00\xff\"") },
+	"no literal":         func(store *storestand.Store, kind string) { store.PutRawSpec(kind, "odd", "nothing") },
+	"no object": func(store *storestand.Store, kind string) {
+		store.PutRaw(kind, "odd", func(string) string { return "null" })
+	},
+	"revision out of range": func(store *storestand.Store, kind string) {
+		store.PutRaw(kind, "odd", func(string) string { return `{"metadata":{"name":"odd","revision":1099511627776},"spec":{}}` })
+	},
+	"revision is no number": func(store *storestand.Store, kind string) {
+		store.PutRaw(kind, "odd", func(string) string { return `{"metadata":{"name":"odd","revision":"7"},"spec":{}}` })
+	},
+	"name is no string": func(store *storestand.Store, kind string) {
+		store.PutRaw(kind, "odd", func(string) string { return `{"metadata":{"name":7,"revision":1},"spec":{}}` })
+	},
+	"huge name": func(store *storestand.Store, kind string) {
+		store.PutRaw(kind, strings.Repeat("n", 1<<18), func(metadata string) string { return `{"metadata":` + metadata + `,"spec":{}}` })
+	},
+	"several, more than a page": func(store *storestand.Store, kind string) {
+		for i := range 8 {
+			store.PutRawSpec(kind, fmt.Sprint("odd-", i), nestedArrays)
+		}
+	},
+}
+
+// expectRunnerServes checks that the router learns of the runner of the service "plain" and uses it.
+func expectRunnerServes(f *fleet, r *router, id string) {
+	f.g.Eventually(r.log.String, 4*time.Second, 10*time.Millisecond).Should(MatchRegexp(`"runner added".*"runner":"`+id+`"|"runner":"`+id+`".*"runner added"`), "%s", id)
+	f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+}
+
+// Guards against one object of another writer that keeps a router from following the others: the list and the watch could
+// not be decoded any more, so no sound runner was learned before the start nor after it.
+func TestOddObjectDoesNotHideOthersFromRouter(t *testing.T) {
+	for name, put := range oddObjects {
+		for _, kind := range []string{platform.KindRunners, platform.KindWeightVersions, platform.KindConfig, platform.KindRollouts, platform.KindQuarantines, platform.KindStreamOrigins} {
+			t.Run(name+" of "+kind, func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t)
+				f.configure(1, defaultRoutes(), validKey)
+				f.runner("p1", "plain")
+				put(f.store, kind)
+				r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.ExposedShare = 0.2 })
+				expectRunnerServes(f, r, "p1")
+				f.runner("p2", "plain")
+				expectRunnerServes(f, r, "p2")
+				put(f.store, kind)
+				f.runner("zz", "plain")
+				expectRunnerServes(f, r, "zz")
+				f.configure(2, defaultRoutes(), validKey)
+				r.waitForConfig(2)
+				f.g.Expect(r.log.String()).NotTo(ContainSubstring("store calls fail"))
+			})
+		}
+	}
+}
+
+// Guards against an odd object that seeds or relays pass on, and that keeps their followers, or a router that starts
+// afterwards, from following the others.
+func TestOddObjectDoesNotHideOthersFromFollowers(t *testing.T) {
+	for name, put := range oddObjects {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, seeds, follower := newSeededFleet(t)
+			for _, kind := range []string{platform.KindRunners, platform.KindWeightVersions, platform.KindConfig} {
+				put(f.store, kind)
+			}
+			f.runner("p2", "plain")
+			for _, r := range append(seeds, follower) {
+				expectRunnerServes(f, r, "p2")
+			}
+			late := f.servingRouter("late", f.followerSettings(seeds[0].seeds))
+			expectRunnerServes(f, late, "p2")
+			f.runner("p3", "plain")
+			for _, r := range append(seeds, follower, late) {
+				expectRunnerServes(f, r, "p3")
+			}
+		})
+	}
+}
