An unreadable lease is replaced like that of another router

Seen: once another program had written a lease that cannot be decoded, no router could read it, so none ever acquired it and no runner was ordered to load new weights until an operator deleted it.

Cause: Store.Lease returned an error that was handled like a failed call, without the revision that a replacement needs. It now returns an UnreadableError with the revision. The candidate observes a lease of an unknown holder, which it replaces after the usual delay, since the router that held it may still do so; the fencing token is the revision of that write, so it is higher than all before.

--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/lease"
 	"github.com/clovertiller/clovertiller/internal/storerev"
@@ -230,9 +231,12 @@
 	spec, revision, err := l.gateway.ports.Store.Lease(ctx)
 	now := l.gateway.now()
 	l.gateway.metrics.observeStoreCall(leaseKind, callRead, l.gateway.since(sentAt))
+	var unreadable *UnreadableError
 	switch {
 	case errors.Is(err, ErrNotFound):
 		l.candidate.Observe(now, lease.Observation{Revision: revision})
+	case errors.As(err, &unreadable):
+		l.observeUnreadableLease(now, revision, unreadable)
 	case err != nil:
 		l.scheduleRetry(err)
 		return false
@@ -242,6 +246,18 @@
 	return true
 }
 
+// unknownHolder is the holder of a lease that cannot be read. No node has that name.
+const unknownHolder = "?"
+
+// observeUnreadableLease records a lease that another program has overwritten. The router that held it may still do so, so it is
+// replaced like that of another router.
+func (l *leader) observeUnreadableLease(now time.Time, revision storerev.Revision, unreadable *UnreadableError) {
+	if revision != l.candidate.LastObservation().Revision {
+		l.gateway.log.Log(events.ObjectUnreadable, events.Fields{"kind": leaseKind, "revision": revision.Number(), "fault": unreadable.Fault})
+	}
+	l.candidate.Observe(now, lease.Observation{Exists: true, Revision: revision, Spec: v1.LeaseSpec{Holder: unknownHolder}})
+}
+
 func (l *leader) writeLease(action lease.Action) {
 	ctx, cancel := context.WithTimeout(l.gateway.ctx, leaseCallTimeout)
 	defer cancel()
--- a/internal/gateway/oddobjects_test.go
+++ b/internal/gateway/oddobjects_test.go
@@ -113,3 +113,20 @@
 		})
 	}
 }
+
+// Guards against an unreadable lease that no router ever replaces, so that no weights are updated any more.
+func TestUnreadableLeaseIsReplaced(t *testing.T) {
+	for name, spec := range map[string]string{"deep": nestedArrays, "no object": "7", "other types": `{"holder":7,"term":"x"}`} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t)
+			f.configure(1, defaultRoutes(), validKey)
+			runner := f.runner("e1", "engines")
+			f.store.PutRawSpec(platform.KindLeases, platform.LeaseObjectName, spec)
+			r := f.servingRouter("r1", nil)
+			nameWeights(f, 2)
+			f.g.Eventually(runner.WeightVersion, 8*time.Second, 20*time.Millisecond).Should(Equal(uint64(2)))
+			f.g.Expect(r.log.String()).To(ContainSubstring("cannot be read"))
+		})
+	}
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -170,6 +170,14 @@
 	ErrUnavailable = errors.New("store: unavailable")
 )
 
+// UnreadableError means that an object exists but cannot be decoded.
+type UnreadableError struct {
+	Fault string
+}
+
+// Error implements error.
+func (e *UnreadableError) Error() string { return "store: object cannot be read: " + e.Fault }
+
 // Store is the platform's persistent object store. Ports.Decode decodes the specs of its objects.
 type Store interface {
 	// List returns all objects of the kind and the revision of the list. A stale list may be some
@@ -184,7 +192,7 @@
 	// revision numbers, so a response of another era lacks the changes between the eras.
 	Watch(ctx context.Context, kind ObjectKind, revision storerev.Revision, wait time.Duration) (objects []v1.Object, through storerev.Revision, err error)
 	// Lease returns the lease object. If it does not exist, Lease returns ErrNotFound and the start
-	// of the era.
+	// of the era, and if its spec cannot be decoded an UnreadableError and its revision.
 	Lease(ctx context.Context) (spec v1.LeaseSpec, revision storerev.Revision, err error)
 	// WriteLease writes the lease object if the number of its revision has not changed, or creates
 	// it if exists is false.
