--- a/internal/gateway/oddobjects_test.go
+++ b/internal/gateway/oddobjects_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
@@ -130,3 +131,17 @@
 		})
 	}
 }
+
+// Guards against a configured limit that overflows, so that bodies of unknown length reach the runner empty.
+func TestLargestBodyLimitKeepsBodies(t *testing.T) {
+	f := newFleet(t)
+	spec := config(1, defaultRoutes(), validKey)
+	spec["limits"] = map[string]any{"max_body_bytes": int64(math.MaxInt64)}
+	f.store.Put(configKind, configName, spec)
+	runner := f.runner("p1", "plain")
+	r := f.servingRouter("r1", nil)
+	got := r.call("/safe/x", func(request *http.Request) { request.ContentLength = -1 })
+	f.g.Expect(got.status).To(Equal(http.StatusOK))
+	f.g.Expect(runner.Runs()).To(HaveLen(1))
+	f.g.Expect(runner.Runs()[0].Body).To(Equal("the body"))
+}
