--- a/internal/gateway/oddobjects_test.go
+++ b/internal/gateway/oddobjects_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -132,6 +133,64 @@
 	}
 }
 
+// oddEntry returns a directory entry of the service with a field that a runner would not write. The other fields are sound, but nobody
+// listens at the address.
+func oddEntry(service, field, value string) string {
+	fields := map[string]string{
+		"service": fmt.Sprintf("%q", service), "address": fmt.Sprintf("%q", loopback.FreeAddress()), "zone": `"z"`, "version": `"v1"`, "slots": "4", "state": `"ready"`,
+		"cold_remaining_ms": "0", "seq": "0", "models": `[{"name":"m","version":1}]`, "born": "5",
+	}
+	fields[field] = value
+	var members []string
+	for name, text := range fields {
+		members = append(members, fmt.Sprintf("%q:%s", name, text))
+	}
+	return "{" + strings.Join(members, ",") + "}"
+}
+
+// oddFields are values of fields of directory entries.
+var oddFields = []struct{ field, value string }{
+	{"address", `"127.0.0.1:0"`}, {"address", `"127.0.0.1:-1"`}, {"address", `"127.0.0.1:99999"`}, {"address", `"127.0.0.1:1000000000000000000000000"`}, {"address", `"127.0.0.1:http"`},
+	{"address", `"[::1%\r\nX: y]:80"`}, {"slots", "1000000000"}, {"slots", "9223372036854775807"}, {"slots", "1e30"}, {"cold_remaining_ms", "1e308"}, {"cold_remaining_ms", "1e999"},
+	{"born", "18446744073709551615"}, {"seq", "18446744073709551615"}, {"models", `[{"name":"m","version":9223372036854775807}]`}, {"models", `[{"name":"m","version":18446744073709551615}]`},
+	{"models", `[{"name":"m","version":1},{"name":"m","version":2}]`}, {"models", nestedArrays}, {"version", `"` + strings.Repeat("v", 1<<19) + `"`}, {"zone", `"` + strings.Repeat("z", 1<<19) + `"`},
+}
+
+// expectAllServed checks that the router serves calls of both services.
+func expectAllServed(f *fleet, r *router, calls int) {
+	for _, path := range []string{"/safe/x", "/stream/x"} {
+		statuses := map[int]int{}
+		for range calls {
+			statuses[r.call(path, nil).status]++
+		}
+		f.g.Expect(statuses).To(Equal(map[int]int{http.StatusOK: calls}), "%s at %s", path, r.address)
+	}
+}
+
+// Guards against one odd directory entry that keeps the sound runners of its service from serving: with engines, where requests are
+// placed by slots and weights, and without, at routers that read the store, that follow, and that start afterwards.
+func TestSoundRunnersServeBesideOddEntries(t *testing.T) {
+	for _, odd := range oddFields {
+		t.Run(odd.field+" "+odd.value[:min(len(odd.value), 40)], func(t *testing.T) {
+			t.Parallel()
+			f, seeds, follower := newSeededFleet(t)
+			for i := range 3 {
+				f.runner(fmt.Sprint("e", i), "engines")
+			}
+			for _, service := range []string{"plain", "engines"} {
+				f.store.PutRawSpec(platform.KindRunners, "odd-"+service, oddEntry(service, odd.field, odd.value))
+			}
+			f.runner("p2", "plain")
+			late := f.router("late", f.followerSettings(seeds[0].seeds))
+			f.g.Eventually(late.isReady, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+			for _, r := range []*router{seeds[0], follower, late} {
+				f.g.Eventually(func() string { return fmt.Sprint(r.Status().Runners) }, 3*time.Second, 20*time.Millisecond).Should(And(ContainSubstring("p2"), ContainSubstring("e2")))
+				expectAllServed(f, r, 4)
+			}
+		})
+	}
+}
+
 // Guards against a configured limit that overflows, so that bodies of unknown length reach the runner empty.
 func TestLargestBodyLimitKeepsBodies(t *testing.T) {
 	f := newFleet(t)
