An unreadable entry of cached parts costs only itself

Seen: one entry that cannot be decoded made all parts of a runner or of a cache store unknown to the router that reads it, and to all that follow its feed, for as long as the holder listed it. A cache store holds parts of the prompts of all callers.

Cause: WatchCache and ListCache returned the error of the first such entry, and a deeply nested one made the whole body undecodable. The reader logs the first one of each holder (event 843) and uses the others; what an unreadable change was, the next list tells.

--- a/internal/gateway/cachereader.go
+++ b/internal/gateway/cachereader.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -91,6 +92,8 @@
 	nextListAt time.Time
 	// failing is set while calls fail, so that only the first failure is logged.
 	failing bool
+	// hasFault is set once an entry could not be read, so that only the first one is logged.
+	hasFault bool
 }
 
 // listedHolders identifies a set of holders.
@@ -280,8 +283,12 @@
 		return
 	}
 	hashes := make([]uint64, 0, len(parts))
+	var fault string
 	for _, part := range parts {
-		hashes = append(hashes, backend.PartHash(part.Salt, part.Part))
+		if part.Fault == "" {
+			hashes = append(hashes, backend.PartHash(part.Salt, part.Part))
+		}
+		fault = cmp.Or(fault, part.Fault)
 	}
 	r.gateway.metrics.cacheReads.WithLabelValues(readResultList).Inc()
 	r.mutex.Lock()
@@ -290,6 +297,7 @@
 		return
 	}
 	state.failing = false
+	r.recordFault(holder, state, fault)
 	r.replaceParts(holder, hashes)
 	state.position = position
 	state.nextListAt = r.gateway.now().Add(r.gateway.jitter(cacheListInterval))
@@ -315,10 +323,14 @@
 	state.position = changes.Position
 	for _, event := range changes.Events {
 		hash := backend.PartHash(event.Salt, event.Part)
-		if event.Removed {
+		switch {
+		case event.Fault != "":
+			// The next list tells what the event changed.
+			r.recordFault(holder, state, event.Fault)
+		case event.Removed:
 			r.own.Remove(holder, hash)
 			r.feed.Remove(holder, hash)
-		} else {
+		default:
 			r.own.Add(holder, hash)
 			r.feed.Add(holder, hash)
 		}
@@ -332,6 +344,15 @@
 	r.feed.Replace(holder, parts)
 }
 
+// recordFault logs the first fault of an entry of the holder. The mutex must be held.
+func (r *cacheReader) recordFault(holder string, state *holderState, fault string) {
+	if fault == "" || state.hasFault {
+		return
+	}
+	state.hasFault = true
+	r.gateway.log.Log(events.CacheReadFailed, events.Fields{"holder": holder, "error": "an entry cannot be read: " + fault})
+}
+
 // recordFailure records that a runner or cache store could not be read. What was known about it
 // is kept until it is read again or leaves the directory.
 func (r *cacheReader) recordFailure(holder string, state *holderState, err error) {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -264,6 +264,8 @@
 	// Salt separates parts of different owners and weight versions.
 	Salt string
 	Part string
+	// Fault is the reason why the entry could not be decoded, or empty.
+	Fault string
 }
 
 // CacheEvent is a change of the cached parts of a runner or cache store.
