A reset that a concurrent write was told is no end of a response

A caller with a long body got a 200 with a part of its runner's response, framed as whole by the router. The runner had answered before it had read the whole request, without length and chunks, and had reset the connection (or closed it with unread bytes, which the system turns into a reset).

The system reports a reset once per connection. A body above 8 KiB is written while the response is read, and when the blocked write is told of the reset, the read finds a plain end of the connection, which is the regular end of an unframed body.

The end of a connection is now the end of a body only if the whole request was written: integrity.CheckEndOfConnection decides, and Body.Read of httpconn asks it, so all readers of responses do. A write that is still blocked then is ended by a deadline; one that has ended is not affected.

--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -137,9 +137,10 @@
 		}
 		return nil, err
 	}
+	framing := integrity.FramingOf(response)
 	return &Response{
-		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: integrity.FramingOf(response),
-		Body: &Body{pool: p, conn: c, response: response, writeResult: writeResult, stopCancel: stopCancel},
+		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: framing,
+		Body: &Body{pool: p, conn: c, response: response, framing: framing, writeResult: writeResult, stopCancel: stopCancel},
 		own:  own,
 	}, nil
 }
@@ -218,8 +219,11 @@
 	pool     *Pool
 	conn     *conn
 	response *http.Response
-	// writeResult receives the result of writing the request.
+	framing  integrity.Framing
+	// writeResult receives the result of writing the request, which awaitWrite keeps in writeErr.
 	writeResult chan error
+	writeEnded  bool
+	writeErr    error
 	// stopCancel detaches the connection from the context of the request. It returns false
 	// if the context has ended, which closes the connection.
 	stopCancel func() bool
@@ -231,10 +235,27 @@
 // incomplete.
 func (b *Body) Read(buffer []byte) (int, error) {
 	n, err := b.response.Body.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		b.readToEnd = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
 	}
-	return n, err
+	if b.framing == integrity.ByClose {
+		if err := integrity.CheckEndOfConnection(b.awaitWrite()); err != nil {
+			return n, err
+		}
+	}
+	b.readToEnd = true
+	return n, io.EOF
+}
+
+// awaitWrite returns the result of writing the request, of which nothing more is written. It is called when the server has ended the
+// connection.
+func (b *Body) awaitWrite() error {
+	if !b.writeEnded {
+		// A write that is blocked fails, and one that has ended is not affected.
+		_ = b.conn.SetWriteDeadline(time.Now())
+		b.writeErr, b.writeEnded = <-b.writeResult, true
+	}
+	return b.writeErr
 }
 
 // Abort closes the connection, so that a blocked Read fails. It may be called from
--- a/internal/integrity/integrity.go
+++ b/internal/integrity/integrity.go
@@ -109,6 +109,19 @@
 	return End{Verdict: Interrupted, Cause: readErr}
 }
 
+// errUnwritten is the cause of a body that ended with its connection while its request was being written.
+var errUnwritten = errors.New("the connection ended before the request was written")
+
+// CheckEndOfConnection returns an error unless the end of a connection is the end of the body that was read from it, given the result of
+// writing the request. The system reports a reset only once, to a read or to a write, so a reader finds a plain end after a reset that a
+// concurrent write was told.
+func CheckEndOfConnection(writeErr error) error {
+	if writeErr != nil {
+		return fmt.Errorf("%w: %w", errUnwritten, writeErr)
+	}
+	return nil
+}
+
 // ReadChunk reads the next part of a body into the buffer. If the buffer is full, the end is Unfinished.
 func ReadChunk(body io.Reader, buffer []byte) (n int, end End) {
 	for n < len(buffer) {
