Heads in which the framing is disregarded are malformed

A caller got a 200, framed as whole by the router, with a part of the body of its runner's response or with the sizes of its chunks as text, whatever the byte of the body at which the runner stopped.

net/http accepts heads in which it does not see the framing: white space between the name of a field and the colon, a line that continues the previous field, and Transfer-Encoding in HTTP/1.0, which it removes. The body then seems to end with its connection, which a close of the runner satisfies at each byte. RFC 9112 (5.1, 5.2, 6.1) lets a gateway reject all three. A status below 100 ended the handler in a panic and the caller's connection without a response.

integrity.CheckHead decides on the raw head, which headReader of httpconn keeps until the body begins. Such a response counts as lost, as one with any other malformed head does.

--- a/internal/gateway/cutresponses_test.go
+++ b/internal/gateway/cutresponses_test.go
@@ -112,3 +112,36 @@
 		f.g.Expect(runner.runCount()).To(BeNumerically(">", 50), path)
 	}
 }
+
+// scriptedBody is the body of the responses of a scriptedRunner that are not streams.
+const scriptedBody = "hello world\n"
+
+// malformedResponses are responses whose framing net/http disregards.
+var malformedResponses = []string{
+	scriptedHead + "Content-Length : 12\r\n\r\n" + scriptedBody,
+	scriptedHead + "Transfer-Encoding : chunked\r\n\r\nc\r\n" + scriptedBody + "\r\n0\r\n\r\n",
+	scriptedHead + "X: a\r\n Content-Length: 12\r\n\r\n" + scriptedBody,
+	strings.Replace(scriptedHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\nc\r\n" + scriptedBody + "\r\n0\r\n\r\n",
+}
+
+// Guards against responses whose odd framing is disregarded, and that reach their caller as if they were complete, whatever the byte at
+// which they stop.
+func TestResponseWithMalformedFramingIsNotComplete(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runner := f.scriptedRunner("p1", "plain")
+	r := f.servingRouter("a", nil)
+	calls := 0
+	for _, text := range malformedResponses {
+		for n := strings.Index(text, "\r\n\r\n"); n <= len(text); n++ {
+			runner.set(scriptedAnswer{text: text[:n], ending: runnerstand.EndsWithClose})
+			got := r.call("/unsafe/x", nil)
+			f.g.Expect(got.looksComplete()).To(BeFalse(), "%q: %q", text[:n], got.body)
+			calls++
+		}
+	}
+	f.g.Expect(runner.runCount()).To(Equal(calls))
+	runner.set(scriptedAnswer{text: strings.Replace(scriptedHead, "200", "099", 1) + "Content-Length: 12\r\n\r\n" + scriptedBody, ending: runnerstand.EndsWithClose})
+	f.g.Expect(r.call("/unsafe/x", nil).status).To(Equal(http.StatusBadGateway))
+}
--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -185,7 +185,7 @@
 // informational responses.
 func (c *conn) readResponse(request *Request) (*http.Response, error) {
 	minimalRequest := &http.Request{Method: request.Method}
-	c.head.begin()
+	c.beginHead()
 	for unmatched := 0; unmatched <= maxUnmatchedResponses; {
 		response, err := http.ReadResponse(c.reader, minimalRequest)
 		if c.head.exceeded {
@@ -194,6 +194,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := integrity.CheckHead(response, c.head.takeHead(c.reader.Buffered())); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			c.head.nextHead()
 			continue
@@ -209,11 +212,18 @@
 		if _, err := io.CopyN(io.Discard, response.Body, maxDiscardedBodyBytes); !errors.Is(err, io.EOF) {
 			return nil, ErrUnmatchedResponse
 		}
-		c.head.begin()
+		c.beginHead()
 	}
 	return nil, ErrUnmatchedResponse
 }
 
+// beginHead is called before the heads of the responses to a request are read.
+func (c *conn) beginHead() {
+	// Peeking at what is buffered never fails.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.begin(buffered)
+}
+
 // Body is the body of a response. It must be closed.
 type Body struct {
 	pool     *Pool
