An unframed stream that stops between CR and LF is not complete

A caller got a stream with line ends of CRLF as complete although it had stopped before its last byte: the CR alone ends the line, so the stream seemed to end between two events, and without length and chunks nothing else shows its end.

EventSplitter now remembers that the stream has CRLF; ending after a CR is then inside an event. With a length or chunks the framing shows that no LF follows, and a stream of CR only is as before. The table's entry for this case, which expected Complete with each framing, is now a test of its own with the verdict of each framing.

--- a/internal/integrity/events.go
+++ b/internal/integrity/events.go
@@ -15,8 +15,9 @@
 	// scanned is the number of pending bytes that were scanned, and lineStart the offset of the current
 	// line in them.
 	scanned, lineStart int
-	// afterCR is set if the last scanned byte was a CR. An LF that follows belongs to the same line end.
-	afterCR bool
+	// afterCR is set if the last scanned byte was a CR. An LF that follows belongs to the same line end. hasCRLF is set after the
+	// first of them.
+	afterCR, hasCRLF bool
 	// hasFields is set if a line of the current event contains a field. Comments are none.
 	hasFields bool
 	hasEvents bool
@@ -53,6 +54,7 @@
 // scan processes the byte at s.scanned.
 func (s *EventSplitter) scan(b byte) {
 	isRestOfCRLF := b == '\n' && s.afterCR
+	s.hasCRLF = s.hasCRLF || isRestOfCRLF
 	s.afterCR = b == '\r'
 	if b != '\n' && b != '\r' {
 		return
@@ -89,7 +91,8 @@
 	end := EndOfBody(readErr)
 	switch {
 	case !end.IsComplete():
-	case s.Buffered() > 0:
+	case s.Buffered() > 0, framing == ByClose && s.afterCR && s.hasCRLF:
+		// Between CR and LF, the stream has ended inside the event's end.
 		end.Verdict = InsideEvent
 	case framing == ByClose && !s.hasEvents:
 		end.Verdict = WithoutEvent
--- a/internal/integrity/integrity_test.go
+++ b/internal/integrity/integrity_test.go
@@ -40,7 +40,6 @@
 		"inside the first event":               {"id: 1\nda", "", InsideEvent},
 		"CRLF":                                 {"id: 1\r\ndata: a\r\n\r\n", "id: 1\r\ndata: a\r\n\r\n", Complete},
 		"CRLF, one pair short":                 {"id: 1\r\ndata: a\r\n", "", InsideEvent},
-		"CRLF, the last LF missing":            {"id: 1\r\ndata: a\r\n\r", "id: 1\r\ndata: a\r\n\r", Complete},
 		"CR":                                   {"id: 1\rdata: a\r\r", "id: 1\rdata: a\r\r", Complete},
 		"mixed line ends":                      {"id: 1\r\ndata: a\n\r\n" + first, "id: 1\r\ndata: a\n\r\n" + first, Complete},
 		"comment at the end":                   {first + ": done\n", first + ": done\n", Complete},
@@ -61,6 +60,43 @@
 	}
 }
 
+// Guards against streams without length and chunks that look complete although they stopped between CR and LF, and against others that
+// are taken for broken because they end in CR.
+func TestStreamThatEndsBetweenCRAndLF(t *testing.T) {
+	for _, test := range []struct {
+		stream  string
+		framing Framing
+		verdict Verdict
+	}{
+		{"id: 1\r\ndata: a\r\n\r", ByLength, Complete}, {"id: 1\r\ndata: a\r\n\r", ByChunks, Complete}, {"id: 1\r\ndata: a\r\n\r", ByClose, InsideEvent},
+		{"id: 1\rdata: a\r\r", ByClose, Complete}, {"id: 1\ndata: a\n\r", ByClose, Complete}, {"id: 1\r\ndata: a\r\n\r\n", ByClose, Complete},
+	} {
+		g := NewWithT(t)
+		written, _, end := copyAll(strings.NewReader(test.stream), test.framing)
+		g.Expect(written).To(Equal(test.stream))
+		g.Expect(end.Verdict).To(Equal(test.verdict), "%q, %s", test.stream, test.framing)
+	}
+}
+
+// Guards against streams without length and chunks that look complete although they stopped at a byte that is not the end of an event:
+// inside a multi-byte character, the line of an ID, or a line end. That they stopped between two events can't be told.
+func TestUnframedStreamIsCompleteOnlyAtTheEndsOfEvents(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		event := strings.ReplaceAll("event: e\nid: é1\n: comment\ndata: {\"a\": \"日本\"}\ndata\n\n", "\n", lineEnd)
+		stream := strings.Repeat(event, 3)
+		for n := range len(stream) + 1 {
+			for _, reader := range []io.Reader{strings.NewReader(stream[:n]), iotest.OneByteReader(strings.NewReader(stream[:n]))} {
+				g := NewWithT(t)
+				written, _, end := copyAll(reader, ByClose)
+				g.Expect(end.IsComplete()).To(Equal(n > 0 && n%len(event) == 0), "%q", stream[:n])
+				// Of CRLF at the end of an event, the CR ends the event.
+				whole := len(event) * (n / len(event))
+				g.Expect(written).To(Or(Equal(stream[:whole]), And(Equal(stream[:n]), HaveSuffix("\n\r"))))
+			}
+		}
+	}
+}
+
 // Guards against streams whose runner ended before the first event, which would look like empty ones.
 func TestClosedStreamWithoutEventIsNotComplete(t *testing.T) {
 	for _, stream := range []string{"", "\n", ": wait\n"} {
