Tests: forwarded calls and responses that stop at any byte

Guards against responses of an egress router that look complete although its connection was closed or reset at any byte of head or body, against a second run then, and against a call that is run shortened because the request that forwards it stopped.

The suspended clock of the ingress router ends the time for which it avoids the egress router, so that each byte takes milliseconds.

--- a/internal/gateway/cutresponses_test.go
+++ b/internal/gateway/cutresponses_test.go
@@ -8,9 +8,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
+	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
+	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/platform"
 )
@@ -145,3 +149,78 @@
 	runner.set(scriptedAnswer{text: strings.Replace(scriptedHead, "200", "099", 1) + "Content-Length: 12\r\n\r\n" + scriptedBody, ending: runnerstand.EndsWithClose})
 	f.g.Expect(r.call("/unsafe/x", nil).status).To(Equal(http.StatusBadGateway))
 }
+
+// forwardPrefix is the begin of a request that forwards a call to another router.
+const forwardPrefix = "POST /forwarded-call "
+
+// newCuttableForwards starts a router that reaches no runner and forwards its calls to another, over a proxy.
+func newCuttableForwards(t *testing.T) (f *fleet, cut *router, proxy *faultproxy.Proxy, runners map[string]*runnerstand.Runner) {
+	f = newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runners = map[string]*runnerstand.Runner{"/unsafe/x": f.runner("p1", "plain"), "/once/x": f.runner("e1", "engines")}
+	bind := loopback.FreeAddress()
+	proxy = f.proxyTo(bind)
+	f.servingRouter("seed", func(settings *gateway.Settings) {
+		settings.PeerAddress, settings.PeerBindAddress, settings.Seeds = proxy.Address, bind, []string{proxy.Address}
+	})
+	f.links = newRunnerLinks(f)
+	follow := f.followerSettings([]string{proxy.Address})
+	cut = f.servingRouter("cut", func(settings *gateway.Settings) {
+		follow(settings)
+		settings.ConfigLease = time.Hour
+	})
+	f.g.Eventually(func() int { return len(cut.Status().EgressRouters) }, 2*time.Second, 10*time.Millisecond).Should(Equal(1))
+	for path := range runners {
+		cut.awaitCut(path)
+	}
+	return f, cut, proxy, runners
+}
+
+// egressAvoidTime is longer than a router avoids an egress router that broke off a response.
+const egressAvoidTime = 600 * time.Millisecond
+
+// Guards against responses of an egress router that look complete although its connection ended at any byte of them, and against calls that
+// run twice then.
+func TestForwardedResponseThatStopsAtAnyByteIsNotComplete(t *testing.T) {
+	t.Parallel()
+	f, cut, proxy, runners := newCuttableForwards(t)
+	for path, runner := range runners {
+		for _, reset := range []bool{false, true} {
+			for n, complete := 0, false; !complete; n++ {
+				proxy.SetCut(&faultproxy.Cut{Prefix: forwardPrefix, Bytes: n, Reset: reset})
+				before := len(runner.Runs())
+				got := cut.call(path, nil)
+				f.g.Expect(len(runner.Runs())).To(Equal(before+1), "%s, %d bytes: %d %s", path, n, got.status, got.body)
+				if complete = got.looksComplete(); complete {
+					f.g.Expect(got.body).To(Or(Equal(wholeStream), Equal("answer to "+got.header.Get(platform.HeaderRequestID))), "%s, %d bytes, reset %t", path, n, reset)
+				}
+				f.g.Expect(n).To(BeNumerically("<", 2000))
+				cut.clock.suspend(egressAvoidTime)
+			}
+		}
+	}
+}
+
+// Guards against a call that an egress router runs shortened, because the request that forwards it ended at any byte.
+func TestForwardedRequestThatStopsAtAnyByteIsNotRun(t *testing.T) {
+	t.Parallel()
+	f, cut, proxy, runners := newCuttableForwards(t)
+	runner := runners["/unsafe/x"]
+	for _, reset := range []bool{false, true} {
+		// The runner gets the call only after the last byte, with which the connection ends.
+		for n, ran := 0, false; !ran; n++ {
+			proxy.SetCut(&faultproxy.Cut{Prefix: forwardPrefix, Requests: true, Bytes: n, Reset: reset})
+			before := len(runner.Runs())
+			got := cut.call("/unsafe/x", nil)
+			proxy.SetCut(nil)
+			f.g.Expect(got.status).To(Or(Equal(http.StatusBadGateway), Equal(http.StatusOK)), "%d bytes: %s", n, got.body)
+			cut.clock.suspend(egressAvoidTime)
+			runs := runner.Runs()[before:]
+			ran = len(runs) > 0 || got.status == http.StatusOK
+			for _, run := range runs {
+				f.g.Expect([]string{run.Path, run.Body}).To(Equal([]string{"/unsafe/x", "the body"}))
+			}
+			f.g.Expect(n).To(BeNumerically("<", 2000))
+		}
+	}
+}
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -66,6 +66,20 @@
 	// groupDelays and groupModes hold the delay of groups, and the modes that replace that of the proxy.
 	groupDelays map[string]time.Duration
 	groupModes  map[string]Mode
+	// cut ends new connections after some bytes; nil for none.
+	cut *Cut
+}
+
+// Cut ends connections after a number of bytes in one direction, whatever the mode.
+type Cut struct {
+	// Prefix selects the connections: on them, the first that the client sends begins with it.
+	Prefix string
+	// Requests is set to count the bytes that the client sends, instead of those from the server.
+	Requests bool
+	// Bytes is the number of bytes that are forwarded.
+	Bytes int
+	// Reset is set to reset both connections of a link instead of closing them.
+	Reset bool
 }
 
 // GroupOf returns the group of the client that is connected to the proxy, empty for none.
@@ -77,6 +91,11 @@
 	client, server net.Conn
 	group          string
 	muted          bool
+	// cut applies to the link, nil for none, and cutLeft is the number of bytes until then. begun is set once the client has sent
+	// something.
+	cut     *Cut
+	cutLeft int
+	begun   bool
 }
 
 // Start starts a proxy on a free loopback address that forwards to the server, an IP:port.
@@ -120,6 +139,43 @@
 	p.delay = delay
 }
 
+// SetCut sets where connections end on which the client has sent nothing yet; nil for nowhere.
+func (p *Proxy) SetCut(cut *Cut) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.cut = cut
+}
+
+// limit returns the part of the data that is forwarded before the cut of the link, and whether the link ends after it.
+func (p *Proxy) limit(l *link, data []byte, isResponse bool) (part []byte, ends bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !l.begun && !isResponse && len(data) > 0 {
+		l.begun = true
+		if p.cut != nil && bytes.HasPrefix(data, []byte(p.cut.Prefix)) {
+			l.cut, l.cutLeft = p.cut, p.cut.Bytes
+		}
+	}
+	if l.cut == nil || l.cut.Requests == isResponse || len(data) < l.cutLeft {
+		if l.cut != nil && l.cut.Requests != isResponse {
+			l.cutLeft -= len(data)
+		}
+		return data, false
+	}
+	return data[:l.cutLeft], true
+}
+
+// end ends the link as its cut demands.
+func (p *Proxy) end(l *link) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if l.cut.Reset {
+		l.forEachConn(resetConn)
+		return
+	}
+	l.forEachConn(func(conn net.Conn) { conn.Close() })
+}
+
 // currentDelay returns the delay that applies to what is read on the link now.
 func (p *Proxy) currentDelay(l *link) time.Duration {
 	p.mutex.Lock()
@@ -302,11 +358,16 @@
 		mode = p.effectiveMode(l)
 	}
 	dropped := mode == MuteExisting || mode == Blackhole || (mode == DropResponses && isResponse)
-	if len(c.data) > 0 && !dropped {
-		if _, err := target.Write(c.data); err != nil {
+	data, ends := p.limit(l, c.data, isResponse)
+	if len(data) > 0 && !dropped {
+		if _, err := target.Write(data); err != nil {
 			return false
 		}
 	}
+	if ends {
+		p.end(l)
+		return false
+	}
 	if c.err == io.EOF && !dropped {
 		if tcp, ok := target.(*net.TCPConn); ok {
 			// The other direction may still be in use.
