Tests: responses of runners that stop at any byte

Guards against responses that look complete to callers of HTTP/1.1 and 1.0 although their runner stopped at any byte, by close or reset: of the head and of interim heads before it, of chunk sizes, extensions and trailers, of events, IDs, multi-byte characters and each line end, with a length, in chunks and without either. An unframed response that is closed after its head, and an unframed stream that is closed between two events, can't be told from a whole one; the test names exactly these positions.

--- a/internal/gateway/cutresponses_test.go
+++ b/internal/gateway/cutresponses_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,8 +23,9 @@
 
 // scriptedRunner is a runner that answers each call with given bytes and then ends the connection.
 type scriptedRunner struct {
-	mutex  sync.Mutex
-	answer scriptedAnswer
+	mutex sync.Mutex
+	// answer returns the answer to a call, given the target of its request.
+	answer func(target string) scriptedAnswer
 	runs   int
 }
 
@@ -68,7 +71,7 @@
 		return
 	}
 	s.mutex.Lock()
-	answer := s.answer
+	answer := s.answer(request.RequestURI)
 	s.runs++
 	s.mutex.Unlock()
 	if !answer.unread {
@@ -82,6 +85,11 @@
 
 // set sets the answer to later calls.
 func (s *scriptedRunner) set(answer scriptedAnswer) {
+	s.setEach(func(string) scriptedAnswer { return answer })
+}
+
+// setEach sets a function that returns the answer to a later call, given the target of its request.
+func (s *scriptedRunner) setEach(answer func(target string) scriptedAnswer) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.answer = answer
@@ -95,7 +103,7 @@
 }
 
 // scriptedHead is the head of a runner's response without its framing and the empty line.
-const scriptedHead = "HTTP/1.1 200 OK\r\n" + platform.HeaderRequestID + ": ID\r\n" + platform.HeaderResponseStamp + ": s\r\n"
+const scriptedHead = "HTTP/1.1 200 OK\r\nConnection: close\r\n" + platform.HeaderRequestID + ": ID\r\n" + platform.HeaderResponseStamp + ": s\r\n"
 
 // Guards against responses without length and chunks that their runner resets before it has read the whole request, and that
 // reach their caller as if they were complete.
@@ -224,3 +232,103 @@
 		}
 	}
 }
+
+// newScriptedStream returns a stream of three events.
+func newScriptedStream(lineEnd string) (stream string) {
+	for _, id := range []string{"1", "2", "é3"} {
+		stream += strings.ReplaceAll("id: "+id+"\ndata: {\"text\": \"日本\"}\n\n", "\n", lineEnd)
+	}
+	return stream
+}
+
+// chunked returns the body in chunks of the size, with an extension and a trailer.
+func chunked(body string, size int) (chunks string) {
+	for len(body) > 0 {
+		n := min(size, len(body))
+		chunks += fmt.Sprintf("%X;a=b\r\n%s\r\n", n, body[:n])
+		body = body[n:]
+	}
+	return chunks + "0\r\nTrailer-Field: a\r\n\r\n"
+}
+
+// cutScript is a response of which each beginning is sent.
+type cutScript struct {
+	path, head, text, body string
+	// mayEnd reports whether nothing shows that the body is incomplete after its first n bytes. It is nil for responses that are framed.
+	mayEnd func(n int) bool
+}
+
+// firstStreamScript is the index of the first stream in newCutScripts. The whole head is cut of this script and of that with index 1.
+const firstStreamScript = 5
+
+func newCutScripts() (scripts []cutScript) {
+	const interims = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n" + platform.HeaderRequestID + ": ID\r\nLink: <x>\r\n\r\n"
+	framed := scriptedHead + "Content-Length: " + strconv.Itoa(len(scriptedBody)) + "\r\n\r\n"
+	chunks, unframed := scriptedHead+"Transfer-Encoding: chunked\r\n\r\n", scriptedHead+"\r\n"
+	scripts = append(scripts,
+		cutScript{"/unsafe/", framed, scriptedBody, scriptedBody, nil},
+		cutScript{"/unsafe/", interims + framed, scriptedBody, scriptedBody, nil},
+		cutScript{"/unsafe/", strings.Replace(framed, "1.1", "1.0", 1), scriptedBody, scriptedBody, nil},
+		cutScript{"/unsafe/", interims + chunks, chunked(scriptedBody, 5), scriptedBody, nil},
+		cutScript{"/unsafe/", unframed, scriptedBody, scriptedBody, func(int) bool { return true }},
+	)
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		stream := newScriptedStream(lineEnd)
+		eventLength := strings.Index(stream[1:], "id: ") + 1
+		scripts = append(scripts,
+			cutScript{"/once/", interims + chunks, chunked(stream, 17), stream, nil},
+			cutScript{"/once/", scriptedHead + "Content-Length: " + strconv.Itoa(len(stream)) + "\r\n\r\n", stream, stream, nil},
+			cutScript{"/once/", unframed, stream, stream, func(n int) bool { return n == len(stream) || n > 0 && n%eventLength == 0 && n <= 2*eventLength }},
+		)
+	}
+	return scripts
+}
+
+// Guards against responses of runners that look complete to callers of HTTP/1.1 and 1.0 although they stopped at any byte, by a close or a
+// reset: of interim heads, of the head, of chunks and trailers, of events, of IDs, of characters and of line ends.
+func TestResponseThatStopsAtAnyByteIsNotComplete(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runners := map[string]*scriptedRunner{"/unsafe/": f.scriptedRunner("p1", "plain"), "/once/": f.scriptedRunner("e1", "engines")}
+	r := f.servingRouter("a", nil)
+	r.awaitRunners(2)
+	calls := map[string]int{}
+	for number, script := range newCutScripts() {
+		for _, ending := range []runnerstand.Ending{runnerstand.EndsWithClose, runnerstand.EndsWithReset} {
+			whole := script.head + script.text
+			runners[script.path].setEach(func(target string) scriptedAnswer {
+				n, _ := strconv.Atoi(strings.TrimPrefix(target, script.path))
+				return scriptedAnswer{text: whole[:n], ending: ending}
+			})
+			first := len(script.head) - 1
+			if number == 1 || number == firstStreamScript {
+				first = 1
+			}
+			for n := first; n <= len(whole); n++ {
+				version := []string{"1.1", "1.0"}[(n+int(ending))%2]
+				got := r.callAs(version, script.path+strconv.Itoa(n))
+				calls[script.path]++
+				what := fmt.Sprintf("script %d, %s after %d of %d bytes, HTTP/%s: %d %q", number, ending, n, len(whole), version, got.status, got.body)
+				isWhole := n == len(whole)
+				if received := n - len(script.head); script.mayEnd != nil {
+					isWhole = ending == runnerstand.EndsWithClose && received >= 0 && script.mayEnd(received)
+				}
+				if ending == runnerstand.EndsWithReset && isWhole && !got.looksComplete() {
+					// The reset may have overtaken the end of the response.
+					continue
+				}
+				f.g.Expect(got.looksComplete()).To(Equal(isWhole), what)
+				if got.status == http.StatusOK {
+					f.g.Expect(script.body).To(HavePrefix(got.body), what)
+				}
+				if isWhole && script.mayEnd == nil {
+					f.g.Expect(got.body).To(Equal(script.body), what)
+				}
+			}
+		}
+	}
+	for path, runner := range runners {
+		f.g.Expect(runner.runCount()).To(Equal(calls[path]), path)
+	}
+}
