Parts of an engine's chunks are no output at the OpenAI door

A caller got a 200, or a stream up to [DONE], whose text lacked what an engine had sent as only a part of a chunk inside a whole frame; with a text that could not be decoded, such as a bad escape, the whole content of a 200 was empty. Callers of streams got the part itself as an event.

The door passes chunks on without decoding them, so the rule that a part of a JSON document can't be decoded did not hold there: the frame's count of tokens was taken for the tokens, a chunk without the end of its text for one without text, and a text that can't be decoded for an empty one.

--- a/internal/node/parse_test.go
+++ b/internal/node/parse_test.go
@@ -128,7 +128,7 @@
 	})
 }
 
-func TestAppendEscapedText(t *testing.T) {
+func TestEscapedTextOfChunks(t *testing.T) {
 	g := NewWithT(t)
 	var text []byte
 	for _, chunk := range []string{
@@ -136,7 +136,9 @@
 		`{"choices":[{"index":0,"text":"\\\u00e9\n"}]}`,
 		`{"choices":[{"delta":{}}]}`,
 	} {
-		text = appendEscapedText(text, []byte(chunk))
+		part, isWhole := escapedText([]byte(chunk))
+		g.Expect(isWhole).To(BeTrue())
+		text = append(text, part...)
 	}
 	g.Expect(unescapeJSON(text)).To(Equal("a \"b\" \\é\n"))
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -20,11 +20,7 @@
 	var frame engineapi.Frame
 	for {
 		if err := stream.Frames.Next(&frame); err != nil {
-			x.sink.flush()
-			if ctx.Err() != nil {
-				return attempt.Stop
-			}
-			return x.state.ConnectionLost()
+			return x.breakOff(ctx)
 		}
 		timer.reset()
 		if string(frame.Request) != x.request.id {
@@ -33,7 +29,12 @@
 		}
 		switch frame.Event {
 		case "":
-			x.relayFrame(&frame)
+			text, isWhole := escapedText(frame.Data)
+			if !isWhole {
+				x.dropFrame(&frame)
+				return x.breakOff(ctx)
+			}
+			x.relayFrame(&frame, text)
 		case engineapi.EventStart:
 			x.handleStart(&frame)
 		case engineapi.EventEnd:
@@ -46,19 +47,28 @@
 	}
 }
 
+// breakOff ends the reading of a stream before its end event.
+func (x *execution) breakOff(ctx context.Context) attempt.Action {
+	x.sink.flush()
+	if ctx.Err() != nil {
+		return attempt.Stop
+	}
+	return x.state.ConnectionLost()
+}
+
 // dropFrame counts and logs a frame that is not relayed.
 func (x *execution) dropFrame(frame *engineapi.Frame) {
 	x.node.metrics.droppedFrames.Inc()
 	x.node.log.Log(events.FrameDropped, events.Fields{"request": x.request.id, "attempt": frame.Attempt, "offset": frame.Offset, "expected": x.state.Offset()})
 }
 
-// relayFrame writes an output frame to the caller, or drops it if it is not the expected one.
-func (x *execution) relayFrame(frame *engineapi.Frame) {
+// relayFrame writes an output frame with the text to the caller, or drops it if it is not the expected one.
+func (x *execution) relayFrame(frame *engineapi.Frame, text []byte) {
 	if !x.state.AcceptFrame(frame.Attempt, frame.Offset, frame.Count) {
 		x.dropFrame(frame)
 		return
 	}
-	x.generated = appendEscapedText(x.generated, frame.Data)
+	x.generated = append(x.generated, text...)
 	if !x.responseBegun {
 		x.responseBegun = true
 		x.node.metrics.observeFirstToken(x.request.tenant.Spec.Tier, time.Since(x.receivedAt))
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/clovertiller/clovertiller/internal/engineapi"
+	"github.com/clovertiller/clovertiller/internal/integrity"
 )
 
 // completionResult is the data at the end of a response.
@@ -197,10 +199,13 @@
 	textMarker    = []byte(`"text":"`)
 )
 
-// appendEscapedText appends the output text of a chunk as the content of a JSON string, without
-// decoding the chunk. By the engine API (docs/API.md), the text follows the first contentMarker or,
-// failing that, the first textMarker of the chunk.
-func appendEscapedText(text, chunk []byte) []byte {
+// escapedText returns the output text of a chunk as the content of a JSON string, without decoding the chunk. It returns false if the
+// chunk is only a part of one, or if its text cannot be decoded. By the engine API (docs/API.md), the text follows the first
+// contentMarker or, failing that, the first textMarker of the chunk.
+func escapedText(chunk []byte) (text []byte, isWhole bool) {
+	if !integrity.IsWholeObject(chunk) {
+		return nil, false
+	}
 	marker := contentMarker
 	start := bytes.Index(chunk, marker)
 	if start < 0 {
@@ -208,18 +213,47 @@
 		start = bytes.Index(chunk, marker)
 	}
 	if start < 0 {
-		return text
+		return nil, true
 	}
 	rest := chunk[start+len(marker):]
 	for i := 0; i < len(rest); i++ {
-		switch rest[i] {
-		case '\\':
-			i++
-		case '"':
-			return append(text, rest[:i]...)
+		switch b := rest[i]; {
+		case b == '"':
+			return rest[:i], true
+		case b < ' ':
+			return nil, false
+		case b == '\\':
+			length := escapeLength(rest[i:])
+			if length == 0 {
+				return nil, false
+			}
+			i += length - 1
 		}
 	}
-	return text
+	return nil, false
+}
+
+// unicodeEscapeLength is the length of an escape of the form \u0000.
+const unicodeEscapeLength = 6
+
+// escapeLength returns the length of the escape with which the content of a JSON string begins, 0 if it is invalid.
+func escapeLength(content []byte) int {
+	if len(content) < 2 {
+		return 0
+	}
+	if content[1] != 'u' {
+		if bytes.IndexByte([]byte(`"\/bfnrt`), content[1]) < 0 {
+			return 0
+		}
+		return 2
+	}
+	if len(content) < unicodeEscapeLength {
+		return 0
+	}
+	if _, err := strconv.ParseUint(string(content[2:unicodeEscapeLength]), 16, 16); err != nil {
+		return 0
+	}
+	return unicodeEscapeLength
 }
 
 // unescapeJSON decodes the content of a JSON string. It returns "" if the content is invalid.
