Whole responses of the OpenAI door have their length

A caller of HTTP/1.0 that asked for a whole response above 2 KiB got it without a length, so that each part of it looked whole when the router was killed or its connection closed in the middle. net/http adds a length only to bodies that fit into its buffer; the door wrote others without.

All whole responses of the door, errors and the list of models too, now go through writeWhole, which sets the length. TestResponseToHTTP10ThatStopsAtAnyByteIsNotComplete parses each beginning of a response: before, all from byte 169 of 5436 on were complete.

--- a/internal/node/apierror.go
+++ b/internal/node/apierror.go
@@ -105,6 +105,5 @@
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.retryAfter.Seconds()))))
 	}
 	header.Set(headerRunState, string(e.runState))
-	writer.WriteHeader(e.status)
-	writer.Write(e.body())
+	writeWhole(writer, e.status, e.body())
 }
--- a/internal/node/cutstreams_test.go
+++ b/internal/node/cutstreams_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -44,13 +47,19 @@
 // relayOnce relays what an engine sends until it closes the connection, and returns what the caller got.
 func relayOnce(n *Node, stream bool, sent string) (next attempt.Action, phase attempt.Phase, response *httptest.ResponseRecorder) {
 	response = httptest.NewRecorder()
+	next, phase = relayTo(n, response, stream, sent)
+	return next, phase, response
+}
+
+// relayTo is like relayOnce with a given writer to the caller.
+func relayTo(n *Node, writer http.ResponseWriter, stream bool, sent string) (attempt.Action, attempt.Phase) {
 	c := &completionRequest{id: "cmpl-1", format: engineapi.FormatChat, stream: stream, tenant: &config.Tenant{Name: "t", Spec: &v1.TenantSpec{Tier: "gold"}}}
-	x := &execution{node: n, request: c, state: attempt.NewRequest(true, attempt.DefaultLimits()), sink: newResponseSink(response, c)}
+	x := &execution{node: n, request: c, state: attempt.NewRequest(true, attempt.DefaultLimits()), sink: newResponseSink(writer, c)}
 	x.state.BeginDispatch("r")
 	x.state.MarkAccepted()
 	reader := engineapi.NewFrameReader(bufio.NewReader(strings.NewReader(sent)))
-	next = x.relay(context.Background(), engineapi.NewStream(reader, io.NopCloser(nil)))
-	return next, x.state.Phase(), response
+	next := x.relay(context.Background(), engineapi.NewStream(reader, io.NopCloser(nil)))
+	return next, x.state.Phase()
 }
 
 func newRelayNode() *Node {
@@ -122,3 +131,35 @@
 	}
 	g.Expect(integrity.IsWholeObject([]byte(chunk))).To(BeTrue())
 }
+
+// Guards against whole responses of the OpenAI door without their length, of which callers of HTTP/1.0 take each part for the whole
+// when the router or its connection is lost.
+func TestResponseToHTTP10ThatStopsAtAnyByteIsNotComplete(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	n, long := newRelayNode(), strings.Repeat("long ", 1000)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/error" {
+			(&apiError{status: http.StatusBadRequest, code: codeInvalidRequest, message: long}).writeTo(writer)
+			return
+		}
+		relayTo(n, writer, false, newEngineStream(newChunk(long)))
+	}))
+	defer server.Close()
+	for _, path := range []string{"/", "/error"} {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: h\r\n\r\n", path)
+		raw, err := io.ReadAll(conn)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(len(raw)).To(BeNumerically(">", len(long)))
+		for end := range len(raw) + 1 {
+			response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(raw[:end])), nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+			}
+			g.Expect(err == nil).To(Equal(end == len(raw)), "%s, %d of %d bytes", path, end, len(raw))
+		}
+	}
+}
--- a/internal/node/ingress.go
+++ b/internal/node/ingress.go
@@ -200,7 +200,9 @@
 
 func writeJSON(writer http.ResponseWriter, body any) {
 	writer.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(writer).Encode(body)
+	// Encoding the lists of this package cannot fail.
+	encoded, _ := json.Marshal(body)
+	writeWhole(writer, http.StatusOK, encoded)
 }
 
 // MemberStatus describes one router in a Status.
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -182,8 +182,15 @@
 	response := newCompletionResponse(s.request, object)
 	response.Choices = append(response.Choices, choice)
 	response.Usage = newUsage(result)
-	s.writer.WriteHeader(http.StatusOK)
-	s.writer.Write(encodeResponse(response))
+	writeWhole(s.writer, http.StatusOK, encodeResponse(response))
+}
+
+// writeWhole writes a response with its length, without which callers of HTTP/1.0 would take a part of a long body for the whole. The
+// error of the write is ignored because the request's context ends when the caller disconnects.
+func writeWhole(writer http.ResponseWriter, status int, body []byte) {
+	writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(status)
+	writer.Write(body)
 }
 
 func (s *jsonSink) fail(failure *apiError) { failure.writeTo(s.writer) }
