An engine's error is no list of blocks and no cache event

The OpenAI door decoded what an engine answered to the list of its blocks and to the stream of cache events whatever the status, so that the body of an error, which has none of the fields, was an empty list and an event.

Both go through Client.get, which returns only responses with status 200. TestErrorOfAnEngineIsNoListAndNoEvent failed before. TestEngineResponseThatStopsAtAnyByteIsNotWhole goes over each byte of a list, a refusal, a confirmation, an event and a stream of an engine; no part was taken for the whole, before neither.

--- a/internal/engineapi/client.go
+++ b/internal/engineapi/client.go
@@ -232,11 +232,10 @@
 	return nil
 }
 
-// Blocks returns the full list of the engine's cached blocks.
-func (c *Client) Blocks(ctx context.Context, address string) (*BlockList, error) {
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathBlocks, nil)
+// get sends a GET request and returns the response if its status is 200. Any other is an error, also if its body could be decoded
+// as what was asked for.
+func (c *Client) get(ctx context.Context, address, path string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -244,6 +243,21 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, trace.BadParameter("%s: unexpected status %d", path, response.StatusCode)
+	}
+	return response, nil
+}
+
+// Blocks returns the full list of the engine's cached blocks.
+func (c *Client) Blocks(ctx context.Context, address string) (*BlockList, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	response, err := c.get(ctx, address, PathBlocks)
+	if err != nil {
+		return nil, err
+	}
 	defer response.Body.Close()
 	list := &BlockList{}
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxBlockListBytes)).Decode(list); err != nil {
@@ -260,13 +274,9 @@
 	defer cancel()
 	watchdog := time.AfterFunc(silenceTimeout, cancel)
 	defer watchdog.Stop()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+PathEvents, nil)
+	response, err := c.get(ctx, address, PathEvents)
 	if err != nil {
-		return trace.Wrap(err)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
 	defer response.Body.Close()
 	body := integrity.NewLimitedReader(response.Body, maxEventBytes)
