Tests: the router's own responses that stop at any byte

Guards against responses of which callers take a part for the whole when their router is killed or the connection is closed: each beginning of short, long, empty, foreign and refused responses and of 204, 304, 404 and streams, to POST, GET and HEAD in HTTP/1.0 and with Connection: close, is parsed as net/http does. A stream to HTTP/1.0 has no framing; that its router then resets the connection has tests already.

--- a/internal/gateway/cutresponses_test.go
+++ b/internal/gateway/cutresponses_test.go
@@ -332,3 +332,56 @@
 		f.g.Expect(runner.runCount()).To(Equal(calls[path]), path)
 	}
 }
+
+// rawResponse sends a call and returns the bytes of its response.
+func (r *router) rawResponse(method, version, path, fields string) string {
+	conn, err := net.Dial("tcp", r.address)
+	r.fleet.g.Expect(err).NotTo(HaveOccurred())
+	defer conn.Close()
+	fmt.Fprintf(conn, "%s %s HTTP/%s\r\nHost: h.example\r\nAuthorization: Bearer %s\r\n%s: %s\r\n%s: 2500\r\n%s: %s\r\nContent-Length: 0\r\n%s\r\n",
+		method, path, version, validKey, platform.HeaderRequestID, newRequestID(), platform.HeaderDeadlineMillis, platform.HeaderModel, modelName, fields)
+	raw, err := io.ReadAll(conn)
+	r.fleet.g.Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
+
+// Guards against responses of the router of which callers take a part for the whole when the router is killed or its connection is closed
+// at any byte. Only a stream to HTTP/1.0 has neither length nor chunks; its end is a reset then (TestEndOfRouterIsNoEndOfStreamForHTTP10).
+func TestOwnResponseThatStopsAtAnyByteIsNotComplete(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	plain, engine := f.scriptedRunner("p1", "plain"), f.scriptedRunner("e1", "engines")
+	r := f.servingRouter("a", nil)
+	r.awaitRunners(2)
+	stream := newScriptedStream("\n")
+	engine.set(scriptedAnswer{text: scriptedHead + "\r\n" + stream, ending: runnerstand.EndsWithClose})
+	texts := map[string]string{
+		"/unsafe/short": scriptedHead + "Content-Length: 12\r\n\r\n" + scriptedBody, "/unsafe/unframed": scriptedHead + "\r\n" + scriptedBody,
+		"/unsafe/empty": scriptedHead + "Content-Length: 0\r\n\r\n", "/unsafe/empty-unframed": scriptedHead + "\r\n",
+		"/unsafe/long": scriptedHead + "Transfer-Encoding: chunked\r\n\r\n" + chunked(strings.Repeat(scriptedBody, 500), 1000),
+		"/unsafe/204":  strings.Replace(scriptedHead, "200", "204", 1) + "\r\n", "/unsafe/304": strings.Replace(scriptedHead, "200", "304", 1) + "\r\n",
+		"/unsafe/404": strings.Replace(scriptedHead, "200", "404", 1) + "Content-Length: 12\r\n\r\n" + scriptedBody, "/unsafe/foreign": "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		"/none/refused": "", "/once/stream": "",
+	}
+	plain.setEach(func(target string) scriptedAnswer {
+		return scriptedAnswer{text: texts[target], ending: runnerstand.EndsWithClose}
+	})
+	for path := range texts {
+		for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodHead} {
+			for _, caller := range [][2]string{{"1.0", ""}, {"1.1", "Connection: close\r\n"}} {
+				if path == "/once/stream" && (caller[0] == "1.0" || method == http.MethodHead) {
+					continue
+				}
+				raw := r.rawResponse(method, caller[0], path, caller[1])
+				for n := range len(raw) + 1 {
+					response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(raw[:n])), &http.Request{Method: method})
+					if err == nil {
+						_, err = io.Copy(io.Discard, response.Body)
+					}
+					f.g.Expect(err == nil).To(Equal(n == len(raw)), "%s %s, HTTP/%s, %d of %d bytes: %q", method, path, caller[0], n, len(raw), raw[:min(n, 500)])
+				}
+			}
+		}
+	}
+}
