--- a/internal/httpconn/exchange.go
+++ b/internal/httpconn/exchange.go
@@ -137,9 +137,10 @@
 		}
 		return nil, err
 	}
+	framing := integrity.FramingOf(response)
 	return &Response{
-		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: integrity.FramingOf(response),
-		Body: &Body{pool: p, conn: c, response: response, writeResult: writeResult, stopCancel: stopCancel},
+		Status: response.StatusCode, Header: response.Header, ContentLength: response.ContentLength, Framing: framing,
+		Body: &Body{pool: p, conn: c, response: response, framing: framing, writeResult: writeResult, stopCancel: stopCancel},
 		own:  own,
 	}, nil
 }
@@ -184,7 +185,7 @@
 // informational responses.
 func (c *conn) readResponse(request *Request) (*http.Response, error) {
 	minimalRequest := &http.Request{Method: request.Method}
-	c.head.begin()
+	c.beginHead()
 	for unmatched := 0; unmatched <= maxUnmatchedResponses; {
 		response, err := http.ReadResponse(c.reader, minimalRequest)
 		if c.head.exceeded {
@@ -193,6 +194,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := integrity.CheckHead(response, c.head.takeHead(c.reader.Buffered())); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			c.head.nextHead()
 			continue
@@ -208,18 +212,28 @@
 		if _, err := io.CopyN(io.Discard, response.Body, maxDiscardedBodyBytes); !errors.Is(err, io.EOF) {
 			return nil, ErrUnmatchedResponse
 		}
-		c.head.begin()
+		c.beginHead()
 	}
 	return nil, ErrUnmatchedResponse
 }
 
+// beginHead is called before the heads of the responses to a request are read.
+func (c *conn) beginHead() {
+	// Peeking at what is buffered never fails.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.begin(buffered)
+}
+
 // Body is the body of a response. It must be closed.
 type Body struct {
 	pool     *Pool
 	conn     *conn
 	response *http.Response
-	// writeResult receives the result of writing the request.
+	framing  integrity.Framing
+	// writeResult receives the result of writing the request, which awaitWrite keeps in writeErr.
 	writeResult chan error
+	writeEnded  bool
+	writeErr    error
 	// stopCancel detaches the connection from the context of the request. It returns false
 	// if the context has ended, which closes the connection.
 	stopCancel func() bool
@@ -231,10 +245,27 @@
 // incomplete.
 func (b *Body) Read(buffer []byte) (int, error) {
 	n, err := b.response.Body.Read(buffer)
-	if errors.Is(err, io.EOF) {
-		b.readToEnd = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.framing == integrity.ByClose {
+		if err := integrity.CheckEndOfConnection(b.awaitWrite()); err != nil {
+			return n, err
+		}
+	}
+	b.readToEnd = true
+	return n, io.EOF
+}
+
+// awaitWrite returns the result of writing the request, of which nothing more is written. It is called when the server has ended the
+// connection.
+func (b *Body) awaitWrite() error {
+	if !b.writeEnded {
+		// A write that is blocked fails, and one that has ended is not affected.
+		_ = b.conn.SetWriteDeadline(time.Now())
+		b.writeErr, b.writeEnded = <-b.writeResult, true
 	}
-	return n, err
+	return b.writeErr
 }
 
 // Abort closes the connection, so that a blocked Read fails. It may be called from
