Quarantine records are written and removed only as read

What callers saw: nothing at once. After the loss of the routers that knew them, contents that had crashed three runners were sent again, as the store had lost crashes.

Cause: a router's copy of the stored record counted as the store's. SaveQuarantine replaced, and DeleteQuarantine removed, whatever the store had, although the router's watch may be behind: a router that had seen two crashes replaced a record of three; one that had read two crashes, and then seen a runner survive, removed the record of two later ones.

Now both are conditional on the revision that was read. After a conflict the record is read and merged, and then written again if it still lacks anything. A revision of an earlier era counts as a conflict, since a restored store may use its number again. The stand-in of the store checks a delete's revision as well.

TestClearedRecordIsRemovedOnlyAsRead and TestRemovedRecordIsWrittenWithNewCrashes use the new signatures and were not run without it.

--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -198,10 +198,14 @@
 	// WatchQuarantines returns the changes after the revision as soon as there are any, or none
 	// when the wait ends, and the revision through which nothing else changed.
 	WatchQuarantines(ctx context.Context, revision storerev.Revision, wait time.Duration) ([]StoredQuarantine, storerev.Revision, error)
-	// SaveQuarantine writes the record of a content and replaces the stored one.
-	SaveQuarantine(ctx context.Context, record quarantine.Record) error
-	// DeleteQuarantine deletes the record of the content. It is no error if there is none.
-	DeleteQuarantine(ctx context.Context, content quarantine.Subject) error
+	// ReadQuarantine returns the stored record of the content.
+	ReadQuarantine(ctx context.Context, content quarantine.Subject) (StoredQuarantine, error)
+	// SaveQuarantine replaces the record of a content if the number of its revision has not changed, or creates it if
+	// the revision is 0.
+	SaveQuarantine(ctx context.Context, record quarantine.Record, revision storerev.Revision) (written storerev.Revision, err error)
+	// DeleteQuarantine deletes the record of the content if the number of its revision has not changed. It is no error if
+	// there is none.
+	DeleteQuarantine(ctx context.Context, content quarantine.Subject, revision storerev.Revision) error
 	// ReadStreamOrigins returns what routers have stored about the software versions at which streams began. Records are
 	// kept from the time now on for as long as they were to be kept when they were written: the store holds no times, as the
 	// clocks of machines may jump.
@@ -243,6 +247,8 @@
 // StoredQuarantine is a quarantine record as stored.
 type StoredQuarantine struct {
 	Name string
+	// Revision is that of the last change of the record.
+	Revision storerev.Revision
 	// Removed is true if the record was deleted.
 	Removed bool
 	// Record contains wall-clock times.
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -183,7 +183,25 @@
 	p.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(endpoint.Close)
 	client := &platform.StoreClient{Address: endpoint.Address, Pool: httpconn.NewPool(httpconn.DefaultDialTimeout)}
-	p.g.Expect(client.SaveQuarantine(t.Context(), record)).To(Succeed())
+	_, err = client.SaveQuarantine(t.Context(), record, 0)
+	p.g.Expect(err).NotTo(HaveOccurred())
 	p.servingRouter("r1", nil)
 	p.g.Eventually(func() []string { return p.store.Specs(platform.KindQuarantines) }, 2*time.Second, 5*time.Millisecond).Should(BeEmpty())
 }
+
+// Guards against crashes that are lost from the store: a router whose list of records is older than the stored one replaced that by its own,
+// and the router that knew the others is lost.
+func TestRecordOfRouterThatIsBehindKeepsStoredCrashes(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	behind := p.servingRouter("behind", nil)
+	behind.storeEndpoint.SetReplicaRevision(p.store.Revision(), platform.KindQuarantines)
+	p.routers = []*router{p.servingRouter("ahead", nil)}
+	p.crashRunners(3)
+	p.expectStoredCrashes(3)
+	p.routers[0].Kill()
+	for range 2 {
+		p.g.Expect(behind.call("/once/x", withBody(poisonBody)).status).NotTo(Equal(http.StatusServiceUnavailable))
+	}
+	p.expectStoredCrashes(5)
+}
--- a/internal/gateway/storedquarantines.go
+++ b/internal/gateway/storedquarantines.go
@@ -37,8 +37,9 @@
 	mutex   sync.Mutex
 	// era is the era of the store's last list, 0 before the first.
 	era uint64
-	// stored holds the records that the store is known to have.
-	stored map[quarantine.Subject]quarantine.Record
+	// stored holds the records that the store is known to have. They may be older than the store's, so all writes are
+	// conditional on their revisions.
+	stored map[quarantine.Subject]storedRecord
 	// pending holds the contents whose record must be written to the store or, once it is cleared
 	// or has expired, removed from it. It has at most one entry per record.
 	pending map[quarantine.Subject]bool
@@ -46,9 +47,15 @@
 	wakeup chan struct{}
 }
 
+// storedRecord is a record as read from the store or written there.
+type storedRecord struct {
+	record   quarantine.Record
+	revision storerev.Revision
+}
+
 func newStoredQuarantines(g *Gateway) *storedQuarantines {
 	return &storedQuarantines{
-		gateway: g, stored: map[quarantine.Subject]quarantine.Record{}, pending: map[quarantine.Subject]bool{}, wakeup: make(chan struct{}, 1),
+		gateway: g, stored: map[quarantine.Subject]storedRecord{}, pending: map[quarantine.Subject]bool{}, wakeup: make(chan struct{}, 1),
 	}
 }
 
@@ -182,7 +189,7 @@
 		case !object.Removed:
 			record := toLocalClock(g.now(), time.Now().Round(0), object.Record)
 			records = append(records, record)
-			q.markStored(record)
+			q.markStored(record, object.Revision)
 		}
 	}
 	g.suspects.merge(records)
@@ -194,10 +201,13 @@
 	}
 }
 
-func (q *storedQuarantines) markStored(record quarantine.Record) {
+// markStored records what the store has, unless a later revision is known.
+func (q *storedQuarantines) markStored(record quarantine.Record, revision storerev.Revision) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.stored[record.Subject] = record
+	if revision >= q.stored[record.Subject].revision {
+		q.stored[record.Subject] = storedRecord{record, revision}
+	}
 }
 
 // writeLoop writes pending records until the gateway stops. It retries a failed write until it
@@ -241,20 +251,31 @@
 	return quarantine.Subject{}, false
 }
 
-// syncRecord makes the store's record of the content match this router's.
+// syncRecord makes the store's record of the content match this router's. If the store has another record than this router has
+// read, that is read first.
 func (q *storedQuarantines) syncRecord(content quarantine.Subject) error {
 	stored, isStored := q.takePending(content)
 	record, status := q.gateway.suspects.record(content)
 	cleared, missing := status.Crashes == 0, !isStored
 	if isStored {
-		record, missing = stored.Merge(record)
+		record, missing = stored.record.Merge(record)
 	}
 	var err error
 	switch {
-	case cleared && isStored:
-		err = q.remove(content)
-	case !cleared && missing:
-		err = q.put(record)
+	case !(cleared && isStored || !cleared && missing):
+		return nil
+	case isStored && stored.revision.Era() < q.gateway.eraTracker.newest():
+		// The restored store may use the revision's number again.
+		err = ErrConflict
+	case cleared:
+		err = q.remove(content, stored.revision)
+	default:
+		err = q.put(record, stored.revision)
+	}
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrNotFound) {
+		if err = q.readRecord(content); err == nil {
+			q.recordChanged(content, minStoredCrashes)
+		}
 	}
 	if err != nil {
 		q.recordChanged(content, minStoredCrashes)
@@ -262,8 +283,32 @@
 	return err
 }
 
+// readRecord reads the record of the content from the store.
+func (q *storedQuarantines) readRecord(content quarantine.Subject) error {
+	var object StoredQuarantine
+	err := q.gateway.callStore(quarantineKind, callRead, quarantineCallTimeout, func(ctx context.Context) (err error) {
+		object, err = q.gateway.ports.Store.ReadQuarantine(ctx, content)
+		return err
+	})
+	switch {
+	case errors.Is(err, ErrNotFound):
+		q.mutex.Lock()
+		defer q.mutex.Unlock()
+		delete(q.stored, content)
+		return nil
+	case err != nil:
+		return err
+	}
+	q.apply([]StoredQuarantine{object})
+	if object.Fault != "" {
+		// It is replaced.
+		q.markStored(quarantine.Record{Subject: content}, object.Revision)
+	}
+	return nil
+}
+
 // takePending removes the content from the pending ones and returns the store's record of it.
-func (q *storedQuarantines) takePending(content quarantine.Subject) (stored quarantine.Record, isStored bool) {
+func (q *storedQuarantines) takePending(content quarantine.Subject) (stored storedRecord, isStored bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	delete(q.pending, content)
@@ -271,11 +316,14 @@
 	return stored, isStored
 }
 
-// put writes the record to the store.
-func (q *storedQuarantines) put(record quarantine.Record) error {
+// put writes the record to the store, which has the one of the revision, or none if that is 0.
+func (q *storedQuarantines) put(record quarantine.Record, revision storerev.Revision) error {
 	g := q.gateway
 	written, era := toWallClock(g.now(), time.Now().Round(0), record), g.eraTracker.newest()
-	if err := q.callStore(func(ctx context.Context) error { return g.ports.Store.SaveQuarantine(ctx, written) }); err != nil {
+	if err := q.callStore(func(ctx context.Context) (err error) {
+		revision, err = g.ports.Store.SaveQuarantine(ctx, written, revision)
+		return err
+	}); err != nil {
 		return err
 	}
 	if g.eraTracker.newest() != era {
@@ -283,14 +331,14 @@
 		q.recordChanged(record.Subject, minStoredCrashes)
 		return nil
 	}
-	q.markStored(record)
+	q.markStored(record, revision)
 	return nil
 }
 
-// remove deletes the record of the content from the store.
-func (q *storedQuarantines) remove(content quarantine.Subject) error {
+// remove deletes the record of the content from the store, which has the one of the revision.
+func (q *storedQuarantines) remove(content quarantine.Subject, revision storerev.Revision) error {
 	g := q.gateway
-	if err := q.callStore(func(ctx context.Context) error { return g.ports.Store.DeleteQuarantine(ctx, content) }); err != nil {
+	if err := q.callStore(func(ctx context.Context) error { return g.ports.Store.DeleteQuarantine(ctx, content, revision) }); err != nil {
 		return err
 	}
 	q.mutex.Lock()
--- a/internal/gateway/storedquarantines_internal_test.go
+++ b/internal/gateway/storedquarantines_internal_test.go
@@ -95,3 +95,95 @@
 	g.Expect(gateway.suspects.detector.Records()).To(BeEmpty())
 	g.Expect(gateway.suspects.stored.pending).To(BeEmpty())
 }
+
+// changedStore has a record that another router has changed since this one read it.
+type changedStore struct {
+	Store
+	stored StoredQuarantine
+	gone   bool
+}
+
+func (s *changedStore) ReadQuarantine(context.Context, quarantine.Subject) (StoredQuarantine, error) {
+	if s.gone {
+		return StoredQuarantine{}, ErrNotFound
+	}
+	return s.stored, nil
+}
+
+func (s *changedStore) SaveQuarantine(_ context.Context, record quarantine.Record, revision storerev.Revision) (storerev.Revision, error) {
+	if s.gone && revision != 0 {
+		return 0, ErrNotFound
+	}
+	if !s.gone && revision != s.stored.Revision {
+		return 0, ErrConflict
+	}
+	s.gone = false
+	s.stored.Record, s.stored.Revision = record, s.stored.Revision+1
+	return s.stored.Revision, nil
+}
+
+func (s *changedStore) DeleteQuarantine(_ context.Context, _ quarantine.Subject, revision storerev.Revision) error {
+	if !s.gone && revision != s.stored.Revision {
+		return ErrConflict
+	}
+	s.gone = true
+	return nil
+}
+
+// writePending writes all pending records, as the writer does.
+func (q *storedQuarantines) writePending(g *WithT) {
+	q.gateway.directReads.setEnabled(true)
+	for writes := 0; ; writes++ {
+		content, pending := q.nextPending()
+		if !pending {
+			return
+		}
+		g.Expect(writes).To(BeNumerically("<", 5))
+		g.Expect(q.syncRecord(content)).To(Succeed())
+	}
+}
+
+// Guards against a quarantine that is lifted in the store by a router which has not read the last crashes: a runner survived the content
+// after those that it has read.
+func TestClearedRecordIsRemovedOnlyAsRead(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	wall, content := time.Now().Round(0), quarantine.Subject{Tenant: "t", Digest: 7}
+	crash := func(id string, ago time.Duration) quarantine.Crash {
+		return quarantine.Crash{Runner: quarantine.Runner{ID: id}, SentAt: wall.Add(-ago - time.Second), DetectedAt: wall.Add(-ago)}
+	}
+	read := StoredQuarantine{Revision: 5, Record: quarantine.Record{Subject: content, Crashes: []quarantine.Crash{crash("a", 40*time.Second), crash("b", 30*time.Second)}}}
+	newer := StoredQuarantine{Revision: 9, Record: quarantine.Record{Subject: content, Crashes: append(read.Record.Crashes, crash("c", 10*time.Second), crash("d", 5*time.Second))}}
+	store := &changedStore{stored: newer}
+	gateway := newQuarantineGateway(t, store)
+	gateway.suspects.stored.apply([]StoredQuarantine{read})
+	gateway.suspects.merge([]quarantine.Record{{Subject: content, SurvivedAt: gateway.now().Add(-20 * time.Second)}})
+	gateway.suspects.stored.writePending(g)
+	g.Expect(store.gone).To(BeFalse())
+	g.Expect(crashedRunners(store.stored.Record)).To(ContainElements("c", "d"))
+	g.Expect(gateway.suspects.detector.Evaluate(gateway.now(), content).Crashes).To(Equal(2), "those after the survived run")
+
+	gateway.suspects.merge([]quarantine.Record{{Subject: content, SurvivedAt: gateway.now()}})
+	gateway.suspects.stored.writePending(g)
+	g.Expect(store.gone).To(BeTrue(), "it has read all crashes, and a runner survived since")
+}
+
+// Guards against a record that stays missing because this router has read it before another one removed it.
+func TestRemovedRecordIsWrittenWithNewCrashes(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	wall, content := time.Now().Round(0), quarantine.Subject{Tenant: "t", Digest: 7}
+	record := quarantine.Record{Subject: content}
+	for i, id := range []string{"a", "b", "c"} {
+		detectedAt := wall.Add(time.Duration(i-10) * time.Second)
+		record.Crashes = append(record.Crashes, quarantine.Crash{Runner: quarantine.Runner{ID: id}, SentAt: detectedAt.Add(-time.Millisecond), DetectedAt: detectedAt})
+	}
+	read := StoredQuarantine{Revision: 5, Record: quarantine.Record{Subject: content, Crashes: record.Crashes[:2]}}
+	store := &changedStore{stored: StoredQuarantine{Revision: 6}, gone: true}
+	gateway := newQuarantineGateway(t, store)
+	gateway.suspects.stored.apply([]StoredQuarantine{read})
+	gateway.suspects.merge([]quarantine.Record{toLocalClock(gateway.now(), wall, record)})
+	gateway.suspects.stored.writePending(g)
+	g.Expect(store.gone).To(BeFalse())
+	g.Expect(store.stored.Record.Crashes).To(HaveLen(3))
+}
--- a/internal/lab/storestand/endpoint.go
+++ b/internal/lab/storestand/endpoint.go
@@ -307,6 +307,14 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if inQuery := request.URL.Query().Get("revision"); inQuery != "" {
+		revision, err := strconv.ParseUint(inQuery, 10, 64)
+		if err != nil {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		body.Metadata.Revision = revision
+	}
 	status, object := e.store.applyRequest(request.Method, kind, name, body)
 	if e.currentFault() == LosesResponses {
 		panic(http.ErrAbortHandler)
--- a/internal/lab/storestand/store.go
+++ b/internal/lab/storestand/store.go
@@ -185,7 +185,7 @@
 }
 
 // applyRequest applies a write request and returns the HTTP status and the object for the response.
-// A put with a revision is applied only if it is the revision of the object.
+// A put or delete with a revision is applied only if it is the revision of the object.
 func (s *Store) applyRequest(method, kind, name string, body Object) (int, Object) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -194,16 +194,15 @@
 	}
 	name, ofStatus := strings.CutSuffix(name, "/status")
 	current, found := s.objects[kind][name]
+	isOutdated := method != http.MethodPost && body.Metadata.Revision != 0 && body.Metadata.Revision != current.Metadata.Revision
 	switch {
-	case method == http.MethodPost && found:
+	case found && (method == http.MethodPost || isOutdated):
 		return http.StatusConflict, current
 	case method == http.MethodDelete && found:
 		s.removeLocked(kind, name)
 		return http.StatusOK, current
 	case method != http.MethodPost && !found:
 		return http.StatusNotFound, Object{}
-	case method == http.MethodPut && body.Metadata.Revision != 0 && body.Metadata.Revision != current.Metadata.Revision:
-		return http.StatusConflict, current
 	}
 	if ofStatus {
 		return http.StatusOK, s.writeStatusLocked(kind, name, body.Status)
