Seeds acknowledge records of crashes and signals

What callers saw: contents that had crashed three runners were sent to a fourth by routers that never learned of the last crash.

Cause: an open connection counted as evidence that the other side receives. A router sends the crashes and the signals of runners that it has detected to the seeds in one-way messages. Its own followers repair a loss with their next pull, but seeds pull from nobody. A message that was written to a connection which had fallen silent was lost for good, unless the router could write the record to the store.

TestCrashReportedOnSilentConnectionReachesOtherRouters: the connections of a router to its seed fall silent before the third crash, and the store refuses this router.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -75,6 +75,7 @@
 	StreamOriginsCallFailed       = define(536, logrus.WarnLevel, "store call about the software versions of streams failed")
 	RosterWritten                 = define(537, logrus.InfoLevel, "software versions of services written to the store")
 	RecordsNotAcknowledged        = define(538, logrus.WarnLevel, "stream records were not acknowledged by the router that writes them; this one does")
+	BroadcastNotAcknowledged      = define(545, logrus.WarnLevel, "records about runners or contents were not acknowledged; they are sent again")
 	StreamOriginRecorded          = define(528, logrus.InfoLevel, "software version of a stream recorded")
 	HandlerPanicked               = define(531, logrus.ErrorLevel, "handler of a request panicked")
 	ServerError                   = define(532, logrus.WarnLevel, "HTTP server reported an error")
--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
@@ -21,8 +22,11 @@
 
 // crashRunners sends the poison the given number of times, each to the next router, and waits for
 // the crashes.
-func (p *poisonedFleet) crashRunners(count int) {
-	for i := range count {
+func (p *poisonedFleet) crashRunners(count int) { p.crashRunnersFrom(0, count) }
+
+// crashRunnersFrom is crashRunners after a number of crashes.
+func (p *poisonedFleet) crashRunnersFrom(before, count int) {
+	for i := before; i < before+count; i++ {
 		p.g.Expect(p.routers[i%len(p.routers)].call("/once/x", withBody(poisonBody)).status).NotTo(Equal(http.StatusServiceUnavailable))
 		p.g.Eventually(func() int { crashes, _ := p.crashCount(); return crashes }, time.Second, time.Millisecond).Should(Equal(i + 1))
 	}
@@ -205,3 +209,29 @@
 	}
 	p.expectStoredCrashes(5)
 }
+
+// Guards against a crash that no other router learns of: the connections of the router that detected it to the seed had fallen silent
+// without a reset, and the store refuses that router.
+func TestCrashReportedOnSilentConnectionReachesOtherRouters(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	seeds := []string{loopback.FreeAddress()}
+	link := p.proxyTo(seeds[0])
+	seed := p.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = seeds[0], seeds })
+	reporter := p.servingRouter("reporter", func(settings *gateway.Settings) {
+		p.followerSettings([]string{link.Address})(settings)
+	})
+	other := p.servingRouter("other", p.followerSettings(seeds))
+	p.routers = []*router{reporter}
+	p.crashRunners(2)
+	time.Sleep(100 * time.Millisecond)
+	reporter.storeEndpoint.SetFault(storestand.Busy)
+	link.SetMode(faultproxy.MuteExisting)
+	p.crashRunnersFrom(2, 1)
+	mutedAt := time.Now()
+	reporter.waitForLog("content is not sent any more")
+	for _, r := range []*router{seed, other} {
+		p.g.Eventually(r.log.String, 3*time.Second, 5*time.Millisecond).Should(ContainSubstring("content is not sent any more"))
+		t.Logf("known after %v", time.Since(mutedAt))
+	}
+}
--- a/internal/gateway/relayserve.go
+++ b/internal/gateway/relayserve.go
@@ -57,8 +57,10 @@
 		r.gateway.schedulers.handleLoadShare(envelope.GetFrom(), body.LoadShare)
 	case *wire.Envelope_SuspectNews:
 		r.gateway.suspects.merge(decodeSuspects(r.gateway.now(), append(body.SuspectNews.GetRecords(), body.SuspectNews.GetParts()...)))
+		return recordsAck()
 	case *wire.Envelope_SignalNews:
 		r.gateway.signals.merge(body.SignalNews.GetSignals())
+		return recordsAck()
 	case *wire.Envelope_RolloutReport:
 		return &wire.Envelope{Body: &wire.Envelope_RolloutPermit{RolloutPermit: r.gateway.rolloutDriver.HandleReport(envelope, body.RolloutReport)}}
 	case *wire.Envelope_CacheShare:
@@ -83,7 +85,7 @@
 	return nil
 }
 
-// recordsAck acknowledges records of streams.
+// recordsAck acknowledges records. It is not sent for a one-way message.
 func recordsAck() *wire.Envelope {
 	return &wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: &wire.Heartbeat{}}}
 }
