A rollout ends only by a list of runners that is current

What callers saw: a good version was rolled back at its deadline with "no runner of the target version is listed", although its runners were in the store. The other way round the old runners would be stopped for new ones that are gone.

Cause: the leader's list of runners counted whatever its age. Its lease and the order come in other calls, so it leads while the watch of runners is silent or answered by a replica that is behind.

Now Capacity says whether the list may lack changes: it is current if it was proved complete within the time for which copies count as recent (1.38 s, maxProofAge and copyProofMargin). With an older one nothing is promoted and nothing ends by what is on the list or missing there. Bad answers condemn as before.

Without the condition TestOldListOfRunnersEndsNothing (both cases) and TestLeaderWithAnOldListOfRunnersEndsNothing fail.

--- a/internal/gateway/rolloutports.go
+++ b/internal/gateway/rolloutports.go
@@ -38,6 +38,12 @@
 	return p.gateway.runners.VersionLoad(p.gateway.now(), service, version)
 }
 
+// IsListCurrent implements rolloutdriver.Runners.
+func (p *rolloutPorts) IsListCurrent() bool {
+	age, known := p.gateway.copies.age(p.gateway.now(), RunnerObjects)
+	return known && age <= maxProofAge+copyProofMargin
+}
+
 // SetVersionRules implements rolloutdriver.Runners.
 func (p *rolloutPorts) SetVersionRules(rules map[string]backend.VersionRule, exposedShare float64) {
 	p.gateway.mutex.Lock()
--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -367,3 +367,18 @@
 	f.store.Delete(platform.KindRollouts, "earlier")
 	f.g.Consistently(rollouts, 800*time.Millisecond).Should(Equal(1))
 }
+
+// Guards against a good version that is rolled back by a leader whose list of runners is older than the order: that its runners are missing
+// there shows nothing.
+func TestLeaderWithAnOldListOfRunnersRollsNothingBack(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 1, runnerstand.Normal)
+	f.load(f.routers)
+	leader := f.routers[0]
+	leader.storeEndpoint.SetReplicaRevision(f.store.Revision(), platform.KindRunners)
+	const duration = 2 * time.Second
+	f.order(duration)
+	f.g.Consistently(f.state, duration+time.Second, 10*time.Millisecond).ShouldNot(Equal("rolled_back"), f.storedStatus)
+	leader.storeEndpoint.CatchUp()
+	f.g.Eventually(f.state, 3*time.Second, 10*time.Millisecond).Should(Equal("succeeded"), f.storedStatus)
+}
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -540,3 +540,16 @@
 	r.RecordOutcome(f.now, query, send, SendEnd{Outcome: backend.Succeeded, RoundTrip: 40 * time.Millisecond})
 	f.g.Expect(bad()).To(Equal(before + 1))
 }
+
+// Guards against a success that is decided by a list of runners which may lack that the new ones have gone: the old runners stop at once.
+func TestLeaderWithAnOldListOfRunnersEndsNothing(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.run(testDuration / 2)
+	f.leader.hasOldList = true
+	f.run(testDuration)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Running))
+	f.leader.hasOldList = false
+	f.run(time.Second)
+	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
+}
--- a/internal/rolloutdriver/fleet_test.go
+++ b/internal/rolloutdriver/fleet_test.go
@@ -69,8 +69,10 @@
 	// nothing.
 	isStopped, isCutOff, isNoPlacer bool
 	// lacksStore routers neither read nor write the store, and those with writesFail do not write.
-	lacksStore   bool
-	writesFail   bool
+	lacksStore bool
+	writesFail bool
+	// hasOldList is set for a router whose list of runners may lack changes.
+	hasOldList   bool
 	seenRevision storerev.Revision
 	leadAt       time.Time
 	reportAt     time.Time
@@ -138,6 +140,9 @@
 	return r.set.VersionLoad(r.fleet.now, service, version)
 }
 
+// IsListCurrent implements Runners.
+func (r *testRouter) IsListCurrent() bool { return !r.hasOldList }
+
 // SetVersionRules implements Runners.
 func (r *testRouter) SetVersionRules(rules map[string]backend.VersionRule, share float64) {
 	r.set.SetVersionRules(rules, share)
--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/clovertiller/clovertiller/internal/backend"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/versionrollout"
@@ -136,7 +135,7 @@
 // leadOne takes one step of the service's rollout, starts a write of what changed, and returns the time
 // until the next step.
 func (d *Driver) leadOne(ctx context.Context, service, target string) time.Duration {
-	load := d.ports.Runners.VersionLoad(service, target)
+	isOutdated, load := !d.ports.Runners.IsListCurrent(), d.ports.Runners.VersionLoad(service, target)
 	others, self := d.ports.Schedulers.OtherSchedulers(), d.ports.Schedulers.SelfAddress()
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -147,23 +146,24 @@
 	}
 	wait := idleLeadInterval
 	if !r.state.IsFinal() {
-		wait = d.step(now, r, load, others, self)
+		// Requests that wait for a slot need none more than there are.
+		capacity := versionrollout.Capacity{TargetRunners: load.Runners, TargetSlots: load.Slots, Load: min(load.Open, load.OtherSlots), IsOutdated: isOutdated}
+		wait = d.step(now, r, capacity, load.PlacedAtOthers, others, self)
 	}
 	d.startWrite(ctx, now, r)
 	return wait
 }
 
 // step lets the controller decide. The mutex must be held.
-func (d *Driver) step(now time.Time, r *serviceRollout, load backend.VersionLoad, others []string, self string) time.Duration {
+func (d *Driver) step(now time.Time, r *serviceRollout, capacity versionrollout.Capacity, placedAtOthers int, others []string, self string) time.Duration {
 	if r.lead.controller == nil {
 		r.lead = d.newLead(now, r)
 	}
 	controller := r.lead.controller
 	source := versionrollout.Source{Router: self, Incarnation: d.config.Incarnation}
 	controller.SetSchedulers(now, others)
-	// Requests that wait for a slot need none more than there are.
-	controller.SetCapacity(versionrollout.Capacity{TargetRunners: load.Runners, TargetSlots: load.Slots, Load: min(load.Open, load.OtherSlots)})
-	controller.Report(now, source, r.placer.report(now, load.PlacedAtOthers))
+	controller.SetCapacity(capacity)
+	controller.Report(now, source, r.placer.report(now, placedAtOthers))
 	before, decision := r.lead.decision, controller.Step(now)
 	r.lead.decision = decision
 	r.lead.reserve = max(r.lead.reserve, decision.Reserve)
--- a/internal/rolloutdriver/ports.go
+++ b/internal/rolloutdriver/ports.go
@@ -36,6 +36,8 @@
 	VersionCounter
 	// VersionLoad returns the load of the service and what its runners of the version can carry.
 	VersionLoad(service, version string) backend.VersionLoad
+	// IsListCurrent reports whether the list of runners is known to have been complete a moment ago.
+	IsListCurrent() bool
 	// SetVersionRules replaces the rules of all services. exposedShare is the largest share of a
 	// service's requests that tests a version.
 	SetVersionRules(rules map[string]backend.VersionRule, exposedShare float64)
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -37,9 +37,13 @@
 	TargetRunners, TargetSlots int
 	// Load is the number of requests of the service that run at the same time.
 	Load int
+	// IsOutdated is set if the list of runners may lack changes. Nothing follows then from the runners that it has or lacks.
+	IsOutdated bool
 }
 
-func (c Capacity) suffices() bool { return c.TargetRunners > 0 && c.TargetSlots >= c.Load }
+func (c Capacity) suffices() bool {
+	return !c.IsOutdated && c.TargetRunners > 0 && c.TargetSlots >= c.Load
+}
 
 // Decision is the result of one step.
 type Decision struct {
@@ -230,7 +234,7 @@
 	if now.Before(c.endAt()) || !c.receivesReports(now) {
 		return ""
 	}
-	if c.capacity.TargetRunners == 0 {
+	if c.capacity.TargetRunners == 0 && !c.capacity.IsOutdated {
 		return "no runner of the target version is listed"
 	}
 	if !c.promotedAt.IsZero() {
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -630,3 +630,16 @@
 	g.Expect(oldShare(4)).To(BeZero(), "4 of the last 40, 204 of 10,040")
 	g.Expect(oldShare(12)).To(BeNumerically(">", 0.3))
 }
+
+// Guards against a rollout that ends by a list of runners which may lack changes, whatever is on it.
+func TestOldListOfRunnersEndsNothing(t *testing.T) {
+	for name, capacity := range map[string]Capacity{"no runner": {IsOutdated: true}, "enough runners": {TargetRunners: 2, TargetSlots: 8, Load: 5, IsOutdated: true}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c, report := newTestController(nil), &Report{}
+			c.SetCapacity(capacity)
+			g.Expect(steps(c, own, 0, 150, report, noneBad).State).To(Equal(Running), "also after the deadline")
+			g.Expect(steps(c, own, 150, 155, report, func(exposed uint64) uint64 { return exposed }).State).To(Equal(RolledBack), "for its answers")
+		})
+	}
+}
