--- a/internal/gateway/quarantine_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
+	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
@@ -21,8 +22,11 @@
 
 // crashRunners sends the poison the given number of times, each to the next router, and waits for
 // the crashes.
-func (p *poisonedFleet) crashRunners(count int) {
-	for i := range count {
+func (p *poisonedFleet) crashRunners(count int) { p.crashRunnersFrom(0, count) }
+
+// crashRunnersFrom is crashRunners after a number of crashes.
+func (p *poisonedFleet) crashRunnersFrom(before, count int) {
+	for i := before; i < before+count; i++ {
 		p.g.Expect(p.routers[i%len(p.routers)].call("/once/x", withBody(poisonBody)).status).NotTo(Equal(http.StatusServiceUnavailable))
 		p.g.Eventually(func() int { crashes, _ := p.crashCount(); return crashes }, time.Second, time.Millisecond).Should(Equal(i + 1))
 	}
@@ -183,7 +187,51 @@
 	p.g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(endpoint.Close)
 	client := &platform.StoreClient{Address: endpoint.Address, Pool: httpconn.NewPool(httpconn.DefaultDialTimeout)}
-	p.g.Expect(client.SaveQuarantine(t.Context(), record)).To(Succeed())
+	_, err = client.SaveQuarantine(t.Context(), record, 0)
+	p.g.Expect(err).NotTo(HaveOccurred())
 	p.servingRouter("r1", nil)
 	p.g.Eventually(func() []string { return p.store.Specs(platform.KindQuarantines) }, 2*time.Second, 5*time.Millisecond).Should(BeEmpty())
 }
+
+// Guards against crashes that are lost from the store: a router whose list of records is older than the stored one replaced that by its own,
+// and the router that knew the others is lost.
+func TestRecordOfRouterThatIsBehindKeepsStoredCrashes(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	behind := p.servingRouter("behind", nil)
+	behind.storeEndpoint.SetReplicaRevision(p.store.Revision(), platform.KindQuarantines)
+	p.routers = []*router{p.servingRouter("ahead", nil)}
+	p.crashRunners(3)
+	p.expectStoredCrashes(3)
+	p.routers[0].Kill()
+	for range 2 {
+		p.g.Expect(behind.call("/once/x", withBody(poisonBody)).status).NotTo(Equal(http.StatusServiceUnavailable))
+	}
+	p.expectStoredCrashes(5)
+}
+
+// Guards against a crash that no other router learns of: the connections of the router that detected it to the seed had fallen silent
+// without a reset, and the store refuses that router.
+func TestCrashReportedOnSilentConnectionReachesOtherRouters(t *testing.T) {
+	t.Parallel()
+	p := newPoisonedFleet(t, 8, false)
+	seeds := []string{loopback.FreeAddress()}
+	link := p.proxyTo(seeds[0])
+	seed := p.servingRouter("seed", func(settings *gateway.Settings) { settings.PeerAddress, settings.Seeds = seeds[0], seeds })
+	reporter := p.servingRouter("reporter", func(settings *gateway.Settings) {
+		p.followerSettings([]string{link.Address})(settings)
+	})
+	other := p.servingRouter("other", p.followerSettings(seeds))
+	p.routers = []*router{reporter}
+	p.crashRunners(2)
+	time.Sleep(100 * time.Millisecond)
+	reporter.storeEndpoint.SetFault(storestand.Busy)
+	link.SetMode(faultproxy.MuteExisting)
+	p.crashRunnersFrom(2, 1)
+	mutedAt := time.Now()
+	reporter.waitForLog("content is not sent any more")
+	for _, r := range []*router{seed, other} {
+		p.g.Eventually(r.log.String, 3*time.Second, 5*time.Millisecond).Should(ContainSubstring("content is not sent any more"))
+		t.Logf("known after %v", time.Since(mutedAt))
+	}
+}
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -311,7 +311,7 @@
 	if isWriter && !s.stored.canWrite() {
 		return &wire.Envelope{Body: &wire.Envelope_StreamAnswer{StreamAnswer: &wire.StreamAnswer{}}}
 	}
-	return &wire.Envelope{Body: &wire.Envelope_HeartbeatAck{HeartbeatAck: &wire.Heartbeat{}}}
+	return recordsAck()
 }
 
 // answer answers another router's question where a stream began.
