The client of the object API decodes each object by itself

Seen: one object whose spec is nested too deeply, or that has a control character or a field of another type, ended the OpenAI door's list and watch ("the platform did not answer"), so that no change was followed any more. Same cause as in the platform's store: the list and each message of the watch were decoded as one document.

Messages of the watch are lines, as docs/API.md says, and one without its end is none.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -80,14 +80,14 @@
 	if err != nil {
 		return false
 	}
-	n.applyPlatformDelta(config.Delta{Through: storerev.Revision(list.Revision), Full: true, Objects: filterWatched(list.Items)})
+	n.applyPlatformDelta(config.Delta{Through: storerev.Revision(list.Revision), Full: true, Objects: n.filterWatched(list.Items)})
 	return true
 }
 
 // applyWatchBatch applies a batch of changes from the watch. A batch without watched objects does
 // not advance the revision, so that lease renewals are not sent to all routers.
 func (n *Node) applyWatchBatch(batch platform.WatchBatch) {
-	objects := filterWatched(batch.Objects)
+	objects := n.filterWatched(batch.Objects)
 	if len(objects) == 0 {
 		return
 	}
@@ -104,10 +104,13 @@
 	}
 }
 
-// filterWatched returns the objects that belong to the configuration.
-func filterWatched(objects []v1.Object) []v1.Object {
+// filterWatched returns the objects that belong to the configuration, and logs those that cannot be decoded.
+func (n *Node) filterWatched(objects []v1.Object) []v1.Object {
 	watched := make([]v1.Object, 0, len(objects))
 	for _, object := range objects {
+		if object.Fault != "" {
+			n.log.Log(events.ObjectUnreadable, events.Fields{"kind": string(object.Kind), "name": object.Name, "revision": object.Version, "fault": object.Fault})
+		}
 		if !isUnwatched(object.Kind) {
 			watched = append(watched, object)
 		}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -173,11 +174,15 @@
 		return err
 	}
 	body := integrity.NewLimitedReader(response.Body, maxResponseBytes)
-	decoder := json.NewDecoder(body)
+	lines := bufio.NewReader(body)
 	for {
-		var batch WatchBatch
 		body.Reset()
-		if err := decoder.Decode(&batch); err != nil {
+		message, err := lines.ReadBytes('\n')
+		if err != nil {
+			return ErrUnavailable
+		}
+		batch, err := decodeBatch(message)
+		if err != nil {
 			return ErrUnavailable
 		}
 		idleTimer.Reset(WatchIdleTimeout)
@@ -217,12 +222,20 @@
 	if result == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result); err != nil {
+	data, err := io.ReadAll(integrity.NewLimitedReader(response.Body, maxResponseBytes))
+	if err != nil || decodeResponse(data, result) != nil {
 		return ErrUnavailable
 	}
 	return nil
 }
 
+func decodeResponse(data []byte, result any) error {
+	if list, isList := result.(*List); isList {
+		return decodeList(data, list)
+	}
+	return json.Unmarshal(data, result)
+}
+
 // errorFromStatus returns the error that corresponds to the status of a response, or nil on success.
 func errorFromStatus(response *http.Response) error {
 	switch response.StatusCode {
