Test of sound runners beside any odd objects of all kinds

TestSoundRunnersAreFollowedBesideAnyOddObjects writes drawn objects of six kinds, whole ones and parts, repeated keys, names that need escapes and deletions, and after each few a sound runner that two seeds and a follower must learn, use and forget again. Routers that start when all are there must serve.

--- a/internal/gateway/oddobjects_test.go
+++ b/internal/gateway/oddobjects_test.go
@@ -9,10 +9,12 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
+	"github.com/clovertiller/clovertiller/internal/lab/testkit"
 	"github.com/clovertiller/clovertiller/platform"
 )
 
@@ -204,3 +206,79 @@
 	f.g.Expect(runner.Runs()).To(HaveLen(1))
 	f.g.Expect(runner.Runs()[0].Body).To(Equal("the body"))
 }
+
+// drawOddText draws the text of a value of another program. Strings are closed and brackets balanced.
+func drawOddText(t *rapid.T, name string) string {
+	return rapid.OneOf(
+		rapid.SampledFrom([]string{
+			"null", "true", "0", "-1", "1.5", "1e999", "18446744073709551615", "1e24", `""`, `"x"`, `"\ud800"`, "\"\xff\"", "\"\x00\"", "nothing", "{}", "[]", `{"a":}`, "1 2", "[null]",
+			nestedArrays, nestedObjects, `"` + strings.Repeat("x", 1<<16) + `"`, `{"service":"x"}`, `{"model":"x","version":18446744073709551615}`,
+		}),
+		rapid.Custom(func(t *rapid.T) string {
+			return oddEntry("x", rapid.SampledFrom([]string{"address", "zone", "slots", "models", "seq", "born", "state", "cold_remaining_ms", "extra"}).Draw(t, "field"), rapid.SampledFrom([]string{"null", "-1", "1e999", `""`, nestedArrays, "[[]]", `"\u0000"`}).Draw(t, "value"))
+		}),
+	).Draw(t, name)
+}
+
+// putOddObject writes an object with drawn parts.
+func putOddObject(t *rapid.T, store *storestand.Store, kind string) {
+	name := rapid.SampledFrom([]string{"a", "odd", "zzz", "\u00e9", "with space", "a/b?c", "line\nbreak", strings.Repeat("n", 5000)}).Draw(t, "name")
+	spec := drawOddText(t, "spec")
+	if kind == platform.KindConfig {
+		// With a version it would be a configuration, without routes.
+		spec = strings.ReplaceAll(spec, `"version":1`, `"other":1`)
+	}
+	// The store knows objects by their names, after which its lists continue, so a page has one that can be read: of three objects at most
+	// two hide theirs.
+	hidden := rapid.SampledFrom([]string{"a", "odd"}).Draw(t, "name of a hidden object")
+	switch rapid.SampledFrom([]string{"spec", "metadata", "status", "object", "repeated", "delete"}).Draw(t, "odd part") {
+	case "spec":
+		store.PutRawSpec(kind, name, spec)
+	case "metadata":
+		store.PutRaw(kind, hidden, func(string) string { return `{"metadata":` + spec + `,"spec":{}}` })
+	case "status":
+		store.PutRaw(kind, name, func(metadata string) string {
+			return `{"metadata":` + metadata + `,"spec":{"service":"x","target_version":"v"},"status":` + spec + `}`
+		})
+	case "object":
+		store.PutRaw(kind, hidden, func(string) string { return spec })
+	case "repeated":
+		store.PutRaw(kind, name, func(metadata string) string {
+			return `{"metadata":` + spec + `,"spec":{},"metadata":` + metadata + `,"spec":` + spec + `}`
+		})
+	case "delete":
+		store.Delete(kind, name)
+	}
+}
+
+// Guards against any odd object, of any kind and whatever was written before it, that ends a router or its following of sound runners:
+// at a router that reads the store, at one that follows it, and at one that starts when all are there.
+func TestSoundRunnersAreFollowedBesideAnyOddObjects(t *testing.T) {
+	testkit.SetRapidDefaults(25)
+	f, seeds, follower := newSeededFleet(t)
+	f.runner("p2", "plain")
+	kinds := []string{platform.KindRunners, platform.KindWeightVersions, platform.KindConfig, platform.KindRollouts, platform.KindQuarantines, platform.KindStreamOrigins}
+	added := 0
+	rapid.Check(t, func(t *rapid.T) {
+		for range rapid.IntRange(1, 5).Draw(t, "objects") {
+			putOddObject(t, f.store, rapid.SampledFrom(kinds).Draw(t, "kind"))
+		}
+		added++
+		id := fmt.Sprintf("sound-%d", added)
+		runner := f.runner(id, "plain")
+		for _, r := range append(seeds, follower) {
+			f.g.Eventually(func() string { return fmt.Sprint(r.Status().Runners) }, 4*time.Second, 10*time.Millisecond).Should(ContainSubstring(id))
+			f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+		}
+		f.store.Delete(platform.KindRunners, id)
+		runner.Close()
+		for _, r := range append(seeds, follower) {
+			f.g.Eventually(func() string { return fmt.Sprint(r.Status().Runners) }, 4*time.Second, 10*time.Millisecond).ShouldNot(ContainSubstring(id))
+		}
+	})
+	late, alone := f.router("late", f.followerSettings(seeds[0].seeds)), f.servingRouter("alone", nil)
+	for _, r := range []*router{late, alone} {
+		f.g.Eventually(r.isReady, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
+		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
+	}
+}
