Unreadable objects are logged with a bound

Seen: each write of an odd object was a line of event 813 at each router, and the objects about streams were logged again with each read, up to four times a second. Another program that writes many of them, or often, filled the log.

The same fault of an object is now logged once in 10 s, and a kind of objects has at most 32 lines in that time; the next line tells how many were left out.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -12,7 +12,7 @@
 // ignoreObject logs that an object is not used. If it is an unreadable directory entry, the
 // runner known under its name is removed, since the entry no longer describes it.
 func (g *Gateway) ignoreObject(kind ObjectKind, object Object, fault string) {
-	g.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "name": object.Name, "revision": object.Revision.Number(), "fault": fault})
+	g.unreadable.record(kind.String(), object.Name, fault, events.Fields{"revision": object.Revision.Number()})
 	if kind == RunnerObjects {
 		g.removeRunner(object, "entry cannot be read")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,8 @@
 	ports         Ports
 	log           *events.Logger
 	metrics       *metrics
+	// unreadable logs objects that cannot be read.
+	unreadable *unreadableLog
 
 	activeConfig atomic.Pointer[activeConfig]
 	draining     atomic.Bool
@@ -213,6 +215,7 @@
 	g.silentRunners = newSilentRunners(g)
 	g.cacheStoreMonitor = newCacheStoreMonitor(g)
 	g.cacheReader = newCacheReader(g)
+	g.unreadable = newUnreadableLog(g)
 	g.copies, g.directReads, g.peerRouters = newCopies(g), newDirectMode(), newPeerRouters(g)
 	g.eraTracker, g.transfer = newEraTracker(g), newStateTransfer(g)
 	g.rolloutDriver = newRolloutDriver(g)
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -253,7 +253,7 @@
 // replaced like that of another router.
 func (l *leader) observeUnreadableLease(now time.Time, revision storerev.Revision, unreadable *UnreadableError) {
 	if revision != l.candidate.LastObservation().Revision {
-		l.gateway.log.Log(events.ObjectUnreadable, events.Fields{"kind": leaseKind, "revision": revision.Number(), "fault": unreadable.Fault})
+		l.gateway.unreadable.record(leaseKind, "", unreadable.Fault, events.Fields{"revision": revision.Number()})
 	}
 	l.candidate.Observe(now, lease.Observation{Exists: true, Revision: revision, Spec: v1.LeaseSpec{Holder: unknownHolder}})
 }
--- a/internal/gateway/oddobjects_test.go
+++ b/internal/gateway/oddobjects_test.go
@@ -282,3 +282,22 @@
 		f.g.Expect(r.call("/safe/x", nil).status).To(Equal(http.StatusOK))
 	}
 }
+
+// Guards against a log that grows with each read of objects that cannot be read, or with each write of another program.
+func TestUnreadableObjectsAreLoggedBoundedly(t *testing.T) {
+	f, r, _ := newPlainFleet(t)
+	const maxLines = 32
+	unreadable := func() int { return strings.Count(r.log.String(), `"event":813`) }
+	f.store.Put(platform.KindRunners, "odd", 7)
+	r.waitForLog(`"name":"odd"`)
+	for i := range 3 * maxLines {
+		f.store.Put(platform.KindRunners, "odd", i)
+		f.store.Put(platform.KindRunners, fmt.Sprint("odd-", i), 7)
+	}
+	f.store.Put(platform.KindQuarantines, "odd", 7)
+	f.runner("zz", "plain")
+	expectRunnerServes(f, r, "zz")
+	f.g.Eventually(r.log.String, time.Second, 10*time.Millisecond).Should(ContainSubstring(`"kind":"quarantines"`), "other kinds are logged nevertheless")
+	f.g.Expect(unreadable()).To(And(BeNumerically(">", 1), BeNumerically("<=", maxLines+1)))
+	f.g.Expect(strings.Count(r.log.String(), `"name":"odd","`)).To(BeNumerically("<=", 2), "the same fault of an object is logged once, and that of the quarantine")
+}
--- a/internal/gateway/pull.go
+++ b/internal/gateway/pull.go
@@ -365,7 +365,7 @@
 		}
 		unpacked, err := wire.UnpackCopyDelta(message)
 		if err != nil {
-			r.gateway.log.Log(events.ObjectUnreadable, events.Fields{"kind": kind.String(), "fault": err.Error()})
+			r.gateway.unreadable.record(kind.String(), "", err.Error(), nil)
 			ok = false
 			continue
 		}
--- a/internal/gateway/storedorigins.go
+++ b/internal/gateway/storedorigins.go
@@ -102,7 +102,7 @@
 	})
 	o.logFailure(callList, err)
 	for name, fault := range stored.Faults {
-		g.log.Log(events.ObjectUnreadable, events.Fields{"kind": streamOriginsKind, "name": name, "fault": fault})
+		g.unreadable.record(streamOriginsKind, name, fault, nil)
 	}
 	if err == nil {
 		g.streams.apply(startedAt, stored)
--- a/internal/gateway/storedquarantines.go
+++ b/internal/gateway/storedquarantines.go
@@ -178,7 +178,7 @@
 	for _, object := range objects {
 		switch {
 		case object.Fault != "":
-			g.log.Log(events.ObjectUnreadable, events.Fields{"kind": quarantineKind, "name": object.Name, "fault": object.Fault})
+			g.unreadable.record(quarantineKind, object.Name, object.Fault, nil)
 		case !object.Removed:
 			record := toLocalClock(g.now(), time.Now().Round(0), object.Record)
 			records = append(records, record)
