A router that has not read the orders sends nothing to a version of several

What callers saw: a router that has just started sends all requests of a service to the version that is tested, or was rolled back, if most runners have it.

Cause: that no order is known counted as evidence that there is none, also before the orders were read. The router then takes the version of most runners for the one that the service had first. It is ready, as that asks for the configuration and the runners only. So does one that has a part of the list of runners, on which the target version may be alone.

Now the absence of an order counts once the copy of the orders is complete. Before, a service gets requests only if all runners are known and have one version. Services with several are refused with a time to return; a router whose copy comes with that of the runners, as usual, refuses none.

TestRouterThatHasNotReadTheOrdersSendsNothingToAVersionOfSeveral shows the rule; it uses what this commit adds and was not run without it.

--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -17,11 +17,13 @@
 	// WithoutOrder is set if no order to move the service is known. The rule then holds for new streams only: a
 	// version that has begun streams may finish them.
 	WithoutOrder bool
+	// None is set if no version is allowed.
+	None bool
 }
 
 // allows reports whether requests that name no version may go to the version.
 func (r VersionRule) allows(version string) bool {
-	return (r.Only == "" || version == r.Only) && (r.Excluded == "" || version != r.Excluded)
+	return !r.None && (r.Only == "" || version == r.Only) && (r.Excluded == "" || version != r.Excluded)
 }
 
 // SetVersionRules replaces the rules of all services. exposedShare is the largest share of a
--- a/internal/gateway/partialdirectory.go
+++ b/internal/gateway/partialdirectory.go
@@ -99,7 +99,11 @@
 
 // recordDirectoryComplete records that all runners are known. The mutex must be held.
 func (c *copies) recordDirectoryComplete() {
+	isFirst := !c.gateway.startup.has(coldstart.DirectoryComplete)
 	c.gateway.startup.reach(coldstart.DirectoryComplete, events.Fields{"runners": c.stores[RunnerObjects].Len(), "pages": c.assembly.Pages()})
+	if isFirst {
+		c.gateway.rolloutDriver.UpdateRules()
+	}
 }
 
 // applyToPartial applies changes to a partial directory. The mutex must be held.
--- a/internal/gateway/rolloutports.go
+++ b/internal/gateway/rolloutports.go
@@ -6,6 +6,7 @@
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/coldstart"
 	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/wire"
@@ -38,6 +39,11 @@
 	return p.gateway.runners.VersionLoad(p.gateway.now(), service, version)
 }
 
+// IsListComplete implements rolloutdriver.Runners.
+func (p *rolloutPorts) IsListComplete() bool {
+	return p.gateway.startup.has(coldstart.DirectoryComplete)
+}
+
 // IsListCurrent implements rolloutdriver.Runners.
 func (p *rolloutPorts) IsListCurrent() bool {
 	age, known := p.gateway.copies.age(p.gateway.now(), RunnerObjects)
--- a/internal/gateway/versionrollouts_test.go
+++ b/internal/gateway/versionrollouts_test.go
@@ -382,3 +382,36 @@
 	leader.storeEndpoint.CatchUp()
 	f.g.Eventually(f.state, 3*time.Second, 10*time.Millisecond).Should(Equal("succeeded"), f.storedStatus)
 }
+
+// Guards against requests to a version that is tested, or was rolled back, by a router that has just started and has not read the orders yet:
+// most runners have that version.
+func TestStartedRouterWithoutOrdersSendsNothingToANewVersion(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	f.runner("old", "plain")
+	f.engine("engine", 1)
+	var fresh []*runnerstand.Runner
+	for i := range 3 {
+		fresh = append(fresh, f.startRunner(runnerstand.Config{ID: fmt.Sprint("new", i), Service: "plain", SoftwareVersion: targetVersion}))
+	}
+	f.store.SetListPage(1)
+	for _, service := range []string{"engines", "plain"} {
+		f.store.Put(platform.KindRollouts, service, map[string]any{"service": service, "target_version": targetVersion, "duration_s": 60})
+	}
+	r := f.routerWithStoreFault("started", func(settings *gateway.Settings) {
+		settings.ExposedShare, settings.ExposedSlack = rolloutShare, rolloutSlack
+	}, storestand.Busy)
+	release := r.storeEndpoint.HoldListPages(platform.KindRollouts)
+	r.storeEndpoint.SetFault(storestand.Healthy)
+	r.awaitRunners(5)
+	statuses := map[int]int{}
+	for range 20 {
+		statuses[r.call("/safe/x", nil).status]++
+	}
+	t.Logf("%v, %d requests to the new version", statuses, totalRuns(fresh))
+	f.g.Expect(totalRuns(fresh)).To(BeZero())
+	release()
+	f.g.Eventually(func() int { return r.call("/safe/x", nil).status }, 3*time.Second, 10*time.Millisecond).Should(Equal(http.StatusOK))
+	f.g.Expect(totalRuns(fresh)).To(BeZero())
+}
--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -54,6 +54,8 @@
 	// replaced holds the orders that one of another name has replaced for their service, by name. They
 	// don't come back into force by a change of their status.
 	replaced map[string]versionrollout.Order
+	// ordersKnown is set once this router has had a complete copy of the orders. Before, that an order is missing shows nothing.
+	ordersKnown bool
 	// baseVersions holds, by service, the version that gets requests without an order, or beside one that
 	// has not succeeded.
 	baseVersions map[string]string
@@ -111,6 +113,7 @@
 func (d *Driver) Retain(names []string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.ordersKnown = true
 	isMissing := func(name string) bool { return !slices.Contains(names, name) }
 	maps.DeleteFunc(d.rejected, func(name string, _ Object) bool { return isMissing(name) })
 	maps.DeleteFunc(d.replaced, func(name string, _ versionrollout.Order) bool { return isMissing(name) })
@@ -300,11 +303,12 @@
 	for _, service := range services {
 		counts[service] = d.ports.Runners.VersionCounts(service)
 	}
-	d.ports.Runners.SetVersionRules(d.rules(services, counts), d.config.MaxShare)
+	d.ports.Runners.SetVersionRules(d.rules(services, counts, d.ports.Runners.IsListComplete()), d.config.MaxShare)
 }
 
-// rules returns the rules of the services, given how many runners have each version.
-func (d *Driver) rules(services []string, counts map[string]map[string]int) map[string]backend.VersionRule {
+// rules returns the rules of the services, given how many runners have each version and whether all runners are known. Until the
+// orders are known, only a version that all runners have may be the one that the service had first.
+func (d *Driver) rules(services []string, counts map[string]map[string]int, allKnown bool) map[string]backend.VersionRule {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	rules := map[string]backend.VersionRule{}
@@ -313,6 +317,10 @@
 			rules[service] = d.orderRule(service, r, counts[service])
 			continue
 		}
+		if !d.ordersKnown && !(allKnown && len(counts[service]) == 1) {
+			rules[service] = backend.VersionRule{None: true}
+			continue
+		}
 		if base := baseVersion(d.baseVersions[service], counts[service]); base != "" {
 			d.baseVersions[service] = base
 			rules[service] = backend.VersionRule{Only: base, WithoutOrder: true}
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -553,3 +553,26 @@
 	f.run(time.Second)
 	f.g.Expect(f.state()).To(Equal(versionrollout.Succeeded))
 }
+
+// Guards against requests to a version that is tested, or was rolled back, at a router that has not read the orders yet: that none is known
+// shows nothing, nor does a version that is alone on a partial list.
+func TestRouterThatHasNotReadTheOrdersSendsNothingToAVersionOfSeveral(t *testing.T) {
+	f := newTestFleet(t, 1)
+	r := f.routers[0]
+	r.ordersKnown = false
+	candidates := func() int {
+		r.UpdateRules()
+		_, found := r.set.Candidates(f.now, backend.Query{Service: testService})
+		return len(found)
+	}
+	f.g.Expect(candidates()).To(BeZero())
+	for i := range 4 {
+		r.set.Remove(fmt.Sprint(i))
+	}
+	r.hasPartialList = true
+	f.g.Expect(candidates()).To(BeZero(), "only the target version is listed yet")
+	r.hasPartialList = false
+	f.g.Expect(candidates()).To(Equal(4), "all runners have one version")
+	r.Retain(nil)
+	f.g.Expect(candidates()).To(Equal(4))
+}
--- a/internal/rolloutdriver/fleet_test.go
+++ b/internal/rolloutdriver/fleet_test.go
@@ -72,10 +72,12 @@
 	lacksStore bool
 	writesFail bool
 	// hasOldList is set for a router whose list of runners may lack changes.
-	hasOldList   bool
-	seenRevision storerev.Revision
-	leadAt       time.Time
-	reportAt     time.Time
+	hasOldList bool
+	// hasPartialList is set for a router that does not know all runners yet.
+	hasPartialList bool
+	seenRevision   storerev.Revision
+	leadAt         time.Time
+	reportAt       time.Time
 	// answer replaces the reply to reports, as one of a previous build.
 	answer func(*wire.RolloutReport) *wire.RolloutPermit
 	// ownExposed is how many requests this router has sent to the target version.
@@ -113,6 +115,7 @@
 	r.Driver = New(Config{Node: address, Incarnation: incarnation, MaxShare: testShare, Slack: testSlack}, Ports{
 		Runners: r, Services: r, Schedulers: r, Peers: r, Store: r, Log: r, Clock: r, Spawn: func(task func()) { r.tasks = append(r.tasks, task) },
 	})
+	r.Retain(nil)
 	return r
 }
 
@@ -140,6 +143,9 @@
 	return r.set.VersionLoad(r.fleet.now, service, version)
 }
 
+// IsListComplete implements Runners.
+func (r *testRouter) IsListComplete() bool { return !r.hasPartialList }
+
 // IsListCurrent implements Runners.
 func (r *testRouter) IsListCurrent() bool { return !r.hasOldList }
 
--- a/internal/rolloutdriver/ports.go
+++ b/internal/rolloutdriver/ports.go
@@ -36,6 +36,8 @@
 	VersionCounter
 	// VersionLoad returns the load of the service and what its runners of the version can carry.
 	VersionLoad(service, version string) backend.VersionLoad
+	// IsListComplete reports whether all runners that were listed at some time since the start are known.
+	IsListComplete() bool
 	// IsListCurrent reports whether the list of runners is known to have been complete a moment ago.
 	IsListCurrent() bool
 	// SetVersionRules replaces the rules of all services. exposedShare is the largest share of a
