Soak with gateways that are out of step during releases

What was missing: gateways that are cut off the others, the store or both, or paused, while runners of a new version join, were played within one process only, and paused ones not at all.

--- a/cmd/clovertiller-lab/soak.go
+++ b/cmd/clovertiller-lab/soak.go
@@ -33,6 +33,7 @@
 	subcommand.Bool(&settings.Returns, "", "returns", "Kill all gateways at once, half of them, all but the seeds, or the seeds, also in the middle of their return.")
 	subcommand.Bool(&settings.ConfigChanges, "", "config-changes", "Change routes, services, tenants and limits in quick succession while sound runners are silent, and check that each whole request is answered or refused.")
 	subcommand.Bool(&settings.Weights, "", "weights", "Name new weights in quick succession while engines cache prompt parts and fetch them from each other, and check that no request runs on parts of other weights.")
+	subcommand.Bool(&settings.StaleGateways, "", "stale-gateways", "Cut gateways off all others, the store or both, or pause them, while runners of new software versions join, and take streams up there.")
 	subcommand.Bool(&settings.Refusals, "", "refusals", "Have runners refuse calls in several ways and send responses twice, and count refused calls that ran.")
 	subcommand.String(&logRoot, "", "folder", "Folder for settings and logs.")
 	subcommand.UInt64(&settings.Seed, "", "seed", "Random seed of the faults; 0 chooses one.")
--- a/hack/soak.sh
+++ b/hack/soak.sh
@@ -40,6 +40,7 @@
     "(rollouts)"*) run_seed "$seed" --rollouts ;;
     "(rollouts, regions)"*) run_seed "$seed" --rollouts --regions ;;
     "(versions, returns, weights)"*) run_seed "$seed" --versions --returns --weights ;;
+    "(versions, stale gateways)"*) run_seed "$seed" --versions --stale-gateways ;;
     "(versions, rollouts, signals)"*) run_seed "$seed" --versions --rollouts --signals ;;
     *) run_seed "$seed" ;;
   esac
--- a/internal/lab/soak/configuration.go
+++ b/internal/lab/soak/configuration.go
@@ -18,6 +18,8 @@
 	store *storestand.Store
 	// hasMixedService is set if the configuration has mixedService.
 	hasMixedService bool
+	// releaseServices are the services that get releases while gateways are stale.
+	releaseServices []string
 	// changing is the part that changes in a run with configuration changes, nil otherwise.
 	changing      *changingConfig
 	mutex         sync.Mutex
@@ -53,6 +55,14 @@
 	c.writeNextVersion()
 }
 
+// addReleaseServices writes a configuration with the services.
+func (c *configuration) addReleaseServices(services []string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.releaseServices = services
+	c.writeNextVersion()
+}
+
 // addKey adds a new valid key, which the next version of the configuration contains.
 func (c *configuration) addKey() {
 	c.keyCount++
@@ -108,6 +118,10 @@
 		routes = append(routes, route(mixedService, "streaming", mixedService, map[string]any{"sticky": true, "resumable": true}))
 		services = append(services, engineService(mixedService, mixedModel))
 	}
+	for _, service := range c.releaseServices {
+		routes = append(routes, route(service, "streaming", service, map[string]any{"sticky": true, "resumable": true}))
+		services = append(services, engineService(service, releaseModel(service)))
+	}
 	tenants, bodyLimit := []map[string]any{{"name": tenantName, "api_keys": c.validKeys}}, usualBodyLimit
 	if c.changing != nil {
 		routes, services = append(routes, c.changing.routeSpecs()...), append(services, c.changing.services()...)
@@ -188,6 +202,13 @@
 	return c.validKeys[len(c.validKeys)-1]
 }
 
+// establishedKey returns a valid key that neither the last update added nor the next one revokes.
+func (c *configuration) establishedKey() string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.validKeys[len(c.validKeys)/2]
+}
+
 // oldestKey returns the valid key that was added first, with its tenant.
 func (c *configuration) oldestKey() (key, tenant string) {
 	c.mutex.Lock()
--- a/internal/lab/soak/descriptors.go
+++ b/internal/lab/soak/descriptors.go
@@ -37,6 +37,9 @@
 	if s.ConfigChanges {
 		runners += s.longRunnerCount() + 2*pairRunners
 	}
+	if s.StaleGateways {
+		runners += 2 * releaseServices * runnersPerRelease
+	}
 	return uint64(s.gatewayCount() * runners * descriptorsPerPath)
 }
 
--- a/internal/lab/soak/disturbances.go
+++ b/internal/lab/soak/disturbances.go
@@ -18,6 +18,14 @@
 // runnerPathSubject returns the subject of faults of the path to the runner.
 func runnerPathSubject(runner string) string { return "path to " + runner }
 
+// linkSubject returns the subject of faults of the link between two gateways.
+func linkSubject(gateway, other string) string {
+	return "link of " + min(gateway, other) + " and " + max(gateway, other)
+}
+
+// unrecordedSubject returns the subject of faults during which the gateway may be unable to record streams.
+func unrecordedSubject(gateway string) string { return "records of " + gateway }
+
 // interval is a time interval, such as that of a disturbance, a drain or a signal.
 type interval struct {
 	from time.Time
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -103,6 +103,10 @@
 	if s.settings.Refusals {
 		group.Go(func() { refusalCount = newRefusalInjector(s).run(ctx, deadline) })
 	}
+	staleCount := 0
+	if s.settings.StaleGateways {
+		group.Go(func() { staleCount = s.staleGateways.run(ctx, deadline) })
+	}
 	changeCount := 0
 	if s.settings.ConfigChanges {
 		group.Go(func() { changeCount = s.changes.run(ctx, deadline) })
@@ -119,7 +123,7 @@
 	if !s.hasFewFaults() {
 		peerFaults.injectLastCutOff()
 	}
-	return lossCount + count + skewCount + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + changeCount + refusalCount + namingCount + 1
+	return lossCount + count + skewCount + peerFaultCount + suspensionCount + signalCount + restoreCount + rolloutCount + borderCutCount + partitionCount + brokenAnswerCount + replacementCount + changeCount + refusalCount + namingCount + staleCount + 1
 }
 
 // inject starts the fault and ends it in the group.
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -307,6 +307,24 @@
 	return found
 }
 
+// serving returns the runners of the service that are not leaving.
+func (f *fleet) serving(service string) []*runnerstand.Runner {
+	all := f.ofService(service)
+	f.entryMutex.Lock()
+	defer f.entryMutex.Unlock()
+	return slices.DeleteFunc(all, func(runner *runnerstand.Runner) bool { return f.isDraining(runner.ID) })
+}
+
+// servingCount returns how many runners of the service and software version serve and are not leaving.
+func (f *fleet) servingCount(service, version string) (count int) {
+	for _, runner := range f.serving(service) {
+		if runner.SoftwareVersion == version {
+			count++
+		}
+	}
+	return count
+}
+
 // runnerAt returns the runner whose proxy has the address, nil if there is none.
 func (f *fleet) runnerAt(address string) *runnerstand.Runner {
 	f.mutex.Lock()
--- a/internal/lab/soak/partitions.go
+++ b/internal/lab/soak/partitions.go
@@ -131,7 +131,7 @@
 			}
 		}
 	case 1:
-		p.gateways = append(p.gateways, s.processes[f.random.IntN(seedGateways)].name)
+		p.gateways = append(p.gateways, s.processes[f.random.IntN(s.settings.seedCount())].name)
 	default:
 		for _, i := range f.random.Perm(len(s.processes))[:1+f.random.IntN(len(s.processes)/2)] {
 			p.gateways = append(p.gateways, s.processes[i].name)
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -56,8 +56,9 @@
 	mutex   sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	// lives holds the starts and ends of the process.
-	lives []life
+	// lives holds the starts and ends of the process, and unexpectedExits counts the ends without a signal.
+	lives           []life
+	unexpectedExits int
 	// bootstraps is set if the first start is that of the whole system.
 	bootstraps bool
 	// unavailableUntil is when the process will be available again after a fault that stopped or
@@ -133,6 +134,7 @@
 	go func() {
 		// The exit status is not needed, since the log shows why the process exited.
 		_ = command.Wait()
+		p.recordExit()
 		log.Close()
 		close(exited)
 	}()
@@ -141,6 +143,21 @@
 	return nil
 }
 
+// recordExit records that the current process has exited.
+func (p *process) recordExit() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.lives[len(p.lives)-1].endedAt.IsZero() {
+		p.unexpectedExits++
+	}
+}
+
+func (p *process) unexpectedExitCount() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.unexpectedExits
+}
+
 // processID returns the ID of the current process, or of the last one if it has exited. It is 0 before the
 // first start.
 func (p *process) processID() int {
--- a/internal/lab/soak/regions.go
+++ b/internal/lab/soak/regions.go
@@ -52,6 +52,8 @@
 	cutRegion string
 	// knowsClients is set if proxies of runners tell gateways apart, so that single ones can be cut off.
 	knowsClients bool
+	// cutsPeers is the same for proxies of gateways.
+	cutsPeers bool
 }
 
 // regionalProxy is the proxy of a server in a region.
@@ -133,6 +135,14 @@
 	return t.startProxy(runner, zone)
 }
 
+// startPeerProxy starts a proxy in front of a gateway in the zone.
+func (t *topology) startPeerProxy(gateway, zone string) (*faultproxy.Proxy, error) {
+	if t.cutsPeers {
+		return faultproxy.StartGrouped(gateway, t.clientName)
+	}
+	return t.startProxy(gateway, zone)
+}
+
 // clientName returns the name of the gateway that has the connection to the proxy open, empty if it is none
 // of the gateways.
 func (t *topology) clientName(client, proxy *net.TCPAddr) string {
--- a/internal/lab/soak/returns.go
+++ b/internal/lab/soak/returns.go
@@ -110,7 +110,8 @@
 // draw returns the next loss.
 func (f *returnInjector) draw() loss {
 	all := f.soak.processes
-	seeds, others := all[:seedGateways], all[seedGateways:]
+	seedCount := f.soak.settings.seedCount()
+	seeds, others := all[:seedCount], all[seedCount:]
 	losses := []loss{
 		{name: "all", lost: all},
 		{name: "all, twice", lost: all, again: true},
@@ -237,7 +238,7 @@
 // hasFewFaults reports whether no other faults of gateways and links hinder a return, hide how callers are
 // served during a skew, or excuse an answer that is lost beside a configuration change.
 func (s *Soak) hasFewFaults() bool {
-	return s.settings.ConfigChanges || (s.settings.Returns || s.settings.Skews) && s.settings.Seed%2 == 0
+	return s.settings.ConfigChanges || s.settings.StaleGateways || (s.settings.Returns || s.settings.Skews) && s.settings.Seed%2 == 0
 }
 
 // probe reports whether the gateway serves a call. It fails the run if the gateway says that it is ready, but
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -17,6 +17,8 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
 	"github.com/clovertiller/clovertiller/internal/lab/storestand"
@@ -71,6 +73,9 @@
 	// Weights names new weights in quick succession while engines cache prompt parts and fetch them from each other, and checks
 	// that no request runs on parts of other weights.
 	Weights bool
+	// StaleGateways cuts gateways off all others, the store or both, or pauses them, while runners of new software versions
+	// join, and has callers take streams up there. The number of seeds depends on the random seed.
+	StaleGateways bool
 	// Refusals makes runners refuse calls in several ways and send responses twice.
 	Refusals bool
 	Seed     uint64
@@ -89,9 +94,20 @@
 	if s.Regions || s.Partitions {
 		return cmp.Or(s.Gateways, regionGateways)
 	}
+	if s.StaleGateways {
+		return cmp.Or(s.Gateways, staleRunGateways)
+	}
 	return cmp.Or(s.Gateways, defaultGateways)
 }
 
+// seedCount returns the number of gateways that are seeds, which read the store for all. These are the first ones.
+func (s Settings) seedCount() int {
+	if s.StaleGateways {
+		return 1 + int(s.Seed%maxStaleRunSeeds)
+	}
+	return defaultSeedGateways
+}
+
 // engineCount returns the number of engines. With bad parts there are more, because two of these crash as many
 // engines within a second as there are by default.
 func (s Settings) engineCount() int {
@@ -122,14 +138,13 @@
 
 // Sizes of the deployment.
 const (
-	defaultGateways = 4
-	// The first seedGateways gateways are the seeds, which read the store for all.
-	seedGateways   = 2
-	plainRunners   = 3
-	defaultEngines = 4
-	badPartEngines = 12
-	callers        = 8
-	streamEvents   = 8
+	defaultGateways     = 4
+	defaultSeedGateways = 2
+	plainRunners        = 3
+	defaultEngines      = 4
+	badPartEngines      = 12
+	callers             = 8
+	streamEvents        = 8
 )
 
 // Bounds that the gateways are configured with and that the checks use.
@@ -189,8 +204,10 @@
 	// answered or refused; nil without ConfigChanges.
 	changes    *changeInjector
 	wholeCalls *wholeCallerPool
-	mutex      sync.Mutex
-	failures   []string
+	// staleGateways makes gateways stale; nil without StaleGateways.
+	staleGateways *staleGatewayInjector
+	mutex         sync.Mutex
+	failures      []string
 }
 
 // Report is the result of a run. Failures lists the broken promises.
@@ -229,6 +246,13 @@
 	if settings.Versions {
 		s.versions, s.streams = newVersionInjector(s), &streamCallerPool{soak: s}
 	}
+	if settings.StaleGateways {
+		if settings.Regions {
+			return Report{}, trace.BadParameter("stale gateways and regions cannot be combined")
+		}
+		s.topology.failf, s.topology.cutsPeers = s.failf, true
+		s.staleGateways = newStaleGatewayInjector(s)
+	}
 	if settings.ConfigChanges {
 		s.changes, s.wholeCalls = newChangeInjector(s), &wholeCallerPool{soak: s}
 	}
@@ -295,6 +319,10 @@
 	if settings.ConfigChanges {
 		s.wholeCalls.check()
 	}
+	if settings.StaleGateways {
+		s.staleGateways.check()
+		s.checkExits()
+	}
 	calls, served := s.calls.totals()
 	return Report{Calls: calls, Served: served, Faults: faults, Failures: s.failures}, ctx.Err()
 }
@@ -345,6 +373,11 @@
 			return err
 		}
 	}
+	if s.settings.StaleGateways {
+		if err := s.staleGateways.start(); err != nil {
+			return err
+		}
+	}
 	if s.settings.ConfigChanges {
 		s.config.addChangingConfig()
 		if err := s.changes.startRunners(); err != nil {
@@ -361,12 +394,12 @@
 	var seeds []string
 	for i := range s.settings.gatewayCount() {
 		free := freeAddresses()
-		proxy, err := s.topology.startProxy(free.PeerAddress, s.topology.zone(i))
+		proxy, err := s.topology.startPeerProxy(free.PeerAddress, s.topology.zone(i))
 		if err != nil {
 			return err
 		}
 		addresses, peerProxies = append(addresses, free), append(peerProxies, proxy)
-		if len(seeds) < seedGateways {
+		if len(seeds) < s.settings.seedCount() {
 			seeds = append(seeds, proxy.Address)
 		}
 	}
@@ -384,7 +417,7 @@
 		if err != nil {
 			return err
 		}
-		p := &process{name: gatewayName(i), zone: s.topology.zone(i), topology: s.topology, program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, bootstraps: s.settings.Versions, gracePeriod: s.settings.gracePeriod(), storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
+		p := &process{name: gatewayName(i), zone: s.topology.zone(i), topology: s.topology, program: program, folder: s.settings.Folder, addresses: free, seeds: seeds, hasRollouts: s.settings.Rollouts, bootstraps: s.settings.Versions || s.settings.StaleGateways, gracePeriod: s.settings.gracePeriod(), storeEndpoint: endpoint, storeProxy: proxy, peerProxy: peerProxies[i]}
 		// Known before its first connection.
 		s.topology.addGateway(p)
 		if err := p.start(); err != nil {
@@ -432,6 +465,15 @@
 	}
 }
 
+// checkExits fails the run if a gateway has ended by itself.
+func (s *Soak) checkExits() {
+	for _, p := range s.processes {
+		if count := p.unexpectedExitCount(); count > 0 {
+			s.failf("exits: %s has ended %d times by itself", p.name, count)
+		}
+	}
+}
+
 // checkRuns compares what callers were told with what runners processed.
 func (s *Soak) checkRuns() {
 	runs := map[string]int{}
--- a/internal/lab/soak/streams.go
+++ b/internal/lab/soak/streams.go
@@ -174,7 +174,7 @@
 	if err == nil {
 		defer response.Body.Close()
 		if response.StatusCode == http.StatusOK {
-			p.readEvents(response, stream, id, stopAfter)
+			s.readEvents(response, stream, id, stopAfter)
 		}
 		s.calls.recordEnd(call, response.StatusCode, false)
 	}
@@ -202,7 +202,7 @@
 	if s.undisturbedFor(time.Now(), target.name, storeSubject, gatewayStoreSubject(target.name)) <= settleTime || target.wasUnavailableSince(time.Now().Add(-settleTime)) {
 		return false
 	}
-	return len(stream.versions) == 0 || s.versions.servingCount(stream.versions[0]) >= 2
+	return len(stream.versions) == 0 || s.runners.servingCount(mixedService, stream.versions[0]) >= 2
 }
 
 func (p *streamCallerPool) count(takesUp, served bool, beganAt time.Time) {
@@ -229,20 +229,20 @@
 var eventPattern = regexp.MustCompile(`^data: piece (\d+) (\S+)$`)
 
 // readEvents reads events until the end of the response or the event after which the caller leaves, and checks them.
-func (p *streamCallerPool) readEvents(response *http.Response, stream *receivedStream, id string, stopAfter int) {
+func (s *Soak) readEvents(response *http.Response, stream *receivedStream, id string, stopAfter int) {
 	scanner := bufio.NewScanner(response.Body)
 	for scanner.Scan() {
 		match := eventPattern.FindStringSubmatch(scanner.Text())
 		if match == nil {
 			if line := scanner.Text(); line != "" && !strings.HasPrefix(line, "id: ") {
-				p.soak.failf("versions: %s got the line %q", id, line)
+				s.failf("versions: %s got the line %q", id, line)
 			}
 			continue
 		}
 		// The event's blank line may be missing, but gateways send whole events only.
 		number, _ := strconv.Atoi(match[1])
 		if number != stream.lastID+1 {
-			p.soak.failf("versions: %s got event %d after %d", id, number, stream.lastID)
+			s.failf("versions: %s got event %d after %d", id, number, stream.lastID)
 		}
 		stream.lastID = number
 		if stream.id == "" {
@@ -252,7 +252,7 @@
 			stream.versions = append(stream.versions, match[2])
 		}
 		if len(stream.versions) > 1 {
-			p.soak.failf("versions: %s, taken up as %s, has events of %v, the last from %s", stream.id, id, stream.versions, response.Header.Get(platform.HeaderResponseStamp))
+			s.failf("versions: %s, taken up as %s, has events of %v, the last from %s", stream.id, id, stream.versions, response.Header.Get(platform.HeaderResponseStamp))
 			stream.versions = stream.versions[1:]
 		}
 		if number >= stopAfter {
--- a/internal/lab/soak/updates.go
+++ b/internal/lab/soak/updates.go
@@ -144,9 +144,9 @@
 // from a seed gateway, which reads the store for all.
 func (s *Soak) informedFor(moment time.Time, gateway string) time.Duration {
 	longest := s.undisturbedFor(moment, gatewayStoreSubject(gateway))
-	for _, seedGateway := range s.processes[:min(seedGateways, len(s.processes))] {
+	for _, seedGateway := range s.processes[:min(s.settings.seedCount(), len(s.processes))] {
 		if seedGateway.name != gateway {
-			longest = max(longest, s.undisturbedFor(moment, seedGateway.name, gatewayStoreSubject(seedGateway.name)))
+			longest = max(longest, s.undisturbedFor(moment, seedGateway.name, gatewayStoreSubject(seedGateway.name), linkSubject(gateway, seedGateway.name)))
 		}
 	}
 	return longest
--- a/internal/lab/soak/versions.go
+++ b/internal/lab/soak/versions.go
@@ -158,19 +158,5 @@
 
 // serving returns the runners of the service that are not leaving.
 func (v *versionInjector) serving() []*runnerstand.Runner {
-	runners := v.soak.runners
-	all := runners.ofService(mixedService)
-	runners.entryMutex.Lock()
-	defer runners.entryMutex.Unlock()
-	return slices.DeleteFunc(all, func(runner *runnerstand.Runner) bool { return runners.isDraining(runner.ID) })
-}
-
-// servingCount returns how many runners of the software version serve and are not leaving.
-func (v *versionInjector) servingCount(version string) (count int) {
-	for _, runner := range v.serving() {
-		if runner.SoftwareVersion == version {
-			count++
-		}
-	}
-	return count
+	return v.soak.runners.serving(mixedService)
 }
