Streams are looked up again once another version has joined for as long as records need

Cause: streams that began while one version served get records when their router lists the second version. A router that lists it earlier looked for them at once and took their absence for final.

It now looks again recordStoreTime after it first listed the last version, as it already did where a replica is silent or alone. At any other time nothing changes.

Routers that list the version later than that (followers of a seed that is cut off, routers that are paused) still leave streams without records.

--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -204,3 +205,51 @@
 		})
 	}
 }
+
+// lateListing is how much later than others a router lists a second version.
+const lateListing = 100 * time.Millisecond
+
+// Guards against streams that are refused for good just after a second version has joined: the router that began them lists that version
+// a moment later than others, and gives the records of its streams to them then.
+func TestStreamsGoOnWhenTheirRouterListsASecondVersionLater(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	first := f.versionedEngines("v1", 3)
+	s := newStreamFleet(f, streamSeeds, len(first))
+	var links []*faultproxy.Proxy
+	var addresses []string
+	for _, address := range s.addresses {
+		link := f.proxyTo(address)
+		links, addresses = append(links, link), append(addresses, link.Address)
+	}
+	origin := f.startVersionedRouter("origin", loopback.FreeAddress(), addresses, len(first), true)
+	time.Sleep(loneVersionTime)
+	streams := origin.openStreams(streamsPerCase)
+	origin.storeEndpoint.SetFault(storestand.Hangs)
+	for _, link := range links {
+		link.SetMode(faultproxy.Stall)
+	}
+	f.versionedEngines("v2", 3)
+	for _, r := range s.routers {
+		r.awaitRunners(6)
+	}
+	time.AfterFunc(lateListing, func() {
+		origin.storeEndpoint.SetFault(storestand.Healthy)
+		for _, link := range links {
+			link.SetMode(faultproxy.Pass)
+		}
+	})
+	results := make([]takeUps, len(streams))
+	var group sync.WaitGroup
+	for i, stream := range streams {
+		group.Go(func() { results[i] = takeUpAll([]openedStream{stream}, s.routers[i%len(s.routers)]) })
+	}
+	group.Wait()
+	var total takeUps
+	for _, result := range results {
+		total.total, total.goneOn, total.mixed = total.total+1, total.goneOn+result.goneOn, total.mixed+result.mixed
+		total.failures = append(total.failures, result.failures...)
+	}
+	f.expectTaken(total)
+}
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/streamversion"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -72,11 +73,17 @@
 	ctx, cancel := context.WithTimeout(ctx, storeLookupTimeout)
 	defer cancel()
 	lookup.readStore(ctx, s, ask, now, others > 0)
-	if lookup.resolution.IsKnown() || !s.mayMissRecords(replicas, lookup.answered) {
+	// A record that was made just before the question is in the store a moment later, and so are those of streams that had none before
+	// another version joined, which their routers may list later than this one.
+	recordsFrom := s.lastJoined(s.gateway.now(), service)
+	if s.mayMissRecords(replicas, lookup.answered) {
+		recordsFrom = clock.Later(recordsFrom, now)
+	}
+	at := recordsFrom.Add(recordStoreTime)
+	if lookup.resolution.IsKnown() || !at.After(now) {
 		return lookup
 	}
-	// A record that was made just before the question is in the store a moment later.
-	if at := now.Add(recordStoreTime); sleep(ctx, s.gateway.until(at)) {
+	if sleep(ctx, s.gateway.until(at)) {
 		lookup.readStore(ctx, s, ask, at, others > 0)
 	}
 	return lookup
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -236,6 +236,13 @@
 	return answer
 }
 
+// lastJoined returns when the last of several versions of the service was first listed, zero if there was one.
+func (s *streamVersions) lastJoined(now time.Time, service string) time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.history.LastJoined(now, service)
+}
+
 // provenOnly returns the version at which all streams of the service began that lived at the time, empty if that is not
 // known. What this router lists proves nothing about streams that began after the time up to which its directory is known to be complete.
 func (s *streamVersions) provenOnly(now, at time.Time, service string) string {
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -162,6 +162,21 @@
 	return count > 1
 }
 
+// LastJoined returns when the last of several versions that were listed within the window was first listed, zero if there was one.
+func (h *History) LastJoined(now time.Time, service string) (joinedAt time.Time) {
+	count := 0
+	for _, span := range h.spans[service] {
+		if h.isWithinWindow(now, span) {
+			count++
+			joinedAt = later(joinedAt, span.First)
+		}
+	}
+	if count < 2 {
+		return time.Time{}
+	}
+	return joinedAt
+}
+
 // Only returns the version at which all streams of the service that live now began. It returns false if there may
 // be others, as before the history covers the window. It is true as of the last observation.
 func (h *History) Only(now time.Time, service string) (version string, found bool) {
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -168,6 +168,22 @@
 	g.Expect(version).To(Equal("v2"))
 }
 
+// Guards against streams that are looked up once only just after a version has joined, and against a wait at any other time.
+func TestLastJoinedIsThatOfTheNewestOfSeveralVersions(t *testing.T) {
+	g := NewWithT(t)
+	h, joined := NewHistory(start, window), start.Add(2*window)
+	h.Observe(start, []Origin{v1})
+	g.Expect(h.LastJoined(start, "engines")).To(BeZero())
+	h.Observe(joined, []Origin{v1, v2})
+	g.Expect(h.LastJoined(joined, "engines")).To(Equal(joined))
+	h.Observe(joined.Add(time.Second), []Origin{v1, v2})
+	g.Expect(h.LastJoined(joined.Add(time.Second), "engines")).To(Equal(joined))
+	now := joined.Add(window + 2*time.Second)
+	h.Observe(now, []Origin{v2})
+	g.Expect(h.LastJoined(now, "engines")).To(BeZero())
+	g.Expect(h.LastJoined(now, "others")).To(BeZero())
+}
+
 // Guards against a started seed that takes one version for the only one although the others or the store know of a second one.
 func TestStartedRouterTakesOverWhichVersionsThereWere(t *testing.T) {
 	g := NewWithT(t)
