--- a/internal/gateway/cutresponses_test.go
+++ b/internal/gateway/cutresponses_test.go
@@ -413,7 +413,10 @@
 		for _, framing := range []struct {
 			head, text string
 			ending     runnerstand.Ending
-		}{{chunks, chunked(stream, 17), runnerstand.EndsWithClose}, {scriptedHead + "\r\n", stream, runnerstand.EndsWithReset}} {
+		}{
+			{chunks, chunked(stream, 17), runnerstand.EndsWithClose}, {scriptedHead + "\r\n", stream, runnerstand.EndsWithReset},
+			{scriptedHead + "Content-Length: " + strconv.Itoa(len(stream)) + "\r\n\r\n", stream, runnerstand.EndsWithClose},
+		} {
 			for _, runner := range runners {
 				runner.setEach(func(target string) scriptedAnswer {
 					number, lastEvent, resumed := strings.Cut(strings.TrimPrefix(target, "/stream/"), " ")
