Bodies in HTTP/1.0 need a length

A runner ran a call with an empty body, and its caller got a 200, although the caller had sent a body in chunks in HTTP/1.0: net/http removes the field there and takes a request without a length for one without a body. What stopped inside such a body ran, too.

RFC 1945 (8.3) demands a length of such requests. A POST, PUT or PATCH in HTTP/1.0 without Content-Length now gets 400 and Connection: close, because the bytes that follow may be its body.

TestRequestThatStopsAtAnyByteIsNotRun goes over each byte of bodies with a length and in chunks, in HTTP/1.1 and 1.0; only the chunks in HTTP/1.0 ran before.

--- a/internal/gateway/callbody.go
+++ b/internal/gateway/callbody.go
@@ -15,6 +15,16 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &networkError)
 }
 
+// bodyHasLength reports whether the end of the body is known. A request in HTTP/1.0 with a method that has a body must name its length
+// (RFC 1945, section 8.3). net/http removes its Transfer-Encoding, and would take the body for an empty one.
+func (c *call) bodyHasLength() bool {
+	switch c.incoming.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return c.incoming.ProtoAtLeast(1, 1) || len(c.incoming.Header["Content-Length"]) > 0
+	}
+	return true
+}
+
 // readBody reads the whole body into memory, so that it can be sent more than once. It returns an error
 // if the body did not arrive whole.
 func (c *call) readBody() (*refusal, error) {
@@ -22,6 +32,11 @@
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	if !c.bodyHasLength() {
+		// What follows the header may be a body and must not be parsed as another request.
+		c.writer.Header().Set("Connection", "close")
+		return &refusal{status: http.StatusBadRequest, reason: "a body in HTTP/1.0 needs a length"}, nil
+	}
 	if c.incoming.ContentLength > maxBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
--- a/internal/gateway/cutresponses_test.go
+++ b/internal/gateway/cutresponses_test.go
@@ -443,3 +443,44 @@
 		}
 	}
 }
+
+// Guards against calls that run with a part of their body, because their caller stopped at any byte or named the end of the body in a way
+// that net/http disregards.
+func TestRequestThatStopsAtAnyByteIsNotRun(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runner := f.runner("p1", "plain")
+	r := f.servingRouter("a", nil)
+	send := func(text string, stops bool) (response string) {
+		conn, err := net.Dial("tcp", r.address)
+		f.g.Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, strings.ReplaceAll(text, "ID", newRequestID()))
+		f.g.Expect(err).NotTo(HaveOccurred())
+		if stops {
+			f.g.Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+		}
+		raw, _ := io.ReadAll(conn)
+		return string(raw)
+	}
+	head := fmt.Sprintf("POST /unsafe/x HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\nAuthorization: Bearer %s\r\n%s: ID\r\n%s: 2500\r\n", validKey, platform.HeaderRequestID, platform.HeaderDeadlineMillis)
+	http10 := strings.Replace(head, "1.1", "1.0", 1)
+	chunks := "Transfer-Encoding: chunked\r\n\r\n4;a=b\r\nthe \r\n04\r\nbody\r\n0\r\nT: 1\r\n\r\n"
+	for _, test := range []struct{ request, status string }{
+		{head + "Content-Length: 8\r\n\r\nthe body", "200"}, {http10 + "Content-Length: 8\r\n\r\nthe body", "200"}, {head + chunks, "200"},
+		{http10 + chunks, "400"}, {head + "Content-Length : 8\r\n\r\nthe body", "400"},
+	} {
+		before := len(runner.Runs())
+		for n := strings.Index(test.request, "\r\n\r\n"); n < len(test.request); n++ {
+			f.g.Expect(send(test.request[:n], true)).NotTo(ContainSubstring(" 200 OK"), "%q", test.request[:n])
+		}
+		f.g.Expect(runner.Runs()).To(HaveLen(before), "%q", test.request)
+		f.g.Expect(send(test.request, false)).To(ContainSubstring(" "+test.status+" "), "%q", test.request)
+		for _, run := range runner.Runs()[before:] {
+			f.g.Expect(run.Body).To(Equal("the body"))
+		}
+	}
+	f.g.Expect(runner.Runs()).To(HaveLen(3))
+	f.g.Expect(strings.HasPrefix(r.rawResponse(http.MethodPost, "1.0", "/unsafe/x", ""), "HTTP/1.0 200")).To(BeTrue(), "an empty body with its length")
+}
