A new leader counts the silence of the lost one from its last report

What callers saw: the rollout of a good version whose leader is killed in the middle was running at its deadline (KNOWN-RED, TestGoodVersionSucceedsAfterTheLossOfTheLeader, case "late").

Each scheduler reports to all others, but a router that did not lead dropped what it heard.

Now it notes when each scheduler last reported. A scheduler counts as silent for longer than a permit lasts (1 s, as before) from then on, if another scheduler reports to the new leader, so that the silence is not its own, and once that has waited for two reports. Otherwise the second begins with its lead as before.

Without HeardAt TestNextLeaderKnowsThatTheLostOneIsSilent fails; TestNewLeaderDoesNotWaitForASchedulerThatWasSilentBefore shows the rule.

--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -54,6 +54,8 @@
 	// replaced holds the orders that one of another name has replaced for their service, by name. They
 	// don't come back into force by a change of their status.
 	replaced map[string]versionrollout.Order
+	// heardAt is when each router last reported on any rollout.
+	heardAt map[string]time.Time
 	// ordersKnown is set once this router has had a complete copy of the orders. Before, that an order is missing shows nothing.
 	ordersKnown bool
 	// baseVersions holds, by service, the version that gets requests without an order, or beside one that
@@ -89,7 +91,7 @@
 func New(config Config, ports Ports) *Driver {
 	return &Driver{
 		config: config, ports: ports, leadWake: make(chan struct{}, 1), reportWake: make(chan struct{}, 1),
-		byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, replaced: map[string]versionrollout.Order{}, baseVersions: map[string]string{},
+		heardAt: map[string]time.Time{}, byService: map[string]*serviceRollout{}, rejected: map[string]Object{}, replaced: map[string]versionrollout.Order{}, baseVersions: map[string]string{},
 	}
 }
 
--- a/internal/rolloutdriver/driver_test.go
+++ b/internal/rolloutdriver/driver_test.go
@@ -43,6 +43,17 @@
 	f.expectWithinBound()
 }
 
+// Guards against a new leader that waits for the report of the lost one for as long as if it had heard nothing before it led.
+func TestNextLeaderKnowsThatTheLostOneIsSilent(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.order(testDuration)
+	f.runUntilExposed(10)
+	f.leader.isStopped = true
+	f.replaceLeader(f.routers[1])
+	f.run(800 * time.Millisecond)
+	f.g.Expect(f.leader.Summaries(f.now)[0].Phase).To(Equal("testing"))
+}
+
 // Guards against a leader that was cut off, grants what it had reserved, and is replaced meanwhile.
 func TestLeaderThatIsCutOffGrantsNothingAfterItsTerm(t *testing.T) {
 	f := newTestFleet(t, 3)
--- a/internal/rolloutdriver/lead.go
+++ b/internal/rolloutdriver/lead.go
@@ -195,7 +195,7 @@
 	return lead{
 		controller: versionrollout.NewController(versionrollout.Config{
 			Order: r.stored.Order, MaxShare: d.config.MaxShare, Slack: d.config.Slack, EarliestStart: r.earliestStart, LatestStart: r.latestStart,
-			Reserved: r.reserved, Requests: countedIn(r.stored.Status), LeaderSince: now,
+			Reserved: r.reserved, Requests: countedIn(r.stored.Status), LeaderSince: now, HeardAt: maps.Clone(d.heardAt),
 		}),
 		countsPrevious: r.stored.Status != nil && r.stored.Status.Uncounted,
 	}
--- a/internal/rolloutdriver/report.go
+++ b/internal/rolloutdriver/report.go
@@ -184,6 +184,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.ports.Clock.Now()
+	d.heardAt[report.GetFrom()] = now
 	r := d.byService[report.GetService()]
 	if r == nil || r.lead.controller == nil || r.stored.Order != decodeOrder(report) || !now.Before(d.termEnd) {
 		return &wire.RolloutPermit{}
--- a/internal/versionrollout/controller.go
+++ b/internal/versionrollout/controller.go
@@ -22,6 +22,8 @@
 	Requests uint64
 	// LeaderSince is when this router became the leader.
 	LeaderSince time.Time
+	// HeardAt is when schedulers last reported to this router before it led. It may lack any of them.
+	HeardAt map[string]time.Time
 }
 
 // AssumedReservation returns the reservation to assume where a status of a build that reserved nothing is found:
@@ -192,7 +194,8 @@
 }
 
 // updateReady reports whether each scheduler has reported to this leader or was silent for longer than a
-// permit lasts.
+// permit lasts. The silence begins with its last report to this router, also before that led, if another scheduler reports, and counts
+// once this leader has waited for two reports.
 func (c *Controller) updateReady(now time.Time) bool {
 	if c.isReady {
 		return true
@@ -203,6 +206,9 @@
 		if namedAt.Before(c.config.LeaderSince) {
 			since = now.Sub(c.config.LeaderSince)
 		}
+		if heardAt, known := c.config.HeardAt[name]; known && now.Sub(c.config.LeaderSince) >= 2*usualInterval && c.hearsScheduler(live) {
+			since = now.Sub(heardAt)
+		}
 		if !live[name] && since < PermitDuration {
 			return false
 		}
@@ -211,6 +217,17 @@
 	return true
 }
 
+// hearsScheduler reports whether another scheduler reports to this leader, so that the silence of a further one is not due to this
+// router.
+func (c *Controller) hearsScheduler(live map[string]bool) bool {
+	for name := range c.schedulers {
+		if live[name] {
+			return true
+		}
+	}
+	return false
+}
+
 // receivesReports reports whether what this leader knows of the service is complete:
 // another scheduler reports to it, or it places requests itself, or there is no other scheduler.
 func (c *Controller) receivesReports(now time.Time) bool {
--- a/internal/versionrollout/controller_test.go
+++ b/internal/versionrollout/controller_test.go
@@ -643,3 +643,33 @@
 		})
 	}
 }
+
+// Guards against a new leader that waits for a scheduler which was lost before it led, and against one that takes a scheduler for lost
+// because nobody reported to it, or before that had time to report.
+func TestNewLeaderDoesNotWaitForASchedulerThatWasSilentBefore(t *testing.T) {
+	const lost = "lost"
+	for name, test := range map[string]struct {
+		heardAt map[string]time.Time
+		reports bool
+		ready   float64
+	}{
+		"silent before":           {heardAt: map[string]time.Time{lost: at(18.5)}, reports: true, ready: 20.5},
+		"silent for a short time": {heardAt: map[string]time.Time{lost: at(19.8)}, reports: true, ready: 20.8},
+		"never heard":             {reports: true, ready: 21},
+		"nobody reports":          {heardAt: map[string]time.Time{lost: at(18.5), other.Router: at(18.5)}, ready: 21},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			c := newTestController(func(config *Config) { config.LeaderSince, config.HeardAt = at(20), test.heardAt })
+			for tenth := 200; tenth <= 215; tenth++ {
+				second := float64(tenth) / 10
+				c.SetSchedulers(at(second), []string{other.Router, lost})
+				c.Report(at(second), own, placed(100, 0, 0))
+				if test.reports {
+					c.Report(at(second), other, placed(100, 0, 0))
+				}
+				g.Expect(c.Step(at(second)).Phase == Waiting).To(Equal(second < test.ready), "at %v s", second)
+			}
+		})
+	}
+}
