Streams whose records may follow are refused with a time to return

Cause: a router that follows a silent seed, or was paused, lists a version later than others. It then sends records of the streams that it began before, but their absence until then was final.

For maxRosterDirectoryAge after this router first listed the last version, absence is answered as records that are missing. Nothing waits longer, and what goes on is the same.

--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -206,44 +207,75 @@
 	}
 }
 
-// lateListing is how much later than others a router lists a second version.
-const lateListing = 100 * time.Millisecond
+// lateListing is how much later than others a router lists a second version, and veryLateListing the same if it has to find out first that a
+// seed is silent.
+const (
+	lateListing     = 100 * time.Millisecond
+	veryLateListing = 900 * time.Millisecond
+)
 
-// Guards against streams that are refused for good just after a second version has joined: the router that began them lists that version
-// a moment later than others, and gives the records of its streams to them then.
-func TestStreamsGoOnWhenTheirRouterListsASecondVersionLater(t *testing.T) {
-	t.Parallel()
+// lateOrigin is a new system with a router that has begun streams of the first version, and lists a second one later than the seeds.
+type lateOrigin struct {
+	*streamFleet
+	streams []openedStream
+}
+
+// newLateOrigin returns once the seeds list the second version.
+func newLateOrigin(t *testing.T, delay time.Duration) *lateOrigin {
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), validKey)
 	first := f.versionedEngines("v1", 3)
-	s := newStreamFleet(f, streamSeeds, len(first))
+	o := &lateOrigin{streamFleet: newStreamFleet(f, streamSeeds, len(first))}
 	var links []*faultproxy.Proxy
 	var addresses []string
-	for _, address := range s.addresses {
+	for _, address := range o.addresses {
 		link := f.proxyTo(address)
 		links, addresses = append(links, link), append(addresses, link.Address)
 	}
 	origin := f.startVersionedRouter("origin", loopback.FreeAddress(), addresses, len(first), true)
 	time.Sleep(loneVersionTime)
-	streams := origin.openStreams(streamsPerCase)
+	o.streams = origin.openStreams(streamsPerCase)
 	origin.storeEndpoint.SetFault(storestand.Hangs)
 	for _, link := range links {
 		link.SetMode(faultproxy.Stall)
 	}
 	f.versionedEngines("v2", 3)
-	for _, r := range s.routers {
+	for _, r := range o.routers {
 		r.awaitRunners(6)
 	}
-	time.AfterFunc(lateListing, func() {
+	time.AfterFunc(delay, func() {
 		origin.storeEndpoint.SetFault(storestand.Healthy)
 		for _, link := range links {
 			link.SetMode(faultproxy.Pass)
 		}
 	})
-	results := make([]takeUps, len(streams))
+	return o
+}
+
+// Guards against streams that are refused for good although their records follow: their router lists the second version later than records
+// need.
+func TestStreamsWhoseRecordsFollowAreRefusedWithATimeToReturn(t *testing.T) {
+	t.Parallel()
+	o := newLateOrigin(t, veryLateListing)
+	for i, stream := range o.streams[:len(o.routers)] {
+		got := o.routers[i].takeUp(stream)
+		if got.status == http.StatusServiceUnavailable {
+			o.g.Expect(got.header.Get(platform.HeaderRetryAfter)).NotTo(BeEmpty(), "%s", got.body)
+		}
+	}
+	time.Sleep(2 * veryLateListing)
+	o.expectTaken(takeUpAll(o.streams, o.routers...))
+}
+
+// Guards against streams that are refused for good just after a second version has joined: the router that began them lists that version
+// a moment later than others, and gives the records of its streams to them then.
+func TestStreamsGoOnWhenTheirRouterListsASecondVersionLater(t *testing.T) {
+	t.Parallel()
+	o := newLateOrigin(t, lateListing)
+	results := make([]takeUps, len(o.streams))
 	var group sync.WaitGroup
-	for i, stream := range streams {
-		group.Go(func() { results[i] = takeUpAll([]openedStream{stream}, s.routers[i%len(s.routers)]) })
+	for i, stream := range o.streams {
+		group.Go(func() { results[i] = takeUpAll([]openedStream{stream}, o.routers[i%len(o.routers)]) })
 	}
 	group.Wait()
 	var total takeUps
@@ -251,5 +283,5 @@
 		total.total, total.goneOn, total.mixed = total.total+1, total.goneOn+result.goneOn, total.mixed+result.mixed
 		total.failures = append(total.failures, result.failures...)
 	}
-	f.expectTaken(total)
+	o.expectTaken(total)
 }
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -25,6 +25,8 @@
 	// recordStoreTime is how long after a stream's begin its record is in the store, if a router has to find out first that the writer
 	// of the record does not answer: the timeout of that, the interval of writes, and a call.
 	recordStoreTime = recordAckTimeout + flushInterval + 100*time.Millisecond
+	// lateRecordTime is how long after a version joined another router may not list it yet, and then sends records of streams that had none.
+	lateRecordTime = maxRosterDirectoryAge
 )
 
 // storeAnswer reads the store unless that has been done since the time, and returns what this router then knows of the stream. It
@@ -79,13 +81,12 @@
 	if s.mayMissRecords(replicas, lookup.answered) {
 		recordsFrom = clock.Later(recordsFrom, now)
 	}
-	at := recordsFrom.Add(recordStoreTime)
-	if lookup.resolution.IsKnown() || !at.After(now) {
-		return lookup
-	}
-	if sleep(ctx, s.gateway.until(at)) {
+	if at := recordsFrom.Add(recordStoreTime); !lookup.resolution.IsKnown() && at.After(now) && sleep(ctx, s.gateway.until(at)) {
 		lookup.readStore(ctx, s, ask, at, others > 0)
 	}
+	if lookup.resolution == streamversion.NoRecord && s.gateway.since(s.lastJoined(s.gateway.now(), service)) < lateRecordTime {
+		lookup.resolution = streamversion.RecordsMissing
+	}
 	return lookup
 }
 
