A stream's version is looked for in the store if the directory is not recent

Cause: that the version is known was read off the history, which the store's roster may have filled; that none is listed counted whatever the age of the list.

Now a router that lists no runner of the version reads the store unless it has listed one and its directory is recent. The refusal is final only by a directory as of the call. By reading; two attempts to show it in process failed.

--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -61,22 +61,35 @@
 	return c.awaitVersion(startedAt)
 }
 
-// awaitVersion refuses a stream of a version that this router does not know, unless the store lists runners of it. That the router lists
-// none says nothing: it may have stood still when they joined.
+// awaitVersion refuses a stream of whose version this router lists no runner, unless the store lists one. That the router lists none shows
+// little if it never listed any, or if its directory is not recent: it may have stood still when they joined.
 func (c *call) awaitVersion(since time.Time) *refusal {
-	streams, origin := c.gateway.streams, streamversion.Origin{Service: c.service, Version: c.boundVersion()}
-	if origin.Version == "" || streams.knowsVersion(c.gateway.now(), origin) {
+	g, origin := c.gateway, streamversion.Origin{Service: c.service, Version: c.boundVersion()}
+	if origin.Version == "" || g.listsVersion(origin) || g.streams.knowsVersion(g.now(), origin) && g.hasRecentDirectory() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(c.incoming.Context(), storeLookupTimeout)
 	defer cancel()
-	streams.stored.read(ctx, since)
-	if streams.knowsVersion(c.gateway.now(), origin) {
+	g.streams.stored.read(ctx, since)
+	if g.listsVersion(origin) || !g.copies.provenAt(RunnerObjects).Before(since) && g.streams.knowsVersion(g.now(), origin) {
 		return nil
 	}
 	return unavailable(reasonVersionLost, busyRetryAfter)
 }
 
+// listsVersion reports whether runners of the version are listed that are not leaving.
+func (g *Gateway) listsVersion(origin streamversion.Origin) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.runners.VersionCounts(origin.Service)[origin.Version] > 0
+}
+
+// hasRecentDirectory reports whether the directory was complete a moment ago.
+func (g *Gateway) hasRecentDirectory() bool {
+	age, known := g.copies.age(g.now(), RunnerObjects)
+	return known && age <= maxProofAge+copyProofMargin
+}
+
 // bindOrigin binds the call to the origin of its stream. A route that has moved to another service leaves it unbound.
 func (c *call) bindOrigin(proven streamversion.Proven) {
 	for _, backend := range c.route.Backends {
--- a/internal/gateway/rolloutports.go
+++ b/internal/gateway/rolloutports.go
@@ -45,10 +45,7 @@
 }
 
 // IsListCurrent implements rolloutdriver.Runners.
-func (p *rolloutPorts) IsListCurrent() bool {
-	age, known := p.gateway.copies.age(p.gateway.now(), RunnerObjects)
-	return known && age <= maxProofAge+copyProofMargin
-}
+func (p *rolloutPorts) IsListCurrent() bool { return p.gateway.hasRecentDirectory() }
 
 // SetVersionRules implements rolloutdriver.Runners.
 func (p *rolloutPorts) SetVersionRules(rules map[string]backend.VersionRule, exposedShare float64) {
