Schedulers remember where the streams began that they placed, while one version serves

What callers saw: streams that began before a second version joined were refused once it had, if their router was lost or stood still then: no record was made while one version served, and since absence is no evidence any more nothing else tells where they began.

The notice by which a router tells the scheduler that a stream has begun carries the record in any case now: no further message. The scheduler defers it like that of its own streams, and keeps and stores it when a second version joins. The notice follows the first event, so the version is that of the stream.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -153,10 +153,11 @@
 	responseFraming integrity.Framing
 	responseEnd     integrity.End
 	// bound is where the stream began that the call continues, and streamRecord the record of that, nil if other
-	// routers need none. isUnrecorded is set if that was so when the stream began.
-	bound        streamversion.Proven
-	streamRecord *wire.StreamRecord
-	isUnrecorded bool
+	// routers need none. isUnrecorded is set if that was so when the stream began; deferredRecord is then the record that it will get.
+	bound          streamversion.Proven
+	streamRecord   *wire.StreamRecord
+	isUnrecorded   bool
+	deferredRecord *wire.StreamRecord
 	// stream is the state of the forwarded stream, nil before its first event.
 	stream *eventStream
 	// forwarded is the message with which another router forwarded the call, nil if this router took it
--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -232,6 +232,22 @@
 	}
 }
 
+// Guards against streams that are refused because their router was lost, or stood still, before a second version joined, and had recorded
+// nothing: the scheduler that placed them knows where they began.
+func TestStreamsOfARouterLostBeforeASecondVersionJoinedGoOn(t *testing.T) {
+	t.Parallel()
+	s, first := newLoneStreamFleet(t, 3)
+	time.Sleep(loneVersionTime)
+	streams := append(s.routers[3].openStreams(streamsPerCase), s.routers[4].openStreams(streamsPerCase)...)
+	s.routers[3].Kill()
+	s.routers[4].Kill()
+	count := len(first) + len(s.versionedEngines("v2", 3))
+	for _, seed := range s.routers[:streamSeeds] {
+		seed.awaitRunners(count)
+	}
+	s.expectTaken(takeUpAll(streams, s.routers[:streamSeeds]...))
+}
+
 // Guards against streams that are refused because their records waited at a seed which the store refuses, and which was lost.
 func TestStreamsGoOnAfterLossOfASeedThatTheStoreRefuses(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -113,7 +113,7 @@
 
 // recordStream binds the call to the version of its runner, at the latest when the first event of its stream has arrived. If
 // other routers may need to know, it keeps a record and sends it to replicas; the notice to the scheduler has it too.
-// Messages that are lost leave the other copies. While one version serves, the record is deferred.
+// Messages that are lost leave the other copies. While one version serves, the record is deferred by this router and the scheduler.
 func (c *call) recordStream() {
 	c.bind(streamversion.FirstEvent(c.service, c.runner.SoftwareVersion))
 	g, now := c.gateway, c.gateway.now()
@@ -127,7 +127,7 @@
 		Key: c.streamKey(), Origin: streamversion.Origin{Service: c.service, Version: c.boundVersion()}, Expires: now.Add(c.streamLifetime()),
 	}
 	if !c.isUnrecorded && g.streams.deferRecord(now, record) {
-		c.isUnrecorded = true
+		c.isUnrecorded, c.deferredRecord = true, encodeStreamRecord(now, record)
 		return
 	}
 	c.streamRecord = encodeStreamRecord(now, record)
--- a/internal/gateway/schedulers.go
+++ b/internal/gateway/schedulers.go
@@ -220,7 +220,7 @@
 		return
 	}
 	s.placedSends.FirstResponse(s.gateway.now(), key)
-	s.gateway.streams.receive(notice.GetStream())
+	s.gateway.streams.receiveNotice(notice.GetStream())
 }
 
 // placedCount returns the number of open requests that this router placed for others.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -359,7 +360,7 @@
 	}
 	if !c.currentSend.Responded() && c.route.Kind == routing.Streaming {
 		// For other responses, the notification of the end follows immediately.
-		g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{Weights: c.responseWeightVersion, Stream: c.streamRecord})
+		g.schedulers.notify(c.schedulerChoice, &wire.SendNotice{Weights: c.responseWeightVersion, Stream: cmp.Or(c.streamRecord, c.deferredRecord)})
 	}
 	g.crashDetector.respond(g.now(), c.run)
 	g.mutex.Lock()
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -39,10 +39,10 @@
 	mutex   sync.Mutex
 	table   *streamversion.Table
 	history *streamversion.History
-	// unrecorded holds the streams of services that have one version. historyChanged receives a value when a service may have
-	// several.
-	unrecorded     *streamversion.Unrecorded
-	historyChanged chan struct{}
+	// unrecorded holds the streams of services that have one version, and placed those among the streams of other routers that this one
+	// placed as their scheduler. historyChanged receives a value when a service may have several.
+	unrecorded, placed *streamversion.Unrecorded
+	historyChanged     chan struct{}
 	// replicaSince is when this router became a seed, zero if it is none. It lacks records of before unless
 	// the other seeds had all of them and sent theirs, which sets isSynchronized.
 	replicaSince   time.Time
@@ -64,7 +64,7 @@
 func newStreamVersions(g *Gateway) *streamVersions {
 	s := &streamVersions{
 		gateway: g, startedAt: g.now(), table: streamversion.NewTable(maxStreamRecords), stored: newStoredOrigins(g),
-		history: streamversion.NewHistory(g.now(), minVersionWindow), unrecorded: streamversion.NewUnrecorded(maxUnrecordedStreams), historyChanged: make(chan struct{}, 1),
+		history: streamversion.NewHistory(g.now(), minVersionWindow), unrecorded: streamversion.NewUnrecorded(maxUnrecordedStreams), placed: streamversion.NewUnrecorded(maxUnrecordedStreams), historyChanged: make(chan struct{}, 1),
 		silentWriters: map[string]time.Time{},
 	}
 	if g.settings.FirstStart {
--- a/internal/gateway/unrecordedstreams.go
+++ b/internal/gateway/unrecordedstreams.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/streamversion"
+	"github.com/clovertiller/clovertiller/internal/wire"
 )
 
 // maxUnrecordedStreams is the maximum number of streams without a record that a router holds, about 3 MB. Any others are recorded with
@@ -21,6 +22,25 @@
 	return true
 }
 
+// receiveNotice keeps the record of a stream that this router has placed for another one, if there is one. While one version serves, the
+// record is deferred: the router of the stream may be lost before a second version joins.
+func (s *streamVersions) receiveNotice(message *wire.StreamRecord) {
+	now := s.gateway.now()
+	record, valid := decodeStreamRecord(now, message)
+	if !valid {
+		return
+	}
+	s.mutex.Lock()
+	isMixed := s.history.IsMixed(now, record.Origin.Service)
+	if !isMixed {
+		s.placed.Add(record)
+	}
+	s.mutex.Unlock()
+	if isMixed {
+		s.keep(now, record)
+	}
+}
+
 // forgetUnrecorded removes a stream that is complete, so that nobody takes it up.
 func (s *streamVersions) forgetUnrecorded(key streamversion.Key) {
 	s.mutex.Lock()
@@ -45,8 +65,14 @@
 func (s *streamVersions) recordMixed() {
 	now, replicas := s.gateway.now(), s.replicas()
 	s.mutex.Lock()
-	records := s.unrecorded.Take(now, func(service string) bool { return s.history.IsMixed(now, service) })
+	isMixed := func(service string) bool { return s.history.IsMixed(now, service) }
+	records, placed := s.unrecorded.Take(now, isMixed), s.placed.Take(now, isMixed)
 	s.mutex.Unlock()
+	for _, record := range placed {
+		// Their routers send the same records, unless they are lost.
+		s.keep(now, record)
+		s.stored.add(now, record)
+	}
 	deliveries := map[string][]undeliveredRecord{}
 	for _, record := range records {
 		s.keep(now, record)
