Records are sent again to a receiver that left the list and came back during a delivery

The receiver's state was made anew, and the end of the earlier delivery counted there: below zero, nothing is sent again by itself. TestRecordsAreSentAgainToAReceiverThatCameBack failed before.

--- a/internal/gateway/broadcaster.go
+++ b/internal/gateway/broadcaster.go
@@ -131,6 +131,12 @@
 			receiver.sending++
 		}
 	}
+	for address, receiver := range b.receivers {
+		if receiver.sending > 0 {
+			// It may be a receiver again before its delivery ends.
+			receivers[address] = receiver
+		}
+	}
 	b.receivers = receivers
 	return due
 }
