Streams go on while the orders of rollouts are not known

A router that had not read the orders refused streams of a known version as well. The rule holds for new requests only, as it does where no order is known.

--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -320,7 +320,7 @@
 			continue
 		}
 		if !d.ordersKnown && !(allKnown && len(counts[service]) == 1) {
-			rules[service] = backend.VersionRule{None: true}
+			rules[service] = backend.VersionRule{None: true, WithoutOrder: true}
 			continue
 		}
 		if base := baseVersion(d.baseVersions[service], counts[service]); base != "" {
