Lookups of streams share reads of a slow store

Cause: a lookup waits for the read under way and the next one, each of two calls in succession. A lookup also missed that a read had answered it if another one had started a further read meanwhile, and could wait for one after the other until its second was over.

The records and the changes of the directory are read at the same time; if something was written in between, lookups that need the directory read again. A finished read counts whatever runs after it, and records that were read count even if the directory could not be.

A missing record is also final no longer where a replica is silent or alone.

--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
@@ -78,33 +79,31 @@
 	}
 }
 
-// proveDirectory reads which runners have changed in the store, without waiting for changes. If the response is as new as the store's
-// revision that is known from elsewhere, the directory is known to be complete as of the call.
-func (g *Gateway) proveDirectory(known storerev.Revision) {
-	for _, w := range g.storeWatchers {
-		if w.kind == RunnerObjects {
-			w.prove(known)
-		}
-	}
+// directoryWatcher returns the watcher of runners.
+func (g *Gateway) directoryWatcher() *storeWatcher {
+	return g.storeWatchers[slices.IndexFunc(g.storeWatchers, func(w *storeWatcher) bool { return w.kind == RunnerObjects })]
 }
 
-// prove reads the changes since the copy's revision. A copy without one is listed by the watcher.
-func (w *storeWatcher) prove(known storerev.Revision) {
+// changesNow reads the changes since the revision, without waiting for further ones. There is no response for a copy without a revision,
+// which the watcher lists, nor if the call fails.
+func (w *storeWatcher) changesNow(from storerev.Revision) (response storeResponse, ok bool) {
 	g := w.gateway
-	from := g.copies.currentThrough(w.kind)
 	if from == 0 {
-		return
+		return response, false
 	}
 	ctx, cancel := context.WithTimeout(g.ctx, provingWatchTimeout+watchCallMargin)
 	defer cancel()
-	response := w.requestWatch(ctx, from, provingWatchTimeout)
-	if response.err != nil {
-		if g.ctx.Err() == nil {
-			g.metrics.storeFailures.WithLabelValues(w.kind.String()).Inc()
-			g.log.Log(events.DirectoryNotProven, events.Fields{"revision": from.Number(), "error": response.err.Error()})
-		}
-		return
+	response = w.requestWatch(ctx, from, provingWatchTimeout)
+	if response.err != nil && g.ctx.Err() == nil {
+		g.metrics.storeFailures.WithLabelValues(w.kind.String()).Inc()
+		g.log.Log(events.DirectoryNotProven, events.Fields{"revision": from.Number(), "error": response.err.Error()})
 	}
+	return response, response.err == nil
+}
+
+// prove applies changes that were read. If they are as new as the store's revision that is known from elsewhere, the copy is known to be
+// complete as of the call.
+func (w *storeWatcher) prove(from storerev.Revision, response storeResponse, known storerev.Revision) {
 	response.knownRevision = max(response.knownRevision, known)
 	w.applyWatch(from, provingWatchTimeout, response)
 }
--- a/internal/gateway/storedorigins.go
+++ b/internal/gateway/storedorigins.go
@@ -18,6 +18,8 @@
 	originsCallTimeout = 700 * time.Millisecond
 	// minOriginsReadInterval is the minimum interval of reads, which all lookups share.
 	minOriginsReadInterval = 250 * time.Millisecond
+	// provingWatchDelay is how much later than the records the changes of the directory are asked for.
+	provingWatchDelay = 5 * time.Millisecond
 	// minOriginsRetryDelay is the delay after a failed write, which grows to maxOriginsRetryIntervals times the interval of
 	// writes. A write whose answer is lost may have taken effect, so each further one may save records.
 	minOriginsRetryDelay     = 100 * time.Millisecond
@@ -80,8 +82,8 @@
 func (o *storedOrigins) startRead(since time.Time) (isRead, hasFailed bool, running <-chan struct{}) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.running == nil && !o.startedAt.Before(since) {
-		isRead = !o.readAt.Before(since)
+	// Another lookup may have started a further read already.
+	if isRead = !o.readAt.Before(since); isRead || o.running == nil && !o.startedAt.Before(since) {
 		return isRead, !isRead, nil
 	}
 	if o.running == nil {
@@ -97,7 +99,17 @@
 func (o *storedOrigins) readAfter(delay time.Duration) {
 	g := o.gateway
 	g.pause(delay)
-	startedAt := g.now()
+	startedAt, directory := g.now(), g.directoryWatcher()
+	from := g.copies.currentThrough(RunnerObjects)
+	changes := make(chan storeResponse, 1)
+	go func() {
+		defer close(changes)
+		// A moment after the list, so that the response is as new, unless something is written in between.
+		g.pause(provingWatchDelay)
+		if response, ok := directory.changesNow(from); ok {
+			changes <- response
+		}
+	}()
 	var stored StoredStreamOrigins
 	err := g.callStore(streamOriginsKind, callList, originsCallTimeout, func(ctx context.Context) (err error) {
 		stored, err = g.ports.Store.ReadStreamOrigins(ctx, startedAt)
@@ -109,7 +121,9 @@
 	}
 	if err == nil {
 		g.streams.apply(startedAt, stored)
-		g.proveDirectory(stored.Revision)
+	}
+	if response, ok := <-changes; ok && err == nil {
+		directory.prove(from, response, stored.Revision)
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -32,13 +32,19 @@
 // storeAnswer reads the store unless that has been done since the time, and returns what this router then knows of the stream. It
 // returns false if the store could not be read: what this router knows without it is no answer, as it need not be a replica.
 func (s *streamVersions) storeAnswer(ctx context.Context, key streamversion.Key, service string, since time.Time) (streamversion.Answer, bool) {
-	if !s.stored.read(ctx, since) {
-		return streamversion.Answer{}, false
+	for from := since; ; from = s.gateway.now() {
+		isRead, now := s.stored.read(ctx, from), s.gateway.now()
+		answer := s.own(now, key)
+		switch {
+		case answer.Origin != streamversion.Origin{}:
+			return answer, true
+		case !isRead:
+			return answer, false
+		case s.isConclusive(now, since, service):
+			answer.HasReadStore, answer.Only = true, s.provenOnly(now, since, service)
+			return answer, true
+		}
 	}
-	now := s.gateway.now()
-	answer := s.own(now, key)
-	answer.HasReadStore, answer.Only = true, s.provenOnly(now, since, service)
-	return answer, true
 }
 
 // streamLookup is the result of asking where a stream began.
@@ -84,7 +90,7 @@
 	if at := recordsFrom.Add(recordStoreTime); !lookup.resolution.IsKnown() && at.After(now) && sleep(ctx, s.gateway.until(at)) {
 		lookup.readStore(ctx, s, ask, at, others > 0)
 	}
-	if lookup.resolution == streamversion.NoRecord && s.gateway.since(s.lastJoined(s.gateway.now(), service)) < lateRecordTime {
+	if lookup.resolution == streamversion.NoRecord && (s.mayMissRecords(replicas, lookup.answered) || s.gateway.since(s.lastJoined(s.gateway.now(), service)) < lateRecordTime) {
 		lookup.resolution = streamversion.RecordsMissing
 	}
 	return lookup
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -325,6 +325,10 @@
 	if ask.GetStoreAgeMillis() > 0 {
 		hasReadStore, _, _ = s.stored.startRead(since)
 	}
+	if hasReadStore && !s.isConclusive(now, since, ask.GetService()) {
+		s.stored.startRead(now)
+		hasReadStore = false
+	}
 	// The answer includes what was read, so it is composed after that is known.
 	own := s.own(now, key)
 	message := &wire.StreamAnswer{Complete: s.hasAllRecords(now), StoreRead: hasReadStore}
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -255,6 +255,15 @@
 	return only
 }
 
+// isConclusive reports whether a read of the store since the time has told all about the service. It has not if one version is listed and
+// something was written meanwhile, so that the list may have changed.
+func (s *streamVersions) isConclusive(now, at time.Time, service string) bool {
+	s.mutex.Lock()
+	_, isAlone := s.history.Only(now, service)
+	s.mutex.Unlock()
+	return !isAlone || s.provenOnly(now, at, service) != ""
+}
+
 // knowsVersion reports whether the version was listed within the window, as far as this router knows.
 func (s *streamVersions) knowsVersion(now time.Time, origin streamversion.Origin) bool {
 	s.mutex.Lock()
