Test of cut responses of the object API: the client reads whole bodies and lines

It is stricter now. Connections are closed after each response: the next request on a kept one could fail before it reached the server, and the test hung.

--- a/internal/platform/cutresponses_test.go
+++ b/internal/platform/cutresponses_test.go
@@ -30,11 +30,14 @@
 			if err != nil {
 				return
 			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, <-parts)
-			}
-			conn.Close()
+			// The client may open connections that it does not use.
+			go func() {
+				defer conn.Close()
+				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.Copy(io.Discard, request.Body)
+					_, _ = io.WriteString(conn, <-parts)
+				}
+			}()
 		}
 	}()
 	client := NewClient(listener.Addr().String())
@@ -52,7 +55,7 @@
 			g.Expect(err == nil && object.Version == 3 || errors.Is(err, ErrUnavailable)).To(BeTrue())
 			return err == nil
 		}},
-		"watch": {"200 OK", `{"revision":7,"objects":[{"name":"a","version":3}]}`, func() (whole bool) {
+		"watch": {"200 OK", `{"revision":7,"objects":[{"name":"a","version":3}]}` + "\n", func() (whole bool) {
 			_ = client.Watch(ctx, 1, func(batch WatchBatch) {
 				g.Expect(batch.Revision == 7 && len(batch.Objects) == 1).To(BeTrue())
 				whole = true
@@ -63,11 +66,15 @@
 		for _, framing := range []struct{ fields, body, end string }{
 			{fmt.Sprintf("Content-Length: %d\r\n", len(test.body)), test.body, ""}, {"Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s", len(test.body), test.body), "\r\n0\r\n\r\n"},
 		} {
-			text := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 " + test.status + "\r\n" + framing.fields + "\r\n" + framing.body
-			// The document is whole before the end of its chunks.
+			text := "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 " + test.status + "\r\nConnection: close\r\n" + framing.fields + "\r\n" + framing.body
+			wholeFrom := len(text)
+			if name != "watch" {
+				wholeFrom = len(text + framing.end)
+			}
+			// A message of a watch is whole with its line, before the end of its chunk.
 			for n := 1; n <= len(text+framing.end); n++ {
 				parts <- (text + framing.end)[:n]
-				g.Expect(test.call()).To(Equal(n >= len(text)), "%s, %d of %d bytes", name, n, len(text))
+				g.Expect(test.call()).To(Equal(n >= wholeFrom), "%s, %d of %d bytes", name, n, wholeFrom)
 			}
 		}
 	}
