gateway: one place each that defers, assigns and proves; one short watch

Deferring a record, choosing its writer and receivers, and the short watch stood twice. Whether a read has told all about a service, and what it told, were two questions that took the same locks; provenOnly answers both, with the proof read before the history as before. Behaviour is unchanged: stream, record, roster, watch and odd-object tests of the gateway pass.

--- a/hack/mutants.sh
+++ b/hack/mutants.sh
@@ -156,7 +156,7 @@
 mutant "20 records that are not acknowledged are left to their writer" internal/gateway/streamrecords.go 's/\trecords := s.takeOver\(deliveries\)/\tvar records []streamversion.Record/' ./internal/gateway -run TestStreamsGoOnAtRouterCutOffTheOthers
 mutant "20 a writer that the store refuses acknowledges records" internal/gateway/streamrecords.go 's/isWriter && !s.stored.canWrite\(\)/false/' ./internal/gateway -run TestStreamsGoOnAfterLossOfASeedThatTheStoreRefuses
 mutant "20 the store is read once" internal/gateway/streamlookup.go 's/at := recordsFrom.Add\(recordStoreTime\); !lookup/at := recordsFrom.Add(recordStoreTime); false \&\& !lookup/' ./internal/gateway -run TestStreamsTakenUpAtOnce
-mutant "19 the directory is evidence whatever its age" internal/gateway/streamversions.go 's/if s.gateway.copies.provenAt\(RunnerObjects\).Before\(at\) \|\| /if /' ./internal/gateway -run TestStreamsDoNotMixWithAnOldDirectory
+mutant "19 the directory is evidence whatever its age" internal/gateway/streamversions.go 's/proven = !s.gateway.copies.provenAt\(RunnerObjects\).Before\(at\) && /proven = /' ./internal/gateway -run TestStreamsDoNotMixWithAnOldDirectory
 mutant "19 three crashed runners hide a crash" internal/gateway/runnerends.go 's/maxControlProbes = 12/maxControlProbes = 3/' ./internal/gateway -run TestCrashesAreDetected
 
 echo "mutants: $refuted refuted, $survived survived, $unclear unclear"
--- a/internal/gateway/renew.go
+++ b/internal/gateway/renew.go
@@ -64,7 +64,7 @@
 func (w *storeWatcher) runProbe() {
 	g := w.gateway
 	from := g.copies.currentThrough(w.kind)
-	response := w.probeWatch(from)
+	response := w.shortWatch(from, shortWatchTimeout)
 	if response.err != nil {
 		// The next watches are short too, until one is answered.
 		w.cancelPendingWatch()
@@ -91,9 +91,7 @@
 	if from == 0 {
 		return response, false
 	}
-	ctx, cancel := context.WithTimeout(g.ctx, provingWatchTimeout+watchCallMargin)
-	defer cancel()
-	response = w.requestWatch(ctx, from, provingWatchTimeout)
+	response = w.shortWatch(from, provingWatchTimeout)
 	if response.err != nil && g.ctx.Err() == nil {
 		g.metrics.storeFailures.WithLabelValues(w.kind.String()).Inc()
 		g.log.Log(events.DirectoryNotProven, events.Fields{"revision": from.Number(), "error": response.err.Error()})
@@ -115,10 +113,11 @@
 	}
 }
 
-func (w *storeWatcher) probeWatch(revision storerev.Revision) storeResponse {
-	ctx, cancel := context.WithTimeout(w.gateway.ctx, shortWatchTimeout+watchCallMargin)
+// shortWatch makes a watch call beside the pending one.
+func (w *storeWatcher) shortWatch(from storerev.Revision, timeout time.Duration) storeResponse {
+	ctx, cancel := context.WithTimeout(w.gateway.ctx, timeout+watchCallMargin)
 	defer cancel()
-	return w.requestWatch(ctx, revision, shortWatchTimeout)
+	return w.requestWatch(ctx, from, timeout)
 }
 
 // cancelableContext returns the context of a watch that cancelPendingWatch can cancel.
--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -126,7 +126,7 @@
 	record := streamversion.Record{
 		Key: c.streamKey(), Origin: streamversion.Origin{Service: c.service, Version: c.boundVersion()}, Expires: now.Add(c.streamLifetime()),
 	}
-	if !c.isUnrecorded && g.streams.deferRecord(now, record) {
+	if !c.isUnrecorded && g.streams.deferRecord(now, g.streams.unrecorded, record) {
 		c.isUnrecorded, c.deferredRecord = true, encodeStreamRecord(now, record)
 		return
 	}
@@ -140,10 +140,12 @@
 	if c.schedulerChoice != nil && !c.currentSend.Responded() {
 		scheduler = c.schedulerChoice.scheduler
 	}
-	replicas := g.streams.replicas()
-	writer := g.streams.storeWriter(now, replicas, record, scheduler)
-	receivers := g.streams.receivers(replicas, record.Key, scheduler, writer)
-	g.streams.distribute(now, record, receivers, writer)
+	writer, deliveries := g.streams.assign(now, record, scheduler)
+	var receivers []string
+	for _, delivery := range deliveries {
+		receivers = append(receivers, delivery.receiver)
+		g.streams.sendTo(now, delivery.receiver, delivery)
+	}
 	c.bufferLog(events.StreamOriginRecorded, events.Fields{"software": c.boundVersion(), "result": result.String(), "replicas": receivers, "scheduler": scheduler, "writer": writer})
 }
 
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -34,15 +34,12 @@
 func (s *streamVersions) storeAnswer(ctx context.Context, key streamversion.Key, service string, since time.Time) (streamversion.Answer, bool) {
 	for from := since; ; from = s.gateway.now() {
 		isRead, now := s.stored.read(ctx, from), s.gateway.now()
-		answer := s.own(now, key)
-		switch {
-		case answer.Origin != streamversion.Origin{}:
-			return answer, true
-		case !isRead:
-			return answer, false
-		case s.isConclusive(now, since, service):
-			answer.HasReadStore, answer.Only = true, s.provenOnly(now, since, service)
-			return answer, true
+		if answer := s.own(now, key); answer.Origin != (streamversion.Origin{}) || !isRead {
+			return answer, answer.Origin != streamversion.Origin{}
+		}
+		// Something may have been written during the read, so that the directory is not known to be as new.
+		if only, proven := s.provenOnly(now, since, service); proven {
+			return streamversion.Answer{HasReadStore: true, Only: only}, true
 		}
 	}
 }
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -76,14 +76,18 @@
 	store bool
 }
 
-// distribute sends a new record to the receivers, one of which may be the one that writes it to the store.
-func (s *streamVersions) distribute(now time.Time, record streamversion.Record, receivers []string, writer string) {
+// assign chooses the router that writes a new record to the store, which may be this one, and returns it and the deliveries of the record
+// to replicas. scheduler is the one that gets the record with its notice, empty if none does.
+func (s *streamVersions) assign(now time.Time, record streamversion.Record, scheduler string) (writer string, deliveries []undeliveredRecord) {
+	replicas := s.replicas()
+	writer = s.storeWriter(now, replicas, record, scheduler)
 	if writer == s.gateway.settings.PeerAddress {
 		s.stored.add(now, record)
 	}
-	for _, receiver := range receivers {
-		s.sendTo(now, receiver, undeliveredRecord{record: record, receiver: receiver, sentAt: now, store: receiver == writer})
+	for _, receiver := range s.receivers(replicas, record.Key, scheduler, writer) {
+		deliveries = append(deliveries, undeliveredRecord{record: record, receiver: receiver, sentAt: now, store: receiver == writer})
 	}
+	return writer, deliveries
 }
 
 // sendTo sends records to their receiver in one message.
@@ -320,21 +324,21 @@
 	if len(ask.GetKey()) != len(streamversion.Key{}) {
 		return &wire.StreamAnswer{}
 	}
-	key, hasReadStore := streamversion.Key(ask.GetKey()), false
-	since := now.Add(-time.Duration(ask.GetStoreAgeMillis()) * time.Millisecond)
-	if ask.GetStoreAgeMillis() > 0 {
-		hasReadStore, _, _ = s.stored.startRead(since)
-	}
-	if hasReadStore && !s.isConclusive(now, since, ask.GetService()) {
-		s.stored.startRead(now)
-		hasReadStore = false
+	var hasReadStore bool
+	var only string
+	if age := ask.GetStoreAgeMillis(); age > 0 {
+		since := now.Add(-time.Duration(age) * time.Millisecond)
+		if hasReadStore, _, _ = s.stored.startRead(since); hasReadStore {
+			if only, hasReadStore = s.provenOnly(now, since, ask.GetService()); !hasReadStore {
+				s.stored.startRead(now)
+			}
+		}
 	}
 	// The answer includes what was read, so it is composed after that is known.
+	key := streamversion.Key(ask.GetKey())
 	own := s.own(now, key)
-	message := &wire.StreamAnswer{Complete: s.hasAllRecords(now), StoreRead: hasReadStore}
-	if hasReadStore {
-		message.Only = s.provenOnly(now, since, ask.GetService())
-	}
+	// Routers of earlier builds ask whether the records are complete.
+	message := &wire.StreamAnswer{Complete: s.hasAllRecords(now), StoreRead: hasReadStore, Only: only}
 	if own.Origin != (streamversion.Origin{}) {
 		message.Record = encodeStreamRecord(now, streamversion.Record{Key: key, Origin: own.Origin, Expires: now})
 	}
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -243,25 +243,19 @@
 	return s.history.LastJoined(now, service)
 }
 
-// provenOnly returns the version at which all streams of the service began that lived at the time, empty if that is not
-// known. What this router lists proves nothing about streams that began after the time up to which its directory is known to be complete.
-func (s *streamVersions) provenOnly(now, at time.Time, service string) string {
-	if s.gateway.copies.provenAt(RunnerObjects).Before(at) || s.gateway.copies.hasPartialDirectory() {
-		return ""
-	}
+// provenOnly returns the version at which all streams of the service began that lived at the time, empty if there are several.
+// What this router lists proves nothing about streams that began after the time up to which its directory is known to be complete: it then
+// returns false.
+func (s *streamVersions) provenOnly(now, at time.Time, service string) (only string, proven bool) {
+	// The proof is read before the history, which is therefore at least as new.
+	proven = !s.gateway.copies.provenAt(RunnerObjects).Before(at) && !s.gateway.copies.hasPartialDirectory()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	only, _ := s.history.Only(now, service)
-	return only
-}
-
-// isConclusive reports whether a read of the store since the time has told all about the service. It has not if one version is listed and
-// something was written meanwhile, so that the list may have changed.
-func (s *streamVersions) isConclusive(now, at time.Time, service string) bool {
-	s.mutex.Lock()
-	_, isAlone := s.history.Only(now, service)
-	s.mutex.Unlock()
-	return !isAlone || s.provenOnly(now, at, service) != ""
+	only, isAlone := s.history.Only(now, service)
+	if isAlone && !proven {
+		return "", false
+	}
+	return only, true
 }
 
 // knowsVersion reports whether the version was listed within the window, as far as this router knows.
--- a/internal/gateway/unreadable.go
+++ b/internal/gateway/unreadable.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -56,9 +57,7 @@
 	logged.lines++
 	logged.faults[name] = fault
 	line := events.Fields{"kind": kind, "name": name, "fault": fault, "unlogged": logged.unlogged}
-	for key, value := range fields {
-		line[key] = value
-	}
+	maps.Copy(line, fields)
 	logged.unlogged = 0
 	l.gateway.log.Log(events.ObjectUnreadable, line)
 }
--- a/internal/gateway/unrecordedstreams.go
+++ b/internal/gateway/unrecordedstreams.go
@@ -11,14 +11,14 @@
 // their next event.
 const maxUnrecordedStreams = 1 << 14
 
-// deferRecord holds the record of a stream back if one version of its service serves, and returns false otherwise.
-func (s *streamVersions) deferRecord(now time.Time, record streamversion.Record) bool {
+// deferRecord holds the record of a stream back in the set if one version of its service serves, and returns false otherwise.
+func (s *streamVersions) deferRecord(now time.Time, set *streamversion.Unrecorded, record streamversion.Record) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.history.IsMixed(now, record.Origin.Service) {
 		return false
 	}
-	s.unrecorded.Add(record)
+	set.Add(record)
 	return true
 }
 
@@ -27,16 +27,7 @@
 func (s *streamVersions) receiveNotice(message *wire.StreamRecord) {
 	now := s.gateway.now()
 	record, valid := decodeStreamRecord(now, message)
-	if !valid {
-		return
-	}
-	s.mutex.Lock()
-	isMixed := s.history.IsMixed(now, record.Origin.Service)
-	if !isMixed {
-		s.placed.Add(record)
-	}
-	s.mutex.Unlock()
-	if isMixed {
+	if valid && !s.deferRecord(now, s.placed, record) {
 		s.keep(now, record)
 	}
 }
@@ -63,7 +54,7 @@
 
 // recordMixed records the streams whose service has several versions.
 func (s *streamVersions) recordMixed() {
-	now, replicas := s.gateway.now(), s.replicas()
+	now := s.gateway.now()
 	s.mutex.Lock()
 	isMixed := func(service string) bool { return s.history.IsMixed(now, service) }
 	records, placed := s.unrecorded.Take(now, isMixed), s.placed.Take(now, isMixed)
@@ -73,18 +64,15 @@
 		s.keep(now, record)
 		s.stored.add(now, record)
 	}
-	deliveries := map[string][]undeliveredRecord{}
+	batches := map[string][]undeliveredRecord{}
 	for _, record := range records {
 		s.keep(now, record)
-		writer := s.storeWriter(now, replicas, record, "")
-		if writer == s.gateway.settings.PeerAddress {
-			s.stored.add(now, record)
-		}
-		for _, receiver := range s.receivers(replicas, record.Key, "", writer) {
-			deliveries[receiver] = append(deliveries[receiver], undeliveredRecord{record: record, receiver: receiver, sentAt: now, store: receiver == writer})
+		_, deliveries := s.assign(now, record, "")
+		for _, delivery := range deliveries {
+			batches[delivery.receiver] = append(batches[delivery.receiver], delivery)
 		}
 	}
-	for receiver, batch := range deliveries {
+	for receiver, batch := range batches {
 		s.sendTo(now, receiver, batch...)
 	}
 }
