--- a/internal/backend/weighttargets.go
+++ b/internal/backend/weighttargets.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
+)
 
 // WeightState is the state of a weight version relative to its model's target version.
 type WeightState uint8
@@ -118,17 +122,10 @@
 // earliest returns the earlier of each pair of deadlines.
 func (d Deadlines) earliest(other Deadlines) Deadlines {
 	return Deadlines{
-		StaleAt:    earlierTime(d.StaleAt, other.StaleAt),
-		Expiry:     earlierTime(d.Expiry, other.Expiry),
-		WithdrawAt: earlierTime(d.WithdrawAt, other.WithdrawAt),
-	}
-}
-
-func earlierTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
+		StaleAt:    clock.Earlier(d.StaleAt, other.StaleAt),
+		Expiry:     clock.Earlier(d.Expiry, other.Expiry),
+		WithdrawAt: clock.Earlier(d.WithdrawAt, other.WithdrawAt),
 	}
-	return a
 }
 
 // Targets returns the target version of each model.
--- a/internal/clock/later.go
+++ b/internal/clock/later.go
@@ -9,3 +9,11 @@
 	}
 	return a
 }
+
+// Earlier returns the earlier one of two times.
+func Earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/gateway/checkpoints.go
+++ b/internal/gateway/checkpoints.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/clovertiller/clovertiller/internal/namings"
+	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
 
@@ -33,7 +33,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if lastIndex := len(c.recent) - 1; lastIndex >= 0 && c.recent[lastIndex].revision == added.revision {
-		c.recent[lastIndex].at = namings.Later(c.recent[lastIndex].at, added.at)
+		c.recent[lastIndex].at = clock.Later(c.recent[lastIndex].at, added.at)
 		return
 	}
 	if len(c.recent) == maxCheckpoints {
@@ -63,7 +63,7 @@
 	var latest time.Time
 	for _, entry := range c.recent {
 		if revision.WrittenAfter(entry.revision) {
-			latest = namings.Later(latest, entry.at)
+			latest = clock.Later(latest, entry.at)
 		}
 	}
 	return latest
--- a/internal/gateway/weightdeadline.go
+++ b/internal/gateway/weightdeadline.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/namings"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 )
@@ -33,7 +34,7 @@
 	proven := g.copies.provenAt(WeightObjects)
 	return namings.Observation{
 		LearnedAt: now, StartedAt: g.startedAt, StoreFailures: g.storeFailures.latestSpan(), SingleRouter: g.peerRouters.hasNoPeers(),
-		CopyCurrentAt: proven, NotNamedAt: namings.Later(proven, g.copies.checkpoints.latestBefore(revision)),
+		CopyCurrentAt: proven, NotNamedAt: clock.Later(proven, g.copies.checkpoints.latestBefore(revision)),
 	}
 }
 
@@ -62,5 +63,5 @@
 	if sentAt.Sub(f.span.Last) > maxLostWatchDelay {
 		f.span.First = sentAt
 	}
-	f.span.Last = namings.Later(f.span.Last, sentAt)
+	f.span.Last = clock.Later(f.span.Last, sentAt)
 }
--- a/internal/namings/history.go
+++ b/internal/namings/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // Bound is a lower bound on a naming time: neither the version of a model's weights nor a later one
@@ -105,13 +106,13 @@
 		return false
 	default:
 		if index > 0 {
-			bound.observation.NotNamedAt = Later(bound.observation.NotNamedAt, h.bounds[index-1].observation.NotNamedAt)
+			bound.observation.NotNamedAt = clock.Later(bound.observation.NotNamedAt, h.bounds[index-1].observation.NotNamedAt)
 		}
 		h.bounds = slices.Insert(h.bounds, index, bound)
 	}
 	// The bound also applies to later versions.
 	for i := index + 1; i < len(h.bounds); i++ {
-		h.bounds[i].observation.NotNamedAt = Later(h.bounds[i].observation.NotNamedAt, bound.observation.NotNamedAt)
+		h.bounds[i].observation.NotNamedAt = clock.Later(h.bounds[i].observation.NotNamedAt, bound.observation.NotNamedAt)
 	}
 	h.bounds = slices.Delete(h.bounds, 0, max(len(h.bounds)-maxBounds, 0))
 	return true
--- a/internal/namings/history_test.go
+++ b/internal/namings/history_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // testConfig allows older weights for 8 s, of which 0.75 s are the expiry margin.
@@ -164,12 +165,12 @@
 			observation := Observation{LearnedAt: namedAt[version-1], StartedAt: now.Add(-time.Hour), NotNamedAt: drawNotNamedAt(version, "not named at")}
 			if history.namedVersion > 0 {
 				observation.CopyCurrentAt = drawNotNamedAt(history.namedVersion+1, "copy current at")
-				observation.NotNamedAt = Later(observation.NotNamedAt, observation.CopyCurrentAt)
+				observation.NotNamedAt = clock.Later(observation.NotNamedAt, observation.CopyCurrentAt)
 			}
 			history.RecordNaming(version, observation)
 		}
 		for version := uint64(1); version < history.namedVersion; version++ {
-			latest := Later(namedAt[version].Add(olderWeightsLifetime), namedAt[history.namedVersion-1])
+			latest := clock.Later(namedAt[version].Add(olderWeightsLifetime), namedAt[history.namedVersion-1])
 			if expiry := expiryOf(history, version); expiry.After(latest) {
 				t.Fatalf("version %d expires %v after its replacement was named", version, expiry.Sub(namedAt[version]))
 			}
--- a/internal/namings/observation.go
+++ b/internal/namings/observation.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // expiryMargin is how long before the deadline of older weights routers stop sending requests to
@@ -93,7 +94,7 @@
 	if o.LearnedAt.IsZero() {
 		o, other = other, o
 	}
-	return o.withNotNamedAt(Later(o.NotNamedAt, other.NotNamedAt), o.Reported || other.Reported)
+	return o.withNotNamedAt(clock.Later(o.NotNamedAt, other.NotNamedAt), o.Reported || other.Reported)
 }
 
 // Span is the period from the first to the last of several failures. It is zero without failures.
@@ -105,27 +106,19 @@
 // weights would be used beyond the deadline by as long as the news was delayed.
 func OlderVersionDeadlines(c Config, observation Observation) backend.Deadlines {
 	deadlines := backend.Deadlines{StaleAt: observation.LearnedAt.Add(c.GracePeriod)}
-	settledAt := Later(observation.StartedAt, observation.StoreFailures.Last).Add(c.effectiveSettlePeriod())
+	settledAt := clock.Later(observation.StartedAt, observation.StoreFailures.Last).Add(c.effectiveSettlePeriod())
 	if observation.NotNamedAt.IsZero() {
-		expiry := Later(settledAt, observation.LearnedAt)
+		expiry := clock.Later(settledAt, observation.LearnedAt)
 		deadlines.Expiry, deadlines.WithdrawAt = expiry, expiry
 		return deadlines
 	}
 	namedAt := observation.NotNamedAt
 	if observation.storeUnavailable(c) {
 		// No weights can have been named while the store was unavailable.
-		namedAt = Later(namedAt, observation.StoreFailures.Last)
+		namedAt = clock.Later(namedAt, observation.StoreFailures.Last)
 	}
 	deadline := namedAt.Add(c.Deadline)
-	deadlines.Expiry = Later(settledAt, deadline.Add(-min(expiryMargin, c.Deadline/4)))
-	deadlines.WithdrawAt = Later(settledAt, deadline.Add(-min(withdrawalMargin, c.Deadline/8)))
+	deadlines.Expiry = clock.Later(settledAt, deadline.Add(-min(expiryMargin, c.Deadline/4)))
+	deadlines.WithdrawAt = clock.Later(settledAt, deadline.Add(-min(withdrawalMargin, c.Deadline/8)))
 	return deadlines
 }
-
-// Later returns the later of two times.
-func Later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/rolloutdriver/driver.go
+++ b/internal/rolloutdriver/driver.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/backend"
+	"github.com/clovertiller/clovertiller/internal/clock"
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/storerev"
 	"github.com/clovertiller/clovertiller/internal/versionrollout"
@@ -239,7 +240,7 @@
 		elapsed := min(max(time.Since(status.StartedAt), 0), object.Rollout.Order.Duration)
 		earliest = now.Add(-elapsed)
 		latest = earliest.Add(status.StartUncertainty + maxClockSkew)
-		return earliest.Add(-maxClockSkew), earlier(latest, now)
+		return earliest.Add(-maxClockSkew), clock.Earlier(latest, now)
 	}
 	if written := d.ports.Store.LatestBefore(object.Revision); !written.IsZero() && written.Before(now) {
 		return written, now
@@ -247,13 +248,6 @@
 	return now, now
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // enterState records a state. A final one stays, except that a stored success holds over a rollback that never was in
 // the store, as the old runners stop at the success. The mutex must be held.
 func (d *Driver) enterState(r *serviceRollout, state versionrollout.State, reason string) {
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // VersionSpan is the time during which a software version was listed among the runners of a service.
@@ -59,7 +61,7 @@
 		h.spans[span.Service] = versions
 	}
 	if known, found := versions[span.Version]; found {
-		span.First = earlier(known.First, span.First)
+		span.First = clock.Earlier(known.First, span.First)
 		if known.Last.After(span.Last) {
 			span.Last = known.Last
 		}
@@ -67,25 +69,11 @@
 	versions[span.Version] = span
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Merge adds the history of another observer, which lacks nothing since the time. An observer of longer standing knows better when the
 // versions were first listed, as the roster does not tell.
 func (h *History) Merge(since time.Time, spans []VersionSpan) {
 	isLonger := since.Before(h.since)
-	h.since = earlier(h.since, since)
+	h.since = clock.Earlier(h.since, since)
 	for _, span := range spans {
 		h.add(span)
 		if isLonger {
@@ -101,7 +89,7 @@
 // covers the window.
 func (h *History) MergeRoster(at time.Time, roster Roster) {
 	windowStart, covers := at.Add(-h.window), h.CoversWindow(at)
-	h.since = earlier(h.since, windowStart)
+	h.since = clock.Earlier(h.since, windowStart)
 	for service, versions := range roster {
 		if covers && h.knowsAll(service, versions) {
 			continue
@@ -168,7 +156,7 @@
 	for _, span := range h.spans[service] {
 		if h.isWithinWindow(now, span) {
 			count++
-			joinedAt = later(joinedAt, span.First)
+			joinedAt = clock.Later(joinedAt, span.First)
 		}
 	}
 	if count < 2 {
--- a/internal/streamversion/journal.go
+++ b/internal/streamversion/journal.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/clock"
 )
 
 // Segment is a part of a journal that is written to the store as one object.
@@ -104,7 +106,7 @@
 
 func (s *journalSegment) add(record Record) {
 	s.records = append(s.records, record)
-	s.expires = later(s.expires, record.Expires)
+	s.expires = clock.Later(s.expires, record.Expires)
 	s.change++
 }
 
