jsonsplit: one end of strings, one loop over parts, one reason for logs

integrity and internal/platform had copies of what jsonsplit and platform do: where a string ends, the elements under a key, and the bounded text of an error, which internal/platform cut inside a character. Arrays and objects were split by two loops, the envelopes of lists and watches read twice. Tests of the five packages and the gateway's of odd objects and cut responses pass.

--- a/internal/integrity/objects.go
+++ b/internal/integrity/objects.go
@@ -1,6 +1,10 @@
 package integrity
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/clovertiller/clovertiller/internal/jsonsplit"
+)
 
 // IsWholeObject reports whether the data is a JSON object and not only a part of one. Unlike json.Valid, it checks nothing else, so that
 // documents can be passed on without the time to decode them.
@@ -20,21 +24,8 @@
 				return i == len(data)-1
 			}
 		case '"':
-			i = endOfString(data, i+1)
+			i = jsonsplit.EndOfString(data, i) - 1
 		}
 	}
 	return false
 }
-
-// endOfString returns the index of the quote that ends the JSON string whose content begins at start, len(data) if there is none.
-func endOfString(data []byte, start int) int {
-	for i := start; i < len(data); i++ {
-		switch data[i] {
-		case '"':
-			return i
-		case '\\':
-			i++
-		}
-	}
-	return len(data)
-}
--- a/internal/jsonsplit/jsonsplit.go
+++ b/internal/jsonsplit/jsonsplit.go
@@ -22,52 +22,32 @@
 
 // Elements returns the elements of the array. They are not validated and may be empty.
 func Elements(array []byte) ([]json.RawMessage, error) {
-	s, err := open(array, '[')
-	if err != nil {
-		return nil, err
-	}
+	s := &scanner{text: array}
 	elements := []json.RawMessage{}
-	if s.skipSpace(); s.isAt(']') {
-		return elements, s.close()
-	}
-	for {
+	err := s.split('[', ']', func() error {
 		value, err := s.value()
-		if err != nil {
-			return nil, err
-		}
 		elements = append(elements, value)
-		if s.isAt(']') {
-			return elements, s.close()
-		}
-		if err := s.expect(','); err != nil {
-			return nil, err
-		}
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
+	return elements, nil
 }
 
 // Members returns the members of the object in the order of the text, with repeated keys.
 func Members(object []byte) ([]Member, error) {
-	s, err := open(object, '{')
-	if err != nil {
-		return nil, err
-	}
+	s := &scanner{text: object}
 	members := make([]Member, 0, usualMembers)
-	if s.skipSpace(); s.isAt('}') {
-		return members, s.close()
-	}
-	for {
+	err := s.split('{', '}', func() error {
 		member, err := s.member()
-		if err != nil {
-			return nil, err
-		}
 		members = append(members, member)
-		if s.isAt('}') {
-			return members, s.close()
-		}
-		if err := s.expect(','); err != nil {
-			return nil, err
-		}
+		return err
+	})
+	if err != nil {
+		return nil, err
 	}
+	return members, nil
 }
 
 // Find returns the value of the last member with the key, as most decoders do, or nil if there is none. Keys are
@@ -81,6 +61,15 @@
 	return nil
 }
 
+// FindElements returns the elements of the array with the key, none if there is no such array.
+func FindElements(members []Member, key string) ([]json.RawMessage, error) {
+	array := Find(members, key)
+	if array == nil || string(array) == "null" {
+		return nil, nil
+	}
+	return Elements(array)
+}
+
 func (m Member) hasKey(key string) bool {
 	if unquoted := m.Key[1 : len(m.Key)-1]; bytes.IndexByte(unquoted, '\\') < 0 {
 		return string(unquoted) == key
@@ -100,11 +89,26 @@
 	open []byte
 }
 
-// open returns a scanner after the opening bracket.
-func open(text []byte, bracket byte) (*scanner, error) {
-	s := &scanner{text: text}
+// split reads the array or object, and each of its parts by calling part.
+func (s *scanner) split(opening, closing byte, part func() error) error {
 	s.skipSpace()
-	return s, s.expect(bracket)
+	if err := s.expect(opening); err != nil {
+		return err
+	}
+	if s.skipSpace(); s.isAt(closing) {
+		return s.close()
+	}
+	for {
+		if err := part(); err != nil {
+			return err
+		}
+		if s.isAt(closing) {
+			return s.close()
+		}
+		if err := s.expect(','); err != nil {
+			return err
+		}
+	}
 }
 
 // close ends the text at its closing bracket.
@@ -167,7 +171,7 @@
 	for i := start; i < len(text); i++ {
 		switch char := text[i]; char {
 		case '"':
-			i = endOfString(text, i) - 1
+			i = EndOfString(text, i) - 1
 		case '[':
 			open = append(open, ']')
 		case '{':
@@ -192,15 +196,15 @@
 
 // skipString skips the string that begins at the position.
 func (s *scanner) skipString() error {
-	if s.position = endOfString(s.text, s.position); s.position > len(s.text) {
+	if s.position = EndOfString(s.text, s.position); s.position > len(s.text) {
 		return s.unexpected()
 	}
 	return nil
 }
 
-// endOfString returns the position after the string that begins at the start, more than the length of the text if it is not
+// EndOfString returns the position after the string that begins at the start, more than the length of the text if it is not
 // closed.
-func endOfString(text []byte, start int) int {
+func EndOfString(text []byte, start int) int {
 	for i := start + 1; i < len(text); i++ {
 		switch text[i] {
 		case '"':
--- a/internal/platform/decode.go
+++ b/internal/platform/decode.go
@@ -9,9 +9,6 @@
 	"github.com/clovertiller/clovertiller/internal/jsonsplit"
 )
 
-// maxFaultBytes bounds the reason why an object is not used. Errors of decoders repeat parts of the object.
-const maxFaultBytes = 200
-
 // decodeList decodes the response to a list. Each object is decoded by itself, so that one that cannot be decoded does not
 // make the others unusable.
 func decodeList(body []byte, list *List) error {
@@ -35,11 +32,7 @@
 	if err := json.Unmarshal(jsonsplit.Find(members, "revision"), &revision); err != nil {
 		return 0, nil, trace.BadParameter("revision: %v", err)
 	}
-	array := jsonsplit.Find(members, key)
-	if array == nil || string(array) == "null" {
-		return revision, nil, nil
-	}
-	elements, err := jsonsplit.Elements(array)
+	elements, err := jsonsplit.FindElements(members, key)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -63,7 +56,6 @@
 			_ = json.Unmarshal(jsonsplit.Find(members, key), field)
 		}
 	}
-	fault := err.Error()
-	object.Fault = fault[:min(len(fault), maxFaultBytes)]
+	object.Fault = jsonsplit.Reason(err)
 	return object
 }
