faultproxy: a cut link forwards nothing any more, also in the other direction

One package serves connections in tests of responses that stop: five tests had the same server, three of them one connection after the other, so that one which a client did not use held up the rest.

--- a/internal/engineapi/cutresponses_test.go
+++ b/internal/engineapi/cutresponses_test.go
@@ -1,41 +1,16 @@
 package engineapi
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-)
 
-// startCutEngine starts an engine that answers each request with the beginning of the response and then closes the connection.
-func startCutEngine(t *testing.T, response string) (address string, setLength func(int)) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { listener.Close() })
-	lengths := make(chan int, 1)
-	go func() {
-		for length := range lengths {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, response[:length])
-			}
-			conn.Close()
-		}
-	}()
-	t.Cleanup(func() { close(lengths) })
-	return listener.Addr().String(), func(n int) { lengths <- n }
-}
+	"github.com/clovertiller/clovertiller/internal/lab/cutserver"
+)
 
 // Guards against lists, events, refusals and confirmations of an engine that are taken for whole although their response stopped at any byte.
 func TestEngineResponseThatStopsAtAnyByteIsNotWhole(t *testing.T) {
@@ -91,10 +66,10 @@
 			}, func(response string) int { return len(response) - len("\r\n0\r\n\r\n") },
 		},
 	} {
-		address, setLength := startCutEngine(t, test.response)
+		engine := cutserver.Start(t)
 		for n := range len(test.response) + 1 {
-			setLength(n)
-			g.Expect(test.call(address)).To(Equal(n >= test.wholeAt(test.response)), "%s, %d of %d bytes", name, n, len(test.response))
+			engine.Set(test.response[:n], false)
+			g.Expect(test.call(engine.Address)).To(Equal(n >= test.wholeAt(test.response)), "%s, %d of %d bytes", name, n, len(test.response))
 		}
 	}
 }
@@ -109,11 +84,10 @@
 	t.Parallel()
 	g := NewWithT(t)
 	const response = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 19\r\n\r\n{\"code\":\"draining\"}"
-	address, setLength := startCutEngine(t, response)
-	setLength(len(response))
-	_, err := NewClient().Blocks(context.Background(), address)
+	engine := cutserver.Start(t)
+	engine.Set(response, false)
+	_, err := NewClient().Blocks(context.Background(), engine.Address)
 	g.Expect(err).To(HaveOccurred())
-	setLength(len(response))
-	err = NewClient().Events(context.Background(), address, time.Second, func(event *CacheEvent) { t.Errorf("event %+v", event) })
+	err = NewClient().Events(context.Background(), engine.Address, time.Second, func(event *CacheEvent) { t.Errorf("event %+v", event) })
 	g.Expect(err).To(HaveOccurred())
 }
--- a/internal/gateway/cutresponses_test.go
+++ b/internal/gateway/cutresponses_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/clovertiller/clovertiller/internal/gateway"
+	"github.com/clovertiller/clovertiller/internal/lab/cutserver"
 	"github.com/clovertiller/clovertiller/internal/lab/faultproxy"
 	"github.com/clovertiller/clovertiller/internal/lab/loopback"
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
@@ -39,29 +40,17 @@
 
 // scriptedRunner starts a scripted runner of the service and adds it to the directory.
 func (f *fleet) scriptedRunner(id, service string) *scriptedRunner {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	f.g.Expect(err).NotTo(HaveOccurred())
-	f.t.Cleanup(func() { listener.Close() })
 	s := &scriptedRunner{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn))
-		}
-	}()
+	address := cutserver.Listen(f.t, s.serve)
 	f.store.Put(platform.KindRunners, id, map[string]any{
-		"service": service, "address": listener.Addr().String(), "zone": "z", "version": runnerstand.DefaultSoftwareVersion, "slots": 8, "state": "ready",
+		"service": service, "address": address, "zone": "z", "version": runnerstand.DefaultSoftwareVersion, "slots": 8, "state": "ready",
 		"models": []map[string]any{{"name": modelName, "version": 1, "adapters": []string{}}}, "cold_remaining_ms": 0, "seq": 0,
 	})
 	return s
 }
 
-// serve serves one request, and closes the connection.
+// serve serves one request.
 func (s *scriptedRunner) serve(conn *net.TCPConn) {
-	defer conn.Close()
 	request, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
--- a/internal/lab/faultproxy/cut_test.go
+++ b/internal/lab/faultproxy/cut_test.go
@@ -6,41 +6,31 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/clovertiller/clovertiller/internal/lab/cutserver"
 )
 
 // startReverser starts a server that reads requests of 5 bytes and answers each with 10 bytes. It passes on what it has read of each
 // connection.
-func startReverser(g *WithT, t *testing.T) (address string, received chan string) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Cleanup(func() { listener.Close() })
+func startReverser(t *testing.T) (address string, received chan string) {
 	received = make(chan string, 100)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request := make([]byte, 5)
-				n, err := io.ReadFull(conn, request)
-				received <- string(request[:n])
-				if err == nil {
-					_, _ = conn.Write([]byte("0123456789"))
-					_, _ = io.Copy(io.Discard, conn)
-				}
-			}()
+	address = cutserver.Listen(t, func(conn *net.TCPConn) {
+		request := make([]byte, 5)
+		n, err := io.ReadFull(conn, request)
+		received <- string(request[:n])
+		if err == nil {
+			_, _ = conn.Write([]byte("0123456789"))
+			_, _ = io.Copy(io.Discard, conn)
 		}
-	}()
-	return listener.Addr().String(), received
+	})
+	return address, received
 }
 
 // Guards against cuts that forward more or fewer bytes than asked for, that affect the other direction or other connections, or that
 // end a connection otherwise.
 func TestCutEndsConnectionsAfterTheBytes(t *testing.T) {
 	g := NewWithT(t)
-	address, received := startReverser(g, t)
+	address, received := startReverser(t)
 	proxy, err := Start(address)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer proxy.Close()
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -92,10 +92,11 @@
 	group          string
 	muted          bool
 	// cut applies to the link, nil for none, and cutLeft is the number of bytes until then. begun is set once the client has sent
-	// something.
+	// something, and ended once the last bytes before the cut are forwarded.
 	cut     *Cut
 	cutLeft int
 	begun   bool
+	ended   bool
 }
 
 // Start starts a proxy on a free loopback address that forwards to the server, an IP:port.
@@ -156,12 +157,17 @@
 			l.cut, l.cutLeft = p.cut, p.cut.Bytes
 		}
 	}
+	if l.ended {
+		// The peer may answer the last bytes before the connections end.
+		return nil, false
+	}
 	if l.cut == nil || l.cut.Requests == isResponse || len(data) < l.cutLeft {
 		if l.cut != nil && l.cut.Requests != isResponse {
 			l.cutLeft -= len(data)
 		}
 		return data, false
 	}
+	l.ended = true
 	return data[:l.cutLeft], true
 }
 
--- a/internal/platform/cutresponses_test.go
+++ b/internal/platform/cutresponses_test.go
@@ -1,18 +1,15 @@
 package platform
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"testing"
 
 	. "github.com/onsi/gomega"
 
 	v1 "github.com/clovertiller/clovertiller/api/v1"
+	"github.com/clovertiller/clovertiller/internal/lab/cutserver"
 )
 
 // Guards against lists, objects, changes and refused writes of the platform that are taken for whole although their response stopped at any
@@ -20,27 +17,8 @@
 func TestResponseThatStopsAtAnyByteIsNotWhole(t *testing.T) {
 	t.Parallel()
 	g, ctx := NewWithT(t), context.Background()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	parts := make(chan string, 1)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			// The client may open connections that it does not use.
-			go func() {
-				defer conn.Close()
-				if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, request.Body)
-					_, _ = io.WriteString(conn, <-parts)
-				}
-			}()
-		}
-	}()
-	client := NewClient(listener.Addr().String())
+	server := cutserver.Start(t)
+	client := NewClient(server.Address)
 	for name, test := range map[string]struct {
 		status, body string
 		call         func() (whole bool)
@@ -73,7 +51,7 @@
 			}
 			// A message of a watch is whole with its line, before the end of its chunk.
 			for n := 1; n <= len(text+framing.end); n++ {
-				parts <- (text + framing.end)[:n]
+				server.Set((text + framing.end)[:n], false)
 				g.Expect(test.call()).To(Equal(n >= wholeFrom), "%s, %d of %d bytes", name, n, wholeFrom)
 			}
 		}
