Tests of routers out of step: one set-up behind links, one loop over the numbers of seeds

Three tests built a router behind links to the seeds, a fourth one in streamloss_test.go too, and six ran the same loop. The router that stands still is the one that lists a version late.

--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -22,7 +22,7 @@
 	// others are the remaining seeds and two more routers.
 	outOfStep *router
 	others    []*router
-	links     []*faultproxy.Proxy
+	links     links
 }
 
 // newOutOfStepFleet starts the routers and runners of one version. The router out of step is one of the seeds.
@@ -71,19 +71,6 @@
 	return o
 }
 
-// cutLinks makes the links between the router and all others silent.
-func (o *outOfStepFleet) cutLinks() {
-	for _, link := range o.links {
-		link.SetMode(faultproxy.Blackhole)
-	}
-}
-
-func (o *outOfStepFleet) healLinks() {
-	for _, link := range o.links {
-		link.SetMode(faultproxy.Pass)
-	}
-}
-
 // joinSecondVersion starts runners of a second version, and waits until the routers know them.
 func (o *outOfStepFleet) joinSecondVersion(routers ...*router) {
 	o.versionedEngines("v2", 3)
@@ -128,6 +115,17 @@
 // outOfStepSeeds are the numbers of seeds of the cases below.
 var outOfStepSeeds = []int{1, 2, 3}
 
+// forEachSeedCount runs the test in a fleet with each number of seeds.
+func forEachSeedCount(t *testing.T, test func(o *outOfStepFleet)) {
+	t.Parallel()
+	for _, seeds := range outOfStepSeeds {
+		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
+			t.Parallel()
+			test(newOutOfStepFleet(t, seeds))
+		})
+	}
+}
+
 // Guards against streams that go on at another software version, or are refused, at a seed that is cut off all other routers
 // while runners of a second version join: it has no record of streams that began elsewhere, and took that for evidence.
 func TestStreamsGoOnAtRouterCutOffTheOthers(t *testing.T) {
@@ -137,7 +135,7 @@
 			t.Run(fmt.Sprint(seeds, " seeds, ", name), func(t *testing.T) {
 				t.Parallel()
 				o := newOutOfStepFleet(t, seeds)
-				o.cutLinks()
+				o.links.setMode(faultproxy.Blackhole)
 				o.joinSecondVersion(append(o.others, o.outOfStep)...)
 				streams := o.openStreams()
 				time.Sleep(pause)
@@ -149,23 +147,17 @@
 
 // Guards against the same where each caller comes back at once: the record is on its way to the store.
 func TestStreamsTakenUpAtOnceGoOnAtRouterCutOffTheOthers(t *testing.T) {
-	t.Parallel()
-	for _, seeds := range outOfStepSeeds {
-		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
-			t.Parallel()
-			o := newOutOfStepFleet(t, seeds)
-			o.cutLinks()
-			o.joinSecondVersion(append(o.others, o.outOfStep)...)
-			total := takeUps{}
-			for i := range streamsPerCase {
-				stream := o.others[0].openStream(fmt.Sprintf("aa%d:100,bb%d:50", i, i), 2)
-				result := takeUpAll([]openedStream{stream}, o.outOfStep)
-				total.total, total.goneOn, total.mixed = total.total+1, total.goneOn+result.goneOn, total.mixed+result.mixed
-				total.failures = append(total.failures, result.failures...)
-			}
-			o.expectTaken(total)
-		})
-	}
+	forEachSeedCount(t, func(o *outOfStepFleet) {
+		o.links.setMode(faultproxy.Blackhole)
+		o.joinSecondVersion(append(o.others, o.outOfStep)...)
+		total := takeUps{}
+		for i := range streamsPerCase {
+			stream := o.others[0].openStream(fmt.Sprintf("aa%d:100,bb%d:50", i, i), 2)
+			result := takeUpAll([]openedStream{stream}, o.outOfStep)
+			total.add(result)
+		}
+		o.expectTaken(total)
+	})
 }
 
 // Guards against the same at a router that is no seed.
@@ -175,7 +167,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			o := startOutOfStepFleet(t, streamSeeds, false)
-			o.cutLinks()
+			o.links.setMode(faultproxy.Blackhole)
 			o.joinSecondVersion(append(o.others, o.outOfStep)...)
 			streams := o.openStreams()
 			time.Sleep(pause)
@@ -186,50 +178,35 @@
 
 // Guards against streams that begin at a seed while it is cut off the others, and mix or are refused there once it is lost.
 func TestStreamsOfARouterCutOffTheOthersGoOnElsewhere(t *testing.T) {
-	t.Parallel()
-	for _, seeds := range outOfStepSeeds {
-		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
-			t.Parallel()
-			o := newOutOfStepFleet(t, seeds)
-			o.cutLinks()
-			o.joinSecondVersion(append(o.others, o.outOfStep)...)
-			streams := o.outOfStep.openStreams(streamsPerCase)
-			time.Sleep(500 * time.Millisecond)
-			o.outOfStep.Kill()
-			o.expectTaken(takeUpAll(streams, o.others...))
-		})
-	}
+	forEachSeedCount(t, func(o *outOfStepFleet) {
+		o.links.setMode(faultproxy.Blackhole)
+		o.joinSecondVersion(append(o.others, o.outOfStep)...)
+		streams := o.outOfStep.openStreams(streamsPerCase)
+		time.Sleep(500 * time.Millisecond)
+		o.outOfStep.Kill()
+		o.expectTaken(takeUpAll(streams, o.others...))
+	})
 }
 
 // Guards against the same at a router that is cut off the others and the store: nothing tells it where streams began.
 func TestStreamsDoNotMixAtRouterCutOffEverything(t *testing.T) {
-	t.Parallel()
-	for _, seeds := range outOfStepSeeds {
-		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
-			t.Parallel()
-			o := newOutOfStepFleet(t, seeds)
-			o.cutLinks()
-			o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
-			o.joinSecondVersion(o.others...)
-			streams := o.openStreams()
-			result := takeUpAll(streams, o.outOfStep)
-			o.g.Expect(result.mixed).To(BeZero(), "%+v", result)
-		})
-	}
+	forEachSeedCount(t, func(o *outOfStepFleet) {
+		o.links.setMode(faultproxy.Blackhole)
+		o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
+		o.joinSecondVersion(o.others...)
+		streams := o.openStreams()
+		result := takeUpAll(streams, o.outOfStep)
+		o.g.Expect(result.mixed).To(BeZero(), "%+v", result)
+	})
 }
 
 // Guards against the same at a seed that the store alone refuses: the others tell it.
 func TestStreamsGoOnAtSeedThatTheStoreRefuses(t *testing.T) {
-	t.Parallel()
-	for _, seeds := range outOfStepSeeds {
-		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
-			t.Parallel()
-			o := newOutOfStepFleet(t, seeds)
-			o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
-			o.joinSecondVersion(append(o.others, o.outOfStep)...)
-			o.expectTaken(takeUpAgain(o.openStreams(), o.outOfStep))
-		})
-	}
+	forEachSeedCount(t, func(o *outOfStepFleet) {
+		o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
+		o.joinSecondVersion(append(o.others, o.outOfStep)...)
+		o.expectTaken(takeUpAgain(o.openStreams(), o.outOfStep))
+	})
 }
 
 // Guards against streams that are refused because their router was lost, or stood still, before a second version joined, and had recorded
@@ -250,43 +227,33 @@
 
 // Guards against streams that are refused because their records waited at a seed which the store refuses, and which was lost.
 func TestStreamsGoOnAfterLossOfASeedThatTheStoreRefuses(t *testing.T) {
-	t.Parallel()
-	for _, seeds := range outOfStepSeeds {
-		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
-			t.Parallel()
-			o := newOutOfStepFleet(t, seeds)
-			o.joinSecondVersion(append(o.others, o.outOfStep)...)
-			o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
-			served, left := o.others[len(o.others)-1], o.others[:len(o.others)-1]
-			served.openStreams(2)
-			time.Sleep(500 * time.Millisecond)
-			streams := served.openStreams(streamsPerCase)
-			time.Sleep(500 * time.Millisecond)
-			o.outOfStep.Kill()
-			served.Kill()
-			o.expectTaken(takeUpAll(streams, left...))
-		})
-	}
+	forEachSeedCount(t, func(o *outOfStepFleet) {
+		o.joinSecondVersion(append(o.others, o.outOfStep)...)
+		o.outOfStep.storeEndpoint.SetFault(storestand.Busy)
+		served, left := o.others[len(o.others)-1], o.others[:len(o.others)-1]
+		served.openStreams(2)
+		time.Sleep(500 * time.Millisecond)
+		streams := served.openStreams(streamsPerCase)
+		time.Sleep(500 * time.Millisecond)
+		o.outOfStep.Kill()
+		served.Kill()
+		o.expectTaken(takeUpAll(streams, left...))
+	})
 }
 
 // Guards against the same at a router that has stood still: it has heard neither of the second version nor of the streams when
 // callers take these up there.
 func TestStreamsDoNotMixAtRouterThatStoodStill(t *testing.T) {
-	t.Parallel()
-	for _, seeds := range outOfStepSeeds {
-		t.Run(fmt.Sprint(seeds, " seeds"), func(t *testing.T) {
-			t.Parallel()
-			o := newOutOfStepFleet(t, seeds)
-			o.cutLinks()
-			o.outOfStep.storeEndpoint.SetFault(storestand.Hangs)
-			o.joinSecondVersion(o.others...)
-			streams := o.openStreams()
-			time.Sleep(500 * time.Millisecond)
-			o.healLinks()
-			o.outOfStep.storeEndpoint.SetFault(storestand.Healthy)
-			o.expectTaken(takeUpAgain(streams, o.outOfStep))
-		})
-	}
+	forEachSeedCount(t, func(o *outOfStepFleet) {
+		o.links.setMode(faultproxy.Blackhole)
+		o.outOfStep.storeEndpoint.SetFault(storestand.Hangs)
+		o.joinSecondVersion(o.others...)
+		streams := o.openStreams()
+		time.Sleep(500 * time.Millisecond)
+		o.links.setMode(faultproxy.Pass)
+		o.outOfStep.storeEndpoint.SetFault(storestand.Healthy)
+		o.expectTaken(takeUpAgain(streams, o.outOfStep))
+	})
 }
 
 // Guards against the same at a router to which the store's list of runners is told late, when the stream's record is lost: the list shows one
@@ -294,7 +261,7 @@
 func TestStreamsDoNotMixWithAnOldDirectory(t *testing.T) {
 	t.Parallel()
 	o := newOutOfStepFleet(t, 1)
-	o.cutLinks()
+	o.links.setMode(faultproxy.Blackhole)
 	o.outOfStep.storeEndpoint.SetReplicaRevision(o.store.Revision(), platform.KindRunners)
 	o.joinSecondVersion(o.others...)
 	for _, r := range o.others {
@@ -317,20 +284,12 @@
 			f.configure(1, defaultRoutes(), validKey)
 			first := f.versionedEngines("v1", 3)
 			s := newStreamFleet(f, streamSeeds, len(first))
-			var links []*faultproxy.Proxy
-			var addresses []string
-			for _, address := range s.addresses {
-				link := f.proxyTo(address)
-				links, addresses = append(links, link), append(addresses, link.Address)
-			}
-			served := f.startVersionedRouter("served", loopback.FreeAddress(), addresses, len(first), true)
+			served, toSeeds := s.startLinked("served", len(first))
 			time.Sleep(loneVersionTime)
 			for _, seed := range s.routers {
 				seed.storeEndpoint.SetFault(storestand.Busy)
 			}
-			for _, link := range links {
-				link.SetMode(faultproxy.Blackhole)
-			}
+			toSeeds.setMode(faultproxy.Blackhole)
 			second := f.versionedEngines("v2", 3)
 			served.awaitRunners(len(first) + len(second))
 			streams := served.openStreams(streamsPerCase)
@@ -348,41 +307,33 @@
 	veryLateListing = 900 * time.Millisecond
 )
 
-// lateOrigin is a new system with a router that has begun streams of the first version, and lists a second one later than the seeds.
+// lateOrigin is a new system with a router that has begun streams of the first version and hears nothing, while the seeds list a second one.
 type lateOrigin struct {
 	*streamFleet
 	streams []openedStream
+	// goOn ends the router's silence.
+	goOn func()
 }
 
 // newLateOrigin returns once the seeds list the second version.
-func newLateOrigin(t *testing.T, delay time.Duration) *lateOrigin {
+func newLateOrigin(t *testing.T) *lateOrigin {
 	f := newFleet(t)
 	f.configure(1, defaultRoutes(), validKey)
 	first := f.versionedEngines("v1", 3)
 	o := &lateOrigin{streamFleet: newStreamFleet(f, streamSeeds, len(first))}
-	var links []*faultproxy.Proxy
-	var addresses []string
-	for _, address := range o.addresses {
-		link := f.proxyTo(address)
-		links, addresses = append(links, link), append(addresses, link.Address)
-	}
-	origin := f.startVersionedRouter("origin", loopback.FreeAddress(), addresses, len(first), true)
+	origin, toSeeds := o.startLinked("origin", len(first))
 	time.Sleep(loneVersionTime)
 	o.streams = origin.openStreams(streamsPerCase)
 	origin.storeEndpoint.SetFault(storestand.Hangs)
-	for _, link := range links {
-		link.SetMode(faultproxy.Stall)
-	}
+	toSeeds.setMode(faultproxy.Stall)
 	f.versionedEngines("v2", 3)
 	for _, r := range o.routers {
 		r.awaitRunners(6)
 	}
-	time.AfterFunc(delay, func() {
+	o.goOn = func() {
 		origin.storeEndpoint.SetFault(storestand.Healthy)
-		for _, link := range links {
-			link.SetMode(faultproxy.Pass)
-		}
-	})
+		toSeeds.setMode(faultproxy.Pass)
+	}
 	return o
 }
 
@@ -390,7 +341,8 @@
 // need.
 func TestStreamsWhoseRecordsFollowAreRefusedWithATimeToReturn(t *testing.T) {
 	t.Parallel()
-	o := newLateOrigin(t, veryLateListing)
+	o := newLateOrigin(t)
+	time.AfterFunc(veryLateListing, o.goOn)
 	for i, stream := range o.streams[:len(o.routers)] {
 		got := o.routers[i].takeUp(stream)
 		if got.status == http.StatusServiceUnavailable {
@@ -405,7 +357,8 @@
 // a moment later than others, and gives the records of its streams to them then.
 func TestStreamsGoOnWhenTheirRouterListsASecondVersionLater(t *testing.T) {
 	t.Parallel()
-	o := newLateOrigin(t, lateListing)
+	o := newLateOrigin(t)
+	time.AfterFunc(lateListing, o.goOn)
 	results := make([]takeUps, len(o.streams))
 	var group sync.WaitGroup
 	for i, stream := range o.streams {
@@ -414,8 +367,24 @@
 	group.Wait()
 	var total takeUps
 	for _, result := range results {
-		total.total, total.goneOn, total.mixed = total.total+1, total.goneOn+result.goneOn, total.mixed+result.mixed
-		total.failures = append(total.failures, result.failures...)
+		total.add(result)
 	}
 	o.expectTaken(total)
 }
+
+// Guards against streams that are refused for good while their router stands still: it lists the second version, and gives the records of
+// its streams to others, once it goes on.
+func TestStreamsOfARouterThatStandsStillAreNotRefusedForGood(t *testing.T) {
+	t.Parallel()
+	o := newLateOrigin(t)
+	final := 0
+	for i, stream := range o.streams {
+		if got := o.routers[i%len(o.routers)].takeUp(stream); got.status != http.StatusOK && got.header.Get("Retry-After") == "" {
+			final++
+		}
+	}
+	o.goOn()
+	time.Sleep(2 * time.Second)
+	later := takeUpAll(o.streams, o.routers...)
+	o.g.Expect(final).To(BeZero(), "streams refused for good, of %d; after the router went on: %+v", len(o.streams), later)
+}
--- a/internal/gateway/streamloss_test.go
+++ b/internal/gateway/streamloss_test.go
@@ -42,6 +42,25 @@
 	return s
 }
 
+// links are proxies whose mode is changed together.
+type links []*faultproxy.Proxy
+
+func (l links) setMode(mode faultproxy.Mode) {
+	for _, link := range l {
+		link.SetMode(mode)
+	}
+}
+
+// startLinked starts a router that reaches the seeds through links.
+func (s *streamFleet) startLinked(name string, runners int) (r *router, toSeeds links) {
+	var seeds []string
+	for _, address := range s.addresses[:streamSeeds] {
+		link := s.proxyTo(address)
+		toSeeds, seeds = append(toSeeds, link), append(seeds, link.Address)
+	}
+	return s.startVersionedRouter(name, loopback.FreeAddress(), seeds, runners, true), toSeeds
+}
+
 // newLoneStreamFleet starts five routers for the first time, and count runners of one version.
 func newLoneStreamFleet(t *testing.T, count int) (s *streamFleet, first []*runnerstand.Runner) {
 	f := newFleet(t)
@@ -174,20 +193,12 @@
 func TestStreamsOfARouterCutOffTheSeedsDoNotMix(t *testing.T) {
 	t.Parallel()
 	s, first := newLoneStreamFleet(t, 3)
-	var proxies []*faultproxy.Proxy
-	var seeds []string
-	for _, address := range s.addresses[:streamSeeds] {
-		proxy := s.proxyTo(address)
-		proxies, seeds = append(proxies, proxy), append(seeds, proxy.Address)
-	}
-	lost := s.startVersionedRouter("lost", loopback.FreeAddress(), seeds, len(first), true)
+	lost, toSeeds := s.startLinked("lost", len(first))
 	time.Sleep(loneVersionTime)
 	count := len(first) + len(s.versionedEngines("v2", 3))
 	s.awaitRunners(count)
 	lost.awaitRunners(count)
-	for _, proxy := range proxies {
-		proxy.SetMode(faultproxy.Reset)
-	}
+	toSeeds.setMode(faultproxy.Reset)
 	time.Sleep(500 * time.Millisecond)
 	streams := lost.openStreams(streamsPerCase)
 	s.awaitStored()
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -152,6 +152,12 @@
 	return result
 }
 
+// add adds another count.
+func (t *takeUps) add(other takeUps) {
+	t.total, t.goneOn, t.mixed = t.total+other.total, t.goneOn+other.goneOn, t.mixed+other.mixed
+	t.failures = append(t.failures, other.failures...)
+}
+
 // openStreams opens count streams with different prompts at the router.
 func (r *router) openStreams(count int) (streams []openedStream) {
 	for i := range count {
