--- a/internal/gateway/outofstep_test.go
+++ b/internal/gateway/outofstep_test.go
@@ -256,8 +256,8 @@
 	})
 }
 
-// Guards against the same at a router to which the store's list of runners is told late, when the stream's record is lost: the list shows one
-// version, and the store has been read since.
+// Guards against the same at a router whose watch of the runners is served by a replica that lags behind, when the stream's record is lost: one
+// version is listed, and the store has been read since.
 func TestStreamsDoNotMixWithAnOldDirectory(t *testing.T) {
 	t.Parallel()
 	o := newOutOfStepFleet(t, 1)
@@ -307,7 +307,7 @@
 	veryLateListing = 900 * time.Millisecond
 )
 
-// lateOrigin is a new system with a router that has begun streams of the first version and hears nothing, while the seeds list a second one.
+// lateOrigin is a new system with a router that has begun streams of the first version and receives nothing, while the seeds list a second one.
 type lateOrigin struct {
 	*streamFleet
 	streams []openedStream
