--- a/hack/demo.sh
+++ b/hack/demo.sh
@@ -11,6 +11,8 @@
   [ -s "$out/pid" ] && pids+=("$(cat "$out/pid")")
   kill "${pids[@]}" $(jobs -p) 2>/dev/null || true
   wait 2>/dev/null || true
+  # The restarted router is no child of this shell.
+  if [ -s "$out/pid" ]; then while kill -0 "$(cat "$out/pid")" 2>/dev/null; do sleep 0.05; done; fi
   # Keep the logs of a failed run.
   if [ "${code:-1}" != 0 ]; then mkdir -p out && rm -rf out/demo-failed && cp -r "$out" out/demo-failed; fi
   rm -rf "$out"
