--- a/review/rig2/idle.go
+++ b/review/rig2/idle.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/lab/runnerstand"
@@ -21,6 +22,8 @@
 	maxDescriptors = 4100
 	zoneRate       = 147.0
 	idleContact    = 4 * time.Second
+	// minOwnDescriptors is the number of descriptors that the clients need for their ends of the connections.
+	minOwnDescriptors = 12000
 	// minTrying is the number of clients that have to try meanwhile.
 	minTrying  = 7
 	answerTime = 3 * time.Second
@@ -47,6 +50,10 @@
 
 // playIdle lets each request come on a new connection, which its client leaves open but does not use again. Three of five machines are lost.
 func playIdle(d *deployment, trouble bool) (verdict, error) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Max < minOwnDescriptors {
+		return verdict{}, fmt.Errorf("the clients need %d descriptors, and the limit is %d", minOwnDescriptors, limit.Max)
+	}
 	useQamarBounds(d)
 	for i := range 3 {
 		if _, err := d.addRunner(runnerstand.Config{ID: fmt.Sprintf("i-%d", i+1), Service: "app", Incarnation: 1}); err != nil {
--- a/review/rig2/memory.go
+++ b/review/rig2/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -152,7 +153,7 @@
 		return
 	}
 	defer connection.Close()
-	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, Dial: func(string, string) (net.Conn, error) { return connection, nil }}}
+	client := http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) { return connection, nil }}}
 	request, err := http.NewRequest(http.MethodPost, "http://"+target.front+"/list/x", bytes.NewReader(body))
 	if err != nil {
 		panic(err)
