--- a/review/rig2/order.go
+++ b/review/rig2/order.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -44,6 +45,8 @@
 	refused        int
 	broken, goneOn bool
 	complete       bool
+	// retryAfter is the time that the last refusal named, 0 without one.
+	retryAfter time.Duration
 }
 
 // playOrderMoved lets clients take streams up again after their connections broke. Meanwhile the configuration moves the route to another service.
@@ -159,6 +162,9 @@
 	if response.StatusCode != http.StatusOK {
 		reason, _ := io.ReadAll(response.Body)
 		s.refused++
+		if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+			s.retryAfter = time.Duration(seconds) * time.Second
+		}
 		d.note("stream %s, attempt %d at %s after event %q: status %d, %s", s.id, attempt, target.name, s.lastEvent, response.StatusCode, strings.TrimSpace(string(reason)))
 		return errRefused
 	}
