--- a/review/rig2/quota.go
+++ b/review/rig2/quota.go
@@ -32,13 +32,17 @@
 	quotaSlack    = 110000.0
 	requestTokens = 6300 + 2890 + 9
 	// offeredFactor is what the tenant sends as a multiple of its limit: 7.5 times its usual, with a limit of 1.8 times that.
-	offeredFactor = 7.5 / 1.8
+	offeredFactor = hotFactor / 1.8
+	hotFactor     = 7.5
+	// hotTime is how long the tenant sends as much.
+	hotTime = 6500 * time.Millisecond
 )
 
 const quotaKey = "key-of-tenant-one"
 
 // startQuota starts a deployment with one limited tenant, and its load. stop ends the load and judges.
-func startQuota(d *deployment) (stop func() verdict, err error) {
+// hotAfter is the time until it grows, and hotFor how long that lasts.
+func startQuota(d *deployment, hotAfter, hotFor time.Duration) (stop func() verdict, err error) {
 	maps.Copy(d.bounds, map[string]any{"quota_window_s": quotaWindow.Seconds(), "quota_over": quotaOver, "quota_slack": quotaSlack})
 	for i := range 12 {
 		_, err := d.addRunner(runnerstand.Config{ID: fmt.Sprintf("i-%d", i+1), Service: "engines", Model: "m", Version: 1, EventCount: 3, Incarnation: 1})
@@ -58,7 +62,7 @@
 	load.Add(1)
 	go func() {
 		defer load.Done()
-		d.sendTenantLoad(ended)
+		d.sendTenantLoad(ended, hotAfter, hotFor)
 	}()
 	return func() verdict {
 		close(ended)
@@ -67,14 +71,15 @@
 	}, nil
 }
 
-// playQuotaKill lets one tenant send many times its limit. All machines are killed at the same moment; those of the seeds come back later
-// than the others.
+// playQuotaKill kills all machines at the same moment; those of the seeds come back later than the others. Meanwhile one tenant sends many
+// times its usual.
 func playQuotaKill(d *deployment, trouble bool) (verdict, error) {
-	stop, err := startQuota(d)
+	const killAfter = 5 * time.Second
+	stop, err := startQuota(d, killAfter+1500*time.Millisecond, hotTime)
 	if err != nil {
 		return verdict{}, err
 	}
-	time.Sleep(12 * time.Second)
+	time.Sleep(killAfter)
 	if trouble {
 		for _, r := range d.routers {
 			go r.kill()
@@ -86,7 +91,7 @@
 			}
 		}
 	}
-	time.Sleep(13 * time.Second)
+	time.Sleep(10 * time.Second)
 	if trouble {
 		for _, r := range d.routers[:seedCount] {
 			if err := r.start(); err != nil {
@@ -94,14 +99,14 @@
 			}
 		}
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(2 * time.Second)
 	return stop(), nil
 }
 
 // playQuotaReload lets one tenant send many times its limit. The settings files name other seeds from a moment on, and a part of the machines
 // gets SIGHUP.
 func playQuotaReload(d *deployment, trouble bool) (verdict, error) {
-	stop, err := startQuota(d)
+	stop, err := startQuota(d, 0, time.Minute)
 	if err != nil {
 		return verdict{}, err
 	}
@@ -142,20 +147,32 @@
 	}
 }
 
-// sendTenantLoad sends requests at a constant rate, each to one of the routers that run, until stop is closed.
-func (d *deployment) sendTenantLoad(stop <-chan struct{}) {
+// sendTenantLoad sends the tenant's usual requests, and many times as many while it is hot, each to one of the routers that run, until stop is
+// closed.
+func (d *deployment) sendTenantLoad(stop <-chan struct{}, hotAfter, hotFor time.Duration) {
 	client := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	perSecond := tenantRate * offeredFactor / requestTokens
 	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 	defer ticker.Stop()
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	for i := 0; ; i++ {
+	begin, due := time.Now(), 0.0
+	for i := 0; ; {
 		select {
 		case <-ticker.C:
 		case <-stop:
 			return
 		}
+		if since := time.Since(begin); since >= hotAfter && since < hotAfter+hotFor {
+			due++
+		} else {
+			due += 1 / hotFactor
+		}
+		if due < 1 {
+			continue
+		}
+		due--
+		i++
 		running := slices.DeleteFunc(slices.Clone(d.routers), func(r *router) bool { return !r.isRunning() })
 		if len(running) == 0 {
 			continue
@@ -164,7 +181,7 @@
 		calls.Add(1)
 		go func() {
 			defer calls.Done()
-			d.sendOne(client, target, fmt.Sprintf("%016x", i+1))
+			d.sendOne(client, target, fmt.Sprintf("%016x", i))
 		}()
 	}
 }
