Streams go on after their key was passed on to another tenant

A configuration passes a key on while streams run; 0 of 24 streams that are taken up with it go on, each attempt gets 503 "it is not known which software version began the stream", and 24 of 24 new ones begin.

Cause: the key of a stream's record was a hash of the tenant's name and the request's ID. A tenant's name is what the configuration of the moment says of a caller, so the same caller had another identity after the change.

Change: a record is found under the caller's tenant and under its credential (streamversion.Caller); a caller may take up a stream that shares one of the two, or one that an anonymous caller began. The credential outlives changes of its holder, the tenant those of its credentials. Routers of the build before find and write records under the tenant as ever.

--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -27,9 +27,16 @@
 // boundVersion returns the software version that the call is bound to, empty if it continues no stream.
 func (c *call) boundVersion() string { return c.bound.Origin().Version }
 
-// streamKey returns the key of the call's stream: that of the request that began it.
-func (c *call) streamKey() streamversion.Key {
-	return streamversion.NewKey(c.tenantName(), c.streamID())
+// streamCaller returns who the caller is for records of streams.
+func (c *call) streamCaller() streamversion.Caller {
+	return streamversion.Caller{Tenant: c.tenantName(), Credential: c.metadata.Key}
+}
+
+// newStreamRecord returns the record of the call's stream.
+func (c *call) newStreamRecord(now time.Time) streamversion.Record {
+	record := streamversion.Record{Origin: streamversion.Origin{Service: c.service, Version: c.boundVersion()}, Expires: now.Add(c.streamLifetime())}
+	record.Key, record.Alias = c.streamCaller().RecordKeys(c.streamID())
+	return record
 }
 
 // bindResumedStream binds a call that takes a stream up to the software version that began the stream. It returns a
@@ -44,7 +51,7 @@
 		return nil
 	}
 	startedAt := c.gateway.now()
-	lookup := c.gateway.streams.lookUp(c.incoming.Context(), c.streamKey(), c.service)
+	lookup := c.gateway.streams.lookUp(c.incoming.Context(), c.streamCaller().LookupKeys(c.streamID()), c.service)
 	c.gateway.metrics.streamLookups.WithLabelValues(lookup.resolution.String()).Inc()
 	c.bufferLog(events.StreamOriginResolved, events.Fields{
 		"resumes": c.metadata.Resumes, "resolution": lookup.resolution.String(), "service": lookup.proven.Origin().Service, "software": lookup.proven.Origin().Version,
@@ -123,9 +130,7 @@
 	if c.isUnrecorded && !g.streams.isMixed(now, c.service) {
 		return
 	}
-	record := streamversion.Record{
-		Key: c.streamKey(), Origin: streamversion.Origin{Service: c.service, Version: c.boundVersion()}, Expires: now.Add(c.streamLifetime()),
-	}
+	record := c.newStreamRecord(now)
 	if !c.isUnrecorded && g.streams.deferRecord(now, g.streams.unrecorded, record) {
 		c.isUnrecorded, c.deferredRecord = true, encodeStreamRecord(now, record)
 		return
@@ -152,7 +157,8 @@
 // endDeferredRecord drops the deferred record of a stream that is complete.
 func (c *call) endDeferredRecord() {
 	if c.isUnrecorded && c.streamRecord == nil {
-		c.gateway.streams.forgetUnrecorded(c.streamKey())
+		key, _ := c.streamCaller().RecordKeys(c.streamID())
+		c.gateway.streams.forgetUnrecorded(key)
 	}
 }
 
--- a/internal/gateway/streamjournal.go
+++ b/internal/gateway/streamjournal.go
@@ -15,8 +15,8 @@
 	routerFlushInterval = 5 * time.Millisecond
 	// minFlushDelay is for how long records are collected at least before they are written.
 	minFlushDelay = 10 * time.Millisecond
-	// segmentRecords is the number of records in a segment, about 110 kB in the store.
-	segmentRecords = 4096
+	// segmentRecords is the number of records in a segment, about 110 kB in the store if they have two keys.
+	segmentRecords = 2048
 )
 
 // owner identifies this router in the names of its segments.
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -31,10 +31,10 @@
 
 // storeAnswer reads the store unless that has been done since the time, and returns what this router then knows of the stream. It
 // returns false if the store could not be read: what this router knows without it is no answer, as it need not be a replica.
-func (s *streamVersions) storeAnswer(ctx context.Context, key streamversion.Key, service string, since time.Time) (streamversion.Answer, bool) {
+func (s *streamVersions) storeAnswer(ctx context.Context, keys []streamversion.Key, service string, since time.Time) (streamversion.Answer, bool) {
 	for from := since; ; from = s.gateway.now() {
 		isRead, now := s.stored.read(ctx, from), s.gateway.now()
-		if answer := s.own(now, key); answer.Origin != (streamversion.Origin{}) || !isRead {
+		if answer := s.own(now, keys); answer.Origin != (streamversion.Origin{}) || !isRead {
 			return answer, answer.Origin != streamversion.Origin{}
 		}
 		// Something may have been written during the read, so that the directory is not known to be as new.
@@ -55,16 +55,16 @@
 	answered, replicas int
 }
 
-// lookUp finds out where the stream began: from this router's records, from the replicas, or else from the store.
-func (s *streamVersions) lookUp(ctx context.Context, key streamversion.Key, service string) streamLookup {
+// lookUp finds out where the stream with one of the keys began: from this router's records, from the replicas, or else from the store.
+func (s *streamVersions) lookUp(ctx context.Context, keys []streamversion.Key, service string) streamLookup {
 	now, replicas := s.gateway.now(), s.replicas()
 	lookup := streamLookup{replicas: max(len(replicas), 1)}
-	own := s.own(now, key)
+	own := s.own(now, keys)
 	if own.Origin != (streamversion.Origin{}) {
 		lookup.resolve(service, own)
 		return lookup
 	}
-	ask := &wire.StreamAsk{Key: key[:], Service: service}
+	ask := encodeStreamAsk(keys, service)
 	lookup.answers = s.askReplicas(ctx, replicas, ask)
 	others := len(lookup.answers)
 	if s.isReplica(replicas) {
@@ -112,7 +112,7 @@
 		stored, isRead = s.replicaStoreAnswer(ctx, replicas, ask, since)
 	}
 	if !isRead {
-		stored, isRead = s.storeAnswer(ctx, streamversion.Key(ask.GetKey()), ask.GetService(), since)
+		stored, isRead = s.storeAnswer(ctx, decodeStreamKeys(ask), ask.GetService(), since)
 	}
 	if isRead {
 		l.hasReadStore = true
@@ -125,7 +125,7 @@
 func (s *streamVersions) replicaStoreAnswer(ctx context.Context, replicas []string, ask *wire.StreamAsk, since time.Time) (streamversion.Answer, bool) {
 	reader := s.connectedReplica(replicas, replicas[int(ask.GetKey()[0])%len(replicas)])
 	for range maxStoreAsks {
-		ask = &wire.StreamAsk{Key: ask.GetKey(), Service: ask.GetService(), StoreAgeMillis: uint32(max(s.gateway.since(since).Milliseconds(), 1))}
+		ask = &wire.StreamAsk{Key: ask.GetKey(), Aliases: ask.GetAliases(), Service: ask.GetService(), StoreAgeMillis: uint32(max(s.gateway.since(since).Milliseconds(), 1))}
 		for _, answer := range s.askReplicas(ctx, []string{reader}, ask) {
 			if answer.HasReadStore || answer.Origin != (streamversion.Origin{}) {
 				return answer, true
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -42,10 +42,14 @@
 var errWriterRefused = errors.New("the router cannot write to the store")
 
 func encodeStreamRecord(now time.Time, record streamversion.Record) *wire.StreamRecord {
-	return &wire.StreamRecord{
+	message := &wire.StreamRecord{
 		Key: record.Key[:], Service: record.Origin.Service, Version: record.Origin.Version,
 		LeftMillis: uint32(max(record.Expires.Sub(now).Milliseconds(), 0)),
 	}
+	if record.Alias != (streamversion.Key{}) {
+		message.Alias = record.Alias[:]
+	}
+	return message
 }
 
 // decodeStreamRecord returns false if there is no valid record.
@@ -54,10 +58,36 @@
 		return record, false
 	}
 	left := min(time.Duration(message.GetLeftMillis())*time.Millisecond, maxCallDuration+takeUpPause)
-	return streamversion.Record{
+	record = streamversion.Record{
 		Key: streamversion.Key(message.GetKey()), Expires: now.Add(left),
 		Origin: streamversion.Origin{Service: message.GetService(), Version: message.GetVersion()},
-	}, true
+	}
+	if len(message.GetAlias()) == len(record.Alias) {
+		record.Alias = streamversion.Key(message.GetAlias())
+	}
+	return record, true
+}
+
+func encodeStreamAsk(keys []streamversion.Key, service string) *wire.StreamAsk {
+	ask := &wire.StreamAsk{Key: keys[0][:], Service: service}
+	for _, key := range keys[1:] {
+		ask.Aliases = append(ask.Aliases, key[:])
+	}
+	return ask
+}
+
+// decodeStreamKeys returns the keys of the stream that another router asks for, none if the first one is not valid.
+func decodeStreamKeys(ask *wire.StreamAsk) (keys []streamversion.Key) {
+	if len(ask.GetKey()) != len(streamversion.Key{}) {
+		return nil
+	}
+	keys = append(keys, streamversion.Key(ask.GetKey()))
+	for _, alias := range ask.GetAliases() {
+		if len(alias) == len(streamversion.Key{}) {
+			keys = append(keys, streamversion.Key(alias))
+		}
+	}
+	return keys
 }
 
 func decodeStreamAnswer(message *wire.StreamAnswer) streamversion.Answer {
@@ -321,7 +351,8 @@
 // answer answers another router's question where a stream began.
 func (s *streamVersions) answer(ask *wire.StreamAsk) *wire.StreamAnswer {
 	now := s.gateway.now()
-	if len(ask.GetKey()) != len(streamversion.Key{}) {
+	keys := decodeStreamKeys(ask)
+	if len(keys) == 0 {
 		return &wire.StreamAnswer{}
 	}
 	var hasReadStore bool
@@ -335,12 +366,11 @@
 		}
 	}
 	// The answer includes what was read, so it is composed after that is known.
-	key := streamversion.Key(ask.GetKey())
-	own := s.own(now, key)
+	own := s.own(now, keys)
 	// Routers of earlier builds ask whether the records are complete.
 	message := &wire.StreamAnswer{Complete: s.hasAllRecords(now), StoreRead: hasReadStore, Only: only}
 	if own.Origin != (streamversion.Origin{}) {
-		message.Record = encodeStreamRecord(now, streamversion.Record{Key: key, Origin: own.Origin, Expires: now})
+		message.Record = encodeStreamRecord(now, streamversion.Record{Key: keys[0], Origin: own.Origin, Expires: now})
 	}
 	return message
 }
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -14,8 +14,10 @@
 
 // Limits of the records of streams.
 const (
-	// maxStreamRecords is the maximum number of records that a router keeps.
+	// maxStreamRecords is the maximum number of records that a router keeps, and maxStreamKeys that of their keys. Records of callers
+	// with a credential have two.
 	maxStreamRecords = 1 << 18
+	maxStreamKeys    = 2 * maxStreamRecords
 	// minVersionWindow is the shortest time for which listed software versions are remembered.
 	minVersionWindow = time.Minute
 	// maxUnspreadRecords is the number of records a second up to which a router sends those of a service to the same replica
@@ -63,7 +65,7 @@
 
 func newStreamVersions(g *Gateway) *streamVersions {
 	s := &streamVersions{
-		gateway: g, startedAt: g.now(), table: streamversion.NewTable(maxStreamRecords), stored: newStoredOrigins(g),
+		gateway: g, startedAt: g.now(), table: streamversion.NewTable(maxStreamKeys), stored: newStoredOrigins(g),
 		history: streamversion.NewHistory(g.now(), minVersionWindow), unrecorded: streamversion.NewUnrecorded(maxUnrecordedStreams), placed: streamversion.NewUnrecorded(maxUnrecordedStreams), historyChanged: make(chan struct{}, 1),
 		silentWriters: map[string]time.Time{},
 	}
@@ -227,13 +229,15 @@
 }
 
 // own returns what this router knows of the stream without the store.
-func (s *streamVersions) own(now time.Time, key streamversion.Key) (answer streamversion.Answer) {
+func (s *streamVersions) own(now time.Time, keys []streamversion.Key) streamversion.Answer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if record, found := s.table.Find(now, key); found {
-		answer.Origin = record.Origin
+	for _, key := range keys {
+		if record, found := s.table.Find(now, key); found {
+			return streamversion.Answer{Origin: record.Origin}
+		}
 	}
-	return answer
+	return streamversion.Answer{}
 }
 
 // lastJoined returns when the last of several versions of the service was first listed, zero if there was one.
--- a/internal/gateway/streamversions_test.go
+++ b/internal/gateway/streamversions_test.go
@@ -138,20 +138,24 @@
 // takeUpAll takes the streams up at the routers in turn.
 func takeUpAll(streams []openedStream, routers ...*router) (result takeUps) {
 	for i, stream := range streams {
-		got := routers[i%len(routers)].takeUp(stream)
-		result.total++
-		if got.status != http.StatusOK || got.truncated {
-			result.failures = append(result.failures, fmt.Sprint(got.status, " ", got.body))
-			continue
-		}
-		result.goneOn++
-		if versions := streamVersions(stream.events + got.body); len(versions) > 1 {
-			result.mixed++
-		}
+		result.count(stream, routers[i%len(routers)].takeUp(stream))
 	}
 	return result
 }
 
+// count adds the response to a caller that took the stream up.
+func (t *takeUps) count(stream openedStream, got callResponse) {
+	t.total++
+	if got.status != http.StatusOK || got.truncated {
+		t.failures = append(t.failures, fmt.Sprint(got.status, " ", got.body))
+		return
+	}
+	t.goneOn++
+	if versions := streamVersions(stream.events + got.body); len(versions) > 1 {
+		t.mixed++
+	}
+}
+
 // add adds another count.
 func (t *takeUps) add(other takeUps) {
 	t.total, t.goneOn, t.mixed = t.total+other.total, t.goneOn+other.goneOn, t.mixed+other.mixed
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -26,6 +26,37 @@
 	g.Expect(NewKey("a", "x")).To(Equal(NewKey("a", "x")))
 }
 
+// Guards against streams that are not found once a configuration has changed the tenant, the credential or whether there is one.
+func TestRecordIsFoundUnderEitherNameOfItsCaller(t *testing.T) {
+	for name, test := range map[string]struct {
+		began, takesUp Caller
+		want           bool
+	}{
+		"the same caller":                {Caller{"a", "k"}, Caller{"a", "k"}, true},
+		"the key was passed on":          {Caller{"a", "k"}, Caller{"b", "k"}, true},
+		"the key was replaced":           {Caller{"a", "k"}, Caller{"a", "l"}, true},
+		"the route was made public":      {Caller{"a", "k"}, Caller{"", "k"}, true},
+		"the route was public":           {Caller{"", "k"}, Caller{"a", "k"}, true},
+		"keys were introduced":           {Caller{"", ""}, Caller{"a", "k"}, true},
+		"another caller":                 {Caller{"a", "k"}, Caller{"b", "l"}, false},
+		"an anonymous caller":            {Caller{"a", "k"}, Caller{"", ""}, false},
+		"a tenant named like a key":      {Caller{"a", "k"}, Caller{"k", ""}, false},
+		"a credential named like tenant": {Caller{"a", "k"}, Caller{"b", "a"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, table, record := NewWithT(t), NewTable(10), newRecord("1", v1, time.Second)
+			record.Key, record.Alias = test.began.RecordKeys("1")
+			table.Add(start, record)
+			found := false
+			for _, key := range test.takesUp.LookupKeys("1") {
+				_, known := table.Find(start, key)
+				found = found || known
+			}
+			g.Expect(found).To(Equal(test.want))
+		})
+	}
+}
+
 func TestRecordIsFoundUntilItExpires(t *testing.T) {
 	g := NewWithT(t)
 	table := NewTable(10)
