Streams do not mix versions after their route has moved

A configuration moves a route to another service while two versions serve at both; 7 to 14 of 24 streams that are taken up twice hold events of both versions of the new service.

Cause: a stream had one origin. A take-up at the new service made a record, which tables that had the first one dropped as conflicting, since the first record of a key holds. Each further attempt found the former service and left the stream unbound.

Change: a stream has an origin at each service, kept under keys that hold the service. It goes on at the same software version of the new service where that is listed, and otherwise at any one, recorded before its first event. The first record is renewed, for routes that move back. The egress router of a forwarded call is told what its sender has found out.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -154,10 +154,14 @@
 	responseEnd     integrity.End
 	// bound is where the stream began that the call continues, and streamRecord the record of that, nil if other
 	// routers need none. isUnrecorded is set if that was so when the stream began; deferredRecord is then the record that it will get.
-	bound          streamversion.Proven
-	streamRecord   *wire.StreamRecord
-	isUnrecorded   bool
-	deferredRecord *wire.StreamRecord
+	bound streamversion.Proven
+	// goesOnAnywhere is set if the stream's route has moved to a service without the version at which the stream began.
+	// recordedByService is set if the stream's record is that of its service, as it may have begun at another one.
+	goesOnAnywhere    bool
+	recordedByService bool
+	streamRecord      *wire.StreamRecord
+	isUnrecorded      bool
+	deferredRecord    *wire.StreamRecord
 	// stream is the state of the forwarded stream, nil before its first event.
 	stream *eventStream
 	// forwarded is the message with which another router forwarded the call, nil if this router took it
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -223,7 +223,7 @@
 		Method: c.incoming.Method, Target: []byte(requestTarget(c.incoming)), Host: []byte(c.incoming.Host), Body: c.body, Service: c.service,
 		LeftMillis:   uint32(max(c.gateway.until(c.deadline).Milliseconds(), 1)),
 		AttemptsLeft: uint32(max(c.route.MaxAttempts-c.attemptState.SentDispatches()+1, 1)),
-		LastEvent:    []byte(c.metadata.LastEvent), From: c.gateway.settings.Node, BoundVersion: c.boundVersion(),
+		LastEvent:    []byte(c.metadata.LastEvent), From: c.gateway.settings.Node, BoundVersion: c.boundVersion(), RecordedByService: c.recordedByService, AnyVersion: c.goesOnAnywhere && c.boundVersion() == "",
 		Admission: c.admission(),
 	}
 	if c.stream != nil && c.stream.lastEvent != "" {
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -126,7 +126,7 @@
 	c := &call{
 		gateway: g, writer: writer, controller: http.NewResponseController(writer), incoming: incoming, body: message.GetBody(),
 		metadata: g.ports.Protocol.ParseRequest(incoming.Header), arrivedAt: g.now(), config: g.activeConfig.Load(), forwarded: message, bound: streamversion.ResolvedByPeer(message.GetService(), message.GetBoundVersion()),
-		attemptState: &attempt.Request{},
+		attemptState: &attempt.Request{}, recordedByService: message.GetRecordedByService(), goesOnAnywhere: message.GetAnyVersion(),
 	}
 	c.metadata.LastEvent = string(message.GetLastEvent())
 	c.metadata.Deadline = time.Duration(message.GetLeftMillis()) * time.Millisecond
--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
@@ -35,10 +36,18 @@
 // newStreamRecord returns the record of the call's stream.
 func (c *call) newStreamRecord(now time.Time) streamversion.Record {
 	record := streamversion.Record{Origin: streamversion.Origin{Service: c.service, Version: c.boundVersion()}, Expires: now.Add(c.streamLifetime())}
-	record.Key, record.Alias = c.streamCaller().RecordKeys(c.streamID())
+	record.Key, record.Alias = c.streamRecordKeys()
 	return record
 }
 
+// streamRecordKeys returns the keys of the record of the call's stream.
+func (c *call) streamRecordKeys() (key, alias streamversion.Key) {
+	if c.recordedByService {
+		return c.streamCaller().ServiceRecordKeys(c.streamID(), c.service)
+	}
+	return c.streamCaller().RecordKeys(c.streamID())
+}
+
 // bindResumedStream binds a call that takes a stream up to the software version that began the stream. It returns a
 // refusal if that is not known.
 func (c *call) bindResumedStream() *refusal {
@@ -46,15 +55,16 @@
 		return nil
 	}
 	c.bufferLog(events.StreamTakenUp, events.Fields{"resumes": c.metadata.Resumes, "last_event": c.metadata.LastEvent, "route": c.route.Name, "bound": c.boundVersion()})
-	if c.boundVersion() != "" {
+	if c.boundVersion() != "" || c.goesOnAnywhere {
 		// The ingress router has found out.
 		return nil
 	}
 	startedAt := c.gateway.now()
-	lookup := c.gateway.streams.lookUp(c.incoming.Context(), c.streamCaller().LookupKeys(c.streamID()), c.service)
+	lookup := c.gateway.streams.lookUp(c.incoming.Context(), c.streamQuestion())
 	c.gateway.metrics.streamLookups.WithLabelValues(lookup.resolution.String()).Inc()
 	c.bufferLog(events.StreamOriginResolved, events.Fields{
 		"resumes": c.metadata.Resumes, "resolution": lookup.resolution.String(), "service": lookup.proven.Origin().Service, "software": lookup.proven.Origin().Version,
+		"began_service": lookup.began.Service, "began_software": lookup.began.Version,
 		"answered": lookup.answered, "replicas": lookup.replicas, "after_ms": c.gateway.since(startedAt).Milliseconds(),
 		"store_read": lookup.hasReadStore, "directory_age_ms": c.gateway.copies.ageMillis(c.gateway.now(), RunnerObjects),
 	})
@@ -64,7 +74,7 @@
 	case !lookup.resolution.IsKnown():
 		return unavailable(reasonStreamUnknown, 0)
 	}
-	c.bindOrigin(lookup.proven)
+	c.bindOrigin(lookup)
 	return c.awaitVersion(startedAt)
 }
 
@@ -97,15 +107,36 @@
 	return known && age <= maxProofAge+copyProofMargin
 }
 
-// bindOrigin binds the call to the origin of its stream. A route that has moved to another service leaves it unbound.
-func (c *call) bindOrigin(proven streamversion.Proven) {
+// bindOrigin binds the call to the origin of its stream. A stream whose route has moved goes on at the same version, if runners of the
+// new service have it, and otherwise at any one, to which the stream is bound from then on.
+func (c *call) bindOrigin(lookup streamLookup) {
+	if lookup.began != (streamversion.Origin{}) {
+		c.renewFirstRecord(lookup.began)
+	}
+	// Where no record tells that the stream began at this service, another one may have its first record.
+	c.recordedByService = lookup.resolution != streamversion.Recorded || !slices.Contains(c.streamCaller().LookupKeys(c.streamID()), lookup.recordKey)
+	if lookup.resolution != streamversion.Moved {
+		c.service = lookup.proven.Origin().Service
+		c.bind(lookup.proven)
+		return
+	}
 	for _, backend := range c.route.Backends {
-		if backend.Service == proven.Origin().Service {
+		if c.gateway.listsVersion(streamversion.Origin{Service: backend.Service, Version: lookup.began.Version}) {
 			c.service = backend.Service
-			c.bind(proven)
+			c.bind(streamversion.SameVersion(lookup.began, backend.Service))
 			return
 		}
 	}
+	c.goesOnAnywhere = true
+}
+
+// renewFirstRecord keeps the record of where a stream began whose route has moved for as long as its caller may come back: the route may
+// move back.
+func (c *call) renewFirstRecord(began streamversion.Origin) {
+	now := c.gateway.now()
+	record := streamversion.Record{Origin: began, Expires: now.Add(c.streamLifetime())}
+	record.Key, record.Alias = c.streamCaller().RecordKeys(c.streamID())
+	c.gateway.streams.distribute(now, []streamversion.Record{record})
 }
 
 // recordSentStream records where a stream will have begun if the current attempt brings its first event, so that the record is
@@ -113,7 +144,7 @@
 // that may be lost. A service with a rollout has such attempts, as have calls that other routers forward, so the streams
 // of these are recorded with their first event.
 func (c *call) recordSentStream() {
-	if c.mayBeginAnew() && !c.isForwarded() && c.route.Kind == routing.Streaming && c.route.Resumable && c.query.Route == "" && c.gateway.streams.isMixed(c.gateway.now(), c.service) {
+	if (c.mayBeginAnew() || c.goesOnAnywhere) && !c.isForwarded() && c.route.Kind == routing.Streaming && c.route.Resumable && c.query.Route == "" && c.gateway.streams.isMixed(c.gateway.now(), c.service) {
 		c.recordStream()
 	}
 }
@@ -157,7 +188,7 @@
 // endDeferredRecord drops the deferred record of a stream that is complete.
 func (c *call) endDeferredRecord() {
 	if c.isUnrecorded && c.streamRecord == nil {
-		key, _ := c.streamCaller().RecordKeys(c.streamID())
+		key, _ := c.streamRecordKeys()
 		c.gateway.streams.forgetUnrecorded(key)
 	}
 }
--- a/internal/gateway/streamrecords.go
+++ b/internal/gateway/streamrecords.go
@@ -68,35 +68,6 @@
 	return record, true
 }
 
-func encodeStreamAsk(keys []streamversion.Key, service string) *wire.StreamAsk {
-	ask := &wire.StreamAsk{Key: keys[0][:], Service: service}
-	for _, key := range keys[1:] {
-		ask.Aliases = append(ask.Aliases, key[:])
-	}
-	return ask
-}
-
-// decodeStreamKeys returns the keys of the stream that another router asks for, none if the first one is not valid.
-func decodeStreamKeys(ask *wire.StreamAsk) (keys []streamversion.Key) {
-	if len(ask.GetKey()) != len(streamversion.Key{}) {
-		return nil
-	}
-	keys = append(keys, streamversion.Key(ask.GetKey()))
-	for _, alias := range ask.GetAliases() {
-		if len(alias) == len(streamversion.Key{}) {
-			keys = append(keys, streamversion.Key(alias))
-		}
-	}
-	return keys
-}
-
-func decodeStreamAnswer(message *wire.StreamAnswer) streamversion.Answer {
-	return streamversion.Answer{
-		Origin:       streamversion.Origin{Service: message.GetRecord().GetService(), Version: message.GetRecord().GetVersion()},
-		HasReadStore: message.GetStoreRead(), Only: message.GetOnly(),
-	}
-}
-
 // undeliveredRecord is a record that may not have reached its receiver.
 type undeliveredRecord struct {
 	record   streamversion.Record
@@ -366,11 +337,11 @@
 		}
 	}
 	// The answer includes what was read, so it is composed after that is known.
-	own := s.own(now, keys)
+	record, found := s.find(now, keys)
 	// Routers of earlier builds ask whether the records are complete.
 	message := &wire.StreamAnswer{Complete: s.hasAllRecords(now), StoreRead: hasReadStore, Only: only}
-	if own.Origin != (streamversion.Origin{}) {
-		message.Record = encodeStreamRecord(now, streamversion.Record{Key: keys[0], Origin: own.Origin, Expires: now})
+	if found {
+		message.Record = encodeStreamRecord(now, record)
 	}
 	return message
 }
--- a/internal/gateway/streamversions.go
+++ b/internal/gateway/streamversions.go
@@ -228,16 +228,29 @@
 	return 1
 }
 
-// own returns what this router knows of the stream without the store.
-func (s *streamVersions) own(now time.Time, keys []streamversion.Key) streamversion.Answer {
+// find returns the record under the first of the keys that has one.
+func (s *streamVersions) find(now time.Time, keys []streamversion.Key) (record streamversion.Record, found bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for _, key := range keys {
-		if record, found := s.table.Find(now, key); found {
-			return streamversion.Answer{Origin: record.Origin}
+		if record, found = s.table.Find(now, key); found {
+			return record, true
 		}
 	}
-	return streamversion.Answer{}
+	return record, false
+}
+
+// own returns what this router knows of the stream without the store.
+func (s *streamVersions) own(now time.Time, q streamQuestion) streamversion.Answer {
+	record, _ := s.find(now, q.keys)
+	return q.answer(record)
+}
+
+// isListedThroughout reports whether the version was listed for as long as a stream can live.
+func (s *streamVersions) isListedThroughout(now time.Time, origin streamversion.Origin) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.history.KnowsThroughout(now, origin)
 }
 
 // lastJoined returns when the last of several versions of the service was first listed, zero if there was one.
--- a/internal/gateway/unrecordedstreams.go
+++ b/internal/gateway/unrecordedstreams.go
@@ -64,6 +64,11 @@
 		s.keep(now, record)
 		s.stored.add(now, record)
 	}
+	s.distribute(now, records)
+}
+
+// distribute keeps the records and sends them to replicas, in one message to each.
+func (s *streamVersions) distribute(now time.Time, records []streamversion.Record) {
 	batches := map[string][]undeliveredRecord{}
 	for _, record := range records {
 		s.keep(now, record)
--- a/internal/streamversion/history.go
+++ b/internal/streamversion/history.go
@@ -179,6 +179,12 @@
 	return "", false
 }
 
+// KnowsThroughout reports whether the version was listed at both ends of the last window.
+func (h *History) KnowsThroughout(now time.Time, origin Origin) bool {
+	span, found := h.spans[origin.Service][origin.Version]
+	return found && now.Sub(span.First) >= h.window && h.isWithinWindow(now, span)
+}
+
 // Knows reports whether the version was listed within the window.
 func (h *History) Knows(now time.Time, origin Origin) bool {
 	span, found := h.spans[origin.Service][origin.Version]
--- a/internal/streamversion/key.go
+++ b/internal/streamversion/key.go
@@ -52,6 +52,19 @@
 	return keys
 }
 
+// ServiceRecordKeys returns the keys of the record of the stream at a service where it did not begin, as its route has moved there.
+func (c Caller) ServiceRecordKeys(id, service string) (key, alias Key) {
+	return c.RecordKeys(serviceID(id, service))
+}
+
+// ServiceLookupKeys is LookupKeys for the same.
+func (c Caller) ServiceLookupKeys(id, service string) []Key {
+	return c.LookupKeys(serviceID(id, service))
+}
+
+// serviceID returns an ID that no caller can send.
+func serviceID(id, service string) string { return id + "\x00" + service }
+
 // credentialKey returns the key of a stream by the credential of its caller. No key of a tenant equals it: the fields of these have no zero
 // bytes and are two.
 func credentialKey(credential, id string) Key { return hashFields("", "credential", credential, id) }
--- a/internal/streamversion/resolve.go
+++ b/internal/streamversion/resolve.go
@@ -19,10 +19,18 @@
 	return Proven{Origin{service, version}}
 }
 
+// SameVersion returns the origin that a stream has at a service to which its route has moved, given that runners of the software version
+// at which it began serve there too.
+func SameVersion(began Origin, service string) Proven { return Proven{Origin{service, began.Version}} }
+
 // Answer is what a router that keeps records knows of a stream.
 type Answer struct {
-	// Origin is where the stream began. It is empty if the router has no record.
+	// Origin is where the stream began, or went on first at a service to which its route has moved. It is empty if the router has no
+	// record of a service that the route has. Key is that of the record.
 	Origin Origin
+	Key    Key
+	// Began is where the stream began if its route no longer has that service, empty if that is not known.
+	Began Origin
 	// HasReadStore is set if the router has read the store since it was asked. Only is then the version at which all streams of
 	// the service began that lived when it was asked, empty if there are several or if that is not known.
 	HasReadStore bool
@@ -37,6 +45,9 @@
 	Recorded Resolution = iota
 	// OnlyVersion means that no record was found, and that all streams of the service began at one version.
 	OnlyVersion
+	// Moved means that the stream began at a service that its route no longer has, and has not gone on at another version than that at
+	// which it goes on next. Resolve does not return it.
+	Moved
 	// NoRecord means that no router that records streams began the stream, that its record has expired, or that
 	// all routers that had it are lost.
 	NoRecord
@@ -46,11 +57,11 @@
 
 // String returns the name of the resolution in logs and metrics.
 func (r Resolution) String() string {
-	return [...]string{"recorded", "only version", "no record", "records missing"}[r]
+	return [...]string{"recorded", "only version", "moved", "no record", "records missing"}[r]
 }
 
 // IsKnown reports whether the origin is known.
-func (r Resolution) IsKnown() bool { return r <= OnlyVersion }
+func (r Resolution) IsKnown() bool { return r <= Moved }
 
 // Copies is the number of routers that keep each record, if there are as many.
 const Copies = 2
