Quarantines follow a credential to another tenant

A content belongs to a tenant so that tenants don't count against each other, and the tenant's name was all that told whose a request is.

Evidence: after the change the second verdict names the same content and the new tenant, while the first one is still listed.

Change: crashes of contents hold a hash of the caller's credential, also on the wire and in the store. A request is judged by its own content and by equal ones under which the same credential's requests crashed runners. Other tenants are still not affected.

--- a/internal/gateway/callcontent.go
+++ b/internal/gateway/callcontent.go
@@ -41,6 +41,17 @@
 	c.sharedParts = recordedParts(c.metadata.Prompt)
 }
 
+// quarantineRequest returns what of the request may crash runners.
+func (c *call) quarantineRequest() quarantine.Request {
+	return quarantine.Request{Content: c.content, Parts: c.sharedParts, Credential: quarantine.CredentialHash(c.metadata.Key)}
+}
+
+// hasOpenRun reports whether a run of the subject, or of the same content under the caller's tenant, is open.
+func (c *call) hasOpenRun(subject quarantine.Subject) bool {
+	detector := c.gateway.crashDetector
+	return detector.hasOpenRun(subject) || !subject.IsPart() && detector.hasOpenRun(c.content)
+}
+
 // recordedParts returns the IDs of the parts that the prompt may share with others. The last part belongs to the
 // request itself.
 func recordedParts(prompt []PromptPart) (ids []string) {
@@ -66,7 +77,7 @@
 	switch {
 	case c.verdict.State == quarantine.Quarantined:
 		return unavailable(reason, c.gateway.until(c.verdict.Until))
-	case c.verdict.State == quarantine.OnTrial && c.gateway.crashDetector.hasOpenRun(c.verdict.Subject):
+	case c.verdict.State == quarantine.OnTrial && c.hasOpenRun(c.verdict.Subject):
 		return unavailable(reason, trialRetryAfter)
 	}
 	return nil
@@ -74,7 +85,7 @@
 
 // isQuarantined reports whether the content or a part of the prompt is quarantined now.
 func (c *call) isQuarantined() bool {
-	return c.gateway.suspects.verdict(c.gateway.now(), c.content, c.sharedParts).State == quarantine.Quarantined
+	return c.gateway.suspects.verdict(c.gateway.now(), c.quarantineRequest()).State == quarantine.Quarantined
 }
 
 // awaitCrashCheck waits until it is known whether the runner of the previous attempt crashed, if
@@ -102,7 +113,7 @@
 func (c *call) awaitVerdict() quarantine.Verdict {
 	g, startedAt := c.gateway, c.gateway.now()
 	for now := startedAt; ; now = g.now() {
-		verdict, waited := g.suspects.verdict(now, c.content, c.sharedParts), now.Sub(startedAt)
+		verdict, waited := g.suspects.verdict(now, c.quarantineRequest()), now.Sub(startedAt)
 		if verdict.State != quarantine.Held || waited >= maxHold {
 			if waited > decisionPollInterval {
 				g.metrics.heldRequests.Observe(waited.Seconds())
--- a/internal/gateway/suspectencoding.go
+++ b/internal/gateway/suspectencoding.go
@@ -43,7 +43,7 @@
 		for _, crash := range record.Crashes {
 			message.Ends = append(message.Ends, &wire.RunnerEnd{
 				Runner: crash.Runner.ID, Incarnation: crash.Runner.Incarnation,
-				AgeMillis: wire.AgeToMillis(now.Sub(crash.DetectedAt)), BeganAgeMillis: wire.AgeToMillis(now.Sub(crash.SentAt)), Content: crash.Content,
+				AgeMillis: wire.AgeToMillis(now.Sub(crash.DetectedAt)), BeganAgeMillis: wire.AgeToMillis(now.Sub(crash.SentAt)), Content: crash.Content, Credential: crash.Credential,
 			})
 		}
 		messages = append(messages, message)
@@ -67,7 +67,7 @@
 		}
 		for _, crash := range message.GetEnds() {
 			record.Crashes = append(record.Crashes, quarantine.Crash{
-				Runner: quarantine.Runner{ID: crash.GetRunner(), Incarnation: crash.GetIncarnation()}, Content: crash.GetContent(),
+				Runner: quarantine.Runner{ID: crash.GetRunner(), Incarnation: crash.GetIncarnation()}, Content: crash.GetContent(), Credential: crash.GetCredential(),
 				DetectedAt: now.Add(-wire.AgeFromMillis(crash.GetAgeMillis())), SentAt: now.Add(-wire.AgeFromMillis(crash.GetBeganAgeMillis())),
 			})
 		}
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -84,11 +84,11 @@
 	return contents
 }
 
-// verdict returns how a request with the content and the prompt parts is to be handled.
-func (s *suspects) verdict(now time.Time, content quarantine.Subject, parts []string) quarantine.Verdict {
+// verdict returns how the request is to be handled.
+func (s *suspects) verdict(now time.Time, request quarantine.Request) quarantine.Verdict {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.detector.EvaluateRequest(now, content, parts)
+	return s.detector.EvaluateRequest(now, request)
 }
 
 // runnerCrashed records that a runner crashed during the runs.
--- a/internal/gateway/withdraw.go
+++ b/internal/gateway/withdraw.go
@@ -37,7 +37,7 @@
 	if c.schedulerChoice != nil {
 		g.runners.ReportedElsewhere(c.currentSend)
 	}
-	c.run = &quarantine.Run{Content: c.content, Parts: c.sharedParts, Runner: incarnationOf(runner), Service: runner.Service, SentAt: now}
+	c.run = &quarantine.Run{Content: c.content, Parts: c.sharedParts, Credential: quarantine.CredentialHash(c.metadata.Key), Runner: incarnationOf(runner), Service: runner.Service, SentAt: now}
 	g.crashDetector.begin(c.run)
 	c.sendCtx, c.cancelSend = context.WithCancelCause(c.ctx)
 	c.unstarted, c.sendOpen = nil, true
@@ -87,7 +87,7 @@
 // started without the router knowing it may still do so.
 func (g *Gateway) withdrawQuarantinedSends(subject quarantine.Subject) {
 	for _, send := range g.unstartedSendsOf(subject) {
-		if g.suspects.verdict(g.now(), send.run.Content, send.run.Parts).State != quarantine.Quarantined {
+		if g.suspects.verdict(g.now(), send.run.Request()).State != quarantine.Quarantined {
 			continue
 		}
 		g.mutex.Lock()
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -63,9 +63,10 @@
 type derivedState struct {
 	sequence uint64
 	// crashed are the entries with active crashes, repeatedContents those of contents with several of them,
-	// and crashedParts those of prompt parts, by ID.
+	// crashedContents those of all contents by digest, and crashedParts those of prompt parts, by ID.
 	crashed          []*entry
 	repeatedContents []*entry
+	crashedContents  map[uint64][]*entry
 	crashedParts     map[string][]*entry
 	// strongSuspects are the entries of prompt parts with at least two generations of crashes that were not
 	// sound before.
@@ -109,13 +110,30 @@
 // contentCrashed records a crash under the content of the run. Contents that a runner survived recently
 // are ignored.
 func (d *Detector) contentCrashed(now time.Time, run *Run) (changed []Record) {
-	crash := Crash{Runner: run.Runner, SentAt: run.SentAt, DetectedAt: now}
-	if d.survivedContents.runTime(now, run.Content) == 0 && d.merge(now, Record{Subject: run.Content, Crashes: []Crash{crash}}) {
-		changed = append(changed, d.records[run.Content].Record)
+	crash := Crash{Runner: run.Runner, Credential: run.Credential, SentAt: run.SentAt, DetectedAt: now}
+	for _, content := range d.contents(run.Content, run.Credential) {
+		if d.survivedContents.runTime(now, content) == 0 && d.merge(now, Record{Subject: content, Crashes: []Crash{crash}}) {
+			changed = append(changed, d.records[content].Record)
+		}
 	}
 	return changed
 }
 
+// contents returns the content, and those of other tenants that are equal to it and under which the same credential's requests crashed
+// runners: the credential was theirs before a configuration moved it.
+func (d *Detector) contents(own Subject, credential uint64) []Subject {
+	contents := []Subject{own}
+	if credential == 0 {
+		return contents
+	}
+	for _, e := range d.derive().crashedContents[own.Digest] {
+		if e.Subject != own && e.includesCredential(credential) {
+			contents = append(contents, e.Subject)
+		}
+	}
+	return contents
+}
+
 // partsCrashed records a crash under the prompt parts of the run.
 func (d *Detector) partsCrashed(now time.Time, run *Run) (changed []Record) {
 	crash := Crash{Runner: run.Runner, Content: run.Content.Digest, SentAt: run.SentAt, DetectedAt: now}
@@ -149,9 +167,11 @@
 // RunnerSurvived records that a runner survived the run, and returns the changed records that other
 // routers need.
 func (d *Detector) RunnerSurvived(now time.Time, run *Run) (changed []Record) {
-	d.survivedContents.add(now, run.Content, now.Sub(run.SentAt))
-	if e := d.records[run.Content]; e != nil && len(e.activeCrashes()) > 0 && d.merge(now, Record{Subject: run.Content, SurvivedAt: now}) {
-		changed = append(changed, e.Record)
+	for _, content := range d.contents(run.Content, run.Credential) {
+		d.survivedContents.add(now, content, now.Sub(run.SentAt))
+		if e := d.records[content]; e != nil && len(e.activeCrashes()) > 0 && d.merge(now, Record{Subject: content, SurvivedAt: now}) {
+			changed = append(changed, e.Record)
+		}
 	}
 	for _, id := range run.Parts {
 		changed = append(changed, d.partSurvived(now, run, id)...)
@@ -383,7 +403,7 @@
 	if d.derived.sequence == d.sequence {
 		return &d.derived
 	}
-	d.derived = derivedState{sequence: d.sequence, crashedParts: map[string][]*entry{}}
+	d.derived = derivedState{sequence: d.sequence, crashedContents: map[uint64][]*entry{}, crashedParts: map[string][]*entry{}}
 	s := &d.derived
 	for _, e := range d.records {
 		if crashes := len(e.activeCrashes()); crashes > 0 {
@@ -409,6 +429,7 @@
 func (s *derivedState) add(e *entry, crashes int) {
 	s.crashed = append(s.crashed, e)
 	if !e.Subject.IsPart() {
+		s.crashedContents[e.Subject.Digest] = append(s.crashedContents[e.Subject.Digest], e)
 		if crashes > 1 {
 			s.repeatedContents = append(s.repeatedContents, e)
 		}
--- a/internal/quarantine/detector_test.go
+++ b/internal/quarantine/detector_test.go
@@ -290,3 +290,27 @@
 	d.crash(2, 1002, 32)
 	g.Expect(d.state(2, 33)).To(Equal(Quarantined), "only one of its crashes was correlated")
 }
+
+// Guards against a content that crashes runners anew for each tenant to which a configuration moves the credential of its caller.
+func TestQuarantineFollowsCredentialToAnotherTenant(t *testing.T) {
+	g, d := NewWithT(t), NewDetector(Config{})
+	first, second := Subject{Tenant: "t", Digest: 1}, Subject{Tenant: "u", Digest: 1}
+	state := func(content Subject, credential uint64) State {
+		return d.EvaluateRequest(atSeconds(3), Request{Content: content, Credential: credential}).State
+	}
+	crash := func(content Subject, runner int) {
+		d.RunnerCrashed(atSeconds(float64(runner)), &Run{Content: content, Credential: 7, Runner: testRunner(runner), SentAt: atSeconds(float64(runner) - 0.1)})
+	}
+	crash(first, 0)
+	crash(first, 1)
+	g.Expect(state(second, 7)).To(Equal(Suspected))
+	crash(second, 2)
+	g.Expect(state(second, 7)).To(Equal(Quarantined), "three crashes, two of them under the former tenant")
+	g.Expect(state(first, 7)).To(Equal(Quarantined), "the credential is back")
+	g.Expect(state(first, 8)).To(Equal(Quarantined), "another credential of the tenant")
+	g.Expect(state(second, 8)).To(Equal(Suspected), "a single crash under this tenant")
+	g.Expect(state(Subject{Tenant: "v", Digest: 1}, 8)).To(Equal(Clear), "another tenant")
+	g.Expect(state(Subject{Tenant: "v", Digest: 1}, 0)).To(Equal(Clear), "no credential")
+	d.RunnerSurvived(atSeconds(2.5), &Run{Content: second, Credential: 7})
+	g.Expect(state(first, 8)).To(Equal(Clear), "the content was survived")
+}
--- a/internal/quarantine/load_test.go
+++ b/internal/quarantine/load_test.go
@@ -66,7 +66,7 @@
 		merging += time.Since(startedAt)
 		for i := range 8 {
 			startedAt = time.Now()
-			d.EvaluateRequest(atSeconds(1), Subject{Tenant: "t", Digest: uint64(i)}, []string{fmt.Sprint("first-", i%4), fmt.Sprint("second-", i)})
+			d.EvaluateRequest(atSeconds(1), Request{Content: Subject{Tenant: "t", Digest: uint64(i)}, Parts: []string{fmt.Sprint("first-", i%4), fmt.Sprint("second-", i)}})
 			evaluating += time.Since(startedAt)
 			evaluations++
 		}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -34,7 +34,7 @@
 // verdict returns the state of a request with a new content and the parts.
 func (d *partDetector) verdict(tenant string, seconds float64, parts ...string) State {
 	d.contents++
-	return d.EvaluateRequest(atSeconds(seconds), Subject{Tenant: tenant, Digest: uint64(d.contents)}, parts).State
+	return d.EvaluateRequest(atSeconds(seconds), Request{Content: Subject{Tenant: tenant, Digest: uint64(d.contents)}, Parts: parts}).State
 }
 
 func newPartDetector() *partDetector { return &partDetector{Detector: NewDetector(Config{})} }
@@ -99,7 +99,7 @@
 		d.RunnerCrashed(atSeconds(crashedAt), d.newRun("t", i, crashedAt-0.05, "a"))
 	}
 	d.surviveRun("t", 2.4, "c")
-	got := d.EvaluateRequest(atSeconds(2.5), Subject{Tenant: "t", Digest: 99}, []string{"a"})
+	got := d.EvaluateRequest(atSeconds(2.5), Request{Content: Subject{Tenant: "t", Digest: 99}, Parts: []string{"a"}})
 	g.Expect(got.State).To(Equal(Held))
 	g.Expect(got.Until).To(Equal(atSeconds(3)), "twice the run time after the first crash")
 	g.Expect(d.verdict("t", 3, "a")).To(Equal(Quarantined))
@@ -151,7 +151,7 @@
 		for i := range 3 {
 			d.crashRun("t", i, float64(i), "bad")
 		}
-		return d.EvaluateRequest(at, Subject{Tenant: "t", Digest: 99}, []string{"bad"}).State == OnTrial
+		return d.EvaluateRequest(at, Request{Content: Subject{Tenant: "t", Digest: 99}, Parts: []string{"bad"}}).State == OnTrial
 	}
 	trying := 0
 	for router := range routers {
--- a/internal/quarantine/partsimulation_test.go
+++ b/internal/quarantine/partsimulation_test.go
@@ -285,7 +285,7 @@
 
 // send sends the request to a runner, unless it is refused or held.
 func (s *partSimulation) send(request *partRequest) {
-	verdict := request.router.detector.EvaluateRequest(s.now, request.content, request.parts)
+	verdict := request.router.detector.EvaluateRequest(s.now, Request{Content: request.content, Parts: request.parts})
 	switch verdict.State {
 	case Quarantined:
 		s.refuse(request)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -13,6 +13,8 @@
 	Runner Runner
 	// Content is the digest of the run's content. It is recorded for prompt parts only.
 	Content uint64
+	// Credential is the CredentialHash of the caller. It is recorded for contents only.
+	Credential uint64
 	// SentAt is when the run was sent, and DetectedAt is when the crash was detected.
 	SentAt, DetectedAt time.Time
 }
@@ -86,6 +88,11 @@
 	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return crash.Runner == runner })
 }
 
+// includesCredential reports whether a request of the credential's caller was on a runner that crashed.
+func (r Record) includesCredential(credential uint64) bool {
+	return slices.ContainsFunc(r.activeCrashes(), func(crash Crash) bool { return crash.Credential == credential })
+}
+
 // activeCrashes returns the crashes since a runner last survived a run of the subject. A
 // survived run shows that the earlier crashes had another cause.
 func (r Record) activeCrashes() []Crash {
--- a/internal/quarantine/runtable.go
+++ b/internal/quarantine/runtable.go
@@ -42,8 +42,10 @@
 type Run struct {
 	Content Subject
 	// Parts are the IDs of the prompt parts that the request may share with others.
-	Parts  []string
-	Runner Runner
+	Parts []string
+	// Credential is the CredentialHash of the caller.
+	Credential uint64
+	Runner     Runner
 	// Service is the service of the runner.
 	Service string
 	// SentAt is when the request was sent, and BeganAt when the runner was seen to begin the
@@ -56,6 +58,11 @@
 	crashedAt time.Time
 }
 
+// Request returns what of the run's request may crash runners.
+func (r *Run) Request() Request {
+	return Request{Content: r.Content, Parts: r.Parts, Credential: r.Credential}
+}
+
 // Bounds of the information kept about ended runs and crashed runners.
 const (
 	// attributionWindow is how long after a run's connection ended a crash of the runner is
--- a/internal/quarantine/subject.go
+++ b/internal/quarantine/subject.go
@@ -34,6 +34,23 @@
 	return Subject{Tenant: tenant, Digest: hash.Sum64()}
 }
 
+// CredentialHash returns the hash of a caller's credential, 0 for callers without one.
+func CredentialHash(credential string) uint64 {
+	if credential == "" {
+		return 0
+	}
+	return max(xxhash.Sum64String(credential), 1)
+}
+
+// Request is what of a request may crash runners, and who sent it.
+type Request struct {
+	Content Subject
+	// Parts are the IDs of the prompt parts that the request may share with others.
+	Parts []string
+	// Credential is the CredentialHash of the caller. Configurations may move a credential to another tenant.
+	Credential uint64
+}
+
 // NewPart returns a part of the prompts of a tenant's requests.
 func NewPart(tenant, id string) Subject { return Subject{Tenant: tenant, Part: id} }
 
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -13,11 +13,11 @@
 	Subject Subject
 }
 
-// EvaluateRequest returns how a request is to be handled that has the content and the prompt parts.
-func (d *Detector) EvaluateRequest(now time.Time, content Subject, parts []string) Verdict {
-	subjects := []Subject{content}
-	for _, id := range parts {
-		subjects = append(subjects, NewPart(content.Tenant, id))
+// EvaluateRequest returns how the request is to be handled.
+func (d *Detector) EvaluateRequest(now time.Time, request Request) Verdict {
+	subjects := d.contents(request.Content, request.Credential)
+	for _, id := range request.Parts {
+		subjects = append(subjects, NewPart(request.Content.Tenant, id))
 	}
 	var result Verdict
 	for _, subject := range subjects {
