A stopping router passes on only what it can finish

Cause: only streams were compared with the time that is left, and when they arrived, not when they were sent.

Evidence: new tests on; a call of each kind of route, sent 0.5 s before the router ends its calls, reaches a runner and gets 502, also over a hop, and also if only its body is late.

Change: before each send and each hop, and on arrival, a call that has certainly not run and may take longer than the router runs is refused as not run, with a time to return.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -223,7 +223,7 @@
 		c.refuse(refused)
 		return
 	}
-	if refused := c.refuseLateStream(); refused != nil {
+	if refused := c.refuseLate(); refused != nil {
 		c.refuse(refused)
 		return
 	}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -102,6 +102,9 @@
 func (c *call) forward() (attempt.Action, *refusal) {
 	g := c.gateway
 	c.discardPlacement()
+	if refused := c.refuseLate(); refused != nil {
+		return attempt.Stop, refused
+	}
 	if refused := c.takeRetry(); refused != nil {
 		return attempt.Stop, refused
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,6 +52,11 @@
 		c.startPlacement()
 	}
 	choice, query := c.awaitPlacement(), c.query
+	// The router may have begun to stop while the call waited.
+	if refused := c.refuseLate(); refused != nil {
+		g.schedulers.release(choice)
+		return backend.Runner{}, refused
+	}
 	now := c.gateway.now()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/clovertiller/clovertiller/internal/events"
-	"github.com/clovertiller/clovertiller/internal/routing"
 )
 
 // Durations of the phases of a graceful stop.
@@ -69,11 +68,11 @@
 // isEndingCalls reports whether open calls are to be ended.
 func (g *Gateway) isEndingCalls() bool { return g.callsCtx.Err() != nil }
 
-// refuseLateStream returns a refusal of a stream that arrives after the time for new requests and may take longer than
-// the stopping router runs. Other calls get a response at the end.
-func (c *call) refuseLateStream() *refusal {
+// refuseLate returns a refusal of a call that has not been sent after the time for new requests, and that may take longer than the stopping
+// router runs: it would be cut at the end, and could not be repeated elsewhere. A call that may have run goes on.
+func (c *call) refuseLate() *refusal {
 	endAt := c.gateway.callsEndAt.Load()
-	if endAt == nil || c.route.Kind != routing.Streaming || time.Until(*endAt) >= c.gateway.until(c.deadline) {
+	if endAt == nil || time.Until(*endAt) >= c.gateway.until(c.deadline) || c.responseBegun || !c.attemptState.Promise().Holds() {
 		return nil
 	}
 	return stopping()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -209,3 +209,99 @@
 	f.g.Eventually(stopped, 3*time.Second).Should(BeClosed())
 	f.g.Expect(r.loggedEvents(events.RequestUnanswered)).To(BeEmpty())
 }
+
+// lateCallFleet is a router whose calls end 1.6 s after the beginning of its stop, and runners that never answer.
+func lateCallFleet(t *testing.T) (*fleet, *router, []*runnerstand.Runner) {
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runners := []*runnerstand.Runner{f.runner("p1", "plain"), f.runner("e1", "engines")}
+	for _, runner := range runners {
+		runner.SetBehaviour(runnerstand.Hangs)
+	}
+	r := f.servingRouter("r1", func(settings *gateway.Settings) { settings.DrainGrace = 2 * time.Second })
+	r.awaitRunners(len(runners))
+	return f, r, runners
+}
+
+// dialLate opens a connection to the stopping router of a lateCallFleet in its time for new requests, and returns it after that.
+func (r *router) dialLate() net.Conn {
+	time.Sleep(700 * time.Millisecond)
+	connection := r.dial()
+	time.Sleep(400 * time.Millisecond)
+	return connection
+}
+
+// Guards against calls that a stopping router passes on late in its grace time and cuts at the end, although they may not be repeated.
+func TestLateCallsThatMayOutlastTheStopAreRefused(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/safe/x", "/once/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f, r, runners := lateCallFleet(t)
+			half := r.dial()
+			stopped := r.stopInBackground()
+			// The head of one call arrives in time, and its body late.
+			r.writeCall(half, path, 2500, "the")
+			whole := r.dialLate()
+			r.writeCall(whole, path, 2500, wholeBody)
+			_, err := io.WriteString(half, wholeBody[len("the"):])
+			f.g.Expect(err).NotTo(HaveOccurred())
+			for _, connection := range []net.Conn{whole, half} {
+				response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+				f.g.Expect(err).NotTo(HaveOccurred())
+				response.Body.Close()
+				f.g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+				f.g.Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+				f.g.Expect(response.Close).To(BeTrue(), "the caller returns over another connection")
+			}
+			f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
+			f.g.Expect(totalRuns(runners)).To(BeZero())
+			f.g.Expect(r.loggedEvents(events.RequestUnanswered)).To(BeEmpty())
+		})
+	}
+}
+
+// Guards against the same over an egress router.
+func TestLateForwardedCallsThatMayOutlastTheStopAreRefused(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.configure(1, defaultRoutes(), validKey)
+	runner := f.runner("p1", "plain")
+	cut, _ := newCutRouter(f, 0)
+	cut.awaitCut("/safe/x")
+	runner.SetBehaviour(runnerstand.Hangs)
+	before := totalRuns([]*runnerstand.Runner{runner})
+	stopped := cut.stopInBackground()
+	// The router's grace time is 1 s: it takes new requests for half of that and ends its calls after 0.6 s.
+	time.Sleep(300 * time.Millisecond)
+	connection := cut.dial()
+	time.Sleep(220 * time.Millisecond)
+	cut.writeCall(connection, "/unsafe/x", 2500, wholeBody)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response.Body.Close()
+	f.g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
+	f.g.Expect(totalRuns([]*runnerstand.Runner{runner})).To(Equal(before))
+}
+
+// Guards against late calls that are refused although they end before the router does.
+func TestLateCallsThatEndBeforeTheStopAreServed(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/safe/x", "/once/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			f, r, runners := lateCallFleet(t)
+			for _, runner := range runners {
+				runner.SetBehaviour(runnerstand.Normal)
+			}
+			stopped := r.stopInBackground()
+			connection := r.dialLate()
+			r.writeCall(connection, path, 400, wholeBody)
+			response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+			f.g.Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			f.g.Expect(err).NotTo(HaveOccurred())
+			f.g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+			f.g.Eventually(stopped, 2*time.Second).Should(BeClosed())
+		})
+	}
+}
