One bound on the memory that all connections and calls hold

Cause: each head and body was bounded, and their sum was not, so that what a router paid for strangers grew with their number. A body that stopped arriving was waited for without end.

Change: internal/membudget. Who needs memory waits; idle connections, unfinished heads, and bodies that have stalled make room, the oldest first; what is whole is kept. Evicted bodies are refused as not run. A body ends with the time of its call.

--- a/hack/unit.sh
+++ b/hack/unit.sh
@@ -8,8 +8,13 @@
 timeout=15m
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
-"${GO:-go}" test -count=1 -timeout "$timeout" ./... 2>&1 | tee "$output"
-[ "${PIPESTATUS[0]}" = 0 ] && exit 0
+go=${GO:-go}
+# The tests of hostile clients measure the memory of processes, and run apart from other load.
+apart=./test/hostile
+"$go" test -count=1 -timeout "$timeout" $("$go" list ./... | grep -v "${apart#.}\$") 2>&1 | tee "$output"
+status=${PIPESTATUS[0]}
+"$go" test -count=1 -timeout "$timeout" "$apart" 2>&1 | tee -a "$output"
+[ "$status" = 0 ] && [ "${PIPESTATUS[0]}" = 0 ] && exit 0
 failed=$(sed -n 's/^--- FAIL: \([^ ]*\).*/\1/p' "$output" | sort -u)
 [ -n "$failed" ] || exit 1
 grep -qE 'build failed|setup failed|^panic:|timed out|^signal:|^exit status' "$output" && exit 1
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -61,6 +61,7 @@
 	QuotaDecided                  = define(517, logrus.InfoLevel, "quota decision made for the request's tenant")
 	PlacementDeclined             = define(518, logrus.InfoLevel, "runner chosen by the scheduler is not usable")
 	SendNotConfirmed              = define(519, logrus.InfoLevel, "request not sent: its runner may not begin it any more")
+	ReceptionEvicted              = define(539, logrus.WarnLevel, "connection or request ended before it had arrived whole: its memory is needed")
 	EndlessResponse               = define(534, logrus.WarnLevel, "response given up: its head or body does not end")
 	RunnerEndDetected             = define(520, logrus.WarnLevel, "runner ended while requests were running on it")
 	ContentQuarantined            = define(521, logrus.WarnLevel, "content is not sent any more: runners ended while processing it")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -14,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/backpressure"
 	"github.com/clovertiller/clovertiller/internal/integrity"
 	"github.com/clovertiller/clovertiller/internal/limits"
+	"github.com/clovertiller/clovertiller/internal/membudget"
 	"github.com/clovertiller/clovertiller/internal/quarantine"
 	"github.com/clovertiller/clovertiller/internal/routing"
 	"github.com/clovertiller/clovertiller/internal/streamversion"
@@ -188,6 +189,9 @@
 	unplaced    *refusal
 	// bufferedBytes is what the call holds of maxBufferedBytes.
 	bufferedBytes int64
+	// memory is what the call holds of the gateway's, and eventBytes the part of it for events that have not ended.
+	memory     *membudget.Holder
+	eventBytes int64
 	// unsentInSuccession is the number of attempts since the last one that reached a runner.
 	unsentInSuccession int
 }
@@ -202,6 +206,8 @@
 	}
 	g.openCalls.Add(1)
 	defer g.openCalls.Add(-1)
+	c.memory = g.memory.Register(membudget.ReceivingBody, func() { _ = c.controller.SetReadDeadline(time.Now()) })
+	defer c.memory.Release()
 	defer c.releaseBuffers()
 	defer c.recoverPanic()
 	ctx, cancel := g.callContext(request.Context())
--- a/internal/gateway/callbody.go
+++ b/internal/gateway/callbody.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
+
+	"github.com/clovertiller/clovertiller/internal/membudget"
 )
 
 // isConnectionError reports whether the error of a read from a caller comes from its connection, not from what it sent.
@@ -40,27 +43,70 @@
 	if c.incoming.ContentLength > maxBytes {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
+	// A body that stops arriving ends with the time of its call.
+	_ = c.controller.SetReadDeadline(time.Now().Add(c.gateway.until(c.deadline)))
 	// A read deadline in the past ends the wait for the rest of a body.
 	stop := context.AfterFunc(c.gateway.callsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
-	var err error
-	if size := c.incoming.ContentLength; size >= 0 {
-		c.body = make([]byte, size)
-		_, err = io.ReadFull(c.incoming.Body, c.body)
-	} else {
-		c.body, err = io.ReadAll(io.LimitReader(c.incoming.Body, maxBytes+1))
-	}
+	refused, err := c.receiveBody(maxBytes)
 	if !stop() && !c.gateway.serversClosed.Load() {
 		// After the read deadline, net/http may take the caller for disconnected.
 		return stopping(), nil
 	}
-	if err != nil && !isConnectionError(err) {
+	_ = c.controller.SetReadDeadline(time.Time{})
+	switch {
+	case refused != nil:
+		return refused, nil
+	case err != nil && c.memory.IsEvicted():
+		return c.outOfMemory(), nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.gateway.until(c.deadline) <= 0:
+		c.writer.Header().Set("Connection", "close")
+		return unavailable("the time is up", busyRetryAfter), nil
+	case err != nil && !isConnectionError(err):
 		return &refusal{status: http.StatusBadRequest, reason: "the body is malformed", detail: err.Error()}, nil
-	}
-	if err != nil {
+	case err != nil:
 		return nil, err
-	}
-	if int64(len(c.body)) > maxBytes {
+	case int64(len(c.body)) > maxBytes:
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
+	c.memory.SetClass(membudget.Whole)
 	return nil, nil
 }
+
+// receiveBody reads the body, of which it reads at most one byte more than maxBytes. Memory is held before it is allocated.
+func (c *call) receiveBody(maxBytes int64) (*refusal, error) {
+	size, isKnown := c.incoming.ContentLength, c.incoming.ContentLength >= 0
+	if !isKnown {
+		size = min(firstChunkBytes, maxBytes+1)
+	}
+	for {
+		if refused := c.holdBody(size - int64(cap(c.body))); refused != nil {
+			return refused, nil
+		}
+		body := make([]byte, len(c.body), size)
+		copy(body, c.body)
+		c.body = body
+		err := c.fillBody()
+		switch {
+		case err == io.EOF && (!isKnown || int64(len(c.body)) == size):
+			return nil, nil
+		case err == io.EOF:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil || isKnown || size > maxBytes:
+			return nil, err
+		}
+		size = min(2*size, maxBytes+1)
+	}
+}
+
+// fillBody reads until the body has taken its capacity, which is no error.
+func (c *call) fillBody() error {
+	for len(c.body) < cap(c.body) {
+		n, err := c.incoming.Body.Read(c.body[len(c.body):min(len(c.body)+bufferChunkBytes, cap(c.body))])
+		c.body = c.body[:len(c.body)+n]
+		if err != nil {
+			return err
+		}
+		c.memory.Arrived()
+	}
+	return nil
+}
--- a/internal/gateway/callserver.go
+++ b/internal/gateway/callserver.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +20,7 @@
 // it was called, drain serves each request that is read.
 type callServer struct {
 	*http.Server
+	gateway  *Gateway
 	listener net.Listener
 
 	mutex       sync.Mutex
@@ -35,33 +35,6 @@
 	isExpired bool
 }
 
-// receivingConn is a connection that knows whether bytes of a request have arrived.
-type receivingConn struct {
-	*net.TCPConn
-	isReceiving atomic.Bool
-}
-
-// Read reads from the caller.
-func (c *receivingConn) Read(buffer []byte) (int, error) {
-	n, err := c.TCPConn.Read(buffer)
-	if n > 0 {
-		c.isReceiving.Store(true)
-	}
-	return n, err
-}
-
-// receivingListener accepts connections that know whether bytes of a request have arrived.
-type receivingListener struct{ net.Listener }
-
-// Accept returns the next connection.
-func (l receivingListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if connection, isTCP := accepted.(*net.TCPConn); isTCP {
-		return &receivingConn{TCPConn: connection}, err
-	}
-	return accepted, err
-}
-
 // isReceiving reports whether bytes of a request have arrived on the connection.
 func isReceiving(connection net.Conn) bool {
 	c, isKnown := connection.(*receivingConn)
@@ -70,7 +43,7 @@
 
 // newCallServer returns a server of calls. Its errors are logged with the name.
 func (g *Gateway) newCallServer(name string, handler http.Handler) *callServer {
-	s := &callServer{connections: map[net.Conn]*connectionState{}}
+	s := &callServer{gateway: g, connections: map[net.Conn]*connectionState{}}
 	s.Server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true, ConnContext: withConnection, ErrorLog: g.serverErrorLog(name), ConnState: s.trackState,
@@ -81,11 +54,14 @@
 // serve serves the connections of the listener until the server is drained or closed.
 func (s *callServer) serve(listener net.Listener) {
 	s.listener = listener
-	go s.Serve(receivingListener{listener})
+	go s.Serve(receivingListener{listener, s.gateway.memory})
 }
 
 // trackState is called when a connection changes its state.
 func (s *callServer) trackState(connection net.Conn, state http.ConnState) {
+	if c, isKnown := connection.(*receivingConn); isKnown {
+		c.setState(state)
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	before := s.connections[connection]
@@ -93,10 +69,6 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(s.connections, connection)
 		return
-	case http.StateIdle:
-		if c, isKnown := connection.(*receivingConn); isKnown {
-			c.isReceiving.Store(false)
-		}
 	case http.StateActive:
 		if before != nil && before.isExpired {
 			// The request was read before the deadline took effect.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -119,6 +119,12 @@
 		}
 		return attempt.Stop, unavailable(reasonNoPath, busyRetryAfter)
 	}
+	// The call is encoded with its body.
+	size := int64(len(c.body)) + maxForwardedHeaderBytes
+	if refused := c.holdBody(size); refused != nil {
+		return attempt.Stop, refused
+	}
+	defer c.memory.Shrink(size)
 	c.triedEgress = append(c.triedEgress, router.Address)
 	c.beginAttempt(router.Address)
 	c.sentAt, c.egressRouter, c.declineReason = g.now(), router.Address, ""
@@ -337,7 +343,7 @@
 
 // forwardStream passes on a stream of a runner.
 func (c *call) forwardStream(response *httpconn.Response) attempt.Action {
-	end, err := integrity.CopyEvents(response.Body, response.Framing, maxEventBytes, func(data []byte, lastID string) error {
+	end, err := integrity.CopyEvents(response.Body, response.Framing, c.mayBuffer, func(data []byte, lastID string) error {
 		if c.stream == nil {
 			c.beginStreamResponse(response)
 		}
--- a/internal/gateway/forwardserve.go
+++ b/internal/gateway/forwardserve.go
@@ -14,6 +14,7 @@
 	"github.com/clovertiller/clovertiller/internal/attempt"
 	"github.com/clovertiller/clovertiller/internal/egress"
 	"github.com/clovertiller/clovertiller/internal/events"
+	"github.com/clovertiller/clovertiller/internal/membudget"
 	"github.com/clovertiller/clovertiller/internal/streamversion"
 	"github.com/clovertiller/clovertiller/internal/wire"
 )
@@ -39,10 +40,10 @@
 		g.declineForwarded(writer, "", "full")
 		return
 	}
-	var held int64
-	message, err := g.readForwardedCall(writer, request, &held)
-	// What is held is released with the message, also if the call is declined.
-	defer func() { g.bufferedBytes.Add(-held) }()
+	controller := http.NewResponseController(writer)
+	memory := g.memory.Register(membudget.ReceivingBody, func() { _ = controller.SetReadDeadline(time.Now()) })
+	defer memory.Release()
+	message, err := g.readForwardedCall(controller, request, memory)
 	switch {
 	case err != nil:
 		g.log.Log(events.ForwardedCallUnreadable, events.Fields{"from": request.RemoteAddr, "error": err.Error()})
@@ -61,7 +62,7 @@
 	stoppable, cancelStoppable := g.callContext(request.Context())
 	defer cancelStoppable()
 	c := g.newForwardedCall(request.Context(), writer, message)
-	c.ctx = stoppable
+	c.ctx, c.memory = stoppable, memory
 	defer c.releaseBuffers()
 	defer c.recoverPanic()
 	_ = c.controller.SetWriteDeadline(time.Now().Add(time.Duration(message.GetLeftMillis())*time.Millisecond + writeTimeoutSlack))
@@ -89,23 +90,23 @@
 // errForwardedTooLong means that a forwarded call has no length or is longer than allowed, or that too much is held of others.
 var errForwardedTooLong = errors.New("the forwarded call is too long")
 
-// readForwardedCall decodes the body of the request. What is held of it is added to held.
-func (g *Gateway) readForwardedCall(writer http.ResponseWriter, request *http.Request, held *int64) (*wire.ForwardedCall, error) {
-	controller := http.NewResponseController(writer)
+// readForwardedCall decodes the body of the request.
+func (g *Gateway) readForwardedCall(controller *http.ResponseController, request *http.Request, memory *membudget.Holder) (*wire.ForwardedCall, error) {
 	if err := controller.SetReadDeadline(time.Now().Add(forwardedBodyTimeout)); err != nil {
 		return nil, err
 	}
 	// Later reads only find out whether the ingress router disconnects.
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	length := request.ContentLength
-	if length < 0 || length > g.maxBodyBytes()+maxForwardedHeaderBytes || !g.holdBytes(length) {
+	// The message is decoded into as much memory again.
+	if length < 0 || length > g.maxBodyBytes()+maxForwardedHeaderBytes || !memory.Hold(request.Context().Done(), 2*length) {
 		return nil, errForwardedTooLong
 	}
-	*held += length
 	body := make([]byte, length)
 	if _, err := io.ReadFull(request.Body, body); err != nil {
 		return nil, err
 	}
+	memory.SetClass(membudget.Whole)
 	message := &wire.ForwardedCall{}
 	return message, proto.Unmarshal(body, message)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,6 @@
 	"context"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,6 +23,7 @@
 	"github.com/clovertiller/clovertiller/internal/events"
 	"github.com/clovertiller/clovertiller/internal/httpconn"
 	"github.com/clovertiller/clovertiller/internal/limits"
+	"github.com/clovertiller/clovertiller/internal/membudget"
 	"github.com/clovertiller/clovertiller/internal/namings"
 	"github.com/clovertiller/clovertiller/internal/rolloutdriver"
 	"github.com/clovertiller/clovertiller/internal/routing"
@@ -75,6 +75,8 @@
 
 // Gateway is one router process. Start creates it.
 type Gateway struct {
+	// memory bounds what open connections and calls hold together.
+	memory *membudget.Budget
 	// bufferedBytes is what calls hold of the bodies of responses.
 	bufferedBytes atomic.Int64
 	settings      Settings
@@ -161,8 +163,8 @@
 	weightsNamed chan struct{}
 
 	callerServer    *callServer
-	readinessServer *http.Server
-	metricsServer   *http.Server
+	readinessServer *callServer
+	metricsServer   *callServer
 	ctx             context.Context
 	cancel          context.CancelFunc
 	goroutines      sync.WaitGroup
@@ -197,6 +199,7 @@
 		distances:       distance.New(distance.Config{Zone: settings.Zone, Regions: settings.ZoneRegions}),
 	}
 	g.callsCtx, g.endCalls = context.WithCancel(context.Background())
+	g.memory = newRequestMemory(g)
 	g.startup = newStartup(g)
 	g.runners.UseDistances(g.distances)
 	g.loadShedder = admission.NewLoadShedder(g.random)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -30,9 +30,9 @@
 	g.callerServer = g.newCallServer("callers", http.HandlerFunc(g.serveCall))
 	mux := http.NewServeMux()
 	mux.HandleFunc(g.ports.ReadyPath, g.serveReadiness)
-	g.readinessServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.serverErrorLog("readiness")}
+	g.readinessServer = g.newCallServer("readiness", mux)
 	g.callerServer.serve(callerListener)
-	go g.readinessServer.Serve(readinessListener)
+	g.readinessServer.serve(readinessListener)
 	g.listenMetrics()
 	return nil
 }
@@ -69,8 +69,8 @@
 	mux.Handle(MetricsPath, g.metrics.handler())
 	mux.HandleFunc(StatusPath, g.serveStatus)
 	mux.HandleFunc(LiftPath, g.serveLift)
-	g.metricsServer = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: g.serverErrorLog("metrics")}
-	go g.metricsServer.Serve(listener)
+	g.metricsServer = g.newCallServer("metrics", mux)
+	g.metricsServer.serve(listener)
 }
 
 // MetricsPath is the path of the metrics.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -146,6 +146,7 @@
 	// quotaFalseRefusals counts refusals of tenants whose quota was not used up.
 	quotaFalseRefusals prometheus.Counter
 	endlessResponses   *prometheus.CounterVec
+	evictions          *prometheus.CounterVec
 	quotaCalls         *prometheus.HistogramVec
 	quotaWaits         prometheus.Histogram
 }
@@ -261,7 +262,10 @@
 			Namespace: namespace, Name: "quota_wait_seconds", Help: "How long calls waited until their tenant's limit allowed them.", Buckets: quotaBuckets,
 		}),
 	}
-	m.registry.MustRegister(m.endlessResponses)
+	m.evictions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "evictions_total", Help: "Connections and requests ended before they had arrived whole, by what was missing.",
+	}, []string{"class"})
+	m.registry.MustRegister(m.endlessResponses, m.evictions, newGauge("request_memory_bytes", "Memory that open connections and calls hold.", func() float64 { return float64(g.memory.Held()) }))
 	m.registry.MustRegister(
 		m.calls, m.callLatencies, m.firstEventLatencies, m.refusals, m.unansweredRequests, m.handlerPanics, m.startRefusals, m.startStages, m.directoryPages, m.descriptorsExhausted, m.attempts, m.retries, m.runnerFailures, m.refusalProofs, m.responseEnds, m.streamRecords, m.streamLookups, m.placements, m.promptTokens, m.sendDistances, m.runnerChecks, m.silentRunnerChecks, m.requestsAtCrash, m.quarantines, m.partQuarantines, m.liftedQuarantines, m.heldRequests, m.quarantineDelays, m.runnerSignals, m.limitedSends, m.permitAges, m.permitsGranted, m.suspendedSeconds, m.runnerConnections, m.silentRunnerConnections, m.runnerDialErrors, m.placedSendEnds, m.placedSendWaits, m.forwardedCalls, m.servedForwarded, m.pathProbes,
 		m.storeCalls, m.storeFailures, m.storeRestores, m.staleStoreResponses, m.storeLostObjects, m.watchRenewals, m.peerCalls, m.orders, m.weightUpdates, m.cacheReads, m.fetchSources, m.runnerChoices, m.placementCalls, m.priorityFactors, m.callerReturns, m.shareRefusals, m.rolloutFallbacks,
--- a/internal/gateway/proxystream.go
+++ b/internal/gateway/proxystream.go
@@ -53,7 +53,7 @@
 func (c *call) streamResponse(response *httpconn.Response) attempt.Action {
 	watchdog := c.startWatchdog(response.Body)
 	defer watchdog.stop()
-	end, err := integrity.CopyEvents(watchedBody{response.Body, watchdog.recordRead}, response.Framing, maxEventBytes, func(data []byte, lastID string) error {
+	end, err := integrity.CopyEvents(watchedBody{response.Body, watchdog.recordRead}, response.Framing, c.mayBuffer, func(data []byte, lastID string) error {
 		c.gateway.paths.heard(c.runner, false)
 		err := c.writeEvents(response, data, lastID)
 		watchdog.recordEvents(c.stream.lastEvent)
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -138,6 +138,10 @@
 		header[name] = values
 	}
 	c.setForwardedRefusal(r)
+	if c.gateway.draining.Load() {
+		// The caller returns over another connection, also if the stop began after the head of its request.
+		header.Set("Connection", "close")
+	}
 	header.Set("Content-Type", "text/plain")
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -40,6 +40,8 @@
 	// link in Mbit/s. 0 means unknown.
 	CPUShare     float64
 	LinkMegabits float64
+	// MemoryBytes is the memory that the process may use.
+	MemoryBytes int64
 	// StoreAddress is the IP:port of the store.
 	StoreAddress string
 	// ConfigLease is how long a configuration may be used for requests with an API key, counted
@@ -111,6 +113,7 @@
 	defaultRetryShare      = 0.2
 	defaultRetryReserve    = 5
 	defaultQuotaWindow     = 8 * time.Second
+	defaultMemoryBytes     = 256 << 20
 )
 
 // SetDefaults sets the fields that are zero to their defaults.
@@ -127,6 +130,9 @@
 	setDefaultDuration(&s.QuotaWindow, defaultQuotaWindow)
 	setDefaultDuration(&s.StartWait, defaultStartWait)
 	setDefaultDuration(&s.PlacePatience, defaultPlacePatience)
+	if s.MemoryBytes == 0 {
+		s.MemoryBytes = defaultMemoryBytes
+	}
 	if s.DirectFollowers == 0 {
 		s.DirectFollowers = defaultDirectFollowers
 	}
@@ -209,6 +215,9 @@
 	if s.DirectFollowers < 0 || s.CPUShare < 0 || s.LinkMegabits < 0 {
 		faults = append(faults, "direct followers, processor share and link: must not be negative")
 	}
+	if s.MemoryBytes < 0 {
+		faults = append(faults, "memory: must not be negative")
+	}
 	if s.ExposedShare < 0 || s.ExposedShare > 1 {
 		faults = append(faults, "exposed share: must be between 0 and 1")
 	}
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -198,3 +198,18 @@
 	request := cut.loggedEvents(events.RequestUnanswered)[0]["request"]
 	f.g.Expect(cut.loggedEvents(events.CallForwarded)).To(ContainElement(And(HaveKeyWithValue("request", request), HaveKeyWithValue("result", "unreachable"))))
 }
+
+// Guards against bodies that stop arriving and are waited for without end.
+func TestBodyThatStopsGetsAnEnd(t *testing.T) {
+	t.Parallel()
+	f, r, runners := newPlainFleet(t)
+	connection := r.dial()
+	r.writeCall(connection, "/unsafe/x", 300, "the")
+	_ = connection.SetReadDeadline(time.Now().Add(10 * time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	f.g.Expect(err).NotTo(HaveOccurred())
+	response.Body.Close()
+	f.g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	f.g.Expect(response.Close).To(BeTrue())
+	f.g.Expect(totalRuns(runners)).To(BeZero())
+}
--- a/internal/gatewaymain/gatewaymain.go
+++ b/internal/gatewaymain/gatewaymain.go
@@ -28,6 +28,10 @@
 // garbage collections.
 const gcPercent = 30
 
+// heapShare is the share of the memory above which garbage is collected more often. The rest is for what the limit of the runtime
+// does not count, and for what is allocated until a collection has ended.
+const heapShare = 0.75
+
 // Run runs a router with the settings from the platform's settings file until the process
 // receives a stop signal, and returns the exit code. SIGHUP reloads the settings.
 func Run(clock gateway.Clock) int {
@@ -44,6 +48,8 @@
 		}
 		return exitInvalidSettings
 	}
+	settings.SetDefaults()
+	debug.SetMemoryLimit(int64(heapShare * float64(settings.MemoryBytes)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	output := events.NewAsyncWriter(os.Stdout)
--- a/internal/integrity/events.go
+++ b/internal/integrity/events.go
@@ -120,7 +120,7 @@
 
 // CopyEvents reads an event stream until its end and passes complete events to write, with the ID of the last
 // event that has one. It returns early, with the error, if write fails.
-func CopyEvents(body io.Reader, framing Framing, maxEventBytes int, write func(events []byte, lastID string) error) (End, error) {
+func CopyEvents(body io.Reader, framing Framing, mayBuffer func(bytes int) bool, write func(events []byte, lastID string) error) (End, error) {
 	var splitter EventSplitter
 	writeComplete := func(complete []byte) error {
 		if len(complete) == 0 {
@@ -142,7 +142,7 @@
 		switch {
 		case readErr != nil:
 			return splitter.End(framing, readErr), nil
-		case splitter.Buffered() > maxEventBytes:
+		case !mayBuffer(splitter.Buffered()):
 			return End{Verdict: Oversized}, nil
 		}
 	}
--- a/internal/integrity/integrity_test.go
+++ b/internal/integrity/integrity_test.go
@@ -16,7 +16,7 @@
 
 // copyAll copies the stream and returns what was written, the last ID and the end.
 func copyAll(body io.Reader, framing Framing) (written, lastID string, end End) {
-	end, _ = CopyEvents(body, framing, maxTestEvent, func(events []byte, id string) error {
+	end, _ = CopyEvents(body, framing, func(bytes int) bool { return bytes <= maxTestEvent }, func(events []byte, id string) error {
 		written += string(events)
 		lastID = id
 		return nil
