Responses without end share the memory of calls

What callers saw (report of another operator): a faulty runner sends bytes without end, and the machine that keeps them ends.

Cause: one response was bounded, but the first 64 kB of each body was in no sum.

Change: what is buffered of a response is held of the memory of calls; without any left the body is passed on unbuffered.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -137,8 +137,8 @@
 // Unfinished.
 func (c *call) bufferResponse(response *httpconn.Response) (*bufferedResponse, integrity.End) {
 	body, end := response.Body.ReadAll(bufferChunkBytes)
-	if end.Verdict == integrity.Unfinished {
-		body, end = c.gateway.readHeld(response.Body, body, maxBufferedBody, &c.bufferedBytes)
+	if isHeld := c.memory.TryHold(int64(len(body))); isHeld && end.Verdict == integrity.Unfinished {
+		body, end = c.readHeld(response.Body, body, maxBufferedBody)
 	}
 	if end.Verdict != integrity.Unfinished {
 		c.recordResponseEnd(end)
--- a/internal/gateway/heldbytes.go
+++ b/internal/gateway/heldbytes.go
@@ -11,19 +11,22 @@
 const (
 	// bufferChunkBytes is the size of the parts in which a body is read into memory.
 	bufferChunkBytes = 64 << 10
-	// maxBufferedBytes bounds what is held of the bodies of all calls, beyond the first part of each.
+	// maxBufferedBytes bounds what is held of the bodies of all responses, beyond the first part of each.
 	maxBufferedBytes = 16 << 20
 )
 
-// readHeld appends to data what follows in the body, until it has limit bytes or maxBufferedBytes are held by all calls. The end is
-// then Unfinished. What is held is added to held.
-func (g *Gateway) readHeld(body io.Reader, data []byte, limit int, held *int64) ([]byte, integrity.End) {
+// readHeld appends to data what follows in the body, until it has limit bytes, or there is no memory for more. The end is
+// then Unfinished.
+func (c *call) readHeld(body io.Reader, data []byte, limit int) ([]byte, integrity.End) {
 	end := integrity.End{Verdict: integrity.Unfinished}
 	for end.Verdict == integrity.Unfinished && len(data) < limit {
-		if !g.holdBytes(bufferChunkBytes) {
+		if !c.gateway.holdBytes(bufferChunkBytes) {
+			return data, end
+		}
+		c.bufferedBytes += bufferChunkBytes
+		if !c.memory.TryHold(bufferChunkBytes) {
 			return data, end
 		}
-		*held += bufferChunkBytes
 		var n int
 		data = slices.Grow(data, bufferChunkBytes)
 		n, end = integrity.ReadChunk(body, data[len(data):len(data)+bufferChunkBytes])
