membudget: a reserve for small holders; evicted heads get no 400

Connections count 16 kB, so that a router of 64 MB can have 1,500. Tests: TestReserveIsLeftToSmallHolders; the others as before.

--- a/internal/gateway/callbody.go
+++ b/internal/gateway/callbody.go
@@ -44,7 +44,9 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too long"}, nil
 	}
 	// A body that stops arriving ends with the time of its call.
-	_ = c.controller.SetReadDeadline(time.Now().Add(c.gateway.until(c.deadline)))
+	if c.incoming.ContentLength != 0 {
+		_ = c.controller.SetReadDeadline(time.Now().Add(c.gateway.until(c.deadline)))
+	}
 	// A read deadline in the past ends the wait for the rest of a body.
 	stop := context.AfterFunc(c.gateway.callsCtx, func() { _ = c.controller.SetReadDeadline(time.Now()) })
 	refused, err := c.receiveBody(maxBytes)
@@ -52,7 +54,9 @@
 		// After the read deadline, net/http may take the caller for disconnected.
 		return stopping(), nil
 	}
-	_ = c.controller.SetReadDeadline(time.Time{})
+	if c.incoming.ContentLength != 0 {
+		_ = c.controller.SetReadDeadline(time.Time{})
+	}
 	switch {
 	case refused != nil:
 		return refused, nil
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -120,7 +120,7 @@
 		return attempt.Stop, unavailable(reasonNoPath, busyRetryAfter)
 	}
 	// The call is encoded with its body.
-	size := int64(len(c.body)) + maxForwardedHeaderBytes
+	size := int64(len(c.body)) + headerBytes(c.incoming.Header)
 	if refused := c.holdBody(size); refused != nil {
 		return attempt.Stop, refused
 	}
@@ -140,6 +140,16 @@
 	return action, refused
 }
 
+// headerBytes returns the size of the header's names and values.
+func headerBytes(header http.Header) (size int64) {
+	for name, values := range header {
+		for _, value := range values {
+			size += int64(len(name) + len(value))
+		}
+	}
+	return size
+}
+
 // egressResult returns what the result of the forwarded call says of its egress router.
 func (c *call) egressResult(result string) egress.Result {
 	switch {
--- a/internal/gateway/receivingconn.go
+++ b/internal/gateway/receivingconn.go
@@ -13,13 +13,14 @@
 
 const (
 	// connectionBytes is the memory that an open connection takes without a request: goroutines and buffers.
-	connectionBytes = 24 << 10
+	connectionBytes = 16 << 10
 	// headFactor is the memory that a byte of a head takes once it is parsed into header fields, at most.
 	headFactor = 3
 )
 
-// errNoMemory means that other connections and calls hold all memory.
-var errNoMemory = errors.New("no memory is left for the head of the request")
+// errNoMemory means that other connections and calls hold all memory. net/http closes a connection with such an error, and answers others
+// with status 400, after which no caller returns.
+var errNoMemory = &net.OpError{Op: "read", Err: errors.New("no memory is left for the head of the request")}
 
 // receivingConn is a connection that knows whether bytes of a request have arrived, and holds memory for heads of requests.
 type receivingConn struct {
--- a/internal/gateway/requestmemory.go
+++ b/internal/gateway/requestmemory.go
@@ -10,6 +10,9 @@
 const (
 	// requestMemoryShare is the share of the memory that open connections and calls may hold together. As much again may be garbage.
 	requestMemoryShare = 0.375
+	// smallRequestShare is the part of that which is left to new connections, heads, and calls with at most smallRequestBytes.
+	smallRequestShare = 0.15
+	smallRequestBytes = 64 << 10
 	// evictionLogInterval is the minimum interval of log lines about evictions.
 	evictionLogInterval = time.Second
 	// uncountedEventBytes is the part of an event that is within connectionBytes, and eventStepBytes the part for which memory is held at
@@ -27,14 +30,17 @@
 func newRequestMemory(g *Gateway) *membudget.Budget {
 	var loggedAt time.Time
 	limit := int64(requestMemoryShare * float64(g.settings.MemoryBytes))
-	return membudget.New(membudget.Config{Limit: limit, Now: time.Now, OnEvict: func(class membudget.Class) {
-		g.metrics.evictions.WithLabelValues(class.String()).Inc()
-		// The budget calls this one at a time.
-		if now := time.Now(); now.Sub(loggedAt) >= evictionLogInterval {
-			loggedAt = now
-			g.log.Log(events.ReceptionEvicted, events.Fields{"class": class.String(), "limit": limit})
-		}
-	}})
+	return membudget.New(membudget.Config{
+		Limit: limit, Reserve: int64(smallRequestShare * float64(limit)), SmallBytes: smallRequestBytes, Now: time.Now,
+		OnEvict: func(class membudget.Class) {
+			g.metrics.evictions.WithLabelValues(class.String()).Inc()
+			// The budget calls this one at a time.
+			if now := time.Now(); now.Sub(loggedAt) >= evictionLogInterval {
+				loggedAt = now
+				g.log.Log(events.ReceptionEvicted, events.Fields{"class": class.String(), "limit": limit})
+			}
+		},
+	})
 }
 
 // holdBody waits until there is memory for more bytes of the call, and refuses it if there is none.
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -41,8 +41,9 @@
 
 // Config is the configuration of a Budget.
 type Config struct {
-	// Limit is the number of bytes that all holders together may have.
-	Limit int64
+	// Limit is the number of bytes that all holders together may have. The last Reserve of them are for holders of at most SmallBytes,
+	// and for HoldNow, so that a few large holders do not keep all others out.
+	Limit, Reserve, SmallBytes int64
 	// Now returns the time.
 	Now func() time.Time
 	// OnEvict is called for each evicted holder, if it is set. It must not call the Budget.
@@ -124,6 +125,15 @@
 	return h.tryHold(bytes)
 }
 
+// limit returns the number of bytes up to which the holder may be given more. The mutex must be held.
+func (h *Holder) limit(bytes int64) int64 {
+	config := h.budget.config
+	if h.bytes+bytes <= config.SmallBytes {
+		return config.Limit
+	}
+	return config.Limit - config.Reserve
+}
+
 // HoldNow adds bytes to what the holder has. If there is no room, it evicts idle connections or heads instead of waiting, and counts on
 // what they are about to release. It returns false if that does not make room.
 func (h *Holder) HoldNow(bytes int64) bool {
@@ -153,7 +163,7 @@
 			b.mutex.Unlock()
 			return true
 		}
-		if h.isEvicted || bytes > b.config.Limit || !b.makeRoom(h, bytes, since) {
+		if h.isEvicted || bytes > h.limit(bytes) || !b.makeRoom(h, bytes, since) {
 			b.mutex.Unlock()
 			return false
 		}
@@ -171,7 +181,7 @@
 // tryHold is TryHold. The mutex must be held.
 func (h *Holder) tryHold(bytes int64) bool {
 	b := h.budget
-	if h.isEvicted || b.held+bytes > b.config.Limit {
+	if h.isEvicted || b.held+bytes > h.limit(bytes) {
 		return false
 	}
 	b.held += bytes
@@ -185,7 +195,7 @@
 func (b *Budget) makeRoom(waiting *Holder, bytes int64, since time.Time) bool {
 	now := b.config.Now()
 	isLate := now.Sub(since) >= maxWait
-	for b.held-b.leaving+bytes > b.config.Limit {
+	for b.held-b.leaving+bytes > waiting.limit(bytes) {
 		isVictim := func(h *Holder) bool {
 			switch h.class {
 			case Idle, ReceivingHead:
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// Guards against a few large requests that keep new connections and small requests out.
+func TestReserveIsLeftToSmallHolders(t *testing.T) {
+	g, b := NewWithT(t), New(Config{Limit: 100, Reserve: 20, SmallBytes: 5, Now: time.Now})
+	large := evictable(b, Whole)
+	g.Expect(large.Hold(nil, 81)).To(BeFalse())
+	g.Expect(large.Hold(nil, 80)).To(BeTrue())
+	g.Expect(evictable(b, ReceivingBody).TryHold(6)).To(BeFalse())
+	g.Expect(evictable(b, ReceivingBody).Hold(nil, 5)).To(BeTrue())
+	g.Expect(evictable(b, Idle).HoldNow(10)).To(BeTrue())
+}
+
 // Guards against a holder that waits for what can never be.
 func TestTooMuchIsRefusedAtOnce(t *testing.T) {
 	g, b := NewWithT(t), newBudget(100)
