A caller's own record of a stream is looked up before an anonymous one

Records of services come first among the caller's own, also if its key was passed back meanwhile. The keys are sent in that order; earlier builds read the tenant's as before.

--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -114,7 +114,7 @@
 		c.renewFirstRecord(lookup.began)
 	}
 	// Where no record tells that the stream began at this service, another one may have its first record.
-	c.recordedByService = lookup.resolution != streamversion.Recorded || !slices.Contains(c.streamCaller().LookupKeys(c.streamID()), lookup.recordKey)
+	c.recordedByService = lookup.resolution != streamversion.Recorded || !slices.Contains(c.streamCaller().LookupKeys(c.streamID(), nil), lookup.recordKey)
 	if lookup.resolution != streamversion.Moved {
 		c.service = lookup.proven.Origin().Service
 		c.bind(lookup.proven)
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -32,9 +32,10 @@
 
 // streamQuestion is the question where a stream began that a caller takes up.
 type streamQuestion struct {
-	// keys are those under which the stream may be recorded, in the order in which they are looked up. The last one is that of the
+	// keys are those under which the stream may be recorded, in the order in which they are looked up. tenantKey is that of the
 	// caller's tenant, the only one that earlier builds know.
-	keys []streamversion.Key
+	keys      []streamversion.Key
+	tenantKey streamversion.Key
 	// service was chosen for the call among services, those of its route.
 	service  string
 	services []string
@@ -45,11 +46,9 @@
 	q, caller, id := streamQuestion{service: c.service}, c.streamCaller(), c.streamID()
 	for _, backend := range c.route.Backends {
 		q.services = append(q.services, backend.Service)
-		q.keys = append(q.keys, caller.ServiceLookupKeys(id, backend.Service)...)
 	}
-	keys := caller.LookupKeys(id)
-	slices.Reverse(keys)
-	q.keys = append(q.keys, keys...)
+	q.keys = caller.LookupKeys(id, q.services)
+	q.tenantKey, _ = caller.RecordKeys(id)
 	return q
 }
 
@@ -63,25 +62,25 @@
 
 // encode returns the message that asks another router. If storeAge is not 0, that must have read the store within it.
 func (q streamQuestion) encode(storeAge time.Duration) *wire.StreamAsk {
-	primary := len(q.keys) - 1
-	ask := &wire.StreamAsk{Key: q.keys[primary][:], Service: q.service, StoreAgeMillis: uint32(storeAge.Milliseconds())}
-	for _, key := range q.keys[:primary] {
-		ask.Aliases = append(ask.Aliases, key[:])
+	ask := &wire.StreamAsk{Key: q.tenantKey[:], Service: q.service, StoreAgeMillis: uint32(storeAge.Milliseconds())}
+	for _, key := range q.keys {
+		ask.Keys = append(ask.Keys, key[:])
 	}
 	return ask
 }
 
-// decodeStreamKeys returns the keys of the stream that another router asks for, none if the last one is not valid.
+// decodeStreamKeys returns the valid ones among the keys of the stream that another router asks for. Earlier builds send one.
 func decodeStreamKeys(ask *wire.StreamAsk) (keys []streamversion.Key) {
-	if len(ask.GetKey()) != len(streamversion.Key{}) {
-		return nil
+	encoded := ask.GetKeys()
+	if len(encoded) == 0 {
+		encoded = [][]byte{ask.GetKey()}
 	}
-	for _, alias := range ask.GetAliases() {
-		if len(alias) == len(streamversion.Key{}) {
-			keys = append(keys, streamversion.Key(alias))
+	for _, key := range encoded {
+		if len(key) == len(streamversion.Key{}) {
+			keys = append(keys, streamversion.Key(key))
 		}
 	}
-	return append(keys, streamversion.Key(ask.GetKey()))
+	return keys
 }
 
 // decode returns the answer of another router.
@@ -211,7 +210,7 @@
 // replicaStoreAnswer makes one of the replicas, which the key chooses, read the store, and returns what that knows then. It
 // returns false if the replica has not read the store since the time and has no record either.
 func (s *streamVersions) replicaStoreAnswer(ctx context.Context, replicas []string, q streamQuestion, since time.Time) (streamversion.Answer, bool) {
-	reader := s.connectedReplica(replicas, replicas[int(q.keys[len(q.keys)-1][0])%len(replicas)])
+	reader := s.connectedReplica(replicas, replicas[int(q.tenantKey[0])%len(replicas)])
 	for range maxStoreAsks {
 		for _, answer := range s.askReplicas(ctx, []string{reader}, q, max(s.gateway.since(since), time.Millisecond)) {
 			if answer.HasReadStore || answer.Origin != (streamversion.Origin{}) {
--- a/internal/streamversion/key.go
+++ b/internal/streamversion/key.go
@@ -41,13 +41,24 @@
 	return NewKey(c.Tenant, id), alias
 }
 
-// LookupKeys returns the keys under which a stream may be recorded that the caller may take up: one that it began, that its tenant
-// began, or that an anonymous caller began, and which therefore belongs to nobody.
-func (c Caller) LookupKeys(id string) []Key {
-	key, alias := c.RecordKeys(id)
-	keys := Record{Key: key, Alias: alias}.keys()
-	if c.Tenant != "" {
-		keys = append(keys, NewKey("", id))
+// LookupKeys returns the keys under which a stream may be recorded that the caller may take up, in the order in which they are to be looked
+// up. The caller's own records come first, by its tenant and by its credential, and among them those of the services. Records of
+// anonymous callers, whose streams belong to nobody, must not hide them.
+func (c Caller) LookupKeys(id string, services []string) (keys []Key) {
+	var ids []string
+	for _, service := range services {
+		ids = append(ids, serviceID(id, service))
+	}
+	ids = append(ids, id)
+	for _, name := range ids {
+		key, alias := c.RecordKeys(name)
+		keys = append(keys, Record{Key: key, Alias: alias}.keys()...)
+	}
+	if c.Tenant == "" {
+		return keys
+	}
+	for _, name := range ids {
+		keys = append(keys, NewKey("", name))
 	}
 	return keys
 }
@@ -57,11 +68,6 @@
 	return c.RecordKeys(serviceID(id, service))
 }
 
-// ServiceLookupKeys is LookupKeys for the same.
-func (c Caller) ServiceLookupKeys(id, service string) []Key {
-	return c.LookupKeys(serviceID(id, service))
-}
-
 // serviceID returns an ID that no caller can send.
 func serviceID(id, service string) string { return id + "\x00" + service }
 
--- a/internal/streamversion/streamversion_test.go
+++ b/internal/streamversion/streamversion_test.go
@@ -48,7 +48,7 @@
 			record.Key, record.Alias = test.began.RecordKeys("1")
 			table.Add(start, record)
 			found := false
-			for _, key := range test.takesUp.LookupKeys("1") {
+			for _, key := range test.takesUp.LookupKeys("1", nil) {
 				_, known := table.Find(start, key)
 				found = found || known
 			}
@@ -57,6 +57,16 @@
 	}
 }
 
+// Guards against callers whose stream goes on where another one began under the same ID: an anonymous one, or their own before its route
+// has moved.
+func TestRecordsAreLookedUpInOrder(t *testing.T) {
+	g, caller := NewWithT(t), Caller{"a", "k"}
+	key, alias := caller.RecordKeys("1")
+	serviceKey, serviceAlias := caller.ServiceRecordKeys("1", "engines")
+	g.Expect(caller.LookupKeys("1", []string{"engines"})).To(Equal([]Key{serviceKey, serviceAlias, key, alias, NewKey("", serviceID("1", "engines")), NewKey("", "1")}))
+	g.Expect(Caller{"", "k"}.LookupKeys("1", nil)).To(HaveLen(2))
+}
+
 func TestRecordIsFoundUntilItExpires(t *testing.T) {
 	g := NewWithT(t)
 	table := NewTable(10)
