--- a/internal/gateway/resumedstreams.go
+++ b/internal/gateway/resumedstreams.go
@@ -113,7 +113,7 @@
 	if lookup.began != (streamversion.Origin{}) {
 		c.renewFirstRecord(lookup.began)
 	}
-	// Where no record tells that the stream began at this service, another one may have its first record.
+	// The stream may have begun at another service, whose record keeps the first keys.
 	c.recordedByService = lookup.resolution != streamversion.Recorded || !slices.Contains(c.streamCaller().LookupKeys(c.streamID(), nil), lookup.recordKey)
 	if lookup.resolution != streamversion.Moved {
 		c.service = lookup.proven.Origin().Service
--- a/internal/gateway/streamlookup.go
+++ b/internal/gateway/streamlookup.go
@@ -85,7 +85,7 @@
 
 // decode returns the answer of another router.
 func (q streamQuestion) decode(message *wire.StreamAnswer) streamversion.Answer {
-	// The answer tells nothing of how long the record is kept.
+	// Answers do not contain when the record expires.
 	record, _ := decodeStreamRecord(time.Time{}, message.GetRecord())
 	answer := q.answer(record)
 	answer.HasReadStore, answer.Only = message.GetStoreRead(), message.GetOnly()
@@ -112,7 +112,7 @@
 type streamLookup struct {
 	proven     streamversion.Proven
 	resolution streamversion.Resolution
-	// recordKey is the key of the record that tells it. began is where the stream began if its route no longer has that service.
+	// recordKey is the key of the record of the origin. began is where the stream began if its route no longer has that service.
 	recordKey streamversion.Key
 	began     streamversion.Origin
 	// answers are those of the replicas, and hasReadStore is set if the store was read as well.
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Class tells what a Holder waits for, and whether it may be evicted.
+// Class is what a Holder waits for. It determines whether the Holder may be evicted.
 type Class uint8
 
 const (
